--- /dev/null
+++ b/packages/base/include/base/bytes.h
@@ -0,0 +1,23 @@
+#ifndef BASE_BYTES_H
+#define BASE_BYTES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* A run of bytes on talloc memory.
+ * Invariant: count <= room; data is NULL exactly when room is 0 (or when the
+ * bytes are borrowed: then room is 0 and nothing may be added). */
+typedef struct Bytes {
+    uint8_t *data;
+    size_t count;
+    size_t room;
+} Bytes;
+
+void bytesAdd(void *mem, Bytes *bytes, const void *data, size_t count);
+Bytes bytesCopy(void *mem, Bytes from);
+bool bytesEqual(Bytes a, Bytes b);
+/* CRC-32 (IEEE), the checksum of journal records. */
+uint32_t bytesCrc(const void *data, size_t count);
+
+#endif
--- /dev/null
+++ b/packages/base/include/base/constants.h
@@ -0,0 +1,89 @@
+#ifndef BASE_CONSTANTS_H
+#define BASE_CONSTANTS_H
+
+/* Every constant of spancart, with its unit and its reason. Spans are counted
+ * on CLOCK_BOOTTIME (or the simulator's clock), never on wall time. */
+
+/* --- beats and holds: the sum of the steps after a leader's death is
+ * LOCK_HOLD + one proposal + one view change + AGENT_HOLD < 12 s ----------- */
+#define BEAT_MS 500            /* ms; six beats fit in an agent's hold, so five may be lost */
+#define AGENT_HOLD_MS 3000     /* ms; a lost worker's claim lapses after this: "a few seconds at most" */
+#define LOCK_HOLD_MS 2000      /* ms; four renewals fit in it */
+#define LOCK_RENEW_MS 500      /* ms; as BEAT_MS */
+#define PROPOSE_MS 1000        /* ms; a core without a leader proposes this often ... */
+#define PROPOSE_JITTER_MS 600  /* ms; ... plus up to this, so that two do not collide for ever */
+#define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
+#define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
+#define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
+#define HOLD_SLACK_MS 50       /* ms; the leader adds this to its count of a hold: timer granularity */
+
+/* --- asking ------------------------------------------------------------- */
+#define ASK_EXPIRY_MS 800      /* ms; a plain question between processes; shorter than a lock hold */
+#define APPEND_EXPIRY_MS 1500  /* ms; a seat that does not sync in this time leaves the view */
+#define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
+#define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
+#define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
+#define PROXY_EXPIRY_MS 8000   /* ms; a gate gives a request up after this */
+#define SUBMIT_EXPIRY_MS 5000  /* ms; a change not committed in this time has an unknown outcome */
+#define CONNECT_EXPIRY_MS 600  /* ms; a connection that takes longer is as good as none */
+#define LINE_MISSES 3          /* count; questions unanswered in a row before a line is opened anew */
+
+/* --- membership --------------------------------------------------------- */
+#define HELLO_MS 500           /* ms; between two exchanges of the member table */
+#define MEMBER_QUIET_MS 4000   /* ms; a member not heard of for this long counts as quiet */
+#define MEMBER_FORGET_MS 600000 /* ms; a quiet member is dropped from the table: ten minutes of absence */
+#define MEMBERS_MAX 512        /* count; bound on a table told by a partner: ten times today's sizes */
+#define FOUND_WAIT_MS 1500     /* ms; three empty disks must see each other for this long before founding */
+#define SEAT_GONE_MS 20000     /* ms; a seat gone this long is offered to an empty core */
+
+/* --- log and disk -------------------------------------------------------- */
+#define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
+#define LOG_BATCH_BYTES (512 * 1024) /* bytes; one append carries at most this much */
+#define LOG_BATCH_ENTRIES 256  /* count; likewise */
+#define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
+#define WOKEN_WAIT_MS 4000     /* ms; a view resting on woken seats waits this long for the last view's members */
+#define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
+#define REPAIR_KEEP_MS 120000  /* ms; how long gates and agents keep what they were told, for repair */
+#define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose for this long */
+
+/* --- jobs ----------------------------------------------------------------- */
+#define JOB_KEEP_MS 3600000    /* ms; an ended job is kept an hour: an id resent inside it still counts once */
+#define JOB_TASKS_MAX 10000    /* count; tasks in one job */
+#define JOB_STEPS_MAX 64       /* count; steps in one job */
+#define JOB_BODY_MAX (256 * 1024) /* bytes; one job's JSON */
+#define CONFIG_BODY_MAX (1024 * 1024) /* bytes; one configuration's JSON */
+#define CONFIG_HISTORY 200     /* count; revisions that can be read back */
+#define ID_MAX 96              /* bytes; a job's, tenant's, worker's name */
+#define ROUNDS_DEFAULT 3       /* count; rounds a failing task gets unless its owner says */
+#define ROUNDS_MAX 100         /* count */
+#define QUEUE_LIMIT_DEFAULT 20000 /* count; waiting tasks in one cell's queues before 503 */
+#define ASSURE_WAIT_MS 2000    /* ms; a protected start that breaks the plan waits this long, then runs unassured */
+#define PLACE_TICK_MS 250      /* ms; the planner looks again this often even without news */
+#define PLACE_BATCH 128        /* count; starts decided in one change */
+#define FAILED_REST_MS 500     /* ms; a failed task rests this long, doubled with each miss */
+#define FAILED_REST_MAX_MS 8000 /* ms */
+#define LIST_PAGE 100          /* count; jobs on one page */
+#define LIST_PAGE_MAX 1000     /* count */
+#define ROOM_MAX 100000000ULL  /* milli-CPU or MB; larger numbers are mistakes */
+
+/* --- planner --------------------------------------------------------------- */
+#define PLAN_EXHAUSTIVE_MAX 400 /* count; loss sequences walked one by one; above it the cheap bound */
+#define PLAN_R_MAX 4           /* count; worker losses a plan may be asked to survive */
+
+/* --- process ---------------------------------------------------------------- */
+#define TASK_STACK_BYTES (192 * 1024) /* bytes; JSON and printf fit with room to spare, also under ASan */
+#define FRAME_MAX_BYTES (32 * 1024 * 1024) /* bytes; a snapshot fits */
+#define CHANNEL_QUEUE_BYTES (96 * 1024 * 1024) /* bytes; more unsent than this ends the connection */
+#define CHANNEL_QUEUE_FRAMES 4096 /* count; more unread than this ends the connection */
+#define HTTP_BODY_MAX (2 * 1024 * 1024) /* bytes */
+#define HTTP_TASKS_MAX 2048    /* count; requests in work in one process; more are told to come back */
+#define RING_LINES 256         /* count; the log ring */
+#define RING_LINE_BYTES 200    /* bytes */
+#define RETRY_AFTER_S 1        /* s; told with each 503 */
+#define DRAIN_MS 3000          /* ms; SIGTERM: not ready at once, gone after this at the latest */
+
+/* --- formats ------------------------------------------------------------------ */
+#define WIRE_VERSION 1         /* the version of frames; partners ignore trailing fields they do not know */
+#define JOURNAL_VERSION 1      /* the version of journal records */
+
+#endif
--- /dev/null
+++ b/packages/base/include/base/status.h
@@ -0,0 +1,68 @@
+#ifndef BASE_STATUS_H
+#define BASE_STATUS_H
+
+/* Every failure has a type. The words are what users see in verdicts, so they
+ * are part of the interface and never change their meaning. Their order is part
+ * of the wire format: new ones are added at the end of the list. */
+#define STATUS_LIST(X)                              \
+    X(OK, "ok", 200)                                \
+    X(BAD_FLAG, "bad-flag", 400)                    \
+    X(BAD_PROPS, "bad-props", 400)                  \
+    X(BAD_JSON, "bad-json", 400)                    \
+    X(BAD_FIELD, "bad-field", 422)                  \
+    X(BAD_FRAME, "bad-frame", 400)                  \
+    X(BAD_PATH, "bad-path", 404)                    \
+    X(BAD_METHOD, "bad-method", 405)                \
+    X(TOO_LARGE, "too-large", 413)                  \
+    X(UNKNOWN_JOB, "unknown-job", 404)              \
+    X(UNKNOWN_TENANT, "unknown-tenant", 422)        \
+    X(UNKNOWN_QUEUE, "unknown-queue", 422)          \
+    X(UNKNOWN_CELL, "unknown-cell", 422)            \
+    X(UNKNOWN_ZONE, "unknown-zone", 404)            \
+    X(UNKNOWN_REVISION, "unknown-revision", 404)    \
+    X(UNKNOWN_WORKER, "unknown-worker", 404)        \
+    X(IMPOSSIBLE_ROOM, "impossible-room", 422)      \
+    X(IMPOSSIBLE_KIND, "impossible-kind", 422)      \
+    X(OVER_QUOTA, "over-quota", 422)                \
+    X(CYCLIC_STEPS, "cyclic-steps", 422)            \
+    X(OTHER_BODY, "other-body", 409)                \
+    X(STALE_REVISION, "stale-revision", 409)        \
+    X(ALREADY_ENDED, "already-ended", 409)          \
+    X(QUEUE_FULL, "queue-full", 503)                \
+    X(NO_LEADER, "no-leader", 503)                  \
+    X(NOT_LEADER, "not-leader", 503)                \
+    X(REPAIRING, "repairing", 503)                  \
+    X(LEAVING, "leaving", 503)                      \
+    X(OUTCOME_UNKNOWN, "outcome-unknown", 504)      \
+    X(STRANGER, "stranger-cluster", 403)            \
+    X(OLD_EPOCH, "old-epoch", 409)                  \
+    X(OTHER_HOLDER, "other-holder", 409)            \
+    X(LOG_GAP, "log-gap", 409)                      \
+    X(WOKEN, "woken", 409)                          \
+    X(NO_SEAT, "no-seat", 409)                      \
+    X(DUPLICATE_WORKER, "duplicate-worker", 409)    \
+    X(EXPIRED, "expired", 504)                      \
+    X(CLOSED, "closed", 503)                        \
+    X(UNREACHABLE, "unreachable", 503)              \
+    X(BUSY, "busy", 503)                            \
+    X(STOPPING, "stopping", 503)                    \
+    X(DISK_FAILED, "disk-failed", 500)              \
+    X(JOURNAL_CORRUPT, "journal-corrupt", 500)      \
+    X(JOURNAL_FOREIGN, "journal-foreign", 500)      \
+    X(JOURNAL_FORMAT, "journal-format", 500)        \
+    X(BAD_POLICY, "bad-policy", 422)                \
+    X(INTERNAL, "internal", 500)
+
+typedef enum Status {
+#define X(name, word, http) STATUS_##name,
+    STATUS_LIST(X)
+#undef X
+        STATUS_COUNT
+} Status;
+
+const char *statusWord(Status status);
+int statusHttp(Status status);
+/* STATUS_COUNT when the word is none of ours. */
+Status statusOfWord(const char *word);
+
+#endif
--- /dev/null
+++ b/packages/base/src/bytes.c
@@ -0,0 +1,47 @@
+#include "base/bytes.h"
+
+#include <string.h>
+#include <talloc.h>
+
+void bytesAdd(void *mem, Bytes *bytes, const void *data, size_t count)
+{
+    if (count == 0)
+        return;
+    if (bytes->count + count > bytes->room) {
+        size_t room = bytes->room < 64 ? 64 : bytes->room * 2;
+        while (room < bytes->count + count)
+            room *= 2;
+        bytes->data = talloc_realloc(mem, bytes->data, uint8_t, (unsigned)room);
+        bytes->room = room;
+    }
+    memcpy(bytes->data + bytes->count, data, count);
+    bytes->count += count;
+}
+
+Bytes bytesCopy(void *mem, Bytes from)
+{
+    Bytes to = {0};
+    bytesAdd(mem, &to, from.data, from.count);
+    return to;
+}
+
+bool bytesEqual(Bytes a, Bytes b)
+{
+    return a.count == b.count && (a.count == 0 || memcmp(a.data, b.data, a.count) == 0);
+}
+
+uint32_t bytesCrc(const void *data, size_t count)
+{
+    /* Nibble table: small enough to be const, fast enough beside an fdatasync. */
+    static const uint32_t TABLE[16] = {0x00000000, 0x1db71064, 0x3b6e20c8, 0x26d930ac, 0x76dc4190, 0x6b6b51f4,
+                                       0x4db26158, 0x5005713c, 0xedb88320, 0xf00f9344, 0xd6d6a3e8, 0xcb61b38c,
+                                       0x9b64c2b0, 0x86d3d2d4, 0xa00ae278, 0xbdbdf21c};
+    const uint8_t *at = data;
+    uint32_t crc = ~0u;
+    for (size_t i = 0; i < count; i++) {
+        crc ^= at[i];
+        crc = TABLE[crc & 15] ^ (crc >> 4);
+        crc = TABLE[crc & 15] ^ (crc >> 4);
+    }
+    return ~crc;
+}
--- /dev/null
+++ b/packages/loop/include/loop/inside.h
@@ -0,0 +1,58 @@
+#ifndef LOOP_INSIDE_H
+#define LOOP_INSIDE_H
+
+/* For the two forms of the loop only; node code does not include this. */
+
+#include "loop/loop.h"
+
+/* One sleeping task. A timer whose turn is not its task's turn is stale. */
+typedef struct Timer {
+    int64_t whenMs;
+    uint64_t order;
+    Task *task;
+    uint64_t turn;
+} Timer;
+
+/* Invariant: ready holds each task at most once; timers is a heap by
+ * (whenMs, order); all tasks ever spawned and not yet ended are on tasks. */
+struct Loop {
+    const LoopOps *ops;
+    bool stopping;
+    Task *current; /* the task that runs now, or NULL */
+    Task *tasks;
+    Task *readyFirst, *readyLast;
+    Timer *timers;
+    size_t timerCount, timerRoom;
+    uint64_t timerOrder;
+};
+
+typedef struct Frame {
+    struct Frame *next;
+    Bytes bytes;
+} Frame;
+
+/* Invariant: frames are in order of arrival; after closed none is added. */
+struct Channel {
+    Loop *loop;
+    bool closed;
+    Signal arrived;
+    Frame *first, *last;
+    size_t frameCount;
+};
+
+struct File {
+    Loop *loop;
+};
+
+void loopInit(Loop *loop, const LoopOps *ops);
+/* Ends every task without running it; what they held is on talloc memory. */
+void loopEnd(Loop *loop);
+/* Runs all that is due. */
+void loopRun(Loop *loop);
+/* When loopRun has next to be called; INT64_MAX for never. */
+int64_t loopNextMs(const Loop *loop);
+
+void channelArrive(Channel *channel, Bytes frame);
+void channelEnd(Channel *channel);
+
+#endif
--- /dev/null
+++ b/packages/loop/include/loop/loop.h
@@ -0,0 +1,138 @@
+#ifndef LOOP_LOOP_H
+#define LOOP_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bytes.h"
+#include "base/constants.h"
+#include "base/mishap.h"
+
+/* The one interface between node code and the world: clock, tasks, connections,
+ * disk, HTTP. Two forms stand behind it: the real one (h2o's loop) and the
+ * simulated one (virtual time). Node code knows only this.
+ *
+ * Rules for node code:
+ *  - it runs in tasks; a task gives way only inside calls that say "waits";
+ *  - across a wait a task holds nothing but talloc memory, so that the
+ *    simulator can end a node anywhere;
+ *  - nowMs never goes back and knows nothing of wall time. */
+typedef struct Loop Loop;
+typedef struct Task Task;
+typedef struct Channel Channel;
+typedef struct File File;
+typedef struct HttpTask HttpTask;
+typedef struct HttpCall HttpCall;
+
+typedef void (*TaskFn)(void *arg);
+/* The task owns the channel and closes it. */
+typedef void (*ChannelFn)(void *arg, Channel *channel);
+/* Runs in a task of its own; the verdict goes out when it returns. */
+typedef void (*HttpFn)(void *arg, HttpTask *task);
+
+typedef struct LoopOps {
+    int64_t (*nowMs)(const Loop *loop);
+    int64_t (*wallMs)(const Loop *loop);
+    uint64_t (*random)(Loop *loop);
+    /* The loop has something to do at whenMs at the latest. */
+    void (*arm)(Loop *loop, int64_t whenMs);
+    Status (*listen)(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap);
+    Status (*open)(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
+    Status (*send)(Channel *channel, Bytes frame);
+    void (*shut)(Channel *channel);
+    Status (*serve)(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap);
+    Status (*call)(Loop *loop, HttpCall *call);
+    Status (*fileOpen)(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+    Status (*fileRead)(File *file, void *mem, Bytes *content);
+    Status (*fileAppend)(File *file, Bytes bytes);
+    Status (*fileReplace)(File *file, Bytes bytes);
+} LoopOps;
+
+#define ADDRESS_MAX 64 /* bytes; "255.255.255.255:65535" with room to spare */
+
+/* --- clock and tasks ----------------------------------------------------- */
+int64_t loopNowMs(const Loop *loop);
+int64_t loopWallMs(const Loop *loop);
+uint64_t loopRandom(Loop *loop);
+void loopSpawn(Loop *loop, const char *name, TaskFn fn, void *arg);
+/* Waits. */
+void loopSleep(Loop *loop, int64_t waitMs);
+/* Waits for one turn of the loop. */
+void loopYield(Loop *loop);
+/* No new work is begun after this; tasks see it and end. */
+void loopStop(Loop *loop);
+bool loopStopping(const Loop *loop);
+
+/* --- signals ---------------------------------------------------------------- */
+/* Something to wait for. Invariant: a task is on at most one signal's list. */
+typedef struct Signal {
+    Task *first;
+    Task *last;
+} Signal;
+
+/* Waits until the signal is raised (true) or untilMs has come (false). */
+bool signalWait(Loop *loop, Signal *signal, int64_t untilMs);
+void signalRaise(Loop *loop, Signal *signal);
+
+/* --- connections: whole frames, in order, until one side or the net breaks --- */
+Status loopListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap);
+/* Waits. The channel lives on mem until channelClose. */
+Status loopOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
+/* Takes a copy; never waits. */
+Status channelSend(Channel *channel, Bytes frame);
+/* Waits for a frame. EXPIRED when untilMs has come, CLOSED after the end. */
+Status channelReceive(Channel *channel, void *mem, int64_t untilMs, Bytes *frame);
+/* Ends the connection, wakes its reader; the reader frees it by channelClose. */
+void channelShut(Channel *channel);
+void channelClose(Channel *channel);
+
+/* --- disk ------------------------------------------------------------------------ */
+Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+/* Waits. */
+Status fileRead(File *file, void *mem, Bytes *content);
+/* Waits until the bytes are synced. One call at a time for each file. */
+Status fileAppend(File *file, Bytes bytes);
+/* Waits: new file, sync, rename, sync of the folder. */
+Status fileReplace(File *file, Bytes bytes);
+
+/* --- HTTP --------------------------------------------------------------------------- */
+typedef struct HttpPair {
+    const char *name;
+    const char *value;
+} HttpPair;
+
+/* A request on its way through a process. All on talloc memory of the task. */
+struct HttpTask {
+    Loop *loop;
+    const char *method;
+    const char *path;  /* without the query */
+    const char *query; /* "" when there is none */
+    Bytes body;
+    bool gone; /* the caller has left; a verdict would go nowhere */
+    /* the verdict */
+    int code;
+    const char *kind; /* content type */
+    Bytes verdict;
+    int retryAfterS; /* told when above 0 */
+};
+
+/* A request of ours. */
+struct HttpCall {
+    void *mem;
+    const char *address;
+    const char *method;
+    const char *path;
+    Bytes body;
+    int64_t waitMs;
+    /* the verdict */
+    int code;
+    Bytes verdict;
+    int retryAfterS;
+    bool sent; /* false: certainly not taken by anybody */
+};
+
+Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap);
+/* Waits. OK when any verdict came. */
+Status loopCall(Loop *loop, HttpCall *call);
+
+#endif
--- /dev/null
+++ b/packages/loop/include/loop/real.h
@@ -0,0 +1,14 @@
+#ifndef LOOP_REAL_H
+#define LOOP_REAL_H
+
+#include "loop/loop.h"
+
+/* The loop of a real process: h2o's event loop, TCP by IP, files, a thread for
+ * each file's syncs. One for each process. */
+Loop *realLoopNew(void *mem);
+/* Runs until stopped; SIGTERM and SIGINT call onTerm once. */
+void realLoopRun(Loop *loop, TaskFn onTerm, void *arg);
+/* Splits "a.b.c.d:port"; false when it is not one. */
+bool realAddressValid(const char *address);
+
+#endif
--- /dev/null
+++ b/packages/loop/src/realchannel.c
@@ -0,0 +1,189 @@
+/* Frames over TCP: four bytes of length, then the frame. */
+#include <string.h>
+#include <talloc.h>
+
+#include "real.h"
+
+/* Invariant: sock is null once the connection has ended; writing says that out
+ * belongs to h2o until the write callback. */
+typedef struct RealChannel {
+    Channel channel; /* first */
+    RealLoop *real;
+    h2o_socket_t *sock;
+    bool connecting;
+    bool writing;
+    Signal connected;
+    Bytes out;  /* in the hands of h2o */
+    Bytes next; /* gathered meanwhile */
+} RealChannel;
+
+typedef struct Listener {
+    RealLoop *real;
+    ChannelFn fn;
+    void *arg;
+} Listener;
+
+typedef struct Accepted {
+    const Listener *listener;
+    Channel *channel;
+} Accepted;
+
+static void drop(RealChannel *rc)
+{
+    if (rc->sock != NULL) {
+        h2o_socket_t *sock = rc->sock;
+        rc->sock = NULL;
+        h2o_socket_close(sock);
+    }
+}
+
+static int channelFree(RealChannel *rc)
+{
+    drop(rc);
+    return 0;
+}
+
+static void onRead(h2o_socket_t *sock, const char *err)
+{
+    RealChannel *rc = sock->data;
+    if (err != NULL) {
+        drop(rc);
+        channelEnd(&rc->channel);
+        return;
+    }
+    while (sock->input->size >= 4) {
+        const uint8_t *at = (const uint8_t *)sock->input->bytes;
+        const uint32_t count = (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8 | at[3];
+        if (count > FRAME_MAX_BYTES || rc->channel.frameCount >= CHANNEL_QUEUE_FRAMES) {
+            drop(rc);
+            channelEnd(&rc->channel);
+            return;
+        }
+        if (sock->input->size < 4 + (size_t)count)
+            return;
+        channelArrive(&rc->channel, (Bytes){(uint8_t *)sock->input->bytes + 4, count, 0});
+        h2o_buffer_consume(&sock->input, 4 + (size_t)count);
+    }
+}
+
+static void onWritten(h2o_socket_t *sock, const char *err);
+
+static void writeNext(RealChannel *rc)
+{
+    if (rc->writing || rc->connecting || rc->sock == NULL || rc->next.count == 0)
+        return;
+    const Bytes spare = rc->out;
+    rc->out = rc->next;
+    rc->next = (Bytes){spare.data, 0, spare.room};
+    rc->writing = true;
+    h2o_iovec_t vec = h2o_iovec_init((char *)rc->out.data, rc->out.count);
+    h2o_socket_write(rc->sock, &vec, 1, onWritten);
+}
+
+static void onWritten(h2o_socket_t *sock, const char *err)
+{
+    RealChannel *rc = sock->data;
+    rc->writing = false;
+    if (err != NULL) {
+        drop(rc);
+        channelEnd(&rc->channel);
+        return;
+    }
+    writeNext(rc);
+}
+
+static RealChannel *channelNew(RealLoop *real, void *mem, h2o_socket_t *sock)
+{
+    RealChannel *rc = talloc_zero(mem, RealChannel);
+    rc->channel.loop = &real->loop;
+    rc->real = real;
+    rc->sock = sock;
+    if (sock != NULL)
+        sock->data = rc;
+    talloc_set_destructor(rc, channelFree);
+    return rc;
+}
+
+static void acceptedMain(void *arg)
+{
+    Accepted *accepted = arg;
+    const Accepted copy = *accepted;
+    talloc_free(accepted);
+    copy.listener->fn(copy.listener->arg, copy.channel);
+}
+
+static void onAccept(h2o_socket_t *sock, const char *err)
+{
+    Listener *listener = sock->data;
+    h2o_socket_t *got;
+    if (err != NULL)
+        return;
+    while ((got = h2o_evloop_socket_accept(sock)) != NULL) {
+        RealChannel *rc = channelNew(listener->real, listener->real, got);
+        h2o_socket_read_start(got, onRead);
+        Accepted *accepted = talloc_zero(listener->real, Accepted);
+        *accepted = (Accepted){listener, &rc->channel};
+        loopSpawn(&listener->real->loop, "connection", acceptedMain, accepted);
+    }
+}
+
+Status realListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap)
+{
+    RealLoop *real = (RealLoop *)loop;
+    Listener *listener = talloc_zero(real, Listener);
+    *listener = (Listener){real, fn, arg};
+    return realBind(real, address, onAccept, listener, bound, mishap) != NULL ? STATUS_OK : STATUS_BAD_PROPS;
+}
+
+static void onConnect(h2o_socket_t *sock, const char *err)
+{
+    RealChannel *rc = sock->data;
+    rc->connecting = false;
+    if (err != NULL)
+        drop(rc);
+    else
+        h2o_socket_read_start(sock, onRead);
+    signalRaise(&rc->real->loop, &rc->connected);
+}
+
+Status realOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel)
+{
+    RealLoop *real = (RealLoop *)loop;
+    struct sockaddr_in sin;
+    if (!realAddress(address, &sin))
+        return STATUS_BAD_PROPS;
+    h2o_socket_t *sock = h2o_socket_connect(real->evloop, (struct sockaddr *)&sin, sizeof(sin), onConnect);
+    if (sock == NULL)
+        return STATUS_UNREACHABLE;
+    RealChannel *rc = channelNew(real, mem, sock);
+    rc->connecting = true;
+    if (!signalWait(loop, &rc->connected, loopNowMs(loop) + waitMs) || rc->sock == NULL) {
+        channelClose(&rc->channel);
+        return STATUS_UNREACHABLE;
+    }
+    *channel = &rc->channel;
+    return STATUS_OK;
+}
+
+Status realSend(Channel *channel, Bytes frame)
+{
+    RealChannel *rc = (RealChannel *)channel;
+    if (frame.count > FRAME_MAX_BYTES)
+        return STATUS_TOO_LARGE;
+    if (rc->next.count + frame.count > CHANNEL_QUEUE_BYTES) {
+        drop(rc);
+        channelEnd(channel);
+        return STATUS_BUSY;
+    }
+    const uint8_t head[4] = {(uint8_t)(frame.count >> 24), (uint8_t)(frame.count >> 16), (uint8_t)(frame.count >> 8),
+                             (uint8_t)frame.count};
+    bytesAdd(rc, &rc->next, head, sizeof(head));
+    bytesAdd(rc, &rc->next, frame.data, frame.count);
+    writeNext(rc);
+    return STATUS_OK;
+}
+
+void realShut(Channel *channel)
+{
+    drop((RealChannel *)channel);
+}
--- /dev/null
+++ b/packages/loop/src/realdisk.c
@@ -0,0 +1,196 @@
+/* Files: each has a thread that writes and syncs, so that a slow disk never
+ * stops the loop. The thread touches no talloc memory but the bytes it is
+ * given, which the waiting task holds. */
+#include <errno.h>
+#include <fcntl.h>
+#include <libgen.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "real.h"
+
+typedef enum DiskWork { DISK_READ, DISK_APPEND, DISK_REPLACE } DiskWork;
+
+typedef struct RealFile RealFile;
+
+typedef struct DiskJob {
+    h2o_multithread_message_t super; /* first */
+    RealFile *file;
+    DiskWork work;
+    Bytes bytes;   /* to write */
+    uint8_t *read; /* malloc'd */
+    size_t readCount;
+    bool ok;
+    bool done;
+    Signal ended;
+} DiskJob;
+
+/* Invariant: job is non-null from the asking until the thread has taken it. */
+struct RealFile {
+    File file; /* first */
+    RealLoop *real;
+    char path[PATH_MAX];
+    char folder[PATH_MAX];
+    int fd;
+    pthread_mutex_t lock;
+    pthread_cond_t asked;
+    DiskJob *job;
+};
+
+static bool writeAll(int fd, Bytes bytes)
+{
+    for (size_t at = 0; at < bytes.count;) {
+        const ssize_t n = write(fd, bytes.data + at, bytes.count - at);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            return false;
+        at += (size_t)n;
+    }
+    return true;
+}
+
+static bool folderSync(const RealFile *rf)
+{
+    const int fd = open(rf->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool ok = fd >= 0 && fsync(fd) == 0;
+    if (fd >= 0)
+        close(fd);
+    return ok;
+}
+
+static bool doRead(RealFile *rf, DiskJob *job)
+{
+    struct stat st;
+    if (fstat(rf->fd, &st) != 0)
+        return false;
+    job->read = malloc((size_t)st.st_size + 1);
+    while (job->readCount < (size_t)st.st_size) {
+        const ssize_t n = pread(rf->fd, job->read + job->readCount, (size_t)st.st_size - job->readCount,
+                                (off_t)job->readCount);
+        if (n <= 0)
+            return false;
+        job->readCount += (size_t)n;
+    }
+    return true;
+}
+
+static bool doReplace(RealFile *rf, Bytes bytes)
+{
+    char fresh[PATH_MAX + 8];
+    snprintf(fresh, sizeof(fresh), "%s.new", rf->path);
+    const int fd = open(fresh, O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0640);
+    if (fd < 0)
+        return false;
+    if (!writeAll(fd, bytes) || fsync(fd) != 0 || rename(fresh, rf->path) != 0 || !folderSync(rf)) {
+        close(fd);
+        return false;
+    }
+    close(rf->fd);
+    rf->fd = fd;
+    return true;
+}
+
+static void *diskMain(void *arg)
+{
+    RealFile *rf = arg;
+    for (;;) {
+        pthread_mutex_lock(&rf->lock);
+        while (rf->job == NULL)
+            pthread_cond_wait(&rf->asked, &rf->lock);
+        DiskJob *job = rf->job;
+        rf->job = NULL;
+        pthread_mutex_unlock(&rf->lock);
+        switch (job->work) {
+        case DISK_READ:
+            job->ok = doRead(rf, job);
+            break;
+        case DISK_APPEND:
+            job->ok = writeAll(rf->fd, job->bytes) && fdatasync(rf->fd) == 0;
+            break;
+        case DISK_REPLACE:
+            job->ok = doReplace(rf, job->bytes);
+            break;
+        }
+        h2o_multithread_send_message(&rf->real->diskDone, &job->super);
+    }
+    return NULL;
+}
+
+void realDiskDone(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
+{
+    (void)receiver;
+    while (!h2o_linklist_is_empty(messages)) {
+        DiskJob *job = H2O_STRUCT_FROM_MEMBER(DiskJob, super.link, messages->next);
+        h2o_linklist_unlink(&job->super.link);
+        job->done = true;
+        signalRaise(&job->file->real->loop, &job->ended);
+    }
+}
+
+static Status ask(File *file, DiskWork work, Bytes bytes, DiskJob *job)
+{
+    RealFile *rf = (RealFile *)file;
+    *job = (DiskJob){.file = rf, .work = work, .bytes = bytes};
+    pthread_mutex_lock(&rf->lock);
+    rf->job = job;
+    pthread_cond_signal(&rf->asked);
+    pthread_mutex_unlock(&rf->lock);
+    while (!job->done)
+        signalWait(file->loop, &job->ended, INT64_MAX);
+    return job->ok ? STATUS_OK : STATUS_DISK_FAILED;
+}
+
+Status realFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap)
+{
+    RealFile *rf = talloc_zero(mem, RealFile);
+    rf->file.loop = loop;
+    rf->real = (RealLoop *)loop;
+    snprintf(rf->path, sizeof(rf->path), "%s", path);
+    char scratch[PATH_MAX];
+    snprintf(scratch, sizeof(scratch), "%s", path);
+    snprintf(rf->folder, sizeof(rf->folder), "%s", dirname(scratch));
+    if (mkdir(rf->folder, 0750) != 0 && errno != EEXIST)
+        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot make folder %s: %s", rf->folder, strerror(errno));
+    rf->fd = open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
+    if (rf->fd < 0)
+        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot open %s: %s", path, strerror(errno));
+    if (!folderSync(rf))
+        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot sync folder %s: %s", rf->folder, strerror(errno));
+    pthread_mutex_init(&rf->lock, NULL);
+    pthread_cond_init(&rf->asked, NULL);
+    pthread_t thread;
+    if (pthread_create(&thread, NULL, diskMain, rf) != 0)
+        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot start the disk thread");
+    pthread_detach(thread);
+    *file = &rf->file;
+    return STATUS_OK;
+}
+
+Status realFileRead(File *file, void *mem, Bytes *content)
+{
+    DiskJob job;
+    const Status status = ask(file, DISK_READ, (Bytes){0}, &job);
+    *content = (Bytes){0};
+    if (status == STATUS_OK)
+        bytesAdd(mem, content, job.read, job.readCount);
+    free(job.read);
+    return status;
+}
+
+Status realFileAppend(File *file, Bytes bytes)
+{
+    DiskJob job;
+    return ask(file, DISK_APPEND, bytes, &job);
+}
+
+Status realFileReplace(File *file, Bytes bytes)
+{
+    DiskJob job;
+    return ask(file, DISK_REPLACE, bytes, &job);
+}
--- /dev/null
+++ b/packages/sim/include/sim/world.h
@@ -0,0 +1,59 @@
+#ifndef SIM_WORLD_H
+#define SIM_WORLD_H
+
+#include "base/map.h"
+#include "loop/loop.h"
+
+/* A world of nodes in one process on virtual time. All that happens follows
+ * from the seed and from the calls made here, so a run can be had again. */
+typedef struct SimWorld SimWorld;
+
+#define SIM_NODES_MAX 160
+
+typedef void (*SimStart)(void *arg, Loop *loop);
+typedef void (*SimFn)(void *arg);
+
+SimWorld *simWorldNew(void *mem, uint64_t seed);
+int64_t simNowMs(const SimWorld *world);
+uint64_t simRandom(SimWorld *world);
+/* Runs until virtual time has come to untilMs. */
+void simRunUntil(SimWorld *world, int64_t untilMs);
+/* Calls fn at whenMs, outside of any node. */
+void simAt(SimWorld *world, int64_t whenMs, SimFn fn, void *arg);
+/* Called after each event: the place of the checkers. */
+void simWatch(SimWorld *world, SimFn fn, void *arg);
+
+/* A machine: an IP of its own ("10.0.0.N") and a disk that outlives its
+ * processes. */
+int simMachine(SimWorld *world);
+const char *simAddress(const SimWorld *world, int machine);
+/* Starts a process there; start is called at once and spawns its tasks. */
+void simStart(SimWorld *world, int machine, SimStart start, void *arg);
+bool simAlive(const SimWorld *world, int machine);
+Loop *simLoop(const SimWorld *world, int machine);
+/* SIGKILL: the kernel tells the partners. */
+void simKill(SimWorld *world, int machine);
+/* Power off: nobody is told, what the disk held back is lost. */
+void simPowerOff(SimWorld *world, int machine);
+/* SIGSTOP until the given time. */
+void simFreeze(SimWorld *world, int machine, int64_t untilMs);
+/* Wall time jumps; nowMs does not. */
+void simJump(SimWorld *world, int machine, int64_t byMs);
+/* Cuts (or joins again) the way from one machine to another; one way only. */
+void simCut(SimWorld *world, int from, int to, bool cut);
+bool simIsCut(const SimWorld *world, int from, int to);
+/* Delay of each frame and connection: from low up to high. */
+void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs);
+/* Each sync takes so long from now on. */
+void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
+/* Syncs fail from now on. */
+void simDiskFail(SimWorld *world, int machine, bool fails);
+/* Syncs are acknowledged but lost at the next power-off (or kill). */
+void simDiskLie(SimWorld *world, int machine, bool lies);
+/* An empty disk: a machine replaced. */
+void simDiskWipe(SimWorld *world, int machine);
+/* The durable content of a file, for tests that spoil it. */
+Bytes *simDiskContent(SimWorld *world, int machine, const char *path);
+uint64_t simEvents(const SimWorld *world);
+
+#endif
--- /dev/null
+++ b/packages/sim/src/net.c
@@ -0,0 +1,405 @@
+/* Simulated connections and HTTP: in order, delayed, held back while the way
+ * is cut, told of an end only when the way is open. */
+#include <string.h>
+#include <talloc.h>
+
+#include "world.h"
+
+#define HELD_RETRY_MS 100 /* ms; a held-back frame looks again, as TCP sends again */
+
+typedef struct SimFrame {
+    struct SimFrame *next;
+    int64_t dueMs;
+    bool fin;
+    Bytes bytes;
+} SimFrame;
+
+typedef struct SimChannel SimChannel;
+
+/* Both ends of a connection. Invariant: freed when both ends are gone and no
+ * pump is due. */
+typedef struct SimPair {
+    SimWorld *world;
+    int machine[2];
+    SimChannel *end[2];
+    SimFrame *first[2], *last[2]; /* on the way from that side to the other */
+    bool pumping[2];
+    bool fin[2];
+} SimPair;
+
+struct SimChannel {
+    Channel channel; /* first */
+    SimPair *pair;
+    int side;
+};
+
+static void pairMaybeFree(SimPair *pair)
+{
+    if (pair->end[0] == NULL && pair->end[1] == NULL && !pair->pumping[0] && !pair->pumping[1])
+        talloc_free(pair);
+}
+
+typedef struct SimPump {
+    SimPair *pair;
+    int side;
+} SimPump;
+
+static void pump(void *arg)
+{
+    SimPump *one = arg;
+    SimPair *pair = one->pair;
+    SimWorld *world = pair->world;
+    const int side = one->side, other = 1 - side;
+    if (pair->first[side] != NULL && pair->end[other] != NULL) {
+        if (world->cut[pair->machine[side]][pair->machine[other]]) {
+            simAt(world, world->nowMs + HELD_RETRY_MS, pump, one);
+            return;
+        }
+        const int64_t frozenMs = world->machines[pair->machine[other]].frozenUntilMs;
+        if (frozenMs > world->nowMs) {
+            simAt(world, frozenMs, pump, one);
+            return;
+        }
+    }
+    while (pair->first[side] != NULL && (pair->first[side]->dueMs <= world->nowMs || pair->end[other] == NULL)) {
+        SimFrame *frame = pair->first[side];
+        pair->first[side] = frame->next;
+        if (pair->first[side] == NULL)
+            pair->last[side] = NULL;
+        if (pair->end[other] != NULL) {
+            if (frame->fin)
+                channelEnd(&pair->end[other]->channel);
+            else
+                channelArrive(&pair->end[other]->channel, frame->bytes);
+        }
+        talloc_free(frame);
+    }
+    if (pair->first[side] != NULL) {
+        simAt(world, pair->first[side]->dueMs, pump, one);
+        return;
+    }
+    pair->pumping[side] = false;
+    talloc_free(one);
+    pairMaybeFree(pair);
+}
+
+static void push(SimPair *pair, int side, bool fin, Bytes bytes)
+{
+    if (pair->fin[side])
+        return;
+    pair->fin[side] = fin;
+    SimWorld *world = pair->world;
+    SimFrame *frame = talloc_zero(pair, SimFrame);
+    frame->fin = fin;
+    frame->bytes = bytesCopy(frame, bytes);
+    frame->dueMs = world->nowMs + simLinkMs(world);
+    if (pair->last[side] != NULL) {
+        if (frame->dueMs < pair->last[side]->dueMs)
+            frame->dueMs = pair->last[side]->dueMs;
+        pair->last[side]->next = frame;
+    } else {
+        pair->first[side] = frame;
+    }
+    pair->last[side] = frame;
+    if (!pair->pumping[side]) {
+        pair->pumping[side] = true;
+        SimPump *one = talloc_zero(pair, SimPump);
+        *one = (SimPump){pair, side};
+        simAt(world, frame->dueMs, pump, one);
+    }
+}
+
+static int simChannelFree(SimChannel *sc)
+{
+    SimPair *pair = sc->pair;
+    pair->end[sc->side] = NULL;
+    if (!pair->world->machines[pair->machine[sc->side]].silent)
+        push(pair, sc->side, true, (Bytes){0});
+    pairMaybeFree(pair);
+    return 0;
+}
+
+static SimChannel *simChannelNew(SimPair *pair, int side, Loop *loop, void *mem)
+{
+    SimChannel *sc = talloc_zero(mem, SimChannel);
+    sc->channel.loop = loop;
+    sc->pair = pair;
+    sc->side = side;
+    pair->end[side] = sc;
+    talloc_set_destructor(sc, simChannelFree);
+    return sc;
+}
+
+typedef struct SimAccepted {
+    SimPort port;
+    Channel *channel;
+} SimAccepted;
+
+static void acceptedMain(void *arg)
+{
+    SimAccepted *accepted = arg;
+    const SimAccepted copy = *accepted;
+    talloc_free(accepted);
+    copy.port.onChannel(copy.port.arg, copy.channel);
+}
+
+Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap)
+{
+    (void)mishap;
+    simTakePort((SimLoop *)loop, address, (SimPort){fn, NULL, arg}, bound);
+    return STATUS_OK;
+}
+
+Status simOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel)
+{
+    SimLoop *sim = (SimLoop *)loop;
+    SimWorld *world = sim->world;
+    int target;
+    const char *port;
+    const int64_t untilMs = loopNowMs(loop) + waitMs;
+    if (!simFind(world, address, &target, &port))
+        return STATUS_BAD_PROPS;
+    do {
+        loopSleep(loop, simLinkMs(world) + simLinkMs(world));
+        if (world->cut[sim->machine][target] || world->cut[target][sim->machine]) {
+            loopSleep(loop, HELD_RETRY_MS);
+            continue;
+        }
+        SimMachine *machine = &world->machines[target];
+        if (machine->loop == NULL) {
+            if (machine->silent) {
+                loopSleep(loop, HELD_RETRY_MS);
+                continue;
+            }
+            return STATUS_UNREACHABLE;
+        }
+        const SimPort *found = mapGet(machine->loop->ports, port);
+        if (found == NULL || found->onChannel == NULL)
+            return STATUS_UNREACHABLE;
+        SimPair *pair = talloc_zero(world, SimPair);
+        pair->world = world;
+        pair->machine[0] = sim->machine;
+        pair->machine[1] = target;
+        SimChannel *mine = simChannelNew(pair, 0, loop, mem);
+        SimChannel *theirs = simChannelNew(pair, 1, &machine->loop->loop, machine->loop);
+        SimAccepted *accepted = talloc_zero(machine->loop, SimAccepted);
+        *accepted = (SimAccepted){*found, &theirs->channel};
+        loopSpawn(&machine->loop->loop, "connection", acceptedMain, accepted);
+        *channel = &mine->channel;
+        return STATUS_OK;
+    } while (loopNowMs(loop) < untilMs);
+    return STATUS_UNREACHABLE;
+}
+
+Status simSend(Channel *channel, Bytes frame)
+{
+    SimChannel *sc = (SimChannel *)channel;
+    if (frame.count > FRAME_MAX_BYTES)
+        return STATUS_TOO_LARGE;
+    push(sc->pair, sc->side, false, frame);
+    return STATUS_OK;
+}
+
+void simShut(Channel *channel)
+{
+    SimChannel *sc = (SimChannel *)channel;
+    push(sc->pair, sc->side, true, (Bytes){0});
+}
+
+/* --- HTTP ------------------------------------------------------------------ */
+
+/* A call on its way. Invariant: call is null once the caller has gone on;
+ * freed when the caller has gone on and the server's part is over. */
+typedef struct SimHttp {
+    SimWorld *world;
+    int from, to;
+    uint64_t toLife;
+    HttpCall *call;
+    SimLoop *caller;
+    SimPort port;
+    bool serverOver;
+    bool answered;
+    Status status;
+    Signal done;
+    char *method, *path;
+    Bytes body;
+    /* the verdict on its way back */
+    int code, retryAfterS;
+    Bytes verdict;
+} SimHttp;
+
+typedef struct SimServed {
+    HttpTask task; /* first */
+    SimHttp *http;
+} SimServed;
+
+static void httpMaybeFree(SimHttp *http)
+{
+    if (http->call == NULL && http->serverOver)
+        talloc_free(http);
+}
+
+static void verdictArrives(void *arg)
+{
+    SimHttp *http = arg;
+    SimWorld *world = http->world;
+    if (http->call != NULL) {
+        if (world->cut[http->to][http->from]) {
+            simAt(world, world->nowMs + HELD_RETRY_MS, verdictArrives, http);
+            return;
+        }
+        const int64_t frozenMs = world->machines[http->from].frozenUntilMs;
+        if (frozenMs > world->nowMs) {
+            simAt(world, frozenMs, verdictArrives, http);
+            return;
+        }
+        HttpCall *call = http->call;
+        call->code = http->code;
+        call->retryAfterS = http->retryAfterS;
+        call->verdict = bytesCopy(call->mem, http->verdict);
+        http->answered = true;
+        signalRaise(&http->caller->loop, &http->done);
+    }
+    http->serverOver = true;
+    httpMaybeFree(http);
+}
+
+/* The server's process ended before its verdict. */
+static int servedFree(SimServed *served)
+{
+    SimHttp *http = served->http;
+    if (http == NULL)
+        return 0;
+    http->status = STATUS_CLOSED;
+    if (http->world->machines[http->to].silent) {
+        http->serverOver = true; /* the caller waits until it gives up */
+        httpMaybeFree(http);
+    } else {
+        simAt(http->world, http->world->nowMs + simLinkMs(http->world), verdictArrives, http);
+    }
+    return 0;
+}
+
+static void servedMain(void *arg)
+{
+    SimServed *served = arg;
+    SimHttp *http = served->http;
+    http->port.onHttp(http->port.arg, &served->task);
+    served->http = NULL;
+    http->code = served->task.code;
+    http->retryAfterS = served->task.retryAfterS;
+    http->verdict = bytesCopy(http, served->task.verdict);
+    simAt(http->world, http->world->nowMs + simLinkMs(http->world), verdictArrives, http);
+    talloc_free(served);
+}
+
+static void requestArrives(void *arg)
+{
+    SimHttp *http = arg;
+    SimWorld *world = http->world;
+    SimMachine *machine = &world->machines[http->to];
+    if (http->call == NULL) {
+        http->serverOver = true;
+        httpMaybeFree(http);
+        return;
+    }
+    if (world->cut[http->from][http->to]) {
+        simAt(world, world->nowMs + HELD_RETRY_MS, requestArrives, http);
+        return;
+    }
+    if (machine->loop == NULL || machine->life != http->toLife) {
+        http->status = STATUS_CLOSED;
+        if (machine->silent)
+            http->serverOver = true;
+        else
+            verdictArrives(http);
+        return;
+    }
+    if (machine->frozenUntilMs > world->nowMs) {
+        simAt(world, machine->frozenUntilMs, requestArrives, http);
+        return;
+    }
+    SimServed *served = talloc_zero(machine->loop, SimServed);
+    served->http = http;
+    talloc_set_destructor(served, servedFree);
+    HttpTask *task = &served->task;
+    task->loop = &machine->loop->loop;
+    task->method = talloc_strdup(served, http->method);
+    const char *question = strchr(http->path, '?');
+    task->path = question ? talloc_strndup(served, http->path, (size_t)(question - http->path))
+                          : talloc_strdup(served, http->path);
+    task->query = question ? talloc_strdup(served, question + 1) : "";
+    task->body = bytesCopy(served, http->body);
+    task->code = 500;
+    task->kind = "application/json";
+    loopSpawn(&machine->loop->loop, "http", servedMain, served);
+}
+
+Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap)
+{
+    (void)mishap;
+    simTakePort((SimLoop *)loop, address, (SimPort){NULL, fn, arg}, bound);
+    return STATUS_OK;
+}
+
+/* Marks the caller gone when its node ends in the middle of a call. */
+typedef struct SimCallMark {
+    SimHttp *http;
+} SimCallMark;
+
+static int callMarkFree(SimCallMark *mark)
+{
+    mark->http->call = NULL;
+    httpMaybeFree(mark->http);
+    return 0;
+}
+
+Status simCall(Loop *loop, HttpCall *call)
+{
+    SimLoop *sim = (SimLoop *)loop;
+    SimWorld *world = sim->world;
+    int target;
+    const char *port;
+    if (!simFind(world, call->address, &target, &port))
+        return STATUS_BAD_PROPS;
+    const int64_t untilMs = loopNowMs(loop) + call->waitMs;
+    for (;;) {
+        loopSleep(loop, simLinkMs(world) + simLinkMs(world));
+        const SimMachine *machine = &world->machines[target];
+        const bool hidden = world->cut[sim->machine][target] || world->cut[target][sim->machine] ||
+                            (machine->loop == NULL && machine->silent);
+        if (!hidden)
+            break;
+        if (loopNowMs(loop) >= untilMs)
+            return STATUS_EXPIRED;
+        loopSleep(loop, HELD_RETRY_MS);
+    }
+    SimMachine *machine = &world->machines[target];
+    if (machine->loop == NULL)
+        return STATUS_UNREACHABLE;
+    const SimPort *found = mapGet(machine->loop->ports, port);
+    if (found == NULL || found->onHttp == NULL)
+        return STATUS_UNREACHABLE;
+    SimHttp *http = talloc_zero(world, SimHttp);
+    http->world = world;
+    http->from = sim->machine;
+    http->to = target;
+    http->toLife = machine->life;
+    http->call = call;
+    http->caller = sim;
+    http->port = *found;
+    http->method = talloc_strdup(http, call->method);
+    http->path = talloc_strdup(http, call->path);
+    http->body = bytesCopy(http, call->body);
+    SimCallMark *mark = talloc_zero(sim, SimCallMark);
+    mark->http = http;
+    talloc_set_destructor(mark, callMarkFree);
+    call->sent = true;
+    simAt(world, world->nowMs + simLinkMs(world), requestArrives, http);
+    while (!http->answered)
+        if (!signalWait(loop, &http->done, untilMs))
+            break;
+    const Status status = http->answered ? http->status : STATUS_EXPIRED;
+    talloc_free(mark);
+    return status;
+}
--- /dev/null
+++ b/packages/sim/src/world.c
@@ -0,0 +1,299 @@
+#include "world.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+static int64_t simLoopNowMs(const Loop *loop)
+{
+    const SimLoop *sim = (const SimLoop *)loop;
+    return sim->world->nowMs + sim->world->machines[sim->machine].bootOffsetMs;
+}
+
+static int64_t simLoopWallMs(const Loop *loop)
+{
+    const SimLoop *sim = (const SimLoop *)loop;
+    return 1700000000000 + sim->world->nowMs + sim->world->machines[sim->machine].wallOffsetMs;
+}
+
+static uint64_t simLoopRandom(Loop *loop)
+{
+    return simRandom(((SimLoop *)loop)->world);
+}
+
+static const LoopOps SIM_OPS = {
+    simLoopNowMs, simLoopWallMs, simLoopRandom, simArm,      simListen,   simOpen,       simSend,
+    simShut,      simServe,      simCall,       simFileOpen, simFileRead, simFileAppend, simFileReplace,
+};
+
+static void end(SimWorld *world, int number, bool power);
+
+/* Ends all machines while what they reach back to is still there. */
+static int worldFree(SimWorld *world)
+{
+    for (int i = 0; i < world->machineCount; i++)
+        end(world, i, true);
+    return 0;
+}
+
+SimWorld *simWorldNew(void *mem, uint64_t seed)
+{
+    SimWorld *world = talloc_zero(mem, SimWorld);
+    talloc_set_destructor(world, worldFree);
+    world->state = seed * 2 + 1;
+    world->nowMs = 1000;
+    world->delayLowMs = 1;
+    world->delayHighMs = 3;
+    return world;
+}
+
+int64_t simNowMs(const SimWorld *world)
+{
+    return world->nowMs;
+}
+
+uint64_t simEvents(const SimWorld *world)
+{
+    return world->eventCount;
+}
+
+/* splitmix64 */
+uint64_t simRandom(SimWorld *world)
+{
+    uint64_t z = (world->state += 0x9e3779b97f4a7c15u);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return z ^ (z >> 31);
+}
+
+int64_t simLinkMs(SimWorld *world)
+{
+    return world->delayLowMs + (int64_t)(simRandom(world) % (uint64_t)(world->delayHighMs - world->delayLowMs + 1));
+}
+
+static bool eventBefore(const SimEvent *a, const SimEvent *b)
+{
+    return a->whenMs < b->whenMs || (a->whenMs == b->whenMs && a->order < b->order);
+}
+
+void simAt(SimWorld *world, int64_t whenMs, SimFn fn, void *arg)
+{
+    if (world->count == world->room) {
+        world->room = world->room ? world->room * 2 : 1024;
+        world->events = talloc_realloc(world, world->events, SimEvent, (unsigned)world->room);
+    }
+    const SimEvent event = {whenMs < world->nowMs ? world->nowMs : whenMs, world->order++, fn, arg};
+    size_t at = world->count++;
+    while (at > 0 && eventBefore(&event, &world->events[(at - 1) / 2])) {
+        world->events[at] = world->events[(at - 1) / 2];
+        at = (at - 1) / 2;
+    }
+    world->events[at] = event;
+}
+
+static SimEvent take(SimWorld *world)
+{
+    const SimEvent top = world->events[0];
+    const SimEvent last = world->events[--world->count];
+    size_t at = 0;
+    for (;;) {
+        size_t child = at * 2 + 1;
+        if (child >= world->count)
+            break;
+        if (child + 1 < world->count && eventBefore(&world->events[child + 1], &world->events[child]))
+            child++;
+        if (!eventBefore(&world->events[child], &last))
+            break;
+        world->events[at] = world->events[child];
+        at = child;
+    }
+    if (world->count > 0)
+        world->events[at] = last;
+    return top;
+}
+
+void simRunUntil(SimWorld *world, int64_t untilMs)
+{
+    while (world->count > 0 && world->events[0].whenMs <= untilMs) {
+        const SimEvent event = take(world);
+        world->nowMs = event.whenMs;
+        world->eventCount++;
+        event.fn(event.arg);
+        if (world->watch != NULL)
+            world->watch(world->watchArg);
+    }
+    world->nowMs = untilMs;
+}
+
+void simWatch(SimWorld *world, SimFn fn, void *arg)
+{
+    world->watch = fn;
+    world->watchArg = arg;
+}
+
+int simMachine(SimWorld *world)
+{
+    const int number = world->machineCount++;
+    SimMachine *machine = &world->machines[number];
+    machine->world = world;
+    machine->number = number;
+    snprintf(machine->ip, sizeof(machine->ip), "10.0.0.%d", number + 1);
+    machine->bootOffsetMs = (int64_t)(simRandom(world) % 100000000);
+    machine->wallOffsetMs = (int64_t)(simRandom(world) % 200) - 100;
+    machine->syncMs = 3;
+    machine->disk = mapNew(world);
+    return number;
+}
+
+const char *simAddress(const SimWorld *world, int machine)
+{
+    return world->machines[machine].ip;
+}
+
+bool simFind(SimWorld *world, const char *address, int *machine, const char **port)
+{
+    const char *colon = strrchr(address, ':');
+    if (colon == NULL)
+        return false;
+    for (int i = 0; i < world->machineCount; i++) {
+        const char *ip = world->machines[i].ip;
+        if (strlen(ip) == (size_t)(colon - address) && strncmp(ip, address, strlen(ip)) == 0) {
+            *machine = i;
+            *port = colon + 1;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* An event names a life of a machine, so that it cannot touch a later one. */
+typedef struct SimTurn {
+    SimMachine *machine;
+    uint64_t life;
+} SimTurn;
+
+static void turn(void *arg)
+{
+    SimTurn *one = arg;
+    SimMachine *machine = one->machine;
+    SimWorld *world = machine->world;
+    if (machine->loop == NULL || machine->life != one->life) {
+        talloc_free(one);
+        return;
+    }
+    if (machine->frozenUntilMs > world->nowMs) {
+        simAt(world, machine->frozenUntilMs, turn, one);
+        return;
+    }
+    talloc_free(one);
+    SimLoop *sim = machine->loop;
+    sim->armedMs = INT64_MAX;
+    loopRun(&sim->loop);
+    const int64_t nextMs = loopNextMs(&sim->loop);
+    if (nextMs != INT64_MAX)
+        simArm(&sim->loop, nextMs);
+}
+
+void simArm(Loop *loop, int64_t whenMs)
+{
+    SimLoop *sim = (SimLoop *)loop;
+    if (whenMs >= sim->armedMs)
+        return;
+    sim->armedMs = whenMs;
+    SimMachine *machine = &sim->world->machines[sim->machine];
+    SimTurn *one = talloc_zero(sim->world, SimTurn);
+    *one = (SimTurn){machine, machine->life};
+    simAt(sim->world, whenMs - machine->bootOffsetMs, turn, one);
+}
+
+void simStart(SimWorld *world, int number, SimStart start, void *arg)
+{
+    SimMachine *machine = &world->machines[number];
+    SimLoop *sim = talloc_zero(world, SimLoop);
+    loopInit(&sim->loop, &SIM_OPS);
+    sim->world = world;
+    sim->machine = number;
+    sim->ports = mapNew(sim);
+    sim->nextPort = 40000;
+    sim->armedMs = INT64_MAX;
+    machine->loop = sim;
+    machine->life++;
+    machine->frozenUntilMs = 0;
+    machine->silent = false;
+    start(arg, &sim->loop);
+}
+
+bool simAlive(const SimWorld *world, int machine)
+{
+    return world->machines[machine].loop != NULL;
+}
+
+Loop *simLoop(const SimWorld *world, int machine)
+{
+    return &world->machines[machine].loop->loop;
+}
+
+static void end(SimWorld *world, int number, bool power)
+{
+    SimMachine *machine = &world->machines[number];
+    SimLoop *sim = machine->loop;
+    if (sim == NULL)
+        return;
+    machine->silent = power;
+    machine->loop = NULL;
+    simDiskAfterEnd(machine, power);
+    loopEnd(&sim->loop);
+    talloc_free(sim);
+}
+
+void simKill(SimWorld *world, int machine)
+{
+    end(world, machine, false);
+}
+
+void simPowerOff(SimWorld *world, int machine)
+{
+    end(world, machine, true);
+}
+
+void simFreeze(SimWorld *world, int machine, int64_t untilMs)
+{
+    world->machines[machine].frozenUntilMs = untilMs;
+}
+
+void simJump(SimWorld *world, int machine, int64_t byMs)
+{
+    world->machines[machine].wallOffsetMs += byMs;
+}
+
+void simCut(SimWorld *world, int from, int to, bool cut)
+{
+    if (from != to)
+        world->cut[from][to] = cut;
+}
+
+bool simIsCut(const SimWorld *world, int from, int to)
+{
+    return world->cut[from][to];
+}
+
+void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs)
+{
+    world->delayLowMs = lowMs;
+    world->delayHighMs = highMs;
+}
+
+int simTakePort(SimLoop *sim, const char *address, SimPort port, char *bound)
+{
+    const char *colon = strrchr(address, ':');
+    char name[16];
+    if (colon == NULL || strcmp(colon, ":0") == 0)
+        snprintf(name, sizeof(name), "%d", sim->nextPort++);
+    else
+        snprintf(name, sizeof(name), "%.15s", colon + 1);
+    snprintf(bound, ADDRESS_MAX, "%s:%s", sim->world->machines[sim->machine].ip, name);
+    SimPort *kept = talloc_zero(sim, SimPort);
+    *kept = port;
+    mapSet(sim->ports, name, kept);
+    return 0;
+}
--- /dev/null
+++ b/packages/sim/src/world.h
@@ -0,0 +1,88 @@
+#ifndef SIM_SRC_WORLD_H
+#define SIM_SRC_WORLD_H
+
+#include "loop/inside.h"
+#include "sim/world.h"
+
+typedef struct SimEvent {
+    int64_t whenMs;
+    uint64_t order;
+    SimFn fn;
+    void *arg;
+} SimEvent;
+
+/* The part of a file that outlives processes.
+ * Invariant: bytes of durable past honestCount are lost at the next loss of power. */
+typedef struct SimContent {
+    Bytes durable;
+    size_t honestCount;
+    Bytes inflight; /* being written: a kill leaves a random prefix of it */
+} SimContent;
+
+typedef struct SimPort {
+    ChannelFn onChannel;
+    HttpFn onHttp;
+    void *arg;
+} SimPort;
+
+typedef struct SimLoop {
+    Loop loop; /* first */
+    SimWorld *world;
+    int machine;
+    Map *ports;
+    int nextPort;
+    int64_t armedMs; /* an event that runs this loop is due then; INT64_MAX: none */
+} SimLoop;
+
+/* Invariant: loop is null exactly when no process runs there. */
+typedef struct SimMachine {
+    SimWorld *world;
+    int number;
+    char ip[24];
+    SimLoop *loop;
+    uint64_t life; /* grows with each start */
+    bool silent;   /* it ends without telling its partners */
+    int64_t frozenUntilMs;
+    int64_t bootOffsetMs;
+    int64_t wallOffsetMs;
+    int64_t syncMs;
+    bool diskFails, diskLies;
+    Map *disk; /* path to SimContent */
+} SimMachine;
+
+struct SimWorld {
+    int64_t nowMs;
+    uint64_t state; /* of the random numbers */
+    uint64_t order;
+    uint64_t eventCount;
+    SimEvent *events;
+    size_t count, room;
+    SimMachine machines[SIM_NODES_MAX];
+    int machineCount;
+    bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
+    int64_t delayLowMs, delayHighMs;
+    SimFn watch;
+    void *watchArg;
+};
+
+int64_t simLinkMs(SimWorld *world);
+/* The machine and port behind "10.0.0.N:port"; false when there is none. */
+bool simFind(SimWorld *world, const char *address, int *machine, const char **port);
+/* Runs the machine's loop when that is next due. */
+void simArm(Loop *loop, int64_t whenMs);
+int simTakePort(SimLoop *loop, const char *address, SimPort port, char *bound);
+
+Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap);
+Status simOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
+Status simSend(Channel *channel, Bytes frame);
+void simShut(Channel *channel);
+Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap);
+Status simCall(Loop *loop, HttpCall *call);
+Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+Status simFileRead(File *file, void *mem, Bytes *content);
+Status simFileAppend(File *file, Bytes bytes);
+Status simFileReplace(File *file, Bytes bytes);
+/* What a process's end does to its disk. */
+void simDiskAfterEnd(SimMachine *machine, bool power);
+
+#endif
--- /dev/null
+++ b/packages/sim/test/courier.c
@@ -0,0 +1,119 @@
+/* Questions between two simulated nodes: answers, cuts, freezes, deaths. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/world.h"
+#include "wire/courier.h"
+
+#define ECHO_FIELDS(X) X(U64, number, 0)
+SHAPE(Echo, ECHO_FIELDS)
+SHAPE_TABLE(Echo, ECHO_FIELDS)
+
+typedef struct Seen {
+    Courier *courier[2];
+    Loop *loop[2];
+    char address[ADDRESS_MAX];
+    Status status[8];
+    uint64_t number[8];
+    int count;
+    unsigned served;
+} Seen;
+
+static Status echo(void *arg, void *mem, const void *ask, void *answer)
+{
+    Seen *seen = arg;
+    (void)mem;
+    seen->served++;
+    ((Echo *)answer)->number = ((const Echo *)ask)->number + 1;
+    return STATUS_OK;
+}
+
+static void serverStart(void *arg, Loop *loop)
+{
+    Seen *seen = arg;
+    Ring *ring = ringNew(loop, "server");
+    seen->courier[1] = courierNew(loop, loop, ring);
+    courierSetCluster(seen->courier[1], 7);
+    courierHandle(seen->courier[1], MESSAGE_KNOW, &EchoShape, &EchoShape, echo, seen);
+    courierListen(seen->courier[1], "10.0.0.2:7000", seen->address, NULL);
+}
+
+static void askOne(Seen *seen, int64_t waitMs)
+{
+    Loop *loop = seen->loop[0];
+    void *mem = talloc_new(loop);
+    const Echo ask = {41};
+    Echo answer = {0};
+    const int at = seen->count++;
+    seen->status[at] = courierAsk(seen->courier[0], mem, "10.0.0.2:7000", MESSAGE_KNOW, &EchoShape, &ask, waitMs,
+                                  &EchoShape, &answer);
+    seen->number[at] = answer.number;
+    talloc_free(mem);
+}
+
+static void clientMain(void *arg)
+{
+    Seen *seen = arg;
+    askOne(seen, 500); /* 0: answered */
+    loopSleep(seen->loop[0], 1000 - 500);
+    askOne(seen, 500); /* 1: cut meanwhile: expired */
+    loopSleep(seen->loop[0], 1000);
+    askOne(seen, 500); /* 2: joined again: answered */
+    loopSleep(seen->loop[0], 2000);
+    askOne(seen, 3000); /* 3: server frozen: answered late */
+    askOne(seen, 500);  /* 4: server dead: unreachable */
+    courierSetCluster(seen->courier[0], 8);
+    loopSleep(seen->loop[0], 3000);
+    askOne(seen, 500); /* 5: of another cluster: stranger */
+}
+
+static void clientStart(void *arg, Loop *loop)
+{
+    Seen *seen = arg;
+    seen->loop[0] = loop;
+    seen->courier[0] = courierNew(loop, loop, ringNew(loop, "client"));
+    courierSetCluster(seen->courier[0], 7);
+    loopSpawn(loop, "client", clientMain, seen);
+}
+
+static void life(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SimWorld *world = simWorldNew(mem, 1);
+    Seen seen = {0};
+    const int client = simMachine(world), server = simMachine(world);
+    simStart(world, server, serverStart, &seen);
+    simStart(world, client, clientStart, &seen);
+    simRunUntil(world, 1300);
+    simCut(world, client, server, true);
+    simRunUntil(world, 2400);
+    simCut(world, client, server, false);
+    simRunUntil(world, 3500);
+    simFreeze(world, server, 6000);
+    simRunUntil(world, 6300);
+    simKill(world, server);
+    simRunUntil(world, 8000);
+    simStart(world, server, serverStart, &seen);
+    simRunUntil(world, 30000);
+    assert_int_equal(seen.count, 6);
+    assert_int_equal(seen.status[0], STATUS_OK);
+    assert_int_equal(seen.number[0], 42);
+    assert_int_equal(seen.status[1], STATUS_EXPIRED);
+    assert_int_equal(seen.status[2], STATUS_OK);
+    assert_int_equal(seen.status[3], STATUS_OK);
+    assert_int_equal(seen.status[5], STATUS_STRANGER);
+    talloc_free(mem);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(life)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/wire/src/envelope.c
@@ -0,0 +1,3 @@
+#include "envelope.h"
+
+SHAPE_TABLE(Envelope, ENVELOPE_FIELDS)
--- /dev/null
+++ b/packages/wire/src/envelope.h
@@ -0,0 +1,17 @@
+#ifndef WIRE_SRC_ENVELOPE_H
+#define WIRE_SRC_ENVELOPE_H
+
+#include "wire/shape.h"
+
+/* What goes round every message. answer is false for a question. */
+#define ENVELOPE_FIELDS(X) \
+    X(U64, version, 0)     \
+    X(U64, cluster, 0)     \
+    X(U64, kind, 0)        \
+    X(U64, call, 0)        \
+    X(FLAG, answer, 0)     \
+    X(U64, status, 0)      \
+    X(BIN, payload, 0)
+SHAPE(Envelope, ENVELOPE_FIELDS)
+
+#endif
