--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -40,6 +40,7 @@
 #define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
 #define LOG_BATCH_BYTES (512 * 1024) /* bytes; one append carries at most this much */
 #define LOG_BATCH_ENTRIES 256  /* count; likewise */
+#define LOG_BACK_STEP 64       /* count; a seat whose log differs is asked again from so many entries earlier */
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
 #define WOKEN_WAIT_MS 4000     /* ms; a view resting on woken seats waits this long for the last view's members */
 #define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
--- /dev/null
+++ b/packages/config/src/check.c
@@ -0,0 +1,183 @@
+#include "config/check.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdarg.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+
+#define DEPTH_MAX 16 /* count; nesting that our documents need, with room to spare */
+
+void faultAdd(Faults *faults, Status status, const char *path, const char *format, ...)
+{
+    faults->seen++;
+    if (faults->count >= FAULTS_MAX)
+        return;
+    va_list args;
+    va_start(args, format);
+    faults->list[faults->count++] =
+        (Fault){status, talloc_strdup(faults->mem, path), talloc_vasprintf(faults->mem, format, args)};
+    va_end(args);
+}
+
+const char *checkPath(Faults *faults, const char *path, const char *key)
+{
+    return path[0] != '\0' ? talloc_asprintf(faults->mem, "%s.%s", path, key) : talloc_strdup(faults->mem, key);
+}
+
+json_object *checkParse(Faults *faults, const char *text, size_t count)
+{
+    if (count == 0 || memchr(text, 0, count) != NULL) {
+        faultAdd(faults, STATUS_BAD_JSON, "", count == 0 ? "the body is empty" : "a zero byte in the text");
+        return NULL;
+    }
+    json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX);
+    json_tokener_set_flags(tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+    json_object *object = json_tokener_parse_ex(tokener, text, (int)count);
+    const enum json_tokener_error error = json_tokener_get_error(tokener);
+    const size_t end = json_tokener_get_parse_end(tokener);
+    json_tokener_free(tokener);
+    if (error != json_tokener_success) {
+        faultAdd(faults, STATUS_BAD_JSON, "", "at byte %zu: %s", end,
+                 error == json_tokener_continue ? "the text ends too early" : json_tokener_error_desc(error));
+        json_object_put(object);
+        return NULL;
+    }
+    for (size_t i = end; i < count; i++)
+        if (strchr(" \t\r\n", text[i]) == NULL) {
+            faultAdd(faults, STATUS_BAD_JSON, "", "at byte %zu: something follows the document", i);
+            json_object_put(object);
+            return NULL;
+        }
+    return object;
+}
+
+bool checkKeys(Faults *faults, json_object *object, const char *path, const char *const *keys)
+{
+    if (!json_object_is_type(object, json_type_object)) {
+        faultAdd(faults, STATUS_BAD_FIELD, path, "must be an object");
+        return false;
+    }
+    json_object_object_foreach(object, key, value) {
+        (void)value;
+        bool known = false;
+        for (size_t i = 0; keys[i] != NULL && !known; i++)
+            known = strcmp(keys[i], key) == 0;
+        if (!known)
+            faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "unknown field");
+    }
+    return true;
+}
+
+int64_t checkInt(Faults *faults, json_object *object, const char *path, const char *key, int64_t least, int64_t most,
+                 int64_t otherwise)
+{
+    json_object *value;
+    if (!json_object_object_get_ex(object, key, &value))
+        return otherwise;
+    const int64_t number = json_object_is_type(value, json_type_int) ? json_object_get_int64(value) : INT64_MIN;
+    /* json-c clamps what does not fit; a clamped number is out of our ranges */
+    if (!json_object_is_type(value, json_type_int) || number < least || number > most) {
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key),
+                 "must be a whole number from %" PRId64 " to %" PRId64, least, most);
+        return otherwise;
+    }
+    return number;
+}
+
+bool checkFlag(Faults *faults, json_object *object, const char *path, const char *key, bool otherwise)
+{
+    json_object *value;
+    if (!json_object_object_get_ex(object, key, &value))
+        return otherwise;
+    if (!json_object_is_type(value, json_type_boolean)) {
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "must be true or false");
+        return otherwise;
+    }
+    return json_object_get_boolean(value);
+}
+
+bool checkNameText(const char *text)
+{
+    const size_t count = strlen(text);
+    return count > 0 && count <= ID_MAX &&
+           strspn(text, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:-") == count;
+}
+
+static const char *nameOf(Faults *faults, json_object *value, const char *path)
+{
+    const char *text = json_object_is_type(value, json_type_string) ? json_object_get_string(value) : NULL;
+    if (text == NULL || strlen(text) != (size_t)json_object_get_string_len(value) || !checkNameText(text)) {
+        faultAdd(faults, STATUS_BAD_FIELD, path, "must be a name of 1 to %d letters, digits or ._:-", ID_MAX);
+        return "";
+    }
+    return talloc_strdup(faults->mem, text);
+}
+
+const char *checkName(Faults *faults, json_object *object, const char *path, const char *key, const char *otherwise)
+{
+    json_object *value;
+    if (!json_object_object_get_ex(object, key, &value)) {
+        if (otherwise == NULL)
+            faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "is missing");
+        return otherwise != NULL ? otherwise : "";
+    }
+    return nameOf(faults, value, checkPath(faults, path, key));
+}
+
+const char **checkNames(Faults *faults, json_object *object, const char *path, const char *key, size_t *count)
+{
+    json_object *value;
+    *count = 0;
+    if (!json_object_object_get_ex(object, key, &value))
+        return NULL;
+    const char *at = checkPath(faults, path, key);
+    if (!json_object_is_type(value, json_type_array) || json_object_array_length(value) > JOB_STEPS_MAX) {
+        faultAdd(faults, STATUS_BAD_FIELD, at, "must be an array of at most %d names", JOB_STEPS_MAX);
+        return NULL;
+    }
+    const size_t length = json_object_array_length(value);
+    const char **names = talloc_array(faults->mem, const char *, (unsigned)length);
+    for (size_t i = 0; i < length; i++)
+        names[i] = nameOf(faults, json_object_array_get_idx(value, i),
+                          talloc_asprintf(faults->mem, "%s[%zu]", at, i));
+    *count = length;
+    return names;
+}
+
+static uint64_t amountOf(Faults *faults, json_object *object, const char *path, const char *key, double scale)
+{
+    json_object *value;
+    if (!json_object_object_get_ex(object, key, &value)) {
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "is missing");
+        return 0;
+    }
+    const bool number = json_object_is_type(value, json_type_int) || json_object_is_type(value, json_type_double);
+    const double amount = number ? json_object_get_double(value) * scale : -1;
+    if (!(amount >= 0 && amount <= (double)ROOM_MAX)) {
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "must be a number from 0 to %.0f",
+                 (double)ROOM_MAX / scale);
+        return 0;
+    }
+    return (uint64_t)llround(amount);
+}
+
+Room checkRoom(Faults *faults, json_object *object, const char *path, const char *key, bool needed)
+{
+    static const char *const KEYS[] = {"cpu", "memMb", NULL};
+    json_object *value;
+    Room room = {0};
+    const char *at = checkPath(faults, path, key);
+    if (!json_object_object_get_ex(object, key, &value)) {
+        if (needed)
+            faultAdd(faults, STATUS_BAD_FIELD, at, "is missing");
+        return room;
+    }
+    if (!checkKeys(faults, value, at, KEYS))
+        return room;
+    room.cpuMilli = amountOf(faults, value, at, "cpu", 1000);
+    room.memMb = amountOf(faults, value, at, "memMb", 1);
+    return room;
+}
--- /dev/null
+++ b/packages/journal/include/journal/journal.h
@@ -0,0 +1,45 @@
+#ifndef JOURNAL_JOURNAL_H
+#define JOURNAL_JOURNAL_H
+
+#include "journal/record.h"
+#include "loop/loop.h"
+
+/* An append-only file of checksummed blocks; a block holds the records of one
+ * sync and is the unit of tearing. Records of many tasks share a sync.
+ *
+ * Block: magic, length, checksum of those two, checksum of the body, body.
+ * A bad block with no whole block after it is a torn tail and is cut off. A
+ * bad block before a whole one is corruption, an error of its own. */
+typedef struct Journal Journal;
+
+/* A reader of all that was found, in order. */
+typedef void (*JournalFn)(void *arg, const Record *record);
+
+typedef struct JournalCounts {
+    uint64_t syncs;
+    uint64_t records;
+    uint64_t rewrites;
+    uint64_t bytes;      /* of the file now */
+    uint64_t tornBytes;  /* cut off at open */
+    int64_t lastSyncMs;  /* how long the last one took */
+    int64_t worstSyncMs; /* since open */
+} JournalCounts;
+
+/* Reads bytes as a journal. The count of good bytes is told; found may be null. */
+Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Mishap *mishap);
+
+/* Waits. Opens or makes the file; nodeName must be the one it was made for. */
+Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
+                   Journal **journal, Mishap *mishap);
+/* The random number that names this disk, made with the file. */
+uint64_t journalDisk(const Journal *journal);
+/* Queues the record and waits until it is synced, with all queued before it. */
+Status journalWrite(Journal *journal, const Record *records, size_t count);
+/* Queues a new content of the whole file, which stands for all queued before
+ * it; waits until it is in place. The identity is kept. */
+Status journalRewrite(Journal *journal, const Record *records, size_t count);
+const JournalCounts *journalCounts(const Journal *journal);
+/* When the sync under way began, or INT64_MAX when there is none. */
+int64_t journalSyncSince(const Journal *journal);
+
+#endif
--- /dev/null
+++ b/packages/journal/include/journal/record.h
@@ -0,0 +1,33 @@
+#ifndef JOURNAL_RECORD_H
+#define JOURNAL_RECORD_H
+
+#include "wire/shape.h"
+
+/* What a journal holds. Numbers are part of the format. */
+#define RECORD_LIST(X)                                                           \
+    X(IDENTITY, 1, "identity") /* first record: format version, the disk's id */   \
+    X(CLUSTER, 2, "cluster")   /* epoch: cluster id; payload: packed SeatList */   \
+    X(PROMISE, 3, "promise")   /* epoch and holder promised */                      \
+    X(ENTRY, 4, "entry")       /* an entry of the ordered log */                    \
+    X(TRIM, 5, "trim")         /* all entries after index are gone */               \
+    X(SNAPSHOT, 6, "snapshot") /* the state after index; earlier entries are gone */ \
+    X(COMMIT, 7, "commit")     /* entries up to index are committed */
+
+typedef enum RecordKind {
+#define X(name, number, word) RECORD_##name = number,
+    RECORD_LIST(X)
+#undef X
+} RecordKind;
+
+/* One shape for all kinds; each uses the fields it needs. */
+#define RECORD_FIELDS(X) \
+    X(U64, kind, 0)      \
+    X(U64, epoch, 0)     \
+    X(U64, index, 0)     \
+    X(I64, atMs, 0)      \
+    X(U64, change, 0)    \
+    X(TXT, name, 0)      \
+    X(BIN, payload, 0)
+SHAPE(Record, RECORD_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/journal/src/journal.c
@@ -0,0 +1,328 @@
+#include "journal/journal.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#define BLOCK_HEAD 16                      /* bytes: magic, length, checksum of both, checksum of the body */
+static const uint32_t MAGIC = 0x53504A31u; /* "SPJ1" */
+
+typedef struct Waiting {
+    struct Waiting *next;
+    bool rewrite;
+    Bytes body;
+    size_t records;
+    bool done;
+    Status status;
+    Signal ended;
+} Waiting;
+
+/* Invariant: first..last are queued in the order of the calls; only the
+ * writing task touches the file. A failed write stops the journal for good:
+ * what the disk holds is not known any more. */
+struct Journal {
+    Loop *loop;
+    File *file;
+    uint64_t disk;
+    const char *nodeName;
+    Waiting *first, *last;
+    Signal asked;
+    bool failed;
+    int64_t syncSinceMs;
+    JournalCounts counts;
+};
+
+static void put32(uint8_t *at, uint32_t value)
+{
+    for (int i = 0; i < 4; i++)
+        at[i] = (uint8_t)(value >> (24 - 8 * i));
+}
+
+static uint32_t get32(const uint8_t *at)
+{
+    return (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8 | at[3];
+}
+
+static void blockAdd(void *mem, Bytes *to, Bytes body)
+{
+    uint8_t head[BLOCK_HEAD];
+    put32(head, MAGIC);
+    put32(head + 4, (uint32_t)body.count);
+    put32(head + 8, bytesCrc(head, 8));
+    put32(head + 12, bytesCrc(body.data, body.count));
+    bytesAdd(mem, to, head, sizeof(head));
+    bytesAdd(mem, to, body.data, body.count);
+}
+
+/* Whether a whole, good block starts here; its body is told. */
+static bool blockAt(Bytes content, size_t at, Bytes *body)
+{
+    if (content.count - at < BLOCK_HEAD)
+        return false;
+    const uint8_t *head = content.data + at;
+    const uint32_t count = get32(head + 4);
+    if (get32(head) != MAGIC || get32(head + 8) != bytesCrc(head, 8) || count > RECORD_MAX_BYTES ||
+        count > content.count - at - BLOCK_HEAD)
+        return false;
+    *body = (Bytes){content.data + at + BLOCK_HEAD, count, 0};
+    return get32(head + 12) == bytesCrc(body->data, body->count);
+}
+
+/* Records stand in a block one after the other, each with its length. */
+static void recordAdd(void *mem, Bytes *body, const Record *record)
+{
+    void *scratch = talloc_new(mem);
+    Bytes packed = {0};
+    shapePack(&RecordShape, record, scratch, &packed);
+    uint8_t count[4];
+    put32(count, (uint32_t)packed.count);
+    bytesAdd(mem, body, count, sizeof(count));
+    bytesAdd(mem, body, packed.data, packed.count);
+    talloc_free(scratch);
+}
+
+static Status blockRead(Bytes body, size_t at, JournalFn found, void *arg, Mishap *mishap)
+{
+    for (size_t k = 0; k < body.count;) {
+        const uint32_t count = body.count - k >= 4 ? get32(body.data + k) : UINT32_MAX;
+        if (count > body.count - k - 4)
+            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu", at + BLOCK_HEAD + k);
+        void *mem = talloc_new(NULL);
+        Record record;
+        const Status status = shapeUnpack(&RecordShape, (Bytes){body.data + k + 4, count, 0}, mem, &record, mishap);
+        if (status != STATUS_OK) {
+            talloc_free(mem);
+            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu", at + BLOCK_HEAD + k);
+        }
+        if (found != NULL)
+            found(arg, &record);
+        talloc_free(mem);
+        k += 4 + count;
+    }
+    return STATUS_OK;
+}
+
+Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Mishap *mishap)
+{
+    size_t at = 0;
+    *goodCount = 0;
+    while (at < content.count) {
+        Bytes body;
+        if (!blockAt(content, at, &body)) {
+            for (size_t later = at + 1; later < content.count; later++)
+                if (content.data[later] == (uint8_t)(MAGIC >> 24) && blockAt(content, later, &body))
+                    return mishapSet(mishap, STATUS_JOURNAL_CORRUPT,
+                                     "bad block at byte %zu, but a whole one follows at byte %zu", at, later);
+            return STATUS_OK; /* a torn tail */
+        }
+        const Status status = blockRead(body, at, found, arg, mishap);
+        if (status != STATUS_OK)
+            return status;
+        at += BLOCK_HEAD + body.count;
+        *goodCount = at;
+    }
+    return STATUS_OK;
+}
+
+static void writerMain(void *arg)
+{
+    Journal *journal = arg;
+    for (;;) {
+        while (journal->first == NULL)
+            signalWait(journal->loop, &journal->asked, INT64_MAX);
+        /* all that is queued shares a sync; a rewrite goes alone */
+        void *mem = talloc_new(journal);
+        Waiting *batch = journal->first;
+        Waiting *batchLast = batch;
+        Bytes body = {0};
+        size_t records = 0;
+        const bool rewrite = batch->rewrite;
+        for (Waiting *w = batch; w != NULL && w->rewrite == rewrite && (w == batch || !rewrite) &&
+                                 body.count + w->body.count < RECORD_MAX_BYTES;
+             w = w->next) {
+            bytesAdd(mem, &body, w->body.data, w->body.count);
+            records += w->records;
+            batchLast = w;
+        }
+        journal->first = batchLast->next;
+        if (journal->first == NULL)
+            journal->last = NULL;
+        batchLast->next = NULL;
+        Status status = STATUS_DISK_FAILED;
+        if (!journal->failed) {
+            const int64_t startMs = loopNowMs(journal->loop);
+            journal->syncSinceMs = startMs;
+            if (rewrite) {
+                status = fileReplace(journal->file, body);
+                journal->counts.rewrites++;
+                if (status == STATUS_OK)
+                    journal->counts.bytes = body.count;
+            } else if (body.count == 0) {
+                status = STATUS_OK; /* only waited for those before it */
+            } else {
+                Bytes block = {0};
+                blockAdd(mem, &block, body);
+                status = fileAppend(journal->file, block);
+                if (status == STATUS_OK)
+                    journal->counts.bytes += block.count;
+                journal->counts.syncs++;
+            }
+            journal->syncSinceMs = INT64_MAX;
+            journal->counts.records += records;
+            journal->counts.lastSyncMs = loopNowMs(journal->loop) - startMs;
+            if (journal->counts.lastSyncMs > journal->counts.worstSyncMs)
+                journal->counts.worstSyncMs = journal->counts.lastSyncMs;
+            journal->failed = status != STATUS_OK;
+        }
+        while (batch != NULL) {
+            Waiting *next = batch->next;
+            batch->done = true;
+            batch->status = status;
+            signalRaise(journal->loop, &batch->ended);
+            batch = next;
+        }
+        talloc_free(mem);
+    }
+}
+
+static Status queueUp(Journal *journal, Waiting *waiting)
+{
+    if (journal->failed) {
+        talloc_free(waiting);
+        return STATUS_DISK_FAILED;
+    }
+    if (journal->last != NULL)
+        journal->last->next = waiting;
+    else
+        journal->first = waiting;
+    journal->last = waiting;
+    signalRaise(journal->loop, &journal->asked);
+    while (!waiting->done)
+        signalWait(journal->loop, &waiting->ended, INT64_MAX);
+    const Status status = waiting->status;
+    talloc_free(waiting);
+    return status;
+}
+
+Status journalWrite(Journal *journal, const Record *records, size_t count)
+{
+    Waiting *waiting = talloc_zero(journal, Waiting);
+    for (size_t i = 0; i < count; i++)
+        recordAdd(waiting, &waiting->body, &records[i]);
+    waiting->records = count;
+    return queueUp(journal, waiting);
+}
+
+static Record identity(const Journal *journal)
+{
+    return (Record){
+        .kind = RECORD_IDENTITY, .epoch = JOURNAL_VERSION, .index = journal->disk, .name = journal->nodeName};
+}
+
+Status journalRewrite(Journal *journal, const Record *records, size_t count)
+{
+    Waiting *waiting = talloc_zero(journal, Waiting);
+    waiting->rewrite = true;
+    waiting->records = count;
+    /* the body is a whole file: small blocks, so that no record makes one too large */
+    Bytes body = {0};
+    const Record first = identity(journal);
+    recordAdd(waiting, &body, &first);
+    for (size_t i = 0; i < count; i++) {
+        recordAdd(waiting, &body, &records[i]);
+        if (body.count > 1024 * 1024) {
+            blockAdd(waiting, &waiting->body, body);
+            body.count = 0;
+        }
+    }
+    if (body.count > 0)
+        blockAdd(waiting, &waiting->body, body);
+    return queueUp(journal, waiting);
+}
+
+typedef struct Opening {
+    Journal *journal;
+    JournalFn found;
+    void *arg;
+    size_t records;
+    Mishap mishap;
+} Opening;
+
+static void openRecord(void *arg, const Record *record)
+{
+    Opening *opening = arg;
+    Journal *journal = opening->journal;
+    if (opening->records++ == 0) {
+        if (record->kind != RECORD_IDENTITY)
+            mishapSet(&opening->mishap, STATUS_JOURNAL_CORRUPT, "the first record is not the identity");
+        else if (record->epoch > JOURNAL_VERSION)
+            mishapSet(&opening->mishap, STATUS_JOURNAL_FORMAT, "format %" PRIu64 ", this release reads up to %d",
+                      record->epoch, JOURNAL_VERSION);
+        else if (strcmp(record->name, journal->nodeName) != 0)
+            mishapSet(&opening->mishap, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
+                      record->name, journal->nodeName);
+        else
+            journal->disk = record->index;
+        return;
+    }
+    if (opening->mishap.status == STATUS_OK && record->kind != RECORD_IDENTITY)
+        opening->found(opening->arg, record);
+}
+
+Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
+                   Journal **out, Mishap *mishap)
+{
+    Journal *journal = talloc_zero(mem, Journal);
+    journal->loop = loop;
+    journal->nodeName = talloc_strdup(journal, nodeName);
+    journal->syncSinceMs = INT64_MAX;
+    Status status = fileOpen(loop, journal, path, &journal->file, mishap);
+    if (status != STATUS_OK)
+        return status;
+    void *scratch = talloc_new(journal);
+    Bytes content = {0};
+    status = fileRead(journal->file, scratch, &content);
+    if (status != STATUS_OK)
+        return mishapSet(mishap, status, "cannot read %s", path);
+    Opening opening = {journal, found, arg, 0, {0}};
+    size_t goodCount;
+    status = journalRead(content, openRecord, &opening, &goodCount, mishap);
+    if (status != STATUS_OK)
+        return status;
+    if (opening.mishap.status != STATUS_OK)
+        return mishapSet(mishap, opening.mishap.status, "%s", opening.mishap.text);
+    journal->counts.bytes = goodCount;
+    journal->counts.tornBytes = content.count - goodCount;
+    if (goodCount < content.count) {
+        const Bytes good = {content.data, goodCount, 0};
+        status = fileReplace(journal->file, good);
+        if (status != STATUS_OK)
+            return mishapSet(mishap, status, "cannot cut the torn tail of %s", path);
+    }
+    talloc_free(scratch);
+    loopSpawn(loop, "journal", writerMain, journal);
+    if (opening.records == 0) {
+        journal->disk = loopRandom(loop) >> 1;
+        const Record first = identity(journal);
+        status = journalWrite(journal, &first, 1);
+        if (status != STATUS_OK)
+            return mishapSet(mishap, status, "cannot write %s", path);
+    }
+    *out = journal;
+    return STATUS_OK;
+}
+
+uint64_t journalDisk(const Journal *journal)
+{
+    return journal->disk;
+}
+
+const JournalCounts *journalCounts(const Journal *journal)
+{
+    return &journal->counts;
+}
+
+int64_t journalSyncSince(const Journal *journal)
+{
+    return journal->syncSinceMs;
+}
--- /dev/null
+++ b/packages/journal/src/record.c
@@ -0,0 +1,3 @@
+#include "journal/record.h"
+
+SHAPE_TABLE(Record, RECORD_FIELDS)
--- /dev/null
+++ b/packages/member/include/member/members.h
@@ -0,0 +1,53 @@
+#ifndef MEMBER_MEMBERS_H
+#define MEMBER_MEMBERS_H
+
+#include "base/ring.h"
+#include "loop/loop.h"
+#include "member/record.h"
+#include "wire/courier.h"
+
+#define SEEDS 3 /* count; three seed addresses are all a process is told */
+
+/* One row of the table: the record and when it was last seen to grow. */
+typedef struct Member {
+    MemberRecord record;
+    int64_t seenMs;   /* its tick rose, told by anybody */
+    int64_t directMs; /* it spoke to us itself; INT64_MIN: never */
+} Member;
+
+/* Immutable; the whole table is swapped. Invariant: rows are ordered by id and
+ * ids are unique. */
+typedef struct MemberTable {
+    size_t count;
+    const Member *rows;
+} MemberTable;
+
+/* Finds everybody from the seeds and keeps finding them. */
+typedef struct Members Members;
+
+Members *membersNew(void *mem, Loop *loop, Courier *courier, Ring *ring, const MemberRecord *self,
+                    const char *const seeds[SEEDS]);
+/* Spawns one task for each seed and one that roams the table. */
+void membersStart(Members *members);
+/* Valid until the next wait. */
+const MemberTable *membersTable(const Members *members);
+/* Null when there is none. Valid until the next wait. */
+const Member *membersFind(const Members *members, const char *id);
+const Member *membersFindDisk(const Members *members, uint64_t disk);
+const MemberRecord *membersSelf(const Members *members);
+bool memberQuiet(const Member *member, int64_t nowMs);
+
+void membersSetEmpty(Members *members, bool empty);
+void membersSetLeaving(Members *members);
+/* The newest leader known; empty id when none is. */
+void membersSetLeader(Members *members, uint64_t epoch, const char *id);
+const char *membersLeaderId(const Members *members);
+uint64_t membersLeaderEpoch(const Members *members);
+/* The address where the leader is asked, or null. */
+const char *membersLeaderAddress(const Members *members);
+/* Raised when the leader known here changes. */
+Signal *membersLeaderSignal(Members *members);
+/* The number of members that have spoken to us of late. */
+size_t membersSight(const Members *members);
+
+#endif
--- /dev/null
+++ b/packages/member/include/member/record.h
@@ -0,0 +1,44 @@
+#ifndef MEMBER_RECORD_H
+#define MEMBER_RECORD_H
+
+#include "wire/shape.h"
+
+#define ROLE_LIST(X) X(CORE, "core") X(GATE, "gate") X(AGENT, "agent")
+
+typedef enum Role {
+#define X(name, word) ROLE_##name,
+    ROLE_LIST(X)
+#undef X
+        ROLE_COUNT
+} Role;
+
+const char *roleWord(Role role);
+
+/* What a member says of itself. Only the member itself makes new ones: of two
+ * records the one with the higher (incarnation, tick) is the newer.
+ * Nothing identifies a member by its address. */
+#define MEMBER_FIELDS(X)                                                         \
+    X(TXT, id, 0)         /* the name; for a core, the name and its disk's id */    \
+    X(TXT, name, 0)                                                                 \
+    X(U64, role, 0)                                                                 \
+    X(TXT, zone, 0)                                                                 \
+    X(TXT, address, 0)    /* where partners ask it */                               \
+    X(TXT, http, 0)       /* where callers ask it */                                \
+    X(U64, incarnation, 0)                                                          \
+    X(U64, tick, 0)       /* grows while it lives */                                \
+    X(U64, cluster, 0)    /* 0: it knows none */                                    \
+    X(U64, disk, 0)       /* cores: the id of the disk, which is what holds a seat */ \
+    X(FLAG, empty, 0)     /* cores: the disk has never been part of a cluster */    \
+    X(FLAG, leaving, 0)
+SHAPE(MemberRecord, MEMBER_FIELDS)
+
+/* Table and leader as known to the one that speaks. */
+#define HELLO_FIELDS(X)        \
+    X(ONE, self, MemberRecord)   \
+    X(LST, members, MemberRecord) \
+    X(U64, cluster, 0)           \
+    X(U64, leaderEpoch, 0)       \
+    X(TXT, leaderId, 0)
+SHAPE(Hello, HELLO_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/member/src/record.c
@@ -0,0 +1,14 @@
+#include "member/record.h"
+
+SHAPE_TABLE(MemberRecord, MEMBER_FIELDS)
+SHAPE_TABLE(Hello, HELLO_FIELDS)
+
+const char *roleWord(Role role)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        ROLE_LIST(X)
+#undef X
+    };
+    return (unsigned)role < ROLE_COUNT ? WORDS[role] : "unlisted";
+}
--- /dev/null
+++ b/packages/plan/include/plan/plan.h
@@ -0,0 +1,69 @@
+#ifndef PLAN_PLAN_H
+#define PLAN_PLAN_H
+
+#include "table/job.h"
+
+/* What a task asks of a worker. */
+typedef struct PlanNeed {
+    Room room;
+    const char *kind; /* empty: any */
+    const char *const *labels;
+    size_t labelCount;
+} PlanNeed;
+
+/* A worker that may be given work. Invariant: free <= room in every part;
+ * what any task on it takes is already out of free. */
+typedef struct PlanWorker {
+    const char *name;
+    const char *zone;
+    const char *kind;
+    const char *const *labels;
+    size_t labelCount;
+    Room room;
+    Room free;
+} PlanWorker;
+
+/* A protected task whose restart every plan must include. */
+typedef struct PlanTask {
+    PlanNeed need;
+    size_t worker; /* where it runs now */
+} PlanTask;
+
+/* Invariant: each task's worker is below workerCount. */
+typedef struct PlanInput {
+    PlanWorker *workers;
+    size_t workerCount;
+    PlanTask *tasks;
+    size_t taskCount;
+    uint64_t r;    /* worker losses to survive, in any order */
+    bool zoneLoss; /* also the loss of any one zone */
+} PlanInput;
+
+/* What breaks a plan. */
+typedef struct PlanBreak {
+    bool zone;
+    const char *name; /* of the first loss that can't be survived */
+} PlanBreak;
+
+bool roomFits(Room need, Room free);
+Room roomLess(Room a, Room b);
+Room roomMore(Room a, Room b);
+/* The larger of the parts of whole that room takes, in thousandths. */
+uint64_t roomShare(Room room, Room whole);
+
+bool planAble(const PlanWorker *worker, const PlanNeed *need); /* kind and labels */
+bool planFits(const PlanWorker *worker, const PlanNeed *need); /* ... and room */
+/* The worker with the most room left among those that fit; -1: none fits. */
+int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost);
+
+/* Biggest-fit-decreasing: places the tasks of the lost workers on the others.
+ * where[i] is set for each of them; false when one finds no place. Uses up free. */
+bool planSpecific(PlanInput *input, const bool *lost, int *where);
+/* Whether every sequence of r losses leaves a plan. Walks all sequences up to
+ * PLAN_EXHAUSTIVE_MAX of them, else takes the cheap bound. */
+bool planAlwaysPossible(const PlanInput *input, PlanBreak *broken);
+bool planExhaustive(const PlanInput *input, PlanBreak *broken);
+/* May say no where a plan exists; never says yes where none does. */
+bool planCheap(const PlanInput *input);
+
+#endif
--- /dev/null
+++ b/packages/plan/src/cheap.c
@@ -0,0 +1,101 @@
+/* The cheap bound, sound for unlike machines.
+ *
+ * Tasks are gathered into classes by what they ask (kind, labels); classes that
+ * share a worker are one group, so that groups never compete. Of each group:
+ *  - every task is taken to be as big as the biggest in every part;
+ *  - the r workers with the most tasks of the group are lost;
+ *  - the r workers with the most free slots are lost (not the same ones: worse
+ *    than any real loss);
+ *  - only workers that suit every class of the group count.
+ * If the slots left hold the tasks lost, then whatever plan is followed, each
+ * time a task is to be placed some worker still has a slot that it fits in: a
+ * task placed takes at most one slot, and no more than all of them are placed.
+ * Tasks placed on a worker that is lost later are lost ones already counted. */
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "plan/plan.h"
+
+typedef struct Group {
+    bool *any;  /* workers that suit some class */
+    bool *all;  /* workers that suit every class */
+    Room biggest;
+    uint64_t *lost; /* tasks of the group on each worker */
+} Group;
+
+static int descending(const void *a, const void *b)
+{
+    const uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+    return x > y ? -1 : x < y;
+}
+
+static uint64_t slotsOf(Room free, Room each)
+{
+    const uint64_t cpu = each.cpuMilli > 0 ? free.cpuMilli / each.cpuMilli : UINT32_MAX;
+    const uint64_t mem = each.memMb > 0 ? free.memMb / each.memMb : UINT32_MAX;
+    return cpu < mem ? cpu : mem;
+}
+
+static bool groupHolds(const Group *group, const PlanInput *input, void *mem)
+{
+    const size_t n = input->workerCount;
+    uint64_t *lost = talloc_memdup(mem, group->lost, n * sizeof(*lost));
+    uint64_t *slots = talloc_zero_array(mem, uint64_t, (unsigned)n);
+    for (size_t i = 0; i < n; i++)
+        slots[i] = group->all[i] ? slotsOf(input->workers[i].free, group->biggest) : 0;
+    qsort(lost, n, sizeof(*lost), descending);
+    qsort(slots, n, sizeof(*slots), descending);
+    uint64_t needed = 0, left = 0;
+    for (size_t i = 0; i < n; i++) {
+        if (i < input->r)
+            needed += lost[i];
+        else
+            left += slots[i];
+    }
+    return left >= needed;
+}
+
+bool planCheap(const PlanInput *input)
+{
+    const size_t n = input->workerCount;
+    if (input->r == 0 || input->taskCount == 0)
+        return true;
+    void *mem = talloc_new(NULL);
+    Group *groups = talloc_zero_array(mem, Group, (unsigned)input->taskCount);
+    size_t count = 0;
+    for (size_t t = 0; t < input->taskCount; t++) {
+        const PlanTask *task = &input->tasks[t];
+        Group mine = {talloc_zero_array(mem, bool, (unsigned)n), talloc_zero_array(mem, bool, (unsigned)n),
+                      task->need.room, talloc_zero_array(mem, uint64_t, (unsigned)n)};
+        for (size_t i = 0; i < n; i++)
+            mine.any[i] = mine.all[i] = planAble(&input->workers[i], &task->need);
+        mine.lost[task->worker] = 1;
+        /* joins every group that it shares a worker with */
+        for (size_t g = 0; g < count;) {
+            bool shares = false;
+            for (size_t i = 0; i < n && !shares; i++)
+                shares = mine.any[i] && groups[g].any[i];
+            if (!shares) {
+                g++;
+                continue;
+            }
+            for (size_t i = 0; i < n; i++) {
+                mine.any[i] |= groups[g].any[i];
+                mine.all[i] &= groups[g].all[i];
+                mine.lost[i] += groups[g].lost[i];
+            }
+            if (groups[g].biggest.cpuMilli > mine.biggest.cpuMilli)
+                mine.biggest.cpuMilli = groups[g].biggest.cpuMilli;
+            if (groups[g].biggest.memMb > mine.biggest.memMb)
+                mine.biggest.memMb = groups[g].biggest.memMb;
+            groups[g] = groups[--count];
+        }
+        groups[count++] = mine;
+    }
+    bool holds = true;
+    for (size_t g = 0; g < count && holds; g++)
+        holds = groupHolds(&groups[g], input, mem);
+    talloc_free(mem);
+    return holds;
+}
--- /dev/null
+++ b/packages/plan/src/plan.c
@@ -0,0 +1,183 @@
+#include "plan/plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+
+bool planAble(const PlanWorker *worker, const PlanNeed *need)
+{
+    if (need->kind[0] != '\0' && strcmp(need->kind, worker->kind) != 0)
+        return false;
+    for (size_t i = 0; i < need->labelCount; i++) {
+        bool has = false;
+        for (size_t k = 0; k < worker->labelCount && !has; k++)
+            has = strcmp(need->labels[i], worker->labels[k]) == 0;
+        if (!has)
+            return false;
+    }
+    return true;
+}
+
+bool planFits(const PlanWorker *worker, const PlanNeed *need)
+{
+    return roomFits(need->room, worker->free) && planAble(worker, need);
+}
+
+/* The scarcer part of what is left, in thousandths of the largest worker. */
+static uint64_t leftShare(Room free, Room largest)
+{
+    const uint64_t cpu = largest.cpuMilli > 0 ? free.cpuMilli * 1000 / largest.cpuMilli : 0;
+    const uint64_t mem = largest.memMb > 0 ? free.memMb * 1000 / largest.memMb : 0;
+    return cpu < mem ? cpu : mem;
+}
+
+static Room largestOf(const PlanWorker *workers, size_t count)
+{
+    Room largest = {0};
+    for (size_t i = 0; i < count; i++) {
+        if (workers[i].room.cpuMilli > largest.cpuMilli)
+            largest.cpuMilli = workers[i].room.cpuMilli;
+        if (workers[i].room.memMb > largest.memMb)
+            largest.memMb = workers[i].room.memMb;
+    }
+    return largest;
+}
+
+int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost)
+{
+    const Room largest = largestOf(workers, count);
+    int best = -1;
+    uint64_t bestLeft = 0;
+    for (size_t i = 0; i < count; i++) {
+        if ((lost != NULL && lost[i]) || !planFits(&workers[i], need))
+            continue;
+        const uint64_t left = leftShare(workers[i].free, largest);
+        if (best < 0 || left > bestLeft) {
+            best = (int)i;
+            bestLeft = left;
+        }
+    }
+    return best;
+}
+
+typedef struct Sized {
+    size_t task;
+    uint64_t share;
+} Sized;
+
+static int sizedOrder(const void *a, const void *b)
+{
+    const Sized *x = a, *y = b;
+    if (x->share != y->share)
+        return x->share > y->share ? -1 : 1;
+    return x->task < y->task ? -1 : x->task > y->task;
+}
+
+bool planSpecific(PlanInput *input, const bool *lost, int *where)
+{
+    const Room largest = largestOf(input->workers, input->workerCount);
+    Sized *sized = talloc_array(NULL, Sized, (unsigned)input->taskCount);
+    size_t count = 0;
+    for (size_t i = 0; i < input->taskCount; i++)
+        if (lost[input->tasks[i].worker])
+            sized[count++] = (Sized){i, roomShare(input->tasks[i].need.room, largest)};
+    qsort(sized, count, sizeof(*sized), sizedOrder);
+    bool all = true;
+    for (size_t i = 0; i < count && all; i++) {
+        const PlanNeed *need = &input->tasks[sized[i].task].need;
+        const int at = planChoose(input->workers, input->workerCount, need, lost);
+        where[sized[i].task] = at;
+        if (at < 0)
+            all = false;
+        else
+            input->workers[at].free = roomLess(input->workers[at].free, need->room);
+    }
+    talloc_free(sized);
+    return all;
+}
+
+/* --- all sequences ------------------------------------------------------------------ */
+
+/* Loses the workers marked in more, plans, and goes on with the losses left. */
+static bool walk(const PlanInput *input, const bool *lostBefore, const bool *more, uint64_t left, const char **at)
+{
+    void *mem = talloc_new(NULL);
+    PlanInput next = *input;
+    next.workers = talloc_memdup(mem, input->workers, input->workerCount * sizeof(*input->workers));
+    next.tasks = talloc_memdup(mem, input->tasks, input->taskCount * sizeof(*input->tasks));
+    bool *lost = talloc_memdup(mem, lostBefore, input->workerCount * sizeof(bool));
+    int *where = talloc_array(mem, int, (unsigned)input->taskCount);
+    for (size_t i = 0; i < input->workerCount; i++)
+        lost[i] |= more[i];
+    bool possible = planSpecific(&next, lost, where);
+    if (possible && left > 0) {
+        for (size_t i = 0; i < next.taskCount; i++)
+            if (lost[next.tasks[i].worker])
+                next.tasks[i].worker = (size_t)where[i];
+        for (size_t i = 0; i < next.workerCount && possible; i++) {
+            if (lost[i])
+                continue;
+            bool *one = talloc_zero_array(mem, bool, (unsigned)next.workerCount);
+            one[i] = true;
+            possible = walk(&next, lost, one, left - 1, at);
+            if (!possible)
+                *at = next.workers[i].name;
+        }
+    }
+    talloc_free(mem);
+    return possible;
+}
+
+bool planExhaustive(const PlanInput *input, PlanBreak *broken)
+{
+    void *mem = talloc_new(NULL);
+    bool *none = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
+    bool possible = true;
+    const uint64_t r = input->r < input->workerCount ? input->r : input->workerCount;
+    for (size_t i = 0; i < input->workerCount && possible && r > 0; i++) {
+        bool *one = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
+        const char *at = NULL;
+        one[i] = true;
+        possible = walk(input, none, one, r - 1, &at);
+        if (!possible && broken != NULL)
+            *broken = (PlanBreak){false, input->workers[i].name};
+    }
+    talloc_free(mem);
+    return possible;
+}
+
+static bool zonesPossible(const PlanInput *input, PlanBreak *broken)
+{
+    void *mem = talloc_new(NULL);
+    bool *none = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
+    bool possible = true;
+    for (size_t i = 0; i < input->workerCount && possible; i++) {
+        bool seen = false;
+        for (size_t k = 0; k < i && !seen; k++)
+            seen = strcmp(input->workers[k].zone, input->workers[i].zone) == 0;
+        if (seen)
+            continue;
+        bool *zone = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
+        for (size_t k = 0; k < input->workerCount; k++)
+            zone[k] = strcmp(input->workers[k].zone, input->workers[i].zone) == 0;
+        const char *at = NULL;
+        possible = walk(input, none, zone, 0, &at);
+        if (!possible && broken != NULL)
+            *broken = (PlanBreak){true, input->workers[i].zone};
+    }
+    talloc_free(mem);
+    return possible;
+}
+
+bool planAlwaysPossible(const PlanInput *input, PlanBreak *broken)
+{
+    uint64_t sequences = 1;
+    for (uint64_t i = 0; i < input->r && i < input->workerCount; i++)
+        sequences *= input->workerCount - i;
+    const bool workers = sequences <= PLAN_EXHAUSTIVE_MAX ? planExhaustive(input, broken) : planCheap(input);
+    if (!workers && sequences > PLAN_EXHAUSTIVE_MAX && broken != NULL)
+        *broken = (PlanBreak){false, ""};
+    return workers && (!input->zoneLoss || zonesPossible(input, broken));
+}
--- /dev/null
+++ b/packages/plan/test/plan.c
@@ -0,0 +1,157 @@
+/* The planner on its own: biggest-fit-decreasing, sequences of losses, and the
+ * cheap bound against the exhaustive walk. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "plan/plan.h"
+
+static PlanWorker worker(const char *name, const char *zone, uint64_t cpu, uint64_t mem)
+{
+    return (PlanWorker){name, zone, "std", NULL, 0, {cpu, mem}, {cpu, mem}};
+}
+
+static PlanTask task(size_t at, uint64_t cpu, uint64_t mem)
+{
+    return (PlanTask){{{cpu, mem}, "", NULL, 0}, at};
+}
+
+static void takeOut(PlanInput *input)
+{
+    for (size_t i = 0; i < input->taskCount; i++) {
+        PlanWorker *w = &input->workers[input->tasks[i].worker];
+        w->free = roomLess(w->free, input->tasks[i].need.room);
+    }
+}
+
+static void biggestFirst(void **state)
+{
+    (void)state;
+    /* first-come order would put 3 and 3 on the larger and leave 6 homeless */
+    PlanWorker workers[] = {worker("a", "z1", 12, 100), worker("b", "z2", 6, 100), worker("c", "z3", 6, 100)};
+    PlanTask tasks[] = {task(0, 3, 1), task(0, 3, 1), task(0, 6, 1)};
+    PlanInput input = {workers, 3, tasks, 3, 1, false};
+    const bool lost[] = {true, false, false};
+    int where[3] = {-1, -1, -1};
+    assert_true(planSpecific(&input, lost, where));
+    assert_int_not_equal(where[0], where[2]);
+    assert_int_equal(where[0], where[1]);
+}
+
+static void kindsAndLabels(void **state)
+{
+    (void)state;
+    const char *const ssd[] = {"ssd"};
+    PlanWorker workers[] = {worker("a", "z1", 8, 8), worker("b", "z2", 8, 8), worker("c", "z3", 8, 8)};
+    workers[0].labels = workers[1].labels = ssd;
+    workers[0].labelCount = workers[1].labelCount = 1;
+    PlanTask tasks[] = {{{{4, 4}, "std", ssd, 1}, 0}, {{{4, 4}, "std", ssd, 1}, 1}};
+    PlanInput input = {workers, 3, tasks, 2, 1, false};
+    takeOut(&input);
+    PlanBreak broken = {0};
+    assert_true(planAlwaysPossible(&input, &broken));
+    input.r = 2; /* both that have the label are lost */
+    assert_false(planAlwaysPossible(&input, &broken));
+    tasks[0].need.kind = "gpu";
+    input.r = 1;
+    assert_false(planAlwaysPossible(&input, &broken));
+}
+
+/* The second loss takes what the first one's plan had put there. */
+static void sequences(void **state)
+{
+    (void)state;
+    PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9), worker("c", "z3", 4, 9)};
+    PlanTask tasks[] = {task(0, 2, 1), task(1, 2, 1)};
+    PlanInput input = {workers, 3, tasks, 2, 2, false};
+    takeOut(&input);
+    assert_true(planAlwaysPossible(&input, NULL));
+    tasks[0].need.room.cpuMilli = 3;
+    PlanWorker again[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9), worker("c", "z3", 4, 9)};
+    input.workers = again;
+    takeOut(&input);
+    input.r = 1;
+    assert_true(planAlwaysPossible(&input, NULL));
+    input.r = 2;
+    assert_false(planAlwaysPossible(&input, NULL));
+}
+
+static void wholeZone(void **state)
+{
+    (void)state;
+    PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z1", 4, 9), worker("c", "z2", 4, 9)};
+    PlanTask tasks[] = {task(0, 3, 1), task(1, 3, 1)};
+    PlanInput input = {workers, 3, tasks, 2, 1, false};
+    takeOut(&input);
+    PlanBreak broken = {0};
+    assert_true(planAlwaysPossible(&input, &broken));
+    input.zoneLoss = true;
+    assert_false(planAlwaysPossible(&input, &broken));
+    assert_true(broken.zone);
+    assert_string_equal(broken.name, "z1");
+}
+
+static uint64_t draw(uint64_t *seed, uint64_t below)
+{
+    *seed = *seed * 6364136223846793005u + 1442695040888963407u;
+    return (*seed >> 33) % below;
+}
+
+/* 4,000 small fleets of unlike workers: the cheap bound never says yes where
+ * the walk through all sequences says no. Both answers must occur often. */
+static void cheapIsSound(void **state)
+{
+    (void)state;
+    static const char *const KINDS[] = {"std", "gpu", "arm"};
+    static const char *const LABELS[] = {"ssd"};
+    uint64_t seed = 7;
+    size_t yes = 0, no = 0, wronglyNo = 0;
+    for (int run = 0; run < 4000; run++) {
+        PlanWorker workers[6];
+        PlanTask tasks[10];
+        const size_t n = 3 + draw(&seed, 4);
+        for (size_t i = 0; i < n; i++) {
+            workers[i] = worker("w", "z", 4 + draw(&seed, 12), 4 + draw(&seed, 12));
+            workers[i].kind = KINDS[draw(&seed, 2)];
+            workers[i].labels = LABELS;
+            workers[i].labelCount = draw(&seed, 2);
+        }
+        PlanInput input = {workers, n, tasks, 0, 1 + draw(&seed, 2), false};
+        for (size_t i = 0; i < 10; i++) {
+            PlanTask one = task(draw(&seed, n), 1 + draw(&seed, 4), 1 + draw(&seed, 4));
+            if (draw(&seed, 2))
+                one.need.kind = workers[one.worker].kind;
+            if (workers[one.worker].labelCount && draw(&seed, 2)) {
+                one.need.labels = LABELS;
+                one.need.labelCount = 1;
+            }
+            if (!planFits(&workers[one.worker], &one.need))
+                continue;
+            workers[one.worker].free = roomLess(workers[one.worker].free, one.need.room);
+            tasks[input.taskCount++] = one;
+            if (draw(&seed, 4) == 0)
+                break;
+        }
+        const bool cheap = planCheap(&input), real = planExhaustive(&input, NULL);
+        assert_false(cheap && !real);
+        yes += cheap;
+        no += !real;
+        wronglyNo += real && !cheap;
+    }
+    print_message("cheap yes %zu, really no %zu, wrongly no %zu\n", yes, no, wronglyNo);
+    assert_true(yes > 200 && no > 200);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(biggestFirst), cmocka_unit_test(kindsAndLabels), cmocka_unit_test(sequences),
+        cmocka_unit_test(wholeZone),    cmocka_unit_test(cheapIsSound),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/table/include/table/change.h
@@ -0,0 +1,73 @@
+#ifndef TABLE_CHANGE_H
+#define TABLE_CHANGE_H
+
+#include "table/worker.h"
+
+/* Every change of the state. Numbers are part of the journal's format. Each may
+ * be told twice without harm: what it names has an identity of its own. */
+#define CHANGE_LIST(X)                                                              \
+    X(JOB_ADD, 16, JobAdd)                                                            \
+    X(JOB_CANCEL, 17, JobCancel)                                                      \
+    X(PLACE, 18, PlaceList)                                                           \
+    X(ROUNDS, 19, RoundList)      /* what agents tell */                               \
+    X(STOP, 20, StopList)         /* rounds to be stopped and planned again */         \
+    X(WORKER_SET, 21, Worker)                                                         \
+    X(WORKER_LOST, 22, WorkerLost)                                                    \
+    X(WORKER_LEFT, 23, WorkerLeft)                                                    \
+    X(CONFIG_SET, 24, ConfigSet)                                                      \
+    X(ZONE_DRAIN, 25, ZoneDrain)                                                      \
+    X(FORGET, 26, Forget)         /* ended jobs older than the stated span */          \
+    X(ASSURE, 27, StopList)       /* rounds that a plan now includes */
+
+typedef enum ChangeKind {
+#define X(name, number, shape) CHANGE_##name = number,
+    CHANGE_LIST(X)
+#undef X
+} ChangeKind;
+
+#define JOB_ADD_FIELDS(X) X(ONE, spec, JobSpec)
+SHAPE(JobAdd, JOB_ADD_FIELDS)
+
+#define JOB_CANCEL_FIELDS(X) X(TXT, id, 0)
+SHAPE(JobCancel, JOB_CANCEL_FIELDS)
+
+#define PLACEMENT_FIELDS(X) \
+    X(TXT, job, 0)          \
+    X(U64, task, 0)         \
+    X(U64, round, 0)        \
+    X(TXT, worker, 0)       \
+    X(U64, incarnation, 0)  \
+    X(FLAG, assured, 0)
+SHAPE(Placement, PLACEMENT_FIELDS)
+
+#define PLACE_LIST_FIELDS(X) X(LST, placements, Placement)
+SHAPE(PlaceList, PLACE_LIST_FIELDS)
+
+#define ROUND_LIST_FIELDS(X) X(LST, news, RoundNews)
+SHAPE(RoundList, ROUND_LIST_FIELDS)
+
+#define ROUND_ID_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0)
+SHAPE(RoundId, ROUND_ID_FIELDS)
+
+#define STOP_LIST_FIELDS(X) X(LST, rounds, RoundId) X(TXT, why, 0)
+SHAPE(StopList, STOP_LIST_FIELDS)
+
+/* Every round on the worker given to that incarnation or an older one is over. */
+#define WORKER_LOST_FIELDS(X) X(TXT, worker, 0) X(U64, incarnation, 0)
+SHAPE(WorkerLost, WORKER_LOST_FIELDS)
+
+#define WORKER_LEFT_FIELDS(X) X(TXT, worker, 0) X(FLAG, left, 0)
+SHAPE(WorkerLeft, WORKER_LEFT_FIELDS)
+
+/* base: the revision it builds on. restored: told again in a repair, where only
+ * a higher revision counts. */
+#define CONFIG_SET_FIELDS(X) X(U64, base, 0) X(U64, revision, 0) X(TXT, text, 0) X(FLAG, restored, 0)
+SHAPE(ConfigSet, CONFIG_SET_FIELDS)
+
+#define ZONE_DRAIN_FIELDS(X) X(TXT, zone, 0) X(FLAG, drained, 0)
+SHAPE(ZoneDrain, ZONE_DRAIN_FIELDS)
+
+#define FORGET_FIELDS(X) X(I64, beforeMs, 0)
+SHAPE(Forget, FORGET_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/table/include/table/table.h
@@ -0,0 +1,54 @@
+#ifndef TABLE_TABLE_H
+#define TABLE_TABLE_H
+
+#include "table/change.h"
+#include "view/view.h"
+
+/* The state that the ordered log builds up: jobs, workers, configuration,
+ * drains. Only delivery changes it, and delivery never waits, so whoever reads
+ * it without waiting sees one moment of it.
+ *
+ * The users' habit is that tables are immutable snapshots swapped whole. The
+ * configuration here is one. The jobs are not: ten thousands of tasks would be
+ * copied for each of some forty changes a second. */
+typedef struct Table Table;
+
+/* Told after each change has been delivered, within the delivery; does not wait. */
+typedef void (*TableFn)(void *arg, const Record *change, const Verdict *verdict);
+
+typedef struct ConfigText {
+    uint64_t revision;
+    const char *text;
+} ConfigText;
+
+Table *tableNew(void *mem);
+void tableWatch(Table *table, TableFn fn, void *arg);
+/* For viewNew. */
+ViewState tableState(Table *table);
+
+/* Jobs. Pointers are valid until the next wait. */
+const Job *tableJob(const Table *table, const char *id);
+/* All jobs in the order of acceptance. */
+size_t tableJobs(const Table *table, Job *const **jobs);
+/* Those that have not ended. */
+size_t tableActive(const Table *table, Job *const **jobs);
+uint64_t tableLastNumber(const Table *table);
+
+/* Workers, in the order of their names, on mem. */
+size_t tableWorkers(const Table *table, void *mem, const Worker ***workers);
+const Worker *tableWorker(const Table *table, const char *name);
+/* Grows with each change that concerns the worker's orders; 0 when unknown. */
+uint64_t tableOrders(const Table *table, const char *worker);
+
+/* Configuration: the newest, and those that can be read back. */
+const ConfigText *tableConfig(const Table *table);
+const ConfigText *tableConfigAt(const Table *table, uint64_t revision);
+size_t tableConfigs(const Table *table, const ConfigText **configs);
+
+bool tableDrained(const Table *table, const char *zone);
+size_t tableDrains(const Table *table, void *mem, const char ***zones);
+
+/* Waiting tasks (not on a worker, not ended) of a cell. */
+size_t tableWaiting(const Table *table, const char *cell);
+
+#endif
--- /dev/null
+++ b/packages/table/include/table/worker.h
@@ -0,0 +1,45 @@
+#ifndef TABLE_WORKER_H
+#define TABLE_WORKER_H
+
+#include "table/job.h"
+
+/* What is known of a worker for good: what it is, not how it does. Invariant:
+ * excluded is set by a clean departure and cleared by the worker's return. */
+#define WORKER_FIELDS(X) \
+    X(TXT, name, 0)      \
+    X(TXT, zone, 0)      \
+    X(TXT, rack, 0)      \
+    X(TXT, kind, 0)      \
+    X(TXS, labels, 0)    \
+    X(ONE, room, Room)   \
+    X(FLAG, excluded, 0)
+SHAPE(Worker, WORKER_FIELDS)
+
+/* What a round came to, told by an agent. */
+#define ROUND_WORD_LIST(X)                                                       \
+    X(RUNNING, "running")                                                          \
+    X(DONE, "done")                                                                \
+    X(FAILED, "failed")                                                            \
+    X(STOPPED, "stopped")  /* it runs no more because it was told to stop */         \
+    X(REFUSED, "refused")  /* never started: expired, no room, unknown kind */        \
+    X(LOST, "lost")        /* it runs no more: the worker lost it or lapsed */
+typedef enum RoundWord {
+#define X(name, word) ROUND_##name,
+    ROUND_WORD_LIST(X)
+#undef X
+        ROUND_WORD_COUNT
+} RoundWord;
+
+const char *roundWord(uint64_t word);
+RoundWord roundOfWord(const char *word);
+
+#define ROUND_NEWS_FIELDS(X) \
+    X(TXT, job, 0)           \
+    X(U64, task, 0)          \
+    X(U64, round, 0)         \
+    X(TXT, worker, 0)        \
+    X(U64, word, 0)          \
+    X(TXT, text, 0)
+SHAPE(RoundNews, ROUND_NEWS_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/table/src/job.c
@@ -0,0 +1,62 @@
+#include "table/job.h"
+
+#include <string.h>
+
+SHAPE_TABLE(Room, ROOM_FIELDS)
+SHAPE_TABLE(StepSpec, STEP_SPEC_FIELDS)
+SHAPE_TABLE(JobSpec, JOB_SPEC_FIELDS)
+SHAPE_TABLE(JobTask, JOB_TASK_FIELDS)
+SHAPE_TABLE(Job, JOB_FIELDS)
+
+static const struct {
+    const char *word;
+    bool onWorker;
+} PHASES[] = {
+#define X(name, word, onWorker) {word, onWorker},
+    TASK_PHASE_LIST(X)
+#undef X
+};
+
+bool taskOnWorker(uint64_t phase)
+{
+    return phase < TASK_PHASE_COUNT && PHASES[phase].onWorker;
+}
+
+bool taskEnded(uint64_t phase)
+{
+    return phase == TASK_DONE || phase == TASK_FAILED || phase == TASK_CANCELLED;
+}
+
+const char *taskPhaseWord(uint64_t phase)
+{
+    return phase < TASK_PHASE_COUNT ? PHASES[phase].word : "unlisted";
+}
+
+const char *jobPhaseWord(uint64_t phase)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        JOB_PHASE_LIST(X)
+#undef X
+    };
+    return phase < JOB_PHASE_COUNT ? WORDS[phase] : "unlisted";
+}
+
+static const char *const PROTECTIONS[] = {
+#define X(name, word) word,
+    PROTECTION_LIST(X)
+#undef X
+};
+
+const char *protectionWord(uint64_t protection)
+{
+    return protection < PROTECTION_COUNT ? PROTECTIONS[protection] : "unlisted";
+}
+
+Protection protectionOfWord(const char *word)
+{
+    for (int i = 0; i < PROTECTION_COUNT; i++)
+        if (strcmp(PROTECTIONS[i], word) == 0)
+            return (Protection)i;
+    return PROTECTION_COUNT;
+}
--- /dev/null
+++ b/packages/view/include/view/messages.h
@@ -0,0 +1,60 @@
+#ifndef VIEW_MESSAGES_H
+#define VIEW_MESSAGES_H
+
+#include "journal/record.h"
+
+#define DISK_ID_FIELDS(X) X(U64, disk, 0)
+SHAPE(DiskId, DISK_ID_FIELDS)
+
+/* Who holds the seats. Held in the log from the founding on. */
+#define SEAT_LIST_FIELDS(X) X(LST, seats, DiskId)
+SHAPE(SeatList, SEAT_LIST_FIELDS)
+
+/* The first entry of each epoch: whose it is and which seats are in the view.
+ * Invariant: members are a majority of the seats and hold holder. */
+#define VIEW_RECORD_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(LST, members, DiskId) X(TXT, holderId, 0)
+SHAPE(ViewRecord, VIEW_RECORD_FIELDS)
+
+#define PROPOSE_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0)
+SHAPE(ProposeAsk, PROPOSE_ASK_FIELDS)
+
+/* What a seat is, told with each answer. */
+#define SEAT_ANSWER_FIELDS(X)                                                      \
+    X(U64, promised, 0)                                                              \
+    X(U64, holder, 0)                                                                \
+    X(FLAG, held, 0)       /* a hold it granted runs */                               \
+    X(U64, logEpoch, 0)    /* of its last entry */                                    \
+    X(U64, logIndex, 0)                                                              \
+    X(FLAG, woke, 0)       /* restarted, and no view has brought it up to date since */ \
+    X(U64, viewEpoch, 0)   /* of the last view recorded */                            \
+    X(LST, viewMembers, DiskId)                                                      \
+    X(I64, wallMs, 0)                                                                \
+    X(I64, syncMs, 0)      /* its last sync took so long */                           \
+    X(U64, sight, 0)       /* members that have spoken to it of late */
+SHAPE(SeatAnswer, SEAT_ANSWER_FIELDS)
+
+#define RENEW_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(U64, commitIndex, 0) X(I64, clockMs, 0) X(TXT, holderId, 0)
+SHAPE(RenewAsk, RENEW_ASK_FIELDS)
+
+/* Entries after (prevEpoch, prevIndex). What the seat has beyond that and the
+ * holder has not is trimmed. */
+#define APPEND_ASK_FIELDS(X) \
+    X(U64, epoch, 0)         \
+    X(U64, holder, 0)        \
+    X(U64, prevEpoch, 0)     \
+    X(U64, prevIndex, 0)     \
+    X(U64, commitIndex, 0)   \
+    X(LST, entries, Record)
+SHAPE(AppendAsk, APPEND_ASK_FIELDS)
+
+#define FILL_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(ONE, snapshot, Record) X(U64, commitIndex, 0)
+SHAPE(FillAsk, FILL_ASK_FIELDS)
+
+/* Asks a seat for its log after an index. */
+#define LOG_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(U64, afterEpoch, 0) X(U64, afterIndex, 0)
+SHAPE(LogAsk, LOG_ASK_FIELDS)
+
+#define LOG_ANSWER_FIELDS(X) X(FLAG, whole, 0) X(ONE, snapshot, Record) X(LST, entries, Record)
+SHAPE(LogAnswer, LOG_ANSWER_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/view/include/view/view.h
@@ -0,0 +1,113 @@
+#ifndef VIEW_VIEW_H
+#define VIEW_VIEW_H
+
+#include "base/ring.h"
+#include "journal/journal.h"
+#include "lock/lock.h"
+#include "member/members.h"
+#include "view/messages.h"
+
+/* Ordered delivery. All members of a view deliver the same changes in one
+ * order, numbered by (epoch, index). The lock's holder orders. A change is
+ * committed once every seat still in the view has synced it, and a view is at
+ * least a majority of the seats. A seat that does not sync in time is taken out
+ * by a change of view, never waited for without end. */
+typedef struct View View;
+
+/* Numbers of changes that the view itself owns; the embedder's start above. */
+#define VIEW_CHANGE_VIEW 1  /* payload: ViewRecord */
+#define VIEW_CHANGE_SEATS 2 /* payload: SeatList */
+#define VIEW_CHANGE_FIRST 16
+
+/* What delivering a change brought about. */
+typedef struct Verdict {
+    Status status;
+    uint64_t number;
+} Verdict;
+
+/* The state that the changes build up, owned by the embedder. deliver, save and
+ * load never wait. deliver must depend on the change and the state alone. */
+typedef struct ViewState {
+    void *arg;
+    void (*deliver)(void *arg, const Record *change, Verdict *verdict);
+    /* The whole state, on mem. */
+    Bytes (*save)(void *arg, void *mem);
+    /* Puts a saved state in place of the present one; empty bytes: the first state. */
+    Status (*load)(void *arg, Bytes saved);
+} ViewState;
+
+typedef enum ViewPhase { VIEW_FOLLOWING, VIEW_OPENING, VIEW_LEADING } ViewPhase;
+
+/* Called in a task of its own once a view opened by this node has committed its
+ * first entry. repair: it rests on woken seats, what was lost must be told again. */
+typedef void (*ViewOpened)(void *arg, uint64_t epoch, bool newHolder, bool repair);
+
+typedef struct ViewProps {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    Ring *ring;
+    ViewState state;
+    ViewOpened opened;
+    void *openedArg;
+} ViewProps;
+
+View *viewNew(void *mem, const ViewProps *props);
+/* Waits. Opens the journal, reads it, starts all tasks. */
+Status viewStart(View *view, const char *path, const char *nodeName, Mishap *mishap);
+
+/* Waits until the change is delivered here. NOT_LEADER, BUSY: certainly not
+ * taken. OUTCOME_UNKNOWN: it may yet be delivered. OK: the verdict is told. */
+Status viewSubmit(View *view, uint64_t change, Bytes payload, Verdict *verdict);
+
+/* Whether this node holds the lock and leads, as of now, by its own clock. */
+bool viewLeading(const View *view);
+uint64_t viewEpoch(const View *view);
+/* When this node won the lock from another (or from nobody). */
+int64_t viewWonMs(const View *view);
+/* The time that the log counts: never goes back, passes only while a leader's
+ * or follower's own clock passes. */
+int64_t viewClockMs(const View *view);
+/* The median of the seats' wall clocks, carried on by the own clock. */
+int64_t viewWallMs(const View *view);
+/* Gives the lock up, if held; does not propose itself for restMs. */
+void viewStepDown(View *view, int64_t restMs);
+
+/* Cluster and seats. */
+bool viewFounded(const View *view);
+bool viewSeated(const View *view);
+uint64_t viewDisk(const View *view);
+size_t viewSeats(const View *view, uint64_t seats[SEAT_COUNT]);
+/* Waits. Makes this disk part of a cluster. */
+Status viewFound(View *view, uint64_t cluster, const uint64_t seats[SEAT_COUNT]);
+/* Whether a lock holder is known to run here (rule 2's question). */
+bool viewKnowsHolder(const View *view);
+
+/* For status. */
+typedef struct ViewSeatSight {
+    uint64_t disk;
+    bool inView;
+    bool answers;
+    bool woke;
+    int64_t syncMs;
+    uint64_t matchIndex;
+    uint64_t sight;
+} ViewSeatSight;
+
+typedef struct ViewSight {
+    ViewPhase phase;
+    uint64_t epoch;
+    uint64_t holder;
+    bool woke;
+    uint64_t lastIndex, commitIndex, deliveredIndex, baseIndex;
+    int64_t holdLeftMs;
+    uint64_t viewChanges;
+    ViewSeatSight seats[SEAT_COUNT];
+    JournalCounts journal;
+} ViewSight;
+
+void viewSight(const View *view, ViewSight *sight);
+/* Raised after each delivery and each change of phase. */
+Signal *viewNews(View *view);
+
+#endif
--- /dev/null
+++ b/packages/view/src/seat.c
@@ -0,0 +1,282 @@
+/* The seat's part: what it promises, and the log it keeps. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "inside.h"
+
+void seatDescribe(const View *view, void *mem, SeatAnswer *answer)
+{
+    *answer = (SeatAnswer){
+        .promised = view->lock.promised,
+        .holder = view->lock.holder,
+        .held = viewKnowsHolder(view),
+        .logEpoch = logLastEpoch(view->log),
+        .logIndex = logLastIndex(view->log),
+        .woke = view->woke,
+        .viewEpoch = view->last.epoch,
+        .viewMembersCount = view->last.membersCount,
+        .wallMs = loopWallMs(view->loop),
+        .syncMs = journalCounts(view->journal)->lastSyncMs,
+        .sight = membersSight(view->props.members),
+    };
+    answer->viewMembers = talloc_array(mem, DiskId, (unsigned)view->last.membersCount);
+    if (view->last.membersCount > 0)
+        memcpy(answer->viewMembers, view->last.members, view->last.membersCount * sizeof(DiskId));
+}
+
+/* Takes a higher epoch as promised. The record must be synced before anything
+ * is answered under it. */
+static Record promiseTake(View *view, uint64_t epoch, uint64_t holder)
+{
+    lockPromise(&view->lock, epoch, holder);
+    view->verifiedIndex = 0;
+    if (view->holding && holder != view->disk)
+        leadDown(view, 0);
+    return (Record){.kind = RECORD_PROMISE, .epoch = epoch, .index = holder, .name = ""};
+}
+
+Status seatPropose(View *view, const ProposeAsk *ask)
+{
+    if (ask->epoch == 0)
+        return STATUS_OK; /* only a look */
+    if (viewSeatOf(view, ask->holder) < 0 || viewOwnSeat(view) < 0)
+        return STATUS_NO_SEAT;
+    const Status may = lockMayPromise(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
+    if (may != STATUS_OK)
+        return may;
+    const Record record = promiseTake(view, ask->epoch, ask->holder);
+    const Status status = journalWrite(view->journal, &record, 1);
+    if (status != STATUS_OK)
+        return status;
+    return lockRenew(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
+}
+
+/* Epoch and holder of an append or fill; adds the promise record when it is newer. */
+static Status holderTake(View *view, uint64_t epoch, uint64_t holder, Record *records, size_t *count)
+{
+    if (epoch < view->lock.promised)
+        return STATUS_OLD_EPOCH;
+    if (epoch == view->lock.promised)
+        return holder == view->lock.holder ? STATUS_OK : STATUS_OTHER_HOLDER;
+    records[(*count)++] = promiseTake(view, epoch, holder);
+    return STATUS_OK;
+}
+
+/* Drops entries after index; a state that has seen some of them is loaded anew. */
+static void trim(View *view, uint64_t index)
+{
+    logTrim(view->log, index);
+    if (view->commitIndex > index)
+        view->commitIndex = index;
+    if (view->deliveredIndex > index) {
+        ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop),
+                "delivered changes %" PRIu64 "..%" PRIu64 " were not kept by the others: state loaded anew", index + 1,
+                view->deliveredIndex);
+        view->deliveredIndex = view->log->baseIndex;
+        if (view->log->snapshot.kind == RECORD_SNAPSHOT)
+            viewLoad(view, &view->log->snapshot);
+        else
+            view->props.state.load(view->props.state.arg, (Bytes){0});
+        viewDeliver(view);
+    }
+}
+
+/* Puts the holder's entries into the log in memory; trimmedTo is lowered when
+ * entries of ours had to go. */
+static Status entriesTake(View *view, const AppendAsk *ask, uint64_t *trimmedTo)
+{
+    Log *log = view->log;
+    uint64_t epoch;
+    /* what lies under our snapshot is committed and so the same */
+    if (ask->prevIndex > log->baseIndex && (!logEpochAt(log, ask->prevIndex, &epoch) || epoch != ask->prevEpoch))
+        return STATUS_LOG_GAP;
+    bool reread = false;
+    Status status = STATUS_OK;
+    for (size_t i = 0; i < ask->entriesCount && status == STATUS_OK; i++) {
+        const Record *entry = &ask->entries[i];
+        if (entry->index != ask->prevIndex + 1 + i || entry->kind != RECORD_ENTRY) {
+            status = STATUS_BAD_FRAME;
+        } else if (entry->index <= log->baseIndex) {
+            if (entry->epoch > log->baseEpoch) /* our snapshot is of another history */
+                status = STATUS_LOG_GAP;
+        } else if (!logEpochAt(log, entry->index, &epoch) || epoch != entry->epoch) {
+            if (entry->index <= logLastIndex(log)) {
+                trim(view, entry->index - 1);
+                if (entry->index - 1 < *trimmedTo)
+                    *trimmedTo = entry->index - 1;
+                reread = true;
+            }
+            logAdd(log, entry);
+            viewClockTell(view, entry->atMs);
+            reread |= entry->change < VIEW_CHANGE_FIRST;
+        }
+    }
+    if (reread)
+        viewReread(view);
+    return status;
+}
+
+Status seatAppend(View *view, const AppendAsk *ask)
+{
+    Record first[2] = {{0}};
+    size_t count = 0;
+    Status status = holderTake(view, ask->epoch, ask->holder, first, &count);
+    if (status != STATUS_OK)
+        return status;
+    uint64_t trimmedTo = UINT64_MAX;
+    status = entriesTake(view, ask, &trimmedTo);
+    if (trimmedTo < view->queuedIndex) {
+        first[count++] = (Record){.kind = RECORD_TRIM, .index = trimmedTo, .name = ""};
+        view->queuedIndex = trimmedTo;
+    }
+    /* write whatever the journal has not been given yet; also with nothing to
+     * write, what was queued before must be synced before the answer */
+    void *mem = talloc_new(view);
+    const uint64_t lastIndex = logLastIndex(view->log);
+    if (view->queuedIndex < view->log->baseIndex)
+        view->queuedIndex = view->log->baseIndex;
+    Record *records = talloc_zero_array(mem, Record, (unsigned)(lastIndex - view->queuedIndex + count + 1));
+    memcpy(records, first, count * sizeof(*first));
+    while (view->queuedIndex < lastIndex)
+        records[count++] = *logAt(view->log, ++view->queuedIndex);
+    const Status written = journalWrite(view->journal, records, count);
+    talloc_free(mem);
+    if (written != STATUS_OK)
+        return written;
+    if (status != STATUS_OK)
+        return status;
+    if (ask->epoch != view->lock.promised)
+        return STATUS_OLD_EPOCH;
+    const uint64_t verified = ask->prevIndex + ask->entriesCount;
+    if (verified > view->verifiedIndex)
+        view->verifiedIndex = verified;
+    const uint64_t commit = ask->commitIndex < view->verifiedIndex ? ask->commitIndex : view->verifiedIndex;
+    if (commit > view->commitIndex)
+        view->commitIndex = commit;
+    viewDeliver(view);
+    return STATUS_OK;
+}
+
+Status seatFill(View *view, const FillAsk *ask)
+{
+    Record promise;
+    size_t count = 0;
+    Status status = holderTake(view, ask->epoch, ask->holder, &promise, &count);
+    if (status != STATUS_OK)
+        return status;
+    if (ask->snapshot.kind != RECORD_SNAPSHOT)
+        return STATUS_BAD_FRAME;
+    status = viewLoad(view, &ask->snapshot);
+    if (status != STATUS_OK)
+        return status;
+    logTrim(view->log, 0);
+    view->log->baseIndex = ask->snapshot.index; /* nothing of ours is kept */
+    logRebase(view->log, &ask->snapshot);
+    view->commitIndex = view->deliveredIndex = view->verifiedIndex = ask->snapshot.index;
+    view->queuedIndex = ask->snapshot.index;
+    viewReread(view);
+    viewClockTell(view, ask->snapshot.atMs);
+    if (view->cluster == 0) {
+        view->cluster = courierCluster(view->props.courier);
+        memcpy(view->founded, view->seats, sizeof(view->founded));
+        membersSetEmpty(view->props.members, false);
+    }
+    void *mem = talloc_new(view);
+    size_t recordCount;
+    const Record *records = viewRecords(view, mem, &recordCount);
+    status = journalRewrite(view->journal, records, recordCount);
+    talloc_free(mem);
+    signalRaise(view->loop, &view->news);
+    return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
+}
+
+void seatLog(View *view, void *mem, const LogAsk *ask, LogAnswer *answer)
+{
+    const Log *log = view->log;
+    uint64_t epoch;
+    uint64_t from = ask->afterIndex;
+    if (!logEpochAt(log, from, &epoch) || epoch != ask->afterEpoch) {
+        answer->whole = log->snapshot.kind == RECORD_SNAPSHOT;
+        if (answer->whole)
+            shapeCopy(&RecordShape, &log->snapshot, mem, &answer->snapshot);
+        from = log->baseIndex;
+    }
+    answer->entries = talloc_array(mem, Record, (unsigned)(logLastIndex(log) - from));
+    for (uint64_t i = from + 1; i <= logLastIndex(log); i++)
+        shapeCopy(&RecordShape, logAt(log, i), mem, &answer->entries[answer->entriesCount++]);
+}
+
+/* --- handlers ------------------------------------------------------------------ */
+
+static Status onPropose(void *arg, void *mem, const void *ask, void *answer)
+{
+    View *view = arg;
+    const Status status = seatPropose(view, ask);
+    seatDescribe(view, mem, answer);
+    return status;
+}
+
+static Status onRenew(void *arg, void *mem, const void *question, void *answer)
+{
+    View *view = arg;
+    const RenewAsk *ask = question;
+    const Status status = lockRenew(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
+    if (status == STATUS_OK) {
+        viewClockTell(view, ask->clockMs);
+        membersSetLeader(view->props.members, ask->epoch, ask->holderId);
+        const uint64_t commit = ask->commitIndex < view->verifiedIndex ? ask->commitIndex : view->verifiedIndex;
+        if (commit > view->commitIndex)
+            view->commitIndex = commit;
+        viewDeliver(view);
+    }
+    seatDescribe(view, mem, answer);
+    return status;
+}
+
+static Status onRelease(void *arg, void *mem, const void *question, void *answer)
+{
+    View *view = arg;
+    const RenewAsk *ask = question;
+    lockRelease(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
+    seatDescribe(view, mem, answer);
+    return STATUS_OK;
+}
+
+static Status onAppend(void *arg, void *mem, const void *ask, void *answer)
+{
+    View *view = arg;
+    const Status status = seatAppend(view, ask);
+    seatDescribe(view, mem, answer);
+    return status;
+}
+
+static Status onFill(void *arg, void *mem, const void *ask, void *answer)
+{
+    View *view = arg;
+    const Status status = seatFill(view, ask);
+    seatDescribe(view, mem, answer);
+    return status;
+}
+
+static Status onLog(void *arg, void *mem, const void *ask, void *answer)
+{
+    View *view = arg;
+    const LogAsk *question = ask;
+    if (question->epoch != view->lock.promised || question->holder != view->lock.holder)
+        return STATUS_OLD_EPOCH;
+    seatLog(view, mem, question, answer);
+    return STATUS_OK;
+}
+
+void seatServe(View *view)
+{
+    Courier *courier = view->props.courier;
+    courierHandle(courier, MESSAGE_PROPOSE, &ProposeAskShape, &SeatAnswerShape, onPropose, view);
+    courierHandle(courier, MESSAGE_RENEW, &RenewAskShape, &SeatAnswerShape, onRenew, view);
+    courierHandle(courier, MESSAGE_RELEASE, &RenewAskShape, &SeatAnswerShape, onRelease, view);
+    courierHandle(courier, MESSAGE_APPEND, &AppendAskShape, &SeatAnswerShape, onAppend, view);
+    courierHandle(courier, MESSAGE_FILL, &FillAskShape, &SeatAnswerShape, onFill, view);
+    courierHandle(courier, MESSAGE_LOG, &LogAskShape, &LogAnswerShape, onLog, view);
+}
--- /dev/null
+++ b/packages/view/src/snapshot.c
@@ -0,0 +1,3 @@
+#include "inside.h"
+
+SHAPE_TABLE(Snapshot, SNAPSHOT_FIELDS)
--- /dev/null
+++ b/packages/view/src/view.c
@@ -0,0 +1,441 @@
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "inside.h"
+
+View *viewNew(void *mem, const ViewProps *props)
+{
+    View *view = talloc_zero(mem, View);
+    view->props = *props;
+    view->loop = props->loop;
+    view->log = logNew(view);
+    view->clockAtMs = loopNowMs(view->loop);
+    lockHoldClear(&view->hold);
+    return view;
+}
+
+int viewSeatOf(const View *view, uint64_t disk)
+{
+    for (int i = 0; i < SEAT_COUNT; i++)
+        if (view->seats[i] == disk && disk != 0)
+            return i;
+    return -1;
+}
+
+int viewOwnSeat(const View *view)
+{
+    return viewSeatOf(view, view->disk);
+}
+
+bool viewFounded(const View *view)
+{
+    return view->cluster != 0;
+}
+
+bool viewSeated(const View *view)
+{
+    return viewOwnSeat(view) >= 0;
+}
+
+uint64_t viewDisk(const View *view)
+{
+    return view->disk;
+}
+
+size_t viewSeats(const View *view, uint64_t seats[SEAT_COUNT])
+{
+    memcpy(seats, view->seats, sizeof(view->seats));
+    return view->cluster != 0 ? SEAT_COUNT : 0;
+}
+
+uint64_t viewEpoch(const View *view)
+{
+    return view->epoch;
+}
+
+int64_t viewWonMs(const View *view)
+{
+    return view->wonMs;
+}
+
+bool viewLeading(const View *view)
+{
+    return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);
+}
+
+bool viewKnowsHolder(const View *view)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    /* a woken seat may have forgotten: it must not say that it knows none */
+    return lockHeld(&view->lock, nowMs) || nowMs < view->lock.notBeforeMs || view->holding;
+}
+
+int64_t viewClockMs(const View *view)
+{
+    return view->clockBaseMs + (loopNowMs(view->loop) - view->clockAtMs);
+}
+
+void viewClockTell(View *view, int64_t clockMs)
+{
+    if (clockMs <= viewClockMs(view))
+        return;
+    view->clockBaseMs = clockMs;
+    view->clockAtMs = loopNowMs(view->loop);
+}
+
+int64_t viewWallMs(const View *view)
+{
+    return view->wallKnown ? loopNowMs(view->loop) + view->wallOffsetMs : loopWallMs(view->loop);
+}
+
+Signal *viewNews(View *view)
+{
+    return &view->news;
+}
+
+void viewStepDown(View *view, int64_t restMs)
+{
+    leadDown(view, restMs);
+}
+
+/* --- seats and last view, from the log ------------------------------------ */
+
+static void lastSet(View *view, const ViewRecord *record)
+{
+    talloc_free(view->lastMem);
+    view->lastMem = talloc_new(view);
+    shapeCopy(&ViewRecordShape, record, view->lastMem, &view->last);
+}
+
+void viewReread(View *view)
+{
+    void *mem = talloc_new(view);
+    const SeatList *seats = NULL;
+    const ViewRecord *last = NULL;
+    SeatList seatList;
+    ViewRecord viewRecord;
+    for (size_t i = view->log->count; i > 0 && (seats == NULL || last == NULL); i--) {
+        const Record *entry = &view->log->entries[i - 1];
+        if (entry->change == VIEW_CHANGE_SEATS && seats == NULL &&
+            shapeUnpack(&SeatListShape, entry->payload, mem, &seatList, NULL) == STATUS_OK)
+            seats = &seatList;
+        if (entry->change == VIEW_CHANGE_VIEW && last == NULL &&
+            shapeUnpack(&ViewRecordShape, entry->payload, mem, &viewRecord, NULL) == STATUS_OK)
+            last = &viewRecord;
+    }
+    Snapshot snapshot;
+    if ((seats == NULL || last == NULL) && view->log->snapshot.kind == RECORD_SNAPSHOT &&
+        shapeUnpack(&SnapshotShape, view->log->snapshot.payload, mem, &snapshot, NULL) == STATUS_OK) {
+        if (seats == NULL) {
+            seatList = (SeatList){snapshot.seats, snapshot.seatsCount};
+            seats = &seatList;
+        }
+        if (last == NULL)
+            last = &snapshot.last;
+    }
+    memcpy(view->seats, view->founded, sizeof(view->seats));
+    if (seats != NULL && seats->seatsCount == SEAT_COUNT)
+        for (int i = 0; i < SEAT_COUNT; i++)
+            view->seats[i] = seats->seats[i].disk;
+    if (last != NULL)
+        lastSet(view, last);
+    talloc_free(mem);
+}
+
+/* --- delivery ---------------------------------------------------------------- */
+
+static bool lastHas(const View *view, uint64_t disk)
+{
+    for (size_t i = 0; i < view->last.membersCount; i++)
+        if (view->last.members[i].disk == disk)
+            return true;
+    return false;
+}
+
+void viewDeliver(View *view)
+{
+    bool any = false;
+    while (view->deliveredIndex < view->commitIndex) {
+        const Record *entry = logAt(view->log, view->deliveredIndex + 1);
+        if (entry == NULL)
+            break;
+        Verdict verdict = {STATUS_OK, 0};
+        if (entry->change >= VIEW_CHANGE_FIRST)
+            view->props.state.deliver(view->props.state.arg, entry, &verdict);
+        else if (entry->change == VIEW_CHANGE_VIEW && entry->epoch == view->lock.promised && lastHas(view, view->disk))
+            view->woke = false; /* a view has brought this seat up to date */
+        view->deliveredIndex = entry->index;
+        any = true;
+        for (Waiter **at = &view->waiters; *at != NULL;) {
+            Waiter *waiter = *at;
+            if (waiter->index != entry->index) {
+                at = &waiter->next;
+                continue;
+            }
+            *at = waiter->next;
+            waiter->done = true;
+            /* another entry took the place: the submitted one is gone for good */
+            waiter->status = waiter->epoch == entry->epoch ? STATUS_OK : STATUS_OUTCOME_UNKNOWN;
+            waiter->verdict = verdict;
+            signalRaise(view->loop, &waiter->ended);
+        }
+    }
+    if (any) {
+        signalRaise(view->loop, &view->news);
+        viewCompactMaybe(view, false);
+    }
+}
+
+void viewWaitersEnd(View *view, Status status)
+{
+    while (view->waiters != NULL) {
+        Waiter *waiter = view->waiters;
+        view->waiters = waiter->next;
+        waiter->done = true;
+        waiter->status = status;
+        signalRaise(view->loop, &waiter->ended);
+    }
+}
+
+Status viewLoad(View *view, const Record *record)
+{
+    void *mem = talloc_new(view);
+    Snapshot snapshot;
+    Status status = shapeUnpack(&SnapshotShape, record->payload, mem, &snapshot, NULL);
+    if (status == STATUS_OK)
+        status = view->props.state.load(view->props.state.arg, snapshot.state);
+    if (status == STATUS_OK)
+        view->deliveredIndex = record->index;
+    talloc_free(mem);
+    return status;
+}
+
+/* --- snapshots ------------------------------------------------------------------ */
+
+Record *viewRecords(View *view, void *mem, size_t *count)
+{
+    const Log *log = view->log;
+    Record *records = talloc_zero_array(mem, Record, (unsigned)(log->count + 3));
+    size_t at = 0;
+    SeatList seats = {.seats = talloc_array(mem, DiskId, SEAT_COUNT), .seatsCount = SEAT_COUNT};
+    for (int i = 0; i < SEAT_COUNT; i++)
+        seats.seats[i].disk = view->founded[i];
+    if (view->cluster != 0) {
+        records[at] = (Record){.kind = RECORD_CLUSTER, .epoch = view->cluster, .name = ""};
+        shapePack(&SeatListShape, &seats, mem, &records[at++].payload);
+        records[at++] = (Record){
+            .kind = RECORD_PROMISE, .epoch = view->lock.promised, .index = view->lock.holder, .name = ""};
+    }
+    if (log->snapshot.kind == RECORD_SNAPSHOT)
+        records[at++] = log->snapshot;
+    for (size_t i = 0; i < log->count; i++)
+        records[at++] = log->entries[i];
+    *count = at;
+    return records;
+}
+
+static void compactMain(void *arg)
+{
+    View *view = arg;
+    void *mem = talloc_new(view);
+    size_t count;
+    const Record *records = viewRecords(view, mem, &count);
+    journalRewrite(view->journal, records, count);
+    talloc_free(mem);
+    view->compacting = false;
+}
+
+void viewCompactMaybe(View *view, bool force)
+{
+    Log *log = view->log;
+    if (view->compacting || view->deliveredIndex <= log->baseIndex ||
+        (!force && log->count < LOG_SNAPSHOT_ENTRIES))
+        return;
+    void *mem = talloc_new(view);
+    /* seats and last as of deliveredIndex: later ones are still in the log */
+    SeatList seats = {.seats = talloc_array(mem, DiskId, SEAT_COUNT), .seatsCount = SEAT_COUNT};
+    uint64_t epoch = 0;
+    logEpochAt(log, view->deliveredIndex, &epoch);
+    Snapshot snapshot = {0};
+    const uint64_t lastIndex = logLastIndex(log);
+    bool later = false;
+    for (uint64_t i = view->deliveredIndex + 1; i <= lastIndex; i++)
+        later |= logAt(log, i)->change < VIEW_CHANGE_FIRST;
+    if (later) { /* a change of view is under way: compact after it */
+        talloc_free(mem);
+        return;
+    }
+    for (int i = 0; i < SEAT_COUNT; i++)
+        seats.seats[i].disk = view->seats[i];
+    snapshot.seats = seats.seats;
+    snapshot.seatsCount = SEAT_COUNT;
+    snapshot.last = view->last;
+    snapshot.state = view->props.state.save(view->props.state.arg, mem);
+    Record record = {.kind = RECORD_SNAPSHOT,
+                     .epoch = epoch,
+                     .index = view->deliveredIndex,
+                     .atMs = viewClockMs(view),
+                     .name = ""};
+    shapePack(&SnapshotShape, &snapshot, mem, &record.payload);
+    logRebase(log, &record);
+    talloc_free(mem);
+    view->compacting = true;
+    loopSpawn(view->loop, "compact", compactMain, view);
+}
+
+/* --- start --------------------------------------------------------------------------- */
+
+static void found(void *arg, const Record *record)
+{
+    View *view = arg;
+    switch (record->kind) {
+    case RECORD_CLUSTER: {
+        void *mem = talloc_new(NULL);
+        SeatList seats;
+        if (shapeUnpack(&SeatListShape, record->payload, mem, &seats, NULL) == STATUS_OK &&
+            seats.seatsCount == SEAT_COUNT)
+            for (int i = 0; i < SEAT_COUNT; i++)
+                view->founded[i] = seats.seats[i].disk;
+        view->cluster = record->epoch;
+        talloc_free(mem);
+        break;
+    }
+    case RECORD_PROMISE:
+        lockPromise(&view->lock, record->epoch, record->index);
+        break;
+    case RECORD_ENTRY:
+        if (record->index == logLastIndex(view->log) + 1)
+            logAdd(view->log, record);
+        viewClockTell(view, record->atMs);
+        break;
+    case RECORD_TRIM:
+        logTrim(view->log, record->index);
+        break;
+    case RECORD_SNAPSHOT:
+        logTrim(view->log, 0);
+        logRebase(view->log, record);
+        viewClockTell(view, record->atMs);
+        break;
+    default:
+        break; /* of a later release */
+    }
+}
+
+Status viewStart(View *view, const char *path, const char *nodeName, Mishap *mishap)
+{
+    view->nodeName = talloc_strdup(view, nodeName);
+    Status status = journalOpen(view->loop, view, path, nodeName, found, view, &view->journal, mishap);
+    if (status != STATUS_OK)
+        return status;
+    view->disk = journalDisk(view->journal);
+    if (view->log->snapshot.kind == RECORD_SNAPSHOT) {
+        status = viewLoad(view, &view->log->snapshot);
+        if (status != STATUS_OK)
+            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
+                             statusWord(status));
+        view->commitIndex = view->deliveredIndex;
+    }
+    view->queuedIndex = logLastIndex(view->log);
+    viewReread(view);
+    view->woke = view->cluster != 0;
+    view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;
+    if (view->cluster != 0)
+        courierSetCluster(view->props.courier, view->cluster);
+    seatServe(view);
+    leadStart(view);
+    return STATUS_OK;
+}
+
+Status viewFound(View *view, uint64_t cluster, const uint64_t seats[SEAT_COUNT])
+{
+    if (view->cluster != 0)
+        return view->cluster == cluster ? STATUS_OK : STATUS_STRANGER;
+    view->cluster = cluster;
+    memcpy(view->founded, seats, sizeof(view->founded));
+    viewReread(view);
+    courierSetCluster(view->props.courier, cluster);
+    membersSetEmpty(view->props.members, false);
+    void *mem = talloc_new(view);
+    size_t count;
+    const Record *records = viewRecords(view, mem, &count);
+    const Status status = journalWrite(view->journal, records, 1);
+    talloc_free(mem);
+    return status;
+}
+
+/* --- submitting ------------------------------------------------------------------------- */
+
+Status viewSubmit(View *view, uint64_t change, Bytes payload, Verdict *verdict)
+{
+    const int64_t untilMs = loopNowMs(view->loop) + SUBMIT_EXPIRY_MS;
+    /* a view opened anew by the same holder takes a moment: wait for it */
+    while (view->phase == VIEW_OPENING && view->holding)
+        if (!signalWait(view->loop, &view->news, untilMs))
+            return STATUS_BUSY;
+    if (!viewLeading(view))
+        return STATUS_NOT_LEADER;
+    const Record entry = {.kind = RECORD_ENTRY,
+                          .epoch = view->epoch,
+                          .index = logLastIndex(view->log) + 1,
+                          .atMs = viewClockMs(view),
+                          .change = change,
+                          .name = "",
+                          .payload = payload};
+    logAdd(view->log, &entry);
+    if (change < VIEW_CHANGE_FIRST)
+        viewReread(view);
+    Waiter *waiter = talloc_zero(view, Waiter);
+    waiter->epoch = entry.epoch;
+    waiter->index = entry.index;
+    waiter->next = view->waiters;
+    view->waiters = waiter;
+    signalRaise(view->loop, &view->grew);
+    while (!waiter->done)
+        if (!signalWait(view->loop, &waiter->ended, untilMs))
+            break;
+    Status status = waiter->status;
+    if (!waiter->done) {
+        for (Waiter **at = &view->waiters; *at != NULL; at = &(*at)->next)
+            if (*at == waiter) {
+                *at = waiter->next;
+                break;
+            }
+        status = STATUS_OUTCOME_UNKNOWN;
+    }
+    *verdict = waiter->verdict;
+    talloc_free(waiter);
+    return status;
+}
+
+void viewSight(const View *view, ViewSight *sight)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    const int64_t untilMs = lockHoldUntil(&view->hold);
+    memset(sight, 0, sizeof(*sight));
+    sight->phase = view->phase;
+    sight->epoch = view->phase == VIEW_FOLLOWING ? view->lock.promised : view->epoch;
+    sight->holder = view->lock.holder;
+    sight->woke = view->woke;
+    sight->lastIndex = logLastIndex(view->log);
+    sight->commitIndex = view->commitIndex;
+    sight->deliveredIndex = view->deliveredIndex;
+    sight->baseIndex = view->log->baseIndex;
+    sight->holdLeftMs = view->holding && untilMs > nowMs ? untilMs - nowMs : 0;
+    sight->viewChanges = view->viewChanges;
+    sight->journal = *journalCounts(view->journal);
+    for (int i = 0; i < SEAT_COUNT; i++) {
+        const Partner *partner = &view->partners[i];
+        const bool self = view->seats[i] == view->disk;
+        sight->seats[i] = (ViewSeatSight){
+            .disk = view->seats[i],
+            .inView = view->inView[i],
+            .answers = self || nowMs - partner->answeredMs < LOCK_HOLD_MS,
+            .woke = self ? view->woke : partner->woke,
+            .syncMs = self ? sight->journal.lastSyncMs : partner->syncMs,
+            .matchIndex = self ? view->syncedIndex : partner->matchIndex,
+            .sight = self ? membersSight(view->props.members) : partner->sight,
+        };
+    }
+}
