--- /dev/null
+++ b/packages/agent/include/agent/agent.h
@@ -0,0 +1,14 @@
+#ifndef AGENT_AGENT_H
+#define AGENT_AGENT_H
+
+#include "props/props.h"
+
+/* Stands beside one worker: beats for it, fetches its orders, passes its hold
+ * on to it and tells what its rounds came to. Diskless. */
+typedef struct Agent Agent;
+
+Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **agent, Mishap *mishap);
+void agentDrain(Agent *agent);
+const char *agentHttpAddress(const Agent *agent);
+
+#endif
--- /dev/null
+++ b/packages/agent/src/agent.c
@@ -0,0 +1,83 @@
+#include "agent/agent.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+static void onHttp(void *arg, HttpTask *task)
+{
+    Agent *agent = arg;
+    if (strcmp(task->path, "/livez") == 0 || strcmp(task->path, "/readyz") == 0) {
+        const bool live = task->path[1] == 'l';
+        if (!live && (agent->leaving || !holdRuns(&agent->hold, loopNowMs(agent->loop)))) {
+            showRefusal(task, agent->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+            return;
+        }
+        json_object *body = json_object_new_object();
+        json_object_object_add(body, live ? "live" : "ready", json_object_new_boolean(true));
+        showVerdict(task, 200, body);
+        return;
+    }
+    static const char BEFORE[] = "/v1/workers/", AFTER[] = "/report";
+    const size_t length = strlen(task->path);
+    if (strncmp(task->path, BEFORE, sizeof(BEFORE) - 1) != 0 || length <= sizeof(BEFORE) + sizeof(AFTER) - 2 ||
+        strcmp(task->path + length - (sizeof(AFTER) - 1), AFTER) != 0) {
+        showRefusal(task, STATUS_BAD_PATH, "there is no such path on an agent", NULL);
+        return;
+    }
+    if (strcmp(task->method, "POST") != 0) {
+        showRefusal(task, STATUS_BAD_METHOD, "a report is posted", NULL);
+        return;
+    }
+    workerTake(agent, task,
+               talloc_strndup(task, task->path + sizeof(BEFORE) - 1,
+                              length - (sizeof(BEFORE) - 1) - (sizeof(AFTER) - 1)));
+}
+
+Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **out, Mishap *mishap)
+{
+    Agent *agent = talloc_zero(mem, Agent);
+    agent->loop = loop;
+    agent->ring = ring;
+    agent->props = props;
+    agent->workerName = props->worker != NULL ? props->worker : props->name;
+    agent->incarnation = (uint64_t)loopWallMs(loop);
+    agent->startedMs = loopNowMs(loop);
+    agent->workerMem = talloc_new(agent);
+    agent->worker = (Worker){.name = agent->workerName, .zone = props->zone, .rack = "", .kind = ""};
+    agent->courier = courierNew(agent, loop, ring);
+    Status status = courierListen(agent->courier, props->listen, agent->address, mishap);
+    if (status == STATUS_OK)
+        status = loopServe(loop, props->http, onHttp, agent, agent->http, mishap);
+    if (status != STATUS_OK)
+        return status;
+    const MemberRecord self = {.id = props->name,
+                               .name = props->name,
+                               .role = ROLE_AGENT,
+                               .zone = props->zone,
+                               .address = agent->address,
+                               .http = agent->http,
+                               .incarnation = agent->incarnation};
+    agent->members = membersNew(agent, loop, agent->courier, ring, &self, props->seeds);
+    leaderStart(agent);
+    workerWatch(agent);
+    membersStart(agent->members);
+    *out = agent;
+    return STATUS_OK;
+}
+
+/* Waits. A leaving agent takes its worker with it: no new work, what runs is
+ * stopped when the hold lapses. */
+void agentDrain(Agent *agent)
+{
+    agent->leaving = true;
+    membersSetLeaving(agent->members);
+    signalRaise(agent->loop, membersLeaderSignal(agent->members));
+    loopSleep(agent->loop, DRAIN_MS / 3);
+}
+
+const char *agentHttpAddress(const Agent *agent)
+{
+    return agent->http;
+}
--- /dev/null
+++ b/packages/api/include/api/jobjson.h
@@ -0,0 +1,14 @@
+#ifndef API_JOBJSON_H
+#define API_JOBJSON_H
+
+#include "config/config.h"
+#include "table/table.h"
+
+/* Reads a job as a caller hands it in; all on faults->mem. False: see the faults. */
+bool jobRead(Faults *faults, const char *text, size_t count, JobSpec *spec);
+/* What the present configuration and the workers known say against the job:
+ * unknown cell, tenant or queue; room, kind or labels that no worker has; more
+ * than the quota. */
+bool jobAdmissible(Faults *faults, const JobSpec *spec, const Config *config, const Table *table);
+
+#endif
--- /dev/null
+++ b/packages/api/include/api/show.h
@@ -0,0 +1,25 @@
+#ifndef API_SHOW_H
+#define API_SHOW_H
+
+#include "base/mishap.h"
+#include "loop/loop.h"
+#include "queue/queue.h"
+
+/* What users read. Each value built here is the caller's to put. */
+json_object *showJob(const Job *job, QueueClock clock);
+json_object *showJobShort(const Job *job);
+json_object *showRoom(Room room);
+json_object *showWorker(const Worker *worker);
+/* {"status": word, "text": ..., "faults": [...]} */
+json_object *showMishap(Status status, const char *text, const Faults *faults);
+
+/* Fills in the verdict and puts the body. */
+void showVerdict(HttpTask *task, int code, json_object *body);
+/* A typed refusal. 503s carry Retry-After. */
+void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults);
+/* The value of a key in a query, on mem; null when it is not there. */
+const char *queryValue(void *mem, const char *query, const char *key);
+/* As a whole number in a range; false and a fault otherwise. */
+bool queryInt(Faults *faults, const char *query, const char *key, int64_t least, int64_t most, int64_t *value);
+
+#endif
--- /dev/null
+++ b/packages/api/src/jobjson.c
@@ -0,0 +1,178 @@
+#include "api/jobjson.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "plan/plan.h"
+
+static const char *const JOB_KEYS[] = {"id",     "cell",      "tenant",  "queue",  "priority", "protection",
+                                       "copies", "dueWallMs", "delayMs", "rounds", "steps",    NULL};
+static const char *const STEP_KEYS[] = {"name", "after", "count", "gang", "room", "kind", "labels", "payload", NULL};
+
+static void readStep(Faults *faults, json_object *object, const char *path, StepSpec *step)
+{
+    *step = (StepSpec){.name = "", .kind = "", .payload = ""};
+    if (!checkKeys(faults, object, path, STEP_KEYS))
+        return;
+    step->name = checkName(faults, object, path, "name", NULL);
+    step->after = checkNames(faults, object, path, "after", &step->afterCount);
+    step->count = (uint64_t)checkInt(faults, object, path, "count", 1, JOB_TASKS_MAX, 1);
+    step->gang = checkFlag(faults, object, path, "gang", false);
+    step->room = checkRoom(faults, object, path, "room", true);
+    step->kind = checkName(faults, object, path, "kind", "");
+    step->labels = checkNames(faults, object, path, "labels", &step->labelsCount);
+    if (step->room.cpuMilli == 0 && step->room.memMb == 0)
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "room"), "a task takes some room");
+    json_object *payload;
+    if (json_object_object_get_ex(object, "payload", &payload))
+        step->payload =
+            talloc_strdup(faults->mem, json_object_to_json_string_ext(payload, JSON_C_TO_STRING_PLAIN));
+}
+
+static void checkSteps(Faults *faults, const JobSpec *spec)
+{
+    /* names unique, after known, no cycle: take out steps whose needs are out */
+    bool out[JOB_STEPS_MAX] = {false};
+    uint64_t tasks = 0;
+    for (size_t i = 0; i < spec->stepsCount; i++) {
+        const StepSpec *step = &spec->steps[i];
+        tasks += step->count;
+        for (size_t k = 0; k < i; k++)
+            if (step->name[0] != '\0' && strcmp(spec->steps[k].name, step->name) == 0)
+                faultAdd(faults, STATUS_BAD_FIELD, talloc_asprintf(faults->mem, "steps[%zu].name", i),
+                         "is already the name of step %zu", k);
+        for (size_t a = 0; a < step->afterCount; a++) {
+            bool known = false;
+            for (size_t k = 0; k < spec->stepsCount && !known; k++)
+                known = strcmp(spec->steps[k].name, step->after[a]) == 0;
+            if (!known)
+                faultAdd(faults, STATUS_BAD_FIELD, talloc_asprintf(faults->mem, "steps[%zu].after[%zu]", i, a),
+                         "there is no step %s", step->after[a]);
+        }
+    }
+    if (tasks > JOB_TASKS_MAX)
+        faultAdd(faults, STATUS_TOO_LARGE, "steps", "a job has at most %d tasks", JOB_TASKS_MAX);
+    if (faults->seen > 0)
+        return;
+    size_t left = spec->stepsCount;
+    for (bool any = true; any && left > 0;) {
+        any = false;
+        for (size_t i = 0; i < spec->stepsCount; i++) {
+            bool ready = !out[i];
+            for (size_t a = 0; a < spec->steps[i].afterCount && ready; a++)
+                for (size_t k = 0; k < spec->stepsCount; k++)
+                    if (strcmp(spec->steps[k].name, spec->steps[i].after[a]) == 0 && !out[k])
+                        ready = false;
+            if (ready) {
+                out[i] = any = true;
+                left--;
+            }
+        }
+    }
+    if (left > 0)
+        faultAdd(faults, STATUS_CYCLIC_STEPS, "steps", "%zu steps wait for each other", left);
+}
+
+bool jobRead(Faults *faults, const char *text, size_t count, JobSpec *spec)
+{
+    const size_t before = faults->seen;
+    *spec = (JobSpec){.id = "", .cell = "", .tenant = "", .queue = ""};
+    if (count > JOB_BODY_MAX) {
+        faultAdd(faults, STATUS_TOO_LARGE, "", "a job has at most %d bytes", JOB_BODY_MAX);
+        return false;
+    }
+    json_object *object = checkParse(faults, text, count);
+    if (object == NULL)
+        return false;
+    if (checkKeys(faults, object, "", JOB_KEYS)) {
+        spec->id = checkName(faults, object, "", "id", NULL);
+        spec->cell = checkName(faults, object, "", "cell", NULL);
+        spec->tenant = checkName(faults, object, "", "tenant", NULL);
+        spec->queue = checkName(faults, object, "", "queue", NULL);
+        spec->priority = checkInt(faults, object, "", "priority", -1000, 1000, 0);
+        const char *protection = checkName(faults, object, "", "protection", "protected");
+        spec->protection = protectionOfWord(protection);
+        if (spec->protection == PROTECTION_COUNT)
+            faultAdd(faults, STATUS_BAD_FIELD, "protection", "must be protected, best-effort or none");
+        spec->copies = checkFlag(faults, object, "", "copies", false);
+        spec->dueWallMs = checkInt(faults, object, "", "dueWallMs", 0, INT64_MAX / 4, 0);
+        spec->delayMs = checkInt(faults, object, "", "delayMs", 0, INT64_C(366) * 24 * 3600 * 1000, 0);
+        spec->roundLimit = (uint64_t)checkInt(faults, object, "", "rounds", 1, ROUNDS_MAX, ROUNDS_DEFAULT);
+        json_object *steps;
+        if (!json_object_object_get_ex(object, "steps", &steps) || !json_object_is_type(steps, json_type_array) ||
+            json_object_array_length(steps) == 0 || json_object_array_length(steps) > JOB_STEPS_MAX) {
+            faultAdd(faults, STATUS_BAD_FIELD, "steps", "must be an array of 1 to %d steps", JOB_STEPS_MAX);
+        } else {
+            spec->stepsCount = json_object_array_length(steps);
+            spec->steps = talloc_zero_array(faults->mem, StepSpec, (unsigned)spec->stepsCount);
+            for (size_t i = 0; i < spec->stepsCount; i++)
+                readStep(faults, json_object_array_get_idx(steps, i),
+                         talloc_asprintf(faults->mem, "steps[%zu]", i), &spec->steps[i]);
+            checkSteps(faults, spec);
+        }
+    }
+    json_object_put(object);
+    return faults->seen == before;
+}
+
+static void checkWorkers(Faults *faults, const JobSpec *spec, const Table *table)
+{
+    const Worker **workers;
+    const size_t count = tableWorkers(table, faults->mem, &workers);
+    if (count == 0)
+        return; /* none has been heard of yet: nothing can be said */
+    for (size_t i = 0; i < spec->stepsCount; i++) {
+        const StepSpec *step = &spec->steps[i];
+        const PlanNeed need = {step->room, step->kind, step->labels, step->labelsCount};
+        bool able = false, fits = false;
+        uint64_t slots = 0;
+        for (size_t w = 0; w < count; w++) {
+            const PlanWorker worker = {.kind = workers[w]->kind,
+                                       .labels = workers[w]->labels,
+                                       .labelCount = workers[w]->labelsCount,
+                                       .free = workers[w]->room};
+            able |= planAble(&worker, &need);
+            if (!planFits(&worker, &need))
+                continue;
+            fits = true;
+            const uint64_t cpu = need.room.cpuMilli ? worker.free.cpuMilli / need.room.cpuMilli : UINT32_MAX;
+            const uint64_t mem = need.room.memMb ? worker.free.memMb / need.room.memMb : UINT32_MAX;
+            slots += cpu < mem ? cpu : mem;
+        }
+        if (!able)
+            faultAdd(faults, STATUS_IMPOSSIBLE_KIND, talloc_asprintf(faults->mem, "steps[%zu].kind", i),
+                     "no worker known is of this kind and has these labels");
+        else if (!fits)
+            faultAdd(faults, STATUS_IMPOSSIBLE_ROOM, talloc_asprintf(faults->mem, "steps[%zu].room", i),
+                     "no worker known has so much room");
+        else if (step->gang && slots < step->count)
+            faultAdd(faults, STATUS_IMPOSSIBLE_ROOM, talloc_asprintf(faults->mem, "steps[%zu].count", i),
+                     "all workers known together have no room for the whole gang");
+    }
+}
+
+bool jobAdmissible(Faults *faults, const JobSpec *spec, const Config *config, const Table *table)
+{
+    const size_t before = faults->seen;
+    const ConfigCell *cell = configCell(config, spec->cell);
+    if (cell == NULL) {
+        faultAdd(faults, STATUS_UNKNOWN_CELL, "cell", "there is no cell %s", spec->cell);
+        return false;
+    }
+    const ConfigTenant *tenant = configTenant(cell, spec->tenant);
+    if (tenant == NULL)
+        faultAdd(faults, STATUS_UNKNOWN_TENANT, "tenant", "cell %s has no tenant %s", spec->cell, spec->tenant);
+    if (configQueue(cell, spec->queue) == NULL)
+        faultAdd(faults, STATUS_UNKNOWN_QUEUE, "queue", "cell %s has no queue %s", spec->cell, spec->queue);
+    for (size_t i = 0; i < spec->stepsCount && tenant != NULL; i++) {
+        const StepSpec *step = &spec->steps[i];
+        const uint64_t together = step->gang ? step->count : 1;
+        if ((tenant->quota.cpuMilli > 0 && step->room.cpuMilli * together > tenant->quota.cpuMilli) ||
+            (tenant->quota.memMb > 0 && step->room.memMb * together > tenant->quota.memMb))
+            faultAdd(faults, STATUS_OVER_QUOTA, talloc_asprintf(faults->mem, "steps[%zu].room", i),
+                     "is more than the quota of tenant %s", spec->tenant);
+    }
+    checkWorkers(faults, spec, table);
+    return faults->seen == before;
+}
--- /dev/null
+++ b/packages/api/src/show.c
@@ -0,0 +1,165 @@
+#include "api/show.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+
+static json_object *textOf(const char *text)
+{
+    return json_object_new_string(text != NULL ? text : "");
+}
+
+json_object *showRoom(Room room)
+{
+    json_object *object = json_object_new_object();
+    json_object_object_add(object, "cpu", json_object_new_double((double)room.cpuMilli / 1000));
+    json_object_object_add(object, "memMb", json_object_new_int64((int64_t)room.memMb));
+    return object;
+}
+
+static json_object *showTexts(const char *const *texts, size_t count)
+{
+    json_object *array = json_object_new_array();
+    for (size_t i = 0; i < count; i++)
+        json_object_array_add(array, textOf(texts[i]));
+    return array;
+}
+
+json_object *showWorker(const Worker *worker)
+{
+    json_object *object = json_object_new_object();
+    json_object_object_add(object, "name", textOf(worker->name));
+    json_object_object_add(object, "zone", textOf(worker->zone));
+    json_object_object_add(object, "rack", textOf(worker->rack));
+    json_object_object_add(object, "kind", textOf(worker->kind));
+    json_object_object_add(object, "labels", showTexts(worker->labels, worker->labelsCount));
+    json_object_object_add(object, "room", showRoom(worker->room));
+    json_object_object_add(object, "excluded", json_object_new_boolean(worker->excluded));
+    return object;
+}
+
+json_object *showJobShort(const Job *job)
+{
+    json_object *object = json_object_new_object();
+    size_t counts[TASK_PHASE_COUNT] = {0};
+    for (size_t i = 0; i < job->tasksCount; i++)
+        counts[job->tasks[i].phase]++;
+    json_object_object_add(object, "id", textOf(job->spec.id));
+    json_object_object_add(object, "number", json_object_new_int64((int64_t)job->number));
+    json_object_object_add(object, "cell", textOf(job->spec.cell));
+    json_object_object_add(object, "tenant", textOf(job->spec.tenant));
+    json_object_object_add(object, "queue", textOf(job->spec.queue));
+    json_object_object_add(object, "phase",
+                           textOf(job->phase == JOB_ACTIVE && job->ending != JOB_ACTIVE ? "ending" : jobPhaseWord(job->phase)));
+    json_object_object_add(object, "acceptedMs", json_object_new_int64(job->acceptedMs));
+    if (job->phase != JOB_ACTIVE)
+        json_object_object_add(object, "endedMs", json_object_new_int64(job->endedMs));
+    json_object *tasks = json_object_new_object();
+    for (int i = 0; i < TASK_PHASE_COUNT; i++)
+        if (counts[i] > 0)
+            json_object_object_add(tasks, taskPhaseWord((uint64_t)i), json_object_new_int64((int64_t)counts[i]));
+    json_object_object_add(object, "taskCounts", tasks);
+    return object;
+}
+
+json_object *showJob(const Job *job, QueueClock clock)
+{
+    json_object *object = showJobShort(job);
+    json_object_object_add(object, "priority", json_object_new_int64(job->spec.priority));
+    json_object_object_add(object, "protection", textOf(protectionWord(job->spec.protection)));
+    json_object *tasks = json_object_new_array();
+    for (size_t i = 0; i < job->tasksCount; i++) {
+        const JobTask *task = &job->tasks[i];
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "task", json_object_new_int64((int64_t)i));
+        json_object_object_add(one, "step", textOf(job->spec.steps[task->step].name));
+        json_object_object_add(one, "phase", textOf(taskPhaseWord(task->phase)));
+        json_object_object_add(one, "round", json_object_new_int64((int64_t)task->round));
+        if (task->worker[0] != '\0')
+            json_object_object_add(one, "worker", textOf(task->worker));
+        if (task->phase == TASK_WAITING)
+            json_object_object_add(one, "waitsFor", textOf(waitWord(queueWait(job, i, clock))));
+        if (taskOnWorker(task->phase) && job->spec.protection == PROTECTION_PROTECTED)
+            json_object_object_add(one, "assured", json_object_new_boolean(task->assured));
+        if (task->misses > 0)
+            json_object_object_add(one, "misses", json_object_new_int64((int64_t)task->misses));
+        if (task->losses > 0)
+            json_object_object_add(one, "losses", json_object_new_int64((int64_t)task->losses));
+        if (task->startedMs > 0)
+            json_object_object_add(one, "startedMs", json_object_new_int64(task->startedMs));
+        if (task->text[0] != '\0')
+            json_object_object_add(one, "text", textOf(task->text));
+        json_object_array_add(tasks, one);
+    }
+    json_object_object_add(object, "tasks", tasks);
+    return object;
+}
+
+json_object *showMishap(Status status, const char *text, const Faults *faults)
+{
+    json_object *object = json_object_new_object();
+    json_object_object_add(object, "status", textOf(statusWord(status)));
+    json_object_object_add(object, "text", textOf(text));
+    if (faults != NULL && faults->count > 0) {
+        json_object *list = json_object_new_array();
+        for (size_t i = 0; i < faults->count; i++) {
+            json_object *one = json_object_new_object();
+            json_object_object_add(one, "status", textOf(statusWord(faults->list[i].status)));
+            json_object_object_add(one, "path", textOf(faults->list[i].path));
+            json_object_object_add(one, "text", textOf(faults->list[i].text));
+            json_object_array_add(list, one);
+        }
+        json_object_object_add(object, "faults", list);
+    }
+    return object;
+}
+
+void showVerdict(HttpTask *task, int code, json_object *body)
+{
+    task->code = code;
+    task->kind = "application/json";
+    task->verdict = (Bytes){0};
+    const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
+    bytesAdd(task, &task->verdict, text, strlen(text));
+    bytesAdd(task, &task->verdict, "\n", 1);
+    json_object_put(body);
+}
+
+void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults)
+{
+    const int code = statusHttp(status);
+    task->retryAfterS = code == 503 ? RETRY_AFTER_S : 0;
+    showVerdict(task, code, showMishap(status, text, faults));
+}
+
+const char *queryValue(void *mem, const char *query, const char *key)
+{
+    const size_t length = strlen(key);
+    for (const char *at = query; *at != '\0';) {
+        const char *end = strchrnul(at, '&');
+        if (strncmp(at, key, length) == 0 && at[length] == '=')
+            return talloc_strndup(mem, at + length + 1, (size_t)(end - at) - length - 1);
+        at = *end == '&' ? end + 1 : end;
+    }
+    return NULL;
+}
+
+bool queryInt(Faults *faults, const char *query, const char *key, int64_t least, int64_t most, int64_t *value)
+{
+    const char *text = queryValue(faults->mem, query, key);
+    if (text == NULL)
+        return true;
+    char *end;
+    errno = 0;
+    const long long number = strtoll(text, &end, 10);
+    if (errno != 0 || end == text || *end != '\0' || number < least || number > most) {
+        faultAdd(faults, STATUS_BAD_FIELD, talloc_asprintf(faults->mem, "?%s", key),
+                 "must be a whole number from %lld to %lld", (long long)least, (long long)most);
+        return false;
+    }
+    *value = number;
+    return true;
+}
--- /dev/null
+++ b/packages/beat/include/beat/liveset.h
@@ -0,0 +1,37 @@
+#ifndef BEAT_LIVESET_H
+#define BEAT_LIVESET_H
+
+#include "beat/messages.h"
+
+/* One worker as the leader sees it. Invariant: untilMs is never earlier than
+ * the end of any hold that this or an earlier leader may have answered. */
+typedef struct LiveRow {
+    const char *name;
+    uint64_t incarnation;
+    uint64_t number;      /* of the newest beat or telling received */
+    int64_t untilMs;      /* its hold has lapsed after this, by the leader's clock */
+    int64_t heardMs;      /* its last beat under this leader; INT64_MIN: none */
+    bool workerLive;
+    bool leaving;
+    bool settled;
+    int64_t joinedMs;
+} LiveRow;
+
+/* The liveset: the leader's, rebuilt by each new one. */
+typedef struct Liveset Liveset;
+
+Liveset *livesetNew(void *mem);
+/* A new leader: nobody is lost before untilMs, nobody has been heard yet. */
+void livesetReset(Liveset *liveset, int64_t untilMs, const char *const *workers, size_t count);
+/* Takes a beat, answered now, whose hold the agent may count on for holdMs.
+ * DUPLICATE_WORKER: another incarnation that is not the newer one. */
+Status livesetBeat(Liveset *liveset, const BeatAsk *beat, int64_t nowMs, int64_t holdMs, bool *listCounts);
+/* A telling counts as newer than all beats numbered before it. */
+void livesetTold(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number);
+const LiveRow *livesetFind(const Liveset *liveset, const char *name);
+/* Whether the worker may be given work now. */
+bool liveRowReady(const LiveRow *row, int64_t nowMs);
+/* Rows in the order of names, on mem. */
+size_t livesetRows(const Liveset *liveset, void *mem, const LiveRow ***rows);
+
+#endif
--- /dev/null
+++ b/packages/beat/include/beat/messages.h
@@ -0,0 +1,52 @@
+#ifndef BEAT_MESSAGES_H
+#define BEAT_MESSAGES_H
+
+#include "table/change.h"
+
+/* An agent's beat. rounds: all it knows of that may run or whose end is not yet
+ * known to the leader. settled: that list is complete (it has heard its worker,
+ * or the worker's hold has lapsed, since it started). */
+#define BEAT_ASK_FIELDS(X)    \
+    X(TXT, agent, 0)            \
+    X(U64, incarnation, 0)      \
+    X(U64, number, 0)           \
+    X(ONE, worker, Worker)      \
+    X(FLAG, workerLive, 0)      \
+    X(FLAG, leaving, 0)         \
+    X(FLAG, settled, 0)         \
+    X(LST, rounds, RoundId)
+SHAPE(BeatAsk, BEAT_ASK_FIELDS)
+
+#define BEAT_ANSWER_FIELDS(X) X(U64, epoch, 0) X(I64, holdMs, 0)
+SHAPE(BeatAnswer, BEAT_ANSWER_FIELDS)
+
+#define TELL_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, number, 0) X(LST, news, RoundNews)
+SHAPE(TellAsk, TELL_ASK_FIELDS)
+
+#define TELL_ANSWER_FIELDS(X) X(U64, epoch, 0)
+SHAPE(TellAnswer, TELL_ANSWER_FIELDS)
+
+/* An order to start a round. It stands for expiryMs from when the question that
+ * brought it was sent. */
+#define ORDER_FIELDS(X)  \
+    X(TXT, job, 0)       \
+    X(U64, task, 0)      \
+    X(U64, round, 0)     \
+    X(ONE, room, Room)   \
+    X(TXT, payload, 0)
+SHAPE(Order, ORDER_FIELDS)
+
+#define FETCH_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, have, 0) X(U64, haveEpoch, 0)
+SHAPE(FetchAsk, FETCH_ASK_FIELDS)
+
+/* wanted: every round that is to be on the worker. Whatever else the agent has
+ * is to be stopped. */
+#define FETCH_ANSWER_FIELDS(X) \
+    X(U64, epoch, 0)           \
+    X(U64, revision, 0)        \
+    X(I64, expiryMs, 0)        \
+    X(LST, starts, Order)      \
+    X(LST, wanted, RoundId)
+SHAPE(FetchAnswer, FETCH_ANSWER_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/beat/src/hold.c
@@ -0,0 +1,21 @@
+#include "beat/hold.h"
+
+bool holdAnswered(Hold *hold, uint64_t epoch, int64_t sentMs, int64_t holdMs)
+{
+    if (epoch < hold->epoch)
+        return false;
+    hold->epoch = epoch;
+    if (sentMs + holdMs > hold->untilMs)
+        hold->untilMs = sentMs + holdMs;
+    return true;
+}
+
+bool holdRuns(const Hold *hold, int64_t nowMs)
+{
+    return nowMs < hold->untilMs;
+}
+
+int64_t holdLeftMs(const Hold *hold, int64_t nowMs)
+{
+    return nowMs < hold->untilMs ? hold->untilMs - nowMs : 0;
+}
--- /dev/null
+++ b/packages/beat/src/liveset.c
@@ -0,0 +1,96 @@
+#include "beat/liveset.h"
+
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "base/map.h"
+
+struct Liveset {
+    Map *rows;
+    int64_t firstUntilMs; /* of a worker not heard of before: the leader's first hold */
+};
+
+Liveset *livesetNew(void *mem)
+{
+    Liveset *liveset = talloc_zero(mem, Liveset);
+    liveset->rows = mapNew(liveset);
+    return liveset;
+}
+
+static LiveRow *rowOf(Liveset *liveset, const char *name)
+{
+    LiveRow *row = mapGet(liveset->rows, name);
+    if (row == NULL) {
+        row = talloc_zero(liveset->rows, LiveRow);
+        row->name = talloc_strdup(row, name);
+        row->untilMs = liveset->firstUntilMs;
+        row->heardMs = INT64_MIN;
+        mapSet(liveset->rows, name, row);
+    }
+    return row;
+}
+
+void livesetReset(Liveset *liveset, int64_t untilMs, const char *const *workers, size_t count)
+{
+    talloc_free(liveset->rows);
+    liveset->rows = mapNew(liveset);
+    liveset->firstUntilMs = untilMs;
+    for (size_t i = 0; i < count; i++)
+        rowOf(liveset, workers[i]);
+}
+
+Status livesetBeat(Liveset *liveset, const BeatAsk *beat, int64_t nowMs, int64_t holdMs, bool *listCounts)
+{
+    LiveRow *row = rowOf(liveset, beat->worker.name);
+    *listCounts = false;
+    /* an older one may be a second process, or the same after its clock jumped
+     * back: it is taken once the newer one's hold has lapsed */
+    if (beat->incarnation < row->incarnation && nowMs < row->untilMs)
+        return STATUS_DUPLICATE_WORKER;
+    if (beat->incarnation != row->incarnation) {
+        /* a new agent: the old one's hold runs on until it has lapsed */
+        row->incarnation = beat->incarnation;
+        row->number = 0;
+        row->joinedMs = nowMs;
+    }
+    const int64_t untilMs = nowMs + holdMs + HOLD_SLACK_MS;
+    if (untilMs > row->untilMs)
+        row->untilMs = untilMs;
+    row->heardMs = nowMs;
+    if (beat->number > row->number) {
+        row->number = beat->number;
+        row->workerLive = beat->workerLive;
+        row->leaving = beat->leaving;
+        row->settled = beat->settled;
+        *listCounts = beat->settled;
+    }
+    return STATUS_OK;
+}
+
+void livesetTold(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number)
+{
+    LiveRow *row = mapGet(liveset->rows, agent);
+    if (row != NULL && row->incarnation == incarnation && number > row->number)
+        row->number = number;
+}
+
+const LiveRow *livesetFind(const Liveset *liveset, const char *name)
+{
+    return mapGet(liveset->rows, name);
+}
+
+bool liveRowReady(const LiveRow *row, int64_t nowMs)
+{
+    return row->heardMs != INT64_MIN && nowMs < row->untilMs && nowMs - row->heardMs < 3 * BEAT_MS && row->workerLive &&
+           !row->leaving && row->settled;
+}
+
+size_t livesetRows(const Liveset *liveset, void *mem, const LiveRow ***rows)
+{
+    const char **names;
+    const size_t count = mapKeys(liveset->rows, mem, &names);
+    *rows = talloc_array(mem, const LiveRow *, (unsigned)count);
+    for (size_t i = 0; i < count; i++)
+        (*rows)[i] = mapGet(liveset->rows, names[i]);
+    return count;
+}
--- /dev/null
+++ b/packages/core/include/core/core.h
@@ -0,0 +1,27 @@
+#ifndef CORE_CORE_H
+#define CORE_CORE_H
+
+#include "props/props.h"
+#include "table/table.h"
+
+/* A core: a disk, perhaps a seat, perhaps the lead. */
+typedef struct Core Core;
+
+/* What a watcher of proofs is told; null in production. */
+typedef struct CoreWatch {
+    void *arg;
+    /* It decides something as leader, under this epoch, now. */
+    void (*plans)(void *arg, const char *name, uint64_t epoch);
+} CoreWatch;
+
+/* Waits. Opens the disk and the addresses and starts all tasks. */
+Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **core,
+                 Mishap *mishap);
+/* Waits. Not ready at once, the lock handed over, then ended. */
+void coreDrain(Core *core);
+View *coreView(Core *core);
+const Table *coreTable(const Core *core);
+const char *coreHttpAddress(const Core *core);
+const char *coreAddress(const Core *core);
+
+#endif
--- /dev/null
+++ b/packages/core/src/callers.c
@@ -0,0 +1,578 @@
+/* The leader towards callers and operators, and every core's own address. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+/* One request on its way through the leader. */
+typedef struct Way {
+    Core *core;
+    HttpTask *task;
+    void *mem;
+    Faults *faults;
+    KeepList *keeps;
+    const char *name; /* what the path names: a job, a zone */
+} Way;
+
+/* --- guards: policies that a request passes, in order, behind one interface --- */
+
+/* False: the verdict has been given. */
+typedef struct Guard {
+    const char *name;
+    bool (*pass)(Way *way);
+} Guard;
+
+static bool passLeaving(Way *way)
+{
+    if (!way->core->leaving)
+        return true;
+    showRefusal(way->task, STATUS_LEAVING, "this process is leaving: come back", NULL);
+    return false;
+}
+
+static bool passLead(Way *way)
+{
+    if (viewLeading(way->core->view))
+        return true;
+    showRefusal(way->task, STATUS_NOT_LEADER, "the lead has just been lost; nothing was taken: come back", NULL);
+    return false;
+}
+
+static bool passRepair(Way *way)
+{
+    if (!way->core->repairing || strcmp(way->task->path, "/v1/status") == 0)
+        return true;
+    showRefusal(way->task, STATUS_REPAIRING, "what the disks lost is being told again: come back", NULL);
+    return false;
+}
+
+static const Guard GUARDS[] = {{"leaving", passLeaving}, {"lead", passLead}, {"repair", passRepair}};
+
+/* --- verdicts ---------------------------------------------------------------------- */
+
+/* The Status of a submission as a refusal; true when it was delivered. */
+static bool delivered(Way *way, Status status)
+{
+    switch (status) {
+    case STATUS_OK:
+        return true;
+    case STATUS_NOT_LEADER:
+    case STATUS_BUSY:
+        showRefusal(way->task, status, "nothing was taken: come back", NULL);
+        return false;
+    default:
+        showRefusal(way->task, STATUS_OUTCOME_UNKNOWN, "it may have been taken: ask, or send the same again", NULL);
+        return false;
+    }
+}
+
+static void refuseFaults(Way *way)
+{
+    const Faults *faults = way->faults;
+    way->core->counts.refused++;
+    showRefusal(way->task, faults->list[0].status, faults->list[0].text, faults);
+}
+
+/* --- jobs ------------------------------------------------------------------------------ */
+
+static void showAccepted(Way *way, const Job *job, int code)
+{
+    showVerdict(way->task, code, showJobShort(job));
+}
+
+static void jobPost(Way *way)
+{
+    Core *core = way->core;
+    JobSpec spec;
+    if (!jobRead(way->faults, (const char *)way->task->body.data, way->task->body.count, &spec)) {
+        refuseFaults(way);
+        return;
+    }
+    /* the same job again is told the first answer, whatever has changed since */
+    const Job *known = tableJob(core->table, spec.id);
+    if (known != NULL) {
+        if (shapeEqual(&JobSpecShape, &known->spec, &spec))
+            showAccepted(way, known, 200);
+        else
+            showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
+        return;
+    }
+    const Config *config = coreConfig(core);
+    if (!jobAdmissible(way->faults, &spec, config, core->table)) {
+        refuseFaults(way);
+        return;
+    }
+    size_t tasks = 0;
+    for (size_t i = 0; i < spec.stepsCount; i++)
+        tasks += (size_t)spec.steps[i].count;
+    if (tableWaiting(core->table, spec.cell) + tasks > configCell(config, spec.cell)->limit) {
+        core->counts.crowded++;
+        showRefusal(way->task, STATUS_QUEUE_FULL, "too much waits in this cell; nothing was taken: come back", NULL);
+        return;
+    }
+    const JobAdd add = {spec};
+    Verdict verdict;
+    if (!delivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &verdict, way->keeps)))
+        return;
+    const Job *job = tableJob(core->table, spec.id);
+    if (verdict.status != STATUS_OK || job == NULL)
+        showRefusal(way->task, verdict.status, "another job has this id", NULL);
+    else
+        showAccepted(way, job, 201);
+}
+
+static void jobGet(Way *way)
+{
+    const Job *job = tableJob(way->core->table, way->name);
+    if (job == NULL)
+        showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
+    else
+        showVerdict(way->task, 200, showJob(job, coreClock(way->core)));
+}
+
+static void jobCancel(Way *way)
+{
+    const JobCancel cancel = {way->name};
+    Verdict verdict;
+    if (tableJob(way->core->table, way->name) == NULL) {
+        showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
+        return;
+    }
+    if (!delivered(way,
+                   coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, &verdict, way->keeps)))
+        return;
+    const Job *job = tableJob(way->core->table, way->name);
+    if (verdict.status != STATUS_OK || job == NULL)
+        showRefusal(way->task, verdict.status, "the job had ended before", NULL);
+    else
+        showVerdict(way->task, 200, showJobShort(job));
+}
+
+static void jobList(Way *way)
+{
+    int64_t after = 0, limit = LIST_PAGE;
+    queryInt(way->faults, way->task->query, "after", 0, INT64_MAX, &after);
+    queryInt(way->faults, way->task->query, "limit", 1, LIST_PAGE_MAX, &limit);
+    const char *cell = queryValue(way->mem, way->task->query, "cell");
+    const char *phase = queryValue(way->mem, way->task->query, "phase");
+    if (way->faults->count > 0) {
+        refuseFaults(way);
+        return;
+    }
+    Job *const *jobs;
+    const size_t count = tableJobs(way->core->table, &jobs);
+    size_t low = 0, high = count;
+    while (low < high) {
+        const size_t middle = (low + high) / 2;
+        if (jobs[middle]->number <= (uint64_t)after)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    json_object *body = json_object_new_object(), *list = json_object_new_array();
+    int64_t shown = 0;
+    size_t at = low;
+    for (; at < count && shown < limit; at++) {
+        const Job *job = jobs[at];
+        if ((cell != NULL && strcmp(job->spec.cell, cell) != 0) ||
+            (phase != NULL && strcmp(jobPhaseWord(job->phase), phase) != 0))
+            continue;
+        json_object_array_add(list, showJobShort(job));
+        shown++;
+    }
+    json_object_object_add(body, "jobs", list);
+    if (at < count)
+        json_object_object_add(body, "next", json_object_new_int64((int64_t)jobs[at - 1]->number));
+    showVerdict(way->task, 200, body);
+}
+
+/* --- configuration ------------------------------------------------------------------- */
+
+static json_object *showConfig(const ConfigText *config)
+{
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "revision", json_object_new_int64(config != NULL ? (int64_t)config->revision : 0));
+    json_object_object_add(body, "config", json_tokener_parse(config != NULL ? config->text : configFirstText()));
+    return body;
+}
+
+static void configGet(Way *way)
+{
+    int64_t revision = -1, have = -1, waitMs = 0;
+    queryInt(way->faults, way->task->query, "revision", 0, INT64_MAX, &revision);
+    queryInt(way->faults, way->task->query, "have", 0, INT64_MAX, &have);
+    queryInt(way->faults, way->task->query, "waitMs", 0, FEED_HOLD_MS * 2, &waitMs);
+    if (way->faults->count > 0) {
+        refuseFaults(way);
+        return;
+    }
+    if (revision > 0) {
+        const ConfigText *config = tableConfigAt(way->core->table, (uint64_t)revision);
+        if (config == NULL)
+            showRefusal(way->task, STATUS_UNKNOWN_REVISION, "this revision can't be read back", NULL);
+        else
+            showVerdict(way->task, 200, showConfig(config));
+        return;
+    }
+    const int64_t untilMs = loopNowMs(way->core->loop) + waitMs;
+    const ConfigText *config = tableConfig(way->core->table);
+    while (have >= 0 && (int64_t)(config != NULL ? config->revision : 0) <= have) {
+        if (!signalWait(way->core->loop, viewNews(way->core->view), untilMs))
+            break;
+        config = tableConfig(way->core->table);
+    }
+    if (!viewLeading(way->core->view))
+        showRefusal(way->task, STATUS_NOT_LEADER, "the lead was lost meanwhile: come back", NULL);
+    else
+        showVerdict(way->task, 200, showConfig(tableConfig(way->core->table)));
+}
+
+static void configHistory(Way *way)
+{
+    const ConfigText *configs;
+    const size_t count = tableConfigs(way->core->table, &configs);
+    json_object *body = json_object_new_object(), *list = json_object_new_array();
+    for (size_t i = 0; i < count; i++)
+        json_object_array_add(list, json_object_new_int64((int64_t)configs[i].revision));
+    json_object_object_add(body, "revisions", list);
+    showVerdict(way->task, 200, body);
+}
+
+static void refuseStale(Way *way, uint64_t current)
+{
+    json_object *body = showMishap(STATUS_STALE_REVISION, "another revision is in force: build on that", NULL);
+    json_object_object_add(body, "current", json_object_new_int64((int64_t)current));
+    showVerdict(way->task, statusHttp(STATUS_STALE_REVISION), body);
+}
+
+static void configSet(Way *way, bool patch)
+{
+    Core *core = way->core;
+    const ConfigText *now = tableConfig(core->table);
+    const uint64_t current = now != NULL ? now->revision : 0;
+    int64_t base = -1;
+    if (queryValue(way->mem, way->task->query, "base") == NULL)
+        faultAdd(way->faults, STATUS_BAD_FIELD, "?base", "is missing: name the revision that this builds on");
+    queryInt(way->faults, way->task->query, "base", 0, INT64_MAX, &base);
+    if (way->faults->count > 0) {
+        refuseFaults(way);
+        return;
+    }
+    if ((uint64_t)base != current) {
+        refuseStale(way, current);
+        return;
+    }
+    const char *text = talloc_strndup(way->mem, (const char *)way->task->body.data, way->task->body.count);
+    size_t count = way->task->body.count;
+    if (patch) {
+        text = configPatch(way->mem, now != NULL ? now->text : configFirstText(),
+                           (const char *)way->task->body.data, way->task->body.count, way->faults);
+        count = text != NULL ? strlen(text) : 0;
+    }
+    if (way->faults->count > 0 || configRead(way->mem, text, count, current + 1, way->faults) == NULL) {
+        refuseFaults(way);
+        return;
+    }
+    const ConfigSet set = {current, current + 1, text, false};
+    Verdict verdict;
+    if (!delivered(way, coreSubmit(core, way->mem, CHANGE_CONFIG_SET, &ConfigSetShape, &set, &verdict, way->keeps)))
+        return;
+    if (verdict.status != STATUS_OK) {
+        refuseStale(way, verdict.number);
+        return;
+    }
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "revision", json_object_new_int64((int64_t)verdict.number));
+    showVerdict(way->task, 200, body);
+}
+
+static void configPut(Way *way)
+{
+    configSet(way, false);
+}
+
+static void configPatchRoute(Way *way)
+{
+    configSet(way, true);
+}
+
+/* --- zones, workers, status ---------------------------------------------------------------- */
+
+static bool zoneKnown(Way *way)
+{
+    const Worker **workers;
+    const size_t count = tableWorkers(way->core->table, way->mem, &workers);
+    for (size_t i = 0; i < count; i++)
+        if (strcmp(workers[i]->zone, way->name) == 0)
+            return true;
+    const MemberTable *members = membersTable(way->core->members);
+    for (size_t i = 0; i < members->count; i++)
+        if (strcmp(members->rows[i].record.zone, way->name) == 0)
+            return true;
+    return false;
+}
+
+static void zoneShow(Way *way)
+{
+    json_object *body = json_object_new_object();
+    Job *const *jobs;
+    const size_t count = tableActive(way->core->table, &jobs);
+    int64_t left = 0;
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            const Worker *worker =
+                taskOnWorker(task->phase) ? tableWorker(way->core->table, task->worker) : NULL;
+            left += worker != NULL && strcmp(worker->zone, way->name) == 0;
+        }
+    json_object_object_add(body, "zone", json_object_new_string(way->name));
+    json_object_object_add(body, "drained", json_object_new_boolean(tableDrained(way->core->table, way->name)));
+    json_object_object_add(body, "tasksLeft", json_object_new_int64(left));
+    showVerdict(way->task, 200, body);
+}
+
+static void zoneSet(Way *way, bool drained)
+{
+    if (!zoneKnown(way)) {
+        showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
+        return;
+    }
+    const ZoneDrain drain = {way->name, drained};
+    Verdict verdict;
+    if (delivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &verdict,
+                                  way->keeps)))
+        zoneShow(way);
+}
+
+static void zoneDrain(Way *way)
+{
+    zoneSet(way, true);
+}
+
+static void zoneBack(Way *way)
+{
+    zoneSet(way, false);
+}
+
+static void zoneGet(Way *way)
+{
+    if (zoneKnown(way))
+        zoneShow(way);
+    else
+        showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
+}
+
+static void statusGet(Way *way)
+{
+    showVerdict(way->task, 200, coreStatus(way->core));
+}
+
+/* --- routes ---------------------------------------------------------------------------------- */
+
+/* A path of up to three parts after /v1; "*" takes a name. */
+typedef struct Route {
+    const char *method;
+    const char *parts[3];
+    void (*serve)(Way *way);
+} Route;
+
+static const Route ROUTES[] = {
+    {"POST", {"jobs"}, jobPost},
+    {"GET", {"jobs"}, jobList},
+    {"GET", {"jobs", "*"}, jobGet},
+    {"DELETE", {"jobs", "*"}, jobCancel},
+    {"POST", {"jobs", "*", "cancel"}, jobCancel},
+    {"GET", {"config"}, configGet},
+    {"PUT", {"config"}, configPut},
+    {"PATCH", {"config"}, configPatchRoute},
+    {"GET", {"config", "history"}, configHistory},
+    {"GET", {"zones", "*", "drain"}, zoneGet},
+    {"POST", {"zones", "*", "drain"}, zoneDrain},
+    {"PUT", {"zones", "*", "drain"}, zoneDrain},
+    {"DELETE", {"zones", "*", "drain"}, zoneBack},
+    {"GET", {"status"}, statusGet},
+};
+
+static const Route *routeFind(Way *way, bool *pathKnown)
+{
+    const char *path = way->task->path;
+    *pathKnown = false;
+    if (strncmp(path, "/v1/", 4) != 0)
+        return NULL;
+    char *parts[4] = {0};
+    size_t count = 0;
+    char *copy = talloc_strdup(way->mem, path + 4);
+    for (char *at = copy; at != NULL && count < 4; count++) {
+        parts[count] = at;
+        char *slash = strchr(at, '/');
+        if (slash != NULL)
+            *slash++ = '\0';
+        at = slash;
+    }
+    const Route *found = NULL;
+    for (size_t i = 0; i < sizeof(ROUTES) / sizeof(ROUTES[0]) && found == NULL; i++) {
+        const Route *route = &ROUTES[i];
+        const char *name = NULL;
+        bool fits = count <= 3;
+        for (size_t k = 0; k < 3 && fits; k++) {
+            const char *want = route->parts[k], *have = k < count ? parts[k] : NULL;
+            if (want == NULL || have == NULL)
+                fits = want == NULL && have == NULL;
+            else if (strcmp(want, "*") == 0 && checkNameText(have))
+                name = have;
+            else
+                fits = strcmp(want, have) == 0;
+        }
+        if (!fits)
+            continue;
+        *pathKnown = true;
+        if (strcmp(route->method, way->task->method) == 0) {
+            found = route;
+            way->name = name;
+        }
+    }
+    return found;
+}
+
+void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps)
+{
+    Way way = {core, task, mem, talloc_zero(mem, Faults), keeps, NULL};
+    way.faults->mem = mem;
+    for (size_t i = 0; i < sizeof(GUARDS) / sizeof(GUARDS[0]); i++)
+        if (!GUARDS[i].pass(&way))
+            return;
+    bool pathKnown;
+    const Route *route = routeFind(&way, &pathKnown);
+    if (route != NULL)
+        route->serve(&way);
+    else if (pathKnown)
+        showRefusal(task, STATUS_BAD_METHOD, "this path does not take this method", NULL);
+    else
+        showRefusal(task, STATUS_BAD_PATH, "there is no such path", NULL);
+}
+
+/* --- the own address ---------------------------------------------------------------------------- */
+
+/* What came in here is known here only and on the disks: before it is answered,
+ * one diskless node keeps it too. */
+static void keepElsewhere(Core *core, void *mem, const KeepList *keeps)
+{
+    const MemberTable *table = membersTable(core->members);
+    char addresses[4][ADDRESS_MAX];
+    size_t count = 0;
+    for (size_t i = 0; i < table->count && count < 4; i++)
+        if (table->rows[i].record.role == ROLE_GATE && !memberQuiet(&table->rows[i], loopNowMs(core->loop)))
+            snprintf(addresses[count++], ADDRESS_MAX, "%s", table->rows[i].record.address);
+    Nothing answer = {0};
+    for (size_t i = 0; i < count; i++)
+        if (courierAsk(core->courier, mem, addresses[i], MESSAGE_KEEP, &KeepListShape, keeps, ASK_EXPIRY_MS / 2,
+                       &NothingShape, &answer) == STATUS_OK)
+            return;
+}
+
+void callersTake(Core *core, HttpTask *task)
+{
+    if (strcmp(task->path, "/livez") == 0) {
+        json_object *body = json_object_new_object();
+        json_object_object_add(body, "live", json_object_new_boolean(true));
+        showVerdict(task, 200, body);
+        return;
+    }
+    if (strcmp(task->path, "/readyz") == 0) {
+        const bool leader = viewLeading(core->view) || membersLeaderAddress(core->members) != NULL;
+        if (core->leaving || !leader || core->repairing) {
+            showRefusal(task, core->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+        } else {
+            json_object *body = json_object_new_object();
+            json_object_object_add(body, "ready", json_object_new_boolean(true));
+            showVerdict(task, 200, body);
+        }
+        return;
+    }
+    if (!viewLeading(core->view)) {
+        proxyCarry(&core->proxy, task);
+        return;
+    }
+    KeepList keeps = {0};
+    leaderServe(core, task, task, &keeps);
+    if (keeps.itemsCount > 0) {
+        keeperKeep(core->keeper, keeps.items, keeps.itemsCount);
+        keepElsewhere(core, task, &keeps);
+    }
+}
+
+static Status onProxy(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    const ProxyAsk *ask = question;
+    ProxyAnswer *out = answer;
+    if (!viewLeading(core->view))
+        return STATUS_NOT_LEADER;
+    HttpTask *task = talloc_zero(mem, HttpTask);
+    *task = (HttpTask){.loop = core->loop,
+                       .method = ask->method,
+                       .path = ask->path,
+                       .query = ask->query,
+                       .body = ask->body,
+                       .kind = "application/json"};
+    KeepList keeps = {0};
+    leaderServe(core, task, mem, &keeps);
+    out->code = (uint64_t)task->code;
+    out->kind = task->kind;
+    out->body = task->verdict;
+    out->retryAfterS = (uint64_t)task->retryAfterS;
+    out->keeps = keeps.items;
+    out->keepsCount = keeps.itemsCount;
+    return STATUS_OK;
+}
+
+static Status onFeed(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    const FeedAsk *ask = question;
+    FeedAnswer *out = answer;
+    const int64_t untilMs = loopNowMs(core->loop) + FEED_HOLD_MS;
+    for (;;) {
+        if (!viewLeading(core->view))
+            return STATUS_NOT_LEADER;
+        const ConfigText *config = tableConfig(core->table);
+        out->epoch = viewEpoch(core->view);
+        if (!core->repairing && config != NULL && config->revision != ask->have) {
+            out->revision = config->revision;
+            out->text = talloc_strdup(mem, config->text);
+            return STATUS_OK;
+        }
+        if (!signalWait(core->loop, viewNews(core->view), untilMs)) {
+            out->revision = ask->have;
+            return STATUS_OK;
+        }
+    }
+}
+
+static Status onRetell(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    (void)question;
+    keeperTell(core->keeper, mem, answer);
+    return STATUS_OK;
+}
+
+static Status onKeep(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    const KeepList *list = question;
+    (void)mem;
+    (void)answer;
+    keeperKeep(core->keeper, list->items, list->itemsCount);
+    return STATUS_OK;
+}
+
+void callersServe(Core *core)
+{
+    courierHandle(core->courier, MESSAGE_PROXY, &ProxyAskShape, &ProxyAnswerShape, onProxy, core);
+    courierHandle(core->courier, MESSAGE_FEED, &FeedAskShape, &FeedAnswerShape, onFeed, core);
+    courierHandle(core->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, core);
+    courierHandle(core->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, core);
+}
--- /dev/null
+++ b/packages/core/src/core.c
@@ -0,0 +1,196 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+const Config *coreConfig(Core *core)
+{
+    const ConfigText *newest = tableConfig(core->table);
+    const uint64_t revision = newest != NULL ? newest->revision : 0;
+    if (core->config != NULL && core->config->revision == revision)
+        return core->config;
+    const char *text = newest != NULL ? newest->text : configFirstText();
+    void *mem = talloc_new(core);
+    Faults *faults = talloc_zero(mem, Faults);
+    faults->mem = mem;
+    const Config *config = configRead(core, text, strlen(text), revision, faults);
+    if (config == NULL) { /* it was checked before it was committed */
+        ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "revision %" PRIu64 " can't be read: %s %s", revision,
+                faults->list[0].path, faults->list[0].text);
+        talloc_free(mem);
+        return core->config;
+    }
+    talloc_free(mem);
+    talloc_free((void *)(uintptr_t)core->config);
+    core->config = config;
+    return config;
+}
+
+bool coreDecides(Core *core)
+{
+    if (!viewLeading(core->view) || core->repairing)
+        return false;
+    if (core->watch.plans != NULL)
+        core->watch.plans(core->watch.arg, core->props->name, viewEpoch(core->view));
+    return true;
+}
+
+QueueClock coreClock(const Core *core)
+{
+    return (QueueClock){viewClockMs(core->view), viewWallMs(core->view)};
+}
+
+const Policy *corePolicy(void *arg, const ConfigCell *cell)
+{
+    (void)arg;
+    (void)cell;
+    return policyPlain();
+}
+
+Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
+                  KeepList *keeps)
+{
+    Bytes payload = {0};
+    shapePack(shape, body, mem, &payload);
+    const Status status = viewSubmit(core->view, kind, payload, verdict);
+    if (status == STATUS_OK && verdict->status == STATUS_OK && keeps != NULL) {
+        keeps->items = talloc_realloc(mem, keeps->items, KeepItem, (unsigned)(keeps->itemsCount + 1));
+        keeps->items[keeps->itemsCount++] = (KeepItem){kind, verdict->index, payload};
+    }
+    return status;
+}
+
+static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair, uint64_t keptIndex)
+{
+    Core *core = arg;
+    (void)epoch;
+    if (newHolder) {
+        void *mem = talloc_new(core);
+        const Worker **workers;
+        const size_t count = tableWorkers(core->table, mem, &workers);
+        const char **names = talloc_array(mem, const char *, (unsigned)count);
+        for (size_t i = 0; i < count; i++)
+            names[i] = workers[i]->name;
+        /* any hold that the last leader answered runs out within this */
+        livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);
+        talloc_free(mem);
+    }
+    if (repair && (newHolder || !core->repairing)) {
+        core->repairing = true;
+        core->keptIndex = keptIndex;
+        /* rounds that the log has forgotten are told again or have lapsed by then */
+        core->placeFromMs = loopNowMs(core->loop) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        repairStart(core);
+    }
+    if (!repair)
+        core->repairing = false;
+    signalRaise(core->loop, &core->wake);
+}
+
+/* Ended jobs are kept for a stated span. */
+static void forgetMain(void *arg)
+{
+    Core *core = arg;
+    while (!loopStopping(core->loop)) {
+        loopSleep(core->loop, JOB_KEEP_MS / 60);
+        Job *const *jobs;
+        if (!coreDecides(core) || tableJobs(core->table, &jobs) == 0)
+            continue;
+        const Forget forget = {viewClockMs(core->view) - JOB_KEEP_MS};
+        if (jobs[0]->acceptedMs >= forget.beforeMs)
+            continue;
+        void *mem = talloc_new(core);
+        Verdict verdict;
+        coreSubmit(core, mem, CHANGE_FORGET, &ForgetShape, &forget, &verdict, NULL);
+        talloc_free(mem);
+    }
+}
+
+static void onHttp(void *arg, HttpTask *task)
+{
+    callersTake(arg, task);
+}
+
+Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **out,
+                 Mishap *mishap)
+{
+    Core *core = talloc_zero(mem, Core);
+    core->loop = loop;
+    core->ring = ring;
+    core->props = props;
+    core->planHolds = true;
+    if (watch != NULL)
+        core->watch = *watch;
+    core->courier = courierNew(core, loop, ring);
+    core->table = tableNew(core);
+    core->keeper = keeperNew(core, loop);
+    core->liveset = livesetNew(core);
+    const ViewProps viewProps = {.loop = loop,
+                                 .courier = core->courier,
+                                 .ring = ring,
+                                 .state = tableState(core->table),
+                                 .opened = onOpened,
+                                 .openedArg = core};
+    core->view = viewNew(core, &viewProps);
+    /* the disk first: its id is part of our name */
+    Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, mishap);
+    if (status == STATUS_OK)
+        status = courierListen(core->courier, props->listen, core->address, mishap);
+    if (status == STATUS_OK)
+        status = loopServe(loop, props->http, onHttp, core, core->http, mishap);
+    if (status != STATUS_OK)
+        return status;
+    const MemberRecord self = {
+        .id = talloc_asprintf(core, "%s@%016" PRIx64, props->name, viewDisk(core->view)),
+        .name = props->name,
+        .role = ROLE_CORE,
+        .zone = props->zone,
+        .address = core->address,
+        .http = core->http,
+        .incarnation = (uint64_t)loopWallMs(loop),
+        .disk = viewDisk(core->view),
+        .empty = !viewFounded(core->view),
+    };
+    core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
+    core->proxy = (Proxy){loop, core->courier, core->members, core->keeper};
+    viewStart(core->view, core->members);
+    agentsServe(core);
+    callersServe(core);
+    membersStart(core->members);
+    foundStart(core);
+    plannerStart(core);
+    loopSpawn(loop, "forget", forgetMain, core);
+    *out = core;
+    return STATUS_OK;
+}
+
+void coreDrain(Core *core)
+{
+    core->leaving = true;
+    membersSetLeaving(core->members);
+    viewStepDown(core->view, INT32_MAX);
+    /* requests in work get their verdict, seats hear of the release */
+    loopSleep(core->loop, DRAIN_MS / 6);
+}
+
+View *coreView(Core *core)
+{
+    return core->view;
+}
+
+const Table *coreTable(const Core *core)
+{
+    return core->table;
+}
+
+const char *coreHttpAddress(const Core *core)
+{
+    return core->http;
+}
+
+const char *coreAddress(const Core *core)
+{
+    return core->address;
+}
--- /dev/null
+++ b/packages/core/src/inside.h
@@ -0,0 +1,78 @@
+#ifndef CORE_SRC_INSIDE_H
+#define CORE_SRC_INSIDE_H
+
+#include "api/jobjson.h"
+#include "api/show.h"
+#include "beat/liveset.h"
+#include "core/core.h"
+#include "feed/proxy.h"
+#include "plan/plan.h"
+#include "queue/queue.h"
+
+/* Figures of the leader's work, for status and measurement. */
+#define CORE_COUNT_LIST(X) \
+    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded)
+
+typedef struct CoreCounts {
+#define X(name) uint64_t name;
+    CORE_COUNT_LIST(X)
+#undef X
+} CoreCounts;
+
+/* Invariants:
+ *  - only a node for which viewLeading is true plans, answers callers or gives
+ *    orders, and it looks at the clock before each;
+ *  - while repairing is true nothing is decided and nobody is told of a job;
+ *  - nothing is placed before placeFromMs. */
+struct Core {
+    Loop *loop;
+    Ring *ring;
+    const Props *props;
+    CoreWatch watch;
+    Courier *courier;
+    Members *members;
+    View *view;
+    Table *table;
+    Keeper *keeper;
+    Proxy proxy;
+    Liveset *liveset;
+    const Config *config; /* of the table's newest revision */
+    char address[ADDRESS_MAX], http[ADDRESS_MAX];
+    bool leaving;
+    bool repairing;
+    uint64_t repairTurn;
+    uint64_t keptIndex;
+    int64_t placeFromMs;
+    Signal wake; /* beats with news for the planner */
+    /* of the last pass: whether the plan held, and else what breaks it */
+    bool planHolds, brokenByZone;
+    char brokenBy[ID_MAX + 1];
+    CoreCounts counts;
+};
+
+/* The configuration in force; never null. Valid until the next wait. */
+const Config *coreConfig(Core *core);
+/* Leads, by the clock, and has all that was told. */
+bool coreDecides(Core *core);
+QueueClock coreClock(const Core *core);
+const Policy *corePolicy(void *arg, const ConfigCell *cell);
+
+/* Waits. Submits a shape as a change; keeps (may be null) takes it when it was
+ * committed and accepted. What is packed lives on mem. */
+Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
+                  KeepList *keeps);
+
+void plannerStart(Core *core);
+/* The plan as it stands; on mem. */
+PlanInput plannerInput(Core *core, void *mem);
+void foundStart(Core *core);
+void repairStart(Core *core);
+void agentsServe(Core *core);
+void callersServe(Core *core);
+/* A request on the own HTTP address. */
+void callersTake(Core *core, HttpTask *task);
+/* A caller's request, as leader. keeps: what was committed by it. */
+void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps);
+json_object *coreStatus(Core *core);
+
+#endif
--- /dev/null
+++ b/packages/core/src/planner.c
@@ -0,0 +1,344 @@
+/* The leader's planner: finds the lost, decides who goes where. One task; each
+ * decision is committed before the next is made. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+#include "inside.h"
+
+#define PLAN_CHECKS_MAX 200 /* count; looks at the r-loss plan in one pass, each some 0.1 ms */
+#define PASS_GAP_MS 5       /* ms; news that come together are decided on together */
+
+/* What one pass knows. */
+typedef struct Pass {
+    Core *core;
+    void *mem;
+    const Config *config;
+    PlanInput input;
+    size_t taskRoom;
+    Map *tenants; /* "cell/tenant" to the Room in use */
+    Map *index;   /* worker name to its place + 1 */
+    PlaceList places;
+    size_t placeRoom;
+    size_t checks;
+    const void *stuck; /* the step that last found no room */
+} Pass;
+
+static void lostFind(Core *core, void *mem)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    Map *lost = mapNew(mem);
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            if (!taskOnWorker(task->phase) || mapGet(lost, task->worker) != NULL)
+                continue;
+            const LiveRow *row = livesetFind(core->liveset, task->worker);
+            /* a worker never heard of by this leader: its first hold counts */
+            const int64_t untilMs =
+                row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+            if (nowMs > untilMs)
+                mapSet(lost, task->worker, core);
+        }
+    const char **names;
+    const size_t lostCount = mapKeys(lost, mem, &names);
+    for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
+        const WorkerLost change = {names[i], UINT64_MAX};
+        Verdict verdict;
+        if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &verdict, NULL) == STATUS_OK) {
+            core->counts.lost += verdict.number;
+            ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "worker %s is lost with %" PRIu64 " rounds", names[i],
+                    verdict.number);
+        }
+    }
+}
+
+static PlanNeed needOf(const StepSpec *step)
+{
+    return (PlanNeed){step->room, step->kind, step->labels, step->labelsCount};
+}
+
+static Room *tenantRoom(Pass *pass, const JobSpec *spec)
+{
+    char key[2 * ID_MAX + 2];
+    snprintf(key, sizeof(key), "%s/%s", spec->cell, spec->tenant);
+    Room *room = mapGet(pass->tenants, key);
+    if (room == NULL) {
+        room = talloc_zero(pass->mem, Room);
+        mapSet(pass->tenants, key, room);
+    }
+    return room;
+}
+
+static void taskCount(Pass *pass, const PlanNeed *need, size_t worker)
+{
+    PlanInput *input = &pass->input;
+    if (input->taskCount == pass->taskRoom) {
+        pass->taskRoom = pass->taskRoom ? pass->taskRoom * 2 : 64;
+        input->tasks = talloc_realloc(pass->mem, input->tasks, PlanTask, (unsigned)pass->taskRoom);
+    }
+    input->tasks[input->taskCount++] = (PlanTask){*need, worker};
+}
+
+/* Workers that may be given work have their free room; the others have none,
+ * but what runs on them still counts as to be restarted. */
+static void passBegin(Pass *pass)
+{
+    Core *core = pass->core;
+    const Worker **workers;
+    const size_t count = tableWorkers(core->table, pass->mem, &workers);
+    const int64_t nowMs = loopNowMs(core->loop);
+    pass->config = coreConfig(core);
+    pass->tenants = mapNew(pass->mem);
+    pass->index = mapNew(pass->mem);
+    pass->input = (PlanInput){.workers = talloc_zero_array(pass->mem, PlanWorker, (unsigned)count),
+                              .r = pass->config->r,
+                              .zoneLoss = pass->config->zoneLoss};
+    for (size_t i = 0; i < count; i++) {
+        const Worker *worker = workers[i];
+        const LiveRow *row = livesetFind(core->liveset, worker->name);
+        const bool ready = row != NULL && liveRowReady(row, nowMs) && !worker->excluded &&
+                           !tableDrained(core->table, worker->zone);
+        const Room none = {0};
+        pass->input.workers[i] = (PlanWorker){.name = worker->name,
+                                              .zone = worker->zone,
+                                              .kind = worker->kind,
+                                              .labels = worker->labels,
+                                              .labelCount = worker->labelsCount,
+                                              .room = ready ? worker->room : none,
+                                              .free = ready ? worker->room : none};
+        mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
+    }
+    pass->input.workerCount = count;
+    Job *const *jobs;
+    const size_t jobCount = tableActive(core->table, &jobs);
+    for (size_t j = 0; j < jobCount; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            if (!taskOnWorker(task->phase))
+                continue;
+            const StepSpec *step = &jobs[j]->spec.steps[task->step];
+            Room *used = tenantRoom(pass, &jobs[j]->spec);
+            *used = roomMore(*used, step->room);
+            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, task->worker);
+            if (at == 0)
+                continue;
+            PlanWorker *worker = &pass->input.workers[at - 1];
+            worker->free = roomLess(worker->free, step->room);
+            const PlanNeed need = needOf(step);
+            if (task->assured && task->phase != TASK_STOPPING)
+                taskCount(pass, &need, at - 1);
+        }
+}
+
+PlanInput plannerInput(Core *core, void *mem)
+{
+    Pass *pass = talloc_zero(mem, Pass);
+    pass->core = core;
+    pass->mem = mem;
+    passBegin(pass);
+    return pass->input;
+}
+
+static bool planHolds(Pass *pass)
+{
+    pass->checks++;
+    pass->core->counts.planChecks++;
+    const bool holds = planAlwaysPossible(&pass->input, NULL);
+    if (!holds)
+        pass->core->counts.planRefusals++;
+    return holds;
+}
+
+static bool underQuota(Pass *pass, const Candidate *candidate, const StepSpec *step)
+{
+    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
+    const ConfigTenant *tenant = cell != NULL ? configTenant(cell, candidate->job->spec.tenant) : NULL;
+    if (tenant == NULL)
+        return true; /* accepted before the tenant was taken out of the configuration: it runs */
+    Room want = *tenantRoom(pass, &candidate->job->spec);
+    for (size_t i = 0; i < candidate->count; i++)
+        want = roomMore(want, step->room);
+    return (tenant->quota.cpuMilli == 0 || want.cpuMilli <= tenant->quota.cpuMilli) &&
+           (tenant->quota.memMb == 0 || want.memMb <= tenant->quota.memMb);
+}
+
+static void placeAdd(Pass *pass, const Candidate *candidate, size_t member, size_t worker, bool assured)
+{
+    Core *core = pass->core;
+    if (pass->places.placementsCount == pass->placeRoom) {
+        pass->placeRoom = pass->placeRoom ? pass->placeRoom * 2 : 32;
+        pass->places.placements =
+            talloc_realloc(pass->mem, pass->places.placements, Placement, (unsigned)pass->placeRoom);
+    }
+    const LiveRow *row = livesetFind(core->liveset, pass->input.workers[worker].name);
+    pass->places.placements[pass->places.placementsCount++] = (Placement){
+        .job = candidate->job->spec.id,
+        .task = candidate->first + member,
+        .round = candidate->job->tasks[candidate->first + member].round + 1,
+        .worker = pass->input.workers[worker].name,
+        .incarnation = row != NULL ? row->incarnation : 0,
+        .assured = assured,
+    };
+}
+
+/* Places all members of the candidate or none. */
+static bool placeOne(Pass *pass, const Candidate *candidate, int64_t logMs)
+{
+    Core *core = pass->core;
+    const JobSpec *spec = &candidate->job->spec;
+    const StepSpec *step = &spec->steps[candidate->job->tasks[candidate->first].step];
+    if (pass->stuck == step || !underQuota(pass, candidate, step))
+        return false;
+    const PlanNeed need = needOf(step);
+    PlanInput *input = &pass->input;
+    int *where = talloc_array(pass->mem, int, (unsigned)candidate->count);
+    size_t placed = 0;
+    while (placed < candidate->count) {
+        const int at = planChoose(input->workers, input->workerCount, &need, NULL);
+        if (at < 0)
+            break;
+        input->workers[at].free = roomLess(input->workers[at].free, step->room);
+        where[placed++] = at;
+    }
+    bool fits = placed == candidate->count, assured = false;
+    if (!fits)
+        pass->stuck = step;
+    const size_t tasksBefore = input->taskCount;
+    if (fits && spec->protection == PROTECTION_PROTECTED) {
+        if (pass->checks < PLAN_CHECKS_MAX) {
+            for (size_t i = 0; i < placed; i++)
+                taskCount(pass, &need, (size_t)where[i]);
+            assured = planHolds(pass);
+        }
+        if (!assured) {
+            input->taskCount = tasksBefore;
+            /* accepted work is not kept waiting for a plan without end */
+            fits = candidate->restart || logMs - candidate->sinceMs >= ASSURE_WAIT_MS;
+        }
+    }
+    for (size_t i = 0; i < placed && !fits; i++)
+        input->workers[where[i]].free = roomMore(input->workers[where[i]].free, step->room);
+    if (fits) {
+        Room *used = tenantRoom(pass, spec);
+        for (size_t i = 0; i < placed; i++) {
+            placeAdd(pass, candidate, i, (size_t)where[i], assured);
+            *used = roomMore(*used, step->room);
+        }
+        if (spec->protection == PROTECTION_PROTECTED && !assured)
+            core->counts.unassured += placed;
+    }
+    talloc_free(where);
+    return fits;
+}
+
+/* Restarts go biggest first, as the plan that promised them did. */
+static int restartOrder(const void *a, const void *b)
+{
+    const Candidate *x = a, *y = b;
+    const Room *p = &x->job->spec.steps[x->job->tasks[x->first].step].room;
+    const Room *q = &y->job->spec.steps[y->job->tasks[y->first].step].room;
+    const Room unit = {1000, 2000}; /* a core weighs as much as 2 GB */
+    const uint64_t s = roomShare(*p, unit), t = roomShare(*q, unit);
+    if (s != t)
+        return s > t ? -1 : 1;
+    if (x->job->number != y->job->number)
+        return x->job->number < y->job->number ? -1 : 1;
+    return x->first < y->first ? -1 : x->first > y->first;
+}
+
+/* Running unassured work that a plan can now include. */
+static void assureMore(Pass *pass)
+{
+    Core *core = pass->core;
+    StopList list = {0};
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    for (size_t j = 0; j < count && pass->checks < PLAN_CHECKS_MAX; j++) {
+        const Job *job = jobs[j];
+        if (job->spec.protection != PROTECTION_PROTECTED)
+            continue;
+        for (size_t t = 0; t < job->tasksCount && pass->checks < PLAN_CHECKS_MAX; t++) {
+            const JobTask *task = &job->tasks[t];
+            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, task->worker);
+            if (task->assured || at == 0 || (task->phase != TASK_PLACED && task->phase != TASK_RUNNING))
+                continue;
+            const PlanNeed need = needOf(&job->spec.steps[task->step]);
+            taskCount(pass, &need, at - 1);
+            if (!planHolds(pass)) {
+                pass->input.taskCount--;
+                continue;
+            }
+            list.rounds = talloc_realloc(pass->mem, list.rounds, RoundId, (unsigned)(list.roundsCount + 1));
+            list.rounds[list.roundsCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), t, task->round};
+        }
+    }
+    list.why = "";
+    Verdict verdict;
+    if (list.roundsCount > 0)
+        coreSubmit(core, pass->mem, CHANGE_ASSURE, &StopListShape, &list, &verdict, NULL);
+}
+
+/* One look at everything; true when there may be more to decide at once. */
+static bool passRun(Core *core)
+{
+    void *mem = talloc_new(core);
+    Pass *pass = talloc_zero(mem, Pass);
+    pass->core = core;
+    pass->mem = mem;
+    core->counts.passes++;
+    passBegin(pass);
+    PlanBreak broken = {false, ""};
+    core->planHolds = planAlwaysPossible(&pass->input, &broken);
+    core->brokenByZone = broken.zone;
+    snprintf(core->brokenBy, sizeof(core->brokenBy), "%s", broken.name);
+    Candidate *candidates;
+    const QueueClock clock = coreClock(core);
+    const size_t count = queueBuild(mem, core->table, pass->config, clock, corePolicy, core, &candidates);
+    size_t restarts = 0;
+    while (restarts < count && candidates[restarts].restart)
+        restarts++;
+    if (restarts > 1)
+        qsort(candidates, restarts, sizeof(*candidates), restartOrder);
+    for (size_t i = 0; i < count && pass->places.placementsCount < PLACE_BATCH; i++)
+        placeOne(pass, &candidates[i], clock.logMs);
+    const bool more = pass->places.placementsCount >= PLACE_BATCH;
+    if (pass->places.placementsCount > 0) {
+        Verdict verdict;
+        if (coreSubmit(core, mem, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
+            core->counts.placed += verdict.number;
+    } else if (pass->checks == 0) {
+        assureMore(pass);
+    }
+    talloc_free(mem);
+    return more;
+}
+
+static void plannerMain(void *arg)
+{
+    Core *core = arg;
+    bool more = false;
+    while (!loopStopping(core->loop)) {
+        if (!more)
+            signalWait(core->loop, viewNews(core->view), loopNowMs(core->loop) + PLACE_TICK_MS);
+        loopSleep(core->loop, PASS_GAP_MS);
+        more = false;
+        if (!coreDecides(core))
+            continue;
+        void *mem = talloc_new(core);
+        lostFind(core, mem);
+        talloc_free(mem);
+        if (loopNowMs(core->loop) >= core->placeFromMs && coreDecides(core))
+            more = passRun(core);
+    }
+}
+
+void plannerStart(Core *core)
+{
+    loopSpawn(core->loop, "planner", plannerMain, core);
+}
--- /dev/null
+++ b/packages/core/src/status.c
@@ -0,0 +1,164 @@
+/* What operators see. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "inside.h"
+
+static json_object *textOf(const char *text)
+{
+    return json_object_new_string(text);
+}
+
+static json_object *numberOf(int64_t number)
+{
+    return json_object_new_int64(number);
+}
+
+static json_object *diskOf(uint64_t disk)
+{
+    char text[20];
+    snprintf(text, sizeof(text), "%016" PRIx64, disk);
+    return textOf(text);
+}
+
+static json_object *showSeats(Core *core)
+{
+    ViewSight sight;
+    viewSight(core->view, &sight);
+    json_object *list = json_object_new_array();
+    for (int i = 0; i < SEAT_COUNT; i++) {
+        json_object *one = json_object_new_object();
+        const Member *member = membersFindDisk(core->members, sight.seats[i].disk);
+        json_object_object_add(one, "disk", diskOf(sight.seats[i].disk));
+        json_object_object_add(one, "core", textOf(member != NULL ? member->record.name : ""));
+        json_object_object_add(one, "inView", json_object_new_boolean(sight.seats[i].inView));
+        json_object_object_add(one, "answers", json_object_new_boolean(sight.seats[i].answers));
+        json_object_object_add(one, "woke", json_object_new_boolean(sight.seats[i].woke));
+        json_object_object_add(one, "syncMs", numberOf(sight.seats[i].syncMs));
+        json_object_object_add(one, "index", numberOf((int64_t)sight.seats[i].matchIndex));
+        json_object_object_add(one, "sight", numberOf((int64_t)sight.seats[i].sight));
+        json_object_array_add(list, one);
+    }
+    return list;
+}
+
+static json_object *showLiveset(Core *core, void *mem)
+{
+    const LiveRow **rows;
+    const size_t count = livesetRows(core->liveset, mem, &rows);
+    const int64_t nowMs = loopNowMs(core->loop);
+    const PlanInput input = plannerInput(core, mem);
+    json_object *list = json_object_new_array();
+    for (size_t i = 0; i < count; i++) {
+        json_object *one = json_object_new_object();
+        const Worker *worker = tableWorker(core->table, rows[i]->name);
+        json_object_object_add(one, "worker", textOf(rows[i]->name));
+        json_object_object_add(one, "zone", textOf(worker != NULL ? worker->zone : ""));
+        json_object_object_add(one, "ready", json_object_new_boolean(liveRowReady(rows[i], nowMs)));
+        json_object_object_add(one, "leaving", json_object_new_boolean(rows[i]->leaving));
+        json_object_object_add(one, "excluded", json_object_new_boolean(worker != NULL && worker->excluded));
+        json_object_object_add(one, "holdLeftMs", numberOf(rows[i]->untilMs > nowMs ? rows[i]->untilMs - nowMs : 0));
+        for (size_t k = 0; k < input.workerCount; k++)
+            if (strcmp(input.workers[k].name, rows[i]->name) == 0) {
+                json_object_object_add(one, "room", showRoom(input.workers[k].room));
+                json_object_object_add(one, "free", showRoom(input.workers[k].free));
+            }
+        json_object_array_add(list, one);
+    }
+    return list;
+}
+
+static json_object *showMembers(Core *core)
+{
+    const MemberTable *table = membersTable(core->members);
+    json_object *list = json_object_new_array();
+    for (size_t i = 0; i < table->count; i++) {
+        const Member *row = &table->rows[i];
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "id", textOf(row->record.id));
+        json_object_object_add(one, "role", textOf(roleWord((Role)row->record.role)));
+        json_object_object_add(one, "zone", textOf(row->record.zone));
+        json_object_object_add(one, "address", textOf(row->record.address));
+        json_object_object_add(one, "http", textOf(row->record.http));
+        json_object_object_add(one, "quiet", json_object_new_boolean(memberQuiet(row, loopNowMs(core->loop))));
+        json_object_array_add(list, one);
+    }
+    return list;
+}
+
+static json_object *showPlan(Core *core)
+{
+    json_object *plan = json_object_new_object();
+    const Config *config = coreConfig(core);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    int64_t assured = 0, unassured = 0, waiting = 0;
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            waiting += task->phase == TASK_WAITING;
+            if (jobs[j]->spec.protection == PROTECTION_PROTECTED && taskOnWorker(task->phase)) {
+                assured += task->assured;
+                unassured += !task->assured;
+            }
+        }
+    json_object_object_add(plan, "r", numberOf((int64_t)config->r));
+    json_object_object_add(plan, "zoneLoss", json_object_new_boolean(config->zoneLoss));
+    json_object_object_add(plan, "holds", json_object_new_boolean(core->planHolds));
+    if (!core->planHolds)
+        json_object_object_add(plan, core->brokenByZone ? "brokenByZone" : "brokenByWorker", textOf(core->brokenBy));
+    json_object_object_add(plan, "assured", numberOf(assured));
+    json_object_object_add(plan, "unassured", numberOf(unassured));
+    json_object_object_add(plan, "waiting", numberOf(waiting));
+    return plan;
+}
+
+json_object *coreStatus(Core *core)
+{
+    void *mem = talloc_new(core);
+    ViewSight sight;
+    viewSight(core->view, &sight);
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "cluster", diskOf(courierCluster(core->courier)));
+    json_object_object_add(body, "leader", textOf(core->props->name));
+    json_object_object_add(body, "epoch", numberOf((int64_t)epochCounter(sight.epoch)));
+    json_object_object_add(body, "holdLeftMs", numberOf(sight.holdLeftMs));
+    json_object_object_add(body, "repairing", json_object_new_boolean(core->repairing));
+    json_object_object_add(body, "clockMs", numberOf(viewClockMs(core->view)));
+    json_object *log = json_object_new_object();
+    json_object_object_add(log, "lastIndex", numberOf((int64_t)sight.lastIndex));
+    json_object_object_add(log, "committed", numberOf((int64_t)sight.commitIndex));
+    json_object_object_add(log, "base", numberOf((int64_t)sight.baseIndex));
+    json_object_object_add(log, "viewChanges", numberOf((int64_t)sight.viewChanges));
+    json_object_object_add(log, "syncs", numberOf((int64_t)sight.journal.syncs));
+    json_object_object_add(log, "records", numberOf((int64_t)sight.journal.records));
+    json_object_object_add(log, "rewrites", numberOf((int64_t)sight.journal.rewrites));
+    json_object_object_add(log, "worstSyncMs", numberOf(sight.journal.worstSyncMs));
+    json_object_object_add(body, "log", log);
+    json_object_object_add(body, "seats", showSeats(core));
+    json_object_object_add(body, "plan", showPlan(core));
+    json_object_object_add(body, "liveset", showLiveset(core, mem));
+    json_object_object_add(body, "members", showMembers(core));
+    const char **zones;
+    const size_t zoneCount = tableDrains(core->table, mem, &zones);
+    json_object *drained = json_object_new_array();
+    for (size_t i = 0; i < zoneCount; i++)
+        json_object_array_add(drained, textOf(zones[i]));
+    json_object_object_add(body, "drainedZones", drained);
+    const ConfigText *config = tableConfig(core->table);
+    json_object_object_add(body, "configRevision", numberOf(config != NULL ? (int64_t)config->revision : 0));
+    json_object *counts = json_object_new_object();
+#define X(name) json_object_object_add(counts, #name, numberOf((int64_t)core->counts.name));
+    CORE_COUNT_LIST(X)
+#undef X
+    const CourierCounts *courier = courierCounts(core->courier);
+#define X(name) json_object_object_add(counts, #name, numberOf((int64_t)courier->name));
+    COURIER_COUNT_LIST(X)
+#undef X
+    json_object_object_add(body, "counts", counts);
+    talloc_free(mem);
+    return body;
+}
--- /dev/null
+++ b/packages/feed/include/feed/messages.h
@@ -0,0 +1,35 @@
+#ifndef FEED_MESSAGES_H
+#define FEED_MESSAGES_H
+
+#include "wire/shape.h"
+
+/* A committed change as kept by those who were told of it first. */
+#define KEEP_ITEM_FIELDS(X) X(U64, change, 0) X(U64, index, 0) X(BIN, payload, 0)
+SHAPE(KeepItem, KEEP_ITEM_FIELDS)
+
+#define KEEP_LIST_FIELDS(X) X(LST, items, KeepItem)
+SHAPE(KeepList, KEEP_LIST_FIELDS)
+
+#define NOTHING_FIELDS(X) X(U64, nothing, 0)
+SHAPE(Nothing, NOTHING_FIELDS)
+
+/* A caller's request, carried to the leader; and its verdict. */
+#define PROXY_ASK_FIELDS(X) X(TXT, method, 0) X(TXT, path, 0) X(TXT, query, 0) X(BIN, body, 0)
+SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
+
+#define PROXY_ANSWER_FIELDS(X) \
+    X(U64, code, 0)            \
+    X(TXT, kind, 0)            \
+    X(BIN, body, 0)            \
+    X(U64, retryAfterS, 0)     \
+    X(LST, keeps, KeepItem)
+SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
+
+/* Answered when there is a revision above have. */
+#define FEED_ASK_FIELDS(X) X(U64, have, 0)
+SHAPE(FeedAsk, FEED_ASK_FIELDS)
+
+#define FEED_ANSWER_FIELDS(X) X(U64, epoch, 0) X(U64, revision, 0) X(TXT, text, 0)
+SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
+
+#endif
--- /dev/null
+++ b/packages/gate/include/gate/gate.h
@@ -0,0 +1,16 @@
+#ifndef GATE_GATE_H
+#define GATE_GATE_H
+
+#include "props/props.h"
+
+/* A diskless entry point. It decides nothing: it carries requests to the
+ * leader, keeps for a while what was accepted through it, and holds the newest
+ * configuration. */
+typedef struct Gate Gate;
+
+Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **gate, Mishap *mishap);
+/* Waits: not ready at once; requests in work get their verdict. */
+void gateDrain(Gate *gate);
+const char *gateHttpAddress(const Gate *gate);
+
+#endif
--- /dev/null
+++ b/packages/gate/src/gate.c
@@ -0,0 +1,137 @@
+#include "gate/gate.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+#include "feed/proxy.h"
+#include "table/change.h"
+
+/* Invariant: revision is that of text; text is empty while revision is 0. */
+struct Gate {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    Keeper *keeper;
+    Proxy proxy;
+    char address[ADDRESS_MAX], http[ADDRESS_MAX];
+    uint64_t revision;
+    char *text;
+    bool leaving;
+    size_t inWork;
+};
+
+static void onHttp(void *arg, HttpTask *task)
+{
+    Gate *gate = arg;
+    const bool ready = !gate->leaving && membersLeaderAddress(gate->members) != NULL;
+    if (strcmp(task->path, "/livez") == 0 || (strcmp(task->path, "/readyz") == 0 && ready)) {
+        json_object *body = json_object_new_object();
+        json_object_object_add(body, task->path[1] == 'l' ? "live" : "ready", json_object_new_boolean(true));
+        showVerdict(task, 200, body);
+    } else if (strcmp(task->path, "/readyz") == 0) {
+        showRefusal(task, gate->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+    } else if (gate->leaving) {
+        showRefusal(task, STATUS_LEAVING, "this process is leaving; nothing was taken: come back", NULL);
+    } else {
+        gate->inWork++;
+        proxyCarry(&gate->proxy, task);
+        gate->inWork--;
+    }
+}
+
+/* Asks with the revision that it has and is answered when there is news. */
+static void feedMain(void *arg)
+{
+    Gate *gate = arg;
+    while (!loopStopping(gate->loop)) {
+        const char *leader = membersLeaderAddress(gate->members);
+        if (leader == NULL) {
+            signalWait(gate->loop, membersLeaderSignal(gate->members), loopNowMs(gate->loop) + BEAT_MS);
+            continue;
+        }
+        void *mem = talloc_new(gate);
+        const FeedAsk ask = {gate->revision};
+        FeedAnswer answer = {0};
+        const Status status = courierAsk(gate->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape,
+                                         &ask, FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
+        if (status == STATUS_OK && answer.revision > gate->revision) {
+            talloc_free(gate->text);
+            gate->text = talloc_strdup(gate, answer.text);
+            gate->revision = answer.revision;
+        }
+        talloc_free(mem);
+        if (status != STATUS_OK)
+            loopSleep(gate->loop, BEAT_MS / 2);
+    }
+}
+
+static Status onRetell(void *arg, void *mem, const void *question, void *answer)
+{
+    Gate *gate = arg;
+    KeepList *list = answer;
+    (void)question;
+    keeperTell(gate->keeper, mem, list);
+    if (gate->revision > 0) {
+        const ConfigSet set = {gate->revision - 1, gate->revision, gate->text, true};
+        KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
+        shapePack(&ConfigSetShape, &set, mem, &item.payload);
+        list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
+        list->items[list->itemsCount++] = item;
+    }
+    return STATUS_OK;
+}
+
+static Status onKeep(void *arg, void *mem, const void *question, void *answer)
+{
+    Gate *gate = arg;
+    const KeepList *list = question;
+    (void)mem;
+    (void)answer;
+    keeperKeep(gate->keeper, list->items, list->itemsCount);
+    return STATUS_OK;
+}
+
+Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **out, Mishap *mishap)
+{
+    Gate *gate = talloc_zero(mem, Gate);
+    gate->loop = loop;
+    gate->courier = courierNew(gate, loop, ring);
+    gate->keeper = keeperNew(gate, loop);
+    Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
+    if (status == STATUS_OK)
+        status = loopServe(loop, props->http, onHttp, gate, gate->http, mishap);
+    if (status != STATUS_OK)
+        return status;
+    const MemberRecord self = {.id = props->name,
+                               .name = props->name,
+                               .role = ROLE_GATE,
+                               .zone = props->zone,
+                               .address = gate->address,
+                               .http = gate->http,
+                               .incarnation = (uint64_t)loopWallMs(loop)};
+    gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
+    gate->proxy = (Proxy){loop, gate->courier, gate->members, gate->keeper};
+    courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
+    courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
+    membersStart(gate->members);
+    loopSpawn(loop, "feed", feedMain, gate);
+    *out = gate;
+    return STATUS_OK;
+}
+
+void gateDrain(Gate *gate)
+{
+    const int64_t untilMs = loopNowMs(gate->loop) + DRAIN_MS;
+    gate->leaving = true;
+    membersSetLeaving(gate->members);
+    /* long enough for the platform to see that it is not ready */
+    loopSleep(gate->loop, DRAIN_MS / 6);
+    while (gate->inWork > 0 && loopNowMs(gate->loop) < untilMs)
+        loopSleep(gate->loop, 10);
+}
+
+const char *gateHttpAddress(const Gate *gate)
+{
+    return gate->http;
+}
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -129,10 +129,15 @@
     Bytes verdict;
     int retryAfterS;
     bool sent; /* false: certainly not taken by anybody */
+    /* set while the call waits */
+    Signal *waiting;
+    bool cut;
 };
 
 Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap);
 /* Waits. OK when any verdict came. */
 Status loopCall(Loop *loop, HttpCall *call);
+/* Gives a call up from another task: it ends CLOSED and its verdict is dropped. */
+void loopCallCut(Loop *loop, HttpCall *call);
 
 #endif
--- a/packages/loop/src/channel.c
+++ b/packages/loop/src/channel.c
@@ -82,8 +82,17 @@
 Status loopCall(Loop *loop, HttpCall *call)
 {
     call->code = 0;
-    call->sent = false;
-    return loop->ops->call(loop, call);
+    call->sent = call->cut = false;
+    const Status status = loop->ops->call(loop, call);
+    call->waiting = NULL;
+    return status;
+}
+
+void loopCallCut(Loop *loop, HttpCall *call)
+{
+    call->cut = true;
+    if (call->waiting != NULL)
+        signalRaise(loop, call->waiting);
 }
 
 Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap)
--- a/packages/loop/src/realhttp.c
+++ b/packages/loop/src/realhttp.c
@@ -239,13 +239,14 @@
     const int64_t untilMs = loopNowMs(loop) + call->waitMs;
     h2o_http1client_connect(&calling->client, calling, &real->client, h2o_iovec_init(host, strlen(host)),
                             ntohs(sin.sin_port), 0, onConnected);
-    while (!calling->ended)
+    call->waiting = &calling->done;
+    while (!calling->ended && !call->cut)
         if (!signalWait(loop, &calling->done, untilMs))
             break;
     Status status = calling->status;
     if (!calling->ended) {
         h2o_http1client_cancel(calling->client);
-        status = STATUS_EXPIRED;
+        status = call->cut ? STATUS_CLOSED : STATUS_EXPIRED;
     }
     talloc_steal(call->mem, calling->body.data);
     call->verdict = calling->body;
--- /dev/null
+++ b/packages/props/include/props/props.h
@@ -0,0 +1,27 @@
+#ifndef PROPS_PROPS_H
+#define PROPS_PROPS_H
+
+#include "member/members.h"
+
+/* What a process is told of its place. Nothing else tells it of others. */
+typedef struct Props {
+    const char *name;
+    const char *zone;
+    const char *listen; /* address for partners */
+    const char *http;   /* address for callers */
+    const char *seeds[SEEDS];
+    const char *data; /* cores: the folder of the journal */
+    const char *worker; /* agents: the worker it is beside; the name when not given */
+} Props;
+
+/* Which keys a role must have; others are refused. */
+typedef enum PropsRole { PROPS_CORE, PROPS_GATE, PROPS_AGENT } PropsRole;
+
+/* Reads an ini file (group [spancart]). BAD_PROPS with the key's name. */
+Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Mishap *mishap);
+/* Puts one "key=value" over what was read, as flags do. */
+Status propsSet(void *mem, Props *props, const char *key, const char *value, Mishap *mishap);
+/* Checks the whole. */
+Status propsCheck(const Props *props, PropsRole role, Mishap *mishap);
+
+#endif
--- /dev/null
+++ b/packages/props/src/props.c
@@ -0,0 +1,106 @@
+#include "props/props.h"
+
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "config/check.h"
+#include "loop/real.h"
+
+#define GROUP "spancart"
+
+Status propsSet(void *mem, Props *props, const char *key, const char *value, Mishap *mishap)
+{
+    const char *copy = talloc_strdup(mem, value);
+    if (strcmp(key, "name") == 0)
+        props->name = copy;
+    else if (strcmp(key, "zone") == 0)
+        props->zone = copy;
+    else if (strcmp(key, "listen") == 0)
+        props->listen = copy;
+    else if (strcmp(key, "http") == 0)
+        props->http = copy;
+    else if (strcmp(key, "data") == 0)
+        props->data = copy;
+    else if (strcmp(key, "worker") == 0)
+        props->worker = copy;
+    else if (strcmp(key, "seeds") == 0) {
+        char **parts = g_strsplit_set(value, ",;", -1);
+        size_t count = 0;
+        for (char **part = parts; *part != NULL; part++) {
+            const char *text = g_strstrip(*part);
+            if (text[0] == '\0')
+                continue;
+            if (count < SEEDS)
+                props->seeds[count] = talloc_strdup(mem, text);
+            count++;
+        }
+        g_strfreev(parts);
+        if (count != SEEDS)
+            return mishapSet(mishap, STATUS_BAD_PROPS, "seeds: %zu addresses given, %d are needed", count, SEEDS);
+    } else {
+        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: there is no such key", key);
+    }
+    return STATUS_OK;
+}
+
+Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Mishap *mishap)
+{
+    GKeyFile *file = g_key_file_new();
+    GError *error = NULL;
+    (void)role;
+    if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error)) {
+        mishapSet(mishap, STATUS_BAD_PROPS, "%s: %s", path, error->message);
+        g_error_free(error);
+        g_key_file_free(file);
+        return STATUS_BAD_PROPS;
+    }
+    gsize count = 0;
+    char **keys = g_key_file_get_keys(file, GROUP, &count, NULL);
+    Status status = STATUS_OK;
+    if (keys == NULL)
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "%s: there is no group [%s]", path, GROUP);
+    for (gsize i = 0; i < count && status == STATUS_OK; i++) {
+        char *value = g_key_file_get_string(file, GROUP, keys[i], NULL);
+        status = propsSet(mem, props, keys[i], value != NULL ? value : "", mishap);
+        g_free(value);
+    }
+    g_strfreev(keys);
+    g_key_file_free(file);
+    return status;
+}
+
+static Status need(const char *key, const char *value, bool address, Mishap *mishap)
+{
+    if (value == NULL || value[0] == '\0')
+        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: is missing", key);
+    if (address && !realAddressValid(value))
+        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: %s is not an IP address with a port", key, value);
+    return STATUS_OK;
+}
+
+Status propsCheck(const Props *props, PropsRole role, Mishap *mishap)
+{
+    Status status = need("name", props->name, false, mishap);
+    if (status == STATUS_OK && !checkNameText(props->name))
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "name: must be letters, digits or ._:-");
+    if (status == STATUS_OK)
+        status = need("zone", props->zone, false, mishap);
+    if (status == STATUS_OK && !checkNameText(props->zone))
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "zone: must be letters, digits or ._:-");
+    if (status == STATUS_OK)
+        status = need("listen", props->listen, true, mishap);
+    if (status == STATUS_OK)
+        status = need("http", props->http, true, mishap);
+    for (int i = 0; i < SEEDS && status == STATUS_OK; i++)
+        status = need("seeds", props->seeds[i], true, mishap);
+    if (status == STATUS_OK && role == PROPS_CORE)
+        status = need("data", props->data, false, mishap);
+    if (status == STATUS_OK && role != PROPS_CORE && props->data != NULL)
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "data: only a core has a disk");
+    if (status == STATUS_OK && role != PROPS_AGENT && props->worker != NULL)
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "worker: only an agent stands beside one");
+    if (status == STATUS_OK && props->worker != NULL && !checkNameText(props->worker))
+        status = mishapSet(mishap, STATUS_BAD_PROPS, "worker: must be letters, digits or ._:-");
+    return status;
+}
--- /dev/null
+++ b/packages/queue/include/queue/queue.h
@@ -0,0 +1,48 @@
+#ifndef QUEUE_QUEUE_H
+#define QUEUE_QUEUE_H
+
+#include "config/config.h"
+#include "policy/policy.h"
+#include "table/table.h"
+
+/* Something to place: one task, or a whole gang. */
+typedef struct Candidate {
+    const Job *job;
+    size_t first; /* index of its first task */
+    size_t count; /* 1, or the tasks of a gang */
+    bool restart; /* protected work that was lost: goes before all else */
+    double rank;
+    int64_t sinceMs; /* log time since when it could have started */
+} Candidate;
+
+/* Why a task waits, for those who ask. */
+#define WAIT_LIST(X)                                        \
+    X(READY, "room")       /* it could start: only room is missing */ \
+    X(STEPS, "steps")      /* earlier steps are not done */   \
+    X(DUE, "due-time")     /* its due time has not come */    \
+    X(REST, "rest")        /* it failed and rests */          \
+    X(GANG, "gang")        /* other members are still being stopped */
+typedef enum WaitReason {
+#define X(name, word) WAIT_##name,
+    WAIT_LIST(X)
+#undef X
+} WaitReason;
+
+const char *waitWord(WaitReason reason);
+
+typedef struct QueueClock {
+    int64_t logMs;  /* the log's time */
+    int64_t wallMs; /* the median of the seats' wall clocks */
+} QueueClock;
+
+/* Why a waiting task does not start now. */
+WaitReason queueWait(const Job *job, size_t task, QueueClock clock);
+
+/* Finds the policy of a cell. */
+typedef const Policy *(*QueuePolicy)(void *arg, const ConfigCell *cell);
+
+/* All that could start now, in the order in which it is to be placed. On mem. */
+size_t queueBuild(void *mem, const Table *table, const Config *config, QueueClock clock, QueuePolicy policy, void *arg,
+                  Candidate **candidates);
+
+#endif
--- /dev/null
+++ b/packages/sim/include/sim/fleet.h
@@ -0,0 +1,77 @@
+#ifndef SIM_FLEET_H
+#define SIM_FLEET_H
+
+#include "agent/agent.h"
+#include "core/core.h"
+#include "gate/gate.h"
+#include "sim/checker.h"
+#include "sim/world.h"
+#include "standin/caller.h"
+#include "standin/worker.h"
+
+#define FLEET_EACH_MAX 40
+
+/* A whole fleet in a world, watched by a checker. */
+typedef struct FleetShape {
+    int cores, gates, workers; /* each worker has an agent on a machine of its own */
+    Mix mix;
+} FleetShape;
+
+typedef enum FleetRole { FLEET_CORE, FLEET_GATE, FLEET_AGENT, FLEET_WORKER, FLEET_ROLES } FleetRole;
+
+typedef struct FleetNode {
+    struct Fleet *fleet;
+    FleetRole role;
+    int number;
+    int machine;
+    Props props;
+    void *mem;
+    Core *core;
+    StandWorker *worker;
+    StandWorkerProps workerProps;
+    bool up; /* its start has come to an end well */
+    Ring *ring;
+} FleetNode;
+
+typedef struct Fleet {
+    SimWorld *world;
+    Checker *checker;
+    FleetShape shape;
+    FleetNode nodes[FLEET_ROLES][FLEET_EACH_MAX];
+    int nodeCount[FLEET_ROLES];
+    int caller; /* the machine of callers and operators */
+    Caller *callers[8];
+    int callerCount;
+} Fleet;
+
+Fleet *fleetNew(void *mem, uint64_t seed, FleetShape shape);
+void fleetStart(Fleet *fleet);
+FleetNode *fleetNode(Fleet *fleet, FleetRole role, int number);
+void fleetStartNode(Fleet *fleet, FleetRole role, int number);
+void fleetKill(Fleet *fleet, FleetRole role, int number);
+void fleetPowerOff(Fleet *fleet, FleetRole role, int number);
+void fleetFreeze(Fleet *fleet, FleetRole role, int number, int64_t forMs);
+/* Cuts every way between a node and all others (but callers when kept). */
+void fleetIsolate(Fleet *fleet, FleetRole role, int number, bool cut);
+/* Cuts a zone off from the others. */
+void fleetZoneCut(Fleet *fleet, const char *zone, bool cut);
+int fleetLeader(const Fleet *fleet); /* number of the core that leads now; -1 */
+const Job *fleetJob(const Fleet *fleet, const char *id);
+/* Runs on for so long. */
+void fleetRun(Fleet *fleet, int64_t forMs);
+/* Runs until a core leads and all workers are ready, at most so long. */
+bool fleetSettle(Fleet *fleet, int64_t mostMs);
+/* Sets the mix's configuration; runs until it is told. */
+bool fleetConfigure(Fleet *fleet);
+/* Hands in the mix for so long, through all gates. */
+Caller *fleetCall(Fleet *fleet, const char *name, int64_t rateMilli, int64_t forMs);
+/* Runs until every accepted job has been shown as ended, at most so long. */
+bool fleetFinish(Fleet *fleet, int64_t mostMs);
+/* One request by the operators' machine; runs until it is answered. The verdict
+ * hangs on mem. */
+HttpCall fleetAsk(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
+                  const char *body);
+/* Ring lines of all nodes, for a failed run. */
+void fleetDump(const Fleet *fleet);
+
+#endif
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -37,6 +37,7 @@
 void simPowerOff(SimWorld *world, int machine);
 /* SIGSTOP until the given time. */
 void simFreeze(SimWorld *world, int machine, int64_t untilMs);
+bool simFrozen(const SimWorld *world, int machine);
 /* Wall time jumps; nowMs does not. */
 void simJump(SimWorld *world, int machine, int64_t byMs);
 /* Cuts (or joins again) the way from one machine to another; one way only. */
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -396,10 +396,11 @@
     talloc_set_destructor(mark, callMarkFree);
     call->sent = true;
     simAt(world, world->nowMs + simLinkMs(world), requestArrives, http);
-    while (!http->answered)
+    call->waiting = &http->done;
+    while (!http->answered && !call->cut)
         if (!signalWait(loop, &http->done, untilMs))
             break;
-    const Status status = http->answered ? http->status : STATUS_EXPIRED;
+    const Status status = call->cut ? STATUS_CLOSED : http->answered ? http->status : STATUS_EXPIRED;
     talloc_free(mark);
     return status;
 }
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -261,6 +261,11 @@
     world->machines[machine].frozenUntilMs = untilMs;
 }
 
+bool simFrozen(const SimWorld *world, int machine)
+{
+    return world->machines[machine].frozenUntilMs > world->nowMs;
+}
+
 void simJump(SimWorld *world, int machine, int64_t byMs)
 {
     world->machines[machine].wallOffsetMs += byMs;
--- /dev/null
+++ b/packages/standin/include/standin/caller.h
@@ -0,0 +1,74 @@
+#ifndef STANDIN_CALLER_H
+#define STANDIN_CALLER_H
+
+#include "loop/loop.h"
+
+/* A stand-in for the users' callers, for proof only: hands in a deployment's
+ * mix of jobs at any of its entry points, sends again after silence, and asks
+ * until each job has ended. */
+
+#define MIX_LIST(X) X(TRENTVALE, "trentvale") X(ATLAS, "atlas")
+typedef enum Mix {
+#define X(name, word) MIX_##name,
+    MIX_LIST(X)
+#undef X
+        MIX_COUNT
+} Mix;
+
+/* Classes of both deployments: the urgent light one, two-step sweeps, the heavy one. */
+#define CLASS_LIST(X) X(URGENT, "urgent") X(SWEEP, "sweep") X(HEAVY, "heavy")
+typedef enum MixClass {
+#define X(name, word) CLASS_##name,
+    CLASS_LIST(X)
+#undef X
+        CLASS_COUNT
+} MixClass;
+
+const char *mixWord(Mix mix);
+Mix mixOfWord(const char *word); /* MIX_COUNT: none */
+const char *classWord(MixClass kind);
+/* The configuration that the mix needs. */
+const char *mixConfig(Mix mix);
+/* A job of the class as JSON, on mem. */
+const char *mixJob(void *mem, Mix mix, MixClass kind, const char *id);
+
+#define ENTRIES_MAX 16
+
+/* What became of one job, as the caller knows it. */
+typedef struct CallerJob {
+    const char *id;
+    MixClass kind;
+    int64_t sentMs, acceptedMs, startedMs, endedMs; /* own clock; 0: not yet */
+    uint64_t sends;
+    bool refused;
+    char phase[16];
+} CallerJob;
+
+typedef struct CallerWatch {
+    void *arg;
+    void (*accepted)(void *arg, const char *id);
+    void (*refused)(void *arg, const char *id, int code);
+    void (*ended)(void *arg, const char *id, const char *phase);
+    void (*unknown)(void *arg, const char *id); /* an accepted job was said to be unknown */
+} CallerWatch;
+
+typedef struct CallerProps {
+    const char *name; /* begins every job's id */
+    const char *entries[ENTRIES_MAX];
+    size_t entryCount;
+    Mix mix;
+    int64_t rateMilli; /* jobs in a thousand seconds */
+    int64_t forMs;     /* hands in for so long */
+    size_t most;       /* at the most so many jobs; 0: no bound */
+    CallerWatch watch;
+} CallerProps;
+
+typedef struct Caller Caller;
+
+Caller *callerStart(void *mem, Loop *loop, const CallerProps *props);
+size_t callerJobs(const Caller *caller, CallerJob *const **jobs);
+bool callerDone(const Caller *caller);
+/* Sets the mix's configuration through an entry; waits. */
+Status callerConfigure(void *mem, Loop *loop, const char *entry, Mix mix);
+
+#endif
--- /dev/null
+++ b/packages/standin/src/caller.c
@@ -0,0 +1,221 @@
+#include "standin/caller.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+
+struct Caller {
+    Loop *loop;
+    CallerProps props;
+    CallerJob **jobs;
+    size_t count, room;
+    size_t open; /* jobs that have neither ended nor been refused */
+    bool over;   /* hands in no more */
+    uint64_t draw;
+};
+
+typedef struct Following {
+    Caller *caller;
+    CallerJob *job;
+    size_t entry;
+} Following;
+
+static uint64_t draw(Caller *caller, uint64_t below)
+{
+    caller->draw = caller->draw * 6364136223846793005u + 1442695040888963407u;
+    return (caller->draw >> 33) % below;
+}
+
+/* One call at the entry; on silence or refusal to serve, the next entry is next. */
+static Status callOnce(Following *following, void *mem, const char *method, const char *path, const char *body,
+                       HttpCall *call)
+{
+    Caller *caller = following->caller;
+    *call = (HttpCall){.mem = mem,
+                       .address = caller->props.entries[following->entry % caller->props.entryCount],
+                       .method = method,
+                       .path = path,
+                       .waitMs = 3000};
+    if (body != NULL)
+        bytesAdd(mem, &call->body, body, strlen(body));
+    const Status status = loopCall(caller->loop, call);
+    if (status != STATUS_OK || call->code >= 500)
+        following->entry++;
+    return status;
+}
+
+static bool submit(Following *following)
+{
+    Caller *caller = following->caller;
+    CallerJob *job = following->job;
+    while (!loopStopping(caller->loop)) {
+        void *mem = talloc_new(caller);
+        const char *body = mixJob(mem, caller->props.mix, job->kind, job->id);
+        HttpCall call;
+        job->sends++;
+        const Status status = callOnce(following, mem, "POST", "/v1/jobs", body, &call);
+        const bool taken = status == STATUS_OK && (call.code == 200 || call.code == 201);
+        const bool refused = status == STATUS_OK && call.code >= 400 && call.code < 500;
+        talloc_free(mem);
+        if (taken) {
+            job->acceptedMs = loopNowMs(caller->loop);
+            if (caller->props.watch.accepted != NULL)
+                caller->props.watch.accepted(caller->props.watch.arg, job->id);
+            return true;
+        }
+        if (refused) {
+            job->refused = true;
+            if (caller->props.watch.refused != NULL)
+                caller->props.watch.refused(caller->props.watch.arg, job->id, call.code);
+            return false;
+        }
+        loopSleep(caller->loop, 200 + (int64_t)draw(caller, 200));
+    }
+    return false;
+}
+
+static void look(Caller *caller, CallerJob *job, const char *text)
+{
+    json_object *body = json_tokener_parse(text);
+    json_object *value;
+    if (body != NULL && json_object_object_get_ex(body, "phase", &value))
+        snprintf(job->phase, sizeof(job->phase), "%s", json_object_get_string(value));
+    if (body != NULL && job->startedMs == 0 && json_object_object_get_ex(body, "tasks", &value))
+        for (size_t i = 0; i < json_object_array_length(value); i++) {
+            json_object *started, *accepted;
+            if (json_object_object_get_ex(json_object_array_get_idx(value, i), "startedMs", &started) &&
+                json_object_object_get_ex(body, "acceptedMs", &accepted)) {
+                const int64_t spanMs = json_object_get_int64(started) - json_object_get_int64(accepted);
+                if (job->startedMs == 0 || job->acceptedMs + spanMs < job->startedMs)
+                    job->startedMs = job->acceptedMs + spanMs;
+            }
+        }
+    (void)caller;
+    json_object_put(body);
+}
+
+static void followMain(void *arg)
+{
+    Following *following = arg;
+    Caller *caller = following->caller;
+    CallerJob *job = following->job;
+    if (submit(following)) {
+        int64_t waitMs = 400;
+        while (!loopStopping(caller->loop) && job->endedMs == 0) {
+            loopSleep(caller->loop, waitMs);
+            waitMs = waitMs < 1500 ? waitMs + 200 : waitMs;
+            void *mem = talloc_new(caller);
+            HttpCall call;
+            const Status status =
+                callOnce(following, mem, "GET", talloc_asprintf(mem, "/v1/jobs/%s", job->id), NULL, &call);
+            if (status == STATUS_OK && call.code == 200) {
+                look(caller, job, talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count));
+                if (strcmp(job->phase, "active") != 0 && strcmp(job->phase, "ending") != 0) {
+                    job->endedMs = loopNowMs(caller->loop);
+                    if (caller->props.watch.ended != NULL)
+                        caller->props.watch.ended(caller->props.watch.arg, job->id, job->phase);
+                }
+            } else if (status == STATUS_OK && call.code == 404) {
+                if (caller->props.watch.unknown != NULL)
+                    caller->props.watch.unknown(caller->props.watch.arg, job->id);
+                snprintf(job->phase, sizeof(job->phase), "unknown");
+                job->endedMs = loopNowMs(caller->loop);
+            }
+            talloc_free(mem);
+        }
+    }
+    caller->open--;
+    talloc_free(following);
+}
+
+/* Trentvale: of ten jobs about seven masks, two sweeps, one rebuild in two
+ * seconds; Atlas: of nine about six refreshes, two sweeps, one reindex. */
+static MixClass drawClass(Caller *caller)
+{
+    const uint64_t at = draw(caller, 100);
+    const uint64_t heavy = caller->props.mix == MIX_TRENTVALE ? 6 : 11;
+    const uint64_t sweep = caller->props.mix == MIX_TRENTVALE ? 20 : 17;
+    return at < heavy ? CLASS_HEAVY : at < heavy + sweep ? CLASS_SWEEP : CLASS_URGENT;
+}
+
+static void handInMain(void *arg)
+{
+    Caller *caller = arg;
+    const int64_t startMs = loopNowMs(caller->loop);
+    for (size_t n = 0; !loopStopping(caller->loop); n++) {
+        const int64_t dueMs = startMs + (int64_t)n * 1000000 / caller->props.rateMilli;
+        if (dueMs - startMs >= caller->props.forMs || (caller->props.most > 0 && n >= caller->props.most))
+            break;
+        if (dueMs > loopNowMs(caller->loop))
+            loopSleep(caller->loop, dueMs - loopNowMs(caller->loop));
+        CallerJob *job = talloc_zero(caller, CallerJob);
+        job->kind = drawClass(caller);
+        job->id = talloc_asprintf(job, "%s-%s-%zu", caller->props.name, classWord(job->kind), n);
+        job->sentMs = loopNowMs(caller->loop);
+        if (caller->count == caller->room) {
+            caller->room = caller->room ? caller->room * 2 : 64;
+            caller->jobs = talloc_realloc(caller, caller->jobs, CallerJob *, (unsigned)caller->room);
+        }
+        caller->jobs[caller->count++] = job;
+        caller->open++;
+        Following *following = talloc_zero(caller, Following);
+        *following = (Following){caller, job, draw(caller, caller->props.entryCount)};
+        loopSpawn(caller->loop, "job", followMain, following);
+    }
+    caller->over = true;
+}
+
+Caller *callerStart(void *mem, Loop *loop, const CallerProps *props)
+{
+    Caller *caller = talloc_zero(mem, Caller);
+    caller->loop = loop;
+    caller->props = *props;
+    caller->props.name = talloc_strdup(caller, props->name);
+    for (size_t i = 0; i < props->entryCount; i++)
+        caller->props.entries[i] = talloc_strdup(caller, props->entries[i]);
+    caller->draw = loopRandom(loop);
+    loopSpawn(loop, "hand-in", handInMain, caller);
+    return caller;
+}
+
+size_t callerJobs(const Caller *caller, CallerJob *const **jobs)
+{
+    *jobs = caller->jobs;
+    return caller->count;
+}
+
+bool callerDone(const Caller *caller)
+{
+    return caller->over && caller->open == 0;
+}
+
+Status callerConfigure(void *mem, Loop *loop, const char *entry, Mix mix)
+{
+    for (int round = 0; round < 60; round++) {
+        HttpCall call = {.mem = mem, .address = entry, .method = "GET", .path = "/v1/config", .waitMs = 3000};
+        Status status = loopCall(loop, &call);
+        if (status == STATUS_OK && call.code == 200) {
+            json_object *body = json_tokener_parse(talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count));
+            json_object *revision = NULL;
+            json_object_object_get_ex(body, "revision", &revision);
+            const int64_t base = json_object_get_int64(revision);
+            json_object_put(body);
+            HttpCall put = {.mem = mem,
+                            .address = entry,
+                            .method = "PUT",
+                            .path = talloc_asprintf(mem, "/v1/config?base=%" PRId64, base),
+                            .waitMs = 3000};
+            bytesAdd(mem, &put.body, mixConfig(mix), strlen(mixConfig(mix)));
+            status = loopCall(loop, &put);
+            if (status == STATUS_OK && put.code == 200)
+                return STATUS_OK;
+            if (status == STATUS_OK && put.code >= 400 && put.code < 500 && put.code != 409)
+                return STATUS_BAD_FIELD;
+        }
+        loopSleep(loop, 500);
+    }
+    return STATUS_NO_LEADER;
+}
--- /dev/null
+++ b/packages/standin/src/worker.c
@@ -0,0 +1,245 @@
+#include "standin/worker.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+
+typedef struct Run {
+    struct Run *next;
+    StandWorker *worker;
+    const char *job;
+    uint64_t task, round;
+    Room room;
+    int64_t endMs;
+    bool fails;
+    bool ended;
+    RoundWord word;
+    Signal stopped;
+} Run;
+
+/* Invariants: nothing runs past untilMs, which counts from when the question
+ * was sent that brought the hold; an ended run is told until it is known. */
+struct StandWorker {
+    Loop *loop;
+    StandWorkerProps props;
+    char boot[24];
+    int64_t untilMs;
+    bool leaving;
+    Run *runs;
+    HttpCall *asking; /* the one question that is out; its answer may carry a hold */
+};
+
+static void runEnd(Run *run, RoundWord word)
+{
+    if (run->ended)
+        return;
+    StandWorker *worker = run->worker;
+    run->ended = true;
+    run->word = word;
+    if (worker->props.watch.ended != NULL)
+        worker->props.watch.ended(worker->props.watch.arg, worker->props.worker.name, run->job, run->task, run->round,
+                                  word);
+    signalRaise(worker->loop, &run->stopped);
+    /* never two questions at once: the one that waits is given up for a new one */
+    if (worker->asking != NULL)
+        loopCallCut(worker->loop, worker->asking);
+}
+
+/* On waking, the clock is looked at before anything else. */
+static bool holdOver(StandWorker *worker)
+{
+    if (loopNowMs(worker->loop) < worker->untilMs)
+        return false;
+    for (Run *run = worker->runs; run != NULL; run = run->next)
+        runEnd(run, ROUND_LOST);
+    return true;
+}
+
+static void runMain(void *arg)
+{
+    Run *run = arg;
+    StandWorker *worker = run->worker;
+    while (!run->ended) {
+        const int64_t wakeMs = run->endMs < worker->untilMs ? run->endMs : worker->untilMs;
+        signalWait(worker->loop, &run->stopped, wakeMs);
+        if (run->ended || holdOver(worker))
+            break;
+        if (loopNowMs(worker->loop) >= run->endMs)
+            runEnd(run, run->fails ? ROUND_FAILED : ROUND_DONE);
+    }
+}
+
+static Run *runFind(StandWorker *worker, const char *job, uint64_t task, uint64_t round)
+{
+    for (Run *run = worker->runs; run != NULL; run = run->next)
+        if (run->round == round && run->task == task && strcmp(run->job, job) == 0)
+            return run;
+    return NULL;
+}
+
+static int64_t intOf(json_object *object, const char *key, int64_t otherwise)
+{
+    json_object *value;
+    return json_object_is_type(object, json_type_object) && json_object_object_get_ex(object, key, &value)
+               ? json_object_get_int64(value)
+               : otherwise;
+}
+
+static const char *textOf(json_object *object, const char *key)
+{
+    json_object *value;
+    return json_object_object_get_ex(object, key, &value) ? json_object_get_string(value) : "";
+}
+
+static void startTake(StandWorker *worker, json_object *start, int64_t sentMs)
+{
+    const int64_t nowMs = loopNowMs(worker->loop);
+    const char *job = textOf(start, "job");
+    const uint64_t task = (uint64_t)intOf(start, "task", 0), round = (uint64_t)intOf(start, "round", 0);
+    if (nowMs >= sentMs + intOf(start, "expiryMs", 0) || nowMs >= worker->untilMs ||
+        runFind(worker, job, task, round) != NULL)
+        return;
+    json_object *payload = NULL, *room = NULL;
+    json_object_object_get_ex(start, "payload", &payload);
+    json_object_object_get_ex(start, "room", &room);
+    Run *run = talloc_zero(worker, Run);
+    run->worker = worker;
+    run->job = talloc_strdup(run, job);
+    run->task = task;
+    run->round = round;
+    json_object *cpu = NULL;
+    json_object_object_get_ex(room, "cpu", &cpu);
+    run->room = (Room){(uint64_t)(json_object_get_double(cpu) * 1000 + 0.5), (uint64_t)intOf(room, "memMb", 0)};
+    const int64_t times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
+    run->endMs = nowMs + intOf(payload, "runMs", 1000) * times;
+    run->fails = worker->props.failsAll || (int64_t)round <= intOf(payload, "failRounds", 0);
+    run->next = worker->runs;
+    worker->runs = run;
+    if (worker->props.watch.started != NULL)
+        worker->props.watch.started(worker->props.watch.arg, worker->props.worker.name, run->job, run->task, run->round,
+                                    run->room);
+    loopSpawn(worker->loop, "run", runMain, run);
+}
+
+static void answerTake(StandWorker *worker, json_object *body, int64_t sentMs)
+{
+    const int64_t holdMs = intOf(body, "holdMs", 0);
+    if (sentMs + holdMs > worker->untilMs)
+        worker->untilMs = sentMs + holdMs;
+    if (holdOver(worker))
+        return;
+    json_object *list;
+    if (json_object_object_get_ex(body, "known", &list))
+        for (size_t i = 0; i < json_object_array_length(list); i++) {
+            json_object *one = json_object_array_get_idx(list, i);
+            Run *run = runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
+                               (uint64_t)intOf(one, "round", 0));
+            if (run == NULL || !run->ended)
+                continue;
+            if (worker->props.watch.known != NULL)
+                worker->props.watch.known(worker->props.watch.arg, worker->props.worker.name, run->job, run->task,
+                                          run->round, run->word);
+            for (Run **at = &worker->runs; *at != NULL; at = &(*at)->next)
+                if (*at == run) {
+                    *at = run->next;
+                    break;
+                }
+            /* its task may still have to see that it ended: the memory goes with the worker */
+        }
+    if (json_object_object_get_ex(body, "stops", &list))
+        for (size_t i = 0; i < json_object_array_length(list); i++) {
+            json_object *one = json_object_array_get_idx(list, i);
+            Run *run = runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
+                               (uint64_t)intOf(one, "round", 0));
+            if (run == NULL || run->ended)
+                continue;
+            runEnd(run, ROUND_STOPPED);
+        }
+    if (json_object_object_get_ex(body, "starts", &list) && !worker->leaving)
+        for (size_t i = 0; i < json_object_array_length(list); i++)
+            startTake(worker, json_object_array_get_idx(list, i), sentMs);
+}
+
+static json_object *reportOf(const StandWorker *worker)
+{
+    const Worker *self = &worker->props.worker;
+    json_object *body = showWorker(self);
+    json_object_object_del(body, "name");
+    json_object_object_del(body, "excluded");
+    json_object_object_add(body, "boot", json_object_new_string(worker->boot));
+    json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
+    json_object_object_add(body, "waitMs", json_object_new_int64(WORKER_POLL_MS));
+    json_object *running = json_object_new_array(), *ended = json_object_new_array();
+    for (const Run *run = worker->runs; run != NULL; run = run->next) {
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "job", json_object_new_string(run->job));
+        json_object_object_add(one, "task", json_object_new_int64((int64_t)run->task));
+        json_object_object_add(one, "round", json_object_new_int64((int64_t)run->round));
+        if (run->ended)
+            json_object_object_add(one, "word", json_object_new_string(roundWord(run->word)));
+        json_object_array_add(run->ended ? ended : running, one);
+    }
+    json_object_object_add(body, "running", running);
+    json_object_object_add(body, "ended", ended);
+    return body;
+}
+
+static void reportMain(void *arg)
+{
+    StandWorker *worker = arg;
+    while (!loopStopping(worker->loop)) {
+        void *mem = talloc_new(worker);
+        holdOver(worker);
+        json_object *body = reportOf(worker);
+        const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
+        HttpCall call = {.mem = mem,
+                         .address = worker->props.agent,
+                         .method = "POST",
+                         .path = talloc_asprintf(mem, "/v1/workers/%s/report", worker->props.worker.name),
+                         .waitMs = WORKER_POLL_MS + ASK_EXPIRY_MS};
+        bytesAdd(mem, &call.body, text, strlen(text));
+        json_object_put(body);
+        const int64_t sentMs = loopNowMs(worker->loop);
+        worker->asking = &call;
+        const Status status = loopCall(worker->loop, &call);
+        worker->asking = NULL;
+        if (status == STATUS_OK && call.code == 200) {
+            char *copy = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+            json_object *answer = json_tokener_parse(copy);
+            if (answer != NULL)
+                answerTake(worker, answer, sentMs);
+            json_object_put(answer);
+        } else if (!call.cut) {
+            loopSleep(worker->loop, 100);
+        }
+        talloc_free(mem);
+    }
+}
+
+StandWorker *standWorkerStart(void *mem, Loop *loop, const StandWorkerProps *props)
+{
+    StandWorker *worker = talloc_zero(mem, StandWorker);
+    worker->loop = loop;
+    worker->props = *props;
+    shapeCopy(&WorkerShape, &props->worker, worker, &worker->props.worker);
+    worker->props.agent = talloc_strdup(worker, props->agent);
+    snprintf(worker->boot, sizeof(worker->boot), "%016" PRIx64, loopRandom(loop));
+    loopSpawn(loop, "report", reportMain, worker);
+    return worker;
+}
+
+void standWorkerLeave(StandWorker *worker)
+{
+    worker->leaving = true;
+}
+
+size_t standWorkerRunning(const StandWorker *worker)
+{
+    size_t count = 0;
+    for (const Run *run = worker->runs; run != NULL; run = run->next)
+        count += !run->ended;
+    return count;
+}
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -17,12 +17,14 @@
 /* Numbers of changes that the view itself owns; the embedder's start above. */
 #define VIEW_CHANGE_VIEW 1  /* payload: ViewRecord */
 #define VIEW_CHANGE_SEATS 2 /* payload: SeatList */
+#define VIEW_CHANGE_REPAIRED 3 /* no payload */
 #define VIEW_CHANGE_FIRST 16
 
 /* What delivering a change brought about. */
 typedef struct Verdict {
     Status status;
     uint64_t number;
+    uint64_t index; /* of the change in the log; set by the view */
 } Verdict;
 
 /* The state that the changes build up, owned by the embedder. deliver, save and
@@ -38,14 +40,15 @@
 
 typedef enum ViewPhase { VIEW_FOLLOWING, VIEW_OPENING, VIEW_LEADING } ViewPhase;
 
-/* Called in a task of its own once a view opened by this node has committed its
- * first entry. repair: it rests on woken seats, what was lost must be told again. */
-typedef void (*ViewOpened)(void *arg, uint64_t epoch, bool newHolder, bool repair);
+/* Called within the commit of the first entry of a view opened by this node,
+ * before it counts as leading; does not wait. repair: it rests on woken seats,
+ * so changes numbered above keptIndex may have been lost and must be told again. */
+typedef void (*ViewOpened)(void *arg, uint64_t epoch, bool newHolder, bool repair, uint64_t keptIndex);
 
 typedef struct ViewProps {
     Loop *loop;
     Courier *courier;
-    Members *members;
+    Members *members; /* set by viewStart */
     Ring *ring;
     ViewState state;
     ViewOpened opened;
@@ -53,13 +56,18 @@
 } ViewProps;
 
 View *viewNew(void *mem, const ViewProps *props);
-/* Waits. Opens the journal, reads it, starts all tasks. */
-Status viewStart(View *view, const char *path, const char *nodeName, Mishap *mishap);
+/* Waits. Opens the journal and reads it: from here on viewDisk is known. */
+Status viewOpenDisk(View *view, const char *path, const char *nodeName, Mishap *mishap);
+/* Begins to answer as a seat and to stand for the lock. */
+void viewStart(View *view, Members *members);
 
 /* Waits until the change is delivered here. NOT_LEADER, BUSY: certainly not
  * taken. OUTCOME_UNKNOWN: it may yet be delivered. OK: the verdict is told. */
 Status viewSubmit(View *view, uint64_t change, Bytes payload, Verdict *verdict);
 
+/* Waits. What was lost has been told again. */
+Status viewRepaired(View *view);
+
 /* Whether this node holds the lock and leads, as of now, by its own clock. */
 bool viewLeading(const View *view);
 uint64_t viewEpoch(const View *view);
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -404,13 +404,16 @@
     return status;
 }
 
-static void viewEntryAdd(View *view, const bool inView[SEAT_COUNT])
+static void viewEntryAdd(View *view, const bool inView[SEAT_COUNT], bool repair)
 {
+    const uint64_t keptIndex = logLastIndex(view->log);
     void *mem = talloc_new(view);
     ViewRecord record = {.epoch = view->epoch,
                          .holder = view->disk,
                          .members = talloc_array(mem, DiskId, SEAT_COUNT),
-                         .holderId = membersSelf(view->props.members)->id};
+                         .holderId = membersSelf(view->props.members)->id,
+                         .repair = repair || view->last.repair,
+                         .keptIndex = view->last.repair ? view->last.keptIndex : keptIndex};
     for (int i = 0; i < SEAT_COUNT; i++)
         if (inView[i])
             record.members[record.membersCount++].disk = view->seats[i];
@@ -427,20 +430,6 @@
     talloc_free(mem);
 }
 
-typedef struct Opened {
-    View *view;
-    uint64_t epoch;
-    bool newHolder, repair;
-} Opened;
-
-static void openedMain(void *arg)
-{
-    const Opened opened = *(Opened *)arg;
-    talloc_free(arg);
-    if (opened.view->props.opened != NULL)
-        opened.view->props.opened(opened.view->props.openedArg, opened.epoch, opened.newHolder, opened.repair);
-}
-
 /* Stops taking changes, collects the logs of a majority, takes the best one,
  * trims the others to it, opens the next epoch and goes on. skip: seats that
  * are to stay out. Waits. */
@@ -532,7 +521,7 @@
         if (view->partners[i].nextIndex > logLastIndex(view->log) + 1)
             view->partners[i].nextIndex = logLastIndex(view->log) + 1;
     memcpy(view->inView, inView, sizeof(inView));
-    viewEntryAdd(view, inView);
+    viewEntryAdd(view, inView, repair);
     leadSpawn(view, "local", localMain, own);
     for (int i = 0; i < SEAT_COUNT; i++)
         if (i != own)
@@ -559,16 +548,15 @@
             return STATUS_EXPIRED;
         }
     }
+    if (view->props.opened != NULL)
+        view->props.opened(view->props.openedArg, epoch, newHolder, view->last.repair, view->last.keptIndex);
     view->phase = VIEW_LEADING;
     view->changedMs = loopNowMs(view->loop);
     view->viewChanges++;
     membersSetLeader(view->props.members, epoch, membersSelf(view->props.members)->id);
     ringSay(view->props.ring, RING_NOTE, loopNowMs(view->loop), "leads view %" PRIu64 " with %d seats%s",
-            epochCounter(epoch), granted, repair ? ", repairs" : "");
+            epochCounter(epoch), granted, view->last.repair ? ", repairs" : "");
     signalRaise(view->loop, &view->news);
-    Opened *opened = talloc_zero(view, Opened);
-    *opened = (Opened){view, epoch, newHolder, repair};
-    loopSpawn(view->loop, "opened", openedMain, opened);
     return STATUS_OK;
 }
 
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -116,11 +116,14 @@
     const ViewRecord *last = NULL;
     SeatList seatList;
     ViewRecord viewRecord;
+    bool repaired = false;
     for (size_t i = view->log->count; i > 0 && (seats == NULL || last == NULL); i--) {
         const Record *entry = &view->log->entries[i - 1];
         if (entry->change == VIEW_CHANGE_SEATS && seats == NULL &&
             shapeUnpack(&SeatListShape, entry->payload, mem, &seatList, NULL) == STATUS_OK)
             seats = &seatList;
+        if (entry->change == VIEW_CHANGE_REPAIRED && last == NULL)
+            repaired = true;
         if (entry->change == VIEW_CHANGE_VIEW && last == NULL &&
             shapeUnpack(&ViewRecordShape, entry->payload, mem, &viewRecord, NULL) == STATUS_OK)
             last = &viewRecord;
@@ -139,8 +142,10 @@
     if (seats != NULL && seats->seatsCount == SEAT_COUNT)
         for (int i = 0; i < SEAT_COUNT; i++)
             view->seats[i] = seats->seats[i].disk;
-    if (last != NULL)
+    if (last != NULL) {
         lastSet(view, last);
+        view->last.repair &= !repaired;
+    }
     talloc_free(mem);
 }
 
@@ -161,7 +166,7 @@
         const Record *entry = logAt(view->log, view->deliveredIndex + 1);
         if (entry == NULL)
             break;
-        Verdict verdict = {STATUS_OK, 0};
+        Verdict verdict = {STATUS_OK, 0, entry->index};
         if (entry->change >= VIEW_CHANGE_FIRST)
             view->props.state.deliver(view->props.state.arg, entry, &verdict);
         else if (entry->change == VIEW_CHANGE_VIEW && entry->epoch == view->lock.promised && lastHas(view, view->disk))
@@ -323,7 +328,7 @@
     }
 }
 
-Status viewStart(View *view, const char *path, const char *nodeName, Mishap *mishap)
+Status viewOpenDisk(View *view, const char *path, const char *nodeName, Mishap *mishap)
 {
     view->nodeName = talloc_strdup(view, nodeName);
     Status status = journalOpen(view->loop, view, path, nodeName, found, view, &view->journal, mishap);
@@ -343,9 +348,14 @@
     view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;
     if (view->cluster != 0)
         courierSetCluster(view->props.courier, view->cluster);
+    return STATUS_OK;
+}
+
+void viewStart(View *view, Members *members)
+{
+    view->props.members = members;
     seatServe(view);
     leadStart(view);
-    return STATUS_OK;
 }
 
 Status viewFound(View *view, uint64_t cluster, const uint64_t seats[SEAT_COUNT])
@@ -409,6 +419,12 @@
     return status;
 }
 
+Status viewRepaired(View *view)
+{
+    Verdict verdict;
+    return viewSubmit(view, VIEW_CHANGE_REPAIRED, (Bytes){0}, &verdict);
+}
+
 void viewSight(const View *view, ViewSight *sight)
 {
     const int64_t nowMs = loopNowMs(view->loop);
