--- /dev/null
+++ b/packages/sim/tool/replay.c
@@ -0,0 +1,157 @@
+/* Reads the record of a run of real processes, in the order of time, and gives
+ * it to the same checkers that watch the simulator.
+ *
+ *     spancart-replay RECORD MIX
+ *
+ * Each line: time, what happened, who, job, task, round, more. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "api/jobjson.h"
+#include "base/map.h"
+#include "sim/checker.h"
+#include "standin/caller.h"
+
+typedef struct Line {
+    int64_t atMs;
+    size_t order;
+    char what[16], who[ID_MAX + 1], job[ID_MAX + 1];
+    uint64_t task, round;
+    char more[64];
+} Line;
+
+typedef struct Replay {
+    Checker *checker;
+    int64_t nowMs;
+    Mix mix;
+    Map *jobs, *frozen;
+} Replay;
+
+static int64_t replayNow(void *arg)
+{
+    return ((Replay *)arg)->nowMs;
+}
+
+static bool replayFrozen(void *arg, const char *worker)
+{
+    return mapGet(((Replay *)arg)->frozen, worker) != NULL;
+}
+
+/* The job as the mix makes it: its id says its class. */
+static const Job *replayJob(void *arg, const char *id)
+{
+    Replay *replay = arg;
+    Job *job = mapGet(replay->jobs, id);
+    if (job != NULL)
+        return job;
+    MixClass kind = CLASS_URGENT;
+    for (int i = 0; i < CLASS_COUNT; i++)
+        if (strstr(id, classWord((MixClass)i)) != NULL)
+            kind = (MixClass)i;
+    job = talloc_zero(replay->jobs, Job);
+    Faults *faults = talloc_zero(job, Faults);
+    faults->mem = job;
+    const char *text = mixJob(job, replay->mix, kind, id);
+    if (!jobRead(faults, text, strlen(text), &job->spec))
+        return NULL;
+    for (size_t s = 0; s < job->spec.stepsCount; s++)
+        for (uint64_t k = 0; k < job->spec.steps[s].count; k++) {
+            job->tasks = talloc_realloc(job, job->tasks, JobTask, (unsigned)(job->tasksCount + 1));
+            job->tasks[job->tasksCount++] = (JobTask){.step = s, .worker = "", .text = ""};
+        }
+    mapSet(replay->jobs, id, job);
+    return job;
+}
+
+static int lineOrder(const void *a, const void *b)
+{
+    const Line *x = a, *y = b;
+    if (x->atMs != y->atMs)
+        return x->atMs < y->atMs ? -1 : 1;
+    return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static void play(Replay *replay, const Line *line)
+{
+    Checker *checker = replay->checker;
+    replay->nowMs = line->atMs;
+    if (strcmp(line->what, "plans") == 0) {
+        checkerPlans(checker, line->who, strtoull(line->more, NULL, 10));
+    } else if (strcmp(line->what, "worker") == 0) {
+        Worker worker = {.name = line->who, .zone = line->job, .rack = "", .kind = "std"};
+        sscanf(line->more, "%" SCNu64 " %" SCNu64, &worker.room.cpuMilli, &worker.room.memMb);
+        checkerWorker(checker, &worker);
+        checkerLeaving(checker, line->who, false);
+    } else if (strcmp(line->what, "leaving") == 0) {
+        checkerLeaving(checker, line->who, true);
+    } else if (strcmp(line->what, "started") == 0) {
+        Room room = {0};
+        sscanf(line->more, "%" SCNu64 " %" SCNu64, &room.cpuMilli, &room.memMb);
+        checkerStarted(checker, line->who, line->job, line->task, line->round, room);
+    } else if (strcmp(line->what, "ended") == 0) {
+        checkerEnded(checker, line->who, line->job, line->task, line->round, roundOfWord(line->more));
+    } else if (strcmp(line->what, "known") == 0) {
+        checkerKnown(checker, line->who, line->job, line->task, line->round, roundOfWord(line->more));
+    } else if (strcmp(line->what, "gone") == 0) {
+        checkerWorkerGone(checker, line->who);
+    } else if (strcmp(line->what, "frozen") == 0) {
+        mapSet(replay->frozen, line->who, replay);
+    } else if (strcmp(line->what, "woke") == 0) {
+        mapDrop(replay->frozen, line->who);
+    } else if (strcmp(line->what, "accepted") == 0) {
+        checkerAccepted(checker, line->job);
+    } else if (strcmp(line->what, "refused") == 0) {
+        checkerRefused(checker, line->job);
+    } else if (strcmp(line->what, "job-ended") == 0) {
+        checkerJobEnded(checker, line->job, line->more);
+    } else if (strcmp(line->what, "unknown") == 0) {
+        checkerUnknown(checker, line->job);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    FILE *file = argc == 3 ? fopen(argv[1], "r") : NULL;
+    if (file == NULL || mixOfWord(argv[2]) == MIX_COUNT) {
+        fprintf(stderr, "usage: spancart-replay RECORD trentvale|atlas\n");
+        return 2;
+    }
+    Replay *replay = talloc_zero(NULL, Replay);
+    replay->mix = mixOfWord(argv[2]);
+    replay->jobs = mapNew(replay);
+    replay->frozen = mapNew(replay);
+    const CheckerProps props = {replay, replayNow, replayFrozen, replayJob};
+    replay->checker = checkerNew(replay, &props);
+    Line *lines = NULL;
+    size_t count = 0, room = 0;
+    char text[512];
+    while (fgets(text, sizeof(text), file) != NULL) {
+        if (count == room) {
+            room = room ? room * 2 : 1024;
+            lines = talloc_realloc(replay, lines, Line, (unsigned)room);
+        }
+        Line *line = &lines[count];
+        *line = (Line){.order = count};
+        const int got = sscanf(text, "%" SCNd64 " %15s %96s %96s %" SCNu64 " %" SCNu64 " %63[^\n]", &line->atMs,
+                               line->what, line->who, line->job, &line->task, &line->round, line->more);
+        if (got < 3) {
+            fprintf(stderr, "line %zu of the record can't be read\n", count + 1);
+            return 2;
+        }
+        count++;
+    }
+    fclose(file);
+    qsort(lines, count, sizeof(*lines), lineOrder);
+    for (size_t i = 0; i < count; i++)
+        play(replay, &lines[i]);
+    checkerEnd(replay->checker);
+    printf("replay: %zu lines, %zu starts, %zu nevers broken%s%s\n", count, checkerStarts(replay->checker),
+           checkerBrokenAll(replay->checker), checkerBrokenAll(replay->checker) ? "; first " : "",
+           checkerFirst(replay->checker));
+    const int code = checkerBrokenAll(replay->checker) == 0 && checkerStarts(replay->checker) > 0 ? 0 : 1;
+    talloc_free(replay);
+    return code;
+}
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,259 @@
+#!/usr/bin/env python3
+"""Starts a whole spancart fleet on one machine and stops it cleanly.
+
+  fleet.py start DIR [--mix trentvale|atlas] [--workers 11] [--gates 3]
+  fleet.py stop DIR
+  fleet.py kill DIR NAME        SIGKILL one process
+  fleet.py restart DIR NAME     start it again
+  fleet.py entries DIR          HTTP addresses of the gates
+  fleet.py run DIR [--mix ...]  start, run the mix, kill a worker and then the
+                                leader during it, stop, check every never
+
+Each process gets its own addresses (ports taken from the kernel), its zone and
+three seed addresses in a props file of its own; nothing else tells it of others.
+"""
+import argparse
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+ZONES = ["north", "south", "west"]
+HERE = os.path.dirname(os.path.abspath(__file__))
+
+
+def now_ms():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+
+
+def free_ports(count):
+    """Ports that the kernel has free now; held together so that none is given twice."""
+    held = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        held.append(sock)
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
+
+
+class Fleet:
+    def __init__(self, folder, binary):
+        self.folder = os.path.abspath(folder)
+        self.binary = binary
+        self.path = os.path.join(self.folder, "fleet.json")
+        self.record = os.path.join(self.folder, "record")
+        self.nodes = {}
+        self.children = {}
+
+    def load(self):
+        with open(self.path) as file:
+            self.nodes = json.load(file)
+
+    def save(self):
+        with open(self.path, "w") as file:
+            json.dump(self.nodes, file, indent=1)
+
+    def plan(self, mix, workers, gates):
+        os.makedirs(self.folder, exist_ok=True)
+        names = [("core", f"core{i + 1}", i) for i in range(3)]
+        names += [("gate", f"gate{i + 1}", i) for i in range(gates)]
+        names += [("agent", f"agent{i + 1}", i) for i in range(workers)]
+        ports = iter(free_ports(2 * len(names)))
+        listen = {name: f"127.0.0.1:{next(ports)}" for _, name, _ in names}
+        seeds = ",".join(listen[f"core{i + 1}"] for i in range(3))
+        for role, name, i in names:
+            http = f"127.0.0.1:{next(ports)}"
+            props = os.path.join(self.folder, f"{name}.ini")
+            with open(props, "w") as file:
+                file.write(f"[spancart]\nname={name}\nzone={ZONES[i % 3]}\nlisten={listen[name]}\nhttp={http}\nseeds={seeds}\n")
+                if role == "core":
+                    file.write(f"data={self.folder}/{name}-data\n")
+                if role == "agent":
+                    file.write(f"worker=worker{i + 1}\n")
+            args = [role, "--props", props]
+            if role == "core":
+                args += ["--record", self.record]
+            self.nodes[name] = {"args": args, "http": http, "role": role}
+        cores, mem = (64, 131072) if mix == "trentvale" else (16, 65536)
+        for i in range(workers):
+            name = f"worker{i + 1}"
+            args = ["worker", "--agent", self.nodes[f"agent{i + 1}"]["http"], "--name", name, "--zone", ZONES[i % 3],
+                    "--rack", f"rack{i // 3}", "--cores", str(cores), "--mem", str(mem), "--record", self.record]
+            self.nodes[name] = {"args": args, "http": "", "role": "worker"}
+
+    def note(self, words):
+        with open(self.record, "a") as file:
+            file.write(f"{now_ms()} {words}\n")
+
+    def launch(self, name):
+        node = self.nodes[name]
+        with open(os.path.join(self.folder, f"{name}.log"), "a") as log:
+            child = subprocess.Popen([self.binary] + node["args"], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.children[name] = child
+        node["pid"] = child.pid
+        self.save()
+
+    def alive(self, name):
+        child = self.children.get(name)
+        if child is not None:
+            return child.poll() is None
+        try:
+            os.kill(self.nodes[name].get("pid", 0) or 2 ** 22, 0)
+            return True
+        except OSError:
+            return False
+
+    def kill(self, name, how=signal.SIGKILL):
+        if self.alive(name):
+            os.kill(self.nodes[name]["pid"], how)
+            if how == signal.SIGKILL:
+                if name in self.children:
+                    self.children[name].wait()
+                self.note(f"gone {name}")
+
+    def entries(self):
+        return [node["http"] for node in self.nodes.values() if node["role"] == "gate"]
+
+    def ask(self, path, entry=None, timeout=3):
+        """The leader's answer through a gate; None when it does not come."""
+        for http in [entry] if entry else self.entries():
+            try:
+                with urllib.request.urlopen(f"http://{http}{path}", timeout=timeout) as answer:
+                    return json.load(answer)
+            except OSError:
+                continue
+        return None
+
+    def settle(self, workers, seconds=60):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            status = self.ask("/v1/status")
+            if status and sum(row["ready"] for row in status["liveset"]) >= workers:
+                return status
+            time.sleep(0.1)
+        raise SystemExit("the fleet did not settle")
+
+    def stop(self):
+        """Workers first, so that they leave cleanly; then the rest."""
+        for roles in (["worker"], ["agent", "gate"], ["core"]):
+            names = [name for name, node in self.nodes.items() if node["role"] in roles and self.alive(name)]
+            for name in names:
+                self.kill(name, signal.SIGTERM)
+            until = time.monotonic() + 10
+            for name in names:
+                while self.alive(name) and time.monotonic() < until:
+                    time.sleep(0.05)
+                if self.alive(name):
+                    print(f"{name} did not stop on SIGTERM")
+                    self.kill(name)
+
+
+def percentile(values, part):
+    values = sorted(values)
+    return values[min(len(values) - 1, int(len(values) * part))]
+
+
+def gap_after(fleet, at_ms):
+    """From a kill to the first acceptance of a job that was sent after it."""
+    times = []
+    with open(fleet.record) as file:
+        for line in file:
+            words = line.split()
+            if words[1] == "accepted" and int(words[0]) > at_ms:
+                times.append(int(words[0]))
+    if not times:
+        return None
+    # the longest silence that begins within five seconds after the kill
+    times = [at_ms] + sorted(times)
+    return max((b - a for a, b in zip(times, times[1:]) if a < at_ms + 5000), default=None)
+
+
+def run(fleet, options):
+    workers = options.workers
+    fleet.plan(options.mix, workers, options.gates)
+    if os.path.exists(fleet.record):
+        os.unlink(fleet.record)
+    for name in fleet.nodes:
+        fleet.launch(name)
+    failed = False
+    try:
+        fleet.settle(workers)
+        rate = 10000 if options.mix == "trentvale" else 9000
+        caller_log = os.path.join(fleet.folder, "caller.log")
+        with open(caller_log, "w") as log:
+            caller = subprocess.Popen([fleet.binary, "caller", "--entries", ",".join(fleet.entries()), "--mix", options.mix,
+                                       "--rate", str(rate), "--for", str(options.seconds * 1000), "--configure",
+                                       "--record", fleet.record], stdout=log, stderr=log)
+        kills = {}
+        time.sleep(options.seconds * 0.3)
+        kills["worker"] = now_ms()
+        fleet.kill("worker2")
+        time.sleep(options.seconds * 0.3)
+        status = fleet.ask("/v1/status")
+        leader = status["leader"]
+        kills["leader"] = now_ms()
+        fleet.kill(leader)
+        caller.wait(timeout=options.seconds + 150)
+        with open(caller_log) as log:
+            print(log.read().rstrip())
+        for what, at_ms in kills.items():
+            print(f"kill-of-{what} longest-silence-after {gap_after(fleet, at_ms)} ms")
+        failed |= caller.returncode != 0
+        fleet.launch(leader)
+        fleet.launch("worker2")
+        fleet.settle(workers)
+        print("back: the killed leader and worker serve again")
+    finally:
+        fleet.stop()
+    replay = subprocess.run([os.path.join(os.path.dirname(fleet.binary), "spancart-replay"), fleet.record,
+                             options.mix], check=False)
+    failed |= replay.returncode != 0
+    print("fleet run: " + ("FAILED" if failed else "good"))
+    return 1 if failed else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("verb", choices=["start", "stop", "kill", "restart", "entries", "run"])
+    parser.add_argument("folder")
+    parser.add_argument("name", nargs="?")
+    parser.add_argument("--mix", choices=["trentvale", "atlas"], default="trentvale")
+    parser.add_argument("--workers", type=int, default=11)
+    parser.add_argument("--gates", type=int, default=3)
+    parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--binary", default=os.path.join(HERE, "..", "build", "spancart"))
+    options = parser.parse_args()
+    fleet = Fleet(options.folder, os.path.abspath(options.binary))
+    if options.verb == "run":
+        return run(fleet, options)
+    if options.verb == "start":
+        fleet.plan(options.mix, options.workers, options.gates)
+        for name in fleet.nodes:
+            fleet.launch(name)
+        fleet.settle(options.workers)
+        print("the fleet serves; gates: " + " ".join(fleet.entries()))
+        return 0
+    fleet.load()
+    if options.verb == "stop":
+        fleet.stop()
+    elif options.verb == "entries":
+        print(" ".join(fleet.entries()))
+    elif options.name not in fleet.nodes:
+        print(f"there is no process {options.name}", file=sys.stderr)
+        return 2
+    elif options.verb == "kill":
+        fleet.kill(options.name)
+    else:
+        fleet.launch(options.name)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,181 @@
+/* core, gate, agent and check: thin over the library. */
+#include <inttypes.h>
+#include <popt.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "agent/agent.h"
+#include "core/core.h"
+#include "gate/gate.h"
+#include "loop/real.h"
+#include "options.h"
+
+/* A process of one role. Invariant: one of core, gate, agent is set once it runs. */
+typedef struct Daemon {
+    void *mem;
+    PropsRole role;
+    Props props;
+    Loop *loop;
+    Ring *ring;
+    Core *core;
+    Gate *gate;
+    Agent *agent;
+    FILE *record; /* for proof: who plans under which epoch */
+    int64_t recordedMs;
+    uint64_t recordedEpoch;
+    int code;
+} Daemon;
+
+#define RECORD_GAP_MS 20 /* ms; planning under one epoch is recorded this often */
+
+static void onPlans(void *arg, const char *name, uint64_t epoch)
+{
+    Daemon *daemon = arg;
+    const int64_t nowMs = loopNowMs(daemon->loop);
+    if (epoch == daemon->recordedEpoch && nowMs - daemon->recordedMs < RECORD_GAP_MS)
+        return;
+    daemon->recordedMs = nowMs;
+    daemon->recordedEpoch = epoch;
+    fprintf(daemon->record, "%" PRId64 " plans %s - 0 0 %" PRIu64 "\n", nowMs, name, epoch);
+    fflush(daemon->record);
+}
+
+static const char *const ROLES[] = {"core", "gate", "agent"};
+
+static void startMain(void *arg)
+{
+    Daemon *daemon = arg;
+    Mishap mishap = {0};
+    Status status;
+    const char *http = "";
+    const CoreWatch watch = {daemon, onPlans};
+    if (daemon->role == PROPS_CORE)
+        status = coreStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props,
+                           daemon->record != NULL ? &watch : NULL, &daemon->core, &mishap);
+    else if (daemon->role == PROPS_GATE)
+        status = gateStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->gate, &mishap);
+    else
+        status = agentStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->agent, &mishap);
+    if (status != STATUS_OK) {
+        fprintf(stderr, "spancart %s: %s: %s\n", ROLES[daemon->role], statusWord(status), mishap.text);
+        daemon->code = status == STATUS_BAD_PROPS ? EXIT_WRONG : EXIT_FAILED;
+        loopStop(daemon->loop);
+        return;
+    }
+    if (daemon->core != NULL)
+        http = coreHttpAddress(daemon->core);
+    else if (daemon->gate != NULL)
+        http = gateHttpAddress(daemon->gate);
+    else
+        http = agentHttpAddress(daemon->agent);
+    printf("spancart %s %s serves on %s\n", ROLES[daemon->role], daemon->props.name, http);
+    fflush(stdout);
+}
+
+static void termMain(void *arg)
+{
+    Daemon *daemon = arg;
+    if (daemon->core != NULL)
+        coreDrain(daemon->core);
+    if (daemon->gate != NULL)
+        gateDrain(daemon->gate);
+    if (daemon->agent != NULL)
+        agentDrain(daemon->agent);
+    loopStop(daemon->loop);
+}
+
+/* Reads --props FILE and flags over it; EXIT_GOOD, or what to return. */
+static int propsTake(void *mem, PropsRole role, const char *command, int argc, const char **argv, Props *props,
+                     char **record)
+{
+    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker"};
+    enum { KEY_COUNT = sizeof(KEYS) / sizeof(KEYS[0]) };
+    char *path = NULL, *values[KEY_COUNT] = {0};
+    struct poptOption options[] = {
+        {"props", 'p', POPT_ARG_STRING, &path, 0, "settings file", "FILE"},
+        {"name", 0, POPT_ARG_STRING, &values[0], 0, "name of this process", "NAME"},
+        {"zone", 0, POPT_ARG_STRING, &values[1], 0, "zone that it stands in", "ZONE"},
+        {"listen", 0, POPT_ARG_STRING, &values[2], 0, "address for other processes", "IP:PORT"},
+        {"http", 0, POPT_ARG_STRING, &values[3], 0, "address for callers", "IP:PORT"},
+        {"seeds", 0, POPT_ARG_STRING, &values[4], 0, "three addresses of other processes", "A,B,C"},
+        {"data", 0, POPT_ARG_STRING, &values[5], 0, "data folder (core)", "FOLDER"},
+        {"worker", 0, POPT_ARG_STRING, &values[6], 0, "name of the worker (agent)", "NAME"},
+        {"record", 0, POPT_ARG_STRING, record, 0, "append who plans to this file, for proof (core)", "FILE"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext(command, argc, argv, options, 0);
+    const int got = poptGetNextOpt(context);
+    Mishap mishap = {0};
+    int code = EXIT_GOOD;
+    if (got < -1)
+        code = wrong(command, "%s: %s", poptBadOption(context, 0), poptStrerror(got));
+    else if (poptPeekArg(context) != NULL)
+        code = wrong(command, "%s: what is this?", poptPeekArg(context));
+    else if (path != NULL && propsRead(mem, path, role, props, &mishap) != STATUS_OK)
+        code = wrong(command, "%s", mishap.text);
+    for (int i = 0; i < KEY_COUNT && code == EXIT_GOOD; i++)
+        if (values[i] != NULL && propsSet(mem, props, KEYS[i], values[i], &mishap) != STATUS_OK)
+            code = wrong(command, "%s", mishap.text);
+    if (code == EXIT_GOOD && propsCheck(props, role, &mishap) != STATUS_OK)
+        code = wrong(command, "%s", mishap.text);
+    poptFreeContext(context);
+    return code;
+}
+
+static int runDaemon(PropsRole role, int argc, const char **argv)
+{
+    void *mem = talloc_new(NULL);
+    Daemon *daemon = talloc_zero(mem, Daemon);
+    daemon->mem = mem;
+    daemon->role = role;
+    char *record = NULL;
+    int code = propsTake(mem, role, ROLES[role], argc, argv, &daemon->props, &record);
+    if (code == EXIT_GOOD && record != NULL && (daemon->record = fopen(record, "a")) == NULL)
+        code = wrong(ROLES[role], "--record: %s can't be opened", record);
+    if (code == EXIT_GOOD) {
+        daemon->loop = realLoopNew(mem);
+        daemon->ring = ringNew(mem, daemon->props.name);
+        loopSpawn(daemon->loop, "start", startMain, daemon);
+        realLoopRun(daemon->loop, termMain, daemon);
+        code = daemon->code;
+        /* the process ends here: its memory is the kernel's to take back */
+        return code;
+    }
+    talloc_free(mem);
+    return code;
+}
+
+int runCore(int argc, const char **argv)
+{
+    return runDaemon(PROPS_CORE, argc, argv);
+}
+
+int runGate(int argc, const char **argv)
+{
+    return runDaemon(PROPS_GATE, argc, argv);
+}
+
+int runAgent(int argc, const char **argv)
+{
+    return runDaemon(PROPS_AGENT, argc, argv);
+}
+
+int runCheck(int argc, const char **argv)
+{
+    if (argc < 2 || strcmp(argv[1], "--help") == 0) {
+        printf("usage: spancart check core|gate|agent --props FILE [flags over it]\n");
+        return argc < 2 ? EXIT_WRONG : EXIT_GOOD;
+    }
+    for (int role = 0; role < 3; role++)
+        if (strcmp(argv[1], ROLES[role]) == 0) {
+            void *mem = talloc_new(NULL);
+            Props props = {0};
+            char *record = NULL;
+            const int code = propsTake(mem, (PropsRole)role, "check", argc - 1, argv + 1, &props, &record);
+            if (code == EXIT_GOOD)
+                printf("good: %s %s in zone %s\n", ROLES[role], props.name, props.zone);
+            talloc_free(mem);
+            return code;
+        }
+    return wrong("check", "%s: must be core, gate or agent", argv[1]);
+}
--- /dev/null
+++ b/src/standins.c
@@ -0,0 +1,263 @@
+/* worker and caller: stand-ins, for proof only. */
+#include <inttypes.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "loop/real.h"
+#include "options.h"
+#include "standin/caller.h"
+#include "standin/worker.h"
+
+/* The fleet run's record: one line for each thing that really happened, on one
+ * clock, to be checked by the checkers afterwards. */
+typedef struct Record {
+    Loop *loop;
+    FILE *to;
+} Record;
+
+static void recordRun(void *arg, const char *verb, const char *worker, const char *job, uint64_t task, uint64_t round,
+                      const char *rest)
+{
+    const Record *record = arg;
+    if (record->to != NULL) {
+        fprintf(record->to, "%" PRId64 " %s %s %s %" PRIu64 " %" PRIu64 " %s\n", loopNowMs(record->loop), verb, worker,
+                job, task, round, rest);
+        fflush(record->to);
+    }
+}
+
+static void onStarted(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, Room room)
+{
+    char rest[64];
+    snprintf(rest, sizeof(rest), "%" PRIu64 " %" PRIu64, room.cpuMilli, room.memMb);
+    recordRun(arg, "started", worker, job, task, round, rest);
+}
+
+static void onEnded(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word)
+{
+    recordRun(arg, "ended", worker, job, task, round, roundWord(word));
+}
+
+static void onKnown(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word)
+{
+    recordRun(arg, "known", worker, job, task, round, roundWord(word));
+}
+
+typedef struct StandIn {
+    Loop *loop;
+    Record record;
+    const char *name;
+    StandWorker *worker;
+    Caller *caller;
+    CallerProps callerProps;
+    bool configure;
+    int code;
+} StandIn;
+
+static void workerTerm(void *arg)
+{
+    StandIn *standIn = arg;
+    standWorkerLeave(standIn->worker);
+    recordRun(&standIn->record, "leaving", standIn->name, "-", 0, 0, "");
+    const int64_t untilMs = loopNowMs(standIn->loop) + DRAIN_MS;
+    while (standWorkerRunning(standIn->worker) > 0 && loopNowMs(standIn->loop) < untilMs)
+        loopSleep(standIn->loop, 50);
+    loopSleep(standIn->loop, WORKER_POLL_MS);
+    loopStop(standIn->loop);
+}
+
+int runWorker(int argc, const char **argv)
+{
+    char *agent = NULL, *name = NULL, *zone = NULL, *rack = NULL, *kind = NULL, *label = NULL, *path = NULL;
+    int cores = 64, memMb = 131072, failsAll = 0, slow = 1;
+    struct poptOption options[] = {
+        {"agent", 'a', POPT_ARG_STRING, &agent, 0, "HTTP address of the agent beside it", "IP:PORT"},
+        {"name", 0, POPT_ARG_STRING, &name, 0, "name of this worker", "NAME"},
+        {"zone", 0, POPT_ARG_STRING, &zone, 0, "zone that it stands in", "ZONE"},
+        {"rack", 0, POPT_ARG_STRING, &rack, 0, "rack that it stands in", "RACK"},
+        {"kind", 0, POPT_ARG_STRING, &kind, 0, "kind of machine", "KIND"},
+        {"label", 0, POPT_ARG_STRING, &label, 0, "a label", "LABEL"},
+        {"cores", 0, POPT_ARG_INT, &cores, 0, "cores", "N"},
+        {"mem", 0, POPT_ARG_INT, &memMb, 0, "memory in MB", "N"},
+        {"fails", 0, POPT_ARG_NONE, &failsAll, 0, "fail every task while claiming health", NULL},
+        {"slow", 0, POPT_ARG_INT, &slow, 0, "take so many times as long", "N"},
+        {"record", 0, POPT_ARG_STRING, &path, 0, "append what really runs to this file", "FILE"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("worker", argc, argv, options, 0);
+    const int got = poptGetNextOpt(context);
+    int code = EXIT_GOOD;
+    if (got < -1)
+        code = wrong("worker", "%s: %s", poptBadOption(context, 0), poptStrerror(got));
+    else if (agent == NULL || !realAddressValid(agent))
+        code = wrong("worker", "--agent: an IP address with a port is needed");
+    else if (name == NULL || zone == NULL)
+        code = wrong("worker", "--name and --zone are needed");
+    else if (cores < 1 || cores > 100000 || memMb < 1 || memMb > 100000000)
+        code = wrong("worker", "--cores and --mem must be positive");
+    if (code == EXIT_GOOD) {
+        void *mem = talloc_new(NULL);
+        StandIn *standIn = talloc_zero(mem, StandIn);
+        standIn->loop = realLoopNew(mem);
+        standIn->record = (Record){standIn->loop, path != NULL ? fopen(path, "a") : NULL};
+        standIn->name = name;
+        const char **labels = talloc_array(mem, const char *, 1);
+        labels[0] = label;
+        const StandWorkerProps props = {
+            .worker = {.name = name,
+                       .zone = zone,
+                       .rack = rack != NULL ? rack : "",
+                       .kind = kind != NULL ? kind : "std",
+                       .labels = labels,
+                       .labelsCount = label != NULL,
+                       .room = {(uint64_t)cores * 1000, (uint64_t)memMb}},
+            .agent = agent,
+            .watch = {&standIn->record, onStarted, onEnded, onKnown},
+            .failsAll = failsAll != 0,
+            .slowTimes = slow,
+        };
+        char rest[64];
+        snprintf(rest, sizeof(rest), "%d %d", cores * 1000, memMb);
+        recordRun(&standIn->record, "worker", name, zone, 0, 0, rest);
+        standIn->worker = standWorkerStart(mem, standIn->loop, &props);
+        realLoopRun(standIn->loop, workerTerm, standIn);
+    }
+    poptFreeContext(context);
+    return code;
+}
+
+static void onAccepted(void *arg, const char *id)
+{
+    recordRun(arg, "accepted", "-", id, 0, 0, "");
+}
+
+static void onRefused(void *arg, const char *id, int httpCode)
+{
+    char rest[16];
+    snprintf(rest, sizeof(rest), "%d", httpCode);
+    recordRun(arg, "refused", "-", id, 0, 0, rest);
+}
+
+static void onJobEnded(void *arg, const char *id, const char *phase)
+{
+    recordRun(arg, "job-ended", "-", id, 0, 0, phase);
+}
+
+static void onUnknown(void *arg, const char *id)
+{
+    recordRun(arg, "unknown", "-", id, 0, 0, "");
+}
+
+static int spanOrder(const void *a, const void *b)
+{
+    const int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
+/* Accepted to started by class, the longest gap between acceptances. */
+static void summary(StandIn *standIn)
+{
+    CallerJob *const *jobs;
+    const size_t count = callerJobs(standIn->caller, &jobs);
+    int64_t *spans = talloc_array(standIn, int64_t, (unsigned)count + 1);
+    size_t accepted = 0, done = 0, refused = 0, again = 0;
+    for (size_t i = 0; i < count; i++) {
+        accepted += jobs[i]->acceptedMs != 0;
+        done += strcmp(jobs[i]->phase, "done") == 0;
+        refused += jobs[i]->refused;
+        again += jobs[i]->sends > 1;
+    }
+    printf("jobs %zu accepted %zu done %zu refused %zu sent-again %zu\n", count, accepted, done, refused, again);
+    for (int kind = 0; kind < CLASS_COUNT; kind++) {
+        size_t n = 0;
+        for (size_t i = 0; i < count; i++)
+            if ((int)jobs[i]->kind == kind && jobs[i]->startedMs != 0)
+                spans[n++] = jobs[i]->startedMs - jobs[i]->acceptedMs;
+        qsort(spans, n, sizeof(*spans), spanOrder);
+        if (n > 0)
+            printf("accepted-to-started %s n %zu p50 %" PRId64 " p90 %" PRId64 " p99 %" PRId64 " max %" PRId64 " ms\n",
+                   classWord((MixClass)kind), n, spans[n / 2], spans[n * 9 / 10], spans[n * 99 / 100], spans[n - 1]);
+    }
+    size_t n = 0;
+    for (size_t i = 0; i < count; i++)
+        if (jobs[i]->acceptedMs != 0)
+            spans[n++] = jobs[i]->acceptedMs;
+    qsort(spans, n, sizeof(*spans), spanOrder);
+    int64_t gapMs = 0;
+    for (size_t i = 1; i < n; i++)
+        if (spans[i] - spans[i - 1] > gapMs)
+            gapMs = spans[i] - spans[i - 1];
+    printf("longest-gap-between-acceptances %" PRId64 " ms\n", gapMs);
+}
+
+static void callerMain(void *arg)
+{
+    StandIn *standIn = arg;
+    const CallerProps *props = &standIn->callerProps;
+    if (standIn->configure && callerConfigure(standIn, standIn->loop, props->entries[0], props->mix) != STATUS_OK) {
+        fprintf(stderr, "spancart caller: the configuration could not be set\n");
+        standIn->code = EXIT_UNREACHABLE;
+        loopStop(standIn->loop);
+        return;
+    }
+    standIn->caller = callerStart(standIn, standIn->loop, props);
+    const int64_t untilMs = loopNowMs(standIn->loop) + props->forMs + 120000;
+    while (!callerDone(standIn->caller) && loopNowMs(standIn->loop) < untilMs)
+        loopSleep(standIn->loop, 50);
+    summary(standIn);
+    standIn->code = callerDone(standIn->caller) ? EXIT_GOOD : EXIT_FAILED;
+    loopStop(standIn->loop);
+}
+
+int runCaller(int argc, const char **argv)
+{
+    char *entries = NULL, *mix = NULL, *name = NULL, *path = NULL;
+    int configure = 0, rateMilli = 10000, forMs = 10000;
+    struct poptOption options[] = {
+        {"entries", 'e', POPT_ARG_STRING, &entries, 0, "entry points", "IP:PORT,..."},
+        {"mix", 'm', POPT_ARG_STRING, &mix, 0, "trentvale or atlas", "MIX"},
+        {"name", 0, POPT_ARG_STRING, &name, 0, "begins every job's id", "NAME"},
+        {"rate", 'r', POPT_ARG_INT, &rateMilli, 0, "jobs in a thousand seconds", "N"},
+        {"for", 0, POPT_ARG_INT, &forMs, 0, "hand in for so long", "MS"},
+        {"configure", 'c', POPT_ARG_NONE, &configure, 0, "set the mix's configuration first", NULL},
+        {"record", 0, POPT_ARG_STRING, &path, 0, "append what was told to this file", "FILE"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("caller", argc, argv, options, 0);
+    const int got = poptGetNextOpt(context);
+    int code = EXIT_GOOD;
+    void *mem = talloc_new(NULL);
+    StandIn *standIn = talloc_zero(mem, StandIn);
+    CallerProps *props = &standIn->callerProps;
+    *props = (CallerProps){.name = name != NULL ? name : "job", .rateMilli = rateMilli, .forMs = forMs};
+    props->mix = mixOfWord(mix != NULL ? mix : "trentvale");
+    for (char *at = entries; at != NULL && props->entryCount < ENTRIES_MAX;) {
+        char *comma = strchr(at, ',');
+        if (comma != NULL)
+            *comma++ = '\0';
+        if (!realAddressValid(at))
+            code = wrong("caller", "--entries: %s is not an IP address with a port", at);
+        props->entries[props->entryCount++] = at;
+        at = comma;
+    }
+    if (got < -1)
+        code = wrong("caller", "%s: %s", poptBadOption(context, 0), poptStrerror(got));
+    else if (props->entryCount == 0)
+        code = wrong("caller", "--entries: at least one is needed");
+    else if (props->mix == MIX_COUNT)
+        code = wrong("caller", "--mix: must be trentvale or atlas");
+    else if (rateMilli < 1 || forMs < 0)
+        code = wrong("caller", "--rate and --for must be positive");
+    if (code == EXIT_GOOD) {
+        standIn->loop = realLoopNew(mem);
+        standIn->record = (Record){standIn->loop, path != NULL ? fopen(path, "a") : NULL};
+        standIn->configure = configure != 0;
+        props->watch = (CallerWatch){&standIn->record, onAccepted, onRefused, onJobEnded, onUnknown};
+        loopSpawn(standIn->loop, "caller", callerMain, standIn);
+        realLoopRun(standIn->loop, NULL, NULL);
+        code = standIn->code;
+    }
+    poptFreeContext(context);
+    return code;
+}
