Simulator: a stale turn no longer breeds further turns

Cause, by perf: 58 % of the time went into the event heap. Each early arming left its later turn in the heap, and every stale turn that fired armed one more. A turn now runs only if it is the one armed. Excluded: coroutine switches (0.6 %), packing (under 2 %).

--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -170,6 +170,7 @@
 typedef struct SimTurn {
     SimMachine *machine;
     uint64_t life;
+    int64_t whenMs; /* on the machine's clock; no longer the armed one: an earlier turn came since */
 } SimTurn;
 
 static void turn(void *arg)
@@ -177,7 +178,7 @@
     SimTurn *one = arg;
     SimMachine *machine = one->machine;
     SimWorld *world = machine->world;
-    if (machine->loop == NULL || machine->life != one->life) {
+    if (machine->loop == NULL || machine->life != one->life || machine->loop->armedMs != one->whenMs) {
         talloc_free(one);
         return;
     }
@@ -202,7 +203,7 @@
     sim->armedMs = whenMs;
     SimMachine *machine = &sim->world->machines[sim->machine];
     SimTurn *one = talloc_zero(sim->world, SimTurn);
-    *one = (SimTurn){machine, machine->life};
+    *one = (SimTurn){machine, machine->life, whenMs};
     simAt(sim->world, whenMs - machine->bootOffsetMs, turn, one);
 }
 
