--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -88,7 +88,7 @@
     BeatAnswer *out = answer;
     (void)mem;
     out->epoch = viewEpoch(core->view);
-    if (!viewLeading(core->view))
+    if (!viewHolds(core->view))
         return STATUS_NOT_LEADER;
     if (!checkNameText(beat->worker.name) || !checkNameText(beat->worker.zone))
         return STATUS_BAD_FIELD;
@@ -102,7 +102,7 @@
     out->holdMs = AGENT_HOLD_MS;
     if (wasReady != liveRowReady(livesetFind(core->liveset, beat->worker.name), nowMs))
         signalRaise(core->loop, &core->wake);
-    if (!core->repairing)
+    if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
     return STATUS_OK;
 }
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -55,9 +55,18 @@
     talloc_free(part);
 }
 
+/* The configuration first, then changes in the order in which they were
+ * committed, then what agents tell of rounds, which needs the jobs to be there. */
+static int itemClass(const KeepItem *item)
+{
+    return item->index != 0 ? 1 : item->change == CHANGE_ROUNDS ? 2 : 0;
+}
+
 static int itemOrder(const void *a, const void *b)
 {
     const KeepItem *x = a, *y = b;
+    if (itemClass(x) != itemClass(y))
+        return itemClass(x) - itemClass(y);
     return x->index < y->index ? -1 : x->index > y->index;
 }
 
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -69,6 +69,8 @@
 /* Accepted jobs not shown as ended. */
 size_t checkerOpen(const Checker *checker);
 size_t checkerStarts(const Checker *checker);
+/* How long ago the worker last started something. */
+int64_t checkerStartedSince(Checker *checker, const char *worker);
 /* To be called now and then: looks for what takes time to go wrong. */
 void checkerLook(Checker *checker);
 /* At the end of a run: every accepted job must have ended. */
--- /dev/null
+++ b/packages/sim/include/sim/timeline.h
@@ -0,0 +1,34 @@
+#ifndef SIM_TIMELINE_H
+#define SIM_TIMELINE_H
+
+#include "sim/fleet.h"
+
+/* A timeline drawn as text, one column a node, one row a moment:
+ *
+ *     ms     leader        worker2     callers
+ *     0      .             .           call:10
+ *     5000   kill          .           .
+ *     9000   !leads        runs        .
+ *     20000  .             .           end+gap<6000
+ *
+ * Columns: leader (the core that leads when the timeline begins), second and
+ * third (the other cores in order), core1.., gate1.., agent1.., worker1..,
+ * ring of a zone (zone:north), callers. A cell is "." or actions and claims
+ * joined by "+". Times count from the beginning of the timeline, which is when
+ * the fleet has settled and has its configuration.
+ *
+ * Actions on nodes: kill, start, off (power), wipe (an empty disk), freeze:MS,
+ * cut, join, cut>COLUMN and join>COLUMN (one way), slow:MS (syncs), lie, honest,
+ * diskfails, diskworks, jump:MS (wall clock), rate:PERCENT (of its own clock: a
+ * machine nobody may trust), leave (a worker), fails, heals
+ * (a worker fails every task). On a zone: kill, start, off, cut, join, drain, back.
+ * On callers: call:N (jobs a second) or call:N/MS, end (until every accepted
+ * job has ended). Claims: leads, !leads, runs (a worker runs something), idle,
+ * up, !up; on callers gap<MS (longest time between two acceptances). */
+typedef struct Timeline Timeline;
+
+/* Builds the fleet, draws the timeline, checks every never at each step. True
+ * when all claims held and no never broke; else why says which. */
+bool timelineRun(uint64_t seed, FleetShape shape, const char *text, char *why, size_t whySize);
+
+#endif
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -40,6 +40,9 @@
 bool simFrozen(const SimWorld *world, int machine);
 /* Wall time jumps; nowMs does not. */
 void simJump(SimWorld *world, int machine, int64_t byMs);
+/* The machine's nowMs runs at so many hundredths of the true speed from now on:
+ * no machine that spancart trusts does this; the checkers are tried with it. */
+void simClockRate(SimWorld *world, int machine, int64_t percent);
 /* Cuts (or joins again) the way from one machine to another; one way only. */
 void simCut(SimWorld *world, int from, int to, bool cut);
 bool simIsCut(const SimWorld *world, int from, int to);
--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -12,6 +12,7 @@
 #define CANCEL_LATE_MS 3000  /* ms; "more than about 3 seconds after its job was cancelled" */
 #define LEAVING_LATE_MS 2000 /* ms; "more than about 2 seconds after it said so" */
 #define ZONE_LATE_MS 5000    /* ms; "more than about 5 seconds after we asked" */
+#define STOP_LATE_MS 8000    /* ms; a stop is told within 3 s, or the hold lapses in as many more */
 #define GANG_LATE_MS 12000   /* ms; a gang's members start within the time of an order, or of a failover */
 
 typedef struct SeenRun {
@@ -40,6 +41,7 @@
     Worker worker;
     Room used;
     int64_t leavingMs; /* 0: not */
+    int64_t startedMs; /* 0: never */
 } SeenWorker;
 
 typedef struct SeenZone {
@@ -218,6 +220,7 @@
     const SeenZone *zone = mapGet(checker->zones, on->worker.zone);
     if (zone != NULL && zone->drainedMs != 0 && nowMs - zone->drainedMs > ZONE_LATE_MS)
         broke(checker, NEVER_LEAVING_GIVEN, "%s task %" PRIu64 " in zone %s", id, task, on->worker.zone);
+    on->startedMs = nowMs;
     on->used = roomMore(on->used, room);
     if (!roomFits(on->used, on->worker.room))
         broke(checker, NEVER_OVERPACKED, "%s holds %" PRIu64 " milli-CPU and %" PRIu64 " MB", worker,
@@ -232,6 +235,11 @@
     seen->startedMs = nowMs;
 }
 
+int64_t checkerStartedSince(Checker *checker, const char *worker)
+{
+    return now(checker) - workerOf(checker, worker)->startedMs;
+}
+
 static bool runTake(SeenWorker *on, SeenTask *seen, uint64_t round)
 {
     for (SeenRun **at = &seen->runs; *at != NULL; at = &(*at)->next) {
@@ -403,6 +411,17 @@
     const int64_t nowMs = now(checker);
     for (size_t i = 0; i < count; i++) {
         SeenJob *job = mapGet(checker->jobs, ids[i]);
+        if (job->cancelledMs != 0 && nowMs - job->cancelledMs > STOP_LATE_MS) {
+            const char **tasks;
+            const size_t taskCount = mapKeys(job->tasks, mem, &tasks);
+            for (size_t t = 0; t < taskCount; t++) {
+                const SeenTask *task = mapGet(job->tasks, tasks[t]);
+                for (const SeenRun *run = task->runs; run != NULL; run = run->next)
+                    if (!checker->props.frozen(checker->props.arg, run->worker))
+                        broke(checker, NEVER_STOPPED_RAN, "%s task %s on %s %" PRId64 " ms after it was cancelled",
+                              ids[i], tasks[t], run->worker, nowMs - job->cancelledMs);
+            }
+        }
         const Job *known = job->accepted && !job->ended ? checker->props.job(checker->props.arg, ids[i]) : NULL;
         if (known == NULL)
             continue;
--- /dev/null
+++ b/packages/sim/src/timeline.c
@@ -0,0 +1,283 @@
+#include "sim/timeline.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define COLUMNS_MAX 16
+#define RAN_MS 2000 /* ms; a worker that started something so lately counts as one that runs */
+
+typedef struct Column {
+    const char *name;
+    FleetNode *node;  /* null: a zone or the callers */
+    const char *zone; /* null: none */
+} Column;
+
+struct Timeline {
+    Fleet *fleet;
+    Column columns[COLUMNS_MAX];
+    size_t columnCount;
+    int64_t startMs;
+    Caller *caller;
+    int calls;
+    char *why;
+    size_t whySize;
+};
+
+static bool fault(Timeline *timeline, const char *column, const char *what)
+{
+    snprintf(timeline->why, timeline->whySize, "at %" PRId64 " ms, column %s: %s",
+             simNowMs(timeline->fleet->world) - timeline->startMs, column, what);
+    return false;
+}
+
+static bool columnFind(Timeline *timeline, const char *name, Column *column)
+{
+    static const char *const ROLES[] = {"core", "gate", "agent", "worker"};
+    Fleet *fleet = timeline->fleet;
+    *column = (Column){.name = name};
+    if (strcmp(name, "callers") == 0)
+        return true;
+    if (strncmp(name, "zone:", 5) == 0) {
+        column->zone = name + 5;
+        return true;
+    }
+    const int leader = fleetLeader(fleet);
+    int others[FLEET_EACH_MAX], count = 0;
+    for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++)
+        if (i != leader)
+            others[count++] = i;
+    if (strcmp(name, "leader") == 0)
+        column->node = fleetNode(fleet, FLEET_CORE, leader);
+    else if (strcmp(name, "second") == 0)
+        column->node = fleetNode(fleet, FLEET_CORE, others[0]);
+    else if (strcmp(name, "third") == 0)
+        column->node = fleetNode(fleet, FLEET_CORE, others[1]);
+    for (int role = 0; role < FLEET_ROLES && column->node == NULL; role++) {
+        const size_t length = strlen(ROLES[role]);
+        const int number = atoi(name + (strlen(name) > length ? length : 0));
+        if (strncmp(name, ROLES[role], length) == 0 && number >= 1 && number <= fleet->nodeCount[role])
+            column->node = fleetNode(fleet, (FleetRole)role, number - 1);
+    }
+    return column->node != NULL;
+}
+
+static void zoneEach(Timeline *timeline, const char *zone, void (*fn)(Fleet *, FleetRole, int))
+{
+    Fleet *fleet = timeline->fleet;
+    for (int role = 0; role < FLEET_ROLES; role++)
+        for (int i = 0; i < fleet->nodeCount[role]; i++)
+            if (strcmp(fleet->nodes[role][i].props.zone, zone) == 0)
+                fn(fleet, (FleetRole)role, i);
+}
+
+static bool zoneAct(Timeline *timeline, const Column *column, const char *verb)
+{
+    Fleet *fleet = timeline->fleet;
+    if (strcmp(verb, "kill") == 0)
+        zoneEach(timeline, column->zone, fleetKill);
+    else if (strcmp(verb, "off") == 0)
+        zoneEach(timeline, column->zone, fleetPowerOff);
+    else if (strcmp(verb, "start") == 0)
+        zoneEach(timeline, column->zone, fleetStartNode);
+    else if (strcmp(verb, "cut") == 0 || strcmp(verb, "join") == 0)
+        fleetZoneCut(fleet, column->zone, verb[0] == 'c');
+    else if (strcmp(verb, "drain") == 0 || strcmp(verb, "back") == 0) {
+        void *mem = talloc_new(NULL);
+        const bool drain = verb[0] == 'd';
+        const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 0, drain ? "POST" : "DELETE",
+                                       talloc_asprintf(mem, "/v1/zones/%s/drain", column->zone), NULL);
+        const bool taken = call.code == 200;
+        talloc_free(mem);
+        if (!taken)
+            return fault(timeline, column->name, "the drain was not taken");
+        checkerZone(fleet->checker, column->zone, drain);
+    } else {
+        return fault(timeline, column->name, "a zone does not know this word");
+    }
+    return true;
+}
+
+static int64_t longestGap(const Timeline *timeline)
+{
+    CallerJob *const *jobs;
+    const size_t count = timeline->caller != NULL ? callerJobs(timeline->caller, &jobs) : 0;
+    int64_t *times = talloc_array(NULL, int64_t, (unsigned)count + 1);
+    size_t n = 0;
+    for (size_t i = 0; i < count; i++)
+        if (jobs[i]->acceptedMs != 0) {
+            size_t at = n++;
+            for (; at > 0 && times[at - 1] > jobs[i]->acceptedMs; at--)
+                times[at] = times[at - 1];
+            times[at] = jobs[i]->acceptedMs;
+        }
+    int64_t gapMs = 0;
+    for (size_t i = 1; i < n; i++)
+        if (times[i] - times[i - 1] > gapMs)
+            gapMs = times[i] - times[i - 1];
+    talloc_free(times);
+    return gapMs;
+}
+
+static bool callersAct(Timeline *timeline, const Column *column, const char *verb, const char *value)
+{
+    Fleet *fleet = timeline->fleet;
+    if (strcmp(verb, "call") == 0) {
+        const char *slash = strchr(value, '/');
+        char name[16];
+        snprintf(name, sizeof(name), "c%d", timeline->calls++);
+        timeline->caller =
+            fleetCall(fleet, name, atoi(value) * 1000, slash != NULL ? atoi(slash + 1) : INT64_C(1) << 40);
+        return true;
+    }
+    if (strcmp(verb, "end") == 0) {
+        for (int i = 0; i < fleet->callerCount; i++)
+            callerStop(fleet->callers[i]);
+        if (!fleetFinish(fleet, 90000))
+            return fault(timeline, column->name, "not every accepted job has ended");
+        return true;
+    }
+    if (strncmp(verb, "gap<", 4) == 0) {
+        const int64_t gapMs = longestGap(timeline);
+        if (gapMs < atoi(verb + 4))
+            return true;
+        char text[64];
+        snprintf(text, sizeof(text), "the longest gap is %" PRId64 " ms", gapMs);
+        return fault(timeline, column->name, text);
+    }
+    return fault(timeline, column->name, "callers do not know this word");
+}
+
+static bool nodeAct(Timeline *timeline, const Column *column, const char *verb, const char *value)
+{
+    Fleet *fleet = timeline->fleet;
+    FleetNode *node = column->node;
+    SimWorld *world = fleet->world;
+    const int64_t number = value != NULL ? atoll(value) : 0;
+    const char *way = strchr(verb, '>');
+    if (way != NULL) {
+        Column to;
+        if (!columnFind(timeline, way + 1, &to))
+            return fault(timeline, column->name, "no such column to cut from");
+        for (size_t i = 0; i < timeline->columnCount; i++)
+            if (strcmp(timeline->columns[i].name, way + 1) == 0)
+                to = timeline->columns[i];
+        simCut(world, node->machine, to.node->machine, verb[0] == 'c');
+    } else if (strcmp(verb, "kill") == 0) {
+        fleetKill(fleet, node->role, node->number);
+    } else if (strcmp(verb, "off") == 0) {
+        fleetPowerOff(fleet, node->role, node->number);
+    } else if (strcmp(verb, "start") == 0) {
+        fleetStartNode(fleet, node->role, node->number);
+        if (node->role == FLEET_WORKER)
+            checkerLeaving(fleet->checker, node->props.name, false);
+    } else if (strcmp(verb, "wipe") == 0) {
+        simDiskWipe(world, node->machine);
+    } else if (strcmp(verb, "freeze") == 0) {
+        fleetFreeze(fleet, node->role, node->number, number);
+    } else if (strcmp(verb, "cut") == 0 || strcmp(verb, "join") == 0) {
+        fleetIsolate(fleet, node->role, node->number, verb[0] == 'c');
+    } else if (strcmp(verb, "slow") == 0) {
+        simDiskSlow(world, node->machine, number);
+    } else if (strcmp(verb, "lie") == 0 || strcmp(verb, "honest") == 0) {
+        simDiskLie(world, node->machine, verb[0] == 'l');
+    } else if (strcmp(verb, "diskfails") == 0 || strcmp(verb, "diskworks") == 0) {
+        simDiskFail(world, node->machine, verb[4] == 'f');
+    } else if (strcmp(verb, "jump") == 0) {
+        simJump(world, node->machine, number);
+    } else if (strcmp(verb, "rate") == 0) {
+        simClockRate(world, node->machine, number);
+    } else if (strcmp(verb, "leave") == 0 && node->worker != NULL) {
+        standWorkerLeave(node->worker);
+        checkerLeaving(fleet->checker, node->props.name, true);
+    } else if ((strcmp(verb, "fails") == 0 || strcmp(verb, "heals") == 0) && node->worker != NULL) {
+        node->workerProps.failsAll = verb[0] == 'f';
+        standWorkerFail(node->worker, verb[0] == 'f');
+    } else if (strcmp(verb, "leads") == 0 || strcmp(verb, "!leads") == 0) {
+        const bool leads = node->core != NULL && fleetLeader(fleet) == node->number;
+        if (leads != (verb[0] == 'l'))
+            return fault(timeline, column->name, leads ? "it leads" : "it does not lead");
+    } else if (strcmp(verb, "runs") == 0 || strcmp(verb, "idle") == 0) {
+        const bool runs = node->worker != NULL && (standWorkerRunning(node->worker) > 0 ||
+                                                   checkerStartedSince(fleet->checker, node->props.name) < RAN_MS);
+        if (runs != (verb[0] == 'r'))
+            return fault(timeline, column->name, runs ? "it runs something" : "it runs nothing");
+    } else if (strcmp(verb, "up") == 0 || strcmp(verb, "!up") == 0) {
+        if (node->up != (verb[0] == 'u'))
+            return fault(timeline, column->name, node->up ? "it is up" : "it is not up");
+    } else {
+        return fault(timeline, column->name, "a node does not know this word");
+    }
+    return true;
+}
+
+static bool cellAct(Timeline *timeline, const Column *column, char *cell)
+{
+    for (char *save = NULL, *word = strtok_r(cell, "+", &save); word != NULL; word = strtok_r(NULL, "+", &save)) {
+        if (strcmp(word, ".") == 0)
+            continue;
+        char *value = strchr(word, ':');
+        if (value != NULL)
+            *value++ = '\0';
+        const bool good = column->zone != NULL   ? zoneAct(timeline, column, word)
+                          : column->node != NULL ? nodeAct(timeline, column, word, value)
+                                                 : callersAct(timeline, column, word, value);
+        if (!good)
+            return false;
+    }
+    return true;
+}
+
+static bool draw(Timeline *timeline, char *text)
+{
+    Fleet *fleet = timeline->fleet;
+    char *saveRow = NULL;
+    bool header = true;
+    for (char *row = strtok_r(text, "\n", &saveRow); row != NULL; row = strtok_r(NULL, "\n", &saveRow)) {
+        char *saveCell = NULL;
+        char *cell = strtok_r(row, " ", &saveCell);
+        if (cell == NULL)
+            continue;
+        if (!header) {
+            const int64_t atMs = timeline->startMs + atoll(cell);
+            if (atMs > simNowMs(fleet->world))
+                fleetRun(fleet, atMs - simNowMs(fleet->world));
+        }
+        for (size_t i = 0; (cell = strtok_r(NULL, " ", &saveCell)) != NULL; i++) {
+            if (header) {
+                if (i >= COLUMNS_MAX || !columnFind(timeline, cell, &timeline->columns[i]))
+                    return fault(timeline, cell, "there is no such column");
+                timeline->columnCount = i + 1;
+            } else if (i >= timeline->columnCount || !cellAct(timeline, &timeline->columns[i], cell)) {
+                return i < timeline->columnCount ? false : fault(timeline, cell, "more cells than columns");
+            }
+        }
+        header = false;
+        if (checkerBrokenAll(fleet->checker) > 0)
+            return fault(timeline, "checker", checkerFirst(fleet->checker));
+    }
+    return true;
+}
+
+bool timelineRun(uint64_t seed, FleetShape shape, const char *text, char *why, size_t whySize)
+{
+    void *mem = talloc_new(NULL);
+    Timeline *timeline = talloc_zero(mem, Timeline);
+    Fleet *fleet = fleetNew(mem, seed, shape);
+    timeline->fleet = fleet;
+    timeline->why = why;
+    timeline->whySize = whySize;
+    why[0] = '\0';
+    fleetStart(fleet);
+    bool good = fleetSettle(fleet, 30000) && fleetConfigure(fleet);
+    if (!good)
+        fault(timeline, "-", "the fleet did not settle");
+    timeline->startMs = simNowMs(fleet->world);
+    good = good && draw(timeline, talloc_strdup(mem, text));
+    if (!good)
+        fleetDump(fleet);
+    talloc_free(mem);
+    return good;
+}
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -7,7 +7,9 @@
 static int64_t simLoopNowMs(const Loop *loop)
 {
     const SimLoop *sim = (const SimLoop *)loop;
-    return sim->world->nowMs + sim->world->machines[sim->machine].bootOffsetMs;
+    const SimMachine *machine = &sim->world->machines[sim->machine];
+    return machine->bootOffsetMs + machine->rateFromMs +
+           (sim->world->nowMs - machine->rateFromMs) * machine->ratePercent / 100;
 }
 
 static int64_t simLoopWallMs(const Loop *loop)
@@ -140,6 +142,7 @@
     snprintf(machine->ip, sizeof(machine->ip), "10.0.0.%d", number + 1);
     machine->bootOffsetMs = (int64_t)(simRandom(world) % 100000000);
     machine->wallOffsetMs = (int64_t)(simRandom(world) % 200) - 100;
+    machine->ratePercent = 100;
     machine->syncMs = 3;
     machine->disk = mapNew(world);
     return number;
@@ -204,7 +207,8 @@
     SimMachine *machine = &sim->world->machines[sim->machine];
     SimTurn *one = talloc_zero(sim->world, SimTurn);
     *one = (SimTurn){machine, machine->life, whenMs};
-    simAt(sim->world, whenMs - machine->bootOffsetMs, turn, one);
+    const int64_t spanMs = whenMs - machine->bootOffsetMs - machine->rateFromMs;
+    simAt(sim->world, machine->rateFromMs + (spanMs * 100 + machine->ratePercent - 1) / machine->ratePercent, turn, one);
 }
 
 void simStart(SimWorld *world, int number, SimStart start, void *arg)
@@ -272,6 +276,15 @@
     world->machines[machine].wallOffsetMs += byMs;
 }
 
+void simClockRate(SimWorld *world, int number, int64_t percent)
+{
+    SimMachine *machine = &world->machines[number];
+    const int64_t aheadMs = (world->nowMs - machine->rateFromMs) * (machine->ratePercent - 100) / 100;
+    machine->bootOffsetMs += aheadMs;
+    machine->rateFromMs = world->nowMs;
+    machine->ratePercent = percent;
+}
+
 void simCut(SimWorld *world, int from, int to, bool cut)
 {
     if (from != to)
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -44,6 +44,7 @@
     bool silent;   /* it ends without telling its partners */
     int64_t frozenUntilMs;
     int64_t bootOffsetMs;
+    int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
     int64_t syncMs;
     bool diskFails, diskLies;
--- /dev/null
+++ b/packages/sim/test/checkers.c
@@ -0,0 +1,173 @@
+/* The checkers checked: each never is broken on purpose and seen to be caught,
+ * first by hand, then by fleets that break what the safety rests on. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/timeline.h"
+
+static int64_t nowMs;
+static bool standsStill;
+static Job job;
+
+static int64_t testNow(void *arg)
+{
+    (void)arg;
+    return nowMs;
+}
+
+static bool testFrozen(void *arg, const char *worker)
+{
+    (void)arg;
+    return standsStill && strcmp(worker, "w1") == 0;
+}
+
+static const Job *testJob(void *arg, const char *id)
+{
+    (void)arg;
+    return strcmp(id, "j") == 0 ? &job : NULL;
+}
+
+static Checker *begin(void)
+{
+    const CheckerProps props = {NULL, testNow, testFrozen, testJob};
+    Checker *checker = checkerNew(NULL, &props);
+    static StepSpec steps[2];
+    static JobTask tasks[3];
+    static const char *after[] = {"one"};
+    steps[0] = (StepSpec){.name = "one", .count = 1, .room = {1000, 10}, .kind = "std"};
+    steps[1] = (StepSpec){.name = "two", .count = 2, .gang = true, .room = {1000, 10}, .kind = "", .after = after, .afterCount = 1};
+    tasks[0] = (JobTask){.step = 0, .worker = "", .text = ""};
+    tasks[1] = tasks[2] = (JobTask){.step = 1, .worker = "", .text = ""};
+    job = (Job){.spec = {.id = "j", .steps = steps, .stepsCount = 2}, .tasks = tasks, .tasksCount = 3};
+    nowMs = 1000;
+    standsStill = false;
+    for (int i = 1; i <= 3; i++) {
+        const Worker worker = {.name = i == 1 ? "w1" : i == 2 ? "w2" : "gpu", .zone = "z", .rack = "",
+                               .kind = i == 3 ? "gpu" : "std", .room = {2000, 100}};
+        checkerWorker(checker, &worker);
+    }
+    return checker;
+}
+
+static const Room ONE = {1000, 10};
+
+static void only(Checker *checker, Never never)
+{
+    assert_true(checkerBroken(checker, never) > 0);
+    assert_int_equal(checkerBrokenAll(checker), checkerBroken(checker, never));
+    assert_true(strlen(checkerFirst(checker)) > 0);
+    talloc_free(checker);
+}
+
+static void good(Checker *checker)
+{
+    assert_int_equal(checkerBrokenAll(checker), 0);
+}
+
+static void byHand(void **state)
+{
+    (void)state;
+    Checker *c = begin();
+    checkerPlans(c, "a", 5), checkerPlans(c, "b", 6), checkerPlans(c, "b", 6), good(c);
+    checkerPlans(c, "a", 5), only(c, NEVER_TWO_LEADERS);
+
+    c = begin(), checkerPlans(c, "a", 5), checkerPlans(c, "b", 5), only(c, NEVER_TWO_LEADERS);
+
+    c = begin(), checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
+    checkerStarted(c, "w2", "j", 0, 2, ONE), only(c, NEVER_TWICE);
+
+    c = begin(), checkerStarted(c, "w1", "j", 0, 1, ONE), standsStill = true;
+    checkerStarted(c, "w2", "j", 0, 2, ONE), good(c);
+    standsStill = false, checkerWorkerWoke(c, "w1"), only(c, NEVER_TWICE);
+
+    c = begin(), checkerStarted(c, "w1", "j", 0, 1, ONE), checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE);
+    checkerKnown(c, "w1", "j", 0, 1, ROUND_DONE), good(c);
+    checkerStarted(c, "w2", "j", 0, 2, ONE), only(c, NEVER_AFTER_FINISH);
+
+    c = begin(), checkerAccepted(c, "j"), good(c), checkerEnd(c), only(c, NEVER_FORGOTTEN);
+    c = begin(), checkerAccepted(c, "j"), checkerUnknown(c, "j"), only(c, NEVER_FORGOTTEN);
+    c = begin(), checkerAccepted(c, "j"), checkerJobEnded(c, "j", "done"), only(c, NEVER_FORGOTTEN);
+
+    c = begin(), checkerRefused(c, "x"), checkerStarted(c, "w1", "x", 0, 1, ONE), only(c, NEVER_REFUSED_RAN);
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerRefused(c, "x"), only(c, NEVER_REFUSED_RAN);
+
+    c = begin(), checkerStarted(c, "w1", "j", 1, 1, ONE), only(c, NEVER_TOO_EARLY);
+
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, (Room){2001, 1}), only(c, NEVER_OVERPACKED);
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerStarted(c, "w1", "x", 1, 1, (Room){500, 95});
+    only(c, NEVER_OVERPACKED);
+    c = begin(), checkerStarted(c, "gpu", "j", 0, 1, ONE), only(c, NEVER_OVERPACKED);
+
+    c = begin(), checkerCancelled(c, "x"), nowMs += 2900, checkerStarted(c, "w1", "x", 0, 1, ONE), good(c);
+    nowMs += 200, checkerStarted(c, "w1", "x", 1, 1, ONE), only(c, NEVER_CANCELLED_RAN);
+
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerCancelled(c, "x"), nowMs += 3000, checkerLook(c),
+    good(c);
+    nowMs += 9000, checkerLook(c), only(c, NEVER_STOPPED_RAN);
+
+    c = begin(), checkerLeaving(c, "w1", true), nowMs += 2100, checkerStarted(c, "w1", "x", 0, 1, ONE);
+    only(c, NEVER_LEAVING_GIVEN);
+    c = begin(), checkerZone(c, "z", true), nowMs += 5100, checkerStarted(c, "w1", "x", 0, 1, ONE);
+    only(c, NEVER_LEAVING_GIVEN);
+
+    c = begin(), checkerAccepted(c, "j"), checkerStarted(c, "w1", "j", 0, 1, ONE);
+    checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE), checkerStarted(c, "w1", "j", 1, 1, ONE);
+    nowMs += 5000, checkerLook(c), good(c), nowMs += 20000, checkerLook(c), only(c, NEVER_GANG_SPLIT);
+
+    c = begin(), checkerConfigSet(c, 3), checkerConfigRead(c, 3), good(c), checkerConfigRead(c, 2);
+    only(c, NEVER_CONFIG_LOST);
+    c = begin(), checkerConfigSet(c, 3), checkerConfigSet(c, 3), only(c, NEVER_CONFIG_LOST);
+}
+
+static const FleetShape SHAPE = {3, 3, 11, MIX_TRENTVALE};
+
+static void caught(const char *text, const char *words)
+{
+    char why[512];
+    for (uint64_t seed = 1; seed <= 6; seed++)
+        if (!timelineRun(seed, SHAPE, text, why, sizeof(why)) && strstr(why, words) != NULL) {
+            print_message("caught: %s\n", why);
+            return;
+        }
+    fail_msg("not caught: %s; last: %s", words, why);
+}
+
+/* A worker whose clock runs at a tenth of the true speed outlives its hold. */
+static void slowClockRunsTwice(void **state)
+{
+    (void)state;
+    caught("ms     worker1              agent1  callers\n"
+           "0      .                    .       call:20\n"
+           "3000   rate:10+cut>agent1   cut     .\n"
+           "15000  rate:100+join>agent1 join    .\n"
+           "20000  .                    .       end\n",
+           "running twice");
+}
+
+/* Seats whose clocks run ten times too fast let a hold lapse that still runs. */
+static void fastSeatsMakeTwoLeaders(void **state)
+{
+    (void)state;
+    caught("ms     leader  second     third      callers\n"
+           "0      .       .          .          call:10/1000\n"
+           "12000  rate:10 rate:1000  rate:1000  .\n"
+           "12001  cut     .          .          .\n"
+           "20000  .       .          .          .\n",
+           "two leaders");
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(byHand),
+        cmocka_unit_test(slowClockRunsTwice),
+        cmocka_unit_test(fastSeatsMakeTwoLeaders),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/sim/test/timelines.c
@@ -0,0 +1,207 @@
+/* Timelines of failures; each is drawn under several seeds, and every never is
+ * checked at each step of each. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "sim/timeline.h"
+
+static void drawn(FleetShape shape, const char *text, uint64_t seeds)
+{
+    char why[512];
+    for (uint64_t seed = 1; seed <= seeds; seed++)
+        if (!timelineRun(seed, shape, text, why, sizeof(why)))
+            fail_msg("seed %u: %s", (unsigned)seed, why);
+}
+
+static const FleetShape TRENTVALE = {3, 3, 11, MIX_TRENTVALE};
+static const FleetShape ATLAS = {3, 4, 11, MIX_ATLAS};
+
+#define TIMELINE(name, shape, seeds, text) \
+    static void name(void **state)         \
+    {                                      \
+        (void)state;                       \
+        drawn(shape, text, seeds);         \
+    }
+
+TIMELINE(founding, TRENTVALE, 3,
+         "ms     leader  second  third   callers\n"
+         "0      leads   !leads  !leads  call:10/4000\n"
+         "5000   leads   !leads  !leads  end+gap<1000\n")
+
+TIMELINE(leaderKilled, TRENTVALE, 3,
+         "ms     leader  second  third   callers\n"
+         "0      leads   .       .       call:10\n"
+         "4000   kill    .       .       .\n"
+         "12000  start   .       .       .\n"
+         "20000  up      .       .       end+gap<6000\n")
+
+TIMELINE(workerKilled, TRENTVALE, 3,
+         "ms     worker2  agent2  worker3  callers\n"
+         "0      .        .       .        call:10\n"
+         "4000   kill     .       .        .\n"
+         "12000  start    .       kill     .\n"
+         "18000  runs     .       start    .\n"
+         "20000  .        .       .        end+gap<1000\n")
+
+TIMELINE(machineOff, ATLAS, 3,
+         "ms     worker2  agent2  callers\n"
+         "0      .        .       call:9\n"
+         "4000   off      off     .\n"
+         "12000  start    start   .\n"
+         "20000  .        .       end+gap<1000\n")
+
+TIMELINE(agentFrozen, TRENTVALE, 3,
+         "ms     agent1       worker1  agent2      callers\n"
+         "0      .            .        .           call:10\n"
+         "4000   freeze:6000  .        freeze:900  .\n"
+         "9500   .            idle     .           .\n"
+         "16000  .            runs     .           .\n"
+         "20000  .            .        .           end+gap<1000\n")
+
+TIMELINE(workerFrozen, TRENTVALE, 3,
+         "ms     worker1      worker2      callers\n"
+         "0      .            .            call:10\n"
+         "4000   freeze:6000  freeze:2500  .\n"
+         "16000  runs         runs         .\n"
+         "20000  .            .            end+gap<1000\n")
+
+TIMELINE(leaderFrozen, TRENTVALE, 3,
+         "ms     leader       second  third  callers\n"
+         "0      leads        .       .      call:10\n"
+         "4000   freeze:7000  .       .      .\n"
+         "11100  !leads       .       .      .\n"
+         "20000  .            .       .      end+gap<6000\n")
+
+TIMELINE(minorityCut, TRENTVALE, 3,
+         "ms     leader  second  third  callers\n"
+         "0      .       .       .      call:10\n"
+         "4000   cut     .       .      .\n"
+         "9000   !leads  .       .      .\n"
+         "14000  join    .       .      .\n"
+         "20000  .       cut     .      .\n"
+         "26000  .       join    .      .\n"
+         "30000  .       .       .      end+gap<6000\n")
+
+TIMELINE(agentCut, ATLAS, 3,
+         "ms     agent1  worker1  agent2  callers\n"
+         "0      .       .        .       call:9\n"
+         "4000   cut     .        cut     .\n"
+         "5500   .       .        join    .\n"
+         "8500   .       idle     .       .\n"
+         "12000  join    .        .       .\n"
+         "16000  .       runs     .       .\n"
+         "20000  .       .        .       end+gap<1000\n")
+
+TIMELINE(zoneOff, TRENTVALE, 3,
+         "ms     zone:north  callers\n"
+         "0      .           call:10\n"
+         "4000   off         .\n"
+         "16000  start       .\n"
+         "30000  .           end+gap<12000\n")
+
+TIMELINE(zoneCut, ATLAS, 3,
+         "ms     zone:south  callers\n"
+         "0      .           call:9\n"
+         "4000   cut         .\n"
+         "16000  join        .\n"
+         "30000  .           end+gap<12000\n")
+
+TIMELINE(zoneDrained, TRENTVALE, 2,
+         "ms     zone:west  worker3  worker1  callers\n"
+         "0      .          .        .        call:30\n"
+         "4000   drain      .        .        .\n"
+         "20000  .          idle     runs     .\n"
+         "20001  back       .        .        .\n"
+         "26000  .          runs     .        .\n"
+         "30000  .          .        .        end+gap<1000\n")
+
+TIMELINE(workerLeaves, TRENTVALE, 2,
+         "ms     worker1  worker4  callers\n"
+         "0      .        .        call:10\n"
+         "4000   leave    leave    .\n"
+         "6000   .        kill     .\n"
+         "12000  idle     start    .\n"
+         "20000  .        .        end+gap<1000\n")
+
+TIMELINE(allSeatsKilled, TRENTVALE, 3,
+         "ms     core1  core2  core3  callers\n"
+         "0      .      .      .      call:10\n"
+         "4000   kill   kill   kill   .\n"
+         "5000   start  start  start  .\n"
+         "20000  .      .      .      end+gap<12000\n")
+
+TIMELINE(powerLostAfterAcknowledgement, ATLAS, 5,
+         "ms     core1      core2      core3      callers\n"
+         "0      lie        lie        lie        .\n"
+         "1000   .          .          .          call:9\n"
+         "4000   off        off        off        .\n"
+         "4100   honest     honest     honest     .\n"
+         "5000   start      start      start      .\n"
+         "25000  .          .          .          end+gap<12000\n")
+
+TIMELINE(oneDiskLies, ATLAS, 3,
+         "ms     leader  second  third  callers\n"
+         "0      .       lie     .      .\n"
+         "1000   .       .       .      call:9\n"
+         "4000   .       off     .      .\n"
+         "4500   .       start   .      .\n"
+         "5000   kill    .       .      .\n"
+         "12000  start   honest  .      .\n"
+         "25000  .       .       .      end+gap<12000\n")
+
+TIMELINE(slowDisks, TRENTVALE, 3,
+         "ms     leader     second     third  callers\n"
+         "0      .          .          .      call:10\n"
+         "4000   slow:4000  .          .      .\n"
+         "12000  slow:3     slow:4000  .      .\n"
+         "20000  .          slow:3     .      .\n"
+         "26000  .          .          .      end+gap<8000\n")
+
+TIMELINE(diskFails, ATLAS, 2,
+         "ms     leader     second  third  callers\n"
+         "0      .          .       .      call:9\n"
+         "4000   diskfails  .       .      .\n"
+         "20000  .          .       .      end+gap<8000\n")
+
+TIMELINE(clocksJump, ATLAS, 2,
+         "ms     leader        second         agent1        callers\n"
+         "0      .             .              .             call:9\n"
+         "4000   jump:3600000  .              jump:-600000  .\n"
+         "6000   .             jump:-3600000  kill          .\n"
+         "7000   .             .              start         .\n"
+         "9000   kill          .              .             .\n"
+         "20000  .             .              .             end+gap<6000\n")
+
+TIMELINE(oneWayCuts, TRENTVALE, 3,
+         "ms     leader       second       third       callers\n"
+         "0      .            .            .           call:10\n"
+         "4000   cut>second   .            .           .\n"
+         "9000   join>second  cut>leader   .           .\n"
+         "14000  .            join>leader  .           .\n"
+         "24000  .            .            .           end+gap<9000\n")
+
+TIMELINE(gateKilled, TRENTVALE, 2,
+         "ms     gate1  gate2        callers\n"
+         "0      .      .            call:10\n"
+         "4000   kill   freeze:3000  .\n"
+         "8000   start  .            .\n"
+         "12000  .      .            end+gap<2000\n")
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
+        cmocka_unit_test(machineOff),     cmocka_unit_test(agentFrozen),  cmocka_unit_test(workerFrozen),
+        cmocka_unit_test(leaderFrozen),   cmocka_unit_test(minorityCut),  cmocka_unit_test(agentCut),
+        cmocka_unit_test(zoneOff),        cmocka_unit_test(zoneCut),      cmocka_unit_test(zoneDrained),
+        cmocka_unit_test(workerLeaves),   cmocka_unit_test(allSeatsKilled),
+        cmocka_unit_test(powerLostAfterAcknowledgement),
+        cmocka_unit_test(oneDiskLies),    cmocka_unit_test(slowDisks),    cmocka_unit_test(diskFails),
+        cmocka_unit_test(clocksJump),     cmocka_unit_test(oneWayCuts),   cmocka_unit_test(gateKilled),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/standin/include/standin/caller.h
+++ b/packages/standin/include/standin/caller.h
@@ -66,6 +66,8 @@
 typedef struct Caller Caller;
 
 Caller *callerStart(void *mem, Loop *loop, const CallerProps *props);
+/* Hands in no more; goes on following what it has handed in. */
+void callerStop(Caller *caller);
 size_t callerJobs(const Caller *caller, CallerJob *const **jobs);
 bool callerDone(const Caller *caller);
 /* Sets the mix's configuration through an entry; waits. */
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -29,6 +29,7 @@
 StandWorker *standWorkerStart(void *mem, Loop *loop, const StandWorkerProps *props);
 /* Says that it leaves; takes nothing new from then on. */
 void standWorkerLeave(StandWorker *worker);
+void standWorkerFail(StandWorker *worker, bool fails);
 size_t standWorkerRunning(const StandWorker *worker);
 
 #endif
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -13,6 +13,7 @@
     CallerJob **jobs;
     size_t count, room;
     size_t open; /* jobs that have neither ended nor been refused */
+    bool stop;   /* is to hand in no more */
     bool over;   /* hands in no more */
     uint64_t draw;
 };
@@ -145,7 +146,7 @@
 {
     Caller *caller = arg;
     const int64_t startMs = loopNowMs(caller->loop);
-    for (size_t n = 0; !loopStopping(caller->loop); n++) {
+    for (size_t n = 0; !caller->stop && !loopStopping(caller->loop); n++) {
         const int64_t dueMs = startMs + (int64_t)n * 1000000 / caller->props.rateMilli;
         if (dueMs - startMs >= caller->props.forMs || (caller->props.most > 0 && n >= caller->props.most))
             break;
@@ -181,6 +182,11 @@
     return caller;
 }
 
+void callerStop(Caller *caller)
+{
+    caller->stop = true;
+}
+
 size_t callerJobs(const Caller *caller, CallerJob *const **jobs)
 {
     *jobs = caller->jobs;
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -236,6 +236,11 @@
     worker->leaving = true;
 }
 
+void standWorkerFail(StandWorker *worker, bool fails)
+{
+    worker->props.failsAll = fails;
+}
+
 size_t standWorkerRunning(const StandWorker *worker)
 {
     size_t count = 0;
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -70,6 +70,9 @@
 
 /* Whether this node holds the lock and leads, as of now, by its own clock. */
 bool viewLeading(const View *view);
+/* Whether it holds the lock, also while it opens a view anew: holds may be
+ * answered, nothing may be decided. */
+bool viewHolds(const View *view);
 uint64_t viewEpoch(const View *view);
 /* When this node won the lock from another (or from nobody). */
 int64_t viewWonMs(const View *view);
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -62,6 +62,7 @@
     LockHold hold;
     int64_t wonMs;
     bool holding; /* the lock was won and not given up (also while a view is opened anew) */
+    bool reopening; /* the opening under way is of a holder that never lost the lock */
     uint64_t viewIndex;
     bool inView[SEAT_COUNT];
     Partner partners[SEAT_COUNT];
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -40,16 +40,20 @@
     const int i = part.seat;
     poll->sentMs[i] = loopNowMs(view->loop);
     if (view->seats[i] == view->disk) {
-        poll->status[i] = seatPropose(view, &poll->ask);
+        const Status status = seatPropose(view, &poll->ask);
         seatDescribe(view, poll, &poll->answers[i]);
+        poll->status[i] = status;
     } else {
         const Member *member = membersFindDisk(view->props.members, view->seats[i]);
         if (member != NULL) {
             char address[ADDRESS_MAX];
             strncpy(address, member->record.address, sizeof(address) - 1);
             address[sizeof(address) - 1] = '\0';
-            poll->status[i] = courierAsk(view->props.courier, poll, address, MESSAGE_PROPOSE, &ProposeAskShape,
-                                         &poll->ask, ASK_EXPIRY_MS, &SeatAnswerShape, &poll->answers[i]);
+            SeatAnswer answer = {0};
+            const Status status = courierAsk(view->props.courier, poll, address, MESSAGE_PROPOSE, &ProposeAskShape,
+                                             &poll->ask, ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
+            poll->answers[i] = answer;
+            poll->status[i] = status;
         }
     }
     poll->pending--;
@@ -74,8 +78,11 @@
         *part = (PollPart){poll, i};
         loopSpawn(view->loop, "poll", pollMain, part);
     }
+    /* also the own disk is not waited for without end */
+    const int64_t untilMs = loopNowMs(view->loop) + ASK_EXPIRY_MS + ASK_EXPIRY_MS / 4;
     while (poll->pending > 0)
-        signalWait(view->loop, &poll->ended, INT64_MAX);
+        if (!signalWait(view->loop, &poll->ended, untilMs))
+            break;
     return poll;
 }
 
@@ -438,6 +445,7 @@
     bool newHolder = !view->holding;
     const uint64_t turn = ++view->leadTurn;
     view->phase = VIEW_OPENING;
+    view->reopening = !newHolder;
     Poll *poll = pollSeats(view, 0, skip);
     Status status = STATUS_UNREACHABLE;
     int heard = 0;
@@ -467,6 +475,7 @@
     const int64_t heldUntilMs = lockHoldUntil(&view->hold);
     for (int i = 0; i < SEAT_COUNT; i++)
         newHolder |= poll->status[i] == STATUS_OK && poll->sentMs[i] >= heldUntilMs;
+    view->reopening = !newHolder;
     if (newHolder)
         lockHoldClear(&view->hold);
     for (int i = 0; i < SEAT_COUNT; i++) {
@@ -496,7 +505,7 @@
     pollLeave(poll);
     if (lost) {
         if (!leadOver(view, turn))
-            leadDown(view, 0);
+            leadDown(view, own >= 0 && !inView[own] && journalSyncSince(view->journal) != INT64_MAX ? SLOW_DISK_REST_MS : 0);
         return STATUS_OTHER_HOLDER;
     }
     view->epoch = epoch;
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -65,6 +65,12 @@
     return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);
 }
 
+bool viewHolds(const View *view)
+{
+    return (view->phase == VIEW_LEADING || (view->phase == VIEW_OPENING && view->reopening)) &&
+           loopNowMs(view->loop) < lockHoldUntil(&view->hold);
+}
+
 bool viewKnowsHolder(const View *view)
 {
     const int64_t nowMs = loopNowMs(view->loop);
