What may have been told is told again by its state, not by its number

Causes: a second loss of power compared numbers of a history that the first had ended; and a resend answered 'known' left no copy with the gate that carried it. Now items are compared with the present state, and each carried verdict leaves one. Drains carry a stamp, so that an old one told again counts for nothing.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -75,6 +75,13 @@
     showRefusal(way->task, faults->list[0].status, faults->list[0].text, faults);
 }
 
+static void keepAdd(Way *way, const KeepItem *item)
+{
+    KeepList *keeps = way->keeps;
+    keeps->items = talloc_realloc(way->mem, keeps->items, KeepItem, (unsigned)(keeps->itemsCount + 1));
+    keeps->items[keeps->itemsCount++] = *item;
+}
+
 /* --- jobs ------------------------------------------------------------------------------ */
 
 static void showAccepted(Way *way, const Job *job, int code)
@@ -93,9 +100,14 @@
     /* the same job again is told the first answer, whatever has changed since */
     const Job *known = tableJob(core->table, spec.id);
     if (known != NULL) {
-        if (shapeEqual(&JobSpecShape, &known->spec, &spec))
+        if (shapeEqual(&JobSpecShape, &known->spec, &spec)) {
+            /* whoever carries this verdict may be the only one to have heard it */
+            KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
+            const JobAdd add = {spec};
+            shapePack(&JobAddShape, &add, way->mem, &item.payload);
+            keepAdd(way, &item);
             showAccepted(way, known, 200);
-        else
+        } else
             showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
         return;
     }
@@ -339,7 +351,9 @@
         showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
         return;
     }
-    const ZoneDrain drain = {way->name, drained};
+    const int64_t clockMs = viewClockMs(way->core->view);
+    const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
+    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1};
     Verdict verdict;
     if (delivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &verdict,
                                   way->keeps)))
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -62,7 +62,7 @@
     return status;
 }
 
-static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair, uint64_t keptIndex)
+static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
 {
     Core *core = arg;
     (void)epoch;
@@ -79,7 +79,6 @@
     }
     if (repair && (newHolder || !core->repairing)) {
         core->repairing = true;
-        core->keptIndex = keptIndex;
         /* rounds that the log has forgotten are told again or have lapsed by then */
         core->placeFromMs = loopNowMs(core->loop) + AGENT_HOLD_MS + HOLD_SLACK_MS;
         repairStart(core);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -41,7 +41,6 @@
     bool leaving;
     bool repairing;
     uint64_t repairTurn;
-    uint64_t keptIndex;
     int64_t placeFromMs;
     Signal wake; /* beats with news for the planner */
     /* of the last pass: whether the plan held, and else what breaks it */
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -55,26 +55,56 @@
     talloc_free(part);
 }
 
-/* The configuration first, then changes in the order in which they were
- * committed, then what agents tell of rounds, which needs the jobs to be there. */
-static int itemClass(const KeepItem *item)
+/* Kinds that may be told again, in the order in which they are: what needs
+ * another comes after it. The number in the old log orders within a kind only:
+ * it may be of a history that the disks have lost since. */
+static const uint64_t KINDS[] = {CHANGE_CONFIG_SET, CHANGE_JOB_ADD, CHANGE_JOB_CANCEL, CHANGE_ZONE_DRAIN,
+                                 CHANGE_ROUNDS};
+
+static size_t kindPlace(uint64_t change)
 {
-    return item->index != 0 ? 1 : item->change == CHANGE_ROUNDS ? 2 : 0;
+    size_t at = 0;
+    while (at < sizeof(KINDS) / sizeof(KINDS[0]) && KINDS[at] != change)
+        at++;
+    return at;
 }
 
 static int itemOrder(const void *a, const void *b)
 {
     const KeepItem *x = a, *y = b;
-    if (itemClass(x) != itemClass(y))
-        return itemClass(x) - itemClass(y);
+    const size_t p = kindPlace(x->change), q = kindPlace(y->change);
+    if (p != q)
+        return p < q ? -1 : 1;
     return x->index < y->index ? -1 : x->index > y->index;
 }
 
-/* Whether an item may be delivered again by us at all. */
-static bool retellable(uint64_t change)
+/* Whether the state has it already, so that telling it would change nothing. */
+static bool known(Core *core, void *mem, const KeepItem *item)
 {
-    return change == CHANGE_JOB_ADD || change == CHANGE_JOB_CANCEL || change == CHANGE_CONFIG_SET ||
-           change == CHANGE_ZONE_DRAIN || change == CHANGE_ROUNDS;
+    const Table *table = core->table;
+    JobAdd add;
+    JobCancel cancel;
+    ConfigSet set;
+    ZoneDrain drain;
+    switch (item->change) {
+    case CHANGE_JOB_ADD:
+        return shapeUnpack(&JobAddShape, item->payload, mem, &add, NULL) != STATUS_OK ||
+               tableJob(table, add.spec.id) != NULL;
+    case CHANGE_JOB_CANCEL: {
+        if (shapeUnpack(&JobCancelShape, item->payload, mem, &cancel, NULL) != STATUS_OK)
+            return true;
+        const Job *job = tableJob(table, cancel.id);
+        return job == NULL || job->phase != JOB_ACTIVE || job->ending != JOB_ACTIVE;
+    }
+    case CHANGE_CONFIG_SET:
+        return shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) != STATUS_OK ||
+               (tableConfig(table) != NULL && tableConfig(table)->revision > set.base);
+    case CHANGE_ZONE_DRAIN:
+        return shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) != STATUS_OK ||
+               tableDrainStamp(table, drain.zone) >= drain.stamp;
+    default:
+        return item->change != CHANGE_ROUNDS;
+    }
 }
 
 /* A configuration told again counts by its revision, not by its base. */
@@ -130,11 +160,12 @@
     size_t told = 0;
     for (size_t i = 0; i < retelling->count; i++) {
         const KeepItem *item = &retelling->items[i];
-        /* what agents tell has no index: theirs are the rounds they know now */
-        if (!retellable(item->change) || (item->index != 0 && item->index <= core->keptIndex))
+        void *mem = talloc_new(core);
+        if (known(core, mem, item)) {
+            talloc_free(mem);
             continue;
+        }
         Verdict verdict;
-        void *mem = talloc_new(core);
         const Status status = viewSubmit(core->view, item->change, restored(mem, item), &verdict);
         talloc_free(mem);
         if (status != STATUS_OK || turn != core->repairTurn) {
@@ -144,6 +175,7 @@
         }
         told++;
     }
+    const size_t itemCount = retelling->count;
     retellingLeave(retelling);
     if (viewRepaired(core->view) != STATUS_OK || turn != core->repairTurn)
         return;
@@ -151,8 +183,7 @@
     core->counts.repairs++;
     core->counts.retold += told;
     ringSay(core->ring, RING_ALERT, loopNowMs(core->loop),
-            "the view rested on woken seats: %zu changes after index %" PRIu64 " were told again", told,
-            core->keptIndex);
+            "the view rested on woken seats: %zu of %zu changes told again were missing", told, itemCount);
     signalRaise(core->loop, &core->wake);
 }
 
--- a/packages/sim/test/sweep.c
+++ b/packages/sim/test/sweep.c
@@ -24,15 +24,15 @@
 {
     (void)state;
     /* 8, 28: views opened anew without end; 80, 88, 260: epochs forgotten */
-    static const uint64_t SEEDS[] = {1, 2, 3, 8, 28, 80, 88, 260};
-    seeds(MIX_TRENTVALE, SEEDS, sizeof(SEEDS) / sizeof(SEEDS[0]));
+    static const uint64_t LIST[] = {1, 2, 3, 8, 28, 80, 88, 260};
+    seeds(MIX_TRENTVALE, LIST, sizeof(LIST) / sizeof(LIST[0]));
 }
 
 static void atlas(void **state)
 {
     (void)state;
-    static const uint64_t SEEDS[] = {4, 5, 6, 140};
-    seeds(MIX_ATLAS, SEEDS, sizeof(SEEDS) / sizeof(SEEDS[0]));
+    static const uint64_t LIST[] = {4, 5, 6, 140};
+    seeds(MIX_ATLAS, LIST, sizeof(LIST) / sizeof(LIST[0]));
 }
 
 int main(void)
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -64,7 +64,8 @@
 #define CONFIG_SET_FIELDS(X) X(U64, base, 0) X(U64, revision, 0) X(TXT, text, 0) X(FLAG, restored, 0)
 SHAPE(ConfigSet, CONFIG_SET_FIELDS)
 
-#define ZONE_DRAIN_FIELDS(X) X(TXT, zone, 0) X(FLAG, drained, 0)
+/* stamp grows with each order for a zone: an older one told again counts for nothing. */
+#define ZONE_DRAIN_FIELDS(X) X(TXT, zone, 0) X(FLAG, drained, 0) X(I64, stamp, 0)
 SHAPE(ZoneDrain, ZONE_DRAIN_FIELDS)
 
 #define FORGET_FIELDS(X) X(I64, beforeMs, 0)
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -29,7 +29,7 @@
     Map *workers;
     Map *orders;
     Map *cells;
-    Map *drains;
+    Map *drains; /* zone to its newest order */
     ConfigText *configs;
     size_t configCount;
     TableFn fn;
@@ -129,12 +129,24 @@
 
 bool tableDrained(const Table *table, const char *zone)
 {
-    return mapGet(table->drains, zone) != NULL;
+    const ZoneDrain *drain = mapGet(table->drains, zone);
+    return drain != NULL && drain->drained;
+}
+
+int64_t tableDrainStamp(const Table *table, const char *zone)
+{
+    const ZoneDrain *drain = mapGet(table->drains, zone);
+    return drain != NULL ? drain->stamp : 0;
 }
 
 size_t tableDrains(const Table *table, void *mem, const char ***zones)
 {
-    return mapKeys(table->drains, mem, zones);
+    const size_t count = mapKeys(table->drains, mem, zones);
+    size_t kept = 0;
+    for (size_t i = 0; i < count; i++)
+        if (tableDrained(table, (*zones)[i]))
+            (*zones)[kept++] = (*zones)[i];
+    return kept;
 }
 
 size_t tableWaiting(const Table *table, const char *cell)
@@ -515,10 +527,12 @@
 {
     (void)change;
     (void)verdict;
-    if (drain->drained)
-        mapSet(table->drains, drain->zone, table); /* any non-null value */
-    else
-        mapDrop(table->drains, drain->zone);
+    if (drain->stamp <= tableDrainStamp(table, drain->zone))
+        return;
+    talloc_free(mapGet(table->drains, drain->zone));
+    ZoneDrain *kept = talloc_zero(table->mem, ZoneDrain);
+    shapeCopy(&ZoneDrainShape, drain, kept, kept);
+    mapSet(table->drains, kept->zone, kept);
 }
 
 static void deliverForget(Table *table, const Record *change, const Forget *forget, Verdict *verdict)
@@ -611,7 +625,8 @@
 SHAPE_TABLE(ConfigRow, CONFIG_ROW_FIELDS)
 
 #define SAVED_FIELDS(X) \
-    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, ConfigRow) X(TXS, drains, 0)
+    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, ConfigRow) \
+    X(LST, drains, ZoneDrain)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
@@ -632,7 +647,11 @@
     saved.configs = talloc_array(scratch, ConfigRow, (unsigned)table->configCount);
     for (size_t i = 0; i < table->configCount; i++)
         saved.configs[i] = (ConfigRow){table->configs[i].revision, table->configs[i].text};
-    saved.drainsCount = mapKeys(table->drains, scratch, &saved.drains);
+    const char **zones;
+    saved.drainsCount = mapKeys(table->drains, scratch, &zones);
+    saved.drains = talloc_array(scratch, ZoneDrain, (unsigned)saved.drainsCount);
+    for (size_t i = 0; i < saved.drainsCount; i++)
+        saved.drains[i] = *(const ZoneDrain *)mapGet(table->drains, zones[i]);
     Bytes packed = {0};
     shapePack(&SavedShape, &saved, mem, &packed);
     talloc_free(scratch);
@@ -665,7 +684,7 @@
             table->configs[i] =
                 (ConfigText){saved.configs[i].revision, talloc_strdup(table->mem, saved.configs[i].text)};
         for (size_t i = 0; i < saved.drainsCount; i++)
-            mapSet(table->drains, saved.drains[i], table);
+            deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
     }
     talloc_free(mem);
     return status;
--- a/packages/view/include/view/messages.h
+++ b/packages/view/include/view/messages.h
@@ -11,16 +11,15 @@
 SHAPE(SeatList, SEAT_LIST_FIELDS)
 
 /* The first entry of each epoch: whose it is and which seats are in the view.
- * repair: changes above keptIndex may have been lost and are still to be told
- * again; it stands until a REPAIRED entry, whoever leads meanwhile.
+ * repair: committed changes may have been lost and are still to be told again;
+ * it stands until a REPAIRED entry, whoever leads meanwhile.
  * Invariant: members are a majority of the seats and hold holder. */
 #define VIEW_RECORD_FIELDS(X)   \
     X(U64, epoch, 0)              \
     X(U64, holder, 0)             \
     X(LST, members, DiskId)       \
     X(TXT, holderId, 0)           \
-    X(FLAG, repair, 0)            \
-    X(U64, keptIndex, 0)
+    X(FLAG, repair, 0)
 SHAPE(ViewRecord, VIEW_RECORD_FIELDS)
 
 #define PROPOSE_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0)
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -42,8 +42,8 @@
 
 /* Called within the commit of the first entry of a view opened by this node,
  * before it counts as leading; does not wait. repair: it rests on woken seats,
- * so changes numbered above keptIndex may have been lost and must be told again. */
-typedef void (*ViewOpened)(void *arg, uint64_t epoch, bool newHolder, bool repair, uint64_t keptIndex);
+ * so committed changes may have been lost and must be told again. */
+typedef void (*ViewOpened)(void *arg, uint64_t epoch, bool newHolder, bool repair);
 
 typedef struct ViewProps {
     Loop *loop;
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -413,14 +413,12 @@
 
 static void viewEntryAdd(View *view, const bool inView[SEAT_COUNT], bool repair)
 {
-    const uint64_t keptIndex = logLastIndex(view->log);
     void *mem = talloc_new(view);
     ViewRecord record = {.epoch = view->epoch,
                          .holder = view->disk,
                          .members = talloc_array(mem, DiskId, SEAT_COUNT),
                          .holderId = membersSelf(view->props.members)->id,
-                         .repair = repair || view->last.repair,
-                         .keptIndex = view->last.repair ? view->last.keptIndex : keptIndex};
+                         .repair = repair || view->last.repair};
     for (int i = 0; i < SEAT_COUNT; i++)
         if (inView[i])
             record.members[record.membersCount++].disk = view->seats[i];
@@ -562,7 +560,7 @@
         }
     }
     if (view->props.opened != NULL)
-        view->props.opened(view->props.openedArg, epoch, newHolder, view->last.repair, view->last.keptIndex);
+        view->props.opened(view->props.openedArg, epoch, newHolder, view->last.repair);
     view->phase = VIEW_LEADING;
     view->changedMs = loopNowMs(view->loop);
     view->viewChanges++;
