No order to a worker whose loss is decided but not yet committed

Excluded: late answers of the old agent, the worker's own hold. The check for two leaders now tells a new lower epoch after the higher leader's end (disks that forgot) from a stale leader that wakes; both are tried by hand.

--- a/packages/beat/include/beat/liveset.h
+++ b/packages/beat/include/beat/liveset.h
@@ -15,6 +15,7 @@
     bool leaving;
     bool settled;
     int64_t joinedMs;
+    bool losing;          /* its loss is decided but not delivered: it gets no order until then */
 } LiveRow;
 
 /* The liveset: the leader's, rebuilt by each new one. */
@@ -28,6 +29,7 @@
 Status livesetBeat(Liveset *liveset, const BeatAsk *beat, int64_t nowMs, int64_t holdMs, bool *listCounts);
 /* A telling counts as newer than all beats numbered before it. */
 void livesetTold(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number);
+void livesetLosing(Liveset *liveset, const char *worker, bool losing);
 const LiveRow *livesetFind(const Liveset *liveset, const char *name);
 /* Whether the worker may be given work now. */
 bool liveRowReady(const LiveRow *row, int64_t nowMs);
--- a/packages/beat/src/liveset.c
+++ b/packages/beat/src/liveset.c
@@ -74,6 +74,11 @@
         row->number = number;
 }
 
+void livesetLosing(Liveset *liveset, const char *worker, bool losing)
+{
+    rowOf(liveset, worker)->losing = losing;
+}
+
 const LiveRow *livesetFind(const Liveset *liveset, const char *name)
 {
     return mapGet(liveset->rows, name);
@@ -82,7 +87,7 @@
 bool liveRowReady(const LiveRow *row, int64_t nowMs)
 {
     return row->heardMs != INT64_MIN && nowMs < row->untilMs && nowMs - row->heardMs < 3 * BEAT_MS && row->workerLive &&
-           !row->leaving && row->settled;
+           !row->leaving && row->settled && !row->losing;
 }
 
 size_t livesetRows(const Liveset *liveset, void *mem, const LiveRow ***rows)
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -180,6 +180,8 @@
     row = livesetFind(core->liveset, ask->agent);
     if (row == NULL || row->incarnation != ask->incarnation)
         return STATUS_UNKNOWN_WORKER; /* it has to beat first */
+    if (row->losing)
+        return STATUS_BUSY;
     out->expiryMs = ORDER_EXPIRY_MS;
     ordersFill(core, mem, ask->agent, out);
     return STATUS_OK;
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -88,6 +88,19 @@
     signalRaise(core->loop, &core->wake);
 }
 
+static void onDelivered(void *arg, const Record *change, const Verdict *verdict)
+{
+    Core *core = arg;
+    (void)verdict;
+    if (change->change != CHANGE_WORKER_LOST)
+        return;
+    void *mem = talloc_new(core);
+    WorkerLost lost;
+    if (shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
+        livesetLosing(core->liveset, lost.worker, false);
+    talloc_free(mem);
+}
+
 /* Ended jobs are kept for a stated span. */
 static void forgetMain(void *arg)
 {
@@ -124,6 +137,7 @@
         core->watch = *watch;
     core->courier = courierNew(core, loop, ring);
     core->table = tableNew(core);
+    tableWatch(core->table, onDelivered, core);
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
     const ViewProps viewProps = {.loop = loop,
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -42,13 +42,16 @@
             /* a worker never heard of by this leader: its first hold counts */
             const int64_t untilMs =
                 row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
-            if (nowMs > untilMs)
+            if (nowMs > untilMs && (row == NULL || !row->losing))
                 mapSet(lost, task->worker, core);
         }
     const char **names;
     const size_t lostCount = mapKeys(lost, mem, &names);
     for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
         const WorkerLost change = {names[i], UINT64_MAX};
+        /* it may come back before this is committed: then no order of the state
+         * before may reach it any more */
+        livesetLosing(core->liveset, names[i], true);
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &verdict, NULL) == STATUS_OK) {
             core->counts.lost += verdict.number;
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -48,6 +48,8 @@
 const char *checkerFirst(const Checker *checker);
 
 void checkerPlans(Checker *checker, const char *leader, uint64_t epoch);
+/* The process that leads or led has ended. */
+void checkerLeaderGone(Checker *checker, const char *leader);
 void checkerWorker(Checker *checker, const Worker *worker);
 void checkerStarted(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, Room room);
 void checkerEnded(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word);
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -217,6 +217,8 @@
     node->up = false;
     if (node->role == FLEET_WORKER)
         checkerWorkerGone(node->fleet->checker, node->props.name);
+    if (node->role == FLEET_CORE)
+        checkerLeaderGone(node->fleet->checker, node->props.name);
 }
 
 void fleetKill(Fleet *fleet, FleetRole role, int number)
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -240,7 +240,7 @@
     for (int i = 0; i < fleet->nodeCount[FLEET_WORKER]; i++)
         fleetKill(fleet, FLEET_WORKER, i); /* those that left come back as new processes */
     startAll(sweep);
-    say(sweep, "healed");
+    say(sweep, "healed (start %" PRId64 ")", sweep->startMs);
 }
 
 static int64_t longestGap(const Fleet *fleet)
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -79,6 +79,12 @@
 
     c = begin(), checkerPlans(c, "a", 5), checkerPlans(c, "b", 5), only(c, NEVER_TWO_LEADERS);
 
+    /* forgotten by the disks: a new lower epoch after the end of the higher one is
+     * no second leader, an old one that wakes is */
+    c = begin(), checkerPlans(c, "a", 5), checkerPlans(c, "b", 7), checkerLeaderGone(c, "b"), checkerPlans(c, "c", 6);
+    good(c), checkerPlans(c, "a", 5), only(c, NEVER_TWO_LEADERS);
+    c = begin(), checkerPlans(c, "b", 7), checkerLeaderGone(c, "a"), checkerPlans(c, "c", 6), only(c, NEVER_TWO_LEADERS);
+
     c = begin(), checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
     checkerStarted(c, "w2", "j", 0, 2, ONE), only(c, NEVER_TWICE);
 
--- a/packages/sim/tool/replay.c
+++ b/packages/sim/tool/replay.c
@@ -97,6 +97,7 @@
         checkerKnown(checker, line->who, line->job, line->task, line->round, roundOfWord(line->more));
     } else if (strcmp(line->what, "gone") == 0) {
         checkerWorkerGone(checker, line->who);
+        checkerLeaderGone(checker, line->who);
     } else if (strcmp(line->what, "frozen") == 0) {
         mapSet(replay->frozen, line->who, replay);
     } else if (strcmp(line->what, "woke") == 0) {
