--- /dev/null
+++ b/packages/sim/test/requests.c
@@ -0,0 +1,398 @@
+/* What callers, workers and operators ask: good, bad, twice and at once. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+static Fleet *begin(void)
+{
+    Fleet *fleet = fleetNew(NULL, 11, (FleetShape){3, 3, 11, MIX_TRENTVALE});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    assert_true(fleetConfigure(fleet));
+    return fleet;
+}
+
+static void end(Fleet *fleet)
+{
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+static int ask(Fleet *fleet, const char *method, const char *path, const char *body, const char **text)
+{
+    const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, method, path, body);
+    if (text != NULL)
+        *text = (const char *)call.verdict.data;
+    return call.code;
+}
+
+#define JOB(id, more)                                                                                  \
+    "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["       \
+    "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":10},\"payload\":{\"runMs\":500}}]" more "}"
+#define STEPS(id, steps)                                                                               \
+    "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[" steps "]}"
+#define ROOM "\"room\":{\"cpu\":1,\"memMb\":10}"
+
+static void badJobs(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *body;
+        int code;
+        const char *status, *path;
+    } ROWS[] = {
+        {"", 400, "bad-json", ""},
+        {"{", 400, "bad-json", ""},
+        {"[]", 422, "bad-field", ""},
+        {"{} x", 400, "bad-json", ""},
+        {"{\"id\":\"\xff\"}", 400, "bad-json", ""},
+        {"[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]", 400, "bad-json", ""},
+        {"{}", 422, "bad-field", "\"id\""},
+        {JOB("x", ",\"speed\":1"), 422, "bad-field", "\"speed\""},
+        {JOB("", ""), 422, "bad-field", "\"id\""},
+        {JOB("a b", ""), 422, "bad-field", "\"id\""},
+        {JOB("../x", ""), 422, "bad-field", "\"id\""},
+        {JOB("x", ",\"priority\":\"high\""), 422, "bad-field", "\"priority\""},
+        {JOB("x", ",\"priority\":1e99"), 422, "bad-field", "\"priority\""},
+        {JOB("x", ",\"priority\":99999999999999999999999"), 422, "bad-field", "\"priority\""},
+        {JOB("x", ",\"rounds\":-1"), 422, "bad-field", "\"rounds\""},
+        {JOB("x", ",\"rounds\":0"), 422, "bad-field", "\"rounds\""},
+        {JOB("x", ",\"protection\":\"much\""), 422, "bad-field", "\"protection\""},
+        {JOB("x", ",\"copies\":1"), 422, "bad-field", "\"copies\""},
+        {JOB("x", ",\"delayMs\":-5"), 422, "bad-field", "\"delayMs\""},
+        {STEPS("x", ""), 422, "bad-field", "\"steps\""},
+        {STEPS("x", "1"), 422, "bad-field", "steps[0]"},
+        {STEPS("x", "{\"name\":\"a\"}"), 422, "bad-field", "steps[0].room"},
+        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":-1,\"memMb\":1}}"), 422, "bad-field", "steps[0].room.cpu"},
+        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":1e300,\"memMb\":1}}"), 422, "bad-field", "steps[0].room.cpu"},
+        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":0,\"memMb\":0}}"), 422, "bad-field", "steps[0].room"},
+        {STEPS("x", "{\"name\":\"a\"," ROOM ",\"count\":0}"), 422, "bad-field", "steps[0].count"},
+        {STEPS("x", "{\"name\":\"a\"," ROOM ",\"count\":10001}"), 422, "bad-field", "steps[0].count"},
+        {STEPS("x", "{\"name\":\"a\"," ROOM "},{\"name\":\"a\"," ROOM "}"), 422, "bad-field", "steps[1].name"},
+        {STEPS("x", "{\"name\":\"a\",\"after\":[\"b\"]," ROOM "}"), 422, "bad-field", "steps[0].after[0]"},
+        {STEPS("x", "{\"name\":\"a\",\"after\":[\"a\"]," ROOM "}"), 422, "cyclic-steps", "steps"},
+        {STEPS("x", "{\"name\":\"a\",\"after\":[\"b\"]," ROOM "},{\"name\":\"b\",\"after\":[\"a\"]," ROOM "}"), 422,
+         "cyclic-steps", "steps"},
+        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":65,\"memMb\":1}}"), 422, "impossible-room", "steps[0].room"},
+        {STEPS("x", "{\"name\":\"a\",\"kind\":\"gpu\"," ROOM "}"), 422, "impossible-kind", "steps[0].kind"},
+        {STEPS("x", "{\"name\":\"a\",\"labels\":[\"ssd\"]," ROOM "}"), 422, "impossible-kind", "steps[0].kind"},
+        {STEPS("x", "{\"name\":\"a\",\"gang\":true,\"count\":12,\"room\":{\"cpu\":64,\"memMb\":1}}"), 422,
+         "impossible-room", "steps[0].count"},
+        {"{\"id\":\"x\",\"cell\":\"nowhere\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"a\"," ROOM
+         "}]}",
+         422, "unknown-cell", "cell"},
+        {"{\"id\":\"x\",\"cell\":\"imagery\",\"tenant\":\"nobody\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"a\"," ROOM
+         "}]}",
+         422, "unknown-tenant", "tenant"},
+        {"{\"id\":\"x\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"none\",\"steps\":[{\"name\":\"a\"," ROOM
+         "}]}",
+         422, "unknown-queue", "queue"},
+    };
+    Fleet *fleet = begin();
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        const char *text;
+        const int code = ask(fleet, "POST", "/v1/jobs", ROWS[i].body, &text);
+        char status[64];
+        snprintf(status, sizeof(status), "\"status\":\"%s\"", ROWS[i].status);
+        if (code != ROWS[i].code || strstr(text, status) == NULL || strstr(text, ROWS[i].path) == NULL)
+            fail_msg("row %zu (%s): %d %s", i, ROWS[i].body, code, text);
+    }
+    char *large = talloc_zero_array(fleet, char, JOB_BODY_MAX + 100);
+    memset(large, ' ', JOB_BODY_MAX + 50);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", large, NULL), 413);
+    fleetRun(fleet, 5000);
+    assert_int_equal(checkerStarts(fleet->checker), 0); /* nothing of it ran */
+    const char *text;
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs", NULL, &text), 200);
+    assert_string_equal(text, "{\"jobs\":[]}\n");
+    end(fleet);
+}
+
+static void badPaths(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *method, *path;
+        int code;
+    } ROWS[] = {
+        {"GET", "/", 404},
+        {"GET", "/v1/", 404},
+        {"GET", "/v1/jobs/none", 404},
+        {"GET", "/v1/jobs/a/b/c/d", 404},
+        {"GET", "/v1/jobs/%2e%2e", 404},
+        {"PUT", "/v1/jobs", 405},
+        {"DELETE", "/v1/jobs/none", 404},
+        {"GET", "/v1/jobs?after=-1", 422},
+        {"GET", "/v1/jobs?limit=100000", 422},
+        {"GET", "/v1/jobs?limit=x", 422},
+        {"GET", "/v1/config?revision=99", 404},
+        {"PUT", "/v1/config", 422},
+        {"PUT", "/v1/config?base=x", 422},
+        {"POST", "/v1/zones/nowhere/drain", 404},
+    };
+    Fleet *fleet = begin();
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        const char *text;
+        const int code = ask(fleet, ROWS[i].method, ROWS[i].path, NULL, &text);
+        if (code != ROWS[i].code || strstr(text, "\"status\":") == NULL)
+            fail_msg("%s %s: %d %s", ROWS[i].method, ROWS[i].path, code, text);
+    }
+    end(fleet);
+}
+
+/* The same job at two gates at once counts once; another body is refused. */
+static void twiceAtOnce(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    Loop *loop = simLoop(fleet->world, fleet->caller);
+    CallerProps props = {.name = "same", .mix = MIX_TRENTVALE, .rateMilli = 10000, .forMs = 3000, .entryCount = 1};
+    for (int i = 0; i < 3; i++) {
+        props.entries[0] = fleetNode(fleet, FLEET_GATE, i)->props.http;
+        Caller *caller = callerStart(loop, loop, &props);
+        fleet->callers[fleet->callerCount++] = caller;
+    }
+    fleetRun(fleet, 20000);
+    const char *text;
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs?limit=1000", NULL, &text), 200);
+    /* three callers draw other classes for the same numbers: each id is one job */
+    for (int i = 0; i < fleet->callerCount; i++) {
+        CallerJob *const *jobs;
+        const size_t count = callerJobs(fleet->callers[i], &jobs);
+        assert_int_equal(count, 30);
+        for (size_t k = 0; k < count; k++) {
+            const char *first = strstr(text, talloc_asprintf(fleet, "\"id\":\"%s\"", jobs[k]->id));
+            assert_non_null(first);
+            assert_null(strstr(first + 1, talloc_asprintf(fleet, "\"id\":\"%s\"", jobs[k]->id)));
+            assert_string_equal(jobs[k]->phase, "done");
+        }
+    }
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("one", ""), &text), 201);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("one", ""), &text), 200);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("one", ",\"priority\":1"), &text), 409);
+    assert_non_null(strstr(text, "other-body"));
+    end(fleet);
+}
+
+static void dueAndDelay(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    const int64_t wallMs = 1700000000000 + simNowMs(fleet->world);
+    char body[512];
+    snprintf(body, sizeof(body), JOB("due", ",\"dueWallMs\":%lld"), (long long)wallMs + 5000);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", body, &text), 201);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("late", ",\"delayMs\":5000"), &text), 201);
+    /* one seat's wall clock jumps by an hour: the median does not */
+    simJump(fleet->world, fleetNode(fleet, FLEET_CORE, fleetLeader(fleet))->machine, 3600000);
+    fleetRun(fleet, 4200);
+    assert_int_equal(checkerStarts(fleet->checker), 0);
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/due", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"waitsFor\":\"due-time\""));
+    fleetRun(fleet, 3000);
+    assert_int_equal(checkerStarts(fleet->checker), 2);
+    end(fleet);
+}
+
+static void gangAllOrNone(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    /* eleven workers of 64 cores: the first gang leaves room for five of the second */
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("g1", "{\"name\":\"a\",\"gang\":true,\"count\":6,\"room\":{\"cpu\":40,\"memMb\":10},"
+                                     "\"payload\":{\"runMs\":6000}}"),
+                         &text),
+                     201);
+    fleetRun(fleet, 3000);
+    assert_int_equal(checkerStarts(fleet->checker), 6);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("g2", "{\"name\":\"a\",\"gang\":true,\"count\":6,\"room\":{\"cpu\":40,\"memMb\":10},"
+                                     "\"payload\":{\"runMs\":9000}}"),
+                         &text),
+                     201);
+    fleetRun(fleet, 2000);
+    assert_int_equal(checkerStarts(fleet->checker), 6); /* none of it */
+    fleetRun(fleet, 6000);
+    assert_int_equal(checkerStarts(fleet->checker), 12); /* all of it */
+    /* a member is lost with its worker: the others stop, all start again */
+    int victim = -1;
+    for (int i = 0; i < 11 && victim < 0; i++)
+        if (standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker) > 0)
+            victim = i;
+    assert_true(victim >= 0);
+    fleetKill(fleet, FLEET_WORKER, victim);
+    fleetRun(fleet, 25000);
+    assert_true(checkerStarts(fleet->checker) >= 18);
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/g2", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"done\""));
+    end(fleet);
+}
+
+static void cancelled(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("c", "{\"name\":\"a\",\"count\":20," ROOM ",\"payload\":{\"runMs\":60000}},"
+                                    "{\"name\":\"b\",\"after\":[\"a\"]," ROOM "}"),
+                         &text),
+                     201);
+    fleetRun(fleet, 2000);
+    assert_int_equal(checkerStarts(fleet->checker), 20);
+    assert_int_equal(ask(fleet, "DELETE", "/v1/jobs/c", NULL, &text), 200);
+    checkerCancelled(fleet->checker, "c");
+    fleetRun(fleet, 2000);
+    for (int i = 0; i < 11; i++)
+        assert_int_equal(standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker), 0);
+    assert_int_equal(ask(fleet, "DELETE", "/v1/jobs/c", NULL, &text), 200); /* again: the same answer */
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/c", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"cancelled\""));
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("d", ""), &text), 201);
+    fleetRun(fleet, 3000);
+    assert_int_equal(ask(fleet, "DELETE", "/v1/jobs/d", NULL, &text), 409);
+    end(fleet);
+}
+
+static void failsThenWorks(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("f", "{\"name\":\"a\"," ROOM ",\"payload\":{\"runMs\":100,\"failRounds\":2}}"), &text),
+                     201);
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("g", "{\"name\":\"a\"," ROOM ",\"payload\":{\"runMs\":100,\"failRounds\":3}}"), &text),
+                     201);
+    fleetRun(fleet, 10000);
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/f", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"done\""));
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/g", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"failed\""));
+    assert_int_equal(checkerStarts(fleet->checker), 6);
+    end(fleet);
+}
+
+/* An agent is cut off just before its task ends; the finish is told late. */
+static void finishToldLate(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("l", "{\"name\":\"a\"," ROOM ",\"payload\":{\"runMs\":2500}}"), &text),
+                     201);
+    fleetRun(fleet, 1500);
+    int on = -1;
+    for (int i = 0; i < 11 && on < 0; i++)
+        if (standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker) > 0)
+            on = i;
+    assert_true(on >= 0);
+    /* it ends a second later, within the hold; the restart elsewhere begins after
+     * three seconds and is still running when the finish arrives */
+    fleetIsolate(fleet, FLEET_AGENT, on, true);
+    fleetRun(fleet, 4500);
+    assert_int_equal(checkerStarts(fleet->checker), 2);
+    fleetIsolate(fleet, FLEET_AGENT, on, false);
+    fleetRun(fleet, 1500);
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/l", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"done\""));
+    fleetRun(fleet, 1000);
+    for (int i = 0; i < 11; i++)
+        assert_int_equal(standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker), 0);
+    end(fleet);
+}
+
+static void configRaces(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    assert_int_equal(ask(fleet, "PUT", "/v1/config?base=0", mixConfig(MIX_TRENTVALE), &text), 409);
+    assert_non_null(strstr(text, "\"current\":1"));
+    assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=1", "{\"r\":2,\"cells\":{\"spare\":{\"tenants\":{\"t\":{}}}}}", &text),
+                     200);
+    assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=1", "{\"r\":3}", &text), 409);
+    assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=2", "{\"cells\":{\"spare\":null}}", &text), 200);
+    assert_int_equal(ask(fleet, "GET", "/v1/config", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"revision\":3"));
+    assert_null(strstr(text, "spare"));
+    assert_non_null(strstr(text, "\"r\":2"));
+    assert_int_equal(ask(fleet, "GET", "/v1/config?revision=2", NULL, &text), 200);
+    assert_non_null(strstr(text, "spare"));
+    static const struct {
+        const char *body, *path;
+    } BAD[] = {
+        {"{\"r\":9}", "\"r\""},
+        {"{\"r\":\"1\"}", "\"r\""},
+        {"{\"x\":1}", "\"x\""},
+        {"{\"cells\":{\"a b\":{}}}", "cells.a b"},
+        {"{\"cells\":{\"c\":{\"share\":0}}}", "cells.c.share"},
+        {"{\"cells\":{\"c\":{\"policy\":\"none\"}}}", "cells.c.policy"},
+        {"{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"quota\":{\"cpu\":-1,\"memMb\":1}}}}}}", "cells.c.tenants.t.quota.cpu"},
+        {"{\"policies\":{\"p\":7}}", "policies.p"},
+    };
+    for (size_t i = 0; i < sizeof(BAD) / sizeof(BAD[0]); i++) {
+        const int code = ask(fleet, "PATCH", "/v1/config?base=3", BAD[i].body, &text);
+        if (code != 422 || strstr(text, BAD[i].path) == NULL)
+            fail_msg("%s: %d %s", BAD[i].body, code, text);
+    }
+    /* refused ones took no effect; a leader's death loses nothing */
+    fleetKill(fleet, FLEET_CORE, fleetLeader(fleet));
+    fleetRun(fleet, 6000);
+    assert_int_equal(ask(fleet, "GET", "/v1/config", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"revision\":3"));
+    end(fleet);
+}
+
+static void badReports(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    static const char *const BAD[] = {
+        "", "[]", "{}", "{\"boot\":\"b\"}",
+        "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"running\":7}",
+        "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"running\":[{\"job\":\"j\",\"task\":-1,\"round\":1}]}",
+        "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"ended\":[{\"job\":\"j\",\"task\":1,\"round\":1,\"word\":\"running\"}]}",
+    };
+    for (size_t i = 0; i < sizeof(BAD) / sizeof(BAD[0]); i++) {
+        const HttpCall call = fleetAsk(fleet, fleet, FLEET_AGENT, 0, "POST", "/v1/workers/worker1/report", BAD[i]);
+        if (call.code < 400 || call.code >= 500)
+            fail_msg("%s: %d", BAD[i], call.code);
+    }
+    static const char GOOD[] = "{\"boot\":\"other\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1}}";
+    /* a second process of the same name while the first one's hold runs */
+    fleetRun(fleet, 2000);
+    HttpCall call = fleetAsk(fleet, fleet, FLEET_AGENT, 0, "POST", "/v1/workers/worker1/report", GOOD);
+    if (call.code != 409)
+        fail_msg("%d %s", call.code, (const char *)call.verdict.data);
+    call = fleetAsk(fleet, fleet, FLEET_AGENT, 0, "POST", "/v1/workers/worker2/report", GOOD);
+    assert_int_equal(call.code, 404);
+    fleetRun(fleet, 2000);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_AGENT, 0, "GET", "/readyz", NULL).code, 200);
+    end(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(badJobs),       cmocka_unit_test(badPaths),  cmocka_unit_test(twiceAtOnce),
+        cmocka_unit_test(dueAndDelay),   cmocka_unit_test(gangAllOrNone), cmocka_unit_test(cancelled),
+        cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
+        cmocka_unit_test(badReports),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/wire/src/shape.c
+++ b/packages/wire/src/shape.c
@@ -85,7 +85,11 @@
 /* Text without a zero inside, or null. */
 static const char *textOf(const msgpack_object *o, void *mem)
 {
-    if (o->type != MSGPACK_OBJECT_STR || (o->via.str.size > 0 && memchr(o->via.str.ptr, 0, o->via.str.size) != NULL))
+    if (o->type != MSGPACK_OBJECT_STR)
+        return NULL;
+    if (o->via.str.size == 0) /* the library may give no pointer at all */
+        return talloc_strdup(mem, "");
+    if (memchr(o->via.str.ptr, 0, o->via.str.size) != NULL)
         return NULL;
     return talloc_strndup(mem, o->via.str.ptr, o->via.str.size);
 }
