A core replaced by an empty one at a new address

The leader offers the seat of a disk gone for 15 s to an empty core, by a change that the old majority commits; a removed disk is refused by the seats and stays quiet. Timeline coresReplaced: two replaced in sequence while the seeds are others, the first returning, in the end only the new two left; no never broken.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -34,7 +34,7 @@
 #define MEMBER_FORGET_MS 600000 /* ms; a quiet member is dropped from the table: ten minutes of absence */
 #define MEMBERS_MAX 512        /* count; bound on a table told by a partner: ten times today's sizes */
 #define FOUND_WAIT_MS 1500     /* ms; three empty disks must see each other for this long before founding */
-#define SEAT_GONE_MS 20000     /* ms; a seat gone this long is offered to an empty core */
+#define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
 
 /* --- log and disk -------------------------------------------------------- */
 #define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
--- a/packages/core/src/found.c
+++ b/packages/core/src/found.c
@@ -111,8 +111,42 @@
     }
 }
 
+/* An empty core that has joined and holds no seat; 0: none. */
+static uint64_t emptyCore(const Core *core)
+{
+    const MemberTable *table = membersTable(core->members);
+    const int64_t nowMs = loopNowMs(core->loop);
+    for (size_t i = 0; i < table->count; i++) {
+        const Member *row = &table->rows[i];
+        if (row->record.role == ROLE_CORE && row->record.empty && !row->record.leaving && !memberQuiet(row, nowMs) &&
+            row->directMs != INT64_MIN && nowMs - row->directMs < MEMBER_QUIET_MS)
+            return row->record.disk;
+    }
+    return 0;
+}
+
+/* Replacement: the leader offers the seat of a disk gone for long to an empty
+ * core, one seat at a time. */
+static void replaceMain(void *arg)
+{
+    Core *core = arg;
+    while (!loopStopping(core->loop)) {
+        loopSleep(core->loop, PROPOSE_MS);
+        const uint64_t disk = coreDecides(core) ? emptyCore(core) : 0;
+        for (int i = 0; i < SEAT_COUNT && disk != 0; i++) {
+            if (!viewSeatGone(core->view, i, SEAT_GONE_MS))
+                continue;
+            if (viewSeatReplace(core->view, i, disk) == STATUS_OK)
+                ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "seat %d is given to disk %016" PRIx64, i + 1,
+                        disk);
+            break;
+        }
+    }
+}
+
 void foundStart(Core *core)
 {
+    loopSpawn(core->loop, "replace", replaceMain, core);
     courierHandle(core->courier, MESSAGE_FOUND, &FoundAskShape, &FoundAnswerShape, onFound, core);
     loopSpawn(core->loop, "found", foundMain, core);
 }
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -15,6 +15,7 @@
 typedef struct FleetShape {
     int cores, gates, workers; /* each worker has an agent on a machine of its own */
     Mix mix;
+    int spares; /* cores beyond the others, not started with them; they know gates as seeds too */
 } FleetShape;
 
 typedef enum FleetRole { FLEET_CORE, FLEET_GATE, FLEET_AGENT, FLEET_WORKER, FLEET_ROLES } FleetRole;
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -115,7 +115,7 @@
     fleet->shape = shape;
     const CheckerProps props = {fleet, worldNow, workerFrozen, jobOf};
     fleet->checker = checkerNew(fleet, &props);
-    for (int i = 0; i < shape.cores; i++)
+    for (int i = 0; i < shape.cores + shape.spares; i++)
         nodeAdd(fleet, FLEET_CORE)->props.data = "data";
     for (int i = 0; i < shape.gates; i++)
         nodeAdd(fleet, FLEET_GATE);
@@ -140,6 +140,10 @@
         for (int i = 0; i < fleet->nodeCount[role]; i++)
             for (int s = 0; s < SEEDS; s++)
                 fleet->nodes[role][i].props.seeds[s] = fleet->nodes[FLEET_CORE][s % shape.cores].props.listen;
+    /* the seeds have changed hands by the time that a spare comes */
+    for (int i = shape.cores; i < fleet->nodeCount[FLEET_CORE]; i++)
+        for (int s = 0; s < SEEDS; s++)
+            fleet->nodes[FLEET_CORE][i].props.seeds[s] = fleet->nodes[FLEET_GATE][s % shape.gates].props.listen;
     return fleet;
 }
 
@@ -206,7 +210,7 @@
 {
     simStart(fleet->world, fleet->caller, emptyStart, fleet);
     for (int role = 0; role < FLEET_ROLES; role++)
-        for (int i = 0; i < fleet->nodeCount[role]; i++)
+        for (int i = 0; i < fleet->nodeCount[role] - (role == FLEET_CORE ? fleet->shape.spares : 0); i++)
             fleetStartNode(fleet, (FleetRole)role, i);
 }
 
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -265,7 +265,7 @@
 {
     void *mem = talloc_new(NULL);
     Sweep *sweep = talloc_zero(mem, Sweep);
-    Fleet *fleet = fleetNew(mem, seed, (FleetShape){3, mix == MIX_ATLAS ? 4 : 3, 11, mix});
+    Fleet *fleet = fleetNew(mem, seed, (FleetShape){3, mix == MIX_ATLAS ? 4 : 3, 11, mix, 0});
     sweep->fleet = fleet;
     sweep->state = seed * 77 + 5;
     sweep->loud = loud;
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -131,7 +131,7 @@
     c = begin(), checkerConfigSet(c, 3), checkerConfigSet(c, 3), only(c, NEVER_CONFIG_LOST);
 }
 
-static const FleetShape SHAPE = {3, 3, 11, MIX_TRENTVALE};
+static const FleetShape SHAPE = {3, 3, 11, MIX_TRENTVALE, 0};
 
 static void caught(const char *text, const char *words)
 {
--- a/packages/sim/test/first.c
+++ b/packages/sim/test/first.c
@@ -13,7 +13,7 @@
 static void wholePath(void **state)
 {
     (void)state;
-    Fleet *fleet = fleetNew(NULL, 1, (FleetShape){3, 3, 11, MIX_TRENTVALE});
+    Fleet *fleet = fleetNew(NULL, 1, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
     fleetStart(fleet);
     const bool settled = fleetSettle(fleet, 20000);
     printf("settled %d at %ld leader %d\n", settled, (long)simNowMs(fleet->world), fleetLeader(fleet));
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -13,7 +13,7 @@
 
 static Fleet *begin(void)
 {
-    Fleet *fleet = fleetNew(NULL, 11, (FleetShape){3, 3, 11, MIX_TRENTVALE});
+    Fleet *fleet = fleetNew(NULL, 11, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
     fleetStart(fleet);
     assert_true(fleetSettle(fleet, 30000));
     assert_true(fleetConfigure(fleet));
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -17,8 +17,8 @@
             fail_msg("seed %u: %s", (unsigned)seed, why);
 }
 
-static const FleetShape TRENTVALE = {3, 3, 11, MIX_TRENTVALE};
-static const FleetShape ATLAS = {3, 4, 11, MIX_ATLAS};
+static const FleetShape TRENTVALE = {3, 3, 11, MIX_TRENTVALE, 0};
+static const FleetShape ATLAS = {3, 4, 11, MIX_ATLAS, 0};
 
 #define TIMELINE(name, shape, seeds, text) \
     static void name(void **state)         \
@@ -191,6 +191,21 @@
          "8000   start  .            .\n"
          "12000  .      .            end+gap<2000\n")
 
+static const FleetShape SPARES = {3, 3, 11, MIX_TRENTVALE, 2};
+
+/* Two cores replaced in sequence by empty ones at new addresses whose seeds are
+ * others; the first returns with its old disk; in the end only the new two are
+ * left of the seats that vote. */
+TIMELINE(coresReplaced, SPARES, 3,
+         "ms     core1  core2  core3  core4  core5  callers\n"
+         "0      .      .      .      .      .      call:10\n"
+         "4000   off    .      .      .      .      .\n"
+         "6000   .      .      .      start  .      .\n"
+         "40000  start  .      .      up     .      .\n"
+         "50000  .      off    .      .      start  .\n"
+         "90000  .      .      off    .      up     .\n"
+         "105000 .      .      .      .      .      end+gap<12000\n")
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -202,6 +217,7 @@
         cmocka_unit_test(powerLostAfterAcknowledgement),
         cmocka_unit_test(oneDiskLies),    cmocka_unit_test(slowDisks),    cmocka_unit_test(diskFails),
         cmocka_unit_test(clocksJump),     cmocka_unit_test(oneWayCuts),   cmocka_unit_test(gateKilled),
+        cmocka_unit_test(coresReplaced),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -91,6 +91,11 @@
 size_t viewSeats(const View *view, uint64_t seats[SEAT_COUNT]);
 /* Waits. Makes this disk part of a cluster. */
 Status viewFound(View *view, uint64_t cluster, const uint64_t seats[SEAT_COUNT]);
+/* Whether a seat of this place has neither answered nor been heard of for so long. */
+bool viewSeatGone(const View *view, int seat, int64_t spanMs);
+/* Waits. Offers the seat to another disk: a change that the old majority
+ * commits. Only for a seat that is out of the view, one at a time. */
+Status viewSeatReplace(View *view, int seat, uint64_t disk);
 /* Whether a lock holder is known to run here (rule 2's question). */
 bool viewKnowsHolder(const View *view);
 
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -493,6 +493,11 @@
             best = i;
         lockHoldAnswered(&view->hold, i, poll->sentMs[i]);
     }
+    int removed = 0;
+    for (int i = 0; i < SEAT_COUNT; i++)
+        removed += poll->status[i] == STATUS_NO_SEAT;
+    if (removed >= SEAT_MAJORITY) /* our seat has been given to another disk */
+        view->restUntilMs = loopNowMs(view->loop) + MEMBER_FORGET_MS;
     const int own = viewOwnSeat(view);
     const bool lost = leadOver(view, turn) || granted < SEAT_MAJORITY || own < 0 || !inView[own];
     if (!lost)
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -124,6 +124,8 @@
 {
     Record first[2] = {{0}};
     size_t count = 0;
+    if (view->cluster == 0)
+        return STATUS_LOG_GAP; /* an empty disk begins with the whole */
     Status status = holderTake(view, ask->epoch, ask->holder, first, &count);
     if (status != STATUS_OK)
         return status;
@@ -165,6 +167,8 @@
 {
     Record promise;
     size_t count = 0;
+    if (view->cluster == 0 && courierCluster(view->props.courier) == 0)
+        return STATUS_STRANGER;
     Status status = holderTake(view, ask->epoch, ask->holder, &promise, &count);
     if (status != STATUS_OK)
         return status;
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -425,6 +425,34 @@
     return status;
 }
 
+bool viewSeatGone(const View *view, int seat, int64_t spanMs)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    const Member *member = membersFindDisk(view->props.members, view->seats[seat]);
+    return viewLeading(view) && !view->inView[seat] && view->seats[seat] != view->disk &&
+           nowMs - view->wonMs > spanMs && nowMs - view->partners[seat].answeredMs > spanMs &&
+           (member == NULL || nowMs - member->seenMs > spanMs);
+}
+
+Status viewSeatReplace(View *view, int seat, uint64_t disk)
+{
+    if (!viewLeading(view) || view->inView[seat] || viewSeatOf(view, disk) >= 0)
+        return STATUS_BUSY;
+    void *mem = talloc_new(view);
+    SeatList list = {talloc_array(mem, DiskId, SEAT_COUNT), SEAT_COUNT};
+    for (int i = 0; i < SEAT_COUNT; i++)
+        list.seats[i].disk = i == seat ? disk : view->seats[i];
+    Bytes payload = {0};
+    shapePack(&SeatListShape, &list, mem, &payload);
+    /* what the old disk of this seat granted or holds counts for nothing */
+    view->partners[seat] = (Partner){.nextIndex = 1, .appendSinceMs = INT64_MAX, .refill = true};
+    view->hold.sentMs[seat] = INT64_MIN;
+    Verdict verdict;
+    const Status status = viewSubmit(view, VIEW_CHANGE_SEATS, payload, &verdict);
+    talloc_free(mem);
+    return status;
+}
+
 Status viewRepaired(View *view)
 {
     Verdict verdict;
