What was shown as ended stays ended, whatever the disks forget

Now whoever carries the word that a job ended keeps that too, a finish told of a job not known yet waits for it, and the same is kept once.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -82,6 +82,18 @@
     keeps->items[keeps->itemsCount++] = *item;
 }
 
+/* Whoever carries the word that a job has ended keeps it for a while: no task
+ * of it may start again, whatever the disks forget. */
+static void keepEnd(Way *way, const Job *job)
+{
+    if (job->phase == JOB_ACTIVE || viewClockMs(way->core->view) - job->endedMs > REPAIR_KEEP_MS)
+        return;
+    KeepItem item = {CHANGE_JOB_END, 0, {0}};
+    const JobEnd end = {job->spec.id, job->phase};
+    shapePack(&JobEndShape, &end, way->mem, &item.payload);
+    keepAdd(way, &item);
+}
+
 /* --- jobs ------------------------------------------------------------------------------ */
 
 static void showAccepted(Way *way, const Job *job, int code)
@@ -140,8 +152,10 @@
     const Job *job = tableJob(way->core->table, way->name);
     if (job == NULL)
         showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
-    else
+    else {
+        keepEnd(way, job);
         showVerdict(way->task, 200, showJob(job, coreClock(way->core)));
+    }
 }
 
 static void jobCancel(Way *way)
@@ -191,6 +205,7 @@
         if ((cell != NULL && strcmp(job->spec.cell, cell) != 0) ||
             (phase != NULL && strcmp(jobPhaseWord(job->phase), phase) != 0))
             continue;
+        keepEnd(way, job);
         json_object_array_add(list, showJobShort(job));
         shown++;
     }
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -59,7 +59,7 @@
  * another comes after it. The number in the old log orders within a kind only:
  * it may be of a history that the disks have lost since. */
 static const uint64_t KINDS[] = {CHANGE_CONFIG_SET, CHANGE_JOB_ADD, CHANGE_JOB_CANCEL, CHANGE_ZONE_DRAIN,
-                                 CHANGE_ROUNDS};
+                                 CHANGE_ROUNDS,     CHANGE_JOB_END};
 
 static size_t kindPlace(uint64_t change)
 {
@@ -86,6 +86,7 @@
     JobCancel cancel;
     ConfigSet set;
     ZoneDrain drain;
+    JobEnd end;
     switch (item->change) {
     case CHANGE_JOB_ADD:
         return shapeUnpack(&JobAddShape, item->payload, mem, &add, NULL) != STATUS_OK ||
@@ -102,6 +103,12 @@
     case CHANGE_ZONE_DRAIN:
         return shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) != STATUS_OK ||
                tableDrainStamp(table, drain.zone) >= drain.stamp;
+    case CHANGE_JOB_END: {
+        if (shapeUnpack(&JobEndShape, item->payload, mem, &end, NULL) != STATUS_OK)
+            return true;
+        const Job *job = tableJob(table, end.id);
+        return job == NULL || job->phase != JOB_ACTIVE;
+    }
     default:
         return item->change != CHANGE_ROUNDS;
     }
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -242,7 +242,8 @@
 static void woke(void *arg)
 {
     FleetNode *node = arg;
-    if (simAlive(node->fleet->world, node->machine))
+    /* a later freeze may have begun before this one ended */
+    if (simAlive(node->fleet->world, node->machine) && !simFrozen(node->fleet->world, node->machine))
         checkerWorkerWoke(node->fleet->checker, node->props.name);
 }
 
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -263,7 +263,9 @@
 
 void simFreeze(SimWorld *world, int machine, int64_t untilMs)
 {
-    world->machines[machine].frozenUntilMs = untilMs;
+    /* one within another ends with the longer: what was put off is put off until then */
+    if (untilMs > world->machines[machine].frozenUntilMs)
+        world->machines[machine].frozenUntilMs = untilMs;
 }
 
 bool simFrozen(const SimWorld *world, int machine)
--- a/packages/sim/test/sweep.c
+++ b/packages/sim/test/sweep.c
@@ -33,7 +33,7 @@
 static void atlas(void **state)
 {
     (void)state;
-    static const uint64_t LIST[] = {4, 5, 6, 140, 512, 520};
+    static const uint64_t LIST[] = {4, 5, 6, 140, 512, 520, 1572}; /* 1572: finished, then handed in again */
     seeds(MIX_ATLAS, LIST, sizeof(LIST) / sizeof(LIST[0]));
 }
 
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -17,7 +17,8 @@
     X(CONFIG_SET, 24, ConfigSet)                                                      \
     X(ZONE_DRAIN, 25, ZoneDrain)                                                      \
     X(FORGET, 26, Forget)         /* ended jobs older than the stated span */          \
-    X(ASSURE, 27, StopList)       /* rounds that a plan now includes */
+    X(ASSURE, 27, StopList)       /* rounds that a plan now includes */               \
+    X(JOB_END, 28, JobEnd)        /* told again: a caller was shown that it ended */
 
 typedef enum ChangeKind {
 #define X(name, number, shape) CHANGE_##name = number,
@@ -31,6 +32,9 @@
 #define JOB_CANCEL_FIELDS(X) X(TXT, id, 0)
 SHAPE(JobCancel, JOB_CANCEL_FIELDS)
 
+#define JOB_END_FIELDS(X) X(TXT, id, 0) X(U64, phase, 0)
+SHAPE(JobEnd, JOB_END_FIELDS)
+
 #define PLACEMENT_FIELDS(X) \
     X(TXT, job, 0)          \
     X(U64, task, 0)         \
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -15,6 +15,12 @@
     size_t waiting;
 } CellCount;
 
+/* A task told as finished well of a job that is not known (any more, or yet):
+ * the disks lost the job, and its caller will hand it in again. */
+#define ORPHAN_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(I64, atMs, 0)
+SHAPE(Orphan, ORPHAN_FIELDS)
+SHAPE_TABLE(Orphan, ORPHAN_FIELDS)
+
 /* Invariants: byId, order and (for those that have not ended) active hold the
  * same jobs; order and active are sorted by number; configs are sorted by
  * revision, the last is in force. */
@@ -29,6 +35,8 @@
     Map *workers;
     Map *orders;
     Map *cells;
+    Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
+    size_t orphanCount;
     Map *drains; /* zone to its newest order */
     ConfigText *configs;
     size_t configCount;
@@ -50,6 +58,8 @@
     table->lastNumber = 0;
     table->configs = NULL;
     table->configCount = 0;
+    table->orphans = NULL;
+    table->orphanCount = 0;
 }
 
 Table *tableNew(void *mem)
@@ -261,6 +271,21 @@
         }
 }
 
+static void orphanAdd(Table *table, const char *job, uint64_t task, uint64_t round, int64_t atMs)
+{
+    for (size_t i = 0; i < table->orphanCount; i++)
+        if (table->orphans[i].task == task && strcmp(table->orphans[i].job, job) == 0)
+            return;
+    table->orphans = talloc_realloc(table->mem, table->orphans, Orphan, (unsigned)(table->orphanCount + 1));
+    table->orphans[table->orphanCount++] = (Orphan){talloc_strdup(table->mem, job), task, round, atMs};
+}
+
+static void orphanDrop(Table *table, size_t at)
+{
+    talloc_free((void *)(uintptr_t)table->orphans[at].job);
+    table->orphans[at] = table->orphans[--table->orphanCount];
+}
+
 /* --- one function for each change ------------------------------------------------ */
 
 static void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, Verdict *verdict)
@@ -284,6 +309,18 @@
             job->tasks[at++] = (JobTask){.step = i, .worker = "", .text = "", .changedMs = change->atMs};
     jobEnter(table, job);
     verdict->number = job->number;
+    /* what of it finished well before the disks forgot it stays finished */
+    for (size_t i = 0; i < table->orphanCount;) {
+        const Orphan *orphan = &table->orphans[i];
+        if (strcmp(orphan->job, job->spec.id) != 0 || orphan->task >= job->tasksCount) {
+            i++;
+            continue;
+        }
+        job->tasks[orphan->task].round = orphan->round;
+        taskTurn(table, job, &job->tasks[orphan->task], TASK_DONE, "", change->atMs);
+        orphanDrop(table, i);
+    }
+    jobSettle(table, job, change->atMs);
 }
 
 static void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, Verdict *verdict)
@@ -370,6 +407,8 @@
 static void deliverOneNews(Table *table, const Record *change, const RoundNews *news)
 {
     Job *job = mapGet(table->byId, news->job);
+    if (job == NULL && news->word == ROUND_DONE)
+        orphanAdd(table, news->job, news->task, news->round, change->atMs);
     if (job == NULL || news->task >= job->tasksCount)
         return;
     JobTask *task = &job->tasks[news->task];
@@ -550,6 +589,29 @@
         verdict->number++;
     }
     table->orderCount = kept;
+    for (size_t i = 0; i < table->orphanCount;)
+        if (table->orphans[i].atMs < forget->beforeMs)
+            orphanDrop(table, i);
+        else
+            i++;
+}
+
+/* A job once shown as ended stays so, though the disks forgot how it came to. */
+static void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, Verdict *verdict)
+{
+    Job *job = mapGet(table->byId, end->id);
+    if (job == NULL || job->phase != JOB_ACTIVE || end->phase == JOB_ACTIVE || end->phase >= JOB_PHASE_COUNT)
+        return;
+    verdict->number = job->number;
+    if (end->phase == JOB_DONE) {
+        for (size_t i = 0; i < job->tasksCount; i++)
+            if (!taskEnded(job->tasks[i].phase))
+                taskTurn(table, job, &job->tasks[i], TASK_DONE, "", change->atMs);
+    } else {
+        job->ending = end->phase;
+        jobStopTasks(table, job, change->atMs);
+    }
+    jobSettle(table, job, change->atMs);
 }
 
 static const Shape *shapeOf(uint64_t kind)
@@ -612,6 +674,9 @@
         case CHANGE_ASSURE:
             deliverAssure(table, change, body, verdict);
             break;
+        case CHANGE_JOB_END:
+            deliverJobEnd(table, change, body, verdict);
+            break;
         }
     talloc_free(mem);
     if (table->fn != NULL)
@@ -626,7 +691,7 @@
 
 #define SAVED_FIELDS(X) \
     X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, ConfigRow) \
-    X(LST, drains, ZoneDrain)
+    X(LST, drains, ZoneDrain) X(LST, orphans, Orphan)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
@@ -652,6 +717,8 @@
     saved.drains = talloc_array(scratch, ZoneDrain, (unsigned)saved.drainsCount);
     for (size_t i = 0; i < saved.drainsCount; i++)
         saved.drains[i] = *(const ZoneDrain *)mapGet(table->drains, zones[i]);
+    saved.orphans = table->orphans;
+    saved.orphansCount = table->orphanCount;
     Bytes packed = {0};
     shapePack(&SavedShape, &saved, mem, &packed);
     talloc_free(scratch);
@@ -685,6 +752,8 @@
                 (ConfigText){saved.configs[i].revision, talloc_strdup(table->mem, saved.configs[i].text)};
         for (size_t i = 0; i < saved.drainsCount; i++)
             deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
+        for (size_t i = 0; i < saved.orphansCount; i++)
+            orphanAdd(table, saved.orphans[i].job, saved.orphans[i].task, saved.orphans[i].round, saved.orphans[i].atMs);
     }
     talloc_free(mem);
     return status;
