Operators' policies in Lua, shares between cells and tenants, pushing aside

Policies run bare and bounded, are tried when the configuration is checked, and fall back to first come when they fail, counted and told. Room goes to the cell that uses least of its share, then by its policy's rank, then to the tenant that uses least. A round pushed aside is over before its room is used.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -71,6 +71,12 @@
 #define PLAN_EXHAUSTIVE_MAX 400 /* count; loss sequences walked one by one; above it the cheap bound */
 #define PLAN_R_MAX 4           /* count; worker losses a plan may be asked to survive */
 
+/* --- policies ---------------------------------------------------------------- */
+#define LUA_STEPS_MAX 20000    /* count; instructions of one call: some 0.2 ms */
+#define LUA_STEPS_TICK 100     /* count; they are counted by so many */
+#define LUA_BYTES_MAX (512 * 1024) /* bytes; what one policy may hold */
+#define PUSH_TASKS_MAX 32      /* count; running tasks looked at for one that wants room */
+
 /* --- process ---------------------------------------------------------------- */
 #define TASK_STACK_BYTES (192 * 1024) /* bytes; JSON and printf fit with room to spare, also under ASan */
 #define FRAME_MAX_BYTES (32 * 1024 * 1024) /* bytes; a snapshot fits */
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "policy/lua.h"
 
 const char *configFirstText(void)
 {
@@ -86,8 +87,12 @@
     size_t at = 0;
     if (all != NULL) {
         json_object_object_foreach(all, name, value) {
+            LuaPolicy *tried;
+            Mishap mishap = {0};
             if (!json_object_is_type(value, json_type_string))
                 faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, "policies", name), "must be the text of a program");
+            else if (luaPolicyNew(config, name, json_object_get_string(value), &tried, &mishap) != STATUS_OK)
+                faultAdd(faults, STATUS_BAD_POLICY, checkPath(faults, "policies", name), "%s", mishap.text);
             else
                 policies[at] = (ConfigPolicy){talloc_strdup(mem, name), talloc_strdup(mem, json_object_get_string(value))};
             at++;
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -25,6 +25,13 @@
     talloc_free(mem);
     talloc_free((void *)(uintptr_t)core->config);
     core->config = config;
+    core->policies = mapNew((void *)(uintptr_t)config);
+    for (size_t i = 0; i < config->policyCount; i++) {
+        LuaPolicy *policy;
+        if (luaPolicyNew(core->policies, config->policies[i].name, config->policies[i].text, &policy, NULL) == STATUS_OK)
+            mapSet(core->policies, config->policies[i].name, policy);
+    }
+    core->policyFailuresTold = 0;
     return config;
 }
 
@@ -44,9 +51,27 @@
 
 const Policy *corePolicy(void *arg, const ConfigCell *cell)
 {
-    (void)arg;
-    (void)cell;
-    return policyPlain();
+    const Core *core = arg;
+    LuaPolicy *policy = cell != NULL && cell->policy[0] != '\0' ? mapGet(core->policies, cell->policy) : NULL;
+    return policy != NULL ? luaPolicy(policy) : policyPlain();
+}
+
+uint64_t corePolicyFailures(const Core *core, const char **last)
+{
+    uint64_t failures = 0;
+    *last = "";
+    void *mem = talloc_new(NULL);
+    const char **names;
+    const size_t count = core->policies != NULL ? mapKeys(core->policies, mem, &names) : 0;
+    for (size_t i = 0; i < count; i++) {
+        const char *words;
+        const uint64_t some = luaPolicyFailures(mapGet(core->policies, names[i]), &words);
+        if (some > 0)
+            *last = words;
+        failures += some;
+    }
+    talloc_free(mem);
+    return failures;
 }
 
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -2,11 +2,13 @@
 #define CORE_SRC_INSIDE_H
 
 #include "api/jobjson.h"
+#include "base/map.h"
 #include "api/show.h"
 #include "beat/liveset.h"
 #include "core/core.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
+#include "policy/lua.h"
 #include "queue/queue.h"
 
 /* Figures of the leader's work, for status and measurement. */
@@ -37,6 +39,8 @@
     Proxy proxy;
     Liveset *liveset;
     const Config *config; /* of the table's newest revision */
+    Map *policies;        /* names to LuaPolicy, of the same revision */
+    uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
     bool repairing;
@@ -55,6 +59,8 @@
 bool coreDecides(Core *core);
 QueueClock coreClock(const Core *core);
 const Policy *corePolicy(void *arg, const ConfigCell *cell);
+/* Calls of policies that failed, and the last one's words; "" when none did. */
+uint64_t corePolicyFailures(const Core *core, const char **last);
 
 /* Waits. Submits a shape as a change; keeps (may be null) takes it when it was
  * committed and accepted. What is packed lives on mem. */
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -10,6 +10,7 @@
 #include "inside.h"
 
 #define PLAN_CHECKS_MAX 200 /* count; looks at the r-loss plan in one pass, each some 0.1 ms */
+#define PUSH_LOOKS_MAX 400  /* count; asks of may_push in one pass, each some 0.01 ms */
 #define PASS_GAP_MS 5       /* ms; news that come together are decided on together */
 
 /* What one pass knows. */
@@ -25,6 +26,11 @@
     size_t placeRoom;
     size_t checks;
     const void *stuck; /* the step that last found no room */
+    Room fleet;
+    QueueUse *use;
+    QueueClock clock;
+    StopList pushes;   /* rounds to be pushed aside */
+    size_t pushLooks;
 } Pass;
 
 static void lostFind(Core *core, void *mem)
@@ -190,6 +196,61 @@
     };
 }
 
+/* Who wants room looks for running work that its cell's policy lets it push
+ * aside, all on one worker. The room is used only once the old rounds are known
+ * to be over. Room that is being given up already counts: nothing more is pushed
+ * while that would do. */
+static void pushFor(Pass *pass, const Candidate *candidate, const StepSpec *step)
+{
+    Core *core = pass->core;
+    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
+    const Policy *policy = corePolicy(core, cell);
+    if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
+        pass->pushLooks >= PUSH_LOOKS_MAX)
+        return;
+    const PlanNeed need = needOf(step);
+    const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    for (size_t w = 0; w < pass->input.workerCount; w++) {
+        const PlanWorker *worker = &pass->input.workers[w];
+        if (!planAble(worker, &need) || !roomFits(need.room, worker->room))
+            continue;
+        Room free = worker->free;
+        RoundId victims[PUSH_TASKS_MAX];
+        size_t victimCount = 0, looked = 0;
+        for (size_t j = 0; j < count; j++)
+            for (size_t t = 0; t < jobs[j]->tasksCount; t++)
+                if (jobs[j]->tasks[t].phase == TASK_STOPPING && strcmp(jobs[j]->tasks[t].worker, worker->name) == 0)
+                    free = roomMore(free, jobs[j]->spec.steps[jobs[j]->tasks[t].step].room);
+        if (roomFits(need.room, free))
+            return; /* it is on its way */
+        for (size_t j = count; j > 0 && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; j--) {
+            const Job *job = jobs[j - 1];
+            if (strcmp(job->spec.cell, candidate->job->spec.cell) != 0 || job == candidate->job)
+                continue;
+            for (size_t t = 0; t < job->tasksCount && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; t++) {
+                const JobTask *task = &job->tasks[t];
+                if (task->phase != TASK_RUNNING || strcmp(task->worker, worker->name) != 0)
+                    continue;
+                const PolicySight other = queueSight(pass->use, pass->config, job, t, pass->clock);
+                looked++;
+                pass->pushLooks++;
+                if (!policy->mayPush(policy->arg, &mine, &other))
+                    continue;
+                victims[victimCount++] = (RoundId){job->spec.id, t, task->round};
+                free = roomMore(free, job->spec.steps[task->step].room);
+            }
+        }
+        if (!roomFits(need.room, free))
+            continue;
+        pass->pushes.rounds = talloc_memdup(pass->mem, victims, victimCount * sizeof(*victims));
+        pass->pushes.roundsCount = victimCount;
+        pass->pushes.why = "pushed aside";
+        return;
+    }
+}
+
 /* Places all members of the candidate or none. */
 static bool placeOne(Pass *pass, const Candidate *candidate, int64_t logMs)
 {
@@ -210,8 +271,10 @@
         where[placed++] = at;
     }
     bool fits = placed == candidate->count, assured = false;
-    if (!fits)
+    if (!fits) {
         pass->stuck = step;
+        pushFor(pass, candidate, step);
+    }
     const size_t tasksBefore = input->taskCount;
     if (fits && spec->protection == PROTECTION_PROTECTED) {
         if (pass->checks < PLAN_CHECKS_MAX) {
@@ -302,7 +365,16 @@
     snprintf(core->brokenBy, sizeof(core->brokenBy), "%s", broken.name);
     Candidate *candidates;
     const QueueClock clock = coreClock(core);
-    const size_t count = queueBuild(mem, core->table, pass->config, clock, corePolicy, core, &candidates);
+    for (size_t i = 0; i < pass->input.workerCount; i++)
+        pass->fleet = roomMore(pass->fleet, pass->input.workers[i].room);
+    pass->use = queueUse(mem, core->table, pass->config, pass->fleet);
+    pass->clock = clock;
+    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, clock, corePolicy, core, &candidates);
+    const char *words;
+    const uint64_t failures = corePolicyFailures(core, &words);
+    if (failures > 0 && core->policyFailuresTold == 0)
+        ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "a policy failed, first come goes first: %s", words);
+    core->policyFailuresTold = failures;
     size_t restarts = 0;
     while (restarts < count && candidates[restarts].restart)
         restarts++;
@@ -315,6 +387,10 @@
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
             core->counts.placed += verdict.number;
+    } else if (pass->pushes.roundsCount > 0) {
+        Verdict verdict;
+        if (coreSubmit(core, mem, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
+            core->counts.pushed += verdict.number;
     } else if (pass->checks == 0) {
         assureMore(pass);
     }
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -150,6 +150,11 @@
     json_object_object_add(body, "drainedZones", drained);
     const ConfigText *config = tableConfig(core->table);
     json_object_object_add(body, "configRevision", numberOf(config != NULL ? (int64_t)config->revision : 0));
+    const char *words;
+    const uint64_t policyFailures = corePolicyFailures(core, &words);
+    json_object_object_add(body, "policyFailures", numberOf((int64_t)policyFailures));
+    if (policyFailures > 0)
+        json_object_object_add(body, "policyLastFailure", textOf(words));
     json_object *counts = json_object_new_object();
 #define X(name) json_object_object_add(counts, #name, numberOf((int64_t)core->counts.name));
     CORE_COUNT_LIST(X)
--- /dev/null
+++ b/packages/policy/include/policy/lua.h
@@ -0,0 +1,19 @@
+#ifndef POLICY_LUA_H
+#define POLICY_LUA_H
+
+#include "base/mishap.h"
+#include "policy/policy.h"
+
+/* An operator's policy: Lua text that defines rank(task) and, if it likes,
+ * may_push(task, running). It runs in a bare state: no files, no modules, no
+ * clock, no randomness, no printing; bounded in instructions for each call and
+ * in memory. A call that fails gives the built-in answer and is counted. */
+typedef struct LuaPolicy LuaPolicy;
+
+/* Compiles and tries the text. BAD_POLICY with the line. */
+Status luaPolicyNew(void *mem, const char *name, const char *text, LuaPolicy **policy, Mishap *mishap);
+const Policy *luaPolicy(LuaPolicy *policy);
+/* Calls that failed since it was made, and the last one's words. */
+uint64_t luaPolicyFailures(const LuaPolicy *policy, const char **last);
+
+#endif
--- /dev/null
+++ b/packages/policy/test/policy.c
@@ -0,0 +1,121 @@
+/* Operators' policies: what is refused at the check, and what is bounded. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "policy/lua.h"
+
+static void refused(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *text, *words;
+    } ROWS[] = {
+        {"function rank(t) return 1", ":1:"},
+        {"x = 1", "nil value"},
+        {"function rank(t)\n while true do end\nend", ":2: more than"},
+        {"while true do end", ":1: more than"},
+        {"function rank(t) local s = 'x' while true do s = s .. s end end", "not enough memory"},
+        {"function rank(t) local l = {} for i = 1, 1e9 do l[i] = i end end", ""},
+        {"function rank(t) return ('x'):rep(1e9) end", "not enough memory"},
+        {"function rank(t) return 'high' end", "finite number"},
+        {"function rank(t) return '7' end", "finite number"},
+        {"function rank(t) return 0/0 end", "finite number"},
+        {"function rank(t) return 1/0 end", "finite number"},
+        {"function rank(t) end", "finite number"},
+        {"function rank(t) return t.x.y end", ":1:"},
+        {"function rank(t) os.exit() end", ":1:"},
+        {"function rank(t) io.open('x') end", ":1:"},
+        {"function rank(t) require('x') end", ":1:"},
+        {"function rank(t) return math.random() end", ":1:"},
+        {"function rank(t) pcall(rank, t) return 1 end", ":1:"},
+        {"function rank(t) return rank(t) + 1 end", ""},
+        {"function rank(t) return 1 end function may_push(a, b) return 1 end", "true or false"},
+        {"\033Lua", "binary"},
+    };
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        void *mem = talloc_new(NULL);
+        Mishap mishap = {0};
+        LuaPolicy *policy;
+        const Status status = luaPolicyNew(mem, "p", ROWS[i].text, &policy, &mishap);
+        if (status != STATUS_BAD_POLICY || strstr(mishap.text, ROWS[i].words) == NULL)
+            fail_msg("row %zu (%s): %s: %s", i, ROWS[i].text, statusWord(status), mishap.text);
+        talloc_free(mem);
+    }
+}
+
+static PolicySight sight(Job *job, const StepSpec *step, int64_t waitedMs)
+{
+    *job = (Job){.spec = {.id = "i", .cell = "c", .tenant = "t", .queue = "masks", .priority = 3}, .number = 9, .tasksCount = 1};
+    return (PolicySight){.job = job, .step = step, .queuePriority = 2, .waitedMs = waitedMs, .cellShare = 500};
+}
+
+static void decides(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    LuaPolicy *lua;
+    Mishap mishap = {0};
+    const StepSpec step = {.name = "s", .kind = "", .room = {500, 64}};
+    Job job;
+    assert_int_equal(luaPolicyNew(mem, "p",
+                                  "function rank(t) return t.priority + t.queue_priority + t.waited_ms / 1000 - t.cpu end\n"
+                                  "function may_push(a, b) return a.queue == 'masks' and b.cpu > a.cpu end",
+                                  &lua, &mishap),
+                     STATUS_OK);
+    const Policy *policy = luaPolicy(lua);
+    const PolicySight one = sight(&job, &step, 4000);
+    assert_true(policy->rank(policy->arg, &one) == 8.5);
+    const StepSpec large = {.name = "s", .kind = "", .room = {8000, 64}};
+    const PolicySight other = {.job = &job, .step = &large};
+    assert_true(policy->mayPush(policy->arg, &one, &other));
+    assert_false(policy->mayPush(policy->arg, &other, &one));
+    assert_int_equal(luaPolicyFailures(lua, NULL), 0);
+    talloc_free(mem);
+}
+
+/* One that passes the check and fails later falls back, counted, again and again. */
+static void fallsBack(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    LuaPolicy *lua;
+    const StepSpec step = {.name = "s", .kind = "", .room = {500, 64}};
+    Job job;
+    assert_int_equal(luaPolicyNew(mem, "p",
+                                  "local kept = {}\n"
+                                  "function rank(t) if t.waited_ms > 5000 then while true do end end\n"
+                                  " if t.waited_ms > 3000 then kept[#kept + 1] = ('x'):rep(300000) end return 7 end",
+                                  &lua, NULL),
+                     STATUS_OK);
+    const Policy *policy = luaPolicy(lua);
+    PolicySight one = sight(&job, &step, 6000);
+    const char *last;
+    for (int i = 0; i < 50; i++)
+        assert_true(policy->rank(policy->arg, &one) == 0);
+    assert_int_equal(luaPolicyFailures(lua, &last), 50);
+    assert_non_null(strstr(last, "steps"));
+    one.waitedMs = 4000;
+    for (int i = 0; i < 50; i++)
+        policy->rank(policy->arg, &one);
+    luaPolicyFailures(lua, &last);
+    assert_non_null(strstr(last, "memory"));
+    one.waitedMs = 1;
+    assert_true(policy->rank(policy->arg, &one) == 7); /* it still works where it can */
+    talloc_free(mem);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(refused),
+        cmocka_unit_test(decides),
+        cmocka_unit_test(fallsBack),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -11,8 +11,11 @@
     size_t first; /* index of its first task */
     size_t count; /* 1, or the tasks of a gang */
     bool restart; /* protected work that was lost: goes before all else */
-    double rank;
+    double rank;     /* by its cell's policy: counts within the cell only */
     int64_t sinceMs; /* log time since when it could have started */
+    /* what its tenant, and its cell by its share, will use once this and all
+     * before it run: the next room goes to whoever has least */
+    uint64_t tenantTurn, cellTurn;
 } Candidate;
 
 /* Why a task waits, for those who ask. */
@@ -41,8 +44,15 @@
 /* Finds the policy of a cell. */
 typedef const Policy *(*QueuePolicy)(void *arg, const ConfigCell *cell);
 
-/* All that could start now, in the order in which it is to be placed. On mem. */
-size_t queueBuild(void *mem, const Table *table, const Config *config, QueueClock clock, QueuePolicy policy, void *arg,
-                  Candidate **candidates);
+/* What a policy sees of a task; used are the rooms in use by cell and tenant. */
+typedef struct QueueUse QueueUse;
+QueueUse *queueUse(void *mem, const Table *table, const Config *config, Room fleet);
+PolicySight queueSight(const QueueUse *use, const Config *config, const Job *job, size_t task, QueueClock clock);
+
+/* All that could start now, in the order in which it is to be placed: restarts,
+ * then cells by what they use of their share; within a cell by its policy's
+ * rank, then tenants by what they use, then the order of acceptance. On mem. */
+size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
+                  QueuePolicy policy, void *arg, Candidate **candidates);
 
 #endif
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -1,9 +1,13 @@
 #include "queue/queue.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/constants.h"
+#include "base/map.h"
+
 const char *waitWord(WaitReason reason)
 {
     static const char *const WORDS[] = {
@@ -53,20 +57,166 @@
     return WAIT_READY;
 }
 
-static int candidateOrder(const void *a, const void *b)
+struct QueueUse {
+    Map *cells, *tenants; /* names to Room */
+    Room fleet;
+    uint64_t shares; /* of all cells together */
+};
+
+static void tenantKey(char key[2 * ID_MAX + 2], const JobSpec *spec)
+{
+    snprintf(key, 2 * ID_MAX + 2, "%s/%s", spec->cell, spec->tenant);
+}
+
+static Room *useOf(Map *map, const char *key)
+{
+    Room *room = mapGet(map, key);
+    if (room == NULL) {
+        room = talloc_zero(map, Room);
+        mapSet(map, key, room);
+    }
+    return room;
+}
+
+static Room roomSum(Room a, Room b)
+{
+    return (Room){a.cpuMilli + b.cpuMilli, a.memMb + b.memMb};
+}
+
+/* The larger part of the fleet, in millionths: fine enough for one small task. */
+static uint64_t partOf(Room room, Room fleet)
+{
+    const uint64_t cpu = fleet.cpuMilli > 0 ? room.cpuMilli * 1000000 / fleet.cpuMilli : 0;
+    const uint64_t mem = fleet.memMb > 0 ? room.memMb * 1000000 / fleet.memMb : 0;
+    return cpu > mem ? cpu : mem;
+}
+
+QueueUse *queueUse(void *mem, const Table *table, const Config *config, Room fleet)
+{
+    QueueUse *use = talloc_zero(mem, QueueUse);
+    use->cells = mapNew(use);
+    use->tenants = mapNew(use);
+    use->fleet = fleet;
+    for (size_t i = 0; i < config->cellCount; i++)
+        use->shares += config->cells[i].share;
+    Job *const *jobs;
+    const size_t count = tableActive(table, &jobs);
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            if (!taskOnWorker(jobs[j]->tasks[t].phase))
+                continue;
+            const JobSpec *spec = &jobs[j]->spec;
+            const Room room = spec->steps[jobs[j]->tasks[t].step].room;
+            char key[2 * ID_MAX + 2];
+            tenantKey(key, spec);
+            Room *cell = useOf(use->cells, spec->cell), *tenant = useOf(use->tenants, key);
+            *cell = roomSum(*cell, room);
+            *tenant = roomSum(*tenant, room);
+        }
+    return use;
+}
+
+PolicySight queueSight(const QueueUse *use, const Config *config, const Job *job, size_t task, QueueClock clock)
+{
+    const ConfigCell *cell = configCell(config, job->spec.cell);
+    const ConfigQueue *queue = cell != NULL ? configQueue(cell, job->spec.queue) : NULL;
+    char key[2 * ID_MAX + 2];
+    tenantKey(key, &job->spec);
+    const Room *cellUse = mapGet(use->cells, job->spec.cell), *tenantUse = mapGet(use->tenants, key);
+    return (PolicySight){
+        .job = job,
+        .step = &job->spec.steps[job->tasks[task].step],
+        .queuePriority = queue != NULL ? queue->priority : 0,
+        .waitedMs = clock.logMs - job->tasks[task].changedMs,
+        .cellUsed = cellUse != NULL ? partOf(*cellUse, use->fleet) / 1000 : 0,
+        .cellShare = cell != NULL && use->shares > 0 ? cell->share * 1000 / use->shares : 0,
+        .tenantUsed = tenantUse != NULL ? partOf(*tenantUse, use->fleet) / 1000 : 0,
+    };
+}
+
+static int acceptedOrder(const Candidate *x, const Candidate *y)
 {
-    const Candidate *x = a, *y = b;
-    if (x->restart != y->restart)
-        return x->restart ? -1 : 1;
-    if (x->rank != y->rank)
-        return x->rank > y->rank ? -1 : 1;
     if (x->job->number != y->job->number)
         return x->job->number < y->job->number ? -1 : 1;
     return x->first < y->first ? -1 : x->first > y->first;
 }
 
-size_t queueBuild(void *mem, const Table *table, const Config *config, QueueClock clock, QueuePolicy policy, void *arg,
-                  Candidate **out)
+/* By cell and rank, then acceptance: the order in which tenants' turns count. */
+static int rankOrder(const void *a, const void *b)
+{
+    const Candidate *x = a, *y = b;
+    const int cell = strcmp(x->job->spec.cell, y->job->spec.cell);
+    if (cell != 0)
+        return cell;
+    if (x->rank != y->rank)
+        return x->rank > y->rank ? -1 : 1;
+    return acceptedOrder(x, y);
+}
+
+static int tenantOrder(const void *a, const void *b)
+{
+    const Candidate *x = a, *y = b;
+    const int cell = strcmp(x->job->spec.cell, y->job->spec.cell);
+    if (cell != 0)
+        return cell;
+    if (x->rank != y->rank)
+        return x->rank > y->rank ? -1 : 1;
+    if (x->tenantTurn != y->tenantTurn)
+        return x->tenantTurn < y->tenantTurn ? -1 : 1;
+    return acceptedOrder(x, y);
+}
+
+static int placeOrder(const void *a, const void *b)
+{
+    const Candidate *x = a, *y = b;
+    if (x->restart != y->restart)
+        return x->restart ? -1 : 1;
+    if (x->cellTurn != y->cellTurn)
+        return x->cellTurn < y->cellTurn ? -1 : 1;
+    return tenantOrder(x, y);
+}
+
+static Room roomOf(const Candidate *candidate)
+{
+    const Room one = candidate->job->spec.steps[candidate->job->tasks[candidate->first].step].room;
+    return (Room){one.cpuMilli * candidate->count, one.memMb * candidate->count};
+}
+
+/* Gives each its turns: what its tenant and its cell would use with it. */
+static void turnsTake(void *mem, const Config *config, const QueueUse *use, Candidate *list, size_t count)
+{
+    Map *tenants = mapNew(mem), *cells = mapNew(mem);
+    qsort(list, count, sizeof(*list), rankOrder);
+    for (size_t i = 0; i < count; i++) {
+        char key[2 * ID_MAX + 2];
+        tenantKey(key, &list[i].job->spec);
+        Room *room = mapGet(tenants, key);
+        if (room == NULL) {
+            room = useOf(tenants, key);
+            const Room *used = mapGet(use->tenants, key);
+            *room = used != NULL ? *used : (Room){0};
+        }
+        *room = roomSum(*room, roomOf(&list[i]));
+        list[i].tenantTurn = partOf(*room, use->fleet);
+    }
+    qsort(list, count, sizeof(*list), tenantOrder);
+    for (size_t i = 0; i < count; i++) {
+        const char *name = list[i].job->spec.cell;
+        const ConfigCell *cell = configCell(config, name);
+        Room *room = mapGet(cells, name);
+        if (room == NULL) {
+            room = useOf(cells, name);
+            const Room *used = mapGet(use->cells, name);
+            *room = used != NULL ? *used : (Room){0};
+        }
+        *room = roomSum(*room, roomOf(&list[i]));
+        list[i].cellTurn = partOf(*room, use->fleet) / (cell != NULL ? cell->share : 1);
+    }
+    qsort(list, count, sizeof(*list), placeOrder);
+}
+
+size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
+                  QueuePolicy policy, void *arg, Candidate **out)
 {
     Job *const *jobs;
     const size_t jobCount = tableActive(table, &jobs);
@@ -77,7 +227,6 @@
         if (job->ending != JOB_ACTIVE || !dueCame(job, clock))
             continue;
         const ConfigCell *cell = configCell(config, job->spec.cell);
-        const ConfigQueue *queue = cell != NULL ? configQueue(cell, job->spec.queue) : NULL;
         const Policy *order = policy(arg, cell);
         size_t first = 0;
         for (size_t s = 0; s < job->spec.stepsCount; first += (size_t)job->spec.steps[s].count, s++) {
@@ -88,10 +237,7 @@
                 at++;
             if (at == end || !stepsBefore(job, step))
                 continue;
-            const PolicySight sight = {.job = job,
-                                       .step = step,
-                                       .queuePriority = queue != NULL ? queue->priority : 0,
-                                       .waitedMs = clock.logMs - job->tasks[at].changedMs};
+            const PolicySight sight = queueSight(use, config, job, at, clock);
             const double rank = order->rank(order->arg, &sight);
             for (; at < end; at++) {
                 if (job->tasks[at].phase != TASK_WAITING || clock.logMs < job->tasks[at].restUntilMs)
@@ -115,7 +261,7 @@
         }
     }
     if (count > 0)
-        qsort(candidates, count, sizeof(*candidates), candidateOrder);
+        turnsTake(mem, config, use, candidates, count);
     *out = candidates;
     return count;
 }
