--- /dev/null
+++ b/packages/sim/test/policies.c
@@ -0,0 +1,148 @@
+/* Policies, shares and pushing aside on a fleet that is full. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+static Fleet *begin(const char *config)
+{
+    Fleet *fleet = fleetNew(NULL, 5, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "PUT", "/v1/config?base=0", config);
+    if (call.code != 200)
+        fail_msg("%d %s", call.code, (const char *)call.verdict.data);
+    fleetRun(fleet, 1000);
+    return fleet;
+}
+
+static void end(Fleet *fleet)
+{
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+static void hand(Fleet *fleet, const char *id, const char *cell, const char *tenant, const char *queue, int count, int cpu,
+                 int runMs)
+{
+    const char *body = talloc_asprintf(
+        fleet,
+        "{\"id\":\"%s\",\"cell\":\"%s\",\"tenant\":\"%s\",\"queue\":\"%s\",\"protection\":\"best-effort\",\"steps\":[{\"name\":"
+        "\"a\",\"count\":%d,\"room\":{\"cpu\":%d,\"memMb\":64},\"payload\":{\"runMs\":%d}}]}",
+        id, cell, tenant, queue, count, cpu, runMs);
+    const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs", body);
+    if (call.code != 201)
+        fail_msg("%s: %d %s", id, call.code, (const char *)call.verdict.data);
+    checkerAccepted(fleet->checker, id);
+}
+
+static size_t inPhase(Fleet *fleet, const char *id, TaskPhase phase)
+{
+    const Job *job = fleetJob(fleet, id);
+    size_t count = 0;
+    for (size_t t = 0; job != NULL && t < job->tasksCount; t++)
+        count += job->tasks[t].phase == phase;
+    return count;
+}
+
+#define CELL(name, more) "\"" name "\":{\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{\"bulk\":{},\"urgent\":{\"priority\":5}}" more "}"
+
+/* Without a policy the urgent task waits for the bulk; with one it pushes. */
+static void pushesAside(void **state)
+{
+    (void)state;
+    for (int with = 0; with < 2; with++) {
+        Fleet *fleet = begin(
+            with ? "{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) return "
+                   "t.queue_priority end function may_push(a, b) return a.queue == 'urgent' and b.queue == 'bulk' end\"}}"
+                 : "{\"cells\":{" CELL("c", "") "}}");
+        hand(fleet, "bulk", "c", "t", "bulk", 22, 32, 15000);
+        fleetRun(fleet, 2000);
+        assert_int_equal(inPhase(fleet, "bulk", TASK_RUNNING), 22); /* the fleet is full */
+        hand(fleet, "urgent", "c", "t", "urgent", 3, 16, 1000);
+        fleetRun(fleet, 3500);
+        if (with)
+            assert_int_equal(inPhase(fleet, "urgent", TASK_DONE) + inPhase(fleet, "urgent", TASK_RUNNING), 3);
+        else
+            assert_int_equal(inPhase(fleet, "urgent", TASK_WAITING), 3);
+        /* two of 16 fit where one of 32 was: no more than two were pushed */
+        assert_true(inPhase(fleet, "bulk", TASK_RUNNING) >= (with ? 20 : 22));
+        fleetRun(fleet, 40000);
+        assert_int_equal(inPhase(fleet, "urgent", TASK_DONE), 3);
+        assert_int_equal(inPhase(fleet, "bulk", TASK_DONE), 22);
+        end(fleet);
+    }
+}
+
+/* Two cells with shares 3 and 1 want everything; tenants within one share alike. */
+static void shares(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("big", ",\"share\":3") "," CELL("small", ",\"share\":1") "}}");
+    hand(fleet, "s", "small", "t", "bulk", 400, 8, 4000);
+    hand(fleet, "b1", "big", "t", "bulk", 400, 8, 4000);
+    hand(fleet, "b2", "big", "u", "bulk", 200, 8, 4000);
+    fleetRun(fleet, 11000); /* what was there first has left by now */
+    const size_t small = inPhase(fleet, "s", TASK_RUNNING);
+    const size_t one = inPhase(fleet, "b1", TASK_RUNNING), two = inPhase(fleet, "b2", TASK_RUNNING);
+    print_message("of 88 places: small %zu, big %zu + %zu\n", small, one, two);
+    assert_in_range(small + one + two, 70, 88);
+    assert_in_range((one + two) * 100 / (small + 1), 220, 400);
+    assert_in_range(one * 100 / (two + 1), 70, 140);
+    end(fleet);
+}
+
+/* Urgent light work overtakes bulk that was there first. */
+static void rankWithin(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.queue "
+                         "== 'urgent' then return 100 - t.cpu end return t.waited_ms / 100000 end\"}}");
+    hand(fleet, "bulk", "c", "t", "bulk", 300, 8, 2000);
+    fleetRun(fleet, 1000);
+    hand(fleet, "urgent", "c", "u", "urgent", 10, 1, 200);
+    fleetRun(fleet, 2600);
+    assert_int_equal(inPhase(fleet, "urgent", TASK_DONE), 10);
+    assert_true(inPhase(fleet, "bulk", TASK_WAITING) > 50);
+    end(fleet);
+}
+
+/* One that fails on some tasks only: counted, told, and the work goes on. */
+static void failing(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.tenant == "
+                         "'u' then while true do end end return 1 end\"}}");
+    hand(fleet, "x", "c", "u", "bulk", 5, 1, 500);
+    hand(fleet, "y", "c", "t", "bulk", 5, 1, 500);
+    fleetRun(fleet, 4000);
+    assert_int_equal(inPhase(fleet, "x", TASK_DONE), 5);
+    assert_int_equal(inPhase(fleet, "y", TASK_DONE), 5);
+    const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/status", NULL);
+    assert_null(strstr((const char *)call.verdict.data, "\"policyFailures\":0"));
+    assert_non_null(strstr((const char *)call.verdict.data, "more than"));
+    const HttpCall bad = fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=1",
+                                  "{\"policies\":{\"q\":\"function rank(t)\\n while true do end\\nend\"}}");
+    assert_int_equal(bad.code, 422);
+    assert_non_null(strstr((const char *)bad.verdict.data, "policies.q"));
+    assert_non_null(strstr((const char *)bad.verdict.data, ":2: more than"));
+    end(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(pushesAside),
+        cmocka_unit_test(shares),
+        cmocka_unit_test(rankWithin),
+        cmocka_unit_test(failing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
