Workers that fail their work while claiming health

A failed round is not tried on the same worker when there is another; a worker on which different jobs fail in a row counts as having less room, then is given nothing for 10 s, doubled up to 5 min, never more than a quarter of the fleet. Timelines workerFails (all jobs done while one worker fails everything) and manyFail, both with no never broken.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -67,6 +67,14 @@
 #define LIST_PAGE_MAX 1000     /* count */
 #define ROOM_MAX 100000000ULL  /* milli-CPU or MB; larger numbers are mistakes */
 
+/* --- scores of workers that claim health ---------------------------------------- */
+#define SCORE_WEIGHT 25        /* percent; what the newest round counts in a worker's rate of failures */
+#define SCORE_REST 60          /* percent; above this rate, with SCORE_JOBS, a worker is given nothing for a while */
+#define SCORE_JOBS 3           /* count; of different jobs in a row that failed there: one bad job is no bad worker */
+#define SCORE_REST_MS 10000    /* ms; the first rest, doubled each time ... */
+#define SCORE_REST_MAX_MS 300000 /* ms; ... up to this */
+#define SCORE_SHARE 4          /* of the fleet's workers at most one in so many rests at once */
+
 /* --- planner --------------------------------------------------------------- */
 #define PLAN_EXHAUSTIVE_MAX 400 /* count; loss sequences walked one by one; above it the cheap bound */
 #define PLAN_R_MAX 4           /* count; worker losses a plan may be asked to survive */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -117,11 +117,15 @@
 {
     Core *core = arg;
     (void)verdict;
-    if (change->change != CHANGE_WORKER_LOST)
+    if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
     void *mem = talloc_new(core);
     WorkerLost lost;
-    if (shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
+    RoundList rounds;
+    if (change->change == CHANGE_ROUNDS && shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
+        scoreTake(core, &rounds);
+    if (change->change == CHANGE_WORKER_LOST &&
+        shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
         livesetLosing(core->liveset, lost.worker, false);
     talloc_free(mem);
 }
@@ -165,6 +169,7 @@
     tableWatch(core->table, onDelivered, core);
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
+    core->scores = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
                                  .courier = core->courier,
                                  .ring = ring,
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -38,6 +38,7 @@
     Keeper *keeper;
     Proxy proxy;
     Liveset *liveset;
+    Map *scores; /* worker names to Score */
     const Config *config; /* of the table's newest revision */
     Map *policies;        /* names to LuaPolicy, of the same revision */
     uint64_t policyFailuresTold;
@@ -67,6 +68,20 @@
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps);
 
+/* How a worker that claims health has done of late, as this leader saw it. */
+typedef struct Score {
+    uint64_t ratePercent; /* of failed rounds, the newest counting most */
+    uint64_t jobs;        /* different ones that failed there since one did well */
+    uint64_t lastJob;     /* number of the last that failed */
+    int64_t restUntilMs;  /* own clock; given nothing before this */
+    int64_t restMs;       /* the last rest's length */
+} Score;
+
+/* Takes what a delivered change tells of rounds. */
+void scoreTake(Core *core, const RoundList *list);
+/* Null: nothing bad is known. */
+const Score *scoreFind(const Core *core, const char *worker);
+bool scoreRests(const Core *core, const char *worker);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -112,7 +112,8 @@
         const Worker *worker = workers[i];
         const LiveRow *row = livesetFind(core->liveset, worker->name);
         const bool ready = row != NULL && liveRowReady(row, nowMs) && !worker->excluded &&
-                           !tableDrained(core->table, worker->zone);
+                           !tableDrained(core->table, worker->zone) && !scoreRests(core, worker->name);
+        const Score *score = scoreFind(core, worker->name);
         const Room none = {0};
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
@@ -120,7 +121,8 @@
                                               .labels = worker->labels,
                                               .labelCount = worker->labelsCount,
                                               .room = ready ? worker->room : none,
-                                              .free = ready ? worker->room : none};
+                                              .free = ready ? worker->room : none,
+                                              .penalty = score != NULL ? score->ratePercent * 10 : 0};
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
     }
     pass->input.workerCount = count;
@@ -251,6 +253,21 @@
     }
 }
 
+/* Not where its last round failed, unless there is no other. */
+static int chooseFor(Pass *pass, const JobTask *task, const PlanNeed *need)
+{
+    PlanInput *input = &pass->input;
+    const size_t shunned = task->shunned[0] != '\0' ? (size_t)(uintptr_t)mapGet(pass->index, task->shunned) : 0;
+    if (shunned > 0) {
+        bool *not = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
+        not[shunned - 1] = true;
+        const int at = planChoose(input->workers, input->workerCount, need, not);
+        if (at >= 0)
+            return at;
+    }
+    return planChoose(input->workers, input->workerCount, need, NULL);
+}
+
 /* Places all members of the candidate or none. */
 static bool placeOne(Pass *pass, const Candidate *candidate, int64_t logMs)
 {
@@ -264,7 +281,7 @@
     int *where = talloc_array(pass->mem, int, (unsigned)candidate->count);
     size_t placed = 0;
     while (placed < candidate->count) {
-        const int at = planChoose(input->workers, input->workerCount, &need, NULL);
+        const int at = chooseFor(pass, &candidate->job->tasks[candidate->first + placed], &need);
         if (at < 0)
             break;
         input->workers[at].free = roomLess(input->workers[at].free, step->room);
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -60,6 +60,12 @@
         json_object_object_add(one, "ready", json_object_new_boolean(liveRowReady(rows[i], nowMs)));
         json_object_object_add(one, "leaving", json_object_new_boolean(rows[i]->leaving));
         json_object_object_add(one, "excluded", json_object_new_boolean(worker != NULL && worker->excluded));
+        const Score *score = scoreFind(core, rows[i]->name);
+        if (score != NULL) {
+            json_object_object_add(one, "failurePercent", numberOf((int64_t)score->ratePercent));
+            json_object_object_add(one, "restLeftMs",
+                                   numberOf(score->restUntilMs > nowMs ? score->restUntilMs - nowMs : 0));
+        }
         json_object_object_add(one, "holdLeftMs", numberOf(rows[i]->untilMs > nowMs ? rows[i]->untilMs - nowMs : 0));
         for (size_t k = 0; k < input.workerCount; k++)
             if (strcmp(input.workers[k].name, rows[i]->name) == 0) {
--- a/packages/plan/include/plan/plan.h
+++ b/packages/plan/include/plan/plan.h
@@ -21,6 +21,7 @@
     size_t labelCount;
     Room room;
     Room free;
+    uint64_t penalty; /* thousandths of room that it counts as having less when chosen */
 } PlanWorker;
 
 /* A protected task whose restart every plan must include. */
@@ -53,7 +54,8 @@
 
 bool planAble(const PlanWorker *worker, const PlanNeed *need); /* kind and labels */
 bool planFits(const PlanWorker *worker, const PlanNeed *need); /* ... and room */
-/* The worker with the most room left among those that fit; -1: none fits. */
+/* The worker with the most room left among those that fit; -1: none fits. lost
+ * (may be null): those that are not to be chosen. */
 int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost);
 
 /* Biggest-fit-decreasing: places the tasks of the lost workers on the others.
--- a/packages/plan/src/plan.c
+++ b/packages/plan/src/plan.c
@@ -53,7 +53,8 @@
     for (size_t i = 0; i < count; i++) {
         if ((lost != NULL && lost[i]) || !planFits(&workers[i], need))
             continue;
-        const uint64_t left = leftShare(workers[i].free, largest);
+        uint64_t left = leftShare(workers[i].free, largest);
+        left = left > workers[i].penalty ? left - workers[i].penalty : 0;
         if (best < 0 || left > bestLeft) {
             best = (int)i;
             bestLeft = left;
--- a/packages/plan/test/plan.c
+++ b/packages/plan/test/plan.c
@@ -13,7 +13,7 @@
 
 static PlanWorker worker(const char *name, const char *zone, uint64_t cpu, uint64_t mem)
 {
-    return (PlanWorker){name, zone, "std", NULL, 0, {cpu, mem}, {cpu, mem}};
+    return (PlanWorker){name, zone, "std", NULL, 0, {cpu, mem}, {cpu, mem}, 0};
 }
 
 static PlanTask task(size_t at, uint64_t cpu, uint64_t mem)
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -139,6 +139,16 @@
             return fault(timeline, column->name, "not every accepted job has ended");
         return true;
     }
+    if (strcmp(verb, "allDone") == 0) {
+        CallerJob *const *jobs;
+        const size_t count = callerJobs(timeline->caller, &jobs);
+        size_t other = 0;
+        for (size_t i = 0; i < count; i++)
+            other += strcmp(jobs[i]->phase, "done") != 0;
+        char text[64];
+        snprintf(text, sizeof(text), "%zu of %zu jobs are not done", other, count);
+        return other == 0 || fault(timeline, column->name, text);
+    }
     if (strncmp(verb, "gap<", 4) == 0) {
         const int64_t gapMs = longestGap(timeline);
         if (gapMs < atoi(verb + 4))
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -42,8 +42,8 @@
     static const char *after[] = {"one"};
     steps[0] = (StepSpec){.name = "one", .count = 1, .room = {1000, 10}, .kind = "std"};
     steps[1] = (StepSpec){.name = "two", .count = 2, .gang = true, .room = {1000, 10}, .kind = "", .after = after, .afterCount = 1};
-    tasks[0] = (JobTask){.step = 0, .worker = "", .text = ""};
-    tasks[1] = tasks[2] = (JobTask){.step = 1, .worker = "", .text = ""};
+    tasks[0] = (JobTask){.step = 0, .worker = "", .text = "", .shunned = ""};
+    tasks[1] = tasks[2] = (JobTask){.step = 1, .worker = "", .text = "", .shunned = ""};
     job = (Job){.spec = {.id = "j", .steps = steps, .stepsCount = 2}, .tasks = tasks, .tasksCount = 3};
     nowMs = 1000;
     standsStill = false;
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -191,6 +191,24 @@
          "8000   start  .            .\n"
          "12000  .      .            end+gap<2000\n")
 
+/* A worker that fails everything while it claims health: jobs succeed on others
+ * (allDone), it is left alone for growing spans, and has work again once it works. */
+TIMELINE(workerFails, TRENTVALE, 3,
+         "ms     worker1  worker2  callers\n"
+         "0      .        .        call:20\n"
+         "3000   fails    .        .\n"
+         "12000  .        runs     .\n"
+         "30000  heals    .        .\n"
+         "90000  runs     .        end+allDone+gap<1000\n")
+
+/* Half the fleet fails: no more than a quarter is left alone. */
+TIMELINE(manyFail, TRENTVALE, 2,
+         "ms     worker1  worker2  worker3  worker4  worker5  callers\n"
+         "0      .        .        .        .        .        call:10\n"
+         "3000   fails    fails    fails    fails    fails    .\n"
+         "20000  heals    heals    heals    heals    heals    .\n"
+         "30000  .        .        .        .        .        end+gap<1000\n")
+
 static const FleetShape SPARES = {3, 3, 11, MIX_TRENTVALE, 2};
 
 /* Two cores replaced in sequence by empty ones at new addresses whose seeds are
@@ -217,7 +235,7 @@
         cmocka_unit_test(powerLostAfterAcknowledgement),
         cmocka_unit_test(oneDiskLies),    cmocka_unit_test(slowDisks),    cmocka_unit_test(diskFails),
         cmocka_unit_test(clocksJump),     cmocka_unit_test(oneWayCuts),   cmocka_unit_test(gateKilled),
-        cmocka_unit_test(coresReplaced),
+        cmocka_unit_test(coresReplaced),  cmocka_unit_test(workerFails),  cmocka_unit_test(manyFail),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -76,7 +76,8 @@
     X(I64, restUntilMs, 0) /* log time; waits at least so long */               \
     X(I64, changedMs, 0)   /* log time of its last change of phase */           \
     X(I64, startedMs, 0)   /* log time of the first round's start; 0: none */   \
-    X(TXT, text, 0)        /* the worker's last word on it */
+    X(TXT, text, 0)        /* the worker's last word on it */                   \
+    X(TXT, shunned, 0)     /* the worker that its last round failed on */
 SHAPE(JobTask, JOB_TASK_FIELDS)
 
 #define JOB_PHASE_LIST(X) X(ACTIVE, "active") X(DONE, "done") X(FAILED, "failed") X(CANCELLED, "cancelled")
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -306,7 +306,7 @@
     size_t at = 0;
     for (size_t i = 0; i < job->spec.stepsCount; i++)
         for (uint64_t k = 0; k < job->spec.steps[i].count; k++)
-            job->tasks[at++] = (JobTask){.step = i, .worker = "", .text = "", .changedMs = change->atMs};
+            job->tasks[at++] = (JobTask){.step = i, .worker = "", .text = "", .shunned = "", .changedMs = change->atMs};
     jobEnter(table, job);
     verdict->number = job->number;
     /* what of it finished well before the disks forgot it stays finished */
@@ -367,6 +367,7 @@
         return;
     }
     if (word == ROUND_FAILED) {
+        taskText(job, &task->shunned, task->worker);
         task->misses++;
         int64_t restMs = FAILED_REST_MS;
         for (uint64_t i = 1; i < task->misses && restMs < FAILED_REST_MAX_MS; i++)
