--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -60,6 +60,7 @@
                                .http = agent->http,
                                .incarnation = agent->incarnation};
     agent->members = membersNew(agent, loop, agent->courier, ring, &self, props->seeds);
+    agent->trace = traceNew(agent, loop, agent->courier, agent->members, props->name);
     leaderStart(agent);
     workerWatch(agent);
     membersStart(agent->members);
--- a/packages/agent/src/inside.h
+++ b/packages/agent/src/inside.h
@@ -6,6 +6,7 @@
 #include "beat/hold.h"
 #include "feed/messages.h"
 #include "round.h"
+#include "trace/trace.h"
 
 /* Invariants:
  *  - no round is given to the worker while hold does not run, nor one whose
@@ -36,10 +37,13 @@
     Signal forWorker; /* there is something to answer the worker with */
     Signal toTell;    /* there is something to tell the leader */
     bool leaving;
+    Trace *trace;
+    uint64_t epochTold;
 };
 
 Round *roundFind(Agent *agent, const char *job, uint64_t task, uint64_t round);
 Round *roundAdd(Agent *agent, const Order *order, RoundPhase phase);
+void roundTrace(Agent *agent, const Round *round, TraceStep step);
 void roundEnd(Agent *agent, Round *round, RoundWord word, const char *text);
 /* Everything that may run is to stop. */
 void roundsStop(Agent *agent);
--- a/packages/agent/src/leader.c
+++ b/packages/agent/src/leader.c
@@ -43,6 +43,10 @@
     if (status == STATUS_OK && !holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs))
         ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "a beat was answered under old epoch %" PRIu64,
                 epochCounter(answer.epoch));
+    if (status == STATUS_OK && answer.epoch > agent->epochTold) {
+        agent->epochTold = answer.epoch;
+        traceSay(agent->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer.epoch));
+    }
     if (status == STATUS_DUPLICATE_WORKER)
         ringSay(agent->ring, RING_ALERT, loopNowMs(agent->loop), "another agent beats for worker %s",
                 agent->workerName);
@@ -96,6 +100,7 @@
         } else if (round->phase == PHASE_ENDED && round->word == news->word) {
             round->phase = PHASE_KNOWN;
             round->changedMs = loopNowMs(agent->loop);
+            roundTrace(agent, round, TRACE_KNOWN);
             signalRaise(agent->loop, &agent->forWorker);
         }
     }
@@ -166,6 +171,7 @@
     Round *added = roundAdd(agent, order, PHASE_OFFERED);
     added->epoch = epoch;
     added->expiryMs = expiryMs;
+    roundTrace(agent, added, TRACE_FETCHED);
     if (newest != NULL && newest != added && newest->order.round > order->round)
         roundEnd(agent, added, ROUND_REFUSED, "a newer round has been here");
     else
--- a/packages/agent/src/rounds.c
+++ b/packages/agent/src/rounds.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -23,6 +25,14 @@
     return round;
 }
 
+void roundTrace(Agent *agent, const Round *round, TraceStep step)
+{
+    char detail[48];
+    snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 "%s%s", round->order.task, round->order.round,
+             step == TRACE_OVER ? " " : "", step == TRACE_OVER ? roundWord(round->word) : "");
+    traceSay(agent->trace, step, detail, "job:%s", round->order.job);
+}
+
 void roundEnd(Agent *agent, Round *round, RoundWord word, const char *text)
 {
     if (round->phase >= PHASE_ENDED)
@@ -32,6 +42,7 @@
     round->text = talloc_strdup(round, text);
     round->changedMs = loopNowMs(agent->loop);
     round->runningUntold = false;
+    roundTrace(agent, round, TRACE_OVER);
     signalRaise(agent->loop, &agent->toTell);
 }
 
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -101,6 +101,7 @@
         } else if (round->phase == PHASE_SENT || round->phase == PHASE_OFFERED) {
             round->phase = PHASE_RUNNING;
             round->runningUntold = true;
+            roundTrace(agent, round, TRACE_RUNS);
             signalRaise(agent->loop, &agent->toTell);
         }
     }
@@ -175,6 +176,7 @@
                                    round->order.payload[0] ? json_tokener_parse(round->order.payload) : NULL);
             json_object_array_add(starts, one);
             round->phase = PHASE_SENT;
+            roundTrace(agent, round, TRACE_GIVEN);
         } else if (round->phase == PHASE_STOPPING) {
             json_object_array_add(stops, idOf(&round->order));
         } else if (round->phase == PHASE_KNOWN && !round->workerKnows) {
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -93,6 +93,7 @@
 #define CHANNEL_QUEUE_FRAMES 4096 /* count; more unread than this ends the connection */
 #define HTTP_BODY_MAX (2 * 1024 * 1024) /* bytes */
 #define HTTP_TASKS_MAX 2048    /* count; requests in work in one process; more are told to come back */
+#define TRACE_EVENTS 2048       /* count; steps of changes that a node remembers: minutes at today's loads */
 #define RING_LINES 256         /* count; the log ring */
 #define RING_LINE_BYTES 200    /* bytes */
 #define RETRY_AFTER_S 1        /* s; told with each 503 */
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -520,6 +520,10 @@
         }
         return;
     }
+    if (strcmp(task->path, "/v1/trace") == 0) {
+        traceServe(core->trace, task);
+        return;
+    }
     if (!viewLeading(core->view)) {
         proxyCarry(&core->proxy, task);
         return;
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/epoch.h"
 #include "inside.h"
 
 const Config *coreConfig(Core *core)
@@ -90,7 +91,8 @@
 static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
 {
     Core *core = arg;
-    (void)epoch;
+    traceSay(core->trace, TRACE_OPENED, newHolder ? "the lock was won" : "opened anew", "view:%" PRIu64,
+             epochCounter(epoch));
     if (newHolder) {
         void *mem = talloc_new(core);
         const Worker **workers;
@@ -113,10 +115,52 @@
     signalRaise(core->loop, &core->wake);
 }
 
+static void traceDelivered(Core *core, const Record *change, const Verdict *verdict)
+{
+    void *mem = talloc_new(core);
+    char detail[48];
+    snprintf(detail, sizeof(detail), "index %" PRIu64 "%s%s", change->index, verdict->status == STATUS_OK ? "" : " ",
+             verdict->status == STATUS_OK ? "" : statusWord(verdict->status));
+    JobAdd add;
+    JobCancel cancel;
+    PlaceList places;
+    RoundList rounds;
+    ConfigSet set;
+    ZoneDrain drain;
+    if (change->change == CHANGE_JOB_ADD && shapeUnpack(&JobAddShape, change->payload, mem, &add, NULL) == STATUS_OK)
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", add.spec.id);
+    else if (change->change == CHANGE_JOB_CANCEL &&
+             shapeUnpack(&JobCancelShape, change->payload, mem, &cancel, NULL) == STATUS_OK)
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", cancel.id);
+    else if (change->change == CHANGE_PLACE &&
+             shapeUnpack(&PlaceListShape, change->payload, mem, &places, NULL) == STATUS_OK)
+        for (size_t i = 0; i < places.placementsCount; i++) {
+            const Placement *place = &places.placements[i];
+            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " to %.20s", place->task, place->round,
+                     place->worker);
+            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", place->job);
+        }
+    else if (change->change == CHANGE_ROUNDS &&
+             shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
+        for (size_t i = 0; i < rounds.newsCount; i++) {
+            const RoundNews *news = &rounds.news[i];
+            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " %s", news->task, news->round,
+                     roundWord(news->word));
+            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", news->job);
+        }
+    else if (change->change == CHANGE_CONFIG_SET &&
+             shapeUnpack(&ConfigSetShape, change->payload, mem, &set, NULL) == STATUS_OK)
+        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, set.base + 1);
+    else if (change->change == CHANGE_ZONE_DRAIN &&
+             shapeUnpack(&ZoneDrainShape, change->payload, mem, &drain, NULL) == STATUS_OK)
+        traceSay(core->trace, TRACE_DELIVERED, drain.drained ? "drained" : "back", "zone:%s", drain.zone);
+    talloc_free(mem);
+}
+
 static void onDelivered(void *arg, const Record *change, const Verdict *verdict)
 {
     Core *core = arg;
-    (void)verdict;
+    traceDelivered(core, change, verdict);
     if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
     void *mem = talloc_new(core);
@@ -197,7 +241,8 @@
         .empty = !viewFounded(core->view),
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
-    core->proxy = (Proxy){loop, core->courier, core->members, core->keeper};
+    core->trace = traceNew(core, loop, core->courier, core->members, props->name);
+    core->proxy = (Proxy){loop, core->courier, core->members, core->keeper, core->trace};
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -37,6 +37,7 @@
     Table *table;
     Keeper *keeper;
     Proxy proxy;
+    Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
     const Config *config; /* of the table's newest revision */
--- a/packages/feed/include/feed/proxy.h
+++ b/packages/feed/include/feed/proxy.h
@@ -2,7 +2,7 @@
 #define FEED_PROXY_H
 
 #include "feed/keeper.h"
-#include "member/members.h"
+#include "trace/trace.h"
 
 /* Carries a caller's request to the leader and its verdict back.
  *
@@ -13,6 +13,7 @@
     Courier *courier;
     Members *members;
     Keeper *keeper;
+    Trace *trace;
 } Proxy;
 
 /* Waits. Fills in the verdict and keeps what was committed. */
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -1,13 +1,42 @@
 #include "feed/proxy.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "api/show.h"
+#include "table/change.h"
 
 #define PROXY_ROUNDS 3 /* count; a leader that has just changed is found by the second */
 
+/* What the verdict speaks of, for those who trace it. */
+static void traceCarried(const Proxy *proxy, const HttpTask *task, const ProxyAnswer *answer, int64_t tookMs)
+{
+    char detail[48];
+    snprintf(detail, sizeof(detail), "%s %d, %lld ms", task->method, (int)answer->code, (long long)tookMs);
+    for (size_t i = 0; i < answer->keepsCount; i++) {
+        const KeepItem *item = &answer->keeps[i];
+        void *mem = talloc_new(NULL);
+        JobAdd add;
+        JobCancel cancel;
+        ConfigSet set;
+        ZoneDrain drain;
+        if (item->change == CHANGE_JOB_ADD && shapeUnpack(&JobAddShape, item->payload, mem, &add, NULL) == STATUS_OK)
+            traceSay(proxy->trace, TRACE_CARRIED, detail, "job:%s", add.spec.id);
+        else if (item->change == CHANGE_JOB_CANCEL &&
+                 shapeUnpack(&JobCancelShape, item->payload, mem, &cancel, NULL) == STATUS_OK)
+            traceSay(proxy->trace, TRACE_CARRIED, detail, "job:%s", cancel.id);
+        else if (item->change == CHANGE_CONFIG_SET &&
+                 shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) == STATUS_OK)
+            traceSay(proxy->trace, TRACE_CARRIED, detail, "config:%" PRIu64, set.base + 1);
+        else if (item->change == CHANGE_ZONE_DRAIN &&
+                 shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) == STATUS_OK)
+            traceSay(proxy->trace, TRACE_CARRIED, detail, "zone:%s", drain.zone);
+        talloc_free(mem);
+    }
+}
+
 /* A request that may be given to a leader again though an earlier one may have
  * taken it: all of ours carry an identity or change nothing. */
 static bool mayAgain(const HttpTask *task)
@@ -18,7 +47,7 @@
 
 void proxyCarry(const Proxy *proxy, HttpTask *task)
 {
-    const int64_t untilMs = loopNowMs(proxy->loop) + PROXY_EXPIRY_MS;
+    const int64_t startMs = loopNowMs(proxy->loop), untilMs = startMs + PROXY_EXPIRY_MS;
     const ProxyAsk ask = {task->method, task->path, task->query, task->body};
     bool maybeTaken = false;
     Status status = STATUS_NO_LEADER;
@@ -39,6 +68,7 @@
         if (status == STATUS_OK && maybeTaken && answer.code == 503)
             break; /* this one did not take it, but an earlier one may have */
         if (status == STATUS_OK) {
+            traceCarried(proxy, task, &answer, loopNowMs(proxy->loop) - startMs);
             keeperKeep(proxy->keeper, answer.keeps, answer.keepsCount);
             task->code = (int)answer.code;
             task->kind = answer.kind;
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -1,9 +1,11 @@
 #include "gate/gate.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "api/show.h"
+#include "base/epoch.h"
 #include "feed/proxy.h"
 #include "table/change.h"
 
@@ -14,6 +16,8 @@
     Members *members;
     Keeper *keeper;
     Proxy proxy;
+    Trace *trace;
+    uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     uint64_t revision;
     char *text;
@@ -31,6 +35,8 @@
         showVerdict(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
         showRefusal(task, gate->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+    } else if (strcmp(task->path, "/v1/trace") == 0) {
+        traceServe(gate->trace, task);
     } else if (gate->leaving) {
         showRefusal(task, STATUS_LEAVING, "this process is leaving; nothing was taken: come back", NULL);
     } else {
@@ -55,7 +61,12 @@
         FeedAnswer answer = {0};
         const Status status = courierAsk(gate->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape,
                                          &ask, FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
+        if (status == STATUS_OK && answer.epoch > gate->epoch) {
+            gate->epoch = answer.epoch;
+            traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer.epoch));
+        }
         if (status == STATUS_OK && answer.revision > gate->revision) {
+            traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer.revision);
             talloc_free(gate->text);
             gate->text = talloc_strdup(gate, answer.text);
             gate->revision = answer.revision;
@@ -111,7 +122,8 @@
                                .http = gate->http,
                                .incarnation = (uint64_t)loopWallMs(loop)};
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
-    gate->proxy = (Proxy){loop, gate->courier, gate->members, gate->keeper};
+    gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
+    gate->proxy = (Proxy){loop, gate->courier, gate->members, gate->keeper, gate->trace};
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -386,13 +386,45 @@
     end(fleet);
 }
 
+/* One change through all nodes, while one of them is down. */
+static void traced(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs", JOB("seen", ""), &text), 201);
+    fleetRun(fleet, 3000);
+    fleetKill(fleet, FLEET_GATE, 2);
+    assert_int_equal(ask(fleet, "GET", "/v1/trace?key=job:seen", NULL, &text), 200);
+    static const char *const WAY[] = {"carried", "delivered", "fetched", "given", "runs", "over", "known"};
+    const char *at = text;
+    for (size_t i = 0; i < sizeof(WAY) / sizeof(WAY[0]); i++) {
+        char step[32];
+        snprintf(step, sizeof(step), "\"step\":\"%s\"", WAY[i]);
+        if ((at = strstr(i > 1 ? at : text, step)) == NULL) /* gate and core speak within one way there and back */
+            fail_msg("%s is not there, or not in its place: %s", WAY[i], text);
+    }
+    for (int i = 1; i <= 3; i++) {
+        char node[32];
+        snprintf(node, sizeof(node), "\"node\":\"core%d\"", i);
+        assert_non_null(strstr(text, node));
+    }
+    assert_non_null(strstr(text, "\"silent\":[\"gate3\"]"));
+    assert_int_equal(ask(fleet, "GET", "/v1/trace?key=config:1", NULL, &text), 200);
+    assert_non_null(strstr(text, "learnt"));
+    assert_int_equal(ask(fleet, "GET", "/v1/trace", NULL, &text), 422);
+    assert_int_equal(ask(fleet, "POST", "/v1/trace?key=job:x", NULL, &text), 405);
+    assert_int_equal(ask(fleet, "GET", "/v1/trace?key=job:none", NULL, &text), 200);
+    end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(badJobs),       cmocka_unit_test(badPaths),  cmocka_unit_test(twiceAtOnce),
         cmocka_unit_test(dueAndDelay),   cmocka_unit_test(gangAllOrNone), cmocka_unit_test(cancelled),
         cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
-        cmocka_unit_test(badReports),
+        cmocka_unit_test(badReports),    cmocka_unit_test(traced),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/packages/trace/src/trace.c
@@ -0,0 +1,223 @@
+#include "trace/trace.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+
+#define TRACE_TEXT 128 /* bytes; a key is a kind and a name */
+
+typedef struct Event {
+    int64_t atMs;
+    TraceStep step;
+    char key[TRACE_TEXT];
+    char detail[TRACE_TEXT / 2];
+} Event;
+
+struct Trace {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    const char *node;
+    uint64_t count; /* ever said */
+    Event events[TRACE_EVENTS];
+};
+
+#define TRACE_ASK_FIELDS(X) X(TXT, key, 0)
+SHAPE(TraceAsk, TRACE_ASK_FIELDS)
+SHAPE_TABLE(TraceAsk, TRACE_ASK_FIELDS)
+
+#define TRACE_EVENT_FIELDS(X) X(I64, atMs, 0) X(U64, step, 0) X(TXT, detail, 0)
+SHAPE(TraceEvent, TRACE_EVENT_FIELDS)
+SHAPE_TABLE(TraceEvent, TRACE_EVENT_FIELDS)
+
+#define TRACE_ANSWER_FIELDS(X) X(TXT, node, 0) X(I64, nowMs, 0) X(LST, events, TraceEvent)
+SHAPE(TraceAnswer, TRACE_ANSWER_FIELDS)
+SHAPE_TABLE(TraceAnswer, TRACE_ANSWER_FIELDS)
+
+static void tell(Trace *trace, void *mem, const char *key, TraceAnswer *out)
+{
+    out->node = trace->node;
+    out->nowMs = loopNowMs(trace->loop);
+    const uint64_t first = trace->count > TRACE_EVENTS ? trace->count - TRACE_EVENTS : 0;
+    for (uint64_t i = first; i < trace->count; i++) {
+        const Event *event = &trace->events[i % TRACE_EVENTS];
+        if (strcmp(event->key, key) != 0)
+            continue;
+        out->events = talloc_realloc(mem, out->events, TraceEvent, (unsigned)(out->eventsCount + 1));
+        out->events[out->eventsCount++] = (TraceEvent){event->atMs, event->step, talloc_strdup(mem, event->detail)};
+    }
+}
+
+static Status onTrace(void *arg, void *mem, const void *question, void *answer)
+{
+    tell(arg, mem, ((const TraceAsk *)question)->key, answer);
+    return STATUS_OK;
+}
+
+Trace *traceNew(void *mem, Loop *loop, Courier *courier, Members *members, const char *node)
+{
+    Trace *trace = talloc_zero(mem, Trace);
+    trace->loop = loop;
+    trace->courier = courier;
+    trace->members = members;
+    trace->node = talloc_strdup(trace, node);
+    courierHandle(courier, MESSAGE_TRACE, &TraceAskShape, &TraceAnswerShape, onTrace, trace);
+    return trace;
+}
+
+void traceSay(Trace *trace, TraceStep step, const char *detail, const char *keyFormat, ...)
+{
+    if (trace == NULL)
+        return;
+    Event *event = &trace->events[trace->count++ % TRACE_EVENTS];
+    event->atMs = loopNowMs(trace->loop);
+    event->step = step;
+    snprintf(event->detail, sizeof(event->detail), "%s", detail);
+    va_list args;
+    va_start(args, keyFormat);
+    vsnprintf(event->key, sizeof(event->key), keyFormat, args);
+    va_end(args);
+}
+
+/* --- asking all ----------------------------------------------------------------- */
+
+typedef struct Row {
+    int64_t atMs; /* on the own clock */
+    const char *node;
+    uint64_t step;
+    const char *detail;
+    size_t order;
+} Row;
+
+/* Freed by whichever ends last. */
+typedef struct Gathering {
+    Trace *trace;
+    size_t users, pending;
+    Signal ended;
+    TraceAsk ask;
+    Row *rows;
+    size_t count;
+    const char **silent;
+    size_t silentCount;
+} Gathering;
+
+typedef struct GatherPart {
+    Gathering *gathering;
+    const char *name;
+    char address[ADDRESS_MAX];
+} GatherPart;
+
+static void gatheringLeave(Gathering *gathering)
+{
+    if (--gathering->users == 0)
+        talloc_free(gathering);
+}
+
+static void rowsAdd(Gathering *gathering, const TraceAnswer *answer, int64_t offsetMs)
+{
+    gathering->rows =
+        talloc_realloc(gathering, gathering->rows, Row, (unsigned)(gathering->count + answer->eventsCount + 1));
+    for (size_t i = 0; i < answer->eventsCount; i++) {
+        gathering->rows[gathering->count] = (Row){answer->events[i].atMs + offsetMs,
+                                                  talloc_strdup(gathering, answer->node), answer->events[i].step,
+                                                  talloc_strdup(gathering, answer->events[i].detail), gathering->count};
+        gathering->count++;
+    }
+}
+
+static void partMain(void *arg)
+{
+    GatherPart *part = arg;
+    Gathering *gathering = part->gathering;
+    Trace *trace = gathering->trace;
+    TraceAnswer answer = {0};
+    const int64_t sentMs = loopNowMs(trace->loop);
+    const Status status = courierAsk(trace->courier, part, part->address, MESSAGE_TRACE, &TraceAskShape, &gathering->ask,
+                                     ASK_EXPIRY_MS, &TraceAnswerShape, &answer);
+    if (status == STATUS_OK) {
+        rowsAdd(gathering, &answer, (sentMs + loopNowMs(trace->loop)) / 2 - answer.nowMs);
+    } else {
+        gathering->silent = talloc_realloc(gathering, gathering->silent, const char *, (unsigned)gathering->silentCount + 1);
+        gathering->silent[gathering->silentCount++] = talloc_strdup(gathering, part->name);
+    }
+    gathering->pending--;
+    signalRaise(trace->loop, &gathering->ended);
+    gatheringLeave(gathering);
+    talloc_free(part);
+}
+
+static int rowOrder(const void *a, const void *b)
+{
+    const Row *x = a, *y = b;
+    if (x->atMs != y->atMs)
+        return x->atMs < y->atMs ? -1 : 1;
+    return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static const char *stepWord(uint64_t step)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        TRACE_STEP_LIST(X)
+#undef X
+    };
+    return step < sizeof(WORDS) / sizeof(WORDS[0]) ? WORDS[step] : "unlisted";
+}
+
+void traceServe(Trace *trace, HttpTask *task)
+{
+    const char *key = queryValue(task, task->query, "key");
+    if (strcmp(task->method, "GET") != 0) {
+        showRefusal(task, STATUS_BAD_METHOD, "a trace is read", NULL);
+        return;
+    }
+    if (key == NULL || strchr(key, ':') == NULL) {
+        showRefusal(task, STATUS_BAD_FIELD, "?key: must be job:ID, config:REVISION, zone:ZONE or view:EPOCH", NULL);
+        return;
+    }
+    Gathering *gathering = talloc_zero(trace, Gathering);
+    gathering->trace = trace;
+    gathering->users = 1;
+    gathering->ask.key = talloc_strdup(gathering, key);
+    TraceAnswer own = {0};
+    tell(trace, gathering, key, &own);
+    rowsAdd(gathering, &own, 0);
+    const MemberTable *table = membersTable(trace->members);
+    const char *self = membersSelf(trace->members)->id;
+    for (size_t i = 0; i < table->count; i++) {
+        const MemberRecord *record = &table->rows[i].record;
+        if (strcmp(record->id, self) == 0)
+            continue;
+        GatherPart *part = talloc_zero(trace, GatherPart);
+        part->gathering = gathering;
+        part->name = talloc_strdup(part, record->name);
+        snprintf(part->address, sizeof(part->address), "%s", record->address);
+        gathering->users++;
+        gathering->pending++;
+        loopSpawn(trace->loop, "trace", partMain, part);
+    }
+    while (gathering->pending > 0)
+        signalWait(trace->loop, &gathering->ended, INT64_MAX);
+    qsort(gathering->rows, gathering->count, sizeof(Row), rowOrder);
+    json_object *body = json_object_new_object(), *steps = json_object_new_array(), *silent = json_object_new_array();
+    for (size_t i = 0; i < gathering->count; i++) {
+        const Row *row = &gathering->rows[i];
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "sinceMs", json_object_new_int64(row->atMs - gathering->rows[0].atMs));
+        json_object_object_add(one, "node", json_object_new_string(row->node));
+        json_object_object_add(one, "step", json_object_new_string(stepWord(row->step)));
+        json_object_object_add(one, "detail", json_object_new_string(row->detail));
+        json_object_array_add(steps, one);
+    }
+    for (size_t i = 0; i < gathering->silentCount; i++)
+        json_object_array_add(silent, json_object_new_string(gathering->silent[i]));
+    json_object_object_add(body, "key", json_object_new_string(key));
+    json_object_object_add(body, "steps", steps);
+    json_object_object_add(body, "silent", silent);
+    showVerdict(task, 200, body);
+    gatheringLeave(gathering);
+}
--- a/src/operate.c
+++ b/src/operate.c
@@ -288,3 +288,41 @@
     talloc_free(mem);
     return code;
 }
+
+int runTrace(int argc, const char **argv)
+{
+    Flags flags = {0};
+    const char *left[3];
+    poptContext context;
+    void *mem = talloc_new(NULL);
+    const char *text = NULL;
+    int code = flagsTake("trace", "job ID | config REVISION | zone ZONE | view EPOCH", argc, argv, &flags, left, &context);
+    static const char *const KINDS[] = {"job", "config", "zone", "view"};
+    bool known = false;
+    for (size_t i = 0; i < sizeof(KINDS) / sizeof(KINDS[0]); i++)
+        known |= left[0] != NULL && strcmp(left[0], KINDS[i]) == 0;
+    if (code == EXIT_GOOD && (!known || left[1] == NULL))
+        code = wrong("trace", "say job ID, config REVISION, zone ZONE or view EPOCH");
+    if (code == EXIT_GOOD)
+        code = ask("trace", &flags, "GET", talloc_asprintf(mem, "/v1/trace?key=%s:%s", left[0], left[1]), (Bytes){0}, mem,
+                   &text);
+    if (code == EXIT_GOOD && flags.json)
+        printJson(text);
+    else if (code == EXIT_GOOD) {
+        json_object *body = json_tokener_parse(text);
+        json_object *steps = get(body, "steps"), *silent = get(body, "silent");
+        for (size_t i = 0; i < json_object_array_length(steps); i++) {
+            json_object *one = json_object_array_get_idx(steps, i);
+            printf("%8s ms  %-10s %-10s %s\n", textOf(one, "sinceMs"), textOf(one, "node"), textOf(one, "step"),
+                   textOf(one, "detail"));
+        }
+        if (json_object_array_length(steps) == 0)
+            printf("no node that answered remembers it\n");
+        for (size_t i = 0; i < json_object_array_length(silent); i++)
+            printf("%s did not answer\n", json_object_get_string(json_object_array_get_idx(silent, i)));
+        json_object_put(body);
+    }
+    poptFreeContext(context);
+    talloc_free(mem);
+    return code;
+}
