Best partition by sight, copies, others' use of a worker; a shorter change of view

A leader that reaches the seats but few others hands the lock to a seat that sees many more (leaderBlind). Work whose owner allows copies restarts after 1.5 s of silence. Room that a worker tells as used by others is not given away. Cause of a 6.1 s gap in leaderFrozen (limit 6 s): each of two polls waited 0.8 s for the frozen seat.

--- a/packages/agent/src/inside.h
+++ b/packages/agent/src/inside.h
@@ -29,6 +29,7 @@
     /* the worker */
     Worker worker;
     void *workerMem;
+    Room others; /* of the worker's room, in use by what is not ours */
     const char *boot;
     bool workerLive, workerLeaving, settled;
     uint64_t questions; /* of the worker; only the newest is answered */
--- a/packages/agent/src/leader.c
+++ b/packages/agent/src/leader.c
@@ -26,7 +26,8 @@
                    .number = ++agent->number,
                    .workerLive = agent->workerLive,
                    .leaving = agent->workerLeaving || agent->leaving,
-                   .settled = agent->settled};
+                   .settled = agent->settled,
+                   .others = agent->others};
     shapeCopy(&WorkerShape, &agent->worker, mem, &ask.worker);
     size_t count = 0;
     for (const Round *round = agent->rounds; round != NULL; round = round->next)
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -9,7 +9,8 @@
 typedef struct Report {
     const char *boot;
     Worker worker;
-    bool leaving;
+    bool leaving, freeTold;
+    Room free;
     int64_t waitMs;
     RoundNews *running, *ended;
     size_t runningCount, endedCount;
@@ -54,7 +55,7 @@
 static bool reportRead(Faults *faults, const HttpTask *task, const char *name, Report *report)
 {
     static const char *const KEYS[] = {"boot",    "zone",    "rack",  "kind",   "labels", "room",
-                                       "leaving", "running", "ended", "waitMs", NULL};
+                                       "free",    "leaving", "running", "ended", "waitMs", NULL};
     json_object *object = checkParse(faults, (const char *)task->body.data, task->body.count);
     if (object == NULL)
         return false;
@@ -66,6 +67,8 @@
                                   .kind = checkName(faults, object, "", "kind", ""),
                                   .room = checkRoom(faults, object, "", "room", true)};
         report->worker.labels = checkNames(faults, object, "", "labels", &report->worker.labelsCount);
+        report->freeTold = json_object_object_get_ex(object, "free", NULL);
+        report->free = checkRoom(faults, object, "", "free", false);
         report->leaving = checkFlag(faults, object, "", "leaving", false);
         report->waitMs = checkInt(faults, object, "", "waitMs", 0, WORKER_POLL_MS * 10, WORKER_POLL_MS);
         if (report->waitMs > WORKER_POLL_MS)
@@ -139,6 +142,24 @@
     }
 }
 
+/* A worker that tells its free room may be used by others too. What it runs for
+ * us is not theirs; a round of unknown size (from before our start) counts as theirs. */
+static void othersTake(Agent *agent, const Report *report)
+{
+    agent->others = (Room){0};
+    if (!report->freeTold)
+        return;
+    Room known = report->free;
+    for (const Round *round = agent->rounds; round != NULL; round = round->next)
+        if (has(report->running, report->runningCount, &round->order)) {
+            known.cpuMilli += round->order.room.cpuMilli;
+            known.memMb += round->order.room.memMb;
+        }
+    const Room whole = report->worker.room;
+    agent->others = (Room){whole.cpuMilli > known.cpuMilli ? whole.cpuMilli - known.cpuMilli : 0,
+                           whole.memMb > known.memMb ? whole.memMb - known.memMb : 0};
+}
+
 static bool anythingFor(const Agent *agent, int64_t nowMs)
 {
     const bool runs = holdRuns(&agent->hold, nowMs);
@@ -227,6 +248,7 @@
     agent->workerLive = true;
     agent->workerLeaving = report.leaving;
     reportTake(agent, &report);
+    othersTake(agent, &report);
     agent->settled = true;
     if (news)
         signalRaise(agent->loop, membersLeaderSignal(agent->members)); /* beat at once */
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -15,11 +15,13 @@
 #define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
 #define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
+#define COPY_SILENT_MS 1500    /* ms; work whose owner allows copies restarts when its worker is silent so long */
 #define HOLD_SLACK_MS 50       /* ms; the leader adds this to its count of a hold: timer granularity */
 
 /* --- asking ------------------------------------------------------------- */
 #define ASK_EXPIRY_MS 800      /* ms; a plain question between processes; shorter than a lock hold */
 #define APPEND_EXPIRY_MS 1500  /* ms; a seat that does not sync in this time leaves the view */
+#define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
 #define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
 #define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
@@ -32,6 +34,9 @@
 #define HELLO_MS 500           /* ms; between two exchanges of the member table */
 #define MEMBER_QUIET_MS 4000   /* ms; a member not heard of for this long counts as quiet */
 #define MEMBER_FORGET_MS 600000 /* ms; a quiet member is dropped from the table: ten minutes of absence */
+#define SIGHT_MS 2000          /* ms; a core asks every member once in this; what answers it is its sight */
+#define SIGHT_MARGIN 3         /* count; a seat that sees so many more than the leader is the better one ... */
+#define SIGHT_HAND_MS 2000     /* ms; ... when it has been so for this long */
 #define MEMBERS_MAX 512        /* count; bound on a table told by a partner: ten times today's sizes */
 #define FOUND_WAIT_MS 1500     /* ms; three empty disks must see each other for this long before founding */
 #define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
--- a/packages/beat/include/beat/liveset.h
+++ b/packages/beat/include/beat/liveset.h
@@ -15,6 +15,7 @@
     bool leaving;
     bool settled;
     int64_t joinedMs;
+    Room others;          /* room in use by what is not ours */
     bool losing;          /* its loss is decided but not delivered: it gets no order until then */
 } LiveRow;
 
--- a/packages/beat/include/beat/messages.h
+++ b/packages/beat/include/beat/messages.h
@@ -5,7 +5,8 @@
 
 /* An agent's beat. rounds: all it knows of that may run or whose end is not yet
  * known to the leader. settled: that list is complete (it has heard its worker,
- * or the worker's hold has lapsed, since it started). */
+ * or the worker's hold has lapsed, since it started).
+ * others: room that is in use there by what is not ours. */
 #define BEAT_ASK_FIELDS(X)    \
     X(TXT, agent, 0)            \
     X(U64, incarnation, 0)      \
@@ -14,7 +15,8 @@
     X(FLAG, workerLive, 0)      \
     X(FLAG, leaving, 0)         \
     X(FLAG, settled, 0)         \
-    X(LST, rounds, RoundId)
+    X(LST, rounds, RoundId)     \
+    X(ONE, others, Room)
 SHAPE(BeatAsk, BEAT_ASK_FIELDS)
 
 #define BEAT_ANSWER_FIELDS(X) X(U64, epoch, 0) X(I64, holdMs, 0)
--- a/packages/beat/src/liveset.c
+++ b/packages/beat/src/liveset.c
@@ -62,6 +62,7 @@
         row->workerLive = beat->workerLive;
         row->leaving = beat->leaving;
         row->settled = beat->settled;
+        row->others = beat->others;
         *listCounts = beat->settled;
     }
     return STATUS_OK;
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -67,6 +67,32 @@
     }
 }
 
+/* Work whose owner allows copies need not wait for the hold of a silent worker. */
+static void copiesFind(Core *core, void *mem)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    RoundList list = {0};
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount && jobs[j]->spec.copies; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            const LiveRow *row =
+                task->phase == TASK_PLACED || task->phase == TASK_RUNNING ? livesetFind(core->liveset, task->worker) : NULL;
+            if (row == NULL)
+                continue;
+            const int64_t heardMs = row->heardMs > viewWonMs(core->view) ? row->heardMs : viewWonMs(core->view);
+            if (nowMs - heardMs <= COPY_SILENT_MS)
+                continue;
+            list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
+            list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), t, task->round,
+                                                      talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent"};
+        }
+    Verdict verdict;
+    if (list.newsCount > 0)
+        coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
+}
+
 static PlanNeed needOf(const StepSpec *step)
 {
     return (PlanNeed){step->room, step->kind, step->labels, step->labelsCount};
@@ -114,13 +140,14 @@
         const bool ready = row != NULL && liveRowReady(row, nowMs) && !worker->excluded &&
                            !tableDrained(core->table, worker->zone) && !scoreRests(core, worker->name);
         const Room none = {0};
+        const Room room = ready ? roomLess(worker->room, row->others) : none;
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
                                               .kind = worker->kind,
                                               .labels = worker->labels,
                                               .labelCount = worker->labelsCount,
-                                              .room = ready ? worker->room : none,
-                                              .free = ready ? worker->room : none,
+                                              .room = room,
+                                              .free = room,
                                               .penalty = scoreRate(core, worker->name) * 10};
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
     }
@@ -427,6 +454,8 @@
             continue;
         void *mem = talloc_new(core);
         lostFind(core, mem);
+        if (coreDecides(core))
+            copiesFind(core, mem);
         talloc_free(mem);
         if (loopNowMs(core->loop) >= core->placeFromMs && coreDecides(core))
             more = passRun(core);
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -13,6 +13,7 @@
     MemberRecord record;
     int64_t seenMs;   /* its tick rose, told by anybody */
     int64_t directMs; /* it spoke to us itself; INT64_MIN: never */
+    int64_t answeredMs; /* it answered us: the way is open there and back; INT64_MIN: never */
 } Member;
 
 /* Immutable; the whole table is swapped. Invariant: rows are ordered by id and
@@ -47,7 +48,8 @@
 const char *membersLeaderAddress(const Members *members);
 /* Raised when the leader known here changes. */
 Signal *membersLeaderSignal(Members *members);
-/* The number of members that have spoken to us of late. */
+/* The number of members, with ourselves, that have answered us of late. Cores only:
+ * others do not ask everybody. */
 size_t membersSight(const Members *members);
 
 #endif
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -36,7 +36,7 @@
 }
 
 /* Builds the next table of the present one and the records told, and swaps it. */
-static void merge(Members *members, const MemberRecord *told, size_t toldCount, const char *directId)
+static void merge(Members *members, const MemberRecord *told, size_t toldCount, const char *directId, bool answered)
 {
     const int64_t nowMs = loopNowMs(members->loop);
     const MemberTable *old = members->table;
@@ -50,7 +50,7 @@
         rows[count] = old->rows[i];
         shapeCopy(&MemberRecordShape, self ? &members->self : &old->rows[i].record, rows, &rows[count].record);
         if (self)
-            rows[count].seenMs = rows[count].directMs = nowMs;
+            rows[count].seenMs = rows[count].directMs = rows[count].answeredMs = nowMs;
         count++;
     }
     for (size_t k = 0; k < toldCount; k++) {
@@ -72,7 +72,7 @@
             if (count >= MEMBERS_MAX)
                 continue;
             row = &rows[count++];
-            *row = (Member){.seenMs = nowMs, .directMs = INT64_MIN};
+            *row = (Member){.seenMs = nowMs, .directMs = INT64_MIN, .answeredMs = INT64_MIN};
             shapeCopy(&MemberRecordShape, record, rows, &row->record);
         } else if (newer(record, &row->record)) {
             row->seenMs = nowMs;
@@ -80,6 +80,8 @@
         }
         if (direct)
             row->directMs = nowMs;
+        if (direct && answered)
+            row->answeredMs = nowMs;
     }
     qsort(rows, count, sizeof(*rows), rowOrder);
     table->rows = rows;
@@ -102,7 +104,7 @@
     MemberTable *table = talloc_zero(members, MemberTable);
     Member *row = talloc_zero(table, Member);
     shapeCopy(&MemberRecordShape, self, row, &row->record);
-    row->seenMs = row->directMs = loopNowMs(loop);
+    row->seenMs = row->directMs = row->answeredMs = loopNowMs(loop);
     table->rows = row;
     table->count = 1;
     members->table = table;
@@ -186,8 +188,8 @@
     const int64_t nowMs = loopNowMs(members->loop);
     size_t count = 0;
     for (size_t i = 0; i < members->table->count; i++)
-        if (members->table->rows[i].directMs != INT64_MIN &&
-            nowMs - members->table->rows[i].directMs < MEMBER_QUIET_MS)
+        if (members->table->rows[i].answeredMs != INT64_MIN &&
+            nowMs - members->table->rows[i].answeredMs < MEMBER_QUIET_MS)
             count++;
     return count;
 }
@@ -196,7 +198,7 @@
 {
     members->self.tick++;
     members->self.cluster = courierCluster(members->courier);
-    merge(members, NULL, 0, NULL);
+    merge(members, NULL, 0, NULL, false);
     const MemberTable *table = members->table;
     shapeCopy(&MemberRecordShape, &members->self, mem, &hello->self);
     hello->members = talloc_array(mem, MemberRecord, (unsigned)table->count);
@@ -209,7 +211,7 @@
     hello->leaderId = talloc_strdup(mem, members->leaderId);
 }
 
-static void helloTake(Members *members, const Hello *hello)
+static void helloTake(Members *members, const Hello *hello, bool answered)
 {
     const uint64_t mine = courierCluster(members->courier);
     if (hello->cluster != 0 && mine != 0 && hello->cluster != mine)
@@ -219,8 +221,8 @@
         ringSay(members->ring, RING_NOTE, loopNowMs(members->loop), "joins cluster %016" PRIx64, hello->cluster);
     }
     if (hello->membersCount <= MEMBERS_MAX)
-        merge(members, hello->members, hello->membersCount, NULL);
-    merge(members, &hello->self, 1, hello->self.id);
+        merge(members, hello->members, hello->membersCount, NULL, false);
+    merge(members, &hello->self, 1, hello->self.id, answered);
     if (hello->leaderEpoch > members->leaderEpoch)
         membersSetLeader(members, hello->leaderEpoch, hello->leaderId);
 }
@@ -232,7 +234,7 @@
     const uint64_t mine = courierCluster(members->courier);
     if (hello->cluster != 0 && mine != 0 && hello->cluster != mine)
         return STATUS_STRANGER;
-    helloTake(members, hello);
+    helloTake(members, hello, false);
     helloFill(members, mem, answer);
     return STATUS_OK;
 }
@@ -244,7 +246,7 @@
     helloFill(members, mem, &ask);
     if (courierAsk(members->courier, mem, address, MESSAGE_HELLO, &HelloShape, &ask, ASK_EXPIRY_MS, &HelloShape,
                    &answer) == STATUS_OK)
-        helloTake(members, &answer);
+        helloTake(members, &answer, true);
     talloc_free(mem);
 }
 
@@ -259,6 +261,36 @@
     }
 }
 
+typedef struct LookTask {
+    Members *members;
+    char address[ADDRESS_MAX];
+} LookTask;
+
+static void lookOne(void *arg)
+{
+    LookTask *look = arg;
+    helloTo(look->members, look->address);
+    talloc_free(look);
+}
+
+/* A core asks every member in turn, each in a task of its own, so that those
+ * that do not answer keep none waiting. */
+static void lookMain(void *arg)
+{
+    Members *members = arg;
+    for (size_t at = 0; !loopStopping(members->loop); at++) {
+        const MemberTable *table = members->table;
+        const Member *row = &table->rows[at % table->count];
+        if (strcmp(row->record.id, members->self.id) != 0 && !memberQuiet(row, loopNowMs(members->loop))) {
+            LookTask *look = talloc_zero(members, LookTask);
+            look->members = members;
+            strncpy(look->address, row->record.address, sizeof(look->address) - 1);
+            loopSpawn(members->loop, "look", lookOne, look);
+        }
+        loopSleep(members->loop, SIGHT_MS / (int64_t)(table->count > SIGHT_MS ? SIGHT_MS : table->count));
+    }
+}
+
 /* Speaks with a member at random, so that all are found though the seeds have
  * changed hands. */
 static void roamMain(void *arg)
@@ -284,5 +316,8 @@
         *seed = (SeedTask){members, members->seeds[i]};
         loopSpawn(members->loop, "seed", seedMain, seed);
     }
-    loopSpawn(members->loop, "roam", roamMain, members);
+    if (members->self.role == ROLE_CORE)
+        loopSpawn(members->loop, "look", lookMain, members);
+    else
+        loopSpawn(members->loop, "roam", roamMain, members);
 }
--- a/packages/sim/include/sim/timeline.h
+++ b/packages/sim/include/sim/timeline.h
@@ -19,7 +19,7 @@
  *
  * Actions on nodes: kill, start, off (power), wipe (an empty disk), freeze:MS,
  * cut, join, cut>COLUMN and join>COLUMN (one way), slow:MS (syncs), lie, honest,
- * diskfails, diskworks, jump:MS (wall clock), rate:PERCENT (of its own clock: a
+ * blind, sees (cut off from all gates and agents, not from cores), diskfails, diskworks, jump:MS (wall clock), rate:PERCENT (of its own clock: a
  * machine nobody may trust), leave (a worker), fails, heals
  * (a worker fails every task). On a zone: kill, start, off, cut, join, drain, back.
  * On callers: call:N (jobs a second) or call:N/MS, end (until every accepted
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -197,6 +197,12 @@
         simDiskFail(world, node->machine, verb[4] == 'f');
     } else if (strcmp(verb, "jump") == 0) {
         simJump(world, node->machine, number);
+    } else if (strcmp(verb, "blind") == 0 || strcmp(verb, "sees") == 0) {
+        for (int role = FLEET_GATE; role <= FLEET_AGENT; role++)
+            for (int i = 0; i < fleet->nodeCount[role]; i++) {
+                simCut(world, node->machine, fleet->nodes[role][i].machine, verb[0] == 'b');
+                simCut(world, fleet->nodes[role][i].machine, node->machine, verb[0] == 'b');
+            }
     } else if (strcmp(verb, "rate") == 0) {
         simClockRate(world, node->machine, number);
     } else if (strcmp(verb, "leave") == 0 && node->worker != NULL) {
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -386,6 +386,67 @@
     end(fleet);
 }
 
+/* Work whose owner allows copies restarts before the silent worker's hold has
+ * lapsed; other work does not. */
+static void copies(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin();
+    const char *text;
+    static const char STEP[] = ",\"steps\":[{\"name\":\"a\",\"count\":11," ROOM ",\"payload\":{\"runMs\":9000}}]}";
+    char body[512];
+    for (int with = 0; with < 2; with++) {
+        snprintf(body, sizeof(body),
+                 "{\"id\":\"%s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"copies\":%s%s",
+                 with ? "may" : "not", with ? "true" : "false", STEP);
+        assert_int_equal(ask(fleet, "POST", "/v1/jobs", body, &text), 201);
+    }
+    fleetRun(fleet, 2000);
+    assert_int_equal(checkerStarts(fleet->checker), 22);
+    fleetIsolate(fleet, FLEET_AGENT, 0, true);
+    fleetRun(fleet, 2400);
+    size_t may = 0, not = 0;
+    for (size_t t = 0; t < 11; t++) {
+        may += fleetJob(fleet, "may")->tasks[t].round == 2;
+        not += fleetJob(fleet, "not")->tasks[t].round == 2;
+    }
+    assert_true(may > 0);
+    assert_int_equal(not, 0);
+    fleetRun(fleet, 3000);
+    for (size_t t = 0; t < 11; t++)
+        not += fleetJob(fleet, "not")->tasks[t].round == 2;
+    assert_true(not > 0);
+    fleetIsolate(fleet, FLEET_AGENT, 0, false);
+    fleetRun(fleet, 15000);
+    assert_int_equal(ask(fleet, "GET", "/v1/jobs/may", NULL, &text), 200);
+    assert_non_null(strstr(text, "\"phase\":\"done\""));
+    end(fleet);
+}
+
+/* Room that somebody else uses on a worker is not given away. */
+static void othersUse(void **state)
+{
+    (void)state;
+    Fleet *fleet = fleetNew(NULL, 11, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
+    for (int i = 0; i < 10; i++)
+        fleetNode(fleet, FLEET_WORKER, i)->workerProps.others = (Room){60000, 0};
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    assert_true(fleetConfigure(fleet));
+    fleetRun(fleet, 2000);
+    const char *text;
+    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                         STEPS("o", "{\"name\":\"a\",\"count\":20,\"room\":{\"cpu\":5,\"memMb\":10},\"payload\":{"
+                                    "\"runMs\":30000}}"),
+                         &text),
+                     201);
+    fleetRun(fleet, 6000);
+    assert_int_equal(checkerStarts(fleet->checker), 12); /* of 64 cores; four are left on each other */
+    for (int i = 0; i < 10; i++)
+        assert_int_equal(standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker), 0);
+    end(fleet);
+}
+
 /* One change through all nodes, while one of them is down. */
 static void traced(void **state)
 {
@@ -425,6 +486,7 @@
         cmocka_unit_test(dueAndDelay),   cmocka_unit_test(gangAllOrNone), cmocka_unit_test(cancelled),
         cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
         cmocka_unit_test(badReports),    cmocka_unit_test(traced),
+        cmocka_unit_test(copies),        cmocka_unit_test(othersUse),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -200,6 +200,16 @@
          "8000   start  .            .\n"
          "12000  .      .            end+gap<2000\n")
 
+/* A leader that reaches the seats but no other member is not in the best
+ * partition: it hands the lock over. */
+TIMELINE(leaderBlind, TRENTVALE, 3,
+         "ms     leader  second  third  callers\n"
+         "0      leads   .       .      call:10\n"
+         "4000   blind   .       .      .\n"
+         "16000  !leads  .       .      .\n"
+         "30000  sees    .       .      .\n"
+         "40000  .       .       .      end+gap<12000\n")
+
 /* A worker that fails everything while it claims health: jobs succeed on others
  * (allDone), it is left alone for growing spans, and has work again once it works. */
 TIMELINE(workerFails, TRENTVALE, 3,
@@ -236,7 +246,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),     cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
+        cmocka_unit_test(leaderBlind),    cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),     cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
         cmocka_unit_test(machineOff),     cmocka_unit_test(agentFrozen),  cmocka_unit_test(workerFrozen),
         cmocka_unit_test(leaderFrozen),   cmocka_unit_test(minorityCut),  cmocka_unit_test(agentCut),
         cmocka_unit_test(zoneOff),        cmocka_unit_test(zoneCut),      cmocka_unit_test(zoneDrained),
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -22,6 +22,7 @@
     Worker worker;
     const char *agent; /* HTTP address */
     StandWorkerWatch watch;
+    Room others;       /* room taken by somebody else, told as not free */
     bool failsAll;     /* claims health, fails every task */
     int64_t slowTimes; /* takes so many times as long; 0 or 1: as asked */
 } StandWorkerProps;
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -169,6 +169,15 @@
     json_object *body = showWorker(self);
     json_object_object_del(body, "name");
     json_object_object_del(body, "excluded");
+    Room used = self->room.cpuMilli ? worker->props.others : (Room){0};
+    for (const Run *run = worker->runs; run != NULL; run = run->next)
+        if (!run->ended) {
+            used.cpuMilli += run->room.cpuMilli;
+            used.memMb += run->room.memMb;
+        }
+    const Room free = {self->room.cpuMilli > used.cpuMilli ? self->room.cpuMilli - used.cpuMilli : 0,
+                       self->room.memMb > used.memMb ? self->room.memMb - used.memMb : 0};
+    json_object_object_add(body, "free", showRoom(free));
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
     json_object_object_add(body, "waitMs", json_object_new_int64(WORKER_POLL_MS));
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -71,6 +71,7 @@
     int64_t changedMs;    /* the last change of view */
     uint64_t viewChanges;
     int64_t restUntilMs;
+    int64_t blindSinceMs; /* since when a seat sees many more members than we do; 0: none does */
     int64_t wokenSinceMs; /* since when an opening waits for the last view's members; 0: none does */
     int64_t wallOffsetMs;
     bool wallKnown;
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -61,7 +61,14 @@
     pollLeave(poll);
 }
 
-/* Waits until all have answered or can't be reached. Ends with pollLeave. */
+static bool reached(Status status)
+{
+    return status != STATUS_UNREACHABLE && status != STATUS_EXPIRED && status != STATUS_CLOSED &&
+           status != STATUS_STRANGER && status != STATUS_INTERNAL;
+}
+
+/* Waits until all have answered or can't be reached; once a majority of seats
+ * that never slept has answered, a short grace is enough. Ends with pollLeave. */
 static Poll *pollSeats(View *view, uint64_t epoch, const bool skip[SEAT_COUNT])
 {
     Poll *poll = talloc_zero(view, Poll);
@@ -79,19 +86,23 @@
         loopSpawn(view->loop, "poll", pollMain, part);
     }
     /* also the own disk is not waited for without end */
-    const int64_t untilMs = loopNowMs(view->loop) + ASK_EXPIRY_MS + ASK_EXPIRY_MS / 4;
-    while (poll->pending > 0)
-        if (!signalWait(view->loop, &poll->ended, untilMs))
-            break;
+    int64_t untilMs = loopNowMs(view->loop) + ASK_EXPIRY_MS + ASK_EXPIRY_MS / 4;
+    bool majority = false;
+    while (poll->pending > 0 && signalWait(view->loop, &poll->ended, untilMs)) {
+        int heard = 0;
+        bool woke = false;
+        for (int i = 0; i < SEAT_COUNT; i++) {
+            heard += reached(poll->status[i]);
+            woke |= reached(poll->status[i]) && poll->answers[i].woke;
+        }
+        const int64_t graceMs = loopNowMs(view->loop) + POLL_GRACE_MS;
+        if (!majority && heard >= SEAT_MAJORITY && !woke && graceMs < untilMs)
+            untilMs = graceMs;
+        majority |= heard >= SEAT_MAJORITY;
+    }
     return poll;
 }
 
-static bool reached(Status status)
-{
-    return status != STATUS_UNREACHABLE && status != STATUS_EXPIRED && status != STATUS_CLOSED &&
-           status != STATUS_STRANGER && status != STATUS_INTERNAL;
-}
-
 /* --- ordering ---------------------------------------------------------------------- */
 
 static bool leadOver(const View *view, uint64_t turn)
@@ -659,6 +670,24 @@
     return stale;
 }
 
+/* The best partition is the largest. All that hold a majority of the seats can
+ * reach each other's seats, but a leader may be cut off from other members: when
+ * a seat in the view sees many more of them, the lock is better there. */
+static bool viewBlind(View *view)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    const uint64_t own = membersSight(view->props.members);
+    bool blind = false;
+    for (int i = 0; i < SEAT_COUNT; i++)
+        if (view->inView[i] && view->seats[i] != view->disk && nowMs - view->partners[i].answeredMs < LOCK_HOLD_MS)
+            blind |= view->partners[i].sight > own + SIGHT_MARGIN && view->partners[i].sight > own + own / 2;
+    if (!blind || nowMs - view->wonMs < MEMBER_QUIET_MS)
+        view->blindSinceMs = 0;
+    else if (view->blindSinceMs == 0)
+        view->blindSinceMs = nowMs;
+    return view->blindSinceMs != 0 && nowMs - view->blindSinceMs > SIGHT_HAND_MS;
+}
+
 static void watchMain(void *arg)
 {
     View *view = arg;
@@ -673,6 +702,10 @@
             } else if (sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) {
                 ringSay(view->props.ring, RING_ALERT, nowMs, "own disk is slow: hands the lock over");
                 leadDown(view, SLOW_DISK_REST_MS);
+            } else if (viewBlind(view)) {
+                ringSay(view->props.ring, RING_ALERT, nowMs, "another seat sees many more members: hands the lock over");
+                view->blindSinceMs = 0;
+                leadDown(view, SLOW_DISK_REST_MS);
             } else if (viewStale(view, skip)) {
                 viewOpen(view, skip);
             }
