The paper's second survival rule: no holder, and all members see each other

Test storeGone: all disks fail, work goes on (22 of 22 tasks after 10 s); with one gate lost as well, all stops.

--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -62,6 +62,7 @@
     agent->members = membersNew(agent, loop, agent->courier, ring, &self, props->seeds);
     agent->trace = traceNew(agent, loop, agent->courier, agent->members, props->name);
     leaderStart(agent);
+    aloneStart(agent);
     workerWatch(agent);
     membersStart(agent->members);
     *out = agent;
--- /dev/null
+++ b/packages/agent/src/alone.c
@@ -0,0 +1,143 @@
+/* The paper's second survival rule: nobody holds the lock, and all members see
+ * each other. The agent asks every member, all three seats included, whether it
+ * knows a holder. When all have said no, its hold runs on from the sending of the
+ * oldest of those questions.
+ *
+ * Why that is safe: a lock is won with two seats' grants. Each seat had granted
+ * nothing when it answered, so any lock is won later than the oldest question,
+ * and its winner treats nobody as lost for a whole hold after that. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+/* Freed by whichever ends last. */
+typedef struct Asking {
+    Agent *agent;
+    size_t users, pending;
+    Signal ended;
+    bool all; /* everyone asked so far has answered no */
+    uint64_t answered[SEAT_COUNT * 4]; /* disks of cores that did */
+    size_t answeredCount;
+    uint64_t seats[SEAT_COUNT]; /* as a core told them */
+    bool seatsTold;
+} Asking;
+
+typedef struct AskPart {
+    Asking *asking;
+    uint64_t disk;
+    char address[ADDRESS_MAX];
+} AskPart;
+
+static void askingLeave(Asking *asking)
+{
+    if (--asking->users == 0)
+        talloc_free(asking);
+}
+
+static void partMain(void *arg)
+{
+    AskPart *part = arg;
+    Asking *asking = part->asking;
+    Agent *agent = asking->agent;
+    const KnowAsk ask = {0};
+    KnowAnswer answer = {0};
+    const Status status = courierAsk(agent->courier, part, part->address, MESSAGE_KNOW, &KnowAskShape, &ask,
+                                     ASK_EXPIRY_MS, &KnowAnswerShape, &answer);
+    if (status != STATUS_OK || answer.knows || answer.epoch > agent->hold.epoch) {
+        asking->all = false;
+    } else if (part->disk != 0) {
+        if (asking->answeredCount < sizeof(asking->answered) / sizeof(asking->answered[0]))
+            asking->answered[asking->answeredCount++] = part->disk;
+        if (answer.seatsCount == SEAT_COUNT) {
+            /* cores that know other seats than each other do not all see the same */
+            for (int i = 0; i < SEAT_COUNT; i++)
+                if (asking->seatsTold && asking->seats[i] != answer.seats[i].disk)
+                    asking->all = false;
+                else
+                    asking->seats[i] = answer.seats[i].disk;
+            asking->seatsTold = true;
+        }
+    }
+    asking->pending--;
+    signalRaise(agent->loop, &asking->ended);
+    askingLeave(asking);
+    talloc_free(part);
+}
+
+static bool seatsAnswered(const Asking *asking)
+{
+    for (int s = 0; s < SEAT_COUNT; s++) {
+        bool found = false;
+        for (size_t i = 0; i < asking->answeredCount && !found; i++)
+            found = asking->answered[i] == asking->seats[s];
+        if (!found)
+            return false;
+    }
+    return asking->seatsTold;
+}
+
+static void askAll(Agent *agent)
+{
+    Asking *asking = talloc_zero(agent, Asking);
+    asking->agent = agent;
+    asking->users = 1;
+    asking->all = true;
+    const int64_t sentMs = loopNowMs(agent->loop);
+    const MemberTable *table = membersTable(agent->members);
+    for (size_t i = 0; i < table->count; i++) {
+        const MemberRecord *record = &table->rows[i].record;
+        /* one that left cleanly is excluded: it neither runs nor holds anything */
+        if (record->leaving || strcmp(record->id, membersSelf(agent->members)->id) == 0)
+            continue;
+        AskPart *part = talloc_zero(agent, AskPart);
+        part->asking = asking;
+        part->disk = record->role == ROLE_CORE ? record->disk : 0;
+        strncpy(part->address, record->address, sizeof(part->address) - 1);
+        asking->users++;
+        asking->pending++;
+        loopSpawn(agent->loop, "know", partMain, part);
+    }
+    while (asking->pending > 0)
+        signalWait(agent->loop, &asking->ended, INT64_MAX);
+    /* a hold that has lapsed meanwhile is not brought back: its rounds are stopping */
+    if (asking->all && seatsAnswered(asking) && holdRuns(&agent->hold, loopNowMs(agent->loop))) {
+        if (!agent->alone)
+            ringSay(agent->ring, RING_ALERT, loopNowMs(agent->loop),
+                    "no lock holder, and every member knows none: goes on while all see each other");
+        agent->alone = true;
+        if (sentMs + AGENT_HOLD_MS > agent->hold.untilMs)
+            agent->hold.untilMs = sentMs + AGENT_HOLD_MS;
+    }
+    askingLeave(asking);
+}
+
+static void aloneMain(void *arg)
+{
+    Agent *agent = arg;
+    while (!loopStopping(agent->loop)) {
+        const int64_t leftMs = holdLeftMs(&agent->hold, loopNowMs(agent->loop));
+        /* the last third of the hold: several beats have gone unanswered */
+        if (leftMs > 0 && leftMs < AGENT_HOLD_MS - 2 * ASK_EXPIRY_MS)
+            askAll(agent);
+        loopSleep(agent->loop, BEAT_MS / 5);
+    }
+}
+
+static Status onKnow(void *arg, void *mem, const void *question, void *answer)
+{
+    Agent *agent = arg;
+    KnowAnswer *out = answer;
+    (void)mem;
+    (void)question;
+    /* its beats are answered: a holder lives */
+    out->knows = agent->beatMs != 0 && loopNowMs(agent->loop) - agent->beatMs < 2 * BEAT_MS;
+    out->epoch = agent->hold.epoch;
+    return STATUS_OK;
+}
+
+void aloneStart(Agent *agent)
+{
+    courierHandle(agent->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, agent);
+    loopSpawn(agent->loop, "alone", aloneMain, agent);
+}
--- a/packages/agent/src/inside.h
+++ b/packages/agent/src/inside.h
@@ -4,6 +4,7 @@
 #include "agent/agent.h"
 #include "api/show.h"
 #include "beat/hold.h"
+#include "lock/lock.h"
 #include "feed/messages.h"
 #include "round.h"
 #include "trace/trace.h"
@@ -38,6 +39,8 @@
     Signal forWorker; /* there is something to answer the worker with */
     Signal toTell;    /* there is something to tell the leader */
     bool leaving;
+    int64_t beatMs; /* its last beat was answered then; 0: none was */
+    bool alone; /* its hold runs by the second survival rule */
     Trace *trace;
     uint64_t epochTold;
 };
@@ -51,6 +54,7 @@
 void roundsForget(Agent *agent);
 
 void leaderStart(Agent *agent);
+void aloneStart(Agent *agent);
 void workerTake(Agent *agent, HttpTask *task, const char *name);
 void workerWatch(Agent *agent);
 
--- a/packages/agent/src/leader.c
+++ b/packages/agent/src/leader.c
@@ -44,6 +44,10 @@
     if (status == STATUS_OK && !holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs))
         ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "a beat was answered under old epoch %" PRIu64,
                 epochCounter(answer.epoch));
+    if (status == STATUS_OK) {
+        agent->alone = false;
+        agent->beatMs = loopNowMs(agent->loop);
+    }
     if (status == STATUS_OK && answer.epoch > agent->epochTold) {
         agent->epochTold = answer.epoch;
         traceSay(agent->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer.epoch));
--- a/packages/beat/include/beat/messages.h
+++ b/packages/beat/include/beat/messages.h
@@ -2,6 +2,7 @@
 #define BEAT_MESSAGES_H
 
 #include "table/change.h"
+#include "view/messages.h"
 
 /* An agent's beat. rounds: all it knows of that may run or whose end is not yet
  * known to the leader. settled: that list is complete (it has heard its worker,
@@ -22,6 +23,13 @@
 #define BEAT_ANSWER_FIELDS(X) X(U64, epoch, 0) X(I64, holdMs, 0)
 SHAPE(BeatAnswer, BEAT_ANSWER_FIELDS)
 
+/* Rule 2's question: do you know a lock holder? Cores tell the seats too. */
+#define KNOW_ASK_FIELDS(X) X(U64, nothing, 0)
+SHAPE(KnowAsk, KNOW_ASK_FIELDS)
+
+#define KNOW_ANSWER_FIELDS(X) X(FLAG, knows, 0) X(U64, epoch, 0) X(LST, seats, DiskId)
+SHAPE(KnowAnswer, KNOW_ANSWER_FIELDS)
+
 #define TELL_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, number, 0) X(LST, news, RoundNews)
 SHAPE(TellAsk, TELL_ASK_FIELDS)
 
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -187,9 +187,25 @@
     return STATUS_OK;
 }
 
+static Status onKnow(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    KnowAnswer *out = answer;
+    (void)question;
+    uint64_t seats[SEAT_COUNT];
+    out->knows = viewKnowsHolder(core->view);
+    out->epoch = membersLeaderEpoch(core->members);
+    out->seatsCount = viewSeats(core->view, seats);
+    out->seats = talloc_array(mem, DiskId, SEAT_COUNT);
+    for (size_t i = 0; i < out->seatsCount; i++)
+        out->seats[i].disk = seats[i];
+    return STATUS_OK;
+}
+
 void agentsServe(Core *core)
 {
     courierHandle(core->courier, MESSAGE_BEAT, &BeatAskShape, &BeatAnswerShape, onBeat, core);
+    courierHandle(core->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, core);
     courierHandle(core->courier, MESSAGE_TELL, &TellAskShape, &TellAnswerShape, onTell, core);
     courierHandle(core->courier, MESSAGE_FETCH, &FetchAskShape, &FetchAnswerShape, onFetch, core);
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -6,6 +6,7 @@
 
 #include "api/show.h"
 #include "base/epoch.h"
+#include "beat/messages.h"
 #include "feed/proxy.h"
 #include "table/change.h"
 
@@ -103,6 +104,16 @@
     return STATUS_OK;
 }
 
+/* A gate holds no lock and runs nothing: that it answers is what counts. */
+static Status onKnow(void *arg, void *mem, const void *question, void *answer)
+{
+    Gate *gate = arg;
+    (void)mem;
+    (void)question;
+    ((KnowAnswer *)answer)->epoch = membersLeaderEpoch(gate->members);
+    return STATUS_OK;
+}
+
 Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **out, Mishap *mishap)
 {
     Gate *gate = talloc_zero(mem, Gate);
@@ -125,6 +136,7 @@
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
     gate->proxy = (Proxy){loop, gate->courier, gate->members, gate->keeper, gate->trace};
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
+    courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
     loopSpawn(loop, "feed", feedMain, gate);
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -447,6 +447,55 @@
     end(fleet);
 }
 
+static size_t running(Fleet *fleet)
+{
+    size_t count = 0;
+    for (int i = 0; i < fleet->nodeCount[FLEET_WORKER]; i++)
+        count += standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker);
+    return count;
+}
+
+/* The second survival rule: all disks fail, nobody can hold the lock, and all
+ * members see each other: work goes on. One more failure, and it stops. When the
+ * disks work again after a restart, it is planned anew. */
+static void storeGone(void **state)
+{
+    (void)state;
+    for (int with = 0; with < 2; with++) {
+        Fleet *fleet = begin();
+        const char *text;
+        assert_int_equal(ask(fleet, "POST", "/v1/jobs",
+                             STEPS("l", "{\"name\":\"a\",\"count\":22," ROOM ",\"payload\":{\"runMs\":40000}}"), &text),
+                         201);
+        fleetRun(fleet, 2000);
+        assert_int_equal(running(fleet), 22);
+        for (int i = 0; i < 3; i++)
+            simDiskFail(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, true);
+        /* a change that can't be written shows the failure */
+        ask(fleet, "POST", "/v1/jobs", JOB("x", ""), &text);
+        fleetRun(fleet, 10000);
+        assert_int_equal(fleetLeader(fleet), -1);
+        assert_int_equal(running(fleet), 22);
+        if (with) { /* a gate is lost: not every member answers any more */
+            fleetPowerOff(fleet, FLEET_GATE, 1);
+            fleetRun(fleet, 6000);
+            assert_int_equal(running(fleet), 0);
+        }
+        for (int i = 0; i < 3; i++) {
+            simDiskFail(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, false);
+            fleetKill(fleet, FLEET_CORE, i);
+            fleetStartNode(fleet, FLEET_CORE, i);
+        }
+        fleetRun(fleet, 15000);
+        assert_true(fleetLeader(fleet) >= 0);
+        fleetRun(fleet, 60000);
+        assert_int_equal(ask(fleet, "GET", "/v1/jobs/l", NULL, &text), 200);
+        assert_non_null(strstr(text, "\"phase\":\"done\""));
+        assert_true(with ? checkerStarts(fleet->checker) >= 44 : checkerStarts(fleet->checker) >= 22);
+        end(fleet);
+    }
+}
+
 /* One change through all nodes, while one of them is down. */
 static void traced(void **state)
 {
@@ -486,7 +535,7 @@
         cmocka_unit_test(dueAndDelay),   cmocka_unit_test(gangAllOrNone), cmocka_unit_test(cancelled),
         cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
         cmocka_unit_test(badReports),    cmocka_unit_test(traced),
-        cmocka_unit_test(copies),        cmocka_unit_test(othersUse),
+        cmocka_unit_test(storeGone),     cmocka_unit_test(copies),        cmocka_unit_test(othersUse),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
