--- /dev/null
+++ b/packages/sim/test/long.c
@@ -0,0 +1,87 @@
+/* A long virtual run: the journal is rewritten under load, a core that was away
+ * is filled from a snapshot, ended jobs are forgotten after their span, and no
+ * process grows without bound. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+static size_t bytesOf(const Fleet *fleet, FleetRole role, int number)
+{
+    const FleetNode *node = &fleet->nodes[role][number];
+    return simAlive(fleet->world, node->machine) ? talloc_total_size(simLoop(fleet->world, node->machine)) : 0;
+}
+
+static void hour(void **state)
+{
+    (void)state;
+#if defined(__SANITIZE_ADDRESS__)
+    const int64_t minutes = 4; /* ten times slower there: the rewriting is still reached */
+#else
+    const int64_t minutes = 75;
+#endif
+    Fleet *fleet = fleetNew(NULL, 3, (FleetShape){3, 3, 4, MIX_ATLAS, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    assert_true(fleetConfigure(fleet));
+    fleetCall(fleet, "h", 9000, minutes * 60000);
+    fleetRun(fleet, 60000);
+    /* one core is away while the others rewrite their journals */
+    const int away = (fleetLeader(fleet) + 1) % 3;
+    fleetPowerOff(fleet, FLEET_CORE, away);
+    fleetRun(fleet, 120000);
+    const int leader = fleetLeader(fleet);
+    assert_true(leader >= 0);
+    ViewSight sight;
+    viewSight(coreView(fleetNode(fleet, FLEET_CORE, leader)->core), &sight);
+    assert_true(sight.journal.rewrites > 0 && sight.baseIndex > 0);
+    fleetStartNode(fleet, FLEET_CORE, away);
+    fleetRun(fleet, 20000);
+    ViewSight back;
+    viewSight(coreView(fleetNode(fleet, FLEET_CORE, away)->core), &back);
+    assert_true(back.baseIndex >= sight.baseIndex); /* filled from a snapshot */
+    assert_true(back.deliveredIndex > sight.deliveredIndex);
+    assert_false(back.woke);
+    size_t worst[3] = {0}, settled[3] = {0};
+    for (int64_t minute = 4; minute < minutes; minute++) {
+        fleetRun(fleet, 60000);
+        const size_t now[3] = {bytesOf(fleet, FLEET_CORE, leader), bytesOf(fleet, FLEET_GATE, 0),
+                               bytesOf(fleet, FLEET_AGENT, 0)};
+        for (int i = 0; i < 3; i++) {
+            if (now[i] > worst[i])
+                worst[i] = now[i];
+            /* ended jobs are kept an hour: after that nothing grows */
+            if (minute == 68)
+                settled[i] = worst[i];
+        }
+    }
+    print_message("after %d minutes: leader %zu, gate %zu, agent %zu KB; journal %zu KB in %zu rewrites; %zu starts\n",
+                  (int)minutes, worst[0] / 1024, worst[1] / 1024, worst[2] / 1024, (size_t)sight.journal.bytes / 1024,
+                  (size_t)sight.journal.rewrites, checkerStarts(fleet->checker));
+    for (int i = 0; i < 3 && minutes > 70; i++)
+        assert_true(worst[i] < settled[i] + settled[i] / 4);
+    assert_true(fleetFinish(fleet, 60000));
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    if (minutes > 70) {
+        /* one of the first is forgotten, one of the last half hour is not */
+        const Job *const old = fleetJob(fleet, "h-urgent-0");
+        CallerJob *const *jobs;
+        const size_t count = callerJobs(fleet->callers[0], &jobs);
+        assert_true(old == NULL && fleetJob(fleet, jobs[0]->id) == NULL);
+        assert_non_null(fleetJob(fleet, jobs[count - 10000]->id));
+    }
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(hour)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
