--- /dev/null
+++ b/examples/counter.c
@@ -0,0 +1,205 @@
+/* libspancart embedded: three processes that agree on one counter.
+ *
+ *     counter NAME LISTEN SEED,SEED,SEED FOLDER
+ *
+ * The lock's holder adds one a few times a second; every process delivers the
+ * same additions in the same order. The others beat to the holder, which keeps
+ * a liveset of them. Each addition delivered is a line on standard output:
+ * index, sum, and how many the holder held live when it added. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <beat/liveset.h>
+#include <loop/real.h>
+#include <view/view.h>
+
+#define CHANGE_PLUS VIEW_CHANGE_FIRST
+#define PLUS_MS 200
+
+typedef struct Counter {
+    Loop *loop;
+    Ring *ring;
+    const char *name, *listen, *folder;
+    const char *seeds[SEEDS];
+    Courier *courier;
+    Members *members;
+    View *view;
+    Liveset *liveset;
+    uint64_t sum; /* the state */
+    uint64_t beats;
+} Counter;
+
+/* --- the state: what deliver, save and load know ----------------------------- */
+
+static void deliver(void *arg, const Record *change, Verdict *verdict)
+{
+    Counter *counter = arg;
+    if (change->change != CHANGE_PLUS || change->payload.count != 1)
+        return;
+    counter->sum++;
+    verdict->number = counter->sum;
+    printf("%" PRIu64 " %" PRIu64 " %u\n", change->index, counter->sum, change->payload.data[0]);
+    fflush(stdout);
+}
+
+static Bytes save(void *arg, void *mem)
+{
+    const Counter *counter = arg;
+    Bytes bytes = {0};
+    bytesAdd(mem, &bytes, &counter->sum, sizeof(counter->sum));
+    return bytes;
+}
+
+static Status load(void *arg, Bytes saved)
+{
+    Counter *counter = arg;
+    counter->sum = 0;
+    if (saved.count == sizeof(counter->sum))
+        memcpy(&counter->sum, saved.data, sizeof(counter->sum));
+    return saved.count == 0 || saved.count == sizeof(counter->sum) ? STATUS_OK : STATUS_BAD_FRAME;
+}
+
+/* --- liveset: beats and holds --------------------------------------------------- */
+
+static Status onBeat(void *arg, void *mem, const void *ask, void *answer)
+{
+    Counter *counter = arg;
+    BeatAnswer *out = answer;
+    bool listCounts;
+    (void)mem;
+    out->epoch = viewEpoch(counter->view);
+    if (!viewHolds(counter->view))
+        return STATUS_NOT_LEADER;
+    out->holdMs = AGENT_HOLD_MS;
+    return livesetBeat(counter->liveset, ask, loopNowMs(counter->loop), AGENT_HOLD_MS, &listCounts);
+}
+
+static void beatMain(void *arg)
+{
+    Counter *counter = arg;
+    while (!loopStopping(counter->loop)) {
+        const char *leader = membersLeaderAddress(counter->members);
+        if (leader != NULL && !viewLeading(counter->view)) {
+            void *mem = talloc_new(counter);
+            const BeatAsk ask = {.agent = counter->name,
+                                 .incarnation = membersSelf(counter->members)->incarnation,
+                                 .number = ++counter->beats,
+                                 .worker = {.name = counter->name, .zone = "", .rack = "", .kind = ""},
+                                 .workerLive = true,
+                                 .settled = true};
+            BeatAnswer answer = {0};
+            courierAsk(counter->courier, mem, talloc_strdup(mem, leader), MESSAGE_BEAT, &BeatAskShape, &ask, ASK_EXPIRY_MS,
+                       &BeatAnswerShape, &answer);
+            talloc_free(mem);
+        }
+        loopSleep(counter->loop, BEAT_MS);
+    }
+}
+
+static size_t live(const Counter *counter, void *mem)
+{
+    const LiveRow **rows;
+    const size_t count = livesetRows(counter->liveset, mem, &rows);
+    size_t ready = 0;
+    for (size_t i = 0; i < count; i++)
+        ready += liveRowReady(rows[i], loopNowMs(counter->loop));
+    return ready;
+}
+
+static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
+{
+    Counter *counter = arg;
+    (void)epoch;
+    (void)repair;
+    if (newHolder) /* nobody is lost before every hold of the last holder has lapsed */
+        livesetReset(counter->liveset, viewWonMs(counter->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, NULL, 0);
+}
+
+/* --- ordered delivery ------------------------------------------------------------- */
+
+static void plusMain(void *arg)
+{
+    Counter *counter = arg;
+    while (!loopStopping(counter->loop)) {
+        loopSleep(counter->loop, PLUS_MS);
+        if (!viewLeading(counter->view))
+            continue;
+        void *mem = talloc_new(counter);
+        uint8_t others = (uint8_t)live(counter, mem);
+        Verdict verdict;
+        viewSubmit(counter->view, CHANGE_PLUS, (Bytes){&others, 1, 0}, &verdict);
+        talloc_free(mem);
+    }
+}
+
+static void startMain(void *arg)
+{
+    Counter *counter = arg;
+    Mishap mishap = {0};
+    char address[ADDRESS_MAX];
+    const ViewProps props = {.loop = counter->loop,
+                             .courier = counter->courier = courierNew(counter, counter->loop, counter->ring),
+                             .ring = counter->ring,
+                             .state = {counter, deliver, save, load},
+                             .opened = onOpened,
+                             .openedArg = counter};
+    counter->liveset = livesetNew(counter);
+    counter->view = viewNew(counter, &props);
+    if (viewOpenDisk(counter->view, talloc_asprintf(counter, "%s/journal", counter->folder), counter->name, &mishap) !=
+            STATUS_OK ||
+        courierListen(counter->courier, counter->listen, address, &mishap) != STATUS_OK) {
+        fprintf(stderr, "counter: %s: %s\n", statusWord(mishap.status), mishap.text);
+        loopStop(counter->loop);
+        return;
+    }
+    const MemberRecord self = {.id = talloc_asprintf(counter, "%s@%016" PRIx64, counter->name, viewDisk(counter->view)),
+                               .name = counter->name,
+                               .role = ROLE_CORE,
+                               .zone = "",
+                               .address = address,
+                               .http = "",
+                               .incarnation = (uint64_t)loopWallMs(counter->loop),
+                               .disk = viewDisk(counter->view),
+                               .empty = !viewFounded(counter->view)};
+    counter->members = membersNew(counter, counter->loop, counter->courier, counter->ring, &self, counter->seeds);
+    viewStart(counter->view, counter->members);
+    courierHandle(counter->courier, MESSAGE_BEAT, &BeatAskShape, &BeatAnswerShape, onBeat, counter);
+    membersStart(counter->members);
+    viewFounding(counter->view);
+    loopSpawn(counter->loop, "beat", beatMain, counter);
+    loopSpawn(counter->loop, "plus", plusMain, counter);
+}
+
+static void termMain(void *arg)
+{
+    Counter *counter = arg;
+    viewStepDown(counter->view, INT32_MAX);
+    loopSleep(counter->loop, BEAT_MS);
+    loopStop(counter->loop);
+}
+
+int main(int argc, char **argv)
+{
+    if (argc != 5) {
+        fprintf(stderr, "usage: counter NAME LISTEN SEED,SEED,SEED FOLDER\n");
+        return 2;
+    }
+    void *mem = talloc_new(NULL);
+    Counter *counter = talloc_zero(mem, Counter);
+    counter->name = argv[1];
+    counter->listen = argv[2];
+    counter->folder = argv[4];
+    char *at = argv[3];
+    for (int i = 0; i < SEEDS; i++)
+        if ((counter->seeds[i] = strsep(&at, ",")) == NULL || !realAddressValid(counter->seeds[i])) {
+            fprintf(stderr, "counter: three seed addresses are needed\n");
+            return 2;
+        }
+    counter->loop = realLoopNew(mem);
+    counter->ring = ringNew(mem, counter->name);
+    loopSpawn(counter->loop, "start", startMain, counter);
+    realLoopRun(counter->loop, termMain, counter);
+    return 0;
+}
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -247,7 +247,7 @@
     agentsServe(core);
     callersServe(core);
     membersStart(core->members);
-    foundStart(core);
+    viewFounding(core->view);
     plannerStart(core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -89,7 +89,6 @@
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
-void foundStart(Core *core);
 void repairStart(Core *core);
 void agentsServe(Core *core);
 void callersServe(Core *core);
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -91,6 +91,9 @@
 size_t viewSeats(const View *view, uint64_t seats[SEAT_COUNT]);
 /* Waits. Makes this disk part of a cluster. */
 Status viewFound(View *view, uint64_t cluster, const uint64_t seats[SEAT_COUNT]);
+/* Founds a cluster when exactly three empty disks see each other and nobody in
+ * reach remembers one; offers the seat of a disk gone for long to an empty one. */
+void viewFounding(View *view);
 /* Whether a seat of this place has neither answered nor been heard of for so long. */
 bool viewSeatGone(const View *view, int seat, int64_t spanMs);
 /* Waits. Offers the seat to another disk: a change that the old majority
--- a/packages/core/src/found.c
+++ b/packages/view/src/found.c
@@ -16,10 +16,10 @@
 
 /* The three empty disks in the order of their ids; false when there are not
  * exactly three or when anybody knows a cluster. */
-static bool threeEmpty(const Core *core, uint64_t disks[SEAT_COUNT])
+static bool threeEmpty(const View *view, uint64_t disks[SEAT_COUNT])
 {
-    const MemberTable *table = membersTable(core->members);
-    const int64_t nowMs = loopNowMs(core->loop);
+    const MemberTable *table = membersTable(view->props.members);
+    const int64_t nowMs = loopNowMs(view->loop);
     size_t count = 0;
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
@@ -42,35 +42,35 @@
 
 static Status onFound(void *arg, void *mem, const void *question, void *answer)
 {
-    Core *core = arg;
+    View *view = arg;
     const FoundAsk *ask = question;
     (void)mem;
-    const uint64_t known = courierCluster(core->courier);
+    const uint64_t known = courierCluster(view->props.courier);
     Status status = STATUS_STRANGER;
     uint64_t seats[SEAT_COUNT] = {0};
     bool mine = false;
     for (size_t i = 0; i < ask->seatsCount && i < SEAT_COUNT; i++) {
         seats[i] = ask->seats[i].disk;
-        mine |= seats[i] == viewDisk(core->view);
+        mine |= seats[i] == viewDisk(view);
     }
     if (ask->seatsCount == SEAT_COUNT && mine && ask->cluster != 0 && (known == 0 || known == ask->cluster))
-        status = viewFound(core->view, ask->cluster, seats);
-    ((FoundAnswer *)answer)->cluster = courierCluster(core->courier);
+        status = viewFound(view, ask->cluster, seats);
+    ((FoundAnswer *)answer)->cluster = courierCluster(view->props.courier);
     return status;
 }
 
-static void offer(Core *core, const uint64_t disks[SEAT_COUNT], uint64_t cluster)
+static void offer(View *view, const uint64_t disks[SEAT_COUNT], uint64_t cluster)
 {
     for (int i = 0; i < SEAT_COUNT; i++) {
-        const Member *member = membersFindDisk(core->members, disks[i]);
-        if (disks[i] == viewDisk(core->view) || member == NULL || !member->record.empty)
+        const Member *member = membersFindDisk(view->props.members, disks[i]);
+        if (disks[i] == viewDisk(view) || member == NULL || !member->record.empty)
             continue;
-        void *mem = talloc_new(core);
+        void *mem = talloc_new(view);
         FoundAsk ask = {cluster, talloc_array(mem, DiskId, SEAT_COUNT), SEAT_COUNT};
         for (int k = 0; k < SEAT_COUNT; k++)
             ask.seats[k].disk = disks[k];
         FoundAnswer answer = {0};
-        courierAsk(core->courier, mem, talloc_strdup(mem, member->record.address), MESSAGE_FOUND, &FoundAskShape, &ask,
+        courierAsk(view->props.courier, mem, talloc_strdup(mem, member->record.address), MESSAGE_FOUND, &FoundAskShape, &ask,
                    ASK_EXPIRY_MS, &FoundAnswerShape, &answer);
         talloc_free(mem);
     }
@@ -78,21 +78,21 @@
 
 static void foundMain(void *arg)
 {
-    Core *core = arg;
+    View *view = arg;
     uint64_t before[SEAT_COUNT] = {0};
     int64_t sinceMs = 0;
-    while (!loopStopping(core->loop)) {
-        loopSleep(core->loop, 200);
+    while (!loopStopping(view->loop)) {
+        loopSleep(view->loop, 200);
         uint64_t disks[SEAT_COUNT];
-        const int64_t nowMs = loopNowMs(core->loop);
-        if (viewFounded(core->view)) {
+        const int64_t nowMs = loopNowMs(view->loop);
+        if (viewFounded(view)) {
             /* until a first view stands, the others may not have heard the offer */
-            if (viewSeats(core->view, disks) == SEAT_COUNT && membersLeaderId(core->members)[0] == '\0' &&
-                disks[0] == viewDisk(core->view))
-                offer(core, disks, courierCluster(core->courier));
+            if (viewSeats(view, disks) == SEAT_COUNT && membersLeaderId(view->props.members)[0] == '\0' &&
+                disks[0] == viewDisk(view))
+                offer(view, disks, courierCluster(view->props.courier));
             continue;
         }
-        if (courierCluster(core->courier) != 0 || !threeEmpty(core, disks)) {
+        if (courierCluster(view->props.courier) != 0 || !threeEmpty(view, disks)) {
             sinceMs = 0;
             continue;
         }
@@ -101,21 +101,21 @@
             memcpy(before, disks, sizeof(disks));
             continue;
         }
-        if (nowMs - sinceMs < FOUND_WAIT_MS || disks[0] != viewDisk(core->view))
+        if (nowMs - sinceMs < FOUND_WAIT_MS || disks[0] != viewDisk(view))
             continue;
-        const uint64_t cluster = loopRandom(core->loop) | 1;
-        if (viewFound(core->view, cluster, disks) == STATUS_OK) {
-            ringSay(core->ring, RING_NOTE, nowMs, "founds cluster %016" PRIx64, cluster);
-            offer(core, disks, cluster);
+        const uint64_t cluster = loopRandom(view->loop) | 1;
+        if (viewFound(view, cluster, disks) == STATUS_OK) {
+            ringSay(view->props.ring, RING_NOTE, nowMs, "founds cluster %016" PRIx64, cluster);
+            offer(view, disks, cluster);
         }
     }
 }
 
 /* An empty core that has joined and holds no seat; 0: none. */
-static uint64_t emptyCore(const Core *core)
+static uint64_t emptyCore(const View *view)
 {
-    const MemberTable *table = membersTable(core->members);
-    const int64_t nowMs = loopNowMs(core->loop);
+    const MemberTable *table = membersTable(view->props.members);
+    const int64_t nowMs = loopNowMs(view->loop);
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
         if (row->record.role == ROLE_CORE && row->record.empty && !row->record.leaving && !memberQuiet(row, nowMs) &&
@@ -129,24 +129,24 @@
  * core, one seat at a time. */
 static void replaceMain(void *arg)
 {
-    Core *core = arg;
-    while (!loopStopping(core->loop)) {
-        loopSleep(core->loop, PROPOSE_MS);
-        const uint64_t disk = coreDecides(core) ? emptyCore(core) : 0;
+    View *view = arg;
+    while (!loopStopping(view->loop)) {
+        loopSleep(view->loop, PROPOSE_MS);
+        const uint64_t disk = viewLeading(view) ? emptyCore(view) : 0;
         for (int i = 0; i < SEAT_COUNT && disk != 0; i++) {
-            if (!viewSeatGone(core->view, i, SEAT_GONE_MS))
+            if (!viewSeatGone(view, i, SEAT_GONE_MS))
                 continue;
-            if (viewSeatReplace(core->view, i, disk) == STATUS_OK)
-                ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "seat %d is given to disk %016" PRIx64, i + 1,
+            if (viewSeatReplace(view, i, disk) == STATUS_OK)
+                ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "seat %d is given to disk %016" PRIx64, i + 1,
                         disk);
             break;
         }
     }
 }
 
-void foundStart(Core *core)
+void viewFounding(View *view)
 {
-    loopSpawn(core->loop, "replace", replaceMain, core);
-    courierHandle(core->courier, MESSAGE_FOUND, &FoundAskShape, &FoundAnswerShape, onFound, core);
-    loopSpawn(core->loop, "found", foundMain, core);
+    loopSpawn(view->loop, "replace", replaceMain, view);
+    courierHandle(view->props.courier, MESSAGE_FOUND, &FoundAskShape, &FoundAnswerShape, onFound, view);
+    loopSpawn(view->loop, "found", foundMain, view);
 }
