--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -5,6 +5,23 @@
 
 #include "inside.h"
 
+static void metrics(Agent *agent, HttpTask *task)
+{
+    const CourierCounts *counts = courierCounts(agent->courier);
+    int64_t rounds[PHASE_KNOWN + 1] = {0};
+    for (const Round *round = agent->rounds; round != NULL; round = round->next)
+        rounds[round->phase]++;
+    showMetricsBegin(task);
+    showMetric(task, "holdLeftMs", holdLeftMs(&agent->hold, loopNowMs(agent->loop)));
+    showMetric(task, "workerLive", agent->workerLive);
+    showMetric(task, "roundsRunning", rounds[PHASE_RUNNING]);
+    showMetric(task, "roundsStopping", rounds[PHASE_STOPPING]);
+    showMetric(task, "roundsUntold", rounds[PHASE_ENDED]);
+#define X(name) showMetric(task, #name, (int64_t)counts->name);
+    COURIER_COUNT_LIST(X)
+#undef X
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     Agent *agent = arg;
@@ -19,6 +36,10 @@
         showVerdict(task, 200, body);
         return;
     }
+    if (strcmp(task->path, "/metrics") == 0) {
+        metrics(agent, task);
+        return;
+    }
     static const char BEFORE[] = "/v1/workers/", AFTER[] = "/report";
     const size_t length = strlen(task->path);
     if (strncmp(task->path, BEFORE, sizeof(BEFORE) - 1) != 0 || length <= sizeof(BEFORE) + sizeof(AFTER) - 2 ||
--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -17,6 +17,10 @@
 void showVerdict(HttpTask *task, int code, json_object *body);
 /* A typed refusal. 503s carry Retry-After. */
 void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults);
+/* One line for a scraper: spancart_NAME VALUE. */
+void showMetric(HttpTask *task, const char *name, int64_t value);
+/* Makes the verdict a page of metrics; lines are added by showMetric. */
+void showMetricsBegin(HttpTask *task);
 /* The value of a key in a query, on mem; null when it is not there. */
 const char *queryValue(void *mem, const char *query, const char *key);
 /* As a whole number in a range; false and a fault otherwise. */
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -1,6 +1,8 @@
 #include "api/show.h"
 
 #include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -135,6 +137,30 @@
     showVerdict(task, code, showMishap(status, text, faults));
 }
 
+void showMetricsBegin(HttpTask *task)
+{
+    task->code = 200;
+    task->kind = "text/plain; version=0.0.4";
+    task->verdict = (Bytes){0};
+}
+
+void showMetric(HttpTask *task, const char *name, int64_t value)
+{
+    /* counters are told in camel case inside, in snake case outside */
+    char line[96];
+    size_t at = (size_t)snprintf(line, sizeof(line), "spancart_");
+    for (; *name != '\0' && at < sizeof(line) - 24; name++) {
+        if (*name >= 'A' && *name <= 'Z') {
+            line[at++] = '_';
+            line[at++] = (char)(*name - 'A' + 'a');
+        } else {
+            line[at++] = *name;
+        }
+    }
+    at += (size_t)snprintf(line + at, sizeof(line) - at, " %" PRId64 "\n", value);
+    bytesAdd(task, &task->verdict, line, at);
+}
+
 const char *queryValue(void *mem, const char *query, const char *key)
 {
     const size_t length = strlen(key);
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -26,6 +26,19 @@
     size_t inWork;
 };
 
+static void metrics(Gate *gate, HttpTask *task)
+{
+    const CourierCounts *counts = courierCounts(gate->courier);
+    showMetricsBegin(task);
+    showMetric(task, "inWork", (int64_t)gate->inWork);
+    showMetric(task, "kept", (int64_t)keeperCount(gate->keeper));
+    showMetric(task, "configRevision", (int64_t)gate->revision);
+    showMetric(task, "members", (int64_t)membersTable(gate->members)->count);
+#define X(name) showMetric(task, #name, (int64_t)counts->name);
+    COURIER_COUNT_LIST(X)
+#undef X
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     Gate *gate = arg;
@@ -36,6 +49,8 @@
         showVerdict(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
         showRefusal(task, gate->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+    } else if (strcmp(task->path, "/metrics") == 0) {
+        metrics(gate, task);
     } else if (strcmp(task->path, "/v1/trace") == 0) {
         traceServe(gate->trace, task);
     } else if (gate->leaving) {
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -111,6 +111,21 @@
     fleetRun(fleet, 2600);
     assert_int_equal(inPhase(fleet, "urgent", TASK_DONE), 10);
     assert_true(inPhase(fleet, "bulk", TASK_WAITING) > 50);
+    /* what another policy would make of the queue, without doing it */
+    hand(fleet, "later", "c", "u", "bulk", 1, 8, 200);
+    HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/queue?cell=c&limit=1", NULL);
+    assert_int_equal(call.code, 200);
+    call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/queue/try?cell=c&limit=1",
+                    "function rank(t) return t.id == 'later' and 1 or 0 end");
+    assert_int_equal(call.code, 200);
+    assert_non_null(strstr((const char *)call.verdict.data, "\"order\":[{\"job\":\"later\""));
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/queue/try?cell=c", "function rank(").code, 422);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/queue?cell=none", NULL).code, 422);
+    for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
+        call = fleetAsk(fleet, fleet, (FleetRole)role, 0, "GET", "/metrics", NULL);
+        assert_int_equal(call.code, 200);
+        assert_non_null(strstr((const char *)call.verdict.data, "\nspancart_bad_frames 0\n"));
+    }
     end(fleet);
 }
 
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,7 @@
     {"config", "show, set or patch the configuration", runConfig},
     {"zone", "empty a zone, or take it back", runZone},
     {"status", "what the leader sees", runStatus},
+    {"policy", "show the queue's order, or what a policy would make of it", runPolicy},
     {"trace", "follow one change through all nodes", runTrace},
     {"worker", "a stand-in for a worker, for proof", runWorker},
     {"caller", "a stand-in for callers, for proof", runCaller},
--- a/src/operate.c
+++ b/src/operate.c
@@ -326,3 +326,45 @@
     talloc_free(mem);
     return code;
 }
+
+int runPolicy(int argc, const char **argv)
+{
+    Flags flags = {0};
+    const char *left[3];
+    poptContext context;
+    void *mem = talloc_new(NULL);
+    const char *text = NULL;
+    int code = flagsTake("policy", "show --cell C | try --cell C --file F", argc, argv, &flags, left, &context);
+    const char *verb = left[0] != NULL ? left[0] : "";
+    const bool tries = strcmp(verb, "try") == 0;
+    bool ok = flags.file != NULL;
+    if (code == EXIT_GOOD && !tries && strcmp(verb, "show") != 0)
+        code = wrong("policy", "say show --cell C or try --cell C --file F");
+    else if (code == EXIT_GOOD && flags.cell == NULL)
+        code = wrong("policy", "--cell: a cell is needed");
+    const Bytes body = code == EXIT_GOOD && tries && ok ? fileAll(mem, flags.file, &ok) : (Bytes){0};
+    if (code == EXIT_GOOD && tries && !ok)
+        code = wrong("policy", "--file: a readable file with the policy is needed");
+    if (code == EXIT_GOOD)
+        code = ask("policy", &flags, tries ? "POST" : "GET",
+                   talloc_asprintf(mem, "/v1/queue%s?cell=%s&limit=%lld", tries ? "/try" : "", flags.cell,
+                                   flags.limit > 0 ? flags.limit : 50LL),
+                   body, mem, &text);
+    if (code == EXIT_GOOD && flags.json)
+        printJson(text);
+    else if (code == EXIT_GOOD) {
+        json_object *answer = json_tokener_parse(text);
+        json_object *order = get(answer, "order");
+        for (size_t i = 0; i < json_object_array_length(order); i++) {
+            json_object *one = json_object_array_get_idx(order, i);
+            printf("%4zu  rank %-10.3f %s task %s  %s/%s%s\n", i + 1, json_object_get_double(get(one, "rank")),
+                   textOf(one, "job"), textOf(one, "task"), textOf(one, "tenant"), textOf(one, "queue"),
+                   flagOf(one, "restart") ? "  restart" : "");
+        }
+        printf("%s ready to start in cell %s\n", textOf(answer, "ready"), textOf(answer, "cell"));
+        json_object_put(answer);
+    }
+    poptFreeContext(context);
+    talloc_free(mem);
+    return code;
+}
--- a/src/options.h
+++ b/src/options.h
@@ -26,6 +26,7 @@
 int runConfig(int argc, const char **argv);
 int runZone(int argc, const char **argv);
 int runStatus(int argc, const char **argv);
+int runPolicy(int argc, const char **argv);
 int runTrace(int argc, const char **argv);
 
 /* Says what is wrong in one line and returns EXIT_WRONG. */
--- a/tests/cli.py
+++ b/tests/cli.py
@@ -61,7 +61,7 @@
 check("no such command", ["dance"], 2, "dance")
 check("no command", [], 2, "usage")
 check("help", ["--help"], 0, "usage")
-for command in ["core", "gate", "agent", "job", "config", "zone", "status", "worker", "caller"]:
+for command in ["core", "gate", "agent", "job", "config", "zone", "status", "trace", "policy", "worker", "caller"]:
     check(command + " --help", [command, "--help"], 0, "--")
     check(command + " wrong flag", [command, "--dance"], 2, "--dance")
 check("job without verb", ["job", "--at", "127.0.0.1:1"], 2, "submit")
@@ -72,6 +72,8 @@
 check("config bad base", ["config", "set", "--base", "x"], 2, "x: invalid numeric value")
 check("zone without name", ["zone", "drain", "--at", "127.0.0.1:1"], 2, "drain")
 check("too many words", ["job", "list", "a", "b", "c"], 2, "c")
+check("policy without cell", ["policy", "show", "--at", "127.0.0.1:1"], 2, "--cell")
+check("trace of what", ["trace", "song", "x", "--at", "127.0.0.1:1"], 2, "job ID")
 check("nobody there", ["status", "--at", "127.0.0.1:1"], 3, "did not answer")
 check("worker without agent", ["worker", "--name", "w", "--zone", "z"], 2, "--agent")
 check("caller bad mix", ["caller", "--entries", "127.0.0.1:1", "--mix", "x"], 2, "--mix")
