--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -28,6 +28,8 @@
     Props props;
     void *mem;
     Core *core;
+    Gate *gate;
+    Agent *agent;
     StandWorker *worker;
     StandWorkerProps workerProps;
     bool up; /* its start has come to an end well */
@@ -52,6 +54,8 @@
 void fleetKill(Fleet *fleet, FleetRole role, int number);
 void fleetPowerOff(Fleet *fleet, FleetRole role, int number);
 void fleetFreeze(Fleet *fleet, FleetRole role, int number, int64_t forMs);
+/* SIGTERM, and once it has drained, the next release of it is started. */
+void fleetRoll(Fleet *fleet, FleetRole role, int number);
 /* Cuts every way between a node and all others (but callers when kept). */
 void fleetIsolate(Fleet *fleet, FleetRole role, int number, bool cut);
 /* Cuts a zone off from the others. */
--- a/packages/sim/include/sim/timeline.h
+++ b/packages/sim/include/sim/timeline.h
@@ -17,7 +17,7 @@
  * joined by "+". Times count from the beginning of the timeline, which is when
  * the fleet has settled and has its configuration.
  *
- * Actions on nodes: kill, start, off (power), wipe (an empty disk), freeze:MS,
+ * Actions on nodes: kill, start, roll (drain, end, start), off (power), wipe (an empty disk), freeze:MS,
  * cut, join, cut>COLUMN and join>COLUMN (one way), slow:MS (syncs), lie, honest,
  * blind, sees (cut off from all gates and agents, not from cores), diskfails, diskworks, jump:MS (wall clock), rate:PERCENT (of its own clock: a
  * machine nobody may trust), leave (a worker), fails, heals
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -159,17 +159,15 @@
     Mishap mishap = {0};
     Status status = STATUS_OK;
     const CoreWatch watch = {node, onPlans};
-    Gate *gate;
-    Agent *agent;
     switch (node->role) {
     case FLEET_CORE:
         status = coreStart(loop, loop, node->ring, &node->props, &watch, &node->core, &mishap);
         break;
     case FLEET_GATE:
-        status = gateStart(loop, loop, node->ring, &node->props, &gate, &mishap);
+        status = gateStart(loop, loop, node->ring, &node->props, &node->gate, &mishap);
         break;
     case FLEET_AGENT:
-        status = agentStart(loop, loop, node->ring, &node->props, &agent, &mishap);
+        status = agentStart(loop, loop, node->ring, &node->props, &node->agent, &mishap);
         break;
     default:
         node->worker = standWorkerStart(loop, loop, &node->workerProps);
@@ -184,6 +182,8 @@
 {
     FleetNode *node = arg;
     node->core = NULL;
+    node->gate = NULL;
+    node->agent = NULL;
     node->worker = NULL;
     node->up = false;
     loopSpawn(loop, "boot", bootMain, node);
@@ -214,6 +214,33 @@
             fleetStartNode(fleet, (FleetRole)role, i);
 }
 
+static void rolled(void *arg)
+{
+    FleetNode *node = arg;
+    fleetKill(node->fleet, node->role, node->number);
+    fleetStartNode(node->fleet, node->role, node->number);
+}
+
+static void drainMain(void *arg)
+{
+    FleetNode *node = arg;
+    if (node->core != NULL)
+        coreDrain(node->core);
+    else if (node->gate != NULL)
+        gateDrain(node->gate);
+    else if (node->agent != NULL)
+        agentDrain(node->agent);
+    /* a process ends from outside of its own tasks */
+    simAt(node->fleet->world, simNowMs(node->fleet->world), rolled, node);
+}
+
+void fleetRoll(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    if (node->up)
+        loopSpawn(simLoop(fleet->world, node->machine), "term", drainMain, node);
+}
+
 static void nodeGone(FleetNode *node)
 {
     node->core = NULL;
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -183,6 +183,8 @@
         fleetStartNode(fleet, node->role, node->number);
         if (node->role == FLEET_WORKER)
             checkerLeaving(fleet->checker, node->props.name, false);
+    } else if (strcmp(verb, "roll") == 0) {
+        fleetRoll(fleet, node->role, node->number);
     } else if (strcmp(verb, "wipe") == 0) {
         simDiskWipe(world, node->machine);
     } else if (strcmp(verb, "freeze") == 0) {
--- /dev/null
+++ b/packages/sim/test/crowd.c
@@ -0,0 +1,225 @@
+/* Crowds: the urgent class alone and while large, bulk and impossible jobs pour
+ * in together; storms of configurations through the leader's death. In virtual
+ * time, so that the figures are the same each time. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+static int order(const void *a, const void *b)
+{
+    const int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
+/* p50 and p99 of accepted to started, of the urgent class, in log time. */
+static void urgentSpans(const Fleet *fleet, const char *name, int64_t *p50, int64_t *p99)
+{
+    int64_t spans[4000];
+    size_t count = 0;
+    for (int i = 0; i < 4000; i++) {
+        const Job *job = fleetJob(fleet, talloc_asprintf((void *)(uintptr_t)fleet, "%s-urgent-%d", name, i));
+        if (job == NULL)
+            continue;
+        assert_true(job->tasks[0].startedMs > 0);
+        spans[count++] = job->tasks[0].startedMs - job->acceptedMs;
+    }
+    assert_true(count > 100);
+    qsort(spans, count, sizeof(*spans), order);
+    *p50 = spans[count / 2];
+    *p99 = spans[count * 99 / 100];
+}
+
+static Fleet *begin(Mix mix)
+{
+    Fleet *fleet = fleetNew(NULL, 21, (FleetShape){3, 3, 11, mix, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    assert_true(fleetConfigure(fleet));
+    return fleet;
+}
+
+typedef struct Pouring {
+    Fleet *fleet;
+    bool stop;
+    size_t refused, taken, back, other;
+} Pouring;
+
+/* Fifty impossible jobs a second and five of bulk, from the same machine. */
+static void pourMain(void *arg)
+{
+    Pouring *pouring = arg;
+    Fleet *fleet = pouring->fleet;
+    Loop *loop = simLoop(fleet->world, fleet->caller);
+    const bool trentvale = fleet->shape.mix == MIX_TRENTVALE;
+    for (int i = 0; !pouring->stop; i++) {
+        void *mem = talloc_new(loop);
+        const bool bulk = i % 11 == 0;
+        HttpCall call = {.mem = mem, .address = fleetNode(fleet, FLEET_GATE, i % 3)->props.http, .method = "POST",
+                         .path = "/v1/jobs", .waitMs = 5000};
+        const char *body = talloc_asprintf(
+            mem,
+            "{\"id\":\"%s%d\",\"cell\":\"%s\",\"tenant\":\"%s\",\"queue\":\"%s\",\"protection\":\"none\",\"steps\":[{\"name\":\"a\","
+            "\"count\":%d,\"kind\":\"%s\",\"room\":{\"cpu\":2,\"memMb\":1024},\"payload\":{\"runMs\":3000}}]}",
+            bulk ? "bulk" : "never", i, trentvale ? "imagery" : "registry", trentvale ? "planners" : "backend",
+            trentvale ? "rebuilds" : "reindex", bulk ? (trentvale ? 100 : 25) : 1, bulk ? "std" : "gpu");
+        bytesAdd(mem, &call.body, body, strlen(body));
+        const Status status = loopCall(loop, &call);
+        if (status == STATUS_OK && call.code == 201)
+            pouring->taken++;
+        else if (status == STATUS_OK && call.code == 422)
+            pouring->refused++;
+        else if (status == STATUS_OK && call.code == 503 && call.retryAfterS > 0)
+            pouring->back++;
+        else
+            pouring->other++;
+        talloc_free(mem);
+        loopSleep(loop, 18);
+    }
+}
+
+static void crowdOf(Mix mix)
+{
+    int64_t p50[2], p99[2];
+    for (int with = 0; with < 2; with++) {
+        Fleet *fleet = begin(mix);
+        Pouring *pouring = talloc_zero(fleet, Pouring);
+        pouring->fleet = fleet;
+        if (with)
+            loopSpawn(simLoop(fleet->world, fleet->caller), "pour", pourMain, pouring);
+        fleetRun(fleet, with ? 15000 : 1000); /* by now the fleet is full */
+        fleetCall(fleet, "u", 10000, 30000);
+        fleetRun(fleet, 40000);
+        pouring->stop = true;
+        if (with) {
+            print_message("%s: poured: %zu taken, %zu refused, %zu told to come back, %zu other; ", mixWord(mix),
+                          pouring->taken, pouring->refused, pouring->back, pouring->other);
+            assert_true(pouring->refused > 1000 && pouring->taken > 50);
+            assert_int_equal(pouring->other, 0);
+        }
+        fleetRun(fleet, 60000);
+        urgentSpans(fleet, "u", &p50[with], &p99[with]);
+        if (checkerBrokenAll(fleet->checker) > 0)
+            fail_msg("%s", checkerFirst(fleet->checker));
+        talloc_free(fleet);
+    }
+    print_message("urgent alone p50 %d p99 %d ms, in the crowd %d and %d ms\n", (int)p50[0], (int)p99[0], (int)p50[1],
+                  (int)p99[1]);
+    /* a place is free soon when several hundred tasks of 3 s run: urgent work takes it first */
+    assert_true(p50[1] < p50[0] + 100);
+    assert_true(p99[1] < p99[0] + 1000);
+}
+
+static void trentvale(void **state)
+{
+    (void)state;
+    crowdOf(MIX_TRENTVALE);
+}
+
+static void atlas(void **state)
+{
+    (void)state;
+    crowdOf(MIX_ATLAS);
+}
+
+/* --- configurations ------------------------------------------------------------------- */
+
+typedef struct Operator {
+    Fleet *fleet;
+    int number;
+    uint64_t acknowledged[200];
+    size_t count, stale;
+    bool done;
+} Operator;
+
+/* Patches on whatever revision it last saw, at one gate; races with the others. */
+static void operateMain(void *arg)
+{
+    Operator *operator= arg;
+    Fleet *fleet = operator->fleet;
+    Loop *loop = simLoop(fleet->world, fleet->caller);
+    uint64_t base = 1;
+    for (int i = 0; i < 60; i++) {
+        void *mem = talloc_new(loop);
+        HttpCall call = {.mem = mem,
+                         .address = fleetNode(fleet, FLEET_GATE, operator->number % 3)->props.http,
+                         .method = "PATCH",
+                         .path = talloc_asprintf(mem, "/v1/config?base=%llu", (unsigned long long)base),
+                         .waitMs = 4000};
+        const char *body = talloc_asprintf(mem, "{\"cells\":{\"op%d\":{\"share\":%d}}}", operator->number, i + 1);
+        bytesAdd(mem, &call.body, body, strlen(body));
+        const Status status = loopCall(loop, &call);
+        bytesAdd(mem, &call.verdict, "", 1);
+        const char *text = (const char *)call.verdict.data;
+        const char *at = strstr(text, call.code == 409 ? "\"current\":" : "\"revision\":");
+        if (status == STATUS_OK && at != NULL)
+            base = strtoull(strchr(at, ':') + 1, NULL, 10);
+        if (status == STATUS_OK && call.code == 200 && operator->count < 200)
+            operator->acknowledged[operator->count++] = base;
+        operator->stale += status == STATUS_OK && call.code == 409;
+        talloc_free(mem);
+        loopSleep(loop, 100 + (int64_t)(loopRandom(loop) % 100));
+    }
+    operator->done = true;
+}
+
+static void configStorm(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(MIX_ATLAS);
+    Operator *operators = talloc_zero_array(fleet, Operator, 5);
+    for (int i = 0; i < 5; i++) {
+        operators[i] = (Operator){.fleet = fleet, .number = i};
+        loopSpawn(simLoop(fleet->world, fleet->caller), "operator", operateMain, &operators[i]);
+    }
+    fleetRun(fleet, 4000);
+    fleetKill(fleet, FLEET_CORE, fleetLeader(fleet));
+    fleetRun(fleet, 60000);
+    size_t acknowledged = 0, stale = 0;
+    uint64_t highest = 0;
+    bool seen[1000] = {false};
+    for (int i = 0; i < 5; i++) {
+        assert_true(operators[i].done);
+        acknowledged += operators[i].count;
+        stale += operators[i].stale;
+        for (size_t k = 0; k < operators[i].count; k++) {
+            const uint64_t revision = operators[i].acknowledged[k];
+            assert_true(revision < 1000);
+            assert_false(seen[revision]); /* no two were given the same */
+            seen[revision] = true;
+            highest = revision > highest ? revision : highest;
+        }
+    }
+    print_message("%zu acknowledged, %zu refused as stale\n", acknowledged, stale);
+    assert_true(acknowledged > 30 && stale > 20);
+    const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 1, "GET", "/v1/config", NULL);
+    assert_true(strtoull((const char *)call.verdict.data + strlen("{\"revision\":"), NULL, 10) >= highest);
+    /* each acknowledged one is in the history as it was sent */
+    for (int i = 0; i < 5; i++)
+        for (size_t k = 0; k < operators[i].count; k++) {
+            char path[64], cell[24];
+            snprintf(path, sizeof(path), "/v1/config?revision=%llu", (unsigned long long)operators[i].acknowledged[k]);
+            snprintf(cell, sizeof(cell), "\"op%d\":", i);
+            const HttpCall read = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", path, NULL);
+            assert_int_equal(read.code, 200);
+            assert_non_null(strstr((const char *)read.verdict.data, cell));
+        }
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(trentvale),
+        cmocka_unit_test(atlas),
+        cmocka_unit_test(configStorm),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -200,6 +200,22 @@
          "8000   start  .            .\n"
          "12000  .      .            end+gap<2000\n")
 
+/* A new version rolled out over the running fleet, one process at a time: no
+ * job fails, and nobody waits longer than for one change of leader. */
+TIMELINE(rolledOut, TRENTVALE, 2,
+         "ms     leader  second  third  gate1  gate2  gate3  agent1  agent2  agent3  callers\n"
+         "0      .       .       .      .      .      .      .       .       .       call:20\n"
+         "3000   .       roll    .      .      .      .      .       .       .       .\n"
+         "10000  .       .       roll   .      .      .      .       .       .       .\n"
+         "17000  roll    .       .      .      .      .      .       .       .       .\n"
+         "24000  .       .       .      roll   .      .      .       .       .       .\n"
+         "27000  .       .       .      .      roll   .      .       .       .       .\n"
+         "30000  .       .       .      .      .      roll   .       .       .       .\n"
+         "33000  .       .       .      .      .      .      roll    .       .       .\n"
+         "37000  .       .       .      .      .      .      .       roll    .       .\n"
+         "41000  .       .       .      .      .      .      .       .       roll    .\n"
+         "50000  up      up      up     up     up     up     up      up      up      end+allDone+gap<3000\n")
+
 /* A leader that reaches the seats but no other member is not in the best
  * partition: it hands the lock over. */
 TIMELINE(leaderBlind, TRENTVALE, 3,
@@ -246,7 +262,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(leaderBlind),    cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),     cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
+        cmocka_unit_test(rolledOut),      cmocka_unit_test(leaderBlind),    cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),     cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
         cmocka_unit_test(machineOff),     cmocka_unit_test(agentFrozen),  cmocka_unit_test(workerFrozen),
         cmocka_unit_test(leaderFrozen),   cmocka_unit_test(minorityCut),  cmocka_unit_test(agentCut),
         cmocka_unit_test(zoneOff),        cmocka_unit_test(zoneCut),      cmocka_unit_test(zoneDrained),
