--- a/packages/sim/test/courier.c
+++ b/packages/sim/test/courier.c
@@ -112,8 +112,69 @@
     talloc_free(mem);
 }
 
+/* --- frames that are none --------------------------------------------------------- */
+
+typedef struct Spoiler {
+    Loop *loop;
+    int ended, answered;
+} Spoiler;
+
+static void spoilMain(void *arg)
+{
+    Spoiler *spoiler = arg;
+    static const uint8_t FRAMES[][12] = {
+        {0},                                                            /* not an envelope */
+        {0xff, 0xff, 0xff, 0xff},                                       /* nor this */
+        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc3, 0x00, 0xc4, 0x00},         /* an answer where a question belongs */
+        {0x97, 0x01, 0x07, 0x1f, 0x01, 0xc2, 0x00, 0xc4, 0x00},         /* a kind that nobody handles */
+        {0x97, 0x01, 0x07, 0xcd, 0xff, 0xff, 0x01, 0xc2, 0x00, 0xc4, 0x00}, /* a kind out of all bounds */
+        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc2, 0x00, 0xc4, 0x01, 0xc1},   /* a body that does not parse */
+    };
+    static const size_t COUNTS[] = {1, 4, 9, 9, 11, 10};
+    for (size_t i = 0; i < sizeof(COUNTS) / sizeof(COUNTS[0]); i++) {
+        void *mem = talloc_new(spoiler->loop);
+        Channel *channel;
+        assert_int_equal(loopOpen(spoiler->loop, mem, "10.0.0.2:7000", 500, &channel), STATUS_OK);
+        channelSend(channel, (Bytes){(uint8_t *)(uintptr_t)FRAMES[i], COUNTS[i], 0});
+        Bytes frame;
+        Status status;
+        while ((status = channelReceive(channel, mem, loopNowMs(spoiler->loop) + 500, &frame)) == STATUS_OK)
+            spoiler->answered++; /* a refusal may come before the end */
+        spoiler->ended += status == STATUS_CLOSED;
+        channelClose(channel);
+        talloc_free(mem);
+    }
+}
+
+static void spoilStart(void *arg, Loop *loop)
+{
+    Spoiler *spoiler = arg;
+    spoiler->loop = loop;
+    loopSpawn(loop, "spoil", spoilMain, spoiler);
+}
+
+/* Each ends its connection and is counted; the server goes on serving others. */
+static void brokenFrames(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SimWorld *world = simWorldNew(mem, 1);
+    Seen seen = {0};
+    Spoiler spoiler = {0};
+    const int client = simMachine(world), server = simMachine(world), other = simMachine(world);
+    simStart(world, server, serverStart, &seen);
+    simStart(world, other, spoilStart, &spoiler);
+    simRunUntil(world, 6000);
+    assert_int_equal(spoiler.ended, 6);
+    assert_int_equal(courierCounts(seen.courier[1])->badFrames, 6);
+    simStart(world, client, clientStart, &seen);
+    simRunUntil(world, 7000);
+    assert_int_equal(seen.status[0], STATUS_OK);
+    talloc_free(mem);
+}
+
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(life)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(life), cmocka_unit_test(brokenFrames)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/view/src/log.c
+++ b/packages/view/src/log.c
@@ -59,8 +59,10 @@
         gone = log->count;
     for (size_t i = 0; i < gone; i++)
         talloc_free(log->owners[i]);
-    memmove(log->entries, log->entries + gone, (log->count - gone) * sizeof(*log->entries));
-    memmove(log->owners, log->owners + gone, (log->count - gone) * sizeof(*log->owners));
+    if (gone < log->count) {
+        memmove(log->entries, log->entries + gone, (log->count - gone) * sizeof(*log->entries));
+        memmove(log->owners, log->owners + gone, (log->count - gone) * sizeof(*log->owners));
+    }
     log->count -= gone;
     if (log->snapshot.payload.data != NULL)
         talloc_free(log->snapshot.payload.data);
