--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -15,6 +15,7 @@
 import argparse
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -177,9 +178,9 @@
 
 def run(fleet, options):
     workers = options.workers
+    # each run begins with empty disks: the same job ids are new jobs
+    shutil.rmtree(fleet.folder, ignore_errors=True)
     fleet.plan(options.mix, workers, options.gates)
-    if os.path.exists(fleet.record):
-        os.unlink(fleet.record)
     for name in fleet.nodes:
         fleet.launch(name)
     failed = False
