--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -8,6 +8,8 @@
   fleet.py entries DIR          HTTP addresses of the gates
   fleet.py run DIR [--mix ...]  start, run the mix, kill a worker and then the
                                 leader during it, stop, check every never
+                                --hard: an agent and the leader frozen (SIGSTOP),
+                                then every process killed at once and started again
 
 Each process gets its own addresses (ports taken from the kernel), its zone and
 three seed addresses in a props file of its own; nothing else tells it of others.
@@ -176,6 +178,36 @@
     return max((b - a for a, b in zip(times, times[1:]) if a < at_ms + 5000), default=None)
 
 
+def failures(fleet, options):
+    """Kills a worker, then the leader; what was killed and when."""
+    kills = {}
+    time.sleep(options.seconds * 0.3)
+    kills["worker"] = now_ms()
+    fleet.kill("worker2")
+    time.sleep(options.seconds * 0.3)
+    leader = fleet.ask("/v1/status")["leader"]
+    kills["leader"] = now_ms()
+    fleet.kill(leader)
+    return kills, [leader, "worker2"]
+
+
+def hard_failures(fleet, options):
+    """Freezes an agent and the leader past every hold; then kills everything at once."""
+    kills = {}
+    for what in ("agent3", None):
+        time.sleep(options.seconds * 0.1)
+        name = what or fleet.ask("/v1/status")["leader"]
+        kills["freeze-of-" + ("agent" if what else "leader")] = now_ms()
+        fleet.kill(name, signal.SIGSTOP)
+        time.sleep(5)
+        fleet.kill(name, signal.SIGCONT)
+    time.sleep(options.seconds * 0.1)
+    kills["everything"] = now_ms()
+    for name in fleet.nodes:
+        fleet.kill(name)
+    return kills, list(fleet.nodes)
+
+
 def run(fleet, options):
     workers = options.workers
     # each run begins with empty disks: the same job ids are new jobs
@@ -192,25 +224,20 @@
             caller = subprocess.Popen([fleet.binary, "caller", "--entries", ",".join(fleet.entries()), "--mix", options.mix,
                                        "--rate", str(rate), "--for", str(options.seconds * 1000), "--configure",
                                        "--record", fleet.record], stdout=log, stderr=log)
-        kills = {}
-        time.sleep(options.seconds * 0.3)
-        kills["worker"] = now_ms()
-        fleet.kill("worker2")
-        time.sleep(options.seconds * 0.3)
-        status = fleet.ask("/v1/status")
-        leader = status["leader"]
-        kills["leader"] = now_ms()
-        fleet.kill(leader)
+        kills, gone = (hard_failures if options.hard else failures)(fleet, options)
+        if options.hard:
+            for name in gone:
+                fleet.launch(name)
         caller.wait(timeout=options.seconds + 150)
         with open(caller_log) as log:
             print(log.read().rstrip())
         for what, at_ms in kills.items():
-            print(f"kill-of-{what} longest-silence-after {gap_after(fleet, at_ms)} ms")
+            print(f"{what}: longest-silence-after {gap_after(fleet, at_ms)} ms")
         failed |= caller.returncode != 0
-        fleet.launch(leader)
-        fleet.launch("worker2")
+        for name in [] if options.hard else gone:
+            fleet.launch(name)
         fleet.settle(workers)
-        print("back: the killed leader and worker serve again")
+        print("back: what was killed serves again")
     finally:
         fleet.stop()
     replay = subprocess.run([os.path.join(os.path.dirname(fleet.binary), "spancart-replay"), fleet.record,
@@ -229,6 +256,7 @@
     parser.add_argument("--workers", type=int, default=11)
     parser.add_argument("--gates", type=int, default=3)
     parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--hard", action="store_true")
     parser.add_argument("--binary", default=os.path.join(HERE, "..", "build", "spancart"))
     options = parser.parse_args()
     fleet = Fleet(options.folder, os.path.abspath(options.binary))
