A gate finds other ways to the leader; slow seats leave; proof by removal

Change: a request is given up at the leader after 1.5 s, or as soon as a newer epoch is heard of; what carries an identity is asked of the newer leader or carried by the other cores; what is not answered but was committed is kept. /readyz asks the leader by the same way instead of trusting a name. A seat, or the leader's own disk, that takes over 0.5 s three times in a row leaves a view of three. Retry-After fits its cause (1, 2 or 5 s). Excluded: shorter expiries alone (the leader stays unreachable), taking a seat out at the first slow sync (views would flap with one burst).

The tests' timelines can be drawn from a file (spancart-timeline).

--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -133,7 +133,7 @@
 void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults)
 {
     const int code = statusHttp(status);
-    task->retryAfterS = code == 503 ? RETRY_AFTER_S : 0;
+    task->retryAfterS = statusRetryS(status);
     showVerdict(task, code, showMishap(status, text, faults));
 }
 
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -21,6 +21,8 @@
 /* --- asking ------------------------------------------------------------- */
 #define ASK_EXPIRY_MS 800      /* ms; a plain question between processes; shorter than a lock hold */
 #define APPEND_EXPIRY_MS 1500  /* ms; a seat that does not sync in this time leaves the view */
+#define SEAT_SLOW_MS 500       /* ms; a seat that takes longer to sync keeps every caller waiting ... */
+#define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
 #define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
@@ -101,7 +103,9 @@
 #define TRACE_EVENTS 2048       /* count; steps of changes that a node remembers: minutes at today's loads */
 #define RING_LINES 256         /* count; the log ring */
 #define RING_LINE_BYTES 200    /* bytes */
-#define RETRY_AFTER_S 1        /* s; told with each 503 */
+#define RETRY_AFTER_S 1        /* s; told with a 503: another entry point, or the same in a moment, will do */
+#define RETRY_ELECTION_S 2     /* s; ... when no leader serves: one is found again in 2 to 3 s */
+#define RETRY_CROWD_S 5        /* s; ... when too much waits: some of it has run by then */
 #define DRAIN_MS 3000          /* ms; SIGTERM: not ready at once, gone after this at the latest */
 
 /* --- formats ------------------------------------------------------------------ */
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -63,6 +63,8 @@
 
 const char *statusWord(Status status);
 int statusHttp(Status status);
+/* When to come back after a 503, in seconds; 0: nothing is told. */
+int statusRetryS(Status status);
 /* STATUS_COUNT when the word is none of ours. */
 Status statusOfWord(const char *word);
 
--- a/packages/base/src/status.c
+++ b/packages/base/src/status.c
@@ -1,5 +1,7 @@
 #include "base/status.h"
 
+#include "base/constants.h"
+
 #include <string.h>
 
 static const struct {
@@ -21,6 +23,19 @@
     return (unsigned)status < STATUS_COUNT ? ROWS[status].http : 500;
 }
 
+int statusRetryS(Status status)
+{
+    switch (status) {
+    case STATUS_NO_LEADER:
+    case STATUS_REPAIRING:
+        return RETRY_ELECTION_S;
+    case STATUS_QUEUE_FULL:
+        return RETRY_CROWD_S;
+    default:
+        return statusHttp(status) == 503 ? RETRY_AFTER_S : 0;
+    }
+}
+
 Status statusOfWord(const char *word)
 {
     for (int i = 0; i < STATUS_COUNT; i++)
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -518,10 +518,22 @@
     {"GET", {"status"}, statusGet},
 };
 
+/* Asked for by any entry point: it has come to a leader that serves. */
+static void readyGet(Way *way)
+{
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "ready", json_object_new_boolean(true));
+    showVerdict(way->task, 200, body);
+}
+
+static const Route READY = {"GET", {0}, readyGet};
+
 static const Route *routeFind(Way *way, bool *pathKnown)
 {
     const char *path = way->task->path;
     *pathKnown = false;
+    if (strcmp(path, "/readyz") == 0)
+        return &READY;
     if (strncmp(path, "/v1/", 4) != 0)
         return NULL;
     char *parts[4] = {0};
@@ -637,14 +649,13 @@
         return;
     }
     if (strcmp(task->path, "/readyz") == 0) {
-        const bool leader = viewLeading(core->view) || membersLeaderAddress(core->members) != NULL;
-        if (core->leaving || !leader || core->repairing) {
-            showRefusal(task, core->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
-        } else {
-            json_object *body = json_object_new_object();
-            json_object_object_add(body, "ready", json_object_new_boolean(true));
-            showVerdict(task, 200, body);
-        }
+        KeepList none = {0};
+        if (core->leaving)
+            showRefusal(task, STATUS_LEAVING, "not ready", NULL);
+        else if (viewLeading(core->view))
+            leaderServe(core, task, task, &none);
+        else
+            proxyReady(&core->proxy, task);
         return;
     }
     if (strcmp(task->path, "/v1/trace") == 0) {
@@ -669,7 +680,7 @@
     const ProxyAsk *ask = question;
     ProxyAnswer *out = answer;
     if (!viewLeading(core->view))
-        return STATUS_NOT_LEADER;
+        return ask->relay ? proxyRelay(&core->proxy, mem, ask, out) : STATUS_NOT_LEADER;
     HttpTask *task = talloc_zero(mem, HttpTask);
     *task = (HttpTask){.loop = core->loop,
                        .method = ask->method,
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -242,7 +242,7 @@
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
-    core->proxy = (Proxy){loop, core->courier, core->members, core->keeper, core->trace};
+    core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -14,7 +14,12 @@
 SHAPE(Nothing, NOTHING_FIELDS)
 
 /* A caller's request, carried to the leader; and its verdict. */
-#define PROXY_ASK_FIELDS(X) X(TXT, method, 0) X(TXT, path, 0) X(TXT, query, 0) X(BIN, body, 0)
+#define PROXY_ASK_FIELDS(X) \
+    X(TXT, method, 0)         \
+    X(TXT, path, 0)           \
+    X(TXT, query, 0)          \
+    X(BIN, body, 0)           \
+    X(FLAG, relay, 0) /* a core that does not lead carries it on to the one that does */
 SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
 
 #define PROXY_ANSWER_FIELDS(X) \
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -8,13 +8,16 @@
 #include "api/show.h"
 #include "table/change.h"
 
-#define PROXY_ROUNDS 3 /* count; a leader that has just changed is found by the second */
+#define PROXY_ROUNDS 6        /* count; the leader, a newer one, and each other core in between */
+#define PROXY_ROUND_MS 1500   /* ms; a leader that lives commits in far less; then another way is tried */
+#define PROXY_SHUN_MS 5000    /* ms; a leader that did not answer here is asked through others for so long */
+#define PROXY_LOOK_MS 50      /* ms; whether a newer epoch has been heard of meanwhile */
 
 /* What the verdict speaks of, for those who trace it. */
-static void traceCarried(const Proxy *proxy, const HttpTask *task, const ProxyAnswer *answer, int64_t tookMs)
+static void traceCarried(const Proxy *proxy, const ProxyAsk *ask, const ProxyAnswer *answer, int64_t tookMs)
 {
     char detail[48];
-    snprintf(detail, sizeof(detail), "%s %d, %lld ms", task->method, (int)answer->code, (long long)tookMs);
+    snprintf(detail, sizeof(detail), "%s %d, %lld ms", ask->method, (int)answer->code, (long long)tookMs);
     for (size_t i = 0; i < answer->keepsCount; i++) {
         const KeepItem *item = &answer->keeps[i];
         void *mem = talloc_new(NULL);
@@ -37,53 +40,176 @@
     }
 }
 
+/* --- one asking, that can be given up ------------------------------------------------ */
+
+/* Freed by whichever of the asking task and the carrying one ends last. What was
+ * committed is kept also when nobody waits for the verdict any more: this node
+ * may be the only one that heard of it. */
+typedef struct Carrying {
+    Proxy *proxy;
+    size_t users;
+    char address[ADDRESS_MAX];
+    ProxyAsk ask;
+    int64_t expiryMs;
+    bool done;
+    Signal ended;
+    Status status;
+    ProxyAnswer answer;
+} Carrying;
+
+static void carryingLeave(Carrying *carrying)
+{
+    if (--carrying->users == 0)
+        talloc_free(carrying);
+}
+
+static void askMain(void *arg)
+{
+    Carrying *carrying = arg;
+    Proxy *proxy = carrying->proxy;
+    const int64_t startMs = loopNowMs(proxy->loop);
+    carrying->status = courierAsk(proxy->courier, carrying, carrying->address, MESSAGE_PROXY, &ProxyAskShape,
+                                  &carrying->ask, carrying->expiryMs, &ProxyAnswerShape, &carrying->answer);
+    if (carrying->status == STATUS_OK) {
+        traceCarried(proxy, &carrying->ask, &carrying->answer, loopNowMs(proxy->loop) - startMs);
+        keeperKeep(proxy->keeper, carrying->answer.keeps, carrying->answer.keepsCount);
+    }
+    carrying->done = true;
+    signalRaise(proxy->loop, &carrying->ended);
+    carryingLeave(carrying);
+}
+
+/* EXPIRED also when a newer leader is heard of before the answer: the old one
+ * is waited for no longer. On OK the verdict is in the task. */
+static Status carryOnce(Proxy *proxy, HttpTask *task, const char *address, const ProxyAsk *ask, int64_t expiryMs,
+                        int *code)
+{
+    Carrying *carrying = talloc_zero(proxy->keeper, Carrying);
+    const uint64_t epoch = membersLeaderEpoch(proxy->members);
+    carrying->proxy = proxy;
+    carrying->users = 2;
+    carrying->expiryMs = expiryMs;
+    snprintf(carrying->address, sizeof(carrying->address), "%s", address);
+    shapeCopy(&ProxyAskShape, ask, carrying, &carrying->ask);
+    loopSpawn(proxy->loop, "carry", askMain, carrying);
+    while (!carrying->done && membersLeaderEpoch(proxy->members) == epoch)
+        signalWait(proxy->loop, &carrying->ended, loopNowMs(proxy->loop) + PROXY_LOOK_MS);
+    const Status status = carrying->done ? carrying->status : STATUS_EXPIRED;
+    if (status == STATUS_OK) {
+        *code = (int)carrying->answer.code;
+        task->code = *code;
+        task->kind = talloc_strdup(task, carrying->answer.kind);
+        task->verdict = bytesCopy(task, carrying->answer.body);
+        task->retryAfterS = (int)carrying->answer.retryAfterS;
+    }
+    carryingLeave(carrying);
+    return status;
+}
+
+/* --- the way ------------------------------------------------------------------------------ */
+
 /* A request that may be given to a leader again though an earlier one may have
  * taken it: all of ours carry an identity or change nothing. */
-static bool mayAgain(const HttpTask *task)
+static bool mayAgain(const ProxyAsk *ask)
 {
-    return strcmp(task->method, "GET") == 0 || strncmp(task->path, "/v1/jobs", 8) == 0 ||
-           strncmp(task->path, "/v1/zones/", 10) == 0;
+    return strcmp(ask->method, "GET") == 0 || strncmp(ask->path, "/v1/jobs", 8) == 0 ||
+           strncmp(ask->path, "/v1/zones/", 10) == 0;
 }
 
-void proxyCarry(const Proxy *proxy, HttpTask *task)
+static bool shunned(const Proxy *proxy, const char *address)
 {
-    const int64_t startMs = loopNowMs(proxy->loop), untilMs = startMs + PROXY_EXPIRY_MS;
-    const ProxyAsk ask = {task->method, task->path, task->query, task->body};
-    bool maybeTaken = false;
-    Status status = STATUS_NO_LEADER;
-    char last[ADDRESS_MAX] = "";
-    for (int round = 0; round < PROXY_ROUNDS; round++) {
+    return loopNowMs(proxy->loop) < proxy->shunUntilMs && strcmp(proxy->shunned, address) == 0;
+}
+
+static void shun(Proxy *proxy, const char *address)
+{
+    snprintf(proxy->shunned, sizeof(proxy->shunned), "%s", address);
+    proxy->shunUntilMs = loopNowMs(proxy->loop) + PROXY_SHUN_MS;
+}
+
+/* The nth core besides the leader that has been heard of lately. */
+static bool relayFind(const Proxy *proxy, const char *leader, size_t nth, char address[ADDRESS_MAX])
+{
+    const MemberTable *table = membersTable(proxy->members);
+    const char *self = membersSelf(proxy->members)->id;
+    for (size_t i = 0; i < table->count; i++) {
+        const Member *row = &table->rows[i];
+        if (row->record.role != ROLE_CORE || row->record.leaving || strcmp(row->record.address, leader) == 0 ||
+            strcmp(row->record.id, self) == 0 || memberQuiet(row, loopNowMs(proxy->loop)) || nth-- > 0)
+            continue;
+        snprintf(address, ADDRESS_MAX, "%s", row->record.address);
+        return true;
+    }
+    return false;
+}
+
+/* Nothing of it can have been taken. */
+static bool untaken(Status status)
+{
+    return status != STATUS_OK && status != STATUS_EXPIRED && status != STATUS_CLOSED;
+}
+
+void proxyCarry(Proxy *proxy, HttpTask *task)
+{
+    const int64_t untilMs = loopNowMs(proxy->loop) + PROXY_EXPIRY_MS;
+    ProxyAsk ask = {task->method, task->path, task->query, task->body, false};
+    const bool again = mayAgain(&ask), changes = strcmp(task->method, "GET") != 0;
+    bool maybeTaken = false, direct = true;
+    uint64_t epoch = 0;
+    size_t relays = 0;
+    for (int round = 0; round < PROXY_ROUNDS && (again || !maybeTaken); round++) {
         const char *leader = membersLeaderAddress(proxy->members);
-        if (leader == NULL || strcmp(leader, last) == 0)
-            break; /* nobody else to ask: say so at once */
         char address[ADDRESS_MAX];
-        snprintf(address, sizeof(address), "%s", leader);
-        snprintf(last, sizeof(last), "%s", leader);
+        if (leader == NULL)
+            break; /* nobody to ask: say so at once */
+        if (membersLeaderEpoch(proxy->members) != epoch) {
+            epoch = membersLeaderEpoch(proxy->members);
+            direct = !shunned(proxy, leader);
+            relays = 0;
+        }
+        ask.relay = !direct;
+        if (direct)
+            snprintf(address, sizeof(address), "%s", leader);
+        else if (!relayFind(proxy, leader, relays++, address))
+            break;
         const int64_t leftMs = untilMs - loopNowMs(proxy->loop);
         if (leftMs <= 0)
             break;
-        ProxyAnswer answer = {0};
-        status = courierAsk(proxy->courier, task, address, MESSAGE_PROXY, &ProxyAskShape, &ask, leftMs,
-                            &ProxyAnswerShape, &answer);
-        if (status == STATUS_OK && maybeTaken && answer.code == 503)
-            break; /* this one did not take it, but an earlier one may have */
+        int code = 0;
+        const Status status = carryOnce(proxy, task, address, &ask, again && leftMs > PROXY_ROUND_MS ? PROXY_ROUND_MS : leftMs, &code);
         if (status == STATUS_OK) {
-            traceCarried(proxy, task, &answer, loopNowMs(proxy->loop) - startMs);
-            keeperKeep(proxy->keeper, answer.keeps, answer.keepsCount);
-            task->code = (int)answer.code;
-            task->kind = answer.kind;
-            task->verdict = answer.body;
-            task->retryAfterS = (int)answer.retryAfterS;
+            if (code == 503 && maybeTaken)
+                break; /* this one did not take it, but an earlier one may have */
             return;
         }
-        if (status == STATUS_EXPIRED || status == STATUS_CLOSED) {
-            maybeTaken = true;
-            if (!mayAgain(task))
-                break;
+        if (!untaken(status))
+            maybeTaken |= changes;
+        if (direct && membersLeaderEpoch(proxy->members) == epoch) {
+            if (status != STATUS_NOT_LEADER)
+                shun(proxy, address); /* others may still reach it */
+            direct = false;
         }
     }
     if (maybeTaken)
         showRefusal(task, STATUS_OUTCOME_UNKNOWN, "the leader was lost on the way: ask, or send the same again", NULL);
     else
-        showRefusal(task, STATUS_NO_LEADER, "no leader is known now; nothing was taken: come back", NULL);
+        showRefusal(task, STATUS_NO_LEADER, "no leader answers now; nothing was taken: come back", NULL);
+}
+
+void proxyReady(Proxy *proxy, HttpTask *task)
+{
+    task->method = "GET";
+    proxyCarry(proxy, task);
+}
+
+Status proxyRelay(Proxy *proxy, void *mem, const ProxyAsk *ask, ProxyAnswer *answer)
+{
+    const char *leader = membersLeaderAddress(proxy->members);
+    if (leader == NULL || strcmp(leader, membersSelf(proxy->members)->address) == 0)
+        return STATUS_NOT_LEADER;
+    char address[ADDRESS_MAX];
+    snprintf(address, sizeof(address), "%s", leader);
+    const ProxyAsk onward = {ask->method, ask->path, ask->query, ask->body, false};
+    return courierAsk(proxy->courier, mem, address, MESSAGE_PROXY, &ProxyAskShape, &onward,
+                      PROXY_ROUND_MS - PROXY_LOOK_MS * 4, &ProxyAnswerShape, answer);
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -42,13 +42,15 @@
 static void onHttp(void *arg, HttpTask *task)
 {
     Gate *gate = arg;
-    const bool ready = !gate->leaving && membersLeaderAddress(gate->members) != NULL;
-    if (strcmp(task->path, "/livez") == 0 || (strcmp(task->path, "/readyz") == 0 && ready)) {
+    if (strcmp(task->path, "/livez") == 0) {
         json_object *body = json_object_new_object();
-        json_object_object_add(body, task->path[1] == 'l' ? "live" : "ready", json_object_new_boolean(true));
+        json_object_object_add(body, "live", json_object_new_boolean(true));
         showVerdict(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
-        showRefusal(task, gate->leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+        if (gate->leaving)
+            showRefusal(task, STATUS_LEAVING, "not ready", NULL);
+        else
+            proxyReady(&gate->proxy, task);
     } else if (strcmp(task->path, "/metrics") == 0) {
         metrics(gate, task);
     } else if (strcmp(task->path, "/v1/trace") == 0) {
@@ -149,7 +151,7 @@
                                .incarnation = (uint64_t)loopWallMs(loop)};
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
-    gate->proxy = (Proxy){loop, gate->courier, gate->members, gate->keeper, gate->trace};
+    gate->proxy = (Proxy){.loop = loop, .courier = gate->courier, .members = gate->members, .keeper = gate->keeper, .trace = gate->trace};
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
--- a/packages/sim/test/sweep.c
+++ b/packages/sim/test/sweep.c
@@ -37,7 +37,7 @@
 static void atlas(void **state)
 {
     (void)state;
-    static const uint64_t LIST[] = {4, 5, 6, 140, 512, 520, 1572}; /* 1572: finished, then handed in again */
+    static const uint64_t LIST[] = {4, 5, 6, 140, 178, 512, 520, 1572}; /* 1572: finished, then handed in again */
     seeds(MIX_ATLAS, LIST, sizeof(LIST) / sizeof(LIST[0]));
 }
 
@@ -48,8 +48,9 @@
      * whose members rest unequally; 23, 65: a core with a new disk at an address where
      * a seat's disk had stood answered for it; 80: a repair that took a commit for each
      * change told again; 110: claims and a worker's new boot. Of the others' seeds above,
-     * 512: a core whose disk fails went on proposing itself */
-    static const uint64_t LIST[] = {5, 80, 14, 23, 17, 65, 77, 110};
+     * 512: a core whose disk fails went on proposing itself; 178: a disk that takes 1.4 s,
+     * just too little to leave the view; 86: a gate cut one way from the leader alone */
+    static const uint64_t LIST[] = {5, 80, 86, 14, 23, 17, 65, 77, 110};
     seeds(MIX_VARIED, LIST, sizeof(LIST) / sizeof(LIST[0]));
 }
 
--- /dev/null
+++ b/packages/sim/tool/timeline.c
@@ -0,0 +1,34 @@
+/* One timeline, drawn as text in a file, under some seeds.
+ *
+ *     spancart-timeline FILE FIRST LAST [trentvale|atlas|varied]
+ *
+ * Exit code 1 when a claim did not hold or a never broke. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sim/timeline.h"
+
+int main(int argc, char **argv)
+{
+    static char text[16384];
+    FILE *file = argc >= 4 ? fopen(argv[1], "r") : NULL;
+    const Mix mix = argc > 4 ? mixOfWord(argv[4]) : MIX_TRENTVALE;
+    if (file == NULL || mix == MIX_COUNT) {
+        fprintf(stderr, "usage: spancart-timeline FILE FIRST LAST [trentvale|atlas|varied]\n");
+        return 2;
+    }
+    text[fread(text, 1, sizeof(text) - 1, file)] = '\0';
+    fclose(file);
+    const FleetShape shape = {3, mix == MIX_ATLAS ? 4 : 3, 11, mix, 2};
+    for (uint64_t seed = strtoull(argv[2], NULL, 10); seed <= strtoull(argv[3], NULL, 10); seed++) {
+        char why[512];
+        if (!timelineRun(seed, shape, text, why, sizeof(why))) {
+            printf("seed %" PRIu64 " BROKE: %s\n", seed, why);
+            return 1;
+        }
+    }
+    printf("good\n");
+    return 0;
+}
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -164,7 +164,8 @@
                                          run->round);
             runEnd(run, ROUND_STOPPED);
         }
-    if (json_object_object_get_ex(body, "starts", &list) && !worker->leaving)
+    /* also while it leaves: that nothing comes then is what is to be shown */
+    if (json_object_object_get_ex(body, "starts", &list))
         for (size_t i = 0; i < json_object_array_length(list); i++)
             startTake(worker, json_object_array_get_idx(list, i), sentMs);
 }
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -13,6 +13,7 @@
     int64_t appendTookMs;  /* the last one */
     bool refill;           /* its log can't be mended by entries: send the snapshot */
     bool woke;
+    int slowTimes; /* appends in a row that took longer than SEAT_SLOW_MS */
     uint64_t promised;
     int64_t wallMs, wallAtMs; /* its wall clock, and our clock when it was told; wallAtMs 0: never */
     int64_t syncMs;
@@ -77,6 +78,7 @@
     bool wallKnown;
     Waiter *waiters;
     Signal grew;
+    int slowTimes; /* own syncs in a row that took longer than SEAT_SLOW_MS */
     Signal released; /* the holder of the lock has given it up */
     bool named;      /* ... and named this seat to be the next */
     Signal news;
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -150,6 +150,7 @@
         for (uint64_t i = from + 1; i <= lastIndex; i++)
             records[count++] = *logAt(view->log, i);
         view->queuedIndex = lastIndex;
+        const int64_t startMs = loopNowMs(view->loop);
         const Status status = journalWrite(view->journal, records, count);
         talloc_free(mem);
         if (leadOver(view, lead.turn))
@@ -159,6 +160,7 @@
             leadDown(view, INT32_MAX);
             return;
         }
+        view->slowTimes = loopNowMs(view->loop) - startMs > SEAT_SLOW_MS ? view->slowTimes + 1 : 0;
         view->syncedIndex = lastIndex;
         commitAdvance(view);
     }
@@ -244,6 +246,7 @@
         if (status == STATUS_OK || status == STATUS_LOG_GAP) {
             partner->appendSinceMs = INT64_MAX;
             partner->appendTookMs = loopNowMs(view->loop) - sentMs;
+            partner->slowTimes = partner->appendTookMs > SEAT_SLOW_MS ? partner->slowTimes + 1 : 0;
         }
         if (status == STATUS_OK) {
             partner->matchIndex = match;
@@ -669,10 +672,20 @@
 
 /* --- watching ---------------------------------------------------------------------------- */
 
+/* All seats are in it: it can do without one. */
+static bool viewWhole(const View *view)
+{
+    for (int i = 0; i < SEAT_COUNT; i++)
+        if (!view->inView[i])
+            return false;
+    return true;
+}
+
 /* Decides whether the view must be opened anew; skip is filled in. */
 static bool viewStale(View *view, bool skip[SEAT_COUNT])
 {
     const int64_t nowMs = loopNowMs(view->loop);
+    const bool whole = viewWhole(view);
     bool stale = false;
     for (int i = 0; i < SEAT_COUNT; i++) {
         const Partner *partner = &view->partners[i];
@@ -680,7 +693,8 @@
         if (view->seats[i] == view->disk)
             continue;
         const bool silent = nowMs - partner->answeredMs > LOCK_HOLD_MS;
-        const bool slow = partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > APPEND_EXPIRY_MS;
+        const bool slow = (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > APPEND_EXPIRY_MS) ||
+                          (whole && partner->slowTimes >= SEAT_SLOW_TIMES);
         if (view->inView[i]) {
             if (silent || slow) {
                 skip[i] = stale = true;
@@ -694,7 +708,7 @@
             continue;
         }
         const bool near = partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) && partner->matchIndex > 0;
-        if (!silent && !slow && near && partner->appendTookMs < APPEND_EXPIRY_MS / 2 &&
+        if (!silent && !slow && near && partner->appendTookMs < SEAT_SLOW_MS / 2 &&
             nowMs - view->changedMs > PROPOSE_MS)
             stale = true;
         else
@@ -732,7 +746,9 @@
             if (nowMs >= lockHoldUntil(&view->hold)) {
                 ringSay(view->props.ring, RING_ALERT, nowMs, "the hold of the lock has lapsed");
                 leadDown(view, 0);
-            } else if (sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) {
+            } else if ((sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) ||
+                       (view->slowTimes >= SEAT_SLOW_TIMES && viewWhole(view))) {
+                view->slowTimes = 0;
                 ringSay(view->props.ring, RING_ALERT, nowMs, "own disk is slow: hands the lock over");
                 leadDown(view, SLOW_DISK_REST_MS);
             } else if (viewBlind(view)) {
--- /dev/null
+++ b/scripts/guards.py
@@ -0,0 +1,364 @@
+#!/usr/bin/env python3
+"""Proof by removal: takes one guard out of a scratch copy, runs its scenario,
+and shows which never breaks without it. With the guard in, the same scenario
+must pass. A removal that nothing notices is a finding: the guard is idle or the
+scenario is weak.
+
+  guards.py [--only NAME,NAME] [--work FOLDER] [--list]
+
+Exit code 1 when a removal was not noticed, or a scenario breaks with its guard in.
+"""
+import argparse
+import os
+import re
+import shutil
+import subprocess
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+ROOT = os.path.dirname(HERE)
+
+
+class Guard:
+    """name: what guards; path, out, instead: the edit that removes it; never: words of
+    what must break; scenario: ("sweep", mix, first, last) or ("timeline", mix, seeds, text)."""
+
+    def __init__(self, name, what, path, out, instead, never, *scenario):
+        self.name, self.what, self.path, self.out, self.instead = name, what, path, out, instead
+        self.never, self.scenario = never, scenario
+
+
+CLAIM = "before the lost worker's claim lapsed"
+
+MACHINE_OFF = """
+ms     worker2  agent2  worker5  agent5  callers
+0      .        .       .        .       call:20
+4000   off      off     .        .       .
+7000   .        .       off      off     .
+14000  start    start   start    start   .
+20000  .        .       .        .       end
+"""
+OFF_WITH_LEADER = """
+ms     worker2  agent2  leader  worker5  agent5  callers
+0      .        .       .       .        .       call:20
+4000   off      off     kill    off      off     .
+14000  start    start   start   start    start   .
+20000  .        .       .       .        .       end
+"""
+AGENT_FROZEN_THEN_OFF = """
+ms     worker2   agent2      worker5   agent5      callers
+0      .         .           .         .           call:40
+4000   .         freeze:700  .         freeze:700  .
+4690   .         .           .         .           .
+4710   .         .           .         .           .
+4800   off       .           .         .           .
+4900   .         off         off       off         .
+16000  start     start       start     start       .
+20000  .         .           .         .           end
+"""
+AGENT_CUT = """
+ms     agent1  agent2  worker1  callers
+0      .       .       .        call:20
+4000   cut     .       .        .
+5000   .       cut     .        .
+14000  join    join    .        .
+20000  .       .       .        end
+"""
+SEATS_WAKE = """
+ms     leader  second  third   callers
+0      .       .       .       call:20
+3000   cut     .       .       .
+3010   .       kill    kill    .
+3020   .       start   start   .
+9000   join    .       .       .
+15000  .       .       .       end
+"""
+POWER_LOST = """
+ms     core1      core2      core3      callers
+0      lie        lie        lie        .
+1000   .          .          .          call:9
+4000   off        off        off        .
+4100   honest     honest     honest     .
+5000   start      start      start      .
+25000  .          .          .          end
+"""
+LEADER_CUT = """
+ms     leader  callers
+0      .       call:20
+4000   cut     .
+9000   join    .
+14000  .       end
+"""
+LEADER_FROZEN = """
+ms     leader       second  callers
+0      .            .       call:40
+3000   freeze:6000  .       .
+15000  .            .       end
+"""
+ZONE_DRAINED = """
+ms     zone:west  callers
+0      .          call:40
+3000   drain      .
+12000  back       .
+16000  .          end
+"""
+LEAVES = """
+ms     worker1  worker4  callers
+0      .        .        call:40
+3000   leave    leave    .
+8000   kill     kill     .
+9000   start    start    .
+12000  .        .        end
+"""
+LEADER_KILLED = """
+ms     leader  second  callers
+0      .       .       call:40
+3000   kill    .       .
+9000   start   .       .
+15000  .       kill    .
+21000  .       start   .
+26000  .       .       end
+"""
+WORKERS_KILLED = """
+ms     worker1  worker3  worker5  worker7  callers
+0      .        .        .        .        call:12
+4000   kill     .        .        .        .
+8000   start    kill     .        .        .
+12000  .        start    kill     .        .
+16000  .        .        start    kill     .
+20000  .        .        .        start    .
+24000  .        .        .        .        end
+"""
+
+GUARDS = [
+    Guard("hold-counted-late", "the leader counts a hold from when it answered, with slack", "packages/beat/src/liveset.c",
+          "const int64_t untilMs = nowMs + holdMs + HOLD_SLACK_MS;", "const int64_t untilMs = nowMs + holdMs / 3;",
+          CLAIM, "timeline", "trentvale", 3, MACHINE_OFF),
+    Guard("hold-after-win", "a new leader waits a whole hold before it calls anybody lost", "packages/core/src/core.c",
+          "livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);",
+          "livesetReset(core->liveset, viewWonMs(core->view), names, count);",
+          CLAIM, "timeline", "trentvale", 6, OFF_WITH_LEADER),
+    Guard("hold-counted-from-sending", "an agent counts its hold from when it sent the beat", "packages/agent/src/leader.c",
+          "holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs)",
+          "holdAnswered(&agent->hold, answer.epoch, loopNowMs(agent->loop), answer.holdMs)",
+          CLAIM, "timeline", "trentvale", 40, AGENT_FROZEN_THEN_OFF),
+    Guard("hold-handed-on", "the agent hands the worker no more than is left of its own hold", "packages/agent/src/worker.c",
+          "const int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
+          "const int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
+          "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
+    Guard("agent-stops", "an agent whose hold lapsed lets its worker run nothing", "packages/agent/src/worker.c",
+          "json_object_object_add(body, \"holdMs\", json_object_new_int64(leftMs));",
+          "json_object_object_add(body, \"holdMs\", json_object_new_int64(AGENT_HOLD_MS));",
+          "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
+    Guard("woken-seat-waits", "a restarted seat grants nothing for a whole lock hold", "packages/view/src/view.c",
+          "view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;", "view->lock.notBeforeMs = 0;",
+          "two leaders", "timeline", "trentvale", 12, SEATS_WAKE),
+    Guard("granted-hold", "a seat promises nobody else while the hold it granted runs", "packages/lock/src/lock.c",
+          "if (seat->holder != holder && lockHeld(seat, nowMs))", "if (false && lockHeld(seat, nowMs))",
+          "two leaders", "timeline", "trentvale", 12, LEADER_CUT),
+    Guard("lock-majority", "a lock is two seats' grants", "packages/lock/include/lock/lock.h",
+          "#define SEAT_MAJORITY 2", "#define SEAT_MAJORITY 1",
+          "two leaders|forgotten|finished well|running twice", "timeline", "trentvale", 6, LEADER_CUT),
+    Guard("leader-clock", "a leader looks at its lock's hold before each decision", "packages/view/src/view.c",
+          "return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);",
+          "return view->phase == VIEW_LEADING;", "two leaders|running twice|" + CLAIM, "timeline", "trentvale", 40, LEADER_FROZEN),
+    Guard("repair-unknown", "nobody is told of a job before the repair has ended", "packages/core/src/callers.c",
+          "if (!way->core->repairing || strcmp(way->task->path, \"/v1/status\") == 0)", "if (true)",
+          "forgotten", "timeline", "atlas", 12, POWER_LOST),
+    Guard("repair", "what the disks lost is told again", "packages/core/src/core.c",
+          "    if (repair && (newHolder || !core->repairing)) {", "    if (false && (newHolder || !core->repairing)) {",
+          "forgotten|finished well|running twice|" + CLAIM, "timeline", "atlas", 6, POWER_LOST),
+    Guard("accepted-after-commit", "a job is accepted when it is committed", "packages/view/src/lead.c",
+          "    uint64_t least = view->syncedIndex;", "    uint64_t least = logLastIndex(view->log);\n    view->commitIndex = least;\n    viewDeliver(view);\n    signalRaise(view->loop, &view->news);\n    return;",
+          "forgotten|finished well|running twice|too early|" + CLAIM, "timeline", "trentvale", 30, LEADER_KILLED),
+    Guard("finish-after-commit", "a finish is answered when it is committed", "packages/core/src/agents.c",
+          "    return coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);\n}\n\nstatic void ordersFill",
+          "    Bytes early = {0};\n    shapePack(&RoundListShape, &list, mem, &early);\n    (void)verdict;\n    return viewOffer(core->view, CHANGE_ROUNDS, early);\n}\n\nstatic void ordersFill",
+          "finished well", "timeline", "trentvale", 200, LEADER_KILLED),
+    Guard("steps", "a step waits for those it depends on", "packages/queue/src/queue.c",
+          "            if (at == end || !stepsBefore(job, step))", "            if (at == end)",
+          "before its steps or its due time", "timeline", "trentvale", 2, MACHINE_OFF),
+    Guard("due", "nothing starts before its due time or delay", "packages/queue/src/queue.c",
+          "if (job->ending != JOB_ACTIVE || !dueCame(job, clock))", "if (job->ending != JOB_ACTIVE)",
+          "before its steps or its due time", "timeline", "varied", 2, MACHINE_OFF),
+    Guard("wall-median", "a due time is judged by the median of the seats' clocks", "packages/view/src/lead.c",
+          "view->wallOffsetMs = offsets[(count - 1) / 2];", "view->wallOffsetMs = offsets[count - 1];",
+          "before its steps or its due time", "timeline", "varied", 4, """
+ms     second         callers
+0      jump:3600000   call:10
+12000  .              end
+"""),
+    Guard("quota", "a tenant's work is held to its quota", "packages/core/src/planner.c",
+          "if (pass->stuck == step || !underQuota(pass, candidate, step))", "if (pass->stuck == step)",
+          "more of a tenant", "timeline", "varied", 2, WORKERS_KILLED),
+    Guard("kind", "a worker is of the kind asked for", "packages/plan/src/plan.c",
+          "if (need->kind[0] != '\\0' && strcmp(need->kind, worker->kind) != 0)", "if (false)",
+          "packed beyond its room or given what it lacks", "timeline", "varied", 2, MACHINE_OFF),
+    Guard("labels", "a worker has every label asked for", "packages/plan/src/plan.c",
+          "        if (!has)\n            return false;", "        (void)has;",
+          "packed beyond its room or given what it lacks", "timeline", "varied", 2, MACHINE_OFF),
+    Guard("room", "a task goes only where its room is free", "packages/plan/src/plan.c",
+          "return roomFits(need->room, worker->free) && planAble(worker, need);", "return planAble(worker, need);",
+          "packed beyond its room", "timeline", "varied", 2, """
+ms     callers
+0      call:60
+9000   end
+"""),
+    Guard("stop-confirmed", "room is used once the old round is known to be over", "packages/table/include/table/job.h",
+          "X(STOPPING, \"stopping\", true)", "X(STOPPING, \"stopping\", false)",
+          "packed beyond its room|running twice|" + CLAIM, "sweep", "varied", 1, 24),
+    Guard("drained", "an emptied zone gets no new work", "packages/core/src/planner.c",
+          "!tableDrained(core->table, worker->zone) && ", "",
+          "emptied zone", "timeline", "trentvale", 2, ZONE_DRAINED),
+    Guard("leaving", "a leaving worker gets no new work", "packages/beat/src/liveset.c",
+          "           !row->leaving && ", "           ",
+          "leaving worker", "timeline", "trentvale", 3, LEAVES),
+    Guard("cancel-stops", "a cancelled job's tasks are stopped", "packages/table/src/table.c",
+          "    jobStopTasks(table, job, change->atMs);\n    jobSettle(table, job, change->atMs);\n}\n\nstatic void deliverPlace",
+          "    jobSettle(table, job, change->atMs);\n}\n\nstatic void deliverPlace",
+          "starting long after its job was cancelled|running on after|not ended|forgotten", "sweep", "varied", 1, 24),
+    Guard("cancel-starts", "a cancelled job's tasks are not started", "packages/queue/src/queue.c",
+          "if (job->ending != JOB_ACTIVE || !dueCame(job, clock))", "if (!dueCame(job, clock))",
+          "starting long after its job was cancelled", "sweep", "varied", 1, 24),
+    Guard("stop-told", "what is not wanted is stopped", "packages/agent/src/leader.c",
+          "            round->phase = PHASE_STOPPING;\n        signalRaise", "            (void)round;\n        signalRaise",
+          "running on after|running twice|left waiting alone|" + CLAIM, "sweep", "varied", 1, 24),
+    Guard("gang-whole", "a gang is placed whole or not at all", "packages/core/src/planner.c",
+          "    bool fits = placed == candidate->count, assured = false;", "    bool fits = placed > 0, assured = false;",
+          "left waiting alone", "timeline", "varied", 4, """
+ms     worker1  worker2  worker3  worker4  worker5  worker6  worker7  worker8  callers
+0      kill     kill     kill     kill     kill     kill     kill     kill     call:12/12000
+40000  start    start    start    start    start    start    start    start    .
+60000  .        .        .        .        .        .        .        .        end
+"""),
+    Guard("gang-stopped", "when a member is lost the others stop", "packages/table/src/table.c",
+          "    if (!job->spec.steps[step].gang)\n        return;", "    if (true || !job->spec.steps[step].gang)\n        return;",
+          "left waiting alone", "sweep", "varied", 1, 40),
+    Guard("base-check", "a configuration builds on the one in force", "packages/table/src/table.c",
+          "if (set->restored ? set->revision <= current : set->base != current) {", "if (set->restored && set->revision <= current) {",
+          "configuration", "sweep", "varied", 1, 60),
+    Guard("config-refused", "a refused configuration is not taken", "packages/core/src/callers.c",
+          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        return;\n    }",
+          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
+          "refused configuration|configuration", "sweep", "varied", 1, 60),
+    Guard("refused-not-run", "a refused job is not submitted", "packages/core/src/callers.c",
+          "    if (!jobAdmissible(way->faults, &spec, config, core->table)) {\n        refuseFaults(way);\n        return;\n    }",
+          "    if (!jobAdmissible(way->faults, &spec, config, core->table)) {\n        refuseFaults(way);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
+          "a refused job running", "sweep", "varied", 1, 12),
+    Guard("disk-named", "what is asked of a seat names its disk", "packages/view/src/seat.c",
+          "return to == 0 || to == view->disk;", "return to == 0 || to != 0;",
+          "forgotten|not serving|not ended", "sweep", "varied", 23, 23),
+    Guard("failed-disk-rests", "a core whose own disk fails does not propose itself", "packages/view/src/lead.c",
+          "leadDown(view, ownFailed ? SLOW_DISK_REST_MS : 0);", "leadDown(view, 0);",
+          "not serving", "sweep", "atlas", 512, 512),
+    Guard("other-ways", "a gate that can't reach the leader asks through other cores", "packages/feed/src/proxy.c",
+          "        else if (!relayFind(proxy, leader, relays++, address))\n            break;", "        else\n            break;",
+          "not serving", "sweep", "varied", 86, 86),
+    Guard("repair-together", "a repair does not take a commit for each change", "packages/core/src/repair.c",
+          "status = viewOffer(core->view, item->change, restored(mem, item));",
+          "{\n            Verdict one;\n            status = viewSubmit(core->view, item->change, restored(mem, item), &one);\n        }",
+          "not serving", "sweep", "varied", 80, 80),
+    Guard("gang-rest", "members of a gang that have not finished go as one", "packages/queue/src/queue.c",
+          "job->tasks[i].phase != TASK_WAITING && !taskEnded(job->tasks[i].phase))", "job->tasks[i].phase != TASK_WAITING)",
+          "forgotten", "sweep", "varied", 5, 5),
+]
+
+
+class Scratch:
+    """A copy of the tree with a build of its own."""
+
+    def __init__(self, folder):
+        self.folder = os.path.abspath(folder)
+        shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.copytree(ROOT, self.folder, ignore=lambda at, names: [
+            name for name in names
+            if name == ".git" or name.startswith(("build", "run")) and at == ROOT])
+        self.build = os.path.join(self.folder, "build")
+        self.run(["cmake", "-S", self.folder, "-B", self.build, "-G", "Ninja"], check=True)
+        self.make()
+
+    @staticmethod
+    def run(args, check=False):
+        return subprocess.run(args, capture_output=True, text=True, errors="replace", check=check)
+
+    def make(self):
+        got = self.run(["cmake", "--build", self.build, "--target", "spancart-sweep", "spancart-timeline"])
+        if got.returncode != 0:
+            raise SystemExit("the scratch copy does not build:\n" + got.stdout[-3000:])
+
+    def edit(self, guard):
+        path = os.path.join(self.folder, guard.path)
+        with open(path) as file:
+            text = file.read()
+        if text.count(guard.out) < 1:
+            raise SystemExit(f"{guard.name}: {guard.path} does not have the text that is to be taken out")
+        with open(path, "w") as file:
+            file.write(text.replace(guard.out, guard.instead, 1))
+        return path, text
+
+    def scenario(self, guard):
+        """What broke first, and the seed; None when all runs pass."""
+        kind, mix = guard.scenario[:2]
+        if kind == "timeline":
+            path = os.path.join(self.folder, "scenario.txt")
+            with open(path, "w") as file:
+                file.write(guard.scenario[3])
+            runs = [["spancart-timeline", path, str(seed), str(seed), mix] for seed in range(1, guard.scenario[2] + 1)]
+        else:
+            runs = [["spancart-sweep", str(seed), str(seed), mix] for seed in range(guard.scenario[2], guard.scenario[3] + 1)]
+        at = os.cpu_count() or 1
+        for begin in range(0, len(runs), at):
+            children = [subprocess.Popen([os.path.join(self.build, run[0])] + run[1:], stdout=subprocess.PIPE,
+                                         stderr=subprocess.DEVNULL, text=True, errors="replace")
+                        for run in runs[begin:begin + at]]
+            texts = [child.communicate()[0] for child in children]
+            for child, text in zip(children, texts):
+                broke = re.search(r"seed (\d+).*BROKE[^:]*: (.*)", text)
+                if broke:
+                    yield broke.group(1), broke.group(2)
+                elif child.returncode not in (0, 1):
+                    yield "?", f"the run ended with {child.returncode}"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--only", default="")
+    parser.add_argument("--work", default="/tmp/spancart-guards")
+    parser.add_argument("--list", action="store_true")
+    options = parser.parse_args()
+    names = [name for name in options.only.split(",") if name]
+    unknown = set(names) - {guard.name for guard in GUARDS}
+    if unknown:
+        print("there is no guard " + ", ".join(sorted(unknown)), file=sys.stderr)
+        return 2
+    chosen = [guard for guard in GUARDS if not names or guard.name in names]
+    if options.list:
+        for guard in chosen:
+            print(f"{guard.name}: {guard.what}")
+        return 0
+    scratch = Scratch(options.work)
+    bad = 0
+    for guard in chosen:
+        with_it = next(scratch.scenario(guard), None)
+        path, text = scratch.edit(guard)
+        scratch.make()
+        others, found = 0, None
+        for seed, why in scratch.scenario(guard):
+            if re.search(guard.never, why):
+                found = (seed, why)
+                break
+            others += 1
+        with open(path, "w") as file:
+            file.write(text)
+        scratch.make()
+        good = found is not None and with_it is None
+        bad += not good
+        print(f"{'seen' if good else 'FINDING'} {guard.name}: {guard.what}\n     without it: "
+              + (f"seed {found[0]}, {found[1][:150]}" if found else f"nothing of it broke ({others} other breaks)")
+              + (f"\n     WITH it: seed {with_it[0]}, {with_it[1][:150]}" if with_it else ""), flush=True)
+    print(f"{len(chosen) - bad} passed, {bad} failed")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
