--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -83,10 +83,20 @@
 #define SCORE_FADE_MS 10000    /* ms; a rate that nothing renews halves in this, so that all are tried again */
 #define SCORE_SHARE 4          /* of the fleet's workers at most one in so many rests at once */
 
+#define SLOW_TIMES 3           /* count; a round that takes so many times its step's median is a slow one */
+#define SLOW_OTHERS 4          /* count; other rounds of the step that a median needs */
+#define SLOW_OTHERS_MOST 64    /* count; ... and more than this are not looked at: a step may have thousands */
+#define SLOW_LEAST_MS 200      /* ms; a median below this says nothing: the way there and back is as long */
+
 /* --- planner --------------------------------------------------------------- */
 #define PLAN_EXHAUSTIVE_MAX 400 /* count; loss sequences walked one by one; above it the cheap bound */
 #define PLAN_R_MAX 4           /* count; worker losses a plan may be asked to survive */
 
+/* --- room kept for big work ------------------------------------------------------ */
+#define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
+#define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
+#define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
+
 /* --- policies ---------------------------------------------------------------- */
 #define LUA_STEPS_MAX 20000    /* count; instructions of one call: some 0.2 ms */
 #define LUA_STEPS_TICK 100     /* count; they are counted by so many */
--- a/packages/config/include/config/config.h
+++ b/packages/config/include/config/config.h
@@ -34,6 +34,7 @@
     uint64_t revision;
     uint64_t r;      /* worker losses that every plan must survive */
     bool zoneLoss;   /* ... and the loss of any one zone */
+    bool rackLoss;   /* ... and the loss of any one rack */
     size_t cellCount, policyCount;
     const ConfigCell *cells;
     const ConfigPolicy *policies;
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -103,7 +103,7 @@
 
 const Config *configRead(void *mem, const char *text, size_t count, uint64_t revision, Faults *faults)
 {
-    static const char *const KEYS[] = {"r", "zoneLoss", "cells", "policies", NULL};
+    static const char *const KEYS[] = {"r", "zoneLoss", "rackLoss", "cells", "policies", NULL};
     if (count > CONFIG_BODY_MAX) {
         faultAdd(faults, STATUS_TOO_LARGE, "", "a configuration has at most %d bytes", CONFIG_BODY_MAX);
         return NULL;
@@ -117,6 +117,7 @@
     if (checkKeys(faults, object, "", KEYS)) {
         config->r = (uint64_t)checkInt(faults, object, "", "r", 0, PLAN_R_MAX, 1);
         config->zoneLoss = checkFlag(faults, object, "", "zoneLoss", false);
+        config->rackLoss = checkFlag(faults, object, "", "rackLoss", false);
         readPolicies(config, object, config, faults);
         json_object *cells = named(faults, object, "", "cells", &config->cellCount);
         ConfigCell *list = talloc_zero_array(config, ConfigCell, (unsigned)config->cellCount);
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -441,14 +441,14 @@
     for (size_t i = 0; i < input.workerCount; i++)
         if (strcmp(input.workers[i].zone, way->name) == 0)
             input.workers[i].free = (Room){0};
-    PlanBreak broken = {false, ""};
+    PlanBreak broken = {LOSS_WORKER, ""};
     const bool holds = planAlwaysPossible(&input, &broken);
     json_object_object_add(body, "planHoldsWithoutIt", json_object_new_boolean(holds));
     if (!holds)
         json_object_object_add(body, "warning",
                                json_object_new_string(talloc_asprintf(
                                    way->mem, "with this zone empty, the loss of %s %s leaves protected work without room",
-                                   broken.zone ? "zone" : "worker", broken.name)));
+                                   lossWord(broken.loss), broken.name)));
     showVerdict(way->task, 200, body);
 }
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -214,6 +214,7 @@
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
     core->scores = mapNew(core);
+    core->kept = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
                                  .courier = core->courier,
                                  .ring = ring,
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -13,7 +13,7 @@
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
-    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded)
+    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
@@ -21,6 +21,16 @@
 #undef X
 } CoreCounts;
 
+/* Workers kept for one candidate that small work would overtake for ever. */
+typedef struct Kept {
+    const char *job;
+    size_t task; /* its first */
+    double rank;
+    int64_t sinceMs;
+    size_t workerCount;
+    const char *workers[KEPT_MEMBERS_MAX];
+} Kept;
+
 /* Invariants:
  *  - only a node for which viewLeading is true plans, answers callers or gives
  *    orders, and it looks at the clock before each;
@@ -40,6 +50,7 @@
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
+    Map *kept;   /* names of cells to Kept */
     const Config *config; /* of the table's newest revision */
     Map *policies;        /* names to LuaPolicy, of the same revision */
     uint64_t policyFailuresTold;
@@ -50,7 +61,8 @@
     int64_t placeFromMs;
     Signal wake; /* beats with news for the planner */
     /* of the last pass: whether the plan held, and else what breaks it */
-    bool planHolds, brokenByZone;
+    bool planHolds;
+    Loss brokenByLoss;
     char brokenBy[ID_MAX + 1];
     CoreCounts counts;
 };
@@ -69,12 +81,18 @@
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps);
 
+/* A rate of bad rounds, the newest counting most. */
+typedef struct Tally {
+    uint64_t ratePercent; /* as of ratedMs */
+    int64_t ratedMs;
+    uint64_t jobs;        /* different ones that went badly there since one went well */
+    uint64_t lastJob;     /* number of the last that did */
+} Tally;
+
 /* How a worker that claims health has done of late, as this leader saw it. */
 typedef struct Score {
-    uint64_t ratePercent; /* of failed rounds, the newest counting most, as of ratedMs */
-    int64_t ratedMs;
-    uint64_t jobs;        /* different ones that failed there since one did well */
-    uint64_t lastJob;     /* number of the last that failed */
+    Tally failed; /* rounds that failed */
+    Tally slow;   /* rounds that took several times as long as the others of their step */
     int64_t restUntilMs;  /* own clock; given nothing before this */
     int64_t restMs;       /* the last rest's length */
 } Score;
@@ -83,7 +101,7 @@
 void scoreTake(Core *core, const RoundList *list);
 /* Null: nothing bad is known. */
 const Score *scoreFind(const Core *core, const char *worker);
-/* Its rate of failures now, in percent. */
+/* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
 void plannerStart(Core *core);
--- /dev/null
+++ b/packages/core/src/kept.c
@@ -0,0 +1,146 @@
+/* Workers kept for big work. A task (or gang) that fits a worker's whole room but
+ * no present gap is overtaken for ever by small ones. After a stated wait the
+ * workers that suit it and are soonest empty are kept for it: nothing new goes
+ * there but what ranks above it in its cell, and restarts of protected work. One
+ * such candidate for a cell at a time, never more than a share of the fleet.
+ *
+ * The leader's memory alone holds this: a new leader finds the same again. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+#include "pass.h"
+
+static bool isFor(const Kept *kept, const Candidate *candidate)
+{
+    return strcmp(kept->job, candidate->job->spec.id) == 0 && kept->task == candidate->first;
+}
+
+static size_t keptWorkers(const Core *core, void *mem)
+{
+    const char **cells;
+    const size_t count = mapKeys(core->kept, mem, &cells);
+    size_t workers = 0;
+    for (size_t i = 0; i < count; i++)
+        workers += ((const Kept *)mapGet(core->kept, cells[i]))->workerCount;
+    return workers;
+}
+
+static void keptDrop(Core *core, const char *cell, const char *why)
+{
+    Kept *kept = mapGet(core->kept, cell);
+    ringSay(core->ring, RING_NOTE, loopNowMs(core->loop), "%zu workers are kept for %s no longer: %s", kept->workerCount,
+            kept->job, why);
+    mapDrop(core->kept, cell);
+    talloc_free(kept);
+}
+
+/* What is kept for a candidate that is none any more, or on workers that may be
+ * given nothing now, is let go. */
+void keptBegin(Pass *pass, const Candidate *candidates, size_t count)
+{
+    Core *core = pass->core;
+    const char **cells;
+    const size_t cellCount = mapKeys(core->kept, pass->mem, &cells);
+    for (size_t c = 0; c < cellCount; c++) {
+        Kept *kept = mapGet(core->kept, cells[c]);
+        bool found = false;
+        for (size_t i = 0; i < count && !found; i++)
+            if (isFor(kept, &candidates[i])) {
+                found = true;
+                kept->rank = candidates[i].rank;
+            }
+        if (!found) {
+            keptDrop(core, cells[c], "it waits no more");
+            continue;
+        }
+        for (size_t i = 0; i < kept->workerCount; i++) {
+            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, kept->workers[i]);
+            if (at == 0 || pass->input.workers[at - 1].room.cpuMilli == 0) {
+                keptDrop(core, cells[c], "one of them may be given nothing");
+                break;
+            }
+        }
+    }
+}
+
+bool keptFrom(const Pass *pass, const Candidate *candidate, bool *not)
+{
+    bool any = false;
+    void *mem = talloc_new(NULL);
+    const char **cells;
+    const size_t count = mapKeys(pass->core->kept, mem, &cells);
+    for (size_t c = 0; c < count; c++) {
+        const Kept *kept = mapGet(pass->core->kept, cells[c]);
+        const bool above = strcmp(candidate->job->spec.cell, cells[c]) == 0 && candidate->rank > kept->rank;
+        if (isFor(kept, candidate) || above || candidate->restart)
+            continue;
+        for (size_t i = 0; i < kept->workerCount; i++) {
+            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, kept->workers[i]);
+            if (at > 0)
+                not[at - 1] = any = true;
+        }
+    }
+    talloc_free(mem);
+    return any;
+}
+
+/* Members of the candidate that the worker holds when it is empty. */
+static size_t holdsEmpty(const PlanWorker *worker, Room each)
+{
+    size_t count = 0;
+    Room room = worker->room;
+    for (; roomFits(each, room) && count < KEPT_MEMBERS_MAX; count++)
+        room = roomLess(room, each);
+    return count;
+}
+
+void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step, int64_t logMs)
+{
+    Core *core = pass->core;
+    const PlanInput *input = &pass->input;
+    const char *cell = candidate->job->spec.cell;
+    if (logMs - candidate->sinceMs < KEEP_WAIT_MS || mapGet(core->kept, cell) != NULL)
+        return;
+    const PlanNeed need = passNeed(step);
+    const size_t taken = keptWorkers(core, pass->mem);
+    const size_t most = input->workerCount / KEEP_SHARE > 0 ? input->workerCount / KEEP_SHARE : 1;
+    bool *used = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
+    Kept *kept = talloc_zero(core, Kept);
+    size_t left = candidate->count;
+    keptFrom(pass, candidate, used);
+    while (left > 0 && taken + kept->workerCount < most) {
+        int best = -1;
+        Room bestBusy = {0};
+        for (size_t i = 0; i < input->workerCount; i++) {
+            const PlanWorker *worker = &input->workers[i];
+            if (used[i] || !planAble(worker, &need) || !roomFits(need.room, worker->room))
+                continue;
+            /* soonest empty: the least in use, as parts of its room; ties by name */
+            const Room busy = roomLess(worker->room, worker->free);
+            if (best < 0 || roomShare(busy, worker->room) < roomShare(bestBusy, input->workers[best].room)) {
+                best = (int)i;
+                bestBusy = busy;
+            }
+        }
+        if (best < 0)
+            break;
+        used[best] = true;
+        const size_t holds = holdsEmpty(&input->workers[best], step->room);
+        left = left > holds ? left - holds : 0;
+        kept->workers[kept->workerCount++] = talloc_strdup(kept, input->workers[best].name);
+    }
+    if (left > 0) { /* all that it needs, or none */
+        talloc_free(kept);
+        return;
+    }
+    kept->job = talloc_strdup(kept, candidate->job->spec.id);
+    kept->task = candidate->first;
+    kept->rank = candidate->rank;
+    kept->sinceMs = loopNowMs(core->loop);
+    mapSet(core->kept, cell, kept);
+    core->counts.kept++;
+    ringSay(core->ring, RING_NOTE, kept->sinceMs, "%zu workers from %s on are kept for %s, which has waited %" PRId64 " ms",
+            kept->workerCount, kept->workers[0], kept->job, logMs - candidate->sinceMs);
+}
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -7,34 +7,13 @@
 #include <talloc.h>
 
 #include "base/map.h"
-#include "inside.h"
+#include "pass.h"
 
 #define PLAN_CHECKS_MAX 200   /* count; looks at the r-loss plan in one pass */
 #define PLAN_CHECKS_LEAST 4   /* count; as many are always made */
 #define PLAN_WORK_MAX 4000000 /* count; tasks and workers looked at for plans in one pass: some 50 ms, a tenth of a beat */
-#define PUSH_LOOKS_MAX 400  /* count; asks of may_push in one pass, each some 0.01 ms */
 #define PASS_GAP_MS 5       /* ms; news that come together are decided on together */
 
-/* What one pass knows. */
-typedef struct Pass {
-    Core *core;
-    void *mem;
-    const Config *config;
-    PlanInput input;
-    size_t taskRoom;
-    Map *tenants; /* "cell/tenant" to the Room in use */
-    Map *index;   /* worker name to its place + 1 */
-    PlaceList places;
-    size_t placeRoom;
-    size_t checks, checksMax;
-    const void *stuck; /* the step that last found no room */
-    Room fleet;
-    QueueUse *use;
-    QueueClock clock;
-    StopList pushes;   /* rounds to be pushed aside */
-    size_t pushLooks;
-} Pass;
-
 static void lostFind(Core *core, void *mem)
 {
     const int64_t nowMs = loopNowMs(core->loop);
@@ -95,7 +74,7 @@
         coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
 }
 
-static PlanNeed needOf(const StepSpec *step)
+PlanNeed passNeed(const StepSpec *step)
 {
     return (PlanNeed){step->room, step->kind, step->labels, step->labelsCount};
 }
@@ -112,14 +91,14 @@
     return room;
 }
 
-static void taskCount(Pass *pass, const PlanNeed *need, size_t worker)
+static void taskCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker)
 {
     PlanInput *input = &pass->input;
     if (input->taskCount == pass->taskRoom) {
         pass->taskRoom = pass->taskRoom ? pass->taskRoom * 2 : 64;
         input->tasks = talloc_realloc(pass->mem, input->tasks, PlanTask, (unsigned)pass->taskRoom);
     }
-    input->tasks[input->taskCount++] = (PlanTask){*need, worker};
+    input->tasks[input->taskCount++] = (PlanTask){*need, worker, pushableCell(pass, spec)};
 }
 
 /* Workers that may be given work have their free room; the others have none,
@@ -135,7 +114,8 @@
     pass->index = mapNew(pass->mem);
     pass->input = (PlanInput){.workers = talloc_zero_array(pass->mem, PlanWorker, (unsigned)count),
                               .r = pass->config->r,
-                              .zoneLoss = pass->config->zoneLoss};
+                              .zoneLoss = pass->config->zoneLoss,
+                              .rackLoss = pass->config->rackLoss};
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         const LiveRow *row = livesetFind(core->liveset, worker->name);
@@ -145,6 +125,7 @@
         const Room room = ready ? roomLess(worker->room, row->others) : none;
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
+                                              .rack = worker->rack,
                                               .kind = worker->kind,
                                               .labels = worker->labels,
                                               .labelCount = worker->labelsCount,
@@ -154,6 +135,7 @@
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
     }
     pass->input.workerCount = count;
+    pushableCount(pass);
     Job *const *jobs;
     const size_t jobCount = tableActive(core->table, &jobs);
     for (size_t j = 0; j < jobCount; j++)
@@ -169,9 +151,9 @@
                 continue;
             PlanWorker *worker = &pass->input.workers[at - 1];
             worker->free = roomLess(worker->free, step->room);
-            const PlanNeed need = needOf(step);
+            const PlanNeed need = passNeed(step);
             if (task->assured && task->phase != TASK_STOPPING)
-                taskCount(pass, &need, at - 1);
+                taskCount(pass, &jobs[j]->spec, &need, at - 1);
         }
 }
 
@@ -227,74 +209,58 @@
     };
 }
 
-/* Who wants room looks for running work that its cell's policy lets it push
- * aside, all on one worker. The room is used only once the old rounds are known
- * to be over. Room that is being given up already counts: nothing more is pushed
- * while that would do. */
-static void pushFor(Pass *pass, const Candidate *candidate, const StepSpec *step)
+/* One more, or one less, of the job that near counts is on the worker. */
+static void nearAdd(Pass *pass, size_t at, int by)
 {
-    Core *core = pass->core;
-    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
-    const Policy *policy = corePolicy(core, cell);
-    if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
-        pass->pushLooks >= PUSH_LOOKS_MAX)
-        return;
-    const PlanNeed need = needOf(step);
-    const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
-    for (size_t w = 0; w < pass->input.workerCount; w++) {
-        const PlanWorker *worker = &pass->input.workers[w];
-        if (!planAble(worker, &need) || !roomFits(need.room, worker->room))
-            continue;
-        Room free = worker->free;
-        RoundId victims[PUSH_TASKS_MAX];
-        size_t victimCount = 0, looked = 0;
-        for (size_t j = 0; j < count; j++)
-            for (size_t t = 0; t < jobs[j]->tasksCount; t++)
-                if (jobs[j]->tasks[t].phase == TASK_STOPPING && strcmp(jobs[j]->tasks[t].worker, worker->name) == 0)
-                    free = roomMore(free, jobs[j]->spec.steps[jobs[j]->tasks[t].step].room);
-        if (roomFits(need.room, free))
-            return; /* it is on its way */
-        for (size_t j = count; j > 0 && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; j--) {
-            const Job *job = jobs[j - 1];
-            if (strcmp(job->spec.cell, candidate->job->spec.cell) != 0 || job == candidate->job)
-                continue;
-            for (size_t t = 0; t < job->tasksCount && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; t++) {
-                const JobTask *task = &job->tasks[t];
-                if (task->phase != TASK_RUNNING || strcmp(task->worker, worker->name) != 0)
-                    continue;
-                const PolicySight other = queueSight(pass->use, pass->config, job, t, pass->clock);
-                looked++;
-                pass->pushLooks++;
-                if (!policy->mayPush(policy->arg, &mine, &other))
-                    continue;
-                victims[victimCount++] = (RoundId){job->spec.id, t, task->round};
-                free = roomMore(free, job->spec.steps[task->step].room);
-            }
-        }
-        if (!roomFits(need.room, free))
-            continue;
-        pass->pushes.rounds = talloc_memdup(pass->mem, victims, victimCount * sizeof(*victims));
-        pass->pushes.roundsCount = victimCount;
-        pass->pushes.why = "pushed aside";
+    const PlanInput *input = &pass->input;
+    const PlanWorker *its = &input->workers[at];
+    for (size_t i = 0; i < input->workerCount; i++) {
+        const PlanWorker *mine = &input->workers[i];
+        pass->near[i] += by * (strcmp(mine->zone, its->zone) == 0);
+        pass->near[i] += by * (mine->rack[0] != '\0' && strcmp(mine->rack, its->rack) == 0);
+    }
+}
+
+/* How much of the same job is near each worker: in its zone, and again in its
+ * rack. Kept for one job at a time: tasks of a job come one after another. */
+static void nearFind(Pass *pass, const Job *job)
+{
+    if (pass->nearJob == job)
         return;
+    pass->nearJob = job;
+    talloc_free(pass->near);
+    pass->near = talloc_zero_array(pass->mem, int, (unsigned)pass->input.workerCount);
+    for (size_t t = 0; t < job->tasksCount; t++) {
+        const size_t at = taskOnWorker(job->tasks[t].phase) ? (size_t)(uintptr_t)mapGet(pass->index, job->tasks[t].worker) : 0;
+        if (at > 0)
+            nearAdd(pass, at - 1, 1);
     }
+    /* and what this pass has decided: most of a step is placed in one */
+    for (size_t i = 0; i < pass->places.placementsCount; i++)
+        if (strcmp(pass->places.placements[i].job, job->spec.id) == 0)
+            nearAdd(pass, (size_t)(uintptr_t)mapGet(pass->index, pass->places.placements[i].worker) - 1, 1);
 }
 
-/* Not where its last round failed, unless there is no other. */
-static int chooseFor(Pass *pass, const JobTask *task, const PlanNeed *need)
+/* Not where its last round failed, unless there is no other; not where room is
+ * kept for somebody else; with equal room, away from others of its job. */
+static int chooseFor(Pass *pass, const Candidate *candidate, const JobTask *task, const PlanNeed *need)
 {
     PlanInput *input = &pass->input;
     const size_t shunned = task->shunned[0] != '\0' ? (size_t)(uintptr_t)mapGet(pass->index, task->shunned) : 0;
-    if (shunned > 0) {
-        bool *not = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
+    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
+    nearFind(pass, candidate->job);
+    const int *near = pass->near;
+    keptFrom(pass, candidate, not);
+    int at = -1;
+    if (shunned > 0 && !not[shunned - 1]) {
         not[shunned - 1] = true;
-        const int at = planChoose(input->workers, input->workerCount, need, not);
-        if (at >= 0)
-            return at;
+        at = planChooseFar(input->workers, input->workerCount, need, not, near);
+        not[shunned - 1] = false;
     }
-    return planChoose(input->workers, input->workerCount, need, NULL);
+    if (at < 0)
+        at = planChooseFar(input->workers, input->workerCount, need, not, near);
+    talloc_free(not);
+    return at;
 }
 
 /* Places all members of the candidate or none. */
@@ -305,27 +271,29 @@
     const StepSpec *step = &spec->steps[candidate->job->tasks[candidate->first].step];
     if (pass->stuck == step || !underQuota(pass, candidate, step))
         return false;
-    const PlanNeed need = needOf(step);
+    const PlanNeed need = passNeed(step);
     PlanInput *input = &pass->input;
     int *where = talloc_array(pass->mem, int, (unsigned)candidate->count);
     size_t placed = 0;
     while (placed < candidate->count) {
-        const int at = chooseFor(pass, &candidate->job->tasks[candidateTask(candidate, placed)], &need);
+        const int at = chooseFor(pass, candidate, &candidate->job->tasks[candidateTask(candidate, placed)], &need);
         if (at < 0)
             break;
         input->workers[at].free = roomLess(input->workers[at].free, step->room);
+        nearAdd(pass, (size_t)at, 1);
         where[placed++] = at;
     }
     bool fits = placed == candidate->count, assured = false;
     if (!fits) {
         pass->stuck = step;
         pushFor(pass, candidate, step);
+        keptWant(pass, candidate, step, logMs);
     }
     const size_t tasksBefore = input->taskCount;
     if (fits && spec->protection == PROTECTION_PROTECTED) {
         if (pass->checks < pass->checksMax) {
             for (size_t i = 0; i < placed; i++)
-                taskCount(pass, &need, (size_t)where[i]);
+                taskCount(pass, spec, &need, (size_t)where[i]);
             assured = planHolds(pass);
         }
         if (!assured) {
@@ -334,8 +302,10 @@
             fits = candidate->restart || logMs - candidate->sinceMs >= ASSURE_WAIT_MS;
         }
     }
-    for (size_t i = 0; i < placed && !fits; i++)
+    for (size_t i = 0; i < placed && !fits; i++) {
         input->workers[where[i]].free = roomMore(input->workers[where[i]].free, step->room);
+        nearAdd(pass, (size_t)where[i], -1);
+    }
     if (fits) {
         Room *used = tenantRoom(pass, spec);
         for (size_t i = 0; i < placed; i++) {
@@ -380,8 +350,8 @@
             const size_t at = (size_t)(uintptr_t)mapGet(pass->index, task->worker);
             if (task->assured || at == 0 || (task->phase != TASK_PLACED && task->phase != TASK_RUNNING))
                 continue;
-            const PlanNeed need = needOf(&job->spec.steps[task->step]);
-            taskCount(pass, &need, at - 1);
+            const PlanNeed need = passNeed(&job->spec.steps[task->step]);
+            taskCount(pass, &job->spec, &need, at - 1);
             if (!planHolds(pass)) {
                 pass->input.taskCount--;
                 continue;
@@ -405,7 +375,7 @@
     pass->mem = mem;
     core->counts.passes++;
     passBegin(pass);
-    PlanBreak broken = {false, ""};
+    PlanBreak broken = {LOSS_WORKER, ""};
     /* one look costs about losses times (tasks and workers) */
     const size_t each = pass->input.workerCount * (pass->input.taskCount + pass->input.workerCount) + 1;
     pass->checksMax = PLAN_WORK_MAX / each;
@@ -414,7 +384,7 @@
     if (pass->checksMax < PLAN_CHECKS_LEAST)
         pass->checksMax = PLAN_CHECKS_LEAST;
     core->planHolds = planAlwaysPossible(&pass->input, &broken);
-    core->brokenByZone = broken.zone;
+    core->brokenByLoss = broken.loss;
     snprintf(core->brokenBy, sizeof(core->brokenBy), "%s", broken.name);
     Candidate *candidates;
     const QueueClock clock = coreClock(core);
@@ -433,6 +403,7 @@
         restarts++;
     if (restarts > 1)
         qsort(candidates, restarts, sizeof(*candidates), restartOrder);
+    keptBegin(pass, candidates, count);
     for (size_t i = 0; i < count && pass->places.placementsCount < PLACE_BATCH; i++)
         placeOne(pass, &candidates[i], clock.logMs);
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
--- /dev/null
+++ b/packages/core/src/push.c
@@ -0,0 +1,158 @@
+/* Pushing aside: whom a cell's policy lets make room, and how much room that is
+ * for the plan. */
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+#include "pass.h"
+
+size_t pushableCell(const Pass *pass, const JobSpec *spec)
+{
+    const size_t at = pass->cells != NULL ? (size_t)(uintptr_t)mapGet(pass->cells, spec->cell) : 0;
+    return at > 0 ? at - 1 : PLAN_NO_CELL;
+}
+
+/* One protected task of each queue of the cell speaks for its queue. */
+typedef struct Speakers {
+    const Job *jobs[PUSH_SPEAKERS_MAX];
+    size_t tasks[PUSH_SPEAKERS_MAX];
+    size_t count;
+    bool whole; /* every queue has its speaker here */
+} Speakers;
+
+static void speakersFind(const Core *core, const char *cell, Speakers *speakers)
+{
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    *speakers = (Speakers){.whole = true};
+    for (size_t j = 0; j < count; j++) {
+        const Job *job = jobs[j];
+        if (job->spec.protection != PROTECTION_PROTECTED || strcmp(job->spec.cell, cell) != 0)
+            continue;
+        bool seen = false;
+        for (size_t i = 0; i < speakers->count && !seen; i++)
+            seen = strcmp(speakers->jobs[i]->spec.queue, job->spec.queue) == 0;
+        for (size_t t = 0; t < job->tasksCount && !seen; t++) {
+            if (!taskOnWorker(job->tasks[t].phase))
+                continue;
+            seen = true;
+            if (speakers->count == PUSH_SPEAKERS_MAX) {
+                speakers->whole = false;
+                continue;
+            }
+            speakers->jobs[speakers->count] = job;
+            speakers->tasks[speakers->count++] = t;
+        }
+    }
+}
+
+/* A running task that is itself not protected counts when every speaker of its
+ * cell may push it: so no two of them count on room that only one may have. */
+void pushableCount(Pass *pass)
+{
+    Core *core = pass->core;
+    const Config *config = pass->config;
+    PlanInput *input = &pass->input;
+    size_t cells = 0;
+    pass->cells = mapNew(pass->mem);
+    for (size_t c = 0; c < config->cellCount; c++)
+        if (corePolicy(core, &config->cells[c]) != policyPlain())
+            mapSet(pass->cells, config->cells[c].name, (void *)(uintptr_t)++cells);
+    if (cells == 0)
+        return;
+    input->cellCount = cells;
+    input->pushable = talloc_zero_array(pass->mem, Room, (unsigned)(cells * input->workerCount));
+    Room fleet = {0};
+    for (size_t i = 0; i < input->workerCount; i++)
+        fleet = roomMore(fleet, input->workers[i].room);
+    const QueueUse *use = queueUse(pass->mem, core->table, config, fleet);
+    const QueueClock clock = coreClock(core);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    size_t looks = 0;
+    for (size_t c = 0; c < config->cellCount; c++) {
+        const size_t place = (size_t)(uintptr_t)mapGet(pass->cells, config->cells[c].name);
+        const Policy *policy = corePolicy(core, &config->cells[c]);
+        Speakers speakers;
+        if (place == 0)
+            continue;
+        speakersFind(core, config->cells[c].name, &speakers);
+        if (speakers.count == 0 || !speakers.whole)
+            continue;
+        for (size_t j = 0; j < count; j++) {
+            if (jobs[j]->spec.protection == PROTECTION_PROTECTED || strcmp(jobs[j]->spec.cell, config->cells[c].name) != 0)
+                continue;
+            for (size_t t = 0; t < jobs[j]->tasksCount && looks < PUSH_LOOKS_MAX; t++) {
+                const JobTask *task = &jobs[j]->tasks[t];
+                const size_t at = task->phase == TASK_RUNNING ? (size_t)(uintptr_t)mapGet(pass->index, task->worker) : 0;
+                /* a worker that is given nothing has no room to be had either */
+                if (at == 0 || input->workers[at - 1].room.cpuMilli == 0)
+                    continue;
+                const PolicySight other = queueSight(use, config, jobs[j], t, clock);
+                bool all = true;
+                for (size_t i = 0; i < speakers.count && all; i++, looks++) {
+                    const PolicySight mine = queueSight(use, config, speakers.jobs[i], speakers.tasks[i], clock);
+                    all = policy->mayPush(policy->arg, &mine, &other);
+                }
+                Room *room = &input->pushable[(place - 1) * input->workerCount + at - 1];
+                if (all)
+                    *room = roomMore(*room, jobs[j]->spec.steps[task->step].room);
+            }
+        }
+    }
+}
+
+/* Who wants room looks for running work that its cell's policy lets it push
+ * aside, all on one worker. The room is used only once the old rounds are known
+ * to be over. Room that is being given up already counts: nothing more is pushed
+ * while that would do. */
+void pushFor(Pass *pass, const Candidate *candidate, const StepSpec *step)
+{
+    Core *core = pass->core;
+    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
+    const Policy *policy = corePolicy(core, cell);
+    if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
+        pass->pushLooks >= PUSH_LOOKS_MAX)
+        return;
+    const PlanNeed need = passNeed(step);
+    const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    for (size_t w = 0; w < pass->input.workerCount; w++) {
+        const PlanWorker *worker = &pass->input.workers[w];
+        if (!planAble(worker, &need) || !roomFits(need.room, worker->room))
+            continue;
+        Room free = worker->free;
+        RoundId victims[PUSH_TASKS_MAX];
+        size_t victimCount = 0, looked = 0;
+        for (size_t j = 0; j < count; j++)
+            for (size_t t = 0; t < jobs[j]->tasksCount; t++)
+                if (jobs[j]->tasks[t].phase == TASK_STOPPING && strcmp(jobs[j]->tasks[t].worker, worker->name) == 0)
+                    free = roomMore(free, jobs[j]->spec.steps[jobs[j]->tasks[t].step].room);
+        if (roomFits(need.room, free))
+            return; /* it is on its way */
+        for (size_t j = count; j > 0 && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; j--) {
+            const Job *job = jobs[j - 1];
+            if (strcmp(job->spec.cell, candidate->job->spec.cell) != 0 || job == candidate->job)
+                continue;
+            for (size_t t = 0; t < job->tasksCount && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; t++) {
+                const JobTask *task = &job->tasks[t];
+                if (task->phase != TASK_RUNNING || strcmp(task->worker, worker->name) != 0)
+                    continue;
+                const PolicySight other = queueSight(pass->use, pass->config, job, t, pass->clock);
+                looked++;
+                pass->pushLooks++;
+                if (!policy->mayPush(policy->arg, &mine, &other))
+                    continue;
+                victims[victimCount++] = (RoundId){job->spec.id, t, task->round};
+                free = roomMore(free, job->spec.steps[task->step].room);
+            }
+        }
+        if (!roomFits(need.room, free))
+            continue;
+        pass->pushes.rounds = talloc_memdup(pass->mem, victims, victimCount * sizeof(*victims));
+        pass->pushes.roundsCount = victimCount;
+        pass->pushes.why = "pushed aside";
+        return;
+    }
+}
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -1,6 +1,7 @@
-/* Workers that fail their work while they claim health: fewer starts, then none
+/* Workers that fail or slow their work while they claim health: fewer starts, then none
  * for a growing span, never for too many of them at once. */
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -11,14 +12,23 @@
     return mapGet(core->scores, worker);
 }
 
+/* A rate that nothing renews fades. */
+static uint64_t tallyRate(const Core *core, const Score *score, const Tally *tally)
+{
+    const int64_t from = tally->ratedMs > score->restUntilMs ? tally->ratedMs : score->restUntilMs;
+    const int64_t halvings = (loopNowMs(core->loop) - from) / SCORE_FADE_MS;
+    if (halvings > 7)
+        return 0;
+    return halvings > 0 ? tally->ratePercent >> halvings : tally->ratePercent;
+}
+
 uint64_t scoreRate(const Core *core, const char *worker)
 {
     const Score *score = scoreFind(core, worker);
-    const int64_t from = score == NULL ? 0 : score->ratedMs > score->restUntilMs ? score->ratedMs : score->restUntilMs;
-    const int64_t halvings = score == NULL ? 0 : (loopNowMs(core->loop) - from) / SCORE_FADE_MS;
-    if (score == NULL || halvings > 7)
+    if (score == NULL)
         return 0;
-    return halvings > 0 ? score->ratePercent >> halvings : score->ratePercent;
+    const uint64_t failed = tallyRate(core, score, &score->failed), slow = tallyRate(core, score, &score->slow);
+    return failed > slow ? failed : slow;
 }
 
 bool scoreRests(const Core *core, const char *worker)
@@ -37,10 +47,10 @@
     return rest;
 }
 
-static void restMaybe(Core *core, const char *worker, Score *score)
+static void restMaybe(Core *core, const char *worker, Score *score, Tally *tally, const char *how)
 {
     const int64_t nowMs = loopNowMs(core->loop);
-    if (score->ratePercent <= SCORE_REST || score->jobs < SCORE_JOBS || nowMs < score->restUntilMs)
+    if (tally->ratePercent <= SCORE_REST || tally->jobs < SCORE_JOBS || nowMs < score->restUntilMs)
         return;
     void *mem = talloc_new(core);
     const Worker **workers;
@@ -53,14 +63,64 @@
                     : score->restMs * 2 < SCORE_REST_MAX_MS ? score->restMs * 2
                                                             : SCORE_REST_MAX_MS;
     score->restUntilMs = nowMs + score->restMs;
-    /* after the rest it is tried again: a single failure sends it back */
-    score->ratePercent = SCORE_REST;
-    score->jobs = SCORE_JOBS - 1;
+    /* after the rest it is tried again: a single bad round sends it back */
+    tally->ratePercent = SCORE_REST;
+    tally->jobs = SCORE_JOBS - 1;
     if (viewLeading(core->view))
-        ringSay(core->ring, RING_ALERT, nowMs, "worker %s fails its work: given nothing for %" PRId64 " ms", worker,
+        ringSay(core->ring, RING_ALERT, nowMs, "worker %s %s: given nothing for %" PRId64 " ms", worker, how,
                 score->restMs);
 }
 
+static void tallyTake(Core *core, const char *worker, Score *score, Tally *tally, const Job *job, bool bad, const char *how)
+{
+    tally->ratePercent = tallyRate(core, score, tally);
+    tally->ratedMs = loopNowMs(core->loop);
+    tally->ratePercent = (tally->ratePercent * (100 - SCORE_WEIGHT) + (bad ? 100 : 0) * SCORE_WEIGHT) / 100;
+    if (!bad) {
+        tally->jobs = 0;
+        if (score->failed.ratePercent < SCORE_WEIGHT && score->slow.ratePercent < SCORE_WEIGHT)
+            score->restMs = 0; /* it does well again: forgiven */
+    } else if (job != NULL && job->number != tally->lastJob) {
+        tally->jobs++;
+        tally->lastJob = job->number;
+    }
+    restMaybe(core, worker, score, tally, how);
+}
+
+/* A first round's time on its worker, by the log; -1: not to be compared. */
+static int64_t tookMs(const JobTask *task)
+{
+    return task->phase == TASK_DONE && task->round == 1 && task->startedMs != 0 ? task->changedMs - task->startedMs : -1;
+}
+
+static int spanOrder(const void *a, const void *b)
+{
+    const int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
+/* Compares the task's time with the median of the others of its own step, never
+ * with an absolute span: what a step's tasks do is alike. False: too few others. */
+static bool compared(const Job *job, uint64_t number, bool *slow)
+{
+    const JobTask *mine = &job->tasks[number];
+    const int64_t mineMs = tookMs(mine);
+    int64_t *spans = talloc_array(NULL, int64_t, (unsigned)job->tasksCount);
+    size_t count = 0;
+    for (size_t t = 0; t < job->tasksCount && mineMs >= 0 && count < SLOW_OTHERS_MOST; t++)
+        if (t != number && job->tasks[t].step == mine->step && tookMs(&job->tasks[t]) >= 0)
+            spans[count++] = tookMs(&job->tasks[t]);
+    bool enough = count >= SLOW_OTHERS;
+    if (enough) {
+        qsort(spans, count, sizeof(*spans), spanOrder);
+        const int64_t medianMs = spans[count / 2];
+        enough = medianMs >= SLOW_LEAST_MS;
+        *slow = mineMs >= medianMs * SLOW_TIMES;
+    }
+    talloc_free(spans);
+    return enough;
+}
+
 void scoreTake(Core *core, const RoundList *list)
 {
     for (size_t i = 0; i < list->newsCount; i++) {
@@ -69,24 +129,17 @@
             continue;
         Score *score = mapGet(core->scores, news->worker);
         const Job *job = tableJob(core->table, news->job);
-        if (score == NULL && (news->word == ROUND_DONE || tableWorker(core->table, news->worker) == NULL))
+        bool slow = false;
+        const bool known = news->word == ROUND_DONE && job != NULL && news->task < job->tasksCount &&
+                           job->tasks[news->task].round == news->round && compared(job, news->task, &slow);
+        if (score == NULL && ((news->word == ROUND_DONE && !slow) || tableWorker(core->table, news->worker) == NULL))
             continue;
         if (score == NULL) {
             score = talloc_zero(core->scores, Score);
             mapSet(core->scores, news->worker, score);
         }
-        score->ratePercent = scoreRate(core, news->worker);
-        score->ratedMs = loopNowMs(core->loop);
-        const uint64_t now = news->word == ROUND_FAILED ? 100 : 0;
-        score->ratePercent = (score->ratePercent * (100 - SCORE_WEIGHT) + now * SCORE_WEIGHT) / 100;
-        if (news->word == ROUND_DONE) {
-            score->jobs = 0;
-            if (score->ratePercent < SCORE_WEIGHT)
-                score->restMs = 0; /* it does well again: forgiven */
-        } else if (job != NULL && job->number != score->lastJob) {
-            score->jobs++;
-            score->lastJob = job->number;
-        }
-        restMaybe(core, news->worker, score);
+        tallyTake(core, news->worker, score, &score->failed, job, news->word == ROUND_FAILED, "fails its work");
+        if (known)
+            tallyTake(core, news->worker, score, &score->slow, job, slow, "is slow");
     }
 }
--- a/packages/plan/include/plan/plan.h
+++ b/packages/plan/include/plan/plan.h
@@ -16,6 +16,7 @@
 typedef struct PlanWorker {
     const char *name;
     const char *zone;
+    const char *rack; /* empty: not told; then it is no loss case of its own */
     const char *kind;
     const char *const *labels;
     size_t labelCount;
@@ -28,9 +29,14 @@
 typedef struct PlanTask {
     PlanNeed need;
     size_t worker; /* where it runs now */
+    size_t cell;   /* whose pushable room it may use; PLAN_NO_CELL: nobody's */
 } PlanTask;
 
-/* Invariant: each task's worker is below workerCount. */
+#define PLAN_NO_CELL SIZE_MAX
+
+/* Invariants: each task's worker is below workerCount, its cell below cellCount or
+ * PLAN_NO_CELL; pushable[cell * workerCount + worker] is room in use there that all
+ * protected work of the cell may push aside, counted for that cell alone. */
 typedef struct PlanInput {
     PlanWorker *workers;
     size_t workerCount;
@@ -38,11 +44,24 @@
     size_t taskCount;
     uint64_t r;    /* worker losses to survive, in any order */
     bool zoneLoss; /* also the loss of any one zone */
+    bool rackLoss; /* also the loss of any one rack */
+    size_t cellCount;
+    Room *pushable;
 } PlanInput;
 
+#define LOSS_LIST(X) X(WORKER, "worker") X(ZONE, "zone") X(RACK, "rack")
+typedef enum Loss {
+#define X(name, word) LOSS_##name,
+    LOSS_LIST(X)
+#undef X
+        LOSS_COUNT
+} Loss;
+
+const char *lossWord(Loss loss);
+
 /* What breaks a plan. */
 typedef struct PlanBreak {
-    bool zone;
+    Loss loss;
     const char *name; /* of the first loss that can't be survived */
 } PlanBreak;
 
@@ -57,6 +76,9 @@
 /* The worker with the most room left among those that fit; -1: none fits. lost
  * (may be null): those that are not to be chosen. */
 int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost);
+/* As planChoose; among those with equal room left, the one with the least of
+ * near (may be null): of the same job in its rack and zone. */
+int planChooseFar(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, const int *near);
 
 /* Biggest-fit-decreasing: places the tasks of the lost workers on the others.
  * where[i] is set for each of them; false when one finds no place. Uses up free. */
--- a/packages/plan/src/plan.c
+++ b/packages/plan/src/plan.c
@@ -45,7 +45,18 @@
     return largest;
 }
 
-static int chooseBy(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, Room largest)
+const char *lossWord(Loss loss)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        LOSS_LIST(X)
+#undef X
+    };
+    return WORDS[loss];
+}
+
+static int chooseBy(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, Room largest,
+                    const int *near)
 {
     int best = -1;
     uint64_t bestLeft = 0;
@@ -54,7 +65,8 @@
             continue;
         uint64_t left = leftShare(workers[i].free, largest);
         left = left > workers[i].penalty ? left - workers[i].penalty : 0;
-        if (best < 0 || left > bestLeft) {
+        const bool farther = best >= 0 && left == bestLeft && near != NULL && near[i] < near[best];
+        if (best < 0 || left > bestLeft || farther) {
             best = (int)i;
             bestLeft = left;
         }
@@ -64,7 +76,29 @@
 
 int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost)
 {
-    return chooseBy(workers, count, need, lost, largestOf(workers, count));
+    return chooseBy(workers, count, need, lost, largestOf(workers, count), NULL);
+}
+
+int planChooseFar(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, const int *near)
+{
+    return chooseBy(workers, count, need, lost, largestOf(workers, count), near);
+}
+
+/* Takes free room first, then what the cell may push aside. */
+static int choosePushing(PlanInput *input, const PlanTask *task, const bool *lost)
+{
+    if (task->cell == PLAN_NO_CELL || input->pushable == NULL)
+        return -1;
+    Room *pushable = &input->pushable[task->cell * input->workerCount];
+    for (size_t i = 0; i < input->workerCount; i++) {
+        PlanWorker *worker = &input->workers[i];
+        const Room room = roomMore(worker->free, pushable[i]);
+        if (lost[i] || !roomFits(task->need.room, room) || !planAble(worker, &task->need))
+            continue;
+        pushable[i] = roomLess(pushable[i], roomLess(task->need.room, worker->free));
+        return (int)i;
+    }
+    return -1;
 }
 
 typedef struct Sized {
@@ -92,7 +126,9 @@
     bool all = true;
     for (size_t i = 0; i < count && all; i++) {
         const PlanNeed *need = &input->tasks[sized[i].task].need;
-        const int at = chooseBy(input->workers, input->workerCount, need, lost, largest);
+        int at = chooseBy(input->workers, input->workerCount, need, lost, largest, NULL);
+        if (at < 0)
+            at = choosePushing(input, &input->tasks[sized[i].task], lost);
         where[sized[i].task] = at;
         if (at < 0)
             all = false;
@@ -111,6 +147,8 @@
     void *mem = talloc_new(NULL);
     PlanInput next = *input;
     next.workers = talloc_memdup(mem, input->workers, input->workerCount * sizeof(*input->workers));
+    if (input->pushable != NULL)
+        next.pushable = talloc_memdup(mem, input->pushable, input->cellCount * input->workerCount * sizeof(Room));
     if (left > 0) /* only a further loss needs to know where the tasks went */
         next.tasks = talloc_memdup(mem, input->tasks, input->taskCount * sizeof(*input->tasks));
     bool *lost = talloc_memdup(mem, lostBefore, input->workerCount * sizeof(bool));
@@ -148,30 +186,37 @@
         one[i] = true;
         possible = walk(input, none, one, r - 1, &at);
         if (!possible && broken != NULL)
-            *broken = (PlanBreak){false, input->workers[i].name};
+            *broken = (PlanBreak){LOSS_WORKER, input->workers[i].name};
     }
     talloc_free(mem);
     return possible;
 }
 
-static bool zonesPossible(const PlanInput *input, PlanBreak *broken)
+static const char *placeOf(const PlanWorker *worker, Loss loss)
+{
+    return loss == LOSS_ZONE ? worker->zone : worker->rack;
+}
+
+/* The loss of all workers of any one zone, or rack. */
+static bool placesPossible(const PlanInput *input, Loss loss, PlanBreak *broken)
 {
     void *mem = talloc_new(NULL);
     bool *none = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
     bool possible = true;
     for (size_t i = 0; i < input->workerCount && possible; i++) {
-        bool seen = false;
+        const char *place = placeOf(&input->workers[i], loss);
+        bool seen = place == NULL || place[0] == '\0';
         for (size_t k = 0; k < i && !seen; k++)
-            seen = strcmp(input->workers[k].zone, input->workers[i].zone) == 0;
+            seen = strcmp(placeOf(&input->workers[k], loss), place) == 0;
         if (seen)
             continue;
-        bool *zone = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
+        bool *lost = talloc_zero_array(mem, bool, (unsigned)input->workerCount);
         for (size_t k = 0; k < input->workerCount; k++)
-            zone[k] = strcmp(input->workers[k].zone, input->workers[i].zone) == 0;
+            lost[k] = strcmp(placeOf(&input->workers[k], loss), place) == 0;
         const char *at = NULL;
-        possible = walk(input, none, zone, 0, &at);
+        possible = walk(input, none, lost, 0, &at);
         if (!possible && broken != NULL)
-            *broken = (PlanBreak){true, input->workers[i].zone};
+            *broken = (PlanBreak){loss, place};
     }
     talloc_free(mem);
     return possible;
@@ -184,6 +229,7 @@
         sequences *= input->workerCount - i;
     const bool workers = sequences <= PLAN_EXHAUSTIVE_MAX ? planExhaustive(input, broken) : planCheap(input);
     if (!workers && sequences > PLAN_EXHAUSTIVE_MAX && broken != NULL)
-        *broken = (PlanBreak){false, ""};
-    return workers && (!input->zoneLoss || zonesPossible(input, broken));
+        *broken = (PlanBreak){LOSS_WORKER, ""};
+    return workers && (!input->zoneLoss || placesPossible(input, LOSS_ZONE, broken)) &&
+           (!input->rackLoss || placesPossible(input, LOSS_RACK, broken));
 }
--- a/packages/plan/test/plan.c
+++ b/packages/plan/test/plan.c
@@ -13,12 +13,12 @@
 
 static PlanWorker worker(const char *name, const char *zone, uint64_t cpu, uint64_t mem)
 {
-    return (PlanWorker){name, zone, "std", NULL, 0, {cpu, mem}, {cpu, mem}, 0};
+    return (PlanWorker){name, zone, "", "std", NULL, 0, {cpu, mem}, {cpu, mem}, 0};
 }
 
 static PlanTask task(size_t at, uint64_t cpu, uint64_t mem)
 {
-    return (PlanTask){{{cpu, mem}, "", NULL, 0}, at};
+    return (PlanTask){{{cpu, mem}, "", NULL, 0}, at, PLAN_NO_CELL};
 }
 
 static void takeOut(PlanInput *input)
@@ -35,7 +35,7 @@
     /* first-come order would put 3 and 3 on the larger and leave 6 homeless */
     PlanWorker workers[] = {worker("a", "z1", 12, 100), worker("b", "z2", 6, 100), worker("c", "z3", 6, 100)};
     PlanTask tasks[] = {task(0, 3, 1), task(0, 3, 1), task(0, 6, 1)};
-    PlanInput input = {workers, 3, tasks, 3, 1, false};
+    PlanInput input = {workers, 3, tasks, 3, 1, false, false, 0, NULL};
     const bool lost[] = {true, false, false};
     int where[3] = {-1, -1, -1};
     assert_true(planSpecific(&input, lost, where));
@@ -50,8 +50,8 @@
     PlanWorker workers[] = {worker("a", "z1", 8, 8), worker("b", "z2", 8, 8), worker("c", "z3", 8, 8)};
     workers[0].labels = workers[1].labels = ssd;
     workers[0].labelCount = workers[1].labelCount = 1;
-    PlanTask tasks[] = {{{{4, 4}, "std", ssd, 1}, 0}, {{{4, 4}, "std", ssd, 1}, 1}};
-    PlanInput input = {workers, 3, tasks, 2, 1, false};
+    PlanTask tasks[] = {{{{4, 4}, "std", ssd, 1}, 0, PLAN_NO_CELL}, {{{4, 4}, "std", ssd, 1}, 1, PLAN_NO_CELL}};
+    PlanInput input = {workers, 3, tasks, 2, 1, false, false, 0, NULL};
     takeOut(&input);
     PlanBreak broken = {0};
     assert_true(planAlwaysPossible(&input, &broken));
@@ -68,7 +68,7 @@
     (void)state;
     PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9), worker("c", "z3", 4, 9)};
     PlanTask tasks[] = {task(0, 2, 1), task(1, 2, 1)};
-    PlanInput input = {workers, 3, tasks, 2, 2, false};
+    PlanInput input = {workers, 3, tasks, 2, 2, false, false, 0, NULL};
     takeOut(&input);
     assert_true(planAlwaysPossible(&input, NULL));
     tasks[0].need.room.cpuMilli = 3;
@@ -86,16 +86,58 @@
     (void)state;
     PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z1", 4, 9), worker("c", "z2", 4, 9)};
     PlanTask tasks[] = {task(0, 3, 1), task(1, 3, 1)};
-    PlanInput input = {workers, 3, tasks, 2, 1, false};
+    PlanInput input = {workers, 3, tasks, 2, 1, false, false, 0, NULL};
     takeOut(&input);
     PlanBreak broken = {0};
     assert_true(planAlwaysPossible(&input, &broken));
     input.zoneLoss = true;
     assert_false(planAlwaysPossible(&input, &broken));
-    assert_true(broken.zone);
+    assert_int_equal(broken.loss, LOSS_ZONE);
     assert_string_equal(broken.name, "z1");
 }
 
+static void wholeRack(void **state)
+{
+    (void)state;
+    PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9), worker("c", "z3", 4, 9)};
+    workers[0].rack = workers[1].rack = "r1";
+    PlanTask tasks[] = {task(0, 3, 1), task(1, 3, 1)};
+    PlanInput input = {workers, 3, tasks, 2, 1, true, false, 0, NULL};
+    takeOut(&input);
+    PlanBreak broken = {0};
+    assert_true(planAlwaysPossible(&input, &broken));
+    input.rackLoss = true;
+    assert_false(planAlwaysPossible(&input, &broken));
+    assert_int_equal(broken.loss, LOSS_RACK);
+    assert_string_equal(broken.name, "r1");
+}
+
+/* Room that a cell may push aside counts for that cell, once, and not where the
+ * worker is lost with it. */
+static void pushableCounts(void **state)
+{
+    (void)state;
+    PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9)};
+    workers[1].free.cpuMilli = 1;
+    PlanTask tasks[] = {task(0, 3, 1), task(0, 1, 1)};
+    Room pushable[] = {{0, 0}, {3, 9}, {0, 0}, {0, 0}};
+    PlanInput input = {workers, 2, tasks, 1, 1, false, false, 2, pushable};
+    takeOut(&input);
+    assert_false(planAlwaysPossible(&input, NULL));
+    tasks[0].cell = 1;
+    assert_false(planAlwaysPossible(&input, NULL)); /* it is the other cell's */
+    tasks[0].cell = 0;
+    assert_true(planAlwaysPossible(&input, NULL));
+    assert_int_equal(pushable[1].cpuMilli, 3); /* a look uses nothing up */
+    input.taskCount = 2;
+    tasks[1].cell = 0;
+    assert_true(planAlwaysPossible(&input, NULL)); /* 1 free and 3 to push hold 3 and 1 */
+    tasks[1].need.room.cpuMilli = 2;
+    assert_false(planAlwaysPossible(&input, NULL));
+    /* and the cheap bound knows nothing of it: it may only say no wrongly */
+    assert_false(planCheap(&input));
+}
+
 static uint64_t draw(uint64_t *seed, uint64_t below)
 {
     *seed = *seed * 6364136223846793005u + 1442695040888963407u;
@@ -121,7 +163,7 @@
             workers[i].labels = LABELS;
             workers[i].labelCount = draw(&seed, 2);
         }
-        PlanInput input = {workers, n, tasks, 0, 1 + draw(&seed, 2), false};
+        PlanInput input = {workers, n, tasks, 0, 1 + draw(&seed, 2), false, false, 0, NULL};
         for (size_t i = 0; i < 10; i++) {
             PlanTask one = task(draw(&seed, n), 1 + draw(&seed, 4), 1 + draw(&seed, 4));
             if (draw(&seed, 2))
@@ -151,7 +193,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(biggestFirst), cmocka_unit_test(kindsAndLabels), cmocka_unit_test(sequences),
-        cmocka_unit_test(wholeZone),    cmocka_unit_test(cheapIsSound),
+        cmocka_unit_test(wholeZone),    cmocka_unit_test(wholeRack),      cmocka_unit_test(pushableCounts),
+        cmocka_unit_test(cheapIsSound),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -20,6 +20,9 @@
 uint64_t simRandom(SimWorld *world);
 /* Runs until virtual time has come to untilMs. */
 void simRunUntil(SimWorld *world, int64_t untilMs);
+/* Runs until the machine has had its next turn, or virtual time has come to
+ * untilMs; true when it had one. */
+bool simTurn(SimWorld *world, int machine, int64_t untilMs);
 /* Calls fn at whenMs, outside of any node. */
 void simAt(SimWorld *world, int64_t whenMs, SimFn fn, void *arg);
 /* Called after each event: the place of the checkers. */
--- a/packages/sim/src/probe.c
+++ b/packages/sim/src/probe.c
@@ -6,7 +6,7 @@
 
 #include "api/show.h"
 
-#define PROBE_OPEN_MAX 64 /* count; jobs that one prober follows at once */
+#define PROBE_OPEN_MAX 512/* count; jobs that one prober follows at once */
 #define ASK_LATE_MS 3000  /* ms; "unknown when asked about 3 seconds after acceptance" */
 
 const char *const PROBE_IN_OUT[PROBE_TENANTS] = {"guest1", "guest2", "guest3"};
@@ -81,7 +81,7 @@
     if (callAt(probe, probe->gate, mem, "GET", path, NULL, &call) == STATUS_OK && (call.code == 200 || call.code == 404))
         checkerServed(fleet->checker, fleet->nodes[FLEET_GATE][probe->gate].props.name, SERVE_STATUS);
     if (probe->openCount > 0 && simNowMs(fleet->world) - job.acceptedMs >= ASK_LATE_MS &&
-        callAt(probe, probe->gate + 1 + (int)(probe->count % 2), mem, "GET", path, NULL, &call) == STATUS_OK) {
+        callAt(probe, probe->gate + (int)(probe->count % (uint64_t)fleet->nodeCount[FLEET_GATE]), mem, "GET", path, NULL, &call) == STATUS_OK) {
         bool over = call.code == 404;
         if (call.code == 404)
             checkerUnknown(fleet->checker, job.id);
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -182,10 +182,25 @@
     }
 }
 
+/* What every gate and core that is up says of itself at the end of a broken run. */
+static void tellSelf(Fleet *fleet, FleetRole role)
+{
+    static const char *const PATHS[] = {"/readyz", "/metrics"};
+    for (int i = 0; i < fleet->nodeCount[role]; i++)
+        for (int p = 0; p < 2 && simAlive(fleet->world, fleet->nodes[role][i].machine); p++) {
+            void *mem = talloc_new(NULL);
+            const HttpCall call = fleetAsk(fleet, mem, role, i, "GET", PATHS[p], NULL);
+            printf("%s %s %d: %s\n", fleet->nodes[role][i].props.name, PATHS[p], call.code, (const char *)call.verdict.data);
+            talloc_free(mem);
+        }
+}
+
 static void tell(const Sweep *sweep)
 {
     Fleet *fleet = sweep->fleet;
     fleetDump(fleet);
+    tellSelf(fleet, FLEET_CORE);
+    tellSelf(fleet, FLEET_GATE);
     for (int c = 0; c < fleet->callerCount; c++) {
         CallerJob *const *jobs;
         const size_t count = callerJobs(fleet->callers[c], &jobs);
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -132,6 +132,10 @@
             fleetCall(fleet, name, atoi(value) * 1000, slash != NULL ? atoi(slash + 1) : INT64_C(1) << 40);
         return true;
     }
+    if (strcmp(verb, "links") == 0) {
+        simDelay(fleet->world, 1, value != NULL ? atoi(value) : 3);
+        return true;
+    }
     if (strcmp(verb, "end") == 0) {
         for (int i = 0; i < fleet->callerCount; i++)
             callerStop(fleet->callers[i]);
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -119,19 +119,35 @@
     return top;
 }
 
+static bool stepTo(SimWorld *world, int64_t untilMs)
+{
+    if (world->count == 0 || world->events[0].whenMs > untilMs)
+        return false;
+    const SimEvent event = take(world);
+    world->nowMs = event.whenMs;
+    world->eventCount++;
+    event.fn(event.arg);
+    if (world->watch != NULL)
+        world->watch(world->watchArg);
+    return true;
+}
+
 void simRunUntil(SimWorld *world, int64_t untilMs)
 {
-    while (world->count > 0 && world->events[0].whenMs <= untilMs) {
-        const SimEvent event = take(world);
-        world->nowMs = event.whenMs;
-        world->eventCount++;
-        event.fn(event.arg);
-        if (world->watch != NULL)
-            world->watch(world->watchArg);
-    }
+    while (stepTo(world, untilMs))
+        ;
     world->nowMs = untilMs;
 }
 
+bool simTurn(SimWorld *world, int machine, int64_t untilMs)
+{
+    const uint64_t before = world->machines[machine].turns;
+    while (world->machines[machine].turns == before)
+        if (!stepTo(world, untilMs))
+            return false;
+    return true;
+}
+
 void simWatch(SimWorld *world, SimFn fn, void *arg)
 {
     world->watch = fn;
@@ -197,6 +213,7 @@
     talloc_free(one);
     SimLoop *sim = machine->loop;
     sim->armedMs = INT64_MAX;
+    machine->turns++;
     loopRun(&sim->loop);
     const int64_t nextMs = loopNextMs(&sim->loop);
     if (nextMs != INT64_MAX)
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -40,6 +40,7 @@
     int number;
     char ip[24];
     SimLoop *loop;
+    uint64_t turns;
     uint64_t life; /* grows with each start */
     bool silent;   /* it ends without telling its partners */
     int64_t frozenUntilMs;
--- /dev/null
+++ b/packages/sim/test/fuzz.c
@@ -0,0 +1,262 @@
+/* Spoilt input from fixed seeds: jobs, configurations, patches, policies, reports
+ * of workers, frames between processes. Each is taken or refused with a type; a
+ * process that was given them serves on. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "api/jobjson.h"
+#include "beat/messages.h"
+#include "feed/messages.h"
+#include "policy/lua.h"
+#include "sim/fleet.h"
+
+static uint64_t seedNow;
+
+static uint64_t draw(uint64_t below)
+{
+    seedNow = seedNow * 6364136223846793005u + 1442695040888963407u;
+    return (seedNow >> 33) % below;
+}
+
+/* Parts that are likely to go wrong, put in anywhere. */
+static const char *const PARTS[] = {
+    "{",      "}",     "[",       "]",      "\"",     ",",    ":",      "null",  "true",   "-1",   "1e999", "0.0005",
+    "9223372036854775807", "18446744073709551616", "\\u0000", "\xff\xfe", "\"id\":\"x\",", "\"steps\":[],", "NaN", "--", "/*", "\n", "\\",
+};
+
+/* The text with some bytes turned, cut out, doubled, or parts put in. */
+static char *spoil(void *mem, const char *text, size_t *count)
+{
+    size_t length = strlen(text);
+    char *out = talloc_array(mem, char, (unsigned)(length * 2 + 400));
+    memcpy(out, text, length);
+    for (uint64_t times = 1 + draw(4); times > 0; times--) {
+        const size_t at = length > 0 ? draw(length) : 0;
+        const size_t span = length > at ? 1 + draw(length - at < 12 ? length - at : 12) : 0;
+        switch (draw(5)) {
+        case 0:
+            if (length > 0)
+                out[at] = (char)draw(256);
+            break;
+        case 1:
+            memmove(out + at, out + at + span, length - at - span);
+            length -= span;
+            break;
+        case 2: {
+            const char *part = PARTS[draw(sizeof(PARTS) / sizeof(PARTS[0]))];
+            memmove(out + at + strlen(part), out + at, length - at);
+            memcpy(out + at, part, strlen(part));
+            length += strlen(part);
+            break;
+        }
+        case 3:
+            if (length + span < talloc_get_size(out) - 100) {
+                memmove(out + at + span, out + at, length - at);
+                length += span;
+            }
+            break;
+        default:
+            length = at;
+            break;
+        }
+    }
+    out[length] = '\0';
+    *count = length;
+    return out;
+}
+
+static void typed(const Faults *faults)
+{
+    assert_true(faults->seen > 0 && faults->count > 0 && faults->count <= FAULTS_MAX);
+    for (size_t i = 0; i < faults->count; i++) {
+        assert_true(faults->list[i].status != STATUS_OK && faults->list[i].status < STATUS_COUNT);
+        assert_non_null(faults->list[i].path);
+        assert_true(strlen(faults->list[i].text) > 0);
+    }
+}
+
+static void jobs(void **state)
+{
+    (void)state;
+    size_t good = 0, bad = 0;
+    seedNow = 1;
+    for (int i = 0; i < 20000; i++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = talloc_zero(mem, Faults);
+        faults->mem = mem;
+        size_t count;
+        const MixClass kind = (MixClass)draw(CLASS_COUNT);
+        const char *text = spoil(mem, mixJob(mem, MIX_VARIED, kind, "j", 1700000000000), &count);
+        JobSpec spec;
+        if (jobRead(faults, text, count, &spec)) {
+            assert_true(strlen(spec.id) >= 1 && strlen(spec.id) <= ID_MAX);
+            assert_true(spec.stepsCount >= 1 && spec.stepsCount <= JOB_STEPS_MAX);
+            good++;
+        } else {
+            typed(faults);
+            bad++;
+        }
+        talloc_free(mem);
+    }
+    print_message("jobs: %zu taken, %zu refused\n", good, bad);
+    assert_true(good > 100 && bad > 10000);
+}
+
+static void configs(void **state)
+{
+    (void)state;
+    size_t good = 0, bad = 0;
+    seedNow = 2;
+    for (int i = 0; i < 4000; i++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = talloc_zero(mem, Faults);
+        faults->mem = mem;
+        size_t count;
+        const char *whole = mixConfig((Mix)draw(MIX_COUNT));
+        const char *text = spoil(mem, whole, &count);
+        if (draw(3) == 0) { /* as a patch upon a good one */
+            text = configPatch(mem, whole, text, count, faults);
+            count = text != NULL ? strlen(text) : 0;
+        }
+        if (text != NULL && configRead(mem, text, count, 1, faults) != NULL) {
+            good++;
+        } else {
+            typed(faults);
+            bad++;
+        }
+        talloc_free(mem);
+    }
+    print_message("configurations: %zu taken, %zu refused\n", good, bad);
+    assert_true(good > 50 && bad > 1000);
+}
+
+static void policies(void **state)
+{
+    (void)state;
+    static const char TEXT[] = "function rank(t) local s = 0 for i = 1, 9 do s = s + i * t.cpu end return t.queue_priority + "
+                               "math.min(t.waited_ms / 60000, 4) + s end function may_push(a, b) return a.queue == 'm' end";
+    size_t good = 0, bad = 0;
+    seedNow = 3;
+    for (int i = 0; i < 3000; i++) {
+        void *mem = talloc_new(NULL);
+        size_t count;
+        LuaPolicy *policy;
+        Mishap mishap = {0};
+        if (luaPolicyNew(mem, "p", spoil(mem, TEXT, &count), &policy, &mishap) == STATUS_OK) {
+            good++;
+        } else {
+            assert_int_equal(mishap.status, STATUS_BAD_POLICY);
+            assert_true(strlen(mishap.text) > 0);
+            bad++;
+        }
+        talloc_free(mem);
+    }
+    print_message("policies: %zu taken, %zu refused\n", good, bad);
+    assert_true(good > 20 && bad > 500);
+}
+
+/* Whatever is asked of an agent, a gate and a core over HTTP is answered with a
+ * code of the table; they go on serving. */
+static void requests(void **state)
+{
+    (void)state;
+    static const char REPORT[] =
+        "{\"boot\":\"b\",\"zone\":\"north\",\"rack\":\"r\",\"kind\":\"std\",\"labels\":[\"x\"],\"room\":{\"cpu\":4,"
+        "\"memMb\":100},\"free\":{\"cpu\":1.5,\"memMb\":50},\"leaving\":false,\"waitMs\":0,\"running\":[{\"job\":\"j\","
+        "\"task\":0,\"round\":1}],\"ended\":[{\"job\":\"k\",\"task\":1,\"round\":2,\"word\":\"done\",\"text\":\"t\"}]}";
+    static const char *const PATHS[] = {"/v1/jobs",   "/v1/jobs/x", "/v1/config?base=0", "/v1/zones/north/drain", "/v1/queue?cell=",
+                                        "/v1/trace?key=job:x", "/v1/status", "/v1/jobs?after=-1&limit=0", "/metrics", "/readyz"};
+    static const char *const METHODS[] = {"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+    Fleet *fleet = fleetNew(NULL, 4, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    fleetKill(fleet, FLEET_WORKER, 3); /* its agent hears reports of ours */
+    fleetRun(fleet, 4000);
+    size_t codes[600] = {0};
+    seedNow = 4;
+    for (int i = 0; i < 600; i++) {
+        void *mem = talloc_new(NULL);
+        size_t count;
+        const bool report = i % 2 == 0;
+        const char *path = report ? "/v1/workers/worker4/report" : PATHS[draw(sizeof(PATHS) / sizeof(PATHS[0]))];
+        if (draw(6) == 0)
+            path = talloc_asprintf(mem, "%s%s", path, PARTS[9 + draw(6)]);
+        const char *body = spoil(mem, report ? REPORT : mixJob(mem, MIX_TRENTVALE, CLASS_SWEEP, "j", 0), &count);
+        const HttpCall call = fleetAsk(fleet, mem, report ? FLEET_AGENT : draw(2) ? FLEET_GATE : FLEET_CORE,
+                                       report ? 3 : (int)draw(3), report ? "POST" : METHODS[draw(6)], path, body);
+        assert_in_range(call.code, 200, 504);
+        assert_true(call.code != 500);
+        codes[call.code]++;
+        talloc_free(mem);
+    }
+    print_message("requests: %zu of 200, %zu of 400, %zu of 404, %zu of 422\n", codes[200], codes[400], codes[404], codes[422]);
+    assert_true(codes[400] > 50 && codes[422] > 20);
+    fleetStartNode(fleet, FLEET_WORKER, 3);
+    fleetCall(fleet, "after", 10000, 2000);
+    assert_true(fleetFinish(fleet, 60000));
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+#define MESSAGES(X)                                                                                       \
+    X(Hello) X(ProposeAsk) X(SeatAnswer) X(RenewAsk) X(AppendAsk) X(FillAsk) X(LogAsk) X(LogAnswer)         \
+    X(BeatAsk) X(BeatAnswer) X(KnowAnswer) X(TellAsk) X(FetchAsk) X(FetchAnswer) X(ProxyAsk) X(ProxyAnswer) \
+    X(FeedAnswer) X(KeepList) X(JobAdd) X(PlaceList) X(RoundList) X(StopList) X(WorkerLost) X(ConfigSet)    \
+    X(ZoneDrain) X(Record) X(Worker)
+
+/* Random bytes, and packed ones spoilt, for every shape: refused, or a whole
+ * struct that packs again. */
+static void shapes(void **state)
+{
+    (void)state;
+    static const Shape *const SHAPES[] = {
+#define X(name) &name##Shape,
+        MESSAGES(X)
+#undef X
+    };
+    size_t good = 0, bad = 0;
+    seedNow = 5;
+    const RoundId rounds[] = {{"job-1", 7, 2}, {"job-2", 0, 1}};
+    for (int i = 0; i < 40000; i++) {
+        void *mem = talloc_new(NULL);
+        Bytes packed = {0};
+        const FetchAnswer answer = {.epoch = 9, .revision = 3, .expiryMs = 2000, .wanted = (RoundId *)(uintptr_t)rounds, .wantedCount = 2};
+        shapePack(&FetchAnswerShape, &answer, mem, &packed);
+        if (i % 3 == 0)
+            for (size_t at = 0; at < packed.count; at++)
+                packed.data[at] = (uint8_t)draw(256);
+        else
+            for (uint64_t times = 1 + draw(3); times > 0; times--)
+                packed.data[draw(packed.count)] = (uint8_t)draw(256);
+        packed.count = draw(4) == 0 ? draw(packed.count) : packed.count;
+        const Shape *shape = SHAPES[i % (sizeof(SHAPES) / sizeof(SHAPES[0]))];
+        uint64_t room[64] = {0}; /* bigger than any of them */
+        if (shapeUnpack(shape, packed, mem, room, NULL) == STATUS_OK) {
+            Bytes again = {0};
+            shapePack(shape, room, mem, &again);
+            assert_true(again.count > 0);
+            good++;
+        } else {
+            bad++;
+        }
+        talloc_free(mem);
+    }
+    print_message("shapes: %zu taken, %zu refused\n", good, bad);
+    assert_true(good > 100 && bad > 10000);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(jobs),     cmocka_unit_test(configs), cmocka_unit_test(policies),
+        cmocka_unit_test(requests), cmocka_unit_test(shapes),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -151,6 +151,99 @@
     end(fleet);
 }
 
+/* Small work without end, some of each ending all the time: a task of a whole
+ * worker's room starts all the same, for one worker is kept for it. A gang of two
+ * such has two kept. */
+static void bigAmongSmall(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("c", "") "}}");
+    char id[32];
+    int64_t startedMs = 0, bothMs = 0;
+    const int64_t fromMs = simNowMs(fleet->world);
+    for (int i = 0; i < 120 && bothMs == 0; i++) {
+        snprintf(id, sizeof(id), "small%d", i);
+        hand(fleet, id, "c", "t", "bulk", 44, 4, 3000 + i % 7 * 200);
+        if (i == 8)
+            hand(fleet, "big", "c", "u", "bulk", 1, 64, 1000);
+        if (i == 40) {
+            const HttpCall call =
+                fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs",
+                         "{\"id\":\"gang\",\"cell\":\"c\",\"tenant\":\"u\",\"queue\":\"bulk\",\"steps\":[{\"name\":\"g\",\"gang\":true,"
+                         "\"count\":2,\"room\":{\"cpu\":60,\"memMb\":64},\"payload\":{\"runMs\":1000}}]}");
+            assert_int_equal(call.code, 201);
+        }
+        fleetRun(fleet, 900);
+        const Job *big = fleetJob(fleet, "big"), *gang = fleetJob(fleet, "gang");
+        if (startedMs == 0 && big != NULL && big->tasks[0].startedMs != 0)
+            startedMs = simNowMs(fleet->world) - fromMs;
+        if (gang != NULL && gang->tasks[0].startedMs != 0 && gang->tasks[1].startedMs != 0)
+            bothMs = simNowMs(fleet->world) - fromMs;
+    }
+    print_message("big started after %lld ms, the gang after %lld ms\n", (long long)startedMs, (long long)bothMs);
+    assert_true(startedMs > 0 && startedMs < 40000);
+    assert_true(bothMs > 0);
+    end(fleet);
+}
+
+static bool rests(Fleet *fleet, const char *worker)
+{
+    void *mem = talloc_new(NULL);
+    const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/status", NULL);
+    const char *row = strstr((const char *)call.verdict.data, talloc_asprintf(mem, "\"worker\":\"%s\"", worker));
+    const char *rest = row != NULL ? strstr(row, "\"restLeftMs\":") : NULL;
+    const char *end = row != NULL ? strchr(row, '}') : NULL;
+    const bool is = rest != NULL && end != NULL && rest < strstr(row, "\"room\"") && rest[13] != '0';
+    talloc_free(mem);
+    return is;
+}
+
+/* A worker five times as slow as the others of the same steps, that claims
+ * health: it is given nothing for growing spans; no other is. */
+static void slowWorker(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(mixConfig(MIX_TRENTVALE));
+    FleetNode *worker = fleetNode(fleet, FLEET_WORKER, 0);
+    worker->workerProps.slowTimes = 5;
+    standWorkerSlow(worker->worker, 5);
+    fleetCall(fleet, "c", 15000, 60000);
+    int rested = 0, others = 0;
+    for (int i = 0; i < 60; i++) {
+        fleetRun(fleet, 1000);
+        rested += rests(fleet, "worker1");
+        for (int w = 2; w <= 11; w++) {
+            char name[16];
+            snprintf(name, sizeof(name), "worker%d", w);
+            others += rests(fleet, name);
+        }
+    }
+    print_message("of 60 looks it rested in %d, others in %d\n", rested, others);
+    assert_true(rested >= 20);
+    assert_int_equal(others, 0);
+    end(fleet);
+}
+
+/* Copies of a job's work stand in other racks and zones while room is equal. */
+static void spreads(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("c", "") "}}");
+    hand(fleet, "three", "c", "t", "bulk", 3, 2, 5000);
+    fleetRun(fleet, 1500);
+    const Job *job = fleetJob(fleet, "three");
+    const Worker *at[3];
+    const Table *table = coreTable(fleetNode(fleet, FLEET_CORE, fleetLeader(fleet))->core);
+    for (int i = 0; i < 3; i++)
+        at[i] = tableWorker(table, job->tasks[i].worker);
+    for (int i = 0; i < 3; i++)
+        for (int k = 0; k < i; k++) {
+            assert_string_not_equal(at[i]->zone, at[k]->zone);
+            assert_string_not_equal(at[i]->rack, at[k]->rack);
+        }
+    end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -158,6 +251,9 @@
         cmocka_unit_test(shares),
         cmocka_unit_test(rankWithin),
         cmocka_unit_test(failing),
+        cmocka_unit_test(bigAmongSmall),
+        cmocka_unit_test(spreads),
+        cmocka_unit_test(slowWorker),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -23,8 +23,10 @@
     """name: what guards; path, out, instead: the edit that removes it; never: words of
     what must break; scenario: ("sweep", mix, first, last) or ("timeline", mix, seeds, text)."""
 
-    def __init__(self, name, what, path, out, instead, never, *scenario):
-        self.name, self.what, self.path, self.out, self.instead = name, what, path, out, instead
+    def __init__(self, name, what, path, out, instead, never, *scenario, also=()):
+        self.name, self.what = name, what
+        # also: what backs the guard and has to go with it for the removal to show
+        self.edits = ((path, out, instead),) + tuple(also)
         self.never, self.scenario = never, scenario
 
 
@@ -45,24 +47,22 @@
 14000  start    start   start   start    start   .
 20000  .        .       .       .        .       end
 """
-AGENT_FROZEN_THEN_OFF = """
-ms     worker2   agent2      worker5   agent5      callers
-0      .         .           .         .           call:40
-4000   .         freeze:700  .         freeze:700  .
-4690   .         .           .         .           .
-4710   .         .           .         .           .
-4800   off       .           .         .           .
-4900   .         off         off       off         .
-16000  start     start       start     start       .
-20000  .         .           .         .           end
+AGENTS_FROZEN_THEN_CUT = """
+ms     agent1       agent2       agent4       agent5       callers
+0      .            .            .            .            call:40+links:80
+4000   freeze:700   freeze:700   freeze:700   freeze:700   .
+4200   cut          cut          cut          cut          .
+14000  join         join         join         join         links:3
+20000  .            .            .            .            end
 """
 AGENT_CUT = """
-ms     agent1  agent2  worker1  callers
-0      .       .       .        call:20
-4000   cut     .       .        .
-5000   .       cut     .        .
-14000  join    join    .        .
-20000  .       .       .        end
+ms     agent1  agent2  agent4  agent5  callers
+0      .       .       .       .       call:40
+4000   cut     cut     cut     cut     .
+6500   kill    kill    kill    kill    .
+14000  join    join    join    join    .
+14001  start   start   start   start   .
+20000  .       .       .       .       end
 """
 SEATS_WAKE = """
 ms     leader  second  third   callers
@@ -75,8 +75,8 @@
 """
 POWER_LOST = """
 ms     core1      core2      core3      callers
-0      lie        lie        lie        .
-1000   .          .          .          call:9
+0      lie        lie        lie        links:60
+1000   .          .          .          call:20
 4000   off        off        off        .
 4100   honest     honest     honest     .
 5000   start      start      start      .
@@ -141,18 +141,15 @@
     Guard("hold-counted-from-sending", "an agent counts its hold from when it sent the beat", "packages/agent/src/leader.c",
           "holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs)",
           "holdAnswered(&agent->hold, answer.epoch, loopNowMs(agent->loop), answer.holdMs)",
-          CLAIM, "timeline", "trentvale", 40, AGENT_FROZEN_THEN_OFF),
+          CLAIM, "timeline", "trentvale", 8, AGENTS_FROZEN_THEN_CUT),
     Guard("hold-handed-on", "the agent hands the worker no more than is left of its own hold", "packages/agent/src/worker.c",
           "const int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
           "const int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
           "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
-    Guard("agent-stops", "an agent whose hold lapsed lets its worker run nothing", "packages/agent/src/worker.c",
-          "json_object_object_add(body, \"holdMs\", json_object_new_int64(leftMs));",
-          "json_object_object_add(body, \"holdMs\", json_object_new_int64(AGENT_HOLD_MS));",
-          "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
     Guard("woken-seat-waits", "a restarted seat grants nothing for a whole lock hold", "packages/view/src/view.c",
           "view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;", "view->lock.notBeforeMs = 0;",
-          "two leaders", "timeline", "trentvale", 12, SEATS_WAKE),
+          "two leaders", "timeline", "trentvale", 12, SEATS_WAKE,
+          also=[("packages/view/src/lead.c", "    return nowMs - view->wokenSinceMs >= WOKEN_WAIT_MS;", "    return true;")]),
     Guard("granted-hold", "a seat promises nobody else while the hold it granted runs", "packages/lock/src/lock.c",
           "if (seat->holder != holder && lockHeld(seat, nowMs))", "if (false && lockHeld(seat, nowMs))",
           "two leaders", "timeline", "trentvale", 12, LEADER_CUT),
@@ -161,7 +158,7 @@
           "two leaders|forgotten|finished well|running twice", "timeline", "trentvale", 6, LEADER_CUT),
     Guard("leader-clock", "a leader looks at its lock's hold before each decision", "packages/view/src/view.c",
           "return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);",
-          "return view->phase == VIEW_LEADING;", "two leaders|running twice|" + CLAIM, "timeline", "trentvale", 40, LEADER_FROZEN),
+          "return view->phase == VIEW_LEADING;", "two leaders|running twice|" + CLAIM, "timeline", "trentvale", 16, LEADER_FROZEN),
     Guard("repair-unknown", "nobody is told of a job before the repair has ended", "packages/core/src/callers.c",
           "if (!way->core->repairing || strcmp(way->task->path, \"/v1/status\") == 0)", "if (true)",
           "forgotten", "timeline", "atlas", 12, POWER_LOST),
@@ -170,11 +167,11 @@
           "forgotten|finished well|running twice|" + CLAIM, "timeline", "atlas", 6, POWER_LOST),
     Guard("accepted-after-commit", "a job is accepted when it is committed", "packages/view/src/lead.c",
           "    uint64_t least = view->syncedIndex;", "    uint64_t least = logLastIndex(view->log);\n    view->commitIndex = least;\n    viewDeliver(view);\n    signalRaise(view->loop, &view->news);\n    return;",
-          "forgotten|finished well|running twice|too early|" + CLAIM, "timeline", "trentvale", 30, LEADER_KILLED),
+          "forgotten|finished well|running twice|too early|" + CLAIM, "timeline", "trentvale", 16, LEADER_KILLED),
     Guard("finish-after-commit", "a finish is answered when it is committed", "packages/core/src/agents.c",
           "    return coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);\n}\n\nstatic void ordersFill",
           "    Bytes early = {0};\n    shapePack(&RoundListShape, &list, mem, &early);\n    (void)verdict;\n    return viewOffer(core->view, CHANGE_ROUNDS, early);\n}\n\nstatic void ordersFill",
-          "finished well", "timeline", "trentvale", 200, LEADER_KILLED),
+          "finished well", "timeline", "trentvale", 24, LEADER_KILLED),
     Guard("steps", "a step waits for those it depends on", "packages/queue/src/queue.c",
           "            if (at == end || !stepsBefore(job, step))", "            if (at == end)",
           "before its steps or its due time", "timeline", "trentvale", 2, MACHINE_OFF),
@@ -287,14 +284,23 @@
             raise SystemExit("the scratch copy does not build:\n" + got.stdout[-3000:])
 
     def edit(self, guard):
-        path = os.path.join(self.folder, guard.path)
-        with open(path) as file:
-            text = file.read()
-        if text.count(guard.out) < 1:
-            raise SystemExit(f"{guard.name}: {guard.path} does not have the text that is to be taken out")
-        with open(path, "w") as file:
-            file.write(text.replace(guard.out, guard.instead, 1))
-        return path, text
+        before = []
+        for path, out, instead in guard.edits:
+            path = os.path.join(self.folder, path)
+            with open(path) as file:
+                text = file.read()
+            if out not in text:
+                raise SystemExit(f"{guard.name}: {path} does not have the text that is to be taken out")
+            before.append((path, text))
+            with open(path, "w") as file:
+                file.write(text.replace(out, instead, 1))
+        return before
+
+    @staticmethod
+    def restore(before):
+        for path, text in before:
+            with open(path, "w") as file:
+                file.write(text)
 
     def scenario(self, guard):
         """What broke first, and the seed; None when all runs pass."""
@@ -340,7 +346,7 @@
     bad = 0
     for guard in chosen:
         with_it = next(scratch.scenario(guard), None)
-        path, text = scratch.edit(guard)
+        before = scratch.edit(guard)
         scratch.make()
         others, found = 0, None
         for seed, why in scratch.scenario(guard):
@@ -348,8 +354,7 @@
                 found = (seed, why)
                 break
             others += 1
-        with open(path, "w") as file:
-            file.write(text)
+        scratch.restore(before)
         scratch.make()
         good = found is not None and with_it is None
         bad += not good
--- a/src/operate.c
+++ b/src/operate.c
@@ -241,8 +241,7 @@
     printf("plan survives r=%s%s: %s", textOf(plan, "r"), flagOf(plan, "zoneLoss") ? " and a zone" : "",
            flagOf(plan, "holds") ? "yes" : "NO");
     if (!flagOf(plan, "holds"))
-        printf(" (broken by the loss of %s)", get(plan, "brokenByZone") != NULL ? textOf(plan, "brokenByZone")
-                                                                              : textOf(plan, "brokenByWorker"));
+        printf(" (broken by the loss of %s)", textOf(get(plan, "brokenBy"), "name"));
     printf("  assured %s  unassured %s  waiting %s\n", textOf(plan, "assured"), textOf(plan, "unassured"),
            textOf(plan, "waiting"));
     for (size_t i = 0; i < json_object_array_length(seats); i++) {
