Alerts as a list, the log ring on demand, work moved off an emptied zone

Cause: alerts were lines of the ring; the ring could be read only after something had gone wrong; a drained zone waited for whatever ran there. Change: ten typed alerts, computed as levels by the leader each second, each with its subject, how long it stands and what to do: in /v1/alerts, status, and a metric each. GET /v1/ring on every process, SIGUSR1 writes it out. Seen (test-policies, virtual time): three 60 s tasks of a zone are gone from it 12 s after a drain with move and run elsewhere; without, they stay. Alerts for a dead worker and core stand after 6 s and are gone 8 s after their return.

--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -40,6 +40,10 @@
         metrics(agent, task);
         return;
     }
+    if (strcmp(task->path, "/v1/ring") == 0) {
+        showRing(task, agent->ring);
+        return;
+    }
     static const char BEFORE[] = "/v1/workers/", AFTER[] = "/report";
     const size_t length = strlen(task->path);
     if (strncmp(task->path, BEFORE, sizeof(BEFORE) - 1) != 0 || length <= sizeof(BEFORE) + sizeof(AFTER) - 2 ||
--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -2,6 +2,7 @@
 #define API_SHOW_H
 
 #include "base/mishap.h"
+#include "base/ring.h"
 #include "loop/loop.h"
 #include "queue/queue.h"
 
@@ -17,6 +18,8 @@
 void showVerdict(HttpTask *task, int code, json_object *body);
 /* A typed refusal. 503s carry Retry-After. */
 void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults);
+/* The log ring of this process, as text. */
+void showRing(HttpTask *task, const Ring *ring);
 /* One line for a scraper: spancart_NAME VALUE. */
 void showMetric(HttpTask *task, const char *name, int64_t value);
 /* Makes the verdict a page of metrics; lines are added by showMetric. */
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -137,6 +137,15 @@
     showVerdict(task, code, showMishap(status, text, faults));
 }
 
+void showRing(HttpTask *task, const Ring *ring)
+{
+    task->code = 200;
+    task->kind = "text/plain";
+    task->verdict = (Bytes){0};
+    const char *text = ringText(ring, task);
+    bytesAdd(task, &task->verdict, text, strlen(text));
+}
+
 void showMetricsBegin(HttpTask *task)
 {
     task->code = 200;
--- a/packages/base/include/base/ring.h
+++ b/packages/base/include/base/ring.h
@@ -22,6 +22,8 @@
 /* A quiet ring keeps its lines and never writes (the simulator's). */
 void ringQuiet(Ring *ring);
 void ringSay(Ring *ring, RingLevel level, int64_t atMs, const char *format, ...) __attribute__((format(printf, 4, 5)));
-void ringDump(Ring *ring, FILE *to);
+void ringDump(const Ring *ring, FILE *to);
+/* All lines held, on mem. */
+char *ringText(const Ring *ring, void *mem);
 
 #endif
--- a/packages/base/src/ring.c
+++ b/packages/base/src/ring.c
@@ -64,10 +64,19 @@
     ring->written = ring->said;
 }
 
-void ringDump(Ring *ring, FILE *to)
+char *ringText(const Ring *ring, void *mem)
 {
+    char *text = talloc_strdup(mem, "");
     for (uint64_t i = ringFirst(ring, 0); i < ring->said; i++) {
         const RingLine *out = &ring->lines[i % RING_LINES];
-        fprintf(to, "%10" PRId64 " %-10s %-5s %s\n", out->atMs, ring->node, LEVELS[out->level], out->text);
+        text = talloc_asprintf_append(text, "%10" PRId64 " %-10s %-5s %s\n", out->atMs, ring->node, LEVELS[out->level], out->text);
     }
+    return text;
+}
+
+void ringDump(const Ring *ring, FILE *to)
+{
+    char *text = ringText(ring, NULL);
+    fputs(text, to);
+    talloc_free(text);
 }
--- /dev/null
+++ b/packages/core/src/alerts.c
@@ -0,0 +1,193 @@
+/* Alerts as a list of their own: levels, not events. Each stands from when it was
+ * first seen by this leader until it is seen no more. */
+#include "alerts.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+
+#define ALERTS_LOOK_MS 1000 /* ms; between two looks */
+#define LOST_AFTER_MS 1000  /* ms; beyond the hold: a restart of an agent takes less */
+
+typedef struct Standing {
+    Alert alert;
+    const char *subject;
+    int64_t sinceMs;
+    uint64_t look; /* the look that saw it last */
+} Standing;
+
+const char *alertWord(Alert alert)
+{
+    static const char *const WORDS[] = {
+#define X(name, word, todo) word,
+        ALERT_LIST(X)
+#undef X
+    };
+    return WORDS[alert];
+}
+
+static const char *alertTodo(Alert alert)
+{
+    static const char *const TODOS[] = {
+#define X(name, word, todo) todo,
+        ALERT_LIST(X)
+#undef X
+    };
+    return TODOS[alert];
+}
+
+static void see(Core *core, Alert alert, const char *subject)
+{
+    char key[ID_MAX * 2];
+    snprintf(key, sizeof(key), "%d %s", (int)alert, subject);
+    Standing *standing = mapGet(core->alerts, key);
+    if (standing == NULL) {
+        standing = talloc_zero(core->alerts, Standing);
+        *standing = (Standing){alert, talloc_strdup(standing, subject), loopNowMs(core->loop), 0};
+        mapSet(core->alerts, key, standing);
+    }
+    standing->look = core->alertLooks;
+}
+
+static void seatsLook(Core *core)
+{
+    ViewSight sight;
+    viewSight(core->view, &sight);
+    for (int i = 0; i < SEAT_COUNT; i++) {
+        const Member *member = membersFindDisk(core->members, sight.seats[i].disk);
+        char disk[20];
+        snprintf(disk, sizeof(disk), "%016" PRIx64, sight.seats[i].disk);
+        const char *name = member != NULL ? member->record.name : disk;
+        if (!sight.seats[i].inView)
+            see(core, ALERT_SEAT_OUT, name);
+        if (sight.seats[i].syncMs > SEAT_SLOW_MS)
+            see(core, ALERT_SEAT_SLOW, name);
+    }
+}
+
+static void workersLook(Core *core, void *mem)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    const Worker **workers;
+    const size_t count = tableWorkers(core->table, mem, &workers);
+    for (size_t i = 0; i < count; i++) {
+        const LiveRow *row = livesetFind(core->liveset, workers[i]->name);
+        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        const bool silent = nowMs > untilMs + LOST_AFTER_MS || (row != NULL && row->heardMs != INT64_MIN && !row->workerLive);
+        if (!workers[i]->excluded && silent && !(row != NULL && row->leaving))
+            see(core, ALERT_WORKER_LOST, workers[i]->name);
+        if (scoreRests(core, workers[i]->name))
+            see(core, ALERT_WORKER_RESTS, workers[i]->name);
+    }
+}
+
+static void workLook(Core *core)
+{
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    bool unassured = false, waits = false;
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount && jobs[j]->spec.protection == PROTECTION_PROTECTED; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            unassured |= taskOnWorker(task->phase) && !task->assured;
+            waits |= task->phase == TASK_WAITING && task->losses > 0;
+        }
+    if (unassured)
+        see(core, ALERT_UNASSURED, "tasks");
+    if (waits)
+        see(core, ALERT_PROTECTED_WAITS, "tasks");
+    if (!core->planHolds) {
+        char subject[ID_MAX + 16];
+        snprintf(subject, sizeof(subject), "%s %s", lossWord(core->brokenByLoss), core->brokenBy);
+        see(core, ALERT_PLAN_BROKEN, subject);
+    }
+}
+
+void alertsLook(Core *core)
+{
+    void *mem = talloc_new(core);
+    core->alertLooks++;
+    const bool leads = viewLeading(core->view);
+    const char *words;
+    if (leads && core->repairing)
+        see(core, ALERT_REPAIRING, "cluster");
+    if (leads && !core->repairing) {
+        seatsLook(core);
+        workersLook(core, mem);
+        workLook(core);
+        if (corePolicyFailures(core, &words) > 0)
+            see(core, ALERT_POLICY_FAILS, words);
+        const char **zones;
+        const size_t zoneCount = tableDrains(core->table, mem, &zones);
+        for (size_t i = 0; i < zoneCount; i++)
+            see(core, ALERT_ZONE_EMPTIED, zones[i]);
+    }
+    const char **keys;
+    const size_t count = mapKeys(core->alerts, mem, &keys);
+    for (size_t i = 0; i < count; i++) {
+        Standing *standing = mapGet(core->alerts, keys[i]);
+        if (standing->look == core->alertLooks)
+            continue;
+        mapDrop(core->alerts, keys[i]);
+        talloc_free(standing);
+    }
+    talloc_free(mem);
+}
+
+size_t alertsCount(const Core *core, Alert alert)
+{
+    void *mem = talloc_new(NULL);
+    const char **keys;
+    const size_t count = mapKeys(core->alerts, mem, &keys);
+    size_t standing = 0;
+    for (size_t i = 0; i < count; i++)
+        standing += ((const Standing *)mapGet(core->alerts, keys[i]))->alert == alert;
+    talloc_free(mem);
+    return standing;
+}
+
+static int sinceOrder(const void *a, const void *b)
+{
+    const Standing *x = *(const Standing *const *)a, *y = *(const Standing *const *)b;
+    return x->sinceMs != y->sinceMs ? (x->sinceMs < y->sinceMs ? -1 : 1) : (int)x->alert - (int)y->alert;
+}
+
+json_object *alertsShow(const Core *core)
+{
+    void *mem = talloc_new(NULL);
+    const char **keys;
+    const size_t count = mapKeys(core->alerts, mem, &keys);
+    const Standing **list = talloc_array(mem, const Standing *, (unsigned)count + 1);
+    const int64_t nowMs = loopNowMs(core->loop);
+    for (size_t i = 0; i < count; i++)
+        list[i] = mapGet(core->alerts, keys[i]);
+    qsort(list, count, sizeof(*list), sinceOrder);
+    json_object *body = json_object_new_array();
+    for (size_t i = 0; i < count; i++) {
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "alert", json_object_new_string(alertWord(list[i]->alert)));
+        json_object_object_add(one, "subject", json_object_new_string(list[i]->subject));
+        json_object_object_add(one, "forMs", json_object_new_int64(nowMs - list[i]->sinceMs));
+        json_object_object_add(one, "todo", json_object_new_string(alertTodo(list[i]->alert)));
+        json_object_array_add(body, one);
+    }
+    talloc_free(mem);
+    return body;
+}
+
+static void alertsMain(void *arg)
+{
+    Core *core = arg;
+    while (!loopStopping(core->loop)) {
+        alertsLook(core);
+        loopSleep(core->loop, ALERTS_LOOK_MS);
+    }
+}
+
+void alertsStart(Core *core)
+{
+    loopSpawn(core->loop, "alerts", alertsMain, core);
+}
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "inside.h"
+#include "alerts.h"
 
 /* One request on its way through the leader. */
 typedef struct Way {
@@ -435,6 +435,7 @@
         }
     json_object_object_add(body, "zone", json_object_new_string(way->name));
     json_object_object_add(body, "drained", json_object_new_boolean(tableDrained(way->core->table, way->name)));
+    json_object_object_add(body, "moves", json_object_new_boolean(tableDrainMoves(way->core->table, way->name)));
     json_object_object_add(body, "tasksLeft", json_object_new_int64(left));
     /* whether protected work could still be restarted with this zone empty */
     const PlanInput input = plannerInput(way->core, way->mem);
@@ -454,13 +455,20 @@
 
 static void zoneSet(Way *way, bool drained)
 {
+    int64_t move = 0;
+    queryInt(way->faults, way->task->query, "move", 0, 1, &move);
+    if (way->faults->count > 0) {
+        refuseFaults(way);
+        return;
+    }
     if (!zoneKnown(way)) {
         showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
         return;
     }
     const int64_t clockMs = viewClockMs(way->core->view);
     const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
-    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1};
+    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1,
+                             drained && move == 1};
     Verdict verdict;
     if (delivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &verdict,
                                   way->keeps)))
@@ -490,6 +498,11 @@
     showVerdict(way->task, 200, coreStatus(way->core));
 }
 
+static void alertsGet(Way *way)
+{
+    showVerdict(way->task, 200, alertsShow(way->core));
+}
+
 /* --- routes ---------------------------------------------------------------------------------- */
 
 /* A path of up to three parts after /v1; "*" takes a name. */
@@ -516,6 +529,7 @@
     {"GET", {"queue"}, queueGet},
     {"POST", {"queue", "try"}, queueTry},
     {"GET", {"status"}, statusGet},
+    {"GET", {"alerts"}, alertsGet},
 };
 
 /* Asked for by any entry point: it has come to a leader that serves. */
@@ -624,6 +638,14 @@
     showMetric(task, "worstSyncMs", sight.journal.worstSyncMs);
     showMetric(task, "sight", (int64_t)membersSight(core->members));
     showMetric(task, "planHolds", core->planHolds);
+    for (int i = 0; i < ALERT_COUNT; i++) {
+        char name[48];
+        snprintf(name, sizeof(name), "alert_%s", alertWord((Alert)i));
+        for (char *at = name; *at != '\0'; at++)
+            if (*at == '-')
+                *at = '_';
+        showMetric(task, name, (int64_t)alertsCount(core, (Alert)i));
+    }
     Job *const *jobs;
     showMetric(task, "jobsActive", (int64_t)tableActive(core->table, &jobs));
     showMetric(task, "jobsKnown", (int64_t)tableJobs(core->table, &jobs));
@@ -658,6 +680,10 @@
             proxyReady(&core->proxy, task);
         return;
     }
+    if (strcmp(task->path, "/v1/ring") == 0) {
+        showRing(task, core->ring);
+        return;
+    }
     if (strcmp(task->path, "/v1/trace") == 0) {
         traceServe(core->trace, task);
         return;
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -4,7 +4,7 @@
 #include <talloc.h>
 
 #include "base/epoch.h"
-#include "inside.h"
+#include "alerts.h"
 
 const Config *coreConfig(Core *core)
 {
@@ -215,6 +215,7 @@
     core->liveset = livesetNew(core);
     core->scores = mapNew(core);
     core->kept = mapNew(core);
+    core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
                                  .courier = core->courier,
                                  .ring = ring,
@@ -250,6 +251,7 @@
     membersStart(core->members);
     viewFounding(core->view);
     plannerStart(core);
+    alertsStart(core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
     return STATUS_OK;
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -13,7 +13,7 @@
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
-    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept)
+    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
@@ -51,6 +51,8 @@
     Liveset *liveset;
     Map *scores; /* worker names to Score */
     Map *kept;   /* names of cells to Kept */
+    Map *alerts; /* those that stand */
+    uint64_t alertLooks;
     const Config *config; /* of the table's newest revision */
     Map *policies;        /* names to LuaPolicy, of the same revision */
     uint64_t policyFailuresTold;
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "base/epoch.h"
-#include "inside.h"
+#include "alerts.h"
 
 static json_object *textOf(const char *text)
 {
@@ -167,6 +167,7 @@
     json_object_object_add(body, "policyFailures", numberOf((int64_t)policyFailures));
     if (policyFailures > 0)
         json_object_object_add(body, "policyLastFailure", textOf(words));
+    json_object_object_add(body, "alerts", alertsShow(core));
     json_object *counts = json_object_new_object();
 #define X(name) json_object_object_add(counts, #name, numberOf((int64_t)core->counts.name));
     CORE_COUNT_LIST(X)
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -18,6 +18,7 @@
     Keeper *keeper;
     Proxy proxy;
     Trace *trace;
+    Ring *ring;
     uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     uint64_t revision;
@@ -53,6 +54,8 @@
             proxyReady(&gate->proxy, task);
     } else if (strcmp(task->path, "/metrics") == 0) {
         metrics(gate, task);
+    } else if (strcmp(task->path, "/v1/ring") == 0) {
+        showRing(task, gate->ring);
     } else if (strcmp(task->path, "/v1/trace") == 0) {
         traceServe(gate->trace, task);
     } else if (gate->leaving) {
@@ -135,6 +138,7 @@
 {
     Gate *gate = talloc_zero(mem, Gate);
     gate->loop = loop;
+    gate->ring = ring;
     gate->courier = courierNew(gate, loop, ring);
     gate->keeper = keeperNew(gate, loop);
     Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
--- a/packages/loop/include/loop/real.h
+++ b/packages/loop/include/loop/real.h
@@ -8,6 +8,8 @@
 Loop *realLoopNew(void *mem);
 /* Runs until stopped; SIGTERM and SIGINT call onTerm once. */
 void realLoopRun(Loop *loop, TaskFn onTerm, void *arg);
+/* SIGUSR1 calls fn, any number of times; before realLoopRun. */
+void realLoopOnUser(Loop *loop, TaskFn fn, void *arg);
 /* Splits "a.b.c.d:port"; false when it is not one. */
 bool realAddressValid(const char *address);
 
--- a/packages/loop/src/real.c
+++ b/packages/loop/src/real.c
@@ -126,11 +126,23 @@
     (void)err;
     if (read(h2o_socket_get_fd(sock), &info, sizeof(info)) != (ssize_t)sizeof(info))
         return;
+    if (info.ssi_signo == SIGUSR1) {
+        if (real->onUser != NULL)
+            loopSpawn(&real->loop, "user", real->onUser, real->onUserArg);
+        return;
+    }
     if (real->onTerm != NULL)
         loopSpawn(&real->loop, "term", real->onTerm, real->onTermArg);
     real->onTerm = NULL; /* once */
 }
 
+void realLoopOnUser(Loop *loop, TaskFn fn, void *arg)
+{
+    RealLoop *real = (RealLoop *)loop;
+    real->onUser = fn;
+    real->onUserArg = arg;
+}
+
 void realLoopRun(Loop *loop, TaskFn onTerm, void *arg)
 {
     RealLoop *real = (RealLoop *)loop;
@@ -140,6 +152,8 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    if (real->onUser != NULL)
+        sigaddset(&set, SIGUSR1);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
     h2o_socket_t *signals = h2o_evloop_socket_create(
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -23,6 +23,8 @@
     h2o_timeout_t callTimeout;
     h2o_http1client_ctx_t client;
     TaskFn onTerm;
+    TaskFn onUser;
+    void *onUserArg;
     void *onTermArg;
 } RealLoop;
 
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -224,6 +224,60 @@
     end(fleet);
 }
 
+/* Emptying a zone with a move: what runs there is stopped and started elsewhere,
+ * one at a time; without, it stays until it ends. */
+static void moved(void **state)
+{
+    (void)state;
+    for (int move = 0; move < 2; move++) {
+        Fleet *fleet = begin("{\"cells\":{" CELL("c", "") "}}");
+        hand(fleet, "long", "c", "t", "bulk", 11, 4, 60000);
+        fleetRun(fleet, 2000);
+        assert_int_equal(inPhase(fleet, "long", TASK_RUNNING), 11);
+        assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST",
+                                  move ? "/v1/zones/west/drain?move=1" : "/v1/zones/west/drain", NULL).code, 200);
+        assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/zones/west/drain?move=2", NULL).code, 422);
+        checkerZone(fleet->checker, "west", true);
+        fleetRun(fleet, 12000);
+        const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/zones/west/drain", NULL);
+        assert_non_null(strstr((const char *)call.verdict.data, move ? "\"tasksLeft\":0" : "\"tasksLeft\":3"));
+        assert_int_equal(inPhase(fleet, "long", TASK_RUNNING), 11);
+        end(fleet);
+    }
+}
+
+/* An alert stands while there is something to do, in the list and the metrics;
+ * the log ring can be read from every process. */
+static void alerts(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin("{\"cells\":{" CELL("c", "") "}}");
+    HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
+    assert_string_equal((const char *)call.verdict.data, "[]\n");
+    hand(fleet, "work", "c", "t", "bulk", 11, 4, 30000);
+    fleetRun(fleet, 1000);
+    fleetKill(fleet, FLEET_WORKER, 1);
+    const int second = (fleetLeader(fleet) + 1) % 3;
+    fleetKill(fleet, FLEET_CORE, second);
+    fleetRun(fleet, 6000);
+    call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
+    assert_non_null(strstr((const char *)call.verdict.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\""));
+    assert_non_null(strstr((const char *)call.verdict.data, "{\"alert\":\"seat-out\",\"subject\":\"core"));
+    call = fleetAsk(fleet, fleet, FLEET_CORE, fleetLeader(fleet), "GET", "/metrics", NULL);
+    assert_non_null(strstr((const char *)call.verdict.data, "\nspancart_alert_worker_lost 1\n"));
+    for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
+        call = fleetAsk(fleet, fleet, (FleetRole)role, role == FLEET_CORE ? fleetLeader(fleet) : 0, "GET", "/v1/ring", NULL);
+        assert_int_equal(call.code, 200);
+        assert_true(role != FLEET_CORE || strstr((const char *)call.verdict.data, "leaves the view") != NULL);
+    }
+    fleetStartNode(fleet, FLEET_WORKER, 1);
+    fleetStartNode(fleet, FLEET_CORE, second);
+    fleetRun(fleet, 8000);
+    call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
+    assert_string_equal((const char *)call.verdict.data, "[]\n");
+    end(fleet);
+}
+
 /* Copies of a job's work stand in other racks and zones while room is equal. */
 static void spreads(void **state)
 {
@@ -254,6 +308,8 @@
         cmocka_unit_test(bigAmongSmall),
         cmocka_unit_test(spreads),
         cmocka_unit_test(slowWorker),
+        cmocka_unit_test(moved),
+        cmocka_unit_test(alerts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -68,8 +68,9 @@
 #define CONFIG_SET_FIELDS(X) X(U64, base, 0) X(U64, revision, 0) X(TXT, text, 0) X(FLAG, restored, 0)
 SHAPE(ConfigSet, CONFIG_SET_FIELDS)
 
-/* stamp grows with each order for a zone: an older one told again counts for nothing. */
-#define ZONE_DRAIN_FIELDS(X) X(TXT, zone, 0) X(FLAG, drained, 0) X(I64, stamp, 0)
+/* move: what runs there is to be started elsewhere while the plan holds.
+ * stamp grows with each order for a zone: an older one told again counts for nothing. */
+#define ZONE_DRAIN_FIELDS(X) X(TXT, zone, 0) X(FLAG, drained, 0) X(I64, stamp, 0) X(FLAG, move, 0)
 SHAPE(ZoneDrain, ZONE_DRAIN_FIELDS)
 
 #define FORGET_FIELDS(X) X(I64, beforeMs, 0)
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -46,6 +46,8 @@
 size_t tableConfigs(const Table *table, const ConfigText **configs);
 
 bool tableDrained(const Table *table, const char *zone);
+/* Emptied, and what runs there is to be moved. */
+bool tableDrainMoves(const Table *table, const char *zone);
 /* The stamp of the newest order for the zone; 0: none. */
 int64_t tableDrainStamp(const Table *table, const char *zone);
 size_t tableDrains(const Table *table, void *mem, const char ***zones);
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -143,6 +143,12 @@
     return drain != NULL && drain->drained;
 }
 
+bool tableDrainMoves(const Table *table, const char *zone)
+{
+    const ZoneDrain *drain = mapGet(table->drains, zone);
+    return drain != NULL && drain->drained && drain->move;
+}
+
 int64_t tableDrainStamp(const Table *table, const char *zone)
 {
     const ZoneDrain *drain = mapGet(table->drains, zone);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -73,6 +73,13 @@
     fflush(stdout);
 }
 
+static void userMain(void *arg)
+{
+    const Daemon *daemon = arg;
+    ringDump(daemon->ring, stderr);
+    fflush(stderr);
+}
+
 static void termMain(void *arg)
 {
     Daemon *daemon = arg;
@@ -136,6 +143,7 @@
         daemon->loop = realLoopNew(mem);
         daemon->ring = ringNew(mem, daemon->props.name);
         loopSpawn(daemon->loop, "start", startMain, daemon);
+        realLoopOnUser(daemon->loop, userMain, daemon);
         realLoopRun(daemon->loop, termMain, daemon);
         code = daemon->code;
         /* the process ends here: its memory is the kernel's to take back */
--- a/src/operate.c
+++ b/src/operate.c
@@ -195,16 +195,17 @@
     poptContext context;
     void *mem = talloc_new(NULL);
     const char *text = NULL;
-    int code = flagsTake("zone", "drain ZONE | back ZONE | show ZONE", argc, argv, &flags, left, &context);
+    int code = flagsTake("zone", "drain ZONE | move ZONE | back ZONE | show ZONE", argc, argv, &flags, left, &context);
     const char *verb = left[0] != NULL ? left[0] : "";
     const char *method = strcmp(verb, "drain") == 0  ? "POST"
+                         : strcmp(verb, "move") == 0 ? "POST"
                          : strcmp(verb, "back") == 0 ? "DELETE"
                          : strcmp(verb, "show") == 0 ? "GET"
                                                      : NULL;
     if (code == EXIT_GOOD && (method == NULL || left[1] == NULL))
-        code = wrong("zone", "say drain ZONE, back ZONE or show ZONE");
+        code = wrong("zone", "say drain ZONE, move ZONE, back ZONE or show ZONE");
     if (code == EXIT_GOOD)
-        code = ask("zone", &flags, method, talloc_asprintf(mem, "/v1/zones/%s/drain", left[1]), (Bytes){0}, mem, &text);
+        code = ask("zone", &flags, method, talloc_asprintf(mem, "/v1/zones/%s/drain%s", left[1], strcmp(verb, "move") == 0 ? "?move=1" : ""), (Bytes){0}, mem, &text);
     if (code == EXIT_GOOD)
         printJson(text);
     poptFreeContext(context);
@@ -261,6 +262,12 @@
                    json_object_get_double(get(room, "cpu")), textOf(free, "memMb"), textOf(room, "memMb"));
         putchar('\n');
     }
+    json_object *alerts = get(body, "alerts");
+    for (size_t i = 0; alerts != NULL && i < json_object_array_length(alerts); i++) {
+        json_object *one = json_object_array_get_idx(alerts, i);
+        printf("ALERT  %s %s, for %s ms: %s\n", textOf(one, "alert"), textOf(one, "subject"), textOf(one, "forMs"),
+               textOf(one, "todo"));
+    }
     json_object *zones = get(body, "drainedZones");
     for (size_t i = 0; i < json_object_array_length(zones); i++)
         printf("zone %s is drained\n", json_object_get_string(json_object_array_get_idx(zones, i)));
