A wider run of real processes: gates, the second core, a whole zone, TERM of each role

Cause: on real processes only a worker, the leader, an agent and everything at once were killed or frozen.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -10,6 +10,9 @@
                                 leader during it, stop, check every never
                                 --hard: an agent and the leader frozen (SIGSTOP),
                                 then every process killed at once and started again
+                                --wide: a gate killed, another frozen, the second
+                                core killed, a whole zone killed and started again,
+                                then a TERM to one of each role under load
 
 Each process gets its own addresses (ports taken from the kernel), its zone and
 three seed addresses in a props file of its own; nothing else tells it of others.
@@ -208,6 +211,55 @@
     return kills, list(fleet.nodes)
 
 
+def zone_of(name):
+    return (int("".join(c for c in name if c.isdigit())) - 1) % 3
+
+
+def wide_failures(fleet, options):
+    """Gates, the second core, a whole zone; then one of each role asked to stop."""
+    kills, gone = {}, []
+
+    def back(names):
+        time.sleep(3)
+        for name in names:
+            fleet.launch(name)
+        time.sleep(options.seconds * 0.08)
+
+    time.sleep(options.seconds * 0.1)
+    kills["gate"] = now_ms()
+    fleet.kill("gate1")
+    kills["freeze-of-gate"] = now_ms()
+    fleet.kill("gate2", signal.SIGSTOP)
+    time.sleep(3)
+    fleet.kill("gate2", signal.SIGCONT)
+    back(["gate1"])
+    leader = fleet.ask("/v1/status")["leader"]
+    second = next(name for name in ("core1", "core2", "core3") if name != leader)
+    kills["second-core"] = now_ms()
+    fleet.kill(second)
+    back([second])
+    zone = [name for name in fleet.nodes if zone_of(name) == zone_of(leader)]
+    kills["zone-of-the-leader"] = now_ms()
+    for name in zone:
+        fleet.kill(name)
+    back(zone)
+    fleet.settle(options.workers)
+    leader = fleet.ask("/v1/status")["leader"]
+    for name in ("worker1", "agent1", "gate3", leader):
+        kills["term-of-" + name.rstrip("0123456789")] = now_ms()
+        fleet.kill(name, signal.SIGTERM)
+        until = time.monotonic() + 8
+        while fleet.alive(name) and time.monotonic() < until:
+            time.sleep(0.02)
+        if fleet.alive(name):
+            raise SystemExit(f"{name} did not stop on SIGTERM")
+        if name.startswith("worker"):
+            fleet.note(f"gone {name}")
+        fleet.launch(name)
+        time.sleep(2)
+    return kills, gone
+
+
 def run(fleet, options):
     workers = options.workers
     # each run begins with empty disks: the same job ids are new jobs
@@ -224,7 +276,7 @@
             caller = subprocess.Popen([fleet.binary, "caller", "--entries", ",".join(fleet.entries()), "--mix", options.mix,
                                        "--rate", str(rate), "--for", str(options.seconds * 1000), "--configure",
                                        "--record", fleet.record], stdout=log, stderr=log)
-        kills, gone = (hard_failures if options.hard else failures)(fleet, options)
+        kills, gone = (hard_failures if options.hard else wide_failures if options.wide else failures)(fleet, options)
         if options.hard:
             for name in gone:
                 fleet.launch(name)
@@ -257,6 +309,7 @@
     parser.add_argument("--gates", type=int, default=3)
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--hard", action="store_true")
+    parser.add_argument("--wide", action="store_true")
     parser.add_argument("--binary", default=os.path.join(HERE, "..", "build", "spancart"))
     options = parser.parse_args()
     fleet = Fleet(options.folder, os.path.abspath(options.binary))
