--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -28,6 +28,9 @@
 
 static bool fault(Timeline *timeline, const char *column, const char *what)
 {
+    /* a never that broke is the cause of what does not hold */
+    if (checkerBrokenAll(timeline->fleet->checker) > 0)
+        what = checkerFirst(timeline->fleet->checker);
     snprintf(timeline->why, timeline->whySize, "at %" PRId64 " ms, column %s: %s",
              simNowMs(timeline->fleet->world) - timeline->startMs, column, what);
     return false;
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -48,12 +48,12 @@
 20000  .        .       .       .        .       end
 """
 AGENTS_FROZEN_THEN_CUT = """
-ms     agent1       agent2       agent4       agent5       callers
-0      .            .            .            .            call:40+links:80
-4000   freeze:700   freeze:700   freeze:700   freeze:700   .
-4200   cut          cut          cut          cut          .
-14000  join         join         join         join         links:3
-20000  .            .            .            .            end
+ms     agent1      agent2      agent4      agent5      agent7      agent8      callers
+0      .           .           .           .           .           .           call:40+links:20
+4000   freeze:780  freeze:780  freeze:780  freeze:780  freeze:780  freeze:780  .
+4200   cut         cut         cut         cut         cut         cut         .
+14000  join        join        join        join        join        join        links:3
+14001  .           .           .           .           .           .           end
 """
 AGENT_CUT = """
 ms     agent1  agent2  agent4  agent5  callers
@@ -141,7 +141,7 @@
     Guard("hold-counted-from-sending", "an agent counts its hold from when it sent the beat", "packages/agent/src/leader.c",
           "holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs)",
           "holdAnswered(&agent->hold, answer.epoch, loopNowMs(agent->loop), answer.holdMs)",
-          CLAIM, "timeline", "trentvale", 8, AGENTS_FROZEN_THEN_CUT),
+          CLAIM, "timeline", "trentvale", 16, AGENTS_FROZEN_THEN_CUT),
     Guard("hold-handed-on", "the agent hands the worker no more than is left of its own hold", "packages/agent/src/worker.c",
           "const int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
           "const int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
@@ -348,18 +348,18 @@
         with_it = next(scratch.scenario(guard), None)
         before = scratch.edit(guard)
         scratch.make()
-        others, found = 0, None
+        others, found, last = 0, None, ""
         for seed, why in scratch.scenario(guard):
             if re.search(guard.never, why):
                 found = (seed, why)
                 break
-            others += 1
+            others, last = others + 1, why
         scratch.restore(before)
         scratch.make()
         good = found is not None and with_it is None
         bad += not good
         print(f"{'seen' if good else 'FINDING'} {guard.name}: {guard.what}\n     without it: "
-              + (f"seed {found[0]}, {found[1][:150]}" if found else f"nothing of it broke ({others} other breaks)")
+              + (f"seed {found[0]}, {found[1][:150]}" if found else f"nothing of it broke ({others} other breaks{': ' + last[:120] if last else ''})")
               + (f"\n     WITH it: seed {with_it[0]}, {with_it[1][:150]}" if with_it else ""), flush=True)
     print(f"{len(chosen) - bad} passed, {bad} failed")
     return 1 if bad else 0
