--- /dev/null
+++ b/packages/template/test/template.c
@@ -0,0 +1,96 @@
+/* Templates and overlays: what they make, and what they refuse whole. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "template/template.h"
+
+static const char TEMPLATE[] =
+    "{\"parameters\":{\"cell\":{},\"share\":{\"default\":2},\"team\":{\"default\":\"ops\"}},"
+    "\"template\":{\"r\":1,\"cells\":{\"${cell}\":{\"share\":\"${share}\",\"tenants\":{\"${team}-${cell}\":{}},\"queues\":{\"q\":{}}}}}}";
+
+static char *filled(void *mem, const TemplateValue *values, size_t count, Faults *faults)
+{
+    json_object *template = json_tokener_parse(TEMPLATE);
+    json_object *document = templateFill(faults, template, values, count);
+    char *text = document != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN)) : NULL;
+    json_object_put(document);
+    json_object_put(template);
+    return text;
+}
+
+static Faults *faultsNew(void *mem)
+{
+    Faults *faults = talloc_zero(mem, Faults);
+    faults->mem = mem;
+    return faults;
+}
+
+static void fills(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    const TemplateValue values[] = {{"cell", "imagery"}, {"share", "5"}};
+    assert_string_equal(filled(mem, values, 2, faultsNew(mem)),
+                        "{\"r\":1,\"cells\":{\"imagery\":{\"share\":5,\"tenants\":{\"ops-imagery\":{}},\"queues\":{\"q\":{}}}}}");
+    assert_non_null(strstr(filled(mem, values, 1, faultsNew(mem)), "\"share\":2"));
+    talloc_free(mem);
+}
+
+static void refusesParameters(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    Faults *faults = faultsNew(mem);
+    assert_null(filled(mem, NULL, 0, faults));
+    assert_string_equal(faults->list[0].path, "parameters.cell");
+    const TemplateValue unknown[] = {{"cell", "x"}, {"zell", "y"}};
+    faults = faultsNew(mem);
+    assert_null(filled(mem, unknown, 2, faults));
+    assert_string_equal(faults->list[0].path, "parameters.zell");
+    const TemplateValue number[] = {{"cell", "7"}};
+    faults = faultsNew(mem);
+    assert_null(filled(mem, number, 1, faults)); /* a cell's name can't be a number */
+    talloc_free(mem);
+}
+
+static char *overlaid(void *mem, const char *overlayText, Faults *faults)
+{
+    json_object *document = json_tokener_parse("{\"r\":1,\"cells\":{\"a\":{\"share\":2},\"b\":{}}}");
+    json_object *overlay = json_tokener_parse(overlayText);
+    json_object *result = templateOverlay(faults, document, overlay);
+    char *text = result != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(result, JSON_C_TO_STRING_PLAIN)) : NULL;
+    assert_string_equal(json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN),
+                        "{\"r\":1,\"cells\":{\"a\":{\"share\":2},\"b\":{}}}"); /* as it was */
+    json_object_put(result);
+    json_object_put(overlay);
+    json_object_put(document);
+    return text;
+}
+
+static void overlays(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    Faults *faults = faultsNew(mem);
+    assert_string_equal(overlaid(mem, "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"+limit\":9},\"b\":null,\"+c\":{}}}", faults),
+                        "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"limit\":9},\"c\":{}}}");
+    assert_null(overlaid(mem, "{\"r\":2,\"cells\":{\"z\":{\"share\":3}}}", faults));
+    assert_string_equal(faults->list[0].path, "cells.z");
+    assert_null(overlaid(mem, "{\"cells\":{\"+a\":{}}}", faults));
+    assert_string_equal(faults->list[1].path, "cells.a");
+    assert_null(overlaid(mem, "{\"zoneLoss\":null}", faults));
+    assert_null(overlaid(mem, "[]", faults));
+    talloc_free(mem);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {cmocka_unit_test(fills), cmocka_unit_test(refusesParameters), cmocka_unit_test(overlays)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/operate.c
+++ b/src/operate.c
@@ -151,12 +151,14 @@
 
 int runConfig(int argc, const char **argv)
 {
+    if (argc > 1 && strcmp(argv[1], "build") == 0)
+        return runBuild(argc - 1, argv + 1);
     Flags flags = {0};
     const char *left[3];
     poptContext context;
     void *mem = talloc_new(NULL);
     const char *text = NULL;
-    int code = flagsTake("config", "show [-r N] | history | set -b BASE -f FILE | patch -b BASE -f FILE", argc, argv,
+    int code = flagsTake("config", "show [-r N] | history | set -b BASE -f FILE | patch -b BASE -f FILE | build -t FILE ...", argc, argv,
                          &flags, left, &context);
     const char *verb = left[0] != NULL ? left[0] : "";
     const Bytes none = {0};
@@ -179,7 +181,7 @@
             code = ask("config", &flags, verb[0] == 's' ? "PUT" : "PATCH",
                        talloc_asprintf(mem, "/v1/config?base=%lld", flags.base), body, mem, &text);
     } else {
-        code = wrong("config", "say show, history, set or patch");
+        code = wrong("config", "say show, history, set, patch or build");
     }
     if (code == EXIT_GOOD)
         printJson(text);
--- a/src/options.h
+++ b/src/options.h
@@ -24,6 +24,7 @@
 int runCaller(int argc, const char **argv);
 int runJob(int argc, const char **argv);
 int runConfig(int argc, const char **argv);
+int runBuild(int argc, const char **argv); /* config build */
 int runZone(int argc, const char **argv);
 int runStatus(int argc, const char **argv);
 int runPolicy(int argc, const char **argv);
--- a/tests/cli.py
+++ b/tests/cli.py
@@ -56,6 +56,25 @@
     check("gate with data", ["check", "gate", "--props", props(GOOD + data)], 2, "data")
     check("good gate", ["check", "gate", "--props", props(GOOD)], 0, "good")
 
+EXAMPLES = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "examples")
+for site in ("trentvale", "atlas"):
+    for role in ("core", "gate", "agent"):
+        check(f"sample {site} {role}", ["check", role, "--props", f"{EXAMPLES}/{site}/{role}.ini"], 0, "good")
+    with tempfile.TemporaryDirectory() as folder:
+        whole = os.path.join(folder, "t.json")
+        with open(f"{EXAMPLES}/{site}/config.json") as file, open(whole, "w") as to:
+            to.write('{"parameters":{},"template":' + file.read() + "}")
+        check(f"sample {site} configuration", ["config", "build", "--template", whole], 0, '"zoneLoss": true')
+TEMPLATE = ["config", "build", "--template", f"{EXAMPLES}/cell.template.json"]
+check("template", TEMPLATE + ["--set", "cell=lab", "--set", "cores=12"], 0, '"lab-team"')
+check("overlay", TEMPLATE + ["--set", "cell=lab", "--overlay", f"{EXAMPLES}/night.overlay.json"], 0, '"zoneLoss": true')
+check("template without its parameter", TEMPLATE, 2, "parameters.cell")
+check("unknown parameter", TEMPLATE + ["--set", "cell=lab", "--set", "zell=x"], 2, "parameters.zell")
+check("overlay twice", TEMPLATE + ["--set", "cell=lab"] + ["--overlay", f"{EXAMPLES}/night.overlay.json"] * 2, 2, "zoneLoss")
+check("what a template makes is checked", TEMPLATE + ["--set", "cell=lab", "--set", "share=0"], 2, "cells.lab.share")
+check("no template", ["config", "build", "--template", "/nowhere"], 2, "/nowhere")
+check("bad set", TEMPLATE + ["--set", "cell"], 2, "--set")
+
 check("no file", ["check", "core", "--props", "/nowhere"], 2, "/nowhere")
 check("no such role", ["check", "boss"], 2, "boss")
 check("no such command", ["dance"], 2, "dance")
