--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -49,7 +49,7 @@
 #define LOG_BATCH_ENTRIES 256  /* count; likewise */
 #define LOG_BACK_STEP 64       /* count; a seat whose log differs is asked again from so many entries earlier */
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
-#define WOKEN_WAIT_MS 4000     /* ms; a view resting on woken seats waits this long for the last view's members */
+#define WOKEN_WAIT_MS 3000     /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, and the steps after it must end within 12 s */
 #define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
 #define REPAIR_KEEP_MS 120000  /* ms; how long gates and agents keep what they were told, for repair */
 #define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose for this long */
@@ -83,6 +83,8 @@
 #define SCORE_FADE_MS 10000    /* ms; a rate that nothing renews halves in this, so that all are tried again */
 #define SCORE_SHARE 4          /* of the fleet's workers at most one in so many rests at once */
 
+#define SLOW_WEIGHT 50         /* percent; what a slow round counts: rounds beside each other are one sign, so signs are few */
+#define SLOW_SIGNS 2           /* count; of different jobs, before a worker counts as slow at all */
 #define SLOW_TIMES 3           /* count; a round that takes so many times its step's median is a slow one */
 #define SLOW_OTHERS 4          /* count; other rounds of the step that a median needs */
 #define SLOW_OTHERS_MOST 64    /* count; ... and more than this are not looked at: a step may have thousands */
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -95,6 +95,7 @@
 typedef struct Score {
     Tally failed; /* rounds that failed */
     Tally slow;   /* rounds that took several times as long as the others of their step */
+    int64_t slowEndMs; /* log time of the end of the last one counted as slow */
     int64_t restUntilMs;  /* own clock; given nothing before this */
     int64_t restMs;       /* the last rest's length */
 } Score;
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -27,7 +27,9 @@
     const Score *score = scoreFind(core, worker);
     if (score == NULL)
         return 0;
-    const uint64_t failed = tallyRate(core, score, &score->failed), slow = tallyRate(core, score, &score->slow);
+    const uint64_t failed = tallyRate(core, score, &score->failed);
+    /* one sign alone may have been one pause */
+    const uint64_t slow = score->slow.jobs >= SLOW_SIGNS ? tallyRate(core, score, &score->slow) : 0;
     return failed > slow ? failed : slow;
 }
 
@@ -71,11 +73,12 @@
                 score->restMs);
 }
 
-static void tallyTake(Core *core, const char *worker, Score *score, Tally *tally, const Job *job, bool bad, const char *how)
+static void tallyTake(Core *core, const char *worker, Score *score, Tally *tally, const Job *job, bool bad, uint64_t weight,
+                      const char *how)
 {
     tally->ratePercent = tallyRate(core, score, tally);
     tally->ratedMs = loopNowMs(core->loop);
-    tally->ratePercent = (tally->ratePercent * (100 - SCORE_WEIGHT) + (bad ? 100 : 0) * SCORE_WEIGHT) / 100;
+    tally->ratePercent = (tally->ratePercent * (100 - weight) + (bad ? 100 : 0) * weight) / 100;
     if (!bad) {
         tally->jobs = 0;
         if (score->failed.ratePercent < SCORE_WEIGHT && score->slow.ratePercent < SCORE_WEIGHT)
@@ -138,8 +141,14 @@
             score = talloc_zero(core->scores, Score);
             mapSet(core->scores, news->worker, score);
         }
-        tallyTake(core, news->worker, score, &score->failed, job, news->word == ROUND_FAILED, "fails its work");
-        if (known)
-            tallyTake(core, news->worker, score, &score->slow, job, slow, "is slow");
+        tallyTake(core, news->worker, score, &score->failed, job, news->word == ROUND_FAILED, SCORE_WEIGHT,
+                  "fails its work");
+        /* rounds that ran beside one already counted may all have met the same
+         * pause: one pause is one sign */
+        const bool beside = slow && job->tasks[news->task].startedMs < score->slowEndMs;
+        if (known && !beside)
+            tallyTake(core, news->worker, score, &score->slow, job, slow, SLOW_WEIGHT, "is slow");
+        if (known && slow && !beside)
+            score->slowEndMs = job->tasks[news->task].changedMs;
     }
 }
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -116,6 +116,7 @@
 /* Accepted jobs not shown as ended. */
 size_t checkerOpen(const Checker *checker);
 size_t checkerStarts(const Checker *checker);
+size_t checkerStartsOn(Checker *checker, const char *worker);
 /* How long ago the worker last started something. */
 int64_t checkerStartedSince(Checker *checker, const char *worker);
 /* To be called now and then: looks for what takes time to go wrong. */
--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -136,6 +136,11 @@
         checker->planGone = true;
 }
 
+size_t checkerStartsOn(Checker *checker, const char *worker)
+{
+    return seenWorker(checker, worker)->starts;
+}
+
 int64_t checkerStartedSince(Checker *checker, const char *worker)
 {
     return checkerNow(checker) - seenWorker(checker, worker)->startedMs;
--- a/packages/sim/src/checker.h
+++ b/packages/sim/src/checker.h
@@ -60,6 +60,7 @@
     Room used;
     int64_t leavingMs; /* 0: not */
     int64_t startedMs; /* 0: never */
+    size_t starts;
     int64_t claimUntilMs; /* by the questions it sent that were answered */
 } SeenWorker;
 
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -312,6 +312,8 @@
     if (!good)
         fault(timeline, "-", "the fleet did not settle");
     timeline->startMs = simNowMs(fleet->world);
+    if (shape.mix == MIX_VARIED)
+        checkerQuota(fleet->checker, "bounded", (Room){3000, 0}, TENANT_IN);
     good = good && draw(timeline, talloc_strdup(mem, text));
     if (!good)
         fleetDump(fleet);
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -528,6 +528,62 @@
     end(fleet);
 }
 
+/* A leader that freezes with requests on the way: nobody waits out a long expiry.
+ * What carries an identity is asked of the new leader; a change of configuration
+ * gets its 504 as soon as a newer epoch is heard of, reads their answer. */
+static void leaderFreezes(void **state)
+{
+    (void)state;
+    static const char JOB[] = "{\"id\":\"on-the-way\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["
+                              "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":64}}]}";
+    static const struct {
+        const char *method, *path, *body;
+        int code;
+    } ASKED[] = {{"POST", "/v1/jobs", JOB, 201}, {"PATCH", "/v1/config?base=1", "{\"r\":0}", 504}, {"GET", "/v1/config", NULL, 200}};
+    for (size_t i = 0; i < sizeof(ASKED) / sizeof(ASKED[0]); i++) {
+        Fleet *fleet = fleetNew(NULL, 3 + i, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+        fleetStart(fleet);
+        assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+        fleetRun(fleet, 1000);
+        fleetFreeze(fleet, FLEET_CORE, fleetLeader(fleet), 9000);
+        const int64_t fromMs = simNowMs(fleet->world);
+        const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, ASKED[i].method, ASKED[i].path, ASKED[i].body);
+        const int64_t tookMs = simNowMs(fleet->world) - fromMs;
+        print_message("%s %s: %d after %lld ms %.*s\n", ASKED[i].method, ASKED[i].path, call.code, (long long)tookMs,
+                      call.code >= 400 ? 120 : 0, (const char *)call.verdict.data);
+        if (call.code == 503) /* every way was tried before a new leader was heard of */
+            assert_true(call.retryAfterS > 0 && ASKED[i].code != 504);
+        else
+            assert_int_equal(call.code, ASKED[i].code);
+        assert_true(tookMs < 5000);
+        assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+        talloc_free(fleet);
+    }
+}
+
+/* /readyz tells the truth in each zone while one is cut off. */
+static void readyInACut(void **state)
+{
+    (void)state;
+    Fleet *fleet = fleetNew(NULL, 8, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    for (int i = 0; i < 3; i++)
+        assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, i, "GET", "/readyz", NULL).code, 200);
+    fleetZoneCut(fleet, "north", true);
+    fleetRun(fleet, 8000);
+    const HttpCall cut = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/readyz", NULL);
+    assert_int_equal(cut.code, 503);
+    assert_true(cut.retryAfterS > 0);
+    assert_int_not_equal(fleetAsk(fleet, fleet, FLEET_CORE, 0, "GET", "/readyz", NULL).code, 200);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "GET", "/readyz", NULL).code, 200);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 2, "GET", "/readyz", NULL).code, 200);
+    fleetZoneCut(fleet, "north", false);
+    fleetRun(fleet, 5000);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/readyz", NULL).code, 200);
+    talloc_free(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -536,6 +592,7 @@
         cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
         cmocka_unit_test(badReports),    cmocka_unit_test(traced),
         cmocka_unit_test(storeGone),     cmocka_unit_test(copies),        cmocka_unit_test(othersUse),
+        cmocka_unit_test(leaderFreezes), cmocka_unit_test(readyInACut),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
