--- a/packages/beat/include/beat/messages.h
+++ b/packages/beat/include/beat/messages.h
@@ -4,6 +4,10 @@
 #include "table/change.h"
 #include "view/messages.h"
 
+/* How far a running round has come, told when it has changed. */
+#define ROUND_SAVED_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(TXT, text, 0)
+SHAPE(RoundSaved, ROUND_SAVED_FIELDS)
+
 /* An agent's beat. rounds: all it knows of that may run or whose end is not yet
  * known to the leader. settled: that list is complete (it has heard its worker,
  * or the worker's hold has lapsed, since it started).
@@ -17,7 +21,9 @@
     X(FLAG, leaving, 0)         \
     X(FLAG, settled, 0)         \
     X(LST, rounds, RoundId)     \
-    X(ONE, others, Room)
+    X(ONE, others, Room)        \
+    X(LST, saved, RoundSaved)   \
+    X(I64, leaveMs, 0) /* leaving: it stays at least so long; 0: not told */
 SHAPE(BeatAsk, BEAT_ASK_FIELDS)
 
 #define BEAT_ANSWER_FIELDS(X) X(U64, epoch, 0) X(I64, holdMs, 0)
@@ -43,7 +49,8 @@
     X(U64, task, 0)      \
     X(U64, round, 0)     \
     X(ONE, room, Room)   \
-    X(TXT, payload, 0)
+    X(TXT, payload, 0)   \
+    X(TXT, saved, 0)
 SHAPE(Order, ORDER_FIELDS)
 
 #define FETCH_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, have, 0) X(U64, haveEpoch, 0)
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -26,7 +26,7 @@
 #undef X
 } ChangeKind;
 
-#define JOB_ADD_FIELDS(X) X(ONE, spec, JobSpec)
+#define JOB_ADD_FIELDS(X) X(ONE, spec, JobSpec) X(ONE, terms, JobTerms)
 SHAPE(JobAdd, JOB_ADD_FIELDS)
 
 #define JOB_CANCEL_FIELDS(X) X(TXT, id, 0)
@@ -41,7 +41,8 @@
     X(U64, round, 0)        \
     X(TXT, worker, 0)       \
     X(U64, incarnation, 0)  \
-    X(FLAG, assured, 0)
+    X(FLAG, assured, 0)     \
+    X(TXT, saved, 0) /* from where the round goes on */
 SHAPE(Placement, PLACEMENT_FIELDS)
 
 #define PLACE_LIST_FIELDS(X) X(LST, placements, Placement)
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -1,10 +1,11 @@
 #ifndef TABLE_JOB_H
 #define TABLE_JOB_H
 
+#include "base/constants.h"
 #include "wire/shape.h"
 
 /* Room is a vector; a task fits where every part of it does. */
-#define ROOM_FIELDS(X) X(U64, cpuMilli, 0) X(U64, memMb, 0)
+#define ROOM_FIELDS(X) X(U64, cpuMilli, 0) X(U64, memMb, 0) X(U64, gpu, 0)
 SHAPE(Room, ROOM_FIELDS)
 
 #define STEP_SPEC_FIELDS(X)                                              \
@@ -15,7 +16,13 @@
     X(ONE, room, Room)  /* of each task */                                  \
     X(TXT, kind, 0)     /* of worker; empty: any */                         \
     X(TXS, labels, 0)   /* the worker must have all */                      \
-    X(TXT, payload, 0)  /* JSON for the worker; not read here */
+    X(TXT, payload, 0)  /* JSON for the worker; not read here */               \
+    X(U64, estMs, 0)    /* the caller's rough guess of one task's time; 0: none */ \
+    X(U64, apart, 0)    /* at most so many of its tasks on one worker; 0: any */ \
+    X(FLAG, sameRack, 0) /* faster when all its tasks are in one rack */         \
+    X(TXT, near, 0)     /* the rack that holds its data; empty: none */          \
+    X(FLAG, saves, 0)   /* what a round has done so far is kept for the next */  \
+    X(FLAG, copies, 0)  /* two rounds of a task at once are allowed */
 SHAPE(StepSpec, STEP_SPEC_FIELDS)
 
 #define PROTECTION_LIST(X) X(PROTECTED, "protected") X(BEST_EFFORT, "best-effort") X(NONE, "none")
@@ -39,7 +46,11 @@
     X(I64, dueWallMs, 0)   /* not before; 0: none */                               \
     X(I64, delayMs, 0)     /* not before so long after acceptance */               \
     X(U64, roundLimit, 0)  /* a task that failed so often has failed */            \
-    X(LST, steps, StepSpec)
+    X(LST, steps, StepSpec)                                                     \
+    X(FLAG, lasting, 0)    /* its tasks run until it is cancelled; however a round ends, another starts */ \
+    X(U64, turns, 0)       /* all steps are done so many times; 0 is once */       \
+    X(I64, firstWallMs, 0) /* turn K is due at firstWallMs + K x periodMs; 0: at once */ \
+    X(I64, periodMs, 0)
 SHAPE(JobSpec, JOB_SPEC_FIELDS)
 
 #define TASK_PHASE_LIST(X)                                                    \
@@ -77,7 +88,11 @@
     X(I64, changedMs, 0)   /* log time of its last change of phase */           \
     X(I64, startedMs, 0)   /* log time of the first round's start; 0: none */   \
     X(TXT, text, 0)        /* the worker's last word on it */                   \
-    X(TXT, shunned, 0)     /* the worker that its last round failed on */
+    X(TXT, shunned, 0)     /* the worker that its last round failed on */       \
+    X(U64, turn, 0)        /* from 0; the tasks of one turn wait for that turn's steps alone */ \
+    X(U64, at, 0)          /* its place among its turn's and step's tasks, from 0 */ \
+    X(TXT, saved, 0)       /* how far its rounds have come, as the worker worded it; a gang's is one */ \
+    X(U64, missRound, 0)   /* the round that misses last counted: a gang's failure counts once */
 SHAPE(JobTask, JOB_TASK_FIELDS)
 
 #define JOB_PHASE_LIST(X) X(ACTIVE, "active") X(DONE, "done") X(FAILED, "failed") X(CANCELLED, "cancelled")
@@ -88,6 +103,16 @@
         JOB_PHASE_COUNT
 } JobPhase;
 
+/* What its queue's configuration said when the job was accepted. It is no part of
+ * the body: the same job sent again under a newer configuration is the same job. */
+#define JOB_TERMS_FIELDS(X)                                                    \
+    X(U64, roundLimit, 0)   /* failed rounds of one task, or one gang, that fail it; 0: the spec's own */ \
+    X(U64, stretchMilli, 0) /* its aim: stretch x its longest chain of work ...  */ \
+    X(I64, targetMs, 0)     /* ... + this, from acceptance or due time; both 0: none */ \
+    X(I64, priority, 0)     /* of the queue */                                   \
+    X(TXT, kind, 0)         /* of worker that the queue is served by; empty: any */
+SHAPE(JobTerms, JOB_TERMS_FIELDS)
+
 /* Invariants: number is its place in the order of acceptance, never used
  * again; phase leaves ACTIVE once, and only when every task has ended. */
 #define JOB_FIELDS(X)                                                          \
@@ -97,9 +122,18 @@
     X(U64, ending, 0)     /* ACTIVE, or what it will be once no task runs */      \
     X(I64, acceptedMs, 0) /* log time */                                          \
     X(I64, endedMs, 0)                                                           \
-    X(LST, tasks, JobTask) /* in the order of the steps */
+    X(LST, tasks, JobTask) /* in the order of turns, then steps */               \
+    X(ONE, terms, JobTerms)
 SHAPE(Job, JOB_FIELDS)
 
+/* A task's number names it outside of its job: by turn, step and place in the
+ * step, so that whoever knows these three needs not know the job. */
+#define TASK_NUMBER_PLACES 16384 /* count; more than JOB_TASKS_MAX */
+#define TASK_NUMBER(turn, step, at) (((uint64_t)(turn)*JOB_STEPS_MAX + (step)) * TASK_NUMBER_PLACES + (at))
+uint64_t taskNumber(const JobTask *task);
+/* Its index in tasks; tasksCount when the job has no such task. */
+size_t taskIndex(const Job *job, uint64_t number);
+
 const char *taskPhaseWord(uint64_t phase);
 const char *jobPhaseWord(uint64_t phase);
 const char *protectionWord(uint64_t protection);
--- a/packages/table/include/table/worker.h
+++ b/packages/table/include/table/worker.h
@@ -22,7 +22,10 @@
     X(FAILED, "failed")                                                            \
     X(STOPPED, "stopped")  /* it runs no more because it was told to stop */         \
     X(REFUSED, "refused")  /* never started: expired, no room, unknown kind */        \
-    X(LOST, "lost")        /* it runs no more: the worker lost it or lapsed */
+    X(LOST, "lost")        /* it runs no more: the worker lost it */                 \
+    X(LAPSED, "lapsed")    /* ... its hold was over */                               \
+    X(BROKEN, "broken")    /* ... another member of its gang ended */                \
+    X(ALONE, "alone")      /* ... it waited too long for the others of its gang */
 typedef enum RoundWord {
 #define X(name, word) ROUND_##name,
     ROUND_WORD_LIST(X)
@@ -39,7 +42,8 @@
     X(U64, round, 0)         \
     X(TXT, worker, 0)        \
     X(U64, word, 0)          \
-    X(TXT, text, 0)
+    X(TXT, text, 0)          \
+    X(TXT, saved, 0) /* how far it had come; empty: nothing is kept */
 SHAPE(RoundNews, ROUND_NEWS_FIELDS)
 
 #endif
--- a/packages/table/src/job.c
+++ b/packages/table/src/job.c
@@ -6,6 +6,7 @@
 SHAPE_TABLE(StepSpec, STEP_SPEC_FIELDS)
 SHAPE_TABLE(JobSpec, JOB_SPEC_FIELDS)
 SHAPE_TABLE(JobTask, JOB_TASK_FIELDS)
+SHAPE_TABLE(JobTerms, JOB_TERMS_FIELDS)
 SHAPE_TABLE(Job, JOB_FIELDS)
 
 static const struct {
@@ -27,6 +28,25 @@
     return phase == TASK_DONE || phase == TASK_FAILED || phase == TASK_CANCELLED;
 }
 
+uint64_t taskNumber(const JobTask *task)
+{
+    return TASK_NUMBER(task->turn, task->step, task->at);
+}
+
+size_t taskIndex(const Job *job, uint64_t number)
+{
+    const uint64_t at = number % TASK_NUMBER_PLACES, steps = number / TASK_NUMBER_PLACES;
+    const uint64_t step = steps % JOB_STEPS_MAX, turn = steps / JOB_STEPS_MAX;
+    const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
+    if (turn >= turns || step >= job->spec.stepsCount || at >= job->spec.steps[step].count)
+        return job->tasksCount;
+    uint64_t before = 0;
+    for (size_t i = 0; i < step; i++)
+        before += job->spec.steps[i].count;
+    const size_t index = (size_t)(turn * (job->tasksCount / turns) + before + at);
+    return index < job->tasksCount ? index : job->tasksCount;
+}
+
 const char *taskPhaseWord(uint64_t phase)
 {
     return phase < TASK_PHASE_COUNT ? PHASES[phase].word : "unlisted";
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -306,13 +306,23 @@
     shapeCopy(&JobSpecShape, &add->spec, job, &job->spec);
     job->number = table->lastNumber + 1;
     job->acceptedMs = change->atMs;
+    const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
+    shapeCopy(&JobTermsShape, &add->terms, job, &job->terms);
     for (size_t i = 0; i < job->spec.stepsCount; i++)
-        job->tasksCount += (size_t)job->spec.steps[i].count;
+        job->tasksCount += (size_t)(job->spec.steps[i].count * turns);
     job->tasks = talloc_zero_array(job, JobTask, (unsigned)job->tasksCount);
     size_t at = 0;
-    for (size_t i = 0; i < job->spec.stepsCount; i++)
-        for (uint64_t k = 0; k < job->spec.steps[i].count; k++)
-            job->tasks[at++] = (JobTask){.step = i, .worker = "", .text = "", .shunned = "", .changedMs = change->atMs};
+    for (uint64_t turn = 0; turn < turns; turn++)
+        for (size_t i = 0; i < job->spec.stepsCount; i++)
+            for (uint64_t k = 0; k < job->spec.steps[i].count; k++)
+                job->tasks[at++] = (JobTask){.step = i,
+                                             .turn = turn,
+                                             .at = k,
+                                             .worker = "",
+                                             .text = "",
+                                             .shunned = "",
+                                             .saved = "",
+                                             .changedMs = change->atMs};
     jobEnter(table, job);
     verdict->number = job->number;
     /* what of it finished well before the disks forgot it stays finished */
