--- /dev/null
+++ b/packages/props/include/props/bounds.h
@@ -0,0 +1,36 @@
+#ifndef PROPS_BOUNDS_H
+#define PROPS_BOUNDS_H
+
+#include <stdint.h>
+
+#include "base/constants.h"
+
+/* Spans and counts that a deployment sets; the constants are the defaults. All
+ * processes of a cluster must be given the same.
+ * X(name, default, least, most, meaning). Units are in the names. */
+#define BOUND_LIST(X)                                                                                         \
+    X(holdMs, AGENT_HOLD_MS, 1000, 60000, "an agent's hold, as the leader answers its beat")                   \
+    X(workerHoldMs, AGENT_HOLD_MS, 500, 60000, "the most of it that the agent passes on to its worker")        \
+    X(workerPollMs, WORKER_POLL_MS, 0, 10000, "a worker's question is held at most so long")                   \
+    X(stopMs, 1000, 1, 60000, "a worker stops a round within this")                                            \
+    X(gangMs, 3000, 1, 600000, "a gang's first member waits so long for the last")                             \
+    X(saveMs, 1000, 1, 600000, "a round that keeps its progress does so this often")                           \
+    X(farPercent, 150, 100, 10000, "work away from its data, or spread over racks, takes so much of its time") \
+    X(jobKeepMs, JOB_KEEP_MS, 1000, 86400000, "an ended job is kept so long")                                  \
+    X(seatBackMs, SEAT_GONE_MS, 1000, 600000, "a seat that returns, or is replaced, is whole again within this") \
+    X(losses, 1, 1, 4, "disk machines whose loss at once must be borne: seats are twice that and one")         \
+    X(founds, 0, 0, 1, "the first start of all: a cluster may be founded by the seeds' votes")                 \
+    X(graceMs, DRAIN_MS, 100, 600000, "SIGTERM: gone within this")
+
+typedef struct Bounds {
+#define X(name, otherwise, least, most, meaning) int64_t name;
+    BOUND_LIST(X)
+#undef X
+} Bounds;
+
+/* The defaults. */
+Bounds boundsFirst(void);
+/* Sets one by its name; 0: done, -1: no such name, -2: out of its range. */
+int boundsSet(Bounds *bounds, const char *name, int64_t value);
+
+#endif
--- a/packages/props/include/props/props.h
+++ b/packages/props/include/props/props.h
@@ -2,6 +2,7 @@
 #define PROPS_PROPS_H
 
 #include "member/members.h"
+#include "props/bounds.h"
 
 /* What a process is told of its place. Nothing else tells it of others. */
 typedef struct Props {
@@ -12,6 +13,9 @@
     const char *seeds[SEEDS];
     const char *data; /* cores: the folder of the journal */
     const char *worker; /* agents: the worker it is beside; the name when not given */
+    /* Given by propsFirst; a Props that was zeroed instead has them filled in by
+     * whoever starts a role (coreStart, gateStart, agentStart): losses is 0 then. */
+    Bounds bounds;
 } Props;
 
 /* Which keys a role must have; others are refused. */
--- /dev/null
+++ b/packages/props/src/bounds.c
@@ -0,0 +1,26 @@
+#include "props/bounds.h"
+
+#include <string.h>
+
+Bounds boundsFirst(void)
+{
+    return (Bounds){
+#define X(name, otherwise, least, most, meaning) .name = otherwise,
+        BOUND_LIST(X)
+#undef X
+    };
+}
+
+int boundsSet(Bounds *bounds, const char *name, int64_t value)
+{
+#define X(bound, otherwise, least, most, meaning)       \
+    if (strcmp(name, #bound) == 0) {                    \
+        if (value < (least) || value > (most))          \
+            return -2;                                  \
+        bounds->bound = value;                          \
+        return 0;                                       \
+    }
+    BOUND_LIST(X)
+#undef X
+    return -1;
+}
