--- a/packages/props/include/props/props.h
+++ b/packages/props/include/props/props.h
@@ -13,9 +13,7 @@
     const char *seeds[SEEDS];
     const char *data; /* cores: the folder of the journal */
     const char *worker; /* agents: the worker it is beside; the name when not given */
-    /* Given by propsFirst; a Props that was zeroed instead has them filled in by
-     * whoever starts a role (coreStart, gateStart, agentStart): losses is 0 then. */
-    Bounds bounds;
+    Bounds bounds; /* whoever fills in a Props begins with boundsFirst */
 } Props;
 
 /* Which keys a role must have; others are refused. */
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -129,6 +129,7 @@
     node->number = number;
     node->machine = simMachine(fleet->world);
     const char *ip = simAddress(fleet->world, node->machine);
+    node->props.bounds = boundsFirst();
     node->props.name = talloc_asprintf(fleet, "%s%d", ROLE_NAMES[role], number + 1);
     node->props.zone = ZONES[number % 3];
     node->props.listen = talloc_asprintf(fleet, "%s:7000", ip);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -135,6 +135,7 @@
     Daemon *daemon = talloc_zero(mem, Daemon);
     daemon->mem = mem;
     daemon->role = role;
+    daemon->props.bounds = boundsFirst();
     char *record = NULL;
     int code = propsTake(mem, role, ROLES[role], argc, argv, &daemon->props, &record);
     if (code == EXIT_GOOD && record != NULL && (daemon->record = fopen(record, "a")) == NULL)
@@ -177,7 +178,7 @@
     for (int role = 0; role < 3; role++)
         if (strcmp(argv[1], ROLES[role]) == 0) {
             void *mem = talloc_new(NULL);
-            Props props = {0};
+            Props props = {.bounds = boundsFirst()};
             char *record = NULL;
             const int code = propsTake(mem, (PropsRole)role, "check", argc - 1, argv + 1, &props, &record);
             if (code == EXIT_GOOD)
