The tree builds with the new fields; room counts gpu throughout plan and queue

The fields added to Room, Order, RoundNews and JobAdd left initializers by position short, which -Werror refuses.

--- a/packages/agent/src/leader.c
+++ b/packages/agent/src/leader.c
@@ -89,7 +89,7 @@
                                                       round->order.round,
                                                       agent->workerName,
                                                       round->phase == PHASE_ENDED ? round->word : ROUND_RUNNING,
-                                                      talloc_strdup(mem, round->text)};
+                                                      talloc_strdup(mem, round->text), ""};
     return ask->newsCount;
 }
 
@@ -242,7 +242,7 @@
         if (over ? round->word == ROUND_DONE : round->phase != PHASE_OFFERED)
             rounds.news[rounds.newsCount++] =
                 (RoundNews){round->order.job,  round->order.task,           round->order.round,
-                            agent->workerName, over ? round->word : ROUND_RUNNING, round->text};
+                            agent->workerName, over ? round->word : ROUND_RUNNING, round->text, ""};
     }
     if (rounds.newsCount == 0)
         return STATUS_OK;
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -97,7 +97,7 @@
         Round *round = roundFind(agent, news->job, news->task, news->round);
         if (round == NULL) {
             /* from before our own start: the leader says whether it is wanted */
-            const Order order = {news->job, news->task, news->round, {0}, ""};
+            const Order order = {news->job, news->task, news->round, {0}, "", ""};
             round = roundAdd(agent, &order, PHASE_RUNNING);
             round->runningUntold = true;
             signalRaise(agent->loop, &agent->toTell);
@@ -112,7 +112,7 @@
         const RoundNews *news = &report->ended[i];
         Round *round = roundFind(agent, news->job, news->task, news->round);
         if (round == NULL) {
-            const Order order = {news->job, news->task, news->round, {0}, ""};
+            const Order order = {news->job, news->task, news->round, {0}, "", ""};
             round = roundAdd(agent, &order, PHASE_RUNNING);
         }
         if (round->phase == PHASE_KNOWN || round->phase == PHASE_ENDED) {
@@ -154,10 +154,12 @@
         if (has(report->running, report->runningCount, &round->order)) {
             known.cpuMilli += round->order.room.cpuMilli;
             known.memMb += round->order.room.memMb;
+            known.gpu += round->order.room.gpu;
         }
     const Room whole = report->worker.room;
     agent->others = (Room){whole.cpuMilli > known.cpuMilli ? whole.cpuMilli - known.cpuMilli : 0,
-                           whole.memMb > known.memMb ? whole.memMb - known.memMb : 0};
+                           whole.memMb > known.memMb ? whole.memMb - known.memMb : 0,
+                           whole.gpu > known.gpu ? whole.gpu - known.gpu : 0};
 }
 
 static bool anythingFor(const Agent *agent, int64_t nowMs)
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -30,7 +30,7 @@
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
             list.news[list.newsCount++] =
                 (RoundNews){talloc_strdup(mem, job->spec.id), t, task->round, worker->name,
-                            task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST, "not on its worker any more"};
+                            task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST, "not on its worker any more", ""};
         }
     }
     return list;
@@ -148,7 +148,7 @@
             }
             const StepSpec *step = &job->spec.steps[task->step];
             out->starts[out->startsCount++] =
-                (Order){id, t, task->round, step->room, talloc_strdup(mem, step->payload)};
+                (Order){id, t, task->round, step->room, talloc_strdup(mem, step->payload), talloc_strdup(mem, task->saved)};
         }
     }
 }
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -115,7 +115,7 @@
         if (shapeEqual(&JobSpecShape, &known->spec, &spec)) {
             /* whoever carries this verdict may be the only one to have heard it */
             KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
-            const JobAdd add = {spec};
+            const JobAdd add = {.spec = spec};
             shapePack(&JobAddShape, &add, way->mem, &item.payload);
             keepAdd(way, &item);
             showAccepted(way, known, 200);
@@ -136,7 +136,7 @@
         showRefusal(way->task, STATUS_QUEUE_FULL, "too much waits in this cell; nothing was taken: come back", NULL);
         return;
     }
-    const JobAdd add = {spec};
+    const JobAdd add = {.spec = spec};
     Verdict verdict;
     if (!delivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &verdict, way->keeps)))
         return;
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -67,7 +67,7 @@
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
             list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), t, task->round,
-                                                      talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent"};
+                                                      talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent", ""};
         }
     Verdict verdict;
     if (list.newsCount > 0)
@@ -325,7 +325,7 @@
     const Candidate *x = a, *y = b;
     const Room *p = &x->job->spec.steps[x->job->tasks[x->first].step].room;
     const Room *q = &y->job->spec.steps[y->job->tasks[y->first].step].room;
-    const Room unit = {1000, 2000}; /* a core weighs as much as 2 GB */
+    const Room unit = {1000, 2000, 1}; /* a core weighs as much as 2 GB */
     const uint64_t s = roomShare(*p, unit), t = roomShare(*q, unit);
     if (s != t)
         return s > t ? -1 : 1;
--- a/packages/plan/src/cheap.c
+++ b/packages/plan/src/cheap.c
@@ -34,7 +34,9 @@
 {
     const uint64_t cpu = each.cpuMilli > 0 ? free.cpuMilli / each.cpuMilli : UINT32_MAX;
     const uint64_t mem = each.memMb > 0 ? free.memMb / each.memMb : UINT32_MAX;
-    return cpu < mem ? cpu : mem;
+    const uint64_t gpu = each.gpu > 0 ? free.gpu / each.gpu : UINT32_MAX;
+    const uint64_t least = cpu < mem ? cpu : mem;
+    return least < gpu ? least : gpu;
 }
 
 static bool groupHolds(const Group *group, const PlanInput *input, void *mem)
@@ -89,6 +91,8 @@
                 mine.biggest.cpuMilli = groups[g].biggest.cpuMilli;
             if (groups[g].biggest.memMb > mine.biggest.memMb)
                 mine.biggest.memMb = groups[g].biggest.memMb;
+            if (groups[g].biggest.gpu > mine.biggest.gpu)
+                mine.biggest.gpu = groups[g].biggest.gpu;
             groups[g] = groups[--count];
         }
         groups[count++] = mine;
--- a/packages/plan/src/plan.c
+++ b/packages/plan/src/plan.c
@@ -41,6 +41,8 @@
             largest.cpuMilli = workers[i].room.cpuMilli;
         if (workers[i].room.memMb > largest.memMb)
             largest.memMb = workers[i].room.memMb;
+        if (workers[i].room.gpu > largest.gpu)
+            largest.gpu = workers[i].room.gpu;
     }
     return largest;
 }
--- a/packages/plan/test/plan.c
+++ b/packages/plan/test/plan.c
@@ -13,12 +13,12 @@
 
 static PlanWorker worker(const char *name, const char *zone, uint64_t cpu, uint64_t mem)
 {
-    return (PlanWorker){name, zone, "", "std", NULL, 0, {cpu, mem}, {cpu, mem}, 0};
+    return (PlanWorker){name, zone, "", "std", NULL, 0, {cpu, mem, 0}, {cpu, mem, 0}, 0};
 }
 
 static PlanTask task(size_t at, uint64_t cpu, uint64_t mem)
 {
-    return (PlanTask){{{cpu, mem}, "", NULL, 0}, at, PLAN_NO_CELL};
+    return (PlanTask){{{cpu, mem, 0}, "", NULL, 0}, at, PLAN_NO_CELL};
 }
 
 static void takeOut(PlanInput *input)
@@ -50,7 +50,7 @@
     PlanWorker workers[] = {worker("a", "z1", 8, 8), worker("b", "z2", 8, 8), worker("c", "z3", 8, 8)};
     workers[0].labels = workers[1].labels = ssd;
     workers[0].labelCount = workers[1].labelCount = 1;
-    PlanTask tasks[] = {{{{4, 4}, "std", ssd, 1}, 0, PLAN_NO_CELL}, {{{4, 4}, "std", ssd, 1}, 1, PLAN_NO_CELL}};
+    PlanTask tasks[] = {{{{4, 4, 0}, "std", ssd, 1}, 0, PLAN_NO_CELL}, {{{4, 4, 0}, "std", ssd, 1}, 1, PLAN_NO_CELL}};
     PlanInput input = {workers, 3, tasks, 2, 1, false, false, 0, NULL};
     takeOut(&input);
     PlanBreak broken = {0};
@@ -120,7 +120,7 @@
     PlanWorker workers[] = {worker("a", "z1", 4, 9), worker("b", "z2", 4, 9)};
     workers[1].free.cpuMilli = 1;
     PlanTask tasks[] = {task(0, 3, 1), task(0, 1, 1)};
-    Room pushable[] = {{0, 0}, {3, 9}, {0, 0}, {0, 0}};
+    Room pushable[] = {{0, 0, 0}, {3, 9, 0}, {0, 0, 0}, {0, 0, 0}};
     PlanInput input = {workers, 2, tasks, 1, 1, false, false, 2, pushable};
     takeOut(&input);
     assert_false(planAlwaysPossible(&input, NULL));
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -109,7 +109,7 @@
 
 static Room roomSum(Room a, Room b)
 {
-    return (Room){a.cpuMilli + b.cpuMilli, a.memMb + b.memMb};
+    return (Room){a.cpuMilli + b.cpuMilli, a.memMb + b.memMb, a.gpu + b.gpu};
 }
 
 /* The larger part of the fleet, in millionths: fine enough for one small task. */
@@ -117,7 +117,9 @@
 {
     const uint64_t cpu = fleet.cpuMilli > 0 ? room.cpuMilli * 1000000 / fleet.cpuMilli : 0;
     const uint64_t mem = fleet.memMb > 0 ? room.memMb * 1000000 / fleet.memMb : 0;
-    return cpu > mem ? cpu : mem;
+    const uint64_t gpu = fleet.gpu > 0 ? room.gpu * 1000000 / fleet.gpu : 0;
+    const uint64_t most = cpu > mem ? cpu : mem;
+    return most > gpu ? most : gpu;
 }
 
 QueueUse *queueUse(void *mem, const Table *table, const Config *config, Room fleet)
@@ -208,7 +210,7 @@
 static Room roomOf(const Candidate *candidate)
 {
     const Room one = candidate->job->spec.steps[candidate->job->tasks[candidate->first].step].room;
-    return (Room){one.cpuMilli * candidate->count, one.memMb * candidate->count};
+    return (Room){one.cpuMilli * candidate->count, one.memMb * candidate->count, one.gpu * candidate->count};
 }
 
 /* Gives each its turns: what its tenant and its cell would use with it. */
--- a/packages/sim/src/checkconfig.c
+++ b/packages/sim/src/checkconfig.c
@@ -81,7 +81,8 @@
         return;
     }
     if (word == TENANT_ASKED || tenant->quotaMs != 0)
-        tenant->looser = (Room){looserOf(tenant->looser.cpuMilli, quota.cpuMilli), looserOf(tenant->looser.memMb, quota.memMb)};
+        tenant->looser = (Room){looserOf(tenant->looser.cpuMilli, quota.cpuMilli), looserOf(tenant->looser.memMb, quota.memMb),
+                                looserOf(tenant->looser.gpu, quota.gpu)};
     else
         tenant->looser = quota;
     tenant->quotaUnsure = word == TENANT_ASKED;
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -160,7 +160,7 @@
                        .kind = shape.mix == MIX_VARIED && i % 4 == 1 ? "gpu" : "std",
                        .labels = (const char **)(uintptr_t)SSD,
                        .labelsCount = shape.mix == MIX_VARIED && i % 2 == 0,
-                       .room = large ? (Room){64000, 131072} : (Room){16000, 65536}},
+                       .room = large ? (Room){64000, 131072, 0} : (Room){16000, 65536, 0}},
             .agent = agent->props.http,
             .watch = {worker, onStarted, onEnded, onKnown, onBooted, onHeld, onTold},
         };
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -236,7 +236,7 @@
     } else {
         checkerConfigSet(fleet->checker, 1);
         if (props->mix == MIX_VARIED)
-            checkerQuota(fleet->checker, "bounded", (Room){3000, 0}, TENANT_IN);
+            checkerQuota(fleet->checker, "bounded", (Room){3000, 0, 0}, TENANT_IN);
         sweep->startMs = simNowMs(fleet->world);
         for (int i = 0; i < fleet->shape.cores && sweep->liars; i++)
             simDiskLie(fleet->world, fleet->nodes[FLEET_CORE][i].machine, true);
--- a/packages/sim/src/sweepwork.c
+++ b/packages/sim/src/sweepwork.c
@@ -141,7 +141,7 @@
         return;
     Operator *operator = operatorNew(sweep, base, "bounded", true);
     operator->quota = true;
-    operator->room = (Room){1000 * (1 + sweepDraw(sweep, 4)), 0};
+    operator->room = (Room){1000 * (1 + sweepDraw(sweep, 4)), 0, 0};
     operator->body = talloc_asprintf(
         operator, "{\"cells\":{\"imagery\":{\"tenants\":{\"bounded\":{\"quota\":{\"cpu\":%" PRIu64 ",\"memMb\":0}}}}}}",
         operator->room.cpuMilli / 1000);
--- a/packages/sim/src/timeline.c
+++ b/packages/sim/src/timeline.c
@@ -313,7 +313,7 @@
         fault(timeline, "-", "the fleet did not settle");
     timeline->startMs = simNowMs(fleet->world);
     if (shape.mix == MIX_VARIED)
-        checkerQuota(fleet->checker, "bounded", (Room){3000, 0}, TENANT_IN);
+        checkerQuota(fleet->checker, "bounded", (Room){3000, 0, 0}, TENANT_IN);
     good = good && draw(timeline, talloc_strdup(mem, text));
     if (!good)
         fleetDump(fleet);
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -61,7 +61,7 @@
     return checker;
 }
 
-static const Room ONE = {1000, 10};
+static const Room ONE = {1000, 10, 0};
 
 static void only(Checker *checker, Never never)
 {
@@ -111,8 +111,8 @@
 
     c = begin(), checkerStarted(c, "w1", "j", 1, 1, ONE), only(c, NEVER_TOO_EARLY);
 
-    c = begin(), checkerStarted(c, "w1", "x", 0, 1, (Room){2001, 1}), only(c, NEVER_OVERPACKED);
-    c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerStarted(c, "w1", "x", 1, 1, (Room){500, 95});
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, (Room){2001, 1, 0}), only(c, NEVER_OVERPACKED);
+    c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerStarted(c, "w1", "x", 1, 1, (Room){500, 95, 0});
     only(c, NEVER_OVERPACKED);
     c = begin(), checkerStarted(c, "gpu", "j", 0, 1, ONE), only(c, NEVER_OVERPACKED);
 
@@ -157,12 +157,12 @@
     c = begin(), checkerTenant(c, "n", TENANT_ASKED), checkerTenant(c, "n", TENANT_REFUSED), checkerProbe(c, "n", nowMs, true);
     only(c, NEVER_REFUSED_CONFIG);
     c = begin(), checkerConfigBoth(c, 3), only(c, NEVER_CONFIG_LOST);
-    c = begin(), checkerQuota(c, "t", (Room){1000, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
+    c = begin(), checkerQuota(c, "t", (Room){1000, 0, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
     checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE), checkerStarted(c, "w1", "j", 1, 1, ONE), good(c);
     checkerStarted(c, "w1", "j", 2, 1, ONE), only(c, NEVER_OVER_QUOTA);
-    c = begin(), checkerQuota(c, "t", (Room){2000, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
+    c = begin(), checkerQuota(c, "t", (Room){2000, 0, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
     checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE), checkerStarted(c, "w1", "j", 1, 1, ONE);
-    checkerQuota(c, "t", (Room){1000, 0}, TENANT_IN), nowMs += 1900, checkerStarted(c, "w1", "j", 2, 1, ONE), good(c);
+    checkerQuota(c, "t", (Room){1000, 0, 0}, TENANT_IN), nowMs += 1900, checkerStarted(c, "w1", "j", 2, 1, ONE), good(c);
     checkerEnded(c, "w1", "j", 2, 1, ROUND_LOST), nowMs += 200, checkerStarted(c, "w1", "j", 2, 2, ONE);
     only(c, NEVER_OVER_QUOTA);
 
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -429,7 +429,7 @@
     (void)state;
     Fleet *fleet = fleetNew(NULL, 11, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
     for (int i = 0; i < 10; i++)
-        fleetNode(fleet, FLEET_WORKER, i)->workerProps.others = (Room){60000, 0};
+        fleetNode(fleet, FLEET_WORKER, i)->workerProps.others = (Room){60000, 0, 0};
     fleetStart(fleet);
     assert_true(fleetSettle(fleet, 30000));
     assert_true(fleetConfigure(fleet));
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -112,7 +112,8 @@
     run->round = round;
     json_object *cpu = NULL;
     json_object_object_get_ex(room, "cpu", &cpu);
-    run->room = (Room){(uint64_t)(json_object_get_double(cpu) * 1000 + 0.5), (uint64_t)intOf(room, "memMb", 0)};
+    run->room = (Room){(uint64_t)(json_object_get_double(cpu) * 1000 + 0.5), (uint64_t)intOf(room, "memMb", 0),
+                       (uint64_t)intOf(room, "gpu", 0)};
     const int64_t times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
     run->endMs = nowMs + intOf(payload, "runMs", 1000) * times;
     run->fails = worker->props.failsAll || (int64_t)round <= intOf(payload, "failRounds", 0);
@@ -181,9 +182,11 @@
         if (!run->ended) {
             used.cpuMilli += run->room.cpuMilli;
             used.memMb += run->room.memMb;
+            used.gpu += run->room.gpu;
         }
     const Room free = {self->room.cpuMilli > used.cpuMilli ? self->room.cpuMilli - used.cpuMilli : 0,
-                       self->room.memMb > used.memMb ? self->room.memMb - used.memMb : 0};
+                       self->room.memMb > used.memMb ? self->room.memMb - used.memMb : 0,
+                       self->room.gpu > used.gpu ? self->room.gpu - used.gpu : 0};
     json_object_object_add(body, "free", showRoom(free));
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
