--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -107,6 +107,7 @@
 
 /* --- process ---------------------------------------------------------------- */
 #define TASK_STACK_BYTES (192 * 1024) /* bytes; JSON and printf fit with room to spare, also under ASan */
+#define TASK_STACKS_KEPT 24 /* count; stacks of ended tasks kept for the next: a burst beyond it pays for its own */
 #define FRAME_MAX_BYTES (32 * 1024 * 1024) /* bytes; a snapshot fits */
 #define CHANNEL_QUEUE_BYTES (96 * 1024 * 1024) /* bytes; more unsent than this ends the connection */
 #define CHANNEL_QUEUE_FRAMES 4096 /* count; more unread than this ends the connection */
