--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -658,7 +658,7 @@
 #undef X
 }
 
-void callersTake(Core *core, HttpTask *task)
+void coreTake(Core *core, HttpTask *task)
 {
     if (strcmp(task->path, "/metrics") == 0) {
         metrics(core, task);
@@ -712,11 +712,13 @@
                        .method = ask->method,
                        .path = ask->path,
                        .query = ask->query,
+                       .host = ask->host,
                        .body = ask->body,
                        .kind = "application/json"};
     KeepList keeps = {0};
     leaderServe(core, task, mem, &keeps);
     out->code = (uint64_t)task->code;
+    out->status = task->status;
     out->kind = task->kind;
     out->body = task->verdict;
     out->retryAfterS = (uint64_t)task->retryAfterS;
