--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -60,6 +60,11 @@
 #define JOB_STEPS_MAX 64       /* count; steps in one job */
 #define JOB_BODY_MAX (256 * 1024) /* bytes; one job's JSON */
 #define CONFIG_BODY_MAX (1024 * 1024) /* bytes; one configuration's JSON */
+#define CONFIG_NOTE_MAX (64 * 1024) /* bytes; an operator's note on a queue, a kind, or the whole */
+#define CONFIG_PATH_MAX 1024   /* bytes; a host, a prefix, a path: longer ones are mistakes */
+#define CONFIG_SPAN_MAX_MS 1000000000 /* ms; eleven days: longer ones are mistakes */
+#define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* bytes; a larger limit is a mistake */
+#define CONFIG_STRETCH_MAX 1000 /* times; a larger stretch is a mistake */
 #define CONFIG_HISTORY 200     /* count; revisions that can be read back */
 #define ID_MAX 96              /* bytes; a job's, tenant's, worker's name */
 #define ROUNDS_DEFAULT 3       /* count; rounds a failing task gets unless its owner says */
