The agent's side of a worker becomes a typed interface with its JSON on top

Cause: the report and its answer could be spoken only as the product's JSON, so any other way to speak to a worker would have had to go through it. agentReport (agent/report.h) takes a WorkerReport and gives WorkerOrders; reportjson.c is the JSON over it, unchanged for workers but for what is added: fence (the newest epoch's counter), saved with a start, and one expiry for all starts of an answer, the least of them. Fields for a new boot, a leave in order and the time left are there, and are taken from the next change on.

--- /dev/null
+++ b/packages/agent/include/agent/report.h
@@ -0,0 +1,45 @@
+#ifndef AGENT_REPORT_H
+#define AGENT_REPORT_H
+
+#include "agent/agent.h"
+#include "beat/messages.h"
+
+/* What a worker says of itself, whatever it speaks. Rounds are named by job, task
+ * number (TASK_NUMBER) and round. */
+typedef struct WorkerReport {
+    const char *boot;  /* the worker's present life: nothing of one outlives it */
+    Worker worker;     /* its name is not looked at: the agent stands beside one worker */
+    bool bootEnds;     /* a new boot means for certain that the old one is over */
+    bool leaving;
+    int64_t leaveMs;   /* leaving: it stays at least so long; 0: not told */
+    bool left;         /* it has left in order: nothing runs there any more */
+    bool freeTold;
+    Room free;
+    int64_t waitMs;    /* the answer may be held back for so long */
+    const RoundNews *running, *ended;
+    size_t runningCount, endedCount;
+} WorkerReport;
+
+/* What it is told. A hold counts from when the worker sent its question; 0: none,
+ * and no start. Invariants: fence never falls within one boot; a hold that is
+ * passed on ends, on a clock CLOCK_SLOW_PERCENT slow, before the agent's own. */
+typedef struct WorkerOrders {
+    uint64_t epoch; /* the newest that the agent knows */
+    uint64_t fence; /* its counter */
+    int64_t holdMs;
+    const Order *starts;
+    size_t startsCount;
+    int64_t startMs; /* none of the starts stands longer than this from now */
+    const RoundId *stops;
+    size_t stopsCount;
+    const RoundId *known; /* of the rounds that it has told as ended: those whose end is committed */
+    size_t knownCount;
+} WorkerOrders;
+
+/* Waits, at most report->waitMs, for something to answer with. gone is looked at
+ * while it waits. orders hang on mem, and are over once they have been taken: what
+ * they start counts as given. CLOSED: another question has come since, or the asker
+ * has gone; DUPLICATE_WORKER: another boot may still be running, or this one is over. */
+Status agentReport(Agent *agent, void *mem, const bool *gone, const WorkerReport *report, WorkerOrders *orders);
+
+#endif
--- /dev/null
+++ b/packages/agent/src/reportjson.c
@@ -0,0 +1,131 @@
+/* A worker's report and its orders as JSON over HTTP: the product's own face. */
+#include <string.h>
+#include <talloc.h>
+
+#include "agent/report.h"
+#include "config/check.h"
+#include "inside.h"
+
+static size_t readRounds(Faults *faults, json_object *object, const char *key, bool withWord, const RoundNews **out)
+{
+    static const char *const KEYS[] = {"job", "task", "round", "word", "text", NULL};
+    json_object *list;
+    if (!json_object_object_get_ex(object, key, &list))
+        return 0;
+    if (!json_object_is_type(list, json_type_array)) {
+        faultAdd(faults, STATUS_BAD_FIELD, key, "must be an array");
+        return 0;
+    }
+    const size_t count = json_object_array_length(list);
+    RoundNews *read = talloc_zero_array(faults->mem, RoundNews, (unsigned)count);
+    *out = read;
+    for (size_t i = 0; i < count; i++) {
+        json_object *one = json_object_array_get_idx(list, i);
+        const char *path = talloc_asprintf(faults->mem, "%s[%zu]", key, i);
+        RoundNews *news = &read[i];
+        *news = (RoundNews){.job = "", .worker = "", .text = "", .saved = ""};
+        if (!checkKeys(faults, one, path, KEYS))
+            continue;
+        news->job = checkName(faults, one, path, "job", NULL);
+        news->task = (uint64_t)checkInt(faults, one, path, "task", 0, INT64_MAX, 0);
+        news->round = (uint64_t)checkInt(faults, one, path, "round", 1, INT64_MAX, 0);
+        news->word = ROUND_RUNNING;
+        if (withWord) {
+            news->word = roundOfWord(checkName(faults, one, path, "word", NULL));
+            if (news->word == ROUND_WORD_COUNT || news->word == ROUND_RUNNING)
+                faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "word"),
+                         "must be done, failed, stopped, refused or lost");
+        }
+        json_object *text;
+        if (json_object_object_get_ex(one, "text", &text) && json_object_is_type(text, json_type_string))
+            news->text = talloc_strndup(faults->mem, json_object_get_string(text), 200);
+    }
+    return count;
+}
+
+static bool reportRead(Faults *faults, const HttpTask *task, const char *name, WorkerReport *report)
+{
+    static const char *const KEYS[] = {"boot",    "zone",    "rack",  "kind",   "labels", "room",
+                                       "free",    "leaving", "running", "ended", "waitMs", NULL};
+    json_object *object = checkParse(faults, (const char *)task->body.data, task->body.count);
+    if (object == NULL)
+        return false;
+    if (checkKeys(faults, object, "", KEYS)) {
+        report->boot = checkName(faults, object, "", "boot", NULL);
+        report->worker = (Worker){.name = name,
+                                  .zone = checkName(faults, object, "", "zone", NULL),
+                                  .rack = checkName(faults, object, "", "rack", ""),
+                                  .kind = checkName(faults, object, "", "kind", ""),
+                                  .room = checkRoom(faults, object, "", "room", true)};
+        report->worker.labels = checkNames(faults, object, "", "labels", &report->worker.labelsCount);
+        report->freeTold = json_object_object_get_ex(object, "free", NULL);
+        report->free = checkRoom(faults, object, "", "free", false);
+        report->leaving = checkFlag(faults, object, "", "leaving", false);
+        report->waitMs = checkInt(faults, object, "", "waitMs", 0, WORKER_POLL_MS * 10, WORKER_POLL_MS);
+        report->runningCount = readRounds(faults, object, "running", false, &report->running);
+        report->endedCount = readRounds(faults, object, "ended", true, &report->ended);
+    }
+    json_object_put(object);
+    return faults->seen == 0;
+}
+
+static json_object *idOf(const char *job, uint64_t task, uint64_t round)
+{
+    json_object *object = json_object_new_object();
+    json_object_object_add(object, "job", json_object_new_string(job));
+    json_object_object_add(object, "task", json_object_new_int64((int64_t)task));
+    json_object_object_add(object, "round", json_object_new_int64((int64_t)round));
+    return object;
+}
+
+static json_object *idsOf(const RoundId *ids, size_t count)
+{
+    json_object *list = json_object_new_array();
+    for (size_t i = 0; i < count; i++)
+        json_object_array_add(list, idOf(ids[i].job, ids[i].task, ids[i].round));
+    return list;
+}
+
+static void ordersShow(HttpTask *task, const WorkerOrders *orders)
+{
+    json_object *body = json_object_new_object(), *starts = json_object_new_array();
+    for (size_t i = 0; i < orders->startsCount; i++) {
+        const Order *order = &orders->starts[i];
+        json_object *one = idOf(order->job, order->task, order->round);
+        json_object_object_add(one, "epoch", json_object_new_int64((int64_t)orders->epoch));
+        json_object_object_add(one, "expiryMs", json_object_new_int64(orders->startMs));
+        json_object_object_add(one, "room", showRoom(order->room));
+        json_object_object_add(one, "payload", order->payload[0] ? json_tokener_parse(order->payload) : NULL);
+        json_object_object_add(one, "saved", json_object_new_string(order->saved));
+        json_object_array_add(starts, one);
+    }
+    json_object_object_add(body, "holdMs", json_object_new_int64(orders->holdMs));
+    json_object_object_add(body, "fence", json_object_new_int64((int64_t)orders->fence));
+    json_object_object_add(body, "starts", starts);
+    json_object_object_add(body, "stops", idsOf(orders->stops, orders->stopsCount));
+    json_object_object_add(body, "known", idsOf(orders->known, orders->knownCount));
+    showVerdict(task, 200, body);
+}
+
+void workerTake(Agent *agent, HttpTask *task, const char *name)
+{
+    Faults *faults = talloc_zero(task, Faults);
+    faults->mem = faults;
+    WorkerReport report = {0};
+    WorkerOrders orders;
+    if (strcmp(name, agent->workerName) != 0) {
+        showRefusal(task, STATUS_UNKNOWN_WORKER, "this agent stands beside another worker", NULL);
+        return;
+    }
+    if (!reportRead(faults, task, name, &report)) {
+        showRefusal(task, faults->list[0].status, faults->list[0].text, faults);
+        return;
+    }
+    const Status status = agentReport(agent, task, &task->gone, &report, &orders);
+    if (status == STATUS_DUPLICATE_WORKER)
+        showRefusal(task, status, "another process of this name may still be running", NULL);
+    else if (status != STATUS_OK)
+        showRefusal(task, status, "another question has come since", NULL);
+    else
+        ordersShow(task, &orders);
+}
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -52,9 +52,7 @@
     X(JOURNAL_FORMAT, "journal-format", 500)        \
     X(BAD_POLICY, "bad-policy", 422)                \
     X(INTERNAL, "internal", 500)                    \
-    X(OTHER_DISK, "other-disk", 409)                \
-    X(HEAD_LARGE, "head-large", 431)                \
-    X(NO_CONFIG, "no-config", 503)
+    X(OTHER_DISK, "other-disk", 409)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
