--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -70,7 +70,9 @@
 #define CONFIG_SPAN_MAX_MS 1000000000 /* ms; eleven days: longer ones are mistakes */
 #define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* bytes; a larger limit is a mistake */
 #define CONFIG_STRETCH_MAX 1000 /* times; a larger stretch is a mistake */
-#define CONFIG_HISTORY 200     /* count; revisions that can be read back */
+#define CONFIG_HISTORY 200     /* count; revisions that can be read back, as far as the bytes allow */
+#define CONFIG_HISTORY_STEP 50 /* count; ... older ones go by so many at once */
+#define CONFIG_HISTORY_BYTES (1024 * 1024) /* bytes; texts and patches kept beside one whole text */
 #define ID_MAX 96              /* bytes; a job's, tenant's, worker's name */
 #define ROUNDS_DEFAULT 3       /* count; rounds a failing task gets unless its owner says */
 #define ROUNDS_MAX 100         /* count */
--- /dev/null
+++ b/packages/document/src/document.c
@@ -0,0 +1,159 @@
+#include "document/document.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* As configurations are written out everywhere: without blanks, "/" as it is. */
+#define TEXT_FLAGS (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
+json_object *documentParse(const char *text)
+{
+    return json_tokener_parse(text);
+}
+
+const char *documentText(void *mem, json_object *tree)
+{
+    size_t length;
+    const char *text = json_object_to_json_string_length(tree, TEXT_FLAGS, &length);
+    return talloc_strndup(mem, text, length);
+}
+
+/* --- merging ------------------------------------------------------------------- */
+
+json_object *documentMerged(json_object *tree, json_object *patch)
+{
+    if (!json_object_is_type(patch, json_type_object))
+        return json_object_get(patch);
+    json_object *result = json_object_new_object();
+    if (json_object_is_type(tree, json_type_object)) {
+        json_object_object_foreach(tree, key, value)
+            json_object_object_add_ex(result, key, json_object_get(value), JSON_C_OBJECT_ADD_KEY_IS_NEW);
+    }
+    json_object_object_foreach(patch, name, change) {
+        if (change == NULL) {
+            json_object_object_del(result, name);
+            continue;
+        }
+        json_object *old = NULL;
+        json_object_object_get_ex(result, name, &old);
+        json_object_object_add(result, name, documentMerged(old, change));
+    }
+    return result;
+}
+
+/* --- differences ------------------------------------------------------------------ */
+
+/* Numbers with a fraction remember how they were written. */
+static bool sameNumber(json_object *a, json_object *b)
+{
+    const char *x = json_object_get_userdata(a), *y = json_object_get_userdata(b);
+    return x != NULL && y != NULL ? strcmp(x, y) == 0 : json_object_equal(a, b);
+}
+
+static bool sameObject(json_object *a, json_object *b)
+{
+    if (json_object_object_length(a) != json_object_object_length(b))
+        return false;
+    struct json_object_iterator x = json_object_iter_begin(a), y = json_object_iter_begin(b);
+    const struct json_object_iterator end = json_object_iter_end(a);
+    for (; !json_object_iter_equal(&x, &end); json_object_iter_next(&x), json_object_iter_next(&y))
+        if (strcmp(json_object_iter_peek_name(&x), json_object_iter_peek_name(&y)) != 0 ||
+            !documentSame(json_object_iter_peek_value(&x), json_object_iter_peek_value(&y)))
+            return false;
+    return true;
+}
+
+bool documentSame(json_object *a, json_object *b)
+{
+    if (a == b)
+        return true;
+    if (json_object_get_type(a) != json_object_get_type(b))
+        return false;
+    switch (json_object_get_type(a)) {
+    case json_type_object:
+        return sameObject(a, b);
+    case json_type_array: {
+        const size_t length = json_object_array_length(a);
+        if (length != json_object_array_length(b))
+            return false;
+        for (size_t i = 0; i < length; i++)
+            if (!documentSame(json_object_array_get_idx(a, i), json_object_array_get_idx(b, i)))
+                return false;
+        return true;
+    }
+    case json_type_string: {
+        const int length = json_object_get_string_len(a);
+        return length == json_object_get_string_len(b) &&
+               memcmp(json_object_get_string(a), json_object_get_string(b), (size_t)length) == 0;
+    }
+    case json_type_double: /* 2.0 is not 2.00 here: it is given back as it was written */
+        return sameNumber(a, b);
+    default:
+        return json_object_equal(a, b);
+    }
+}
+
+/* A merge patch takes every null for a removal, also deep inside what is new. */
+static bool holdsNull(json_object *tree)
+{
+    if (tree == NULL)
+        return true;
+    if (!json_object_is_type(tree, json_type_object))
+        return false;
+    json_object_object_foreach(tree, key, value) {
+        (void)key;
+        if (holdsNull(value))
+            return true;
+    }
+    return false;
+}
+
+/* False: no merge patch makes the one out of the other. */
+static bool differences(json_object *from, json_object *to, json_object *patch)
+{
+    struct json_object_iterator next = json_object_iter_begin(to);
+    const struct json_object_iterator end = json_object_iter_end(to);
+    json_object_object_foreach(from, key, old) {
+        json_object *now = NULL;
+        if (!json_object_object_get_ex(to, key, &now)) {
+            json_object_object_add(patch, key, NULL);
+            continue;
+        }
+        /* what stays keeps its order, and stands before what is new */
+        if (json_object_iter_equal(&next, &end) || strcmp(json_object_iter_peek_name(&next), key) != 0)
+            return false;
+        json_object_iter_next(&next);
+        if (json_object_is_type(old, json_type_object) && json_object_is_type(now, json_type_object)) {
+            json_object *inner = json_object_new_object();
+            const bool told = differences(old, now, inner);
+            if (told && json_object_object_length(inner) > 0)
+                json_object_object_add(patch, key, inner);
+            else
+                json_object_put(inner);
+            if (!told)
+                return false;
+        } else if (!documentSame(old, now)) {
+            if (holdsNull(now))
+                return false;
+            json_object_object_add(patch, key, json_object_get(now));
+        }
+    }
+    for (; !json_object_iter_equal(&next, &end); json_object_iter_next(&next)) {
+        json_object *now = json_object_iter_peek_value(&next);
+        if (holdsNull(now))
+            return false;
+        json_object_object_add(patch, json_object_iter_peek_name(&next), json_object_get(now));
+    }
+    return true;
+}
+
+json_object *documentDifference(json_object *from, json_object *to)
+{
+    if (!json_object_is_type(from, json_type_object) || !json_object_is_type(to, json_type_object))
+        return NULL;
+    json_object *patch = json_object_new_object();
+    if (differences(from, to, patch))
+        return patch;
+    json_object_put(patch);
+    return NULL;
+}
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -73,8 +73,16 @@
 SHAPE(ConfigLimits, CONFIG_LIMITS_FIELDS)
 
 /* base: the revision it builds on. restored: told again in a repair, where only
- * a higher revision counts. */
-#define CONFIG_SET_FIELDS(X) X(U64, base, 0) X(U64, revision, 0) X(TXT, text, 0) X(FLAG, restored, 0)
+ * a higher revision counts. A call that names its revision has a digest, by which
+ * the same call sent again is known. */
+#define CONFIG_SET_FIELDS(X)                                                  \
+    X(U64, base, 0)                                                             \
+    X(U64, revision, 0) /* 0: the one after base */                             \
+    X(TXT, text, 0)                                                             \
+    X(FLAG, restored, 0)                                                        \
+    X(FLAG, patch, 0)   /* the text is a merge patch upon base, else the whole */ \
+    X(TXT, digest, 0)                                                           \
+    X(ONE, limits, ConfigLimits) /* of the whole */
 SHAPE(ConfigSet, CONFIG_SET_FIELDS)
 
 /* move: what runs there is to be started elsewhere while the plan holds.
--- /dev/null
+++ b/packages/table/include/table/revisions.h
@@ -0,0 +1,54 @@
+#ifndef TABLE_REVISIONS_H
+#define TABLE_REVISIONS_H
+
+#include <json-c/json.h>
+
+#include "table/change.h"
+
+/* One revision of the operators' document. */
+#define REVISION_FIELDS(X)                                                     \
+    X(U64, revision, 0)                                                          \
+    X(TXT, text, 0)   /* the whole, or a merge patch upon the revision before; empty: dropped */ \
+    X(U64, base, 0)                                                              \
+    X(FLAG, patch, 0)                                                            \
+    X(TXT, digest, 0) /* of the call that brought it, when it named the revision; else empty */ \
+    X(ONE, limits, ConfigLimits)
+SHAPE(Revision, REVISION_FIELDS)
+
+/* The revisions that were committed, the newest last.
+ *
+ * A document of a thousand queues has 300 KB and changes by some hundred bytes at
+ * a time. So one whole text is kept, and patches from there on; a text is made of
+ * them when it is asked for. Reading, which costs a hundred times more than
+ * keeping, is done where the document is used and nowhere else.
+ *
+ * Invariants: rows are sorted by revision; the row at whole is no patch, and all
+ * rows from there on have their texts, those before have none; older texts
+ * together are bounded by CONFIG_HISTORY_BYTES. */
+typedef struct Revisions {
+    Revision *rows;
+    size_t count, whole;
+    size_t keep;  /* so many can at least be read back, as far as the bytes allow */
+    size_t bytes; /* of the texts */
+} Revisions;
+
+Revisions *revisionsNew(void *mem, size_t keep);
+/* 0: none yet. */
+uint64_t revisionsNewest(const Revisions *revisions);
+/* Of the newest. */
+const ConfigLimits *revisionsLimits(const Revisions *revisions);
+/* The revision that a call of this digest brought; 0: none that is known. */
+uint64_t revisionsDigest(const Revisions *revisions, const char *digest);
+
+/* A patch must build on the newest, and every revision be above it. */
+void revisionsAdd(Revisions *revisions, const Revision *row);
+/* Takes rows as they were saved. */
+void revisionsLoad(Revisions *revisions, const Revision *rows, size_t count);
+
+/* The whole text of a revision, on mem; null when it can't be read back. */
+const char *revisionsText(const Revisions *revisions, void *mem, uint64_t revision);
+/* The newest as a tree; have (may be null) is that of an earlier revision, from
+ * which it is made by the patches since. Null: none. */
+json_object *revisionsTree(const Revisions *revisions, json_object *have, uint64_t haveRevision);
+
+#endif
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -1,7 +1,7 @@
 #ifndef TABLE_TABLE_H
 #define TABLE_TABLE_H
 
-#include "table/change.h"
+#include "table/revisions.h"
 #include "view/view.h"
 
 /* The state that the ordered log builds up: jobs, workers, configuration,
@@ -16,11 +16,6 @@
 /* Told after each change has been delivered, within the delivery; does not wait. */
 typedef void (*TableFn)(void *arg, const Record *change, const Verdict *verdict);
 
-typedef struct ConfigText {
-    uint64_t revision;
-    const char *text;
-} ConfigText;
-
 Table *tableNew(void *mem);
 void tableWatch(Table *table, TableFn fn, void *arg);
 /* For viewNew. */
@@ -41,9 +36,10 @@
 uint64_t tableOrders(const Table *table, const char *worker);
 
 /* Configuration: the newest, and those that can be read back. */
-const ConfigText *tableConfig(const Table *table);
-const ConfigText *tableConfigAt(const Table *table, uint64_t revision);
-size_t tableConfigs(const Table *table, const ConfigText **configs);
+const Revisions *tableRevisions(const Table *table);
+/* Grows whenever the whole state is replaced: what is remembered of a revision of
+ * an earlier one may be of another document. */
+uint64_t tableLoads(const Table *table);
 
 bool tableDrained(const Table *table, const char *zone);
 /* Emptied, and what runs there is to be moved. */
--- /dev/null
+++ b/packages/table/src/deliverconfig.h
@@ -0,0 +1,10 @@
+#ifndef TABLE_DELIVERCONFIG_H
+#define TABLE_DELIVERCONFIG_H
+
+#include "table/table.h"
+
+/* Two calls that build on one revision: the one delivered first wins. The verdict's
+ * number is the revision that the call brought, or else the current one. */
+void deliverConfig(Revisions *revisions, const ConfigSet *set, Verdict *verdict);
+
+#endif
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -6,6 +6,7 @@
 
 #include "base/constants.h"
 #include "base/map.h"
+#include "deliverconfig.h"
 
 typedef struct OrderCount {
     uint64_t revision;
@@ -22,8 +23,7 @@
 SHAPE_TABLE(Orphan, ORPHAN_FIELDS)
 
 /* Invariants: byId, order and (for those that have not ended) active hold the
- * same jobs; order and active are sorted by number; configs are sorted by
- * revision, the last is in force. */
+ * same jobs; order and active are sorted by number. */
 struct Table {
     void *mem; /* holds everything below; a loaded state replaces it whole */
     Map *byId;
@@ -38,8 +38,8 @@
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
     size_t orphanCount;
     Map *drains; /* zone to its newest order */
-    ConfigText *configs;
-    size_t configCount;
+    Revisions *revisions;
+    uint64_t loads;
     TableFn fn;
     void *arg;
 };
@@ -56,8 +56,8 @@
     table->order = table->active = NULL;
     table->orderCount = table->orderRoom = table->activeCount = table->activeRoom = 0;
     table->lastNumber = 0;
-    table->configs = NULL;
-    table->configCount = 0;
+    table->revisions = revisionsNew(table->mem, CONFIG_HISTORY);
+    table->loads++;
     table->orphans = NULL;
     table->orphanCount = 0;
 }
@@ -118,23 +118,14 @@
     return count != NULL ? count->revision : 0;
 }
 
-const ConfigText *tableConfig(const Table *table)
+const Revisions *tableRevisions(const Table *table)
 {
-    return table->configCount > 0 ? &table->configs[table->configCount - 1] : NULL;
+    return table->revisions;
 }
 
-const ConfigText *tableConfigAt(const Table *table, uint64_t revision)
+uint64_t tableLoads(const Table *table)
 {
-    for (size_t i = 0; i < table->configCount; i++)
-        if (table->configs[i].revision == revision)
-            return &table->configs[i];
-    return NULL;
-}
-
-size_t tableConfigs(const Table *table, const ConfigText **configs)
-{
-    *configs = table->configs;
-    return table->configCount;
+    return table->loads;
 }
 
 bool tableDrained(const Table *table, const char *zone)
@@ -558,27 +549,6 @@
         worker->excluded = left->left;
 }
 
-static void deliverConfigSet(Table *table, const Record *change, const ConfigSet *set, Verdict *verdict)
-{
-    (void)change;
-    const ConfigText *now = tableConfig(table);
-    const uint64_t current = now != NULL ? now->revision : 0;
-    verdict->number = current;
-    if (set->restored ? set->revision <= current : set->base != current) {
-        verdict->status = set->restored ? STATUS_OK : STATUS_STALE_REVISION;
-        return;
-    }
-    if (table->configCount >= CONFIG_HISTORY) {
-        talloc_free((void *)(uintptr_t)table->configs[0].text);
-        memmove(table->configs, table->configs + 1, (table->configCount - 1) * sizeof(*table->configs));
-        table->configCount--;
-    }
-    table->configs = talloc_realloc(table->mem, table->configs, ConfigText, (unsigned)(table->configCount + 1));
-    const uint64_t revision = set->restored ? set->revision : current + 1;
-    table->configs[table->configCount++] = (ConfigText){revision, talloc_strdup(table->mem, set->text)};
-    verdict->number = revision;
-}
-
 static void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, Verdict *verdict)
 {
     (void)change;
@@ -680,7 +650,7 @@
             deliverWorkerLeft(table, change, body, verdict);
             break;
         case CHANGE_CONFIG_SET:
-            deliverConfigSet(table, change, body, verdict);
+            deliverConfig(table->revisions, body, verdict);
             break;
         case CHANGE_ZONE_DRAIN:
             deliverZoneDrain(table, change, body, verdict);
@@ -702,12 +672,8 @@
 
 /* --- saving and loading ------------------------------------------------------------ */
 
-#define CONFIG_ROW_FIELDS(X) X(U64, revision, 0) X(TXT, text, 0)
-SHAPE(ConfigRow, CONFIG_ROW_FIELDS)
-SHAPE_TABLE(ConfigRow, CONFIG_ROW_FIELDS)
-
 #define SAVED_FIELDS(X) \
-    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, ConfigRow) \
+    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, Revision) \
     X(LST, drains, ZoneDrain) X(LST, orphans, Orphan)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
@@ -725,10 +691,8 @@
     saved.workers = talloc_array(scratch, Worker, (unsigned)saved.workersCount);
     for (size_t i = 0; i < saved.workersCount; i++)
         saved.workers[i] = *workers[i];
-    saved.configsCount = table->configCount;
-    saved.configs = talloc_array(scratch, ConfigRow, (unsigned)table->configCount);
-    for (size_t i = 0; i < table->configCount; i++)
-        saved.configs[i] = (ConfigRow){table->configs[i].revision, table->configs[i].text};
+    saved.configs = table->revisions->rows;
+    saved.configsCount = table->revisions->count;
     const char **zones;
     saved.drainsCount = mapKeys(table->drains, scratch, &zones);
     saved.drains = talloc_array(scratch, ZoneDrain, (unsigned)saved.drainsCount);
@@ -762,11 +726,7 @@
         table->lastNumber = saved.lastNumber;
         for (size_t i = 0; i < saved.workersCount; i++)
             deliverWorkerSet(table, NULL, &saved.workers[i], NULL);
-        table->configs = talloc_array(table->mem, ConfigText, (unsigned)saved.configsCount);
-        table->configCount = saved.configsCount;
-        for (size_t i = 0; i < saved.configsCount; i++)
-            table->configs[i] =
-                (ConfigText){saved.configs[i].revision, talloc_strdup(table->mem, saved.configs[i].text)};
+        revisionsLoad(table->revisions, saved.configs, saved.configsCount);
         for (size_t i = 0; i < saved.drainsCount; i++)
             deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
         for (size_t i = 0; i < saved.orphansCount; i++)
