--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -9,6 +9,8 @@
 
 Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **agent, Mishap *mishap);
 void agentDrain(Agent *agent);
+/* Other seeds from now on. */
+void agentSeeds(Agent *agent, const char *const seeds[SEEDS]);
 const char *agentHttpAddress(const Agent *agent);
 
 #endif
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -108,3 +108,8 @@
 {
     return agent->http;
 }
+
+void agentSeeds(Agent *agent, const char *const seeds[SEEDS])
+{
+    membersSeeds(agent->members, seeds);
+}
--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -19,6 +19,8 @@
                  Mishap *mishap);
 /* Waits. Not ready at once, the lock handed over, then ended. */
 void coreDrain(Core *core);
+/* Other seeds from now on. */
+void coreSeeds(Core *core, const char *const seeds[SEEDS]);
 View *coreView(Core *core);
 const Table *coreTable(const Core *core);
 const char *coreHttpAddress(const Core *core);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -285,3 +285,8 @@
 {
     return core->address;
 }
+
+void coreSeeds(Core *core, const char *const seeds[SEEDS])
+{
+    membersSeeds(core->members, seeds);
+}
--- /dev/null
+++ b/packages/face/include/face/face.h
@@ -0,0 +1,50 @@
+#ifndef FACE_FACE_H
+#define FACE_FACE_H
+
+#include "agent/agent.h"
+#include "core/core.h"
+#include "gate/gate.h"
+#include "props/props.h"
+
+/* A face is how the product meets a platform: it reads the platform's settings
+ * into props, serves the platform's addresses and translates. It decides
+ * nothing, remembers nothing that a restart would miss, and recovers nothing.
+ * Translated requests go to the same function that the product's own address
+ * gives its own to. */
+
+/* What a face has read. */
+typedef struct FacePlace {
+    PropsRole role;
+    Props props;
+    const void *own; /* the face's own settings: where it listens */
+} FacePlace;
+
+/* A process that runs. Invariant: exactly one of core, gate and agent is set. */
+typedef struct FaceNode {
+    Loop *loop;
+    Ring *ring;
+    const FacePlace *place;
+    Core *core;
+    Gate *gate;
+    Agent *agent;
+} FaceNode;
+
+typedef struct Face {
+    const char *name;
+    /* The settings file, as the platform names it; null and a mishap when it does not. */
+    const char *(*path)(Mishap *mishap);
+    /* Reads the file. BAD_PROPS with the field's name. All on mem. */
+    Status (*read)(void *mem, const char *path, FacePlace *place, Mishap *mishap);
+    /* Serves the platform's addresses; the node lives as long as the process. */
+    Status (*start)(void *mem, const FaceNode *node, Mishap *mishap);
+} Face;
+
+/* Ends with a null; defined by what is linked in beside the packages. */
+extern const Face *const FACES[];
+
+/* Null when there is none of this name. */
+const Face *faceFind(const char *name);
+/* An entry point's way for a request, whichever of the two it is. Waits. */
+void faceTake(const FaceNode *node, HttpTask *task);
+
+#endif
--- /dev/null
+++ b/packages/face/src/face.c
@@ -0,0 +1,19 @@
+#include "face/face.h"
+
+#include <string.h>
+
+const Face *faceFind(const char *name)
+{
+    for (const Face *const *face = FACES; *face != NULL; face++)
+        if (strcmp((*face)->name, name) == 0)
+            return *face;
+    return NULL;
+}
+
+void faceTake(const FaceNode *node, HttpTask *task)
+{
+    if (node->core != NULL)
+        coreTake(node->core, task);
+    else
+        gateTake(node->gate, task);
+}
--- a/packages/gate/include/gate/gate.h
+++ b/packages/gate/include/gate/gate.h
@@ -11,6 +11,8 @@
 Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **gate, Mishap *mishap);
 /* Waits: not ready at once; requests in work get their verdict. */
 void gateDrain(Gate *gate);
+/* Other seeds from now on. */
+void gateSeeds(Gate *gate, const char *const seeds[SEEDS]);
 const char *gateHttpAddress(const Gate *gate);
 
 #endif
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -180,3 +180,8 @@
 {
     return gate->http;
 }
+
+void gateSeeds(Gate *gate, const char *const seeds[SEEDS])
+{
+    membersSeeds(gate->members, seeds);
+}
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -28,6 +28,8 @@
 
 Members *membersNew(void *mem, Loop *loop, Courier *courier, Ring *ring, const MemberRecord *self,
                     const char *const seeds[SEEDS]);
+/* Other seeds from now on. */
+void membersSeeds(Members *members, const char *const seeds[SEEDS]);
 /* Spawns one task for each seed and one that roams the table. */
 void membersStart(Members *members);
 /* Valid until the next wait. */
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -22,7 +22,7 @@
 
 typedef struct SeedTask {
     Members *members;
-    const char *address;
+    size_t at;
 } SeedTask;
 
 static int rowOrder(const void *a, const void *b)
@@ -255,8 +255,12 @@
     SeedTask *seed = arg;
     Members *members = seed->members;
     while (!loopStopping(members->loop)) {
-        if (strcmp(seed->address, members->self.address) != 0)
-            helloTo(members, seed->address);
+        const char *address = members->seeds[seed->at];
+        bool again = strcmp(address, members->self.address) == 0;
+        for (size_t i = 0; i < seed->at && !again; i++) /* fewer than three were told: some are there twice */
+            again = strcmp(address, members->seeds[i]) == 0;
+        if (!again)
+            helloTo(members, address);
         loopSleep(members->loop, HELLO_MS);
     }
 }
@@ -308,12 +312,19 @@
     }
 }
 
+void membersSeeds(Members *members, const char *const seeds[SEEDS])
+{
+    for (int i = 0; i < SEEDS; i++) /* an old one may still be in a question's hands */
+        if (strcmp(members->seeds[i], seeds[i]) != 0)
+            members->seeds[i] = talloc_strdup(members, seeds[i]);
+}
+
 void membersStart(Members *members)
 {
     courierHandle(members->courier, MESSAGE_HELLO, &HelloShape, &HelloShape, onHello, members);
     for (int i = 0; i < SEEDS; i++) {
         SeedTask *seed = talloc_zero(members, SeedTask);
-        *seed = (SeedTask){members, members->seeds[i]};
+        *seed = (SeedTask){members, (size_t)i};
         loopSpawn(members->loop, "seed", seedMain, seed);
     }
     if (members->self.role == ROLE_CORE)
--- a/src/main.c
+++ b/src/main.c
@@ -8,6 +8,7 @@
     {"core", "a core: a disk, perhaps a seat, perhaps the lead", runCore},
     {"gate", "a gate: a diskless entry point", runGate},
     {"agent", "an agent beside a worker", runAgent},
+    {"node", "whichever of the three a platform's settings say", runNode},
     {"check", "check a props file", runCheck},
     {"job", "hand in, show, list or cancel jobs", runJob},
     {"config", "show, set or patch the configuration", runConfig},
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,178 @@
+/* node: a process of whichever role the platform's settings give it, behind a face. */
+#include <popt.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <talloc.h>
+
+#include "face/face.h"
+#include "loop/real.h"
+#include "options.h"
+
+#define SETTINGS_LOOK_MS 1000 /* ms; the file may change without a signal */
+
+/* Invariant: what place.props points to is never freed, for others hold pointers into it. */
+typedef struct NodeRun {
+    void *mem;
+    const Face *face;
+    const char *path;
+    struct stat seen; /* of the file as it was read last */
+    FacePlace place;
+    FaceNode node;
+    int code;
+} NodeRun;
+
+static const char *const ROLES[] = {"core", "gate", "agent"};
+
+/* Seeds and bounds take effect; what else has changed does at the next start. */
+static void settingsAgain(NodeRun *run)
+{
+    Mishap mishap = {0};
+    void *mem = talloc_new(run->mem);
+    FacePlace place = {0};
+    if (run->face->read(mem, run->path, &place, &mishap) != STATUS_OK) {
+        ringSay(run->node.ring, RING_ALERT, loopNowMs(run->node.loop), "settings left as they were: %s", mishap.text);
+        talloc_free(mem);
+        return;
+    }
+    run->place.props.bounds = place.props.bounds;
+    const char *seeds[SEEDS];
+    for (int i = 0; i < SEEDS; i++)
+        run->place.props.seeds[i] = seeds[i] = talloc_strdup(run->mem, place.props.seeds[i]);
+    if (run->node.core != NULL)
+        coreSeeds(run->node.core, seeds);
+    else if (run->node.gate != NULL)
+        gateSeeds(run->node.gate, seeds);
+    else if (run->node.agent != NULL)
+        agentSeeds(run->node.agent, seeds);
+    talloc_free(mem);
+}
+
+/* Whether the file is another than the one read last. */
+static bool settingsChanged(NodeRun *run)
+{
+    struct stat now;
+    if (stat(run->path, &now) != 0)
+        return false;
+    const bool same = now.st_mtim.tv_sec == run->seen.st_mtim.tv_sec &&
+                      now.st_mtim.tv_nsec == run->seen.st_mtim.tv_nsec && now.st_size == run->seen.st_size &&
+                      now.st_ino == run->seen.st_ino;
+    run->seen = now;
+    return !same;
+}
+
+static void lookMain(void *arg)
+{
+    NodeRun *run = arg;
+    while (!loopStopping(run->node.loop)) {
+        loopSleep(run->node.loop, SETTINGS_LOOK_MS);
+        if (settingsChanged(run))
+            settingsAgain(run);
+    }
+}
+
+static void hupMain(void *arg)
+{
+    NodeRun *run = arg;
+    settingsChanged(run);
+    settingsAgain(run);
+}
+
+static void startMain(void *arg)
+{
+    NodeRun *run = arg;
+    FaceNode *node = &run->node;
+    const Props *props = &run->place.props;
+    Mishap mishap = {0};
+    Status status;
+    if (run->place.role == PROPS_CORE)
+        status = coreStart(run->mem, node->loop, node->ring, props, NULL, &node->core, &mishap);
+    else if (run->place.role == PROPS_GATE)
+        status = gateStart(run->mem, node->loop, node->ring, props, &node->gate, &mishap);
+    else
+        status = agentStart(run->mem, node->loop, node->ring, props, &node->agent, &mishap);
+    if (status == STATUS_OK)
+        status = run->face->start(run->mem, node, &mishap);
+    if (status != STATUS_OK) {
+        fprintf(stderr, "spancart node: %s: %s\n", statusWord(status), mishap.text);
+        run->code = status == STATUS_BAD_PROPS ? EXIT_WRONG : EXIT_FAILED;
+        loopStop(node->loop);
+        return;
+    }
+    printf("spancart %s %s in zone %s, face %s\n", ROLES[run->place.role], props->name, props->zone, run->face->name);
+    fflush(stdout);
+    loopSpawn(node->loop, "settings", lookMain, run);
+}
+
+static void userMain(void *arg)
+{
+    const NodeRun *run = arg;
+    ringDump(run->node.ring, stderr);
+    fflush(stderr);
+}
+
+static void termMain(void *arg)
+{
+    NodeRun *run = arg;
+    if (run->node.core != NULL)
+        coreDrain(run->node.core);
+    if (run->node.gate != NULL)
+        gateDrain(run->node.gate);
+    if (run->node.agent != NULL)
+        agentDrain(run->node.agent);
+    loopStop(run->node.loop);
+}
+
+static int faceWrong(const char *name)
+{
+    char names[200] = "";
+    for (const Face *const *face = FACES; *face != NULL; face++)
+        snprintf(names + strlen(names), sizeof(names) - strlen(names), " %s", (*face)->name);
+    return wrong("node", "--face: %s%s; there is%s", name != NULL ? name : "is missing",
+                 name != NULL ? ": there is no such face" : "", names);
+}
+
+int runNode(int argc, const char **argv)
+{
+    char *name = NULL, *path = NULL;
+    int only = 0;
+    struct poptOption options[] = {
+        {"face", 'f', POPT_ARG_STRING, &name, 0, "the platform that this is run on", "NAME"},
+        {"props", 'p', POPT_ARG_STRING, &path, 0, "settings file; else as the platform names it", "FILE"},
+        {"check", 0, POPT_ARG_NONE, &only, 0, "check the settings and end", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("node", argc, argv, options, 0);
+    const int got = poptGetNextOpt(context);
+    const char *left = poptPeekArg(context);
+    Mishap mishap = {0};
+    void *mem = talloc_new(NULL);
+    NodeRun *run = talloc_zero(mem, NodeRun);
+    run->mem = mem;
+    int code = EXIT_GOOD;
+    if (got < -1)
+        code = wrong("node", "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
+    else if (left != NULL)
+        code = wrong("node", "%s: what is this?", left);
+    else if (name == NULL || (run->face = faceFind(name)) == NULL)
+        code = faceWrong(name);
+    else if ((run->path = path != NULL ? path : run->face->path(&mishap)) == NULL)
+        code = wrong("node", "%s", mishap.text);
+    if (code == EXIT_GOOD)
+        settingsChanged(run);
+    if (code == EXIT_GOOD && run->face->read(mem, run->path, &run->place, &mishap) != STATUS_OK)
+        code = wrong("node", "%s", mishap.text);
+    if (code == EXIT_GOOD && only) {
+        printf("good: %s %s in zone %s\n", ROLES[run->place.role], run->place.props.name, run->place.props.zone);
+    } else if (code == EXIT_GOOD) {
+        run->node = (FaceNode){.loop = realLoopNew(mem), .ring = ringNew(mem, run->place.props.name), .place = &run->place};
+        loopSpawn(run->node.loop, "start", startMain, run);
+        realLoopOnUser(run->node.loop, userMain, run);
+        realLoopOnHup(run->node.loop, hupMain, run);
+        realLoopRun(run->node.loop, termMain, run);
+        /* the process ends here: its memory is the kernel's to take back */
+        return run->code;
+    }
+    poptFreeContext(context);
+    talloc_free(mem);
+    return code;
+}
--- a/src/options.h
+++ b/src/options.h
@@ -19,6 +19,7 @@
 int runCore(int argc, const char **argv);
 int runGate(int argc, const char **argv);
 int runAgent(int argc, const char **argv);
+int runNode(int argc, const char **argv);
 int runCheck(int argc, const char **argv);
 int runWorker(int argc, const char **argv);
 int runCaller(int argc, const char **argv);
