--- /dev/null
+++ b/packages/core/src/jobs.c
@@ -0,0 +1,124 @@
+/* Jobs as callers hand them in by id, and ask for them. */
+#include <string.h>
+#include <talloc.h>
+
+#include "way.h"
+
+static void showAccepted(Way *way, const Job *job, int code)
+{
+    showVerdict(way->task, code, showJobShort(job));
+}
+
+void jobPost(Way *way)
+{
+    Core *core = way->core;
+    JobSpec spec;
+    if (!jobRead(way->faults, (const char *)way->task->body.data, way->task->body.count, &spec)) {
+        wayRefuse(way);
+        return;
+    }
+    /* the same job again is told the first answer, whatever has changed since */
+    const Job *known = tableJob(core->table, spec.id);
+    if (known != NULL) {
+        if (shapeEqual(&JobSpecShape, &known->spec, &spec)) {
+            /* whoever carries this verdict may be the only one to have heard it */
+            KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
+            const JobAdd add = {.spec = spec};
+            shapePack(&JobAddShape, &add, way->mem, &item.payload);
+            wayKeep(way, &item);
+            showAccepted(way, known, 200);
+        } else
+            showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
+        return;
+    }
+    const Config *config = coreConfig(core);
+    if (!jobAdmissible(way->faults, &spec, config, core->table)) {
+        wayRefuse(way);
+        return;
+    }
+    size_t tasks = 0;
+    for (size_t i = 0; i < spec.stepsCount; i++)
+        tasks += (size_t)spec.steps[i].count;
+    if (tableWaiting(core->table, spec.cell) + tasks > configCell(config, spec.cell)->limit) {
+        core->counts.crowded++;
+        showRefusal(way->task, STATUS_QUEUE_FULL, "too much waits in this cell; nothing was taken: come back", NULL);
+        return;
+    }
+    const JobAdd add = {.spec = spec};
+    Verdict verdict;
+    if (!wayDelivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &verdict, way->keeps)))
+        return;
+    const Job *job = tableJob(core->table, spec.id);
+    if (verdict.status != STATUS_OK || job == NULL)
+        showRefusal(way->task, verdict.status, "another job has this id", NULL);
+    else
+        showAccepted(way, job, 201);
+}
+
+void jobGet(Way *way)
+{
+    const Job *job = tableJob(way->core->table, way->name);
+    if (job == NULL)
+        showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
+    else {
+        wayKeepEnd(way, job);
+        showVerdict(way->task, 200, showJob(job, coreClock(way->core)));
+    }
+}
+
+void jobCancel(Way *way)
+{
+    const JobCancel cancel = {way->name};
+    Verdict verdict;
+    if (tableJob(way->core->table, way->name) == NULL) {
+        showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
+        return;
+    }
+    if (!wayDelivered(way,
+                   coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, &verdict, way->keeps)))
+        return;
+    const Job *job = tableJob(way->core->table, way->name);
+    if (verdict.status != STATUS_OK || job == NULL)
+        showRefusal(way->task, verdict.status, "the job had ended before", NULL);
+    else
+        showVerdict(way->task, 200, showJobShort(job));
+}
+
+void jobList(Way *way)
+{
+    int64_t after = 0, limit = LIST_PAGE;
+    queryInt(way->faults, way->task->query, "after", 0, INT64_MAX, &after);
+    queryInt(way->faults, way->task->query, "limit", 1, LIST_PAGE_MAX, &limit);
+    const char *cell = queryValue(way->mem, way->task->query, "cell");
+    const char *phase = queryValue(way->mem, way->task->query, "phase");
+    if (way->faults->count > 0) {
+        wayRefuse(way);
+        return;
+    }
+    Job *const *jobs;
+    const size_t count = tableJobs(way->core->table, &jobs);
+    size_t low = 0, high = count;
+    while (low < high) {
+        const size_t middle = (low + high) / 2;
+        if (jobs[middle]->number <= (uint64_t)after)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    json_object *body = json_object_new_object(), *list = json_object_new_array();
+    int64_t shown = 0;
+    size_t at = low;
+    for (; at < count && shown < limit; at++) {
+        const Job *job = jobs[at];
+        if ((cell != NULL && strcmp(job->spec.cell, cell) != 0) ||
+            (phase != NULL && strcmp(jobPhaseWord(job->phase), phase) != 0))
+            continue;
+        wayKeepEnd(way, job);
+        json_object_array_add(list, showJobShort(job));
+        shown++;
+    }
+    json_object_object_add(body, "jobs", list);
+    if (at < count)
+        json_object_object_add(body, "next", json_object_new_int64((int64_t)jobs[at - 1]->number));
+    showVerdict(way->task, 200, body);
+}
--- /dev/null
+++ b/packages/core/src/ranks.c
@@ -0,0 +1,82 @@
+/* The queue, as it is or as a policy would have it. */
+#include <string.h>
+#include <talloc.h>
+
+#include "way.h"
+
+/* One policy for one cell; the others keep theirs. */
+typedef struct Trying {
+    Core *core;
+    const char *cell;
+    const Policy *policy;
+} Trying;
+
+static const Policy *policyTried(void *arg, const ConfigCell *cell)
+{
+    const Trying *trying = arg;
+    const bool mine = cell != NULL && trying->policy != NULL && strcmp(cell->name, trying->cell) == 0;
+    return mine ? trying->policy : corePolicy(trying->core, cell);
+}
+
+static void queueShow(Way *way, const Policy *policy)
+{
+    Core *core = way->core;
+    int64_t limit = LIST_PAGE;
+    queryInt(way->faults, way->task->query, "limit", 1, LIST_PAGE_MAX, &limit);
+    const char *cell = queryValue(way->mem, way->task->query, "cell");
+    const Config *config = coreConfig(core);
+    if (cell == NULL || configCell(config, cell) == NULL)
+        faultAdd(way->faults, STATUS_UNKNOWN_CELL, "?cell", "must name a cell of the configuration");
+    if (way->faults->count > 0) {
+        wayRefuse(way);
+        return;
+    }
+    const PlanInput input = plannerInput(core, way->mem);
+    Room fleet = {0};
+    for (size_t i = 0; i < input.workerCount; i++)
+        fleet = roomMore(fleet, input.workers[i].room);
+    Trying trying = {core, cell, policy};
+    Candidate *candidates;
+    const QueueUse *use = queueUse(way->mem, core->table, config, fleet);
+    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), policyTried, &trying, &candidates);
+    json_object *body = json_object_new_object(), *list = json_object_new_array();
+    int64_t ready = 0;
+    for (size_t i = 0; i < count; i++) {
+        const Candidate *candidate = &candidates[i];
+        if (strcmp(candidate->job->spec.cell, cell) != 0 || ++ready > limit)
+            continue;
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "job", json_object_new_string(candidate->job->spec.id));
+        json_object_object_add(one, "task", json_object_new_int64((int64_t)candidate->first));
+        json_object_object_add(one, "tenant", json_object_new_string(candidate->job->spec.tenant));
+        json_object_object_add(one, "queue", json_object_new_string(candidate->job->spec.queue));
+        json_object_object_add(one, "rank", json_object_new_double(candidate->rank));
+        json_object_object_add(one, "restart", json_object_new_boolean(candidate->restart));
+        json_object_array_add(list, one);
+    }
+    json_object_object_add(body, "cell", json_object_new_string(cell));
+    json_object_object_add(body, "ready", json_object_new_int64(ready));
+    json_object_object_add(body, "order", list);
+    showVerdict(way->task, 200, body);
+}
+
+void queueGet(Way *way)
+{
+    queueShow(way, NULL);
+}
+
+/* What a policy would decide on the present queue; nothing is changed. */
+void queueTry(Way *way)
+{
+    const char *text = talloc_strndup(way->mem, (const char *)way->task->body.data, way->task->body.count);
+    LuaPolicy *policy;
+    Mishap mishap = {0};
+    if (text == NULL || text[0] == '\0')
+        faultAdd(way->faults, STATUS_BAD_POLICY, "", "the body must be the text of a policy");
+    else if (luaPolicyNew(way->mem, "policy", text, &policy, &mishap) != STATUS_OK)
+        faultAdd(way->faults, STATUS_BAD_POLICY, "", "%s", mishap.text);
+    if (way->faults->count > 0)
+        wayRefuse(way);
+    else
+        queueShow(way, luaPolicy(policy));
+}
--- /dev/null
+++ b/packages/core/src/zones.c
@@ -0,0 +1,92 @@
+/* Zones emptied of work and given back to it. */
+#include <string.h>
+#include <talloc.h>
+
+#include "way.h"
+
+static bool zoneKnown(Way *way)
+{
+    const Worker **workers;
+    const size_t count = tableWorkers(way->core->table, way->mem, &workers);
+    for (size_t i = 0; i < count; i++)
+        if (strcmp(workers[i]->zone, way->name) == 0)
+            return true;
+    const MemberTable *members = membersTable(way->core->members);
+    for (size_t i = 0; i < members->count; i++)
+        if (strcmp(members->rows[i].record.zone, way->name) == 0)
+            return true;
+    return false;
+}
+
+static void zoneShow(Way *way)
+{
+    json_object *body = json_object_new_object();
+    Job *const *jobs;
+    const size_t count = tableActive(way->core->table, &jobs);
+    int64_t left = 0;
+    for (size_t j = 0; j < count; j++)
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
+            const JobTask *task = &jobs[j]->tasks[t];
+            const Worker *worker =
+                taskOnWorker(task->phase) ? tableWorker(way->core->table, task->worker) : NULL;
+            left += worker != NULL && strcmp(worker->zone, way->name) == 0;
+        }
+    json_object_object_add(body, "zone", json_object_new_string(way->name));
+    json_object_object_add(body, "drained", json_object_new_boolean(tableDrained(way->core->table, way->name)));
+    json_object_object_add(body, "moves", json_object_new_boolean(tableDrainMoves(way->core->table, way->name)));
+    json_object_object_add(body, "tasksLeft", json_object_new_int64(left));
+    /* whether protected work could still be restarted with this zone empty */
+    const PlanInput input = plannerInput(way->core, way->mem);
+    for (size_t i = 0; i < input.workerCount; i++)
+        if (strcmp(input.workers[i].zone, way->name) == 0)
+            input.workers[i].free = (Room){0};
+    PlanBreak broken = {LOSS_WORKER, ""};
+    const bool holds = planAlwaysPossible(&input, &broken);
+    json_object_object_add(body, "planHoldsWithoutIt", json_object_new_boolean(holds));
+    if (!holds)
+        json_object_object_add(body, "warning",
+                               json_object_new_string(talloc_asprintf(
+                                   way->mem, "with this zone empty, the loss of %s %s leaves protected work without room",
+                                   lossWord(broken.loss), broken.name)));
+    showVerdict(way->task, 200, body);
+}
+
+static void zoneSet(Way *way, bool drained)
+{
+    int64_t move = 0;
+    queryInt(way->faults, way->task->query, "move", 0, 1, &move);
+    if (way->faults->count > 0) {
+        wayRefuse(way);
+        return;
+    }
+    if (!zoneKnown(way)) {
+        showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
+        return;
+    }
+    const int64_t clockMs = viewClockMs(way->core->view);
+    const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
+    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1,
+                             drained && move == 1};
+    Verdict verdict;
+    if (wayDelivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &verdict,
+                                  way->keeps)))
+        zoneShow(way);
+}
+
+void zoneDrain(Way *way)
+{
+    zoneSet(way, true);
+}
+
+void zoneBack(Way *way)
+{
+    zoneSet(way, false);
+}
+
+void zoneGet(Way *way)
+{
+    if (zoneKnown(way))
+        zoneShow(way);
+    else
+        showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
+}
