--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -16,6 +16,7 @@
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
 #define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
 #define COPY_SILENT_MS 1500    /* ms; work whose owner allows copies restarts when its worker is silent so long */
+#define CLOCK_SLOW_PERCENT 2   /* percent; a worker's steady clock may be so much slow: holds passed on are so much shorter */
 #define HOLD_SLACK_MS 50       /* ms; the leader adds this to its count of a hold: timer granularity */
 
 /* --- asking ------------------------------------------------------------- */
