--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -25,6 +25,8 @@
 bool coreReady(const Core *core);
 /* Waits. Not ready at once, the lock handed over, then ended. */
 void coreDrain(Core *core);
+/* Other seeds from now on. */
+void coreSeeds(Core *core, const char *const seeds[SEEDS]);
 View *coreView(Core *core);
 const Table *coreTable(const Core *core);
 const char *coreHttpAddress(const Core *core);
--- a/packages/gate/include/gate/gate.h
+++ b/packages/gate/include/gate/gate.h
@@ -15,6 +15,8 @@
 bool gateReady(const Gate *gate);
 /* Waits: not ready at once; requests in work get their verdict. */
 void gateDrain(Gate *gate);
+/* Other seeds from now on. */
+void gateSeeds(Gate *gate, const char *const seeds[SEEDS]);
 const char *gateHttpAddress(const Gate *gate);
 
 #endif
