Configurations are committed as differences; revisions named by operators; calls sent again are known

Cause: each change carried the whole document through the log, the history held 200 whole texts, every reading parsed all of it, and an operator whose call got no clear answer was told 409 when it sent the same again.

A change is now a merge patch upon its base (a PUT that differs little becomes one), the table keeps one whole text and the patches since, bounded in bytes, and the leader reads only what a patch touches: equal subtrees of two revisions are one by pointer, and what was read from them is shared. A call that names its revision has a digest of base, revision and body; the revisions remember it.

--- a/packages/config/include/config/config.h
+++ b/packages/config/include/config/config.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "config/check.h"
+#include "policy/lua.h"
 #include "table/change.h"
 
 typedef struct ConfigTenant {
@@ -57,23 +58,25 @@
 
 typedef struct ConfigPolicy {
     const char *name;
-    const char *text; /* Lua */
+    LuaPolicy *lua;
 } ConfigPolicy;
 
 /* One revision of the operators' document, read and checked. Immutable; the
- * next one is swapped in whole. */
+ * next one is swapped in whole, and shares with it what both say alike. */
 typedef struct Config {
     uint64_t revision;
+    json_object *tree; /* the document; the Config's own */
     uint64_t r;      /* worker losses that every plan must survive */
     bool zoneLoss;   /* ... and the loss of any one zone */
     bool rackLoss;   /* ... and the loss of any one rack */
     size_t cellCount, policyCount, kindCount;
     const ConfigCell *cells;
-    const ConfigPolicy *policies;
+    const ConfigPolicy *const *policies;
     const ConfigKind *kinds;
     ConfigLimits limits;
     const char *note; /* the operator's, not read */
     GHashTable *cellNames; /* to ConfigCell */
+    GHashTable *kindNames; /* to ConfigKind */
     const ConfigEntries *entries;
 } Config;
 
@@ -81,6 +84,9 @@
 const char *configFirstText(void);
 /* Null when there are faults. On mem. */
 const Config *configRead(void *mem, const char *text, size_t count, uint64_t revision, Faults *faults);
+/* As configRead, of a tree; earlier (may be null): what stands in its tree too,
+ * by pointer, is taken from there and not read again. */
+const Config *configBuild(void *mem, json_object *tree, uint64_t revision, const Config *earlier, Faults *faults);
 /* An RFC 7396 merge patch upon a text; null and a fault when either is no JSON object. */
 const char *configPatch(void *mem, const char *text, const char *patch, size_t patchCount, Faults *faults);
 
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -1,18 +1,25 @@
 #include "config/config.h"
 
-#include <ctype.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "document/document.h"
 #include "entries.h"
-#include "policy/lua.h"
+#include "parts.h"
 
 const char *configFirstText(void)
 {
     return "{\"r\":1,\"zoneLoss\":false,\"cells\":{},\"policies\":{}}";
 }
 
+/* One reading. */
+typedef struct Reading {
+    Config *config;
+    const Config *earlier; /* may be null */
+    Faults *faults;
+} Reading;
+
 /* The objects under a key, by name. Faults in names are told. */
 static json_object *named(Faults *faults, json_object *object, const char *path, const char *key, size_t *count)
 {
@@ -34,110 +41,92 @@
     return value;
 }
 
-static void readTenants(void *mem, json_object *object, const char *path, ConfigCell *cell, Faults *faults)
+/* --- cells ------------------------------------------------------------------------ */
+
+static void readTenants(Config *config, json_object *object, const char *path, ConfigCell *cell, Faults *faults)
 {
     static const char *const KEYS[] = {"quota", NULL};
     json_object *all = named(faults, object, path, "tenants", &cell->tenantCount);
-    ConfigTenant *tenants = talloc_zero_array(mem, ConfigTenant, (unsigned)cell->tenantCount);
+    ConfigTenant *tenants = talloc_zero_array(config, ConfigTenant, (unsigned)cell->tenantCount);
+    cell->tenants = tenants;
+    if (all == NULL)
+        return;
     size_t at = 0;
-    if (all != NULL) {
-        json_object_object_foreach(all, name, value) {
-            const char *here = checkPath(faults, checkPath(faults, path, "tenants"), name);
-            tenants[at].name = talloc_strdup(mem, name);
-            if (checkKeys(faults, value, here, KEYS))
-                tenants[at].quota = checkRoom(faults, value, here, "quota", false);
-            at++;
-        }
+    json_object_object_foreach(all, name, value) {
+        const char *here = checkPath(faults, checkPath(faults, path, "tenants"), name);
+        tenants[at].name = talloc_strdup(config, name);
+        if (checkKeys(faults, value, here, KEYS))
+            tenants[at].quota = checkRoom(faults, value, here, "quota", false);
+        at++;
     }
-    cell->tenants = tenants;
 }
 
-static void readEntry(void *mem, json_object *object, const char *path, ConfigQueue *queue, Faults *faults)
+static void readQueues(const Reading *reading, json_object *object, const char *path, ConfigCell *cell)
 {
-    static const char *const KEYS[] = {"host", "prefix", NULL};
-    json_object *value;
-    if (!json_object_object_get_ex(object, "entry", &value))
-        return;
-    const char *here = checkPath(faults, path, "entry");
-    if (!checkKeys(faults, value, here, KEYS))
+    json_object *all = named(reading->faults, object, path, "queues", &cell->queueCount);
+    const ConfigQueue **queues = talloc_zero_array(reading->config, const ConfigQueue *, (unsigned)cell->queueCount);
+    cell->queues = queues;
+    if (all == NULL)
         return;
-    char *host = talloc_strdup(mem, checkName(faults, value, here, "host", NULL));
-    for (char *at = host; *at != '\0'; at++)
-        *at = (char)tolower((unsigned char)*at);
-    const char *prefix = checkText(faults, value, here, "prefix", CONFIG_PATH_MAX);
-    if (prefix[0] != '/' || strpbrk(prefix, "?# ") != NULL)
-        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, here, "prefix"), "must be the beginning of a path: /...");
-    if (strchr(host, ':') != NULL)
-        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, here, "host"), "must be a host without its port");
-    queue->host = host;
-    queue->prefix = talloc_strdup(mem, prefix);
-}
-
-static ConfigQueue *readQueue(void *mem, json_object *value, const char *name, const char *path, Faults *faults)
-{
-    static const char *const KEYS[] = {"priority", "kind",  "rounds", "stretch", "targetMs", "expiryMs",
-                                       "entry",    "tenant", "note",   NULL};
-    ConfigQueue *queue = talloc_zero(mem, ConfigQueue);
-    *queue = (ConfigQueue){.name = talloc_strdup(queue, name), .kind = "", .host = "", .prefix = "", .tenant = "", .note = ""};
-    if (!checkKeys(faults, value, path, KEYS))
-        return queue;
-    queue->priority = checkInt(faults, value, path, "priority", -1000, 1000, 0);
-    queue->kind = talloc_strdup(queue, checkName(faults, value, path, "kind", ""));
-    queue->rounds = (uint64_t)checkInt(faults, value, path, "rounds", 1, ROUNDS_MAX, 0);
-    queue->stretchMilli = checkMilli(faults, value, path, "stretch", 1, CONFIG_STRETCH_MAX * 1000, 0);
-    queue->targetMs = checkInt(faults, value, path, "targetMs", 0, CONFIG_SPAN_MAX_MS, 0);
-    queue->expiryMs = checkInt(faults, value, path, "expiryMs", 1, CONFIG_SPAN_MAX_MS, 0);
-    queue->tenant = talloc_strdup(queue, checkName(faults, value, path, "tenant", ""));
-    queue->note = talloc_strdup(queue, checkText(faults, value, path, "note", CONFIG_NOTE_MAX));
-    readEntry(queue, value, path, queue, faults);
-    return queue;
-}
-
-static void readQueues(void *mem, json_object *object, const char *path, ConfigCell *cell, Faults *faults)
-{
-    json_object *all = named(faults, object, path, "queues", &cell->queueCount);
-    const ConfigQueue **queues = talloc_array(mem, const ConfigQueue *, (unsigned)cell->queueCount);
-    const char *here = checkPath(faults, path, "queues");
+    const ConfigCell *earlier = reading->earlier != NULL ? configCell(reading->earlier, cell->name) : NULL;
+    const char *here = checkPath(reading->faults, path, "queues");
     size_t at = 0;
-    if (all != NULL) {
-        json_object_object_foreach(all, name, value) {
-            queues[at] = readQueue(mem, value, name, checkPath(faults, here, name), faults);
-            g_hash_table_insert(cell->queueNames, (gpointer)(uintptr_t)queues[at]->name, (gpointer)(uintptr_t)queues[at]);
-            at++;
-        }
+    json_object_object_foreach(all, name, value) {
+        const ConfigQueue *known = earlier != NULL ? configQueue(earlier, name) : NULL;
+        const ConfigQueue *queue = queues[at++] = queuePart(value, name, here, known, reading->faults);
+        g_hash_table_insert(cell->queueNames, (gpointer)(uintptr_t)queue->name, (gpointer)(uintptr_t)queue);
     }
-    cell->queues = queues;
 }
 
-static void readCell(Config *config, json_object *value, const char *path, ConfigCell *cell, Faults *faults)
+static void readCell(const Reading *reading, json_object *value, const char *path, ConfigCell *cell)
 {
     static const char *const KEYS[] = {"share", "limit", "policy", "strict", "tenants", "queues", NULL};
+    Faults *faults = reading->faults;
     if (!checkKeys(faults, value, path, KEYS))
         return;
     cell->share = (uint64_t)checkInt(faults, value, path, "share", 1, 1000, 1);
     cell->limit = (uint64_t)checkInt(faults, value, path, "limit", 1, 1000000, QUEUE_LIMIT_DEFAULT);
-    cell->policy = talloc_strdup(config, checkName(faults, value, path, "policy", ""));
+    cell->policy = talloc_strdup(reading->config, checkName(faults, value, path, "policy", ""));
     cell->strict = checkFlag(faults, value, path, "strict", true);
-    readTenants(config, value, path, cell, faults);
-    readQueues(config, value, path, cell, faults);
+    readTenants(reading->config, value, path, cell, faults);
+    readQueues(reading, value, path, cell);
 }
 
-static void readCells(Config *config, json_object *object, Faults *faults)
+static void readCells(const Reading *reading, json_object *object)
 {
-    json_object *all = named(faults, object, "", "cells", &config->cellCount);
+    Config *config = reading->config;
+    json_object *all = named(reading->faults, object, "", "cells", &config->cellCount);
     ConfigCell *cells = talloc_zero_array(config, ConfigCell, (unsigned)config->cellCount);
     config->cells = cells;
-    for (size_t i = 0; i < config->cellCount; i++)
+    for (size_t i = 0; i < config->cellCount; i++) {
+        cells[i].name = cells[i].policy = "";
         cells[i].queueNames = g_hash_table_new(g_str_hash, g_str_equal);
+    }
     if (all == NULL)
         return;
     size_t at = 0;
     json_object_object_foreach(all, name, value) {
         ConfigCell *cell = &cells[at++];
         cell->name = talloc_strdup(config, name);
-        cell->policy = "";
         g_hash_table_insert(config->cellNames, (gpointer)(uintptr_t)cell->name, cell);
-        readCell(config, value, checkPath(faults, "cells", name), cell, faults);
+        readCell(reading, value, checkPath(reading->faults, "cells", name), cell);
+    }
+}
+
+/* --- what stands beside the cells ------------------------------------------------------ */
+
+static void readPolicies(const Reading *reading, json_object *object)
+{
+    Config *config = reading->config;
+    json_object *all = named(reading->faults, object, "", "policies", &config->policyCount);
+    const ConfigPolicy **policies = talloc_zero_array(config, const ConfigPolicy *, (unsigned)config->policyCount);
+    config->policies = policies;
+    if (all == NULL)
+        return;
+    size_t at = 0;
+    json_object_object_foreach(all, name, value) {
+        const ConfigPolicy *known = reading->earlier != NULL ? configPolicy(reading->earlier, name) : NULL;
+        policies[at++] = policyPart(value, name, "policies", known, reading->faults);
     }
 }
 
@@ -151,9 +140,10 @@
         return;
     size_t at = 0;
     json_object_object_foreach(all, name, value) {
-        const char *path = checkPath(faults, checkPath(faults, "", "kinds"), name);
+        const char *path = checkPath(faults, "kinds", name);
         ConfigKind *kind = &kinds[at++];
         *kind = (ConfigKind){.name = talloc_strdup(config, name), .healthPath = "", .note = ""};
+        g_hash_table_insert(config->kindNames, (gpointer)(uintptr_t)kind->name, kind);
         if (!checkKeys(faults, value, path, KEYS))
             continue;
         kind->guards = checkFlag(faults, value, path, "guards", false);
@@ -162,38 +152,49 @@
     }
 }
 
-static void readLimits(Config *config, json_object *object, Faults *faults)
+static void readLimits(ConfigLimits *limits, json_object *object, Faults *faults)
 {
     static const char *const KEYS[] = {"headBytes", "bodyBytes", "headMs", "idleMs", NULL};
     json_object *value;
     if (!json_object_object_get_ex(object, "limits", &value) || !checkKeys(faults, value, "limits", KEYS))
         return;
-    config->limits.headBytes = (uint64_t)checkInt(faults, value, "limits", "headBytes", 1, CONFIG_BYTES_MAX, 0);
-    config->limits.bodyBytes = (uint64_t)checkInt(faults, value, "limits", "bodyBytes", 1, CONFIG_BYTES_MAX, 0);
-    config->limits.headMs = checkInt(faults, value, "limits", "headMs", 1, CONFIG_SPAN_MAX_MS, 0);
-    config->limits.idleMs = checkInt(faults, value, "limits", "idleMs", 1, CONFIG_SPAN_MAX_MS, 0);
+    limits->headBytes = (uint64_t)checkInt(faults, value, "limits", "headBytes", 1, CONFIG_BYTES_MAX, 0);
+    limits->bodyBytes = (uint64_t)checkInt(faults, value, "limits", "bodyBytes", 1, CONFIG_BYTES_MAX, 0);
+    limits->headMs = checkInt(faults, value, "limits", "headMs", 1, CONFIG_SPAN_MAX_MS, 0);
+    limits->idleMs = checkInt(faults, value, "limits", "idleMs", 1, CONFIG_SPAN_MAX_MS, 0);
 }
 
-/* What names something elsewhere in the document. */
-static void checkCell(const Config *config, const ConfigCell *cell, bool kindsGiven, Faults *faults)
+/* --- what names something elsewhere in the document ------------------------------------ */
+
+static void checkQueue(const Config *config, const ConfigCell *cell, const ConfigQueue *queue, bool kindsGiven,
+                       Faults *faults)
 {
-    const char *path = talloc_asprintf(faults->mem, "cells.%s", cell->name);
-    if (cell->policy[0] != '\0' && configPolicy(config, cell->policy) == NULL)
-        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "policy"), "there is no policy %s", cell->policy);
-    for (size_t i = 0; i < cell->queueCount; i++) {
-        const ConfigQueue *queue = cell->queues[i];
-        if (queue->kind[0] != '\0' && kindsGiven && configKind(config, queue->kind) == NULL)
-            faultAdd(faults, STATUS_BAD_FIELD, talloc_asprintf(faults->mem, "%s.queues.%s.kind", path, queue->name),
-                     "there is no kind %s", queue->kind);
-        if (queue->tenant[0] != '\0' && configTenant(cell, queue->tenant) == NULL)
-            faultAdd(faults, STATUS_BAD_FIELD, talloc_asprintf(faults->mem, "%s.queues.%s.tenant", path, queue->name),
-                     "the cell has no tenant %s", queue->tenant);
-    }
+    if (queue->kind[0] != '\0' && kindsGiven && configKind(config, queue->kind) == NULL)
+        faultAdd(faults, STATUS_BAD_FIELD,
+                 talloc_asprintf(faults->mem, "cells.%s.queues.%s.kind", cell->name, queue->name),
+                 "there is no kind %s", queue->kind);
+    if (queue->tenant[0] != '\0' && configTenant(cell, queue->tenant) == NULL)
+        faultAdd(faults, STATUS_BAD_FIELD,
+                 talloc_asprintf(faults->mem, "cells.%s.queues.%s.tenant", cell->name, queue->name),
+                 "the cell has no tenant %s", queue->tenant);
+}
+
+/* The same host and prefix twice is a fault of the later one. */
+static void enterQueue(ConfigEntries *entries, const ConfigCell *cell, const ConfigQueue *queue, Faults *faults)
+{
+    const char *first = cell->tenantCount > 0 ? cell->tenants[0].name : "";
+    const ConfigPlace place = {cell, queue, queue->tenant[0] != '\0' ? queue->tenant : first, strlen(queue->prefix)};
+    const ConfigPlace *other;
+    if (queue->host[0] != '\0' && !entriesAdd(entries, &place, &other))
+        faultAdd(faults, STATUS_BAD_FIELD,
+                 talloc_asprintf(faults->mem, "cells.%s.queues.%s.entry", cell->name, queue->name),
+                 "queue %s of cell %s has this host and prefix", other->queue->name, other->cell->name);
 }
 
-/* All cells' entries; the same host and prefix twice is a fault of the later one. */
-static void enterCells(Config *config, Faults *faults)
+static void checkCells(const Reading *reading, json_object *tree)
 {
+    Config *config = reading->config;
+    const bool kindsGiven = json_object_object_get_ex(tree, "kinds", NULL);
     size_t count = 0;
     for (size_t i = 0; i < config->cellCount; i++)
         count += config->cells[i].queueCount;
@@ -201,107 +202,76 @@
     config->entries = entries;
     for (size_t i = 0; i < config->cellCount; i++) {
         const ConfigCell *cell = &config->cells[i];
-        const char *first = cell->tenantCount > 0 ? cell->tenants[0].name : "";
-        for (size_t k = 0; k < cell->queueCount; k++) {
-            const ConfigQueue *queue = cell->queues[k], *known;
-            const ConfigPlace place = {cell, queue, queue->tenant[0] != '\0' ? queue->tenant : first, strlen(queue->prefix)};
-            const ConfigPlace *other;
-            if (queue->host[0] == '\0' || entriesAdd(entries, &place, &other))
-                continue;
-            known = other->queue;
-            faultAdd(faults, STATUS_BAD_FIELD,
-                     talloc_asprintf(faults->mem, "cells.%s.queues.%s.entry", cell->name, queue->name),
-                     "queue %s of cell %s has this host and prefix", known->name, other->cell->name);
+        if (cell->policy[0] != '\0' && configPolicy(config, cell->policy) == NULL)
+            faultAdd(reading->faults, STATUS_BAD_FIELD,
+                     talloc_asprintf(reading->faults->mem, "cells.%s.policy", cell->name), "there is no policy %s",
+                     cell->policy);
+        for (size_t k = 0; k < cell->queueCount && cell->queues[k] != NULL; k++) {
+            checkQueue(config, cell, cell->queues[k], kindsGiven, reading->faults);
+            enterQueue(entries, cell, cell->queues[k], reading->faults);
         }
     }
 }
 
+/* --- the whole ------------------------------------------------------------------------ */
+
 static int configFree(Config *config)
 {
-    g_hash_table_destroy(config->cellNames);
-    for (size_t i = 0; i < config->cellCount; i++)
+    for (size_t i = 0; i < config->cellCount; i++) {
+        for (size_t k = 0; k < config->cells[i].queueCount; k++)
+            queuePartLeave(config->cells[i].queues[k]);
         g_hash_table_destroy(config->cells[i].queueNames);
-    return 0;
-}
-
-static void readPolicies(void *mem, json_object *object, Config *config, Faults *faults)
-{
-    json_object *all = named(faults, object, "", "policies", &config->policyCount);
-    ConfigPolicy *policies = talloc_zero_array(mem, ConfigPolicy, (unsigned)config->policyCount);
-    size_t at = 0;
-    if (all != NULL) {
-        json_object_object_foreach(all, name, value) {
-            LuaPolicy *tried;
-            Mishap mishap = {0};
-            if (!json_object_is_type(value, json_type_string))
-                faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, "policies", name), "must be the text of a program");
-            else if (luaPolicyNew(config, name, json_object_get_string(value), &tried, &mishap) != STATUS_OK)
-                faultAdd(faults, STATUS_BAD_POLICY, checkPath(faults, "policies", name), "%s", mishap.text);
-            else
-                policies[at] = (ConfigPolicy){talloc_strdup(mem, name), talloc_strdup(mem, json_object_get_string(value))};
-            at++;
-        }
     }
-    config->policies = policies;
+    for (size_t i = 0; i < config->policyCount; i++)
+        policyPartLeave(config->policies[i]);
+    g_hash_table_destroy(config->cellNames);
+    g_hash_table_destroy(config->kindNames);
+    json_object_put(config->tree);
+    return 0;
 }
 
-const Config *configRead(void *mem, const char *text, size_t count, uint64_t revision, Faults *faults)
+const Config *configBuild(void *mem, json_object *tree, uint64_t revision, const Config *earlier, Faults *faults)
 {
     static const char *const KEYS[] = {"r",     "zoneLoss", "rackLoss", "cells", "policies",
                                        "kinds", "limits",   "note",     NULL};
-    if (count > CONFIG_BODY_MAX) {
-        faultAdd(faults, STATUS_TOO_LARGE, "", "a configuration has at most %d bytes", CONFIG_BODY_MAX);
-        return NULL;
-    }
     const size_t before = faults->seen;
-    json_object *object = checkParse(faults, text, count);
-    if (object == NULL)
-        return NULL;
     Config *config = talloc_zero(mem, Config);
     config->revision = revision;
+    config->tree = json_object_get(tree);
     config->note = "";
     config->cellNames = g_hash_table_new(g_str_hash, g_str_equal);
+    config->kindNames = g_hash_table_new(g_str_hash, g_str_equal);
     talloc_set_destructor(config, configFree);
-    if (checkKeys(faults, object, "", KEYS)) {
-        config->r = (uint64_t)checkInt(faults, object, "", "r", 0, PLAN_R_MAX, 1);
-        config->zoneLoss = checkFlag(faults, object, "", "zoneLoss", false);
-        config->rackLoss = checkFlag(faults, object, "", "rackLoss", false);
-        config->note = talloc_strdup(config, checkText(faults, object, "", "note", CONFIG_NOTE_MAX));
-        readPolicies(config, object, config, faults);
-        readKinds(config, object, faults);
-        readLimits(config, object, faults);
-        readCells(config, object, faults);
-        const bool kindsGiven = json_object_object_get_ex(object, "kinds", NULL);
-        for (size_t i = 0; i < config->cellCount; i++)
-            checkCell(config, &config->cells[i], kindsGiven, faults);
-        enterCells(config, faults);
+    const Reading reading = {config, earlier, faults};
+    if (checkKeys(faults, tree, "", KEYS)) {
+        config->r = (uint64_t)checkInt(faults, tree, "", "r", 0, PLAN_R_MAX, 1);
+        config->zoneLoss = checkFlag(faults, tree, "", "zoneLoss", false);
+        config->rackLoss = checkFlag(faults, tree, "", "rackLoss", false);
+        config->note = talloc_strdup(config, checkText(faults, tree, "", "note", CONFIG_NOTE_MAX));
+        readPolicies(&reading, tree);
+        readKinds(config, tree, faults);
+        readLimits(&config->limits, tree, faults);
+        readCells(&reading, tree);
+        checkCells(&reading, tree);
     }
-    json_object_put(object);
     if (faults->seen == before)
         return config;
     talloc_free(config);
     return NULL;
 }
 
-static json_object *merged(json_object *target, json_object *patch)
+const Config *configRead(void *mem, const char *text, size_t count, uint64_t revision, Faults *faults)
 {
-    if (!json_object_is_type(patch, json_type_object))
-        return json_object_get(patch);
-    json_object *result = json_object_new_object();
-    if (json_object_is_type(target, json_type_object)) {
-        json_object_object_foreach(target, key, value)
-            json_object_object_add(result, key, json_object_get(value));
-    }
-    json_object_object_foreach(patch, name, change) {
-        if (change == NULL) {
-            json_object_object_del(result, name);
-            continue;
-        }
-        json_object *old = NULL;
-        json_object_object_get_ex(result, name, &old);
-        json_object_object_add(result, name, merged(old, change));
+    if (count > CONFIG_BODY_MAX) {
+        faultAdd(faults, STATUS_TOO_LARGE, "", "a configuration has at most %d bytes", CONFIG_BODY_MAX);
+        return NULL;
     }
-    return result;
+    json_object *tree = checkParse(faults, text, count);
+    if (tree == NULL)
+        return NULL;
+    const Config *config = configBuild(mem, tree, revision, NULL, faults);
+    json_object_put(tree);
+    return config;
 }
 
 const char *configPatch(void *mem, const char *text, const char *patchText, size_t patchCount, Faults *faults)
@@ -314,15 +284,17 @@
         json_object_put(patch);
         return NULL;
     }
-    json_object *target = json_tokener_parse(text);
-    json_object *result = merged(target, patch);
-    const char *out = talloc_strdup(mem, json_object_to_json_string_ext(result, JSON_C_TO_STRING_PLAIN));
+    json_object *tree = documentParse(text);
+    json_object *result = documentMerged(tree, patch);
+    const char *out = documentText(mem, result);
     json_object_put(result);
-    json_object_put(target);
+    json_object_put(tree);
     json_object_put(patch);
     return out;
 }
 
+/* --- finding ---------------------------------------------------------------------------- */
+
 const ConfigCell *configCell(const Config *config, const char *name)
 {
     return g_hash_table_lookup(config->cellNames, name);
@@ -343,10 +315,7 @@
 
 const ConfigKind *configKind(const Config *config, const char *name)
 {
-    for (size_t i = 0; i < config->kindCount; i++)
-        if (strcmp(config->kinds[i].name, name) == 0)
-            return &config->kinds[i];
-    return NULL;
+    return g_hash_table_lookup(config->kindNames, name);
 }
 
 const ConfigPlace *configEntry(const Config *config, const char *host, const char *path)
@@ -357,7 +326,7 @@
 const ConfigPolicy *configPolicy(const Config *config, const char *name)
 {
     for (size_t i = 0; i < config->policyCount; i++)
-        if (config->policies[i].name != NULL && strcmp(config->policies[i].name, name) == 0)
-            return &config->policies[i];
+        if (config->policies[i] != NULL && strcmp(config->policies[i]->name, name) == 0)
+            return config->policies[i];
     return NULL;
 }
--- /dev/null
+++ b/packages/config/src/parts.h
@@ -0,0 +1,32 @@
+#ifndef CONFIG_PARTS_H
+#define CONFIG_PARTS_H
+
+#include "config/config.h"
+
+/* What two revisions may share: it is read once from its place in the tree and
+ * lives as long as any Config uses it.
+ * Invariant: from is the value that it was read from, kept, so that no other
+ * value can come to stand at the same address. */
+typedef struct QueuePart {
+    ConfigQueue queue; /* first */
+    json_object *from;
+    size_t users;
+} QueuePart;
+
+typedef struct PolicyPart {
+    ConfigPolicy policy; /* first */
+    json_object *from;
+    size_t users;
+} PolicyPart;
+
+/* Each gives a use. earlier (may be null) is of this name. A part is returned
+ * also when there are faults. */
+const ConfigQueue *queuePart(json_object *value, const char *name, const char *path, const ConfigQueue *earlier,
+                             Faults *faults);
+const ConfigPolicy *policyPart(json_object *value, const char *name, const char *path, const ConfigPolicy *earlier,
+                               Faults *faults);
+/* Ends a use; null is nothing. */
+void queuePartLeave(const ConfigQueue *queue);
+void policyPartLeave(const ConfigPolicy *policy);
+
+#endif
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -139,11 +139,12 @@
     for (;;) {
         if (!viewLeading(core->view))
             return STATUS_NOT_LEADER;
-        const ConfigText *config = tableConfig(core->table);
+        const Revisions *revisions = tableRevisions(core->table);
+        const uint64_t newest = revisionsNewest(revisions);
         out->epoch = viewEpoch(core->view);
-        if (!core->repairing && config != NULL && config->revision != ask->have) {
-            out->revision = config->revision;
-            out->text = talloc_strdup(mem, config->text);
+        if (!core->repairing && newest != ask->have && newest > 0) {
+            out->revision = newest;
+            out->text = revisionsText(revisions, mem, newest);
             return STATUS_OK;
         }
         if (!signalWait(core->loop, viewNews(core->view), untilMs)) {
--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -1,21 +1,41 @@
 /* The configuration, as operators ask for it and change it. */
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "document/document.h"
+#include "inforce.h"
 #include "way.h"
 
-static json_object *showConfig(const ConfigText *config)
+#define DIGEST_CHARS 32 /* count; of a SHA-256 in hex: calls are told apart, not protected from forgers */
+
+/* --- reading ----------------------------------------------------------------------- */
+
+/* The text goes out as it is kept: a document is given back as it was sent. */
+static void showConfig(Way *way, uint64_t revision, const char *text)
 {
-    json_object *body = json_object_new_object();
-    json_object_object_add(body, "revision", json_object_new_int64(config != NULL ? (int64_t)config->revision : 0));
-    json_object_object_add(body, "config", json_tokener_parse(config != NULL ? config->text : configFirstText()));
-    return body;
+    HttpTask *task = way->task;
+    char head[64];
+    const int length = snprintf(head, sizeof(head), "{\"revision\":%" PRIu64 ",\"config\":", revision);
+    task->code = 200;
+    task->kind = "application/json";
+    bytesAdd(task, &task->verdict, head, (size_t)length);
+    bytesAdd(task, &task->verdict, text, strlen(text));
+    bytesAdd(task, &task->verdict, "}", 1);
+}
+
+static void showNewest(Way *way)
+{
+    const Revisions *revisions = tableRevisions(way->core->table);
+    const uint64_t newest = revisionsNewest(revisions);
+    showConfig(way, newest, newest > 0 ? revisionsText(revisions, way->mem, newest) : configFirstText());
 }
 
 void configGet(Way *way)
 {
-    int64_t revision = -1, have = -1, waitMs = 0;
+    const Revisions *revisions = tableRevisions(way->core->table);
+    int64_t revision = 0, have = -1, waitMs = 0;
     queryInt(way->faults, way->task->query, "revision", 0, INT64_MAX, &revision);
     queryInt(way->faults, way->task->query, "have", 0, INT64_MAX, &have);
     queryInt(way->faults, way->task->query, "waitMs", 0, FEED_HOLD_MS * 2, &waitMs);
@@ -24,83 +44,183 @@
         return;
     }
     if (revision > 0) {
-        const ConfigText *config = tableConfigAt(way->core->table, (uint64_t)revision);
-        if (config == NULL)
+        const char *text = revisionsText(revisions, way->mem, (uint64_t)revision);
+        if (text == NULL)
             showRefusal(way->task, STATUS_UNKNOWN_REVISION, "this revision can't be read back", NULL);
         else
-            showVerdict(way->task, 200, showConfig(config));
+            showConfig(way, (uint64_t)revision, text);
         return;
     }
     const int64_t untilMs = loopNowMs(way->core->loop) + waitMs;
-    const ConfigText *config = tableConfig(way->core->table);
-    while (have >= 0 && (int64_t)(config != NULL ? config->revision : 0) <= have) {
+    while (have >= 0 && revisionsNewest(tableRevisions(way->core->table)) <= (uint64_t)have)
         if (!signalWait(way->core->loop, viewNews(way->core->view), untilMs))
             break;
-        config = tableConfig(way->core->table);
-    }
     if (!viewLeading(way->core->view))
         showRefusal(way->task, STATUS_NOT_LEADER, "the lead was lost meanwhile: come back", NULL);
     else
-        showVerdict(way->task, 200, showConfig(tableConfig(way->core->table)));
+        showNewest(way);
 }
 
 void configHistory(Way *way)
 {
-    const ConfigText *configs;
-    const size_t count = tableConfigs(way->core->table, &configs);
+    const Revisions *revisions = tableRevisions(way->core->table);
     json_object *body = json_object_new_object(), *list = json_object_new_array();
-    for (size_t i = 0; i < count; i++)
-        json_object_array_add(list, json_object_new_int64((int64_t)configs[i].revision));
+    for (size_t i = revisions->whole; i < revisions->count; i++)
+        json_object_array_add(list, json_object_new_uint64(revisions->rows[i].revision));
     json_object_object_add(body, "revisions", list);
     showVerdict(way->task, 200, body);
 }
 
+/* --- changing ------------------------------------------------------------------------ */
+
 static void refuseStale(Way *way, uint64_t current)
 {
     json_object *body = showMishap(STATUS_STALE_REVISION, "another revision is in force: build on that", NULL);
-    json_object_object_add(body, "current", json_object_new_int64((int64_t)current));
+    json_object_object_add(body, "current", json_object_new_uint64(current));
     showVerdict(way->task, statusHttp(STATUS_STALE_REVISION), body);
 }
 
-static void configSet(Way *way, bool patch)
+static void showTaken(Way *way, uint64_t revision)
 {
-    Core *core = way->core;
-    const ConfigText *now = tableConfig(core->table);
-    const uint64_t current = now != NULL ? now->revision : 0;
-    int64_t base = -1;
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "revision", json_object_new_uint64(revision));
+    showVerdict(way->task, 200, body);
+}
+
+/* What makes a call that names its revision the same one when it is sent again. */
+static const char *digestOf(Way *way, bool patch, uint64_t base, uint64_t revision)
+{
+    char head[80];
+    const int length = snprintf(head, sizeof(head), "%s %" PRIu64 " %" PRIu64 "\n", patch ? "patch" : "put", base, revision);
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    g_checksum_update(sum, (const guchar *)head, length);
+    g_checksum_update(sum, way->task->body.data, (gssize)way->task->body.count);
+    const char *digest = talloc_strndup(way->mem, g_checksum_get_string(sum), DIGEST_CHARS);
+    g_checksum_free(sum);
+    return digest;
+}
+
+/* The whole document that a patch makes; null and faults. The text to be
+ * committed is the patch. */
+static json_object *patched(Way *way, const Config *now, json_object *patch, ConfigSet *set)
+{
+    if (!json_object_is_type(patch, json_type_object)) {
+        faultAdd(way->faults, STATUS_BAD_JSON, "", "a patch must be an object");
+        return NULL;
+    }
+    json_object *tree = documentMerged(now->tree, patch);
+    set->patch = now->revision > 0;
+    set->text = documentText(way->mem, set->patch ? patch : tree);
+    return tree;
+}
+
+/* A document that differs little from the one in force is committed as its
+ * difference, and shares with it what is the same. */
+static json_object *replaced(Way *way, const Config *now, json_object *whole, ConfigSet *set)
+{
+    json_object *patch = now->revision > 0 ? documentDifference(now->tree, whole) : NULL;
+    const char *text = patch != NULL ? documentText(way->mem, patch) : NULL;
+    json_object *tree;
+    if (text != NULL && strlen(text) < way->task->body.count / 2) {
+        set->patch = true;
+        set->text = text;
+        tree = documentMerged(now->tree, patch);
+    } else {
+        set->text = talloc_strndup(way->mem, (const char *)way->task->body.data, way->task->body.count);
+        tree = json_object_get(whole);
+    }
+    json_object_put(patch);
+    return tree;
+}
+
+/* Many patches together may make a document that none of them could send. It is
+ * measured only where their sizes do not settle it. */
+static void checkSize(Way *way, json_object *tree)
+{
+    if (revisionsSize(tableRevisions(way->core->table)) + way->task->body.count <= CONFIG_BODY_MAX)
+        return;
+    size_t length;
+    json_object_to_json_string_length(tree, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &length);
+    if (length > CONFIG_BODY_MAX)
+        faultAdd(way->faults, STATUS_TOO_LARGE, "", "with this patch the configuration has more than %d bytes",
+                 CONFIG_BODY_MAX);
+}
+
+/* Null and faults. On mem. */
+static const Config *configOf(Way *way, const Config *now, bool patch, ConfigSet *set)
+{
+    const Bytes *body = &way->task->body;
+    if (body->count > CONFIG_BODY_MAX) {
+        faultAdd(way->faults, STATUS_TOO_LARGE, "", "a configuration has at most %d bytes", CONFIG_BODY_MAX);
+        return NULL;
+    }
+    json_object *sent = checkParse(way->faults, (const char *)body->data, body->count);
+    if (sent == NULL)
+        return NULL;
+    json_object *tree = patch ? patched(way, now, sent, set) : replaced(way, now, sent, set);
+    json_object_put(sent);
+    if (patch && tree != NULL)
+        checkSize(way, tree);
+    const Config *config = tree != NULL ? configBuild(way->mem, tree, set->revision, now, way->faults) : NULL;
+    json_object_put(tree);
+    return config;
+}
+
+static bool queryRevisions(Way *way, uint64_t *base, uint64_t *revision)
+{
+    int64_t builds = -1, named = 0;
     if (queryValue(way->mem, way->task->query, "base") == NULL)
         faultAdd(way->faults, STATUS_BAD_FIELD, "?base", "is missing: name the revision that this builds on");
-    queryInt(way->faults, way->task->query, "base", 0, INT64_MAX, &base);
-    if (way->faults->count > 0) {
+    queryInt(way->faults, way->task->query, "base", 0, INT64_MAX, &builds);
+    queryInt(way->faults, way->task->query, "revision", 1, INT64_MAX, &named);
+    *base = (uint64_t)builds;
+    *revision = (uint64_t)named;
+    return way->faults->count == 0;
+}
+
+static void configSet(Way *way, bool patch)
+{
+    Core *core = way->core;
+    ConfigSet set = {.text = "", .digest = "", .patch = false};
+    if (!queryRevisions(way, &set.base, &set.revision)) {
         wayRefuse(way);
         return;
     }
-    if ((uint64_t)base != current) {
-        refuseStale(way, current);
+    const Revisions *revisions = tableRevisions(core->table);
+    if (set.revision != 0)
+        set.digest = digestOf(way, patch, set.base, set.revision);
+    const uint64_t current = revisionsNewest(revisions), known = revisionsDigest(revisions, set.digest);
+    if (known != 0) { /* sent again: it was taken, whatever has come since */
+        showTaken(way, known);
         return;
     }
-    const char *text = talloc_strndup(way->mem, (const char *)way->task->body.data, way->task->body.count);
-    size_t count = way->task->body.count;
-    if (patch) {
-        text = configPatch(way->mem, now != NULL ? now->text : configFirstText(),
-                           (const char *)way->task->body.data, way->task->body.count, way->faults);
-        count = text != NULL ? strlen(text) : 0;
+    if (set.base != current) {
+        refuseStale(way, current);
+        return;
     }
-    if (way->faults->count > 0 || configRead(way->mem, text, count, current + 1, way->faults) == NULL) {
+    if (set.revision == 0)
+        set.revision = current + 1;
+    else if (set.revision <= current)
+        faultAdd(way->faults, STATUS_BAD_FIELD, "?revision", "must be above %" PRIu64 ", which is in force", current);
+    const Config *config = configOf(way, coreConfig(core), patch, &set);
+    if (config == NULL || way->faults->count > 0) {
         wayRefuse(way);
         return;
     }
-    const ConfigSet set = {current, current + 1, text, false};
+    set.limits = config->limits;
+    Trial trial = {.set = set, .config = config};
+    trialEnter(core, &trial);
     Verdict verdict;
-    if (!wayDelivered(way, coreSubmit(core, way->mem, CHANGE_CONFIG_SET, &ConfigSetShape, &set, &verdict, way->keeps)))
+    const Status status = coreSubmit(core, way->mem, CHANGE_CONFIG_SET, &ConfigSetShape, &set, &verdict, way->keeps);
+    if (status == STATUS_OK && verdict.status == STATUS_OK)
+        coreConfig(core); /* takes what was checked, before another change is delivered */
+    trialLeave(core, &trial);
+    if (!wayDelivered(way, status))
         return;
-    if (verdict.status != STATUS_OK) {
+    if (verdict.status == STATUS_OK)
+        showTaken(way, verdict.number);
+    else
         refuseStale(way, verdict.number);
-        return;
-    }
-    json_object *body = json_object_new_object();
-    json_object_object_add(body, "revision", json_object_new_int64((int64_t)verdict.number));
-    showVerdict(way->task, 200, body);
 }
 
 void configPut(Way *way)
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -6,36 +6,6 @@
 #include "base/epoch.h"
 #include "alerts.h"
 
-const Config *coreConfig(Core *core)
-{
-    const ConfigText *newest = tableConfig(core->table);
-    const uint64_t revision = newest != NULL ? newest->revision : 0;
-    if (core->config != NULL && core->config->revision == revision)
-        return core->config;
-    const char *text = newest != NULL ? newest->text : configFirstText();
-    void *mem = talloc_new(core);
-    Faults *faults = talloc_zero(mem, Faults);
-    faults->mem = mem;
-    const Config *config = configRead(core, text, strlen(text), revision, faults);
-    if (config == NULL) { /* it was checked before it was committed */
-        ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "revision %" PRIu64 " can't be read: %s %s", revision,
-                faults->list[0].path, faults->list[0].text);
-        talloc_free(mem);
-        return core->config;
-    }
-    talloc_free(mem);
-    talloc_free((void *)(uintptr_t)core->config);
-    core->config = config;
-    core->policies = mapNew((void *)(uintptr_t)config);
-    for (size_t i = 0; i < config->policyCount; i++) {
-        LuaPolicy *policy;
-        if (luaPolicyNew(core->policies, config->policies[i].name, config->policies[i].text, &policy, NULL) == STATUS_OK)
-            mapSet(core->policies, config->policies[i].name, policy);
-    }
-    core->policyFailuresTold = 0;
-    return config;
-}
-
 bool coreDecides(Core *core)
 {
     if (!viewLeading(core->view) || core->repairing)
@@ -50,31 +20,6 @@
     return (QueueClock){viewClockMs(core->view), viewWallMs(core->view)};
 }
 
-const Policy *corePolicy(void *arg, const ConfigCell *cell)
-{
-    const Core *core = arg;
-    LuaPolicy *policy = cell != NULL && cell->policy[0] != '\0' ? mapGet(core->policies, cell->policy) : NULL;
-    return policy != NULL ? luaPolicy(policy) : policyPlain();
-}
-
-uint64_t corePolicyFailures(const Core *core, const char **last)
-{
-    uint64_t failures = 0;
-    *last = "";
-    void *mem = talloc_new(NULL);
-    const char **names;
-    const size_t count = core->policies != NULL ? mapKeys(core->policies, mem, &names) : 0;
-    for (size_t i = 0; i < count; i++) {
-        const char *words;
-        const uint64_t some = luaPolicyFailures(mapGet(core->policies, names[i]), &words);
-        if (some > 0)
-            *last = words;
-        failures += some;
-    }
-    talloc_free(mem);
-    return failures;
-}
-
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps)
 {
@@ -150,7 +95,7 @@
         }
     else if (change->change == CHANGE_CONFIG_SET &&
              shapeUnpack(&ConfigSetShape, change->payload, mem, &set, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, set.base + 1);
+        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, set.revision);
     else if (change->change == CHANGE_ZONE_DRAIN &&
              shapeUnpack(&ZoneDrainShape, change->payload, mem, &drain, NULL) == STATUS_OK)
         traceSay(core->trace, TRACE_DELIVERED, drain.drained ? "drained" : "back", "zone:%s", drain.zone);
--- /dev/null
+++ b/packages/core/src/inforce.h
@@ -0,0 +1,19 @@
+#ifndef CORE_INFORCE_H
+#define CORE_INFORCE_H
+
+#include "inside.h"
+
+/* A configuration that this leader has checked and is having committed.
+ * Invariant: config is null once it is in force. */
+typedef struct Trial {
+    struct Trial *next;
+    ConfigSet set;
+    uint64_t loads; /* of the table, when it was checked */
+    const Config *config;
+} Trial;
+
+/* Between the two, coreConfig finds it when it has been delivered. */
+void trialEnter(Core *core, Trial *trial);
+void trialLeave(Core *core, Trial *trial);
+
+#endif
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -53,8 +53,10 @@
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
-    const Config *config; /* of the table's newest revision */
-    Map *policies;        /* names to LuaPolicy, of the same revision */
+    const Config *config;  /* of the table's newest revision that could be read */
+    uint64_t configLoads;  /* tableLoads when it was read */
+    uint64_t configUnread; /* a revision that can't be read */
+    struct Trial *trials;
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -78,6 +78,11 @@
     return x->index < y->index ? -1 : x->index > y->index;
 }
 
+static uint64_t revisionOf(const ConfigSet *set)
+{
+    return set->revision != 0 ? set->revision : set->base + 1;
+}
+
 /* Whether the state has it already, so that telling it would change nothing. */
 static bool known(Core *core, void *mem, const KeepItem *item)
 {
@@ -99,7 +104,7 @@
     }
     case CHANGE_CONFIG_SET:
         return shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) != STATUS_OK ||
-               (tableConfig(table) != NULL && tableConfig(table)->revision > set.base);
+               revisionsNewest(tableRevisions(table)) >= revisionOf(&set);
     case CHANGE_ZONE_DRAIN:
         return shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) != STATUS_OK ||
                tableDrainStamp(table, drain.zone) >= drain.stamp;
@@ -121,7 +126,7 @@
     if (item->change != CHANGE_CONFIG_SET ||
         shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) != STATUS_OK)
         return item->payload;
-    set.revision = set.base + 1;
+    set.revision = revisionOf(&set);
     set.restored = true;
     Bytes payload = {0};
     shapePack(&ConfigSetShape, &set, mem, &payload);
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -160,8 +160,7 @@
     for (size_t i = 0; i < zoneCount; i++)
         json_object_array_add(drained, textOf(zones[i]));
     json_object_object_add(body, "drainedZones", drained);
-    const ConfigText *config = tableConfig(core->table);
-    json_object_object_add(body, "configRevision", numberOf(config != NULL ? (int64_t)config->revision : 0));
+    json_object_object_add(body, "configRevision", numberOf((int64_t)revisionsNewest(tableRevisions(core->table))));
     const char *words;
     const uint64_t policyFailures = corePolicyFailures(core, &words);
     json_object_object_add(body, "policyFailures", numberOf((int64_t)policyFailures));
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -32,7 +32,7 @@
             traceSay(proxy->trace, TRACE_CARRIED, detail, "job:%s", cancel.id);
         else if (item->change == CHANGE_CONFIG_SET &&
                  shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) == STATUS_OK)
-            traceSay(proxy->trace, TRACE_CARRIED, detail, "config:%" PRIu64, set.base + 1);
+            traceSay(proxy->trace, TRACE_CARRIED, detail, "config:%" PRIu64, set.revision);
         else if (item->change == CHANGE_ZONE_DRAIN &&
                  shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) == STATUS_OK)
             traceSay(proxy->trace, TRACE_CARRIED, detail, "zone:%s", drain.zone);
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -114,7 +114,7 @@
     (void)question;
     keeperTell(gate->keeper, mem, list);
     if (gate->revision > 0) {
-        const ConfigSet set = {gate->revision - 1, gate->revision, gate->text, true};
+        const ConfigSet set = {.base = gate->revision - 1, .revision = gate->revision, .text = gate->text, .restored = true};
         KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
         shapePack(&ConfigSetShape, &set, mem, &item.payload);
         list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
--- a/packages/table/include/table/revisions.h
+++ b/packages/table/include/table/revisions.h
@@ -35,6 +35,8 @@
 Revisions *revisionsNew(void *mem, size_t keep);
 /* 0: none yet. */
 uint64_t revisionsNewest(const Revisions *revisions);
+/* Of the newest: bytes that its text has at most. */
+size_t revisionsSize(const Revisions *revisions);
 /* Of the newest. */
 const ConfigLimits *revisionsLimits(const Revisions *revisions);
 /* The revision that a call of this digest brought; 0: none that is known. */
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -26,6 +26,17 @@
     return revisions->count > 0 ? &revisions->rows[revisions->count - 1].limits : &NONE;
 }
 
+size_t revisionsSize(const Revisions *revisions)
+{
+    size_t size = 0;
+    for (size_t i = revisions->count; i > revisions->whole; i--) {
+        size += strlen(revisions->rows[i - 1].text);
+        if (!revisions->rows[i - 1].patch)
+            break;
+    }
+    return size;
+}
+
 uint64_t revisionsDigest(const Revisions *revisions, const char *digest)
 {
     for (size_t i = revisions->count; digest[0] != '\0' && i > 0; i--)
