Jobs at the address of their queue: /v1/entry/PATH

Cause: callers that know a host and a path, not a cell, tenant and queue. The leader looks the queue up in the newest committed document at each request, so no node can handle one by an older one, and nobody else keeps a table. What follows the prefix is the id; an id is one job at every entry, in the queue that took it first. Unknown is 410 here, since only a leader that has all that was told says so; 404 is for a queue that is not there, 503 for no document yet. A job is accepted under its queue's terms, also by /v1/jobs.

--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -9,6 +9,9 @@
 /* What users read. Each value built here is the caller's to put. */
 json_object *showJob(const Job *job, QueueClock clock);
 json_object *showJobShort(const Job *job);
+/* One word for a job as a whole: queued until a task of it has started, what it
+ * will come to as soon as that is settled. */
+const char *showPhase(const Job *job);
 json_object *showRoom(Room room);
 json_object *showWorker(const Worker *worker);
 /* {"status": word, "text": ..., "faults": [...]} */
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -67,6 +67,18 @@
     return object;
 }
 
+const char *showPhase(const Job *job)
+{
+    if (job->phase != JOB_ACTIVE)
+        return jobPhaseWord(job->phase);
+    if (job->ending == JOB_FAILED) /* a cancelled one may yet end well */
+        return jobPhaseWord(job->ending);
+    for (size_t i = 0; i < job->tasksCount; i++)
+        if (job->tasks[i].startedMs > 0)
+            return jobPhaseWord(JOB_ACTIVE);
+    return "queued";
+}
+
 json_object *showJob(const Job *job, QueueClock clock)
 {
     json_object *object = showJobShort(job);
--- /dev/null
+++ b/packages/core/src/entry.c
@@ -0,0 +1,154 @@
+/* Jobs at the address of their queue: host and path name the queue, what follows
+ * its prefix is the job's id. Everything about the queue is looked up in the newest
+ * committed document at each request, so none is handled by an older one. */
+#include <string.h>
+#include <talloc.h>
+
+#include "way.h"
+
+/* 410 for a job: this leader has all that was told, so there is none. */
+#define GONE_HTTP 410
+#define NO_ENTRY_HTTP 404
+
+/* A refusal under a code of its own. */
+static void entryRefuse(Way *way, int http, Status status, const char *text)
+{
+    showRefusal(way->task, status, text, NULL);
+    way->task->code = http;
+}
+
+static void entryShow(Way *way, int http, const Job *job)
+{
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "id", json_object_new_string(job->spec.id));
+    json_object_object_add(body, "phase", json_object_new_string(showPhase(job)));
+    showVerdict(way->task, http, body);
+}
+
+/* A job without id, cell, tenant and queue, which the path names. */
+static bool readAt(Way *way, const ConfigPlace *place, JobSpec *spec)
+{
+    json_object *object = checkParse(way->faults, (const char *)way->task->body.data, way->task->body.count);
+    if (object == NULL)
+        return false;
+    const char *const words[][2] = {{"id", way->name},
+                                    {"cell", place->cell->name},
+                                    {"tenant", place->tenant},
+                                    {"queue", place->queue->name}};
+    bool good = json_object_is_type(object, json_type_object);
+    if (!good)
+        faultAdd(way->faults, STATUS_BAD_JSON, "", "must be an object");
+    for (size_t i = 0; i < 4 && good; i++)
+        json_object_object_add(object, words[i][0], json_object_new_string(words[i][1]));
+    const char *text = good ? json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN) : "";
+    good = good && jobRead(way->faults, text, strlen(text), spec);
+    json_object_put(object);
+    return good;
+}
+
+static int64_t waitingIn(const Table *table, const ConfigPlace *place)
+{
+    Job *const *jobs;
+    const size_t count = tableActive(table, &jobs);
+    int64_t waiting = 0;
+    for (size_t i = 0; i < count; i++)
+        waiting += strcmp(jobs[i]->spec.cell, place->cell->name) == 0 &&
+                   strcmp(jobs[i]->spec.queue, place->queue->name) == 0;
+    return waiting;
+}
+
+static void entryPost(Way *way, const ConfigPlace *place)
+{
+    JobSpec spec;
+    if (!readAt(way, place, &spec)) {
+        wayRefuse(way);
+        return;
+    }
+    const Job *job = tableJob(way->core->table, spec.id);
+    bool fresh = false;
+    if (job != NULL) {
+        /* an id is one job at every entry: it stays in the queue that took it */
+        spec.cell = job->spec.cell;
+        spec.tenant = job->spec.tenant;
+        spec.queue = job->spec.queue;
+        if (!jobAgain(way, job, &spec))
+            return;
+    } else {
+        const JobTerms terms = jobTerms(place->queue);
+        job = jobTake(way, &spec, &terms, &fresh);
+        if (job == NULL)
+            return;
+    }
+    entryShow(way, fresh ? 201 : 200, job);
+}
+
+static void entryGet(Way *way)
+{
+    const Job *job = tableJob(way->core->table, way->name);
+    if (job == NULL) {
+        entryRefuse(way, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
+        return;
+    }
+    wayKeepEnd(way, job);
+    entryShow(way, 200, job);
+}
+
+static void entryCancel(Way *way)
+{
+    Verdict verdict;
+    if (tableJob(way->core->table, way->name) == NULL) {
+        entryRefuse(way, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
+        return;
+    }
+    if (!jobCancelled(way, &verdict))
+        return;
+    /* one that had ended before stays as it is, which is what was asked for */
+    const Job *job = tableJob(way->core->table, way->name);
+    if (job == NULL)
+        entryRefuse(way, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
+    else
+        entryShow(way, 200, job);
+}
+
+static void entryCount(Way *way, const ConfigPlace *place)
+{
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "waiting", json_object_new_int64(waitingIn(way->core->table, place)));
+    showVerdict(way->task, 200, body);
+}
+
+void entryServe(Way *way)
+{
+    Core *core = way->core;
+    const char *method = way->task->method, *path = way->task->path + strlen(ENTRY_PATH);
+    const bool post = strcmp(method, "POST") == 0, get = strcmp(method, "GET") == 0;
+    if (!post && !get && strcmp(method, "DELETE") != 0) {
+        showRefusal(way->task, STATUS_BAD_METHOD, "jobs are posted, got and deleted", NULL);
+        return;
+    }
+    if (tableConfig(core->table) == NULL) {
+        showRefusal(way->task, STATUS_NO_CONFIG, "there is no document yet; nothing was taken: come back", NULL);
+        return;
+    }
+    const char *host = queryValue(way->mem, way->task->query, "host");
+    const ConfigPlace *place = configEntry(coreConfig(core), host != NULL ? host : way->task->host, path);
+    if (place == NULL) {
+        entryRefuse(way, NO_ENTRY_HTTP, STATUS_UNKNOWN_QUEUE, "no queue has its entry here");
+        return;
+    }
+    way->name = path + place->prefixLength;
+    if (way->name[0] == '\0' && get)
+        entryCount(way, place);
+    else if (way->name[0] == '\0')
+        showRefusal(way->task, STATUS_BAD_METHOD, "an id must follow", NULL);
+    else if (!checkNameText(way->name) && post)
+        showRefusal(way->task, STATUS_BAD_FIELD, "an id is of letters, digits and ._:-", NULL);
+    else if (!checkNameText(way->name))
+        entryRefuse(way, GONE_HTTP, STATUS_UNKNOWN_JOB, "no job can have this id");
+    else if (post)
+        entryPost(way, place);
+    else if (get)
+        entryGet(way);
+    else
+        entryCancel(way);
+}
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -4,55 +4,79 @@
 
 #include "way.h"
 
-static void showAccepted(Way *way, const Job *job, int code)
-{
-    showVerdict(way->task, code, showJobShort(job));
-}
-
-void jobPost(Way *way)
+const Job *jobTake(Way *way, const JobSpec *spec, const JobTerms *terms, bool *fresh)
 {
     Core *core = way->core;
-    JobSpec spec;
-    if (!jobRead(way->faults, (const char *)way->task->body.data, way->task->body.count, &spec)) {
-        wayRefuse(way);
-        return;
-    }
-    /* the same job again is told the first answer, whatever has changed since */
-    const Job *known = tableJob(core->table, spec.id);
-    if (known != NULL) {
-        if (shapeEqual(&JobSpecShape, &known->spec, &spec)) {
-            /* whoever carries this verdict may be the only one to have heard it */
-            KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
-            const JobAdd add = {.spec = spec};
-            shapePack(&JobAddShape, &add, way->mem, &item.payload);
-            wayKeep(way, &item);
-            showAccepted(way, known, 200);
-        } else
-            showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
-        return;
-    }
     const Config *config = coreConfig(core);
-    if (!jobAdmissible(way->faults, &spec, config, core->table)) {
+    *fresh = false;
+    if (!jobAdmissible(way->faults, spec, config, core->table)) {
         wayRefuse(way);
-        return;
+        return NULL;
     }
     size_t tasks = 0;
-    for (size_t i = 0; i < spec.stepsCount; i++)
-        tasks += (size_t)spec.steps[i].count;
-    if (tableWaiting(core->table, spec.cell) + tasks > configCell(config, spec.cell)->limit) {
+    for (size_t i = 0; i < spec->stepsCount; i++)
+        tasks += (size_t)spec->steps[i].count;
+    if (tableWaiting(core->table, spec->cell) + tasks > configCell(config, spec->cell)->limit) {
         core->counts.crowded++;
         showRefusal(way->task, STATUS_QUEUE_FULL, "too much waits in this cell; nothing was taken: come back", NULL);
-        return;
+        return NULL;
     }
-    const JobAdd add = {.spec = spec};
+    const JobAdd add = {*spec, *terms};
     Verdict verdict;
     if (!wayDelivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &verdict, way->keeps)))
-        return;
-    const Job *job = tableJob(core->table, spec.id);
-    if (verdict.status != STATUS_OK || job == NULL)
+        return NULL;
+    const Job *job = tableJob(core->table, spec->id);
+    if (verdict.status != STATUS_OK || job == NULL) {
         showRefusal(way->task, verdict.status, "another job has this id", NULL);
-    else
-        showAccepted(way, job, 201);
+        return NULL;
+    }
+    *fresh = true;
+    return job;
+}
+
+bool jobAgain(Way *way, const Job *known, const JobSpec *spec)
+{
+    if (!shapeEqual(&JobSpecShape, &known->spec, spec)) {
+        showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
+        return false;
+    }
+    /* whoever carries this verdict may be the only one to have heard it */
+    KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
+    const JobAdd add = {known->spec, known->terms};
+    shapePack(&JobAddShape, &add, way->mem, &item.payload);
+    wayKeep(way, &item);
+    return true;
+}
+
+JobTerms jobTerms(const ConfigQueue *queue)
+{
+    if (queue == NULL)
+        return (JobTerms){.kind = ""};
+    return (JobTerms){queue->rounds, queue->stretchMilli, queue->targetMs, queue->priority,
+                      queue->kind != NULL ? queue->kind : ""};
+}
+
+void jobPost(Way *way)
+{
+    JobSpec spec;
+    if (!jobRead(way->faults, (const char *)way->task->body.data, way->task->body.count, &spec)) {
+        wayRefuse(way);
+        return;
+    }
+    /* the same job again is told the first answer, whatever has changed since */
+    const Job *job = tableJob(way->core->table, spec.id);
+    bool fresh = false;
+    if (job != NULL) {
+        if (!jobAgain(way, job, &spec))
+            return;
+    } else {
+        const ConfigCell *cell = configCell(coreConfig(way->core), spec.cell);
+        const JobTerms terms = jobTerms(cell != NULL ? configQueue(cell, spec.queue) : NULL);
+        job = jobTake(way, &spec, &terms, &fresh);
+        if (job == NULL)
+            return;
+    }
+    showVerdict(way->task, fresh ? 201 : 200, showJobShort(job));
 }
 
 void jobGet(Way *way)
@@ -66,16 +90,21 @@
     }
 }
 
-void jobCancel(Way *way)
+bool jobCancelled(Way *way, Verdict *verdict)
 {
     const JobCancel cancel = {way->name};
+    return wayDelivered(
+        way, coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, verdict, way->keeps));
+}
+
+void jobCancel(Way *way)
+{
     Verdict verdict;
     if (tableJob(way->core->table, way->name) == NULL) {
         showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
         return;
     }
-    if (!wayDelivered(way,
-                   coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, &verdict, way->keeps)))
+    if (!jobCancelled(way, &verdict))
         return;
     const Job *job = tableJob(way->core->table, way->name);
     if (verdict.status != STATUS_OK || job == NULL)
--- a/packages/core/src/way.c
+++ b/packages/core/src/way.c
@@ -179,6 +179,10 @@
     for (size_t i = 0; i < sizeof(GUARDS) / sizeof(GUARDS[0]); i++)
         if (!GUARDS[i].pass(&way))
             return;
+    if (strncmp(task->path, ENTRY_PATH "/", sizeof(ENTRY_PATH)) == 0) {
+        entryServe(&way);
+        return;
+    }
     bool pathKnown;
     const Route *route = routeFind(&way, &pathKnown);
     if (route != NULL)
--- a/packages/core/src/way.h
+++ b/packages/core/src/way.h
@@ -24,11 +24,25 @@
  * the disks forget. */
 void wayKeepEnd(Way *way, const Job *job);
 
+/* Waits. Takes a job that is not known yet; null: the verdict has been given.
+ * The spec's texts live on way->mem. */
+const Job *jobTake(Way *way, const JobSpec *spec, const JobTerms *terms, bool *fresh);
+/* Whether the same job was sent again; else the verdict has been given. */
+bool jobAgain(Way *way, const Job *known, const JobSpec *spec);
+/* Waits. Cancels the job named by the way; false: the verdict has been given. */
+bool jobCancelled(Way *way, Verdict *verdict);
+/* What a queue's jobs are accepted under; null: nothing in particular. */
+JobTerms jobTerms(const ConfigQueue *queue);
+
 void jobPost(Way *way);
 void jobGet(Way *way);
 void jobCancel(Way *way);
 void jobList(Way *way);
 
+/* What is asked at a queue's own address: paths that begin with ENTRY_PATH. */
+#define ENTRY_PATH "/v1/entry"
+void entryServe(Way *way);
+
 void queueGet(Way *way);
 void queueTry(Way *way);
 
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -114,6 +114,7 @@
 static bool mayAgain(const ProxyAsk *ask)
 {
     return strcmp(ask->method, "GET") == 0 || strncmp(ask->path, "/v1/jobs", 8) == 0 ||
+           strncmp(ask->path, "/v1/entry/", 10) == 0 ||
            strncmp(ask->path, "/v1/zones/", 10) == 0;
 }
 
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -86,6 +86,9 @@
  * hangs on mem. */
 HttpCall fleetAsk(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
                   const char *body);
+/* The same with headers. */
+HttpCall fleetAskAs(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
+                    const char *body, const HttpPair *heads, size_t headCount);
 /* Ring lines of all nodes, for a failed run. */
 void fleetDump(const Fleet *fleet);
 
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -412,12 +412,20 @@
 
 HttpCall fleetAsk(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
                   const char *body)
+{
+    return fleetAskAs(fleet, mem, role, number, method, path, body, NULL, 0);
+}
+
+HttpCall fleetAskAs(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
+                    const char *body, const HttpPair *heads, size_t headCount)
 {
     HttpCall call = {.mem = mem,
                      .address = fleetNode(fleet, role, number)->props.http,
                      .method = method,
                      .path = path,
-                     .waitMs = 10000};
+                     .waitMs = 10000,
+                     .heads = heads,
+                     .headCount = headCount};
     if (body != NULL)
         bytesAdd(mem, &call.body, body, strlen(body));
     Asked *asked = talloc_zero(fleet, Asked);
--- /dev/null
+++ b/packages/sim/test/entry.c
@@ -0,0 +1,181 @@
+/* Jobs at the address of their queue, and how entry points come and go. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+#define HOST "jobs.example"
+
+static const char ENTRIES[] =
+    "{\"cells\":{\"imagery\":{\"queues\":{"
+    "\"sweeps\":{\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"/sweeps/\"},\"rounds\":2,\"stretch\":2.5,\"targetMs\":900},"
+    "\"urgent\":{\"priority\":5,\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"/sweeps/now/\"}}}}}}";
+
+#define BODY(runMs) \
+    "{\"steps\":[{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":10},\"payload\":{\"runMs\":" #runMs "}}]}"
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){3, 3, 6, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    assert_true(fleetConfigure(fleet));
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=1", ENTRIES).code, 200);
+    return fleet;
+}
+
+static void end(Fleet *fleet)
+{
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+static int ask(Fleet *fleet, int gate, const char *method, const char *path, const char *body, const char **text)
+{
+    const HttpPair host = {"host", HOST ":8080"};
+    const HttpCall call = fleetAskAs(fleet, fleet, FLEET_GATE, gate, method, path, body, &host, 1);
+    if (text != NULL)
+        *text = (const char *)call.verdict.data;
+    return call.code;
+}
+
+#define assert_told(text, word)                        \
+    do {                                               \
+        if (strstr(text, word) == NULL)                \
+            fail_msg("%s is not in %s", word, text);   \
+    } while (0)
+
+static void wholeLife(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(21);
+    const char *text;
+    assert_int_equal(ask(fleet, 0, "POST", "/v1/entry/sweeps/one", BODY(4000), &text), 201);
+    assert_told(text, "\"phase\":\"queued\"");
+    /* the terms are the queue's */
+    const Job *job = fleetJob(fleet, "one");
+    assert_non_null(job);
+    assert_string_equal(job->spec.queue, "sweeps");
+    assert_int_equal(job->terms.roundLimit, 2);
+    assert_int_equal(job->terms.stretchMilli, 2500);
+    assert_int_equal(job->terms.targetMs, 900);
+    /* the same again, elsewhere, by ?host=, and under the longer prefix: one job */
+    assert_int_equal(ask(fleet, 1, "POST", "/v1/entry/sweeps/one", BODY(4000), NULL), 200);
+    assert_int_equal(ask(fleet, 2, "POST", "/v1/entry/sweeps/now/one", BODY(4000), NULL), 200);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/entry/sweeps/one?host=" HOST, BODY(4000)).code, 200);
+    assert_int_equal(ask(fleet, 0, "POST", "/v1/entry/sweeps/one", BODY(4001), NULL), 409);
+    assert_int_equal(ask(fleet, 0, "GET", "/v1/entry/sweeps/", NULL, &text), 200);
+    assert_told(text, "\"waiting\":1");
+    assert_int_equal(ask(fleet, 0, "GET", "/v1/entry/sweeps/now/", NULL, &text), 200);
+    assert_told(text, "\"waiting\":0");
+    fleetRun(fleet, 2000);
+    assert_int_equal(ask(fleet, 2, "GET", "/v1/entry/sweeps/one", NULL, &text), 200);
+    assert_told(text, "\"phase\":\"active\"");
+    fleetRun(fleet, 4000);
+    assert_int_equal(ask(fleet, 1, "GET", "/v1/entry/sweeps/one", NULL, &text), 200);
+    assert_told(text, "\"phase\":\"done\"");
+    assert_int_equal(ask(fleet, 0, "GET", "/v1/entry/sweeps/", NULL, &text), 200);
+    assert_told(text, "\"waiting\":0");
+    /* what has ended stays as it is */
+    assert_int_equal(ask(fleet, 0, "DELETE", "/v1/entry/sweeps/one", NULL, &text), 200);
+    assert_told(text, "\"phase\":\"done\"");
+    end(fleet);
+}
+
+static void cancelled(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(22);
+    const char *text;
+    assert_int_equal(ask(fleet, 0, "POST", "/v1/entry/sweeps/now/two", BODY(60000), NULL), 201);
+    assert_string_equal(fleetJob(fleet, "two")->spec.queue, "urgent");
+    assert_int_equal(fleetJob(fleet, "two")->terms.priority, 5);
+    fleetRun(fleet, 1500);
+    assert_int_equal(ask(fleet, 1, "DELETE", "/v1/entry/sweeps/two", NULL, NULL), 200);
+    fleetRun(fleet, 2000);
+    assert_int_equal(ask(fleet, 2, "GET", "/v1/entry/sweeps/two", NULL, &text), 200);
+    assert_told(text, "\"phase\":\"cancelled\"");
+    assert_int_equal(ask(fleet, 1, "DELETE", "/v1/entry/sweeps/two", NULL, NULL), 200);
+    end(fleet);
+}
+
+static void refused(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(23);
+    static const struct {
+        const char *method, *path, *body;
+        int code;
+        const char *status;
+    } ROWS[] = {
+        {"POST", "/v1/entry/nowhere/x", BODY(1), 404, "unknown-queue"},
+        {"GET", "/v1/entry/nowhere/x", NULL, 404, "unknown-queue"},
+        {"GET", "/v1/entry/nowhere/", NULL, 404, "unknown-queue"},
+        {"GET", "/v1/entry/sweeps", NULL, 404, "unknown-queue"},
+        {"DELETE", "/v1/entry/nowhere/x", NULL, 404, "unknown-queue"},
+        {"GET", "/v1/entry/sweeps/x", NULL, 410, "unknown-job"},
+        {"DELETE", "/v1/entry/sweeps/x", NULL, 410, "unknown-job"},
+        {"GET", "/v1/entry/sweeps/x/y", NULL, 410, "unknown-job"},
+        {"POST", "/v1/entry/sweeps/x/y", BODY(1), 422, "bad-field"},
+        {"POST", "/v1/entry/sweeps/", BODY(1), 405, "bad-method"},
+        {"DELETE", "/v1/entry/sweeps/", NULL, 405, "bad-method"},
+        {"PUT", "/v1/entry/sweeps/x", BODY(1), 405, "bad-method"},
+        {"POST", "/v1/entry/sweeps/x", "{}", 422, "bad-field"},
+        {"POST", "/v1/entry/sweeps/x", "[]", 400, "bad-json"},
+        {"POST", "/v1/entry/sweeps/x", "", 400, "bad-json"},
+    };
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        const char *text;
+        const int code = ask(fleet, (int)i % 3, ROWS[i].method, ROWS[i].path, ROWS[i].body, &text);
+        if (code != ROWS[i].code || strstr(text, ROWS[i].status) == NULL)
+            fail_msg("%s %s: %d, not %d: %s", ROWS[i].method, ROWS[i].path, code, ROWS[i].code, text);
+    }
+    assert_null(fleetJob(fleet, "x"));
+    /* another host */
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/entry/sweeps/x", BODY(1)).code, 404);
+    /* its queue is full: certainly not taken, and when to come back */
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=2",
+                              "{\"cells\":{\"imagery\":{\"limit\":1}}}").code, 200);
+    const HttpPair host = {"host", HOST};
+    const HttpCall full = fleetAskAs(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/entry/sweeps/x",
+                                     "{\"steps\":[{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":1,\"memMb\":10}}]}", &host, 1);
+    assert_int_equal(full.code, 503);
+    assert_true(full.retryAfterS > 0);
+    /* its entry is gone */
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=3",
+                              "{\"cells\":{\"imagery\":{\"queues\":{\"urgent\":null,\"sweeps\":{\"entry\":null}}}}}").code, 200);
+    for (int gate = 0; gate < 3; gate++)
+        assert_int_equal(ask(fleet, gate, "POST", "/v1/entry/sweeps/x", BODY(1), NULL), 404);
+    end(fleet);
+}
+
+/* Nobody has sent a document: callers are to come back, not to give up. */
+static void noDocument(void **state)
+{
+    (void)state;
+    Fleet *fleet = fleetNew(NULL, 24, (FleetShape){3, 3, 2, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000));
+    const char *text;
+    assert_int_equal(ask(fleet, 0, "POST", "/v1/entry/sweeps/x", BODY(1), &text), 503);
+    assert_told(text, "no-config");
+    assert_int_equal(ask(fleet, 0, "GET", "/v1/entry/sweeps/", NULL, &text), 503);
+    end(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(wholeLife), cmocka_unit_test(cancelled), cmocka_unit_test(refused),
+        cmocka_unit_test(noDocument),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
