Commands read no word before what was typed was taken whole

Also seen: an entry point that answers 200 with no body crashed every command, one that answers with other JSON than asked stopped status, trace and policy by an assertion, and words beyond those needed were taken silently. Now one place takes flags and words against a table of verbs; a command looks at them only when that was good.

--- a/src/operate.c
+++ b/src/operate.c
@@ -33,6 +33,25 @@
     int json;
 } Flags;
 
+/* What may follow a command's name. Invariant: a list ends with a null name. */
+typedef struct Verb {
+    const char *name; /* "" when the command takes no word at all */
+    size_t words;     /* with the verb itself */
+} Verb;
+
+enum { ORDER_WORDS_MAX = 2 };
+
+/* A command as it was typed. Invariant: as long as orderTake gave EXIT_GOOD, verb is one of the command's and
+ * words[] holds as many as it takes; else nothing here but mem is to be read. */
+typedef struct Order {
+    const char *command;
+    const Verb *verb;
+    const char *words[ORDER_WORDS_MAX];
+    Flags flags;
+    void *mem;
+    const char *text; /* the entry point's verdict, once ask gave EXIT_GOOD */
+} Order;
+
 static Bytes fileAll(void *mem, const char *path, bool *ok)
 {
     Bytes bytes = {0};
@@ -47,25 +66,26 @@
     return bytes;
 }
 
-/* Asks and gives the verdict's text; an exit code. */
-static int ask(const char *command, const Flags *flags, const char *method, const char *path, Bytes body, void *mem,
-               const char **text)
+/* Asks and keeps the verdict's text; an exit code. */
+static int ask(Order *order, const char *method, const char *path, Bytes body)
 {
-    if (flags->at == NULL || !realAddressValid(flags->at))
-        return wrong(command, "--at: the IP address and port of an entry point is needed");
-    Operation *operation = talloc_zero(mem, Operation);
-    operation->loop = realLoopNew(mem);
+    const char *at = order->flags.at;
+    if (at == NULL || !realAddressValid(at))
+        return wrong(order->command, "--at: the IP address and port of an entry point is needed");
+    Operation *operation = talloc_zero(order->mem, Operation);
+    operation->loop = realLoopNew(order->mem);
     operation->call = (HttpCall){
-        .mem = mem, .address = flags->at, .method = method, .path = path, .body = body, .waitMs = PROXY_EXPIRY_MS + 2000};
+        .mem = order->mem, .address = at, .method = method, .path = path, .body = body, .waitMs = PROXY_EXPIRY_MS + 2000};
     loopSpawn(operation->loop, "operate", operateMain, operation);
     realLoopRun(operation->loop, NULL, NULL);
     if (operation->status != STATUS_OK) {
-        fprintf(stderr, "spancart %s: %s did not answer: %s\n", command, flags->at, statusWord(operation->status));
+        fprintf(stderr, "spancart %s: %s did not answer: %s\n", order->command, at, statusWord(operation->status));
         return EXIT_UNREACHABLE;
     }
-    *text = talloc_strndup(mem, (const char *)operation->call.verdict.data, operation->call.verdict.count);
+    const Bytes *verdict = &operation->call.verdict; /* an empty one has no data */
+    order->text = verdict->count > 0 ? talloc_strndup(order->mem, (const char *)verdict->data, verdict->count) : "";
     if (operation->call.code >= 400) {
-        fprintf(stderr, "spancart %s: %d %s", command, operation->call.code, *text);
+        fprintf(stderr, "spancart %s: %d %s", order->command, operation->call.code, order->text);
         return operation->call.code >= 500 ? EXIT_FAILED : operation->call.code == 409 ? EXIT_FAILED : EXIT_WRONG;
     }
     return EXIT_GOOD;
@@ -83,11 +103,32 @@
     return EXIT_GOOD;
 }
 
-/* Parses flags; the words that are left are given. */
-static int flagsTake(const char *command, const char *words, int argc, const char **argv, Flags *flags,
-                     const char *left[3], poptContext *context)
+/* Takes the words: a known verb and what it needs, no more. */
+static int wordsTake(Order *order, const char *usage, const Verb *verbs, poptContext context)
+{
+    const char *first = poptPeekArg(context) != NULL ? poptPeekArg(context) : "";
+    for (order->verb = verbs; order->verb->name != NULL && strcmp(order->verb->name, first) != 0;)
+        order->verb++;
+    if (order->verb->name == NULL)
+        return wrong(order->command, "%s%ssay %s", first, first[0] != '\0' ? ": " : "", usage);
+    for (size_t i = 0; i < order->verb->words; i++) {
+        if (poptPeekArg(context) == NULL)
+            return wrong(order->command, "%s what? say %s", first, usage);
+        order->words[i] = talloc_strdup(order->mem, poptGetArg(context));
+    }
+    if (poptPeekArg(context) != NULL)
+        return wrong(order->command, "%s: what is this?", poptPeekArg(context));
+    return EXIT_GOOD;
+}
+
+/* Parses what was typed; usage also tells which words there are. */
+static int orderTake(Order *order, const char *command, const char *usage, const Verb *verbs, int argc,
+                     const char **argv)
 {
-    struct poptOption options[] = {
+    *order = (Order){.command = command, .mem = talloc_new(NULL)};
+    Flags *flags = &order->flags;
+    flags->base = flags->revision = -1;
+    const struct poptOption options[] = {
         {"at", 'a', POPT_ARG_STRING, &flags->at, 0, "entry point to ask", "IP:PORT"},
         {"file", 'f', POPT_ARG_STRING, &flags->file, 0, "JSON to send; - for standard input", "FILE"},
         {"base", 'b', POPT_ARG_LONGLONG, &flags->base, 0, "revision that a change builds on", "N"},
@@ -98,121 +139,113 @@
         {"limit", 0, POPT_ARG_LONGLONG, &flags->limit, 0, "at most so many", "N"},
         {"json", 'j', POPT_ARG_NONE, &flags->json, 0, "as JSON", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
-    flags->base = flags->revision = -1;
-    *context = poptGetContext(command, argc, argv, options, 0);
-    poptSetOtherOptionHelp(*context, words);
-    const int got = poptGetNextOpt(*context);
-    if (got < -1)
-        return wrong(command, "%s: %s", poptBadOption(*context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
-    for (int i = 0; i < 3; i++)
-        left[i] = poptGetArg(*context);
-    if (poptPeekArg(*context) != NULL)
-        return wrong(command, "%s: what is this?", poptPeekArg(*context));
-    return EXIT_GOOD;
+    poptContext context = poptGetContext(command, argc, argv, options, 0);
+    poptSetOtherOptionHelp(context, usage);
+    const int got = poptGetNextOpt(context);
+    const int code = got < -1 ? wrong(command, "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got))
+                              : wordsTake(order, usage, verbs, context);
+    poptFreeContext(context);
+    return code;
 }
 
-int runJob(int argc, const char **argv)
+static int orderEnd(const Order *order, int code)
 {
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("job", "submit -f FILE | show ID | list | cancel ID", argc, argv, &flags, left, &context);
-    const char *verb = left[0] != NULL ? left[0] : "";
-    const Bytes none = {0};
-    if (code != EXIT_GOOD) {
-        ;
-    } else if (strcmp(verb, "submit") == 0) {
-        bool ok = flags.file != NULL;
-        const Bytes body = ok ? fileAll(mem, flags.file, &ok) : none;
-        code = ok ? ask("job", &flags, "POST", "/v1/jobs", body, mem, &text)
-                  : wrong("job", "--file: a readable file with the job is needed");
-    } else if ((strcmp(verb, "show") == 0 || strcmp(verb, "cancel") == 0) && left[1] != NULL) {
-        code = ask("job", &flags, verb[0] == 's' ? "GET" : "DELETE", talloc_asprintf(mem, "/v1/jobs/%s", left[1]), none,
-                   mem, &text);
-    } else if (strcmp(verb, "list") == 0) {
-        char *path = talloc_asprintf(mem, "/v1/jobs?after=%lld&limit=%lld", flags.after,
-                                     flags.limit > 0 ? flags.limit : (long long)LIST_PAGE);
-        if (flags.cell != NULL)
-            path = talloc_asprintf_append(path, "&cell=%s", flags.cell);
-        if (flags.phase != NULL)
-            path = talloc_asprintf_append(path, "&phase=%s", flags.phase);
-        code = ask("job", &flags, "GET", path, none, mem, &text);
-    } else {
-        code = wrong("job", "say submit -f FILE, show ID, list or cancel ID");
-    }
-    if (code == EXIT_GOOD)
-        printJson(text);
-    poptFreeContext(context);
-    talloc_free(mem);
+    talloc_free(order->mem);
     return code;
 }
 
+static bool orderIs(const Order *order, const char *verb)
+{
+    return strcmp(order->verb->name, verb) == 0;
+}
+
+/* What --file names; false when there is none or it can't be read. */
+static bool orderFile(const Order *order, Bytes *body)
+{
+    bool ok = order->flags.file != NULL;
+    if (ok)
+        *body = fileAll(order->mem, order->flags.file, &ok);
+    return ok;
+}
+
+static int orderPrint(const Order *order, int code)
+{
+    return orderEnd(order, code == EXIT_GOOD ? printJson(order->text) : code);
+}
+
+static int jobAsk(Order *order)
+{
+    const Flags *flags = &order->flags;
+    Bytes body = {0};
+    if (orderIs(order, "submit"))
+        return orderFile(order, &body) ? ask(order, "POST", "/v1/jobs", body)
+                                       : wrong("job", "--file: a readable file with the job is needed");
+    if (!orderIs(order, "list"))
+        return ask(order, orderIs(order, "show") ? "GET" : "DELETE",
+                   talloc_asprintf(order->mem, "/v1/jobs/%s", order->words[1]), body);
+    char *path = talloc_asprintf(order->mem, "/v1/jobs?after=%lld&limit=%lld", flags->after,
+                                 flags->limit > 0 ? flags->limit : (long long)LIST_PAGE);
+    if (flags->cell != NULL)
+        path = talloc_asprintf_append(path, "&cell=%s", flags->cell);
+    if (flags->phase != NULL)
+        path = talloc_asprintf_append(path, "&phase=%s", flags->phase);
+    return ask(order, "GET", path, body);
+}
+
+int runJob(int argc, const char **argv)
+{
+    static const Verb VERBS[] = {{"submit", 1}, {"show", 2}, {"list", 1}, {"cancel", 2}, {NULL, 0}};
+    Order order;
+    const int code = orderTake(&order, "job", "submit -f FILE | show ID | list | cancel ID", VERBS, argc, argv);
+    return orderPrint(&order, code == EXIT_GOOD ? jobAsk(&order) : code);
+}
+
+static int configAsk(Order *order)
+{
+    const Flags *flags = &order->flags;
+    Bytes body = {0};
+    if (orderIs(order, "show"))
+        return ask(order, "GET",
+                   flags->revision >= 0 ? talloc_asprintf(order->mem, "/v1/config?revision=%lld", flags->revision)
+                                        : "/v1/config",
+                   body);
+    if (orderIs(order, "history"))
+        return ask(order, "GET", "/v1/config/history", body);
+    if (!orderFile(order, &body))
+        return wrong("config", "--file: a readable file is needed");
+    if (flags->base < 0)
+        return wrong("config", "--base: the revision that this builds on is needed");
+    return ask(order, orderIs(order, "set") ? "PUT" : "PATCH",
+               talloc_asprintf(order->mem, "/v1/config?base=%lld", flags->base), body);
+}
+
 int runConfig(int argc, const char **argv)
 {
     if (argc > 1 && strcmp(argv[1], "build") == 0)
         return runBuild(argc - 1, argv + 1);
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("config", "show [-r N] | history | set -b BASE -f FILE | patch -b BASE -f FILE | build -t FILE ...", argc, argv,
-                         &flags, left, &context);
-    const char *verb = left[0] != NULL ? left[0] : "";
-    const Bytes none = {0};
-    if (code != EXIT_GOOD) {
-        ;
-    } else if (strcmp(verb, "show") == 0) {
-        code = ask("config", &flags, "GET",
-                   flags.revision >= 0 ? talloc_asprintf(mem, "/v1/config?revision=%lld", flags.revision) : "/v1/config",
-                   none, mem, &text);
-    } else if (strcmp(verb, "history") == 0) {
-        code = ask("config", &flags, "GET", "/v1/config/history", none, mem, &text);
-    } else if (strcmp(verb, "set") == 0 || strcmp(verb, "patch") == 0) {
-        bool ok = flags.file != NULL;
-        const Bytes body = ok ? fileAll(mem, flags.file, &ok) : none;
-        if (!ok)
-            code = wrong("config", "--file: a readable file is needed");
-        else if (flags.base < 0)
-            code = wrong("config", "--base: the revision that this builds on is needed");
-        else
-            code = ask("config", &flags, verb[0] == 's' ? "PUT" : "PATCH",
-                       talloc_asprintf(mem, "/v1/config?base=%lld", flags.base), body, mem, &text);
-    } else {
-        code = wrong("config", "say show, history, set, patch or build");
-    }
-    if (code == EXIT_GOOD)
-        printJson(text);
-    poptFreeContext(context);
-    talloc_free(mem);
-    return code;
+    static const Verb VERBS[] = {{"show", 1}, {"history", 1}, {"set", 1}, {"patch", 1}, {NULL, 0}};
+    Order order;
+    const int code = orderTake(&order, "config",
+                               "show [-r N] | history | set -b BASE -f FILE | patch -b BASE -f FILE | build -t FILE ...",
+                               VERBS, argc, argv);
+    return orderPrint(&order, code == EXIT_GOOD ? configAsk(&order) : code);
+}
+
+static int zoneAsk(Order *order)
+{
+    const char *method = orderIs(order, "show") ? "GET" : orderIs(order, "back") ? "DELETE" : "POST";
+    return ask(order, method,
+               talloc_asprintf(order->mem, "/v1/zones/%s/drain%s", order->words[1],
+                               orderIs(order, "move") ? "?move=1" : ""),
+               (Bytes){0});
 }
 
 int runZone(int argc, const char **argv)
 {
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("zone", "drain ZONE | move ZONE | back ZONE | show ZONE", argc, argv, &flags, left, &context);
-    const char *verb = left[0] != NULL ? left[0] : "";
-    const char *method = strcmp(verb, "drain") == 0  ? "POST"
-                         : strcmp(verb, "move") == 0 ? "POST"
-                         : strcmp(verb, "back") == 0 ? "DELETE"
-                         : strcmp(verb, "show") == 0 ? "GET"
-                                                     : NULL;
-    if (code == EXIT_GOOD && (method == NULL || left[1] == NULL))
-        code = wrong("zone", "say drain ZONE, move ZONE, back ZONE or show ZONE");
-    if (code == EXIT_GOOD)
-        code = ask("zone", &flags, method, talloc_asprintf(mem, "/v1/zones/%s/drain%s", left[1], strcmp(verb, "move") == 0 ? "?move=1" : ""), (Bytes){0}, mem, &text);
-    if (code == EXIT_GOOD)
-        printJson(text);
-    poptFreeContext(context);
-    talloc_free(mem);
-    return code;
+    static const Verb VERBS[] = {{"drain", 2}, {"move", 2}, {"back", 2}, {"show", 2}, {NULL, 0}};
+    Order order;
+    const int code = orderTake(&order, "zone", "drain ZONE | move ZONE | back ZONE | show ZONE", VERBS, argc, argv);
+    return orderPrint(&order, code == EXIT_GOOD ? zoneAsk(&order) : code);
 }
 
 static json_object *get(json_object *object, const char *key)
@@ -222,12 +255,25 @@
     return value;
 }
 
+/* What is no list has no items. */
+static size_t listLength(json_object *list)
+{
+    return json_object_is_type(list, json_type_array) ? json_object_array_length(list) : 0;
+}
+
 static const char *textOf(json_object *object, const char *key)
 {
     json_object *value = get(object, key);
     return value != NULL ? json_object_get_string(value) : "?";
 }
 
+/* One of a list, as text. */
+static const char *itemOf(json_object *list, size_t at)
+{
+    const char *text = json_object_get_string(json_object_array_get_idx(list, at));
+    return text != NULL ? text : "?";
+}
+
 static bool flagOf(json_object *object, const char *key)
 {
     return json_object_get_boolean(get(object, key));
@@ -247,13 +293,13 @@
         printf(" (broken by the loss of %s)", textOf(get(plan, "brokenBy"), "name"));
     printf("  assured %s  unassured %s  waiting %s\n", textOf(plan, "assured"), textOf(plan, "unassured"),
            textOf(plan, "waiting"));
-    for (size_t i = 0; i < json_object_array_length(seats); i++) {
+    for (size_t i = 0; i < listLength(seats); i++) {
         json_object *seat = json_object_array_get_idx(seats, i);
         printf("seat   %-12s %s  %s%s  sync %s ms  index %s\n", textOf(seat, "core"), textOf(seat, "disk"),
                flagOf(seat, "inView") ? "in view" : "OUT", flagOf(seat, "answers") ? "" : " SILENT",
                textOf(seat, "syncMs"), textOf(seat, "index"));
     }
-    for (size_t i = 0; i < json_object_array_length(live); i++) {
+    for (size_t i = 0; i < listLength(live); i++) {
         json_object *row = json_object_array_get_idx(live, i);
         json_object *room = get(row, "room"), *free = get(row, "free");
         printf("worker %-12s %-8s %s%s%s  hold %s ms", textOf(row, "worker"), textOf(row, "zone"),
@@ -265,114 +311,94 @@
         putchar('\n');
     }
     json_object *alerts = get(body, "alerts");
-    for (size_t i = 0; alerts != NULL && i < json_object_array_length(alerts); i++) {
+    for (size_t i = 0; i < listLength(alerts); i++) {
         json_object *one = json_object_array_get_idx(alerts, i);
         printf("ALERT  %s %s, for %s ms: %s\n", textOf(one, "alert"), textOf(one, "subject"), textOf(one, "forMs"),
                textOf(one, "todo"));
     }
     json_object *zones = get(body, "drainedZones");
-    for (size_t i = 0; i < json_object_array_length(zones); i++)
-        printf("zone %s is drained\n", json_object_get_string(json_object_array_get_idx(zones, i)));
+    for (size_t i = 0; i < listLength(zones); i++)
+        printf("zone %s is drained\n", itemOf(zones, i));
+}
+
+/* The verdict as JSON, or as print tells it; one that is no JSON is told as it is. */
+static int orderTell(const Order *order, int code, void (*print)(json_object *body))
+{
+    json_object *body = code == EXIT_GOOD && !order->flags.json ? json_tokener_parse(order->text) : NULL;
+    if (code == EXIT_GOOD && json_object_is_type(body, json_type_object))
+        print(body);
+    else if (code == EXIT_GOOD)
+        printJson(order->text);
+    json_object_put(body);
+    return orderEnd(order, code);
 }
 
 int runStatus(int argc, const char **argv)
 {
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("status", "[--json]", argc, argv, &flags, left, &context);
+    static const Verb VERBS[] = {{"", 0}, {NULL, 0}};
+    Order order;
+    int code = orderTake(&order, "status", "no words, only flags", VERBS, argc, argv);
     if (code == EXIT_GOOD)
-        code = ask("status", &flags, "GET", "/v1/status", (Bytes){0}, mem, &text);
-    if (code == EXIT_GOOD && flags.json)
-        printJson(text);
-    else if (code == EXIT_GOOD) {
-        json_object *body = json_tokener_parse(text);
-        printStatus(body);
-        json_object_put(body);
+        code = ask(&order, "GET", "/v1/status", (Bytes){0});
+    return orderTell(&order, code, printStatus);
+}
+
+static void printTrace(json_object *body)
+{
+    json_object *steps = get(body, "steps"), *silent = get(body, "silent");
+    for (size_t i = 0; i < listLength(steps); i++) {
+        json_object *one = json_object_array_get_idx(steps, i);
+        printf("%8s ms  %-10s %-10s %s\n", textOf(one, "sinceMs"), textOf(one, "node"), textOf(one, "step"),
+               textOf(one, "detail"));
     }
-    poptFreeContext(context);
-    talloc_free(mem);
-    return code;
+    if (listLength(steps) == 0)
+        printf("no node that answered remembers it\n");
+    for (size_t i = 0; i < listLength(silent); i++)
+        printf("%s did not answer\n", itemOf(silent, i));
 }
 
 int runTrace(int argc, const char **argv)
 {
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("trace", "job ID | config REVISION | zone ZONE | view EPOCH", argc, argv, &flags, left, &context);
-    static const char *const KINDS[] = {"job", "config", "zone", "view"};
-    bool known = false;
-    for (size_t i = 0; i < sizeof(KINDS) / sizeof(KINDS[0]); i++)
-        known |= left[0] != NULL && strcmp(left[0], KINDS[i]) == 0;
-    if (code == EXIT_GOOD && (!known || left[1] == NULL))
-        code = wrong("trace", "say job ID, config REVISION, zone ZONE or view EPOCH");
+    static const Verb VERBS[] = {{"job", 2}, {"config", 2}, {"zone", 2}, {"view", 2}, {NULL, 0}};
+    Order order;
+    int code = orderTake(&order, "trace", "job ID | config REVISION | zone ZONE | view EPOCH", VERBS, argc, argv);
     if (code == EXIT_GOOD)
-        code = ask("trace", &flags, "GET", talloc_asprintf(mem, "/v1/trace?key=%s:%s", left[0], left[1]), (Bytes){0}, mem,
-                   &text);
-    if (code == EXIT_GOOD && flags.json)
-        printJson(text);
-    else if (code == EXIT_GOOD) {
-        json_object *body = json_tokener_parse(text);
-        json_object *steps = get(body, "steps"), *silent = get(body, "silent");
-        for (size_t i = 0; i < json_object_array_length(steps); i++) {
-            json_object *one = json_object_array_get_idx(steps, i);
-            printf("%8s ms  %-10s %-10s %s\n", textOf(one, "sinceMs"), textOf(one, "node"), textOf(one, "step"),
-                   textOf(one, "detail"));
-        }
-        if (json_object_array_length(steps) == 0)
-            printf("no node that answered remembers it\n");
-        for (size_t i = 0; i < json_object_array_length(silent); i++)
-            printf("%s did not answer\n", json_object_get_string(json_object_array_get_idx(silent, i)));
-        json_object_put(body);
+        code = ask(&order, "GET", talloc_asprintf(order.mem, "/v1/trace?key=%s:%s", order.words[0], order.words[1]),
+                   (Bytes){0});
+    return orderTell(&order, code, printTrace);
+}
+
+static void printPolicy(json_object *body)
+{
+    json_object *order = get(body, "order");
+    for (size_t i = 0; i < listLength(order); i++) {
+        json_object *one = json_object_array_get_idx(order, i);
+        printf("%4zu  rank %-10.3f %s task %s  %s/%s%s\n", i + 1, json_object_get_double(get(one, "rank")),
+               textOf(one, "job"), textOf(one, "task"), textOf(one, "tenant"), textOf(one, "queue"),
+               flagOf(one, "restart") ? "  restart" : "");
     }
-    poptFreeContext(context);
-    talloc_free(mem);
-    return code;
+    printf("%s ready to start in cell %s\n", textOf(body, "ready"), textOf(body, "cell"));
+}
+
+static int policyAsk(Order *order)
+{
+    const Flags *flags = &order->flags;
+    const bool tries = orderIs(order, "try");
+    Bytes body = {0};
+    if (flags->cell == NULL)
+        return wrong("policy", "--cell: a cell is needed");
+    if (tries && !orderFile(order, &body))
+        return wrong("policy", "--file: a readable file with the policy is needed");
+    return ask(order, tries ? "POST" : "GET",
+               talloc_asprintf(order->mem, "/v1/queue%s?cell=%s&limit=%lld", tries ? "/try" : "", flags->cell,
+                               flags->limit > 0 ? flags->limit : 50LL),
+               body);
 }
 
 int runPolicy(int argc, const char **argv)
 {
-    Flags flags = {0};
-    const char *left[3];
-    poptContext context;
-    void *mem = talloc_new(NULL);
-    const char *text = NULL;
-    int code = flagsTake("policy", "show --cell C | try --cell C --file F", argc, argv, &flags, left, &context);
-    const char *verb = left[0] != NULL ? left[0] : "";
-    const bool tries = strcmp(verb, "try") == 0;
-    bool ok = flags.file != NULL;
-    if (code == EXIT_GOOD && !tries && strcmp(verb, "show") != 0)
-        code = wrong("policy", "say show --cell C or try --cell C --file F");
-    else if (code == EXIT_GOOD && flags.cell == NULL)
-        code = wrong("policy", "--cell: a cell is needed");
-    const Bytes body = code == EXIT_GOOD && tries && ok ? fileAll(mem, flags.file, &ok) : (Bytes){0};
-    if (code == EXIT_GOOD && tries && !ok)
-        code = wrong("policy", "--file: a readable file with the policy is needed");
-    if (code == EXIT_GOOD)
-        code = ask("policy", &flags, tries ? "POST" : "GET",
-                   talloc_asprintf(mem, "/v1/queue%s?cell=%s&limit=%lld", tries ? "/try" : "", flags.cell,
-                                   flags.limit > 0 ? flags.limit : 50LL),
-                   body, mem, &text);
-    if (code == EXIT_GOOD && flags.json)
-        printJson(text);
-    else if (code == EXIT_GOOD) {
-        json_object *answer = json_tokener_parse(text);
-        json_object *order = get(answer, "order");
-        for (size_t i = 0; i < json_object_array_length(order); i++) {
-            json_object *one = json_object_array_get_idx(order, i);
-            printf("%4zu  rank %-10.3f %s task %s  %s/%s%s\n", i + 1, json_object_get_double(get(one, "rank")),
-                   textOf(one, "job"), textOf(one, "task"), textOf(one, "tenant"), textOf(one, "queue"),
-                   flagOf(one, "restart") ? "  restart" : "");
-        }
-        printf("%s ready to start in cell %s\n", textOf(answer, "ready"), textOf(answer, "cell"));
-        json_object_put(answer);
-    }
-    poptFreeContext(context);
-    talloc_free(mem);
-    return code;
+    static const Verb VERBS[] = {{"show", 1}, {"try", 1}, {NULL, 0}};
+    Order order;
+    const int code = orderTake(&order, "policy", "show --cell C | try --cell C --file F", VERBS, argc, argv);
+    return orderTell(&order, code == EXIT_GOOD ? policyAsk(&order) : code, printPolicy);
 }
--- a/src/standins.c
+++ b/src/standins.c
@@ -108,6 +108,8 @@
     int code = EXIT_GOOD;
     if (got < -1)
         code = wrong("worker", "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
+    else if (poptPeekArg(context) != NULL)
+        code = wrong("worker", "%s: what is this?", poptPeekArg(context));
     else if (agent == NULL || !realAddressValid(agent))
         code = wrong("worker", "--agent: an IP address with a port is needed");
     else if (name == NULL || zone == NULL)
@@ -265,6 +267,8 @@
     }
     if (got < -1)
         code = wrong("caller", "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
+    else if (poptPeekArg(context) != NULL)
+        code = wrong("caller", "%s: what is this?", poptPeekArg(context));
     else if (props->entryCount == 0)
         code = wrong("caller", "--entries: at least one is needed");
     else if (props->mix == MIX_COUNT)
--- a/tests/cli.py
+++ b/tests/cli.py
@@ -1,10 +1,12 @@
 #!/usr/bin/env python3
 """The command line: wrong flags, props and values are named, exit code 2, and
 nothing is started; a node that is not there is exit code 3 within a bound."""
+import http.server
 import os
 import subprocess
 import sys
 import tempfile
+import threading
 
 BINARY = sys.argv[1]
 GOOD = ("[spancart]\nname=core1\nzone=north\nlisten=127.0.0.1:0\nhttp=127.0.0.1:0\n"
@@ -83,6 +85,81 @@
 for command in ["core", "gate", "agent", "job", "config", "zone", "status", "trace", "policy", "worker", "caller"]:
     check(command + " --help", [command, "--help"], 0, "--")
     check(command + " wrong flag", [command, "--dance"], 2, "--dance")
+# every command with every wrong call, each refused before anything is read or asked:
+# command, words of a good call, words that need one more, what the refusal must name
+SOMEWHERE = ["--at", "127.0.0.1:1"]
+COMMANDS = [
+    ("job", ["list"], ["show", "cancel"], "submit"),
+    ("config", ["show"], [], "set"),
+    ("zone", ["show", "z"], ["drain", "move", "back", "show"], "drain"),
+    ("status", [], [], "no words"),
+    ("policy", ["show"], [], "show"),
+    ("trace", ["job", "x"], ["job", "config", "zone", "view"], "job ID"),
+]
+for command, good, needy, words in COMMANDS:
+    for at in ([], SOMEWHERE):
+        check(f"{command} unknown verb", [command, "dance"] + at, 2, "dance")
+        check(f"{command} wrong flag after words", [command] + good + at + ["--dance"], 2, "--dance")
+        check(f"{command} bad number", [command] + good + at + ["--limit", "many"], 2, "many")
+        check(f"{command} flag without value", [command] + good + at + ["--limit"], 2, "--limit")
+        check(f"{command} one word too many", [command] + good + ["waltz"] + at, 2, "waltz")
+        check(f"{command} five words too many", [command] + good + ["waltz", "a", "b", "c", "d"] + at, 2, "waltz")
+        if good:
+            check(f"{command} without words", [command] + at, 2, words)
+        for verb in needy:
+            check(f"{command} {verb} of nothing", [command, verb] + at, 2, f"{verb} what?")
+    check(f"{command} without address", [command] + good + ["--cell", "c"], 2, "--at")
+    check(f"{command} bad address", [command] + good + ["--cell", "c", "--at", "here"], 2, "--at")
+for verb in ("set", "patch"):
+    check(f"config {verb} no file", ["config", verb, "--base", "1"] + SOMEWHERE, 2, "--file")
+    check(f"config {verb} no such file", ["config", verb, "--base", "1", "--file", "/nowhere"] + SOMEWHERE, 2, "--file")
+for role in ("core", "gate", "agent"):
+    check(f"{role} with a word", [role, "waltz"], 2, "waltz")
+    check(f"check {role} with a word", ["check", role, "waltz"], 2, "waltz")
+    check(f"check {role} wrong flag", ["check", role, "--dance"], 2, "--dance")
+    check(f"{role} without anything", [role], 2, role)
+check("check of nothing", ["check"], 2, "usage")
+check("config build with a word", TEMPLATE + ["waltz"], 2, "--template")
+check("config build wrong flag", TEMPLATE + ["--dance"], 2, "--dance")
+check("config build of nothing", ["config", "build"], 2, "--template")
+STANDINS = [("worker", ["--agent", "127.0.0.1:1", "--name", "w", "--zone", "z"]), ("caller", ["--entries", "127.0.0.1:1"])]
+for command, good in STANDINS:
+    check(f"{command} without anything", [command], 2, "--")
+    check(f"{command} with a word", [command] + good + ["waltz"], 2, "waltz")
+    check(f"{command} wrong flag", [command] + good + ["--dance"], 2, "--dance")
+
+
+class Odd(http.server.BaseHTTPRequestHandler):
+    """An entry point that answers all of them with something that is well-formed and not what was asked for."""
+
+    body = b""
+
+    def answer(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(self.body)))
+        self.end_headers()
+        self.wfile.write(self.body)
+
+    do_GET = do_POST = do_PUT = do_PATCH = do_DELETE = answer
+
+    def log_message(self, *_):
+        pass
+
+
+server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Odd)
+threading.Thread(target=server.serve_forever, daemon=True).start()
+ODD = ["", "hello", "null", "7", "[]", "{}", "[[]]", '{"steps":7,"order":{},"alerts":null,"seats":{},"liveset":"x"}',
+       '{"steps":[null,7],"silent":[null],"order":[null,[]],"alerts":[null],"seats":[null],"liveset":[null,{"room":[]}],'
+       '"drainedZones":[null,{}]}', '{"cut']
+for body in ODD:
+    Odd.body = body.encode()
+    at = ["--at", f"127.0.0.1:{server.server_port}"]
+    for command, good, _, _ in COMMANDS:
+        for as_json in ([], ["--json"]):
+            check(f"{command} told {body!r}", [command] + good + ["--cell", "c"] + as_json + at, 0, "")
+server.shutdown()
+
 check("job without verb", ["job", "--at", "127.0.0.1:1"], 2, "submit")
 check("job without address", ["job", "list"], 2, "--at")
 check("job bad address", ["job", "list", "--at", "here"], 2, "--at")
