The table knows the tasks of each worker, and says whose orders have changed

Cause: a beat walked every task of every active job to find what is missing on one worker, and each of the waiting fetches was woken by each change. tableOn gives a worker's tasks, tableOrdersWatch names the worker whose orders grew. That an order has been started changes nothing of what its worker is to do, so it no longer counts as a change of orders.

--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -39,6 +39,18 @@
 const Worker *tableWorker(const Table *table, const char *name);
 /* Grows with each change that concerns the worker's orders; 0 when unknown. */
 uint64_t tableOrders(const Table *table, const char *worker);
+/* Told of the worker whenever that grows, within the delivery; does not wait. */
+typedef void (*TableOrdersFn)(void *arg, const char *worker);
+void tableOrdersWatch(Table *table, TableOrdersFn fn, void *arg);
+
+/* A task on a worker: placed, running or stopping there. */
+typedef struct TaskOn {
+    Job *job;
+    size_t task; /* its index */
+} TaskOn;
+
+/* All of one worker, in no order. */
+size_t tableOn(const Table *table, const char *worker, const TaskOn **on);
 
 /* Configuration: the newest, and those that can be read back. */
 const ConfigText *tableConfig(const Table *table);
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -7,9 +7,13 @@
 #include "base/constants.h"
 #include "base/map.h"
 
-typedef struct OrderCount {
+/* What the table knows of a worker's orders. Invariant: on holds exactly the tasks
+ * whose worker it is. */
+typedef struct WorkerOn {
     uint64_t revision;
-} OrderCount;
+    TaskOn *on;
+    size_t count, room;
+} WorkerOn;
 
 typedef struct CellCount {
     size_t waiting;
@@ -42,6 +46,8 @@
     size_t configCount;
     TableFn fn;
     void *arg;
+    TableOrdersFn ordersFn;
+    void *ordersArg;
 };
 
 static void tableClear(Table *table)
@@ -114,8 +120,21 @@
 
 uint64_t tableOrders(const Table *table, const char *worker)
 {
-    const OrderCount *count = mapGet(table->orders, worker);
-    return count != NULL ? count->revision : 0;
+    const WorkerOn *its = mapGet(table->orders, worker);
+    return its != NULL ? its->revision : 0;
+}
+
+void tableOrdersWatch(Table *table, TableOrdersFn fn, void *arg)
+{
+    table->ordersFn = fn;
+    table->ordersArg = arg;
+}
+
+size_t tableOn(const Table *table, const char *worker, const TaskOn **on)
+{
+    const WorkerOn *its = mapGet(table->orders, worker);
+    *on = its != NULL ? its->on : NULL;
+    return its != NULL ? its->count : 0;
 }
 
 const ConfigText *tableConfig(const Table *table)
@@ -173,16 +192,47 @@
 
 /* --- small steps --------------------------------------------------------------- */
 
+static WorkerOn *workerOn(Table *table, const char *worker)
+{
+    WorkerOn *its = mapGet(table->orders, worker);
+    if (its == NULL) {
+        its = talloc_zero(table->mem, WorkerOn);
+        mapSet(table->orders, worker, its);
+    }
+    return its;
+}
+
 static void ordersTouch(Table *table, const char *worker)
 {
     if (worker[0] == '\0')
         return;
-    OrderCount *count = mapGet(table->orders, worker);
-    if (count == NULL) {
-        count = talloc_zero(table->mem, OrderCount);
-        mapSet(table->orders, worker, count);
+    workerOn(table, worker)->revision++;
+    if (table->ordersFn != NULL)
+        table->ordersFn(table->ordersArg, worker);
+}
+
+static void onAdd(Table *table, Job *job, const JobTask *task)
+{
+    if (task->worker[0] == '\0')
+        return;
+    WorkerOn *its = workerOn(table, task->worker);
+    if (its->count == its->room) {
+        its->room = its->room ? its->room * 2 : 8;
+        its->on = talloc_realloc(its, its->on, TaskOn, (unsigned)its->room);
     }
-    count->revision++;
+    its->on[its->count++] = (TaskOn){job, (size_t)(task - job->tasks)};
+}
+
+static void onDrop(Table *table, const Job *job, const JobTask *task)
+{
+    if (task->worker[0] == '\0')
+        return;
+    WorkerOn *its = workerOn(table, task->worker);
+    for (size_t i = 0; i < its->count; i++)
+        if (its->on[i].job == job && its->on[i].task == (size_t)(task - job->tasks)) {
+            its->on[i] = its->on[--its->count];
+            return;
+        }
 }
 
 static CellCount *cellOf(Table *table, const char *cell)
@@ -213,9 +263,11 @@
         jobPush(table, &table->active, &table->activeCount, &table->activeRoom, job);
     if (job->number > table->lastNumber)
         table->lastNumber = job->number;
-    for (size_t i = 0; i < job->tasksCount; i++)
+    for (size_t i = 0; i < job->tasksCount; i++) {
         if (job->tasks[i].phase == TASK_WAITING)
             cellOf(table, job->spec.cell)->waiting++;
+        onAdd(table, job, &job->tasks[i]);
+    }
 }
 
 static void taskText(Job *job, const char **at, const char *text)
@@ -235,10 +287,15 @@
         cell->waiting--;
     if (phase == TASK_WAITING)
         cell->waiting++;
-    ordersTouch(table, task->worker);
-    if (strcmp(task->worker, worker) != 0)
+    /* that it runs changes nothing of what its worker is to do */
+    if (task->phase != TASK_PLACED || phase != TASK_RUNNING)
+        ordersTouch(table, task->worker);
+    if (strcmp(task->worker, worker) != 0) {
         ordersTouch(table, worker);
-    taskText(job, &task->worker, worker);
+        onDrop(table, job, task);
+        taskText(job, &task->worker, worker);
+        onAdd(table, job, task);
+    }
     task->phase = phase;
     task->changedMs = atMs;
     if (!taskOnWorker(phase))
