Texts are scanned strictly before they are read; keys that stand twice are faults by path

The library took NaN, raw control characters, halves of surrogate pairs and the last of two equal keys, and a body of just null was refused without a fault. A scan by RFC 8259 comes first and says the byte; as many members in the text as in the tree means that no key stood twice, else a second walk names them.

--- a/packages/config/src/check.c
+++ b/packages/config/src/check.c
@@ -7,8 +7,10 @@
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "scan.h"
+#include "twice.h"
 
-#define DEPTH_MAX 16 /* count; nesting that our documents need, with room to spare */
+#define DEPTH_MAX 16 /* count; levels of nesting that our documents need, with room to spare */
 
 void faultAdd(Faults *faults, Status status, const char *path, const char *format, ...)
 {
@@ -29,28 +31,36 @@
 
 json_object *checkParse(Faults *faults, const char *text, size_t count)
 {
-    if (count == 0 || memchr(text, 0, count) != NULL) {
-        faultAdd(faults, STATUS_BAD_JSON, "", count == 0 ? "the body is empty" : "a zero byte in the text");
+    Scan scan = {.text = text, .count = count, .depthMost = DEPTH_MAX};
+    if (count == 0 || count > INT32_MAX) {
+        faultAdd(faults, STATUS_BAD_JSON, "", count == 0 ? "the body is empty" : "the body is too long");
         return NULL;
     }
-    json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX);
+    if (!scanText(&scan)) {
+        faultAdd(faults, STATUS_BAD_JSON, "", "at byte %zu: %s", scan.at, scan.wrong);
+        return NULL;
+    }
+    json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX + 1);
     json_tokener_set_flags(tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
-    json_object *object = json_tokener_parse_ex(tokener, text, (int)count);
+    /* with a zero behind it: a number at the very end is then known to be whole */
+    const char *whole = talloc_strndup(faults->mem, text, count);
+    json_object *object = json_tokener_parse_ex(tokener, whole, (int)count + 1);
     const enum json_tokener_error error = json_tokener_get_error(tokener);
-    const size_t end = json_tokener_get_parse_end(tokener);
     json_tokener_free(tokener);
     if (error != json_tokener_success) {
-        faultAdd(faults, STATUS_BAD_JSON, "", "at byte %zu: %s", end,
-                 error == json_tokener_continue ? "the text ends too early" : json_tokener_error_desc(error));
+        faultAdd(faults, STATUS_BAD_JSON, "", "%s", json_tokener_error_desc(error));
+        json_object_put(object);
+        return NULL;
+    }
+    if (object == NULL) {
+        faultAdd(faults, STATUS_BAD_JSON, "", "must not be null");
+        return NULL;
+    }
+    if (scan.members != twiceMembers(object)) {
+        twiceFind(faults, whole);
         json_object_put(object);
         return NULL;
     }
-    for (size_t i = end; i < count; i++)
-        if (strchr(" \t\r\n", text[i]) == NULL) {
-            faultAdd(faults, STATUS_BAD_JSON, "", "at byte %zu: something follows the document", i);
-            json_object_put(object);
-            return NULL;
-        }
     return object;
 }
 
--- /dev/null
+++ b/packages/config/src/scan.h
@@ -0,0 +1,22 @@
+#ifndef CONFIG_SCAN_H
+#define CONFIG_SCAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/* A look at a text before it is read: whether it is one JSON value as RFC 8259
+ * has it, no more and no less. The library that reads it is laxer, and keeps the
+ * last of two equal keys.
+ * Invariant: wrong is null while no breach has been met; then at is where. */
+typedef struct Scan {
+    const char *text;
+    size_t count, at;
+    size_t members; /* of all objects */
+    size_t depth, depthMost;
+    const char *wrong;
+} Scan;
+
+/* False: wrong says what is, at which byte. */
+bool scanText(Scan *scan);
+
+#endif
--- /dev/null
+++ b/packages/config/src/twice.h
@@ -0,0 +1,11 @@
+#ifndef CONFIG_TWICE_H
+#define CONFIG_TWICE_H
+
+#include "config/check.h"
+
+/* The members of all objects of a tree. */
+size_t twiceMembers(json_object *tree);
+/* A fault for each key that stands twice in one object of a text, which is JSON. */
+void twiceFind(Faults *faults, const char *text);
+
+#endif
--- /dev/null
+++ b/packages/config/test/parse.c
@@ -0,0 +1,158 @@
+/* Texts that are to be read whole or refused with the byte: every one of them is
+ * fed in as operators' and callers' bodies are. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "config/check.h"
+
+static Faults *faultsNew(void *mem)
+{
+    Faults *faults = talloc_zero(mem, Faults);
+    faults->mem = mem;
+    return faults;
+}
+
+static void good(void **state)
+{
+    (void)state;
+    static const char *const TEXTS[] = {
+        "{}",
+        " [ ] ",
+        "{ \"a\" : 1 , \"b\" : [ 1 , -2 , 0 , 0.5 , 1e9 , 1E-2 , -0.0 ] }\r\n\t ",
+        "true",
+        "7",
+        "\"\\u00e9\\ud83d\\ude00\\\"\\\\\\/\\b\\f\\n\\r\\t\"",
+        "\"\\u0000\"",
+        "[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]",
+        "{\"a\":{\"a\":{\"a\":1}},\"b\":{\"a\":1}}",
+        "\"\xc3\xa9\xf0\x9f\x98\x80\"",
+    };
+    for (size_t i = 0; i < sizeof(TEXTS) / sizeof(TEXTS[0]); i++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = faultsNew(mem);
+        json_object *object = checkParse(faults, TEXTS[i], strlen(TEXTS[i]));
+        if (object == NULL || faults->seen > 0)
+            fail_msg("%s: %s", TEXTS[i], faults->list[0].text);
+        json_object_put(object);
+        talloc_free(mem);
+    }
+}
+
+static void bad(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *text;
+        Status status;
+        const char *path, *words;
+    } TEXTS[] = {
+        {"", STATUS_BAD_JSON, "", "empty"},
+        {" ", STATUS_BAD_JSON, "", "at byte 1: the text ends too early"},
+        {"null", STATUS_BAD_JSON, "", "null"},
+        {"{", STATUS_BAD_JSON, "", "at byte 1: the text ends too early"},
+        {"{\"a\"", STATUS_BAD_JSON, "", "at byte 4: the text ends too early"},
+        {"{\"a\":", STATUS_BAD_JSON, "", "at byte 5: the text ends too early"},
+        {"{\"a\":1", STATUS_BAD_JSON, "", "at byte 6: the text ends too early"},
+        {"{\"a\":1,", STATUS_BAD_JSON, "", "at byte 7: the text ends too early"},
+        {"[1,2", STATUS_BAD_JSON, "", "at byte 4: the text ends too early"},
+        {"\"abc", STATUS_BAD_JSON, "", "at byte 4: the text ends too early"},
+        {"tru", STATUS_BAD_JSON, "", "at byte 0: is no value"},
+        {"{}x", STATUS_BAD_JSON, "", "at byte 2: something follows"},
+        {"{}{}", STATUS_BAD_JSON, "", "at byte 2: something follows"},
+        {"{\"a\":1}]", STATUS_BAD_JSON, "", "at byte 7: something follows"},
+        {"{\"a\":1,}", STATUS_BAD_JSON, "", "at byte 7: a key is missing"},
+        {"[1,]", STATUS_BAD_JSON, "", "at byte 3: is no value"},
+        {"{a:1}", STATUS_BAD_JSON, "", "at byte 1: a key is missing"},
+        {"{'a':1}", STATUS_BAD_JSON, "", "at byte 1: a key is missing"},
+        {"{\"a\" 1}", STATUS_BAD_JSON, "", "at byte 5: a colon is missing"},
+        {"{\"a\":1 \"b\":2}", STATUS_BAD_JSON, "", "at byte 7: a comma"},
+        {"/* x */{}", STATUS_BAD_JSON, "", "at byte 0: is no value"},
+        {"{}// x", STATUS_BAD_JSON, "", "at byte 2: something follows"},
+        {"NaN", STATUS_BAD_JSON, "", "is no value"},
+        {"[Infinity]", STATUS_BAD_JSON, "", "is no value"},
+        {"[-Infinity]", STATUS_BAD_JSON, "", "a digit is missing"},
+        {"[01]", STATUS_BAD_JSON, "", "begins with 0"},
+        {"[-01]", STATUS_BAD_JSON, "", "begins with 0"},
+        {"[1.]", STATUS_BAD_JSON, "", "a digit is missing"},
+        {"[.5]", STATUS_BAD_JSON, "", "is no value"},
+        {"[1e]", STATUS_BAD_JSON, "", "a digit is missing"},
+        {"[+1]", STATUS_BAD_JSON, "", "is no value"},
+        {"[0x10]", STATUS_BAD_JSON, "", "a comma"},
+        {"True", STATUS_BAD_JSON, "", "is no value"},
+        {"\"a\nb\"", STATUS_BAD_JSON, "", "at byte 2: a control character"},
+        {"\"\\x41\"", STATUS_BAD_JSON, "", "is no escape"},
+        {"\"\\u12\"", STATUS_BAD_JSON, "", "four digits"},
+        {"\"\\ud800\"", STATUS_BAD_JSON, "", "half a pair"},
+        {"\"\\udc00\"", STATUS_BAD_JSON, "", "half a pair"},
+        {"\"\\ud800\\u0041\"", STATUS_BAD_JSON, "", "half a pair"},
+        {"{\"a\\u0000b\":1}", STATUS_BAD_JSON, "", "a zero in a key"},
+        {"\"\xff\"", STATUS_BAD_JSON, "", "at byte 1: is no UTF-8"},
+        {"\"\xc0\xaf\"", STATUS_BAD_JSON, "", "at byte 1: is no UTF-8"},
+        {"\"\xed\xa0\x80\"", STATUS_BAD_JSON, "", "at byte 1: is no UTF-8"},
+        {"\"\xc3", STATUS_BAD_JSON, "", "at byte 1: is no UTF-8"},
+        {"[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]", STATUS_BAD_JSON, "", "nested too deeply"},
+        {"{\"a\":1,\"a\":1}", STATUS_BAD_FIELD, "a", "stands twice"},
+        {"{\"b\":{\"c\":[1,{\"d\":\"}\\\"\",\"d\":2}]}}", STATUS_BAD_FIELD, "b.c[1].d", "stands twice"},
+        {"{\"a\":1,\"\\u0061\":1}", STATUS_BAD_FIELD, "a", "stands twice"},
+    };
+    for (size_t i = 0; i < sizeof(TEXTS) / sizeof(TEXTS[0]); i++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = faultsNew(mem);
+        json_object *object = checkParse(faults, TEXTS[i].text, strlen(TEXTS[i].text));
+        if (object != NULL || faults->count != 1 || faults->list[0].status != TEXTS[i].status ||
+            strcmp(faults->list[0].path, TEXTS[i].path) != 0 || strstr(faults->list[0].text, TEXTS[i].words) == NULL)
+            fail_msg("%s: %s %s: %s", TEXTS[i].text, object != NULL ? "taken" : "refused",
+                     faults->count > 0 ? faults->list[0].path : "", faults->count > 0 ? faults->list[0].text : "no fault");
+        talloc_free(mem);
+    }
+    void *mem = talloc_new(NULL);
+    Faults *faults = faultsNew(mem);
+    assert_null(checkParse(faults, "{\"a\":\0001}", 7));
+    assert_non_null(strstr(faults->list[0].text, "at byte 5: a zero byte"));
+    talloc_free(mem);
+}
+
+/* Every beginning of a whole text is refused, at its end. */
+static void cut(void **state)
+{
+    (void)state;
+    static const char TEXT[] = "{\"cells\":{\"a\":{\"queues\":{\"q\":{\"stretch\":2.2,\"note\":\"{\\\"x\\\":[1]}\"}}}},\"r\":1}";
+    for (size_t count = 1; count < strlen(TEXT); count++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = faultsNew(mem);
+        assert_null(checkParse(faults, TEXT, count));
+        assert_int_equal(faults->count, 1);
+        assert_int_equal(faults->list[0].status, STATUS_BAD_JSON);
+        talloc_free(mem);
+    }
+}
+
+/* A body of brackets neither fills the stack nor takes long. */
+static void deep(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    char *text = talloc_array(mem, char, 1000000);
+    memset(text, '[', 1000000);
+    Faults *faults = faultsNew(mem);
+    assert_null(checkParse(faults, text, 1000000));
+    assert_non_null(strstr(faults->list[0].text, "nested too deeply"));
+    talloc_free(mem);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(good),
+        cmocka_unit_test(bad),
+        cmocka_unit_test(cut),
+        cmocka_unit_test(deep),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
