A task is told by its number: turn, step and place

Messages, changes, orders, traces and what users are shown name a task by taskNumber; indices stay inside of a job. What an older release wrote (an index) is still read: below TASK_NUMBER_PLACES a number that is no place of the first step can be nothing else. A number that the job does not have finds no task. Members of a gang are placed under one round number. New for the queue: taskStepsDone, taskDueWallMs, taskFirst.

--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -36,7 +36,7 @@
         if (!checkKeys(faults, one, path, KEYS))
             continue;
         news->job = checkName(faults, one, path, "job", NULL);
-        news->task = (uint64_t)checkInt(faults, one, path, "task", 0, JOB_TASKS_MAX, 0);
+        news->task = (uint64_t)checkInt(faults, one, path, "task", 0, INT64_MAX, 0);
         news->round = (uint64_t)checkInt(faults, one, path, "round", 1, INT64_MAX, 0);
         news->word = ROUND_RUNNING;
         if (withWord) {
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -76,7 +76,7 @@
     for (size_t i = 0; i < job->tasksCount; i++) {
         const JobTask *task = &job->tasks[i];
         json_object *one = json_object_new_object();
-        json_object_object_add(one, "task", json_object_new_int64((int64_t)i));
+        json_object_object_add(one, "task", json_object_new_int64((int64_t)taskNumber(task)));
         json_object_object_add(one, "step", textOf(job->spec.steps[task->step].name));
         json_object_object_add(one, "phase", textOf(taskPhaseWord(task->phase)));
         json_object_object_add(one, "round", json_object_new_int64((int64_t)task->round));
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -25,11 +25,11 @@
         for (size_t t = 0; t < job->tasksCount; t++) {
             const JobTask *task = &job->tasks[t];
             if ((task->phase != TASK_RUNNING && task->phase != TASK_STOPPING) ||
-                strcmp(task->worker, worker->name) != 0 || listed(beat, job->spec.id, t, task->round))
+                strcmp(task->worker, worker->name) != 0 || listed(beat, job->spec.id, taskNumber(task), task->round))
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
             list.news[list.newsCount++] =
-                (RoundNews){talloc_strdup(mem, job->spec.id), t, task->round, worker->name,
+                (RoundNews){talloc_strdup(mem, job->spec.id), taskNumber(task), task->round, worker->name,
                             task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST, "not on its worker any more", ""};
         }
     }
@@ -139,7 +139,7 @@
                 out->wanted = talloc_realloc(mem, out->wanted, RoundId, (unsigned)wantedRoom);
             }
             const char *id = talloc_strdup(mem, job->spec.id);
-            out->wanted[out->wantedCount++] = (RoundId){id, t, task->round};
+            out->wanted[out->wantedCount++] = (RoundId){id, taskNumber(task), task->round};
             if (task->phase != TASK_PLACED)
                 continue;
             if (out->startsCount == startRoom) {
@@ -148,7 +148,8 @@
             }
             const StepSpec *step = &job->spec.steps[task->step];
             out->starts[out->startsCount++] =
-                (Order){id, t, task->round, step->room, talloc_strdup(mem, step->payload), talloc_strdup(mem, task->saved)};
+                (Order){id, taskNumber(task), task->round, step->room, talloc_strdup(mem, step->payload),
+                        talloc_strdup(mem, task->saved)};
         }
     }
 }
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -115,7 +115,7 @@
         if (shapeEqual(&JobSpecShape, &known->spec, &spec)) {
             /* whoever carries this verdict may be the only one to have heard it */
             KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
-            const JobAdd add = {.spec = spec};
+            const JobAdd add = {spec, known->terms};
             shapePack(&JobAddShape, &add, way->mem, &item.payload);
             keepAdd(way, &item);
             showAccepted(way, known, 200);
@@ -370,7 +370,7 @@
             continue;
         json_object *one = json_object_new_object();
         json_object_object_add(one, "job", json_object_new_string(candidate->job->spec.id));
-        json_object_object_add(one, "task", json_object_new_int64((int64_t)candidate->first));
+        json_object_object_add(one, "task", json_object_new_int64((int64_t)taskNumber(&candidate->job->tasks[candidate->first])));
         json_object_object_add(one, "tenant", json_object_new_string(candidate->job->spec.tenant));
         json_object_object_add(one, "queue", json_object_new_string(candidate->job->spec.queue));
         json_object_object_add(one, "rank", json_object_new_double(candidate->rank));
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -66,7 +66,7 @@
             if (nowMs - heardMs <= COPY_SILENT_MS)
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
-            list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), t, task->round,
+            list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), taskNumber(task), task->round,
                                                       talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent", ""};
         }
     Verdict verdict;
@@ -198,11 +198,16 @@
             talloc_realloc(pass->mem, pass->places.placements, Placement, (unsigned)pass->placeRoom);
     }
     const LiveRow *row = livesetFind(core->liveset, pass->input.workers[worker].name);
-    const size_t task = candidateTask(candidate, member);
+    const JobTask *task = &candidate->job->tasks[candidateTask(candidate, member)];
+    uint64_t round = task->round;
+    for (size_t i = 0; i < candidate->count; i++) { /* members of a gang share one number */
+        const uint64_t other = candidate->job->tasks[candidateTask(candidate, i)].round;
+        round = round > other ? round : other;
+    }
     pass->places.placements[pass->places.placementsCount++] = (Placement){
         .job = candidate->job->spec.id,
-        .task = task,
-        .round = candidate->job->tasks[task].round + 1,
+        .task = taskNumber(task),
+        .round = round + 1,
         .worker = pass->input.workers[worker].name,
         .incarnation = row != NULL ? row->incarnation : 0,
         .assured = assured,
@@ -357,7 +362,7 @@
                 continue;
             }
             list.rounds = talloc_realloc(pass->mem, list.rounds, RoundId, (unsigned)(list.roundsCount + 1));
-            list.rounds[list.roundsCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), t, task->round};
+            list.rounds[list.roundsCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
         }
     }
     list.why = "";
@@ -402,7 +407,7 @@
                 if (!holds)
                     continue;
             }
-            RoundId round = {job->spec.id, t, task->round};
+            RoundId round = {job->spec.id, taskNumber(task), task->round};
             const StopList list = {&round, 1, "moved off an emptied zone"};
             Verdict verdict;
             if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK)
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -144,7 +144,7 @@
                 pass->pushLooks++;
                 if (!policy->mayPush(policy->arg, &mine, &other))
                     continue;
-                victims[victimCount++] = (RoundId){job->spec.id, t, task->round};
+                victims[victimCount++] = (RoundId){job->spec.id, taskNumber(task), task->round};
                 free = roomMore(free, job->spec.steps[task->step].room);
             }
         }
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -104,14 +104,14 @@
 
 /* Compares the task's time with the median of the others of its own step, never
  * with an absolute span: what a step's tasks do is alike. False: too few others. */
-static bool compared(const Job *job, uint64_t number, bool *slow)
+static bool compared(const Job *job, size_t at, bool *slow)
 {
-    const JobTask *mine = &job->tasks[number];
+    const JobTask *mine = &job->tasks[at];
     const int64_t mineMs = tookMs(mine);
     int64_t *spans = talloc_array(NULL, int64_t, (unsigned)job->tasksCount);
     size_t count = 0;
     for (size_t t = 0; t < job->tasksCount && mineMs >= 0 && count < SLOW_OTHERS_MOST; t++)
-        if (t != number && job->tasks[t].step == mine->step && tookMs(&job->tasks[t]) >= 0)
+        if (t != at && job->tasks[t].step == mine->step && tookMs(&job->tasks[t]) >= 0)
             spans[count++] = tookMs(&job->tasks[t]);
     bool enough = count >= SLOW_OTHERS;
     if (enough) {
@@ -133,8 +133,9 @@
         Score *score = mapGet(core->scores, news->worker);
         const Job *job = tableJob(core->table, news->job);
         bool slow = false;
-        const bool known = news->word == ROUND_DONE && job != NULL && news->task < job->tasksCount &&
-                           job->tasks[news->task].round == news->round && compared(job, news->task, &slow);
+        const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+        const bool known = news->word == ROUND_DONE && job != NULL && at < job->tasksCount &&
+                           job->tasks[at].round == news->round && compared(job, at, &slow);
         if (score == NULL && ((news->word == ROUND_DONE && !slow) || tableWorker(core->table, news->worker) == NULL))
             continue;
         if (score == NULL) {
@@ -145,10 +146,10 @@
                   "fails its work");
         /* rounds that ran beside one already counted may all have met the same
          * pause: one pause is one sign */
-        const bool beside = slow && job->tasks[news->task].startedMs < score->slowEndMs;
+        const bool beside = slow && job->tasks[at].startedMs < score->slowEndMs;
         if (known && !beside)
             tallyTake(core, news->worker, score, &score->slow, job, slow, SLOW_WEIGHT, "is slow");
         if (known && slow && !beside)
-            score->slowEndMs = job->tasks[news->task].changedMs;
+            score->slowEndMs = job->tasks[at].changedMs;
     }
 }
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -133,6 +133,12 @@
 uint64_t taskNumber(const JobTask *task);
 /* Its index in tasks; tasksCount when the job has no such task. */
 size_t taskIndex(const Job *job, uint64_t number);
+/* Whether the steps that its step comes after are done, in its own turn. */
+bool taskStepsDone(const Job *job, const JobTask *task);
+/* When its turn is due, by the wall clock; 0: at once. */
+int64_t taskDueWallMs(const Job *job, const JobTask *task);
+/* The index of the first task of its turn and step; those of a step stand one after another. */
+size_t taskFirst(const Job *job, const JobTask *task);
 
 const char *taskPhaseWord(uint64_t phase);
 const char *jobPhaseWord(uint64_t phase);
--- a/packages/table/src/job.c
+++ b/packages/table/src/job.c
@@ -35,6 +35,10 @@
 
 size_t taskIndex(const Job *job, uint64_t number)
 {
+    /* within the first step a number is the index; what else lies below PLACES was
+     * written by a release that knew indices alone */
+    if (number < TASK_NUMBER_PLACES)
+        return number < job->tasksCount ? (size_t)number : job->tasksCount;
     const uint64_t at = number % TASK_NUMBER_PLACES, steps = number / TASK_NUMBER_PLACES;
     const uint64_t step = steps % JOB_STEPS_MAX, turn = steps / JOB_STEPS_MAX;
     const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
@@ -47,6 +51,36 @@
     return index < job->tasksCount ? index : job->tasksCount;
 }
 
+size_t taskFirst(const Job *job, const JobTask *task)
+{
+    return (size_t)(task - job->tasks) - (size_t)task->at;
+}
+
+static bool stepDone(const Job *job, uint64_t turn, const char *name)
+{
+    for (size_t i = 0; i < job->tasksCount; i++)
+        if (job->tasks[i].turn == turn && job->tasks[i].phase != TASK_DONE &&
+            strcmp(job->spec.steps[job->tasks[i].step].name, name) == 0)
+            return false;
+    return true;
+}
+
+bool taskStepsDone(const Job *job, const JobTask *task)
+{
+    const StepSpec *step = &job->spec.steps[task->step];
+    for (size_t i = 0; i < step->afterCount; i++)
+        if (!stepDone(job, task->turn, step->after[i]))
+            return false;
+    return true;
+}
+
+int64_t taskDueWallMs(const Job *job, const JobTask *task)
+{
+    if (job->spec.firstWallMs == 0)
+        return 0;
+    return job->spec.firstWallMs + (int64_t)task->turn * job->spec.periodMs;
+}
+
 const char *taskPhaseWord(uint64_t phase)
 {
     return phase < TASK_PHASE_COUNT ? PHASES[phase].word : "unlisted";
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -328,12 +328,13 @@
     /* what of it finished well before the disks forgot it stays finished */
     for (size_t i = 0; i < table->orphanCount;) {
         const Orphan *orphan = &table->orphans[i];
-        if (strcmp(orphan->job, job->spec.id) != 0 || orphan->task >= job->tasksCount) {
+        const size_t task = strcmp(orphan->job, job->spec.id) == 0 ? taskIndex(job, orphan->task) : job->tasksCount;
+        if (task == job->tasksCount) {
             i++;
             continue;
         }
-        job->tasks[orphan->task].round = orphan->round;
-        taskTurn(table, job, &job->tasks[orphan->task], TASK_DONE, "", change->atMs);
+        job->tasks[task].round = orphan->round;
+        taskTurn(table, job, &job->tasks[task], TASK_DONE, "", change->atMs);
         orphanDrop(table, i);
     }
     jobSettle(table, job, change->atMs);
@@ -362,10 +363,12 @@
     for (size_t i = 0; i < list->placementsCount; i++) {
         const Placement *place = &list->placements[i];
         Job *job = mapGet(table->byId, place->job);
-        if (job == NULL || place->task >= job->tasksCount || job->ending != JOB_ACTIVE)
+        const size_t at = job != NULL ? taskIndex(job, place->task) : 0;
+        if (job == NULL || at == job->tasksCount || job->ending != JOB_ACTIVE)
             continue;
-        JobTask *task = &job->tasks[place->task];
-        if (task->phase != TASK_WAITING || place->round != task->round + 1)
+        JobTask *task = &job->tasks[at];
+        /* members of a gang are given one number, above that of each */
+        if (task->phase != TASK_WAITING || place->round <= task->round)
             continue;
         task->round = place->round;
         task->incarnation = place->incarnation;
@@ -426,9 +429,10 @@
     Job *job = mapGet(table->byId, news->job);
     if (job == NULL && news->word == ROUND_DONE)
         orphanAdd(table, news->job, news->task, news->round, change->atMs);
-    if (job == NULL || news->task >= job->tasksCount)
+    const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+    if (job == NULL || at == job->tasksCount)
         return;
-    JobTask *task = &job->tasks[news->task];
+    JobTask *task = &job->tasks[at];
     if (taskEnded(task->phase))
         return;
     if (news->word == ROUND_DONE) {
@@ -478,9 +482,10 @@
 static JobTask *roundFind(Table *table, const RoundId *id, Job **job)
 {
     *job = mapGet(table->byId, id->job);
-    if (*job == NULL || id->task >= (*job)->tasksCount)
+    const size_t at = *job != NULL ? taskIndex(*job, id->task) : 0;
+    if (*job == NULL || at == (*job)->tasksCount)
         return NULL;
-    JobTask *task = &(*job)->tasks[id->task];
+    JobTask *task = &(*job)->tasks[at];
     return task->round == id->round ? task : NULL;
 }
 
