--- /dev/null
+++ b/packages/core/src/way.h
@@ -0,0 +1,58 @@
+#ifndef CORE_WAY_H
+#define CORE_WAY_H
+
+#include "inside.h"
+
+/* One request on its way through the leader. */
+typedef struct Way {
+    Core *core;
+    HttpTask *task;
+    void *mem;
+    Faults *faults;
+    KeepList *keeps;
+    const char *name; /* what the path names: a job, a zone */
+} Way;
+
+/* The Status of a submission as a refusal; true when it was delivered. */
+bool wayDelivered(Way *way, Status status);
+/* The faults as the verdict. */
+void wayRefuse(Way *way);
+
+/* Whoever carries the verdict keeps this for a while, for repair. */
+void wayKeep(Way *way, const KeepItem *item);
+/* Likewise the word that a job has ended: no task of it may start again, whatever
+ * the disks forget. */
+void wayKeepEnd(Way *way, const Job *job);
+
+/* Waits. Takes a job that is not known yet; null: the verdict has been given.
+ * The spec's texts live on way->mem. */
+const Job *jobTake(Way *way, const JobSpec *spec, const JobTerms *terms, bool *fresh);
+/* Whether the same job was sent again; else the verdict has been given. */
+bool jobAgain(Way *way, const Job *known, const JobSpec *spec);
+/* Waits. Cancels the job named by the way; false: the verdict has been given. */
+bool jobCancelled(Way *way, Verdict *verdict);
+/* What a queue's jobs are accepted under; null: nothing in particular. */
+JobTerms jobTerms(const ConfigQueue *queue);
+
+void jobPost(Way *way);
+void jobGet(Way *way);
+void jobCancel(Way *way);
+void jobList(Way *way);
+
+/* What is asked at a queue's own address: paths that begin with ENTRY_PATH. */
+#define ENTRY_PATH "/v1/entry"
+void entryServe(Way *way);
+
+void queueGet(Way *way);
+void queueTry(Way *way);
+
+void zoneGet(Way *way);
+void zoneDrain(Way *way);
+void zoneBack(Way *way);
+
+void configGet(Way *way);
+void configHistory(Way *way);
+void configPut(Way *way);
+void configPatched(Way *way);
+
+#endif
