--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -126,7 +126,7 @@
         showRefusal(way->task, STATUS_BAD_METHOD, "jobs are posted, got and deleted", NULL);
         return;
     }
-    if (tableConfig(core->table) == NULL) {
+    if (revisionsNewest(tableRevisions(core->table)) == 0) {
         showRefusal(way->task, STATUS_NO_CONFIG, "there is no document yet; nothing was taken: come back", NULL);
         return;
     }
