--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -6,6 +6,7 @@
 
 #include "base/constants.h"
 #include "base/map.h"
+#include "deliverconfig.h"
 
 /* What the table knows of a worker's orders. Invariant: on holds exactly the tasks
  * whose worker it is. */
@@ -26,8 +27,7 @@
 SHAPE_TABLE(Orphan, ORPHAN_FIELDS)
 
 /* Invariants: byId, order and (for those that have not ended) active hold the
- * same jobs; order and active are sorted by number; configs are sorted by
- * revision, the last is in force. */
+ * same jobs; order and active are sorted by number. */
 struct Table {
     void *mem; /* holds everything below; a loaded state replaces it whole */
     Map *byId;
@@ -42,8 +42,8 @@
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
     size_t orphanCount;
     Map *drains; /* zone to its newest order */
-    ConfigText *configs;
-    size_t configCount;
+    Revisions *revisions;
+    uint64_t loads;
     TableFn fn;
     void *arg;
     TableOrdersFn ordersFn;
@@ -62,8 +62,8 @@
     table->order = table->active = NULL;
     table->orderCount = table->orderRoom = table->activeCount = table->activeRoom = 0;
     table->lastNumber = 0;
-    table->configs = NULL;
-    table->configCount = 0;
+    table->revisions = revisionsNew(table->mem, CONFIG_HISTORY);
+    table->loads++;
     table->orphans = NULL;
     table->orphanCount = 0;
 }
@@ -137,23 +137,14 @@
     return its != NULL ? its->count : 0;
 }
 
-const ConfigText *tableConfig(const Table *table)
+const Revisions *tableRevisions(const Table *table)
 {
-    return table->configCount > 0 ? &table->configs[table->configCount - 1] : NULL;
+    return table->revisions;
 }
 
-const ConfigText *tableConfigAt(const Table *table, uint64_t revision)
+uint64_t tableLoads(const Table *table)
 {
-    for (size_t i = 0; i < table->configCount; i++)
-        if (table->configs[i].revision == revision)
-            return &table->configs[i];
-    return NULL;
-}
-
-size_t tableConfigs(const Table *table, const ConfigText **configs)
-{
-    *configs = table->configs;
-    return table->configCount;
+    return table->loads;
 }
 
 bool tableDrained(const Table *table, const char *zone)
@@ -385,12 +376,13 @@
     /* what of it finished well before the disks forgot it stays finished */
     for (size_t i = 0; i < table->orphanCount;) {
         const Orphan *orphan = &table->orphans[i];
-        if (strcmp(orphan->job, job->spec.id) != 0 || orphan->task >= job->tasksCount) {
+        const size_t task = strcmp(orphan->job, job->spec.id) == 0 ? taskIndex(job, orphan->task) : job->tasksCount;
+        if (task == job->tasksCount) {
             i++;
             continue;
         }
-        job->tasks[orphan->task].round = orphan->round;
-        taskTurn(table, job, &job->tasks[orphan->task], TASK_DONE, "", change->atMs);
+        job->tasks[task].round = orphan->round;
+        taskTurn(table, job, &job->tasks[task], TASK_DONE, "", change->atMs);
         orphanDrop(table, i);
     }
     jobSettle(table, job, change->atMs);
@@ -419,10 +411,12 @@
     for (size_t i = 0; i < list->placementsCount; i++) {
         const Placement *place = &list->placements[i];
         Job *job = mapGet(table->byId, place->job);
-        if (job == NULL || place->task >= job->tasksCount || job->ending != JOB_ACTIVE)
+        const size_t at = job != NULL ? taskIndex(job, place->task) : 0;
+        if (job == NULL || at == job->tasksCount || job->ending != JOB_ACTIVE)
             continue;
-        JobTask *task = &job->tasks[place->task];
-        if (task->phase != TASK_WAITING || place->round != task->round + 1)
+        JobTask *task = &job->tasks[at];
+        /* members of a gang are given one number, above that of each */
+        if (task->phase != TASK_WAITING || place->round <= task->round)
             continue;
         task->round = place->round;
         task->incarnation = place->incarnation;
@@ -483,9 +477,10 @@
     Job *job = mapGet(table->byId, news->job);
     if (job == NULL && news->word == ROUND_DONE)
         orphanAdd(table, news->job, news->task, news->round, change->atMs);
-    if (job == NULL || news->task >= job->tasksCount)
+    const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+    if (job == NULL || at == job->tasksCount)
         return;
-    JobTask *task = &job->tasks[news->task];
+    JobTask *task = &job->tasks[at];
     if (taskEnded(task->phase))
         return;
     if (news->word == ROUND_DONE) {
@@ -535,9 +530,10 @@
 static JobTask *roundFind(Table *table, const RoundId *id, Job **job)
 {
     *job = mapGet(table->byId, id->job);
-    if (*job == NULL || id->task >= (*job)->tasksCount)
+    const size_t at = *job != NULL ? taskIndex(*job, id->task) : 0;
+    if (*job == NULL || at == (*job)->tasksCount)
         return NULL;
-    JobTask *task = &(*job)->tasks[id->task];
+    JobTask *task = &(*job)->tasks[at];
     return task->round == id->round ? task : NULL;
 }
 
@@ -615,27 +611,6 @@
         worker->excluded = left->left;
 }
 
-static void deliverConfigSet(Table *table, const Record *change, const ConfigSet *set, Verdict *verdict)
-{
-    (void)change;
-    const ConfigText *now = tableConfig(table);
-    const uint64_t current = now != NULL ? now->revision : 0;
-    verdict->number = current;
-    if (set->restored ? set->revision <= current : set->base != current) {
-        verdict->status = set->restored ? STATUS_OK : STATUS_STALE_REVISION;
-        return;
-    }
-    if (table->configCount >= CONFIG_HISTORY) {
-        talloc_free((void *)(uintptr_t)table->configs[0].text);
-        memmove(table->configs, table->configs + 1, (table->configCount - 1) * sizeof(*table->configs));
-        table->configCount--;
-    }
-    table->configs = talloc_realloc(table->mem, table->configs, ConfigText, (unsigned)(table->configCount + 1));
-    const uint64_t revision = set->restored ? set->revision : current + 1;
-    table->configs[table->configCount++] = (ConfigText){revision, talloc_strdup(table->mem, set->text)};
-    verdict->number = revision;
-}
-
 static void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, Verdict *verdict)
 {
     (void)change;
@@ -737,7 +712,7 @@
             deliverWorkerLeft(table, change, body, verdict);
             break;
         case CHANGE_CONFIG_SET:
-            deliverConfigSet(table, change, body, verdict);
+            deliverConfig(table->revisions, body, verdict);
             break;
         case CHANGE_ZONE_DRAIN:
             deliverZoneDrain(table, change, body, verdict);
@@ -759,12 +734,8 @@
 
 /* --- saving and loading ------------------------------------------------------------ */
 
-#define CONFIG_ROW_FIELDS(X) X(U64, revision, 0) X(TXT, text, 0)
-SHAPE(ConfigRow, CONFIG_ROW_FIELDS)
-SHAPE_TABLE(ConfigRow, CONFIG_ROW_FIELDS)
-
 #define SAVED_FIELDS(X) \
-    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, ConfigRow) \
+    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, Revision) \
     X(LST, drains, ZoneDrain) X(LST, orphans, Orphan)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
@@ -782,10 +753,8 @@
     saved.workers = talloc_array(scratch, Worker, (unsigned)saved.workersCount);
     for (size_t i = 0; i < saved.workersCount; i++)
         saved.workers[i] = *workers[i];
-    saved.configsCount = table->configCount;
-    saved.configs = talloc_array(scratch, ConfigRow, (unsigned)table->configCount);
-    for (size_t i = 0; i < table->configCount; i++)
-        saved.configs[i] = (ConfigRow){table->configs[i].revision, table->configs[i].text};
+    saved.configs = table->revisions->rows;
+    saved.configsCount = table->revisions->count;
     const char **zones;
     saved.drainsCount = mapKeys(table->drains, scratch, &zones);
     saved.drains = talloc_array(scratch, ZoneDrain, (unsigned)saved.drainsCount);
@@ -819,11 +788,7 @@
         table->lastNumber = saved.lastNumber;
         for (size_t i = 0; i < saved.workersCount; i++)
             deliverWorkerSet(table, NULL, &saved.workers[i], NULL);
-        table->configs = talloc_array(table->mem, ConfigText, (unsigned)saved.configsCount);
-        table->configCount = saved.configsCount;
-        for (size_t i = 0; i < saved.configsCount; i++)
-            table->configs[i] =
-                (ConfigText){saved.configs[i].revision, talloc_strdup(table->mem, saved.configs[i].text)};
+        revisionsLoad(table->revisions, saved.configs, saved.configsCount);
         for (size_t i = 0; i < saved.drainsCount; i++)
             deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
         for (size_t i = 0; i < saved.orphansCount; i++)
