--- /dev/null
+++ b/packages/document/test/document.c
@@ -0,0 +1,194 @@
+/* Trees: merged, told apart, given back as they were written. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "document/document.h"
+
+static uint64_t seedNow;
+
+static uint64_t draw(uint64_t below)
+{
+    seedNow = seedNow * 6364136223846793005u + 1442695040888963407u;
+    return (seedNow >> 33) % below;
+}
+
+/* What is read is written as it was: numbers, order, letters. */
+static void written(void **state)
+{
+    (void)state;
+    static const char TEXT[] = "{\"z\":2.2,\"a\":0.0,\"m\":1e3,\"k\":-0.50,\"t\":\"/a\\\"\xc3\xa9\",\"n\":9007199254740993,"
+                               "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{}}";
+    json_object *tree = documentParse(TEXT);
+    void *mem = talloc_new(NULL);
+    assert_string_equal(documentText(mem, tree), TEXT);
+    json_object *patch = documentParse("{\"a\":0.00,\"new\":7,\"t\":null,\"o\":{\"p\":null,\"q\":1}}");
+    json_object *next = documentMerged(tree, patch);
+    assert_string_equal(documentText(mem, next),
+                        "{\"z\":2.2,\"a\":0.00,\"m\":1e3,\"k\":-0.50,\"n\":9007199254740993,"
+                        "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{\"q\":1},\"new\":7}");
+    /* the first is as it was, and what did not change is the same value */
+    assert_string_equal(documentText(mem, tree), TEXT);
+    assert_ptr_equal(json_object_object_get(tree, "l"), json_object_object_get(next, "l"));
+    json_object_put(next);
+    json_object_put(patch);
+    json_object_put(tree);
+    talloc_free(mem);
+}
+
+static void merged(void **state)
+{
+    (void)state;
+    /* the cases of RFC 7396, appendix A, with objects on both sides */
+    static const struct {
+        const char *tree, *patch, *result;
+    } CASES[] = {
+        {"{\"a\":\"b\"}", "{\"a\":\"c\"}", "{\"a\":\"c\"}"},
+        {"{\"a\":\"b\"}", "{\"b\":\"c\"}", "{\"a\":\"b\",\"b\":\"c\"}"},
+        {"{\"a\":\"b\"}", "{\"a\":null}", "{}"},
+        {"{\"a\":\"b\",\"b\":\"c\"}", "{\"a\":null}", "{\"b\":\"c\"}"},
+        {"{\"a\":[\"b\"]}", "{\"a\":\"c\"}", "{\"a\":\"c\"}"},
+        {"{\"a\":\"c\"}", "{\"a\":[\"b\"]}", "{\"a\":[\"b\"]}"},
+        {"{\"a\":{\"b\":\"c\"}}", "{\"a\":{\"b\":\"d\",\"c\":null}}", "{\"a\":{\"b\":\"d\"}}"},
+        {"{\"a\":[{\"b\":\"c\"}]}", "{\"a\":[1]}", "{\"a\":[1]}"},
+        {"{\"e\":null}", "{\"a\":1}", "{\"e\":null,\"a\":1}"},
+        {"{}", "{\"a\":{\"bb\":{\"ccc\":null}}}", "{\"a\":{\"bb\":{}}}"},
+        {"{\"a\":1}", "{\"a\":{\"b\":{\"c\":2,\"d\":null}}}", "{\"a\":{\"b\":{\"c\":2}}}"},
+    };
+    for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
+        void *mem = talloc_new(NULL);
+        json_object *tree = documentParse(CASES[i].tree), *patch = documentParse(CASES[i].patch);
+        json_object *result = documentMerged(tree, patch);
+        assert_string_equal(documentText(mem, result), CASES[i].result);
+        json_object_put(result);
+        json_object_put(patch);
+        json_object_put(tree);
+        talloc_free(mem);
+    }
+}
+
+static void different(void **state)
+{
+    (void)state;
+    /* null: no merge patch tells it */
+    static const struct {
+        const char *from, *to, *patch;
+    } CASES[] = {
+        {"{\"a\":1,\"b\":2}", "{\"a\":1,\"b\":2}", "{}"},
+        {"{\"a\":1,\"b\":2}", "{\"a\":1,\"b\":3}", "{\"b\":3}"},
+        {"{\"a\":1,\"b\":2}", "{\"b\":2}", "{\"a\":null}"},
+        {"{\"a\":1}", "{\"a\":1,\"c\":{\"d\":[1]}}", "{\"c\":{\"d\":[1]}}"},
+        {"{\"a\":1.0}", "{\"a\":1.00}", "{\"a\":1.00}"},
+        {"{\"a\":1}", "{\"a\":1.0}", "{\"a\":1.0}"},
+        {"{\"a\":{\"x\":{\"u\":1,\"v\":2}}}", "{\"a\":{\"x\":{\"u\":1,\"v\":3}}}", "{\"a\":{\"x\":{\"v\":3}}}"},
+        {"{\"a\":{\"x\":1}}", "{\"a\":{}}", "{\"a\":{\"x\":null}}"},
+        {"{\"a\":{\"x\":1}}", "{\"a\":5}", "{\"a\":5}"},
+        {"{\"a\":[1,{\"b\":2}]}", "{\"a\":[1,{\"b\":3}]}", "{\"a\":[1,{\"b\":3}]}"},
+        {"{\"a\":1,\"b\":2}", "{\"b\":2,\"a\":1}", NULL},
+        {"{\"a\":1,\"b\":2}", "{\"a\":1,\"c\":3,\"b\":2}", NULL},
+        {"{\"a\":1}", "{\"a\":null}", NULL},
+        {"{}", "{\"a\":{\"b\":null}}", NULL},
+        {"[1]", "{}", NULL},
+        {"{}", "[1]", NULL},
+    };
+    for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
+        void *mem = talloc_new(NULL);
+        json_object *from = documentParse(CASES[i].from), *to = documentParse(CASES[i].to);
+        json_object *patch = documentDifference(from, to);
+        if ((patch == NULL) != (CASES[i].patch == NULL))
+            fail_msg("%s to %s", CASES[i].from, CASES[i].to);
+        if (patch != NULL)
+            assert_string_equal(documentText(mem, patch), CASES[i].patch);
+        json_object_put(patch);
+        json_object_put(to);
+        json_object_put(from);
+        talloc_free(mem);
+    }
+}
+
+static json_object *drawValue(int depth)
+{
+    switch (draw(depth > 0 ? 6 : 4)) {
+    case 0:
+        return json_object_new_int64((int64_t)draw(3));
+    case 1:
+        return documentParse(draw(2) ? "2.20" : "2.2");
+    case 2:
+        return json_object_new_string(draw(2) ? "t" : "u");
+    case 3:
+        return json_object_new_boolean(draw(2) == 0);
+    case 4: {
+        json_object *array = json_object_new_array();
+        for (uint64_t i = draw(3); i > 0; i--)
+            json_object_array_add(array, drawValue(depth - 1));
+        return array;
+    }
+    default: {
+        json_object *object = json_object_new_object();
+        for (char key = 'a'; key < 'f'; key++)
+            if (draw(2))
+                json_object_object_add(object, (char[]){key, 0}, drawValue(depth - 1));
+        return object;
+    }
+    }
+}
+
+/* A difference makes of the one exactly the other, in its order; and none is
+ * claimed to be empty that is not. */
+static void drawn(void **state)
+{
+    (void)state;
+    seedNow = 11;
+    size_t told = 0, untold = 0;
+    for (int i = 0; i < 20000; i++) {
+        void *mem = talloc_new(NULL);
+        json_object *from, *to;
+        do
+            from = drawValue(4);
+        while (!json_object_is_type(from, json_type_object) && (json_object_put(from), true));
+        if (draw(2)) {
+            json_object *patch = drawValue(4);
+            to = json_object_is_type(patch, json_type_object) ? documentMerged(from, patch) : json_object_get(from);
+            json_object_put(patch);
+        } else {
+            to = drawValue(4);
+        }
+        json_object *patch = documentDifference(from, to);
+        if (patch != NULL) {
+            /* as it travels: by its text */
+            json_object *read = documentParse(documentText(mem, patch));
+            json_object *result = documentMerged(from, read);
+            assert_string_equal(documentText(mem, result), documentText(mem, to));
+            assert_true(documentSame(result, to));
+            assert_true(documentSame(from, to) == (json_object_object_length(patch) == 0));
+            json_object_put(result);
+            json_object_put(read);
+            told++;
+        } else {
+            assert_false(documentSame(from, to));
+            untold++;
+        }
+        json_object_put(patch);
+        json_object_put(to);
+        json_object_put(from);
+        talloc_free(mem);
+    }
+    print_message("%zu told as a patch, %zu not\n", told, untold);
+    assert_true(told > 8000 && untold > 1000);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(written),
+        cmocka_unit_test(merged),
+        cmocka_unit_test(different),
+        cmocka_unit_test(drawn),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/table/test/revisions.c
@@ -0,0 +1,209 @@
+/* The history of the document: what can be read back, what is kept, calls sent again. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "../src/deliverconfig.h"
+#include "base/constants.h"
+#include "document/document.h"
+
+static Verdict deliver(Revisions *revisions, ConfigSet set)
+{
+    Verdict verdict = {0};
+    if (set.digest == NULL)
+        set.digest = "";
+    deliverConfig(revisions, &set, &verdict);
+    return verdict;
+}
+
+static ConfigSet setOf(uint64_t base, uint64_t revision, const char *text, bool patch, const char *digest)
+{
+    return (ConfigSet){.base = base, .revision = revision, .text = text, .patch = patch, .digest = digest};
+}
+
+static void expectText(const Revisions *revisions, uint64_t revision, const char *wanted)
+{
+    void *mem = talloc_new(NULL);
+    const char *text = revisionsText(revisions, mem, revision);
+    if (wanted == NULL)
+        assert_null(text);
+    else
+        assert_string_equal(text, wanted);
+    talloc_free(mem);
+}
+
+static void chains(void **state)
+{
+    (void)state;
+    Revisions *revisions = revisionsNew(NULL, CONFIG_HISTORY);
+    assert_int_equal(revisionsNewest(revisions), 0);
+    assert_null(revisionsTree(revisions, NULL, 0));
+    /* no patch can come first */
+    assert_int_equal(deliver(revisions, setOf(0, 1, "{}", true, "")).status, STATUS_STALE_REVISION);
+    assert_int_equal(deliver(revisions, setOf(0, 5, "{ \"r\": 1.0 }", false, "")).number, 5);
+    assert_int_equal(deliver(revisions, setOf(5, 7, "{\"a\":{\"b\":2.50}}", true, "")).number, 7);
+    assert_int_equal(deliver(revisions, setOf(7, 0, "{\"a\":{\"c\":1},\"r\":null}", true, "")).number, 8);
+    assert_int_equal(deliver(revisions, setOf(8, 20, "{\"x\":1}", false, "")).number, 20);
+    expectText(revisions, 5, "{ \"r\": 1.0 }"); /* as it was sent */
+    expectText(revisions, 7, "{\"r\":1.0,\"a\":{\"b\":2.50}}");
+    expectText(revisions, 8, "{\"a\":{\"b\":2.50,\"c\":1}}");
+    expectText(revisions, 20, "{\"x\":1}");
+    expectText(revisions, 6, NULL);
+    /* a tree that was had before is gone on from */
+    assert_int_equal(deliver(revisions, setOf(20, 21, "{\"y\":2}", true, "")).number, 21);
+    json_object *whole = revisionsTree(revisions, NULL, 0), *had = documentParse("{\"x\":{\"kept\":1}}");
+    json_object *onward = revisionsTree(revisions, had, 20);
+    void *mem = talloc_new(NULL);
+    assert_string_equal(documentText(mem, whole), "{\"x\":1,\"y\":2}");
+    assert_string_equal(documentText(mem, onward), "{\"x\":{\"kept\":1},\"y\":2}");
+    assert_ptr_equal(json_object_object_get(onward, "x"), json_object_object_get(had, "x"));
+    json_object_put(whole);
+    json_object_put(had);
+    json_object_put(onward);
+    talloc_free(mem);
+    talloc_free(revisions);
+}
+
+/* Of two calls on one revision the first delivered wins; the same call again,
+ * at any later time, has the verdict that it had. */
+static void calls(void **state)
+{
+    (void)state;
+    Revisions *revisions = revisionsNew(NULL, CONFIG_HISTORY);
+    deliver(revisions, setOf(0, 3, "{}", false, "first"));
+    Verdict verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(verdict.status, STATUS_OK);
+    verdict = deliver(revisions, setOf(3, 9, "{\"a\":2}", true, "two"));
+    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
+    assert_int_equal(verdict.number, 9);
+    verdict = deliver(revisions, setOf(3, 12, "{\"a\":2}", true, "three"));
+    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
+    /* on the newest, but not above it */
+    verdict = deliver(revisions, setOf(9, 9, "{\"a\":2}", true, "four"));
+    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
+    verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(verdict.status, STATUS_OK);
+    assert_int_equal(verdict.number, 9);
+    deliver(revisions, setOf(9, 14, "{\"a\":3}", true, "five"));
+    verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(verdict.status, STATUS_OK);
+    assert_int_equal(verdict.number, 9);
+    assert_int_equal(revisionsNewest(revisions), 14);
+    /* without a digest nothing is known again */
+    assert_int_equal(deliver(revisions, setOf(14, 0, "{\"a\":4}", true, "")).number, 15);
+    assert_int_equal(deliver(revisions, setOf(14, 0, "{\"a\":4}", true, "")).status, STATUS_STALE_REVISION);
+    talloc_free(revisions);
+}
+
+/* Told again in a repair: what is newer counts, a patch only upon its base. */
+static void restored(void **state)
+{
+    (void)state;
+    Revisions *revisions = revisionsNew(NULL, CONFIG_HISTORY);
+    deliver(revisions, setOf(0, 3, "{\"a\":1}", false, "first"));
+    ConfigSet set = setOf(5, 8, "{\"b\":1}", true, "gap");
+    set.restored = true;
+    assert_int_equal(deliver(revisions, set).status, STATUS_STALE_REVISION);
+    set = setOf(3, 5, "{\"c\":1}", true, "next");
+    set.restored = true;
+    assert_int_equal(deliver(revisions, set).number, 5);
+    set = setOf(5, 8, "{\"b\":1}", true, "gap");
+    set.restored = true;
+    assert_int_equal(deliver(revisions, set).number, 8);
+    set = setOf(2, 4, "{}", false, "old");
+    set.restored = true;
+    assert_int_equal(deliver(revisions, set).status, STATUS_OK);
+    expectText(revisions, 8, "{\"a\":1,\"c\":1,\"b\":1}");
+    set = setOf(30, 31, "{\"z\":1}", false, "far");
+    set.restored = true;
+    assert_int_equal(deliver(revisions, set).number, 31);
+    expectText(revisions, 31, "{\"z\":1}");
+    assert_int_equal(revisionsDigest(revisions, "gap"), 8);
+    talloc_free(revisions);
+}
+
+static void checkInvariants(const Revisions *revisions)
+{
+    size_t bytes = 0;
+    assert_true(revisions->whole < revisions->count);
+    assert_false(revisions->rows[revisions->whole].patch);
+    for (size_t i = 0; i < revisions->count; i++) {
+        bytes += strlen(revisions->rows[i].text);
+        assert_true((revisions->rows[i].text[0] == '\0') == (i < revisions->whole));
+        if (i > 0)
+            assert_true(revisions->rows[i].revision > revisions->rows[i - 1].revision);
+    }
+    assert_int_equal(bytes, revisions->bytes);
+    assert_true(bytes - strlen(revisions->rows[revisions->whole].text) <= CONFIG_HISTORY_BYTES);
+    assert_true(revisions->count <= CONFIG_HISTORY + CONFIG_HISTORY_STEP);
+}
+
+/* A thousand changes of a small document: the last 200 can be read back. */
+static void many(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    Revisions *revisions = revisionsNew(mem, CONFIG_HISTORY);
+    deliver(revisions, setOf(0, 1, "{\"k\":{}}", false, "d1"));
+    for (uint64_t i = 2; i <= 1000; i++) {
+        const char *text = talloc_asprintf(mem, "{\"k\":{\"a%d\":%d}}", (int)(i % 7), (int)i);
+        assert_int_equal(deliver(revisions, setOf(i - 1, i, text, i % 97 != 0, talloc_asprintf(mem, "d%d", (int)i))).number, i);
+        checkInvariants(revisions);
+    }
+    for (uint64_t i = 801; i <= 1000; i++) {
+        const char *text = revisionsText(revisions, mem, i);
+        assert_non_null(text);
+        assert_non_null(strstr(text, talloc_asprintf(mem, "\"a%d\":%d", (int)(i % 7), (int)i)));
+        assert_int_equal(revisionsDigest(revisions, talloc_asprintf(mem, "d%d", (int)i)), i);
+    }
+    assert_null(revisionsText(revisions, mem, 700));
+    assert_int_equal(revisionsDigest(revisions, "d700"), 0);
+    talloc_free(mem);
+}
+
+/* Whole texts of 300 KB, and large patches: the bytes stay bounded, the newest
+ * and all calls are known. */
+static void large(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    Revisions *revisions = revisionsNew(mem, CONFIG_HISTORY);
+    char *note = talloc_zero_size(mem, 300001);
+    memset(note, 'n', 300000);
+    uint64_t base = 0;
+    for (uint64_t i = 1; i <= 150; i++) {
+        const bool patch = i % 10 > 2;
+        note[patch ? 60000 : 300000] = '\0';
+        const char *text = talloc_asprintf(mem, "{\"k%d\":\"%s\"}", (int)(i % 3), note);
+        note[60000] = 'n';
+        assert_int_equal(deliver(revisions, setOf(base, i * 3, text, patch, talloc_asprintf(mem, "d%d", (int)i))).number, i * 3);
+        base = i * 3;
+        checkInvariants(revisions);
+        assert_non_null(revisionsText(revisions, mem, base));
+    }
+    for (uint64_t i = 1; i <= 150; i++)
+        assert_int_equal(revisionsDigest(revisions, talloc_asprintf(mem, "d%d", (int)i)), i * 3);
+    assert_null(revisionsText(revisions, mem, 3));
+    /* saved and loaded, all is as it was */
+    Revisions *loaded = revisionsNew(mem, CONFIG_HISTORY);
+    revisionsLoad(loaded, revisions->rows, revisions->count);
+    checkInvariants(loaded);
+    assert_int_equal(loaded->whole, revisions->whole);
+    assert_string_equal(revisionsText(loaded, mem, base), revisionsText(revisions, mem, base));
+    assert_true(revisionsSize(loaded) >= strlen(revisionsText(loaded, mem, base)));
+    talloc_free(mem);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(chains), cmocka_unit_test(calls), cmocka_unit_test(restored),
+        cmocka_unit_test(many),   cmocka_unit_test(large),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
