--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -77,6 +77,7 @@
 {
     json_object *body = showMishap(STATUS_STALE_REVISION, "another revision is in force: build on that", NULL);
     json_object_object_add(body, "current", json_object_new_uint64(current));
+    way->task->status = STATUS_STALE_REVISION;
     showVerdict(way->task, statusHttp(STATUS_STALE_REVISION), body);
 }
 
