--- a/packages/api/src/jobjson.c
+++ b/packages/api/src/jobjson.c
@@ -6,13 +6,24 @@
 #include "base/constants.h"
 #include "plan/plan.h"
 
-static const char *const JOB_KEYS[] = {"id",     "cell",      "tenant",  "queue",  "priority", "protection",
-                                       "copies", "dueWallMs", "delayMs", "rounds", "steps",    NULL};
-static const char *const STEP_KEYS[] = {"name", "after", "count", "gang", "room", "kind", "labels", "payload", NULL};
+static const char *const JOB_KEYS[] = {"id",      "cell",    "tenant", "queue", "priority",    "protection", "copies", "dueWallMs",
+                                       "delayMs", "rounds",  "steps",  "turns", "firstWallMs", "periodMs",   "lasting", "payload",
+                                       NULL};
+static const char *const STEP_KEYS[] = {"name",    "after", "count", "gang",     "room", "kind",  "labels",
+                                        "payload", "estMs", "apart", "sameRack", "near", "saves", "copies", NULL};
 
-static void readStep(Faults *faults, json_object *object, const char *path, StepSpec *step)
+static const char *readPayload(Faults *faults, json_object *object, const char *otherwise)
 {
-    *step = (StepSpec){.name = "", .kind = "", .payload = ""};
+    json_object *payload;
+    return json_object_object_get_ex(object, "payload", &payload)
+               ? talloc_strdup(faults->mem, json_object_to_json_string_ext(payload, JSON_C_TO_STRING_PLAIN))
+               : otherwise;
+}
+
+/* payload: the whole job's, for steps that say none. */
+static void readStep(Faults *faults, json_object *object, const char *path, const char *payload, StepSpec *step)
+{
+    *step = (StepSpec){.name = "", .kind = "", .payload = "", .near = ""};
     if (!checkKeys(faults, object, path, STEP_KEYS))
         return;
     step->name = checkName(faults, object, path, "name", NULL);
@@ -22,12 +33,15 @@
     step->room = checkRoom(faults, object, path, "room", true);
     step->kind = checkName(faults, object, path, "kind", "");
     step->labels = checkNames(faults, object, path, "labels", &step->labelsCount);
-    if (step->room.cpuMilli == 0 && step->room.memMb == 0)
+    step->estMs = (uint64_t)checkInt(faults, object, path, "estMs", 0, JOB_SPAN_MAX_MS, 0);
+    step->apart = (uint64_t)checkInt(faults, object, path, "apart", 0, JOB_TASKS_MAX, 0);
+    step->sameRack = checkFlag(faults, object, path, "sameRack", false);
+    step->near = checkName(faults, object, path, "near", "");
+    step->saves = checkFlag(faults, object, path, "saves", false);
+    step->copies = checkFlag(faults, object, path, "copies", false);
+    step->payload = readPayload(faults, object, payload);
+    if (step->room.cpuMilli == 0 && step->room.memMb == 0 && step->room.gpu == 0)
         faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "room"), "a task takes some room");
-    json_object *payload;
-    if (json_object_object_get_ex(object, "payload", &payload))
-        step->payload =
-            talloc_strdup(faults->mem, json_object_to_json_string_ext(payload, JSON_C_TO_STRING_PLAIN));
 }
 
 static void checkSteps(Faults *faults, const JobSpec *spec)
@@ -51,8 +65,9 @@
                          "there is no step %s", step->after[a]);
         }
     }
+    tasks *= spec->turns > 1 ? spec->turns : 1;
     if (tasks > JOB_TASKS_MAX)
-        faultAdd(faults, STATUS_TOO_LARGE, "steps", "a job has at most %d tasks", JOB_TASKS_MAX);
+        faultAdd(faults, STATUS_TOO_LARGE, "steps", "a job has at most %d tasks, all turns together", JOB_TASKS_MAX);
     if (faults->seen > 0)
         return;
     size_t left = spec->stepsCount;
@@ -97,7 +112,12 @@
             faultAdd(faults, STATUS_BAD_FIELD, "protection", "must be protected, best-effort or none");
         spec->copies = checkFlag(faults, object, "", "copies", false);
         spec->dueWallMs = checkInt(faults, object, "", "dueWallMs", 0, INT64_MAX / 4, 0);
-        spec->delayMs = checkInt(faults, object, "", "delayMs", 0, INT64_C(366) * 24 * 3600 * 1000, 0);
+        spec->delayMs = checkInt(faults, object, "", "delayMs", 0, JOB_SPAN_MAX_MS, 0);
+        spec->lasting = checkFlag(faults, object, "", "lasting", false);
+        spec->turns = (uint64_t)checkInt(faults, object, "", "turns", 0, JOB_TASKS_MAX, 0);
+        spec->firstWallMs = checkInt(faults, object, "", "firstWallMs", 0, INT64_MAX / 4, 0);
+        spec->periodMs = checkInt(faults, object, "", "periodMs", 0, JOB_SPAN_MAX_MS, 0);
+        const char *payload = readPayload(faults, object, "");
         spec->roundLimit = (uint64_t)checkInt(faults, object, "", "rounds", 1, ROUNDS_MAX, ROUNDS_DEFAULT);
         json_object *steps;
         if (!json_object_object_get_ex(object, "steps", &steps) || !json_object_is_type(steps, json_type_array) ||
@@ -108,7 +128,7 @@
             spec->steps = talloc_zero_array(faults->mem, StepSpec, (unsigned)spec->stepsCount);
             for (size_t i = 0; i < spec->stepsCount; i++)
                 readStep(faults, json_object_array_get_idx(steps, i),
-                         talloc_asprintf(faults->mem, "steps[%zu]", i), &spec->steps[i]);
+                         talloc_asprintf(faults->mem, "steps[%zu]", i), payload, &spec->steps[i]);
             checkSteps(faults, spec);
         }
     }
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -63,6 +63,7 @@
 #define JOB_KEEP_MS 3600000    /* ms; an ended job is kept an hour: an id resent inside it still counts once */
 #define JOB_TASKS_MAX 10000    /* count; tasks in one job */
 #define JOB_STEPS_MAX 64       /* count; steps in one job */
+#define JOB_SPAN_MAX_MS (INT64_C(366) * 24 * 3600 * 1000) /* ms; a year: a job's longer spans are mistakes */
 #define JOB_BODY_MAX (256 * 1024) /* bytes; one job's JSON */
 #define CONFIG_BODY_MAX (1024 * 1024) /* bytes; one configuration's JSON */
 #define CONFIG_NOTE_MAX (64 * 1024) /* bytes; an operator's note on a queue, a kind, or the whole */
--- a/packages/config/src/check.c
+++ b/packages/config/src/check.c
@@ -209,7 +209,7 @@
 
 Room checkRoom(Faults *faults, json_object *object, const char *path, const char *key, bool needed)
 {
-    static const char *const KEYS[] = {"cpu", "memMb", NULL};
+    static const char *const KEYS[] = {"cpu", "memMb", "gpu", NULL};
     json_object *value;
     Room room = {0};
     const char *at = checkPath(faults, path, key);
@@ -222,5 +222,7 @@
         return room;
     room.cpuMilli = amountOf(faults, value, at, "cpu", 1000);
     room.memMb = amountOf(faults, value, at, "memMb", 1);
+    if (json_object_object_get_ex(value, "gpu", NULL))
+        room.gpu = amountOf(faults, value, at, "gpu", 1);
     return room;
 }
