Gates hear of limits at once and of the document by differences; calls that name a revision go on to a new leader

A gate was sent the whole document at each change: 300 KB each 80 ms on a 2 Mbit/s link. It now learns the revision and the HTTP limits, small differences, and a whole document only after five calm seconds, to tell it again in a repair. Cores without a seat ask likewise. What is told again is put in the order of its revisions, since a difference counts only upon its base. The seats keep the limits as they deliver a change, without reading the document. Body limits hold where a caller's job is taken: an operator's document may be larger.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -139,14 +139,9 @@
     for (;;) {
         if (!viewLeading(core->view))
             return STATUS_NOT_LEADER;
-        const Revisions *revisions = tableRevisions(core->table);
-        const uint64_t newest = revisionsNewest(revisions);
         out->epoch = viewEpoch(core->view);
-        if (!core->repairing && newest != ask->have && newest > 0) {
-            out->revision = newest;
-            out->text = revisionsText(revisions, mem, newest);
+        if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
             return STATUS_OK;
-        }
         if (!signalWait(core->loop, viewNews(core->view), untilMs)) {
             out->revision = ask->have;
             return STATUS_OK;
@@ -159,6 +154,7 @@
     Core *core = arg;
     (void)question;
     keeperTell(core->keeper, mem, answer);
+    feedTell(core->feed, mem, answer);
     return STATUS_OK;
 }
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -5,6 +5,7 @@
 
 #include "base/epoch.h"
 #include "alerts.h"
+#include "inforce.h"
 
 bool coreDecides(Core *core)
 {
@@ -106,6 +107,7 @@
 {
     Core *core = arg;
     traceDelivered(core, change, verdict);
+    limitsFollow(core);
     if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
     void *mem = talloc_new(core);
@@ -138,6 +140,13 @@
     }
 }
 
+/* A core in waiting hears of the configuration as a gate does. */
+static bool seatless(void *arg)
+{
+    const Core *core = arg;
+    return !viewSeated(core->view);
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     coreTake(arg, task);
@@ -190,6 +199,7 @@
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
     core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
+    core->feed = feedNew(core, loop, core->courier, core->members, core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
@@ -197,6 +207,7 @@
     viewFounding(core->view);
     plannerStart(core);
     alertsStart(core);
+    feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
     return STATUS_OK;
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -136,6 +136,11 @@
         entryRefuse(way, NO_ENTRY_HTTP, STATUS_UNKNOWN_QUEUE, "no queue has its entry here");
         return;
     }
+    const uint64_t bodyMost = coreConfig(core)->limits.bodyBytes;
+    if (bodyMost > 0 && way->task->body.count > bodyMost) {
+        showRefusal(way->task, STATUS_TOO_LARGE, "the body is above the limit of the configuration", NULL);
+        return;
+    }
     way->name = path + place->prefixLength;
     if (way->name[0] == '\0' && get)
         entryCount(way, place);
--- a/packages/core/src/inforce.c
+++ b/packages/core/src/inforce.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "document/document.h"
+#include "feed/limits.h"
 #include "inforce.h"
 
 /* What the table has, made from what was read before where it can be. */
@@ -86,6 +87,17 @@
     *at = trial->next;
 }
 
+void limitsFollow(Core *core)
+{
+    const Revisions *revisions = tableRevisions(core->table);
+    const uint64_t newest = revisionsNewest(revisions), loads = tableLoads(core->table);
+    if (newest == 0 || (newest == core->limitsRevision && loads == core->limitsLoads))
+        return;
+    core->limitsRevision = newest;
+    core->limitsLoads = loads;
+    limitsServe(core->loop, revisionsLimits(revisions));
+}
+
 const Policy *corePolicy(void *arg, const ConfigCell *cell)
 {
     const Core *core = arg;
--- a/packages/core/src/inforce.h
+++ b/packages/core/src/inforce.h
@@ -16,4 +16,7 @@
 void trialEnter(Core *core, Trial *trial);
 void trialLeave(Core *core, Trial *trial);
 
+/* Keeps callers within the limits of the table's newest revision. */
+void limitsFollow(Core *core);
+
 #endif
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -6,6 +6,7 @@
 #include "api/show.h"
 #include "beat/liveset.h"
 #include "core/core.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
@@ -47,6 +48,7 @@
     Table *table;
     Keeper *keeper;
     Proxy proxy;
+    Feed *feed; /* asks while this core has no seat */
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
@@ -57,6 +59,7 @@
     uint64_t configLoads;  /* tableLoads when it was read */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
+    uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -133,6 +133,19 @@
     return payload;
 }
 
+/* A configuration that is told as a change counts only upon the one before: they
+ * are put in the order of their revisions, from wherever they are told. */
+static void configsOrder(Retelling *retelling)
+{
+    for (size_t i = 0; i < retelling->count; i++) {
+        KeepItem *item = &retelling->items[i];
+        ConfigSet set;
+        if (item->change == CHANGE_CONFIG_SET &&
+            shapeUnpack(&ConfigSetShape, item->payload, retelling, &set, NULL) == STATUS_OK)
+            item->index = revisionOf(&set);
+    }
+}
+
 /* Asks everybody once and submits what is missing; true when all of it was. */
 static bool repairOnce(Core *core, uint64_t turn)
 {
@@ -155,12 +168,14 @@
         signalWait(core->loop, &retelling->ended, INT64_MAX);
     KeepList own = {0};
     keeperTell(core->keeper, retelling, &own);
+    feedTell(core->feed, retelling, &own);
     if (own.itemsCount > 0) {
         retelling->items =
             talloc_realloc(retelling, retelling->items, KeepItem, (unsigned)(retelling->count + own.itemsCount));
         memcpy(retelling->items + retelling->count, own.items, own.itemsCount * sizeof(KeepItem));
         retelling->count += own.itemsCount;
     }
+    configsOrder(retelling);
     if (retelling->count > 0)
         qsort(retelling->items, retelling->count, sizeof(KeepItem), itemOrder);
     size_t told = 0;
--- /dev/null
+++ b/packages/feed/include/feed/feed.h
@@ -0,0 +1,32 @@
+#ifndef FEED_FEED_H
+#define FEED_FEED_H
+
+#include "feed/messages.h"
+#include "table/revisions.h"
+#include "trace/trace.h"
+
+/* What a process without a seat knows of the configuration, told by the leader
+ * within a moment: which revision is in force and its limits. They are put in
+ * force here.
+ *
+ * The document is kept for repair only: what the disks lose is told again. Small
+ * differences come at once, a whole one once nothing has changed for a while, so
+ * that a storm of changes does not fill a narrow link.
+ * Invariant: revisions never has a revision above the one known. */
+typedef struct Feed Feed;
+
+/* Whether to ask now; null: always. */
+typedef bool (*FeedFn)(void *arg);
+
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Members *members, Trace *trace);
+/* Begins to ask. */
+void feedStart(Feed *feed, FeedFn wanted, void *arg);
+/* The newest that is known; 0: none. */
+uint64_t feedRevision(const Feed *feed);
+/* Adds what is kept of the document, on mem, to be told again. */
+void feedTell(const Feed *feed, void *mem, KeepList *list);
+
+/* What the leader answers out of its revisions; true when there is news. On mem. */
+bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer);
+
+#endif
--- /dev/null
+++ b/packages/feed/include/feed/limits.h
@@ -0,0 +1,12 @@
+#ifndef FEED_LIMITS_H
+#define FEED_LIMITS_H
+
+#include "loop/loop.h"
+#include "table/change.h"
+
+/* From the next request on this process keeps its callers within what the
+ * operators' document says. Bodies are bounded where it is known whose they are:
+ * an operator's document may be larger than any caller's job. */
+void limitsServe(Loop *loop, const ConfigLimits *limits);
+
+#endif
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -1,7 +1,7 @@
 #ifndef FEED_MESSAGES_H
 #define FEED_MESSAGES_H
 
-#include "wire/shape.h"
+#include "table/change.h"
 
 /* A committed change as kept by those who were told of it first. */
 #define KEEP_ITEM_FIELDS(X) X(U64, change, 0) X(U64, index, 0) X(BIN, payload, 0)
@@ -32,11 +32,21 @@
     X(U64, status, 0)
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
-/* Answered when there is a revision above have. */
-#define FEED_ASK_FIELDS(X) X(U64, have, 0)
+/* Answered when there is a revision above have, or, when the document is wanted
+ * too, above the one that it is had of. */
+#define FEED_ASK_FIELDS(X)                                              \
+    X(U64, have, 0)                                                       \
+    X(U64, textHave, 0)                                                   \
+    X(FLAG, wants, 0) /* the document whatever its size; else small changes only */ \
+    X(FLAG, brief, 0) /* as sets, not as a text */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
-#define FEED_ANSWER_FIELDS(X) X(U64, epoch, 0) X(U64, revision, 0) X(TXT, text, 0)
+#define FEED_ANSWER_FIELDS(X)     \
+    X(U64, epoch, 0)              \
+    X(U64, revision, 0)           \
+    X(TXT, text, 0)               \
+    X(ONE, limits, ConfigLimits)  \
+    X(LST, sets, ConfigSet) /* from textHave on, or one whole */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- /dev/null
+++ b/packages/feed/src/feed.c
@@ -0,0 +1,169 @@
+#include "feed/feed.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "feed/limits.h"
+#include "table/deliverconfig.h"
+
+#define FEED_KEEP 8             /* count; revisions kept for repair: any later one holds all of them */
+#define FEED_CALM_MS 5000       /* ms; nothing has changed for so long: the document itself is asked for */
+#define FEED_EAGER_BYTES 16384  /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
+
+struct Feed {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    Trace *trace;
+    FeedFn wanted;
+    void *arg;
+    uint64_t epoch; /* the newest heard of */
+    uint64_t revision;
+    int64_t learntMs;
+    Revisions *revisions;
+};
+
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Members *members, Trace *trace)
+{
+    Feed *feed = talloc_zero(mem, Feed);
+    *feed = (Feed){.loop = loop, .courier = courier, .members = members, .trace = trace};
+    feed->revisions = revisionsNew(feed, FEED_KEEP);
+    return feed;
+}
+
+uint64_t feedRevision(const Feed *feed)
+{
+    return feed->revision;
+}
+
+/* --- the leader's side ----------------------------------------------------------------- */
+
+static ConfigSet setOf(const Revision *row)
+{
+    return (ConfigSet){.base = row->base,
+                       .revision = row->revision,
+                       .text = row->text,
+                       .restored = true,
+                       .patch = row->patch,
+                       .digest = row->digest,
+                       .limits = row->limits};
+}
+
+/* The changes since a revision, when there are texts of all of them. */
+static bool changesSince(const Revisions *revisions, uint64_t have, size_t most, void *mem, FeedAnswer *answer)
+{
+    size_t from = revisions->count, bytes = 0;
+    while (from > 0 && revisions->rows[from - 1].revision > have)
+        bytes += strlen(revisions->rows[--from].text);
+    const bool known = from > 0 && revisions->rows[from - 1].revision == have && from >= revisions->whole;
+    if (!known || bytes > most)
+        return false;
+    answer->setsCount = revisions->count - from;
+    answer->sets = talloc_array(mem, ConfigSet, (unsigned)answer->setsCount);
+    for (size_t i = 0; i < answer->setsCount; i++)
+        answer->sets[i] = setOf(&revisions->rows[from + i]);
+    return true;
+}
+
+static void wholeNow(const Revisions *revisions, size_t most, void *mem, FeedAnswer *answer)
+{
+    if (revisionsSize(revisions) > most)
+        return;
+    const Revision *newest = &revisions->rows[revisions->count - 1];
+    answer->sets = talloc(mem, ConfigSet);
+    answer->setsCount = 1;
+    *answer->sets = setOf(newest);
+    answer->sets->patch = false;
+    answer->sets->text = revisionsText(revisions, mem, newest->revision);
+}
+
+bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer)
+{
+    const uint64_t newest = revisionsNewest(revisions);
+    if (newest <= ask->have && !(ask->wants && newest > ask->textHave))
+        return false;
+    answer->revision = newest;
+    answer->limits = *revisionsLimits(revisions);
+    const size_t most = ask->wants ? SIZE_MAX : FEED_EAGER_BYTES;
+    if (!ask->brief) /* a gate of an earlier release */
+        answer->text = revisionsText(revisions, mem, newest);
+    else if (newest > ask->textHave && !changesSince(revisions, ask->textHave, most, mem, answer))
+        wholeNow(revisions, most, mem, answer);
+    return true;
+}
+
+/* --- the asking side --------------------------------------------------------------------- */
+
+static void learn(Feed *feed, const FeedAnswer *answer)
+{
+    if (answer->epoch > feed->epoch) {
+        feed->epoch = answer->epoch;
+        traceSay(feed->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
+    }
+    if (answer->revision > feed->revision) {
+        traceSay(feed->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer->revision);
+        feed->revision = answer->revision;
+        feed->learntMs = loopNowMs(feed->loop);
+        limitsServe(feed->loop, &answer->limits);
+    }
+    for (size_t i = 0; i < answer->setsCount; i++) {
+        ConfigSet set = answer->sets[i];
+        Verdict verdict = {0};
+        set.restored = true;
+        if (set.revision <= feed->revision)
+            deliverConfig(feed->revisions, &set, &verdict);
+    }
+}
+
+static Status askOnce(Feed *feed, const char *leader)
+{
+    void *mem = talloc_new(feed);
+    const uint64_t textHave = revisionsNewest(feed->revisions);
+    const FeedAsk ask = {.have = feed->revision,
+                         .textHave = textHave,
+                         .wants = textHave < feed->revision && loopNowMs(feed->loop) - feed->learntMs >= FEED_CALM_MS,
+                         .brief = true};
+    FeedAnswer answer = {0};
+    const Status status = courierAsk(feed->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape, &ask,
+                                     FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
+    if (status == STATUS_OK)
+        learn(feed, &answer);
+    talloc_free(mem);
+    return status;
+}
+
+/* Asks with the revision that it has and is answered when there is news. */
+static void feedMain(void *arg)
+{
+    Feed *feed = arg;
+    while (!loopStopping(feed->loop)) {
+        const char *leader = membersLeaderAddress(feed->members);
+        if (leader == NULL)
+            signalWait(feed->loop, membersLeaderSignal(feed->members), loopNowMs(feed->loop) + BEAT_MS);
+        else if (feed->wanted != NULL && !feed->wanted(feed->arg))
+            loopSleep(feed->loop, BEAT_MS);
+        else if (askOnce(feed, leader) != STATUS_OK)
+            loopSleep(feed->loop, BEAT_MS / 2);
+    }
+}
+
+void feedStart(Feed *feed, FeedFn wanted, void *arg)
+{
+    feed->wanted = wanted;
+    feed->arg = arg;
+    loopSpawn(feed->loop, "feed", feedMain, feed);
+}
+
+void feedTell(const Feed *feed, void *mem, KeepList *list)
+{
+    const Revisions *revisions = feed->revisions;
+    for (size_t i = revisions->whole; i < revisions->count; i++) {
+        const ConfigSet set = setOf(&revisions->rows[i]);
+        KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
+        shapePack(&ConfigSetShape, &set, mem, &item.payload);
+        list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
+        list->items[list->itemsCount++] = item;
+    }
+}
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -115,6 +115,8 @@
 {
     return strcmp(ask->method, "GET") == 0 || strncmp(ask->path, "/v1/jobs", 8) == 0 ||
            strncmp(ask->path, "/v1/entry/", 10) == 0 ||
+           /* a change of the configuration that names its revision is known again */
+           (strcmp(ask->path, "/v1/config") == 0 && strstr(ask->query, "revision=") != NULL) ||
            strncmp(ask->path, "/v1/zones/", 10) == 0;
 }
 
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -1,16 +1,13 @@
 #include "gate/gate.h"
 
-#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "api/show.h"
-#include "base/epoch.h"
 #include "beat/messages.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
-#include "table/change.h"
 
-/* Invariant: revision is that of text; text is empty while revision is 0. */
 struct Gate {
     Loop *loop;
     Courier *courier;
@@ -19,10 +16,8 @@
     Proxy proxy;
     Trace *trace;
     Ring *ring;
-    uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
-    uint64_t revision;
-    char *text;
+    Feed *feed;
     bool leaving;
     size_t inWork;
 };
@@ -33,7 +28,7 @@
     showMetricsBegin(task);
     showMetric(task, "inWork", (int64_t)gate->inWork);
     showMetric(task, "kept", (int64_t)keeperCount(gate->keeper));
-    showMetric(task, "configRevision", (int64_t)gate->revision);
+    showMetric(task, "configRevision", (int64_t)feedRevision(gate->feed));
     showMetric(task, "members", (int64_t)membersTable(gate->members)->count);
 #define X(name) showMetric(task, #name, (int64_t)counts->name);
     COURIER_COUNT_LIST(X)
@@ -76,50 +71,13 @@
     return !gate->leaving && membersLeaderAddress(gate->members) != NULL;
 }
 
-/* Asks with the revision that it has and is answered when there is news. */
-static void feedMain(void *arg)
-{
-    Gate *gate = arg;
-    while (!loopStopping(gate->loop)) {
-        const char *leader = membersLeaderAddress(gate->members);
-        if (leader == NULL) {
-            signalWait(gate->loop, membersLeaderSignal(gate->members), loopNowMs(gate->loop) + BEAT_MS);
-            continue;
-        }
-        void *mem = talloc_new(gate);
-        const FeedAsk ask = {gate->revision};
-        FeedAnswer answer = {0};
-        const Status status = courierAsk(gate->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape,
-                                         &ask, FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
-        if (status == STATUS_OK && answer.epoch > gate->epoch) {
-            gate->epoch = answer.epoch;
-            traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer.epoch));
-        }
-        if (status == STATUS_OK && answer.revision > gate->revision) {
-            traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer.revision);
-            talloc_free(gate->text);
-            gate->text = talloc_strdup(gate, answer.text);
-            gate->revision = answer.revision;
-        }
-        talloc_free(mem);
-        if (status != STATUS_OK)
-            loopSleep(gate->loop, BEAT_MS / 2);
-    }
-}
-
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
 {
     Gate *gate = arg;
     KeepList *list = answer;
     (void)question;
     keeperTell(gate->keeper, mem, list);
-    if (gate->revision > 0) {
-        const ConfigSet set = {.base = gate->revision - 1, .revision = gate->revision, .text = gate->text, .restored = true};
-        KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
-        shapePack(&ConfigSetShape, &set, mem, &item.payload);
-        list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
-        list->items[list->itemsCount++] = item;
-    }
+    feedTell(gate->feed, mem, list);
     return STATUS_OK;
 }
 
@@ -165,11 +123,12 @@
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
     gate->proxy = (Proxy){.loop = loop, .courier = gate->courier, .members = gate->members, .keeper = gate->keeper, .trace = gate->trace};
+    gate->feed = feedNew(gate, loop, gate->courier, gate->members, gate->trace);
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
-    loopSpawn(loop, "feed", feedMain, gate);
+    feedStart(gate->feed, NULL, NULL);
     *out = gate;
     return STATUS_OK;
 }
--- a/packages/table/src/deliverconfig.c
+++ b/packages/table/src/deliverconfig.c
@@ -1,4 +1,4 @@
-#include "deliverconfig.h"
+#include "table/deliverconfig.h"
 
 void deliverConfig(Revisions *revisions, const ConfigSet *set, Verdict *verdict)
 {
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -6,7 +6,7 @@
 
 #include "base/constants.h"
 #include "base/map.h"
-#include "deliverconfig.h"
+#include "table/deliverconfig.h"
 
 /* What the table knows of a worker's orders. Invariant: on holds exactly the tasks
  * whose worker it is. */
--- a/packages/table/test/revisions.c
+++ b/packages/table/test/revisions.c
@@ -8,7 +8,7 @@
 #include <cmocka.h>
 #include <talloc.h>
 
-#include "../src/deliverconfig.h"
+#include "table/deliverconfig.h"
 #include "base/constants.h"
 #include "document/document.h"
 
