The table by files: gangs end as one, lasting jobs, turns, saved progress, budgets by terms

Cause: a job's model gained turns, gangs that end as one, lasting work, progress and terms; the table kept none of it, and walked all tasks of all active jobs for what concerns one worker or one step.

- A gang is placed whole, under one number, or not at all; one member's good end ends it; a failed round counts once for it, whichever member tells it; a loss of one is a loss of all.
- The words lapsed, broken and alone; a failure told late of an older round counts, told twice it does not; what was being stopped when its worker was lost is no loss by whichever way it is told.
- Lasting work goes back to wait whatever the word; its rests grow only while it fails at once.
- The limit of rounds is that of the terms; the first rest is 50 ms instead of 500 (aims are one or two seconds, and the task goes elsewhere).
- Sums kept with each change of a phase: open tasks of a job, steps done by turn (a bit each), jobs of a queue, tasks of a worker with their places.
Ends are forgotten in their own order.
- An end that the worker's own agent told no longer grows its orders.

Shapes gain members that are kept in memory only (RAM).

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -61,6 +61,7 @@
 
 /* --- jobs ----------------------------------------------------------------- */
 #define JOB_KEEP_MS 3600000    /* ms; an ended job is kept an hour: an id resent inside it still counts once */
+#define FORGET_MS 1000         /* ms; jobs that are kept no longer are dropped at most so often: a change each */
 #define JOB_TASKS_MAX 10000    /* count; tasks in one job */
 #define JOB_STEPS_MAX 64       /* count; steps in one job */
 #define JOB_BODY_MAX (256 * 1024) /* bytes; one job's JSON */
@@ -80,8 +81,11 @@
 #define ASSURE_WAIT_MS 2000    /* ms; a protected start that breaks the plan waits this long, then runs unassured */
 #define PLACE_TICK_MS 250      /* ms; the planner looks again this often even without news */
 #define PLACE_BATCH 128        /* count; starts decided in one change */
-#define FAILED_REST_MS 500     /* ms; a failed task rests this long, doubled with each miss */
+#define FAILED_REST_MS 50      /* ms; a failed task rests this long, doubled with each miss: aims are a second or two, and it goes elsewhere */
 #define FAILED_REST_MAX_MS 8000 /* ms */
+#define REFUSED_REST_MS 200    /* ms; one that was refused: what its worker has is better known after a beat or a start */
+#define LASTING_STEADY_MS 5000 /* ms; a lasting task that ran so long had not failed at once */
+#define LASTING_REST_MAX_MS 2000 /* ms; one that fails at once, again and again, rests at most so long */
 #define LIST_PAGE 100          /* count; jobs on one page */
 #define LIST_PAGE_MAX 1000     /* count */
 #define ROOM_MAX 100000000ULL  /* milli-CPU or MB; larger numbers are mistakes */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -124,12 +124,12 @@
 {
     Core *core = arg;
     while (!loopStopping(core->loop)) {
-        loopSleep(core->loop, JOB_KEEP_MS / 60);
-        Job *const *jobs;
-        if (!coreDecides(core) || tableJobs(core->table, &jobs) == 0)
+        const int64_t keepMs = core->props->bounds.jobKeepMs;
+        loopSleep(core->loop, keepMs / 60 > FORGET_MS ? keepMs / 60 : FORGET_MS);
+        if (!coreDecides(core))
             continue;
-        const Forget forget = {viewClockMs(core->view) - JOB_KEEP_MS};
-        if (jobs[0]->acceptedMs >= forget.beforeMs)
+        const Forget forget = {viewClockMs(core->view) - keepMs};
+        if (tableOldestMs(core->table) >= forget.beforeMs)
             continue;
         void *mem = talloc_new(core);
         Verdict verdict;
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -79,7 +79,7 @@
     X(U64, step, 0)                                                            \
     X(U64, phase, 0)                                                           \
     X(U64, round, 0)                                                           \
-    X(U64, misses, 0)      /* rounds that failed by themselves */               \
+    X(U64, misses, 0)      /* rounds that failed by themselves; of a lasting task: in a row, soon */ \
     X(U64, losses, 0)      /* rounds lost with their worker */                  \
     X(TXT, worker, 0)                                                          \
     X(U64, incarnation, 0) /* of the agent that the order was for */            \
@@ -88,11 +88,12 @@
     X(I64, changedMs, 0)   /* log time of its last change of phase */           \
     X(I64, startedMs, 0)   /* log time of the first round's start; 0: none */   \
     X(TXT, text, 0)        /* the worker's last word on it */                   \
-    X(TXT, shunned, 0)     /* the worker that its last round failed on */       \
+    X(TXT, shunned, 0)     /* the worker that its last round failed on, or that refused it */       \
     X(U64, turn, 0)        /* from 0; the tasks of one turn wait for that turn's steps alone */ \
     X(U64, at, 0)          /* its place among its turn's and step's tasks, from 0 */ \
     X(TXT, saved, 0)       /* how far its rounds have come, as the worker worded it; a gang's is one */ \
-    X(U64, missRound, 0)   /* the round that misses last counted: a gang's failure counts once */
+    X(U64, missRound, 0)   /* the round that misses last counted: a gang's failure counts once */ \
+    X(RAM, onAt, size_t)   /* its place among those on its worker */
 SHAPE(JobTask, JOB_TASK_FIELDS)
 
 #define JOB_PHASE_LIST(X) X(ACTIVE, "active") X(DONE, "done") X(FAILED, "failed") X(CANCELLED, "cancelled")
@@ -113,6 +114,16 @@
     X(TXT, kind, 0)         /* of worker that the queue is served by; empty: any */
 SHAPE(JobTerms, JOB_TERMS_FIELDS)
 
+/* What a job's tasks add up to, so that nobody walks them to know. Kept with each
+ * change of a phase; jobSum builds it anew. */
+typedef struct JobSums {
+    size_t open;      /* tasks that have not ended */
+    size_t undone;    /* tasks that are not done */
+    uint64_t *before; /* by step: a bit for each step that must be done before */
+    uint64_t *done;   /* by turn: a bit for each step that is done */
+    uint32_t *left;   /* by turn, then step: tasks that are not done */
+} JobSums;
+
 /* Invariants: number is its place in the order of acceptance, never used
  * again; phase leaves ACTIVE once, and only when every task has ended. */
 #define JOB_FIELDS(X)                                                          \
@@ -123,9 +134,15 @@
     X(I64, acceptedMs, 0) /* log time */                                          \
     X(I64, endedMs, 0)                                                           \
     X(LST, tasks, JobTask) /* in the order of turns, then steps */               \
-    X(ONE, terms, JobTerms)
+    X(ONE, terms, JobTerms) \
+    X(RAM, sums, JobSums)
 SHAPE(Job, JOB_FIELDS)
 
+/* For a job whose tasks stand; job is a talloc parent. */
+void jobSum(Job *job);
+/* The task is about to come into the phase. */
+void jobSumTurn(Job *job, const JobTask *task, uint64_t phase);
+
 /* A task's number names it outside of its job: by turn, step and place in the
  * step, so that whoever knows these three needs not know the job. */
 #define TASK_NUMBER_PLACES 16384 /* count; more than JOB_TASKS_MAX */
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -28,6 +28,9 @@
 /* Those that have not ended. */
 size_t tableActive(const Table *table, Job *const **jobs);
 uint64_t tableLastNumber(const Table *table);
+/* Log time of the oldest that a FORGET would drop: the first end of a job, or a word
+ * of an unknown one; INT64_MAX: nothing. */
+int64_t tableOldestMs(const Table *table);
 
 /* Workers, in the order of their names, on mem. */
 size_t tableWorkers(const Table *table, void *mem, const Worker ***workers);
@@ -46,6 +49,8 @@
 
 /* All of one worker, in no order. */
 size_t tableOn(const Table *table, const char *worker, const TaskOn **on);
+/* The workers that have a task on them, in the order of their names, on mem. */
+size_t tableBusy(const Table *table, void *mem, const char ***workers);
 
 /* Configuration: the newest, and those that can be read back. */
 const Revisions *tableRevisions(const Table *table);
@@ -62,5 +67,7 @@
 
 /* Waiting tasks (not on a worker, not ended) of a cell. */
 size_t tableWaiting(const Table *table, const char *cell);
+/* Jobs of a queue that have not ended. */
+size_t tableWaitingIn(const Table *table, const char *cell, const char *queue);
 
 #endif
--- /dev/null
+++ b/packages/table/src/deliverjob.c
@@ -0,0 +1,100 @@
+/* Jobs come, are cancelled, end and are forgotten. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, Verdict *verdict)
+{
+    const Job *known = tableJob(table, add->spec.id);
+    if (known != NULL) {
+        verdict->status = shapeEqual(&JobSpecShape, &known->spec, &add->spec) ? STATUS_OK : STATUS_OTHER_BODY;
+        verdict->number = known->number;
+        return;
+    }
+    Job *job = talloc_zero(table->mem, Job);
+    shapeCopy(&JobSpecShape, &add->spec, job, &job->spec);
+    shapeCopy(&JobTermsShape, &add->terms, job, &job->terms);
+    job->number = table->lastNumber + 1;
+    job->acceptedMs = change->atMs;
+    const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
+    for (size_t i = 0; i < job->spec.stepsCount; i++)
+        job->tasksCount += (size_t)(job->spec.steps[i].count * turns);
+    job->tasks = talloc_zero_array(job, JobTask, (unsigned)job->tasksCount);
+    size_t at = 0;
+    for (uint64_t turn = 0; turn < turns; turn++)
+        for (size_t i = 0; i < job->spec.stepsCount; i++)
+            for (uint64_t k = 0; k < job->spec.steps[i].count; k++)
+                job->tasks[at++] = (JobTask){.step = i,
+                                             .turn = turn,
+                                             .at = k,
+                                             .worker = "",
+                                             .text = "",
+                                             .shunned = "",
+                                             .saved = "",
+                                             .changedMs = change->atMs};
+    jobEnter(table, job);
+    verdict->number = job->number;
+    orphansTake(table, job, change->atMs);
+    jobSettle(table, job, change->atMs);
+}
+
+void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, Verdict *verdict)
+{
+    Job *job = mapGet(table->byId, cancel->id);
+    if (job == NULL) {
+        verdict->status = STATUS_UNKNOWN_JOB;
+        return;
+    }
+    verdict->number = job->number;
+    if (job->phase != JOB_ACTIVE) {
+        verdict->status = job->phase == JOB_CANCELLED ? STATUS_OK : STATUS_ALREADY_ENDED;
+        return;
+    }
+    if (job->ending == JOB_ACTIVE)
+        job->ending = JOB_CANCELLED;
+    jobStopTasks(table, job, change->atMs);
+    jobSettle(table, job, change->atMs);
+}
+
+/* A job once shown as ended stays so, though the disks forgot how it came to. */
+void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, Verdict *verdict)
+{
+    Job *job = mapGet(table->byId, end->id);
+    if (job == NULL || job->phase != JOB_ACTIVE || end->phase == JOB_ACTIVE || end->phase >= JOB_PHASE_COUNT)
+        return;
+    verdict->number = job->number;
+    if (end->phase == JOB_DONE) {
+        for (size_t i = 0; i < job->tasksCount; i++)
+            if (!taskEnded(job->tasks[i].phase))
+                taskTurn(table, job, &job->tasks[i], TASK_DONE, "", change->atMs, false);
+    } else {
+        job->ending = end->phase;
+        jobStopTasks(table, job, change->atMs);
+    }
+    jobSettle(table, job, change->atMs);
+}
+
+void deliverForget(Table *table, const Record *change, const Forget *forget, Verdict *verdict)
+{
+    (void)change;
+    JobList *ended = &table->ended, *order = &table->order;
+    size_t gone = 0;
+    while (gone < ended->count && ended->jobs[gone]->endedMs < forget->beforeMs)
+        ended->jobs[gone++]->number = 0; /* no job's number: marks it for the walk below */
+    if (gone > 0) {
+        size_t kept = 0;
+        for (size_t i = 0; i < order->count; i++)
+            if (order->jobs[i]->number != 0)
+                order->jobs[kept++] = order->jobs[i];
+        order->count = kept;
+        for (size_t i = 0; i < gone; i++) {
+            mapDrop(table->byId, ended->jobs[i]->spec.id);
+            talloc_free(ended->jobs[i]);
+        }
+        memmove(ended->jobs, ended->jobs + gone, (ended->count - gone) * sizeof(*ended->jobs));
+        ended->count -= gone;
+    }
+    verdict->number = gone;
+    orphansForget(table, forget->beforeMs);
+}
--- /dev/null
+++ b/packages/table/src/gang.c
@@ -0,0 +1,29 @@
+/* Members of a gang run together, under one round number, and end as one. */
+#include "inside.h"
+
+Gang gangOf(Job *job, const JobTask *task)
+{
+    const StepSpec *step = &job->spec.steps[task->step];
+    if (!step->gang)
+        return (Gang){&job->tasks[task - job->tasks], 1};
+    return (Gang){&job->tasks[taskFirst(job, task)], (size_t)step->count};
+}
+
+void gangBreak(Table *table, Job *job, const JobTask *task, int64_t atMs)
+{
+    const Gang gang = gangOf(job, task);
+    for (size_t i = 0; i < gang.count; i++) {
+        JobTask *other = &gang.tasks[i];
+        if (other != task && (other->phase == TASK_PLACED || other->phase == TASK_RUNNING))
+            taskTurn(table, job, other, TASK_STOPPING, other->worker, atMs, false);
+    }
+}
+
+void savedSet(Job *job, JobTask *task, const char *saved)
+{
+    if (saved[0] == '\0' || !job->spec.steps[task->step].saves)
+        return;
+    const Gang gang = gangOf(job, task);
+    for (size_t i = 0; i < gang.count; i++)
+        taskText(job, &gang.tasks[i].saved, saved);
+}
--- /dev/null
+++ b/packages/table/src/inside.h
@@ -0,0 +1,152 @@
+#ifndef TABLE_SRC_INSIDE_H
+#define TABLE_SRC_INSIDE_H
+
+#include "base/map.h"
+#include "table/table.h"
+
+/* What the table knows of a worker's orders. Invariants: name is the table's own, and
+ * tasks point at it; on holds exactly the tasks whose worker it is, and each of them
+ * knows its place there. A row is never dropped. */
+typedef struct WorkerOn {
+    const char *name;
+    uint64_t revision;
+    TaskOn *on;
+    size_t count, room;
+} WorkerOn;
+
+/* Waiting tasks of a cell. */
+typedef struct CellSum {
+    size_t waiting;
+} CellSum;
+
+/* Jobs of a queue that have not ended. */
+typedef struct QueueSum {
+    size_t jobs;
+} QueueSum;
+
+/* A task told as finished well of a job that is not known (any more, or yet):
+ * the disks lost the job, and its caller will hand it in again. */
+#define ORPHAN_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(I64, atMs, 0)
+SHAPE(Orphan, ORPHAN_FIELDS)
+
+/* Jobs in an order of their own. */
+typedef struct JobList {
+    Job **jobs;
+    size_t count, room;
+} JobList;
+
+/* Invariants: byId and order hold the same jobs; active holds those that have not
+ * ended, ended the others; order and active are sorted by number, ended by when they
+ * ended; sorted holds the same workers as workers, by name. */
+struct Table {
+    void *mem; /* holds everything below; a loaded state replaces it whole */
+    Map *byId;
+    JobList order, active, ended;
+    uint64_t lastNumber;
+    Map *workers;
+    Worker **sorted;
+    size_t sortedCount, sortedRoom;
+    Map *on; /* worker name to WorkerOn */
+    Map *cells;
+    Map *queues; /* "cell/queue" to QueueSum */
+    Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
+    size_t orphanCount;
+    Map *drains; /* zone to its newest order */
+    Revisions *revisions;
+    uint64_t loads;
+    TableFn fn;
+    void *arg;
+    TableOrdersFn ordersFn;
+    void *ordersArg;
+};
+
+void tableClear(Table *table);
+
+/* --- lists of jobs */
+
+void jobListAdd(void *mem, JobList *list, Job *job);
+/* Its place in a list sorted by number; count when it is not there. */
+size_t jobListFind(const JobList *list, const Job *job);
+
+/* --- workers and what is on them */
+
+WorkerOn *workerOn(Table *table, const char *worker);
+void ordersTouch(Table *table, const char *worker);
+void onAdd(Table *table, Job *job, JobTask *task);
+void onDrop(Table *table, const JobTask *task);
+
+/* --- jobs and tasks */
+
+/* Adds a job whose memory is its own to all lists. */
+void jobEnter(Table *table, Job *job);
+/* The job ended: from the active to the ended ones. */
+void jobLeaveActive(Table *table, Job *job);
+/* A text that hangs on the job. */
+void taskText(Job *job, const char **at, const char *text);
+
+/* Every change of a task's phase goes through here. told: the agent of the worker that
+ * it leaves told of it, and needs no telling. */
+void taskTurn(Table *table, Job *job, JobTask *task, TaskPhase phase, const char *worker, int64_t atMs, bool told);
+/* What waits of it never starts, what runs is stopped. */
+void jobStopTasks(Table *table, Job *job, int64_t atMs);
+/* Ends the job once no task of it runs or waits. */
+void jobSettle(Table *table, Job *job, int64_t atMs);
+
+/* --- gangs. The tasks of a task's gang; of any other task itself alone. */
+
+typedef struct Gang {
+    JobTask *tasks;
+    size_t count;
+} Gang;
+Gang gangOf(Job *job, const JobTask *task);
+/* A member's round is over: the others stop, and all are planned again. */
+void gangBreak(Table *table, Job *job, const JobTask *task, int64_t atMs);
+
+/* --- rounds. What became of one that did not finish well. */
+
+typedef struct RoundEnd {
+    RoundWord word;
+    const char *saved; /* empty: nothing told */
+    bool told;         /* by its worker's agent */
+    int64_t atMs;
+} RoundEnd;
+void roundOver(Table *table, Job *job, JobTask *task, const RoundEnd *end);
+/* Counts a failed round, of a gang once whichever of its members failed. Rounds are
+ * counted as they rise: the same told again counts for nothing. */
+void roundMiss(Job *job, JobTask *task, uint64_t round);
+/* Whether the task has had all the rounds it gets. */
+bool roundsSpent(const Job *job, const JobTask *task);
+void jobFail(Table *table, Job *job, JobTask *task, int64_t atMs);
+/* It finished well in that round, and its gang with it. */
+void roundDone(Table *table, Job *job, JobTask *task, uint64_t round, const char *teller, int64_t atMs);
+/* What its rounds have come to; a gang's is one. */
+void savedSet(Job *job, JobTask *task, const char *saved);
+
+/* --- orphans */
+
+void orphanAdd(Table *table, const char *job, uint64_t task, uint64_t round, int64_t atMs);
+/* What of the job finished well before the disks forgot it stays finished. */
+void orphansTake(Table *table, Job *job, int64_t atMs);
+void orphansForget(Table *table, int64_t beforeMs);
+
+/* --- one function for each change; table.c lists them */
+
+void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, Verdict *verdict);
+void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, Verdict *verdict);
+void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, Verdict *verdict);
+void deliverForget(Table *table, const Record *change, const Forget *forget, Verdict *verdict);
+void deliverPlace(Table *table, const Record *change, const PlaceList *list, Verdict *verdict);
+void deliverStop(Table *table, const Record *change, const StopList *list, Verdict *verdict);
+void deliverAssure(Table *table, const Record *change, const StopList *list, Verdict *verdict);
+void deliverRounds(Table *table, const Record *change, const RoundList *list, Verdict *verdict);
+void deliverWorkerSet(Table *table, const Record *change, const Worker *set, Verdict *verdict);
+void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, Verdict *verdict);
+void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, Verdict *verdict);
+void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, Verdict *verdict);
+
+/* --- saving and loading */
+
+Bytes tableSave(void *arg, void *mem);
+Status tableLoad(void *arg, Bytes bytes);
+
+#endif
--- a/packages/table/src/job.c
+++ b/packages/table/src/job.c
@@ -56,24 +56,6 @@
     return (size_t)(task - job->tasks) - (size_t)task->at;
 }
 
-static bool stepDone(const Job *job, uint64_t turn, const char *name)
-{
-    for (size_t i = 0; i < job->tasksCount; i++)
-        if (job->tasks[i].turn == turn && job->tasks[i].phase != TASK_DONE &&
-            strcmp(job->spec.steps[job->tasks[i].step].name, name) == 0)
-            return false;
-    return true;
-}
-
-bool taskStepsDone(const Job *job, const JobTask *task)
-{
-    const StepSpec *step = &job->spec.steps[task->step];
-    for (size_t i = 0; i < step->afterCount; i++)
-        if (!stepDone(job, task->turn, step->after[i]))
-            return false;
-    return true;
-}
-
 int64_t taskDueWallMs(const Job *job, const JobTask *task)
 {
     if (job->spec.firstWallMs == 0)
--- /dev/null
+++ b/packages/table/src/round.c
@@ -0,0 +1,118 @@
+/* What becomes of a task when its round is over. */
+#include <string.h>
+
+#include "base/constants.h"
+#include "inside.h"
+
+static uint64_t limitOf(const Job *job)
+{
+    return job->terms.roundLimit > 0 ? job->terms.roundLimit : job->spec.roundLimit;
+}
+
+/* Doubled with each in a row. */
+static int64_t restOf(uint64_t misses, int64_t mostMs)
+{
+    int64_t restMs = FAILED_REST_MS;
+    for (uint64_t i = 1; i < misses && restMs < mostMs; i++)
+        restMs *= 2;
+    return restMs < mostMs ? restMs : mostMs;
+}
+
+/* A lasting task goes on whatever the word was; one that never stays up for long
+ * rests longer each time. */
+static void lastingRest(JobTask *task, const RoundEnd *end)
+{
+    if (end->word != ROUND_FAILED && end->word != ROUND_DONE && end->word != ROUND_REFUSED && end->word != ROUND_ALONE)
+        return;
+    const bool steady = task->phase == TASK_RUNNING && end->atMs - task->changedMs >= LASTING_STEADY_MS;
+    task->misses = steady ? 1 : task->misses + 1;
+    task->restUntilMs = end->atMs + restOf(task->misses, LASTING_REST_MAX_MS);
+}
+
+static void restSet(JobTask *task, const RoundEnd *end)
+{
+    if (end->word == ROUND_FAILED)
+        task->restUntilMs = end->atMs + restOf(task->misses, FAILED_REST_MAX_MS);
+    else if (end->word == ROUND_REFUSED || end->word == ROUND_ALONE)
+        task->restUntilMs = end->atMs + REFUSED_REST_MS;
+}
+
+/* A loss of one is a loss of its gang: they start again together. */
+static void lossCount(Job *job, JobTask *task)
+{
+    const Gang gang = gangOf(job, task);
+    for (size_t i = 0; i < gang.count; i++)
+        if (!taskEnded(gang.tasks[i].phase))
+            gang.tasks[i].losses++;
+}
+
+void roundMiss(Job *job, JobTask *task, uint64_t round)
+{
+    if (job->spec.lasting || round <= task->missRound)
+        return;
+    const Gang gang = gangOf(job, task);
+    for (size_t i = 0; i < gang.count; i++) {
+        gang.tasks[i].missRound = round;
+        gang.tasks[i].misses++;
+    }
+}
+
+bool roundsSpent(const Job *job, const JobTask *task)
+{
+    /* protected work restarts whenever it is down; best-effort work gets one restart
+     * after a loss, unprotected work none */
+    const bool given = (job->spec.protection == PROTECTION_NONE && task->losses > 0) ||
+                       (job->spec.protection == PROTECTION_BEST_EFFORT && task->losses > 1);
+    return !job->spec.lasting && (given || task->misses >= limitOf(job));
+}
+
+void jobFail(Table *table, Job *job, JobTask *task, int64_t atMs)
+{
+    if (!taskOnWorker(task->phase))
+        taskTurn(table, job, task, TASK_FAILED, "", atMs, false);
+    job->ending = JOB_FAILED;
+    jobStopTasks(table, job, atMs);
+}
+
+void roundOver(Table *table, Job *job, JobTask *task, const RoundEnd *end)
+{
+    if (job->ending != JOB_ACTIVE) {
+        taskTurn(table, job, task, TASK_CANCELLED, "", end->atMs, end->told);
+        return;
+    }
+    const bool stopping = task->phase == TASK_STOPPING;
+    savedSet(job, task, end->saved);
+    if (end->word == ROUND_FAILED || end->word == ROUND_REFUSED)
+        task->shunned = task->worker;
+    if (end->word == ROUND_FAILED)
+        roundMiss(job, task, task->round);
+    /* one that was being stopped has stopped: that is no loss */
+    if ((end->word == ROUND_LOST || end->word == ROUND_LAPSED) && !stopping)
+        lossCount(job, task);
+    if (job->spec.lasting)
+        lastingRest(task, end);
+    else
+        restSet(task, end);
+    if (roundsSpent(job, task)) {
+        taskTurn(table, job, task, TASK_FAILED, "", end->atMs, end->told);
+        jobFail(table, job, task, end->atMs);
+        return;
+    }
+    taskTurn(table, job, task, TASK_WAITING, "", end->atMs, end->told);
+    gangBreak(table, job, task, end->atMs);
+}
+
+void roundDone(Table *table, Job *job, JobTask *task, uint64_t round, const char *teller, int64_t atMs)
+{
+    const Gang gang = gangOf(job, task);
+    const TaskPhase phase = job->ending == JOB_CANCELLED ? TASK_CANCELLED : TASK_DONE;
+    for (size_t i = 0; i < gang.count; i++) {
+        JobTask *each = &gang.tasks[i];
+        if (taskEnded(each->phase))
+            continue;
+        const bool told = each->round == round && strcmp(each->worker, teller) == 0;
+        if (round > each->round)
+            each->round = round;
+        taskTurn(table, job, each, phase, "", atMs, told);
+    }
+}
--- a/packages/wire/include/wire/shape.h
+++ b/packages/wire/include/wire/shape.h
@@ -14,7 +14,9 @@
  *     SHAPE_TABLE(Room, ROOM_FIELDS)    in one source file
  *
  * Kinds: U64, I64, FLAG (bool), TXT (text, never null once unpacked), BIN
- * (Bytes), TXS (texts), ONE (a nested shape), LST (a list of a shape).
+ * (Bytes), TXS (texts), ONE (a nested shape), LST (a list of a shape). RAM (any
+ * type) is a member beside them: it is in no row, so it is neither packed nor
+ * compared, and a copy of the shape has the same bits in it.
  * Messages, journal records and snapshots are all packed shapes.
  *
  * Across versions: a reader ignores trailing fields that it does not know and
@@ -46,6 +48,7 @@
 #define SHAPE_MEMBER_TXS(name, of) const char **name; size_t name##Count;
 #define SHAPE_MEMBER_ONE(name, of) of name;
 #define SHAPE_MEMBER_LST(name, of) of *name; size_t name##Count;
+#define SHAPE_MEMBER_RAM(name, of) of name;
 #define SHAPE_MEMBER(kind, name, of) SHAPE_MEMBER_##kind(name, of)
 
 #define SHAPE(Type, FIELDS) \
@@ -64,6 +67,7 @@
 #define SHAPE_ROW_ONE(name, of) {#name, SHAPE_ONE, offsetof(ShapeOwner, name), 0, &of##Shape},
 #define SHAPE_ROW_LST(name, of) \
     {#name, SHAPE_LST, offsetof(ShapeOwner, name), offsetof(ShapeOwner, name##Count), &of##Shape},
+#define SHAPE_ROW_RAM(name, of)
 #define SHAPE_ROW(kind, name, of) SHAPE_ROW_##kind(name, of)
 
 #define SHAPE_TABLE(Type, FIELDS)                        \
