--- /dev/null
+++ b/packages/table/test/board.h
@@ -0,0 +1,97 @@
+#ifndef TABLE_TEST_BOARD_H
+#define TABLE_TEST_BOARD_H
+
+/* A table driven by hand: each call delivers one change and looks at the verdict. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "table/table.h"
+
+typedef struct Board {
+    Table *table;
+    int64_t atMs;
+    uint64_t index;
+} Board;
+
+static inline Verdict tell(Board *board, ChangeKind kind, const Shape *shape, const void *body)
+{
+    void *mem = talloc_new(NULL);
+    Record change = {.change = kind, .index = ++board->index, .atMs = board->atMs};
+    shapePack(shape, body, mem, &change.payload);
+    Verdict verdict = {0};
+    const ViewState state = tableState(board->table);
+    state.deliver(state.arg, &change, &verdict);
+    talloc_free(mem);
+    return verdict;
+}
+
+static inline Board boardNew(void)
+{
+    return (Board){tableNew(NULL), 1000, 0};
+}
+
+static inline JobSpec specOf(const char *id, StepSpec *steps, size_t count)
+{
+    return (JobSpec){.id = id, .cell = "c", .tenant = "t", .queue = "q", .roundLimit = 3, .steps = steps, .stepsCount = count};
+}
+
+static inline const Job *jobAdd(Board *board, const JobSpec *spec, JobTerms terms)
+{
+    const JobAdd add = {*spec, terms};
+    assert_int_equal(tell(board, CHANGE_JOB_ADD, &JobAddShape, &add).status, STATUS_OK);
+    return tableJob(board->table, spec->id);
+}
+
+/* How many of them were taken. */
+static inline uint64_t place(Board *board, const char *job, const uint64_t *tasks, size_t count, uint64_t round, const char *worker,
+                      const char *saved)
+{
+    Placement *places = talloc_zero_array(NULL, Placement, (unsigned)count);
+    for (size_t i = 0; i < count; i++)
+        places[i] = (Placement){.job = job, .task = tasks[i], .round = round, .worker = worker, .incarnation = 1, .saved = saved};
+    const PlaceList list = {places, count};
+    const Verdict verdict = tell(board, CHANGE_PLACE, &PlaceListShape, &list);
+    talloc_free(places);
+    return verdict.number;
+}
+
+static inline void say(Board *board, const char *job, uint64_t task, uint64_t round, const char *worker, RoundWord word,
+                const char *saved)
+{
+    RoundNews news = {.job = job, .task = task, .round = round, .worker = worker, .word = word, .text = "", .saved = saved};
+    const RoundList list = {&news, 1};
+    tell(board, CHANGE_ROUNDS, &RoundListShape, &list);
+}
+
+static inline void lose(Board *board, const char *worker)
+{
+    const WorkerLost lost = {worker, UINT64_MAX};
+    tell(board, CHANGE_WORKER_LOST, &WorkerLostShape, &lost);
+}
+
+static inline Verdict cancel(Board *board, const char *job)
+{
+    const JobCancel body = {job};
+    return tell(board, CHANGE_JOB_CANCEL, &JobCancelShape, &body);
+}
+
+/* Saves and loads the state; jobs found before are no more. */
+static inline void again(Board *board)
+{
+    void *mem = talloc_new(NULL);
+    const ViewState state = tableState(board->table);
+    const Bytes bytes = state.save(state.arg, mem);
+    assert_int_equal(state.load(state.arg, bytes), STATUS_OK);
+    const Bytes twice = state.save(state.arg, mem);
+    assert_true(bytesEqual(bytes, twice));
+    talloc_free(mem);
+}
+
+#endif
--- /dev/null
+++ b/packages/table/test/gangs.c
@@ -0,0 +1,193 @@
+/* Gangs: placed whole, under one number; they end as one, and fail once for each round. */
+#include "board.h"
+
+static const uint64_t ALL[] = {TASK_NUMBER(0, 1, 0), TASK_NUMBER(0, 1, 1), TASK_NUMBER(0, 1, 2)};
+
+/* A step of one, and a gang of three that does not wait for it. */
+static const Job *gangAdd(Board *b, Protection protection, bool lasting)
+{
+    StepSpec steps[] = {{.name = "a", .count = 1}, {.name = "g", .count = 3, .gang = true, .saves = true}};
+    JobSpec spec = specOf("j", steps, 2);
+    spec.protection = protection;
+    spec.lasting = lasting;
+    return jobAdd(b, &spec, (JobTerms){.roundLimit = 2});
+}
+
+static void allAre(const Job *job, TaskPhase phase)
+{
+    for (size_t i = 1; i < 4; i++)
+        assert_int_equal(job->tasks[i].phase, phase);
+}
+
+static void placedWhole(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    assert_int_equal(place(&b, "j", ALL, 2, 1, "w", ""), 0);
+    assert_int_equal(place(&b, "j", ALL + 1, 2, 1, "w", ""), 0);
+    const uint64_t twice[] = {ALL[0], ALL[1], ALL[1]};
+    assert_int_equal(place(&b, "j", twice, 3, 1, "w", ""), 0);
+    const uint64_t mixed[] = {0, ALL[0], ALL[1]};
+    assert_int_equal(place(&b, "j", mixed, 3, 1, "w", ""), 1);
+    allAre(job, TASK_WAITING);
+    assert_int_equal(place(&b, "j", ALL, 3, 1, "w", ""), 3);
+    allAre(job, TASK_PLACED);
+    assert_int_equal(place(&b, "j", ALL, 3, 2, "w", ""), 0);
+    talloc_free(b.table);
+}
+
+/* One is still being stopped: none is placed. And one number for all, above each. */
+static void placedUnderOneNumber(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    say(&b, "j", ALL[0], 1, "w", ROUND_REFUSED, "");
+    assert_int_equal(job->tasks[1].phase, TASK_WAITING);
+    assert_int_equal(job->tasks[2].phase, TASK_STOPPING);
+    assert_int_equal(place(&b, "j", ALL, 3, 2, "w", ""), 0);
+    say(&b, "j", ALL[1], 1, "w", ROUND_BROKEN, "");
+    say(&b, "j", ALL[2], 1, "w", ROUND_STOPPED, "");
+    allAre(job, TASK_WAITING);
+    assert_int_equal(job->tasks[1].misses + job->tasks[2].misses + job->tasks[3].misses, 0);
+    say(&b, "j", ALL[2], 4, "w", ROUND_FAILED, ""); /* of a round that the disks forgot */
+    assert_int_equal(place(&b, "j", ALL, 3, 4, "w", ""), 0);
+    assert_int_equal(place(&b, "j", ALL, 3, 5, "w", ""), 3);
+    talloc_free(b.table);
+}
+
+static void oneDoneAllDone(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    for (size_t i = 0; i < 3; i++)
+        say(&b, "j", ALL[i], 1, "w", ROUND_RUNNING, "");
+    say(&b, "j", ALL[1], 1, "w", ROUND_DONE, "");
+    allAre(job, TASK_DONE);
+    assert_int_equal(job->phase, JOB_ACTIVE);
+    say(&b, "j", ALL[0], 1, "w", ROUND_FAILED, ""); /* the others' ends are words of the past */
+    say(&b, "j", ALL[2], 1, "w", ROUND_DONE, "");
+    allAre(job, TASK_DONE);
+    const uint64_t first = 0;
+    place(&b, "j", &first, 1, 1, "w", "");
+    say(&b, "j", 0, 1, "w", ROUND_DONE, "");
+    assert_int_equal(job->phase, JOB_DONE);
+    talloc_free(b.table);
+}
+
+/* Also in an older round than the one that runs now. */
+static void olderDoneOfAll(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    lose(&b, "w");
+    allAre(job, TASK_WAITING);
+    place(&b, "j", ALL, 3, 2, "v", "");
+    const uint64_t orders = tableOrders(b.table, "v");
+    say(&b, "j", ALL[2], 1, "w", ROUND_DONE, "");
+    allAre(job, TASK_DONE);
+    assert_true(tableOrders(b.table, "v") > orders);
+    talloc_free(b.table);
+}
+
+static void missesOnceForARound(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    for (size_t i = 0; i < 3; i++)
+        say(&b, "j", ALL[i], 1, "w", ROUND_FAILED, "");
+    allAre(job, TASK_WAITING);
+    for (size_t i = 1; i < 4; i++)
+        assert_int_equal(job->tasks[i].misses, 1);
+    say(&b, "j", ALL[0], 1, "w", ROUND_FAILED, ""); /* told again */
+    assert_int_equal(job->tasks[1].misses, 1);
+    assert_int_equal(place(&b, "j", ALL, 3, 2, "w", ""), 3);
+    say(&b, "j", ALL[2], 2, "w", ROUND_BROKEN, "");
+    say(&b, "j", ALL[1], 2, "w", ROUND_FAILED, "");
+    say(&b, "j", ALL[0], 2, "w", ROUND_ALONE, "");
+    assert_int_equal(job->phase, JOB_FAILED);
+    talloc_free(b.table);
+}
+
+/* A loss of some of its members is one loss of the gang. */
+static void lossesOnce(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_BEST_EFFORT, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    lose(&b, "w");
+    allAre(job, TASK_WAITING);
+    for (size_t i = 1; i < 4; i++)
+        assert_int_equal(job->tasks[i].losses, 1);
+    place(&b, "j", ALL, 3, 2, "w", "");
+    say(&b, "j", ALL[0], 2, "w", ROUND_LAPSED, "");
+    assert_int_equal(job->ending, JOB_FAILED); /* best effort: one restart */
+    talloc_free(b.table);
+}
+
+static void progressOfAll(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    say(&b, "j", ALL[1], 1, "w", ROUND_STOPPED, "half");
+    for (size_t i = 1; i < 4; i++)
+        assert_string_equal(job->tasks[i].saved, "half");
+    assert_string_equal(job->tasks[0].saved, "");
+    talloc_free(b.table);
+}
+
+static void lastingGang(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, true);
+    place(&b, "j", ALL, 3, 1, "w", "");
+    say(&b, "j", ALL[0], 1, "w", ROUND_DONE, "");
+    assert_int_equal(job->tasks[1].phase, TASK_WAITING);
+    assert_int_equal(job->tasks[2].phase, TASK_STOPPING);
+    assert_int_equal(job->tasks[3].phase, TASK_STOPPING);
+    say(&b, "j", ALL[1], 1, "w", ROUND_DONE, "");
+    say(&b, "j", ALL[2], 1, "w", ROUND_BROKEN, "");
+    allAre(job, TASK_WAITING);
+    assert_int_equal(place(&b, "j", ALL, 3, 2, "w", ""), 3);
+    talloc_free(b.table);
+}
+
+/* Told as finished before the job was known again: it stays finished, and its gang. */
+static void orphans(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    say(&b, "j", ALL[1], 3, "w", ROUND_DONE, "");
+    say(&b, "other", 0, 1, "w", ROUND_DONE, "");
+    again(&b);
+    const Job *job = gangAdd(&b, PROTECTION_PROTECTED, false);
+    allAre(job, TASK_DONE);
+    assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+    assert_int_equal(tableOldestMs(b.table), b.atMs);
+    const Forget forget = {b.atMs + 1};
+    tell(&b, CHANGE_FORGET, &ForgetShape, &forget);
+    assert_int_equal(tableOldestMs(b.table), INT64_MAX);
+    talloc_free(b.table);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(placedWhole),         cmocka_unit_test(placedUnderOneNumber), cmocka_unit_test(oneDoneAllDone),
+        cmocka_unit_test(olderDoneOfAll),      cmocka_unit_test(missesOnceForARound),  cmocka_unit_test(lossesOnce),
+        cmocka_unit_test(progressOfAll),       cmocka_unit_test(lastingGang),          cmocka_unit_test(orphans),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/table/test/rounds.c
@@ -0,0 +1,284 @@
+/* What becomes of a task by the word that its round ends with: misses, losses, rests,
+ * limits, lasting work, progress. */
+#include "board.h"
+
+static const uint64_t FIRST[] = {0};
+
+static StepSpec one(void)
+{
+    return (StepSpec){.name = "s", .count = 1, .kind = "", .payload = "", .near = "", .saves = true};
+}
+
+/* One round of the first task, to its end. */
+static void round_(Board *b, uint64_t round, RoundWord word)
+{
+    assert_int_equal(place(b, "j", FIRST, 1, round, "w", ""), 1);
+    say(b, "j", 0, round, "w", ROUND_RUNNING, "");
+    say(b, "j", 0, round, "w", word, "");
+}
+
+static void wordsCount(void **state)
+{
+    (void)state;
+    static const struct {
+        RoundWord word;
+        uint64_t misses, losses;
+        bool rests;
+    } WORDS[] = {{ROUND_FAILED, 1, 0, true},   {ROUND_LOST, 0, 1, false},    {ROUND_LAPSED, 0, 1, false},
+                 {ROUND_STOPPED, 0, 0, false}, {ROUND_BROKEN, 0, 0, false},  {ROUND_ALONE, 0, 0, true},
+                 {ROUND_REFUSED, 0, 0, true}};
+    for (size_t i = 0; i < sizeof(WORDS) / sizeof(WORDS[0]); i++) {
+        Board b = boardNew();
+        StepSpec step = one();
+        const JobSpec spec = specOf("j", &step, 1);
+        const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+        round_(&b, 1, WORDS[i].word);
+        assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+        assert_int_equal(job->tasks[0].misses, WORDS[i].misses);
+        assert_int_equal(job->tasks[0].losses, WORDS[i].losses);
+        assert_int_equal(job->tasks[0].restUntilMs > b.atMs, WORDS[i].rests);
+        assert_int_equal(tableWaitingIn(b.table, "c", "q"), 1);
+        talloc_free(b.table);
+    }
+}
+
+/* The terms' limit, where they have one, is what counts; the spec's otherwise. */
+static void limits(void **state)
+{
+    (void)state;
+    for (uint64_t limit = 0; limit < 6; limit += 5) {
+        Board b = boardNew();
+        StepSpec step = one();
+        const JobSpec spec = specOf("j", &step, 1);
+        const Job *job = jobAdd(&b, &spec, (JobTerms){.roundLimit = limit});
+        const uint64_t most = limit > 0 ? limit : 3;
+        int64_t restMs = 0;
+        for (uint64_t round = 1; round <= most; round++) {
+            assert_int_equal(job->phase, JOB_ACTIVE);
+            round_(&b, round, ROUND_FAILED);
+            const int64_t nextMs = job->tasks[0].restUntilMs - b.atMs;
+            assert_true(round == most || nextMs > restMs);
+            restMs = nextMs;
+        }
+        assert_int_equal(job->phase, JOB_FAILED);
+        assert_int_equal(job->tasks[0].phase, TASK_FAILED);
+        assert_int_equal(tableWaitingIn(b.table, "c", "q"), 0);
+        talloc_free(b.table);
+    }
+}
+
+/* A failure told of an older round counts, told twice it does not, and one of a round
+ * that the disks forgot raises the number of the next. */
+static void lateFailures(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec step = one();
+    const JobSpec spec = specOf("j", &step, 1);
+    const Job *job = jobAdd(&b, &spec, (JobTerms){.roundLimit = 3});
+    place(&b, "j", FIRST, 1, 1, "w", "");
+    lose(&b, "w");
+    assert_int_equal(place(&b, "j", FIRST, 1, 2, "v", ""), 1);
+    say(&b, "j", 0, 1, "w", ROUND_FAILED, "");
+    say(&b, "j", 0, 1, "w", ROUND_FAILED, "");
+    assert_int_equal(job->tasks[0].misses, 1);
+    assert_int_equal(job->tasks[0].phase, TASK_PLACED);
+    say(&b, "j", 0, 2, "v", ROUND_FAILED, "");
+    say(&b, "j", 0, 2, "v", ROUND_FAILED, "");
+    assert_int_equal(job->tasks[0].misses, 2);
+    assert_int_equal(place(&b, "j", FIRST, 1, 2, "v", ""), 0); /* a number once given */
+    say(&b, "j", 0, 7, "u", ROUND_FAILED, "");
+    assert_int_equal(job->phase, JOB_FAILED);
+    assert_int_equal(job->tasks[0].round, 7);
+    talloc_free(b.table);
+}
+
+/* Finished well is finished, in whichever round; the newer one's worker hears of it. */
+static void olderDone(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec step = one();
+    const JobSpec spec = specOf("j", &step, 1);
+    const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+    place(&b, "j", FIRST, 1, 1, "w", "");
+    lose(&b, "w");
+    place(&b, "j", FIRST, 1, 2, "v", "");
+    const uint64_t orders = tableOrders(b.table, "v");
+    say(&b, "j", 0, 1, "w", ROUND_DONE, "");
+    assert_int_equal(job->phase, JOB_DONE);
+    assert_true(tableOrders(b.table, "v") > orders);
+    const TaskOn *on;
+    assert_int_equal(tableOn(b.table, "v", &on), 0);
+    say(&b, "j", 0, 2, "v", ROUND_FAILED, "");
+    assert_int_equal(job->phase, JOB_DONE);
+    talloc_free(b.table);
+}
+
+/* A worker's own word of an end needs no telling back; the leader's word does. */
+static void ordersGrow(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec step = one();
+    const JobSpec spec = specOf("j", &step, 1);
+    jobAdd(&b, &spec, (JobTerms){0});
+    place(&b, "j", FIRST, 1, 1, "w", "");
+    uint64_t orders = tableOrders(b.table, "w");
+    say(&b, "j", 0, 1, "w", ROUND_RUNNING, "");
+    say(&b, "j", 0, 1, "w", ROUND_STOPPED, "");
+    assert_int_equal(tableOrders(b.table, "w"), orders);
+    place(&b, "j", FIRST, 1, 2, "w", "");
+    assert_true(tableOrders(b.table, "w") > orders);
+    orders = tableOrders(b.table, "w");
+    say(&b, "j", 0, 2, "w", ROUND_LOST, "");
+    assert_true(tableOrders(b.table, "w") > orders);
+    place(&b, "j", FIRST, 1, 3, "w", "");
+    say(&b, "j", 0, 3, "w", ROUND_RUNNING, "");
+    orders = tableOrders(b.table, "w");
+    cancel(&b, "j");
+    assert_true(tableOrders(b.table, "w") > orders);
+    talloc_free(b.table);
+}
+
+/* What was being stopped has stopped: no loss, by whichever way it is told. */
+static void stoppedIsNoLoss(void **state)
+{
+    (void)state;
+    for (int byNews = 0; byNews < 2; byNews++) {
+        Board b = boardNew();
+        StepSpec step = one();
+        JobSpec spec = specOf("j", &step, 1);
+        spec.protection = PROTECTION_NONE; /* one loss would be its end */
+        const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+        place(&b, "j", FIRST, 1, 1, "w", "");
+        RoundId id = {"j", 0, 1};
+        const StopList list = {&id, 1, "pushed"};
+        tell(&b, CHANGE_STOP, &StopListShape, &list);
+        assert_int_equal(job->tasks[0].phase, TASK_STOPPING);
+        if (byNews)
+            say(&b, "j", 0, 1, "w", ROUND_LAPSED, "");
+        else
+            lose(&b, "w");
+        assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+        assert_int_equal(job->tasks[0].losses, 0);
+        talloc_free(b.table);
+    }
+}
+
+static void cancelled(void **state)
+{
+    (void)state;
+    static const RoundWord WORDS[] = {ROUND_DONE, ROUND_FAILED, ROUND_STOPPED, ROUND_LAPSED};
+    for (size_t i = 0; i < sizeof(WORDS) / sizeof(WORDS[0]); i++) {
+        Board b = boardNew();
+        StepSpec step = one();
+        const JobSpec spec = specOf("j", &step, 1);
+        const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+        place(&b, "j", FIRST, 1, 1, "w", "");
+        assert_int_equal(cancel(&b, "j").status, STATUS_OK);
+        assert_int_equal(job->phase, JOB_ACTIVE);
+        assert_int_equal(place(&b, "j", FIRST, 1, 2, "w", ""), 0);
+        say(&b, "j", 0, 1, "w", WORDS[i], "");
+        assert_int_equal(job->phase, JOB_CANCELLED);
+        assert_int_equal(cancel(&b, "j").status, STATUS_OK);
+        talloc_free(b.table);
+    }
+}
+
+/* However a lasting task's round ends it waits again; only a cancel ends the job. */
+static void lasting(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec step = one();
+    JobSpec spec = specOf("j", &step, 1);
+    spec.lasting = true;
+    spec.protection = PROTECTION_NONE;
+    const Job *job = jobAdd(&b, &spec, (JobTerms){.roundLimit = 1});
+    uint64_t round = 0;
+    for (int word = 0; word < ROUND_WORD_COUNT; word++) {
+        if (word == ROUND_RUNNING)
+            continue;
+        round_(&b, ++round, (RoundWord)word);
+        assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+        assert_true(job->tasks[0].restUntilMs - b.atMs <= LASTING_REST_MAX_MS);
+    }
+    /* quick failures rest longer each time, up to a bound; a long round forgives them */
+    for (int i = 0; i < 20; i++)
+        round_(&b, ++round, ROUND_FAILED);
+    assert_int_equal(job->tasks[0].restUntilMs - b.atMs, LASTING_REST_MAX_MS);
+    place(&b, "j", FIRST, 1, ++round, "w", "");
+    say(&b, "j", 0, round, "w", ROUND_RUNNING, "");
+    b.atMs += LASTING_STEADY_MS;
+    say(&b, "j", 0, round, "w", ROUND_FAILED, "");
+    assert_int_equal(job->tasks[0].restUntilMs - b.atMs, FAILED_REST_MS);
+    cancel(&b, "j");
+    assert_int_equal(job->phase, JOB_CANCELLED);
+    talloc_free(b.table);
+}
+
+static void progress(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec steps[] = {one(), one()};
+    steps[1].name = "forgets";
+    steps[1].saves = false;
+    const JobSpec spec = specOf("j", steps, 2);
+    const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+    const uint64_t second = TASK_NUMBER(0, 1, 0);
+    place(&b, "j", FIRST, 1, 1, "w", "");
+    place(&b, "j", &second, 1, 1, "w", "");
+    say(&b, "j", 0, 1, "w", ROUND_RUNNING, "p1");
+    say(&b, "j", second, 1, "w", ROUND_STOPPED, "p1");
+    assert_string_equal(job->tasks[0].saved, "p1");
+    assert_string_equal(job->tasks[1].saved, "");
+    say(&b, "j", 0, 1, "w", ROUND_STOPPED, "p2");
+    assert_string_equal(job->tasks[0].saved, "p2");
+    say(&b, "j", 0, 1, "w", ROUND_LAPSED, ""); /* told late, and empty: nothing to keep */
+    assert_string_equal(job->tasks[0].saved, "p2");
+    place(&b, "j", FIRST, 1, 2, "w", "p3"); /* the leader has heard more from beats */
+    assert_string_equal(job->tasks[0].saved, "p3");
+    say(&b, "j", 0, 1, "w", ROUND_STOPPED, "p2"); /* of an older round */
+    assert_string_equal(job->tasks[0].saved, "p3");
+    again(&b);
+    assert_string_equal(tableJob(b.table, "j")->tasks[0].saved, "p3");
+    talloc_free(b.table);
+}
+
+/* A number that the job does not have finds nothing and harms nothing. */
+static void strangeNumbers(void **state)
+{
+    (void)state;
+    static const uint64_t NUMBERS[] = {1, 2, 16383, TASK_NUMBER(0, 1, 0), TASK_NUMBER(0, 63, 0), TASK_NUMBER(1, 0, 0),
+                                       TASK_NUMBER(9999, 0, 0), UINT64_MAX, UINT64_MAX / 2};
+    Board b = boardNew();
+    StepSpec step = one();
+    const JobSpec spec = specOf("j", &step, 1);
+    const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+    for (size_t i = 0; i < sizeof(NUMBERS) / sizeof(NUMBERS[0]); i++) {
+        assert_int_equal(taskIndex(job, NUMBERS[i]), job->tasksCount);
+        assert_int_equal(place(&b, "j", &NUMBERS[i], 1, 1, "w", ""), 0);
+        for (int word = 0; word < ROUND_WORD_COUNT; word++)
+            say(&b, "j", NUMBERS[i], 1, "w", (RoundWord)word, "x");
+        RoundId id = {"j", NUMBERS[i], 0};
+        const StopList list = {&id, 1, ""};
+        tell(&b, CHANGE_STOP, &StopListShape, &list);
+        tell(&b, CHANGE_ASSURE, &StopListShape, &list);
+    }
+    assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+    assert_int_equal(job->tasks[0].round, 0);
+    talloc_free(b.table);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(wordsCount),  cmocka_unit_test(limits),    cmocka_unit_test(lateFailures),
+        cmocka_unit_test(olderDone),   cmocka_unit_test(ordersGrow), cmocka_unit_test(stoppedIsNoLoss),
+        cmocka_unit_test(cancelled),   cmocka_unit_test(lasting),   cmocka_unit_test(progress),
+        cmocka_unit_test(strangeNumbers),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
