--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -91,6 +91,21 @@
 #define LIST_PAGE_MAX 1000     /* count */
 #define ROOM_MAX 100000000ULL  /* milli-CPU or MB; larger numbers are mistakes */
 
+/* --- aims and estimates ------------------------------------------------------------ */
+#define GUESS_KEPT 32          /* count; ratios that a median is taken of: what is older says little */
+#define GUESS_LEAST 5          /* count; ends before a step's estimate is corrected */
+#define GUESS_WORKER_KEPT 9    /* count; as GUESS_KEPT; fewer, since a worker's speed changes within seconds */
+#define GUESS_WORKER_LEAST 3   /* count; ends before a worker's speed counts */
+#define AIM_LATE_TIMES 3       /* count; until so many times its aim a job is still worth something */
+#define AIM_DOUBT_PERCENT 25   /* percent of the work left; an aim missed by less may still be met: estimates are off by up to half */
+#define AIM_LOOK_MS 2000       /* ms; an aim that is so much farther off weighs 2.7 times less: about one task's time */
+#define AIM_PRIORITY_RANK 1.4  /* 1; a queue's step of priority weighs 4 times more */
+#define AIM_BEGUN_RANK 1.0     /* 1; a job that is nearly done weighs so much more than one not begun: its room is well spent */
+#define AIM_LATE_RANK (-1.5)   /* 1; what is late is worth a fifth */
+#define AIM_LOST_RANK (-1000.0) /* 1; what is worth nothing goes last */
+#define AIM_BAND 4.0           /* in 1; ranks closer than a part of this size count as equal: tenants take turns */
+#define AIM_WAVE_PART 4        /* a step wider than this part of the fleet counts in waves */
+
 /* --- scores of workers that claim health ---------------------------------------- */
 #define SCORE_WEIGHT 25        /* percent; what the newest round counts in a worker's rate of failures */
 #define SCORE_REST 60          /* percent; above this rate, with SCORE_JOBS, a worker is given nothing for a while */
@@ -111,6 +126,11 @@
 #define PLAN_EXHAUSTIVE_MAX 400 /* count; loss sequences walked one by one; above it the cheap bound */
 #define PLAN_R_MAX 4           /* count; worker losses a plan may be asked to survive */
 
+#define PLAN_LOOK_MS 1000      /* ms; where no loss is to be survived, the plan is looked at this often, to be shown */
+#define CHOOSE_TIME 2          /* 1; a worker that takes as much longer must have so many times more room free to be chosen */
+#define CHOOSE_GPU 500         /* thousandths of a worker; what a GPU in reach costs work that needs none */
+#define FAR_WAIT_MS 1500       /* ms; work waits at most so long for room near its data: half of what may stand still */
+
 /* --- room kept for big work ------------------------------------------------------ */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
--- /dev/null
+++ b/packages/core/src/choose.c
@@ -0,0 +1,156 @@
+/* Which worker suits a task: what must hold, and what is better.
+ *
+ * What must hold: room, kind, labels, apart. What is better: room left over, near
+ * the data, all of a step on one rack, a fast worker, one that does not fail its
+ * work, and, with all else equal, away from others of its job. */
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+#define SHARE_ONE 1000 /* thousandths */
+
+static size_t placeIn(const Pass *pass, const char *worker)
+{
+    return worker[0] != '\0' ? (size_t)(uintptr_t)mapGet(pass->index, worker) : 0;
+}
+
+/* One more, or one less, of the step is on the worker. */
+void sightAdd(Pass *pass, size_t at, int by)
+{
+    const PlanInput *input = &pass->input;
+    const PlanWorker *its = &input->workers[at];
+    pass->sight.onWorker[at] += by;
+    for (size_t i = 0; i < input->workerCount; i++) {
+        const PlanWorker *mine = &input->workers[i];
+        pass->sight.near[i] += by * (strcmp(mine->zone, its->zone) == 0);
+        if (mine->rack[0] != '\0' && strcmp(mine->rack, its->rack) == 0) {
+            pass->sight.near[i] += by;
+            pass->sight.onRack[i] += by;
+        }
+    }
+}
+
+/* Where the others of the step are, and of the job: kept for one step at a time,
+ * since tasks of a step come one after another. What is being stopped counts. */
+void sightFind(Pass *pass, const Job *job, size_t task)
+{
+    StepSight *sight = &pass->sight;
+    size_t first, end;
+    queueStep(job, task, &first, &end);
+    if (sight->job == job && sight->first == first)
+        return;
+    const size_t count = pass->input.workerCount;
+    if (sight->near == NULL) {
+        sight->near = talloc_array(pass->mem, int, (unsigned)count);
+        sight->onWorker = talloc_array(pass->mem, int, (unsigned)count);
+        sight->onRack = talloc_array(pass->mem, int, (unsigned)count);
+    }
+    memset(sight->near, 0, count * sizeof(int));
+    memset(sight->onWorker, 0, count * sizeof(int));
+    memset(sight->onRack, 0, count * sizeof(int));
+    sight->job = job;
+    sight->first = first;
+    for (size_t t = first; t < end; t++) {
+        const size_t at = taskOnWorker(job->tasks[t].phase) ? placeIn(pass, job->tasks[t].worker) : 0;
+        if (at > 0)
+            sightAdd(pass, at - 1, 1);
+    }
+    /* and what this pass has decided: most of a step is placed in one */
+    for (size_t i = 0; i < pass->placedCount; i++)
+        if (pass->placed[i].job == job && pass->placed[i].task >= first && pass->placed[i].task < end)
+            sightAdd(pass, pass->placed[i].worker, 1);
+}
+
+static bool allowed(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *not, size_t at)
+{
+    return !not[at] && (step->apart == 0 || (uint64_t)pass->sight.onWorker[at] < step->apart) &&
+           planFits(&pass->input.workers[at], need);
+}
+
+/* Whether the step has others at work, none of them on the worker's rack. */
+static bool leavesRack(const Pass *pass, const StepSpec *step, size_t at)
+{
+    if (!step->sameRack || pass->sight.onRack[at] > 0)
+        return false;
+    for (size_t i = 0; i < pass->input.workerCount; i++)
+        if (pass->sight.onWorker[i] > 0)
+            return true;
+    return false;
+}
+
+uint64_t chooseFarPercent(const Pass *pass, const StepSpec *step, size_t at)
+{
+    const uint64_t far = (uint64_t)pass->core->props->bounds.farPercent;
+    uint64_t percent = 100;
+    if (step->near[0] != '\0' && strcmp(step->near, pass->input.workers[at].rack) != 0)
+        percent = percent * far / 100;
+    if (leavesRack(pass, step, at))
+        percent = percent * far / 100;
+    return percent;
+}
+
+/* In thousandths of a worker's room: more is better. */
+static int64_t valueOf(const Pass *pass, const StepSpec *step, const PlanNeed *need, size_t at)
+{
+    const PlanWorker *worker = &pass->input.workers[at];
+    const int64_t left = (int64_t)planLeft(worker, pass->largest);
+    const int64_t timeShare = (int64_t)(pass->speeds[at] * chooseFarPercent(pass, step, at) / 100) - SHARE_ONE;
+    int64_t value = left - (int64_t)worker->penalty - timeShare * CHOOSE_TIME;
+    if (need->room.gpu == 0 && worker->room.gpu > 0)
+        value -= CHOOSE_GPU;
+    return value;
+}
+
+static int chooseAmong(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *not, const char *rack)
+{
+    int best = -1;
+    int64_t bestValue = 0;
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        if ((rack != NULL && strcmp(pass->input.workers[i].rack, rack) != 0) || !allowed(pass, step, need, not, i))
+            continue;
+        const int64_t value = valueOf(pass, step, need, i);
+        const bool farther = best >= 0 && value == bestValue && pass->sight.near[i] < pass->sight.near[best];
+        if (best < 0 || value > bestValue || farther) {
+            best = (int)i;
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool *not, const char *rack)
+{
+    const StepSpec *step = &job->spec.steps[job->tasks[task].step];
+    const size_t shunned = placeIn(pass, job->tasks[task].shunned);
+    sightFind(pass, job, task);
+    int at = -1;
+    if (shunned > 0 && !not[shunned - 1]) {
+        not[shunned - 1] = true;
+        at = chooseAmong(pass, step, need, not, rack);
+        not[shunned - 1] = false;
+    }
+    return at >= 0 ? at : chooseAmong(pass, step, need, not, rack);
+}
+
+bool chooseWaits(const Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent)
+{
+    if (percent <= 100 || candidate->restart)
+        return false;
+    /* half of what the way would cost, never more than a part of what time there is */
+    int64_t waitMs = candidate->guessMs * (int64_t)(percent - 100) / 200;
+    if (candidate->slackMs < INT64_MAX && candidate->slackMs / 2 < waitMs)
+        waitMs = candidate->slackMs / 2;
+    if (waitMs > FAR_WAIT_MS)
+        waitMs = FAR_WAIT_MS;
+    if (pass->clock.logMs - candidate->sinceMs >= waitMs)
+        return false;
+    if (step->near[0] == '\0')
+        return true;
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        const PlanWorker *worker = &pass->input.workers[i];
+        if (strcmp(worker->rack, step->near) == 0 && planAble(worker, need) && roomFits(need->room, worker->room))
+            return true;
+    }
+    return false;
+}
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -159,6 +159,7 @@
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
     core->scores = mapNew(core);
+    core->guesses = guessesNew(core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -50,6 +50,7 @@
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
+    Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
@@ -66,6 +67,7 @@
     Signal wake; /* beats with news for the planner */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
+    int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
     Loss brokenByLoss;
     char brokenBy[ID_MAX + 1];
     CoreCounts counts;
--- a/packages/core/src/kept.c
+++ b/packages/core/src/kept.c
@@ -96,14 +96,15 @@
     return count;
 }
 
-void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step, int64_t logMs)
+void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step)
 {
     Core *core = pass->core;
+    const int64_t logMs = pass->clock.logMs;
     const PlanInput *input = &pass->input;
     const char *cell = candidate->job->spec.cell;
     if (logMs - candidate->sinceMs < KEEP_WAIT_MS || mapGet(core->kept, cell) != NULL)
         return;
-    const PlanNeed need = passNeed(step);
+    const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
     const size_t taken = keptWorkers(core, pass->mem);
     const size_t most = input->workerCount / KEEP_SHARE > 0 ? input->workerCount / KEEP_SHARE : 1;
     bool *used = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -6,6 +6,23 @@
 #define PUSH_SPEAKERS_MAX 8 /* count; queues of a cell that are asked what they may push */
 #define PUSH_LOOKS_MAX 400  /* count; asks of may_push in one pass, each some 0.01 ms */
 
+/* Where the others of one step are. Invariant: kept for one step at a time; what
+ * this pass has decided counts, and what is being stopped. */
+typedef struct StepSight {
+    const Job *job;
+    size_t first;  /* index of the step's first task */
+    int *onWorker; /* tasks of the step, for each worker */
+    int *onRack;   /* ... on the worker's rack */
+    int *near;     /* ... in its zone, and again in its rack */
+} StepSight;
+
+/* One start that this pass has decided. */
+typedef struct Placed {
+    const Job *job;
+    size_t task;
+    size_t worker;
+} Placed;
+
 /* What one pass knows. */
 typedef struct Pass {
     Core *core;
@@ -23,26 +40,48 @@
     QueueUse *use;
     QueueClock clock;
     StopList pushes;   /* rounds to be pushed aside */
-    const Job *nearJob; /* whose tasks near counts, for each worker */
-    int *near;
+    bool asks;         /* the configuration names losses to be survived */
+    Room largest;      /* the largest worker, part by part */
+    uint64_t *speeds;  /* of each worker: time there in thousandths of that on a sound one */
+    StepSight sight;
+    Placed *placed;    /* as many as places */
+    size_t placedCount;
     Map *cells;        /* names of cells with a policy to their place + 1 in input.pushable */
     size_t pushLooks;
 } Pass;
 
-PlanNeed passNeed(const StepSpec *step);
+PlanNeed passNeed(const Job *job, uint64_t step);
+/* What the tenant has in use. */
+Room *passTenant(Pass *pass, const JobSpec *spec);
+/* One more protected task that plans must include. */
+void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker);
+bool passHolds(Pass *pass);
+/* Places all members of the candidate or none. */
+bool placeOne(Pass *pass, const Candidate *candidate);
+
+void sightFind(Pass *pass, const Job *job, size_t task);
+void sightAdd(Pass *pass, size_t at, int by);
+/* The best worker for the task, not one of those in not, on the rack when it is
+ * not null; -1: none has room. Not where its last round failed, unless there is
+ * no other. */
+int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool *not, const char *rack);
+/* What the place makes of the step's time; 100: it is near its data and the others. */
+uint64_t chooseFarPercent(const Pass *pass, const StepSpec *step, size_t at);
+/* Whether to wait a moment for room that is near, rather than take the longer way. */
+bool chooseWaits(const Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent);
 /* Room that protected work may push aside, into pass->input. */
 void pushableCount(Pass *pass);
 /* The place of the task's cell in it; PLAN_NO_CELL: none. */
 size_t pushableCell(const Pass *pass, const JobSpec *spec);
 /* Who wants room looks for running work that its cell's policy lets it push
  * aside, all on one worker. */
-void pushFor(Pass *pass, const Candidate *candidate, const StepSpec *step);
+void pushFor(Pass *pass, const Candidate *candidate);
 
 /* Which workers are kept for big work that small work overtakes. */
 void keptBegin(Pass *pass, const Candidate *candidates, size_t count);
 /* Marks in not what is kept for others than this candidate; true when any is. */
 bool keptFrom(const Pass *pass, const Candidate *candidate, bool *not);
 /* The candidate found no room: it may be time to keep some for it. */
-void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step, int64_t logMs);
+void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step);
 
 #endif
--- /dev/null
+++ b/packages/core/src/place.c
@@ -0,0 +1,207 @@
+/* Places one candidate: a task, or all members of a gang or none. */
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+PlanNeed passNeed(const Job *job, uint64_t step)
+{
+    const StepSpec *spec = &job->spec.steps[step];
+    return (PlanNeed){spec->room, queueKind(job, step), spec->labels, spec->labelsCount};
+}
+
+Room *passTenant(Pass *pass, const JobSpec *spec)
+{
+    char key[2 * ID_MAX + 2];
+    snprintf(key, sizeof(key), "%s/%s", spec->cell, spec->tenant);
+    Room *room = mapGet(pass->tenants, key);
+    if (room == NULL) {
+        room = talloc_zero(pass->mem, Room);
+        mapSet(pass->tenants, key, room);
+    }
+    return room;
+}
+
+void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker)
+{
+    PlanInput *input = &pass->input;
+    if (input->taskCount == pass->taskRoom) {
+        pass->taskRoom = pass->taskRoom ? pass->taskRoom * 2 : 64;
+        input->tasks = talloc_realloc(pass->mem, input->tasks, PlanTask, (unsigned)pass->taskRoom);
+    }
+    input->tasks[input->taskCount++] = (PlanTask){*need, worker, pushableCell(pass, spec)};
+}
+
+bool passHolds(Pass *pass)
+{
+    pass->checks++;
+    pass->core->counts.planChecks++;
+    const bool holds = planAlwaysPossible(&pass->input, NULL);
+    if (!holds)
+        pass->core->counts.planRefusals++;
+    return holds;
+}
+
+static bool underQuota(Pass *pass, const Candidate *candidate, const StepSpec *step)
+{
+    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
+    const ConfigTenant *tenant = cell != NULL ? configTenant(cell, candidate->job->spec.tenant) : NULL;
+    if (tenant == NULL)
+        return true; /* accepted before the tenant was taken out of the configuration: it runs */
+    Room want = *passTenant(pass, &candidate->job->spec);
+    for (size_t i = 0; i < candidate->count; i++)
+        want = roomMore(want, step->room);
+    return (tenant->quota.cpuMilli == 0 || want.cpuMilli <= tenant->quota.cpuMilli) &&
+           (tenant->quota.memMb == 0 || want.memMb <= tenant->quota.memMb) &&
+           (tenant->quota.gpu == 0 || want.gpu <= tenant->quota.gpu);
+}
+
+/* The members of a gang go on from the same place, under the same number. */
+static void placeAdd(Pass *pass, const Candidate *candidate, size_t member, size_t worker, uint64_t round,
+                     const char *saved, bool assured)
+{
+    if (pass->places.placementsCount == pass->placeRoom) {
+        pass->placeRoom = pass->placeRoom ? pass->placeRoom * 2 : 32;
+        pass->places.placements =
+            talloc_realloc(pass->mem, pass->places.placements, Placement, (unsigned)pass->placeRoom);
+        pass->placed = talloc_realloc(pass->mem, pass->placed, Placed, (unsigned)pass->placeRoom);
+    }
+    const LiveRow *row = livesetFind(pass->core->liveset, pass->input.workers[worker].name);
+    const size_t task = candidateTask(candidate, member);
+    pass->placed[pass->placedCount++] = (Placed){candidate->job, task, worker};
+    pass->places.placements[pass->places.placementsCount++] = (Placement){
+        .job = candidate->job->spec.id,
+        .task = taskNumber(&candidate->job->tasks[task]),
+        .round = round,
+        .worker = pass->input.workers[worker].name,
+        .incarnation = row != NULL ? row->incarnation : 0,
+        .assured = assured,
+        .saved = saved,
+    };
+}
+
+static void takeBack(Pass *pass, const StepSpec *step, const int *where, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        PlanWorker *worker = &pass->input.workers[where[i]];
+        worker->free = roomMore(worker->free, step->room);
+        sightAdd(pass, (size_t)where[i], -1);
+    }
+}
+
+/* Chooses for every member, on one rack when it is named. What is chosen is taken
+ * out of free; nothing is unless all found room. */
+static bool chooseAll(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *not, const char *rack, int *where,
+                      uint64_t *percent)
+{
+    const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
+    *percent = 100;
+    for (size_t i = 0; i < candidate->count; i++) {
+        const int at = chooseFor(pass, candidate->job, candidateTask(candidate, i), need, not, rack);
+        if (at < 0) {
+            takeBack(pass, step, where, i);
+            return false;
+        }
+        const uint64_t its = chooseFarPercent(pass, step, (size_t)at);
+        if (its > *percent)
+            *percent = its;
+        pass->input.workers[at].free = roomLess(pass->input.workers[at].free, step->room);
+        sightAdd(pass, (size_t)at, 1);
+        where[i] = at;
+    }
+    return true;
+}
+
+/* A gang that is faster on one rack tries each, the one of its data first; then all
+ * together. */
+static bool chooseRacks(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *not, int *where,
+                        uint64_t *percent)
+{
+    const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
+    if (candidate->count > 1 && step->sameRack) {
+        if (step->near[0] != '\0' && chooseAll(pass, candidate, need, not, step->near, where, percent))
+            return true;
+        for (size_t i = 0; i < pass->input.workerCount; i++) {
+            const char *rack = pass->input.workers[i].rack;
+            bool seen = rack[0] == '\0' || strcmp(rack, step->near) == 0;
+            for (size_t k = 0; k < i && !seen; k++)
+                seen = strcmp(pass->input.workers[k].rack, rack) == 0;
+            if (!seen && chooseAll(pass, candidate, need, not, rack, where, percent))
+                return true;
+        }
+    }
+    return chooseAll(pass, candidate, need, not, NULL, where, percent);
+}
+
+/* Whether the plan would still hold with the candidate there. */
+static bool assures(Pass *pass, const Candidate *candidate, const PlanNeed *need, const int *where)
+{
+    if (!pass->asks) /* no loss is to be survived: what the last look said is shown */
+        return pass->core->planHolds;
+    if (pass->checks >= pass->checksMax)
+        return false;
+    const size_t before = pass->input.taskCount;
+    for (size_t i = 0; i < candidate->count; i++)
+        passCount(pass, &candidate->job->spec, need, (size_t)where[i]);
+    const bool holds = passHolds(pass);
+    if (!holds)
+        pass->input.taskCount = before;
+    return holds;
+}
+
+static void placeAll(Pass *pass, const Candidate *candidate, const StepSpec *step, const int *where, bool assured)
+{
+    Room *used = passTenant(pass, &candidate->job->spec);
+    uint64_t round = 0;
+    const char *saved = "";
+    for (size_t i = 0; i < candidate->count; i++) {
+        const JobTask *task = &candidate->job->tasks[candidateTask(candidate, i)];
+        if (task->round >= round)
+            round = task->round + 1;
+        if (saved[0] == '\0')
+            saved = task->saved;
+    }
+    for (size_t i = 0; i < candidate->count; i++) {
+        placeAdd(pass, candidate, i, (size_t)where[i], round, saved, assured);
+        *used = roomMore(*used, step->room);
+    }
+    if (candidate->job->spec.protection == PROTECTION_PROTECTED && !assured)
+        pass->core->counts.unassured += candidate->count;
+}
+
+bool placeOne(Pass *pass, const Candidate *candidate)
+{
+    const JobSpec *spec = &candidate->job->spec;
+    const uint64_t stepAt = candidate->job->tasks[candidate->first].step;
+    const StepSpec *step = &spec->steps[stepAt];
+    if (pass->stuck == step || !underQuota(pass, candidate, step))
+        return false;
+    const PlanNeed need = passNeed(candidate->job, stepAt);
+    void *mem = talloc_new(pass->mem);
+    int *where = talloc_array(mem, int, (unsigned)candidate->count);
+    bool *not = talloc_zero_array(mem, bool, (unsigned)pass->input.workerCount);
+    keptFrom(pass, candidate, not);
+    uint64_t percent = 100;
+    const bool found = chooseRacks(pass, candidate, &need, not, where, &percent);
+    bool fits = found, assured = false;
+    if (!found) {
+        pass->stuck = step;
+        pushFor(pass, candidate);
+        keptWant(pass, candidate, step);
+    } else if (chooseWaits(pass, candidate, step, &need, percent)) {
+        pass->stuck = step;
+        fits = false;
+    } else if (spec->protection == PROTECTION_PROTECTED) {
+        assured = assures(pass, candidate, &need, where);
+        /* accepted work is not kept waiting for a plan without end */
+        if (!assured && pass->asks)
+            fits = candidate->restart || pass->clock.logMs - candidate->sinceMs >= ASSURE_WAIT_MS;
+    }
+    if (fits)
+        placeAll(pass, candidate, step, where, assured);
+    else if (found)
+        takeBack(pass, step, where, candidate->count);
+    talloc_free(mem);
+    return fits;
+}
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -56,8 +56,10 @@
     const size_t count = tableActive(core->table, &jobs);
     RoundList list = {0};
     for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount && jobs[j]->spec.copies; t++) {
+        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
             const JobTask *task = &jobs[j]->tasks[t];
+            if (!jobs[j]->spec.copies && !jobs[j]->spec.steps[task->step].copies)
+                continue;
             const LiveRow *row =
                 task->phase == TASK_PLACED || task->phase == TASK_RUNNING ? livesetFind(core->liveset, task->worker) : NULL;
             if (row == NULL)
@@ -74,33 +76,6 @@
         coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
 }
 
-PlanNeed passNeed(const StepSpec *step)
-{
-    return (PlanNeed){step->room, step->kind, step->labels, step->labelsCount};
-}
-
-static Room *tenantRoom(Pass *pass, const JobSpec *spec)
-{
-    char key[2 * ID_MAX + 2];
-    snprintf(key, sizeof(key), "%s/%s", spec->cell, spec->tenant);
-    Room *room = mapGet(pass->tenants, key);
-    if (room == NULL) {
-        room = talloc_zero(pass->mem, Room);
-        mapSet(pass->tenants, key, room);
-    }
-    return room;
-}
-
-static void taskCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker)
-{
-    PlanInput *input = &pass->input;
-    if (input->taskCount == pass->taskRoom) {
-        pass->taskRoom = pass->taskRoom ? pass->taskRoom * 2 : 64;
-        input->tasks = talloc_realloc(pass->mem, input->tasks, PlanTask, (unsigned)pass->taskRoom);
-    }
-    input->tasks[input->taskCount++] = (PlanTask){*need, worker, pushableCell(pass, spec)};
-}
-
 /* Workers that may be given work have their free room; the others have none,
  * but what runs on them still counts as to be restarted. */
 static void passBegin(Pass *pass)
@@ -116,6 +91,9 @@
                               .r = pass->config->r,
                               .zoneLoss = pass->config->zoneLoss,
                               .rackLoss = pass->config->rackLoss};
+    pass->asks = pass->config->r > 0 || pass->config->zoneLoss || pass->config->rackLoss;
+    pass->clock = coreClock(core);
+    pass->speeds = talloc_array(pass->mem, uint64_t, (unsigned)count);
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         const LiveRow *row = livesetFind(core->liveset, worker->name);
@@ -132,9 +110,11 @@
                                               .room = room,
                                               .free = room,
                                               .penalty = scoreRate(core, worker->name) * 10};
+        pass->speeds[i] = guessSpeed(core->guesses, worker->name);
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
     }
     pass->input.workerCount = count;
+    pass->largest = planLargest(pass->input.workers, count);
     pushableCount(pass);
     Job *const *jobs;
     const size_t jobCount = tableActive(core->table, &jobs);
@@ -144,16 +124,16 @@
             if (!taskOnWorker(task->phase))
                 continue;
             const StepSpec *step = &jobs[j]->spec.steps[task->step];
-            Room *used = tenantRoom(pass, &jobs[j]->spec);
+            Room *used = passTenant(pass, &jobs[j]->spec);
             *used = roomMore(*used, step->room);
             const size_t at = (size_t)(uintptr_t)mapGet(pass->index, task->worker);
             if (at == 0)
                 continue;
             PlanWorker *worker = &pass->input.workers[at - 1];
             worker->free = roomLess(worker->free, step->room);
-            const PlanNeed need = passNeed(step);
+            const PlanNeed need = passNeed(jobs[j], task->step);
             if (task->assured && task->phase != TASK_STOPPING)
-                taskCount(pass, &jobs[j]->spec, &need, at - 1);
+                passCount(pass, &jobs[j]->spec, &need, at - 1);
         }
 }
 
@@ -166,164 +146,6 @@
     return pass->input;
 }
 
-static bool planHolds(Pass *pass)
-{
-    pass->checks++;
-    pass->core->counts.planChecks++;
-    const bool holds = planAlwaysPossible(&pass->input, NULL);
-    if (!holds)
-        pass->core->counts.planRefusals++;
-    return holds;
-}
-
-static bool underQuota(Pass *pass, const Candidate *candidate, const StepSpec *step)
-{
-    const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
-    const ConfigTenant *tenant = cell != NULL ? configTenant(cell, candidate->job->spec.tenant) : NULL;
-    if (tenant == NULL)
-        return true; /* accepted before the tenant was taken out of the configuration: it runs */
-    Room want = *tenantRoom(pass, &candidate->job->spec);
-    for (size_t i = 0; i < candidate->count; i++)
-        want = roomMore(want, step->room);
-    return (tenant->quota.cpuMilli == 0 || want.cpuMilli <= tenant->quota.cpuMilli) &&
-           (tenant->quota.memMb == 0 || want.memMb <= tenant->quota.memMb);
-}
-
-static void placeAdd(Pass *pass, const Candidate *candidate, size_t member, size_t worker, bool assured)
-{
-    Core *core = pass->core;
-    if (pass->places.placementsCount == pass->placeRoom) {
-        pass->placeRoom = pass->placeRoom ? pass->placeRoom * 2 : 32;
-        pass->places.placements =
-            talloc_realloc(pass->mem, pass->places.placements, Placement, (unsigned)pass->placeRoom);
-    }
-    const LiveRow *row = livesetFind(core->liveset, pass->input.workers[worker].name);
-    const JobTask *task = &candidate->job->tasks[candidateTask(candidate, member)];
-    uint64_t round = task->round;
-    for (size_t i = 0; i < candidate->count; i++) { /* members of a gang share one number */
-        const uint64_t other = candidate->job->tasks[candidateTask(candidate, i)].round;
-        round = round > other ? round : other;
-    }
-    pass->places.placements[pass->places.placementsCount++] = (Placement){
-        .job = candidate->job->spec.id,
-        .task = taskNumber(task),
-        .round = round + 1,
-        .worker = pass->input.workers[worker].name,
-        .incarnation = row != NULL ? row->incarnation : 0,
-        .assured = assured,
-    };
-}
-
-/* One more, or one less, of the job that near counts is on the worker. */
-static void nearAdd(Pass *pass, size_t at, int by)
-{
-    const PlanInput *input = &pass->input;
-    const PlanWorker *its = &input->workers[at];
-    for (size_t i = 0; i < input->workerCount; i++) {
-        const PlanWorker *mine = &input->workers[i];
-        pass->near[i] += by * (strcmp(mine->zone, its->zone) == 0);
-        pass->near[i] += by * (mine->rack[0] != '\0' && strcmp(mine->rack, its->rack) == 0);
-    }
-}
-
-/* How much of the same job is near each worker: in its zone, and again in its
- * rack. Kept for one job at a time: tasks of a job come one after another. */
-static void nearFind(Pass *pass, const Job *job)
-{
-    if (pass->nearJob == job)
-        return;
-    pass->nearJob = job;
-    talloc_free(pass->near);
-    pass->near = talloc_zero_array(pass->mem, int, (unsigned)pass->input.workerCount);
-    for (size_t t = 0; t < job->tasksCount; t++) {
-        const size_t at = taskOnWorker(job->tasks[t].phase) ? (size_t)(uintptr_t)mapGet(pass->index, job->tasks[t].worker) : 0;
-        if (at > 0)
-            nearAdd(pass, at - 1, 1);
-    }
-    /* and what this pass has decided: most of a step is placed in one */
-    for (size_t i = 0; i < pass->places.placementsCount; i++)
-        if (strcmp(pass->places.placements[i].job, job->spec.id) == 0)
-            nearAdd(pass, (size_t)(uintptr_t)mapGet(pass->index, pass->places.placements[i].worker) - 1, 1);
-}
-
-/* Not where its last round failed, unless there is no other; not where room is
- * kept for somebody else; with equal room, away from others of its job. */
-static int chooseFor(Pass *pass, const Candidate *candidate, const JobTask *task, const PlanNeed *need)
-{
-    PlanInput *input = &pass->input;
-    const size_t shunned = task->shunned[0] != '\0' ? (size_t)(uintptr_t)mapGet(pass->index, task->shunned) : 0;
-    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)input->workerCount);
-    nearFind(pass, candidate->job);
-    const int *near = pass->near;
-    keptFrom(pass, candidate, not);
-    int at = -1;
-    if (shunned > 0 && !not[shunned - 1]) {
-        not[shunned - 1] = true;
-        at = planChooseFar(input->workers, input->workerCount, need, not, near);
-        not[shunned - 1] = false;
-    }
-    if (at < 0)
-        at = planChooseFar(input->workers, input->workerCount, need, not, near);
-    talloc_free(not);
-    return at;
-}
-
-/* Places all members of the candidate or none. */
-static bool placeOne(Pass *pass, const Candidate *candidate, int64_t logMs)
-{
-    Core *core = pass->core;
-    const JobSpec *spec = &candidate->job->spec;
-    const StepSpec *step = &spec->steps[candidate->job->tasks[candidate->first].step];
-    if (pass->stuck == step || !underQuota(pass, candidate, step))
-        return false;
-    const PlanNeed need = passNeed(step);
-    PlanInput *input = &pass->input;
-    int *where = talloc_array(pass->mem, int, (unsigned)candidate->count);
-    size_t placed = 0;
-    while (placed < candidate->count) {
-        const int at = chooseFor(pass, candidate, &candidate->job->tasks[candidateTask(candidate, placed)], &need);
-        if (at < 0)
-            break;
-        input->workers[at].free = roomLess(input->workers[at].free, step->room);
-        nearAdd(pass, (size_t)at, 1);
-        where[placed++] = at;
-    }
-    bool fits = placed == candidate->count, assured = false;
-    if (!fits) {
-        pass->stuck = step;
-        pushFor(pass, candidate, step);
-        keptWant(pass, candidate, step, logMs);
-    }
-    const size_t tasksBefore = input->taskCount;
-    if (fits && spec->protection == PROTECTION_PROTECTED) {
-        if (pass->checks < pass->checksMax) {
-            for (size_t i = 0; i < placed; i++)
-                taskCount(pass, spec, &need, (size_t)where[i]);
-            assured = planHolds(pass);
-        }
-        if (!assured) {
-            input->taskCount = tasksBefore;
-            /* accepted work is not kept waiting for a plan without end */
-            fits = candidate->restart || logMs - candidate->sinceMs >= ASSURE_WAIT_MS;
-        }
-    }
-    for (size_t i = 0; i < placed && !fits; i++) {
-        input->workers[where[i]].free = roomMore(input->workers[where[i]].free, step->room);
-        nearAdd(pass, (size_t)where[i], -1);
-    }
-    if (fits) {
-        Room *used = tenantRoom(pass, spec);
-        for (size_t i = 0; i < placed; i++) {
-            placeAdd(pass, candidate, i, (size_t)where[i], assured);
-            *used = roomMore(*used, step->room);
-        }
-        if (spec->protection == PROTECTION_PROTECTED && !assured)
-            core->counts.unassured += placed;
-    }
-    talloc_free(where);
-    return fits;
-}
-
 /* Restarts go biggest first, as the plan that promised them did. */
 static int restartOrder(const void *a, const void *b)
 {
@@ -355,9 +177,9 @@
             const size_t at = (size_t)(uintptr_t)mapGet(pass->index, task->worker);
             if (task->assured || at == 0 || (task->phase != TASK_PLACED && task->phase != TASK_RUNNING))
                 continue;
-            const PlanNeed need = passNeed(&job->spec.steps[task->step]);
-            taskCount(pass, &job->spec, &need, at - 1);
-            if (!planHolds(pass)) {
+            const PlanNeed need = passNeed(job, task->step);
+            passCount(pass, &job->spec, &need, at - 1);
+            if (!passHolds(pass)) {
                 pass->input.taskCount--;
                 continue;
             }
@@ -390,7 +212,7 @@
                 continue;
             if (task->phase == TASK_STOPPING)
                 return; /* the last one is on its way */
-            const PlanNeed need = passNeed(step);
+            const PlanNeed need = passNeed(job, task->step);
             const int at = task->phase == TASK_RUNNING && !step->gang && job->ending == JOB_ACTIVE
                                ? planChoose(pass->input.workers, pass->input.workerCount, &need, NULL)
                                : -1;
@@ -400,8 +222,8 @@
                 PlanWorker *to = &pass->input.workers[at];
                 const Room before = to->free;
                 to->free = roomLess(to->free, step->room);
-                taskCount(pass, &job->spec, &need, (size_t)at);
-                const bool holds = planHolds(pass);
+                passCount(pass, &job->spec, &need, (size_t)at);
+                const bool holds = passHolds(pass);
                 pass->input.taskCount--;
                 to->free = before;
                 if (!holds)
@@ -433,16 +255,18 @@
         pass->checksMax = PLAN_CHECKS_MAX;
     if (pass->checksMax < PLAN_CHECKS_LEAST)
         pass->checksMax = PLAN_CHECKS_LEAST;
-    core->planHolds = planAlwaysPossible(&pass->input, &broken);
-    core->brokenByLoss = broken.loss;
-    snprintf(core->brokenBy, sizeof(core->brokenBy), "%s", broken.name);
+    const int64_t nowMs = loopNowMs(core->loop);
+    if (pass->asks || nowMs >= core->planLookMs) {
+        core->planLookMs = nowMs + PLAN_LOOK_MS;
+        core->planHolds = planAlwaysPossible(&pass->input, &broken);
+        core->brokenByLoss = broken.loss;
+        snprintf(core->brokenBy, sizeof(core->brokenBy), "%s", broken.name);
+    }
     Candidate *candidates;
-    const QueueClock clock = coreClock(core);
     for (size_t i = 0; i < pass->input.workerCount; i++)
         pass->fleet = roomMore(pass->fleet, pass->input.workers[i].room);
     pass->use = queueUse(mem, core->table, pass->config, pass->fleet);
-    pass->clock = clock;
-    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, clock, corePolicy, core, &candidates);
+    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, pass->clock, core->guesses, corePolicy, core, &candidates);
     const char *words;
     const uint64_t failures = corePolicyFailures(core, &words);
     if (failures > 0 && core->policyFailuresTold == 0)
@@ -455,7 +279,7 @@
         qsort(candidates, restarts, sizeof(*candidates), restartOrder);
     keptBegin(pass, candidates, count);
     for (size_t i = 0; i < count && pass->places.placementsCount < PLACE_BATCH; i++)
-        placeOne(pass, &candidates[i], clock.logMs);
+        placeOne(pass, &candidates[i]);
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
     if (pass->places.placementsCount > 0) {
         Verdict verdict;
@@ -467,7 +291,7 @@
             core->counts.pushed += verdict.number;
     } else {
         moveOne(pass);
-        if (pass->checks == 0 && coreDecides(core))
+        if (pass->asks && pass->checks == 0 && coreDecides(core))
             assureMore(pass);
     }
     talloc_free(mem);
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -106,7 +106,7 @@
  * aside, all on one worker. The room is used only once the old rounds are known
  * to be over. Room that is being given up already counts: nothing more is pushed
  * while that would do. */
-void pushFor(Pass *pass, const Candidate *candidate, const StepSpec *step)
+void pushFor(Pass *pass, const Candidate *candidate)
 {
     Core *core = pass->core;
     const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
@@ -114,7 +114,7 @@
     if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
         pass->pushLooks >= PUSH_LOOKS_MAX)
         return;
-    const PlanNeed need = passNeed(step);
+    const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
     const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
     Job *const *jobs;
     const size_t count = tableActive(core->table, &jobs);
--- a/packages/core/src/ranks.c
+++ b/packages/core/src/ranks.c
@@ -38,7 +38,7 @@
     Trying trying = {core, cell, policy};
     Candidate *candidates;
     const QueueUse *use = queueUse(way->mem, core->table, config, fleet);
-    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), policyTried, &trying, &candidates);
+    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), core->guesses, policyTried, &trying, &candidates);
     json_object *body = json_object_new_object(), *list = json_object_new_array();
     int64_t ready = 0;
     for (size_t i = 0; i < count; i++) {
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -124,6 +124,22 @@
     return enough;
 }
 
+/* What the round's place made of its time, near its data or not. */
+static uint64_t placePercent(const Core *core, const Worker *worker, const StepSpec *step)
+{
+    const bool far = step->near[0] != '\0' && strcmp(step->near, worker->rack) != 0;
+    return far ? (uint64_t)core->props->bounds.farPercent : 100;
+}
+
+static void guessTake(Core *core, const RoundNews *news, const Job *job, const JobTask *task)
+{
+    const Worker *worker = tableWorker(core->table, news->worker);
+    const StepSpec *step = &job->spec.steps[task->step];
+    /* a gang, and what is spread over racks, waits for others as well */
+    if (worker != NULL && tookMs(task) > 0 && !step->gang && !step->sameRack && !job->spec.lasting)
+        guessesEnd(core->guesses, job, task->step, news->worker, tookMs(task), placePercent(core, worker, step));
+}
+
 void scoreTake(Core *core, const RoundList *list)
 {
     for (size_t i = 0; i < list->newsCount; i++) {
@@ -134,8 +150,11 @@
         const Job *job = tableJob(core->table, news->job);
         bool slow = false;
         const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
-        const bool known = news->word == ROUND_DONE && job != NULL && at < job->tasksCount &&
-                           job->tasks[at].round == news->round && compared(job, at, &slow);
+        const bool ended = news->word == ROUND_DONE && job != NULL && at < job->tasksCount &&
+                           job->tasks[at].round == news->round;
+        const bool known = ended && compared(job, at, &slow);
+        if (ended)
+            guessTake(core, news, job, &job->tasks[at]);
         if (score == NULL && ((news->word == ROUND_DONE && !slow) || tableWorker(core->table, news->worker) == NULL))
             continue;
         if (score == NULL) {
--- a/packages/plan/include/plan/plan.h
+++ b/packages/plan/include/plan/plan.h
@@ -76,9 +76,10 @@
 /* The worker with the most room left among those that fit; -1: none fits. lost
  * (may be null): those that are not to be chosen. */
 int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost);
-/* As planChoose; among those with equal room left, the one with the least of
- * near (may be null): of the same job in its rack and zone. */
-int planChooseFar(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, const int *near);
+/* The largest worker, part by part, and the scarcer part of what is free on one, in
+ * thousandths of that. */
+Room planLargest(const PlanWorker *workers, size_t count);
+uint64_t planLeft(const PlanWorker *worker, Room largest);
 
 /* Biggest-fit-decreasing: places the tasks of the lost workers on the others.
  * where[i] is set for each of them; false when one finds no place. Uses up free. */
--- a/packages/plan/src/plan.c
+++ b/packages/plan/src/plan.c
@@ -25,15 +25,15 @@
     return roomFits(need->room, worker->free) && planAble(worker, need);
 }
 
-/* The scarcer part of what is left, in thousandths of the largest worker. */
-static uint64_t leftShare(Room free, Room largest)
+uint64_t planLeft(const PlanWorker *worker, Room largest)
 {
+    const Room free = worker->free;
     const uint64_t cpu = largest.cpuMilli > 0 ? free.cpuMilli * 1000 / largest.cpuMilli : 0;
     const uint64_t mem = largest.memMb > 0 ? free.memMb * 1000 / largest.memMb : 0;
     return cpu < mem ? cpu : mem;
 }
 
-static Room largestOf(const PlanWorker *workers, size_t count)
+Room planLargest(const PlanWorker *workers, size_t count)
 {
     Room largest = {0};
     for (size_t i = 0; i < count; i++) {
@@ -57,18 +57,16 @@
     return WORDS[loss];
 }
 
-static int chooseBy(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, Room largest,
-                    const int *near)
+static int chooseBy(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, Room largest)
 {
     int best = -1;
     uint64_t bestLeft = 0;
     for (size_t i = 0; i < count; i++) {
         if ((lost != NULL && lost[i]) || !planFits(&workers[i], need))
             continue;
-        uint64_t left = leftShare(workers[i].free, largest);
+        uint64_t left = planLeft(&workers[i], largest);
         left = left > workers[i].penalty ? left - workers[i].penalty : 0;
-        const bool farther = best >= 0 && left == bestLeft && near != NULL && near[i] < near[best];
-        if (best < 0 || left > bestLeft || farther) {
+        if (best < 0 || left > bestLeft) {
             best = (int)i;
             bestLeft = left;
         }
@@ -78,12 +76,7 @@
 
 int planChoose(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost)
 {
-    return chooseBy(workers, count, need, lost, largestOf(workers, count), NULL);
-}
-
-int planChooseFar(const PlanWorker *workers, size_t count, const PlanNeed *need, const bool *lost, const int *near)
-{
-    return chooseBy(workers, count, need, lost, largestOf(workers, count), near);
+    return chooseBy(workers, count, need, lost, planLargest(workers, count));
 }
 
 /* Takes free room first, then what the cell may push aside. */
@@ -118,7 +111,7 @@
 
 bool planSpecific(PlanInput *input, const bool *lost, int *where)
 {
-    const Room largest = largestOf(input->workers, input->workerCount);
+    const Room largest = planLargest(input->workers, input->workerCount);
     Sized *sized = talloc_array(NULL, Sized, (unsigned)input->taskCount);
     size_t count = 0;
     for (size_t i = 0; i < input->taskCount; i++)
@@ -128,7 +121,7 @@
     bool all = true;
     for (size_t i = 0; i < count && all; i++) {
         const PlanNeed *need = &input->tasks[sized[i].task].need;
-        int at = chooseBy(input->workers, input->workerCount, need, lost, largest, NULL);
+        int at = chooseBy(input->workers, input->workerCount, need, lost, largest);
         if (at < 0)
             at = choosePushing(input, &input->tasks[sized[i].task], lost);
         where[sized[i].task] = at;
--- /dev/null
+++ b/packages/queue/include/queue/guess.h
@@ -0,0 +1,24 @@
+#ifndef QUEUE_GUESS_H
+#define QUEUE_GUESS_H
+
+#include "table/table.h"
+
+/* What rounds that ended well have shown: how far a queue's estimates are off,
+ * step by step, and how fast each worker is. In the leader's memory alone: a new
+ * leader begins with the callers' words.
+ *
+ * Invariant: each figure is the median of the newest GUESS_KEPT ratios, so that
+ * neither one pause nor one odd job moves it far. */
+typedef struct Guesses Guesses;
+
+Guesses *guessesNew(void *mem);
+/* A round did the whole of a task's work in tookMs. farPercent: what its place
+ * made of that; 100: it was near its data. */
+void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent);
+/* How long one task of the step should take on a sound worker near its data;
+ * 0: nothing is known. guesses may be null. */
+int64_t guessMs(const Guesses *guesses, const Job *job, uint64_t step);
+/* Time on this worker in thousandths of that on a sound one. */
+uint64_t guessSpeed(const Guesses *guesses, const char *worker);
+
+#endif
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -3,7 +3,7 @@
 
 #include "config/config.h"
 #include "policy/policy.h"
-#include "table/table.h"
+#include "queue/aim.h"
 
 /* Something to place: one task, or a whole gang. */
 typedef struct Candidate {
@@ -13,6 +13,8 @@
     bool restart; /* protected work that was lost: goes before all else */
     double rank;     /* by its cell's policy: counts within the cell only */
     int64_t sinceMs; /* log time since when it could have started */
+    int64_t slackMs; /* time left before it must be under way; INT64_MAX: it has no aim */
+    int64_t guessMs; /* what a task of it should take; 0: not known */
     /* what its tenant, and its cell by its share, will use once this and all
      * before it run: the next room goes to whoever has least */
     uint64_t tenantTurn, cellTurn;
@@ -43,6 +45,10 @@
 
 /* Why a waiting task does not start now. */
 WaitReason queueWait(const Job *job, size_t task, QueueClock clock);
+/* The tasks of the task's step in its turn: the first, and one after the last. */
+void queueStep(const Job *job, size_t task, size_t *first, size_t *end);
+/* The kind of worker that the task needs; empty: any. */
+const char *queueKind(const Job *job, uint64_t step);
 
 /* Finds the policy of a cell. */
 typedef const Policy *(*QueuePolicy)(void *arg, const ConfigCell *cell);
@@ -52,10 +58,12 @@
 QueueUse *queueUse(void *mem, const Table *table, const Config *config, Room fleet);
 PolicySight queueSight(const QueueUse *use, const Config *config, const Job *job, size_t task, QueueClock clock);
 
-/* All that could start now, in the order in which it is to be placed: restarts,
- * then cells by what they use of their share; within a cell by its policy's
- * rank, then tenants by what they use, then the order of acceptance. On mem. */
+/* All that could start now, in the order in which it is to be placed: restarts of
+ * what has no aim, then cells by what they use of their share; within a cell by
+ * its policy's rank, to which the built-in one adds how near the job's aim is;
+ * then tenants by what they use, then the order of acceptance. guesses may be
+ * null. On mem. */
 size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  QueuePolicy policy, void *arg, Candidate **candidates);
+                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **candidates);
 
 #endif
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -1,5 +1,6 @@
 #include "queue/queue.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,42 +19,90 @@
     return WORDS[reason];
 }
 
-static bool stepDone(const Job *job, const char *name)
+static uint64_t turnsOf(const Job *job)
 {
-    for (size_t i = 0; i < job->tasksCount; i++)
-        if (strcmp(job->spec.steps[job->tasks[i].step].name, name) == 0 && job->tasks[i].phase != TASK_DONE)
-            return false;
+    return job->spec.turns > 0 ? job->spec.turns : 1;
+}
+
+/* Tasks lie in the order of turns, then steps. */
+static size_t stepFirst(const Job *job, uint64_t turn, uint64_t step)
+{
+    size_t first = (size_t)(job->tasksCount / turnsOf(job) * turn);
+    for (uint64_t i = 0; i < step; i++)
+        first += (size_t)job->spec.steps[i].count;
+    return first;
+}
+
+void queueStep(const Job *job, size_t task, size_t *first, size_t *end)
+{
+    const JobTask *one = &job->tasks[task];
+    *first = stepFirst(job, one->turn, one->step);
+    *end = *first + (size_t)job->spec.steps[one->step].count;
+}
+
+const char *queueKind(const Job *job, uint64_t step)
+{
+    const char *kind = job->spec.steps[step].kind;
+    return kind[0] != '\0' || job->terms.kind == NULL ? kind : job->terms.kind;
+}
+
+static bool stepDone(const Job *job, uint64_t turn, const char *name)
+{
+    for (size_t s = 0; s < job->spec.stepsCount; s++) {
+        if (strcmp(job->spec.steps[s].name, name) != 0)
+            continue;
+        const size_t first = stepFirst(job, turn, s);
+        for (size_t i = first; i < first + job->spec.steps[s].count; i++)
+            if (job->tasks[i].phase != TASK_DONE)
+                return false;
+    }
     return true;
 }
 
-static bool stepsBefore(const Job *job, const StepSpec *step)
+static bool stepsBefore(const Job *job, uint64_t turn, const StepSpec *step)
 {
     for (size_t i = 0; i < step->afterCount; i++)
-        if (!stepDone(job, step->after[i]))
+        if (!stepDone(job, turn, step->after[i]))
             return false;
     return true;
 }
 
-static bool dueCame(const Job *job, QueueClock clock)
+/* The wall time before which the turn must not start; 0: none. */
+static int64_t turnWallMs(const Job *job, uint64_t turn)
 {
-    return (job->spec.dueWallMs == 0 || clock.wallMs >= job->spec.dueWallMs) &&
-           clock.logMs >= job->acceptedMs + job->spec.delayMs;
+    const JobSpec *spec = &job->spec;
+    const int64_t turnMs = spec->firstWallMs != 0 ? spec->firstWallMs + (int64_t)turn * spec->periodMs : 0;
+    return turnMs > spec->dueWallMs ? turnMs : spec->dueWallMs;
+}
+
+static bool dueCame(const Job *job, uint64_t turn, QueueClock clock)
+{
+    return clock.wallMs >= turnWallMs(job, turn) && clock.logMs >= job->acceptedMs + job->spec.delayMs;
+}
+
+/* The log time from which the turn's aim counts. */
+static int64_t fromMs(const Job *job, uint64_t turn, QueueClock clock)
+{
+    const int64_t wallMs = turnWallMs(job, turn), acceptedMs = job->acceptedMs + job->spec.delayMs;
+    const int64_t dueMs = clock.logMs - (clock.wallMs - wallMs);
+    return wallMs != 0 && dueMs > acceptedMs ? dueMs : acceptedMs;
 }
 
 WaitReason queueWait(const Job *job, size_t task, QueueClock clock)
 {
     const JobTask *one = &job->tasks[task];
     const StepSpec *step = &job->spec.steps[one->step];
-    if (!dueCame(job, clock))
+    if (!dueCame(job, one->turn, clock))
         return WAIT_DUE;
-    if (!stepsBefore(job, step))
+    if (!stepsBefore(job, one->turn, step))
         return WAIT_STEPS;
     if (clock.logMs < one->restUntilMs)
         return WAIT_REST;
-    if (step->gang)
-        for (size_t i = 0; i < job->tasksCount; i++)
-            if (job->tasks[i].step == one->step && job->tasks[i].phase != TASK_WAITING && !taskEnded(job->tasks[i].phase))
-                return WAIT_GANG;
+    size_t first, end;
+    queueStep(job, task, &first, &end);
+    for (size_t i = first; i < end && step->gang; i++)
+        if (job->tasks[i].phase != TASK_WAITING && !taskEnded(job->tasks[i].phase))
+            return WAIT_GANG;
     return WAIT_READY;
 }
 
@@ -157,7 +206,7 @@
     return (PolicySight){
         .job = job,
         .step = &job->spec.steps[job->tasks[task].step],
-        .queuePriority = queue != NULL ? queue->priority : 0,
+        .queuePriority = queue != NULL ? queue->priority : job->terms.priority,
         .waitedMs = clock.logMs - job->tasks[task].changedMs,
         .cellUsed = cellUse != NULL ? partOf(*cellUse, use->fleet) / 1000 : 0,
         .cellShare = cell != NULL && use->shares > 0 ? cell->share * 1000 / use->shares : 0,
@@ -246,58 +295,120 @@
     qsort(list, count, sizeof(*list), placeOrder);
 }
 
+/* Thousandths of the turn's tasks that are done or under way. */
+static uint64_t begunOf(const Job *job, uint64_t turn)
+{
+    const size_t each = (size_t)(job->tasksCount / turnsOf(job)), first = (size_t)turn * each;
+    uint64_t begun = 0;
+    for (size_t i = first; i < first + each; i++)
+        begun += job->tasks[i].phase != TASK_WAITING;
+    return begun * 1000 / each;
+}
+
+/* What a walk over all that could start carries along. */
+typedef struct Build {
+    void *mem;
+    const Config *config;
+    const QueueUse *use;
+    QueueClock clock;
+    const Guesses *guesses;
+    Room quarter;
+    const Policy *policy; /* of the job's cell */
+    Candidate *list;
+    size_t count, room;
+} Build;
+
+/* Ranks of jobs with an aim are cut into bands, inside which tenants take turns. */
+static double rankOf(const Build *build, const Job *job, size_t task, const Aim *aim)
+{
+    const PolicySight sight = queueSight(build->use, build->config, job, task, build->clock);
+    const double rank = build->policy->rank(build->policy->arg, &sight);
+    if (build->policy != policyPlain() || aim->spanMs <= 0)
+        return rank;
+    const JobTask *one = &job->tasks[task];
+    const double near = job->spec.lasting ? 0.0 : aimRank(aim, one->step, build->clock.logMs);
+    const double begun = (double)begunOf(job, one->turn) / 1000 * AIM_BEGUN_RANK;
+    return floor((rank * AIM_PRIORITY_RANK + near + begun) * AIM_BAND) / AIM_BAND;
+}
+
+static void candidateAdd(Build *build, const Job *job, size_t at, size_t members, double rank, const Aim *aim)
+{
+    if (build->count == build->room) {
+        build->room = build->room ? build->room * 2 : 64;
+        build->list = talloc_realloc(build->mem, build->list, Candidate, (unsigned)build->room);
+    }
+    const JobTask *task = &job->tasks[at];
+    const bool has = aim->spanMs > 0;
+    const int64_t freeMs = task->changedMs > task->restUntilMs ? task->changedMs : task->restUntilMs;
+    build->list[build->count++] = (Candidate){
+        .job = job,
+        .first = at,
+        .count = members,
+        .restart = !has && task->losses > 0 && job->spec.protection == PROTECTION_PROTECTED,
+        .rank = rank,
+        .sinceMs = freeMs > aim->fromMs ? freeMs : aim->fromMs,
+        .slackMs = has ? aimSlackMs(aim, task->step, build->clock.logMs) : INT64_MAX,
+        .guessMs = guessMs(build->guesses, job, task->step),
+    };
+}
+
+static void turnWalk(Build *build, const Job *job, uint64_t turn)
+{
+    const int64_t logMs = build->clock.logMs;
+    Aim aim;
+    bool known = false;
+    size_t first = stepFirst(job, turn, 0);
+    for (size_t s = 0; s < job->spec.stepsCount; first += (size_t)job->spec.steps[s].count, s++) {
+        const StepSpec *step = &job->spec.steps[s];
+        const size_t end = first + (size_t)step->count;
+        size_t at = first;
+        while (at < end && job->tasks[at].phase != TASK_WAITING)
+            at++;
+        if (at == end || !stepsBefore(job, turn, step))
+            continue;
+        if (!known)
+            aimFind(job, fromMs(job, turn, build->clock), build->guesses, build->quarter, &aim);
+        known = true;
+        const double rank = rankOf(build, job, at, &aim);
+        for (; at < end; at++) {
+            if (job->tasks[at].phase != TASK_WAITING || logMs < job->tasks[at].restUntilMs) {
+                if (step->gang)
+                    break;
+                continue;
+            }
+            if (step->gang && (queueWait(job, at, build->clock) != WAIT_READY || membersRest(job, first, end, logMs)))
+                break; /* a gang goes as one, by its first member that has not finished */
+            candidateAdd(build, job, at, step->gang ? membersLeft(job, first, end) : 1, rank, &aim);
+            if (step->gang)
+                break;
+        }
+    }
+}
+
 size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  QueuePolicy policy, void *arg, Candidate **out)
+                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **out)
 {
+    const Room fleet = use->fleet;
+    Build build = {
+        .mem = mem,
+        .config = config,
+        .use = use,
+        .clock = clock,
+        .guesses = guesses,
+        .quarter = {fleet.cpuMilli / AIM_WAVE_PART, fleet.memMb / AIM_WAVE_PART, fleet.gpu / AIM_WAVE_PART},
+    };
     Job *const *jobs;
     const size_t jobCount = tableActive(table, &jobs);
-    Candidate *candidates = NULL;
-    size_t count = 0, room = 0;
     for (size_t j = 0; j < jobCount; j++) {
         const Job *job = jobs[j];
-        if (job->ending != JOB_ACTIVE || !dueCame(job, clock))
+        if (job->ending != JOB_ACTIVE)
             continue;
-        const ConfigCell *cell = configCell(config, job->spec.cell);
-        const Policy *order = policy(arg, cell);
-        size_t first = 0;
-        for (size_t s = 0; s < job->spec.stepsCount; first += (size_t)job->spec.steps[s].count, s++) {
-            const StepSpec *step = &job->spec.steps[s];
-            const size_t end = first + (size_t)step->count;
-            size_t at = first;
-            while (at < end && job->tasks[at].phase != TASK_WAITING)
-                at++;
-            if (at == end || !stepsBefore(job, step))
-                continue;
-            const PolicySight sight = queueSight(use, config, job, at, clock);
-            const double rank = order->rank(order->arg, &sight);
-            for (; at < end; at++) {
-                if (job->tasks[at].phase != TASK_WAITING || clock.logMs < job->tasks[at].restUntilMs) {
-                    if (step->gang)
-                        break;
-                    continue;
-                }
-                if (step->gang && (queueWait(job, at, clock) != WAIT_READY || membersRest(job, first, end, clock.logMs)))
-                    break; /* a gang goes as one, by its first member that has not finished */
-                if (count == room) {
-                    room = room ? room * 2 : 64;
-                    candidates = talloc_realloc(mem, candidates, Candidate, (unsigned)room);
-                }
-                const JobTask *task = &job->tasks[at];
-                candidates[count++] = (Candidate){
-                    .job = job,
-                    .first = at,
-                    .count = step->gang ? membersLeft(job, first, end) : 1,
-                    .restart = task->losses > 0 && job->spec.protection == PROTECTION_PROTECTED,
-                    .rank = rank,
-                    .sinceMs = task->changedMs > task->restUntilMs ? task->changedMs : task->restUntilMs,
-                };
-                if (step->gang)
-                    break;
-            }
-        }
+        build.policy = policy(arg, configCell(config, job->spec.cell));
+        for (uint64_t turn = 0; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
+            turnWalk(&build, job, turn);
     }
-    if (count > 0)
-        turnsTake(mem, config, use, candidates, count);
-    *out = candidates;
-    return count;
+    if (build.count > 0)
+        turnsTake(mem, config, use, build.list, build.count);
+    *out = build.list;
+    return build.count;
 }
