--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -6,6 +6,7 @@
 #include "api/show.h"
 #include "beat/liveset.h"
 #include "core/core.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
@@ -47,9 +48,11 @@
     Table *table;
     Keeper *keeper;
     Proxy proxy;
+    Feed *feed; /* asks while this core has no seat */
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
+    Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
@@ -57,6 +60,7 @@
     uint64_t configLoads;  /* tableLoads when it was read */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
+    uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
@@ -66,6 +70,7 @@
     Signal wake; /* beats with news for the planner */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
+    int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
     Loss brokenByLoss;
     char brokenBy[ID_MAX + 1];
     CoreCounts counts;
