Jobs at the address of their queue are read by jobReadAt; terms, turns and gpu are shown

Cause: the entry put id, cell, tenant and queue into the caller's document, wrote it out and read it again, and counted a queue's jobs by walking all active ones. The document is now read once, may not name them itself, and the count is the table's. A job that is being cancelled is shown as cancelled at once: whatever its last rounds end with, it ends so. Tests of each new field and its faults by path.

--- a/packages/api/src/jobjson.c
+++ b/packages/api/src/jobjson.c
@@ -6,9 +6,12 @@
 #include "base/constants.h"
 #include "plan/plan.h"
 
-static const char *const JOB_KEYS[] = {"id",      "cell",    "tenant", "queue", "priority",    "protection", "copies", "dueWallMs",
-                                       "delayMs", "rounds",  "steps",  "turns", "firstWallMs", "periodMs",   "lasting", "payload",
-                                       NULL};
+/* Where the job belongs; left out where its address says so. */
+#define PLACE_KEYS "id", "cell", "tenant", "queue"
+#define BODY_KEYS "priority", "protection", "copies", "dueWallMs", "delayMs", "rounds", "steps", "turns", "firstWallMs", \
+                  "periodMs", "lasting", "payload"
+static const char *const JOB_KEYS[] = {PLACE_KEYS, BODY_KEYS, NULL};
+static const char *const JOB_AT_KEYS[] = {BODY_KEYS, NULL};
 static const char *const STEP_KEYS[] = {"name",    "after", "count", "gang",     "room", "kind",  "labels",
                                         "payload", "estMs", "apart", "sameRack", "near", "saves", "copies", NULL};
 
@@ -89,10 +92,41 @@
         faultAdd(faults, STATUS_CYCLIC_STEPS, "steps", "%zu steps wait for each other", left);
 }
 
-bool jobRead(Faults *faults, const char *text, size_t count, JobSpec *spec)
+static void readBody(Faults *faults, json_object *object, JobSpec *spec)
+{
+    spec->priority = checkInt(faults, object, "", "priority", -1000, 1000, 0);
+    const char *protection = checkName(faults, object, "", "protection", "protected");
+    spec->protection = protectionOfWord(protection);
+    if (spec->protection == PROTECTION_COUNT)
+        faultAdd(faults, STATUS_BAD_FIELD, "protection", "must be protected, best-effort or none");
+    spec->copies = checkFlag(faults, object, "", "copies", false);
+    spec->dueWallMs = checkInt(faults, object, "", "dueWallMs", 0, INT64_MAX / 4, 0);
+    spec->delayMs = checkInt(faults, object, "", "delayMs", 0, JOB_SPAN_MAX_MS, 0);
+    spec->lasting = checkFlag(faults, object, "", "lasting", false);
+    spec->turns = (uint64_t)checkInt(faults, object, "", "turns", 0, JOB_TASKS_MAX, 0);
+    spec->firstWallMs = checkInt(faults, object, "", "firstWallMs", 0, INT64_MAX / 4, 0);
+    spec->periodMs = checkInt(faults, object, "", "periodMs", 0, JOB_SPAN_MAX_MS, 0);
+    const char *payload = readPayload(faults, object, "");
+    spec->roundLimit = (uint64_t)checkInt(faults, object, "", "rounds", 1, ROUNDS_MAX, ROUNDS_DEFAULT);
+    json_object *steps;
+    if (!json_object_object_get_ex(object, "steps", &steps) || !json_object_is_type(steps, json_type_array) ||
+        json_object_array_length(steps) == 0 || json_object_array_length(steps) > JOB_STEPS_MAX) {
+        faultAdd(faults, STATUS_BAD_FIELD, "steps", "must be an array of 1 to %d steps", JOB_STEPS_MAX);
+        return;
+    }
+    spec->stepsCount = json_object_array_length(steps);
+    spec->steps = talloc_zero_array(faults->mem, StepSpec, (unsigned)spec->stepsCount);
+    for (size_t i = 0; i < spec->stepsCount; i++)
+        readStep(faults, json_object_array_get_idx(steps, i), talloc_asprintf(faults->mem, "steps[%zu]", i), payload,
+                 &spec->steps[i]);
+    checkSteps(faults, spec);
+}
+
+/* at: where its address says that it belongs; null: the text says so. */
+static bool readJob(Faults *faults, const char *text, size_t count, const JobSpec *at, JobSpec *spec)
 {
     const size_t before = faults->seen;
-    *spec = (JobSpec){.id = "", .cell = "", .tenant = "", .queue = ""};
+    *spec = at != NULL ? *at : (JobSpec){.id = "", .cell = "", .tenant = "", .queue = ""};
     if (count > JOB_BODY_MAX) {
         faultAdd(faults, STATUS_TOO_LARGE, "", "a job has at most %d bytes", JOB_BODY_MAX);
         return false;
@@ -100,42 +134,36 @@
     json_object *object = checkParse(faults, text, count);
     if (object == NULL)
         return false;
-    if (checkKeys(faults, object, "", JOB_KEYS)) {
-        spec->id = checkName(faults, object, "", "id", NULL);
-        spec->cell = checkName(faults, object, "", "cell", NULL);
-        spec->tenant = checkName(faults, object, "", "tenant", NULL);
-        spec->queue = checkName(faults, object, "", "queue", NULL);
-        spec->priority = checkInt(faults, object, "", "priority", -1000, 1000, 0);
-        const char *protection = checkName(faults, object, "", "protection", "protected");
-        spec->protection = protectionOfWord(protection);
-        if (spec->protection == PROTECTION_COUNT)
-            faultAdd(faults, STATUS_BAD_FIELD, "protection", "must be protected, best-effort or none");
-        spec->copies = checkFlag(faults, object, "", "copies", false);
-        spec->dueWallMs = checkInt(faults, object, "", "dueWallMs", 0, INT64_MAX / 4, 0);
-        spec->delayMs = checkInt(faults, object, "", "delayMs", 0, JOB_SPAN_MAX_MS, 0);
-        spec->lasting = checkFlag(faults, object, "", "lasting", false);
-        spec->turns = (uint64_t)checkInt(faults, object, "", "turns", 0, JOB_TASKS_MAX, 0);
-        spec->firstWallMs = checkInt(faults, object, "", "firstWallMs", 0, INT64_MAX / 4, 0);
-        spec->periodMs = checkInt(faults, object, "", "periodMs", 0, JOB_SPAN_MAX_MS, 0);
-        const char *payload = readPayload(faults, object, "");
-        spec->roundLimit = (uint64_t)checkInt(faults, object, "", "rounds", 1, ROUNDS_MAX, ROUNDS_DEFAULT);
-        json_object *steps;
-        if (!json_object_object_get_ex(object, "steps", &steps) || !json_object_is_type(steps, json_type_array) ||
-            json_object_array_length(steps) == 0 || json_object_array_length(steps) > JOB_STEPS_MAX) {
-            faultAdd(faults, STATUS_BAD_FIELD, "steps", "must be an array of 1 to %d steps", JOB_STEPS_MAX);
-        } else {
-            spec->stepsCount = json_object_array_length(steps);
-            spec->steps = talloc_zero_array(faults->mem, StepSpec, (unsigned)spec->stepsCount);
-            for (size_t i = 0; i < spec->stepsCount; i++)
-                readStep(faults, json_object_array_get_idx(steps, i),
-                         talloc_asprintf(faults->mem, "steps[%zu]", i), payload, &spec->steps[i]);
-            checkSteps(faults, spec);
+    if (at != NULL && !json_object_is_type(object, json_type_object)) {
+        faultAdd(faults, STATUS_BAD_JSON, "", "must be an object");
+    } else if (checkKeys(faults, object, "", at != NULL ? JOB_AT_KEYS : JOB_KEYS)) {
+        if (at == NULL) {
+            spec->id = checkName(faults, object, "", "id", NULL);
+            spec->cell = checkName(faults, object, "", "cell", NULL);
+            spec->tenant = checkName(faults, object, "", "tenant", NULL);
+            spec->queue = checkName(faults, object, "", "queue", NULL);
         }
+        readBody(faults, object, spec);
     }
     json_object_put(object);
     return faults->seen == before;
 }
 
+bool jobRead(Faults *faults, const char *text, size_t count, JobSpec *spec)
+{
+    return readJob(faults, text, count, NULL, spec);
+}
+
+bool jobReadAt(Faults *faults, const char *text, size_t count, const char *id, const char *cell, const char *tenant,
+               const char *queue, JobSpec *spec)
+{
+    const size_t before = faults->seen;
+    const JobSpec at = {.id = id, .cell = cell, .tenant = tenant, .queue = queue};
+    if (!checkNameText(id))
+        faultAdd(faults, STATUS_BAD_FIELD, "id", "must be a name of 1 to %d letters, digits or ._:-", ID_MAX);
+    return readJob(faults, text, count, &at, spec) && faults->seen == before;
+}
+
 static void checkWorkers(Faults *faults, const JobSpec *spec, const Table *table)
 {
     const Worker **workers;
@@ -158,7 +186,9 @@
             fits = true;
             const uint64_t cpu = need.room.cpuMilli ? worker.free.cpuMilli / need.room.cpuMilli : UINT32_MAX;
             const uint64_t mem = need.room.memMb ? worker.free.memMb / need.room.memMb : UINT32_MAX;
-            slots += cpu < mem ? cpu : mem;
+            const uint64_t gpu = need.room.gpu ? worker.free.gpu / need.room.gpu : UINT32_MAX;
+            const uint64_t least = cpu < mem ? cpu : mem;
+            slots += least < gpu ? least : gpu;
         }
         if (!able)
             faultAdd(faults, STATUS_IMPOSSIBLE_KIND, talloc_asprintf(faults->mem, "steps[%zu].kind", i),
@@ -189,7 +219,8 @@
         const StepSpec *step = &spec->steps[i];
         const uint64_t together = step->gang ? step->count : 1;
         if ((tenant->quota.cpuMilli > 0 && step->room.cpuMilli * together > tenant->quota.cpuMilli) ||
-            (tenant->quota.memMb > 0 && step->room.memMb * together > tenant->quota.memMb))
+            (tenant->quota.memMb > 0 && step->room.memMb * together > tenant->quota.memMb) ||
+            (tenant->quota.gpu > 0 && step->room.gpu * together > tenant->quota.gpu))
             faultAdd(faults, STATUS_OVER_QUOTA, talloc_asprintf(faults->mem, "steps[%zu].room", i),
                      "is more than the quota of tenant %s", spec->tenant);
     }
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -19,6 +19,8 @@
     json_object *object = json_object_new_object();
     json_object_object_add(object, "cpu", json_object_new_double((double)room.cpuMilli / 1000));
     json_object_object_add(object, "memMb", json_object_new_int64((int64_t)room.memMb));
+    if (room.gpu > 0)
+        json_object_object_add(object, "gpu", json_object_new_int64((int64_t)room.gpu));
     return object;
 }
 
@@ -71,7 +73,7 @@
 {
     if (job->phase != JOB_ACTIVE)
         return jobPhaseWord(job->phase);
-    if (job->ending == JOB_FAILED) /* a cancelled one may yet end well */
+    if (job->ending != JOB_ACTIVE) /* whatever becomes of what still runs */
         return jobPhaseWord(job->ending);
     for (size_t i = 0; i < job->tasksCount; i++)
         if (job->tasks[i].startedMs > 0)
@@ -79,17 +81,46 @@
     return "queued";
 }
 
+/* What its queue's configuration was when it was accepted. */
+static void showTerms(json_object *object, const JobTerms *terms)
+{
+    json_object *shown = json_object_new_object();
+    if (terms->roundLimit > 0)
+        json_object_object_add(shown, "rounds", json_object_new_int64((int64_t)terms->roundLimit));
+    if (terms->stretchMilli > 0) {
+        const double stretch = (double)terms->stretchMilli / 1000;
+        char text[24]; /* as it was written: a double has more digits */
+        snprintf(text, sizeof(text), "%.10g", stretch);
+        json_object_object_add(shown, "stretch", json_object_new_double_s(stretch, text));
+    }
+    if (terms->targetMs > 0)
+        json_object_object_add(shown, "targetMs", json_object_new_int64(terms->targetMs));
+    if (terms->priority != 0)
+        json_object_object_add(shown, "priority", json_object_new_int64(terms->priority));
+    if (terms->kind[0] != '\0')
+        json_object_object_add(shown, "kind", textOf(terms->kind));
+    json_object_object_add(object, "terms", shown);
+}
+
 json_object *showJob(const Job *job, QueueClock clock)
 {
     json_object *object = showJobShort(job);
     json_object_object_add(object, "priority", json_object_new_int64(job->spec.priority));
     json_object_object_add(object, "protection", textOf(protectionWord(job->spec.protection)));
+    if (job->spec.lasting)
+        json_object_object_add(object, "lasting", json_object_new_boolean(true));
+    showTerms(object, &job->terms);
     json_object *tasks = json_object_new_array();
     for (size_t i = 0; i < job->tasksCount; i++) {
         const JobTask *task = &job->tasks[i];
         json_object *one = json_object_new_object();
         json_object_object_add(one, "task", json_object_new_int64((int64_t)taskNumber(task)));
         json_object_object_add(one, "step", textOf(job->spec.steps[task->step].name));
+        if (job->spec.turns > 0) {
+            json_object_object_add(one, "turn", json_object_new_int64((int64_t)task->turn));
+            json_object_object_add(one, "dueWallMs", json_object_new_int64(taskDueWallMs(job, task)));
+        }
+        json_object_object_add(one, "at", json_object_new_int64((int64_t)task->at));
         json_object_object_add(one, "phase", textOf(taskPhaseWord(task->phase)));
         json_object_object_add(one, "round", json_object_new_int64((int64_t)task->round));
         if (task->worker[0] != '\0')
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -25,42 +25,16 @@
     showVerdict(way->task, http, body);
 }
 
-/* A job without id, cell, tenant and queue, which the path names. */
-static bool readAt(Way *way, const ConfigPlace *place, JobSpec *spec)
-{
-    json_object *object = checkParse(way->faults, (const char *)way->task->body.data, way->task->body.count);
-    if (object == NULL)
-        return false;
-    const char *const words[][2] = {{"id", way->name},
-                                    {"cell", place->cell->name},
-                                    {"tenant", place->tenant},
-                                    {"queue", place->queue->name}};
-    bool good = json_object_is_type(object, json_type_object);
-    if (!good)
-        faultAdd(way->faults, STATUS_BAD_JSON, "", "must be an object");
-    for (size_t i = 0; i < 4 && good; i++)
-        json_object_object_add(object, words[i][0], json_object_new_string(words[i][1]));
-    const char *text = good ? json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN) : "";
-    good = good && jobRead(way->faults, text, strlen(text), spec);
-    json_object_put(object);
-    return good;
-}
-
 static int64_t waitingIn(const Table *table, const ConfigPlace *place)
 {
-    Job *const *jobs;
-    const size_t count = tableActive(table, &jobs);
-    int64_t waiting = 0;
-    for (size_t i = 0; i < count; i++)
-        waiting += strcmp(jobs[i]->spec.cell, place->cell->name) == 0 &&
-                   strcmp(jobs[i]->spec.queue, place->queue->name) == 0;
-    return waiting;
+    return (int64_t)tableWaitingIn(table, place->cell->name, place->queue->name);
 }
 
 static void entryPost(Way *way, const ConfigPlace *place)
 {
     JobSpec spec;
-    if (!readAt(way, place, &spec)) {
+    if (!jobReadAt(way->faults, (const char *)way->task->body.data, way->task->body.count, way->name, place->cell->name,
+                   place->tenant, place->queue->name, &spec)) {
         wayRefuse(way);
         return;
     }
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -15,7 +15,7 @@
     }
     size_t tasks = 0;
     for (size_t i = 0; i < spec->stepsCount; i++)
-        tasks += (size_t)spec->steps[i].count;
+        tasks += (size_t)(spec->steps[i].count * (spec->turns > 1 ? spec->turns : 1));
     if (tableWaiting(core->table, spec->cell) + tasks > configCell(config, spec->cell)->limit) {
         core->counts.crowded++;
         showRefusal(way->task, STATUS_QUEUE_FULL, "too much waits in this cell; nothing was taken: come back", NULL);
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -29,6 +29,7 @@
 
 spancart_test(wire wire)
 spancart_test(courier sim)
+spancart_test(jobjson api)
 spancart_test(rounds table)
 spancart_test(gangs table)
 spancart_test(state table)
