--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -2,8 +2,8 @@
 #include <talloc.h>
 
 #include "base/constants.h"
-#include "deliverconfig.h"
 #include "inside.h"
+#include "table/deliverconfig.h"
 
 void tableClear(Table *table)
 {
