The lost and the silent are found by who has work; a pass passes by jobs of which nothing waits

Cause: each pass walked all tasks of all active jobs to find lost workers, once more for copies, and once more for what waits, with a walk over the steps before each. The table names the workers that have work; a job knows how many of its tasks wait and which steps are done by turn.

--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -17,21 +17,15 @@
 static void lostFind(Core *core, void *mem)
 {
     const int64_t nowMs = loopNowMs(core->loop);
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
     Map *lost = mapNew(mem);
-    for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
-            const JobTask *task = &jobs[j]->tasks[t];
-            if (!taskOnWorker(task->phase) || mapGet(lost, task->worker) != NULL)
-                continue;
-            const LiveRow *row = livesetFind(core->liveset, task->worker);
-            /* a worker never heard of by this leader: its first hold counts */
-            const int64_t untilMs =
-                row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
-            if (nowMs > untilMs && (row == NULL || !row->losing))
-                mapSet(lost, task->worker, core);
-        }
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        /* a worker never heard of by this leader: its first hold counts */
+        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        if (nowMs > untilMs && (row == NULL || !row->losing))
+            mapSet(lost, worker, core);
+    }
     const char **names;
     const size_t lostCount = mapKeys(lost, mem, &names);
     for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
@@ -52,25 +46,30 @@
 static void copiesFind(Core *core, void *mem)
 {
     const int64_t nowMs = loopNowMs(core->loop);
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
     RoundList list = {0};
-    for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
-            const JobTask *task = &jobs[j]->tasks[t];
-            if (!jobs[j]->spec.copies && !jobs[j]->spec.steps[task->step].copies)
-                continue;
-            const LiveRow *row =
-                task->phase == TASK_PLACED || task->phase == TASK_RUNNING ? livesetFind(core->liveset, task->worker) : NULL;
-            if (row == NULL)
-                continue;
-            const int64_t heardMs = row->heardMs > viewWonMs(core->view) ? row->heardMs : viewWonMs(core->view);
-            if (nowMs - heardMs <= COPY_SILENT_MS)
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        const int64_t wonMs = viewWonMs(core->view);
+        if (row == NULL || nowMs - (row->heardMs > wonMs ? row->heardMs : wonMs) <= COPY_SILENT_MS)
+            continue;
+        const TaskOn *on;
+        const size_t count = tableOn(core->table, worker, &on);
+        for (size_t t = 0; t < count; t++) {
+            const JobTask *task = &on[t].job->tasks[on[t].task];
+            const JobSpec *spec = &on[t].job->spec;
+            if (task->phase == TASK_STOPPING || (!spec->copies && !spec->steps[task->step].copies))
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
-            list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), taskNumber(task), task->round,
-                                                      talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent", ""};
+            list.news[list.newsCount++] = (RoundNews){.job = talloc_strdup(mem, spec->id),
+                                                      .task = taskNumber(task),
+                                                      .round = task->round,
+                                                      .worker = talloc_strdup(mem, worker),
+                                                      .word = ROUND_LOST,
+                                                      .text = "its worker is silent",
+                                                      .saved = ""};
         }
+    }
     Verdict verdict;
     if (list.newsCount > 0)
         coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -46,27 +46,6 @@
     return kind[0] != '\0' || job->terms.kind == NULL ? kind : job->terms.kind;
 }
 
-static bool stepDone(const Job *job, uint64_t turn, const char *name)
-{
-    for (size_t s = 0; s < job->spec.stepsCount; s++) {
-        if (strcmp(job->spec.steps[s].name, name) != 0)
-            continue;
-        const size_t first = stepFirst(job, turn, s);
-        for (size_t i = first; i < first + job->spec.steps[s].count; i++)
-            if (job->tasks[i].phase != TASK_DONE)
-                return false;
-    }
-    return true;
-}
-
-static bool stepsBefore(const Job *job, uint64_t turn, const StepSpec *step)
-{
-    for (size_t i = 0; i < step->afterCount; i++)
-        if (!stepDone(job, turn, step->after[i]))
-            return false;
-    return true;
-}
-
 /* The wall time before which the turn must not start; 0: none. */
 static int64_t turnWallMs(const Job *job, uint64_t turn)
 {
@@ -94,7 +73,7 @@
     const StepSpec *step = &job->spec.steps[one->step];
     if (!dueCame(job, one->turn, clock))
         return WAIT_DUE;
-    if (!stepsBefore(job, one->turn, step))
+    if (!taskStepsDone(job, one))
         return WAIT_STEPS;
     if (clock.logMs < one->restUntilMs)
         return WAIT_REST;
@@ -364,7 +343,7 @@
         size_t at = first;
         while (at < end && job->tasks[at].phase != TASK_WAITING)
             at++;
-        if (at == end || !stepsBefore(job, turn, step))
+        if (at == end || !taskStepsDone(job, &job->tasks[at]))
             continue;
         if (!known)
             aimFind(job, fromMs(job, turn, build->clock), build->guesses, build->quarter, &aim);
@@ -401,7 +380,7 @@
     const size_t jobCount = tableActive(table, &jobs);
     for (size_t j = 0; j < jobCount; j++) {
         const Job *job = jobs[j];
-        if (job->ending != JOB_ACTIVE)
+        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)
             continue;
         build.policy = policy(arg, configCell(config, job->spec.cell));
         for (uint64_t turn = 0; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -119,6 +119,7 @@
 typedef struct JobSums {
     size_t open;      /* tasks that have not ended */
     size_t undone;    /* tasks that are not done */
+    size_t waiting;
     uint64_t *before; /* by step: a bit for each step that must be done before */
     uint64_t *done;   /* by turn: a bit for each step that is done */
     uint32_t *left;   /* by turn, then step: tasks that are not done */
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -49,8 +49,8 @@
 
 /* All of one worker, in no order. */
 size_t tableOn(const Table *table, const char *worker, const TaskOn **on);
-/* The workers that have a task on them, in the order of their names, on mem. */
-size_t tableBusy(const Table *table, void *mem, const char ***workers);
+/* The workers that have a task on them, from 0, in no order; null past the last. */
+const char *tableBusy(const Table *table, size_t at);
 
 /* Configuration: the newest, and those that can be read back. */
 const Revisions *tableRevisions(const Table *table);
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -12,6 +12,7 @@
     uint64_t revision;
     TaskOn *on;
     size_t count, room;
+    size_t busyAt; /* its place among the busy ones; of no meaning when count is 0 */
 } WorkerOn;
 
 /* Waiting tasks of a cell. */
@@ -47,6 +48,8 @@
     Worker **sorted;
     size_t sortedCount, sortedRoom;
     Map *on; /* worker name to WorkerOn */
+    WorkerOn **busy; /* exactly those with a task on them, in no order */
+    size_t busyCount, busyRoom;
     Map *cells;
     Map *queues; /* "cell/queue" to QueueSum */
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
--- a/packages/table/src/on.c
+++ b/packages/table/src/on.c
@@ -23,11 +23,30 @@
         table->ordersFn(table->ordersArg, worker);
 }
 
+static void busyAdd(Table *table, WorkerOn *its)
+{
+    if (table->busyCount == table->busyRoom) {
+        table->busyRoom = table->busyRoom ? table->busyRoom * 2 : 64;
+        table->busy = talloc_realloc(table->mem, table->busy, WorkerOn *, (unsigned)table->busyRoom);
+    }
+    its->busyAt = table->busyCount;
+    table->busy[table->busyCount++] = its;
+}
+
+static void busyDrop(Table *table, const WorkerOn *its)
+{
+    WorkerOn *last = table->busy[--table->busyCount];
+    table->busy[its->busyAt] = last;
+    last->busyAt = its->busyAt;
+}
+
 void onAdd(Table *table, Job *job, JobTask *task)
 {
     if (task->worker[0] == '\0')
         return;
     WorkerOn *its = workerOn(table, task->worker);
+    if (its->count == 0)
+        busyAdd(table, its);
     if (its->count == its->room) {
         its->room = its->room ? its->room * 2 : 8;
         its->on = talloc_realloc(its, its->on, TaskOn, (unsigned)its->room);
@@ -44,6 +63,8 @@
     const TaskOn last = its->on[--its->count];
     its->on[task->onAt] = last;
     last.job->tasks[last.task].onAt = task->onAt;
+    if (its->count == 0)
+        busyDrop(table, its);
 }
 
 uint64_t tableOrders(const Table *table, const char *worker)
@@ -65,14 +86,7 @@
     return its != NULL ? its->count : 0;
 }
 
-size_t tableBusy(const Table *table, void *mem, const char ***workers)
+const char *tableBusy(const Table *table, size_t at)
 {
-    const size_t count = mapKeys(table->on, mem, workers);
-    size_t busy = 0;
-    for (size_t i = 0; i < count; i++) {
-        const WorkerOn *its = mapGet(table->on, (*workers)[i]);
-        if (its->count > 0)
-            (*workers)[busy++] = its->name;
-    }
-    return busy;
+    return at < table->busyCount ? table->busy[at]->name : NULL;
 }
--- a/packages/table/src/sums.c
+++ b/packages/table/src/sums.c
@@ -32,13 +32,14 @@
     job->sums.before = words;
     job->sums.done = words + steps;
     job->sums.left = (uint32_t *)(void *)(words + steps + turns);
-    job->sums.open = job->sums.undone = 0;
+    job->sums.open = job->sums.undone = job->sums.waiting = 0;
     for (size_t i = 0; i < steps; i++)
         job->sums.before[i] = before(&job->spec, &job->spec.steps[i]);
     for (size_t i = 0; i < job->tasksCount; i++) {
         const JobTask *task = &job->tasks[i];
         job->sums.open += !taskEnded(task->phase);
         job->sums.undone += task->phase != TASK_DONE;
+        job->sums.waiting += task->phase == TASK_WAITING;
         *leftOf(job, task) += task->phase != TASK_DONE;
     }
     for (size_t turn = 0; turn < turns; turn++)
@@ -49,6 +50,8 @@
 
 void jobSumTurn(Job *job, const JobTask *task, uint64_t phase)
 {
+    job->sums.waiting += phase == TASK_WAITING;
+    job->sums.waiting -= task->phase == TASK_WAITING;
     /* an ended task never leaves its phase */
     if (taskEnded(phase) && !taskEnded(task->phase))
         job->sums.open--;
--- a/packages/table/test/state.c
+++ b/packages/table/test/state.c
@@ -91,14 +91,14 @@
     size_t active = 0, waiting = 0, onW[3] = {0};
     for (size_t j = 0; j < count; j++) {
         const Job *job = jobs[j];
-        size_t open = 0, undone = 0;
+        size_t open = 0, undone = 0, still = 0;
         assert_true(j == 0 || jobs[j - 1]->number < job->number);
         active += job->phase == JOB_ACTIVE;
         for (size_t t = 0; t < job->tasksCount; t++) {
             const JobTask *task = &job->tasks[t];
             open += !taskEnded(task->phase);
             undone += task->phase != TASK_DONE;
-            waiting += task->phase == TASK_WAITING;
+            still += task->phase == TASK_WAITING;
             assert_int_equal(taskOnWorker(task->phase), task->worker[0] != '\0');
             if (task->worker[0] == '\0')
                 continue;
@@ -108,6 +108,8 @@
             assert_int_equal(on[task->onAt].task, t);
             onW[task->worker[1] - '0']++;
         }
+        waiting += still;
+        assert_int_equal(job->sums.waiting, still);
         assert_int_equal(job->sums.open, open);
         assert_int_equal(job->sums.undone, undone);
         assert_int_equal(open > 0, job->phase == JOB_ACTIVE);
@@ -124,6 +126,10 @@
     assert_int_equal(tableWaiting(b->table, "c"), waiting);
     assert_int_equal(tableWaitingIn(b->table, "c", "q"), active);
     assert_int_equal(tableWaitingIn(b->table, "c", "other"), 0);
+    size_t busy = 0;
+    while (tableBusy(b->table, busy) != NULL)
+        busy++;
+    assert_int_equal(busy, (onW[0] > 0) + (onW[1] > 0) + (onW[2] > 0));
     for (int w = 0; w < 3; w++) {
         const char name[] = {'w', (char)('0' + w), '\0'};
         const TaskOn *on;
@@ -311,16 +317,15 @@
         assert_true(i == 0 || strcmp(list[i - 1]->name, list[i]->name) < 0);
     assert_string_equal(tableWorker(b.table, "m")->zone, "new");
     assert_ptr_equal(tableWorker(b.table, "m"), list[2]);
-    const char **busy;
-    assert_int_equal(tableBusy(b.table, mem, &busy), 0);
+    assert_null(tableBusy(b.table, 0));
     const JobSpec spec = turning("j");
     jobAdd(&b, &spec, (JobTerms){0});
     const uint64_t first = 0;
     place(&b, "j", &first, 1, 1, "unheard-of", "");
-    assert_int_equal(tableBusy(b.table, mem, &busy), 1);
-    assert_string_equal(busy[0], "unheard-of");
+    assert_string_equal(tableBusy(b.table, 0), "unheard-of");
+    assert_null(tableBusy(b.table, 1));
     lose(&b, "unheard-of");
-    assert_int_equal(tableBusy(b.table, mem, &busy), 0);
+    assert_null(tableBusy(b.table, 0));
     talloc_free(mem);
     talloc_free(b.table);
 }
