--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -21,6 +21,8 @@
 void showVerdict(HttpTask *task, int code, json_object *body);
 /* A typed refusal. 503s carry Retry-After. */
 void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults);
+/* Whether callers should come to this process. */
+void showReady(HttpTask *task, bool ready, bool leaving);
 /* The log ring of this process, as text. */
 void showRing(HttpTask *task, const Ring *ring);
 /* One line for a scraper: spancart_NAME VALUE. */
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -150,6 +150,17 @@
     showVerdict(task, code, showMishap(status, text, faults));
 }
 
+void showReady(HttpTask *task, bool ready, bool leaving)
+{
+    if (!ready) {
+        showRefusal(task, leaving ? STATUS_LEAVING : STATUS_NO_LEADER, "not ready", NULL);
+        return;
+    }
+    json_object *body = json_object_new_object();
+    json_object_object_add(body, "ready", json_object_new_boolean(true));
+    showVerdict(task, 200, body);
+}
+
 void showRing(HttpTask *task, const Ring *ring)
 {
     task->code = 200;
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -28,6 +28,8 @@
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
 #define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
 #define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
+#define LEADER_WAIT_MS 150     /* ms; from a leader's loss, what nobody can have taken waits so long for a way to another */
+#define ELECTION_MS 3000       /* ms; another leader is normally found within this: callers are told to come back then */
 #define PROXY_EXPIRY_MS 8000   /* ms; a gate gives a request up after this */
 #define SUBMIT_EXPIRY_MS 5000  /* ms; a change not committed in this time has an unknown outcome */
 #define CONNECT_EXPIRY_MS 600  /* ms; a connection that takes longer is as good as none */
@@ -133,6 +135,8 @@
 #define RETRY_ELECTION_S 2     /* s; ... when no leader serves: one is found again in 2 to 3 s */
 #define RETRY_CROWD_S 5        /* s; ... when too much waits: some of it has run by then */
 #define DRAIN_MS 3000          /* ms; SIGTERM: not ready at once, gone after this at the latest */
+#define DRAIN_MARGIN_MS 100    /* ms; ... less this, to end in */
+#define DRAIN_LOOK_MS 10       /* ms; whether the last request has been answered */
 
 /* --- formats ------------------------------------------------------------------ */
 #define WIRE_VERSION 1         /* the version of frames; partners ignore trailing fields they do not know */
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -74,13 +74,7 @@
         return;
     }
     if (strcmp(task->path, "/readyz") == 0) {
-        KeepList none = {0};
-        if (core->leaving)
-            showRefusal(task, STATUS_LEAVING, "not ready", NULL);
-        else if (viewLeading(core->view))
-            leaderServe(core, task, task, &none);
-        else
-            proxyReady(&core->proxy, task);
+        showReady(task, coreReady(core), core->leaving);
         return;
     }
     if (strcmp(task->path, "/v1/ring") == 0) {
@@ -91,25 +85,11 @@
         traceServe(core->trace, task);
         return;
     }
-    if (!viewLeading(core->view)) {
-        proxyCarry(&core->proxy, task);
-        return;
-    }
-    KeepList keeps = {0};
-    leaderServe(core, task, task, &keeps);
-    if (keeps.itemsCount > 0) {
-        keeperKeep(core->keeper, keeps.items, keeps.itemsCount);
-        keepElsewhere(core, task, &keeps);
-    }
+    proxyCarry(core->proxy, task);
 }
 
-static Status onProxy(void *arg, void *mem, const void *question, void *answer)
+static void leadServe(Core *core, void *mem, const ProxyAsk *ask, ProxyAnswer *out)
 {
-    Core *core = arg;
-    const ProxyAsk *ask = question;
-    ProxyAnswer *out = answer;
-    if (!viewLeading(core->view))
-        return ask->relay ? proxyRelay(&core->proxy, mem, ask, out) : STATUS_NOT_LEADER;
     HttpTask *task = talloc_zero(mem, HttpTask);
     *task = (HttpTask){.loop = core->loop,
                        .method = ask->method,
@@ -117,6 +97,7 @@
                        .query = ask->query,
                        .host = ask->host,
                        .body = ask->body,
+                       .expiryMs = ask->waitMs > 0 ? loopNowMs(core->loop) + (int64_t)ask->waitMs : 0,
                        .kind = "application/json"};
     KeepList keeps = {0};
     leaderServe(core, task, mem, &keeps);
@@ -127,7 +108,31 @@
     out->retryAfterS = (uint64_t)task->retryAfterS;
     out->keeps = keeps.items;
     out->keepsCount = keeps.itemsCount;
-    return STATUS_OK;
+}
+
+void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer)
+{
+    Core *core = arg;
+    leadServe(core, mem, ask, answer);
+    if (answer->keepsCount > 0)
+        keepElsewhere(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
+}
+
+static Status onProxy(void *arg, void *mem, const void *question, void *answer)
+{
+    Core *core = arg;
+    const ProxyAsk *ask = question;
+    ProxyAnswer *out = answer;
+    if (viewLeading(core->view)) {
+        leadServe(core, mem, ask, out);
+        return STATUS_OK;
+    }
+    const Status status = ask->relay ? proxyRelay(core->proxy, mem, ask, out) : STATUS_NOT_LEADER;
+    if (status != STATUS_OK) {
+        out->leaderEpoch = membersLeaderEpoch(core->members);
+        out->leaderId = talloc_strdup(mem, membersLeaderId(core->members));
+    }
+    return status;
 }
 
 static Status onFeed(void *arg, void *mem, const void *question, void *answer)
@@ -136,20 +141,26 @@
     const FeedAsk *ask = question;
     FeedAnswer *out = answer;
     const int64_t untilMs = loopNowMs(core->loop) + FEED_HOLD_MS;
+    const bool waits = core->repairing;
     for (;;) {
         if (!viewLeading(core->view))
             return STATUS_NOT_LEADER;
         const ConfigText *config = tableConfig(core->table);
         out->epoch = viewEpoch(core->view);
+        out->waits = core->repairing;
         if (!core->repairing && config != NULL && config->revision != ask->have) {
+            const ConfigLimits limits = coreConfig(core)->limits;
             out->revision = config->revision;
-            out->text = talloc_strdup(mem, config->text);
+            out->text = ask->bare ? "" : talloc_strdup(mem, config->text);
+            out->headBytes = limits.headBytes;
+            out->bodyBytes = limits.bodyBytes;
+            out->headMs = limits.headMs;
+            out->idleMs = limits.idleMs;
             return STATUS_OK;
         }
-        if (!signalWait(core->loop, viewNews(core->view), untilMs)) {
-            out->revision = ask->have;
+        out->revision = ask->have;
+        if (waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
             return STATUS_OK;
-        }
     }
 }
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -33,6 +33,8 @@
             mapSet(core->policies, config->policies[i].name, policy);
     }
     core->policyFailuresTold = 0;
+    loopServeLimits(core->loop, &(HttpLimits){config->limits.headBytes, config->limits.bodyBytes, config->limits.headMs,
+                                              config->limits.idleMs});
     return config;
 }
 
@@ -193,6 +195,18 @@
     }
 }
 
+static bool leads(const void *arg)
+{
+    const Core *core = arg;
+    return viewLeading(core->view);
+}
+
+static void onNews(void *arg, const FeedAnswer *answer)
+{
+    const Core *core = arg;
+    loopServeLimits(core->loop, &(HttpLimits){answer->headBytes, answer->bodyBytes, answer->headMs, answer->idleMs});
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     coreTake(arg, task);
@@ -244,12 +258,29 @@
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
-    core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
+    core->proxy = proxyNew(core, &(ProxyProps){.loop = loop,
+                                               .courier = core->courier,
+                                               .members = core->members,
+                                               .keeper = core->keeper,
+                                               .trace = core->trace,
+                                               .leads = leads,
+                                               .serve = callersLead,
+                                               .arg = core,
+                                               .leaderWaitMs = props->bounds.leaderWaitMs,
+                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    core->feed = feedNew(core, &(FeedProps){.loop = loop,
+                                            .courier = core->courier,
+                                            .ways = proxyWays(core->proxy),
+                                            .bare = true,
+                                            .news = onNews,
+                                            .arg = core});
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
     membersStart(core->members);
     viewFounding(core->view);
+    proxyStart(core->proxy);
+    feedStart(core->feed);
     plannerStart(core);
     alertsStart(core);
     loopSpawn(loop, "forget", forgetMain, core);
@@ -259,16 +290,23 @@
 
 bool coreReady(const Core *core)
 {
-    return !core->leaving && (viewLeading(core->view) ? !core->repairing : membersLeaderAddress(core->members) != NULL);
+    return !core->leaving && (viewLeading(core->view) ? !core->repairing : waysServe(proxyWays(core->proxy)));
 }
 
 void coreDrain(Core *core)
 {
+    const int64_t nowMs = loopNowMs(core->loop), untilMs = nowMs + core->props->bounds.graceMs - DRAIN_MARGIN_MS;
     core->leaving = true;
+    loopServeLeave(core->loop);
     membersSetLeaving(core->members);
+    /* what was ordered gets its verdict; then the lock is handed over */
+    if (viewLeading(core->view))
+        viewSettle(core->view);
     viewStepDown(core->view, INT32_MAX);
-    /* requests in work get their verdict, seats hear of the release */
-    loopSleep(core->loop, DRAIN_MS / 6);
+    /* requests are taken on, and carried to the next leader, until the last moment */
+    loopSleep(core->loop, core->props->bounds.unreadyMs);
+    while (loopServeBusy(core->loop) > 0 && loopNowMs(core->loop) < untilMs)
+        loopSleep(core->loop, DRAIN_LOOK_MS);
 }
 
 View *coreView(Core *core)
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -6,6 +6,7 @@
 #include "api/show.h"
 #include "beat/liveset.h"
 #include "core/core.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
@@ -46,7 +47,8 @@
     View *view;
     Table *table;
     Keeper *keeper;
-    Proxy proxy;
+    Proxy *proxy;
+    Feed *feed;
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
@@ -113,6 +115,9 @@
 void repairStart(Core *core);
 void agentsServe(Core *core);
 void callersServe(Core *core);
+/* For the proxy: a request as this leader answers it; what it committed is in the
+ * answer, and kept by another node as well. */
+void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
 /* A caller's request, as leader. keeps: what was committed by it. */
 void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps);
 json_object *coreStatus(Core *core);
--- a/packages/core/src/way.c
+++ b/packages/core/src/way.c
@@ -13,14 +13,6 @@
     bool (*pass)(Way *way);
 } Guard;
 
-static bool passLeaving(Way *way)
-{
-    if (!way->core->leaving)
-        return true;
-    showRefusal(way->task, STATUS_LEAVING, "this process is leaving: come back", NULL);
-    return false;
-}
-
 static bool passLead(Way *way)
 {
     if (viewLeading(way->core->view))
@@ -37,7 +29,7 @@
     return false;
 }
 
-static const Guard GUARDS[] = {{"leaving", passLeaving}, {"lead", passLead}, {"repair", passRepair}};
+static const Guard GUARDS[] = {{"lead", passLead}, {"repair", passRepair}};
 
 /* --- verdicts ---------------------------------------------------------------------- */
 
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -20,7 +20,8 @@
     X(TXT, query, 0)          \
     X(BIN, body, 0)           \
     X(FLAG, relay, 0) /* a core that does not lead carries it on to the one that does */ \
-    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */
+    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */ \
+    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */
 SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
 
 #define PROXY_ANSWER_FIELDS(X) \
@@ -29,14 +30,24 @@
     X(BIN, body, 0)            \
     X(U64, retryAfterS, 0)     \
     X(LST, keeps, KeepItem)    \
-    X(U64, status, 0)
+    X(U64, status, 0)          \
+    X(U64, leaderEpoch, 0) /* the newest leader that is known to one who does not lead */ \
+    X(TXT, leaderId, 0)
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
 /* Answered when there is a revision above have. */
-#define FEED_ASK_FIELDS(X) X(U64, have, 0)
+#define FEED_ASK_FIELDS(X) X(U64, have, 0) X(FLAG, bare, 0) /* without the text */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
-#define FEED_ANSWER_FIELDS(X) X(U64, epoch, 0) X(U64, revision, 0) X(TXT, text, 0)
+#define FEED_ANSWER_FIELDS(X) \
+    X(U64, epoch, 0)          \
+    X(U64, revision, 0)       \
+    X(TXT, text, 0)           \
+    X(FLAG, waits, 0)     /* it does not serve yet */ \
+    X(U64, headBytes, 0)  /* bounds on callers, from the document; 0: not given */ \
+    X(U64, bodyBytes, 0)  \
+    X(I64, headMs, 0)     \
+    X(I64, idleMs, 0)
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- a/packages/feed/include/feed/proxy.h
+++ b/packages/feed/include/feed/proxy.h
@@ -2,33 +2,40 @@
 #define FEED_PROXY_H
 
 #include "feed/keeper.h"
+#include "feed/ways.h"
 #include "trace/trace.h"
 
 /* Carries a caller's request to the leader and its verdict back.
  *
- * 503: certainly not taken. 504: it may have been. What has been given up is
- * answered at once, never held back until near its expiry.
+ * 503: certainly not taken, with when to come back. 504: it may have been. What has
+ * been given up is answered at once.
  *
- * A leader that does not answer is given up after 1.5 s, or as soon as a newer
- * epoch is heard of. What carries an identity is then asked of the newer leader,
- * or through the other cores, which may still reach the one that leads; the rest
- * gets its verdict at once.
- * Invariant: shunned is asked directly no more before shunUntilMs. */
-typedef struct Proxy {
+ * A way along which nothing has come back for a while is asked whether it lives, by
+ * whoever waits on it first; a leader that is slow but lives is waited for, one that
+ * says nothing is given up by all at once, and so is one that a newer epoch is heard
+ * after. What carries an identity may then be asked of the next leader. */
+typedef struct Proxy Proxy;
+
+typedef struct ProxyProps {
     Loop *loop;
     Courier *courier;
     Members *members;
     Keeper *keeper;
     Trace *trace;
-    char shunned[ADDRESS_MAX];
-    int64_t shunUntilMs;
-} Proxy;
+    /* Cores: whether this one leads, and how it serves then. The answer lives on mem. */
+    WaysLeads leads;
+    void (*serve)(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
+    void *arg;
+    int64_t leaderWaitMs;  /* what nobody can have taken waits so long, from the leader's loss, for another */
+    int64_t outcomeWaitMs; /* what a lost leader may have taken is asked again of the next for so long */
+} ProxyProps;
 
+Proxy *proxyNew(void *mem, const ProxyProps *props);
+void proxyStart(Proxy *proxy);
 /* Waits. Fills in the verdict and keeps what was committed. */
 void proxyCarry(Proxy *proxy, HttpTask *task);
-/* Waits. Whether a request taken here would come to a leader that serves. */
-void proxyReady(Proxy *proxy, HttpTask *task);
 /* Waits. Carries on what a gate could not bring to the leader itself. */
 Status proxyRelay(Proxy *proxy, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
+Ways *proxyWays(Proxy *proxy);
 
 #endif
--- /dev/null
+++ b/packages/feed/src/ways.c
@@ -0,0 +1,288 @@
+#include "feed/ways.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define WAYS_PING_MS 300    /* ms; whoever lives answers a question that needs no commit in this */
+#define WAYS_LOOK_MS 120    /* ms; ... and while a way is looked for, the next is tried after this */
+#define WAYS_REST_MS 150    /* ms; all ways have failed: they are tried again after this */
+#define WAYS_BACK_MS 5000   /* ms; a leader reached through others is tried directly this often */
+#define WAYS_GRACE_MS 2000  /* ms; a leader lost so long ago is still expected to be followed by another at once */
+
+/* Invariants:
+ *  - turn grows whenever the way in use, or the leader, becomes another one;
+ *  - at is the way in use: 0 the leader itself, N the Nth other core; it means
+ *    nothing while lostMs is not INT64_MAX;
+ *  - looking says that the looking task runs, which it does while lost, or while at > 0. */
+struct Ways {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    WaysLeads leads;
+    const void *arg;
+    uint64_t turn;
+    uint64_t epoch; /* of the leader that they lead to */
+    size_t at;
+    int64_t lostMs;
+    bool looking;
+    int64_t heardMs;
+    int64_t servedMs; /* INT64_MIN: never */
+    int64_t missedMs; /* since when no leader has been heard to serve; INT64_MAX: it serves */
+    Signal moved;
+};
+
+Ways *waysNew(void *mem, Loop *loop, Courier *courier, Members *members, WaysLeads leads, const void *arg)
+{
+    Ways *ways = talloc_zero(mem, Ways);
+    *ways = (Ways){.loop = loop,
+                   .courier = courier,
+                   .members = members,
+                   .leads = leads,
+                   .arg = arg,
+                   .lostMs = loopNowMs(loop),
+                   .heardMs = INT64_MIN,
+                   .servedMs = INT64_MIN,
+                   .missedMs = loopNowMs(loop)};
+    return ways;
+}
+
+static bool ownLead(const Ways *ways)
+{
+    return ways->leads != NULL && ways->leads(ways->arg);
+}
+
+static void moveOn(Ways *ways)
+{
+    ways->turn++;
+    signalRaise(ways->loop, &ways->moved);
+}
+
+static void miss(Ways *ways)
+{
+    if (ways->missedMs == INT64_MAX)
+        ways->missedMs = loopNowMs(ways->loop);
+}
+
+/* The address of the nth way; false when there are fewer. */
+static bool wayAt(const Ways *ways, size_t nth, WaysTaken *taken)
+{
+    const char *leader = membersLeaderAddress(ways->members);
+    const MemberRecord *self = membersSelf(ways->members);
+    *taken = (WaysTaken){.turn = ways->turn, .relay = nth > 0};
+    if (leader == NULL && nth == 0)
+        return false;
+    if (nth == 0) {
+        snprintf(taken->address, ADDRESS_MAX, "%s", leader);
+        return strcmp(leader, self->address) != 0;
+    }
+    const MemberTable *table = membersTable(ways->members);
+    for (size_t i = 0; i < table->count; i++) {
+        const Member *row = &table->rows[i];
+        if (row->record.role != ROLE_CORE || row->record.leaving ||
+            (leader != NULL && strcmp(row->record.address, leader) == 0) || strcmp(row->record.id, self->id) == 0 || memberQuiet(row, loopNowMs(ways->loop)) || --nth > 0)
+            continue;
+        snprintf(taken->address, ADDRESS_MAX, "%s", row->record.address);
+        return true;
+    }
+    return false;
+}
+
+static Status ping(Ways *ways, const WaysTaken *taken, int64_t waitMs, bool *serves)
+{
+    void *mem = talloc_new(ways);
+    const ProxyAsk ask = {.method = "GET", .path = "/readyz", .relay = taken->relay, .host = "", .waitMs = (uint64_t)waitMs};
+    ProxyAnswer answer = {0};
+    const Status status =
+        courierAsk(ways->courier, mem, taken->address, MESSAGE_PROXY, &ProxyAskShape, &ask, waitMs, &ProxyAnswerShape, &answer);
+    if (status != STATUS_OK)
+        waysTold(ways, &answer);
+    *serves = status == STATUS_OK && answer.code == 200;
+    talloc_free(mem);
+    return status;
+}
+
+/* --- looking for a way ------------------------------------------------------------- */
+
+static void found(Ways *ways, size_t at)
+{
+    ways->at = at;
+    ways->lostMs = INT64_MAX;
+    moveOn(ways);
+}
+
+/* Tries every way once; true when one leads to the leader. */
+static bool lookOnce(Ways *ways)
+{
+    WaysTaken taken;
+    for (size_t nth = 0;; nth++) {
+        if (!wayAt(ways, nth, &taken)) {
+            if (nth == 0)
+                continue; /* it is not known, or it was this process */
+            return false;
+        }
+        const uint64_t turn = ways->turn;
+        bool serves;
+        const Status status = ping(ways, &taken, WAYS_LOOK_MS, &serves);
+        if (ways->turn != turn)
+            return false; /* another leader was heard of meanwhile */
+        if (status == STATUS_OK) {
+            found(ways, nth);
+            waysHeard(ways, &(WaysTaken){.turn = ways->turn}, serves);
+            return true;
+        }
+    }
+}
+
+/* Has the direct way come back? If not, is the one in use still good? */
+static void lookBack(Ways *ways)
+{
+    WaysTaken taken;
+    bool serves;
+    const uint64_t turn = ways->turn;
+    if (wayAt(ways, 0, &taken) && ping(ways, &taken, WAYS_PING_MS, &serves) == STATUS_OK && ways->turn == turn)
+        found(ways, 0);
+    else if (waysTake(ways, &taken) && !waysAlive(ways, &taken))
+        waysFailed(ways, &taken);
+}
+
+static void lookMain(void *arg)
+{
+    Ways *ways = arg;
+    while (!loopStopping(ways->loop) && (ways->lostMs != INT64_MAX || ways->at > 0)) {
+        if (ways->lostMs == INT64_MAX) {
+            signalWait(ways->loop, &ways->moved, loopNowMs(ways->loop) + WAYS_BACK_MS);
+            if (ways->lostMs == INT64_MAX && ways->at > 0)
+                lookBack(ways);
+        } else if (!lookOnce(ways) && ways->lostMs != INT64_MAX) {
+            signalWait(ways->loop, &ways->moved, loopNowMs(ways->loop) + WAYS_REST_MS);
+        }
+    }
+    ways->looking = false;
+}
+
+static void look(Ways *ways)
+{
+    if (ways->looking)
+        return;
+    ways->looking = true;
+    loopSpawn(ways->loop, "look", lookMain, ways);
+}
+
+/* --- the leader known ---------------------------------------------------------------- */
+
+/* Another leader, or the first: it is reached directly until that fails. */
+static void leaderNew(Ways *ways)
+{
+    if (membersLeaderEpoch(ways->members) == ways->epoch && ways->epoch != 0)
+        return;
+    ways->epoch = membersLeaderEpoch(ways->members);
+    if (membersLeaderAddress(ways->members) == NULL) {
+        if (ways->lostMs == INT64_MAX)
+            ways->lostMs = loopNowMs(ways->loop);
+        miss(ways);
+        moveOn(ways);
+        look(ways); /* its address may yet be told */
+        return;
+    }
+    found(ways, 0);
+}
+
+static void leaderMain(void *arg)
+{
+    Ways *ways = arg;
+    while (!loopStopping(ways->loop)) {
+        leaderNew(ways);
+        signalWait(ways->loop, membersLeaderSignal(ways->members), INT64_MAX);
+    }
+}
+
+void waysStart(Ways *ways)
+{
+    loopSpawn(ways->loop, "ways", leaderMain, ways);
+}
+
+/* --- in use ------------------------------------------------------------------------------ */
+
+bool waysTake(Ways *ways, WaysTaken *taken)
+{
+    if (ownLead(ways)) {
+        *taken = (WaysTaken){.turn = ways->turn, .own = true};
+        return true;
+    }
+    if (ways->lostMs == INT64_MAX && wayAt(ways, ways->at, taken))
+        return true;
+    /* the core that carried on has gone, or this process has just lost the lead */
+    if (ways->lostMs == INT64_MAX) {
+        ways->lostMs = loopNowMs(ways->loop);
+        moveOn(ways);
+    }
+    miss(ways);
+    if (ways->epoch != 0)
+        look(ways);
+    return false;
+}
+
+bool waysCurrent(const Ways *ways, const WaysTaken *taken)
+{
+    return taken->own || taken->turn == ways->turn;
+}
+
+Signal *waysMoved(Ways *ways)
+{
+    return &ways->moved;
+}
+
+int64_t waysLostMs(const Ways *ways)
+{
+    return ownLead(ways) ? INT64_MAX : ways->lostMs;
+}
+
+bool waysAlive(Ways *ways, const WaysTaken *taken)
+{
+    bool serves;
+    const Status status = ping(ways, taken, WAYS_PING_MS, &serves);
+    if (status == STATUS_OK)
+        waysHeard(ways, taken, serves);
+    return status == STATUS_OK;
+}
+
+void waysFailed(Ways *ways, const WaysTaken *taken)
+{
+    if (taken->own || !waysCurrent(ways, taken))
+        return;
+    ways->lostMs = loopNowMs(ways->loop);
+    miss(ways);
+    moveOn(ways);
+    look(ways);
+}
+
+void waysHeard(Ways *ways, const WaysTaken *taken, bool serves)
+{
+    if (!waysCurrent(ways, taken))
+        return;
+    ways->heardMs = loopNowMs(ways->loop);
+    if (serves) {
+        ways->servedMs = ways->heardMs;
+        ways->missedMs = INT64_MAX;
+    } else {
+        miss(ways);
+    }
+}
+
+int64_t waysHeardMs(const Ways *ways)
+{
+    return ways->heardMs;
+}
+
+void waysTold(Ways *ways, const ProxyAnswer *answer)
+{
+    if (answer->leaderEpoch > membersLeaderEpoch(ways->members) && answer->leaderId != NULL && answer->leaderId[0] != '\0')
+        membersSetLeader(ways->members, answer->leaderEpoch, answer->leaderId);
+}
+
+bool waysServe(const Ways *ways)
+{
+    return ways->servedMs != INT64_MIN &&
+           (ways->missedMs == INT64_MAX || loopNowMs(ways->loop) - ways->missedMs <= WAYS_GRACE_MS);
+}
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -7,6 +7,7 @@
 #include "api/show.h"
 #include "base/epoch.h"
 #include "beat/messages.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
 #include "table/change.h"
 
@@ -16,9 +17,11 @@
     Courier *courier;
     Members *members;
     Keeper *keeper;
-    Proxy proxy;
+    Proxy *proxy;
+    Feed *feed;
     Trace *trace;
     Ring *ring;
+    int64_t graceMs, unreadyMs;
     uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     uint64_t revision;
@@ -47,21 +50,16 @@
         json_object_object_add(body, "live", json_object_new_boolean(true));
         showVerdict(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
-        if (gate->leaving)
-            showRefusal(task, STATUS_LEAVING, "not ready", NULL);
-        else
-            proxyReady(&gate->proxy, task);
+        showReady(task, gateReady(gate), gate->leaving);
     } else if (strcmp(task->path, "/metrics") == 0) {
         metrics(gate, task);
     } else if (strcmp(task->path, "/v1/ring") == 0) {
         showRing(task, gate->ring);
     } else if (strcmp(task->path, "/v1/trace") == 0) {
         traceServe(gate->trace, task);
-    } else if (gate->leaving) {
-        showRefusal(task, STATUS_LEAVING, "this process is leaving; nothing was taken: come back", NULL);
     } else {
         gate->inWork++;
-        proxyCarry(&gate->proxy, task);
+        proxyCarry(gate->proxy, task);
         gate->inWork--;
     }
 }
@@ -73,38 +71,23 @@
 
 bool gateReady(const Gate *gate)
 {
-    return !gate->leaving && membersLeaderAddress(gate->members) != NULL;
+    return !gate->leaving && waysServe(proxyWays(gate->proxy));
 }
 
-/* Asks with the revision that it has and is answered when there is news. */
-static void feedMain(void *arg)
+static void onNews(void *arg, const FeedAnswer *answer)
 {
     Gate *gate = arg;
-    while (!loopStopping(gate->loop)) {
-        const char *leader = membersLeaderAddress(gate->members);
-        if (leader == NULL) {
-            signalWait(gate->loop, membersLeaderSignal(gate->members), loopNowMs(gate->loop) + BEAT_MS);
-            continue;
-        }
-        void *mem = talloc_new(gate);
-        const FeedAsk ask = {gate->revision};
-        FeedAnswer answer = {0};
-        const Status status = courierAsk(gate->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape,
-                                         &ask, FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
-        if (status == STATUS_OK && answer.epoch > gate->epoch) {
-            gate->epoch = answer.epoch;
-            traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer.epoch));
-        }
-        if (status == STATUS_OK && answer.revision > gate->revision) {
-            traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer.revision);
-            talloc_free(gate->text);
-            gate->text = talloc_strdup(gate, answer.text);
-            gate->revision = answer.revision;
-        }
-        talloc_free(mem);
-        if (status != STATUS_OK)
-            loopSleep(gate->loop, BEAT_MS / 2);
+    if (answer->epoch > gate->epoch) {
+        gate->epoch = answer->epoch;
+        traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
     }
+    if (answer->revision <= gate->revision)
+        return;
+    traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer->revision);
+    talloc_free(gate->text);
+    gate->text = talloc_strdup(gate, answer->text);
+    gate->revision = answer->revision;
+    loopServeLimits(gate->loop, &(HttpLimits){answer->headBytes, answer->bodyBytes, answer->headMs, answer->idleMs});
 }
 
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
@@ -148,6 +131,8 @@
     Gate *gate = talloc_zero(mem, Gate);
     gate->loop = loop;
     gate->ring = ring;
+    gate->graceMs = props->bounds.graceMs;
+    gate->unreadyMs = props->bounds.unreadyMs;
     gate->courier = courierNew(gate, loop, ring);
     gate->keeper = keeperNew(gate, loop);
     Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
@@ -164,25 +149,38 @@
                                .incarnation = (uint64_t)loopWallMs(loop)};
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
-    gate->proxy = (Proxy){.loop = loop, .courier = gate->courier, .members = gate->members, .keeper = gate->keeper, .trace = gate->trace};
+    gate->proxy = proxyNew(gate, &(ProxyProps){.loop = loop,
+                                               .courier = gate->courier,
+                                               .members = gate->members,
+                                               .keeper = gate->keeper,
+                                               .trace = gate->trace,
+                                               .leaderWaitMs = props->bounds.leaderWaitMs,
+                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    gate->feed = feedNew(gate, &(FeedProps){.loop = loop,
+                                            .courier = gate->courier,
+                                            .ways = proxyWays(gate->proxy),
+                                            .news = onNews,
+                                            .arg = gate});
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
-    loopSpawn(loop, "feed", feedMain, gate);
+    proxyStart(gate->proxy);
+    feedStart(gate->feed);
     *out = gate;
     return STATUS_OK;
 }
 
 void gateDrain(Gate *gate)
 {
-    const int64_t untilMs = loopNowMs(gate->loop) + DRAIN_MS;
+    const int64_t nowMs = loopNowMs(gate->loop);
     gate->leaving = true;
+    loopServeLeave(gate->loop);
     membersSetLeaving(gate->members);
-    /* long enough for the platform to see that it is not ready */
-    loopSleep(gate->loop, DRAIN_MS / 6);
-    while (gate->inWork > 0 && loopNowMs(gate->loop) < untilMs)
-        loopSleep(gate->loop, 10);
+    /* requests are taken on until the last moment: none that was read is cut */
+    loopSleep(gate->loop, gate->unreadyMs);
+    while (loopServeBusy(gate->loop) > 0 && loopNowMs(gate->loop) < nowMs + gate->graceMs - DRAIN_MARGIN_MS)
+        loopSleep(gate->loop, DRAIN_LOOK_MS);
 }
 
 const char *gateHttpAddress(const Gate *gate)
--- a/packages/props/include/props/bounds.h
+++ b/packages/props/include/props/bounds.h
@@ -20,7 +20,10 @@
     X(seatBackMs, SEAT_GONE_MS, 1000, 600000, "a seat that returns, or is replaced, is whole again within this") \
     X(losses, 1, 1, 4, "disk machines whose loss at once must be borne: seats are twice that and one")         \
     X(founds, 0, 0, 1, "the first start of all: a cluster may be founded by the seeds' votes")                 \
-    X(graceMs, DRAIN_MS, 100, 600000, "SIGTERM: gone within this")
+    X(graceMs, DRAIN_MS, 100, 600000, "SIGTERM: gone within this")                                              \
+    X(unreadyMs, DRAIN_MS / 6, 0, 600000, "... and not before this: until it has been seen that it is not ready") \
+    X(leaderWaitMs, LEADER_WAIT_MS, 0, 60000, "from a leader's loss, a request waits so long for another")      \
+    X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")
 
 typedef struct Bounds {
 #define X(name, otherwise, least, most, meaning) int64_t name;
