--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -3,8 +3,8 @@
 
 #include "feed/ways.h"
 
-/* Hears from the leader by long poll: the newest revision, the bounds on callers, and
- * that it serves. Asks the leader itself, never through others. */
+/* Hears from the leader by long poll: the revisions of the document, the bounds on
+ * callers, and that it serves. Asks the leader itself, never through others. */
 typedef struct Feed Feed;
 
 /* Told when there is a newer revision, or another leader; does not wait. */
@@ -14,7 +14,7 @@
     Loop *loop;
     Courier *courier;
     Ways *ways;
-    bool bare; /* the document's text is not wanted */
+    bool bare; /* the document itself is not wanted */
     FeedFn news;
     void *arg;
 } FeedProps;
@@ -22,5 +22,7 @@
 Feed *feedNew(void *mem, const FeedProps *props);
 void feedStart(Feed *feed);
 uint64_t feedRevision(const Feed *feed);
+/* Those that it holds; none when they are not wanted. */
+const Revisions *feedRevisions(const Feed *feed);
 
 #endif
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -1,7 +1,7 @@
 #ifndef FEED_MESSAGES_H
 #define FEED_MESSAGES_H
 
-#include "wire/shape.h"
+#include "table/revisions.h"
 
 /* A committed change as kept by those who were told of it first. */
 #define KEEP_ITEM_FIELDS(X) X(U64, change, 0) X(U64, index, 0) X(BIN, payload, 0)
@@ -36,7 +36,11 @@
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
 /* Answered when there is a revision above have. */
-#define FEED_ASK_FIELDS(X) X(U64, have, 0) X(FLAG, bare, 0) /* without the text */
+#define FEED_ASK_FIELDS(X) \
+    X(U64, have, 0)            \
+    X(FLAG, bare, 0)    /* without the document */ \
+    X(FLAG, patches, 0) /* as rows upon what it has ... */ \
+    X(U64, mark, 0)     /* ... which is of this mark; else as a text */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
 #define FEED_ANSWER_FIELDS(X) \
@@ -44,10 +48,8 @@
     X(U64, revision, 0)       \
     X(TXT, text, 0)           \
     X(FLAG, waits, 0)     /* it does not serve yet */ \
-    X(U64, headBytes, 0)  /* bounds on callers, from the document; 0: not given */ \
-    X(U64, bodyBytes, 0)  \
-    X(I64, headMs, 0)     \
-    X(I64, idleMs, 0)
+    X(ONE, limits, ConfigLimits) \
+    X(LST, rows, Revision) /* in order; the first builds on what the asker has, or is whole */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -7,6 +7,7 @@
 struct Feed {
     FeedProps props;
     uint64_t revision, epoch;
+    Revisions *revisions; /* the newest of them is revision, unless bare */
     uint64_t asking;
 };
 
@@ -20,17 +21,30 @@
     Feed *feed = talloc_zero(mem, Feed);
     feed->props = *props;
     feed->asking = UINT64_MAX;
+    feed->revisions = revisionsNew(feed, 1);
     return feed;
 }
 
+static void takeRows(Feed *feed, const FeedAnswer *answer)
+{
+    if (answer->rowsCount > 0 && !answer->rows[0].patch) {
+        talloc_free(feed->revisions);
+        feed->revisions = revisionsNew(feed, 1);
+    }
+    for (size_t i = 0; i < answer->rowsCount; i++)
+        if (!answer->rows[i].patch || answer->rows[i].base == revisionsNewest(feed->revisions))
+            revisionsAdd(feed->revisions, &answer->rows[i]);
+}
+
 static void take(Feed *feed, const FeedAnswer *answer)
 {
-    if (answer->epoch <= feed->epoch && answer->revision <= feed->revision)
+    if (answer->epoch <= feed->epoch && answer->revision == feed->revision)
         return;
     if (answer->epoch > feed->epoch)
         feed->epoch = answer->epoch;
-    if (answer->revision > feed->revision)
-        feed->revision = answer->revision;
+    if (!feed->props.bare)
+        takeRows(feed, answer);
+    feed->revision = feed->props.bare ? answer->revision : revisionsNewest(feed->revisions);
     feed->props.news(feed->props.arg, answer);
 }
 
@@ -43,7 +57,11 @@
     Loop *loop = feed->props.loop;
     while (!loopStopping(loop) && waysCurrent(feed->props.ways, &asking->taken)) {
         void *mem = talloc_new(asking);
-        const FeedAsk ask = {feed->revision, feed->props.bare};
+        const Revisions *revisions = feed->revisions;
+        const FeedAsk ask = {.have = feed->revision,
+                             .bare = feed->props.bare,
+                             .patches = !feed->props.bare,
+                             .mark = revisions->count > 0 ? revisionMark(&revisions->rows[revisions->count - 1]) : 0};
         FeedAnswer answer = {0};
         const Status status = courierAsk(feed->props.courier, mem, asking->taken.address, MESSAGE_FEED, &FeedAskShape, &ask,
                                          FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
@@ -78,6 +96,11 @@
     loopSpawn(feed->props.loop, "feeds", feedMain, feed);
 }
 
+const Revisions *feedRevisions(const Feed *feed)
+{
+    return feed->revisions;
+}
+
 uint64_t feedRevision(const Feed *feed)
 {
     return feed->revision;
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -11,7 +11,6 @@
 #include "feed/proxy.h"
 #include "table/change.h"
 
-/* Invariant: revision is that of text; text is empty while revision is 0. */
 struct Gate {
     Loop *loop;
     Courier *courier;
@@ -24,8 +23,7 @@
     int64_t graceMs, unreadyMs;
     uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
-    uint64_t revision;
-    char *text;
+    uint64_t revision; /* as last told to the trace */
     bool leaving;
     size_t inWork;
 };
@@ -81,13 +79,12 @@
         gate->epoch = answer->epoch;
         traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
     }
-    if (answer->revision <= gate->revision)
+    if (feedRevision(gate->feed) == gate->revision)
         return;
-    traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer->revision);
-    talloc_free(gate->text);
-    gate->text = talloc_strdup(gate, answer->text);
-    gate->revision = answer->revision;
-    loopServeLimits(gate->loop, &(HttpLimits){answer->headBytes, answer->bodyBytes, answer->headMs, answer->idleMs});
+    gate->revision = feedRevision(gate->feed);
+    traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, gate->revision);
+    loopServeLimits(gate->loop, &(HttpLimits){answer->limits.headBytes, answer->limits.bodyBytes, answer->limits.headMs,
+                                              answer->limits.idleMs});
 }
 
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
@@ -96,8 +93,15 @@
     KeepList *list = answer;
     (void)question;
     keeperTell(gate->keeper, mem, list);
-    if (gate->revision > 0) {
-        const ConfigSet set = {gate->revision - 1, gate->revision, gate->text, true};
+    const Revisions *revisions = feedRevisions(gate->feed);
+    if (revisions->count > 0) {
+        const Revision *newest = &revisions->rows[revisions->count - 1];
+        const ConfigSet set = {.base = newest->base,
+                               .revision = newest->revision,
+                               .text = revisionsText(revisions, mem, newest->revision),
+                               .restored = true,
+                               .digest = newest->digest,
+                               .limits = newest->limits};
         KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
         shapePack(&ConfigSetShape, &set, mem, &item.payload);
         list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
