--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -135,23 +135,6 @@
     return status;
 }
 
-/* What the asker does not have yet: the patches since, or the newest whole text and
- * the patches upon that. */
-static void feedRows(const Revisions *revisions, void *mem, const FeedAsk *ask, FeedAnswer *out)
-{
-    size_t from = revisions->count;
-    while (from > revisions->whole &&
-           (revisions->rows[from - 1].revision != ask->have || revisionMark(&revisions->rows[from - 1]) != ask->mark))
-        from--;
-    if (from == revisions->whole) /* nothing in common */
-        for (from = revisions->count - 1; revisions->rows[from].patch;)
-            from--;
-    out->rowsCount = revisions->count - from;
-    out->rows = talloc_array(mem, Revision, (unsigned)out->rowsCount);
-    for (size_t i = 0; i < out->rowsCount; i++)
-        shapeCopy(&RevisionShape, &revisions->rows[from + i], mem, &out->rows[i]);
-}
-
 static Status onFeed(void *arg, void *mem, const void *question, void *answer)
 {
     Core *core = arg;
@@ -162,20 +145,10 @@
     for (;;) {
         if (!viewLeading(core->view))
             return STATUS_NOT_LEADER;
-        const Revisions *revisions = tableRevisions(core->table);
-        const uint64_t newest = revisionsNewest(revisions);
         out->epoch = viewEpoch(core->view);
         out->waits = core->repairing;
-        out->text = "";
-        if (!core->repairing && newest > 0 && newest != ask->have) {
-            out->revision = newest;
-            shapeCopy(&ConfigLimitsShape, revisionsLimits(revisions), mem, &out->limits);
-            if (ask->patches)
-                feedRows(revisions, mem, ask, out);
-            else if (!ask->bare)
-                out->text = revisionsText(revisions, mem, newest);
+        if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
             return STATUS_OK;
-        }
         out->revision = ask->have;
         if (waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
             return STATUS_OK;
@@ -187,6 +160,7 @@
     Core *core = arg;
     (void)question;
     keeperTell(core->keeper, mem, answer);
+    feedTell(core->feed, mem, answer);
     return STATUS_OK;
 }
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -5,6 +5,7 @@
 
 #include "base/epoch.h"
 #include "alerts.h"
+#include "inforce.h"
 
 bool coreDecides(Core *core)
 {
@@ -33,17 +34,11 @@
     return status;
 }
 
-static void limitsSet(const Core *core, const ConfigLimits *limits)
-{
-    loopServeLimits(core->loop, &(HttpLimits){limits->headBytes, limits->bodyBytes, limits->headMs, limits->idleMs});
-}
-
 static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
 {
     Core *core = arg;
     traceSay(core->trace, TRACE_OPENED, newHolder ? "the lock was won" : "opened anew", "view:%" PRIu64,
              epochCounter(epoch));
-    limitsSet(core, revisionsLimits(tableRevisions(core->table)));
     if (newHolder) {
         void *mem = talloc_new(core);
         const Worker **workers;
@@ -112,8 +107,7 @@
 {
     Core *core = arg;
     traceDelivered(core, change, verdict);
-    if (change->change == CHANGE_CONFIG_SET)
-        limitsSet(core, revisionsLimits(tableRevisions(core->table)));
+    limitsFollow(core);
     if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
     void *mem = talloc_new(core);
@@ -132,12 +126,12 @@
 {
     Core *core = arg;
     while (!loopStopping(core->loop)) {
-        loopSleep(core->loop, JOB_KEEP_MS / 60);
-        Job *const *jobs;
-        if (!coreDecides(core) || tableJobs(core->table, &jobs) == 0)
+        const int64_t keepMs = core->props->bounds.jobKeepMs;
+        loopSleep(core->loop, keepMs / 60 > FORGET_MS ? keepMs / 60 : FORGET_MS);
+        if (!coreDecides(core))
             continue;
-        const Forget forget = {viewClockMs(core->view) - JOB_KEEP_MS};
-        if (jobs[0]->acceptedMs >= forget.beforeMs)
+        const Forget forget = {viewClockMs(core->view) - keepMs};
+        if (tableOldestMs(core->table) >= forget.beforeMs)
             continue;
         void *mem = talloc_new(core);
         Verdict verdict;
@@ -146,17 +140,17 @@
     }
 }
 
-static bool leads(const void *arg)
+/* A core in waiting hears of the configuration as a gate does. */
+static bool seatless(void *arg)
 {
     const Core *core = arg;
-    return viewLeading(core->view);
+    return !viewSeated(core->view);
 }
 
-/* A core without a seat has them from the leader, one with a seat from the log. */
-static void onNews(void *arg, const FeedAnswer *answer)
+static bool leads(const void *arg)
 {
     const Core *core = arg;
-    limitsSet(core, &answer->limits);
+    return viewLeading(core->view);
 }
 
 static void onHttp(void *arg, HttpTask *task)
@@ -180,6 +174,7 @@
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
     core->scores = mapNew(core);
+    core->guesses = guessesNew(core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
@@ -220,21 +215,16 @@
                                                .arg = core,
                                                .leaderWaitMs = props->bounds.leaderWaitMs,
                                                .outcomeWaitMs = props->bounds.outcomeWaitMs});
-    core->feed = feedNew(core, &(FeedProps){.loop = loop,
-                                            .courier = core->courier,
-                                            .ways = proxyWays(core->proxy),
-                                            .bare = true,
-                                            .news = onNews,
-                                            .arg = core});
+    core->feed = feedNew(core, loop, core->courier, proxyWays(core->proxy), core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
     membersStart(core->members);
     viewFounding(core->view);
-    proxyStart(core->proxy);
-    feedStart(core->feed);
     plannerStart(core);
     alertsStart(core);
+    proxyStart(core->proxy);
+    feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
     return STATUS_OK;
--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -1,28 +1,34 @@
 #ifndef FEED_FEED_H
 #define FEED_FEED_H
 
+#include "feed/messages.h"
 #include "feed/ways.h"
+#include "table/revisions.h"
+#include "trace/trace.h"
 
-/* Hears from the leader by long poll: the revisions of the document, the bounds on
- * callers, and that it serves. Asks the leader itself, never through others. */
+/* What a process without a seat knows of the configuration, told by the leader
+ * within a moment: which revision is in force and its limits. They are put in
+ * force here.
+ *
+ * The document is kept for repair only: what the disks lose is told again. Small
+ * differences come at once, a whole one once nothing has changed for a while, so
+ * that a storm of changes does not fill a narrow link.
+ * Invariant: revisions never has a revision above the one known. */
 typedef struct Feed Feed;
 
-/* Told when there is a newer revision, or another leader; does not wait. */
-typedef void (*FeedFn)(void *arg, const FeedAnswer *answer);
+/* Whether to ask for the configuration now; null: always. Otherwise the leader is
+ * asked no more than whether it serves. */
+typedef bool (*FeedFn)(void *arg);
 
-typedef struct FeedProps {
-    Loop *loop;
-    Courier *courier;
-    Ways *ways;
-    bool bare; /* the document itself is not wanted */
-    FeedFn news;
-    void *arg;
-} FeedProps;
-
-Feed *feedNew(void *mem, const FeedProps *props);
-void feedStart(Feed *feed);
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Ways *ways, Trace *trace);
+/* Begins to ask. */
+void feedStart(Feed *feed, FeedFn wanted, void *arg);
+/* The newest that is known; 0: none. */
 uint64_t feedRevision(const Feed *feed);
-/* Those that it holds; none when they are not wanted. */
-const Revisions *feedRevisions(const Feed *feed);
+/* Adds what is kept of the document, on mem, to be told again. */
+void feedTell(const Feed *feed, void *mem, KeepList *list);
+
+/* What the leader answers out of its revisions; true when there is news. On mem. */
+bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer);
 
 #endif
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -1,7 +1,7 @@
 #ifndef FEED_MESSAGES_H
 #define FEED_MESSAGES_H
 
-#include "table/revisions.h"
+#include "table/change.h"
 
 /* A committed change as kept by those who were told of it first. */
 #define KEEP_ITEM_FIELDS(X) X(U64, change, 0) X(U64, index, 0) X(BIN, payload, 0)
@@ -35,21 +35,22 @@
     X(TXT, leaderId, 0)
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
-/* Answered when there is a revision above have. */
-#define FEED_ASK_FIELDS(X) \
-    X(U64, have, 0)            \
-    X(FLAG, bare, 0)    /* without the document */ \
-    X(FLAG, patches, 0) /* as rows upon what it has ... */ \
-    X(U64, mark, 0)     /* ... which is of this mark; else as a text */
+/* Answered when there is a revision above have, or, when the document is wanted
+ * too, above the one that it is had of. */
+#define FEED_ASK_FIELDS(X)                                              \
+    X(U64, have, 0)                                                       \
+    X(U64, textHave, 0)                                                   \
+    X(FLAG, wants, 0) /* the document whatever its size; else small changes only */ \
+    X(FLAG, brief, 0) /* as sets, not as a text */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
-#define FEED_ANSWER_FIELDS(X) \
-    X(U64, epoch, 0)          \
-    X(U64, revision, 0)       \
-    X(TXT, text, 0)           \
-    X(FLAG, waits, 0)     /* it does not serve yet */ \
-    X(ONE, limits, ConfigLimits) \
-    X(LST, rows, Revision) /* in order; the first builds on what the asker has, or is whole */
+#define FEED_ANSWER_FIELDS(X)     \
+    X(U64, epoch, 0)              \
+    X(U64, revision, 0)           \
+    X(TXT, text, 0)               \
+    X(ONE, limits, ConfigLimits)  \
+    X(LST, sets, ConfigSet) /* from textHave on, or one whole */ \
+    X(FLAG, waits, 0)       /* it does not serve yet */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -1,107 +1,194 @@
 #include "feed/feed.h"
 
+#include <inttypes.h>
+#include <string.h>
 #include <talloc.h>
 
-/* Invariants: revision and epoch are the newest told; asking is the turn of the ways in
- * which the newest asking task asks, and every other such task ends with its answer. */
+#include "base/epoch.h"
+#include "feed/limits.h"
+#include "table/deliverconfig.h"
+
+#define FEED_KEEP 8             /* count; revisions kept for repair: any later one holds all of them */
+#define FEED_CALM_MS 5000       /* ms; nothing has changed for so long: the document itself is asked for */
+#define FEED_EAGER_BYTES 16384  /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
+
 struct Feed {
-    FeedProps props;
-    uint64_t revision, epoch;
-    Revisions *revisions; /* the newest of them is revision, unless bare */
-    uint64_t asking;
+    Loop *loop;
+    Courier *courier;
+    Ways *ways;
+    Trace *trace;
+    FeedFn wanted;
+    void *arg;
+    uint64_t epoch; /* the newest heard of */
+    uint64_t revision;
+    int64_t learntMs;
+    Revisions *revisions;
+    uint64_t turn; /* of the ways, when the newest asking task began */
 };
 
-typedef struct Asking {
+/* Asks as long as its way is the one in use, so that a leader lost is not waited for. */
+typedef struct FeedAsking {
     Feed *feed;
     WaysTaken taken;
-} Asking;
+} FeedAsking;
 
-Feed *feedNew(void *mem, const FeedProps *props)
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Ways *ways, Trace *trace)
 {
     Feed *feed = talloc_zero(mem, Feed);
-    feed->props = *props;
-    feed->asking = UINT64_MAX;
-    feed->revisions = revisionsNew(feed, 1);
+    *feed = (Feed){.loop = loop, .courier = courier, .ways = ways, .trace = trace};
+    feed->revisions = revisionsNew(feed, FEED_KEEP);
     return feed;
 }
 
-static void takeRows(Feed *feed, const FeedAnswer *answer)
+uint64_t feedRevision(const Feed *feed)
 {
-    if (answer->rowsCount > 0 && !answer->rows[0].patch) {
-        talloc_free(feed->revisions);
-        feed->revisions = revisionsNew(feed, 1);
-    }
-    for (size_t i = 0; i < answer->rowsCount; i++)
-        if (!answer->rows[i].patch || answer->rows[i].base == revisionsNewest(feed->revisions))
-            revisionsAdd(feed->revisions, &answer->rows[i]);
+    return feed->revision;
+}
+
+/* --- the leader's side ----------------------------------------------------------------- */
+
+static ConfigSet setOf(const Revision *row)
+{
+    return (ConfigSet){.base = row->base,
+                       .revision = row->revision,
+                       .text = row->text,
+                       .restored = true,
+                       .patch = row->patch,
+                       .digest = row->digest,
+                       .limits = row->limits};
 }
 
-static void take(Feed *feed, const FeedAnswer *answer)
+/* The changes since a revision, when there are texts of all of them. */
+static bool changesSince(const Revisions *revisions, uint64_t have, size_t most, void *mem, FeedAnswer *answer)
 {
-    if (answer->epoch <= feed->epoch && answer->revision == feed->revision)
+    size_t from = revisions->count, bytes = 0;
+    while (from > 0 && revisions->rows[from - 1].revision > have)
+        bytes += strlen(revisions->rows[--from].text);
+    const bool known = from > 0 && revisions->rows[from - 1].revision == have && from >= revisions->whole;
+    if (!known || bytes > most)
+        return false;
+    answer->setsCount = revisions->count - from;
+    answer->sets = talloc_array(mem, ConfigSet, (unsigned)answer->setsCount);
+    for (size_t i = 0; i < answer->setsCount; i++)
+        answer->sets[i] = setOf(&revisions->rows[from + i]);
+    return true;
+}
+
+static void wholeNow(const Revisions *revisions, size_t most, void *mem, FeedAnswer *answer)
+{
+    if (revisionsSize(revisions) > most)
         return;
-    if (answer->epoch > feed->epoch)
+    const Revision *newest = &revisions->rows[revisions->count - 1];
+    answer->sets = talloc(mem, ConfigSet);
+    answer->setsCount = 1;
+    *answer->sets = setOf(newest);
+    answer->sets->patch = false;
+    answer->sets->text = revisionsText(revisions, mem, newest->revision);
+}
+
+bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer)
+{
+    const uint64_t newest = revisionsNewest(revisions);
+    if (newest <= ask->have && !(ask->wants && newest > ask->textHave))
+        return false;
+    answer->revision = newest;
+    answer->limits = *revisionsLimits(revisions);
+    const size_t most = ask->wants ? SIZE_MAX : FEED_EAGER_BYTES;
+    if (!ask->brief) /* a gate of an earlier release */
+        answer->text = revisionsText(revisions, mem, newest);
+    else if (newest > ask->textHave && !changesSince(revisions, ask->textHave, most, mem, answer))
+        wholeNow(revisions, most, mem, answer);
+    return true;
+}
+
+/* --- the asking side --------------------------------------------------------------------- */
+
+static void learn(Feed *feed, const FeedAnswer *answer)
+{
+    if (answer->epoch > feed->epoch) {
         feed->epoch = answer->epoch;
-    if (!feed->props.bare)
-        takeRows(feed, answer);
-    feed->revision = feed->props.bare ? answer->revision : revisionsNewest(feed->revisions);
-    feed->props.news(feed->props.arg, answer);
+        traceSay(feed->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
+    }
+    if (answer->revision > feed->revision) {
+        traceSay(feed->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer->revision);
+        feed->revision = answer->revision;
+        feed->learntMs = loopNowMs(feed->loop);
+        limitsServe(feed->loop, &answer->limits);
+    }
+    for (size_t i = 0; i < answer->setsCount; i++) {
+        ConfigSet set = answer->sets[i];
+        Verdict verdict = {0};
+        set.restored = true;
+        if (set.revision <= feed->revision)
+            deliverConfig(feed->revisions, &set, &verdict);
+    }
+}
+
+static Status askOnce(Feed *feed, const WaysTaken *taken)
+{
+    void *mem = talloc_new(feed);
+    const uint64_t textHave = revisionsNewest(feed->revisions);
+    const bool wanted = feed->wanted == NULL || feed->wanted(feed->arg);
+    const bool calm = loopNowMs(feed->loop) - feed->learntMs >= FEED_CALM_MS;
+    FeedAsk ask = {.have = UINT64_MAX, .textHave = UINT64_MAX, .brief = true};
+    if (wanted)
+        ask = (FeedAsk){
+            .have = feed->revision, .textHave = textHave, .wants = textHave < feed->revision && calm, .brief = true};
+    FeedAnswer answer = {0};
+    const Status status = courierAsk(feed->courier, mem, taken->address, MESSAGE_FEED, &FeedAskShape, &ask,
+                                     FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
+    if (status == STATUS_OK) {
+        waysHeard(feed->ways, taken, !answer.waits);
+        if (wanted)
+            learn(feed, &answer);
+    }
+    talloc_free(mem);
+    return status;
 }
 
 /* Asks with the revision that it has and is answered when there is news, or after a
- * while; as long as this way to the leader is the one in use. */
+ * while. */
 static void askMain(void *arg)
 {
-    Asking *asking = arg;
+    FeedAsking *asking = arg;
     Feed *feed = asking->feed;
-    Loop *loop = feed->props.loop;
-    while (!loopStopping(loop) && waysCurrent(feed->props.ways, &asking->taken)) {
-        void *mem = talloc_new(asking);
-        const Revisions *revisions = feed->revisions;
-        const FeedAsk ask = {.have = feed->revision,
-                             .bare = feed->props.bare,
-                             .patches = !feed->props.bare,
-                             .mark = revisions->count > 0 ? revisionMark(&revisions->rows[revisions->count - 1]) : 0};
-        FeedAnswer answer = {0};
-        const Status status = courierAsk(feed->props.courier, mem, asking->taken.address, MESSAGE_FEED, &FeedAskShape, &ask,
-                                         FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
-        if (status == STATUS_OK) {
-            waysHeard(feed->props.ways, &asking->taken, !answer.waits);
-            take(feed, &answer);
-        } else {
-            waysFailed(feed->props.ways, &asking->taken);
-        }
-        talloc_free(mem);
-    }
+    while (!loopStopping(feed->loop) && waysCurrent(feed->ways, &asking->taken))
+        if (askOnce(feed, &asking->taken) != STATUS_OK)
+            waysFailed(feed->ways, &asking->taken);
     talloc_free(asking);
 }
 
+/* A leader is asked directly, never through others. */
 static void feedMain(void *arg)
 {
     Feed *feed = arg;
-    while (!loopStopping(feed->props.loop)) {
+    while (!loopStopping(feed->loop)) {
         WaysTaken taken;
-        if (waysTake(feed->props.ways, &taken) && !taken.own && !taken.relay && taken.turn != feed->asking) {
-            feed->asking = taken.turn;
-            Asking *asking = talloc_zero(feed, Asking);
-            *asking = (Asking){feed, taken};
-            loopSpawn(feed->props.loop, "feed", askMain, asking);
+        if (waysTake(feed->ways, &taken) && !taken.own && !taken.relay && taken.turn != feed->turn) {
+            feed->turn = taken.turn;
+            FeedAsking *asking = talloc_zero(feed, FeedAsking);
+            *asking = (FeedAsking){feed, taken};
+            loopSpawn(feed->loop, "feed", askMain, asking);
         }
-        signalWait(feed->props.loop, waysMoved(feed->props.ways), INT64_MAX);
+        signalWait(feed->loop, waysMoved(feed->ways), INT64_MAX);
     }
 }
 
-void feedStart(Feed *feed)
-{
-    loopSpawn(feed->props.loop, "feeds", feedMain, feed);
-}
-
-const Revisions *feedRevisions(const Feed *feed)
+void feedStart(Feed *feed, FeedFn wanted, void *arg)
 {
-    return feed->revisions;
+    feed->wanted = wanted;
+    feed->arg = arg;
+    loopSpawn(feed->loop, "feeds", feedMain, feed);
 }
 
-uint64_t feedRevision(const Feed *feed)
+void feedTell(const Feed *feed, void *mem, KeepList *list)
 {
-    return feed->revision;
+    const Revisions *revisions = feed->revisions;
+    for (size_t i = revisions->whole; i < revisions->count; i++) {
+        const ConfigSet set = setOf(&revisions->rows[i]);
+        KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
+        shapePack(&ConfigSetShape, &set, mem, &item.payload);
+        list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
+        list->items[list->itemsCount++] = item;
+    }
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -1,15 +1,12 @@
 #include "gate/gate.h"
 
-#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "api/show.h"
-#include "base/epoch.h"
 #include "beat/messages.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
-#include "table/change.h"
 
 struct Gate {
     Loop *loop;
@@ -17,13 +14,11 @@
     Members *members;
     Keeper *keeper;
     Proxy *proxy;
-    Feed *feed;
     Trace *trace;
     Ring *ring;
-    int64_t graceMs, unreadyMs;
-    uint64_t epoch; /* the newest heard of */
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
-    uint64_t revision; /* as last told to the trace */
+    Feed *feed;
+    int64_t graceMs, unreadyMs;
     bool leaving;
     size_t inWork;
 };
@@ -34,7 +29,7 @@
     showMetricsBegin(task);
     showMetric(task, "inWork", (int64_t)gate->inWork);
     showMetric(task, "kept", (int64_t)keeperCount(gate->keeper));
-    showMetric(task, "configRevision", (int64_t)gate->revision);
+    showMetric(task, "configRevision", (int64_t)feedRevision(gate->feed));
     showMetric(task, "members", (int64_t)membersTable(gate->members)->count);
 #define X(name) showMetric(task, #name, (int64_t)counts->name);
     COURIER_COUNT_LIST(X)
@@ -72,41 +67,13 @@
     return !gate->leaving && waysServe(proxyWays(gate->proxy));
 }
 
-static void onNews(void *arg, const FeedAnswer *answer)
-{
-    Gate *gate = arg;
-    if (answer->epoch > gate->epoch) {
-        gate->epoch = answer->epoch;
-        traceSay(gate->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
-    }
-    if (feedRevision(gate->feed) == gate->revision)
-        return;
-    gate->revision = feedRevision(gate->feed);
-    traceSay(gate->trace, TRACE_LEARNT, "", "config:%" PRIu64, gate->revision);
-    loopServeLimits(gate->loop, &(HttpLimits){answer->limits.headBytes, answer->limits.bodyBytes, answer->limits.headMs,
-                                              answer->limits.idleMs});
-}
-
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
 {
     Gate *gate = arg;
     KeepList *list = answer;
     (void)question;
     keeperTell(gate->keeper, mem, list);
-    const Revisions *revisions = feedRevisions(gate->feed);
-    if (revisions->count > 0) {
-        const Revision *newest = &revisions->rows[revisions->count - 1];
-        const ConfigSet set = {.base = newest->base,
-                               .revision = newest->revision,
-                               .text = revisionsText(revisions, mem, newest->revision),
-                               .restored = true,
-                               .digest = newest->digest,
-                               .limits = newest->limits};
-        KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
-        shapePack(&ConfigSetShape, &set, mem, &item.payload);
-        list->items = talloc_realloc(mem, list->items, KeepItem, (unsigned)(list->itemsCount + 1));
-        list->items[list->itemsCount++] = item;
-    }
+    feedTell(gate->feed, mem, list);
     return STATUS_OK;
 }
 
@@ -160,17 +127,13 @@
                                                .trace = gate->trace,
                                                .leaderWaitMs = props->bounds.leaderWaitMs,
                                                .outcomeWaitMs = props->bounds.outcomeWaitMs});
-    gate->feed = feedNew(gate, &(FeedProps){.loop = loop,
-                                            .courier = gate->courier,
-                                            .ways = proxyWays(gate->proxy),
-                                            .news = onNews,
-                                            .arg = gate});
+    gate->feed = feedNew(gate, loop, gate->courier, proxyWays(gate->proxy), gate->trace);
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
     proxyStart(gate->proxy);
-    feedStart(gate->feed);
+    feedStart(gate->feed, NULL, NULL);
     *out = gate;
     return STATUS_OK;
 }
--- a/packages/table/include/table/revisions.h
+++ b/packages/table/include/table/revisions.h
@@ -15,9 +15,6 @@
     X(ONE, limits, ConfigLimits)
 SHAPE(Revision, REVISION_FIELDS)
 
-/* By which two holders see that they have the same revision under one number. */
-uint64_t revisionMark(const Revision *row);
-
 /* The revisions that were committed, the newest last.
  *
  * A document of a thousand queues has 300 KB and changes by some hundred bytes at
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "base/bytes.h"
 #include "base/constants.h"
 #include "document/document.h"
 
@@ -16,12 +15,6 @@
     return revisions;
 }
 
-uint64_t revisionMark(const Revision *row)
-{
-    const char *text = row->digest[0] != '\0' ? row->digest : row->text;
-    return (uint64_t)bytesCrc(text, strlen(text)) << 32 | (row->base & UINT32_MAX);
-}
-
 uint64_t revisionsNewest(const Revisions *revisions)
 {
     return revisions->count > 0 ? revisions->rows[revisions->count - 1].revision : 0;
