--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -147,6 +147,12 @@
     return !viewSeated(core->view);
 }
 
+static bool leads(const void *arg)
+{
+    const Core *core = arg;
+    return viewLeading(core->view);
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     coreTake(arg, task);
@@ -199,8 +205,17 @@
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
-    core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
-    core->feed = feedNew(core, loop, core->courier, core->members, core->trace);
+    core->proxy = proxyNew(core, &(ProxyProps){.loop = loop,
+                                               .courier = core->courier,
+                                               .members = core->members,
+                                               .keeper = core->keeper,
+                                               .trace = core->trace,
+                                               .leads = leads,
+                                               .serve = callersLead,
+                                               .arg = core,
+                                               .leaderWaitMs = props->bounds.leaderWaitMs,
+                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    core->feed = feedNew(core, loop, core->courier, proxyWays(core->proxy), core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
@@ -208,6 +223,7 @@
     viewFounding(core->view);
     plannerStart(core);
     alertsStart(core);
+    proxyStart(core->proxy);
     feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
@@ -216,16 +232,23 @@
 
 bool coreReady(const Core *core)
 {
-    return !core->leaving && (viewLeading(core->view) ? !core->repairing : membersLeaderAddress(core->members) != NULL);
+    return !core->leaving && (viewLeading(core->view) ? !core->repairing : waysServe(proxyWays(core->proxy)));
 }
 
 void coreDrain(Core *core)
 {
+    const int64_t nowMs = loopNowMs(core->loop), untilMs = nowMs + core->props->bounds.graceMs - DRAIN_MARGIN_MS;
     core->leaving = true;
+    loopServeLeave(core->loop);
     membersSetLeaving(core->members);
+    /* what was ordered gets its verdict; then the lock is handed over */
+    if (viewLeading(core->view))
+        viewSettle(core->view);
     viewStepDown(core->view, INT32_MAX);
-    /* requests in work get their verdict, seats hear of the release */
-    loopSleep(core->loop, DRAIN_MS / 6);
+    /* requests are taken on, and carried to the next leader, until the last moment */
+    loopSleep(core->loop, core->props->bounds.unreadyMs);
+    while (loopServeBusy(core->loop) > 0 && loopNowMs(core->loop) < untilMs)
+        loopSleep(core->loop, DRAIN_LOOK_MS);
 }
 
 View *coreView(Core *core)
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -47,8 +47,8 @@
     View *view;
     Table *table;
     Keeper *keeper;
-    Proxy proxy;
-    Feed *feed; /* asks while this core has no seat */
+    Proxy *proxy;
+    Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
@@ -120,6 +120,9 @@
 void repairStart(Core *core);
 void agentsServe(Core *core);
 void callersServe(Core *core);
+/* For the proxy: a request as this leader answers it; what it committed is in the
+ * answer, and kept by another node as well. */
+void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
 /* A caller's request, as leader. keeps: what was committed by it. */
 void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps);
 json_object *coreStatus(Core *core);
