Rounds that may still run though the table has them nowhere keep their room

A round leaves its worker in the table without a word of that worker's agent when an older round of its task finishes well elsewhere, or when its owner allows copies and the leader gives a silent worker up. Its room counted as free at once, while the agent still had to be told to stop it: a start into that room takes the worker beyond what it has. Such rounds are strays now. They count until their agent tells that they are over, or a beat no longer lists them and no order for them can be on its way. What an agent lists and the table has elsewhere counts as well; of what is of unknown size the worker gets nothing.

A stop of a task that never came to its worker was held for done as soon as a beat did not list it, though the order could still be on its way: it waits now until that has expired.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -13,6 +13,7 @@
 #define PROPOSE_MS 1000        /* ms; a core without a leader proposes this often ... */
 #define PROPOSE_JITTER_MS 600  /* ms; ... plus up to this, so that two do not collide for ever */
 #define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
+#define ORDER_GONE_MS (ORDER_EXPIRY_MS + ORDER_EXPIRY_MS / 50 + HOLD_SLACK_MS) /* ms; ... by a clock that is 2% slow */
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
 #define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
 #define COPY_SILENT_MS 1500    /* ms; work whose owner allows copies restarts when its worker is silent so long */
--- /dev/null
+++ b/packages/beat/include/beat/strays.h
@@ -0,0 +1,26 @@
+#ifndef BEAT_STRAYS_H
+#define BEAT_STRAYS_H
+
+#include "beat/messages.h"
+#include "table/table.h"
+
+/* Rounds that may still be on a worker though the table has them there no longer:
+ * another round of the task finished, or its owner allows copies. Their room is not
+ * free until the worker's agent has told that they are over. In the leader's memory:
+ * a new one learns of them from the first beats, before which it gives nothing. */
+typedef struct Strays Strays;
+
+Strays *straysNew(void *mem);
+/* A new leader knows of none. */
+void straysReset(Strays *strays);
+/* A round of the task that may yet be on the worker, or come there until untilMs. */
+void straysAdd(Strays *strays, const char *worker, const Job *job, const JobTask *task, uint64_t round, int64_t untilMs);
+/* A beat's list is all that may run there: whatever of it the table has elsewhere
+ * or nowhere counts, what is not in it and on no way any more counts no longer. */
+void straysBeat(Strays *strays, const Table *table, const BeatAsk *beat, int64_t nowMs);
+/* The agent told of the round's end. */
+void straysEnd(Strays *strays, const RoundNews *news);
+/* Room in use there; false: something of unknown size is there. */
+bool straysRoom(const Strays *strays, const char *worker, Room *room);
+
+#endif
--- /dev/null
+++ b/packages/beat/src/strays.c
@@ -0,0 +1,145 @@
+#include "beat/strays.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+
+/* Invariant: one row for each task of a job on a worker, of its newest round there. */
+typedef struct Stray {
+    const char *job;
+    uint64_t task; /* its number */
+    uint64_t round;
+    Room room;
+    bool known;      /* room is what it takes */
+    bool listed;     /* by the newest beat */
+    int64_t untilMs; /* it may yet start there */
+} Stray;
+
+typedef struct StrayList {
+    Stray **rows; /* each owned by the list */
+    size_t count;
+} StrayList;
+
+struct Strays {
+    Map *workers; /* names to StrayList */
+};
+
+Strays *straysNew(void *mem)
+{
+    Strays *strays = talloc_zero(mem, Strays);
+    strays->workers = mapNew(strays);
+    return strays;
+}
+
+void straysReset(Strays *strays)
+{
+    talloc_free(strays->workers);
+    strays->workers = mapNew(strays);
+}
+
+static Stray *strayFind(const StrayList *list, const char *job, uint64_t task)
+{
+    for (size_t i = 0; list != NULL && i < list->count; i++)
+        if (list->rows[i]->task == task && strcmp(list->rows[i]->job, job) == 0)
+            return list->rows[i];
+    return NULL;
+}
+
+static Stray *strayOf(Strays *strays, const char *worker, const char *job, uint64_t task)
+{
+    StrayList *list = mapGet(strays->workers, worker);
+    if (list == NULL) {
+        list = talloc_zero(strays->workers, StrayList);
+        mapSet(strays->workers, worker, list);
+    }
+    Stray *stray = strayFind(list, job, task);
+    if (stray != NULL)
+        return stray;
+    stray = talloc_zero(list, Stray);
+    stray->job = talloc_strdup(stray, job);
+    stray->task = task;
+    list->rows = talloc_realloc(list, list->rows, Stray *, (unsigned)(list->count + 1));
+    list->rows[list->count++] = stray;
+    return stray;
+}
+
+static void strayDrop(StrayList *list, size_t at)
+{
+    talloc_free(list->rows[at]);
+    list->rows[at] = list->rows[--list->count];
+}
+
+void straysAdd(Strays *strays, const char *worker, const Job *job, const JobTask *task, uint64_t round, int64_t untilMs)
+{
+    Stray *stray = strayOf(strays, worker, job->spec.id, taskNumber(task));
+    stray->room = job->spec.steps[task->step].room;
+    stray->known = true;
+    stray->round = round;
+    stray->untilMs = untilMs;
+}
+
+/* Whether the table has the round there: then it counts as that. */
+static bool tabled(const Table *table, const BeatAsk *beat, const RoundId *round, Room *room, bool *known)
+{
+    const Job *job = tableJob(table, round->job);
+    const size_t at = job != NULL ? taskIndex(job, round->task) : 0;
+    *known = job != NULL && at < job->tasksCount;
+    if (!*known)
+        return false;
+    const JobTask *task = &job->tasks[at];
+    *room = job->spec.steps[task->step].room;
+    return taskOnWorker(task->phase) && strcmp(task->worker, beat->worker.name) == 0;
+}
+
+void straysBeat(Strays *strays, const Table *table, const BeatAsk *beat, int64_t nowMs)
+{
+    StrayList *list = mapGet(strays->workers, beat->worker.name);
+    for (size_t i = 0; list != NULL && i < list->count; i++)
+        list->rows[i]->listed = false;
+    for (size_t i = 0; i < beat->roundsCount; i++) {
+        Room room = {0};
+        bool known;
+        if (tabled(table, beat, &beat->rounds[i], &room, &known))
+            continue;
+        Stray *stray = strayOf(strays, beat->worker.name, beat->rounds[i].job, beat->rounds[i].task);
+        stray->listed = true;
+        if (beat->rounds[i].round > stray->round)
+            stray->round = beat->rounds[i].round;
+        if (known) {
+            stray->room = room;
+            stray->known = true;
+        }
+    }
+    list = mapGet(strays->workers, beat->worker.name);
+    for (size_t i = 0; list != NULL && i < list->count;)
+        if (!list->rows[i]->listed && nowMs > list->rows[i]->untilMs)
+            strayDrop(list, i);
+        else
+            i++;
+}
+
+void straysEnd(Strays *strays, const RoundNews *news)
+{
+    StrayList *list = mapGet(strays->workers, news->worker);
+    for (size_t i = 0; list != NULL && i < list->count; i++)
+        if (list->rows[i]->task == news->task && list->rows[i]->round <= news->round &&
+            strcmp(list->rows[i]->job, news->job) == 0) {
+            strayDrop(list, i);
+            return;
+        }
+}
+
+bool straysRoom(const Strays *strays, const char *worker, Room *room)
+{
+    const StrayList *list = mapGet(strays->workers, worker);
+    *room = (Room){0};
+    for (size_t i = 0; list != NULL && i < list->count; i++) {
+        if (!list->rows[i]->known)
+            return false;
+        room->cpuMilli += list->rows[i]->room.cpuMilli;
+        room->memMb += list->rows[i]->room.memMb;
+        room->gpu += list->rows[i]->room.gpu;
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/beat/test/strays.c
@@ -0,0 +1,125 @@
+/* Room of rounds that the table has nowhere, or elsewhere, and that may still run. */
+#include "../../table/test/board.h"
+#include "beat/strays.h"
+
+#define UNTIL_MS 5000
+
+typedef struct Case {
+    Board board;
+    Strays *strays;
+    const Job *job;
+} Case;
+
+static void onLeft(void *arg, const Job *job, const JobTask *task)
+{
+    straysAdd(arg, task->worker, job, task, task->round, UNTIL_MS);
+}
+
+static Case begin(void)
+{
+    static StepSpec step = {.name = "a", .count = 2, .room = {3000, 64, 1}, .kind = "", .payload = "", .near = ""};
+    Case it = {boardNew(), NULL, NULL};
+    it.strays = straysNew(it.board.table);
+    tableLeftWatch(it.board.table, onLeft, it.strays);
+    const JobSpec spec = specOf("j", &step, 1);
+    it.job = jobAdd(&it.board, &spec, (JobTerms){.kind = ""});
+    return it;
+}
+
+static uint64_t cpuOn(const Case *it, const char *worker)
+{
+    Room room;
+    assert_true(straysRoom(it->strays, worker, &room));
+    return room.cpuMilli;
+}
+
+static void beat(Case *it, const char *worker, RoundId *rounds, size_t count, int64_t nowMs)
+{
+    const BeatAsk ask = {.agent = worker, .worker = {.name = worker}, .rounds = rounds, .roundsCount = count};
+    straysBeat(it->strays, it->board.table, &ask, nowMs);
+}
+
+/* An older round finishes well while a newer one runs elsewhere: that one is to be
+ * stopped, and takes room until its agent has told so. */
+static void newerStillRuns(void **state)
+{
+    (void)state;
+    Case it = begin();
+    const uint64_t first[] = {0};
+    place(&it.board, "j", first, 1, 1, "w1", "");
+    lose(&it.board, "w1");
+    place(&it.board, "j", first, 1, 2, "w2", "");
+    say(&it.board, "j", 0, 2, "w2", ROUND_RUNNING, "");
+    assert_int_equal(cpuOn(&it, "w2"), 0);
+    say(&it.board, "j", 0, 1, "w1", ROUND_DONE, "");
+    assert_int_equal(it.job->tasks[0].phase, TASK_DONE);
+    assert_int_equal(cpuOn(&it, "w2"), 3000);
+    RoundId listed = {"j", 0, 2};
+    beat(&it, "w2", &listed, 1, UNTIL_MS + 1);
+    assert_int_equal(cpuOn(&it, "w2"), 3000); /* still there, though no order is on its way */
+    const RoundNews older = {.job = "j", .task = 0, .round = 1, .worker = "w2", .word = ROUND_STOPPED};
+    straysEnd(it.strays, &older);
+    assert_int_equal(cpuOn(&it, "w2"), 3000);
+    const RoundNews end = {.job = "j", .task = 0, .round = 2, .worker = "w2", .word = ROUND_STOPPED};
+    straysEnd(it.strays, &end);
+    assert_int_equal(cpuOn(&it, "w2"), 0);
+    talloc_free(it.board.table);
+}
+
+/* An order that may still be on its way counts, whatever the agent lists. */
+static void onItsWay(void **state)
+{
+    (void)state;
+    Case it = begin();
+    straysAdd(it.strays, "w1", it.job, &it.job->tasks[1], 1, UNTIL_MS);
+    beat(&it, "w1", NULL, 0, UNTIL_MS - 1);
+    assert_int_equal(cpuOn(&it, "w1"), 3000);
+    beat(&it, "w1", NULL, 0, UNTIL_MS + 1);
+    assert_int_equal(cpuOn(&it, "w1"), 0);
+    talloc_free(it.board.table);
+}
+
+/* What an agent lists and the table has elsewhere counts there too; of what the table
+ * does not know at all nobody can tell the room. */
+static void onlyListed(void **state)
+{
+    (void)state;
+    Case it = begin();
+    const uint64_t both[] = {0, 1};
+    place(&it.board, "j", both, 2, 1, "w1", "");
+    RoundId listed[] = {{"j", 0, 1}, {"j", 1, 1}};
+    beat(&it, "w1", listed, 2, 10);
+    assert_int_equal(cpuOn(&it, "w1"), 0);
+    beat(&it, "w2", listed, 1, 10);
+    assert_int_equal(cpuOn(&it, "w2"), 3000);
+    RoundId unknown = {"k", 0, 1};
+    beat(&it, "w2", &unknown, 1, 20);
+    Room room;
+    assert_false(straysRoom(it.strays, "w2", &room));
+    beat(&it, "w2", NULL, 0, 30);
+    assert_int_equal(cpuOn(&it, "w2"), 0);
+    talloc_free(it.board.table);
+}
+
+/* What its agent told of is over at once. */
+static void toldIsOver(void **state)
+{
+    (void)state;
+    Case it = begin();
+    const uint64_t first[] = {0};
+    place(&it.board, "j", first, 1, 1, "w1", "");
+    say(&it.board, "j", 0, 1, "w1", ROUND_FAILED, "");
+    assert_int_equal(cpuOn(&it, "w1"), 0);
+    talloc_free(it.board.table);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(newerStillRuns),
+        cmocka_unit_test(onItsWay),
+        cmocka_unit_test(onlyListed),
+        cmocka_unit_test(toldIsOver),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -13,6 +13,13 @@
     return false;
 }
 
+/* Not in its agent's list though it is to be stopped: it has stopped, or it never
+ * came there. An order for it may still be on its way until it expires. */
+static bool stopOver(const Core *core, const JobTask *task)
+{
+    return task->phase == TASK_STOPPING && viewClockMs(core->view) - task->changedMs > ORDER_GONE_MS;
+}
+
 /* Rounds that should run there and that a complete list does not have are lost;
  * those that were to stop have stopped. */
 static RoundList missing(const Core *core, void *mem, const Worker *worker, const BeatAsk *beat)
@@ -24,7 +31,7 @@
         const Job *job = jobs[j];
         for (size_t t = 0; t < job->tasksCount; t++) {
             const JobTask *task = &job->tasks[t];
-            if ((task->phase != TASK_RUNNING && task->phase != TASK_STOPPING) ||
+            if ((task->phase != TASK_RUNNING && !stopOver(core, task)) ||
                 strcmp(task->worker, worker->name) != 0 || listed(beat, job->spec.id, taskNumber(task), task->round))
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
@@ -100,6 +107,8 @@
     if (status != STATUS_OK)
         return status;
     out->holdMs = AGENT_HOLD_MS;
+    if (livesetFind(core->liveset, beat->worker.name)->number == beat->number)
+        straysBeat(core->strays, core->table, beat, nowMs);
     if (wasReady != liveRowReady(livesetFind(core->liveset, beat->worker.name), nowMs))
         signalRaise(core->loop, &core->wake);
     if (!core->repairing && viewLeading(core->view))
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -47,6 +47,7 @@
         for (size_t i = 0; i < count; i++)
             names[i] = workers[i]->name;
         /* any hold that the last leader answered runs out within this */
+        straysReset(core->strays);
         livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);
         talloc_free(mem);
     }
@@ -103,6 +104,23 @@
     talloc_free(mem);
 }
 
+/* An order that was told before may be on its way until it expires, by an agent's
+ * clock that is slow. */
+static void onLeft(void *arg, const Job *job, const JobTask *task)
+{
+    const Core *core = arg;
+    if (viewHolds(core->view))
+        straysAdd(core->strays, task->worker, job, task, task->round, loopNowMs(core->loop) + ORDER_GONE_MS);
+}
+
+static void roundsTake(Core *core, const RoundList *rounds)
+{
+    scoreTake(core, rounds);
+    for (size_t i = 0; i < rounds->newsCount; i++)
+        if (rounds->news[i].word != ROUND_RUNNING)
+            straysEnd(core->strays, &rounds->news[i]);
+}
+
 static void onDelivered(void *arg, const Record *change, const Verdict *verdict)
 {
     Core *core = arg;
@@ -114,7 +132,7 @@
     WorkerLost lost;
     RoundList rounds;
     if (change->change == CHANGE_ROUNDS && shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
-        scoreTake(core, &rounds);
+        roundsTake(core, &rounds);
     if (change->change == CHANGE_WORKER_LOST &&
         shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
         livesetLosing(core->liveset, lost.worker, false);
@@ -175,6 +193,8 @@
     core->liveset = livesetNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
+    core->strays = straysNew(core);
+    tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -5,6 +5,7 @@
 #include "base/map.h"
 #include "api/show.h"
 #include "beat/liveset.h"
+#include "beat/strays.h"
 #include "core/core.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
@@ -52,6 +53,7 @@
     Trace *trace;
     Liveset *liveset;
     Map *scores; /* worker names to Score */
+    Strays *strays;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -73,6 +73,14 @@
     Verdict verdict;
     if (list.newsCount > 0)
         coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
+    /* that they are over is our word alone: they count there until the agent says so */
+    for (size_t i = 0; i < list.newsCount; i++) {
+        const RoundNews *news = &list.news[i];
+        const Job *job = tableJob(core->table, news->job);
+        const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+        if (job != NULL && at < job->tasksCount)
+            straysAdd(core->strays, news->worker, job, &job->tasks[at], news->round, nowMs + ORDER_GONE_MS);
+    }
 }
 
 /* Workers that may be given work have their free room; the others have none,
@@ -98,8 +106,10 @@
         const LiveRow *row = livesetFind(core->liveset, worker->name);
         const bool ready = row != NULL && liveRowReady(row, nowMs) && !worker->excluded &&
                            !tableDrained(core->table, worker->zone) && !scoreRests(core, worker->name);
+        Room strays;
+        const bool known = straysRoom(core->strays, worker->name, &strays);
         const Room none = {0};
-        const Room room = ready ? roomLess(worker->room, row->others) : none;
+        const Room room = ready && known ? roomLess(worker->room, row->others) : none;
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
                                               .rack = worker->rack,
@@ -107,7 +117,7 @@
                                               .labels = worker->labels,
                                               .labelCount = worker->labelsCount,
                                               .room = room,
-                                              .free = room,
+                                              .free = roomLess(room, strays),
                                               .penalty = scoreRate(core, worker->name) * 10};
         pass->speeds[i] = guessSpeed(core->guesses, worker->name);
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
--- /dev/null
+++ b/packages/queue/test/aims.c
@@ -0,0 +1,187 @@
+/* In which order work is placed: aims, turns, what estimates have taught. */
+#include "../../table/test/board.h"
+#include "queue/queue.h"
+
+#define CPU 1000
+
+static const Policy *plain(void *arg, const ConfigCell *cell)
+{
+    (void)arg;
+    (void)cell;
+    return policyPlain();
+}
+
+static StepSpec step(const char *name, uint64_t count, uint64_t estMs)
+{
+    return (StepSpec){.name = name, .count = count, .room = {CPU, 64, 0}, .kind = "", .payload = "", .near = "", .estMs = estMs};
+}
+
+static JobTerms aims(uint64_t stretchMilli, int64_t targetMs, int64_t priority)
+{
+    return (JobTerms){.stretchMilli = stretchMilli, .targetMs = targetMs, .priority = priority, .kind = ""};
+}
+
+static const Job *add(Board *board, const char *id, uint64_t estMs, JobTerms terms)
+{
+    StepSpec one = step("a", 1, estMs);
+    const JobSpec spec = specOf(id, &one, 1);
+    return jobAdd(board, &spec, terms);
+}
+
+/* Their ids in order, one letter each. */
+static const char *orderOf(Board *board, int64_t logMs, const Guesses *guesses)
+{
+    void *mem = talloc_new(board->table);
+    Faults faults = {.mem = mem};
+    const char *text = "{\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{}}}}";
+    const Config *config = configRead(mem, text, strlen(text), 1, &faults);
+    assert_non_null(config);
+    const Room fleet = {1000 * CPU, 100000, 0};
+    const QueueUse *use = queueUse(mem, board->table, config, fleet);
+    Candidate *list;
+    const QueueClock clock = {logMs, 1000000 + logMs};
+    const size_t count = queueBuild(mem, board->table, config, use, clock, guesses, plain, NULL, &list);
+    char *order = talloc_zero_array(board->table, char, (unsigned)count + 1);
+    for (size_t i = 0; i < count; i++)
+        order[i] = list[i].job->spec.id[0];
+    talloc_free(mem);
+    return order;
+}
+
+/* The later comer with the nearer aim goes first; of two alike, the first comer. */
+static void soonestFirst(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    add(&board, "a", 6000, aims(2200, 2000, 0));
+    add(&board, "b", 1000, aims(1500, 500, 0));
+    add(&board, "c", 1000, aims(1500, 500, 0));
+    assert_string_equal(orderOf(&board, 1000, NULL), "bca");
+    /* a's aim is 15.2 s from 1000: at 9.9 s it must go now; b and c are lost since 4.5 s */
+    assert_string_equal(orderOf(&board, 9900, NULL), "abc");
+    talloc_free(board.table);
+}
+
+/* What can't make its aim goes behind what can, and before what is worth nothing. */
+static void lateBehind(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    add(&board, "x", 1000, aims(1000, 1000, 0)); /* aim 2 s: worth nothing after 6 s */
+    board.atMs = 4000;
+    add(&board, "y", 1000, aims(1000, 1000, 0)); /* late at 7 s */
+    board.atMs = 7000;
+    add(&board, "z", 1000, aims(1000, 1000, 0));
+    assert_string_equal(orderOf(&board, 7500, NULL), "zyx");
+    talloc_free(board.table);
+}
+
+/* An urgent queue goes first, though the other's aim is as near. */
+static void urgentFirst(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    add(&board, "b", 1000, aims(1000, 1000, 0));
+    add(&board, "u", 1000, aims(1000, 1000, 1));
+    assert_string_equal(orderOf(&board, 1000, NULL), "ub");
+    talloc_free(board.table);
+}
+
+/* Aims count from each turn's own due time, and no turn starts before it. */
+static void turnsDue(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    StepSpec one = step("a", 1, 1000);
+    JobSpec spec = specOf("t", &one, 1);
+    spec.turns = 3;
+    spec.firstWallMs = 1002000;
+    spec.periodMs = 1000;
+    jobAdd(&board, &spec, aims(1000, 1000, 0));
+    assert_string_equal(orderOf(&board, 1999, NULL), "");
+    assert_string_equal(orderOf(&board, 2000, NULL), "t");
+    assert_string_equal(orderOf(&board, 3500, NULL), "tt");
+    assert_string_equal(orderOf(&board, 9000, NULL), "ttt");
+    talloc_free(board.table);
+}
+
+/* The chain of work to come counts: the first step of a long job is more urgent than
+ * the only one of a short one with the same aim. */
+static void chains(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    add(&board, "s", 1000, aims(0, 10000, 0));
+    StepSpec two[] = {step("a", 1, 4000), step("b", 1, 4000)};
+    const char *after[] = {"a"};
+    two[1].after = after;
+    two[1].afterCount = 1;
+    const JobSpec spec = specOf("l", two, 2);
+    const Job *job = jobAdd(&board, &spec, aims(0, 10000, 0));
+    assert_string_equal(orderOf(&board, 1000, NULL), "ls");
+    Aim aim;
+    aimFind(job, 1000, NULL, (Room){0}, &aim);
+    assert_int_equal(aim.afterMs[0], 8000);
+    assert_int_equal(aim.afterMs[1], 4000);
+    assert_int_equal(aimSlackMs(&aim, 0, 1000), 2000);
+    talloc_free(board.table);
+}
+
+/* A step wider than its part of the fleet runs in waves, and its aim knows. */
+static void waves(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    StepSpec wide = step("a", 30, 1000);
+    const JobSpec spec = specOf("w", &wide, 1);
+    const Job *job = jobAdd(&board, &spec, aims(2000, 0, 0));
+    Aim aim;
+    aimFind(job, 0, NULL, (Room){10 * CPU, 100000, 0}, &aim);
+    assert_int_equal(aim.afterMs[0], 3000);
+    assert_int_equal(aim.spanMs, 6000);
+    talloc_free(board.table);
+}
+
+/* Medians of what ends have shown: of a queue's step, and of a worker. */
+static void learnt(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    const Job *job = add(&board, "a", 1000, aims(1000, 0, 0));
+    Guesses *guesses = guessesNew(board.table);
+    assert_int_equal(guessMs(guesses, job, 0), 1000);
+    for (int i = 0; i < 12; i++)
+        guessesEnd(guesses, job, 0, "w1", 1500, 100);
+    guessesEnd(guesses, job, 0, "w1", 60000, 100); /* one pause moves nothing */
+    assert_int_equal(guessMs(guesses, job, 0), 1500);
+    assert_int_equal(guessSpeed(guesses, "w1"), 1000);
+    assert_int_equal(guessSpeed(guesses, "w2"), 1000);
+    for (int i = 0; i < 5; i++)
+        guessesEnd(guesses, job, 0, "w2", 6000, 200); /* far from its data: half of that is its way */
+    assert_int_equal(guessSpeed(guesses, "w2"), 2000);
+    assert_int_equal(guessMs(guesses, job, 0), 1500);
+    talloc_free(board.table);
+}
+
+/* What has waited for its aim in vain is served in the end: the oldest of what is worth
+ * nothing any more goes first among its like. */
+static void oldestOfTheLost(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    add(&board, "a", 100, aims(1000, 100, 0));
+    board.atMs = 9000;
+    add(&board, "b", 100, aims(1000, 100, 0));
+    assert_string_equal(orderOf(&board, 60000, NULL), "ab");
+    talloc_free(board.table);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(soonestFirst), cmocka_unit_test(lateBehind), cmocka_unit_test(urgentFirst),
+        cmocka_unit_test(turnsDue),     cmocka_unit_test(chains),     cmocka_unit_test(waves),
+        cmocka_unit_test(learnt),       cmocka_unit_test(oldestOfTheLost),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -41,6 +41,11 @@
 typedef void (*TableOrdersFn)(void *arg, const char *worker);
 void tableOrdersWatch(Table *table, TableOrdersFn fn, void *arg);
 
+/* Told of a round that is about to leave its worker without a word of the worker's
+ * agent: it may still run there. Within the delivery; does not wait. */
+typedef void (*TableLeftFn)(void *arg, const Job *job, const JobTask *task);
+void tableLeftWatch(Table *table, TableLeftFn fn, void *arg);
+
 /* A task on a worker: placed, running or stopping there. */
 typedef struct TaskOn {
     Job *job;
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -61,6 +61,8 @@
     void *arg;
     TableOrdersFn ordersFn;
     void *ordersArg;
+    TableLeftFn leftFn;
+    void *leftArg;
 };
 
 void tableClear(Table *table);
--- a/packages/table/src/on.c
+++ b/packages/table/src/on.c
@@ -79,6 +79,12 @@
     table->ordersArg = arg;
 }
 
+void tableLeftWatch(Table *table, TableLeftFn fn, void *arg)
+{
+    table->leftFn = fn;
+    table->leftArg = arg;
+}
+
 size_t tableOn(const Table *table, const char *worker, const TaskOn **on)
 {
     const WorkerOn *its = mapGet(table->on, worker);
--- a/packages/table/src/turn.c
+++ b/packages/table/src/turn.c
@@ -103,6 +103,8 @@
     /* that it runs changes nothing of what its worker is to do */
     if ((task->phase != TASK_PLACED || phase != TASK_RUNNING) && !(told && leaves))
         ordersTouch(table, task->worker);
+    if (leaves && !told && task->worker[0] != '\0' && table->leftFn != NULL)
+        table->leftFn(table->leftArg, job, task);
     if (leaves) {
         onDrop(table, task);
         task->worker = worker[0] != '\0' ? workerOn(table, worker)->name : "";
