--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -2,6 +2,7 @@
 #define FEED_FEED_H
 
 #include "feed/messages.h"
+#include "feed/ways.h"
 #include "table/revisions.h"
 #include "trace/trace.h"
 
@@ -15,10 +16,11 @@
  * Invariant: revisions never has a revision above the one known. */
 typedef struct Feed Feed;
 
-/* Whether to ask now; null: always. */
+/* Whether to ask for the configuration now; null: always. Otherwise the leader is
+ * asked no more than whether it serves. */
 typedef bool (*FeedFn)(void *arg);
 
-Feed *feedNew(void *mem, Loop *loop, Courier *courier, Members *members, Trace *trace);
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Ways *ways, Trace *trace);
 /* Begins to ask. */
 void feedStart(Feed *feed, FeedFn wanted, void *arg);
 /* The newest that is known; 0: none. */
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -41,6 +41,11 @@
 typedef void (*TableOrdersFn)(void *arg, const char *worker);
 void tableOrdersWatch(Table *table, TableOrdersFn fn, void *arg);
 
+/* Told of a round that is about to leave its worker without a word of the worker's
+ * agent: it may still run there. Within the delivery; does not wait. */
+typedef void (*TableLeftFn)(void *arg, const Job *job, const JobTask *task);
+void tableLeftWatch(Table *table, TableLeftFn fn, void *arg);
+
 /* A task on a worker: placed, running or stopping there. */
 typedef struct TaskOn {
     Job *job;
@@ -49,8 +54,8 @@
 
 /* All of one worker, in no order. */
 size_t tableOn(const Table *table, const char *worker, const TaskOn **on);
-/* The workers that have a task on them, in the order of their names, on mem. */
-size_t tableBusy(const Table *table, void *mem, const char ***workers);
+/* The workers that have a task on them, from 0, in no order; null past the last. */
+const char *tableBusy(const Table *table, size_t at);
 
 /* Configuration: the newest, and those that can be read back. */
 const Revisions *tableRevisions(const Table *table);
