--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -135,6 +135,8 @@
 #define FAR_WAIT_MS 1500       /* ms; work waits at most so long for room near its data: half of what may stand still */
 
 /* --- room kept for big work ------------------------------------------------------ */
+#define RESERVE_SLACK_MS 3000  /* ms; what must be under way within this has room that falls free kept for it */
+#define RESERVE_SHARE 3        /* of the fleet's room at most one part in so many */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
 #define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -37,6 +37,7 @@
     size_t checks, checksMax;
     const void *stuck; /* the step that last found no room */
     Room fleet;
+    Room reserved;     /* kept in this pass for what found none */
     QueueUse *use;
     QueueClock clock;
     StopList pushes;   /* rounds to be pushed aside */
@@ -77,6 +78,10 @@
  * aside, all on one worker. */
 void pushFor(Pass *pass, const Candidate *candidate);
 
+/* The candidate found no room: what is nearest to having it is left to it, for as
+ * long as this pass goes on. */
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *not);
+
 /* Which workers are kept for big work that small work overtakes. */
 void keptBegin(Pass *pass, const Candidate *candidates, size_t count);
 /* Marks in not what is kept for others than this candidate; true when any is. */
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -187,6 +187,7 @@
     bool fits = found, assured = false;
     if (!found) {
         pass->stuck = step;
+        reserveFor(pass, candidate, &need, not);
         pushFor(pass, candidate);
         keptWant(pass, candidate, step);
     } else if (chooseWaits(pass, candidate, step, &need, percent)) {
--- /dev/null
+++ b/packages/core/src/reserve.c
@@ -0,0 +1,55 @@
+/* Room that falls free is kept, within one pass, for what ranks above all that could
+ * take it. Without this a task that needs more than any one end gives back is overtaken
+ * for as long as smaller ones wait: each takes the gap as soon as it opens.
+ *
+ * Nothing is remembered: the next pass finds the same again, since the worker that is
+ * nearest to having room becomes nearer. What is far from its aim, and what has missed
+ * it, is given nothing this way. */
+#include <talloc.h>
+
+#include "pass.h"
+
+/* The parts of the room that are free, in thousandths of what is needed: the least of them. */
+static uint64_t nearTo(Room need, Room free)
+{
+    const uint64_t most = roomShare(need, free);
+    return free.cpuMilli == 0 && free.memMb == 0 ? 0 : most == 0 ? UINT64_MAX : 1000000 / most;
+}
+
+static int nearest(const Pass *pass, const PlanNeed *need, const bool *not, const bool *taken)
+{
+    int best = -1;
+    uint64_t bestNear = 0;
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        const PlanWorker *worker = &pass->input.workers[i];
+        if (not[i] || taken[i] || !planAble(worker, need) || !roomFits(need->room, worker->room))
+            continue;
+        const uint64_t near = nearTo(need->room, worker->free);
+        if (best < 0 || near > bestNear) {
+            best = (int)i;
+            bestNear = near;
+        }
+    }
+    return best;
+}
+
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *not)
+{
+    if (candidate->slackMs >= RESERVE_SLACK_MS || candidate->slackMs < -candidate->guessMs || candidate->count > pass->input.workerCount)
+        return;
+    Room all = pass->reserved;
+    for (size_t i = 0; i < candidate->count; i++)
+        all = roomMore(all, need->room);
+    if (roomShare(all, pass->fleet) > 1000 / RESERVE_SHARE)
+        return;
+    pass->reserved = all;
+    bool *taken = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
+    for (size_t i = 0; i < candidate->count; i++) {
+        const int at = nearest(pass, need, not, taken);
+        if (at < 0)
+            break;
+        taken[at] = true; /* another member looks elsewhere: two seldom find room in one place */
+        pass->input.workers[at].free = roomLess(pass->input.workers[at].free, need->room);
+    }
+    talloc_free(taken);
+}
