--- a/packages/beat/test/strays.c
+++ b/packages/beat/test/strays.c
@@ -113,6 +113,19 @@
     talloc_free(it.board.table);
 }
 
+/* A state loaded whole is watched as the one before it. */
+static void watchedAfterLoad(void **state)
+{
+    (void)state;
+    Case it = begin();
+    again(&it.board);
+    const uint64_t first[] = {0};
+    place(&it.board, "j", first, 1, 1, "w1", "");
+    lose(&it.board, "w1");
+    assert_int_equal(cpuOn(&it, "w1"), 3000);
+    talloc_free(it.board.table);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -120,6 +133,7 @@
         cmocka_unit_test(onItsWay),
         cmocka_unit_test(onlyListed),
         cmocka_unit_test(toldIsOver),
+        cmocka_unit_test(watchedAfterLoad),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -13,7 +13,9 @@
                      .fn = kept.fn,
                      .arg = kept.arg,
                      .ordersFn = kept.ordersFn,
-                     .ordersArg = kept.ordersArg};
+                     .ordersArg = kept.ordersArg,
+                     .leftFn = kept.leftFn,
+                     .leftArg = kept.leftArg};
     table->mem = talloc_new(table);
     table->byId = mapNew(table->mem);
     table->workers = mapNew(table->mem);
