A job is kept in three blocks of memory instead of fifteen

Cause: each short text of a job was an allocation with a header of 96 bytes, and its tasks and sums had theirs. A job is now one block with its tasks, one with what it was handed in with (shapeCopyFlat), one with its sums; an empty text that is unpacked takes no memory.

--- a/packages/table/src/deliverjob.c
+++ b/packages/table/src/deliverjob.c
@@ -12,27 +12,11 @@
         verdict->number = known->number;
         return;
     }
-    Job *job = talloc_zero(table->mem, Job);
-    shapeCopy(&JobSpecShape, &add->spec, job, &job->spec);
-    shapeCopy(&JobTermsShape, &add->terms, job, &job->terms);
+    Job *job = jobNew(table->mem, &add->spec, &add->terms);
     job->number = table->lastNumber + 1;
     job->acceptedMs = change->atMs;
-    const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
-    for (size_t i = 0; i < job->spec.stepsCount; i++)
-        job->tasksCount += (size_t)(job->spec.steps[i].count * turns);
-    job->tasks = talloc_zero_array(job, JobTask, (unsigned)job->tasksCount);
-    size_t at = 0;
-    for (uint64_t turn = 0; turn < turns; turn++)
-        for (size_t i = 0; i < job->spec.stepsCount; i++)
-            for (uint64_t k = 0; k < job->spec.steps[i].count; k++)
-                job->tasks[at++] = (JobTask){.step = i,
-                                             .turn = turn,
-                                             .at = k,
-                                             .worker = "",
-                                             .text = "",
-                                             .shunned = "",
-                                             .saved = "",
-                                             .changedMs = change->atMs};
+    for (size_t i = 0; i < job->tasksCount; i++)
+        job->tasks[i].changedMs = change->atMs;
     jobEnter(table, job);
     verdict->number = job->number;
     orphansTake(table, job, change->atMs);
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -82,6 +82,8 @@
 
 /* --- jobs and tasks */
 
+/* spec and terms are copied; the tasks are as they begin, in the order of turns. */
+Job *jobNew(void *mem, const JobSpec *spec, const JobTerms *terms);
 /* Adds a job whose memory is its own to all lists. */
 void jobEnter(Table *table, Job *job);
 /* The job ended: from the active to the ended ones. */
--- a/packages/table/src/saved.c
+++ b/packages/table/src/saved.c
@@ -9,13 +9,6 @@
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
-static void workerName(Table *table, const char **at)
-{
-    const char *mine = (*at)[0] != '\0' ? workerOn(table, *at)->name : "";
-    talloc_free((void *)(uintptr_t)*at);
-    *at = mine;
-}
-
 Bytes tableSave(void *arg, void *mem)
 {
     Table *table = arg;
@@ -44,25 +37,33 @@
     return packed;
 }
 
-/* What a task's index says of it: releases before did not save it. And names of
- * workers are the table's own. */
-static void tasksLoad(Table *table, Job *job)
+/* Where a task stands is told by its index: releases before did not save it. Texts
+ * hang on the job, names of workers are the table's own. */
+static void taskLoad(Table *table, Job *job, JobTask *task, const JobTask *from)
 {
-    size_t index = 0;
-    for (uint64_t turn = 0; index < job->tasksCount; turn++) {
-        const size_t before = index;
-        for (size_t s = 0; s < job->spec.stepsCount; s++)
-            for (uint64_t at = 0; at < job->spec.steps[s].count && index < job->tasksCount; at++, index++) {
-                JobTask *task = &job->tasks[index];
-                task->turn = turn;
-                task->step = s;
-                task->at = at;
-                workerName(table, &task->worker);
-                workerName(table, &task->shunned);
-            }
-        if (index == before)
-            break; /* no step has a task */
-    }
+    const JobTask begun = *task;
+    *task = *from;
+    task->step = begun.step;
+    task->turn = begun.turn;
+    task->at = begun.at;
+    task->worker = from->worker[0] != '\0' ? workerOn(table, from->worker)->name : "";
+    task->shunned = from->shunned[0] != '\0' ? workerOn(table, from->shunned)->name : "";
+    task->text = task->saved = "";
+    taskText(job, &task->text, from->text);
+    taskText(job, &task->saved, from->saved);
+}
+
+static void jobLoad(Table *table, const Job *from)
+{
+    Job *job = jobNew(table->mem, &from->spec, &from->terms);
+    job->number = from->number;
+    job->phase = from->phase;
+    job->ending = from->ending;
+    job->acceptedMs = from->acceptedMs;
+    job->endedMs = from->endedMs;
+    for (size_t i = 0; i < job->tasksCount && i < from->tasksCount; i++)
+        taskLoad(table, job, &job->tasks[i], &from->tasks[i]);
+    jobEnter(table, job);
 }
 
 Status tableLoad(void *arg, Bytes bytes)
@@ -77,12 +78,8 @@
     const Status status = shapeUnpack(&SavedShape, bytes, mem, &saved, NULL);
     if (status == STATUS_OK) {
         tableClear(table);
-        for (size_t i = 0; i < saved.jobsCount; i++) {
-            Job *job = talloc_zero(table->mem, Job);
-            shapeCopy(&JobShape, &saved.jobs[i], job, job);
-            tasksLoad(table, job);
-            jobEnter(table, job);
-        }
+        for (size_t i = 0; i < saved.jobsCount; i++)
+            jobLoad(table, &saved.jobs[i]);
         table->lastNumber = saved.lastNumber;
         for (size_t i = 0; i < saved.workersCount; i++)
             deliverWorkerSet(table, NULL, &saved.workers[i], NULL);
--- a/packages/wire/include/wire/shape.h
+++ b/packages/wire/include/wire/shape.h
@@ -85,6 +85,8 @@
 Status shapeUnpack(const Shape *shape, Bytes from, void *mem, void *to, Mishap *mishap);
 /* A deep copy on mem. */
 void shapeCopy(const Shape *shape, const void *from, void *mem, void *to);
+/* The same in one block on mem: parts of it can't be freed, its Bytes are borrowed. */
+void shapeCopyFlat(const Shape *shape, const void *from, void *mem, void *to);
 bool shapeEqual(const Shape *shape, const void *a, const void *b);
 
 #endif
--- a/packages/wire/src/shape.c
+++ b/packages/wire/src/shape.c
@@ -88,7 +88,7 @@
     if (o->type != MSGPACK_OBJECT_STR)
         return NULL;
     if (o->via.str.size == 0) /* the library may give no pointer at all */
-        return talloc_strdup(mem, "");
+        return "";
     if (memchr(o->via.str.ptr, 0, o->via.str.size) != NULL)
         return NULL;
     return talloc_strndup(mem, o->via.str.ptr, o->via.str.size);
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -54,6 +54,18 @@
     assert_true(shapeEqual(&TreeShape, &in, &copy));
     copy.leaves[1].number = 1;
     assert_false(shapeEqual(&TreeShape, &in, &copy));
+    Tree flat;
+    void *block = talloc_new(NULL);
+    shapeCopyFlat(&TreeShape, &in, block, &flat);
+    assert_true(shapeEqual(&TreeShape, &in, &flat));
+    assert_int_equal(talloc_total_blocks(block), 2);
+    assert_ptr_not_equal(flat.words[0], in.words[0]);
+    const Tree empty = {0};
+    shapeCopyFlat(&TreeShape, &empty, block, &flat);
+    assert_true(shapeEqual(&TreeShape, &empty, &flat));
+    assert_string_equal(flat.first.name, "");
+    assert_int_equal(talloc_total_blocks(block), 2);
+    talloc_free(block);
     talloc_free(mem);
 }
 
