--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -20,7 +20,14 @@
     Faults *faults;
 } Reading;
 
-/* The objects under a key, by name. Faults in names are told. */
+static void checkNamed(Faults *faults, const char *name, const char *path, const char *key)
+{
+    if (!checkNameText(name))
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, checkPath(faults, path, key), name),
+                 "is not a name of 1 to %d letters, digits or ._:-", ID_MAX);
+}
+
+/* The objects under a key, by name. */
 static json_object *named(Faults *faults, json_object *object, const char *path, const char *key, size_t *count)
 {
     json_object *value;
@@ -31,12 +38,6 @@
         faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "must be an object");
         return NULL;
     }
-    json_object_object_foreach(value, name, one) {
-        (void)one;
-        if (!checkNameText(name))
-            faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, checkPath(faults, path, key), name),
-                     "is not a name of 1 to %d letters, digits or ._:-", ID_MAX);
-    }
     *count = (size_t)json_object_object_length(value);
     return value;
 }
@@ -54,6 +55,7 @@
     size_t at = 0;
     json_object_object_foreach(all, name, value) {
         const char *here = checkPath(faults, checkPath(faults, path, "tenants"), name);
+        checkNamed(faults, name, path, "tenants");
         tenants[at].name = talloc_strdup(config, name);
         if (checkKeys(faults, value, here, KEYS))
             tenants[at].quota = checkRoom(faults, value, here, "quota", false);
@@ -73,6 +75,8 @@
     size_t at = 0;
     json_object_object_foreach(all, name, value) {
         const ConfigQueue *known = earlier != NULL ? configQueue(earlier, name) : NULL;
+        if (known == NULL)
+            checkNamed(reading->faults, name, path, "queues");
         const ConfigQueue *queue = queues[at++] = queuePart(value, name, here, known, reading->faults);
         g_hash_table_insert(cell->queueNames, (gpointer)(uintptr_t)queue->name, (gpointer)(uintptr_t)queue);
     }
@@ -108,6 +112,7 @@
     json_object_object_foreach(all, name, value) {
         ConfigCell *cell = &cells[at++];
         cell->name = talloc_strdup(config, name);
+        checkNamed(reading->faults, name, "", "cells");
         g_hash_table_insert(config->cellNames, (gpointer)(uintptr_t)cell->name, cell);
         readCell(reading, value, checkPath(reading->faults, "cells", name), cell);
     }
@@ -126,6 +131,7 @@
     size_t at = 0;
     json_object_object_foreach(all, name, value) {
         const ConfigPolicy *known = reading->earlier != NULL ? configPolicy(reading->earlier, name) : NULL;
+        checkNamed(reading->faults, name, "", "policies");
         policies[at++] = policyPart(value, name, "policies", known, reading->faults);
     }
 }
@@ -142,6 +148,7 @@
     json_object_object_foreach(all, name, value) {
         const char *path = checkPath(faults, "kinds", name);
         ConfigKind *kind = &kinds[at++];
+        checkNamed(faults, name, "", "kinds");
         *kind = (ConfigKind){.name = talloc_strdup(config, name), .healthPath = "", .note = ""};
         g_hash_table_insert(config->kindNames, (gpointer)(uintptr_t)kind->name, kind);
         if (!checkKeys(faults, value, path, KEYS))
@@ -182,10 +189,11 @@
 /* The same host and prefix twice is a fault of the later one. */
 static void enterQueue(ConfigEntries *entries, const ConfigCell *cell, const ConfigQueue *queue, Faults *faults)
 {
+    const QueuePart *part = (const QueuePart *)queue;
     const char *first = cell->tenantCount > 0 ? cell->tenants[0].name : "";
-    const ConfigPlace place = {cell, queue, queue->tenant[0] != '\0' ? queue->tenant : first, strlen(queue->prefix)};
+    const ConfigPlace place = {cell, queue, queue->tenant[0] != '\0' ? queue->tenant : first, part->prefixLength};
     const ConfigPlace *other;
-    if (queue->host[0] != '\0' && !entriesAdd(entries, &place, &other))
+    if (queue->host[0] != '\0' && !entriesAdd(entries, &place, part->entryHash, &other))
         faultAdd(faults, STATUS_BAD_FIELD,
                  talloc_asprintf(faults->mem, "cells.%s.queues.%s.entry", cell->name, queue->name),
                  "queue %s of cell %s has this host and prefix", other->queue->name, other->cell->name);
--- a/packages/config/src/entries.c
+++ b/packages/config/src/entries.c
@@ -10,6 +10,7 @@
 typedef struct EntryKey {
     const char *host, *prefix;
     size_t prefixLength;
+    guint hash;
 } EntryKey;
 
 typedef struct Entry {
@@ -29,19 +30,23 @@
     size_t count;
 };
 
-static guint keyHash(gconstpointer data)
+guint entryHash(const char *host, const char *prefix, size_t prefixLength)
 {
-    const EntryKey *key = data;
-    guint hash = g_str_hash(key->host);
-    for (size_t i = 0; i < key->prefixLength; i++)
-        hash = hash * 33 + (unsigned char)key->prefix[i];
+    guint hash = g_str_hash(host);
+    for (size_t i = 0; i < prefixLength; i++)
+        hash = hash * 33 + (unsigned char)prefix[i];
     return hash;
 }
 
+static guint keyHash(gconstpointer data)
+{
+    return ((const EntryKey *)data)->hash;
+}
+
 static gboolean keyEqual(gconstpointer a, gconstpointer b)
 {
     const EntryKey *x = a, *y = b;
-    return x->prefixLength == y->prefixLength && memcmp(x->prefix, y->prefix, x->prefixLength) == 0 &&
+    return x->hash == y->hash && x->prefixLength == y->prefixLength && memcmp(x->prefix, y->prefix, x->prefixLength) == 0 &&
            strcmp(x->host, y->host) == 0;
 }
 
@@ -80,18 +85,19 @@
     of->count++;
 }
 
-bool entriesAdd(ConfigEntries *entries, const ConfigPlace *place, const ConfigPlace **other)
+bool entriesAdd(ConfigEntries *entries, const ConfigPlace *place, guint hash, const ConfigPlace **other)
 {
     Entry *entry = &entries->list[entries->count];
     const ConfigQueue *queue = place->queue;
-    *entry = (Entry){{queue->host, queue->prefix, place->prefixLength}, *place};
-    const Entry *known = g_hash_table_lookup(entries->byKey, &entry->key);
-    if (known != NULL) {
-        *other = &known->place;
+    *entry = (Entry){{queue->host, queue->prefix, place->prefixLength, hash}, *place};
+    if (!g_hash_table_insert(entries->byKey, &entry->key, entry)) { /* the key there stays, and gets its entry back */
+        gpointer known;
+        g_hash_table_lookup_extended(entries->byKey, &entry->key, &known, NULL);
+        g_hash_table_insert(entries->byKey, known, known);
+        *other = &((Entry *)known)->place;
         return false;
     }
     entries->count++;
-    g_hash_table_insert(entries->byKey, &entry->key, entry);
     lengthAdd(entries, queue->host, place->prefixLength);
     return true;
 }
@@ -110,7 +116,8 @@
     for (size_t i = 0; of != NULL && i < of->count; i++) {
         if (of->lengths[i] > pathLength)
             continue;
-        const EntryKey key = {name, path, of->lengths[i]};
+        const size_t prefixLength = of->lengths[i];
+        const EntryKey key = {name, path, prefixLength, entryHash(name, path, prefixLength)};
         const Entry *entry = g_hash_table_lookup(entries->byKey, &key);
         if (entry != NULL)
             return &entry->place;
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "entries.h"
 
 /* --- queues -------------------------------------------------------------------- */
 
@@ -32,6 +33,8 @@
         faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, here, "host"), "must be a host without its port");
     part->queue.host = host;
     part->queue.prefix = talloc_strdup(part, prefix);
+    part->prefixLength = strlen(prefix);
+    part->entryHash = entryHash(host, prefix, part->prefixLength);
 }
 
 static void readQueue(json_object *value, const char *path, QueuePart *part, Faults *faults)
--- a/packages/config/src/parts.h
+++ b/packages/config/src/parts.h
@@ -11,6 +11,8 @@
     ConfigQueue queue; /* first */
     json_object *from;
     size_t users;
+    size_t prefixLength;
+    guint entryHash;
 } QueuePart;
 
 typedef struct PolicyPart {
--- /dev/null
+++ b/packages/config/tool/bench.c
@@ -0,0 +1,165 @@
+/* What one change of the configuration costs, in processor time: as a whole
+ * document, read anew at each step; and as a difference, read where it differs. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "base/constants.h"
+#include "config/config.h"
+#include "document/document.h"
+#include "table/deliverconfig.h"
+
+static double nowUs(void)
+{
+    struct timespec at;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return (double)at.tv_sec * 1e6 + (double)at.tv_nsec / 1e3;
+}
+
+static const char *documentOf(void *mem, int queues)
+{
+    char *text = talloc_strdup(mem, "{\"r\":1,\"kinds\":{\"k\":{\"guards\":false,\"healthPath\":\"/health\"}},"
+                                    "\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"strict\":false,\"queues\":{");
+    for (int i = 0; i < queues; i++)
+        text = talloc_asprintf_append_buffer(
+            text,
+            "%s\"r-%06x\":{\"priority\":-1,\"kind\":\"k\",\"rounds\":4,\"stretch\":2.2,\"targetMs\":2000,\"expiryMs\":%d,"
+            "\"entry\":{\"host\":\"h%d.example\",\"prefix\":\"/p%06x/\"},\"note\":\"{\\\"kind\\\":\\\"mutating\\\"}\"}",
+            i > 0 ? "," : "", i, 3000 + i, i % 20, i);
+    return talloc_strdup_append_buffer(text, "}}}}");
+}
+
+static void fail(const Faults *faults)
+{
+    fprintf(stderr, "%s: %s\n", faults->list[0].path, faults->list[0].text);
+    exit(1);
+}
+
+static Faults *faultsNew(void *mem)
+{
+    Faults *faults = talloc_zero(mem, Faults);
+    faults->mem = mem;
+    return faults;
+}
+
+static void deliver(Revisions *revisions, const ConfigSet *set, void *mem, size_t *bytes)
+{
+    Bytes packed = {0};
+    ConfigSet taken;
+    Verdict verdict = {0};
+    shapePack(&ConfigSetShape, set, mem, &packed);
+    if (shapeUnpack(&ConfigSetShape, packed, mem, &taken, NULL) == STATUS_OK)
+        deliverConfig(revisions, &taken, &verdict);
+    if (verdict.status != STATUS_OK)
+        exit(1);
+    *bytes += packed.count;
+}
+
+int main(int argc, char **argv)
+{
+    const int queues = argc > 1 ? atoi(argv[1]) : 1400, changes = argc > 2 ? atoi(argv[2]) : 200;
+    void *all = talloc_new(NULL);
+    const char *text = documentOf(all, queues);
+    printf("%d queues, %zu bytes, %d changes of one queue each\n", queues, strlen(text), changes);
+
+    /* as it was: whole texts all the way */
+    double checkUs = 0, seatUs = 0, readUs = 0;
+    size_t bytes = 0;
+    const char *now = text;
+    Revisions *revisions = revisionsNew(all, CONFIG_HISTORY);
+    for (int i = 1; i <= changes; i++) {
+        void *mem = talloc_new(all);
+        Faults *faults = faultsNew(mem);
+        const char *patch = talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"r-%06x\":{\"expiryMs\":%d}}}}}", i % queues, i);
+        double fromUs = nowUs();
+        const char *next = configPatch(mem, now, patch, strlen(patch), faults);
+        const Config *config = next != NULL ? configRead(mem, next, strlen(next), (uint64_t)i, faults) : NULL;
+        if (config == NULL)
+            fail(faults);
+        checkUs += nowUs() - fromUs;
+        const ConfigSet set = {.base = (uint64_t)i - 1, .revision = (uint64_t)i, .text = next, .digest = ""};
+        fromUs = nowUs();
+        deliver(revisions, &set, mem, &bytes);
+        seatUs += nowUs() - fromUs;
+        fromUs = nowUs();
+        if (configRead(mem, next, strlen(next), (uint64_t)i, faults) == NULL)
+            fail(faults);
+        readUs += nowUs() - fromUs;
+        now = talloc_strdup(all, next);
+        talloc_free(mem);
+    }
+    printf("whole:      check %.0f us, each seat %.0f us, read again %.0f us, %zu bytes logged\n", checkUs / changes,
+           seatUs / changes, readUs / changes, bytes / (size_t)changes);
+
+    /* as it is */
+    for (int put = 0; put < 2; put++) {
+        Faults *faults = faultsNew(all);
+        const Config *config = configRead(all, text, strlen(text), 1, faults);
+        if (config == NULL)
+            fail(faults);
+        revisions = revisionsNew(all, CONFIG_HISTORY);
+        ConfigSet first = {.base = 0, .revision = 1, .text = text, .digest = ""};
+        bytes = 0;
+        deliver(revisions, &first, all, &bytes);
+        bytes = 0;
+        checkUs = seatUs = 0;
+        for (int i = 1; i <= changes; i++) {
+            void *mem = talloc_new(all);
+            json_object *change = documentParse(
+                talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"r-%06x\":{\"expiryMs\":%d}}}}}", i % queues, i));
+            json_object *whole = documentMerged(config->tree, change);
+            const char *body = documentText(mem, put ? whole : change);
+            json_object_put(whole);
+            json_object_put(change);
+            double fromUs = nowUs();
+            json_object *sent = checkParse(faults, body, strlen(body));
+            json_object *patch = put ? documentDifference(config->tree, sent) : json_object_get(sent);
+            json_object *tree = documentMerged(config->tree, patch);
+            const Config *next = configBuild(all, tree, (uint64_t)i + 1, config, faults);
+            const ConfigSet set = {.base = (uint64_t)i,
+                                   .revision = (uint64_t)i + 1,
+                                   .text = documentText(mem, patch),
+                                   .patch = true,
+                                   .digest = ""};
+            json_object_put(tree);
+            json_object_put(patch);
+            json_object_put(sent);
+            if (next == NULL)
+                fail(faults);
+            talloc_free((void *)(uintptr_t)config);
+            config = next;
+            checkUs += nowUs() - fromUs;
+            fromUs = nowUs();
+            deliver(revisions, &set, mem, &bytes);
+            seatUs += nowUs() - fromUs;
+            talloc_free(mem);
+        }
+        printf("%s check %.0f us, each seat %.1f us, read again 0 us, %zu bytes logged\n",
+               put ? "PUT:       " : "PATCH:     ", checkUs / changes, seatUs / changes, bytes / (size_t)changes);
+        /* a look-up, and what a leader that is new pays once */
+        double fromUs = nowUs();
+        for (int i = 0; i < 100000; i++) {
+            char host[32], path[64];
+            snprintf(host, sizeof(host), "h%d.example", i % queues % 20);
+            snprintf(path, sizeof(path), "/p%06x/0123456789abcdef", i % queues);
+            if (configEntry(config, host, path) == NULL)
+                return 1;
+        }
+        const double entryUs = (nowUs() - fromUs) / 100000;
+        fromUs = nowUs();
+        json_object *tree = revisionsTree(revisions, NULL, 0);
+        const Config *anew = configBuild(all, tree, 1, NULL, faults);
+        const double anewUs = nowUs() - fromUs;
+        fromUs = nowUs();
+        const char *read = revisionsText(revisions, all, revisionsNewest(revisions));
+        printf("            look-up %.2f us, read by a new leader %.0f us, read back %.0f us (%zu bytes)\n", entryUs, anewUs,
+               nowUs() - fromUs, strlen(read));
+        json_object_put(tree);
+        if (anew == NULL)
+            fail(faults);
+    }
+    talloc_free(all);
+    return 0;
+}
--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -8,8 +8,6 @@
 #include "inforce.h"
 #include "way.h"
 
-#define DIGEST_CHARS 32 /* count; of a SHA-256 in hex: calls are told apart, not protected from forgers */
-
 /* --- reading ----------------------------------------------------------------------- */
 
 /* The text goes out as it is kept: a document is given back as it was sent. */
@@ -88,15 +86,16 @@
     showVerdict(way->task, 200, body);
 }
 
-/* What makes a call that names its revision the same one when it is sent again. */
+/* What makes a call that names its revision the same one when it is sent again:
+ * calls are told apart, not protected from forgers. */
 static const char *digestOf(Way *way, bool patch, uint64_t base, uint64_t revision)
 {
     char head[80];
     const int length = snprintf(head, sizeof(head), "%s %" PRIu64 " %" PRIu64 "\n", patch ? "patch" : "put", base, revision);
-    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_MD5);
     g_checksum_update(sum, (const guchar *)head, length);
     g_checksum_update(sum, way->task->body.data, (gssize)way->task->body.count);
-    const char *digest = talloc_strndup(way->mem, g_checksum_get_string(sum), DIGEST_CHARS);
+    const char *digest = talloc_strdup(way->mem, g_checksum_get_string(sum));
     g_checksum_free(sum);
     return digest;
 }
--- a/packages/document/include/document/document.h
+++ b/packages/document/include/document/document.h
@@ -19,6 +19,8 @@
 /* An RFC 7396 merge patch upon a tree: what is there stays in its place, what
  * is new comes last. */
 json_object *documentMerged(json_object *tree, json_object *patch);
+/* The same for patches one upon the other, given as texts. */
+json_object *documentMergedAll(json_object *tree, const char *const *patches, size_t count);
 /* The merge patch that makes one tree out of the other, with the order of the
  * keys; null when no merge patch does. */
 json_object *documentDifference(json_object *from, json_object *to);
--- a/packages/document/src/document.c
+++ b/packages/document/src/document.c
@@ -1,5 +1,6 @@
 #include "document/document.h"
 
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -20,27 +21,68 @@
 
 /* --- merging ------------------------------------------------------------------- */
 
-json_object *documentMerged(json_object *tree, json_object *patch)
+/* One of its own with the members of the other, with room for some more. */
+static json_object *objectCopy(json_object *from)
+{
+    json_object *copy = json_object_new_object();
+    if (!json_object_is_type(from, json_type_object))
+        return copy;
+    const int length = json_object_object_length(from);
+    if (length > JSON_OBJECT_DEF_HASH_ENTRIES / 2)
+        lh_table_resize(json_object_get_object(copy), length * 2);
+    json_object_object_foreach(from, key, value)
+        json_object_object_add_ex(copy, key, json_object_get(value), JSON_C_OBJECT_ADD_KEY_IS_NEW);
+    return copy;
+}
+
+/* own: the objects made here, of which nobody else has a use; they are changed as
+ * they are. One that has gone may leave its address to another: what is met on the
+ * way through objects is the first tree's, which stays, or made here too. */
+static json_object *merged(json_object *tree, json_object *patch, GHashTable *own)
 {
     if (!json_object_is_type(patch, json_type_object))
         return json_object_get(patch);
-    json_object *result = json_object_new_object();
-    if (json_object_is_type(tree, json_type_object)) {
-        json_object_object_foreach(tree, key, value)
-            json_object_object_add_ex(result, key, json_object_get(value), JSON_C_OBJECT_ADD_KEY_IS_NEW);
+    json_object *result;
+    if (tree != NULL && g_hash_table_contains(own, tree)) {
+        result = json_object_get(tree);
+    } else {
+        result = objectCopy(tree);
+        g_hash_table_add(own, result);
     }
     json_object_object_foreach(patch, name, change) {
-        if (change == NULL) {
-            json_object_object_del(result, name);
-            continue;
-        }
         json_object *old = NULL;
         json_object_object_get_ex(result, name, &old);
-        json_object_object_add(result, name, documentMerged(old, change));
+        if (change == NULL)
+            json_object_object_del(result, name);
+        else
+            json_object_object_add(result, name, merged(old, change, own));
     }
     return result;
 }
 
+json_object *documentMerged(json_object *tree, json_object *patch)
+{
+    GHashTable *own = g_hash_table_new(NULL, NULL);
+    json_object *result = merged(tree, patch, own);
+    g_hash_table_destroy(own);
+    return result;
+}
+
+json_object *documentMergedAll(json_object *tree, const char *const *patches, size_t count)
+{
+    GHashTable *own = g_hash_table_new(NULL, NULL);
+    json_object *now = json_object_get(tree);
+    for (size_t i = 0; i < count; i++) {
+        json_object *patch = documentParse(patches[i]);
+        json_object *next = merged(now, patch, own);
+        json_object_put(patch);
+        json_object_put(now);
+        now = next;
+    }
+    g_hash_table_destroy(own);
+    return now;
+}
+
 /* --- differences ------------------------------------------------------------------ */
 
 /* Numbers with a fraction remember how they were written. */
--- a/packages/document/test/document.c
+++ b/packages/document/test/document.c
@@ -182,6 +182,37 @@
     assert_true(told > 8000 && untold > 1000);
 }
 
+/* Many patches at once come to what they come to one by one, and the first tree
+ * stays as it was. */
+static void inARow(void **state)
+{
+    (void)state;
+    seedNow = 12;
+    for (int i = 0; i < 3000; i++) {
+        void *mem = talloc_new(NULL);
+        json_object *first = drawValue(4), *now = json_object_get(first);
+        const char *before = documentText(mem, first), *patches[6];
+        const size_t count = (size_t)draw(7);
+        for (size_t k = 0; k < count; k++) {
+            json_object *patch = drawValue(4);
+            if (json_object_is_type(patch, json_type_object) && draw(2))
+                json_object_object_add(patch, "c", NULL);
+            patches[k] = documentText(mem, patch);
+            json_object *next = documentMerged(now, patch);
+            json_object_put(patch);
+            json_object_put(now);
+            now = next;
+        }
+        json_object *all = documentMergedAll(first, patches, count);
+        assert_string_equal(documentText(mem, all), documentText(mem, now));
+        assert_string_equal(documentText(mem, first), before);
+        json_object_put(all);
+        json_object_put(now);
+        json_object_put(first);
+        talloc_free(mem);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -189,6 +220,7 @@
         cmocka_unit_test(merged),
         cmocka_unit_test(different),
         cmocka_unit_test(drawn),
+        cmocka_unit_test(inARow),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -56,14 +56,13 @@
         from--;
     const Revision *first = &revisions->rows[from];
     json_object *tree = have != NULL && first->revision == haveRevision ? json_object_get(have) : documentParse(first->text);
-    for (size_t i = from + 1; i <= at; i++) {
-        json_object *patch = documentParse(revisions->rows[i].text);
-        json_object *next = documentMerged(tree, patch);
-        json_object_put(patch);
-        json_object_put(tree);
-        tree = next;
-    }
-    return tree;
+    const char **patches = talloc_array(NULL, const char *, (unsigned)(at - from));
+    for (size_t i = from; i < at; i++)
+        patches[i - from] = revisions->rows[i + 1].text;
+    json_object *result = documentMergedAll(tree, patches, at - from);
+    talloc_free(patches);
+    json_object_put(tree);
+    return result;
 }
 
 static const char *textAt(const Revisions *revisions, void *mem, size_t at)
