The planner hears all news, also while it commits, and wakes when something falls due

It waited for the log's news alone, so that a worker that became ready, the end of a rest or a turn's due time were seen at the next tick of 250 ms; and what was delivered while its own decision was being committed woke nobody. News are counted now: a pass that ends with more news than it began with (its own change apart) is followed by another, and the wait ends when the next rest, turn or wait for near room does.

--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -110,7 +110,7 @@
     if (livesetFind(core->liveset, beat->worker.name)->number == beat->number)
         straysBeat(core->strays, core->table, beat, nowMs);
     if (wasReady != liveRowReady(livesetFind(core->liveset, beat->worker.name), nowMs))
-        signalRaise(core->loop, &core->wake);
+        coreNews(core);
     if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
     return STATUS_OK;
--- a/packages/core/src/choose.c
+++ b/packages/core/src/choose.c
@@ -133,7 +133,7 @@
     return at >= 0 ? at : chooseAmong(pass, step, need, not, rack);
 }
 
-bool chooseWaits(const Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent)
+bool chooseWaits(Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent)
 {
     if (percent <= 100 || candidate->restart)
         return false;
@@ -143,14 +143,15 @@
         waitMs = candidate->slackMs / 2;
     if (waitMs > FAR_WAIT_MS)
         waitMs = FAR_WAIT_MS;
-    if (pass->clock.logMs - candidate->sinceMs >= waitMs)
+    const int64_t untilMs = candidate->sinceMs + waitMs;
+    if (pass->clock.logMs >= untilMs)
         return false;
-    if (step->near[0] == '\0')
-        return true;
-    for (size_t i = 0; i < pass->input.workerCount; i++) {
+    bool near = step->near[0] == '\0';
+    for (size_t i = 0; i < pass->input.workerCount && !near; i++) {
         const PlanWorker *worker = &pass->input.workers[i];
-        if (strcmp(worker->rack, step->near) == 0 && planAble(worker, need) && roomFits(need->room, worker->room))
-            return true;
+        near = strcmp(worker->rack, step->near) == 0 && planAble(worker, need) && roomFits(need->room, worker->room);
     }
-    return false;
+    if (near && untilMs < pass->nextMs)
+        pass->nextMs = untilMs;
+    return near;
 }
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -16,6 +16,12 @@
     return true;
 }
 
+void coreNews(Core *core)
+{
+    core->news++;
+    signalRaise(core->loop, &core->wake);
+}
+
 QueueClock coreClock(const Core *core)
 {
     return (QueueClock){viewClockMs(core->view), viewWallMs(core->view)};
@@ -59,7 +65,7 @@
     }
     if (!repair)
         core->repairing = false;
-    signalRaise(core->loop, &core->wake);
+    coreNews(core);
 }
 
 static void traceDelivered(Core *core, const Record *change, const Verdict *verdict)
@@ -125,6 +131,7 @@
 {
     Core *core = arg;
     traceDelivered(core, change, verdict);
+    coreNews(core);
     limitsFollow(core);
     if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -70,7 +70,8 @@
     uint64_t repairTurn;
     int64_t placeFromMs;
     int64_t mendMs; /* split gangs are looked for again from then on */
-    Signal wake; /* beats with news for the planner */
+    uint64_t news; /* grows with whatever the planner should look at */
+    Signal wake;   /* raised with it */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
     int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
@@ -83,6 +84,8 @@
 const Config *coreConfig(Core *core);
 /* Leads, by the clock, and has all that was told. */
 bool coreDecides(Core *core);
+/* There is something for the planner to look at. */
+void coreNews(Core *core);
 QueueClock coreClock(const Core *core);
 const Policy *corePolicy(void *arg, const ConfigCell *cell);
 /* Calls of policies that failed, and the last one's words; "" when none did. */
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -39,6 +39,7 @@
     Room fleet;
     QueueUse *use;
     QueueClock clock;
+    int64_t nextMs; /* log time when more can be decided by itself */
     StopList pushes;   /* rounds to be pushed aside */
     bool asks;         /* the configuration names losses to be survived */
     Room largest;      /* the largest worker, part by part */
@@ -70,7 +71,7 @@
 /* What the place makes of the step's time; 100: it is near its data and the others. */
 uint64_t chooseFarPercent(const Pass *pass, const StepSpec *step, size_t at);
 /* Whether to wait a moment for room that is near, rather than take the longer way. */
-bool chooseWaits(const Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent);
+bool chooseWaits(Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent);
 /* Room that protected work may push aside, into pass->input. */
 void pushableCount(Pass *pass);
 /* The place of the task's cell in it; PLAN_NO_CELL: none. */
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -247,9 +247,11 @@
         }
 }
 
-/* One look at everything; true when there may be more to decide at once. */
-static bool passRun(Core *core)
+/* One look at everything; true when there may be more to decide at once. nextMs: when
+ * there will be by itself, by the own clock. */
+static bool passRun(Core *core, int64_t *nextMs)
 {
+    uint64_t seen = core->news;
     void *mem = talloc_new(core);
     Pass *pass = talloc_zero(mem, Pass);
     pass->core = core;
@@ -275,7 +277,7 @@
     for (size_t i = 0; i < pass->input.workerCount; i++)
         pass->fleet = roomMore(pass->fleet, pass->input.workers[i].room);
     pass->use = queueUse(mem, core->table, pass->config, pass->fleet);
-    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, pass->clock, core->guesses, corePolicy, core, &candidates);
+    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, pass->clock, core->guesses, corePolicy, core, &candidates, &pass->nextMs);
     const char *words;
     const uint64_t failures = corePolicyFailures(core, &words);
     if (failures > 0 && core->policyFailuresTold == 0)
@@ -289,11 +291,15 @@
     keptBegin(pass, candidates, count);
     for (size_t i = 0; i < count && pass->places.placementsCount < PLACE_BATCH; i++)
         placeOne(pass, &candidates[i]);
+    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
+    if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
+        *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
     if (pass->places.placementsCount > 0) {
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
             core->counts.placed += verdict.number;
+        seen++; /* our own change is no news */
     } else if (pass->pushes.roundsCount > 0) {
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
@@ -304,18 +310,20 @@
             assureMore(pass);
     }
     talloc_free(mem);
-    return more;
+    return more || core->news > seen;
 }
 
 static void plannerMain(void *arg)
 {
     Core *core = arg;
     bool more = false;
+    int64_t nextMs = 0;
     while (!loopStopping(core->loop)) {
         if (!more)
-            signalWait(core->loop, viewNews(core->view), loopNowMs(core->loop) + PLACE_TICK_MS);
+            signalWait(core->loop, &core->wake, nextMs);
         loopSleep(core->loop, PASS_GAP_MS);
         more = false;
+        nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
         if (!coreDecides(core))
             continue;
         void *mem = talloc_new(core);
@@ -326,7 +334,9 @@
             gangsMend(core, mem);
         talloc_free(mem);
         if (loopNowMs(core->loop) >= core->placeFromMs && coreDecides(core))
-            more = passRun(core);
+            more = passRun(core, &nextMs);
+        else if (core->placeFromMs < nextMs)
+            nextMs = core->placeFromMs;
     }
 }
 
--- a/packages/core/src/ranks.c
+++ b/packages/core/src/ranks.c
@@ -37,8 +37,10 @@
         fleet = roomMore(fleet, input.workers[i].room);
     Trying trying = {core, cell, policy};
     Candidate *candidates;
+    int64_t nextMs;
     const QueueUse *use = queueUse(way->mem, core->table, config, fleet);
-    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), core->guesses, policyTried, &trying, &candidates);
+    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), core->guesses, policyTried, &trying,
+                                    &candidates, &nextMs);
     json_object *body = json_object_new_object(), *list = json_object_new_array();
     int64_t ready = 0;
     for (size_t i = 0; i < count; i++) {
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -209,7 +209,7 @@
     core->counts.retold += told;
     ringSay(core->ring, RING_ALERT, loopNowMs(core->loop),
             "the view rested on woken seats: %zu of %zu changes told again were missing", told, itemCount);
-    signalRaise(core->loop, &core->wake);
+    coreNews(core);
     return true;
 }
 
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -62,8 +62,9 @@
  * what has no aim, then cells by what they use of their share; within a cell by
  * its policy's rank, to which the built-in one adds how near the job's aim is;
  * then tenants by what they use, then the order of acceptance. guesses may be
- * null. On mem. */
+ * null. On mem. nextMs: the log time when more can start by itself, a rest being
+ * over or a turn being due; INT64_MAX: never. */
 size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **candidates);
+                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **candidates, int64_t *nextMs);
 
 #endif
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -295,8 +295,15 @@
     const Policy *policy; /* of the job's cell */
     Candidate *list;
     size_t count, room;
+    int64_t nextMs;
 } Build;
 
+static void nextAt(Build *build, int64_t logMs)
+{
+    if (logMs > build->clock.logMs && logMs < build->nextMs)
+        build->nextMs = logMs;
+}
+
 /* Ranks of jobs with an aim are cut into bands, inside which tenants take turns. */
 static double rankOf(const Build *build, const Job *job, size_t task, const Aim *aim)
 {
@@ -350,6 +357,8 @@
         known = true;
         const double rank = rankOf(build, job, at, &aim);
         for (; at < end; at++) {
+            if (job->tasks[at].phase == TASK_WAITING)
+                nextAt(build, job->tasks[at].restUntilMs);
             if (job->tasks[at].phase != TASK_WAITING || logMs < job->tasks[at].restUntilMs) {
                 if (step->gang)
                     break;
@@ -365,7 +374,7 @@
 }
 
 size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **out)
+                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **out, int64_t *nextMs)
 {
     const Room fleet = use->fleet;
     Build build = {
@@ -374,6 +383,7 @@
         .use = use,
         .clock = clock,
         .guesses = guesses,
+        .nextMs = INT64_MAX,
         .quarter = {fleet.cpuMilli / AIM_WAVE_PART, fleet.memMb / AIM_WAVE_PART, fleet.gpu / AIM_WAVE_PART},
     };
     Job *const *jobs;
@@ -383,9 +393,13 @@
         if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)
             continue;
         build.policy = policy(arg, configCell(config, job->spec.cell));
-        for (uint64_t turn = 0; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
+        uint64_t turn = 0;
+        for (; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
             turnWalk(&build, job, turn);
+        if (turn < turnsOf(job))
+            nextAt(&build, fromMs(job, turn, clock));
     }
+    *nextMs = build.nextMs;
     if (build.count > 0)
         turnsTake(mem, config, use, build.list, build.count);
     *out = build.list;
--- a/packages/queue/test/aims.c
+++ b/packages/queue/test/aims.c
@@ -39,8 +39,9 @@
     const Room fleet = {1000 * CPU, 100000, 0};
     const QueueUse *use = queueUse(mem, board->table, config, fleet);
     Candidate *list;
+    int64_t nextMs;
     const QueueClock clock = {logMs, 1000000 + logMs};
-    const size_t count = queueBuild(mem, board->table, config, use, clock, guesses, plain, NULL, &list);
+    const size_t count = queueBuild(mem, board->table, config, use, clock, guesses, plain, NULL, &list, &nextMs);
     char *order = talloc_zero_array(board->table, char, (unsigned)count + 1);
     for (size_t i = 0; i < count; i++)
         order[i] = list[i].job->spec.id[0];
