--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -13,11 +13,12 @@
     Courier *courier;
     Members *members;
     Keeper *keeper;
-    Proxy proxy;
+    Proxy *proxy;
     Trace *trace;
     Ring *ring;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     Feed *feed;
+    int64_t graceMs, unreadyMs;
     bool leaving;
     size_t inWork;
 };
@@ -42,21 +43,16 @@
         json_object_object_add(body, "live", json_object_new_boolean(true));
         showVerdict(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
-        if (gate->leaving)
-            showRefusal(task, STATUS_LEAVING, "not ready", NULL);
-        else
-            proxyReady(&gate->proxy, task);
+        showReady(task, gateReady(gate), gate->leaving);
     } else if (strcmp(task->path, "/metrics") == 0) {
         metrics(gate, task);
     } else if (strcmp(task->path, "/v1/ring") == 0) {
         showRing(task, gate->ring);
     } else if (strcmp(task->path, "/v1/trace") == 0) {
         traceServe(gate->trace, task);
-    } else if (gate->leaving) {
-        showRefusal(task, STATUS_LEAVING, "this process is leaving; nothing was taken: come back", NULL);
     } else {
         gate->inWork++;
-        proxyCarry(&gate->proxy, task);
+        proxyCarry(gate->proxy, task);
         gate->inWork--;
     }
 }
@@ -68,7 +64,7 @@
 
 bool gateReady(const Gate *gate)
 {
-    return !gate->leaving && membersLeaderAddress(gate->members) != NULL;
+    return !gate->leaving && waysServe(proxyWays(gate->proxy));
 }
 
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
@@ -106,6 +102,8 @@
     Gate *gate = talloc_zero(mem, Gate);
     gate->loop = loop;
     gate->ring = ring;
+    gate->graceMs = props->bounds.graceMs;
+    gate->unreadyMs = props->bounds.unreadyMs;
     gate->courier = courierNew(gate, loop, ring);
     gate->keeper = keeperNew(gate, loop);
     Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
@@ -122,12 +120,19 @@
                                .incarnation = (uint64_t)loopWallMs(loop)};
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
-    gate->proxy = (Proxy){.loop = loop, .courier = gate->courier, .members = gate->members, .keeper = gate->keeper, .trace = gate->trace};
-    gate->feed = feedNew(gate, loop, gate->courier, gate->members, gate->trace);
+    gate->proxy = proxyNew(gate, &(ProxyProps){.loop = loop,
+                                               .courier = gate->courier,
+                                               .members = gate->members,
+                                               .keeper = gate->keeper,
+                                               .trace = gate->trace,
+                                               .leaderWaitMs = props->bounds.leaderWaitMs,
+                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    gate->feed = feedNew(gate, loop, gate->courier, proxyWays(gate->proxy), gate->trace);
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersStart(gate->members);
+    proxyStart(gate->proxy);
     feedStart(gate->feed, NULL, NULL);
     *out = gate;
     return STATUS_OK;
@@ -135,13 +140,14 @@
 
 void gateDrain(Gate *gate)
 {
-    const int64_t untilMs = loopNowMs(gate->loop) + DRAIN_MS;
+    const int64_t nowMs = loopNowMs(gate->loop);
     gate->leaving = true;
+    loopServeLeave(gate->loop);
     membersSetLeaving(gate->members);
-    /* long enough for the platform to see that it is not ready */
-    loopSleep(gate->loop, DRAIN_MS / 6);
-    while (gate->inWork > 0 && loopNowMs(gate->loop) < untilMs)
-        loopSleep(gate->loop, 10);
+    /* requests are taken on until the last moment: none that was read is cut */
+    loopSleep(gate->loop, gate->unreadyMs);
+    while (loopServeBusy(gate->loop) > 0 && loopNowMs(gate->loop) < nowMs + gate->graceMs - DRAIN_MARGIN_MS)
+        loopSleep(gate->loop, DRAIN_LOOK_MS);
 }
 
 const char *gateHttpAddress(const Gate *gate)
