--- a/packages/document/src/document.c
+++ b/packages/document/src/document.c
@@ -36,14 +36,15 @@
 }
 
 /* own: the objects made here, of which nobody else has a use; they are changed as
- * they are. One that has gone may leave its address to another: what is met on the
- * way through objects is the first tree's, which stays, or made here too. */
+ * they are. One that has gone may leave its address to another value; if that is
+ * an object met on the way through objects, it is made here too, for the first
+ * tree's stay. */
 static json_object *merged(json_object *tree, json_object *patch, GHashTable *own)
 {
     if (!json_object_is_type(patch, json_type_object))
         return json_object_get(patch);
     json_object *result;
-    if (tree != NULL && g_hash_table_contains(own, tree)) {
+    if (json_object_is_type(tree, json_type_object) && g_hash_table_contains(own, tree)) {
         result = json_object_get(tree);
     } else {
         result = objectCopy(tree);
