--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -10,6 +10,7 @@
     const char *boot;  /* the worker's present life: nothing of one outlives it */
     Worker worker;     /* its name is not looked at: the agent stands beside one worker */
     bool bootEnds;     /* a new boot means for certain that the old one is over */
+    uint64_t seq;      /* grows with each report of one boot, so that a late one is known; 0: not told */
     bool leaving;
     int64_t leaveMs;   /* leaving: it stays at least so long; 0: not told */
     bool left;         /* it has left in order: nothing runs there any more */
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -9,14 +9,15 @@
 {
     const CourierCounts *counts = courierCounts(agent->courier);
     int64_t rounds[PHASE_KNOWN + 1] = {0};
-    for (const Round *round = agent->rounds; round != NULL; round = round->next)
+    for (const Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
         rounds[round->phase]++;
     showMetricsBegin(task);
     showMetric(task, "holdLeftMs", holdLeftMs(&agent->hold, loopNowMs(agent->loop)));
     showMetric(task, "workerLive", agent->workerLive);
     showMetric(task, "roundsRunning", rounds[PHASE_RUNNING]);
     showMetric(task, "roundsStopping", rounds[PHASE_STOPPING]);
-    showMetric(task, "roundsUntold", rounds[PHASE_ENDED]);
+    showMetric(task, "roundsUntold", (int64_t)agent->rounds.ended.count);
+    showMetric(task, "roundsKept", (int64_t)agent->rounds.known.count);
 #define X(name) showMetric(task, #name, (int64_t)counts->name);
     COURIER_COUNT_LIST(X)
 #undef X
@@ -70,7 +71,8 @@
     agent->incarnation = (uint64_t)loopWallMs(loop);
     agent->startedMs = loopNowMs(loop);
     agent->workerMem = talloc_new(agent);
-    agent->worker = (Worker){.name = agent->workerName, .zone = props->zone, .rack = "", .kind = ""};
+    const Worker unheard = {.name = agent->workerName, .zone = props->zone, .rack = "", .kind = ""};
+    shapeCopy(&WorkerShape, &unheard, agent->workerMem, &agent->worker);
     agent->courier = courierNew(agent, loop, ring);
     Status status = courierListen(agent->courier, props->listen, agent->address, mishap);
     if (status == STATUS_OK)
@@ -86,9 +88,11 @@
                                .incarnation = agent->incarnation};
     agent->members = membersNew(agent, loop, agent->courier, ring, &self, props->seeds);
     agent->trace = traceNew(agent, loop, agent->courier, agent->members, props->name);
-    leaderStart(agent);
+    roundsInit(agent);
+    beatStart(agent);
+    tellStart(agent);
     aloneStart(agent);
-    workerWatch(agent);
+    watchStart(agent);
     membersStart(agent->members);
     *out = agent;
     return STATUS_OK;
@@ -100,7 +104,7 @@
 {
     agent->leaving = true;
     membersSetLeaving(agent->members);
-    signalRaise(agent->loop, membersLeaderSignal(agent->members));
+    beatNow(agent);
     loopSleep(agent->loop, DRAIN_MS / 3);
 }
 
--- a/packages/agent/src/alone.c
+++ b/packages/agent/src/alone.c
@@ -77,22 +77,19 @@
     return asking->seatsTold;
 }
 
-static void askAll(Agent *agent)
+static void askThose(Asking *asking, bool cores)
 {
-    Asking *asking = talloc_zero(agent, Asking);
-    asking->agent = agent;
-    asking->users = 1;
-    asking->all = true;
-    const int64_t sentMs = loopNowMs(agent->loop);
+    Agent *agent = asking->agent;
     const MemberTable *table = membersTable(agent->members);
     for (size_t i = 0; i < table->count; i++) {
         const MemberRecord *record = &table->rows[i].record;
         /* one that left cleanly is excluded: it neither runs nor holds anything */
-        if (record->leaving || strcmp(record->id, membersSelf(agent->members)->id) == 0)
+        if (record->leaving || (record->role == ROLE_CORE) != cores ||
+            strcmp(record->id, membersSelf(agent->members)->id) == 0)
             continue;
         AskPart *part = talloc_zero(agent, AskPart);
         part->asking = asking;
-        part->disk = record->role == ROLE_CORE ? record->disk : 0;
+        part->disk = cores ? record->disk : 0;
         strncpy(part->address, record->address, sizeof(part->address) - 1);
         asking->users++;
         asking->pending++;
@@ -100,14 +97,29 @@
     }
     while (asking->pending > 0)
         signalWait(agent->loop, &asking->ended, INT64_MAX);
+}
+
+static void askAll(Agent *agent)
+{
+    Asking *asking = talloc_zero(agent, Asking);
+    asking->agent = agent;
+    asking->users = 1;
+    asking->all = true;
+    const int64_t sentMs = loopNowMs(agent->loop);
+    /* the cores first: a holder that is gone leaves one that does not answer, and
+     * then nobody else need be asked by every agent of the fleet */
+    askThose(asking, true);
+    if (asking->all && seatsAnswered(asking))
+        askThose(asking, false);
+    const int64_t holdMs = agent->props->bounds.holdMs;
     /* a hold that has lapsed meanwhile is not brought back: its rounds are stopping */
     if (asking->all && seatsAnswered(asking) && holdRuns(&agent->hold, loopNowMs(agent->loop))) {
         if (!agent->alone)
             ringSay(agent->ring, RING_ALERT, loopNowMs(agent->loop),
                     "no lock holder, and every member knows none: goes on while all see each other");
         agent->alone = true;
-        if (sentMs + AGENT_HOLD_MS > agent->hold.untilMs)
-            agent->hold.untilMs = sentMs + AGENT_HOLD_MS;
+        if (sentMs + holdMs > agent->hold.untilMs)
+            agent->hold.untilMs = sentMs + holdMs;
     }
     askingLeave(asking);
 }
@@ -117,10 +129,11 @@
     Agent *agent = arg;
     while (!loopStopping(agent->loop)) {
         const int64_t leftMs = holdLeftMs(&agent->hold, loopNowMs(agent->loop));
-        /* the last third of the hold: several beats have gone unanswered */
-        if (leftMs > 0 && leftMs < AGENT_HOLD_MS - 2 * ASK_EXPIRY_MS)
+        const int64_t lateMs = agent->props->bounds.holdMs / 2;
+        /* the second half of the hold: several beats have gone unanswered */
+        if (leftMs > 0 && leftMs < lateMs)
             askAll(agent);
-        loopSleep(agent->loop, BEAT_MS / 5);
+        loopSleep(agent->loop, leftMs > lateMs ? leftMs - lateMs : BEAT_MS / 5);
     }
 }
 
--- /dev/null
+++ b/packages/agent/src/beat.c
@@ -0,0 +1,190 @@
+/* The agent's beats: what the leader knows of it, how long its hold runs, and the
+ * question for orders, in one. The leader holds a beat back until there are newer
+ * orders; what does not wait goes in another meanwhile. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "inside.h"
+
+/* One on its way; freed when it has come to its end. */
+typedef struct Beat {
+    Agent *agent;
+    uint64_t number;
+    int64_t sentMs;
+    char address[ADDRESS_MAX];
+    uint64_t *turns; /* of each of the told rounds' saved */
+} Beat;
+
+bool leaderAddress(Agent *agent, char address[ADDRESS_MAX])
+{
+    const char *leader = membersLeaderAddress(agent->members);
+    if (leader == NULL)
+        return false;
+    snprintf(address, ADDRESS_MAX, "%s", leader);
+    return true;
+}
+
+void beatNow(Agent *agent)
+{
+    agent->beatNow = true;
+    signalRaise(agent->loop, membersLeaderSignal(agent->members));
+}
+
+static RoundId idOf(void *mem, const Round *round)
+{
+    return (RoundId){talloc_strdup(mem, round->order.job), round->order.task, round->order.round};
+}
+
+static void roundsTell(Agent *agent, Beat *beat, BeatAsk *ask)
+{
+    const Rounds *rounds = &agent->rounds;
+    const int64_t nowMs = loopNowMs(agent->loop);
+    ask->rounds = talloc_array(beat, RoundId, (unsigned)(rounds->lives.count + rounds->ended.count));
+    ask->saved = talloc_array(beat, RoundSaved, (unsigned)rounds->lives.count);
+    beat->turns = talloc_array(beat, uint64_t, (unsigned)rounds->lives.count);
+    for (const Round *round = rounds->lives.first; round != NULL; round = round->next) {
+        ask->rounds[ask->roundsCount++] = idOf(beat, round);
+        if (round->savedTurn == round->toldTurn)
+            continue;
+        beat->turns[ask->savedCount] = round->savedTurn;
+        ask->saved[ask->savedCount++] =
+            (RoundSaved){talloc_strdup(beat, round->order.job), round->order.task, round->order.round,
+                         talloc_strdup(beat, round->saved), round->runsMs != 0 ? nowMs - round->runsMs : 0};
+    }
+    for (const Round *round = rounds->ended.first; round != NULL; round = round->next)
+        ask->rounds[ask->roundsCount++] = idOf(beat, round);
+}
+
+static void askFill(Agent *agent, Beat *beat, BeatAsk *ask)
+{
+    const int64_t nowMs = loopNowMs(agent->loop);
+    *ask = (BeatAsk){.agent = agent->workerName,
+                     .incarnation = agent->incarnation,
+                     .number = beat->number,
+                     .workerLive = agent->workerLive,
+                     .leaving = agent->workerLeaving || agent->leaving,
+                     .settled = agent->settled,
+                     .others = agent->others,
+                     .leaveMs = agent->leaveUntilMs > nowMs ? agent->leaveUntilMs - nowMs : 0,
+                     .have = agent->have,
+                     .haveEpoch = agent->haveEpoch,
+                     .waitMs = BEAT_WAIT_MS};
+    shapeCopy(&WorkerShape, &agent->worker, beat, &ask->worker);
+    roundsTell(agent, beat, ask);
+}
+
+/* The leader of this epoch has what the beat told. */
+static void savedKnown(Agent *agent, const Beat *beat, const BeatAsk *ask, uint64_t epoch)
+{
+    if (epoch != agent->savedEpoch) {
+        agent->savedEpoch = epoch;
+        for (Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
+            round->toldTurn = 0;
+    }
+    for (size_t i = 0; i < ask->savedCount; i++) {
+        const RoundSaved *saved = &ask->saved[i];
+        Round *round = roundFind(agent, saved->job, saved->task, saved->round);
+        if (round != NULL && beat->turns[i] > round->toldTurn)
+            round->toldTurn = beat->turns[i];
+    }
+}
+
+static void answerTake(Agent *agent, const Beat *beat, const BeatAsk *ask, const BeatAnswer *answer)
+{
+    if (!holdAnswered(&agent->hold, answer->epoch, beat->sentMs, answer->holdMs)) {
+        ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "a beat was answered under old epoch %" PRIu64,
+                epochCounter(answer->epoch));
+        return;
+    }
+    agent->alone = false;
+    agent->beatMs = loopNowMs(agent->loop);
+    savedKnown(agent, beat, ask, answer->epoch);
+    if (answer->epoch > agent->epochTold) {
+        agent->epochTold = answer->epoch;
+        traceSay(agent->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
+    }
+    /* of two beats on their way the later one's orders count: they are never older */
+    if (answer->orders && beat->number > agent->ordersNumber) {
+        agent->ordersNumber = beat->number;
+        agent->have = answer->revision;
+        agent->haveEpoch = answer->epoch;
+        ordersTake(agent, answer, beat->sentMs);
+    }
+}
+
+static void askMain(void *arg)
+{
+    Beat *beat = arg;
+    Agent *agent = beat->agent;
+    BeatAsk ask;
+    BeatAnswer answer = {0};
+    beat->sentMs = loopNowMs(agent->loop);
+    askFill(agent, beat, &ask);
+    const Status status = courierAsk(agent->courier, beat, beat->address, MESSAGE_BEAT, &BeatAskShape, &ask,
+                                     BEAT_WAIT_MS + ASK_EXPIRY_MS, &BeatAnswerShape, &answer);
+    const int64_t nowMs = loopNowMs(agent->loop);
+    if (status == STATUS_OK)
+        answerTake(agent, beat, &ask, &answer);
+    else if (status == STATUS_DUPLICATE_WORKER)
+        ringSay(agent->ring, RING_ALERT, nowMs, "another agent beats for worker %s", agent->workerName);
+    agent->beats--;
+    if (agent->beat == beat) {
+        agent->beat = NULL;
+        if (status != STATUS_OK)
+            agent->beatDueMs = nowMs + BEAT_MS / 5;
+        else if (answer.orders || nowMs - beat->sentMs >= BEAT_WAIT_MS)
+            agent->beatDueMs = nowMs;
+        else
+            agent->beatDueMs = beat->sentMs + BEAT_MS; /* it was not held back */
+        signalRaise(agent->loop, membersLeaderSignal(agent->members));
+    }
+    talloc_free(beat);
+}
+
+static void beatSend(Agent *agent, const char *address)
+{
+    Beat *beat = talloc_zero(agent, Beat);
+    beat->agent = agent;
+    beat->number = ++agent->number;
+    beat->sentMs = loopNowMs(agent->loop);
+    snprintf(beat->address, sizeof(beat->address), "%s", address);
+    agent->beat = beat;
+    agent->beats++;
+    agent->beatNow = false;
+    loopSpawn(agent->loop, "beat", askMain, beat);
+}
+
+/* Whether one is to be sent now; else when. */
+static bool beatDue(const Agent *agent, const char *address, int64_t nowMs, int64_t *dueMs)
+{
+    *dueMs = nowMs + BEAT_MS;
+    if (agent->beats >= BEATS_MOST)
+        return false;
+    if (agent->beatNow || (agent->beat != NULL && strcmp(agent->beat->address, address) != 0))
+        return true;
+    /* one that goes unanswered is not waited for to its end */
+    *dueMs = agent->beat == NULL ? agent->beatDueMs : agent->beat->sentMs + BEAT_WAIT_MS + ASK_EXPIRY_MS / 2;
+    return nowMs >= *dueMs;
+}
+
+static void beatMain(void *arg)
+{
+    Agent *agent = arg;
+    while (!loopStopping(agent->loop)) {
+        const int64_t nowMs = loopNowMs(agent->loop);
+        char address[ADDRESS_MAX];
+        int64_t dueMs = nowMs + BEAT_MS;
+        if (leaderAddress(agent, address) && beatDue(agent, address, nowMs, &dueMs))
+            beatSend(agent, address);
+        else
+            signalWait(agent->loop, membersLeaderSignal(agent->members), dueMs);
+    }
+}
+
+void beatStart(Agent *agent)
+{
+    loopSpawn(agent->loop, "beats", beatMain, agent);
+}
--- /dev/null
+++ b/packages/agent/src/orders.c
@@ -0,0 +1,67 @@
+/* Orders of the leader: what is to start, and all that is to be there. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+static bool wanted(const BeatAnswer *answer, const Order *order)
+{
+    for (size_t i = 0; i < answer->wantedCount; i++)
+        if (answer->wanted[i].round == order->round && answer->wanted[i].task == order->task &&
+            strcmp(answer->wanted[i].job, order->job) == 0)
+            return true;
+    return false;
+}
+
+/* An older round of the task may still run: it is not wanted and is being stopped. */
+static bool olderLives(const Agent *agent, const Order *order)
+{
+    for (const Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
+        if (round->order.round < order->round && round->order.task == order->task &&
+            strcmp(round->order.job, order->job) == 0)
+            return true;
+    return false;
+}
+
+static void startTake(Agent *agent, const Order *order, uint64_t epoch, int64_t expiryMs)
+{
+    const int64_t nowMs = loopNowMs(agent->loop);
+    Round *round = roundFind(agent, order->job, order->task, order->round);
+    if (round != NULL) {
+        if (round->phase == PHASE_OFFERED) { /* offered again: it stands longer */
+            round->expiryMs = expiryMs;
+            round->epoch = epoch;
+        } else if (round->phase == PHASE_KNOWN) {
+            roundRetell(agent, round, (RoundWord)round->word, round->text); /* the leader has forgotten its end */
+        }
+        return;
+    }
+    if (!holdRuns(&agent->hold, nowMs) || nowMs >= expiryMs || olderLives(agent, order))
+        return;
+    const Round *newest = roundNewest(agent, order->job, order->task);
+    round = roundAdd(agent, order, PHASE_OFFERED);
+    round->epoch = epoch;
+    round->expiryMs = expiryMs;
+    roundTrace(agent, round, TRACE_FETCHED);
+    if (newest != NULL && newest->order.round > order->round)
+        roundEnd(agent, round, ROUND_REFUSED, "a newer round has been here", true);
+    else if (agent->workerLeaving)
+        roundWithdraw(agent, round, "the worker leaves");
+    signalRaise(agent->loop, &agent->forWorker);
+}
+
+void ordersTake(Agent *agent, const BeatAnswer *answer, int64_t sentMs)
+{
+    for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
+        next = round->next;
+        if (round->phase == PHASE_STOPPING || wanted(answer, &round->order))
+            continue;
+        if (round->phase == PHASE_OFFERED)
+            roundWithdraw(agent, round, "no longer wanted");
+        else
+            round->phase = PHASE_STOPPING;
+        signalRaise(agent->loop, &agent->forWorker);
+    }
+    for (size_t i = 0; i < answer->startsCount; i++)
+        startTake(agent, &answer->starts[i], answer->epoch, sentMs + answer->expiryMs);
+}
--- a/packages/agent/src/reportjson.c
+++ b/packages/agent/src/reportjson.c
@@ -8,7 +8,7 @@
 
 static size_t readRounds(Faults *faults, json_object *object, const char *key, bool withWord, const RoundNews **out)
 {
-    static const char *const KEYS[] = {"job", "task", "round", "word", "text", NULL};
+    static const char *const KEYS[] = {"job", "task", "round", "word", "text", "saved", NULL};
     json_object *list;
     if (!json_object_object_get_ex(object, key, &list))
         return 0;
@@ -34,11 +34,13 @@
             news->word = roundOfWord(checkName(faults, one, path, "word", NULL));
             if (news->word == ROUND_WORD_COUNT || news->word == ROUND_RUNNING)
                 faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "word"),
-                         "must be done, failed, stopped, refused or lost");
+                         "must be done, failed, stopped, refused, lost, lapsed, broken or alone");
         }
         json_object *text;
         if (json_object_object_get_ex(one, "text", &text) && json_object_is_type(text, json_type_string))
             news->text = talloc_strndup(faults->mem, json_object_get_string(text), 200);
+        if (json_object_object_get_ex(one, "saved", &text) && json_object_is_type(text, json_type_string))
+            news->saved = talloc_strdup(faults->mem, json_object_get_string(text));
     }
     return count;
 }
@@ -46,7 +48,8 @@
 static bool reportRead(Faults *faults, const HttpTask *task, const char *name, WorkerReport *report)
 {
     static const char *const KEYS[] = {"boot",    "zone",    "rack",  "kind",   "labels", "room",
-                                       "free",    "leaving", "running", "ended", "waitMs", NULL};
+                                       "free",    "leaving", "running", "ended", "waitMs", "seq",
+                                       "leaveMs", "left",    NULL};
     json_object *object = checkParse(faults, (const char *)task->body.data, task->body.count);
     if (object == NULL)
         return false;
@@ -61,6 +64,9 @@
         report->freeTold = json_object_object_get_ex(object, "free", NULL);
         report->free = checkRoom(faults, object, "", "free", false);
         report->leaving = checkFlag(faults, object, "", "leaving", false);
+        report->left = checkFlag(faults, object, "", "left", false);
+        report->leaveMs = checkInt(faults, object, "", "leaveMs", 0, INT64_MAX / 4, 0);
+        report->seq = (uint64_t)checkInt(faults, object, "", "seq", 0, INT64_MAX, 0);
         report->waitMs = checkInt(faults, object, "", "waitMs", 0, WORKER_POLL_MS * 10, WORKER_POLL_MS);
         report->runningCount = readRounds(faults, object, "running", false, &report->running);
         report->endedCount = readRounds(faults, object, "ended", true, &report->ended);
--- a/packages/agent/src/round.h
+++ b/packages/agent/src/round.h
@@ -18,20 +18,41 @@
 #undef X
 } RoundPhase;
 
+struct RoundChain;
+
 /* Invariants: of one (job, task) at most one round is in a phase before ENDED;
  * phases only go forward, but for SENT back to OFFERED when the worker has
- * asked again without speaking of it. */
+ * asked again without speaking of it, and KNOWN back to ENDED when the leader has
+ * forgotten the end or the worker has a weightier word on it. */
 typedef struct Round {
-    struct Round *next;
-    Order order; /* payload is empty for an adopted round */
+    struct Round *prev, *next;
+    struct RoundChain *chain; /* of its phase: lives, ended or known */
+    Order order;              /* payload is empty for an adopted round, and once it is over */
     uint64_t epoch;
     RoundPhase phase;
-    int64_t expiryMs;   /* not started after this */
+    int64_t expiryMs;  /* not started after this */
     int64_t changedMs;
-    bool runningUntold; /* the leader is to be told that it runs */
-    bool workerKnows;   /* the worker has been told that its end is known */
-    uint64_t word;      /* ENDED, KNOWN: what it came to */
+    int64_t givenMs;   /* given to the worker then; 0: not by this agent */
+    int64_t runsMs;    /* it runs, since then; 0: that is not known */
+    const char *saved; /* how far it has come, by the worker's last word */
+    uint64_t savedTurn; /* grows with each such word */
+    uint64_t toldTurn; /* the last one that the leader of the present epoch has */
+    uint64_t word;     /* ENDED, KNOWN: what it came to */
+    bool guessed;      /* ... by the agent's own judgement, not by the worker's word */
+    int64_t ranMs;     /* ... and how long it ran */
     const char *text;
 } Round;
 
+typedef struct RoundChain {
+    Round *first, *last;
+    size_t count;
+} RoundChain;
+
+/* All rounds of an agent. Invariants: byId holds every one; newest, by job and task,
+ * the highest of each; known is in the order in which they became so. */
+typedef struct Rounds {
+    RoundChain lives, ended, known;
+    Map *byId, *newest;
+} Rounds;
+
 #endif
--- a/packages/agent/src/rounds.c
+++ b/packages/agent/src/rounds.c
@@ -5,23 +5,87 @@
 
 #include "inside.h"
 
+#define KEY_MAX (ID_MAX + 48) /* bytes; a name and two numbers */
+
+static const char *taskKey(char key[KEY_MAX], const char *job, uint64_t task)
+{
+    snprintf(key, KEY_MAX, "%" PRIu64 " %s", task, job);
+    return key;
+}
+
+static const char *roundKey(char key[KEY_MAX], const char *job, uint64_t task, uint64_t round)
+{
+    snprintf(key, KEY_MAX, "%" PRIu64 " %" PRIu64 " %s", round, task, job);
+    return key;
+}
+
+void roundsInit(Agent *agent)
+{
+    agent->rounds.byId = mapNew(agent);
+    agent->rounds.newest = mapNew(agent);
+}
+
 Round *roundFind(Agent *agent, const char *job, uint64_t task, uint64_t round)
 {
-    for (Round *at = agent->rounds; at != NULL; at = at->next)
-        if (at->order.round == round && at->order.task == task && strcmp(at->order.job, job) == 0)
-            return at;
-    return NULL;
+    char key[KEY_MAX];
+    return mapGet(agent->rounds.byId, roundKey(key, job, task, round));
+}
+
+Round *roundNewest(Agent *agent, const char *job, uint64_t task)
+{
+    char key[KEY_MAX];
+    return mapGet(agent->rounds.newest, taskKey(key, job, task));
+}
+
+static void chainLeave(Round *round)
+{
+    RoundChain *chain = round->chain;
+    if (round->prev != NULL)
+        round->prev->next = round->next;
+    else
+        chain->first = round->next;
+    if (round->next != NULL)
+        round->next->prev = round->prev;
+    else
+        chain->last = round->prev;
+    chain->count--;
+}
+
+static void chainJoin(RoundChain *chain, Round *round)
+{
+    round->chain = chain;
+    round->prev = chain->last;
+    round->next = NULL;
+    if (chain->last != NULL)
+        chain->last->next = round;
+    else
+        chain->first = round;
+    chain->last = round;
+    chain->count++;
+}
+
+static void textSet(Round *round, const char **at, const char *text)
+{
+    if (*at == text)
+        return;
+    if ((*at)[0] != '\0')
+        talloc_free((void *)(uintptr_t)*at);
+    *at = text[0] != '\0' ? talloc_strdup(round, text) : "";
 }
 
 Round *roundAdd(Agent *agent, const Order *order, RoundPhase phase)
 {
     Round *round = talloc_zero(agent, Round);
+    char key[KEY_MAX];
     shapeCopy(&OrderShape, order, round, &round->order);
     round->phase = phase;
-    round->text = "";
+    round->saved = round->text = "";
     round->changedMs = loopNowMs(agent->loop);
-    round->next = agent->rounds;
-    agent->rounds = round;
+    chainJoin(&agent->rounds.lives, round);
+    mapSet(agent->rounds.byId, roundKey(key, order->job, order->task, order->round), round);
+    const Round *newest = roundNewest(agent, order->job, order->task);
+    if (newest == NULL || newest->order.round < order->round)
+        mapSet(agent->rounds.newest, taskKey(key, order->job, order->task), round);
     return round;
 }
 
@@ -33,40 +97,104 @@
     traceSay(agent->trace, step, detail, "job:%s", round->order.job);
 }
 
-void roundEnd(Agent *agent, Round *round, RoundWord word, const char *text)
+void roundRuns(Agent *agent, Round *round, const char *saved)
+{
+    if (round->phase == PHASE_OFFERED || round->phase == PHASE_SENT) {
+        round->phase = PHASE_RUNNING;
+        roundTrace(agent, round, TRACE_RUNS);
+    }
+    if (round->runsMs == 0)
+        round->runsMs = round->givenMs != 0 ? round->givenMs : loopNowMs(agent->loop);
+    if (round->savedTurn == 0 || strcmp(round->saved, saved) != 0) {
+        textSet(round, &round->saved, saved);
+        round->savedTurn++; /* the next beat tells it */
+    }
+}
+
+void roundRetell(Agent *agent, Round *round, RoundWord word, const char *text)
 {
-    if (round->phase >= PHASE_ENDED)
-        return;
     round->phase = PHASE_ENDED;
     round->word = word;
-    round->text = talloc_strdup(round, text);
-    round->changedMs = loopNowMs(agent->loop);
-    round->runningUntold = false;
-    roundTrace(agent, round, TRACE_OVER);
+    textSet(round, &round->text, text);
+    chainLeave(round);
+    chainJoin(&agent->rounds.ended, round);
     signalRaise(agent->loop, &agent->toTell);
 }
 
-void roundsStop(Agent *agent)
+void roundEnd(Agent *agent, Round *round, RoundWord word, const char *text, bool guessed)
+{
+    if (round->phase >= PHASE_ENDED)
+        return;
+    const int64_t nowMs = loopNowMs(agent->loop);
+    round->guessed = guessed;
+    const int64_t sinceMs = round->runsMs != 0 || guessed ? round->runsMs : round->givenMs;
+    round->ranMs = sinceMs != 0 ? nowMs - sinceMs : 0;
+    round->changedMs = nowMs;
+    /* thousands of ended ones are kept */
+    talloc_free((void *)(uintptr_t)round->order.payload);
+    talloc_free((void *)(uintptr_t)round->order.saved);
+    round->order.payload = round->order.saved = "";
+    roundRetell(agent, round, word, text);
+    roundTrace(agent, round, TRACE_OVER);
+}
+
+void roundKnown(Agent *agent, Round *round)
+{
+    round->phase = PHASE_KNOWN;
+    round->changedMs = loopNowMs(agent->loop);
+    chainLeave(round);
+    chainJoin(&agent->rounds.known, round);
+    roundTrace(agent, round, TRACE_KNOWN);
+    signalRaise(agent->loop, &agent->forWorker);
+}
+
+void roundWithdraw(Agent *agent, Round *round, const char *why)
 {
-    for (Round *round = agent->rounds; round != NULL; round = round->next) {
+    if (agent->settled)
+        roundEnd(agent, round, ROUND_STOPPED, why, true);
+    else
+        round->phase = PHASE_STOPPING; /* an earlier agent may have given it */
+}
+
+void roundsWithdraw(Agent *agent, const char *why)
+{
+    for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
+        next = round->next;
         if (round->phase == PHASE_OFFERED)
-            roundEnd(agent, round, ROUND_LOST, "the hold lapsed before it started");
-        else if (round->phase == PHASE_SENT || round->phase == PHASE_RUNNING)
-            round->phase = PHASE_STOPPING;
+            roundWithdraw(agent, round, why);
     }
+}
+
+void roundsStop(Agent *agent)
+{
+    roundsWithdraw(agent, "the hold lapsed before it started");
+    for (Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
+        round->phase = PHASE_STOPPING;
     signalRaise(agent->loop, &agent->forWorker);
 }
 
+void roundsGone(Agent *agent, const char *why)
+{
+    for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
+        next = round->next;
+        if (round->phase != PHASE_OFFERED)
+            roundEnd(agent, round, round->phase == PHASE_STOPPING ? ROUND_STOPPED : ROUND_LOST, why, true);
+    }
+}
+
 void roundsForget(Agent *agent)
 {
     const int64_t nowMs = loopNowMs(agent->loop);
-    for (Round **at = &agent->rounds; *at != NULL;) {
-        Round *round = *at;
-        if (round->phase == PHASE_KNOWN && nowMs - round->changedMs > REPAIR_KEEP_MS) {
-            *at = round->next;
-            talloc_free(round);
-        } else {
-            at = &round->next;
-        }
+    Rounds *rounds = &agent->rounds;
+    while (rounds->known.first != NULL) {
+        Round *round = rounds->known.first;
+        if (nowMs - round->changedMs <= REPAIR_KEEP_MS && rounds->known.count <= KNOWN_MOST)
+            return;
+        char key[KEY_MAX];
+        chainLeave(round);
+        mapDrop(rounds->byId, roundKey(key, round->order.job, round->order.task, round->order.round));
+        if (roundNewest(agent, round->order.job, round->order.task) == round)
+            mapDrop(rounds->newest, taskKey(key, round->order.job, round->order.task));
+        talloc_free(round);
     }
 }
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -3,11 +3,10 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "agent/report.h"
 #include "base/epoch.h"
 #include "inside.h"
 
-static bool has(const RoundNews *list, size_t count, const Order *order)
+static bool listed(const RoundNews *list, size_t count, const Order *order)
 {
     for (size_t i = 0; i < count; i++)
         if (list[i].round == order->round && list[i].task == order->task && strcmp(list[i].job, order->job) == 0)
@@ -15,57 +14,107 @@
     return false;
 }
 
+/* --- boots ------------------------------------------------------------------------ */
+
+static bool bootOver(const Agent *agent, const char *boot)
+{
+    for (size_t i = 0; i < BOOTS_KEPT; i++)
+        if (agent->boots[i] != NULL && strcmp(agent->boots[i], boot) == 0)
+            return true;
+    return false;
+}
+
+/* The present boot is over: nothing of it runs, no hold that it was given counts.
+ * forGood: it does not come back. */
+static void bootEnd(Agent *agent, bool forGood, const char *why)
+{
+    roundsGone(agent, why);
+    char **at = &agent->boots[agent->bootCount % BOOTS_KEPT];
+    talloc_free(forGood ? *at : agent->boot);
+    if (forGood) {
+        *at = agent->boot;
+        agent->bootCount++;
+    }
+    agent->boot = NULL;
+    agent->workerUntilMs = loopNowMs(agent->loop);
+}
+
+/* Whether the report is the newest word of the boot that is present from now on. */
+static Status bootTake(Agent *agent, const WorkerReport *report)
+{
+    if (report->bootEnds && bootOver(agent, report->boot))
+        return STATUS_DUPLICATE_WORKER; /* on its way for long: a newer one has been heard, or it has left */
+    if (agent->boot != NULL && strcmp(agent->boot, report->boot) != 0) {
+        /* another process of this name: unless the old one is known to be over, its hold must lapse first */
+        if (!report->bootEnds && loopNowMs(agent->loop) < agent->workerUntilMs) {
+            ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "worker %s asks as a second process", agent->workerName);
+            return STATUS_DUPLICATE_WORKER;
+        }
+        bootEnd(agent, report->bootEnds, "the worker's process was replaced");
+    }
+    if (agent->boot == NULL) {
+        agent->boot = talloc_strdup(agent, report->boot);
+        agent->seq = 0;
+    }
+    if (report->seq != 0 && report->seq <= agent->seq)
+        return STATUS_CLOSED;
+    agent->seq = report->seq;
+    return STATUS_OK;
+}
+
+/* --- taking a report ----------------------------------------------------------------- */
+
+static Round *roundOf(Agent *agent, const RoundNews *news)
+{
+    Round *round = roundFind(agent, news->job, news->task, news->round);
+    if (round == NULL) {
+        /* from before our own start: the leader says whether it is wanted */
+        const Order order = {.job = news->job, .task = news->task, .round = news->round, .payload = "", .saved = ""};
+        round = roundAdd(agent, &order, PHASE_RUNNING);
+    }
+    return round;
+}
+
+static void endTake(Agent *agent, const RoundNews *news)
+{
+    Round *round = roundOf(agent, news);
+    if (round->phase < PHASE_ENDED) {
+        if (news->saved[0] != '\0')
+            roundRuns(agent, round, news->saved);
+        roundEnd(agent, round, (RoundWord)news->word, news->text, false);
+        return;
+    }
+    /* a finish counts also after the round was given up, and so does a failure of its own */
+    const bool weighs = (news->word == ROUND_DONE && round->word != ROUND_DONE) ||
+                        (news->word == ROUND_FAILED && round->guessed);
+    round->guessed = false;
+    if (weighs)
+        roundRetell(agent, round, (RoundWord)news->word, news->text);
+}
+
 /* What the worker says replaces what we thought. */
-static void reportTake(Agent *agent, const WorkerReport *report)
+static void roundsTake(Agent *agent, const WorkerReport *report)
 {
     const int64_t nowMs = loopNowMs(agent->loop);
     for (size_t i = 0; i < report->runningCount; i++) {
-        const RoundNews *news = &report->running[i];
-        Round *round = roundFind(agent, news->job, news->task, news->round);
-        if (round == NULL) {
-            /* from before our own start: the leader says whether it is wanted */
-            const Order order = {.job = news->job, .task = news->task, .round = news->round, .payload = "", .saved = ""};
-            round = roundAdd(agent, &order, PHASE_RUNNING);
-            round->runningUntold = true;
-            signalRaise(agent->loop, &agent->toTell);
-        } else if (round->phase == PHASE_SENT || round->phase == PHASE_OFFERED) {
-            round->phase = PHASE_RUNNING;
-            round->runningUntold = true;
-            roundTrace(agent, round, TRACE_RUNS);
-            signalRaise(agent->loop, &agent->toTell);
-        }
+        Round *round = roundOf(agent, &report->running[i]);
+        if (round->phase < PHASE_ENDED)
+            roundRuns(agent, round, report->running[i].saved);
     }
-    for (size_t i = 0; i < report->endedCount; i++) {
-        const RoundNews *news = &report->ended[i];
-        Round *round = roundFind(agent, news->job, news->task, news->round);
-        if (round == NULL) {
-            const Order order = {.job = news->job, .task = news->task, .round = news->round, .payload = "", .saved = ""};
-            round = roundAdd(agent, &order, PHASE_RUNNING);
-        }
-        if (round->phase == PHASE_KNOWN || round->phase == PHASE_ENDED) {
-            /* a finish counts also after we had given the round up */
-            if (news->word == ROUND_DONE && round->word != ROUND_DONE) {
-                round->phase = PHASE_RUNNING;
-                roundEnd(agent, round, ROUND_DONE, news->text);
-            }
-            round->workerKnows = false; /* it has not heard that its end is known */
-        } else {
-            roundEnd(agent, round, (RoundWord)news->word, news->text);
-        }
-    }
-    for (Round *round = agent->rounds; round != NULL; round = round->next) {
-        if (round->phase < PHASE_SENT || round->phase > PHASE_STOPPING ||
-            has(report->running, report->runningCount, &round->order) ||
-            has(report->ended, report->endedCount, &round->order))
+    for (size_t i = 0; i < report->endedCount; i++)
+        endTake(agent, &report->ended[i]);
+    for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
+        next = round->next;
+        if (round->phase == PHASE_OFFERED || listed(report->running, report->runningCount, &round->order))
             continue;
         if (round->phase == PHASE_STOPPING)
-            roundEnd(agent, round, ROUND_STOPPED, "stopped");
+            roundEnd(agent, round, ROUND_STOPPED, "stopped", true);
         else if (round->phase == PHASE_RUNNING)
-            roundEnd(agent, round, ROUND_LOST, "the worker knows nothing of it any more");
+            roundEnd(agent, round, ROUND_LOST, "the worker knows nothing of it any more", true);
         else if (nowMs < round->expiryMs)
             round->phase = PHASE_OFFERED; /* the answer that carried it was lost */
         else
-            roundEnd(agent, round, ROUND_REFUSED, "the order expired before it started");
+            roundEnd(agent, round, ROUND_REFUSED, "the order expired before it started", true);
     }
 }
 
@@ -77,8 +126,8 @@
     if (!report->freeTold)
         return;
     Room known = report->free;
-    for (const Round *round = agent->rounds; round != NULL; round = round->next)
-        if (has(report->running, report->runningCount, &round->order)) {
+    for (const Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
+        if (listed(report->running, report->runningCount, &round->order)) {
             known.cpuMilli += round->order.room.cpuMilli;
             known.memMb += round->order.room.memMb;
             known.gpu += round->order.room.gpu;
@@ -89,132 +138,146 @@
                            whole.gpu > known.gpu ? whole.gpu - known.gpu : 0};
 }
 
-static bool anythingFor(const Agent *agent, int64_t nowMs)
+/* What it is, and how it stands; after its rounds: what an earlier agent gave it is
+ * known then. */
+static void selfTake(Agent *agent, const WorkerReport *report)
+{
+    Worker worker = report->worker;
+    worker.name = agent->workerName;
+    const bool same = report->left || shapeEqual(&WorkerShape, &worker, &agent->worker);
+    const bool live = !report->left, leaving = report->leaving || report->left;
+    const bool news = !same || agent->workerLive != live || agent->workerLeaving != leaving || !agent->settled;
+    agent->settled = true;
+    if (!same) {
+        void *mem = talloc_new(agent);
+        shapeCopy(&WorkerShape, &worker, mem, &agent->worker);
+        talloc_free(agent->workerMem);
+        agent->workerMem = mem;
+        /* what was ordered was meant for another worker */
+        roundsWithdraw(agent, "the worker is another now");
+    }
+    agent->workerLive = live;
+    agent->workerLeaving = leaving;
+    agent->leaveUntilMs = report->leaveMs > 0 ? loopNowMs(agent->loop) + report->leaveMs : 0;
+    if (leaving)
+        roundsWithdraw(agent, "the worker leaves");
+    if (news)
+        beatNow(agent);
+}
+
+/* --- answering ------------------------------------------------------------------------- */
+
+/* It says of a round that is over for us that it runs: it is to stop. */
+static bool lingers(Agent *agent, const RoundNews *news)
+{
+    const Round *round = roundFind(agent, news->job, news->task, news->round);
+    return round != NULL && round->phase >= PHASE_ENDED;
+}
+
+static bool anythingFor(Agent *agent, const WorkerReport *report)
 {
+    const int64_t nowMs = loopNowMs(agent->loop);
     const bool runs = holdRuns(&agent->hold, nowMs);
-    for (const Round *round = agent->rounds; round != NULL; round = round->next)
-        if ((round->phase == PHASE_OFFERED && runs) || round->phase == PHASE_STOPPING ||
-            (round->phase == PHASE_KNOWN && !round->workerKnows))
+    for (const Round *round = agent->rounds.lives.first; round != NULL; round = round->next)
+        if ((round->phase == PHASE_OFFERED && runs) || round->phase == PHASE_STOPPING)
             return true;
+    for (size_t i = 0; i < report->runningCount; i++)
+        if (lingers(agent, &report->running[i]))
+            return true;
+    for (size_t i = 0; i < report->endedCount; i++) {
+        const RoundNews *news = &report->ended[i];
+        const Round *round = roundFind(agent, news->job, news->task, news->round);
+        if (round != NULL && round->phase == PHASE_KNOWN)
+            return true;
+    }
     return false;
 }
 
 /* What of the rest of the agent's own hold is passed on. */
-static int64_t holdPassed(Agent *agent, int64_t nowMs)
+static int64_t holdPass(Agent *agent, int64_t nowMs)
 {
     int64_t leftMs = holdLeftMs(&agent->hold, nowMs);
     if (leftMs > agent->props->bounds.workerHoldMs)
         leftMs = agent->props->bounds.workerHoldMs;
-    if (nowMs + leftMs + HOLD_SLACK_MS > agent->workerUntilMs)
-        agent->workerUntilMs = nowMs + leftMs + HOLD_SLACK_MS;
-    return leftMs * (100 - CLOCK_SLOW_PERCENT) / 100;
+    const int64_t passedMs = holdPassedMs(leftMs);
+    if (passedMs > 0 && nowMs + holdClaimMs(passedMs) > agent->workerUntilMs)
+        agent->workerUntilMs = nowMs + holdClaimMs(passedMs);
+    return passedMs;
 }
 
-static void ordersFill(Agent *agent, void *mem, WorkerOrders *orders)
+static RoundId idOf(void *mem, const Round *round)
+{
+    return (RoundId){talloc_strdup(mem, round->order.job), round->order.task, round->order.round};
+}
+
+static void ordersFill(Agent *agent, void *mem, const WorkerReport *report, WorkerOrders *orders)
 {
     const int64_t nowMs = loopNowMs(agent->loop);
-    size_t count = 0;
-    for (const Round *round = agent->rounds; round != NULL; round = round->next)
-        count++;
-    Order *starts = talloc_zero_array(mem, Order, (unsigned)count);
-    RoundId *stops = talloc_zero_array(mem, RoundId, (unsigned)count);
-    RoundId *known = talloc_zero_array(mem, RoundId, (unsigned)count);
+    const unsigned lives = (unsigned)agent->rounds.lives.count;
+    Order *starts = talloc_zero_array(mem, Order, lives);
+    RoundId *stops = talloc_zero_array(mem, RoundId, lives + (unsigned)report->runningCount);
+    RoundId *known = talloc_zero_array(mem, RoundId, (unsigned)report->endedCount);
     *orders = (WorkerOrders){.epoch = agent->hold.epoch,
                              .fence = epochCounter(agent->hold.epoch),
-                             .holdMs = holdPassed(agent, nowMs),
+                             .holdMs = holdPass(agent, nowMs),
                              .starts = starts,
                              .startMs = INT64_MAX,
                              .stops = stops,
                              .known = known};
-    for (Round *round = agent->rounds; round != NULL; round = round->next) {
-        const RoundId id = {talloc_strdup(mem, round->order.job), round->order.task, round->order.round};
+    for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
+        next = round->next;
         if (round->phase == PHASE_OFFERED && nowMs >= round->expiryMs) {
-            roundEnd(agent, round, ROUND_REFUSED, "the order expired before it started");
+            roundEnd(agent, round, ROUND_REFUSED, "the order expired before it started", true);
         } else if (round->phase == PHASE_OFFERED && orders->holdMs > 0) {
             shapeCopy(&OrderShape, &round->order, mem, &starts[orders->startsCount++]);
             if (round->expiryMs - nowMs < orders->startMs)
                 orders->startMs = round->expiryMs - nowMs;
             round->phase = PHASE_SENT;
+            round->givenMs = nowMs;
             roundTrace(agent, round, TRACE_GIVEN);
         } else if (round->phase == PHASE_STOPPING) {
-            stops[orders->stopsCount++] = id;
-        } else if (round->phase == PHASE_KNOWN && !round->workerKnows) {
-            known[orders->knownCount++] = id;
-            round->workerKnows = true;
+            stops[orders->stopsCount++] = idOf(mem, round);
         }
     }
+    for (size_t i = 0; i < report->runningCount; i++) {
+        const RoundNews *news = &report->running[i];
+        if (lingers(agent, news))
+            stops[orders->stopsCount++] = (RoundId){talloc_strdup(mem, news->job), news->task, news->round};
+    }
+    for (size_t i = 0; i < report->endedCount; i++) {
+        const RoundNews *news = &report->ended[i];
+        const Round *round = roundFind(agent, news->job, news->task, news->round);
+        if (round != NULL && round->phase == PHASE_KNOWN)
+            known[orders->knownCount++] = idOf(mem, round);
+    }
 }
 
 Status agentReport(Agent *agent, void *mem, const bool *gone, const WorkerReport *report, WorkerOrders *orders)
 {
-    const int64_t nowMs = loopNowMs(agent->loop);
     *orders = (WorkerOrders){0};
-    if (agent->boot != NULL && strcmp(agent->boot, report->boot) != 0) {
-        /* another process of this name: first the hold of the old one must lapse */
-        if (nowMs < agent->workerUntilMs) {
-            ringSay(agent->ring, RING_NOTE, nowMs, "worker %s asks as a second process", agent->workerName);
-            return STATUS_DUPLICATE_WORKER;
-        }
-        for (Round *round = agent->rounds; round != NULL; round = round->next)
-            if (round->phase >= PHASE_SENT && round->phase <= PHASE_STOPPING)
-                roundEnd(agent, round, ROUND_LOST, "the worker's process was replaced");
-    }
-    talloc_free(agent->workerMem);
-    agent->workerMem = talloc_new(agent);
-    shapeCopy(&WorkerShape, &report->worker, agent->workerMem, &agent->worker);
-    agent->worker.name = agent->workerName;
-    agent->boot = talloc_strdup(agent->workerMem, report->boot);
+    const Status status = bootTake(agent, report);
+    if (status != STATUS_OK)
+        return status;
+    const int64_t nowMs = loopNowMs(agent->loop);
     agent->askedMs = nowMs;
-    const bool news = !agent->workerLive || agent->workerLeaving != report->leaving;
-    agent->workerLive = true;
-    agent->workerLeaving = report->leaving;
-    reportTake(agent, report);
+    roundsTake(agent, report);
     othersTake(agent, report);
-    agent->settled = true;
-    if (news)
-        signalRaise(agent->loop, membersLeaderSignal(agent->members)); /* beat at once */
-    const int64_t mostMs = agent->props->bounds.workerPollMs;
-    const int64_t untilMs = nowMs + (report->waitMs < mostMs ? report->waitMs : mostMs);
+    selfTake(agent, report);
     const uint64_t question = ++agent->questions;
     signalRaise(agent->loop, &agent->forWorker); /* an earlier question is over */
-    while (question == agent->questions && !*gone && !anythingFor(agent, loopNowMs(agent->loop)))
+    if (report->left) {
+        bootEnd(agent, report->bootEnds, "the worker has left");
+        ordersFill(agent, mem, report, orders);
+        orders->holdMs = 0;
+        return STATUS_OK;
+    }
+    const int64_t mostMs = agent->props->bounds.workerPollMs;
+    const int64_t untilMs = nowMs + (report->waitMs < mostMs ? report->waitMs : mostMs);
+    while (question == agent->questions && !*gone && !anythingFor(agent, report))
         if (!signalWait(agent->loop, &agent->forWorker, untilMs))
             break;
     if (*gone || question != agent->questions)
         return STATUS_CLOSED;
-    ordersFill(agent, mem, orders);
+    ordersFill(agent, mem, report, orders);
     return STATUS_OK;
 }
-
-/* Holds that lapse, workers that fall silent. */
-static void watchMain(void *arg)
-{
-    Agent *agent = arg;
-    bool ran = false;
-    while (!loopStopping(agent->loop)) {
-        const int64_t nowMs = loopNowMs(agent->loop);
-        const bool runs = holdRuns(&agent->hold, nowMs);
-        if (ran && !runs) {
-            ringSay(agent->ring, RING_ALERT, nowMs, "the hold has lapsed: all rounds stop");
-            roundsStop(agent);
-        }
-        ran = runs;
-        if (agent->workerLive && nowMs - agent->askedMs > WORKER_LOST_MS && nowMs >= agent->workerUntilMs) {
-            /* silent, and whatever hold it was given has lapsed: nothing runs there */
-            agent->workerLive = false;
-            for (Round *round = agent->rounds; round != NULL; round = round->next)
-                if (round->phase < PHASE_ENDED)
-                    roundEnd(agent, round, ROUND_LOST, "the worker fell silent");
-            signalRaise(agent->loop, membersLeaderSignal(agent->members));
-        }
-        /* nobody has asked since our start: what an earlier agent let run has lapsed */
-        if (!agent->settled && nowMs - agent->startedMs > AGENT_HOLD_MS + HOLD_SLACK_MS)
-            agent->settled = true;
-        loopSleep(agent->loop, BEAT_MS / 10);
-    }
-}
-
-void workerWatch(Agent *agent)
-{
-    loopSpawn(agent->loop, "watch", watchMain, agent);
-}
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -14,7 +14,15 @@
 #define PROPOSE_JITTER_MS 600  /* ms; ... plus up to this, so that two do not collide for ever */
 #define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
-#define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
+#define BEAT_WAIT_MS 450       /* ms; a beat waits so long for orders: with the way there and back, one each BEAT_MS */
+#define BEATS_MOST 4           /* count; an agent's beats on their way at once: one waits, the others have news */
+#define WORKER_QUIET_MS 1200   /* ms; a worker that has not asked for so long, and its poll, is given nothing new */
+#define WORKER_LOST_MS 3000    /* ms; ... and has lost its rounds after this at the latest, once its hold has lapsed */
+#define TELL_MOST 500          /* count; news in one telling: a worker's longest list of ends */
+#define NEWS_MOST 1000         /* count; news of rounds in one change */
+#define NEWS_LAZY_MS 200       /* ms; that a round runs waits so long for other news to be committed with */
+#define KNOWN_MOST 4096        /* count; ended rounds that an agent keeps for repair: two minutes of 34 a second */
+#define BOOTS_KEPT 16          /* count; earlier boots of its worker that an agent tells from new ones */
 #define COPY_SILENT_MS 1500    /* ms; work whose owner allows copies restarts when its worker is silent so long */
 #define CLOCK_SLOW_PERCENT 2   /* percent; a worker's steady clock may be so much slow: holds passed on are so much shorter */
 #define HOLD_SLACK_MS 50       /* ms; the leader adds this to its count of a hold: timer granularity */
@@ -26,7 +34,7 @@
 #define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
-#define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
+#define FETCH_HOLD_MS 900      /* ms; orders asked for without a beat; less than half ORDER_EXPIRY_MS */
 #define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
 #define PROXY_EXPIRY_MS 8000   /* ms; a gate gives a request up after this */
 #define SUBMIT_EXPIRY_MS 5000  /* ms; a change not committed in this time has an unknown outcome */
--- a/packages/beat/include/beat/hold.h
+++ b/packages/beat/include/beat/hold.h
@@ -16,5 +16,11 @@
 bool holdAnswered(Hold *hold, uint64_t epoch, int64_t sentMs, int64_t holdMs);
 bool holdRuns(const Hold *hold, int64_t nowMs);
 int64_t holdLeftMs(const Hold *hold, int64_t nowMs);
+/* How long whoever grants a hold must take it to run, by the own clock: the
+ * holder's may be slow, and timers are coarse. */
+int64_t holdClaimMs(int64_t holdMs);
+/* What of a hold is passed on, so that it has ended on a slow clock when the whole
+ * has on the own. */
+int64_t holdPassedMs(int64_t holdMs);
 
 #endif
--- a/packages/beat/include/beat/messages.h
+++ b/packages/beat/include/beat/messages.h
@@ -4,11 +4,12 @@
 #include "table/change.h"
 #include "view/messages.h"
 
-/* How far a running round has come, told when it has changed. */
-#define ROUND_SAVED_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(TXT, text, 0)
+/* A round that runs and how far it has come, told when that has changed: the first
+ * is also the word that it runs. ranMs: for how long the agent has known it to. */
+#define ROUND_SAVED_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(TXT, text, 0) X(I64, ranMs, 0)
 SHAPE(RoundSaved, ROUND_SAVED_FIELDS)
 
-/* An agent's beat. rounds: all it knows of that may run or whose end is not yet
+/* An agent's beat, which is also its question for orders. rounds: all it knows of that may run or whose end is not yet
  * known to the leader. settled: that list is complete (it has heard its worker,
  * or the worker's hold has lapsed, since it started).
  * others: room that is in use there by what is not ours. */
@@ -23,10 +24,34 @@
     X(LST, rounds, RoundId)     \
     X(ONE, others, Room)        \
     X(LST, saved, RoundSaved)   \
-    X(I64, leaveMs, 0) /* leaving: it stays at least so long; 0: not told */
+    X(I64, leaveMs, 0)  /* leaving: it stays at least so long; 0: not told */ \
+    X(U64, have, 0)     /* revision and epoch of the orders it has */         \
+    X(U64, haveEpoch, 0)                                                      \
+    X(I64, waitMs, 0)   /* the answer may be held back for so long, for newer ones */
 SHAPE(BeatAsk, BEAT_ASK_FIELDS)
 
-#define BEAT_ANSWER_FIELDS(X) X(U64, epoch, 0) X(I64, holdMs, 0)
+/* An order to start a round. It stands for expiryMs from when the question that
+ * brought it was sent. */
+#define ORDER_FIELDS(X)  \
+    X(TXT, job, 0)       \
+    X(U64, task, 0)      \
+    X(U64, round, 0)     \
+    X(ONE, room, Room)   \
+    X(TXT, payload, 0)   \
+    X(TXT, saved, 0)
+SHAPE(Order, ORDER_FIELDS)
+
+/* holdMs counts from when the question was sent. orders: newer ones than the agent
+ * has; starts are those of wanted that have not begun and that its question did not
+ * name, wanted every round that is to be there. */
+#define BEAT_ANSWER_FIELDS(X) \
+    X(U64, epoch, 0)          \
+    X(I64, holdMs, 0)         \
+    X(FLAG, orders, 0)        \
+    X(U64, revision, 0)       \
+    X(I64, expiryMs, 0)       \
+    X(LST, starts, Order)     \
+    X(LST, wanted, RoundId)
 SHAPE(BeatAnswer, BEAT_ANSWER_FIELDS)
 
 /* Rule 2's question: do you know a lock holder? Cores tell the seats too. */
@@ -42,22 +67,11 @@
 #define TELL_ANSWER_FIELDS(X) X(U64, epoch, 0)
 SHAPE(TellAnswer, TELL_ANSWER_FIELDS)
 
-/* An order to start a round. It stands for expiryMs from when the question that
- * brought it was sent. */
-#define ORDER_FIELDS(X)  \
-    X(TXT, job, 0)       \
-    X(U64, task, 0)      \
-    X(U64, round, 0)     \
-    X(ONE, room, Room)   \
-    X(TXT, payload, 0)   \
-    X(TXT, saved, 0)
-SHAPE(Order, ORDER_FIELDS)
-
+/* Orders alone, as agents of the first release ask for them. wanted: every round
+ * that is to be on the worker. Whatever else the agent has is to be stopped. */
 #define FETCH_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, have, 0) X(U64, haveEpoch, 0)
 SHAPE(FetchAsk, FETCH_ASK_FIELDS)
 
-/* wanted: every round that is to be on the worker. Whatever else the agent has
- * is to be stopped. */
 #define FETCH_ANSWER_FIELDS(X) \
     X(U64, epoch, 0)           \
     X(U64, revision, 0)        \
--- a/packages/beat/src/hold.c
+++ b/packages/beat/src/hold.c
@@ -1,5 +1,7 @@
 #include "beat/hold.h"
 
+#include "base/constants.h"
+
 bool holdAnswered(Hold *hold, uint64_t epoch, int64_t sentMs, int64_t holdMs)
 {
     if (epoch < hold->epoch)
@@ -19,3 +21,13 @@
 {
     return nowMs < hold->untilMs ? hold->untilMs - nowMs : 0;
 }
+
+int64_t holdClaimMs(int64_t holdMs)
+{
+    return holdMs + holdMs * CLOCK_SLOW_PERCENT / (100 - CLOCK_SLOW_PERCENT) + 1 + HOLD_SLACK_MS;
+}
+
+int64_t holdPassedMs(int64_t holdMs)
+{
+    return holdMs * (100 - CLOCK_SLOW_PERCENT) / 100;
+}
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -1,5 +1,4 @@
 /* The leader towards agents: beats, tellings, orders. */
-#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -15,23 +14,27 @@
 
 /* Rounds that should run there and that a complete list does not have are lost;
  * those that were to stop have stopped. */
-static RoundList missing(const Core *core, void *mem, const Worker *worker, const BeatAsk *beat)
+static RoundList missing(const Core *core, void *mem, const BeatAsk *beat)
 {
     RoundList list = {0};
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
-    for (size_t j = 0; j < count; j++) {
-        const Job *job = jobs[j];
-        for (size_t t = 0; t < job->tasksCount; t++) {
-            const JobTask *task = &job->tasks[t];
-            if ((task->phase != TASK_RUNNING && task->phase != TASK_STOPPING) ||
-                strcmp(task->worker, worker->name) != 0 || listed(beat, job->spec.id, t, task->round))
-                continue;
-            list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
-            list.news[list.newsCount++] =
-                (RoundNews){talloc_strdup(mem, job->spec.id), t, task->round, worker->name,
-                            task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST, "not on its worker any more", ""};
-        }
+    const TaskOn *on;
+    const size_t count = tableOn(core->table, beat->worker.name, &on);
+    for (size_t i = 0; i < count; i++) {
+        const Job *job = on[i].job;
+        const JobTask *task = &job->tasks[on[i].task];
+        const uint64_t number = taskNumber(task);
+        if ((task->phase != TASK_RUNNING && task->phase != TASK_STOPPING) ||
+            listed(beat, job->spec.id, number, task->round))
+            continue;
+        if (list.news == NULL)
+            list.news = talloc_array(mem, RoundNews, (unsigned)count);
+        list.news[list.newsCount++] = (RoundNews){.job = talloc_strdup(mem, job->spec.id),
+                                                  .task = number,
+                                                  .round = task->round,
+                                                  .worker = talloc_strdup(mem, beat->worker.name),
+                                                  .word = task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST,
+                                                  .text = "not on its worker any more",
+                                                  .saved = ""};
     }
     return list;
 }
@@ -40,6 +43,7 @@
  * the disks. */
 typedef struct Learning {
     Core *core;
+    AgentLine *line;
     Worker worker;
     bool learn, left;
     RoundList missing;
@@ -50,35 +54,76 @@
     Learning *learning = arg;
     Core *core = learning->core;
     Verdict verdict;
-    if (learning->missing.newsCount > 0)
-        coreSubmit(core, learning, CHANGE_ROUNDS, &RoundListShape, &learning->missing, &verdict, NULL);
+    newsTell(core, learning->missing.news, learning->missing.newsCount);
     if (learning->learn)
         coreSubmit(core, learning, CHANGE_WORKER_SET, &WorkerShape, &learning->worker, &verdict, NULL);
     if (learning->left) {
         const WorkerLeft left = {learning->worker.name, true};
         coreSubmit(core, learning, CHANGE_WORKER_LEFT, &WorkerLeftShape, &left, &verdict, NULL);
     }
+    learning->line->learning = false;
     talloc_free(learning);
 }
 
+/* One at a time for each worker: what is on its way need not be submitted again. */
 static void learn(Core *core, const BeatAsk *beat, bool listCounts)
 {
+    AgentLine *line = agentLine(core, beat->worker.name);
+    if (line->learning)
+        return;
     const Worker *known = tableWorker(core->table, beat->worker.name);
-    Learning *learning = talloc_zero(core, Learning);
-    learning->core = core;
-    shapeCopy(&WorkerShape, &beat->worker, learning, &learning->worker);
+    Worker worker = beat->worker;
     const bool here = beat->workerLive && !beat->leaving;
-    learning->worker.excluded = known != NULL && known->excluded && !here;
-    learning->learn = beat->workerLive && (known == NULL || !shapeEqual(&WorkerShape, known, &learning->worker));
+    worker.excluded = known != NULL && known->excluded && !here;
+    const bool learns = beat->workerLive && (known == NULL || !shapeEqual(&WorkerShape, known, &worker));
     /* left cleanly: it said so, it is gone, and nothing of ours is left on it */
-    learning->left = known != NULL && !known->excluded && beat->leaving && !beat->workerLive && beat->settled &&
-                     beat->roundsCount == 0;
-    if (listCounts)
-        learning->missing = missing(core, learning, &learning->worker, beat);
-    if (learning->learn || learning->left || learning->missing.newsCount > 0)
+    const bool left = known != NULL && !known->excluded && beat->leaving && !beat->workerLive && beat->settled &&
+                      beat->roundsCount == 0;
+    void *mem = talloc_new(core);
+    const RoundList gone = listCounts ? missing(core, mem, beat) : (RoundList){0};
+    if (learns || left || gone.newsCount > 0) {
+        Learning *learning = talloc_zero(core, Learning);
+        *learning = (Learning){.core = core, .line = line, .learn = learns, .left = left, .missing = gone};
+        shapeCopy(&WorkerShape, &worker, learning, &learning->worker);
+        talloc_steal(learning, mem);
+        line->learning = true;
         loopSpawn(core->loop, "learn", learnMain, learning);
-    else
-        talloc_free(learning);
+    } else {
+        talloc_free(mem);
+    }
+}
+
+/* Whether the table is to hear that the round runs. */
+static bool runsUntold(const Core *core, const char *worker, const RoundSaved *saved)
+{
+    const Job *job = tableJob(core->table, saved->job);
+    const size_t at = job != NULL ? taskIndex(job, saved->task) : 0;
+    if (job == NULL || at == job->tasksCount)
+        return false;
+    const JobTask *task = &job->tasks[at];
+    /* its placement may have been lost with the disks */
+    return task->phase == TASK_WAITING ? saved->round > task->round
+                                       : task->phase == TASK_PLACED && saved->round == task->round &&
+                                             strcmp(task->worker, worker) == 0;
+}
+
+static void runsTake(Core *core, const BeatAsk *beat)
+{
+    for (size_t i = 0; i < beat->savedCount; i++) {
+        const RoundSaved *saved = &beat->saved[i];
+        savedTake(core, saved);
+        if (!runsUntold(core, beat->worker.name, saved))
+            continue;
+        const RoundNews news = {.job = saved->job,
+                                .task = saved->task,
+                                .round = saved->round,
+                                .worker = beat->worker.name,
+                                .word = ROUND_RUNNING,
+                                .text = "",
+                                .saved = saved->text,
+                                .ranMs = saved->ranMs};
+        newsLater(core, &news);
+    }
 }
 
 static Status onBeat(void *arg, void *mem, const void *question, void *answer)
@@ -86,7 +131,6 @@
     Core *core = arg;
     const BeatAsk *beat = question;
     BeatAnswer *out = answer;
-    (void)mem;
     out->epoch = viewEpoch(core->view);
     if (!viewHolds(core->view))
         return STATUS_NOT_LEADER;
@@ -96,14 +140,22 @@
     const LiveRow *before = livesetFind(core->liveset, beat->worker.name);
     const bool wasReady = before != NULL && liveRowReady(before, nowMs);
     bool listCounts;
-    const Status status = livesetBeat(core->liveset, beat, nowMs, AGENT_HOLD_MS, &listCounts);
+    const int64_t holdMs = core->props->bounds.holdMs;
+    const Status status = livesetBeat(core->liveset, beat, nowMs, holdMs, &listCounts);
     if (status != STATUS_OK)
         return status;
-    out->holdMs = AGENT_HOLD_MS;
     if (wasReady != liveRowReady(livesetFind(core->liveset, beat->worker.name), nowMs))
         signalRaise(core->loop, &core->wake);
+    runsTake(core, beat);
     if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
+    ordersAnswer(core, mem, beat, beat->waitMs < BEAT_WAIT_MS ? beat->waitMs : BEAT_WAIT_MS, out);
+    /* the hold counts from when the question was sent, so a holder that has lost the
+     * lock since has granted it before: but it is not to be counted on any more */
+    if (!viewHolds(core->view))
+        return STATUS_NOT_LEADER;
+    out->epoch = viewEpoch(core->view);
+    out->holdMs = holdMs;
     return STATUS_OK;
 }
 
@@ -111,79 +163,43 @@
 {
     Core *core = arg;
     const TellAsk *ask = question;
+    (void)mem;
     ((TellAnswer *)answer)->epoch = viewEpoch(core->view);
     if (!viewLeading(core->view))
         return STATUS_NOT_LEADER;
     if (core->repairing)
         return STATUS_REPAIRING;
     livesetTold(core->liveset, ask->agent, ask->incarnation, ask->number);
-    RoundList list = {ask->news, ask->newsCount};
-    Verdict verdict;
     /* answered only after the commit: until then the agent tells it again */
-    return coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
-}
-
-static void ordersFill(Core *core, void *mem, const char *worker, FetchAnswer *out)
-{
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
-    size_t wantedRoom = 0, startRoom = 0;
-    for (size_t j = 0; j < count; j++) {
-        const Job *job = jobs[j];
-        for (size_t t = 0; t < job->tasksCount; t++) {
-            const JobTask *task = &job->tasks[t];
-            if ((task->phase != TASK_PLACED && task->phase != TASK_RUNNING) || strcmp(task->worker, worker) != 0)
-                continue;
-            if (out->wantedCount == wantedRoom) {
-                wantedRoom = wantedRoom ? wantedRoom * 2 : 16;
-                out->wanted = talloc_realloc(mem, out->wanted, RoundId, (unsigned)wantedRoom);
-            }
-            const char *id = talloc_strdup(mem, job->spec.id);
-            out->wanted[out->wantedCount++] = (RoundId){id, t, task->round};
-            if (task->phase != TASK_PLACED)
-                continue;
-            if (out->startsCount == startRoom) {
-                startRoom = startRoom ? startRoom * 2 : 16;
-                out->starts = talloc_realloc(mem, out->starts, Order, (unsigned)startRoom);
-            }
-            const StepSpec *step = &job->spec.steps[task->step];
-            out->starts[out->startsCount++] =
-                (Order){id, t, task->round, step->room, talloc_strdup(mem, step->payload), talloc_strdup(mem, task->saved)};
-        }
-    }
+    return newsTell(core, ask->news, ask->newsCount);
 }
 
+/* As agents of the first release ask. */
 static Status onFetch(void *arg, void *mem, const void *question, void *answer)
 {
     Core *core = arg;
     const FetchAsk *ask = question;
     FetchAnswer *out = answer;
-    const int64_t untilMs = loopNowMs(core->loop) + FETCH_HOLD_MS;
-    const LiveRow *row;
-    for (;;) {
-        out->epoch = viewEpoch(core->view);
-        if (!viewLeading(core->view))
-            return STATUS_NOT_LEADER;
-        if (core->repairing)
-            return STATUS_REPAIRING;
-        row = livesetFind(core->liveset, ask->agent);
-        if (row != NULL && row->incarnation != ask->incarnation)
-            return STATUS_DUPLICATE_WORKER;
-        out->revision = tableOrders(core->table, ask->agent);
-        if (out->revision != ask->have || out->epoch != ask->haveEpoch)
-            break;
-        if (!signalWait(core->loop, viewNews(core->view), untilMs))
-            break;
-    }
-    if (!coreDecides(core))
+    const BeatAsk beat = {.worker.name = ask->agent,
+                          .incarnation = ask->incarnation,
+                          .have = ask->have,
+                          .haveEpoch = ask->haveEpoch};
+    BeatAnswer orders = {0};
+    out->epoch = viewEpoch(core->view);
+    if (!viewLeading(core->view))
         return STATUS_NOT_LEADER;
-    row = livesetFind(core->liveset, ask->agent);
-    if (row == NULL || row->incarnation != ask->incarnation)
+    if (core->repairing)
+        return STATUS_REPAIRING;
+    const LiveRow *row = livesetFind(core->liveset, ask->agent);
+    if (row == NULL)
         return STATUS_UNKNOWN_WORKER; /* it has to beat first */
-    if (row->losing)
+    if (row->incarnation != ask->incarnation)
+        return STATUS_DUPLICATE_WORKER;
+    ordersAnswer(core, mem, &beat, FETCH_HOLD_MS, &orders);
+    if (!orders.orders)
         return STATUS_BUSY;
-    out->expiryMs = ORDER_EXPIRY_MS;
-    ordersFill(core, mem, ask->agent, out);
+    *out = (FetchAnswer){viewEpoch(core->view), orders.revision,    orders.expiryMs,     orders.starts,
+                         orders.startsCount,    orders.wanted, orders.wantedCount};
     return STATUS_OK;
 }
 
@@ -204,6 +220,8 @@
 
 void agentsServe(Core *core)
 {
+    ordersStart(core);
+    newsStart(core);
     courierHandle(core->courier, MESSAGE_BEAT, &BeatAskShape, &BeatAnswerShape, onBeat, core);
     courierHandle(core->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, core);
     courierHandle(core->courier, MESSAGE_TELL, &TellAskShape, &TellAnswerShape, onTell, core);
--- /dev/null
+++ b/packages/core/src/news.c
@@ -0,0 +1,121 @@
+/* What rounds came to, committed for many agents at once: while one change is on its
+ * way, the next gathers. That a round runs waits for other news to go with. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+/* News of one change. Freed by whoever ends last: the news task and all that wait. */
+typedef struct Batch {
+    struct Batch *next;
+    size_t users;
+    RoundList list;
+    size_t room;
+    int64_t sinceMs; /* its first news came then */
+    bool waited;     /* somebody waits for it */
+    bool over;
+    Status status;
+    Signal ended;
+} Batch;
+
+/* Invariant: batches from first to last are in the order in which they are submitted;
+ * only the last gathers. */
+struct News {
+    Core *core;
+    Batch *first, *last;
+    Signal added;
+};
+
+static void batchLeave(Batch *batch)
+{
+    if (--batch->users == 0)
+        talloc_free(batch);
+}
+
+static Batch *batchLast(News *news)
+{
+    if (news->last == NULL || news->last->list.newsCount >= NEWS_MOST) {
+        Batch *batch = talloc_zero(news, Batch);
+        batch->users = 1;
+        batch->sinceMs = loopNowMs(news->core->loop);
+        if (news->last != NULL)
+            news->last->next = batch;
+        else
+            news->first = batch;
+        news->last = batch;
+    }
+    return news->last;
+}
+
+static void batchAdd(Batch *batch, const RoundNews *one)
+{
+    if (batch->list.newsCount == batch->room) {
+        batch->room = batch->room ? batch->room * 2 : 16;
+        batch->list.news = talloc_realloc(batch, batch->list.news, RoundNews, (unsigned)batch->room);
+    }
+    shapeCopy(&RoundNewsShape, one, batch, &batch->list.news[batch->list.newsCount++]);
+}
+
+Status newsTell(Core *core, const RoundNews *list, size_t count)
+{
+    News *news = core->news;
+    if (count == 0)
+        return STATUS_OK;
+    Batch *batch = batchLast(news);
+    for (size_t i = 0; i < count; i++)
+        batchAdd(batch, &list[i]);
+    batch->waited = true;
+    batch->users++;
+    signalRaise(core->loop, &news->added);
+    while (!batch->over)
+        signalWait(core->loop, &batch->ended, INT64_MAX);
+    const Status status = batch->status;
+    batchLeave(batch);
+    return status;
+}
+
+void newsLater(Core *core, const RoundNews *one)
+{
+    batchAdd(batchLast(core->news), one);
+    signalRaise(core->loop, &core->news->added);
+}
+
+/* Those that nobody waits for are not told again by their agent. */
+static void newsKeep(Core *core, const Batch *batch)
+{
+    for (size_t i = 0; i < batch->list.newsCount && viewHolds(core->view); i++)
+        if (batch->list.news[i].word == ROUND_RUNNING)
+            newsLater(core, &batch->list.news[i]);
+}
+
+static void newsMain(void *arg)
+{
+    News *news = arg;
+    Core *core = news->core;
+    while (!loopStopping(core->loop)) {
+        Batch *batch = news->first;
+        const int64_t nowMs = loopNowMs(core->loop);
+        const int64_t dueMs = batch == NULL ? nowMs + NEWS_LAZY_MS * 10 : batch->waited ? nowMs : batch->sinceMs + NEWS_LAZY_MS;
+        if (nowMs < dueMs) {
+            signalWait(core->loop, &news->added, dueMs);
+            continue;
+        }
+        news->first = batch->next;
+        if (news->last == batch)
+            news->last = NULL;
+        Verdict verdict;
+        batch->status = coreSubmit(core, batch, CHANGE_ROUNDS, &RoundListShape, &batch->list, &verdict, NULL);
+        if (batch->status != STATUS_OK)
+            newsKeep(core, batch);
+        batch->over = true;
+        signalRaise(core->loop, &batch->ended);
+        batchLeave(batch);
+    }
+}
+
+void newsStart(Core *core)
+{
+    core->news = talloc_zero(core, News);
+    core->news->core = core;
+    loopSpawn(core->loop, "news", newsMain, core->news);
+}
--- /dev/null
+++ b/packages/core/src/orders.c
@@ -0,0 +1,98 @@
+/* What a worker is to run, told to its agent as soon as that has changed. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+AgentLine *agentLine(Core *core, const char *worker)
+{
+    AgentLine *line = mapGet(core->lines, worker);
+    if (line == NULL) {
+        line = talloc_zero(core->lines, AgentLine);
+        mapSet(core->lines, worker, line);
+    }
+    return line;
+}
+
+static void onOrders(void *arg, const char *worker)
+{
+    Core *core = arg;
+    AgentLine *line = mapGet(core->lines, worker);
+    if (line != NULL)
+        signalRaise(core->loop, &line->news);
+}
+
+void ordersWake(Core *core)
+{
+    void *mem = talloc_new(core);
+    const char **names;
+    const size_t count = mapKeys(core->lines, mem, &names);
+    for (size_t i = 0; i < count; i++)
+        signalRaise(core->loop, &((AgentLine *)mapGet(core->lines, names[i]))->news);
+    talloc_free(mem);
+}
+
+void ordersStart(Core *core)
+{
+    core->lines = mapNew(core);
+    tableOrdersWatch(core->table, onOrders, core);
+}
+
+static bool listed(const RoundId *list, size_t count, const char *job, uint64_t task, uint64_t round)
+{
+    for (size_t i = 0; i < count; i++)
+        if (list[i].round == round && list[i].task == task && strcmp(list[i].job, job) == 0)
+            return true;
+    return false;
+}
+
+static void ordersFill(Core *core, void *mem, const BeatAsk *beat, BeatAnswer *out)
+{
+    const TaskOn *on;
+    const size_t count = tableOn(core->table, beat->worker.name, &on);
+    out->wanted = talloc_array(mem, RoundId, (unsigned)count);
+    out->starts = talloc_array(mem, Order, (unsigned)count);
+    for (size_t i = 0; i < count; i++) {
+        const Job *job = on[i].job;
+        const JobTask *task = &job->tasks[on[i].task];
+        if (task->phase != TASK_PLACED && task->phase != TASK_RUNNING)
+            continue;
+        const char *id = talloc_strdup(mem, job->spec.id);
+        const uint64_t number = taskNumber(task);
+        out->wanted[out->wantedCount++] = (RoundId){id, number, task->round};
+        if (task->phase != TASK_PLACED || listed(beat->rounds, beat->roundsCount, id, number, task->round))
+            continue;
+        const StepSpec *step = &job->spec.steps[task->step];
+        out->starts[out->startsCount++] = (Order){id,
+                                                  number,
+                                                  task->round,
+                                                  step->room,
+                                                  talloc_strdup(mem, step->payload),
+                                                  talloc_strdup(mem, task->saved)};
+    }
+}
+
+static bool ordersNew(const Core *core, const BeatAsk *beat)
+{
+    const LiveRow *row = livesetFind(core->liveset, beat->worker.name);
+    return viewLeading(core->view) && !core->repairing && row != NULL && row->incarnation == beat->incarnation &&
+           !row->losing &&
+           (tableOrders(core->table, beat->worker.name) != beat->have || viewEpoch(core->view) != beat->haveEpoch);
+}
+
+void ordersAnswer(Core *core, void *mem, const BeatAsk *beat, int64_t waitMs, BeatAnswer *out)
+{
+    const int64_t untilMs = loopNowMs(core->loop) + waitMs;
+    AgentLine *line = agentLine(core, beat->worker.name);
+    const uint64_t turn = ++line->turn;
+    signalRaise(core->loop, &line->news); /* an earlier question waits no longer */
+    while (!ordersNew(core, beat))
+        if (!signalWait(core->loop, &line->news, untilMs) || turn != line->turn)
+            return;
+    if (!coreDecides(core))
+        return;
+    out->orders = true;
+    out->revision = tableOrders(core->table, beat->worker.name);
+    out->expiryMs = ORDER_EXPIRY_MS;
+    ordersFill(core, mem, beat, out);
+}
--- /dev/null
+++ b/packages/core/src/saved.c
@@ -0,0 +1,73 @@
+/* How far running rounds have come, as their agents' beats tell: in memory alone.
+ * A new leader has it from the next beats; the log has it with the end of a round
+ * and with the placement of the next. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+#define SAVED_KEY (ID_MAX + 24) /* bytes; a name and a number */
+#define SAVED_LEAST 256         /* count; fewer are not worth looking through */
+
+/* Invariant: text is what the highest round that told any last told. */
+typedef struct Saved {
+    const char *job;
+    uint64_t task, round;
+    const char *text;
+} Saved;
+
+static const char *savedKey(char key[SAVED_KEY], const char *job, uint64_t task)
+{
+    snprintf(key, SAVED_KEY, "%" PRIu64 " %s", task, job);
+    return key;
+}
+
+/* What nobody will go on from is dropped whenever there is twice as much as then. */
+static void savedSweep(Core *core)
+{
+    if (mapCount(core->saved) < SAVED_LEAST || mapCount(core->saved) < 2 * core->savedKept)
+        return;
+    void *mem = talloc_new(core);
+    const char **keys;
+    const size_t count = mapKeys(core->saved, mem, &keys);
+    for (size_t i = 0; i < count; i++) {
+        Saved *saved = mapGet(core->saved, keys[i]);
+        const Job *job = tableJob(core->table, saved->job);
+        const size_t at = job != NULL ? taskIndex(job, saved->task) : 0;
+        if (job != NULL && job->phase == JOB_ACTIVE && at < job->tasksCount && !taskEnded(job->tasks[at].phase))
+            continue;
+        mapDrop(core->saved, keys[i]);
+        talloc_free(saved);
+    }
+    core->savedKept = mapCount(core->saved);
+    talloc_free(mem);
+}
+
+void savedTake(Core *core, const RoundSaved *told)
+{
+    char key[SAVED_KEY];
+    if (told->text[0] == '\0')
+        return;
+    Saved *saved = mapGet(core->saved, savedKey(key, told->job, told->task));
+    if (saved != NULL && saved->round > told->round)
+        return;
+    if (saved == NULL) {
+        savedSweep(core);
+        saved = talloc_zero(core->saved, Saved);
+        saved->job = talloc_strdup(saved, told->job);
+        saved->task = told->task;
+        mapSet(core->saved, key, saved);
+    }
+    talloc_free((void *)(uintptr_t)saved->text);
+    saved->text = talloc_strdup(saved, told->text);
+    saved->round = told->round;
+}
+
+const char *coreSaved(const Core *core, const char *job, uint64_t task, uint64_t round)
+{
+    char key[SAVED_KEY];
+    const Saved *saved = mapGet(core->saved, savedKey(key, job, task));
+    return saved != NULL && saved->round == round ? saved->text : "";
+}
