--- a/packages/agent/src/tell.c
+++ b/packages/agent/src/tell.c
@@ -21,7 +21,7 @@
 
 static size_t newsGather(Agent *agent, void *mem, TellAsk *ask)
 {
-    const size_t count = agent->rounds.ended.count < TELL_MOST ? agent->rounds.ended.count : TELL_MOST;
+    const size_t count = agent->rounds.ended.count < TELLING_MOST ? agent->rounds.ended.count : TELLING_MOST;
     ask->news = talloc_zero_array(mem, RoundNews, (unsigned)count);
     for (const Round *round = agent->rounds.ended.first; round != NULL && ask->newsCount < count; round = round->next)
         ask->news[ask->newsCount++] = newsOf(agent, mem, round);
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -18,7 +18,7 @@
 #define BEATS_MOST 4           /* count; an agent's beats on their way at once: one waits, the others have news */
 #define WORKER_QUIET_MS 1200   /* ms; a worker that has not asked for so long, and its poll, is given nothing new */
 #define WORKER_LOST_MS 3000    /* ms; ... and has lost its rounds after this at the latest, once its hold has lapsed */
-#define TELL_MOST 500          /* count; news in one telling: a worker's longest list of ends */
+#define TELLING_MOST 500          /* count; news in one telling: a worker's longest list of ends */
 #define NEWS_MOST 1000         /* count; news of rounds in one change */
 #define NEWS_LAZY_MS 200       /* ms; that a round runs waits so long for other news to be committed with */
 #define KNOWN_MOST 4096        /* count; ended rounds that an agent keeps for repair: two minutes of 34 a second */
@@ -78,7 +78,9 @@
 #define CONFIG_SPAN_MAX_MS 1000000000 /* ms; eleven days: longer ones are mistakes */
 #define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* bytes; a larger limit is a mistake */
 #define CONFIG_STRETCH_MAX 1000 /* times; a larger stretch is a mistake */
-#define CONFIG_HISTORY 200     /* count; revisions that can be read back */
+#define CONFIG_HISTORY 200     /* count; revisions that can be read back, as far as the bytes allow */
+#define CONFIG_HISTORY_STEP 50 /* count; ... older ones go by so many at once */
+#define CONFIG_HISTORY_BYTES (1024 * 1024) /* bytes; texts and patches kept beside one whole text */
 #define ID_MAX 96              /* bytes; a job's, tenant's, worker's name */
 #define ROUNDS_DEFAULT 3       /* count; rounds a failing task gets unless its owner says */
 #define ROUNDS_MAX 100         /* count */
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -149,7 +149,8 @@
     runsTake(core, beat);
     if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
-    ordersAnswer(core, mem, beat, beat->waitMs < BEAT_WAIT_MS ? beat->waitMs : BEAT_WAIT_MS, out);
+    if (beat->waitMs > 0)
+        ordersAnswer(core, mem, beat, beat->waitMs < BEAT_WAIT_MS ? beat->waitMs : BEAT_WAIT_MS, out);
     /* the hold counts from when the question was sent, so a holder that has lost the
      * lock since has granted it before: but it is not to be counted on any more */
     if (!viewHolds(core->view))
--- a/packages/core/src/news.c
+++ b/packages/core/src/news.c
@@ -11,6 +11,7 @@
     size_t users;
     RoundList list;
     size_t room;
+    int64_t *atMs;   /* when each of them came */
     int64_t sinceMs; /* its first news came then */
     bool waited;     /* somebody waits for it */
     bool over;
@@ -47,12 +48,14 @@
     return news->last;
 }
 
-static void batchAdd(Batch *batch, const RoundNews *one)
+static void batchAdd(Core *core, Batch *batch, const RoundNews *one)
 {
     if (batch->list.newsCount == batch->room) {
         batch->room = batch->room ? batch->room * 2 : 16;
         batch->list.news = talloc_realloc(batch, batch->list.news, RoundNews, (unsigned)batch->room);
+        batch->atMs = talloc_realloc(batch, batch->atMs, int64_t, (unsigned)batch->room);
     }
+    batch->atMs[batch->list.newsCount] = loopNowMs(core->loop);
     shapeCopy(&RoundNewsShape, one, batch, &batch->list.news[batch->list.newsCount++]);
 }
 
@@ -63,7 +66,7 @@
         return STATUS_OK;
     Batch *batch = batchLast(news);
     for (size_t i = 0; i < count; i++)
-        batchAdd(batch, &list[i]);
+        batchAdd(core, batch, &list[i]);
     batch->waited = true;
     batch->users++;
     signalRaise(core->loop, &news->added);
@@ -76,7 +79,7 @@
 
 void newsLater(Core *core, const RoundNews *one)
 {
-    batchAdd(batchLast(core->news), one);
+    batchAdd(core, batchLast(core->news), one);
     signalRaise(core->loop, &core->news->added);
 }
 
@@ -103,6 +106,9 @@
         news->first = batch->next;
         if (news->last == batch)
             news->last = NULL;
+        for (size_t i = 0; i < batch->list.newsCount; i++)
+            if (batch->list.news[i].ranMs > 0) /* it was told then, it is counted from the commit */
+                batch->list.news[i].ranMs += nowMs - batch->atMs[i];
         Verdict verdict;
         batch->status = coreSubmit(core, batch, CHANGE_ROUNDS, &RoundListShape, &batch->list, &verdict, NULL);
         if (batch->status != STATUS_OK)
