--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -5,6 +5,7 @@
 
 #include "base/epoch.h"
 #include "alerts.h"
+#include "inforce.h"
 
 bool coreDecides(Core *core)
 {
@@ -112,6 +113,7 @@
 {
     Core *core = arg;
     traceDelivered(core, change, verdict);
+    limitsFollow(core);
     if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
         return;
     void *mem = talloc_new(core);
@@ -130,12 +132,12 @@
 {
     Core *core = arg;
     while (!loopStopping(core->loop)) {
-        loopSleep(core->loop, JOB_KEEP_MS / 60);
-        Job *const *jobs;
-        if (!coreDecides(core) || tableJobs(core->table, &jobs) == 0)
+        const int64_t keepMs = core->props->bounds.jobKeepMs;
+        loopSleep(core->loop, keepMs / 60 > FORGET_MS ? keepMs / 60 : FORGET_MS);
+        if (!coreDecides(core))
             continue;
-        const Forget forget = {viewClockMs(core->view) - JOB_KEEP_MS};
-        if (jobs[0]->acceptedMs >= forget.beforeMs)
+        const Forget forget = {viewClockMs(core->view) - keepMs};
+        if (tableOldestMs(core->table) >= forget.beforeMs)
             continue;
         void *mem = talloc_new(core);
         Verdict verdict;
@@ -144,6 +146,13 @@
     }
 }
 
+/* A core in waiting hears of the configuration as a gate does. */
+static bool seatless(void *arg)
+{
+    const Core *core = arg;
+    return !viewSeated(core->view);
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     coreTake(arg, task);
@@ -166,6 +175,7 @@
     core->liveset = livesetNew(core);
     core->saved = mapNew(core);
     core->scores = mapNew(core);
+    core->guesses = guessesNew(core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
@@ -197,6 +207,7 @@
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
     core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
+    core->feed = feedNew(core, loop, core->courier, core->members, core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
@@ -204,6 +215,7 @@
     viewFounding(core->view);
     plannerStart(core);
     alertsStart(core);
+    feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
     return STATUS_OK;
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -7,6 +7,7 @@
 #include "beat/hold.h"
 #include "beat/liveset.h"
 #include "core/core.h"
+#include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
@@ -48,6 +49,7 @@
     Table *table;
     Keeper *keeper;
     Proxy proxy;
+    Feed *feed; /* asks while this core has no seat */
     Trace *trace;
     Liveset *liveset;
     Map *lines; /* worker names to AgentLine */
@@ -55,6 +57,7 @@
     Map *saved; /* tasks to how far their rounds have come */
     size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
+    Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
@@ -62,6 +65,7 @@
     uint64_t configLoads;  /* tableLoads when it was read */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
+    uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
@@ -71,6 +75,7 @@
     Signal wake; /* beats with news for the planner */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
+    int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
     Loss brokenByLoss;
     char brokenBy[ID_MAX + 1];
     CoreCounts counts;
