A delivered change is unpacked once, also for the trace and the scores

Cause: every core unpacked each change three times: for the state, for its trace, and rounds again for scores. The table hands out what it has unpacked.

--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -68,48 +68,6 @@
     coreNews(core);
 }
 
-static void traceDelivered(Core *core, const Record *change, const Verdict *verdict)
-{
-    void *mem = talloc_new(core);
-    char detail[48];
-    snprintf(detail, sizeof(detail), "index %" PRIu64 "%s%s", change->index, verdict->status == STATUS_OK ? "" : " ",
-             verdict->status == STATUS_OK ? "" : statusWord(verdict->status));
-    JobAdd add;
-    JobCancel cancel;
-    PlaceList places;
-    RoundList rounds;
-    ConfigSet set;
-    ZoneDrain drain;
-    if (change->change == CHANGE_JOB_ADD && shapeUnpack(&JobAddShape, change->payload, mem, &add, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", add.spec.id);
-    else if (change->change == CHANGE_JOB_CANCEL &&
-             shapeUnpack(&JobCancelShape, change->payload, mem, &cancel, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", cancel.id);
-    else if (change->change == CHANGE_PLACE &&
-             shapeUnpack(&PlaceListShape, change->payload, mem, &places, NULL) == STATUS_OK)
-        for (size_t i = 0; i < places.placementsCount; i++) {
-            const Placement *place = &places.placements[i];
-            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " to %.20s", place->task, place->round,
-                     place->worker);
-            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", place->job);
-        }
-    else if (change->change == CHANGE_ROUNDS &&
-             shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
-        for (size_t i = 0; i < rounds.newsCount; i++) {
-            const RoundNews *news = &rounds.news[i];
-            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " %s", news->task, news->round,
-                     roundWord(news->word));
-            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", news->job);
-        }
-    else if (change->change == CHANGE_CONFIG_SET &&
-             shapeUnpack(&ConfigSetShape, change->payload, mem, &set, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, set.revision);
-    else if (change->change == CHANGE_ZONE_DRAIN &&
-             shapeUnpack(&ZoneDrainShape, change->payload, mem, &drain, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, drain.drained ? "drained" : "back", "zone:%s", drain.zone);
-    talloc_free(mem);
-}
-
 /* An order that was told before may be on its way until it expires, by an agent's
  * clock that is slow. */
 static void onLeft(void *arg, const Job *job, const JobTask *task)
@@ -127,23 +85,16 @@
             straysEnd(core->strays, &rounds->news[i]);
 }
 
-static void onDelivered(void *arg, const Record *change, const Verdict *verdict)
+static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
 {
     Core *core = arg;
-    traceDelivered(core, change, verdict);
+    traceDelivered(core, change, body, verdict);
     coreNews(core);
     limitsFollow(core);
-    if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
-        return;
-    void *mem = talloc_new(core);
-    WorkerLost lost;
-    RoundList rounds;
-    if (change->change == CHANGE_ROUNDS && shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
-        roundsTake(core, &rounds);
-    if (change->change == CHANGE_WORKER_LOST &&
-        shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
-        livesetLosing(core->liveset, lost.worker, false);
-    talloc_free(mem);
+    if (body != NULL && change->change == CHANGE_ROUNDS)
+        roundsTake(core, body);
+    if (body != NULL && change->change == CHANGE_WORKER_LOST)
+        livesetLosing(core->liveset, ((const WorkerLost *)body)->worker, false);
 }
 
 /* Ended jobs are kept for a stated span. */
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -120,6 +120,8 @@
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
+/* body: as the table tells it. */
+void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
--- /dev/null
+++ b/packages/core/src/traced.c
@@ -0,0 +1,61 @@
+/* What the trace keeps of a delivered change. */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "inside.h"
+
+static void tracePlaces(Core *core, const PlaceList *places)
+{
+    char detail[64];
+    for (size_t i = 0; i < places->placementsCount; i++) {
+        const Placement *place = &places->placements[i];
+        snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " to %.20s", place->task, place->round,
+                 place->worker);
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", place->job);
+    }
+}
+
+static void traceRounds(Core *core, const RoundList *rounds)
+{
+    char detail[64];
+    for (size_t i = 0; i < rounds->newsCount; i++) {
+        const RoundNews *news = &rounds->news[i];
+        snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " %s", news->task, news->round,
+                 roundWord(news->word));
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", news->job);
+    }
+}
+
+void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict)
+{
+    if (body == NULL || core->trace == NULL)
+        return;
+    char detail[48];
+    const bool good = verdict->status == STATUS_OK;
+    snprintf(detail, sizeof(detail), "index %" PRIu64 "%s%s", change->index, good ? "" : " ",
+             good ? "" : statusWord(verdict->status));
+    switch (change->change) {
+    case CHANGE_JOB_ADD:
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", ((const JobAdd *)body)->spec.id);
+        break;
+    case CHANGE_JOB_CANCEL:
+        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", ((const JobCancel *)body)->id);
+        break;
+    case CHANGE_PLACE:
+        tracePlaces(core, body);
+        break;
+    case CHANGE_ROUNDS:
+        traceRounds(core, body);
+        break;
+    case CHANGE_CONFIG_SET:
+        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, ((const ConfigSet *)body)->revision);
+        break;
+    case CHANGE_ZONE_DRAIN: {
+        const ZoneDrain *drain = body;
+        traceSay(core->trace, TRACE_DELIVERED, drain->drained ? "drained" : "back", "zone:%s", drain->zone);
+        break;
+    }
+    default:
+        break;
+    }
+}
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -13,8 +13,10 @@
  * copied for each of some forty changes a second. */
 typedef struct Table Table;
 
-/* Told after each change has been delivered, within the delivery; does not wait. */
-typedef void (*TableFn)(void *arg, const Record *change, const Verdict *verdict);
+/* Told after each change has been delivered, within the delivery; does not wait. body
+ * is the change unpacked, of the shape that CHANGE_LIST names; null: it can't be read,
+ * or is of a later release. */
+typedef void (*TableFn)(void *arg, const Record *change, const void *body, const Verdict *verdict);
 
 Table *tableNew(void *mem);
 void tableWatch(Table *table, TableFn fn, void *arg);
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -144,9 +144,9 @@
             deliverJobEnd(table, change, body, verdict);
             break;
         }
-    talloc_free(mem);
     if (table->fn != NULL)
-        table->fn(table->arg, change, verdict);
+        table->fn(table->arg, change, verdict->status != STATUS_BAD_FRAME ? body : NULL, verdict);
+    talloc_free(mem);
 }
 
 ViewState tableState(Table *table)
