--- a/packages/agent/src/beat.c
+++ b/packages/agent/src/beat.c
@@ -106,9 +106,9 @@
         agent->epochTold = answer->epoch;
         traceSay(agent->trace, TRACE_LEARNT, "", "view:%" PRIu64, epochCounter(answer->epoch));
     }
-    /* of two beats on their way the later one's orders count: they are never older */
-    if (answer->orders && beat->number > agent->ordersNumber) {
-        agent->ordersNumber = beat->number;
+    /* of two answers the later sent may come first */
+    if (answer->orders &&
+        (answer->epoch > agent->haveEpoch || (answer->epoch == agent->haveEpoch && answer->revision > agent->have))) {
         agent->have = answer->revision;
         agent->haveEpoch = answer->epoch;
         ordersTake(agent, answer, beat->sentMs);
--- a/packages/agent/src/inside.h
+++ b/packages/agent/src/inside.h
@@ -36,8 +36,7 @@
     size_t beats;           /* on their way */
     int64_t beatDueMs;      /* the next, unless there is news */
     bool beatNow;           /* there is news that does not wait */
-    uint64_t have, haveEpoch; /* of the last orders taken */
-    uint64_t ordersNumber;  /* of the beat that brought them */
+    uint64_t have, haveEpoch; /* of the last orders taken: no older ones are taken after them */
     uint64_t savedEpoch;    /* whose leader the rounds' toldTurn speaks of */
     int64_t beatMs;         /* its last beat was answered then; 0: none was */
     bool alone;             /* its hold runs by the second survival rule */
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -12,6 +12,16 @@
     return false;
 }
 
+/* Not in its agent's list though it is to be stopped: it has stopped, or it never
+ * came there. An order for it may still be on its way, until it expires or the agent
+ * has newer ones. */
+static bool stopOver(const Core *core, const BeatAsk *beat, const JobTask *task)
+{
+    return task->phase == TASK_STOPPING &&
+           (viewClockMs(core->view) - task->changedMs > ORDER_GONE_MS ||
+            (beat->haveEpoch == viewEpoch(core->view) && beat->have == tableOrders(core->table, beat->worker.name)));
+}
+
 /* Rounds that should run there and that a complete list does not have are lost;
  * those that were to stop have stopped. */
 static RoundList missing(const Core *core, void *mem, const BeatAsk *beat)
@@ -23,7 +33,7 @@
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
         const uint64_t number = taskNumber(task);
-        if ((task->phase != TASK_RUNNING && task->phase != TASK_STOPPING) ||
+        if ((task->phase != TASK_RUNNING && !stopOver(core, beat, task)) ||
             listed(beat, job->spec.id, number, task->round))
             continue;
         if (list.news == NULL)
@@ -144,8 +154,10 @@
     const Status status = livesetBeat(core->liveset, beat, nowMs, holdMs, &listCounts);
     if (status != STATUS_OK)
         return status;
+    if (livesetFind(core->liveset, beat->worker.name)->number == beat->number)
+        straysBeat(core->strays, core->table, beat, nowMs);
     if (wasReady != liveRowReady(livesetFind(core->liveset, beat->worker.name), nowMs))
-        signalRaise(core->loop, &core->wake);
+        coreNews(core);
     runsTake(core, beat);
     if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -16,6 +16,12 @@
     return true;
 }
 
+void coreNews(Core *core)
+{
+    core->news++;
+    signalRaise(core->loop, &core->wake);
+}
+
 QueueClock coreClock(const Core *core)
 {
     return (QueueClock){viewClockMs(core->view), viewWallMs(core->view)};
@@ -52,6 +58,7 @@
         for (size_t i = 0; i < count; i++)
             names[i] = workers[i]->name;
         /* any hold that the last leader answered runs out within this */
+        straysReset(core->strays);
         livesetReset(core->liveset, viewWonMs(core->view) + coreClaimMs(core), names, count);
         talloc_free(mem);
     }
@@ -64,67 +71,36 @@
     if (!repair)
         core->repairing = false;
     ordersWake(core);
-    signalRaise(core->loop, &core->wake);
+    coreNews(core);
 }
 
-static void traceDelivered(Core *core, const Record *change, const Verdict *verdict)
+/* An order that was told before may be on its way until it expires, by an agent's
+ * clock that is slow. */
+static void onLeft(void *arg, const Job *job, const JobTask *task)
 {
-    void *mem = talloc_new(core);
-    char detail[48];
-    snprintf(detail, sizeof(detail), "index %" PRIu64 "%s%s", change->index, verdict->status == STATUS_OK ? "" : " ",
-             verdict->status == STATUS_OK ? "" : statusWord(verdict->status));
-    JobAdd add;
-    JobCancel cancel;
-    PlaceList places;
-    RoundList rounds;
-    ConfigSet set;
-    ZoneDrain drain;
-    if (change->change == CHANGE_JOB_ADD && shapeUnpack(&JobAddShape, change->payload, mem, &add, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", add.spec.id);
-    else if (change->change == CHANGE_JOB_CANCEL &&
-             shapeUnpack(&JobCancelShape, change->payload, mem, &cancel, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", cancel.id);
-    else if (change->change == CHANGE_PLACE &&
-             shapeUnpack(&PlaceListShape, change->payload, mem, &places, NULL) == STATUS_OK)
-        for (size_t i = 0; i < places.placementsCount; i++) {
-            const Placement *place = &places.placements[i];
-            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " to %.20s", place->task, place->round,
-                     place->worker);
-            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", place->job);
-        }
-    else if (change->change == CHANGE_ROUNDS &&
-             shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
-        for (size_t i = 0; i < rounds.newsCount; i++) {
-            const RoundNews *news = &rounds.news[i];
-            snprintf(detail, sizeof(detail), "task %" PRIu64 " round %" PRIu64 " %s", news->task, news->round,
-                     roundWord(news->word));
-            traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", news->job);
-        }
-    else if (change->change == CHANGE_CONFIG_SET &&
-             shapeUnpack(&ConfigSetShape, change->payload, mem, &set, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, detail, "config:%" PRIu64, set.revision);
-    else if (change->change == CHANGE_ZONE_DRAIN &&
-             shapeUnpack(&ZoneDrainShape, change->payload, mem, &drain, NULL) == STATUS_OK)
-        traceSay(core->trace, TRACE_DELIVERED, drain.drained ? "drained" : "back", "zone:%s", drain.zone);
-    talloc_free(mem);
+    const Core *core = arg;
+    if (viewHolds(core->view))
+        straysAdd(core->strays, task->worker, job, task, task->round, loopNowMs(core->loop) + ORDER_GONE_MS);
 }
 
-static void onDelivered(void *arg, const Record *change, const Verdict *verdict)
+static void roundsTake(Core *core, const RoundList *rounds)
+{
+    scoreTake(core, rounds);
+    for (size_t i = 0; i < rounds->newsCount; i++)
+        if (rounds->news[i].word != ROUND_RUNNING)
+            straysEnd(core->strays, &rounds->news[i]);
+}
+
+static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
 {
     Core *core = arg;
-    traceDelivered(core, change, verdict);
+    traceDelivered(core, change, body, verdict);
+    coreNews(core);
     limitsFollow(core);
-    if (change->change != CHANGE_WORKER_LOST && change->change != CHANGE_ROUNDS)
-        return;
-    void *mem = talloc_new(core);
-    WorkerLost lost;
-    RoundList rounds;
-    if (change->change == CHANGE_ROUNDS && shapeUnpack(&RoundListShape, change->payload, mem, &rounds, NULL) == STATUS_OK)
-        scoreTake(core, &rounds);
-    if (change->change == CHANGE_WORKER_LOST &&
-        shapeUnpack(&WorkerLostShape, change->payload, mem, &lost, NULL) == STATUS_OK)
-        livesetLosing(core->liveset, lost.worker, false);
-    talloc_free(mem);
+    if (body != NULL && change->change == CHANGE_ROUNDS)
+        roundsTake(core, body);
+    if (body != NULL && change->change == CHANGE_WORKER_LOST)
+        livesetLosing(core->liveset, ((const WorkerLost *)body)->worker, false);
 }
 
 /* Ended jobs are kept for a stated span. */
@@ -153,6 +129,12 @@
     return !viewSeated(core->view);
 }
 
+static bool leads(const void *arg)
+{
+    const Core *core = arg;
+    return viewLeading(core->view);
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     coreTake(arg, task);
@@ -176,6 +158,8 @@
     core->saved = mapNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
+    core->strays = straysNew(core);
+    tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
     const ViewProps viewProps = {.loop = loop,
@@ -206,8 +190,17 @@
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
-    core->proxy = (Proxy){.loop = loop, .courier = core->courier, .members = core->members, .keeper = core->keeper, .trace = core->trace};
-    core->feed = feedNew(core, loop, core->courier, core->members, core->trace);
+    core->proxy = proxyNew(core, &(ProxyProps){.loop = loop,
+                                               .courier = core->courier,
+                                               .members = core->members,
+                                               .keeper = core->keeper,
+                                               .trace = core->trace,
+                                               .leads = leads,
+                                               .serve = callersLead,
+                                               .arg = core,
+                                               .leaderWaitMs = props->bounds.leaderWaitMs,
+                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    core->feed = feedNew(core, loop, core->courier, proxyWays(core->proxy), core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
@@ -215,6 +208,7 @@
     viewFounding(core->view);
     plannerStart(core);
     alertsStart(core);
+    proxyStart(core->proxy);
     feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
@@ -223,16 +217,23 @@
 
 bool coreReady(const Core *core)
 {
-    return !core->leaving && (viewLeading(core->view) ? !core->repairing : membersLeaderAddress(core->members) != NULL);
+    return !core->leaving && (viewLeading(core->view) ? !core->repairing : waysServe(proxyWays(core->proxy)));
 }
 
 void coreDrain(Core *core)
 {
+    const int64_t nowMs = loopNowMs(core->loop), untilMs = nowMs + core->props->bounds.graceMs - DRAIN_MARGIN_MS;
     core->leaving = true;
+    loopServeLeave(core->loop);
     membersSetLeaving(core->members);
+    /* what was ordered gets its verdict; then the lock is handed over */
+    if (viewLeading(core->view))
+        viewSettle(core->view);
     viewStepDown(core->view, INT32_MAX);
-    /* requests in work get their verdict, seats hear of the release */
-    loopSleep(core->loop, DRAIN_MS / 6);
+    /* requests are taken on, and carried to the next leader, until the last moment */
+    loopSleep(core->loop, core->props->bounds.unreadyMs);
+    while (loopServeBusy(core->loop) > 0 && loopNowMs(core->loop) < untilMs)
+        loopSleep(core->loop, DRAIN_LOOK_MS);
 }
 
 View *coreView(Core *core)
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -6,6 +6,7 @@
 #include "api/show.h"
 #include "beat/hold.h"
 #include "beat/liveset.h"
+#include "beat/strays.h"
 #include "core/core.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
@@ -48,15 +49,16 @@
     View *view;
     Table *table;
     Keeper *keeper;
-    Proxy proxy;
-    Feed *feed; /* asks while this core has no seat */
+    Proxy *proxy;
+    Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
     Map *lines; /* worker names to AgentLine */
-    struct News *news;
+    struct News *told; /* gathers what rounds came to */
     Map *saved; /* tasks to how far their rounds have come */
     size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
+    Strays *strays;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
@@ -72,7 +74,9 @@
     bool repairing;
     uint64_t repairTurn;
     int64_t placeFromMs;
-    Signal wake; /* beats with news for the planner */
+    int64_t mendMs; /* split gangs are looked for again from then on */
+    uint64_t news; /* grows with whatever the planner should look at */
+    Signal wake;   /* raised with it */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
     int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
@@ -85,6 +89,8 @@
 const Config *coreConfig(Core *core);
 /* Leads, by the clock, and has all that was told. */
 bool coreDecides(Core *core);
+/* There is something for the planner to look at. */
+void coreNews(Core *core);
 QueueClock coreClock(const Core *core);
 const Policy *corePolicy(void *arg, const ConfigCell *cell);
 /* Calls of policies that failed, and the last one's words; "" when none did. */
@@ -149,12 +155,17 @@
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
+/* body: as the table tells it. */
+void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
 void repairStart(Core *core);
 void agentsServe(Core *core);
 void callersServe(Core *core);
+/* For the proxy: a request as this leader answers it; what it committed is in the
+ * answer, and kept by another node as well. */
+void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
 /* A caller's request, as leader. keeps: what was committed by it. */
 void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps);
 json_object *coreStatus(Core *core);
--- a/packages/core/src/news.c
+++ b/packages/core/src/news.c
@@ -61,7 +61,7 @@
 
 Status newsTell(Core *core, const RoundNews *list, size_t count)
 {
-    News *news = core->news;
+    News *news = core->told;
     if (count == 0)
         return STATUS_OK;
     Batch *batch = batchLast(news);
@@ -79,8 +79,8 @@
 
 void newsLater(Core *core, const RoundNews *one)
 {
-    batchAdd(core, batchLast(core->news), one);
-    signalRaise(core->loop, &core->news->added);
+    batchAdd(core, batchLast(core->told), one);
+    signalRaise(core->loop, &core->told->added);
 }
 
 /* Those that nobody waits for are not told again by their agent. */
@@ -121,7 +121,7 @@
 
 void newsStart(Core *core)
 {
-    core->news = talloc_zero(core, News);
-    core->news->core = core;
-    loopSpawn(core->loop, "news", newsMain, core->news);
+    core->told = talloc_zero(core, News);
+    core->told->core = core;
+    loopSpawn(core->loop, "news", newsMain, core->told);
 }
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -17,21 +17,15 @@
 static void lostFind(Core *core, void *mem)
 {
     const int64_t nowMs = loopNowMs(core->loop);
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
     Map *lost = mapNew(mem);
-    for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
-            const JobTask *task = &jobs[j]->tasks[t];
-            if (!taskOnWorker(task->phase) || mapGet(lost, task->worker) != NULL)
-                continue;
-            const LiveRow *row = livesetFind(core->liveset, task->worker);
-            /* a worker never heard of by this leader: its first hold counts */
-            const int64_t untilMs =
-                row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
-            if (nowMs > untilMs && (row == NULL || !row->losing))
-                mapSet(lost, task->worker, core);
-        }
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        /* a worker never heard of by this leader: its first hold counts */
+        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
+        if (nowMs > untilMs && (row == NULL || !row->losing))
+            mapSet(lost, worker, core);
+    }
     const char **names;
     const size_t lostCount = mapKeys(lost, mem, &names);
     for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
@@ -52,28 +46,41 @@
 static void copiesFind(Core *core, void *mem)
 {
     const int64_t nowMs = loopNowMs(core->loop);
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
     RoundList list = {0};
-    for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
-            const JobTask *task = &jobs[j]->tasks[t];
-            if (!jobs[j]->spec.copies && !jobs[j]->spec.steps[task->step].copies)
-                continue;
-            const LiveRow *row =
-                task->phase == TASK_PLACED || task->phase == TASK_RUNNING ? livesetFind(core->liveset, task->worker) : NULL;
-            if (row == NULL)
-                continue;
-            const int64_t heardMs = row->heardMs > viewWonMs(core->view) ? row->heardMs : viewWonMs(core->view);
-            if (nowMs - heardMs <= COPY_SILENT_MS)
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        const int64_t wonMs = viewWonMs(core->view);
+        if (row == NULL || nowMs - (row->heardMs > wonMs ? row->heardMs : wonMs) <= COPY_SILENT_MS)
+            continue;
+        const TaskOn *on;
+        const size_t count = tableOn(core->table, worker, &on);
+        for (size_t t = 0; t < count; t++) {
+            const JobTask *task = &on[t].job->tasks[on[t].task];
+            const JobSpec *spec = &on[t].job->spec;
+            if (task->phase == TASK_STOPPING || (!spec->copies && !spec->steps[task->step].copies))
                 continue;
             list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
-            list.news[list.newsCount++] = (RoundNews){talloc_strdup(mem, jobs[j]->spec.id), taskNumber(task), task->round,
-                                                      talloc_strdup(mem, task->worker), ROUND_LOST, "its worker is silent", "", 0};
+            list.news[list.newsCount++] = (RoundNews){.job = talloc_strdup(mem, spec->id),
+                                                      .task = taskNumber(task),
+                                                      .round = task->round,
+                                                      .worker = talloc_strdup(mem, worker),
+                                                      .word = ROUND_LOST,
+                                                      .text = "its worker is silent",
+                                                      .saved = ""};
         }
+    }
     Verdict verdict;
     if (list.newsCount > 0)
         coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
+    /* that they are over is our word alone: they count there until the agent says so */
+    for (size_t i = 0; i < list.newsCount; i++) {
+        const RoundNews *news = &list.news[i];
+        const Job *job = tableJob(core->table, news->job);
+        const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+        if (job != NULL && at < job->tasksCount)
+            straysAdd(core->strays, news->worker, job, &job->tasks[at], news->round, nowMs + ORDER_GONE_MS);
+    }
 }
 
 /* Workers that may be given work have their free room; the others have none,
@@ -99,8 +106,10 @@
         const LiveRow *row = livesetFind(core->liveset, worker->name);
         const bool ready = row != NULL && liveRowReady(row, nowMs) && !worker->excluded &&
                            !tableDrained(core->table, worker->zone) && !scoreRests(core, worker->name);
+        Room strays;
+        const bool known = straysRoom(core->strays, worker->name, &strays);
         const Room none = {0};
-        const Room room = ready ? roomLess(worker->room, row->others) : none;
+        const Room room = ready && known ? roomLess(worker->room, row->others) : none;
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
                                               .rack = worker->rack,
@@ -108,7 +117,7 @@
                                               .labels = worker->labels,
                                               .labelCount = worker->labelsCount,
                                               .room = room,
-                                              .free = room,
+                                              .free = roomLess(room, strays),
                                               .penalty = scoreRate(core, worker->name) * 10};
         pass->speeds[i] = guessSpeed(core->guesses, worker->name);
         mapSet(pass->index, worker->name, (void *)(uintptr_t)(i + 1));
@@ -238,9 +247,11 @@
         }
 }
 
-/* One look at everything; true when there may be more to decide at once. */
-static bool passRun(Core *core)
+/* One look at everything; true when there may be more to decide at once. nextMs: when
+ * there will be by itself, by the own clock. */
+static bool passRun(Core *core, int64_t *nextMs)
 {
+    uint64_t seen = core->news;
     void *mem = talloc_new(core);
     Pass *pass = talloc_zero(mem, Pass);
     pass->core = core;
@@ -266,7 +277,7 @@
     for (size_t i = 0; i < pass->input.workerCount; i++)
         pass->fleet = roomMore(pass->fleet, pass->input.workers[i].room);
     pass->use = queueUse(mem, core->table, pass->config, pass->fleet);
-    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, pass->clock, core->guesses, corePolicy, core, &candidates);
+    const size_t count = queueBuild(mem, core->table, pass->config, pass->use, pass->clock, core->guesses, corePolicy, core, &candidates, &pass->nextMs);
     const char *words;
     const uint64_t failures = corePolicyFailures(core, &words);
     if (failures > 0 && core->policyFailuresTold == 0)
@@ -280,11 +291,15 @@
     keptBegin(pass, candidates, count);
     for (size_t i = 0; i < count && pass->places.placementsCount < PLACE_BATCH; i++)
         placeOne(pass, &candidates[i]);
+    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
+    if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
+        *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
     if (pass->places.placementsCount > 0) {
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
             core->counts.placed += verdict.number;
+        seen++; /* our own change is no news */
     } else if (pass->pushes.roundsCount > 0) {
         Verdict verdict;
         if (coreSubmit(core, mem, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
@@ -295,27 +310,33 @@
             assureMore(pass);
     }
     talloc_free(mem);
-    return more;
+    return more || core->news > seen;
 }
 
 static void plannerMain(void *arg)
 {
     Core *core = arg;
     bool more = false;
+    int64_t nextMs = 0;
     while (!loopStopping(core->loop)) {
         if (!more)
-            signalWait(core->loop, viewNews(core->view), loopNowMs(core->loop) + PLACE_TICK_MS);
+            signalWait(core->loop, &core->wake, nextMs);
         loopSleep(core->loop, PASS_GAP_MS);
         more = false;
+        nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
         if (!coreDecides(core))
             continue;
         void *mem = talloc_new(core);
         lostFind(core, mem);
         if (coreDecides(core))
             copiesFind(core, mem);
+        if (loopNowMs(core->loop) >= core->placeFromMs && coreDecides(core))
+            gangsMend(core, mem);
         talloc_free(mem);
         if (loopNowMs(core->loop) >= core->placeFromMs && coreDecides(core))
-            more = passRun(core);
+            more = passRun(core, &nextMs);
+        else if (core->placeFromMs < nextMs)
+            nextMs = core->placeFromMs;
     }
 }
 
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -210,7 +210,7 @@
     ringSay(core->ring, RING_ALERT, loopNowMs(core->loop),
             "the view rested on woken seats: %zu of %zu changes told again were missing", told, itemCount);
     ordersWake(core);
-    signalRaise(core->loop, &core->wake);
+    coreNews(core);
     return true;
 }
 
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -20,7 +20,8 @@
     X(TXT, query, 0)          \
     X(BIN, body, 0)           \
     X(FLAG, relay, 0) /* a core that does not lead carries it on to the one that does */ \
-    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */
+    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */ \
+    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */
 SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
 
 #define PROXY_ANSWER_FIELDS(X) \
@@ -29,7 +30,9 @@
     X(BIN, body, 0)            \
     X(U64, retryAfterS, 0)     \
     X(LST, keeps, KeepItem)    \
-    X(U64, status, 0)
+    X(U64, status, 0)          \
+    X(U64, leaderEpoch, 0) /* the newest leader that is known to one who does not lead */ \
+    X(TXT, leaderId, 0)
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
 /* Answered when there is a revision above have, or, when the document is wanted
@@ -46,7 +49,8 @@
     X(U64, revision, 0)           \
     X(TXT, text, 0)               \
     X(ONE, limits, ConfigLimits)  \
-    X(LST, sets, ConfigSet) /* from textHave on, or one whole */
+    X(LST, sets, ConfigSet) /* from textHave on, or one whole */ \
+    X(FLAG, waits, 0)       /* it does not serve yet */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -15,7 +15,7 @@
 struct Feed {
     Loop *loop;
     Courier *courier;
-    Members *members;
+    Ways *ways;
     Trace *trace;
     FeedFn wanted;
     void *arg;
@@ -23,12 +23,19 @@
     uint64_t revision;
     int64_t learntMs;
     Revisions *revisions;
+    uint64_t turn; /* of the ways, when the newest asking task began */
 };
 
-Feed *feedNew(void *mem, Loop *loop, Courier *courier, Members *members, Trace *trace)
+/* Asks as long as its way is the one in use, so that a leader lost is not waited for. */
+typedef struct FeedAsking {
+    Feed *feed;
+    WaysTaken taken;
+} FeedAsking;
+
+Feed *feedNew(void *mem, Loop *loop, Courier *courier, Ways *ways, Trace *trace)
 {
     Feed *feed = talloc_zero(mem, Feed);
-    *feed = (Feed){.loop = loop, .courier = courier, .members = members, .trace = trace};
+    *feed = (Feed){.loop = loop, .courier = courier, .ways = ways, .trace = trace};
     feed->revisions = revisionsNew(feed, FEED_KEEP);
     return feed;
 }
@@ -117,35 +124,53 @@
     }
 }
 
-static Status askOnce(Feed *feed, const char *leader)
+static Status askOnce(Feed *feed, const WaysTaken *taken)
 {
     void *mem = talloc_new(feed);
     const uint64_t textHave = revisionsNewest(feed->revisions);
-    const FeedAsk ask = {.have = feed->revision,
-                         .textHave = textHave,
-                         .wants = textHave < feed->revision && loopNowMs(feed->loop) - feed->learntMs >= FEED_CALM_MS,
-                         .brief = true};
+    const bool wanted = feed->wanted == NULL || feed->wanted(feed->arg);
+    const bool calm = loopNowMs(feed->loop) - feed->learntMs >= FEED_CALM_MS;
+    FeedAsk ask = {.have = UINT64_MAX, .textHave = UINT64_MAX, .brief = true};
+    if (wanted)
+        ask = (FeedAsk){
+            .have = feed->revision, .textHave = textHave, .wants = textHave < feed->revision && calm, .brief = true};
     FeedAnswer answer = {0};
-    const Status status = courierAsk(feed->courier, mem, talloc_strdup(mem, leader), MESSAGE_FEED, &FeedAskShape, &ask,
+    const Status status = courierAsk(feed->courier, mem, taken->address, MESSAGE_FEED, &FeedAskShape, &ask,
                                      FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
-    if (status == STATUS_OK)
-        learn(feed, &answer);
+    if (status == STATUS_OK) {
+        waysHeard(feed->ways, taken, !answer.waits);
+        if (wanted)
+            learn(feed, &answer);
+    }
     talloc_free(mem);
     return status;
 }
 
-/* Asks with the revision that it has and is answered when there is news. */
+/* Asks with the revision that it has and is answered when there is news, or after a
+ * while. */
+static void askMain(void *arg)
+{
+    FeedAsking *asking = arg;
+    Feed *feed = asking->feed;
+    while (!loopStopping(feed->loop) && waysCurrent(feed->ways, &asking->taken))
+        if (askOnce(feed, &asking->taken) != STATUS_OK)
+            waysFailed(feed->ways, &asking->taken);
+    talloc_free(asking);
+}
+
+/* A leader is asked directly, never through others. */
 static void feedMain(void *arg)
 {
     Feed *feed = arg;
     while (!loopStopping(feed->loop)) {
-        const char *leader = membersLeaderAddress(feed->members);
-        if (leader == NULL)
-            signalWait(feed->loop, membersLeaderSignal(feed->members), loopNowMs(feed->loop) + BEAT_MS);
-        else if (feed->wanted != NULL && !feed->wanted(feed->arg))
-            loopSleep(feed->loop, BEAT_MS);
-        else if (askOnce(feed, leader) != STATUS_OK)
-            loopSleep(feed->loop, BEAT_MS / 2);
+        WaysTaken taken;
+        if (waysTake(feed->ways, &taken) && !taken.own && !taken.relay && taken.turn != feed->turn) {
+            feed->turn = taken.turn;
+            FeedAsking *asking = talloc_zero(feed, FeedAsking);
+            *asking = (FeedAsking){feed, taken};
+            loopSpawn(feed->loop, "feed", askMain, asking);
+        }
+        signalWait(feed->loop, waysMoved(feed->ways), INT64_MAX);
     }
 }
 
@@ -153,7 +178,7 @@
 {
     feed->wanted = wanted;
     feed->arg = arg;
-    loopSpawn(feed->loop, "feed", feedMain, feed);
+    loopSpawn(feed->loop, "feeds", feedMain, feed);
 }
 
 void feedTell(const Feed *feed, void *mem, KeepList *list)
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -46,27 +46,6 @@
     return kind[0] != '\0' || job->terms.kind == NULL ? kind : job->terms.kind;
 }
 
-static bool stepDone(const Job *job, uint64_t turn, const char *name)
-{
-    for (size_t s = 0; s < job->spec.stepsCount; s++) {
-        if (strcmp(job->spec.steps[s].name, name) != 0)
-            continue;
-        const size_t first = stepFirst(job, turn, s);
-        for (size_t i = first; i < first + job->spec.steps[s].count; i++)
-            if (job->tasks[i].phase != TASK_DONE)
-                return false;
-    }
-    return true;
-}
-
-static bool stepsBefore(const Job *job, uint64_t turn, const StepSpec *step)
-{
-    for (size_t i = 0; i < step->afterCount; i++)
-        if (!stepDone(job, turn, step->after[i]))
-            return false;
-    return true;
-}
-
 /* The wall time before which the turn must not start; 0: none. */
 static int64_t turnWallMs(const Job *job, uint64_t turn)
 {
@@ -94,7 +73,7 @@
     const StepSpec *step = &job->spec.steps[one->step];
     if (!dueCame(job, one->turn, clock))
         return WAIT_DUE;
-    if (!stepsBefore(job, one->turn, step))
+    if (!taskStepsDone(job, one))
         return WAIT_STEPS;
     if (clock.logMs < one->restUntilMs)
         return WAIT_REST;
@@ -316,8 +295,15 @@
     const Policy *policy; /* of the job's cell */
     Candidate *list;
     size_t count, room;
+    int64_t nextMs;
 } Build;
 
+static void nextAt(Build *build, int64_t logMs)
+{
+    if (logMs > build->clock.logMs && logMs < build->nextMs)
+        build->nextMs = logMs;
+}
+
 /* Ranks of jobs with an aim are cut into bands, inside which tenants take turns. */
 static double rankOf(const Build *build, const Job *job, size_t task, const Aim *aim)
 {
@@ -364,13 +350,15 @@
         size_t at = first;
         while (at < end && job->tasks[at].phase != TASK_WAITING)
             at++;
-        if (at == end || !stepsBefore(job, turn, step))
+        if (at == end || !taskStepsDone(job, &job->tasks[at]))
             continue;
         if (!known)
             aimFind(job, fromMs(job, turn, build->clock), build->guesses, build->quarter, &aim);
         known = true;
         const double rank = rankOf(build, job, at, &aim);
         for (; at < end; at++) {
+            if (job->tasks[at].phase == TASK_WAITING)
+                nextAt(build, job->tasks[at].restUntilMs);
             if (job->tasks[at].phase != TASK_WAITING || logMs < job->tasks[at].restUntilMs) {
                 if (step->gang)
                     break;
@@ -386,7 +374,7 @@
 }
 
 size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **out)
+                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **out, int64_t *nextMs)
 {
     const Room fleet = use->fleet;
     Build build = {
@@ -395,18 +383,23 @@
         .use = use,
         .clock = clock,
         .guesses = guesses,
+        .nextMs = INT64_MAX,
         .quarter = {fleet.cpuMilli / AIM_WAVE_PART, fleet.memMb / AIM_WAVE_PART, fleet.gpu / AIM_WAVE_PART},
     };
     Job *const *jobs;
     const size_t jobCount = tableActive(table, &jobs);
     for (size_t j = 0; j < jobCount; j++) {
         const Job *job = jobs[j];
-        if (job->ending != JOB_ACTIVE)
+        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)
             continue;
         build.policy = policy(arg, configCell(config, job->spec.cell));
-        for (uint64_t turn = 0; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
+        uint64_t turn = 0;
+        for (; turn < turnsOf(job) && dueCame(job, turn, clock); turn++)
             turnWalk(&build, job, turn);
+        if (turn < turnsOf(job))
+            nextAt(&build, fromMs(job, turn, clock));
     }
+    *nextMs = build.nextMs;
     if (build.count > 0)
         turnsTake(mem, config, use, build.list, build.count);
     *out = build.list;
