--- a/packages/sim/src/checker.h
+++ b/packages/sim/src/checker.h
@@ -108,6 +108,8 @@
 SeenTask *seenTask(SeenJob *job, uint64_t task);
 /* Whether the task of that index finished well; of a gang one member's end stands for all. */
 bool seenDone(const Job *known, SeenJob *job, size_t at);
+/* ... and its worker was told that this is known. */
+bool seenDoneKnown(const Job *known, SeenJob *job, size_t at);
 SeenWorker *seenWorker(Checker *checker, const char *name);
 SeenTenant *seenTenant(Checker *checker, const char *name);
 /* The worker's round of the task runs no more. */
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -118,6 +118,11 @@
     checkerUnknown(((Fleet *)arg)->checker, id);
 }
 
+static void onCancelled(void *arg, const char *id)
+{
+    checkerCancelled(((Fleet *)arg)->checker, id);
+}
+
 /* --- building ------------------------------------------------------------------------ */
 
 static FleetNode *nodeAdd(Fleet *fleet, FleetRole role)
@@ -463,7 +468,7 @@
                          .rateMilli = rateMilli,
                          .forMs = forMs,
                          .twins = fleet->shape.mix == MIX_VARIED,
-                         .watch = {fleet, onSent, onAccepted, onRefused, onJobEnded, onUnknown}};
+                         .watch = {fleet, onSent, onAccepted, onRefused, onJobEnded, onUnknown, onCancelled}};
     for (int i = 0; i < fleet->nodeCount[FLEET_GATE]; i++)
         props.entries[props.entryCount++] = fleet->nodes[FLEET_GATE][i].props.http;
     Loop *loop = simLoop(fleet->world, fleet->caller);
--- a/packages/standin/include/standin/caller.h
+++ b/packages/standin/include/standin/caller.h
@@ -21,7 +21,7 @@
     X(URGENT, "urgent") X(SWEEP, "sweep") X(HEAVY, "heavy")                      \
     X(GANG, "gang") X(DUE, "due") X(DELAYED, "delayed") X(COPIES, "copies")      \
     X(KIND, "kind") X(LABEL, "label") X(BOUNDED, "bounded") X(IMPOSSIBLE, "impossible") \
-    X(PROBE, "probe")
+    X(PROBE, "probe") X(TURNS, "turns") X(LASTING, "lasting")
 typedef enum MixClass {
 #define X(name, word) CLASS_##name,
     CLASS_LIST(X)
@@ -50,7 +50,7 @@
     int64_t wallMs; /* when it was first sent */
     int64_t sentMs, acceptedMs, startedMs, endedMs; /* own clock; 0: not yet */
     uint64_t sends;
-    bool refused;
+    bool refused, cancelled;
     char phase[16];
 } CallerJob;
 
@@ -61,6 +61,7 @@
     void (*refused)(void *arg, const char *id, int code);
     void (*ended)(void *arg, const char *id, const char *phase);
     void (*unknown)(void *arg, const char *id); /* an accepted job was said to be unknown */
+    void (*cancelled)(void *arg, const char *id);
 } CallerWatch;
 
 typedef struct CallerProps {
--- a/packages/standin/src/mix.c
+++ b/packages/standin/src/mix.c
@@ -107,6 +107,16 @@
     case CLASS_IMPOSSIBLE:
         step = wallMs % 2 ? "\"kind\":\"none\",\"room\":{\"cpu\":1,\"memMb\":1}" : "\"room\":{\"cpu\":9999,\"memMb\":1}";
         break;
+    case CLASS_TURNS: /* turns overlap: each takes longer than until the next is due */
+        tail = talloc_asprintf(mem, ",\"turns\":3,\"periodMs\":700,\"firstWallMs\":%lld", (long long)wallMs + 500 + wallMs % 1500);
+        step = "\"count\":2,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}},{\"name\":\"two\",\"after\":[\"one\"],"
+               "\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}";
+        break;
+    case CLASS_LASTING:
+        tail = ",\"lasting\":true";
+        step = talloc_asprintf(mem, "\"count\":2,\"room\":{\"cpu\":0.5,\"memMb\":256},\"payload\":{\"runMs\":900,\"failRounds\":%d}",
+                               (int)(wallMs % 3));
+        break;
     default:
         break;
     }
--- a/src/standins.c
+++ b/src/standins.c
@@ -279,7 +279,7 @@
         standIn->loop = realLoopNew(mem);
         standIn->record = (Record){standIn->loop, path != NULL ? fopen(path, "a") : NULL};
         standIn->configure = configure != 0;
-        props->watch = (CallerWatch){&standIn->record, onSent, onAccepted, onRefused, onJobEnded, onUnknown};
+        props->watch = (CallerWatch){&standIn->record, onSent, onAccepted, onRefused, onJobEnded, onUnknown, NULL};
         loopSpawn(standIn->loop, "caller", callerMain, standIn);
         realLoopRun(standIn->loop, NULL, NULL);
         code = standIn->code;
