--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -22,7 +22,7 @@
     for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
         const LiveRow *row = livesetFind(core->liveset, worker);
         /* a worker never heard of by this leader: its first hold counts */
-        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
         if (nowMs > untilMs && (row == NULL || !row->losing))
             mapSet(lost, worker, core);
     }
