--- a/packages/sim/test/sweep.c
+++ b/packages/sim/test/sweep.c
@@ -24,38 +24,44 @@
     }
 }
 
-static void trentvale(void **state)
-{
-    (void)state;
-    /* 8, 28: views opened anew without end; 80, 88, 260: epochs forgotten; 28, 416:
-     * accepted jobs not told again; 809: an order given while its worker's loss was
-     * decided but not yet committed; 866: a repair that a change of view cut short */
-    static const uint64_t LIST[] = {1, 2, 3, 8, 28, 80, 88, 260, 416, 809, 866};
-    seeds(MIX_TRENTVALE, LIST, sizeof(LIST) / sizeof(LIST[0]));
-}
+/* Each a case of its own, so that they are walked side by side. */
+#define SWEPT(name, mix, ...)                              \
+    static void name(void **state)                         \
+    {                                                      \
+        static const uint64_t LIST[] = {__VA_ARGS__};      \
+        (void)state;                                       \
+        seeds(mix, LIST, sizeof(LIST) / sizeof(LIST[0])); \
+    }
 
-static void atlas(void **state)
-{
-    (void)state;
-    static const uint64_t LIST[] = {4, 5, 6, 140, 178, 512, 520, 1572}; /* 1572: finished, then handed in again */
-    seeds(MIX_ATLAS, LIST, sizeof(LIST) / sizeof(LIST[0]));
-}
+/* 8, 28: views opened anew without end; 80, 88, 260: epochs forgotten; 28, 416:
+ * accepted jobs not told again; 809: an order given while its worker's loss was
+ * decided but not yet committed; 866: a repair that a change of view cut short */
+SWEPT(trentvale1, MIX_TRENTVALE, 1, 2, 3)
+SWEPT(trentvale8, MIX_TRENTVALE, 8, 28, 80)
+SWEPT(trentvale88, MIX_TRENTVALE, 88, 260, 416)
+SWEPT(trentvale809, MIX_TRENTVALE, 809, 866)
 
-static void varied(void **state)
-{
-    (void)state;
-    /* 5, 14: a gang, some of whose members had finished, never started again; 17: one
-     * whose members rest unequally; 23, 65: a core with a new disk at an address where
-     * a seat's disk had stood answered for it; 80: a repair that took a commit for each
-     * change told again; 110: claims and a worker's new boot. Of the others' seeds above,
-     * 512: a core whose disk fails went on proposing itself; 178: a disk that takes 1.4 s,
-     * just too little to leave the view; 86: a gate cut one way from the leader alone */
-    static const uint64_t LIST[] = {5, 80, 86, 14, 23, 17, 65, 77, 110};
-    seeds(MIX_VARIED, LIST, sizeof(LIST) / sizeof(LIST[0]));
-}
+/* 1572: finished, then handed in again */
+SWEPT(atlas4, MIX_ATLAS, 4, 5, 6)
+SWEPT(atlas140, MIX_ATLAS, 140, 178, 512)
+SWEPT(atlas520, MIX_ATLAS, 520, 1572)
+
+/* 5, 14: a gang, some of whose members had finished, never started again; 17: one
+ * whose members rest unequally; 23, 65: a core with a new disk at an address where
+ * a seat's disk had stood answered for it; 80: a repair that took a commit for each
+ * change told again; 110: claims and a worker's new boot. Of the others' seeds above,
+ * 512: a core whose disk fails went on proposing itself; 178: a disk that takes 1.4 s,
+ * just too little to leave the view; 86: a gate cut one way from the leader alone */
+SWEPT(varied5, MIX_VARIED, 5, 80, 86)
+SWEPT(varied14, MIX_VARIED, 14, 23, 17)
+SWEPT(varied65, MIX_VARIED, 65, 77, 110)
 
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(trentvale), cmocka_unit_test(atlas), cmocka_unit_test(varied)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(trentvale1), cmocka_unit_test(trentvale8), cmocka_unit_test(trentvale88), cmocka_unit_test(trentvale809),
+        cmocka_unit_test(atlas4),     cmocka_unit_test(atlas140),   cmocka_unit_test(atlas520),    cmocka_unit_test(varied5),
+        cmocka_unit_test(varied14),   cmocka_unit_test(varied65),
+    };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -4,7 +4,7 @@
 must pass. A removal that nothing notices is a finding: the guard is idle or the
 scenario is weak.
 
-  guards.py [--only NAME,NAME] [--work FOLDER] [--list]
+  guards.py [--only NAME,NAME] [--work FOLDER] [--list] [--fit]
 
 Exit code 1 when a removal was not noticed, or a scenario breaks with its guard in.
 """
@@ -172,10 +172,10 @@
           "    while (!batch->over)\n        signalWait(core->loop, &batch->ended, INT64_MAX);\n", "",
           "finished well", "timeline", "trentvale", 24, LEADER_KILLED),
     Guard("steps", "a step waits for those it depends on", "packages/queue/src/queue.c",
-          "            if (at == end || !stepsBefore(job, step))", "            if (at == end)",
+          "        if (at == end || !taskStepsDone(job, &job->tasks[at]))", "        if (at == end)",
           "before its steps or its due time", "timeline", "trentvale", 2, MACHINE_OFF),
     Guard("due", "nothing starts before its due time or delay", "packages/queue/src/queue.c",
-          "if (job->ending != JOB_ACTIVE || !dueCame(job, clock))", "if (job->ending != JOB_ACTIVE)",
+          "turn < turnsOf(job) && dueCame(job, turn, clock); turn++)", "turn < turnsOf(job); turn++)",
           "before its steps or its due time", "timeline", "varied", 2, MACHINE_OFF),
     Guard("wall-median", "a due time is judged by the median of the seats' clocks", "packages/view/src/lead.c",
           "view->wallOffsetMs = offsets[(count - 1) / 2];", "view->wallOffsetMs = offsets[count - 1];",
@@ -184,7 +184,7 @@
 0      jump:3600000   call:10
 12000  .              end
 """),
-    Guard("quota", "a tenant's work is held to its quota", "packages/core/src/planner.c",
+    Guard("quota", "a tenant's work is held to its quota", "packages/core/src/place.c",
           "if (pass->stuck == step || !underQuota(pass, candidate, step))", "if (pass->stuck == step)",
           "more of a tenant", "timeline", "varied", 2, WORKERS_KILLED),
     Guard("kind", "a worker is of the kind asked for", "packages/plan/src/plan.c",
@@ -209,36 +209,36 @@
     Guard("leaving", "a leaving worker gets no new work", "packages/beat/src/liveset.c",
           "           !row->leaving && ", "           ",
           "leaving worker", "timeline", "trentvale", 3, LEAVES),
-    Guard("cancel-stops", "a cancelled job's tasks are stopped", "packages/table/src/table.c",
-          "    jobStopTasks(table, job, change->atMs);\n    jobSettle(table, job, change->atMs);\n}\n\nstatic void deliverPlace",
-          "    jobSettle(table, job, change->atMs);\n}\n\nstatic void deliverPlace",
+    Guard("cancel-stops", "a cancelled job's tasks are stopped", "packages/table/src/deliverjob.c",
+          "        job->ending = JOB_CANCELLED;\n    jobStopTasks(table, job, change->atMs);", "        job->ending = JOB_CANCELLED;",
           "starting long after its job was cancelled|running on after|not ended|forgotten", "sweep", "varied", 1, 24),
     Guard("cancel-starts", "a cancelled job's tasks are not started", "packages/queue/src/queue.c",
-          "if (job->ending != JOB_ACTIVE || !dueCame(job, clock))", "if (!dueCame(job, clock))",
+          "        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)", "        if (job->sums.waiting == 0)",
           "starting long after its job was cancelled|running on after", "sweep", "varied", 1, 24,
-          also=[("packages/table/src/table.c", " || job->ending != JOB_ACTIVE)\n            continue;\n        JobTask *task = &job->tasks[place->task];",
-                 ")\n            continue;\n        JobTask *task = &job->tasks[place->task];")]),
+          also=[("packages/table/src/deliverplace.c", " || (*job)->ending != JOB_ACTIVE)", ")")]),
     Guard("stop-told", "what is not wanted is stopped", "packages/agent/src/orders.c",
           "            round->phase = PHASE_STOPPING;\n        signalRaise", "            (void)round;\n        signalRaise",
           "running on after|running twice|left waiting alone|" + CLAIM, "sweep", "varied", 1, 24),
-    Guard("gang-whole", "a gang is placed whole or not at all", "packages/core/src/planner.c",
-          "    bool fits = placed == candidate->count, assured = false;", "    bool fits = placed > 0, assured = false;",
+    Guard("gang-whole", "a gang is placed whole or not at all", "packages/core/src/place.c",
+          "            takeBack(pass, step, where, i);\n            return false;",
+          "            ((Candidate *)(uintptr_t)candidate)->count = i;\n            return i > 0;",
           "left waiting alone", "timeline", "varied", 4, """
 ms     worker1  worker2  worker3  worker4  worker5  worker6  worker7  worker8  callers
 0      kill     kill     kill     kill     kill     kill     kill     kill     call:12/12000
 40000  start    start    start    start    start    start    start    start    .
 60000  .        .        .        .        .        .        .        .        end
-"""),
-    Guard("gang-stopped", "when a member is lost the others stop", "packages/table/src/table.c",
-          "    if (!job->spec.steps[step].gang)\n        return;", "    if (true || !job->spec.steps[step].gang)\n        return;",
+""", also=[("packages/table/src/deliverplace.c", "return together == left ? together : 0;", "return together;")]),
+    Guard("gang-stopped", "when a member is lost the others stop", "packages/table/src/gang.c",
+          "        if (other != task && (other->phase", "        if (false && (other->phase",
           "left waiting alone", "sweep", "varied", 1, 40),
-    Guard("base-check", "a configuration builds on the one in force", "packages/table/src/table.c",
-          "if (set->restored ? set->revision <= current : set->base != current) {", "if (set->restored && set->revision <= current) {",
+    Guard("base-check", "a configuration builds on the one in force", "packages/table/src/deliverconfig.c",
+          "const bool follows = set->base == current && revision", "const bool follows = revision",
           "configuration", "sweep", "varied", 1, 60),
     Guard("config-refused", "a refused configuration is not taken", "packages/core/src/configs.c",
-          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        return;\n    }",
-          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
-          "refused configuration|configuration", "sweep", "varied", 1, 60),
+          "    if (set.base != current) {\n        refuseStale(way, current);\n        return;\n    }",
+          "    if (set.base != current) {\n        refuseStale(way, current);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
+          "refused configuration|configuration", "sweep", "varied", 1, 60,
+          also=[("packages/table/src/deliverconfig.c", "const bool follows = set->base == current && revision", "const bool follows = revision")]),
     Guard("refused-not-run", "a refused job is not submitted", "packages/core/src/jobs.c",
           "    if (!jobAdmissible(way->faults, spec, config, core->table)) {\n        wayRefuse(way);\n        return NULL;\n    }",
           "    if (!jobAdmissible(way->faults, spec, config, core->table)) {\n        wayRefuse(way);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
@@ -271,7 +271,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
         shutil.copytree(ROOT, self.folder, ignore=lambda at, names: [
             name for name in names
-            if name == ".git" or name.startswith(("build", "run")) and at == ROOT])
+            if name == ".git" or name.startswith(("build", "run", "target")) and at == ROOT])
         self.build = os.path.join(self.folder, "build")
         self.run(["cmake", "-S", self.folder, "-B", self.build, "-G", "Ninja"], check=True)
         self.make()
@@ -328,11 +328,21 @@
                     yield "?", f"the run ended with {child.returncode}"
 
 
+def unfit(guard):
+    """What of a row's texts does not stand in the sources exactly once."""
+    for path, out, _ in guard.edits:
+        with open(os.path.join(ROOT, path)) as file:
+            count = file.read().count(out)
+        if count != 1:
+            yield f"{guard.name}: {path} has {count} times: {out.strip().splitlines()[0][:90]}"
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--only", default="")
     parser.add_argument("--work", default="/tmp/spancart-guards")
     parser.add_argument("--list", action="store_true")
+    parser.add_argument("--fit", action="store_true", help="only whether each row's text stands once in the sources")
     options = parser.parse_args()
     names = [name for name in options.only.split(",") if name]
     unknown = set(names) - {guard.name for guard in GUARDS}
@@ -344,6 +354,10 @@
         for guard in chosen:
             print(f"{guard.name}: {guard.what}")
         return 0
+    if options.fit:
+        bad = [line for guard in chosen for line in unfit(guard)]
+        print("\n".join(bad) or f"{len(chosen)} rows fit the sources")
+        return 1 if bad else 0
     scratch = Scratch(options.work)
     bad = 0
     for guard in chosen:
--- a/scripts/rollout.py
+++ b/scripts/rollout.py
@@ -6,9 +6,11 @@
 record of what really ran is checked for every never.
 
   rollout.py FOLDER --binary SPANCART
+  rollout.py --fit       whether the sources still have what the next release changes
 """
 import argparse
 import os
+import re
 import shutil
 import signal
 import subprocess
@@ -22,17 +24,37 @@
 
 # What the next release adds: fields at the end, of a beat, of an answer with
 # orders, of a carried request, of a record of the log; and a message kind.
-NEXT = [
-    ("packages/beat/include/beat/messages.h", "    X(I64, waitMs, 0)   /* the answer may be held back for so long, for newer ones */\n",
-     "    X(I64, waitMs, 0) X(U64, addedLater, 0)\n"),
-    ("packages/beat/include/beat/messages.h", "    X(LST, wanted, RoundId)\n", "    X(LST, wanted, RoundId)    \\\n    X(TXT, noteLater, 0)\n"),
-    ("packages/feed/include/feed/messages.h", "    X(FLAG, relay, 0) ", "    X(FLAG, relay, 0) X(U64, addedLater, 0) "),
-    ("packages/view/include/view/messages.h", "    X(FLAG, repair, 0)\n", "    X(FLAG, repair, 0)          \\\n    X(U64, addedLater, 0)\n"),
-    ("packages/table/include/table/change.h", "    X(FLAG, assured, 0)\nSHAPE(Placement", "    X(FLAG, assured, 0) X(U64, addedLater, 0)\nSHAPE(Placement"),
-    ("packages/agent/src/beat.c", "    const Status status = courierAsk(", "    /* a message that the release before does not know */\n"
-     "    courierAsk(agent->courier, beat, beat->address, (MessageKind)250, &BeatAskShape, &ask, 50, &BeatAnswerShape, &answer);\n"
-     "    const Status status = courierAsk("),
+NEXT_FIELDS = [
+    ("packages/beat/include/beat/messages.h", "BEAT_ASK_FIELDS", "X(U64, addedLater, 0)"),
+    ("packages/beat/include/beat/messages.h", "FETCH_ANSWER_FIELDS", "X(TXT, noteLater, 0)"),
+    ("packages/feed/include/feed/messages.h", "PROXY_ASK_FIELDS", "X(U64, addedLater, 0)"),
+    ("packages/view/include/view/messages.h", "VIEW_RECORD_FIELDS", "X(U64, addedLater, 0)"),
+    ("packages/table/include/table/change.h", "PLACEMENT_FIELDS", "X(U64, addedLater, 0)"),
 ]
+NEXT_KIND = ("packages/agent/src/beat.c", r"\n    const Status status = courierAsk\(",
+             "\n    /* a message that the release before does not know */\n"
+             "    courierAsk(agent->courier, beat, beat->address, (MessageKind)250, &BeatAskShape, &ask, 50, &BeatAnswerShape, &answer);\n"
+             "    const Status status = courierAsk(")
+
+
+def edited(root, path, pattern, instead):
+    """The text of path with the one place that pattern finds changed."""
+    with open(os.path.join(root, path)) as file:
+        text = file.read()
+    text, count = re.subn(pattern, instead, text)
+    if count != 1:
+        raise SystemExit(f"{path} has {count} places that the next release changes, wanted 1: {pattern}")
+    return text
+
+
+def next_edits(root):
+    """(path, edit) of each; a list of fields is one macro, with its continued lines."""
+    for path, name, field in NEXT_FIELDS:
+        yield path, lambda folder, path=path, name=name, field=field: edited(
+            folder, path, r"(#define " + name + r"\(X\)(?:[^\n]*\\\n)*[^\n]*)\n",
+            lambda match: match.group(1) + " \\\n    " + field + "\n")
+    path, pattern, instead = NEXT_KIND
+    yield path, lambda folder: edited(folder, path, pattern, lambda match: instead)
 
 
 def run(args):
@@ -43,15 +65,11 @@
 
 def next_release(folder):
     shutil.copytree(ROOT, folder, ignore=lambda at, names: [
-        name for name in names if name == ".git" or name.startswith(("build", "run")) and at == ROOT])
-    for path, out, instead in NEXT:
-        path = os.path.join(folder, path)
-        with open(path) as file:
-            text = file.read()
-        if out not in text:
-            raise SystemExit(f"{path} does not have the text that the next release changes")
-        with open(path, "w") as file:
-            file.write(text.replace(out, instead, 1))
+        name for name in names if name == ".git" or name.startswith(("build", "run", "target")) and at == ROOT])
+    for path, edit in next_edits(folder):
+        text = edit(folder)
+        with open(os.path.join(folder, path), "w") as file:
+            file.write(text)
     run(["cmake", "-S", folder, "-B", os.path.join(folder, "build"), "-G", "Ninja"])
     run(["cmake", "--build", os.path.join(folder, "build"), "--target", "spancart"])
     return os.path.join(folder, "build", "spancart")
@@ -85,10 +103,17 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("folder")
+    parser.add_argument("folder", nargs="?")
     parser.add_argument("--binary", default=os.path.join(ROOT, "build", "spancart"))
     parser.add_argument("--workers", type=int, default=5)
+    parser.add_argument("--fit", action="store_true")
     options = parser.parse_args()
+    if options.fit:
+        for _, edit in next_edits(ROOT):
+            edit(ROOT)
+        return 0
+    if options.folder is None:
+        parser.error("a folder is needed")
     shutil.rmtree(options.folder, ignore_errors=True)
     os.makedirs(options.folder)
     present = os.path.abspath(options.binary)
