An agent's answers to a busy worker; tests of the agent between a leader and a worker of their own

Cause: a worker that says nothing before it is answered was either answered at once, and asked again 20 times a second, or kept an end back for the whole poll. The agent decides now: while something runs its question waits 50 ms and it asks again after 50 (of a cycle's cost in waiting, (held^2 + pause^2) / 2 cycles, equal halves are the least: the same 75 ms for an order and an end together as before, with half the questions); an idle one's waits for the whole poll. An end's acknowledgement goes with what is to start next in the same answer. Tests: packages/agent/test stubs the leader and speaks as the worker: new boot, late and repeated words, leave, saved told once and again to a new leader, known after the commit, hold less 2%, lapse, fence, 500 ends, a lost answer, an earlier agent's round, silence. Idle agent: two beats a second, nothing else.

--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -17,6 +17,7 @@
     bool freeTold;
     Room free;
     int64_t waitMs;    /* the answer may be held back for so long */
+    bool endsWait;     /* it says nothing more before it is answered, not even that something has ended */
     const RoundNews *running, *ended;
     size_t runningCount, endedCount;
 } WorkerReport;
@@ -35,6 +36,7 @@
     size_t stopsCount;
     const RoundId *known; /* of the rounds that it has told as ended: those whose end is committed */
     size_t knownCount;
+    int64_t againMs;      /* unless something ends there, it need not ask again before */
 } WorkerOrders;
 
 /* Waits, at most report->waitMs, for something to answer with. gone is looked at
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -174,6 +174,18 @@
     return round != NULL && round->phase >= PHASE_ENDED;
 }
 
+static bool knownAny(Agent *agent, const WorkerReport *report)
+{
+    for (size_t i = 0; i < report->endedCount; i++) {
+        const RoundNews *news = &report->ended[i];
+        const Round *round = roundFind(agent, news->job, news->task, news->round);
+        if (round != NULL && round->phase == PHASE_KNOWN)
+            return true;
+    }
+    return false;
+}
+
+/* Whether there is something that does not wait. */
 static bool anythingFor(Agent *agent, const WorkerReport *report)
 {
     const int64_t nowMs = loopNowMs(agent->loop);
@@ -184,13 +196,20 @@
     for (size_t i = 0; i < report->runningCount; i++)
         if (lingers(agent, &report->running[i]))
             return true;
-    for (size_t i = 0; i < report->endedCount; i++) {
-        const RoundNews *news = &report->ended[i];
-        const Round *round = roundFind(agent, news->job, news->task, news->round);
-        if (round != NULL && round->phase == PHASE_KNOWN)
-            return true;
-    }
-    return false;
+    /* what comes next for the room of what has ended goes in the same answer */
+    return !report->endsWait && knownAny(agent, report);
+}
+
+/* While something runs, an end may wait for the answer, as an order may for the next
+ * question: of each the half costs least. While nothing does, only an order can come. */
+static int64_t answerUntilMs(const Agent *agent, const WorkerReport *report)
+{
+    int64_t waitMs = agent->props->bounds.workerPollMs;
+    if (report->waitMs < waitMs)
+        waitMs = report->waitMs;
+    if (report->endsWait && report->runningCount + report->endedCount > 0 && waitMs > WORKER_BUSY_MS)
+        waitMs = WORKER_BUSY_MS;
+    return loopNowMs(agent->loop) + waitMs;
 }
 
 /* What of the rest of the agent's own hold is passed on. */
@@ -223,7 +242,8 @@
                              .starts = starts,
                              .startMs = INT64_MAX,
                              .stops = stops,
-                             .known = known};
+                             .known = known,
+                             .againMs = WORKER_AGAIN_MS};
     for (Round *round = agent->rounds.lives.first, *next; round != NULL; round = next) {
         next = round->next;
         if (round->phase == PHASE_OFFERED && nowMs >= round->expiryMs) {
@@ -271,8 +291,7 @@
         orders->holdMs = 0;
         return STATUS_OK;
     }
-    const int64_t mostMs = agent->props->bounds.workerPollMs;
-    const int64_t untilMs = nowMs + (report->waitMs < mostMs ? report->waitMs : mostMs);
+    const int64_t untilMs = answerUntilMs(agent, report);
     while (question == agent->questions && !*gone && !anythingFor(agent, report))
         if (!signalWait(agent->loop, &agent->forWorker, untilMs))
             break;
--- /dev/null
+++ b/packages/agent/test/agent.c
@@ -0,0 +1,716 @@
+/* One agent between a leader and a worker that both say and do exactly what a case
+ * wants. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "agent/report.h"
+#include "base/epoch.h"
+#include "beat/hold.h"
+#include "sim/world.h"
+
+#define BOSS "10.0.0.1:7000"
+#define EPOCH(counter) ((uint64_t)(counter) << EPOCH_HOLDER_BITS | 1)
+#define LISTED 600 /* count; more than a worker lists at once */
+
+/* A leader of the case's making, and all that the agent told it. */
+typedef struct Boss {
+    Loop *loop;
+    Courier *courier;
+    Members *members;
+    uint64_t epoch;
+    int64_t holdMs;
+    bool deaf;     /* answers no beat */
+    bool commits;  /* else a telling waits */
+    uint64_t revision;
+    BeatAnswer orders;
+    Signal changed;
+    BeatAsk beat;  /* the newest */
+    size_t beats, tellings;
+    RoundNews news[LISTED * 2];
+    size_t newsCount;
+    RoundSaved saved[LISTED];
+    size_t savedCount;
+} Boss;
+
+typedef struct Case {
+    SimWorld *world;
+    Boss boss;
+    int bossMachine, agentMachine;
+    Props props;
+    Agent *agent;
+    Worker worker;
+} Case;
+
+static Status onBeat(void *arg, void *mem, const void *question, void *answer)
+{
+    Boss *boss = arg;
+    const BeatAsk *beat = question;
+    BeatAnswer *out = answer;
+    (void)mem;
+    if (boss->deaf)
+        return STATUS_NOT_LEADER;
+    boss->beats++;
+    talloc_free((void *)(uintptr_t)boss->beat.agent);
+    void *kept = talloc_named_const(boss->courier, 1, "beat");
+    shapeCopy(&BeatAskShape, beat, kept, &boss->beat);
+    boss->beat.agent = kept;
+    for (size_t i = 0; i < beat->savedCount && boss->savedCount < LISTED; i++)
+        shapeCopy(&RoundSavedShape, &beat->saved[i], boss->courier, &boss->saved[boss->savedCount++]);
+    const int64_t untilMs = loopNowMs(boss->loop) + beat->waitMs;
+    while (beat->have == boss->revision && beat->haveEpoch == boss->epoch)
+        if (!signalWait(boss->loop, &boss->changed, untilMs))
+            break;
+    if (boss->deaf)
+        return STATUS_NOT_LEADER;
+    *out = boss->orders;
+    out->epoch = boss->epoch;
+    out->holdMs = boss->holdMs;
+    out->revision = boss->revision;
+    out->expiryMs = ORDER_EXPIRY_MS;
+    out->orders = beat->have != boss->revision || beat->haveEpoch != boss->epoch;
+    return STATUS_OK;
+}
+
+static Status onTell(void *arg, void *mem, const void *question, void *answer)
+{
+    Boss *boss = arg;
+    const TellAsk *ask = question;
+    (void)mem;
+    (void)answer;
+    boss->tellings++;
+    for (size_t i = 0; i < ask->newsCount && boss->newsCount < LISTED * 2; i++)
+        shapeCopy(&RoundNewsShape, &ask->news[i], boss->courier, &boss->news[boss->newsCount++]);
+    while (!boss->commits)
+        signalWait(boss->loop, &boss->changed, INT64_MAX);
+    return STATUS_OK;
+}
+
+static void bossStart(void *arg, Loop *loop)
+{
+    Case *c = arg;
+    Boss *boss = &c->boss;
+    Ring *ring = ringNew(loop, "boss");
+    ringQuiet(ring);
+    boss->loop = loop;
+    boss->courier = courierNew(loop, loop, ring);
+    courierSetCluster(boss->courier, 7);
+    courierHandle(boss->courier, MESSAGE_BEAT, &BeatAskShape, &BeatAnswerShape, onBeat, boss);
+    courierHandle(boss->courier, MESSAGE_TELL, &TellAskShape, &TellAnswerShape, onTell, boss);
+    char address[ADDRESS_MAX];
+    courierListen(boss->courier, BOSS, address, NULL);
+    const MemberRecord self = {
+        .id = "boss", .name = "boss", .role = ROLE_CORE, .zone = "z", .address = BOSS, .http = "", .incarnation = 1};
+    const char *const seeds[SEEDS] = {BOSS, BOSS, BOSS};
+    boss->members = membersNew(loop, loop, boss->courier, ring, &self, seeds);
+    membersStart(boss->members);
+    membersSetLeader(boss->members, boss->epoch, "boss");
+}
+
+static void agentBoot(void *arg)
+{
+    Case *c = arg;
+    Loop *loop = simLoop(c->world, c->agentMachine);
+    Ring *ring = ringNew(loop, "agent");
+    ringQuiet(ring);
+    Mishap mishap = {0};
+    assert_int_equal(agentStart(loop, loop, ring, &c->props, &c->agent, &mishap), STATUS_OK);
+}
+
+static void agentBegin(void *arg, Loop *loop)
+{
+    loopSpawn(loop, "boot", agentBoot, arg);
+}
+
+static void run(Case *c, int64_t forMs)
+{
+    simRunUntil(c->world, simNowMs(c->world) + forMs);
+}
+
+static Case *caseNew(int64_t holdMs, int64_t workerHoldMs)
+{
+    Case *c = talloc_zero(NULL, Case);
+    c->world = simWorldNew(c, 1);
+    c->bossMachine = simMachine(c->world);
+    c->agentMachine = simMachine(c->world);
+    c->boss.epoch = EPOCH(5);
+    c->boss.holdMs = holdMs;
+    c->boss.commits = true;
+    c->props = (Props){.name = "a1",
+                       .worker = "w1",
+                       .zone = "z",
+                       .listen = "10.0.0.2:7000",
+                       .http = "10.0.0.2:8000",
+                       .seeds = {BOSS, BOSS, BOSS},
+                       .bounds = boundsFirst()};
+    c->props.bounds.holdMs = holdMs;
+    c->props.bounds.workerHoldMs = workerHoldMs;
+    c->worker = (Worker){.name = "", .zone = "z", .rack = "r", .kind = "k", .room = {8000, 8000, 0}};
+    simStart(c->world, c->bossMachine, bossStart, c);
+    simStart(c->world, c->agentMachine, agentBegin, c);
+    run(c, 2000);
+    assert_non_null(c->agent);
+    return c;
+}
+
+/* --- the worker's side ------------------------------------------------------------ */
+
+/* A report on its way; its answer hangs on the case. */
+typedef struct Say {
+    Case *c;
+    WorkerReport report;
+    WorkerOrders orders;
+    Status status;
+    bool over, gone;
+    int64_t tookMs;
+} Say;
+
+static void sayMain(void *arg)
+{
+    Say *say = arg;
+    const int64_t sinceMs = simNowMs(say->c->world);
+    say->status = agentReport(say->c->agent, say->c, &say->gone, &say->report, &say->orders);
+    say->tookMs = simNowMs(say->c->world) - sinceMs;
+    say->over = true;
+}
+
+static Say *say(Case *c, const char *boot)
+{
+    Say *it = talloc_zero(c, Say);
+    it->c = c;
+    it->report = (WorkerReport){.boot = boot, .worker = c->worker, .bootEnds = true, .waitMs = 400};
+    return it;
+}
+
+static void sayBegin(Say *it)
+{
+    loopSpawn(simLoop(it->c->world, it->c->agentMachine), "say", sayMain, it);
+    run(it->c, 1);
+}
+
+static void sayAll(Say *it)
+{
+    sayBegin(it);
+    for (int i = 0; i < 100 && !it->over; i++)
+        run(it->c, 10);
+    assert_true(it->over);
+}
+
+static RoundNews news(const char *job, uint64_t task, uint64_t round, RoundWord word, const char *saved)
+{
+    return (RoundNews){.job = job, .task = task, .round = round, .worker = "", .word = word, .text = "", .saved = saved};
+}
+
+static Say *saying(Case *c, const char *boot, const RoundNews *running, size_t runningCount, const RoundNews *ended,
+                   size_t endedCount)
+{
+    Say *it = say(c, boot);
+    it->report.running = running;
+    it->report.runningCount = runningCount;
+    it->report.ended = ended;
+    it->report.endedCount = endedCount;
+    sayAll(it);
+    return it;
+}
+
+/* --- the leader's side -------------------------------------------------------------- */
+
+/* From now on these are wanted, and those of them are to start that have not. */
+static void order(Case *c, const Order *orders, size_t count)
+{
+    Boss *boss = &c->boss;
+    Order *starts = talloc_array(c, Order, (unsigned)count);
+    RoundId *wanted = talloc_array(c, RoundId, (unsigned)count);
+    for (size_t i = 0; i < count; i++) {
+        starts[i] = orders[i];
+        wanted[i] = (RoundId){orders[i].job, orders[i].task, orders[i].round};
+    }
+    boss->orders.starts = starts;
+    boss->orders.startsCount = count;
+    boss->orders.wanted = wanted;
+    boss->orders.wantedCount = count;
+    boss->revision++;
+    signalRaise(boss->loop, &boss->changed);
+    run(c, 60);
+}
+
+static Order one(const char *job, uint64_t task, uint64_t round, const char *saved)
+{
+    return (Order){job, task, round, {1000, 1000, 0}, "\"spec\"", saved};
+}
+
+static size_t told(const Boss *boss, const char *job, uint64_t task, uint64_t round, RoundWord word)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < boss->newsCount; i++)
+        count += boss->news[i].word == word && boss->news[i].round == round && boss->news[i].task == task &&
+                 strcmp(boss->news[i].job, job) == 0;
+    return count;
+}
+
+static const RoundSaved *savedLast(const Boss *boss, const char *job, uint64_t task)
+{
+    const RoundSaved *last = NULL;
+    for (size_t i = 0; i < boss->savedCount; i++)
+        if (boss->saved[i].task == task && strcmp(boss->saved[i].job, job) == 0)
+            last = &boss->saved[i];
+    return last;
+}
+
+/* --- cases ---------------------------------------------------------------------------- */
+
+static void orderReachesAQuestionThatWaits(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    run(c, 700); /* the beat that says that it lives has been answered */
+    Say *it = say(c, "b1");
+    sayBegin(it);
+    run(c, 100);
+    assert_false(it->over);
+    const Order orders[] = {one("j", 3, 1, "from here")};
+    order(c, orders, 1);
+    assert_true(it->over);
+    assert_int_equal(it->status, STATUS_OK);
+    assert_int_equal(it->orders.startsCount, 1);
+    assert_string_equal(it->orders.starts[0].job, "j");
+    assert_int_equal(it->orders.starts[0].task, 3);
+    assert_string_equal(it->orders.starts[0].payload, "\"spec\"");
+    assert_string_equal(it->orders.starts[0].saved, "from here");
+    assert_int_equal(it->orders.fence, 5);
+    assert_in_range(it->tookMs, 100, 130);
+    talloc_free(c);
+}
+
+static void holdIsPassedOnLessTwoPercent(void **state)
+{
+    (void)state;
+    Case *c = caseNew(6000, 2000);
+    Say *it = say(c, "b1");
+    it->report.waitMs = 0;
+    sayAll(it);
+    assert_int_equal(it->orders.holdMs, 1960);
+    assert_true(holdClaimMs(it->orders.holdMs) >= it->orders.holdMs * 102 / 100 + HOLD_SLACK_MS);
+    /* of a short rest the rest counts: it ends before the agent's own */
+    simCut(c->world, c->agentMachine, c->bossMachine, true);
+    run(c, 5000);
+    it = say(c, "b1");
+    it->report.waitMs = 0;
+    sayAll(it);
+    assert_in_range(it->orders.holdMs, 1, 1500);
+    talloc_free(c);
+}
+
+static void lapsedAgentGrantsNothing(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    sayAll(say(c, "b1"));
+    assert_true(saying(c, "b1", runs, 1, NULL, 0)->orders.holdMs > 0);
+    c->boss.deaf = true;
+    simCut(c->world, c->agentMachine, c->bossMachine, true);
+    run(c, 3100);
+    Say *it = saying(c, "b1", runs, 1, NULL, 0);
+    assert_int_equal(it->orders.holdMs, 0);
+    assert_int_equal(it->orders.startsCount, 0);
+    assert_int_equal(it->orders.stopsCount, 1);
+    talloc_free(c);
+}
+
+static void newBootEndsClaims(void **state)
+{
+    (void)state;
+    Case *c = caseNew(5000, 5000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, ""), one("j", 1, 1, "")};
+    order(c, orders, 2);
+    assert_int_equal(saying(c, "b1", NULL, 0, NULL, 0)->orders.startsCount, 2);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "half"), news("j", 1, 1, ROUND_RUNNING, "")};
+    saying(c, "b1", runs, 2, NULL, 0);
+    /* the next process: the old one's hold would run on for seconds */
+    Say *it = say(c, "b2");
+    sayAll(it);
+    assert_int_equal(it->status, STATUS_OK);
+    run(c, 20);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_LOST), 1);
+    assert_int_equal(told(&c->boss, "j", 1, 1, ROUND_LOST), 1);
+    assert_string_equal(c->boss.news[0].saved, "half");
+    /* a word of the old one that was late says nothing any more */
+    it = saying(c, "b1", runs, 2, NULL, 0);
+    assert_int_equal(it->status, STATUS_DUPLICATE_WORKER);
+    assert_int_equal(it->orders.holdMs, 0);
+    talloc_free(c);
+}
+
+static void unvouchedBootWaitsForTheHold(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    Say *it = say(c, "b2");
+    it->report.bootEnds = false;
+    sayAll(it);
+    assert_int_equal(it->status, STATUS_DUPLICATE_WORKER);
+    run(c, 3200);
+    it = say(c, "b2");
+    it->report.bootEnds = false;
+    sayAll(it);
+    assert_int_equal(it->status, STATUS_OK);
+    talloc_free(c);
+}
+
+static void leavingWorkerIsGivenNothing(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1); /* offered, not given yet */
+    Say *it = say(c, "b1");
+    it->report.leaving = true;
+    it->report.leaveMs = 7000;
+    it->report.waitMs = 0;
+    sayAll(it);
+    assert_int_equal(it->orders.startsCount, 0);
+    run(c, 20);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_STOPPED), 1);
+    assert_true(c->boss.beat.leaving);
+    assert_in_range(c->boss.beat.leaveMs, 6900, 7000);
+    /* nor what is ordered later */
+    const Order more[] = {one("j", 1, 1, "")};
+    order(c, more, 1);
+    it = say(c, "b1");
+    it->report.leaving = true;
+    sayAll(it);
+    assert_int_equal(it->orders.startsCount, 0);
+    assert_int_equal(told(&c->boss, "j", 1, 1, ROUND_STOPPED), 1);
+    talloc_free(c);
+}
+
+static void leftWorkerIsOver(void **state)
+{
+    (void)state;
+    Case *c = caseNew(5000, 5000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    saying(c, "b1", NULL, 0, NULL, 0);
+    saying(c, "b1", runs, 1, NULL, 0);
+    Say *it = say(c, "b1");
+    it->report.leaving = it->report.left = true;
+    sayAll(it);
+    assert_int_equal(it->orders.holdMs, 0);
+    run(c, 100);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_LOST), 1);
+    assert_true(c->boss.beat.leaving);
+    assert_false(c->boss.beat.workerLive);
+    assert_true(c->boss.beat.settled);
+    assert_int_equal(c->boss.beat.roundsCount, 0);
+    assert_int_equal(saying(c, "b1", runs, 1, NULL, 0)->status, STATUS_DUPLICATE_WORKER);
+    talloc_free(c);
+}
+
+static void savedTravelsOnceAndAgainToANewLeader(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    Boss *boss = &c->boss;
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    saying(c, "b1", NULL, 0, NULL, 0);
+    const RoundNews first[] = {news("j", 0, 1, ROUND_RUNNING, "")}, half[] = {news("j", 0, 1, ROUND_RUNNING, "half")};
+    saying(c, "b1", first, 1, NULL, 0);
+    run(c, 700);
+    assert_int_equal(boss->savedCount, 1); /* that it runs is told, and once */
+    assert_string_equal(savedLast(boss, "j", 0)->text, "");
+    assert_true(savedLast(boss, "j", 0)->ranMs > 0);
+    saying(c, "b1", half, 1, NULL, 0);
+    run(c, 1000);
+    saying(c, "b1", half, 1, NULL, 0);
+    run(c, 1000);
+    assert_int_equal(boss->savedCount, 2);
+    assert_string_equal(savedLast(boss, "j", 0)->text, "half");
+    boss->epoch = EPOCH(6);
+    signalRaise(boss->loop, &boss->changed);
+    run(c, 300);
+    saying(c, "b1", half, 1, NULL, 0);
+    run(c, 300);
+    assert_int_equal(boss->savedCount, 3);
+    assert_string_equal(savedLast(boss, "j", 0)->text, "half");
+    /* and with its end, unless the worker has a newer word */
+    const RoundNews ended[] = {news("j", 0, 1, ROUND_LAPSED, "")};
+    saying(c, "b1", NULL, 0, ended, 1);
+    run(c, 20);
+    assert_int_equal(told(boss, "j", 0, 1, ROUND_LAPSED), 1);
+    assert_string_equal(boss->news[0].saved, "half");
+    talloc_free(c);
+}
+
+static void endIsKnownOnlyWhenCommitted(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    Boss *boss = &c->boss;
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    saying(c, "b1", NULL, 0, NULL, 0);
+    boss->commits = false;
+    const RoundNews ended[] = {news("j", 0, 1, ROUND_DONE, "")};
+    Say *it = saying(c, "b1", NULL, 0, ended, 1);
+    assert_int_equal(it->orders.knownCount, 0);
+    it = saying(c, "b1", NULL, 0, ended, 1); /* told again: the leader need not hear it again */
+    assert_int_equal(it->orders.knownCount, 0);
+    assert_int_equal(told(boss, "j", 0, 1, ROUND_DONE), 1);
+    boss->commits = true;
+    signalRaise(boss->loop, &boss->changed);
+    run(c, 20);
+    it = saying(c, "b1", NULL, 0, ended, 1);
+    assert_int_equal(it->orders.knownCount, 1);
+    it = saying(c, "b1", NULL, 0, ended, 1); /* the answer was lost: known again */
+    assert_int_equal(it->orders.knownCount, 1);
+    assert_int_equal(told(boss, "j", 0, 1, ROUND_DONE), 1);
+    talloc_free(c);
+}
+
+static void fiveHundredEndsAtOnce(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    RoundNews *ended = talloc_array(c, RoundNews, 500);
+    for (uint64_t i = 0; i < 500; i++)
+        ended[i] = news("j", i, 1, i % 5 == 0 ? ROUND_FAILED : ROUND_DONE, "");
+    Say *it = saying(c, "b1", NULL, 0, ended, 500);
+    run(c, 50);
+    it = saying(c, "b1", NULL, 0, ended, 500);
+    assert_int_equal(it->orders.knownCount, 500);
+    assert_in_range(c->boss.tellings, 1, 2);
+    assert_int_equal(c->boss.newsCount, 500);
+    talloc_free(c);
+}
+
+static void fenceNeverFalls(void **state)
+{
+    (void)state;
+    Case *c = caseNew(4000, 4000);
+    Say *it = say(c, "b1");
+    sayAll(it);
+    assert_int_equal(it->orders.fence, 5);
+    c->boss.epoch = EPOCH(9);
+    run(c, 1200);
+    it = say(c, "b1");
+    sayAll(it);
+    assert_int_equal(it->orders.fence, 9);
+    c->boss.epoch = EPOCH(7); /* an older holder that still answers */
+    run(c, 1200);
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    it = say(c, "b1");
+    sayAll(it);
+    assert_int_equal(it->orders.fence, 9);
+    assert_int_equal(it->orders.startsCount, 0);
+    talloc_free(c);
+}
+
+static void lateAndRepeatedReports(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    Say *it = say(c, "b1");
+    it->report.seq = 4;
+    sayAll(it);
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    it = say(c, "b1");
+    it->report.seq = 5;
+    sayAll(it);
+    assert_int_equal(it->orders.startsCount, 1);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    it = say(c, "b1");
+    it->report.seq = 6;
+    it->report.running = runs;
+    it->report.runningCount = 1;
+    sayAll(it);
+    /* one from before it ran comes only now: it is not lost by that */
+    it = say(c, "b1");
+    it->report.seq = 4;
+    sayAll(it);
+    assert_int_equal(it->status, STATUS_CLOSED);
+    run(c, 50);
+    assert_int_equal(c->boss.newsCount, 0);
+    talloc_free(c);
+}
+
+static void answerThatWasLostIsGivenAgain(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    assert_int_equal(saying(c, "b1", NULL, 0, NULL, 0)->orders.startsCount, 1);
+    assert_int_equal(saying(c, "b1", NULL, 0, NULL, 0)->orders.startsCount, 1);
+    run(c, ORDER_EXPIRY_MS);
+    Say *it = say(c, "b1");
+    sayAll(it);
+    assert_int_equal(it->orders.startsCount, 0);
+    run(c, 20);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_REFUSED), 1);
+    talloc_free(c);
+}
+
+static void whatIsNotWantedIsStopped(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    saying(c, "b1", NULL, 0, NULL, 0);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    saying(c, "b1", runs, 1, NULL, 0);
+    order(c, NULL, 0);
+    Say *it = saying(c, "b1", runs, 1, NULL, 0);
+    assert_int_equal(it->orders.stopsCount, 1);
+    const RoundNews ended[] = {news("j", 0, 1, ROUND_STOPPED, "some")};
+    saying(c, "b1", NULL, 0, ended, 1);
+    run(c, 20);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_STOPPED), 1);
+    assert_string_equal(c->boss.news[0].saved, "some");
+    /* it says that what is over for us runs: it is to stop */
+    it = saying(c, "b1", runs, 1, NULL, 0);
+    assert_int_equal(it->orders.stopsCount, 1);
+    talloc_free(c);
+}
+
+/* An agent that has just started is ordered again what the one before it has given. */
+static void earlierAgentsRoundIsNotTakenBack(void **state)
+{
+    (void)state;
+    Case *c = caseNew(5000, 5000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    assert_int_equal(saying(c, "b1", NULL, 0, NULL, 0)->orders.startsCount, 1);
+    simKill(c->world, c->agentMachine);
+    simStart(c->world, c->agentMachine, agentBegin, c);
+    run(c, 2500); /* the order has expired, the worker has not asked yet */
+    assert_int_equal(c->boss.newsCount, 0);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    Say *it = saying(c, "b1", runs, 1, NULL, 0);
+    assert_int_equal(it->orders.startsCount, 0);
+    assert_int_equal(it->orders.stopsCount, 0);
+    run(c, 50);
+    assert_int_equal(c->boss.newsCount, 0);
+    talloc_free(c);
+}
+
+static void silentWorkerHasLostItsRoundsWhenItsHoldIsOver(void **state)
+{
+    (void)state;
+    Case *c = caseNew(8000, 2000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    saying(c, "b1", NULL, 0, NULL, 0);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    Say *it = saying(c, "b1", runs, 1, NULL, 0);
+    const int64_t untilMs = simNowMs(c->world) + it->orders.holdMs * 102 / 100;
+    simRunUntil(c->world, untilMs);
+    assert_int_equal(c->boss.newsCount, 0);
+    run(c, 200);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_LOST), 1);
+    assert_false(c->boss.beat.workerLive);
+    /* its own word, when it comes after all, weighs more */
+    const RoundNews failed[] = {news("j", 0, 1, ROUND_FAILED, "")};
+    saying(c, "b1", NULL, 0, failed, 1);
+    run(c, 20);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_FAILED), 1);
+    talloc_free(c);
+}
+
+static void endsThatWaitAreNotHeldBackLong(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    const Order orders[] = {one("j", 0, 1, "")};
+    order(c, orders, 1);
+    saying(c, "b1", NULL, 0, NULL, 0);
+    const RoundNews runs[] = {news("j", 0, 1, ROUND_RUNNING, "")};
+    Say *it = say(c, "b1");
+    it->report.running = runs;
+    it->report.runningCount = 1;
+    it->report.endsWait = true;
+    sayAll(it);
+    assert_in_range(it->tookMs, WORKER_BUSY_MS - 1, WORKER_BUSY_MS + 11);
+    assert_int_equal(it->orders.againMs, WORKER_AGAIN_MS);
+    /* what comes next goes in the same answer as the word that the end is known */
+    const RoundNews ended[] = {news("j", 0, 1, ROUND_DONE, "")};
+    it = say(c, "b1");
+    it->report.ended = ended;
+    it->report.endedCount = 1;
+    it->report.endsWait = true;
+    sayBegin(it);
+    run(c, 20);
+    assert_false(it->over);
+    const Order next[] = {one("j", 1, 1, "")};
+    order(c, next, 1);
+    assert_true(it->over);
+    assert_int_equal(it->orders.knownCount, 1);
+    assert_int_equal(it->orders.startsCount, 1);
+    talloc_free(c);
+}
+
+static void idleAgentSaysLittle(void **state)
+{
+    (void)state;
+    Case *c = caseNew(3000, 3000);
+    sayAll(say(c, "b1"));
+    run(c, 1000);
+    const size_t beats = c->boss.beats, tellings = c->boss.tellings;
+    for (int i = 0; i < 25; i++) /* ten seconds of an idle worker's questions */
+        sayAll(say(c, "b1"));
+    run(c, 1);
+    const size_t more = c->boss.beats - beats;
+    assert_in_range(more, 18, 24);
+    assert_int_equal(c->boss.tellings, tellings);
+    talloc_free(c);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(orderReachesAQuestionThatWaits),
+        cmocka_unit_test(holdIsPassedOnLessTwoPercent),
+        cmocka_unit_test(lapsedAgentGrantsNothing),
+        cmocka_unit_test(newBootEndsClaims),
+        cmocka_unit_test(unvouchedBootWaitsForTheHold),
+        cmocka_unit_test(leavingWorkerIsGivenNothing),
+        cmocka_unit_test(leftWorkerIsOver),
+        cmocka_unit_test(savedTravelsOnceAndAgainToANewLeader),
+        cmocka_unit_test(endIsKnownOnlyWhenCommitted),
+        cmocka_unit_test(fiveHundredEndsAtOnce),
+        cmocka_unit_test(fenceNeverFalls),
+        cmocka_unit_test(lateAndRepeatedReports),
+        cmocka_unit_test(answerThatWasLostIsGivenAgain),
+        cmocka_unit_test(whatIsNotWantedIsStopped),
+        cmocka_unit_test(earlierAgentsRoundIsNotTakenBack),
+        cmocka_unit_test(silentWorkerHasLostItsRoundsWhenItsHoldIsOver),
+        cmocka_unit_test(endsThatWaitAreNotHeldBackLong),
+        cmocka_unit_test(idleAgentSaysLittle),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -18,6 +18,8 @@
 #define BEAT_WAIT_MS 450       /* ms; a beat waits so long for orders: with the way there and back, one each BEAT_MS */
 #define BEATS_MOST 4           /* count; an agent's beats on their way at once: one waits, the others have news */
 #define WORKER_QUIET_MS 1200   /* ms; a worker that has not asked for so long, and its poll, is given nothing new */
+#define WORKER_BUSY_MS 50      /* ms; what has ended there waits no longer for an answer that is held back ... */
+#define WORKER_AGAIN_MS 50     /* ms; ... and then an order waits so long for the next question: as long as the other costs least */
 #define WORKER_LOST_MS 3000    /* ms; ... and has lost its rounds after this at the latest, once its hold has lapsed */
 #define TELLING_MOST 500          /* count; news in one telling: a worker's longest list of ends */
 #define NEWS_MOST 1000         /* count; news of rounds in one change */
