--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -40,6 +40,11 @@
     return status;
 }
 
+int64_t coreClaimMs(const Core *core)
+{
+    return holdClaimMs(core->props->bounds.holdMs);
+}
+
 static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
 {
     Core *core = arg;
@@ -54,17 +59,18 @@
             names[i] = workers[i]->name;
         /* any hold that the last leader answered runs out within this */
         straysReset(core->strays);
-        livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);
+        livesetReset(core->liveset, viewWonMs(core->view) + coreClaimMs(core), names, count);
         talloc_free(mem);
     }
     if (repair && (newHolder || !core->repairing)) {
         core->repairing = true; /* a repair under way goes on over views opened anew */
         /* rounds that the log has forgotten are told again or have lapsed by then */
-        core->placeFromMs = loopNowMs(core->loop) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        core->placeFromMs = loopNowMs(core->loop) + coreClaimMs(core);
         repairStart(core);
     }
     if (!repair)
         core->repairing = false;
+    ordersWake(core);
     coreNews(core);
 }
 
@@ -150,6 +156,7 @@
     tableWatch(core->table, onDelivered, core);
     core->keeper = keeperNew(core, loop);
     core->liveset = livesetNew(core);
+    core->saved = mapNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
     core->strays = straysNew(core);
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -192,6 +192,6 @@
  * are to stay out. Waits. */
 Status viewOpen(View *view, const bool skip[SEAT_MOST]);
 /* Watches the hold and the seats of the view. */
-void watchStart(View *view);
+void viewWatch(View *view);
 
 #endif
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -362,7 +362,7 @@
 {
     view->props.members = members;
     seatServe(view);
-    watchStart(view);
+    viewWatch(view);
     seatsStart(view);
 }
 
--- a/packages/view/src/watch.c
+++ b/packages/view/src/watch.c
@@ -142,7 +142,7 @@
     }
 }
 
-void watchStart(View *view)
+void viewWatch(View *view)
 {
     loopSpawn(view->loop, "watch", watchMain, view);
 }
--- a/scripts/rollout.py
+++ b/scripts/rollout.py
@@ -23,13 +23,15 @@
 # What the next release adds: fields at the end, of a beat, of an answer with
 # orders, of a carried request, of a record of the log; and a message kind.
 NEXT = [
-    ("packages/beat/include/beat/messages.h", "    X(ONE, others, Room)\n", "    X(ONE, others, Room)      \\\n    X(U64, addedLater, 0)\n"),
+    ("packages/beat/include/beat/messages.h", "    X(I64, waitMs, 0)   /* the answer may be held back for so long, for newer ones */\n",
+     "    X(I64, waitMs, 0) X(U64, addedLater, 0)\n"),
     ("packages/beat/include/beat/messages.h", "    X(LST, wanted, RoundId)\n", "    X(LST, wanted, RoundId)    \\\n    X(TXT, noteLater, 0)\n"),
     ("packages/feed/include/feed/messages.h", "    X(FLAG, relay, 0) ", "    X(FLAG, relay, 0) X(U64, addedLater, 0) "),
     ("packages/view/include/view/messages.h", "    X(FLAG, repair, 0)\n", "    X(FLAG, repair, 0)          \\\n    X(U64, addedLater, 0)\n"),
     ("packages/table/include/table/change.h", "    X(FLAG, assured, 0)\nSHAPE(Placement", "    X(FLAG, assured, 0) X(U64, addedLater, 0)\nSHAPE(Placement"),
-    ("packages/agent/src/leader.c", "    BeatAnswer answer = {0};\n", "    BeatAnswer answer = {0};\n    /* a message that the release before does not know */\n"
-     "    courierAsk(agent->courier, mem, address, (MessageKind)250, &BeatAskShape, &ask, 50, &BeatAnswerShape, &answer);\n"),
+    ("packages/agent/src/beat.c", "    const Status status = courierAsk(", "    /* a message that the release before does not know */\n"
+     "    courierAsk(agent->courier, beat, beat->address, (MessageKind)250, &BeatAskShape, &ask, 50, &BeatAnswerShape, &answer);\n"
+     "    const Status status = courierAsk("),
 ]
 
 
