--- a/packages/config/include/config/config.h
+++ b/packages/config/include/config/config.h
@@ -67,6 +67,7 @@
     uint64_t revision;
     json_object *tree; /* the document; the Config's own */
     uint64_t r;      /* worker losses that every plan must survive */
+    bool rNamed;     /* the document names r: starts that break the plan are held back a while */
     bool zoneLoss;   /* ... and the loss of any one zone */
     bool rackLoss;   /* ... and the loss of any one rack */
     size_t cellCount, policyCount, kindCount;
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -252,6 +252,7 @@
     talloc_set_destructor(config, configFree);
     const Reading reading = {config, earlier, faults};
     if (checkKeys(faults, tree, "", KEYS)) {
+        config->rNamed = json_object_object_get_ex(tree, "r", NULL);
         config->r = (uint64_t)checkInt(faults, tree, "", "r", 0, PLAN_R_MAX, 1);
         config->zoneLoss = checkFlag(faults, tree, "", "zoneLoss", false);
         config->rackLoss = checkFlag(faults, tree, "", "rackLoss", false);
--- /dev/null
+++ b/packages/core/src/assure.c
@@ -0,0 +1,36 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+/* Running unassured work that a plan can now include. */
+void assureMore(Pass *pass)
+{
+    Core *core = pass->core;
+    StopList list = {0};
+    Job *const *jobs;
+    const size_t count = tableActive(core->table, &jobs);
+    for (size_t j = 0; j < count && pass->checks < pass->checksMax; j++) {
+        const Job *job = jobs[j];
+        if (job->spec.protection != PROTECTION_PROTECTED)
+            continue;
+        for (size_t t = 0; t < job->tasksCount && pass->checks < pass->checksMax; t++) {
+            const JobTask *task = &job->tasks[t];
+            const size_t at = taskOnWorker(task->phase) ? passPlace(pass, task->worker) : SIZE_MAX;
+            if (task->assured || at == SIZE_MAX || (task->phase != TASK_PLACED && task->phase != TASK_RUNNING))
+                continue;
+            const PlanNeed need = passNeed(job, task->step);
+            passCount(pass, &job->spec, &need, at);
+            if (!passHolds(pass)) {
+                pass->input.taskCount--;
+                continue;
+            }
+            list.rounds = talloc_realloc(pass->mem, list.rounds, RoundId, (unsigned)(list.roundsCount + 1));
+            list.rounds[list.roundsCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
+        }
+    }
+    list.why = "";
+    Verdict verdict;
+    if (list.roundsCount > 0)
+        coreSubmit(core, pass->mem, CHANGE_ASSURE, &StopListShape, &list, &verdict, NULL);
+}
--- a/packages/core/src/choose.c
+++ b/packages/core/src/choose.c
@@ -10,23 +10,18 @@
 
 #define SHARE_ONE 1000 /* thousandths */
 
-static size_t placeIn(const Pass *pass, const char *worker)
-{
-    return worker[0] != '\0' ? (size_t)(uintptr_t)mapGet(pass->index, worker) : 0;
-}
-
 /* One more, or one less, of the step is on the worker. */
 void sightAdd(Pass *pass, size_t at, int by)
 {
     const PlanInput *input = &pass->input;
     const PlanWorker *its = &input->workers[at];
-    pass->sight.onWorker[at] += by;
+    pass->step.onWorker[at] += by;
     for (size_t i = 0; i < input->workerCount; i++) {
         const PlanWorker *mine = &input->workers[i];
-        pass->sight.near[i] += by * (strcmp(mine->zone, its->zone) == 0);
+        pass->step.near[i] += by * (strcmp(mine->zone, its->zone) == 0);
         if (mine->rack[0] != '\0' && strcmp(mine->rack, its->rack) == 0) {
-            pass->sight.near[i] += by;
-            pass->sight.onRack[i] += by;
+            pass->step.near[i] += by;
+            pass->step.onRack[i] += by;
         }
     }
 }
@@ -35,9 +30,9 @@
  * since tasks of a step come one after another. What is being stopped counts. */
 void sightFind(Pass *pass, const Job *job, size_t task)
 {
-    StepSight *sight = &pass->sight;
-    size_t first, end;
-    queueStep(job, task, &first, &end);
+    StepSight *sight = &pass->step;
+    const size_t first = taskFirst(job, &job->tasks[task]);
+    const size_t end = first + (size_t)job->spec.steps[job->tasks[task].step].count;
     if (sight->job == job && sight->first == first)
         return;
     const size_t count = pass->input.workerCount;
@@ -52,9 +47,9 @@
     sight->job = job;
     sight->first = first;
     for (size_t t = first; t < end; t++) {
-        const size_t at = taskOnWorker(job->tasks[t].phase) ? placeIn(pass, job->tasks[t].worker) : 0;
-        if (at > 0)
-            sightAdd(pass, at - 1, 1);
+        const size_t at = taskOnWorker(job->tasks[t].phase) ? passPlace(pass, job->tasks[t].worker) : SIZE_MAX;
+        if (at != SIZE_MAX)
+            sightAdd(pass, at, 1);
     }
     /* and what this pass has decided: most of a step is placed in one */
     for (size_t i = 0; i < pass->placedCount; i++)
@@ -64,17 +59,17 @@
 
 static bool allowed(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *not, size_t at)
 {
-    return !not[at] && (step->apart == 0 || (uint64_t)pass->sight.onWorker[at] < step->apart) &&
+    return !not[at] && (step->apart == 0 || (uint64_t)pass->step.onWorker[at] < step->apart) &&
            planFits(&pass->input.workers[at], need);
 }
 
 /* Whether the step has others at work, none of them on the worker's rack. */
 static bool leavesRack(const Pass *pass, const StepSpec *step, size_t at)
 {
-    if (!step->sameRack || pass->sight.onRack[at] > 0)
+    if (!step->sameRack || pass->step.onRack[at] > 0)
         return false;
     for (size_t i = 0; i < pass->input.workerCount; i++)
-        if (pass->sight.onWorker[i] > 0)
+        if (pass->step.onWorker[i] > 0)
             return true;
     return false;
 }
@@ -110,7 +105,7 @@
         if ((rack != NULL && strcmp(pass->input.workers[i].rack, rack) != 0) || !allowed(pass, step, need, not, i))
             continue;
         const int64_t value = valueOf(pass, step, need, i);
-        const bool farther = best >= 0 && value == bestValue && pass->sight.near[i] < pass->sight.near[best];
+        const bool farther = best >= 0 && value == bestValue && pass->step.near[i] < pass->step.near[best];
         if (best < 0 || value > bestValue || farther) {
             best = (int)i;
             bestValue = value;
@@ -122,13 +117,13 @@
 int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool *not, const char *rack)
 {
     const StepSpec *step = &job->spec.steps[job->tasks[task].step];
-    const size_t shunned = placeIn(pass, job->tasks[task].shunned);
+    const size_t shunned = job->tasks[task].shunned[0] != '\0' ? passPlace(pass, job->tasks[task].shunned) : SIZE_MAX;
     sightFind(pass, job, task);
     int at = -1;
-    if (shunned > 0 && !not[shunned - 1]) {
-        not[shunned - 1] = true;
+    if (shunned != SIZE_MAX && !not[shunned]) {
+        not[shunned] = true;
         at = chooseAmong(pass, step, need, not, rack);
-        not[shunned - 1] = false;
+        not[shunned] = false;
     }
     return at >= 0 ? at : chooseAmong(pass, step, need, not, rack);
 }
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -86,9 +86,14 @@
 static void roundsTake(Core *core, const RoundList *rounds)
 {
     scoreTake(core, rounds);
-    for (size_t i = 0; i < rounds->newsCount; i++)
-        if (rounds->news[i].word != ROUND_RUNNING)
-            straysEnd(core->strays, &rounds->news[i]);
+    for (size_t i = 0; i < rounds->newsCount; i++) {
+        const RoundNews *news = &rounds->news[i];
+        const RoundSaved saved = {.job = news->job, .task = news->task, .round = news->round, .text = news->saved};
+        if (viewHolds(core->view))
+            savedTake(core, &saved);
+        if (news->word != ROUND_RUNNING)
+            straysEnd(core->strays, news);
+    }
 }
 
 static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
@@ -158,6 +163,7 @@
     core->saved = mapNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
+    core->queue = queueNew(core, core->guesses);
     core->strays = straysNew(core);
     tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -12,7 +12,7 @@
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
-#include "queue/queue.h"
+#include "queue/line.h"
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
@@ -59,12 +59,14 @@
     size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
     Strays *strays;
+    Queue *queue;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
     const Config *config;  /* of the table's newest revision that could be read */
     uint64_t configLoads;  /* tableLoads when it was read */
+    uint64_t configStamp; /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
     uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
--- a/packages/core/src/kept.c
+++ b/packages/core/src/kept.c
@@ -38,26 +38,22 @@
 
 /* What is kept for a candidate that is none any more, or on workers that may be
  * given nothing now, is let go. */
-void keptBegin(Pass *pass, const Candidate *candidates, size_t count)
+void keptBegin(Pass *pass)
 {
     Core *core = pass->core;
     const char **cells;
     const size_t cellCount = mapKeys(core->kept, pass->mem, &cells);
     for (size_t c = 0; c < cellCount; c++) {
         Kept *kept = mapGet(core->kept, cells[c]);
-        bool found = false;
-        for (size_t i = 0; i < count && !found; i++)
-            if (isFor(kept, &candidates[i])) {
-                found = true;
-                kept->rank = candidates[i].rank;
-            }
-        if (!found) {
+        const Job *job = tableJob(core->table, kept->job);
+        const bool waits = job != NULL && kept->task < job->tasksCount && job->tasks[kept->task].phase == TASK_WAITING;
+        if (!waits || !lineRank(pass->line, job, kept->task, &kept->rank)) {
             keptDrop(core, cells[c], "it waits no more");
             continue;
         }
         for (size_t i = 0; i < kept->workerCount; i++) {
-            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, kept->workers[i]);
-            if (at == 0 || pass->input.workers[at - 1].room.cpuMilli == 0) {
+            const size_t at = passPlace(pass, kept->workers[i]);
+            if (at == SIZE_MAX || pass->input.workers[at].room.cpuMilli == 0) {
                 keptDrop(core, cells[c], "one of them may be given nothing");
                 break;
             }
@@ -77,9 +73,9 @@
         if (isFor(kept, candidate) || above || candidate->restart)
             continue;
         for (size_t i = 0; i < kept->workerCount; i++) {
-            const size_t at = (size_t)(uintptr_t)mapGet(pass->index, kept->workers[i]);
-            if (at > 0)
-                not[at - 1] = any = true;
+            const size_t at = passPlace(pass, kept->workers[i]);
+            if (at != SIZE_MAX)
+                not[at] = any = true;
         }
     }
     talloc_free(mem);
--- /dev/null
+++ b/packages/core/src/pass.c
@@ -0,0 +1,111 @@
+/* What a pass begins with: the workers with their free room. */
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+#include "pass.h"
+
+/* What the worker may be given; none when it may be given nothing now. */
+static Room roomNow(const Core *core, const Worker *worker, Room *strays)
+{
+    const LiveRow *row = livesetFind(core->liveset, worker->name);
+    const bool known = straysRoom(core->strays, worker->name, strays);
+    const bool ready = known && row != NULL && liveRowReady(row, loopNowMs(core->loop)) && !worker->excluded &&
+                       !tableDrained(core->table, worker->zone) && !scoreRests(core, worker->name);
+    const Room none = {0};
+    return ready ? roomLess(worker->room, row->others) : none;
+}
+
+/* Workers that may be given work have their free room; the others have none,
+ * but what runs on them still counts as to be restarted. */
+static void workersFind(Pass *pass)
+{
+    Core *core = pass->core;
+    const Worker **workers;
+    const size_t count = tableWorkers(core->table, pass->mem, &workers);
+    pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
+    pass->input.workerCount = count;
+    pass->speeds = talloc_array(pass->mem, uint64_t, (unsigned)count);
+    for (size_t i = 0; i < count; i++) {
+        const Worker *worker = workers[i];
+        Room strays;
+        const Room room = roomNow(core, worker, &strays);
+        const Room used = roomMore(strays, tableUsedOn(core->table, worker->name));
+        pass->input.workers[i] = (PlanWorker){.name = worker->name,
+                                              .zone = worker->zone,
+                                              .rack = worker->rack,
+                                              .kind = worker->kind,
+                                              .labels = worker->labels,
+                                              .labelCount = worker->labelsCount,
+                                              .room = room,
+                                              .free = roomLess(room, used),
+                                              .penalty = scoreRate(core, worker->name) * 10};
+        pass->speeds[i] = guessSpeed(core->guesses, worker->name);
+        pass->fleet = roomMore(pass->fleet, room);
+    }
+    pass->largest = planLargest(pass->input.workers, count);
+}
+
+size_t passPlace(const Pass *pass, const char *worker)
+{
+    size_t low = 0, high = pass->input.workerCount;
+    while (low < high) { /* they are in the order of their names */
+        const size_t middle = (low + high) / 2;
+        const int order = strcmp(pass->input.workers[middle].name, worker);
+        if (order == 0)
+            return middle;
+        if (order < 0)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    return SIZE_MAX;
+}
+
+Pass *passNew(Core *core, void *mem)
+{
+    Pass *pass = talloc_zero(mem, Pass);
+    pass->core = core;
+    pass->mem = pass;
+    pass->config = coreConfig(core);
+    pass->asks = pass->config->rNamed || pass->config->zoneLoss || pass->config->rackLoss;
+    pass->clock = coreClock(core);
+    pass->nextMs = INT64_MAX;
+    pass->input = (PlanInput){.r = pass->config->r, .zoneLoss = pass->config->zoneLoss, .rackLoss = pass->config->rackLoss};
+    workersFind(pass);
+    pass->sight = (QueueSight){.table = core->table,
+                               .config = pass->config,
+                               .configStamp = core->configStamp,
+                               .fleet = pass->fleet,
+                               .clock = pass->clock,
+                               .policy = corePolicy,
+                               .arg = core};
+    return pass;
+}
+
+void passTasks(Pass *pass)
+{
+    Core *core = pass->core;
+    pushableCount(pass);
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        const TaskOn *on;
+        const size_t count = tableOn(core->table, pass->input.workers[i].name, &on);
+        for (size_t t = 0; t < count; t++) {
+            const Job *job = on[t].job;
+            const JobTask *task = &job->tasks[on[t].task];
+            /* where no loss is to be survived by each start, the look takes in all */
+            const bool counts = pass->asks ? task->assured : job->spec.protection == PROTECTION_PROTECTED;
+            if (!counts || task->phase == TASK_STOPPING)
+                continue;
+            const PlanNeed need = passNeed(job, task->step);
+            passCount(pass, &job->spec, &need, i);
+        }
+    }
+}
+
+PlanInput plannerInput(Core *core, void *mem)
+{
+    Pass *pass = passNew(core, mem);
+    passTasks(pass);
+    return pass->input;
+}
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -23,40 +23,46 @@
     size_t worker;
 } Placed;
 
-/* What one pass knows. */
+/* What one pass knows. Workers are in the order of their names. */
 typedef struct Pass {
     Core *core;
     void *mem;
     const Config *config;
-    PlanInput input;
+    QueueClock clock;
+    PlanInput input;  /* its tasks only after passTasks */
     size_t taskRoom;
-    Map *tenants; /* "cell/tenant" to the Room in use */
-    Map *index;   /* worker name to its place + 1 */
+    uint64_t *speeds; /* of each worker: time there in thousandths of that on a sound one */
+    Room fleet;
+    Room largest;     /* the largest worker, part by part */
+    QueueSight sight;
+    Line *line;
     PlaceList places;
-    size_t placeRoom;
+    Placed *placed;   /* as many as places */
+    size_t placeRoom, placedCount;
+    StepSight step;
+    bool asks;        /* the configuration names losses that each start must leave a plan for */
     size_t checks, checksMax;
-    const void *stuck; /* the step that last found no room */
-    Room fleet;
-    Room reserved;     /* kept in this pass for what found none */
-    QueueUse *use;
-    QueueClock clock;
-    int64_t nextMs; /* log time when more can be decided by itself */
-    StopList pushes;   /* rounds to be pushed aside */
-    bool asks;         /* the configuration names losses to be survived */
-    Room largest;      /* the largest worker, part by part */
-    uint64_t *speeds;  /* of each worker: time there in thousandths of that on a sound one */
-    StepSight sight;
-    Placed *placed;    /* as many as places */
-    size_t placedCount;
-    Map *cells;        /* names of cells with a policy to their place + 1 in input.pushable */
+    StopList pushes;  /* rounds to be pushed aside */
+    Map *cells;       /* names of cells with a policy to their place + 1 in input.pushable */
     size_t pushLooks;
+    Room reserved;    /* kept in this pass for what found none */
+    int64_t nextMs;   /* log time when more can be decided by itself */
 } Pass;
 
+/* On mem, with all that lives as long as it. */
+Pass *passNew(Core *core, void *mem);
+/* Takes in what the plan must hold for. */
+void passTasks(Pass *pass);
+/* The worker's place; SIZE_MAX: it has none. */
+size_t passPlace(const Pass *pass, const char *worker);
+
+void lostFind(Core *core, void *mem);
+void copiesFind(Core *core, void *mem);
 /* Stops what runs of gangs that are not whole, so that they go again as one. */
 void gangsMend(Core *core, void *mem);
+void assureMore(Pass *pass);
+void moveOne(Pass *pass);
 PlanNeed passNeed(const Job *job, uint64_t step);
-/* What the tenant has in use. */
-Room *passTenant(Pass *pass, const JobSpec *spec);
 /* One more protected task that plans must include. */
 void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker);
 bool passHolds(Pass *pass);
@@ -86,7 +92,7 @@
 void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *not);
 
 /* Which workers are kept for big work that small work overtakes. */
-void keptBegin(Pass *pass, const Candidate *candidates, size_t count);
+void keptBegin(Pass *pass);
 /* Marks in not what is kept for others than this candidate; true when any is. */
 bool keptFrom(const Pass *pass, const Candidate *candidate, bool *not);
 /* The candidate found no room: it may be time to keep some for it. */
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -1,5 +1,4 @@
 /* Places one candidate: a task, or all members of a gang or none. */
-#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -11,18 +10,6 @@
     return (PlanNeed){spec->room, queueKind(job, step), spec->labels, spec->labelsCount};
 }
 
-Room *passTenant(Pass *pass, const JobSpec *spec)
-{
-    char key[2 * ID_MAX + 2];
-    snprintf(key, sizeof(key), "%s/%s", spec->cell, spec->tenant);
-    Room *room = mapGet(pass->tenants, key);
-    if (room == NULL) {
-        room = talloc_zero(pass->mem, Room);
-        mapSet(pass->tenants, key, room);
-    }
-    return room;
-}
-
 void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker)
 {
     PlanInput *input = &pass->input;
@@ -49,7 +36,7 @@
     const ConfigTenant *tenant = cell != NULL ? configTenant(cell, candidate->job->spec.tenant) : NULL;
     if (tenant == NULL)
         return true; /* accepted before the tenant was taken out of the configuration: it runs */
-    Room want = *passTenant(pass, &candidate->job->spec);
+    Room want = lineTenantUses(pass->line, candidate->job);
     for (size_t i = 0; i < candidate->count; i++)
         want = roomMore(want, step->room);
     return (tenant->quota.cpuMilli == 0 || want.cpuMilli <= tenant->quota.cpuMilli) &&
@@ -150,21 +137,21 @@
     return holds;
 }
 
-static void placeAll(Pass *pass, const Candidate *candidate, const StepSpec *step, const int *where, bool assured)
+static void placeAll(Pass *pass, const Candidate *candidate, const int *where, bool assured)
 {
-    Room *used = passTenant(pass, &candidate->job->spec);
     uint64_t round = 0;
     const char *saved = "";
     for (size_t i = 0; i < candidate->count; i++) {
         const JobTask *task = &candidate->job->tasks[candidateTask(candidate, i)];
         if (task->round >= round)
             round = task->round + 1;
+        /* of a round that was lost with its worker the beats alone have told */
+        const char *told = task->round > 0 ? coreSaved(pass->core, candidate->job->spec.id, taskNumber(task), task->round) : "";
         if (saved[0] == '\0')
-            saved = task->saved;
+            saved = told[0] != '\0' ? told : task->saved;
     }
     for (size_t i = 0; i < candidate->count; i++) {
         placeAdd(pass, candidate, i, (size_t)where[i], round, saved, assured);
-        *used = roomMore(*used, step->room);
     }
     if (candidate->job->spec.protection == PROTECTION_PROTECTED && !assured)
         pass->core->counts.unassured += candidate->count;
@@ -175,7 +162,7 @@
     const JobSpec *spec = &candidate->job->spec;
     const uint64_t stepAt = candidate->job->tasks[candidate->first].step;
     const StepSpec *step = &spec->steps[stepAt];
-    if (pass->stuck == step || !underQuota(pass, candidate, step))
+    if (!underQuota(pass, candidate, step))
         return false;
     const PlanNeed need = passNeed(candidate->job, stepAt);
     void *mem = talloc_new(pass->mem);
@@ -186,12 +173,10 @@
     const bool found = chooseRacks(pass, candidate, &need, not, where, &percent);
     bool fits = found, assured = false;
     if (!found) {
-        pass->stuck = step;
         reserveFor(pass, candidate, &need, not);
         pushFor(pass, candidate);
         keptWant(pass, candidate, step);
     } else if (chooseWaits(pass, candidate, step, &need, percent)) {
-        pass->stuck = step;
         fits = false;
     } else if (spec->protection == PROTECTION_PROTECTED) {
         assured = assures(pass, candidate, &need, where);
@@ -200,7 +185,7 @@
             fits = candidate->restart || pass->clock.logMs - candidate->sinceMs >= ASSURE_WAIT_MS;
     }
     if (fits)
-        placeAll(pass, candidate, step, where, assured);
+        placeAll(pass, candidate, where, assured);
     else if (found)
         takeBack(pass, step, where, candidate->count);
     talloc_free(mem);
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -62,11 +62,6 @@
         return;
     input->cellCount = cells;
     input->pushable = talloc_zero_array(pass->mem, Room, (unsigned)(cells * input->workerCount));
-    Room fleet = {0};
-    for (size_t i = 0; i < input->workerCount; i++)
-        fleet = roomMore(fleet, input->workers[i].room);
-    const QueueUse *use = queueUse(pass->mem, core->table, config, fleet);
-    const QueueClock clock = coreClock(core);
     Job *const *jobs;
     const size_t count = tableActive(core->table, &jobs);
     size_t looks = 0;
@@ -84,17 +79,17 @@
                 continue;
             for (size_t t = 0; t < jobs[j]->tasksCount && looks < PUSH_LOOKS_MAX; t++) {
                 const JobTask *task = &jobs[j]->tasks[t];
-                const size_t at = task->phase == TASK_RUNNING ? (size_t)(uintptr_t)mapGet(pass->index, task->worker) : 0;
+                const size_t at = task->phase == TASK_RUNNING ? passPlace(pass, task->worker) : SIZE_MAX;
                 /* a worker that is given nothing has no room to be had either */
-                if (at == 0 || input->workers[at - 1].room.cpuMilli == 0)
+                if (at == SIZE_MAX || input->workers[at].room.cpuMilli == 0)
                     continue;
-                const PolicySight other = queueSight(use, config, jobs[j], t, clock);
+                const PolicySight other = queueSee(core->queue, &pass->sight, jobs[j], t);
                 bool all = true;
                 for (size_t i = 0; i < speakers.count && all; i++, looks++) {
-                    const PolicySight mine = queueSight(use, config, speakers.jobs[i], speakers.tasks[i], clock);
+                    const PolicySight mine = queueSee(core->queue, &pass->sight, speakers.jobs[i], speakers.tasks[i]);
                     all = policy->mayPush(policy->arg, &mine, &other);
                 }
-                Room *room = &input->pushable[(place - 1) * input->workerCount + at - 1];
+                Room *room = &input->pushable[(place - 1) * input->workerCount + at];
                 if (all)
                     *room = roomMore(*room, jobs[j]->spec.steps[task->step].room);
             }
@@ -115,7 +110,7 @@
         pass->pushLooks >= PUSH_LOOKS_MAX)
         return;
     const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
-    const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
+    const PolicySight mine = queueSee(core->queue, &pass->sight, candidate->job, candidate->first);
     Job *const *jobs;
     const size_t count = tableActive(core->table, &jobs);
     for (size_t w = 0; w < pass->input.workerCount; w++) {
@@ -139,7 +134,7 @@
                 const JobTask *task = &job->tasks[t];
                 if (task->phase != TASK_RUNNING || strcmp(task->worker, worker->name) != 0)
                     continue;
-                const PolicySight other = queueSight(pass->use, pass->config, job, t, pass->clock);
+                const PolicySight other = queueSee(core->queue, &pass->sight, job, t);
                 looked++;
                 pass->pushLooks++;
                 if (!policy->mayPush(policy->arg, &mine, &other))
--- a/packages/core/src/ranks.c
+++ b/packages/core/src/ranks.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "pass.h"
 #include "way.h"
 
 /* One policy for one cell; the others keep theirs. */
@@ -31,20 +32,15 @@
         wayRefuse(way);
         return;
     }
-    const PlanInput input = plannerInput(core, way->mem);
-    Room fleet = {0};
-    for (size_t i = 0; i < input.workerCount; i++)
-        fleet = roomMore(fleet, input.workers[i].room);
+    Pass *pass = passNew(core, way->mem);
     Trying trying = {core, cell, policy};
-    Candidate *candidates;
-    int64_t nextMs;
-    const QueueUse *use = queueUse(way->mem, core->table, config, fleet);
-    const size_t count = queueBuild(way->mem, core->table, config, use, coreClock(core), core->guesses, policyTried, &trying,
-                                    &candidates, &nextMs);
+    pass->sight.policy = policyTried;
+    pass->sight.arg = &trying;
+    Line *line = lineNew(pass, core->queue, &pass->sight);
     json_object *body = json_object_new_object(), *list = json_object_new_array();
     int64_t ready = 0;
-    for (size_t i = 0; i < count; i++) {
-        const Candidate *candidate = &candidates[i];
+    const Candidate *candidate;
+    for (; (candidate = lineNext(line)) != NULL; linePlaced(line)) {
         if (strcmp(candidate->job->spec.cell, cell) != 0 || ++ready > limit)
             continue;
         json_object *one = json_object_new_object();
--- /dev/null
+++ b/packages/core/src/silent.c
@@ -0,0 +1,75 @@
+/* Workers whose holds have lapsed, or that are silent. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/map.h"
+#include "pass.h"
+
+void lostFind(Core *core, void *mem)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    Map *lost = mapNew(mem);
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        /* a worker never heard of by this leader: its first hold counts */
+        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
+        if (nowMs > untilMs && (row == NULL || !row->losing))
+            mapSet(lost, worker, core);
+    }
+    const char **names;
+    const size_t lostCount = mapKeys(lost, mem, &names);
+    for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
+        const WorkerLost change = {names[i], UINT64_MAX};
+        /* it may come back before this is committed: then no order of the state
+         * before may reach it any more */
+        livesetLosing(core->liveset, names[i], true);
+        Verdict verdict;
+        if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &verdict, NULL) == STATUS_OK) {
+            core->counts.lost += verdict.number;
+            ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "worker %s is lost with %" PRIu64 " rounds", names[i],
+                    verdict.number);
+        }
+    }
+}
+
+void copiesFind(Core *core, void *mem)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    RoundList list = {0};
+    const char *worker;
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
+        const LiveRow *row = livesetFind(core->liveset, worker);
+        const int64_t wonMs = viewWonMs(core->view);
+        if (row == NULL || nowMs - (row->heardMs > wonMs ? row->heardMs : wonMs) <= COPY_SILENT_MS)
+            continue;
+        const TaskOn *on;
+        const size_t count = tableOn(core->table, worker, &on);
+        for (size_t t = 0; t < count; t++) {
+            const JobTask *task = &on[t].job->tasks[on[t].task];
+            const JobSpec *spec = &on[t].job->spec;
+            if (task->phase == TASK_STOPPING || (!spec->copies && !spec->steps[task->step].copies))
+                continue;
+            list.news = talloc_realloc(mem, list.news, RoundNews, (unsigned)(list.newsCount + 1));
+            list.news[list.newsCount++] = (RoundNews){.job = talloc_strdup(mem, spec->id),
+                                                      .task = taskNumber(task),
+                                                      .round = task->round,
+                                                      .worker = talloc_strdup(mem, worker),
+                                                      .word = ROUND_LOST,
+                                                      .text = "its worker is silent",
+                                                      .saved = ""};
+        }
+    }
+    Verdict verdict;
+    if (list.newsCount > 0)
+        coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
+    /* that they are over is our word alone: they count there until the agent says so */
+    for (size_t i = 0; i < list.newsCount; i++) {
+        const RoundNews *news = &list.news[i];
+        const Job *job = tableJob(core->table, news->job);
+        const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
+        if (job != NULL && at < job->tasksCount)
+            straysAdd(core->strays, news->worker, job, &job->tasks[at], news->round, nowMs + ORDER_GONE_MS);
+    }
+}
--- a/packages/queue/include/queue/aim.h
+++ b/packages/queue/include/queue/aim.h
@@ -6,11 +6,11 @@
 /* When a job, or a turn of it, is worth most: inside spanMs from fromMs (its
  * acceptance or due time, in log time). Until three times that it is worth
  * less, later nothing. A job whose terms name no aim has a span of 0.
- * Invariant: afterMs[s] is the longest chain of work from step s to the end,
- * with s itself. */
+ * Invariants: taskMs[s] is what one task of step s should take; afterMs[s] is the
+ * longest chain of work from step s to the end, with s itself. */
 typedef struct Aim {
     int64_t fromMs, spanMs;
-    int64_t afterMs[JOB_STEPS_MAX];
+    int32_t afterMs[JOB_STEPS_MAX], taskMs[JOB_STEPS_MAX];
 } Aim;
 
 /* quarter: a step wider than this runs in waves. */
--- a/packages/queue/include/queue/guess.h
+++ b/packages/queue/include/queue/guess.h
@@ -18,6 +18,8 @@
 /* How long one task of the step should take on a sound worker near its data;
  * 0: nothing is known. guesses may be null. */
 int64_t guessMs(const Guesses *guesses, const Job *job, uint64_t step);
+/* Another one once a step's time may be guessed differently. */
+uint64_t guessesStamp(const Guesses *guesses);
 /* Time on this worker in thousandths of that on a sound one. */
 uint64_t guessSpeed(const Guesses *guesses, const char *worker);
 
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -5,21 +5,6 @@
 #include "policy/policy.h"
 #include "queue/aim.h"
 
-/* Something to place: one task, or a whole gang. */
-typedef struct Candidate {
-    const Job *job;
-    size_t first; /* index of its first task */
-    size_t count; /* 1, or the members of a gang that have not finished */
-    bool restart; /* protected work that was lost: goes before all else */
-    double rank;     /* by its cell's policy: counts within the cell only */
-    int64_t sinceMs; /* log time since when it could have started */
-    int64_t slackMs; /* time left before it must be under way; INT64_MAX: it has no aim */
-    int64_t guessMs; /* what a task of it should take; 0: not known */
-    /* what its tenant, and its cell by its share, will use once this and all
-     * before it run: the next room goes to whoever has least */
-    uint64_t tenantTurn, cellTurn;
-} Candidate;
-
 /* Why a task waits, for those who ask. */
 #define WAIT_LIST(X)                                        \
     X(READY, "room")       /* it could start: only room is missing */ \
@@ -40,31 +25,37 @@
     int64_t wallMs; /* the median of the seats' wall clocks */
 } QueueClock;
 
-/* The index of its nth task: a gang's members that have finished are left out. */
-size_t candidateTask(const Candidate *candidate, size_t member);
-
 /* Why a waiting task does not start now. */
 WaitReason queueWait(const Job *job, size_t task, QueueClock clock);
-/* The tasks of the task's step in its turn: the first, and one after the last. */
-void queueStep(const Job *job, size_t task, size_t *first, size_t *end);
-/* The kind of worker that the task needs; empty: any. */
+/* Whether the turn's time has come. */
+bool queueDue(const Job *job, uint64_t turn, QueueClock clock);
+/* The log time of that; of what is due at once, of the job's acceptance. */
+int64_t queueDueMs(const Job *job, uint64_t turn, QueueClock clock);
+/* The kind of worker that the step needs; empty: any. */
 const char *queueKind(const Job *job, uint64_t step);
 
 /* Finds the policy of a cell. */
 typedef const Policy *(*QueuePolicy)(void *arg, const ConfigCell *cell);
 
-/* What a policy sees of a task; used are the rooms in use by cell and tenant. */
-typedef struct QueueUse QueueUse;
-QueueUse *queueUse(void *mem, const Table *table, const Config *config, Room fleet);
-PolicySight queueSight(const QueueUse *use, const Config *config, const Job *job, size_t task, QueueClock clock);
-
-/* All that could start now, in the order in which it is to be placed: restarts of
- * what has no aim, then cells by what they use of their share; within a cell by
- * its policy's rank, to which the built-in one adds how near the job's aim is;
- * then tenants by what they use, then the order of acceptance. guesses may be
- * null. On mem. nextMs: the log time when more can start by itself, a rest being
- * over or a turn being due; INT64_MAX: never. */
-size_t queueBuild(void *mem, const Table *table, const Config *config, const QueueUse *use, QueueClock clock,
-                  const Guesses *guesses, QueuePolicy policy, void *arg, Candidate **candidates, int64_t *nextMs);
+/* One moment of all that decides on an order. */
+typedef struct QueueSight {
+    const Table *table;
+    const Config *config;
+    uint64_t configStamp; /* another with each other config */
+    Room fleet;           /* of all workers that may be given work */
+    QueueClock clock;
+    QueuePolicy policy;
+    void *arg;
+} QueueSight;
+
+/* What is remembered of jobs between two looks, so that a look costs little for each:
+ * where the configuration has them, and their chains of work.
+ * Invariant: nothing in it is the only copy; dropped whole, it is found again. */
+typedef struct Queue Queue;
+
+/* guesses may be null. */
+Queue *queueNew(void *mem, const Guesses *guesses);
+/* What a policy sees of a task. */
+PolicySight queueSee(Queue *queue, const QueueSight *sight, const Job *job, size_t task);
 
 #endif
--- a/packages/queue/src/aim.c
+++ b/packages/queue/src/aim.c
@@ -34,7 +34,10 @@
             if (aim->afterMs[k] > nextMs && comesAfter(&job->spec.steps[k], step->name))
                 nextMs = aim->afterMs[k];
         const int64_t waves = step->gang ? 1 : (int64_t)wavesOf(step, quarter);
-        aim->afterMs[s] = guessMs(guesses, job, s) * waves + nextMs;
+        const int64_t taskMs = guessMs(guesses, job, s);
+        aim->taskMs[s] = (int32_t)(taskMs < INT32_MAX / 2 ? taskMs : INT32_MAX / 2);
+        const int64_t afterMs = aim->taskMs[s] * waves + nextMs;
+        aim->afterMs[s] = (int32_t)(afterMs < INT32_MAX ? afterMs : INT32_MAX);
         if (aim->afterMs[s] > longestMs)
             longestMs = aim->afterMs[s];
     }
--- a/packages/queue/src/guess.c
+++ b/packages/queue/src/guess.c
@@ -13,11 +13,13 @@
     uint64_t kept[GUESS_KEPT];
     uint64_t count; /* ever; the newest is at (count - 1) % GUESS_KEPT */
     uint64_t median;
+    uint64_t told; /* the median when it last counted as moved */
 } Ratios;
 
 struct Guesses {
     Map *steps;   /* "cell/queue/step" to Ratios: time taken to time guessed by the caller */
     Map *plain;   /* the same key to Ratios: milliseconds, for steps whose caller guessed nothing */
+    uint64_t stamp; /* grows when a median has moved by a twentieth or more */
     Map *workers; /* names to Ratios: time taken there to time guessed by us */
 };
 
@@ -36,7 +38,13 @@
     return x < y ? -1 : x > y;
 }
 
-static void ratioTake(Map *map, const char *key, uint64_t ratio, size_t most)
+uint64_t guessesStamp(const Guesses *guesses)
+{
+    return guesses != NULL ? guesses->stamp : 0;
+}
+
+/* True when the median has moved enough to count. */
+static bool ratioTake(Map *map, const char *key, uint64_t ratio, size_t most)
 {
     Ratios *ratios = mapGet(map, key);
     if (ratios == NULL) {
@@ -49,6 +57,11 @@
     memcpy(sorted, ratios->kept, count * sizeof(*sorted));
     qsort(sorted, count, sizeof(*sorted), order);
     ratios->median = sorted[count / 2];
+    const uint64_t told = ratios->told, median = ratios->median;
+    if ((told > median ? told - median : median - told) * 20 < told)
+        return false;
+    ratios->told = median;
+    return true;
 }
 
 typedef struct Key {
@@ -94,8 +107,7 @@
     const Key key = stepKey(job, step);
     if (expectedMs > 0)
         ratioTake(guesses->workers, worker, soundMs * 1000 / (uint64_t)expectedMs, GUESS_WORKER_KEPT);
-    if (saidMs > 0)
-        ratioTake(guesses->steps, key.text, soundMs * 1000 / saidMs, GUESS_KEPT);
-    else
-        ratioTake(guesses->plain, key.text, soundMs, GUESS_KEPT);
+    const bool moved = saidMs > 0 ? ratioTake(guesses->steps, key.text, soundMs * 1000 / saidMs, GUESS_KEPT)
+                                  : ratioTake(guesses->plain, key.text, soundMs, GUESS_KEPT);
+    guesses->stamp += moved;
 }
--- /dev/null
+++ b/packages/queue/src/inside.h
@@ -0,0 +1,36 @@
+#ifndef QUEUE_SRC_INSIDE_H
+#define QUEUE_SRC_INSIDE_H
+
+#include "queue/line.h"
+
+/* What a cell, or a tenant, uses. Invariant: used is the table's as of that line, and
+ * what the line has placed since. */
+typedef struct Account {
+    const char *cell, *tenant; /* tenant is null for a cell's */
+    Room used;
+    uint64_t line;
+} Account;
+
+/* What is remembered of a job. */
+typedef struct Note {
+    const Job *job;
+    uint64_t number, line; /* of the last that saw it */
+    uint64_t stamp;        /* of the configuration that cell and queue are of */
+    const ConfigCell *cell;
+    const ConfigQueue *queue;
+    Account *cellAccount, *tenantAccount;
+    Aim aim;          /* from the first turn's due time */
+    uint64_t learnt;  /* of the guesses, when the aim was found ... */
+    Room quarter;     /* ... for this part of the fleet */
+} Note;
+
+Note *noteOf(Queue *queue, const QueueSight *sight, const Job *job);
+/* As of the newest line. */
+Room *accountUse(Queue *queue, const QueueSight *sight, Account *account);
+/* A line begins: what accounts use is looked up anew. */
+uint64_t queueLine(Queue *queue, size_t jobs);
+const Guesses *queueGuesses(const Queue *queue);
+/* The larger part of the fleet, in millionths: fine enough for one small task. */
+uint64_t partOf(Room room, Room fleet);
+
+#endif
--- /dev/null
+++ b/packages/queue/src/line.c
@@ -0,0 +1,381 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "inside.h"
+
+/* A step's place in the line. Invariants: candidate.first is the task to be tried next;
+ * end is one after the step's last. */
+typedef struct Place {
+    Candidate candidate;
+    const Note *note;
+    size_t end;
+    bool out; /* stuck, or all of it is placed */
+} Place;
+
+/* The places of one cell, from first on; head is the first that may not be out. */
+typedef struct Run {
+    size_t first, end, head;
+    uint64_t share;
+} Run;
+
+struct Line {
+    Queue *queue;
+    const QueueSight *sight;
+    Room quarter;
+    Place *places;
+    size_t count, room;
+    size_t restarts; /* so many of them are restarts, and stand first */
+    size_t nextRestart;
+    Run *runs;
+    size_t runCount;
+    Place *tried; /* the last that was given out */
+    int64_t nextMs;
+};
+
+size_t candidateTask(const Candidate *candidate, size_t member)
+{
+    size_t at = candidate->first;
+    for (; member > 0; member--)
+        do
+            at++;
+        while (taskEnded(candidate->job->tasks[at].phase));
+    return at;
+}
+
+static void nextAt(Line *line, int64_t logMs)
+{
+    if (logMs > line->sight->clock.logMs && logMs < line->nextMs)
+        line->nextMs = logMs;
+}
+
+/* --- ranks ------------------------------------------------------------------------- */
+
+/* Part of the turn's tasks that are done or under way, 0 to 1. */
+static double begunOf(const Job *job, uint64_t turn)
+{
+    const size_t turns = job->spec.turns > 0 ? (size_t)job->spec.turns : 1, each = job->tasksCount / turns;
+    size_t waiting = turns == 1 ? job->sums.waiting : 0;
+    for (size_t i = turn * each; i < (turn + 1) * each && turns > 1; i++)
+        waiting += job->tasks[i].phase == TASK_WAITING;
+    return (double)(each - waiting) / (double)each;
+}
+
+/* Ranks of jobs with an aim are cut into bands, inside which tenants take turns. */
+static double rankOf(const Line *line, const Note *note, const Job *job, size_t task, const Aim *aim)
+{
+    const QueueSight *sight = line->sight;
+    const Policy *policy = sight->policy(sight->arg, note->cell);
+    const PolicySight seen = queueSee(line->queue, sight, job, task);
+    const double rank = policy->rank(policy->arg, &seen);
+    if (policy != policyPlain() || aim->spanMs <= 0)
+        return rank;
+    const JobTask *one = &job->tasks[task];
+    const double near = job->spec.lasting ? 0.0 : aimRank(aim, one->step, sight->clock.logMs);
+    const double begun = begunOf(job, one->turn) * AIM_BEGUN_RANK;
+    return floor((rank * AIM_PRIORITY_RANK + near + begun) * AIM_BAND) / AIM_BAND;
+}
+
+/* --- building ---------------------------------------------------------------------- */
+
+static bool restarts(const Job *job, const JobTask *task, const Aim *aim)
+{
+    return aim->spanMs <= 0 && task->losses > 0 && job->spec.protection == PROTECTION_PROTECTED;
+}
+
+/* The next task from at on that could start and is, or is not, a restart. */
+static size_t taskNext(Line *line, const Job *job, size_t at, size_t end, const Aim *aim, bool restart)
+{
+    for (; at < end; at++) {
+        const JobTask *task = &job->tasks[at];
+        if (task->phase != TASK_WAITING || restarts(job, task, aim) != restart)
+            continue;
+        if (line->sight->clock.logMs >= task->restUntilMs)
+            return at;
+        nextAt(line, task->restUntilMs);
+    }
+    return end;
+}
+
+static Place *placeAdd(Line *line, const Note *note, size_t at, size_t end, size_t members, double rank, const Aim *aim,
+                       bool restart)
+{
+    if (line->count == line->room) {
+        line->room = line->room ? line->room * 2 : 64;
+        line->places = talloc_realloc(line, line->places, Place, (unsigned)line->room);
+    }
+    const Job *job = note->job;
+    const JobTask *task = &job->tasks[at];
+    const bool has = aim->spanMs > 0;
+    const int64_t freeMs = task->changedMs > task->restUntilMs ? task->changedMs : task->restUntilMs;
+    Place *place = &line->places[line->count++];
+    *place = (Place){
+        .candidate = {.job = job,
+                      .first = at,
+                      .count = members,
+                      .restart = restart,
+                      .rank = rank,
+                      .sinceMs = freeMs > aim->fromMs ? freeMs : aim->fromMs,
+                      .slackMs = has ? aimSlackMs(aim, task->step, line->sight->clock.logMs) : INT64_MAX,
+                      .spanMs = has ? aim->spanMs : 0,
+                      .guessMs = aim->taskMs[task->step]},
+        .note = note,
+        .end = end,
+    };
+    return place;
+}
+
+/* Members of the gang that have not finished; 0: some of them can't start now. They run
+ * together, those that have finished never run again. */
+static size_t membersReady(Line *line, const Job *job, size_t first, size_t end)
+{
+    size_t left = 0;
+    bool ready = true;
+    for (size_t i = first; i < end; i++) {
+        const JobTask *task = &job->tasks[i];
+        if (taskEnded(task->phase))
+            continue;
+        left++;
+        ready &= task->phase == TASK_WAITING && line->sight->clock.logMs >= task->restUntilMs;
+        nextAt(line, task->restUntilMs);
+    }
+    return ready ? left : 0;
+}
+
+static void stepWalk(Line *line, const Note *note, size_t first, size_t end, const Aim *aim)
+{
+    const Job *job = note->job;
+    const StepSpec *step = &job->spec.steps[job->tasks[first].step];
+    for (int restart = 0; restart < 2; restart++) {
+        const size_t at = taskNext(line, job, first, end, aim, restart != 0);
+        if (at == end)
+            continue;
+        const size_t members = step->gang ? membersReady(line, job, first, end) : 1;
+        if (members == 0)
+            return;
+        placeAdd(line, note, at, end, members, rankOf(line, note, job, at, aim), aim, restart != 0);
+        if (step->gang)
+            return;
+    }
+}
+
+static bool roomSame(Room a, Room b)
+{
+    return a.cpuMilli == b.cpuMilli && a.memMb == b.memMb && a.gpu == b.gpu;
+}
+
+static void turnWalk(Line *line, Note *note, uint64_t turn)
+{
+    const Job *job = note->job;
+    const size_t turns = job->spec.turns > 0 ? (size_t)job->spec.turns : 1;
+    size_t first = job->tasksCount / turns * turn;
+    bool known = false;
+    for (size_t s = 0; s < job->spec.stepsCount; s++) {
+        const size_t end = first + (size_t)job->spec.steps[s].count;
+        const bool done = (job->sums.done[turn] >> s & 1) != 0;
+        if (!done && first < end && taskStepsDone(job, &job->tasks[first])) {
+            if (!known) {
+                const uint64_t learnt = guessesStamp(queueGuesses(line->queue));
+                if (note->learnt != learnt || !roomSame(note->quarter, line->quarter))
+                    aimFind(job, 0, queueGuesses(line->queue), line->quarter, &note->aim);
+                note->learnt = learnt;
+                note->quarter = line->quarter;
+                note->aim.fromMs = queueDueMs(job, turn, line->sight->clock);
+                known = true;
+            }
+            stepWalk(line, note, first, end, &note->aim);
+        }
+        first = end;
+    }
+}
+
+/* --- order -------------------------------------------------------------------------- */
+
+static int acceptedOrder(const Candidate *x, const Candidate *y)
+{
+    if (x->job->number != y->job->number)
+        return x->job->number < y->job->number ? -1 : 1;
+    return x->first < y->first ? -1 : x->first > y->first;
+}
+
+static int placeOrder(const void *a, const void *b)
+{
+    const Place *x = a, *y = b;
+    if (x->candidate.restart != y->candidate.restart)
+        return x->candidate.restart ? -1 : 1;
+    if (x->candidate.restart) {
+        const Room unit = {1000, 2000, 1}; /* a core weighs as much as 2 GB, and as a GPU */
+        const Room *p = &x->candidate.job->spec.steps[x->candidate.job->tasks[x->candidate.first].step].room;
+        const Room *q = &y->candidate.job->spec.steps[y->candidate.job->tasks[y->candidate.first].step].room;
+        const uint64_t s = partOf(*p, unit), t = partOf(*q, unit);
+        return s != t ? (s > t ? -1 : 1) : acceptedOrder(&x->candidate, &y->candidate);
+    }
+    if (x->note->cellAccount != y->note->cellAccount)
+        return strcmp(x->candidate.job->spec.cell, y->candidate.job->spec.cell);
+    if (x->candidate.rank != y->candidate.rank)
+        return x->candidate.rank > y->candidate.rank ? -1 : 1;
+    return acceptedOrder(&x->candidate, &y->candidate);
+}
+
+static void runsFind(Line *line)
+{
+    size_t at = line->restarts;
+    while (at < line->count) {
+        size_t end = at;
+        const Note *note = line->places[at].note;
+        while (end < line->count && line->places[end].note->cellAccount == note->cellAccount)
+            end++;
+        line->runs = talloc_realloc(line, line->runs, Run, (unsigned)(line->runCount + 1));
+        line->runs[line->runCount++] =
+            (Run){at, end, at, note->cell != NULL && note->cell->share > 0 ? note->cell->share : 1};
+        at = end;
+    }
+}
+
+Line *lineNew(void *mem, Queue *queue, const QueueSight *sight)
+{
+    Line *line = talloc_zero(mem, Line);
+    const Room fleet = sight->fleet;
+    line->queue = queue;
+    line->sight = sight;
+    line->nextMs = INT64_MAX;
+    line->quarter = (Room){fleet.cpuMilli / AIM_WAVE_PART, fleet.memMb / AIM_WAVE_PART, fleet.gpu / AIM_WAVE_PART};
+    Job *const *jobs;
+    const size_t jobCount = tableActive(sight->table, &jobs);
+    queueLine(queue, jobCount);
+    for (size_t j = 0; j < jobCount; j++) {
+        const Job *job = jobs[j];
+        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)
+            continue;
+        Note *note = noteOf(queue, sight, job);
+        const uint64_t turns = job->spec.turns > 0 ? job->spec.turns : 1;
+        uint64_t turn = 0;
+        for (; turn < turns && queueDue(job, turn, sight->clock); turn++)
+            turnWalk(line, note, turn);
+        if (turn < turns)
+            nextAt(line, queueDueMs(job, turn, sight->clock));
+    }
+    qsort(line->places, line->count, sizeof(*line->places), placeOrder);
+    while (line->restarts < line->count && line->places[line->restarts].candidate.restart)
+        line->restarts++;
+    runsFind(line);
+    return line;
+}
+
+size_t lineCount(const Line *line)
+{
+    return line->count;
+}
+
+int64_t lineNextMs(const Line *line)
+{
+    return line->nextMs;
+}
+
+static Room roomOf(const Candidate *candidate)
+{
+    const Room one = candidate->job->spec.steps[candidate->job->tasks[candidate->first].step].room;
+    return (Room){one.cpuMilli * candidate->count, one.memMb * candidate->count, one.gpu * candidate->count};
+}
+
+/* What the account would use with the candidate, in millionths of the fleet. */
+static uint64_t turnOf(const Line *line, Account *account, const Candidate *candidate)
+{
+    Room room = *accountUse(line->queue, line->sight, account);
+    const Room more = roomOf(candidate);
+    room = (Room){room.cpuMilli + more.cpuMilli, room.memMb + more.memMb, room.gpu + more.gpu};
+    return partOf(room, line->sight->fleet);
+}
+
+/* Of those with the highest rank in the run, the one whose tenant would use least. */
+static Place *runNext(Line *line, Run *run)
+{
+    while (run->head < run->end && line->places[run->head].out)
+        run->head++;
+    if (run->head == run->end)
+        return NULL;
+    Place *best = &line->places[run->head];
+    uint64_t bestTurn = 0;
+    const Account *seen = NULL;
+    for (size_t i = run->head; i < run->end; i++) {
+        Place *place = &line->places[i];
+        if (place->candidate.rank != line->places[run->head].candidate.rank)
+            break;
+        /* of one tenant the first comer, so the next of the same one can't be better */
+        if (place->out || place->note->tenantAccount == seen)
+            continue;
+        const uint64_t turn = turnOf(line, place->note->tenantAccount, &place->candidate);
+        if (seen == NULL || turn < bestTurn) {
+            best = place;
+            bestTurn = turn;
+        }
+        seen = place->note->tenantAccount;
+    }
+    return best;
+}
+
+const Candidate *lineNext(Line *line)
+{
+    line->tried = NULL;
+    while (line->nextRestart < line->restarts && line->places[line->nextRestart].out)
+        line->nextRestart++;
+    if (line->nextRestart < line->restarts)
+        line->tried = &line->places[line->nextRestart];
+    uint64_t bestTurn = 0;
+    for (size_t i = 0; i < line->runCount && line->nextRestart == line->restarts; i++) {
+        Place *place = runNext(line, &line->runs[i]);
+        if (place == NULL)
+            continue;
+        const uint64_t turn = line->runCount == 1 ? 0 : turnOf(line, place->note->cellAccount, &place->candidate) / line->runs[i].share;
+        if (line->tried == NULL || turn < bestTurn) {
+            line->tried = place;
+            bestTurn = turn;
+        }
+    }
+    return line->tried != NULL ? &line->tried->candidate : NULL;
+}
+
+static void accountMore(Line *line, Account *account, Room more)
+{
+    Room *used = accountUse(line->queue, line->sight, account);
+    *used = (Room){used->cpuMilli + more.cpuMilli, used->memMb + more.memMb, used->gpu + more.gpu};
+}
+
+void linePlaced(Line *line)
+{
+    Place *place = line->tried;
+    Candidate *candidate = &place->candidate;
+    const Room more = roomOf(candidate);
+    accountMore(line, place->note->cellAccount, more);
+    accountMore(line, place->note->tenantAccount, more);
+    const bool gang = candidate->job->spec.steps[candidate->job->tasks[candidate->first].step].gang;
+    const Aim aim = {.spanMs = candidate->spanMs};
+    if (!gang)
+        candidate->first = taskNext(line, candidate->job, candidate->first + 1, place->end, &aim, candidate->restart);
+    place->out = gang || candidate->first == place->end;
+}
+
+void lineStuck(Line *line)
+{
+    line->tried->out = true;
+}
+
+bool lineRank(const Line *line, const Job *job, size_t task, double *rank)
+{
+    const size_t first = taskFirst(job, &job->tasks[task]);
+    for (size_t i = 0; i < line->count; i++) {
+        const Candidate *candidate = &line->places[i].candidate;
+        if (candidate->job != job || candidate->first < first || line->places[i].end <= task)
+            continue;
+        *rank = candidate->rank;
+        return true;
+    }
+    return false;
+}
+
+Room lineTenantUses(Line *line, const Job *job)
+{
+    return *accountUse(line->queue, line->sight, noteOf(line->queue, line->sight, job)->tenantAccount);
+}
--- /dev/null
+++ b/packages/queue/src/wait.c
@@ -0,0 +1,55 @@
+/* What a waiting task waits for. */
+#include "queue/queue.h"
+
+const char *waitWord(WaitReason reason)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        WAIT_LIST(X)
+#undef X
+    };
+    return WORDS[reason];
+}
+
+const char *queueKind(const Job *job, uint64_t step)
+{
+    const char *kind = job->spec.steps[step].kind;
+    return kind[0] != '\0' || job->terms.kind == NULL ? kind : job->terms.kind;
+}
+
+/* The wall time before which the turn must not start; 0: none. */
+static int64_t turnWallMs(const Job *job, uint64_t turn)
+{
+    const JobSpec *spec = &job->spec;
+    const int64_t turnMs = spec->firstWallMs != 0 ? spec->firstWallMs + (int64_t)turn * spec->periodMs : 0;
+    return turnMs > spec->dueWallMs ? turnMs : spec->dueWallMs;
+}
+
+bool queueDue(const Job *job, uint64_t turn, QueueClock clock)
+{
+    return clock.wallMs >= turnWallMs(job, turn) && clock.logMs >= job->acceptedMs + job->spec.delayMs;
+}
+
+int64_t queueDueMs(const Job *job, uint64_t turn, QueueClock clock)
+{
+    const int64_t wallMs = turnWallMs(job, turn), acceptedMs = job->acceptedMs + job->spec.delayMs;
+    const int64_t dueMs = clock.logMs - (clock.wallMs - wallMs);
+    return wallMs != 0 && dueMs > acceptedMs ? dueMs : acceptedMs;
+}
+
+WaitReason queueWait(const Job *job, size_t task, QueueClock clock)
+{
+    const JobTask *one = &job->tasks[task];
+    const StepSpec *step = &job->spec.steps[one->step];
+    if (!queueDue(job, one->turn, clock))
+        return WAIT_DUE;
+    if (!taskStepsDone(job, one))
+        return WAIT_STEPS;
+    if (clock.logMs < one->restUntilMs)
+        return WAIT_REST;
+    const size_t first = taskFirst(job, one);
+    for (size_t i = first; i < first + step->count && step->gang; i++)
+        if (job->tasks[i].phase != TASK_WAITING && !taskEnded(job->tasks[i].phase))
+            return WAIT_GANG;
+    return WAIT_READY;
+}
--- a/packages/queue/test/aims.c
+++ b/packages/queue/test/aims.c
@@ -1,6 +1,6 @@
 /* In which order work is placed: aims, turns, what estimates have taught. */
 #include "../../table/test/board.h"
-#include "queue/queue.h"
+#include "queue/line.h"
 
 #define CPU 1000
 
@@ -29,26 +29,34 @@
 }
 
 /* Their ids in order, one letter each. */
-static const char *orderOf(Board *board, int64_t logMs, const Guesses *guesses)
+static const char *orderIn(Board *board, const char *text, int64_t logMs, size_t most)
 {
     void *mem = talloc_new(board->table);
     Faults faults = {.mem = mem};
-    const char *text = "{\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{}}}}";
     const Config *config = configRead(mem, text, strlen(text), 1, &faults);
     assert_non_null(config);
-    const Room fleet = {1000 * CPU, 100000, 0};
-    const QueueUse *use = queueUse(mem, board->table, config, fleet);
-    Candidate *list;
-    int64_t nextMs;
-    const QueueClock clock = {logMs, 1000000 + logMs};
-    const size_t count = queueBuild(mem, board->table, config, use, clock, guesses, plain, NULL, &list, &nextMs);
-    char *order = talloc_zero_array(board->table, char, (unsigned)count + 1);
-    for (size_t i = 0; i < count; i++)
-        order[i] = list[i].job->spec.id[0];
+    Queue *queue = queueNew(mem, NULL);
+    const QueueSight sight = {.table = board->table,
+                              .config = config,
+                              .fleet = {1000 * CPU, 100000, 0},
+                              .clock = {logMs, 1000000 + logMs},
+                              .policy = plain};
+    Line *line = lineNew(mem, queue, &sight);
+    char *order = talloc_zero_array(board->table, char, (unsigned)most + 1);
+    const Candidate *candidate;
+    for (size_t i = 0; i < most && (candidate = lineNext(line)) != NULL; i++) {
+        order[i] = candidate->job->spec.id[0];
+        linePlaced(line);
+    }
     talloc_free(mem);
     return order;
 }
 
+static const char *orderOf(Board *board, int64_t logMs)
+{
+    return orderIn(board, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{}}}}", logMs, 100);
+}
+
 /* The later comer with the nearer aim goes first; of two alike, the first comer. */
 static void soonestFirst(void **state)
 {
@@ -57,9 +65,9 @@
     add(&board, "a", 6000, aims(2200, 2000, 0));
     add(&board, "b", 1000, aims(1500, 500, 0));
     add(&board, "c", 1000, aims(1500, 500, 0));
-    assert_string_equal(orderOf(&board, 1000, NULL), "bca");
+    assert_string_equal(orderOf(&board, 1000), "bca");
     /* a's aim is 15.2 s from 1000: at 9.9 s it must go now; b and c are lost since 4.5 s */
-    assert_string_equal(orderOf(&board, 9900, NULL), "abc");
+    assert_string_equal(orderOf(&board, 9900), "abc");
     talloc_free(board.table);
 }
 
@@ -73,7 +81,7 @@
     add(&board, "y", 1000, aims(1000, 1000, 0)); /* late at 7 s */
     board.atMs = 7000;
     add(&board, "z", 1000, aims(1000, 1000, 0));
-    assert_string_equal(orderOf(&board, 7500, NULL), "zyx");
+    assert_string_equal(orderOf(&board, 7500), "zyx");
     talloc_free(board.table);
 }
 
@@ -84,7 +92,7 @@
     Board board = boardNew();
     add(&board, "b", 1000, aims(1000, 1000, 0));
     add(&board, "u", 1000, aims(1000, 1000, 1));
-    assert_string_equal(orderOf(&board, 1000, NULL), "ub");
+    assert_string_equal(orderOf(&board, 1000), "ub");
     talloc_free(board.table);
 }
 
@@ -99,10 +107,10 @@
     spec.firstWallMs = 1002000;
     spec.periodMs = 1000;
     jobAdd(&board, &spec, aims(1000, 1000, 0));
-    assert_string_equal(orderOf(&board, 1999, NULL), "");
-    assert_string_equal(orderOf(&board, 2000, NULL), "t");
-    assert_string_equal(orderOf(&board, 3500, NULL), "tt");
-    assert_string_equal(orderOf(&board, 9000, NULL), "ttt");
+    assert_string_equal(orderOf(&board, 1999), "");
+    assert_string_equal(orderOf(&board, 2000), "t");
+    assert_string_equal(orderOf(&board, 3500), "tt");
+    assert_string_equal(orderOf(&board, 9000), "ttt");
     talloc_free(board.table);
 }
 
@@ -119,7 +127,7 @@
     two[1].afterCount = 1;
     const JobSpec spec = specOf("l", two, 2);
     const Job *job = jobAdd(&board, &spec, aims(0, 10000, 0));
-    assert_string_equal(orderOf(&board, 1000, NULL), "ls");
+    assert_string_equal(orderOf(&board, 1000), "ls");
     Aim aim;
     aimFind(job, 1000, NULL, (Room){0}, &aim);
     assert_int_equal(aim.afterMs[0], 8000);
@@ -173,7 +181,83 @@
     add(&board, "a", 100, aims(1000, 100, 0));
     board.atMs = 9000;
     add(&board, "b", 100, aims(1000, 100, 0));
-    assert_string_equal(orderOf(&board, 60000, NULL), "ab");
+    assert_string_equal(orderOf(&board, 60000), "ab");
+    talloc_free(board.table);
+}
+
+static void addFor(Board *board, const char *id, const char *cell, const char *tenant, uint64_t count)
+{
+    StepSpec many = step("a", count, 0);
+    JobSpec spec = specOf(id, &many, 1);
+    spec.cell = cell;
+    spec.tenant = tenant;
+    jobAdd(board, &spec, (JobTerms){.kind = ""});
+}
+
+/* Without aims: cells by their shares, tenants in turns, then who came first. */
+static void sharesAndTurns(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    addFor(&board, "a", "c", "t", 6);
+    addFor(&board, "b", "c", "u", 6);
+    addFor(&board, "x", "d", "t", 9);
+    const char *text = "{\"cells\":{\"c\":{\"share\":2,\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{}},"
+                       "\"d\":{\"tenants\":{\"t\":{}},\"queues\":{}}}}";
+    assert_string_equal(orderIn(&board, text, 1000, 9), "abxabxabx");
+    /* what is in use already counts */
+    const uint64_t four[] = {0, 1, 2, 3};
+    place(&board, "a", four, 4, 1, "w1", "");
+    assert_string_equal(orderIn(&board, text, 1000, 6), "xxbbxb");
+    talloc_free(board.table);
+}
+
+/* A step that finds no room is tried no more; the others are. */
+static void stuckIsPassedBy(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    addFor(&board, "a", "c", "t", 3);
+    addFor(&board, "b", "c", "t", 2);
+    void *mem = talloc_new(board.table);
+    Faults faults = {.mem = mem};
+    const char *text = "{\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{}}}}";
+    const Config *config = configRead(mem, text, strlen(text), 1, &faults);
+    const QueueSight sight = {.table = board.table, .config = config, .clock = {1000, 1000}, .policy = plain};
+    Line *line = lineNew(mem, queueNew(mem, NULL), &sight);
+    assert_int_equal(lineCount(line), 2);
+    assert_string_equal(lineNext(line)->job->spec.id, "a");
+    linePlaced(line);
+    assert_int_equal(lineNext(line)->first, 1);
+    lineStuck(line);
+    assert_string_equal(lineNext(line)->job->spec.id, "b");
+    linePlaced(line);
+    assert_string_equal(lineNext(line)->job->spec.id, "b");
+    linePlaced(line);
+    assert_null(lineNext(line));
+    talloc_free(board.table);
+}
+
+/* A gang is one: none of it while a member rests, what has finished is left out. */
+static void gangsAreOne(void **state)
+{
+    (void)state;
+    Board board = boardNew();
+    StepSpec gang = step("a", 3, 0);
+    gang.gang = true;
+    const JobSpec spec = specOf("g", &gang, 1);
+    jobAdd(&board, &spec, (JobTerms){.kind = ""});
+    assert_string_equal(orderOf(&board, 1000), "g");
+    const uint64_t all[] = {0, 1, 2};
+    place(&board, "g", all, 3, 1, "w1", "");
+    for (uint64_t i = 0; i < 3; i++)
+        say(&board, "g", i, 1, "w1", ROUND_RUNNING, "");
+    say(&board, "g", 1, 1, "w1", ROUND_FAILED, "");
+    assert_string_equal(orderOf(&board, 100000), ""); /* the others are still being stopped */
+    say(&board, "g", 0, 1, "w1", ROUND_STOPPED, "");
+    say(&board, "g", 2, 1, "w1", ROUND_STOPPED, "");
+    assert_string_equal(orderOf(&board, 1000), ""); /* the failed one rests */
+    assert_string_equal(orderOf(&board, 100000), "g");
     talloc_free(board.table);
 }
 
@@ -183,6 +267,7 @@
         cmocka_unit_test(soonestFirst), cmocka_unit_test(lateBehind), cmocka_unit_test(urgentFirst),
         cmocka_unit_test(turnsDue),     cmocka_unit_test(chains),     cmocka_unit_test(waves),
         cmocka_unit_test(learnt),       cmocka_unit_test(oldestOfTheLost),
+        cmocka_unit_test(sharesAndTurns), cmocka_unit_test(stuckIsPassedBy), cmocka_unit_test(gangsAreOne),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -59,6 +59,12 @@
 /* The workers that have a task on them, from 0, in no order; null past the last. */
 const char *tableBusy(const Table *table, size_t at);
 
+/* What is in use by the tasks on a worker, and by all of a cell or of one of its
+ * tenants, wherever they are. */
+Room tableUsedOn(const Table *table, const char *worker);
+Room tableUsedBy(const Table *table, const char *cell);
+Room tableUsedByTenant(const Table *table, const char *cell, const char *tenant);
+
 /* Configuration: the newest, and those that can be read back. */
 const Revisions *tableRevisions(const Table *table);
 /* Grows whenever the whole state is replaced: what is remembered of a revision of
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -12,6 +12,7 @@
     uint64_t revision;
     TaskOn *on;
     size_t count, room;
+    Room used; /* by them */
     size_t busyAt; /* its place among the busy ones; of no meaning when count is 0 */
 } WorkerOn;
 
@@ -51,6 +52,7 @@
     WorkerOn **busy; /* exactly those with a task on them, in no order */
     size_t busyCount, busyRoom;
     Map *cells;
+    Map *used; /* "cell", and "cell/tenant", to the Room that its tasks on workers use */
     Map *queues; /* "cell/queue" to QueueSum */
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
     size_t orphanCount;
--- a/packages/table/src/on.c
+++ b/packages/table/src/on.c
@@ -1,4 +1,5 @@
 /* What is on each worker. */
+#include <stdio.h>
 #include <talloc.h>
 
 #include "inside.h"
@@ -40,6 +41,60 @@
     last->busyAt = its->busyAt;
 }
 
+static Room sum(Room a, Room b, bool more)
+{
+    return more ? (Room){a.cpuMilli + b.cpuMilli, a.memMb + b.memMb, a.gpu + b.gpu}
+                : (Room){a.cpuMilli - b.cpuMilli, a.memMb - b.memMb, a.gpu - b.gpu};
+}
+
+static Room *usedOf(Table *table, const char *key)
+{
+    Room *used = mapGet(table->used, key);
+    if (used == NULL) {
+        used = talloc_zero(table->mem, Room);
+        mapSet(table->used, key, used);
+    }
+    return used;
+}
+
+typedef struct TenantKey {
+    char text[2 * ID_MAX + 2];
+} TenantKey;
+
+static TenantKey tenantKey(const char *cell, const char *tenant)
+{
+    TenantKey key;
+    snprintf(key.text, sizeof(key.text), "%s/%s", cell, tenant);
+    return key;
+}
+
+/* A task of the job came to a worker, or left it. */
+static void usedTake(Table *table, const JobSpec *spec, Room room, bool more)
+{
+    const TenantKey key = tenantKey(spec->cell, spec->tenant);
+    Room *cell = usedOf(table, spec->cell), *tenant = usedOf(table, key.text);
+    *cell = sum(*cell, room, more);
+    *tenant = sum(*tenant, room, more);
+}
+
+Room tableUsedOn(const Table *table, const char *worker)
+{
+    const WorkerOn *its = mapGet(table->on, worker);
+    return its != NULL ? its->used : (Room){0};
+}
+
+Room tableUsedBy(const Table *table, const char *cell)
+{
+    const Room *used = mapGet(table->used, cell);
+    return used != NULL ? *used : (Room){0};
+}
+
+Room tableUsedByTenant(const Table *table, const char *cell, const char *tenant)
+{
+    const TenantKey key = tenantKey(cell, tenant);
+    return tableUsedBy(table, key.text);
+}
+
 void onAdd(Table *table, Job *job, JobTask *task)
 {
     if (task->worker[0] == '\0')
@@ -53,6 +108,9 @@
     }
     task->onAt = its->count;
     its->on[its->count++] = (TaskOn){job, (size_t)(task - job->tasks)};
+    const Room room = job->spec.steps[task->step].room;
+    its->used = sum(its->used, room, true);
+    usedTake(table, &job->spec, room, true);
 }
 
 void onDrop(Table *table, const JobTask *task)
@@ -60,6 +118,10 @@
     if (task->worker[0] == '\0')
         return;
     WorkerOn *its = workerOn(table, task->worker);
+    const JobSpec *spec = &its->on[task->onAt].job->spec;
+    const Room room = spec->steps[task->step].room;
+    its->used = sum(its->used, room, false);
+    usedTake(table, spec, room, false);
     const TaskOn last = its->on[--its->count];
     its->on[task->onAt] = last;
     last.job->tasks[last.task].onAt = task->onAt;
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -21,6 +21,7 @@
     table->workers = mapNew(table->mem);
     table->on = mapNew(table->mem);
     table->cells = mapNew(table->mem);
+    table->used = mapNew(table->mem);
     table->queues = mapNew(table->mem);
     table->drains = mapNew(table->mem);
     table->revisions = revisionsNew(table->mem, CONFIG_HISTORY);
