--- /dev/null
+++ b/packages/sim/test/ways.c
@@ -0,0 +1,286 @@
+/* How a request finds the leader, when it is given up, and how entry points leave. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    fleetRun(fleet, 1000);
+    return fleet;
+}
+
+static void end(Fleet *fleet)
+{
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+static const char *jobOf(void *mem, const char *id)
+{
+    return talloc_asprintf(mem,
+                           "{\"id\":\"%s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["
+                           "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":64}}]}",
+                           id);
+}
+
+/* --- a request handed to a process from within, with an expiry of its own ----------------- */
+
+typedef struct Handed {
+    FleetNode *node;
+    HttpTask *task;
+    int64_t tookMs;
+    bool done;
+} Handed;
+
+static void handMain(void *arg)
+{
+    Handed *handed = arg;
+    Loop *loop = handed->task->loop;
+    const int64_t fromMs = loopNowMs(loop);
+    handed->task->expiryMs += handed->task->expiryMs > 0 ? fromMs : 0;
+    if (handed->node->core != NULL)
+        coreTake(handed->node->core, handed->task);
+    else
+        gateTake(handed->node->gate, handed->task);
+    handed->tookMs = loopNowMs(loop) - fromMs;
+    handed->done = true;
+}
+
+/* Runs until it is answered. */
+static HttpTask *hand(Fleet *fleet, FleetRole role, int number, const char *method, const char *path, const char *body,
+                      int64_t waitMs, int64_t *tookMs)
+{
+    Handed handed = {.node = fleetNode(fleet, role, number), .task = talloc_zero(fleet, HttpTask)};
+    *handed.task = (HttpTask){.loop = simLoop(fleet->world, handed.node->machine),
+                              .method = method,
+                              .path = path,
+                              .query = "",
+                              .host = "",
+                              .expiryMs = waitMs};
+    if (body != NULL)
+        bytesAdd(handed.task, &handed.task->body, body, strlen(body));
+    loopSpawn(handed.task->loop, "hand", handMain, &handed);
+    while (!handed.done)
+        fleetRun(fleet, 5);
+    *tookMs = handed.tookMs;
+    return handed.task;
+}
+
+static void expiryKept(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(31);
+    int64_t tookMs;
+    fleetFreeze(fleet, FLEET_CORE, fleetLeader(fleet), 30000);
+    HttpTask *task = hand(fleet, FLEET_GATE, 0, "POST", "/v1/jobs", jobOf(fleet, "short"), 300, &tookMs);
+    assert_int_equal(task->code, 504);
+    assert_true(tookMs <= 310);
+    /* whoever has more time is asked again of the next leader */
+    task = hand(fleet, FLEET_GATE, 1, "POST", "/v1/jobs", jobOf(fleet, "long"), 7000, &tookMs);
+    assert_true(task->code == 200 || task->code == 201);
+    print_message("served after %lld ms\n", (long long)tookMs);
+    fleetRun(fleet, 30000);
+    end(fleet);
+}
+
+/* Nobody can have taken it: it is refused at once, with when to come back. */
+static void refusedAtOnce(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(32);
+    for (int i = 0; i < 3; i++)
+        fleetKill(fleet, FLEET_CORE, i);
+    fleetRun(fleet, 600);
+    for (int i = 0; i < 20; i++) {
+        int64_t tookMs;
+        char *id = talloc_asprintf(fleet, "none-%d", i);
+        const HttpTask *task = hand(fleet, FLEET_GATE, i % 3, "POST", "/v1/jobs", jobOf(fleet, id), 3000, &tookMs);
+        assert_int_equal(task->code, 503);
+        assert_true(task->retryAfterS > 0);
+        if (tookMs > LEADER_WAIT_MS)
+            fail_msg("refused after %lld ms", (long long)tookMs);
+        fleetRun(fleet, 100);
+    }
+    end(fleet);
+}
+
+/* A leader that is slow but lives is waited for: asking it twice would make it slower. */
+static void slowIsWaitedFor(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(33);
+    for (int i = 0; i < 3; i++)
+        simDiskSlow(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, 450);
+    for (int i = 0; i < 5; i++) {
+        int64_t tookMs;
+        char *id = talloc_asprintf(fleet, "slow-%d", i);
+        const HttpTask *task = hand(fleet, FLEET_GATE, i % 3, "POST", "/v1/jobs", jobOf(fleet, id), 3000, &tookMs);
+        assert_int_equal(task->code, 201);
+        assert_true(tookMs > 400);
+    }
+    end(fleet);
+}
+
+/* The way between one gate and the leader is cut: others carry on. */
+static void otherWays(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(34);
+    const int leader = fleetLeader(fleet);
+    const int a = fleetNode(fleet, FLEET_GATE, 0)->machine, b = fleetNode(fleet, FLEET_CORE, leader)->machine;
+    simCut(fleet->world, a, b, true);
+    simCut(fleet->world, b, a, true);
+    int64_t tookMs;
+    const HttpTask *task = hand(fleet, FLEET_GATE, 0, "POST", "/v1/jobs", jobOf(fleet, "round-0"), 3000, &tookMs);
+    assert_true(task->code == 200 || task->code == 201);
+    for (int i = 1; i < 40; i++) {
+        char *id = talloc_asprintf(fleet, "round-%d", i);
+        task = hand(fleet, FLEET_GATE, 0, "POST", "/v1/jobs", jobOf(fleet, id), 3000, &tookMs);
+        assert_int_equal(task->code, 201);
+        assert_true(tookMs < 200);
+        fleetRun(fleet, 200);
+        assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/readyz", NULL).code, 200);
+    }
+    assert_int_equal(fleetLeader(fleet), leader);
+    simCut(fleet->world, a, b, false);
+    simCut(fleet->world, b, a, false);
+    end(fleet);
+}
+
+/* --- readiness ------------------------------------------------------------------------- */
+
+static int readyCount(Fleet *fleet)
+{
+    int ready = 0;
+    for (int role = FLEET_CORE; role <= FLEET_GATE; role++)
+        for (int i = 0; i < 3; i++) {
+            const FleetNode *node = fleetNode(fleet, (FleetRole)role, i);
+            if (simAlive(fleet->world, node->machine) && node->up)
+                ready += node->core != NULL ? coreReady(node->core) : gateReady(node->gate);
+        }
+    return ready;
+}
+
+/* A change of leader takes nobody out; the end of all cores takes all out. */
+static void readiness(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(35);
+    fleetRun(fleet, 3000);
+    assert_int_equal(readyCount(fleet), 6);
+    const int leader = fleetLeader(fleet);
+    fleetRoll(fleet, FLEET_CORE, leader);
+    fleetRun(fleet, 10);
+    for (int i = 0; i < 40; i++) {
+        assert_true(readyCount(fleet) >= 5); /* all but the one that leaves */
+        fleetRun(fleet, 100);
+    }
+    fleetRun(fleet, 8000);
+    assert_int_equal(readyCount(fleet), 6);
+    const int next = fleetLeader(fleet);
+    fleetKill(fleet, FLEET_CORE, next);
+    fleetRun(fleet, 1500);
+    assert_int_equal(readyCount(fleet), 5);
+    fleetRun(fleet, 6000);
+    assert_int_equal(readyCount(fleet), 5);
+    for (int i = 0; i < 3; i++)
+        if (i != next)
+            fleetKill(fleet, FLEET_CORE, i);
+    fleetRun(fleet, 2500);
+    assert_int_equal(readyCount(fleet), 0);
+    end(fleet);
+}
+
+/* --- leaving ------------------------------------------------------------------------------ */
+
+typedef struct Sending {
+    Fleet *fleet;
+    FleetNode *node;
+    bool stop;
+    int sent, good, again, cut;
+    size_t calls;
+} Sending;
+
+typedef struct Send {
+    Sending *sending;
+    int number;
+} Send;
+
+static void sendMain(void *arg)
+{
+    Send *one = arg;
+    Sending *sending = one->sending;
+    Fleet *fleet = sending->fleet;
+    char *id = talloc_asprintf(one, "left-%s-%d", sending->node->props.name, one->number);
+    HttpCall call = {.mem = one, .address = sending->node->props.http, .method = "POST", .path = "/v1/jobs", .waitMs = 5000};
+    const char *body = jobOf(one, id);
+    bytesAdd(one, &call.body, body, strlen(body));
+    const Status status = loopCall(simLoop(fleet->world, fleet->caller), &call);
+    sending->good += status == STATUS_OK && call.code == 201;
+    sending->again += status == STATUS_OK && call.code >= 500;
+    sending->cut += status != STATUS_OK;
+    sending->calls--;
+    talloc_free(one);
+}
+
+/* Callers come as long as the process says that it is ready, and 300 ms longer. */
+static void sendingMain(void *arg)
+{
+    Sending *sending = arg;
+    Loop *loop = simLoop(sending->fleet->world, sending->fleet->caller);
+    int64_t readyMs = loopNowMs(loop);
+    while (!sending->stop && loopNowMs(loop) - readyMs <= 300) {
+        FleetNode *node = sending->node;
+        if (node->up && (node->core != NULL ? coreReady(node->core) : gateReady(node->gate)))
+            readyMs = loopNowMs(loop);
+        Send *one = talloc_zero(sending->fleet, Send);
+        *one = (Send){sending, sending->sent++};
+        sending->calls++;
+        loopSpawn(loop, "send", sendMain, one);
+        loopSleep(loop, 7);
+    }
+}
+
+/* SIGTERM under load: whatever was read is answered, and hardly anything refused. */
+static void leaving(void **state)
+{
+    (void)state;
+    for (int role = FLEET_CORE; role <= FLEET_GATE; role++) {
+        Fleet *fleet = begin(36);
+        const int number = role == FLEET_CORE ? fleetLeader(fleet) : 0;
+        Sending sending = {.fleet = fleet, .node = fleetNode(fleet, (FleetRole)role, number)};
+        loopSpawn(simLoop(fleet->world, fleet->caller), "sending", sendingMain, &sending);
+        fleetRun(fleet, 500);
+        fleetRoll(fleet, (FleetRole)role, number);
+        fleetRun(fleet, 4000);
+        sending.stop = true;
+        fleetRun(fleet, 1000);
+        print_message("%s: %d sent, %d taken, %d to come back, %d cut\n", sending.node->props.name, sending.sent,
+                      sending.good, sending.again, sending.cut);
+        assert_int_equal(sending.cut, 0);
+        assert_int_equal(sending.calls, 0);
+        assert_true(sending.good > 100 && sending.again < 10);
+        end(fleet);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(expiryKept), cmocka_unit_test(refusedAtOnce), cmocka_unit_test(slowIsWaitedFor),
+        cmocka_unit_test(otherWays),  cmocka_unit_test(readiness),     cmocka_unit_test(leaving),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
