The real loop's HTTP is tested over loopback: two addresses, broken, half, large, slow, leaving

Each answer is read to the byte by a thread with plain sockets. Seen: a head over the limit gets 431 and the connection goes on, a body 413; a head that never ends and an idle connection are closed; a caller who leaves while his request is in work is seen; one who reads slowly keeps nobody waiting; while leaving each connection is closed after its next answer, and SIGHUP ends nothing.

--- /dev/null
+++ b/packages/loop/test/http.c
@@ -0,0 +1,383 @@
+/* The real loop's HTTP, over loopback: a thread is the caller, with plain sockets. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "loop/real.h"
+
+#define LARGE_BYTES (16 * 1024 * 1024) /* more than the kernel takes at once */
+
+/* What the two sides share. Invariant: the loop's thread alone touches loop. */
+typedef struct Stage {
+    Loop *loop;
+    char first[ADDRESS_MAX], second[ADDRESS_MAX];
+    void (*script)(struct Stage *stage);
+    HttpLimits limits;
+    atomic_int gone; /* callers seen to leave */
+    atomic_int served;
+    atomic_int hups;
+} Stage;
+
+static void say(HttpTask *task, const char *text)
+{
+    task->code = 200;
+    task->kind = "text/plain";
+    bytesAdd(task, &task->verdict, text, strlen(text));
+}
+
+static void onFirst(void *arg, HttpTask *task)
+{
+    Stage *stage = arg;
+    stage->served++;
+    if (strcmp(task->path, "/wait") == 0) {
+        while (!task->gone)
+            loopSleep(task->loop, 1);
+        stage->gone++;
+    } else if (strcmp(task->path, "/large") == 0) {
+        task->code = 200;
+        task->verdict.data = talloc_zero_size(task, LARGE_BYTES);
+        task->verdict.count = LARGE_BYTES;
+        memset(task->verdict.data, 'x', LARGE_BYTES);
+    } else if (strcmp(task->path, "/leave") == 0) {
+        loopServeLeave(task->loop);
+        say(task, talloc_asprintf(task, "busy %zu", loopServeBusy(task->loop)));
+    } else {
+        const char *kind = httpHead(task, "x-kind");
+        task->tells = talloc_memdup(task, (&(HttpPair){"x-told", "yes"}), sizeof(HttpPair));
+        task->tellCount = 1;
+        say(task, talloc_asprintf(task, "first %s %s?%s host=%s kind=%s body=%zu", task->method, task->path, task->query,
+                                  task->host, kind != NULL ? kind : "none", task->body.count));
+    }
+}
+
+static void onSecond(void *arg, HttpTask *task)
+{
+    (void)arg;
+    if (strcmp(task->path, "/end") == 0)
+        loopStop(task->loop);
+    say(task, "second");
+}
+
+/* --- the caller ---------------------------------------------------------------------- */
+
+static int dial(const char *address)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET};
+    const char *colon = strrchr(address, ':');
+    sin.sin_port = htons((uint16_t)atoi(colon + 1));
+    inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+        abort();
+    return fd;
+}
+
+static void put(int fd, const char *text)
+{
+    const size_t count = strlen(text);
+    if (send(fd, text, count, MSG_NOSIGNAL) != (ssize_t)count)
+        fprintf(stderr, "not all was sent\n");
+}
+
+/* One whole answer: head, and as much body as it says. Empty at the end. */
+static size_t answer(int fd, char *text, size_t room)
+{
+    size_t count = 0;
+    for (;;) {
+        text[count] = '\0';
+        const char *end = strstr(text, "\r\n\r\n"), *length = strcasestr(text, "content-length: ");
+        if (end != NULL && (length == NULL || count >= (size_t)(end + 4 - text) + (size_t)atol(length + 16)))
+            return count;
+        /* to the byte, so that the next answer stays in the socket */
+        const ssize_t got = recv(fd, text + count, end == NULL ? 1 : room - 1 - count < 1 ? 0 : 1, 0);
+        if (got <= 0)
+            return 0;
+        count += (size_t)got;
+    }
+}
+
+static bool ended(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, 0) <= 0;
+}
+
+static void asked(int fd, const char *request, const char *code, const char *words)
+{
+    char text[4096];
+    put(fd, request);
+    if (answer(fd, text, sizeof(text)) == 0)
+        snprintf(text, sizeof(text), "nothing");
+    if (strncmp(text, "HTTP/1.1 ", 9) != 0 || strncmp(text + 9, code, 3) != 0 || strstr(text, words) == NULL)
+        fail_msg("asked %s told %s instead of %s with %s", request, text, code, words);
+}
+
+static void *callerMain(void *arg)
+{
+    Stage *stage = arg;
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP); /* it is the loop's */
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    stage->script(stage);
+    const int fd = dial(stage->second);
+    put(fd, "GET /end HTTP/1.1\r\nhost: x\r\n\r\n");
+    ended(fd);
+    close(fd);
+    return NULL;
+}
+
+static void onTerm(void *arg)
+{
+    Stage *stage = arg;
+    loopStop(stage->loop);
+}
+
+static void onHup(void *arg)
+{
+    Stage *stage = arg;
+    stage->hups++;
+}
+
+static void play(void (*script)(Stage *stage), HttpLimits limits)
+{
+    Stage *stage = talloc_zero(NULL, Stage);
+    stage->loop = realLoopNew(stage);
+    stage->script = script;
+    stage->limits = limits;
+    assert_int_equal(loopServe(stage->loop, "127.0.0.1:0", onFirst, stage, stage->first, NULL), STATUS_OK);
+    loopServeLimits(stage->loop, &limits);
+    assert_int_equal(loopServe(stage->loop, "127.0.0.1:0", onSecond, stage, stage->second, NULL), STATUS_OK);
+    realLoopOnHup(stage->loop, onHup, stage);
+    pthread_t caller;
+    pthread_create(&caller, NULL, callerMain, stage);
+    realLoopRun(stage->loop, onTerm, stage);
+    pthread_join(caller, NULL);
+    /* the loop's memory is the process's: it is left to its end */
+}
+
+/* --- what is played --------------------------------------------------------------------- */
+
+static void twoAddresses(Stage *stage)
+{
+    const int first = dial(stage->first), second = dial(stage->second);
+    asked(first, "GET /a/b?c=d HTTP/1.1\r\nHost: Jobs.Example:8080\r\nX-Kind: Some\r\n\r\n", "200",
+          "first GET /a/b?c=d host=jobs.example kind=Some body=0");
+    asked(second, "GET /a HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
+    /* the same connections again */
+    asked(second, "GET /a HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
+    asked(first, "POST /p HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello", "200", "body=5");
+    asked(first, "POST /p HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n", "200",
+          "body=7");
+    asked(first, "GET / HTTP/1.1\r\n\r\n", "200", "x-told: yes");
+    close(first);
+    close(second);
+}
+
+static void pipelined(Stage *stage)
+{
+    const int fd = dial(stage->first);
+    char text[4096];
+    put(fd, "GET /1 HTTP/1.1\r\nhost: x\r\n\r\nPOST /2 HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhiGET /3 HTTP/1.1\r\nhost: x\r\n\r\n");
+    static const char *const WORDS[] = {"GET /1?", "POST /2?", "GET /3?"};
+    for (int i = 0; i < 3; i++) {
+        if (answer(fd, text, sizeof(text)) == 0 || strstr(text, WORDS[i]) == NULL)
+            fail_msg("%s instead of %s", text, WORDS[i]);
+    }
+    close(fd);
+}
+
+static void broken(Stage *stage)
+{
+    static const char *const ROWS[] = {
+        "GARBAGE\r\n\r\n",
+        "GET\r\n\r\n",
+        "\x01\x02\x03\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        "GET / HTTP/1.1\r\nbad header\r\n\r\n",
+        "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: many\r\n\r\n",
+        "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    };
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        const int fd = dial(stage->first);
+        char text[4096];
+        put(fd, ROWS[i]);
+        shutdown(fd, SHUT_WR);
+        if (answer(fd, text, sizeof(text)) > 0 && strncmp(text, "HTTP/1.1 4", 10) != 0)
+            fail_msg("row %zu told %s", i, text);
+        close(fd);
+    }
+    /* half a head, half a body, and gone */
+    static const char *const HALVES[] = {"G", "GET / HT", "GET / HTTP/1.1\r\nhost: x\r\n",
+                                         "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nabc"};
+    const int before = stage->served;
+    for (size_t i = 0; i < sizeof(HALVES) / sizeof(HALVES[0]); i++) {
+        const int fd = dial(stage->first);
+        put(fd, HALVES[i]);
+        close(fd);
+    }
+    /* in two parts, and served */
+    const int fd = dial(stage->first);
+    put(fd, "GET /whole HT");
+    asked(dial(stage->second), "GET /a HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
+    asked(fd, "TP/1.1\r\nhost: x\r\n\r\n", "200", "/whole");
+    assert_int_equal(stage->served, before + 1);
+    close(fd);
+}
+
+static void tooLarge(Stage *stage)
+{
+    char *head = talloc_strdup(NULL, "GET / HTTP/1.1\r\nhost: x\r\nx-long: ");
+    for (int i = 0; i < 100; i++)
+        head = talloc_strdup_append(head, "0123456789012345678901234567890123456789");
+    head = talloc_strdup_append(head, "\r\n\r\n");
+    int fd = dial(stage->first);
+    asked(fd, head, "431", "head-large");
+    /* the connection goes on */
+    asked(fd, "GET /after HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/after");
+    close(fd);
+    fd = dial(stage->first);
+    asked(fd, "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1001\r\n\r\n", "413", "");
+    close(fd);
+    fd = dial(stage->first);
+    asked(fd, "GET /alive HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/alive");
+    close(fd);
+    talloc_free(head);
+}
+
+/* A head that never ends, and a connection without a request, are closed. */
+static void patience(Stage *stage)
+{
+    const int half = dial(stage->first), idle = dial(stage->first);
+    put(half, "GET / HT");
+    asked(idle, "GET /once HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/once");
+    assert_true(ended(idle));
+    assert_true(ended(half));
+    close(half);
+    close(idle);
+}
+
+/* A caller who leaves is seen; one who reads slowly keeps nobody else waiting. */
+static void callers(Stage *stage)
+{
+    int fd = dial(stage->first);
+    put(fd, "GET /wait HTTP/1.1\r\nhost: x\r\n\r\n");
+    close(fd);
+    const int slow = dial(stage->first), other = dial(stage->first);
+    put(slow, "GET /large HTTP/1.1\r\nhost: x\r\n\r\n");
+    while (stage->gone == 0)
+        asked(other, "GET /meanwhile HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/meanwhile");
+    static char bytes[65536];
+    size_t count = 0, parts = 0;
+    while (count < LARGE_BYTES) {
+        const ssize_t got = recv(slow, bytes, sizeof(bytes), 0);
+        assert_true(got > 0);
+        count += (size_t)got;
+        if (++parts % 16 == 0)
+            asked(other, "GET /between HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/between");
+    }
+    close(slow);
+    close(other);
+}
+
+/* Connections are closed after their next answer, not before. */
+static void leaving(Stage *stage)
+{
+    const int open = dial(stage->first), asking = dial(stage->first);
+    asked(open, "GET /open HTTP/1.1\r\nhost: x\r\n\r\n", "200", "keep-alive");
+    asked(asking, "GET /leave HTTP/1.1\r\nhost: x\r\n\r\n", "200", "busy 1");
+    assert_true(ended(asking));
+    asked(open, "GET /last HTTP/1.1\r\nhost: x\r\n\r\n", "200", "onnection: close");
+    assert_true(ended(open));
+    const int fresh = dial(stage->first);
+    asked(fresh, "GET /fresh HTTP/1.1\r\nhost: x\r\n\r\n", "200", "onnection: close");
+    assert_true(ended(fresh));
+    close(open);
+    close(asking);
+    close(fresh);
+}
+
+/* SIGHUP, again and again, ends nothing. */
+static void hups(Stage *stage)
+{
+    const int fd = dial(stage->first);
+    for (int i = 1; i <= 3; i++) {
+        asked(fd, "GET /up HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/up"); /* the loop runs */
+        kill(getpid(), SIGHUP);
+        while (stage->hups < i)
+            asked(fd, "GET /up HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/up");
+    }
+    close(fd);
+}
+
+static void testHups(void **state)
+{
+    (void)state;
+    play(hups, (HttpLimits){0});
+}
+
+static void testTwoAddresses(void **state)
+{
+    (void)state;
+    play(twoAddresses, (HttpLimits){0});
+}
+
+static void testPipelined(void **state)
+{
+    (void)state;
+    play(pipelined, (HttpLimits){0});
+}
+
+static void testBroken(void **state)
+{
+    (void)state;
+    play(broken, (HttpLimits){0});
+}
+
+static void testTooLarge(void **state)
+{
+    (void)state;
+    play(tooLarge, (HttpLimits){.headBytes = 2000, .bodyBytes = 1000});
+}
+
+static void testPatience(void **state)
+{
+    (void)state;
+    play(patience, (HttpLimits){.headMs = 50, .idleMs = 100});
+}
+
+static void testCallers(void **state)
+{
+    (void)state;
+    play(callers, (HttpLimits){0});
+}
+
+static void testLeaving(void **state)
+{
+    (void)state;
+    play(leaving, (HttpLimits){0});
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(testTwoAddresses), cmocka_unit_test(testPipelined), cmocka_unit_test(testBroken),
+        cmocka_unit_test(testTooLarge),     cmocka_unit_test(testPatience),  cmocka_unit_test(testCallers),
+        cmocka_unit_test(testLeaving),      cmocka_unit_test(testHups),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -28,6 +28,7 @@
 endif()
 
 spancart_test(wire wire)
+spancart_test(http loop)
 spancart_test(courier sim)
 spancart_test(jobjson api)
 spancart_test(rounds table)
