--- a/packages/beat/include/beat/liveset.h
+++ b/packages/beat/include/beat/liveset.h
@@ -17,6 +17,7 @@
     int64_t joinedMs;
     Room others;          /* room in use by what is not ours */
     bool losing;          /* its loss is decided but not delivered: it gets no order until then */
+    int64_t leaveUntilMs; /* leaving: what runs there may run until then at least; 0: not told */
 } LiveRow;
 
 /* The liveset: the leader's, rebuilt by each new one. */
@@ -25,7 +26,8 @@
 Liveset *livesetNew(void *mem);
 /* A new leader: nobody is lost before untilMs, nobody has been heard yet. */
 void livesetReset(Liveset *liveset, int64_t untilMs, const char *const *workers, size_t count);
-/* Takes a beat, answered now, whose hold the agent may count on for holdMs.
+/* Takes a beat that is answered with a hold of holdMs; the row's untilMs covers it
+ * on the agent's clock and on the worker's.
  * DUPLICATE_WORKER: another incarnation that is not the newer one. */
 Status livesetBeat(Liveset *liveset, const BeatAsk *beat, int64_t nowMs, int64_t holdMs, bool *listCounts);
 /* A telling counts as newer than all beats numbered before it. */
--- a/packages/beat/src/liveset.c
+++ b/packages/beat/src/liveset.c
@@ -4,6 +4,7 @@
 
 #include "base/constants.h"
 #include "base/map.h"
+#include "beat/hold.h"
 
 struct Liveset {
     Map *rows;
@@ -53,7 +54,7 @@
         row->number = 0;
         row->joinedMs = nowMs;
     }
-    const int64_t untilMs = nowMs + holdMs + HOLD_SLACK_MS;
+    const int64_t untilMs = nowMs + holdClaimMs(holdMs);
     if (untilMs > row->untilMs)
         row->untilMs = untilMs;
     row->heardMs = nowMs;
@@ -63,6 +64,7 @@
         row->leaving = beat->leaving;
         row->settled = beat->settled;
         row->others = beat->others;
+        row->leaveUntilMs = beat->leaving && beat->leaveMs > 0 ? nowMs + beat->leaveMs : 0;
         *listCounts = beat->settled;
     }
     return STATUS_OK;
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -4,7 +4,9 @@
 #include "api/jobjson.h"
 #include "base/map.h"
 #include "api/show.h"
+#include "beat/hold.h"
 #include "beat/liveset.h"
+#include "beat/strays.h"
 #include "core/core.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
@@ -51,7 +53,12 @@
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
+    Map *lines; /* worker names to AgentLine */
+    struct News *told; /* gathers what rounds came to */
+    Map *saved; /* tasks to how far their rounds have come */
+    size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
+    Strays *strays;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
@@ -67,7 +74,9 @@
     bool repairing;
     uint64_t repairTurn;
     int64_t placeFromMs;
-    Signal wake; /* beats with news for the planner */
+    int64_t mendMs; /* split gangs are looked for again from then on */
+    uint64_t news; /* grows with whatever the planner should look at */
+    Signal wake;   /* raised with it */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
     int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
@@ -80,6 +89,8 @@
 const Config *coreConfig(Core *core);
 /* Leads, by the clock, and has all that was told. */
 bool coreDecides(Core *core);
+/* There is something for the planner to look at. */
+void coreNews(Core *core);
 QueueClock coreClock(const Core *core);
 const Policy *corePolicy(void *arg, const ConfigCell *cell);
 /* Calls of policies that failed, and the last one's words; "" when none did. */
@@ -90,6 +101,36 @@
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps);
 
+/* How long any hold runs that this or the last leader may have answered, by the own clock. */
+int64_t coreClaimMs(const Core *core);
+
+/* The way to one agent. Never freed while the process runs. */
+typedef struct AgentLine {
+    Signal news;   /* its orders have changed, or whether they may be given */
+    uint64_t turn; /* of its newest question; an earlier one waits no longer */
+    bool learning; /* what a beat made known is being committed */
+} AgentLine;
+
+AgentLine *agentLine(Core *core, const char *worker);
+void ordersStart(Core *core);
+/* All agents' questions are looked at again. */
+void ordersWake(Core *core);
+/* Waits, at most waitMs, for newer orders than the agent has; answers with them, or
+ * leaves the answer as it is. */
+void ordersAnswer(Core *core, void *mem, const BeatAsk *beat, int64_t waitMs, BeatAnswer *out);
+
+typedef struct News News;
+void newsStart(Core *core);
+/* Waits until the news are committed, together with what others tell. */
+Status newsTell(Core *core, const RoundNews *list, size_t count);
+/* Commits that a round runs when there is an occasion. */
+void newsLater(Core *core, const RoundNews *one);
+
+/* Takes how far a round has come. */
+void savedTake(Core *core, const RoundSaved *told);
+/* How far that round of the task has come, as far as its agent has told; "": nothing. */
+const char *coreSaved(const Core *core, const char *job, uint64_t task, uint64_t round);
+
 /* A rate of bad rounds, the newest counting most. */
 typedef struct Tally {
     uint64_t ratePercent; /* as of ratedMs */
@@ -114,6 +155,8 @@
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
+/* body: as the table tells it. */
+void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
