--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -92,6 +92,7 @@
     beatStart(agent);
     tellStart(agent);
     aloneStart(agent);
+    membersSetVoter(agent->members, props->bounds.founds == 1);
     watchStart(agent);
     membersStart(agent->members);
     *out = agent;
