A new leader is known to serve by the first answer of its feed, which is not held

Cause: the first question to a new leader was held for 2 s, as long as readiness waits for a leader to be followed by another: all entry points were not ready 2 s after each change.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -150,7 +150,7 @@
         if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
             return STATUS_OK;
         out->revision = ask->have;
-        if (waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
+        if (ask->first || waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
             return STATUS_OK;
     }
 }
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -41,7 +41,8 @@
     X(U64, have, 0)                                                       \
     X(U64, textHave, 0)                                                   \
     X(FLAG, wants, 0) /* the document whatever its size; else small changes only */ \
-    X(FLAG, brief, 0) /* as sets, not as a text */
+    X(FLAG, brief, 0) /* as sets, not as a text */                        \
+    X(FLAG, first, 0) /* of this leader: answered at once, so that it is known to serve */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
 #define FEED_ANSWER_FIELDS(X)     \
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -30,6 +30,7 @@
 typedef struct FeedAsking {
     Feed *feed;
     WaysTaken taken;
+    bool again; /* it has been answered along this way */
 } FeedAsking;
 
 Feed *feedNew(void *mem, Loop *loop, Courier *courier, Ways *ways, Trace *trace)
@@ -124,7 +125,7 @@
     }
 }
 
-static Status askOnce(Feed *feed, const WaysTaken *taken)
+static Status askOnce(Feed *feed, const WaysTaken *taken, bool first)
 {
     void *mem = talloc_new(feed);
     const uint64_t textHave = revisionsNewest(feed->revisions);
@@ -134,6 +135,7 @@
     if (wanted)
         ask = (FeedAsk){
             .have = feed->revision, .textHave = textHave, .wants = textHave < feed->revision && calm, .brief = true};
+    ask.first = first;
     FeedAnswer answer = {0};
     const Status status = courierAsk(feed->courier, mem, taken->address, MESSAGE_FEED, &FeedAskShape, &ask,
                                      FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
@@ -153,7 +155,9 @@
     FeedAsking *asking = arg;
     Feed *feed = asking->feed;
     while (!loopStopping(feed->loop) && waysCurrent(feed->ways, &asking->taken))
-        if (askOnce(feed, &asking->taken) != STATUS_OK)
+        if (askOnce(feed, &asking->taken, !asking->again) == STATUS_OK)
+            asking->again = true;
+        else
             waysFailed(feed->ways, &asking->taken);
     talloc_free(asking);
 }
@@ -167,7 +171,7 @@
         if (waysTake(feed->ways, &taken) && !taken.own && !taken.relay && taken.turn != feed->turn) {
             feed->turn = taken.turn;
             FeedAsking *asking = talloc_zero(feed, FeedAsking);
-            *asking = (FeedAsking){feed, taken};
+            *asking = (FeedAsking){.feed = feed, .taken = taken};
             loopSpawn(feed->loop, "feed", askMain, asking);
         }
         signalWait(feed->loop, waysMoved(feed->ways), INT64_MAX);
