A job asked for again of another leader is answered 201: its caller has had no answer

Cause: a leader that froze after its seats had the job left it committed; the next leader knew it and said 200, as to one who sends the same again.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -97,6 +97,7 @@
                        .query = ask->query,
                        .host = ask->host,
                        .body = ask->body,
+                       .again = ask->again,
                        .expiryMs = ask->waitMs > 0 ? loopNowMs(core->loop) + (int64_t)ask->waitMs : 0,
                        .kind = "application/json"};
     KeepList keeps = {0};
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -53,7 +53,7 @@
         if (job == NULL)
             return;
     }
-    entryShow(way, fresh ? 201 : 200, job);
+    entryShow(way, fresh || way->task->again ? 201 : 200, job);
 }
 
 static void entryGet(Way *way)
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -76,7 +76,7 @@
         if (job == NULL)
             return;
     }
-    showVerdict(way->task, fresh ? 201 : 200, showJobShort(job));
+    showVerdict(way->task, fresh || way->task->again ? 201 : 200, showJobShort(job));
 }
 
 void jobGet(Way *way)
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -21,7 +21,8 @@
     X(BIN, body, 0)           \
     X(FLAG, relay, 0) /* a core that does not lead carries it on to the one that does */ \
     X(TXT, host, 0)   /* whom the caller meant; entries are found by it */ \
-    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */
+    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */ \
+    X(FLAG, again, 0) /* asked before, of a leader that was lost: its caller has had no answer */
 SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
 
 #define PROXY_ANSWER_FIELDS(X) \
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -78,18 +78,19 @@
     int64_t untilMs = startMs + PROXY_EXPIRY_MS;
     if (task->expiryMs != 0 && task->expiryMs < untilMs)
         untilMs = task->expiryMs;
-    const ProxyAsk ask = {.method = task->method,
-                          .path = task->path,
-                          .query = task->query,
-                          .body = task->body,
-                          .host = task->host};
+    ProxyAsk ask = {.method = task->method,
+                    .path = task->path,
+                    .query = task->query,
+                    .body = task->body,
+                    .host = task->host};
     const bool again = mayAgain(&ask), changes = strcmp(task->method, "GET") != 0;
     bool maybeTaken = false;
-    for (int round = 0; round < PROXY_ROUNDS && (again || !maybeTaken) && !task->gone; round++) {
+    for (int round = 0; round < PROXY_ROUNDS && (round == 0 || ((again || !maybeTaken) && !task->gone)); round++) {
         WaysTaken taken;
         if (!wayWait(proxy, &taken, waysUntilMs(proxy, maybeTaken, startMs, untilMs)) || loopNowMs(loop) >= untilMs)
             break;
         ProxyAnswer answer = {0};
+        ask.again = maybeTaken;
         const Status status = carryOnce(proxy, task, &taken, &ask, untilMs, &answer);
         if (status == STATUS_OK && !lostOnTheWay(&answer, &maybeTaken)) {
             if (answer.code == 503 && maybeTaken)
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -116,6 +116,7 @@
     size_t headCount;
     Bytes body;
     int64_t expiryMs; /* own clock; nobody waits for the verdict after this; 0: none is known */
+    bool again; /* it was carried to another leader before, whose answer was lost */
     bool gone; /* the caller has left; a verdict would go nowhere */
     /* the verdict */
     int code;
