What is kept for repair is bounded by bytes and by a span that a deployment states

Cause: 120 s of accepted jobs at 60 a second were some 20 MB on a node whose memory is priced. The oldest are dropped first: the disks have had them the longest. The same is known by its content (a hash table on the payload's CRC, compared in full), not by a 64-bit hash alone, under which two different changes could have been taken for one. retellMs 0 keeps nothing and asks no other node to.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -115,7 +115,7 @@
 {
     Core *core = arg;
     leadServe(core, mem, ask, answer);
-    if (answer->keepsCount > 0)
+    if (answer->keepsCount > 0 && core->props->bounds.retellMs > 0)
         keepElsewhere(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
 }
 
--- a/packages/feed/include/feed/keeper.h
+++ b/packages/feed/include/feed/keeper.h
@@ -5,14 +5,23 @@
 #include "loop/loop.h"
 
 /* Keeps committed changes for a while, so that they can be told again when the
- * disks have lost them. Invariant: items are in the order of their keeping and
- * none is older than REPAIR_KEEP_MS by more than the time since the last keep. */
+ * disks have lost them.
+ *
+ * A change is at risk as long as the disks that acknowledged it may lose it, which
+ * nobody here can know; so all are kept for a span that a deployment states, and for
+ * which it trusts its disks no more. Memory is bounded beside: a crowd drops the
+ * oldest first, which the disks have had the longest.
+ * Invariants: items are in the order of their keeping and none is older than the span
+ * by more than the time since the last keep; their bytes, with what each costs beside
+ * its payload, are at most KEEPER_BYTES_MAX. */
 typedef struct Keeper Keeper;
 
-Keeper *keeperNew(void *mem, Loop *loop);
+/* spanMs 0: nothing is kept. */
+Keeper *keeperNew(void *mem, Loop *loop, int64_t spanMs);
 void keeperKeep(Keeper *keeper, const KeepItem *items, size_t count);
 /* All that is kept, on mem. */
 void keeperTell(Keeper *keeper, void *mem, KeepList *list);
 size_t keeperCount(const Keeper *keeper);
+size_t keeperBytes(const Keeper *keeper);
 
 #endif
--- a/packages/feed/src/keeper.c
+++ b/packages/feed/src/keeper.c
@@ -1,82 +1,96 @@
 #include "feed/keeper.h"
 
-#include <inttypes.h>
-#include <stdio.h>
+#include <glib.h>
 #include <talloc.h>
 
-#include "base/map.h"
+#define KEPT_BESIDE_BYTES 160 /* bytes; what an item costs beside its payload: itself, its place, two allocations */
 
 typedef struct Kept {
+    KeepItem item; /* first; its payload is the kept's own */
     struct Kept *next;
-    char key[40]; /* of what is kept; the same is kept once */
     int64_t atMs;
-    KeepItem item;
 } Kept;
 
 struct Keeper {
     Loop *loop;
+    int64_t spanMs;
     Kept *first, *last;
-    Map *keys;
-    size_t count;
+    GHashTable *known; /* to itself; the same is kept once */
+    size_t bytes;
 };
 
-Keeper *keeperNew(void *mem, Loop *loop)
+static guint itemHash(gconstpointer data)
+{
+    const KeepItem *item = data;
+    return bytesCrc(item->payload.data, item->payload.count) ^ (guint)item->change;
+}
+
+static gboolean itemEqual(gconstpointer a, gconstpointer b)
+{
+    const KeepItem *x = a, *y = b;
+    return x->change == y->change && bytesEqual(x->payload, y->payload);
+}
+
+static int keeperFree(Keeper *keeper)
+{
+    g_hash_table_destroy(keeper->known);
+    return 0;
+}
+
+Keeper *keeperNew(void *mem, Loop *loop, int64_t spanMs)
 {
     Keeper *keeper = talloc_zero(mem, Keeper);
     keeper->loop = loop;
-    keeper->keys = mapNew(keeper);
+    keeper->spanMs = spanMs;
+    keeper->known = g_hash_table_new(itemHash, itemEqual);
+    talloc_set_destructor(keeper, keeperFree);
     return keeper;
 }
 
-/* FNV-1a over the payload: items are told apart, not protected from forgers. */
-static void keyOf(const KeepItem *item, char key[40])
+static size_t bytesOf(const Kept *kept)
 {
-    uint64_t hash = 0xcbf29ce484222325u;
-    for (size_t i = 0; i < item->payload.count; i++)
-        hash = (hash ^ item->payload.data[i]) * 0x100000001b3u;
-    snprintf(key, 40, "%" PRIu64 " %zu %016" PRIx64, item->change, item->payload.count, hash);
+    return kept->item.payload.count + KEPT_BESIDE_BYTES;
 }
 
-static void forgetOld(Keeper *keeper)
+static void forget(Keeper *keeper)
 {
     const int64_t nowMs = loopNowMs(keeper->loop);
-    while (keeper->first != NULL && nowMs - keeper->first->atMs > REPAIR_KEEP_MS) {
+    while (keeper->first != NULL &&
+           (nowMs - keeper->first->atMs > keeper->spanMs || keeper->bytes > KEEPER_BYTES_MAX)) {
         Kept *kept = keeper->first;
         keeper->first = kept->next;
         if (keeper->first == NULL)
             keeper->last = NULL;
-        keeper->count--;
-        mapDrop(keeper->keys, kept->key);
+        keeper->bytes -= bytesOf(kept);
+        g_hash_table_remove(keeper->known, kept);
         talloc_free(kept);
     }
 }
 
 void keeperKeep(Keeper *keeper, const KeepItem *items, size_t count)
 {
-    forgetOld(keeper);
-    for (size_t i = 0; i < count; i++) {
-        char key[40];
-        keyOf(&items[i], key);
-        if (mapGet(keeper->keys, key) != NULL)
+    for (size_t i = 0; i < count && keeper->spanMs > 0; i++) {
+        if (g_hash_table_contains(keeper->known, &items[i]))
             continue;
         Kept *kept = talloc_zero(keeper, Kept);
-        snprintf(kept->key, sizeof(kept->key), "%s", key);
-        mapSet(keeper->keys, key, kept);
+        kept->item = items[i];
+        kept->item.payload = bytesCopy(kept, items[i].payload);
         kept->atMs = loopNowMs(keeper->loop);
-        shapeCopy(&KeepItemShape, &items[i], kept, &kept->item);
+        g_hash_table_add(keeper->known, kept);
         if (keeper->last != NULL)
             keeper->last->next = kept;
         else
             keeper->first = kept;
         keeper->last = kept;
-        keeper->count++;
+        keeper->bytes += bytesOf(kept);
     }
+    forget(keeper);
 }
 
 void keeperTell(Keeper *keeper, void *mem, KeepList *list)
 {
-    forgetOld(keeper);
-    list->items = talloc_array(mem, KeepItem, (unsigned)keeper->count);
+    forget(keeper);
+    list->items = talloc_array(mem, KeepItem, (unsigned)keeperCount(keeper));
     list->itemsCount = 0;
     for (const Kept *kept = keeper->first; kept != NULL; kept = kept->next)
         shapeCopy(&KeepItemShape, &kept->item, mem, &list->items[list->itemsCount++]);
@@ -84,5 +98,10 @@
 
 size_t keeperCount(const Keeper *keeper)
 {
-    return keeper->count;
+    return g_hash_table_size(keeper->known);
+}
+
+size_t keeperBytes(const Keeper *keeper)
+{
+    return keeper->bytes;
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -29,6 +29,7 @@
     showMetricsBegin(task);
     showMetric(task, "inWork", (int64_t)gate->inWork);
     showMetric(task, "kept", (int64_t)keeperCount(gate->keeper));
+    showMetric(task, "keptBytes", (int64_t)keeperBytes(gate->keeper));
     showMetric(task, "configRevision", (int64_t)feedRevision(gate->feed));
     showMetric(task, "members", (int64_t)membersTable(gate->members)->count);
 #define X(name) showMetric(task, #name, (int64_t)counts->name);
@@ -105,7 +106,7 @@
     gate->graceMs = props->bounds.graceMs;
     gate->unreadyMs = props->bounds.unreadyMs;
     gate->courier = courierNew(gate, loop, ring);
-    gate->keeper = keeperNew(gate, loop);
+    gate->keeper = keeperNew(gate, loop, props->bounds.retellMs);
     Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
     if (status == STATUS_OK)
         status = loopServe(loop, props->http, onHttp, gate, gate->http, mishap);
--- a/packages/props/include/props/bounds.h
+++ b/packages/props/include/props/bounds.h
@@ -22,6 +22,7 @@
     X(founds, 2, 0, 2, "a cluster is founded: 0 not from here, 1 by the seeds' votes, 2 by three empty disks")  \
     X(graceMs, DRAIN_MS, 100, 600000, "SIGTERM: gone within this")                                              \
     X(unreadyMs, DRAIN_MS / 6, 0, 600000, "... and not before this: until it has been seen that it is not ready") \
+    X(retellMs, REPAIR_KEEP_MS, 0, 3600000, "what the disks may lose is kept so long by those who heard of it")  \
     X(leaderWaitMs, LEADER_WAIT_MS, 0, 60000, "from a leader's loss, a request waits so long for another")      \
     X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")
 
--- a/packages/sim/test/ways.c
+++ b/packages/sim/test/ways.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 #include <talloc.h>
 
+#include "feed/keeper.h"
 #include "sim/fleet.h"
 
 static Fleet *begin(uint64_t seed)
@@ -276,11 +277,73 @@
     }
 }
 
+/* --- what is kept for repair ------------------------------------------------------------- */
+
+static void nothing(void *arg, Loop *loop)
+{
+    (void)arg;
+    (void)loop;
+}
+
+typedef struct Keeping {
+    Keeper *keeper;
+    Loop *loop;
+    void *mem;
+    uint64_t number;
+    size_t each; /* bytes of a payload */
+} Keeping;
+
+static void keepMain(void *arg)
+{
+    const Keeping *keeping = arg;
+    uint8_t *data = talloc_zero_size(keeping->mem, keeping->each);
+    for (uint64_t i = 0; i < keeping->number; i++) {
+        memcpy(data, &i, sizeof(i));
+        const KeepItem item = {CHANGE_JOB_ADD, i + 1, {data, keeping->each, 0}};
+        keeperKeep(keeping->keeper, &item, 1);
+        keeperKeep(keeping->keeper, &item, 1); /* the same is kept once */
+    }
+}
+
+/* A crowd costs no more than the bound; the newest are kept, and none for too long. */
+static void keepsBounded(void **state)
+{
+    (void)state;
+    SimWorld *world = simWorldNew(NULL, 1);
+    const int machine = simMachine(world);
+    simStart(world, machine, nothing, NULL);
+    Loop *loop = simLoop(world, machine);
+    Keeping keeping = {keeperNew(world, loop, 30000), loop, world, 100, 1000};
+    loopSpawn(loop, "keep", keepMain, &keeping);
+    simRunUntil(world, 1000);
+    assert_int_equal(keeperCount(keeping.keeper), 100);
+    keeping.number = 20000;
+    loopSpawn(loop, "keep", keepMain, &keeping);
+    simRunUntil(world, 2000);
+    assert_true(keeperBytes(keeping.keeper) <= KEEPER_BYTES_MAX);
+    assert_true(keeperBytes(keeping.keeper) > KEEPER_BYTES_MAX - 2000);
+    KeepList list = {0};
+    keeperTell(keeping.keeper, world, &list);
+    assert_int_equal(list.items[list.itemsCount - 1].index, 20000);
+    assert_int_equal(list.items[0].index, 20000 - list.itemsCount + 1);
+    simRunUntil(world, 40000);
+    keeperTell(keeping.keeper, world, &list);
+    assert_int_equal(list.itemsCount, 0);
+    assert_int_equal(keeperBytes(keeping.keeper), 0);
+    /* a deployment that trusts its disks keeps nothing */
+    keeping = (Keeping){keeperNew(world, loop, 0), loop, world, 100, 1000};
+    loopSpawn(loop, "keep", keepMain, &keeping);
+    simRunUntil(world, 50000);
+    assert_int_equal(keeperCount(keeping.keeper), 0);
+    talloc_free(world);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(expiryKept), cmocka_unit_test(refusedAtOnce), cmocka_unit_test(slowIsWaitedFor),
         cmocka_unit_test(otherWays),  cmocka_unit_test(readiness),     cmocka_unit_test(leaving),
+        cmocka_unit_test(keepsBounded),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
