--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -15,7 +15,17 @@
 #define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
 #define ORDER_GONE_MS (ORDER_EXPIRY_MS + ORDER_EXPIRY_MS / 50 + HOLD_SLACK_MS) /* ms; ... by a clock that is 2% slow */
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
-#define WORKER_LOST_MS 3000    /* ms; an agent whose worker has been silent so long reports it lost */
+#define BEAT_WAIT_MS 450       /* ms; a beat waits so long for orders: with the way there and back, one each BEAT_MS */
+#define BEATS_MOST 4           /* count; an agent's beats on their way at once: one waits, the others have news */
+#define WORKER_QUIET_MS 1200   /* ms; a worker that has not asked for so long, and its poll, is given nothing new */
+#define WORKER_BUSY_MS 50      /* ms; what has ended there waits no longer for an answer that is held back ... */
+#define WORKER_AGAIN_MS 50     /* ms; ... and then an order waits so long for the next question: as long as the other costs least */
+#define WORKER_LOST_MS 3000    /* ms; ... and has lost its rounds after this at the latest, once its hold has lapsed */
+#define TELLING_MOST 500          /* count; news in one telling: a worker's longest list of ends */
+#define NEWS_MOST 1000         /* count; news of rounds in one change */
+#define NEWS_LAZY_MS 200       /* ms; that a round runs waits so long for other news to be committed with */
+#define KNOWN_MOST 4096        /* count; ended rounds that an agent keeps for repair: two minutes of 34 a second */
+#define BOOTS_KEPT 16          /* count; earlier boots of its worker that an agent tells from new ones */
 #define COPY_SILENT_MS 1500    /* ms; work whose owner allows copies restarts when its worker is silent so long */
 #define CLOCK_SLOW_PERCENT 2   /* percent; a worker's steady clock may be so much slow: holds passed on are so much shorter */
 #define HOLD_SLACK_MS 50       /* ms; the leader adds this to its count of a hold: timer granularity */
@@ -27,7 +37,7 @@
 #define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
-#define FETCH_HOLD_MS 900      /* ms; orders are asked for by long poll; less than half ORDER_EXPIRY_MS */
+#define FETCH_HOLD_MS 900      /* ms; orders asked for without a beat; less than half ORDER_EXPIRY_MS */
 #define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
 #define LEADER_WAIT_MS 150     /* ms; from a leader's loss, what nobody can have taken waits so long for a way to another */
 #define ELECTION_MS 3000       /* ms; another leader is normally found within this: callers are told to come back then */
@@ -49,6 +59,11 @@
 #define SIGHT_HAND_MS 2000     /* ms; ... when it has been so for this long */
 #define MEMBERS_MAX 512        /* count; bound on a table told by a partner: ten times today's sizes */
 #define FOUND_WAIT_MS 1500     /* ms; three empty disks must see each other for this long before founding */
+#define VOTE_WAIT_MS 600       /* ms; a core stands as the founder so long after its start: those started with it have been heard of */
+#define SEAT_LOOK_MS 200       /* ms; the holder looks so often whether a seat is to be given */
+#define SEAT_GIVE_MS 30        /* ms; ... and so often while a guest is brought up to date */
+#define SEAT_GUEST_MS 2500     /* ms; a guest that is not up to date by then makes way for another: megabytes take a second */
+#define SEAT_LOST_REST_MS 5000 /* ms; a core that was told that its seat is another's does not stand for so long */
 #define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
 
 /* --- log and disk -------------------------------------------------------- */
@@ -59,6 +74,7 @@
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
 #define WOKEN_WAIT_MS 3000     /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, and the steps after it must end within 12 s */
 #define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
+#define REPAIR_HEAR_MS (LINE_MISSES * ASK_EXPIRY_MS + 2 * HELLO_MS) /* ms; a process that has just started asks nobody before: a line to its last life is given up and opened anew within this */
 #define REPAIR_KEEP_MS 120000  /* ms; how long gates and agents keep what they were told, for repair */
 #define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose for this long */
 
@@ -136,6 +152,8 @@
 #define FAR_WAIT_MS 1500       /* ms; work waits at most so long for room near its data: half of what may stand still */
 
 /* --- room kept for big work ------------------------------------------------------ */
+#define RESERVE_SLACK_MS 3000  /* ms; what must be under way within this has room that falls free kept for it */
+#define RESERVE_SHARE 3        /* of the fleet's room at most one part in so many */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
 #define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -4,6 +4,7 @@
 #include "api/jobjson.h"
 #include "base/map.h"
 #include "api/show.h"
+#include "beat/hold.h"
 #include "beat/liveset.h"
 #include "beat/strays.h"
 #include "core/core.h"
@@ -11,7 +12,7 @@
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
-#include "queue/queue.h"
+#include "queue/line.h"
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
@@ -52,20 +53,27 @@
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
+    Map *lines; /* worker names to AgentLine */
+    struct News *told; /* gathers what rounds came to */
+    Map *saved; /* tasks to how far their rounds have come */
+    size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
     Strays *strays;
+    Queue *queue;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
     const Config *config;  /* of the table's newest revision that could be read */
     uint64_t configLoads;  /* tableLoads when it was read */
+    uint64_t configStamp; /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
     uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
+    int64_t startedMs;
     bool repairing;
     uint64_t repairTurn;
     int64_t placeFromMs;
@@ -96,6 +104,36 @@
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps);
 
+/* How long any hold runs that this or the last leader may have answered, by the own clock. */
+int64_t coreClaimMs(const Core *core);
+
+/* The way to one agent. Never freed while the process runs. */
+typedef struct AgentLine {
+    Signal news;   /* its orders have changed, or whether they may be given */
+    uint64_t turn; /* of its newest question; an earlier one waits no longer */
+    bool learning; /* what a beat made known is being committed */
+} AgentLine;
+
+AgentLine *agentLine(Core *core, const char *worker);
+void ordersStart(Core *core);
+/* All agents' questions are looked at again. */
+void ordersWake(Core *core);
+/* Waits, at most waitMs, for newer orders than the agent has; answers with them, or
+ * leaves the answer as it is. */
+void ordersAnswer(Core *core, void *mem, const BeatAsk *beat, int64_t waitMs, BeatAnswer *out);
+
+typedef struct News News;
+void newsStart(Core *core);
+/* Waits until the news are committed, together with what others tell. */
+Status newsTell(Core *core, const RoundNews *list, size_t count);
+/* Commits that a round runs when there is an occasion. */
+void newsLater(Core *core, const RoundNews *one);
+
+/* Takes how far a round has come. */
+void savedTake(Core *core, const RoundSaved *told);
+/* How far that round of the task has come, as far as its agent has told; "": nothing. */
+const char *coreSaved(const Core *core, const char *job, uint64_t task, uint64_t round);
+
 /* A rate of bad rounds, the newest counting most. */
 typedef struct Tally {
     uint64_t ratePercent; /* as of ratedMs */
@@ -120,6 +158,8 @@
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
+/* body: as the table tells it. */
+void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -13,8 +13,10 @@
  * copied for each of some forty changes a second. */
 typedef struct Table Table;
 
-/* Told after each change has been delivered, within the delivery; does not wait. */
-typedef void (*TableFn)(void *arg, const Record *change, const Verdict *verdict);
+/* Told after each change has been delivered, within the delivery; does not wait. body
+ * is the change unpacked, of the shape that CHANGE_LIST names; null: it can't be read,
+ * or is of a later release. */
+typedef void (*TableFn)(void *arg, const Record *change, const void *body, const Verdict *verdict);
 
 Table *tableNew(void *mem);
 void tableWatch(Table *table, TableFn fn, void *arg);
@@ -57,6 +59,12 @@
 /* The workers that have a task on them, from 0, in no order; null past the last. */
 const char *tableBusy(const Table *table, size_t at);
 
+/* What is in use by the tasks on a worker, and by all of a cell or of one of its
+ * tenants, wherever they are. */
+Room tableUsedOn(const Table *table, const char *worker);
+Room tableUsedBy(const Table *table, const char *cell);
+Room tableUsedByTenant(const Table *table, const char *cell, const char *tenant);
+
 /* Configuration: the newest, and those that can be read back. */
 const Revisions *tableRevisions(const Table *table);
 /* Grows whenever the whole state is replaced: what is remembered of a revision of
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -21,6 +21,7 @@
     table->workers = mapNew(table->mem);
     table->on = mapNew(table->mem);
     table->cells = mapNew(table->mem);
+    table->used = mapNew(table->mem);
     table->queues = mapNew(table->mem);
     table->drains = mapNew(table->mem);
     table->revisions = revisionsNew(table->mem, CONFIG_HISTORY);
@@ -144,9 +145,9 @@
             deliverJobEnd(table, change, body, verdict);
             break;
         }
-    talloc_free(mem);
     if (table->fn != NULL)
-        table->fn(table->arg, change, verdict);
+        table->fn(table->arg, change, verdict->status != STATUS_BAD_FRAME ? body : NULL, verdict);
+    talloc_free(mem);
 }
 
 ViewState tableState(Table *table)
