--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -97,6 +97,7 @@
                        .query = ask->query,
                        .host = ask->host,
                        .body = ask->body,
+                       .again = ask->again,
                        .expiryMs = ask->waitMs > 0 ? loopNowMs(core->loop) + (int64_t)ask->waitMs : 0,
                        .kind = "application/json"};
     KeepList keeps = {0};
@@ -150,7 +151,7 @@
         if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
             return STATUS_OK;
         out->revision = ask->have;
-        if (waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
+        if (ask->first || waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
             return STATUS_OK;
     }
 }
--- a/src/operate.c
+++ b/src/operate.c
@@ -52,17 +52,28 @@
     const char *text; /* the entry point's verdict, once ask gave EXIT_GOOD */
 } Order;
 
-static Bytes fileAll(void *mem, const char *path, bool *ok)
+static Bytes streamAll(void *mem, FILE *stream)
 {
     Bytes bytes = {0};
-    FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "rb");
-    *ok = file != NULL;
     char buffer[4096];
     size_t got;
-    while (file != NULL && (got = fread(buffer, 1, sizeof(buffer), file)) > 0 && bytes.count < HTTP_BODY_MAX)
+    while ((got = fread(buffer, 1, sizeof(buffer), stream)) > 0 && bytes.count < HTTP_BODY_MAX)
         bytesAdd(mem, &bytes, buffer, got);
-    if (file != NULL && file != stdin)
-        fclose(file);
+    return bytes;
+}
+
+static Bytes fileAll(void *mem, const char *path, bool *ok)
+{
+    *ok = true;
+    if (strcmp(path, "-") == 0)
+        return streamAll(mem, stdin);
+    FILE *file = fopen(path, "rb");
+    if (file == NULL) {
+        *ok = false;
+        return (Bytes){0};
+    }
+    const Bytes bytes = streamAll(mem, file);
+    fclose(file);
     return bytes;
 }
 
@@ -132,7 +143,7 @@
         {"at", 'a', POPT_ARG_STRING, &flags->at, 0, "entry point to ask", "IP:PORT"},
         {"file", 'f', POPT_ARG_STRING, &flags->file, 0, "JSON to send; - for standard input", "FILE"},
         {"base", 'b', POPT_ARG_LONGLONG, &flags->base, 0, "revision that a change builds on", "N"},
-        {"revision", 'r', POPT_ARG_LONGLONG, &flags->revision, 0, "revision to read back", "N"},
+        {"revision", 'r', POPT_ARG_LONGLONG, &flags->revision, 0, "revision to read back, or to give to a change", "N"},
         {"cell", 0, POPT_ARG_STRING, &flags->cell, 0, "only this cell", "NAME"},
         {"phase", 0, POPT_ARG_STRING, &flags->phase, 0, "only this phase", "WORD"},
         {"after", 0, POPT_ARG_LONGLONG, &flags->after, 0, "jobs after this number", "N"},
@@ -215,8 +226,9 @@
         return wrong("config", "--file: a readable file is needed");
     if (flags->base < 0)
         return wrong("config", "--base: the revision that this builds on is needed");
+    const char *revision = flags->revision >= 0 ? talloc_asprintf(order->mem, "&revision=%lld", flags->revision) : "";
     return ask(order, orderIs(order, "set") ? "PUT" : "PATCH",
-               talloc_asprintf(order->mem, "/v1/config?base=%lld", flags->base), body);
+               talloc_asprintf(order->mem, "/v1/config?base=%lld%s", flags->base, revision), body);
 }
 
 int runConfig(int argc, const char **argv)
@@ -226,7 +238,7 @@
     static const Verb VERBS[] = {{"show", 1}, {"history", 1}, {"set", 1}, {"patch", 1}, {NULL, 0}};
     Order order;
     const int code = orderTake(&order, "config",
-                               "show [-r N] | history | set -b BASE -f FILE | patch -b BASE -f FILE | build -t FILE ...",
+                               "show [-r N] | history | set -b BASE [-r N] -f FILE | patch -b BASE [-r N] -f FILE | build -t FILE ...",
                                VERBS, argc, argv);
     return orderPrint(&order, code == EXIT_GOOD ? configAsk(&order) : code);
 }
