Rounds tell how far they have come; what stands still, or is far too slow, begins elsewhere

Cause: a worker that lets its work stand still claims health, and nothing ended there to be counted; the rounds held their room until their job was worth nothing. A worker that turns slow for some seconds was known only by what ended, when the spell was over.

A worker's report says of each round how much of its work is done. The agent passes that on when a round has run for 0.7 s and each time that it has run half as long again: some words for a long round, none for a short one. The leader knows from two of them how fast a round comes along, and from the rounds of a worker how fast that is: the median of what it did within 4 s, against the middling worker, since estimates may all be off.

A round that did nothing while 15% of its work was due, and for a second, stands still. It is stopped and begun anew elsewhere, and counts as a failure of the worker. One that another worker would be done with 2.5 times sooner goes as well, unless its job's aim is met as it is. A few at a time, only where there is room, no task more than five times. No progress is believed only once some worker has told of any. A stopped round's worker is shunned by the next.

--- a/packages/agent/src/beat.c
+++ b/packages/agent/src/beat.c
@@ -50,9 +50,13 @@
         if (round->savedTurn == round->toldTurn)
             continue;
         beat->turns[ask->savedCount] = round->savedTurn;
-        ask->saved[ask->savedCount++] =
-            (RoundSaved){talloc_strdup(beat, round->order.job), round->order.task, round->order.round,
-                         talloc_strdup(beat, round->saved), round->runsMs != 0 ? nowMs - round->runsMs : 0};
+        ask->saved[ask->savedCount++] = (RoundSaved){talloc_strdup(beat, round->order.job),
+                                                     round->order.task,
+                                                     round->order.round,
+                                                     talloc_strdup(beat, round->saved),
+                                                     round->runsMs != 0 ? nowMs - round->runsMs : 0,
+                                                     round->percent,
+                                                     round->percentMs};
     }
     for (const Round *round = rounds->ended.first; round != NULL; round = round->next)
         ask->rounds[ask->roundsCount++] = idOf(beat, round);
--- a/packages/agent/src/inside.h
+++ b/packages/agent/src/inside.h
@@ -67,7 +67,7 @@
 Round *roundAdd(Agent *agent, const Order *order, RoundPhase phase);
 void roundTrace(Agent *agent, const Round *round, TraceStep step);
 /* The worker says that it runs, and how far it has come. */
-void roundRuns(Agent *agent, Round *round, const char *saved);
+void roundRuns(Agent *agent, Round *round, const RoundNews *news);
 /* guessed: the worker has not said so itself. */
 void roundEnd(Agent *agent, Round *round, RoundWord word, const char *text, bool guessed);
 /* Its end is to be told (again), with this word. */
--- a/packages/agent/src/reportjson.c
+++ b/packages/agent/src/reportjson.c
@@ -8,7 +8,7 @@
 
 static size_t readRounds(Faults *faults, json_object *object, const char *key, bool withWord, const RoundNews **out)
 {
-    static const char *const KEYS[] = {"job", "task", "round", "word", "text", "saved", NULL};
+    static const char *const KEYS[] = {"job", "task", "round", "word", "text", "saved", "percent", NULL};
     json_object *list;
     if (!json_object_object_get_ex(object, key, &list))
         return 0;
@@ -36,6 +36,7 @@
                 faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, "word"),
                          "must be done, failed, stopped, refused, lost, lapsed, broken or alone");
         }
+        news->percent = (uint64_t)checkInt(faults, one, path, "percent", 0, 100, 0);
         json_object *text;
         if (json_object_object_get_ex(one, "text", &text) && json_object_is_type(text, json_type_string))
             news->text = talloc_strndup(faults->mem, json_object_get_string(text), 200);
--- a/packages/agent/src/rounds.c
+++ b/packages/agent/src/rounds.c
@@ -97,7 +97,22 @@
     traceSay(agent->trace, step, detail, "job:%s", round->order.job);
 }
 
-void roundRuns(Agent *agent, Round *round, const char *saved)
+/* How far a round has come is told when it has run for PACE_FIRST_MS, and then each
+ * time that it has run half as long again: often enough to see one that stands still,
+ * seldom enough to cost nothing. */
+static void paceTake(Agent *agent, Round *round, uint64_t percent)
+{
+    round->percent = percent;
+    round->percentMs = loopNowMs(agent->loop) - round->runsMs;
+    if (round->paceMs == 0)
+        round->paceMs = PACE_FIRST_MS;
+    if (round->percentMs < round->paceMs)
+        return;
+    round->paceMs = round->percentMs + round->percentMs / 2;
+    round->savedTurn++;
+}
+
+void roundRuns(Agent *agent, Round *round, const RoundNews *news)
 {
     if (round->phase == PHASE_OFFERED || round->phase == PHASE_SENT) {
         round->phase = PHASE_RUNNING;
@@ -105,10 +120,11 @@
     }
     if (round->runsMs == 0)
         round->runsMs = round->givenMs != 0 ? round->givenMs : loopNowMs(agent->loop);
-    if (round->savedTurn == 0 || strcmp(round->saved, saved) != 0) {
-        textSet(round, &round->saved, saved);
+    if (round->savedTurn == 0 || strcmp(round->saved, news->saved) != 0) {
+        textSet(round, &round->saved, news->saved);
         round->savedTurn++; /* the next beat tells it */
     }
+    paceTake(agent, round, news->percent);
 }
 
 void roundRetell(Agent *agent, Round *round, RoundWord word, const char *text)
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -80,7 +80,7 @@
     Round *round = roundOf(agent, news);
     if (round->phase < PHASE_ENDED) {
         if (news->saved[0] != '\0')
-            roundRuns(agent, round, news->saved);
+            roundRuns(agent, round, news);
         roundEnd(agent, round, (RoundWord)news->word, news->text, false);
         return;
     }
@@ -99,7 +99,7 @@
     for (size_t i = 0; i < report->runningCount; i++) {
         Round *round = roundOf(agent, &report->running[i]);
         if (round->phase < PHASE_ENDED)
-            roundRuns(agent, round, report->running[i].saved);
+            roundRuns(agent, round, &report->running[i]);
     }
     for (size_t i = 0; i < report->endedCount; i++)
         endTake(agent, &report->ended[i]);
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -122,6 +122,7 @@
     for (size_t i = 0; i < beat->savedCount; i++) {
         const RoundSaved *saved = &beat->saved[i];
         savedTake(core, saved);
+        paceTake(core, beat->worker.name, saved);
         if (!runsUntold(core, beat->worker.name, saved))
             continue;
         const RoundNews news = {.job = saved->job,
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -59,6 +59,7 @@
             names[i] = workers[i]->name;
         /* any hold that the last leader answered runs out within this */
         straysReset(core->strays);
+        pacesReset(core->paces);
         livesetReset(core->liveset, viewWonMs(core->view) + coreClaimMs(core), names, count);
         talloc_free(mem);
     }
@@ -166,6 +167,7 @@
     core->guesses = guessesNew(core);
     core->queue = queueNew(core, core->guesses);
     core->strays = straysNew(core);
+    core->paces = pacesNew(core);
     tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -8,6 +8,7 @@
 #include "beat/liveset.h"
 #include "beat/strays.h"
 #include "core/core.h"
+#include "pace.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
@@ -16,7 +17,7 @@
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
-    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved)
+    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved) X(slowed)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
@@ -60,6 +61,8 @@
     Map *scores; /* worker names to Score */
     Strays *strays;
     Queue *queue;
+    Paces *paces;
+    int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
@@ -153,6 +156,10 @@
 
 /* Takes what a delivered change tells of rounds. */
 void scoreTake(Core *core, const RoundList *list);
+/* A round stood still on it. */
+void scoreStill(Core *core, const char *worker, const Job *job);
+/* What the round's place made of its time, near its data or not. */
+uint64_t scoreFarPercent(const Core *core, const Worker *worker, const StepSpec *step);
 /* Null: nothing bad is known. */
 const Score *scoreFind(const Core *core, const char *worker);
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
--- /dev/null
+++ b/packages/core/src/pace.c
@@ -0,0 +1,120 @@
+#include "pace.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+#define PACE_KEY (ID_MAX + 24) /* bytes; a name and a number */
+#define PACES_LEAST 256        /* count; fewer are not worth looking through */
+
+struct Paces {
+    Map *rounds;  /* by task to Pace */
+    size_t kept;  /* of them when they were last looked through */
+    uint64_t moves; /* words of progress */
+};
+
+Paces *pacesNew(void *mem)
+{
+    Paces *paces = talloc_zero(mem, Paces);
+    paces->rounds = mapNew(paces);
+    return paces;
+}
+
+void pacesReset(Paces *paces)
+{
+    talloc_free(paces->rounds);
+    paces->rounds = mapNew(paces);
+    paces->kept = 0;
+}
+
+bool pacesCredible(const Paces *paces)
+{
+    return paces->moves >= PACE_CREDIT;
+}
+
+static const char *paceKey(char key[PACE_KEY], const char *job, uint64_t task)
+{
+    snprintf(key, PACE_KEY, "%" PRIu64 " %s", task, job);
+    return key;
+}
+
+const Pace *paceFind(const Paces *paces, const char *job, uint64_t task, uint64_t round)
+{
+    char key[PACE_KEY];
+    const Pace *pace = mapGet(paces->rounds, paceKey(key, job, task));
+    return pace != NULL && pace->round == round ? pace : NULL;
+}
+
+/* Those of tasks that run no more are dropped whenever there are twice as many as then. */
+static void pacesSweep(const Core *core, Paces *paces)
+{
+    if (mapCount(paces->rounds) < PACES_LEAST || mapCount(paces->rounds) < 2 * paces->kept)
+        return;
+    void *mem = talloc_new(paces);
+    const char **keys;
+    const size_t count = mapKeys(paces->rounds, mem, &keys);
+    for (size_t i = 0; i < count; i++) {
+        Pace *pace = mapGet(paces->rounds, keys[i]);
+        const Job *job = tableJob(core->table, pace->job);
+        const size_t at = job != NULL ? taskIndex(job, pace->task) : 0;
+        if (job != NULL && at < job->tasksCount && taskOnWorker(job->tasks[at].phase) && job->tasks[at].round == pace->round)
+            continue;
+        mapDrop(paces->rounds, keys[i]);
+        talloc_free(pace);
+    }
+    paces->kept = mapCount(paces->rounds);
+    talloc_free(mem);
+}
+
+/* What the way from one word to the next says of the worker. */
+static void workerTake(Core *core, const char *worker, const RoundSaved *told, double percent, int64_t spanMs)
+{
+    const Job *job = tableJob(core->table, told->job);
+    const size_t at = job != NULL ? taskIndex(job, told->task) : 0;
+    const Worker *its = tableWorker(core->table, worker);
+    if (job == NULL || at >= job->tasksCount || its == NULL || job->spec.lasting)
+        return;
+    const StepSpec *step = &job->spec.steps[job->tasks[at].step];
+    const int64_t guess = guessMs(core->guesses, job, job->tasks[at].step);
+    if (guess <= 0 || step->gang || step->sameRack || spanMs < STILL_LEAST_MS / 2)
+        return;
+    const double due = (double)spanMs * 10000.0 / ((double)guess * (double)scoreFarPercent(core, its, step));
+    if (due >= 4) /* less is lost in whole percents */
+        guessesPace(core->guesses, worker, (uint64_t)(due * 1000 / (percent > 0.5 ? percent : 0.5)), loopNowMs(core->loop));
+}
+
+void paceTake(Core *core, const char *worker, const RoundSaved *told)
+{
+    Paces *paces = core->paces;
+    char key[PACE_KEY];
+    if (told->percentMs <= 0)
+        return;
+    Pace *pace = mapGet(paces->rounds, paceKey(key, told->job, told->task));
+    if (pace != NULL && (pace->round > told->round || (pace->round == told->round && pace->ranMs >= told->percentMs)))
+        return;
+    if (pace == NULL) {
+        pacesSweep(core, paces);
+        pace = talloc_zero(paces->rounds, Pace);
+        pace->job = talloc_strdup(pace, told->job);
+        pace->task = told->task;
+        mapSet(paces->rounds, key, pace);
+    }
+    const bool goesOn = pace->round == told->round;
+    const uint64_t before = goesOn ? pace->percent : 0;
+    const int64_t spanMs = told->percentMs - (goesOn ? pace->ranMs : 0);
+    const double more = told->percent > before ? (double)(told->percent - before) : 0;
+    pace->round = told->round;
+    paces->moves += more > 0;
+    /* a round that goes on from what an earlier one saved begins with that */
+    if (goesOn && pacesCredible(paces))
+        workerTake(core, worker, told, more, spanMs);
+    pace->perMs = goesOn && spanMs > 0 ? more / (double)spanMs : 0;
+    if (!goesOn || more > 0)
+        pace->stillMs = goesOn ? told->percentMs : 0;
+    pace->percent = told->percent;
+    pace->ranMs = told->percentMs;
+    pace->toldMs = loopNowMs(core->loop);
+}
--- /dev/null
+++ b/packages/core/src/pace.h
@@ -0,0 +1,32 @@
+#ifndef CORE_SRC_PACE_H
+#define CORE_SRC_PACE_H
+
+#include "beat/messages.h"
+#include "table/table.h"
+
+struct Core;
+
+/* How fast rounds come along, as their agents tell now and then. */
+typedef struct Paces Paces;
+
+/* Of one round. Invariant: percent was reached when it had run for ranMs, and was the
+ * same since it had run for stillMs. */
+typedef struct Pace {
+    const char *job;
+    uint64_t task, round;
+    uint64_t percent;
+    int64_t ranMs, stillMs;
+    int64_t toldMs;    /* own clock */
+    double perMs;      /* percent a millisecond between the last two words; 0: not known, or it stands still */
+} Pace;
+
+Paces *pacesNew(void *mem);
+void pacesReset(Paces *paces);
+/* Takes a word of a round's progress, and what it says of the worker. */
+void paceTake(struct Core *core, const char *worker, const RoundSaved *told);
+/* Null: that round has told none. */
+const Pace *paceFind(const Paces *paces, const char *job, uint64_t task, uint64_t round);
+/* Whether a word of no progress is to be believed. */
+bool pacesCredible(const Paces *paces);
+
+#endif
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -31,7 +31,8 @@
     QueueClock clock;
     PlanInput input;  /* its tasks only after passTasks */
     size_t taskRoom;
-    uint64_t *speeds; /* of each worker: time there in thousandths of that on a sound one */
+    uint64_t pace;    /* time on the middling worker in thousandths of what is guessed */
+    uint64_t *speeds; /* of each worker: time there in thousandths of that on the middling one */
     Room fleet;
     Room largest;     /* the largest worker, part by part */
     QueueSight sight;
@@ -62,6 +63,14 @@
 void gangsMend(Core *core, void *mem);
 void assureMore(Pass *pass);
 void moveOne(Pass *pass);
+/* Stops what is better begun anew elsewhere. True: something was, and the pass is over. */
+bool stopLook(Pass *pass);
+/* The round is to be stopped, and finds room on the worker at that place; false: it is
+ * one too many. */
+bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at);
+/* Adds what stands still, or is far too slow, where it is; and takes the room that it
+ * will need elsewhere. */
+void slowFind(Pass *pass, StopList *list);
 PlanNeed passNeed(const Job *job, uint64_t step);
 /* One more protected task that plans must include. */
 void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker);
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -65,9 +65,13 @@
     uint64_t seen = core->news;
     Pass *pass = passNew(core, core);
     core->counts.passes++;
+    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
+    if (stopLook(pass)) { /* the table has changed: what the pass knows is over */
+        talloc_free(pass);
+        return true;
+    }
     planLook(pass);
     placeMost(pass);
-    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
     if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
         *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -125,7 +125,7 @@
 }
 
 /* What the round's place made of its time, near its data or not. */
-static uint64_t placePercent(const Core *core, const Worker *worker, const StepSpec *step)
+uint64_t scoreFarPercent(const Core *core, const Worker *worker, const StepSpec *step)
 {
     const bool far = step->near[0] != '\0' && strcmp(step->near, worker->rack) != 0;
     return far ? (uint64_t)core->props->bounds.farPercent : 100;
@@ -135,9 +135,22 @@
 {
     const Worker *worker = tableWorker(core->table, news->worker);
     const StepSpec *step = &job->spec.steps[task->step];
+    const bool whole = task->round == 1 || !step->saves;
+    const int64_t ranMs = news->ranMs > 0 && whole ? news->ranMs : tookMs(task);
     /* a gang, and what is spread over racks, waits for others as well */
-    if (worker != NULL && tookMs(task) > 0 && !step->gang && !step->sameRack && !job->spec.lasting)
-        guessesEnd(core->guesses, job, task->step, news->worker, tookMs(task), placePercent(core, worker, step));
+    if (worker != NULL && ranMs > 0 && !step->gang && !step->sameRack && !job->spec.lasting)
+        guessesEnd(core->guesses, job, task->step, news->worker, ranMs, scoreFarPercent(core, worker, step),
+                   loopNowMs(core->loop));
+}
+
+void scoreStill(Core *core, const char *worker, const Job *job)
+{
+    Score *score = mapGet(core->scores, worker);
+    if (score == NULL) {
+        score = talloc_zero(core->scores, Score);
+        mapSet(core->scores, worker, score);
+    }
+    tallyTake(core, worker, score, &score->failed, job, true, SCORE_WEIGHT, "lets its work stand still");
 }
 
 void scoreTake(Core *core, const RoundList *list)
--- /dev/null
+++ b/packages/core/src/slow.c
@@ -0,0 +1,104 @@
+/* Rounds that stand still, or come along so slowly on their worker that another would
+ * be done with them sooner, are stopped there and begun anew elsewhere: where room is
+ * there now, a few at a time, and never what meets its aim as it is. */
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+#define STANDS_MS 1e9 /* ms; what stands still is never done */
+
+/* A running round as this look sees it; times in ms from now. */
+typedef struct Going {
+    const Job *job;
+    size_t task;
+    size_t worker;
+    double wholeMs;  /* what all of its work should take in such a place on a sound worker */
+    bool still;
+    double leftMs;   /* until it is done, as it comes along */
+    double doneShare; /* of its work that another round need not do again */
+} Going;
+
+static bool standsStill(const Pass *pass, const Pace *pace, const Going *going, const StepSpec *step)
+{
+    if (pace == NULL || !pacesCredible(pass->core->paces))
+        return false;
+    const int64_t stillMs = pace->ranMs - pace->stillMs;
+    /* members of a gang wait for each other first */
+    if (step->gang && pace->percent == 0 && pace->ranMs < pass->core->props->bounds.gangMs + STILL_LEAST_MS)
+        return false;
+    return stillMs >= STILL_LEAST_MS && (double)stillMs * 100 >= going->wholeMs * STILL_PERCENT;
+}
+
+/* How it comes along; false: nothing is wrong that can be seen. */
+static bool goingFind(const Pass *pass, const TaskOn *on, size_t worker, Going *going)
+{
+    const Core *core = pass->core;
+    const Job *job = on->job;
+    const JobTask *task = &job->tasks[on->task];
+    const StepSpec *step = &job->spec.steps[task->step];
+    const int64_t guess = guessMs(core->guesses, job, task->step);
+    if (task->phase != TASK_RUNNING || job->spec.lasting || job->ending != JOB_ACTIVE || guess <= 0 ||
+        task->round >= SLOW_ROUNDS_MOST)
+        return false;
+    const Worker *its = tableWorker(core->table, task->worker);
+    const uint64_t far = its != NULL ? scoreFarPercent(core, its, step) : 100;
+    *going = (Going){.job = job, .task = on->task, .worker = worker};
+    going->wholeMs = (double)guess * (double)far / 100 * (double)(pass->pace > 1000 ? pass->pace : 1000) / 1000;
+    const Pace *pace = paceFind(core->paces, job->spec.id, taskNumber(task), task->round);
+    if (pace == NULL)
+        return false;
+    going->still = standsStill(pass, pace, going, step);
+    going->doneShare = step->saves ? (double)pace->percent / 100 : 0;
+    if (going->still) {
+        going->leftMs = STANDS_MS;
+    } else if (pace->perMs > 0) {
+        /* how long it takes here says how much work it is, estimates or not */
+        const double hereMs = 100 / pace->perMs;
+        going->wholeMs = hereMs * 1000 / (double)pass->speeds[worker];
+        going->leftMs = (double)(100 - pace->percent) / pace->perMs - (double)(loopNowMs(core->loop) - pace->toldMs);
+    }
+    return going->leftMs > going->wholeMs;
+}
+
+/* Whether the job's aim is met though the round goes on as it does. */
+static bool meetsAim(const Pass *pass, const Going *going)
+{
+    const Job *job = going->job;
+    const JobTask *task = &job->tasks[going->task];
+    Aim aim;
+    aimFind(job, queueDueMs(job, task->turn, pass->clock), pass->core->guesses, (Room){0}, &aim);
+    const int64_t slackMs = aimSlackMs(&aim, task->step, pass->clock.logMs);
+    return aim.spanMs > 0 && (double)slackMs + (double)aim.taskMs[task->step] >= going->leftMs;
+}
+
+/* Another worker with room for it now; -1: none, or none that would be done sooner. */
+static int elsewhere(Pass *pass, const Going *going)
+{
+    const JobTask *task = &going->job->tasks[going->task];
+    const PlanNeed need = passNeed(going->job, task->step);
+    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
+    not[going->worker] = true;
+    const int at = chooseFor(pass, going->job, going->task, &need, not, NULL);
+    talloc_free(not);
+    if (at < 0)
+        return -1;
+    const double thereMs = going->wholeMs * (1 - going->doneShare) * (double)pass->speeds[at] / 1000;
+    return going->leftMs > thereMs * SLOW_GAIN + SLOW_COST_MS ? at : -1;
+}
+
+void slowFind(Pass *pass, StopList *list)
+{
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        const TaskOn *on;
+        const size_t count = tableOn(pass->core->table, pass->input.workers[i].name, &on);
+        for (size_t t = 0; t < count; t++) {
+            Going going;
+            if (!goingFind(pass, &on[t], i, &going) || (!going.still && meetsAim(pass, &going)))
+                continue;
+            const int at = elsewhere(pass, &going);
+            if (at >= 0 && stopAdd(pass, list, going.job, going.task, at) && going.still)
+                scoreStill(pass->core, pass->input.workers[i].name, going.job);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/stop.c
@@ -0,0 +1,37 @@
+/* Rounds that are stopped so that they begin anew elsewhere: looked for now and then,
+ * committed together, a few at a time. */
+#include <talloc.h>
+
+#include "pass.h"
+
+bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at)
+{
+    if (list->roundsCount == STOPS_MOST)
+        return false;
+    PlanWorker *to = &pass->input.workers[at];
+    to->free = roomLess(to->free, job->spec.steps[job->tasks[task].step].room);
+    if (list->rounds == NULL)
+        list->rounds = talloc_array(pass->mem, RoundId, STOPS_MOST);
+    list->rounds[list->roundsCount++] =
+        (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(&job->tasks[task]), job->tasks[task].round};
+    return true;
+}
+
+bool stopLook(Pass *pass)
+{
+    Core *core = pass->core;
+    const int64_t nowMs = loopNowMs(core->loop);
+    if (nowMs < core->stopLookMs)
+        return false;
+    core->stopLookMs = nowMs + STOP_LOOK_MS;
+    StopList list = {.why = "goes on better elsewhere"};
+    slowFind(pass, &list);
+    if (list.roundsCount == 0)
+        return false;
+    Verdict verdict;
+    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK) {
+        core->counts.slowed += verdict.number;
+        ringSay(core->ring, RING_NOTE, nowMs, "%zu rounds are begun anew elsewhere", list.roundsCount);
+    }
+    return true;
+}
--- a/packages/queue/include/queue/guess.h
+++ b/packages/queue/include/queue/guess.h
@@ -7,20 +7,24 @@
  * step by step, and how fast each worker is. In the leader's memory alone: a new
  * leader begins with the callers' words.
  *
- * Invariant: each figure is the median of the newest GUESS_KEPT ratios, so that
- * neither one pause nor one odd job moves it far. */
+ * Invariant: each figure is the median of the newest ratios, so that neither one
+ * pause nor one odd job moves it far. */
 typedef struct Guesses Guesses;
 
 Guesses *guessesNew(void *mem);
 /* A round did the whole of a task's work in tookMs. farPercent: what its place
  * made of that; 100: it was near its data. */
-void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent);
+void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent,
+                int64_t nowMs);
+/* What a worker did of late took so many thousandths of what it should have. */
+void guessesPace(Guesses *guesses, const char *worker, uint64_t ratio, int64_t nowMs);
 /* How long one task of the step should take on a sound worker near its data;
  * 0: nothing is known. guesses may be null. */
 int64_t guessMs(const Guesses *guesses, const Job *job, uint64_t step);
 /* Another one once a step's time may be guessed differently. */
 uint64_t guessesStamp(const Guesses *guesses);
-/* Time on this worker in thousandths of that on a sound one. */
-uint64_t guessSpeed(const Guesses *guesses, const char *worker);
+/* Time on this worker in thousandths of that on a sound one: by what it did within
+ * the last GUESS_FRESH_MS, else by what it has done for long, within bounds. */
+uint64_t guessSpeed(const Guesses *guesses, const char *worker, int64_t nowMs);
 
 #endif
--- a/packages/queue/src/guess.c
+++ b/packages/queue/src/guess.c
@@ -16,11 +16,19 @@
     uint64_t told; /* the median when it last counted as moved */
 } Ratios;
 
+/* Of a worker: time taken there to time guessed by us. */
+typedef struct Speed {
+    Ratios ends; /* of work done whole */
+    uint64_t fresh[GUESS_FRESH_KEPT]; /* the newest, also of work under way ... */
+    int64_t freshMs[GUESS_FRESH_KEPT]; /* ... and when each was taken */
+    uint64_t freshCount;
+} Speed;
+
 struct Guesses {
     Map *steps;   /* "cell/queue/step" to Ratios: time taken to time guessed by the caller */
     Map *plain;   /* the same key to Ratios: milliseconds, for steps whose caller guessed nothing */
     uint64_t stamp; /* grows when a median has moved by a twentieth or more */
-    Map *workers; /* names to Ratios: time taken there to time guessed by us */
+    Map *workers; /* names to Speed */
 };
 
 Guesses *guessesNew(void *mem)
@@ -44,16 +52,11 @@
 }
 
 /* True when the median has moved enough to count. */
-static bool ratioTake(Map *map, const char *key, uint64_t ratio, size_t most)
+static bool ratioTake(Ratios *ratios, uint64_t ratio)
 {
-    Ratios *ratios = mapGet(map, key);
-    if (ratios == NULL) {
-        ratios = talloc_zero(map, Ratios);
-        mapSet(map, key, ratios);
-    }
-    ratios->kept[ratios->count++ % most] = ratio;
+    ratios->kept[ratios->count++ % GUESS_KEPT] = ratio;
     uint64_t sorted[GUESS_KEPT];
-    const size_t count = ratios->count < most ? (size_t)ratios->count : most;
+    const size_t count = ratios->count < GUESS_KEPT ? (size_t)ratios->count : GUESS_KEPT;
     memcpy(sorted, ratios->kept, count * sizeof(*sorted));
     qsort(sorted, count, sizeof(*sorted), order);
     ratios->median = sorted[count / 2];
@@ -64,6 +67,26 @@
     return true;
 }
 
+static Ratios *ratiosOf(Map *map, const char *key)
+{
+    Ratios *ratios = mapGet(map, key);
+    if (ratios == NULL) {
+        ratios = talloc_zero(map, Ratios);
+        mapSet(map, key, ratios);
+    }
+    return ratios;
+}
+
+static Speed *speedOf(Guesses *guesses, const char *worker)
+{
+    Speed *speed = mapGet(guesses->workers, worker);
+    if (speed == NULL) {
+        speed = talloc_zero(guesses->workers, Speed);
+        mapSet(guesses->workers, worker, speed);
+    }
+    return speed;
+}
+
 typedef struct Key {
     char text[2 * ID_MAX + 32];
 } Key;
@@ -92,12 +115,35 @@
     return saidMs * (int64_t)medianOf(guesses->steps, key.text, GUESS_LEAST, 1000) / 1000;
 }
 
-uint64_t guessSpeed(const Guesses *guesses, const char *worker)
+uint64_t guessSpeed(const Guesses *guesses, const char *worker, int64_t nowMs)
 {
-    return guesses != NULL ? medianOf(guesses->workers, worker, GUESS_WORKER_LEAST, 1000) : 1000;
+    const Speed *speed = guesses != NULL ? mapGet(guesses->workers, worker) : NULL;
+    if (speed == NULL)
+        return 1000;
+    uint64_t fresh[GUESS_FRESH_KEPT];
+    size_t count = 0;
+    for (size_t i = 0; i < GUESS_FRESH_KEPT && i < speed->freshCount; i++)
+        if (nowMs - speed->freshMs[i] <= GUESS_FRESH_MS)
+            fresh[count++] = speed->fresh[i];
+    const uint64_t ends = speed->ends.count >= GUESS_LEAST ? speed->ends.median : 1000;
+    const uint64_t lasting = ends < GUESS_SPEED_LEAST ? GUESS_SPEED_LEAST : ends > GUESS_SPEED_MOST ? GUESS_SPEED_MOST : ends;
+    if (count < GUESS_FRESH_LEAST)
+        return lasting;
+    qsort(fresh, count, sizeof(*fresh), order);
+    /* a few of late are few: they count when they say something else altogether */
+    return fresh[count / 2] > GUESS_SPEED_MOST ? fresh[count / 2] : lasting;
 }
 
-void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent)
+void guessesPace(Guesses *guesses, const char *worker, uint64_t ratio, int64_t nowMs)
+{
+    Speed *speed = speedOf(guesses, worker);
+    const size_t at = (size_t)(speed->freshCount++ % GUESS_FRESH_KEPT);
+    speed->fresh[at] = ratio < GUESS_RATIO_MOST ? ratio : GUESS_RATIO_MOST;
+    speed->freshMs[at] = nowMs;
+}
+
+void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent,
+                int64_t nowMs)
 {
     if (tookMs <= 0 || farPercent == 0)
         return;
@@ -105,9 +151,12 @@
     const uint64_t saidMs = job->spec.steps[step].estMs;
     const int64_t expectedMs = guessMs(guesses, job, step);
     const Key key = stepKey(job, step);
-    if (expectedMs > 0)
-        ratioTake(guesses->workers, worker, soundMs * 1000 / (uint64_t)expectedMs, GUESS_WORKER_KEPT);
-    const bool moved = saidMs > 0 ? ratioTake(guesses->steps, key.text, soundMs * 1000 / saidMs, GUESS_KEPT)
-                                  : ratioTake(guesses->plain, key.text, soundMs, GUESS_KEPT);
+    if (expectedMs > 0) {
+        const uint64_t ratio = soundMs * 1000 / (uint64_t)expectedMs;
+        ratioTake(&speedOf(guesses, worker)->ends, ratio < GUESS_RATIO_MOST ? ratio : GUESS_RATIO_MOST);
+        guessesPace(guesses, worker, ratio, nowMs);
+    }
+    const bool moved = saidMs > 0 ? ratioTake(ratiosOf(guesses->steps, key.text), soundMs * 1000 / saidMs)
+                                  : ratioTake(ratiosOf(guesses->plain, key.text), soundMs);
     guesses->stamp += moved;
 }
--- a/packages/queue/test/aims.c
+++ b/packages/queue/test/aims.c
@@ -160,14 +160,16 @@
     Guesses *guesses = guessesNew(board.table);
     assert_int_equal(guessMs(guesses, job, 0), 1000);
     for (int i = 0; i < 12; i++)
-        guessesEnd(guesses, job, 0, "w1", 1500, 100);
-    guessesEnd(guesses, job, 0, "w1", 60000, 100); /* one pause moves nothing */
+        guessesEnd(guesses, job, 0, "w1", 1500, 100, 0);
+    guessesEnd(guesses, job, 0, "w1", 60000, 100, 0); /* one pause moves nothing */
     assert_int_equal(guessMs(guesses, job, 0), 1500);
-    assert_int_equal(guessSpeed(guesses, "w1"), 1000);
-    assert_int_equal(guessSpeed(guesses, "w2"), 1000);
+    assert_int_equal(guessSpeed(guesses, "w1", 0), 1000);
+    assert_int_equal(guessSpeed(guesses, "w2", 0), 1000);
     for (int i = 0; i < 5; i++)
-        guessesEnd(guesses, job, 0, "w2", 6000, 200); /* far from its data: half of that is its way */
-    assert_int_equal(guessSpeed(guesses, "w2"), 2000);
+        guessesEnd(guesses, job, 0, "w2", 6000, 200, 0); /* far from its data: half of that is its way */
+    assert_int_equal(guessSpeed(guesses, "w2", 0), 2000);
+    /* a slow spell is soon forgotten; what a worker has always been like is not, within bounds */
+    assert_int_equal(guessSpeed(guesses, "w2", GUESS_FRESH_MS + 1), GUESS_SPEED_MOST);
     assert_int_equal(guessMs(guesses, job, 0), 1500);
     talloc_free(board.table);
 }
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -31,6 +31,7 @@
     Room others;       /* room taken by somebody else, told as not free */
     bool failsAll;     /* claims health, fails every task */
     bool repeats;      /* now and then an old report is told again, out of order */
+    bool hangs;        /* what it starts stands still */
     int64_t slowTimes; /* takes so many times as long; 0 or 1: as asked */
 } StandWorkerProps;
 
@@ -39,6 +40,8 @@
 void standWorkerLeave(StandWorker *worker);
 void standWorkerFail(StandWorker *worker, bool fails);
 /* What starts from now on takes so many times as long. */
+/* What it starts from now on stands still until it is stopped. */
+void standWorkerHang(StandWorker *worker, bool hangs);
 void standWorkerSlow(StandWorker *worker, int64_t times);
 /* Tells each report twice, the second time as it was before: a repeated, late one. */
 void standWorkerRepeat(StandWorker *worker, bool repeats);
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -13,7 +13,7 @@
     const char *job;
     uint64_t task, round;
     Room room;
-    int64_t endMs;
+    int64_t beganMs, endMs;
     bool fails;
     bool ended;
     RoundWord word;
@@ -72,6 +72,13 @@
     }
 }
 
+/* How far it has come. */
+static int64_t percentOf(const Run *run)
+{
+    const int64_t wholeMs = run->endMs - run->beganMs, ranMs = loopNowMs(run->worker->loop) - run->beganMs;
+    return wholeMs <= 0 || ranMs >= wholeMs ? 100 : (int64_t)((double)ranMs * 100 / (double)wholeMs);
+}
+
 static Run *runFind(StandWorker *worker, const char *job, uint64_t task, uint64_t round)
 {
     for (Run *run = worker->runs; run != NULL; run = run->next)
@@ -116,6 +123,9 @@
                        (uint64_t)intOf(room, "gpu", 0)};
     const int64_t times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
     run->endMs = nowMs + intOf(payload, "runMs", 1000) * times;
+    run->beganMs = nowMs;
+    if (worker->props.hangs)
+        run->endMs = INT64_MAX / 2;
     run->fails = worker->props.failsAll || (int64_t)round <= intOf(payload, "failRounds", 0);
     run->next = worker->runs;
     worker->runs = run;
@@ -197,6 +207,8 @@
         json_object_object_add(one, "job", json_object_new_string(run->job));
         json_object_object_add(one, "task", json_object_new_int64((int64_t)run->task));
         json_object_object_add(one, "round", json_object_new_int64((int64_t)run->round));
+        if (!run->ended)
+            json_object_object_add(one, "percent", json_object_new_int64(percentOf(run)));
         if (run->ended)
             json_object_object_add(one, "word", json_object_new_string(roundWord(run->word)));
         json_object_array_add(run->ended ? ended : running, one);
@@ -276,6 +288,11 @@
     worker->props.failsAll = fails;
 }
 
+void standWorkerHang(StandWorker *worker, bool hangs)
+{
+    worker->props.hangs = hangs;
+}
+
 void standWorkerSlow(StandWorker *worker, int64_t times)
 {
     worker->props.slowTimes = times;
--- a/packages/table/include/table/worker.h
+++ b/packages/table/include/table/worker.h
@@ -44,7 +44,8 @@
     X(U64, word, 0)          \
     X(TXT, text, 0)          \
     X(TXT, saved, 0) /* how far it had come; empty: nothing is kept */ \
-    X(I64, ranMs, 0) /* for how long its agent knew it to run; 0: not told */
+    X(I64, ranMs, 0) /* for how long its agent knew it to run; 0: not told */ \
+    X(RAM, percent, uint64_t) /* of its work, as the worker reports it; 0: not told */
 SHAPE(RoundNews, ROUND_NEWS_FIELDS)
 
 #endif
--- a/packages/table/src/deliverplace.c
+++ b/packages/table/src/deliverplace.c
@@ -78,6 +78,7 @@
         if (task == NULL || (task->phase != TASK_PLACED && task->phase != TASK_RUNNING))
             continue;
         taskText(job, &task->text, list->why);
+        task->shunned = task->worker; /* it goes elsewhere, if it can */
         taskTurn(table, job, task, TASK_STOPPING, task->worker, change->atMs, false);
         gangBreak(table, job, task, change->atMs);
         verdict->number++;
