--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -27,7 +27,15 @@
 {
     const Revisions *revisions = tableRevisions(way->core->table);
     const uint64_t newest = revisionsNewest(revisions);
-    showConfig(way, newest, newest > 0 ? revisionsText(revisions, way->mem, newest) : configFirstText());
+    const Config *config = coreConfig(way->core);
+    const char *text;
+    if (newest == 0)
+        text = configFirstText();
+    else if (revisions->rows[revisions->count - 1].patch && config->revision == newest) /* it is read already */
+        text = documentText(way->mem, config->tree);
+    else
+        text = revisionsText(revisions, way->mem, newest);
+    showConfig(way, newest, text);
 }
 
 void configGet(Way *way)
@@ -139,9 +147,7 @@
 {
     if (revisionsSize(tableRevisions(way->core->table)) + way->task->body.count <= CONFIG_BODY_MAX)
         return;
-    size_t length;
-    json_object_to_json_string_length(tree, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &length);
-    if (length > CONFIG_BODY_MAX)
+    if (strlen(documentText(way->mem, tree)) > CONFIG_BODY_MAX)
         faultAdd(way->faults, STATUS_TOO_LARGE, "", "with this patch the configuration has more than %d bytes",
                  CONFIG_BODY_MAX);
 }
--- a/packages/document/src/document.c
+++ b/packages/document/src/document.c
@@ -12,12 +12,6 @@
     return json_tokener_parse(text);
 }
 
-const char *documentText(void *mem, json_object *tree)
-{
-    size_t length;
-    const char *text = json_object_to_json_string_length(tree, TEXT_FLAGS, &length);
-    return talloc_strndup(mem, text, length);
-}
 
 /* --- merging ------------------------------------------------------------------- */
 
@@ -61,6 +55,18 @@
     return result;
 }
 
+/* What is written out keeps its text as long as it lives: not the tree, then, but
+ * one that stands in for it. */
+const char *documentText(void *mem, json_object *tree)
+{
+    json_object *standIn = json_object_is_type(tree, json_type_object) ? objectCopy(tree) : json_object_get(tree);
+    size_t length;
+    const char *written = json_object_to_json_string_length(standIn, TEXT_FLAGS, &length);
+    const char *text = talloc_strndup(mem, written, length);
+    json_object_put(standIn);
+    return text;
+}
+
 json_object *documentMerged(json_object *tree, json_object *patch)
 {
     GHashTable *own = g_hash_table_new(NULL, NULL);
--- a/packages/table/include/table/revisions.h
+++ b/packages/table/include/table/revisions.h
@@ -29,7 +29,8 @@
     Revision *rows;
     size_t count, whole;
     size_t keep;  /* so many can at least be read back, as far as the bytes allow */
-    size_t bytes; /* of the texts */
+    size_t bytes; /* of the texts from whole on ... */
+    size_t wholeBytes; /* ... and of the whole one's */
 } Revisions;
 
 Revisions *revisionsNew(void *mem, size_t keep);
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -98,6 +98,11 @@
     revisions->bytes += strlen(text);
 }
 
+static void wholeMeasure(Revisions *revisions)
+{
+    revisions->wholeBytes = revisions->whole < revisions->count ? strlen(revisions->rows[revisions->whole].text) : 0;
+}
+
 /* The row becomes the first whole one; the texts before it are dropped. */
 static void wholeSet(Revisions *revisions, size_t at)
 {
@@ -109,6 +114,7 @@
     for (size_t i = revisions->whole; i < at; i++)
         textSet(revisions, &revisions->rows[i], talloc_strdup(revisions, ""));
     revisions->whole = at;
+    wholeMeasure(revisions);
 }
 
 static void rowsDrop(Revisions *revisions, size_t count)
@@ -131,7 +137,7 @@
             wholeSet(revisions, drop);
         rowsDrop(revisions, drop);
     }
-    size_t at = revisions->whole, beside = revisions->bytes - strlen(revisions->rows[at].text);
+    size_t at = revisions->whole, beside = revisions->bytes - revisions->wholeBytes;
     if (beside <= CONFIG_HISTORY_BYTES)
         return;
     while (beside > CONFIG_HISTORY_BYTES / 2) /* at the newest it is 0 */
@@ -152,6 +158,8 @@
 void revisionsAdd(Revisions *revisions, const Revision *row)
 {
     rowAdd(revisions, row);
+    if (revisions->count == 1)
+        wholeMeasure(revisions);
     trim(revisions);
 }
 
@@ -161,4 +169,5 @@
         rowAdd(revisions, &rows[i]);
     while (revisions->whole < revisions->count && revisions->rows[revisions->whole].text[0] == '\0')
         revisions->whole++;
+    wholeMeasure(revisions);
 }
--- a/packages/table/test/revisions.c
+++ b/packages/table/test/revisions.c
@@ -139,6 +139,7 @@
             assert_true(revisions->rows[i].revision > revisions->rows[i - 1].revision);
     }
     assert_int_equal(bytes, revisions->bytes);
+    assert_int_equal(revisions->wholeBytes, strlen(revisions->rows[revisions->whole].text));
     assert_true(bytes - strlen(revisions->rows[revisions->whole].text) <= CONFIG_HISTORY_BYTES);
     assert_true(revisions->count <= CONFIG_HISTORY + CONFIG_HISTORY_STEP);
 }
