--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -87,8 +87,11 @@
 {
     scoreTake(core, rounds);
     for (size_t i = 0; i < rounds->newsCount; i++)
-        if (rounds->news[i].word != ROUND_RUNNING)
-            straysEnd(core->strays, &rounds->news[i]);
+        if (rounds->news[i].word != ROUND_RUNNING) {
+            const RoundNews *news = &rounds->news[i];
+            savedTake(core, &(RoundSaved){news->job, news->task, news->round, news->saved, 0});
+            straysEnd(core->strays, news);
+        }
 }
 
 static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -159,6 +159,8 @@
         const JobTask *task = &candidate->job->tasks[candidateTask(candidate, i)];
         if (task->round >= round)
             round = task->round + 1;
+        if (saved[0] == '\0') /* what its agent told last may not be in the log */
+            saved = coreSaved(pass->core, candidate->job->spec.id, taskNumber(task), task->round);
         if (saved[0] == '\0')
             saved = task->saved;
     }
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -22,6 +22,7 @@
     X(EARLY_RESTART, "a restart before the lost worker's claim lapsed, or a claim too long") \
     X(REFUSED_CONFIG, "a refused configuration taking effect")               \
     X(OVER_QUOTA, "more of a tenant running than its quota")                 \
+    X(STRANGE_SAVED, "a round going on from what another task has saved")    \
     X(NOT_SERVING, "not serving again within 12 s")
 
 typedef enum Never {
@@ -73,6 +74,9 @@
 void checkerLeaderGone(Checker *checker, const char *leader);
 void checkerWorker(Checker *checker, const Worker *worker);
 void checkerStarted(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, Room room);
+/* The round that is about to start goes on from what was saved: the stand-ins word it
+ * "TASK@MS of JOB". */
+void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved);
 void checkerEnded(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word);
 void checkerKnown(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word);
 /* The worker's process is gone: nothing runs there any more. */
@@ -116,6 +120,8 @@
 /* Accepted jobs not shown as ended. */
 size_t checkerOpen(const Checker *checker);
 size_t checkerStarts(const Checker *checker);
+/* Of those, how many went on from what was saved. */
+size_t checkerResumes(const Checker *checker);
 size_t checkerStartsOn(Checker *checker, const char *worker);
 /* How long ago the worker last started something. */
 int64_t checkerStartedSince(Checker *checker, const char *worker);
--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -138,6 +138,11 @@
         checker->planGone = true;
 }
 
+size_t checkerResumes(const Checker *checker)
+{
+    return checker->resumes;
+}
+
 size_t checkerStartsOn(Checker *checker, const char *worker)
 {
     return seenWorker(checker, worker)->starts;
--- a/packages/sim/src/checker.h
+++ b/packages/sim/src/checker.h
@@ -96,7 +96,7 @@
     int64_t faultMs;   /* the last failure brought about; 0: none */
     int64_t startedMs; /* the first start since then; 0: none yet */
     int64_t worstMs[SERVE_COUNT];
-    size_t starts;
+    size_t starts, resumes;
     size_t broken[NEVER_COUNT];
     size_t brokenAll;
     char *first;
--- a/packages/sim/src/checkstart.c
+++ b/packages/sim/src/checkstart.c
@@ -3,6 +3,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -43,6 +44,15 @@
         checkerBroke(checker, NEVER_OVERPACKED, "%s task %" PRIu64 " on %s of kind %s", seen->id, task, worker, on->kind);
 }
 
+void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved)
+{
+    checker->resumes++;
+    const char *of = strstr(saved, " of ");
+    if (strtoull(saved, NULL, 10) != task || of == NULL || strcmp(of + 4, job) != 0)
+        checkerBroke(checker, NEVER_STRANGE_SAVED, "%s task %" PRIu64 " round %" PRIu64 " on %s goes on from %s", job, task,
+                     round, worker, saved);
+}
+
 void checkerStarted(Checker *checker, const char *worker, const char *id, uint64_t task, uint64_t round, Room room)
 {
     const int64_t nowMs = checkerNow(checker);
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -87,6 +87,11 @@
     checkerHeld(node->fleet->checker, worker, simNowMs(node->fleet->world) + leftMs);
 }
 
+static void onResumed(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved)
+{
+    checkerResumed(((FleetNode *)arg)->fleet->checker, worker, job, task, round, saved);
+}
+
 static void onTold(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round)
 {
     checkerTold(((FleetNode *)arg)->fleet->checker, worker, job, task, round);
@@ -167,7 +172,7 @@
                        .labelsCount = shape.mix == MIX_VARIED && i % 2 == 0,
                        .room = large ? (Room){64000, 131072, 0} : (Room){16000, 65536, 0}},
             .agent = agent->props.http,
-            .watch = {worker, onStarted, onEnded, onKnown, onBooted, onHeld, onTold},
+            .watch = {worker, onStarted, onEnded, onKnown, onBooted, onHeld, onResumed, onTold},
         };
         checkerWorker(fleet->checker, &worker->workerProps.worker);
     }
--- a/packages/sim/tool/replay.c
+++ b/packages/sim/tool/replay.c
@@ -99,6 +99,8 @@
         checkerBooted(checker, line->who);
     } else if (strcmp(line->what, "held") == 0) {
         checkerHeld(checker, line->who, line->atMs + strtoll(line->more, NULL, 10));
+    } else if (strcmp(line->what, "resumed") == 0) {
+        checkerResumed(checker, line->who, line->job, line->task, line->round, line->more);
     } else if (strcmp(line->what, "told") == 0) {
         checkerTold(checker, line->who, line->job, line->task, line->round);
     } else if (strcmp(line->what, "sent") == 0) {
--- a/packages/standin/include/standin/caller.h
+++ b/packages/standin/include/standin/caller.h
@@ -21,7 +21,7 @@
     X(URGENT, "urgent") X(SWEEP, "sweep") X(HEAVY, "heavy")                      \
     X(GANG, "gang") X(DUE, "due") X(DELAYED, "delayed") X(COPIES, "copies")      \
     X(KIND, "kind") X(LABEL, "label") X(BOUNDED, "bounded") X(IMPOSSIBLE, "impossible") \
-    X(PROBE, "probe") X(TURNS, "turns") X(LASTING, "lasting")
+    X(PROBE, "probe") X(TURNS, "turns") X(LASTING, "lasting") X(SAVER, "saver")
 typedef enum MixClass {
 #define X(name, word) CLASS_##name,
     CLASS_LIST(X)
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -6,7 +6,8 @@
 
 /* A stand-in for a real worker, for proof only: it speaks to its agent as any
  * worker does and "runs" tasks by letting time pass. Payload: {"runMs": n,
- * "failRounds": n} - the first n rounds fail. */
+ * "failRounds": n, "saveMs": n} - the first n rounds fail; what is done is saved this
+ * often, and the next round goes on from there. */
 typedef struct StandWorker StandWorker;
 
 /* Told of what really runs; for the checkers. */
@@ -20,6 +21,8 @@
     void (*booted)(void *arg, const char *worker);
     /* It may run what it runs for so much longer: an answer to a question of its own. */
     void (*held)(void *arg, const char *worker, int64_t leftMs);
+    /* The round that starts next goes on from what was saved. */
+    void (*resumed)(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved);
     /* It has heard that the round is to stop. */
     void (*told)(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round);
 } StandWorkerWatch;
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -176,7 +176,7 @@
  * seconds; Atlas: of nine about six refreshes, two sweeps, one reindex. */
 static MixClass drawClass(Caller *caller)
 {
-    static const uint8_t VARIED[CLASS_COUNT] = {24, 12, 8, 10, 6, 6, 6, 6, 5, 8, 3, 0, 4, 2}; /* of a hundred */
+    static const uint8_t VARIED[CLASS_COUNT] = {20, 12, 8, 10, 6, 6, 6, 6, 5, 8, 3, 0, 4, 2, 4}; /* of a hundred */
     if (caller->props.mix == MIX_VARIED) {
         uint64_t left = draw(caller, 100);
         for (int i = 0; i < CLASS_COUNT; i++) {
--- a/packages/standin/src/mix.c
+++ b/packages/standin/src/mix.c
@@ -117,6 +117,12 @@
         step = talloc_asprintf(mem, "\"count\":2,\"room\":{\"cpu\":0.5,\"memMb\":256},\"payload\":{\"runMs\":900,\"failRounds\":%d}",
                                (int)(wallMs % 3));
         break;
+    case CLASS_SAVER: /* long, one in three fails its first round: the next goes on from what it has saved */
+        step = talloc_asprintf(mem,
+                               "\"count\":2,\"saves\":true,\"room\":{\"cpu\":1,\"memMb\":512},"
+                               "\"payload\":{\"runMs\":3500,\"saveMs\":500,\"failRounds\":%d}",
+                               wallMs % 3 == 0);
+        break;
     default:
         break;
     }
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -2,10 +2,12 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "api/show.h"
+#include "base/map.h"
 
 typedef struct Run {
     struct Run *next;
@@ -14,6 +16,9 @@
     uint64_t task, round;
     Room room;
     int64_t endMs;
+    int64_t fromMs, saveMs, times; /* progress: from where it began, how often it is saved, how slow */
+    int64_t startMs;
+    char saved[ID_MAX + 48]; /* "TASK@MS of JOB"; empty: nothing */
     bool fails;
     bool ended;
     RoundWord word;
@@ -21,22 +26,53 @@
 } Run;
 
 /* Invariants: nothing runs past untilMs, which counts from when the question
- * was sent that brought the hold; an ended run is told until it is known. */
+ * was sent that brought the hold; an ended run is told until it is known; fence is
+ * the highest seen, and an answer with a lower one does nothing; highest holds of
+ * each task the highest round that was stopped or ended here. */
 struct StandWorker {
     Loop *loop;
     StandWorkerProps props;
     char boot[24];
     int64_t untilMs;
+    uint64_t fence, seq;
+    Map *highest;
     bool leaving;
     Run *runs;
     HttpCall *asking; /* the one question that is out; its answer may carry a hold */
 };
 
+static char *taskKey(void *mem, const char *job, uint64_t task)
+{
+    return talloc_asprintf(mem, "%" PRIu64 " %s", task, job);
+}
+
+static void highestSet(StandWorker *worker, const char *job, uint64_t task, uint64_t round)
+{
+    char *key = taskKey(worker, job, task);
+    if ((uint64_t)(uintptr_t)mapGet(worker->highest, key) < round)
+        mapSet(worker->highest, key, (void *)(uintptr_t)round);
+    talloc_free(key);
+}
+
+/* What is done by now, in steps of saveMs; at a stop, all of it. */
+static void runSave(Run *run, bool all)
+{
+    const int64_t ranMs = (loopNowMs(run->worker->loop) - run->startMs) / run->times;
+    int64_t doneMs = run->fromMs + ranMs;
+    if (!all)
+        doneMs -= doneMs % run->saveMs;
+    if (run->saveMs > 0 && doneMs > run->fromMs)
+        snprintf(run->saved, sizeof(run->saved), "%" PRIu64 "@%" PRId64 " of %s", run->task, doneMs, run->job);
+}
+
 static void runEnd(Run *run, RoundWord word)
 {
     if (run->ended)
         return;
     StandWorker *worker = run->worker;
+    if (run->saveMs > 0)
+        runSave(run, word == ROUND_STOPPED);
+    highestSet(worker, run->job, run->task, run->round);
     run->ended = true;
     run->word = word;
     if (worker->props.watch.ended != NULL)
@@ -54,7 +90,7 @@
     if (loopNowMs(worker->loop) < worker->untilMs)
         return false;
     for (Run *run = worker->runs; run != NULL; run = run->next)
-        runEnd(run, ROUND_LOST);
+        runEnd(run, ROUND_LAPSED);
     return true;
 }
 
@@ -102,6 +138,9 @@
     if (nowMs >= sentMs + intOf(start, "expiryMs", 0) || nowMs >= worker->untilMs ||
         runFind(worker, job, task, round) != NULL)
         return;
+    void *mem = talloc_new(worker);
+    const uint64_t highest = (uint64_t)(uintptr_t)mapGet(worker->highest, taskKey(mem, job, task));
+    talloc_free(mem);
     json_object *payload = NULL, *room = NULL;
     json_object_object_get_ex(start, "payload", &payload);
     json_object_object_get_ex(start, "room", &room);
@@ -114,11 +153,24 @@
     json_object_object_get_ex(room, "cpu", &cpu);
     run->room = (Room){(uint64_t)(json_object_get_double(cpu) * 1000 + 0.5), (uint64_t)intOf(room, "memMb", 0),
                        (uint64_t)intOf(room, "gpu", 0)};
-    const int64_t times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
-    run->endMs = nowMs + intOf(payload, "runMs", 1000) * times;
+    run->times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
+    run->saveMs = intOf(payload, "saveMs", 0);
+    run->startMs = nowMs;
+    snprintf(run->saved, sizeof(run->saved), "%s", textOf(start, "saved"));
+    const char *at = strchr(run->saved, '@');
+    run->fromMs = at != NULL ? strtoll(at + 1, NULL, 10) : 0;
+    run->endMs = nowMs + (intOf(payload, "runMs", 1000) - run->fromMs) * run->times;
     run->fails = worker->props.failsAll || (int64_t)round <= intOf(payload, "failRounds", 0);
     run->next = worker->runs;
     worker->runs = run;
+    if (round <= highest) { /* it is not above one that was here: turned away */
+        run->ended = true;
+        run->word = ROUND_REFUSED;
+        return;
+    }
+    if (run->saved[0] != '\0' && worker->props.watch.resumed != NULL)
+        worker->props.watch.resumed(worker->props.watch.arg, worker->props.worker.name, run->job, run->task, run->round,
+                                    run->saved);
     if (worker->props.watch.started != NULL)
         worker->props.watch.started(worker->props.watch.arg, worker->props.worker.name, run->job, run->task, run->round,
                                     run->room);
@@ -128,6 +180,10 @@
 static void answerTake(StandWorker *worker, json_object *body, int64_t sentMs)
 {
     const int64_t holdMs = intOf(body, "holdMs", 0);
+    const uint64_t fence = (uint64_t)intOf(body, "fence", 0);
+    if (fence < worker->fence)
+        return;
+    worker->fence = fence;
     if (sentMs + holdMs > worker->untilMs)
         worker->untilMs = sentMs + holdMs;
     if (holdOver(worker))
@@ -158,6 +214,8 @@
             json_object *one = json_object_array_get_idx(list, i);
             Run *run = runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
                                (uint64_t)intOf(one, "round", 0));
+            if (run == NULL) /* one that has not come yet will be turned away */
+                highestSet(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0), (uint64_t)intOf(one, "round", 0));
             if (run == NULL || run->ended)
                 continue;
             if (worker->props.watch.told != NULL)
@@ -171,7 +229,7 @@
             startTake(worker, json_object_array_get_idx(list, i), sentMs);
 }
 
-static json_object *reportOf(const StandWorker *worker)
+static json_object *reportOf(StandWorker *worker)
 {
     const Worker *self = &worker->props.worker;
     json_object *body = showWorker(self);
@@ -189,14 +247,19 @@
                        self->room.gpu > used.gpu ? self->room.gpu - used.gpu : 0};
     json_object_object_add(body, "free", showRoom(free));
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
+    json_object_object_add(body, "seq", json_object_new_int64((int64_t)++worker->seq));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
     json_object_object_add(body, "waitMs", json_object_new_int64(WORKER_POLL_MS));
     json_object *running = json_object_new_array(), *ended = json_object_new_array();
-    for (const Run *run = worker->runs; run != NULL; run = run->next) {
+    for (Run *run = worker->runs; run != NULL; run = run->next) {
         json_object *one = json_object_new_object();
+        if (run->saveMs > 0 && !run->ended)
+            runSave(run, false);
         json_object_object_add(one, "job", json_object_new_string(run->job));
         json_object_object_add(one, "task", json_object_new_int64((int64_t)run->task));
         json_object_object_add(one, "round", json_object_new_int64((int64_t)run->round));
+        if (run->saved[0] != '\0')
+            json_object_object_add(one, "saved", json_object_new_string(run->saved));
         if (run->ended)
             json_object_object_add(one, "word", json_object_new_string(roundWord(run->word)));
         json_object_array_add(run->ended ? ended : running, one);
@@ -261,6 +324,7 @@
     worker->props = *props;
     shapeCopy(&WorkerShape, &props->worker, worker, &worker->props.worker);
     worker->props.agent = talloc_strdup(worker, props->agent);
+    worker->highest = mapNew(worker);
     snprintf(worker->boot, sizeof(worker->boot), "%016" PRIx64, loopRandom(loop));
     loopSpawn(loop, "report", reportMain, worker);
     return worker;
--- a/src/standins.c
+++ b/src/standins.c
@@ -58,6 +58,11 @@
     recordRun(arg, "held", worker, "-", 0, 0, rest);
 }
 
+static void onResumed(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved)
+{
+    recordRun(arg, "resumed", worker, job, task, round, saved);
+}
+
 static void onTold(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round)
 {
     recordRun(arg, "told", worker, job, task, round, "");
@@ -133,7 +138,7 @@
                        .labelsCount = label != NULL,
                        .room = {(uint64_t)cores * 1000, (uint64_t)memMb}},
             .agent = agent,
-            .watch = {&standIn->record, onStarted, onEnded, onKnown, onBooted, onHeld, onTold},
+            .watch = {&standIn->record, onStarted, onEnded, onKnown, onBooted, onHeld, onResumed, onTold},
             .failsAll = failsAll != 0,
             .slowTimes = slow,
         };
