--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -134,6 +134,41 @@
                                 .ranMs = saved->ranMs};
         newsLater(core, &news);
     }
+    if (core->placeFromMs > loopNowMs(core->loop))
+        newsHurry(core);
+}
+
+/* After a loss of what the disks had acknowledged: every agent that anybody knows of
+ * has told all that may run beside it, and it is in the table. */
+static bool allHeard(Core *core)
+{
+    void *mem = talloc_new(core);
+    const Worker **workers;
+    const size_t count = tableWorkers(core->table, mem, &workers);
+    bool all = newsIdle(core);
+    for (size_t i = 0; i < count && all; i++) {
+        const LiveRow *row = livesetFind(core->liveset, workers[i]->name);
+        all = workers[i]->excluded || (row != NULL && row->heardMs != INT64_MIN && row->settled);
+    }
+    const LiveRow **rows;
+    const size_t rowCount = livesetRows(core->liveset, mem, &rows);
+    size_t heard = 0, agents = 0;
+    for (size_t i = 0; i < rowCount; i++)
+        heard += rows[i]->heardMs != INT64_MIN && rows[i]->settled;
+    const MemberTable *members = membersTable(core->members);
+    for (size_t i = 0; i < members->count; i++)
+        agents += members->rows[i].record.role == ROLE_AGENT && !members->rows[i].record.leaving;
+    talloc_free(mem);
+    return all && heard >= agents;
+}
+
+static void placeMaybe(Core *core)
+{
+    const int64_t nowMs = loopNowMs(core->loop);
+    if (nowMs >= core->placeFromMs || core->repairing || !viewLeading(core->view) || !allHeard(core))
+        return;
+    core->placeFromMs = nowMs; /* there is nothing that the log has forgotten and that still runs */
+    coreNews(core);
 }
 
 static Status onBeat(void *arg, void *mem, const void *question, void *answer)
@@ -161,6 +196,7 @@
     runsTake(core, beat);
     if (!core->repairing && viewLeading(core->view))
         learn(core, beat, listCounts);
+    placeMaybe(core);
     if (beat->waitMs > 0)
         ordersAnswer(core, mem, beat, beat->waitMs < BEAT_WAIT_MS ? beat->waitMs : BEAT_WAIT_MS, out);
     /* the hold counts from when the question was sent, so a holder that has lost the
@@ -221,11 +257,11 @@
     Core *core = arg;
     KnowAnswer *out = answer;
     (void)question;
-    uint64_t seats[SEAT_COUNT];
+    uint64_t seats[SEAT_MOST];
     out->knows = viewKnowsHolder(core->view);
     out->epoch = membersLeaderEpoch(core->members);
     out->seatsCount = viewSeats(core->view, seats);
-    out->seats = talloc_array(mem, DiskId, SEAT_COUNT);
+    out->seats = talloc_array(mem, DiskId, SEAT_MOST);
     for (size_t i = 0; i < out->seatsCount; i++)
         out->seats[i].disk = seats[i];
     return STATUS_OK;
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -86,12 +86,15 @@
 static void roundsTake(Core *core, const RoundList *rounds)
 {
     scoreTake(core, rounds);
-    for (size_t i = 0; i < rounds->newsCount; i++)
-        if (rounds->news[i].word != ROUND_RUNNING) {
-            const RoundNews *news = &rounds->news[i];
-            savedTake(core, &(RoundSaved){news->job, news->task, news->round, news->saved, 0});
-            straysEnd(core->strays, news);
-        }
+    for (size_t i = 0; i < rounds->newsCount; i++) {
+        const RoundNews *news = &rounds->news[i];
+        const RoundSaved saved = {.job = news->job, .task = news->task, .round = news->round, .text = news->saved};
+        if (news->word == ROUND_RUNNING)
+            continue; /* a beat has told how far it has come since */
+        if (viewHolds(core->view))
+            savedTake(core, &saved);
+        straysEnd(core->strays, news);
+    }
 }
 
 static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
@@ -151,6 +154,7 @@
     core->ring = ring;
     core->props = props;
     core->planHolds = true;
+    core->startedMs = loopNowMs(loop);
     if (watch != NULL)
         core->watch = *watch;
     core->courier = courierNew(core, loop, ring);
@@ -161,6 +165,7 @@
     core->saved = mapNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
+    core->queue = queueNew(core, core->guesses);
     core->strays = straysNew(core);
     tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
@@ -170,7 +175,10 @@
                                  .ring = ring,
                                  .state = tableState(core->table),
                                  .opened = onOpened,
-                                 .openedArg = core};
+                                 .openedArg = core,
+                                 .losses = (int)props->bounds.losses,
+                                 .founds = (ViewFounds)props->bounds.founds,
+                                 .seatBackMs = props->bounds.seatBackMs};
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
     Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, mishap);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -12,7 +12,7 @@
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
-#include "queue/queue.h"
+#include "queue/line.h"
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
@@ -38,7 +38,8 @@
  *  - only a node for which viewLeading is true plans, answers callers or gives
  *    orders, and it looks at the clock before each;
  *  - while repairing is true nothing is decided and nobody is told of a job;
- *  - nothing is placed before placeFromMs. */
+ *  - nothing is placed before placeFromMs, which is when all that the log may have
+ *    forgotten has lapsed, or every agent has told what it has. */
 struct Core {
     Loop *loop;
     Ring *ring;
@@ -59,18 +60,21 @@
     size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
     Strays *strays;
+    Queue *queue;
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
     const Config *config;  /* of the table's newest revision that could be read */
     uint64_t configLoads;  /* tableLoads when it was read */
+    uint64_t configStamp; /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
     uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
+    int64_t startedMs;
     bool repairing;
     uint64_t repairTurn;
     int64_t placeFromMs;
@@ -125,6 +129,10 @@
 Status newsTell(Core *core, const RoundNews *list, size_t count);
 /* Commits that a round runs when there is an occasion. */
 void newsLater(Core *core, const RoundNews *one);
+/* What waits for an occasion is committed now. */
+void newsHurry(Core *core);
+/* Nothing waits and nothing is on its way. */
+bool newsIdle(const Core *core);
 
 /* Takes how far a round has come. */
 void savedTake(Core *core, const RoundSaved *told);
