Urgent work pushes for its aim, leaving workers are emptied in time, big work waits less

By the built-in policy nobody pushed anybody. Work of a cell's most urgent queue that has less than 0.9 s left, and would find no room in the time that a push takes, now has room given up by work of a lower queue: what keeps its progress, or is so young that little is thrown away (at most twice the work it makes room for), never a gang's member, one push at a time. When room comes by itself is reckoned from what runs and how it comes along.

A worker that says how long it stays keeps what will end by then. What keeps its progress goes elsewhere as soon as there is room, or when its last moment to save has come; what does not, when it is sure not to end; an order that was not begun is taken back.

Workers were kept for work that small work overtakes after 10 s: with an aim, now after an eighth of its span, the ones that should have room soonest; and what will be over by then may run there meanwhile. What is worth nothing any more keeps none. A need that found no room is not looked for again in the same pass.

Tests: apart holds, also while rounds are being stopped; racks; pushes; leaves.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -129,6 +129,9 @@
 #define STOP_LOOK_MS 200       /* ms; between two looks for rounds that go on better elsewhere */
 #define SLOW_GAIN 2.5          /* 1; a round is begun anew elsewhere when that takes so many times less ... */
 #define SLOW_COST_MS 1000      /* ms; ... and this much besides: stopping, starting, and what is thrown away */
+#define LEAVE_LAST_MS 1500     /* ms; what a leaving worker has is stopped this long before, so that it is saved and told */
+#define LEAVE_START_MS 300     /* ms; an order that a leaving worker has not begun by then is taken back */
+#define LEAVE_STOPS_MOST 32    /* count; rounds taken off leaving workers by one look */
 #define STOPS_MOST 4           /* count; rounds begun anew elsewhere by one look */
 #define SLOW_ROUNDS_MOST 5     /* count; a task that has had so many rounds is left where it is */
 #define AIM_LATE_TIMES 3       /* count; until so many times its aim a job is still worth something */
@@ -170,6 +173,7 @@
 #define RESERVE_SLACK_MS 3000  /* ms; what must be under way within this has room that falls free kept for it */
 #define RESERVE_SHARE 3        /* of the fleet's room at most one part in so many */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
+#define KEEP_LEAST_MS 300      /* ms; ... of a job with an aim after an eighth of its span, but not before this */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
 #define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
 
@@ -177,6 +181,13 @@
 #define LUA_STEPS_MAX 20000    /* count; instructions of one call: some 0.2 ms */
 #define LUA_STEPS_TICK 100     /* count; they are counted by so many */
 #define LUA_BYTES_MAX (512 * 1024) /* bytes; what one policy may hold */
+#define STOP_TAKES_MS 300      /* ms; a stop is heard with the worker's next report, takes a moment, and is told */
+#define ENDS_LEAST_MS 50       /* ms; nothing that runs is expected to end sooner */
+#define PUSH_TAKES_MS 600      /* ms; from a push until the room is used: a stop, and a start */
+#define PUSH_SLACK_MS 900      /* ms; what must be under way within this may push: it takes most of it */
+#define PUSH_COST 2            /* 1; a push throws away at most so many times the work that it makes room for */
+#define PUSH_VICTIMS_MOST 4    /* count; rounds pushed aside for one task */
+#define PUSH_GAP_MS 100        /* ms; between two looks at whom to push */
 #define PUSH_TASKS_MAX 32      /* count; running tasks looked at for one that wants room */
 
 /* --- process ---------------------------------------------------------------- */
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -33,6 +33,7 @@
     int64_t sinceMs;
     size_t workerCount;
     const char *workers[KEPT_MEMBERS_MAX];
+    int64_t untilMs[KEPT_MEMBERS_MAX]; /* each should have room in so long, as of this pass */
 } Kept;
 
 /* Invariants:
@@ -62,6 +63,7 @@
     Strays *strays;
     Queue *queue;
     Paces *paces;
+    int64_t pushFromMs; /* nobody is pushed aside for an aim before this */
     int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
--- a/packages/core/src/kept.c
+++ b/packages/core/src/kept.c
@@ -57,6 +57,7 @@
                 keptDrop(core, cells[c], "one of them may be given nothing");
                 break;
             }
+            kept->untilMs[i] = soonestMs(pass, at, job->spec.steps[job->tasks[kept->task].step].room);
         }
     }
 }
@@ -74,7 +75,10 @@
             continue;
         for (size_t i = 0; i < kept->workerCount; i++) {
             const size_t at = passPlace(pass, kept->workers[i]);
-            if (at != SIZE_MAX)
+            /* what is over before there is room for the other takes nothing from it */
+            const bool passes = candidate->guessMs > 0 && kept->untilMs[i] < INT64_MAX &&
+                                candidate->guessMs * 5 / 4 + KEEP_LEAST_MS < kept->untilMs[i];
+            if (at != SIZE_MAX && !passes)
                 not[at] = any = true;
         }
     }
@@ -92,13 +96,21 @@
     return count;
 }
 
+/* With an aim, an eighth of its span. */
+static int64_t waitMs(const Candidate *candidate)
+{
+    const int64_t part = candidate->spanMs > 0 ? candidate->spanMs / 8 : KEEP_WAIT_MS;
+    return part < KEEP_LEAST_MS ? KEEP_LEAST_MS : part < KEEP_WAIT_MS ? part : KEEP_WAIT_MS;
+}
+
 void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step)
 {
     Core *core = pass->core;
     const int64_t logMs = pass->clock.logMs;
     const PlanInput *input = &pass->input;
     const char *cell = candidate->job->spec.cell;
-    if (logMs - candidate->sinceMs < KEEP_WAIT_MS || mapGet(core->kept, cell) != NULL)
+    if (logMs - candidate->sinceMs < waitMs(candidate) || candidate->rank <= AIM_LOST_RANK / 2 ||
+        mapGet(core->kept, cell) != NULL)
         return;
     const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
     const size_t taken = keptWorkers(core, pass->mem);
@@ -109,15 +121,20 @@
     keptFrom(pass, candidate, used);
     while (left > 0 && taken + kept->workerCount < most) {
         int best = -1;
+        int64_t bestMs = 0;
         Room bestBusy = {0};
         for (size_t i = 0; i < input->workerCount; i++) {
             const PlanWorker *worker = &input->workers[i];
             if (used[i] || !planAble(worker, &need) || !roomFits(need.room, worker->room))
                 continue;
-            /* soonest empty: the least in use, as parts of its room; ties by name */
+            /* soonest to have room; where nobody knows, the least in use, as parts of its
+             * room; ties by name */
+            const int64_t soonMs = soonestMs(pass, i, need.room);
             const Room busy = roomLess(worker->room, worker->free);
-            if (best < 0 || roomShare(busy, worker->room) < roomShare(bestBusy, input->workers[best].room)) {
+            const bool less = best >= 0 && roomShare(busy, worker->room) < roomShare(bestBusy, input->workers[best].room);
+            if (best < 0 || soonMs < bestMs || (soonMs == bestMs && less)) {
                 best = (int)i;
+                bestMs = soonMs;
                 bestBusy = busy;
             }
         }
@@ -126,6 +143,7 @@
         used[best] = true;
         const size_t holds = holdsEmpty(&input->workers[best], step->room);
         left = left > holds ? left - holds : 0;
+        kept->untilMs[kept->workerCount] = bestMs;
         kept->workers[kept->workerCount++] = talloc_strdup(kept, input->workers[best].name);
     }
     if (left > 0) { /* all that it needs, or none */
--- /dev/null
+++ b/packages/core/src/leave.c
@@ -0,0 +1,56 @@
+/* Workers that are leaving and say how long they stay: what can't end there by then goes
+ * elsewhere in time. What keeps its progress goes as soon as there is room, or when its
+ * last moment to save has come; what does not, only when it is sure not to end. */
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+static int elsewhere(Pass *pass, const TaskOn *on, size_t worker)
+{
+    const JobTask *task = &on->job->tasks[on->task];
+    const PlanNeed need = passNeed(on->job, task->step);
+    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
+    not[worker] = true;
+    const int at = chooseFor(pass, on->job, on->task, &need, not, NULL);
+    talloc_free(not);
+    return at;
+}
+
+static bool mustGo(const Pass *pass, const TaskOn *on, size_t worker, int64_t staysMs, bool room)
+{
+    const Job *job = on->job;
+    const JobTask *task = &job->tasks[on->task];
+    const bool saves = job->spec.steps[task->step].saves;
+    if (task->phase == TASK_PLACED) /* not begun: nothing is lost */
+        return pass->clock.logMs - task->changedMs > LEAVE_START_MS;
+    if (task->phase != TASK_RUNNING || job->ending != JOB_ACTIVE)
+        return false;
+    if (job->spec.lasting)
+        return room || staysMs < LEAVE_LAST_MS;
+    const int64_t leftMs = passLeftMs(pass, job, task, worker);
+    if (leftMs < staysMs - LEAVE_LAST_MS / 2)
+        return false;
+    if (saves)
+        return room || staysMs < LEAVE_LAST_MS;
+    /* estimates are off: what might just end is left to try */
+    return room && leftMs * 2 / 3 > staysMs;
+}
+
+void leaveFind(Pass *pass, StopList *list)
+{
+    const int64_t nowMs = loopNowMs(pass->core->loop);
+    for (size_t i = 0; i < pass->input.workerCount; i++) {
+        const LiveRow *row = livesetFind(pass->core->liveset, pass->input.workers[i].name);
+        if (row == NULL || !row->leaving || row->leaveUntilMs == 0)
+            continue;
+        const TaskOn *on;
+        const size_t count = tableOn(pass->core->table, pass->input.workers[i].name, &on);
+        for (size_t t = 0; t < count; t++) {
+            const int at = elsewhere(pass, &on[t], i);
+            if (mustGo(pass, &on[t], i, row->leaveUntilMs - nowMs, at >= 0) &&
+                !stopAdd(pass, list, on[t].job, on[t].task, at, LEAVE_STOPS_MOST))
+                return;
+        }
+    }
+}
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -4,6 +4,7 @@
 #include "inside.h"
 
 #define PUSH_SPEAKERS_MAX 8 /* count; queues of a cell that are asked what they may push */
+#define FULL_MOST 8         /* count; needs that a pass remembers as having found no room */
 #define PUSH_LOOKS_MAX 400  /* count; asks of may_push in one pass, each some 0.01 ms */
 
 /* Where the others of one step are. Invariant: kept for one step at a time; what
@@ -40,6 +41,8 @@
     Placed *placed;   /* as many as places */
     size_t placeRoom, placedCount;
     StepSight step;
+    PlanNeed full[FULL_MOST]; /* needs that found no room */
+    size_t fullCount;
     bool asks;        /* the configuration names losses that each start must leave a plan for */
     size_t checks, checksMax;
     StopList pushes;  /* rounds to be pushed aside */
@@ -64,12 +67,18 @@
 void moveOne(Pass *pass);
 /* Stops what is better begun anew elsewhere. True: something was, and the pass is over. */
 bool stopLook(Pass *pass);
-/* The round is to be stopped, and finds room on the worker at that place; false: it is
- * one too many. */
-bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at);
+/* The round is to be stopped, and finds room on the worker at that place, if at is one;
+ * false: there are as many as may be. */
+bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at, size_t most);
 /* Adds what stands still, or is far too slow, where it is; and takes the room that it
  * will need elsewhere. */
 void slowFind(Pass *pass, StopList *list);
+/* Adds what could not end before its worker has left. */
+void leaveFind(Pass *pass, StopList *list);
+/* How long the task, on the worker at that place, should still take; INT64_MAX: nobody knows. */
+int64_t passLeftMs(const Pass *pass, const Job *job, const JobTask *task, size_t worker);
+/* When the worker should have so much room; 0: now, INT64_MAX: nobody knows. */
+int64_t soonestMs(const Pass *pass, size_t worker, Room need);
 PlanNeed passNeed(const Job *job, uint64_t step);
 /* One more protected task that plans must include. */
 void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker);
@@ -94,6 +103,8 @@
 /* Who wants room looks for running work that its cell's policy lets it push
  * aside, all on one worker. */
 void pushFor(Pass *pass, const Candidate *candidate);
+/* The same by the built-in policy, for what would miss its aim. */
+void pushAim(Pass *pass, const Candidate *candidate);
 
 /* The candidate found no room: what is nearest to having it is left to it, for as
  * long as this pass goes on. */
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -157,6 +157,24 @@
         pass->core->counts.unassured += candidate->count;
 }
 
+/* Whether as much room, or less, was not to be found before in this pass. Free room only
+ * shrinks in a pass, so what found none finds none later. */
+static bool knownFull(const Pass *pass, const PlanNeed *need)
+{
+    for (size_t i = 0; i < pass->fullCount; i++)
+        if (roomFits(pass->full[i].room, need->room) && strcmp(pass->full[i].kind, need->kind) == 0)
+            return true;
+    return false;
+}
+
+static void fullAdd(Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, bool kept)
+{
+    /* what asks for more than room may fail where another finds some */
+    if (kept || step->apart > 0 || need->labelCount > 0 || candidate->count > 1 || pass->fullCount == FULL_MOST)
+        return;
+    pass->full[pass->fullCount++] = *need;
+}
+
 bool placeOne(Pass *pass, const Candidate *candidate)
 {
     const JobSpec *spec = &candidate->job->spec;
@@ -168,11 +186,13 @@
     void *mem = talloc_new(pass->mem);
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
     bool *not = talloc_zero_array(mem, bool, (unsigned)pass->input.workerCount);
-    keptFrom(pass, candidate, not);
+    const bool kept = keptFrom(pass, candidate, not), full = knownFull(pass, &need);
     uint64_t percent = 100;
-    const bool found = chooseRacks(pass, candidate, &need, not, where, &percent);
+    const bool found = !full && chooseRacks(pass, candidate, &need, not, where, &percent);
     bool fits = found, assured = false;
     if (!found) {
+        if (!full)
+            fullAdd(pass, candidate, step, &need, kept);
         reserveFor(pass, candidate, &need, not);
         pushFor(pass, candidate);
         keptWant(pass, candidate, step);
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -80,10 +80,11 @@
         if (coreSubmit(core, pass, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
             core->counts.placed += verdict.number;
         seen++; /* our own change is no news */
-    } else if (pass->pushes.roundsCount > 0) {
+    }
+    if (pass->pushes.roundsCount > 0 && coreDecides(core)) {
         if (coreSubmit(core, pass, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
             core->counts.pushed += verdict.number;
-    } else {
+    } else if (pass->places.placementsCount == 0) {
         moveOne(pass);
         if (pass->asks && pass->checks == 0 && coreDecides(core))
             assureMore(pass);
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -106,8 +106,13 @@
     Core *core = pass->core;
     const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
     const Policy *policy = corePolicy(core, cell);
-    if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
-        pass->pushLooks >= PUSH_LOOKS_MAX)
+    if (pass->pushes.roundsCount > 0)
+        return;
+    if (policy == policyPlain()) {
+        pushAim(pass, candidate);
+        return;
+    }
+    if (candidate->count != 1 || pass->pushLooks >= PUSH_LOOKS_MAX)
         return;
     const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
     const PolicySight mine = queueSee(core->queue, &pass->sight, candidate->job, candidate->first);
@@ -120,10 +125,13 @@
         Room free = worker->free;
         RoundId victims[PUSH_TASKS_MAX];
         size_t victimCount = 0, looked = 0;
-        for (size_t j = 0; j < count; j++)
-            for (size_t t = 0; t < jobs[j]->tasksCount; t++)
-                if (jobs[j]->tasks[t].phase == TASK_STOPPING && strcmp(jobs[j]->tasks[t].worker, worker->name) == 0)
-                    free = roomMore(free, jobs[j]->spec.steps[jobs[j]->tasks[t].step].room);
+        const TaskOn *on;
+        const size_t onCount = tableOn(core->table, worker->name, &on);
+        for (size_t i = 0; i < onCount; i++) {
+            const JobTask *task = &on[i].job->tasks[on[i].task];
+            if (task->phase == TASK_STOPPING)
+                free = roomMore(free, on[i].job->spec.steps[task->step].room);
+        }
         if (roomFits(need.room, free))
             return; /* it is on its way */
         for (size_t j = count; j > 0 && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; j--) {
@@ -139,7 +147,7 @@
                 pass->pushLooks++;
                 if (!policy->mayPush(policy->arg, &mine, &other))
                     continue;
-                victims[victimCount++] = (RoundId){job->spec.id, taskNumber(task), task->round};
+                victims[victimCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
                 free = roomMore(free, job->spec.steps[task->step].room);
             }
         }
--- /dev/null
+++ b/packages/core/src/pushaim.c
@@ -0,0 +1,109 @@
+/* Pushing aside by the built-in policy: work of the cell's most urgent queue that would
+ * miss its aim otherwise may have room given up by work of a lower queue. What is thrown
+ * away is little: the work keeps its progress, or is young. Members of gangs stay, for
+ * all of them would go. One push at a time. */
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+static int64_t priorityOf(Pass *pass, const Job *job, size_t task)
+{
+    return queueSee(pass->core->queue, &pass->sight, job, task).queuePriority;
+}
+
+static bool mostUrgent(const Pass *pass, const Job *job, int64_t priority)
+{
+    const ConfigCell *cell = configCell(pass->config, job->spec.cell);
+    for (size_t i = 0; cell != NULL && i < cell->queueCount; i++)
+        if (cell->queues[i]->priority > priority)
+            return false;
+    return cell != NULL;
+}
+
+/* Core-milliseconds that are done again when the round is stopped now; -1: it is not to be. */
+static int64_t costOf(Pass *pass, const Candidate *candidate, int64_t priority, const TaskOn *on)
+{
+    const Job *job = on->job;
+    const JobTask *task = &job->tasks[on->task];
+    const StepSpec *step = &job->spec.steps[task->step];
+    if (task->phase != TASK_RUNNING || step->gang || job->ending != JOB_ACTIVE || job == candidate->job ||
+        task->round >= SLOW_ROUNDS_MOST || strcmp(job->spec.cell, candidate->job->spec.cell) != 0 ||
+        priorityOf(pass, job, on->task) >= priority)
+        return -1;
+    /* what keeps its progress saves once more when it is stopped */
+    const int64_t lostMs = step->saves ? 0 : pass->clock.logMs - task->changedMs;
+    return (lostMs + PUSH_TAKES_MS) * (int64_t)step->room.cpuMilli / 1000;
+}
+
+typedef struct Push {
+    RoundId rounds[PUSH_VICTIMS_MOST];
+    size_t count;
+    int64_t cost;
+} Push;
+
+/* The cheapest first, until there is room; false: there is none to be had. */
+static bool pushFind(Pass *pass, const Candidate *candidate, int64_t priority, size_t worker, Room need, Push *push)
+{
+    Room free = pass->input.workers[worker].free;
+    const TaskOn *on;
+    const size_t count = tableOn(pass->core->table, pass->input.workers[worker].name, &on);
+    bool *taken = talloc_zero_array(pass->mem, bool, (unsigned)count);
+    *push = (Push){.count = 0};
+    while (!roomFits(need, free) && push->count < PUSH_VICTIMS_MOST) {
+        size_t best = count;
+        int64_t bestCost = 0;
+        for (size_t i = 0; i < count; i++) {
+            const int64_t cost = taken[i] ? -1 : costOf(pass, candidate, priority, &on[i]);
+            if (cost >= 0 && (best == count || cost < bestCost)) {
+                best = i;
+                bestCost = cost;
+            }
+        }
+        if (best == count)
+            break;
+        const JobTask *task = &on[best].job->tasks[on[best].task];
+        taken[best] = true;
+        free = roomMore(free, on[best].job->spec.steps[task->step].room);
+        push->cost += bestCost;
+        push->rounds[push->count++] = (RoundId){on[best].job->spec.id, taskNumber(task), task->round};
+    }
+    talloc_free(taken);
+    return roomFits(need, free);
+}
+
+void pushAim(Pass *pass, const Candidate *candidate)
+{
+    Core *core = pass->core;
+    if (candidate->spanMs <= 0 || candidate->count != 1 || candidate->slackMs >= PUSH_SLACK_MS ||
+        candidate->slackMs < -candidate->guessMs / 2 || loopNowMs(core->loop) < core->pushFromMs)
+        return;
+    const JobTask *task = &candidate->job->tasks[candidate->first];
+    const int64_t priority = priorityOf(pass, candidate->job, candidate->first);
+    if (!mostUrgent(pass, candidate->job, priority))
+        return;
+    const PlanNeed need = passNeed(candidate->job, task->step);
+    const int64_t most = PUSH_COST * candidate->guessMs * (int64_t)need.room.cpuMilli / 1000;
+    Push best = {.count = 0};
+    core->pushFromMs = loopNowMs(core->loop) + PUSH_GAP_MS;
+    for (size_t w = 0; w < pass->input.workerCount; w++) {
+        const PlanWorker *worker = &pass->input.workers[w];
+        if (!planAble(worker, &need) || !roomFits(need.room, worker->room))
+            continue;
+        if (soonestMs(pass, w, need.room) <= PUSH_TAKES_MS)
+            return; /* it has room before anybody could be out of the way */
+        Push push;
+        if (pushFind(pass, candidate, priority, w, need.room, &push) && push.cost <= most &&
+            (best.count == 0 || push.cost < best.cost))
+            best = push;
+    }
+    if (best.count == 0)
+        return;
+    pass->pushes.rounds = talloc_array(pass->mem, RoundId, (unsigned)best.count);
+    pass->pushes.roundsCount = best.count;
+    pass->pushes.why = "pushed aside";
+    for (size_t i = 0; i < best.count; i++) {
+        pass->pushes.rounds[i] = best.rounds[i];
+        pass->pushes.rounds[i].job = talloc_strdup(pass->mem, best.rounds[i].job);
+    }
+}
--- a/packages/core/src/slow.c
+++ b/packages/core/src/slow.c
@@ -97,7 +97,7 @@
             if (!goingFind(pass, &on[t], i, &going) || (!going.still && meetsAim(pass, &going)))
                 continue;
             const int at = elsewhere(pass, &going);
-            if (at >= 0 && stopAdd(pass, list, going.job, going.task, at) && going.still)
+            if (at >= 0 && stopAdd(pass, list, going.job, going.task, at, STOPS_MOST) && going.still)
                 scoreStill(pass->core, pass->input.workers[i].name, going.job);
         }
     }
--- /dev/null
+++ b/packages/core/src/soonest.c
@@ -0,0 +1,62 @@
+/* When a worker will have room, by what runs there and how long that should take. */
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "pass.h"
+
+int64_t passLeftMs(const Pass *pass, const Job *job, const JobTask *task, size_t worker)
+{
+    const Core *core = pass->core;
+    if (task->phase == TASK_STOPPING)
+        return STOP_TAKES_MS;
+    const int64_t guess = guessMs(core->guesses, job, task->step);
+    if (guess <= 0 || job->spec.lasting)
+        return INT64_MAX;
+    const Pace *pace = paceFind(core->paces, job->spec.id, taskNumber(task), task->round);
+    if (pace != NULL && pace->perMs > 0) {
+        const double leftMs = (100 - (double)pace->percent) / pace->perMs - (double)(loopNowMs(core->loop) - pace->toldMs);
+        return leftMs > ENDS_LEAST_MS ? (int64_t)leftMs : ENDS_LEAST_MS;
+    }
+    const Worker *its = tableWorker(core->table, task->worker);
+    const StepSpec *step = &job->spec.steps[task->step];
+    const uint64_t far = its != NULL ? scoreFarPercent(core, its, step) : 100;
+    const int64_t wholeMs = guess * (int64_t)far / 100 * (int64_t)pass->speeds[worker] / 1000;
+    const int64_t ranMs = pass->clock.logMs - task->changedMs;
+    /* one that is over its time ends when it ends: a part of that time is as good as any */
+    return wholeMs - ranMs > wholeMs / 8 ? wholeMs - ranMs : wholeMs / 8 + ENDS_LEAST_MS;
+}
+
+typedef struct End {
+    int64_t leftMs;
+    Room room;
+} End;
+
+static int endOrder(const void *a, const void *b)
+{
+    const End *x = a, *y = b;
+    return x->leftMs < y->leftMs ? -1 : x->leftMs > y->leftMs;
+}
+
+int64_t soonestMs(const Pass *pass, size_t worker, Room need)
+{
+    Room free = pass->input.workers[worker].free;
+    if (roomFits(need, free))
+        return 0;
+    const TaskOn *on;
+    const size_t count = tableOn(pass->core->table, pass->input.workers[worker].name, &on);
+    End *ends = talloc_array(pass->mem, End, (unsigned)count);
+    for (size_t i = 0; i < count; i++) {
+        const JobTask *task = &on[i].job->tasks[on[i].task];
+        ends[i] = (End){passLeftMs(pass, on[i].job, task, worker), on[i].job->spec.steps[task->step].room};
+    }
+    qsort(ends, count, sizeof(*ends), endOrder);
+    int64_t leftMs = INT64_MAX;
+    for (size_t i = 0; i < count && leftMs == INT64_MAX && ends[i].leftMs < INT64_MAX; i++) {
+        free = roomMore(free, ends[i].room);
+        if (roomFits(need, free))
+            leftMs = ends[i].leftMs;
+    }
+    talloc_free(ends);
+    return leftMs;
+}
--- a/packages/core/src/stop.c
+++ b/packages/core/src/stop.c
@@ -4,14 +4,16 @@
 
 #include "pass.h"
 
-bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at)
+bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at, size_t most)
 {
-    if (list->roundsCount == STOPS_MOST)
+    if (list->roundsCount >= most)
         return false;
-    PlanWorker *to = &pass->input.workers[at];
-    to->free = roomLess(to->free, job->spec.steps[job->tasks[task].step].room);
+    if (at >= 0) {
+        PlanWorker *to = &pass->input.workers[at];
+        to->free = roomLess(to->free, job->spec.steps[job->tasks[task].step].room);
+    }
     if (list->rounds == NULL)
-        list->rounds = talloc_array(pass->mem, RoundId, STOPS_MOST);
+        list->rounds = talloc_array(pass->mem, RoundId, STOPS_MOST > LEAVE_STOPS_MOST ? STOPS_MOST : LEAVE_STOPS_MOST);
     list->rounds[list->roundsCount++] =
         (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(&job->tasks[task]), job->tasks[task].round};
     return true;
@@ -25,6 +27,7 @@
         return false;
     core->stopLookMs = nowMs + STOP_LOOK_MS;
     StopList list = {.why = "goes on better elsewhere"};
+    leaveFind(pass, &list);
     slowFind(pass, &list);
     if (list.roundsCount == 0)
         return false;
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -116,12 +116,132 @@
     end(fleet);
 }
 
+/* No more of a step on one worker than it allows, gone or not; the others wait. */
+static void apartAlways(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(14);
+    hand(fleet, "a", "bulk",
+         "{\"name\":\"a\",\"count\":14,\"apart\":2,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":3000,\"payload\":{\"runMs\":3000}}");
+    for (int i = 0; i < 24; i++) {
+        fleetRun(fleet, 250);
+        for (int w = 1; w <= 6; w++) {
+            char name[16];
+            snprintf(name, sizeof(name), "worker%d", w);
+            assert_true(onWorker(fleet, "a", name) <= 2);
+        }
+        if (i == 6)
+            assert_int_equal(inPhase(fleet, "a", TASK_RUNNING), 12);
+    }
+    fleetRun(fleet, 2000);
+    assert_int_equal(inPhase(fleet, "a", TASK_DONE), 14);
+    end(fleet);
+}
+
+static const char *rackOf(const Fleet *fleet, const char *worker)
+{
+    const Worker *its = tableWorker(coreTable(fleet->nodes[FLEET_CORE][fleetLeader(fleet)].core), worker);
+    return its != NULL ? its->rack : "";
+}
+
+static size_t onRack(const Fleet *fleet, const char *id, const char *rack)
+{
+    const Job *job = fleetJob(fleet, id);
+    size_t count = 0;
+    for (size_t t = 0; job != NULL && t < job->tasksCount; t++)
+        count += strcmp(rackOf(fleet, job->tasks[t].worker), rack) == 0;
+    return count;
+}
+
+/* Work goes near its data while there is room, and elsewhere rather than wait long; a
+ * gang that is faster on one rack is on one. */
+static void racks(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(15);
+    hand(fleet, "near", "bulk",
+         "{\"name\":\"a\",\"count\":6,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
+    fleetRun(fleet, 1000);
+    assert_int_equal(onRack(fleet, "near", "rack1"), 6);
+    hand(fleet, "gang", "bulk",
+         "{\"name\":\"g\",\"count\":4,\"gang\":true,\"sameRack\":true,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":4000,"
+         "\"payload\":{\"runMs\":4000}}");
+    fleetRun(fleet, 500);
+    assert_true(onRack(fleet, "gang", "rack0") == 4 || onRack(fleet, "gang", "rack1") == 4);
+    const Job *gang = fleetJob(fleet, "gang");
+    for (size_t i = 1; i < gang->tasksCount; i++)
+        assert_int_equal(gang->tasks[i].round, gang->tasks[0].round);
+    /* rack1 holds 24 of these at most: the others take the longer way within two seconds */
+    hand(fleet, "more", "bulk",
+         "{\"name\":\"a\",\"count\":30,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
+    fleetRun(fleet, 300);
+    const size_t near = onRack(fleet, "more", "rack1");
+    assert_true(near > 0);
+    assert_int_equal(onRack(fleet, "more", "rack0"), 0);
+    fleetRun(fleet, 2500);
+    assert_true(onRack(fleet, "more", "rack0") > 0);
+    end(fleet);
+}
+
+/* A full fleet: urgent work that would miss its aim pushes out what is young or keeps its
+ * progress, and no more of it than it needs. */
+static void urgentPushes(void **state)
+{
+    (void)state;
+    for (int saves = 0; saves < 2; saves++) {
+        Fleet *fleet = begin(16);
+        hand(fleet, "bulk", "bulk",
+             saves ? "{\"name\":\"a\",\"count\":12,\"saves\":true,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}"
+                   : "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
+        fleetRun(fleet, 6000);
+        assert_int_equal(inPhase(fleet, "bulk", TASK_RUNNING), 12);
+        hand(fleet, "now", "urgent",
+             "{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":1000}}");
+        fleetRun(fleet, 4000);
+        /* what keeps nothing has run for six seconds: too much to throw away */
+        assert_int_equal(inPhase(fleet, "now", TASK_DONE), saves ? 2 : 0);
+        assert_true(inPhase(fleet, "bulk", TASK_RUNNING) >= (saves ? 10 : 12));
+        fleetRun(fleet, 50000);
+        assert_int_equal(inPhase(fleet, "now", TASK_DONE), 2);
+        assert_int_equal(inPhase(fleet, "bulk", TASK_DONE), 12);
+        end(fleet);
+    }
+}
+
+/* A worker that leaves in three seconds keeps what ends by then; what keeps its progress
+ * goes elsewhere, nothing new comes. */
+static void leaves(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(17);
+    hand(fleet, "long", "bulk",
+         "{\"name\":\"a\",\"count\":6,\"apart\":2,\"saves\":true,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
+    hand(fleet, "short", "bulk",
+         "{\"name\":\"a\",\"count\":12,\"apart\":2,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":2000,\"payload\":{\"runMs\":2000}}");
+    fleetRun(fleet, 1500);
+    assert_int_equal(onWorker(fleet, "long", "worker1"), 1);
+    assert_int_equal(onWorker(fleet, "short", "worker1"), 2);
+    standWorkerLeaveIn(fleetNode(fleet, FLEET_WORKER, 0)->worker, 4000);
+    fleetRun(fleet, 2500);
+    assert_int_equal(onWorker(fleet, "long", "worker1"), 0);
+    const Job *job = fleetJob(fleet, "short");
+    for (size_t i = 0; i < job->tasksCount; i++) {
+        assert_int_equal(job->tasks[i].round, 1);
+        assert_int_equal(job->tasks[i].phase, TASK_DONE);
+    }
+    end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(standsStill),
         cmocka_unit_test(tooSlow),
         cmocka_unit_test(longerThanSaid),
+        cmocka_unit_test(apartAlways),
+        cmocka_unit_test(racks),
+        cmocka_unit_test(urgentPushes),
+        cmocka_unit_test(leaves),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -39,9 +39,11 @@
 /* Says that it leaves; takes nothing new from then on. */
 void standWorkerLeave(StandWorker *worker);
 void standWorkerFail(StandWorker *worker, bool fails);
-/* What starts from now on takes so many times as long. */
-/* What it starts from now on stands still until it is stopped. */
+/* ... and stays for so long. */
+void standWorkerLeaveIn(StandWorker *worker, int64_t forMs);
+/* What starts from now on stands still until it is stopped. */
 void standWorkerHang(StandWorker *worker, bool hangs);
+/* What starts from now on takes so many times as long. */
 void standWorkerSlow(StandWorker *worker, int64_t times);
 /* Tells each report twice, the second time as it was before: a repeated, late one. */
 void standWorkerRepeat(StandWorker *worker, bool repeats);
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -28,6 +28,7 @@
     char boot[24];
     int64_t untilMs;
     bool leaving;
+    int64_t leaveAtMs; /* leaving: it stays until then; 0: not told */
     Run *runs;
     HttpCall *asking; /* the one question that is out; its answer may carry a hold */
 };
@@ -200,6 +201,9 @@
     json_object_object_add(body, "free", showRoom(free));
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
+    const int64_t staysMs = worker->leaveAtMs - loopNowMs(worker->loop);
+    if (worker->leaving && staysMs > 0)
+        json_object_object_add(body, "leaveMs", json_object_new_int64(staysMs));
     json_object_object_add(body, "waitMs", json_object_new_int64(WORKER_POLL_MS));
     json_object *running = json_object_new_array(), *ended = json_object_new_array();
     for (const Run *run = worker->runs; run != NULL; run = run->next) {
@@ -283,6 +287,12 @@
     worker->leaving = true;
 }
 
+void standWorkerLeaveIn(StandWorker *worker, int64_t forMs)
+{
+    worker->leaving = true;
+    worker->leaveAtMs = loopNowMs(worker->loop) + forMs;
+}
+
 void standWorkerFail(StandWorker *worker, bool fails)
 {
     worker->props.failsAll = fails;
