--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -75,6 +75,7 @@
 #define WOKEN_WAIT_MS 3000     /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, and the steps after it must end within 12 s */
 #define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
 #define REPAIR_HEAR_MS (LINE_MISSES * ASK_EXPIRY_MS + 2 * HELLO_MS) /* ms; a process that has just started asks nobody before: a line to its last life is given up and opened anew within this */
+#define KEEPER_BYTES_MAX (4 * 1024 * 1024) /* bytes; of what one node keeps for repair: some 5,000 jobs; memory is priced */
 #define REPAIR_KEEP_MS 120000  /* ms; how long gates and agents keep what they were told, for repair */
 #define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose for this long */
 
@@ -112,10 +113,27 @@
 #define ROOM_MAX 100000000ULL  /* milli-CPU or MB; larger numbers are mistakes */
 
 /* --- aims and estimates ------------------------------------------------------------ */
+#define PACE_FIRST_MS 700      /* ms; a running round's progress is told first after this, a short task's never */
 #define GUESS_KEPT 32          /* count; ratios that a median is taken of: what is older says little */
 #define GUESS_LEAST 5          /* count; ends before a step's estimate is corrected */
-#define GUESS_WORKER_KEPT 9    /* count; as GUESS_KEPT; fewer, since a worker's speed changes within seconds */
-#define GUESS_WORKER_LEAST 3   /* count; ends before a worker's speed counts */
+#define GUESS_FRESH_KEPT 9     /* count; as GUESS_KEPT; fewer, since a worker turns slow within seconds ... */
+#define GUESS_FRESH_LEAST 3    /* count; ... and fewer than these say nothing */
+#define GUESS_FRESH_MS 4000    /* ms; what a worker did before this says nothing of a slow spell: those are as short */
+#define GUESS_POOL 64          /* count; ratios of all workers: enough that one of them does not decide */
+#define GUESS_RATIO_MOST 20000 /* thousandths; a worker that much slower stands still */
+#define GUESS_SPEED_LEAST 600  /* thousandths; workers differ by a quarter either way; ... */
+#define GUESS_SPEED_MOST 1700  /* ... with estimates off by up to half, beyond this it is a slow spell */
+#define STILL_PERCENT 15       /* percent; a round that did nothing while so much of its work was due stands still */
+#define STILL_LEAST_MS 1000    /* ms; ... and this long: what goes on from what was saved begins with a pause */
+#define PACE_CREDIT 16         /* count; words of progress before no progress is believed: some workers tell none */
+#define STOP_LOOK_MS 200       /* ms; between two looks for rounds that go on better elsewhere */
+#define SLOW_GAIN 2.5          /* 1; a round is begun anew elsewhere when that takes so many times less ... */
+#define SLOW_COST_MS 1000      /* ms; ... and this much besides: stopping, starting, and what is thrown away */
+#define LEAVE_LAST_MS 1500     /* ms; what a leaving worker has is stopped this long before, so that it is saved and told */
+#define LEAVE_START_MS 300     /* ms; an order that a leaving worker has not begun by then is taken back */
+#define LEAVE_STOPS_MOST 32    /* count; rounds taken off leaving workers by one look */
+#define STOPS_MOST 4           /* count; rounds begun anew elsewhere by one look */
+#define SLOW_ROUNDS_MOST 5     /* count; a task that has had so many rounds is left where it is */
 #define AIM_LATE_TIMES 3       /* count; until so many times its aim a job is still worth something */
 #define AIM_DOUBT_PERCENT 25   /* percent of the work left; an aim missed by less may still be met: estimates are off by up to half */
 #define AIM_LOOK_MS 2000       /* ms; an aim that is so much farther off weighs 2.7 times less: about one task's time */
@@ -155,6 +173,7 @@
 #define RESERVE_SLACK_MS 3000  /* ms; what must be under way within this has room that falls free kept for it */
 #define RESERVE_SHARE 3        /* of the fleet's room at most one part in so many */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
+#define KEEP_LEAST_MS 300      /* ms; ... of a job with an aim after an eighth of its span, but not before this */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
 #define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
 
@@ -162,6 +181,13 @@
 #define LUA_STEPS_MAX 20000    /* count; instructions of one call: some 0.2 ms */
 #define LUA_STEPS_TICK 100     /* count; they are counted by so many */
 #define LUA_BYTES_MAX (512 * 1024) /* bytes; what one policy may hold */
+#define STOP_TAKES_MS 300      /* ms; a stop is heard with the worker's next report, takes a moment, and is told */
+#define ENDS_LEAST_MS 50       /* ms; nothing that runs is expected to end sooner */
+#define PUSH_TAKES_MS 600      /* ms; from a push until the room is used: a stop, and a start */
+#define PUSH_SLACK_MS 900      /* ms; what must be under way within this may push: it takes most of it */
+#define PUSH_COST 2            /* 1; a push throws away at most so many times the work that it makes room for */
+#define PUSH_VICTIMS_MOST 4    /* count; rounds pushed aside for one task */
+#define PUSH_GAP_MS 100        /* ms; between two looks at whom to push */
 #define PUSH_TASKS_MAX 32      /* count; running tasks looked at for one that wants room */
 
 /* --- process ---------------------------------------------------------------- */
--- a/packages/core/src/pass.c
+++ b/packages/core/src/pass.c
@@ -40,7 +40,7 @@
                                               .room = room,
                                               .free = roomLess(room, used),
                                               .penalty = scoreRate(core, worker->name) * 10};
-        pass->speeds[i] = guessSpeed(core->guesses, worker->name);
+        pass->speeds[i] = guessSpeed(core->guesses, worker->name, loopNowMs(core->loop));
         pass->fleet = roomMore(pass->fleet, room);
     }
     pass->largest = planLargest(pass->input.workers, count);
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -15,9 +15,8 @@
     const char *job;
     uint64_t task, round;
     Room room;
-    int64_t endMs;
+    int64_t beganMs, endMs;
     int64_t fromMs, saveMs, times; /* progress: from where it began, how often it is saved, how slow */
-    int64_t startMs;
     char saved[ID_MAX + 48]; /* "TASK@MS of JOB"; empty: nothing */
     bool fails;
     bool ended;
@@ -37,6 +36,7 @@
     uint64_t fence, seq;
     Map *highest;
     bool leaving;
+    int64_t leaveAtMs; /* leaving: it stays until then; 0: not told */
     Run *runs;
     HttpCall *asking; /* the one question that is out; its answer may carry a hold */
 };
@@ -57,7 +57,7 @@
 /* What is done by now, in steps of saveMs; at a stop, all of it. */
 static void runSave(Run *run, bool all)
 {
-    const int64_t ranMs = (loopNowMs(run->worker->loop) - run->startMs) / run->times;
+    const int64_t ranMs = (loopNowMs(run->worker->loop) - run->beganMs) / run->times;
     int64_t doneMs = run->fromMs + ranMs;
     if (!all)
         doneMs -= doneMs % run->saveMs;
@@ -108,6 +108,13 @@
     }
 }
 
+/* How far it has come. */
+static int64_t percentOf(const Run *run)
+{
+    const int64_t wholeMs = run->endMs - run->beganMs, ranMs = loopNowMs(run->worker->loop) - run->beganMs;
+    return wholeMs <= 0 || ranMs >= wholeMs ? 100 : (int64_t)((double)ranMs * 100 / (double)wholeMs);
+}
+
 static Run *runFind(StandWorker *worker, const char *job, uint64_t task, uint64_t round)
 {
     for (Run *run = worker->runs; run != NULL; run = run->next)
@@ -155,11 +162,13 @@
                        (uint64_t)intOf(room, "gpu", 0)};
     run->times = worker->props.slowTimes > 1 ? worker->props.slowTimes : 1;
     run->saveMs = intOf(payload, "saveMs", 0);
-    run->startMs = nowMs;
+    run->beganMs = nowMs;
     snprintf(run->saved, sizeof(run->saved), "%s", textOf(start, "saved"));
     const char *at = strchr(run->saved, '@');
     run->fromMs = at != NULL ? strtoll(at + 1, NULL, 10) : 0;
     run->endMs = nowMs + (intOf(payload, "runMs", 1000) - run->fromMs) * run->times;
+    if (worker->props.hangs)
+        run->endMs = INT64_MAX / 2;
     run->fails = worker->props.failsAll || (int64_t)round <= intOf(payload, "failRounds", 0);
     run->next = worker->runs;
     worker->runs = run;
@@ -249,6 +258,9 @@
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
     json_object_object_add(body, "seq", json_object_new_int64((int64_t)++worker->seq));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
+    const int64_t staysMs = worker->leaveAtMs - loopNowMs(worker->loop);
+    if (worker->leaving && staysMs > 0)
+        json_object_object_add(body, "leaveMs", json_object_new_int64(staysMs));
     json_object_object_add(body, "waitMs", json_object_new_int64(WORKER_POLL_MS));
     json_object *running = json_object_new_array(), *ended = json_object_new_array();
     for (Run *run = worker->runs; run != NULL; run = run->next) {
@@ -260,6 +272,8 @@
         json_object_object_add(one, "round", json_object_new_int64((int64_t)run->round));
         if (run->saved[0] != '\0')
             json_object_object_add(one, "saved", json_object_new_string(run->saved));
+        if (!run->ended)
+            json_object_object_add(one, "percent", json_object_new_int64(percentOf(run)));
         if (run->ended)
             json_object_object_add(one, "word", json_object_new_string(roundWord(run->word)));
         json_object_array_add(run->ended ? ended : running, one);
@@ -335,11 +349,22 @@
     worker->leaving = true;
 }
 
+void standWorkerLeaveIn(StandWorker *worker, int64_t forMs)
+{
+    worker->leaving = true;
+    worker->leaveAtMs = loopNowMs(worker->loop) + forMs;
+}
+
 void standWorkerFail(StandWorker *worker, bool fails)
 {
     worker->props.failsAll = fails;
 }
 
+void standWorkerHang(StandWorker *worker, bool hangs)
+{
+    worker->props.hangs = hangs;
+}
+
 void standWorkerSlow(StandWorker *worker, int64_t times)
 {
     worker->props.slowTimes = times;
