--- a/packages/queue/src/line.c
+++ b/packages/queue/src/line.c
@@ -257,7 +257,8 @@
         if (turn < turns)
             nextAt(line, queueDueMs(job, turn, sight->clock));
     }
-    qsort(line->places, line->count, sizeof(*line->places), placeOrder);
+    if (line->count > 0)
+        qsort(line->places, line->count, sizeof(*line->places), placeOrder);
     while (line->restarts < line->count && line->places[line->restarts].candidate.restart)
         line->restarts++;
     runsFind(line);
