--- a/packages/sim/test/configs.c
+++ b/packages/sim/test/configs.c
@@ -442,6 +442,11 @@
     note[60000] = '\0';
     const char *body = talloc_asprintf(mem, "{\"limits\":{\"idleMs\":9000},\"note\":\"%s\"}", note);
     assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", "/v1/config?base=1&revision=5", body).code, 200);
+    fleetRun(fleet, 200);
+    for (int i = 0; i < 3; i++) { /* its number and limits are known at once */
+        const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, i, "GET", "/metrics", NULL);
+        assert_non_null(strstr(talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count), "config_revision 5\n"));
+    }
     fleetRun(fleet, REPAIR_KEEP_MS + 10000);
     checkerFault(fleet->checker);
     for (int i = 0; i < 3; i++)
