--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -33,6 +33,9 @@
 /* --- asking ------------------------------------------------------------- */
 #define ASK_EXPIRY_MS 800      /* ms; a plain question between processes; shorter than a lock hold */
 #define APPEND_EXPIRY_MS 1500  /* ms; a seat that does not sync in this time leaves the view */
+#define WATCH_MS 100           /* ms; the holder looks at its seats, and a seat for a holder, this often */
+#define SEAT_LATE_MS 400       /* ms; a seat that has not synced by then leaves the view, when that can spare it: it costs nothing, and it comes back as soon as it is quick */
+#define DISK_MEND_MS 300       /* ms; a disk that refused a write is tried again this often */
 #define SEAT_SLOW_MS 500       /* ms; a seat that takes longer to sync keeps every caller waiting ... */
 #define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
@@ -48,7 +51,8 @@
 #define LINE_QUIET_S 3         /* s; one that is silent for so long is probed: a machine that is cut off says nothing ... */
 #define LINE_PROBE_S 1         /* s; ... this often ... */
 #define LINE_PROBES 3          /* count; ... and ends after so many without an answer */
-#define LINE_MISSES 3          /* count; questions unanswered in a row before a line is opened anew */
+#define LINE_MISSES 2          /* count; questions unanswered in a row before a line is opened anew */
+#define LINE_SILENT_MS 200     /* ms; a question that waits for so long when its partner has just started went to its last life */
 
 /* --- membership --------------------------------------------------------- */
 #define HELLO_MS 500           /* ms; between two exchanges of the member table */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -177,6 +177,7 @@
                                  .openedArg = core,
                                  .losses = (int)props->bounds.losses,
                                  .founds = (ViewFounds)props->bounds.founds,
+                                 .disksKeep = props->bounds.disksKeep != 0,
                                  .seatBackMs = props->bounds.seatBackMs};
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
--- a/packages/journal/include/journal/journal.h
+++ b/packages/journal/include/journal/journal.h
@@ -36,8 +36,10 @@
 /* Queues the record and waits until it is synced, with all queued before it. */
 Status journalWrite(Journal *journal, const Record *records, size_t count);
 /* Queues a new content of the whole file, which stands for all queued before
- * it; waits until it is in place. The identity is kept. */
+ * it; waits until it is in place. The identity is kept. Also tried after a failure. */
 Status journalRewrite(Journal *journal, const Record *records, size_t count);
+/* A write has failed: until a rewrite goes well, all others fail at once. */
+bool journalFailed(const Journal *journal);
 const JournalCounts *journalCounts(const Journal *journal);
 /* When the sync under way began, or INT64_MAX when there is none. */
 int64_t journalSyncSince(const Journal *journal);
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -18,8 +18,8 @@
 } Waiting;
 
 /* Invariant: first..last are queued in the order of the calls; only the
- * writing task touches the file. A failed write stops the journal for good:
- * what the disk holds is not known any more. */
+ * writing task touches the file. After a failed write nothing more is written but
+ * a whole new file: what the old one holds is not known any more. */
 struct Journal {
     Loop *loop;
     File *file;
@@ -149,7 +149,7 @@
             journal->last = NULL;
         batchLast->next = NULL;
         Status status = STATUS_DISK_FAILED;
-        if (!journal->failed) {
+        if (!journal->failed || rewrite) { /* a new file stands for all that the old one should hold */
             const int64_t startMs = loopNowMs(journal->loop);
             journal->syncSinceMs = startMs;
             if (rewrite) {
@@ -187,7 +187,7 @@
 
 static Status queueUp(Journal *journal, Waiting *waiting)
 {
-    if (journal->failed) {
+    if (journal->failed && !waiting->rewrite) {
         talloc_free(waiting);
         return STATUS_DISK_FAILED;
     }
@@ -317,6 +317,11 @@
     return journal->disk;
 }
 
+bool journalFailed(const Journal *journal)
+{
+    return journal->failed;
+}
+
 const JournalCounts *journalCounts(const Journal *journal)
 {
     return &journal->counts;
--- a/packages/lock/include/lock/lock.h
+++ b/packages/lock/include/lock/lock.h
@@ -31,7 +31,8 @@
     uint64_t promised;
     uint64_t holder; /* disk id */
     int64_t holdUntilMs;
-    int64_t notBeforeMs; /* woken: what was granted may be forgotten, so nothing is promised before this */
+    int64_t notBeforeMs; /* woken: what was granted may be forgotten, so nothing is promised before this ... */
+    bool sure;           /* ... but promised and holder are known to be the last: only holder may hold anything */
 } LockSeat;
 
 /* Whether epoch may be promised to holder now. */
--- a/packages/lock/src/lock.c
+++ b/packages/lock/src/lock.c
@@ -6,7 +6,7 @@
 {
     if (epoch <= seat->promised)
         return STATUS_OLD_EPOCH;
-    if (nowMs < seat->notBeforeMs)
+    if (nowMs < seat->notBeforeMs && !(seat->sure && seat->holder == holder))
         return STATUS_WOKEN;
     if (seat->holder != holder && lockHeld(seat, nowMs))
         return STATUS_OTHER_HOLDER;
@@ -31,8 +31,11 @@
 
 void lockRelease(LockSeat *seat, uint64_t epoch, uint64_t holder, int64_t nowMs)
 {
-    if (epoch == seat->promised && holder == seat->holder)
-        seat->holdUntilMs = nowMs;
+    if (epoch != seat->promised || holder != seat->holder)
+        return;
+    seat->holdUntilMs = nowMs;
+    if (seat->sure && seat->notBeforeMs > nowMs)
+        seat->notBeforeMs = nowMs;
 }
 
 bool lockHeld(const LockSeat *seat, int64_t nowMs)
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -14,10 +14,12 @@
     int64_t seenMs;   /* its tick rose, told by anybody */
     int64_t directMs; /* it spoke to us itself; INT64_MIN: never */
     int64_t answeredMs; /* it answered us: the way is open there and back; INT64_MIN: never */
+    int64_t sinceMs;    /* this row came to be */
+    void *mem;          /* of the record */
 } Member;
 
-/* Immutable; the whole table is swapped. Invariant: rows are ordered by id and
- * ids are unique. */
+/* Invariants: rows are ordered by id and ids are unique; of the cores with one name
+ * there is the newest alone: what stood there with another disk is gone for good. */
 typedef struct MemberTable {
     size_t count;
     const Member *rows;
@@ -44,6 +46,9 @@
 /* Null when there is none. Valid until the next wait. */
 const Member *membersFind(const Members *members, const char *id);
 const Member *membersFindDisk(const Members *members, uint64_t disk);
+/* The core that has come back under this name with another disk, and has said so
+ * itself; null: none has. */
+const Member *membersOtherDisk(const Members *members, const char *name, uint64_t disk);
 const MemberRecord *membersSelf(const Members *members);
 bool memberQuiet(const Member *member, int64_t nowMs);
 
--- a/packages/member/src/inside.h
+++ b/packages/member/src/inside.h
@@ -18,7 +18,8 @@
     Ring *ring;
     MemberRecord self;
     const char *seeds[SEEDS];
-    const MemberTable *table;
+    MemberTable *table;
+    size_t room;
     uint64_t leaderEpoch;
     char *leaderId;
     Signal leaderChanged;
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -1,7 +1,6 @@
 #include "member/members.h"
 
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -13,69 +12,146 @@
     size_t at;
 } SeedTask;
 
-static int rowOrder(const void *a, const void *b)
+static bool newer(const MemberRecord *a, const MemberRecord *b)
 {
-    return strcmp(((const Member *)a)->record.id, ((const Member *)b)->record.id);
+    return a->incarnation > b->incarnation || (a->incarnation == b->incarnation && a->tick > b->tick);
 }
 
-static bool newer(const MemberRecord *a, const MemberRecord *b)
+/* --- rows ------------------------------------------------------------------------ */
+
+static Member *rowsOf(Members *members)
 {
-    return a->incarnation > b->incarnation || (a->incarnation == b->incarnation && a->tick > b->tick);
+    return (Member *)(uintptr_t)members->table->rows;
+}
+
+/* Where the id stands, or would. */
+static size_t rowPlace(const Members *members, const char *id, bool *found)
+{
+    size_t low = 0, high = members->table->count;
+    *found = false;
+    while (low < high) {
+        const size_t middle = (low + high) / 2;
+        const int order = strcmp(members->table->rows[middle].record.id, id);
+        if (order == 0) {
+            *found = true;
+            return middle;
+        }
+        if (order < 0)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    return low;
+}
+
+static void rowWrite(Members *members, Member *row, const MemberRecord *record)
+{
+    void *old = row->mem;
+    row->mem = talloc_new(members);
+    shapeCopy(&MemberRecordShape, record, row->mem, &row->record);
+    talloc_free(old);
 }
 
-/* Builds the next table of the present one and the records told, and swaps it. */
-static void merge(Members *members, const MemberRecord *told, size_t toldCount, const char *directId, bool answered)
+static Member *rowAdd(Members *members, size_t at, const MemberRecord *record)
 {
+    MemberTable *table = members->table;
+    if (table->count == members->room) {
+        members->room = members->room > 0 ? members->room * 2 : 16;
+        table->rows = talloc_realloc(members, rowsOf(members), Member, (unsigned)members->room);
+    }
+    Member *rows = rowsOf(members);
+    memmove(&rows[at + 1], &rows[at], (table->count - at) * sizeof(*rows));
+    table->count++;
     const int64_t nowMs = loopNowMs(members->loop);
-    const MemberTable *old = members->table;
-    MemberTable *table = talloc_zero(members, MemberTable);
-    Member *rows = talloc_array(table, Member, (unsigned)(old->count + toldCount + 1));
-    size_t count = 0;
-    for (size_t i = 0; i < old->count; i++) {
-        const bool self = strcmp(old->rows[i].record.id, members->self.id) == 0;
-        if (!self && nowMs - old->rows[i].seenMs > MEMBER_FORGET_MS)
-            continue;
-        rows[count] = old->rows[i];
-        shapeCopy(&MemberRecordShape, self ? &members->self : &old->rows[i].record, rows, &rows[count].record);
-        if (self)
-            rows[count].seenMs = rows[count].directMs = rows[count].answeredMs = nowMs;
-        count++;
+    rows[at] = (Member){.seenMs = nowMs, .directMs = INT64_MIN, .answeredMs = INT64_MIN, .sinceMs = nowMs};
+    rowWrite(members, &rows[at], record);
+    return &rows[at];
+}
+
+static void rowDrop(Members *members, size_t at)
+{
+    Member *rows = rowsOf(members);
+    talloc_free(rows[at].mem);
+    members->table->count--;
+    memmove(&rows[at], &rows[at + 1], (members->table->count - at) * sizeof(*rows));
+}
+
+static bool isSelf(const Members *members, const MemberRecord *record)
+{
+    return strcmp(record->id, members->self.id) == 0;
+}
+
+/* A core of the same name with another disk, as this one's; the count when there is none. */
+static size_t rowNamed(const Members *members, const MemberRecord *record)
+{
+    size_t at = 0;
+    while (at < members->table->count) {
+        const MemberRecord *row = &members->table->rows[at].record;
+        if (row->role == ROLE_CORE && row->disk != record->disk && strcmp(row->name, record->name) == 0)
+            break;
+        at++;
     }
-    for (size_t k = 0; k < toldCount; k++) {
-        const MemberRecord *record = &told[k];
-        if (record->id[0] == '\0' || record->role >= ROLE_COUNT || strlen(record->id) > ID_MAX)
-            continue;
-        if (strcmp(record->id, members->self.id) == 0) {
-            /* somebody remembers an earlier life of ours: be newer than that */
-            if (record->incarnation > members->self.incarnation)
-                members->self.incarnation = record->incarnation + 1;
-            continue;
+    return at;
+}
+
+static void greet(Members *members, const char *address);
+
+static void rowTake(Members *members, const MemberRecord *record, bool direct, bool answered)
+{
+    const int64_t nowMs = loopNowMs(members->loop);
+    if (record->id[0] == '\0' || record->role >= ROLE_COUNT || strlen(record->id) > ID_MAX)
+        return;
+    const bool mine = record->role == members->self.role && strcmp(record->name, members->self.name) == 0;
+    if (isSelf(members, record) || (mine && record->role == ROLE_CORE)) {
+        /* somebody remembers an earlier life of ours, or of this place: be newer than that */
+        if (record->incarnation > members->self.incarnation ||
+            (record->incarnation == members->self.incarnation && !isSelf(members, record)))
+            members->self.incarnation = record->incarnation + 1;
+        return;
+    }
+    bool found;
+    size_t at = rowPlace(members, record->id, &found);
+    if (!found && record->role == ROLE_CORE) {
+        const size_t other = rowNamed(members, record);
+        if (other < members->table->count) {
+            if (members->table->rows[other].record.incarnation >= record->incarnation)
+                return; /* told of one that is gone */
+            rowDrop(members, other);
+            courierRenew(members->courier, record->address);
+            at = rowPlace(members, record->id, &found);
         }
-        Member *row = NULL;
-        for (size_t i = 0; i < count && row == NULL; i++)
-            if (strcmp(rows[i].record.id, record->id) == 0)
-                row = &rows[i];
-        const bool direct = directId != NULL && strcmp(record->id, directId) == 0;
-        if (row == NULL) {
-            if (count >= MEMBERS_MAX)
-                continue;
-            row = &rows[count++];
-            *row = (Member){.seenMs = nowMs, .directMs = INT64_MIN, .answeredMs = INT64_MIN};
-            shapeCopy(&MemberRecordShape, record, rows, &row->record);
-        } else if (newer(record, &row->record)) {
-            row->seenMs = nowMs;
-            shapeCopy(&MemberRecordShape, record, rows, &row->record);
+    }
+    if (!found && members->table->count >= MEMBERS_MAX)
+        return;
+    /* cores find each other at once: a seat may be waiting for this one */
+    if (!found && !direct && record->role == ROLE_CORE && members->self.role == ROLE_CORE)
+        greet(members, record->address);
+    Member *row = found ? &rowsOf(members)[at] : rowAdd(members, at, record);
+    if (found && newer(record, &row->record)) {
+        row->seenMs = nowMs;
+        if (record->incarnation > row->record.incarnation)
+            courierRenew(members->courier, record->address);
+        rowWrite(members, row, record);
+    }
+    if (direct)
+        row->directMs = nowMs;
+    if (direct && answered)
+        row->answeredMs = nowMs;
+}
+
+/* The own row as it is now; rows not heard of for long go. */
+static void rowsTend(Members *members)
+{
+    const int64_t nowMs = loopNowMs(members->loop);
+    for (size_t i = members->table->count; i > 0; i--) {
+        Member *row = &rowsOf(members)[i - 1];
+        if (isSelf(members, &row->record)) {
+            rowWrite(members, row, &members->self);
+            row->seenMs = row->directMs = row->answeredMs = nowMs;
+        } else if (nowMs - row->seenMs > MEMBER_FORGET_MS) {
+            rowDrop(members, i - 1);
         }
-        if (direct)
-            row->directMs = nowMs;
-        if (direct && answered)
-            row->answeredMs = nowMs;
     }
-    qsort(rows, count, sizeof(*rows), rowOrder);
-    table->rows = rows;
-    table->count = count;
-    members->table = table;
-    talloc_free((void *)(uintptr_t)old);
 }
 
 Members *membersNew(void *mem, Loop *loop, Courier *courier, Ring *ring, const MemberRecord *self,
@@ -89,13 +165,9 @@
     members->leaderId = talloc_strdup(members, "");
     for (int i = 0; i < SEEDS; i++)
         members->seeds[i] = talloc_strdup(members, seeds[i]);
-    MemberTable *table = talloc_zero(members, MemberTable);
-    Member *row = talloc_zero(table, Member);
-    shapeCopy(&MemberRecordShape, self, row, &row->record);
-    row->seenMs = row->directMs = row->answeredMs = loopNowMs(loop);
-    table->rows = row;
-    table->count = 1;
-    members->table = table;
+    members->table = talloc_zero(members, MemberTable);
+    Member *row = rowAdd(members, 0, self);
+    row->directMs = row->answeredMs = row->seenMs;
     return members;
 }
 
@@ -106,9 +178,19 @@
 
 const Member *membersFind(const Members *members, const char *id)
 {
-    for (size_t i = 0; i < members->table->count; i++)
-        if (strcmp(members->table->rows[i].record.id, id) == 0)
-            return &members->table->rows[i];
+    bool found;
+    const size_t at = rowPlace(members, id, &found);
+    return found ? &members->table->rows[at] : NULL;
+}
+
+const Member *membersOtherDisk(const Members *members, const char *name, uint64_t disk)
+{
+    for (size_t i = 0; i < members->table->count; i++) {
+        const Member *row = &members->table->rows[i];
+        if (row->record.role == ROLE_CORE && row->record.disk != disk && row->directMs != INT64_MIN &&
+            strcmp(row->record.name, name) == 0)
+            return row;
+    }
     return NULL;
 }
 
@@ -186,7 +268,7 @@
 {
     members->self.tick++;
     members->self.cluster = courierCluster(members->courier);
-    merge(members, NULL, 0, NULL, false);
+    rowsTend(members);
     const MemberTable *table = members->table;
     shapeCopy(&MemberRecordShape, &members->self, mem, &hello->self);
     hello->members = talloc_array(mem, MemberRecord, (unsigned)table->count);
@@ -208,9 +290,9 @@
         courierSetCluster(members->courier, hello->cluster);
         ringSay(members->ring, RING_NOTE, loopNowMs(members->loop), "joins cluster %016" PRIx64, hello->cluster);
     }
-    if (hello->membersCount <= MEMBERS_MAX)
-        merge(members, hello->members, hello->membersCount, NULL, false);
-    merge(members, &hello->self, 1, hello->self.id, answered);
+    for (size_t i = 0; i < hello->membersCount && hello->membersCount <= MEMBERS_MAX; i++)
+        rowTake(members, &hello->members[i], false, false);
+    rowTake(members, &hello->self, true, answered);
     if (hello->leaderEpoch > members->leaderEpoch)
         membersSetLeader(members, hello->leaderEpoch, hello->leaderId);
 }
@@ -265,6 +347,14 @@
     talloc_free(look);
 }
 
+static void greet(Members *members, const char *address)
+{
+    LookTask *look = talloc_zero(members, LookTask);
+    look->members = members;
+    strncpy(look->address, address, sizeof(look->address) - 1);
+    loopSpawn(members->loop, "greet", lookOne, look);
+}
+
 /* A core asks every member in turn, each in a task of its own, so that those
  * that do not answer keep none waiting. */
 static void lookMain(void *arg)
@@ -274,10 +364,7 @@
         const MemberTable *table = members->table;
         const Member *row = &table->rows[at % table->count];
         if (strcmp(row->record.id, members->self.id) != 0 && !memberQuiet(row, loopNowMs(members->loop))) {
-            LookTask *look = talloc_zero(members, LookTask);
-            look->members = members;
-            strncpy(look->address, row->record.address, sizeof(look->address) - 1);
-            loopSpawn(members->loop, "look", lookOne, look);
+            greet(members, row->record.address);
         }
         loopSleep(members->loop, SIGHT_MS / (int64_t)(table->count > SIGHT_MS ? SIGHT_MS : table->count));
     }
--- a/packages/props/include/props/bounds.h
+++ b/packages/props/include/props/bounds.h
@@ -23,7 +23,8 @@
     X(graceMs, DRAIN_MS, 100, 600000, "SIGTERM: gone within this")                                              \
     X(unreadyMs, DRAIN_MS / 6, 0, 600000, "... and not before this: until it has been seen that it is not ready") \
     X(leaderWaitMs, LEADER_WAIT_MS, 0, 60000, "from a leader's loss, a request waits so long for another")      \
-    X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")
+    X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")    \
+    X(disksKeep, 0, 0, 1, "1: what a disk has synced outlasts a loss of power")
 
 typedef struct Bounds {
 #define X(name, otherwise, least, most, meaning) int64_t name;
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -24,6 +24,7 @@
     int losses;      /* disk machines that may be lost at once */
     int gateSeeds;   /* so many of the three seeds are gates, the others cores */
     bool votes;      /* founded by the seeds' votes; a process started again founds nothing */
+    bool disksKeep;
     int64_t seatBackMs;
     int64_t staggerMs; /* processes start at moments drawn from so long a span */
 } FleetSite;
@@ -71,6 +72,8 @@
 void fleetThaw(Fleet *fleet);
 /* SIGTERM, and once it has drained, the next release of it is started. */
 void fleetRoll(Fleet *fleet, FleetRole role, int number);
+/* SIGTERM, and it is not started again. */
+void fleetLeave(Fleet *fleet, FleetRole role, int number);
 /* Cuts every way between a node and all others (but callers when kept). */
 void fleetIsolate(Fleet *fleet, FleetRole role, int number, bool cut);
 /* Cuts a zone off from the others. */
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -140,6 +140,7 @@
     node->props.bounds.losses = fleet->site.losses;
     if (fleet->site.seatBackMs > 0)
         node->props.bounds.seatBackMs = fleet->site.seatBackMs;
+    node->props.bounds.disksKeep = fleet->site.disksKeep;
     if (fleet->site.votes)
         node->props.bounds.founds = 1;
     node->props.listen = talloc_asprintf(fleet, "%s:7000", ip);
@@ -286,19 +287,44 @@
     fleetStartNode(node->fleet, node->role, node->number);
 }
 
-static void drainMain(void *arg)
+static void left(void *arg)
 {
     FleetNode *node = arg;
+    fleetKill(node->fleet, node->role, node->number);
+}
+
+static void drain(FleetNode *node)
+{
     if (node->core != NULL)
         coreDrain(node->core);
     else if (node->gate != NULL)
         gateDrain(node->gate);
     else if (node->agent != NULL)
         agentDrain(node->agent);
+}
+
+static void drainMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
     /* a process ends from outside of its own tasks */
     simAt(node->fleet->world, simNowMs(node->fleet->world), rolled, node);
 }
 
+static void leaveMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
+    simAt(node->fleet->world, simNowMs(node->fleet->world), left, node);
+}
+
+void fleetLeave(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    if (node->up)
+        loopSpawn(simLoop(fleet->world, node->machine), "term", leaveMain, node);
+}
+
 void fleetRoll(Fleet *fleet, FleetRole role, int number)
 {
     FleetNode *node = fleetNode(fleet, role, number);
--- /dev/null
+++ b/packages/sim/test/losses.c
@@ -0,0 +1,334 @@
+/* Losses of disk machines one right after another, as many together as must be borne,
+ * under load: each time that one has returned, its seat is whole again in time for
+ * the next. And everything at once. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+/* How a machine is lost and returns. */
+#define LOSS_LIST(X) X(KILL) X(POWER) X(WIPE) X(REPLACE) X(REPLACE_TERM) X(FREEZE) X(CUT) X(CUT_IN) X(CUT_OUT) X(DISK_SLOW) X(DISK_HANG) X(DISK_FAILS)
+typedef enum Loss {
+#define X(name) LOSS_##name,
+    LOSS_LIST(X)
+#undef X
+        LOSS_COUNT
+} LossKind;
+
+static const char *const WORDS[] = {
+#define X(name) #name,
+    LOSS_LIST(X)
+#undef X
+};
+
+typedef struct Trial {
+    Fleet *fleet;
+    uint64_t seed;
+    size_t wanted;
+    int losses;
+    int nextSpare;
+    int64_t worstMs; /* from a return until all seats are in the view */
+    char worst[64];
+} Trial;
+
+static uint64_t drawn(Trial *trial, uint64_t below)
+{
+    return simRandom(trial->fleet->world) % below;
+}
+
+static size_t inView(Fleet *fleet)
+{
+    const int leader = fleetLeader(fleet);
+    if (leader < 0)
+        return 0;
+    ViewSight sight;
+    size_t count = 0;
+    viewSight(coreView(fleetNode(fleet, FLEET_CORE, leader)->core), &sight);
+    for (size_t i = 0; i < sight.seatCount; i++)
+        count += sight.seats[i].inView;
+    return count;
+}
+
+/* All seats that are wanted are in the view, each of a core that runs and is reached. */
+static bool isWhole(Trial *trial)
+{
+    Fleet *fleet = trial->fleet;
+    const int leader = fleetLeader(fleet);
+    if (leader < 0 || inView(fleet) != trial->wanted)
+        return false;
+    uint64_t disks[SEAT_MOST];
+    const FleetNode *first = fleetNode(fleet, FLEET_CORE, leader);
+    const size_t count = viewSeats(coreView(first->core), disks);
+    size_t good = 0;
+    for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
+        const FleetNode *node = fleetNode(fleet, FLEET_CORE, i);
+        if (!node->up || node->core == NULL || simFrozen(fleet->world, node->machine) ||
+            simIsCut(fleet->world, first->machine, node->machine) || simIsCut(fleet->world, node->machine, first->machine))
+            continue;
+        for (size_t k = 0; k < count; k++)
+            good += disks[k] == viewDisk(coreView(node->core));
+    }
+    return good == trial->wanted;
+}
+
+static bool seated(Fleet *fleet, int core)
+{
+    uint64_t disks[SEAT_MOST];
+    const FleetNode *node = fleetNode(fleet, FLEET_CORE, core);
+    const int leader = fleetLeader(fleet);
+    if (leader < 0 || !node->up || node->core == NULL)
+        return false;
+    const size_t count = viewSeats(coreView(fleetNode(fleet, FLEET_CORE, leader)->core), disks);
+    for (size_t i = 0; i < count; i++)
+        if (disks[i] == viewDisk(coreView(node->core)))
+            return true;
+    return false;
+}
+
+typedef struct Lost {
+    int core;
+    LossKind kind;
+} Lost;
+
+static void strike(Trial *trial, Lost *lost, int64_t outMs)
+{
+    Fleet *fleet = trial->fleet;
+    FleetNode *node = fleetNode(fleet, FLEET_CORE, lost->core);
+    checkerFault(fleet->checker);
+    switch (lost->kind) {
+    case LOSS_KILL:
+        fleetKill(fleet, FLEET_CORE, lost->core);
+        break;
+    case LOSS_REPLACE_TERM:
+        fleetLeave(fleet, FLEET_CORE, lost->core);
+        break;
+    case LOSS_POWER:
+    case LOSS_REPLACE:
+        fleetPowerOff(fleet, FLEET_CORE, lost->core);
+        break;
+    case LOSS_WIPE:
+        fleetPowerOff(fleet, FLEET_CORE, lost->core);
+        simDiskWipe(fleet->world, node->machine);
+        break;
+    case LOSS_FREEZE:
+        fleetFreeze(fleet, FLEET_CORE, lost->core, outMs);
+        break;
+    case LOSS_CUT:
+        fleetIsolate(fleet, FLEET_CORE, lost->core, true);
+        break;
+    case LOSS_CUT_IN:
+    case LOSS_CUT_OUT:
+        for (int role = 0; role < FLEET_ROLES; role++)
+            for (int i = 0; i < fleet->nodeCount[role]; i++) {
+                const int other = fleetNode(fleet, (FleetRole)role, i)->machine;
+                if (other != node->machine)
+                    simCut(fleet->world, lost->kind == LOSS_CUT_IN ? other : node->machine,
+                           lost->kind == LOSS_CUT_IN ? node->machine : other, true);
+            }
+        break;
+    case LOSS_DISK_SLOW:
+        simDiskSlow(fleet->world, node->machine, 15);
+        break;
+    case LOSS_DISK_HANG:
+        simDiskSlow(fleet->world, node->machine, 3500);
+        break;
+    default:
+        simDiskFail(fleet->world, node->machine, true);
+        break;
+    }
+}
+
+static void back(Trial *trial, Lost *lost)
+{
+    Fleet *fleet = trial->fleet;
+    FleetNode *node = fleetNode(fleet, FLEET_CORE, lost->core);
+    checkerFault(fleet->checker);
+    switch (lost->kind) {
+    case LOSS_KILL:
+    case LOSS_POWER:
+    case LOSS_WIPE:
+        fleetStartNode(fleet, FLEET_CORE, lost->core);
+        break;
+    case LOSS_FREEZE:
+        break; /* by itself */
+    case LOSS_CUT:
+        fleetIsolate(fleet, FLEET_CORE, lost->core, false);
+        break;
+    case LOSS_CUT_IN:
+    case LOSS_CUT_OUT:
+        fleetIsolate(fleet, FLEET_CORE, lost->core, false);
+        break;
+    case LOSS_DISK_SLOW:
+    case LOSS_DISK_HANG:
+        simDiskSlow(fleet->world, node->machine, 1);
+        break;
+    case LOSS_DISK_FAILS:
+        simDiskFail(fleet->world, node->machine, false);
+        break;
+    default: /* another machine, for good */
+        fleetStartNode(fleet, FLEET_CORE, trial->nextSpare++);
+        break;
+    }
+}
+
+/* The longest time without an acceptance since then. */
+static int64_t gapMs(Fleet *fleet, int64_t sinceMs)
+{
+    CallerJob *const *jobs;
+    const size_t count = callerJobs(fleet->callers[0], &jobs);
+    const int64_t offsetMs = loopNowMs(simLoop(fleet->world, fleet->caller)) - simNowMs(fleet->world);
+    int64_t worst = 0;
+    for (int64_t atMs = sinceMs, nextMs; atMs < simNowMs(fleet->world); atMs = nextMs) {
+        nextMs = simNowMs(fleet->world);
+        for (size_t i = 0; i < count; i++)
+            if (jobs[i]->acceptedMs - offsetMs > atMs && jobs[i]->acceptedMs - offsetMs < nextMs)
+                nextMs = jobs[i]->acceptedMs - offsetMs;
+        worst = nextMs - atMs > worst ? nextMs - atMs : worst;
+    }
+    return worst;
+}
+
+static int64_t waitMs(Trial *trial, LossKind kind)
+{
+    return kind == LOSS_REPLACE || kind == LOSS_REPLACE_TERM ? 1200 + (int64_t)drawn(trial, 800)
+                                                             : 700 + (int64_t)drawn(trial, 5000);
+}
+
+static void seatsShow(Fleet *fleet)
+{
+    ViewSight sight;
+    for (int c = 0; c < fleet->nodeCount[FLEET_CORE]; c++) {
+        const FleetNode *node = fleetNode(fleet, FLEET_CORE, c);
+        if (!node->up || node->core == NULL)
+            continue;
+        viewSight(coreView(node->core), &sight);
+        fprintf(stderr, "%s disk %llx phase %d epoch %llx last %llu commit %llu delivered %llu base %llu\n", node->props.name,
+                (unsigned long long)viewDisk(coreView(node->core)), (int)sight.phase, (unsigned long long)sight.epoch,
+                (unsigned long long)sight.lastIndex, (unsigned long long)sight.commitIndex,
+                (unsigned long long)sight.deliveredIndex, (unsigned long long)sight.baseIndex);
+        for (size_t i = 0; i < sight.seatCount && sight.phase == VIEW_LEADING; i++)
+            fprintf(stderr, "   %llx inView %d answers %d woke %d sync %ld match %llu\n",
+                    (unsigned long long)sight.seats[i].disk, sight.seats[i].inView, sight.seats[i].answers,
+                    sight.seats[i].woke, (long)sight.seats[i].syncMs, (unsigned long long)sight.seats[i].matchIndex);
+    }
+}
+
+/* Strikes as many seated cores as may be lost together, has them return together,
+ * and waits for the seats. */
+static void round_(Trial *trial, LossKind kind, bool withLeader, int64_t boundMs)
+{
+    Fleet *fleet = trial->fleet;
+    Lost lost[4];
+    int count = 0;
+    const int leader = fleetLeader(fleet);
+    assert_true(leader >= 0);
+    if (withLeader)
+        lost[count++] = (Lost){leader, kind};
+    for (int tries = 0; tries < 200 && count < trial->losses; tries++) {
+        const int core = (int)drawn(trial, (uint64_t)fleet->nodeCount[FLEET_CORE]);
+        bool again = !seated(fleet, core) || core == leader;
+        for (int i = 0; i < count; i++)
+            again |= lost[i].core == core;
+        if (!again)
+            lost[count++] = (Lost){core, count == 0 ? kind : (LossKind)drawn(trial, LOSS_COUNT)};
+    }
+    int64_t outMs = waitMs(trial, kind);
+    for (int i = 0; i < count; i++)
+        if (lost[i].kind == LOSS_REPLACE || lost[i].kind == LOSS_REPLACE_TERM)
+            outMs = waitMs(trial, lost[i].kind);
+    for (int i = 0; i < count; i++)
+        strike(trial, &lost[i], outMs);
+    fleetRun(fleet, outMs);
+    for (int i = 0; i < count; i++)
+        back(trial, &lost[i]);
+    const int64_t fromMs = simNowMs(fleet->world);
+    int64_t tookMs = 0;
+    bool whole = false;
+    for (; !whole && tookMs < boundMs; tookMs = simNowMs(fleet->world) - fromMs) {
+        fleetRun(fleet, 20);
+        whole = isWhole(trial);
+    }
+    if (getenv("SPANCART_LOSSES") != NULL) {
+        printf("%8ld %s%s", (long)fromMs, withLeader ? "leader " : "", whole ? "" : "NOT WHOLE ");
+        for (int i = 0; i < count; i++)
+            printf("%s(core%d) ", WORDS[lost[i].kind], lost[i].core + 1);
+        printf("out %ld, whole after %ld, gap %ld\n", (long)outMs, (long)tookMs, (long)gapMs(fleet, fromMs - outMs));
+    }
+    if (tookMs > trial->worstMs) {
+        trial->worstMs = tookMs;
+        snprintf(trial->worst, sizeof(trial->worst), "%s%s", withLeader ? "leader " : "", WORDS[kind]);
+    }
+    if (!whole || checkerBrokenAll(fleet->checker) > 0) {
+        fleetDump(fleet);
+        seatsShow(fleet);
+        fail_msg("seed %u: %s after %s of %s: %zu of %zu seats in the view", (unsigned)trial->seed,
+                 checkerBrokenAll(fleet->checker) > 0 ? checkerFirst(fleet->checker) : "not whole in time", WORDS[kind],
+                 withLeader ? "the leader" : "a follower", inView(fleet), trial->wanted);
+    }
+}
+
+static void one(uint64_t seed, FleetShape shape, const FleetSite *site, size_t wanted, int rounds)
+{
+    Trial trial = {.seed = seed, .wanted = wanted, .losses = site->losses, .nextSpare = shape.cores};
+    Fleet *fleet = trial.fleet = fleetNewAt(NULL, seed, shape, site);
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 20000) && fleetConfigure(fleet));
+    checkerConfigSet(fleet->checker, 1);
+    fleetRun(fleet, 3000);
+    fleetCall(fleet, "c", 12000, 1000000);
+    fleetRun(fleet, 1000);
+    for (int i = 0; i < rounds; i++) {
+        const LossKind kind = (LossKind)((seed * 5 + (uint64_t)i) % LOSS_COUNT);
+        round_(&trial, kind, (seed + (uint64_t)i / LOSS_COUNT) % 2 == 0, site->seatBackMs - 300);
+    }
+    printf("seed %u: seats whole at most %ld ms after a return (%s)\n", (unsigned)seed, (long)trial.worstMs, trial.worst);
+    for (int i = 0; i < fleet->callerCount; i++)
+        callerStop(fleet->callers[i]);
+    const bool finished = fleetFinish(fleet, 60000);
+    if (!finished || checkerBrokenAll(fleet->checker) > 0)
+        fleetDump(fleet);
+    assert_true(finished);
+    assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+    talloc_free(fleet);
+}
+
+static void threeSeats(void **state)
+{
+    (void)state;
+    const FleetSite site = {.zones = 3, .losses = 1, .votes = true, .disksKeep = true, .seatBackMs = 4000};
+    for (uint64_t seed = 1; seed <= 4; seed++)
+        one(seed, (FleetShape){3, 3, 6, MIX_TRENTVALE, 12}, &site, 3, 2 * LOSS_COUNT);
+}
+
+static void fiveSeatsOfSix(void **state)
+{
+    (void)state;
+    const FleetSite site = {.zones = 3, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000};
+    for (uint64_t seed = 1; seed <= 3; seed++)
+        one(seed, (FleetShape){6, 4, 6, MIX_ATLAS, 20}, &site, 5, LOSS_COUNT);
+}
+
+static void fiveSeatsOfEight(void **state)
+{
+    (void)state;
+    const FleetSite site = {.zones = 4, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000};
+    for (uint64_t seed = 4; seed <= 6; seed++)
+        one(seed, (FleetShape){8, 4, 6, MIX_TRENTVALE, 20}, &site, 5, LOSS_COUNT);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(threeSeats),
+        cmocka_unit_test(fiveSeatsOfSix),
+        cmocka_unit_test(fiveSeatsOfEight),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -67,6 +67,7 @@
     uint64_t commitIndex, deliveredIndex;
     int64_t clockBaseMs, clockAtMs;
     bool compacting;
+    bool mending; /* the whole journal is written again after a failure */
     /* the holder */
     ViewPhase phase;
     uint64_t leadTurn;
@@ -120,6 +121,9 @@
 void viewWaitersEnd(View *view, Status status);
 void viewClockTell(View *view, int64_t clockMs);
 
+/* Its writes fail: nothing may be promised or taken. */
+bool viewDiskFailed(const View *view);
+
 /* The list of seats. */
 void seatsFirst(View *view);
 /* Takes a list as the newest; what the holder knew of a place counts for nothing
@@ -134,6 +138,9 @@
 bool seatAddress(const View *view, int place, char address[ADDRESS_MAX]);
 /* The disk of a place, or of the guest. */
 uint64_t slotDisk(const View *view, int slot);
+/* Whether the disk is gone for certain: its core has come back with another, at the
+ * same address when asked for. */
+bool seatDead(const View *view, uint64_t disk, bool sameAddress);
 /* The holder gives seats: up to the number wanted, and those of disks that are gone. */
 void seatsStart(View *view);
 
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -32,7 +32,7 @@
                   (answer->logEpoch == newest->logEpoch && answer->logIndex > newest->logIndex))))
                 newest = answer;
         }
-    *repair = anyWoke && newest != NULL && newest->viewEpoch != 0;
+    *repair = anyWoke && !view->props.disksKeep && newest != NULL && newest->viewEpoch != 0;
     if (!*repair)
         return true;
     bool heardAll = true;
--- a/packages/view/src/poll.c
+++ b/packages/view/src/poll.c
@@ -77,7 +77,7 @@
             woke |= pollReached(poll->status[i]) && poll->answers[i].woke;
         }
         const int64_t graceMs = loopNowMs(view->loop) + POLL_GRACE_MS;
-        if (!majority && heard >= needed && !woke && graceMs < untilMs)
+        if (!majority && heard >= needed && (!woke || view->props.disksKeep) && graceMs < untilMs)
             untilMs = graceMs;
         majority |= heard >= needed;
     }
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -48,6 +48,8 @@
         return stranger && view->cluster != 0 && view->listIndex <= view->commitIndex ? STATUS_NO_SEAT : STATUS_OK;
     if (stranger || viewOwnSeat(view) < 0)
         return STATUS_NO_SEAT;
+    if (viewDiskFailed(view))
+        return STATUS_DISK_FAILED;
     if (ask->epoch < membersLeaderEpoch(view->props.members))
         return STATUS_OLD_EPOCH; /* forgotten by our disk, remembered by others */
     const Status may = lockMayPromise(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
@@ -131,6 +133,8 @@
     size_t count = 0;
     if (view->cluster == 0)
         return STATUS_LOG_GAP; /* an empty disk begins with the whole */
+    if (viewDiskFailed(view))
+        return STATUS_DISK_FAILED;
     Status status = holderTake(view, ask->epoch, ask->holder, first, &count);
     if (status != STATUS_OK)
         return status;
@@ -174,6 +178,8 @@
     size_t count = 0;
     if (view->cluster == 0 && courierCluster(view->props.courier) == 0)
         return STATUS_STRANGER;
+    if (viewDiskFailed(view))
+        return STATUS_DISK_FAILED;
     Status status = holderTake(view, ask->epoch, ask->holder, &promise, &count);
     if (status != STATUS_OK)
         return status;
--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -128,6 +128,15 @@
     return disk != 0 && address[0] != '\0';
 }
 
+bool seatDead(const View *view, uint64_t disk, bool sameAddress)
+{
+    const SeatCore *core = coreOf(view, disk);
+    if (core == NULL || core->name[0] == '\0')
+        return false;
+    const Member *other = membersOtherDisk(view->props.members, core->name, disk);
+    return other != NULL && (!sameAddress || strcmp(other->record.address, core->address) == 0);
+}
+
 /* --- giving them ----------------------------------------------------------------- */
 
 static int64_t backMs(const View *view)
@@ -156,22 +165,21 @@
            viewSeatOf(view, row->record.disk) < 0 && row->record.cluster == view->cluster;
 }
 
-/* How many cores could be given a seat; best: the one in the zone with the fewest
- * seats beside the place. */
-static size_t guests(const View *view, int place, uint64_t *best)
+/* How many cores that came here since then could be given a seat; best: the one in the
+ * zone with the fewest seats beside the place. */
+static size_t guests(const View *view, int place, int64_t sinceMs, uint64_t *best)
 {
     const MemberTable *table = membersTable(view->props.members);
     size_t count = 0, fewest = SIZE_MAX;
     *best = 0;
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
-        if (!mayBeGuest(view, row))
+        if (!mayBeGuest(view, row) || row->sinceMs < sinceMs)
             continue;
         count++;
-        size_t beside = 0;
+        size_t beside = row->record.disk == view->guestPassed ? SEAT_MOST : 0; /* it was not ready in time */
         for (int s = 0; s < SEAT_MOST; s++)
             beside += s != place && view->seats[s] != 0 && strcmp(zoneOf(view, view->seats[s]), row->record.zone) == 0;
-        beside += row->record.disk == view->guestPassed ? SEAT_MOST : 0; /* it was not ready in time */
         if (beside < fewest || (beside == fewest && row->record.disk < *best)) {
             fewest = beside;
             *best = row->record.disk;
@@ -180,31 +188,45 @@
     return count;
 }
 
-/* Whether the disk of this place is gone for so long that it is given to another.
- * That is safe at any time: what is committed is on a majority of the others. */
-static bool gone(const View *view, int place, int64_t spanMs)
+/* Whether the seat of a disk that is gone is to be given to another, and to whom. What is
+ * committed is on a majority of the other seats, so that is safe at any time; how
+ * soon is a matter of cost. One known to be gone goes at once. A core that came
+ * after a seat fell silent is there to replace it. One that stood ready all the
+ * while waits until a restart would be over. */
+static bool replaces(const View *view, int place, uint64_t *guest)
 {
     const int64_t nowMs = loopNowMs(view->loop);
-    const Member *member = membersFindDisk(view->props.members, view->seats[place]);
-    return view->seats[place] != 0 && !view->inView[place] && view->seats[place] != view->disk &&
-           nowMs - view->wonMs > spanMs && nowMs - view->partners[place].answeredMs > spanMs &&
-           (member == NULL || nowMs - member->seenMs > spanMs);
+    const uint64_t disk = view->seats[place];
+    if (disk == 0 || disk == view->disk || view->inView[place])
+        return false;
+    if (seatDead(view, disk, false))
+        return guests(view, place, INT64_MIN, guest) > 0;
+    const Member *member = membersFindDisk(view->props.members, disk);
+    int64_t heardMs = member != NULL ? member->seenMs : view->wonMs;
+    if (view->partners[place].answeredMs > heardMs)
+        heardMs = view->partners[place].answeredMs;
+    const int64_t silentMs = nowMs - heardMs;
+    int64_t soonMs = backMs(view) / 2 > LOCK_HOLD_MS + LOCK_RENEW_MS ? backMs(view) / 2 : LOCK_HOLD_MS + LOCK_RENEW_MS;
+    if (member != NULL && member->record.leaving)
+        soonMs = 2 * LOCK_RENEW_MS;
+    return (silentMs > soonMs && guests(view, place, heardMs - HELLO_MS, guest) > 0) ||
+           (silentMs > SEAT_GONE_MS && guests(view, place, INT64_MIN, guest) > 0);
 }
 
-/* The place that is to be given next; -1: none. */
+/* The place that is to be given next, and to whom; -1: none. */
 static int placeNext(const View *view, uint64_t *guest)
 {
     for (size_t i = 0; i < view->places; i++)
-        if (view->seats[i] == 0 && guests(view, (int)i, guest) > 0)
+        if (view->seats[i] == 0 && guests(view, (int)i, INT64_MIN, guest) > 0)
             return (int)i;
     /* an even number of seats bears no more losses than one less */
     if (view->seatCount < wanted(view)) {
-        const size_t more = guests(view, (int)view->places, guest);
+        const size_t more = guests(view, (int)view->places, INT64_MIN, guest);
         if (more >= (view->seatCount < SEAT_FIRST || view->seatCount % 2 == 0 ? 1 : 2) && view->places < SEAT_MOST)
             return (int)view->places;
     }
     for (size_t i = 0; i < view->places; i++)
-        if (gone(view, (int)i, backMs(view)) && guests(view, (int)i, guest) > 0)
+        if (replaces(view, (int)i, guest))
             return (int)i;
     return -1;
 }
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -353,19 +353,57 @@
     /* a disk that was never part of a cluster has granted nothing */
     if (view->cluster != 0)
         view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;
+    view->lock.sure = view->props.disksKeep;
     if (view->cluster != 0)
         courierSetCluster(view->props.courier, view->cluster);
     return STATUS_OK;
 }
 
+/* A disk that refused a write is tried again, with all that it should hold. Until
+ * that is there, the seat takes nothing, so that memory and disk do not part. */
+static void mendMain(void *arg)
+{
+    View *view = arg;
+    while (!loopStopping(view->loop)) {
+        loopSleep(view->loop, DISK_MEND_MS);
+        if (!journalFailed(view->journal) || view->compacting || view->holding)
+            continue;
+        view->mending = true;
+        void *mem = talloc_new(view);
+        size_t count;
+        const Record *records = viewRecords(view, mem, &count);
+        if (journalRewrite(view->journal, records, count) == STATUS_OK) {
+            view->queuedIndex = logLastIndex(view->log);
+            if (view->restUntilMs > loopNowMs(view->loop) + PROPOSE_MS)
+                view->restUntilMs = loopNowMs(view->loop) + PROPOSE_MS;
+            ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "own disk takes writes again");
+        }
+        talloc_free(mem);
+        view->mending = false;
+    }
+}
+
 void viewStart(View *view, Members *members)
 {
     view->props.members = members;
     seatServe(view);
+    /* a holder that starts anew holds nothing: the others need not wait it out, and it
+     * is the first that they may promise anything to */
+    if (view->lock.promised != 0 && view->lock.holder == view->disk && viewSeated(view)) {
+        view->epoch = view->lock.promised;
+        view->named = view->lock.sure;
+        leadRelease(view, view->lock.sure ? view->disk : 0);
+    }
     viewWatch(view);
+    loopSpawn(view->loop, "mend", mendMain, view);
     seatsStart(view);
 }
 
+bool viewDiskFailed(const View *view)
+{
+    return view->mending || journalFailed(view->journal);
+}
+
 Status viewFound(View *view, uint64_t cluster, const SeatList *seats)
 {
     if (view->cluster != 0)
--- a/packages/view/src/watch.c
+++ b/packages/view/src/watch.c
@@ -6,30 +6,22 @@
 #include "base/epoch.h"
 #include "inside.h"
 
-/* The disk of this place is gone for certain: its core has come back with another. */
-static bool dead(const View *view, int place)
-{
-    (void)view;
-    (void)place;
-    return false;
-}
-
 /* Why a seat in the view is to leave it; null: it is not. */
 static const char *leaves(const View *view, int place, bool spare, int64_t nowMs)
 {
     const Partner *partner = &view->partners[place];
     const bool near = partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log);
-    if (dead(view, place))
+    if (seatDead(view, view->seats[place], false))
         return "its disk is gone";
     if (nowMs - partner->answeredMs > LOCK_HOLD_MS)
         return "silent";
-    if (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > APPEND_EXPIRY_MS)
-        return "does not sync in time";
     if (!spare)
         return NULL;
+    if (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > SEAT_LATE_MS)
+        return "does not sync in time";
     if (partner->slowTimes >= SEAT_SLOW_TIMES)
         return "slow";
-    return !near && nowMs - view->changedMs > APPEND_EXPIRY_MS ? "far behind" : NULL;
+    return !near && nowMs - view->changedMs > SEAT_LATE_MS ? "far behind" : NULL;
 }
 
 static bool returns(const View *view, int place, int64_t nowMs)
@@ -37,7 +29,7 @@
     const Partner *partner = &view->partners[place];
     return nowMs - partner->answeredMs <= LOCK_RENEW_MS * 2 && partner->appendSinceMs == INT64_MAX &&
            partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
-           partner->appendTookMs < SEAT_SLOW_MS / 2 && nowMs >= partner->returnMs && !dead(view, place);
+           partner->appendTookMs < SEAT_SLOW_MS / 2 && partner->syncMs < SEAT_SLOW_MS / 2 && nowMs >= partner->returnMs && !seatDead(view, view->seats[place], false);
 }
 
 /* Changes the view under the same epoch: takes in who is up to date, lets go who
@@ -61,7 +53,13 @@
         }
     for (int i = 0; i < SEAT_MOST; i++) {
         Partner *partner = &view->partners[i];
-        if (view->seats[i] == 0 || view->seats[i] == view->disk || !inView[i])
+        if (view->seats[i] == 0 || view->seats[i] == view->disk)
+            continue;
+        /* a seat that has promised more takes nothing of ours, in the view or not */
+        const bool silent = nowMs - partner->answeredMs > 2 * LOCK_RENEW_MS;
+        skip[i] = silent || seatDead(view, view->seats[i], false);
+        anew |= !skip[i] && partner->promised > view->epoch && nowMs - view->changedMs > LOCK_RENEW_MS;
+        if (!inView[i])
             continue;
         const char *why = view->inView[i] ? leaves(view, i, count > viewMajority(view), nowMs) : NULL;
         if (why != NULL && count > viewMajority(view)) {
@@ -73,14 +71,10 @@
             ringSay(view->props.ring, RING_ALERT, nowMs, "seat %016" PRIx64 " leaves the view: %s", view->seats[i], why);
             continue;
         }
-        anew |= partner->promised > view->epoch;
         /* it restarted within the view; one just taken in takes a renewal to be heard of */
         changed |= partner->woke && nowMs - view->changedMs > 2 * LOCK_RENEW_MS;
     }
-    if (anew)
-        for (int i = 0; i < SEAT_MOST; i++)
-            skip[i] = !inView[i];
-    else if (changed)
+    if (!anew && changed)
         leadTurn(view, inView);
     return anew;
 }
@@ -103,11 +97,31 @@
     return view->blindSinceMs != 0 && nowMs - view->blindSinceMs > SIGHT_HAND_MS;
 }
 
+/* Whether this seat knows no holder, and may be one itself. */
+static bool mayStand(View *view)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    if (!viewFounded(view) || !viewSeated(view) || viewDiskFailed(view) || nowMs < view->restUntilMs)
+        return false;
+    /* a holder whose disk is gone holds nothing any more */
+    if (view->lock.holder != view->disk && seatDead(view, view->lock.holder, true))
+        lockRelease(&view->lock, view->lock.promised, view->lock.holder, nowMs);
+    return !lockHeld(&view->lock, nowMs) && lockMayPromise(&view->lock, UINT64_MAX, view->disk, nowMs) == STATUS_OK;
+}
+
 static void watchMain(void *arg)
 {
     View *view = arg;
+    int64_t dueMs = 0; /* it should look then */
     while (!loopStopping(view->loop)) {
         const int64_t nowMs = loopNowMs(view->loop);
+        /* after a pause of its own, it first reads what has come in meanwhile */
+        const bool paused = dueMs != 0 && nowMs - dueMs > WATCH_MS;
+        if (view->phase == VIEW_LEADING && paused && nowMs < lockHoldUntil(&view->hold)) {
+            dueMs = nowMs + WATCH_MS / 4;
+            loopSleep(view->loop, WATCH_MS / 4);
+            continue;
+        }
         if (view->phase == VIEW_LEADING) {
             bool skip[SEAT_MOST];
             const int64_t sinceMs = journalSyncSince(view->journal);
@@ -115,7 +129,8 @@
                 ringSay(view->props.ring, RING_ALERT, nowMs, "the hold of the lock has lapsed");
                 leadDown(view, 0);
             } else if ((sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) ||
-                       (view->slowTimes >= SEAT_SLOW_TIMES && leadNext(view) != 0)) {
+                       (((sinceMs != INT64_MAX && nowMs - sinceMs > SEAT_LATE_MS) || view->slowTimes >= SEAT_SLOW_TIMES) &&
+                        leadNext(view) != 0)) {
                 view->slowTimes = 0;
                 ringSay(view->props.ring, RING_ALERT, nowMs, "own disk is slow: hands the lock over");
                 leadDown(view, SLOW_DISK_REST_MS);
@@ -126,19 +141,18 @@
             } else if (viewTend(view, skip)) {
                 viewOpen(view, skip);
             }
-        } else if (view->phase == VIEW_FOLLOWING && viewFounded(view) && viewSeated(view) &&
-                   nowMs >= view->restUntilMs && nowMs >= view->lock.notBeforeMs && !lockHeld(&view->lock, nowMs)) {
+        } else if (view->phase == VIEW_FOLLOWING && mayStand(view)) {
             if (!view->named) /* one that the last holder named goes first */
                 loopSleep(view->loop, (int64_t)(loopRandom(view->loop) % PROPOSE_JITTER_MS));
             view->named = false;
-            if (view->phase == VIEW_FOLLOWING && !lockHeld(&view->lock, loopNowMs(view->loop)) &&
-                loopNowMs(view->loop) >= view->restUntilMs) {
+            if (view->phase == VIEW_FOLLOWING && mayStand(view)) {
                 const bool skip[SEAT_MOST] = {false};
                 if (viewOpen(view, skip) != STATUS_OK)
                     loopSleep(view->loop, PROPOSE_MS / 2 + (int64_t)(loopRandom(view->loop) % PROPOSE_JITTER_MS));
             }
         }
-        signalWait(view->loop, &view->released, loopNowMs(view->loop) + 100);
+        dueMs = loopNowMs(view->loop) + WATCH_MS;
+        signalWait(view->loop, &view->released, dueMs);
     }
 }
 
--- a/packages/wire/include/wire/courier.h
+++ b/packages/wire/include/wire/courier.h
@@ -34,6 +34,9 @@
  * EXPIRED and CLOSED: it may have been. Any other status is the partner's own. */
 Status courierAsk(Courier *courier, void *mem, const char *address, MessageKind kind, const Shape *askShape,
                   const void *ask, int64_t waitMs, const Shape *answerShape, void *answer);
+/* A new process is known to stand at the address: a line on which questions have
+ * waited for long leads to the last one, and is opened anew. */
+void courierRenew(Courier *courier, const char *address);
 const CourierCounts *courierCounts(const Courier *courier);
 
 #endif
--- a/packages/wire/src/courier.c
+++ b/packages/wire/src/courier.c
@@ -17,6 +17,7 @@
 typedef struct Asking {
     struct Asking *next;
     uint64_t call;
+    int64_t sentMs;
     bool done;
     Status status;
     void *mem;
@@ -239,6 +240,19 @@
     channelClose(channel);
 }
 
+void courierRenew(Courier *courier, const char *address)
+{
+    const Line *line = mapGet(courier->lines, address);
+    if (line == NULL || line->channel == NULL)
+        return;
+    /* questions of its present life are answered or under way; one that waits for long went to the last */
+    for (const Asking *asking = line->asking; asking != NULL; asking = asking->next)
+        if (loopNowMs(courier->loop) - asking->sentMs >= LINE_SILENT_MS) {
+            channelShut(line->channel);
+            return;
+        }
+}
+
 /* Waits until the line has a channel; null when the partner can't be reached. */
 static Line *lineReady(Courier *courier, const char *address, int64_t untilMs)
 {
@@ -283,6 +297,7 @@
     void *scratch = talloc_new(mem);
     Asking *asking = talloc_zero(scratch, Asking);
     asking->call = ++courier->lastCall;
+    asking->sentMs = loopNowMs(courier->loop);
     asking->mem = scratch;
     Envelope envelope = {
         .version = WIRE_VERSION, .cluster = courier->cluster, .kind = kind, .call = asking->call};
