--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -65,9 +65,13 @@
     uint64_t seen = core->news;
     Pass *pass = passNew(core, core);
     core->counts.passes++;
+    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
+    if (stopLook(pass)) { /* the table has changed: what the pass knows is over */
+        talloc_free(pass);
+        return true;
+    }
     planLook(pass);
     placeMost(pass);
-    *nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
     if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
         *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
@@ -76,10 +80,11 @@
         if (coreSubmit(core, pass, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
             core->counts.placed += verdict.number;
         seen++; /* our own change is no news */
-    } else if (pass->pushes.roundsCount > 0) {
+    }
+    if (pass->pushes.roundsCount > 0 && coreDecides(core)) {
         if (coreSubmit(core, pass, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
             core->counts.pushed += verdict.number;
-    } else {
+    } else if (pass->places.placementsCount == 0) {
         moveOne(pass);
         if (pass->asks && pass->checks == 0 && coreDecides(core))
             assureMore(pass);
--- a/packages/standin/include/standin/worker.h
+++ b/packages/standin/include/standin/worker.h
@@ -31,6 +31,7 @@
     Room others;       /* room taken by somebody else, told as not free */
     bool failsAll;     /* claims health, fails every task */
     bool repeats;      /* now and then an old report is told again, out of order */
+    bool hangs;        /* what it starts stands still */
     int64_t slowTimes; /* takes so many times as long; 0 or 1: as asked */
 } StandWorkerProps;
 
@@ -38,6 +39,10 @@
 /* Says that it leaves; takes nothing new from then on. */
 void standWorkerLeave(StandWorker *worker);
 void standWorkerFail(StandWorker *worker, bool fails);
+/* ... and stays for so long. */
+void standWorkerLeaveIn(StandWorker *worker, int64_t forMs);
+/* What starts from now on stands still until it is stopped. */
+void standWorkerHang(StandWorker *worker, bool hangs);
 /* What starts from now on takes so many times as long. */
 void standWorkerSlow(StandWorker *worker, int64_t times);
 /* Tells each report twice, the second time as it was before: a repeated, late one. */
