--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -336,9 +336,11 @@
 {
     SeenJob *job = seenJob(checker, id);
     job->ended = true;
+    const Job *known = checker->props.job(checker->props.arg, id);
+    if (known != NULL && known->spec.lasting && strcmp(phase, "cancelled") != 0)
+        checkerBroke(checker, NEVER_FORGOTTEN, "%s lasts, but is shown as %s", id, phase);
     if (strcmp(phase, "done") != 0)
         return;
-    const Job *known = checker->props.job(checker->props.arg, id);
     for (size_t t = 0; known != NULL && t < known->tasksCount; t++)
         if (!seenDone(known, job, t))
             checkerBroke(checker, NEVER_FORGOTTEN, "%s is shown as done, but task %zu never finished", id, t);
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -117,6 +117,13 @@
     checkerEnded(c, "w1", "j", FIRST, 1, ROUND_DONE), checkerEnded(c, "w2", "j", SECOND, 1, ROUND_STOPPED);
     checkerJobEnded(c, "j", "done"), good(c);
 
+    /* lasting work ends by a cancel alone */
+    c = begin(), job.spec.lasting = true, checkerAccepted(c, "j"), checkerJobEnded(c, "j", "cancelled"), good(c);
+    c = begin(), job.spec.lasting = true, checkerAccepted(c, "j"), checkerJobEnded(c, "j", "failed"), only(c, NEVER_FORGOTTEN);
+    /* turns by their own due times */
+    c = begin(), job.spec.firstWallMs = 502000, checkerStarted(c, "w1", "j", 0, 1, ONE), only(c, NEVER_TOO_EARLY);
+    c = begin(), job.spec.firstWallMs = 502000, nowMs += 1000, checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
+
     c = begin(), checkerRefused(c, "x"), checkerStarted(c, "w1", "x", 0, 1, ONE), only(c, NEVER_REFUSED_RAN);
     c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerRefused(c, "x"), only(c, NEVER_REFUSED_RAN);
 
--- a/packages/standin/src/mix.c
+++ b/packages/standin/src/mix.c
@@ -76,11 +76,12 @@
     const char *step = "\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":900}";
     const char *head = "\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\"";
     switch (kind) {
-    case CLASS_GANG: /* one gang in four has members that fail their first round */
+    case CLASS_GANG: /* one gang in four has members that fail their first round; one in eight
+                      * runs for so long that a member left alone is noticed */
         step = talloc_asprintf(mem,
                                "\"count\":4,\"gang\":true,\"room\":{\"cpu\":2,\"memMb\":1024},"
-                               "\"payload\":{\"runMs\":1500,\"failRounds\":%d}",
-                               wallMs % 4 == 0);
+                               "\"payload\":{\"runMs\":%d,\"failRounds\":%d}",
+                               wallMs % 8 == 1 ? 9000 : 1500, wallMs % 4 == 0);
         break;
     case CLASS_DUE:
         tail = talloc_asprintf(mem, ",\"dueWallMs\":%lld", (long long)wallMs + 2000 + wallMs % 3000);
