--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -97,6 +97,7 @@
                        .query = ask->query,
                        .host = ask->host,
                        .body = ask->body,
+                       .again = ask->again,
                        .expiryMs = ask->waitMs > 0 ? loopNowMs(core->loop) + (int64_t)ask->waitMs : 0,
                        .kind = "application/json"};
     KeepList keeps = {0};
@@ -114,7 +115,7 @@
 {
     Core *core = arg;
     leadServe(core, mem, ask, answer);
-    if (answer->keepsCount > 0)
+    if (answer->keepsCount > 0 && core->props->bounds.retellMs > 0)
         keepElsewhere(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
 }
 
@@ -150,7 +151,7 @@
         if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
             return STATUS_OK;
         out->revision = ask->have;
-        if (waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
+        if (ask->first || waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
             return STATUS_OK;
     }
 }
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -40,6 +40,11 @@
     return status;
 }
 
+int64_t coreClaimMs(const Core *core)
+{
+    return holdClaimMs(core->props->bounds.holdMs);
+}
+
 static void onOpened(void *arg, uint64_t epoch, bool newHolder, bool repair)
 {
     Core *core = arg;
@@ -54,17 +59,19 @@
             names[i] = workers[i]->name;
         /* any hold that the last leader answered runs out within this */
         straysReset(core->strays);
-        livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);
+        pacesReset(core->paces);
+        livesetReset(core->liveset, viewWonMs(core->view) + coreClaimMs(core), names, count);
         talloc_free(mem);
     }
     if (repair && (newHolder || !core->repairing)) {
         core->repairing = true; /* a repair under way goes on over views opened anew */
         /* rounds that the log has forgotten are told again or have lapsed by then */
-        core->placeFromMs = loopNowMs(core->loop) + AGENT_HOLD_MS + HOLD_SLACK_MS;
+        core->placeFromMs = loopNowMs(core->loop) + coreClaimMs(core);
         repairStart(core);
     }
     if (!repair)
         core->repairing = false;
+    ordersWake(core);
     coreNews(core);
 }
 
@@ -80,9 +87,14 @@
 static void roundsTake(Core *core, const RoundList *rounds)
 {
     scoreTake(core, rounds);
-    for (size_t i = 0; i < rounds->newsCount; i++)
-        if (rounds->news[i].word != ROUND_RUNNING)
-            straysEnd(core->strays, &rounds->news[i]);
+    for (size_t i = 0; i < rounds->newsCount; i++) {
+        const RoundNews *news = &rounds->news[i];
+        const RoundSaved saved = {.job = news->job, .task = news->task, .round = news->round, .text = news->saved};
+        if (viewHolds(core->view))
+            savedTake(core, &saved);
+        if (news->word != ROUND_RUNNING)
+            straysEnd(core->strays, news);
+    }
 }
 
 static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
@@ -142,16 +154,20 @@
     core->ring = ring;
     core->props = props;
     core->planHolds = true;
+    core->startedMs = loopNowMs(loop);
     if (watch != NULL)
         core->watch = *watch;
     core->courier = courierNew(core, loop, ring);
     core->table = tableNew(core);
     tableWatch(core->table, onDelivered, core);
-    core->keeper = keeperNew(core, loop);
+    core->keeper = keeperNew(core, loop, props->bounds.retellMs);
     core->liveset = livesetNew(core);
+    core->saved = mapNew(core);
     core->scores = mapNew(core);
     core->guesses = guessesNew(core);
+    core->queue = queueNew(core, core->guesses);
     core->strays = straysNew(core);
+    core->paces = pacesNew(core);
     tableLeftWatch(core->table, onLeft, core);
     core->kept = mapNew(core);
     core->alerts = mapNew(core);
@@ -160,7 +176,10 @@
                                  .ring = ring,
                                  .state = tableState(core->table),
                                  .opened = onOpened,
-                                 .openedArg = core};
+                                 .openedArg = core,
+                                 .losses = (int)props->bounds.losses,
+                                 .founds = (ViewFounds)props->bounds.founds,
+                                 .seatBackMs = props->bounds.seatBackMs};
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
     Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, mishap);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -4,18 +4,20 @@
 #include "api/jobjson.h"
 #include "base/map.h"
 #include "api/show.h"
+#include "beat/hold.h"
 #include "beat/liveset.h"
 #include "beat/strays.h"
 #include "core/core.h"
+#include "pace.h"
 #include "feed/feed.h"
 #include "feed/proxy.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
-#include "queue/queue.h"
+#include "queue/line.h"
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
-    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved)
+    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved) X(slowed)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
@@ -31,6 +33,7 @@
     int64_t sinceMs;
     size_t workerCount;
     const char *workers[KEPT_MEMBERS_MAX];
+    int64_t untilMs[KEPT_MEMBERS_MAX]; /* each should have room in so long, as of this pass */
 } Kept;
 
 /* Invariants:
@@ -52,20 +55,30 @@
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
+    Map *lines; /* worker names to AgentLine */
+    struct News *told; /* gathers what rounds came to */
+    Map *saved; /* tasks to how far their rounds have come */
+    size_t savedKept; /* of them when they were last looked through */
     Map *scores; /* worker names to Score */
     Strays *strays;
+    Queue *queue;
+    Paces *paces;
+    int64_t pushFromMs; /* nobody is pushed aside for an aim before this */
+    int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
     Map *alerts; /* those that stand */
     uint64_t alertLooks;
     const Config *config;  /* of the table's newest revision that could be read */
     uint64_t configLoads;  /* tableLoads when it was read */
+    uint64_t configStamp; /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
     uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
     uint64_t policyFailuresTold;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
     bool leaving;
+    int64_t startedMs;
     bool repairing;
     uint64_t repairTurn;
     int64_t placeFromMs;
@@ -96,6 +109,36 @@
 Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
                   KeepList *keeps);
 
+/* How long any hold runs that this or the last leader may have answered, by the own clock. */
+int64_t coreClaimMs(const Core *core);
+
+/* The way to one agent. Never freed while the process runs. */
+typedef struct AgentLine {
+    Signal news;   /* its orders have changed, or whether they may be given */
+    uint64_t turn; /* of its newest question; an earlier one waits no longer */
+    bool learning; /* what a beat made known is being committed */
+} AgentLine;
+
+AgentLine *agentLine(Core *core, const char *worker);
+void ordersStart(Core *core);
+/* All agents' questions are looked at again. */
+void ordersWake(Core *core);
+/* Waits, at most waitMs, for newer orders than the agent has; answers with them, or
+ * leaves the answer as it is. */
+void ordersAnswer(Core *core, void *mem, const BeatAsk *beat, int64_t waitMs, BeatAnswer *out);
+
+typedef struct News News;
+void newsStart(Core *core);
+/* Waits until the news are committed, together with what others tell. */
+Status newsTell(Core *core, const RoundNews *list, size_t count);
+/* Commits that a round runs when there is an occasion. */
+void newsLater(Core *core, const RoundNews *one);
+
+/* Takes how far a round has come. */
+void savedTake(Core *core, const RoundSaved *told);
+/* How far that round of the task has come, as far as its agent has told; "": nothing. */
+const char *coreSaved(const Core *core, const char *job, uint64_t task, uint64_t round);
+
 /* A rate of bad rounds, the newest counting most. */
 typedef struct Tally {
     uint64_t ratePercent; /* as of ratedMs */
@@ -115,6 +158,10 @@
 
 /* Takes what a delivered change tells of rounds. */
 void scoreTake(Core *core, const RoundList *list);
+/* A round stood still on it. */
+void scoreStill(Core *core, const char *worker, const Job *job);
+/* What the round's place made of its time, near its data or not. */
+uint64_t scoreFarPercent(const Core *core, const Worker *worker, const StepSpec *step);
 /* Null: nothing bad is known. */
 const Score *scoreFind(const Core *core, const char *worker);
 /* Its rate of failed, or of slow, rounds now, whichever is worse, in percent. */
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -4,6 +4,7 @@
 #include "inside.h"
 
 #define PUSH_SPEAKERS_MAX 8 /* count; queues of a cell that are asked what they may push */
+#define FULL_MOST 8         /* count; needs that a pass remembers as having found no room */
 #define PUSH_LOOKS_MAX 400  /* count; asks of may_push in one pass, each some 0.01 ms */
 
 /* Where the others of one step are. Invariant: kept for one step at a time; what
@@ -23,39 +24,62 @@
     size_t worker;
 } Placed;
 
-/* What one pass knows. */
+/* What one pass knows. Workers are in the order of their names. */
 typedef struct Pass {
     Core *core;
     void *mem;
     const Config *config;
-    PlanInput input;
+    QueueClock clock;
+    PlanInput input;  /* its tasks only after passTasks */
     size_t taskRoom;
-    Map *tenants; /* "cell/tenant" to the Room in use */
-    Map *index;   /* worker name to its place + 1 */
+    uint64_t *speeds; /* of each worker: time there in thousandths of that on a sound one */
+    Room fleet;
+    Room largest;     /* the largest worker, part by part */
+    QueueSight sight;
+    Line *line;
     PlaceList places;
-    size_t placeRoom;
+    Placed *placed;   /* as many as places */
+    size_t placeRoom, placedCount;
+    StepSight step;
+    PlanNeed full[FULL_MOST]; /* needs that found no room */
+    size_t fullCount;
+    bool asks;        /* the configuration names losses that each start must leave a plan for */
     size_t checks, checksMax;
-    const void *stuck; /* the step that last found no room */
-    Room fleet;
-    QueueUse *use;
-    QueueClock clock;
-    int64_t nextMs; /* log time when more can be decided by itself */
-    StopList pushes;   /* rounds to be pushed aside */
-    bool asks;         /* the configuration names losses to be survived */
-    Room largest;      /* the largest worker, part by part */
-    uint64_t *speeds;  /* of each worker: time there in thousandths of that on a sound one */
-    StepSight sight;
-    Placed *placed;    /* as many as places */
-    size_t placedCount;
-    Map *cells;        /* names of cells with a policy to their place + 1 in input.pushable */
+    StopList pushes;  /* rounds to be pushed aside */
+    Map *cells;       /* names of cells with a policy to their place + 1 in input.pushable */
     size_t pushLooks;
+    Room reserved;    /* kept in this pass for what found none */
+    int64_t nextMs;   /* log time when more can be decided by itself */
 } Pass;
 
+/* On mem, with all that lives as long as it. */
+Pass *passNew(Core *core, void *mem);
+/* Takes in what the plan must hold for. */
+void passTasks(Pass *pass);
+/* The worker's place; SIZE_MAX: it has none. */
+size_t passPlace(const Pass *pass, const char *worker);
+
+void lostFind(Core *core, void *mem);
+void copiesFind(Core *core, void *mem);
 /* Stops what runs of gangs that are not whole, so that they go again as one. */
 void gangsMend(Core *core, void *mem);
+void assureMore(Pass *pass);
+void moveOne(Pass *pass);
+/* Stops what is better begun anew elsewhere. True: something was, and the pass is over. */
+bool stopLook(Pass *pass);
+/* The round is to be stopped, and finds room on the worker at that place, if at is one;
+ * false: there are as many as may be. */
+bool stopAdd(Pass *pass, StopList *list, const Job *job, size_t task, int at, size_t most);
+/* Adds what stands still, or is far too slow, where it is; and takes the room that it
+ * will need elsewhere. */
+void slowFind(Pass *pass, StopList *list);
+/* Adds what could not end before its worker has left. */
+void leaveFind(Pass *pass, StopList *list);
+/* How long the task, on the worker at that place, should still take; INT64_MAX: nobody knows. */
+int64_t passLeftMs(const Pass *pass, const Job *job, const JobTask *task, size_t worker);
+/* When the worker should have so much room; 0: now, INT64_MAX: nobody knows. */
+int64_t soonestMs(const Pass *pass, size_t worker, Room need);
 PlanNeed passNeed(const Job *job, uint64_t step);
-/* What the tenant has in use. */
-Room *passTenant(Pass *pass, const JobSpec *spec);
 /* One more protected task that plans must include. */
 void passCount(Pass *pass, const JobSpec *spec, const PlanNeed *need, size_t worker);
 bool passHolds(Pass *pass);
@@ -79,9 +103,15 @@
 /* Who wants room looks for running work that its cell's policy lets it push
  * aside, all on one worker. */
 void pushFor(Pass *pass, const Candidate *candidate);
+/* The same by the built-in policy, for what would miss its aim. */
+void pushAim(Pass *pass, const Candidate *candidate);
+
+/* The candidate found no room: what is nearest to having it is left to it, for as
+ * long as this pass goes on. */
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *not);
 
 /* Which workers are kept for big work that small work overtakes. */
-void keptBegin(Pass *pass, const Candidate *candidates, size_t count);
+void keptBegin(Pass *pass);
 /* Marks in not what is kept for others than this candidate; true when any is. */
 bool keptFrom(const Pass *pass, const Candidate *candidate, bool *not);
 /* The candidate found no room: it may be time to keep some for it. */
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -62,11 +62,6 @@
         return;
     input->cellCount = cells;
     input->pushable = talloc_zero_array(pass->mem, Room, (unsigned)(cells * input->workerCount));
-    Room fleet = {0};
-    for (size_t i = 0; i < input->workerCount; i++)
-        fleet = roomMore(fleet, input->workers[i].room);
-    const QueueUse *use = queueUse(pass->mem, core->table, config, fleet);
-    const QueueClock clock = coreClock(core);
     Job *const *jobs;
     const size_t count = tableActive(core->table, &jobs);
     size_t looks = 0;
@@ -84,17 +79,17 @@
                 continue;
             for (size_t t = 0; t < jobs[j]->tasksCount && looks < PUSH_LOOKS_MAX; t++) {
                 const JobTask *task = &jobs[j]->tasks[t];
-                const size_t at = task->phase == TASK_RUNNING ? (size_t)(uintptr_t)mapGet(pass->index, task->worker) : 0;
+                const size_t at = task->phase == TASK_RUNNING ? passPlace(pass, task->worker) : SIZE_MAX;
                 /* a worker that is given nothing has no room to be had either */
-                if (at == 0 || input->workers[at - 1].room.cpuMilli == 0)
+                if (at == SIZE_MAX || input->workers[at].room.cpuMilli == 0)
                     continue;
-                const PolicySight other = queueSight(use, config, jobs[j], t, clock);
+                const PolicySight other = queueSee(core->queue, &pass->sight, jobs[j], t);
                 bool all = true;
                 for (size_t i = 0; i < speakers.count && all; i++, looks++) {
-                    const PolicySight mine = queueSight(use, config, speakers.jobs[i], speakers.tasks[i], clock);
+                    const PolicySight mine = queueSee(core->queue, &pass->sight, speakers.jobs[i], speakers.tasks[i]);
                     all = policy->mayPush(policy->arg, &mine, &other);
                 }
-                Room *room = &input->pushable[(place - 1) * input->workerCount + at - 1];
+                Room *room = &input->pushable[(place - 1) * input->workerCount + at];
                 if (all)
                     *room = roomMore(*room, jobs[j]->spec.steps[task->step].room);
             }
@@ -111,11 +106,16 @@
     Core *core = pass->core;
     const ConfigCell *cell = configCell(pass->config, candidate->job->spec.cell);
     const Policy *policy = corePolicy(core, cell);
-    if (policy == policyPlain() || candidate->count != 1 || pass->pushes.roundsCount > 0 ||
-        pass->pushLooks >= PUSH_LOOKS_MAX)
+    if (pass->pushes.roundsCount > 0)
+        return;
+    if (policy == policyPlain()) {
+        pushAim(pass, candidate);
+        return;
+    }
+    if (candidate->count != 1 || pass->pushLooks >= PUSH_LOOKS_MAX)
         return;
     const PlanNeed need = passNeed(candidate->job, candidate->job->tasks[candidate->first].step);
-    const PolicySight mine = queueSight(pass->use, pass->config, candidate->job, candidate->first, pass->clock);
+    const PolicySight mine = queueSee(core->queue, &pass->sight, candidate->job, candidate->first);
     Job *const *jobs;
     const size_t count = tableActive(core->table, &jobs);
     for (size_t w = 0; w < pass->input.workerCount; w++) {
@@ -125,10 +125,13 @@
         Room free = worker->free;
         RoundId victims[PUSH_TASKS_MAX];
         size_t victimCount = 0, looked = 0;
-        for (size_t j = 0; j < count; j++)
-            for (size_t t = 0; t < jobs[j]->tasksCount; t++)
-                if (jobs[j]->tasks[t].phase == TASK_STOPPING && strcmp(jobs[j]->tasks[t].worker, worker->name) == 0)
-                    free = roomMore(free, jobs[j]->spec.steps[jobs[j]->tasks[t].step].room);
+        const TaskOn *on;
+        const size_t onCount = tableOn(core->table, worker->name, &on);
+        for (size_t i = 0; i < onCount; i++) {
+            const JobTask *task = &on[i].job->tasks[on[i].task];
+            if (task->phase == TASK_STOPPING)
+                free = roomMore(free, on[i].job->spec.steps[task->step].room);
+        }
         if (roomFits(need.room, free))
             return; /* it is on its way */
         for (size_t j = count; j > 0 && !roomFits(need.room, free) && looked < PUSH_TASKS_MAX; j--) {
@@ -139,12 +142,12 @@
                 const JobTask *task = &job->tasks[t];
                 if (task->phase != TASK_RUNNING || strcmp(task->worker, worker->name) != 0)
                     continue;
-                const PolicySight other = queueSight(pass->use, pass->config, job, t, pass->clock);
+                const PolicySight other = queueSee(core->queue, &pass->sight, job, t);
                 looked++;
                 pass->pushLooks++;
                 if (!policy->mayPush(policy->arg, &mine, &other))
                     continue;
-                victims[victimCount++] = (RoundId){job->spec.id, taskNumber(task), task->round};
+                victims[victimCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
                 free = roomMore(free, job->spec.steps[task->step].room);
             }
         }
--- a/packages/table/src/deliverround.c
+++ b/packages/table/src/deliverround.c
@@ -29,14 +29,20 @@
         savedSet(job, task, news->saved);
 }
 
+/* When its first round started, by the log, as far as its agent can tell. */
+static void startedSet(JobTask *task, const RoundNews *news, int64_t atMs)
+{
+    if (task->startedMs == 0 && (news->word == ROUND_RUNNING || news->ranMs > 0))
+        task->startedMs = news->ranMs < atMs ? atMs - news->ranMs : atMs;
+}
+
 static void nowRuns(Table *table, Job *job, JobTask *task, const RoundNews *news, int64_t atMs)
 {
     savedSet(job, task, news->saved);
     if (task->phase != TASK_PLACED)
         return;
     taskTurn(table, job, task, TASK_RUNNING, task->worker, atMs, false);
-    if (task->startedMs == 0)
-        task->startedMs = atMs;
+    startedSet(task, news, atMs);
 }
 
 static void deliverOneNews(Table *table, const Record *change, const RoundNews *news)
@@ -54,6 +60,8 @@
         /* finished well is finished, in whichever round: a newer one is stopped
          * by its agent, which finds it no longer wanted */
         taskText(job, &task->text, news->text);
+        if (news->round == task->round)
+            startedSet(task, news, change->atMs);
         roundDone(table, job, task, news->round, news->worker, change->atMs);
         jobSettle(table, job, change->atMs);
         return;
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -4,7 +4,7 @@
 must pass. A removal that nothing notices is a finding: the guard is idle or the
 scenario is weak.
 
-  guards.py [--only NAME,NAME] [--work FOLDER] [--list]
+  guards.py [--only NAME,NAME] [--work FOLDER] [--list] [--fit]
 
 Exit code 1 when a removal was not noticed, or a scenario breaks with its guard in.
 """
@@ -132,29 +132,29 @@
 
 GUARDS = [
     Guard("hold-counted-late", "the leader counts a hold from when it answered, with slack", "packages/beat/src/liveset.c",
-          "const int64_t untilMs = nowMs + holdMs + HOLD_SLACK_MS;", "const int64_t untilMs = nowMs + holdMs / 3;",
+          "const int64_t untilMs = nowMs + holdClaimMs(holdMs);", "const int64_t untilMs = nowMs + holdMs / 3;",
           CLAIM, "timeline", "trentvale", 3, MACHINE_OFF),
     Guard("hold-after-win", "a new leader waits a whole hold before it calls anybody lost", "packages/core/src/core.c",
-          "livesetReset(core->liveset, viewWonMs(core->view) + AGENT_HOLD_MS + HOLD_SLACK_MS, names, count);",
+          "livesetReset(core->liveset, viewWonMs(core->view) + coreClaimMs(core), names, count);",
           "livesetReset(core->liveset, viewWonMs(core->view), names, count);",
           CLAIM, "timeline", "trentvale", 6, OFF_WITH_LEADER),
-    Guard("hold-counted-from-sending", "an agent counts its hold from when it sent the beat", "packages/agent/src/leader.c",
-          "holdAnswered(&agent->hold, answer.epoch, sentMs, answer.holdMs)",
-          "holdAnswered(&agent->hold, answer.epoch, loopNowMs(agent->loop), answer.holdMs)",
+    Guard("hold-counted-from-sending", "an agent counts its hold from when it sent the beat", "packages/agent/src/beat.c",
+          "holdAnswered(&agent->hold, answer->epoch, beat->sentMs, answer->holdMs)",
+          "holdAnswered(&agent->hold, answer->epoch, loopNowMs(agent->loop), answer->holdMs)",
           CLAIM, "timeline", "trentvale", 16, AGENTS_FROZEN_THEN_CUT),
     Guard("hold-handed-on", "the agent hands the worker no more than is left of its own hold", "packages/agent/src/worker.c",
-          "const int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
-          "const int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
+          "int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
+          "int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
           "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
     Guard("woken-seat-waits", "a restarted seat grants nothing for a whole lock hold", "packages/view/src/view.c",
           "view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;", "view->lock.notBeforeMs = 0;",
           "two leaders", "timeline", "trentvale", 12, SEATS_WAKE,
-          also=[("packages/view/src/lead.c", "    return nowMs - view->wokenSinceMs >= WOKEN_WAIT_MS;", "    return true;")]),
+          also=[("packages/view/src/open.c", "    return nowMs - view->wokenSinceMs >= WOKEN_WAIT_MS;", "    return true;")]),
     Guard("granted-hold", "a seat promises nobody else while the hold it granted runs", "packages/lock/src/lock.c",
           "if (seat->holder != holder && lockHeld(seat, nowMs))", "if (false && lockHeld(seat, nowMs))",
           "two leaders", "timeline", "trentvale", 12, LEADER_CUT),
-    Guard("lock-majority", "a lock is two seats' grants", "packages/lock/include/lock/lock.h",
-          "#define SEAT_MAJORITY 2", "#define SEAT_MAJORITY 1",
+    Guard("lock-majority", "a lock is a majority of the seats' grants", "packages/lock/include/lock/lock.h",
+          "return seats / 2 + 1;", "return (seats + 1) / 2 - (seats > 1);",
           "two leaders|forgotten|finished well|running twice", "timeline", "trentvale", 6, LEADER_CUT),
     Guard("leader-clock", "a leader looks at its lock's hold before each decision", "packages/view/src/view.c",
           "return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);",
@@ -168,16 +168,14 @@
     Guard("accepted-after-commit", "a job is accepted when it is committed", "packages/view/src/lead.c",
           "    uint64_t least = view->syncedIndex;", "    uint64_t least = logLastIndex(view->log);\n    view->commitIndex = least;\n    viewDeliver(view);\n    signalRaise(view->loop, &view->news);\n    return;",
           "forgotten|finished well|running twice|too early|" + CLAIM, "timeline", "trentvale", 16, LEADER_KILLED),
-    Guard("finish-after-commit", "a finish is answered when it is committed", "packages/core/src/agents.c",
-          "    return coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);\n}\n\nstatic void ordersFill",
-          "    Bytes early = {0};\n    shapePack(&RoundListShape, &list, mem, &early);\n    (void)verdict;\n    return viewOffer(core->view, CHANGE_ROUNDS, early);\n}\n\nstatic void ordersFill",
+    Guard("finish-after-commit", "a finish is answered when it is committed", "packages/core/src/news.c",
+          "    while (!batch->over)\n        signalWait(core->loop, &batch->ended, INT64_MAX);\n", "",
           "finished well", "timeline", "trentvale", 24, LEADER_KILLED),
-    Guard("steps", "a step waits for those it depends on", "packages/queue/src/queue.c",
-          "!taskStepsDone(job, &job->tasks[at])", "false",
+    Guard("steps", "a step waits for those it depends on", "packages/queue/src/line.c",
+          "        if (!done && first < end && taskStepsDone(job, &job->tasks[first])) {", "        if (!done && first < end) {",
           "before its steps or its due time", "timeline", "trentvale", 2, MACHINE_OFF),
-    Guard("due", "nothing starts before its due time or delay", "packages/queue/src/queue.c",
-          "    return clock.wallMs >= turnWallMs(job, turn) && clock.logMs >= job->acceptedMs + job->spec.delayMs;",
-          "    return true || turnWallMs(job, turn) > clock.wallMs;",
+    Guard("due", "nothing starts before its due time or delay", "packages/queue/src/line.c",
+          "turn < turns && queueDue(job, turn, sight->clock); turn++)", "turn < turns; turn++)",
           "before its steps or its due time", "timeline", "varied", 2, MACHINE_OFF),
     Guard("wall-median", "a due time is judged by the median of the seats' clocks", "packages/view/src/lead.c",
           "view->wallOffsetMs = offsets[(count - 1) / 2];", "view->wallOffsetMs = offsets[count - 1];",
@@ -187,7 +185,7 @@
 12000  .              end
 """),
     Guard("quota", "a tenant's work is held to its quota", "packages/core/src/place.c",
-          "if (pass->stuck == step || !underQuota(pass, candidate, step))", "if (pass->stuck == step)",
+          "    if (!underQuota(pass, candidate, step))\n        return false;\n", "    (void)underQuota;\n",
           "more of a tenant", "timeline", "varied", 2, WORKERS_KILLED),
     Guard("kind", "a worker is of the kind asked for", "packages/plan/src/plan.c",
           "if (need->kind[0] != '\\0' && strcmp(need->kind, worker->kind) != 0)", "if (false)",
@@ -205,7 +203,7 @@
     Guard("stop-confirmed", "room is used once the old round is known to be over", "packages/table/include/table/job.h",
           "X(STOPPING, \"stopping\", true)", "X(STOPPING, \"stopping\", false)",
           "packed beyond its room|running twice|" + CLAIM, "sweep", "varied", 1, 24),
-    Guard("drained", "an emptied zone gets no new work", "packages/core/src/planner.c",
+    Guard("drained", "an emptied zone gets no new work", "packages/core/src/pass.c",
           "!tableDrained(core->table, worker->zone) && ", "",
           "emptied zone", "timeline", "trentvale", 2, ZONE_DRAINED),
     Guard("leaving", "a leaving worker gets no new work", "packages/beat/src/liveset.c",
@@ -214,33 +212,34 @@
     Guard("cancel-stops", "a cancelled job's tasks are stopped", "packages/table/src/deliverjob.c",
           "        job->ending = JOB_CANCELLED;\n    jobStopTasks(table, job, change->atMs);", "        job->ending = JOB_CANCELLED;",
           "starting long after its job was cancelled|running on after|not ended|forgotten", "sweep", "varied", 1, 24),
-    Guard("cancel-starts", "a cancelled job's tasks are not started", "packages/queue/src/queue.c",
-          "if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)", "if (job->sums.waiting == 0)",
+    Guard("cancel-starts", "a cancelled job's tasks are not started", "packages/queue/src/line.c",
+          "        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)", "        if (job->sums.waiting == 0)",
           "starting long after its job was cancelled|running on after", "sweep", "varied", 1, 24,
           also=[("packages/table/src/deliverplace.c", " || (*job)->ending != JOB_ACTIVE)", ")"),
                 ("packages/table/src/turn.c", "            taskTurn(table, job, task, TASK_CANCELLED, \"\", atMs, false);\n        else if", "            (void)task;\n        else if")]),
-    Guard("stop-told", "what is not wanted is stopped", "packages/agent/src/leader.c",
+    Guard("stop-told", "what is not wanted is stopped", "packages/agent/src/orders.c",
           "            round->phase = PHASE_STOPPING;\n        signalRaise", "            (void)round;\n        signalRaise",
           "running on after|running twice|left waiting alone|" + CLAIM, "sweep", "varied", 1, 24),
-    Guard("gang-whole", "a gang is placed whole or not at all", "packages/table/src/deliverplace.c",
-          "    return together == left ? together : 0;", "    return 1;",
+    Guard("gang-whole", "a gang is placed whole or not at all", "packages/core/src/place.c",
+          "            takeBack(pass, step, where, i);\n            return false;",
+          "            ((Candidate *)(uintptr_t)candidate)->count = i;\n            return i > 0;",
           "left waiting alone", "timeline", "varied", 4, """
 ms     worker1  worker2  worker3  worker4  worker5  worker6  worker7  worker8  callers
 0      kill     kill     kill     kill     kill     kill     kill     kill     call:12/12000
 40000  start    start    start    start    start    start    start    start    .
 60000  .        .        .        .        .        .        .        .        end
-""",
-          also=[("packages/queue/src/queue.c", "step->gang ? membersLeft(job, first, end) : 1", "1"),
-                ("packages/core/src/planner.c", "            gangsMend(core, mem);", "            (void)mem;")]),
+""", also=[("packages/table/src/deliverplace.c", "return together == left ? together : 0;", "return together;"),
+           ("packages/core/src/planner.c", "        gangsMend(core, mem);", "        (void)mem;")]),
     Guard("gang-stopped", "when a member is lost the others stop", "packages/table/src/gang.c",
-          "        if (other != task && (other->phase", "        if (false && other != task && (other->phase",
+          "        if (other != task && (other->phase", "        if (false && (other->phase",
           "left waiting alone", "sweep", "varied", 1, 40),
     Guard("base-check", "a configuration builds on the one in force", "packages/table/src/deliverconfig.c",
-          "const bool follows = set->base == current && revision > current", "const bool follows = revision > current",
+          "set->base == current && revision > current && (!set->patch", "(!set->patch",
           "configuration", "sweep", "varied", 1, 60),
     Guard("config-refused", "a refused configuration is not taken", "packages/core/src/configs.c",
-          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        return;\n    }",
-          "    if ((uint64_t)base != current) {\n        refuseStale(way, current);\n        way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
+          "    if (set.base != current) {\n        refuseStale(way, current);\n        return;\n    }",
+          "    if (set.base != current) {\n        refuseStale(way, current);\n        set.base = current;\n        "
+          "way->task = talloc_memdup(way->mem, way->task, sizeof(HttpTask));\n    }",
           "refused configuration|configuration", "sweep", "varied", 1, 60),
     Guard("refused-not-run", "a refused job is not submitted", "packages/core/src/jobs.c",
           "    if (!jobAdmissible(way->faults, spec, config, core->table)) {\n        wayRefuse(way);\n        return NULL;\n    }",
@@ -249,10 +248,10 @@
     Guard("disk-named", "what is asked of a seat names its disk", "packages/view/src/seat.c",
           "return to == 0 || to == view->disk;", "return to == 0 || to != 0;",
           "forgotten|not serving|not ended", "sweep", "varied", 23, 23),
-    Guard("failed-disk-rests", "a core whose own disk fails does not propose itself", "packages/view/src/lead.c",
+    Guard("failed-disk-rests", "a core whose own disk fails does not propose itself", "packages/view/src/open.c",
           "leadDown(view, ownFailed ? SLOW_DISK_REST_MS : 0);", "leadDown(view, 0);",
           "not serving", "sweep", "atlas", 512, 512,
-          also=[("packages/view/src/lead.c", "            grantsRelease(view, 0);\n", "")]),
+          also=[("packages/view/src/open.c", "            leadRelease(view, 0);\n", "")]),
     Guard("other-ways", "a gate that can't reach the leader asks through other cores", "packages/feed/src/ways.c",
           "        if (!wayAt(ways, nth, &taken)) {", "        if (nth > 0 || !wayAt(ways, nth, &taken)) {",
           "not serving", "sweep", "varied", 86, 86),
@@ -263,7 +262,7 @@
     Guard("gang-one-end", "one good end of a gang stands for all of its members", "packages/table/src/round.c",
           "    const Gang gang = gangOf(job, task);\n    const TaskPhase phase", "    const Gang gang = {task, 1};\n    const TaskPhase phase",
           "finished well|not ended|forgotten|left waiting alone", "sweep", "varied", 1, 24),
-    Guard("turns", "a turn starts when it is due", "packages/queue/src/queue.c",
+    Guard("turns", "a turn starts when it is due", "packages/queue/src/wait.c",
           "const int64_t turnMs = spec->firstWallMs != 0 ? spec->firstWallMs + (int64_t)turn * spec->periodMs : 0;",
           "const int64_t turnMs = spec->firstWallMs != 0 && turn == 0 ? spec->firstWallMs : 0;",
           "before its steps or its due time", "timeline", "varied", 2, MACHINE_OFF),
@@ -281,7 +280,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
         shutil.copytree(ROOT, self.folder, ignore=lambda at, names: [
             name for name in names
-            if name == ".git" or name.startswith(("build", "run")) and at == ROOT])
+            if name == ".git" or name.startswith(("build", "run", "target")) and at == ROOT])
         self.build = os.path.join(self.folder, "build")
         self.run(["cmake", "-S", self.folder, "-B", self.build, "-G", "Ninja"], check=True)
         self.make()
@@ -338,11 +337,21 @@
                     yield "?", f"the run ended with {child.returncode}"
 
 
+def unfit(guard):
+    """What of a row's texts does not stand in the sources exactly once."""
+    for path, out, _ in guard.edits:
+        with open(os.path.join(ROOT, path)) as file:
+            count = file.read().count(out)
+        if count != 1:
+            yield f"{guard.name}: {path} has {count} times: {out.strip().splitlines()[0][:90]}"
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--only", default="")
     parser.add_argument("--work", default="/tmp/spancart-guards")
     parser.add_argument("--list", action="store_true")
+    parser.add_argument("--fit", action="store_true", help="only whether each row's text stands once in the sources")
     options = parser.parse_args()
     names = [name for name in options.only.split(",") if name]
     unknown = set(names) - {guard.name for guard in GUARDS}
@@ -354,6 +363,10 @@
         for guard in chosen:
             print(f"{guard.name}: {guard.what}")
         return 0
+    if options.fit:
+        bad = [line for guard in chosen for line in unfit(guard)]
+        print("\n".join(bad) or f"{len(chosen)} rows fit the sources")
+        return 1 if bad else 0
     scratch = Scratch(options.work)
     bad = 0
     for guard in chosen:
