--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -90,10 +90,11 @@
     for (size_t i = 0; i < rounds->newsCount; i++) {
         const RoundNews *news = &rounds->news[i];
         const RoundSaved saved = {.job = news->job, .task = news->task, .round = news->round, .text = news->saved};
+        if (news->word == ROUND_RUNNING)
+            continue; /* a beat has told how far it has come since */
         if (viewHolds(core->view))
             savedTake(core, &saved);
-        if (news->word != ROUND_RUNNING)
-            straysEnd(core->strays, news);
+        straysEnd(core->strays, news);
     }
 }
 
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -40,7 +40,8 @@
  *  - only a node for which viewLeading is true plans, answers callers or gives
  *    orders, and it looks at the clock before each;
  *  - while repairing is true nothing is decided and nobody is told of a job;
- *  - nothing is placed before placeFromMs. */
+ *  - nothing is placed before placeFromMs, which is when all that the log may have
+ *    forgotten has lapsed, or every agent has told what it has. */
 struct Core {
     Loop *loop;
     Ring *ring;
@@ -133,6 +134,10 @@
 Status newsTell(Core *core, const RoundNews *list, size_t count);
 /* Commits that a round runs when there is an occasion. */
 void newsLater(Core *core, const RoundNews *one);
+/* What waits for an occasion is committed now. */
+void newsHurry(Core *core);
+/* Nothing waits and nothing is on its way. */
+bool newsIdle(const Core *core);
 
 /* Takes how far a round has come. */
 void savedTake(Core *core, const RoundSaved *told);
