Agents whose beats are answered say hello a quarter as often

Cause: of ten questions a second that an idle agent asked, eight were hellos to the seeds and to a member at random, each with the whole member table both ways. A leader that answers beats is heard from anyway; a beat that fails ends the rest at once.

--- a/packages/agent/src/beat.c
+++ b/packages/agent/src/beat.c
@@ -130,6 +130,7 @@
     const Status status = courierAsk(agent->courier, beat, beat->address, MESSAGE_BEAT, &BeatAskShape, &ask,
                                      BEAT_WAIT_MS + ASK_EXPIRY_MS, &BeatAnswerShape, &answer);
     const int64_t nowMs = loopNowMs(agent->loop);
+    membersRest(agent->members, status == STATUS_OK ? nowMs + HELLO_REST_MS : 0);
     if (status == STATUS_OK)
         answerTake(agent, beat, &ask, &answer);
     else if (status == STATUS_DUPLICATE_WORKER)
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -56,6 +56,7 @@
 
 /* --- membership --------------------------------------------------------- */
 #define HELLO_MS 500           /* ms; between two exchanges of the member table */
+#define HELLO_REST_MS 2000     /* ms; ... for one that the leader answers anyway; half of MEMBER_QUIET_MS */
 #define MEMBER_QUIET_MS 4000   /* ms; a member not heard of for this long counts as quiet */
 #define MEMBER_FORGET_MS 600000 /* ms; a quiet member is dropped from the table: ten minutes of absence */
 #define SIGHT_MS 2000          /* ms; a core asks every member once in this; what answers it is its sight */
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -60,6 +60,9 @@
 uint64_t membersLeaderEpoch(const Members *members);
 /* The address where the leader is asked, or null. */
 const char *membersLeaderAddress(const Members *members);
+/* The leader is heard from otherwise: until then hellos are spaced out, so that a
+ * thousand agents do not drown the seeds. 0: it is not, any more. */
+void membersRest(Members *members, int64_t untilMs);
 /* Raised when the leader known here changes. */
 Signal *membersLeaderSignal(Members *members);
 /* The number of members, with ourselves, that have answered us of late. Cores only:
--- a/packages/member/src/inside.h
+++ b/packages/member/src/inside.h
@@ -23,6 +23,8 @@
     uint64_t leaderEpoch;
     char *leaderId;
     Signal leaderChanged;
+    int64_t restUntilMs; /* hellos are spaced out until then */
+    Signal hurry;        /* ... no longer */
     Vote vote;
 };
 
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -320,6 +320,20 @@
     talloc_free(mem);
 }
 
+void membersRest(Members *members, int64_t untilMs)
+{
+    const bool rested = loopNowMs(members->loop) < members->restUntilMs;
+    members->restUntilMs = untilMs;
+    if (rested && untilMs == 0)
+        signalRaise(members->loop, &members->hurry);
+}
+
+static void helloPause(Members *members)
+{
+    const int64_t nowMs = loopNowMs(members->loop);
+    signalWait(members->loop, &members->hurry, nowMs + (nowMs < members->restUntilMs ? HELLO_REST_MS : HELLO_MS));
+}
+
 static void seedMain(void *arg)
 {
     SeedTask *seed = arg;
@@ -331,7 +345,7 @@
             again = strcmp(address, members->seeds[i]) == 0;
         if (!again)
             helloTo(members, address);
-        loopSleep(members->loop, HELLO_MS);
+        helloPause(members);
     }
 }
 
@@ -383,7 +397,7 @@
             helloTo(members, talloc_strdup(mem, row->record.address));
             talloc_free(mem);
         }
-        loopSleep(members->loop, HELLO_MS);
+        helloPause(members);
     }
 }
 
