Tenants take turns without walks; a bench of passes; moves look only where a zone is emptied

Cause: whom to try next was looked for among all steps of one rank, for each try: with many jobs whose aims have passed, all of one rank, a pass grew with the square of what waits. Steps of one rank now stand together by tenant, and each tenant's first is known. A pass that placed nothing walked all tasks for moves, also when no zone was being emptied. A configuration that named r as 0 had its plan gathered in each pass all the same.

On large sites, and when many wait, passes keep more distance, up to 40 ms, so that planning stays some hundredths of a core.

--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -64,6 +64,7 @@
     Strays *strays;
     Queue *queue;
     Paces *paces;
+    int64_t passGapMs; /* between two passes */
     int64_t pushFromMs; /* nobody is pushed aside for an aim before this */
     int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
     Guesses *guesses; /* how long work takes, as seen by this leader */
--- a/packages/core/src/move.c
+++ b/packages/core/src/move.c
@@ -3,47 +3,83 @@
 
 #include "pass.h"
 
+static bool zonesMove(const Pass *pass)
+{
+    const char **zones;
+    const size_t count = tableDrains(pass->core->table, pass->mem, &zones);
+    for (size_t i = 0; i < count; i++)
+        if (tableDrainMoves(pass->core->table, zones[i]))
+            return true;
+    return false;
+}
+
+/* Whether the plan would hold with the task on the worker at that place. */
+static bool holdsThere(Pass *pass, const Job *job, const JobTask *task, const PlanNeed *need, int at)
+{
+    if (job->spec.protection != PROTECTION_PROTECTED || !pass->asks)
+        return true;
+    PlanWorker *to = &pass->input.workers[at];
+    const Room before = to->free;
+    to->free = roomLess(to->free, job->spec.steps[task->step].room);
+    passCount(pass, &job->spec, need, (size_t)at);
+    const bool holds = passHolds(pass);
+    pass->input.taskCount--;
+    to->free = before;
+    return holds;
+}
+
+/* What of the worker may go now; false: nothing. */
+static bool moveFind(Pass *pass, const char *worker, RoundId *round)
+{
+    const TaskOn *on;
+    const size_t count = tableOn(pass->core->table, worker, &on);
+    for (size_t t = 0; t < count; t++) {
+        const Job *job = on[t].job;
+        const JobTask *task = &job->tasks[on[t].task];
+        if (task->phase != TASK_RUNNING || job->spec.steps[task->step].gang || job->ending != JOB_ACTIVE)
+            continue;
+        const PlanNeed need = passNeed(job, task->step);
+        const int at = planChoose(pass->input.workers, pass->input.workerCount, &need, NULL);
+        if (at < 0 || !holdsThere(pass, job, task, &need, at))
+            continue;
+        *round = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
+        return true;
+    }
+    return false;
+}
+
+static bool anyStops(const Pass *pass, const char *worker)
+{
+    const TaskOn *on;
+    const size_t count = tableOn(pass->core->table, worker, &on);
+    for (size_t t = 0; t < count; t++)
+        if (on[t].job->tasks[on[t].task].phase == TASK_STOPPING)
+            return true;
+    return false;
+}
+
 /* Work in a zone that is being emptied with a move: one task at a time is stopped
  * where another worker has room for it now and the plan would hold with it there.
  * Its stop is confirmed before it starts again; gangs and what nobody else can
  * run stay until they end. */
-void moveOne(Pass *pass)
+bool moveOne(Pass *pass)
 {
     Core *core = pass->core;
-    Job *const *jobs;
-    const size_t count = tableActive(core->table, &jobs);
-    for (size_t j = 0; j < count; j++)
-        for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
-            const Job *job = jobs[j];
-            const JobTask *task = &job->tasks[t];
-            const StepSpec *step = &job->spec.steps[task->step];
-            const Worker *from = taskOnWorker(task->phase) ? tableWorker(core->table, task->worker) : NULL;
-            if (from == NULL || !tableDrainMoves(core->table, from->zone))
-                continue;
-            if (task->phase == TASK_STOPPING)
-                return; /* the last one is on its way */
-            const PlanNeed need = passNeed(job, task->step);
-            const int at = task->phase == TASK_RUNNING && !step->gang && job->ending == JOB_ACTIVE
-                               ? planChoose(pass->input.workers, pass->input.workerCount, &need, NULL)
-                               : -1;
-            if (at < 0)
-                continue;
-            if (job->spec.protection == PROTECTION_PROTECTED) {
-                PlanWorker *to = &pass->input.workers[at];
-                const Room before = to->free;
-                to->free = roomLess(to->free, step->room);
-                passCount(pass, &job->spec, &need, (size_t)at);
-                const bool holds = passHolds(pass);
-                pass->input.taskCount--;
-                to->free = before;
-                if (!holds)
-                    continue;
-            }
-            RoundId round = {job->spec.id, taskNumber(task), task->round};
-            const StopList list = {&round, 1, "moved off an emptied zone"};
-            Verdict verdict;
-            if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK)
-                core->counts.moved += verdict.number;
-            return;
-        }
+    RoundId round;
+    bool found = false;
+    if (!zonesMove(pass))
+        return false;
+    for (size_t i = 0; i < pass->input.workerCount; i++)
+        if (tableDrainMoves(core->table, pass->input.workers[i].zone) && anyStops(pass, pass->input.workers[i].name))
+            return false; /* the last one is on its way */
+    for (size_t i = 0; i < pass->input.workerCount && !found; i++)
+        found = tableDrainMoves(core->table, pass->input.workers[i].zone) &&
+                moveFind(pass, pass->input.workers[i].name, &round);
+    if (!found)
+        return false;
+    const StopList list = {&round, 1, "moved off an emptied zone"};
+    Verdict verdict;
+    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK)
+        core->counts.moved += verdict.number;
+    return true;
 }
--- a/packages/core/src/pass.c
+++ b/packages/core/src/pass.c
@@ -68,7 +68,7 @@
     pass->core = core;
     pass->mem = pass;
     pass->config = coreConfig(core);
-    pass->asks = pass->config->rNamed || pass->config->zoneLoss || pass->config->rackLoss;
+    pass->asks = (pass->config->rNamed && pass->config->r > 0) || pass->config->zoneLoss || pass->config->rackLoss;
     pass->clock = coreClock(core);
     pass->nextMs = INT64_MAX;
     pass->input = (PlanInput){.r = pass->config->r, .zoneLoss = pass->config->zoneLoss, .rackLoss = pass->config->rackLoss};
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -59,12 +59,15 @@
 /* The worker's place; SIZE_MAX: it has none. */
 size_t passPlace(const Pass *pass, const char *worker);
 
+/* Decides what starts where, at most PLACE_BATCH. */
+void passPlaces(Pass *pass);
 void lostFind(Core *core, void *mem);
 void copiesFind(Core *core, void *mem);
 /* Stops what runs of gangs that are not whole, so that they go again as one. */
 void gangsMend(Core *core, void *mem);
 void assureMore(Pass *pass);
-void moveOne(Pass *pass);
+/* True: something was stopped, and the pass is over. */
+bool moveOne(Pass *pass);
 /* Stops what is better begun anew elsewhere. True: something was, and the pass is over. */
 bool stopLook(Pass *pass);
 /* The round is to be stopped, and finds room on the worker at that place, if at is one;
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -9,7 +9,9 @@
 #define PLAN_CHECKS_MAX 200   /* count; looks at the r-loss plan in one pass */
 #define PLAN_CHECKS_LEAST 4   /* count; as many are always made */
 #define PLAN_WORK_MAX 4000000 /* count; tasks and workers looked at for plans in one pass: some 50 ms, a tenth of a beat */
-#define PASS_GAP_MS 5       /* ms; news that come together are decided on together */
+#define PASS_GAP_MS 5       /* ms; news that come together are decided on together; ... */
+#define PASS_GAP_MOST_MS 40 /* ms; ... on large sites, and when many wait, a pass takes longer, and more come together */
+#define PASS_GAP_LOOKS 64   /* count; workers and steps looked at for each further ms: some hundredths of it */
 
 /* Looks whether the plan holds as things stand. Where no loss is to be survived by
  * each start this is to be shown, and once in a while is enough. */
@@ -43,7 +45,7 @@
     core->policyFailuresTold = failures;
 }
 
-static void placeMost(Pass *pass)
+void passPlaces(Pass *pass)
 {
     pass->line = lineNew(pass->mem, pass->core->queue, &pass->sight);
     policiesLook(pass->core);
@@ -58,6 +60,14 @@
         pass->nextMs = lineNextMs(pass->line);
 }
 
+/* So long until the next pass: one takes time by what it looks at. */
+static int64_t gapMs(const Pass *pass)
+{
+    const int64_t looks = (int64_t)(pass->input.workerCount + lineCount(pass->line));
+    const int64_t waitMs = PASS_GAP_MS + looks / PASS_GAP_LOOKS;
+    return waitMs < PASS_GAP_MOST_MS ? waitMs : PASS_GAP_MOST_MS;
+}
+
 /* One look at everything; true when there may be more to decide at once. nextMs: when
  * there will be by itself, by the own clock. */
 static bool passRun(Core *core, int64_t *nextMs)
@@ -71,7 +81,8 @@
         return true;
     }
     planLook(pass);
-    placeMost(pass);
+    passPlaces(pass);
+    core->passGapMs = gapMs(pass);
     if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
         *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
@@ -85,8 +96,7 @@
         if (coreSubmit(core, pass, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
             core->counts.pushed += verdict.number;
     } else if (pass->places.placementsCount == 0) {
-        moveOne(pass);
-        if (pass->asks && pass->checks == 0 && coreDecides(core))
+        if (!moveOne(pass) && pass->asks && pass->checks == 0 && coreDecides(core))
             assureMore(pass);
     }
     talloc_free(pass);
@@ -113,7 +123,7 @@
     while (!loopStopping(core->loop)) {
         if (!more)
             signalWait(core->loop, &core->wake, nextMs);
-        loopSleep(core->loop, PASS_GAP_MS);
+        loopSleep(core->loop, core->passGapMs > 0 ? core->passGapMs : PASS_GAP_MS);
         more = false;
         nextMs = loopNowMs(core->loop) + PLACE_TICK_MS;
         if (!coreDecides(core))
--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -7,6 +7,7 @@
  * what the line has placed since. */
 typedef struct Account {
     const char *cell, *tenant; /* tenant is null for a cell's */
+    uint64_t number; /* in the order in which they became known */
     Room used;
     uint64_t line;
 } Account;
--- a/packages/queue/src/line.c
+++ b/packages/queue/src/line.c
@@ -15,10 +15,18 @@
     bool out; /* stuck, or all of it is placed */
 } Place;
 
-/* The places of one cell, from first on; head is the first that may not be out. */
+/* Places of one tenant with one rank. */
+typedef struct Turn {
+    size_t at, end;
+} Turn;
+
+/* The places of one cell. Invariants: turns are those of the highest rank that is left,
+ * each with a place that is not out at at; next is the first place of a lower rank. */
 typedef struct Run {
-    size_t first, end, head;
+    size_t next, end;
     uint64_t share;
+    Turn *turns;
+    size_t turnCount;
 } Run;
 
 struct Line {
@@ -216,6 +224,8 @@
         return strcmp(x->candidate.job->spec.cell, y->candidate.job->spec.cell);
     if (x->candidate.rank != y->candidate.rank)
         return x->candidate.rank > y->candidate.rank ? -1 : 1;
+    if (x->note->tenantAccount != y->note->tenantAccount)
+        return x->note->tenantAccount->number < y->note->tenantAccount->number ? -1 : 1;
     return acceptedOrder(&x->candidate, &y->candidate);
 }
 
@@ -229,7 +239,7 @@
             end++;
         line->runs = talloc_realloc(line, line->runs, Run, (unsigned)(line->runCount + 1));
         line->runs[line->runCount++] =
-            (Run){at, end, at, note->cell != NULL && note->cell->share > 0 ? note->cell->share : 1};
+            (Run){.next = at, .end = end, .share = note->cell != NULL && note->cell->share > 0 ? note->cell->share : 1};
         at = end;
     }
 }
@@ -290,29 +300,47 @@
     return partOf(room, line->sight->fleet);
 }
 
+/* The tenants of the next rank. */
+static void turnsFind(Line *line, Run *run)
+{
+    const double rank = line->places[run->next].candidate.rank;
+    while (run->next < run->end && line->places[run->next].candidate.rank == rank) {
+        const Account *tenant = line->places[run->next].note->tenantAccount;
+        run->turns = talloc_realloc(line, run->turns, Turn, (unsigned)(run->turnCount + 1));
+        Turn *turn = &run->turns[run->turnCount++];
+        turn->at = run->next;
+        while (run->next < run->end && line->places[run->next].candidate.rank == rank &&
+               line->places[run->next].note->tenantAccount == tenant)
+            run->next++;
+        turn->end = run->next;
+    }
+}
+
 /* Of those with the highest rank in the run, the one whose tenant would use least. */
 static Place *runNext(Line *line, Run *run)
 {
-    while (run->head < run->end && line->places[run->head].out)
-        run->head++;
-    if (run->head == run->end)
-        return NULL;
-    Place *best = &line->places[run->head];
-    uint64_t bestTurn = 0;
-    const Account *seen = NULL;
-    for (size_t i = run->head; i < run->end; i++) {
-        Place *place = &line->places[i];
-        if (place->candidate.rank != line->places[run->head].candidate.rank)
-            break;
-        /* of one tenant the first comer, so the next of the same one can't be better */
-        if (place->out || place->note->tenantAccount == seen)
-            continue;
-        const uint64_t turn = turnOf(line, place->note->tenantAccount, &place->candidate);
-        if (seen == NULL || turn < bestTurn) {
-            best = place;
-            bestTurn = turn;
+    Place *best = NULL;
+    while (best == NULL && (run->turnCount > 0 || run->next < run->end)) {
+        if (run->turnCount == 0)
+            turnsFind(line, run);
+        uint64_t bestTurn = 0;
+        for (size_t i = 0; i < run->turnCount;) {
+            Turn *turn = &run->turns[i];
+            while (turn->at < turn->end && line->places[turn->at].out)
+                turn->at++;
+            if (turn->at == turn->end) {
+                *turn = run->turns[--run->turnCount];
+                continue;
+            }
+            Place *place = &line->places[turn->at];
+            const uint64_t uses = run->turnCount > 1 ? turnOf(line, place->note->tenantAccount, &place->candidate) : 0;
+            if (best == NULL || uses < bestTurn ||
+                (uses == bestTurn && acceptedOrder(&place->candidate, &best->candidate) < 0)) {
+                best = place;
+                bestTurn = uses;
+            }
+            i++;
         }
-        seen = place->note->tenantAccount;
     }
     return best;
 }
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -71,6 +71,7 @@
     Account *account = mapGet(queue->accounts, key);
     if (account == NULL) {
         account = talloc_zero(queue, Account);
+        account->number = mapCount(queue->accounts);
         account->cell = talloc_strdup(account, cell);
         account->tenant = tenant != NULL ? talloc_strdup(account, tenant) : NULL;
         mapSet(queue->accounts, key, account);
--- /dev/null
+++ b/packages/sim/tool/pass.c
@@ -0,0 +1,167 @@
+/* What one pass of the planner costs, by fleet size: processor time for each pass, and
+ * for each start. Calm: some jobs have come, all find room. Crowded: the fleet is full
+ * and many wait.
+ *
+ *     spancart-pass-bench [ROUNDS] */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "pass.h"
+#include "sim/world.h"
+
+#define WORKERS 74 /* count; of the larger sites */
+#define EACH 27    /* count; tasks on each */
+
+typedef struct Stand {
+    Core *core;
+    uint64_t index, jobs;
+} Stand;
+
+static double seconds(void)
+{
+    struct timespec at;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return (double)at.tv_sec + (double)at.tv_nsec / 1e9;
+}
+
+static void tell(Stand *stand, ChangeKind kind, const Shape *shape, const void *body)
+{
+    void *mem = talloc_new(NULL);
+    Record change = {.change = kind, .index = ++stand->index, .atMs = viewClockMs(stand->core->view)};
+    shapePack(shape, body, mem, &change.payload);
+    Verdict verdict = {0};
+    const ViewState state = tableState(stand->core->table);
+    state.deliver(state.arg, &change, &verdict);
+    talloc_free(mem);
+}
+
+static const char *workerName(void *mem, size_t at)
+{
+    return talloc_asprintf(mem, "worker%05zu", at);
+}
+
+static void workersAdd(Stand *stand, size_t count, uint64_t cpuMilli)
+{
+    void *mem = talloc_new(NULL);
+    for (size_t i = 0; i < count; i++) {
+        const Worker worker = {.name = workerName(mem, i),
+                               .zone = talloc_asprintf(mem, "zone%zu", i % 3),
+                               .rack = talloc_asprintf(mem, "rack%zu", i / 6),
+                               .kind = "std",
+                               .room = {cpuMilli, 262144, 0}};
+        tell(stand, CHANGE_WORKER_SET, &WorkerShape, &worker);
+        const BeatAsk beat = {.agent = worker.name, .incarnation = 1, .number = 1, .worker = worker, .workerLive = true, .settled = true};
+        bool counts;
+        livesetBeat(stand->core->liveset, &beat, loopNowMs(stand->core->loop), 60000, &counts);
+    }
+    talloc_free(mem);
+}
+
+static void jobAdd(Stand *stand, uint64_t tasks, uint64_t cpuMilli)
+{
+    char id[32];
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)++stand->jobs);
+    StepSpec step = {.name = "0", .count = tasks, .room = {cpuMilli, 512, 0}, .kind = "", .payload = "", .near = "", .estMs = 3000};
+    const JobAdd add = {{.id = id, .cell = "all", .tenant = "all", .queue = stand->jobs % 3 == 0 ? "a" : "b", .roundLimit = 3,
+                         .steps = &step, .stepsCount = 1},
+                        {.stretchMilli = 2000, .targetMs = 2000, .kind = "std"}};
+    tell(stand, CHANGE_JOB_ADD, &JobAddShape, &add);
+}
+
+static Pass *pass(Stand *stand)
+{
+    Pass *one = passNew(stand->core, stand->core);
+    passPlaces(one);
+    return one;
+}
+
+/* Places all that can be. */
+static size_t settle(Stand *stand)
+{
+    size_t placed = 0, more = 1;
+    while (more > 0) {
+        Pass *one = pass(stand);
+        more = one->places.placementsCount;
+        placed += more;
+        if (more > 0)
+            tell(stand, CHANGE_PLACE, &PlaceListShape, &one->places);
+        talloc_free(one);
+    }
+    return placed;
+}
+
+static void started(void *arg, Loop *loop)
+{
+    *(Loop **)arg = loop;
+}
+
+static Stand standNew(void *mem, size_t times)
+{
+    SimWorld *world = simWorldNew(mem, 1);
+    Core *core = talloc_zero(mem, Core);
+    Props *props = talloc_zero(core, Props);
+    props->bounds = boundsFirst();
+    core->props = props;
+    simStart(world, simMachine(world), started, &core->loop);
+    core->ring = ringNew(core, "bench");
+    core->table = tableNew(core);
+    const ViewProps viewProps = {.loop = core->loop, .ring = core->ring, .state = tableState(core->table)};
+    core->view = viewNew(core, &viewProps);
+    core->liveset = livesetNew(core);
+    core->saved = mapNew(core);
+    core->scores = mapNew(core);
+    core->kept = mapNew(core);
+    core->guesses = guessesNew(core);
+    core->strays = straysNew(core);
+    core->paces = pacesNew(core);
+    core->queue = queueNew(core, core->guesses);
+    Stand stand = {core, 0, 0};
+    const ConfigSet set = {.revision = 1,
+                           .text = "{\"r\":0,\"cells\":{\"all\":{\"tenants\":{\"all\":{}},\"queues\":{\"a\":{\"priority\":1},\"b\":{}}}}}"};
+    tell(&stand, CHANGE_CONFIG_SET, &ConfigSetShape, &set);
+    workersAdd(&stand, WORKERS * times, 64000);
+    return stand;
+}
+
+static void look(size_t times, size_t waiting, int rounds)
+{
+    void *mem = talloc_new(NULL);
+    Stand stand = standNew(mem, times);
+    const bool crowded = waiting > 0;
+    for (size_t i = 0; i < WORKERS * times * EACH / 9; i++)
+        jobAdd(&stand, 9, crowded ? 64000 / EACH : 1000);
+    const size_t running = settle(&stand);
+    for (size_t i = 0; i < waiting; i++)
+        jobAdd(&stand, 4, 6000 + i % 7 * 1000);
+    double passes = 0;
+    size_t starts = 0;
+    for (int i = 0; i < rounds; i++) {
+        for (int k = 0; k < 2 && !crowded; k++)
+            jobAdd(&stand, 4, 100);
+        const double start = seconds();
+        Pass *one = pass(&stand);
+        passes += seconds() - start;
+        starts += one->places.placementsCount;
+        if (one->places.placementsCount > 0)
+            tell(&stand, CHANGE_PLACE, &PlaceListShape, &one->places);
+        talloc_free(one);
+    }
+    printf("%5zu workers %6zu running %6zu wait: %8.3f ms a pass", WORKERS * times, running, waiting, passes * 1000 / rounds);
+    if (starts > 0)
+        printf(", %7.4f ms a start", passes * 1000 / (double)starts);
+    printf("\n");
+    talloc_free(mem);
+}
+
+int main(int argc, char **argv)
+{
+    const int rounds = argc > 1 ? atoi(argv[1]) : 200;
+    for (size_t times = 1; times <= 16; times *= 4) {
+        look(times, 0, rounds);
+        look(times, 300 * times, rounds);
+    }
+    return 0;
+}
