--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -33,13 +33,15 @@
     int64_t sinceMs;
     size_t workerCount;
     const char *workers[KEPT_MEMBERS_MAX];
+    int64_t untilMs[KEPT_MEMBERS_MAX]; /* each should have room in so long, as of this pass */
 } Kept;
 
 /* Invariants:
  *  - only a node for which viewLeading is true plans, answers callers or gives
  *    orders, and it looks at the clock before each;
  *  - while repairing is true nothing is decided and nobody is told of a job;
- *  - nothing is placed before placeFromMs. */
+ *  - nothing is placed before placeFromMs, which is when all that the log may have
+ *    forgotten has lapsed, or every agent has told what it has. */
 struct Core {
     Loop *loop;
     Ring *ring;
@@ -62,6 +64,8 @@
     Strays *strays;
     Queue *queue;
     Paces *paces;
+    int64_t passGapMs; /* between two passes */
+    int64_t pushFromMs; /* nobody is pushed aside for an aim before this */
     int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
     Guesses *guesses; /* how long work takes, as seen by this leader */
     Map *kept;   /* names of cells to Kept */
@@ -131,6 +135,10 @@
 Status newsTell(Core *core, const RoundNews *list, size_t count);
 /* Commits that a round runs when there is an occasion. */
 void newsLater(Core *core, const RoundNews *one);
+/* What waits for an occasion is committed now. */
+void newsHurry(Core *core);
+/* Nothing waits and nothing is on its way. */
+bool newsIdle(const Core *core);
 
 /* Takes how far a round has come. */
 void savedTake(Core *core, const RoundSaved *told);
--- a/packages/props/include/props/bounds.h
+++ b/packages/props/include/props/bounds.h
@@ -24,7 +24,8 @@
     X(unreadyMs, DRAIN_MS / 6, 0, 600000, "... and not before this: until it has been seen that it is not ready") \
     X(retellMs, REPAIR_KEEP_MS, 0, 3600000, "what the disks may lose is kept so long by those who heard of it")  \
     X(leaderWaitMs, LEADER_WAIT_MS, 0, 60000, "from a leader's loss, a request waits so long for another")      \
-    X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")
+    X(outcomeWaitMs, PROXY_EXPIRY_MS, 0, 60000, "what a lost leader may have taken is asked again for so long")    \
+    X(disksKeep, 0, 0, 1, "1: what a disk has synced outlasts a loss of power")
 
 typedef struct Bounds {
 #define X(name, otherwise, least, most, meaning) int64_t name;
