A round's number far beyond what can have been forgotten is ignored

Cause: a word of a round above the task's own raises the number that the next is given, so one told with the largest number would have left none to place it under.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -103,6 +103,7 @@
 #define PLACE_TICK_MS 250      /* ms; the planner looks again this often even without news */
 #define MEND_MS 1000           /* ms; gangs that a loss of disks has split are looked for so often */
 #define PLACE_BATCH 128        /* count; starts decided in one change */
+#define ROUNDS_FORGOTTEN_MAX 10000 /* count; rounds of a task that disks may have forgotten; a number further on is a mistake */
 #define FAILED_REST_MS 50      /* ms; a failed task rests this long, doubled with each miss: aims are a second or two, and it goes elsewhere */
 #define FAILED_REST_MAX_MS 8000 /* ms */
 #define REFUSED_REST_MS 200    /* ms; one that was refused: what its worker has is better known after a beat or a start */
--- a/packages/table/src/deliverround.c
+++ b/packages/table/src/deliverround.c
@@ -1,6 +1,7 @@
 /* What agents tell of rounds. */
 #include <string.h>
 
+#include "base/constants.h"
 #include "inside.h"
 
 /* Of a round that is not the one that the task is in: older, or of a placement that
@@ -8,7 +9,7 @@
 static void otherRound(Table *table, Job *job, JobTask *task, const RoundNews *news, int64_t atMs)
 {
     if (news->round > task->round) {
-        if (task->phase != TASK_WAITING)
+        if (task->phase != TASK_WAITING || news->round - task->round > ROUNDS_FORGOTTEN_MAX)
             return;
         task->round = news->round; /* the next is numbered above it */
         if (news->word == ROUND_RUNNING) {
--- a/packages/table/test/rounds.c
+++ b/packages/table/test/rounds.c
@@ -93,6 +93,22 @@
     talloc_free(b.table);
 }
 
+/* A round's number far beyond what can have been forgotten would leave none for the next. */
+static void strangeRounds(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    StepSpec step = one();
+    const JobSpec spec = specOf("j", &step, 1);
+    const Job *job = jobAdd(&b, &spec, (JobTerms){0});
+    for (int word = 0; word < ROUND_WORD_COUNT; word++)
+        if (word != ROUND_DONE)
+            say(&b, "j", 0, UINT64_MAX, "w", (RoundWord)word, "");
+    assert_int_equal(job->tasks[0].phase, TASK_WAITING);
+    assert_int_equal(place(&b, "j", FIRST, 1, 1, "w", ""), 1);
+    talloc_free(b.table);
+}
+
 /* Finished well is finished, in whichever round; the newer one's worker hears of it. */
 static void olderDone(void **state)
 {
@@ -278,7 +294,7 @@
         cmocka_unit_test(wordsCount),  cmocka_unit_test(limits),    cmocka_unit_test(lateFailures),
         cmocka_unit_test(olderDone),   cmocka_unit_test(ordersGrow), cmocka_unit_test(stoppedIsNoLoss),
         cmocka_unit_test(cancelled),   cmocka_unit_test(lasting),   cmocka_unit_test(progress),
-        cmocka_unit_test(strangeNumbers),
+        cmocka_unit_test(strangeNumbers), cmocka_unit_test(strangeRounds),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
