--- a/packages/member/src/inside.h
+++ b/packages/member/src/inside.h
@@ -18,10 +18,13 @@
     Ring *ring;
     MemberRecord self;
     const char *seeds[SEEDS];
-    const MemberTable *table;
+    MemberTable *table;
+    size_t room;
     uint64_t leaderEpoch;
     char *leaderId;
     Signal leaderChanged;
+    int64_t restUntilMs; /* hellos are spaced out until then */
+    Signal hurry;        /* ... no longer */
     Vote vote;
 };
 
