--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -33,6 +33,9 @@
 /* --- asking ------------------------------------------------------------- */
 #define ASK_EXPIRY_MS 800      /* ms; a plain question between processes; shorter than a lock hold */
 #define APPEND_EXPIRY_MS 1500  /* ms; a seat that does not sync in this time leaves the view */
+#define WATCH_MS 100           /* ms; the holder looks at its seats, and a seat for a holder, this often */
+#define SEAT_LATE_MS 400       /* ms; a seat that has not synced by then leaves the view, when that can spare it: it costs nothing, and it comes back as soon as it is quick */
+#define DISK_MEND_MS 300       /* ms; a disk that refused a write is tried again this often */
 #define SEAT_SLOW_MS 500       /* ms; a seat that takes longer to sync keeps every caller waiting ... */
 #define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
@@ -48,10 +51,12 @@
 #define LINE_QUIET_S 3         /* s; one that is silent for so long is probed: a machine that is cut off says nothing ... */
 #define LINE_PROBE_S 1         /* s; ... this often ... */
 #define LINE_PROBES 3          /* count; ... and ends after so many without an answer */
-#define LINE_MISSES 3          /* count; questions unanswered in a row before a line is opened anew */
+#define LINE_MISSES 2          /* count; questions unanswered in a row before a line is opened anew */
+#define LINE_SILENT_MS 200     /* ms; a question that waits for so long when its partner has just started went to its last life */
 
 /* --- membership --------------------------------------------------------- */
 #define HELLO_MS 500           /* ms; between two exchanges of the member table */
+#define HELLO_REST_MS 2000     /* ms; ... for one that the leader answers anyway; half of MEMBER_QUIET_MS */
 #define MEMBER_QUIET_MS 4000   /* ms; a member not heard of for this long counts as quiet */
 #define MEMBER_FORGET_MS 600000 /* ms; a quiet member is dropped from the table: ten minutes of absence */
 #define SIGHT_MS 2000          /* ms; a core asks every member once in this; what answers it is its sight */
@@ -103,6 +108,7 @@
 #define PLACE_TICK_MS 250      /* ms; the planner looks again this often even without news */
 #define MEND_MS 1000           /* ms; gangs that a loss of disks has split are looked for so often */
 #define PLACE_BATCH 128        /* count; starts decided in one change */
+#define ROUNDS_FORGOTTEN_MAX 10000 /* count; rounds of a task that disks may have forgotten; a number further on is a mistake */
 #define FAILED_REST_MS 50      /* ms; a failed task rests this long, doubled with each miss: aims are a second or two, and it goes elsewhere */
 #define FAILED_REST_MAX_MS 8000 /* ms */
 #define REFUSED_REST_MS 200    /* ms; one that was refused: what its worker has is better known after a beat or a start */
@@ -129,6 +135,9 @@
 #define STOP_LOOK_MS 200       /* ms; between two looks for rounds that go on better elsewhere */
 #define SLOW_GAIN 2.5          /* 1; a round is begun anew elsewhere when that takes so many times less ... */
 #define SLOW_COST_MS 1000      /* ms; ... and this much besides: stopping, starting, and what is thrown away */
+#define LEAVE_LAST_MS 1500     /* ms; what a leaving worker has is stopped this long before, so that it is saved and told */
+#define LEAVE_START_MS 300     /* ms; an order that a leaving worker has not begun by then is taken back */
+#define LEAVE_STOPS_MOST 32    /* count; rounds taken off leaving workers by one look */
 #define STOPS_MOST 4           /* count; rounds begun anew elsewhere by one look */
 #define SLOW_ROUNDS_MOST 5     /* count; a task that has had so many rounds is left where it is */
 #define AIM_LATE_TIMES 3       /* count; until so many times its aim a job is still worth something */
@@ -170,6 +179,7 @@
 #define RESERVE_SLACK_MS 3000  /* ms; what must be under way within this has room that falls free kept for it */
 #define RESERVE_SHARE 3        /* of the fleet's room at most one part in so many */
 #define KEEP_WAIT_MS 10000     /* ms; what fits a whole worker and no gap for so long has one kept for it */
+#define KEEP_LEAST_MS 300      /* ms; ... of a job with an aim after an eighth of its span, but not before this */
 #define KEEP_SHARE 4           /* of the fleet's workers at most one in so many is kept at once */
 #define KEPT_MEMBERS_MAX 64    /* count; workers kept for one gang */
 
@@ -177,6 +187,13 @@
 #define LUA_STEPS_MAX 20000    /* count; instructions of one call: some 0.2 ms */
 #define LUA_STEPS_TICK 100     /* count; they are counted by so many */
 #define LUA_BYTES_MAX (512 * 1024) /* bytes; what one policy may hold */
+#define STOP_TAKES_MS 300      /* ms; a stop is heard with the worker's next report, takes a moment, and is told */
+#define ENDS_LEAST_MS 50       /* ms; nothing that runs is expected to end sooner */
+#define PUSH_TAKES_MS 600      /* ms; from a push until the room is used: a stop, and a start */
+#define PUSH_SLACK_MS 900      /* ms; what must be under way within this may push: it takes most of it */
+#define PUSH_COST 2            /* 1; a push throws away at most so many times the work that it makes room for */
+#define PUSH_VICTIMS_MOST 4    /* count; rounds pushed aside for one task */
+#define PUSH_GAP_MS 100        /* ms; between two looks at whom to push */
 #define PUSH_TASKS_MAX 32      /* count; running tasks looked at for one that wants room */
 
 /* --- process ---------------------------------------------------------------- */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -90,10 +90,11 @@
     for (size_t i = 0; i < rounds->newsCount; i++) {
         const RoundNews *news = &rounds->news[i];
         const RoundSaved saved = {.job = news->job, .task = news->task, .round = news->round, .text = news->saved};
+        if (news->word == ROUND_RUNNING)
+            continue; /* a beat has told how far it has come since */
         if (viewHolds(core->view))
             savedTake(core, &saved);
-        if (news->word != ROUND_RUNNING)
-            straysEnd(core->strays, news);
+        straysEnd(core->strays, news);
     }
 }
 
@@ -179,6 +180,7 @@
                                  .openedArg = core,
                                  .losses = (int)props->bounds.losses,
                                  .founds = (ViewFounds)props->bounds.founds,
+                                 .disksKeep = props->bounds.disksKeep != 0,
                                  .seatBackMs = props->bounds.seatBackMs};
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -87,6 +87,11 @@
     checkerHeld(node->fleet->checker, worker, simNowMs(node->fleet->world) + leftMs);
 }
 
+static void onResumed(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved)
+{
+    checkerResumed(((FleetNode *)arg)->fleet->checker, worker, job, task, round, saved);
+}
+
 static void onTold(void *arg, const char *worker, const char *job, uint64_t task, uint64_t round)
 {
     checkerTold(((FleetNode *)arg)->fleet->checker, worker, job, task, round);
@@ -140,6 +145,7 @@
     node->props.bounds.losses = fleet->site.losses;
     if (fleet->site.seatBackMs > 0)
         node->props.bounds.seatBackMs = fleet->site.seatBackMs;
+    node->props.bounds.disksKeep = fleet->site.disksKeep;
     if (fleet->site.votes)
         node->props.bounds.founds = 1;
     node->props.listen = talloc_asprintf(fleet, "%s:7000", ip);
@@ -185,7 +191,7 @@
                        .labelsCount = shape.mix == MIX_VARIED && i % 2 == 0,
                        .room = large ? (Room){64000, 131072, 0} : (Room){16000, 65536, 0}},
             .agent = agent->props.http,
-            .watch = {worker, onStarted, onEnded, onKnown, onBooted, onHeld, onTold},
+            .watch = {worker, onStarted, onEnded, onKnown, onBooted, onHeld, onResumed, onTold},
         };
         checkerWorker(fleet->checker, &worker->workerProps.worker);
     }
@@ -286,19 +292,44 @@
     fleetStartNode(node->fleet, node->role, node->number);
 }
 
-static void drainMain(void *arg)
+static void left(void *arg)
 {
     FleetNode *node = arg;
+    fleetKill(node->fleet, node->role, node->number);
+}
+
+static void drain(FleetNode *node)
+{
     if (node->core != NULL)
         coreDrain(node->core);
     else if (node->gate != NULL)
         gateDrain(node->gate);
     else if (node->agent != NULL)
         agentDrain(node->agent);
+}
+
+static void drainMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
     /* a process ends from outside of its own tasks */
     simAt(node->fleet->world, simNowMs(node->fleet->world), rolled, node);
 }
 
+static void leaveMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
+    simAt(node->fleet->world, simNowMs(node->fleet->world), left, node);
+}
+
+void fleetLeave(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    if (node->up)
+        loopSpawn(simLoop(fleet->world, node->machine), "term", leaveMain, node);
+}
+
 void fleetRoll(Fleet *fleet, FleetRole role, int number)
 {
     FleetNode *node = fleetNode(fleet, role, number);
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -215,7 +215,8 @@
     Guard("cancel-starts", "a cancelled job's tasks are not started", "packages/queue/src/line.c",
           "        if (job->ending != JOB_ACTIVE || job->sums.waiting == 0)", "        if (job->sums.waiting == 0)",
           "starting long after its job was cancelled|running on after", "sweep", "varied", 1, 24,
-          also=[("packages/table/src/deliverplace.c", " || (*job)->ending != JOB_ACTIVE)", ")")]),
+          also=[("packages/table/src/deliverplace.c", " || (*job)->ending != JOB_ACTIVE)", ")"),
+                ("packages/table/src/turn.c", "            taskTurn(table, job, task, TASK_CANCELLED, \"\", atMs, false);\n        else if", "            (void)task;\n        else if")]),
     Guard("stop-told", "what is not wanted is stopped", "packages/agent/src/orders.c",
           "            round->phase = PHASE_STOPPING;\n        signalRaise", "            (void)round;\n        signalRaise",
           "running on after|running twice|left waiting alone|" + CLAIM, "sweep", "varied", 1, 24),
@@ -227,7 +228,8 @@
 0      kill     kill     kill     kill     kill     kill     kill     kill     call:12/12000
 40000  start    start    start    start    start    start    start    start    .
 60000  .        .        .        .        .        .        .        .        end
-""", also=[("packages/table/src/deliverplace.c", "return together == left ? together : 0;", "return together;")]),
+""", also=[("packages/table/src/deliverplace.c", "return together == left ? together : 0;", "return together;"),
+           ("packages/core/src/planner.c", "        gangsMend(core, mem);", "        (void)mem;")]),
     Guard("gang-stopped", "when a member is lost the others stop", "packages/table/src/gang.c",
           "        if (other != task && (other->phase", "        if (false && (other->phase",
           "left waiting alone", "sweep", "varied", 1, 40),
@@ -257,9 +259,16 @@
           "status = viewOffer(core->view, item->change, restored(mem, item));",
           "{\n            Verdict one;\n            status = viewSubmit(core->view, item->change, restored(mem, item), &one);\n        }",
           "not serving", "sweep", "varied", 80, 80),
-    Guard("gang-rest", "members of a gang that have not finished go as one", "packages/queue/src/line.c",
-          "        if (taskEnded(task->phase))\n            continue;\n        left++;", "        left++;",
-          "forgotten", "sweep", "varied", 5, 5),
+    Guard("gang-one-end", "one good end of a gang stands for all of its members", "packages/table/src/round.c",
+          "    const Gang gang = gangOf(job, task);\n    const TaskPhase phase", "    const Gang gang = {task, 1};\n    const TaskPhase phase",
+          "finished well|not ended|forgotten|left waiting alone", "sweep", "varied", 1, 24),
+    Guard("turns", "a turn starts when it is due", "packages/queue/src/wait.c",
+          "const int64_t turnMs = spec->firstWallMs != 0 ? spec->firstWallMs + (int64_t)turn * spec->periodMs : 0;",
+          "const int64_t turnMs = spec->firstWallMs != 0 && turn == 0 ? spec->firstWallMs : 0;",
+          "before its steps or its due time", "timeline", "varied", 2, MACHINE_OFF),
+    Guard("lasting", "a lasting task goes on however its round ends", "packages/table/src/deliverround.c",
+          "if (news->word == ROUND_DONE && !job->spec.lasting) {", "if (news->word == ROUND_DONE) {",
+          "forgotten", "sweep", "varied", 1, 8),
 ]
 
 
