--- a/packages/model/include/model/model.h
+++ b/packages/model/include/model/model.h
@@ -20,6 +20,7 @@
     bool loud;                       /* tells what happens */
     const char *job;                 /* tells what happens to this one; null: to none */
     size_t troubles;                 /* so many are drawn */
+    bool wrongClocks;                /* the leader's clock runs too slow, others' too fast, which none does in truth */
     Closing closing;
     const char *only;                /* only troubles of this kind; null: all */
     bool skipped[DAY_TROUBLES_MAX];  /* leaves these out */
--- a/packages/model/include/model/tongue.h
+++ b/packages/model/include/model/tongue.h
@@ -99,6 +99,17 @@
 
 typedef enum JobWord { JOB_WORD_QUEUED, JOB_WORD_ROLLING, JOB_WORD_DONE, JOB_WORD_FAILED, JOB_WORD_CANCELLED, JOB_WORD_NONE } JobWord;
 
+/* What an answer comes to. UNCLEAR: what was asked for may or may not have been done. */
+typedef enum Outcome {
+    OUTCOME_GOOD,
+    OUTCOME_AWAY,   /* turned away: not taken, and never will be */
+    OUTCOME_NOBODY, /* there is no such queue */
+    OUTCOME_GONE,   /* there is no such job */
+    OUTCOME_STALE,  /* another document is in force */
+    OUTCOME_WRONG,  /* refused for good */
+    OUTCOME_UNCLEAR
+} Outcome;
+
 /* --- the operator's document ------------------------------------------------------------- */
 
 typedef struct DocumentQueue {
@@ -131,6 +142,8 @@
     const char *face; /* whose tongue it is */
     int frontPort, readyPort, operatorPort;
     const char *readyPath, *configPath, *waitHead;
+    /* Of an HTTP code; 0: no answer came. */
+    Outcome (*outcome)(int code);
     /* All on mem. */
     char *(*settings)(void *mem, const Site *site, const TongueNode *node);
     char *(*beatPath)(void *mem, const char *boot, bool leaves);
--- a/packages/model/src/day.c
+++ b/packages/model/src/day.c
@@ -34,6 +34,21 @@
     handsStart(((Day *)arg)->hands);
 }
 
+/* For the checkers' own proof: the one assumption that no process can look after. */
+static void clocksSpoil(void *arg)
+{
+    Ground *ground = ((Day *)arg)->ground;
+    GroundNode *leader = groundLeader(ground);
+    for (size_t i = 0; i < ground->edgeCount && leader != NULL; i++) {
+        GroundNode *node = &ground->edges[i];
+        if (!node->disk || !node->used)
+            continue;
+        simClockRate(ground->world, node->machine, node == leader ? 10 : 1000);
+    }
+    if (leader != NULL)
+        nodeCut(leader, true);
+}
+
 /* Troubles of the core keep apart: no more is lost at once than is to be borne. */
 static bool fits(const Trouble *list, size_t count, const Trouble *one, const Site *site)
 {
@@ -168,6 +183,8 @@
     day->callers = callersNew(mem, day->door, day->book, day->ledger);
     day->operator = operatorNew(mem, ground, day->ledger);
     groundStart(ground);
+    if (props->wrongClocks)
+        simAt(ground->world, ground->beganMs + 2000, clocksSpoil, day);
     doorStart(day->door);
     simAt(ground->world, groundNowMs(ground) + diceSpan(&dice, 0, 1500), handsBegin, day);
     simAt(ground->world, groundNowMs(ground) + 1000, operatorBegin, day);
