--- a/examples/counter.c
+++ b/examples/counter.c
@@ -144,8 +144,7 @@
                              .ring = counter->ring,
                              .state = {counter, deliver, save, load},
                              .opened = onOpened,
-                             .openedArg = counter,
-                             .founds = VIEW_FOUNDS_BY_THREE};
+                             .openedArg = counter};
     counter->liveset = livesetNew(counter);
     counter->view = viewNew(counter, &props);
     if (viewOpenDisk(counter->view, talloc_asprintf(counter, "%s/journal", counter->folder), counter->name, &mishap) !=
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -8,10 +8,13 @@
  * LOCK_HOLD + one proposal + one view change + AGENT_HOLD < 12 s ----------- */
 #define BEAT_MS 500            /* ms; six beats fit in an agent's hold, so five may be lost */
 #define AGENT_HOLD_MS 3000     /* ms; a lost worker's claim lapses after this: "a few seconds at most" */
-#define LOCK_HOLD_MS 2000      /* ms; four renewals fit in it */
-#define LOCK_RENEW_MS 500      /* ms; as BEAT_MS */
-#define PROPOSE_MS 1000        /* ms; a core without a leader proposes this often ... */
-#define PROPOSE_JITTER_MS 600  /* ms; ... plus up to this, so that two do not collide for ever */
+#define LOCK_HOLD_MS 1500      /* ms; four renewals fit in it */
+#define LOCK_RENEW_MS 350      /* ms; a seat that takes appends renews with them */
+#define LOCK_TELL_MS 1000      /* ms; a renewal also tells what appends do not: clock and holder's name */
+#define PROPOSE_AGAIN_MS 60    /* ms; a core that did not win the lock stands again after this, then twice that ... */
+#define PROPOSE_MS 500         /* ms; ... up to this, and a draw as long */
+#define PROPOSE_TURN_MS 120    /* ms; each seat stands so much later than the one before it: a question and its answer take less */
+#define HANDED_MS 600          /* ms; one that the last holder named is left alone for so long */
 #define ORDER_EXPIRY_MS 2000   /* ms; an order older than this is refused by the agent */
 #define ORDER_GONE_MS (ORDER_EXPIRY_MS + ORDER_EXPIRY_MS / 50 + HOLD_SLACK_MS) /* ms; ... by a clock that is 2% slow */
 #define WORKER_POLL_MS 400     /* ms; a worker's question to its agent is held at most this long */
@@ -38,7 +41,7 @@
 #define DISK_MEND_MS 300       /* ms; a disk that refused a write is tried again this often */
 #define SEAT_SLOW_MS 500       /* ms; a seat that takes longer to sync keeps every caller waiting ... */
 #define SEAT_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
-#define POLL_GRACE_MS 200      /* ms; once a majority of seats has answered, the last one has this long */
+#define POLL_GRACE_MS 60       /* ms; once a majority of seats has answered, the last ones have this long: who is late comes into the view later */
 #define VIEW_EXPIRY_MS 1200    /* ms; one step of a view change */
 #define FETCH_HOLD_MS 900      /* ms; orders asked for without a beat; less than half ORDER_EXPIRY_MS */
 #define FEED_HOLD_MS 2000      /* ms; configuration long poll between processes */
@@ -67,6 +70,7 @@
 #define VOTE_WAIT_MS 600       /* ms; a core stands as the founder so long after its start: those started with it have been heard of */
 #define SEAT_LOOK_MS 200       /* ms; the holder looks so often whether a seat is to be given */
 #define SEAT_GIVE_MS 30        /* ms; ... and so often while a guest is brought up to date */
+#define SEAT_REST_MS 1000      /* ms; a seat that left the view for being late is out for so long at least */
 #define SEAT_GUEST_MS 2500     /* ms; a guest that is not up to date by then makes way for another: megabytes take a second */
 #define SEAT_LOST_REST_MS 5000 /* ms; a core that was told that its seat is another's does not stand for so long */
 #define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
@@ -201,7 +205,6 @@
 #define TASK_STACKS_KEPT 24 /* count; stacks of ended tasks kept for the next: a burst beyond it pays for its own */
 #define FRAME_MAX_BYTES (32 * 1024 * 1024) /* bytes; a snapshot fits */
 #define CHANNEL_QUEUE_BYTES (96 * 1024 * 1024) /* bytes; more unsent than this ends the connection */
-#define CHANNEL_KEEP_BYTES (32 * 1024) /* bytes; a buffer that grew larger for one frame is given back */
 #define CHANNEL_QUEUE_FRAMES 4096 /* count; more unread than this ends the connection */
 #define HTTP_BODY_MAX (2 * 1024 * 1024) /* bytes */
 #define HTTP_HEAD_MAX (32 * 1024) /* bytes; of a request, with its path: far more than any caller of ours sends */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -240,6 +240,7 @@
     core->leaving = true;
     loopServeLeave(core->loop);
     membersSetLeaving(core->members);
+    membersAnnounce(core->members); /* so that the view goes on without waiting for us */
     /* what was ordered gets its verdict; then the lock is handed over */
     if (viewLeading(core->view))
         viewSettle(core->view);
--- a/packages/lock/include/lock/lock.h
+++ b/packages/lock/include/lock/lock.h
@@ -31,6 +31,7 @@
     uint64_t promised;
     uint64_t holder; /* disk id */
     int64_t holdUntilMs;
+    uint64_t released; /* epoch: given back by its holder, so that nothing late renews it */
     int64_t notBeforeMs; /* woken: what was granted may be forgotten, so nothing is promised before this ... */
     bool sure;           /* ... but promised and holder are known to be the last: only holder may hold anything */
 } LockSeat;
--- a/packages/lock/src/lock.c
+++ b/packages/lock/src/lock.c
@@ -21,7 +21,7 @@
 
 Status lockRenew(LockSeat *seat, uint64_t epoch, uint64_t holder, int64_t nowMs)
 {
-    if (epoch != seat->promised)
+    if (epoch != seat->promised || epoch == seat->released)
         return STATUS_OLD_EPOCH;
     if (holder != seat->holder)
         return STATUS_OTHER_HOLDER;
@@ -34,6 +34,7 @@
     if (epoch != seat->promised || holder != seat->holder)
         return;
     seat->holdUntilMs = nowMs;
+    seat->released = epoch;
     if (seat->sure && seat->notBeforeMs > nowMs)
         seat->notBeforeMs = nowMs;
 }
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -56,6 +56,8 @@
 void membersSetLeaving(Members *members);
 /* The newest leader known; empty id when none is. */
 void membersSetLeader(Members *members, uint64_t epoch, const char *id);
+/* Says hello to everybody: a new leader is heard of at once. */
+void membersAnnounce(Members *members);
 const char *membersLeaderId(const Members *members);
 uint64_t membersLeaderEpoch(const Members *members);
 /* The address where the leader is asked, or null. */
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -369,6 +369,15 @@
     loopSpawn(members->loop, "greet", lookOne, look);
 }
 
+void membersAnnounce(Members *members)
+{
+    for (size_t i = 0; i < members->table->count; i++) {
+        const Member *row = &members->table->rows[i];
+        if (!isSelf(members, &row->record) && !memberQuiet(row, loopNowMs(members->loop)))
+            greet(members, row->record.address);
+    }
+}
+
 /* A core asks every member in turn, each in a task of its own, so that those
  * that do not answer keep none waiting. */
 static void lookMain(void *arg)
--- a/packages/sim/src/checker.h
+++ b/packages/sim/src/checker.h
@@ -49,6 +49,7 @@
 typedef struct SeenJob {
     const char *id;
     bool accepted, refused, ended;
+    bool copies, lasting; /* as its spec said when it was last seen */
     bool settled; /* shown as ended and nothing of it runs: there is nothing to look for */
     int64_t sentMs;      /* first; 0: not told */
     int64_t cancelledMs; /* 0: not */
--- a/packages/sim/src/checkstart.c
+++ b/packages/sim/src/checkstart.c
@@ -60,7 +60,12 @@
     SeenTask *seen = seenTask(job, task);
     SeenWorker *on = seenWorker(checker, worker);
     const Job *known = checker->props.job(checker->props.arg, id);
-    const bool copies = known != NULL && known->spec.copies;
+    /* for a while no node may know it: all disks have just lost it */
+    if (known != NULL) {
+        job->copies = known->spec.copies;
+        job->lasting = known->spec.lasting;
+    }
+    const bool copies = job->copies;
     checker->starts++;
     for (SeenRun *run = seen->runs; run != NULL; run = run->next) {
         if (checker->props.frozen(checker->props.arg, run->worker))
@@ -70,8 +75,8 @@
                   task, round, worker, run->round, run->worker);
     }
     const size_t at = known != NULL ? taskIndex(known, task) : 0;
-    const bool finished = known == NULL || at == known->tasksCount ? seen->doneKnown
-                                                                  : !known->spec.lasting && seenDoneKnown(known, job, at);
+    const bool finished =
+        !job->lasting && (known == NULL || at == known->tasksCount ? seen->doneKnown : seenDoneKnown(known, job, at));
     if (finished || job->ended)
         checkerBroke(checker, NEVER_AFTER_FINISH, "%s task %" PRIu64 " round %" PRIu64 " on %s", id, task, round, worker);
     if (job->refused)
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -192,8 +192,9 @@
 /* Changes the view under the same epoch. What was ordered before is committed
  * together with the change, so that the last view recorded has all of it. */
 void leadTurn(View *view, const bool inView[SEAT_MOST]);
-/* The seat in the view that is to follow: the least behind; 0: none. */
-uint64_t leadNext(const View *view);
+/* The seat in the view that is to follow: the least behind; quick: only one whose
+ * disk is; 0: none. */
+uint64_t leadNext(const View *view, bool quick);
 /* Stops taking changes, collects the logs of a majority, takes the best one,
  * trims the others to it, opens the next epoch and goes on. skip: seats that
  * are to stay out. Waits. */
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -170,6 +170,10 @@
         if (status == STATUS_OK) {
             partner->matchIndex = match;
             partner->nextIndex = match + 1;
+            /* a seat that takes an append lets the hold go on as well */
+            partner->renewedMs = sentMs;
+            if (lead->slot != GUEST)
+                lockHoldAnswered(&view->hold, lead->slot, sentMs);
             leadCommit(view);
         } else if (status == STATUS_LOG_GAP) {
             partner->matchIndex = 0; /* a disk may have lost what it had synced */
@@ -238,35 +242,74 @@
     }
 }
 
+/* Asks the seat for nothing but an answer. */
+static bool heard(View *view, const Lead *lead, const char *address)
+{
+    void *mem = talloc_new(view);
+    const ProposeAsk ask = {0, view->disk, lead->disk, logLastEpoch(view->log), logLastIndex(view->log)};
+    SeatAnswer answer = {0};
+    const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_PROPOSE, &ProposeAskShape, &ask,
+                                     ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
+    const bool reached = pollReached(status);
+    if (reached && !partnerOver(lead))
+        leadAnswered(view, lead->slot, &answer);
+    talloc_free(mem);
+    return reached;
+}
+
+static Status renewOne(View *view, const Lead *lead, const char *address, int64_t sentMs)
+{
+    void *mem = talloc_new(view);
+    const RenewAsk ask = {view->epoch, view->disk, view->commitIndex, viewClockMs(view),
+                          membersSelf(view->props.members)->id, lead->disk, 0};
+    SeatAnswer answer = {0};
+    const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
+                                     ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
+    if (!partnerOver(lead)) {
+        if (pollReached(status))
+            leadAnswered(view, lead->slot, &answer);
+        if (status == STATUS_OK) {
+            view->partners[lead->slot].renewedMs = sentMs;
+            if (lead->slot != GUEST)
+                lockHoldAnswered(&view->hold, lead->slot, sentMs);
+        }
+    }
+    talloc_free(mem);
+    return status;
+}
+
+/* A seat that hears us while we do not hear it must not go on granting: one that
+ * left a renewal unanswered is first asked for an answer alone. */
 static void renewMain(void *arg)
 {
     const Lead lead = *(Lead *)arg;
     View *view = lead.view;
     talloc_free(arg);
+    int64_t askedMs = INT64_MIN;
+    bool doubt = false;
     while (!partnerOver(&lead)) {
         const int64_t sentMs = loopNowMs(view->loop);
         char address[ADDRESS_MAX];
+        /* appends renew as well; only the rest is told by renewals alone */
+        const int64_t lastMs = view->partners[lead.slot].renewedMs;
+        if (lead.disk != view->disk && lastMs != INT64_MIN && askedMs != INT64_MIN && sentMs - lastMs < LOCK_RENEW_MS &&
+            sentMs - askedMs < LOCK_TELL_MS) {
+            loopSleep(view->loop, LOCK_RENEW_MS - (sentMs - lastMs));
+            continue;
+        }
         if (lead.disk == view->disk) {
             if (lockRenew(&view->lock, view->epoch, view->disk, sentMs) == STATUS_OK)
                 lockHoldAnswered(&view->hold, lead.slot, sentMs);
             wallTake(view);
         } else if (seatAddress(view, lead.slot, address)) {
-            void *mem = talloc_new(view);
-            const RenewAsk ask = {view->epoch, view->disk, view->commitIndex, viewClockMs(view),
-                                  membersSelf(view->props.members)->id, lead.disk, 0};
-            SeatAnswer answer = {0};
-            const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
-                                             ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
-            if (!partnerOver(&lead)) {
-                if (pollReached(status))
-                    leadAnswered(view, lead.slot, &answer);
-                if (status == STATUS_OK) {
-                    view->partners[lead.slot].renewedMs = sentMs;
-                    if (lead.slot != GUEST)
-                        lockHoldAnswered(&view->hold, lead.slot, sentMs);
-                }
+            if (doubt) {
+                doubt = !heard(view, &lead, address);
+            } else {
+                askedMs = sentMs;
+                doubt = !pollReached(renewOne(view, &lead, address, sentMs));
             }
-            talloc_free(mem);
+            if (askedMs != sentMs && !doubt)
+                continue; /* it answers again: now the renewal */
         }
         /* a guest grants nothing before it has the log */
         const bool waits = lead.slot == GUEST && view->partners[GUEST].renewedMs == INT64_MIN;
@@ -330,14 +373,17 @@
     }
 }
 
-uint64_t leadNext(const View *view)
+uint64_t leadNext(const View *view, bool quick)
 {
+    const int64_t nowMs = loopNowMs(view->loop);
     const Partner *best = NULL;
     uint64_t disk = 0;
     for (int i = 0; i < SEAT_MOST; i++) {
         const Partner *partner = &view->partners[i];
-        if (view->seats[i] == view->disk || !view->inView[i] ||
-            loopNowMs(view->loop) - partner->answeredMs > 2 * LOCK_RENEW_MS)
+        if (view->seats[i] == view->disk || !view->inView[i] || nowMs - partner->answeredMs > 2 * LOCK_RENEW_MS)
+            continue;
+        if (quick && (partner->syncMs > SEAT_SLOW_MS / 2 || partner->appendTookMs > SEAT_SLOW_MS / 2 ||
+                      (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > SEAT_LATE_MS / 2)))
             continue;
         if (best == NULL || partner->matchIndex > best->matchIndex) {
             best = partner;
@@ -357,7 +403,7 @@
         if (view->holding) {
             /* nothing is decided under this hold any more: the seats may forget it */
             lockRelease(&view->lock, view->epoch, view->disk, nowMs);
-            leadRelease(view, leadNext(view));
+            leadRelease(view, leadNext(view, false));
             ringSay(view->props.ring, RING_NOTE, nowMs, "gives up view %" PRIu64, epochCounter(view->epoch));
         }
         view->phase = VIEW_FOLLOWING;
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -143,20 +143,20 @@
     view->reopening = !newHolder;
     Poll *poll = pollSeats(view, 0, skip);
     Status status = STATUS_UNREACHABLE;
-    size_t heard = 0;
+    size_t heard = 0, free = 0;
     /* disks that lie may have forgotten promises and epochs; those who followed a
      * leader have not */
     uint64_t highest = view->lock.promised;
     if (membersLeaderEpoch(view->props.members) > highest)
         highest = membersLeaderEpoch(view->props.members);
-    bool held = false, repair = false, removed = false;
+    bool repair = false, removed = false;
     for (int i = 0; i < SEAT_MOST; i++)
         if (pollReached(poll->status[i])) {
             heard++;
             removed |= poll->status[i] == STATUS_NO_SEAT;
             if (poll->answers[i].promised > highest)
                 highest = poll->answers[i].promised;
-            held |= poll->answers[i].held && poll->answers[i].holder != view->disk;
+            free += !poll->answers[i].held || poll->answers[i].holder == view->disk;
         }
     const bool rest = mayRest(view, poll, &repair);
     pollLeave(poll);
@@ -166,7 +166,9 @@
         leadDown(view, SEAT_LOST_REST_MS);
         return STATUS_NO_SEAT;
     }
-    if (heard < viewMajority(view) || !rest || (newHolder && held)) {
+    /* what a majority does not hold for another, nobody holds */
+    const bool held = newHolder && heard >= viewMajority(view) && free < viewMajority(view);
+    if (heard < viewMajority(view) || !rest || held) {
         leadDown(view, 0);
         return held ? STATUS_OTHER_HOLDER : rest ? status : STATUS_WOKEN;
     }
@@ -286,6 +288,8 @@
     view->changedMs = loopNowMs(view->loop);
     view->viewChanges++;
     membersSetLeader(view->props.members, epoch, membersSelf(view->props.members)->id);
+    if (newHolder)
+        membersAnnounce(view->props.members);
     ringSay(view->props.ring, RING_NOTE, loopNowMs(view->loop), "leads view %" PRIu64 " with %zu seats%s",
             epochCounter(epoch), promisedCount(view, view->inView), view->last.repair ? ", repairs" : "");
     signalRaise(view->loop, &view->news);
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -160,7 +160,7 @@
         return written;
     if (status != STATUS_OK)
         return status;
-    if (ask->epoch != view->lock.promised)
+    if (lockRenew(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop)) != STATUS_OK)
         return STATUS_OLD_EPOCH;
     const uint64_t verified = ask->prevIndex + ask->entriesCount;
     if (verified > view->verifiedIndex)
@@ -273,8 +273,8 @@
         lockRelease(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
         view->named = ask->next == view->disk;
         /* the others give the one that was named a head start */
-        if (ask->next != 0 && !view->named && view->restUntilMs < loopNowMs(view->loop) + PROPOSE_JITTER_MS)
-            view->restUntilMs = loopNowMs(view->loop) + PROPOSE_JITTER_MS;
+        if (ask->next != 0 && !view->named && view->restUntilMs < loopNowMs(view->loop) + HANDED_MS)
+            view->restUntilMs = loopNowMs(view->loop) + HANDED_MS;
         signalRaise(view->loop, &view->released);
     }
     seatDescribe(view, mem, answer);
--- a/packages/view/src/watch.c
+++ b/packages/view/src/watch.c
@@ -17,6 +17,9 @@
         return "silent";
     if (!spare)
         return NULL;
+    const Member *member = membersFindDisk(view->props.members, view->seats[place]);
+    if (member != NULL && member->record.leaving)
+        return "its core leaves";
     if (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > SEAT_LATE_MS)
         return "does not sync in time";
     if (partner->slowTimes >= SEAT_SLOW_TIMES)
@@ -27,7 +30,8 @@
 static bool returns(const View *view, int place, int64_t nowMs)
 {
     const Partner *partner = &view->partners[place];
-    return nowMs - partner->answeredMs <= LOCK_RENEW_MS * 2 && partner->appendSinceMs == INT64_MAX &&
+    const Member *member = membersFindDisk(view->props.members, view->seats[place]);
+    return (member == NULL || !member->record.leaving) && nowMs - partner->answeredMs <= LOCK_RENEW_MS * 2 && partner->appendSinceMs == INT64_MAX &&
            partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
            partner->appendTookMs < SEAT_SLOW_MS / 2 && partner->syncMs < SEAT_SLOW_MS / 2 && nowMs >= partner->returnMs && !seatDead(view, view->seats[place], false);
 }
@@ -66,7 +70,7 @@
             inView[i] = false;
             changed = true;
             count--;
-            partner->returnMs = nowMs + PROPOSE_MS;
+            partner->returnMs = nowMs + SEAT_REST_MS;
             partner->slowTimes = 0;
             ringSay(view->props.ring, RING_ALERT, nowMs, "seat %016" PRIx64 " leaves the view: %s", view->seats[i], why);
             continue;
@@ -109,10 +113,22 @@
     return !lockHeld(&view->lock, nowMs) && lockMayPromise(&view->lock, UINT64_MAX, view->disk, nowMs) == STATUS_OK;
 }
 
+/* Seats stand one after another, from the place after the last holder's on, so that
+ * two do not ask for each other's promise; a small draw parts those that know
+ * different lists. */
+static int64_t turnMs(View *view)
+{
+    const int last = viewSeatOf(view, view->lock.holder), own = viewOwnSeat(view);
+    const int places = (int)view->places;
+    const int rank = last < 0 ? own : (own - last - 1 + places) % places;
+    return rank * PROPOSE_TURN_MS + (int64_t)(loopRandom(view->loop) % (PROPOSE_TURN_MS / 3));
+}
+
 static void watchMain(void *arg)
 {
     View *view = arg;
     int64_t dueMs = 0; /* it should look then */
+    int64_t againMs = 0; /* waited for before it stood again; 0: it did not have to */
     while (!loopStopping(view->loop)) {
         const int64_t nowMs = loopNowMs(view->loop);
         /* after a pause of its own, it first reads what has come in meanwhile */
@@ -130,7 +146,7 @@
                 leadDown(view, 0);
             } else if ((sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) ||
                        (((sinceMs != INT64_MAX && nowMs - sinceMs > SEAT_LATE_MS) || view->slowTimes >= SEAT_SLOW_TIMES) &&
-                        leadNext(view) != 0)) {
+                        leadNext(view, true) != 0)) {
                 view->slowTimes = 0;
                 ringSay(view->props.ring, RING_ALERT, nowMs, "own disk is slow: hands the lock over");
                 leadDown(view, SLOW_DISK_REST_MS);
@@ -141,18 +157,28 @@
             } else if (viewTend(view, skip)) {
                 viewOpen(view, skip);
             }
-        } else if (view->phase == VIEW_FOLLOWING && mayStand(view)) {
-            if (!view->named) /* one that the last holder named goes first */
-                loopSleep(view->loop, (int64_t)(loopRandom(view->loop) % PROPOSE_JITTER_MS));
+        } else if (view->phase == VIEW_FOLLOWING && !mayStand(view)) {
+            againMs = 0;
+        } else if (view->phase == VIEW_FOLLOWING) {
+            if (!view->named && againMs == 0) /* one that the last holder named goes first */
+                loopSleep(view->loop, turnMs(view));
             view->named = false;
             if (view->phase == VIEW_FOLLOWING && mayStand(view)) {
                 const bool skip[SEAT_MOST] = {false};
-                if (viewOpen(view, skip) != STATUS_OK)
-                    loopSleep(view->loop, PROPOSE_MS / 2 + (int64_t)(loopRandom(view->loop) % PROPOSE_JITTER_MS));
+                /* grants lapse one after another: at first it looks again soon */
+                againMs = viewOpen(view, skip) == STATUS_OK ? 0
+                          : againMs == 0                    ? PROPOSE_AGAIN_MS
+                          : 2 * againMs < PROPOSE_MS        ? 2 * againMs
+                                                            : PROPOSE_MS;
+                if (againMs > 0)
+                    loopSleep(view->loop, againMs + (int64_t)(loopRandom(view->loop) % (uint64_t)(againMs)));
             }
         }
         dueMs = loopNowMs(view->loop) + WATCH_MS;
-        signalWait(view->loop, &view->released, dueMs);
+        /* the moment that the holder's hold lapses is known */
+        const int64_t lapseMs = view->lock.holdUntilMs;
+        const bool soon = view->phase == VIEW_FOLLOWING && lapseMs > loopNowMs(view->loop) && lapseMs < dueMs;
+        signalWait(view->loop, &view->released, soon ? lapseMs : dueMs);
     }
 }
 
