--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -149,14 +149,16 @@
     uint64_t highest = view->lock.promised;
     if (membersLeaderEpoch(view->props.members) > highest)
         highest = membersLeaderEpoch(view->props.members);
-    bool repair = false, removed = false;
+    bool repair = false, removed = false, ahead = false;
     for (int i = 0; i < SEAT_MOST; i++)
         if (pollReached(poll->status[i])) {
             heard++;
             removed |= poll->status[i] == STATUS_NO_SEAT;
             if (poll->answers[i].promised > highest)
                 highest = poll->answers[i].promised;
-            free += !poll->answers[i].held || poll->answers[i].holder == view->disk;
+            const bool other = poll->answers[i].held && poll->answers[i].holder != view->disk;
+            free += !other;
+            ahead |= other && poll->answers[i].promised > view->lock.promised;
         }
     const bool rest = mayRest(view, poll, &repair);
     pollLeave(poll);
@@ -166,8 +168,9 @@
         leadDown(view, SEAT_LOST_REST_MS);
         return STATUS_NO_SEAT;
     }
-    /* what a majority does not hold for another, nobody holds */
-    const bool held = newHolder && heard >= viewMajority(view) && free < viewMajority(view);
+    /* what a majority does not hold for another, nobody holds; but one that stands just
+     * now under a higher epoch goes first */
+    const bool held = newHolder && heard >= viewMajority(view) && (free < viewMajority(view) || ahead);
     if (heard < viewMajority(view) || !rest || held) {
         leadDown(view, 0);
         return held ? STATUS_OTHER_HOLDER : rest ? status : STATUS_WOKEN;
