--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -252,17 +252,35 @@
            partner->appendTookMs < SEAT_SLOW_MS;
 }
 
+/* Whether a majority of the seats, with the place vacated or given to the guest, is
+ * there to commit the list: one that can't be committed may not even be ordered,
+ * for from then on it is the one that counts, also for those who come back. */
+static bool majorityLives(const View *view, int place, bool given)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    size_t seats = given, live = given;
+    for (int i = 0; i < SEAT_MOST; i++) {
+        if (i == place || view->seats[i] == 0)
+            continue;
+        seats++;
+        live += view->seats[i] == view->disk ||
+                (view->inView[i] && nowMs - view->partners[i].answeredMs < 2 * LOCK_RENEW_MS);
+    }
+    return live >= lockMajority(seats);
+}
+
 /* Waits. Gives the place to the guest: first it is vacated, then given, each by a
  * change that a majority commits, so that no two majorities miss each other. */
 static void give(View *view, int place)
 {
     const uint64_t turn = view->leadTurn, guest = view->guest;
     if (view->seats[place] != 0) {
-        if (view->inView[place] || listSubmit(view, place, 0) != STATUS_OK)
+        if (view->inView[place] || !majorityLives(view, place, false) || listSubmit(view, place, 0) != STATUS_OK)
             return;
     }
     /* a list must be committed before the next */
-    if (leadOver(view, turn) || view->listIndex > view->commitIndex || view->seats[place] != 0 || view->guest != guest)
+    if (leadOver(view, turn) || view->listIndex > view->commitIndex || view->seats[place] != 0 || view->guest != guest ||
+        !majorityLives(view, place, true))
         return;
     const Partner partner = view->partners[GUEST];
     void *mem = talloc_new(view);
