--- a/packages/sim/include/sim/sweep.h
+++ b/packages/sim/include/sim/sweep.h
@@ -5,10 +5,25 @@
 
 #define SWEEP_STEPS_MAX 128 /* count; failures of one run */
 
+/* Where the fleet of a run stands. PLAIN: the product's three cores in three zones.
+ * Others: founded by votes on disks that keep what they synced; two spares more for
+ * each core that may be lost. */
+#define SWEEP_SITE_LIST(X) X(PLAIN, "plain") X(THREE, "three") X(SIX, "six") X(EIGHT, "eight")
+typedef enum SweepSite {
+#define X(name, word) SWEEP_##name,
+    SWEEP_SITE_LIST(X)
+#undef X
+        SWEEP_SITES
+} SweepSite;
+
+/* SWEEP_SITES when the word is none of them. */
+SweepSite sweepSiteOf(const char *word);
+
 /* What is drawn besides the mix. */
 typedef struct SweepProps {
     uint64_t seed;
     Mix mix;
+    SweepSite site;
     bool loud;                       /* failures are printed as they are drawn */
     bool skipped[SWEEP_STEPS_MAX];   /* drawn but not brought about: to shorten a failing run */
 } SweepProps;
--- a/packages/sim/src/servable.c
+++ b/packages/sim/src/servable.c
@@ -13,10 +13,12 @@
     return simAlive(fleet->world, node->machine) && !simFrozen(fleet->world, node->machine) && node->up;
 }
 
-/* Cores that run, hold a seat as the others know it, and have a working disk. */
-static int seatsGood(const Fleet *fleet, const FleetNode **good)
+/* Cores that run, hold a seat as the others know it, and have a working disk; needed:
+ * of the longest list of seats among them, so many decide. */
+static int seatsGood(const Fleet *fleet, const FleetNode **good, int *needed)
 {
     int count = 0;
+    size_t most = SEAT_FIRST;
     for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
         const FleetNode *node = &fleet->nodes[FLEET_CORE][i];
         if (!runs(fleet, node) || node->core == NULL || !simDiskGood(fleet->world, node->machine, DISK_GOOD_MS))
@@ -28,26 +30,33 @@
             seated |= seats[s] == viewDisk(coreView(node->core));
         if (seated)
             good[count++] = node;
+        most = seatCount > most ? seatCount : most;
     }
+    *needed = (int)lockMajority(most);
     return count;
 }
 
 int fleetSeats(const Fleet *fleet)
 {
     const FleetNode *good[FLEET_EACH_MAX];
-    return seatsGood(fleet, good);
+    int needed;
+    return seatsGood(fleet, good, &needed);
 }
 
-/* Whether the machine reaches two good seats that reach each other. */
+/* Whether the machine reaches a majority of good seats that one of them reaches. */
 static bool reachesSeats(const Fleet *fleet, int machine)
 {
     const FleetNode *good[FLEET_EACH_MAX];
-    const int count = seatsGood(fleet, good);
-    for (int a = 0; a < count; a++)
-        for (int b = a + 1; b < count; b++)
-            if (bothWays(fleet, good[a]->machine, good[b]->machine) && bothWays(fleet, good[a]->machine, machine) &&
-                bothWays(fleet, good[b]->machine, machine))
-                return true;
+    int needed;
+    const int count = seatsGood(fleet, good, &needed);
+    for (int a = 0; a < count; a++) {
+        int reached = 0;
+        for (int b = 0; b < count; b++)
+            reached += bothWays(fleet, good[b]->machine, machine) &&
+                       (a == b || bothWays(fleet, good[a]->machine, good[b]->machine));
+        if (reached >= needed && bothWays(fleet, good[a]->machine, machine))
+            return true;
+    }
     return false;
 }
 
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -26,6 +26,19 @@
 #undef X
 };
 
+SweepSite sweepSiteOf(const char *word)
+{
+    static const char *const WORDS[] = {
+#define X(name, text) text,
+        SWEEP_SITE_LIST(X)
+#undef X
+    };
+    int site = 0;
+    while (site < SWEEP_SITES && strcmp(word, WORDS[site]) != 0)
+        site++;
+    return (SweepSite)site;
+}
+
 uint64_t sweepDraw(Sweep *sweep, uint64_t below)
 {
     uint64_t z = (sweep->state += 0x9e3779b97f4a7c15u);
@@ -222,12 +235,21 @@
 {
     void *mem = talloc_new(NULL);
     Sweep *sweep = talloc_zero(mem, Sweep);
-    Fleet *fleet =
-        fleetNew(mem, props->seed, (FleetShape){3, props->mix == MIX_ATLAS ? 4 : 3, 11, props->mix, 2});
+    static const int CORES[] = {3, 3, 6, 8};
+    static const FleetSite SITES[] = {
+        {.zones = 3, .losses = 1},
+        {.zones = 3, .losses = 1, .votes = true, .disksKeep = true, .seatBackMs = 4000, .staggerMs = 500},
+        {.zones = 3, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000, .staggerMs = 500, .gateSeeds = 1},
+        {.zones = 4, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000, .staggerMs = 500},
+    };
+    const FleetSite *site = &SITES[props->site];
+    Fleet *fleet = fleetNewAt(
+        mem, props->seed,
+        (FleetShape){CORES[props->site], props->mix == MIX_ATLAS ? 4 : 3, 11, props->mix, 2 * site->losses}, site);
     sweep->fleet = fleet;
     sweep->loud = props->loud;
     sweep->jumped = -1;
-    sweep->liars = props->seed % DISKS_LIE_ONE_IN == 0;
+    sweep->liars = props->seed % DISKS_LIE_ONE_IN == 0 && !site->disksKeep;
     *result = (SweepResult){.good = true};
     fleetStart(fleet);
     if (!fleetSettle(fleet, 30000) || !fleetConfigure(fleet)) {
--- a/packages/sim/src/sweepnodes.c
+++ b/packages/sim/src/sweepnodes.c
@@ -16,10 +16,16 @@
     return count;
 }
 
+/* Seats that the site wants and no running core with a good disk has. */
+static int seatsMissing(Sweep *sweep)
+{
+    return 2 * sweep->fleet->site.losses + 1 - fleetSeats(sweep->fleet);
+}
+
 void actKill(Sweep *sweep)
 {
     FleetNode *node = sweepAny(sweep);
-    if (node->role == FLEET_CORE && seatsAlive(sweep) < 3 && sweepDraw(sweep, 3) != 0)
+    if (node->role == FLEET_CORE && seatsAlive(sweep) < sweep->fleet->shape.cores && sweepDraw(sweep, 3) != 0)
         return;
     sweepSay(sweep, "kill %s", node->props.name);
     fleetKill(sweep->fleet, node->role, node->number);
@@ -111,11 +117,11 @@
 void actDiskSpoilt(Sweep *sweep)
 {
     FleetNode *core = sweepNode(sweep, FLEET_CORE);
-    if (fleetSeats(sweep->fleet) < 3) /* the loss of one disk is survived, not of two */
+    if (seatsMissing(sweep) >= sweep->fleet->site.losses) /* so many disks may be lost, not one more */
         return;
     fleetPowerOff(sweep->fleet, FLEET_CORE, core->number);
     Bytes *journal = simDiskContent(sweep->fleet->world, core->machine, "data/journal");
-    const bool torn = sweepDraw(sweep, 2) == 0;
+    const bool torn = sweepDraw(sweep, 2) == 0 && !sweep->fleet->site.disksKeep;
     if (torn && journal->count > 600) {
         const size_t cut = 1 + (size_t)sweepDraw(sweep, 300);
         sweepSay(sweep, "%s loses the last %zu bytes", core->props.name, cut);
@@ -203,7 +209,7 @@
     Fleet *fleet = sweep->fleet;
     const int spare = fleet->shape.cores + (int)sweepDraw(sweep, (uint64_t)fleet->shape.spares);
     FleetNode *gone = fleetNode(fleet, FLEET_CORE, (int)sweepDraw(sweep, (uint64_t)fleet->shape.cores));
-    if (simAlive(fleet->world, fleet->nodes[FLEET_CORE][spare].machine) || fleetSeats(fleet) < 3)
+    if (simAlive(fleet->world, fleet->nodes[FLEET_CORE][spare].machine) || seatsMissing(sweep) >= fleet->site.losses)
         return;
     sweepSay(sweep, "%s is gone for good, empty %s comes", gone->props.name, fleet->nodes[FLEET_CORE][spare].props.name);
     fleetPowerOff(fleet, FLEET_CORE, gone->number);
--- a/packages/sim/tool/sweep.c
+++ b/packages/sim/tool/sweep.c
@@ -1,6 +1,6 @@
 /* Seeds of random failures, every never checked at each step.
  *
- *     spancart-sweep FIRST LAST [trentvale|atlas|varied] [-v] [--skip N,N,...]
+ *     spancart-sweep FIRST LAST [trentvale|atlas|varied] [plain|three|six|eight] [-v] [--skip N,N,...]
  *
  * Prints each seed that broke, and how. The same seed gives the same run. --skip
  * leaves out the failures of these numbers. scripts/sweep.py runs many at once. */
@@ -30,11 +30,13 @@
             props.loud = true;
         else if (strcmp(argv[i], "--skip") == 0 && i + 1 < argc)
             skipRead(&props, argv[++i]);
+        else if (sweepSiteOf(argv[i]) != SWEEP_SITES)
+            props.site = sweepSiteOf(argv[i]);
         else
             props.mix = mixOfWord(argv[i]);
     }
     if (argc < 3 || props.mix == MIX_COUNT) {
-        fprintf(stderr, "usage: spancart-sweep FIRST LAST [trentvale|atlas|varied] [-v] [--skip N,N,...]\n");
+        fprintf(stderr, "usage: spancart-sweep FIRST LAST [trentvale|atlas|varied] [plain|three|six|eight] [-v] [--skip N,N,...]\n");
         return 2;
     }
     const uint64_t first = strtoull(argv[1], NULL, 10), last = strtoull(argv[2], NULL, 10);
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -65,7 +65,9 @@
     Log *log;
     uint64_t verifiedIndex; /* entries known to be the holder's, under the promised epoch */
     uint64_t commitIndex, deliveredIndex;
-    int64_t clockBaseMs, clockAtMs;
+    int64_t clockBaseMs, clockAtMs; /* the log's clock, and our own when it was told */
+    int64_t clockLogMs;             /* the latest in the log: it never goes back behind that */
+    bool clockRuns; /* it was told, or it is ours: before that, our own time says nothing of it */
     bool compacting;
     bool mending; /* the whole journal is written again after a failure */
     /* the holder */
@@ -119,7 +121,11 @@
 /* Puts a snapshot in place of everything; false when it is not one. */
 Status viewLoad(View *view, const Record *snapshot);
 void viewWaitersEnd(View *view, Status status);
+/* An entry of the log was made then. */
 void viewClockTell(View *view, int64_t clockMs);
+/* The holder's clock is so now: ours must not run ahead of it, or what is due would
+ * be due early under us. */
+void viewClockSet(View *view, int64_t clockMs);
 
 /* Its writes fail: nothing may be promised or taken. */
 bool viewDiskFailed(const View *view);
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -229,6 +229,8 @@
         return STATUS_OTHER_HOLDER;
     }
     view->epoch = epoch;
+    if (!view->clockRuns) /* nobody's log has a time yet */
+        viewClockSet(view, view->clockBaseMs);
     if (newHolder)
         view->wonMs = loopNowMs(view->loop);
     view->holding = true;
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -252,7 +252,7 @@
         return STATUS_OTHER_DISK;
     const Status status = lockRenew(&view->lock, ask->epoch, ask->holder, loopNowMs(view->loop));
     if (status == STATUS_OK) {
-        viewClockTell(view, ask->clockMs);
+        viewClockSet(view, ask->clockMs);
         membersSetLeader(view->props.members, ask->epoch, ask->holderId);
         const uint64_t commit = ask->commitIndex < view->verifiedIndex ? ask->commitIndex : view->verifiedIndex;
         if (commit > view->commitIndex)
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -11,7 +11,6 @@
     view->props = *props;
     view->loop = props->loop;
     view->log = logNew(view);
-    view->clockAtMs = loopNowMs(view->loop);
     seatsFirst(view);
     return view;
 }
@@ -84,15 +83,22 @@
 
 int64_t viewClockMs(const View *view)
 {
-    return view->clockBaseMs + (loopNowMs(view->loop) - view->clockAtMs);
+    return view->clockRuns ? view->clockBaseMs + (loopNowMs(view->loop) - view->clockAtMs) : view->clockBaseMs;
 }
 
 void viewClockTell(View *view, int64_t clockMs)
 {
-    if (clockMs <= viewClockMs(view))
-        return;
-    view->clockBaseMs = clockMs;
+    if (clockMs > view->clockLogMs)
+        view->clockLogMs = clockMs;
+    if (clockMs > viewClockMs(view) || !view->clockRuns)
+        viewClockSet(view, clockMs);
+}
+
+void viewClockSet(View *view, int64_t clockMs)
+{
+    view->clockBaseMs = clockMs > view->clockLogMs ? clockMs : view->clockLogMs;
     view->clockAtMs = loopNowMs(view->loop);
+    view->clockRuns = true;
 }
 
 int64_t viewWallMs(const View *view)
--- a/scripts/sweep.py
+++ b/scripts/sweep.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs many seeds of random failures on all CPUs.
 
-  sweep.py FIRST LAST [--mix trentvale|atlas|varied|all] [--jobs N] [--shrink]
+  sweep.py FIRST LAST [--mix trentvale|atlas|varied|all] [--site plain|three|six|eight] [--jobs N] [--shrink]
 
 Prints each seed that broke with the never and how; with --shrink, the drawn
 timeline too, after leaving out every failure that the break does not need.
@@ -19,8 +19,11 @@
 TOOL = os.path.join(HERE, "..", "build", "spancart-sweep")
 
 
+SITE = ["plain"]
+
+
 def one(seed, mix, skip=(), loud=False):
-    args = [TOOL, str(seed), str(seed), mix] + (["-v"] if loud else [])
+    args = [TOOL, str(seed), str(seed), mix, SITE[0]] + (["-v"] if loud else [])
     if skip:
         args += ["--skip", ",".join(map(str, sorted(skip)))]
     got = subprocess.run(args, capture_output=True, text=True, errors="replace", check=False)
@@ -55,9 +58,11 @@
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
     parser.add_argument("--mix", choices=["trentvale", "atlas", "varied", "all"], default="all")
+    parser.add_argument("--site", choices=["plain", "three", "six", "eight"], default="plain")
     parser.add_argument("--jobs", type=int, default=os.cpu_count())
     parser.add_argument("--shrink", action="store_true")
     options = parser.parse_args()
+    SITE[0] = options.site
     mixes = ["trentvale", "atlas", "varied"] if options.mix == "all" else [options.mix]
     work = [(seed, mixes[seed % len(mixes)]) for seed in range(options.first, options.last + 1)]
     count, broken, nevers = collections.Counter(), [], collections.Counter()
