An end on its way to a leader that has gone dark is told to the next one at once

Cause: a telling waited its whole 5 s for the answer of a leader whose machine went dark, and only then went to the next: every end of those seconds, and the room it frees, stood still long after another led. A telling is now left as soon as another leader is known; told twice it is the same news.

--- a/packages/agent/src/beat.c
+++ b/packages/agent/src/beat.c
@@ -178,11 +178,17 @@
 static void beatMain(void *arg)
 {
     Agent *agent = arg;
+    char last[ADDRESS_MAX] = "";
     while (!loopStopping(agent->loop)) {
         const int64_t nowMs = loopNowMs(agent->loop);
         char address[ADDRESS_MAX];
         int64_t dueMs = nowMs + BEAT_MS;
-        if (leaderAddress(agent, address) && beatDue(agent, address, nowMs, &dueMs))
+        const bool known = leaderAddress(agent, address);
+        if (known && strcmp(address, last) != 0) {
+            snprintf(last, sizeof(last), "%s", address);
+            signalRaise(agent->loop, &agent->toTell); /* what the last one has not answered is told to this one */
+        }
+        if (known && beatDue(agent, address, nowMs, &dueMs))
             beatSend(agent, address);
         else
             signalWait(agent->loop, membersLeaderSignal(agent->members), dueMs);
--- a/packages/agent/src/tell.c
+++ b/packages/agent/src/tell.c
@@ -1,4 +1,5 @@
 /* What rounds came to, told until it is committed; and told again in a repair. */
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -41,29 +42,77 @@
         beatNow(agent);
 }
 
+/* One on its way. Freed by whoever ends last. */
+typedef struct Telling {
+    Agent *agent;
+    size_t users;
+    TellAsk ask;
+    char address[ADDRESS_MAX];
+    bool over;
+    Status status;
+} Telling;
+
+static void tellingLeave(Telling *telling)
+{
+    if (--telling->users == 0)
+        talloc_free(telling);
+}
+
+static void askMain(void *arg)
+{
+    Telling *telling = arg;
+    Agent *agent = telling->agent;
+    TellAnswer answer = {0};
+    telling->status = courierAsk(agent->courier, telling, telling->address, MESSAGE_TELL, &TellAskShape, &telling->ask,
+                                 SUBMIT_EXPIRY_MS, &TellAnswerShape, &answer);
+    if (telling->status == STATUS_OK)
+        told(agent, &telling->ask);
+    telling->over = true;
+    signalRaise(agent->loop, &agent->toTell);
+    tellingLeave(telling);
+}
+
+/* Waits until it is answered, or somebody else leads: a leader that has gone dark is not
+ * waited for to the end. */
+static Status tellOnce(Agent *agent, Telling *telling)
+{
+    telling->ask.number = ++agent->number;
+    telling->users++;
+    loopSpawn(agent->loop, "telling", askMain, telling);
+    while (!telling->over) {
+        char address[ADDRESS_MAX];
+        if (leaderAddress(agent, address) && strcmp(address, telling->address) != 0)
+            return STATUS_NOT_LEADER;
+        /* a beat that finds another leader raises this too */
+        signalWait(agent->loop, &agent->toTell, loopNowMs(agent->loop) + BEAT_MS);
+    }
+    return telling->status;
+}
+
 static void tellMain(void *arg)
 {
     Agent *agent = arg;
     while (!loopStopping(agent->loop)) {
-        void *mem = talloc_new(agent);
-        TellAsk ask = {.agent = agent->workerName, .incarnation = agent->incarnation};
-        char address[ADDRESS_MAX];
-        if (newsGather(agent, mem, &ask) == 0) {
-            talloc_free(mem);
+        Telling *telling = talloc_zero(agent, Telling);
+        telling->agent = agent;
+        telling->users = 1;
+        telling->ask = (TellAsk){.agent = agent->workerName, .incarnation = agent->incarnation};
+        if (newsGather(agent, telling, &telling->ask) == 0) {
+            tellingLeave(telling);
             signalWait(agent->loop, &agent->toTell, loopNowMs(agent->loop) + BEAT_MS * 4);
             continue;
         }
+        char old[ADDRESS_MAX];
         Status status = STATUS_NO_LEADER;
-        if (leaderAddress(agent, address)) {
-            ask.number = ++agent->number;
-            TellAnswer answer = {0};
-            status = courierAsk(agent->courier, mem, address, MESSAGE_TELL, &TellAskShape, &ask, SUBMIT_EXPIRY_MS,
-                                &TellAnswerShape, &answer);
-            if (status == STATUS_OK)
-                told(agent, &ask);
-        }
-        talloc_free(mem);
-        if (status != STATUS_OK) /* told again until it is committed */
+        if (leaderAddress(agent, telling->address))
+            status = tellOnce(agent, telling);
+        snprintf(old, sizeof(old), "%s", telling->address);
+        tellingLeave(telling);
+        if (status == STATUS_OK)
+            continue;
+        /* told again until it is committed; to another leader at once */
+        char address[ADDRESS_MAX];
+        if (!leaderAddress(agent, address) || strcmp(address, old) == 0)
             loopSleep(agent->loop, BEAT_MS / 5);
     }
 }
--- a/packages/agent/test/agent.c
+++ b/packages/agent/test/agent.c
@@ -15,11 +15,13 @@
 #include "sim/world.h"
 
 #define BOSS "10.0.0.1:7000"
+#define OTHER "10.0.0.3:7000"
 #define EPOCH(counter) ((uint64_t)(counter) << EPOCH_HOLDER_BITS | 1)
 #define LISTED 600 /* count; more than a worker lists at once */
 
 /* A leader of the case's making, and all that the agent told it. */
 typedef struct Boss {
+    const char *id, *address;
     Loop *loop;
     Courier *courier;
     Members *members;
@@ -40,8 +42,8 @@
 
 typedef struct Case {
     SimWorld *world;
-    Boss boss;
-    int bossMachine, agentMachine;
+    Boss boss, other; /* the other leads when the case says so */
+    int bossMachine, agentMachine, otherMachine;
     Props props;
     Agent *agent;
     Worker worker;
@@ -93,9 +95,8 @@
 
 static void bossStart(void *arg, Loop *loop)
 {
-    Case *c = arg;
-    Boss *boss = &c->boss;
-    Ring *ring = ringNew(loop, "boss");
+    Boss *boss = arg;
+    Ring *ring = ringNew(loop, boss->id);
     ringQuiet(ring);
     boss->loop = loop;
     boss->courier = courierNew(loop, loop, ring);
@@ -103,13 +104,19 @@
     courierHandle(boss->courier, MESSAGE_BEAT, &BeatAskShape, &BeatAnswerShape, onBeat, boss);
     courierHandle(boss->courier, MESSAGE_TELL, &TellAskShape, &TellAnswerShape, onTell, boss);
     char address[ADDRESS_MAX];
-    courierListen(boss->courier, BOSS, address, NULL);
-    const MemberRecord self = {
-        .id = "boss", .name = "boss", .role = ROLE_CORE, .zone = "z", .address = BOSS, .http = "", .incarnation = 1};
-    const char *const seeds[SEEDS] = {BOSS, BOSS, BOSS};
+    courierListen(boss->courier, boss->address, address, NULL);
+    const MemberRecord self = {.id = boss->id,
+                               .name = boss->id,
+                               .role = ROLE_CORE,
+                               .zone = "z",
+                               .address = boss->address,
+                               .http = "",
+                               .incarnation = 1};
+    const char *const seeds[SEEDS] = {BOSS, OTHER, BOSS};
     boss->members = membersNew(loop, loop, boss->courier, ring, &self, seeds);
     membersStart(boss->members);
-    membersSetLeader(boss->members, boss->epoch, "boss");
+    if (boss->epoch != 0)
+        membersSetLeader(boss->members, boss->epoch, boss->id);
 }
 
 static void agentBoot(void *arg)
@@ -138,20 +145,21 @@
     c->world = simWorldNew(c, 1);
     c->bossMachine = simMachine(c->world);
     c->agentMachine = simMachine(c->world);
-    c->boss.epoch = EPOCH(5);
-    c->boss.holdMs = holdMs;
-    c->boss.commits = true;
+    c->otherMachine = simMachine(c->world);
+    c->boss = (Boss){.id = "boss", .address = BOSS, .epoch = EPOCH(5), .holdMs = holdMs, .commits = true};
+    c->other = (Boss){.id = "other", .address = OTHER, .holdMs = holdMs, .commits = true};
     c->props = (Props){.name = "a1",
                        .worker = "w1",
                        .zone = "z",
                        .listen = "10.0.0.2:7000",
                        .http = "10.0.0.2:8000",
-                       .seeds = {BOSS, BOSS, BOSS},
+                       .seeds = {BOSS, OTHER, BOSS},
                        .bounds = boundsFirst()};
     c->props.bounds.holdMs = holdMs;
     c->props.bounds.workerHoldMs = workerHoldMs;
     c->worker = (Worker){.name = "", .zone = "z", .rack = "r", .kind = "k", .room = {8000, 8000, 0}};
-    simStart(c->world, c->bossMachine, bossStart, c);
+    simStart(c->world, c->bossMachine, bossStart, &c->boss);
+    simStart(c->world, c->otherMachine, bossStart, &c->other);
     simStart(c->world, c->agentMachine, agentBegin, c);
     run(c, 2000);
     assert_non_null(c->agent);
@@ -459,6 +467,26 @@
     talloc_free(c);
 }
 
+/* A leader that goes dark with an end on its way to it. */
+static void endIsToldToTheNextLeaderAtOnce(void **state)
+{
+    (void)state;
+    Case *c = caseNew(8000, 8000);
+    sayAll(say(c, "b1"));
+    c->boss.commits = false;
+    const RoundNews ended[] = {news("j", 0, 1, ROUND_DONE, "")};
+    saying(c, "b1", NULL, 0, ended, 1);
+    assert_int_equal(told(&c->boss, "j", 0, 1, ROUND_DONE), 1);
+    simPowerOff(c->world, c->bossMachine);
+    run(c, 500);
+    c->other.epoch = EPOCH(6);
+    membersSetLeader(c->other.members, c->other.epoch, "other");
+    run(c, 1000); /* a hello's turn; the question to the dark one would be given up after five seconds */
+    assert_int_equal(told(&c->other, "j", 0, 1, ROUND_DONE), 1);
+    assert_int_equal(saying(c, "b1", NULL, 0, ended, 1)->orders.knownCount, 1);
+    talloc_free(c);
+}
+
 static void endIsKnownOnlyWhenCommitted(void **state)
 {
     (void)state;
@@ -702,6 +730,7 @@
         cmocka_unit_test(leavingWorkerIsGivenNothing),
         cmocka_unit_test(leftWorkerIsOver),
         cmocka_unit_test(savedTravelsOnceAndAgainToANewLeader),
+        cmocka_unit_test(endIsToldToTheNextLeaderAtOnce),
         cmocka_unit_test(endIsKnownOnlyWhenCommitted),
         cmocka_unit_test(fiveHundredEndsAtOnce),
         cmocka_unit_test(fenceNeverFalls),
