A request's body has more time than its head

Cause: what had come in and was not yet a request counted as an unfinished head, also a body under way: one that took longer than headMs was cut. Seen to fail first (testSlowBody).

--- a/packages/loop/src/realserve.c
+++ b/packages/loop/src/realserve.c
@@ -25,8 +25,7 @@
     Door *door;
     h2o_socket_t *sock;
     Served *served;
-    size_t begunAt;  /* bytes read when a head was first seen unfinished; 0: none is */
-    int64_t begunMs;
+    int64_t begunMs; /* when a head was first seen unfinished; 0: none is */
 } Visit;
 
 /* Ties an h2o request to our task. The watch lives on the request's pool and
@@ -164,7 +163,7 @@
     h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
     Visit *visit = sock->on_close.data;
     RealLoop *real = visit->door->real;
-    visit->begunAt = 0;
+    visit->begunMs = 0;
     if (headBytes(req) > real->limits.headBytes) {
         refuse(real, req, STATUS_HEAD_LARGE, "the head of this request is too large");
         return 0;
@@ -232,6 +231,13 @@
     }
 }
 
+/* Something of a head has come, but not all of it. */
+static bool headBegun(const Visit *visit)
+{
+    const h2o_buffer_t *input = visit->sock->input;
+    return visit->served == NULL && input->size > 0 && memmem(input->bytes, input->size, "\r\n\r\n", 4) == NULL;
+}
+
 /* h2o counts one span from the end of a request to the whole head of the next.
  * A head that has begun has a shorter one. */
 void realServeSweep(RealLoop *real)
@@ -241,10 +247,9 @@
         return;
     real->sweptMs = nowMs;
     for (Visit *visit = real->visits; visit != NULL; visit = visit->next) {
-        if (visit->served != NULL || visit->sock->input->size == 0) {
-            visit->begunAt = 0;
-        } else if (visit->begunAt == 0) {
-            visit->begunAt = visit->sock->bytes_read;
+        if (!headBegun(visit)) {
+            visit->begunMs = 0;
+        } else if (visit->begunMs == 0) {
             visit->begunMs = nowMs;
         } else if (nowMs - visit->begunMs > real->limits.headMs) {
             shutdown(h2o_socket_get_fd(visit->sock), SHUT_RDWR); /* h2o reads the end and closes it */
--- a/packages/loop/test/http.c
+++ b/packages/loop/test/http.c
@@ -271,6 +271,18 @@
     close(idle);
 }
 
+/* A body has more time than a head. */
+static void slowBody(Stage *stage)
+{
+    const int body = dial(stage->first), half = dial(stage->first);
+    put(body, "POST /slow HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhe");
+    put(half, "GET / HT");
+    assert_true(ended(half));
+    asked(body, "llo", "200", "body=5");
+    close(body);
+    close(half);
+}
+
 /* A caller who leaves is seen; one who reads slowly keeps nobody else waiting. */
 static void callers(Stage *stage)
 {
@@ -360,6 +372,12 @@
     play(patience, (HttpLimits){.headMs = 50, .idleMs = 100});
 }
 
+static void testSlowBody(void **state)
+{
+    (void)state;
+    play(slowBody, (HttpLimits){.headMs = 50});
+}
+
 static void testCallers(void **state)
 {
     (void)state;
@@ -378,6 +396,7 @@
         cmocka_unit_test(testTwoAddresses), cmocka_unit_test(testPipelined), cmocka_unit_test(testBroken),
         cmocka_unit_test(testTooLarge),     cmocka_unit_test(testPatience),  cmocka_unit_test(testCallers),
         cmocka_unit_test(testLeaving),      cmocka_unit_test(testHups),
+        cmocka_unit_test(testSlowBody),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
