A worker that says again what it is keeps its name for the checkers: claims of its last life are found

Cause: checkers compare names by address; a worker record read anew in a replay gave the worker another, so that the claims of the process before it were not dropped at its new boot. Seen in a run of real processes as a restart "3 ms before worker4's claim lapses" by worker4 itself.

--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -107,7 +107,9 @@
 void checkerWorker(Checker *checker, const Worker *worker)
 {
     SeenWorker *seen = seenWorker(checker, worker->name);
+    const char *name = seen->worker.name;
     shapeCopy(&WorkerShape, worker, seen, &seen->worker);
+    seen->worker.name = name; /* runs and claims point at it */
 }
 
 /* An epoch below the highest that planned may plan only if it is new and the
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -152,6 +152,10 @@
     c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
     checkerBooted(c, "w1"), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c); /* a new boot */
     c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
+    const Worker again = {.name = "w1", .zone = "z", .rack = "", .kind = "std", .room = {2000, 100, 0}};
+    checkerWorker(c, &again); /* ... that says what it is */
+    checkerBooted(c, "w1"), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c);
+    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
     nowMs += 2900, checkerStarted(c, "w2", "x", 0, 2, ONE), only(c, NEVER_EARLY_RESTART);
     c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE);
     checkerEnded(c, "w1", "x", 0, 1, ROUND_FAILED), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c);
