A new leader's first word of a round is no word of standing still

Cause: to a new leader each round's first word, whatever it had done, counted as no progress since the round's start; as soon as 16 words of progress had been heard (some tenths of a second) sound rounds were stopped and their worker rested for 10 s. Excluded: stale words of the agent (each names when it was taken). Test: newLeaderHears fails before (10 of 12 done, the others begun anew), passes after.

--- a/packages/core/src/pace.c
+++ b/packages/core/src/pace.c
@@ -112,8 +112,10 @@
     if (goesOn && pacesCredible(paces))
         workerTake(core, worker, told, more, spanMs);
     pace->perMs = goesOn && spanMs > 0 ? more / (double)spanMs : 0;
+    /* the first word that this leader hears says nothing of when the last step was made,
+     * unless none has been */
     if (!goesOn || more > 0)
-        pace->stillMs = goesOn ? told->percentMs : 0;
+        pace->stillMs = goesOn || told->percent > 0 ? told->percentMs : 0;
     pace->percent = told->percent;
     pace->ranMs = told->percentMs;
     pace->toldMs = loopNowMs(core->loop);
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -116,6 +116,27 @@
     end(fleet);
 }
 
+/* The first word of a round that a new leader hears says that it has come so far, not
+ * that it has stood there since it began. */
+static void newLeaderHears(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(16);
+    hand(fleet, "a", "bulk",
+         "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":6,\"memMb\":64},\"estMs\":14000,\"payload\":{\"runMs\":14000}}");
+    fleetRun(fleet, 5000);
+    hand(fleet, "short", "bulk", /* whose progress makes words of none credible at once */
+         "{\"name\":\"a\",\"count\":36,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":9000,\"payload\":{\"runMs\":9000}}");
+    fleetRun(fleet, 500);
+    fleetKill(fleet, FLEET_CORE, fleetLeader(fleet));
+    fleetRun(fleet, 13000);
+    assert_int_equal(inPhase(fleet, "a", TASK_DONE), 12);
+    const Job *job = fleetJob(fleet, "a");
+    for (size_t i = 0; i < job->tasksCount; i++)
+        assert_int_equal(job->tasks[i].round, 1);
+    end(fleet);
+}
+
 /* No more of a step on one worker than it allows, gone or not; the others wait. */
 static void apartAlways(void **state)
 {
@@ -238,6 +259,7 @@
         cmocka_unit_test(standsStill),
         cmocka_unit_test(tooSlow),
         cmocka_unit_test(longerThanSaid),
+        cmocka_unit_test(newLeaderHears),
         cmocka_unit_test(apartAlways),
         cmocka_unit_test(racks),
         cmocka_unit_test(urgentPushes),
