A gate that stands still costs the leader's own callers 100 ms once, not 400 ms each time

Cause: what came in at a core's own address waited for the first gate of the table, 400 ms for each job while that one stood still. The gate that kept the last thing is asked first, and 100 ms are waited for; a verdict leaves 20 ms before nobody waits for it any more.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -84,6 +84,7 @@
 #define WOKEN_WAIT_MS 3000     /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, and the steps after it must end within 12 s */
 #define REPAIR_MS 1500         /* ms; those who were told first have this long to tell again */
 #define REPAIR_HEAR_MS (LINE_MISSES * ASK_EXPIRY_MS + 2 * HELLO_MS) /* ms; a process that has just started asks nobody before: a line to its last life is given up and opened anew within this */
+#define KEEP_ASK_MS 100        /* ms; a gate that lives keeps at once; a caller waits for it meanwhile */
 #define KEEPER_BYTES_MAX (4 * 1024 * 1024) /* bytes; of what one node keeps for repair: some 5,000 jobs; memory is priced */
 #define REPAIR_KEEP_MS 120000  /* ms; how long gates and agents keep what they were told, for repair */
 #define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose for this long */
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -7,23 +7,6 @@
 #include "alerts.h"
 #include "way.h"
 
-/* What came in here is known here only and on the disks: before it is answered,
- * one diskless node keeps it too. */
-static void keepElsewhere(Core *core, void *mem, const KeepList *keeps)
-{
-    const MemberTable *table = membersTable(core->members);
-    char addresses[4][ADDRESS_MAX];
-    size_t count = 0;
-    for (size_t i = 0; i < table->count && count < 4; i++)
-        if (table->rows[i].record.role == ROLE_GATE && !memberQuiet(&table->rows[i], loopNowMs(core->loop)))
-            snprintf(addresses[count++], ADDRESS_MAX, "%s", table->rows[i].record.address);
-    Nothing answer = {0};
-    for (size_t i = 0; i < count; i++)
-        if (courierAsk(core->courier, mem, addresses[i], MESSAGE_KEEP, &KeepListShape, keeps, ASK_EXPIRY_MS / 2,
-                       &NothingShape, &answer) == STATUS_OK)
-            return;
-}
-
 static void metrics(Core *core, HttpTask *task)
 {
     ViewSight sight;
@@ -116,7 +99,7 @@
     Core *core = arg;
     leadServe(core, mem, ask, answer);
     if (answer->keepsCount > 0 && core->props->bounds.retellMs > 0)
-        keepElsewhere(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
+        elsewhereKeep(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
 }
 
 static Status onProxy(void *arg, void *mem, const void *question, void *answer)
--- /dev/null
+++ b/packages/core/src/elsewhere.c
@@ -0,0 +1,41 @@
+/* What came in at a core's own address is known there only and on the disks: before it
+ * is answered, one diskless node keeps it too. */
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "way.h"
+
+#define ELSEWHERE_MOST 3 /* count; gates tried, one after the other */
+
+static bool askOne(Core *core, void *mem, const char *address, const KeepList *keeps)
+{
+    Nothing answer = {0};
+    return courierAsk(core->courier, mem, address, MESSAGE_KEEP, &KeepListShape, keeps, KEEP_ASK_MS, &NothingShape,
+                      &answer) == STATUS_OK;
+}
+
+void elsewhereKeep(Core *core, void *mem, const KeepList *keeps)
+{
+    const MemberTable *table = membersTable(core->members);
+    char addresses[ELSEWHERE_MOST][ADDRESS_MAX];
+    size_t count = 0;
+    for (size_t i = 0; i < table->count; i++) {
+        const Member *row = &table->rows[i];
+        if (row->record.role != ROLE_GATE || row->record.leaving || memberQuiet(row, loopNowMs(core->loop)))
+            continue;
+        const bool last = strcmp(row->record.address, core->keptAt) == 0;
+        if (count == ELSEWHERE_MOST && !last)
+            continue;
+        /* the one that kept the last thing first: one that does not answer costs its wait once */
+        if (last && count > 0)
+            memcpy(addresses[count < ELSEWHERE_MOST ? count : ELSEWHERE_MOST - 1], addresses[0], ADDRESS_MAX);
+        snprintf(addresses[last ? 0 : count], ADDRESS_MAX, "%s", row->record.address);
+        count += count < ELSEWHERE_MOST;
+    }
+    for (size_t i = 0; i < count; i++)
+        if (askOne(core, mem, addresses[i], keeps)) {
+            snprintf(core->keptAt, ADDRESS_MAX, "%s", addresses[i]);
+            return;
+        }
+}
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -52,6 +52,7 @@
     View *view;
     Table *table;
     Keeper *keeper;
+    char keptAt[ADDRESS_MAX]; /* the gate that last kept for this core what came in at its own address */
     Proxy *proxy;
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
--- a/packages/core/src/way.h
+++ b/packages/core/src/way.h
@@ -34,6 +34,9 @@
 /* What a queue's jobs are accepted under; null: nothing in particular. */
 JobTerms jobTerms(const ConfigQueue *queue);
 
+/* Waits. Another node keeps them too, if one answers. */
+void elsewhereKeep(Core *core, void *mem, const KeepList *keeps);
+
 void jobPost(Way *way);
 void jobGet(Way *way);
 void jobCancel(Way *way);
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -6,6 +6,7 @@
 #include "api/show.h"
 #include "carry.h"
 
+#define PROXY_BACK_MS 20 /* ms; the verdict's way back to the caller */
 #define PROXY_ROUNDS 8 /* count; so many leaders or ways, one after the other, for one request */
 
 /* A request that may be given to a leader again though an earlier one may have
@@ -76,8 +77,8 @@
     Loop *loop = proxy->props.loop;
     const int64_t startMs = loopNowMs(loop);
     int64_t untilMs = startMs + PROXY_EXPIRY_MS;
-    if (task->expiryMs != 0 && task->expiryMs < untilMs)
-        untilMs = task->expiryMs;
+    if (task->expiryMs != 0 && task->expiryMs - PROXY_BACK_MS < untilMs)
+        untilMs = task->expiryMs - PROXY_BACK_MS;
     ProxyAsk ask = {.method = task->method,
                     .path = task->path,
                     .query = task->query,
--- a/packages/sim/test/ways.c
+++ b/packages/sim/test/ways.c
@@ -160,6 +160,26 @@
     end(fleet);
 }
 
+/* A gate that stands still costs the leader's own callers its wait once, not each time. */
+static void keptElsewhere(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(37);
+    fleetFreeze(fleet, FLEET_GATE, 0, 3000);
+    int slow = 0;
+    for (int i = 0; i < 20; i++) {
+        int64_t tookMs;
+        char *id = talloc_asprintf(fleet, "own-%d", i);
+        const HttpTask *task =
+            hand(fleet, FLEET_CORE, fleetLeader(fleet), "POST", "/v1/jobs", jobOf(fleet, id), 3000, &tookMs);
+        assert_int_equal(task->code, 201);
+        assert_true(tookMs < KEEP_ASK_MS + 100);
+        slow += tookMs >= KEEP_ASK_MS;
+    }
+    assert_true(slow <= 1);
+    end(fleet);
+}
+
 /* --- readiness ------------------------------------------------------------------------- */
 
 static int readyCount(Fleet *fleet)
@@ -343,7 +363,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(expiryKept), cmocka_unit_test(refusedAtOnce), cmocka_unit_test(slowIsWaitedFor),
         cmocka_unit_test(otherWays),  cmocka_unit_test(readiness),     cmocka_unit_test(leaving),
-        cmocka_unit_test(keepsBounded),
+        cmocka_unit_test(keepsBounded), cmocka_unit_test(keptElsewhere),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
