A worker that returns while another's loss is committed is not called lost any more

Cause: lostFind looks which workers' holds have lapsed, then commits their losses one after the other, 15 to 25 ms each. A worker of that list that beats meanwhile is told its orders (a round placed, never heard to run), and is then called lost by what was seen before: the round starts on it and, as the next round, on another. Now each is looked at again when its turn comes. The model takes a script of troubles (--script KIND@AT+FOR=WHOM,..), so that a failure can be brought about by hand.

--- a/packages/core/src/silent.c
+++ b/packages/core/src/silent.c
@@ -6,21 +6,27 @@
 #include "base/map.h"
 #include "pass.h"
 
+/* Whether the worker may hold nothing any more, and its loss is not yet decided. */
+static bool lapsed(const Core *core, const char *worker)
+{
+    const LiveRow *row = livesetFind(core->liveset, worker);
+    /* a worker never heard of by this leader: its first hold counts */
+    const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
+    return loopNowMs(core->loop) > untilMs && (row == NULL || !row->losing);
+}
+
 void lostFind(Core *core, void *mem)
 {
-    const int64_t nowMs = loopNowMs(core->loop);
     Map *lost = mapNew(mem);
     const char *worker;
-    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++) {
-        const LiveRow *row = livesetFind(core->liveset, worker);
-        /* a worker never heard of by this leader: its first hold counts */
-        const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
-        if (nowMs > untilMs && (row == NULL || !row->losing))
+    for (size_t i = 0; (worker = tableBusy(core->table, i)) != NULL; i++)
+        if (lapsed(core, worker))
             mapSet(lost, worker, core);
-    }
     const char **names;
     const size_t lostCount = mapKeys(lost, mem, &names);
     for (size_t i = 0; i < lostCount && coreDecides(core); i++) {
+        if (!lapsed(core, names[i]))
+            continue; /* back while the loss of another was committed: what it was told since stands */
         const WorkerLost change = {names[i], UINT64_MAX};
         /* it may come back before this is committed: then no order of the state
          * before may reach it any more */
--- a/packages/model/include/model/model.h
+++ b/packages/model/include/model/model.h
@@ -23,6 +23,8 @@
     bool wrongClocks;                /* the leader's clock runs too slow, others' too fast, which none does in truth */
     Closing closing;
     const char *only;                /* only troubles of this kind; null: all */
+    const char *script;              /* these instead of drawn ones: KIND@AT+FOR=WHOM,..; null: drawn. WHOM: a machine, a
+                                        zone, leader; left out: drawn */
     bool skipped[DAY_TROUBLES_MAX];  /* leaves these out */
 } DayProps;
 
@@ -32,7 +34,7 @@
     size_t timely, late;   /* of jobs that could be done: within the aim, within thrice */
     size_t owed;
     size_t orders;
-    char troubles[DAY_TROUBLES_MAX][48]; /* what was drawn, with its time */
+    char troubles[DAY_TROUBLES_MAX][64]; /* what was drawn, with its time, as a script has it */
     size_t troubleCount;
 } DayResult;
 
--- a/packages/model/src/day.c
+++ b/packages/model/src/day.c
@@ -91,13 +91,34 @@
             one->kind = TROUBLE_COUNT;
             continue;
         }
-        snprintf(result->troubles[i], sizeof(result->troubles[i]), "%zu:%s@%" PRId64 "+%" PRId64, i, troubleName(one->kind),
-                 one->atMs, one->forMs);
+        snprintf(result->troubles[i], sizeof(result->troubles[i]), "%s@%" PRId64 "+%" PRId64, troubleName(one->kind), one->atMs,
+                 one->forMs);
     }
     result->troubleCount = props->troubles;
     return props->troubles;
 }
 
+/* KIND@AT+FOR=WHOM,... */
+static size_t troublesRead(Day *day, const DayProps *props, Trouble *list, DayResult *result)
+{
+    size_t count = 0;
+    char *text = talloc_strdup(day, props->script), *save = NULL;
+    for (char *one = strtok_r(text, ",", &save); one != NULL && count < DAY_TROUBLES_MAX; one = strtok_r(NULL, ",", &save)) {
+        Trouble *trouble = &list[count];
+        char kind[24] = "";
+        *trouble = (Trouble){.day = day, .dice = diceOf(props->seed, "strike", count)};
+        const int got = sscanf(one, "%23[a-zA-Z]@%" SCNd64 "+%" SCNd64 "=%15s", kind, &trouble->atMs, &trouble->forMs, trouble->whom);
+        trouble->kind = got >= 3 ? troubleOf(kind) : TROUBLE_COUNT;
+        if (trouble->kind == TROUBLE_COUNT || props->skipped[count])
+            trouble->kind = TROUBLE_COUNT;
+        snprintf(result->troubles[count], sizeof(result->troubles[count]), "%s%s", one,
+                 trouble->kind == TROUBLE_COUNT ? "(not understood, or left out)" : "");
+        count++;
+    }
+    result->troubleCount = count;
+    return count;
+}
+
 static void dayFor(const Day *day, int64_t forMs)
 {
     simRunUntil(day->ground->world, groundNowMs(day->ground) + forMs);
@@ -190,7 +211,8 @@
     simAt(ground->world, groundNowMs(ground) + 1000, operatorBegin, day);
     simAt(ground->world, ground->beganMs, callersBegin, day);
     Trouble *troubles = talloc_zero_array(mem, Trouble, DAY_TROUBLES_MAX);
-    const size_t count = troublesDraw(day, props, troubles, result);
+    const size_t count = props->script != NULL ? troublesRead(day, props, troubles, result)
+                                               : troublesDraw(day, props, troubles, result);
     for (size_t i = 0; i < count; i++)
         if (troubles[i].kind != TROUBLE_COUNT) {
             simAt(ground->world, ground->beganMs + troubles[i].atMs, begin, &troubles[i]);
--- a/packages/model/src/trouble.c
+++ b/packages/model/src/trouble.c
@@ -45,11 +45,25 @@
 
 /* --- whom it strikes -------------------------------------------------------------------------- */
 
+/* The machine that the script names; null: none. */
+static GroundNode *nodeNamed(const Trouble *trouble)
+{
+    Ground *ground = trouble->day->ground;
+    if (strcmp(trouble->whom, "leader") == 0)
+        return groundLeader(ground);
+    for (size_t i = 0; i < ground->edgeCount; i++)
+        if (strcmp(ground->edges[i].name, trouble->whom) == 0)
+            return &ground->edges[i];
+    return NULL;
+}
+
 /* Half of the time the one that leads. */
 static GroundNode *coreDraw(Trouble *trouble)
 {
     Ground *ground = trouble->day->ground;
     GroundNode *leader = groundLeader(ground);
+    if (trouble->whom[0] != '\0')
+        return nodeNamed(trouble);
     if (leader != NULL && dicePercent(&trouble->dice, 50))
         return leader;
     GroundNode *cores[EDGES_MAX];
@@ -65,6 +79,8 @@
     Ground *ground = trouble->day->ground;
     GroundNode *gates[EDGES_MAX];
     int64_t count = 0;
+    if (trouble->whom[0] != '\0')
+        return nodeNamed(trouble);
     for (size_t i = 0; i < ground->edgeCount; i++)
         if (!ground->edges[i].disk && ground->edges[i].up)
             gates[count++] = &ground->edges[i];
@@ -77,10 +93,26 @@
         trouble->nodes[trouble->count++] = node;
 }
 
+static const char *zoneDraw(Trouble *trouble)
+{
+    const int64_t zones = trouble->day->ground->site->zones;
+    for (int64_t i = 0; i < zones; i++)
+        if (strcmp(siteZone(i), trouble->whom) == 0)
+            return siteZone(i);
+    return siteZone(diceSpan(&trouble->dice, 0, zones - 1));
+}
+
 /* Up to a fifth of the workers, with their machines. */
 static void handsDraw(Trouble *trouble)
 {
     Hands *hands = trouble->day->hands;
+    for (size_t i = 0; i < hands->count && trouble->whom[0] != '\0'; i++)
+        if (strcmp(hands->list[i].side->name, trouble->whom) == 0) {
+            trouble->struck[trouble->count] = &hands->list[i];
+            trouble->nodes[trouble->count++] = hands->list[i].side;
+        }
+    if (trouble->whom[0] != '\0')
+        return;
     const int64_t most = (int64_t)hands->count / 5 > 1 ? (int64_t)hands->count / 5 : 1;
     const int64_t wanted = diceSpan(&trouble->dice, 1, most);
     size_t up = 0;
@@ -158,7 +190,7 @@
 static void zoneOff(Trouble *trouble)
 {
     Day *day = trouble->day;
-    trouble->zone = siteZone(diceSpan(&trouble->dice, 0, day->ground->site->zones - 1));
+    trouble->zone = zoneDraw(trouble);
     for (size_t i = 0; i < day->ground->edgeCount; i++) {
         GroundNode *node = &day->ground->edges[i];
         if (node->up && strcmp(node->zone, trouble->zone) == 0) {
@@ -269,7 +301,7 @@
     case TROUBLE_spoilt: operatorSpoilt(day->operator); break;
     case TROUBLE_big: operatorBig(day->operator); break;
     case TROUBLE_zoneDrain:
-        trouble->zone = siteZone(diceSpan(&trouble->dice, 0, day->ground->site->zones - 1));
+        trouble->zone = zoneDraw(trouble);
         operatorZone(day->operator, trouble->zone, true);
         break;
     default: break;
--- a/packages/model/src/trouble.h
+++ b/packages/model/src/trouble.h
@@ -70,6 +70,7 @@
     TroubleKind kind;
     int64_t atMs, forMs; /* since traffic began; how long */
     Dice dice;
+    char whom[16]; /* "": drawn */
     /* struck: to be healed */
     GroundNode *nodes[SIDES_MAX];
     Hand *struck[SIDES_MAX];
