--- a/packages/core/src/slow.c
+++ b/packages/core/src/slow.c
@@ -30,6 +30,13 @@
     return stillMs >= STILL_LEAST_MS && (double)stillMs * 100 >= going->wholeMs * STILL_PERCENT;
 }
 
+/* One member that goes elsewhere breaks its gang: all that the others have done is lost as
+ * well, and they all come along as slowly as the slowest, wherever that is. */
+static bool ofGang(const Going *going)
+{
+    return going->job->spec.steps[going->job->tasks[going->task].step].gang;
+}
+
 /* How it comes along; false: nothing is wrong that can be seen. */
 static bool goingFind(const Pass *pass, const TaskOn *on, size_t worker, Going *going)
 {
@@ -94,7 +101,7 @@
         const size_t count = tableOn(pass->core->table, pass->input.workers[i].name, &on);
         for (size_t t = 0; t < count; t++) {
             Going going;
-            if (!goingFind(pass, &on[t], i, &going) || (!going.still && meetsAim(pass, &going)))
+            if (!goingFind(pass, &on[t], i, &going) || (!going.still && (ofGang(&going) || meetsAim(pass, &going))))
                 continue;
             const int at = elsewhere(pass, &going);
             if (at >= 0 && stopAdd(pass, list, going.job, going.task, at, STOPS_MOST) && going.still)
