--- a/packages/view/include/view/messages.h
+++ b/packages/view/include/view/messages.h
@@ -68,7 +68,10 @@
     X(U64, to, 0)
 SHAPE(AppendAsk, APPEND_ASK_FIELDS)
 
-#define FILL_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(ONE, snapshot, Record) X(U64, commitIndex, 0) X(U64, to, 0)
+/* over: the seat's log is of another history: it gives way whatever it holds. Else a
+ * seat that has what the snapshot stands for keeps its log, which may go further. */
+#define FILL_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(ONE, snapshot, Record) X(U64, commitIndex, 0) X(U64, to, 0) \
+    X(FLAG, over, 0)
 SHAPE(FillAsk, FILL_ASK_FIELDS)
 
 /* Asks a seat for its log after an index. */
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -155,6 +155,8 @@
 Status seatPropose(View *view, const ProposeAsk *ask);
 Status seatAppend(View *view, const AppendAsk *ask);
 Status seatFill(View *view, const FillAsk *ask);
+/* Puts the snapshot and what follows it in the place of the whole log, in one write. */
+Status seatReplace(View *view, const Record *snapshot, const Record *entries, size_t entryCount);
 void seatLog(View *view, void *mem, const LogAsk *ask, LogAnswer *answer);
 void seatServe(View *view);
 
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -117,7 +117,7 @@
         return;
     }
     void *mem = talloc_new(view);
-    FillAsk ask = {view->epoch, view->disk, {0}, view->commitIndex, lead->disk};
+    FillAsk ask = {view->epoch, view->disk, {0}, view->commitIndex, lead->disk, partner->refill};
     shapeCopy(&RecordShape, &view->log->snapshot, mem, &ask.snapshot);
     const uint64_t index = ask.snapshot.index;
     SeatAnswer answer = {0};
@@ -179,12 +179,12 @@
             partner->matchIndex = 0; /* a disk may have lost what it had synced */
             /* back to what it has, or a good step; before the beginning only a snapshot helps */
             uint64_t next = partner->nextIndex;
-            if (next <= 1)
+            if (next <= view->log->baseIndex + 1)
                 partner->refill = true;
             else if (answer.logIndex + 1 < next)
                 next = answer.logIndex + 1;
             else
-                next = next > LOG_BACK_STEP ? next - LOG_BACK_STEP : 1;
+                next = next > view->log->baseIndex + 1 + LOG_BACK_STEP ? next - LOG_BACK_STEP : view->log->baseIndex + 1;
             partner->nextIndex = next;
         } else {
             loopSleep(view->loop, 100);
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -61,11 +61,14 @@
     LogAnswer answer = {0};
     Status status = courierAsk(view->props.courier, mem, address, MESSAGE_LOG, &LogAskShape, &ask, VIEW_EXPIRY_MS * 4,
                                &LogAnswerShape, &answer);
+    if (status == STATUS_OK && view->epoch != view->lock.promised)
+        status = STATUS_OLD_EPOCH;
     if (status == STATUS_OK && answer.whole) {
-        const FillAsk fill = {view->epoch, view->disk, answer.snapshot, answer.snapshot.index, view->disk};
-        status = seatFill(view, &fill);
-    }
-    if (status == STATUS_OK) {
+        /* at once, so that this disk never holds less than before */
+        status = seatReplace(view, &answer.snapshot, answer.entries, answer.entriesCount);
+        if (status == STATUS_OK && view->epoch != view->lock.promised)
+            status = STATUS_OLD_EPOCH;
+    } else if (status == STATUS_OK) {
         AppendAsk append = {.epoch = view->epoch, .holder = view->disk};
         append.prevIndex = answer.entriesCount > 0 ? answer.entries[0].index - 1 : ask.afterIndex;
         logEpochAt(view->log, append.prevIndex, &append.prevEpoch);
@@ -208,7 +211,7 @@
             if (poll->status[i] == STATUS_OK || pollReached(poll->status[i]))
                 leadAnswered(view, i, &poll->answers[i]);
             view->partners[i].matchIndex = 0;
-            view->partners[i].nextIndex = poll->answers[i].logIndex + 1;
+            view->partners[i].nextIndex = pollReached(poll->status[i]) ? poll->answers[i].logIndex + 1 : UINT64_MAX;
             view->partners[i].appendSinceMs = INT64_MAX;
             view->partners[i].refill = false;
             view->partners[i].renewedMs = INT64_MIN;
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -32,7 +32,7 @@
 {
     lockPromise(&view->lock, epoch, holder);
     view->verifiedIndex = 0;
-    if (view->holding && holder != view->disk)
+    if ((view->holding || view->phase != VIEW_FOLLOWING) && holder != view->disk)
         leadDown(view, 0);
     return (Record){.kind = RECORD_PROMISE, .epoch = epoch, .index = holder, .name = ""};
 }
@@ -67,8 +67,14 @@
 {
     if (epoch < view->lock.promised)
         return STATUS_OLD_EPOCH;
-    if (epoch == view->lock.promised)
-        return holder == view->lock.holder ? STATUS_OK : STATUS_OTHER_HOLDER;
+    if (epoch == view->lock.promised && holder != view->lock.holder)
+        return STATUS_OTHER_HOLDER;
+    if (epoch == view->lock.promised) {
+        /* whoever stands meanwhile does so on a log that is changing */
+        if (view->phase == VIEW_OPENING && !view->holding && holder != view->disk)
+            leadDown(view, 0);
+        return STATUS_OK;
+    }
     records[(*count)++] = promiseTake(view, epoch, holder);
     return STATUS_OK;
 }
@@ -172,6 +178,17 @@
     return STATUS_OK;
 }
 
+/* Whether the log holds what the snapshot stands for. One that a majority counts on
+ * must not go back behind it. */
+static bool snapshotHeld(const View *view, const Record *snapshot)
+{
+    uint64_t epoch;
+    if (view->cluster == 0 || snapshot->index > logLastIndex(view->log) || snapshot->index > view->queuedIndex)
+        return false;
+    return snapshot->index < view->log->baseIndex ||
+           (logEpochAt(view->log, snapshot->index, &epoch) && epoch == snapshot->epoch);
+}
+
 Status seatFill(View *view, const FillAsk *ask)
 {
     Record promise;
@@ -185,16 +202,29 @@
         return status;
     if (ask->snapshot.kind != RECORD_SNAPSHOT)
         return STATUS_BAD_FRAME;
-    status = viewLoad(view, &ask->snapshot);
+    if (!ask->over && snapshotHeld(view, &ask->snapshot))
+        return journalWrite(view->journal, &promise, count); /* also what was queued before is synced then */
+    status = seatReplace(view, &ask->snapshot, NULL, 0);
+    return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
+}
+
+Status seatReplace(View *view, const Record *snapshot, const Record *entries, size_t entryCount)
+{
+    Status status = viewLoad(view, snapshot);
     if (status != STATUS_OK)
         return status;
     logTrim(view->log, 0);
-    view->log->baseIndex = ask->snapshot.index; /* nothing of ours is kept */
-    logRebase(view->log, &ask->snapshot);
-    view->commitIndex = view->deliveredIndex = view->verifiedIndex = ask->snapshot.index;
-    view->queuedIndex = ask->snapshot.index;
+    view->log->baseIndex = snapshot->index; /* nothing of ours is kept */
+    logRebase(view->log, snapshot);
+    view->commitIndex = view->deliveredIndex = view->verifiedIndex = snapshot->index;
+    viewClockTell(view, snapshot->atMs);
+    for (size_t i = 0; i < entryCount; i++)
+        if (entries[i].kind == RECORD_ENTRY && entries[i].index == logLastIndex(view->log) + 1) {
+            logAdd(view->log, &entries[i]);
+            viewClockTell(view, entries[i].atMs);
+        }
+    view->queuedIndex = logLastIndex(view->log);
     viewReread(view);
-    viewClockTell(view, ask->snapshot.atMs);
     if (view->cluster == 0) {
         view->cluster = courierCluster(view->props.courier);
         seatsFounded(view, view->list);
@@ -206,7 +236,7 @@
     status = journalRewrite(view->journal, records, recordCount);
     talloc_free(mem);
     signalRaise(view->loop, &view->news);
-    return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
+    return status;
 }
 
 void seatLog(View *view, void *mem, const LogAsk *ask, LogAnswer *answer)
--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -69,7 +69,7 @@
             continue;
         view->seats[i] = disk;
         view->inView[i] = false;
-        view->partners[i] = (Partner){.nextIndex = 1, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX, .refill = true};
+        view->partners[i] = (Partner){.nextIndex = UINT64_MAX, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
         view->hold.sentMs[i] = INT64_MIN;
     }
     view->hold.seats = view->seatCount;
