--- a/packages/sim/src/servable.c
+++ b/packages/sim/src/servable.c
@@ -13,26 +13,42 @@
     return simAlive(fleet->world, node->machine) && !simFrozen(fleet->world, node->machine) && node->up;
 }
 
-/* Cores that run, hold a seat as the others know it, and have a working disk; needed:
- * of the longest list of seats among them, so many decide. */
+/* The list of seats as the running core that is furthest has it. */
+static size_t seatsNow(const Fleet *fleet, uint64_t seats[SEAT_MOST])
+{
+    uint64_t furthest = 0;
+    size_t count = 0;
+    for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
+        const FleetNode *node = &fleet->nodes[FLEET_CORE][i];
+        if (!runs(fleet, node) || node->core == NULL)
+            continue;
+        ViewSight sight;
+        viewSight(coreView(node->core), &sight);
+        if (count > 0 && sight.commitIndex <= furthest)
+            continue;
+        furthest = sight.commitIndex;
+        count = viewSeats(coreView(node->core), seats);
+    }
+    return count;
+}
+
+/* Cores that run, hold a seat, and have a working disk; needed: so many decide. */
 static int seatsGood(const Fleet *fleet, const FleetNode **good, int *needed)
 {
+    uint64_t seats[SEAT_MOST] = {0};
+    const size_t seatCount = seatsNow(fleet, seats);
     int count = 0;
-    size_t most = SEAT_FIRST;
     for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
         const FleetNode *node = &fleet->nodes[FLEET_CORE][i];
         if (!runs(fleet, node) || node->core == NULL || !simDiskGood(fleet->world, node->machine, DISK_GOOD_MS))
             continue;
-        uint64_t seats[SEAT_MOST] = {0};
-        const size_t seatCount = viewSeats(coreView(node->core), seats);
         bool seated = false;
         for (size_t s = 0; s < seatCount; s++)
             seated |= seats[s] == viewDisk(coreView(node->core));
         if (seated)
             good[count++] = node;
-        most = seatCount > most ? seatCount : most;
     }
-    *needed = (int)lockMajority(most);
+    *needed = (int)lockMajority(seatCount > SEAT_FIRST ? seatCount : SEAT_FIRST);
     return count;
 }
 
