A leader in a crowd has 600 ms to say that it lives; the test of hanging clients begins with empty disks

Cause: a leader kept busy for 300 ms was given up by all who waited; while a way is looked for, one that answers after 120 ms was never found. The test: a second run in the same folder found a leader that was repairing, which status is answered under, and was told 503 for its jobs.

--- a/packages/feed/src/ways.c
+++ b/packages/feed/src/ways.c
@@ -4,8 +4,9 @@
 #include <string.h>
 #include <talloc.h>
 
-#define WAYS_PING_MS 300    /* ms; whoever lives answers a question that needs no commit in this */
-#define WAYS_LOOK_MS 120    /* ms; ... and while a way is looked for, the next is tried after this */
+#define WAYS_PING_MS 600    /* ms; whoever lives answers a question that needs no commit in this, also in a crowd */
+#define WAYS_LOOK_MS 120    /* ms; ... and while a way is looked for, the next is tried after this ... */
+#define WAYS_LOOK_LATER_MS 300 /* ms; ... and once none was found at once, after this */
 #define WAYS_SOON_MS 1000   /* ms; a lead that is handed over is found again within this: ... */
 #define WAYS_SOON_REST_MS 25 /* ms; ... so long all ways are tried again after this, */
 #define WAYS_REST_MS 150    /* ms; and later after this */
@@ -117,6 +118,7 @@
 static bool lookOnce(Ways *ways)
 {
     WaysTaken taken;
+    const bool later = loopNowMs(ways->loop) - ways->lostMs >= WAYS_SOON_MS;
     for (size_t nth = 0;; nth++) {
         if (!wayAt(ways, nth, &taken)) {
             if (nth == 0)
@@ -125,7 +127,7 @@
         }
         const uint64_t turn = ways->turn;
         bool serves;
-        const Status status = ping(ways, &taken, WAYS_LOOK_MS, &serves);
+        const Status status = ping(ways, &taken, later ? WAYS_LOOK_LATER_MS : WAYS_LOOK_MS, &serves);
         if (ways->turn != turn)
             return false; /* another leader was heard of meanwhile */
         if (status == STATUS_OK) {
--- a/tests/hang.py
+++ b/tests/hang.py
@@ -6,6 +6,7 @@
 """
 import json
 import os
+import shutil
 import socket
 import sys
 import time
@@ -24,6 +25,7 @@
 
 
 def main():
+    shutil.rmtree(sys.argv[3], ignore_errors=True)  # disks of an earlier run would be repaired first
     fleet = fleets.Fleet(sys.argv[3], os.path.abspath(sys.argv[1]))
     fleet.plan("trentvale", 2, 1)
     held = []
