--- a/examples/counter.c
+++ b/examples/counter.c
@@ -33,13 +33,13 @@
 
 /* --- the state: what deliver, save and load know ----------------------------- */
 
-static void deliver(void *arg, const Record *change, Verdict *verdict)
+static void deliver(void *arg, const Record *change, ChangeResult *result)
 {
     Counter *counter = arg;
     if (change->change != CHANGE_PLUS || change->payload.count != 1)
         return;
     counter->sum++;
-    verdict->number = counter->sum;
+    result->number = counter->sum;
     printf("%" PRIu64 " %" PRIu64 " %u\n", change->index, counter->sum, change->payload.data[0]);
     fflush(stdout);
 }
@@ -128,8 +128,8 @@
             continue;
         void *mem = talloc_new(counter);
         uint8_t others = (uint8_t)live(counter, mem);
-        Verdict verdict;
-        viewSubmit(counter->view, CHANGE_PLUS, (Bytes){&others, 1, 0}, &verdict);
+        ChangeResult result;
+        viewSubmit(counter->view, CHANGE_PLUS, (Bytes){&others, 1, 0}, &result);
         talloc_free(mem);
     }
 }
@@ -137,7 +137,7 @@
 static void startMain(void *arg)
 {
     Counter *counter = arg;
-    Mishap mishap = {0};
+    Failure failure = {0};
     char address[ADDRESS_MAX];
     const ViewProps props = {.loop = counter->loop,
                              .courier = counter->courier = courierNew(counter, counter->loop, counter->ring),
@@ -148,10 +148,10 @@
                              .founds = VIEW_FOUNDS_BY_THREE};
     counter->liveset = livesetNew(counter);
     counter->view = viewNew(counter, &props);
-    if (viewOpenDisk(counter->view, talloc_asprintf(counter, "%s/journal", counter->folder), counter->name, &mishap) !=
+    if (viewOpenDisk(counter->view, talloc_asprintf(counter, "%s/journal", counter->folder), counter->name, &failure) !=
             STATUS_OK ||
-        courierListen(counter->courier, counter->listen, address, &mishap) != STATUS_OK) {
-        fprintf(stderr, "counter: %s: %s\n", statusWord(mishap.status), mishap.text);
+        courierListen(counter->courier, counter->listen, address, &failure) != STATUS_OK) {
+        fprintf(stderr, "counter: %s: %s\n", statusWord(failure.status), failure.text);
         loopStop(counter->loop);
         return;
     }
--- a/packages/agent/include/agent/agent.h
+++ b/packages/agent/include/agent/agent.h
@@ -7,7 +7,7 @@
  * on to it and tells what its rounds came to. Diskless. */
 typedef struct Agent Agent;
 
-Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **agent, Mishap *mishap);
+Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **agent, Failure *failure);
 void agentDrain(Agent *agent);
 /* Other seeds from now on. */
 void agentSeeds(Agent *agent, const char *const seeds[SEEDS]);
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -34,7 +34,7 @@
         }
         json_object *body = json_object_new_object();
         json_object_object_add(body, live ? "live" : "ready", json_object_new_boolean(true));
-        showVerdict(task, 200, body);
+        showResult(task, 200, body);
         return;
     }
     if (strcmp(task->path, "/metrics") == 0) {
@@ -61,7 +61,7 @@
                               length - (sizeof(BEFORE) - 1) - (sizeof(AFTER) - 1)));
 }
 
-Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **out, Mishap *mishap)
+Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **out, Failure *failure)
 {
     Agent *agent = talloc_zero(mem, Agent);
     agent->loop = loop;
@@ -74,9 +74,9 @@
     const Worker unheard = {.name = agent->workerName, .zone = props->zone, .rack = "", .kind = ""};
     shapeCopy(&WorkerShape, &unheard, agent->workerMem, &agent->worker);
     agent->courier = courierNew(agent, loop, ring);
-    Status status = courierListen(agent->courier, props->listen, agent->address, mishap);
+    Status status = courierListen(agent->courier, props->listen, agent->address, failure);
     if (status == STATUS_OK)
-        status = loopServe(loop, props->http, onHttp, agent, agent->http, mishap);
+        status = loopServe(loop, props->http, onHttp, agent, agent->http, failure);
     if (status != STATUS_OK)
         return status;
     const MemberRecord self = {.id = props->name,
--- a/packages/agent/src/reportjson.c
+++ b/packages/agent/src/reportjson.c
@@ -111,7 +111,7 @@
     json_object_object_add(body, "starts", starts);
     json_object_object_add(body, "stops", idsOf(orders->stops, orders->stopsCount));
     json_object_object_add(body, "known", idsOf(orders->known, orders->knownCount));
-    showVerdict(task, 200, body);
+    showResult(task, 200, body);
 }
 
 void workerTake(Agent *agent, HttpTask *task, const char *name)
--- a/packages/agent/test/agent.c
+++ b/packages/agent/test/agent.c
@@ -125,8 +125,8 @@
     Loop *loop = simLoop(c->world, c->agentMachine);
     Ring *ring = ringNew(loop, "agent");
     ringQuiet(ring);
-    Mishap mishap = {0};
-    assert_int_equal(agentStart(loop, loop, ring, &c->props, &c->agent, &mishap), STATUS_OK);
+    Failure failure = {0};
+    assert_int_equal(agentStart(loop, loop, ring, &c->props, &c->agent, &failure), STATUS_OK);
 }
 
 static void agentBegin(void *arg, Loop *loop)
--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -1,7 +1,7 @@
 #ifndef API_SHOW_H
 #define API_SHOW_H
 
-#include "base/mishap.h"
+#include "base/failure.h"
 #include "base/ring.h"
 #include "loop/loop.h"
 #include "queue/queue.h"
@@ -15,10 +15,10 @@
 json_object *showRoom(Room room);
 json_object *showWorker(const Worker *worker);
 /* {"status": word, "text": ..., "faults": [...]} */
-json_object *showMishap(Status status, const char *text, const Faults *faults);
+json_object *showFailure(Status status, const char *text, const Faults *faults);
 
-/* Fills in the verdict and puts the body. */
-void showVerdict(HttpTask *task, int code, json_object *body);
+/* Fills in the result and puts the body. */
+void showResult(HttpTask *task, int code, json_object *body);
 /* A typed refusal. 503s carry Retry-After. */
 void showRefusal(HttpTask *task, Status status, const char *text, const Faults *faults);
 /* Whether callers should come to this process. */
@@ -27,7 +27,7 @@
 void showRing(HttpTask *task, const Ring *ring);
 /* One line for a scraper: spancart_NAME VALUE. */
 void showMetric(HttpTask *task, const char *name, int64_t value);
-/* Makes the verdict a page of metrics; lines are added by showMetric. */
+/* Makes the result a page of metrics; lines are added by showMetric. */
 void showMetricsBegin(HttpTask *task);
 /* The value of a key in a query, on mem; null when it is not there. */
 const char *queryValue(void *mem, const char *query, const char *key);
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -143,7 +143,7 @@
     return object;
 }
 
-json_object *showMishap(Status status, const char *text, const Faults *faults)
+json_object *showFailure(Status status, const char *text, const Faults *faults)
 {
     json_object *object = json_object_new_object();
     json_object_object_add(object, "status", textOf(statusWord(status)));
@@ -162,14 +162,14 @@
     return object;
 }
 
-void showVerdict(HttpTask *task, int code, json_object *body)
+void showResult(HttpTask *task, int code, json_object *body)
 {
     task->code = code;
     task->kind = "application/json";
-    task->verdict = (Bytes){0};
+    task->result = (Bytes){0};
     const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
-    bytesAdd(task, &task->verdict, text, strlen(text));
-    bytesAdd(task, &task->verdict, "\n", 1);
+    bytesAdd(task, &task->result, text, strlen(text));
+    bytesAdd(task, &task->result, "\n", 1);
     json_object_put(body);
 }
 
@@ -178,7 +178,7 @@
     const int code = statusHttp(status);
     task->status = status;
     task->retryAfterS = statusRetryS(status);
-    showVerdict(task, code, showMishap(status, text, faults));
+    showResult(task, code, showFailure(status, text, faults));
 }
 
 void showReady(HttpTask *task, bool ready, bool leaving)
@@ -189,23 +189,23 @@
     }
     json_object *body = json_object_new_object();
     json_object_object_add(body, "ready", json_object_new_boolean(true));
-    showVerdict(task, 200, body);
+    showResult(task, 200, body);
 }
 
 void showRing(HttpTask *task, const Ring *ring)
 {
     task->code = 200;
     task->kind = "text/plain";
-    task->verdict = (Bytes){0};
+    task->result = (Bytes){0};
     const char *text = ringText(ring, task);
-    bytesAdd(task, &task->verdict, text, strlen(text));
+    bytesAdd(task, &task->result, text, strlen(text));
 }
 
 void showMetricsBegin(HttpTask *task)
 {
     task->code = 200;
     task->kind = "text/plain; version=0.0.4";
-    task->verdict = (Bytes){0};
+    task->result = (Bytes){0};
 }
 
 void showMetric(HttpTask *task, const char *name, int64_t value)
@@ -222,7 +222,7 @@
         }
     }
     at += (size_t)snprintf(line + at, sizeof(line) - at, " %" PRId64 "\n", value);
-    bytesAdd(task, &task->verdict, line, at);
+    bytesAdd(task, &task->result, line, at);
 }
 
 const char *queryValue(void *mem, const char *query, const char *key)
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -55,7 +55,7 @@
 #define LINE_PROBE_S 1         /* s; ... this often ... */
 #define LINE_PROBES 3          /* count; ... and ends after so many without an answer */
 #define LINE_MISSES 2          /* count; questions unanswered in a row before a line is opened anew */
-#define LINE_SILENT_MS 200     /* ms; a question that waits for so long when its partner has just started went to its last life */
+#define LINE_SILENT_MS 200     /* ms; a question that waits for so long when its peer has just started went to its last life */
 
 /* --- membership --------------------------------------------------------- */
 #define HELLO_MS 500           /* ms; between two exchanges of the member table */
@@ -65,7 +65,7 @@
 #define SIGHT_MS 2000          /* ms; a core asks every member once in this; what answers it is its sight */
 #define SIGHT_MARGIN 3         /* count; a seat that sees so many more than the leader is the better one ... */
 #define SIGHT_HAND_MS 2000     /* ms; ... when it has been so for this long */
-#define MEMBERS_MAX 512        /* count; bound on a table told by a partner: ten times today's sizes */
+#define MEMBERS_MAX 512        /* count; bound on a table told by a peer: ten times today's sizes */
 #define FOUND_WAIT_MS 1500     /* ms; three empty disks must see each other for this long before founding */
 #define VOTE_WAIT_MS 600       /* ms; a core stands as the founder so long after its start: those started with it have been heard of */
 #define SEAT_LOOK_MS 200       /* ms; the holder looks so often whether a seat is to be given */
@@ -224,7 +224,7 @@
 #define DRAIN_LOOK_MS 10       /* ms; whether the last request has been answered */
 
 /* --- formats ------------------------------------------------------------------ */
-#define WIRE_VERSION 1         /* the version of frames; partners ignore trailing fields they do not know */
+#define WIRE_VERSION 1         /* the version of frames; peers ignore trailing fields they do not know */
 #define JOURNAL_VERSION 1      /* the version of journal records */
 
 #endif
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -1,7 +1,7 @@
 #ifndef BASE_STATUS_H
 #define BASE_STATUS_H
 
-/* Every failure has a type. The words are what users see in verdicts, so they
+/* Every failure has a type. The words are what users see in results, so they
  * are part of the interface and never change their meaning. Their order is part
  * of the wire format: new ones are added at the end of the list. */
 #define STATUS_LIST(X)                              \
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -88,12 +88,12 @@
 
 static void readPolicy(json_object *value, const char *path, PolicyPart *part, Faults *faults)
 {
-    Mishap mishap = {0};
+    Failure failure = {0};
     const char *text = json_object_is_type(value, json_type_string) ? json_object_get_string(value) : NULL;
     if (text == NULL || strlen(text) != (size_t)json_object_get_string_len(value))
         faultAdd(faults, STATUS_BAD_FIELD, path, "must be the text of a program");
-    else if (luaPolicyNew(part, part->policy.name, text, &part->policy.lua, &mishap) != STATUS_OK)
-        faultAdd(faults, STATUS_BAD_POLICY, path, "%s", mishap.text);
+    else if (luaPolicyNew(part, part->policy.name, text, &part->policy.lua, &failure) != STATUS_OK)
+        faultAdd(faults, STATUS_BAD_POLICY, path, "%s", failure.text);
 }
 
 const ConfigPolicy *policyPart(json_object *value, const char *name, const char *path, const ConfigPolicy *earlier,
--- a/packages/config/test/config.c
+++ b/packages/config/test/config.c
@@ -305,7 +305,7 @@
 }
 
 /* Read onward from an earlier revision, it is what its text alone is read as:
- * the same verdict, the same queues, the same entries. */
+ * the same result, the same queues, the same entries. */
 static void drawnOnward(void **state)
 {
     (void)state;
@@ -366,7 +366,7 @@
     talloc_free(all);
 }
 
-/* Bytes of good documents changed, cut and repeated: a verdict, typed, and no crash. */
+/* Bytes of good documents changed, cut and repeated: a result, typed, and no crash. */
 static void spoilt(void **state)
 {
     (void)state;
--- a/packages/config/tool/bench.c
+++ b/packages/config/tool/bench.c
@@ -48,11 +48,11 @@
 {
     Bytes packed = {0};
     ConfigSet taken;
-    Verdict verdict = {0};
+    ChangeResult result = {0};
     shapePack(&ConfigSetShape, set, mem, &packed);
     if (shapeUnpack(&ConfigSetShape, packed, mem, &taken, NULL) == STATUS_OK)
-        deliverConfig(revisions, &taken, &verdict);
-    if (verdict.status != STATUS_OK)
+        deliverConfig(revisions, &taken, &result);
+    if (result.status != STATUS_OK)
         exit(1);
     *bytes += packed.count;
 }
--- a/packages/core/include/core/core.h
+++ b/packages/core/include/core/core.h
@@ -16,7 +16,7 @@
 
 /* Waits. Opens the disk and the addresses and starts all tasks. */
 Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **core,
-                 Mishap *mishap);
+                 Failure *failure);
 /* Waits. A request as if it had come to the own HTTP address: whoever translates
  * for callers of another kind hands it in here. */
 void coreTake(Core *core, HttpTask *task);
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -63,13 +63,13 @@
 {
     Learning *learning = arg;
     Core *core = learning->core;
-    Verdict verdict;
+    ChangeResult result;
     newsTell(core, learning->missing.news, learning->missing.newsCount);
     if (learning->learn)
-        coreSubmit(core, learning, CHANGE_WORKER_SET, &WorkerShape, &learning->worker, &verdict, NULL);
+        coreSubmit(core, learning, CHANGE_WORKER_SET, &WorkerShape, &learning->worker, &result, NULL);
     if (learning->left) {
         const WorkerLeft left = {learning->worker.name, true};
-        coreSubmit(core, learning, CHANGE_WORKER_LEFT, &WorkerLeftShape, &left, &verdict, NULL);
+        coreSubmit(core, learning, CHANGE_WORKER_LEFT, &WorkerLeftShape, &left, &result, NULL);
     }
     learning->line->learning = false;
     talloc_free(learning);
--- a/packages/core/src/assure.c
+++ b/packages/core/src/assure.c
@@ -30,7 +30,7 @@
         }
     }
     list.why = "";
-    Verdict verdict;
+    ChangeResult result;
     if (list.roundsCount > 0)
-        coreSubmit(core, pass->mem, CHANGE_ASSURE, &StopListShape, &list, &verdict, NULL);
+        coreSubmit(core, pass->mem, CHANGE_ASSURE, &StopListShape, &list, &result, NULL);
 }
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -1,4 +1,4 @@
-/* Every core towards its partners, and on its own address. */
+/* Every core towards its peers, and on its own address. */
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -53,7 +53,7 @@
     if (strcmp(task->path, "/livez") == 0) {
         json_object *body = json_object_new_object();
         json_object_object_add(body, "live", json_object_new_boolean(true));
-        showVerdict(task, 200, body);
+        showResult(task, 200, body);
         return;
     }
     if (strcmp(task->path, "/readyz") == 0) {
@@ -88,7 +88,7 @@
     out->code = (uint64_t)task->code;
     out->status = task->status;
     out->kind = task->kind;
-    out->body = task->verdict;
+    out->body = task->result;
     out->retryAfterS = (uint64_t)task->retryAfterS;
     out->keeps = keeps.items;
     out->keepsCount = keeps.itemsCount;
--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -18,9 +18,9 @@
     const int length = snprintf(head, sizeof(head), "{\"revision\":%" PRIu64 ",\"config\":", revision);
     task->code = 200;
     task->kind = "application/json";
-    bytesAdd(task, &task->verdict, head, (size_t)length);
-    bytesAdd(task, &task->verdict, text, strlen(text));
-    bytesAdd(task, &task->verdict, "}", 1);
+    bytesAdd(task, &task->result, head, (size_t)length);
+    bytesAdd(task, &task->result, text, strlen(text));
+    bytesAdd(task, &task->result, "}", 1);
 }
 
 static void showNewest(Way *way)
@@ -74,24 +74,24 @@
     for (size_t i = revisions->whole; i < revisions->count; i++)
         json_object_array_add(list, json_object_new_uint64(revisions->rows[i].revision));
     json_object_object_add(body, "revisions", list);
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 /* --- changing ------------------------------------------------------------------------ */
 
 static void refuseStale(Way *way, uint64_t current)
 {
-    json_object *body = showMishap(STATUS_STALE_REVISION, "another revision is in force: build on that", NULL);
+    json_object *body = showFailure(STATUS_STALE_REVISION, "another revision is in force: build on that", NULL);
     json_object_object_add(body, "current", json_object_new_uint64(current));
     way->task->status = STATUS_STALE_REVISION;
-    showVerdict(way->task, statusHttp(STATUS_STALE_REVISION), body);
+    showResult(way->task, statusHttp(STATUS_STALE_REVISION), body);
 }
 
 static void showTaken(Way *way, uint64_t revision)
 {
     json_object *body = json_object_new_object();
     json_object_object_add(body, "revision", json_object_new_uint64(revision));
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 /* What makes a call that names its revision the same one when it is sent again:
@@ -216,17 +216,17 @@
     set.limits = config->limits;
     Trial trial = {.set = set, .config = config};
     trialEnter(core, &trial);
-    Verdict verdict;
-    const Status status = coreSubmit(core, way->mem, CHANGE_CONFIG_SET, &ConfigSetShape, &set, &verdict, way->keeps);
-    if (status == STATUS_OK && verdict.status == STATUS_OK)
+    ChangeResult result;
+    const Status status = coreSubmit(core, way->mem, CHANGE_CONFIG_SET, &ConfigSetShape, &set, &result, way->keeps);
+    if (status == STATUS_OK && result.status == STATUS_OK)
         coreConfig(core); /* takes what was checked, before another change is delivered */
     trialLeave(core, &trial);
     if (!wayDelivered(way, status))
         return;
-    if (verdict.status == STATUS_OK)
-        showTaken(way, verdict.number);
+    if (result.status == STATUS_OK)
+        showTaken(way, result.number);
     else
-        refuseStale(way, verdict.number);
+        refuseStale(way, result.number);
 }
 
 void configPut(Way *way)
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -27,15 +27,15 @@
     return (QueueClock){viewClockMs(core->view), viewWallMs(core->view)};
 }
 
-Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
+Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, ChangeResult *result,
                   KeepList *keeps)
 {
     Bytes payload = {0};
     shapePack(shape, body, mem, &payload);
-    const Status status = viewSubmit(core->view, kind, payload, verdict);
-    if (status == STATUS_OK && verdict->status == STATUS_OK && keeps != NULL) {
+    const Status status = viewSubmit(core->view, kind, payload, result);
+    if (status == STATUS_OK && result->status == STATUS_OK && keeps != NULL) {
         keeps->items = talloc_realloc(mem, keeps->items, KeepItem, (unsigned)(keeps->itemsCount + 1));
-        keeps->items[keeps->itemsCount++] = (KeepItem){kind, verdict->index, payload};
+        keeps->items[keeps->itemsCount++] = (KeepItem){kind, result->index, payload};
     }
     return status;
 }
@@ -98,10 +98,10 @@
     }
 }
 
-static void onDelivered(void *arg, const Record *change, const void *body, const Verdict *verdict)
+static void onDelivered(void *arg, const Record *change, const void *body, const ChangeResult *result)
 {
     Core *core = arg;
-    traceDelivered(core, change, body, verdict);
+    traceDelivered(core, change, body, result);
     coreNews(core);
     limitsFollow(core);
     if (body != NULL && change->change == CHANGE_ROUNDS)
@@ -123,8 +123,8 @@
         if (tableOldestMs(core->table) >= forget.beforeMs)
             continue;
         void *mem = talloc_new(core);
-        Verdict verdict;
-        coreSubmit(core, mem, CHANGE_FORGET, &ForgetShape, &forget, &verdict, NULL);
+        ChangeResult result;
+        coreSubmit(core, mem, CHANGE_FORGET, &ForgetShape, &forget, &result, NULL);
         talloc_free(mem);
     }
 }
@@ -148,7 +148,7 @@
 }
 
 Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **out,
-                 Mishap *mishap)
+                 Failure *failure)
 {
     Core *core = talloc_zero(mem, Core);
     core->loop = loop;
@@ -184,11 +184,11 @@
                                  .seatBackMs = props->bounds.seatBackMs};
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
-    Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, mishap);
+    Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, failure);
     if (status == STATUS_OK)
-        status = courierListen(core->courier, props->listen, core->address, mishap);
+        status = courierListen(core->courier, props->listen, core->address, failure);
     if (status == STATUS_OK)
-        status = loopServe(loop, props->http, onHttp, core, core->http, mishap);
+        status = loopServe(loop, props->http, onHttp, core, core->http, failure);
     if (status != STATUS_OK)
         return status;
     const MemberRecord self = {
@@ -241,7 +241,7 @@
     loopServeLeave(core->loop);
     membersSetLeaving(core->members);
     membersAnnounce(core->members); /* so that the view goes on without waiting for us */
-    /* what was ordered gets its verdict; then the lock is handed over */
+    /* what was ordered gets its result; then the lock is handed over */
     if (viewLeading(core->view))
         viewSettle(core->view);
     viewStepDown(core->view, INT32_MAX);
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -22,7 +22,7 @@
     json_object *body = json_object_new_object();
     json_object_object_add(body, "id", json_object_new_string(job->spec.id));
     json_object_object_add(body, "phase", json_object_new_string(showPhase(job)));
-    showVerdict(way->task, http, body);
+    showResult(way->task, http, body);
 }
 
 static int64_t waitingIn(const Table *table, const ConfigPlace *place)
@@ -69,12 +69,12 @@
 
 static void entryCancel(Way *way)
 {
-    Verdict verdict;
+    ChangeResult result;
     if (tableJob(way->core->table, way->name) == NULL) {
         entryRefuse(way, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
         return;
     }
-    if (!jobCancelled(way, &verdict))
+    if (!jobCancelled(way, &result))
         return;
     /* one that had ended before stays as it is, which is what was asked for */
     const Job *job = tableJob(way->core->table, way->name);
@@ -88,7 +88,7 @@
 {
     json_object *body = json_object_new_object();
     json_object_object_add(body, "waiting", json_object_new_int64(waitingIn(way->core->table, place)));
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 void entryServe(Way *way)
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -109,7 +109,7 @@
 
 /* Waits. Submits a shape as a change; keeps (may be null) takes it when it was
  * committed and accepted. What is packed lives on mem. */
-Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, Verdict *verdict,
+Status coreSubmit(Core *core, void *mem, ChangeKind kind, const Shape *shape, const void *body, ChangeResult *result,
                   KeepList *keeps);
 
 /* How long any hold runs that this or the last leader may have answered, by the own clock. */
@@ -175,7 +175,7 @@
 uint64_t scoreRate(const Core *core, const char *worker);
 bool scoreRests(const Core *core, const char *worker);
 /* body: as the table tells it. */
-void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict);
+void traceDelivered(Core *core, const Record *change, const void *body, const ChangeResult *result);
 void plannerStart(Core *core);
 /* The plan as it stands; on mem. */
 PlanInput plannerInput(Core *core, void *mem);
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -22,12 +22,12 @@
         return NULL;
     }
     const JobAdd add = {*spec, *terms};
-    Verdict verdict;
-    if (!wayDelivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &verdict, way->keeps)))
+    ChangeResult result;
+    if (!wayDelivered(way, coreSubmit(core, way->mem, CHANGE_JOB_ADD, &JobAddShape, &add, &result, way->keeps)))
         return NULL;
     const Job *job = tableJob(core->table, spec->id);
-    if (verdict.status != STATUS_OK || job == NULL) {
-        showRefusal(way->task, verdict.status, "another job has this id", NULL);
+    if (result.status != STATUS_OK || job == NULL) {
+        showRefusal(way->task, result.status, "another job has this id", NULL);
         return NULL;
     }
     *fresh = true;
@@ -40,7 +40,7 @@
         showRefusal(way->task, STATUS_OTHER_BODY, "another job has this id", NULL);
         return false;
     }
-    /* whoever carries this verdict may be the only one to have heard it */
+    /* whoever carries this result may be the only one to have heard it */
     KeepItem item = {CHANGE_JOB_ADD, 0, {0}};
     const JobAdd add = {known->spec, known->terms};
     shapePack(&JobAddShape, &add, way->mem, &item.payload);
@@ -76,7 +76,7 @@
         if (job == NULL)
             return;
     }
-    showVerdict(way->task, fresh || way->task->again ? 201 : 200, showJobShort(job));
+    showResult(way->task, fresh || way->task->again ? 201 : 200, showJobShort(job));
 }
 
 void jobGet(Way *way)
@@ -86,31 +86,31 @@
         showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
     else {
         wayKeepEnd(way, job);
-        showVerdict(way->task, 200, showJob(job, coreClock(way->core)));
+        showResult(way->task, 200, showJob(job, coreClock(way->core)));
     }
 }
 
-bool jobCancelled(Way *way, Verdict *verdict)
+bool jobCancelled(Way *way, ChangeResult *result)
 {
     const JobCancel cancel = {way->name};
     return wayDelivered(
-        way, coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, verdict, way->keeps));
+        way, coreSubmit(way->core, way->mem, CHANGE_JOB_CANCEL, &JobCancelShape, &cancel, result, way->keeps));
 }
 
 void jobCancel(Way *way)
 {
-    Verdict verdict;
+    ChangeResult result;
     if (tableJob(way->core->table, way->name) == NULL) {
         showRefusal(way->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
         return;
     }
-    if (!jobCancelled(way, &verdict))
+    if (!jobCancelled(way, &result))
         return;
     const Job *job = tableJob(way->core->table, way->name);
-    if (verdict.status != STATUS_OK || job == NULL)
-        showRefusal(way->task, verdict.status, "the job had ended before", NULL);
+    if (result.status != STATUS_OK || job == NULL)
+        showRefusal(way->task, result.status, "the job had ended before", NULL);
     else
-        showVerdict(way->task, 200, showJobShort(job));
+        showResult(way->task, 200, showJobShort(job));
 }
 
 void jobList(Way *way)
@@ -149,5 +149,5 @@
     json_object_object_add(body, "jobs", list);
     if (at < count)
         json_object_object_add(body, "next", json_object_new_int64((int64_t)jobs[at - 1]->number));
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
--- a/packages/core/src/mend.c
+++ b/packages/core/src/mend.c
@@ -39,7 +39,7 @@
                 (RoundId){talloc_strdup(mem, on[t].job->spec.id), taskNumber(task), task->round};
         }
     }
-    Verdict verdict;
+    ChangeResult result;
     if (list.roundsCount > 0)
-        coreSubmit(core, mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL);
+        coreSubmit(core, mem, CHANGE_STOP, &StopListShape, &list, &result, NULL);
 }
--- a/packages/core/src/move.c
+++ b/packages/core/src/move.c
@@ -78,8 +78,8 @@
     if (!found)
         return false;
     const StopList list = {&round, 1, "moved off an emptied zone"};
-    Verdict verdict;
-    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK)
-        core->counts.moved += verdict.number;
+    ChangeResult result;
+    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &result, NULL) == STATUS_OK)
+        core->counts.moved += result.number;
     return true;
 }
--- a/packages/core/src/news.c
+++ b/packages/core/src/news.c
@@ -122,9 +122,9 @@
         for (size_t i = 0; i < batch->list.newsCount; i++)
             if (batch->list.news[i].ranMs > 0) /* it was told then, it is counted from the commit */
                 batch->list.news[i].ranMs += nowMs - batch->atMs[i];
-        Verdict verdict;
+        ChangeResult result;
         news->busy = true;
-        batch->status = coreSubmit(core, batch, CHANGE_ROUNDS, &RoundListShape, &batch->list, &verdict, NULL);
+        batch->status = coreSubmit(core, batch, CHANGE_ROUNDS, &RoundListShape, &batch->list, &result, NULL);
         news->busy = false;
         if (batch->status != STATUS_OK)
             newsKeep(core, batch);
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -86,15 +86,15 @@
     if (pass->nextMs < pass->clock.logMs + PLACE_TICK_MS)
         *nextMs = loopNowMs(core->loop) + pass->nextMs - pass->clock.logMs;
     const bool more = pass->places.placementsCount >= PLACE_BATCH;
-    Verdict verdict;
+    ChangeResult result;
     if (pass->places.placementsCount > 0) {
-        if (coreSubmit(core, pass, CHANGE_PLACE, &PlaceListShape, &pass->places, &verdict, NULL) == STATUS_OK)
-            core->counts.placed += verdict.number;
+        if (coreSubmit(core, pass, CHANGE_PLACE, &PlaceListShape, &pass->places, &result, NULL) == STATUS_OK)
+            core->counts.placed += result.number;
         seen++; /* our own change is no news */
     }
     if (pass->pushes.roundsCount > 0 && coreDecides(core)) {
-        if (coreSubmit(core, pass, CHANGE_STOP, &StopListShape, &pass->pushes, &verdict, NULL) == STATUS_OK)
-            core->counts.pushed += verdict.number;
+        if (coreSubmit(core, pass, CHANGE_STOP, &StopListShape, &pass->pushes, &result, NULL) == STATUS_OK)
+            core->counts.pushed += result.number;
     } else if (pass->places.placementsCount == 0) {
         if (!moveOne(pass) && pass->asks && pass->checks == 0 && coreDecides(core))
             assureMore(pass);
--- a/packages/core/src/ranks.c
+++ b/packages/core/src/ranks.c
@@ -55,7 +55,7 @@
     json_object_object_add(body, "cell", json_object_new_string(cell));
     json_object_object_add(body, "ready", json_object_new_int64(ready));
     json_object_object_add(body, "order", list);
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 void queueGet(Way *way)
@@ -68,11 +68,11 @@
 {
     const char *text = talloc_strndup(way->mem, (const char *)way->task->body.data, way->task->body.count);
     LuaPolicy *policy;
-    Mishap mishap = {0};
+    Failure failure = {0};
     if (text == NULL || text[0] == '\0')
         faultAdd(way->faults, STATUS_BAD_POLICY, "", "the body must be the text of a policy");
-    else if (luaPolicyNew(way->mem, "policy", text, &policy, &mishap) != STATUS_OK)
-        faultAdd(way->faults, STATUS_BAD_POLICY, "", "%s", mishap.text);
+    else if (luaPolicyNew(way->mem, "policy", text, &policy, &failure) != STATUS_OK)
+        faultAdd(way->faults, STATUS_BAD_POLICY, "", "%s", failure.text);
     if (way->faults->count > 0)
         wayRefuse(way);
     else
--- a/packages/core/src/silent.c
+++ b/packages/core/src/silent.c
@@ -31,11 +31,11 @@
         /* it may come back before this is committed: then no order of the state
          * before may reach it any more */
         livesetLosing(core->liveset, names[i], true);
-        Verdict verdict;
-        if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &verdict, NULL) == STATUS_OK) {
-            core->counts.lost += verdict.number;
+        ChangeResult result;
+        if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &result, NULL) == STATUS_OK) {
+            core->counts.lost += result.number;
             ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "worker %s is lost with %" PRIu64 " rounds", names[i],
-                    verdict.number);
+                    result.number);
         }
     }
 }
@@ -67,9 +67,9 @@
                                                       .saved = ""};
         }
     }
-    Verdict verdict;
+    ChangeResult result;
     if (list.newsCount > 0)
-        coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &verdict, NULL);
+        coreSubmit(core, mem, CHANGE_ROUNDS, &RoundListShape, &list, &result, NULL);
     /* that they are over is our word alone: they count there until the agent says so */
     for (size_t i = 0; i < list.newsCount; i++) {
         const RoundNews *news = &list.news[i];
--- a/packages/core/src/stop.c
+++ b/packages/core/src/stop.c
@@ -31,9 +31,9 @@
     slowFind(pass, &list);
     if (list.roundsCount == 0)
         return false;
-    Verdict verdict;
-    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &verdict, NULL) == STATUS_OK) {
-        core->counts.slowed += verdict.number;
+    ChangeResult result;
+    if (coreSubmit(core, pass->mem, CHANGE_STOP, &StopListShape, &list, &result, NULL) == STATUS_OK) {
+        core->counts.slowed += result.number;
         ringSay(core->ring, RING_NOTE, nowMs, "%zu rounds are begun anew elsewhere", list.roundsCount);
     }
     return true;
--- a/packages/core/src/traced.c
+++ b/packages/core/src/traced.c
@@ -26,14 +26,14 @@
     }
 }
 
-void traceDelivered(Core *core, const Record *change, const void *body, const Verdict *verdict)
+void traceDelivered(Core *core, const Record *change, const void *body, const ChangeResult *result)
 {
     if (body == NULL || core->trace == NULL)
         return;
     char detail[48];
-    const bool good = verdict->status == STATUS_OK;
+    const bool good = result->status == STATUS_OK;
     snprintf(detail, sizeof(detail), "index %" PRIu64 "%s%s", change->index, good ? "" : " ",
-             good ? "" : statusWord(verdict->status));
+             good ? "" : statusWord(result->status));
     switch (change->change) {
     case CHANGE_JOB_ADD:
         traceSay(core->trace, TRACE_DELIVERED, detail, "job:%s", ((const JobAdd *)body)->spec.id);
--- a/packages/core/src/way.c
+++ b/packages/core/src/way.c
@@ -7,7 +7,7 @@
 
 /* --- guards: policies that a request passes, in order, behind one interface --- */
 
-/* False: the verdict has been given. */
+/* False: the result has been given. */
 typedef struct Guard {
     const char *name;
     bool (*pass)(Way *way);
@@ -31,7 +31,7 @@
 
 static const Guard GUARDS[] = {{"lead", passLead}, {"repair", passRepair}};
 
-/* --- verdicts ---------------------------------------------------------------------- */
+/* --- results ---------------------------------------------------------------------- */
 
 bool wayDelivered(Way *way, Status status)
 {
@@ -74,12 +74,12 @@
 
 static void statusGet(Way *way)
 {
-    showVerdict(way->task, 200, coreStatus(way->core));
+    showResult(way->task, 200, coreStatus(way->core));
 }
 
 static void alertsGet(Way *way)
 {
-    showVerdict(way->task, 200, alertsShow(way->core));
+    showResult(way->task, 200, alertsShow(way->core));
 }
 
 /* --- routes ---------------------------------------------------------------------------------- */
@@ -116,7 +116,7 @@
 {
     json_object *body = json_object_new_object();
     json_object_object_add(body, "ready", json_object_new_boolean(true));
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 static const Route READY = {"GET", {0}, readyGet};
--- a/packages/core/src/way.h
+++ b/packages/core/src/way.h
@@ -15,22 +15,22 @@
 
 /* The Status of a submission as a refusal; true when it was delivered. */
 bool wayDelivered(Way *way, Status status);
-/* The faults as the verdict. */
+/* The faults as the result. */
 void wayRefuse(Way *way);
 
-/* Whoever carries the verdict keeps this for a while, for repair. */
+/* Whoever carries the result keeps this for a while, for repair. */
 void wayKeep(Way *way, const KeepItem *item);
 /* Likewise the word that a job has ended: no task of it may start again, whatever
  * the disks forget. */
 void wayKeepEnd(Way *way, const Job *job);
 
-/* Waits. Takes a job that is not known yet; null: the verdict has been given.
+/* Waits. Takes a job that is not known yet; null: the result has been given.
  * The spec's texts live on way->mem. */
 const Job *jobTake(Way *way, const JobSpec *spec, const JobTerms *terms, bool *fresh);
-/* Whether the same job was sent again; else the verdict has been given. */
+/* Whether the same job was sent again; else the result has been given. */
 bool jobAgain(Way *way, const Job *known, const JobSpec *spec);
-/* Waits. Cancels the job named by the way; false: the verdict has been given. */
-bool jobCancelled(Way *way, Verdict *verdict);
+/* Waits. Cancels the job named by the way; false: the result has been given. */
+bool jobCancelled(Way *way, ChangeResult *result);
 /* What a queue's jobs are accepted under; null: nothing in particular. */
 JobTerms jobTerms(const ConfigQueue *queue);
 
--- a/packages/core/src/zones.c
+++ b/packages/core/src/zones.c
@@ -48,7 +48,7 @@
                                json_object_new_string(talloc_asprintf(
                                    way->mem, "with this zone empty, the loss of %s %s leaves protected work without room",
                                    lossWord(broken.loss), broken.name)));
-    showVerdict(way->task, 200, body);
+    showResult(way->task, 200, body);
 }
 
 static void zoneSet(Way *way, bool drained)
@@ -67,8 +67,8 @@
     const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
     const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1,
                              drained && move == 1};
-    Verdict verdict;
-    if (wayDelivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &verdict,
+    ChangeResult result;
+    if (wayDelivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &result,
                                   way->keeps)))
         zoneShow(way);
 }
--- a/packages/face/include/face/face.h
+++ b/packages/face/include/face/face.h
@@ -31,12 +31,12 @@
 
 typedef struct Face {
     const char *name;
-    /* The settings file, as the platform names it; null and a mishap when it does not. */
-    const char *(*path)(Mishap *mishap);
+    /* The settings file, as the platform names it; null and a failure when it does not. */
+    const char *(*path)(Failure *failure);
     /* Reads the file. BAD_PROPS with the field's name. All on mem. */
-    Status (*read)(void *mem, const char *path, FacePlace *place, Mishap *mishap);
+    Status (*read)(void *mem, const char *path, FacePlace *place, Failure *failure);
     /* Serves the platform's addresses; the node lives as long as the process. */
-    Status (*start)(void *mem, const FaceNode *node, Mishap *mishap);
+    Status (*start)(void *mem, const FaceNode *node, Failure *failure);
 } Face;
 
 /* Ends with a null; defined by what is linked in beside the packages. */
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -13,7 +13,7 @@
 #define NOTHING_FIELDS(X) X(U64, nothing, 0)
 SHAPE(Nothing, NOTHING_FIELDS)
 
-/* A caller's request, carried to the leader; and its verdict. */
+/* A caller's request, carried to the leader; and its result. */
 #define PROXY_ASK_FIELDS(X) \
     X(TXT, method, 0)         \
     X(TXT, path, 0)           \
--- a/packages/feed/include/feed/proxy.h
+++ b/packages/feed/include/feed/proxy.h
@@ -5,7 +5,7 @@
 #include "feed/ways.h"
 #include "trace/trace.h"
 
-/* Carries a caller's request to the leader and its verdict back.
+/* Carries a caller's request to the leader and its result back.
  *
  * 503: certainly not taken, with when to come back. 504: it may have been. What has
  * been given up is answered at once.
@@ -32,7 +32,7 @@
 
 Proxy *proxyNew(void *mem, const ProxyProps *props);
 void proxyStart(Proxy *proxy);
-/* Waits. Fills in the verdict and keeps what was committed. */
+/* Waits. Fills in the result and keeps what was committed. */
 void proxyCarry(Proxy *proxy, HttpTask *task);
 /* Waits. Carries on what a gate could not bring to the leader itself. */
 Status proxyRelay(Proxy *proxy, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
--- a/packages/feed/src/carry.c
+++ b/packages/feed/src/carry.c
@@ -24,7 +24,7 @@
     ProxyAnswer answer;
 } Carrying;
 
-/* What the verdict speaks of, for those who trace it. */
+/* What the result speaks of, for those who trace it. */
 static void traceCarried(const Proxy *proxy, const Carrying *carrying, int64_t tookMs)
 {
     char detail[48];
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -118,10 +118,10 @@
     }
     for (size_t i = 0; i < answer->setsCount; i++) {
         ConfigSet set = answer->sets[i];
-        Verdict verdict = {0};
+        ChangeResult result = {0};
         set.restored = true;
         if (set.revision <= feed->revision)
-            deliverConfig(feed->revisions, &set, &verdict);
+            deliverConfig(feed->revisions, &set, &result);
     }
 }
 
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -6,7 +6,7 @@
 #include "api/show.h"
 #include "carry.h"
 
-#define PROXY_BACK_MS 20 /* ms; the verdict's way back to the caller */
+#define PROXY_BACK_MS 20 /* ms; the result's way back to the caller */
 #define PROXY_ROUNDS 8 /* count; so many leaders or ways, one after the other, for one request */
 
 /* A request that may be given to a leader again though an earlier one may have
@@ -58,7 +58,7 @@
     task->code = (int)answer->code;
     task->status = (Status)answer->status;
     task->kind = answer->kind;
-    task->verdict = answer->body;
+    task->result = answer->body;
     task->retryAfterS = (int)answer->retryAfterS;
 }
 
--- a/packages/gate/include/gate/gate.h
+++ b/packages/gate/include/gate/gate.h
@@ -8,12 +8,12 @@
  * configuration. */
 typedef struct Gate Gate;
 
-Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **gate, Mishap *mishap);
+Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **gate, Failure *failure);
 /* Waits. As coreTake. */
 void gateTake(Gate *gate, HttpTask *task);
 /* As coreReady. */
 bool gateReady(const Gate *gate);
-/* Waits: not ready at once; requests in work get their verdict. */
+/* Waits: not ready at once; requests in work get their result. */
 void gateDrain(Gate *gate);
 /* Other seeds from now on. */
 void gateSeeds(Gate *gate, const char *const seeds[SEEDS]);
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -42,7 +42,7 @@
     if (strcmp(task->path, "/livez") == 0) {
         json_object *body = json_object_new_object();
         json_object_object_add(body, "live", json_object_new_boolean(true));
-        showVerdict(task, 200, body);
+        showResult(task, 200, body);
     } else if (strcmp(task->path, "/readyz") == 0) {
         showReady(task, gateReady(gate), gate->leaving);
     } else if (strcmp(task->path, "/metrics") == 0) {
@@ -98,7 +98,7 @@
     return STATUS_OK;
 }
 
-Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **out, Mishap *mishap)
+Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **out, Failure *failure)
 {
     Gate *gate = talloc_zero(mem, Gate);
     gate->loop = loop;
@@ -107,9 +107,9 @@
     gate->unreadyMs = props->bounds.unreadyMs;
     gate->courier = courierNew(gate, loop, ring);
     gate->keeper = keeperNew(gate, loop, props->bounds.retellMs);
-    Status status = courierListen(gate->courier, props->listen, gate->address, mishap);
+    Status status = courierListen(gate->courier, props->listen, gate->address, failure);
     if (status == STATUS_OK)
-        status = loopServe(loop, props->http, onHttp, gate, gate->http, mishap);
+        status = loopServe(loop, props->http, onHttp, gate, gate->http, failure);
     if (status != STATUS_OK)
         return status;
     const MemberRecord self = {.id = props->name,
--- a/packages/journal/include/journal/journal.h
+++ b/packages/journal/include/journal/journal.h
@@ -26,11 +26,11 @@
 } JournalCounts;
 
 /* Reads bytes as a journal. The count of good bytes is told; found may be null. */
-Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Mishap *mishap);
+Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Failure *failure);
 
 /* Waits. Opens or makes the file; nodeName must be the one it was made for. */
 Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
-                   Journal **journal, Mishap *mishap);
+                   Journal **journal, Failure *failure);
 /* The random number that names this disk, made with the file. */
 uint64_t journalDisk(const Journal *journal);
 /* Queues the record and waits until it is synced, with all queued before it. */
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -81,18 +81,18 @@
     talloc_free(scratch);
 }
 
-static Status blockRead(Bytes body, size_t at, JournalFn found, void *arg, Mishap *mishap)
+static Status blockRead(Bytes body, size_t at, JournalFn found, void *arg, Failure *failure)
 {
     for (size_t k = 0; k < body.count;) {
         const uint32_t count = body.count - k >= 4 ? get32(body.data + k) : UINT32_MAX;
         if (count > body.count - k - 4)
-            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu", at + BLOCK_HEAD + k);
+            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu", at + BLOCK_HEAD + k);
         void *mem = talloc_new(NULL);
         Record record;
-        const Status status = shapeUnpack(&RecordShape, (Bytes){body.data + k + 4, count, 0}, mem, &record, mishap);
+        const Status status = shapeUnpack(&RecordShape, (Bytes){body.data + k + 4, count, 0}, mem, &record, failure);
         if (status != STATUS_OK) {
             talloc_free(mem);
-            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu", at + BLOCK_HEAD + k);
+            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu", at + BLOCK_HEAD + k);
         }
         if (found != NULL)
             found(arg, &record);
@@ -102,7 +102,7 @@
     return STATUS_OK;
 }
 
-Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Mishap *mishap)
+Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Failure *failure)
 {
     size_t at = 0;
     *goodCount = 0;
@@ -111,11 +111,11 @@
         if (!blockAt(content, at, &body)) {
             for (size_t later = at + 1; later < content.count; later++)
                 if (content.data[later] == (uint8_t)(MAGIC >> 24) && blockAt(content, later, &body))
-                    return mishapSet(mishap, STATUS_JOURNAL_CORRUPT,
+                    return failureSet(failure, STATUS_JOURNAL_CORRUPT,
                                      "bad block at byte %zu, but a whole one follows at byte %zu", at, later);
             return STATUS_OK; /* a torn tail */
         }
-        const Status status = blockRead(body, at, found, arg, mishap);
+        const Status status = blockRead(body, at, found, arg, failure);
         if (status != STATUS_OK)
             return status;
         at += BLOCK_HEAD + body.count;
@@ -245,7 +245,7 @@
     JournalFn found;
     void *arg;
     size_t records;
-    Mishap mishap;
+    Failure failure;
 } Opening;
 
 static void openRecord(void *arg, const Record *record)
@@ -254,50 +254,50 @@
     Journal *journal = opening->journal;
     if (opening->records++ == 0) {
         if (record->kind != RECORD_IDENTITY)
-            mishapSet(&opening->mishap, STATUS_JOURNAL_CORRUPT, "the first record is not the identity");
+            failureSet(&opening->failure, STATUS_JOURNAL_CORRUPT, "the first record is not the identity");
         else if (record->epoch > JOURNAL_VERSION)
-            mishapSet(&opening->mishap, STATUS_JOURNAL_FORMAT, "format %" PRIu64 ", this release reads up to %d",
+            failureSet(&opening->failure, STATUS_JOURNAL_FORMAT, "format %" PRIu64 ", this release reads up to %d",
                       record->epoch, JOURNAL_VERSION);
         else if (strcmp(record->name, journal->nodeName) != 0)
-            mishapSet(&opening->mishap, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
+            failureSet(&opening->failure, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
                       record->name, journal->nodeName);
         else
             journal->disk = record->index;
         return;
     }
-    if (opening->mishap.status == STATUS_OK && record->kind != RECORD_IDENTITY)
+    if (opening->failure.status == STATUS_OK && record->kind != RECORD_IDENTITY)
         opening->found(opening->arg, record);
 }
 
 Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
-                   Journal **out, Mishap *mishap)
+                   Journal **out, Failure *failure)
 {
     Journal *journal = talloc_zero(mem, Journal);
     journal->loop = loop;
     journal->nodeName = talloc_strdup(journal, nodeName);
     journal->syncSinceMs = INT64_MAX;
-    Status status = fileOpen(loop, journal, path, &journal->file, mishap);
+    Status status = fileOpen(loop, journal, path, &journal->file, failure);
     if (status != STATUS_OK)
         return status;
     void *scratch = talloc_new(journal);
     Bytes content = {0};
     status = fileRead(journal->file, scratch, &content);
     if (status != STATUS_OK)
-        return mishapSet(mishap, status, "cannot read %s", path);
+        return failureSet(failure, status, "cannot read %s", path);
     Opening opening = {journal, found, arg, 0, {0}};
     size_t goodCount;
-    status = journalRead(content, openRecord, &opening, &goodCount, mishap);
+    status = journalRead(content, openRecord, &opening, &goodCount, failure);
     if (status != STATUS_OK)
         return status;
-    if (opening.mishap.status != STATUS_OK)
-        return mishapSet(mishap, opening.mishap.status, "%s", opening.mishap.text);
+    if (opening.failure.status != STATUS_OK)
+        return failureSet(failure, opening.failure.status, "%s", opening.failure.text);
     journal->counts.bytes = goodCount;
     journal->counts.tornBytes = content.count - goodCount;
     if (goodCount < content.count) {
         const Bytes good = {content.data, goodCount, 0};
         status = fileReplace(journal->file, good);
         if (status != STATUS_OK)
-            return mishapSet(mishap, status, "cannot cut the torn tail of %s", path);
+            return failureSet(failure, status, "cannot cut the torn tail of %s", path);
     }
     talloc_free(scratch);
     loopSpawn(loop, "journal", writerMain, journal);
@@ -306,7 +306,7 @@
         const Record first = identity(journal);
         status = journalWrite(journal, &first, 1);
         if (status != STATUS_OK)
-            return mishapSet(mishap, status, "cannot write %s", path);
+            return failureSet(failure, status, "cannot write %s", path);
     }
     *out = journal;
     return STATUS_OK;
--- a/packages/journal/test/journal.c
+++ b/packages/journal/test/journal.c
@@ -19,7 +19,7 @@
     const char *node;
     Journal *journal;
     Status status;
-    Mishap mishap;
+    Failure failure;
     size_t entries, lastIndex, writes;
     bool write, rewrite;
 } Seen;
@@ -36,7 +36,7 @@
 static void openMain(void *arg)
 {
     Seen *seen = arg;
-    seen->status = journalOpen(seen->loop, seen->loop, PATH, seen->node, onRecord, seen, &seen->journal, &seen->mishap);
+    seen->status = journalOpen(seen->loop, seen->loop, PATH, seen->node, onRecord, seen, &seen->journal, &seen->failure);
     if (seen->status != STATUS_OK)
         return;
     uint8_t body[50] = {7};
@@ -66,8 +66,8 @@
     simStart(world, machine, start, seen);
     simRunUntil(world, simNowMs(world) + 5000);
     simKill(world, machine);
-    if (seen->mishap.status != STATUS_OK)
-        print_message("%s: %s\n", statusWord(seen->status), seen->mishap.text);
+    if (seen->failure.status != STATUS_OK)
+        print_message("%s: %s\n", statusWord(seen->status), seen->failure.text);
     return *seen;
 }
 
@@ -99,7 +99,7 @@
     const Bytes whole = bytesCopy(world, *file);
     Seen seen = run(world, machine, "core2", 0, false);
     assert_int_equal(seen.status, STATUS_JOURNAL_FOREIGN);
-    assert_non_null(strstr(seen.mishap.text, "core1"));
+    assert_non_null(strstr(seen.failure.text, "core1"));
     /* a torn tail: cut off, the rest stands */
     file->count -= 5;
     seen = run(world, machine, "core1", 0, false);
@@ -118,7 +118,7 @@
     file->data[file->count / 2] ^= 4;
     seen = run(world, machine, "core1", 0, false);
     assert_int_equal(seen.status, STATUS_JOURNAL_CORRUPT);
-    assert_non_null(strstr(seen.mishap.text, "at byte"));
+    assert_non_null(strstr(seen.failure.text, "at byte"));
     talloc_free(world);
 }
 
@@ -137,9 +137,9 @@
         Bytes copy = bytesCopy(world, whole);
         copy.data[at] ^= 0x41;
         Seen seen = {0};
-        Mishap mishap = {0};
+        Failure failure = {0};
         size_t good;
-        const Status status = journalRead(copy, onRecord, &seen, &good, &mishap);
+        const Status status = journalRead(copy, onRecord, &seen, &good, &failure);
         if (status == STATUS_OK) {
             assert_true(at + 2 * block > whole.count);
             assert_int_equal(seen.entries, 5);
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -6,7 +6,7 @@
 
 #include "base/bytes.h"
 #include "base/constants.h"
-#include "base/mishap.h"
+#include "base/failure.h"
 
 /* The one interface between node code and the world: clock, tasks, connections,
  * disk, HTTP. Two forms stand behind it: the real one (h2o's loop) and the
@@ -28,7 +28,7 @@
 typedef void (*TaskFn)(void *arg);
 /* The task owns the channel and closes it. */
 typedef void (*ChannelFn)(void *arg, Channel *channel);
-/* Runs in a task of its own; the verdict goes out when it returns. */
+/* Runs in a task of its own; the result goes out when it returns. */
 typedef void (*HttpFn)(void *arg, HttpTask *task);
 
 typedef struct LoopOps {
@@ -37,16 +37,16 @@
     uint64_t (*random)(Loop *loop);
     /* The loop has something to do at whenMs at the latest. */
     void (*arm)(Loop *loop, int64_t whenMs);
-    Status (*listen)(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap);
+    Status (*listen)(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure);
     Status (*open)(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
     Status (*send)(Channel *channel, Bytes frame);
     void (*shut)(Channel *channel);
-    Status (*serve)(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap);
+    Status (*serve)(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Failure *failure);
     void (*limit)(Loop *loop, const HttpLimits *limits);
     void (*leave)(Loop *loop);
     size_t (*busy)(const Loop *loop);
     Status (*call)(Loop *loop, HttpCall *call);
-    Status (*fileOpen)(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+    Status (*fileOpen)(Loop *loop, void *mem, const char *path, File **file, Failure *failure);
     Status (*fileRead)(File *file, void *mem, Bytes *content);
     Status (*fileAppend)(File *file, Bytes bytes);
     Status (*fileReplace)(File *file, Bytes bytes);
@@ -79,7 +79,7 @@
 void signalRaise(Loop *loop, Signal *signal);
 
 /* --- connections: whole frames, in order, until one side or the net breaks --- */
-Status loopListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap);
+Status loopListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char bound[ADDRESS_MAX], Failure *failure);
 /* Waits. The channel lives on mem until channelClose. */
 Status loopOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
 /* Takes a copy; never waits. */
@@ -91,7 +91,7 @@
 void channelClose(Channel *channel);
 
 /* --- disk ------------------------------------------------------------------------ */
-Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure);
 /* Waits. */
 Status fileRead(File *file, void *mem, Bytes *content);
 /* Waits until the bytes are synced. One call at a time for each file. */
@@ -115,16 +115,16 @@
     const HttpPair *heads; /* all headers of the request, their names in lower case */
     size_t headCount;
     Bytes body;
-    int64_t expiryMs; /* own clock; nobody waits for the verdict after this; 0: none is known */
+    int64_t expiryMs; /* own clock; nobody waits for the result after this; 0: none is known */
     bool again; /* it was carried to another leader before, whose answer was lost */
-    bool gone; /* the caller has left; a verdict would go nowhere */
-    /* the verdict */
+    bool gone; /* the caller has left; a result would go nowhere */
+    /* the result */
     int code;
     Status status; /* why it was refused; OK otherwise */
     const char *kind; /* content type */
-    Bytes verdict;
+    Bytes result;
     int retryAfterS; /* told when above 0 */
-    const HttpPair *tells; /* further headers of the verdict */
+    const HttpPair *tells; /* further headers of the result */
     size_t tellCount;
 };
 
@@ -150,11 +150,11 @@
     int64_t waitMs;
     const HttpPair *heads; /* further headers of the request; "host" in place of the address */
     size_t headCount;
-    /* the verdict */
+    /* the result */
     int code;
-    Bytes verdict;
+    Bytes result;
     int retryAfterS;
-    const HttpPair *tells; /* all headers of the verdict, their names in lower case; on mem */
+    const HttpPair *tells; /* all headers of the result, their names in lower case; on mem */
     size_t tellCount;
     bool sent; /* false: certainly not taken by anybody */
     /* set while the call waits */
@@ -163,16 +163,16 @@
 };
 
 /* For any number of addresses, each with a function of its own. */
-Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap);
+Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Failure *failure);
 /* For all addresses, from the next request on; may be told at any time. */
 void loopServeLimits(Loop *loop, const HttpLimits *limits);
-/* From now on each caller's connection is closed after its next verdict. */
+/* From now on each caller's connection is closed after its next result. */
 void loopServeLeave(Loop *loop);
-/* Requests that have begun to come in and whose verdict has not gone out. */
+/* Requests that have begun to come in and whose result has not gone out. */
 size_t loopServeBusy(const Loop *loop);
-/* Waits. OK when any verdict came. */
+/* Waits. OK when any result came. */
 Status loopCall(Loop *loop, HttpCall *call);
-/* Gives a call up from another task: it ends CLOSED and its verdict is dropped. */
+/* Gives a call up from another task: it ends CLOSED and its result is dropped. */
 void loopCallCut(Loop *loop, HttpCall *call);
 
 #endif
--- a/packages/loop/src/channel.c
+++ b/packages/loop/src/channel.c
@@ -64,9 +64,9 @@
     talloc_free(channel);
 }
 
-Status loopListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap)
+Status loopListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char bound[ADDRESS_MAX], Failure *failure)
 {
-    return loop->ops->listen(loop, address, fn, arg, bound, mishap);
+    return loop->ops->listen(loop, address, fn, arg, bound, failure);
 }
 
 Status loopOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel)
@@ -74,9 +74,9 @@
     return loop->ops->open(loop, mem, address, waitMs, channel);
 }
 
-Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap)
+Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure)
 {
-    return loop->ops->fileOpen(loop, mem, path, file, mishap);
+    return loop->ops->fileOpen(loop, mem, path, file, failure);
 }
 
 Status fileRead(File *file, void *mem, Bytes *content)
--- a/packages/loop/src/http.c
+++ b/packages/loop/src/http.c
@@ -3,9 +3,9 @@
 
 #include "loop/inside.h"
 
-Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Mishap *mishap)
+Status loopServe(Loop *loop, const char *address, HttpFn fn, void *arg, char bound[ADDRESS_MAX], Failure *failure)
 {
-    return loop->ops->serve(loop, address, fn, arg, bound, mishap);
+    return loop->ops->serve(loop, address, fn, arg, bound, failure);
 }
 
 void loopServeLimits(Loop *loop, const HttpLimits *limits)
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -40,24 +40,24 @@
 bool realAddress(const char *address, struct sockaddr_in *sin);
 /* A listening socket by IP; its bound address is written to bound. */
 h2o_socket_t *realBind(RealLoop *real, const char *address, h2o_socket_cb onAccept, void *data, char *bound,
-                       Mishap *mishap);
+                       Failure *failure);
 
-/* A connection whose partner's machine says nothing any more ends soon. What is
+/* A connection whose peer's machine says nothing any more ends soon. What is
  * accepted by a listening socket inherits this from it. */
 void realPatience(int fd);
 
-Status realListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap);
+Status realListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure);
 Status realOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
 Status realSend(Channel *channel, Bytes frame);
 void realShut(Channel *channel);
-Status realServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap);
+Status realServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Failure *failure);
 void realFlush(RealLoop *real);
 void realServeSweep(RealLoop *real);
 void realLimit(Loop *loop, const HttpLimits *limits);
 void realLeave(Loop *loop);
 size_t realBusy(const Loop *loop);
 Status realCall(Loop *loop, HttpCall *call);
-Status realFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+Status realFileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure);
 Status realFileRead(File *file, void *mem, Bytes *content);
 Status realFileAppend(File *file, Bytes bytes);
 Status realFileReplace(File *file, Bytes bytes);
--- a/packages/loop/src/realcall.c
+++ b/packages/loop/src/realcall.c
@@ -121,7 +121,7 @@
         status = call->cut ? STATUS_CLOSED : STATUS_EXPIRED;
     }
     talloc_steal(call->mem, calling->body.data);
-    call->verdict = calling->body;
+    call->result = calling->body;
     talloc_free(calling);
     return status;
 }
--- a/packages/loop/src/realchannel.c
+++ b/packages/loop/src/realchannel.c
@@ -1,6 +1,6 @@
 /* Frames over TCP: four bytes of length, then the frame.
  *
- * What is sent to one partner within a turn of the loop goes out together at its
+ * What is sent to one peer within a turn of the loop goes out together at its
  * end, by one write of our own; h2o writes only what the kernel did not take, for its
  * writes cost one more turn each. */
 #include <errno.h>
@@ -171,12 +171,12 @@
     }
 }
 
-Status realListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap)
+Status realListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure)
 {
     RealLoop *real = (RealLoop *)loop;
     Listener *listener = talloc_zero(real, Listener);
     *listener = (Listener){real, fn, arg};
-    return realBind(real, address, onAccept, listener, bound, mishap) != NULL ? STATUS_OK : STATUS_BAD_PROPS;
+    return realBind(real, address, onAccept, listener, bound, failure) != NULL ? STATUS_OK : STATUS_BAD_PROPS;
 }
 
 static void onConnect(h2o_socket_t *sock, const char *err)
--- a/packages/loop/src/realdisk.c
+++ b/packages/loop/src/realdisk.c
@@ -157,7 +157,7 @@
     return job->ok ? STATUS_OK : STATUS_DISK_FAILED;
 }
 
-Status realFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap)
+Status realFileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure)
 {
     RealFile *rf = talloc_zero(mem, RealFile);
     rf->file.loop = loop;
@@ -167,17 +167,17 @@
     snprintf(scratch, sizeof(scratch), "%s", path);
     snprintf(rf->folder, sizeof(rf->folder), "%s", dirname(scratch));
     if (mkdir(rf->folder, 0750) != 0 && errno != EEXIST)
-        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot make folder %s: %s", rf->folder, strerror(errno));
+        return failureSet(failure, STATUS_DISK_FAILED, "cannot make folder %s: %s", rf->folder, strerror(errno));
     rf->fd = open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
     if (rf->fd < 0)
-        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot open %s: %s", path, strerror(errno));
+        return failureSet(failure, STATUS_DISK_FAILED, "cannot open %s: %s", path, strerror(errno));
     if (!folderSync(rf))
-        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot sync folder %s: %s", rf->folder, strerror(errno));
+        return failureSet(failure, STATUS_DISK_FAILED, "cannot sync folder %s: %s", rf->folder, strerror(errno));
     pthread_mutex_init(&rf->lock, NULL);
     pthread_cond_init(&rf->asked, NULL);
     pthread_t thread;
     if (pthread_create(&thread, NULL, diskMain, rf) != 0)
-        return mishapSet(mishap, STATUS_DISK_FAILED, "cannot start the disk thread");
+        return failureSet(failure, STATUS_DISK_FAILED, "cannot start the disk thread");
     pthread_detach(thread);
     *file = &rf->file;
     return STATUS_OK;
--- a/packages/loop/src/realserve.c
+++ b/packages/loop/src/realserve.c
@@ -7,7 +7,7 @@
 #include "real.h"
 
 #define SWEEP_MS 500            /* ms; unfinished heads are looked for this often, when the loop runs anyway */
-#define AHEAD_BYTES (64 * 1024) /* bytes; so much is read of what a caller sends before its verdict */
+#define AHEAD_BYTES (64 * 1024) /* bytes; so much is read of what a caller sends before its result */
 
 /* An address served. */
 typedef struct Door {
@@ -80,7 +80,7 @@
 {
     req->res.status = task->code;
     req->res.reason = codeWord(task->code);
-    req->res.content_length = task->verdict.count;
+    req->res.content_length = task->result.count;
     const h2o_iovec_t kind = h2o_strdup(&req->pool, task->kind, SIZE_MAX);
     h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, kind.base, kind.len);
     if (task->retryAfterS > 0) {
@@ -92,7 +92,7 @@
         tell(req, task->tells[i].name, task->tells[i].value);
     if (real->leaving)
         req->http1_is_persistent = 0;
-    h2o_send_inline(req, (const char *)task->verdict.data, task->verdict.count);
+    h2o_send_inline(req, (const char *)task->result.data, task->result.count);
 }
 
 /* A refusal that no task is needed for. */
@@ -100,11 +100,11 @@
 {
     char body[160];
     const int count = snprintf(body, sizeof(body), "{\"status\":\"%s\",\"text\":\"%s\"}\n", statusWord(status), text);
-    const HttpTask verdict = {.code = statusHttp(status),
+    const HttpTask result = {.code = statusHttp(status),
                               .kind = "application/json",
-                              .verdict = {(uint8_t *)body, (size_t)count, 0},
+                              .result = {(uint8_t *)body, (size_t)count, 0},
                               .retryAfterS = statusRetryS(status)};
-    answer(real, req, &verdict);
+    answer(real, req, &result);
 }
 
 static void servedMain(void *arg)
@@ -123,7 +123,7 @@
 }
 
 /* While a request is in work its caller is listened to all the same: h2o reads
- * on by itself after the verdict. */
+ * on by itself after the result. */
 static void onAhead(h2o_socket_t *sock, const char *err)
 {
     const Visit *visit = sock->on_close.data;
@@ -275,14 +275,14 @@
     realLimit(&real->loop, &real->limits);
 }
 
-Status realServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap)
+Status realServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Failure *failure)
 {
     RealLoop *real = (RealLoop *)loop;
     if (!real->serving)
         serveBegin(real);
     Door *door = talloc_zero(real, Door);
     *door = (Door){real, fn, arg};
-    return realBind(real, address, onAccept, door, bound, mishap) != NULL ? STATUS_OK : STATUS_BAD_PROPS;
+    return realBind(real, address, onAccept, door, bound, failure) != NULL ? STATUS_OK : STATUS_BAD_PROPS;
 }
 
 void realLimit(Loop *loop, const HttpLimits *limits)
--- a/packages/loop/test/http.c
+++ b/packages/loop/test/http.c
@@ -36,7 +36,7 @@
 {
     task->code = 200;
     task->kind = "text/plain";
-    bytesAdd(task, &task->verdict, text, strlen(text));
+    bytesAdd(task, &task->result, text, strlen(text));
 }
 
 static void onFirst(void *arg, HttpTask *task)
@@ -49,9 +49,9 @@
         stage->gone++;
     } else if (strcmp(task->path, "/large") == 0) {
         task->code = 200;
-        task->verdict.data = talloc_zero_size(task, LARGE_BYTES);
-        task->verdict.count = LARGE_BYTES;
-        memset(task->verdict.data, 'x', LARGE_BYTES);
+        task->result.data = talloc_zero_size(task, LARGE_BYTES);
+        task->result.count = LARGE_BYTES;
+        memset(task->result.data, 'x', LARGE_BYTES);
     } else if (strcmp(task->path, "/leave") == 0) {
         loopServeLeave(task->loop);
         say(task, talloc_asprintf(task, "busy %zu", loopServeBusy(task->loop)));
--- a/packages/member/include/member/record.h
+++ b/packages/member/include/member/record.h
@@ -22,7 +22,7 @@
     X(TXT, name, 0)                                                                 \
     X(U64, role, 0)                                                                 \
     X(TXT, zone, 0)                                                                 \
-    X(TXT, address, 0)    /* where partners ask it */                               \
+    X(TXT, address, 0)    /* where peers ask it */                               \
     X(TXT, http, 0)       /* where callers ask it */                                \
     X(U64, incarnation, 0)                                                          \
     X(U64, tick, 0)       /* grows while it lives */                                \
--- a/packages/model/include/model/site.h
+++ b/packages/model/include/model/site.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "base/mishap.h"
+#include "base/failure.h"
 
 /* A deployment as its owners describe it: machines, workers, what is handed in,
  * and the bounds that the rules speak of. Spans and counts, units in the names.
@@ -96,7 +96,7 @@
 /* The site of the name that is built in; false when there is none. */
 bool siteNamed(const char *name, Site *site);
 /* Reads an ini file: [site] and a group for each kind, over the defaults. */
-Status siteRead(const char *path, Site *site, Mishap *mishap);
+Status siteRead(const char *path, Site *site, Failure *failure);
 const char *siteZone(int64_t zone);
 
 #endif
--- a/packages/model/include/model/tongue.h
+++ b/packages/model/include/model/tongue.h
@@ -148,16 +148,16 @@
     char *(*settings)(void *mem, const Site *site, const TongueNode *node);
     char *(*beatPath)(void *mem, const char *boot, bool leaves);
     Bytes (*report)(void *mem, const HandReport *report);
-    bool (*orders)(void *mem, Bytes verdict, HandOrders *orders);
+    bool (*orders)(void *mem, Bytes result, HandOrders *orders);
     Bytes (*job)(void *mem, const Draft *draft);
-    JobWord (*state)(Bytes verdict);
+    JobWord (*state)(Bytes result);
     /* The count of a queue; -1: there is none in it. */
-    int64_t (*pending)(Bytes verdict);
+    int64_t (*pending)(Bytes result);
     Worded (*document)(void *mem, const Document *document, uint64_t base, Spoil spoil);
     /* The change from one to the other, as named items. */
     Worded (*patch)(void *mem, const Document *from, const Document *to);
     /* Whether what was read back is the document. */
-    bool (*same)(Bytes verdict, const Document *document, uint64_t *revision);
+    bool (*same)(Bytes result, const Document *document, uint64_t *revision);
     char *(*zonePath)(void *mem, const char *zone, bool drain);
 } Tongue;
 
--- a/packages/model/src/caller.c
+++ b/packages/model/src/caller.c
@@ -43,7 +43,7 @@
 /* --- one call ------------------------------------------------------------------------------ */
 
 /* Asks an entry point about the job. */
-static Outcome ask(CallerTask *task, void *mem, const char *method, Bytes body, GroundNode **node, int64_t *sentMs, Bytes *verdict,
+static Outcome ask(CallerTask *task, void *mem, const char *method, Bytes body, GroundNode **node, int64_t *sentMs, Bytes *result,
                int *againS)
 {
     const Ground *ground = task->callers->ground;
@@ -62,10 +62,10 @@
                      .headCount = 2};
     const uint64_t life = (*node)->life;
     const Status status = loopCall(task->loop, &call);
-    *verdict = call.verdict;
+    *result = call.result;
     *againS = call.retryAfterS;
     groundTell(ground, &task->job->tasks[0].name, "%s through %s: %s %d %.*s", method, (*node)->name, statusWord(status),
-               call.code, (int)(call.verdict.count < 60 ? call.verdict.count : 60), (const char *)call.verdict.data);
+               call.code, (int)(call.result.count < 60 ? call.result.count : 60), (const char *)call.result.data);
     const Outcome outcome = tongue->outcome(status == STATUS_OK ? call.code : 0);
     if ((*node)->life == life && (outcome == OUTCOME_NOBODY || outcome == OUTCOME_GOOD))
         ledgerShown(task->callers->ledger, *node, task->queue.host, task->queue.prefix, *sentMs, outcome == OUTCOME_GOOD);
@@ -97,10 +97,10 @@
     void *mem = talloc_new(task);
     GroundNode *node;
     int64_t sentMs;
-    Bytes verdict;
+    Bytes result;
     int againS = 0;
     job->triesOpen++;
-    const Outcome outcome = ask(task, mem, "POST", callers->ground->tongue->job(mem, &job->draft), &node, &sentMs, &verdict, &againS);
+    const Outcome outcome = ask(task, mem, "POST", callers->ground->tongue->job(mem, &job->draft), &node, &sentMs, &result, &againS);
     job->triesOpen--;
     const bool taken = outcome == OUTCOME_GOOD;
     firstCount(task, taken, sentMs);
@@ -169,10 +169,10 @@
     void *mem = talloc_new(task);
     GroundNode *node;
     int64_t sentMs;
-    Bytes verdict;
+    Bytes result;
     int againS;
-    const Outcome outcome = ask(task, mem, "GET", (Bytes){0}, &node, &sentMs, &verdict, &againS);
-    const JobWord word = outcome == OUTCOME_GOOD ? ground->tongue->state(verdict) : JOB_WORD_NONE;
+    const Outcome outcome = ask(task, mem, "GET", (Bytes){0}, &node, &sentMs, &result, &againS);
+    const JobWord word = outcome == OUTCOME_GOOD ? ground->tongue->state(result) : JOB_WORD_NONE;
     if (outcome == OUTCOME_GONE && job->acceptedMs != 0 && sentMs - job->acceptedMs > ground->site->visibleMs && nodeInTouch(node))
         rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "%s does not know %s, accepted by %s %" PRId64 " ms ago",
                    node->name, job->draft.id, job->acceptedBy->name, sentMs - job->acceptedMs);
@@ -191,9 +191,9 @@
         void *mem = talloc_new(task);
         GroundNode *node;
         int64_t sentMs;
-        Bytes verdict;
+        Bytes result;
         int againS;
-        if (ask(task, mem, "DELETE", (Bytes){0}, &node, &sentMs, &verdict, &againS) == OUTCOME_GOOD)
+        if (ask(task, mem, "DELETE", (Bytes){0}, &node, &sentMs, &result, &againS) == OUTCOME_GOOD)
             job->cancelMs = groundNowMs(ground);
         talloc_free(mem);
         if (job->cancelMs == 0)
--- a/packages/model/src/ground.c
+++ b/packages/model/src/ground.c
@@ -136,7 +136,7 @@
     }
 }
 
-static bool settingsRead(GroundNode *node, Mishap *mishap)
+static bool settingsRead(GroundNode *node, Failure *failure)
 {
     const Ground *ground = node->ground;
     TongueNode told = {.name = node->name,
@@ -153,7 +153,7 @@
         fputs(text, file);
         fclose(file);
     }
-    const Status status = ground->face->read(node->mem, path, &node->place, mishap);
+    const Status status = ground->face->read(node->mem, path, &node->place, failure);
     unlink(path);
     return status == STATUS_OK;
 }
@@ -176,26 +176,26 @@
 {
     GroundNode *node = arg;
     Ground *ground = node->ground;
-    Mishap mishap = {0};
+    Failure failure = {0};
     Loop *loop = simLoop(ground->world, node->machine);
     const CoreWatch watch = {node, onPlans};
     const Props *props = &node->place.props;
     node->node = (FaceNode){.loop = loop, .ring = node->ring, .place = &node->place};
-    Status status = settingsRead(node, &mishap) ? STATUS_OK : STATUS_BAD_PROPS;
+    Status status = settingsRead(node, &failure) ? STATUS_OK : STATUS_BAD_PROPS;
     if (status == STATUS_OK && node->place.role == PROPS_CORE)
-        status = coreStart(node->mem, loop, node->ring, props, &watch, &node->node.core, &mishap);
+        status = coreStart(node->mem, loop, node->ring, props, &watch, &node->node.core, &failure);
     else if (status == STATUS_OK && node->place.role == PROPS_GATE)
-        status = gateStart(node->mem, loop, node->ring, props, &node->node.gate, &mishap);
+        status = gateStart(node->mem, loop, node->ring, props, &node->node.gate, &failure);
     else if (status == STATUS_OK)
-        status = agentStart(node->mem, loop, node->ring, props, &node->node.agent, &mishap);
+        status = agentStart(node->mem, loop, node->ring, props, &node->node.agent, &failure);
     if (status == STATUS_OK)
-        status = ground->face->start(node->mem, &node->node, &mishap);
+        status = ground->face->start(node->mem, &node->node, &failure);
     node->up = status == STATUS_OK;
     if (node->up)
         return;
-    groundSay(ground, "%s does not start: %s", node->name, mishap.text);
+    groundSay(ground, "%s does not start: %s", node->name, failure.text);
     if (node->troubles == 0)
-        rulesBroke(ground->rules, RULE_FAULT, groundDayMs(ground), "%s does not start: %s", node->name, mishap.text);
+        rulesBroke(ground->rules, RULE_FAULT, groundDayMs(ground), "%s does not start: %s", node->name, failure.text);
     simAt(ground->world, groundNowMs(ground), endsAlone, node);
 }
 
--- a/packages/model/src/hand.c
+++ b/packages/model/src/hand.c
@@ -353,7 +353,7 @@
     const Status status = loopCall(hand->loop, &call);
     HandOrders *orders = talloc_zero(mem, HandOrders);
     if (status != STATUS_OK || call.code < 200 || call.code > 299 || loopNowMs(hand->loop) - sentMs > ANSWER_MOST_MS ||
-        !tongue->orders(mem, call.verdict, orders)) {
+        !tongue->orders(mem, call.result, orders)) {
         hand->newsOpen = true;
         return BEAT_AGAIN_MS;
     }
--- a/packages/model/src/operator.c
+++ b/packages/model/src/operator.c
@@ -32,7 +32,7 @@
 }
 
 /* Asks a node. */
-static Outcome ask(const Operator *operator, void *mem, const GroundNode *node, const char *method, const Worded *worded, Bytes *verdict)
+static Outcome ask(const Operator *operator, void *mem, const GroundNode *node, const char *method, const Worded *worded, Bytes *result)
 {
     const Ground *ground = operator->ground;
     const HttpPair heads[] = {{worded->headName, worded->headValue}};
@@ -46,8 +46,8 @@
                      .heads = heads,
                      .headCount = worded->headName != NULL};
     const Status status = loopCall(loopOf(operator), &call);
-    if (verdict != NULL)
-        *verdict = call.verdict;
+    if (result != NULL)
+        *result = call.result;
     return ground->tongue->outcome(status == STATUS_OK ? call.code : 0);
 }
 
@@ -204,13 +204,13 @@
 static void learn(Operator *operator)
 {
     void *mem = talloc_new(operator);
-    Bytes verdict = {0};
+    Bytes result = {0};
     const Worded worded = {.path = operator->ground->tongue->configPath};
-    if (ask(operator, mem, nodeDraw(operator), "GET", &worded, &verdict) == OUTCOME_GOOD)
+    if (ask(operator, mem, nodeDraw(operator), "GET", &worded, &result) == OUTCOME_GOOD)
         for (size_t i = 0; i < operator->ledger->count; i++) {
             Sent *sent = operator->ledger->rows[i];
             uint64_t revision = 0;
-            const bool same = operator->ground->tongue->same(verdict, &sent->document, &revision);
+            const bool same = operator->ground->tongue->same(result, &sent->document, &revision);
             if (same && sent->word == SENT_OPEN && revision == sent->document.revision)
                 ledgerTaken(operator->ledger, sent);
         }
@@ -420,7 +420,7 @@
     }
 }
 
-static void backCheck(const Operator *operator, Bytes verdict)
+static void backCheck(const Operator *operator, Bytes result)
 {
     const Ground *ground = operator->ground;
     const Sent *newest = ledgerNewest(operator->ledger), *known = NULL;
@@ -428,7 +428,7 @@
     bool same = false;
     for (size_t i = 0; i < operator->ledger->count && !same; i++) {
         const Sent *sent = operator->ledger->rows[i];
-        same = ground->tongue->same(verdict, &sent->document, &revision) && sent->spoil == SPOIL_NONE;
+        same = ground->tongue->same(result, &sent->document, &revision) && sent->spoil == SPOIL_NONE;
         if (sent->document.revision == revision && (known == NULL || same))
             known = sent;
     }
@@ -450,9 +450,9 @@
     size_t read = 0;
     while (read == 0 || groundNowMs(ground) < untilMs) {
         void *mem = talloc_new(operator);
-        Bytes verdict = {0};
-        if (operator->opened == 0 && ask(operator, mem, nodeDraw(operator), "GET", &worded, &verdict) == OUTCOME_GOOD) {
-            backCheck(operator, verdict);
+        Bytes result = {0};
+        if (operator->opened == 0 && ask(operator, mem, nodeDraw(operator), "GET", &worded, &result) == OUTCOME_GOOD) {
+            backCheck(operator, result);
             read++;
         }
         talloc_free(mem);
--- a/packages/model/src/site.c
+++ b/packages/model/src/site.c
@@ -131,11 +131,11 @@
     return false;
 }
 
-static Status groupRead(GKeyFile *file, const char *group, Site *site, Mishap *mishap)
+static Status groupRead(GKeyFile *file, const char *group, Site *site, Failure *failure)
 {
     const bool whole = strcmp(group, "site") == 0;
     if (!whole && site->kindCount == SITE_KINDS_MAX)
-        return mishapSet(mishap, STATUS_BAD_PROPS, "[%s]: there are too many kinds", group);
+        return failureSet(failure, STATUS_BAD_PROPS, "[%s]: there are too many kinds", group);
     SiteKind *kind = whole ? NULL : kindAdd(site, group);
     gsize count = 0;
     char **keys = g_key_file_get_keys(file, group, &count, NULL);
@@ -144,35 +144,35 @@
         GError *error = NULL;
         const int64_t value = g_key_file_get_int64(file, group, keys[i], &error);
         if (error != NULL || value < 0)
-            status = mishapSet(mishap, STATUS_BAD_PROPS, "[%s] %s: must be a number", group, keys[i]);
+            status = failureSet(failure, STATUS_BAD_PROPS, "[%s] %s: must be a number", group, keys[i]);
         else if (whole ? !siteField(site, keys[i], value) : !kindField(kind, keys[i], value))
-            status = mishapSet(mishap, STATUS_BAD_PROPS, "[%s] %s: there is no such key", group, keys[i]);
+            status = failureSet(failure, STATUS_BAD_PROPS, "[%s] %s: there is no such key", group, keys[i]);
         g_clear_error(&error);
     }
     g_strfreev(keys);
     return status;
 }
 
-Status siteRead(const char *path, Site *site, Mishap *mishap)
+Status siteRead(const char *path, Site *site, Failure *failure)
 {
     GKeyFile *file = g_key_file_new();
     GError *error = NULL;
     Status status = STATUS_OK;
     *site = siteFirst("own");
     if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error)) {
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "%s: %s", path, error->message);
+        status = failureSet(failure, STATUS_BAD_PROPS, "%s: %s", path, error->message);
         g_error_free(error);
     }
     char **groups = status == STATUS_OK ? g_key_file_get_groups(file, NULL) : NULL;
     for (size_t i = 0; groups != NULL && groups[i] != NULL && status == STATUS_OK; i++)
-        status = groupRead(file, groups[i], site, mishap);
+        status = groupRead(file, groups[i], site, failure);
     g_strfreev(groups);
     g_key_file_free(file);
     if (status == STATUS_OK && site->kindCount == 0)
         tiles(site);
     if (status == STATUS_OK && (site->cores < 3 || site->hands < 1 || site->hands > 40 || site->cores + site->spares > 16 ||
                                 site->gates > 16 || site->zones < 1 || site->zones > 4 || site->rackHands < 1))
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "%s: there are too few machines, or more than the simulator holds", path);
+        status = failureSet(failure, STATUS_BAD_PROPS, "%s: there are too few machines, or more than the simulator holds", path);
     return status;
 }
 
--- a/packages/policy/include/policy/lua.h
+++ b/packages/policy/include/policy/lua.h
@@ -1,7 +1,7 @@
 #ifndef POLICY_LUA_H
 #define POLICY_LUA_H
 
-#include "base/mishap.h"
+#include "base/failure.h"
 #include "policy/policy.h"
 
 /* An operator's policy: Lua text that defines rank(task) and, if it likes,
@@ -11,7 +11,7 @@
 typedef struct LuaPolicy LuaPolicy;
 
 /* Compiles and tries the text. BAD_POLICY with the line. */
-Status luaPolicyNew(void *mem, const char *name, const char *text, LuaPolicy **policy, Mishap *mishap);
+Status luaPolicyNew(void *mem, const char *name, const char *text, LuaPolicy **policy, Failure *failure);
 const Policy *luaPolicy(LuaPolicy *policy);
 /* Calls that failed since it was made, and the last one's words. */
 uint64_t luaPolicyFailures(const LuaPolicy *policy, const char **last);
--- a/packages/policy/src/lua.c
+++ b/packages/policy/src/lua.c
@@ -205,7 +205,7 @@
     return !defined || callOnce(policy, &push);
 }
 
-Status luaPolicyNew(void *mem, const char *name, const char *text, LuaPolicy **out, Mishap *mishap)
+Status luaPolicyNew(void *mem, const char *name, const char *text, LuaPolicy **out, Failure *failure)
 {
     LuaPolicy *policy = talloc_zero(mem, LuaPolicy);
     talloc_set_destructor(policy, policyFree);
@@ -231,7 +231,7 @@
         }
     }
     if (!good) {
-        mishapSet(mishap, STATUS_BAD_POLICY, "%s", why);
+        failureSet(failure, STATUS_BAD_POLICY, "%s", why);
         talloc_free(policy);
         return STATUS_BAD_POLICY;
     }
--- a/packages/policy/test/policy.c
+++ b/packages/policy/test/policy.c
@@ -40,11 +40,11 @@
     };
     for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
         void *mem = talloc_new(NULL);
-        Mishap mishap = {0};
+        Failure failure = {0};
         LuaPolicy *policy;
-        const Status status = luaPolicyNew(mem, "p", ROWS[i].text, &policy, &mishap);
-        if (status != STATUS_BAD_POLICY || strstr(mishap.text, ROWS[i].words) == NULL)
-            fail_msg("row %zu (%s): %s: %s", i, ROWS[i].text, statusWord(status), mishap.text);
+        const Status status = luaPolicyNew(mem, "p", ROWS[i].text, &policy, &failure);
+        if (status != STATUS_BAD_POLICY || strstr(failure.text, ROWS[i].words) == NULL)
+            fail_msg("row %zu (%s): %s: %s", i, ROWS[i].text, statusWord(status), failure.text);
         talloc_free(mem);
     }
 }
@@ -60,13 +60,13 @@
     (void)state;
     void *mem = talloc_new(NULL);
     LuaPolicy *lua;
-    Mishap mishap = {0};
+    Failure failure = {0};
     const StepSpec step = {.name = "s", .kind = "", .room = {500, 64}};
     Job job;
     assert_int_equal(luaPolicyNew(mem, "p",
                                   "function rank(t) return t.priority + t.queue_priority + t.waited_ms / 1000 - t.cpu end\n"
                                   "function may_push(a, b) return a.queue == 'masks' and b.cpu > a.cpu end",
-                                  &lua, &mishap),
+                                  &lua, &failure),
                      STATUS_OK);
     const Policy *policy = luaPolicy(lua);
     const PolicySight one = sight(&job, &step, 4000);
--- a/packages/props/include/props/props.h
+++ b/packages/props/include/props/props.h
@@ -8,7 +8,7 @@
 typedef struct Props {
     const char *name;
     const char *zone;
-    const char *listen; /* address for partners */
+    const char *listen; /* address for peers */
     const char *http;   /* address for callers */
     const char *seeds[SEEDS];
     const char *data; /* cores: the folder of the journal */
@@ -20,10 +20,10 @@
 typedef enum PropsRole { PROPS_CORE, PROPS_GATE, PROPS_AGENT } PropsRole;
 
 /* Reads an ini file (group [spancart]). BAD_PROPS with the key's name. */
-Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Mishap *mishap);
+Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Failure *failure);
 /* Puts one "key=value" over what was read, as flags do. */
-Status propsSet(void *mem, Props *props, const char *key, const char *value, Mishap *mishap);
+Status propsSet(void *mem, Props *props, const char *key, const char *value, Failure *failure);
 /* Checks the whole. */
-Status propsCheck(const Props *props, PropsRole role, Mishap *mishap);
+Status propsCheck(const Props *props, PropsRole role, Failure *failure);
 
 #endif
--- a/packages/props/src/props.c
+++ b/packages/props/src/props.c
@@ -9,7 +9,7 @@
 
 #define GROUP "spancart"
 
-Status propsSet(void *mem, Props *props, const char *key, const char *value, Mishap *mishap)
+Status propsSet(void *mem, Props *props, const char *key, const char *value, Failure *failure)
 {
     const char *copy = talloc_strdup(mem, value);
     if (strcmp(key, "name") == 0)
@@ -37,20 +37,20 @@
         }
         g_strfreev(parts);
         if (count != SEEDS)
-            return mishapSet(mishap, STATUS_BAD_PROPS, "seeds: %zu addresses given, %d are needed", count, SEEDS);
+            return failureSet(failure, STATUS_BAD_PROPS, "seeds: %zu addresses given, %d are needed", count, SEEDS);
     } else {
-        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: there is no such key", key);
+        return failureSet(failure, STATUS_BAD_PROPS, "%s: there is no such key", key);
     }
     return STATUS_OK;
 }
 
-Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Mishap *mishap)
+Status propsRead(void *mem, const char *path, PropsRole role, Props *props, Failure *failure)
 {
     GKeyFile *file = g_key_file_new();
     GError *error = NULL;
     (void)role;
     if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &error)) {
-        mishapSet(mishap, STATUS_BAD_PROPS, "%s: %s", path, error->message);
+        failureSet(failure, STATUS_BAD_PROPS, "%s: %s", path, error->message);
         g_error_free(error);
         g_key_file_free(file);
         return STATUS_BAD_PROPS;
@@ -59,10 +59,10 @@
     char **keys = g_key_file_get_keys(file, GROUP, &count, NULL);
     Status status = STATUS_OK;
     if (keys == NULL)
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "%s: there is no group [%s]", path, GROUP);
+        status = failureSet(failure, STATUS_BAD_PROPS, "%s: there is no group [%s]", path, GROUP);
     for (gsize i = 0; i < count && status == STATUS_OK; i++) {
         char *value = g_key_file_get_string(file, GROUP, keys[i], NULL);
-        status = propsSet(mem, props, keys[i], value != NULL ? value : "", mishap);
+        status = propsSet(mem, props, keys[i], value != NULL ? value : "", failure);
         g_free(value);
     }
     g_strfreev(keys);
@@ -70,37 +70,37 @@
     return status;
 }
 
-static Status need(const char *key, const char *value, bool address, Mishap *mishap)
+static Status need(const char *key, const char *value, bool address, Failure *failure)
 {
     if (value == NULL || value[0] == '\0')
-        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: is missing", key);
+        return failureSet(failure, STATUS_BAD_PROPS, "%s: is missing", key);
     if (address && !realAddressValid(value))
-        return mishapSet(mishap, STATUS_BAD_PROPS, "%s: %s is not an IP address with a port", key, value);
+        return failureSet(failure, STATUS_BAD_PROPS, "%s: %s is not an IP address with a port", key, value);
     return STATUS_OK;
 }
 
-Status propsCheck(const Props *props, PropsRole role, Mishap *mishap)
+Status propsCheck(const Props *props, PropsRole role, Failure *failure)
 {
-    Status status = need("name", props->name, false, mishap);
+    Status status = need("name", props->name, false, failure);
     if (status == STATUS_OK && !checkNameText(props->name))
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "name: must be letters, digits or ._:-");
+        status = failureSet(failure, STATUS_BAD_PROPS, "name: must be letters, digits or ._:-");
     if (status == STATUS_OK)
-        status = need("zone", props->zone, false, mishap);
+        status = need("zone", props->zone, false, failure);
     if (status == STATUS_OK && !checkNameText(props->zone))
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "zone: must be letters, digits or ._:-");
+        status = failureSet(failure, STATUS_BAD_PROPS, "zone: must be letters, digits or ._:-");
     if (status == STATUS_OK)
-        status = need("listen", props->listen, true, mishap);
+        status = need("listen", props->listen, true, failure);
     if (status == STATUS_OK)
-        status = need("http", props->http, true, mishap);
+        status = need("http", props->http, true, failure);
     for (int i = 0; i < SEEDS && status == STATUS_OK; i++)
-        status = need("seeds", props->seeds[i], true, mishap);
+        status = need("seeds", props->seeds[i], true, failure);
     if (status == STATUS_OK && role == PROPS_CORE)
-        status = need("data", props->data, false, mishap);
+        status = need("data", props->data, false, failure);
     if (status == STATUS_OK && role != PROPS_CORE && props->data != NULL)
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "data: only a core has a disk");
+        status = failureSet(failure, STATUS_BAD_PROPS, "data: only a core has a disk");
     if (status == STATUS_OK && role != PROPS_AGENT && props->worker != NULL)
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "worker: only an agent stands beside one");
+        status = failureSet(failure, STATUS_BAD_PROPS, "worker: only an agent stands beside one");
     if (status == STATUS_OK && props->worker != NULL && !checkNameText(props->worker))
-        status = mishapSet(mishap, STATUS_BAD_PROPS, "worker: must be letters, digits or ._:-");
+        status = failureSet(failure, STATUS_BAD_PROPS, "worker: must be letters, digits or ._:-");
     return status;
 }
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -97,7 +97,7 @@
 Caller *fleetCall(Fleet *fleet, const char *name, int64_t rateMilli, int64_t forMs);
 /* Runs until every accepted job has been shown as ended, at most so long. */
 bool fleetFinish(Fleet *fleet, int64_t mostMs);
-/* One request by the operators' machine; runs until it is answered. The verdict
+/* One request by the operators' machine; runs until it is answered. The result
  * hangs on mem. */
 HttpCall fleetAsk(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
                   const char *body);
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -36,7 +36,7 @@
 void simStart(SimWorld *world, int machine, SimStart start, void *arg);
 bool simAlive(const SimWorld *world, int machine);
 Loop *simLoop(const SimWorld *world, int machine);
-/* SIGKILL: the kernel tells the partners. */
+/* SIGKILL: the kernel tells the peers. */
 void simKill(SimWorld *world, int machine);
 /* Power off: nobody is told, what the disk held back is lost. */
 void simPowerOff(SimWorld *world, int machine);
--- a/packages/sim/src/disk.c
+++ b/packages/sim/src/disk.c
@@ -20,10 +20,10 @@
     return content;
 }
 
-Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap)
+Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure)
 {
     SimLoop *sim = (SimLoop *)loop;
-    (void)mishap;
+    (void)failure;
     SimFile *sf = talloc_zero(mem, SimFile);
     sf->file.loop = loop;
     sf->machine = &sim->world->machines[sim->machine];
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -216,18 +216,18 @@
 {
     FleetNode *node = arg;
     Loop *loop = simLoop(node->fleet->world, node->machine);
-    Mishap mishap = {0};
+    Failure failure = {0};
     Status status = STATUS_OK;
     const CoreWatch watch = {node, onPlans};
     switch (node->role) {
     case FLEET_CORE:
-        status = coreStart(loop, loop, node->ring, &node->props, &watch, &node->core, &mishap);
+        status = coreStart(loop, loop, node->ring, &node->props, &watch, &node->core, &failure);
         break;
     case FLEET_GATE:
-        status = gateStart(loop, loop, node->ring, &node->props, &node->gate, &mishap);
+        status = gateStart(loop, loop, node->ring, &node->props, &node->gate, &failure);
         break;
     case FLEET_AGENT:
-        status = agentStart(loop, loop, node->ring, &node->props, &node->agent, &mishap);
+        status = agentStart(loop, loop, node->ring, &node->props, &node->agent, &failure);
         break;
     default:
         node->worker = standWorkerStart(loop, loop, &node->workerProps);
@@ -235,7 +235,7 @@
     }
     node->up = status == STATUS_OK;
     if (!node->up)
-        ringSay(node->ring, RING_FATAL, loopNowMs(loop), "%s: %s", statusWord(status), mishap.text);
+        ringSay(node->ring, RING_FATAL, loopNowMs(loop), "%s: %s", statusWord(status), failure.text);
 }
 
 static void nodeStart(void *arg, Loop *loop)
@@ -505,7 +505,7 @@
     if (asked->status != STATUS_OK)
         call.code = 0;
     talloc_free(asked);
-    bytesAdd(mem, &call.verdict, "", 1); /* so that it reads as text */
+    bytesAdd(mem, &call.result, "", 1); /* so that it reads as text */
     return call;
 }
 
--- a/packages/sim/src/http.c
+++ b/packages/sim/src/http.c
@@ -1,4 +1,4 @@
-/* Simulated HTTP: a connection for each call, whose request and verdict are
+/* Simulated HTTP: a connection for each call, whose request and result are
  * delayed, and held back while the way is cut. */
 #include <string.h>
 #include <talloc.h>
@@ -22,9 +22,9 @@
     Bytes body;
     HttpPair *heads;
     size_t headCount;
-    /* the verdict on its way back */
+    /* the result on its way back */
     int code, retryAfterS;
-    Bytes verdict;
+    Bytes result;
     HttpPair *tells;
     size_t tellCount;
 } SimHttp;
@@ -32,7 +32,7 @@
 typedef struct SimServed {
     HttpTask task; /* first */
     SimLoop *loop;
-    SimHttp *http; /* null once the verdict is given */
+    SimHttp *http; /* null once the result is given */
 } SimServed;
 
 /* Copies, with room for further ones. */
@@ -50,24 +50,24 @@
         talloc_free(http);
 }
 
-static void verdictArrives(void *arg)
+static void resultArrives(void *arg)
 {
     SimHttp *http = arg;
     SimWorld *world = http->world;
     if (http->call != NULL) {
         if (world->cut[http->to][http->from]) {
-            simAt(world, world->nowMs + HELD_RETRY_MS, verdictArrives, http);
+            simAt(world, world->nowMs + HELD_RETRY_MS, resultArrives, http);
             return;
         }
         const int64_t frozenMs = world->machines[http->from].frozenUntilMs;
         if (frozenMs > world->nowMs) {
-            simAt(world, frozenMs, verdictArrives, http);
+            simAt(world, frozenMs, resultArrives, http);
             return;
         }
         HttpCall *call = http->call;
         call->code = http->code;
         call->retryAfterS = http->retryAfterS;
-        call->verdict = bytesCopy(call->mem, http->verdict);
+        call->result = bytesCopy(call->mem, http->result);
         call->tells = pairsCopy(call->mem, http->tells, http->tellCount, 0);
         call->tellCount = http->tellCount;
         http->answered = true;
@@ -77,7 +77,7 @@
     httpMaybeFree(http);
 }
 
-/* The server's process ended before its verdict. */
+/* The server's process ended before its result. */
 static int servedFree(SimServed *served)
 {
     SimHttp *http = served->http;
@@ -89,7 +89,7 @@
         http->serverOver = true; /* the caller waits until it gives up */
         httpMaybeFree(http);
     } else {
-        simAt(http->world, http->world->nowMs + simLinkMs(http->world), verdictArrives, http);
+        simAt(http->world, http->world->nowMs + simLinkMs(http->world), resultArrives, http);
     }
     return 0;
 }
@@ -102,10 +102,10 @@
     served->http = NULL;
     http->code = served->task.code;
     http->retryAfterS = served->task.retryAfterS;
-    http->verdict = bytesCopy(http, served->task.verdict);
+    http->result = bytesCopy(http, served->task.result);
     http->tells = pairsCopy(http, served->task.tells, served->task.tellCount, 0);
     http->tellCount = served->task.tellCount;
-    simAt(http->world, http->world->nowMs + simLinkMs(http->world), verdictArrives, http);
+    simAt(http->world, http->world->nowMs + simLinkMs(http->world), resultArrives, http);
     talloc_free(served);
 }
 
@@ -128,7 +128,7 @@
         if (machine->silent)
             http->serverOver = true;
         else
-            verdictArrives(http);
+            resultArrives(http);
         return;
     }
     if (machine->frozenUntilMs > world->nowMs) {
@@ -138,7 +138,7 @@
     const HttpLimits *limits = &machine->loop->limits;
     if (http->body.count > (limits->bodyBytes > 0 ? limits->bodyBytes : HTTP_BODY_MAX)) {
         http->code = statusHttp(STATUS_TOO_LARGE);
-        verdictArrives(http);
+        resultArrives(http);
         return;
     }
     SimServed *served = talloc_zero(machine->loop, SimServed);
@@ -162,9 +162,9 @@
     loopSpawn(&machine->loop->loop, "http", servedMain, served);
 }
 
-Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap)
+Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Failure *failure)
 {
-    (void)mishap;
+    (void)failure;
     simTakePort((SimLoop *)loop, address, (SimPort){NULL, fn, arg}, bound);
     return STATUS_OK;
 }
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -138,9 +138,9 @@
     copy.port.onChannel(copy.port.arg, copy.channel);
 }
 
-Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap)
+Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure)
 {
-    (void)mishap;
+    (void)failure;
     simTakePort((SimLoop *)loop, address, (SimPort){fn, NULL, arg}, bound);
     return STATUS_OK;
 }
--- a/packages/sim/src/probe.c
+++ b/packages/sim/src/probe.c
@@ -38,7 +38,7 @@
     if (body != NULL)
         bytesAdd(mem, &call->body, body, strlen(body));
     const Status status = loopCall(simLoop(fleet->world, fleet->caller), call);
-    bytesAdd(mem, &call->verdict, "", 1);
+    bytesAdd(mem, &call->result, "", 1);
     return status;
 }
 
@@ -55,7 +55,7 @@
     const Status status = callAt(probe, probe->gate, mem, "POST", "/v1/jobs",
                                  mixProbe(mem, fleet->shape.mix, tenant, id), &call);
     const bool taken = status == STATUS_OK && (call.code == 200 || call.code == 201);
-    const bool stranger = status == STATUS_OK && call.code == 422 && strstr((const char *)call.verdict.data, "unknown-tenant");
+    const bool stranger = status == STATUS_OK && call.code == 422 && strstr((const char *)call.result.data, "unknown-tenant");
     if (taken) {
         checkerAccepted(fleet->checker, id);
         checkerServed(fleet->checker, fleet->nodes[FLEET_GATE][probe->gate].props.name, SERVE_ACCEPT);
@@ -74,7 +74,7 @@
 {
     Fleet *fleet = probe->fleet;
     void *mem = talloc_new(fleet);
-    /* any verdict on a job that is known or not counts as a status read here */
+    /* any result on a job that is known or not counts as a status read here */
     const ProbeJob job = probe->openCount > 0 ? probe->open[0] : (ProbeJob){talloc_strdup(mem, "no-such-job"), INT64_MIN};
     const char *path = talloc_asprintf(mem, "/v1/jobs/%s", job.id);
     HttpCall call;
@@ -85,7 +85,7 @@
         bool over = call.code == 404;
         if (call.code == 404)
             checkerUnknown(fleet->checker, job.id);
-        json_object *body = call.code == 200 ? json_tokener_parse((const char *)call.verdict.data) : NULL, *phase;
+        json_object *body = call.code == 200 ? json_tokener_parse((const char *)call.result.data) : NULL, *phase;
         if (json_object_object_get_ex(body, "phase", &phase)) {
             const char *word = json_object_get_string(phase);
             over = strcmp(word, "active") != 0 && strcmp(word, "ending") != 0;
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -203,7 +203,7 @@
         for (int p = 0; p < 2 && simAlive(fleet->world, fleet->nodes[role][i].machine); p++) {
             void *mem = talloc_new(NULL);
             const HttpCall call = fleetAsk(fleet, mem, role, i, "GET", PATHS[p], NULL);
-            printf("%s %s %d: %s\n", fleet->nodes[role][i].props.name, PATHS[p], call.code, (const char *)call.verdict.data);
+            printf("%s %s %d: %s\n", fleet->nodes[role][i].props.name, PATHS[p], call.code, (const char *)call.result.data);
             talloc_free(mem);
         }
 }
--- a/packages/sim/src/sweepwork.c
+++ b/packages/sim/src/sweepwork.c
@@ -45,8 +45,8 @@
                      .waitMs = waitMs};
     bytesAdd(mem, &call.body, operator->body, strlen(operator->body));
     const Status status = loopCall(simLoop(fleet->world, fleet->caller), &call);
-    bytesAdd(mem, &call.verdict, "", 1);
-    if (status != STATUS_OK || sscanf((const char *)call.verdict.data, "{\"revision\":%" SCNu64, revision) != 1)
+    bytesAdd(mem, &call.result, "", 1);
+    if (status != STATUS_OK || sscanf((const char *)call.result.data, "{\"revision\":%" SCNu64, revision) != 1)
         *revision = 0;
     talloc_free(mem);
     return status == STATUS_OK ? call.code : 0;
@@ -77,7 +77,7 @@
 {
     void *mem = talloc_new(NULL);
     const HttpCall got = fleetAsk(sweep->fleet, mem, FLEET_GATE, (int)sweepDraw(sweep, 3), "GET", "/v1/config", NULL);
-    const bool known = got.code == 200 && sscanf((const char *)got.verdict.data, "{\"revision\":%" SCNu64, base) == 1;
+    const bool known = got.code == 200 && sscanf((const char *)got.result.data, "{\"revision\":%" SCNu64, base) == 1;
     if (known)
         checkerConfigRead(sweep->fleet->checker, *base);
     talloc_free(mem);
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -46,7 +46,7 @@
     SimLoop *loop;
     uint64_t turns;
     uint64_t life; /* grows with each start */
-    bool silent;   /* it ends without telling its partners */
+    bool silent;   /* it ends without telling its peers */
     int64_t frozenUntilMs;
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
@@ -78,16 +78,16 @@
 void simArm(Loop *loop, int64_t whenMs);
 int simTakePort(SimLoop *loop, const char *address, SimPort port, char *bound);
 
-Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Mishap *mishap);
+Status simListen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure);
 Status simOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
 Status simSend(Channel *channel, Bytes frame);
 void simShut(Channel *channel);
-Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Mishap *mishap);
+Status simServe(Loop *loop, const char *address, HttpFn fn, void *arg, char *bound, Failure *failure);
 void simLimit(Loop *loop, const HttpLimits *limits);
 void simLeave(Loop *loop);
 size_t simBusy(const Loop *loop);
 Status simCall(Loop *loop, HttpCall *call);
-Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Mishap *mishap);
+Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure);
 Status simFileRead(File *file, void *mem, Bytes *content);
 Status simFileAppend(File *file, Bytes bytes);
 Status simFileReplace(File *file, Bytes bytes);
--- a/packages/sim/test/configs.c
+++ b/packages/sim/test/configs.c
@@ -46,10 +46,10 @@
     return talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, change->base, change->revision);
 }
 
-/* The number behind a key of a verdict; 0: it is not there. */
+/* The number behind a key of a result; 0: it is not there. */
 static uint64_t numberIn(const HttpCall *call, void *mem, const char *key)
 {
-    const char *text = talloc_strndup(mem, (const char *)call->verdict.data, call->verdict.count);
+    const char *text = talloc_strndup(mem, (const char *)call->result.data, call->result.count);
     const char *at = text != NULL ? strstr(text, key) : NULL;
     return at != NULL ? strtoull(at + strlen(key), NULL, 10) : 0;
 }
@@ -94,7 +94,7 @@
                      .waitMs = 2000};
     const char *body = NULL;
     if (loopCall(loop, &call) == STATUS_OK && call.code == 200) {
-        json_object *got = documentParse(talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count));
+        json_object *got = documentParse(talloc_strndup(mem, (const char *)call.result.data, call.result.count));
         json_object *patch = json_object_new_object(), *config;
         json_object_object_add(patch, "note", json_object_new_string(change->marker));
         json_object_object_get_ex(got, "config", &config);
@@ -149,7 +149,7 @@
     const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", path, NULL);
     if (call.code != 200)
         return "";
-    const char *text = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+    const char *text = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
     const char *at = strstr(text, "\"note\":\"");
     return at != NULL ? talloc_strndup(mem, at + 8, strcspn(at + 8, "\"")) : "";
 }
@@ -324,7 +324,7 @@
     };
     for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
         const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, (int)(i % 3), CASES[i].method, CASES[i].path, CASES[i].body);
-        const char *text = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+        const char *text = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
         if (call.code != CASES[i].code || strstr(text, CASES[i].words) == NULL)
             fail_msg("%s %s %s: %d %s", CASES[i].method, CASES[i].path, CASES[i].body, call.code, text);
     }
@@ -376,7 +376,7 @@
     fleetRun(fleet, 12000);
     const HttpCall after = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/config", NULL);
     assert_int_equal(after.code, 200);
-    assert_true(bytesEqual(before.verdict, after.verdict));
+    assert_true(bytesEqual(before.result, after.result));
     /* the last call, sent again, is known from what was told */
     const char *path = talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, base - 3, base);
     assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", path, "{\"note\":\"t19\",\"cells\":{\"x4\":{\"share\":20}}}").code, 200);
@@ -405,7 +405,7 @@
     for (int k = 0; k < 2; k++) {
         call = fleetAsk(fleet, mem, FLEET_GATE, 2, "GET", "/v1/config", NULL);
         assert_int_equal(call.code, 200);
-        const char *read = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+        const char *read = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
         assert_non_null(strstr(read, text));
         checkerFault(fleet->checker);
         const int leader = fleetLeader(fleet);
@@ -422,7 +422,7 @@
     fleetRun(fleet, 12000);
     assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", "/v1/config?base=2", "{\"cells\":{\"c\":{\"queues\":{\"q0\":null}}}}").code, 200);
     call = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/config", NULL);
-    const char *read = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+    const char *read = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
     assert_non_null(strstr(read, strstr(text, "\"q1\"")));
     assert_null(strstr(read, "\"q0\""));
     talloc_free(mem);
@@ -445,7 +445,7 @@
     fleetRun(fleet, 200);
     for (int i = 0; i < 3; i++) { /* its number and limits are known at once */
         const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, i, "GET", "/metrics", NULL);
-        assert_non_null(strstr(talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count), "config_revision 5\n"));
+        assert_non_null(strstr(talloc_strndup(mem, (const char *)call.result.data, call.result.count), "config_revision 5\n"));
     }
     fleetRun(fleet, REPAIR_KEEP_MS + 10000);
     checkerFault(fleet->checker);
@@ -458,7 +458,7 @@
     fleetRun(fleet, 12000);
     const HttpCall after = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/config", NULL);
     assert_int_equal(numberIn(&after, mem, "\"revision\":"), 5);
-    assert_true(after.verdict.count > 60000);
+    assert_true(after.result.count > 60000);
     talloc_free(mem);
     talloc_free(fleet);
 }
--- a/packages/sim/test/crowd.c
+++ b/packages/sim/test/crowd.c
@@ -156,8 +156,8 @@
         const char *body = talloc_asprintf(mem, "{\"cells\":{\"op%d\":{\"share\":%d}}}", operator->number, i + 1);
         bytesAdd(mem, &call.body, body, strlen(body));
         const Status status = loopCall(loop, &call);
-        bytesAdd(mem, &call.verdict, "", 1);
-        const char *text = (const char *)call.verdict.data;
+        bytesAdd(mem, &call.result, "", 1);
+        const char *text = (const char *)call.result.data;
         const char *at = strstr(text, call.code == 409 ? "\"current\":" : "\"revision\":");
         if (status == STATUS_OK && at != NULL)
             base = strtoull(strchr(at, ':') + 1, NULL, 10);
@@ -200,7 +200,7 @@
     print_message("%zu acknowledged, %zu refused as stale\n", acknowledged, stale);
     assert_true(acknowledged > 30 && stale > 20);
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 1, "GET", "/v1/config", NULL);
-    assert_true(strtoull((const char *)call.verdict.data + strlen("{\"revision\":"), NULL, 10) >= highest);
+    assert_true(strtoull((const char *)call.result.data + strlen("{\"revision\":"), NULL, 10) >= highest);
     /* each acknowledged one is in the history as it was sent */
     for (int i = 0; i < 5; i++)
         for (size_t k = 0; k < operators[i].count; k++) {
@@ -209,7 +209,7 @@
             snprintf(cell, sizeof(cell), "\"op%d\":", i);
             const HttpCall read = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", path, NULL);
             assert_int_equal(read.code, 200);
-            assert_non_null(strstr((const char *)read.verdict.data, cell));
+            assert_non_null(strstr((const char *)read.result.data, cell));
         }
     talloc_free(fleet);
 }
--- a/packages/sim/test/entry.c
+++ b/packages/sim/test/entry.c
@@ -43,7 +43,7 @@
     const HttpPair host = {"host", HOST ":8080"};
     const HttpCall call = fleetAskAs(fleet, fleet, FLEET_GATE, gate, method, path, body, &host, 1);
     if (text != NULL)
-        *text = (const char *)call.verdict.data;
+        *text = (const char *)call.result.data;
     return call.code;
 }
 
--- a/packages/sim/test/fuzz.c
+++ b/packages/sim/test/fuzz.c
@@ -147,12 +147,12 @@
         void *mem = talloc_new(NULL);
         size_t count;
         LuaPolicy *policy;
-        Mishap mishap = {0};
-        if (luaPolicyNew(mem, "p", spoil(mem, TEXT, &count), &policy, &mishap) == STATUS_OK) {
+        Failure failure = {0};
+        if (luaPolicyNew(mem, "p", spoil(mem, TEXT, &count), &policy, &failure) == STATUS_OK) {
             good++;
         } else {
-            assert_int_equal(mishap.status, STATUS_BAD_POLICY);
-            assert_true(strlen(mishap.text) > 0);
+            assert_int_equal(failure.status, STATUS_BAD_POLICY);
+            assert_true(strlen(failure.text) > 0);
             bad++;
         }
         talloc_free(mem);
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -22,7 +22,7 @@
     assert_true(fleetSettle(fleet, 30000));
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "PUT", "/v1/config?base=0", CONFIG);
     if (call.code != 200)
-        fail_msg("%d %s", call.code, (const char *)call.verdict.data);
+        fail_msg("%d %s", call.code, (const char *)call.result.data);
     fleetRun(fleet, 1000);
     return fleet;
 }
@@ -40,7 +40,7 @@
                                        id, queue, steps);
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs", body);
     if (call.code != 201)
-        fail_msg("%s: %d %s", id, call.code, (const char *)call.verdict.data);
+        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
     checkerAccepted(fleet->checker, id);
 }
 
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -17,7 +17,7 @@
     assert_true(fleetSettle(fleet, 30000));
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "PUT", "/v1/config?base=0", config);
     if (call.code != 200)
-        fail_msg("%d %s", call.code, (const char *)call.verdict.data);
+        fail_msg("%d %s", call.code, (const char *)call.result.data);
     fleetRun(fleet, 1000);
     return fleet;
 }
@@ -39,7 +39,7 @@
         id, cell, tenant, queue, count, cpu, runMs);
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs", body);
     if (call.code != 201)
-        fail_msg("%s: %d %s", id, call.code, (const char *)call.verdict.data);
+        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
     checkerAccepted(fleet->checker, id);
 }
 
@@ -118,13 +118,13 @@
     call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/queue/try?cell=c&limit=1",
                     "function rank(t) return t.id == 'later' and 1 or 0 end");
     assert_int_equal(call.code, 200);
-    assert_non_null(strstr((const char *)call.verdict.data, "\"order\":[{\"job\":\"later\""));
+    assert_non_null(strstr((const char *)call.result.data, "\"order\":[{\"job\":\"later\""));
     assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/queue/try?cell=c", "function rank(").code, 422);
     assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/queue?cell=none", NULL).code, 422);
     for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
         call = fleetAsk(fleet, fleet, (FleetRole)role, 0, "GET", "/metrics", NULL);
         assert_int_equal(call.code, 200);
-        assert_non_null(strstr((const char *)call.verdict.data, "\nspancart_bad_frames 0\n"));
+        assert_non_null(strstr((const char *)call.result.data, "\nspancart_bad_frames 0\n"));
     }
     end(fleet);
 }
@@ -141,13 +141,13 @@
     assert_int_equal(inPhase(fleet, "x", TASK_DONE), 5);
     assert_int_equal(inPhase(fleet, "y", TASK_DONE), 5);
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/status", NULL);
-    assert_null(strstr((const char *)call.verdict.data, "\"policyFailures\":0"));
-    assert_non_null(strstr((const char *)call.verdict.data, "more than"));
+    assert_null(strstr((const char *)call.result.data, "\"policyFailures\":0"));
+    assert_non_null(strstr((const char *)call.result.data, "more than"));
     const HttpCall bad = fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=1",
                                   "{\"policies\":{\"q\":\"function rank(t)\\n while true do end\\nend\"}}");
     assert_int_equal(bad.code, 422);
-    assert_non_null(strstr((const char *)bad.verdict.data, "policies.q"));
-    assert_non_null(strstr((const char *)bad.verdict.data, ":2: more than"));
+    assert_non_null(strstr((const char *)bad.result.data, "policies.q"));
+    assert_non_null(strstr((const char *)bad.result.data, ":2: more than"));
     end(fleet);
 }
 
@@ -220,7 +220,7 @@
         checkerZone(fleet->checker, "west", true);
         fleetRun(fleet, 12000);
         const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/zones/west/drain", NULL);
-        assert_non_null(strstr((const char *)call.verdict.data, move ? "\"tasksLeft\":0" : "\"tasksLeft\":3"));
+        assert_non_null(strstr((const char *)call.result.data, move ? "\"tasksLeft\":0" : "\"tasksLeft\":3"));
         assert_int_equal(inPhase(fleet, "long", TASK_RUNNING), 11);
         end(fleet);
     }
@@ -233,7 +233,7 @@
     (void)state;
     Fleet *fleet = begin("{\"cells\":{" CELL("c", "") "}}");
     HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
-    assert_string_equal((const char *)call.verdict.data, "[]\n");
+    assert_string_equal((const char *)call.result.data, "[]\n");
     hand(fleet, "work", "c", "t", "bulk", 11, 4, 30000);
     fleetRun(fleet, 1000);
     fleetKill(fleet, FLEET_WORKER, 1);
@@ -241,20 +241,20 @@
     fleetKill(fleet, FLEET_CORE, second);
     fleetRun(fleet, 6000);
     call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
-    assert_non_null(strstr((const char *)call.verdict.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\""));
-    assert_non_null(strstr((const char *)call.verdict.data, "{\"alert\":\"seat-out\",\"subject\":\"core"));
+    assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\""));
+    assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"seat-out\",\"subject\":\"core"));
     call = fleetAsk(fleet, fleet, FLEET_CORE, fleetLeader(fleet), "GET", "/metrics", NULL);
-    assert_non_null(strstr((const char *)call.verdict.data, "\nspancart_alert_worker_lost 1\n"));
+    assert_non_null(strstr((const char *)call.result.data, "\nspancart_alert_worker_lost 1\n"));
     for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
         call = fleetAsk(fleet, fleet, (FleetRole)role, role == FLEET_CORE ? fleetLeader(fleet) : 0, "GET", "/v1/ring", NULL);
         assert_int_equal(call.code, 200);
-        assert_true(role != FLEET_CORE || strstr((const char *)call.verdict.data, "leaves the view") != NULL);
+        assert_true(role != FLEET_CORE || strstr((const char *)call.result.data, "leaves the view") != NULL);
     }
     fleetStartNode(fleet, FLEET_WORKER, 1);
     fleetStartNode(fleet, FLEET_CORE, second);
     fleetRun(fleet, 8000);
     call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
-    assert_string_equal((const char *)call.verdict.data, "[]\n");
+    assert_string_equal((const char *)call.result.data, "[]\n");
     end(fleet);
 }
 
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -31,7 +31,7 @@
 {
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, method, path, body);
     if (text != NULL)
-        *text = (const char *)call.verdict.data;
+        *text = (const char *)call.result.data;
     return call.code;
 }
 
@@ -390,7 +390,7 @@
     fleetRun(fleet, 2000);
     HttpCall call = fleetAsk(fleet, fleet, FLEET_AGENT, 0, "POST", "/v1/workers/worker1/report", GOOD);
     if (call.code != 409)
-        fail_msg("%d %s", call.code, (const char *)call.verdict.data);
+        fail_msg("%d %s", call.code, (const char *)call.result.data);
     call = fleetAsk(fleet, fleet, FLEET_AGENT, 0, "POST", "/v1/workers/worker2/report", GOOD);
     assert_int_equal(call.code, 404);
     fleetRun(fleet, 2000);
@@ -562,7 +562,7 @@
         const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, ASKED[i].method, ASKED[i].path, ASKED[i].body);
         const int64_t tookMs = simNowMs(fleet->world) - fromMs;
         print_message("%s %s: %d after %lld ms %.*s\n", ASKED[i].method, ASKED[i].path, call.code, (long long)tookMs,
-                      call.code >= 400 ? 120 : 0, (const char *)call.verdict.data);
+                      call.code >= 400 ? 120 : 0, (const char *)call.result.data);
         if (call.code == 503) /* every way was tried before a new leader was heard of */
             assert_true(call.retryAfterS > 0 && ASKED[i].code != 504);
         else
--- a/packages/sim/test/steps.c
+++ b/packages/sim/test/steps.c
@@ -1,6 +1,6 @@
 /* Kills and freezes placed by step: from a trigger on, the node is struck at its
  * first turn, its second, and so on, until the whole way has been walked. A turn
- * is one run of its event loop, so between any two sends, syncs and verdicts of
+ * is one run of its event loop, so between any two sends, syncs and results of
  * its own there is one. SPANCART_STEPS=all walks each; else every few. */
 #include <setjmp.h>
 #include <stdarg.h>
--- a/packages/sim/tool/pass.c
+++ b/packages/sim/tool/pass.c
@@ -32,9 +32,9 @@
     void *mem = talloc_new(NULL);
     Record change = {.change = kind, .index = ++stand->index, .atMs = viewClockMs(stand->core->view)};
     shapePack(shape, body, mem, &change.payload);
-    Verdict verdict = {0};
+    ChangeResult result = {0};
     const ViewState state = tableState(stand->core->table);
-    state.deliver(state.arg, &change, &verdict);
+    state.deliver(state.arg, &change, &result);
     talloc_free(mem);
 }
 
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -155,7 +155,7 @@
             const Status status =
                 callOnce(following, mem, "GET", talloc_asprintf(mem, "/v1/jobs/%s", job->id), NULL, &call);
             if (status == STATUS_OK && call.code == 200) {
-                look(caller, job, talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count));
+                look(caller, job, talloc_strndup(mem, (const char *)call.result.data, call.result.count));
                 if (strcmp(job->phase, "active") != 0 && strcmp(job->phase, "ending") != 0) {
                     job->endedMs = loopNowMs(caller->loop);
                     if (caller->props.watch.ended != NULL)
@@ -268,7 +268,7 @@
         HttpCall call = {.mem = mem, .address = entry, .method = "GET", .path = "/v1/config", .waitMs = 3000};
         Status status = loopCall(loop, &call);
         if (status == STATUS_OK && call.code == 200) {
-            json_object *body = json_tokener_parse(talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count));
+            json_object *body = json_tokener_parse(talloc_strndup(mem, (const char *)call.result.data, call.result.count));
             json_object *revision = NULL;
             json_object_object_get_ex(body, "revision", &revision);
             const int64_t base = json_object_get_int64(revision);
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -319,7 +319,7 @@
         const Status status = loopCall(worker->loop, &call);
         worker->asking = NULL;
         if (status == STATUS_OK && call.code == 200) {
-            char *copy = talloc_strndup(mem, (const char *)call.verdict.data, call.verdict.count);
+            char *copy = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
             json_object *answer = json_tokener_parse(copy);
             if (answer != NULL)
                 answerTake(worker, answer, sentMs);
--- a/packages/table/include/table/deliverconfig.h
+++ b/packages/table/include/table/deliverconfig.h
@@ -3,8 +3,8 @@
 
 #include "table/table.h"
 
-/* Two calls that build on one revision: the one delivered first wins. The verdict's
+/* Two calls that build on one revision: the one delivered first wins. The result's
  * number is the revision that the call brought, or else the current one. */
-void deliverConfig(Revisions *revisions, const ConfigSet *set, Verdict *verdict);
+void deliverConfig(Revisions *revisions, const ConfigSet *set, ChangeResult *result);
 
 #endif
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -16,7 +16,7 @@
 /* Told after each change has been delivered, within the delivery; does not wait. body
  * is the change unpacked, of the shape that CHANGE_LIST names; null: it can't be read,
  * or is of a later release. */
-typedef void (*TableFn)(void *arg, const Record *change, const void *body, const Verdict *verdict);
+typedef void (*TableFn)(void *arg, const Record *change, const void *body, const ChangeResult *result);
 
 Table *tableNew(void *mem);
 void tableWatch(Table *table, TableFn fn, void *arg);
--- a/packages/table/src/deliverconfig.c
+++ b/packages/table/src/deliverconfig.c
@@ -1,17 +1,17 @@
 #include "table/deliverconfig.h"
 
-void deliverConfig(Revisions *revisions, const ConfigSet *set, Verdict *verdict)
+void deliverConfig(Revisions *revisions, const ConfigSet *set, ChangeResult *result)
 {
     const uint64_t current = revisionsNewest(revisions);
     const uint64_t revision = set->revision != 0 ? set->revision : set->base + 1;
     const uint64_t known = revisionsDigest(revisions, set->digest);
-    verdict->number = known != 0 ? known : current;
+    result->number = known != 0 ? known : current;
     /* the same call sent again, or told again in a repair */
     if (known != 0 || (set->restored && revision <= current))
         return;
     const bool follows = set->base == current && revision > current && (!set->patch || revisions->count > 0);
     if (!follows && (!set->restored || set->patch)) {
-        verdict->status = STATUS_STALE_REVISION;
+        result->status = STATUS_STALE_REVISION;
         return;
     }
     const Revision row = {.revision = revision,
@@ -21,5 +21,5 @@
                           .digest = set->digest,
                           .limits = set->limits};
     revisionsAdd(revisions, &row);
-    verdict->number = revision;
+    result->number = revision;
 }
--- a/packages/table/src/deliverjob.c
+++ b/packages/table/src/deliverjob.c
@@ -4,12 +4,12 @@
 
 #include "inside.h"
 
-void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, Verdict *verdict)
+void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, ChangeResult *result)
 {
     const Job *known = tableJob(table, add->spec.id);
     if (known != NULL) {
-        verdict->status = shapeEqual(&JobSpecShape, &known->spec, &add->spec) ? STATUS_OK : STATUS_OTHER_BODY;
-        verdict->number = known->number;
+        result->status = shapeEqual(&JobSpecShape, &known->spec, &add->spec) ? STATUS_OK : STATUS_OTHER_BODY;
+        result->number = known->number;
         return;
     }
     Job *job = jobNew(table->mem, &add->spec, &add->terms);
@@ -18,21 +18,21 @@
     for (size_t i = 0; i < job->tasksCount; i++)
         job->tasks[i].changedMs = change->atMs;
     jobEnter(table, job);
-    verdict->number = job->number;
+    result->number = job->number;
     orphansTake(table, job, change->atMs);
     jobSettle(table, job, change->atMs);
 }
 
-void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, Verdict *verdict)
+void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, ChangeResult *result)
 {
     Job *job = mapGet(table->byId, cancel->id);
     if (job == NULL) {
-        verdict->status = STATUS_UNKNOWN_JOB;
+        result->status = STATUS_UNKNOWN_JOB;
         return;
     }
-    verdict->number = job->number;
+    result->number = job->number;
     if (job->phase != JOB_ACTIVE) {
-        verdict->status = job->phase == JOB_CANCELLED ? STATUS_OK : STATUS_ALREADY_ENDED;
+        result->status = job->phase == JOB_CANCELLED ? STATUS_OK : STATUS_ALREADY_ENDED;
         return;
     }
     if (job->ending == JOB_ACTIVE)
@@ -42,12 +42,12 @@
 }
 
 /* A job once shown as ended stays so, though the disks forgot how it came to. */
-void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, Verdict *verdict)
+void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, ChangeResult *result)
 {
     Job *job = mapGet(table->byId, end->id);
     if (job == NULL || job->phase != JOB_ACTIVE || end->phase == JOB_ACTIVE || end->phase >= JOB_PHASE_COUNT)
         return;
-    verdict->number = job->number;
+    result->number = job->number;
     if (end->phase == JOB_DONE) {
         for (size_t i = 0; i < job->tasksCount; i++)
             if (!taskEnded(job->tasks[i].phase))
@@ -59,7 +59,7 @@
     jobSettle(table, job, change->atMs);
 }
 
-void deliverForget(Table *table, const Record *change, const Forget *forget, Verdict *verdict)
+void deliverForget(Table *table, const Record *change, const Forget *forget, ChangeResult *result)
 {
     (void)change;
     JobList *ended = &table->ended, *order = &table->order;
@@ -79,6 +79,6 @@
         memmove(ended->jobs, ended->jobs + gone, (ended->count - gone) * sizeof(*ended->jobs));
         ended->count -= gone;
     }
-    verdict->number = gone;
+    result->number = gone;
     orphansForget(table, forget->beforeMs);
 }
--- a/packages/table/src/deliverplace.c
+++ b/packages/table/src/deliverplace.c
@@ -39,7 +39,7 @@
     return together == left ? together : 0;
 }
 
-void deliverPlace(Table *table, const Record *change, const PlaceList *list, Verdict *verdict)
+void deliverPlace(Table *table, const Record *change, const PlaceList *list, ChangeResult *result)
 {
     for (size_t i = 0; i < list->placementsCount;) {
         const size_t together = placeTogether(table, &list->placements[i], list->placementsCount - i);
@@ -55,7 +55,7 @@
             savedSet(job, task, place->saved);
             taskTurn(table, job, task, TASK_PLACED, place->worker, change->atMs, false);
             task->assured = place->assured;
-            verdict->number++;
+            result->number++;
         }
     }
 }
@@ -70,7 +70,7 @@
     return task->round == id->round ? task : NULL;
 }
 
-void deliverStop(Table *table, const Record *change, const StopList *list, Verdict *verdict)
+void deliverStop(Table *table, const Record *change, const StopList *list, ChangeResult *result)
 {
     for (size_t i = 0; i < list->roundsCount; i++) {
         Job *job;
@@ -81,11 +81,11 @@
         task->shunned = task->worker; /* it goes elsewhere, if it can */
         taskTurn(table, job, task, TASK_STOPPING, task->worker, change->atMs, false);
         gangBreak(table, job, task, change->atMs);
-        verdict->number++;
+        result->number++;
     }
 }
 
-void deliverAssure(Table *table, const Record *change, const StopList *list, Verdict *verdict)
+void deliverAssure(Table *table, const Record *change, const StopList *list, ChangeResult *result)
 {
     (void)change;
     for (size_t i = 0; i < list->roundsCount; i++) {
@@ -93,7 +93,7 @@
         JobTask *task = roundFind(table, &list->rounds[i], &job);
         if (task != NULL && taskOnWorker(task->phase) && !task->assured) {
             task->assured = true;
-            verdict->number++;
+            result->number++;
         }
     }
 }
--- a/packages/table/src/deliverround.c
+++ b/packages/table/src/deliverround.c
@@ -82,10 +82,10 @@
     jobSettle(table, job, change->atMs);
 }
 
-void deliverRounds(Table *table, const Record *change, const RoundList *list, Verdict *verdict)
+void deliverRounds(Table *table, const Record *change, const RoundList *list, ChangeResult *result)
 {
     for (size_t i = 0; i < list->newsCount; i++)
         if (list->news[i].word < ROUND_WORD_COUNT)
             deliverOneNews(table, change, &list->news[i]);
-    verdict->number = list->newsCount;
+    result->number = list->newsCount;
 }
--- a/packages/table/src/deliverworker.c
+++ b/packages/table/src/deliverworker.c
@@ -32,10 +32,10 @@
     return table->sortedCount;
 }
 
-void deliverWorkerSet(Table *table, const Record *change, const Worker *set, Verdict *verdict)
+void deliverWorkerSet(Table *table, const Record *change, const Worker *set, ChangeResult *result)
 {
     (void)change;
-    (void)verdict;
+    (void)result;
     Worker *before = mapGet(table->workers, set->name);
     Worker *worker = talloc_zero(table->mem, Worker);
     shapeCopy(&WorkerShape, set, worker, worker);
@@ -63,7 +63,7 @@
     return x->task < y->task ? -1 : x->task > y->task;
 }
 
-void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, Verdict *verdict)
+void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, ChangeResult *result)
 {
     /* tasks leave the list while it is walked: walk a copy */
     const TaskOn *its;
@@ -80,17 +80,17 @@
         const RoundEnd end = {task->phase == TASK_STOPPING ? ROUND_STOPPED : ROUND_LOST, "", false, change->atMs};
         roundOver(table, job, task, &end);
         jobSettle(table, job, change->atMs);
-        verdict->number++;
+        result->number++;
     }
     talloc_free(on);
 }
 
-void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, Verdict *verdict)
+void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, ChangeResult *result)
 {
     (void)change;
     Worker *worker = mapGet(table->workers, left->worker);
     if (worker == NULL)
-        verdict->status = STATUS_UNKNOWN_WORKER;
+        result->status = STATUS_UNKNOWN_WORKER;
     else
         worker->excluded = left->left;
 }
--- a/packages/table/src/deliverzone.c
+++ b/packages/table/src/deliverzone.c
@@ -31,10 +31,10 @@
     return kept;
 }
 
-void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, Verdict *verdict)
+void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, ChangeResult *result)
 {
     (void)change;
-    (void)verdict;
+    (void)result;
     if (drain->stamp <= tableDrainStamp(table, drain->zone))
         return;
     talloc_free(mapGet(table->drains, drain->zone));
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -140,18 +140,18 @@
 
 /* --- one function for each change; table.c lists them */
 
-void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, Verdict *verdict);
-void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, Verdict *verdict);
-void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, Verdict *verdict);
-void deliverForget(Table *table, const Record *change, const Forget *forget, Verdict *verdict);
-void deliverPlace(Table *table, const Record *change, const PlaceList *list, Verdict *verdict);
-void deliverStop(Table *table, const Record *change, const StopList *list, Verdict *verdict);
-void deliverAssure(Table *table, const Record *change, const StopList *list, Verdict *verdict);
-void deliverRounds(Table *table, const Record *change, const RoundList *list, Verdict *verdict);
-void deliverWorkerSet(Table *table, const Record *change, const Worker *set, Verdict *verdict);
-void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, Verdict *verdict);
-void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, Verdict *verdict);
-void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, Verdict *verdict);
+void deliverJobAdd(Table *table, const Record *change, const JobAdd *add, ChangeResult *result);
+void deliverJobCancel(Table *table, const Record *change, const JobCancel *cancel, ChangeResult *result);
+void deliverJobEnd(Table *table, const Record *change, const JobEnd *end, ChangeResult *result);
+void deliverForget(Table *table, const Record *change, const Forget *forget, ChangeResult *result);
+void deliverPlace(Table *table, const Record *change, const PlaceList *list, ChangeResult *result);
+void deliverStop(Table *table, const Record *change, const StopList *list, ChangeResult *result);
+void deliverAssure(Table *table, const Record *change, const StopList *list, ChangeResult *result);
+void deliverRounds(Table *table, const Record *change, const RoundList *list, ChangeResult *result);
+void deliverWorkerSet(Table *table, const Record *change, const Worker *set, ChangeResult *result);
+void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, ChangeResult *result);
+void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, ChangeResult *result);
+void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, ChangeResult *result);
 
 /* --- saving and loading */
 
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -94,7 +94,7 @@
     }
 }
 
-static void tableDeliver(void *arg, const Record *change, Verdict *verdict)
+static void tableDeliver(void *arg, const Record *change, ChangeResult *result)
 {
     Table *table = arg;
     const Shape *shape = shapeOf(change->change);
@@ -102,51 +102,51 @@
         return; /* of a later release */
     void *mem = talloc_new(NULL);
     void *body = talloc_zero_size(mem, shape->size);
-    verdict->status = shapeUnpack(shape, change->payload, mem, body, NULL);
-    if (verdict->status == STATUS_OK)
+    result->status = shapeUnpack(shape, change->payload, mem, body, NULL);
+    if (result->status == STATUS_OK)
         switch ((ChangeKind)change->change) {
         case CHANGE_JOB_ADD:
-            deliverJobAdd(table, change, body, verdict);
+            deliverJobAdd(table, change, body, result);
             break;
         case CHANGE_JOB_CANCEL:
-            deliverJobCancel(table, change, body, verdict);
+            deliverJobCancel(table, change, body, result);
             break;
         case CHANGE_PLACE:
-            deliverPlace(table, change, body, verdict);
+            deliverPlace(table, change, body, result);
             break;
         case CHANGE_ROUNDS:
-            deliverRounds(table, change, body, verdict);
+            deliverRounds(table, change, body, result);
             break;
         case CHANGE_STOP:
-            deliverStop(table, change, body, verdict);
+            deliverStop(table, change, body, result);
             break;
         case CHANGE_WORKER_SET:
-            deliverWorkerSet(table, change, body, verdict);
+            deliverWorkerSet(table, change, body, result);
             break;
         case CHANGE_WORKER_LOST:
-            deliverWorkerLost(table, change, body, verdict);
+            deliverWorkerLost(table, change, body, result);
             break;
         case CHANGE_WORKER_LEFT:
-            deliverWorkerLeft(table, change, body, verdict);
+            deliverWorkerLeft(table, change, body, result);
             break;
         case CHANGE_CONFIG_SET:
-            deliverConfig(table->revisions, body, verdict);
+            deliverConfig(table->revisions, body, result);
             break;
         case CHANGE_ZONE_DRAIN:
-            deliverZoneDrain(table, change, body, verdict);
+            deliverZoneDrain(table, change, body, result);
             break;
         case CHANGE_FORGET:
-            deliverForget(table, change, body, verdict);
+            deliverForget(table, change, body, result);
             break;
         case CHANGE_ASSURE:
-            deliverAssure(table, change, body, verdict);
+            deliverAssure(table, change, body, result);
             break;
         case CHANGE_JOB_END:
-            deliverJobEnd(table, change, body, verdict);
+            deliverJobEnd(table, change, body, result);
             break;
         }
     if (table->fn != NULL)
-        table->fn(table->arg, change, verdict->status != STATUS_BAD_FRAME ? body : NULL, verdict);
+        table->fn(table->arg, change, result->status != STATUS_BAD_FRAME ? body : NULL, result);
     talloc_free(mem);
 }
 
--- a/packages/table/test/board.h
+++ b/packages/table/test/board.h
@@ -1,7 +1,7 @@
 #ifndef TABLE_TEST_BOARD_H
 #define TABLE_TEST_BOARD_H
 
-/* A table driven by hand: each call delivers one change and looks at the verdict. */
+/* A table driven by hand: each call delivers one change and looks at the result. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -20,16 +20,16 @@
     uint64_t index;
 } Board;
 
-static inline Verdict tell(Board *board, ChangeKind kind, const Shape *shape, const void *body)
+static inline ChangeResult tell(Board *board, ChangeKind kind, const Shape *shape, const void *body)
 {
     void *mem = talloc_new(NULL);
     Record change = {.change = kind, .index = ++board->index, .atMs = board->atMs};
     shapePack(shape, body, mem, &change.payload);
-    Verdict verdict = {0};
+    ChangeResult result = {0};
     const ViewState state = tableState(board->table);
-    state.deliver(state.arg, &change, &verdict);
+    state.deliver(state.arg, &change, &result);
     talloc_free(mem);
-    return verdict;
+    return result;
 }
 
 static inline Board boardNew(void)
@@ -57,9 +57,9 @@
     for (size_t i = 0; i < count; i++)
         places[i] = (Placement){.job = job, .task = tasks[i], .round = round, .worker = worker, .incarnation = 1, .saved = saved};
     const PlaceList list = {places, count};
-    const Verdict verdict = tell(board, CHANGE_PLACE, &PlaceListShape, &list);
+    const ChangeResult result = tell(board, CHANGE_PLACE, &PlaceListShape, &list);
     talloc_free(places);
-    return verdict.number;
+    return result.number;
 }
 
 static inline void say(Board *board, const char *job, uint64_t task, uint64_t round, const char *worker, RoundWord word,
@@ -76,7 +76,7 @@
     tell(board, CHANGE_WORKER_LOST, &WorkerLostShape, &lost);
 }
 
-static inline Verdict cancel(Board *board, const char *job)
+static inline ChangeResult cancel(Board *board, const char *job)
 {
     const JobCancel body = {job};
     return tell(board, CHANGE_JOB_CANCEL, &JobCancelShape, &body);
--- a/packages/table/test/revisions.c
+++ b/packages/table/test/revisions.c
@@ -12,13 +12,13 @@
 #include "base/constants.h"
 #include "document/document.h"
 
-static Verdict deliver(Revisions *revisions, ConfigSet set)
+static ChangeResult deliver(Revisions *revisions, ConfigSet set)
 {
-    Verdict verdict = {0};
+    ChangeResult result = {0};
     if (set.digest == NULL)
         set.digest = "";
-    deliverConfig(revisions, &set, &verdict);
-    return verdict;
+    deliverConfig(revisions, &set, &result);
+    return result;
 }
 
 static ConfigSet setOf(uint64_t base, uint64_t revision, const char *text, bool patch, const char *digest)
@@ -70,29 +70,29 @@
 }
 
 /* Of two calls on one revision the first delivered wins; the same call again,
- * at any later time, has the verdict that it had. */
+ * at any later time, has the result that it had. */
 static void calls(void **state)
 {
     (void)state;
     Revisions *revisions = revisionsNew(NULL, CONFIG_HISTORY);
     deliver(revisions, setOf(0, 3, "{}", false, "first"));
-    Verdict verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
-    assert_int_equal(verdict.status, STATUS_OK);
-    verdict = deliver(revisions, setOf(3, 9, "{\"a\":2}", true, "two"));
-    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
-    assert_int_equal(verdict.number, 9);
-    verdict = deliver(revisions, setOf(3, 12, "{\"a\":2}", true, "three"));
-    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
+    ChangeResult result = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(result.status, STATUS_OK);
+    result = deliver(revisions, setOf(3, 9, "{\"a\":2}", true, "two"));
+    assert_int_equal(result.status, STATUS_STALE_REVISION);
+    assert_int_equal(result.number, 9);
+    result = deliver(revisions, setOf(3, 12, "{\"a\":2}", true, "three"));
+    assert_int_equal(result.status, STATUS_STALE_REVISION);
     /* on the newest, but not above it */
-    verdict = deliver(revisions, setOf(9, 9, "{\"a\":2}", true, "four"));
-    assert_int_equal(verdict.status, STATUS_STALE_REVISION);
-    verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
-    assert_int_equal(verdict.status, STATUS_OK);
-    assert_int_equal(verdict.number, 9);
+    result = deliver(revisions, setOf(9, 9, "{\"a\":2}", true, "four"));
+    assert_int_equal(result.status, STATUS_STALE_REVISION);
+    result = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(result.status, STATUS_OK);
+    assert_int_equal(result.number, 9);
     deliver(revisions, setOf(9, 14, "{\"a\":3}", true, "five"));
-    verdict = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
-    assert_int_equal(verdict.status, STATUS_OK);
-    assert_int_equal(verdict.number, 9);
+    result = deliver(revisions, setOf(3, 9, "{\"a\":1}", true, "one"));
+    assert_int_equal(result.status, STATUS_OK);
+    assert_int_equal(result.number, 9);
     assert_int_equal(revisionsNewest(revisions), 14);
     /* without a digest nothing is known again */
     assert_int_equal(deliver(revisions, setOf(14, 0, "{\"a\":4}", true, "")).number, 15);
--- a/packages/trace/include/trace/trace.h
+++ b/packages/trace/include/trace/trace.h
@@ -6,7 +6,7 @@
 
 /* What can be seen of a change on its way. */
 #define TRACE_STEP_LIST(X)                                                    \
-    X(CARRIED, "carried")     /* a gate carried the request and its verdict */  \
+    X(CARRIED, "carried")     /* a gate carried the request and its result */  \
     X(DELIVERED, "delivered") /* the change took effect in a core's state */    \
     X(OPENED, "opened")       /* a core opened the view */                      \
     X(LEARNT, "learnt")       /* a node heard of it */                          \
--- a/packages/trace/src/trace.c
+++ b/packages/trace/src/trace.c
@@ -218,6 +218,6 @@
     json_object_object_add(body, "key", json_object_new_string(key));
     json_object_object_add(body, "steps", steps);
     json_object_object_add(body, "silent", silent);
-    showVerdict(task, 200, body);
+    showResult(task, 200, body);
     gatheringLeave(gathering);
 }
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -21,17 +21,17 @@
 #define VIEW_CHANGE_FIRST 16
 
 /* What delivering a change brought about. */
-typedef struct Verdict {
+typedef struct ChangeResult {
     Status status;
     uint64_t number;
     uint64_t index; /* of the change in the log; set by the view */
-} Verdict;
+} ChangeResult;
 
 /* The state that the changes build up, owned by the embedder. deliver, save and
  * load never wait. deliver must depend on the change and the state alone. */
 typedef struct ViewState {
     void *arg;
-    void (*deliver)(void *arg, const Record *change, Verdict *verdict);
+    void (*deliver)(void *arg, const Record *change, ChangeResult *result);
     /* The whole state, on mem. */
     Bytes (*save)(void *arg, void *mem);
     /* Puts a saved state in place of the present one; empty bytes: the first state. */
@@ -68,13 +68,13 @@
 
 View *viewNew(void *mem, const ViewProps *props);
 /* Waits. Opens the journal and reads it: from here on viewDisk is known. */
-Status viewOpenDisk(View *view, const char *path, const char *nodeName, Mishap *mishap);
+Status viewOpenDisk(View *view, const char *path, const char *nodeName, Failure *failure);
 /* Begins to answer as a seat and to stand for the lock. */
 void viewStart(View *view, Members *members);
 
 /* Waits until the change is delivered here. NOT_LEADER, BUSY: certainly not
- * taken. OUTCOME_UNKNOWN: it may yet be delivered. OK: the verdict is told. */
-Status viewSubmit(View *view, uint64_t change, Bytes payload, Verdict *verdict);
+ * taken. OUTCOME_UNKNOWN: it may yet be delivered. OK: the result is told. */
+Status viewSubmit(View *view, uint64_t change, Bytes payload, ChangeResult *result);
 
 /* Orders a change and does not wait for it: it is delivered in its place, or this
  * node leads no more. Waits only while the view is opened anew. */
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -6,7 +6,7 @@
 
 /* What the holder knows of one seat, or of its guest, under its epoch.
  * Invariant: matchIndex is synced there; nextIndex > matchIndex. */
-typedef struct Partner {
+typedef struct Peer {
     uint64_t matchIndex, nextIndex;
     int64_t answeredMs;    /* it last answered anything */
     int64_t renewedMs;     /* when the last renewal that it granted was sent; INT64_MIN: none */
@@ -20,9 +20,9 @@
     int64_t wallMs, wallAtMs; /* its wall clock, and our clock when it was told; wallAtMs 0: never */
     int64_t syncMs;
     uint64_t sight;
-} Partner;
+} Peer;
 
-/* The guest's partner: a core without a seat, brought up to date to be given one. */
+/* The guest's peer: a core without a seat, brought up to date to be given one. */
 #define GUEST SEAT_MOST
 
 /* A submitted change that waits for its delivery. */
@@ -31,7 +31,7 @@
     uint64_t epoch, index;
     bool done;
     Status status;
-    Verdict verdict;
+    ChangeResult result;
     Signal ended;
 } Waiter;
 
@@ -40,7 +40,7 @@
  *    been given to the state, in order, once since it was last loaded;
  *  - seats and last are those of the newest SEATS and VIEW entries in the log,
  *    committed or not;
- *  - a place in seats that nobody has is 0, and so are inView, partners and
+ *  - a place in seats that nobody has is 0, and so are inView, peers and
  *    hold.sentMs of it;
  *  - phase is LEADING only after the first entry of epoch was committed;
  *  - of the SEATS entries in the log all but the newest are committed;
@@ -80,7 +80,7 @@
     bool reopening; /* the opening under way is of a holder that never lost the lock */
     uint64_t viewIndex;
     bool inView[SEAT_MOST];
-    Partner partners[SEAT_MOST + 1];
+    Peer peers[SEAT_MOST + 1];
     uint64_t guest; /* a disk; 0: none */
     uint64_t guestTurn; /* the lead that it is a guest of */
     int64_t guestSinceMs;
@@ -186,7 +186,7 @@
 bool leadOver(const View *view, uint64_t turn);
 /* Spawns the task that keeps the grant of the disk at the slot; ... its log. */
 void leadRenew(View *view, int slot);
-void leadPartner(View *view, int slot);
+void leadPeer(View *view, int slot);
 void leadAnswered(View *view, int slot, const SeatAnswer *answer);
 /* Tells all other seats that what they granted under the epoch is not used. next:
  * the disk that is to take over at once; 0: whoever comes first. */
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -21,7 +21,7 @@
     for (int i = 0; i < SEAT_MOST; i++) {
         if (view->seats[i] == 0)
             continue;
-        const uint64_t match = view->seats[i] == view->disk ? view->syncedIndex : view->partners[i].matchIndex;
+        const uint64_t match = view->seats[i] == view->disk ? view->syncedIndex : view->peers[i].matchIndex;
         size_t at = count++;
         for (; at > 0 && matches[at - 1] < match; at--)
             matches[at] = matches[at - 1];
@@ -34,8 +34,8 @@
 {
     uint64_t least = view->syncedIndex;
     for (int i = 0; i < SEAT_MOST; i++)
-        if (view->inView[i] && view->seats[i] != view->disk && view->partners[i].matchIndex < least)
-            least = view->partners[i].matchIndex;
+        if (view->inView[i] && view->seats[i] != view->disk && view->peers[i].matchIndex < least)
+            least = view->peers[i].matchIndex;
     /* the view is a majority of the seats; only while a seat was just added it may not be */
     const uint64_t majority = majorityIndex(view);
     if (majority < least)
@@ -55,7 +55,7 @@
     uint64_t disk;
 } Lead;
 
-static bool partnerOver(const Lead *lead)
+static bool peerOver(const Lead *lead)
 {
     return leadOver(lead->view, lead->turn) || slotDisk(lead->view, lead->slot) != lead->disk;
 }
@@ -97,39 +97,39 @@
 
 void leadAnswered(View *view, int slot, const SeatAnswer *answer)
 {
-    Partner *partner = &view->partners[slot];
-    partner->answeredMs = loopNowMs(view->loop);
-    partner->woke = answer->woke;
-    partner->promised = answer->promised;
-    partner->wallMs = answer->wallMs;
-    partner->wallAtMs = partner->answeredMs;
-    partner->syncMs = answer->syncMs;
-    partner->sight = answer->sight;
+    Peer *peer = &view->peers[slot];
+    peer->answeredMs = loopNowMs(view->loop);
+    peer->woke = answer->woke;
+    peer->promised = answer->promised;
+    peer->wallMs = answer->wallMs;
+    peer->wallAtMs = peer->answeredMs;
+    peer->syncMs = answer->syncMs;
+    peer->sight = answer->sight;
 }
 
 static void fillOne(View *view, const Lead *lead, const char *address)
 {
-    Partner *partner = &view->partners[lead->slot];
-    if (view->log->snapshot.kind != RECORD_SNAPSHOT || partner->refill)
+    Peer *peer = &view->peers[lead->slot];
+    if (view->log->snapshot.kind != RECORD_SNAPSHOT || peer->refill)
         viewCompactMaybe(view, true);
     if (view->log->snapshot.kind != RECORD_SNAPSHOT) {
         loopSleep(view->loop, LOCK_RENEW_MS);
         return;
     }
     void *mem = talloc_new(view);
-    FillAsk ask = {view->epoch, view->disk, {0}, view->commitIndex, lead->disk, partner->refill};
+    FillAsk ask = {view->epoch, view->disk, {0}, view->commitIndex, lead->disk, peer->refill};
     shapeCopy(&RecordShape, &view->log->snapshot, mem, &ask.snapshot);
     const uint64_t index = ask.snapshot.index;
     SeatAnswer answer = {0};
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_FILL, &FillAskShape, &ask,
                                      VIEW_EXPIRY_MS * 4, &SeatAnswerShape, &answer);
-    if (!partnerOver(lead)) {
+    if (!peerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK) {
-            partner->matchIndex = index;
-            partner->nextIndex = index + 1;
-            partner->refill = false;
+            peer->matchIndex = index;
+            peer->nextIndex = index + 1;
+            peer->refill = false;
         } else {
             loopSleep(view->loop, LOCK_RENEW_MS);
         }
@@ -139,14 +139,14 @@
 
 static void appendOne(View *view, const Lead *lead, const char *address)
 {
-    Partner *partner = &view->partners[lead->slot];
+    Peer *peer = &view->peers[lead->slot];
     void *mem = talloc_new(view);
-    AppendAsk ask = {.epoch = view->epoch, .holder = view->disk, .prevIndex = partner->nextIndex - 1, .to = lead->disk};
+    AppendAsk ask = {.epoch = view->epoch, .holder = view->disk, .prevIndex = peer->nextIndex - 1, .to = lead->disk};
     logEpochAt(view->log, ask.prevIndex, &ask.prevEpoch);
     ask.commitIndex = view->commitIndex;
     ask.entries = talloc_array(mem, Record, LOG_BATCH_ENTRIES);
     size_t bytes = 0;
-    for (uint64_t i = partner->nextIndex; i <= logLastIndex(view->log) && ask.entriesCount < LOG_BATCH_ENTRIES &&
+    for (uint64_t i = peer->nextIndex; i <= logLastIndex(view->log) && ask.entriesCount < LOG_BATCH_ENTRIES &&
                                           bytes < LOG_BATCH_BYTES;
          i++) {
         bytes += logAt(view->log, i)->payload.count;
@@ -155,37 +155,37 @@
     const uint64_t match = ask.prevIndex + ask.entriesCount;
     SeatAnswer answer = {0};
     const int64_t sentMs = loopNowMs(view->loop);
-    if (partner->appendSinceMs == INT64_MAX)
-        partner->appendSinceMs = sentMs;
+    if (peer->appendSinceMs == INT64_MAX)
+        peer->appendSinceMs = sentMs;
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_APPEND, &AppendAskShape, &ask,
                                      APPEND_EXPIRY_MS, &SeatAnswerShape, &answer);
-    if (!partnerOver(lead)) {
+    if (!peerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK || status == STATUS_LOG_GAP) {
-            partner->appendSinceMs = INT64_MAX;
-            partner->appendTookMs = loopNowMs(view->loop) - sentMs;
-            partner->slowTimes = partner->appendTookMs > SEAT_SLOW_MS ? partner->slowTimes + 1 : 0;
+            peer->appendSinceMs = INT64_MAX;
+            peer->appendTookMs = loopNowMs(view->loop) - sentMs;
+            peer->slowTimes = peer->appendTookMs > SEAT_SLOW_MS ? peer->slowTimes + 1 : 0;
         }
         if (status == STATUS_OK) {
-            partner->matchIndex = match;
-            partner->nextIndex = match + 1;
+            peer->matchIndex = match;
+            peer->nextIndex = match + 1;
             /* a seat that takes an append lets the hold go on as well */
-            partner->renewedMs = sentMs;
+            peer->renewedMs = sentMs;
             if (lead->slot != GUEST)
                 lockHoldAnswered(&view->hold, lead->slot, sentMs);
             leadCommit(view);
         } else if (status == STATUS_LOG_GAP) {
-            partner->matchIndex = 0; /* a disk may have lost what it had synced */
+            peer->matchIndex = 0; /* a disk may have lost what it had synced */
             /* back to what it has, or a good step; before the beginning only a snapshot helps */
-            uint64_t next = partner->nextIndex;
+            uint64_t next = peer->nextIndex;
             if (next <= view->log->baseIndex + 1)
-                partner->refill = true;
+                peer->refill = true;
             else if (answer.logIndex + 1 < next)
                 next = answer.logIndex + 1;
             else
                 next = next > view->log->baseIndex + 1 + LOG_BACK_STEP ? next - LOG_BACK_STEP : view->log->baseIndex + 1;
-            partner->nextIndex = next;
+            peer->nextIndex = next;
         } else {
             loopSleep(view->loop, 100);
         }
@@ -194,22 +194,22 @@
 }
 
 /* One task for each other seat, in the view or not, and for the guest. */
-static void partnerMain(void *arg)
+static void peerMain(void *arg)
 {
     const Lead lead = *(Lead *)arg;
     View *view = lead.view;
     talloc_free(arg);
-    Partner *partner = &view->partners[lead.slot];
+    Peer *peer = &view->peers[lead.slot];
     bool told = false; /* it has heard of this epoch by an append */
-    while (!partnerOver(&lead)) {
+    while (!peerOver(&lead)) {
         char address[ADDRESS_MAX];
         if (!seatAddress(view, lead.slot, address)) {
             loopSleep(view->loop, 100);
             continue;
         }
-        if (partner->refill || partner->nextIndex <= view->log->baseIndex) {
+        if (peer->refill || peer->nextIndex <= view->log->baseIndex) {
             fillOne(view, &lead, address);
-        } else if (partner->nextIndex <= logLastIndex(view->log) || !told) {
+        } else if (peer->nextIndex <= logLastIndex(view->log) || !told) {
             appendOne(view, &lead, address);
             told = true;
         } else {
@@ -227,9 +227,9 @@
     const int64_t nowMs = loopNowMs(view->loop);
     offsets[count++] = loopWallMs(view->loop) - nowMs;
     for (int i = 0; i < SEAT_MOST; i++)
-        if (view->seats[i] != 0 && view->seats[i] != view->disk && view->partners[i].wallAtMs != 0 &&
-            nowMs - view->partners[i].wallAtMs < LOCK_HOLD_MS)
-            offsets[count++] = view->partners[i].wallMs - view->partners[i].wallAtMs;
+        if (view->seats[i] != 0 && view->seats[i] != view->disk && view->peers[i].wallAtMs != 0 &&
+            nowMs - view->peers[i].wallAtMs < LOCK_HOLD_MS)
+            offsets[count++] = view->peers[i].wallMs - view->peers[i].wallAtMs;
     for (int i = 1; i < count; i++)
         for (int k = i; k > 0 && offsets[k] < offsets[k - 1]; k--) {
             const int64_t swap = offsets[k];
@@ -251,7 +251,7 @@
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_PROPOSE, &ProposeAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
     const bool reached = pollReached(status);
-    if (reached && !partnerOver(lead))
+    if (reached && !peerOver(lead))
         leadAnswered(view, lead->slot, &answer);
     talloc_free(mem);
     return reached;
@@ -265,11 +265,11 @@
     SeatAnswer answer = {0};
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
-    if (!partnerOver(lead)) {
+    if (!peerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK) {
-            view->partners[lead->slot].renewedMs = sentMs;
+            view->peers[lead->slot].renewedMs = sentMs;
             if (lead->slot != GUEST)
                 lockHoldAnswered(&view->hold, lead->slot, sentMs);
         }
@@ -287,11 +287,11 @@
     talloc_free(arg);
     int64_t askedMs = INT64_MIN;
     bool doubt = false;
-    while (!partnerOver(&lead)) {
+    while (!peerOver(&lead)) {
         const int64_t sentMs = loopNowMs(view->loop);
         char address[ADDRESS_MAX];
         /* appends renew as well; only the rest is told by renewals alone */
-        const int64_t lastMs = view->partners[lead.slot].renewedMs;
+        const int64_t lastMs = view->peers[lead.slot].renewedMs;
         if (lead.disk != view->disk && lastMs != INT64_MIN && askedMs != INT64_MIN && sentMs - lastMs < LOCK_RENEW_MS &&
             sentMs - askedMs < LOCK_TELL_MS) {
             loopSleep(view->loop, LOCK_RENEW_MS - (sentMs - lastMs));
@@ -312,7 +312,7 @@
                 continue; /* it answers again: now the renewal */
         }
         /* a guest grants nothing before it has the log */
-        const bool waits = lead.slot == GUEST && view->partners[GUEST].renewedMs == INT64_MIN;
+        const bool waits = lead.slot == GUEST && view->peers[GUEST].renewedMs == INT64_MIN;
         const int64_t eachMs = waits ? SEAT_GIVE_MS : LOCK_RENEW_MS;
         const int64_t tookMs = loopNowMs(view->loop) - sentMs;
         loopSleep(view->loop, tookMs < eachMs ? eachMs - tookMs : 1);
@@ -331,10 +331,10 @@
     leadSpawn(view, "renew", renewMain, slot);
 }
 
-void leadPartner(View *view, int slot)
+void leadPeer(View *view, int slot)
 {
     if (slotDisk(view, slot) != view->disk)
-        leadSpawn(view, "partner", partnerMain, slot);
+        leadSpawn(view, "peer", peerMain, slot);
 }
 
 void leadLocal(View *view)
@@ -376,17 +376,17 @@
 uint64_t leadNext(const View *view, bool quick)
 {
     const int64_t nowMs = loopNowMs(view->loop);
-    const Partner *best = NULL;
+    const Peer *best = NULL;
     uint64_t disk = 0;
     for (int i = 0; i < SEAT_MOST; i++) {
-        const Partner *partner = &view->partners[i];
-        if (view->seats[i] == view->disk || !view->inView[i] || nowMs - partner->answeredMs > 2 * LOCK_RENEW_MS)
+        const Peer *peer = &view->peers[i];
+        if (view->seats[i] == view->disk || !view->inView[i] || nowMs - peer->answeredMs > 2 * LOCK_RENEW_MS)
             continue;
-        if (quick && (partner->syncMs > SEAT_SLOW_MS / 2 || partner->appendTookMs > SEAT_SLOW_MS / 2 ||
-                      (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > SEAT_LATE_MS / 2)))
+        if (quick && (peer->syncMs > SEAT_SLOW_MS / 2 || peer->appendTookMs > SEAT_SLOW_MS / 2 ||
+                      (peer->appendSinceMs != INT64_MAX && nowMs - peer->appendSinceMs > SEAT_LATE_MS / 2)))
             continue;
-        if (best == NULL || partner->matchIndex > best->matchIndex) {
-            best = partner;
+        if (best == NULL || peer->matchIndex > best->matchIndex) {
+            best = peer;
             disk = view->seats[i];
         }
     }
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -210,12 +210,12 @@
         for (int i = 0; i < SEAT_MOST; i++) {
             if (poll->status[i] == STATUS_OK || pollReached(poll->status[i]))
                 leadAnswered(view, i, &poll->answers[i]);
-            view->partners[i].matchIndex = 0;
-            view->partners[i].nextIndex = pollReached(poll->status[i]) ? poll->answers[i].logIndex + 1 : UINT64_MAX;
-            view->partners[i].appendSinceMs = INT64_MAX;
-            view->partners[i].refill = false;
-            view->partners[i].renewedMs = INT64_MIN;
-            view->partners[i].returnMs = 0;
+            view->peers[i].matchIndex = 0;
+            view->peers[i].nextIndex = pollReached(poll->status[i]) ? poll->answers[i].logIndex + 1 : UINT64_MAX;
+            view->peers[i].appendSinceMs = INT64_MAX;
+            view->peers[i].refill = false;
+            view->peers[i].renewedMs = INT64_MIN;
+            view->peers[i].returnMs = 0;
         }
     }
     uint64_t promised[SEAT_MOST]; /* the disks, by their places before the log is taken over */
@@ -261,13 +261,13 @@
      * earlier lead had not queued yet is written now */
     view->syncedIndex = view->queuedIndex;
     for (int i = 0; i < SEAT_MOST; i++)
-        if (view->partners[i].nextIndex > logLastIndex(view->log) + 1)
-            view->partners[i].nextIndex = logLastIndex(view->log) + 1;
+        if (view->peers[i].nextIndex > logLastIndex(view->log) + 1)
+            view->peers[i].nextIndex = logLastIndex(view->log) + 1;
     leadViewEntry(view, inView, repair);
     leadLocal(view);
     for (int i = 0; i < SEAT_MOST; i++)
         if (view->seats[i] != 0)
-            leadPartner(view, i);
+            leadPeer(view, i);
     /* a seat that lags is waited for while it gains */
     int64_t untilMs = loopNowMs(view->loop) + VIEW_EXPIRY_MS;
     uint64_t gained = 0;
@@ -275,7 +275,7 @@
         if (!signalWait(view->loop, &view->news, loopNowMs(view->loop) + 100) && !leadOver(view, turn)) {
             uint64_t sum = view->syncedIndex;
             for (int i = 0; i < SEAT_MOST; i++)
-                sum += view->partners[i].matchIndex + view->partners[i].nextIndex;
+                sum += view->peers[i].matchIndex + view->peers[i].nextIndex;
             if (sum != gained) {
                 gained = sum;
                 untilMs = loopNowMs(view->loop) + VIEW_EXPIRY_MS;
--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -69,7 +69,7 @@
             continue;
         view->seats[i] = disk;
         view->inView[i] = false;
-        view->partners[i] = (Partner){.nextIndex = UINT64_MAX, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
+        view->peers[i] = (Peer){.nextIndex = UINT64_MAX, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
         view->hold.sentMs[i] = INT64_MIN;
     }
     view->hold.seats = view->seatCount;
@@ -203,8 +203,8 @@
         return guests(view, place, INT64_MIN, guest) > 0;
     const Member *member = membersFindDisk(view->props.members, disk);
     int64_t heardMs = member != NULL ? member->seenMs : view->wonMs;
-    if (view->partners[place].answeredMs > heardMs)
-        heardMs = view->partners[place].answeredMs;
+    if (view->peers[place].answeredMs > heardMs)
+        heardMs = view->peers[place].answeredMs;
     const int64_t silentMs = nowMs - heardMs;
     int64_t soonMs = backMs(view) / 2 > LOCK_HOLD_MS + LOCK_RENEW_MS ? backMs(view) / 2 : LOCK_HOLD_MS + LOCK_RENEW_MS;
     if (member != NULL && member->record.leaving)
@@ -236,8 +236,8 @@
     void *mem = talloc_new(view);
     Bytes payload = {0};
     shapePack(&SeatListShape, seatsWith(view, mem, place, disk), mem, &payload);
-    Verdict verdict;
-    const Status status = viewSubmit(view, VIEW_CHANGE_SEATS, payload, &verdict);
+    ChangeResult result;
+    const Status status = viewSubmit(view, VIEW_CHANGE_SEATS, payload, &result);
     talloc_free(mem);
     return status;
 }
@@ -245,11 +245,11 @@
 /* Whether the guest has nearly all of the log and grants the lock. */
 static bool guestReady(const View *view)
 {
-    const Partner *partner = &view->partners[GUEST];
+    const Peer *peer = &view->peers[GUEST];
     const int64_t nowMs = loopNowMs(view->loop);
-    return partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
-           partner->renewedMs != INT64_MIN && nowMs - partner->renewedMs < 2 * LOCK_RENEW_MS &&
-           partner->appendTookMs < SEAT_SLOW_MS;
+    return peer->matchIndex > 0 && peer->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
+           peer->renewedMs != INT64_MIN && nowMs - peer->renewedMs < 2 * LOCK_RENEW_MS &&
+           peer->appendTookMs < SEAT_SLOW_MS;
 }
 
 /* Whether a majority of the seats, with the place vacated or given to the guest, is
@@ -264,7 +264,7 @@
             continue;
         seats++;
         live += view->seats[i] == view->disk ||
-                (view->inView[i] && nowMs - view->partners[i].answeredMs < 2 * LOCK_RENEW_MS);
+                (view->inView[i] && nowMs - view->peers[i].answeredMs < 2 * LOCK_RENEW_MS);
     }
     return live >= lockMajority(seats);
 }
@@ -282,7 +282,7 @@
     if (leadOver(view, turn) || view->listIndex > view->commitIndex || view->seats[place] != 0 || view->guest != guest ||
         !majorityLives(view, place, true))
         return;
-    const Partner partner = view->partners[GUEST];
+    const Peer peer = view->peers[GUEST];
     void *mem = talloc_new(view);
     Bytes payload = {0};
     shapePack(&SeatListShape, seatsWith(view, mem, place, guest), mem, &payload);
@@ -291,10 +291,10 @@
     if (status != STATUS_OK || view->seats[place] != guest)
         return;
     view->guest = 0;
-    view->partners[place] = partner;
-    lockHoldAnswered(&view->hold, place, partner.renewedMs);
+    view->peers[place] = peer;
+    lockHoldAnswered(&view->hold, place, peer.renewedMs);
     leadRenew(view, place);
-    leadPartner(view, place);
+    leadPeer(view, place);
     ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "seat %d of %zu is given to disk %016" PRIx64, place + 1,
             view->seatCount, guest);
     viewSettle(view);
@@ -321,9 +321,9 @@
             view->guest = guest;
             view->guestSinceMs = loopNowMs(view->loop);
             view->guestTurn = view->leadTurn;
-            view->partners[GUEST] = (Partner){.nextIndex = logLastIndex(view->log) + 1, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
+            view->peers[GUEST] = (Peer){.nextIndex = logLastIndex(view->log) + 1, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
             leadRenew(view, GUEST);
-            leadPartner(view, GUEST);
+            leadPeer(view, GUEST);
         } else if (guestReady(view)) {
             give(view, place);
         }
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -183,9 +183,9 @@
         const Record *entry = logAt(view->log, view->deliveredIndex + 1);
         if (entry == NULL)
             break;
-        Verdict verdict = {STATUS_OK, 0, entry->index};
+        ChangeResult result = {STATUS_OK, 0, entry->index};
         if (entry->change >= VIEW_CHANGE_FIRST)
-            view->props.state.deliver(view->props.state.arg, entry, &verdict);
+            view->props.state.deliver(view->props.state.arg, entry, &result);
         else if (entry->change == VIEW_CHANGE_VIEW && entry->epoch == view->lock.promised && lastHas(view, view->disk))
             view->woke = false; /* a view has brought this seat up to date */
         view->deliveredIndex = entry->index;
@@ -200,7 +200,7 @@
             waiter->done = true;
             /* another entry took the place: the submitted one is gone for good */
             waiter->status = waiter->epoch == entry->epoch ? STATUS_OK : STATUS_OUTCOME_UNKNOWN;
-            waiter->verdict = verdict;
+            waiter->result = result;
             signalRaise(view->loop, &waiter->ended);
         }
     }
@@ -339,17 +339,17 @@
     }
 }
 
-Status viewOpenDisk(View *view, const char *path, const char *nodeName, Mishap *mishap)
+Status viewOpenDisk(View *view, const char *path, const char *nodeName, Failure *failure)
 {
     view->nodeName = talloc_strdup(view, nodeName);
-    Status status = journalOpen(view->loop, view, path, nodeName, found, view, &view->journal, mishap);
+    Status status = journalOpen(view->loop, view, path, nodeName, found, view, &view->journal, failure);
     if (status != STATUS_OK)
         return status;
     view->disk = journalDisk(view->journal);
     if (view->log->snapshot.kind == RECORD_SNAPSHOT) {
         status = viewLoad(view, &view->log->snapshot);
         if (status != STATUS_OK)
-            return mishapSet(mishap, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
+            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
                              statusWord(status));
         view->commitIndex = view->deliveredIndex;
     }
@@ -473,7 +473,7 @@
     return STATUS_OK;
 }
 
-Status viewSubmit(View *view, uint64_t change, Bytes payload, Verdict *verdict)
+Status viewSubmit(View *view, uint64_t change, Bytes payload, ChangeResult *result)
 {
     const int64_t untilMs = loopNowMs(view->loop) + SUBMIT_EXPIRY_MS;
     Status status = mayOrder(view, change, untilMs);
@@ -497,15 +497,15 @@
             }
         status = STATUS_OUTCOME_UNKNOWN;
     }
-    *verdict = waiter->verdict;
+    *result = waiter->result;
     talloc_free(waiter);
     return status;
 }
 
 Status viewRepaired(View *view)
 {
-    Verdict verdict;
-    return viewSubmit(view, VIEW_CHANGE_REPAIRED, (Bytes){0}, &verdict);
+    ChangeResult result;
+    return viewSubmit(view, VIEW_CHANGE_REPAIRED, (Bytes){0}, &result);
 }
 
 void viewSight(const View *view, ViewSight *sight)
@@ -525,18 +525,18 @@
     sight->viewChanges = view->viewChanges;
     sight->journal = *journalCounts(view->journal);
     for (int i = 0; i < SEAT_MOST; i++) {
-        const Partner *partner = &view->partners[i];
+        const Peer *peer = &view->peers[i];
         const bool self = view->seats[i] == view->disk;
         if (view->seats[i] == 0)
             continue;
         sight->seats[sight->seatCount++] = (ViewSeatSight){
             .disk = view->seats[i],
             .inView = view->inView[i],
-            .answers = self || nowMs - partner->answeredMs < LOCK_HOLD_MS,
-            .woke = self ? view->woke : partner->woke,
-            .syncMs = self ? sight->journal.lastSyncMs : partner->syncMs,
-            .matchIndex = self ? view->syncedIndex : partner->matchIndex,
-            .sight = self ? membersSight(view->props.members) : partner->sight,
+            .answers = self || nowMs - peer->answeredMs < LOCK_HOLD_MS,
+            .woke = self ? view->woke : peer->woke,
+            .syncMs = self ? sight->journal.lastSyncMs : peer->syncMs,
+            .matchIndex = self ? view->syncedIndex : peer->matchIndex,
+            .sight = self ? membersSight(view->props.members) : peer->sight,
         };
     }
 }
--- a/packages/view/src/watch.c
+++ b/packages/view/src/watch.c
@@ -9,31 +9,31 @@
 /* Why a seat in the view is to leave it; null: it is not. */
 static const char *leaves(const View *view, int place, bool spare, int64_t nowMs)
 {
-    const Partner *partner = &view->partners[place];
-    const bool near = partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log);
+    const Peer *peer = &view->peers[place];
+    const bool near = peer->matchIndex > 0 && peer->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log);
     if (seatDead(view, view->seats[place], false))
         return "its disk is gone";
-    if (nowMs - partner->answeredMs > LOCK_HOLD_MS)
+    if (nowMs - peer->answeredMs > LOCK_HOLD_MS)
         return "silent";
     if (!spare)
         return NULL;
     const Member *member = membersFindDisk(view->props.members, view->seats[place]);
     if (member != NULL && member->record.leaving)
         return "its core leaves";
-    if (partner->appendSinceMs != INT64_MAX && nowMs - partner->appendSinceMs > SEAT_LATE_MS)
+    if (peer->appendSinceMs != INT64_MAX && nowMs - peer->appendSinceMs > SEAT_LATE_MS)
         return "does not sync in time";
-    if (partner->slowTimes >= SEAT_SLOW_TIMES)
+    if (peer->slowTimes >= SEAT_SLOW_TIMES)
         return "slow";
     return !near && nowMs - view->changedMs > SEAT_LATE_MS ? "far behind" : NULL;
 }
 
 static bool returns(const View *view, int place, int64_t nowMs)
 {
-    const Partner *partner = &view->partners[place];
+    const Peer *peer = &view->peers[place];
     const Member *member = membersFindDisk(view->props.members, view->seats[place]);
-    return (member == NULL || !member->record.leaving) && nowMs - partner->answeredMs <= LOCK_RENEW_MS * 2 && partner->appendSinceMs == INT64_MAX &&
-           partner->matchIndex > 0 && partner->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
-           partner->appendTookMs < SEAT_SLOW_MS / 2 && partner->syncMs < SEAT_SLOW_MS / 2 && nowMs >= partner->returnMs && !seatDead(view, view->seats[place], false);
+    return (member == NULL || !member->record.leaving) && nowMs - peer->answeredMs <= LOCK_RENEW_MS * 2 && peer->appendSinceMs == INT64_MAX &&
+           peer->matchIndex > 0 && peer->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
+           peer->appendTookMs < SEAT_SLOW_MS / 2 && peer->syncMs < SEAT_SLOW_MS / 2 && nowMs >= peer->returnMs && !seatDead(view, view->seats[place], false);
 }
 
 /* Changes the view under the same epoch: takes in who is up to date, lets go who
@@ -56,13 +56,13 @@
             ringSay(view->props.ring, RING_NOTE, nowMs, "seat %016" PRIx64 " comes into the view", view->seats[i]);
         }
     for (int i = 0; i < SEAT_MOST; i++) {
-        Partner *partner = &view->partners[i];
+        Peer *peer = &view->peers[i];
         if (view->seats[i] == 0 || view->seats[i] == view->disk)
             continue;
         /* a seat that has promised more takes nothing of ours, in the view or not */
-        const bool silent = nowMs - partner->answeredMs > 2 * LOCK_RENEW_MS;
+        const bool silent = nowMs - peer->answeredMs > 2 * LOCK_RENEW_MS;
         skip[i] = silent || seatDead(view, view->seats[i], false);
-        anew |= !skip[i] && partner->promised > view->epoch && nowMs - view->changedMs > LOCK_RENEW_MS;
+        anew |= !skip[i] && peer->promised > view->epoch && nowMs - view->changedMs > LOCK_RENEW_MS;
         if (!inView[i])
             continue;
         const char *why = view->inView[i] ? leaves(view, i, count > viewMajority(view), nowMs) : NULL;
@@ -70,13 +70,13 @@
             inView[i] = false;
             changed = true;
             count--;
-            partner->returnMs = nowMs + SEAT_REST_MS;
-            partner->slowTimes = 0;
+            peer->returnMs = nowMs + SEAT_REST_MS;
+            peer->slowTimes = 0;
             ringSay(view->props.ring, RING_ALERT, nowMs, "seat %016" PRIx64 " leaves the view: %s", view->seats[i], why);
             continue;
         }
         /* it restarted within the view; one just taken in takes a renewal to be heard of */
-        changed |= partner->woke && nowMs - view->changedMs > 2 * LOCK_RENEW_MS;
+        changed |= peer->woke && nowMs - view->changedMs > 2 * LOCK_RENEW_MS;
     }
     if (!anew && changed)
         leadTurn(view, inView);
@@ -92,8 +92,8 @@
     const uint64_t own = membersSight(view->props.members);
     bool blind = false;
     for (int i = 0; i < SEAT_MOST; i++)
-        if (view->inView[i] && view->seats[i] != view->disk && nowMs - view->partners[i].answeredMs < LOCK_HOLD_MS)
-            blind |= view->partners[i].sight > own + SIGHT_MARGIN && view->partners[i].sight > own + own / 2;
+        if (view->inView[i] && view->seats[i] != view->disk && nowMs - view->peers[i].answeredMs < LOCK_HOLD_MS)
+            blind |= view->peers[i].sight > own + SIGHT_MARGIN && view->peers[i].sight > own + own / 2;
     if (!blind || nowMs - view->wonMs < MEMBER_QUIET_MS)
         view->blindSinceMs = 0;
     else if (view->blindSinceMs == 0)
--- a/packages/wire/include/wire/courier.h
+++ b/packages/wire/include/wire/courier.h
@@ -6,8 +6,8 @@
 #include "wire/kinds.h"
 #include "wire/shape.h"
 
-/* Asks partners and answers them: one line (connection and reading task) for
- * each partner asked, one task for each connection and each question served. */
+/* Asks peers and answers them: one line (connection and reading task) for
+ * each peer asked, one task for each connection and each question served. */
 typedef struct Courier Courier;
 
 /* What the courier has counted of bad frames; none of them ever crashes it. */
@@ -28,10 +28,10 @@
 void courierSetCluster(Courier *courier, uint64_t cluster);
 uint64_t courierCluster(const Courier *courier);
 void courierHandle(Courier *courier, MessageKind kind, const Shape *ask, const Shape *answer, CourierFn fn, void *arg);
-Status courierListen(Courier *courier, const char *address, char bound[ADDRESS_MAX], Mishap *mishap);
+Status courierListen(Courier *courier, const char *address, char bound[ADDRESS_MAX], Failure *failure);
 
 /* Waits for the answer. UNREACHABLE and STRANGER: certainly not taken.
- * EXPIRED and CLOSED: it may have been. Any other status is the partner's own. */
+ * EXPIRED and CLOSED: it may have been. Any other status is the peer's own. */
 Status courierAsk(Courier *courier, void *mem, const char *address, MessageKind kind, const Shape *askShape,
                   const void *ask, int64_t waitMs, const Shape *answerShape, void *answer);
 /* A new process is known to stand at the address: a line on which questions have
--- a/packages/wire/include/wire/shape.h
+++ b/packages/wire/include/wire/shape.h
@@ -4,7 +4,7 @@
 #include <stddef.h>
 
 #include "base/bytes.h"
-#include "base/mishap.h"
+#include "base/failure.h"
 
 /* A shape is a struct told once, as a list of fields, from which come the
  * struct itself and the table that packs, unpacks and prints it:
@@ -82,7 +82,7 @@
 
 void shapePack(const Shape *shape, const void *from, void *mem, Bytes *to);
 /* Checks all; the result hangs on mem. BAD_FRAME with the field's name. */
-Status shapeUnpack(const Shape *shape, Bytes from, void *mem, void *to, Mishap *mishap);
+Status shapeUnpack(const Shape *shape, Bytes from, void *mem, void *to, Failure *failure);
 /* A deep copy on mem. */
 void shapeCopy(const Shape *shape, const void *from, void *mem, void *to);
 /* The same in one block on mem: parts of it can't be freed, its Bytes are borrowed. */
--- a/packages/wire/src/courier.c
+++ b/packages/wire/src/courier.c
@@ -25,7 +25,7 @@
     Signal answered;
 } Asking;
 
-/* The connection to one partner.
+/* The connection to one peer.
  * Invariant: while channel is non-null a reading task serves it; misses counts
  * questions in a row that expired. */
 typedef struct Line {
@@ -132,7 +132,7 @@
     const uint64_t cluster = courier->cluster;
     void *ask = talloc_zero_size(question, handler->ask->size);
     void *answer = talloc_zero_size(question, handler->answer->size);
-    Mishap mishap = {0};
+    Failure failure = {0};
     Bytes payload = {0};
     Status status = STATUS_OK;
     if ((envelope->cluster != 0 && cluster != 0 && envelope->cluster != cluster) ||
@@ -140,10 +140,10 @@
         courier->counts.strangers++;
         status = STATUS_STRANGER;
     } else {
-        status = shapeUnpack(handler->ask, envelope->payload, question, ask, &mishap);
+        status = shapeUnpack(handler->ask, envelope->payload, question, ask, &failure);
         if (status != STATUS_OK) {
             courier->counts.badFrames++;
-            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame: %s", mishap.text);
+            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame: %s", failure.text);
             channelShut(served->channel);
         } else {
             status = handler->fn(handler->arg, question, ask, answer);
@@ -164,16 +164,16 @@
     for (;;) {
         Question *question = talloc_zero(courier, Question);
         Bytes frame;
-        Mishap mishap = {0};
+        Failure failure = {0};
         if (channelReceive(channel, question, INT64_MAX, &frame) != STATUS_OK) {
             talloc_free(question);
             break;
         }
-        if (shapeUnpack(&EnvelopeShape, frame, question, &question->envelope, &mishap) != STATUS_OK ||
+        if (shapeUnpack(&EnvelopeShape, frame, question, &question->envelope, &failure) != STATUS_OK ||
             question->envelope.answer || question->envelope.kind >= MESSAGE_MAX ||
             courier->handlers[question->envelope.kind].fn == NULL) {
             courier->counts.badFrames++;
-            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s", mishap.text);
+            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s", failure.text);
             talloc_free(question);
             break;
         }
@@ -187,9 +187,9 @@
     servedLeave(served);
 }
 
-Status courierListen(Courier *courier, const char *address, char bound[ADDRESS_MAX], Mishap *mishap)
+Status courierListen(Courier *courier, const char *address, char bound[ADDRESS_MAX], Failure *failure)
 {
-    return loopListen(courier->loop, address, serve, courier, bound, mishap);
+    return loopListen(courier->loop, address, serve, courier, bound, failure);
 }
 
 /* --- asking ------------------------------------------------------------------ */
@@ -254,7 +254,7 @@
         }
 }
 
-/* Waits until the line has a channel; null when the partner can't be reached. */
+/* Waits until the line has a channel; null when the peer can't be reached. */
 static Line *lineReady(Courier *courier, const char *address, int64_t untilMs)
 {
     Line *line = mapGet(courier->lines, address);
--- a/packages/wire/src/shape.c
+++ b/packages/wire/src/shape.c
@@ -77,9 +77,9 @@
     packShape(&pk, shape, from);
 }
 
-static Status wrong(Mishap *mishap, const Shape *shape, const ShapeField *field)
+static Status wrong(Failure *failure, const Shape *shape, const ShapeField *field)
 {
-    return mishapSet(mishap, STATUS_BAD_FRAME, "%s.%s has the wrong type", shape->name, field->name);
+    return failureSet(failure, STATUS_BAD_FRAME, "%s.%s has the wrong type", shape->name, field->name);
 }
 
 /* Text without a zero inside, or null. */
@@ -96,12 +96,12 @@
 
 static void zeroTexts(const Shape *shape, void *to);
 
-static Status unpackShape(const Shape *shape, const msgpack_object *from, void *mem, void *to, Mishap *mishap)
+static Status unpackShape(const Shape *shape, const msgpack_object *from, void *mem, void *to, Failure *failure)
 {
     memset(to, 0, shape->size);
     zeroTexts(shape, to);
     if (from->type != MSGPACK_OBJECT_ARRAY)
-        return mishapSet(mishap, STATUS_BAD_FRAME, "%s is not an array", shape->name);
+        return failureSet(failure, STATUS_BAD_FRAME, "%s is not an array", shape->name);
     const msgpack_object_array *array = &from->via.array;
     size_t fieldCount;
     const ShapeField *fields = shape->fields(&fieldCount);
@@ -113,7 +113,7 @@
         switch (field->kind) {
         case SHAPE_U64:
             if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             *(uint64_t *)at = o->via.u64;
             break;
         case SHAPE_I64:
@@ -122,48 +122,48 @@
             else if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= INT64_MAX)
                 *(int64_t *)at = (int64_t)o->via.u64;
             else
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             break;
         case SHAPE_FLAG:
             if (o->type != MSGPACK_OBJECT_BOOLEAN)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             *(bool *)at = o->via.boolean;
             break;
         case SHAPE_TXT:
             if ((*(const char **)at = textOf(o, mem)) == NULL)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             break;
         case SHAPE_BIN: {
             if (o->type != MSGPACK_OBJECT_BIN)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             Bytes *bytes = at;
             bytesAdd(mem, bytes, o->via.bin.ptr, o->via.bin.size);
             break;
         }
         case SHAPE_TXS: {
             if (o->type != MSGPACK_OBJECT_ARRAY)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             const char **texts = talloc_array(mem, const char *, o->via.array.size);
             for (size_t k = 0; k < o->via.array.size; k++)
                 if ((texts[k] = textOf(&o->via.array.ptr[k], mem)) == NULL)
-                    return wrong(mishap, shape, field);
+                    return wrong(failure, shape, field);
             *(const char ***)at = texts;
             *count = o->via.array.size;
             break;
         }
         case SHAPE_ONE: {
-            const Status status = unpackShape(field->of, o, mem, at, mishap);
+            const Status status = unpackShape(field->of, o, mem, at, failure);
             if (status != STATUS_OK)
                 return status;
             break;
         }
         case SHAPE_LST: {
             if (o->type != MSGPACK_OBJECT_ARRAY)
-                return wrong(mishap, shape, field);
+                return wrong(failure, shape, field);
             const size_t each = field->of->size;
             uint8_t *list = talloc_array_size(mem, each, o->via.array.size);
             for (size_t k = 0; k < o->via.array.size; k++) {
-                const Status status = unpackShape(field->of, &o->via.array.ptr[k], mem, list + k * each, mishap);
+                const Status status = unpackShape(field->of, &o->via.array.ptr[k], mem, list + k * each, failure);
                 if (status != STATUS_OK)
                     return status;
             }
@@ -245,19 +245,19 @@
     return at == from.count;
 }
 
-Status shapeUnpack(const Shape *shape, Bytes from, void *mem, void *to, Mishap *mishap)
+Status shapeUnpack(const Shape *shape, Bytes from, void *mem, void *to, Failure *failure)
 {
     if (!countsHold(from))
-        return mishapSet(mishap, STATUS_BAD_FRAME, "%s does not parse", shape->name);
+        return failureSet(failure, STATUS_BAD_FRAME, "%s does not parse", shape->name);
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset = 0;
     const msgpack_unpack_return got = msgpack_unpack_next(&unpacked, (const char *)from.data, from.count, &offset);
     Status status;
     if ((got != MSGPACK_UNPACK_SUCCESS && got != MSGPACK_UNPACK_EXTRA_BYTES) || offset != from.count)
-        status = mishapSet(mishap, STATUS_BAD_FRAME, "%s does not parse", shape->name);
+        status = failureSet(failure, STATUS_BAD_FRAME, "%s does not parse", shape->name);
     else
-        status = unpackShape(shape, &unpacked.data, mem, to, mishap);
+        status = unpackShape(shape, &unpacked.data, mem, to, failure);
     msgpack_unpacked_destroy(&unpacked);
     return status;
 }
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -109,13 +109,13 @@
             copy.data[(seed >> 8) % copy.count] = (uint8_t)(seed >> 24);
         }
         Tree out;
-        Mishap mishap = {0};
-        if (shapeUnpack(&TreeShape, copy, one, &out, &mishap) == STATUS_OK) {
+        Failure failure = {0};
+        if (shapeUnpack(&TreeShape, copy, one, &out, &failure) == STATUS_OK) {
             Bytes again = {0};
             shapePack(&TreeShape, &out, one, &again);
             assert_true(again.count > 0);
         } else {
-            assert_int_equal(mishap.status, STATUS_BAD_FRAME);
+            assert_int_equal(failure.status, STATUS_BAD_FRAME);
             refused++;
         }
         talloc_free(one);
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -268,7 +268,7 @@
           "not serving", "sweep", "varied", 86, 86),
     Guard("repair-together", "a repair does not take a commit for each change", "packages/core/src/repair.c",
           "status = viewOffer(core->view, item->change, restored(mem, item));",
-          "{\n            Verdict one;\n            status = viewSubmit(core->view, item->change, restored(mem, item), &one);\n        }",
+          "{\n            ChangeResult one;\n            status = viewSubmit(core->view, item->change, restored(mem, item), &one);\n        }",
           "not serving", "sweep", "varied", 80, 80),
     Guard("gang-one-end", "one good end of a gang stands for all of its members", "packages/table/src/round.c",
           "    const Gang gang = gangOf(job, task);\n    const TaskPhase phase", "    const Gang gang = {task, 1};\n    const TaskPhase phase",
