--- a/src/daemon.c
+++ b/src/daemon.c
@@ -46,19 +46,19 @@
 static void startMain(void *arg)
 {
     Daemon *daemon = arg;
-    Mishap mishap = {0};
+    Failure failure = {0};
     Status status;
     const char *http = "";
     const CoreWatch watch = {daemon, onPlans};
     if (daemon->role == PROPS_CORE)
         status = coreStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props,
-                           daemon->record != NULL ? &watch : NULL, &daemon->core, &mishap);
+                           daemon->record != NULL ? &watch : NULL, &daemon->core, &failure);
     else if (daemon->role == PROPS_GATE)
-        status = gateStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->gate, &mishap);
+        status = gateStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->gate, &failure);
     else
-        status = agentStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->agent, &mishap);
+        status = agentStart(daemon->mem, daemon->loop, daemon->ring, &daemon->props, &daemon->agent, &failure);
     if (status != STATUS_OK) {
-        fprintf(stderr, "spancart %s: %s: %s\n", ROLES[daemon->role], statusWord(status), mishap.text);
+        fprintf(stderr, "spancart %s: %s: %s\n", ROLES[daemon->role], statusWord(status), failure.text);
         daemon->code = status == STATUS_BAD_PROPS ? EXIT_WRONG : EXIT_FAILED;
         loopStop(daemon->loop);
         return;
@@ -112,19 +112,19 @@
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(command, argc, argv, options, 0);
     const int got = poptGetNextOpt(context);
-    Mishap mishap = {0};
+    Failure failure = {0};
     int code = EXIT_GOOD;
     if (got < -1)
         code = wrong(command, "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
     else if (poptPeekArg(context) != NULL)
         code = wrong(command, "%s: what is this?", poptPeekArg(context));
-    else if (path != NULL && propsRead(mem, path, role, props, &mishap) != STATUS_OK)
-        code = wrong(command, "%s", mishap.text);
+    else if (path != NULL && propsRead(mem, path, role, props, &failure) != STATUS_OK)
+        code = wrong(command, "%s", failure.text);
     for (int i = 0; i < KEY_COUNT && code == EXIT_GOOD; i++)
-        if (values[i] != NULL && propsSet(mem, props, KEYS[i], values[i], &mishap) != STATUS_OK)
-            code = wrong(command, "%s", mishap.text);
-    if (code == EXIT_GOOD && propsCheck(props, role, &mishap) != STATUS_OK)
-        code = wrong(command, "%s", mishap.text);
+        if (values[i] != NULL && propsSet(mem, props, KEYS[i], values[i], &failure) != STATUS_OK)
+            code = wrong(command, "%s", failure.text);
+    if (code == EXIT_GOOD && propsCheck(props, role, &failure) != STATUS_OK)
+        code = wrong(command, "%s", failure.text);
     poptFreeContext(context);
     return code;
 }
--- a/src/node.c
+++ b/src/node.c
@@ -27,11 +27,11 @@
 /* Seeds and bounds take effect; what else has changed does at the next start. */
 static void settingsAgain(NodeRun *run)
 {
-    Mishap mishap = {0};
+    Failure failure = {0};
     void *mem = talloc_new(run->mem);
     FacePlace place = {0};
-    if (run->face->read(mem, run->path, &place, &mishap) != STATUS_OK) {
-        ringSay(run->node.ring, RING_ALERT, loopNowMs(run->node.loop), "settings left as they were: %s", mishap.text);
+    if (run->face->read(mem, run->path, &place, &failure) != STATUS_OK) {
+        ringSay(run->node.ring, RING_ALERT, loopNowMs(run->node.loop), "settings left as they were: %s", failure.text);
         talloc_free(mem);
         return;
     }
@@ -83,18 +83,18 @@
     NodeRun *run = arg;
     FaceNode *node = &run->node;
     const Props *props = &run->place.props;
-    Mishap mishap = {0};
+    Failure failure = {0};
     Status status;
     if (run->place.role == PROPS_CORE)
-        status = coreStart(run->mem, node->loop, node->ring, props, NULL, &node->core, &mishap);
+        status = coreStart(run->mem, node->loop, node->ring, props, NULL, &node->core, &failure);
     else if (run->place.role == PROPS_GATE)
-        status = gateStart(run->mem, node->loop, node->ring, props, &node->gate, &mishap);
+        status = gateStart(run->mem, node->loop, node->ring, props, &node->gate, &failure);
     else
-        status = agentStart(run->mem, node->loop, node->ring, props, &node->agent, &mishap);
+        status = agentStart(run->mem, node->loop, node->ring, props, &node->agent, &failure);
     if (status == STATUS_OK)
-        status = run->face->start(run->mem, node, &mishap);
+        status = run->face->start(run->mem, node, &failure);
     if (status != STATUS_OK) {
-        fprintf(stderr, "spancart node: %s: %s\n", statusWord(status), mishap.text);
+        fprintf(stderr, "spancart node: %s: %s\n", statusWord(status), failure.text);
         run->code = status == STATUS_BAD_PROPS ? EXIT_WRONG : EXIT_FAILED;
         loopStop(node->loop);
         return;
@@ -144,7 +144,7 @@
     poptContext context = poptGetContext("node", argc, argv, options, 0);
     const int got = poptGetNextOpt(context);
     const char *left = poptPeekArg(context);
-    Mishap mishap = {0};
+    Failure failure = {0};
     void *mem = talloc_new(NULL);
     NodeRun *run = talloc_zero(mem, NodeRun);
     run->mem = mem;
@@ -155,12 +155,12 @@
         code = wrong("node", "%s: what is this?", left);
     else if (name == NULL || (run->face = faceFind(name)) == NULL)
         code = faceWrong(name);
-    else if ((run->path = path != NULL ? path : run->face->path(&mishap)) == NULL)
-        code = wrong("node", "%s", mishap.text);
+    else if ((run->path = path != NULL ? path : run->face->path(&failure)) == NULL)
+        code = wrong("node", "%s", failure.text);
     if (code == EXIT_GOOD)
         settingsChanged(run);
-    if (code == EXIT_GOOD && run->face->read(mem, run->path, &run->place, &mishap) != STATUS_OK)
-        code = wrong("node", "%s", mishap.text);
+    if (code == EXIT_GOOD && run->face->read(mem, run->path, &run->place, &failure) != STATUS_OK)
+        code = wrong("node", "%s", failure.text);
     if (code == EXIT_GOOD && only) {
         printf("good: %s %s in zone %s\n", ROLES[run->place.role], run->place.props.name, run->place.props.zone);
     } else if (code == EXIT_GOOD) {
--- a/src/operate.c
+++ b/src/operate.c
@@ -49,7 +49,7 @@
     const char *words[ORDER_WORDS_MAX];
     Flags flags;
     void *mem;
-    const char *text; /* the entry point's verdict, once ask gave EXIT_GOOD */
+    const char *text; /* the entry point's result, once ask gave EXIT_GOOD */
 } Order;
 
 static Bytes streamAll(void *mem, FILE *stream)
@@ -77,7 +77,7 @@
     return bytes;
 }
 
-/* Asks and keeps the verdict's text; an exit code. */
+/* Asks and keeps the result's text; an exit code. */
 static int ask(Order *order, const char *method, const char *path, Bytes body)
 {
     const char *at = order->flags.at;
@@ -93,8 +93,8 @@
         fprintf(stderr, "spancart %s: %s did not answer: %s\n", order->command, at, statusWord(operation->status));
         return EXIT_UNREACHABLE;
     }
-    const Bytes *verdict = &operation->call.verdict; /* an empty one has no data */
-    order->text = verdict->count > 0 ? talloc_strndup(order->mem, (const char *)verdict->data, verdict->count) : "";
+    const Bytes *result = &operation->call.result; /* an empty one has no data */
+    order->text = result->count > 0 ? talloc_strndup(order->mem, (const char *)result->data, result->count) : "";
     if (operation->call.code >= 400) {
         fprintf(stderr, "spancart %s: %d %s", order->command, operation->call.code, order->text);
         return operation->call.code >= 500 ? EXIT_FAILED : operation->call.code == 409 ? EXIT_FAILED : EXIT_WRONG;
@@ -333,7 +333,7 @@
         printf("zone %s is drained\n", itemOf(zones, i));
 }
 
-/* The verdict as JSON, or as print tells it; one that is no JSON is told as it is. */
+/* The result as JSON, or as print tells it; one that is no JSON is told as it is. */
 static int orderTell(const Order *order, int code, void (*print)(json_object *body))
 {
     json_object *body = code == EXIT_GOOD && !order->flags.json ? json_tokener_parse(order->text) : NULL;
--- a/src/options.h
+++ b/src/options.h
@@ -1,7 +1,7 @@
 #ifndef SPANCART_OPTIONS_H
 #define SPANCART_OPTIONS_H
 
-#include "base/mishap.h"
+#include "base/failure.h"
 
 /* Exit codes of all subcommands. */
 #define EXIT_GOOD 0
