--- a/examples/counter.c
+++ b/examples/counter.c
@@ -90,8 +90,8 @@
                                  .workerLive = true,
                                  .settled = true};
             BeatAnswer answer = {0};
-            courierAsk(counter->courier, mem, talloc_strdup(mem, leader), MESSAGE_BEAT, &BeatAskShape, &ask, ASK_EXPIRY_MS,
-                       &BeatAnswerShape, &answer);
+            courierAsk(counter->courier, mem, talloc_strdup(mem, leader), MESSAGE_BEAT, &BeatAskShape, &ask,
+                       ASK_EXPIRY_MS, &BeatAnswerShape, &answer);
             talloc_free(mem);
         }
         loopSleep(counter->loop, BEAT_MS);
--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -7,17 +7,17 @@
 /* What a worker says of itself, whatever it speaks. Rounds are named by job, task
  * number (TASK_NUMBER) and round. */
 typedef struct WorkerReport {
-    const char *boot;  /* the worker's present life: nothing of one outlives it */
-    Worker worker;     /* its name is not looked at: the agent stands beside one worker */
-    bool bootEnds;     /* a new boot means for certain that the old one is over */
-    uint64_t seq;      /* grows with each report of one boot, so that a late one is known; 0: not told */
+    const char *boot; /* the worker's present life: nothing of one outlives it */
+    Worker worker;    /* its name is not looked at: the agent stands beside one worker */
+    bool bootEnds;    /* a new boot means for certain that the old one is over */
+    uint64_t seq;     /* grows with each report of one boot, so that a late one is known; 0: not told */
     bool leaving;
-    int64_t leaveMs;   /* leaving: it stays at least so long; 0: not told */
-    bool left;         /* it has left in order: nothing runs there any more */
+    int64_t leaveMs; /* leaving: it stays at least so long; 0: not told */
+    bool left;       /* it has left in order: nothing runs there any more */
     bool freeTold;
     Room free;
-    int64_t waitMs;    /* the answer may be held back for so long */
-    bool endsWait;     /* it says nothing more before it is answered, not even that something has ended */
+    int64_t waitMs; /* the answer may be held back for so long */
+    bool endsWait;  /* it says nothing more before it is answered, not even that something has ended */
     const RoundNews *running, *ended;
     size_t runningCount, endedCount;
 } WorkerReport;
@@ -36,7 +36,7 @@
     size_t stopsCount;
     const RoundId *known; /* of the rounds that it has told as ended: those whose end is committed */
     size_t knownCount;
-    int64_t againMs;      /* unless something ends there, it need not ask again before */
+    int64_t againMs; /* unless something ends there, it need not ask again before */
 } WorkerOrders;
 
 /* Waits, at most report->waitMs, for something to answer with. gone is looked at
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -56,9 +56,9 @@
         showRefusal(task, STATUS_BAD_METHOD, "a report is posted", NULL);
         return;
     }
-    workerTake(agent, task,
-               talloc_strndup(task, task->path + sizeof(BEFORE) - 1,
-                              length - (sizeof(BEFORE) - 1) - (sizeof(AFTER) - 1)));
+    workerTake(
+        agent, task,
+        talloc_strndup(task, task->path + sizeof(BEFORE) - 1, length - (sizeof(BEFORE) - 1) - (sizeof(AFTER) - 1)));
 }
 
 Status agentStart(void *mem, Loop *loop, Ring *ring, const Props *props, Agent **out, Failure *failure)
--- a/packages/agent/src/alone.c
+++ b/packages/agent/src/alone.c
@@ -16,7 +16,7 @@
     Agent *agent;
     size_t users, pending;
     Signal ended;
-    bool all; /* everyone asked so far has answered no */
+    bool all;                         /* everyone asked so far has answered no */
     uint64_t answered[SEAT_MOST * 4]; /* disks of cores that did */
     size_t answeredCount;
     uint64_t seats[SEAT_MOST]; /* as a core told them */
--- a/packages/agent/src/reportjson.c
+++ b/packages/agent/src/reportjson.c
@@ -48,9 +48,8 @@
 
 static bool reportRead(Faults *faults, const HttpTask *task, const char *name, WorkerReport *report)
 {
-    static const char *const KEYS[] = {"boot",    "zone",    "rack",  "kind",   "labels", "room",
-                                       "free",    "leaving", "running", "ended", "waitMs", "seq",
-                                       "leaveMs", "left",    NULL};
+    static const char *const KEYS[] = {"boot",    "zone",  "rack",   "kind", "labels",  "room", "free", "leaving",
+                                       "running", "ended", "waitMs", "seq",  "leaveMs", "left", NULL};
     json_object *object = checkParse(faults, (const char *)task->body.data, task->body.count);
     if (object == NULL)
         return false;
--- a/packages/agent/src/round.h
+++ b/packages/agent/src/round.h
@@ -5,12 +5,12 @@
 #include "loop/loop.h"
 
 /* The way of one round on this worker. */
-#define ROUND_PHASE_LIST(X)                                              \
-    X(OFFERED)  /* ordered by the leader, not given to the worker yet */   \
-    X(SENT)     /* given in an answer; the worker has not spoken of it */  \
-    X(RUNNING)  /* the worker runs it */                                   \
-    X(STOPPING) /* the worker is told to stop it with each answer */       \
-    X(ENDED)    /* over; the leader does not know it yet */                \
+#define ROUND_PHASE_LIST(X)                                               \
+    X(OFFERED)  /* ordered by the leader, not given to the worker yet */  \
+    X(SENT)     /* given in an answer; the worker has not spoken of it */ \
+    X(RUNNING)  /* the worker runs it */                                  \
+    X(STOPPING) /* the worker is told to stop it with each answer */      \
+    X(ENDED)    /* over; the leader does not know it yet */               \
     X(KNOWN)    /* over, and committed: kept for repair and against old orders */
 typedef enum RoundPhase {
 #define X(name) PHASE_##name,
@@ -30,19 +30,19 @@
     Order order;              /* payload is empty for an adopted round, and once it is over */
     uint64_t epoch;
     RoundPhase phase;
-    int64_t expiryMs;  /* not started after this */
+    int64_t expiryMs; /* not started after this */
     int64_t changedMs;
-    int64_t givenMs;   /* given to the worker then; 0: not by this agent */
-    int64_t runsMs;    /* it runs, since then; 0: that is not known */
-    const char *saved; /* how far it has come, by the worker's last word */
+    int64_t givenMs;    /* given to the worker then; 0: not by this agent */
+    int64_t runsMs;     /* it runs, since then; 0: that is not known */
+    const char *saved;  /* how far it has come, by the worker's last word */
     uint64_t savedTurn; /* grows with each such word */
-    uint64_t percent;  /* of its work, as the worker last reported it ... */
-    int64_t percentMs; /* ... when it had run so long */
-    int64_t paceMs;    /* that is told anew once it has run so long */
-    uint64_t toldTurn; /* the last one that the leader of the present epoch has */
-    uint64_t word;     /* ENDED, KNOWN: what it came to */
-    bool guessed;      /* ... by the agent's own judgement, not by the worker's word */
-    int64_t ranMs;     /* ... and how long it ran */
+    uint64_t percent;   /* of its work, as the worker last reported it ... */
+    int64_t percentMs;  /* ... when it had run so long */
+    int64_t paceMs;     /* that is told anew once it has run so long */
+    uint64_t toldTurn;  /* the last one that the leader of the present epoch has */
+    uint64_t word;      /* ENDED, KNOWN: what it came to */
+    bool guessed;       /* ... by the agent's own judgement, not by the worker's word */
+    int64_t ranMs;      /* ... and how long it ran */
     const char *text;
 } Round;
 
--- a/packages/agent/src/watch.c
+++ b/packages/agent/src/watch.c
@@ -31,8 +31,8 @@
         beatNow(agent);
     }
     /* silent, and whatever hold it was given has lapsed: nothing runs there */
-    if (agent->settled && !agent->workerLive && silentMs > least(WORKER_LOST_MS, quietMs(agent)) && nowMs >= agent->workerUntilMs &&
-        agent->rounds.lives.count > 0) {
+    if (agent->settled && !agent->workerLive && silentMs > least(WORKER_LOST_MS, quietMs(agent)) &&
+        nowMs >= agent->workerUntilMs && agent->rounds.lives.count > 0) {
         roundsWithdraw(agent, "the worker fell silent");
         roundsGone(agent, "the worker fell silent");
     }
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -47,7 +47,8 @@
     if (agent->boot != NULL && strcmp(agent->boot, report->boot) != 0) {
         /* another process of this name: unless the old one is known to be over, its hold must lapse first */
         if (!report->bootEnds && loopNowMs(agent->loop) < agent->workerUntilMs) {
-            ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "worker %s asks as a second process", agent->workerName);
+            ringSay(agent->ring, RING_NOTE, loopNowMs(agent->loop), "worker %s asks as a second process",
+                    agent->workerName);
             return STATUS_DUPLICATE_WORKER;
         }
         bootEnd(agent, report->bootEnds, "the worker's process was replaced");
@@ -85,8 +86,8 @@
         return;
     }
     /* a finish counts also after the round was given up, and so does a failure of its own */
-    const bool weighs = (news->word == ROUND_DONE && round->word != ROUND_DONE) ||
-                        (news->word == ROUND_FAILED && round->guessed);
+    const bool weighs =
+        (news->word == ROUND_DONE && round->word != ROUND_DONE) || (news->word == ROUND_FAILED && round->guessed);
     round->guessed = false;
     if (weighs)
         roundRetell(agent, round, (RoundWord)news->word, news->text);
--- a/packages/agent/test/agent.c
+++ b/packages/agent/test/agent.c
@@ -27,12 +27,12 @@
     Members *members;
     uint64_t epoch;
     int64_t holdMs;
-    bool deaf;     /* answers no beat */
-    bool commits;  /* else a telling waits */
+    bool deaf;    /* answers no beat */
+    bool commits; /* else a telling waits */
     uint64_t revision;
     BeatAnswer orders;
     Signal changed;
-    BeatAsk beat;  /* the newest */
+    BeatAsk beat; /* the newest */
     size_t beats, tellings;
     RoundNews news[LISTED * 2];
     size_t newsCount;
@@ -211,7 +211,8 @@
 
 static RoundNews news(const char *job, uint64_t task, uint64_t round, RoundWord word, const char *saved)
 {
-    return (RoundNews){.job = job, .task = task, .round = round, .worker = "", .word = word, .text = "", .saved = saved};
+    return (RoundNews){
+        .job = job, .task = task, .round = round, .worker = "", .word = word, .text = "", .saved = saved};
 }
 
 static Say *saying(Case *c, const char *boot, const RoundNews *running, size_t runningCount, const RoundNews *ended,
--- a/packages/api/src/jobjson.c
+++ b/packages/api/src/jobjson.c
@@ -8,12 +8,13 @@
 
 /* Where the job belongs; left out where its address says so. */
 #define PLACE_KEYS "id", "cell", "tenant", "queue"
-#define BODY_KEYS "priority", "protection", "copies", "dueWallMs", "delayMs", "rounds", "steps", "turns", "firstWallMs", \
-                  "periodMs", "lasting", "payload"
+#define BODY_KEYS                                                                                                      \
+    "priority", "protection", "copies", "dueWallMs", "delayMs", "rounds", "steps", "turns", "firstWallMs", "periodMs", \
+        "lasting", "payload"
 static const char *const JOB_KEYS[] = {PLACE_KEYS, BODY_KEYS, NULL};
 static const char *const JOB_AT_KEYS[] = {BODY_KEYS, NULL};
-static const char *const STEP_KEYS[] = {"name",    "after", "count", "gang",     "room", "kind",  "labels",
-                                        "payload", "estMs", "apart", "sameRack", "near", "saves", "copies", NULL};
+static const char *const STEP_KEYS[] = {"name",  "after", "count",    "gang", "room",  "kind",   "labels", "payload",
+                                        "estMs", "apart", "sameRack", "near", "saves", "copies", NULL};
 
 static const char *readPayload(Faults *faults, json_object *object, const char *otherwise)
 {
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -56,8 +56,9 @@
     json_object_object_add(object, "cell", textOf(job->spec.cell));
     json_object_object_add(object, "tenant", textOf(job->spec.tenant));
     json_object_object_add(object, "queue", textOf(job->spec.queue));
-    json_object_object_add(object, "phase",
-                           textOf(job->phase == JOB_ACTIVE && job->ending != JOB_ACTIVE ? "ending" : jobPhaseWord(job->phase)));
+    json_object_object_add(
+        object, "phase",
+        textOf(job->phase == JOB_ACTIVE && job->ending != JOB_ACTIVE ? "ending" : jobPhaseWord(job->phase)));
     json_object_object_add(object, "acceptedMs", json_object_new_int64(job->acceptedMs));
     if (job->phase != JOB_ACTIVE)
         json_object_object_add(object, "endedMs", json_object_new_int64(job->endedMs));
--- a/packages/api/test/jobjson.c
+++ b/packages/api/test/jobjson.c
@@ -77,7 +77,8 @@
         {"\"steps\":[" STEP(",\"near\":\"a b\"") "]", "steps[0].near", STATUS_BAD_FIELD},
         {"\"steps\":[" STEP(",\"saves\":0") "]", "steps[0].saves", STATUS_BAD_FIELD},
         {"\"steps\":[" STEP(",\"copies\":null") "]", "steps[0].copies", STATUS_BAD_FIELD},
-        {"\"steps\":[{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":1,\"gpu\":-1}}]", "steps[0].room.gpu", STATUS_BAD_FIELD},
+        {"\"steps\":[{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":1,\"gpu\":-1}}]", "steps[0].room.gpu",
+         STATUS_BAD_FIELD},
     };
     for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
         Faults *faults = faultsNew();
@@ -119,16 +120,26 @@
     (void)state;
     void *mem = talloc_new(NULL);
     StepSpec step = {.name = "a", .count = 1, .room = {1000, 10, 2}};
-    JobTask tasks[] = {{.phase = TASK_DONE, .worker = "", .text = "", .shunned = "", .saved = ""},
-                       {.turn = 1, .phase = TASK_RUNNING, .worker = "w", .round = 4, .text = "", .shunned = "", .saved = "p"}};
-    Job job = {.spec = {.id = "j", .cell = "c", .tenant = "t", .queue = "q", .lasting = true, .turns = 2, .firstWallMs = 5000,
-                        .periodMs = 100, .steps = &step, .stepsCount = 1},
+    JobTask tasks[] = {
+        {.phase = TASK_DONE, .worker = "", .text = "", .shunned = "", .saved = ""},
+        {.turn = 1, .phase = TASK_RUNNING, .worker = "w", .round = 4, .text = "", .shunned = "", .saved = "p"}};
+    Job job = {.spec = {.id = "j",
+                        .cell = "c",
+                        .tenant = "t",
+                        .queue = "q",
+                        .lasting = true,
+                        .turns = 2,
+                        .firstWallMs = 5000,
+                        .periodMs = 100,
+                        .steps = &step,
+                        .stepsCount = 1},
                .terms = {.roundLimit = 4, .stretchMilli = 2200, .targetMs = 1000, .kind = "std"},
                .tasks = tasks,
                .tasksCount = 2};
     json_object *body = showJob(&job, (QueueClock){0, 0});
     const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
-    static const char *const PARTS[] = {"\"lasting\":true", "\"terms\":{\"rounds\":4,\"stretch\":2.2,\"targetMs\":1000,\"kind\":\"std\"}",
+    static const char *const PARTS[] = {"\"lasting\":true",
+                                        "\"terms\":{\"rounds\":4,\"stretch\":2.2,\"targetMs\":1000,\"kind\":\"std\"}",
                                         "\"task\":1048576,\"step\":\"a\",\"turn\":1,\"dueWallMs\":5100,\"at\":0"};
     for (size_t i = 0; i < sizeof(PARTS) / sizeof(PARTS[0]); i++)
         if (strstr(text, PARTS[i]) == NULL)
@@ -147,7 +158,7 @@
 
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(taken), cmocka_unit_test(faulty), cmocka_unit_test(atItsAddress),
-                                       cmocka_unit_test(shown)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(taken), cmocka_unit_test(faulty),
+                                       cmocka_unit_test(atItsAddress), cmocka_unit_test(shown)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/base/include/base/ring.h
+++ b/packages/base/include/base/ring.h
@@ -5,7 +5,10 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#define RING_LEVEL_LIST(X) X(NOTE, "note") X(ALERT, "alert") X(FATAL, "fatal")
+#define RING_LEVEL_LIST(X) \
+    X(NOTE, "note")        \
+    X(ALERT, "alert")      \
+    X(FATAL, "fatal")
 
 typedef enum RingLevel {
 #define X(name, word) RING_##name,
--- a/packages/base/src/ring.c
+++ b/packages/base/src/ring.c
@@ -58,8 +58,8 @@
         return;
     for (uint64_t i = ringFirst(ring, ring->written); i < ring->said; i++) {
         const RingLine *out = &ring->lines[i % RING_LINES];
-        g_log(G_LOG_DOMAIN, out->level == RING_NOTE ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_WARNING,
-              "%s %" PRId64 " %s %s", ring->node, out->atMs, LEVELS[out->level], out->text);
+        g_log(G_LOG_DOMAIN, out->level == RING_NOTE ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_WARNING, "%s %" PRId64 " %s %s",
+              ring->node, out->atMs, LEVELS[out->level], out->text);
     }
     ring->written = ring->said;
 }
@@ -69,7 +69,8 @@
     char *text = talloc_strdup(mem, "");
     for (uint64_t i = ringFirst(ring, 0); i < ring->said; i++) {
         const RingLine *out = &ring->lines[i % RING_LINES];
-        text = talloc_asprintf_append(text, "%10" PRId64 " %-10s %-5s %s\n", out->atMs, ring->node, LEVELS[out->level], out->text);
+        text = talloc_asprintf_append(text, "%10" PRId64 " %-10s %-5s %s\n", out->atMs, ring->node, LEVELS[out->level],
+                                      out->text);
     }
     return text;
 }
--- a/packages/beat/include/beat/liveset.h
+++ b/packages/beat/include/beat/liveset.h
@@ -8,9 +8,9 @@
 typedef struct LiveRow {
     const char *name;
     uint64_t incarnation;
-    uint64_t number;      /* of the newest beat or telling received */
-    int64_t untilMs;      /* its hold has lapsed after this, by the leader's clock */
-    int64_t heardMs;      /* its last beat under this leader; INT64_MIN: none */
+    uint64_t number; /* of the newest beat or telling received */
+    int64_t untilMs; /* its hold has lapsed after this, by the leader's clock */
+    int64_t heardMs; /* its last beat under this leader; INT64_MIN: none */
     bool workerLive;
     bool leaving;
     bool settled;
--- a/packages/beat/include/beat/messages.h
+++ b/packages/beat/include/beat/messages.h
@@ -6,8 +6,13 @@
 
 /* A round that runs and how far it has come, told when that has changed: the first
  * is also the word that it runs. ranMs: for how long the agent has known it to. */
-#define ROUND_SAVED_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(TXT, text, 0) X(I64, ranMs, 0) \
-    X(U64, percent, 0)   /* of its work ... */                                              \
+#define ROUND_SAVED_FIELDS(X)                  \
+    X(TXT, job, 0)                             \
+    X(U64, task, 0)                            \
+    X(U64, round, 0)                           \
+    X(TXT, text, 0)                            \
+    X(I64, ranMs, 0)                           \
+    X(U64, percent, 0)   /* of its work ... */ \
     X(I64, percentMs, 0) /* ... when it had run so long; 0: not told */
 SHAPE(RoundSaved, ROUND_SAVED_FIELDS)
 
@@ -15,31 +20,31 @@
  * known to the leader. settled: that list is complete (it has heard its worker,
  * or the worker's hold has lapsed, since it started).
  * others: room that is in use there by what is not ours. */
-#define BEAT_ASK_FIELDS(X)    \
-    X(TXT, agent, 0)            \
-    X(U64, incarnation, 0)      \
-    X(U64, number, 0)           \
-    X(ONE, worker, Worker)      \
-    X(FLAG, workerLive, 0)      \
-    X(FLAG, leaving, 0)         \
-    X(FLAG, settled, 0)         \
-    X(LST, rounds, RoundId)     \
-    X(ONE, others, Room)        \
-    X(LST, saved, RoundSaved)   \
-    X(I64, leaveMs, 0)  /* leaving: it stays at least so long; 0: not told */ \
-    X(U64, have, 0)     /* revision and epoch of the orders it has */         \
-    X(U64, haveEpoch, 0)                                                      \
-    X(I64, waitMs, 0)   /* the answer may be held back for so long, for newer ones */
+#define BEAT_ASK_FIELDS(X)                                                   \
+    X(TXT, agent, 0)                                                         \
+    X(U64, incarnation, 0)                                                   \
+    X(U64, number, 0)                                                        \
+    X(ONE, worker, Worker)                                                   \
+    X(FLAG, workerLive, 0)                                                   \
+    X(FLAG, leaving, 0)                                                      \
+    X(FLAG, settled, 0)                                                      \
+    X(LST, rounds, RoundId)                                                  \
+    X(ONE, others, Room)                                                     \
+    X(LST, saved, RoundSaved)                                                \
+    X(I64, leaveMs, 0) /* leaving: it stays at least so long; 0: not told */ \
+    X(U64, have, 0)    /* revision and epoch of the orders it has */         \
+    X(U64, haveEpoch, 0)                                                     \
+    X(I64, waitMs, 0) /* the answer may be held back for so long, for newer ones */
 SHAPE(BeatAsk, BEAT_ASK_FIELDS)
 
 /* An order to start a round. It stands for expiryMs from when the question that
  * brought it was sent. */
-#define ORDER_FIELDS(X)  \
-    X(TXT, job, 0)       \
-    X(U64, task, 0)      \
-    X(U64, round, 0)     \
-    X(ONE, room, Room)   \
-    X(TXT, payload, 0)   \
+#define ORDER_FIELDS(X) \
+    X(TXT, job, 0)      \
+    X(U64, task, 0)     \
+    X(U64, round, 0)    \
+    X(ONE, room, Room)  \
+    X(TXT, payload, 0)  \
     X(TXT, saved, 0)
 SHAPE(Order, ORDER_FIELDS)
 
@@ -60,10 +65,17 @@
 #define KNOW_ASK_FIELDS(X) X(U64, nothing, 0)
 SHAPE(KnowAsk, KNOW_ASK_FIELDS)
 
-#define KNOW_ANSWER_FIELDS(X) X(FLAG, knows, 0) X(U64, epoch, 0) X(LST, seats, DiskId)
+#define KNOW_ANSWER_FIELDS(X) \
+    X(FLAG, knows, 0)         \
+    X(U64, epoch, 0)          \
+    X(LST, seats, DiskId)
 SHAPE(KnowAnswer, KNOW_ANSWER_FIELDS)
 
-#define TELL_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, number, 0) X(LST, news, RoundNews)
+#define TELL_ASK_FIELDS(X) \
+    X(TXT, agent, 0)       \
+    X(U64, incarnation, 0) \
+    X(U64, number, 0)      \
+    X(LST, news, RoundNews)
 SHAPE(TellAsk, TELL_ASK_FIELDS)
 
 #define TELL_ANSWER_FIELDS(X) X(U64, epoch, 0)
@@ -71,7 +83,11 @@
 
 /* Orders alone, as agents of the first release ask for them. wanted: every round
  * that is to be on the worker. Whatever else the agent has is to be stopped. */
-#define FETCH_ASK_FIELDS(X) X(TXT, agent, 0) X(U64, incarnation, 0) X(U64, have, 0) X(U64, haveEpoch, 0)
+#define FETCH_ASK_FIELDS(X) \
+    X(TXT, agent, 0)        \
+    X(U64, incarnation, 0)  \
+    X(U64, have, 0)         \
+    X(U64, haveEpoch, 0)
 SHAPE(FetchAsk, FETCH_ASK_FIELDS)
 
 #define FETCH_ANSWER_FIELDS(X) \
--- a/packages/beat/test/strays.c
+++ b/packages/beat/test/strays.c
@@ -129,11 +129,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(newerStillRuns),
-        cmocka_unit_test(onItsWay),
-        cmocka_unit_test(onlyListed),
-        cmocka_unit_test(toldIsOver),
-        cmocka_unit_test(watchedAfterLoad),
+        cmocka_unit_test(newerStillRuns), cmocka_unit_test(onItsWay),         cmocka_unit_test(onlyListed),
+        cmocka_unit_test(toldIsOver),     cmocka_unit_test(watchedAfterLoad),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/config/include/config/config.h
+++ b/packages/config/include/config/config.h
@@ -16,22 +16,22 @@
 typedef struct ConfigQueue {
     const char *name;
     int64_t priority;
-    const char *kind;         /* of worker that serves it; empty: any */
-    uint64_t rounds;          /* failed rounds that fail a task */
-    uint64_t stretchMilli;    /* a job's aim: stretch x its longest chain of work ... */
-    int64_t targetMs;         /* ... + this */
-    int64_t expiryMs;         /* a request there is given up after this */
+    const char *kind;          /* of worker that serves it; empty: any */
+    uint64_t rounds;           /* failed rounds that fail a task */
+    uint64_t stretchMilli;     /* a job's aim: stretch x its longest chain of work ... */
+    int64_t targetMs;          /* ... + this */
+    int64_t expiryMs;          /* a request there is given up after this */
     const char *host, *prefix; /* its entry; empty: none. The host in small letters */
-    const char *tenant;       /* who hands in there; empty: the cell's first one */
-    const char *note;         /* the operator's, not read */
+    const char *tenant;        /* who hands in there; empty: the cell's first one */
+    const char *note;          /* the operator's, not read */
 } ConfigQueue;
 
 typedef struct ConfigCell {
     const char *name;
-    uint64_t share; /* its weight when room is short */
-    uint64_t limit; /* waiting tasks before a job is told to come back */
+    uint64_t share;     /* its weight when room is short */
+    uint64_t limit;     /* waiting tasks before a job is told to come back */
     const char *policy; /* empty: the built-in one */
-    bool strict; /* work that no present worker suits is refused; else it waits for one */
+    bool strict;        /* work that no present worker suits is refused; else it waits for one */
     size_t tenantCount, queueCount;
     const ConfigTenant *tenants;
     const ConfigQueue *const *queues;
@@ -66,16 +66,16 @@
 typedef struct Config {
     uint64_t revision;
     json_object *tree; /* the document; the Config's own */
-    uint64_t r;      /* worker losses that every plan must survive */
-    bool rNamed;     /* the document names r: starts that break the plan are held back a while */
-    bool zoneLoss;   /* ... and the loss of any one zone */
-    bool rackLoss;   /* ... and the loss of any one rack */
+    uint64_t r;        /* worker losses that every plan must survive */
+    bool rNamed;       /* the document names r: starts that break the plan are held back a while */
+    bool zoneLoss;     /* ... and the loss of any one zone */
+    bool rackLoss;     /* ... and the loss of any one rack */
     size_t cellCount, policyCount, kindCount;
     const ConfigCell *cells;
     const ConfigPolicy *const *policies;
     const ConfigKind *kinds;
     ConfigLimits limits;
-    const char *note; /* the operator's, not read */
+    const char *note;      /* the operator's, not read */
     GHashTable *cellNames; /* to ConfigCell */
     GHashTable *kindNames; /* to ConfigKind */
     const ConfigEntries *entries;
--- a/packages/config/src/check.c
+++ b/packages/config/src/check.c
@@ -70,7 +70,8 @@
         faultAdd(faults, STATUS_BAD_FIELD, path, "must be an object");
         return false;
     }
-    json_object_object_foreach(object, key, value) {
+    json_object_object_foreach(object, key, value)
+    {
         (void)value;
         bool known = false;
         for (size_t i = 0; keys[i] != NULL && !known; i++)
@@ -133,10 +134,11 @@
     json_object *value;
     if (!json_object_object_get_ex(object, key, &value))
         return "";
-    const size_t length = json_object_is_type(value, json_type_string) ? (size_t)json_object_get_string_len(value) : SIZE_MAX;
+    const size_t length =
+        json_object_is_type(value, json_type_string) ? (size_t)json_object_get_string_len(value) : SIZE_MAX;
     if (length > mostBytes || memchr(json_object_get_string(value), 0, length) != NULL) {
-        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key), "must be a text of at most %zu bytes without a zero",
-                 mostBytes);
+        faultAdd(faults, STATUS_BAD_FIELD, checkPath(faults, path, key),
+                 "must be a text of at most %zu bytes without a zero", mostBytes);
         return "";
     }
     return talloc_strndup(faults->mem, json_object_get_string(value), length);
@@ -184,8 +186,7 @@
     const size_t length = json_object_array_length(value);
     const char **names = talloc_array(faults->mem, const char *, (unsigned)length);
     for (size_t i = 0; i < length; i++)
-        names[i] = nameOf(faults, json_object_array_get_idx(value, i),
-                          talloc_asprintf(faults->mem, "%s[%zu]", at, i));
+        names[i] = nameOf(faults, json_object_array_get_idx(value, i), talloc_asprintf(faults->mem, "%s[%zu]", at, i));
     *count = length;
     return names;
 }
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -53,7 +53,8 @@
     if (all == NULL)
         return;
     size_t at = 0;
-    json_object_object_foreach(all, name, value) {
+    json_object_object_foreach(all, name, value)
+    {
         const char *here = checkPath(faults, checkPath(faults, path, "tenants"), name);
         checkNamed(faults, name, path, "tenants");
         tenants[at].name = talloc_strdup(config, name);
@@ -73,7 +74,8 @@
     const ConfigCell *earlier = reading->earlier != NULL ? configCell(reading->earlier, cell->name) : NULL;
     const char *here = checkPath(reading->faults, path, "queues");
     size_t at = 0;
-    json_object_object_foreach(all, name, value) {
+    json_object_object_foreach(all, name, value)
+    {
         const ConfigQueue *known = earlier != NULL ? configQueue(earlier, name) : NULL;
         if (known == NULL)
             checkNamed(reading->faults, name, path, "queues");
@@ -109,7 +111,8 @@
     if (all == NULL)
         return;
     size_t at = 0;
-    json_object_object_foreach(all, name, value) {
+    json_object_object_foreach(all, name, value)
+    {
         ConfigCell *cell = &cells[at++];
         cell->name = talloc_strdup(config, name);
         checkNamed(reading->faults, name, "", "cells");
@@ -129,7 +132,8 @@
     if (all == NULL)
         return;
     size_t at = 0;
-    json_object_object_foreach(all, name, value) {
+    json_object_object_foreach(all, name, value)
+    {
         const ConfigPolicy *known = reading->earlier != NULL ? configPolicy(reading->earlier, name) : NULL;
         checkNamed(reading->faults, name, "", "policies");
         policies[at++] = policyPart(value, name, "policies", known, reading->faults);
@@ -145,7 +149,8 @@
     if (all == NULL)
         return;
     size_t at = 0;
-    json_object_object_foreach(all, name, value) {
+    json_object_object_foreach(all, name, value)
+    {
         const char *path = checkPath(faults, "kinds", name);
         ConfigKind *kind = &kinds[at++];
         checkNamed(faults, name, "", "kinds");
--- a/packages/config/src/entries.c
+++ b/packages/config/src/entries.c
@@ -46,8 +46,8 @@
 static gboolean keyEqual(gconstpointer a, gconstpointer b)
 {
     const EntryKey *x = a, *y = b;
-    return x->hash == y->hash && x->prefixLength == y->prefixLength && memcmp(x->prefix, y->prefix, x->prefixLength) == 0 &&
-           strcmp(x->host, y->host) == 0;
+    return x->hash == y->hash && x->prefixLength == y->prefixLength &&
+           memcmp(x->prefix, y->prefix, x->prefixLength) == 0 && strcmp(x->host, y->host) == 0;
 }
 
 static int entriesFree(ConfigEntries *entries)
--- a/packages/config/src/entries.h
+++ b/packages/config/src/entries.h
@@ -7,7 +7,8 @@
  * for each host its prefixes' different lengths, the longest first, and all
  * entries by host and prefix. */
 ConfigEntries *entriesNew(void *mem, size_t count);
-/* hash: entryHash of its host and prefix. False: another place has this host and prefix already; it is in place then. */
+/* hash: entryHash of its host and prefix. False: another place has this host and prefix already; it is in place then.
+ */
 bool entriesAdd(ConfigEntries *entries, const ConfigPlace *place, guint hash, const ConfigPlace **other);
 guint entryHash(const char *host, const char *prefix, size_t prefixLength);
 const ConfigPlace *entriesFind(const ConfigEntries *entries, const char *host, const char *path);
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -39,7 +39,7 @@
 
 static void readQueue(json_object *value, const char *path, QueuePart *part, Faults *faults)
 {
-    static const char *const KEYS[] = {"priority", "kind",   "rounds", "stretch", "targetMs",
+    static const char *const KEYS[] = {"priority", "kind",  "rounds", "stretch", "targetMs",
                                        "expiryMs", "entry", "tenant", "note",    NULL};
     ConfigQueue *queue = &part->queue;
     if (!checkKeys(faults, value, path, KEYS))
--- a/packages/config/src/twice.c
+++ b/packages/config/src/twice.c
@@ -8,7 +8,8 @@
 {
     size_t count = 0;
     if (json_object_is_type(tree, json_type_object)) {
-        json_object_object_foreach(tree, key, value) {
+        json_object_object_foreach(tree, key, value)
+        {
             (void)key;
             count += 1 + twiceMembers(value);
         }
--- a/packages/config/test/config.c
+++ b/packages/config/test/config.c
@@ -99,14 +99,14 @@
 {
     (void)state;
     void *mem = talloc_new(NULL);
-    const Config *config = readGood(
-        mem, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{"
-             "\"a\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/x/\"}},"
-             "\"b\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/x/y/\"},\"tenant\":\"u\"},"
-             "\"c\":{\"entry\":{\"host\":\"g.example\",\"prefix\":\"/x/\"}},"
-             "\"d\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/half\"}},"
-             "\"e\":{}}},"
-             "\"d\":{\"queues\":{\"all\":{\"entry\":{\"host\":\"i.example\",\"prefix\":\"/\"}}}}}}");
+    const Config *config =
+        readGood(mem, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{"
+                      "\"a\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/x/\"}},"
+                      "\"b\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/x/y/\"},\"tenant\":\"u\"},"
+                      "\"c\":{\"entry\":{\"host\":\"g.example\",\"prefix\":\"/x/\"}},"
+                      "\"d\":{\"entry\":{\"host\":\"h.example\",\"prefix\":\"/half\"}},"
+                      "\"e\":{}}},"
+                      "\"d\":{\"queues\":{\"all\":{\"entry\":{\"host\":\"i.example\",\"prefix\":\"/\"}}}}}}");
     assert_string_equal(found(config, "h.example", "/x/0123"), "a");
     assert_string_equal(found(config, "h.example", "/x/"), "a");
     assert_string_equal(found(config, "h.example", "/x/y/0123"), "b");
@@ -174,16 +174,22 @@
         {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":7}}}}}", "cells.c.queues.q.entry"},
         {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\"}}}}}}", "cells.c.queues.q.entry.prefix"},
         {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"prefix\":\"/\"}}}}}}", "cells.c.queues.q.entry.host"},
-        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"x/\"}}}}}}", "cells.c.queues.q.entry.prefix"},
-        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/x?\"}}}}}}", "cells.c.queues.q.entry.prefix"},
-        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h:80\",\"prefix\":\"/\"}}}}}}", "cells.c.queues.q.entry.host"},
-        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h/\",\"prefix\":\"/\"}}}}}}", "cells.c.queues.q.entry.host"},
+        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"x/\"}}}}}}",
+         "cells.c.queues.q.entry.prefix"},
+        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/x?\"}}}}}}",
+         "cells.c.queues.q.entry.prefix"},
+        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h:80\",\"prefix\":\"/\"}}}}}}",
+         "cells.c.queues.q.entry.host"},
+        {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h/\",\"prefix\":\"/\"}}}}}}",
+         "cells.c.queues.q.entry.host"},
         {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"tenant\":\"t\"}}}}}", "cells.c.queues.q.tenant"},
         {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"note\":[]}}}}}", "cells.c.queues.q.note"},
         {"{\"cells\":{\"c\":{\"queues\":{\"p\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/\"}},"
-         "\"q\":{\"entry\":{\"host\":\"H\",\"prefix\":\"/\"}}}}}}", "cells.c.queues.q.entry"},
+         "\"q\":{\"entry\":{\"host\":\"H\",\"prefix\":\"/\"}}}}}}",
+         "cells.c.queues.q.entry"},
         {"{\"cells\":{\"b\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/a/\"}}}},"
-         "\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/a/\"}}}}}}", "cells.c.queues.q.entry"},
+         "\"c\":{\"queues\":{\"q\":{\"entry\":{\"host\":\"h\",\"prefix\":\"/a/\"}}}}}}",
+         "cells.c.queues.q.entry"},
         {"{\"kinds\":7}", "kinds"},
         {"{\"kinds\":{\"k\":null}}", "kinds.k"},
         {"{\"kinds\":{\"k\":{\"guards\":\"yes\"}}}", "kinds.k.guards"},
@@ -205,8 +211,8 @@
         const Config *config = configRead(mem, CASES[i].text, strlen(CASES[i].text), 1, faults);
         if (config != NULL || faults->count != 1 || strcmp(faults->list[0].path, CASES[i].path) != 0 ||
             faults->list[0].text[0] == '\0')
-            fail_msg("%s: %zu faults, %s: %s", CASES[i].text, faults->count, faults->count > 0 ? faults->list[0].path : "",
-                     faults->count > 0 ? faults->list[0].text : "");
+            fail_msg("%s: %zu faults, %s: %s", CASES[i].text, faults->count,
+                     faults->count > 0 ? faults->list[0].path : "", faults->count > 0 ? faults->list[0].text : "");
         talloc_free(mem);
     }
 }
@@ -239,9 +245,11 @@
     char *text = talloc_strdup(mem, "{\"kinds\":{\"k\":{}},\"policies\":{\"p\":\"function rank(t) return 1 end\"},"
                                     "\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{");
     for (int i = 0; i < queues; i++)
-        text = talloc_asprintf_append_buffer(text, "%s\"q%d\":{\"kind\":\"k\",\"expiryMs\":%d,\"entry\":{\"host\":\"h%d.example\","
-                                                   "\"prefix\":\"/p%d/\"}}",
-                                             i > 0 ? "," : "", i, 1000 + i, i % 5, i);
+        text = talloc_asprintf_append_buffer(
+            text,
+            "%s\"q%d\":{\"kind\":\"k\",\"expiryMs\":%d,\"entry\":{\"host\":\"h%d.example\","
+            "\"prefix\":\"/p%d/\"}}",
+            i > 0 ? "," : "", i, 1000 + i, i % 5, i);
     return talloc_strdup_append_buffer(text, "}}}}");
 }
 
@@ -250,7 +258,8 @@
     (void)state;
     void *mem = talloc_new(NULL);
     const Config *first = readGood(mem, wide(mem, 50));
-    json_object *patch = documentParse("{\"cells\":{\"c\":{\"queues\":{\"q7\":{\"expiryMs\":5},\"q8\":null,\"new\":{}}}}}");
+    json_object *patch =
+        documentParse("{\"cells\":{\"c\":{\"queues\":{\"q7\":{\"expiryMs\":5},\"q8\":null,\"new\":{}}}}}");
     json_object *tree = documentMerged(first->tree, patch);
     Faults *faults = faultsNew(mem);
     const Config *second = configBuild(mem, tree, 2, first, faults);
@@ -285,20 +294,24 @@
         return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"q%d\":{\"expiryMs\":%d,\"note\":\"n%d\"}}}}}",
                                (int)draw(40), (int)draw(50), (int)draw(9));
     case 2:
-        return talloc_asprintf(mem,
-                               "{\"cells\":{\"c\":{\"queues\":{\"q%d\":{\"entry\":{\"host\":\"h%d.example\",\"prefix\":\"/p%d/\"}}}}}}",
-                               (int)draw(40), (int)draw(3), (int)draw(30));
+        return talloc_asprintf(
+            mem,
+            "{\"cells\":{\"c\":{\"queues\":{\"q%d\":{\"entry\":{\"host\":\"h%d.example\",\"prefix\":\"/p%d/\"}}}}}}",
+            (int)draw(40), (int)draw(3), (int)draw(30));
     case 3:
         return talloc_asprintf(mem, "{\"kinds\":{\"k%d\":%s}}", (int)draw(4), draw(2) ? "{}" : "null");
     case 4:
-        return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"q%d\":{\"kind\":\"k%d\"}}}}}", (int)draw(40), (int)draw(4));
+        return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"q%d\":{\"kind\":\"k%d\"}}}}}", (int)draw(40),
+                               (int)draw(4));
     case 5:
         return talloc_asprintf(mem, "{\"policies\":{\"p%d\":%s},\"cells\":{\"c\":{\"policy\":\"p%d\"}}}", (int)draw(3),
                                draw(2) ? "\"function rank(t) return 2 end\"" : "null", (int)draw(3));
     case 6:
-        return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"tenants\":{\"t%d\":%s}}}}", (int)draw(3), draw(2) ? "{}" : "null");
+        return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"tenants\":{\"t%d\":%s}}}}", (int)draw(3),
+                               draw(2) ? "{}" : "null");
     case 7:
-        return talloc_asprintf(mem, "{\"cells\":{\"d%d\":%s}}", (int)draw(2), draw(2) ? "{\"queues\":{\"q\":{}}}" : "null");
+        return talloc_asprintf(mem, "{\"cells\":{\"d%d\":%s}}", (int)draw(2),
+                               draw(2) ? "{\"queues\":{\"q\":{}}}" : "null");
     default:
         return talloc_asprintf(mem, "{\"limits\":{\"headMs\":%d}}", (int)draw(3));
     }
@@ -374,7 +387,8 @@
     size_t good = 0, bad = 0;
     for (int i = 0; i < 20000; i++) {
         void *mem = talloc_new(NULL);
-        char *text = talloc_strdup(mem, i % 2 ? WHOLE : "{\"cells\":{\"c\":{\"queues\":{\"q\":{\"stretch\":2.2,\"note\":\"\\u00e9\"}}}}}");
+        char *text = talloc_strdup(
+            mem, i % 2 ? WHOLE : "{\"cells\":{\"c\":{\"queues\":{\"q\":{\"stretch\":2.2,\"note\":\"\\u00e9\"}}}}}");
         size_t count = strlen(text);
         for (uint64_t times = draw(3); times > 0; times--)
             text[draw(count)] = draw(4) == 0 ? (char)draw(256) : "{}[]\",:0123456789.-+eE\\utfn /"[draw(29)];
--- a/packages/config/test/parse.c
+++ b/packages/config/test/parse.c
@@ -108,7 +108,8 @@
         if (object != NULL || faults->count != 1 || faults->list[0].status != TEXTS[i].status ||
             strcmp(faults->list[0].path, TEXTS[i].path) != 0 || strstr(faults->list[0].text, TEXTS[i].words) == NULL)
             fail_msg("%s: %s %s: %s", TEXTS[i].text, object != NULL ? "taken" : "refused",
-                     faults->count > 0 ? faults->list[0].path : "", faults->count > 0 ? faults->list[0].text : "no fault");
+                     faults->count > 0 ? faults->list[0].path : "",
+                     faults->count > 0 ? faults->list[0].text : "no fault");
         talloc_free(mem);
     }
     void *mem = talloc_new(NULL);
@@ -122,7 +123,8 @@
 static void cut(void **state)
 {
     (void)state;
-    static const char TEXT[] = "{\"cells\":{\"a\":{\"queues\":{\"q\":{\"stretch\":2.2,\"note\":\"{\\\"x\\\":[1]}\"}}}},\"r\":1}";
+    static const char TEXT[] =
+        "{\"cells\":{\"a\":{\"queues\":{\"q\":{\"stretch\":2.2,\"note\":\"{\\\"x\\\":[1]}\"}}}},\"r\":1}";
     for (size_t count = 1; count < strlen(TEXT); count++) {
         void *mem = talloc_new(NULL);
         Faults *faults = faultsNew(mem);
--- a/packages/config/tool/bench.c
+++ b/packages/config/tool/bench.c
@@ -72,7 +72,8 @@
     for (int i = 1; i <= changes; i++) {
         void *mem = talloc_new(all);
         Faults *faults = faultsNew(mem);
-        const char *patch = talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"r-%06x\":{\"expiryMs\":%d}}}}}", i % queues, i);
+        const char *patch =
+            talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"r-%06x\":{\"expiryMs\":%d}}}}}", i % queues, i);
         double fromUs = nowUs();
         const char *next = configPatch(mem, now, patch, strlen(patch), faults);
         const Config *config = next != NULL ? configRead(mem, next, strlen(next), (uint64_t)i, faults) : NULL;
@@ -154,8 +155,8 @@
         const double anewUs = nowUs() - fromUs;
         fromUs = nowUs();
         const char *read = revisionsText(revisions, all, revisionsNewest(revisions));
-        printf("            look-up %.2f us, read by a new leader %.0f us, read back %.0f us (%zu bytes)\n", entryUs, anewUs,
-               nowUs() - fromUs, strlen(read));
+        printf("            look-up %.2f us, read by a new leader %.0f us, read back %.0f us (%zu bytes)\n", entryUs,
+               anewUs, nowUs() - fromUs, strlen(read));
         json_object_put(tree);
         if (anew == NULL)
             fail(faults);
--- a/packages/core/src/agents.c
+++ b/packages/core/src/agents.c
@@ -112,9 +112,9 @@
         return false;
     const JobTask *task = &job->tasks[at];
     /* its placement may have been lost with the disks */
-    return task->phase == TASK_WAITING ? saved->round > task->round
-                                       : task->phase == TASK_PLACED && saved->round == task->round &&
-                                             strcmp(task->worker, worker) == 0;
+    return task->phase == TASK_WAITING
+               ? saved->round > task->round
+               : task->phase == TASK_PLACED && saved->round == task->round && strcmp(task->worker, worker) == 0;
 }
 
 static void runsTake(Core *core, const BeatAsk *beat)
@@ -230,10 +230,8 @@
     Core *core = arg;
     const FetchAsk *ask = question;
     FetchAnswer *out = answer;
-    const BeatAsk beat = {.worker.name = ask->agent,
-                          .incarnation = ask->incarnation,
-                          .have = ask->have,
-                          .haveEpoch = ask->haveEpoch};
+    const BeatAsk beat = {
+        .worker.name = ask->agent, .incarnation = ask->incarnation, .have = ask->have, .haveEpoch = ask->haveEpoch};
     BeatAnswer orders = {0};
     out->epoch = viewEpoch(core->view);
     if (!viewLeading(core->view))
@@ -248,8 +246,8 @@
     ordersAnswer(core, mem, &beat, FETCH_HOLD_MS, &orders);
     if (!orders.orders)
         return STATUS_BUSY;
-    *out = (FetchAnswer){viewEpoch(core->view), orders.revision,    orders.expiryMs,     orders.starts,
-                         orders.startsCount,    orders.wanted, orders.wantedCount};
+    *out = (FetchAnswer){viewEpoch(core->view), orders.revision, orders.expiryMs,   orders.starts,
+                         orders.startsCount,    orders.wanted,   orders.wantedCount};
     return STATUS_OK;
 }
 
--- a/packages/core/src/alerts.c
+++ b/packages/core/src/alerts.c
@@ -76,7 +76,8 @@
     for (size_t i = 0; i < count; i++) {
         const LiveRow *row = livesetFind(core->liveset, workers[i]->name);
         const int64_t untilMs = row != NULL ? row->untilMs : viewWonMs(core->view) + coreClaimMs(core);
-        const bool silent = nowMs > untilMs + LOST_AFTER_MS || (row != NULL && row->heardMs != INT64_MIN && !row->workerLive);
+        const bool silent =
+            nowMs > untilMs + LOST_AFTER_MS || (row != NULL && row->heardMs != INT64_MIN && !row->workerLive);
         if (!workers[i]->excluded && silent && !(row != NULL && row->leaving))
             see(core, ALERT_WORKER_LOST, workers[i]->name);
         if (scoreRests(core, workers[i]->name))
--- a/packages/core/src/alerts.h
+++ b/packages/core/src/alerts.h
@@ -5,16 +5,18 @@
 
 /* What an operator should look at, and what to do. A word never changes its
  * meaning; the page of alerts in docs/operating.md tells the same. */
-#define ALERT_LIST(X)                                                                                              \
-    X(SEAT_OUT, "seat-out", "no further loss of a core is survived: look at its machine, disk and network, or start an empty core") \
-    X(SEAT_SLOW, "seat-slow", "its disk takes long to sync: look at the disk")                                        \
-    X(PLAN_BROKEN, "plan-broken", "after this loss some protected work would wait for room: add room, or ask for less")  \
-    X(UNASSURED, "unassured", "protected work runs that no plan covers: add room, or let it push work aside")          \
-    X(PROTECTED_WAITS, "protected-waits", "lost protected work waits for room: add room, or cancel other work")       \
-    X(WORKER_LOST, "worker-lost", "its hold has lapsed: look at the machine and its agent")                           \
-    X(WORKER_RESTS, "worker-rests", "it fails or slows its work while claiming health: look at the machine")          \
-    X(POLICY_FAILS, "policy-fails", "first come goes first meanwhile: mend the policy's text")                        \
-    X(REPAIRING, "repairing", "what the disks lost is being told again: wait; then look at the disks")                \
+#define ALERT_LIST(X)                                                                                           \
+    X(SEAT_OUT, "seat-out",                                                                                     \
+      "no further loss of a core is survived: look at its machine, disk and network, or start an empty core")   \
+    X(SEAT_SLOW, "seat-slow", "its disk takes long to sync: look at the disk")                                  \
+    X(PLAN_BROKEN, "plan-broken",                                                                               \
+      "after this loss some protected work would wait for room: add room, or ask for less")                     \
+    X(UNASSURED, "unassured", "protected work runs that no plan covers: add room, or let it push work aside")   \
+    X(PROTECTED_WAITS, "protected-waits", "lost protected work waits for room: add room, or cancel other work") \
+    X(WORKER_LOST, "worker-lost", "its hold has lapsed: look at the machine and its agent")                     \
+    X(WORKER_RESTS, "worker-rests", "it fails or slows its work while claiming health: look at the machine")    \
+    X(POLICY_FAILS, "policy-fails", "first come goes first meanwhile: mend the policy's text")                  \
+    X(REPAIRING, "repairing", "what the disks lost is being told again: wait; then look at the disks")          \
     X(ZONE_EMPTIED, "zone-emptied", "it gets no new work: take it back when its work is done")
 
 typedef enum Alert {
--- a/packages/core/src/assure.c
+++ b/packages/core/src/assure.c
@@ -26,7 +26,8 @@
                 continue;
             }
             list.rounds = talloc_realloc(pass->mem, list.rounds, RoundId, (unsigned)(list.roundsCount + 1));
-            list.rounds[list.roundsCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
+            list.rounds[list.roundsCount++] =
+                (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
         }
     }
     list.why = "";
--- a/packages/core/src/configs.c
+++ b/packages/core/src/configs.c
@@ -99,7 +99,8 @@
 static const char *digestOf(Way *way, bool patch, uint64_t base, uint64_t revision)
 {
     char head[80];
-    const int length = snprintf(head, sizeof(head), "%s %" PRIu64 " %" PRIu64 "\n", patch ? "patch" : "put", base, revision);
+    const int length =
+        snprintf(head, sizeof(head), "%s %" PRIu64 " %" PRIu64 "\n", patch ? "patch" : "put", base, revision);
     GChecksum *sum = g_checksum_new(G_CHECKSUM_MD5);
     g_checksum_update(sum, (const guchar *)head, length);
     g_checksum_update(sum, way->task->body.data, (gssize)way->task->body.count);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -17,7 +17,20 @@
 
 /* Figures of the leader's work, for status and measurement. */
 #define CORE_COUNT_LIST(X) \
-    X(passes) X(placed) X(unassured) X(planChecks) X(planRefusals) X(lost) X(pushed) X(repairs) X(retold) X(refused) X(crowded) X(kept) X(moved) X(slowed)
+    X(passes)              \
+    X(placed)              \
+    X(unassured)           \
+    X(planChecks)          \
+    X(planRefusals)        \
+    X(lost)                \
+    X(pushed)              \
+    X(repairs)             \
+    X(retold)              \
+    X(refused)             \
+    X(crowded)             \
+    X(kept)                \
+    X(moved)               \
+    X(slowed)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
@@ -57,24 +70,24 @@
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
-    Map *lines; /* worker names to AgentLine */
+    Map *lines;        /* worker names to AgentLine */
     struct News *told; /* gathers what rounds came to */
-    Map *saved; /* tasks to how far their rounds have come */
-    size_t savedKept; /* of them when they were last looked through */
-    Map *scores; /* worker names to Score */
+    Map *saved;        /* tasks to how far their rounds have come */
+    size_t savedKept;  /* of them when they were last looked through */
+    Map *scores;       /* worker names to Score */
     Strays *strays;
     Queue *queue;
     Paces *paces;
-    int64_t passGapMs; /* between two passes */
+    int64_t passGapMs;  /* between two passes */
     int64_t pushFromMs; /* nobody is pushed aside for an aim before this */
     int64_t stopLookMs; /* rounds that go on better elsewhere are looked for again from then on */
-    Guesses *guesses; /* how long work takes, as seen by this leader */
-    Map *kept;   /* names of cells to Kept */
-    Map *alerts; /* those that stand */
+    Guesses *guesses;   /* how long work takes, as seen by this leader */
+    Map *kept;          /* names of cells to Kept */
+    Map *alerts;        /* those that stand */
     uint64_t alertLooks;
     const Config *config;  /* of the table's newest revision that could be read */
     uint64_t configLoads;  /* tableLoads when it was read */
-    uint64_t configStamp; /* another with each other config */
+    uint64_t configStamp;  /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
     uint64_t limitsRevision, limitsLoads; /* whose limits this process keeps */
@@ -86,8 +99,8 @@
     uint64_t repairTurn;
     int64_t placeFromMs;
     int64_t mendMs; /* split gangs are looked for again from then on */
-    uint64_t news; /* grows with whatever the planner should look at */
-    Signal wake;   /* raised with it */
+    uint64_t news;  /* grows with whatever the planner should look at */
+    Signal wake;    /* raised with it */
     /* of the last pass: whether the plan held, and else what breaks it */
     bool planHolds;
     int64_t planLookMs; /* where no loss is to be survived, the plan is looked at from then on */
@@ -150,17 +163,17 @@
 typedef struct Tally {
     uint64_t ratePercent; /* as of ratedMs */
     int64_t ratedMs;
-    uint64_t jobs;        /* different ones that went badly there since one went well */
-    uint64_t lastJob;     /* number of the last that did */
+    uint64_t jobs;    /* different ones that went badly there since one went well */
+    uint64_t lastJob; /* number of the last that did */
 } Tally;
 
 /* How a worker that claims health has done of late, as this leader saw it. */
 typedef struct Score {
-    Tally failed; /* rounds that failed */
-    Tally slow;   /* rounds that took several times as long as the others of their step */
-    int64_t slowEndMs; /* log time of the end of the last one counted as slow */
-    int64_t restUntilMs;  /* own clock; given nothing before this */
-    int64_t restMs;       /* the last rest's length */
+    Tally failed;        /* rounds that failed */
+    Tally slow;          /* rounds that took several times as long as the others of their step */
+    int64_t slowEndMs;   /* log time of the end of the last one counted as slow */
+    int64_t restUntilMs; /* own clock; given nothing before this */
+    int64_t restMs;      /* the last rest's length */
 } Score;
 
 /* Takes what a delivered change tells of rounds. */
--- a/packages/core/src/kept.c
+++ b/packages/core/src/kept.c
@@ -30,8 +30,8 @@
 static void keptDrop(Core *core, const char *cell, const char *why)
 {
     Kept *kept = mapGet(core->kept, cell);
-    ringSay(core->ring, RING_NOTE, loopNowMs(core->loop), "%zu workers are kept for %s no longer: %s", kept->workerCount,
-            kept->job, why);
+    ringSay(core->ring, RING_NOTE, loopNowMs(core->loop), "%zu workers are kept for %s no longer: %s",
+            kept->workerCount, kept->job, why);
     mapDrop(core->kept, cell);
     talloc_free(kept);
 }
@@ -62,7 +62,7 @@
     }
 }
 
-bool keptFrom(const Pass *pass, const Candidate *candidate, bool *not)
+bool keptFrom(const Pass *pass, const Candidate *candidate, bool * not )
 {
     bool any = false;
     void *mem = talloc_new(NULL);
@@ -79,7 +79,7 @@
             const bool passes = candidate->guessMs > 0 && kept->untilMs[i] < INT64_MAX &&
                                 candidate->guessMs * 5 / 4 + KEEP_LEAST_MS < kept->untilMs[i];
             if (at != SIZE_MAX && !passes)
-                not[at] = any = true;
+                not [at] = any = true;
         }
     }
     talloc_free(mem);
@@ -131,7 +131,8 @@
              * room; ties by name */
             const int64_t soonMs = soonestMs(pass, i, need.room);
             const Room busy = roomLess(worker->room, worker->free);
-            const bool less = best >= 0 && roomShare(busy, worker->room) < roomShare(bestBusy, input->workers[best].room);
+            const bool less =
+                best >= 0 && roomShare(busy, worker->room) < roomShare(bestBusy, input->workers[best].room);
             if (best < 0 || soonMs < bestMs || (soonMs == bestMs && less)) {
                 best = (int)i;
                 bestMs = soonMs;
@@ -156,6 +157,7 @@
     kept->sinceMs = loopNowMs(core->loop);
     mapSet(core->kept, cell, kept);
     core->counts.kept++;
-    ringSay(core->ring, RING_NOTE, kept->sinceMs, "%zu workers from %s on are kept for %s, which has waited %" PRId64 " ms",
-            kept->workerCount, kept->workers[0], kept->job, logMs - candidate->sinceMs);
+    ringSay(core->ring, RING_NOTE, kept->sinceMs,
+            "%zu workers from %s on are kept for %s, which has waited %" PRId64 " ms", kept->workerCount,
+            kept->workers[0], kept->job, logMs - candidate->sinceMs);
 }
--- a/packages/core/src/news.c
+++ b/packages/core/src/news.c
@@ -111,7 +111,9 @@
     while (!loopStopping(core->loop)) {
         Batch *batch = news->first;
         const int64_t nowMs = loopNowMs(core->loop);
-        const int64_t dueMs = batch == NULL ? nowMs + NEWS_LAZY_MS * 10 : batch->waited ? nowMs : batch->sinceMs + NEWS_LAZY_MS;
+        const int64_t dueMs = batch == NULL   ? nowMs + NEWS_LAZY_MS * 10
+                              : batch->waited ? nowMs
+                                              : batch->sinceMs + NEWS_LAZY_MS;
         if (nowMs < dueMs) {
             signalWait(core->loop, &news->added, dueMs);
             continue;
--- a/packages/core/src/orders.c
+++ b/packages/core/src/orders.c
@@ -63,12 +63,8 @@
         if (task->phase != TASK_PLACED || listed(beat->rounds, beat->roundsCount, id, number, task->round))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
-        out->starts[out->startsCount++] = (Order){id,
-                                                  number,
-                                                  task->round,
-                                                  step->room,
-                                                  talloc_strdup(mem, step->payload),
-                                                  talloc_strdup(mem, task->saved)};
+        out->starts[out->startsCount++] = (Order){
+            id, number, task->round, step->room, talloc_strdup(mem, step->payload), talloc_strdup(mem, task->saved)};
     }
 }
 
--- a/packages/core/src/pace.c
+++ b/packages/core/src/pace.c
@@ -11,8 +11,8 @@
 #define PACES_LEAST 256        /* count; fewer are not worth looking through */
 
 struct Paces {
-    Map *rounds;  /* by task to Pace */
-    size_t kept;  /* of them when they were last looked through */
+    Map *rounds;    /* by task to Pace */
+    size_t kept;    /* of them when they were last looked through */
     uint64_t moves; /* words of progress */
 };
 
@@ -60,7 +60,8 @@
         Pace *pace = mapGet(paces->rounds, keys[i]);
         const Job *job = tableJob(core->table, pace->job);
         const size_t at = job != NULL ? taskIndex(job, pace->task) : 0;
-        if (job != NULL && at < job->tasksCount && taskOnWorker(job->tasks[at].phase) && job->tasks[at].round == pace->round)
+        if (job != NULL && at < job->tasksCount && taskOnWorker(job->tasks[at].phase) &&
+            job->tasks[at].round == pace->round)
             continue;
         mapDrop(paces->rounds, keys[i]);
         talloc_free(pace);
@@ -83,7 +84,8 @@
         return;
     const double due = (double)spanMs * 10000.0 / ((double)guess * (double)scoreFarPercent(core, its, step));
     if (due >= 4) /* less is lost in whole percents */
-        guessesPace(core->guesses, worker, (uint64_t)(due * 1000 / (percent > 0.5 ? percent : 0.5)), loopNowMs(core->loop));
+        guessesPace(core->guesses, worker, (uint64_t)(due * 1000 / (percent > 0.5 ? percent : 0.5)),
+                    loopNowMs(core->loop));
 }
 
 void paceTake(Core *core, const char *worker, const RoundSaved *told)
--- a/packages/core/src/pace.h
+++ b/packages/core/src/pace.h
@@ -16,8 +16,8 @@
     uint64_t task, round;
     uint64_t percent;
     int64_t ranMs, stillMs;
-    int64_t toldMs;    /* own clock */
-    double perMs;      /* percent a millisecond between the last two words; 0: not known, or it stands still */
+    int64_t toldMs; /* own clock */
+    double perMs;   /* percent a millisecond between the last two words; 0: not known, or it stands still */
 } Pace;
 
 Paces *pacesNew(void *mem);
--- a/packages/core/src/pass.c
+++ b/packages/core/src/pass.c
@@ -71,7 +71,8 @@
     pass->asks = (pass->config->rNamed && pass->config->r > 0) || pass->config->zoneLoss || pass->config->rackLoss;
     pass->clock = coreClock(core);
     pass->nextMs = INT64_MAX;
-    pass->input = (PlanInput){.r = pass->config->r, .zoneLoss = pass->config->zoneLoss, .rackLoss = pass->config->rackLoss};
+    pass->input =
+        (PlanInput){.r = pass->config->r, .zoneLoss = pass->config->zoneLoss, .rackLoss = pass->config->rackLoss};
     workersFind(pass);
     pass->sight = (QueueSight){.table = core->table,
                                .config = pass->config,
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -79,8 +79,8 @@
 
 /* Chooses for every member, on one rack when it is named. What is chosen is taken
  * out of free; nothing is unless all found room. */
-static bool chooseAll(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *not, const char *rack, int *where,
-                      uint64_t *percent)
+static bool chooseAll(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool * not, const char *rack,
+                      int *where, uint64_t *percent)
 {
     const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
     *percent = 100;
@@ -102,7 +102,7 @@
 
 /* A gang that is faster on one rack tries each, the one of its data first; then all
  * together. */
-static bool chooseRacks(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *not, int *where,
+static bool chooseRacks(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool * not, int *where,
                         uint64_t *percent)
 {
     const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
@@ -146,7 +146,8 @@
         if (task->round >= round)
             round = task->round + 1;
         /* of a round that was lost with its worker the beats alone have told */
-        const char *told = task->round > 0 ? coreSaved(pass->core, candidate->job->spec.id, taskNumber(task), task->round) : "";
+        const char *told =
+            task->round > 0 ? coreSaved(pass->core, candidate->job->spec.id, taskNumber(task), task->round) : "";
         if (saved[0] == '\0')
             saved = told[0] != '\0' ? told : task->saved;
     }
@@ -186,14 +187,14 @@
     void *mem = talloc_new(pass->mem);
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
     bool *not = talloc_zero_array(mem, bool, (unsigned)pass->input.workerCount);
-    const bool kept = keptFrom(pass, candidate, not), full = knownFull(pass, &need);
+    const bool kept = keptFrom(pass, candidate, not ), full = knownFull(pass, &need);
     uint64_t percent = 100;
     const bool found = !full && chooseRacks(pass, candidate, &need, not, where, &percent);
     bool fits = found, assured = false;
     if (!found) {
         if (!full)
             fullAdd(pass, candidate, step, &need, kept);
-        reserveFor(pass, candidate, &need, not);
+        reserveFor(pass, candidate, &need, not );
         pushFor(pass, candidate);
         keptWant(pass, candidate, step);
     } else if (chooseWaits(pass, candidate, step, &need, percent)) {
--- a/packages/core/src/planner.c
+++ b/packages/core/src/planner.c
@@ -6,12 +6,14 @@
 
 #include "pass.h"
 
-#define PLAN_CHECKS_MAX 200   /* count; looks at the r-loss plan in one pass */
-#define PLAN_CHECKS_LEAST 4   /* count; as many are always made */
-#define PLAN_WORK_MAX 4000000 /* count; tasks and workers looked at for plans in one pass: some 50 ms, a tenth of a beat */
-#define PASS_GAP_MS 5       /* ms; news that come together are decided on together; ... */
-#define PASS_GAP_MOST_MS 40 /* ms; ... on large sites, and when many wait, a pass takes longer, and more come together */
-#define PASS_GAP_LOOKS 64   /* count; workers and steps looked at for each further ms: some hundredths of it */
+#define PLAN_CHECKS_MAX 200 /* count; looks at the r-loss plan in one pass */
+#define PLAN_CHECKS_LEAST 4 /* count; as many are always made */
+#define PLAN_WORK_MAX \
+    4000000           /* count; tasks and workers looked at for plans in one pass: some 50 ms, a tenth of a beat */
+#define PASS_GAP_MS 5 /* ms; news that come together are decided on together; ... */
+#define PASS_GAP_MOST_MS \
+    40                    /* ms; ... on large sites, and when many wait, a pass takes longer, and more come together */
+#define PASS_GAP_LOOKS 64 /* count; workers and steps looked at for each further ms: some hundredths of it */
 
 /* Looks whether the plan holds as things stand. Where no loss is to be survived by
  * each start this is to be shown, and once in a while is enough. */
--- a/packages/core/src/push.c
+++ b/packages/core/src/push.c
@@ -75,7 +75,8 @@
         if (speakers.count == 0 || !speakers.whole)
             continue;
         for (size_t j = 0; j < count; j++) {
-            if (jobs[j]->spec.protection == PROTECTION_PROTECTED || strcmp(jobs[j]->spec.cell, config->cells[c].name) != 0)
+            if (jobs[j]->spec.protection == PROTECTION_PROTECTED ||
+                strcmp(jobs[j]->spec.cell, config->cells[c].name) != 0)
                 continue;
             for (size_t t = 0; t < jobs[j]->tasksCount && looks < PUSH_LOOKS_MAX; t++) {
                 const JobTask *task = &jobs[j]->tasks[t];
@@ -147,7 +148,8 @@
                 pass->pushLooks++;
                 if (!policy->mayPush(policy->arg, &mine, &other))
                     continue;
-                victims[victimCount++] = (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
+                victims[victimCount++] =
+                    (RoundId){talloc_strdup(pass->mem, job->spec.id), taskNumber(task), task->round};
                 free = roomMore(free, job->spec.steps[task->step].room);
             }
         }
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -44,8 +44,8 @@
             loopSleep(core->loop, 100);
     } while (status != STATUS_OK && loopNowMs(core->loop) < untilMs);
     if (status == STATUS_OK && answer.itemsCount > 0) {
-        retelling->items = talloc_realloc(retelling, retelling->items, KeepItem,
-                                          (unsigned)(retelling->count + answer.itemsCount));
+        retelling->items =
+            talloc_realloc(retelling, retelling->items, KeepItem, (unsigned)(retelling->count + answer.itemsCount));
         memcpy(retelling->items + retelling->count, answer.items, answer.itemsCount * sizeof(KeepItem));
         retelling->count += answer.itemsCount;
     }
@@ -58,8 +58,8 @@
 /* Kinds that may be told again, in the order in which they are: what needs
  * another comes after it. The number in the old log orders within a kind only:
  * it may be of a history that the disks have lost since. */
-static const uint64_t KINDS[] = {CHANGE_CONFIG_SET, CHANGE_JOB_ADD, CHANGE_JOB_CANCEL, CHANGE_ZONE_DRAIN,
-                                 CHANGE_ROUNDS,     CHANGE_JOB_END};
+static const uint64_t KINDS[] = {CHANGE_CONFIG_SET, CHANGE_JOB_ADD, CHANGE_JOB_CANCEL,
+                                 CHANGE_ZONE_DRAIN, CHANGE_ROUNDS,  CHANGE_JOB_END};
 
 static size_t kindPlace(uint64_t change)
 {
@@ -123,8 +123,7 @@
 static Bytes restored(void *mem, const KeepItem *item)
 {
     ConfigSet set;
-    if (item->change != CHANGE_CONFIG_SET ||
-        shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) != STATUS_OK)
+    if (item->change != CHANGE_CONFIG_SET || shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) != STATUS_OK)
         return item->payload;
     set.revision = revisionOf(&set);
     set.restored = true;
--- a/packages/core/src/reserve.c
+++ b/packages/core/src/reserve.c
@@ -16,13 +16,13 @@
     return free.cpuMilli == 0 && free.memMb == 0 ? 0 : most == 0 ? UINT64_MAX : 1000000 / most;
 }
 
-static int nearest(const Pass *pass, const PlanNeed *need, const bool *not, const bool *taken)
+static int nearest(const Pass *pass, const PlanNeed *need, const bool * not, const bool *taken)
 {
     int best = -1;
     uint64_t bestNear = 0;
     for (size_t i = 0; i < pass->input.workerCount; i++) {
         const PlanWorker *worker = &pass->input.workers[i];
-        if (not[i] || taken[i] || !planAble(worker, need) || !roomFits(need->room, worker->room))
+        if (not [i] || taken[i] || !planAble(worker, need) || !roomFits(need->room, worker->room))
             continue;
         const uint64_t near = nearTo(need->room, worker->free);
         if (best < 0 || near > bestNear) {
@@ -33,9 +33,10 @@
     return best;
 }
 
-void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *not)
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool * not )
 {
-    if (candidate->slackMs >= RESERVE_SLACK_MS || candidate->slackMs < -candidate->guessMs || candidate->count > pass->input.workerCount)
+    if (candidate->slackMs >= RESERVE_SLACK_MS || candidate->slackMs < -candidate->guessMs ||
+        candidate->count > pass->input.workerCount)
         return;
     Room all = pass->reserved;
     for (size_t i = 0; i < candidate->count; i++)
--- a/packages/core/src/score.c
+++ b/packages/core/src/score.c
@@ -73,8 +73,8 @@
                 score->restMs);
 }
 
-static void tallyTake(Core *core, const char *worker, Score *score, Tally *tally, const Job *job, bool bad, uint64_t weight,
-                      const char *how)
+static void tallyTake(Core *core, const char *worker, Score *score, Tally *tally, const Job *job, bool bad,
+                      uint64_t weight, const char *how)
 {
     tally->ratePercent = tallyRate(core, score, tally);
     tally->ratedMs = loopNowMs(core->loop);
@@ -93,7 +93,8 @@
 /* A first round's time on its worker, by the log; -1: not to be compared. */
 static int64_t tookMs(const JobTask *task)
 {
-    return task->phase == TASK_DONE && task->round == 1 && task->startedMs != 0 ? task->changedMs - task->startedMs : -1;
+    return task->phase == TASK_DONE && task->round == 1 && task->startedMs != 0 ? task->changedMs - task->startedMs
+                                                                                : -1;
 }
 
 static int spanOrder(const void *a, const void *b)
@@ -163,8 +164,8 @@
         const Job *job = tableJob(core->table, news->job);
         bool slow = false;
         const size_t at = job != NULL ? taskIndex(job, news->task) : 0;
-        const bool ended = news->word == ROUND_DONE && job != NULL && at < job->tasksCount &&
-                           job->tasks[at].round == news->round;
+        const bool ended =
+            news->word == ROUND_DONE && job != NULL && at < job->tasksCount && job->tasks[at].round == news->round;
         const bool known = ended && compared(job, at, &slow);
         if (ended)
             guessTake(core, news, job, &job->tasks[at]);
--- a/packages/core/src/silent.c
+++ b/packages/core/src/silent.c
@@ -34,8 +34,8 @@
         ChangeResult result;
         if (coreSubmit(core, mem, CHANGE_WORKER_LOST, &WorkerLostShape, &change, &result, NULL) == STATUS_OK) {
             core->counts.lost += result.number;
-            ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "worker %s is lost with %" PRIu64 " rounds", names[i],
-                    result.number);
+            ringSay(core->ring, RING_ALERT, loopNowMs(core->loop), "worker %s is lost with %" PRIu64 " rounds",
+                    names[i], result.number);
         }
     }
 }
--- a/packages/core/src/slow.c
+++ b/packages/core/src/slow.c
@@ -13,9 +13,9 @@
     const Job *job;
     size_t task;
     size_t worker;
-    double wholeMs;  /* what all of its work should take in such a place on a sound worker */
+    double wholeMs; /* what all of its work should take in such a place on a sound worker */
     bool still;
-    double leftMs;   /* until it is done, as it comes along */
+    double leftMs;    /* until it is done, as it comes along */
     double doneShare; /* of its work that another round need not do again */
 } Going;
 
@@ -85,9 +85,9 @@
     const JobTask *task = &going->job->tasks[going->task];
     const PlanNeed need = passNeed(going->job, task->step);
     bool *not = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
-    not[going->worker] = true;
+    not [going->worker] = true;
     const int at = chooseFor(pass, going->job, going->task, &need, not, NULL);
-    talloc_free(not);
+    talloc_free(not );
     if (at < 0)
         return -1;
     const double thereMs = going->wholeMs * (1 - going->doneShare) * (double)pass->speeds[at] / 1000;
--- a/packages/core/src/soonest.c
+++ b/packages/core/src/soonest.c
@@ -15,7 +15,8 @@
         return INT64_MAX;
     const Pace *pace = paceFind(core->paces, job->spec.id, taskNumber(task), task->round);
     if (pace != NULL && pace->perMs > 0) {
-        const double leftMs = (100 - (double)pace->percent) / pace->perMs - (double)(loopNowMs(core->loop) - pace->toldMs);
+        const double leftMs =
+            (100 - (double)pace->percent) / pace->perMs - (double)(loopNowMs(core->loop) - pace->toldMs);
         return leftMs > ENDS_LEAST_MS ? (int64_t)leftMs : ENDS_LEAST_MS;
     }
     const Worker *its = tableWorker(core->table, task->worker);
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -115,8 +115,7 @@
     json_object_object_add(plan, "zoneLoss", json_object_new_boolean(config->zoneLoss));
     json_object_object_add(plan, "rackLoss", json_object_new_boolean(config->rackLoss));
     json_object_object_add(plan, "holds", json_object_new_boolean(core->planHolds));
-    if (!core->planHolds)
-    {
+    if (!core->planHolds) {
         json_object *broken = json_object_new_object();
         json_object_object_add(broken, "loss", textOf(lossWord(core->brokenByLoss)));
         json_object_object_add(broken, "name", textOf(core->brokenBy));
--- a/packages/core/src/zones.c
+++ b/packages/core/src/zones.c
@@ -27,8 +27,7 @@
     for (size_t j = 0; j < count; j++)
         for (size_t t = 0; t < jobs[j]->tasksCount; t++) {
             const JobTask *task = &jobs[j]->tasks[t];
-            const Worker *worker =
-                taskOnWorker(task->phase) ? tableWorker(way->core->table, task->worker) : NULL;
+            const Worker *worker = taskOnWorker(task->phase) ? tableWorker(way->core->table, task->worker) : NULL;
             left += worker != NULL && strcmp(worker->zone, way->name) == 0;
         }
     json_object_object_add(body, "zone", json_object_new_string(way->name));
@@ -44,10 +43,11 @@
     const bool holds = planAlwaysPossible(&input, &broken);
     json_object_object_add(body, "planHoldsWithoutIt", json_object_new_boolean(holds));
     if (!holds)
-        json_object_object_add(body, "warning",
-                               json_object_new_string(talloc_asprintf(
-                                   way->mem, "with this zone empty, the loss of %s %s leaves protected work without room",
-                                   lossWord(broken.loss), broken.name)));
+        json_object_object_add(
+            body, "warning",
+            json_object_new_string(
+                talloc_asprintf(way->mem, "with this zone empty, the loss of %s %s leaves protected work without room",
+                                lossWord(broken.loss), broken.name)));
     showResult(way->task, 200, body);
 }
 
@@ -65,11 +65,10 @@
     }
     const int64_t clockMs = viewClockMs(way->core->view);
     const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
-    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1,
-                             drained && move == 1};
+    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1, drained && move == 1};
     ChangeResult result;
-    if (wayDelivered(way, coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &result,
-                                  way->keeps)))
+    if (wayDelivered(way,
+                     coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &result, way->keeps)))
         zoneShow(way);
 }
 
--- a/packages/document/src/document.c
+++ b/packages/document/src/document.c
@@ -12,7 +12,6 @@
     return json_tokener_parse(text);
 }
 
-
 /* --- merging ------------------------------------------------------------------- */
 
 /* One of its own with the members of the other, with room for some more. */
@@ -44,7 +43,8 @@
         result = objectCopy(tree);
         g_hash_table_add(own, result);
     }
-    json_object_object_foreach(patch, name, change) {
+    json_object_object_foreach(patch, name, change)
+    {
         json_object *old = NULL;
         json_object_object_get_ex(result, name, &old);
         if (change == NULL)
@@ -149,7 +149,8 @@
         return true;
     if (!json_object_is_type(tree, json_type_object))
         return false;
-    json_object_object_foreach(tree, key, value) {
+    json_object_object_foreach(tree, key, value)
+    {
         (void)key;
         if (holdsNull(value))
             return true;
@@ -162,7 +163,8 @@
 {
     struct json_object_iterator next = json_object_iter_begin(to);
     const struct json_object_iterator end = json_object_iter_end(to);
-    json_object_object_foreach(from, key, old) {
+    json_object_object_foreach(from, key, old)
+    {
         json_object *now = NULL;
         if (!json_object_object_get_ex(to, key, &now)) {
             json_object_object_add(patch, key, NULL);
--- a/packages/document/test/document.c
+++ b/packages/document/test/document.c
@@ -22,16 +22,16 @@
 static void written(void **state)
 {
     (void)state;
-    static const char TEXT[] = "{\"z\":2.2,\"a\":0.0,\"m\":1e3,\"k\":-0.50,\"t\":\"/a\\\"\xc3\xa9\",\"n\":9007199254740993,"
-                               "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{}}";
+    static const char TEXT[] =
+        "{\"z\":2.2,\"a\":0.0,\"m\":1e3,\"k\":-0.50,\"t\":\"/a\\\"\xc3\xa9\",\"n\":9007199254740993,"
+        "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{}}";
     json_object *tree = documentParse(TEXT);
     void *mem = talloc_new(NULL);
     assert_string_equal(documentText(mem, tree), TEXT);
     json_object *patch = documentParse("{\"a\":0.00,\"new\":7,\"t\":null,\"o\":{\"p\":null,\"q\":1}}");
     json_object *next = documentMerged(tree, patch);
-    assert_string_equal(documentText(mem, next),
-                        "{\"z\":2.2,\"a\":0.00,\"m\":1e3,\"k\":-0.50,\"n\":9007199254740993,"
-                        "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{\"q\":1},\"new\":7}");
+    assert_string_equal(documentText(mem, next), "{\"z\":2.2,\"a\":0.00,\"m\":1e3,\"k\":-0.50,\"n\":9007199254740993,"
+                                                 "\"l\":[3,1.10,{\"y\":true,\"x\":false}],\"o\":{\"q\":1},\"new\":7}");
     /* the first is as it was, and what did not change is the same value */
     assert_string_equal(documentText(mem, tree), TEXT);
     assert_ptr_equal(json_object_object_get(tree, "l"), json_object_object_get(next, "l"));
@@ -216,11 +216,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(written),
-        cmocka_unit_test(merged),
-        cmocka_unit_test(different),
-        cmocka_unit_test(drawn),
-        cmocka_unit_test(inARow),
+        cmocka_unit_test(written), cmocka_unit_test(merged), cmocka_unit_test(different),
+        cmocka_unit_test(drawn),   cmocka_unit_test(inARow),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -4,7 +4,10 @@
 #include "table/change.h"
 
 /* A committed change as kept by those who were told of it first. */
-#define KEEP_ITEM_FIELDS(X) X(U64, change, 0) X(U64, index, 0) X(BIN, payload, 0)
+#define KEEP_ITEM_FIELDS(X) \
+    X(U64, change, 0)       \
+    X(U64, index, 0)        \
+    X(BIN, payload, 0)
 SHAPE(KeepItem, KEEP_ITEM_FIELDS)
 
 #define KEEP_LIST_FIELDS(X) X(LST, items, KeepItem)
@@ -14,43 +17,43 @@
 SHAPE(Nothing, NOTHING_FIELDS)
 
 /* A caller's request, carried to the leader; and its result. */
-#define PROXY_ASK_FIELDS(X) \
-    X(TXT, method, 0)         \
-    X(TXT, path, 0)           \
-    X(TXT, query, 0)          \
-    X(BIN, body, 0)           \
+#define PROXY_ASK_FIELDS(X)                                                              \
+    X(TXT, method, 0)                                                                    \
+    X(TXT, path, 0)                                                                      \
+    X(TXT, query, 0)                                                                     \
+    X(BIN, body, 0)                                                                      \
     X(FLAG, relay, 0) /* a core that does not lead carries it on to the one that does */ \
-    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */ \
-    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */ \
+    X(TXT, host, 0)   /* whom the caller meant; entries are found by it */               \
+    X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */          \
     X(FLAG, again, 0) /* asked before, of a leader that was lost: its caller has had no answer */
 SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
 
-#define PROXY_ANSWER_FIELDS(X) \
-    X(U64, code, 0)            \
-    X(TXT, kind, 0)            \
-    X(BIN, body, 0)            \
-    X(U64, retryAfterS, 0)     \
-    X(LST, keeps, KeepItem)    \
-    X(U64, status, 0)          \
+#define PROXY_ANSWER_FIELDS(X)                                                            \
+    X(U64, code, 0)                                                                       \
+    X(TXT, kind, 0)                                                                       \
+    X(BIN, body, 0)                                                                       \
+    X(U64, retryAfterS, 0)                                                                \
+    X(LST, keeps, KeepItem)                                                               \
+    X(U64, status, 0)                                                                     \
     X(U64, leaderEpoch, 0) /* the newest leader that is known to one who does not lead */ \
     X(TXT, leaderId, 0)
 SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
 
 /* Answered when there is a revision above have, or, when the document is wanted
  * too, above the one that it is had of. */
-#define FEED_ASK_FIELDS(X)                                              \
-    X(U64, have, 0)                                                       \
-    X(U64, textHave, 0)                                                   \
+#define FEED_ASK_FIELDS(X)                                                          \
+    X(U64, have, 0)                                                                 \
+    X(U64, textHave, 0)                                                             \
     X(FLAG, wants, 0) /* the document whatever its size; else small changes only */ \
-    X(FLAG, brief, 0) /* as sets, not as a text */                        \
+    X(FLAG, brief, 0) /* as sets, not as a text */                                  \
     X(FLAG, first, 0) /* of this leader: answered at once, so that it is known to serve */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
-#define FEED_ANSWER_FIELDS(X)     \
-    X(U64, epoch, 0)              \
-    X(U64, revision, 0)           \
-    X(TXT, text, 0)               \
-    X(ONE, limits, ConfigLimits)  \
+#define FEED_ANSWER_FIELDS(X)                                    \
+    X(U64, epoch, 0)                                             \
+    X(U64, revision, 0)                                          \
+    X(TXT, text, 0)                                              \
+    X(ONE, limits, ConfigLimits)                                 \
     X(LST, sets, ConfigSet) /* from textHave on, or one whole */ \
     X(FLAG, waits, 0)       /* it does not serve yet */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
--- a/packages/feed/src/carry.c
+++ b/packages/feed/src/carry.c
@@ -77,8 +77,8 @@
         carrying->status = STATUS_OK;
     } else {
         carrying->status =
-            courierAsk(proxy->props.courier, carrying, carrying->taken.address, MESSAGE_PROXY, &ProxyAskShape, &carrying->ask,
-                       carrying->expiryMs - startMs, &ProxyAnswerShape, &carrying->answer);
+            courierAsk(proxy->props.courier, carrying, carrying->taken.address, MESSAGE_PROXY, &ProxyAskShape,
+                       &carrying->ask, carrying->expiryMs - startMs, &ProxyAnswerShape, &carrying->answer);
     }
     if (carrying->status == STATUS_OK) {
         if (!carrying->taken.own)
--- a/packages/feed/src/carry.h
+++ b/packages/feed/src/carry.h
@@ -6,8 +6,8 @@
 struct Proxy {
     ProxyProps props;
     Ways *ways;
-    bool pinging;                /* one of those who wait asks whether the way lives */
-    struct Carrying *waiting;    /* those whose askers wait */
+    bool pinging;             /* one of those who wait asks whether the way lives */
+    struct Carrying *waiting; /* those whose askers wait */
 };
 
 /* Waits. Asks once, along the way taken. EXPIRED also when the way fails, or the ways
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -8,9 +8,9 @@
 #include "feed/limits.h"
 #include "table/deliverconfig.h"
 
-#define FEED_KEEP 8             /* count; revisions kept for repair: any later one holds all of them */
-#define FEED_CALM_MS 5000       /* ms; nothing has changed for so long: the document itself is asked for */
-#define FEED_EAGER_BYTES 16384  /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
+#define FEED_KEEP 8            /* count; revisions kept for repair: any later one holds all of them */
+#define FEED_CALM_MS 5000      /* ms; nothing has changed for so long: the document itself is asked for */
+#define FEED_EAGER_BYTES 16384 /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
 
 struct Feed {
     Loop *loop;
--- a/packages/feed/src/limits.c
+++ b/packages/feed/src/limits.c
@@ -2,6 +2,7 @@
 
 void limitsServe(Loop *loop, const ConfigLimits *limits)
 {
-    const HttpLimits told = {.headBytes = (size_t)limits->headBytes, .headMs = limits->headMs, .idleMs = limits->idleMs};
+    const HttpLimits told = {
+        .headBytes = (size_t)limits->headBytes, .headMs = limits->headMs, .idleMs = limits->idleMs};
     loopServeLimits(loop, &told);
 }
--- a/packages/feed/src/proxy.c
+++ b/packages/feed/src/proxy.c
@@ -7,7 +7,7 @@
 #include "carry.h"
 
 #define PROXY_BACK_MS 20 /* ms; the result's way back to the caller */
-#define PROXY_ROUNDS 8 /* count; so many leaders or ways, one after the other, for one request */
+#define PROXY_ROUNDS 8   /* count; so many leaders or ways, one after the other, for one request */
 
 /* A request that may be given to a leader again though an earlier one may have
  * taken it: all of ours carry an identity or change nothing. */
@@ -79,11 +79,8 @@
     int64_t untilMs = startMs + PROXY_EXPIRY_MS;
     if (task->expiryMs != 0 && task->expiryMs - PROXY_BACK_MS < untilMs)
         untilMs = task->expiryMs - PROXY_BACK_MS;
-    ProxyAsk ask = {.method = task->method,
-                    .path = task->path,
-                    .query = task->query,
-                    .body = task->body,
-                    .host = task->host};
+    ProxyAsk ask = {
+        .method = task->method, .path = task->path, .query = task->query, .body = task->body, .host = task->host};
     const bool again = mayAgain(&ask), changes = strcmp(task->method, "GET") != 0;
     bool maybeTaken = false;
     for (int round = 0; round < PROXY_ROUNDS && (round == 0 || ((again || !maybeTaken) && !task->gone)); round++) {
@@ -120,7 +117,8 @@
     ProxyAsk onward = *ask;
     onward.relay = false;
     /* before the asker's own patience ends, so that it hears that this end lives */
-    const int64_t waitMs = ask->waitMs > 0 && ask->waitMs < PROXY_EXPIRY_MS ? (int64_t)ask->waitMs * 3 / 4 : PROXY_EXPIRY_MS;
+    const int64_t waitMs =
+        ask->waitMs > 0 && ask->waitMs < PROXY_EXPIRY_MS ? (int64_t)ask->waitMs * 3 / 4 : PROXY_EXPIRY_MS;
     const Status status = courierAsk(proxy->props.courier, mem, taken.address, MESSAGE_PROXY, &ProxyAskShape, &onward,
                                      waitMs, &ProxyAnswerShape, answer);
     if (status == STATUS_UNREACHABLE || status == STATUS_NOT_LEADER)
--- a/packages/feed/src/ways.c
+++ b/packages/feed/src/ways.c
@@ -4,14 +4,14 @@
 #include <string.h>
 #include <talloc.h>
 
-#define WAYS_PING_MS 600    /* ms; whoever lives answers a question that needs no commit in this, also in a crowd */
-#define WAYS_LOOK_MS 120    /* ms; ... and while a way is looked for, the next is tried after this ... */
+#define WAYS_PING_MS 600       /* ms; whoever lives answers a question that needs no commit in this, also in a crowd */
+#define WAYS_LOOK_MS 120       /* ms; ... and while a way is looked for, the next is tried after this ... */
 #define WAYS_LOOK_LATER_MS 300 /* ms; ... and once none was found at once, after this */
-#define WAYS_SOON_MS 1000   /* ms; a lead that is handed over is found again within this: ... */
-#define WAYS_SOON_REST_MS 25 /* ms; ... so long all ways are tried again after this, */
-#define WAYS_REST_MS 150    /* ms; and later after this */
-#define WAYS_BACK_MS 5000   /* ms; a leader reached through others is tried directly this often */
-#define WAYS_GRACE_MS 2000  /* ms; a leader lost so long ago is still expected to be followed by another at once */
+#define WAYS_SOON_MS 1000      /* ms; a lead that is handed over is found again within this: ... */
+#define WAYS_SOON_REST_MS 25   /* ms; ... so long all ways are tried again after this, */
+#define WAYS_REST_MS 150       /* ms; and later after this */
+#define WAYS_BACK_MS 5000      /* ms; a leader reached through others is tried directly this often */
+#define WAYS_GRACE_MS 2000     /* ms; a leader lost so long ago is still expected to be followed by another at once */
 
 /* Invariants:
  *  - turn grows whenever the way in use, or the leader, becomes another one;
@@ -83,7 +83,8 @@
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
         if (row->record.role != ROLE_CORE || row->record.leaving ||
-            (leader != NULL && strcmp(row->record.address, leader) == 0) || strcmp(row->record.id, self->id) == 0 || memberQuiet(row, loopNowMs(ways->loop)) || --nth > 0)
+            (leader != NULL && strcmp(row->record.address, leader) == 0) || strcmp(row->record.id, self->id) == 0 ||
+            memberQuiet(row, loopNowMs(ways->loop)) || --nth > 0)
             continue;
         snprintf(taken->address, ADDRESS_MAX, "%s", row->record.address);
         return true;
@@ -94,10 +95,11 @@
 static Status ping(Ways *ways, const WaysTaken *taken, int64_t waitMs, bool *serves)
 {
     void *mem = talloc_new(ways);
-    const ProxyAsk ask = {.method = "GET", .path = "/readyz", .relay = taken->relay, .host = "", .waitMs = (uint64_t)waitMs};
+    const ProxyAsk ask = {
+        .method = "GET", .path = "/readyz", .relay = taken->relay, .host = "", .waitMs = (uint64_t)waitMs};
     ProxyAnswer answer = {0};
-    const Status status =
-        courierAsk(ways->courier, mem, taken->address, MESSAGE_PROXY, &ProxyAskShape, &ask, waitMs, &ProxyAnswerShape, &answer);
+    const Status status = courierAsk(ways->courier, mem, taken->address, MESSAGE_PROXY, &ProxyAskShape, &ask, waitMs,
+                                     &ProxyAnswerShape, &answer);
     if (status != STATUS_OK)
         waysTold(ways, &answer);
     *serves = status == STATUS_OK && answer.code == 200;
@@ -283,7 +285,8 @@
 
 void waysTold(Ways *ways, const ProxyAnswer *answer)
 {
-    if (answer->leaderEpoch > membersLeaderEpoch(ways->members) && answer->leaderId != NULL && answer->leaderId[0] != '\0')
+    if (answer->leaderEpoch > membersLeaderEpoch(ways->members) && answer->leaderId != NULL &&
+        answer->leaderId[0] != '\0')
         membersSetLeader(ways->members, answer->leaderEpoch, answer->leaderId);
 }
 
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -86,13 +86,15 @@
     for (size_t k = 0; k < body.count;) {
         const uint32_t count = body.count - k >= 4 ? get32(body.data + k) : UINT32_MAX;
         if (count > body.count - k - 4)
-            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu", at + BLOCK_HEAD + k);
+            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu",
+                              at + BLOCK_HEAD + k);
         void *mem = talloc_new(NULL);
         Record record;
         const Status status = shapeUnpack(&RecordShape, (Bytes){body.data + k + 4, count, 0}, mem, &record, failure);
         if (status != STATUS_OK) {
             talloc_free(mem);
-            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu", at + BLOCK_HEAD + k);
+            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu",
+                              at + BLOCK_HEAD + k);
         }
         if (found != NULL)
             found(arg, &record);
@@ -112,7 +114,7 @@
             for (size_t later = at + 1; later < content.count; later++)
                 if (content.data[later] == (uint8_t)(MAGIC >> 24) && blockAt(content, later, &body))
                     return failureSet(failure, STATUS_JOURNAL_CORRUPT,
-                                     "bad block at byte %zu, but a whole one follows at byte %zu", at, later);
+                                      "bad block at byte %zu, but a whole one follows at byte %zu", at, later);
             return STATUS_OK; /* a torn tail */
         }
         const Status status = blockRead(body, at, found, arg, failure);
@@ -257,10 +259,10 @@
             failureSet(&opening->failure, STATUS_JOURNAL_CORRUPT, "the first record is not the identity");
         else if (record->epoch > JOURNAL_VERSION)
             failureSet(&opening->failure, STATUS_JOURNAL_FORMAT, "format %" PRIu64 ", this release reads up to %d",
-                      record->epoch, JOURNAL_VERSION);
+                       record->epoch, JOURNAL_VERSION);
         else if (strcmp(record->name, journal->nodeName) != 0)
             failureSet(&opening->failure, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
-                      record->name, journal->nodeName);
+                       record->name, journal->nodeName);
         else
             journal->disk = record->index;
         return;
--- a/packages/journal/test/journal.c
+++ b/packages/journal/test/journal.c
@@ -36,12 +36,16 @@
 static void openMain(void *arg)
 {
     Seen *seen = arg;
-    seen->status = journalOpen(seen->loop, seen->loop, PATH, seen->node, onRecord, seen, &seen->journal, &seen->failure);
+    seen->status =
+        journalOpen(seen->loop, seen->loop, PATH, seen->node, onRecord, seen, &seen->journal, &seen->failure);
     if (seen->status != STATUS_OK)
         return;
     uint8_t body[50] = {7};
     for (size_t i = 1; i <= seen->writes; i++) {
-        const Record record = {.kind = RECORD_ENTRY, .epoch = 1, .index = seen->lastIndex + 1, .name = "",
+        const Record record = {.kind = RECORD_ENTRY,
+                               .epoch = 1,
+                               .index = seen->lastIndex + 1,
+                               .name = "",
                                .payload = {body, sizeof(body), 0}};
         seen->lastIndex++;
         seen->status = journalWrite(seen->journal, &record, 1);
--- a/packages/lock/include/lock/lock.h
+++ b/packages/lock/include/lock/lock.h
@@ -15,8 +15,8 @@
  * so they do while seats are added or removed one at a time, for any two
  * majorities of lists that differ in one seat share one. */
 
-#define SEAT_MOST 9   /* count; four disks may be lost at once */
-#define SEAT_FIRST 3  /* count; seats where one disk may be lost */
+#define SEAT_MOST 9  /* count; four disks may be lost at once */
+#define SEAT_FIRST 3 /* count; seats where one disk may be lost */
 
 /* So many of the seats decide. */
 static inline size_t lockMajority(size_t seats)
@@ -31,7 +31,7 @@
     uint64_t promised;
     uint64_t holder; /* disk id */
     int64_t holdUntilMs;
-    uint64_t released; /* epoch: given back by its holder, so that nothing late renews it */
+    uint64_t released;   /* epoch: given back by its holder, so that nothing late renews it */
     int64_t notBeforeMs; /* woken: what was granted may be forgotten, so nothing is promised before this ... */
     bool sure;           /* ... but promised and holder are known to be the last: only holder may hold anything */
 } LockSeat;
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -109,21 +109,21 @@
 struct HttpTask {
     Loop *loop;
     const char *method;
-    const char *path;  /* without the query */
-    const char *query; /* "" when there is none */
-    const char *host;  /* whom it was meant for: lower case, without a port; "" when it says nothing */
+    const char *path;      /* without the query */
+    const char *query;     /* "" when there is none */
+    const char *host;      /* whom it was meant for: lower case, without a port; "" when it says nothing */
     const HttpPair *heads; /* all headers of the request, their names in lower case */
     size_t headCount;
     Bytes body;
     int64_t expiryMs; /* own clock; nobody waits for the result after this; 0: none is known */
-    bool again; /* it was carried to another leader before, whose answer was lost */
-    bool gone; /* the caller has left; a result would go nowhere */
+    bool again;       /* it was carried to another leader before, whose answer was lost */
+    bool gone;        /* the caller has left; a result would go nowhere */
     /* the result */
     int code;
-    Status status; /* why it was refused; OK otherwise */
+    Status status;    /* why it was refused; OK otherwise */
     const char *kind; /* content type */
     Bytes result;
-    int retryAfterS; /* told when above 0 */
+    int retryAfterS;       /* told when above 0 */
     const HttpPair *tells; /* further headers of the result */
     size_t tellCount;
 };
@@ -136,8 +136,8 @@
 /* Bounds on callers; 0: the default. */
 struct HttpLimits {
     size_t headBytes, bodyBytes; /* of one request; more is refused */
-    int64_t headMs; /* a request's head is whole within this, or its connection is closed */
-    int64_t idleMs; /* a connection without a request is closed after this */
+    int64_t headMs;              /* a request's head is whole within this, or its connection is closed */
+    int64_t idleMs;              /* a connection without a request is closed after this */
 };
 
 /* A request of ours. */
--- a/packages/loop/src/real.c
+++ b/packages/loop/src/real.c
@@ -57,9 +57,8 @@
 }
 
 static const LoopOps REAL_OPS = {
-    realNowMs, realWallMs, realRandom, realArm,      realListen,   realOpen,       realSend,
-    realShut,  realServe,  realLimit,  realLeave,    realBusy,     realCall,       realFileOpen,
-    realFileRead, realFileAppend, realFileReplace,
+    realNowMs, realWallMs, realRandom, realArm,  realListen,   realOpen,     realSend,       realShut,        realServe,
+    realLimit, realLeave,  realBusy,   realCall, realFileOpen, realFileRead, realFileAppend, realFileReplace,
 };
 
 bool realAddress(const char *address, struct sockaddr_in *sin)
@@ -193,8 +192,8 @@
         sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
-    h2o_socket_t *signals = h2o_evloop_socket_create(
-        real->evloop, signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), H2O_SOCKET_FLAG_DONT_READ);
+    h2o_socket_t *signals = h2o_evloop_socket_create(real->evloop, signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC),
+                                                     H2O_SOCKET_FLAG_DONT_READ);
     signals->data = real;
     h2o_socket_read_start(signals, onSignal);
     while (!loop->stopping) {
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -22,10 +22,10 @@
     h2o_accept_ctx_t accept;
     bool serving;
     bool leaving;
-    size_t httpTasks; /* in work now, at most HTTP_TASKS_MAX */
-    HttpLimits limits; /* none of them 0 once it serves */
+    size_t httpTasks;               /* in work now, at most HTTP_TASKS_MAX */
+    HttpLimits limits;              /* none of them 0 once it serves */
     struct RealChannel *flushFirst; /* those with frames to go out at the end of this turn */
-    struct Visit *visits; /* the callers' connections */
+    struct Visit *visits;           /* the callers' connections */
     int64_t sweptMs;
     h2o_timeout_t callTimeout;
     h2o_http1client_ctx_t client;
--- a/packages/loop/src/realcall.c
+++ b/packages/loop/src/realcall.c
@@ -40,8 +40,8 @@
     return 0;
 }
 
-static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *err, int minor, int status, h2o_iovec_t msg,
-                                      h2o_header_t *headers, size_t count, int rlen)
+static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *err, int minor, int status,
+                                      h2o_iovec_t msg, h2o_header_t *headers, size_t count, int rlen)
 {
     Calling *calling = client->data;
     (void)minor;
--- a/packages/loop/src/realserve.c
+++ b/packages/loop/src/realserve.c
@@ -36,7 +36,7 @@
 
 struct Served {
     HttpTask task;
-    Visit *visit;  /* null once gone */
+    Visit *visit; /* null once gone */
     Door *door;
     h2o_req_t *req; /* null once gone */
     Watch *watch;
@@ -101,9 +101,9 @@
     char body[160];
     const int count = snprintf(body, sizeof(body), "{\"status\":\"%s\",\"text\":\"%s\"}\n", statusWord(status), text);
     const HttpTask result = {.code = statusHttp(status),
-                              .kind = "application/json",
-                              .result = {(uint8_t *)body, (size_t)count, 0},
-                              .retryAfterS = statusRetryS(status)};
+                             .kind = "application/json",
+                             .result = {(uint8_t *)body, (size_t)count, 0},
+                             .retryAfterS = statusRetryS(status)};
     answer(real, req, &result);
 }
 
--- a/packages/loop/test/http.c
+++ b/packages/loop/test/http.c
@@ -59,8 +59,8 @@
         const char *kind = httpHead(task, "x-kind");
         task->tells = talloc_memdup(task, (&(HttpPair){"x-told", "yes"}), sizeof(HttpPair));
         task->tellCount = 1;
-        say(task, talloc_asprintf(task, "first %s %s?%s host=%s kind=%s body=%zu", task->method, task->path, task->query,
-                                  task->host, kind != NULL ? kind : "none", task->body.count));
+        say(task, talloc_asprintf(task, "first %s %s?%s host=%s kind=%s body=%zu", task->method, task->path,
+                                  task->query, task->host, kind != NULL ? kind : "none", task->body.count));
     }
 }
 
@@ -181,8 +181,8 @@
     /* the same connections again */
     asked(second, "GET /a HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
     asked(first, "POST /p HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello", "200", "body=5");
-    asked(first, "POST /p HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n", "200",
-          "body=7");
+    asked(first, "POST /p HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+          "200", "body=7");
     asked(first, "GET / HTTP/1.1\r\n\r\n", "200", "x-told: yes");
     close(first);
     close(second);
@@ -192,7 +192,8 @@
 {
     const int fd = dial(stage->first);
     char text[4096];
-    put(fd, "GET /1 HTTP/1.1\r\nhost: x\r\n\r\nPOST /2 HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhiGET /3 HTTP/1.1\r\nhost: x\r\n\r\n");
+    put(fd,
+        "GET /1 HTTP/1.1\r\nhost: x\r\n\r\nPOST /2 HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhiGET /3 HTTP/1.1\r\nhost: x\r\n\r\n");
     static const char *const WORDS[] = {"GET /1?", "POST /2?", "GET /3?"};
     for (int i = 0; i < 3; i++) {
         if (answer(fd, text, sizeof(text)) == 0 || strstr(text, WORDS[i]) == NULL)
@@ -395,8 +396,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(testTwoAddresses), cmocka_unit_test(testPipelined), cmocka_unit_test(testBroken),
         cmocka_unit_test(testTooLarge),     cmocka_unit_test(testPatience),  cmocka_unit_test(testCallers),
-        cmocka_unit_test(testLeaving),      cmocka_unit_test(testHups),
-        cmocka_unit_test(testSlowBody),
+        cmocka_unit_test(testLeaving),      cmocka_unit_test(testHups),      cmocka_unit_test(testSlowBody),
     };
     const int failed = cmocka_run_group_tests(tests, NULL, NULL);
     fflush(NULL);
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -11,8 +11,8 @@
 /* One row of the table: the record and when it was last seen to grow. */
 typedef struct Member {
     MemberRecord record;
-    int64_t seenMs;   /* its tick rose, told by anybody */
-    int64_t directMs; /* it spoke to us itself; INT64_MIN: never */
+    int64_t seenMs;     /* its tick rose, told by anybody */
+    int64_t directMs;   /* it spoke to us itself; INT64_MIN: never */
     int64_t answeredMs; /* it answered us: the way is open there and back; INT64_MIN: never */
     int64_t sinceMs;    /* this row came to be */
     void *mem;          /* of the record */
--- a/packages/member/src/inside.h
+++ b/packages/member/src/inside.h
@@ -6,7 +6,7 @@
 /* The vote of a seed. Invariant: given to one disk until that gives it back; a
  * round that was given back gets it no more, however late its question comes. */
 typedef struct Vote {
-    bool mine; /* this process has one to give */
+    bool mine;            /* this process has one to give */
     uint64_t disk, round; /* 0: not given */
     uint64_t backDisk, backRound;
 } Vote;
--- a/packages/model/include/model/model.h
+++ b/packages/model/include/model/model.h
@@ -17,21 +17,21 @@
     uint64_t seed;
     const Site *site;
     const Tongue *tongue;
-    bool loud;                       /* tells what happens */
-    const char *job;                 /* tells what happens to this one; null: to none */
-    size_t troubles;                 /* so many are drawn */
-    bool wrongClocks;                /* the leader's clock runs too slow, others' too fast, which none does in truth */
+    bool loud;        /* tells what happens */
+    const char *job;  /* tells what happens to this one; null: to none */
+    size_t troubles;  /* so many are drawn */
+    bool wrongClocks; /* the leader's clock runs too slow, others' too fast, which none does in truth */
     Closing closing;
-    const char *only;                /* only troubles of this kind; null: all */
-    const char *script;              /* these instead of drawn ones: KIND@AT+FOR=WHOM,..; null: drawn. WHOM: a machine, a
-                                        zone, leader; left out: drawn */
-    bool skipped[DAY_TROUBLES_MAX];  /* leaves these out */
+    const char *only;               /* only troubles of this kind; null: all */
+    const char *script;             /* these instead of drawn ones: KIND@AT+FOR=WHOM,..; null: drawn. WHOM: a machine, a
+                                       zone, leader; left out: drawn */
+    bool skipped[DAY_TROUBLES_MAX]; /* leaves these out */
 } DayProps;
 
 typedef struct DayResult {
     Rules rules;
     size_t jobs, accepted, refused, starts, ends[ROUND_WORD_COUNT];
-    size_t timely, late;   /* of jobs that could be done: within the aim, within thrice */
+    size_t timely, late; /* of jobs that could be done: within the aim, within thrice */
     size_t owed;
     size_t orders;
     char troubles[DAY_TROUBLES_MAX][64]; /* what was drawn, with its time, as a script has it */
--- a/packages/model/include/model/rules.h
+++ b/packages/model/include/model/rules.h
@@ -7,23 +7,23 @@
 
 /* The rules of a deployment, beside the nevers of sim/checker.h: what callers, workers
  * and the operator have seen on their connections. */
-#define RULE_LIST(X)                                                                \
-    X(LIMIT, "a start beyond a worker's room")                                        \
-    X(TWICE, "a task running twice, or again after it was done")                      \
-    X(ORDER, "a start before the steps it waits for, or before its time")             \
-    X(ROUTE, "a start on a worker that its queue or step does not allow")             \
-    X(BUDGET, "a start after all its rounds have failed")                             \
-    X(GANG, "a member of a gang left alone")                                          \
-    X(UNASKED, "a start of what nobody asked for")                                    \
-    X(REFUSED, "a start of a job that was turned away each time")                     \
-    X(DRAIN, "a start on a worker that leaves")                                       \
-    X(EVAC, "a start in an emptied zone")                                             \
-    X(MIXED, "a job shown as done that is not")                                       \
-    X(LOST, "an accepted job unknown, ended without a cause, or standing still")      \
-    X(CONFIG, "a document ignored, rolled back, lost, or in force though refused")    \
-    X(RECOVER, "not served again after the closing fault")                            \
-    X(ACK, "an order of the operator not acknowledged in time")                       \
-    X(LEADERS, "two leaders deciding at once")                                        \
+#define RULE_LIST(X)                                                               \
+    X(LIMIT, "a start beyond a worker's room")                                     \
+    X(TWICE, "a task running twice, or again after it was done")                   \
+    X(ORDER, "a start before the steps it waits for, or before its time")          \
+    X(ROUTE, "a start on a worker that its queue or step does not allow")          \
+    X(BUDGET, "a start after all its rounds have failed")                          \
+    X(GANG, "a member of a gang left alone")                                       \
+    X(UNASKED, "a start of what nobody asked for")                                 \
+    X(REFUSED, "a start of a job that was turned away each time")                  \
+    X(DRAIN, "a start on a worker that leaves")                                    \
+    X(EVAC, "a start in an emptied zone")                                          \
+    X(MIXED, "a job shown as done that is not")                                    \
+    X(LOST, "an accepted job unknown, ended without a cause, or standing still")   \
+    X(CONFIG, "a document ignored, rolled back, lost, or in force though refused") \
+    X(RECOVER, "not served again after the closing fault")                         \
+    X(ACK, "an order of the operator not acknowledged in time")                    \
+    X(LEADERS, "two leaders deciding at once")                                     \
     X(FAULT, "a process that ended by itself")
 
 typedef enum Rule {
--- a/packages/model/include/model/tongue.h
+++ b/packages/model/include/model/tongue.h
@@ -14,7 +14,7 @@
     const char *name, *zone, *ip;
     bool side; /* beside a worker; else at the edge */
     bool disk;
-    bool founds; /* the first start of all */
+    bool founds;          /* the first start of all */
     const char *seeds[3]; /* IPs */
 } TongueNode;
 
@@ -81,7 +81,7 @@
     size_t afterCount;
     bool gang, sameRack;
     const char *near, *needs; /* null: none */
-    uint64_t apart; /* 0: any number */
+    uint64_t apart;           /* 0: any number */
 } DraftStep;
 
 #define DRAFT_STEPS_MAX 6
@@ -97,7 +97,14 @@
     int64_t firstWallMs, periodMs;
 } Draft;
 
-typedef enum JobWord { JOB_WORD_QUEUED, JOB_WORD_ROLLING, JOB_WORD_DONE, JOB_WORD_FAILED, JOB_WORD_CANCELLED, JOB_WORD_NONE } JobWord;
+typedef enum JobWord {
+    JOB_WORD_QUEUED,
+    JOB_WORD_ROLLING,
+    JOB_WORD_DONE,
+    JOB_WORD_FAILED,
+    JOB_WORD_CANCELLED,
+    JOB_WORD_NONE
+} JobWord;
 
 /* What an answer comes to. UNCLEAR: what was asked for may or may not have been done. */
 typedef enum Outcome {
@@ -130,7 +137,15 @@
 } Document;
 
 /* Ways to spoil a document. */
-typedef enum Spoil { SPOIL_NONE, SPOIL_CUT, SPOIL_UNKNOWN_KIND, SPOIL_TWICE, SPOIL_NO_TIMEOUT, SPOIL_OLD, SPOIL_COUNT } Spoil;
+typedef enum Spoil {
+    SPOIL_NONE,
+    SPOIL_CUT,
+    SPOIL_UNKNOWN_KIND,
+    SPOIL_TWICE,
+    SPOIL_NO_TIMEOUT,
+    SPOIL_OLD,
+    SPOIL_COUNT
+} Spoil;
 
 /* An order of the operator, worded. */
 typedef struct Worded {
--- a/packages/model/src/book.c
+++ b/packages/model/src/book.c
@@ -124,8 +124,8 @@
 {
     char text[80];
     const bool gang = bookStep(task)->gang;
-    snprintf(text, sizeof(text), "%s.%" PRIu64 ".%" PRIu64 ".%" PRIu64, task->name.job, task->name.turn, task->name.step,
-             gang ? 0 : task->name.at);
+    snprintf(text, sizeof(text), "%s.%" PRIu64 ".%" PRIu64 ".%" PRIu64, task->name.job, task->name.turn,
+             task->name.step, gang ? 0 : task->name.at);
     return bytesCrc(text, strlen(text));
 }
 
--- a/packages/model/src/book.h
+++ b/packages/model/src/book.h
@@ -11,14 +11,14 @@
 typedef struct Fate {
     bool done; /* a worker has ended it well */
     int64_t doneMs;
-    int64_t notedMs; /* ... and was told that this is known; 0: not yet */
+    int64_t notedMs;            /* ... and was told that this is known; 0: not yet */
     uint64_t failed[FAILS_MAX]; /* rounds: a gang's failure counts once */
     bool failNoted[FAILS_MAX];
     size_t fails;
-    int64_t failsNotedMs;  /* the last that was taken note of */
-    int64_t savedMs;       /* the most progress that was ever told */
-    uint64_t againRound;   /* started after it was done; 0: none. If an end before it is noted, it was one too many */
-    uint64_t beyondRound;  /* likewise after all its rounds had failed */
+    int64_t failsNotedMs; /* the last that was taken note of */
+    int64_t savedMs;      /* the most progress that was ever told */
+    uint64_t againRound;  /* started after it was done; 0: none. If an end before it is noted, it was one too many */
+    uint64_t beyondRound; /* likewise after all its rounds had failed */
 } Fate;
 
 typedef struct BookTask {
@@ -38,14 +38,14 @@
     size_t stepFirst[DRAFT_STEPS_MAX];
     int64_t sentMs, acceptedMs; /* 0: not */
     const GroundNode *acceptedBy;
-    int triesOpen;             /* that may yet be answered */
-    bool maybe;                /* some try has had no clear answer */
-    int64_t refusedMs;         /* every try was turned away, since; 0: not so */
+    int triesOpen;                  /* that may yet be answered */
+    bool maybe;                     /* some try has had no clear answer */
+    int64_t refusedMs;              /* every try was turned away, since; 0: not so */
     int64_t cancelSentMs, cancelMs; /* acknowledged */
     JobWord shown;
-    int64_t shownMs;           /* its end; 0: not yet */
-    int64_t idleMs;            /* nothing of it runs though there is room, since; 0: not so */
-    int64_t askedMs;           /* answered clearly after traffic ended */
+    int64_t shownMs; /* its end; 0: not yet */
+    int64_t idleMs;  /* nothing of it runs though there is room, since; 0: not so */
+    int64_t askedMs; /* answered clearly after traffic ended */
 } BookJob;
 
 typedef struct Book {
--- a/packages/model/src/caller.c
+++ b/packages/model/src/caller.c
@@ -43,8 +43,8 @@
 /* --- one call ------------------------------------------------------------------------------ */
 
 /* Asks an entry point about the job. */
-static Outcome ask(CallerTask *task, void *mem, const char *method, Bytes body, GroundNode **node, int64_t *sentMs, Bytes *result,
-               int *againS)
+static Outcome ask(CallerTask *task, void *mem, const char *method, Bytes body, GroundNode **node, int64_t *sentMs,
+                   Bytes *result, int *againS)
 {
     const Ground *ground = task->callers->ground;
     const Tongue *tongue = ground->tongue;
@@ -53,7 +53,8 @@
     const HttpPair heads[] = {{"host", task->queue.host},
                               {tongue->waitHead, talloc_asprintf(mem, "%" PRId64, ground->site->callerWaitMs)}};
     HttpCall call = {.mem = mem,
-                     .address = talloc_asprintf(mem, "%s:%d", simAddress(ground->world, (*node)->machine), tongue->frontPort),
+                     .address =
+                         talloc_asprintf(mem, "%s:%d", simAddress(ground->world, (*node)->machine), tongue->frontPort),
                      .method = method,
                      .path = talloc_asprintf(mem, "%s%s", task->queue.prefix, task->job->draft.id),
                      .body = body,
@@ -64,11 +65,13 @@
     const Status status = loopCall(task->loop, &call);
     *result = call.result;
     *againS = call.retryAfterS;
-    groundTell(ground, &task->job->tasks[0].name, "%s through %s: %s %d %.*s", method, (*node)->name, statusWord(status),
-               call.code, (int)(call.result.count < 60 ? call.result.count : 60), (const char *)call.result.data);
+    groundTell(ground, &task->job->tasks[0].name, "%s through %s: %s %d %.*s", method, (*node)->name,
+               statusWord(status), call.code, (int)(call.result.count < 60 ? call.result.count : 60),
+               (const char *)call.result.data);
     const Outcome outcome = tongue->outcome(status == STATUS_OK ? call.code : 0);
     if ((*node)->life == life && (outcome == OUTCOME_NOBODY || outcome == OUTCOME_GOOD))
-        ledgerShown(task->callers->ledger, *node, task->queue.host, task->queue.prefix, *sentMs, outcome == OUTCOME_GOOD);
+        ledgerShown(task->callers->ledger, *node, task->queue.host, task->queue.prefix, *sentMs,
+                    outcome == OUTCOME_GOOD);
     return outcome;
 }
 
@@ -100,7 +103,8 @@
     Bytes result;
     int againS = 0;
     job->triesOpen++;
-    const Outcome outcome = ask(task, mem, "POST", callers->ground->tongue->job(mem, &job->draft), &node, &sentMs, &result, &againS);
+    const Outcome outcome =
+        ask(task, mem, "POST", callers->ground->tongue->job(mem, &job->draft), &node, &sentMs, &result, &againS);
     job->triesOpen--;
     const bool taken = outcome == OUTCOME_GOOD;
     firstCount(task, taken, sentMs);
@@ -125,10 +129,11 @@
     for (size_t i = 0; i < job->draft.stepCount; i++) {
         const DraftStep *step = &job->draft.steps[i];
         groundTell(task->callers->ground, &job->tasks[job->stepFirst[i]].name,
-                   "%s: %" PRIu64 " of %" PRIu64 " milli-CPU, %" PRIu64 " MB, %" PRId64 " ms%s%s, near %s, needs %s, apart %" PRIu64,
-                   job->kind->name, step->count, step->room.cpuMilli, step->room.memMb, step->workMs, step->gang ? ", gang" : "",
-                   step->sameRack ? " on a rack" : "", step->near != NULL ? step->near : "-", step->needs != NULL ? step->needs : "-",
-                   step->apart);
+                   "%s: %" PRIu64 " of %" PRIu64 " milli-CPU, %" PRIu64 " MB, %" PRId64
+                   " ms%s%s, near %s, needs %s, apart %" PRIu64,
+                   job->kind->name, step->count, step->room.cpuMilli, step->room.memMb, step->workMs,
+                   step->gang ? ", gang" : "", step->sameRack ? " on a rack" : "",
+                   step->near != NULL ? step->near : "-", step->needs != NULL ? step->needs : "-", step->apart);
     }
     for (int64_t i = 0; i <= task->callers->ground->site->callerTries; i++)
         if (postOnce(task))
@@ -173,9 +178,11 @@
     int againS;
     const Outcome outcome = ask(task, mem, "GET", (Bytes){0}, &node, &sentMs, &result, &againS);
     const JobWord word = outcome == OUTCOME_GOOD ? ground->tongue->state(result) : JOB_WORD_NONE;
-    if (outcome == OUTCOME_GONE && job->acceptedMs != 0 && sentMs - job->acceptedMs > ground->site->visibleMs && nodeInTouch(node))
-        rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "%s does not know %s, accepted by %s %" PRId64 " ms ago",
-                   node->name, job->draft.id, job->acceptedBy->name, sentMs - job->acceptedMs);
+    if (outcome == OUTCOME_GONE && job->acceptedMs != 0 && sentMs - job->acceptedMs > ground->site->visibleMs &&
+        nodeInTouch(node))
+        rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground),
+                   "%s does not know %s, accepted by %s %" PRId64 " ms ago", node->name, job->draft.id,
+                   job->acceptedBy->name, sentMs - job->acceptedMs);
     if (word >= JOB_WORD_DONE && word <= JOB_WORD_CANCELLED && job->shownMs == 0)
         shownCheck(task, word, node);
     talloc_free(mem);
@@ -209,8 +216,8 @@
     if (!postAll(task))
         return;
     const bool cancels = job->draft.lasting || dicePercent(&task->dice, job->kind->cancelPercent);
-    const int64_t cancelMs = cancels ? groundNowMs(ground) + diceSpan(&task->dice, 200, job->draft.lasting ? 20000 : 4000)
-                                     : INT64_MAX;
+    const int64_t cancelMs =
+        cancels ? groundNowMs(ground) + diceSpan(&task->dice, 200, job->draft.lasting ? 20000 : 4000) : INT64_MAX;
     int64_t askMs = groundNowMs(ground) + diceSpan(&task->dice, 500, 6000);
     while (job->shownMs == 0) {
         const int64_t nowMs = groundNowMs(ground);
@@ -303,7 +310,8 @@
             if (site->kinds[kind].perMinute <= 0)
                 continue;
             Pouring *pouring = talloc_zero(callers, Pouring);
-            *pouring = (Pouring){callers, zone, kind, diceOf(callers->ground->seed, "pour", (uint64_t)zone * 64 + kind)};
+            *pouring =
+                (Pouring){callers, zone, kind, diceOf(callers->ground->seed, "pour", (uint64_t)zone * 64 + kind)};
             loopSpawn(simLoop(callers->ground->world, callers->machines[zone]), "pour", pourMain, pouring);
         }
     }
@@ -340,7 +348,8 @@
     for (size_t i = 0; i < hands->count; i++) {
         const Hand *hand = &hands->list[i];
         const ZoneOrder *zone = ledgerZone(hands->ledger, hand->zone);
-        if (!hand->up || hand->leaving || zone->drainedMs != 0 || (step->needs != NULL && strcmp(step->needs, hand->label) != 0))
+        if (!hand->up || hand->leaving || zone->drainedMs != 0 ||
+            (step->needs != NULL && strcmp(step->needs, hand->label) != 0))
             continue;
         const Room used = handUsed(hand);
         if (used.cpuMilli > hand->room.cpuMilli || used.memMb > hand->room.memMb)
@@ -362,7 +371,8 @@
     for (size_t i = 0; i < job->taskCount; i++) {
         const BookTask *task = &job->tasks[i];
         const DraftStep *step = bookStep(task);
-        if (!task->fate->done && wallMs >= bookDueWallMs(job, task->name.turn) && bookReady(job, task->name.turn, task->name.step))
+        if (!task->fate->done && wallMs >= bookDueWallMs(job, task->name.turn) &&
+            bookReady(job, task->name.turn, task->name.step))
             return placesFor(hands, step) >= (step->gang ? step->count : 1);
     }
     return false;
@@ -383,13 +393,15 @@
     const bool room = used.cpuMilli * 2 < all.cpuMilli && used.memMb * 2 < all.memMb;
     for (size_t i = 0; i < callers->book->count; i++) {
         BookJob *job = callers->book->jobs[i];
-        const bool idle = room && job->acceptedMs != 0 && job->cancelSentMs == 0 && job->shownMs == 0 && mayRun(hands, job);
+        const bool idle =
+            room && job->acceptedMs != 0 && job->cancelSentMs == 0 && job->shownMs == 0 && mayRun(hands, job);
         if (!idle)
             job->idleMs = 0;
         else if (job->idleMs == 0)
             job->idleMs = groundNowMs(ground);
         else if (job->idleMs > 0 && groundNowMs(ground) - job->idleMs >= IDLE_MS) {
-            rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "%s stands still though there is room", job->draft.id);
+            rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "%s stands still though there is room",
+                       job->draft.id);
             job->idleMs = -1; /* once */
         }
     }
@@ -401,8 +413,8 @@
     for (size_t i = 0; i < callers->book->count; i++) {
         const BookJob *job = callers->book->jobs[i];
         if (job->acceptedMs != 0 && job->acceptedMs <= callers->finishMs && job->askedMs == 0 && job->shownMs == 0)
-            rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "nobody tells of %s, accepted by %s", job->draft.id,
-                       job->acceptedBy->name);
+            rulesBroke(ground->rules, RULE_LOST, groundDayMs(ground), "nobody tells of %s, accepted by %s",
+                       job->draft.id, job->acceptedBy->name);
     }
     if (callers->sentAfter > 10 && callers->servedBefore * 4 >= callers->sentBefore &&
         callers->servedAfter * 4 < callers->sentAfter)
--- a/packages/model/src/caller.h
+++ b/packages/model/src/caller.h
@@ -16,11 +16,11 @@
     int64_t poisonPercent;
     int64_t wallMs; /* of the first turn of timed jobs */
     uint64_t drawn;
-    bool over; /* no more is handed in */
+    bool over;        /* no more is handed in */
     int64_t finishMs; /* since then */
     /* first tries, before the closing fault and once it must be over */
     int64_t closingMs, backMs; /* the fault, and the machines' return; 0: none yet */
-    GroundNode *lastTaker; /* who has accepted a job last */
+    GroundNode *lastTaker;     /* who has accepted a job last */
     int64_t lastTakenMs;
     size_t sentBefore, servedBefore, sentAfter, servedAfter;
 } Callers;
--- a/packages/model/src/crew.c
+++ b/packages/model/src/crew.c
@@ -112,7 +112,8 @@
                    ? crew->lastMs + (crew->failUs - crew->doneUs + crew->rate - 1) / crew->rate
                    : INT64_MAX;
     const int64_t untilUs = crew->failUs < crew->workUs ? crew->failUs : crew->workUs;
-    return untilUs <= crew->doneUs ? crew->lastMs : crew->lastMs + (untilUs - crew->doneUs + crew->rate - 1) / crew->rate;
+    return untilUs <= crew->doneUs ? crew->lastMs
+                                   : crew->lastMs + (untilUs - crew->doneUs + crew->rate - 1) / crew->rate;
 }
 
 int64_t crewProgressMs(const Crew *crew)
--- a/packages/model/src/day.c
+++ b/packages/model/src/day.c
@@ -5,9 +5,9 @@
 
 #include "trouble.h"
 
-#define LOOK_MS 200        /* ms; between looks for jobs that stand still */
-#define CALM_END_MS 3500   /* ms; troubles are over so long before the closing fault or the end of traffic */
-#define CORE_GAP_MS 3000   /* ms; after a core's return has stopped to count as a loss */
+#define LOOK_MS 200      /* ms; between looks for jobs that stand still */
+#define CALM_END_MS 3500 /* ms; troubles are over so long before the closing fault or the end of traffic */
+#define CORE_GAP_MS 3000 /* ms; after a core's return has stopped to count as a loss */
 
 static void begin(void *arg)
 {
@@ -59,8 +59,8 @@
             list[i].atMs < one->atMs + one->forMs + site->ackMs)
             return false;
     for (size_t i = 0; i < count && troubleCore(one->kind); i++)
-        if (list[i].kind != TROUBLE_COUNT && troubleCore(list[i].kind) && one->atMs < list[i].atMs + list[i].forMs + gapMs &&
-            list[i].atMs < one->atMs + one->forMs + gapMs)
+        if (list[i].kind != TROUBLE_COUNT && troubleCore(list[i].kind) &&
+            one->atMs < list[i].atMs + list[i].forMs + gapMs && list[i].atMs < one->atMs + one->forMs + gapMs)
             return false;
     return true;
 }
@@ -91,8 +91,8 @@
             one->kind = TROUBLE_COUNT;
             continue;
         }
-        snprintf(result->troubles[i], sizeof(result->troubles[i]), "%s@%" PRId64 "+%" PRId64, troubleName(one->kind), one->atMs,
-                 one->forMs);
+        snprintf(result->troubles[i], sizeof(result->troubles[i]), "%s@%" PRId64 "+%" PRId64, troubleName(one->kind),
+                 one->atMs, one->forMs);
     }
     result->troubleCount = props->troubles;
     return props->troubles;
@@ -103,11 +103,13 @@
 {
     size_t count = 0;
     char *text = talloc_strdup(day, props->script), *save = NULL;
-    for (char *one = strtok_r(text, ",", &save); one != NULL && count < DAY_TROUBLES_MAX; one = strtok_r(NULL, ",", &save)) {
+    for (char *one = strtok_r(text, ",", &save); one != NULL && count < DAY_TROUBLES_MAX;
+         one = strtok_r(NULL, ",", &save)) {
         Trouble *trouble = &list[count];
         char kind[24] = "";
         *trouble = (Trouble){.day = day, .dice = diceOf(props->seed, "strike", count)};
-        const int got = sscanf(one, "%23[a-zA-Z]@%" SCNd64 "+%" SCNd64 "=%15s", kind, &trouble->atMs, &trouble->forMs, trouble->whom);
+        const int got = sscanf(one, "%23[a-zA-Z]@%" SCNd64 "+%" SCNd64 "=%15s", kind, &trouble->atMs, &trouble->forMs,
+                               trouble->whom);
         trouble->kind = got >= 3 ? troubleOf(kind) : TROUBLE_COUNT;
         if (trouble->kind == TROUBLE_COUNT || props->skipped[count])
             trouble->kind = TROUBLE_COUNT;
@@ -140,7 +142,8 @@
 static void closingStrike(Day *day, Closing closing, Dice *dice)
 {
     Ground *ground = day->ground;
-    static const char *const WORDS[] = {"", "", "all processes are killed", "all lose power", "all lose power, one its disk"};
+    static const char *const WORDS[] = {"", "", "all processes are killed", "all lose power",
+                                        "all lose power, one its disk"};
     groundSay(ground, "%s", WORDS[closing]);
     day->callers->closingMs = groundNowMs(ground);
     GroundNode *wiped = closing == CLOSING_WIPE ? groundLeader(ground) : NULL;
@@ -202,7 +205,7 @@
     day->hands = handsNew(mem, day->book, day->ledger);
     day->door = doorNew(mem, ground);
     day->callers = callersNew(mem, day->door, day->book, day->ledger);
-    day->operator = operatorNew(mem, ground, day->ledger);
+    day->operator= operatorNew(mem, ground, day->ledger);
     groundStart(ground);
     if (props->wrongClocks)
         simAt(ground->world, ground->beganMs + 2000, clocksSpoil, day);
@@ -211,8 +214,8 @@
     simAt(ground->world, groundNowMs(ground) + 1000, operatorBegin, day);
     simAt(ground->world, ground->beganMs, callersBegin, day);
     Trouble *troubles = talloc_zero_array(mem, Trouble, DAY_TROUBLES_MAX);
-    const size_t count = props->script != NULL ? troublesRead(day, props, troubles, result)
-                                               : troublesDraw(day, props, troubles, result);
+    const size_t count =
+        props->script != NULL ? troublesRead(day, props, troubles, result) : troublesDraw(day, props, troubles, result);
     for (size_t i = 0; i < count; i++)
         if (troubles[i].kind != TROUBLE_COUNT) {
             simAt(ground->world, ground->beganMs + troubles[i].atMs, begin, &troubles[i]);
--- a/packages/model/src/draft.c
+++ b/packages/model/src/draft.c
@@ -20,7 +20,8 @@
     const uint64_t hands = (uint64_t)site->hands, cpu = (uint64_t)site->handCpuMilli, mem = (uint64_t)site->handMemMb;
     step->room.cpuMilli = atMost((uint64_t)diceAbout(dice, kind->cpuMilli), cpu / 2);
     step->room.memMb = atMost((uint64_t)diceAbout(dice, kind->memMb), mem / 2);
-    const uint64_t each = cpu / step->room.cpuMilli < mem / step->room.memMb ? cpu / step->room.cpuMilli : mem / step->room.memMb;
+    const uint64_t each =
+        cpu / step->room.cpuMilli < mem / step->room.memMb ? cpu / step->room.cpuMilli : mem / step->room.memMb;
     uint64_t where = hands;
     if (dicePercent(dice, kind->needsPercent)) {
         step->needs = dicePercent(dice, 50) ? "a" : "b";
@@ -64,7 +65,8 @@
     draft->saves = dicePercent(dice, kind->savesPercent);
     draft->lasting = dicePercent(dice, kind->lastingPercent);
     draft->copies = !draft->lasting && dicePercent(dice, kind->copiesPercent);
-    while (!draft->lasting && draft->stepCount < (size_t)kind->steps && draft->stepCount < DRAFT_STEPS_MAX && dicePercent(dice, 30))
+    while (!draft->lasting && draft->stepCount < (size_t)kind->steps && draft->stepCount < DRAFT_STEPS_MAX &&
+           dicePercent(dice, 30))
         draft->stepCount++;
     for (size_t i = 0; i < draft->stepCount; i++)
         stepDraw(callers, kind, dice, draft, i);
--- a/packages/model/src/ground.c
+++ b/packages/model/src/ground.c
@@ -124,7 +124,8 @@
 static void seedsDraw(const GroundNode *node, const char *seeds[3])
 {
     const Ground *ground = node->ground;
-    Dice dice = diceOf(ground->seed, "seeds", node->life > 1 || groundDayMs(ground) >= 0 ? node->life * 64 + (uint64_t)node->machine : 0);
+    Dice dice = diceOf(ground->seed, "seeds",
+                       node->life > 1 || groundDayMs(ground) >= 0 ? node->life * 64 + (uint64_t)node->machine : 0);
     for (int i = 0; i < 3;) {
         const GroundNode *one = &ground->edges[diceSpan(&dice, 0, (int64_t)ground->edgeCount - 1)];
         const char *ip = simAddress(ground->world, one->machine);
--- a/packages/model/src/ground.h
+++ b/packages/model/src/ground.h
@@ -19,8 +19,8 @@
     const char *zone;
     int machine;
     bool side, disk, counted;
-    bool used;  /* a spare is not before it is started */
-    bool gone;  /* taken away for good */
+    bool used; /* a spare is not before it is started */
+    bool gone; /* taken away for good */
     bool up, leaving;
     uint64_t life;
     int64_t troubleMs;
@@ -28,7 +28,7 @@
     FacePlace place;
     FaceNode node;
     Ring *ring;
-    void *mem; /* of the process that runs */
+    void *mem;            /* of the process that runs */
     uint64_t sawRevision; /* the newest document whose effect it has shown in this life */
     int64_t sawMs;
 } GroundNode;
@@ -62,7 +62,8 @@
 int64_t groundDayMs(const Ground *ground);
 void groundSay(const Ground *ground, const char *format, ...) __attribute__((format(printf, 2, 3)));
 /* What happens to a task, when its job is the one that is looked at. */
-void groundTell(const Ground *ground, const TaskName *name, const char *format, ...) __attribute__((format(printf, 3, 4)));
+void groundTell(const Ground *ground, const TaskName *name, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
 
 /* The log rings of all machines, when it is loud. */
 void groundDump(const Ground *ground);
--- a/packages/model/src/hand.c
+++ b/packages/model/src/hand.c
@@ -5,11 +5,11 @@
 #include <string.h>
 #include <talloc.h>
 
-#define ANSWER_MOST_MS 1000 /* ms; an answer that takes longer is dropped */
-#define NEWS_GAP_MS 50      /* ms; from an end to the beat that tells it */
-#define BEAT_AGAIN_MS 300   /* ms; after a beat that nobody took */
+#define ANSWER_MOST_MS 1000  /* ms; an answer that takes longer is dropped */
+#define NEWS_GAP_MS 50       /* ms; from an end to the beat that tells it */
+#define BEAT_AGAIN_MS 300    /* ms; after a beat that nobody took */
 #define LEAVE_ANYWAY_MS 4000 /* ms; it leaves so long after it had to, though nobody took note */
-#define ENDS_AT_ONCE 500    /* count; in one beat */
+#define ENDS_AT_ONCE 500     /* count; in one beat */
 
 static const char *nameText(void *mem, const TaskName *name)
 {
@@ -91,7 +91,8 @@
         (HandEnd){.told = {++hand->endNumber, *name, round, word, saved}, .task = task, .lapsedSince = false};
     highestSet(hand, name, round);
     hand->hands->book->kinds[word]++;
-    groundTell(hand->hands->ground, name, "round %" PRIu64 " %s on %s, saved '%s'", round, roundWord(word), hand->boot, saved);
+    groundTell(hand->hands->ground, name, "round %" PRIu64 " %s on %s, saved '%s'", round, roundWord(word), hand->boot,
+               saved);
     hand->newsOpen = true;
     signalRaise(hand->loop, &hand->news);
 }
@@ -231,8 +232,7 @@
             hand->ends[i].told.round == start->round)
             return;
     BookTask *task = bookTask(hands->book, &start->name);
-    const uint64_t highest =
-        (uint64_t)(uintptr_t)mapGet(hand->highest, nameText(hand->mem, &start->name));
+    const uint64_t highest = (uint64_t)(uintptr_t)mapGet(hand->highest, nameText(hand->mem, &start->name));
     const Room used = handUsed(hand);
     bool fits = true;
     if (task != NULL && site->guards != 0) {
@@ -302,18 +302,19 @@
     size_t count = 0;
     for (const HandRun *run = hand->runs; run != NULL; run = run->next)
         count++;
-    *report = (HandReport){.kind = hand->kind,
-                           .zone = hand->zone,
-                           .label = hand->label,
-                           .rack = hand->rack,
-                           .address = talloc_asprintf(mem, "%s:8080", simAddress(hand->hands->ground->world, hand->machine)),
-                           .room = hand->room,
-                           .leaving = hand->leaving,
-                           .leaveMs = hand->leaveAtMs > nowMs ? hand->leaveAtMs - nowMs : 0,
-                           .clockMs = loopNowMs(hand->loop),
-                           .sequence = ++hand->sequence,
-                           .running = talloc_zero_array(mem, HandRunning, (unsigned)count),
-                           .ended = talloc_zero_array(mem, HandEnded, ENDS_AT_ONCE)};
+    *report =
+        (HandReport){.kind = hand->kind,
+                     .zone = hand->zone,
+                     .label = hand->label,
+                     .rack = hand->rack,
+                     .address = talloc_asprintf(mem, "%s:8080", simAddress(hand->hands->ground->world, hand->machine)),
+                     .room = hand->room,
+                     .leaving = hand->leaving,
+                     .leaveMs = hand->leaveAtMs > nowMs ? hand->leaveAtMs - nowMs : 0,
+                     .clockMs = loopNowMs(hand->loop),
+                     .sequence = ++hand->sequence,
+                     .running = talloc_zero_array(mem, HandRunning, (unsigned)count),
+                     .ended = talloc_zero_array(mem, HandEnded, ENDS_AT_ONCE)};
     for (HandRun *run = hand->runs; run != NULL; run = run->next) {
         crewAdvance(run->crew);
         const int64_t workMs = run->crew->workUs / 1000;
@@ -342,13 +343,13 @@
     reportFill(hand, mem, &report);
     hand->newsOpen = false;
     const bool leaving = report.leaving;
-    HttpCall call = {.mem = mem,
-                     .address = talloc_asprintf(mem, "%s:%d", simAddress(ground->world, hand->side->machine),
-                                                tongue->operatorPort),
-                     .method = "POST",
-                     .path = tongue->beatPath(mem, hand->boot, false),
-                     .body = tongue->report(mem, &report),
-                     .waitMs = ANSWER_MOST_MS};
+    HttpCall call = {
+        .mem = mem,
+        .address = talloc_asprintf(mem, "%s:%d", simAddress(ground->world, hand->side->machine), tongue->operatorPort),
+        .method = "POST",
+        .path = tongue->beatPath(mem, hand->boot, false),
+        .body = tongue->report(mem, &report),
+        .waitMs = ANSWER_MOST_MS};
     const int64_t sentMs = loopNowMs(hand->loop);
     const Status status = loopCall(hand->loop, &call);
     HandOrders *orders = talloc_zero(mem, HandOrders);
@@ -447,7 +448,8 @@
     if (hand->up)
         return;
     hand->life++;
-    snprintf(hand->boot, sizeof(hand->boot), "i-%08" PRIx64, diceOf(hand->hands->ground->seed, "boot", hand->hands->boots++).state >> 32);
+    snprintf(hand->boot, sizeof(hand->boot), "i-%08" PRIx64,
+             diceOf(hand->hands->ground->seed, "boot", hand->hands->boots++).state >> 32);
     hand->up = true;
     simStart(hand->hands->ground->world, hand->machine, processStart, hand);
 }
--- a/packages/model/src/ledger.c
+++ b/packages/model/src/ledger.c
@@ -92,7 +92,8 @@
     const char *word = there ? "there" : "not there";
     const int known = ledgerHas(ledger, host, prefix, sentMs);
     if (nodeInTouch(node) && ((known > 0 && !there) || (known < 0 && there)))
-        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "%s says that %s%s is %s", node->name, host, prefix, word);
+        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "%s says that %s%s is %s", node->name, host, prefix,
+                   word);
     if (node->sawRevision != 0 && sentMs > node->sawMs + ground->site->revertMs) {
         const int seen = hasFrom(ledger, host, prefix, node->sawRevision);
         if ((seen > 0 && !there) || (seen < 0 && there))
--- a/packages/model/src/operator.c
+++ b/packages/model/src/operator.c
@@ -5,10 +5,10 @@
 #include <string.h>
 #include <talloc.h>
 
-#define CALL_MOST_MS 1000   /* ms; a silence after which another node is asked */
-#define GIVE_UP_MS 25000    /* ms; a change that nobody answers */
-#define LOOK_GAP_MS 700     /* ms; between two looks at an entry point */
-#define ROUTE_MS 3          /* ms; an acknowledgement may take so much longer for each queue */
+#define CALL_MOST_MS 1000 /* ms; a silence after which another node is asked */
+#define GIVE_UP_MS 25000  /* ms; a change that nobody answers */
+#define LOOK_GAP_MS 700   /* ms; between two looks at an entry point */
+#define ROUTE_MS 3        /* ms; an acknowledgement may take so much longer for each queue */
 
 static Loop *loopOf(const Operator *operator)
 {
@@ -28,11 +28,15 @@
 
 static const char *word(Outcome outcome)
 {
-    return outcome == OUTCOME_GOOD ? "taken" : outcome == OUTCOME_STALE ? "stale" : outcome == OUTCOME_WRONG ? "wrong" : "unclear";
+    return outcome == OUTCOME_GOOD    ? "taken"
+           : outcome == OUTCOME_STALE ? "stale"
+           : outcome == OUTCOME_WRONG ? "wrong"
+                                      : "unclear";
 }
 
 /* Asks a node. */
-static Outcome ask(const Operator *operator, void *mem, const GroundNode *node, const char *method, const Worded *worded, Bytes *result)
+static Outcome ask(const Operator *operator, void * mem, const GroundNode *node, const char *method,
+                   const Worded *worded, Bytes *result)
 {
     const Ground *ground = operator->ground;
     const HttpPair heads[] = {{worded->headName, worded->headValue}};
@@ -54,10 +58,10 @@
 /* An order that is repeated until it is answered clearly. */
 typedef struct Ordering {
     Operator *operator;
-    Sent *sent;     /* null: a zone's */
+    Sent *sent; /* null: a zone's */
     const char *zone;
     bool drain, patch, raced;
-    Document from;  /* what a patch begins with */
+    Document from; /* what a patch begins with */
     int64_t sentMs;
     bool lateTold, over;
 } Ordering;
@@ -85,7 +89,7 @@
 /* UNCLEAR: go on; else what ended it. */
 static Outcome orderOnce(Ordering *ordering, void *mem, const Worded *worded)
 {
-    Operator *operator = ordering->operator;
+    Operator *operator= ordering->operator;
     GroundNode *node = nodeDraw(operator);
     const uint64_t life = node->life;
     const Outcome outcome = ask(operator, mem, node, "POST", worded, NULL);
@@ -98,7 +102,7 @@
 
 static Outcome orderSend(Ordering *ordering, const Worded *worded, int64_t forMs)
 {
-    Operator *operator = ordering->operator;
+    Operator *operator= ordering->operator;
     ordering->sentMs = groundNowMs(operator->ground);
     int64_t pauseMs = 50;
     Outcome outcome = OUTCOME_UNCLEAR;
@@ -123,11 +127,12 @@
 static void documentMain(void *arg)
 {
     Ordering *ordering = arg;
-    Operator *operator = ordering->operator;
+    Operator *operator= ordering->operator;
     Sent *sent = ordering->sent;
     const Ground *ground = operator->ground;
-    const Worded worded = ordering->patch ? ground->tongue->patch(ordering, &ordering->from, &sent->document)
-                                          : ground->tongue->document(ordering, &sent->document, sent->base, sent->spoil);
+    const Worded worded = ordering->patch
+                              ? ground->tongue->patch(ordering, &ordering->from, &sent->document)
+                              : ground->tongue->document(ordering, &sent->document, sent->base, sent->spoil);
     const bool first = sent->base == 0;
     const Outcome outcome = orderSend(ordering, &worded, first ? INT64_MAX : GIVE_UP_MS);
     if (outcome == OUTCOME_GOOD)
@@ -139,11 +144,12 @@
     talloc_free(ordering);
 }
 
-static Ordering *documentOrder(Operator *operator, const Document *document, const Document *from, Spoil spoil, bool raced)
+static Ordering *documentOrder(Operator *operator, const Document * document, const Document *from, Spoil spoil,
+                               bool raced)
 {
     Ordering *ordering = talloc_zero(operator, Ordering);
     const uint64_t base = from != NULL ? from->revision : 0;
-    *ordering = (Ordering){.operator = operator, .raced = raced};
+    *ordering = (Ordering){.operator= operator, .raced = raced };
     ordering->sent = ledgerSend(operator->ledger, document, base, spoil);
     ordering->patch = from != NULL && spoil == SPOIL_NONE && dicePercent(&operator->dice, 50);
     if (from != NULL)
@@ -153,19 +159,20 @@
 
 /* --- documents ------------------------------------------------------------------------------ */
 
-static void idleAdd(Operator *operator, Document *document)
+static void idleAdd(Operator *operator, Document * document)
 {
     if (document->queueCount == DOCUMENT_QUEUES_MAX)
         return;
     DocumentQueue *queue = &document->queues[document->queueCount++];
     const uint64_t number = operator->idle++;
-    *queue = (DocumentQueue){.kind = "std", .timeoutMs = 2000, .aimMs = 1000, .priority = 1, .rounds = 2, .stretchPercent = 150};
+    *queue = (DocumentQueue){
+        .kind = "std", .timeoutMs = 2000, .aimMs = 1000, .priority = 1, .rounds = 2, .stretchPercent = 150};
     snprintf(queue->name, sizeof(queue->name), "idle%" PRIu64, number);
     snprintf(queue->host, sizeof(queue->host), "idle.example");
     snprintf(queue->prefix, sizeof(queue->prefix), "/idle%" PRIu64 "/", number);
 }
 
-static bool idleDrop(Operator *operator, Document *document)
+static bool idleDrop(Operator *operator, Document * document)
 {
     const size_t busy = operator->ground->site->kindCount;
     if (document->queueCount <= busy)
@@ -175,14 +182,14 @@
     return true;
 }
 
-static void next(Operator *operator, Document *document)
+static void next(Operator *operator, Document * document)
 {
     const uint64_t step = (uint64_t)diceSpan(&operator->dice, 1, 4);
     document->revision = operator->revision += step;
 }
 
 /* What is in force, as far as the operator knows. */
-static bool current(const Operator *operator, Document *document)
+static bool current(const Operator *operator, Document * document)
 {
     const Sent *newest = ledgerNewest(operator->ledger);
     if (newest != NULL)
@@ -190,7 +197,7 @@
     return newest != NULL;
 }
 
-static void vary(Operator *operator, Document *document)
+static void vary(Operator *operator, Document * document)
 {
     const int64_t how = diceSpan(&operator->dice, 0, 2);
     if (how == 0 || (how == 1 && !idleDrop(operator, document)))
@@ -205,7 +212,7 @@
 {
     void *mem = talloc_new(operator);
     Bytes result = {0};
-    const Worded worded = {.path = operator->ground->tongue->configPath};
+    const Worded worded = {.path = operator->ground->tongue->configPath };
     if (ask(operator, mem, nodeDraw(operator), "GET", &worded, &result) == OUTCOME_GOOD)
         for (size_t i = 0; i < operator->ledger->count; i++) {
             Sent *sent = operator->ledger->rows[i];
@@ -220,13 +227,13 @@
 static void changeOnce(Operator *operator)
 {
     Document from, to;
-    if (operator->unclear > 0)
+    if (operator->unclear> 0)
         learn(operator);
-    if (!current(operator, &from))
+    if (!current(operator, & from))
         return;
     to = from;
-    vary(operator, &to);
-    documentMain(documentOrder(operator, &to, &from, SPOIL_NONE, false));
+    vary(operator, & to);
+    documentMain(documentOrder(operator, & to, &from, SPOIL_NONE, false));
 }
 
 static void changeMain(void *arg)
@@ -265,38 +272,38 @@
 void operatorRace(Operator *operator)
 {
     Document from, to[2];
-    if (!current(operator, &from))
+    if (!current(operator, & from))
         return;
     for (int i = 0; i < 2; i++) {
         to[i] = from;
-        vary(operator, &to[i]);
-        loopSpawn(loopOf(operator), "race", documentMain, documentOrder(operator, &to[i], &from, SPOIL_NONE, true));
+        vary(operator, & to[i]);
+        loopSpawn(loopOf(operator), "race", documentMain, documentOrder(operator, & to[i], &from, SPOIL_NONE, true));
     }
 }
 
 void operatorSpoilt(Operator *operator)
 {
     Document from, to;
-    if (!current(operator, &from))
+    if (!current(operator, & from))
         return;
     to = from;
     const Spoil spoil = (Spoil)diceSpan(&operator->dice, SPOIL_NONE + 1, SPOIL_COUNT - 1);
-    next(operator, &to);
+    next(operator, & to);
     if (spoil == SPOIL_OLD)
         to.revision = from.revision;
-    loopSpawn(loopOf(operator), "spoilt", documentMain, documentOrder(operator, &to, &from, spoil, false));
+    loopSpawn(loopOf(operator), "spoilt", documentMain, documentOrder(operator, & to, &from, spoil, false));
 }
 
 void operatorBig(Operator *operator)
 {
     Document from, to;
-    if (!current(operator, &from))
+    if (!current(operator, & from))
         return;
     to = from;
     while (to.queueCount < DOCUMENT_QUEUES_MAX)
-        idleAdd(operator, &to);
-    next(operator, &to);
-    loopSpawn(loopOf(operator), "big", documentMain, documentOrder(operator, &to, &from, SPOIL_NONE, false));
+        idleAdd(operator, & to);
+    next(operator, & to);
+    loopSpawn(loopOf(operator), "big", documentMain, documentOrder(operator, & to, &from, SPOIL_NONE, false));
 }
 
 /* --- zones -------------------------------------------------------------------------------------- */
@@ -304,7 +311,7 @@
 static void zoneMain(void *arg)
 {
     Ordering *ordering = arg;
-    Operator *operator = ordering->operator;
+    Operator *operator= ordering->operator;
     const Ground *ground = operator->ground;
     ZoneOrder *zone = ledgerZone(operator->ledger, ordering->zone);
     const Worded worded = {.path = ground->tongue->zonePath(ordering, ordering->zone, ordering->drain)};
@@ -319,14 +326,15 @@
         zone->backSentMs = 0;
     }
     zone->open = false;
-    groundSay(ground, "zone %s %s: %s", ordering->zone, ordering->drain ? "is emptied" : "is taken back", word(outcome));
+    groundSay(ground, "zone %s %s: %s", ordering->zone, ordering->drain ? "is emptied" : "is taken back",
+              word(outcome));
     talloc_free(ordering);
 }
 
-void operatorZone(Operator *operator, const char *zone, bool drain)
+void operatorZone(Operator *operator, const char * zone, bool drain)
 {
     Ordering *ordering = talloc_zero(operator, Ordering);
-    *ordering = (Ordering){.operator = operator, .zone = zone, .drain = drain};
+    *ordering = (Ordering){.operator= operator, .zone = zone, .drain = drain};
     loopSpawn(loopOf(operator), "zone", zoneMain, ordering);
 }
 
@@ -351,19 +359,19 @@
 
 static void lookOnce(Looking *looking, void *mem)
 {
-    Operator *operator = looking->operator;
+    Operator *operator= looking->operator;
     const Ground *ground = operator->ground;
     GroundNode *node = looking->node;
     const DocumentQueue queue = queueDraw(looking);
     const HttpPair heads[] = {{"host", queue.host}, {ground->tongue->waitHead, "1000"}};
-    HttpCall call = {.mem = mem,
-                     .address = talloc_asprintf(mem, "%s:%d", simAddress(ground->world, node->machine),
-                                                ground->tongue->frontPort),
-                     .method = "GET",
-                     .path = queue.prefix,
-                     .waitMs = CALL_MOST_MS,
-                     .heads = heads,
-                     .headCount = 2};
+    HttpCall call = {
+        .mem = mem,
+        .address = talloc_asprintf(mem, "%s:%d", simAddress(ground->world, node->machine), ground->tongue->frontPort),
+        .method = "GET",
+        .path = queue.prefix,
+        .waitMs = CALL_MOST_MS,
+        .heads = heads,
+        .headCount = 2};
     const int64_t sentMs = groundNowMs(ground);
     const uint64_t life = node->life;
     const Status status = loopCall(loopOf(operator), &call);
@@ -395,8 +403,8 @@
 
 Operator *operatorNew(void *mem, Ground *ground, Ledger *ledger)
 {
-    Operator *operator = talloc_zero(mem, Operator);
-    *operator = (Operator){.ground = ground,
+    Operator *operator= talloc_zero(mem, Operator);
+    *operator=(Operator){.ground = ground,
                          .ledger = ledger,
                          .machine = simMachine(ground->world),
                          .dice = diceOf(ground->seed, "operator", 0)};
@@ -410,12 +418,12 @@
     Document first = {.kinds = {"std"}, .kindCount = 1, .guards = site->guards != 0};
     for (size_t i = 0; i < site->kindCount; i++)
         callersQueue(site, i, &first.queues[first.queueCount++]);
-    idleAdd(operator, &first);
-    next(operator, &first);
-    loopSpawn(loopOf(operator), "first", documentMain, documentOrder(operator, &first, NULL, SPOIL_NONE, false));
+    idleAdd(operator, & first);
+    next(operator, & first);
+    loopSpawn(loopOf(operator), "first", documentMain, documentOrder(operator, & first, NULL, SPOIL_NONE, false));
     for (size_t i = 0; i < operator->ground->edgeCount; i++) {
         Looking *looking = talloc_zero(operator, Looking);
-        *looking = (Looking){operator, &operator->ground->edges[i], diceOf(operator->ground->seed, "look", i)};
+        *looking = (Looking){operator, & operator->ground->edges[i], diceOf(operator->ground->seed, "look", i)};
         loopSpawn(loopOf(operator), "look", lookMain, looking);
     }
 }
@@ -433,17 +441,19 @@
             known = sent;
     }
     if (newest != NULL && revision < newest->document.revision)
-        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "%" PRIu64 " is read back, %" PRIu64 " was acknowledged",
-                   revision, newest->document.revision);
+        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground),
+                   "%" PRIu64 " is read back, %" PRIu64 " was acknowledged", revision, newest->document.revision);
     else if (!same)
-        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "what is read back as %" PRIu64 " was not sent so", revision);
+        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "what is read back as %" PRIu64 " was not sent so",
+                   revision);
     else if (known != NULL && known->word == SENT_REFUSED)
-        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "%" PRIu64 " was refused and is in force", revision);
+        rulesBroke(ground->rules, RULE_CONFIG, groundDayMs(ground), "%" PRIu64 " was refused and is in force",
+                   revision);
 }
 
 static void finishMain(void *arg)
 {
-    Operator *operator = arg;
+    Operator *operator= arg;
     const Ground *ground = operator->ground;
     const int64_t untilMs = groundNowMs(ground) + ground->site->contactMs;
     const Worded worded = {.path = ground->tongue->configPath};
--- a/packages/model/src/operator.h
+++ b/packages/model/src/operator.h
@@ -28,7 +28,7 @@
 void operatorSpoilt(Operator *operator);
 /* Many queues at once. */
 void operatorBig(Operator *operator);
-void operatorZone(Operator *operator, const char *zone, bool drain);
+void operatorZone(Operator *operator, const char * zone, bool drain);
 /* Reads back, from now for contactMs; then what must hold is checked. */
 void operatorFinish(Operator *operator);
 
--- a/packages/model/src/site.c
+++ b/packages/model/src/site.c
@@ -109,10 +109,10 @@
 
 static bool siteField(Site *site, const char *key, int64_t value)
 {
-#define X(name, otherwise, meaning)     \
-    if (strcmp(key, #name) == 0) {      \
-        site->name = value;             \
-        return true;                    \
+#define X(name, otherwise, meaning) \
+    if (strcmp(key, #name) == 0) {  \
+        site->name = value;         \
+        return true;                \
     }
     SITE_LIST(X)
 #undef X
@@ -121,10 +121,10 @@
 
 static bool kindField(SiteKind *kind, const char *key, int64_t value)
 {
-#define X(name, otherwise, meaning)     \
-    if (strcmp(key, #name) == 0) {      \
-        kind->name = value;             \
-        return true;                    \
+#define X(name, otherwise, meaning) \
+    if (strcmp(key, #name) == 0) {  \
+        kind->name = value;         \
+        return true;                \
     }
     SITE_KIND_LIST(X)
 #undef X
@@ -170,9 +170,11 @@
     g_key_file_free(file);
     if (status == STATUS_OK && site->kindCount == 0)
         tiles(site);
-    if (status == STATUS_OK && (site->cores < 3 || site->hands < 1 || site->hands > 40 || site->cores + site->spares > 16 ||
-                                site->gates > 16 || site->zones < 1 || site->zones > 4 || site->rackHands < 1))
-        status = failureSet(failure, STATUS_BAD_PROPS, "%s: there are too few machines, or more than the simulator holds", path);
+    if (status == STATUS_OK &&
+        (site->cores < 3 || site->hands < 1 || site->hands > 40 || site->cores + site->spares > 16 ||
+         site->gates > 16 || site->zones < 1 || site->zones > 4 || site->rackHands < 1))
+        status = failureSet(failure, STATUS_BAD_PROPS,
+                            "%s: there are too few machines, or more than the simulator holds", path);
     return status;
 }
 
--- a/packages/model/src/start.c
+++ b/packages/model/src/start.c
@@ -26,10 +26,10 @@
 static void roomCheck(const Start *start)
 {
     const Room used = handUsed(start->hand), room = start->step->room, all = start->hand->room;
-    if (start->ground->site->guards == 0 &&
-        (used.cpuMilli + room.cpuMilli > all.cpuMilli || used.memMb + room.memMb > all.memMb || used.gpu + room.gpu > all.gpu))
-        BROKE(start, RULE_LIMIT, "%" PRIu64 " milli-CPU and %" PRIu64 " MB beside %" PRIu64 " and %" PRIu64, room.cpuMilli,
-              room.memMb, used.cpuMilli, used.memMb);
+    if (start->ground->site->guards == 0 && (used.cpuMilli + room.cpuMilli > all.cpuMilli ||
+                                             used.memMb + room.memMb > all.memMb || used.gpu + room.gpu > all.gpu))
+        BROKE(start, RULE_LIMIT, "%" PRIu64 " milli-CPU and %" PRIu64 " MB beside %" PRIu64 " and %" PRIu64,
+              room.cpuMilli, room.memMb, used.cpuMilli, used.memMb);
 }
 
 static void twiceCheck(const Start *start)
@@ -108,9 +108,10 @@
         BROKE(start, RULE_UNASKED, "'%.20s' is not what it saved", start->order->saved);
     for (size_t i = 0; start->step->gang && i < start->job->taskCount; i++)
         for (const HandRun *run = start->job->tasks[i].live; run != NULL; run = run->nextLive)
-            if (start->job->tasks[i].fate == start->task->fate && run->round == start->order->round && run->crew != NULL &&
-                run->crew->fromMs != (progressMs > 0 ? progressMs : 0))
-                BROKE(start, RULE_UNASKED, "goes on from %" PRId64 " ms, its gang from %" PRId64, progressMs, run->crew->fromMs);
+            if (start->job->tasks[i].fate == start->task->fate && run->round == start->order->round &&
+                run->crew != NULL && run->crew->fromMs != (progressMs > 0 ? progressMs : 0))
+                BROKE(start, RULE_UNASKED, "goes on from %" PRId64 " ms, its gang from %" PRId64, progressMs,
+                      run->crew->fromMs);
     if (job->cancelMs != 0 && start->touch && start->nowMs - job->cancelMs > site->cancelMs)
         BROKE(start, RULE_UNASKED, "cancelled %" PRId64 " ms ago", start->nowMs - job->cancelMs);
     if (job->refusedMs != 0)
@@ -156,8 +157,8 @@
 void endNoted(Hand *hand, const HandEnd *end)
 {
     Ground *ground = hand->hands->ground;
-    groundTell(ground, &end->told.name, "round %" PRIu64 " %s on %s is noted%s", end->told.round, roundWord(end->told.word),
-               hand->boot, end->lapsedSince ? ", its hold was over" : "");
+    groundTell(ground, &end->told.name, "round %" PRIu64 " %s on %s is noted%s", end->told.round,
+               roundWord(end->told.word), hand->boot, end->lapsedSince ? ", its hold was over" : "");
     if (end->task == NULL || end->lapsedSince)
         return;
     BookJob *job = end->task->job;
@@ -167,7 +168,8 @@
     const int64_t nowMs = groundNowMs(ground);
     if (end->told.word == ROUND_DONE) {
         if (end->told.round < fate->againRound && !job->draft.lasting)
-            BROKE(&start, RULE_TWICE, "this end is noted now, round %" PRIu64 " was started after it", fate->againRound);
+            BROKE(&start, RULE_TWICE, "this end is noted now, round %" PRIu64 " was started after it",
+                  fate->againRound);
         if (fate->notedMs == 0)
             fate->notedMs = nowMs;
     }
@@ -177,7 +179,8 @@
             fate->failsNotedMs = nowMs;
             if (end->told.round < fate->beyondRound && !job->draft.lasting &&
                 bookFailsNoted(fate, fate->beyondRound) == (size_t)job->kind->rounds)
-                BROKE(&start, RULE_BUDGET, "this end is noted now, round %" PRIu64 " was started after it", fate->beyondRound);
+                BROKE(&start, RULE_BUDGET, "this end is noted now, round %" PRIu64 " was started after it",
+                      fate->beyondRound);
         }
 }
 
--- a/packages/model/src/trouble.c
+++ b/packages/model/src/trouble.c
@@ -168,9 +168,8 @@
     Day *day = trouble->day;
     Ground *ground = day->ground;
     const int64_t fromMs = ground->beganMs + trouble->atMs;
-    GroundNode *taker = day->operator->lastTakenMs > fromMs  ? day->operator->lastTaker
-                        : day->callers->lastTakenMs > fromMs ? day->callers->lastTaker
-                                                             : NULL;
+    GroundNode *taker = day->operator->lastTakenMs> fromMs
+        ? day->operator->lastTaker : day->callers->lastTakenMs> fromMs ? day->callers->lastTaker : NULL;
     if (taker == NULL) {
         if (groundNowMs(ground) < fromMs + 2000)
             simAt(ground->world, groundNowMs(ground) + 1, ackLook, trouble);
@@ -217,7 +216,8 @@
     const int64_t all = (int64_t)(ground->edgeCount + ground->sideCount);
     for (int tries = 0; tries < 10; tries++) {
         const int64_t at = diceSpan(&trouble->dice, 0, all - 1);
-        GroundNode *node = at < (int64_t)ground->edgeCount ? &ground->edges[at] : &ground->sides[at - (int64_t)ground->edgeCount];
+        GroundNode *node =
+            at < (int64_t)ground->edgeCount ? &ground->edges[at] : &ground->sides[at - (int64_t)ground->edgeCount];
         if (!node->up || node->gone || node->troubles > 0 || (node->disk && !groundSettled(ground)))
             continue;
         groundSay(ground, "%s is stopped", node->name);
@@ -237,21 +237,42 @@
         ground->anyTroubles++;
         ground->anyMs = INT64_MAX;
         switch (trouble->kind) {
-        case TROUBLE_sideKill: nodeKill(hand->side, false); break;
-        case TROUBLE_sideFreeze: nodeFreeze(hand->side, trouble->forMs); break;
-        case TROUBLE_sideCut: nodeCut(hand->side, true); break;
+        case TROUBLE_sideKill:
+            nodeKill(hand->side, false);
+            break;
+        case TROUBLE_sideFreeze:
+            nodeFreeze(hand->side, trouble->forMs);
+            break;
+        case TROUBLE_sideCut:
+            nodeCut(hand->side, true);
+            break;
         case TROUBLE_sideOff:
             handCrash(hand, true);
             nodeKill(hand->side, true);
             break;
-        case TROUBLE_handCrash: handCrash(hand, dicePercent(&trouble->dice, 30)); break;
-        case TROUBLE_handGone: handCrash(hand, true); break;
-        case TROUBLE_handSlow: handSlow(hand, diceSpan(&trouble->dice, 3, 7)); break;
-        case TROUBLE_handGrey: hand->greyPercent = diceSpan(&trouble->dice, 30, 90); break;
-        case TROUBLE_handHang: handHang(hand, true); break;
-        case TROUBLE_handLeave: handLeave(hand, ground->site->drainMs + 3000); break;
-        case TROUBLE_handSpot: handLeave(hand, ground->site->drainMs + diceSpan(&trouble->dice, 0, 500)); break;
-        default: break;
+        case TROUBLE_handCrash:
+            handCrash(hand, dicePercent(&trouble->dice, 30));
+            break;
+        case TROUBLE_handGone:
+            handCrash(hand, true);
+            break;
+        case TROUBLE_handSlow:
+            handSlow(hand, diceSpan(&trouble->dice, 3, 7));
+            break;
+        case TROUBLE_handGrey:
+            hand->greyPercent = diceSpan(&trouble->dice, 30, 90);
+            break;
+        case TROUBLE_handHang:
+            handHang(hand, true);
+            break;
+        case TROUBLE_handLeave:
+            handLeave(hand, ground->site->drainMs + 3000);
+            break;
+        case TROUBLE_handSpot:
+            handLeave(hand, ground->site->drainMs + diceSpan(&trouble->dice, 0, 500));
+            break;
+        default:
+            break;
         }
         groundSay(ground, "%s %s (%s)", troubleName(trouble->kind), hand->boot, hand->side->name);
     }
@@ -263,26 +284,40 @@
     nodeTake(trouble, node);
     if (node == NULL)
         return;
-    groundSay(ground, "%s %s%s", troubleName(trouble->kind), node->name, node == groundLeader(ground) ? ", which leads" : "");
+    groundSay(ground, "%s %s%s", troubleName(trouble->kind), node->name,
+              node == groundLeader(ground) ? ", which leads" : "");
     switch (trouble->kind) {
     case TROUBLE_coreKill:
-    case TROUBLE_gateKill: nodeKill(node, false); break;
-    case TROUBLE_corePower: nodeKill(node, true); break;
+    case TROUBLE_gateKill:
+        nodeKill(node, false);
+        break;
+    case TROUBLE_corePower:
+        nodeKill(node, true);
+        break;
     case TROUBLE_coreWipe:
         nodeKill(node, true);
         simDiskWipe(ground->world, node->machine);
         break;
     case TROUBLE_coreFreeze:
-    case TROUBLE_gateFreeze: nodeFreeze(node, trouble->forMs); break;
-    case TROUBLE_coreCut: coreCut(trouble, true); break;
+    case TROUBLE_gateFreeze:
+        nodeFreeze(node, trouble->forMs);
+        break;
+    case TROUBLE_coreCut:
+        coreCut(trouble, true);
+        break;
     case TROUBLE_coreAlone:
-    case TROUBLE_gateCut: nodeCut(node, true); break;
+    case TROUBLE_gateCut:
+        nodeCut(node, true);
+        break;
     case TROUBLE_diskSlow:
         simDiskSlow(ground->world, node->machine, diceSpan(&trouble->dice, 20, 400));
         nodeTrouble(node, 1);
         break;
-    case TROUBLE_coreReplace: replace(trouble); break;
-    default: break;
+    case TROUBLE_coreReplace:
+        replace(trouble);
+        break;
+    default:
+        break;
     }
 }
 
@@ -292,19 +327,36 @@
     const size_t kind = (size_t)diceSpan(&trouble->dice, 0, (int64_t)day->ground->site->kindCount - 1);
     groundSay(day->ground, "%s", troubleName(trouble->kind));
     switch (trouble->kind) {
-    case TROUBLE_burst: day->callers->timesMilli[kind] = diceSpan(&trouble->dice, 2000, 3000); break;
-    case TROUBLE_poison: day->callers->poisonPercent = 30; break;
-    case TROUBLE_roll: rollNext(trouble); break;
-    case TROUBLE_change: operatorChange(day->operator); break;
-    case TROUBLE_storm: operatorStorm(day->operator, (int)diceSpan(&trouble->dice, 3, 10), diceSpan(&trouble->dice, 30, 400)); break;
-    case TROUBLE_race: operatorRace(day->operator); break;
-    case TROUBLE_spoilt: operatorSpoilt(day->operator); break;
-    case TROUBLE_big: operatorBig(day->operator); break;
+    case TROUBLE_burst:
+        day->callers->timesMilli[kind] = diceSpan(&trouble->dice, 2000, 3000);
+        break;
+    case TROUBLE_poison:
+        day->callers->poisonPercent = 30;
+        break;
+    case TROUBLE_roll:
+        rollNext(trouble);
+        break;
+    case TROUBLE_change:
+        operatorChange(day->operator);
+        break;
+    case TROUBLE_storm:
+        operatorStorm(day->operator,(int) diceSpan(&trouble->dice, 3, 10), diceSpan(&trouble->dice, 30, 400));
+        break;
+    case TROUBLE_race:
+        operatorRace(day->operator);
+        break;
+    case TROUBLE_spoilt:
+        operatorSpoilt(day->operator);
+        break;
+    case TROUBLE_big:
+        operatorBig(day->operator);
+        break;
     case TROUBLE_zoneDrain:
         trouble->zone = zoneDraw(trouble);
         operatorZone(day->operator, trouble->zone, true);
         break;
-    default: break;
+    default:
+        break;
     }
 }
 
@@ -359,23 +411,36 @@
     if (--ground->anyTroubles <= 0)
         ground->anyMs = groundNowMs(ground);
     switch (trouble->kind) {
-    case TROUBLE_sideKill: nodeStart(hand->side); break;
-    case TROUBLE_sideCut: nodeCut(hand->side, false); break;
+    case TROUBLE_sideKill:
+        nodeStart(hand->side);
+        break;
+    case TROUBLE_sideCut:
+        nodeCut(hand->side, false);
+        break;
     case TROUBLE_sideOff:
         nodeStart(hand->side);
         handStart(hand);
         break;
-    case TROUBLE_handCrash: handStart(hand); break;
-    case TROUBLE_handSlow: handSlow(hand, 1); break;
-    case TROUBLE_handGrey: hand->greyPercent = 0; break;
-    case TROUBLE_handHang: handHang(hand, false); break;
+    case TROUBLE_handCrash:
+        handStart(hand);
+        break;
+    case TROUBLE_handSlow:
+        handSlow(hand, 1);
+        break;
+    case TROUBLE_handGrey:
+        hand->greyPercent = 0;
+        break;
+    case TROUBLE_handHang:
+        handHang(hand, false);
+        break;
     /* a new one takes its place now and then */
     case TROUBLE_handLeave:
     case TROUBLE_handSpot:
         if (dicePercent(&trouble->dice, 50))
             handStart(hand);
         break;
-    default: break;
+    default:
+        break;
     }
 }
 
@@ -404,7 +469,9 @@
         if (node != NULL)
             again(node);
         break;
-    case TROUBLE_coreCut: coreCut(trouble, false); break;
+    case TROUBLE_coreCut:
+        coreCut(trouble, false);
+        break;
     case TROUBLE_coreAlone:
     case TROUBLE_gateCut:
         if (node != NULL)
@@ -420,8 +487,13 @@
         for (size_t i = 0; i < ground->site->kindCount; i++)
             day->callers->timesMilli[i] = 1000;
         break;
-    case TROUBLE_poison: day->callers->poisonPercent = 0; break;
-    case TROUBLE_zoneDrain: operatorZone(day->operator, trouble->zone, false); break;
-    default: break;
+    case TROUBLE_poison:
+        day->callers->poisonPercent = 0;
+        break;
+    case TROUBLE_zoneDrain:
+        operatorZone(day->operator, trouble->zone, false);
+        break;
+    default:
+        break;
     }
 }
--- a/packages/plan/include/plan/plan.h
+++ b/packages/plan/include/plan/plan.h
@@ -49,7 +49,10 @@
     Room *pushable;
 } PlanInput;
 
-#define LOSS_LIST(X) X(WORKER, "worker") X(ZONE, "zone") X(RACK, "rack")
+#define LOSS_LIST(X)    \
+    X(WORKER, "worker") \
+    X(ZONE, "zone")     \
+    X(RACK, "rack")
 typedef enum Loss {
 #define X(name, word) LOSS_##name,
     LOSS_LIST(X)
--- a/packages/plan/src/cheap.c
+++ b/packages/plan/src/cheap.c
@@ -18,8 +18,8 @@
 #include "plan/plan.h"
 
 typedef struct Group {
-    bool *any;  /* workers that suit some class */
-    bool *all;  /* workers that suit every class */
+    bool *any; /* workers that suit some class */
+    bool *all; /* workers that suit every class */
     Room biggest;
     uint64_t *lost; /* tasks of the group on each worker */
 } Group;
--- a/packages/plan/tool/bench.c
+++ b/packages/plan/tool/bench.c
@@ -18,12 +18,21 @@
 static double look(size_t workers, size_t tasks, uint64_t r, int rounds)
 {
     void *mem = talloc_new(NULL);
-    PlanInput input = {talloc_zero_array(mem, PlanWorker, (unsigned)workers), workers,
-                       talloc_zero_array(mem, PlanTask, (unsigned)tasks), tasks, r, false, false, 0, NULL};
+    PlanInput input = {talloc_zero_array(mem, PlanWorker, (unsigned)workers),
+                       workers,
+                       talloc_zero_array(mem, PlanTask, (unsigned)tasks),
+                       tasks,
+                       r,
+                       false,
+                       false,
+                       0,
+                       NULL};
     for (size_t i = 0; i < workers; i++)
-        input.workers[i] = (PlanWorker){.name = "w", .zone = "z", .kind = "std", .room = {64000, 131072, 0}, .free = {64000, 131072, 0}};
+        input.workers[i] = (PlanWorker){
+            .name = "w", .zone = "z", .kind = "std", .room = {64000, 131072, 0}, .free = {64000, 131072, 0}};
     for (size_t i = 0; i < tasks; i++) {
-        input.tasks[i] = (PlanTask){{{500 + 500 * (i % 4), 512 + 512 * (i % 3), 0}, "", NULL, 0}, i % workers, PLAN_NO_CELL};
+        input.tasks[i] =
+            (PlanTask){{{500 + 500 * (i % 4), 512 + 512 * (i % 3), 0}, "", NULL, 0}, i % workers, PLAN_NO_CELL};
         PlanWorker *worker = &input.workers[i % workers];
         worker->free = roomLess(worker->free, input.tasks[i].need.room);
     }
@@ -32,7 +41,8 @@
     for (int i = 0; i < rounds; i++)
         possible &= planAlwaysPossible(&input, NULL);
     const double each = (seconds() - start) / rounds;
-    printf("%4zu workers %5zu tasks r=%d: %8.3f ms, plan %s\n", workers, tasks, (int)r, each * 1000, possible ? "holds" : "fails");
+    printf("%4zu workers %5zu tasks r=%d: %8.3f ms, plan %s\n", workers, tasks, (int)r, each * 1000,
+           possible ? "holds" : "fails");
     talloc_free(mem);
     return each;
 }
--- a/packages/policy/include/policy/policy.h
+++ b/packages/policy/include/policy/policy.h
@@ -8,7 +8,7 @@
     const Job *job;
     const StepSpec *step;
     int64_t queuePriority;
-    int64_t waitedMs;  /* since it could have started */
+    int64_t waitedMs;    /* since it could have started */
     uint64_t cellUsed;   /* thousandths of the fleet that its cell uses */
     uint64_t cellShare;  /* thousandths that are its cell's due */
     uint64_t tenantUsed; /* thousandths of the fleet that its tenant uses */
--- a/packages/policy/src/lua.c
+++ b/packages/policy/src/lua.c
@@ -59,9 +59,9 @@
  * its like ask for much memory, which is bounded. */
 static void bare(lua_State *lua)
 {
-    static const char *const GONE[] = {"dofile", "loadfile",       "load",  "require", "print", "collectgarbage",
-                                       "pcall",  "xpcall",         "error", "warn",    "getmetatable", "setmetatable",
-                                       "rawset", "coroutine"};
+    static const char *const GONE[] = {"dofile",         "loadfile",     "load",   "require",  "print",
+                                       "collectgarbage", "pcall",        "xpcall", "error",    "warn",
+                                       "getmetatable",   "setmetatable", "rawset", "coroutine"};
     luaL_requiref(lua, LUA_GNAME, luaopen_base, 1);
     luaL_requiref(lua, LUA_MATHLIBNAME, luaopen_math, 1);
     luaL_requiref(lua, LUA_STRLIBNAME, luaopen_string, 1);
@@ -193,7 +193,8 @@
 static bool tryOut(LuaPolicy *policy)
 {
     const StepSpec step = {.name = "step", .kind = "std", .room = {1000, 1024}};
-    Job job = {.spec = {.id = "id", .cell = "cell", .tenant = "tenant", .queue = "queue"}, .number = 1, .tasksCount = 1};
+    Job job = {
+        .spec = {.id = "id", .cell = "cell", .tenant = "tenant", .queue = "queue"}, .number = 1, .tasksCount = 1};
     const PolicySight sight = {.job = &job, .step = &step, .waitedMs = 1000, .cellShare = 1000};
     LuaCall rank = {.name = "rank", .task = &sight};
     if (!callOnce(policy, &rank))
--- a/packages/policy/test/policy.c
+++ b/packages/policy/test/policy.c
@@ -51,7 +51,8 @@
 
 static PolicySight sight(Job *job, const StepSpec *step, int64_t waitedMs)
 {
-    *job = (Job){.spec = {.id = "i", .cell = "c", .tenant = "t", .queue = "masks", .priority = 3}, .number = 9, .tasksCount = 1};
+    *job = (Job){
+        .spec = {.id = "i", .cell = "c", .tenant = "t", .queue = "masks", .priority = 3}, .number = 9, .tasksCount = 1};
     return (PolicySight){.job = job, .step = step, .queuePriority = 2, .waitedMs = waitedMs, .cellShare = 500};
 }
 
@@ -63,11 +64,12 @@
     Failure failure = {0};
     const StepSpec step = {.name = "s", .kind = "", .room = {500, 64}};
     Job job;
-    assert_int_equal(luaPolicyNew(mem, "p",
-                                  "function rank(t) return t.priority + t.queue_priority + t.waited_ms / 1000 - t.cpu end\n"
-                                  "function may_push(a, b) return a.queue == 'masks' and b.cpu > a.cpu end",
-                                  &lua, &failure),
-                     STATUS_OK);
+    assert_int_equal(
+        luaPolicyNew(mem, "p",
+                     "function rank(t) return t.priority + t.queue_priority + t.waited_ms / 1000 - t.cpu end\n"
+                     "function may_push(a, b) return a.queue == 'masks' and b.cpu > a.cpu end",
+                     &lua, &failure),
+        STATUS_OK);
     const Policy *policy = luaPolicy(lua);
     const PolicySight one = sight(&job, &step, 4000);
     assert_true(policy->rank(policy->arg, &one) == 8.5);
--- a/packages/props/include/props/props.h
+++ b/packages/props/include/props/props.h
@@ -11,9 +11,9 @@
     const char *listen; /* address for peers */
     const char *http;   /* address for callers */
     const char *seeds[SEEDS];
-    const char *data; /* cores: the folder of the journal */
+    const char *data;   /* cores: the folder of the journal */
     const char *worker; /* agents: the worker it is beside; the name when not given */
-    Bounds bounds; /* whoever fills in a Props begins with boundsFirst */
+    Bounds bounds;      /* whoever fills in a Props begins with boundsFirst */
 } Props;
 
 /* Which keys a role must have; others are refused. */
--- a/packages/props/src/bounds.c
+++ b/packages/props/src/bounds.c
@@ -13,12 +13,12 @@
 
 int boundsSet(Bounds *bounds, const char *name, int64_t value)
 {
-#define X(bound, otherwise, least, most, meaning)       \
-    if (strcmp(name, #bound) == 0) {                    \
-        if (value < (least) || value > (most))          \
-            return -2;                                  \
-        bounds->bound = value;                          \
-        return 0;                                       \
+#define X(bound, otherwise, least, most, meaning) \
+    if (strcmp(name, #bound) == 0) {              \
+        if (value < (least) || value > (most))    \
+            return -2;                            \
+        bounds->bound = value;                    \
+        return 0;                                 \
     }
     BOUND_LIST(X)
 #undef X
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -6,12 +6,12 @@
 #include "queue/aim.h"
 
 /* Why a task waits, for those who ask. */
-#define WAIT_LIST(X)                                        \
-    X(READY, "room")       /* it could start: only room is missing */ \
-    X(STEPS, "steps")      /* earlier steps are not done */   \
-    X(DUE, "due-time")     /* its due time has not come */    \
-    X(REST, "rest")        /* it failed and rests */          \
-    X(GANG, "gang")        /* other members are still being stopped */
+#define WAIT_LIST(X)                                              \
+    X(READY, "room")   /* it could start: only room is missing */ \
+    X(STEPS, "steps")  /* earlier steps are not done */           \
+    X(DUE, "due-time") /* its due time has not come */            \
+    X(REST, "rest")    /* it failed and rests */                  \
+    X(GANG, "gang")    /* other members are still being stopped */
 typedef enum WaitReason {
 #define X(name, word) WAIT_##name,
     WAIT_LIST(X)
--- a/packages/queue/src/aim.c
+++ b/packages/queue/src/aim.c
@@ -16,7 +16,8 @@
 {
     uint64_t waves = 1;
     const uint64_t part[] = {quarter.cpuMilli, quarter.memMb, quarter.gpu};
-    const uint64_t all[] = {step->room.cpuMilli * step->count, step->room.memMb * step->count, step->room.gpu * step->count};
+    const uint64_t all[] = {step->room.cpuMilli * step->count, step->room.memMb * step->count,
+                            step->room.gpu * step->count};
     for (size_t i = 0; i < 3; i++)
         if (part[i] > 0 && (all[i] + part[i] - 1) / part[i] > waves)
             waves = (all[i] + part[i] - 1) / part[i];
--- a/packages/queue/src/guess.c
+++ b/packages/queue/src/guess.c
@@ -18,17 +18,17 @@
 
 /* Of a worker: time taken there to time guessed by us. */
 typedef struct Speed {
-    Ratios ends; /* of work done whole */
-    uint64_t fresh[GUESS_FRESH_KEPT]; /* the newest, also of work under way ... */
+    Ratios ends;                       /* of work done whole */
+    uint64_t fresh[GUESS_FRESH_KEPT];  /* the newest, also of work under way ... */
     int64_t freshMs[GUESS_FRESH_KEPT]; /* ... and when each was taken */
     uint64_t freshCount;
 } Speed;
 
 struct Guesses {
-    Map *steps;   /* "cell/queue/step" to Ratios: time taken to time guessed by the caller */
-    Map *plain;   /* the same key to Ratios: milliseconds, for steps whose caller guessed nothing */
-    uint64_t stamp; /* grows when a median has moved by a twentieth or more */
-    Map *workers; /* names to Speed */
+    Map *steps;                /* "cell/queue/step" to Ratios: time taken to time guessed by the caller */
+    Map *plain;                /* the same key to Ratios: milliseconds, for steps whose caller guessed nothing */
+    uint64_t stamp;            /* grows when a median has moved by a twentieth or more */
+    Map *workers;              /* names to Speed */
     uint64_t pool[GUESS_POOL]; /* the newest of all workers together */
     uint64_t poolCount, poolMedian;
 };
@@ -133,7 +133,9 @@
         if (nowMs - speed->freshMs[i] <= GUESS_FRESH_MS)
             fresh[count++] = speed->fresh[i];
     const uint64_t ends = speed->ends.count >= GUESS_LEAST ? speed->ends.median : 1000;
-    const uint64_t lasting = ends < GUESS_SPEED_LEAST ? GUESS_SPEED_LEAST : ends > GUESS_SPEED_MOST ? GUESS_SPEED_MOST : ends;
+    const uint64_t lasting = ends < GUESS_SPEED_LEAST  ? GUESS_SPEED_LEAST
+                             : ends > GUESS_SPEED_MOST ? GUESS_SPEED_MOST
+                                                       : ends;
     if (count < GUESS_FRESH_LEAST)
         return lasting;
     qsort(fresh, count, sizeof(*fresh), order);
@@ -156,8 +158,8 @@
     guesses->poolMedian = sorted[count / 2];
 }
 
-void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs, uint64_t farPercent,
-                int64_t nowMs)
+void guessesEnd(Guesses *guesses, const Job *job, uint64_t step, const char *worker, int64_t tookMs,
+                uint64_t farPercent, int64_t nowMs)
 {
     if (tookMs <= 0 || farPercent == 0)
         return;
--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -7,7 +7,7 @@
  * what the line has placed since. */
 typedef struct Account {
     const char *cell, *tenant; /* tenant is null for a cell's */
-    uint64_t number; /* in the order in which they became known */
+    uint64_t number;           /* in the order in which they became known */
     Room used;
     uint64_t line;
 } Account;
@@ -20,9 +20,9 @@
     const ConfigCell *cell;
     const ConfigQueue *queue;
     Account *cellAccount, *tenantAccount;
-    Aim aim;          /* from the first turn's due time */
-    uint64_t learnt;  /* of the guesses, when the aim was found ... */
-    Room quarter;     /* ... for this part of the fleet */
+    Aim aim;         /* from the first turn's due time */
+    uint64_t learnt; /* of the guesses, when the aim was found ... */
+    Room quarter;    /* ... for this part of the fleet */
 } Note;
 
 Note *noteOf(Queue *queue, const QueueSight *sight, const Job *job);
--- a/packages/queue/src/line.c
+++ b/packages/queue/src/line.c
@@ -357,7 +357,8 @@
         Place *place = runNext(line, &line->runs[i]);
         if (place == NULL)
             continue;
-        const uint64_t turn = line->runCount == 1 ? 0 : turnOf(line, place->note->cellAccount, &place->candidate) / line->runs[i].share;
+        const uint64_t turn =
+            line->runCount == 1 ? 0 : turnOf(line, place->note->cellAccount, &place->candidate) / line->runs[i].share;
         if (line->tried == NULL || turn < bestTurn) {
             line->tried = place;
             bestTurn = turn;
--- a/packages/queue/test/aims.c
+++ b/packages/queue/test/aims.c
@@ -13,7 +13,8 @@
 
 static StepSpec step(const char *name, uint64_t count, uint64_t estMs)
 {
-    return (StepSpec){.name = name, .count = count, .room = {CPU, 64, 0}, .kind = "", .payload = "", .near = "", .estMs = estMs};
+    return (StepSpec){
+        .name = name, .count = count, .room = {CPU, 64, 0}, .kind = "", .payload = "", .near = "", .estMs = estMs};
 }
 
 static JobTerms aims(uint64_t stretchMilli, int64_t targetMs, int64_t priority)
@@ -266,10 +267,10 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(soonestFirst), cmocka_unit_test(lateBehind), cmocka_unit_test(urgentFirst),
-        cmocka_unit_test(turnsDue),     cmocka_unit_test(chains),     cmocka_unit_test(waves),
-        cmocka_unit_test(learnt),       cmocka_unit_test(oldestOfTheLost),
-        cmocka_unit_test(sharesAndTurns), cmocka_unit_test(stuckIsPassedBy), cmocka_unit_test(gangsAreOne),
+        cmocka_unit_test(soonestFirst),    cmocka_unit_test(lateBehind),      cmocka_unit_test(urgentFirst),
+        cmocka_unit_test(turnsDue),        cmocka_unit_test(chains),          cmocka_unit_test(waves),
+        cmocka_unit_test(learnt),          cmocka_unit_test(oldestOfTheLost), cmocka_unit_test(sharesAndTurns),
+        cmocka_unit_test(stuckIsPassedBy), cmocka_unit_test(gangsAreOne),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -6,23 +6,23 @@
 
 /* The brief's nevers as invariants. A checker is told what really happens (what
  * workers run, what callers were told, who plans) and says which never broke. */
-#define NEVER_LIST(X)                                                      \
-    X(TWO_LEADERS, "two leaders planning at once")                           \
-    X(TWICE, "one task running twice at once")                               \
-    X(AFTER_FINISH, "a task starting after it finished well")                \
-    X(FORGOTTEN, "an accepted job forgotten or unknown")                     \
-    X(REFUSED_RAN, "a refused job running")                                  \
-    X(TOO_EARLY, "a task starting before its steps or its due time")         \
-    X(OVERPACKED, "a worker packed beyond its room or given what it lacks")  \
-    X(CANCELLED_RAN, "a task starting long after its job was cancelled")     \
-    X(STOPPED_RAN, "a task running on after its hold lapsed")                \
-    X(LEAVING_GIVEN, "a leaving worker or emptied zone given new work")      \
-    X(GANG_SPLIT, "members of a gang left waiting alone")                    \
-    X(CONFIG_LOST, "an acknowledged configuration ignored, lost or rolled back") \
+#define NEVER_LIST(X)                                                                        \
+    X(TWO_LEADERS, "two leaders planning at once")                                           \
+    X(TWICE, "one task running twice at once")                                               \
+    X(AFTER_FINISH, "a task starting after it finished well")                                \
+    X(FORGOTTEN, "an accepted job forgotten or unknown")                                     \
+    X(REFUSED_RAN, "a refused job running")                                                  \
+    X(TOO_EARLY, "a task starting before its steps or its due time")                         \
+    X(OVERPACKED, "a worker packed beyond its room or given what it lacks")                  \
+    X(CANCELLED_RAN, "a task starting long after its job was cancelled")                     \
+    X(STOPPED_RAN, "a task running on after its hold lapsed")                                \
+    X(LEAVING_GIVEN, "a leaving worker or emptied zone given new work")                      \
+    X(GANG_SPLIT, "members of a gang left waiting alone")                                    \
+    X(CONFIG_LOST, "an acknowledged configuration ignored, lost or rolled back")             \
     X(EARLY_RESTART, "a restart before the lost worker's claim lapsed, or a claim too long") \
-    X(REFUSED_CONFIG, "a refused configuration taking effect")               \
-    X(OVER_QUOTA, "more of a tenant running than its quota")                 \
-    X(STRANGE_SAVED, "a round going on from what another task has saved")    \
+    X(REFUSED_CONFIG, "a refused configuration taking effect")                               \
+    X(OVER_QUOTA, "more of a tenant running than its quota")                                 \
+    X(STRANGE_SAVED, "a round going on from what another task has saved")                    \
     X(NOT_SERVING, "not serving again within 12 s")
 
 typedef enum Never {
@@ -35,7 +35,10 @@
 const char *neverWords(Never never);
 
 /* What an entry point serves, and the fleet. */
-#define SERVE_LIST(X) X(ACCEPT, "an acceptance") X(STATUS, "a status read") X(START, "a start")
+#define SERVE_LIST(X)          \
+    X(ACCEPT, "an acceptance") \
+    X(STATUS, "a status read") \
+    X(START, "a start")
 typedef enum Serve {
 #define X(name, word) SERVE_##name,
     SERVE_LIST(X)
@@ -76,7 +79,8 @@
 void checkerStarted(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, Room room);
 /* The round that is about to start goes on from what was saved: the stand-ins word it
  * "TASK@MS of JOB". */
-void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved);
+void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round,
+                    const char *saved);
 void checkerEnded(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word);
 void checkerKnown(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, RoundWord word);
 /* The worker's process is gone: nothing runs there any more. */
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -20,10 +20,10 @@
 
 /* Where a fleet stands, when it is not the product's usual three zones. */
 typedef struct FleetSite {
-    int zones;       /* 2 to 4; node N of a role stands in zone N modulo this */
-    int losses;      /* disk machines that may be lost at once */
-    int gateSeeds;   /* so many of the three seeds are gates, the others cores */
-    bool votes;      /* founded by the seeds' votes; a process started again founds nothing */
+    int zones;     /* 2 to 4; node N of a role stands in zone N modulo this */
+    int losses;    /* disk machines that may be lost at once */
+    int gateSeeds; /* so many of the three seeds are gates, the others cores */
+    bool votes;    /* founded by the seeds' votes; a process started again founds nothing */
     bool disksKeep;
     int64_t seatBackMs;
     int64_t staggerMs; /* processes start at moments drawn from so long a span */
--- a/packages/sim/include/sim/sweep.h
+++ b/packages/sim/include/sim/sweep.h
@@ -8,7 +8,11 @@
 /* Where the fleet of a run stands. PLAIN: the product's three cores in three zones.
  * Others: founded by votes on disks that keep what they synced; two spares more for
  * each core that may be lost. */
-#define SWEEP_SITE_LIST(X) X(PLAIN, "plain") X(THREE, "three") X(SIX, "six") X(EIGHT, "eight")
+#define SWEEP_SITE_LIST(X) \
+    X(PLAIN, "plain")      \
+    X(THREE, "three")      \
+    X(SIX, "six")          \
+    X(EIGHT, "eight")
 typedef enum SweepSite {
 #define X(name, word) SWEEP_##name,
     SWEEP_SITE_LIST(X)
@@ -24,8 +28,8 @@
     uint64_t seed;
     Mix mix;
     SweepSite site;
-    bool loud;                       /* failures are printed as they are drawn */
-    bool skipped[SWEEP_STEPS_MAX];   /* drawn but not brought about: to shorten a failing run */
+    bool loud;                     /* failures are printed as they are drawn */
+    bool skipped[SWEEP_STEPS_MAX]; /* drawn but not brought about: to shorten a failing run */
 } SweepProps;
 
 typedef struct SweepResult {
--- a/packages/sim/src/checkclaim.c
+++ b/packages/sim/src/checkclaim.c
@@ -69,8 +69,8 @@
         const int64_t untilMs = claim->untilMs != 0 ? claim->untilMs : seenWorker(checker, claim->worker)->claimUntilMs;
         if (nowMs < untilMs && !copies)
             checkerBroke(checker, NEVER_EARLY_RESTART,
-                         "%s task %" PRIu64 " round %" PRIu64 " on %s, %" PRId64 " ms before %s's claim of round %" PRIu64
-                         " lapses",
+                         "%s task %" PRIu64 " round %" PRIu64 " on %s, %" PRId64
+                         " ms before %s's claim of round %" PRIu64 " lapses",
                          job->id, number, round, worker, untilMs - nowMs, claim->worker, claim->round);
         *at = claim->next;
         talloc_free(claim);
--- a/packages/sim/src/checkconfig.c
+++ b/packages/sim/src/checkconfig.c
@@ -10,7 +10,7 @@
 {
     if (revision <= checker->revision)
         checkerBroke(checker, NEVER_CONFIG_LOST, "revision %" PRIu64 " was given again after %" PRIu64, revision,
-              checker->revision);
+                     checker->revision);
     checker->revision = revision;
 }
 
@@ -18,7 +18,7 @@
 {
     if (revision < checker->revision)
         checkerBroke(checker, NEVER_CONFIG_LOST, "revision %" PRIu64 " is in force after %" PRIu64 " was acknowledged",
-              revision, checker->revision);
+                     revision, checker->revision);
 }
 
 void checkerConfigBoth(Checker *checker, uint64_t base)
@@ -64,8 +64,9 @@
     if (taken && !tenant->everIn)
         checkerBroke(checker, NEVER_REFUSED_CONFIG, "work of tenant %s is taken, which only a refused one had", name);
     else
-        checkerBroke(checker, NEVER_CONFIG_LOST, "work of tenant %s is %s, %" PRId64 " ms after the other was acknowledged",
-                     name, taken ? "taken" : "refused", checkerNow(checker) - tenant->sinceMs);
+        checkerBroke(checker, NEVER_CONFIG_LOST,
+                     "work of tenant %s is %s, %" PRId64 " ms after the other was acknowledged", name,
+                     taken ? "taken" : "refused", checkerNow(checker) - tenant->sinceMs);
 }
 
 static uint64_t looserOf(uint64_t a, uint64_t b)
@@ -81,8 +82,8 @@
         return;
     }
     if (word == TENANT_ASKED || tenant->quotaMs != 0)
-        tenant->looser = (Room){looserOf(tenant->looser.cpuMilli, quota.cpuMilli), looserOf(tenant->looser.memMb, quota.memMb),
-                                looserOf(tenant->looser.gpu, quota.gpu)};
+        tenant->looser = (Room){looserOf(tenant->looser.cpuMilli, quota.cpuMilli),
+                                looserOf(tenant->looser.memMb, quota.memMb), looserOf(tenant->looser.gpu, quota.gpu)};
     else
         tenant->looser = quota;
     tenant->quotaUnsure = word == TENANT_ASKED;
@@ -109,7 +110,8 @@
         const char **tasks;
         const size_t taskCount = mapKeys(job->tasks, mem, &tasks);
         for (size_t t = 0; t < taskCount; t++)
-            for (const SeenRun *run = ((const SeenTask *)mapGet(job->tasks, tasks[t]))->runs; run != NULL; run = run->next)
+            for (const SeenRun *run = ((const SeenTask *)mapGet(job->tasks, tasks[t]))->runs; run != NULL;
+                 run = run->next)
                 if (!checker->props.frozen(checker->props.arg, run->worker)) {
                     used = roomMore(used, run->room);
                     break;
@@ -131,6 +133,6 @@
         return;
     const Room used = roomMore(usedBy(checker, job->spec.cell, job->spec.tenant), room);
     if ((bound.cpuMilli != 0 && used.cpuMilli > bound.cpuMilli) || (bound.memMb != 0 && used.memMb > bound.memMb))
-        checkerBroke(checker, NEVER_OVER_QUOTA, "%s runs %" PRIu64 " milli-CPU and %" PRIu64 " MB with %s", job->spec.tenant,
-                     used.cpuMilli, used.memMb, job->spec.id);
+        checkerBroke(checker, NEVER_OVER_QUOTA, "%s runs %" PRIu64 " milli-CPU and %" PRIu64 " MB with %s",
+                     job->spec.tenant, used.cpuMilli, used.memMb, job->spec.id);
 }
