--- a/packages/sim/src/checker.c
+++ b/packages/sim/src/checker.c
@@ -45,7 +45,8 @@
     va_start(args, format);
     char *detail = talloc_vasprintf(checker, format, args);
     va_end(args);
-    checker->first = talloc_asprintf(checker, "at %" PRId64 " ms: %s: %s", checkerNow(checker), neverWords(never), detail);
+    checker->first =
+        talloc_asprintf(checker, "at %" PRId64 " ms: %s: %s", checkerNow(checker), neverWords(never), detail);
 }
 
 size_t checkerBroken(const Checker *checker, Never never)
@@ -123,7 +124,7 @@
     const bool lower = epoch < checker->planEpoch && (holder != NULL || !checker->planGone);
     if (lower || (holder != NULL && strcmp(holder, leader) != 0)) {
         checkerBroke(checker, NEVER_TWO_LEADERS, "%s under %" PRIu64 " after %s under %" PRIu64, leader, epoch,
-              checker->planLeader, checker->planEpoch);
+                     checker->planLeader, checker->planEpoch);
         return;
     }
     if (holder == NULL)
@@ -258,8 +259,8 @@
 {
     (void)task;
     if (run->besideFrozen)
-        checkerBroke(checker, NEVER_TWICE, "%s runs on in round %" PRIu64 " on %s, which had stood still", job->id, run->round,
-              run->worker);
+        checkerBroke(checker, NEVER_TWICE, "%s runs on in round %" PRIu64 " on %s, which had stood still", job->id,
+                     run->round, run->worker);
 }
 
 void checkerWorkerWoke(Checker *checker, const char *worker)
--- a/packages/sim/src/checker.h
+++ b/packages/sim/src/checker.h
@@ -6,17 +6,19 @@
 #include "sim/checker.h"
 
 /* Each bound with its reason; "about" in the brief is read as given here. */
-#define CANCEL_LATE_MS 3000   /* ms; "more than about 3 seconds after its job was cancelled" */
-#define LEAVING_LATE_MS 2000  /* ms; "more than about 2 seconds after it said so" */
-#define ZONE_LATE_MS 5000     /* ms; "more than about 5 seconds after we asked" */
-#define CONFIG_LATE_MS 2000   /* ms; "ignored after about 2 seconds" */
-#define UNKNOWN_LATE_MS 3000  /* ms; "unknown when asked about 3 seconds after acceptance" */
-#define SERVE_LATE_MS 12000   /* ms; "serving again within about 12 seconds" */
-#define CLAIM_MOST_MS 4000    /* ms; a claim is "a few seconds at most": an agent's hold and the way there */
-#define TOLD_LATE_MS 500      /* ms; a worker that was told to stop has stopped: it is told again with each answer */
-#define STOP_LATE_MS 4000     /* ms; a cancel reaches every worker at once, or its hold of 3 s lapses */
-#define GANG_LATE_MS 6000     /* ms; a member's order expires (2 s) or its hold lapses (3 s); then the others are stopped */
-#define WALL_SLACK_MS 250     /* ms; seats' honest clocks differ by up to 100 ms each way */
+#define CANCEL_LATE_MS 3000  /* ms; "more than about 3 seconds after its job was cancelled" */
+#define LEAVING_LATE_MS 2000 /* ms; "more than about 2 seconds after it said so" */
+#define ZONE_LATE_MS 5000    /* ms; "more than about 5 seconds after we asked" */
+#define CONFIG_LATE_MS 2000  /* ms; "ignored after about 2 seconds" */
+#define UNKNOWN_LATE_MS 3000 /* ms; "unknown when asked about 3 seconds after acceptance" */
+#define SERVE_LATE_MS 12000  /* ms; "serving again within about 12 seconds" */
+#define CLAIM_MOST_MS 4000   /* ms; a claim is "a few seconds at most": an agent's hold and the way there */
+#define TOLD_LATE_MS 500     /* ms; a worker that was told to stop has stopped: it is told again with each answer */
+#define STOP_LATE_MS 4000    /* ms; a cancel reaches every worker at once, or its hold of 3 s lapses */
+#define GANG_LATE_MS                                                                                                  \
+    6000                  /* ms; a member's order expires (2 s) or its hold lapses (3 s); then the others are stopped \
+                           */
+#define WALL_SLACK_MS 250 /* ms; seats' honest clocks differ by up to 100 ms each way */
 
 /* Invariant: a run is in the list from its start until its end, its worker's
  * stop, or the end of its worker's process. */
@@ -41,7 +43,7 @@
 typedef struct SeenTask {
     SeenRun *runs; /* that run now */
     SeenClaim *claims;
-    bool done;     /* a worker finished it well */
+    bool done; /* a worker finished it well */
     bool doneKnown;
     int64_t startedMs;
 } SeenTask;
@@ -50,9 +52,9 @@
     const char *id;
     bool accepted, refused, ended;
     bool copies, lasting; /* as its spec said when it was last seen */
-    bool settled; /* shown as ended and nothing of it runs: there is nothing to look for */
-    int64_t sentMs;      /* first; 0: not told */
-    int64_t cancelledMs; /* 0: not */
+    bool settled;         /* shown as ended and nothing of it runs: there is nothing to look for */
+    int64_t sentMs;       /* first; 0: not told */
+    int64_t cancelledMs;  /* 0: not */
     Map *tasks;
 } SeenJob;
 
--- a/packages/sim/src/checklook.c
+++ b/packages/sim/src/checklook.c
@@ -31,11 +31,11 @@
             if (checker->props.frozen(checker->props.arg, run->worker))
                 continue;
             if (job->cancelledMs != 0 && checkerDebtMs(checker, job->cancelledMs) > STOP_LATE_MS)
-                checkerBroke(checker, NEVER_STOPPED_RAN, "%s task %s on %s %" PRId64 " ms after it was cancelled", job->id,
-                             tasks[t], run->worker, nowMs - job->cancelledMs);
+                checkerBroke(checker, NEVER_STOPPED_RAN, "%s task %s on %s %" PRId64 " ms after it was cancelled",
+                             job->id, tasks[t], run->worker, nowMs - job->cancelledMs);
             if (run->toldMs != 0 && nowMs - run->toldMs > TOLD_LATE_MS)
-                checkerBroke(checker, NEVER_STOPPED_RAN, "%s task %s on %s %" PRId64 " ms after the worker was told", job->id,
-                             tasks[t], run->worker, nowMs - run->toldMs);
+                checkerBroke(checker, NEVER_STOPPED_RAN, "%s task %s on %s %" PRId64 " ms after the worker was told",
+                             job->id, tasks[t], run->worker, nowMs - run->toldMs);
         }
     }
     talloc_free(mem);
--- a/packages/sim/src/checkserve.c
+++ b/packages/sim/src/checkserve.c
@@ -38,8 +38,8 @@
     if (tookMs > checker->worstMs[serve])
         checker->worstMs[serve] = tookMs;
     if (servedMs == 0 || tookMs > SERVE_LATE_MS)
-        checkerBroke(checker, NEVER_NOT_SERVING, "%s: %s %s %" PRId64 " ms after the last failure", where, serveWord(serve),
-                     servedMs == 0 ? "not yet," : "first", tookMs);
+        checkerBroke(checker, NEVER_NOT_SERVING, "%s: %s %s %" PRId64 " ms after the last failure", where,
+                     serveWord(serve), servedMs == 0 ? "not yet," : "first", tookMs);
 }
 
 void checkerMustServe(Checker *checker, const char *name)
--- a/packages/sim/src/checkstart.c
+++ b/packages/sim/src/checkstart.c
@@ -18,16 +18,17 @@
         for (size_t t = 0; t < job->tasksCount; t++)
             if (strcmp(job->spec.steps[job->tasks[t].step].name, step->after[a]) == 0 &&
                 job->tasks[t].turn == job->tasks[at].turn && !seenDone(job, seen, t))
-                checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " before task %zu of step %s", seen->id, task, t,
-                      step->after[a]);
+                checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " before task %zu of step %s", seen->id, task,
+                             t, step->after[a]);
     if (job->spec.delayMs > 0 && seen->sentMs != 0 && checkerNow(checker) < seen->sentMs + job->spec.delayMs)
-        checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " %" PRId64 " ms after it was first sent, of a delay of %" PRId64,
-                     seen->id, task, checkerNow(checker) - seen->sentMs, job->spec.delayMs);
+        checkerBroke(checker, NEVER_TOO_EARLY,
+                     "%s task %" PRIu64 " %" PRId64 " ms after it was first sent, of a delay of %" PRId64, seen->id,
+                     task, checkerNow(checker) - seen->sentMs, job->spec.delayMs);
     const int64_t wallMs = checker->props.wallMs != NULL ? checker->props.wallMs(checker->props.arg) : INT64_MAX;
     const int64_t turnMs = taskDueWallMs(job, &job->tasks[at]);
     if (turnMs != 0 && wallMs < turnMs - WALL_SLACK_MS)
-        checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " %" PRId64 " ms before its turn is due", seen->id, task,
-                     turnMs - wallMs);
+        checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " %" PRId64 " ms before its turn is due", seen->id,
+                     task, turnMs - wallMs);
     if (job->spec.dueWallMs != 0 && wallMs < job->spec.dueWallMs - WALL_SLACK_MS)
         checkerBroke(checker, NEVER_TOO_EARLY, "%s task %" PRIu64 " %" PRId64 " ms before its due time", seen->id, task,
                      job->spec.dueWallMs - wallMs);
@@ -41,16 +42,18 @@
         able &= has;
     }
     if (!able)
-        checkerBroke(checker, NEVER_OVERPACKED, "%s task %" PRIu64 " on %s of kind %s", seen->id, task, worker, on->kind);
+        checkerBroke(checker, NEVER_OVERPACKED, "%s task %" PRIu64 " on %s of kind %s", seen->id, task, worker,
+                     on->kind);
 }
 
-void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round, const char *saved)
+void checkerResumed(Checker *checker, const char *worker, const char *job, uint64_t task, uint64_t round,
+                    const char *saved)
 {
     checker->resumes++;
     const char *of = strstr(saved, " of ");
     if (strtoull(saved, NULL, 10) != task || of == NULL || strcmp(of + 4, job) != 0)
-        checkerBroke(checker, NEVER_STRANGE_SAVED, "%s task %" PRIu64 " round %" PRIu64 " on %s goes on from %s", job, task,
-                     round, worker, saved);
+        checkerBroke(checker, NEVER_STRANGE_SAVED, "%s task %" PRIu64 " round %" PRIu64 " on %s goes on from %s", job,
+                     task, round, worker, saved);
 }
 
 void checkerStarted(Checker *checker, const char *worker, const char *id, uint64_t task, uint64_t round, Room room)
@@ -71,19 +74,21 @@
         if (checker->props.frozen(checker->props.arg, run->worker))
             run->besideFrozen = true; /* it must be over once its machine runs again */
         else if (!copies)
-            checkerBroke(checker, NEVER_TWICE, "%s task %" PRIu64 " round %" PRIu64 " on %s while round %" PRIu64 " on %s", id,
-                  task, round, worker, run->round, run->worker);
+            checkerBroke(checker, NEVER_TWICE,
+                         "%s task %" PRIu64 " round %" PRIu64 " on %s while round %" PRIu64 " on %s", id, task, round,
+                         worker, run->round, run->worker);
     }
     const size_t at = known != NULL ? taskIndex(known, task) : 0;
     const bool finished =
         !job->lasting && (known == NULL || at == known->tasksCount ? seen->doneKnown : seenDoneKnown(known, job, at));
     if (finished || job->ended)
-        checkerBroke(checker, NEVER_AFTER_FINISH, "%s task %" PRIu64 " round %" PRIu64 " on %s", id, task, round, worker);
+        checkerBroke(checker, NEVER_AFTER_FINISH, "%s task %" PRIu64 " round %" PRIu64 " on %s", id, task, round,
+                     worker);
     if (job->refused)
         checkerBroke(checker, NEVER_REFUSED_RAN, "%s task %" PRIu64 " on %s", id, task, worker);
     if (job->cancelledMs != 0 && nowMs - job->cancelledMs > CANCEL_LATE_MS)
         checkerBroke(checker, NEVER_CANCELLED_RAN, "%s task %" PRIu64 " %" PRId64 " ms later", id, task,
-              nowMs - job->cancelledMs);
+                     nowMs - job->cancelledMs);
     if (on->leavingMs != 0 && nowMs - on->leavingMs > LEAVING_LATE_MS)
         checkerBroke(checker, NEVER_LEAVING_GIVEN, "%s task %" PRIu64 " on %s", id, task, worker);
     const SeenZone *zone = mapGet(checker->zones, on->worker.zone);
@@ -94,7 +99,7 @@
     on->used = roomMore(on->used, room);
     if (on->used.cpuMilli > on->worker.room.cpuMilli || on->used.memMb > on->worker.room.memMb)
         checkerBroke(checker, NEVER_OVERPACKED, "%s holds %" PRIu64 " milli-CPU and %" PRIu64 " MB", worker,
-              on->used.cpuMilli, on->used.memMb);
+                     on->used.cpuMilli, on->used.memMb);
     specStart(checker, job, worker, task);
     claimStart(checker, job, seen, task, on->worker.name, round, copies);
     if (known != NULL)
--- a/packages/sim/src/probe.c
+++ b/packages/sim/src/probe.c
@@ -6,8 +6,8 @@
 
 #include "api/show.h"
 
-#define PROBE_OPEN_MAX 512/* count; jobs that one prober follows at once */
-#define ASK_LATE_MS 3000  /* ms; "unknown when asked about 3 seconds after acceptance" */
+#define PROBE_OPEN_MAX 512 /* count; jobs that one prober follows at once */
+#define ASK_LATE_MS 3000   /* ms; "unknown when asked about 3 seconds after acceptance" */
 
 const char *const PROBE_IN_OUT[PROBE_TENANTS] = {"guest1", "guest2", "guest3"};
 const char *const PROBE_NEVER = "nobody";
@@ -52,10 +52,11 @@
     const int64_t sentMs = simNowMs(fleet->world);
     checkerSent(fleet->checker, id);
     HttpCall call;
-    const Status status = callAt(probe, probe->gate, mem, "POST", "/v1/jobs",
-                                 mixProbe(mem, fleet->shape.mix, tenant, id), &call);
+    const Status status =
+        callAt(probe, probe->gate, mem, "POST", "/v1/jobs", mixProbe(mem, fleet->shape.mix, tenant, id), &call);
     const bool taken = status == STATUS_OK && (call.code == 200 || call.code == 201);
-    const bool stranger = status == STATUS_OK && call.code == 422 && strstr((const char *)call.result.data, "unknown-tenant");
+    const bool stranger =
+        status == STATUS_OK && call.code == 422 && strstr((const char *)call.result.data, "unknown-tenant");
     if (taken) {
         checkerAccepted(fleet->checker, id);
         checkerServed(fleet->checker, fleet->nodes[FLEET_GATE][probe->gate].props.name, SERVE_ACCEPT);
@@ -75,13 +76,16 @@
     Fleet *fleet = probe->fleet;
     void *mem = talloc_new(fleet);
     /* any result on a job that is known or not counts as a status read here */
-    const ProbeJob job = probe->openCount > 0 ? probe->open[0] : (ProbeJob){talloc_strdup(mem, "no-such-job"), INT64_MIN};
+    const ProbeJob job =
+        probe->openCount > 0 ? probe->open[0] : (ProbeJob){talloc_strdup(mem, "no-such-job"), INT64_MIN};
     const char *path = talloc_asprintf(mem, "/v1/jobs/%s", job.id);
     HttpCall call;
-    if (callAt(probe, probe->gate, mem, "GET", path, NULL, &call) == STATUS_OK && (call.code == 200 || call.code == 404))
+    if (callAt(probe, probe->gate, mem, "GET", path, NULL, &call) == STATUS_OK &&
+        (call.code == 200 || call.code == 404))
         checkerServed(fleet->checker, fleet->nodes[FLEET_GATE][probe->gate].props.name, SERVE_STATUS);
     if (probe->openCount > 0 && simNowMs(fleet->world) - job.acceptedMs >= ASK_LATE_MS &&
-        callAt(probe, probe->gate + (int)(probe->count % (uint64_t)fleet->nodeCount[FLEET_GATE]), mem, "GET", path, NULL, &call) == STATUS_OK) {
+        callAt(probe, probe->gate + (int)(probe->count % (uint64_t)fleet->nodeCount[FLEET_GATE]), mem, "GET", path,
+               NULL, &call) == STATUS_OK) {
         bool over = call.code == 404;
         if (call.code == 404)
             checkerUnknown(fleet->checker, job.id);
--- a/packages/sim/src/sweep.c
+++ b/packages/sim/src/sweep.c
@@ -120,8 +120,8 @@
     for (int i = 0; i < 40 && sweep->drained != NULL; i++) {
         void *mem = talloc_new(NULL);
         checkerZone(fleet->checker, sweep->drained, false);
-        if (fleetAsk(fleet, mem, FLEET_GATE, i % 3, "DELETE", talloc_asprintf(mem, "/v1/zones/%s/drain", sweep->drained),
-                     NULL)
+        if (fleetAsk(fleet, mem, FLEET_GATE, i % 3, "DELETE",
+                     talloc_asprintf(mem, "/v1/zones/%s/drain", sweep->drained), NULL)
                 .code == 200)
             sweep->drained = NULL;
         else
@@ -203,7 +203,8 @@
         for (int p = 0; p < 2 && simAlive(fleet->world, fleet->nodes[role][i].machine); p++) {
             void *mem = talloc_new(NULL);
             const HttpCall call = fleetAsk(fleet, mem, role, i, "GET", PATHS[p], NULL);
-            printf("%s %s %d: %s\n", fleet->nodes[role][i].props.name, PATHS[p], call.code, (const char *)call.result.data);
+            printf("%s %s %d: %s\n", fleet->nodes[role][i].props.name, PATHS[p], call.code,
+                   (const char *)call.result.data);
             talloc_free(mem);
         }
 }
@@ -239,7 +240,13 @@
     static const FleetSite SITES[] = {
         {.zones = 3, .losses = 1},
         {.zones = 3, .losses = 1, .votes = true, .disksKeep = true, .seatBackMs = 4000, .staggerMs = 500},
-        {.zones = 3, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000, .staggerMs = 500, .gateSeeds = 1},
+        {.zones = 3,
+         .losses = 2,
+         .votes = true,
+         .disksKeep = true,
+         .seatBackMs = 6000,
+         .staggerMs = 500,
+         .gateSeeds = 1},
         {.zones = 4, .losses = 2, .votes = true, .disksKeep = true, .seatBackMs = 6000, .staggerMs = 500},
     };
     const FleetSite *site = &SITES[props->site];
--- a/packages/sim/src/sweepnodes.c
+++ b/packages/sim/src/sweepnodes.c
@@ -184,7 +184,8 @@
     for (int turn = 0; turn < 2; turn++) {
         for (int a = 0; a < fleet->nodeCount[FLEET_CORE]; a++)
             for (int b = 0; b < fleet->nodeCount[FLEET_CORE]; b++)
-                simCut(fleet->world, fleet->nodes[FLEET_CORE][a].machine, fleet->nodes[FLEET_CORE][b].machine, turn == 0);
+                simCut(fleet->world, fleet->nodes[FLEET_CORE][a].machine, fleet->nodes[FLEET_CORE][b].machine,
+                       turn == 0);
         if (turn == 0)
             fleetRun(fleet, forMs);
     }
@@ -211,7 +212,8 @@
     FleetNode *gone = fleetNode(fleet, FLEET_CORE, (int)sweepDraw(sweep, (uint64_t)fleet->shape.cores));
     if (simAlive(fleet->world, fleet->nodes[FLEET_CORE][spare].machine) || seatsMissing(sweep) >= fleet->site.losses)
         return;
-    sweepSay(sweep, "%s is gone for good, empty %s comes", gone->props.name, fleet->nodes[FLEET_CORE][spare].props.name);
+    sweepSay(sweep, "%s is gone for good, empty %s comes", gone->props.name,
+             fleet->nodes[FLEET_CORE][spare].props.name);
     fleetPowerOff(fleet, FLEET_CORE, gone->number);
     simDiskWipe(fleet->world, gone->machine);
     fleetStartNode(fleet, FLEET_CORE, spare);
--- a/packages/sim/src/sweepwork.c
+++ b/packages/sim/src/sweepwork.c
@@ -37,7 +37,7 @@
 {
     Fleet *fleet = operator->sweep->fleet;
     void *mem = talloc_new(fleet);
-    const char *named = operator->revision > 0 ? talloc_asprintf(mem, "&revision=%" PRIu64, operator->revision) : "";
+    const char *named = operator->revision> 0 ? talloc_asprintf(mem, "&revision=%" PRIu64, operator->revision) : "";
     HttpCall call = {.mem = mem,
                      .address = fleet->nodes[FLEET_GATE][gate % 3].props.http,
                      .method = "PATCH",
@@ -54,19 +54,19 @@
 
 static void operatorMain(void *arg)
 {
-    Operator *operator = arg;
+    Operator *operator= arg;
     Fleet *fleet = operator->sweep->fleet;
     uint64_t revision = 0;
     told(operator, TENANT_ASKED);
-    operator->code = operatorTry(operator, operator->gate, operator->revision > 0 ? 1000 : 9000, &revision);
-    for (int i = 1; i < OPERATOR_TRIES && operator->revision > 0 && (operator->code == 0 || operator->code >= 500); i++) {
+    operator->code = operatorTry(operator, operator->gate, operator->revision> 0 ? 1000 : 9000, &revision);
+    for (int i = 1; i < OPERATOR_TRIES && operator->revision> 0 &&(operator->code == 0 || operator->code >= 500); i++) {
         loopSleep(simLoop(fleet->world, fleet->caller), 250 * i);
         operator->code = operatorTry(operator, operator->gate + i, 2000, &revision);
     }
-    if (operator->code == 200 && revision > 0) {
+    if (operator->code == 200 && revision> 0) {
         checkerConfigSet(fleet->checker, revision);
         told(operator, operator->quota || operator->in ? TENANT_IN : TENANT_OUT);
-    } else if (operator->code >= 400 && operator->code < 500) {
+    } else if (operator->code >= 400 && operator->code<500) {
         told(operator, TENANT_REFUSED);
     }
     operator->done = true;
@@ -86,8 +86,8 @@
 
 static Operator *operatorNew(Sweep *sweep, uint64_t base, const char *tenant, bool in)
 {
-    Operator *operator = talloc_zero(sweep, Operator);
-    *operator = (Operator){.sweep = sweep, .gate = (int)sweepDraw(sweep, 3), .tenant = tenant, .in = in, .base = base};
+    Operator *operator= talloc_zero(sweep, Operator);
+    *operator=(Operator){.sweep = sweep, .gate = (int)sweepDraw(sweep, 3), .tenant = tenant, .in = in, .base = base};
     operator->revision = base % 2 == 0 ? base + 1 + base % 3 : 0;
     operator->body = talloc_asprintf(operator, "{\"cells\":{\"%s\":{\"tenants\":{\"%s\":%s}}}}",
                                      mixCell(sweep->fleet->shape.mix), tenant, in ? "{}" : "null");
@@ -96,7 +96,8 @@
 
 static void operatorSend(Operator *operator)
 {
-    loopSpawn(simLoop(operator->sweep->fleet->world, operator->sweep->fleet->caller), "operator", operatorMain, operator);
+    loopSpawn(simLoop(operator->sweep->fleet->world, operator->sweep->fleet->caller), "operator",
+              operatorMain, operator);
 }
 
 static void operatorWait(Operator *operator)
@@ -111,7 +112,7 @@
     if (!baseAsk(sweep, &base))
         return;
     const char *tenant = PROBE_IN_OUT[sweepDraw(sweep, PROBE_TENANTS)];
-    Operator *operator = operatorNew(sweep, base, tenant, sweepDraw(sweep, 2) == 0);
+    Operator *operator= operatorNew(sweep, base, tenant, sweepDraw(sweep, 2) == 0);
     operatorSend(operator);
     operatorWait(operator);
     sweepSay(sweep, "%s %s, on %" PRIu64 ": %d", tenant, operator->in ? "in" : "out", base, operator->code);
@@ -140,7 +141,7 @@
     uint64_t base;
     if (!baseAsk(sweep, &base) || base == 0)
         return;
-    Operator *operator = operatorNew(sweep, base, PROBE_NEVER, true);
+    Operator *operator= operatorNew(sweep, base, PROBE_NEVER, true);
     const bool stale = sweepDraw(sweep, 2) == 0;
     if (stale)
         operator->base--;
@@ -157,15 +158,17 @@
     uint64_t base;
     if (sweep->fleet->shape.mix != MIX_VARIED || !baseAsk(sweep, &base))
         return;
-    Operator *operator = operatorNew(sweep, base, "bounded", true);
+    Operator *operator= operatorNew(sweep, base, "bounded", true);
     operator->quota = true;
-    operator->room = (Room){1000 * (1 + sweepDraw(sweep, 4)), 0, 0};
-    operator->body = talloc_asprintf(
-        operator, "{\"cells\":{\"imagery\":{\"tenants\":{\"bounded\":{\"quota\":{\"cpu\":%" PRIu64 ",\"memMb\":0}}}}}}",
-        operator->room.cpuMilli / 1000);
+    operator->room =(Room){1000 * (1 + sweepDraw(sweep, 4)), 0, 0};
+    operator->body =
+        talloc_asprintf(operator, "{\"cells\":{\"imagery\":{\"tenants\":{\"bounded\":{\"quota\":{\"cpu\":%" PRIu64
+                                  ",\"memMb\":0}}}}}}",
+                                  operator->room.cpuMilli / 1000);
     operatorSend(operator);
     operatorWait(operator);
-    sweepSay(sweep, "quota of %" PRIu64 " milli-CPU, on %" PRIu64 ": %d", operator->room.cpuMilli, base, operator->code);
+    sweepSay(sweep, "quota of %" PRIu64 " milli-CPU, on %" PRIu64 ": %d", operator->room.cpuMilli,
+             base, operator->code);
 }
 
 void actCancel(Sweep *sweep)
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -24,9 +24,9 @@
 }
 
 static const LoopOps SIM_OPS = {
-    simLoopNowMs, simLoopWallMs, simLoopRandom, simArm,      simListen,   simOpen,       simSend,
-    simShut,      simServe,      simLimit,      simLeave,    simBusy,     simCall,       simFileOpen,
-    simFileRead,  simFileAppend, simFileReplace,
+    simLoopNowMs, simLoopWallMs, simLoopRandom, simArm,        simListen,      simOpen,
+    simSend,      simShut,       simServe,      simLimit,      simLeave,       simBusy,
+    simCall,      simFileOpen,   simFileRead,   simFileAppend, simFileReplace,
 };
 
 static void end(SimWorld *world, int number, bool power);
@@ -231,7 +231,8 @@
     SimTurn *one = talloc_zero(sim->world, SimTurn);
     *one = (SimTurn){machine, machine->life, whenMs};
     const int64_t spanMs = whenMs - machine->bootOffsetMs - machine->rateFromMs;
-    simAt(sim->world, machine->rateFromMs + (spanMs * 100 + machine->ratePercent - 1) / machine->ratePercent, turn, one);
+    simAt(sim->world, machine->rateFromMs + (spanMs * 100 + machine->ratePercent - 1) / machine->ratePercent, turn,
+          one);
 }
 
 void simStart(SimWorld *world, int number, SimStart start, void *arg)
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -35,7 +35,7 @@
     int nextPort;
     HttpLimits limits;
     size_t httpTasks; /* in work now */
-    int64_t armedMs; /* an event that runs this loop is due then; INT64_MAX: none */
+    int64_t armedMs;  /* an event that runs this loop is due then; INT64_MAX: none */
 } SimLoop;
 
 /* Invariant: loop is null exactly when no process runs there. */
--- a/packages/sim/test/checkers.c
+++ b/packages/sim/test/checkers.c
@@ -51,16 +51,24 @@
     static JobTask tasks[3];
     static const char *after[] = {"one"};
     steps[0] = (StepSpec){.name = "one", .count = 1, .room = {1000, 10}, .kind = "std"};
-    steps[1] = (StepSpec){.name = "two", .count = 2, .gang = true, .room = {1000, 10}, .kind = "", .after = after, .afterCount = 1};
+    steps[1] = (StepSpec){
+        .name = "two", .count = 2, .gang = true, .room = {1000, 10}, .kind = "", .after = after, .afterCount = 1};
     tasks[0] = (JobTask){.step = 0, .worker = "", .text = "", .shunned = ""};
     tasks[1] = tasks[2] = (JobTask){.step = 1, .worker = "", .text = "", .shunned = ""};
     tasks[2].at = 1;
-    job = (Job){.spec = {.id = "j", .cell = "c", .tenant = "t", .steps = steps, .stepsCount = 2}, .tasks = tasks, .tasksCount = 3};
+    job = (Job){.spec = {.id = "j", .cell = "c", .tenant = "t", .steps = steps, .stepsCount = 2},
+                .tasks = tasks,
+                .tasksCount = 3};
     nowMs = 1000;
     standsStill = false;
     for (int i = 1; i <= 3; i++) {
-        const Worker worker = {.name = i == 1 ? "w1" : i == 2 ? "w2" : "gpu", .zone = "z", .rack = "",
-                               .kind = i == 3 ? "gpu" : "std", .room = {2000, 100}};
+        const Worker worker = {.name = i == 1   ? "w1"
+                                       : i == 2 ? "w2"
+                                                : "gpu",
+                               .zone = "z",
+                               .rack = "",
+                               .kind = i == 3 ? "gpu" : "std",
+                               .room = {2000, 100}};
         checkerWorker(checker, &worker);
     }
     return checker;
@@ -94,7 +102,8 @@
      * no second leader, an old one that wakes is */
     c = begin(), checkerPlans(c, "a", 5), checkerPlans(c, "b", 7), checkerLeaderGone(c, "b"), checkerPlans(c, "c", 6);
     good(c), checkerPlans(c, "a", 5), only(c, NEVER_TWO_LEADERS);
-    c = begin(), checkerPlans(c, "b", 7), checkerLeaderGone(c, "a"), checkerPlans(c, "c", 6), only(c, NEVER_TWO_LEADERS);
+    c = begin(), checkerPlans(c, "b", 7), checkerLeaderGone(c, "a"), checkerPlans(c, "c", 6),
+    only(c, NEVER_TWO_LEADERS);
 
     c = begin(), checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
     checkerStarted(c, "w2", "j", 0, 2, ONE), only(c, NEVER_TWICE);
@@ -112,14 +121,16 @@
     c = begin(), checkerAccepted(c, "j"), checkerJobEnded(c, "j", "done"), only(c, NEVER_FORGOTTEN);
 
     /* one end of a gang stands for all of it; of other tasks for itself alone */
-    c = begin(), checkerAccepted(c, "j"), checkerStarted(c, "w1", "j", 0, 1, ONE), checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE);
+    c = begin(), checkerAccepted(c, "j"), checkerStarted(c, "w1", "j", 0, 1, ONE),
+    checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE);
     checkerStarted(c, "w1", "j", FIRST, 1, ONE), checkerStarted(c, "w2", "j", SECOND, 1, ONE);
     checkerEnded(c, "w1", "j", FIRST, 1, ROUND_DONE), checkerEnded(c, "w2", "j", SECOND, 1, ROUND_STOPPED);
     checkerJobEnded(c, "j", "done"), good(c);
 
     /* lasting work ends by a cancel alone */
     c = begin(), job.spec.lasting = true, checkerAccepted(c, "j"), checkerJobEnded(c, "j", "cancelled"), good(c);
-    c = begin(), job.spec.lasting = true, checkerAccepted(c, "j"), checkerJobEnded(c, "j", "failed"), only(c, NEVER_FORGOTTEN);
+    c = begin(), job.spec.lasting = true, checkerAccepted(c, "j"), checkerJobEnded(c, "j", "failed"),
+    only(c, NEVER_FORGOTTEN);
     /* turns by their own due times */
     c = begin(), job.spec.firstWallMs = 502000, checkerStarted(c, "w1", "j", 0, 1, ONE), only(c, NEVER_TOO_EARLY);
     c = begin(), job.spec.firstWallMs = 502000, nowMs += 1000, checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
@@ -147,15 +158,19 @@
     good(c), nowMs += 200, checkerLook(c), only(c, NEVER_STOPPED_RAN);
 
     /* claims: they outlive their worker, and end by a word of it or by lapsing */
-    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
+    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE),
+    checkerWorkerGone(c, "w1");
     nowMs += 3000, checkerStarted(c, "w2", "x", 0, 2, ONE), good(c);
-    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
+    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE),
+    checkerWorkerGone(c, "w1");
     checkerBooted(c, "w1"), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c); /* a new boot */
-    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
+    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE),
+    checkerWorkerGone(c, "w1");
     const Worker again = {.name = "w1", .zone = "z", .rack = "", .kind = "std", .room = {2000, 100, 0}};
     checkerWorker(c, &again); /* ... that says what it is */
     checkerBooted(c, "w1"), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c);
-    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerWorkerGone(c, "w1");
+    c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE),
+    checkerWorkerGone(c, "w1");
     nowMs += 2900, checkerStarted(c, "w2", "x", 0, 2, ONE), only(c, NEVER_EARLY_RESTART);
     c = begin(), checkerHeld(c, "w1", nowMs + 3000), checkerStarted(c, "w1", "x", 0, 1, ONE);
     checkerEnded(c, "w1", "x", 0, 1, ROUND_FAILED), checkerStarted(c, "w2", "x", 0, 2, ONE), good(c);
@@ -164,7 +179,8 @@
     /* due times and delays */
     c = begin(), checkerSent(c, "j"), job.spec.delayMs = 500, nowMs += 400, checkerStarted(c, "w1", "j", 0, 1, ONE);
     only(c, NEVER_TOO_EARLY);
-    c = begin(), checkerSent(c, "j"), job.spec.delayMs = 500, nowMs += 500, checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
+    c = begin(), checkerSent(c, "j"), job.spec.delayMs = 500, nowMs += 500, checkerStarted(c, "w1", "j", 0, 1, ONE),
+    good(c);
     c = begin(), job.spec.dueWallMs = 502000, checkerStarted(c, "w1", "j", 0, 1, ONE), only(c, NEVER_TOO_EARLY);
     c = begin(), job.spec.dueWallMs = 502000, nowMs += 1000, checkerStarted(c, "w1", "j", 0, 1, ONE), good(c);
 
@@ -174,9 +190,11 @@
     c = begin(), checkerTenant(c, "g", TENANT_IN), checkerTenant(c, "g", TENANT_OUT), checkerProbe(c, "g", nowMs, true);
     good(c), nowMs += 2000, checkerProbe(c, "g", nowMs, true), only(c, NEVER_CONFIG_LOST);
     c = begin(), checkerTenant(c, "g", TENANT_IN), checkerTenant(c, "g", TENANT_ASKED), nowMs += 2000;
-    checkerProbe(c, "g", nowMs, false), good(c), checkerTenant(c, "g", TENANT_REFUSED), checkerProbe(c, "g", nowMs, false);
+    checkerProbe(c, "g", nowMs, false), good(c), checkerTenant(c, "g", TENANT_REFUSED),
+        checkerProbe(c, "g", nowMs, false);
     only(c, NEVER_CONFIG_LOST);
-    c = begin(), checkerTenant(c, "n", TENANT_ASKED), checkerTenant(c, "n", TENANT_REFUSED), checkerProbe(c, "n", nowMs, true);
+    c = begin(), checkerTenant(c, "n", TENANT_ASKED), checkerTenant(c, "n", TENANT_REFUSED),
+    checkerProbe(c, "n", nowMs, true);
     only(c, NEVER_REFUSED_CONFIG);
     c = begin(), checkerConfigBoth(c, 3), only(c, NEVER_CONFIG_LOST);
     c = begin(), checkerQuota(c, "t", (Room){1000, 0, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
@@ -184,16 +202,19 @@
     checkerStarted(c, "w1", "j", SECOND, 1, ONE), only(c, NEVER_OVER_QUOTA);
     c = begin(), checkerQuota(c, "t", (Room){2000, 0, 0}, TENANT_IN), checkerStarted(c, "w1", "j", 0, 1, ONE);
     checkerEnded(c, "w1", "j", 0, 1, ROUND_DONE), checkerStarted(c, "w1", "j", FIRST, 1, ONE);
-    checkerQuota(c, "t", (Room){1000, 0, 0}, TENANT_IN), nowMs += 1900, checkerStarted(c, "w1", "j", SECOND, 1, ONE), good(c);
+    checkerQuota(c, "t", (Room){1000, 0, 0}, TENANT_IN), nowMs += 1900, checkerStarted(c, "w1", "j", SECOND, 1, ONE),
+        good(c);
     checkerEnded(c, "w1", "j", SECOND, 1, ROUND_LOST), nowMs += 200, checkerStarted(c, "w1", "j", SECOND, 2, ONE);
     only(c, NEVER_OVER_QUOTA);
 
     /* service, at each entry by itself */
-    c = begin(), checkerServed(c, "g1", SERVE_ACCEPT), checkerServed(c, "g1", SERVE_STATUS), checkerFault(c), nowMs += 12000;
+    c = begin(), checkerServed(c, "g1", SERVE_ACCEPT), checkerServed(c, "g1", SERVE_STATUS), checkerFault(c),
+    nowMs += 12000;
     checkerServed(c, "g1", SERVE_ACCEPT), checkerServed(c, "g1", SERVE_STATUS), checkerMustServe(c, "g1"), good(c);
     assert_int_equal(checkerWorstMs(c, SERVE_ACCEPT), 12000);
     checkerServed(c, "g2", SERVE_ACCEPT), checkerMustServe(c, "g2"), only(c, NEVER_NOT_SERVING);
-    c = begin(), checkerFault(c), nowMs += 12001, checkerServed(c, "g1", SERVE_ACCEPT), checkerServed(c, "g1", SERVE_STATUS);
+    c = begin(), checkerFault(c), nowMs += 12001, checkerServed(c, "g1", SERVE_ACCEPT),
+    checkerServed(c, "g1", SERVE_STATUS);
     checkerMustServe(c, "g1"), only(c, NEVER_NOT_SERVING);
     c = begin(), checkerStarted(c, "w1", "x", 0, 1, ONE), checkerFault(c), nowMs += 12001, checkerMustStart(c);
     only(c, NEVER_NOT_SERVING);
@@ -212,7 +233,8 @@
     c = begin(), checkerConfigSet(c, 3), checkerConfigSet(c, 3), only(c, NEVER_CONFIG_LOST);
 }
 
-static const FleetShape SHAPE = {3, 3, 11, MIX_TRENTVALE, 0};
+static const FleetShape SHAPE
+= {3, 3, 11, MIX_TRENTVALE, 0};
 
 static void caught(const char *text, const char *words)
 {
--- a/packages/sim/test/configs.c
+++ b/packages/sim/test/configs.c
@@ -55,7 +55,7 @@
 }
 
 /* Sends until an answer is clear, unchanged, at one entry point after the other. */
-static void changeSend(Operator *operator, Change *change)
+static void changeSend(Operator *operator, Change * change)
 {
     Fleet *fleet = operator->fleet;
     Loop *loop = simLoop(fleet->world, fleet->caller);
@@ -68,7 +68,8 @@
                          .waitMs = 1000}; /* a second of silence is given up on */
         bytesAdd(mem, &call.body, change->body, strlen(change->body));
         const Status status = loopCall(loop, &call);
-        const uint64_t told = numberIn(&call, mem, status == STATUS_OK && call.code == 200 ? "\"revision\":" : "\"current\":");
+        const uint64_t told =
+            numberIn(&call, mem, status == STATUS_OK && call.code == 200 ? "\"revision\":" : "\"current\":");
         change->code = status == STATUS_OK && call.code < 500 ? call.code : 0;
         if (change->code == 200)
             assert_int_equal(told, change->revision);
@@ -82,7 +83,7 @@
 }
 
 /* Every other change is a whole document: the one in force with one thing changed. */
-static const char *wholeBody(Operator *operator, const Change *change)
+static const char *wholeBody(Operator *operator, const Change * change)
 {
     Fleet *fleet = operator->fleet;
     Loop *loop = simLoop(fleet->world, fleet->caller);
@@ -110,9 +111,9 @@
 
 static void operateMain(void *arg)
 {
-    Operator *operator = arg;
+    Operator *operator= arg;
     Loop *loop = simLoop(operator->fleet->world, operator->fleet->caller);
-    while (operator->count < CHANGES && !operator->stop) {
+    while (operator->count<CHANGES && !operator->stop) {
         Change *change = &operator->changes[operator->count];
         snprintf(change->marker, sizeof(change->marker), "o%d-%zu", operator->number, operator->count);
         change->base = operator->believed;
@@ -173,7 +174,8 @@
                 bases[change->base] = true;
                 highest = change->revision > highest ? change->revision : highest;
                 assert_string_equal(markerAt(fleet, mem, change->revision), change->marker);
-                const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 1, change->method, pathOf(mem, change), change->body);
+                const HttpCall call =
+                    fleetAsk(fleet, mem, FLEET_GATE, 1, change->method, pathOf(mem, change), change->body);
                 assert_int_equal(call.code, 200);
                 assert_int_equal(numberIn(&call, mem, "\"revision\":"), change->revision);
             } else if (change->code != 0) {
@@ -187,7 +189,8 @@
     const HttpCall newest = fleetAsk(fleet, mem, FLEET_GATE, 2, "GET", "/v1/config", NULL);
     assert_int_equal(newest.code, 200);
     assert_true(numberIn(&newest, mem, "\"revision\":") >= highest);
-    print_message("%zu taken, %zu refused, %zu without an answer; %zu sent more than once\n", taken, refused, silent, again);
+    print_message("%zu taken, %zu refused, %zu without an answer; %zu sent more than once\n", taken, refused, silent,
+                  again);
     assert_true(taken > 20 && refused > 5 && silent <= (size_t)operators);
     if (checkerBrokenAll(fleet->checker) > 0)
         fail_msg("%s", checkerFirst(fleet->checker));
@@ -238,9 +241,9 @@
 
 static void sendMain(void *arg)
 {
-    Operator *operator = arg;
+    Operator *operator= arg;
     operator->count = 1;
-    changeSend(operator, &operator->changes[0]);
+    changeSend(operator, & operator->changes[0]);
     operator->done = true;
 }
 
@@ -314,16 +317,19 @@
         {"PUT", "/v1/config?base=7&revision=9", "", 400, "empty"},
         {"PUT", "/v1/config?base=7&revision=9", "{\"r\":1,\"note\":\"whole\"}", 200, "{\"revision\":9}"},
         {"PUT", "/v1/config?base=9&revision=9007199254740993", "{\"r\":1.0}", 422, "\"r\""},
-        {"PUT", "/v1/config?base=9&revision=9007199254740993", "{ \"r\": 1,\n\"note\":\"\\u00e9 2.20\" }", 200, "9007199254740993"},
+        {"PUT", "/v1/config?base=9&revision=9007199254740993", "{ \"r\": 1,\n\"note\":\"\\u00e9 2.20\" }", 200,
+         "9007199254740993"},
         {"PUT", "/v1/config?base=7&revision=9", "{\"r\":1,\"note\":\"whole\"}", 200, "{\"revision\":9}"},
         {"GET", "/v1/config?revision=7", NULL, 200, "\"note\":\"a\""},
         {"GET", "/v1/config?revision=9", NULL, 200, "{\"revision\":9,\"config\":{\"r\":1,\"note\":\"whole\"}}"},
         {"GET", "/v1/config?revision=8", NULL, 404, "unknown-revision"},
-        {"GET", "/v1/config", NULL, 200, "{\"revision\":9007199254740993,\"config\":{ \"r\": 1,\n\"note\":\"\\u00e9 2.20\" }}"},
+        {"GET", "/v1/config", NULL, 200,
+         "{\"revision\":9007199254740993,\"config\":{ \"r\": 1,\n\"note\":\"\\u00e9 2.20\" }}"},
         {"GET", "/v1/config/history", NULL, 200, "[1,7,9,9007199254740993]"},
     };
     for (size_t i = 0; i < sizeof(CASES) / sizeof(CASES[0]); i++) {
-        const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, (int)(i % 3), CASES[i].method, CASES[i].path, CASES[i].body);
+        const HttpCall call =
+            fleetAsk(fleet, mem, FLEET_GATE, (int)(i % 3), CASES[i].method, CASES[i].path, CASES[i].body);
         const char *text = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
         if (call.code != CASES[i].code || strstr(text, CASES[i].words) == NULL)
             fail_msg("%s %s %s: %d %s", CASES[i].method, CASES[i].path, CASES[i].body, call.code, text);
@@ -338,7 +344,8 @@
         char *note = talloc_size(mem, 60001);
         memset(note, 'n', 60000);
         note[60000] = '\0';
-        const char *body = talloc_asprintf(mem, "{\"cells\":{\"c%d\":{\"queues\":{\"q\":{\"note\":\"%s\"}}}}}", i, note);
+        const char *body =
+            talloc_asprintf(mem, "{\"cells\":{\"c%d\":{\"queues\":{\"q\":{\"note\":\"%s\"}}}}}", i, note);
         const char *path = talloc_asprintf(mem, "/v1/config?base=%" PRIu64, UINT64_C(9007199254740993) + (uint64_t)i);
         code = fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", path, body).code;
     }
@@ -359,7 +366,8 @@
     uint64_t base = 1;
     for (int i = 0; i < 20; i++) {
         const char *path = talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, base, base + 3);
-        const char *body = talloc_asprintf(mem, "{\"note\":\"t%d\",\"cells\":{\"x%d\":{\"share\":%d}}}", i, i % 5, i + 1);
+        const char *body =
+            talloc_asprintf(mem, "{\"note\":\"t%d\",\"cells\":{\"x%d\":{\"share\":%d}}}", i, i % 5, i + 1);
         assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", path, body).code, 200);
         base += 3;
         fleetRun(fleet, i == 15 ? REPAIR_KEEP_MS + 10000 : 200);
@@ -379,7 +387,9 @@
     assert_true(bytesEqual(before.result, after.result));
     /* the last call, sent again, is known from what was told */
     const char *path = talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, base - 3, base);
-    assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", path, "{\"note\":\"t19\",\"cells\":{\"x4\":{\"share\":20}}}").code, 200);
+    assert_int_equal(
+        fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", path, "{\"note\":\"t19\",\"cells\":{\"x4\":{\"share\":20}}}").code,
+        200);
     talloc_free(mem);
     talloc_free(fleet);
 }
@@ -396,7 +406,8 @@
         char note[3001];
         memset(note, 'a' + i % 26, 3000);
         note[3000] = '\0';
-        text = talloc_asprintf_append_buffer(text, "%s\"q%d\":{\"stretch\":2.%d0,\"note\":\"%s\"}", i > 0 ? "," : "", i, i % 7, note);
+        text = talloc_asprintf_append_buffer(text, "%s\"q%d\":{\"stretch\":2.%d0,\"note\":\"%s\"}", i > 0 ? "," : "", i,
+                                             i % 7, note);
     }
     text = talloc_strdup_append_buffer(text, "}}}}");
     HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 0, "PUT", "/v1/config?base=1&revision=2", text);
@@ -420,7 +431,10 @@
     for (int i = 0; i < 3; i++)
         fleetStartNode(fleet, FLEET_CORE, i);
     fleetRun(fleet, 12000);
-    assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", "/v1/config?base=2", "{\"cells\":{\"c\":{\"queues\":{\"q0\":null}}}}").code, 200);
+    assert_int_equal(fleetAsk(fleet, mem, FLEET_GATE, 0, "PATCH", "/v1/config?base=2",
+                              "{\"cells\":{\"c\":{\"queues\":{\"q0\":null}}}}")
+                         .code,
+                     200);
     call = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/config", NULL);
     const char *read = talloc_strndup(mem, (const char *)call.result.data, call.result.count);
     assert_non_null(strstr(read, strstr(text, "\"q1\"")));
@@ -445,7 +459,8 @@
     fleetRun(fleet, 200);
     for (int i = 0; i < 3; i++) { /* its number and limits are known at once */
         const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, i, "GET", "/metrics", NULL);
-        assert_non_null(strstr(talloc_strndup(mem, (const char *)call.result.data, call.result.count), "config_revision 5\n"));
+        assert_non_null(
+            strstr(talloc_strndup(mem, (const char *)call.result.data, call.result.count), "config_revision 5\n"));
     }
     fleetRun(fleet, REPAIR_KEEP_MS + 10000);
     checkerFault(fleet->checker);
@@ -466,7 +481,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(storm),     cmocka_unit_test(races), cmocka_unit_test(refused),
+        cmocka_unit_test(storm),     cmocka_unit_test(races),          cmocka_unit_test(refused),
         cmocka_unit_test(toldAgain), cmocka_unit_test(largeToldAgain), cmocka_unit_test(largest),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/test/courier.c
+++ b/packages/sim/test/courier.c
@@ -51,8 +51,8 @@
     const Echo ask = {41};
     Echo answer = {0};
     const int at = seen->count++;
-    seen->status[at] = courierAsk(seen->courier[0], mem, "10.0.0.2:7000", MESSAGE_KNOW, &EchoShape, &ask, waitMs,
-                                  &EchoShape, &answer);
+    seen->status[at] =
+        courierAsk(seen->courier[0], mem, "10.0.0.2:7000", MESSAGE_KNOW, &EchoShape, &ask, waitMs, &EchoShape, &answer);
     seen->number[at] = answer.number;
     talloc_free(mem);
 }
@@ -123,12 +123,12 @@
 {
     Spoiler *spoiler = arg;
     static const uint8_t FRAMES[][12] = {
-        {0},                                                            /* not an envelope */
-        {0xff, 0xff, 0xff, 0xff},                                       /* nor this */
-        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc3, 0x00, 0xc4, 0x00},         /* an answer where a question belongs */
-        {0x97, 0x01, 0x07, 0x1f, 0x01, 0xc2, 0x00, 0xc4, 0x00},         /* a kind that nobody handles */
+        {0},                                                                /* not an envelope */
+        {0xff, 0xff, 0xff, 0xff},                                           /* nor this */
+        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc3, 0x00, 0xc4, 0x00},             /* an answer where a question belongs */
+        {0x97, 0x01, 0x07, 0x1f, 0x01, 0xc2, 0x00, 0xc4, 0x00},             /* a kind that nobody handles */
         {0x97, 0x01, 0x07, 0xcd, 0xff, 0xff, 0x01, 0xc2, 0x00, 0xc4, 0x00}, /* a kind out of all bounds */
-        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc2, 0x00, 0xc4, 0x01, 0xc1},   /* a body that does not parse */
+        {0x97, 0x01, 0x07, 0x03, 0x01, 0xc2, 0x00, 0xc4, 0x01, 0xc1},       /* a body that does not parse */
     };
     static const size_t COUNTS[] = {1, 4, 9, 9, 11, 10};
     for (size_t i = 0; i < sizeof(COUNTS) / sizeof(COUNTS[0]); i++) {
--- a/packages/sim/test/crowd.c
+++ b/packages/sim/test/crowd.c
@@ -62,8 +62,11 @@
     for (int i = 0; !pouring->stop; i++) {
         void *mem = talloc_new(loop);
         const bool bulk = i % 11 == 0;
-        HttpCall call = {.mem = mem, .address = fleetNode(fleet, FLEET_GATE, i % 3)->props.http, .method = "POST",
-                         .path = "/v1/jobs", .waitMs = 5000};
+        HttpCall call = {.mem = mem,
+                         .address = fleetNode(fleet, FLEET_GATE, i % 3)->props.http,
+                         .method = "POST",
+                         .path = "/v1/jobs",
+                         .waitMs = 5000};
         const char *body = talloc_asprintf(
             mem,
             "{\"id\":\"%s%d\",\"cell\":\"%s\",\"tenant\":\"%s\",\"queue\":\"%s\",\"protection\":\"none\",\"steps\":[{\"name\":\"a\","
@@ -161,7 +164,7 @@
         const char *at = strstr(text, call.code == 409 ? "\"current\":" : "\"revision\":");
         if (status == STATUS_OK && at != NULL)
             base = strtoull(strchr(at, ':') + 1, NULL, 10);
-        if (status == STATUS_OK && call.code == 200 && operator->count < 200)
+        if (status == STATUS_OK && call.code == 200 && operator->count<200)
             operator->acknowledged[operator->count++] = base;
         operator->stale += status == STATUS_OK && call.code == 409;
         talloc_free(mem);
--- a/packages/sim/test/entry.c
+++ b/packages/sim/test/entry.c
@@ -15,7 +15,8 @@
 
 static const char ENTRIES[] =
     "{\"cells\":{\"imagery\":{\"queues\":{"
-    "\"sweeps\":{\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"/sweeps/\"},\"rounds\":2,\"stretch\":2.5,\"targetMs\":900},"
+    "\"sweeps\":{\"entry\":{\"host\":\"" HOST
+    "\",\"prefix\":\"/sweeps/\"},\"rounds\":2,\"stretch\":2.5,\"targetMs\":900},"
     "\"urgent\":{\"priority\":5,\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"/sweeps/now/\"}}}}}}";
 
 #define BODY(runMs) \
@@ -47,10 +48,10 @@
     return call.code;
 }
 
-#define assert_told(text, word)                        \
-    do {                                               \
-        if (strstr(text, word) == NULL)                \
-            fail_msg("%s is not in %s", word, text);   \
+#define assert_told(text, word)                      \
+    do {                                             \
+        if (strstr(text, word) == NULL)              \
+            fail_msg("%s is not in %s", word, text); \
     } while (0)
 
 static void wholeLife(void **state)
@@ -70,7 +71,8 @@
     /* the same again, elsewhere, by ?host=, and under the longer prefix: one job */
     assert_int_equal(ask(fleet, 1, "POST", "/v1/entry/sweeps/one", BODY(4000), NULL), 200);
     assert_int_equal(ask(fleet, 2, "POST", "/v1/entry/sweeps/now/one", BODY(4000), NULL), 200);
-    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/entry/sweeps/one?host=" HOST, BODY(4000)).code, 200);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/entry/sweeps/one?host=" HOST, BODY(4000)).code,
+                     200);
     assert_int_equal(ask(fleet, 0, "POST", "/v1/entry/sweeps/one", BODY(4001), NULL), 409);
     assert_int_equal(ask(fleet, 0, "GET", "/v1/entry/sweeps/", NULL, &text), 200);
     assert_told(text, "\"waiting\":1");
@@ -142,16 +144,21 @@
     /* another host */
     assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/entry/sweeps/x", BODY(1)).code, 404);
     /* its queue is full: certainly not taken, and when to come back */
-    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=2",
-                              "{\"cells\":{\"imagery\":{\"limit\":1}}}").code, 200);
+    assert_int_equal(
+        fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=2", "{\"cells\":{\"imagery\":{\"limit\":1}}}")
+            .code,
+        200);
     const HttpPair host = {"host", HOST};
-    const HttpCall full = fleetAskAs(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/entry/sweeps/x",
-                                     "{\"steps\":[{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":1,\"memMb\":10}}]}", &host, 1);
+    const HttpCall full =
+        fleetAskAs(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/entry/sweeps/x",
+                   "{\"steps\":[{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":1,\"memMb\":10}}]}", &host, 1);
     assert_int_equal(full.code, 503);
     assert_true(full.retryAfterS > 0);
     /* its entry is gone */
     assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=3",
-                              "{\"cells\":{\"imagery\":{\"queues\":{\"urgent\":null,\"sweeps\":{\"entry\":null}}}}}").code, 200);
+                              "{\"cells\":{\"imagery\":{\"queues\":{\"urgent\":null,\"sweeps\":{\"entry\":null}}}}}")
+                         .code,
+                     200);
     for (int gate = 0; gate < 3; gate++)
         assert_int_equal(ask(fleet, gate, "POST", "/v1/entry/sweeps/x", BODY(1), NULL), 404);
     end(fleet);
@@ -204,7 +211,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(wholeLife), cmocka_unit_test(cancelled), cmocka_unit_test(refused),
+        cmocka_unit_test(wholeLife),  cmocka_unit_test(cancelled), cmocka_unit_test(refused),
         cmocka_unit_test(noDocument), cmocka_unit_test(forgotten),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/test/first.c
+++ b/packages/sim/test/first.c
@@ -24,8 +24,8 @@
     fleetCall(fleet, "c", 10000, 20000);
     fleetRun(fleet, 5000);
     const bool done = fleetFinish(fleet, 60000);
-    printf("done %d at %ld starts %zu broken %zu %s\n", done, (long)simNowMs(fleet->world), checkerStarts(fleet->checker),
-           checkerBrokenAll(fleet->checker), checkerFirst(fleet->checker));
+    printf("done %d at %ld starts %zu broken %zu %s\n", done, (long)simNowMs(fleet->world),
+           checkerStarts(fleet->checker), checkerBrokenAll(fleet->checker), checkerFirst(fleet->checker));
     if (!done)
         fleetDump(fleet);
     assert_true(done);
--- a/packages/sim/test/founding.c
+++ b/packages/sim/test/founding.c
@@ -127,13 +127,15 @@
 static void disklessSeed(void **state)
 {
     (void)state;
-    founds((FleetShape){3, 3, 4, MIX_TRENTVALE, 0}, (FleetSite){.zones = 3, .losses = 1, .votes = true, .gateSeeds = 1}, 3);
+    founds((FleetShape){3, 3, 4, MIX_TRENTVALE, 0}, (FleetSite){.zones = 3, .losses = 1, .votes = true, .gateSeeds = 1},
+           3);
 }
 
 static void disklessSeeds(void **state)
 {
     (void)state;
-    founds((FleetShape){6, 4, 4, MIX_TRENTVALE, 0}, (FleetSite){.zones = 3, .losses = 2, .votes = true, .gateSeeds = 3}, 5);
+    founds((FleetShape){6, 4, 4, MIX_TRENTVALE, 0}, (FleetSite){.zones = 3, .losses = 2, .votes = true, .gateSeeds = 3},
+           5);
 }
 
 /* Cores that do not hear of each other, and seeds of which each hears only some:
@@ -151,7 +153,8 @@
                        simRandom(fleet->world) % 2 == 0);
             for (int g = 0; g < 3; g++) {
                 const bool cut = simRandom(fleet->world) % 3 == 0;
-                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_GATE, g)->machine, cut);
+                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_GATE, g)->machine,
+                       cut);
             }
         }
         for (int i = 0; i < 60; i++) {
@@ -160,9 +163,11 @@
         }
         for (int a = 0; a < 4; a++) {
             for (int b = 0; b < 4; b++)
-                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_CORE, b)->machine, false);
+                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_CORE, b)->machine,
+                       false);
             for (int g = 0; g < 3; g++)
-                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_GATE, g)->machine, false);
+                simCut(fleet->world, fleetNode(fleet, FLEET_CORE, a)->machine, fleetNode(fleet, FLEET_GATE, g)->machine,
+                       false);
         }
         fleetRun(fleet, 8000);
         assert_int_equal(clusters(fleet), 1);
@@ -226,9 +231,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(threeDisks),   cmocka_unit_test(sixDisks),      cmocka_unit_test(eightDisks),
-        cmocka_unit_test(fourDisks),    cmocka_unit_test(fourOfFive),    cmocka_unit_test(disklessSeed),
-        cmocka_unit_test(disklessSeeds), cmocka_unit_test(cutApart),     cmocka_unit_test(founderKilled),
+        cmocka_unit_test(threeDisks),       cmocka_unit_test(sixDisks),   cmocka_unit_test(eightDisks),
+        cmocka_unit_test(fourDisks),        cmocka_unit_test(fourOfFive), cmocka_unit_test(disklessSeed),
+        cmocka_unit_test(disklessSeeds),    cmocka_unit_test(cutApart),   cmocka_unit_test(founderKilled),
         cmocka_unit_test(notTheFirstStart),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/test/fuzz.c
+++ b/packages/sim/test/fuzz.c
@@ -26,8 +26,29 @@
 
 /* Parts that are likely to go wrong, put in anywhere. */
 static const char *const PARTS[] = {
-    "{",      "}",     "[",       "]",      "\"",     ",",    ":",      "null",  "true",   "-1",   "1e999", "0.0005",
-    "9223372036854775807", "18446744073709551616", "\\u0000", "\xff\xfe", "\"id\":\"x\",", "\"steps\":[],", "NaN", "--", "/*", "\n", "\\",
+    "{",
+    "}",
+    "[",
+    "]",
+    "\"",
+    ",",
+    ":",
+    "null",
+    "true",
+    "-1",
+    "1e999",
+    "0.0005",
+    "9223372036854775807",
+    "18446744073709551616",
+    "\\u0000",
+    "\xff\xfe",
+    "\"id\":\"x\",",
+    "\"steps\":[],",
+    "NaN",
+    "--",
+    "/*",
+    "\n",
+    "\\",
 };
 
 /* The text with some bytes turned, cut out, doubled, or parts put in. */
@@ -139,8 +160,9 @@
 static void policies(void **state)
 {
     (void)state;
-    static const char TEXT[] = "function rank(t) local s = 0 for i = 1, 9 do s = s + i * t.cpu end return t.queue_priority + "
-                               "math.min(t.waited_ms / 60000, 4) + s end function may_push(a, b) return a.queue == 'm' end";
+    static const char TEXT[] =
+        "function rank(t) local s = 0 for i = 1, 9 do s = s + i * t.cpu end return t.queue_priority + "
+        "math.min(t.waited_ms / 60000, 4) + s end function may_push(a, b) return a.queue == 'm' end";
     size_t good = 0, bad = 0;
     seedNow = 3;
     for (int i = 0; i < 3000; i++) {
@@ -170,8 +192,11 @@
         "{\"boot\":\"b\",\"zone\":\"north\",\"rack\":\"r\",\"kind\":\"std\",\"labels\":[\"x\"],\"room\":{\"cpu\":4,"
         "\"memMb\":100},\"free\":{\"cpu\":1.5,\"memMb\":50},\"leaving\":false,\"waitMs\":0,\"running\":[{\"job\":\"j\","
         "\"task\":0,\"round\":1}],\"ended\":[{\"job\":\"k\",\"task\":1,\"round\":2,\"word\":\"done\",\"text\":\"t\"}]}";
-    static const char *const PATHS[] = {"/v1/jobs",   "/v1/jobs/x", "/v1/config?base=0", "/v1/zones/north/drain", "/v1/queue?cell=",
-                                        "/v1/trace?key=job:x", "/v1/status", "/v1/jobs?after=-1&limit=0", "/metrics", "/readyz"};
+    static const char *const PATHS[] = {"/v1/jobs",          "/v1/jobs/x",
+                                        "/v1/config?base=0", "/v1/zones/north/drain",
+                                        "/v1/queue?cell=",   "/v1/trace?key=job:x",
+                                        "/v1/status",        "/v1/jobs?after=-1&limit=0",
+                                        "/metrics",          "/readyz"};
     static const char *const METHODS[] = {"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
     Fleet *fleet = fleetNew(NULL, 4, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
     fleetStart(fleet);
@@ -188,14 +213,18 @@
         if (draw(6) == 0)
             path = talloc_asprintf(mem, "%s%s", path, PARTS[9 + draw(6)]);
         const char *body = spoil(mem, report ? REPORT : mixJob(mem, MIX_TRENTVALE, CLASS_SWEEP, "j", 0), &count);
-        const HttpCall call = fleetAsk(fleet, mem, report ? FLEET_AGENT : draw(2) ? FLEET_GATE : FLEET_CORE,
+        const HttpCall call = fleetAsk(fleet, mem,
+                                       report    ? FLEET_AGENT
+                                       : draw(2) ? FLEET_GATE
+                                                 : FLEET_CORE,
                                        report ? 3 : (int)draw(3), report ? "POST" : METHODS[draw(6)], path, body);
         assert_in_range(call.code, 200, 504);
         assert_true(call.code != 500);
         codes[call.code]++;
         talloc_free(mem);
     }
-    print_message("requests: %zu of 200, %zu of 400, %zu of 404, %zu of 422\n", codes[200], codes[400], codes[404], codes[422]);
+    print_message("requests: %zu of 200, %zu of 400, %zu of 404, %zu of 422\n", codes[200], codes[400], codes[404],
+                  codes[422]);
     assert_true(codes[400] > 50 && codes[422] > 20);
     fleetStartNode(fleet, FLEET_WORKER, 3);
     fleetCall(fleet, "after", 10000, 2000);
@@ -205,11 +234,35 @@
     talloc_free(fleet);
 }
 
-#define MESSAGES(X)                                                                                       \
-    X(Hello) X(ProposeAsk) X(SeatAnswer) X(RenewAsk) X(AppendAsk) X(FillAsk) X(LogAsk) X(LogAnswer)         \
-    X(BeatAsk) X(BeatAnswer) X(KnowAnswer) X(TellAsk) X(FetchAsk) X(FetchAnswer) X(ProxyAsk) X(ProxyAnswer) \
-    X(FeedAsk) X(FeedAnswer) X(KeepList) X(JobAdd) X(PlaceList) X(RoundList) X(StopList) X(WorkerLost) X(ConfigSet)    \
-    X(ZoneDrain) X(Record) X(Worker)
+#define MESSAGES(X) \
+    X(Hello)        \
+    X(ProposeAsk)   \
+    X(SeatAnswer)   \
+    X(RenewAsk)     \
+    X(AppendAsk)    \
+    X(FillAsk)      \
+    X(LogAsk)       \
+    X(LogAnswer)    \
+    X(BeatAsk)      \
+    X(BeatAnswer)   \
+    X(KnowAnswer)   \
+    X(TellAsk)      \
+    X(FetchAsk)     \
+    X(FetchAnswer)  \
+    X(ProxyAsk)     \
+    X(ProxyAnswer)  \
+    X(FeedAsk)      \
+    X(FeedAnswer)   \
+    X(KeepList)     \
+    X(JobAdd)       \
+    X(PlaceList)    \
+    X(RoundList)    \
+    X(StopList)     \
+    X(WorkerLost)   \
+    X(ConfigSet)    \
+    X(ZoneDrain)    \
+    X(Record)       \
+    X(Worker)
 
 /* Random bytes, and packed ones spoilt, for every shape: refused, or a whole
  * struct that packs again. */
@@ -227,7 +280,8 @@
     for (int i = 0; i < 40000; i++) {
         void *mem = talloc_new(NULL);
         Bytes packed = {0};
-        const FetchAnswer answer = {.epoch = 9, .revision = 3, .expiryMs = 2000, .wanted = (RoundId *)(uintptr_t)rounds, .wantedCount = 2};
+        const FetchAnswer answer = {
+            .epoch = 9, .revision = 3, .expiryMs = 2000, .wanted = (RoundId *)(uintptr_t)rounds, .wantedCount = 2};
         shapePack(&FetchAnswerShape, &answer, mem, &packed);
         if (i % 3 == 0)
             for (size_t at = 0; at < packed.count; at++)
--- a/packages/sim/test/losses.c
+++ b/packages/sim/test/losses.c
@@ -14,7 +14,19 @@
 #include "sim/fleet.h"
 
 /* How a machine is lost and returns. */
-#define LOSS_LIST(X) X(KILL) X(POWER) X(WIPE) X(REPLACE) X(REPLACE_TERM) X(FREEZE) X(CUT) X(CUT_IN) X(CUT_OUT) X(DISK_SLOW) X(DISK_HANG) X(DISK_FAILS)
+#define LOSS_LIST(X) \
+    X(KILL)          \
+    X(POWER)         \
+    X(WIPE)          \
+    X(REPLACE)       \
+    X(REPLACE_TERM)  \
+    X(FREEZE)        \
+    X(CUT)           \
+    X(CUT_IN)        \
+    X(CUT_OUT)       \
+    X(DISK_SLOW)     \
+    X(DISK_HANG)     \
+    X(DISK_FAILS)
 typedef enum Loss {
 #define X(name) LOSS_##name,
     LOSS_LIST(X)
@@ -70,7 +82,8 @@
     for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
         const FleetNode *node = fleetNode(fleet, FLEET_CORE, i);
         if (!node->up || node->core == NULL || simFrozen(fleet->world, node->machine) ||
-            simIsCut(fleet->world, first->machine, node->machine) || simIsCut(fleet->world, node->machine, first->machine))
+            simIsCut(fleet->world, first->machine, node->machine) ||
+            simIsCut(fleet->world, node->machine, first->machine))
             continue;
         for (size_t k = 0; k < count; k++)
             good += disks[k] == viewDisk(coreView(node->core));
@@ -209,10 +222,11 @@
         if (!node->up || node->core == NULL)
             continue;
         viewSight(coreView(node->core), &sight);
-        fprintf(stderr, "%s disk %llx phase %d epoch %llx last %llu commit %llu delivered %llu base %llu\n", node->props.name,
-                (unsigned long long)viewDisk(coreView(node->core)), (int)sight.phase, (unsigned long long)sight.epoch,
-                (unsigned long long)sight.lastIndex, (unsigned long long)sight.commitIndex,
-                (unsigned long long)sight.deliveredIndex, (unsigned long long)sight.baseIndex);
+        fprintf(stderr, "%s disk %llx phase %d epoch %llx last %llu commit %llu delivered %llu base %llu\n",
+                node->props.name, (unsigned long long)viewDisk(coreView(node->core)), (int)sight.phase,
+                (unsigned long long)sight.epoch, (unsigned long long)sight.lastIndex,
+                (unsigned long long)sight.commitIndex, (unsigned long long)sight.deliveredIndex,
+                (unsigned long long)sight.baseIndex);
         for (size_t i = 0; i < sight.seatCount && sight.phase == VIEW_LEADING; i++)
             fprintf(stderr, "   %llx inView %d answers %d woke %d sync %ld match %llu\n",
                     (unsigned long long)sight.seats[i].disk, sight.seats[i].inView, sight.seats[i].answers,
@@ -288,7 +302,8 @@
         const LossKind kind = (LossKind)((seed * 5 + (uint64_t)i) % LOSS_COUNT);
         round_(&trial, kind, (seed + (uint64_t)i / LOSS_COUNT) % 2 == 0, site->seatBackMs - 300);
     }
-    printf("seed %u: seats whole at most %ld ms after a return (%s)\n", (unsigned)seed, (long)trial.worstMs, trial.worst);
+    printf("seed %u: seats whole at most %ld ms after a return (%s)\n", (unsigned)seed, (long)trial.worstMs,
+           trial.worst);
     for (int i = 0; i < fleet->callerCount; i++)
         callerStop(fleet->callers[i]);
     const bool finished = fleetFinish(fleet, 60000);
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -10,9 +10,9 @@
 
 #include "sim/fleet.h"
 
-#define CONFIG                                                                                                             \
-    "{\"r\":0,\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{"                                                       \
-    "\"bulk\":{\"stretch\":2,\"targetMs\":2000,\"rounds\":4},"                                                             \
+#define CONFIG                                                       \
+    "{\"r\":0,\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{" \
+    "\"bulk\":{\"stretch\":2,\"targetMs\":2000,\"rounds\":4},"       \
     "\"urgent\":{\"priority\":1,\"stretch\":1.5,\"targetMs\":1000,\"rounds\":4}}}}}"
 
 static Fleet *begin(uint64_t seed)
@@ -36,8 +36,8 @@
 
 static void hand(Fleet *fleet, const char *id, const char *queue, const char *steps)
 {
-    const char *body = talloc_asprintf(fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"%s\",\"steps\":[%s]}",
-                                       id, queue, steps);
+    const char *body = talloc_asprintf(
+        fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"%s\",\"steps\":[%s]}", id, queue, steps);
     const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs", body);
     if (call.code != 201)
         fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
@@ -122,8 +122,9 @@
 {
     (void)state;
     Fleet *fleet = begin(16);
-    hand(fleet, "a", "bulk",
-         "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":6,\"memMb\":64},\"estMs\":14000,\"payload\":{\"runMs\":14000}}");
+    hand(
+        fleet, "a", "bulk",
+        "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":6,\"memMb\":64},\"estMs\":14000,\"payload\":{\"runMs\":14000}}");
     fleetRun(fleet, 5000);
     hand(fleet, "short", "bulk", /* whose progress makes words of none credible at once */
          "{\"name\":\"a\",\"count\":36,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":9000,\"payload\":{\"runMs\":9000}}");
@@ -142,8 +143,9 @@
 {
     (void)state;
     Fleet *fleet = begin(14);
-    hand(fleet, "a", "bulk",
-         "{\"name\":\"a\",\"count\":14,\"apart\":2,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":3000,\"payload\":{\"runMs\":3000}}");
+    hand(
+        fleet, "a", "bulk",
+        "{\"name\":\"a\",\"count\":14,\"apart\":2,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":3000,\"payload\":{\"runMs\":3000}}");
     for (int i = 0; i < 24; i++) {
         fleetRun(fleet, 250);
         for (int w = 1; w <= 6; w++) {
@@ -180,21 +182,24 @@
 {
     (void)state;
     Fleet *fleet = begin(15);
-    hand(fleet, "near", "bulk",
-         "{\"name\":\"a\",\"count\":6,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
+    hand(
+        fleet, "near", "bulk",
+        "{\"name\":\"a\",\"count\":6,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
     fleetRun(fleet, 1000);
     assert_int_equal(onRack(fleet, "near", "rack1"), 6);
-    hand(fleet, "gang", "bulk",
-         "{\"name\":\"g\",\"count\":4,\"gang\":true,\"sameRack\":true,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":4000,"
-         "\"payload\":{\"runMs\":4000}}");
+    hand(
+        fleet, "gang", "bulk",
+        "{\"name\":\"g\",\"count\":4,\"gang\":true,\"sameRack\":true,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":4000,"
+        "\"payload\":{\"runMs\":4000}}");
     fleetRun(fleet, 500);
     assert_true(onRack(fleet, "gang", "rack0") == 4 || onRack(fleet, "gang", "rack1") == 4);
     const Job *gang = fleetJob(fleet, "gang");
     for (size_t i = 1; i < gang->tasksCount; i++)
         assert_int_equal(gang->tasks[i].round, gang->tasks[0].round);
     /* rack1 holds 24 of these at most: the others take the longer way within two seconds */
-    hand(fleet, "more", "bulk",
-         "{\"name\":\"a\",\"count\":30,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
+    hand(
+        fleet, "more", "bulk",
+        "{\"name\":\"a\",\"count\":30,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
     fleetRun(fleet, 300);
     const size_t near = onRack(fleet, "more", "rack1");
     assert_true(near > 0);
@@ -211,13 +216,16 @@
     (void)state;
     for (int saves = 0; saves < 2; saves++) {
         Fleet *fleet = begin(16);
-        hand(fleet, "bulk", "bulk",
-             saves ? "{\"name\":\"a\",\"count\":12,\"saves\":true,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}"
-                   : "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
+        hand(
+            fleet, "bulk", "bulk",
+            saves
+                ? "{\"name\":\"a\",\"count\":12,\"saves\":true,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}"
+                : "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
         fleetRun(fleet, 6000);
         assert_int_equal(inPhase(fleet, "bulk", TASK_RUNNING), 12);
-        hand(fleet, "now", "urgent",
-             "{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":1000}}");
+        hand(
+            fleet, "now", "urgent",
+            "{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":1000}}");
         fleetRun(fleet, 4000);
         /* what keeps nothing has run for six seconds: too much to throw away */
         assert_int_equal(inPhase(fleet, "now", TASK_DONE), saves ? 2 : 0);
@@ -235,10 +243,12 @@
 {
     (void)state;
     Fleet *fleet = begin(17);
-    hand(fleet, "long", "bulk",
-         "{\"name\":\"a\",\"count\":6,\"apart\":2,\"saves\":true,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
-    hand(fleet, "short", "bulk",
-         "{\"name\":\"a\",\"count\":12,\"apart\":2,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":2000,\"payload\":{\"runMs\":2000}}");
+    hand(
+        fleet, "long", "bulk",
+        "{\"name\":\"a\",\"count\":6,\"apart\":2,\"saves\":true,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
+    hand(
+        fleet, "short", "bulk",
+        "{\"name\":\"a\",\"count\":12,\"apart\":2,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":2000,\"payload\":{\"runMs\":2000}}");
     fleetRun(fleet, 1500);
     assert_int_equal(onWorker(fleet, "long", "worker1"), 1);
     assert_int_equal(onWorker(fleet, "short", "worker1"), 2);
@@ -256,14 +266,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(standsStill),
-        cmocka_unit_test(tooSlow),
-        cmocka_unit_test(longerThanSaid),
-        cmocka_unit_test(newLeaderHears),
-        cmocka_unit_test(apartAlways),
-        cmocka_unit_test(racks),
-        cmocka_unit_test(urgentPushes),
-        cmocka_unit_test(leaves),
+        cmocka_unit_test(standsStill),    cmocka_unit_test(tooSlow),     cmocka_unit_test(longerThanSaid),
+        cmocka_unit_test(newLeaderHears), cmocka_unit_test(apartAlways), cmocka_unit_test(racks),
+        cmocka_unit_test(urgentPushes),   cmocka_unit_test(leaves),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -29,8 +29,8 @@
     talloc_free(fleet);
 }
 
-static void hand(Fleet *fleet, const char *id, const char *cell, const char *tenant, const char *queue, int count, int cpu,
-                 int runMs)
+static void hand(Fleet *fleet, const char *id, const char *cell, const char *tenant, const char *queue, int count,
+                 int cpu, int runMs)
 {
     const char *body = talloc_asprintf(
         fleet,
@@ -52,7 +52,8 @@
     return count;
 }
 
-#define CELL(name, more) "\"" name "\":{\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{\"bulk\":{},\"urgent\":{\"priority\":5}}" more "}"
+#define CELL(name, more) \
+    "\"" name "\":{\"tenants\":{\"t\":{},\"u\":{}},\"queues\":{\"bulk\":{},\"urgent\":{\"priority\":5}}" more "}"
 
 /* Without a policy the urgent task waits for the bulk; with one it pushes. */
 static void pushesAside(void **state)
@@ -60,9 +61,12 @@
     (void)state;
     for (int with = 0; with < 2; with++) {
         Fleet *fleet = begin(
-            with ? "{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) return "
-                   "t.queue_priority end function may_push(a, b) return a.queue == 'urgent' and b.queue == 'bulk' end\"}}"
-                 : "{\"cells\":{" CELL("c", "") "}}");
+            with
+                ? "{\"cells\":{" CELL(
+                      "c",
+                      ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) return "
+                                           "t.queue_priority end function may_push(a, b) return a.queue == 'urgent' and b.queue == 'bulk' end\"}}"
+                : "{\"cells\":{" CELL("c", "") "}}");
         hand(fleet, "bulk", "c", "t", "bulk", 22, 32, 15000);
         fleetRun(fleet, 2000);
         assert_int_equal(inPhase(fleet, "bulk", TASK_RUNNING), 22); /* the fleet is full */
@@ -103,8 +107,9 @@
 static void rankWithin(void **state)
 {
     (void)state;
-    Fleet *fleet = begin("{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.queue "
-                         "== 'urgent' then return 100 - t.cpu end return t.waited_ms / 100000 end\"}}");
+    Fleet *fleet = begin("{\"cells\":{" CELL(
+        "c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.queue "
+                                  "== 'urgent' then return 100 - t.cpu end return t.waited_ms / 100000 end\"}}");
     hand(fleet, "bulk", "c", "t", "bulk", 300, 8, 2000);
     fleetRun(fleet, 1000);
     hand(fleet, "urgent", "c", "u", "urgent", 10, 1, 200);
@@ -133,8 +138,9 @@
 static void failing(void **state)
 {
     (void)state;
-    Fleet *fleet = begin("{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.tenant == "
-                         "'u' then while true do end end return 1 end\"}}");
+    Fleet *fleet =
+        begin("{\"cells\":{" CELL("c", ",\"policy\":\"p\"") "},\"policies\":{\"p\":\"function rank(t) if t.tenant == "
+                                                            "'u' then while true do end end return 1 end\"}}");
     hand(fleet, "x", "c", "u", "bulk", 5, 1, 500);
     hand(fleet, "y", "c", "t", "bulk", 5, 1, 500);
     fleetRun(fleet, 4000);
@@ -167,10 +173,10 @@
         if (i == 8)
             hand(fleet, "big", "c", "u", "bulk", 1, 64, 1000);
         if (i == 40) {
-            const HttpCall call =
-                fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs",
-                         "{\"id\":\"gang\",\"cell\":\"c\",\"tenant\":\"u\",\"queue\":\"bulk\",\"steps\":[{\"name\":\"g\",\"gang\":true,"
-                         "\"count\":2,\"room\":{\"cpu\":60,\"memMb\":64},\"payload\":{\"runMs\":1000}}]}");
+            const HttpCall call = fleetAsk(
+                fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs",
+                "{\"id\":\"gang\",\"cell\":\"c\",\"tenant\":\"u\",\"queue\":\"bulk\",\"steps\":[{\"name\":\"g\",\"gang\":true,"
+                "\"count\":2,\"room\":{\"cpu\":60,\"memMb\":64},\"payload\":{\"runMs\":1000}}]}");
             assert_int_equal(call.code, 201);
         }
         fleetRun(fleet, 900);
@@ -215,7 +221,9 @@
         fleetRun(fleet, 2000);
         assert_int_equal(inPhase(fleet, "long", TASK_RUNNING), 11);
         assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST",
-                                  move ? "/v1/zones/west/drain?move=1" : "/v1/zones/west/drain", NULL).code, 200);
+                                  move ? "/v1/zones/west/drain?move=1" : "/v1/zones/west/drain", NULL)
+                             .code,
+                         200);
         assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/zones/west/drain?move=2", NULL).code, 422);
         checkerZone(fleet->checker, "west", true);
         fleetRun(fleet, 12000);
@@ -246,7 +254,8 @@
     call = fleetAsk(fleet, fleet, FLEET_CORE, fleetLeader(fleet), "GET", "/metrics", NULL);
     assert_non_null(strstr((const char *)call.result.data, "\nspancart_alert_worker_lost 1\n"));
     for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
-        call = fleetAsk(fleet, fleet, (FleetRole)role, role == FLEET_CORE ? fleetLeader(fleet) : 0, "GET", "/v1/ring", NULL);
+        call = fleetAsk(fleet, fleet, (FleetRole)role, role == FLEET_CORE ? fleetLeader(fleet) : 0, "GET", "/v1/ring",
+                        NULL);
         assert_int_equal(call.code, 200);
         assert_true(role != FLEET_CORE || strstr((const char *)call.result.data, "leaves the view") != NULL);
     }
@@ -281,15 +290,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(pushesAside),
-        cmocka_unit_test(shares),
-        cmocka_unit_test(rankWithin),
-        cmocka_unit_test(failing),
-        cmocka_unit_test(bigAmongSmall),
-        cmocka_unit_test(spreads),
-        cmocka_unit_test(slowWorker),
-        cmocka_unit_test(moved),
-        cmocka_unit_test(alerts),
+        cmocka_unit_test(pushesAside), cmocka_unit_test(shares),        cmocka_unit_test(rankWithin),
+        cmocka_unit_test(failing),     cmocka_unit_test(bigAmongSmall), cmocka_unit_test(spreads),
+        cmocka_unit_test(slowWorker),  cmocka_unit_test(moved),         cmocka_unit_test(alerts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/test/requests.c
+++ b/packages/sim/test/requests.c
@@ -35,10 +35,10 @@
     return call.code;
 }
 
-#define JOB(id, more)                                                                                  \
-    "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["       \
+#define JOB(id, more)                                                                               \
+    "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[" \
     "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":10},\"payload\":{\"runMs\":500}}]" more "}"
-#define STEPS(id, steps)                                                                               \
+#define STEPS(id, steps) \
     "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[" steps "]}"
 #define ROOM "\"room\":{\"cpu\":1,\"memMb\":10}"
 
@@ -79,7 +79,8 @@
         {STEPS("x", "{\"name\":\"a\"," ROOM ",\"apart\":-1}"), 422, "bad-field", "steps[0].apart"},
         {STEPS("x", "{\"name\":\"a\"," ROOM ",\"near\":\"a b\"}"), 422, "bad-field", "steps[0].near"},
         {STEPS("x", "{\"name\":\"a\"," ROOM ",\"saves\":\"\"}"), 422, "bad-field", "steps[0].saves"},
-        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":1,\"gpu\":-1}}"), 422, "bad-field", "steps[0].room.gpu"},
+        {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":1,\"gpu\":-1}}"), 422, "bad-field",
+         "steps[0].room.gpu"},
         {STEPS("x", "1"), 422, "bad-field", "steps[0]"},
         {STEPS("x", "{\"name\":\"a\"}"), 422, "bad-field", "steps[0].room"},
         {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":-1,\"memMb\":1}}"), 422, "bad-field", "steps[0].room.cpu"},
@@ -87,7 +88,8 @@
         {STEPS("x", "{\"name\":\"a\",\"room\":{\"cpu\":0,\"memMb\":0}}"), 422, "bad-field", "steps[0].room"},
         {STEPS("x", "{\"name\":\"a\"," ROOM ",\"count\":0}"), 422, "bad-field", "steps[0].count"},
         {"{\"id\":\"x\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"turns\":5000,\"steps\":["
-         "{\"name\":\"a\"," ROOM ",\"count\":3}]}", 413, "too-large", "steps"},
+         "{\"name\":\"a\"," ROOM ",\"count\":3}]}",
+         413, "too-large", "steps"},
         {STEPS("x", "{\"name\":\"a\"," ROOM ",\"count\":10001}"), 422, "bad-field", "steps[0].count"},
         {STEPS("x", "{\"name\":\"a\"," ROOM "},{\"name\":\"a\"," ROOM "}"), 422, "bad-field", "steps[1].name"},
         {STEPS("x", "{\"name\":\"a\",\"after\":[\"b\"]," ROOM "}"), 422, "bad-field", "steps[0].after[0]"},
@@ -304,9 +306,9 @@
     (void)state;
     Fleet *fleet = begin();
     const char *text;
-    assert_int_equal(ask(fleet, "POST", "/v1/jobs",
-                         STEPS("l", "{\"name\":\"a\"," ROOM ",\"payload\":{\"runMs\":2500}}"), &text),
-                     201);
+    assert_int_equal(
+        ask(fleet, "POST", "/v1/jobs", STEPS("l", "{\"name\":\"a\"," ROOM ",\"payload\":{\"runMs\":2500}}"), &text),
+        201);
     fleetRun(fleet, 1500);
     int on = -1;
     for (int i = 0; i < 11 && on < 0; i++)
@@ -335,8 +337,9 @@
     const char *text;
     assert_int_equal(ask(fleet, "PUT", "/v1/config?base=0", mixConfig(MIX_TRENTVALE), &text), 409);
     assert_non_null(strstr(text, "\"current\":1"));
-    assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=1", "{\"r\":2,\"cells\":{\"spare\":{\"tenants\":{\"t\":{}}}}}", &text),
-                     200);
+    assert_int_equal(
+        ask(fleet, "PATCH", "/v1/config?base=1", "{\"r\":2,\"cells\":{\"spare\":{\"tenants\":{\"t\":{}}}}}", &text),
+        200);
     assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=1", "{\"r\":3}", &text), 409);
     assert_int_equal(ask(fleet, "PATCH", "/v1/config?base=2", "{\"cells\":{\"spare\":null}}", &text), 200);
     assert_int_equal(ask(fleet, "GET", "/v1/config", NULL, &text), 200);
@@ -354,7 +357,8 @@
         {"{\"cells\":{\"a b\":{}}}", "cells.a b"},
         {"{\"cells\":{\"c\":{\"share\":0}}}", "cells.c.share"},
         {"{\"cells\":{\"c\":{\"policy\":\"none\"}}}", "cells.c.policy"},
-        {"{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"quota\":{\"cpu\":-1,\"memMb\":1}}}}}}", "cells.c.tenants.t.quota.cpu"},
+        {"{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"quota\":{\"cpu\":-1,\"memMb\":1}}}}}}",
+         "cells.c.tenants.t.quota.cpu"},
         {"{\"policies\":{\"p\":7}}", "policies.p"},
     };
     for (size_t i = 0; i < sizeof(BAD) / sizeof(BAD[0]); i++) {
@@ -375,7 +379,10 @@
     (void)state;
     Fleet *fleet = begin();
     static const char *const BAD[] = {
-        "", "[]", "{}", "{\"boot\":\"b\"}",
+        "",
+        "[]",
+        "{}",
+        "{\"boot\":\"b\"}",
         "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"running\":7}",
         "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"running\":[{\"job\":\"j\",\"task\":-1,\"round\":1}]}",
         "{\"boot\":\"b\",\"zone\":\"z\",\"room\":{\"cpu\":1,\"memMb\":1},\"ended\":[{\"job\":\"j\",\"task\":1,\"round\":1,\"word\":\"running\"}]}",
@@ -546,12 +553,15 @@
 static void leaderFreezes(void **state)
 {
     (void)state;
-    static const char JOB[] = "{\"id\":\"on-the-way\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["
-                              "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":64}}]}";
+    static const char JOB[] =
+        "{\"id\":\"on-the-way\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":["
+        "{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":64}}]}";
     static const struct {
         const char *method, *path, *body;
         int code;
-    } ASKED[] = {{"POST", "/v1/jobs", JOB, 201}, {"PATCH", "/v1/config?base=1", "{\"r\":0}", 504}, {"GET", "/v1/config", NULL, 200}};
+    } ASKED[] = {{"POST", "/v1/jobs", JOB, 201},
+                 {"PATCH", "/v1/config?base=1", "{\"r\":0}", 504},
+                 {"GET", "/v1/config", NULL, 200}};
     for (size_t i = 0; i < sizeof(ASKED) / sizeof(ASKED[0]); i++) {
         Fleet *fleet = fleetNew(NULL, 3 + i, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
         fleetStart(fleet);
@@ -599,12 +609,12 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(badJobs),       cmocka_unit_test(badPaths),  cmocka_unit_test(twiceAtOnce),
-        cmocka_unit_test(dueAndDelay),   cmocka_unit_test(gangAllOrNone), cmocka_unit_test(cancelled),
+        cmocka_unit_test(badJobs),        cmocka_unit_test(badPaths),       cmocka_unit_test(twiceAtOnce),
+        cmocka_unit_test(dueAndDelay),    cmocka_unit_test(gangAllOrNone),  cmocka_unit_test(cancelled),
         cmocka_unit_test(failsThenWorks), cmocka_unit_test(finishToldLate), cmocka_unit_test(configRaces),
-        cmocka_unit_test(badReports),    cmocka_unit_test(traced),
-        cmocka_unit_test(storeGone),     cmocka_unit_test(copies),        cmocka_unit_test(othersUse),
-        cmocka_unit_test(leaderFreezes), cmocka_unit_test(readyInACut),
+        cmocka_unit_test(badReports),     cmocka_unit_test(traced),         cmocka_unit_test(storeGone),
+        cmocka_unit_test(copies),         cmocka_unit_test(othersUse),      cmocka_unit_test(leaderFreezes),
+        cmocka_unit_test(readyInACut),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/test/saved.c
+++ b/packages/sim/test/saved.c
@@ -10,8 +10,9 @@
 
 #include "sim/fleet.h"
 
-#define JOB "{\"id\":\"s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"one\"," \
-            "\"saves\":true,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":9000,\"saveMs\":500}}]}"
+#define JOB                                                                                                      \
+    "{\"id\":\"s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"one\"," \
+    "\"saves\":true,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":9000,\"saveMs\":500}}]}"
 
 /* A hold that outlives a change of leader. */
 #define HOLD_MS 8000
--- a/packages/sim/test/split.c
+++ b/packages/sim/test/split.c
@@ -13,7 +13,7 @@
 
 #define HOLD_MS 8000 /* ms; no core leads for some 4 s */
 
-#define BODY                                                                                                         \
+#define BODY                                                                                                                 \
     "{\"id\":\"g\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"a\",\"gang\":true," \
     "\"count\":2,\"room\":{\"cpu\":60,\"memMb\":64},\"payload\":{\"runMs\":25000}}]}"
 
@@ -69,7 +69,8 @@
     job = fleetJob(fleet, "g");
     assert_non_null(job);
     if (running(fleet) != 2)
-        fail_msg("%zu of 2 run: %s, %s", running(fleet), taskPhaseWord(job->tasks[0].phase), taskPhaseWord(job->tasks[1].phase));
+        fail_msg("%zu of 2 run: %s, %s", running(fleet), taskPhaseWord(job->tasks[0].phase),
+                 taskPhaseWord(job->tasks[1].phase));
     assert_true(job->tasks[0].round > round);
     assert_int_equal(job->tasks[0].round, job->tasks[1].round);
     fleetRun(fleet, 30000);
--- a/packages/sim/test/steps.c
+++ b/packages/sim/test/steps.c
@@ -27,7 +27,7 @@
 
 typedef struct Walk {
     Trigger trigger;
-    FleetRole role;  /* who is struck; of cores: the leader, or its follower after a kill */
+    FleetRole role;   /* who is struck; of cores: the leader, or its follower after a kill */
     int64_t freezeMs; /* 0: killed */
     int stepsMost;
 } Walk;
--- a/packages/sim/test/sweep.c
+++ b/packages/sim/test/sweep.c
@@ -71,11 +71,11 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(trentvale1), cmocka_unit_test(trentvale8), cmocka_unit_test(trentvale88), cmocka_unit_test(trentvale809),
-        cmocka_unit_test(atlas4),     cmocka_unit_test(atlas140),   cmocka_unit_test(atlas520),    cmocka_unit_test(varied5),
-        cmocka_unit_test(varied14),   cmocka_unit_test(varied65),
-        cmocka_unit_test(trentvale9030), cmocka_unit_test(varied9038), cmocka_unit_test(three71), cmocka_unit_test(six101),
-        cmocka_unit_test(eight102),
+        cmocka_unit_test(trentvale1),   cmocka_unit_test(trentvale8),    cmocka_unit_test(trentvale88),
+        cmocka_unit_test(trentvale809), cmocka_unit_test(atlas4),        cmocka_unit_test(atlas140),
+        cmocka_unit_test(atlas520),     cmocka_unit_test(varied5),       cmocka_unit_test(varied14),
+        cmocka_unit_test(varied65),     cmocka_unit_test(trentvale9030), cmocka_unit_test(varied9038),
+        cmocka_unit_test(three71),      cmocka_unit_test(six101),        cmocka_unit_test(eight102),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -270,14 +270,19 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(rolledOut),      cmocka_unit_test(leaderBlind),    cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),     cmocka_unit_test(cancelled),     cmocka_unit_test(founding),       cmocka_unit_test(leaderKilled), cmocka_unit_test(workerKilled),
-        cmocka_unit_test(machineOff),     cmocka_unit_test(agentFrozen),  cmocka_unit_test(workerFrozen),
-        cmocka_unit_test(leaderFrozen),   cmocka_unit_test(minorityCut),  cmocka_unit_test(agentCut),
-        cmocka_unit_test(zoneOff),        cmocka_unit_test(zoneCut),      cmocka_unit_test(zoneDrained),
-        cmocka_unit_test(workerLeaves),   cmocka_unit_test(allSeatsKilled),
-        cmocka_unit_test(powerLostAfterAcknowledgement),
-        cmocka_unit_test(oneDiskLies),    cmocka_unit_test(slowDisks),    cmocka_unit_test(diskFails),
-        cmocka_unit_test(clocksJump),     cmocka_unit_test(oneWayCuts),   cmocka_unit_test(gateKilled),
+        cmocka_unit_test(rolledOut),      cmocka_unit_test(leaderBlind),
+        cmocka_unit_test(workerFails),    cmocka_unit_test(manyFail),
+        cmocka_unit_test(cancelled),      cmocka_unit_test(founding),
+        cmocka_unit_test(leaderKilled),   cmocka_unit_test(workerKilled),
+        cmocka_unit_test(machineOff),     cmocka_unit_test(agentFrozen),
+        cmocka_unit_test(workerFrozen),   cmocka_unit_test(leaderFrozen),
+        cmocka_unit_test(minorityCut),    cmocka_unit_test(agentCut),
+        cmocka_unit_test(zoneOff),        cmocka_unit_test(zoneCut),
+        cmocka_unit_test(zoneDrained),    cmocka_unit_test(workerLeaves),
+        cmocka_unit_test(allSeatsKilled), cmocka_unit_test(powerLostAfterAcknowledgement),
+        cmocka_unit_test(oneDiskLies),    cmocka_unit_test(slowDisks),
+        cmocka_unit_test(diskFails),      cmocka_unit_test(clocksJump),
+        cmocka_unit_test(oneWayCuts),     cmocka_unit_test(gateKilled),
         cmocka_unit_test(coresReplaced),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/test/ways.c
+++ b/packages/sim/test/ways.c
@@ -123,7 +123,8 @@
     (void)state;
     Fleet *fleet = begin(33);
     for (int i = 0; i < 3; i++)
-        simDiskSlow(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, 240); /* its own and one under way: a leader slower than 500 ms hands over */
+        simDiskSlow(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine,
+                    240); /* its own and one under way: a leader slower than 500 ms hands over */
     for (int i = 0; i < 5; i++) {
         int64_t tookMs;
         char *id = talloc_asprintf(fleet, "slow-%d", i);
@@ -245,7 +246,8 @@
     Sending *sending = one->sending;
     Fleet *fleet = sending->fleet;
     char *id = talloc_asprintf(one, "left-%s-%d", sending->node->props.name, one->number);
-    HttpCall call = {.mem = one, .address = sending->node->props.http, .method = "POST", .path = "/v1/jobs", .waitMs = 5000};
+    HttpCall call = {
+        .mem = one, .address = sending->node->props.http, .method = "POST", .path = "/v1/jobs", .waitMs = 5000};
     const char *body = jobOf(one, id);
     bytesAdd(one, &call.body, body, strlen(body));
     const Status status = loopCall(simLoop(fleet->world, fleet->caller), &call);
@@ -361,8 +363,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(expiryKept), cmocka_unit_test(refusedAtOnce), cmocka_unit_test(slowIsWaitedFor),
-        cmocka_unit_test(otherWays),  cmocka_unit_test(readiness),     cmocka_unit_test(leaving),
+        cmocka_unit_test(expiryKept),   cmocka_unit_test(refusedAtOnce), cmocka_unit_test(slowIsWaitedFor),
+        cmocka_unit_test(otherWays),    cmocka_unit_test(readiness),     cmocka_unit_test(leaving),
         cmocka_unit_test(keepsBounded), cmocka_unit_test(keptElsewhere),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/tool/pass.c
+++ b/packages/sim/tool/pass.c
@@ -53,7 +53,8 @@
                                .kind = "std",
                                .room = {cpuMilli, 262144, 0}};
         tell(stand, CHANGE_WORKER_SET, &WorkerShape, &worker);
-        const BeatAsk beat = {.agent = worker.name, .incarnation = 1, .number = 1, .worker = worker, .workerLive = true, .settled = true};
+        const BeatAsk beat = {
+            .agent = worker.name, .incarnation = 1, .number = 1, .worker = worker, .workerLive = true, .settled = true};
         bool counts;
         livesetBeat(stand->core->liveset, &beat, loopNowMs(stand->core->loop), 60000, &counts);
     }
@@ -64,9 +65,15 @@
 {
     char id[32];
     snprintf(id, sizeof(id), "%016llx", (unsigned long long)++stand->jobs);
-    StepSpec step = {.name = "0", .count = tasks, .room = {cpuMilli, 512, 0}, .kind = "", .payload = "", .near = "", .estMs = 3000};
-    const JobAdd add = {{.id = id, .cell = "all", .tenant = "all", .queue = stand->jobs % 3 == 0 ? "a" : "b", .roundLimit = 3,
-                         .steps = &step, .stepsCount = 1},
+    StepSpec step = {
+        .name = "0", .count = tasks, .room = {cpuMilli, 512, 0}, .kind = "", .payload = "", .near = "", .estMs = 3000};
+    const JobAdd add = {{.id = id,
+                         .cell = "all",
+                         .tenant = "all",
+                         .queue = stand->jobs % 3 == 0 ? "a" : "b",
+                         .roundLimit = 3,
+                         .steps = &step,
+                         .stepsCount = 1},
                         {.stretchMilli = 2000, .targetMs = 2000, .kind = "std"}};
     tell(stand, CHANGE_JOB_ADD, &JobAddShape, &add);
 }
@@ -119,8 +126,10 @@
     core->paces = pacesNew(core);
     core->queue = queueNew(core, core->guesses);
     Stand stand = {core, 0, 0};
-    const ConfigSet set = {.revision = 1,
-                           .text = "{\"r\":0,\"cells\":{\"all\":{\"tenants\":{\"all\":{}},\"queues\":{\"a\":{\"priority\":1},\"b\":{}}}}}"};
+    const ConfigSet set = {
+        .revision = 1,
+        .text =
+            "{\"r\":0,\"cells\":{\"all\":{\"tenants\":{\"all\":{}},\"queues\":{\"a\":{\"priority\":1},\"b\":{}}}}}"};
     tell(&stand, CHANGE_CONFIG_SET, &ConfigSetShape, &set);
     workersAdd(&stand, WORKERS * times, 64000);
     return stand;
@@ -149,7 +158,8 @@
             tell(&stand, CHANGE_PLACE, &PlaceListShape, &one->places);
         talloc_free(one);
     }
-    printf("%5zu workers %6zu running %6zu wait: %8.3f ms a pass", WORKERS * times, running, waiting, passes * 1000 / rounds);
+    printf("%5zu workers %6zu running %6zu wait: %8.3f ms a pass", WORKERS * times, running, waiting,
+           passes * 1000 / rounds);
     if (starts > 0)
         printf(", %7.4f ms a start", passes * 1000 / (double)starts);
     printf("\n");
--- a/packages/sim/tool/sweep.c
+++ b/packages/sim/tool/sweep.c
@@ -36,7 +36,9 @@
             props.mix = mixOfWord(argv[i]);
     }
     if (argc < 3 || props.mix == MIX_COUNT) {
-        fprintf(stderr, "usage: spancart-sweep FIRST LAST [trentvale|atlas|varied] [plain|three|six|eight] [-v] [--skip N,N,...]\n");
+        fprintf(
+            stderr,
+            "usage: spancart-sweep FIRST LAST [trentvale|atlas|varied] [plain|three|six|eight] [-v] [--skip N,N,...]\n");
         return 2;
     }
     const uint64_t first = strtoull(argv[1], NULL, 10), last = strtoull(argv[2], NULL, 10);
@@ -53,7 +55,8 @@
         sum.asserted += result.asserted;
         broken += !result.good;
         if (!result.good)
-            printf("seed %" PRIu64 " %s BROKE of %zu steps: %s\n", props.seed, mixWord(props.mix), result.steps, result.why);
+            printf("seed %" PRIu64 " %s BROKE of %zu steps: %s\n", props.seed, mixWord(props.mix), result.steps,
+                   result.why);
         fflush(stdout);
     }
     printf("%" PRIu64 " seeds, %d broke, %zu failures, %zu starts, %zu times served, worst", last - first + 1, broken,
--- a/packages/standin/include/standin/caller.h
+++ b/packages/standin/include/standin/caller.h
@@ -7,7 +7,10 @@
  * mix of jobs at any of its entry points, sends again after silence, and asks
  * until each job has ended. */
 
-#define MIX_LIST(X) X(TRENTVALE, "trentvale") X(ATLAS, "atlas") X(VARIED, "varied")
+#define MIX_LIST(X)           \
+    X(TRENTVALE, "trentvale") \
+    X(ATLAS, "atlas")         \
+    X(VARIED, "varied")
 typedef enum Mix {
 #define X(name, word) MIX_##name,
     MIX_LIST(X)
@@ -17,11 +20,22 @@
 
 /* Classes of both deployments: the urgent light one, two-step sweeps, the heavy
  * one. The others are the varied mix's alone: all that a job can ask for. */
-#define CLASS_LIST(X)                                                          \
-    X(URGENT, "urgent") X(SWEEP, "sweep") X(HEAVY, "heavy")                      \
-    X(GANG, "gang") X(DUE, "due") X(DELAYED, "delayed") X(COPIES, "copies")      \
-    X(KIND, "kind") X(LABEL, "label") X(BOUNDED, "bounded") X(IMPOSSIBLE, "impossible") \
-    X(PROBE, "probe") X(TURNS, "turns") X(LASTING, "lasting") X(SAVER, "saver")
+#define CLASS_LIST(X)           \
+    X(URGENT, "urgent")         \
+    X(SWEEP, "sweep")           \
+    X(HEAVY, "heavy")           \
+    X(GANG, "gang")             \
+    X(DUE, "due")               \
+    X(DELAYED, "delayed")       \
+    X(COPIES, "copies")         \
+    X(KIND, "kind")             \
+    X(LABEL, "label")           \
+    X(BOUNDED, "bounded")       \
+    X(IMPOSSIBLE, "impossible") \
+    X(PROBE, "probe")           \
+    X(TURNS, "turns")           \
+    X(LASTING, "lasting")       \
+    X(SAVER, "saver")
 typedef enum MixClass {
 #define X(name, word) CLASS_##name,
     CLASS_LIST(X)
@@ -47,7 +61,7 @@
 typedef struct CallerJob {
     const char *id;
     MixClass kind;
-    int64_t wallMs; /* when it was first sent */
+    int64_t wallMs;                                 /* when it was first sent */
     int64_t sentMs, acceptedMs, startedMs, endedMs; /* own clock; 0: not yet */
     uint64_t sends;
     bool refused, cancelled;
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -268,7 +268,8 @@
         HttpCall call = {.mem = mem, .address = entry, .method = "GET", .path = "/v1/config", .waitMs = 3000};
         Status status = loopCall(loop, &call);
         if (status == STATUS_OK && call.code == 200) {
-            json_object *body = json_tokener_parse(talloc_strndup(mem, (const char *)call.result.data, call.result.count));
+            json_object *body =
+                json_tokener_parse(talloc_strndup(mem, (const char *)call.result.data, call.result.count));
             json_object *revision = NULL;
             json_object_object_get_ex(body, "revision", &revision);
             const int64_t base = json_object_get_int64(revision);
--- a/packages/standin/src/mix.c
+++ b/packages/standin/src/mix.c
@@ -106,17 +106,21 @@
         step = "\"count\":4,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":700}";
         break;
     case CLASS_IMPOSSIBLE:
-        step = wallMs % 2 ? "\"kind\":\"none\",\"room\":{\"cpu\":1,\"memMb\":1}" : "\"room\":{\"cpu\":9999,\"memMb\":1}";
+        step =
+            wallMs % 2 ? "\"kind\":\"none\",\"room\":{\"cpu\":1,\"memMb\":1}" : "\"room\":{\"cpu\":9999,\"memMb\":1}";
         break;
     case CLASS_TURNS: /* turns overlap: each takes longer than until the next is due */
-        tail = talloc_asprintf(mem, ",\"turns\":3,\"periodMs\":700,\"firstWallMs\":%lld", (long long)wallMs + 500 + wallMs % 1500);
-        step = "\"count\":2,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}},{\"name\":\"two\",\"after\":[\"one\"],"
-               "\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}";
+        tail = talloc_asprintf(mem, ",\"turns\":3,\"periodMs\":700,\"firstWallMs\":%lld",
+                               (long long)wallMs + 500 + wallMs % 1500);
+        step =
+            "\"count\":2,\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}},{\"name\":\"two\",\"after\":[\"one\"],"
+            "\"room\":{\"cpu\":1,\"memMb\":512},\"payload\":{\"runMs\":600}";
         break;
     case CLASS_LASTING:
         tail = ",\"lasting\":true";
-        step = talloc_asprintf(mem, "\"count\":2,\"room\":{\"cpu\":0.5,\"memMb\":256},\"payload\":{\"runMs\":900,\"failRounds\":%d}",
-                               (int)(wallMs % 3));
+        step = talloc_asprintf(
+            mem, "\"count\":2,\"room\":{\"cpu\":0.5,\"memMb\":256},\"payload\":{\"runMs\":900,\"failRounds\":%d}",
+            (int)(wallMs % 3));
         break;
     case CLASS_SAVER: /* long, one in three fails its first round: the next goes on from what it has saved */
         step = talloc_asprintf(mem,
@@ -143,12 +147,13 @@
                                    "\"room\":{\"cpu\":1,\"memMb\":1024},\"payload\":{\"runMs\":600}}]}",
                                    id);
         case CLASS_SWEEP: /* change detection: two steps of many light tasks */
-            return talloc_asprintf(mem,
-                                   "{\"id\":\"%s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\","
-                                   "\"steps\":[{\"name\":\"tiles\",\"count\":12,\"room\":{\"cpu\":1,\"memMb\":1024},"
-                                   "\"payload\":{\"runMs\":800}},{\"name\":\"changes\",\"after\":[\"tiles\"],\"count\":6,"
-                                   "\"room\":{\"cpu\":1,\"memMb\":2048},\"payload\":{\"runMs\":800}}]}",
-                                   id);
+            return talloc_asprintf(
+                mem,
+                "{\"id\":\"%s\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\","
+                "\"steps\":[{\"name\":\"tiles\",\"count\":12,\"room\":{\"cpu\":1,\"memMb\":1024},"
+                "\"payload\":{\"runMs\":800}},{\"name\":\"changes\",\"after\":[\"tiles\"],\"count\":6,"
+                "\"room\":{\"cpu\":1,\"memMb\":2048},\"payload\":{\"runMs\":800}}]}",
+                id);
         default: /* an orthomosaic rebuild: a few heavy tasks */
             return talloc_asprintf(mem,
                                    "{\"id\":\"%s\",\"cell\":\"imagery\",\"tenant\":\"planners\",\"queue\":\"rebuilds\","
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -17,7 +17,7 @@
     Room room;
     int64_t beganMs, endMs;
     int64_t fromMs, saveMs, times; /* progress: from where it began, how often it is saved, how slow */
-    char saved[ID_MAX + 48]; /* "TASK@MS of JOB"; empty: nothing */
+    char saved[ID_MAX + 48];       /* "TASK@MS of JOB"; empty: nothing */
     bool fails;
     bool ended;
     RoundWord word;
@@ -204,8 +204,8 @@
     if (json_object_object_get_ex(body, "known", &list))
         for (size_t i = 0; i < json_object_array_length(list); i++) {
             json_object *one = json_object_array_get_idx(list, i);
-            Run *run = runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
-                               (uint64_t)intOf(one, "round", 0));
+            Run *run =
+                runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0), (uint64_t)intOf(one, "round", 0));
             if (run == NULL || !run->ended)
                 continue;
             if (worker->props.watch.known != NULL)
@@ -221,10 +221,11 @@
     if (json_object_object_get_ex(body, "stops", &list))
         for (size_t i = 0; i < json_object_array_length(list); i++) {
             json_object *one = json_object_array_get_idx(list, i);
-            Run *run = runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
-                               (uint64_t)intOf(one, "round", 0));
+            Run *run =
+                runFind(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0), (uint64_t)intOf(one, "round", 0));
             if (run == NULL) /* one that has not come yet will be turned away */
-                highestSet(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0), (uint64_t)intOf(one, "round", 0));
+                highestSet(worker, textOf(one, "job"), (uint64_t)intOf(one, "task", 0),
+                           (uint64_t)intOf(one, "round", 0));
             if (run == NULL || run->ended)
                 continue;
             if (worker->props.watch.told != NULL)
--- a/packages/table/include/table/job.h
+++ b/packages/table/include/table/job.h
@@ -5,27 +5,33 @@
 #include "wire/shape.h"
 
 /* Room is a vector; a task fits where every part of it does. */
-#define ROOM_FIELDS(X) X(U64, cpuMilli, 0) X(U64, memMb, 0) X(U64, gpu, 0)
+#define ROOM_FIELDS(X)  \
+    X(U64, cpuMilli, 0) \
+    X(U64, memMb, 0)    \
+    X(U64, gpu, 0)
 SHAPE(Room, ROOM_FIELDS)
 
-#define STEP_SPEC_FIELDS(X)                                              \
-    X(TXT, name, 0)                                                        \
-    X(TXS, after, 0)    /* names of the steps that must be done before */   \
-    X(U64, count, 0)    /* tasks in this step */                            \
-    X(FLAG, gang, 0)    /* all of them placed together or none */           \
-    X(ONE, room, Room)  /* of each task */                                  \
-    X(TXT, kind, 0)     /* of worker; empty: any */                         \
-    X(TXS, labels, 0)   /* the worker must have all */                      \
-    X(TXT, payload, 0)  /* JSON for the worker; not read here */               \
-    X(U64, estMs, 0)    /* the caller's rough guess of one task's time; 0: none */ \
-    X(U64, apart, 0)    /* at most so many of its tasks on one worker; 0: any */ \
-    X(FLAG, sameRack, 0) /* faster when all its tasks are in one rack */         \
-    X(TXT, near, 0)     /* the rack that holds its data; empty: none */          \
-    X(FLAG, saves, 0)   /* what a round has done so far is kept for the next */  \
-    X(FLAG, copies, 0)  /* two rounds of a task at once are allowed */
+#define STEP_SPEC_FIELDS(X)                                                         \
+    X(TXT, name, 0)                                                                 \
+    X(TXS, after, 0)     /* names of the steps that must be done before */          \
+    X(U64, count, 0)     /* tasks in this step */                                   \
+    X(FLAG, gang, 0)     /* all of them placed together or none */                  \
+    X(ONE, room, Room)   /* of each task */                                         \
+    X(TXT, kind, 0)      /* of worker; empty: any */                                \
+    X(TXS, labels, 0)    /* the worker must have all */                             \
+    X(TXT, payload, 0)   /* JSON for the worker; not read here */                   \
+    X(U64, estMs, 0)     /* the caller's rough guess of one task's time; 0: none */ \
+    X(U64, apart, 0)     /* at most so many of its tasks on one worker; 0: any */   \
+    X(FLAG, sameRack, 0) /* faster when all its tasks are in one rack */            \
+    X(TXT, near, 0)      /* the rack that holds its data; empty: none */            \
+    X(FLAG, saves, 0)    /* what a round has done so far is kept for the next */    \
+    X(FLAG, copies, 0)   /* two rounds of a task at once are allowed */
 SHAPE(StepSpec, STEP_SPEC_FIELDS)
 
-#define PROTECTION_LIST(X) X(PROTECTED, "protected") X(BEST_EFFORT, "best-effort") X(NONE, "none")
+#define PROTECTION_LIST(X)        \
+    X(PROTECTED, "protected")     \
+    X(BEST_EFFORT, "best-effort") \
+    X(NONE, "none")
 typedef enum Protection {
 #define X(name, word) PROTECTION_##name,
     PROTECTION_LIST(X)
@@ -35,31 +41,31 @@
 
 /* What the caller handed in. It never changes; two are the same job exactly
  * when their ids are the same, and the same body when all of this is equal. */
-#define JOB_SPEC_FIELDS(X)                                                      \
-    X(TXT, id, 0)                                                                 \
-    X(TXT, cell, 0)                                                               \
-    X(TXT, tenant, 0)                                                             \
-    X(TXT, queue, 0)                                                              \
-    X(I64, priority, 0)                                                           \
-    X(U64, protection, 0)                                                         \
-    X(FLAG, copies, 0)     /* the owner allows two at once */                      \
-    X(I64, dueWallMs, 0)   /* not before; 0: none */                               \
-    X(I64, delayMs, 0)     /* not before so long after acceptance */               \
-    X(U64, roundLimit, 0)  /* a task that failed so often has failed */            \
-    X(LST, steps, StepSpec)                                                     \
+#define JOB_SPEC_FIELDS(X)                                                                                 \
+    X(TXT, id, 0)                                                                                          \
+    X(TXT, cell, 0)                                                                                        \
+    X(TXT, tenant, 0)                                                                                      \
+    X(TXT, queue, 0)                                                                                       \
+    X(I64, priority, 0)                                                                                    \
+    X(U64, protection, 0)                                                                                  \
+    X(FLAG, copies, 0)    /* the owner allows two at once */                                               \
+    X(I64, dueWallMs, 0)  /* not before; 0: none */                                                        \
+    X(I64, delayMs, 0)    /* not before so long after acceptance */                                        \
+    X(U64, roundLimit, 0) /* a task that failed so often has failed */                                     \
+    X(LST, steps, StepSpec)                                                                                \
     X(FLAG, lasting, 0)    /* its tasks run until it is cancelled; however a round ends, another starts */ \
-    X(U64, turns, 0)       /* all steps are done so many times; 0 is once */       \
-    X(I64, firstWallMs, 0) /* turn K is due at firstWallMs + K x periodMs; 0: at once */ \
+    X(U64, turns, 0)       /* all steps are done so many times; 0 is once */                               \
+    X(I64, firstWallMs, 0) /* turn K is due at firstWallMs + K x periodMs; 0: at once */                   \
     X(I64, periodMs, 0)
 SHAPE(JobSpec, JOB_SPEC_FIELDS)
 
-#define TASK_PHASE_LIST(X)                                                    \
-    X(WAITING, "waiting", false)     /* for steps, due time, room or rest */    \
-    X(PLACED, "placed", true)        /* an order is out, no word of it yet */   \
-    X(RUNNING, "running", true)                                                 \
-    X(STOPPING, "stopping", true)    /* told to stop; its room is not free yet */ \
-    X(DONE, "done", false)                                                      \
-    X(FAILED, "failed", false)                                                  \
+#define TASK_PHASE_LIST(X)                                                     \
+    X(WAITING, "waiting", false) /* for steps, due time, room or rest */       \
+    X(PLACED, "placed", true)    /* an order is out, no word of it yet */      \
+    X(RUNNING, "running", true)                                                \
+    X(STOPPING, "stopping", true) /* told to stop; its room is not free yet */ \
+    X(DONE, "done", false)                                                     \
+    X(FAILED, "failed", false)                                                 \
     X(CANCELLED, "cancelled", false)
 typedef enum TaskPhase {
 #define X(name, word, onWorker) TASK_##name,
@@ -75,28 +81,32 @@
 /* One unit of a job. Invariants: round grows with each placement and never
  * falls; worker is non-empty exactly when the phase is one of those on a
  * worker; an ended task never leaves its phase. */
-#define JOB_TASK_FIELDS(X)                                                   \
-    X(U64, step, 0)                                                            \
-    X(U64, phase, 0)                                                           \
-    X(U64, round, 0)                                                           \
-    X(U64, misses, 0)      /* rounds that failed by themselves; of a lasting task: in a row, soon */ \
-    X(U64, losses, 0)      /* rounds lost with their worker */                  \
-    X(TXT, worker, 0)                                                          \
-    X(U64, incarnation, 0) /* of the agent that the order was for */            \
-    X(FLAG, assured, 0)    /* a plan includes its restart */                    \
-    X(I64, restUntilMs, 0) /* log time; waits at least so long */               \
-    X(I64, changedMs, 0)   /* log time of its last change of phase */           \
-    X(I64, startedMs, 0)   /* log time of the first round's start; 0: none */   \
-    X(TXT, text, 0)        /* the worker's last word on it */                   \
-    X(TXT, shunned, 0)     /* the worker that its last round failed on, or that refused it */       \
-    X(U64, turn, 0)        /* from 0; the tasks of one turn wait for that turn's steps alone */ \
-    X(U64, at, 0)          /* its place among its turn's and step's tasks, from 0 */ \
+#define JOB_TASK_FIELDS(X)                                                                              \
+    X(U64, step, 0)                                                                                     \
+    X(U64, phase, 0)                                                                                    \
+    X(U64, round, 0)                                                                                    \
+    X(U64, misses, 0) /* rounds that failed by themselves; of a lasting task: in a row, soon */         \
+    X(U64, losses, 0) /* rounds lost with their worker */                                               \
+    X(TXT, worker, 0)                                                                                   \
+    X(U64, incarnation, 0) /* of the agent that the order was for */                                    \
+    X(FLAG, assured, 0)    /* a plan includes its restart */                                            \
+    X(I64, restUntilMs, 0) /* log time; waits at least so long */                                       \
+    X(I64, changedMs, 0)   /* log time of its last change of phase */                                   \
+    X(I64, startedMs, 0)   /* log time of the first round's start; 0: none */                           \
+    X(TXT, text, 0)        /* the worker's last word on it */                                           \
+    X(TXT, shunned, 0)     /* the worker that its last round failed on, or that refused it */           \
+    X(U64, turn, 0)        /* from 0; the tasks of one turn wait for that turn's steps alone */         \
+    X(U64, at, 0)          /* its place among its turn's and step's tasks, from 0 */                    \
     X(TXT, saved, 0)       /* how far its rounds have come, as the worker worded it; a gang's is one */ \
-    X(U64, missRound, 0)   /* the round that misses last counted: a gang's failure counts once */ \
+    X(U64, missRound, 0)   /* the round that misses last counted: a gang's failure counts once */       \
     X(RAM, onAt, size_t)   /* its place among those on its worker */
 SHAPE(JobTask, JOB_TASK_FIELDS)
 
-#define JOB_PHASE_LIST(X) X(ACTIVE, "active") X(DONE, "done") X(FAILED, "failed") X(CANCELLED, "cancelled")
+#define JOB_PHASE_LIST(X) \
+    X(ACTIVE, "active")   \
+    X(DONE, "done")       \
+    X(FAILED, "failed")   \
+    X(CANCELLED, "cancelled")
 typedef enum JobPhase {
 #define X(name, word) JOB_##name,
     JOB_PHASE_LIST(X)
@@ -106,19 +116,19 @@
 
 /* What its queue's configuration said when the job was accepted. It is no part of
  * the body: the same job sent again under a newer configuration is the same job. */
-#define JOB_TERMS_FIELDS(X)                                                    \
+#define JOB_TERMS_FIELDS(X)                                                                               \
     X(U64, roundLimit, 0)   /* failed rounds of one task, or one gang, that fail it; 0: the spec's own */ \
-    X(U64, stretchMilli, 0) /* its aim: stretch x its longest chain of work ...  */ \
-    X(I64, targetMs, 0)     /* ... + this, from acceptance or due time; both 0: none */ \
-    X(I64, priority, 0)     /* of the queue */                                   \
+    X(U64, stretchMilli, 0) /* its aim: stretch x its longest chain of work ...  */                       \
+    X(I64, targetMs, 0)     /* ... + this, from acceptance or due time; both 0: none */                   \
+    X(I64, priority, 0)     /* of the queue */                                                            \
     X(TXT, kind, 0)         /* of worker that the queue is served by; empty: any */
 SHAPE(JobTerms, JOB_TERMS_FIELDS)
 
 /* What a job's tasks add up to, so that nobody walks them to know. Kept with each
  * change of a phase; jobSum builds it anew. */
 typedef struct JobSums {
-    size_t open;      /* tasks that have not ended */
-    size_t undone;    /* tasks that are not done */
+    size_t open;   /* tasks that have not ended */
+    size_t undone; /* tasks that are not done */
     size_t waiting;
     uint64_t *before; /* by step: a bit for each step that must be done before */
     uint64_t *done;   /* by turn: a bit for each step that is done */
@@ -127,15 +137,15 @@
 
 /* Invariants: number is its place in the order of acceptance, never used
  * again; phase leaves ACTIVE once, and only when every task has ended. */
-#define JOB_FIELDS(X)                                                          \
-    X(ONE, spec, JobSpec)                                                        \
-    X(U64, number, 0)                                                            \
-    X(U64, phase, 0)                                                             \
-    X(U64, ending, 0)     /* ACTIVE, or what it will be once no task runs */      \
-    X(I64, acceptedMs, 0) /* log time */                                          \
-    X(I64, endedMs, 0)                                                           \
-    X(LST, tasks, JobTask) /* in the order of turns, then steps */               \
-    X(ONE, terms, JobTerms) \
+#define JOB_FIELDS(X)                                                        \
+    X(ONE, spec, JobSpec)                                                    \
+    X(U64, number, 0)                                                        \
+    X(U64, phase, 0)                                                         \
+    X(U64, ending, 0)     /* ACTIVE, or what it will be once no task runs */ \
+    X(I64, acceptedMs, 0) /* log time */                                     \
+    X(I64, endedMs, 0)                                                       \
+    X(LST, tasks, JobTask) /* in the order of turns, then steps */           \
+    X(ONE, terms, JobTerms)                                                  \
     X(RAM, sums, JobSums)
 SHAPE(Job, JOB_FIELDS)
 
--- a/packages/table/include/table/revisions.h
+++ b/packages/table/include/table/revisions.h
@@ -6,11 +6,11 @@
 #include "table/change.h"
 
 /* One revision of the operators' document. */
-#define REVISION_FIELDS(X)                                                     \
-    X(U64, revision, 0)                                                          \
-    X(TXT, text, 0)   /* the whole, or a merge patch upon the revision before; empty: dropped */ \
-    X(U64, base, 0)                                                              \
-    X(FLAG, patch, 0)                                                            \
+#define REVISION_FIELDS(X)                                                                      \
+    X(U64, revision, 0)                                                                         \
+    X(TXT, text, 0) /* the whole, or a merge patch upon the revision before; empty: dropped */  \
+    X(U64, base, 0)                                                                             \
+    X(FLAG, patch, 0)                                                                           \
     X(TXT, digest, 0) /* of the call that brought it, when it named the revision; else empty */ \
     X(ONE, limits, ConfigLimits)
 SHAPE(Revision, REVISION_FIELDS)
@@ -28,8 +28,8 @@
 typedef struct Revisions {
     Revision *rows;
     size_t count, whole;
-    size_t keep;  /* so many can at least be read back, as far as the bytes allow */
-    size_t bytes; /* of the texts from whole on ... */
+    size_t keep;       /* so many can at least be read back, as far as the bytes allow */
+    size_t bytes;      /* of the texts from whole on ... */
     size_t wholeBytes; /* ... and of the whole one's */
 } Revisions;
 
--- a/packages/table/include/table/worker.h
+++ b/packages/table/include/table/worker.h
@@ -16,16 +16,16 @@
 SHAPE(Worker, WORKER_FIELDS)
 
 /* What a round came to, told by an agent. */
-#define ROUND_WORD_LIST(X)                                                       \
-    X(RUNNING, "running")                                                          \
-    X(DONE, "done")                                                                \
-    X(FAILED, "failed")                                                            \
-    X(STOPPED, "stopped")  /* it runs no more because it was told to stop */         \
-    X(REFUSED, "refused")  /* never started: expired, no room, unknown kind */        \
-    X(LOST, "lost")        /* it runs no more: the worker lost it */                 \
-    X(LAPSED, "lapsed")    /* ... its hold was over */                               \
-    X(BROKEN, "broken")    /* ... another member of its gang ended */                \
-    X(ALONE, "alone")      /* ... it waited too long for the others of its gang */
+#define ROUND_WORD_LIST(X)                                                    \
+    X(RUNNING, "running")                                                     \
+    X(DONE, "done")                                                           \
+    X(FAILED, "failed")                                                       \
+    X(STOPPED, "stopped") /* it runs no more because it was told to stop */   \
+    X(REFUSED, "refused") /* never started: expired, no room, unknown kind */ \
+    X(LOST, "lost")       /* it runs no more: the worker lost it */           \
+    X(LAPSED, "lapsed")   /* ... its hold was over */                         \
+    X(BROKEN, "broken")   /* ... another member of its gang ended */          \
+    X(ALONE, "alone")     /* ... it waited too long for the others of its gang */
 typedef enum RoundWord {
 #define X(name, word) ROUND_##name,
     ROUND_WORD_LIST(X)
@@ -36,15 +36,15 @@
 const char *roundWord(uint64_t word);
 RoundWord roundOfWord(const char *word);
 
-#define ROUND_NEWS_FIELDS(X) \
-    X(TXT, job, 0)           \
-    X(U64, task, 0)          \
-    X(U64, round, 0)         \
-    X(TXT, worker, 0)        \
-    X(U64, word, 0)          \
-    X(TXT, text, 0)          \
-    X(TXT, saved, 0) /* how far it had come; empty: nothing is kept */ \
-    X(I64, ranMs, 0) /* for how long its agent knew it to run; 0: not told */ \
+#define ROUND_NEWS_FIELDS(X)                                                           \
+    X(TXT, job, 0)                                                                     \
+    X(U64, task, 0)                                                                    \
+    X(U64, round, 0)                                                                   \
+    X(TXT, worker, 0)                                                                  \
+    X(U64, word, 0)                                                                    \
+    X(TXT, text, 0)                                                                    \
+    X(TXT, saved, 0)          /* how far it had come; empty: nothing is kept */        \
+    X(I64, ranMs, 0)          /* for how long its agent knew it to run; 0: not told */ \
     X(RAM, percent, uint64_t) /* of its work, as the worker reports it; 0: not told */
 SHAPE(RoundNews, ROUND_NEWS_FIELDS)
 
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -12,7 +12,7 @@
     uint64_t revision;
     TaskOn *on;
     size_t count, room;
-    Room used; /* by them */
+    Room used;     /* by them */
     size_t busyAt; /* its place among the busy ones; of no meaning when count is 0 */
 } WorkerOn;
 
@@ -28,7 +28,11 @@
 
 /* A task told as finished well of a job that is not known (any more, or yet):
  * the disks lost the job, and its caller will hand it in again. */
-#define ORPHAN_FIELDS(X) X(TXT, job, 0) X(U64, task, 0) X(U64, round, 0) X(I64, atMs, 0)
+#define ORPHAN_FIELDS(X) \
+    X(TXT, job, 0)       \
+    X(U64, task, 0)      \
+    X(U64, round, 0)     \
+    X(I64, atMs, 0)
 SHAPE(Orphan, ORPHAN_FIELDS)
 
 /* Jobs in an order of their own. */
@@ -48,12 +52,12 @@
     Map *workers;
     Worker **sorted;
     size_t sortedCount, sortedRoom;
-    Map *on; /* worker name to WorkerOn */
+    Map *on;         /* worker name to WorkerOn */
     WorkerOn **busy; /* exactly those with a task on them, in no order */
     size_t busyCount, busyRoom;
     Map *cells;
-    Map *used; /* "cell", and "cell/tenant", to the Room that its tasks on workers use */
-    Map *queues; /* "cell/queue" to QueueSum */
+    Map *used;       /* "cell", and "cell/tenant", to the Room that its tasks on workers use */
+    Map *queues;     /* "cell/queue" to QueueSum */
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
     size_t orphanCount;
     Map *drains; /* zone to its newest order */
--- a/packages/table/src/jobnew.c
+++ b/packages/table/src/jobnew.c
@@ -27,6 +27,7 @@
     for (uint64_t turn = 0; turn < turnsOf(spec); turn++)
         for (size_t i = 0; i < spec->stepsCount; i++)
             for (uint64_t at = 0; at < spec->steps[i].count; at++)
-                *task++ = (JobTask){.step = i, .turn = turn, .at = at, .worker = "", .text = "", .shunned = "", .saved = ""};
+                *task++ =
+                    (JobTask){.step = i, .turn = turn, .at = at, .worker = "", .text = "", .shunned = "", .saved = ""};
     return job;
 }
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -55,7 +55,8 @@
     while (revisions->rows[from].patch && !(have != NULL && revisions->rows[from].revision == haveRevision))
         from--;
     const Revision *first = &revisions->rows[from];
-    json_object *tree = have != NULL && first->revision == haveRevision ? json_object_get(have) : documentParse(first->text);
+    json_object *tree =
+        have != NULL && first->revision == haveRevision ? json_object_get(have) : documentParse(first->text);
     const char **patches = talloc_array(NULL, const char *, (unsigned)(at - from));
     for (size_t i = from; i < at; i++)
         patches[i - from] = revisions->rows[i + 1].text;
--- a/packages/table/src/saved.c
+++ b/packages/table/src/saved.c
@@ -3,9 +3,13 @@
 
 #include "inside.h"
 
-#define SAVED_FIELDS(X) \
-    X(U64, lastNumber, 0) X(LST, jobs, Job) X(LST, workers, Worker) X(LST, configs, Revision) \
-    X(LST, drains, ZoneDrain) X(LST, orphans, Orphan)
+#define SAVED_FIELDS(X)       \
+    X(U64, lastNumber, 0)     \
+    X(LST, jobs, Job)         \
+    X(LST, workers, Worker)   \
+    X(LST, configs, Revision) \
+    X(LST, drains, ZoneDrain) \
+    X(LST, orphans, Orphan)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
@@ -87,7 +91,8 @@
         for (size_t i = 0; i < saved.drainsCount; i++)
             deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
         for (size_t i = 0; i < saved.orphansCount; i++)
-            orphanAdd(table, saved.orphans[i].job, saved.orphans[i].task, saved.orphans[i].round, saved.orphans[i].atMs);
+            orphanAdd(table, saved.orphans[i].job, saved.orphans[i].task, saved.orphans[i].round,
+                      saved.orphans[i].atMs);
     }
     talloc_free(mem);
     return status;
--- a/packages/table/test/board.h
+++ b/packages/table/test/board.h
@@ -39,7 +39,8 @@
 
 static inline JobSpec specOf(const char *id, StepSpec *steps, size_t count)
 {
-    return (JobSpec){.id = id, .cell = "c", .tenant = "t", .queue = "q", .roundLimit = 3, .steps = steps, .stepsCount = count};
+    return (JobSpec){
+        .id = id, .cell = "c", .tenant = "t", .queue = "q", .roundLimit = 3, .steps = steps, .stepsCount = count};
 }
 
 static inline const Job *jobAdd(Board *board, const JobSpec *spec, JobTerms terms)
@@ -50,12 +51,13 @@
 }
 
 /* How many of them were taken. */
-static inline uint64_t place(Board *board, const char *job, const uint64_t *tasks, size_t count, uint64_t round, const char *worker,
-                      const char *saved)
+static inline uint64_t place(Board *board, const char *job, const uint64_t *tasks, size_t count, uint64_t round,
+                             const char *worker, const char *saved)
 {
     Placement *places = talloc_zero_array(NULL, Placement, (unsigned)count);
     for (size_t i = 0; i < count; i++)
-        places[i] = (Placement){.job = job, .task = tasks[i], .round = round, .worker = worker, .incarnation = 1, .saved = saved};
+        places[i] = (Placement){
+            .job = job, .task = tasks[i], .round = round, .worker = worker, .incarnation = 1, .saved = saved};
     const PlaceList list = {places, count};
     const ChangeResult result = tell(board, CHANGE_PLACE, &PlaceListShape, &list);
     talloc_free(places);
@@ -63,9 +65,10 @@
 }
 
 static inline void say(Board *board, const char *job, uint64_t task, uint64_t round, const char *worker, RoundWord word,
-                const char *saved)
+                       const char *saved)
 {
-    RoundNews news = {.job = job, .task = task, .round = round, .worker = worker, .word = word, .text = "", .saved = saved};
+    RoundNews news = {
+        .job = job, .task = task, .round = round, .worker = worker, .word = word, .text = "", .saved = saved};
     const RoundList list = {&news, 1};
     tell(board, CHANGE_ROUNDS, &RoundListShape, &list);
 }
--- a/packages/table/test/gangs.c
+++ b/packages/table/test/gangs.c
@@ -185,9 +185,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(placedWhole),         cmocka_unit_test(placedUnderOneNumber), cmocka_unit_test(oneDoneAllDone),
-        cmocka_unit_test(olderDoneOfAll),      cmocka_unit_test(missesOnceForARound),  cmocka_unit_test(lossesOnce),
-        cmocka_unit_test(progressOfAll),       cmocka_unit_test(lastingGang),          cmocka_unit_test(orphans),
+        cmocka_unit_test(placedWhole),    cmocka_unit_test(placedUnderOneNumber), cmocka_unit_test(oneDoneAllDone),
+        cmocka_unit_test(olderDoneOfAll), cmocka_unit_test(missesOnceForARound),  cmocka_unit_test(lossesOnce),
+        cmocka_unit_test(progressOfAll),  cmocka_unit_test(lastingGang),          cmocka_unit_test(orphans),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/table/test/revisions.c
+++ b/packages/table/test/revisions.c
@@ -153,7 +153,8 @@
     deliver(revisions, setOf(0, 1, "{\"k\":{}}", false, "d1"));
     for (uint64_t i = 2; i <= 1000; i++) {
         const char *text = talloc_asprintf(mem, "{\"k\":{\"a%d\":%d}}", (int)(i % 7), (int)i);
-        assert_int_equal(deliver(revisions, setOf(i - 1, i, text, i % 97 != 0, talloc_asprintf(mem, "d%d", (int)i))).number, i);
+        assert_int_equal(
+            deliver(revisions, setOf(i - 1, i, text, i % 97 != 0, talloc_asprintf(mem, "d%d", (int)i))).number, i);
         checkInvariants(revisions);
     }
     for (uint64_t i = 801; i <= 1000; i++) {
@@ -182,7 +183,8 @@
         note[patch ? 60000 : 300000] = '\0';
         const char *text = talloc_asprintf(mem, "{\"k%d\":\"%s\"}", (int)(i % 3), note);
         note[60000] = 'n';
-        assert_int_equal(deliver(revisions, setOf(base, i * 3, text, patch, talloc_asprintf(mem, "d%d", (int)i))).number, i * 3);
+        assert_int_equal(
+            deliver(revisions, setOf(base, i * 3, text, patch, talloc_asprintf(mem, "d%d", (int)i))).number, i * 3);
         base = i * 3;
         checkInvariants(revisions);
         assert_non_null(revisionsText(revisions, mem, base));
--- a/packages/table/test/rounds.c
+++ b/packages/table/test/rounds.c
@@ -24,8 +24,8 @@
         RoundWord word;
         uint64_t misses, losses;
         bool rests;
-    } WORDS[] = {{ROUND_FAILED, 1, 0, true},   {ROUND_LOST, 0, 1, false},    {ROUND_LAPSED, 0, 1, false},
-                 {ROUND_STOPPED, 0, 0, false}, {ROUND_BROKEN, 0, 0, false},  {ROUND_ALONE, 0, 0, true},
+    } WORDS[] = {{ROUND_FAILED, 1, 0, true},   {ROUND_LOST, 0, 1, false},   {ROUND_LAPSED, 0, 1, false},
+                 {ROUND_STOPPED, 0, 0, false}, {ROUND_BROKEN, 0, 0, false}, {ROUND_ALONE, 0, 0, true},
                  {ROUND_REFUSED, 0, 0, true}};
     for (size_t i = 0; i < sizeof(WORDS) / sizeof(WORDS[0]); i++) {
         Board b = boardNew();
@@ -267,8 +267,15 @@
 static void strangeNumbers(void **state)
 {
     (void)state;
-    static const uint64_t NUMBERS[] = {1, 2, 16383, TASK_NUMBER(0, 1, 0), TASK_NUMBER(0, 63, 0), TASK_NUMBER(1, 0, 0),
-                                       TASK_NUMBER(9999, 0, 0), UINT64_MAX, UINT64_MAX / 2};
+    static const uint64_t NUMBERS[] = {1,
+                                       2,
+                                       16383,
+                                       TASK_NUMBER(0, 1, 0),
+                                       TASK_NUMBER(0, 63, 0),
+                                       TASK_NUMBER(1, 0, 0),
+                                       TASK_NUMBER(9999, 0, 0),
+                                       UINT64_MAX,
+                                       UINT64_MAX / 2};
     Board b = boardNew();
     StepSpec step = one();
     const JobSpec spec = specOf("j", &step, 1);
@@ -291,9 +298,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(wordsCount),  cmocka_unit_test(limits),    cmocka_unit_test(lateFailures),
-        cmocka_unit_test(olderDone),   cmocka_unit_test(ordersGrow), cmocka_unit_test(stoppedIsNoLoss),
-        cmocka_unit_test(cancelled),   cmocka_unit_test(lasting),   cmocka_unit_test(progress),
+        cmocka_unit_test(wordsCount),     cmocka_unit_test(limits),        cmocka_unit_test(lateFailures),
+        cmocka_unit_test(olderDone),      cmocka_unit_test(ordersGrow),    cmocka_unit_test(stoppedIsNoLoss),
+        cmocka_unit_test(cancelled),      cmocka_unit_test(lasting),       cmocka_unit_test(progress),
         cmocka_unit_test(strangeNumbers), cmocka_unit_test(strangeRounds),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/table/test/state.c
+++ b/packages/table/test/state.c
@@ -227,36 +227,70 @@
 
 /* --- a state as the release before the turns saved it ------------------------------- */
 
-#define OLD_TASK_FIELDS(X)                                                                                     \
-    X(U64, step, 0) X(U64, phase, 0) X(U64, round, 0) X(U64, misses, 0) X(U64, losses, 0) X(TXT, worker, 0)     \
-    X(U64, incarnation, 0) X(FLAG, assured, 0) X(I64, restUntilMs, 0) X(I64, changedMs, 0) X(I64, startedMs, 0) \
-    X(TXT, text, 0) X(TXT, shunned, 0)
+#define OLD_TASK_FIELDS(X) \
+    X(U64, step, 0)        \
+    X(U64, phase, 0)       \
+    X(U64, round, 0)       \
+    X(U64, misses, 0)      \
+    X(U64, losses, 0)      \
+    X(TXT, worker, 0)      \
+    X(U64, incarnation, 0) \
+    X(FLAG, assured, 0)    \
+    X(I64, restUntilMs, 0) \
+    X(I64, changedMs, 0)   \
+    X(I64, startedMs, 0)   \
+    X(TXT, text, 0)        \
+    X(TXT, shunned, 0)
 SHAPE(OldTask, OLD_TASK_FIELDS)
 SHAPE_TABLE(OldTask, OLD_TASK_FIELDS)
 
-#define OLD_ROOM_FIELDS(X) X(U64, cpuMilli, 0) X(U64, memMb, 0)
+#define OLD_ROOM_FIELDS(X) \
+    X(U64, cpuMilli, 0)    \
+    X(U64, memMb, 0)
 SHAPE(OldRoom, OLD_ROOM_FIELDS)
 SHAPE_TABLE(OldRoom, OLD_ROOM_FIELDS)
 
-#define OLD_STEP_FIELDS(X)                                                                              \
-    X(TXT, name, 0) X(TXS, after, 0) X(U64, count, 0) X(FLAG, gang, 0) X(ONE, room, OldRoom) X(TXT, kind, 0) \
-    X(TXS, labels, 0) X(TXT, payload, 0)
+#define OLD_STEP_FIELDS(X) \
+    X(TXT, name, 0)        \
+    X(TXS, after, 0)       \
+    X(U64, count, 0)       \
+    X(FLAG, gang, 0)       \
+    X(ONE, room, OldRoom)  \
+    X(TXT, kind, 0)        \
+    X(TXS, labels, 0)      \
+    X(TXT, payload, 0)
 SHAPE(OldStep, OLD_STEP_FIELDS)
 SHAPE_TABLE(OldStep, OLD_STEP_FIELDS)
 
-#define OLD_SPEC_FIELDS(X)                                                                                   \
-    X(TXT, id, 0) X(TXT, cell, 0) X(TXT, tenant, 0) X(TXT, queue, 0) X(I64, priority, 0) X(U64, protection, 0) \
-    X(FLAG, copies, 0) X(I64, dueWallMs, 0) X(I64, delayMs, 0) X(U64, roundLimit, 0) X(LST, steps, OldStep)
+#define OLD_SPEC_FIELDS(X) \
+    X(TXT, id, 0)          \
+    X(TXT, cell, 0)        \
+    X(TXT, tenant, 0)      \
+    X(TXT, queue, 0)       \
+    X(I64, priority, 0)    \
+    X(U64, protection, 0)  \
+    X(FLAG, copies, 0)     \
+    X(I64, dueWallMs, 0)   \
+    X(I64, delayMs, 0)     \
+    X(U64, roundLimit, 0)  \
+    X(LST, steps, OldStep)
 SHAPE(OldSpec, OLD_SPEC_FIELDS)
 SHAPE_TABLE(OldSpec, OLD_SPEC_FIELDS)
 
-#define OLD_JOB_FIELDS(X)                                                                             \
-    X(ONE, spec, OldSpec) X(U64, number, 0) X(U64, phase, 0) X(U64, ending, 0) X(I64, acceptedMs, 0) \
-    X(I64, endedMs, 0) X(LST, tasks, OldTask)
+#define OLD_JOB_FIELDS(X) \
+    X(ONE, spec, OldSpec) \
+    X(U64, number, 0)     \
+    X(U64, phase, 0)      \
+    X(U64, ending, 0)     \
+    X(I64, acceptedMs, 0) \
+    X(I64, endedMs, 0)    \
+    X(LST, tasks, OldTask)
 SHAPE(OldJob, OLD_JOB_FIELDS)
 SHAPE_TABLE(OldJob, OLD_JOB_FIELDS)
 
-#define OLD_SAVED_FIELDS(X) X(U64, lastNumber, 0) X(LST, jobs, OldJob)
+#define OLD_SAVED_FIELDS(X) \
+    X(U64, lastNumber, 0)   \
+    X(LST, jobs, OldJob)
 SHAPE(OldSaved, OLD_SAVED_FIELDS)
 SHAPE_TABLE(OldSaved, OLD_SAVED_FIELDS)
 
@@ -265,14 +299,13 @@
     (void)state;
     const char *after[] = {"a"};
     OldStep steps[] = {{.name = "a", .count = 2}, {.name = "b", .count = 2, .after = after, .afterCount = 1}};
-    OldTask tasks[] = {{.phase = TASK_DONE, .round = 1},
-                       {.phase = TASK_RUNNING, .round = 1, .worker = "w"},
-                       {.step = 1},
-                       {.step = 1}};
-    OldJob job = {.spec = {.id = "j", .cell = "c", .tenant = "t", .queue = "q", .roundLimit = 3, .steps = steps, .stepsCount = 2},
-                  .number = 5,
-                  .tasks = tasks,
-                  .tasksCount = 4};
+    OldTask tasks[] = {
+        {.phase = TASK_DONE, .round = 1}, {.phase = TASK_RUNNING, .round = 1, .worker = "w"}, {.step = 1}, {.step = 1}};
+    OldJob job = {
+        .spec = {.id = "j", .cell = "c", .tenant = "t", .queue = "q", .roundLimit = 3, .steps = steps, .stepsCount = 2},
+        .number = 5,
+        .tasks = tasks,
+        .tasksCount = 4};
     const OldSaved saved = {5, &job, 1};
     Board b = boardNew();
     void *mem = talloc_new(NULL);
--- a/packages/template/src/template.c
+++ b/packages/template/src/template.c
@@ -17,8 +17,8 @@
     struct json_tokener *tokener = json_tokener_new();
     json_tokener_set_flags(tokener, JSON_TOKENER_STRICT);
     json_object *value = json_tokener_parse_ex(tokener, text, (int)strlen(text) + 1);
-    const bool whole = json_tokener_get_error(tokener) == json_tokener_success &&
-                       json_tokener_get_parse_end(tokener) == strlen(text);
+    const bool whole =
+        json_tokener_get_error(tokener) == json_tokener_success && json_tokener_get_parse_end(tokener) == strlen(text);
     json_tokener_free(tokener);
     if (whole)
         return value;
@@ -35,7 +35,8 @@
         else
             json_object_object_add(filling->values, values[i].name, valueOf(values[i].text));
     }
-    json_object_object_foreach(declared, name, one) {
+    json_object_object_foreach(declared, name, one)
+    {
         static const char *const KEYS[] = {"default", NULL};
         const char *path = checkPath(filling->faults, "parameters", name);
         json_object *otherwise;
@@ -96,7 +97,8 @@
     if (!json_object_is_type(value, json_type_object))
         return json_object_get(value);
     json_object *object = json_object_new_object();
-    json_object_object_foreach(value, key, one) {
+    json_object_object_foreach(value, key, one)
+    {
         /* names are filled in too: a cell may be a parameter */
         const char *here = checkPath(filling->faults, path, key);
         json_object *name = stringFill(filling, key, here);
@@ -117,7 +119,8 @@
         return NULL;
     if (!json_object_object_get_ex(template, "template", &document) || !json_object_is_type(document, json_type_object))
         faultAdd(faults, STATUS_BAD_FIELD, "template", "must be there, an object");
-    if (json_object_object_get_ex(template, "parameters", &declared) && !json_object_is_type(declared, json_type_object))
+    if (json_object_object_get_ex(template, "parameters", &declared) &&
+        !json_object_is_type(declared, json_type_object))
         faultAdd(faults, STATUS_BAD_FIELD, "parameters", "must be an object");
     if (faults->seen > before)
         return NULL;
@@ -139,9 +142,9 @@
 static json_object *laid(Faults *faults, json_object *document, json_object *overlay, const char *path)
 {
     json_object *result = json_object_new_object();
-    json_object_object_foreach(document, kept, value)
-        json_object_object_add(result, kept, json_object_get(value));
-    json_object_object_foreach(overlay, key, change) {
+    json_object_object_foreach(document, kept, value) json_object_object_add(result, kept, json_object_get(value));
+    json_object_object_foreach(overlay, key, change)
+    {
         const bool adds = key[0] == '+';
         const char *name = adds ? key + 1 : key, *here = checkPath(faults, path, name);
         json_object *old = NULL;
--- a/packages/template/test/template.c
+++ b/packages/template/test/template.c
@@ -18,7 +18,8 @@
 {
     json_object *template = json_tokener_parse(TEMPLATE);
     json_object *document = templateFill(faults, template, values, count);
-    char *text = document != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN)) : NULL;
+    char *text =
+        document != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN)) : NULL;
     json_object_put(document);
     json_object_put(template);
     return text;
@@ -36,8 +37,9 @@
     (void)state;
     void *mem = talloc_new(NULL);
     const TemplateValue values[] = {{"cell", "imagery"}, {"share", "5"}};
-    assert_string_equal(filled(mem, values, 2, faultsNew(mem)),
-                        "{\"r\":1,\"cells\":{\"imagery\":{\"share\":5,\"tenants\":{\"ops-imagery\":{}},\"queues\":{\"q\":{}}}}}");
+    assert_string_equal(
+        filled(mem, values, 2, faultsNew(mem)),
+        "{\"r\":1,\"cells\":{\"imagery\":{\"share\":5,\"tenants\":{\"ops-imagery\":{}},\"queues\":{\"q\":{}}}}}");
     const char *text = filled(mem, values, 1, faultsNew(mem));
     assert_true(text != NULL && strstr(text, "\"share\":2") != NULL);
     talloc_free(mem);
@@ -65,7 +67,8 @@
     json_object *document = json_tokener_parse("{\"r\":1,\"cells\":{\"a\":{\"share\":2},\"b\":{}}}");
     json_object *overlay = json_tokener_parse(overlayText);
     json_object *result = templateOverlay(faults, document, overlay);
-    char *text = result != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(result, JSON_C_TO_STRING_PLAIN)) : NULL;
+    char *text =
+        result != NULL ? talloc_strdup(mem, json_object_to_json_string_ext(result, JSON_C_TO_STRING_PLAIN)) : NULL;
     assert_string_equal(json_object_to_json_string_ext(document, JSON_C_TO_STRING_PLAIN),
                         "{\"r\":1,\"cells\":{\"a\":{\"share\":2},\"b\":{}}}"); /* as it was */
     json_object_put(result);
@@ -79,8 +82,9 @@
     (void)state;
     void *mem = talloc_new(NULL);
     Faults *faults = faultsNew(mem);
-    assert_string_equal(overlaid(mem, "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"+limit\":9},\"b\":null,\"+c\":{}}}", faults),
-                        "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"limit\":9},\"c\":{}}}");
+    assert_string_equal(
+        overlaid(mem, "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"+limit\":9},\"b\":null,\"+c\":{}}}", faults),
+        "{\"r\":2,\"cells\":{\"a\":{\"share\":3,\"limit\":9},\"c\":{}}}");
     assert_null(overlaid(mem, "{\"r\":2,\"cells\":{\"z\":{\"share\":3}}}", faults));
     assert_string_equal(faults->list[0].path, "cells.z");
     assert_null(overlaid(mem, "{\"cells\":{\"+a\":{}}}", faults));
@@ -92,6 +96,7 @@
 
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(fills), cmocka_unit_test(refusesParameters), cmocka_unit_test(overlays)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(fills), cmocka_unit_test(refusesParameters),
+                                       cmocka_unit_test(overlays)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/trace/src/trace.c
+++ b/packages/trace/src/trace.c
@@ -30,11 +30,17 @@
 SHAPE(TraceAsk, TRACE_ASK_FIELDS)
 SHAPE_TABLE(TraceAsk, TRACE_ASK_FIELDS)
 
-#define TRACE_EVENT_FIELDS(X) X(I64, atMs, 0) X(U64, step, 0) X(TXT, detail, 0)
+#define TRACE_EVENT_FIELDS(X) \
+    X(I64, atMs, 0)           \
+    X(U64, step, 0)           \
+    X(TXT, detail, 0)
 SHAPE(TraceEvent, TRACE_EVENT_FIELDS)
 SHAPE_TABLE(TraceEvent, TRACE_EVENT_FIELDS)
 
-#define TRACE_ANSWER_FIELDS(X) X(TXT, node, 0) X(I64, nowMs, 0) X(LST, events, TraceEvent)
+#define TRACE_ANSWER_FIELDS(X) \
+    X(TXT, node, 0)            \
+    X(I64, nowMs, 0)           \
+    X(LST, events, TraceEvent)
 SHAPE(TraceAnswer, TRACE_ANSWER_FIELDS)
 SHAPE_TABLE(TraceAnswer, TRACE_ANSWER_FIELDS)
 
@@ -122,9 +128,9 @@
     gathering->rows =
         talloc_realloc(gathering, gathering->rows, Row, (unsigned)(gathering->count + answer->eventsCount + 1));
     for (size_t i = 0; i < answer->eventsCount; i++) {
-        gathering->rows[gathering->count] = (Row){answer->events[i].atMs + offsetMs,
-                                                  talloc_strdup(gathering, answer->node), answer->events[i].step,
-                                                  talloc_strdup(gathering, answer->events[i].detail), gathering->count};
+        gathering->rows[gathering->count] =
+            (Row){answer->events[i].atMs + offsetMs, talloc_strdup(gathering, answer->node), answer->events[i].step,
+                  talloc_strdup(gathering, answer->events[i].detail), gathering->count};
         gathering->count++;
     }
 }
@@ -136,12 +142,13 @@
     Trace *trace = gathering->trace;
     TraceAnswer answer = {0};
     const int64_t sentMs = loopNowMs(trace->loop);
-    const Status status = courierAsk(trace->courier, part, part->address, MESSAGE_TRACE, &TraceAskShape, &gathering->ask,
-                                     ASK_EXPIRY_MS, &TraceAnswerShape, &answer);
+    const Status status = courierAsk(trace->courier, part, part->address, MESSAGE_TRACE, &TraceAskShape,
+                                     &gathering->ask, ASK_EXPIRY_MS, &TraceAnswerShape, &answer);
     if (status == STATUS_OK) {
         rowsAdd(gathering, &answer, (sentMs + loopNowMs(trace->loop)) / 2 - answer.nowMs);
     } else {
-        gathering->silent = talloc_realloc(gathering, gathering->silent, const char *, (unsigned)gathering->silentCount + 1);
+        gathering->silent =
+            talloc_realloc(gathering, gathering->silent, const char *, (unsigned)gathering->silentCount + 1);
         gathering->silent[gathering->silentCount++] = talloc_strdup(gathering, part->name);
     }
     gathering->pending--;
--- a/packages/view/include/view/messages.h
+++ b/packages/view/include/view/messages.h
@@ -8,52 +8,68 @@
 
 /* Where the core of a seat's disk stood when the seat was given. It helps to find
  * it again; the disk alone says whose the seat is. */
-#define SEAT_CORE_FIELDS(X) X(U64, disk, 0) X(TXT, name, 0) X(TXT, zone, 0) X(TXT, address, 0)
+#define SEAT_CORE_FIELDS(X) \
+    X(U64, disk, 0)         \
+    X(TXT, name, 0)         \
+    X(TXT, zone, 0)         \
+    X(TXT, address, 0)
 SHAPE(SeatCore, SEAT_CORE_FIELDS)
 
 /* Who holds the seats, place by place. Held in the log from the founding on.
  * Invariants: disk 0 is a place that nobody has; of two lists that follow each
  * other in the log, one has at most one seat more than the other, and the same
  * seats besides. */
-#define SEAT_LIST_FIELDS(X) X(LST, seats, DiskId) X(LST, cores, SeatCore)
+#define SEAT_LIST_FIELDS(X) \
+    X(LST, seats, DiskId)   \
+    X(LST, cores, SeatCore)
 SHAPE(SeatList, SEAT_LIST_FIELDS)
 
 /* The first entry of each epoch: whose it is and which seats are in the view.
  * repair: committed changes may have been lost and are still to be told again;
  * it stands until a REPAIRED entry, whoever leads meanwhile.
  * Invariant: members are a majority of the seats and hold holder. */
-#define VIEW_RECORD_FIELDS(X)   \
-    X(U64, epoch, 0)              \
-    X(U64, holder, 0)             \
-    X(LST, members, DiskId)       \
-    X(TXT, holderId, 0)           \
+#define VIEW_RECORD_FIELDS(X) \
+    X(U64, epoch, 0)          \
+    X(U64, holder, 0)         \
+    X(LST, members, DiskId)   \
+    X(TXT, holderId, 0)       \
     X(FLAG, repair, 0)
 SHAPE(ViewRecord, VIEW_RECORD_FIELDS)
 
 /* to, in all that is asked of a seat: the disk that it is meant for. An address
  * names nobody: a core with a new disk may stand where another's seat stood. 0: an
  * older release asks, which did not say. */
-#define PROPOSE_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(U64, to, 0) \
-    X(U64, logEpoch, 0) X(U64, logIndex, 0) /* of the asking seat's last entry */
+#define PROPOSE_ASK_FIELDS(X) \
+    X(U64, epoch, 0)          \
+    X(U64, holder, 0)         \
+    X(U64, to, 0)             \
+    X(U64, logEpoch, 0)       \
+    X(U64, logIndex, 0) /* of the asking seat's last entry */
 SHAPE(ProposeAsk, PROPOSE_ASK_FIELDS)
 
 /* What a seat is, told with each answer. */
-#define SEAT_ANSWER_FIELDS(X)                                                      \
-    X(U64, promised, 0)                                                              \
-    X(U64, holder, 0)                                                                \
-    X(FLAG, held, 0)       /* a hold it granted runs */                               \
-    X(U64, logEpoch, 0)    /* of its last entry */                                    \
-    X(U64, logIndex, 0)                                                              \
-    X(FLAG, woke, 0)       /* restarted, and no view has brought it up to date since */ \
-    X(U64, viewEpoch, 0)   /* of the last view recorded */                            \
-    X(LST, viewMembers, DiskId)                                                      \
-    X(I64, wallMs, 0)                                                                \
-    X(I64, syncMs, 0)      /* its last sync took so long */                           \
-    X(U64, sight, 0)       /* members that have spoken to it of late */
+#define SEAT_ANSWER_FIELDS(X)                                                         \
+    X(U64, promised, 0)                                                               \
+    X(U64, holder, 0)                                                                 \
+    X(FLAG, held, 0)    /* a hold it granted runs */                                  \
+    X(U64, logEpoch, 0) /* of its last entry */                                       \
+    X(U64, logIndex, 0)                                                               \
+    X(FLAG, woke, 0)     /* restarted, and no view has brought it up to date since */ \
+    X(U64, viewEpoch, 0) /* of the last view recorded */                              \
+    X(LST, viewMembers, DiskId)                                                       \
+    X(I64, wallMs, 0)                                                                 \
+    X(I64, syncMs, 0) /* its last sync took so long */                                \
+    X(U64, sight, 0)  /* members that have spoken to it of late */
 SHAPE(SeatAnswer, SEAT_ANSWER_FIELDS)
 
-#define RENEW_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(U64, commitIndex, 0) X(I64, clockMs, 0) X(TXT, holderId, 0) \
-    X(U64, to, 0) X(U64, next, 0) /* in a release: the seat that is to propose itself at once; 0: none */
+#define RENEW_ASK_FIELDS(X) \
+    X(U64, epoch, 0)        \
+    X(U64, holder, 0)       \
+    X(U64, commitIndex, 0)  \
+    X(I64, clockMs, 0)      \
+    X(TXT, holderId, 0)     \
+    X(U64, to, 0)           \
+    X(U64, next, 0) /* in a release: the seat that is to propose itself at once; 0: none */
 SHAPE(RenewAsk, RENEW_ASK_FIELDS)
 
 /* Entries after (prevEpoch, prevIndex). What the seat has beyond that and the
@@ -70,15 +86,28 @@
 
 /* over: the seat's log is of another history: it gives way whatever it holds. Else a
  * seat that has what the snapshot stands for keeps its log, which may go further. */
-#define FILL_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(ONE, snapshot, Record) X(U64, commitIndex, 0) X(U64, to, 0) \
+#define FILL_ASK_FIELDS(X)   \
+    X(U64, epoch, 0)         \
+    X(U64, holder, 0)        \
+    X(ONE, snapshot, Record) \
+    X(U64, commitIndex, 0)   \
+    X(U64, to, 0)            \
     X(FLAG, over, 0)
 SHAPE(FillAsk, FILL_ASK_FIELDS)
 
 /* Asks a seat for its log after an index. */
-#define LOG_ASK_FIELDS(X) X(U64, epoch, 0) X(U64, holder, 0) X(U64, afterEpoch, 0) X(U64, afterIndex, 0) X(U64, to, 0)
+#define LOG_ASK_FIELDS(X) \
+    X(U64, epoch, 0)      \
+    X(U64, holder, 0)     \
+    X(U64, afterEpoch, 0) \
+    X(U64, afterIndex, 0) \
+    X(U64, to, 0)
 SHAPE(LogAsk, LOG_ASK_FIELDS)
 
-#define LOG_ANSWER_FIELDS(X) X(FLAG, whole, 0) X(ONE, snapshot, Record) X(LST, entries, Record)
+#define LOG_ANSWER_FIELDS(X) \
+    X(FLAG, whole, 0)        \
+    X(ONE, snapshot, Record) \
+    X(LST, entries, Record)
 SHAPE(LogAnswer, LOG_ANSWER_FIELDS)
 
 #endif
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -15,8 +15,8 @@
 typedef struct View View;
 
 /* Numbers of changes that the view itself owns; the embedder's start above. */
-#define VIEW_CHANGE_VIEW 1  /* payload: ViewRecord */
-#define VIEW_CHANGE_SEATS 2 /* payload: SeatList */
+#define VIEW_CHANGE_VIEW 1     /* payload: ViewRecord */
+#define VIEW_CHANGE_SEATS 2    /* payload: SeatList */
 #define VIEW_CHANGE_REPAIRED 3 /* no payload */
 #define VIEW_CHANGE_FIRST 16
 
@@ -60,7 +60,7 @@
     ViewState state;
     ViewOpened opened;
     void *openedArg;
-    int losses;         /* disks that may be lost at once: twice that and one seats are wanted; 0: 1 */
+    int losses; /* disks that may be lost at once: twice that and one seats are wanted; 0: 1 */
     ViewFounds founds;
     bool disksKeep;     /* what a disk has synced outlasts a loss of power */
     int64_t seatBackMs; /* a seat that returns, or is replaced, is whole again within this; 0: SEAT_GONE_MS */
--- a/packages/view/src/found.c
+++ b/packages/view/src/found.c
@@ -5,7 +5,9 @@
 
 #include "inside.h"
 
-#define FOUND_ASK_FIELDS(X) X(U64, cluster, 0) X(LST, seats, DiskId)
+#define FOUND_ASK_FIELDS(X) \
+    X(U64, cluster, 0)      \
+    X(LST, seats, DiskId)
 SHAPE(FoundAsk, FOUND_ASK_FIELDS)
 SHAPE_TABLE(FoundAsk, FOUND_ASK_FIELDS)
 
@@ -111,8 +113,8 @@
         for (int k = 0; k < SEAT_FIRST; k++)
             ask.seats[k].disk = disks[k];
         FoundAnswer answer = {0};
-        courierAsk(view->props.courier, mem, talloc_strdup(mem, member->record.address), MESSAGE_FOUND, &FoundAskShape, &ask,
-                   ASK_EXPIRY_MS, &FoundAnswerShape, &answer);
+        courierAsk(view->props.courier, mem, talloc_strdup(mem, member->record.address), MESSAGE_FOUND, &FoundAskShape,
+                   &ask, ASK_EXPIRY_MS, &FoundAnswerShape, &answer);
         talloc_free(mem);
     }
 }
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -14,7 +14,7 @@
     int64_t appendTookMs;  /* the last one */
     bool refill;           /* its log can't be mended by entries: send the snapshot */
     bool woke;
-    int slowTimes; /* appends in a row that took longer than SEAT_SLOW_MS */
+    int slowTimes;    /* appends in a row that took longer than SEAT_SLOW_MS */
     int64_t returnMs; /* it left the view for being late: not back before this */
     uint64_t promised;
     int64_t wallMs, wallAtMs; /* its wall clock, and our clock when it was told; wallAtMs 0: never */
@@ -53,9 +53,9 @@
     uint64_t disk;
     /* the seat */
     uint64_t cluster;
-    SeatList *founded; /* never null */
-    SeatList *list;    /* the newest; never null */
-    uint64_t listIndex; /* of its entry; 0: it is the founded one */
+    SeatList *founded;         /* never null */
+    SeatList *list;            /* the newest; never null */
+    uint64_t listIndex;        /* of its entry; 0: it is the founded one */
     uint64_t seats[SEAT_MOST]; /* the disks of list */
     size_t places, seatCount;  /* the length of list; how many of them somebody has */
     ViewRecord last;
@@ -67,7 +67,7 @@
     uint64_t commitIndex, deliveredIndex;
     int64_t clockBaseMs, clockAtMs; /* the log's clock, and our own when it was told */
     int64_t clockLogMs;             /* the latest in the log: it never goes back behind that */
-    bool clockRuns; /* it was told, or it is ours: before that, our own time says nothing of it */
+    bool clockRuns;                 /* it was told, or it is ours: before that, our own time says nothing of it */
     bool compacting;
     bool mending; /* the whole journal is written again after a failure */
     /* the holder */
@@ -76,12 +76,12 @@
     uint64_t epoch;
     LockHold hold;
     int64_t wonMs;
-    bool holding; /* the lock was won and not given up (also while a view is opened anew) */
+    bool holding;   /* the lock was won and not given up (also while a view is opened anew) */
     bool reopening; /* the opening under way is of a holder that never lost the lock */
     uint64_t viewIndex;
     bool inView[SEAT_MOST];
     Peer peers[SEAT_MOST + 1];
-    uint64_t guest; /* a disk; 0: none */
+    uint64_t guest;     /* a disk; 0: none */
     uint64_t guestTurn; /* the lead that it is a guest of */
     int64_t guestSinceMs;
     uint64_t guestPassed; /* the last guest that was not ready in time; others go first */
@@ -96,13 +96,17 @@
     bool wallKnown;
     Waiter *waiters;
     Signal grew;
-    int slowTimes; /* own syncs in a row that took longer than SEAT_SLOW_MS */
+    int slowTimes;   /* own syncs in a row that took longer than SEAT_SLOW_MS */
     Signal released; /* the holder of the lock has given it up */
     bool named;      /* ... and named this seat to be the next */
     Signal news;
 };
 
-#define SNAPSHOT_FIELDS(X) X(LST, seats, DiskId) X(ONE, last, ViewRecord) X(BIN, state, 0) X(LST, cores, SeatCore)
+#define SNAPSHOT_FIELDS(X)   \
+    X(LST, seats, DiskId)    \
+    X(ONE, last, ViewRecord) \
+    X(BIN, state, 0)         \
+    X(LST, cores, SeatCore)
 SHAPE(Snapshot, SNAPSHOT_FIELDS)
 
 int viewSeatOf(const View *view, uint64_t disk);
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -146,9 +146,8 @@
     ask.commitIndex = view->commitIndex;
     ask.entries = talloc_array(mem, Record, LOG_BATCH_ENTRIES);
     size_t bytes = 0;
-    for (uint64_t i = peer->nextIndex; i <= logLastIndex(view->log) && ask.entriesCount < LOG_BATCH_ENTRIES &&
-                                          bytes < LOG_BATCH_BYTES;
-         i++) {
+    for (uint64_t i = peer->nextIndex;
+         i <= logLastIndex(view->log) && ask.entriesCount < LOG_BATCH_ENTRIES && bytes < LOG_BATCH_BYTES; i++) {
         bytes += logAt(view->log, i)->payload.count;
         shapeCopy(&RecordShape, logAt(view->log, i), mem, &ask.entries[ask.entriesCount++]);
     }
@@ -184,7 +183,8 @@
             else if (answer.logIndex + 1 < next)
                 next = answer.logIndex + 1;
             else
-                next = next > view->log->baseIndex + 1 + LOG_BACK_STEP ? next - LOG_BACK_STEP : view->log->baseIndex + 1;
+                next =
+                    next > view->log->baseIndex + 1 + LOG_BACK_STEP ? next - LOG_BACK_STEP : view->log->baseIndex + 1;
             peer->nextIndex = next;
         } else {
             loopSleep(view->loop, 100);
@@ -260,8 +260,9 @@
 static Status renewOne(View *view, const Lead *lead, const char *address, int64_t sentMs)
 {
     void *mem = talloc_new(view);
-    const RenewAsk ask = {view->epoch, view->disk, view->commitIndex, viewClockMs(view),
-                          membersSelf(view->props.members)->id, lead->disk, 0};
+    const RenewAsk ask = {
+        view->epoch, view->disk, view->commitIndex, viewClockMs(view), membersSelf(view->props.members)->id,
+        lead->disk,  0};
     SeatAnswer answer = {0};
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
@@ -413,4 +414,3 @@
     viewWaitersEnd(view, STATUS_OUTCOME_UNKNOWN);
     signalRaise(view->loop, &view->news);
 }
-
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -203,7 +203,8 @@
         lockHoldAnswered(&view->hold, i, poll->sentMs[i]);
     }
     int own = viewOwnSeat(view);
-    const bool ownFailed = own >= 0 && (poll->status[own] == STATUS_DISK_FAILED || poll->status[own] == STATUS_UNREACHABLE);
+    const bool ownFailed =
+        own >= 0 && (poll->status[own] == STATUS_DISK_FAILED || poll->status[own] == STATUS_UNREACHABLE);
     bool lost = leadOver(view, turn) || promisedCount(view, inView) < viewMajority(view) || own < 0 || !inView[own];
     if (!lost) {
         lagLeave(view, poll, best, inView);
@@ -303,4 +304,3 @@
     signalRaise(view->loop, &view->news);
     return STATUS_OK;
 }
-
--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -263,8 +263,8 @@
         if (i == place || view->seats[i] == 0)
             continue;
         seats++;
-        live += view->seats[i] == view->disk ||
-                (view->inView[i] && nowMs - view->peers[i].answeredMs < 2 * LOCK_RENEW_MS);
+        live +=
+            view->seats[i] == view->disk || (view->inView[i] && nowMs - view->peers[i].answeredMs < 2 * LOCK_RENEW_MS);
     }
     return live >= lockMajority(seats);
 }
@@ -279,8 +279,8 @@
             return;
     }
     /* a list must be committed before the next */
-    if (leadOver(view, turn) || view->listIndex > view->commitIndex || view->seats[place] != 0 || view->guest != guest ||
-        !majorityLives(view, place, true))
+    if (leadOver(view, turn) || view->listIndex > view->commitIndex || view->seats[place] != 0 ||
+        view->guest != guest || !majorityLives(view, place, true))
         return;
     const Peer peer = view->peers[GUEST];
     void *mem = talloc_new(view);
@@ -295,8 +295,8 @@
     lockHoldAnswered(&view->hold, place, peer.renewedMs);
     leadRenew(view, place);
     leadPeer(view, place);
-    ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "seat %d of %zu is given to disk %016" PRIx64, place + 1,
-            view->seatCount, guest);
+    ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "seat %d of %zu is given to disk %016" PRIx64,
+            place + 1, view->seatCount, guest);
     viewSettle(view);
 }
 
@@ -321,7 +321,8 @@
             view->guest = guest;
             view->guestSinceMs = loopNowMs(view->loop);
             view->guestTurn = view->leadTurn;
-            view->peers[GUEST] = (Peer){.nextIndex = logLastIndex(view->log) + 1, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
+            view->peers[GUEST] =
+                (Peer){.nextIndex = logLastIndex(view->log) + 1, .renewedMs = INT64_MIN, .appendSinceMs = INT64_MAX};
             leadRenew(view, GUEST);
             leadPeer(view, GUEST);
         } else if (guestReady(view)) {
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -244,8 +244,8 @@
     if (view->cluster != 0) {
         records[at] = (Record){.kind = RECORD_CLUSTER, .epoch = view->cluster, .name = ""};
         shapePack(&SeatListShape, view->founded, mem, &records[at++].payload);
-        records[at++] = (Record){
-            .kind = RECORD_PROMISE, .epoch = view->lock.promised, .index = view->lock.holder, .name = ""};
+        records[at++] =
+            (Record){.kind = RECORD_PROMISE, .epoch = view->lock.promised, .index = view->lock.holder, .name = ""};
     }
     if (log->snapshot.kind == RECORD_SNAPSHOT)
         records[at++] = log->snapshot;
@@ -269,8 +269,7 @@
 void viewCompactMaybe(View *view, bool force)
 {
     Log *log = view->log;
-    if (view->compacting || view->deliveredIndex <= log->baseIndex ||
-        (!force && log->count < LOG_SNAPSHOT_ENTRIES))
+    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < LOG_SNAPSHOT_ENTRIES))
         return;
     void *mem = talloc_new(view);
     /* seats and last as of deliveredIndex: later ones are still in the log */
@@ -291,11 +290,8 @@
     snapshot.coresCount = view->list->coresCount;
     snapshot.last = view->last;
     snapshot.state = view->props.state.save(view->props.state.arg, mem);
-    Record record = {.kind = RECORD_SNAPSHOT,
-                     .epoch = epoch,
-                     .index = view->deliveredIndex,
-                     .atMs = viewClockMs(view),
-                     .name = ""};
+    Record record = {
+        .kind = RECORD_SNAPSHOT, .epoch = epoch, .index = view->deliveredIndex, .atMs = viewClockMs(view), .name = ""};
     shapePack(&SnapshotShape, &snapshot, mem, &record.payload);
     logRebase(log, &record);
     talloc_free(mem);
@@ -350,7 +346,7 @@
         status = viewLoad(view, &view->log->snapshot);
         if (status != STATUS_OK)
             return failureSet(failure, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
-                             statusWord(status));
+                              statusWord(status));
         view->commitIndex = view->deliveredIndex;
     }
     view->queuedIndex = logLastIndex(view->log);
--- a/packages/view/src/watch.c
+++ b/packages/view/src/watch.c
@@ -31,9 +31,10 @@
 {
     const Peer *peer = &view->peers[place];
     const Member *member = membersFindDisk(view->props.members, view->seats[place]);
-    return (member == NULL || !member->record.leaving) && nowMs - peer->answeredMs <= LOCK_RENEW_MS * 2 && peer->appendSinceMs == INT64_MAX &&
-           peer->matchIndex > 0 && peer->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) &&
-           peer->appendTookMs < SEAT_SLOW_MS / 2 && peer->syncMs < SEAT_SLOW_MS / 2 && nowMs >= peer->returnMs && !seatDead(view, view->seats[place], false);
+    return (member == NULL || !member->record.leaving) && nowMs - peer->answeredMs <= LOCK_RENEW_MS * 2 &&
+           peer->appendSinceMs == INT64_MAX && peer->matchIndex > 0 &&
+           peer->matchIndex + LOG_BATCH_ENTRIES >= logLastIndex(view->log) && peer->appendTookMs < SEAT_SLOW_MS / 2 &&
+           peer->syncMs < SEAT_SLOW_MS / 2 && nowMs >= peer->returnMs && !seatDead(view, view->seats[place], false);
 }
 
 /* Changes the view under the same epoch: takes in who is up to date, lets go who
@@ -72,7 +73,8 @@
             count--;
             peer->returnMs = nowMs + SEAT_REST_MS;
             peer->slowTimes = 0;
-            ringSay(view->props.ring, RING_ALERT, nowMs, "seat %016" PRIx64 " leaves the view: %s", view->seats[i], why);
+            ringSay(view->props.ring, RING_ALERT, nowMs, "seat %016" PRIx64 " leaves the view: %s", view->seats[i],
+                    why);
             continue;
         }
         /* it restarted within the view; one just taken in takes a renewal to be heard of */
@@ -127,7 +129,7 @@
 static void watchMain(void *arg)
 {
     View *view = arg;
-    int64_t dueMs = 0; /* it should look then */
+    int64_t dueMs = 0;   /* it should look then */
     int64_t againMs = 0; /* waited for before it stood again; 0: it did not have to */
     while (!loopStopping(view->loop)) {
         const int64_t nowMs = loopNowMs(view->loop);
@@ -145,13 +147,15 @@
                 ringSay(view->props.ring, RING_ALERT, nowMs, "the hold of the lock has lapsed");
                 leadDown(view, 0);
             } else if ((sinceMs != INT64_MAX && nowMs - sinceMs > APPEND_EXPIRY_MS) ||
-                       (((sinceMs != INT64_MAX && nowMs - sinceMs > SEAT_LATE_MS) || view->slowTimes >= SEAT_SLOW_TIMES) &&
+                       (((sinceMs != INT64_MAX && nowMs - sinceMs > SEAT_LATE_MS) ||
+                         view->slowTimes >= SEAT_SLOW_TIMES) &&
                         leadNext(view, true) != 0)) {
                 view->slowTimes = 0;
                 ringSay(view->props.ring, RING_ALERT, nowMs, "own disk is slow: hands the lock over");
                 leadDown(view, SLOW_DISK_REST_MS);
             } else if (viewBlind(view)) {
-                ringSay(view->props.ring, RING_ALERT, nowMs, "another seat sees many more members: hands the lock over");
+                ringSay(view->props.ring, RING_ALERT, nowMs,
+                        "another seat sees many more members: hands the lock over");
                 view->blindSinceMs = 0;
                 leadDown(view, SLOW_DISK_REST_MS);
             } else if (viewTend(view, skip)) {
--- a/packages/wire/include/wire/courier.h
+++ b/packages/wire/include/wire/courier.h
@@ -11,7 +11,15 @@
 typedef struct Courier Courier;
 
 /* What the courier has counted of bad frames; none of them ever crashes it. */
-#define COURIER_COUNT_LIST(X) X(asked) X(answered) X(served) X(expired) X(badFrames) X(strangers) X(otherVersions) X(linesOpened)
+#define COURIER_COUNT_LIST(X) \
+    X(asked)                  \
+    X(answered)               \
+    X(served)                 \
+    X(expired)                \
+    X(badFrames)              \
+    X(strangers)              \
+    X(otherVersions)          \
+    X(linesOpened)
 
 typedef struct CourierCounts {
 #define X(name) uint64_t name;
--- a/packages/wire/include/wire/shape.h
+++ b/packages/wire/include/wire/shape.h
@@ -22,7 +22,16 @@
  * Across versions: a reader ignores trailing fields that it does not know and
  * leaves at zero those that an older writer did not send. So fields are only
  * ever added, at the end. */
-typedef enum ShapeKind { SHAPE_U64, SHAPE_I64, SHAPE_FLAG, SHAPE_TXT, SHAPE_BIN, SHAPE_TXS, SHAPE_ONE, SHAPE_LST } ShapeKind;
+typedef enum ShapeKind {
+    SHAPE_U64,
+    SHAPE_I64,
+    SHAPE_FLAG,
+    SHAPE_TXT,
+    SHAPE_BIN,
+    SHAPE_TXS,
+    SHAPE_ONE,
+    SHAPE_LST
+} ShapeKind;
 
 typedef struct Shape Shape;
 
@@ -45,16 +54,20 @@
 #define SHAPE_MEMBER_FLAG(name, of) bool name;
 #define SHAPE_MEMBER_TXT(name, of) const char *name;
 #define SHAPE_MEMBER_BIN(name, of) Bytes name;
-#define SHAPE_MEMBER_TXS(name, of) const char **name; size_t name##Count;
+#define SHAPE_MEMBER_TXS(name, of) \
+    const char **name;             \
+    size_t name##Count;
 #define SHAPE_MEMBER_ONE(name, of) of name;
-#define SHAPE_MEMBER_LST(name, of) of *name; size_t name##Count;
+#define SHAPE_MEMBER_LST(name, of) \
+    of *name;                      \
+    size_t name##Count;
 #define SHAPE_MEMBER_RAM(name, of) of name;
 #define SHAPE_MEMBER(kind, name, of) SHAPE_MEMBER_##kind(name, of)
 
-#define SHAPE(Type, FIELDS) \
-    typedef struct Type {   \
-        FIELDS(SHAPE_MEMBER)  \
-    } Type;                 \
+#define SHAPE(Type, FIELDS)  \
+    typedef struct Type {    \
+        FIELDS(SHAPE_MEMBER) \
+    } Type;                  \
     extern const Shape Type##Shape;
 
 #define SHAPE_ROW_PLAIN(kind, name) {#name, SHAPE_##kind, offsetof(ShapeOwner, name), 0, NULL},
@@ -70,14 +83,14 @@
 #define SHAPE_ROW_RAM(name, of)
 #define SHAPE_ROW(kind, name, of) SHAPE_ROW_##kind(name, of)
 
-#define SHAPE_TABLE(Type, FIELDS)                        \
-    static const ShapeField *Type##Fields(size_t *count)  \
-    {                                                     \
-        typedef Type ShapeOwner;                          \
+#define SHAPE_TABLE(Type, FIELDS)                             \
+    static const ShapeField *Type##Fields(size_t *count)      \
+    {                                                         \
+        typedef Type ShapeOwner;                              \
         static const ShapeField ROWS[] = {FIELDS(SHAPE_ROW)}; \
-        *count = sizeof(ROWS) / sizeof(ROWS[0]);          \
-        return ROWS;                                      \
-    }                                                     \
+        *count = sizeof(ROWS) / sizeof(ROWS[0]);              \
+        return ROWS;                                          \
+    }                                                         \
     const Shape Type##Shape = {#Type, sizeof(Type), Type##Fields};
 
 void shapePack(const Shape *shape, const void *from, void *mem, Bytes *to);
--- a/packages/wire/src/courier.c
+++ b/packages/wire/src/courier.c
@@ -173,7 +173,8 @@
             question->envelope.answer || question->envelope.kind >= MESSAGE_MAX ||
             courier->handlers[question->envelope.kind].fn == NULL) {
             courier->counts.badFrames++;
-            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s", failure.text);
+            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s",
+                    failure.text);
             talloc_free(question);
             break;
         }
@@ -300,8 +301,7 @@
     asking->call = ++courier->lastCall;
     asking->sentMs = loopNowMs(courier->loop);
     asking->mem = scratch;
-    Envelope envelope = {
-        .version = WIRE_VERSION, .cluster = courier->cluster, .kind = kind, .call = asking->call};
+    Envelope envelope = {.version = WIRE_VERSION, .cluster = courier->cluster, .kind = kind, .call = asking->call};
     shapePack(askShape, ask, scratch, &envelope.payload);
     Bytes frame = {0};
     shapePack(&EnvelopeShape, &envelope, scratch, &frame);
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -9,17 +9,28 @@
 
 #include "wire/shape.h"
 
-#define LEAF_FIELDS(X) X(U64, number, 0) X(TXT, name, 0)
+#define LEAF_FIELDS(X) \
+    X(U64, number, 0)  \
+    X(TXT, name, 0)
 SHAPE(Leaf, LEAF_FIELDS)
 SHAPE_TABLE(Leaf, LEAF_FIELDS)
 
-#define TREE_FIELDS(X) \
-    X(I64, balance, 0) X(FLAG, on, 0) X(BIN, blob, 0) X(TXS, words, 0) X(ONE, first, Leaf) X(LST, leaves, Leaf)
+#define TREE_FIELDS(X)  \
+    X(I64, balance, 0)  \
+    X(FLAG, on, 0)      \
+    X(BIN, blob, 0)     \
+    X(TXS, words, 0)    \
+    X(ONE, first, Leaf) \
+    X(LST, leaves, Leaf)
 SHAPE(Tree, TREE_FIELDS)
 SHAPE_TABLE(Tree, TREE_FIELDS)
 
 /* The same as Leaf, one release later. */
-#define NEXT_LEAF_FIELDS(X) X(U64, number, 0) X(TXT, name, 0) X(U64, added, 0) X(TXT, note, 0)
+#define NEXT_LEAF_FIELDS(X) \
+    X(U64, number, 0)       \
+    X(TXT, name, 0)         \
+    X(U64, added, 0)        \
+    X(TXT, note, 0)
 SHAPE(NextLeaf, NEXT_LEAF_FIELDS)
 SHAPE_TABLE(NextLeaf, NEXT_LEAF_FIELDS)
 
--- a/src/build.c
+++ b/src/build.c
@@ -42,8 +42,8 @@
 }
 
 /* The whole document, or null and faults; what says where they are. */
-static json_object *build(Faults *faults, const char *templatePath, const char *const *sets, const char *const *overlays,
-                          const char **what)
+static json_object *build(Faults *faults, const char *templatePath, const char *const *sets,
+                          const char *const *overlays, const char **what)
 {
     TemplateValue *values;
     *what = templatePath;
--- a/src/node.c
+++ b/src/node.c
@@ -164,7 +164,8 @@
     if (code == EXIT_GOOD && only) {
         printf("good: %s %s in zone %s\n", ROLES[run->place.role], run->place.props.name, run->place.props.zone);
     } else if (code == EXIT_GOOD) {
-        run->node = (FaceNode){.loop = realLoopNew(mem), .ring = ringNew(mem, run->place.props.name), .place = &run->place};
+        run->node =
+            (FaceNode){.loop = realLoopNew(mem), .ring = ringNew(mem, run->place.props.name), .place = &run->place};
         loopSpawn(run->node.loop, "start", startMain, run);
         realLoopOnUser(run->node.loop, userMain, run);
         realLoopOnHup(run->node.loop, hupMain, run);
--- a/src/operate.c
+++ b/src/operate.c
@@ -85,8 +85,12 @@
         return wrong(order->command, "--at: the IP address and port of an entry point is needed");
     Operation *operation = talloc_zero(order->mem, Operation);
     operation->loop = realLoopNew(order->mem);
-    operation->call = (HttpCall){
-        .mem = order->mem, .address = at, .method = method, .path = path, .body = body, .waitMs = PROXY_EXPIRY_MS + 2000};
+    operation->call = (HttpCall){.mem = order->mem,
+                                 .address = at,
+                                 .method = method,
+                                 .path = path,
+                                 .body = body,
+                                 .waitMs = PROXY_EXPIRY_MS + 2000};
     loopSpawn(operation->loop, "operate", operateMain, operation);
     realLoopRun(operation->loop, NULL, NULL);
     if (operation->status != STATUS_OK) {
@@ -153,8 +157,9 @@
     poptContext context = poptGetContext(command, argc, argv, options, 0);
     poptSetOtherOptionHelp(context, usage);
     const int got = poptGetNextOpt(context);
-    const int code = got < -1 ? wrong(command, "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got))
-                              : wordsTake(order, usage, verbs, context);
+    const int code = got < -1
+                         ? wrong(command, "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got))
+                         : wordsTake(order, usage, verbs, context);
     poptFreeContext(context);
     return code;
 }
@@ -237,19 +242,20 @@
         return runBuild(argc - 1, argv + 1);
     static const Verb VERBS[] = {{"show", 1}, {"history", 1}, {"set", 1}, {"patch", 1}, {NULL, 0}};
     Order order;
-    const int code = orderTake(&order, "config",
-                               "show [-r N] | history | set -b BASE [-r N] -f FILE | patch -b BASE [-r N] -f FILE | build -t FILE ...",
-                               VERBS, argc, argv);
+    const int code = orderTake(
+        &order, "config",
+        "show [-r N] | history | set -b BASE [-r N] -f FILE | patch -b BASE [-r N] -f FILE | build -t FILE ...", VERBS,
+        argc, argv);
     return orderPrint(&order, code == EXIT_GOOD ? configAsk(&order) : code);
 }
 
 static int zoneAsk(Order *order)
 {
     const char *method = orderIs(order, "show") ? "GET" : orderIs(order, "back") ? "DELETE" : "POST";
-    return ask(order, method,
-               talloc_asprintf(order->mem, "/v1/zones/%s/drain%s", order->words[1],
-                               orderIs(order, "move") ? "?move=1" : ""),
-               (Bytes){0});
+    return ask(
+        order, method,
+        talloc_asprintf(order->mem, "/v1/zones/%s/drain%s", order->words[1], orderIs(order, "move") ? "?move=1" : ""),
+        (Bytes){0});
 }
 
 int runZone(int argc, const char **argv)
