--- a/packages/core/src/choose.c
+++ b/packages/core/src/choose.c
@@ -57,9 +57,9 @@
             sightAdd(pass, pass->placed[i].worker, 1);
 }
 
-static bool allowed(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool * not, size_t at)
+static bool allowed(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *excluded, size_t at)
 {
-    return !not [at] && (step->apart == 0 || (uint64_t)pass->step.onWorker[at] < step->apart) &&
+    return !excluded[at] && (step->apart == 0 || (uint64_t)pass->step.onWorker[at] < step->apart) &&
            planFits(&pass->input.workers[at], need);
 }
 
@@ -97,12 +97,13 @@
     return value;
 }
 
-static int chooseAmong(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool * not, const char *rack)
+static int chooseAmong(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *excluded,
+                       const char *rack)
 {
     int best = -1;
     int64_t bestValue = 0;
     for (size_t i = 0; i < pass->input.workerCount; i++) {
-        if ((rack != NULL && strcmp(pass->input.workers[i].rack, rack) != 0) || !allowed(pass, step, need, not, i))
+        if ((rack != NULL && strcmp(pass->input.workers[i].rack, rack) != 0) || !allowed(pass, step, need, excluded, i))
             continue;
         const int64_t value = valueOf(pass, step, need, i);
         const bool farther = best >= 0 && value == bestValue && pass->step.near[i] < pass->step.near[best];
@@ -114,18 +115,18 @@
     return best;
 }
 
-int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool * not, const char *rack)
+int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool *excluded, const char *rack)
 {
     const StepSpec *step = &job->spec.steps[job->tasks[task].step];
     const size_t shunned = job->tasks[task].shunned[0] != '\0' ? passPlace(pass, job->tasks[task].shunned) : SIZE_MAX;
     sightFind(pass, job, task);
     int at = -1;
-    if (shunned != SIZE_MAX && !not [shunned]) {
-        not [shunned] = true;
-        at = chooseAmong(pass, step, need, not, rack);
-        not [shunned] = false;
+    if (shunned != SIZE_MAX && !excluded[shunned]) {
+        excluded[shunned] = true;
+        at = chooseAmong(pass, step, need, excluded, rack);
+        excluded[shunned] = false;
     }
-    return at >= 0 ? at : chooseAmong(pass, step, need, not, rack);
+    return at >= 0 ? at : chooseAmong(pass, step, need, excluded, rack);
 }
 
 bool chooseWaits(Pass *pass, const Candidate *candidate, const StepSpec *step, const PlanNeed *need, uint64_t percent)
--- a/packages/core/src/kept.c
+++ b/packages/core/src/kept.c
@@ -62,7 +62,7 @@
     }
 }
 
-bool keptFrom(const Pass *pass, const Candidate *candidate, bool * not )
+bool keptFrom(const Pass *pass, const Candidate *candidate, bool *excluded)
 {
     bool any = false;
     void *mem = talloc_new(NULL);
@@ -79,7 +79,7 @@
             const bool passes = candidate->guessMs > 0 && kept->untilMs[i] < INT64_MAX &&
                                 candidate->guessMs * 5 / 4 + KEEP_LEAST_MS < kept->untilMs[i];
             if (at != SIZE_MAX && !passes)
-                not [at] = any = true;
+                excluded[at] = any = true;
         }
     }
     talloc_free(mem);
--- a/packages/core/src/leave.c
+++ b/packages/core/src/leave.c
@@ -10,10 +10,10 @@
 {
     const JobTask *task = &on->job->tasks[on->task];
     const PlanNeed need = passNeed(on->job, task->step);
-    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
-    not [worker] = true;
-    const int at = chooseFor(pass, on->job, on->task, &need, not, NULL);
-    talloc_free(not );
+    bool *excluded = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
+    excluded[worker] = true;
+    const int at = chooseFor(pass, on->job, on->task, &need, excluded, NULL);
+    talloc_free(excluded);
     return at;
 }
 
--- a/packages/core/src/pass.h
+++ b/packages/core/src/pass.h
@@ -94,7 +94,7 @@
 /* The best worker for the task, not one of those in not, on the rack when it is
  * not null; -1: none has room. Not where its last round failed, unless there is
  * no other. */
-int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool * not, const char *rack);
+int chooseFor(Pass *pass, const Job *job, size_t task, const PlanNeed *need, bool *excluded, const char *rack);
 /* What the place makes of the step's time; 100: it is near its data and the others. */
 uint64_t chooseFarPercent(const Pass *pass, const StepSpec *step, size_t at);
 /* Whether to wait a moment for room that is near, rather than take the longer way. */
@@ -111,12 +111,12 @@
 
 /* The candidate found no room: what is nearest to having it is left to it, for as
  * long as this pass goes on. */
-void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool * not );
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded);
 
 /* Which workers are kept for big work that small work overtakes. */
 void keptBegin(Pass *pass);
 /* Marks in not what is kept for others than this candidate; true when any is. */
-bool keptFrom(const Pass *pass, const Candidate *candidate, bool * not );
+bool keptFrom(const Pass *pass, const Candidate *candidate, bool *excluded);
 /* The candidate found no room: it may be time to keep some for it. */
 void keptWant(Pass *pass, const Candidate *candidate, const StepSpec *step);
 
--- a/packages/core/src/place.c
+++ b/packages/core/src/place.c
@@ -79,13 +79,13 @@
 
 /* Chooses for every member, on one rack when it is named. What is chosen is taken
  * out of free; nothing is unless all found room. */
-static bool chooseAll(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool * not, const char *rack,
+static bool chooseAll(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *excluded, const char *rack,
                       int *where, uint64_t *percent)
 {
     const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
     *percent = 100;
     for (size_t i = 0; i < candidate->count; i++) {
-        const int at = chooseFor(pass, candidate->job, candidateTask(candidate, i), need, not, rack);
+        const int at = chooseFor(pass, candidate->job, candidateTask(candidate, i), need, excluded, rack);
         if (at < 0) {
             takeBack(pass, step, where, i);
             return false;
@@ -102,23 +102,23 @@
 
 /* A gang that is faster on one rack tries each, the one of its data first; then all
  * together. */
-static bool chooseRacks(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool * not, int *where,
+static bool chooseRacks(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *excluded, int *where,
                         uint64_t *percent)
 {
     const StepSpec *step = &candidate->job->spec.steps[candidate->job->tasks[candidate->first].step];
     if (candidate->count > 1 && step->sameRack) {
-        if (step->near[0] != '\0' && chooseAll(pass, candidate, need, not, step->near, where, percent))
+        if (step->near[0] != '\0' && chooseAll(pass, candidate, need, excluded, step->near, where, percent))
             return true;
         for (size_t i = 0; i < pass->input.workerCount; i++) {
             const char *rack = pass->input.workers[i].rack;
             bool seen = rack[0] == '\0' || strcmp(rack, step->near) == 0;
             for (size_t k = 0; k < i && !seen; k++)
                 seen = strcmp(pass->input.workers[k].rack, rack) == 0;
-            if (!seen && chooseAll(pass, candidate, need, not, rack, where, percent))
+            if (!seen && chooseAll(pass, candidate, need, excluded, rack, where, percent))
                 return true;
         }
     }
-    return chooseAll(pass, candidate, need, not, NULL, where, percent);
+    return chooseAll(pass, candidate, need, excluded, NULL, where, percent);
 }
 
 /* Whether the plan would still hold with the candidate there. */
@@ -186,15 +186,15 @@
     const PlanNeed need = passNeed(candidate->job, stepAt);
     void *mem = talloc_new(pass->mem);
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
-    bool *not = talloc_zero_array(mem, bool, (unsigned)pass->input.workerCount);
-    const bool kept = keptFrom(pass, candidate, not ), full = knownFull(pass, &need);
+    bool *excluded = talloc_zero_array(mem, bool, (unsigned)pass->input.workerCount);
+    const bool kept = keptFrom(pass, candidate, excluded), full = knownFull(pass, &need);
     uint64_t percent = 100;
-    const bool found = !full && chooseRacks(pass, candidate, &need, not, where, &percent);
+    const bool found = !full && chooseRacks(pass, candidate, &need, excluded, where, &percent);
     bool fits = found, assured = false;
     if (!found) {
         if (!full)
             fullAdd(pass, candidate, step, &need, kept);
-        reserveFor(pass, candidate, &need, not );
+        reserveFor(pass, candidate, &need, excluded);
         pushFor(pass, candidate);
         keptWant(pass, candidate, step);
     } else if (chooseWaits(pass, candidate, step, &need, percent)) {
--- a/packages/core/src/reserve.c
+++ b/packages/core/src/reserve.c
@@ -16,13 +16,13 @@
     return free.cpuMilli == 0 && free.memMb == 0 ? 0 : most == 0 ? UINT64_MAX : 1000000 / most;
 }
 
-static int nearest(const Pass *pass, const PlanNeed *need, const bool * not, const bool *taken)
+static int nearest(const Pass *pass, const PlanNeed *need, const bool *excluded, const bool *taken)
 {
     int best = -1;
     uint64_t bestNear = 0;
     for (size_t i = 0; i < pass->input.workerCount; i++) {
         const PlanWorker *worker = &pass->input.workers[i];
-        if (not [i] || taken[i] || !planAble(worker, need) || !roomFits(need->room, worker->room))
+        if (excluded[i] || taken[i] || !planAble(worker, need) || !roomFits(need->room, worker->room))
             continue;
         const uint64_t near = nearTo(need->room, worker->free);
         if (best < 0 || near > bestNear) {
@@ -33,7 +33,7 @@
     return best;
 }
 
-void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool * not )
+void reserveFor(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded)
 {
     if (candidate->slackMs >= RESERVE_SLACK_MS || candidate->slackMs < -candidate->guessMs ||
         candidate->count > pass->input.workerCount)
@@ -46,7 +46,7 @@
     pass->reserved = all;
     bool *taken = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
     for (size_t i = 0; i < candidate->count; i++) {
-        const int at = nearest(pass, need, not, taken);
+        const int at = nearest(pass, need, excluded, taken);
         if (at < 0)
             break;
         taken[at] = true; /* another member looks elsewhere: two seldom find room in one place */
--- a/packages/core/src/slow.c
+++ b/packages/core/src/slow.c
@@ -84,10 +84,10 @@
 {
     const JobTask *task = &going->job->tasks[going->task];
     const PlanNeed need = passNeed(going->job, task->step);
-    bool *not = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
-    not [going->worker] = true;
-    const int at = chooseFor(pass, going->job, going->task, &need, not, NULL);
-    talloc_free(not );
+    bool *excluded = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.workerCount);
+    excluded[going->worker] = true;
+    const int at = chooseFor(pass, going->job, going->task, &need, excluded, NULL);
+    talloc_free(excluded);
     if (at < 0)
         return -1;
     const double thereMs = going->wholeMs * (1 - going->doneShare) * (double)pass->speeds[at] / 1000;
