A silent voter is replaced by any ready learner, whether it came before or after

Cause: replaces() gave the place of a silent voter early only to a core whose row came after the silence began; one that stood ready waited 15 s. The careful way to replace a machine (the new one first, then SIGTERM at the old one) so left two voters of three for 15 s, and the next loss, 3 to 14 s later, stopped everything for good.

Excluded: that the new core was not up to date, or not tried as one that gets a place: with the one condition taken out nothing else was needed.

Now any core that is ready has the vote once the old one has been silent for half of the span in which a loss must be made good (sync_s of the settings), but not before its lease may have lapsed; one that said that it leaves, after two renewals. The constant of 15 s stands only for settings that name no span.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -88,7 +88,9 @@
 #define SEAT_GUEST_MS \
     2500 /* ms; a guest that is not up to date by then makes way for another: megabytes take a second */
 #define SEAT_LOST_REST_MS 5000 /* ms; a core that was told that its seat is another's does not stand for so long */
-#define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
+#define SEAT_GONE_MS 15000     /* ms; where the settings do not say how soon a loss is made good */
+#define VOTER_SILENT_PART \
+    2 /* count; a voter silent for this part of that span is replaced: the other part is for the change itself */
 
 /* --- log and disk -------------------------------------------------------- */
 #define LOG_SNAPSHOT_ENTRIES 4000    /* count; the journal is rewritten after this many entries */
--- a/packages/view/src/seats.c
+++ b/packages/view/src/seats.c
@@ -165,16 +165,16 @@
            viewSeatOf(view, row->record.disk) < 0 && row->record.cluster == view->cluster;
 }
 
-/* How many cores that came here since then could be given a seat; best: the one in the
- * zone with the fewest seats beside the place. */
-static size_t guests(const View *view, int place, int64_t sinceMs, uint64_t *best)
+/* How many cores could be given a seat; best: the one in the zone with the fewest seats
+ * beside the place. */
+static size_t guests(const View *view, int place, uint64_t *best)
 {
     const MemberTable *table = membersTable(view->props.members);
     size_t count = 0, fewest = SIZE_MAX;
     *best = 0;
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
-        if (!mayBeGuest(view, row) || row->sinceMs < sinceMs)
+        if (!mayBeGuest(view, row))
             continue;
         count++;
         size_t beside = row->record.disk == view->guestPassed ? SEAT_MOST : 0; /* it was not ready in time */
@@ -188,40 +188,44 @@
     return count;
 }
 
-/* Whether the seat of a disk that is gone is to be given to another, and to whom. What is
- * committed is on a majority of the other seats, so that is safe at any time; how
- * soon is a matter of cost. One known to be gone goes at once. A core that came
- * after a seat fell silent is there to replace it. One that stood ready all the
- * while waits until a restart would be over. */
+/* A voter silent for longer is replaced by any learner that is ready: a stated part of
+ * the span in which a loss must be made good, but no less than its lease may run. */
+static int64_t silentMostMs(const View *view, const Member *member)
+{
+    if (member != NULL && member->record.leaving)
+        return 2 * LOCK_RENEW_MS;
+    const int64_t partMs = backMs(view) / VOTER_SILENT_PART;
+    return partMs > LOCK_HOLD_MS + LOCK_RENEW_MS ? partMs : LOCK_HOLD_MS + LOCK_RENEW_MS;
+}
+
+/* Whether the vote of a disk that is gone is to be given to another, and to whom. What
+ * is committed is on a majority of the other voters, so that is safe at any time; how
+ * soon is a matter of cost. One known to be gone is replaced at once. It makes no
+ * difference whether the learner came before the silence or after it: a machine that
+ * is replaced with notice has its successor first. */
 static bool replaces(const View *view, int place, uint64_t *guest)
 {
-    const int64_t nowMs = loopNowMs(view->loop);
     const uint64_t disk = view->seats[place];
     if (disk == 0 || disk == view->disk || view->inView[place])
         return false;
     if (seatDead(view, disk, false))
-        return guests(view, place, INT64_MIN, guest) > 0;
+        return guests(view, place, guest) > 0;
     const Member *member = membersFindDisk(view->props.members, disk);
     int64_t heardMs = member != NULL ? member->seenMs : view->wonMs;
     if (view->peers[place].answeredMs > heardMs)
         heardMs = view->peers[place].answeredMs;
-    const int64_t silentMs = nowMs - heardMs;
-    int64_t soonMs = backMs(view) / 2 > LOCK_HOLD_MS + LOCK_RENEW_MS ? backMs(view) / 2 : LOCK_HOLD_MS + LOCK_RENEW_MS;
-    if (member != NULL && member->record.leaving)
-        soonMs = 2 * LOCK_RENEW_MS;
-    return (silentMs > soonMs && guests(view, place, heardMs - HELLO_MS, guest) > 0) ||
-           (silentMs > SEAT_GONE_MS && guests(view, place, INT64_MIN, guest) > 0);
+    return loopNowMs(view->loop) - heardMs > silentMostMs(view, member) && guests(view, place, guest) > 0;
 }
 
 /* The place that is to be given next, and to whom; -1: none. */
 static int placeNext(const View *view, uint64_t *guest)
 {
     for (size_t i = 0; i < view->places; i++)
-        if (view->seats[i] == 0 && guests(view, (int)i, INT64_MIN, guest) > 0)
+        if (view->seats[i] == 0 && guests(view, (int)i, guest) > 0)
             return (int)i;
     /* an even number of seats bears no more losses than one less */
     if (view->seatCount < wanted(view)) {
-        const size_t more = guests(view, (int)view->places, INT64_MIN, guest);
+        const size_t more = guests(view, (int)view->places, guest);
         if (more >= (view->seatCount < SEAT_FIRST || view->seatCount % 2 == 0 ? 1 : 2) && view->places < SEAT_MOST)
             return (int)view->places;
     }
