proxy is now forward, a carried request an attempt: names only

The words of the field for the gate's work: it forwards a request, an attempt is one try along one way. Wire fields, message numbers and public paths are as they were; only identifiers and files have other names.

Near tests (ways, courier, wire, fuzz, requests.leaderFreezes, the fits of guards and rollout) pass before and after.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -58,9 +58,9 @@
     150                  /* ms; from a leader's loss, what nobody can have taken waits so long for a way to another \
                           */
 #define ELECTION_MS 3000 /* ms; another leader is normally found within this: callers are told to come back then */
-#define PROXY_EXPIRY_MS 8000  /* ms; a gate gives a request up after this */
-#define SUBMIT_EXPIRY_MS 5000 /* ms; a change not committed in this time has an unknown outcome */
-#define CONNECT_EXPIRY_MS 600 /* ms; a connection that takes longer is as good as none */
+#define FORWARD_DEADLINE_MS 8000 /* ms; a gate gives a request up after this */
+#define SUBMIT_EXPIRY_MS 5000    /* ms; a change not committed in this time has an unknown outcome */
+#define CONNECT_EXPIRY_MS 600    /* ms; a connection that takes longer is as good as none */
 #define LINE_UNHEARD_MS \
     4000 /* ms; a connection whose bytes nobody acknowledges for so long ends: its machine is cut off or gone */
 #define LINE_QUIET_S 3 /* s; one that is silent for so long is probed: a machine that is cut off says nothing ... */
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -68,10 +68,10 @@
         traceServe(core->trace, task);
         return;
     }
-    proxyCarry(core->proxy, task);
+    forwardRequest(core->forwarder, task);
 }
 
-static void leadServe(Core *core, void *mem, const ProxyAsk *ask, ProxyAnswer *out)
+static void leadServe(Core *core, void *mem, const ForwardAsk *ask, ForwardAnswer *out)
 {
     HttpTask *task = talloc_zero(mem, HttpTask);
     *task = (HttpTask){.loop = core->loop,
@@ -94,7 +94,7 @@
     out->keepsCount = keeps.itemsCount;
 }
 
-void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer)
+void callersLead(void *arg, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
 {
     Core *core = arg;
     leadServe(core, mem, ask, answer);
@@ -102,16 +102,16 @@
         elsewhereKeep(core, mem, &(KeepList){answer->keeps, answer->keepsCount});
 }
 
-static Status onProxy(void *arg, void *mem, const void *question, void *answer)
+static Status onForward(void *arg, void *mem, const void *question, void *answer)
 {
     Core *core = arg;
-    const ProxyAsk *ask = question;
-    ProxyAnswer *out = answer;
+    const ForwardAsk *ask = question;
+    ForwardAnswer *out = answer;
     if (viewLeading(core->view)) {
         leadServe(core, mem, ask, out);
         return STATUS_OK;
     }
-    const Status status = ask->relay ? proxyRelay(core->proxy, mem, ask, out) : STATUS_NOT_LEADER;
+    const Status status = ask->relay ? forwardRelay(core->forwarder, mem, ask, out) : STATUS_NOT_LEADER;
     if (status != STATUS_OK) {
         out->leaderEpoch = membersLeaderEpoch(core->members);
         out->leaderId = talloc_strdup(mem, membersLeaderId(core->members));
@@ -160,7 +160,7 @@
 
 void callersServe(Core *core)
 {
-    courierHandle(core->courier, MESSAGE_PROXY, &ProxyAskShape, &ProxyAnswerShape, onProxy, core);
+    courierHandle(core->courier, MESSAGE_FORWARD, &ForwardAskShape, &ForwardAnswerShape, onForward, core);
     courierHandle(core->courier, MESSAGE_FEED, &FeedAskShape, &FeedAnswerShape, onFeed, core);
     courierHandle(core->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, core);
     courierHandle(core->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, core);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -204,17 +204,17 @@
     };
     core->members = membersNew(core, loop, core->courier, ring, &self, props->seeds);
     core->trace = traceNew(core, loop, core->courier, core->members, props->name);
-    core->proxy = proxyNew(core, &(ProxyProps){.loop = loop,
-                                               .courier = core->courier,
-                                               .members = core->members,
-                                               .keeper = core->keeper,
-                                               .trace = core->trace,
-                                               .leads = leads,
-                                               .serve = callersLead,
-                                               .arg = core,
-                                               .leaderWaitMs = props->bounds.leaderWaitMs,
-                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
-    core->feed = feedNew(core, loop, core->courier, proxyWays(core->proxy), core->trace);
+    core->forwarder = forwarderNew(core, &(ForwarderSettings){.loop = loop,
+                                                              .courier = core->courier,
+                                                              .members = core->members,
+                                                              .keeper = core->keeper,
+                                                              .trace = core->trace,
+                                                              .leads = leads,
+                                                              .serve = callersLead,
+                                                              .arg = core,
+                                                              .leaderWaitMs = props->bounds.leaderWaitMs,
+                                                              .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    core->feed = feedNew(core, loop, core->courier, forwarderWays(core->forwarder), core->trace);
     viewStart(core->view, core->members);
     agentsServe(core);
     callersServe(core);
@@ -222,7 +222,7 @@
     viewFounding(core->view);
     plannerStart(core);
     alertsStart(core);
-    proxyStart(core->proxy);
+    forwarderStart(core->forwarder);
     feedStart(core->feed, seatless, core);
     loopSpawn(loop, "forget", forgetMain, core);
     *out = core;
@@ -231,7 +231,7 @@
 
 bool coreReady(const Core *core)
 {
-    return !core->leaving && (viewLeading(core->view) ? !core->repairing : waysServe(proxyWays(core->proxy)));
+    return !core->leaving && (viewLeading(core->view) ? !core->repairing : waysServe(forwarderWays(core->forwarder)));
 }
 
 void coreDrain(Core *core)
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -10,7 +10,7 @@
 #include "core/core.h"
 #include "pace.h"
 #include "feed/feed.h"
-#include "feed/proxy.h"
+#include "feed/forward.h"
 #include "plan/plan.h"
 #include "policy/lua.h"
 #include "queue/line.h"
@@ -66,7 +66,7 @@
     Table *table;
     Keeper *keeper;
     char keptAt[ADDRESS_MAX]; /* the gate that last kept for this core what came in at its own address */
-    Proxy *proxy;
+    Forwarder *forwarder;
     Feed *feed; /* asks for the document while this core has no seat */
     Trace *trace;
     Liveset *liveset;
@@ -195,9 +195,9 @@
 void repairStart(Core *core);
 void agentsServe(Core *core);
 void callersServe(Core *core);
-/* For the proxy: a request as this leader answers it; what it committed is in the
+/* For the forwarder: a request as this leader answers it; what it committed is in the
  * answer, and kept by another node as well. */
-void callersLead(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
+void callersLead(void *arg, void *mem, const ForwardAsk *ask, ForwardAnswer *answer);
 /* A caller's request, as leader. keeps: what was committed by it. */
 void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps);
 json_object *coreStatus(Core *core);
--- a/packages/feed/include/feed/proxy.h
+++ b/packages/feed/include/feed/forward.h
@@ -1,5 +1,5 @@
-#ifndef FEED_PROXY_H
-#define FEED_PROXY_H
+#ifndef FEED_FORWARD_H
+#define FEED_FORWARD_H
 
 #include "feed/keeper.h"
 #include "feed/ways.h"
@@ -14,9 +14,9 @@
  * whoever waits on it first; a leader that is slow but lives is waited for, one that
  * says nothing is given up by all at once, and so is one that a newer epoch is heard
  * after. What carries an identity may then be asked of the next leader. */
-typedef struct Proxy Proxy;
+typedef struct Forwarder Forwarder;
 
-typedef struct ProxyProps {
+typedef struct ForwarderSettings {
     Loop *loop;
     Courier *courier;
     Members *members;
@@ -24,18 +24,18 @@
     Trace *trace;
     /* Cores: whether this one leads, and how it serves then. The answer lives on mem. */
     WaysLeads leads;
-    void (*serve)(void *arg, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
+    void (*serve)(void *arg, void *mem, const ForwardAsk *ask, ForwardAnswer *answer);
     void *arg;
     int64_t leaderWaitMs;  /* what nobody can have taken waits so long, from the leader's loss, for another */
     int64_t outcomeWaitMs; /* what a lost leader may have taken is asked again of the next for so long */
-} ProxyProps;
+} ForwarderSettings;
 
-Proxy *proxyNew(void *mem, const ProxyProps *props);
-void proxyStart(Proxy *proxy);
+Forwarder *forwarderNew(void *mem, const ForwarderSettings *settings);
+void forwarderStart(Forwarder *forwarder);
 /* Waits. Fills in the result and keeps what was committed. */
-void proxyCarry(Proxy *proxy, HttpTask *task);
+void forwardRequest(Forwarder *forwarder, HttpTask *task);
 /* Waits. Carries on what a gate could not bring to the leader itself. */
-Status proxyRelay(Proxy *proxy, void *mem, const ProxyAsk *ask, ProxyAnswer *answer);
-Ways *proxyWays(Proxy *proxy);
+Status forwardRelay(Forwarder *forwarder, void *mem, const ForwardAsk *ask, ForwardAnswer *answer);
+Ways *forwarderWays(Forwarder *forwarder);
 
 #endif
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -17,7 +17,7 @@
 SHAPE(Nothing, NOTHING_FIELDS)
 
 /* A caller's request, carried to the leader; and its result. */
-#define PROXY_ASK_FIELDS(X)                                                              \
+#define FORWARD_ASK_FIELDS(X)                                                            \
     X(TXT, method, 0)                                                                    \
     X(TXT, path, 0)                                                                      \
     X(TXT, query, 0)                                                                     \
@@ -26,9 +26,9 @@
     X(TXT, host, 0)   /* whom the caller meant; entries are found by it */               \
     X(U64, waitMs, 0) /* nobody waits for the answer after this; 0: not said */          \
     X(FLAG, again, 0) /* asked before, of a leader that was lost: its caller has had no answer */
-SHAPE(ProxyAsk, PROXY_ASK_FIELDS)
+SHAPE(ForwardAsk, FORWARD_ASK_FIELDS)
 
-#define PROXY_ANSWER_FIELDS(X)                                                            \
+#define FORWARD_ANSWER_FIELDS(X)                                                          \
     X(U64, code, 0)                                                                       \
     X(TXT, kind, 0)                                                                       \
     X(BIN, body, 0)                                                                       \
@@ -37,7 +37,7 @@
     X(U64, status, 0)                                                                     \
     X(U64, leaderEpoch, 0) /* the newest leader that is known to one who does not lead */ \
     X(TXT, leaderId, 0)
-SHAPE(ProxyAnswer, PROXY_ANSWER_FIELDS)
+SHAPE(ForwardAnswer, FORWARD_ANSWER_FIELDS)
 
 /* Answered when there is a revision above have, or, when the document is wanted
  * too, above the one that it is had of. */
--- a/packages/feed/include/feed/ways.h
+++ b/packages/feed/include/feed/ways.h
@@ -43,7 +43,7 @@
 /* When something last came back along the way in use. */
 int64_t waysHeardMs(const Ways *ways);
 /* Who leads, as one who is no leader told with his refusal. */
-void waysTold(Ways *ways, const ProxyAnswer *answer);
+void waysTold(Ways *ways, const ForwardAnswer *answer);
 /* A leader that serves was heard of, and nothing to the contrary for so long. */
 bool waysServe(const Ways *ways);
 
--- /dev/null
+++ b/packages/feed/src/attempt.c
@@ -0,0 +1,161 @@
+#include "attempt.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "table/change.h"
+
+#define ATTEMPT_QUIET_MS 400 /* ms; nothing has come back for so long: does the way live? A commit takes far less */
+
+/* Freed by whichever of the asking task and the attempt one ends last.
+ * Invariant: on the forwarder's list exactly while its asker waits. */
+typedef struct Attempt {
+    struct Attempt *prev, *next;
+    Forwarder *forwarder;
+    size_t users;
+    WaysTaken taken;
+    ForwardAsk ask;
+    int64_t deadlineMs;
+    bool done;
+    Signal news; /* it is done, or the ways have moved on */
+    Status status;
+    ForwardAnswer answer;
+} Attempt;
+
+/* What the result speaks of, for those who trace it. */
+static void traceAnswered(const Forwarder *forwarder, const Attempt *attempt, int64_t tookMs)
+{
+    char detail[48];
+    const ForwardAnswer *answer = &attempt->answer;
+    snprintf(detail, sizeof(detail), "%s %d, %lld ms", attempt->ask.method, (int)answer->code, (long long)tookMs);
+    for (size_t i = 0; i < answer->keepsCount; i++) {
+        const KeepItem *item = &answer->keeps[i];
+        void *mem = talloc_new(NULL);
+        JobAdd add;
+        JobCancel cancel;
+        ConfigSet set;
+        ZoneDrain drain;
+        if (item->change == CHANGE_JOB_ADD && shapeUnpack(&JobAddShape, item->payload, mem, &add, NULL) == STATUS_OK)
+            traceSay(forwarder->settings.trace, TRACE_CARRIED, detail, "job:%s", add.spec.id);
+        else if (item->change == CHANGE_JOB_CANCEL &&
+                 shapeUnpack(&JobCancelShape, item->payload, mem, &cancel, NULL) == STATUS_OK)
+            traceSay(forwarder->settings.trace, TRACE_CARRIED, detail, "job:%s", cancel.id);
+        else if (item->change == CHANGE_CONFIG_SET &&
+                 shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) == STATUS_OK)
+            traceSay(forwarder->settings.trace, TRACE_CARRIED, detail, "config:%" PRIu64, set.revision);
+        else if (item->change == CHANGE_ZONE_DRAIN &&
+                 shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) == STATUS_OK)
+            traceSay(forwarder->settings.trace, TRACE_CARRIED, detail, "zone:%s", drain.zone);
+        talloc_free(mem);
+    }
+}
+
+static void attemptLeave(Attempt *attempt)
+{
+    if (--attempt->users == 0)
+        talloc_free(attempt);
+}
+
+/* A leader that serves, as its answer shows. */
+static bool served(const ForwardAnswer *answer)
+{
+    return answer->code != 503 || (answer->status != STATUS_NOT_LEADER && answer->status != STATUS_REPAIRING &&
+                                   answer->status != STATUS_LEAVING);
+}
+
+static void askMain(void *arg)
+{
+    Attempt *attempt = arg;
+    Forwarder *forwarder = attempt->forwarder;
+    Loop *loop = forwarder->settings.loop;
+    const int64_t startMs = loopNowMs(loop);
+    attempt->ask.waitMs = (uint64_t)(attempt->deadlineMs - startMs);
+    if (attempt->taken.own) {
+        forwarder->settings.serve(forwarder->settings.arg, attempt, &attempt->ask, &attempt->answer);
+        attempt->status = STATUS_OK;
+    } else {
+        attempt->status =
+            courierAsk(forwarder->settings.courier, attempt, attempt->taken.address, MESSAGE_FORWARD, &ForwardAskShape,
+                       &attempt->ask, attempt->deadlineMs - startMs, &ForwardAnswerShape, &attempt->answer);
+    }
+    if (attempt->status == STATUS_OK) {
+        if (!attempt->taken.own)
+            waysHeard(forwarder->ways, &attempt->taken, served(&attempt->answer));
+        traceAnswered(forwarder, attempt, loopNowMs(loop) - startMs);
+        keeperKeep(forwarder->settings.keeper, attempt->answer.keeps, attempt->answer.keepsCount);
+        attempt->answer.keepsCount = 0;
+    } else {
+        waysTold(forwarder->ways, &attempt->answer);
+    }
+    attempt->done = true;
+    signalRaise(loop, &attempt->news);
+    attemptLeave(attempt);
+}
+
+void attemptsWake(Forwarder *forwarder)
+{
+    for (Attempt *one = forwarder->waiting; one != NULL; one = one->next)
+        signalRaise(forwarder->settings.loop, &one->news);
+}
+
+/* Nothing has come back along the way since this was asked, and not lately: the first
+ * to see that asks whether it lives, for all. */
+static void whetherAlive(Forwarder *forwarder, const Attempt *attempt)
+{
+    forwarder->pinging = true;
+    if (!waysAlive(forwarder->ways, &attempt->taken))
+        waysFailed(forwarder->ways, &attempt->taken);
+    forwarder->pinging = false;
+    attemptsWake(forwarder);
+}
+
+static void waitFor(Forwarder *forwarder, Attempt *attempt, int64_t askedMs)
+{
+    Loop *loop = forwarder->settings.loop;
+    while (!attempt->done && waysCurrent(forwarder->ways, &attempt->taken) && loopNowMs(loop) < attempt->deadlineMs) {
+        int64_t heardMs = waysHeardMs(forwarder->ways), wakeMs = attempt->deadlineMs;
+        if (heardMs < askedMs)
+            heardMs = askedMs;
+        const int64_t quietMs = heardMs + ATTEMPT_QUIET_MS;
+        if (!attempt->taken.own && !forwarder->pinging) {
+            if (loopNowMs(loop) >= quietMs) {
+                whetherAlive(forwarder, attempt);
+                continue;
+            }
+            if (quietMs < wakeMs)
+                wakeMs = quietMs;
+        }
+        signalWait(loop, &attempt->news, wakeMs);
+    }
+}
+
+Status attemptForward(Forwarder *forwarder, void *mem, const WaysTaken *taken, const ForwardAsk *ask, int64_t untilMs,
+                      ForwardAnswer *answer)
+{
+    Attempt *attempt = talloc_zero(forwarder, Attempt);
+    attempt->forwarder = forwarder;
+    attempt->users = 2;
+    attempt->deadlineMs = untilMs;
+    attempt->taken = *taken;
+    shapeCopy(&ForwardAskShape, ask, attempt, &attempt->ask);
+    attempt->ask.relay = taken->relay;
+    attempt->next = forwarder->waiting;
+    if (attempt->next != NULL)
+        attempt->next->prev = attempt;
+    forwarder->waiting = attempt;
+    loopSpawn(forwarder->settings.loop, "attempt", askMain, attempt);
+    waitFor(forwarder, attempt, loopNowMs(forwarder->settings.loop));
+    if (attempt->prev != NULL)
+        attempt->prev->next = attempt->next;
+    else
+        forwarder->waiting = attempt->next;
+    if (attempt->next != NULL)
+        attempt->next->prev = attempt->prev;
+    const Status status = attempt->done ? attempt->status : STATUS_EXPIRED;
+    if (status == STATUS_OK)
+        shapeCopy(&ForwardAnswerShape, &attempt->answer, mem, answer);
+    attemptLeave(attempt);
+    return status;
+}
--- /dev/null
+++ b/packages/feed/src/attempt.h
@@ -0,0 +1,22 @@
+#ifndef FEED_ATTEMPT_H
+#define FEED_ATTEMPT_H
+
+#include "feed/forward.h"
+
+struct Forwarder {
+    ForwarderSettings settings;
+    Ways *ways;
+    bool pinging;            /* one of those who wait asks whether the way lives */
+    struct Attempt *waiting; /* those whose askers wait */
+};
+
+/* Waits. Asks once, along the way taken. EXPIRED also when the way fails, or the ways
+ * move on, before the answer. On OK the answer lives on mem, and what was committed has
+ * been kept; it is kept also when it comes too late for the asker: this node may be the
+ * only one to hear of it. */
+Status attemptForward(Forwarder *forwarder, void *mem, const WaysTaken *taken, const ForwardAsk *ask, int64_t untilMs,
+                      ForwardAnswer *answer);
+/* Raises all who wait, once the ways have moved on. */
+void attemptsWake(Forwarder *forwarder);
+
+#endif
--- a/packages/feed/src/ways.c
+++ b/packages/feed/src/ways.c
@@ -95,11 +95,11 @@
 static Status ping(Ways *ways, const WaysTaken *taken, int64_t waitMs, bool *serves)
 {
     void *mem = talloc_new(ways);
-    const ProxyAsk ask = {
+    const ForwardAsk ask = {
         .method = "GET", .path = "/readyz", .relay = taken->relay, .host = "", .waitMs = (uint64_t)waitMs};
-    ProxyAnswer answer = {0};
-    const Status status = courierAsk(ways->courier, mem, taken->address, MESSAGE_PROXY, &ProxyAskShape, &ask, waitMs,
-                                     &ProxyAnswerShape, &answer);
+    ForwardAnswer answer = {0};
+    const Status status = courierAsk(ways->courier, mem, taken->address, MESSAGE_FORWARD, &ForwardAskShape, &ask,
+                                     waitMs, &ForwardAnswerShape, &answer);
     if (status != STATUS_OK)
         waysTold(ways, &answer);
     *serves = status == STATUS_OK && answer.code == 200;
@@ -283,7 +283,7 @@
     return ways->heardMs;
 }
 
-void waysTold(Ways *ways, const ProxyAnswer *answer)
+void waysTold(Ways *ways, const ForwardAnswer *answer)
 {
     if (answer->leaderEpoch > membersLeaderEpoch(ways->members) && answer->leaderId != NULL &&
         answer->leaderId[0] != '\0')
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -6,14 +6,14 @@
 #include "api/show.h"
 #include "beat/messages.h"
 #include "feed/feed.h"
-#include "feed/proxy.h"
+#include "feed/forward.h"
 
 struct Gate {
     Loop *loop;
     Courier *courier;
     Members *members;
     Keeper *keeper;
-    Proxy *proxy;
+    Forwarder *forwarder;
     Trace *trace;
     Ring *ring;
     char address[ADDRESS_MAX], http[ADDRESS_MAX];
@@ -53,7 +53,7 @@
         traceServe(gate->trace, task);
     } else {
         gate->inWork++;
-        proxyCarry(gate->proxy, task);
+        forwardRequest(gate->forwarder, task);
         gate->inWork--;
     }
 }
@@ -65,7 +65,7 @@
 
 bool gateReady(const Gate *gate)
 {
-    return !gate->leaving && waysServe(proxyWays(gate->proxy));
+    return !gate->leaving && waysServe(forwarderWays(gate->forwarder));
 }
 
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
@@ -121,20 +121,20 @@
                                .incarnation = (uint64_t)loopWallMs(loop)};
     gate->members = membersNew(gate, loop, gate->courier, ring, &self, props->seeds);
     gate->trace = traceNew(gate, loop, gate->courier, gate->members, props->name);
-    gate->proxy = proxyNew(gate, &(ProxyProps){.loop = loop,
-                                               .courier = gate->courier,
-                                               .members = gate->members,
-                                               .keeper = gate->keeper,
-                                               .trace = gate->trace,
-                                               .leaderWaitMs = props->bounds.leaderWaitMs,
-                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
-    gate->feed = feedNew(gate, loop, gate->courier, proxyWays(gate->proxy), gate->trace);
+    gate->forwarder = forwarderNew(gate, &(ForwarderSettings){.loop = loop,
+                                                              .courier = gate->courier,
+                                                              .members = gate->members,
+                                                              .keeper = gate->keeper,
+                                                              .trace = gate->trace,
+                                                              .leaderWaitMs = props->bounds.leaderWaitMs,
+                                                              .outcomeWaitMs = props->bounds.outcomeWaitMs});
+    gate->feed = feedNew(gate, loop, gate->courier, forwarderWays(gate->forwarder), gate->trace);
     courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersSetVoter(gate->members, props->bounds.founds == 1);
     membersStart(gate->members);
-    proxyStart(gate->proxy);
+    forwarderStart(gate->forwarder);
     feedStart(gate->feed, NULL, NULL);
     *out = gate;
     return STATUS_OK;
--- a/scripts/rollout.py
+++ b/scripts/rollout.py
@@ -27,7 +27,7 @@
 NEXT_FIELDS = [
     ("packages/beat/include/beat/messages.h", "BEAT_ASK_FIELDS", "X(U64, addedLater, 0)"),
     ("packages/beat/include/beat/messages.h", "FETCH_ANSWER_FIELDS", "X(TXT, noteLater, 0)"),
-    ("packages/feed/include/feed/messages.h", "PROXY_ASK_FIELDS", "X(U64, addedLater, 0)"),
+    ("packages/feed/include/feed/messages.h", "FORWARD_ASK_FIELDS", "X(U64, addedLater, 0)"),
     ("packages/view/include/view/messages.h", "VIEW_RECORD_FIELDS", "X(U64, addedLater, 0)"),
     ("packages/table/include/table/change.h", "PLACEMENT_FIELDS", "X(U64, addedLater, 0)"),
 ]
--- a/src/operate.c
+++ b/src/operate.c
@@ -90,7 +90,7 @@
                                  .method = method,
                                  .path = path,
                                  .body = body,
-                                 .waitMs = PROXY_EXPIRY_MS + 2000};
+                                 .waitMs = FORWARD_DEADLINE_MS + 2000};
     loopSpawn(operation->loop, "operate", operateMain, operation);
     realLoopRun(operation->loop, NULL, NULL);
     if (operation->status != STATUS_OK) {
