A drain order is known when it is sent again; one table says what is forwarded twice

Cause: a gate forwarded /v1/zones/ again after a silence, and an order got its stamp from the leader's clock when it was served. A start whose answer was lost (or which was itself held up by a cut), given again after an acknowledged end, emptied the zone once more.

Now an entry point reads the zone's stamp when an order comes in and forwards the order with a name of its own and that stamp as its base. The record carries both (added at its end); the table remembers the last 16 orders of a zone and takes one only while nothing came after its base. A copy of one that was taken gets its first answer; one that was overtaken is refused as certainly not taken (503, come back); one that may have been forgotten is a 504. No clock decides. An order whose caller has gone before anything was sent is dropped. A leader of an earlier release shows no stamp: then the order is sent once.

What may be forwarded again stands in feed/routes.c, by method and path, with the reason; a request in no row is sent once and gets its 504 at once, with Retry-After. An answer that can't be read, or a status that this release does not know, now counts as perhaps taken; both were counted as certainly not.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -217,6 +217,7 @@
 #define KEEP_WAIT_MS 10000    /* ms; what fits a whole worker and no gap for so long has one kept for it */
 #define KEEP_LEAST_MS 300     /* ms; ... of a job with an aim after an eighth of its span, but not before this */
 #define KEEP_SHARE 4          /* of the fleet's workers at most one in so many is kept at once */
+#define ZONE_ORDERS_MAX 16    /* count; orders for a zone that are known when they are sent again */
 #define KEPT_MEMBERS_MAX 64   /* count; workers kept for one gang */
 
 /* --- policies ---------------------------------------------------------------- */
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -54,7 +54,8 @@
     X(INTERNAL, "internal", 500)                 \
     X(OTHER_DISK, "other-disk", 409)             \
     X(HEAD_LARGE, "head-large", 431)             \
-    X(NO_CONFIG, "no-config", 503)
+    X(NO_CONFIG, "no-config", 503)               \
+    X(STALE_ORDER, "stale-order", 409)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -107,7 +107,7 @@
                revisionsNewest(tableRevisions(table)) >= revisionOf(&set);
     case CHANGE_ZONE_DRAIN:
         return shapeUnpack(&ZoneDrainShape, item->payload, mem, &drain, NULL) != STATUS_OK ||
-               tableDrainStamp(table, drain.zone) >= drain.stamp;
+               tableDrainStamp(table, drain.zone) >= drain.stamp || tableDrainKnown(table, &drain) != DRAIN_NEW;
     case CHANGE_JOB_END: {
         if (shapeUnpack(&JobEndShape, item->payload, mem, &end, NULL) != STATUS_OK)
             return true;
--- a/packages/core/src/zones.c
+++ b/packages/core/src/zones.c
@@ -31,6 +31,7 @@
             left += worker != NULL && strcmp(worker->zone, way->name) == 0;
         }
     json_object_object_add(body, "zone", json_object_new_string(way->name));
+    json_object_object_add(body, "stamp", json_object_new_int64(tableDrainStamp(way->core->table, way->name)));
     json_object_object_add(body, "drained", json_object_new_boolean(tableDrained(way->core->table, way->name)));
     json_object_object_add(body, "moves", json_object_new_boolean(tableDrainMoves(way->core->table, way->name)));
     json_object_object_add(body, "tasksLeft", json_object_new_int64(left));
@@ -51,11 +52,57 @@
     showResult(way->task, 200, body);
 }
 
-static void zoneSet(Way *way, bool drained)
+/* What the query says of the order: its name, what it builds on. */
+static bool orderRead(Way *way, ZoneDrain *drain)
 {
-    int64_t move = 0;
+    int64_t move = 0, after = -1;
+    const char *order = queryValue(way->mem, way->task->query, "order");
     queryInt(way->faults, way->task->query, "move", 0, 1, &move);
-    if (way->faults->count > 0) {
+    queryInt(way->faults, way->task->query, "after", 0, INT64_MAX, &after);
+    if (order != NULL && !checkNameText(order))
+        faultAdd(way->faults, STATUS_BAD_FIELD, "?order", "is of letters, digits and ._:-");
+    if (way->faults->count > 0)
+        return false;
+    drain->move = drain->drained && move == 1;
+    drain->order = order != NULL ? order : "";
+    drain->based = after >= 0;
+    drain->base = drain->based ? after : 0;
+    return true;
+}
+
+/* Whoever carries the first answer may have been lost with it. */
+static void keepNewest(Way *way)
+{
+    KeepItem item = {CHANGE_ZONE_DRAIN, 0, {0}};
+    shapePack(&ZoneDrainShape, tableDrainNewest(way->core->table, way->name), way->mem, &item.payload);
+    wayKeep(way, &item);
+}
+
+/* False: the order changes nothing, and the result has been given. */
+static bool orderTakes(Way *way, DrainKnown known)
+{
+    switch (known) {
+    case DRAIN_NEW:
+        return true;
+    case DRAIN_TAKEN:
+        keepNewest(way);
+        zoneShow(way);
+        return false;
+    case DRAIN_OVERTAKEN:
+        showRefusal(way->task, STATUS_STALE_ORDER, "nothing was taken: there has been another order for this zone",
+                    NULL);
+        return false;
+    case DRAIN_FORGOTTEN:
+        break;
+    }
+    showRefusal(way->task, STATUS_EXPIRED, "it may have been taken: ask, and send it anew if it is to hold", NULL);
+    return false;
+}
+
+static void zoneSet(Way *way, bool drained)
+{
+    ZoneDrain drain = {.zone = way->name, .drained = drained};
+    if (!orderRead(way, &drain)) {
         wayRefuse(way);
         return;
     }
@@ -63,13 +110,19 @@
         showRefusal(way->task, STATUS_UNKNOWN_ZONE, "no worker or member is in a zone of this name", NULL);
         return;
     }
-    const int64_t clockMs = viewClockMs(way->core->view);
-    const int64_t lastStamp = tableDrainStamp(way->core->table, way->name);
-    const ZoneDrain drain = {way->name, drained, clockMs > lastStamp ? clockMs : lastStamp + 1, drained && move == 1};
+    const Table *table = way->core->table;
+    if (!orderTakes(way, tableDrainKnown(table, &drain)))
+        return;
+    const int64_t clockMs = viewClockMs(way->core->view), lastStamp = tableDrainStamp(table, way->name);
+    drain.stamp = clockMs > lastStamp ? clockMs : lastStamp + 1;
     ChangeResult result;
-    if (wayDelivered(way,
-                     coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &result, way->keeps)))
+    if (!wayDelivered(way,
+                      coreSubmit(way->core, way->mem, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain, &result, way->keeps)))
+        return;
+    if (result.status == STATUS_OK)
         zoneShow(way);
+    else
+        orderTakes(way, tableDrainKnown(table, &drain));
 }
 
 void zoneDrain(Way *way)
--- a/packages/feed/src/forward.c
+++ b/packages/feed/src/forward.c
@@ -4,28 +4,32 @@
 #include <talloc.h>
 
 #include "api/show.h"
-#include "attempt.h"
+#include "forwarding.h"
+#include "order.h"
 
 #define FORWARD_BACK_MS 20     /* ms; the result's way back to the caller */
 #define FORWARD_ATTEMPTS_MAX 8 /* count; so many leaders or ways, one after the other, for one request */
 
-/* A request that may be given to a leader again though an earlier one may have
- * taken it: all of ours carry an identity or change nothing. */
-static bool mayAgain(const ForwardAsk *ask)
-{
-    return strcmp(ask->method, "GET") == 0 || strncmp(ask->path, "/v1/jobs", 8) == 0 ||
-           strncmp(ask->path, "/v1/entry/", 10) == 0 || strncmp(ask->path, "/v1/zones/", 10) == 0 ||
-           /* a change of the configuration that names its revision is known again */
-           (strcmp(ask->path, "/v1/config") == 0 && strstr(ask->query, "revision=") != NULL);
-}
-
-/* Nothing of it can have been taken. */
+/* Certainly nothing of it was taken: it was not sent, or whoever was asked refused it as
+ * one that does not lead. Any other failure leaves the outcome open, also an answer that
+ * can't be read. */
 static bool untaken(Status status)
 {
-    return status != STATUS_OK && status != STATUS_EXPIRED && status != STATUS_CLOSED;
+    switch (status) {
+    case STATUS_UNREACHABLE:
+    case STATUS_STRANGER:
+    case STATUS_NOT_LEADER:
+    case STATUS_NO_LEADER:
+    case STATUS_REPAIRING:
+    case STATUS_LEAVING:
+    case STATUS_TOO_LARGE:
+        return true;
+    default:
+        return false;
+    }
 }
 
-/* The one who answered has not led any more. What it says of the outcome is in taken. */
+/* The one who answered has not led any more. */
 static bool lostOnTheWay(const ForwardAnswer *answer, bool *maybeTaken)
 {
     if (answer->code == 504 && answer->status == STATUS_OUTCOME_UNKNOWN) {
@@ -55,15 +59,6 @@
     return waitMs < untilMs ? waitMs : untilMs;
 }
 
-static void take(HttpTask *task, const ForwardAnswer *answer)
-{
-    task->code = (int)answer->code;
-    task->status = (Status)answer->status;
-    task->kind = answer->kind;
-    task->result = answer->body;
-    task->retryAfterS = (int)answer->retryAfterS;
-}
-
 /* Another leader is found some 3 s after the last one was lost. */
 static int retryS(const Forwarder *forwarder)
 {
@@ -74,43 +69,72 @@
     return leftMs <= 1000 ? RETRY_AFTER_S : (int)((leftMs + 999) / 1000);
 }
 
-void forwardRequest(Forwarder *forwarder, HttpTask *task)
+bool forwardAttempts(Forwarding *one, ForwardAsk *ask, ForwardAnswer *answer)
 {
+    Forwarder *forwarder = one->forwarder;
     Loop *loop = forwarder->settings.loop;
-    const int64_t startMs = loopNowMs(loop);
-    int64_t untilMs = startMs + FORWARD_DEADLINE_MS;
-    if (task->expiryMs != 0 && task->expiryMs - FORWARD_BACK_MS < untilMs)
-        untilMs = task->expiryMs - FORWARD_BACK_MS;
-    ForwardAsk ask = {
-        .method = task->method, .path = task->path, .query = task->query, .body = task->body, .host = task->host};
-    const bool again = mayAgain(&ask), changes = strcmp(task->method, "GET") != 0;
-    bool maybeTaken = false;
-    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX && (attempt == 0 || ((again || !maybeTaken) && !task->gone));
-         attempt++) {
+    const bool again = one->repeat != REPEAT_NEVER, changes = one->repeat != REPEAT_READ;
+    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX; attempt++) {
         WaysTaken taken;
-        if (!wayWait(forwarder, &taken, waysUntilMs(forwarder, maybeTaken, startMs, untilMs)) ||
-            loopNowMs(loop) >= untilMs)
-            break;
-        ForwardAnswer answer = {0};
-        ask.again = maybeTaken;
-        const Status status = attemptForward(forwarder, task, &taken, &ask, untilMs, &answer);
-        if (status == STATUS_OK && !lostOnTheWay(&answer, &maybeTaken)) {
-            if (answer.code == 503 && maybeTaken)
-                break; /* this one did not take it, but an earlier one may have */
-            take(task, &answer);
-            return;
-        }
-        if (status != STATUS_OK && !untaken(status))
-            maybeTaken |= changes;
-        if (status != STATUS_EXPIRED || loopNowMs(loop) < untilMs)
+        if (attempt > 0 && (one->task->gone || (one->maybeTaken && !again)))
+            return false;
+        if (!wayWait(forwarder, &taken, waysUntilMs(forwarder, one->maybeTaken, one->startMs, one->untilMs)) ||
+            loopNowMs(loop) >= one->untilMs)
+            return false;
+        bool unknown = false;
+        ask->again = one->maybeTaken;
+        const Status status = attemptForward(forwarder, one->task, &taken, ask, one->untilMs, answer);
+        if (status == STATUS_OK && !lostOnTheWay(answer, &unknown))
+            /* one that did not take it says nothing of an earlier one, which may have */
+            return answer->code != 503 || !one->maybeTaken;
+        unknown |= status != STATUS_OK && !untaken(status);
+        one->maybeTaken |= changes && unknown;
+        if (status != STATUS_EXPIRED || loopNowMs(loop) < one->untilMs)
             waysFailed(forwarder->ways, &taken);
     }
-    if (maybeTaken) {
-        showRefusal(task, STATUS_OUTCOME_UNKNOWN, "the leader was lost on the way: ask, or send the same again", NULL);
+    return false;
+}
+
+void forwardTake(HttpTask *task, const ForwardAnswer *answer)
+{
+    task->code = (int)answer->code;
+    task->status = (Status)answer->status;
+    task->kind = answer->kind;
+    task->result = answer->body;
+    task->retryAfterS = (int)answer->retryAfterS;
+}
+
+void forwardGiveUp(const Forwarding *one)
+{
+    if (one->maybeTaken)
+        showRefusal(one->task, STATUS_OUTCOME_UNKNOWN, "the leader was lost on the way: ask, or send the same again",
+                    NULL);
+    else
+        showRefusal(one->task, STATUS_NO_LEADER, "no leader answers now; nothing was taken: come back", NULL);
+    one->task->retryAfterS = retryS(one->forwarder);
+}
+
+void forwardRequest(Forwarder *forwarder, HttpTask *task)
+{
+    const int64_t startMs = loopNowMs(forwarder->settings.loop);
+    Forwarding one = {.forwarder = forwarder,
+                      .task = task,
+                      .repeat = forwardRepeat(task->method, task->path, task->query),
+                      .startMs = startMs,
+                      .untilMs = startMs + FORWARD_DEADLINE_MS};
+    if (task->expiryMs != 0 && task->expiryMs - FORWARD_BACK_MS < one.untilMs)
+        one.untilMs = task->expiryMs - FORWARD_BACK_MS;
+    ForwardAsk ask = {
+        .method = task->method, .path = task->path, .query = task->query, .body = task->body, .host = task->host};
+    ForwardAnswer answer = {0};
+    if (one.repeat == REPEAT_ORDERED && !orderNamed(&one, &ask))
         return;
-    }
-    showRefusal(task, STATUS_NO_LEADER, "no leader answers now; nothing was taken: come back", NULL);
-    task->retryAfterS = retryS(forwarder);
+    if (!forwardAttempts(&one, &ask, &answer))
+        forwardGiveUp(&one);
+    else if (answer.status == STATUS_STALE_ORDER && one.based)
+        orderOvertaken(task);
+    else
+        forwardTake(task, &answer);
 }
 
 Status forwardRelay(Forwarder *forwarder, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
--- /dev/null
+++ b/packages/feed/src/forwarding.h
@@ -0,0 +1,26 @@
+#ifndef FEED_FORWARDING_H
+#define FEED_FORWARDING_H
+
+#include "attempt.h"
+#include "feed/routes.h"
+
+/* One request on its way, over all attempts. Invariant: maybeTaken says that an attempt
+ * which may have changed something has had no clear answer. */
+typedef struct Forwarding {
+    Forwarder *forwarder;
+    HttpTask *task;
+    Repeat repeat;
+    int64_t startMs, untilMs;
+    bool maybeTaken;
+    bool based; /* the base of an order was taken here, not by its caller */
+} Forwarding;
+
+/* Waits. One attempt after the other until there is an answer to be given; false: it is
+ * given up. The answer lives on the task. */
+bool forwardAttempts(Forwarding *one, ForwardAsk *ask, ForwardAnswer *answer);
+/* The answer as the task's result. */
+void forwardTake(HttpTask *task, const ForwardAnswer *answer);
+/* 503 where certainly nothing was taken, else 504; with when to come back. */
+void forwardGiveUp(const Forwarding *one);
+
+#endif
--- /dev/null
+++ b/packages/feed/src/order.c
@@ -0,0 +1,74 @@
+#include "order.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+
+/* The stamp that a zone is shown with; -1: an earlier release leads, which shows none. */
+static int64_t stampOf(const ForwardAnswer *answer)
+{
+    json_tokener *tokener = json_tokener_new();
+    json_object *shown = json_tokener_parse_ex(tokener, (const char *)answer->body.data, (int)answer->body.count);
+    json_tokener_free(tokener);
+    json_object *stamp = NULL;
+    const bool told = json_object_is_type(shown, json_type_object) && json_object_object_get_ex(shown, "stamp", &stamp);
+    const int64_t value = told ? json_object_get_int64(stamp) : -1;
+    json_object_put(shown);
+    return value;
+}
+
+/* Waits. False: the result was given. */
+static bool stampRead(const Forwarding *one, int64_t *stamp)
+{
+    HttpTask *task = one->task;
+    Forwarding reading = *one;
+    reading.repeat = REPEAT_READ;
+    ForwardAsk ask = {.method = "GET", .path = task->path, .query = "", .host = task->host};
+    ForwardAnswer answer = {0};
+    if (!forwardAttempts(&reading, &ask, &answer)) {
+        forwardGiveUp(&reading);
+        return false;
+    }
+    if (answer.code != 200) {
+        forwardTake(task, &answer);
+        return false;
+    }
+    *stamp = stampOf(&answer);
+    return true;
+}
+
+bool orderNamed(Forwarding *one, ForwardAsk *ask)
+{
+    HttpTask *task = one->task;
+    Loop *loop = one->forwarder->settings.loop;
+    char *query = talloc_strdup(task, task->query);
+    int64_t stamp = 0;
+    if (queryValue(task, task->query, "after") == NULL) {
+        if (!stampRead(one, &stamp))
+            return false;
+        one->based = stamp >= 0;
+        if (!one->based)
+            one->repeat = REPEAT_NEVER; /* it would not be known again */
+        else
+            query = talloc_asprintf_append(query, "%safter=%" PRId64, query[0] != '\0' ? "&" : "", stamp);
+    }
+    if (queryValue(task, task->query, "order") == NULL)
+        query = talloc_asprintf_append(query, "%sorder=%016" PRIx64, query[0] != '\0' ? "&" : "", loopRandom(loop));
+    loopYield(loop); /* an end of its connection that came with it is seen */
+    if (task->gone) {
+        showRefusal(task, STATUS_CLOSED, "its caller has gone: nothing was taken", NULL);
+        return false;
+    }
+    ask->query = query;
+    return true;
+}
+
+void orderOvertaken(HttpTask *task)
+{
+    showRefusal(task, STATUS_STALE_ORDER,
+                "there has been another order for this zone; nothing was taken: send it again if it is to hold", NULL);
+    task->code = 503;
+    task->retryAfterS = RETRY_AFTER_S;
+}
--- /dev/null
+++ b/packages/sim/test/hand.h
@@ -0,0 +1,39 @@
+#ifndef SIM_TEST_HAND_H
+#define SIM_TEST_HAND_H
+
+/* A request handed to a gate from within: the test sees when it is answered, and may let
+ * its caller leave. */
+#include <string.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+typedef struct Handed {
+    Gate *gate;
+    HttpTask *task;
+    bool done;
+} Handed;
+
+static inline void handMain(void *arg)
+{
+    Handed *handed = arg;
+    gateTake(handed->gate, handed->task);
+    handed->done = true;
+}
+
+/* Does not wait. task says what is asked; its texts outlive the fleet. */
+static inline Handed *hand(Fleet *fleet, int gate, const HttpTask *task, const char *body)
+{
+    const FleetNode *node = fleetNode(fleet, FLEET_GATE, gate);
+    Handed *handed = talloc_zero(fleet, Handed);
+    handed->gate = node->gate;
+    handed->task = talloc_zero(handed, HttpTask);
+    *handed->task = *task;
+    handed->task->loop = simLoop(fleet->world, node->machine);
+    if (body != NULL)
+        bytesAdd(handed->task, &handed->task->body, body, strlen(body));
+    loopSpawn(handed->task->loop, "hand", handMain, handed);
+    return handed;
+}
+
+#endif
--- /dev/null
+++ b/packages/sim/test/repeats.c
@@ -0,0 +1,167 @@
+/* What an entry point forwards again: each row of its table, with the answer lost after
+ * the change was committed. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "feed/routes.h"
+#include "hand.h"
+#include "table/table.h"
+
+#define LINK_MS 10 /* ms; each frame's way */
+#define JOB(id)                                                                                                     \
+    "{\"id\":\"" id "\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"a\"," \
+    "\"room\":{\"cpu\":1,\"memMb\":64},\"payload\":{\"runMs\":60000}}]}"
+#define STEPS "{\"steps\":[{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":64},\"payload\":{\"runMs\":60000}}]}"
+#define HOST "jobs.example"
+
+static const char ENTRIES[] =
+    "{\"cells\":{\"imagery\":{\"queues\":{\"sweeps\":{\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"/in/\"}}}}}}";
+
+/* A request as it is tried, and what it leaves behind. */
+typedef struct Row {
+    const char *method, *path, *query, *body;
+    int code; /* of the second attempt's answer */
+} Row;
+
+static const Row ROWS[] = {
+    {"POST", "/v1/jobs", "", JOB("one"), 201},
+    {"DELETE", "/v1/jobs/known", "", NULL, 200},
+    {"POST", "/v1/jobs/known/cancel", "", NULL, 200},
+    {"POST", "/v1/entry/in/one", "", STEPS, 201},
+    {"DELETE", "/v1/entry/in/known", "", NULL, 200},
+    {"PUT", "/v1/config", "base=2&revision=7", NULL, 200},
+    {"PATCH", "/v1/config", "base=2&revision=7", "{\"r\":0}", 200},
+    {"PATCH", "/v1/config", "base=2", "{\"r\":0}", 504},
+    {"POST", "/v1/zones/west/drain", "", NULL, 200},
+    {"PUT", "/v1/zones/west/drain", "", NULL, 200},
+    {"DELETE", "/v1/zones/west/drain", "", NULL, 200},
+};
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    fleetRun(fleet, 1000);
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "PATCH", "/v1/config?base=1", ENTRIES).code, 200);
+    const char *body = JOB("known");
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 1, "POST", "/v1/jobs", body).code, 201);
+    simDelay(fleet->world, LINK_MS, LINK_MS);
+    fleetRun(fleet, 1000);
+    return fleet;
+}
+
+/* The state as far as these requests change it: equal texts, equal states. */
+static char *stateOf(void *mem, const Fleet *fleet)
+{
+    const int leader = fleetLeader(fleet);
+    assert_true(leader >= 0);
+    const Table *table = coreTable(fleet->nodes[FLEET_CORE][leader].core);
+    const Job *known = tableJob(table, "known");
+    Job *const *jobs;
+    return talloc_asprintf(mem, "jobs %zu, ending %d, revision %d of %zu, zone %d %lld", tableJobs(table, &jobs),
+                           (int)known->ending, (int)revisionsNewest(tableRevisions(table)),
+                           tableRevisions(table)->count, tableDrained(table, "west"),
+                           (long long)tableDrainStamp(table, "west"));
+}
+
+static Handed *request(Fleet *fleet, const Row *row)
+{
+    const bool whole = strcmp(row->method, "PUT") == 0 && strcmp(row->path, "/v1/config") == 0;
+    const HttpTask task = {.method = row->method, .path = row->path, .query = row->query, .host = HOST};
+    return hand(fleet, 0, &task, whole ? mixConfig(MIX_TRENTVALE) : row->body);
+}
+
+/* The leader's answers do not reach the gate from the commit on; others go on. */
+static void answersLost(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < sizeof(ROWS) / sizeof(ROWS[0]); i++) {
+        const Row *row = &ROWS[i];
+        Fleet *fleet = begin(51 + i);
+        const char *before = stateOf(fleet, fleet);
+        Handed *handed = request(fleet, row);
+        while (strcmp(stateOf(fleet, fleet), before) == 0 && !handed->done)
+            fleetRun(fleet, 1);
+        assert_false(handed->done);
+        const char *first = stateOf(fleet, fleet);
+        const int gate = fleetNode(fleet, FLEET_GATE, 0)->machine;
+        const int leader = fleetNode(fleet, FLEET_CORE, fleetLeader(fleet))->machine;
+        simCut(fleet->world, leader, gate, true);
+        const int64_t fromMs = simNowMs(fleet->world);
+        while (!handed->done)
+            fleetRun(fleet, 5);
+        const int64_t tookMs = simNowMs(fleet->world) - fromMs;
+        print_message("%s %s?%s: %d after %lld ms, %s\n", row->method, row->path, row->query, handed->task->code,
+                      (long long)tookMs, first);
+        assert_int_equal(handed->task->code, row->code);
+        assert_true(tookMs < 4000);
+        if (row->code == 504)
+            assert_true(handed->task->retryAfterS > 0);
+        simCut(fleet->world, leader, gate, false);
+        fleetRun(fleet, 3000);
+        assert_string_equal(stateOf(fleet, fleet), first); /* applied once */
+        assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+        talloc_free(fleet);
+    }
+}
+
+/* Every row of the table that changes something is tried above. */
+static void rowsTried(void **state)
+{
+    (void)state;
+    size_t count;
+    const ForwardRoute *routes = forwardRoutes(&count);
+    for (size_t i = 0; i < count; i++) {
+        assert_true(strlen(routes[i].reason) > 0);
+        bool tried = routes[i].repeat == REPEAT_READ;
+        for (size_t k = 0; k < sizeof(ROWS) / sizeof(ROWS[0]) && !tried; k++)
+            tried = strcmp(routes[i].method, ROWS[k].method) == 0 && ROWS[k].code != 504 &&
+                    forwardRepeat(ROWS[k].method, ROWS[k].path, ROWS[k].query) == routes[i].repeat &&
+                    strncmp(routes[i].path, ROWS[k].path, strcspn(routes[i].path, "*")) == 0;
+        if (!tried)
+            fail_msg("%s %s is tried nowhere", routes[i].method, routes[i].path);
+    }
+}
+
+/* What stands in no row is sent once. */
+static void notRepeated(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *method, *path, *query;
+        Repeat repeat;
+    } ASKED[] = {
+        {"PUT", "/v1/config", "base=1", REPEAT_NEVER},
+        {"PUT", "/v1/config", "base=1&xrevision=2", REPEAT_NEVER},
+        {"PUT", "/v1/config", "base=1&revision=2", REPEAT_NAMED},
+        {"PATCH", "/v1/config", "", REPEAT_NEVER},
+        {"POST", "/v1/jobsx", "", REPEAT_NEVER},
+        {"POST", "/v1/jobs/a/other", "", REPEAT_NEVER},
+        {"POST", "/v1/zones/a", "", REPEAT_NEVER},
+        {"POST", "/v1/zones//drain", "", REPEAT_NEVER},
+        {"POST", "/v1/zones/a/drain", "", REPEAT_ORDERED},
+        {"POST", "/v1/later", "", REPEAT_NEVER},
+        {"GET", "/v1/later", "", REPEAT_READ},
+        {"DELETE", "/v1/entry/a/b", "", REPEAT_NAMED},
+    };
+    for (size_t i = 0; i < sizeof(ASKED) / sizeof(ASKED[0]); i++)
+        if (forwardRepeat(ASKED[i].method, ASKED[i].path, ASKED[i].query) != ASKED[i].repeat)
+            fail_msg("%s %s?%s", ASKED[i].method, ASKED[i].path, ASKED[i].query);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(answersLost),
+        cmocka_unit_test(rowsTried),
+        cmocka_unit_test(notRepeated),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/table/include/table/change.h
+++ b/packages/table/include/table/change.h
@@ -99,12 +99,17 @@
 SHAPE(ConfigSet, CONFIG_SET_FIELDS)
 
 /* move: what runs there is to be started elsewhere while the plan holds.
- * stamp grows with each order for a zone: an older one told again counts for nothing. */
+ * stamp grows with each order for a zone: an older one told again counts for nothing.
+ * order names the order wherever it is sent again; "": it has no name. When based is
+ * set, the order counts only while no stamp above base has been delivered. */
 #define ZONE_DRAIN_FIELDS(X) \
     X(TXT, zone, 0)          \
     X(FLAG, drained, 0)      \
     X(I64, stamp, 0)         \
-    X(FLAG, move, 0)
+    X(FLAG, move, 0)         \
+    X(TXT, order, 0)         \
+    X(FLAG, based, 0)        \
+    X(I64, base, 0)
 SHAPE(ZoneDrain, ZONE_DRAIN_FIELDS)
 
 #define FORGET_FIELDS(X) X(I64, beforeMs, 0)
--- a/packages/table/include/table/table.h
+++ b/packages/table/include/table/table.h
@@ -76,8 +76,19 @@
 bool tableDrainMoves(const Table *table, const char *zone);
 /* The stamp of the newest order for the zone; 0: none. */
 int64_t tableDrainStamp(const Table *table, const char *zone);
+/* Null: there was none. */
+const ZoneDrain *tableDrainNewest(const Table *table, const char *zone);
 size_t tableDrains(const Table *table, void *mem, const char ***zones);
 
+/* What an order for a zone is to the state. */
+typedef enum DrainKnown {
+    DRAIN_NEW,       /* it may be taken */
+    DRAIN_TAKEN,     /* it has been delivered: it is sent again */
+    DRAIN_OVERTAKEN, /* it has not been, and others have since its base: it never will be */
+    DRAIN_FORGOTTEN, /* others have since its base, and it may be one that is not remembered */
+} DrainKnown;
+DrainKnown tableDrainKnown(const Table *table, const ZoneDrain *drain);
+
 /* Waiting tasks (not on a worker, not ended) of a cell. */
 size_t tableWaiting(const Table *table, const char *cell);
 /* Jobs of a queue that have not ended. */
--- a/packages/table/src/deliverzone.c
+++ b/packages/table/src/deliverzone.c
@@ -1,23 +1,32 @@
 /* Zones are emptied and taken back. */
+#include <string.h>
 #include <talloc.h>
 
 #include "inside.h"
 
+SHAPE_TABLE(ZoneOrder, ZONE_ORDER_FIELDS)
+
+const ZoneDrain *tableDrainNewest(const Table *table, const char *zone)
+{
+    const ZoneOrders *orders = mapGet(table->drains, zone);
+    return orders != NULL ? &orders->newest : NULL;
+}
+
 bool tableDrained(const Table *table, const char *zone)
 {
-    const ZoneDrain *drain = mapGet(table->drains, zone);
+    const ZoneDrain *drain = tableDrainNewest(table, zone);
     return drain != NULL && drain->drained;
 }
 
 bool tableDrainMoves(const Table *table, const char *zone)
 {
-    const ZoneDrain *drain = mapGet(table->drains, zone);
+    const ZoneDrain *drain = tableDrainNewest(table, zone);
     return drain != NULL && drain->drained && drain->move;
 }
 
 int64_t tableDrainStamp(const Table *table, const char *zone)
 {
-    const ZoneDrain *drain = mapGet(table->drains, zone);
+    const ZoneDrain *drain = tableDrainNewest(table, zone);
     return drain != NULL ? drain->stamp : 0;
 }
 
@@ -31,14 +40,83 @@
     return kept;
 }
 
+DrainKnown tableDrainKnown(const Table *table, const ZoneDrain *drain)
+{
+    const ZoneOrders *orders = mapGet(table->drains, drain->zone);
+    bool overtaken = false, forgotten = false;
+    for (size_t i = 0; orders != NULL && i < orders->count; i++) {
+        const ZoneOrder *row = &orders->rows[i];
+        if (row->order[0] != '\0' && strcmp(row->order, drain->order) == 0)
+            return DRAIN_TAKEN;
+        if (drain->based && row->stamp > drain->base) {
+            overtaken = true;
+            forgotten |= row->order[0] == '\0';
+        }
+    }
+    if (forgotten)
+        return DRAIN_FORGOTTEN;
+    return overtaken ? DRAIN_OVERTAKEN : DRAIN_NEW;
+}
+
+/* The oldest two become one without a name when there is no room. */
+static void rowAdd(ZoneOrders *orders, const char *order, int64_t stamp)
+{
+    if (orders->count == ZONE_ORDERS_MAX) {
+        memmove(orders->rows, orders->rows + 1, (ZONE_ORDERS_MAX - 1) * sizeof(ZoneOrder));
+        orders->rows[0].order = "";
+        orders->count--;
+    }
+    orders->rows[orders->count++] = (ZoneOrder){.zone = orders->newest.zone, .order = order, .stamp = stamp};
+}
+
+/* The zone's orders in one new block of memory, so that what is dropped is freed. */
+static ZoneOrders *ordersWith(Table *table, const ZoneDrain *drain)
+{
+    const ZoneOrders *before = mapGet(table->drains, drain->zone);
+    ZoneOrders *orders = talloc_zero(table->mem, ZoneOrders);
+    shapeCopy(&ZoneDrainShape, drain, orders, &orders->newest);
+    for (size_t i = 0; before != NULL && i < before->count; i++)
+        rowAdd(orders, talloc_strdup(orders, before->rows[i].order), before->rows[i].stamp);
+    return orders;
+}
+
+static Status refusal(DrainKnown known)
+{
+    switch (known) {
+    case DRAIN_OVERTAKEN:
+        return STATUS_STALE_ORDER;
+    case DRAIN_FORGOTTEN:
+        return STATUS_EXPIRED;
+    default:
+        return STATUS_OK;
+    }
+}
+
 void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, ChangeResult *result)
 {
     (void)change;
-    (void)result;
     if (drain->stamp <= tableDrainStamp(table, drain->zone))
         return;
+    const DrainKnown known = tableDrainKnown(table, drain);
+    if (known != DRAIN_NEW) {
+        if (result != NULL)
+            result->status = refusal(known);
+        return;
+    }
+    ZoneOrders *orders = ordersWith(table, drain);
+    rowAdd(orders, orders->newest.order, drain->stamp);
     talloc_free(mapGet(table->drains, drain->zone));
-    ZoneDrain *kept = talloc_zero(table->mem, ZoneDrain);
-    shapeCopy(&ZoneDrainShape, drain, kept, kept);
-    mapSet(table->drains, kept->zone, kept);
+    mapSet(table->drains, orders->newest.zone, orders);
+}
+
+void zoneOrdersLoad(Table *table, const ZoneOrder *rows, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        ZoneOrders *orders = mapGet(table->drains, rows[i].zone);
+        if (orders == NULL)
+            continue;
+        if (i == 0 || strcmp(rows[i].zone, rows[i - 1].zone) != 0)
+            orders->count = 0; /* what stood for the newest alone */
+        rowAdd(orders, talloc_strdup(orders, rows[i].order), rows[i].stamp);
+    }
 }
--- a/packages/table/src/inside.h
+++ b/packages/table/src/inside.h
@@ -35,6 +35,22 @@
     X(I64, atMs, 0)
 SHAPE(Orphan, ORPHAN_FIELDS)
 
+/* One order for a zone that was delivered. order "": it had no name, or it stands
+ * for all up to its stamp that are not remembered any more. */
+#define ZONE_ORDER_FIELDS(X) \
+    X(TXT, zone, 0)          \
+    X(TXT, order, 0)         \
+    X(I64, stamp, 0)
+SHAPE(ZoneOrder, ZONE_ORDER_FIELDS)
+
+/* Invariants: rows are sorted by stamp and the last one's is the newest order's; at
+ * most the first stands for several. */
+typedef struct ZoneOrders {
+    ZoneDrain newest;
+    size_t count;
+    ZoneOrder rows[ZONE_ORDERS_MAX];
+} ZoneOrders;
+
 /* Jobs in an order of their own. */
 typedef struct JobList {
     Job **jobs;
@@ -60,7 +76,7 @@
     Map *queues;     /* "cell/queue" to QueueSum */
     Orphan *orphans; /* each owned by the table; forgotten as ended jobs are */
     size_t orphanCount;
-    Map *drains; /* zone to its newest order */
+    Map *drains; /* zone to ZoneOrders */
     Revisions *revisions;
     uint64_t loads;
     TableFn fn;
@@ -156,6 +172,8 @@
 void deliverWorkerLost(Table *table, const Record *change, const WorkerLost *lost, ChangeResult *result);
 void deliverWorkerLeft(Table *table, const Record *change, const WorkerLeft *left, ChangeResult *result);
 void deliverZoneDrain(Table *table, const Record *change, const ZoneDrain *drain, ChangeResult *result);
+/* Of a saved state, in their order, after the newest of each zone. */
+void zoneOrdersLoad(Table *table, const ZoneOrder *rows, size_t count);
 
 /* --- saving and loading */
 
--- a/packages/table/src/saved.c
+++ b/packages/table/src/saved.c
@@ -9,10 +9,26 @@
     X(LST, workers, Worker)   \
     X(LST, configs, Revision) \
     X(LST, drains, ZoneDrain) \
-    X(LST, orphans, Orphan)
+    X(LST, orphans, Orphan)   \
+    X(LST, zoneOrders, ZoneOrder)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
+/* A zone's orders stand together. */
+static void zonesSave(const Table *table, void *scratch, Saved *saved)
+{
+    const char **zones;
+    saved->drainsCount = mapKeys(table->drains, scratch, &zones);
+    saved->drains = talloc_array(scratch, ZoneDrain, (unsigned)saved->drainsCount);
+    saved->zoneOrders = talloc_array(scratch, ZoneOrder, (unsigned)saved->drainsCount * ZONE_ORDERS_MAX);
+    for (size_t i = 0; i < saved->drainsCount; i++) {
+        const ZoneOrders *orders = mapGet(table->drains, zones[i]);
+        saved->drains[i] = orders->newest;
+        for (size_t k = 0; k < orders->count; k++)
+            saved->zoneOrders[saved->zoneOrdersCount++] = orders->rows[k];
+    }
+}
+
 Bytes tableSave(void *arg, void *mem)
 {
     Table *table = arg;
@@ -28,11 +44,7 @@
         saved.workers[i] = *workers[i];
     saved.configs = table->revisions->rows;
     saved.configsCount = table->revisions->count;
-    const char **zones;
-    saved.drainsCount = mapKeys(table->drains, scratch, &zones);
-    saved.drains = talloc_array(scratch, ZoneDrain, (unsigned)saved.drainsCount);
-    for (size_t i = 0; i < saved.drainsCount; i++)
-        saved.drains[i] = *(const ZoneDrain *)mapGet(table->drains, zones[i]);
+    zonesSave(table, scratch, &saved);
     saved.orphans = table->orphans;
     saved.orphansCount = table->orphanCount;
     Bytes packed = {0};
@@ -90,6 +102,7 @@
         revisionsLoad(table->revisions, saved.configs, saved.configsCount);
         for (size_t i = 0; i < saved.drainsCount; i++)
             deliverZoneDrain(table, NULL, &saved.drains[i], NULL);
+        zoneOrdersLoad(table, saved.zoneOrders, saved.zoneOrdersCount);
         for (size_t i = 0; i < saved.orphansCount; i++)
             orphanAdd(table, saved.orphans[i].job, saved.orphans[i].task, saved.orphans[i].round,
                       saved.orphans[i].atMs);
--- /dev/null
+++ b/packages/table/test/zones.c
@@ -0,0 +1,99 @@
+/* Orders for a zone: which are known again, which are overtaken, and what is forgotten. */
+#include <stdio.h>
+
+#include "board.h"
+
+static ZoneDrain orderOf(const char *name, bool drained, int64_t stamp, int64_t base)
+{
+    return (ZoneDrain){.zone = "z",
+                       .drained = drained,
+                       .stamp = stamp,
+                       .order = name,
+                       .based = base >= 0,
+                       .base = base >= 0 ? base : 0};
+}
+
+static Status take(Board *b, ZoneDrain drain)
+{
+    return tell(b, CHANGE_ZONE_DRAIN, &ZoneDrainShape, &drain).status;
+}
+
+static DrainKnown known(const Board *b, const char *name, int64_t base)
+{
+    const ZoneDrain drain = orderOf(name, true, 0, base);
+    return tableDrainKnown(b->table, &drain);
+}
+
+/* A start, delivered twice with an end between: the end stays, also over a snapshot. */
+static void lateCopy(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    assert_int_equal(known(&b, "start", 0), DRAIN_NEW);
+    assert_int_equal(take(&b, orderOf("start", true, 10, 0)), STATUS_OK);
+    assert_true(tableDrained(b.table, "z"));
+    assert_int_equal(known(&b, "start", 0), DRAIN_TAKEN);
+    assert_int_equal(take(&b, orderOf("end", false, 11, 10)), STATUS_OK);
+    for (int loaded = 0; loaded < 2; loaded++) {
+        assert_int_equal(take(&b, orderOf("start", true, 12 + loaded, 0)), STATUS_OK); /* as its first was answered */
+        assert_int_equal(take(&b, orderOf("never", true, 12 + loaded, 10)), STATUS_STALE_ORDER);
+        assert_false(tableDrained(b.table, "z"));
+        assert_int_equal(tableDrainStamp(b.table, "z"), 11);
+        assert_int_equal(known(&b, "start", 0), DRAIN_TAKEN);
+        assert_int_equal(known(&b, "never", 10), DRAIN_OVERTAKEN);
+        assert_int_equal(known(&b, "next", 11), DRAIN_NEW);
+        again(&b);
+    }
+    talloc_free(b.table);
+}
+
+/* What is remembered is bounded: an order that may be a forgotten one is told so, and
+ * changes nothing; one on the newest stamp is taken. */
+static void bounded(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    for (int i = 1; i <= 3 * ZONE_ORDERS_MAX; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "o%d", i);
+        assert_int_equal(take(&b, orderOf(name, i % 2 == 1, i, i - 1)), STATUS_OK);
+    }
+    const int64_t newest = 3 * ZONE_ORDERS_MAX;
+    for (int loaded = 0; loaded < 2; loaded++) {
+        assert_int_equal(known(&b, "o1", 0), DRAIN_FORGOTTEN);
+        assert_int_equal(take(&b, orderOf("o1", true, newest + 1, 0)), STATUS_EXPIRED);
+        assert_int_equal(known(&b, "o47", newest - 2), DRAIN_TAKEN);
+        assert_int_equal(known(&b, "other", newest - 1), DRAIN_OVERTAKEN);
+        assert_false(tableDrained(b.table, "z"));
+        again(&b);
+    }
+    assert_int_equal(take(&b, orderOf("new", true, newest + 1, newest)), STATUS_OK);
+    assert_true(tableDrained(b.table, "z"));
+    talloc_free(b.table);
+}
+
+/* An order of an earlier release has neither name nor base: it counts by its stamp. */
+static void unnamed(void **state)
+{
+    (void)state;
+    Board b = boardNew();
+    assert_int_equal(take(&b, orderOf("", true, 5, -1)), STATUS_OK);
+    assert_int_equal(take(&b, orderOf("", false, 4, -1)), STATUS_OK);
+    assert_true(tableDrained(b.table, "z"));
+    /* whether it was one of those that have no name is not known */
+    assert_int_equal(known(&b, "x", 0), DRAIN_FORGOTTEN);
+    assert_int_equal(known(&b, "x", 5), DRAIN_NEW);
+    assert_int_equal(take(&b, orderOf("x", false, 6, -1)), STATUS_OK);
+    assert_false(tableDrained(b.table, "z"));
+    talloc_free(b.table);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(lateCopy),
+        cmocka_unit_test(bounded),
+        cmocka_unit_test(unnamed),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -21,7 +21,8 @@
 
 class Guard:
     """name: what guards; path, out, instead: the edit that removes it; never: words of
-    what must break; scenario: ("sweep", mix, first, last) or ("timeline", mix, seeds, text)."""
+    what must break; scenario: ("sweep", mix, first, last), ("timeline", mix, seeds, text) or ("test", name):
+    a program of test cases, whose failing cases are what breaks."""
 
     def __init__(self, name, what, path, out, instead, never, *scenario, also=()):
         self.name, self.what = name, what
@@ -280,6 +281,15 @@
     Guard("lasting", "a lasting task goes on however its round ends", "packages/table/src/deliverround.c",
           "if (news->word == ROUND_DONE && !job->spec.lasting) {", "if (news->word == ROUND_DONE) {",
           "forgotten", "sweep", "varied", 1, 8),
+    Guard("order-known", "an order for a zone that was taken is known when it is sent again", "packages/table/src/deliverzone.c",
+          "        if (row->order[0] != '\\0' && strcmp(row->order, drain->order) == 0)\n            return DRAIN_TAKEN;\n", "",
+          "leaderLost|lateCopy|callersName", "test", "drains"),
+    Guard("order-based", "an order for a zone counts only while nothing came after what it builds on", "packages/table/src/deliverzone.c",
+          "if (drain->based && row->stamp > drain->base) {", "if (drain->based && row->stamp < 0) {",
+          "lateStart|overtaken", "test", "drains"),
+    Guard("sent-once", "what stands in no row of the table is not forwarded again", "packages/feed/src/routes.c",
+          "    return REPEAT_NEVER;\n}", "    return REPEAT_NAMED;\n}",
+          "answersLost|notRepeated", "test", "repeats"),
 ]
 
 
@@ -301,7 +311,8 @@
         return subprocess.run(args, capture_output=True, text=True, errors="replace", check=check)
 
     def make(self):
-        got = self.run(["cmake", "--build", self.build, "--target", "spancart-sweep", "spancart-timeline"])
+        tests = sorted({"test-" + guard.scenario[1] for guard in GUARDS if guard.scenario[0] == "test"})
+        got = self.run(["cmake", "--build", self.build, "--target", "spancart-sweep", "spancart-timeline"] + tests)
         if got.returncode != 0:
             raise SystemExit("the scratch copy does not build:\n" + got.stdout[-3000:])
 
@@ -327,6 +338,10 @@
     def scenario(self, guard):
         """What broke first, and the seed; None when all runs pass."""
         kind, mix = guard.scenario[:2]
+        if kind == "test":
+            got = self.run([os.path.join(self.build, "test-" + mix)])
+            yield from ((mix, case) for case in re.findall(r"\[  FAILED  \] (\w+)$", got.stdout, re.M))
+            return
         if kind == "timeline":
             path = os.path.join(self.folder, "scenario.txt")
             with open(path, "w") as file:
