--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -58,9 +58,9 @@
     150                  /* ms; from a leader's loss, what nobody can have taken waits so long for a way to another \
                           */
 #define ELECTION_MS 3000 /* ms; another leader is normally found within this: callers are told to come back then */
-#define PROXY_EXPIRY_MS 8000  /* ms; a gate gives a request up after this */
-#define SUBMIT_EXPIRY_MS 5000 /* ms; a change not committed in this time has an unknown outcome */
-#define CONNECT_EXPIRY_MS 600 /* ms; a connection that takes longer is as good as none */
+#define FORWARD_DEADLINE_MS 8000 /* ms; a gate gives a request up after this */
+#define SUBMIT_EXPIRY_MS 5000    /* ms; a change not committed in this time has an unknown outcome */
+#define CONNECT_EXPIRY_MS 600    /* ms; a connection that takes longer is as good as none */
 #define LINE_UNHEARD_MS \
     4000 /* ms; a connection whose bytes nobody acknowledges for so long ends: its machine is cut off or gone */
 #define LINE_QUIET_S 3 /* s; one that is silent for so long is probed: a machine that is cut off says nothing ... */
@@ -219,6 +219,7 @@
 #define KEEP_WAIT_MS 10000    /* ms; what fits a whole worker and no gap for so long has one kept for it */
 #define KEEP_LEAST_MS 300     /* ms; ... of a job with an aim after an eighth of its span, but not before this */
 #define KEEP_SHARE 4          /* of the fleet's workers at most one in so many is kept at once */
+#define ZONE_ORDERS_MAX 16    /* count; orders for a zone that are known when they are sent again */
 #define KEPT_MEMBERS_MAX 64   /* count; workers kept for one gang */
 
 /* --- policies ---------------------------------------------------------------- */
--- /dev/null
+++ b/packages/feed/src/forward.c
@@ -0,0 +1,185 @@
+#include "feed/forward.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "api/show.h"
+#include "forwarding.h"
+#include "order.h"
+
+#define FORWARD_BACK_MS 20     /* ms; the result's way back to the caller */
+#define FORWARD_ATTEMPTS_MAX 8 /* count; so many leaders or ways, one after the other, for one request */
+
+/* Certainly nothing of it was taken: it was not sent, or whoever was asked refused it as
+ * one that does not lead. Any other failure leaves the outcome open, also an answer that
+ * can't be read. */
+static bool untaken(Status status)
+{
+    switch (status) {
+    case STATUS_UNREACHABLE:
+    case STATUS_STRANGER:
+    case STATUS_NOT_LEADER:
+    case STATUS_NO_LEADER:
+    case STATUS_REPAIRING:
+    case STATUS_LEAVING:
+    case STATUS_TOO_LARGE:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/* The one who answered has not led any more. */
+static bool lostOnTheWay(const ForwardAnswer *answer, bool *maybeTaken)
+{
+    if (answer->code == 504 && answer->status == STATUS_OUTCOME_UNKNOWN) {
+        *maybeTaken = true;
+        return true;
+    }
+    return answer->code == 503 && (answer->status == STATUS_NOT_LEADER || answer->status == STATUS_LEAVING);
+}
+
+/* Waits until a way is known. */
+static bool wayWait(Forwarder *forwarder, WaysTaken *taken, int64_t untilMs)
+{
+    while (!waysTake(forwarder->ways, taken))
+        if (loopNowMs(forwarder->settings.loop) >= untilMs ||
+            !signalWait(forwarder->settings.loop, waysMoved(forwarder->ways), untilMs))
+            return waysTake(forwarder->ways, taken);
+    return true;
+}
+
+/* Until when a request waits for a way. */
+static int64_t waysUntilMs(const Forwarder *forwarder, bool maybeTaken, int64_t startMs, int64_t untilMs)
+{
+    const int64_t lostMs = waysLostMs(forwarder->ways);
+    const int64_t fromMs = lostMs != INT64_MAX ? lostMs : loopNowMs(forwarder->settings.loop);
+    const int64_t waitMs =
+        maybeTaken ? startMs + forwarder->settings.outcomeWaitMs : fromMs + forwarder->settings.leaderWaitMs;
+    return waitMs < untilMs ? waitMs : untilMs;
+}
+
+/* Another leader is found some 3 s after the last one was lost. */
+static int retryS(const Forwarder *forwarder)
+{
+    const int64_t lostMs = waysLostMs(forwarder->ways);
+    if (lostMs == INT64_MAX)
+        return RETRY_AFTER_S;
+    const int64_t leftMs = lostMs + ELECTION_MS - loopNowMs(forwarder->settings.loop);
+    return leftMs <= 1000 ? RETRY_AFTER_S : (int)((leftMs + 999) / 1000);
+}
+
+bool forwardAttempts(Forwarding *one, ForwardAsk *ask, ForwardAnswer *answer)
+{
+    Forwarder *forwarder = one->forwarder;
+    Loop *loop = forwarder->settings.loop;
+    const bool again = one->repeat != REPEAT_NEVER, changes = one->repeat != REPEAT_READ;
+    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX; attempt++) {
+        WaysTaken taken;
+        if (attempt > 0 && (one->task->gone || (one->maybeTaken && !again)))
+            return false;
+        if (!wayWait(forwarder, &taken, waysUntilMs(forwarder, one->maybeTaken, one->startMs, one->untilMs)) ||
+            loopNowMs(loop) >= one->untilMs)
+            return false;
+        bool unknown = false;
+        ask->again = one->maybeTaken;
+        const Status status = attemptForward(forwarder, one->task, &taken, ask, one->untilMs, answer);
+        if (status == STATUS_OK && !lostOnTheWay(answer, &unknown))
+            /* one that did not take it says nothing of an earlier one, which may have */
+            return answer->code != 503 || !one->maybeTaken;
+        unknown |= status != STATUS_OK && !untaken(status);
+        one->maybeTaken |= changes && unknown;
+        if (status != STATUS_EXPIRED || loopNowMs(loop) < one->untilMs)
+            waysFailed(forwarder->ways, &taken);
+    }
+    return false;
+}
+
+void forwardTake(HttpTask *task, const ForwardAnswer *answer)
+{
+    task->code = (int)answer->code;
+    task->status = (Status)answer->status;
+    task->kind = answer->kind;
+    task->result = answer->body;
+    task->retryAfterS = (int)answer->retryAfterS;
+}
+
+void forwardGiveUp(const Forwarding *one)
+{
+    if (one->maybeTaken)
+        showRefusal(one->task, STATUS_OUTCOME_UNKNOWN, "the leader was lost on the way: ask, or send the same again",
+                    NULL);
+    else
+        showRefusal(one->task, STATUS_NO_LEADER, "no leader answers now; nothing was taken: come back", NULL);
+    one->task->retryAfterS = retryS(one->forwarder);
+}
+
+void forwardRequest(Forwarder *forwarder, HttpTask *task)
+{
+    const int64_t startMs = loopNowMs(forwarder->settings.loop);
+    Forwarding one = {.forwarder = forwarder,
+                      .task = task,
+                      .repeat = forwardRepeat(task->method, task->path, task->query),
+                      .startMs = startMs,
+                      .untilMs = startMs + FORWARD_DEADLINE_MS};
+    if (task->expiryMs != 0 && task->expiryMs - FORWARD_BACK_MS < one.untilMs)
+        one.untilMs = task->expiryMs - FORWARD_BACK_MS;
+    ForwardAsk ask = {
+        .method = task->method, .path = task->path, .query = task->query, .body = task->body, .host = task->host};
+    ForwardAnswer answer = {0};
+    if (one.repeat == REPEAT_ORDERED && !orderNamed(&one, &ask))
+        return;
+    if (!forwardAttempts(&one, &ask, &answer))
+        forwardGiveUp(&one);
+    else if (answer.status == STATUS_STALE_ORDER && one.based)
+        orderOvertaken(task);
+    else
+        forwardTake(task, &answer);
+}
+
+Status forwardRelay(Forwarder *forwarder, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
+{
+    WaysTaken taken;
+    if (!waysTake(forwarder->ways, &taken) || taken.own || taken.relay)
+        return STATUS_NOT_LEADER;
+    ForwardAsk onward = *ask;
+    onward.relay = false;
+    /* before the asker's own patience ends, so that it hears that this end lives */
+    const int64_t waitMs =
+        ask->waitMs > 0 && ask->waitMs < FORWARD_DEADLINE_MS ? (int64_t)ask->waitMs * 3 / 4 : FORWARD_DEADLINE_MS;
+    const Status status = courierAsk(forwarder->settings.courier, mem, taken.address, MESSAGE_FORWARD, &ForwardAskShape,
+                                     &onward, waitMs, &ForwardAnswerShape, answer);
+    if (status == STATUS_UNREACHABLE || status == STATUS_NOT_LEADER)
+        waysFailed(forwarder->ways, &taken);
+    return status;
+}
+
+Ways *forwarderWays(Forwarder *forwarder)
+{
+    return forwarder->ways;
+}
+
+/* Those who wait on a way hear at once that it is none any more. */
+static void movedMain(void *arg)
+{
+    Forwarder *forwarder = arg;
+    while (!loopStopping(forwarder->settings.loop)) {
+        signalWait(forwarder->settings.loop, waysMoved(forwarder->ways), INT64_MAX);
+        attemptsWake(forwarder);
+    }
+}
+
+Forwarder *forwarderNew(void *mem, const ForwarderSettings *settings)
+{
+    Forwarder *forwarder = talloc_zero(mem, Forwarder);
+    forwarder->settings = *settings;
+    forwarder->ways =
+        waysNew(forwarder, settings->loop, settings->courier, settings->members, settings->leads, settings->arg);
+    return forwarder;
+}
+
+void forwarderStart(Forwarder *forwarder)
+{
+    waysStart(forwarder->ways);
+    loopSpawn(forwarder->settings.loop, "moved", movedMain, forwarder);
+}
