--- /dev/null
+++ b/packages/explore/include/explore/explore.h
@@ -0,0 +1,130 @@
+#ifndef EXPLORE_EXPLORE_H
+#define EXPLORE_EXPLORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* A randomized explorer of the replicated log alone: views, members and couriers on
+ * simulated machines, with a small state instead of jobs, clients that hand in
+ * changes, and an adversary. Every rule is checked after each step of the world. */
+
+/* What the adversary does. Each lasts so long, then it is undone. */
+#define ACT_LIST(X)                                                             \
+    X(KILL, "kill")           /* the process; started again */                  \
+    X(POWER, "power")         /* the machine: what was being written is torn */ \
+    X(BLACKOUT, "blackout")   /* power of all machines */                       \
+    X(WIPE, "wipe")           /* started again with an empty disk */            \
+    X(LEAVE, "leave")         /* it says so, and goes for good */               \
+    X(VANISH, "vanish")       /* it goes for good without a word */             \
+    X(JOIN, "join")           /* a new machine with an empty disk */            \
+    X(FREEZE, "freeze")       /* the process stands still */                    \
+    X(CUT_BOTH, "cut")        /* from all others */                             \
+    X(CUT_OUT, "cut-out")     /* what it sends goes nowhere */                  \
+    X(CUT_IN, "cut-in")       /* nothing reaches it */                          \
+    X(CUT_ONE, "cut-one")     /* one way to one other */                        \
+    X(DELAY, "delay")         /* amount: ms at most, for every frame */         \
+    X(FRAMES, "frames")       /* amount: of a thousand dropped, and repeated */ \
+    X(DISK_SLOW, "disk-slow") /* amount: ms for each sync */                    \
+    X(DISK_FAIL, "disk-fail") /* writes fail */                                 \
+    X(STEP_DOWN, "step-down") /* the leader gives its lead up */                \
+    X(CHANGES, "changes")     /* amount: changes handed in at once */
+
+typedef enum ActKind {
+#define X(name, word) ACT_##name,
+    ACT_LIST(X)
+#undef X
+        ACT_KINDS
+} ActKind;
+
+/* Whom it does it to, found when it is done. */
+#define WHO_LIST(X)       \
+    X(LEADER, "leader")   \
+    X(VOTER, "voter")     \
+    X(LEARNER, "learner") \
+    X(ANY, "any")
+
+typedef enum Who {
+#define X(name, word) WHO_##name,
+    WHO_LIST(X)
+#undef X
+        WHO_KINDS
+} Who;
+
+typedef struct Act {
+    int64_t atMs; /* since the voters were whole */
+    ActKind kind;
+    Who who;
+    unsigned pick; /* which of them: modulo their number */
+    int64_t forMs;
+    unsigned amount;
+} Act;
+
+#define EXPLORE_ACTS_MAX 80 /* count */
+
+/* Invariant: acts are in order of time. */
+typedef struct ExplorePlan {
+    uint64_t seed;      /* of the world */
+    int losses;         /* disks that may be lost at once: twice that and one voters are wanted */
+    int spares;         /* machines beyond the voters, from the start on */
+    bool byVotes;       /* founded by the seeds' votes; else by three empty disks */
+    bool beyond;        /* more disks may be lost than are borne: then only safety is asked for */
+    size_t snapshot;    /* the log is shortened after so many entries */
+    int64_t seatBackMs; /* as the settings say: a voter is whole again within this */
+    int64_t lengthMs;   /* of the adversary */
+    Act acts[EXPLORE_ACTS_MAX];
+    bool skipped[EXPLORE_ACTS_MAX];
+    size_t actCount;
+} ExplorePlan;
+
+/* What may never be. */
+#define RULE_LIST(X)                                                                    \
+    X(NONE, "none")                                                                     \
+    X(TWO_LEADERS, "two nodes lead in one epoch")                                       \
+    X(TWO_CLAIMS, "two nodes say at one moment that they lead")                         \
+    X(COMMITTED_CHANGED, "what was committed has changed")                              \
+    X(COMMITTED_LOST, "a leader lacks what was committed")                              \
+    X(STATE_OTHER, "a state is not that of the one history")                            \
+    X(TWICE, "a change was delivered twice")                                            \
+    X(REFUSED_TAKEN, "a change that was refused was taken")                             \
+    X(ACK_LOST, "an acknowledged change is not in the history")                         \
+    X(COMMIT_DISKS, "committed on fewer disks than a majority")                         \
+    X(ACK_DISKS, "acknowledged on fewer disks than the losses that are borne, and one") \
+    X(VOTERS_STEP, "lists of voters that follow each other differ by more than a step") \
+    X(TWO_CHANGES, "a change of voters was ordered before the last was committed")      \
+    X(OLD_VOTERS, "a node leads by an old list of voters")                              \
+    X(PROMISE_FELL, "a promise fell")                                                   \
+    X(PROMISE_UNSYNCED, "a lead rests on promises that no disk holds")                  \
+    X(LOG_SHORTER, "a log got shorter than what was synced in the same history")        \
+    X(TWO_CLUSTERS, "two clusters were founded")                                        \
+    X(NOT_OPENED, "a disk could not be opened")                                         \
+    X(NOT_FOUNDED, "no cluster came about")                                             \
+    X(NOT_LIVE, "no change was committed in time")
+
+typedef enum Rule {
+#define X(name, text) RULE_##name,
+    RULE_LIST(X)
+#undef X
+        RULE_COUNT
+} Rule;
+
+typedef struct ExploreResult {
+    Rule rule; /* the first that was broken */
+    int64_t atMs;
+    char why[240];
+    uint64_t steps, committed, acknowledged, leads, voterChanges;
+    uint64_t done[ACT_KINDS]; /* acts that found somebody to do it to */
+    bool lived;               /* liveness was asked for */
+    int64_t liveMs;           /* from the end of the adversary to the first acknowledgement */
+} ExploreResult;
+
+/* The plan of a seed: the same for all time, as long as the drawing is not changed. */
+void explorePlanOf(uint64_t seed, ExplorePlan *plan);
+void exploreRun(const ExplorePlan *plan, bool loud, ExploreResult *result);
+/* Leaves out every act that the break does not need; false when the plan breaks nothing. */
+bool exploreShrink(ExplorePlan *plan, ExploreResult *result);
+/* The plan as rows, those that are skipped left out. */
+void explorePrint(const ExplorePlan *plan);
+const char *ruleText(Rule rule);
+
+#endif
--- /dev/null
+++ b/packages/explore/src/act.c
@@ -0,0 +1,236 @@
+/* The adversary: what it does to whom, and how that ends. */
+#include <inttypes.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+#define LINK_LOW_MS 1  /* ms; of a frame, when nothing is wrong */
+#define LINK_HIGH_MS 3 /* ms */
+#define SYNC_MS 3      /* ms; of a sync, when nothing is wrong */
+#define LATE_MS 2000   /* ms; a repeated frame comes so late at most */
+
+/* What ends when an act does. */
+typedef struct ActEnd {
+    Explore *explore;
+    ActKind kind;
+    Node *node;
+    int other;
+} ActEnd;
+
+static const char *actWord(ActKind kind)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        ACT_LIST(X)
+#undef X
+    };
+    return WORDS[kind];
+}
+
+static bool suits(const Explore *explore, const Node *node, Who who)
+{
+    if (node->gone)
+        return false;
+    switch (who) {
+    case WHO_LEADER:
+        return nodeLeads(node);
+    case WHO_VOTER:
+        return nodeVotes(explore, node);
+    case WHO_LEARNER:
+        return !nodeVotes(explore, node);
+    default:
+        return true;
+    }
+}
+
+static Node *find(Explore *explore, Who who, unsigned pick)
+{
+    unsigned count = 0;
+    for (int i = 0; i < explore->nodeCount; i++)
+        count += suits(explore, &explore->nodes[i], who);
+    if (count == 0)
+        return NULL;
+    unsigned left = pick % count;
+    for (int i = 0; i < explore->nodeCount; i++)
+        if (suits(explore, &explore->nodes[i], who) && left-- == 0)
+            return &explore->nodes[i];
+    return NULL;
+}
+
+static void cutAll(Explore *explore, const Node *node, bool out, bool in, bool cut)
+{
+    for (int i = 0; i < explore->nodeCount; i++) {
+        const int other = explore->nodes[i].machine;
+        if (out)
+            simCut(explore->world, node->machine, other, cut);
+        if (in)
+            simCut(explore->world, other, node->machine, cut);
+    }
+}
+
+static void cutSet(Explore *explore, const ActEnd *end, bool cut)
+{
+    if (end->kind == ACT_CUT_ONE)
+        simCut(explore->world, end->node->machine, end->other, cut);
+    else
+        cutAll(explore, end->node, end->kind != ACT_CUT_IN, end->kind != ACT_CUT_OUT, cut);
+}
+
+static void actEnd(void *arg)
+{
+    const ActEnd *end = arg;
+    Explore *explore = end->explore;
+    switch (end->kind) {
+    case ACT_CUT_BOTH:
+    case ACT_CUT_OUT:
+    case ACT_CUT_IN:
+    case ACT_CUT_ONE:
+        cutSet(explore, end, false);
+        break;
+    case ACT_DELAY:
+        simDelay(explore->world, LINK_LOW_MS, LINK_HIGH_MS);
+        break;
+    case ACT_FRAMES:
+        simFrames(explore->world, 0, 0, 0);
+        break;
+    case ACT_DISK_SLOW:
+        simDiskSlow(explore->world, end->node->machine, SYNC_MS);
+        break;
+    case ACT_DISK_FAIL:
+        simDiskFail(explore->world, end->node->machine, false);
+        break;
+    default:
+        break;
+    }
+    talloc_free(arg);
+}
+
+static void blackout(Explore *explore, int64_t forMs)
+{
+    for (int i = 0; i < explore->nodeCount; i++)
+        if (!explore->nodes[i].gone) {
+            nodeKill(&explore->nodes[i], true);
+            nodeStartLater(&explore->nodes[i], forMs + (int64_t)(simRandom(explore->world) % 300));
+        }
+}
+
+static void join(Explore *explore)
+{
+    Node *node = nodeAdd(explore);
+    if (node != NULL)
+        nodeStart(node);
+}
+
+/* Changes handed in at once. */
+static void changes(Explore *explore, Node *node, unsigned count)
+{
+    for (unsigned i = 0; i < count && node->up; i++)
+        clientSubmit(explore, node);
+}
+
+/* Acts of no node. */
+static bool worldAct(Explore *explore, const Act *act)
+{
+    switch (act->kind) {
+    case ACT_BLACKOUT:
+        blackout(explore, act->forMs);
+        return true;
+    case ACT_JOIN:
+        join(explore);
+        return true;
+    case ACT_DELAY:
+        simDelay(explore->world, LINK_LOW_MS, LINK_HIGH_MS + (int64_t)act->amount);
+        return true;
+    case ACT_FRAMES:
+        simFrames(explore->world, act->amount, act->amount, LATE_MS);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool loses(ActKind kind)
+{
+    return kind == ACT_WIPE || kind == ACT_LEAVE || kind == ACT_VANISH;
+}
+
+static void lose(Node *node, const Act *act)
+{
+    if (act->kind == ACT_WIPE) {
+        nodeWipe(node);
+        nodeStartLater(node, act->forMs);
+    } else if (act->kind == ACT_LEAVE) {
+        nodeLeave(node);
+    } else {
+        nodeVanish(node);
+    }
+}
+
+static void nodeAct(Explore *explore, Node *node, const Act *act, const ActEnd *end)
+{
+    switch (act->kind) {
+    case ACT_KILL:
+    case ACT_POWER:
+        nodeKill(node, act->kind == ACT_POWER);
+        nodeStartLater(node, act->forMs);
+        break;
+    case ACT_FREEZE:
+        simFreeze(explore->world, node->machine, simNowMs(explore->world) + act->forMs);
+        break;
+    case ACT_DISK_SLOW:
+        simDiskSlow(explore->world, node->machine, act->amount);
+        break;
+    case ACT_DISK_FAIL:
+        simDiskFail(explore->world, node->machine, true);
+        break;
+    case ACT_STEP_DOWN:
+        if (node->up)
+            viewStepDown(node->view, act->forMs);
+        break;
+    case ACT_CHANGES:
+        changes(explore, node, act->amount);
+        break;
+    default:
+        cutSet(explore, end, true);
+        break;
+    }
+}
+
+void actDo(Explore *explore, const Act *act)
+{
+    ActEnd *end = talloc_zero(explore, ActEnd);
+    *end = (ActEnd){explore, act->kind, NULL, 0};
+    if (!worldAct(explore, act)) {
+        Node *node = find(explore, act->who, act->pick);
+        if (node == NULL || (loses(act->kind) && (node->leaving || !nodeMayLose(explore, node)))) {
+            talloc_free(end);
+            return;
+        }
+        end->node = node;
+        end->other = explore->nodes[act->amount % (unsigned)explore->nodeCount].machine;
+        exploreSay(explore, "%s %s for %" PRId64 " ms, %u", actWord(act->kind), node->name, act->forMs, act->amount);
+        if (loses(act->kind))
+            lose(node, act);
+        else
+            nodeAct(explore, node, act, end);
+    } else {
+        exploreSay(explore, "%s for %" PRId64 " ms, %u", actWord(act->kind), act->forMs, act->amount);
+    }
+    explore->result->done[act->kind]++;
+    simAt(explore->world, simNowMs(explore->world) + act->forMs, actEnd, end);
+}
+
+void actsEnd(Explore *explore)
+{
+    simDelay(explore->world, LINK_LOW_MS, LINK_HIGH_MS);
+    simFrames(explore->world, 0, 0, 0);
+    for (int i = 0; i < explore->nodeCount; i++) {
+        Node *node = &explore->nodes[i];
+        cutAll(explore, node, true, true, false);
+        simDiskSlow(explore->world, node->machine, SYNC_MS);
+        simDiskFail(explore->world, node->machine, false);
+        if (node->leaving && !node->gone)
+            nodeVanish(node);
+        nodeStart(node);
+    }
+}
--- /dev/null
+++ b/packages/explore/src/check.c
@@ -0,0 +1,169 @@
+/* The rules, looked at after each step of the world. */
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "history.h"
+
+const char *ruleText(Rule rule)
+{
+    static const char *const TEXTS[] = {
+#define X(name, text) text,
+        RULE_LIST(X)
+#undef X
+    };
+    return TEXTS[rule];
+}
+
+void exploreBreak(Explore *explore, Rule rule, const char *format, ...)
+{
+    ExploreResult *result = explore->result;
+    if (result->rule != RULE_NONE)
+        return;
+    result->rule = rule;
+    result->atMs = simNowMs(explore->world) - explore->startMs;
+    va_list args;
+    va_start(args, format);
+    vsnprintf(result->why, sizeof(result->why), format, args);
+    va_end(args);
+    exploreSay(explore, "BROKE %s: %s", ruleText(rule), result->why);
+}
+
+/* What is committed is never another, and never taken back. */
+static void checkCommitted(Explore *explore, Node *node, const ViewWindow *window)
+{
+    if (window->commitIndex < node->commitSeen)
+        exploreBreak(explore, RULE_COMMITTED_CHANGED, "%s had committed %" PRIu64 ", now %" PRIu64, node->name,
+                     node->commitSeen, window->commitIndex);
+    node->commitSeen = window->commitIndex;
+    historyFollow(explore, node, window);
+    uint64_t epoch;
+    const Item *item = historyItem(&explore->history, window->commitIndex);
+    if (item != NULL && logEpochAt(window->log, window->commitIndex, &epoch) && epoch != item->epoch)
+        exploreBreak(explore, RULE_COMMITTED_CHANGED, "%s holds another entry at %" PRIu64, node->name,
+                     window->commitIndex);
+    const Item *delivered = historyItem(&explore->history, window->deliveredIndex);
+    if (window->deliveredIndex > 0 && (delivered == NULL || delivered->chain != node->chain.hash))
+        exploreBreak(explore, RULE_STATE_OTHER, "of %s after %" PRIu64, node->name, window->deliveredIndex);
+}
+
+static void checkPromise(Explore *explore, Node *node, const ViewWindow *window)
+{
+    if (window->promised < node->promisedSeen)
+        exploreBreak(explore, RULE_PROMISE_FELL, "of %s", node->name);
+    node->promisedSeen = window->promised;
+    if (!window->holding || window->epoch == node->heldEpoch)
+        return;
+    /* just won: the promises of a majority are on disks */
+    node->heldEpoch = window->epoch;
+    size_t synced = 0;
+    for (size_t i = 0; i < window->voterCount; i++) {
+        const DiskModel *model = diskOf(explore, window->voters[i]);
+        synced += model != NULL && model->promised >= window->epoch;
+    }
+    if (synced < lockMajority(window->voterCount))
+        exploreBreak(explore, RULE_PROMISE_UNSYNCED, "%s won view %" PRIu64 " with %zu of %zu", node->name,
+                     epochCounter(window->epoch), synced, window->voterCount);
+}
+
+static void checkEpochOwner(Explore *explore, const Node *node, uint64_t epoch)
+{
+    const uint64_t disk = viewDisk(node->view);
+    for (size_t i = 0; i < explore->leadCount; i++)
+        if (explore->leads[i].epoch == epoch) {
+            if (explore->leads[i].disk != disk)
+                exploreBreak(explore, RULE_TWO_LEADERS, "%s leads view %" PRIu64 " of another disk", node->name,
+                             epochCounter(epoch));
+            return;
+        }
+    if (explore->leadCount == explore->leadRoom) {
+        explore->leadRoom = explore->leadRoom > 0 ? explore->leadRoom * 2 : 64;
+        explore->leads = talloc_realloc(explore, explore->leads, Lead, (unsigned)explore->leadRoom);
+    }
+    explore->leads[explore->leadCount++] = (Lead){epoch, disk};
+    explore->result->leads++;
+    exploreSay(explore, "%s leads view %" PRIu64, node->name, epochCounter(epoch));
+}
+
+static bool sameVoters(const History *history, const ViewWindow *window)
+{
+    size_t same = 0;
+    for (size_t i = 0; i < window->voterCount; i++)
+        for (size_t k = 0; k < history->voterCount; k++)
+            same += window->voters[i] == history->voters[k];
+    return same == history->voterCount && same == window->voterCount;
+}
+
+static size_t listsPending(const ViewWindow *window)
+{
+    size_t count = 0;
+    for (uint64_t i = window->commitIndex + 1; i <= logLastIndex(window->log); i++) {
+        const Record *entry = logAt(window->log, i);
+        count += entry != NULL && entry->change == VIEW_CHANGE_SEATS;
+    }
+    return count;
+}
+
+/* A leader has all that was committed, and the newest list of voters. */
+static void checkLeader(Explore *explore, Node *node, const ViewWindow *window)
+{
+    const History *history = &explore->history;
+    if (window->epoch != node->ledEpoch)
+        checkEpochOwner(explore, node, window->epoch);
+    node->ledEpoch = window->epoch;
+    uint64_t epoch;
+    const uint64_t newest = history->items.count;
+    if (newest > window->log->baseIndex &&
+        (!logEpochAt(window->log, newest, &epoch) || epoch != historyItem(history, newest)->epoch))
+        exploreBreak(explore, RULE_COMMITTED_LOST, "%s leads view %" PRIu64 " without %" PRIu64, node->name,
+                     epochCounter(window->epoch), newest);
+    if (window->listIndex <= window->commitIndex && !sameVoters(history, window))
+        exploreBreak(explore, RULE_OLD_VOTERS, "%s leads view %" PRIu64, node->name, epochCounter(window->epoch));
+    if (window->listIndex != node->listSeen && listsPending(window) > 1)
+        exploreBreak(explore, RULE_TWO_CHANGES, "%s at %" PRIu64, node->name, window->listIndex);
+    node->listSeen = window->listIndex;
+}
+
+static void checkAcks(Explore *explore)
+{
+    for (size_t i = 0; i < explore->ackCount; i++) {
+        const uint64_t number = explore->acks[i];
+        const uint64_t index = explore->orders[number - 1].index;
+        const Item *item = historyItem(&explore->history, index);
+        if (item == NULL) {
+            exploreBreak(explore, RULE_ACK_LOST, "change %" PRIu64, number);
+            continue;
+        }
+        const size_t holders = diskHolders(explore, index, item->epoch);
+        if (holders < (size_t)explore->plan->losses + 1)
+            exploreBreak(explore, RULE_ACK_DISKS, "change %" PRIu64 " at %" PRIu64 " on %zu", number, index, holders);
+    }
+    explore->ackCount = 0;
+}
+
+void checkStep(void *arg)
+{
+    Explore *explore = arg;
+    const Node *claims = NULL;
+    if (explore->result->rule != RULE_NONE)
+        return;
+    for (int i = 0; i < explore->nodeCount; i++) {
+        Node *node = &explore->nodes[i];
+        if (!node->up || !simAlive(explore->world, node->machine))
+            continue;
+        ViewWindow window;
+        viewWindow(node->view, &window);
+        checkPromise(explore, node, &window);
+        checkCommitted(explore, node, &window);
+        if (window.phase == VIEW_LEADING && nodeLeads(node)) {
+            checkLeader(explore, node, &window);
+            if (claims != NULL)
+                exploreBreak(explore, RULE_TWO_CLAIMS, "%s and %s", claims->name, node->name);
+            claims = node;
+        }
+    }
+    checkAcks(explore);
+}
--- /dev/null
+++ b/packages/explore/src/client.c
@@ -0,0 +1,87 @@
+/* Clients: hand in changes and remember what they were told. */
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "inside.h"
+
+#define CLIENT_EACH_MS 60 /* ms; between two changes */
+#define CLIENT_BYTES 160  /* bytes; of a change at most */
+
+typedef struct Handing {
+    Explore *explore;
+    Node *node;
+    uint64_t number;
+    Bytes payload;
+} Handing;
+
+static void acknowledged(Explore *explore, uint64_t number)
+{
+    if (explore->ackCount == explore->ackRoom) {
+        explore->ackRoom = explore->ackRoom > 0 ? explore->ackRoom * 2 : 64;
+        explore->acks = talloc_realloc(explore, explore->acks, uint64_t, (unsigned)explore->ackRoom);
+    }
+    explore->acks[explore->ackCount++] = number;
+    explore->orders[number - 1].acknowledged = true;
+    explore->result->acknowledged++;
+}
+
+static void handMain(void *arg)
+{
+    const Handing *handing = arg;
+    Explore *explore = handing->explore;
+    ChangeResult result = {0};
+    const Status status = viewSubmit(handing->node->view, VIEW_CHANGE_FIRST, handing->payload, &result);
+    Order *order = &explore->orders[handing->number - 1];
+    if (status == STATUS_OK)
+        acknowledged(explore, handing->number);
+    else if (status == STATUS_NOT_LEADER || status == STATUS_BUSY)
+        order->refused = true;
+    if (status == STATUS_OK && result.number != handing->number)
+        exploreBreak(explore, RULE_ACK_LOST, "the result is that of another change");
+    if (order->refused && order->index != 0)
+        exploreBreak(explore, RULE_REFUSED_TAKEN, "refused when it was committed already");
+}
+
+void clientSubmit(Explore *explore, Node *node)
+{
+    if (explore->orderCount == explore->orderRoom) {
+        explore->orderRoom = explore->orderRoom > 0 ? explore->orderRoom * 2 : 512;
+        explore->orders = talloc_realloc(explore, explore->orders, Order, (unsigned)explore->orderRoom);
+    }
+    explore->orders[explore->orderCount++] = (Order){0};
+    Loop *loop = simLoop(explore->world, node->machine);
+    Handing *handing = talloc_zero(loop, Handing);
+    *handing = (Handing){explore, node, explore->orderCount, {0}};
+    bytesAdd(handing, &handing->payload, &handing->number, sizeof(handing->number));
+    static const uint8_t FILL[CLIENT_BYTES] = {0};
+    bytesAdd(handing, &handing->payload, FILL, simRandom(explore->world) % CLIENT_BYTES);
+    loopSpawn(loop, "client", handMain, handing);
+}
+
+/* Mostly the leader, at times anybody. */
+static Node *target(Explore *explore)
+{
+    Node *leader = simRandom(explore->world) % 4 != 0 ? nodeLeader(explore) : NULL;
+    if (leader != NULL)
+        return leader;
+    Node *node = &explore->nodes[simRandom(explore->world) % (uint64_t)explore->nodeCount];
+    return node->up ? node : NULL;
+}
+
+static void clientTick(void *arg)
+{
+    Explore *explore = arg;
+    if (explore->clientStops)
+        return;
+    Node *node = target(explore);
+    if (node != NULL)
+        clientSubmit(explore, node);
+    simAt(explore->world, simNowMs(explore->world) + 1 + (int64_t)(simRandom(explore->world) % (2 * CLIENT_EACH_MS)),
+          clientTick, explore);
+}
+
+void clientStart(Explore *explore)
+{
+    clientTick(explore);
+}
--- /dev/null
+++ b/packages/explore/src/disks.c
@@ -0,0 +1,163 @@
+/* What the disks hold, followed block by block, and what they may never do. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/epoch.h"
+#include "inside.h"
+
+DiskModel *diskOf(const Explore *explore, uint64_t disk)
+{
+    for (size_t i = 0; i < explore->diskCount; i++)
+        if (explore->disks[i]->disk == disk)
+            return explore->disks[i];
+    return NULL;
+}
+
+const Item *diskItem(const DiskModel *model, uint64_t index)
+{
+    return index > model->baseIndex && index <= model->baseIndex + model->entries.count
+               ? &model->entries.list[index - model->baseIndex - 1]
+               : NULL;
+}
+
+static uint64_t lastIndex(const DiskModel *model)
+{
+    return model->baseIndex + model->entries.count;
+}
+
+/* The epoch at the index; false when it is not known there. */
+static bool epochAt(const DiskModel *model, uint64_t index, uint64_t *epoch)
+{
+    const Item *item = diskItem(model, index);
+    if (item == NULL && index != model->baseIndex)
+        return false;
+    *epoch = item != NULL ? item->epoch : model->baseEpoch;
+    return true;
+}
+
+size_t diskHolders(const Explore *explore, uint64_t index, uint64_t epoch)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < explore->diskCount; i++) {
+        const DiskModel *model = explore->disks[i];
+        const Item *item = diskItem(model, index);
+        count += item != NULL ? item->epoch == epoch : index <= model->baseIndex;
+    }
+    return count;
+}
+
+static void trimTo(DiskModel *model, uint64_t index)
+{
+    while (model->entries.count > 0 && lastIndex(model) > index)
+        model->entries.count--;
+}
+
+static void rebase(DiskModel *model, const Record *snapshot)
+{
+    model->entries.count = 0;
+    model->baseIndex = snapshot->index;
+    model->baseEpoch = snapshot->epoch;
+}
+
+/* As the view itself reads its journal. */
+static void take(void *arg, const Record *record)
+{
+    DiskModel *model = arg;
+    switch (record->kind) {
+    case RECORD_IDENTITY:
+        model->disk = record->index;
+        break;
+    case RECORD_CLUSTER:
+        model->cluster = record->epoch;
+        break;
+    case RECORD_PROMISE:
+        model->promised = record->epoch;
+        break;
+    case RECORD_ENTRY:
+        if (record->index == lastIndex(model) + 1) {
+            const Item item = itemOf(model, record);
+            itemsAdd(model, &model->entries, &item);
+        }
+        break;
+    case RECORD_TRIM:
+        trimTo(model, record->index);
+        break;
+    case RECORD_SNAPSHOT:
+        rebase(model, record);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Whether all that the newer holds, the older held as well, and more. */
+static bool shortened(const DiskModel *older, const DiskModel *newer)
+{
+    uint64_t before, after;
+    return lastIndex(newer) < lastIndex(older) && epochAt(older, lastIndex(newer), &before) &&
+           epochAt(newer, lastIndex(newer), &after) && before == after;
+}
+
+static void compare(Explore *explore, const DiskModel *older, const DiskModel *newer)
+{
+    if (newer->promised < older->promised)
+        exploreBreak(explore, RULE_PROMISE_FELL, "on the disk of node %d, from %" PRIu64 " to %" PRIu64, newer->machine,
+                     epochCounter(older->promised), epochCounter(newer->promised));
+    if (shortened(older, newer))
+        exploreBreak(explore, RULE_LOG_SHORTER, "on the disk of node %d, from %" PRIu64 " to %" PRIu64, newer->machine,
+                     lastIndex(older), lastIndex(newer));
+    if (newer->cluster != 0 && explore->cluster == 0)
+        explore->cluster = newer->cluster;
+    if (newer->cluster != 0 && newer->cluster != explore->cluster)
+        exploreBreak(explore, RULE_TWO_CLUSTERS, "node %d is of another cluster", newer->machine);
+}
+
+static DiskModel *modelNew(Explore *explore, Node *node)
+{
+    DiskModel *model = talloc_zero(explore, DiskModel);
+    model->machine = node->machine;
+    if (explore->diskCount < DISKS_MAX)
+        explore->disks[explore->diskCount++] = model;
+    node->model = model;
+    return model;
+}
+
+static Node *nodeAt(Explore *explore, int machine)
+{
+    for (int i = 0; i < explore->nodeCount; i++)
+        if (explore->nodes[i].machine == machine)
+            return &explore->nodes[i];
+    return NULL;
+}
+
+void diskChanged(void *arg, int machine, const char *path, Bytes bytes, bool whole)
+{
+    Explore *explore = arg;
+    Node *node = nodeAt(explore, machine);
+    (void)path;
+    if (node == NULL)
+        return;
+    DiskModel *model = node->model != NULL ? node->model : modelNew(explore, node);
+    DiskModel before = *model;
+    if (whole) {
+        model->entries = (Items){0};
+        model->baseIndex = model->baseEpoch = model->promised = 0;
+    } else {
+        /* entries are only overwritten after a trim: the older ones are needed to compare */
+        before.entries.list = talloc_memdup(explore, model->entries.list, sizeof(Item) * model->entries.count);
+    }
+    size_t good;
+    journalRead(bytes, take, model, &good, NULL);
+    compare(explore, &before, model);
+    if (before.entries.list != model->entries.list)
+        talloc_free(before.entries.list);
+}
+
+void diskLost(Explore *explore, Node *node)
+{
+    (void)explore;
+    if (node->model != NULL)
+        node->model->lost = true;
+    node->model = NULL;
+}
--- /dev/null
+++ b/packages/explore/src/draw.c
@@ -0,0 +1,121 @@
+/* The plan of a seed. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "inside.h"
+
+typedef struct Draw {
+    uint64_t state;
+} Draw;
+
+/* splitmix64 */
+static uint64_t below(Draw *draw, uint64_t bound)
+{
+    uint64_t z = (draw->state += 0x9e3779b97f4a7c15u);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return (z ^ (z >> 31)) % bound;
+}
+
+/* How often an act is drawn, and within what its span and amount are. */
+static const struct {
+    unsigned weight;
+    int64_t leastMs, mostMs;
+    unsigned least, most;
+} SHAPES[ACT_KINDS] = {
+    [ACT_KILL] = {10, 0, 4000, 0, 0},
+    [ACT_POWER] = {10, 0, 6000, 0, 0},
+    [ACT_BLACKOUT] = {3, 0, 3000, 0, 0},
+    [ACT_WIPE] = {6, 0, 4000, 0, 0},
+    [ACT_LEAVE] = {3, 0, 0, 0, 0},
+    [ACT_VANISH] = {3, 0, 0, 0, 0},
+    [ACT_JOIN] = {4, 0, 0, 0, 0},
+    [ACT_FREEZE] = {8, 100, 5000, 0, 0},
+    [ACT_CUT_BOTH] = {8, 200, 6000, 0, 0},
+    [ACT_CUT_OUT] = {5, 200, 6000, 0, 0},
+    [ACT_CUT_IN] = {5, 200, 6000, 0, 0},
+    [ACT_CUT_ONE] = {8, 200, 6000, 0, NODES_MAX},
+    [ACT_DELAY] = {4, 500, 4000, 10, 500},
+    [ACT_FRAMES] = {5, 500, 4000, 10, 200},
+    [ACT_DISK_SLOW] = {6, 500, 5000, 50, 3000},
+    [ACT_DISK_FAIL] = {4, 200, 3000, 0, 0},
+    [ACT_STEP_DOWN] = {5, 0, 1000, 0, 0},
+    [ACT_CHANGES] = {6, 0, 0, 5, 400},
+};
+
+static ActKind kindOf(Draw *draw)
+{
+    uint64_t sum = 0;
+    for (int i = 0; i < ACT_KINDS; i++)
+        sum += SHAPES[i].weight;
+    uint64_t left = below(draw, sum);
+    int kind = 0;
+    while (left >= SHAPES[kind].weight)
+        left -= SHAPES[kind++].weight;
+    return (ActKind)kind;
+}
+
+static Who whoOf(Draw *draw, ActKind kind)
+{
+    static const Who WHOS[] = {WHO_LEADER, WHO_LEADER, WHO_VOTER, WHO_VOTER, WHO_VOTER, WHO_LEARNER, WHO_ANY, WHO_ANY};
+    const Who who = WHOS[below(draw, sizeof(WHOS) / sizeof(WHOS[0]))];
+    const bool leads = kind == ACT_STEP_DOWN || kind == ACT_CHANGES;
+    return leads ? WHO_LEADER : who;
+}
+
+/* Mostly one shortly after another, so that they meet; at times a while of quiet. */
+static int64_t gapOf(Draw *draw)
+{
+    const uint64_t span = below(draw, 8) == 0 ? 5000 : below(draw, 3) == 0 ? 1500 : 400;
+    return (int64_t)below(draw, span);
+}
+
+void explorePlanOf(uint64_t seed, ExplorePlan *plan)
+{
+    Draw draw = {seed * 1000003 + 17};
+    memset(plan, 0, sizeof(*plan));
+    plan->seed = seed;
+    plan->losses = below(&draw, 3) == 0 ? 2 : 1;
+    plan->spares = (int)below(&draw, 4);
+    plan->byVotes = below(&draw, 2) == 0;
+    plan->beyond = below(&draw, 6) == 0;
+    plan->snapshot = (size_t[]){5, 20, 80, 400}[below(&draw, 4)];
+    plan->seatBackMs = (int64_t[]){0, 3000, 6000}[below(&draw, 3)];
+    plan->lengthMs = 20000 + (int64_t)below(&draw, 20000);
+    int64_t atMs = 0;
+    while (plan->actCount < EXPLORE_ACTS_MAX) {
+        atMs += gapOf(&draw);
+        if (atMs >= plan->lengthMs)
+            break;
+        const ActKind kind = kindOf(&draw);
+        Act *act = &plan->acts[plan->actCount++];
+        *act = (Act){atMs, kind, whoOf(&draw, kind), (unsigned)below(&draw, NODES_MAX), 0, 0};
+        act->forMs =
+            SHAPES[kind].leastMs + (int64_t)below(&draw, (uint64_t)(SHAPES[kind].mostMs - SHAPES[kind].leastMs + 1));
+        act->amount = SHAPES[kind].least + (unsigned)below(&draw, SHAPES[kind].most - SHAPES[kind].least + 1);
+    }
+}
+
+void explorePrint(const ExplorePlan *plan)
+{
+    static const char *const KINDS[] = {
+#define X(name, word) "ACT_" #name,
+        ACT_LIST(X)
+#undef X
+    };
+    static const char *const WHOS[] = {
+#define X(name, word) "WHO_" #name,
+        WHO_LIST(X)
+#undef X
+    };
+    printf("{.seed = %" PRIu64 ", .losses = %d, .spares = %d, .byVotes = %s, .beyond = %s, .snapshot = %zu,\n"
+           " .seatBackMs = %" PRId64 ", .lengthMs = %" PRId64 ", .acts = {\n",
+           plan->seed, plan->losses, plan->spares, plan->byVotes ? "true" : "false", plan->beyond ? "true" : "false",
+           plan->snapshot, plan->seatBackMs, plan->lengthMs);
+    for (size_t i = 0; i < plan->actCount; i++)
+        if (!plan->skipped[i])
+            printf("    {%" PRId64 ", %s, %s, %u, %" PRId64 ", %u},\n", plan->acts[i].atMs, KINDS[plan->acts[i].kind],
+                   WHOS[plan->acts[i].who], plan->acts[i].pick, plan->acts[i].forMs, plan->acts[i].amount);
+    printf("}}\n");
+}
--- /dev/null
+++ b/packages/explore/src/history.c
@@ -0,0 +1,86 @@
+/* What is committed: one history, and each new item of it looked at once. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "history.h"
+
+const Item *historyItem(const History *history, uint64_t index)
+{
+    return index > 0 && index <= history->items.count ? &history->items.list[index - 1] : NULL;
+}
+
+static bool among(const uint64_t *disks, size_t count, uint64_t disk)
+{
+    for (size_t i = 0; i < count; i++)
+        if (disks[i] == disk)
+            return true;
+    return false;
+}
+
+/* Any two majorities of lists that follow each other share a disk, and one step leads from the
+ * one to the other: a disk more, a disk less, or one in another's place. */
+static void votersNext(Explore *explore, uint64_t index, const Item *item)
+{
+    History *history = &explore->history;
+    size_t added = 0, gone = 0;
+    for (size_t i = 0; i < item->voterCount; i++)
+        added += !among(history->voters, history->voterCount, item->voters[i]);
+    for (size_t i = 0; i < history->voterCount; i++)
+        gone += !among(item->voters, item->voterCount, history->voters[i]);
+    const size_t both = history->voterCount + added;
+    const bool meet = lockMajority(history->voterCount) + lockMajority(item->voterCount) > both;
+    if (history->voterCount > 0 && (added > 1 || gone > 1 || !meet))
+        exploreBreak(explore, RULE_VOTERS_STEP, "at %" PRIu64 ", %zu voters, %zu added, %zu gone", index,
+                     item->voterCount, added, gone);
+    memcpy(history->voters, item->voters, item->voterCount * sizeof(*item->voters));
+    history->voterCount = item->voterCount;
+    history->listIndex = index;
+    explore->result->voterChanges++;
+}
+
+static void orderCommitted(Explore *explore, uint64_t index, uint64_t number)
+{
+    if (number == 0 || number > explore->orderCount)
+        return;
+    Order *order = &explore->orders[number - 1];
+    if (order->index != 0)
+        exploreBreak(explore, RULE_TWICE, "change %" PRIu64 " at %" PRIu64 " and at %" PRIu64, number, order->index,
+                     index);
+    if (order->refused)
+        exploreBreak(explore, RULE_REFUSED_TAKEN, "change %" PRIu64 " at %" PRIu64, number, index);
+    order->index = index;
+}
+
+static void commitOne(Explore *explore, const Node *node, const ViewWindow *window, uint64_t index)
+{
+    History *history = &explore->history;
+    const Item *held = node->model != NULL ? diskItem(node->model, index) : NULL;
+    if (held == NULL) {
+        exploreBreak(explore, RULE_COMMIT_DISKS, "%s commits %" PRIu64 ", which its own disk does not hold", node->name,
+                     index);
+        return;
+    }
+    const size_t holders = diskHolders(explore, index, held->epoch);
+    if (holders < lockMajority(window->voterCount))
+        exploreBreak(explore, RULE_COMMIT_DISKS, "%s commits %" PRIu64 " on %zu disks of %zu voters", node->name, index,
+                     holders, window->voterCount);
+    Item item = *held;
+    item.chain = chainNext(history->items.count > 0 ? history->items.list[history->items.count - 1].chain : 0, held);
+    itemsAdd(explore, &history->items, &item);
+    if (history->voterCount == 0) {
+        memcpy(history->voters, window->voters, sizeof(window->voters));
+        history->voterCount = window->voterCount;
+    }
+    if (item.voters != NULL)
+        votersNext(explore, index, &item);
+    orderCommitted(explore, index, item.number);
+    if (item.number != 0)
+        explore->result->committed++;
+}
+
+void historyFollow(Explore *explore, const Node *node, const ViewWindow *window)
+{
+    while (explore->history.items.count < window->commitIndex && explore->result->rule == RULE_NONE)
+        commitOne(explore, node, window, explore->history.items.count + 1);
+}
--- /dev/null
+++ b/packages/explore/src/history.h
@@ -0,0 +1,11 @@
+#ifndef EXPLORE_SRC_HISTORY_H
+#define EXPLORE_SRC_HISTORY_H
+
+#include "inside.h"
+
+/* The item at the index, or null. */
+const Item *historyItem(const History *history, uint64_t index);
+/* Takes in what the node has committed beyond the history. */
+void historyFollow(Explore *explore, const Node *node, const ViewWindow *window);
+
+#endif
--- /dev/null
+++ b/packages/explore/src/inside.h
@@ -0,0 +1,149 @@
+#ifndef EXPLORE_SRC_INSIDE_H
+#define EXPLORE_SRC_INSIDE_H
+
+#include "explore/explore.h"
+#include "sim/world.h"
+#include "view/window.h"
+
+#define NODES_MAX 24  /* count; machines in one run */
+#define DISKS_MAX 96  /* count; disks that ever were, wiped ones too */
+#define LIVE_MS 12000 /* ms; after a burst of failures service is back within about 12 s */
+
+/* One change of the history, or an entry of a disk. */
+typedef struct Item {
+    uint64_t epoch;
+    uint64_t hash;
+    uint64_t chain;   /* of the state after it; history only */
+    uint64_t number;  /* of a client's change; 0: the view's own */
+    uint64_t *voters; /* null: it holds no list */
+    size_t voterCount;
+} Item;
+
+typedef struct Items {
+    Item *list;
+    size_t count, room;
+} Items;
+
+/* What a disk holds, read from the blocks that were synced.
+ * Invariant: entry i (from 0) has index baseIndex + 1 + i. */
+typedef struct DiskModel {
+    int machine;
+    bool lost; /* wiped, or its machine has gone for good */
+    uint64_t disk, cluster;
+    uint64_t promised;
+    uint64_t baseIndex, baseEpoch;
+    Items entries;
+} DiskModel;
+
+/* What has been committed, once and for all.
+ * Invariant: the item of index i is list[i - 1]. */
+typedef struct History {
+    Items items;
+    uint64_t listIndex;
+    uint64_t voters[SEAT_MOST];
+    size_t voterCount;
+} History;
+
+/* A client's change. */
+typedef struct Order {
+    bool refused, acknowledged;
+    uint64_t index; /* where it was committed; 0: it was not */
+} Order;
+
+/* The state that changes build up. */
+typedef struct Chain {
+    uint64_t hash;
+} Chain;
+
+typedef struct Node {
+    struct Explore *explore;
+    int machine;
+    const char *name, *listen;
+    Ring *ring;
+    bool founds; /* its first start may found the cluster */
+    bool leaving, gone;
+    DiskModel *model; /* null: its disk is new */
+    /* of one life */
+    bool up;
+    uint64_t life;
+    Courier *courier;
+    View *view;
+    Members *members;
+    Chain chain;
+    uint64_t promisedSeen, commitSeen, heldEpoch, ledEpoch, listSeen;
+} Node;
+
+typedef struct Lead {
+    uint64_t epoch, disk;
+} Lead;
+
+typedef struct Explore {
+    const ExplorePlan *plan;
+    ExploreResult *result;
+    SimWorld *world;
+    bool loud;
+    int64_t startMs; /* the adversary's */
+    Node nodes[NODES_MAX];
+    int nodeCount;
+    DiskModel *disks[DISKS_MAX];
+    size_t diskCount;
+    History history;
+    uint64_t cluster;
+    Order *orders; /* by number - 1 */
+    size_t orderCount, orderRoom;
+    uint64_t *acks; /* numbers acknowledged in this step */
+    size_t ackCount, ackRoom;
+    Lead *leads;
+    size_t leadCount, leadRoom;
+    bool clientStops;
+} Explore;
+
+/* The first break stands; later ones follow from it. */
+void exploreBreak(Explore *explore, Rule rule, const char *format, ...) __attribute__((format(printf, 3, 4)));
+void exploreSay(const Explore *explore, const char *format, ...) __attribute__((format(printf, 2, 3)));
+
+/* Items, in order. */
+Item *itemsAdd(void *mem, Items *items, const Item *item);
+/* What an entry of the log is. */
+Item itemOf(void *mem, const Record *entry);
+uint64_t chainNext(uint64_t chain, const Item *item);
+
+/* Disks. */
+void diskChanged(void *explore, int machine, const char *path, Bytes bytes, bool whole);
+/* The disk of the machine is gone. */
+void diskLost(Explore *explore, Node *node);
+DiskModel *diskOf(const Explore *explore, uint64_t disk);
+/* The entry at the index, or null. */
+const Item *diskItem(const DiskModel *model, uint64_t index);
+/* How many disks ever held the item at the index. */
+size_t diskHolders(const Explore *explore, uint64_t index, uint64_t epoch);
+
+/* Rules. */
+void checkStep(void *explore);
+
+/* Nodes. */
+Node *nodeAdd(Explore *explore);
+void nodeStart(Node *node);
+void nodeStartLater(Node *node, int64_t afterMs);
+void nodeKill(Node *node, bool power);
+void nodeWipe(Node *node);
+void nodeLeave(Node *node);
+void nodeVanish(Node *node);
+bool nodeLeads(const Node *node);
+Node *nodeLeader(Explore *explore);
+bool nodeVotes(const Explore *explore, const Node *node);
+/* Whether the disk may be lost now: what is borne bears it. */
+bool nodeMayLose(const Explore *explore, const Node *node);
+/* Whether a majority of the voters is there. */
+bool votersThere(const Explore *explore);
+
+/* Clients. */
+void clientStart(Explore *explore);
+void clientSubmit(Explore *explore, Node *node);
+
+/* The adversary. */
+void actDo(Explore *explore, const Act *act);
+/* Ends all that it does; starts everybody that has not gone. */
+void actsEnd(Explore *explore);
+
+#endif
--- /dev/null
+++ b/packages/explore/src/items.c
@@ -0,0 +1,49 @@
+/* Entries as the checker keeps them. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+#define ITEMS_FIRST 256 /* count */
+
+Item *itemsAdd(void *mem, Items *items, const Item *item)
+{
+    if (items->count == items->room) {
+        items->room = items->room > 0 ? items->room * 2 : ITEMS_FIRST;
+        items->list = talloc_realloc(mem, items->list, Item, (unsigned)items->room);
+    }
+    items->list[items->count] = *item;
+    return &items->list[items->count++];
+}
+
+static uint64_t mix(uint64_t z)
+{
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return z ^ (z >> 31);
+}
+
+Item itemOf(void *mem, const Record *entry)
+{
+    const uint64_t crc = bytesCrc(entry->payload.data, entry->payload.count);
+    Item item = {.epoch = entry->epoch, .hash = mix(mix(mix(entry->epoch) + entry->change) + crc)};
+    if (entry->change >= VIEW_CHANGE_FIRST && entry->payload.count >= sizeof(item.number))
+        memcpy(&item.number, entry->payload.data, sizeof(item.number));
+    if (entry->change != VIEW_CHANGE_SEATS)
+        return item;
+    void *scratch = talloc_new(NULL);
+    SeatList list;
+    if (viewWindowList(entry, scratch, &list)) {
+        item.voters = talloc_zero_array(mem, uint64_t, SEAT_MOST);
+        for (size_t i = 0; i < list.seatsCount && i < SEAT_MOST; i++)
+            if (list.seats[i].disk != 0)
+                item.voters[item.voterCount++] = list.seats[i].disk;
+    }
+    talloc_free(scratch);
+    return item;
+}
+
+uint64_t chainNext(uint64_t chain, const Item *item)
+{
+    return item->number == 0 ? chain : mix(chain + item->hash);
+}
--- /dev/null
+++ b/packages/explore/src/nodes.c
@@ -0,0 +1,273 @@
+/* Nodes: a courier, members and a view on a simulated machine each. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/constants.h"
+#include "inside.h"
+
+#define NODE_DATA "journal"
+#define START_AGAIN_MS 500  /* ms; a process that could not open its disk is started again after this */
+#define LEAVE_GRACE_MS 3000 /* ms; one that leaves has gone by then */
+
+/* --- the state ------------------------------------------------------------------- */
+
+static void deliver(void *arg, const Record *change, ChangeResult *result)
+{
+    Chain *chain = arg;
+    void *scratch = talloc_new(NULL);
+    const Item item = itemOf(scratch, change);
+    chain->hash = chainNext(chain->hash, &item);
+    result->number = item.number;
+    talloc_free(scratch);
+}
+
+static Bytes save(void *arg, void *mem)
+{
+    Bytes saved = {0};
+    bytesAdd(mem, &saved, arg, sizeof(Chain));
+    return saved;
+}
+
+static Status load(void *arg, Bytes saved)
+{
+    Chain *chain = arg;
+    *chain = (Chain){0};
+    if (saved.count == 0)
+        return STATUS_OK;
+    if (saved.count != sizeof(Chain))
+        return STATUS_BAD_FRAME;
+    memcpy(chain, saved.data, sizeof(Chain));
+    return STATUS_OK;
+}
+
+/* --- their lives ----------------------------------------------------------------- */
+
+Node *nodeAdd(Explore *explore)
+{
+    if (explore->nodeCount == NODES_MAX)
+        return NULL;
+    const int number = explore->nodeCount++;
+    Node *node = &explore->nodes[number];
+    *node = (Node){.explore = explore, .machine = simMachine(explore->world)};
+    node->name = talloc_asprintf(explore, "node%d", number + 1);
+    node->listen = talloc_asprintf(explore, "%s:7000", simAddress(explore->world, node->machine));
+    node->ring = ringNew(explore, node->name);
+    ringQuiet(node->ring);
+    return node;
+}
+
+static Status boot(Node *node, Loop *loop, Failure *failure)
+{
+    const Explore *explore = node->explore;
+    const ViewFounds how = explore->plan->byVotes ? VIEW_FOUNDS_BY_VOTES : VIEW_FOUNDS_BY_THREE;
+    node->courier = courierNew(loop, loop, node->ring);
+    const ViewProps props = {.loop = loop,
+                             .courier = node->courier,
+                             .ring = node->ring,
+                             .state = {&node->chain, deliver, save, load},
+                             .losses = explore->plan->losses,
+                             .founds = node->founds ? how : VIEW_FOUNDS_NEVER,
+                             .disksKeep = true,
+                             .seatBackMs = explore->plan->seatBackMs,
+                             .snapshotEntries = explore->plan->snapshot};
+    node->founds = false;
+    node->view = viewNew(loop, &props);
+    Status status = viewOpenDisk(node->view, NODE_DATA, node->name, failure);
+    char address[ADDRESS_MAX];
+    if (status == STATUS_OK)
+        status = courierListen(node->courier, node->listen, address, failure);
+    if (status != STATUS_OK)
+        return status;
+    const MemberRecord self = {
+        .id = talloc_asprintf(loop, "%s@%016" PRIx64, node->name, viewDisk(node->view)),
+        .name = node->name,
+        .role = ROLE_CORE,
+        .zone = talloc_asprintf(loop, "zone%d", node->machine % 3),
+        .address = node->listen,
+        .http = "",
+        .incarnation = (uint64_t)loopWallMs(loop),
+        .disk = viewDisk(node->view),
+        .empty = !viewFounded(node->view),
+    };
+    const char *seeds[SEEDS];
+    for (int i = 0; i < SEEDS; i++)
+        seeds[i] = explore->nodes[i].listen;
+    node->members = membersNew(loop, loop, node->courier, node->ring, &self, seeds);
+    viewStart(node->view, node->members);
+    membersStart(node->members);
+    viewFounding(node->view);
+    return STATUS_OK;
+}
+
+static void startAgain(void *arg)
+{
+    Node *node = arg;
+    if (node->up)
+        return;
+    nodeKill(node, false);
+    nodeStartLater(node, START_AGAIN_MS);
+}
+
+static void bootMain(void *arg)
+{
+    Node *node = arg;
+    Failure failure = {0};
+    const Status status = boot(node, simLoop(node->explore->world, node->machine), &failure);
+    node->up = status == STATUS_OK;
+    if (status == STATUS_DISK_FAILED) /* the process ends, and is started again */
+        simAt(node->explore->world, simNowMs(node->explore->world), startAgain, node);
+    else if (!node->up)
+        exploreBreak(node->explore, RULE_NOT_OPENED, "%s: %s %s", node->name, statusWord(status), failure.text);
+}
+
+static void onStart(void *arg, Loop *loop)
+{
+    Node *node = arg;
+    node->up = false;
+    node->life++;
+    node->chain = (Chain){0};
+    node->promisedSeen = node->commitSeen = node->heldEpoch = node->ledEpoch = node->listSeen = 0;
+    loopSpawn(loop, "boot", bootMain, node);
+}
+
+void nodeStart(Node *node)
+{
+    if (!node->gone && !simAlive(node->explore->world, node->machine)) {
+        exploreSay(node->explore, "%s starts", node->name);
+        simStart(node->explore->world, node->machine, onStart, node);
+    }
+}
+
+static void startLater(void *arg)
+{
+    nodeStart(arg);
+}
+
+void nodeStartLater(Node *node, int64_t afterMs)
+{
+    simAt(node->explore->world, simNowMs(node->explore->world) + afterMs, startLater, node);
+}
+
+void nodeKill(Node *node, bool power)
+{
+    node->up = false;
+    (power ? simPowerOff : simKill)(node->explore->world, node->machine);
+}
+
+void nodeWipe(Node *node)
+{
+    nodeKill(node, true);
+    diskLost(node->explore, node);
+    simDiskWipe(node->explore->world, node->machine);
+}
+
+void nodeVanish(Node *node)
+{
+    nodeKill(node, true);
+    diskLost(node->explore, node);
+    node->gone = true;
+}
+
+static void leftNow(void *arg)
+{
+    Node *node = arg;
+    if (!node->gone)
+        nodeVanish(node);
+}
+
+/* As a core's process does it when it is told to end. */
+static void leaveMain(void *arg)
+{
+    Node *node = arg;
+    membersSetLeaving(node->members);
+    membersAnnounce(node->members);
+    if (viewLeading(node->view))
+        viewSettle(node->view);
+    viewStepDown(node->view, INT32_MAX);
+}
+
+void nodeLeave(Node *node)
+{
+    if (!node->up) {
+        nodeVanish(node);
+        return;
+    }
+    node->leaving = true;
+    loopSpawn(simLoop(node->explore->world, node->machine), "leave", leaveMain, node);
+    simAt(node->explore->world, simNowMs(node->explore->world) + LEAVE_GRACE_MS, leftNow, node);
+}
+
+/* --- what they are --------------------------------------------------------------- */
+
+bool nodeLeads(const Node *node)
+{
+    return node->up && simAlive(node->explore->world, node->machine) && viewLeading(node->view);
+}
+
+Node *nodeLeader(Explore *explore)
+{
+    for (int i = 0; i < explore->nodeCount; i++)
+        if (nodeLeads(&explore->nodes[i]))
+            return &explore->nodes[i];
+    return NULL;
+}
+
+static bool has(const uint64_t *disks, size_t count, uint64_t disk)
+{
+    for (size_t i = 0; i < count; i++)
+        if (disks[i] == disk)
+            return true;
+    return false;
+}
+
+bool nodeVotes(const Explore *explore, const Node *node)
+{
+    return node->model != NULL && has(explore->history.voters, explore->history.voterCount, node->model->disk);
+}
+
+static size_t lostOf(const Explore *explore, const uint64_t *disks, size_t count)
+{
+    size_t lost = 0;
+    for (size_t i = 0; i < count; i++) {
+        const DiskModel *model = diskOf(explore, disks[i]);
+        lost += model == NULL || model->lost;
+    }
+    /* one that is about to leave is lost as well */
+    for (int i = 0; i < explore->nodeCount; i++)
+        lost += explore->nodes[i].leaving && !explore->nodes[i].gone && explore->nodes[i].model != NULL &&
+                has(disks, count, explore->nodes[i].model->disk);
+    return lost;
+}
+
+static bool bears(const Explore *explore, const Node *node, const uint64_t *disks, size_t count)
+{
+    if (!has(disks, count, node->model->disk))
+        return true;
+    return lostOf(explore, disks, count) + 1 <= count - lockMajority(count);
+}
+
+bool nodeMayLose(const Explore *explore, const Node *node)
+{
+    if (explore->plan->beyond || node->model == NULL)
+        return true;
+    if (!bears(explore, node, explore->history.voters, explore->history.voterCount))
+        return false;
+    for (int i = 0; i < explore->nodeCount; i++) {
+        const Node *other = &explore->nodes[i];
+        if (!other->up)
+            continue;
+        ViewWindow window;
+        viewWindow(other->view, &window);
+        if (window.listIndex > explore->history.listIndex && !bears(explore, node, window.voters, window.voterCount))
+            return false;
+    }
+    return true;
+}
+
+bool votersThere(const Explore *explore)
+{
+    const History *history = &explore->history;
+    return history->voterCount - lostOf(explore, history->voters, history->voterCount) >=
+           lockMajority(history->voterCount);
+}
--- /dev/null
+++ b/packages/explore/src/run.c
@@ -0,0 +1,151 @@
+/* One run of a plan. */
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+#define FOUND_MS 30000 /* ms; from the first start until the voters are whole */
+#define LOOK_MS 50     /* ms; between two looks at whether something broke */
+
+void exploreSay(const Explore *explore, const char *format, ...)
+{
+    if (!explore->loud)
+        return;
+    va_list args;
+    va_start(args, format);
+    printf("%7" PRId64 " ", simNowMs(explore->world) - explore->startMs);
+    vprintf(format, args);
+    putchar('\n');
+    va_end(args);
+}
+
+static bool broken(const Explore *explore)
+{
+    return explore->result->rule != RULE_NONE;
+}
+
+static void runUntil(Explore *explore, int64_t untilMs)
+{
+    while (!broken(explore) && simNowMs(explore->world) < untilMs) {
+        const int64_t nextMs = simNowMs(explore->world) + LOOK_MS;
+        simRunUntil(explore->world, nextMs < untilMs ? nextMs : untilMs);
+    }
+}
+
+static void found(Explore *explore)
+{
+    const ExplorePlan *plan = explore->plan;
+    const int voters = 2 * plan->losses + 1;
+    for (int i = 0; i < voters + plan->spares; i++) {
+        nodeAdd(explore);
+        explore->nodes[i].founds = plan->byVotes || i < SEEDS;
+    }
+    /* three empty disks found: the others come once these have */
+    const int first = plan->byVotes ? explore->nodeCount : SEEDS;
+    for (int i = 0; i < explore->nodeCount; i++)
+        nodeStartLater(&explore->nodes[i], i < first ? (int64_t)(simRandom(explore->world) % 300) : 6000);
+    const int64_t untilMs = simNowMs(explore->world) + FOUND_MS;
+    while (!broken(explore) && simNowMs(explore->world) < untilMs &&
+           (explore->history.voterCount < (size_t)voters || nodeLeader(explore) == NULL))
+        runUntil(explore, simNowMs(explore->world) + LOOK_MS);
+    if (explore->history.voterCount < (size_t)voters || nodeLeader(explore) == NULL)
+        exploreBreak(explore, RULE_NOT_FOUNDED, "%zu voters of %d", explore->history.voterCount, voters);
+}
+
+static void adversary(Explore *explore)
+{
+    const ExplorePlan *plan = explore->plan;
+    for (size_t i = 0; i < plan->actCount && !broken(explore); i++) {
+        runUntil(explore, explore->startMs + plan->acts[i].atMs);
+        if (!plan->skipped[i] && !broken(explore))
+            actDo(explore, &plan->acts[i]);
+    }
+    runUntil(explore, explore->startMs + plan->lengthMs);
+}
+
+static bool frozen(const Explore *explore)
+{
+    for (int i = 0; i < explore->nodeCount; i++)
+        if (simFrozen(explore->world, explore->nodes[i].machine))
+            return true;
+    return false;
+}
+
+/* After all failures have ended, a change is committed within a stated span. */
+static void live(Explore *explore)
+{
+    while (!broken(explore) && frozen(explore))
+        runUntil(explore, simNowMs(explore->world) + LOOK_MS);
+    actsEnd(explore);
+    exploreSay(explore, "the adversary has ended");
+    ExploreResult *result = explore->result;
+    const int64_t fromMs = simNowMs(explore->world);
+    const uint64_t before = result->acknowledged;
+    result->lived = votersThere(explore);
+    if (!result->lived)
+        return;
+    while (!broken(explore) && result->acknowledged == before && simNowMs(explore->world) < fromMs + LIVE_MS)
+        runUntil(explore, simNowMs(explore->world) + LOOK_MS);
+    result->liveMs = simNowMs(explore->world) - fromMs;
+    if (result->acknowledged == before)
+        exploreBreak(explore, RULE_NOT_LIVE, "%" PRId64 " ms after the last failure", result->liveMs);
+}
+
+static void dump(const Explore *explore)
+{
+    for (int i = 0; i < explore->nodeCount; i++) {
+        printf("--- %s\n", explore->nodes[i].name);
+        ringDump(explore->nodes[i].ring, stdout);
+    }
+}
+
+void exploreRun(const ExplorePlan *plan, bool loud, ExploreResult *result)
+{
+    *result = (ExploreResult){.rule = RULE_NONE};
+    Explore *explore = talloc_zero(NULL, Explore);
+    explore->plan = plan;
+    explore->result = result;
+    explore->loud = loud;
+    explore->world = simWorldNew(explore, plan->seed);
+    simWatch(explore->world, checkStep, explore);
+    simWatchDisks(explore->world, diskChanged, explore);
+    found(explore);
+    explore->startMs = simNowMs(explore->world);
+    clientStart(explore);
+    adversary(explore);
+    if (!broken(explore))
+        live(explore);
+    result->steps = simEvents(explore->world);
+    if (loud && broken(explore))
+        dump(explore);
+    simWatchDisks(explore->world, NULL, NULL);
+    talloc_free(explore->world); /* first: what runs there reaches back to the rest */
+    talloc_free(explore);
+}
+
+bool exploreShrink(ExplorePlan *plan, ExploreResult *result)
+{
+    exploreRun(plan, false, result);
+    const Rule rule = result->rule;
+    if (rule == RULE_NONE)
+        return false;
+    /* first many at once, then fewer, at last one after another */
+    for (size_t span = plan->actCount / 2 + 1; span > 0; span /= 2)
+        for (size_t from = 0; from < plan->actCount; from += span) {
+            ExplorePlan tried = *plan;
+            for (size_t i = from; i < from + span && i < plan->actCount; i++)
+                tried.skipped[i] = true;
+            if (memcmp(tried.skipped, plan->skipped, sizeof(tried.skipped)) == 0)
+                continue;
+            ExploreResult got;
+            exploreRun(&tried, false, &got);
+            if (got.rule == rule) {
+                *plan = tried;
+                *result = got;
+            }
+        }
+    return true;
+}
--- /dev/null
+++ b/packages/explore/test/explore.c
@@ -0,0 +1,75 @@
+/* A fixed share of seeds, and timelines that broke a rule once. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "explore/explore.h"
+
+#if defined(__SANITIZE_ADDRESS__)
+#define SHARE 6 /* seeds of a case; some ten times slower there */
+#else
+#define SHARE 60
+#endif
+
+static void seedsFrom(uint64_t first)
+{
+    ExploreResult sum = {0};
+    unsigned lived = 0;
+    for (uint64_t seed = first; seed < first + SHARE; seed++) {
+        ExplorePlan plan;
+        ExploreResult result;
+        explorePlanOf(seed, &plan);
+        exploreRun(&plan, false, &result);
+        if (result.rule != RULE_NONE)
+            fail_msg("seed %u: %s: %s", (unsigned)seed, ruleText(result.rule), result.why);
+        sum.acknowledged += result.acknowledged;
+        sum.leads += result.leads;
+        sum.voterChanges += result.voterChanges;
+        lived += result.lived;
+    }
+    /* a share that does nothing shows nothing */
+    assert_true(sum.acknowledged > 50 * SHARE);
+    assert_true(sum.leads > SHARE);
+    assert_true(sum.voterChanges > SHARE / 2);
+    assert_true(lived > SHARE / 2);
+}
+
+/* Each a case of its own, so that they are walked side by side. */
+#define SEEDS_FROM(name, first)    \
+    static void name(void **state) \
+    {                              \
+        (void)state;               \
+        seedsFrom(first);          \
+    }
+
+SEEDS_FROM(seeds1, 1)
+SEEDS_FROM(seeds101, 101)
+SEEDS_FROM(seeds201, 201)
+SEEDS_FROM(seeds501, 501)
+
+/* The same seed gives the same run, and leaving an act out leaves the others as they were. */
+static void repeats(void **state)
+{
+    (void)state;
+    ExplorePlan plan, again;
+    ExploreResult first, second;
+    explorePlanOf(7, &plan);
+    explorePlanOf(7, &again);
+    assert_memory_equal(&plan, &again, sizeof(plan));
+    exploreRun(&plan, false, &first);
+    exploreRun(&again, false, &second);
+    assert_int_equal(first.steps, second.steps);
+    assert_int_equal(first.acknowledged, second.acknowledged);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(seeds1),   cmocka_unit_test(seeds101), cmocka_unit_test(seeds201),
+        cmocka_unit_test(seeds501), cmocka_unit_test(repeats),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/packages/explore/tool/explore.c
@@ -0,0 +1,163 @@
+/* Explores the replicated log by seeds, every rule checked at each step.
+ *
+ *     spancart-explore --seeds A..B [--no-shrink]
+ *     spancart-explore --seed N [--skip N,N,...] [--verbose]
+ *
+ * Prints each seed that broke a rule, with the fewest acts that still break it and
+ * the command that plays just these again. The same seed gives the same run. */
+#include <inttypes.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "explore/explore.h"
+
+typedef struct Sum {
+    uint64_t seeds, broken, steps, committed, acknowledged, leads, voterChanges, lived;
+    uint64_t done[ACT_KINDS];
+    int64_t worstMs;
+} Sum;
+
+static double cpuS(void)
+{
+    struct timespec at;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return (double)at.tv_sec + (double)at.tv_nsec / 1e9;
+}
+
+static void sumAdd(Sum *sum, const ExploreResult *result)
+{
+    sum->seeds++;
+    sum->broken += result->rule != RULE_NONE;
+    sum->steps += result->steps;
+    sum->committed += result->committed;
+    sum->acknowledged += result->acknowledged;
+    sum->leads += result->leads;
+    sum->voterChanges += result->voterChanges;
+    sum->lived += result->lived;
+    for (int i = 0; i < ACT_KINDS; i++)
+        sum->done[i] += result->done[i];
+    if (result->liveMs > sum->worstMs)
+        sum->worstMs = result->liveMs;
+}
+
+static void sumPrint(const Sum *sum, double tookS)
+{
+    static const char *const WORDS[] = {
+#define X(name, word) word,
+        ACT_LIST(X)
+#undef X
+    };
+    printf("%" PRIu64 " seeds, %" PRIu64 " broke, %" PRIu64 " steps (%.0f a second of processor time), %" PRIu64
+           " committed, %" PRIu64 " acknowledged, %" PRIu64 " leads, %" PRIu64 " changes of voters, %" PRIu64
+           " lived, worst %" PRId64 " ms\n",
+           sum->seeds, sum->broken, sum->steps, (double)sum->steps / tookS, sum->committed, sum->acknowledged,
+           sum->leads, sum->voterChanges, sum->lived, sum->worstMs);
+    for (int i = 0; i < ACT_KINDS; i++)
+        printf("%s%s %" PRIu64, i > 0 ? ", " : "acts: ", WORDS[i], sum->done[i]);
+    printf("\n");
+}
+
+/* --- arguments ------------------------------------------------------------------- */
+
+static bool rangeRead(const char *text, uint64_t *first, uint64_t *last)
+{
+    char *end;
+    *first = *last = strtoull(text, &end, 10);
+    if (end == text)
+        return false;
+    if (*end == '\0')
+        return true;
+    if (strncmp(end, "..", 2) != 0)
+        return false;
+    const char *from = end + 2;
+    *last = strtoull(from, &end, 10);
+    return end != from && *end == '\0' && *first <= *last;
+}
+
+static bool skipRead(ExplorePlan *plan, const char *text)
+{
+    while (*text != '\0') {
+        char *end;
+        const unsigned long at = strtoul(text, &end, 10);
+        if (end == text || at >= EXPLORE_ACTS_MAX)
+            return false;
+        plan->skipped[at] = true;
+        text = *end == ',' ? end + 1 : end;
+    }
+    return true;
+}
+
+static void tell(const ExplorePlan *plan, const ExploreResult *result)
+{
+    printf("seed %" PRIu64 " BROKE %s: at %" PRId64 " ms, %s\n", plan->seed, ruleText(result->rule), result->atMs,
+           result->why);
+}
+
+static void tellShrunk(const ExplorePlan *plan)
+{
+    explorePrint(plan);
+    printf("again: spancart-explore --seed %" PRIu64 " --verbose", plan->seed);
+    bool any = false;
+    for (size_t i = 0; i < plan->actCount; i++)
+        if (plan->skipped[i]) {
+            printf("%s%zu", any ? "," : " --skip ", i);
+            any = true;
+        }
+    printf("\n");
+}
+
+static int exploreAll(uint64_t first, uint64_t last, const char *skip, bool shrink, bool loud)
+{
+    Sum sum = {0};
+    const double beganS = cpuS();
+    for (uint64_t seed = first; seed <= last; seed++) {
+        ExplorePlan plan;
+        ExploreResult result;
+        explorePlanOf(seed, &plan);
+        if (skip != NULL && !skipRead(&plan, skip)) {
+            fprintf(stderr, "--skip takes numbers of acts, like 0,3,4\n");
+            return 2;
+        }
+        exploreRun(&plan, loud, &result);
+        sumAdd(&sum, &result);
+        if (result.rule != RULE_NONE) {
+            tell(&plan, &result);
+            if (shrink && exploreShrink(&plan, &result))
+                tellShrunk(&plan);
+        }
+        fflush(stdout);
+    }
+    sumPrint(&sum, cpuS() - beganS);
+    return sum.broken > 0;
+}
+
+int main(int argc, const char **argv)
+{
+    char *seeds = NULL, *seed = NULL, *skip = NULL;
+    int plain = 0, loud = 0;
+    const struct poptOption options[] = {{"seeds", 0, POPT_ARG_STRING, &seeds, 0, "the seeds to explore", "A..B"},
+                                         {"seed", 0, POPT_ARG_STRING, &seed, 0, "one seed, not shrunk", "N"},
+                                         {"skip", 0, POPT_ARG_STRING, &skip, 0, "acts to leave out", "N,N,..."},
+                                         {"no-shrink", 0, POPT_ARG_NONE, &plain, 0, "print a break as it is", NULL},
+                                         {"verbose", 'v', POPT_ARG_NONE, &loud, 0, "print what happens", NULL},
+                                         POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("spancart-explore", argc, argv, options, 0);
+    uint64_t first = 0, last = 0;
+    int code = 2;
+    const int got = poptGetNextOpt(context);
+    const char *range = seeds != NULL ? seeds : seed;
+    if (got < -1)
+        fprintf(stderr, "%s: %s\n", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
+    else if (range == NULL || !rangeRead(range, &first, &last))
+        fprintf(stderr, "give --seeds A..B or --seed N\n");
+    else
+        code = exploreAll(first, last, skip, seeds != NULL && plain == 0, loud != 0);
+    poptFreeContext(context);
+    free(seeds);
+    free(seed);
+    free(skip);
+    return code;
+}
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -12,6 +12,8 @@
 
 typedef void (*SimStart)(void *arg, Loop *loop);
 typedef void (*SimFn)(void *arg);
+/* bytes were added to a machine's file, or stand in its place (whole). */
+typedef void (*SimDiskFn)(void *arg, int machine, const char *path, Bytes bytes, bool whole);
 
 SimWorld *simWorldNew(void *mem, uint64_t seed);
 int64_t simNowMs(const SimWorld *world);
@@ -28,6 +30,9 @@
 /* Called after each event: the place of the checkers. */
 void simWatch(SimWorld *world, SimFn fn, void *arg);
 
+/* Called after each change of what a disk keeps. */
+void simWatchDisks(SimWorld *world, SimDiskFn fn, void *arg);
+
 /* A machine: an IP of its own ("10.0.0.N") and a disk that outlives its
  * processes. */
 int simMachine(SimWorld *world);
@@ -55,6 +60,10 @@
 bool simIsCut(const SimWorld *world, int from, int to);
 /* Delay of each frame and connection: from low up to high. */
 void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs);
+/* Of a thousand frames so many are dropped, while their connection goes on, and so
+ * many come once more, up to lateMs later and out of order. No connection of the
+ * platform's does this: the replicated log is tried with it. */
+void simFrames(SimWorld *world, unsigned dropped, unsigned repeated, int64_t lateMs);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
--- a/packages/sim/src/disk.c
+++ b/packages/sim/src/disk.c
@@ -15,6 +15,7 @@
     SimContent *content = mapGet(machine->disk, path);
     if (content == NULL) {
         content = talloc_zero(machine->disk, SimContent);
+        content->path = talloc_strdup(content, path);
         mapSet(machine->disk, path, content);
     }
     return content;
@@ -40,6 +41,13 @@
     return STATUS_OK;
 }
 
+static void tell(const SimMachine *machine, const SimContent *content, Bytes bytes, bool whole)
+{
+    const SimWorld *world = machine->world;
+    if (world->diskWatch != NULL)
+        world->diskWatch(world->diskWatchArg, machine->number, content->path, bytes, whole);
+}
+
 static void syncWait(SimFile *sf)
 {
     SimWorld *world = sf->machine->world;
@@ -65,6 +73,7 @@
     }
     bytesAdd(content, &content->durable, bytes.data, bytes.count);
     settle(sf);
+    tell(sf->machine, content, bytes, false);
     return STATUS_OK;
 }
 
@@ -80,6 +89,7 @@
     /* a rename is honest even on a disk that lies about appends */
     content->honestCount = content->durable.count;
     content->inflight = (Bytes){0};
+    tell(sf->machine, content, content->durable, true);
     return STATUS_OK;
 }
 
@@ -90,6 +100,7 @@
     const size_t count = mapKeys(machine->disk, mem, &paths);
     for (size_t i = 0; i < count; i++) {
         SimContent *content = mapGet(machine->disk, paths[i]);
+        const size_t before = content->durable.count;
         if (power && machine->diskLies && content->durable.count > content->honestCount)
             content->durable.count = content->honestCount;
         else if (content->inflight.count > 0)
@@ -97,6 +108,10 @@
                      (size_t)(simRandom(machine->world) % (content->inflight.count + 1)));
         content->inflight = (Bytes){0};
         content->honestCount = content->durable.count;
+        if (content->durable.count > before)
+            tell(machine, content, (Bytes){content->durable.data + before, content->durable.count - before, 0}, false);
+        else if (content->durable.count < before)
+            tell(machine, content, content->durable, true);
     }
     talloc_free(mem);
 }
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -15,7 +15,7 @@
 typedef struct SimChannel SimChannel;
 
 /* Both ends of a connection. Invariant: freed when both ends are gone and no
- * pump is due. */
+ * pump or repeated frame is due. */
 typedef struct SimPair {
     SimWorld *world;
     int machine[2];
@@ -23,6 +23,7 @@
     SimFrame *first[2], *last[2]; /* on the way from that side to the other */
     bool pumping[2];
     bool fin[2];
+    size_t repeats; /* frames that come once more */
 } SimPair;
 
 struct SimChannel {
@@ -33,7 +34,7 @@
 
 static void pairMaybeFree(SimPair *pair)
 {
-    if (pair->end[0] == NULL && pair->end[1] == NULL && !pair->pumping[0] && !pair->pumping[1])
+    if (pair->end[0] == NULL && pair->end[1] == NULL && !pair->pumping[0] && !pair->pumping[1] && pair->repeats == 0)
         talloc_free(pair);
 }
 
@@ -78,6 +79,42 @@
     pairMaybeFree(pair);
 }
 
+typedef struct SimRepeat {
+    SimPair *pair;
+    int side;
+    Bytes bytes;
+} SimRepeat;
+
+static void repeatArrive(void *arg)
+{
+    SimRepeat *repeat = arg;
+    SimPair *pair = repeat->pair;
+    const int other = 1 - repeat->side;
+    if (pair->end[other] != NULL && !pair->world->cut[pair->machine[repeat->side]][pair->machine[other]])
+        channelArrive(&pair->end[other]->channel, repeat->bytes);
+    pair->repeats--;
+    talloc_free(repeat);
+    pairMaybeFree(pair);
+}
+
+/* Whether the frame is lost; it may come once more otherwise. */
+static bool frameDrawn(SimPair *pair, int side, Bytes bytes)
+{
+    SimWorld *world = pair->world;
+    if (world->frameDropped == 0 && world->frameRepeated == 0)
+        return false;
+    if (simRandom(world) % 1000 < world->frameDropped)
+        return true;
+    if (simRandom(world) % 1000 < world->frameRepeated) {
+        SimRepeat *repeat = talloc_zero(world, SimRepeat);
+        *repeat = (SimRepeat){pair, side, bytesCopy(repeat, bytes)};
+        pair->repeats++;
+        const int64_t lateMs = (int64_t)(simRandom(world) % (uint64_t)(world->frameLateMs + 1));
+        simAt(world, world->nowMs + simLinkMs(world) + lateMs, repeatArrive, repeat);
+    }
+    return false;
+}
+
 static void push(SimPair *pair, int side, bool fin, Bytes bytes)
 {
     if (pair->fin[side])
@@ -191,7 +228,8 @@
     SimChannel *sc = (SimChannel *)channel;
     if (frame.count > FRAME_MAX_BYTES)
         return STATUS_TOO_LARGE;
-    push(sc->pair, sc->side, false, frame);
+    if (!frameDrawn(sc->pair, sc->side, frame))
+        push(sc->pair, sc->side, false, frame);
     return STATUS_OK;
 }
 
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -155,6 +155,12 @@
     world->watchArg = arg;
 }
 
+void simWatchDisks(SimWorld *world, SimDiskFn fn, void *arg)
+{
+    world->diskWatch = fn;
+    world->diskWatchArg = arg;
+}
+
 int simMachine(SimWorld *world)
 {
     const int number = world->machineCount++;
@@ -333,6 +339,13 @@
     world->delayHighMs = highMs;
 }
 
+void simFrames(SimWorld *world, unsigned dropped, unsigned repeated, int64_t lateMs)
+{
+    world->frameDropped = dropped;
+    world->frameRepeated = repeated;
+    world->frameLateMs = lateMs;
+}
+
 int simTakePort(SimLoop *sim, const char *address, SimPort port, char *bound)
 {
     const char *colon = strrchr(address, ':');
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -16,6 +16,7 @@
 /* The part of a file that outlives processes.
  * Invariant: bytes of durable past honestCount are lost at the next loss of power. */
 typedef struct SimContent {
+    const char *path;
     Bytes durable;
     size_t honestCount;
     Bytes inflight; /* being written: a kill leaves a random prefix of it */
@@ -69,6 +70,10 @@
     int64_t delayLowMs, delayHighMs;
     SimFn watch;
     void *watchArg;
+    SimDiskFn diskWatch;
+    void *diskWatchArg;
+    unsigned frameDropped, frameRepeated; /* of a thousand */
+    int64_t frameLateMs;
 };
 
 int64_t simLinkMs(SimWorld *world);
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -62,8 +62,9 @@
     void *openedArg;
     int losses; /* disks that may be lost at once: twice that and one seats are wanted; 0: 1 */
     ViewFounds founds;
-    bool disksKeep;     /* what a disk has synced outlasts a loss of power */
-    int64_t seatBackMs; /* a seat that returns, or is replaced, is whole again within this; 0: SEAT_GONE_MS */
+    bool disksKeep;         /* what a disk has synced outlasts a loss of power */
+    int64_t seatBackMs;     /* a seat that returns, or is replaced, is whole again within this; 0: SEAT_GONE_MS */
+    size_t snapshotEntries; /* the log is shortened after so many entries; 0: LOG_SNAPSHOT_ENTRIES */
 } ViewProps;
 
 View *viewNew(void *mem, const ViewProps *props);
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -269,7 +269,8 @@
 void viewCompactMaybe(View *view, bool force)
 {
     Log *log = view->log;
-    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < LOG_SNAPSHOT_ENTRIES))
+    const size_t most = view->props.snapshotEntries > 0 ? view->props.snapshotEntries : LOG_SNAPSHOT_ENTRIES;
+    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < most))
         return;
     void *mem = talloc_new(view);
     /* seats and last as of deliveredIndex: later ones are still in the log */
