Answers that others act on take a round of contact, by a table in one place

Cause: every answer of the leader rested on its lease by its own clock alone, and was looked at once, before the route ran; what a route waited for meanwhile (a long poll, a commit by others) was not followed by another look. A leader whose clock stands still inside its lease went on telling an old configuration, refusing changes against it and saying 404 for jobs that others had accepted.

A change committed for the request is proof in itself. prove() looks last, in the turn in which the answer goes out; what is not proven becomes 503, not taken.

--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -30,7 +30,8 @@
     X(crowded)             \
     X(kept)                \
     X(moved)               \
-    X(slowed)
+    X(slowed)              \
+    X(unproven)
 
 typedef struct CoreCounts {
 #define X(name) uint64_t name;
--- a/packages/core/src/way.c
+++ b/packages/core/src/way.c
@@ -37,6 +37,7 @@
 {
     switch (status) {
     case STATUS_OK:
+        way->committed = true;
         return true;
     case STATUS_NOT_LEADER:
     case STATUS_BUSY:
@@ -84,33 +85,48 @@
 
 /* --- routes ---------------------------------------------------------------------------------- */
 
-/* A path of up to three parts after /v1; "*" takes a name. */
+/* A path of up to three parts after /v1; "*" takes a name. answer, refusal: the proof that
+ * either needs where nothing was committed for it; one that was is proof in itself.
+ *
+ * A refusal ends its caller's call for good, so it takes a round of contact wherever it
+ * claims to know what is in force or which jobs there are; it is rare, and the round costs
+ * it one way there and back. */
 typedef struct Route {
     const char *method;
     const char *parts[3];
     void (*serve)(Way *way);
+    Proof answer, refusal;
 } Route;
 
 static const Route ROUTES[] = {
-    {"POST", {"jobs"}, jobPost},
-    {"GET", {"jobs"}, jobList},
-    {"GET", {"jobs", "*"}, jobGet},
-    {"DELETE", {"jobs", "*"}, jobCancel},
-    {"POST", {"jobs", "*", "cancel"}, jobCancel},
-    {"GET", {"config"}, configGet},
-    {"PUT", {"config"}, configPut},
-    {"PATCH", {"config"}, configPatched},
-    {"GET", {"config", "history"}, configHistory},
-    {"GET", {"zones", "*", "drain"}, zoneGet},
-    {"POST", {"zones", "*", "drain"}, zoneDrain},
-    {"PUT", {"zones", "*", "drain"}, zoneDrain},
-    {"DELETE", {"zones", "*", "drain"}, zoneBack},
-    {"GET", {"queue"}, queueGet},
-    {"POST", {"queue", "try"}, queueTry},
-    {"GET", {"status"}, statusGet},
-    {"GET", {"alerts"}, alertsGet},
+    /* a job that is known was committed, and stays */
+    {"POST", {"jobs"}, jobPost, PROOF_LEASE, PROOF_CONTACT},
+    /* asked for often; a state that is late by a lease is asked for again */
+    {"GET", {"jobs"}, jobList, PROOF_LEASE, PROOF_LEASE},
+    {"GET", {"jobs", "*"}, jobGet, PROOF_LEASE, PROOF_CONTACT},
+    {"DELETE", {"jobs", "*"}, jobCancel, PROOF_LEASE, PROOF_CONTACT},
+    {"POST", {"jobs", "*", "cancel"}, jobCancel, PROOF_LEASE, PROOF_CONTACT},
+    /* operators act on what they read */
+    {"GET", {"config"}, configGet, PROOF_CONTACT, PROOF_CONTACT},
+    /* one that was taken before is known by its digest: committed, and stays */
+    {"PUT", {"config"}, configPut, PROOF_LEASE, PROOF_CONTACT},
+    {"PATCH", {"config"}, configPatched, PROOF_LEASE, PROOF_CONTACT},
+    {"GET", {"config", "history"}, configHistory, PROOF_CONTACT, PROOF_CONTACT},
+    {"GET", {"zones", "*", "drain"}, zoneGet, PROOF_CONTACT, PROOF_CONTACT},
+    {"POST", {"zones", "*", "drain"}, zoneDrain, PROOF_CONTACT, PROOF_CONTACT},
+    {"PUT", {"zones", "*", "drain"}, zoneDrain, PROOF_CONTACT, PROOF_CONTACT},
+    {"DELETE", {"zones", "*", "drain"}, zoneBack, PROOF_CONTACT, PROOF_CONTACT},
+    /* figures of the moment, and a trial of a job: nothing is acknowledged by them */
+    {"GET", {"queue"}, queueGet, PROOF_LEASE, PROOF_LEASE},
+    {"POST", {"queue", "try"}, queueTry, PROOF_LEASE, PROOF_LEASE},
+    /* shows the lease itself */
+    {"GET", {"status"}, statusGet, PROOF_LEASE, PROOF_LEASE},
+    {"GET", {"alerts"}, alertsGet, PROOF_LEASE, PROOF_LEASE},
 };
 
+/* Jobs at their queue's address: as at /v1/jobs. */
+static const Route ENTRY = {"", {0}, entryServe, PROOF_LEASE, PROOF_CONTACT};
+
 /* Asked for by any entry point: it has come to a leader that serves. */
 static void readyGet(Way *way)
 {
@@ -119,7 +135,7 @@
     showResult(way->task, 200, body);
 }
 
-static const Route READY = {"GET", {0}, readyGet};
+static const Route READY = {"GET", {0}, readyGet, PROOF_LEASE, PROOF_LEASE};
 
 static const Route *routeFind(Way *way, bool *pathKnown)
 {
@@ -164,23 +180,62 @@
     return found;
 }
 
+static const Route *routeOf(Way *way, bool *pathKnown)
+{
+    if (strncmp(way->task->path, ENTRY_PATH "/", sizeof(ENTRY_PATH)) == 0)
+        return &ENTRY;
+    return routeFind(way, pathKnown);
+}
+
+/* --- proofs ------------------------------------------------------------------------------------ */
+
+/* "Come back": it says nothing of what there is. */
+static bool claimsNothing(const HttpTask *task)
+{
+    return task->code >= 500;
+}
+
+/* Whether the answer may go out, which was made under the epoch. Waits. */
+static bool proven(Way *way, Proof proof, uint64_t epoch)
+{
+    const View *view = way->core->view;
+    if (proof == PROOF_LEASE)
+        return viewLeading(view) && viewEpoch(view) == epoch;
+    int64_t untilMs = loopNowMs(way->core->loop) + LOCK_HOLD_MS;
+    if (way->task->expiryMs != 0 && way->task->expiryMs < untilMs)
+        untilMs = way->task->expiryMs;
+    return viewContact(way->core->view, untilMs) == STATUS_OK && viewEpoch(view) == epoch;
+}
+
+/* The last look before the answer goes out, after all that the route has waited for. */
+static void prove(Way *way, const Route *route, uint64_t epoch)
+{
+    HttpTask *task = way->task;
+    if (way->committed || claimsNothing(task))
+        return;
+    if (proven(way, task->code < 400 ? route->answer : route->refusal, epoch))
+        return;
+    way->core->counts.unproven++;
+    task->result = (Bytes){0};
+    showRefusal(task, STATUS_NOT_LEADER, "the lead may have been lost; nothing was taken: come back", NULL);
+}
+
 void leaderServe(Core *core, HttpTask *task, void *mem, KeepList *keeps)
 {
-    Way way = {core, task, mem, talloc_zero(mem, Faults), keeps, NULL};
+    Way way = {.core = core, .task = task, .mem = mem, .faults = talloc_zero(mem, Faults), .keeps = keeps};
     way.faults->mem = mem;
     for (size_t i = 0; i < sizeof(GUARDS) / sizeof(GUARDS[0]); i++)
         if (!GUARDS[i].pass(&way))
             return;
-    if (strncmp(task->path, ENTRY_PATH "/", sizeof(ENTRY_PATH)) == 0) {
-        entryServe(&way);
-        return;
-    }
-    bool pathKnown;
-    const Route *route = routeFind(&way, &pathKnown);
-    if (route != NULL)
+    bool pathKnown = false;
+    const uint64_t epoch = viewEpoch(core->view);
+    const Route *route = routeOf(&way, &pathKnown);
+    if (route != NULL) {
         route->serve(&way);
-    else if (pathKnown)
+        prove(&way, route, epoch);
+    } else if (pathKnown) {
         showRefusal(task, STATUS_BAD_METHOD, "this path does not take this method", NULL);
-    else
+    } else {
         showRefusal(task, STATUS_BAD_PATH, "there is no such path", NULL);
+    }
 }
--- a/packages/core/src/way.h
+++ b/packages/core/src/way.h
@@ -3,6 +3,12 @@
 
 #include "inside.h"
 
+/* What must show that an answer is not out of date, before it goes out. */
+typedef enum Proof {
+    PROOF_LEASE,   /* this node holds the lock by its own clock: a majority has renewed it */
+    PROOF_CONTACT, /* a majority has renewed it in answer to what was asked since, whatever the clock says */
+} Proof;
+
 /* One request on its way through the leader. */
 typedef struct Way {
     Core *core;
@@ -11,6 +17,7 @@
     Faults *faults;
     KeepList *keeps;
     const char *name; /* what the path names: a job, a zone */
+    bool committed;   /* a change was, for this request: a majority has it */
 } Way;
 
 /* The Status of a submission as a refusal; true when it was delivered. */
--- /dev/null
+++ b/packages/sim/test/serving.c
@@ -0,0 +1,312 @@
+/* What nodes answer while a core is cut off from the others, though callers and gates still
+ * reach it: no answer may be older than what was acknowledged before it was asked for. In
+ * virtual time. */
+#include <inttypes.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+#define CORES 3
+#define GATES 3
+#define READ_PAUSE_MS 20   /* ms; between two reads of one reader */
+#define ASK_WAIT_MS 1000  /* ms; a caller gives an answer up after this */
+#define CHANGE_PAUSE_MS 7 /* ms; between two changes of the operator: as soon as the lock has moved, one is in */
+
+typedef enum CutKind { CUT_BOTH, CUT_IN, CUT_OUT, CUT_ALL } CutKind;
+
+/* Everybody's view from outside; the tasks run on the callers' machine. */
+typedef struct Watched {
+    Fleet *fleet;
+    uint64_t acknowledged; /* the newest revision that an operator was told is taken */
+    size_t jobs;           /* accepted; their ids are j-0 to j-(jobs - 1) */
+    size_t answers;        /* that claimed something */
+    bool stop;
+    char wrong[200]; /* the first answer that is out of date; "" */
+} Watched;
+
+typedef struct Reader {
+    Watched *watched;
+    const char *address, *name;
+} Reader;
+
+static HttpCall ask(Loop *loop, void *mem, const char *address, const char *method, const char *path, const char *body)
+{
+    HttpCall call = {.mem = mem, .address = address, .method = method, .path = path, .waitMs = ASK_WAIT_MS};
+    if (body != NULL)
+        bytesAdd(mem, &call.body, body, strlen(body));
+    if (loopCall(loop, &call) != STATUS_OK)
+        call.code = 0;
+    bytesAdd(mem, &call.result, "", 1);
+    return call;
+}
+
+/* The last number behind a key; 0: it is not there. */
+static uint64_t numberIn(const HttpCall *call, const char *key)
+{
+    const char *at = strstr((const char *)call->result.data, key);
+    return at != NULL ? strtoull(at + strlen(key), NULL, 10) : 0;
+}
+
+static void wrong(Watched *watched, const Reader *reader, const char *what, uint64_t told, uint64_t known)
+{
+    if (watched->wrong[0] == '\0')
+        snprintf(watched->wrong, sizeof(watched->wrong),
+                 "%s at %" PRId64 " ms: %s says %" PRIu64 ", %" PRIu64 " was acknowledged", reader->name,
+                 simNowMs(watched->fleet->world), what, told, known);
+}
+
+static void readConfig(const Reader *reader, Loop *loop, void *mem)
+{
+    Watched *watched = reader->watched;
+    const uint64_t known = watched->acknowledged;
+    const HttpCall call = ask(loop, mem, reader->address, "GET", "/v1/config", NULL);
+    const uint64_t told = numberIn(&call, "\"revision\":");
+    watched->answers += call.code == 200;
+    if (call.code == 200 && told < known)
+        wrong(watched, reader, "the configuration", told, known);
+}
+
+/* A refusal tells what is in force. */
+static void readRefusal(const Reader *reader, Loop *loop, void *mem)
+{
+    Watched *watched = reader->watched;
+    const uint64_t known = watched->acknowledged;
+    const HttpCall call =
+        ask(loop, mem, reader->address, "PATCH", "/v1/config?base=0&revision=1", "{\"note\":\"never\"}");
+    const uint64_t told = numberIn(&call, "\"current\":");
+    watched->answers += call.code == 409;
+    if (call.code == 200 || (call.code == 409 && told < known))
+        wrong(watched, reader, "a refusal", told, known);
+}
+
+static void readJob(const Reader *reader, Loop *loop, void *mem)
+{
+    Watched *watched = reader->watched;
+    if (watched->jobs == 0)
+        return;
+    const size_t known = watched->jobs;
+    const char *path = talloc_asprintf(mem, "/v1/jobs/j-%zu", known - 1);
+    const HttpCall call = ask(loop, mem, reader->address, "GET", path, NULL);
+    watched->answers += call.code == 200;
+    if (call.code == 404)
+        wrong(watched, reader, "that it knows no job", 0, known);
+}
+
+static void readerMain(void *arg)
+{
+    const Reader *reader = arg;
+    Watched *watched = reader->watched;
+    Loop *loop = simLoop(watched->fleet->world, watched->fleet->caller);
+    while (!watched->stop) {
+        void *mem = talloc_new(loop);
+        readConfig(reader, loop, mem);
+        readRefusal(reader, loop, mem);
+        readJob(reader, loop, mem);
+        talloc_free(mem);
+        loopSleep(loop, READ_PAUSE_MS);
+    }
+}
+
+/* Changes the configuration without a pause, at one core after the other. */
+static void operatorMain(void *arg)
+{
+    Watched *watched = arg;
+    Loop *loop = simLoop(watched->fleet->world, watched->fleet->caller);
+    uint64_t base = watched->acknowledged;
+    for (uint64_t turn = 0; !watched->stop; turn++) {
+        void *mem = talloc_new(loop);
+        const char *address = fleetNode(watched->fleet, FLEET_CORE, (int)(turn % CORES))->props.http;
+        const char *path = talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, base, base + 1);
+        const HttpCall call = ask(loop, mem, address, "PATCH", path, "{\"note\":\"n\"}");
+        if (call.code == 200 && base + 1 > watched->acknowledged)
+            watched->acknowledged = base + 1;
+        const uint64_t current = numberIn(&call, "\"current\":");
+        base = call.code == 409 && current > base ? current
+               : watched->acknowledged > base     ? watched->acknowledged
+                                                  : base;
+        talloc_free(mem);
+        loopSleep(loop, CHANGE_PAUSE_MS);
+    }
+}
+
+static void senderMain(void *arg)
+{
+    Watched *watched = arg;
+    Loop *loop = simLoop(watched->fleet->world, watched->fleet->caller);
+    for (uint64_t turn = 0; !watched->stop; turn++) {
+        void *mem = talloc_new(loop);
+        const char *address = fleetNode(watched->fleet, FLEET_CORE, (int)(turn % CORES))->props.http;
+        const char *body = talloc_asprintf(
+            mem,
+            "{\"id\":\"j-%zu\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":"
+            "[{\"name\":\"a\",\"count\":1,\"room\":{\"cpu\":1,\"memMb\":1},\"payload\":{\"runMs\":20}}]}",
+            watched->jobs);
+        const HttpCall call = ask(loop, mem, address, "POST", "/v1/jobs", body);
+        watched->jobs += call.code == 200 || call.code == 201;
+        talloc_free(mem);
+        loopSleep(loop, READ_PAUSE_MS);
+    }
+}
+
+static Watched *watch(Fleet *fleet)
+{
+    Watched *watched = talloc_zero(fleet, Watched);
+    watched->fleet = fleet;
+    watched->acknowledged = 1;
+    Loop *loop = simLoop(fleet->world, fleet->caller);
+    for (int i = 0; i < CORES + GATES; i++) {
+        const FleetNode *node = i < CORES ? fleetNode(fleet, FLEET_CORE, i) : fleetNode(fleet, FLEET_GATE, i - CORES);
+        Reader *reader = talloc_zero(watched, Reader);
+        *reader = (Reader){watched, node->props.http, node->props.name};
+        loopSpawn(loop, "reader", readerMain, reader);
+    }
+    loopSpawn(loop, "operator", operatorMain, watched);
+    loopSpawn(loop, "sender", senderMain, watched);
+    return watched;
+}
+
+static void cutCore(Fleet *fleet, int victim, CutKind kind, bool cut)
+{
+    if (kind == CUT_ALL) {
+        fleetIsolate(fleet, FLEET_CORE, victim, cut);
+        return;
+    }
+    const int machine = fleetNode(fleet, FLEET_CORE, victim)->machine;
+    for (int i = 0; i < CORES; i++) {
+        const int other = fleetNode(fleet, FLEET_CORE, i)->machine;
+        if (i == victim)
+            continue;
+        if (kind != CUT_OUT)
+            simCut(fleet->world, other, machine, cut);
+        if (kind != CUT_IN)
+            simCut(fleet->world, machine, other, cut);
+    }
+}
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){CORES, GATES, 4, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    return fleet;
+}
+
+/* The leader, or the one after it, is cut off for so long; within that it may be started
+ * again. rates: of its clock and of the others', in percent. */
+typedef struct CutCase {
+    const char *name;
+    int after; /* 0: the leader, 1: the next core */
+    CutKind kind;
+    int64_t spanMs;
+    bool restart;
+    int64_t rate, othersRate;
+} CutCase;
+
+static void cutOnce(uint64_t seed, const CutCase *one)
+{
+    Fleet *fleet = begin(seed);
+    const int victim = (fleetLeader(fleet) + one->after) % CORES;
+    Watched *watched = watch(fleet);
+    fleetRun(fleet, 1500 + (int64_t)(seed * 37 % 400));
+    const uint64_t before = watched->acknowledged;
+    checkerFault(fleet->checker);
+    cutCore(fleet, victim, one->kind, true);
+    for (int i = 0; i < CORES; i++)
+        simClockRate(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, i == victim ? one->rate : one->othersRate);
+    fleetRun(fleet, one->spanMs / 2);
+    if (one->restart) {
+        fleetKill(fleet, FLEET_CORE, victim);
+        fleetRun(fleet, 400);
+        fleetStartNode(fleet, FLEET_CORE, victim);
+    }
+    fleetRun(fleet, one->spanMs / 2);
+    const uint64_t during = watched->acknowledged;
+    cutCore(fleet, victim, one->kind, false);
+    simClockRate(fleet->world, fleetNode(fleet, FLEET_CORE, victim)->machine, 100);
+    fleetRun(fleet, 4000);
+    watched->stop = true;
+    fleetRun(fleet, 2 * ASK_WAIT_MS);
+    if (watched->wrong[0] != '\0')
+        fail_msg("%s, seed %" PRIu64 ": %s", one->name, seed, watched->wrong);
+    assert_true(before > 1 && during > before && watched->acknowledged > during);
+    assert_true(watched->answers > 100 && watched->jobs > 10);
+    talloc_free(fleet);
+}
+
+static void cutEach(const CutCase *cases, size_t count, uint64_t seeds)
+{
+    for (size_t i = 0; i < count; i++)
+        for (uint64_t seed = 1; seed <= seeds; seed++)
+            cutOnce(100 * (i + 1) + seed, &cases[i]);
+}
+
+static void cutOff(void **state)
+{
+    (void)state;
+    static const CutCase CASES[] = {
+        {"leader, 5 s", 0, CUT_BOTH, 5000, false, 100, 100},
+        {"leader, nothing comes in", 0, CUT_IN, 5000, false, 100, 100},
+        {"leader, nothing goes out", 0, CUT_OUT, 5000, false, 100, 100},
+        {"leader, from gates as well", 0, CUT_ALL, 5000, false, 100, 100},
+        {"leader, started again", 0, CUT_BOTH, 6000, true, 100, 100},
+        {"the next, 5 s", 1, CUT_BOTH, 5000, false, 100, 100},
+        {"the next, nothing comes in", 1, CUT_IN, 5000, false, 100, 100},
+        {"the next, nothing goes out", 1, CUT_OUT, 5000, false, 100, 100},
+        {"the next, started again", 1, CUT_BOTH, 6000, true, 100, 100},
+    };
+    cutEach(CASES, sizeof(CASES) / sizeof(CASES[0]), 2);
+}
+
+static void cutOffLong(void **state)
+{
+    (void)state;
+    static const CutCase CASES[] = {
+        {"leader, 20 s", 0, CUT_BOTH, 20000, false, 100, 100},
+        {"leader, 60 s, started again", 0, CUT_BOTH, 60000, true, 100, 100},
+        {"the next, 20 s", 1, CUT_BOTH, 20000, false, 100, 100},
+    };
+    cutEach(CASES, sizeof(CASES) / sizeof(CASES[0]), 1);
+}
+
+/* The holder's clock is slow and the others' are quick: their grants lapse first. */
+static void clocksApart(void **state)
+{
+    (void)state;
+    static const CutCase CASES[] = {
+        {"leader slow by 2%", 0, CUT_BOTH, 5000, false, 98, 100},
+        {"others quick by 2%", 0, CUT_BOTH, 5000, false, 100, 102},
+    };
+    cutEach(CASES, sizeof(CASES) / sizeof(CASES[0]), 6);
+}
+
+/* A clock that all but stands still inside its lease: the lease seems to go on for ever.
+ * The configuration, and every refusal that claims to know what is in force or which jobs
+ * there are, rests on a round of contact, not on a clock. */
+static void clockStands(void **state)
+{
+    (void)state;
+    static const CutCase CASES[] = {
+        {"leader's clock stands", 0, CUT_BOTH, 6000, false, 1, 100},
+        {"leader's clock stands, nothing comes in", 0, CUT_IN, 6000, false, 1, 100},
+    };
+    cutEach(CASES, sizeof(CASES) / sizeof(CASES[0]), 2);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(cutOff),
+        cmocka_unit_test(cutOffLong),
+        cmocka_unit_test(clocksApart),
+        cmocka_unit_test(clockStands),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -89,6 +89,10 @@
 /* Whether it holds the lock, also while it opens a view anew: holds may be
  * answered, nothing may be decided. */
 bool viewHolds(const View *view);
+/* Waits until a majority of the seats has granted the lock to this node in answer to
+ * questions that were sent after the call: whatever the clocks do, nobody else had led by
+ * the time of the call. NOT_LEADER: another may; EXPIRED: nobody knows. */
+Status viewContact(View *view, int64_t untilMs);
 uint64_t viewEpoch(const View *view);
 /* When this node won the lock from another (or from nobody). */
 int64_t viewWonMs(const View *view);
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -20,6 +20,7 @@
     int64_t wallMs, wallAtMs; /* its wall clock, and our clock when it was told; wallAtMs 0: never */
     int64_t syncMs;
     uint64_t sight;
+    uint64_t contact; /* the newest round of contact that it has answered */
 } Peer;
 
 /* The guest's peer: a core without a seat, brought up to date to be given one. */
@@ -100,6 +101,9 @@
     Signal released; /* the holder of the lock has given it up */
     bool named;      /* ... and named this seat to be the next */
     Signal news;
+    uint64_t contactAsked; /* rounds of contact that were asked for */
+    Signal contactNews;    /* one more is */
+    Signal contactMade;    /* a seat has answered one */
 };
 
 #define SNAPSHOT_FIELDS(X)   \
@@ -211,6 +215,13 @@
  * trims the others to it, opens the next epoch and goes on. skip: seats that
  * are to stay out. Waits. */
 Status viewOpen(View *view, const bool skip[SEAT_MOST]);
+/* The seat at the slot has granted the lock in answer to a question that was sent when the
+ * rounds of contact up to this one had been asked for. */
+void contactGranted(View *view, int slot, uint64_t contact);
+/* Whether a round of contact waits for the seat at the slot. */
+bool contactOwed(const View *view, int slot);
+/* Sleeps so long, or until another round of contact is asked for. */
+void contactRest(View *view, int slot, int64_t restMs);
 /* Watches the hold and the seats of the view. */
 void viewWatch(View *view);
 
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -107,6 +107,15 @@
     peer->sight = answer->sight;
 }
 
+/* It grants the lock as of then, in answer to a question that was sent then. */
+static void granted(View *view, int slot, int64_t sentMs, uint64_t contact)
+{
+    view->peers[slot].renewedMs = sentMs;
+    if (slot != GUEST)
+        lockHoldAnswered(&view->hold, slot, sentMs);
+    contactGranted(view, slot, contact);
+}
+
 static void fillOne(View *view, const Lead *lead, const char *address)
 {
     Peer *peer = &view->peers[lead->slot];
@@ -151,7 +160,7 @@
         bytes += logAt(view->log, i)->payload.count;
         shapeCopy(&RecordShape, logAt(view->log, i), mem, &ask.entries[ask.entriesCount++]);
     }
-    const uint64_t match = ask.prevIndex + ask.entriesCount;
+    const uint64_t match = ask.prevIndex + ask.entriesCount, contact = view->contactAsked;
     SeatAnswer answer = {0};
     const int64_t sentMs = loopNowMs(view->loop);
     if (peer->appendSinceMs == INT64_MAX)
@@ -170,9 +179,7 @@
             peer->matchIndex = match;
             peer->nextIndex = match + 1;
             /* a seat that takes an append lets the hold go on as well */
-            peer->renewedMs = sentMs;
-            if (lead->slot != GUEST)
-                lockHoldAnswered(&view->hold, lead->slot, sentMs);
+            granted(view, lead->slot, sentMs, contact);
             leadCommit(view);
         } else if (status == STATUS_LOG_GAP) {
             peer->matchIndex = 0; /* a disk may have lost what it had synced */
@@ -263,17 +270,15 @@
     const RenewAsk ask = {
         view->epoch, view->disk, view->commitIndex, viewClockMs(view), membersSelf(view->props.members)->id,
         lead->disk,  0};
+    const uint64_t contact = view->contactAsked;
     SeatAnswer answer = {0};
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
     if (!peerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
-        if (status == STATUS_OK) {
-            view->peers[lead->slot].renewedMs = sentMs;
-            if (lead->slot != GUEST)
-                lockHoldAnswered(&view->hold, lead->slot, sentMs);
-        }
+        if (status == STATUS_OK)
+            granted(view, lead->slot, sentMs, contact);
     }
     talloc_free(mem);
     return status;
@@ -294,8 +299,8 @@
         /* appends renew as well; only the rest is told by renewals alone */
         const int64_t lastMs = view->peers[lead.slot].renewedMs;
         if (lead.disk != view->disk && lastMs != INT64_MIN && askedMs != INT64_MIN && sentMs - lastMs < LOCK_RENEW_MS &&
-            sentMs - askedMs < LOCK_TELL_MS) {
-            loopSleep(view->loop, LOCK_RENEW_MS - (sentMs - lastMs));
+            sentMs - askedMs < LOCK_TELL_MS && !contactOwed(view, lead.slot)) {
+            contactRest(view, lead.slot, LOCK_RENEW_MS - (sentMs - lastMs));
             continue;
         }
         if (lead.disk == view->disk) {
@@ -303,20 +308,24 @@
                 lockHoldAnswered(&view->hold, lead.slot, sentMs);
             wallTake(view);
         } else if (seatAddress(view, lead.slot, address)) {
+            Status status = STATUS_EXPIRED;
             if (doubt) {
                 doubt = !heard(view, &lead, address);
             } else {
                 askedMs = sentMs;
-                doubt = !pollReached(renewOne(view, &lead, address, sentMs));
+                status = renewOne(view, &lead, address, sentMs);
+                doubt = !pollReached(status);
             }
             if (askedMs != sentMs && !doubt)
                 continue; /* it answers again: now the renewal */
+            if (status == STATUS_OK && !peerOver(&lead) && contactOwed(view, lead.slot))
+                continue; /* another round of contact was asked for meanwhile */
         }
         /* a guest grants nothing before it has the log */
         const bool waits = lead.slot == GUEST && view->peers[GUEST].renewedMs == INT64_MIN;
         const int64_t eachMs = waits ? SEAT_GIVE_MS : LOCK_RENEW_MS;
         const int64_t tookMs = loopNowMs(view->loop) - sentMs;
-        loopSleep(view->loop, tookMs < eachMs ? eachMs - tookMs : 1);
+        contactRest(view, lead.slot, tookMs < eachMs ? eachMs - tookMs : 1);
     }
 }
 
