The lock's holder counts on 1440 ms of the 1500 that a seat grants, for clocks 2% apart

Cause: holder and seats counted the same 1500 ms, each by its own clock. A holder whose clock is 2% slow went on leading some 30 ms after seats of right clocks had let it lapse, 60 ms when theirs are 2% quick.

Test first: lock.clocksApart failed before (a seat promised another while the holder counted on its lease) and passes now.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -6,9 +6,12 @@
 
 /* --- beats and holds: the sum of the steps after a leader's death is
  * LOCK_HOLD + one proposal + one view change + AGENT_HOLD < 12 s ----------- */
-#define BEAT_MS 500         /* ms; six beats fit in an agent's hold, so five may be lost */
-#define AGENT_HOLD_MS 3000  /* ms; a lost worker's claim lapses after this: "a few seconds at most" */
-#define LOCK_HOLD_MS 1500   /* ms; four renewals fit in it */
+#define BEAT_MS 500        /* ms; six beats fit in an agent's hold, so five may be lost */
+#define AGENT_HOLD_MS 3000 /* ms; a lost worker's claim lapses after this: "a few seconds at most" */
+#define LOCK_HOLD_MS 1500  /* ms; a seat grants the lock for so long */
+#define LOCK_LEASE_MS                                                                                                 \
+    1440 /* ms; the holder counts on so much of it: its clock may be 2% slow and a seat's 2% quick; four renewals fit \
+          */
 #define LOCK_RENEW_MS 350   /* ms; a seat that takes appends renews with them */
 #define LOCK_TELL_MS 1000   /* ms; a renewal also tells what appends do not: clock and holder's name */
 #define PROPOSE_AGAIN_MS 60 /* ms; a core that did not win the lock stands again after this, then twice that ... */
--- a/packages/lock/include/lock/lock.h
+++ b/packages/lock/include/lock/lock.h
@@ -6,7 +6,8 @@
 
 /* The lock, in the two halves that never meet in one process's memory: what a
  * seat has granted, and what the holder may count on. All spans are on the
- * process's own clock; the two halves are never compared.
+ * process's own clock; the two halves are never compared. The holder counts on a
+ * little less than a seat grants, so that clocks may run apart.
  *
  * Why at most one holder: a holder counts its hold from when it SENT the
  * question, a seat from when it ANSWERED, which is later. A holder needs the
--- a/packages/lock/src/lock.c
+++ b/packages/lock/src/lock.c
@@ -68,5 +68,5 @@
         newest[at] = hold->sentMs[i];
     }
     const int64_t oldest = hold->seats > 0 ? newest[lockMajority(hold->seats) - 1] : INT64_MIN;
-    return oldest == INT64_MIN ? INT64_MIN : oldest + LOCK_HOLD_MS;
+    return oldest == INT64_MIN ? INT64_MIN : oldest + LOCK_LEASE_MS;
 }
--- /dev/null
+++ b/packages/lock/test/lock.c
@@ -0,0 +1,66 @@
+/* The lock's two halves, on clocks that run apart. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "base/constants.h"
+#include "lock/lock.h"
+
+#define HOLDER 7
+#define RIVAL 8
+#define EPOCH 3
+#define SEATS 3
+
+/* A steady clock that runs at so many percent, in milliseconds. */
+static int64_t clockAt(int64_t trueMs, int64_t percent)
+{
+    return trueMs * percent / 100;
+}
+
+/* While the holder counts on its lease, no majority may promise anything to another. */
+static void leaseEndsFirst(int64_t holderPercent, int64_t seatPercent)
+{
+    for (int64_t sentMs = 100; sentMs < 200; sentMs++) {
+        LockHold hold = {.seats = SEATS};
+        LockSeat seats[SEATS] = {{0}};
+        lockHoldClear(&hold);
+        for (int i = 0; i < SEATS - 1; i++) { /* answered at once, which is the worst */
+            lockPromise(&seats[i], EPOCH, HOLDER);
+            assert_int_equal(lockRenew(&seats[i], EPOCH, HOLDER, clockAt(sentMs, seatPercent)), STATUS_OK);
+            lockHoldAnswered(&hold, i, clockAt(sentMs, holderPercent));
+        }
+        int64_t trueMs = sentMs;
+        for (; clockAt(trueMs, holderPercent) < lockHoldUntil(&hold); trueMs++)
+            for (int i = 0; i < SEATS - 1; i++)
+                assert_int_equal(lockMayPromise(&seats[i], EPOCH + 1, RIVAL, clockAt(trueMs, seatPercent)),
+                                 STATUS_OTHER_HOLDER);
+        assert_true(trueMs > sentMs + 4 * LOCK_RENEW_MS); /* four renewals still fit in it */
+    }
+}
+
+static void sameClocks(void **state)
+{
+    (void)state;
+    leaseEndsFirst(100, 100);
+}
+
+static void clocksApart(void **state)
+{
+    (void)state;
+    leaseEndsFirst(100 - CLOCK_SLOW_PERCENT, 100);
+    leaseEndsFirst(100, 100 + CLOCK_SLOW_PERCENT);
+    leaseEndsFirst(100 - CLOCK_SLOW_PERCENT, 100 + CLOCK_SLOW_PERCENT);
+    leaseEndsFirst(100 - CLOCK_SLOW_PERCENT, 100 - CLOCK_SLOW_PERCENT);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(sameClocks),
+        cmocka_unit_test(clocksApart),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -29,6 +29,7 @@
 endif()
 
 spancart_test(wire wire)
+spancart_test(lock lock)
 spancart_test(http loop)
 spancart_test(courier sim)
 spancart_test(jobjson api)
