--- a/packages/sim/test/serving.c
+++ b/packages/sim/test/serving.c
@@ -16,7 +16,7 @@
 
 #define CORES 3
 #define GATES 3
-#define READ_PAUSE_MS 20   /* ms; between two reads of one reader */
+#define READ_PAUSE_MS 20  /* ms; between two reads of one reader */
 #define ASK_WAIT_MS 1000  /* ms; a caller gives an answer up after this */
 #define CHANGE_PAUSE_MS 7 /* ms; between two changes of the operator: as soon as the lock has moved, one is in */
 
