What a restarted process reads from its disk is synced before it counts

Cause: a process that dies between a write and its sync leaves the write whole in the system's memory. The next process read it, counted it as synced (its log said so to the leader, a promise counted as kept) and nothing synced it until the next append; a loss of power then took it back. So a log could get shorter than what was told of it, and a founder that died at this point could wake with the founding list alone.

Excluded: the rewrite (new file, sync, rename, sync of the folder) stands at every step; the torn tail's cut was always synced.

fileRead now syncs first (and refuses when that fails).

--- a/packages/journal/test/journal.c
+++ b/packages/journal/test/journal.c
@@ -110,6 +110,7 @@
     assert_int_equal(seen.status, STATUS_OK);
     assert_int_equal(seen.entries, 19);
     /* zeroes after the end, as a file system leaves them */
+    file = simDiskContent(world, machine, PATH); /* the cut put another file in its place */
     file->count = 0;
     uint8_t zeroes[100] = {0};
     bytesAdd(world, file, whole.data, whole.count);
@@ -203,11 +204,96 @@
     talloc_free(world);
 }
 
+/* What a restarted process reads may be in the system's memory alone: the last one died
+ * before its sync. Whatever is told once must outlast a loss of power. */
+static void readIsSynced(void **state)
+{
+    (void)state;
+    int unsynced = 0;
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        SimWorld *world = simWorldNew(NULL, seed);
+        const int machine = simMachine(world);
+        run(world, machine, "core1", 3, false);
+        /* a fourth write begins; the process dies before its sync */
+        simDiskSlow(world, machine, 60000);
+        run(world, machine, "core1", 1, false);
+        simDiskSlow(world, machine, 3);
+        Seen seen = {.node = "core1"};
+        simStart(world, machine, start, &seen);
+        simRunUntil(world, simNowMs(world) + 1000);
+        assert_int_equal(seen.status, STATUS_OK);
+        const size_t told = seen.lastIndex;
+        assert_true(told >= 3);
+        unsynced += told == 4;
+        simPowerOff(world, machine);
+        const Seen again = run(world, machine, "core1", 0, false);
+        assert_int_equal(again.status, STATUS_OK);
+        assert_true(again.lastIndex >= told);
+        talloc_free(world);
+    }
+    print_message("%d of 60 found a record whole that was never synced\n", unsynced);
+    assert_true(unsynced > 0);
+}
+
+/* A loss of power, and a kill, at each step of a rewrite: the old file or the new one,
+ * whole, and never the old one once the rewrite has been told. */
+static void rewriteWalked(void **state)
+{
+    (void)state;
+    int olds = 0, news = 0;
+    for (uint64_t seed = 1; seed <= 40; seed++)
+        for (int64_t atMs = 0; atMs <= 220; atMs += 20) {
+            SimWorld *world = simWorldNew(NULL, seed);
+            const int machine = simMachine(world);
+            run(world, machine, "core1", 6, false);
+            simDiskSlow(world, machine, 100);
+            Seen seen = {.node = "core1", .writes = 2, .rewrite = true}; /* 7, rewrite to 7 alone, 8 */
+            simStart(world, machine, start, &seen);
+            simRunUntil(world, simNowMs(world) + 110 + atMs);
+            const uint64_t rewrites = seen.journal != NULL ? journalCounts(seen.journal)->rewrites : 0;
+            if (seed % 2 == 0)
+                simKill(world, machine);
+            else
+                simPowerOff(world, machine);
+            simDiskSlow(world, machine, 3);
+            const Seen again = run(world, machine, "core1", 0, false);
+            assert_int_equal(again.status, STATUS_OK);
+            const bool old = again.entries >= 6;
+            assert_true(old ? again.lastIndex == again.entries : again.entries <= 2 && again.lastIndex >= 7);
+            assert_false(old && rewrites > 0 && seen.lastIndex >= 8);
+            olds += old;
+            news += !old;
+            /* what was left over stands in nobody's way */
+            assert_int_equal(run(world, machine, "core1", 4, true).status, STATUS_OK);
+            talloc_free(world);
+        }
+    print_message("%d came back with the old file, %d with the new one\n", olds, news);
+    assert_true(olds > 20 && news > 20);
+}
+
+/* Full in the middle of an append: the rest stands, and a rewrite that fits heals it. */
+static void fullDisk(void **state)
+{
+    (void)state;
+    SimWorld *world = simWorldNew(NULL, 7);
+    const int machine = simMachine(world);
+    run(world, machine, "core1", 10, false);
+    simDiskRoom(world, machine, simDiskUsed(world, machine) + 50);
+    assert_int_equal(run(world, machine, "core1", 1, false).status, STATUS_DISK_FAILED);
+    const Seen seen = run(world, machine, "core1", 0, false);
+    assert_int_equal(seen.entries, 10);
+    simDiskRoom(world, machine, 0);
+    assert_int_equal(run(world, machine, "core1", 1, false).status, STATUS_OK);
+    assert_int_equal(run(world, machine, "core1", 0, false).entries, 11);
+    talloc_free(world);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(thereAndBack), cmocka_unit_test(refusals),   cmocka_unit_test(everyByte),
-        cmocka_unit_test(laterFormat),  cmocka_unit_test(failedSync),
+        cmocka_unit_test(thereAndBack),  cmocka_unit_test(refusals),   cmocka_unit_test(everyByte),
+        cmocka_unit_test(laterFormat),   cmocka_unit_test(failedSync), cmocka_unit_test(readIsSynced),
+        cmocka_unit_test(rewriteWalked), cmocka_unit_test(fullDisk),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -92,7 +92,8 @@
 
 /* --- disk ------------------------------------------------------------------------ */
 Status fileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure);
-/* Waits. */
+/* Waits. What it gives is synced: it outlasts a loss of power, also where the process that
+ * wrote it ended before its own sync. */
 Status fileRead(File *file, void *mem, Bytes *content);
 /* Waits until the bytes are synced. One call at a time for each file. */
 Status fileAppend(File *file, Bytes bytes);
--- a/packages/loop/src/realdisk.c
+++ b/packages/loop/src/realdisk.c
@@ -67,7 +67,8 @@
 static bool doRead(RealFile *rf, DiskJob *job)
 {
     struct stat st;
-    if (fstat(rf->fd, &st) != 0)
+    /* the process before this one may have ended between a write and its sync */
+    if (fdatasync(rf->fd) != 0 || fstat(rf->fd, &st) != 0)
         return false;
     const size_t size = (size_t)st.st_size;
     uint8_t *bytes = malloc(size + 1);
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -59,13 +59,18 @@
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
 void simDiskFail(SimWorld *world, int machine, bool fails);
+/* All files together hold so many bytes at most from now on; 0: no bound. */
+void simDiskRoom(SimWorld *world, int machine, size_t bytes);
+/* Bytes of all its files. */
+size_t simDiskUsed(const SimWorld *world, int machine);
 /* Syncs are acknowledged but lost at the next power-off (or kill). */
 void simDiskLie(SimWorld *world, int machine, bool lies);
 /* Whether the disk syncs within so long, and does not fail. */
 bool simDiskGood(const SimWorld *world, int machine, int64_t mostMs);
 /* An empty disk: a machine replaced. */
 void simDiskWipe(SimWorld *world, int machine);
-/* The durable content of a file, for tests that spoil it. */
+/* The content of a file, all of it synced, for tests that spoil it; valid until a process
+ * puts another file in its place. */
 Bytes *simDiskContent(SimWorld *world, int machine, const char *path);
 uint64_t simEvents(const SimWorld *world);
 
--- a/packages/sim/src/disk.c
+++ b/packages/sim/src/disk.c
@@ -1,4 +1,6 @@
-/* Simulated disks: slow, failing, lying, torn. */
+/* Simulated disks: slow, full, failing, lying, torn. What a process has written is seen
+ * by the next one at once; a loss of power takes what no sync has covered: of a file,
+ * each write made since by itself; of a folder, each rename and removal by itself. */
 #include <string.h>
 #include <talloc.h>
 
@@ -7,17 +9,77 @@
 typedef struct SimFile {
     File file; /* first */
     SimMachine *machine;
-    SimContent *content;
+    char *path;
 } SimFile;
 
+static SimName *nameOf(SimMachine *machine, const char *path)
+{
+    SimName *name = mapGet(machine->disk, path);
+    if (name == NULL) {
+        name = talloc_zero(machine->disk, SimName);
+        mapSet(machine->disk, path, name);
+    }
+    return name;
+}
+
 static SimContent *contentOf(SimMachine *machine, const char *path)
 {
-    SimContent *content = mapGet(machine->disk, path);
-    if (content == NULL) {
-        content = talloc_zero(machine->disk, SimContent);
-        mapSet(machine->disk, path, content);
+    SimName *name = nameOf(machine, path);
+    if (name->content == NULL) /* a new file lasts once it has been synced itself: empty, it loses nothing */
+        name->lasting = name->content = talloc_zero(machine->disk, SimContent);
+    return name->content;
+}
+
+static void written(SimContent *content, Bytes bytes)
+{
+    if (bytes.count == 0)
+        return;
+    bytesAdd(content, &content->bytes, bytes.data, bytes.count);
+    if (content->writeCount == DISK_WRITES_MOST) /* the last ones count as one */
+        content->writeCount--;
+    content->writeEnds[content->writeCount++] = content->bytes.count;
+}
+
+static void synced(SimMachine *machine, SimContent *content)
+{
+    if (machine->diskLies)
+        return;
+    content->syncedCount = content->bytes.count;
+    content->writeCount = 0;
+}
+
+static size_t usedOf(const SimMachine *machine)
+{
+    const char **paths;
+    void *mem = talloc_new(NULL);
+    const size_t count = mapKeys(machine->disk, mem, &paths);
+    size_t used = 0;
+    for (size_t i = 0; i < count; i++) {
+        const SimName *name = mapGet(machine->disk, paths[i]);
+        used += name->content != NULL ? name->content->bytes.count : 0;
     }
-    return content;
+    talloc_free(mem);
+    return used;
+}
+
+/* Whether the disk takes the bytes. */
+static bool takes(const SimMachine *machine, size_t count)
+{
+    return !machine->diskFails && (machine->diskRoom == 0 || usedOf(machine) + count <= machine->diskRoom);
+}
+
+/* How much of a write that was broken off is there: all, nothing, or a beginning. */
+static size_t partOf(SimMachine *machine, size_t count)
+{
+    const uint64_t fate = simRandom(machine->world) % 3;
+    if (fate == 2)
+        return (size_t)(simRandom(machine->world) % (count + 1));
+    return fate == 1 ? count : 0;
+}
+
+static Bytes begun(SimMachine *machine, Bytes bytes)
+{
+    return (Bytes){bytes.data, partOf(machine, bytes.count), 0};
 }
 
 Status simFileOpen(Loop *loop, void *mem, const char *path, File **file, Failure *failure)
@@ -27,83 +89,136 @@
     SimFile *sf = talloc_zero(mem, SimFile);
     sf->file.loop = loop;
     sf->machine = &sim->world->machines[sim->machine];
-    sf->content = contentOf(sf->machine, path);
+    sf->path = talloc_strdup(sf, path);
+    contentOf(sf->machine, path);
+    /* the folder is synced at each opening */
+    SimName *name = nameOf(sf->machine, path);
+    name->lasting = name->content;
     *file = &sf->file;
     return STATUS_OK;
 }
 
+static int64_t syncMs(const SimFile *sf)
+{
+    return sf->machine->syncMs + (int64_t)(simRandom(sf->machine->world) % 3);
+}
+
 Status simFileRead(File *file, void *mem, Bytes *content)
 {
     SimFile *sf = (SimFile *)file;
+    SimContent *from = contentOf(sf->machine, sf->path);
     loopSleep(file->loop, 1);
-    *content = bytesCopy(mem, sf->content->durable);
+    if (from->writeCount > 0)
+        loopSleep(file->loop, syncMs(sf));
+    if (sf->machine->diskFails)
+        return STATUS_DISK_FAILED;
+    synced(sf->machine, from);
+    *content = bytesCopy(mem, from->bytes);
     return STATUS_OK;
 }
 
-static void syncWait(SimFile *sf)
-{
-    SimWorld *world = sf->machine->world;
-    loopSleep(sf->file.loop, sf->machine->syncMs + (int64_t)(simRandom(world) % 3));
-}
-
-static void settle(SimFile *sf)
-{
-    if (!sf->machine->diskLies)
-        sf->content->honestCount = sf->content->durable.count;
-    sf->content->inflight = (Bytes){0};
-}
-
 Status simFileAppend(File *file, Bytes bytes)
 {
     SimFile *sf = (SimFile *)file;
-    SimContent *content = sf->content;
+    SimMachine *machine = sf->machine;
+    SimContent *content = contentOf(machine, sf->path);
     content->inflight = bytes;
-    syncWait(sf);
-    if (sf->machine->diskFails) {
-        content->inflight = (Bytes){0};
+    loopSleep(file->loop, syncMs(sf));
+    content->inflight = (Bytes){0};
+    if (!takes(machine, bytes.count)) {
+        written(content, begun(machine, bytes)); /* what a refused write has done nobody knows */
         return STATUS_DISK_FAILED;
     }
-    bytesAdd(content, &content->durable, bytes.data, bytes.count);
-    settle(sf);
+    written(content, bytes);
+    synced(machine, content);
     return STATUS_OK;
 }
 
+/* New file, its sync, rename, sync of the folder; a process or its power may end between
+ * any two of them. */
 Status simFileReplace(File *file, Bytes bytes)
 {
     SimFile *sf = (SimFile *)file;
-    SimContent *content = sf->content;
-    syncWait(sf);
-    if (sf->machine->diskFails)
-        return STATUS_DISK_FAILED;
-    content->durable.count = 0;
-    bytesAdd(content, &content->durable, bytes.data, bytes.count);
-    /* a rename is honest even on a disk that lies about appends */
-    content->honestCount = content->durable.count;
+    SimMachine *machine = sf->machine;
+    const int64_t wholeMs = syncMs(sf);
+    SimName *fresh = nameOf(machine, talloc_asprintf(sf, "%s.new", sf->path));
+    SimContent *content = talloc_zero(machine->disk, SimContent);
+    fresh->content = fresh->lasting = content;
+    content->inflight = bytes;
+    loopSleep(file->loop, wholeMs / 2);
     content->inflight = (Bytes){0};
+    if (!takes(machine, bytes.count)) {
+        written(content, begun(machine, bytes));
+        return STATUS_DISK_FAILED;
+    }
+    written(content, bytes);
+    content->syncedCount = content->bytes.count; /* honest also on a disk that lies about appends */
+    content->writeCount = 0;
+    SimName *name = nameOf(machine, sf->path);
+    name->content = content;
+    fresh->content = NULL;
+    loopSleep(file->loop, wholeMs - wholeMs / 2);
+    if (machine->diskFails)
+        return STATUS_DISK_FAILED; /* the folder was not synced: the rename may be lost */
+    name->lasting = name->content;
+    fresh->lasting = fresh->content;
     return STATUS_OK;
 }
 
+/* --- the end of a process -------------------------------------------------------- */
+
+/* Each write that no sync has covered is there, missing or torn; what is missing before
+ * what is there reads as zeroes. Some losses of power remove all of them. */
+static void powerLost(SimMachine *machine, SimContent *content)
+{
+    size_t kept = content->syncedCount, from = kept;
+    const bool all = machine->diskLies || simRandom(machine->world) % 3 == 0;
+    for (size_t i = 0; i < content->writeCount && !all; i++) {
+        const size_t end = content->writeEnds[i];
+        const size_t there = partOf(machine, end - from);
+        memset(content->bytes.data + from + there, 0, end - from - there);
+        if (there > 0)
+            kept = from + there;
+        from = end;
+    }
+    content->bytes.count = content->syncedCount = kept;
+    content->writeCount = 0;
+}
+
+static void contentEnds(SimMachine *machine, SimContent *content, bool power)
+{
+    if (content == NULL)
+        return;
+    const Bytes inflight = content->inflight;
+    content->inflight = (Bytes){0};
+    if (inflight.count > 0)
+        written(content, begun(machine, inflight));
+    if (power && content->writeCount > 0)
+        powerLost(machine, content);
+}
+
 void simDiskAfterEnd(SimMachine *machine, bool power)
 {
     const char **paths;
     void *mem = talloc_new(NULL);
     const size_t count = mapKeys(machine->disk, mem, &paths);
     for (size_t i = 0; i < count; i++) {
-        SimContent *content = mapGet(machine->disk, paths[i]);
-        if (power && machine->diskLies && content->durable.count > content->honestCount)
-            content->durable.count = content->honestCount;
-        else if (content->inflight.count > 0)
-            bytesAdd(content, &content->durable, content->inflight.data,
-                     (size_t)(simRandom(machine->world) % (content->inflight.count + 1)));
-        content->inflight = (Bytes){0};
-        content->honestCount = content->durable.count;
+        SimName *name = mapGet(machine->disk, paths[i]);
+        contentEnds(machine, name->content, power);
+        if (!power || name->content == name->lasting)
+            continue;
+        if (simRandom(machine->world) % 2 == 0) /* the rename or removal is lost */
+            name->content = name->lasting;
+        name->lasting = name->content;
     }
     talloc_free(mem);
 }
 
-void simDiskSlow(SimWorld *world, int machine, int64_t syncMs)
+/* --- troubles -------------------------------------------------------------------------- */
+
+void simDiskSlow(SimWorld *world, int machine, int64_t syncTakesMs)
 {
-    world->machines[machine].syncMs = syncMs;
+    world->machines[machine].syncMs = syncTakesMs;
 }
 
 void simDiskFail(SimWorld *world, int machine, bool fails)
@@ -111,6 +226,16 @@
     world->machines[machine].diskFails = fails;
 }
 
+void simDiskRoom(SimWorld *world, int machine, size_t bytes)
+{
+    world->machines[machine].diskRoom = bytes;
+}
+
+size_t simDiskUsed(const SimWorld *world, int machine)
+{
+    return usedOf(&world->machines[machine]);
+}
+
 void simDiskLie(SimWorld *world, int machine, bool lies)
 {
     world->machines[machine].diskLies = lies;
@@ -130,5 +255,9 @@
 
 Bytes *simDiskContent(SimWorld *world, int machine, const char *path)
 {
-    return &contentOf(&world->machines[machine], path)->durable;
+    SimContent *content = contentOf(&world->machines[machine], path);
+    /* whatever a test leaves there is what stands */
+    content->syncedCount = content->bytes.count;
+    content->writeCount = 0;
+    return &content->bytes;
 }
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -13,14 +13,24 @@
     void *arg;
 } SimEvent;
 
-/* The part of a file that outlives processes.
- * Invariant: bytes of durable past honestCount are lost at the next loss of power. */
+#define DISK_WRITES_MOST 64 /* count; unsynced writes of one file told from each other */
+
+/* A file, as processes see it; it outlives them.
+ * Invariants: bytes past syncedCount may be lost at the next loss of power, each write
+ * by itself; writeEnds tells where those writes end, in order. */
 typedef struct SimContent {
-    Bytes durable;
-    size_t honestCount;
+    Bytes bytes;
+    size_t syncedCount;
+    size_t writeEnds[DISK_WRITES_MOST], writeCount;
     Bytes inflight; /* being written: a kill leaves a random prefix of it */
 } SimContent;
 
+/* A name of the folder. Invariant: lasting differs from content only after a rename or a
+ * removal that no sync of the folder followed; null: no such file. */
+typedef struct SimName {
+    SimContent *content, *lasting;
+} SimName;
+
 typedef struct SimPort {
     ChannelFn onChannel;
     HttpFn onHttp;
@@ -53,7 +63,8 @@
     int64_t wallOffsetMs;
     int64_t syncMs;
     bool diskFails, diskLies;
-    Map *disk; /* path to SimContent */
+    size_t diskRoom; /* bytes of all its files together; 0: no bound */
+    Map *disk;       /* path to SimName */
 } SimMachine;
 
 struct SimWorld {
