--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -91,11 +91,14 @@
 #define SEAT_GONE_MS 15000     /* ms; a seat gone this long is offered to an empty core: a restart takes less */
 
 /* --- log and disk -------------------------------------------------------- */
-#define LOG_SNAPSHOT_ENTRIES 4000    /* count; the journal is rewritten after this many entries */
+#define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
 #define LOG_BATCH_BYTES (512 * 1024) /* bytes; one append carries at most this much */
 #define LOG_BATCH_ENTRIES 256        /* count; likewise */
 #define LOG_BACK_STEP 64             /* count; a seat whose log differs is asked again from so many entries earlier */
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
+#define JOURNAL_OPEN_MS 3000                /* ms; a disk that refuses writes at the start is tried again for so long */
+#define JOURNAL_BAD_BYTES \
+    (16 * 1024 * 1024) /* bytes; a journal that is not whole is kept beside the new one when it is smaller */
 #define WOKEN_WAIT_MS                                                                                                \
     3000 /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, \
             and the steps after it must end within 12 s */
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -20,6 +20,8 @@
     showMetric(task, "journalBytes", (int64_t)sight.journal.bytes);
     showMetric(task, "journalSyncs", (int64_t)sight.journal.syncs);
     showMetric(task, "journalRewrites", (int64_t)sight.journal.rewrites);
+    showMetric(task, "journalTornBytes", (int64_t)sight.journal.tornBytes);
+    showMetric(task, "journalBegunAnew", sight.journal.begunAnew);
     showMetric(task, "lastSyncMs", sight.journal.lastSyncMs);
     showMetric(task, "worstSyncMs", sight.journal.worstSyncMs);
     showMetric(task, "sight", (int64_t)membersSight(core->members));
--- a/packages/journal/include/journal/journal.h
+++ b/packages/journal/include/journal/journal.h
@@ -21,6 +21,7 @@
     uint64_t rewrites;
     uint64_t bytes;      /* of the file now */
     uint64_t tornBytes;  /* cut off at open */
+    bool begunAnew;      /* in the place of one that was not whole, at this start or an earlier one */
     int64_t lastSyncMs;  /* how long the last one took */
     int64_t worstSyncMs; /* since open */
 } JournalCounts;
@@ -31,6 +32,9 @@
 /* Waits. Opens or makes the file; nodeName must be the one it was made for. */
 Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
                    Journal **journal, Failure *failure);
+/* Waits. Puts a journal with a new disk id in the place of one that is not whole, in one
+ * step; the old one is kept beside it for whoever looks into the fault, when it is small. */
+Status journalBegin(Loop *loop, void *mem, const char *path, const char *nodeName, Journal **journal, Failure *failure);
 /* The random number that names this disk, made with the file. */
 uint64_t journalDisk(const Journal *journal);
 /* Queues the record and waits until it is synced, with all queued before it. */
--- a/packages/journal/include/journal/record.h
+++ b/packages/journal/include/journal/record.h
@@ -4,13 +4,13 @@
 #include "wire/shape.h"
 
 /* What a journal holds. Numbers are part of the format. */
-#define RECORD_LIST(X)                                                               \
-    X(IDENTITY, 1, "identity") /* first record: format version, the disk's id */     \
-    X(CLUSTER, 2, "cluster")   /* epoch: cluster id; payload: packed SeatList */     \
-    X(PROMISE, 3, "promise")   /* epoch and holder promised */                       \
-    X(ENTRY, 4, "entry")       /* an entry of the ordered log */                     \
-    X(TRIM, 5, "trim")         /* all entries after index are gone */                \
-    X(SNAPSHOT, 6, "snapshot") /* the state after index; earlier entries are gone */ \
+#define RECORD_LIST(X)                                                                                 \
+    X(IDENTITY, 1, "identity") /* first record: format version, the disk's id; change 1: begun anew */ \
+    X(CLUSTER, 2, "cluster")   /* epoch: cluster id; payload: packed SeatList */                       \
+    X(PROMISE, 3, "promise")   /* epoch and holder promised */                                         \
+    X(ENTRY, 4, "entry")       /* an entry of the ordered log */                                       \
+    X(TRIM, 5, "trim")         /* all entries after index are gone */                                  \
+    X(SNAPSHOT, 6, "snapshot") /* the state after index; earlier entries are gone */                   \
     X(COMMIT, 7, "commit")     /* entries up to index are committed */
 
 typedef enum RecordKind {
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -217,8 +217,11 @@
 
 static Record identity(const Journal *journal)
 {
-    return (Record){
-        .kind = RECORD_IDENTITY, .epoch = JOURNAL_VERSION, .index = journal->disk, .name = journal->nodeName};
+    return (Record){.kind = RECORD_IDENTITY,
+                    .epoch = JOURNAL_VERSION,
+                    .index = journal->disk,
+                    .change = journal->counts.begunAnew,
+                    .name = journal->nodeName};
 }
 
 Status journalRewrite(Journal *journal, const Record *records, size_t count)
@@ -263,53 +266,127 @@
         else if (strcmp(record->name, journal->nodeName) != 0)
             failureSet(&opening->failure, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
                        record->name, journal->nodeName);
-        else
-            journal->disk = record->index;
+        journal->disk = record->index;
+        journal->counts.begunAnew = record->change != 0;
         return;
     }
     if (opening->failure.status == STATUS_OK && record->kind != RECORD_IDENTITY)
         opening->found(opening->arg, record);
 }
 
-Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
-                   Journal **out, Failure *failure)
+/* A journal with nothing but its file. */
+static Status fileTake(Loop *loop, void *mem, const char *path, const char *nodeName, Journal **out, Failure *failure)
 {
     Journal *journal = talloc_zero(mem, Journal);
     journal->loop = loop;
     journal->nodeName = talloc_strdup(journal, nodeName);
     journal->syncSinceMs = INT64_MAX;
-    Status status = fileOpen(loop, journal, path, &journal->file, failure);
+    *out = journal;
+    return fileOpen(loop, journal, path, &journal->file, failure);
+}
+
+/* Waits. A disk that refuses writes is tried again for a moment. */
+static Status replaceTry(Journal *journal, Bytes content)
+{
+    const int64_t untilMs = loopNowMs(journal->loop) + JOURNAL_OPEN_MS;
+    Status status;
+    while ((status = fileReplace(journal->file, content)) != STATUS_OK && loopNowMs(journal->loop) < untilMs)
+        loopSleep(journal->loop, DISK_MEND_MS);
+    return status;
+}
+
+static Status readTry(Journal *journal, void *mem, Bytes *content)
+{
+    const int64_t untilMs = loopNowMs(journal->loop) + JOURNAL_OPEN_MS;
+    Status status;
+    while ((status = fileRead(journal->file, mem, content)) != STATUS_OK && loopNowMs(journal->loop) < untilMs)
+        loopSleep(journal->loop, DISK_MEND_MS);
+    return status;
+}
+
+/* Reads the file; its torn tail is cut off. */
+static Status contentTake(Journal *journal, const char *path, Opening *opening, Failure *failure)
+{
+    void *mem = talloc_new(journal);
+    Bytes content = {0};
+    size_t goodCount = 0;
+    Status status = readTry(journal, mem, &content);
+    if (status != STATUS_OK)
+        failureSet(failure, status, "cannot read %s", path);
+    else
+        status = journalRead(content, openRecord, opening, &goodCount, failure);
+    if (status == STATUS_OK && opening->failure.status != STATUS_OK)
+        status = failureSet(failure, opening->failure.status, "%s", opening->failure.text);
+    if (status == STATUS_OK && goodCount == 0 && content.count > 0) /* the first block comes in one step */
+        status = failureSet(failure, STATUS_JOURNAL_CORRUPT, "%s holds no journal", path);
+    if (status == STATUS_OK && goodCount < content.count) {
+        status = replaceTry(journal, (Bytes){content.data, goodCount, 0});
+        if (status != STATUS_OK)
+            failureSet(failure, status, "cannot cut the torn tail of %s", path);
+    }
+    journal->counts.bytes = goodCount;
+    journal->counts.tornBytes = content.count - goodCount;
+    talloc_free(mem);
+    return status;
+}
+
+/* A new disk id, in a file that holds nothing else. */
+static Status identityWrite(Journal *journal, const char *path, Failure *failure)
+{
+    void *mem = talloc_new(journal);
+    Bytes body = {0}, block = {0};
+    journal->disk = loopRandom(journal->loop) >> 1;
+    const Record first = identity(journal);
+    recordAdd(mem, &body, &first);
+    blockAdd(mem, &block, body);
+    const Status status = replaceTry(journal, block);
+    journal->counts.bytes = block.count;
+    talloc_free(mem);
+    return status == STATUS_OK ? status : failureSet(failure, status, "cannot write %s", path);
+}
+
+Status journalOpen(Loop *loop, void *mem, const char *path, const char *nodeName, JournalFn found, void *arg,
+                   Journal **out, Failure *failure)
+{
+    Journal *journal;
+    Status status = fileTake(loop, mem, path, nodeName, &journal, failure);
+    if (status != STATUS_OK)
+        return status;
+    Opening opening = {journal, found, arg, 0, {0}};
+    status = contentTake(journal, path, &opening, failure);
+    if (status == STATUS_OK && opening.records == 0)
+        status = identityWrite(journal, path, failure);
     if (status != STATUS_OK)
         return status;
-    void *scratch = talloc_new(journal);
+    loopSpawn(loop, "journal", writerMain, journal);
+    *out = journal;
+    return STATUS_OK;
+}
+
+/* A copy for whoever looks into the fault: it may fail, nothing rests on it. */
+static void keepBad(Journal *journal, const char *path)
+{
+    void *mem = talloc_new(journal);
     Bytes content = {0};
-    status = fileRead(journal->file, scratch, &content);
+    File *beside;
+    if (readTry(journal, mem, &content) == STATUS_OK && content.count <= JOURNAL_BAD_BYTES &&
+        fileOpen(journal->loop, journal, talloc_asprintf(mem, "%s.bad", path), &beside, NULL) == STATUS_OK)
+        fileReplace(beside, content);
+    talloc_free(mem);
+}
+
+Status journalBegin(Loop *loop, void *mem, const char *path, const char *nodeName, Journal **out, Failure *failure)
+{
+    Journal *journal;
+    Status status = fileTake(loop, mem, path, nodeName, &journal, failure);
     if (status != STATUS_OK)
-        return failureSet(failure, status, "cannot read %s", path);
-    Opening opening = {journal, found, arg, 0, {0}};
-    size_t goodCount;
-    status = journalRead(content, openRecord, &opening, &goodCount, failure);
+        return status;
+    keepBad(journal, path);
+    journal->counts.begunAnew = true;
+    status = identityWrite(journal, path, failure);
     if (status != STATUS_OK)
         return status;
-    if (opening.failure.status != STATUS_OK)
-        return failureSet(failure, opening.failure.status, "%s", opening.failure.text);
-    journal->counts.bytes = goodCount;
-    journal->counts.tornBytes = content.count - goodCount;
-    if (goodCount < content.count) {
-        const Bytes good = {content.data, goodCount, 0};
-        status = fileReplace(journal->file, good);
-        if (status != STATUS_OK)
-            return failureSet(failure, status, "cannot cut the torn tail of %s", path);
-    }
-    talloc_free(scratch);
     loopSpawn(loop, "journal", writerMain, journal);
-    if (opening.records == 0) {
-        journal->disk = loopRandom(loop) >> 1;
-        const Record first = identity(journal);
-        status = journalWrite(journal, &first, 1);
-        if (status != STATUS_OK)
-            return failureSet(failure, status, "cannot write %s", path);
-    }
     *out = journal;
     return STATUS_OK;
 }
--- a/packages/journal/test/journal.c
+++ b/packages/journal/test/journal.c
@@ -189,6 +189,57 @@
     talloc_free(mem);
 }
 
+static void beginMain(void *arg)
+{
+    Seen *seen = arg;
+    seen->status = journalBegin(seen->loop, seen->loop, PATH, seen->node, &seen->journal, &seen->failure);
+}
+
+static void beginStart(void *arg, Loop *loop)
+{
+    ((Seen *)arg)->loop = loop;
+    loopSpawn(loop, "begin", beginMain, arg);
+}
+
+/* Some other file, and one that lost its beginning: refused, never taken for an empty disk.
+ * What is begun in its place has another id, says so ever after, and keeps a copy. */
+static void begunAnew(void **state)
+{
+    (void)state;
+    SimWorld *world = simWorldNew(NULL, 1);
+    const int machine = simMachine(world);
+    Seen seen = run(world, machine, "core1", 4, false);
+    const Bytes whole = bytesCopy(world, *simDiskContent(world, machine, PATH));
+    Bytes *file = simDiskContent(world, machine, PATH);
+    file->count = 0;
+    const char *other = "some other file, not of ours";
+    bytesAdd(world, file, other, strlen(other));
+    assert_int_equal(run(world, machine, "core1", 0, false).status, STATUS_JOURNAL_CORRUPT);
+    file = simDiskContent(world, machine, PATH);
+    file->count = 0;
+    bytesAdd(world, file, whole.data + 20, whole.count - 20);
+    seen = run(world, machine, "core1", 0, false);
+    assert_int_equal(seen.status, STATUS_JOURNAL_CORRUPT);
+    Seen anew = {.node = "core1"};
+    simStart(world, machine, beginStart, &anew);
+    simRunUntil(world, simNowMs(world) + 1000);
+    assert_int_equal(anew.status, STATUS_OK);
+    assert_true(journalCounts(anew.journal)->begunAnew);
+    const uint64_t disk = journalDisk(anew.journal);
+    simKill(world, machine);
+    assert_int_equal(simDiskContent(world, machine, PATH ".bad")->count, whole.count - 20);
+    for (int life = 0; life < 2; life++) {
+        Seen again = {.node = "core1", .writes = 2, .rewrite = life == 0};
+        simStart(world, machine, start, &again);
+        simRunUntil(world, simNowMs(world) + 1000);
+        assert_int_equal(again.status, STATUS_OK);
+        assert_true(journalCounts(again.journal)->begunAnew);
+        assert_int_equal(journalDisk(again.journal), disk);
+        simPowerOff(world, machine);
+    }
+    talloc_free(world);
+}
+
 static void failedSync(void **state)
 {
     (void)state;
@@ -293,7 +344,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(thereAndBack),  cmocka_unit_test(refusals),   cmocka_unit_test(everyByte),
         cmocka_unit_test(laterFormat),   cmocka_unit_test(failedSync), cmocka_unit_test(readIsSynced),
-        cmocka_unit_test(rewriteWalked), cmocka_unit_test(fullDisk),
+        cmocka_unit_test(rewriteWalked), cmocka_unit_test(fullDisk),   cmocka_unit_test(begunAnew),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/packages/sim/test/diskstate.c
@@ -0,0 +1,324 @@
+/* The state on disk: what a journal held comes back the same, whatever ended the process,
+ * and a core that was away catches up however much has changed meanwhile. */
+#include <inttypes.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "inside.h"
+#include "sim/fleet.h"
+
+#define FILLER 60000 /* number of a change that no state knows: it is kept in the log and does nothing */
+
+static View *viewOf(Fleet *fleet, int core)
+{
+    return coreView(fleetNode(fleet, FLEET_CORE, core)->core);
+}
+
+static bool runs(Fleet *fleet, int core)
+{
+    const FleetNode *node = fleetNode(fleet, FLEET_CORE, core);
+    return node->up && node->core != NULL && simAlive(fleet->world, node->machine);
+}
+
+static Fleet *begin(uint64_t seed)
+{
+    const FleetSite site = {.zones = 3, .losses = 1, .gateSeeds = 1, .votes = true, .disksKeep = true};
+    Fleet *fleet = fleetNewAt(NULL, seed, (FleetShape){3, 1, 1, MIX_TRENTVALE, 0}, &site);
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    return fleet;
+}
+
+/* --- what was held comes back ------------------------------------------------------ */
+
+/* The log as the journal has it, all of it synced. */
+typedef struct Held {
+    bool known;
+    uint64_t baseIndex, lastIndex;
+    uint64_t *epochs; /* of baseIndex + 1 on */
+    uint64_t promised, listIndex;
+} Held;
+
+static Held heldOf(Fleet *fleet, int core)
+{
+    const View *view = viewOf(fleet, core);
+    Held held = {0};
+    if (journalSyncSince(view->journal) != INT64_MAX || journalFailed(view->journal) || view->compacting)
+        return held;
+    held.known = true;
+    held.baseIndex = view->log->baseIndex;
+    held.lastIndex = view->queuedIndex;
+    held.promised = view->lock.promised;
+    held.listIndex = view->listIndex <= held.lastIndex ? view->listIndex : 0;
+    held.epochs = talloc_zero_array(fleet, uint64_t, (unsigned)(held.lastIndex - held.baseIndex + 1));
+    for (uint64_t i = held.baseIndex + 1; i <= held.lastIndex; i++)
+        held.epochs[i - held.baseIndex - 1] = logAt(view->log, i)->epoch;
+    return held;
+}
+
+static void assertBack(Fleet *fleet, int core, const Held *held)
+{
+    const View *view = viewOf(fleet, core);
+    if (!held->known)
+        return;
+    assert_true(logLastIndex(view->log) >= held->lastIndex);
+    assert_true(view->lock.promised >= held->promised);
+    assert_true(view->listIndex >= held->listIndex);
+    for (uint64_t i = held->baseIndex + 1; i <= held->lastIndex; i++)
+        if (i > view->log->baseIndex)
+            assert_int_equal(logAt(view->log, i)->epoch, held->epochs[i - held->baseIndex - 1]);
+}
+
+/* Ends the core and starts it again where nobody reaches it: its log is that of its disk. */
+static void restart(Fleet *fleet, int core, bool power)
+{
+    const Held held = heldOf(fleet, core);
+    if (power)
+        fleetPowerOff(fleet, FLEET_CORE, core);
+    else
+        fleetKill(fleet, FLEET_CORE, core);
+    fleetIsolate(fleet, FLEET_CORE, core, true);
+    fleetStartNode(fleet, FLEET_CORE, core);
+    simDiskSlow(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine, 3);
+    for (int i = 0; i < 100 && !runs(fleet, core); i++)
+        fleetRun(fleet, 10);
+    assert_true(runs(fleet, core));
+    assertBack(fleet, core, &held);
+    fleetIsolate(fleet, FLEET_CORE, core, false);
+}
+
+static void offer(Fleet *fleet, int count, size_t bytes)
+{
+    const int leader = fleetLeader(fleet);
+    if (leader < 0)
+        return;
+    void *mem = talloc_new(NULL);
+    const Bytes payload = {talloc_zero_size(mem, bytes + 1), bytes, 0};
+    for (int i = 0; i < count; i++)
+        if (viewLeading(viewOf(fleet, leader)))
+            viewOffer(viewOf(fleet, leader), FILLER, payload);
+    talloc_free(mem);
+}
+
+static void strikeAny(Fleet *fleet, bool *cut)
+{
+    SimWorld *world = fleet->world;
+    const int core = (int)(simRandom(world) % 3);
+    const int machine = fleetNode(fleet, FLEET_CORE, core)->machine;
+    switch (simRandom(world) % 6) {
+    case 0:
+        if (runs(fleet, core) && !cut[core])
+            restart(fleet, core, simRandom(world) % 2 == 0);
+        break;
+    case 1:
+        cut[core] = !cut[core];
+        fleetIsolate(fleet, FLEET_CORE, core, cut[core]);
+        break;
+    case 2:
+        simDiskSlow(world, machine, (int64_t)(simRandom(world) % 400));
+        break;
+    case 3:
+        if (runs(fleet, core))
+            viewCompactMaybe(viewOf(fleet, core), true);
+        break;
+    default:
+        offer(fleet, (int)(simRandom(world) % 20), 10);
+        break;
+    }
+}
+
+/* Restarts, losses of power, cuts, slow disks and snapshots at any moment: what an idle
+ * journal held is what the next process has. */
+static void comesBack(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 25; seed++) {
+        Fleet *fleet = begin(seed);
+        bool cut[3] = {false};
+        for (int step = 0; step < 150; step++) {
+            strikeAny(fleet, cut);
+            fleetRun(fleet, (int64_t)(simRandom(fleet->world) % 300));
+        }
+        if (checkerBrokenAll(fleet->checker) > 0)
+            fail_msg("seed %" PRIu64 ": %s", seed, checkerFirst(fleet->checker));
+        talloc_free(fleet);
+    }
+}
+
+/* A leader whose disk is slow orders what its journal has not been given yet, makes a
+ * snapshot, and is cut off at once; the others go on without those entries. When it is
+ * back and has what they have, its disk must say so too. */
+static void snapshotThenTrimmed(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        Fleet *fleet = begin(seed);
+        const int leader = fleetLeader(fleet);
+        const int machine = fleetNode(fleet, FLEET_CORE, leader)->machine;
+        simDiskSlow(fleet->world, machine, 2500); /* longer than the lock is held */
+        offer(fleet, 3, 10);
+        fleetRun(fleet, 60 + 10 * (int64_t)seed);
+        offer(fleet, 5, 10);
+        viewCompactMaybe(viewOf(fleet, leader), true);
+        simTurn(fleet->world, machine, simNowMs(fleet->world) + 100);
+        fleetIsolate(fleet, FLEET_CORE, leader, true);
+        fleetRun(fleet, 5000);
+        simDiskSlow(fleet->world, machine, 3);
+        assert_true(fleetLeader(fleet) >= 0 && fleetLeader(fleet) != leader);
+        offer(fleet, 12, 10);
+        fleetRun(fleet, 1000);
+        fleetIsolate(fleet, FLEET_CORE, leader, false);
+        fleetRun(fleet, 5000);
+        const uint64_t told = logLastIndex(viewOf(fleet, leader)->log);
+        restart(fleet, leader, seed % 2 == 0);
+        assert_true(logLastIndex(viewOf(fleet, leader)->log) >= told);
+        talloc_free(fleet);
+    }
+}
+
+/* --- a disk that is not whole ---------------------------------------------------- */
+
+static void spoil(Fleet *fleet, int core)
+{
+    Bytes *journal = simDiskContent(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine, "data/journal");
+    assert_true(journal->count > 400);
+    journal->data[100] ^= 4; /* past the identity, long before the end */
+}
+
+static bool seated(Fleet *fleet, int core)
+{
+    const int leader = fleetLeader(fleet);
+    return leader >= 0 && runs(fleet, core) && viewSeatOf(viewOf(fleet, leader), viewDisk(viewOf(fleet, core))) >= 0;
+}
+
+/* A journal that is spoilt before its end: its node comes back by itself as an empty disk
+ * with another id, says so, and is a voter again only by the others' change of the list. */
+static void spoiltIsEmpty(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        const int core = (int)(seed % 3);
+        const uint64_t before = viewDisk(viewOf(fleet, core));
+        offer(fleet, 50, 100);
+        fleetRun(fleet, 1000);
+        fleetKill(fleet, FLEET_CORE, core);
+        spoil(fleet, core);
+        checkerFault(fleet->checker);
+        fleetIsolate(fleet, FLEET_CORE, core, true);
+        fleetStartNode(fleet, FLEET_CORE, core);
+        fleetRun(fleet, 3000);
+        assert_true(runs(fleet, core));
+        const View *view = viewOf(fleet, core);
+        ViewSight sight;
+        viewSight(view, &sight);
+        assert_true(sight.journal.begunAnew && viewDisk(view) != before);
+        assert_false(viewFounded(view));
+        assert_int_equal(logLastIndex(view->log), 0);
+        assert_int_equal(view->lock.promised, 0);
+        const ProposeAsk ask = {1000, before, 0, 1000, 1000};
+        assert_int_equal(seatPropose(viewOf(fleet, core), &ask), STATUS_NO_SEAT);
+        fleetIsolate(fleet, FLEET_CORE, core, false);
+        for (int i = 0; i < 60 && !seated(fleet, core); i++)
+            fleetRun(fleet, 500);
+        assert_true(seated(fleet, core));
+        assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+        talloc_free(fleet);
+    }
+}
+
+typedef struct Writing {
+    View *view;
+    Record record;
+} Writing;
+
+static void writeMain(void *arg)
+{
+    const Writing *writing = arg;
+    assert_int_equal(journalWrite(writing->view->journal, &writing->record, 1), STATUS_OK);
+}
+
+/* Puts a record into the core's journal behind its back, and starts the core again. */
+static void recordAndRestart(Fleet *fleet, int core, Record record)
+{
+    Writing *writing = talloc_zero(fleet, Writing);
+    *writing = (Writing){viewOf(fleet, core), record};
+    loopSpawn(simLoop(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine), "write", writeMain, writing);
+    fleetRun(fleet, 200);
+    fleetKill(fleet, FLEET_CORE, core);
+    checkerFault(fleet->checker);
+    fleetStartNode(fleet, FLEET_CORE, core);
+    fleetRun(fleet, 1000);
+}
+
+/* Each block is good, but a record is of a later release: the node does not start, and
+ * its disk stays as it is. */
+static void unknownRecord(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    const int core = (fleetLeader(fleet) + 1) % 3;
+    recordAndRestart(fleet, core, (Record){.kind = 99, .name = ""});
+    assert_false(runs(fleet, core));
+    assert_non_null(strstr(ringText(fleetNode(fleet, FLEET_CORE, core)->ring, fleet), "journal-format"));
+    talloc_free(fleet);
+}
+
+/* Each block is good, but entries are missing: the log is not whole. */
+static void entriesMissing(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    const int core = (fleetLeader(fleet) + 1) % 3;
+    const View *view = viewOf(fleet, core);
+    const uint64_t before = viewDisk(view);
+    const Record far = {.kind = RECORD_ENTRY,
+                        .epoch = logLastEpoch(view->log),
+                        .index = logLastIndex(view->log) + 2,
+                        .change = FILLER,
+                        .name = ""};
+    recordAndRestart(fleet, core, far);
+    assert_true(runs(fleet, core) && viewDisk(viewOf(fleet, core)) != before);
+    talloc_free(fleet);
+}
+
+/* All of them spoilt: more than can be borne. Nobody founds a second cluster over it. */
+static void allSpoilt(void **state)
+{
+    (void)state;
+    for (int votes = 0; votes < 2; votes++) {
+        const FleetSite site = {.zones = 3, .losses = 1, .gateSeeds = 1, .votes = votes == 1, .disksKeep = true};
+        Fleet *fleet = fleetNewAt(NULL, 5, (FleetShape){3, 1, 1, MIX_TRENTVALE, 0}, &site);
+        fleetStart(fleet);
+        assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+        for (int life = 0; life < 2; life++) {
+            for (int core = 0; core < 3; core++) {
+                fleetPowerOff(fleet, FLEET_CORE, core);
+                if (life == 0)
+                    spoil(fleet, core);
+            }
+            for (int core = 0; core < 3; core++)
+                fleetStartNode(fleet, FLEET_CORE, core);
+            fleetRun(fleet, 20000);
+            for (int core = 0; core < 3; core++)
+                assert_true(runs(fleet, core) && !viewFounded(viewOf(fleet, core)));
+        }
+        talloc_free(fleet);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(comesBack),
+        cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),  cmocka_unit_test(allSpoilt),
+        cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/view/include/view/log.h
+++ b/packages/view/include/view/log.h
@@ -22,6 +22,10 @@
 /* The epoch of the entry at index, also of the base; false when not known. */
 bool logEpochAt(const Log *log, uint64_t index, uint64_t *epoch);
 void logAdd(Log *log, const Record *entry);
+/* Takes the next entry that a journal tells. One told again changes nothing; one of another
+ * epoch at an index that is there replaces it and all after it. JOURNAL_CORRUPT: entries
+ * before it are missing, or its epoch is lower than theirs. */
+Status logTake(Log *log, const Record *entry);
 /* Drops all entries after index. */
 void logTrim(Log *log, uint64_t index);
 /* Puts the snapshot in the place of all entries up to its index. */
--- /dev/null
+++ b/packages/view/src/disk.c
@@ -0,0 +1,257 @@
+/* The state on disk: what the journal gives back at the start, snapshots, and a disk that
+ * refused writes. A journal that is not whole counts for nothing: its node comes back
+ * with a new, empty disk, which has promised nothing and never founds a cluster. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+Status viewLoad(View *view, const Record *record)
+{
+    void *mem = talloc_new(view);
+    Snapshot snapshot;
+    Status status = shapeUnpack(&SnapshotShape, record->payload, mem, &snapshot, NULL);
+    if (status == STATUS_OK)
+        status = view->props.state.load(view->props.state.arg, snapshot.state);
+    if (status == STATUS_OK)
+        view->deliveredIndex = record->index;
+    talloc_free(mem);
+    return status;
+}
+
+/* --- snapshots ------------------------------------------------------------------ */
+
+Record *viewRecords(View *view, void *mem, size_t *count)
+{
+    const Log *log = view->log;
+    Record *records = talloc_zero_array(mem, Record, (unsigned)(log->count + 3));
+    size_t at = 0;
+    if (view->cluster != 0) {
+        records[at] = (Record){.kind = RECORD_CLUSTER, .epoch = view->cluster, .name = ""};
+        shapePack(&SeatListShape, view->founded, mem, &records[at++].payload);
+        records[at++] =
+            (Record){.kind = RECORD_PROMISE, .epoch = view->lock.promised, .index = view->lock.holder, .name = ""};
+    }
+    if (log->snapshot.kind == RECORD_SNAPSHOT)
+        records[at++] = log->snapshot;
+    for (size_t i = 0; i < log->count; i++)
+        records[at++] = log->entries[i];
+    *count = at;
+    return records;
+}
+
+/* Waits. The whole journal anew. All entries are in it, also those that it had not been
+ * given before: from here on they count as queued, so that dropping them is written too. */
+static Status journalAnew(View *view)
+{
+    void *mem = talloc_new(view);
+    size_t count;
+    const Record *records = viewRecords(view, mem, &count);
+    view->queuedIndex = logLastIndex(view->log);
+    const Status status = journalRewrite(view->journal, records, count);
+    talloc_free(mem);
+    return status;
+}
+
+static void compactMain(void *arg)
+{
+    View *view = arg;
+    journalAnew(view);
+    view->compacting = false;
+}
+
+void viewCompactMaybe(View *view, bool force)
+{
+    Log *log = view->log;
+    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < LOG_SNAPSHOT_ENTRIES))
+        return;
+    void *mem = talloc_new(view);
+    /* seats and last as of deliveredIndex: later ones are still in the log */
+    uint64_t epoch = 0;
+    logEpochAt(log, view->deliveredIndex, &epoch);
+    Snapshot snapshot = {0};
+    const uint64_t lastIndex = logLastIndex(log);
+    bool later = false;
+    for (uint64_t i = view->deliveredIndex + 1; i <= lastIndex; i++)
+        later |= logAt(log, i)->change < VIEW_CHANGE_FIRST;
+    if (later) { /* a change of view is under way: compact after it */
+        talloc_free(mem);
+        return;
+    }
+    snapshot.seats = view->list->seats;
+    snapshot.seatsCount = view->list->seatsCount;
+    snapshot.cores = view->list->cores;
+    snapshot.coresCount = view->list->coresCount;
+    snapshot.last = view->last;
+    snapshot.state = view->props.state.save(view->props.state.arg, mem);
+    Record record = {
+        .kind = RECORD_SNAPSHOT, .epoch = epoch, .index = view->deliveredIndex, .atMs = viewClockMs(view), .name = ""};
+    shapePack(&SnapshotShape, &snapshot, mem, &record.payload);
+    logRebase(log, &record);
+    talloc_free(mem);
+    view->compacting = true;
+    loopSpawn(view->loop, "compact", compactMain, view);
+}
+
+/* --- start --------------------------------------------------------------------------- */
+
+typedef struct Reading {
+    View *view;
+    Failure failure; /* what is wrong with the journal's records, each of which is good by itself */
+} Reading;
+
+static void clusterFound(View *view, const Record *record)
+{
+    SeatList *seats = talloc_zero(view, SeatList);
+    if (shapeUnpack(&SeatListShape, record->payload, seats, seats, NULL) == STATUS_OK) {
+        talloc_free(view->founded);
+        view->founded = seats;
+    }
+    view->cluster = record->epoch;
+}
+
+static void entryFound(Reading *reading, const Record *record)
+{
+    View *view = reading->view;
+    const uint64_t lastIndex = logLastIndex(view->log);
+    const Status status = logTake(view->log, record);
+    if (status != STATUS_OK)
+        failureSet(&reading->failure, status, "entry %" PRIu64 " does not follow the log up to %" PRIu64, record->index,
+                   lastIndex);
+    viewClockTell(view, record->atMs);
+}
+
+static void recordFound(void *arg, const Record *record)
+{
+    Reading *reading = arg;
+    View *view = reading->view;
+    if (reading->failure.status != STATUS_OK)
+        return;
+    switch (record->kind) {
+    case RECORD_CLUSTER:
+        clusterFound(view, record);
+        break;
+    case RECORD_PROMISE:
+        lockPromise(&view->lock, record->epoch, record->index);
+        break;
+    case RECORD_ENTRY:
+        entryFound(reading, record);
+        break;
+    case RECORD_TRIM:
+        logTrim(view->log, record->index);
+        break;
+    case RECORD_SNAPSHOT:
+        logTrim(view->log, 0);
+        logRebase(view->log, record);
+        viewClockTell(view, record->atMs);
+        break;
+    case RECORD_COMMIT:
+        break; /* of an earlier release; it is told anew */
+    default:
+        failureSet(&reading->failure, STATUS_JOURNAL_FORMAT,
+                   "a record of kind %" PRIu64 ", which this release does not know", record->kind);
+    }
+}
+
+/* Opens the journal and takes what it holds. */
+static Status diskRead(View *view, const char *path, Failure *failure)
+{
+    Reading reading = {.view = view};
+    const Status status =
+        journalOpen(view->loop, view, path, view->nodeName, recordFound, &reading, &view->journal, failure);
+    if (status != STATUS_OK)
+        return status;
+    if (reading.failure.status != STATUS_OK)
+        return failureSet(failure, reading.failure.status, "%s: %s", path, reading.failure.text);
+    const bool state = view->log->snapshot.kind == RECORD_SNAPSHOT || view->log->count > 0 || view->lock.promised != 0;
+    if (view->cluster == 0 && state)
+        return failureSet(failure, STATUS_JOURNAL_CORRUPT, "%s holds a log, but not the cluster it is of", path);
+    if (view->log->snapshot.kind != RECORD_SNAPSHOT)
+        return STATUS_OK;
+    const Status loaded = viewLoad(view, &view->log->snapshot);
+    if (loaded != STATUS_OK)
+        return failureSet(failure, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
+                          statusWord(loaded));
+    view->commitIndex = view->deliveredIndex;
+    return STATUS_OK;
+}
+
+/* As if nothing had been read. */
+static void diskForget(View *view)
+{
+    talloc_free(view->log);
+    view->log = logNew(view);
+    talloc_free(view->founded);
+    talloc_free(view->list);
+    seatsFirst(view);
+    view->cluster = 0;
+    view->lock = (LockSeat){0};
+    view->clockBaseMs = view->clockAtMs = view->clockLogMs = 0;
+    view->clockRuns = false;
+    view->commitIndex = view->deliveredIndex = 0;
+    view->props.state.load(view->props.state.arg, (Bytes){0});
+}
+
+/* The journal is not whole: what it has promised and acknowledged is not known. */
+static Status diskBeginAnew(View *view, const char *path, Failure *failure)
+{
+    ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "%s: %s; begins as a new, empty disk",
+            statusWord(failure->status), failure->text);
+    *failure = (Failure){0};
+    diskForget(view);
+    return journalBegin(view->loop, view, path, view->nodeName, &view->journal, failure);
+}
+
+Status viewOpenDisk(View *view, const char *path, const char *nodeName, Failure *failure)
+{
+    Failure read = {0};
+    view->nodeName = talloc_strdup(view, nodeName);
+    Status status = diskRead(view, path, &read);
+    if (status == STATUS_JOURNAL_CORRUPT)
+        status = diskBeginAnew(view, path, &read);
+    if (status != STATUS_OK)
+        return failureSet(failure, status, "%s", read.text);
+    view->disk = journalDisk(view->journal);
+    if (journalCounts(view->journal)->begunAnew)
+        view->props.founds = VIEW_FOUNDS_NEVER; /* the cluster that it was of may live */
+    view->queuedIndex = logLastIndex(view->log);
+    viewReread(view);
+    view->woke = view->cluster != 0;
+    /* a disk that was never part of a cluster has granted nothing */
+    if (view->cluster != 0)
+        view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;
+    view->lock.sure = view->props.disksKeep;
+    if (view->cluster != 0)
+        courierSetCluster(view->props.courier, view->cluster);
+    return STATUS_OK;
+}
+
+/* A disk that refused a write is tried again, with all that it should hold. Until
+ * that is there, the seat takes nothing, so that memory and disk do not part. */
+static void mendMain(void *arg)
+{
+    View *view = arg;
+    while (!loopStopping(view->loop)) {
+        loopSleep(view->loop, DISK_MEND_MS);
+        if (!journalFailed(view->journal) || view->compacting || view->holding)
+            continue;
+        view->mending = true;
+        if (journalAnew(view) == STATUS_OK) {
+            if (view->restUntilMs > loopNowMs(view->loop) + PROPOSE_MS)
+                view->restUntilMs = loopNowMs(view->loop) + PROPOSE_MS;
+            ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "own disk takes writes again");
+        }
+        view->mending = false;
+    }
+}
+
+void diskStart(View *view)
+{
+    loopSpawn(view->loop, "mend", mendMain, view);
+}
+
+bool viewDiskFailed(const View *view)
+{
+    return view->mending || journalFailed(view->journal);
+}
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -133,6 +133,8 @@
 
 /* Its writes fail: nothing may be promised or taken. */
 bool viewDiskFailed(const View *view);
+/* Spawns the task that tries a failed disk again. */
+void diskStart(View *view);
 
 /* The list of seats. */
 void seatsFirst(View *view);
--- a/packages/view/src/log.c
+++ b/packages/view/src/log.c
@@ -44,6 +44,22 @@
     log->count++;
 }
 
+Status logTake(Log *log, const Record *entry)
+{
+    uint64_t epoch;
+    if (entry->index <= log->baseIndex)
+        return STATUS_OK; /* the snapshot stands for it */
+    if (entry->index > logLastIndex(log) + 1)
+        return STATUS_JOURNAL_CORRUPT;
+    if (logEpochAt(log, entry->index, &epoch) && epoch == entry->epoch)
+        return STATUS_OK;
+    logTrim(log, entry->index - 1);
+    if (entry->epoch < logLastEpoch(log))
+        return STATUS_JOURNAL_CORRUPT;
+    logAdd(log, entry);
+    return STATUS_OK;
+}
+
 void logTrim(Log *log, uint64_t index)
 {
     while (log->count > 0 && logLastIndex(log) > index)
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -221,169 +221,7 @@
     }
 }
 
-Status viewLoad(View *view, const Record *record)
-{
-    void *mem = talloc_new(view);
-    Snapshot snapshot;
-    Status status = shapeUnpack(&SnapshotShape, record->payload, mem, &snapshot, NULL);
-    if (status == STATUS_OK)
-        status = view->props.state.load(view->props.state.arg, snapshot.state);
-    if (status == STATUS_OK)
-        view->deliveredIndex = record->index;
-    talloc_free(mem);
-    return status;
-}
-
-/* --- snapshots ------------------------------------------------------------------ */
-
-Record *viewRecords(View *view, void *mem, size_t *count)
-{
-    const Log *log = view->log;
-    Record *records = talloc_zero_array(mem, Record, (unsigned)(log->count + 3));
-    size_t at = 0;
-    if (view->cluster != 0) {
-        records[at] = (Record){.kind = RECORD_CLUSTER, .epoch = view->cluster, .name = ""};
-        shapePack(&SeatListShape, view->founded, mem, &records[at++].payload);
-        records[at++] =
-            (Record){.kind = RECORD_PROMISE, .epoch = view->lock.promised, .index = view->lock.holder, .name = ""};
-    }
-    if (log->snapshot.kind == RECORD_SNAPSHOT)
-        records[at++] = log->snapshot;
-    for (size_t i = 0; i < log->count; i++)
-        records[at++] = log->entries[i];
-    *count = at;
-    return records;
-}
-
-static void compactMain(void *arg)
-{
-    View *view = arg;
-    void *mem = talloc_new(view);
-    size_t count;
-    const Record *records = viewRecords(view, mem, &count);
-    journalRewrite(view->journal, records, count);
-    talloc_free(mem);
-    view->compacting = false;
-}
-
-void viewCompactMaybe(View *view, bool force)
-{
-    Log *log = view->log;
-    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < LOG_SNAPSHOT_ENTRIES))
-        return;
-    void *mem = talloc_new(view);
-    /* seats and last as of deliveredIndex: later ones are still in the log */
-    uint64_t epoch = 0;
-    logEpochAt(log, view->deliveredIndex, &epoch);
-    Snapshot snapshot = {0};
-    const uint64_t lastIndex = logLastIndex(log);
-    bool later = false;
-    for (uint64_t i = view->deliveredIndex + 1; i <= lastIndex; i++)
-        later |= logAt(log, i)->change < VIEW_CHANGE_FIRST;
-    if (later) { /* a change of view is under way: compact after it */
-        talloc_free(mem);
-        return;
-    }
-    snapshot.seats = view->list->seats;
-    snapshot.seatsCount = view->list->seatsCount;
-    snapshot.cores = view->list->cores;
-    snapshot.coresCount = view->list->coresCount;
-    snapshot.last = view->last;
-    snapshot.state = view->props.state.save(view->props.state.arg, mem);
-    Record record = {
-        .kind = RECORD_SNAPSHOT, .epoch = epoch, .index = view->deliveredIndex, .atMs = viewClockMs(view), .name = ""};
-    shapePack(&SnapshotShape, &snapshot, mem, &record.payload);
-    logRebase(log, &record);
-    talloc_free(mem);
-    view->compacting = true;
-    loopSpawn(view->loop, "compact", compactMain, view);
-}
-
-/* --- start --------------------------------------------------------------------------- */
-
-static void found(void *arg, const Record *record)
-{
-    View *view = arg;
-    switch (record->kind) {
-    case RECORD_CLUSTER: {
-        SeatList *seats = talloc_zero(view, SeatList);
-        if (shapeUnpack(&SeatListShape, record->payload, seats, seats, NULL) == STATUS_OK) {
-            talloc_free(view->founded);
-            view->founded = seats;
-        }
-        view->cluster = record->epoch;
-        break;
-    }
-    case RECORD_PROMISE:
-        lockPromise(&view->lock, record->epoch, record->index);
-        break;
-    case RECORD_ENTRY:
-        if (record->index == logLastIndex(view->log) + 1)
-            logAdd(view->log, record);
-        viewClockTell(view, record->atMs);
-        break;
-    case RECORD_TRIM:
-        logTrim(view->log, record->index);
-        break;
-    case RECORD_SNAPSHOT:
-        logTrim(view->log, 0);
-        logRebase(view->log, record);
-        viewClockTell(view, record->atMs);
-        break;
-    default:
-        break; /* of a later release */
-    }
-}
-
-Status viewOpenDisk(View *view, const char *path, const char *nodeName, Failure *failure)
-{
-    view->nodeName = talloc_strdup(view, nodeName);
-    Status status = journalOpen(view->loop, view, path, nodeName, found, view, &view->journal, failure);
-    if (status != STATUS_OK)
-        return status;
-    view->disk = journalDisk(view->journal);
-    if (view->log->snapshot.kind == RECORD_SNAPSHOT) {
-        status = viewLoad(view, &view->log->snapshot);
-        if (status != STATUS_OK)
-            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "the snapshot of %s can't be read: %s", path,
-                              statusWord(status));
-        view->commitIndex = view->deliveredIndex;
-    }
-    view->queuedIndex = logLastIndex(view->log);
-    viewReread(view);
-    view->woke = view->cluster != 0;
-    /* a disk that was never part of a cluster has granted nothing */
-    if (view->cluster != 0)
-        view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;
-    view->lock.sure = view->props.disksKeep;
-    if (view->cluster != 0)
-        courierSetCluster(view->props.courier, view->cluster);
-    return STATUS_OK;
-}
-
-/* A disk that refused a write is tried again, with all that it should hold. Until
- * that is there, the seat takes nothing, so that memory and disk do not part. */
-static void mendMain(void *arg)
-{
-    View *view = arg;
-    while (!loopStopping(view->loop)) {
-        loopSleep(view->loop, DISK_MEND_MS);
-        if (!journalFailed(view->journal) || view->compacting || view->holding)
-            continue;
-        view->mending = true;
-        void *mem = talloc_new(view);
-        size_t count;
-        const Record *records = viewRecords(view, mem, &count);
-        if (journalRewrite(view->journal, records, count) == STATUS_OK) {
-            view->queuedIndex = logLastIndex(view->log);
-            if (view->restUntilMs > loopNowMs(view->loop) + PROPOSE_MS)
-                view->restUntilMs = loopNowMs(view->loop) + PROPOSE_MS;
-            ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "own disk takes writes again");
-        }
-        talloc_free(mem);
-        view->mending = false;
-    }
-}
+/* --- start ---------------------------------------------------------------------------- */
 
 void viewStart(View *view, Members *members)
 {
@@ -397,15 +235,10 @@
         leadRelease(view, view->lock.sure ? view->disk : 0);
     }
     viewWatch(view);
-    loopSpawn(view->loop, "mend", mendMain, view);
+    diskStart(view);
     seatsStart(view);
 }
 
-bool viewDiskFailed(const View *view)
-{
-    return view->mending || journalFailed(view->journal);
-}
-
 Status viewFound(View *view, uint64_t cluster, const SeatList *seats)
 {
     if (view->cluster != 0)
