The log is shortened after 8 MB as after 4,000 entries

Cause: only entries were counted. 400 changes of 300 KB with a core away for them took 120,013 KB on each disk (of 128 MB, before the rewrite that needs room for both files), 208,376 KB of memory at the peak that was seen, and 6,400 ms with 119,473 KB sent over 200 Mbit/s until the core had all again.

Now 8,401 KB, 14,813 KB, 150 ms and 2,402 KB. A state that is larger than the bound is not written again for a log smaller than itself. Small changes are as before: away for 10, 300, 3,000 and 9,000 changes of 200 bytes it has all after 50, 80, 190 and 60 ms with 4, 65, 645 and 215 KB.

diskstate.awayForBig failed before (on disk and in memory), passes now; awayForMany measures the rest. The simulator's links have a rate when a test asks for one, and count what they carry.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -92,6 +92,8 @@
 
 /* --- log and disk -------------------------------------------------------- */
 #define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
+#define LOG_SNAPSHOT_BYTES \
+    (8 * 1024 * 1024) /* bytes; ... or after so many: some 25 large configurations; sent in half a second */
 #define LOG_BATCH_BYTES (512 * 1024) /* bytes; one append carries at most this much */
 #define LOG_BATCH_ENTRIES 256        /* count; likewise */
 #define LOG_BACK_STEP 64             /* count; a seat whose log differs is asked again from so many entries earlier */
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -55,6 +55,10 @@
 bool simIsCut(const SimWorld *world, int from, int to);
 /* Delay of each frame and connection: from low up to high. */
 void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs);
+/* Each machine sends so many bytes a ms between processes from now on; 0: no bound. */
+void simLinkRate(SimWorld *world, int64_t bytesEachMs);
+/* Bytes that a machine's processes have sent to others so far. */
+uint64_t simSentBytes(const SimWorld *world, int machine);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -78,6 +78,28 @@
     pairMaybeFree(pair);
 }
 
+/* When the last of the bytes has left the machine. */
+static int64_t leaves(SimWorld *world, SimMachine *from, size_t bytes)
+{
+    from->sentBytes += bytes;
+    if (world->linkRate == 0)
+        return world->nowMs;
+    if (from->linkFreeMs < world->nowMs)
+        from->linkFreeMs = world->nowMs;
+    from->linkFreeMs += (int64_t)bytes / world->linkRate;
+    return from->linkFreeMs;
+}
+
+void simLinkRate(SimWorld *world, int64_t bytesEachMs)
+{
+    world->linkRate = bytesEachMs;
+}
+
+uint64_t simSentBytes(const SimWorld *world, int machine)
+{
+    return world->machines[machine].sentBytes;
+}
+
 static void push(SimPair *pair, int side, bool fin, Bytes bytes)
 {
     if (pair->fin[side])
@@ -87,7 +109,7 @@
     SimFrame *frame = talloc_zero(pair, SimFrame);
     frame->fin = fin;
     frame->bytes = bytesCopy(frame, bytes);
-    frame->dueMs = world->nowMs + simLinkMs(world);
+    frame->dueMs = leaves(world, &world->machines[pair->machine[side]], bytes.count) + simLinkMs(world);
     if (pair->last[side] != NULL) {
         if (frame->dueMs < pair->last[side]->dueMs)
             frame->dueMs = pair->last[side]->dueMs;
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -61,6 +61,8 @@
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
+    int64_t linkFreeMs; /* all that was sent so far has left by then */
+    uint64_t sentBytes;
     int64_t syncMs;
     bool diskFails, diskLies;
     size_t diskRoom; /* bytes of all its files together; 0: no bound */
@@ -78,6 +80,7 @@
     int machineCount;
     bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
     int64_t delayLowMs, delayHighMs;
+    int64_t linkRate; /* bytes a ms that a machine sends; 0: no bound */
     SimFn watch;
     void *watchArg;
 };
--- a/packages/sim/test/diskstate.c
+++ b/packages/sim/test/diskstate.c
@@ -182,6 +182,104 @@
     }
 }
 
+/* --- after many changes ------------------------------------------------------------ */
+
+#define LINK_BYTES_MS 25000              /* bytes a ms: 200 Mbit/s, the slowest link of a disk machine */
+#define DISK_BYTES (128 * 1024 * 1024)   /* bytes; the smallest disk of one */
+#define MEMORY_BYTES (130 * 1024 * 1024) /* bytes; half of the smallest memory: the other half is work's */
+#define BIG_BYTES (300 * 1024)           /* bytes; a whole configuration of a large site */
+
+static size_t memoryOf(Fleet *fleet, int core)
+{
+    return talloc_total_size(simLoop(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine));
+}
+
+/* Has all that the leader has committed. */
+static bool caughtUp(Fleet *fleet, int core)
+{
+    const int leader = fleetLeader(fleet);
+    return leader >= 0 && runs(fleet, core) && viewOf(fleet, core)->deliveredIndex > 0 &&
+           viewOf(fleet, core)->deliveredIndex + 2 >= viewOf(fleet, leader)->commitIndex;
+}
+
+typedef struct CatchUp {
+    int64_t tookMs;      /* from the start of its process */
+    uint64_t bytes;      /* that the leader sent meanwhile, to all */
+    size_t memory, disk; /* the most of any core */
+} CatchUp;
+
+static void mostTake(Fleet *fleet, CatchUp *catchUp)
+{
+    for (int i = 0; i < 3; i++) {
+        const size_t disk = simDiskUsed(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine);
+        const size_t memory = runs(fleet, i) ? memoryOf(fleet, i) : 0;
+        catchUp->disk = disk > catchUp->disk ? disk : catchUp->disk;
+        catchUp->memory = memory > catchUp->memory ? memory : catchUp->memory;
+    }
+}
+
+/* A core is away while so many changes of so many bytes are made, a few at a time. */
+static CatchUp awayFor(uint64_t seed, int changes, size_t bytes, int atOnce)
+{
+    Fleet *fleet = begin(seed);
+    CatchUp catchUp = {0};
+    simLinkRate(fleet->world, LINK_BYTES_MS);
+    for (int i = 0; i < 3; i++)
+        simDiskRoom(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, DISK_BYTES);
+    const int away = (fleetLeader(fleet) + 1) % 3;
+    checkerFault(fleet->checker);
+    fleetPowerOff(fleet, FLEET_CORE, away);
+    for (int made = 0; made < changes; made += atOnce) {
+        offer(fleet, atOnce, bytes);
+        fleetRun(fleet, 200);
+        mostTake(fleet, &catchUp);
+    }
+    fleetRun(fleet, 2000);
+    const int leader = fleetLeader(fleet);
+    assert_true(leader >= 0);
+    const int64_t fromMs = simNowMs(fleet->world);
+    const uint64_t sent = simSentBytes(fleet->world, fleetNode(fleet, FLEET_CORE, leader)->machine);
+    fleetStartNode(fleet, FLEET_CORE, away);
+    for (int i = 0; i < 3000 && !caughtUp(fleet, away); i++) {
+        fleetRun(fleet, 10);
+        mostTake(fleet, &catchUp);
+    }
+    assert_true(caughtUp(fleet, away));
+    catchUp.tookMs = simNowMs(fleet->world) - fromMs;
+    catchUp.bytes = simSentBytes(fleet->world, fleetNode(fleet, FLEET_CORE, leader)->machine) - sent;
+    for (int i = 0; i < 3; i++)
+        assert_false(viewDiskFailed(viewOf(fleet, i)));
+    assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+    print_message("away for %d changes of %zu bytes: caught up in %d ms with %zu KB; at most %zu KB on disk, %zu KB of "
+                  "memory\n",
+                  changes, bytes, (int)catchUp.tookMs, (size_t)catchUp.bytes / 1024, catchUp.disk / 1024,
+                  catchUp.memory / 1024);
+    talloc_free(fleet);
+    return catchUp;
+}
+
+/* Time and bytes grow with what was missed, up to a snapshot, and no further. */
+static void awayForMany(void **state)
+{
+    (void)state;
+    const CatchUp few = awayFor(1, 10, 200, 10);
+    const CatchUp some = awayFor(1, 300, 200, 10);
+    const CatchUp many = awayFor(1, 3000, 200, 20);
+    const CatchUp most = awayFor(1, 9000, 200, 50); /* beyond a snapshot */
+    assert_true(few.bytes < some.bytes && some.bytes < many.bytes);
+    assert_true(most.bytes < many.bytes * 2);
+    assert_true(most.tookMs < few.tookMs + 1500);
+}
+
+/* Hundreds of whole configurations: neither the disk nor the memory grows with them. */
+static void awayForBig(void **state)
+{
+    (void)state;
+    const CatchUp big = awayFor(1, 400, BIG_BYTES, 2);
+    assert_true(big.disk < DISK_BYTES / 2);
+    assert_true(big.memory < MEMORY_BYTES);
+}
+
 /* --- a disk that is not whole ---------------------------------------------------- */
 
 static void spoil(Fleet *fleet, int core)
@@ -316,7 +414,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(comesBack),
+        cmocka_unit_test(awayForMany),         cmocka_unit_test(awayForBig),     cmocka_unit_test(comesBack),
         cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),  cmocka_unit_test(allSpoilt),
         cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
     };
--- a/packages/view/include/view/log.h
+++ b/packages/view/include/view/log.h
@@ -12,6 +12,7 @@
     Record *entries; /* each owned by the log */
     void **owners;
     size_t count, room;
+    size_t bytes; /* payloads of the entries */
 } Log;
 
 Log *logNew(void *mem);
--- a/packages/view/src/disk.c
+++ b/packages/view/src/disk.c
@@ -61,10 +61,19 @@
     view->compacting = false;
 }
 
+/* Entries and bytes are bounded alike: what is read at a start, sent to one that was away
+ * and kept in memory. A large state is not written again for a smaller log. */
+static bool longEnough(const Log *log)
+{
+    const size_t bytes =
+        log->snapshot.payload.count > LOG_SNAPSHOT_BYTES ? log->snapshot.payload.count : LOG_SNAPSHOT_BYTES;
+    return log->count >= LOG_SNAPSHOT_ENTRIES || log->bytes >= bytes;
+}
+
 void viewCompactMaybe(View *view, bool force)
 {
     Log *log = view->log;
-    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && log->count < LOG_SNAPSHOT_ENTRIES))
+    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && !longEnough(log)))
         return;
     void *mem = talloc_new(view);
     /* seats and last as of deliveredIndex: later ones are still in the log */
--- a/packages/view/src/log.c
+++ b/packages/view/src/log.c
@@ -42,6 +42,7 @@
     log->owners[log->count] = talloc_new(log);
     shapeCopy(&RecordShape, entry, log->owners[log->count], &log->entries[log->count]);
     log->count++;
+    log->bytes += entry->payload.count;
 }
 
 Status logTake(Log *log, const Record *entry)
@@ -62,8 +63,10 @@
 
 void logTrim(Log *log, uint64_t index)
 {
-    while (log->count > 0 && logLastIndex(log) > index)
-        talloc_free(log->owners[--log->count]);
+    while (log->count > 0 && logLastIndex(log) > index) {
+        log->bytes -= log->entries[--log->count].payload.count;
+        talloc_free(log->owners[log->count]);
+    }
 }
 
 void logRebase(Log *log, const Record *snapshot)
@@ -73,8 +76,10 @@
         gone = (size_t)(snapshot->index - log->baseIndex);
     if (gone > log->count)
         gone = log->count;
-    for (size_t i = 0; i < gone; i++)
+    for (size_t i = 0; i < gone; i++) {
+        log->bytes -= log->entries[i].payload.count;
         talloc_free(log->owners[i]);
+    }
     if (gone < log->count) {
         memmove(log->entries, log->entries + gone, (log->count - gone) * sizeof(*log->entries));
         memmove(log->owners, log->owners + gone, (log->count - gone) * sizeof(*log->owners));
