--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -12,7 +12,7 @@
 
 typedef void (*SimStart)(void *arg, Loop *loop);
 typedef void (*SimFn)(void *arg);
-/* bytes were added to a machine's file, or stand in its place (whole). */
+/* bytes were added to a machine's file and synced, or are all that it has (whole). */
 typedef void (*SimDiskFn)(void *arg, int machine, const char *path, Bytes bytes, bool whole);
 
 SimWorld *simWorldNew(void *mem, uint64_t seed);
@@ -30,7 +30,7 @@
 /* Called after each event: the place of the checkers. */
 void simWatch(SimWorld *world, SimFn fn, void *arg);
 
-/* Called after each change of what a disk keeps. */
+/* Called after each sync of a file, with what it now keeps through a loss of power. */
 void simWatchDisks(SimWorld *world, SimDiskFn fn, void *arg);
 
 /* A machine: an IP of its own ("10.0.0.N") and a disk that outlives its
@@ -64,17 +64,26 @@
  * many come once more, up to lateMs later and out of order. No connection of the
  * platform's does this: the replicated log is tried with it. */
 void simFrames(SimWorld *world, unsigned dropped, unsigned repeated, int64_t lateMs);
+/* Each machine sends so many bytes a ms between processes from now on; 0: no bound. */
+void simLinkRate(SimWorld *world, int64_t bytesEachMs);
+/* Bytes that a machine's processes have sent to others so far. */
+uint64_t simSentBytes(const SimWorld *world, int machine);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
 void simDiskFail(SimWorld *world, int machine, bool fails);
+/* All files together hold so many bytes at most from now on; 0: no bound. */
+void simDiskRoom(SimWorld *world, int machine, size_t bytes);
+/* Bytes of all its files. */
+size_t simDiskUsed(const SimWorld *world, int machine);
 /* Syncs are acknowledged but lost at the next power-off (or kill). */
 void simDiskLie(SimWorld *world, int machine, bool lies);
 /* Whether the disk syncs within so long, and does not fail. */
 bool simDiskGood(const SimWorld *world, int machine, int64_t mostMs);
 /* An empty disk: a machine replaced. */
 void simDiskWipe(SimWorld *world, int machine);
-/* The durable content of a file, for tests that spoil it. */
+/* The content of a file, all of it synced, for tests that spoil it; valid until a process
+ * puts another file in its place. */
 Bytes *simDiskContent(SimWorld *world, int machine, const char *path);
 uint64_t simEvents(const SimWorld *world);
 
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -13,15 +13,24 @@
     void *arg;
 } SimEvent;
 
-/* The part of a file that outlives processes.
- * Invariant: bytes of durable past honestCount are lost at the next loss of power. */
+#define DISK_WRITES_MOST 64 /* count; unsynced writes of one file told from each other */
+
+/* A file, as processes see it; it outlives them.
+ * Invariants: bytes past syncedCount may be lost at the next loss of power, each write
+ * by itself; writeEnds tells where those writes end, in order. */
 typedef struct SimContent {
-    const char *path;
-    Bytes durable;
-    size_t honestCount;
+    Bytes bytes;
+    size_t syncedCount;
+    size_t writeEnds[DISK_WRITES_MOST], writeCount;
     Bytes inflight; /* being written: a kill leaves a random prefix of it */
 } SimContent;
 
+/* A name of the folder. Invariant: lasting differs from content only after a rename or a
+ * removal that no sync of the folder followed; null: no such file. */
+typedef struct SimName {
+    SimContent *content, *lasting;
+} SimName;
+
 typedef struct SimPort {
     ChannelFn onChannel;
     HttpFn onHttp;
@@ -52,9 +61,12 @@
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
+    int64_t linkFreeMs; /* all that was sent so far has left by then */
+    uint64_t sentBytes;
     int64_t syncMs;
     bool diskFails, diskLies;
-    Map *disk; /* path to SimContent */
+    size_t diskRoom; /* bytes of all its files together; 0: no bound */
+    Map *disk;       /* path to SimName */
 } SimMachine;
 
 struct SimWorld {
@@ -68,6 +80,7 @@
     int machineCount;
     bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
     int64_t delayLowMs, delayHighMs;
+    int64_t linkRate; /* bytes a ms that a machine sends; 0: no bound */
     SimFn watch;
     void *watchArg;
     SimDiskFn diskWatch;
--- a/packages/view/src/log.c
+++ b/packages/view/src/log.c
@@ -42,12 +42,31 @@
     log->owners[log->count] = talloc_new(log);
     shapeCopy(&RecordShape, entry, log->owners[log->count], &log->entries[log->count]);
     log->count++;
+    log->bytes += entry->payload.count;
+}
+
+Status logTake(Log *log, const Record *entry)
+{
+    uint64_t epoch;
+    if (entry->index <= log->baseIndex)
+        return STATUS_OK; /* the snapshot stands for it */
+    if (entry->index > logLastIndex(log) + 1)
+        return STATUS_JOURNAL_CORRUPT;
+    if (logEpochAt(log, entry->index, &epoch) && epoch == entry->epoch)
+        return STATUS_OK;
+    logTrim(log, entry->index - 1);
+    if (entry->epoch < logLastEpoch(log))
+        return STATUS_JOURNAL_CORRUPT;
+    logAdd(log, entry);
+    return STATUS_OK;
 }
 
 void logTrim(Log *log, uint64_t index)
 {
-    while (log->count > 0 && logLastIndex(log) > index)
-        talloc_free(log->owners[--log->count]);
+    while (log->count > 0 && logLastIndex(log) > index) {
+        log->bytes -= log->entries[--log->count].payload.count;
+        talloc_free(log->owners[log->count]);
+    }
 }
 
 void logRebase(Log *log, const Record *snapshot)
@@ -57,8 +76,10 @@
         gone = (size_t)(snapshot->index - log->baseIndex);
     if (gone > log->count)
         gone = log->count;
-    for (size_t i = 0; i < gone; i++)
+    for (size_t i = 0; i < gone; i++) {
+        log->bytes -= log->entries[i].payload.count;
         talloc_free(log->owners[i]);
+    }
     if (gone < log->count) {
         memmove(log->entries, log->entries + gone, (log->count - gone) * sizeof(*log->entries));
         memmove(log->owners, log->owners + gone, (log->count - gone) * sizeof(*log->owners));
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -154,7 +154,7 @@
           "int64_t leftMs = holdLeftMs(&agent->hold, nowMs);",
           "int64_t leftMs = holdRuns(&agent->hold, nowMs) ? AGENT_HOLD_MS : 0;",
           "running twice|" + CLAIM, "timeline", "trentvale", 4, AGENT_CUT),
-    Guard("woken-seat-waits", "a restarted seat grants nothing for a whole lock hold", "packages/view/src/view.c",
+    Guard("woken-seat-waits", "a restarted seat grants nothing for a whole lock hold", "packages/view/src/disk.c",
           "view->lock.notBeforeMs = loopNowMs(view->loop) + LOCK_HOLD_MS;", "view->lock.notBeforeMs = 0;",
           "two leaders", "timeline", "trentvale", 12, SEATS_WAKE,
           also=[("packages/view/src/open.c", "    return nowMs - view->wokenSinceMs >= WOKEN_WAIT_MS;", "    return true;")]),
