Cores without a vote follow the log; no change of membership bears fewer losses

Cause: one core at a time was brought up to date, only once a vote was free, and a vote went over by "vacate, then give". A replacement so cost a transfer when it was least affordable, and a voter that lived would pass through two voters of two, where one more loss stops everything.

A learner that is given a vote goes on from where it stands.

Which change of membership comes next is decided in one place that knows nothing of time or wire (membership.c): one voter added or removed, committed before the next, so majorities of consecutive lists share a voter. A voter that is gone is removed first; for one that lives its successor is added first, and it is removed from an even number alone. Joint agreement was weighed: it would bear no more losses than these steps do, at the price of two lists at once in leases, polls and commits. Of two votes in one zone, one goes to a learner in a zone that has none, once that has been ready for the span of a loss: after a zone's return the votes are spread again.

Found on the way: a learner whose first append was lost was never asked again while nothing new came (founding.cutApart, which failed without this: nobody had a vote to give). It is now asked until it has taken one.

Tests: membership.c walks all states of up to six voters, each that lives, leaves, is silent or gone, with none to two learners: no step bears less than the state before it, none removes the leader, each comes to rest; it is seen to fail when a voter that leaves is removed before its successor is added.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -82,11 +82,13 @@
 #define FOUND_WAIT_MS 1500      /* ms; three empty disks must see each other for this long before founding */
 #define VOTE_WAIT_MS \
     600 /* ms; a core stands as the founder so long after its start: those started with it have been heard of */
-#define SEAT_LOOK_MS 200  /* ms; the holder looks so often whether a seat is to be given */
-#define SEAT_GIVE_MS 30   /* ms; ... and so often while a guest is brought up to date */
+#define MEMBERSHIP_LOOK_MS 200 /* ms; the leader looks so often whether a change of membership is due */
+#define MEMBERSHIP_SOON_MS 30  /* ms; ... and so often while a learner is not ready yet, or one change follows another */
+#define LEARNER_MOST 4         /* count; cores without a vote that follow the log at a time: each costs a copy of it */
+#define LEARNER_APPEND_MS 100  /* ms; a learner takes what has come within this in one append: nobody waits for it */
+#define LEARNER_LATE_MS \
+    2500 /* ms; a learner that is not ready by then makes way for another: megabytes take a second */
 #define SEAT_REST_MS 1000 /* ms; a seat that left the view for being late is out for so long at least */
-#define SEAT_GUEST_MS \
-    2500 /* ms; a guest that is not up to date by then makes way for another: megabytes take a second */
 #define SEAT_LOST_REST_MS 5000 /* ms; a core that was told that its seat is another's does not stand for so long */
 #define SEAT_GONE_MS 15000     /* ms; where the settings do not say how soon a loss is made good */
 #define VOTER_SILENT_PART \
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -4,7 +4,7 @@
 #include "view/log.h"
 #include "view/view.h"
 
-/* What the holder knows of one seat, or of its guest, under its epoch.
+/* What the leader knows of one voter or learner, under its epoch.
  * Invariant: matchIndex is synced there; nextIndex > matchIndex. */
 typedef struct Peer {
     uint64_t matchIndex, nextIndex;
@@ -22,8 +22,17 @@
     uint64_t sight;
 } Peer;
 
-/* The guest's peer: a core without a seat, brought up to date to be given one. */
-#define GUEST SEAT_MOST
+/* The slots of peers: one for each place of a voter, then one for each learner. */
+#define SLOT_MOST (SEAT_MOST + LEARNER_MOST)
+
+/* A core without a vote that follows the log, so that it can be given one at once.
+ * Invariant: turn grows each time that the slot is given; tasks of an earlier turn end. */
+typedef struct Learner {
+    uint64_t disk; /* 0: the slot is free */
+    uint64_t turn;
+    int64_t sinceMs;
+    int64_t readySinceMs; /* INT64_MAX: it is not ready */
+} Learner;
 
 /* A submitted change that waits for its delivery. */
 typedef struct Waiter {
@@ -80,11 +89,11 @@
     bool reopening; /* the opening under way is of a holder that never lost the lock */
     uint64_t viewIndex;
     bool inView[SEAT_MOST];
-    Peer peers[SEAT_MOST + 1];
-    uint64_t guest;     /* a disk; 0: none */
-    uint64_t guestTurn; /* the lead that it is a guest of */
-    int64_t guestSinceMs;
-    uint64_t guestPassed; /* the last guest that was not ready in time; others go first */
+    Peer peers[SLOT_MOST];
+    Learner learners[LEARNER_MOST];
+    uint64_t learnersTurn;   /* the lead that they follow */
+    uint64_t learnersPassed; /* a disk that was not ready in time; others go first */
+    Signal membership;       /* a change of membership is to be weighed at once */
     uint64_t queuedIndex; /* handed to the own journal; what follows is synced after it */
     uint64_t syncedIndex; /* own journal, as far as this lead knows */
     int64_t changedMs;    /* the last change of view */
@@ -146,13 +155,32 @@
 SeatList *seatsWith(const View *view, void *mem, int place, uint64_t disk);
 /* Where the core of a place's disk is asked; false when nobody knows. */
 bool seatAddress(const View *view, int place, char address[ADDRESS_MAX]);
-/* The disk of a place, or of the guest. */
+/* The disk of a slot: a voter's place, or a learner's. */
 uint64_t slotDisk(const View *view, int slot);
 /* Whether the disk is gone for certain: its core has come back with another, at the
  * same address when asked for. */
 bool seatDead(const View *view, uint64_t disk, bool sameAddress);
-/* The holder gives seats: up to the number wanted, and those of disks that are gone. */
-void seatsStart(View *view);
+/* Where its core stands; empty when nobody knows. */
+const char *seatZone(const View *view, uint64_t disk);
+/* Whether the disk of a voter is gone for so long, or for certain, that it is to be replaced. */
+bool voterGone(const View *view, int place);
+/* Whether it answers and has all that is committed. */
+bool voterLive(const View *view, int place);
+/* The leader keeps the number of voters wanted, one committed change at a time. */
+void votersStart(View *view);
+
+/* The leader has every core without a vote follow the log, in as many slots as there are. */
+void learnersFollow(View *view);
+/* A lead that is over has no learners. */
+void learnersClear(View *view);
+/* Whether the learner has nearly all of the log, and grants the lease. */
+bool learnerReady(const View *view, size_t learner);
+/* Ready for at least the span in which a loss is made good. */
+bool learnerSteady(const View *view, size_t learner);
+/* The slot is free again: its disk has a vote now. */
+void learnerDone(View *view, size_t learner);
+/* The span in which a loss is made good. */
+int64_t viewBackMs(const View *view);
 
 /* The seat's part; each may wait for the disk. */
 void seatDescribe(const View *view, void *mem, SeatAnswer *answer);
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -47,17 +47,25 @@
     signalRaise(view->loop, &view->news);
 }
 
-/* Invariant: disk is not 0; the task is over once another disk has the slot. */
+/* Invariant: disk is not 0; the task is over once another disk has the slot, or a
+ * learner's slot was given anew. */
 typedef struct Lead {
     View *view;
     uint64_t turn;
     int slot;
     uint64_t disk;
+    uint64_t learnerTurn; /* 0: a voter's slot */
 } Lead;
 
+static uint64_t learnerTurn(const View *view, int slot)
+{
+    return slot >= SEAT_MOST ? view->learners[slot - SEAT_MOST].turn : 0;
+}
+
 static bool peerOver(const Lead *lead)
 {
-    return leadOver(lead->view, lead->turn) || slotDisk(lead->view, lead->slot) != lead->disk;
+    return leadOver(lead->view, lead->turn) || slotDisk(lead->view, lead->slot) != lead->disk ||
+           learnerTurn(lead->view, lead->slot) != lead->learnerTurn;
 }
 
 /* Syncs the own journal: a seat as the others, but asked directly. */
@@ -171,7 +179,7 @@
             peer->nextIndex = match + 1;
             /* a seat that takes an append lets the hold go on as well */
             peer->renewedMs = sentMs;
-            if (lead->slot != GUEST)
+            if (lead->slot < SEAT_MOST)
                 lockHoldAnswered(&view->hold, lead->slot, sentMs);
             leadCommit(view);
         } else if (status == STATUS_LOG_GAP) {
@@ -193,14 +201,20 @@
     talloc_free(mem);
 }
 
-/* One task for each other seat, in the view or not, and for the guest. */
+/* A learner whose last append took long is measured again, also when there is nothing new. */
+static bool slowLearner(const Lead *lead)
+{
+    return lead->slot >= SEAT_MOST && lead->view->peers[lead->slot].appendTookMs >= SEAT_SLOW_MS;
+}
+
+/* One task for each other voter, in the view or not, and for each learner. */
 static void peerMain(void *arg)
 {
     const Lead lead = *(Lead *)arg;
     View *view = lead.view;
     talloc_free(arg);
     Peer *peer = &view->peers[lead.slot];
-    bool told = false; /* it has heard of this epoch by an append */
+    bool told = false; /* it has taken an append under this epoch */
     while (!peerOver(&lead)) {
         char address[ADDRESS_MAX];
         if (!seatAddress(view, lead.slot, address)) {
@@ -209,9 +223,12 @@
         }
         if (peer->refill || peer->nextIndex <= view->log->baseIndex) {
             fillOne(view, &lead, address);
-        } else if (peer->nextIndex <= logLastIndex(view->log) || !told) {
+        } else if (peer->nextIndex <= logLastIndex(view->log) || !told || slowLearner(&lead)) {
             appendOne(view, &lead, address);
-            told = true;
+            told |= peer->matchIndex + 1 == peer->nextIndex;
+            /* nobody waits for a learner: it takes several changes in one append */
+            if (lead.slot >= SEAT_MOST && peer->nextIndex > logLastIndex(view->log))
+                loopSleep(view->loop, LEARNER_APPEND_MS);
         } else {
             signalWait(view->loop, &view->grew, loopNowMs(view->loop) + LOCK_RENEW_MS);
         }
@@ -271,7 +288,7 @@
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK) {
             view->peers[lead->slot].renewedMs = sentMs;
-            if (lead->slot != GUEST)
+            if (lead->slot < SEAT_MOST)
                 lockHoldAnswered(&view->hold, lead->slot, sentMs);
         }
     }
@@ -312,18 +329,15 @@
             if (askedMs != sentMs && !doubt)
                 continue; /* it answers again: now the renewal */
         }
-        /* a guest grants nothing before it has the log */
-        const bool waits = lead.slot == GUEST && view->peers[GUEST].renewedMs == INT64_MIN;
-        const int64_t eachMs = waits ? SEAT_GIVE_MS : LOCK_RENEW_MS;
         const int64_t tookMs = loopNowMs(view->loop) - sentMs;
-        loopSleep(view->loop, tookMs < eachMs ? eachMs - tookMs : 1);
+        loopSleep(view->loop, tookMs < LOCK_RENEW_MS ? LOCK_RENEW_MS - tookMs : 1);
     }
 }
 
 static void leadSpawn(View *view, const char *name, TaskFn fn, int slot)
 {
     Lead *lead = talloc_zero(view, Lead);
-    *lead = (Lead){view, view->leadTurn, slot, slotDisk(view, slot)};
+    *lead = (Lead){view, view->leadTurn, slot, slotDisk(view, slot), learnerTurn(view, slot)};
     loopSpawn(view->loop, name, fn, lead);
 }
 
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -398,7 +398,7 @@
     }
     viewWatch(view);
     loopSpawn(view->loop, "mend", mendMain, view);
-    seatsStart(view);
+    votersStart(view);
 }
 
 bool viewDiskFailed(const View *view)
