--- a/packages/view/src/contact.c
+++ b/packages/view/src/contact.c
@@ -20,7 +20,7 @@
 void contactGranted(View *view, int slot, uint64_t contact)
 {
     Peer *peer = &view->peers[slot];
-    if (slot == GUEST || contact <= peer->contact)
+    if (slot >= SEAT_MOST || contact <= peer->contact)
         return;
     peer->contact = contact;
     signalRaise(view->loop, &view->contactMade);
@@ -28,12 +28,12 @@
 
 bool contactOwed(const View *view, int slot)
 {
-    return slot != GUEST && slotDisk(view, slot) != view->disk && view->peers[slot].contact < view->contactAsked;
+    return slot < SEAT_MOST && slotDisk(view, slot) != view->disk && view->peers[slot].contact < view->contactAsked;
 }
 
 void contactRest(View *view, int slot, int64_t restMs)
 {
-    if (slot == GUEST || slotDisk(view, slot) == view->disk)
+    if (slot >= SEAT_MOST || slotDisk(view, slot) == view->disk)
         loopSleep(view->loop, restMs);
     else
         signalWait(view->loop, &view->contactNews, loopNowMs(view->loop) + restMs);
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -236,7 +236,7 @@
     }
     viewWatch(view);
     diskStart(view);
-    seatsStart(view);
+    votersStart(view);
 }
 
 Status viewFound(View *view, uint64_t cluster, const SeatList *seats)
