A large configuration is read and changed at the leader itself: gates answer 307

At a gate of 2 Mbit/s it takes 2.1 s from the leader and 1 s to the caller. After 400 ms without an answer the gate asks whether its way lives, behind those bytes on the same line, gives the leader up after 600 ms and answers 503: read after 1,253 ms. So did a change of 245 KB: 504 after 1,004 and 1,090 ms, and all others at that gate got 503 meanwhile. Callers have a second of patience. Excluded: a core that does not lead takes 43 ms for the same.

Now a gate that is asked for a document above 32 KB, or is brought one, asks the leader (one small round of contact, as any request, so that a gate that is cut off answers 503) and sends the caller there. The feed tells the size, a field at the end. Smaller ones go through the gate as before.

The simulator's links can be narrow now; with none set it draws the same numbers.

--- a/packages/face/include/face/face.h
+++ b/packages/face/include/face/face.h
@@ -46,5 +46,7 @@
 const Face *faceFind(const char *name);
 /* An entry point's way for a request, whichever of the two it is. Waits. */
 void faceTake(const FaceNode *node, HttpTask *task);
+/* As gateElsewhere; a core carries everything itself. */
+bool faceElsewhere(const FaceNode *node, HttpTask *task, bool back, const char **leader);
 
 #endif
--- a/packages/face/src/face.c
+++ b/packages/face/src/face.c
@@ -10,6 +10,11 @@
     return NULL;
 }
 
+bool faceElsewhere(const FaceNode *node, HttpTask *task, bool back, const char **leader)
+{
+    return node->gate != NULL && gateElsewhere(node->gate, task, back, leader);
+}
+
 void faceTake(const FaceNode *node, HttpTask *task)
 {
     if (node->core != NULL)
--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -25,6 +25,8 @@
 void feedStart(Feed *feed, FeedFn wanted, void *arg);
 /* The newest that is known; 0: none. */
 uint64_t feedRevision(const Feed *feed);
+/* Bytes of the newest document that is known, at most; 0: none, or its leader does not say. */
+uint64_t feedSize(const Feed *feed);
 /* Adds what is kept of the document, on mem, to be told again. */
 void feedTell(const Feed *feed, void *mem, KeepList *list);
 
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -55,7 +55,8 @@
     X(TXT, text, 0)                                              \
     X(ONE, limits, ConfigLimits)                                 \
     X(LST, sets, ConfigSet) /* from textHave on, or one whole */ \
-    X(FLAG, waits, 0)       /* it does not serve yet */
+    X(FLAG, waits, 0)       /* it does not serve yet */          \
+    X(U64, size, 0)         /* bytes; of the whole document, at most so many */
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -20,7 +20,7 @@
     FeedFn wanted;
     void *arg;
     uint64_t epoch; /* the newest heard of */
-    uint64_t revision;
+    uint64_t revision, size;
     int64_t learntMs;
     Revisions *revisions;
     uint64_t turn; /* of the ways, when the newest asking task began */
@@ -46,6 +46,11 @@
     return feed->revision;
 }
 
+uint64_t feedSize(const Feed *feed)
+{
+    return feed->size;
+}
+
 /* --- the leader's side ----------------------------------------------------------------- */
 
 static ConfigSet setOf(const Revision *row)
@@ -94,6 +99,7 @@
         return false;
     answer->revision = newest;
     answer->limits = *revisionsLimits(revisions);
+    answer->size = revisionsSize(revisions);
     const size_t most = ask->wants ? SIZE_MAX : FEED_EAGER_BYTES;
     if (!ask->brief) /* a gate of an earlier release */
         answer->text = revisionsText(revisions, mem, newest);
@@ -113,6 +119,7 @@
     if (answer->revision > feed->revision) {
         traceSay(feed->trace, TRACE_LEARNT, "", "config:%" PRIu64, answer->revision);
         feed->revision = answer->revision;
+        feed->size = answer->size;
         feed->learntMs = loopNowMs(feed->loop);
         limitsServe(feed->loop, &answer->limits);
     }
--- a/packages/gate/include/gate/gate.h
+++ b/packages/gate/include/gate/gate.h
@@ -11,6 +11,12 @@
 Status gateStart(void *mem, Loop *loop, Ring *ring, const Props *props, Gate **gate, Failure *failure);
 /* Waits. As coreTake. */
 void gateTake(Gate *gate, HttpTask *task);
+/* Waits. A configuration that is large, in the task's body or (back) in its result, is
+ * no load for a gate's narrow link: its caller is sent to the leader itself. True when
+ * the task has its result: 307, and leader is the address, on the task, at which the
+ * leader that serves now is asked by callers; or a refusal, when none serves. False:
+ * the gate carries it. */
+bool gateElsewhere(Gate *gate, HttpTask *task, bool back, const char **leader);
 /* As coreReady. */
 bool gateReady(const Gate *gate);
 /* Waits: not ready at once; requests in work get their result. */
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -8,6 +8,8 @@
 #include "feed/feed.h"
 #include "feed/proxy.h"
 
+#define ELSEWHERE_HTTP 307 /* the same request, with its body, at another address */
+
 struct Gate {
     Loop *loop;
     Courier *courier;
@@ -58,6 +60,30 @@
     }
 }
 
+bool gateElsewhere(Gate *gate, HttpTask *task, bool back, const char **leader)
+{
+    if (task->body.count <= CONFIG_LARGE_BYTES && !(back && feedSize(gate->feed) > CONFIG_LARGE_BYTES))
+        return false;
+    HttpTask *ask = talloc(task, HttpTask);
+    *ask = (HttpTask){
+        .loop = gate->loop, .method = "GET", .path = "/readyz", .query = "", .host = "", .expiryMs = task->expiryMs};
+    proxyCarry(gate->proxy, ask);
+    const Member *member = membersFind(gate->members, membersLeaderId(gate->members));
+    if (ask->code == 200 && member == NULL)
+        return false;
+    if (ask->code == 200) {
+        showResult(task, ELSEWHERE_HTTP, json_object_new_object());
+        *leader = talloc_strdup(task, member->record.http);
+        return true;
+    }
+    task->code = ask->code;
+    task->status = ask->status;
+    task->kind = ask->kind;
+    task->result = ask->result;
+    task->retryAfterS = ask->retryAfterS;
+    return true;
+}
+
 static void onHttp(void *arg, HttpTask *task)
 {
     gateTake(arg, task);
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -55,6 +55,9 @@
 bool simIsCut(const SimWorld *world, int from, int to);
 /* Delay of each frame and connection: from low up to high. */
 void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs);
+/* The machine's link carries so many bytes in a millisecond each way, one after the
+ * other; 0: any number at once. */
+void simLinkRate(SimWorld *world, int machine, int64_t bytesPerMs);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
--- a/packages/sim/src/http.c
+++ b/packages/sim/src/http.c
@@ -105,7 +105,7 @@
     http->result = bytesCopy(http, served->task.result);
     http->tells = pairsCopy(http, served->task.tells, served->task.tellCount, 0);
     http->tellCount = served->task.tellCount;
-    simAt(http->world, http->world->nowMs + simLinkMs(http->world), resultArrives, http);
+    simAt(http->world, simArrivalMs(http->world, http->to, http->from, http->result.count), resultArrives, http);
     talloc_free(served);
 }
 
@@ -245,7 +245,7 @@
     mark->http = http;
     talloc_set_destructor(mark, callMarkFree);
     call->sent = true;
-    simAt(world, world->nowMs + simLinkMs(world), requestArrives, http);
+    simAt(world, simArrivalMs(world, http->from, http->to, http->body.count), requestArrives, http);
     call->waiting = &http->done;
     while (!http->answered && !call->cut)
         if (!signalWait(loop, &http->done, untilMs))
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -87,7 +87,7 @@
     SimFrame *frame = talloc_zero(pair, SimFrame);
     frame->fin = fin;
     frame->bytes = bytesCopy(frame, bytes);
-    frame->dueMs = world->nowMs + simLinkMs(world);
+    frame->dueMs = simArrivalMs(world, pair->machine[side], pair->machine[1 - side], bytes.count);
     if (pair->last[side] != NULL) {
         if (frame->dueMs < pair->last[side]->dueMs)
             frame->dueMs = pair->last[side]->dueMs;
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -51,6 +51,8 @@
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
+    int64_t bytesPerMs;             /* of its link; 0: unbounded */
+    int64_t sendFreeUs, takeFreeUs; /* world time in us; when its link has carried what it was given */
     int64_t syncMs;
     bool diskFails, diskLies;
     Map *disk; /* path to SimContent */
@@ -72,6 +74,8 @@
 };
 
 int64_t simLinkMs(SimWorld *world);
+/* When bytes that leave now have come from one machine to another. */
+int64_t simArrivalMs(SimWorld *world, int from, int to, size_t bytes);
 /* The machine and port behind "10.0.0.N:port"; false when there is none. */
 bool simFind(SimWorld *world, const char *address, int *machine, const char **port);
 /* Runs the machine's loop when that is next due. */
