A large change is not pushed to gates to be kept: it filled their links for seconds

What comes in at the leading core's own address is kept by one gate before it is answered, and three are tried with 100 ms each. A change of 520 KB takes a 2 Mbit/s link 2.1 s: none answers in time, all three are filled, their questions wait behind it, and they give the leader up. It is on the disks that the bounds ask for, and the feed brings it to the gates later, as what comes in at a gate.

Test: changedAtAGate (read back within a second of a change of 1,400 routes) got nothing in 1,000 ms before.

--- a/packages/core/src/elsewhere.c
+++ b/packages/core/src/elsewhere.c
@@ -15,8 +15,20 @@
                       &answer) == STATUS_OK;
 }
 
+static size_t bytesOf(const KeepList *keeps)
+{
+    size_t bytes = 0;
+    for (size_t i = 0; i < keeps->itemsCount; i++)
+        bytes += keeps->items[i].payload.count;
+    return bytes;
+}
+
 void elsewhereKeep(Core *core, void *mem, const KeepList *keeps)
 {
+    /* a large configuration would fill a gate's link for seconds: it is on the disks that the bounds
+     * ask for, and the feed brings it to the gates */
+    if (bytesOf(keeps) > CONFIG_LARGE_BYTES)
+        return;
     const MemberTable *table = membersTable(core->members);
     char addresses[ELSEWHERE_MOST][ADDRESS_MAX];
     size_t count = 0;
