--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -64,8 +64,9 @@
  * many come once more, up to lateMs later and out of order. No connection of the
  * platform's does this: the replicated log is tried with it. */
 void simFrames(SimWorld *world, unsigned dropped, unsigned repeated, int64_t lateMs);
-/* Each machine sends so many bytes a ms between processes from now on; 0: no bound. */
-void simLinkRate(SimWorld *world, int64_t bytesEachMs);
+/* The machine's link carries so many bytes in a millisecond each way, one after the
+ * other; 0: any number at once. */
+void simLinkRate(SimWorld *world, int machine, int64_t bytesPerMs);
 /* Bytes that a machine's processes have sent to others so far. */
 uint64_t simSentBytes(const SimWorld *world, int machine);
 /* Each sync takes so long from now on. */
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -61,8 +61,9 @@
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
-    int64_t linkFreeMs; /* all that was sent so far has left by then */
     uint64_t sentBytes;
+    int64_t bytesPerMs;             /* of its link; 0: unbounded */
+    int64_t sendFreeUs, takeFreeUs; /* world time in us; when its link has carried what it was given */
     int64_t syncMs;
     bool diskFails, diskLies;
     size_t diskRoom; /* bytes of all its files together; 0: no bound */
@@ -80,7 +81,6 @@
     int machineCount;
     bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
     int64_t delayLowMs, delayHighMs;
-    int64_t linkRate; /* bytes a ms that a machine sends; 0: no bound */
     SimFn watch;
     void *watchArg;
     SimDiskFn diskWatch;
@@ -90,6 +90,8 @@
 };
 
 int64_t simLinkMs(SimWorld *world);
+/* When bytes that leave now have come from one machine to another. */
+int64_t simArrivalMs(SimWorld *world, int from, int to, size_t bytes);
 /* The machine and port behind "10.0.0.N:port"; false when there is none. */
 bool simFind(SimWorld *world, const char *address, int *machine, const char **port);
 /* Runs the machine's loop when that is next due. */
--- a/packages/sim/test/diskstate.c
+++ b/packages/sim/test/diskstate.c
@@ -223,9 +223,11 @@
 {
     Fleet *fleet = begin(seed);
     CatchUp catchUp = {0};
-    simLinkRate(fleet->world, LINK_BYTES_MS);
-    for (int i = 0; i < 3; i++)
-        simDiskRoom(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, DISK_BYTES);
+    for (int i = 0; i < 3; i++) {
+        const int machine = fleetNode(fleet, FLEET_CORE, i)->machine;
+        simLinkRate(fleet->world, machine, LINK_BYTES_MS);
+        simDiskRoom(fleet->world, machine, DISK_BYTES);
+    }
     const int away = (fleetLeader(fleet) + 1) % 3;
     checkerFault(fleet->checker);
     fleetPowerOff(fleet, FLEET_CORE, away);
