A change that was taken is known again after a thousand others, not after two hundred

Cause: the digest by which a call sent again is known went with its revision's row, and rows beyond the last 200 to 250 were dropped. An operator whose answers were lost while others made some 250 changes was refused (409, told as 412) what had been taken. Configurations may be sent again without an end, and a storm makes ten a second.

What can be read back is as before, the last 200.

Test first: resends.afterHundreds failed before (409 for a call taken 505 changes ago) and passes now.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -128,12 +128,15 @@
 #define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* bytes; a larger limit is a mistake */
 #define CONFIG_STRETCH_MAX 1000               /* times; a larger stretch is a mistake */
 #define CONFIG_HISTORY 200                    /* count; revisions that can be read back, as far as the bytes allow */
-#define CONFIG_HISTORY_STEP 50                /* count; ... older ones go by so many at once */
-#define CONFIG_HISTORY_BYTES (1024 * 1024)    /* bytes; texts and patches kept beside one whole text */
-#define ID_MAX 96                             /* bytes; a job's, tenant's, worker's name */
-#define ROUNDS_DEFAULT 3                      /* count; rounds a failing task gets unless its owner says */
-#define ROUNDS_MAX 100                        /* count */
-#define QUEUE_LIMIT_DEFAULT 20000             /* count; waiting tasks in one cell's queues before 503 */
+#define CONFIG_KNOWN                                                                                              \
+    1000 /* count; revisions whose calls are known when they are sent again: some 100 bytes each; changes come at \
+            most some ten a second, and an operator gives up sooner than after 100 s */
+#define CONFIG_HISTORY_STEP 50             /* count; ... older ones go by so many at once */
+#define CONFIG_HISTORY_BYTES (1024 * 1024) /* bytes; texts and patches kept beside one whole text */
+#define ID_MAX 96                          /* bytes; a job's, tenant's, worker's name */
+#define ROUNDS_DEFAULT 3                   /* count; rounds a failing task gets unless its owner says */
+#define ROUNDS_MAX 100                     /* count */
+#define QUEUE_LIMIT_DEFAULT 20000          /* count; waiting tasks in one cell's queues before 503 */
 #define ASSURE_WAIT_MS 2000 /* ms; a protected start that breaks the plan waits this long, then runs unassured */
 #define PLACE_TICK_MS 250   /* ms; the planner looks again this often even without news */
 #define MEND_MS 1000        /* ms; gangs that a loss of disks has split are looked for so often */
--- a/packages/config/tool/bench.c
+++ b/packages/config/tool/bench.c
@@ -68,7 +68,7 @@
     double checkUs = 0, seatUs = 0, readUs = 0;
     size_t bytes = 0;
     const char *now = text;
-    Revisions *revisions = revisionsNew(all, CONFIG_HISTORY);
+    Revisions *revisions = revisionsNew(all, CONFIG_HISTORY, CONFIG_KNOWN);
     for (int i = 1; i <= changes; i++) {
         void *mem = talloc_new(all);
         Faults *faults = faultsNew(mem);
@@ -100,7 +100,7 @@
         const Config *config = configRead(all, text, strlen(text), 1, faults);
         if (config == NULL)
             fail(faults);
-        revisions = revisionsNew(all, CONFIG_HISTORY);
+        revisions = revisionsNew(all, CONFIG_HISTORY, CONFIG_KNOWN);
         ConfigSet first = {.base = 0, .revision = 1, .text = text, .digest = ""};
         bytes = 0;
         deliver(revisions, &first, all, &bytes);
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -37,7 +37,7 @@
 {
     Feed *feed = talloc_zero(mem, Feed);
     *feed = (Feed){.loop = loop, .courier = courier, .ways = ways, .trace = trace};
-    feed->revisions = revisionsNew(feed, FEED_KEEP);
+    feed->revisions = revisionsNew(feed, FEED_KEEP, FEED_KEEP);
     return feed;
 }
 
--- /dev/null
+++ b/packages/sim/test/resends.c
@@ -0,0 +1,369 @@
+/* Changes of the configuration that race, and calls that are sent again unchanged: to any
+ * node, through changes of the leader, after losses of disks, after many later changes. In
+ * virtual time. */
+#include <inttypes.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+#define CORES 3
+#define GATES 3
+#define NODES (CORES + GATES)
+#define TRIES_MOST 200   /* count; of one call until it is answered clearly */
+#define ASK_WAIT_MS 1000 /* ms; a caller gives an answer up after this */
+#define RACERS 8         /* count; so many orders may be under way at once */
+
+typedef struct Call {
+    Fleet *fleet;
+    uint64_t base, revision;
+    const char *method, *body;
+    int node;     /* where it is sent first; then to the next */
+    int code;     /* the first clear answer; 0: none yet */
+    bool refused; /* one was: whatever came before or after it */
+    bool done;
+} Call;
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){CORES, GATES, 3, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    return fleet;
+}
+
+static const FleetNode *nodeAt(Fleet *fleet, int number)
+{
+    const int at = number % NODES;
+    return at < GATES ? fleetNode(fleet, FLEET_GATE, at) : fleetNode(fleet, FLEET_CORE, at - GATES);
+}
+
+static const char *pathOf(void *mem, const Call *call)
+{
+    return talloc_asprintf(mem, "/v1/config?base=%" PRIu64 "&revision=%" PRIu64, call->base, call->revision);
+}
+
+/* The first document with a note of its own. */
+static const char *wholeBody(Fleet *fleet, const char *note)
+{
+    return talloc_asprintf(fleet, "{\"note\":\"%s\",%s", note, mixConfig(fleet->shape.mix) + 1);
+}
+
+static const char *patchBody(Fleet *fleet, const char *note)
+{
+    return talloc_asprintf(fleet, "{\"note\":\"%s\"}", note);
+}
+
+/* 0: no clear answer. */
+static int sendOnce(const Call *call, int node)
+{
+    Loop *loop = simLoop(call->fleet->world, call->fleet->caller);
+    void *mem = talloc_new(loop);
+    HttpCall sent = {.mem = mem,
+                     .address = nodeAt(call->fleet, node)->props.http,
+                     .method = call->method,
+                     .path = pathOf(mem, call),
+                     .waitMs = ASK_WAIT_MS};
+    bytesAdd(mem, &sent.body, call->body, strlen(call->body));
+    const int code = loopCall(loop, &sent) == STATUS_OK && sent.code < 500 ? sent.code : 0;
+    talloc_free(mem);
+    return code;
+}
+
+static void callMain(void *arg)
+{
+    Call *call = arg;
+    Loop *loop = simLoop(call->fleet->world, call->fleet->caller);
+    for (int i = 0; i < TRIES_MOST && call->code == 0; i++) {
+        call->code = sendOnce(call, call->node + i);
+        loopSleep(loop, 20);
+    }
+    call->done = true;
+}
+
+static void callStart(Call *call)
+{
+    loopSpawn(simLoop(call->fleet->world, call->fleet->caller), "call", callMain, call);
+}
+
+static void callsWait(Fleet *fleet, const Call *calls, size_t count)
+{
+    for (size_t i = 0; i < count; i++)
+        for (int turns = 0; !calls[i].done && turns < 100000; turns++)
+            fleetRun(fleet, 5);
+}
+
+/* Sends it once more, unchanged, to the node. */
+static int again(const Call *call, int node)
+{
+    void *mem = talloc_new(NULL);
+    const FleetNode *at = nodeAt(call->fleet, node);
+    const int code = fleetAsk(call->fleet, mem, at->role, at->number, call->method, pathOf(mem, call), call->body).code;
+    talloc_free(mem);
+    return code;
+}
+
+static void againEverywhere(const Call *call, int code)
+{
+    for (int i = 0; i < NODES; i++)
+        assert_int_equal(again(call, i), code);
+}
+
+static uint64_t newest(Fleet *fleet)
+{
+    void *mem = talloc_new(NULL);
+    const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, 0, "GET", "/v1/config", NULL);
+    assert_int_equal(call.code, 200);
+    const char *at = strstr((const char *)call.result.data, "\"revision\":");
+    const uint64_t revision = strtoull(at + strlen("\"revision\":"), NULL, 10);
+    talloc_free(mem);
+    return revision;
+}
+
+/* So many patches, one upon the other. */
+static void changesMore(Fleet *fleet, int count)
+{
+    uint64_t base = newest(fleet);
+    for (int i = 0; i < count; i++, base++) {
+        const Call more = {.fleet = fleet,
+                           .base = base,
+                           .revision = base + 1,
+                           .method = "PATCH",
+                           .body = patchBody(fleet, i % 2 == 0 ? "even" : "odd")};
+        assert_int_equal(again(&more, i % GATES), 200);
+    }
+}
+
+static Call taken(Fleet *fleet, const char *method, const char *note)
+{
+    const uint64_t base = newest(fleet);
+    Call call = {.fleet = fleet, .base = base, .revision = base + 3, .method = method};
+    call.body = strcmp(method, "PUT") == 0 ? wholeBody(fleet, note) : patchBody(fleet, note);
+    assert_int_equal(again(&call, 0), 200);
+    return call;
+}
+
+/* Kills leaders until the core leads. */
+static void makeLead(Fleet *fleet, int core)
+{
+    for (int i = 0; i < 12 && fleetLeader(fleet) != core; i++) {
+        const int leader = fleetLeader(fleet);
+        checkerFault(fleet->checker);
+        if (leader >= 0) {
+            fleetKill(fleet, FLEET_CORE, leader);
+            fleetRun(fleet, 4000);
+            fleetStartNode(fleet, FLEET_CORE, leader);
+        }
+        fleetRun(fleet, 5000);
+    }
+    assert_int_equal(fleetLeader(fleet), core);
+}
+
+/* --- races ---------------------------------------------------------------------------------- */
+
+typedef enum Upset { UPSET_NONE, UPSET_KILL, UPSET_FREEZE, UPSET_CUT, UPSET_COUNT } Upset;
+
+static void upset(Fleet *fleet, Upset how, int leader, bool begins)
+{
+    if (how == UPSET_KILL && begins)
+        fleetKill(fleet, FLEET_CORE, leader);
+    else if (how == UPSET_KILL)
+        fleetStartNode(fleet, FLEET_CORE, leader);
+    else if (how == UPSET_FREEZE && begins)
+        fleetFreeze(fleet, FLEET_CORE, leader, 3000);
+    else if (how == UPSET_CUT)
+        fleetIsolate(fleet, FLEET_CORE, leader, begins);
+}
+
+/* Two calls on one base at the same moment; the leader is lost some ms after they were sent. */
+static void raceOnce(Fleet *fleet, Call pair[2], Upset how, int64_t afterMs)
+{
+    const int leader = fleetLeader(fleet);
+    assert_true(leader >= 0);
+    for (int k = 0; k < 2; k++)
+        callStart(&pair[k]);
+    if (how != UPSET_NONE) {
+        checkerFault(fleet->checker);
+        fleetRun(fleet, afterMs);
+        upset(fleet, how, leader, true);
+        fleetRun(fleet, 3000);
+        upset(fleet, how, leader, false);
+    }
+    callsWait(fleet, pair, 2);
+    fleetRun(fleet, how != UPSET_NONE ? 5000 : 50);
+}
+
+static void racesOf(uint64_t seed, const char *methodA, const char *methodB)
+{
+    Fleet *fleet = begin(seed);
+    int firsts = 0, rounds = 0;
+    for (int how = 0; how < UPSET_COUNT; how++)
+        for (int64_t afterMs = 1; afterMs <= 9; afterMs += 2, rounds++) {
+            const uint64_t base = newest(fleet);
+            Call pair[2];
+            for (int k = 0; k < 2; k++) {
+                const char *method = k == 0 ? methodA : methodB;
+                const char *note = talloc_asprintf(fleet, "r%d-%d", rounds, k);
+                pair[k] = (Call){.fleet = fleet, .base = base, .revision = base + 2, .method = method};
+                pair[k].body = strcmp(method, "PUT") == 0 ? wholeBody(fleet, note) : patchBody(fleet, note);
+                pair[k].node = rounds + 2 * k;
+            }
+            raceOnce(fleet, pair, (Upset)how, afterMs);
+            const bool first = pair[0].code == 200 && pair[1].code == 409;
+            if (!first && !(pair[0].code == 409 && pair[1].code == 200))
+                fail_msg("%s against %s, upset %d after %d ms: %d and %d", methodA, methodB, how, (int)afterMs,
+                         pair[0].code, pair[1].code);
+            firsts += first;
+            assert_int_equal(newest(fleet), base + 2);
+            for (int k = 0; k < 2; k++)
+                againEverywhere(&pair[k], pair[k].code);
+        }
+    print_message("%s against %s: the first won %d of %d\n", methodA, methodB, firsts, rounds);
+    if (checkerBrokenAll(fleet->checker) > 0)
+        fail_msg("%s", checkerFirst(fleet->checker));
+    talloc_free(fleet);
+}
+
+static void wholeAgainstWhole(void **state)
+{
+    (void)state;
+    racesOf(61, "PUT", "PUT");
+}
+
+static void wholeAgainstPatch(void **state)
+{
+    (void)state;
+    racesOf(62, "PUT", "PATCH");
+}
+
+static void patchAgainstPatch(void **state)
+{
+    (void)state;
+    racesOf(63, "PATCH", "PATCH");
+}
+
+/* Eight at once, each with a body of its own and the same number: one is confirmed. Then the
+ * same call eight times: it is one change, and confirmed to all. */
+static void eightAtOnce(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(64);
+    for (int round = 0; round < 20; round++) {
+        Call calls[RACERS];
+        const uint64_t base = newest(fleet);
+        const bool same = round % 2 == 1;
+        for (int i = 0; i < RACERS; i++) {
+            const char *note = talloc_asprintf(fleet, "e%d-%d", round, same ? 0 : i);
+            calls[i] = (Call){.fleet = fleet, .base = base, .revision = base + 5, .node = i, .method = "PATCH"};
+            calls[i].body = patchBody(fleet, note);
+            callStart(&calls[i]);
+        }
+        callsWait(fleet, calls, RACERS);
+        int confirmed = 0;
+        for (int i = 0; i < RACERS; i++) {
+            assert_true(calls[i].code == 200 || calls[i].code == 409);
+            confirmed += calls[i].code == 200;
+        }
+        assert_int_equal(confirmed, same ? RACERS : 1);
+        assert_int_equal(newest(fleet), base + 5);
+    }
+    talloc_free(fleet);
+}
+
+/* One body, and one number, on two bases: it is not the same call. */
+static void otherBase(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(65);
+    const Call first = taken(fleet, "PATCH", "a");
+    changesMore(fleet, 1);
+    Call other = first;
+    other.base = newest(fleet);
+    other.revision = other.base + 1;
+    assert_int_equal(again(&other, 1), 200);
+    againEverywhere(&first, 200);
+    Call number = other;
+    number.base = first.base;
+    againEverywhere(&number, 409);
+    talloc_free(fleet);
+}
+
+/* --- sent again -------------------------------------------------------------------------------- */
+
+/* A disk is lost and brought up to date by a snapshot; then its core leads. */
+static void afterWipe(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(66);
+    const Call whole = taken(fleet, "PUT", "w"), patch = taken(fleet, "PATCH", "p");
+    const int lost = (fleetLeader(fleet) + 1) % CORES;
+    checkerFault(fleet->checker);
+    fleetPowerOff(fleet, FLEET_CORE, lost);
+    simDiskWipe(fleet->world, fleetNode(fleet, FLEET_CORE, lost)->machine);
+    for (int i = 0; i < GATES; i++) /* while it is away */
+        assert_int_equal(again(&patch, i), 200);
+    fleetStartNode(fleet, FLEET_CORE, lost);
+    fleetRun(fleet, 20000);
+    makeLead(fleet, lost);
+    againEverywhere(&whole, 200);
+    againEverywhere(&patch, 200);
+    talloc_free(fleet);
+}
+
+/* All lose power; the disks keep what they synced. */
+static void afterPower(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(67);
+    const Call whole = taken(fleet, "PUT", "w"), patch = taken(fleet, "PATCH", "p");
+    checkerFault(fleet->checker);
+    for (int i = 0; i < CORES; i++)
+        fleetPowerOff(fleet, FLEET_CORE, i);
+    for (int i = 0; i < CORES; i++)
+        fleetStartNode(fleet, FLEET_CORE, i);
+    fleetRun(fleet, 12000);
+    againEverywhere(&patch, 200);
+    againEverywhere(&whole, 200);
+    talloc_free(fleet);
+}
+
+/* An order whose answers were all lost is sent on for as long as its operator likes, while
+ * others make hundreds of changes; through a log shortened into a snapshot as well. */
+static void afterHundreds(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(68);
+    const Call whole = taken(fleet, "PUT", "w"), patch = taken(fleet, "PATCH", "p");
+    changesMore(fleet, 5);
+    againEverywhere(&whole, 200);
+    changesMore(fleet, 500);
+    againEverywhere(&whole, 200);
+    againEverywhere(&patch, 200);
+    const int lost = (fleetLeader(fleet) + 1) % CORES;
+    checkerFault(fleet->checker);
+    fleetPowerOff(fleet, FLEET_CORE, lost);
+    simDiskWipe(fleet->world, fleetNode(fleet, FLEET_CORE, lost)->machine);
+    fleetStartNode(fleet, FLEET_CORE, lost);
+    fleetRun(fleet, 20000);
+    makeLead(fleet, lost);
+    againEverywhere(&whole, 200);
+    againEverywhere(&patch, 200);
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(wholeAgainstWhole), cmocka_unit_test(wholeAgainstPatch), cmocka_unit_test(patchAgainstPatch),
+        cmocka_unit_test(eightAtOnce),       cmocka_unit_test(otherBase),         cmocka_unit_test(afterWipe),
+        cmocka_unit_test(afterPower),        cmocka_unit_test(afterHundreds),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/table/include/table/revisions.h
+++ b/packages/table/include/table/revisions.h
@@ -22,6 +22,10 @@
  * them when it is asked for. Reading, which costs a hundred times more than
  * keeping, is done where the document is used and nowhere else.
  *
+ * Rows whose texts are dropped are kept for the digests of their calls: an operator whose
+ * answers are lost sends on while others make hundreds of changes, and must not be refused
+ * what was taken.
+ *
  * Invariants: rows are sorted by revision; the row at whole is no patch, and all
  * rows from there on have their texts, those before have none; older texts
  * together are bounded by CONFIG_HISTORY_BYTES. */
@@ -29,11 +33,12 @@
     Revision *rows;
     size_t count, whole;
     size_t keep;       /* so many can at least be read back, as far as the bytes allow */
+    size_t known;      /* of so many at least the calls are known, when they are sent again; >= keep */
     size_t bytes;      /* of the texts from whole on ... */
     size_t wholeBytes; /* ... and of the whole one's */
 } Revisions;
 
-Revisions *revisionsNew(void *mem, size_t keep);
+Revisions *revisionsNew(void *mem, size_t keep, size_t known);
 /* 0: none yet. */
 uint64_t revisionsNewest(const Revisions *revisions);
 /* Of the newest: bytes that its text has at most. */
--- a/packages/table/src/revisions.c
+++ b/packages/table/src/revisions.c
@@ -8,10 +8,11 @@
 
 SHAPE_TABLE(Revision, REVISION_FIELDS)
 
-Revisions *revisionsNew(void *mem, size_t keep)
+Revisions *revisionsNew(void *mem, size_t keep, size_t known)
 {
     Revisions *revisions = talloc_zero(mem, Revisions);
     revisions->keep = keep;
+    revisions->known = known;
     return revisions;
 }
 
@@ -129,11 +130,13 @@
     memmove(revisions->rows, revisions->rows + count, revisions->count * sizeof(*revisions->rows));
 }
 
-/* Rows go by CONFIG_HISTORY_STEP at once: making a patch whole costs a reading. */
+/* Texts and rows go by CONFIG_HISTORY_STEP at once: making a patch whole costs a reading. */
 static void trim(Revisions *revisions)
 {
-    if (revisions->count > revisions->keep + CONFIG_HISTORY_STEP) {
-        const size_t drop = revisions->count - revisions->keep;
+    if (revisions->count - revisions->whole > revisions->keep + CONFIG_HISTORY_STEP)
+        wholeSet(revisions, revisions->count - revisions->keep);
+    if (revisions->count > revisions->known + CONFIG_HISTORY_STEP) {
+        const size_t drop = revisions->count - revisions->known;
         if (revisions->whole < drop)
             wholeSet(revisions, drop);
         rowsDrop(revisions, drop);
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -24,7 +24,7 @@
     table->used = mapNew(table->mem);
     table->queues = mapNew(table->mem);
     table->drains = mapNew(table->mem);
-    table->revisions = revisionsNew(table->mem, CONFIG_HISTORY);
+    table->revisions = revisionsNew(table->mem, CONFIG_HISTORY, CONFIG_KNOWN);
 }
 
 Table *tableNew(void *mem)
