--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -57,6 +57,9 @@
 void simClockRate(SimWorld *world, int machine, int64_t percent);
 /* Cuts (or joins again) the way from one machine to another; one way only. */
 void simCut(SimWorld *world, int from, int to, bool cut);
+/* A cut way is not silent: connections are refused, and one on which something is sent is
+ * reset, at both ends. */
+void simRefuse(SimWorld *world, int from, int to, bool refused);
 bool simIsCut(const SimWorld *world, int from, int to);
 /* Delay of each frame and connection: from low up to high. */
 void simDelay(SimWorld *world, int64_t lowMs, int64_t highMs);
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -43,14 +43,33 @@
     int side;
 } SimPump;
 
+/* What is on its way is lost, and both ends hear of it. */
+static void pairReset(SimPair *pair)
+{
+    for (int side = 0; side < 2; side++) {
+        while (pair->first[side] != NULL) {
+            SimFrame *frame = pair->first[side];
+            pair->first[side] = frame->next;
+            talloc_free(frame);
+        }
+        pair->last[side] = NULL;
+        pair->fin[side] = true;
+        if (pair->end[side] != NULL)
+            channelEnd(&pair->end[side]->channel);
+    }
+}
+
 static void pump(void *arg)
 {
     SimPump *one = arg;
     SimPair *pair = one->pair;
     SimWorld *world = pair->world;
     const int side = one->side, other = 1 - side;
-    if (pair->first[side] != NULL && pair->end[other] != NULL) {
-        if (world->cut[pair->machine[side]][pair->machine[other]]) {
+    const bool cut = world->cut[pair->machine[side]][pair->machine[other]];
+    if (cut && world->refused[pair->machine[side]][pair->machine[other]]) {
+        pairReset(pair);
+    } else if (pair->first[side] != NULL && pair->end[other] != NULL) {
+        if (cut) {
             simAt(world, world->nowMs + HELD_RETRY_MS, pump, one);
             return;
         }
@@ -194,6 +213,8 @@
     do {
         loopSleep(loop, simLinkMs(world) + simLinkMs(world));
         if (world->cut[sim->machine][target] || world->cut[target][sim->machine]) {
+            if (world->refused[sim->machine][target] || world->refused[target][sim->machine])
+                return STATUS_UNREACHABLE;
             loopSleep(loop, HELD_RETRY_MS);
             continue;
         }
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -328,6 +328,11 @@
         world->cut[from][to] = cut;
 }
 
+void simRefuse(SimWorld *world, int from, int to, bool refused)
+{
+    world->refused[from][to] = refused;
+}
+
 bool simIsCut(const SimWorld *world, int from, int to)
 {
     return world->cut[from][to];
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -67,6 +67,7 @@
     SimMachine machines[SIM_NODES_MAX];
     int machineCount;
     bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
+    bool refused[SIM_NODES_MAX][SIM_NODES_MAX]; /* ... and who sends or connects is told so */
     int64_t delayLowMs, delayHighMs;
     SimFn watch;
     void *watchArg;
--- a/packages/sim/test/serving.c
+++ b/packages/sim/test/serving.c
@@ -20,7 +20,7 @@
 #define ASK_WAIT_MS 1000  /* ms; a caller gives an answer up after this */
 #define CHANGE_PAUSE_MS 7 /* ms; between two changes of the operator: as soon as the lock has moved, one is in */
 
-typedef enum CutKind { CUT_BOTH, CUT_IN, CUT_OUT, CUT_ALL, CUT_FREEZE } CutKind;
+typedef enum CutKind { CUT_BOTH, CUT_IN, CUT_OUT, CUT_ALL, CUT_REFUSED, CUT_FREEZE } CutKind;
 
 /* Everybody's view from outside; the tasks run on the callers' machine. */
 typedef struct Watched {
@@ -189,6 +189,8 @@
         const int other = fleetNode(fleet, FLEET_CORE, i)->machine;
         if (i == victim)
             continue;
+        simRefuse(fleet->world, other, machine, kind == CUT_REFUSED);
+        simRefuse(fleet->world, machine, other, kind == CUT_REFUSED);
         if (kind != CUT_OUT)
             simCut(fleet->world, other, machine, cut);
         if (kind != CUT_IN)
@@ -263,6 +265,8 @@
         {"leader, nothing goes out", 0, CUT_OUT, 5000, false, 100, 100},
         {"leader, from gates as well", 0, CUT_ALL, 5000, false, 100, 100},
         {"leader, started again", 0, CUT_BOTH, 6000, true, 100, 100},
+        {"leader, refused and reset", 0, CUT_REFUSED, 5000, false, 100, 100},
+        {"the next, refused and reset, started again", 1, CUT_REFUSED, 6000, true, 100, 100},
         {"the next, 5 s", 1, CUT_BOTH, 5000, false, 100, 100},
         {"the next, nothing comes in", 1, CUT_IN, 5000, false, 100, 100},
         {"the next, nothing goes out", 1, CUT_OUT, 5000, false, 100, 100},
@@ -316,6 +320,7 @@
     static const CutCase CASES[] = {
         {"leader's clock stands", 0, CUT_BOTH, 6000, false, 1, 100},
         {"leader's clock stands, nothing comes in", 0, CUT_IN, 6000, false, 1, 100},
+        {"leader's clock stands, refused and reset", 0, CUT_REFUSED, 6000, false, 1, 100},
     };
     cutEach(CASES, sizeof(CASES) / sizeof(CASES[0]), 2);
 }
