--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -78,3 +78,4 @@
   # it compares a log in memory with the one on disk
   target_include_directories(test-diskstate PRIVATE packages/view/src)
 endif()
+spancart_cases(resends 10 sim)
