--- a/scripts/days.py
+++ b/scripts/days.py
@@ -16,6 +16,7 @@
 more than the deployment tolerates, until its turn. Each entry's fields are drawn within ranges
 around the usual ones; `how` is drawn from the variants that its kind knows, with words that may be
 added to it (a change sent to the machine as it returns, two such at once, workers that leave there).
+Not drawn: health answers that lie or flap, which only deployments of many workers know, and poison.
 """
 import argparse
 import random
@@ -160,6 +161,11 @@
     return {"kind": "ack_lost", "x": seconds(draw, 0.4, 0.9), "for_s": seconds(draw, 3, 12)}
 
 
+def big_config(draw):
+    return {"kind": "big_config", "count": draw.choice([100, 300, 600])}
+
+
+
 CONTROL = {
     "core_cut": core_cut,
     "node_kill": node_kill,
@@ -184,6 +190,7 @@
     "config_storm": config_storm,
     "config_race": config_race,
     "bad_config": bad_config,
+    "big_config": big_config,
 }
 OTHERS = {
     "scale_in": scale_in,
@@ -197,7 +204,7 @@
                                    "for_s": seconds(draw, 0.5, 4), "how": draw.choice(["", "power"])},
     "burst": burst,
 }
-PLANNED = {"config_change", "config_storm", "config_race", "bad_config", "scale_in", "roll_term", "hup"}
+PLANNED = {"config_change", "config_storm", "config_race", "bad_config", "big_config", "scale_in", "roll_term", "hup"}
 CLOSINGS = [
     ("power_off_all", [""]),
     ("kill_all", [""]),
