A frame is taken only from and by whom it is meant; what never left is told as not taken

Cause: an answer was matched by its call number alone. Neither its kind nor its cluster nor its version was looked at, and a question had no word of whom it was for: a process at an address that is used again carried out what was meant for the one before (a KNOW, for one, counted as the answer of a member that is gone).

Now the envelope names, at its end, the process that a question is meant for and the one that answers: the sum of the member's id (a core's has its disk) and the incarnation. A question of another cluster, version, process or life is refused with a typed status and certainly not carried out; an answer of another kind ends its line, one of another cluster, version, process or earlier life is not taken. All are counted (metrics, status: refusedFrames) and told in the log, the first, second, fourth, ... of them. 0 in a field: an earlier release, or whoever stands there; so a roll-out goes on as before. Hello, found and vote, by which processes meet, name nobody; repair's question neither, for each item has its own identity. A kind that nobody handles is refused before its line is ended.

What had not left when it was given up, or when its connection ended, is now certain: a question that still waits for a connection is withdrawn, and one that was only queued behind others is UNREACHABLE, not CLOSED. A failed write no longer ends a connection before what has come on it is read.

--- a/packages/agent/src/alone.c
+++ b/packages/agent/src/alone.c
@@ -27,6 +27,7 @@
     Asking *asking;
     uint64_t disk;
     char address[ADDRESS_MAX];
+    PeerLife peer;
 } AskPart;
 
 static void askingLeave(Asking *asking)
@@ -42,8 +43,8 @@
     Agent *agent = asking->agent;
     const KnowAsk ask = {0};
     KnowAnswer answer = {0};
-    const Status status = courierAsk(agent->courier, part, part->address, MESSAGE_KNOW, &KnowAskShape, &ask,
-                                     ASK_EXPIRY_MS, &KnowAnswerShape, &answer);
+    const Status status = courierAskPeer(agent->courier, part, &(CourierTarget){part->address, part->peer, NULL},
+                                         MESSAGE_KNOW, &KnowAskShape, &ask, ASK_EXPIRY_MS, &KnowAnswerShape, &answer);
     if (status != STATUS_OK || answer.knows || answer.epoch > agent->hold.epoch) {
         asking->all = false;
     } else if (part->disk != 0) {
@@ -94,6 +95,7 @@
         part->asking = asking;
         part->disk = cores ? record->disk : 0;
         strncpy(part->address, record->address, sizeof(part->address) - 1);
+        part->peer = memberPeer(record);
         asking->users++;
         asking->pending++;
         loopSpawn(agent->loop, "know", partMain, part);
--- a/packages/agent/src/beat.c
+++ b/packages/agent/src/beat.c
@@ -15,6 +15,7 @@
     uint64_t number;
     int64_t sentMs;
     char address[ADDRESS_MAX];
+    PeerLife peer;
     uint64_t *turns; /* of each of the told rounds' saved */
 } Beat;
 
@@ -127,8 +128,9 @@
     BeatAnswer answer = {0};
     beat->sentMs = loopNowMs(agent->loop);
     askFill(agent, beat, &ask);
-    const Status status = courierAsk(agent->courier, beat, beat->address, MESSAGE_BEAT, &BeatAskShape, &ask,
-                                     BEAT_WAIT_MS + ASK_EXPIRY_MS, &BeatAnswerShape, &answer);
+    const CourierTarget target = {beat->address, beat->peer, NULL};
+    const Status status = courierAskPeer(agent->courier, beat, &target, MESSAGE_BEAT, &BeatAskShape, &ask,
+                                         BEAT_WAIT_MS + ASK_EXPIRY_MS, &BeatAnswerShape, &answer);
     const int64_t nowMs = loopNowMs(agent->loop);
     membersRest(agent->members, status == STATUS_OK ? nowMs + HELLO_REST_MS : 0);
     if (status == STATUS_OK)
@@ -156,6 +158,7 @@
     beat->number = ++agent->number;
     beat->sentMs = loopNowMs(agent->loop);
     snprintf(beat->address, sizeof(beat->address), "%s", address);
+    beat->peer = membersLeaderPeer(agent->members);
     agent->beat = beat;
     agent->beats++;
     agent->beatNow = false;
--- a/packages/agent/src/tell.c
+++ b/packages/agent/src/tell.c
@@ -48,6 +48,7 @@
     size_t users;
     TellAsk ask;
     char address[ADDRESS_MAX];
+    PeerLife peer;
     bool over;
     Status status;
 } Telling;
@@ -63,8 +64,9 @@
     Telling *telling = arg;
     Agent *agent = telling->agent;
     TellAnswer answer = {0};
-    telling->status = courierAsk(agent->courier, telling, telling->address, MESSAGE_TELL, &TellAskShape, &telling->ask,
-                                 SUBMIT_EXPIRY_MS, &TellAnswerShape, &answer);
+    telling->status =
+        courierAskPeer(agent->courier, telling, &(CourierTarget){telling->address, telling->peer, NULL}, MESSAGE_TELL,
+                       &TellAskShape, &telling->ask, SUBMIT_EXPIRY_MS, &TellAnswerShape, &answer);
     if (telling->status == STATUS_OK)
         told(agent, &telling->ask);
     telling->over = true;
@@ -104,6 +106,7 @@
         }
         char old[ADDRESS_MAX];
         Status status = STATUS_NO_LEADER;
+        telling->peer = membersLeaderPeer(agent->members);
         if (leaderAddress(agent, telling->address))
             status = tellOnce(agent, telling);
         snprintf(old, sizeof(old), "%s", telling->address);
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -55,7 +55,11 @@
     X(OTHER_DISK, "other-disk", 409)             \
     X(HEAD_LARGE, "head-large", 431)             \
     X(NO_CONFIG, "no-config", 503)               \
-    X(STALE_ORDER, "stale-order", 409)
+    X(STALE_ORDER, "stale-order", 409)           \
+    X(OTHER_PEER, "other-peer", 503)             \
+    X(OTHER_LIFE, "other-life", 503)             \
+    X(OTHER_VERSION, "other-version", 503)       \
+    X(UNKNOWN_QUESTION, "unknown-question", 503)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -34,7 +34,7 @@
     Retelling *retelling = part->retelling;
     Core *core = retelling->core;
     const Nothing ask = {0};
-    KeepList answer = {0};
+    KeepList answer = {0}; /* of whoever stands there now: each item carries its own identity */
     const int64_t untilMs = loopNowMs(core->loop) + REPAIR_MS;
     Status status;
     do {
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -127,6 +127,17 @@
     return plan;
 }
 
+/* What came over the wire and was another's, or nobody's. */
+static json_object *showRefusedFrames(const Core *core)
+{
+    const CourierCounts *counts = courierCounts(core->courier);
+    json_object *frames = json_object_new_object();
+#define X(name) json_object_object_add(frames, #name, numberOf((int64_t)counts->name));
+    COURIER_REFUSED_LIST(X)
+#undef X
+    return frames;
+}
+
 json_object *coreStatus(Core *core)
 {
     void *mem = talloc_new(core);
@@ -165,6 +176,7 @@
     json_object_object_add(body, "policyFailures", numberOf((int64_t)policyFailures));
     if (policyFailures > 0)
         json_object_object_add(body, "policyLastFailure", textOf(words));
+    json_object_object_add(body, "refusedFrames", showRefusedFrames(core));
     json_object_object_add(body, "alerts", alertsShow(core));
     json_object *counts = json_object_new_object();
 #define X(name) json_object_object_add(counts, #name, numberOf((int64_t)core->counts.name));
--- a/packages/feed/include/feed/ways.h
+++ b/packages/feed/include/feed/ways.h
@@ -24,6 +24,7 @@
     bool own;   /* this process leads: nobody is asked */
     bool relay; /* the one asked carries it on */
     char address[ADDRESS_MAX];
+    PeerLife peer; /* who is meant there */
 } WaysTaken;
 
 /* False: no way is known now. */
--- a/packages/feed/src/attempt.c
+++ b/packages/feed/src/attempt.c
@@ -9,7 +9,7 @@
 
 #define ATTEMPT_QUIET_MS 400 /* ms; nothing has come back for so long: does the way live? A commit takes far less */
 
-/* Freed by whichever of the asking task and the attempt one ends last.
+/* Freed by whichever of the asking task and the waiting one ends last.
  * Invariant: on the forwarder's list exactly while its asker waits. */
 typedef struct Attempt {
     struct Attempt *prev, *next;
@@ -17,6 +17,7 @@
     size_t users;
     WaysTaken taken;
     ForwardAsk ask;
+    CourierSending sending;
     int64_t deadlineMs;
     bool done;
     Signal news; /* it is done, or the ways have moved on */
@@ -73,12 +74,14 @@
     const int64_t startMs = loopNowMs(loop);
     attempt->ask.waitMs = (uint64_t)(attempt->deadlineMs - startMs);
     if (attempt->taken.own) {
+        attempt->sending.sent = true;
         forwarder->settings.serve(forwarder->settings.arg, attempt, &attempt->ask, &attempt->answer);
         attempt->status = STATUS_OK;
     } else {
+        const CourierTarget target = {attempt->taken.address, attempt->taken.peer, &attempt->sending};
         attempt->status =
-            courierAsk(forwarder->settings.courier, attempt, attempt->taken.address, MESSAGE_FORWARD, &ForwardAskShape,
-                       &attempt->ask, attempt->deadlineMs - startMs, &ForwardAnswerShape, &attempt->answer);
+            courierAskPeer(forwarder->settings.courier, attempt, &target, MESSAGE_FORWARD, &ForwardAskShape,
+                           &attempt->ask, attempt->deadlineMs - startMs, &ForwardAnswerShape, &attempt->answer);
     }
     if (attempt->status == STATUS_OK) {
         if (!attempt->taken.own)
@@ -153,7 +156,11 @@
         forwarder->waiting = attempt->next;
     if (attempt->next != NULL)
         attempt->next->prev = attempt->prev;
-    const Status status = attempt->done ? attempt->status : STATUS_EXPIRED;
+    /* one that still waits for a connection will not be sent any more */
+    attempt->sending.cancelled = true;
+    Status status = attempt->sending.sent ? STATUS_EXPIRED : STATUS_UNREACHABLE;
+    if (attempt->done)
+        status = attempt->status;
     if (status == STATUS_OK)
         shapeCopy(&ForwardAnswerShape, &attempt->answer, mem, answer);
     attemptLeave(attempt);
--- a/packages/feed/src/attempt.h
+++ b/packages/feed/src/attempt.h
@@ -11,7 +11,8 @@
 };
 
 /* Waits. Asks once, along the way taken. EXPIRED also when the way fails, or the ways
- * move on, before the answer. On OK the answer lives on mem, and what was committed has
+ * move on, before the answer; UNREACHABLE when it had not been sent by then, and never
+ * will be. On OK the answer lives on mem, and what was committed has
  * been kept; it is kept also when it comes too late for the asker: this node may be the
  * only one to hear of it. */
 Status attemptForward(Forwarder *forwarder, void *mem, const WaysTaken *taken, const ForwardAsk *ask, int64_t untilMs,
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -137,8 +137,9 @@
             .have = feed->revision, .textHave = textHave, .wants = textHave < feed->revision && calm, .brief = true};
     ask.first = first;
     FeedAnswer answer = {0};
-    const Status status = courierAsk(feed->courier, mem, taken->address, MESSAGE_FEED, &FeedAskShape, &ask,
-                                     FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
+    const Status status =
+        courierAskPeer(feed->courier, mem, &(CourierTarget){taken->address, taken->peer, NULL}, MESSAGE_FEED,
+                       &FeedAskShape, &ask, FEED_HOLD_MS + ASK_EXPIRY_MS, &FeedAnswerShape, &answer);
     if (status == STATUS_OK) {
         waysHeard(feed->ways, taken, !answer.waits);
         if (wanted)
--- a/packages/feed/src/forward.c
+++ b/packages/feed/src/forward.c
@@ -23,6 +23,10 @@
     case STATUS_REPAIRING:
     case STATUS_LEAVING:
     case STATUS_TOO_LARGE:
+    case STATUS_OTHER_PEER:
+    case STATUS_OTHER_LIFE:
+    case STATUS_OTHER_VERSION:
+    case STATUS_UNKNOWN_QUESTION:
         return true;
     default:
         return false;
@@ -89,7 +93,7 @@
             return answer->code != 503 || !one->maybeTaken;
         unknown |= status != STATUS_OK && !untaken(status);
         one->maybeTaken |= changes && unknown;
-        if (status != STATUS_EXPIRED || loopNowMs(loop) < one->untilMs)
+        if (loopNowMs(loop) < one->untilMs || (status != STATUS_EXPIRED && status != STATUS_UNREACHABLE))
             waysFailed(forwarder->ways, &taken);
     }
     return false;
@@ -147,8 +151,9 @@
     /* before the asker's own patience ends, so that it hears that this end lives */
     const int64_t waitMs =
         ask->waitMs > 0 && ask->waitMs < FORWARD_DEADLINE_MS ? (int64_t)ask->waitMs * 3 / 4 : FORWARD_DEADLINE_MS;
-    const Status status = courierAsk(forwarder->settings.courier, mem, taken.address, MESSAGE_FORWARD, &ForwardAskShape,
-                                     &onward, waitMs, &ForwardAnswerShape, answer);
+    const Status status =
+        courierAskPeer(forwarder->settings.courier, mem, &(CourierTarget){taken.address, taken.peer, NULL},
+                       MESSAGE_FORWARD, &ForwardAskShape, &onward, waitMs, &ForwardAnswerShape, answer);
     if (status == STATUS_UNREACHABLE || status == STATUS_NOT_LEADER)
         waysFailed(forwarder->ways, &taken);
     return status;
--- a/packages/feed/src/ways.c
+++ b/packages/feed/src/ways.c
@@ -77,6 +77,7 @@
         return false;
     if (nth == 0) {
         snprintf(taken->address, ADDRESS_MAX, "%s", leader);
+        taken->peer = membersLeaderPeer(ways->members);
         return strcmp(leader, self->address) != 0;
     }
     const MemberTable *table = membersTable(ways->members);
@@ -87,6 +88,7 @@
             memberQuiet(row, loopNowMs(ways->loop)) || --nth > 0)
             continue;
         snprintf(taken->address, ADDRESS_MAX, "%s", row->record.address);
+        taken->peer = memberPeer(&row->record);
         return true;
     }
     return false;
@@ -98,9 +100,11 @@
     const ForwardAsk ask = {
         .method = "GET", .path = "/readyz", .relay = taken->relay, .host = "", .waitMs = (uint64_t)waitMs};
     ForwardAnswer answer = {0};
-    const Status status = courierAsk(ways->courier, mem, taken->address, MESSAGE_FORWARD, &ForwardAskShape, &ask,
-                                     waitMs, &ForwardAnswerShape, &answer);
-    if (status != STATUS_OK)
+    const Status status = courierAskPeer(ways->courier, mem, &(CourierTarget){taken->address, taken->peer, NULL},
+                                         MESSAGE_FORWARD, &ForwardAskShape, &ask, waitMs, &ForwardAnswerShape, &answer);
+    if (status == STATUS_OTHER_PEER || status == STATUS_OTHER_LIFE)
+        membersMeet(ways->members, taken->address);
+    else if (status != STATUS_OK)
         waysTold(ways, &answer);
     *serves = status == STATUS_OK && answer.code == 200;
     talloc_free(mem);
--- a/packages/loop/include/loop/inside.h
+++ b/packages/loop/include/loop/inside.h
@@ -33,13 +33,15 @@
     Bytes bytes;
 } Frame;
 
-/* Invariant: frames are in order of arrival; after closed none is added. */
+/* Invariants: frames are in order of arrival; after closed none is added; queued counts
+ * the bytes that were to be sent, and handed those of them that may have left. */
 struct Channel {
     Loop *loop;
     bool closed;
     Signal arrived;
     Frame *first, *last;
     size_t frameCount;
+    uint64_t queued, handed;
 };
 
 struct File {
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -84,6 +84,10 @@
 Status loopOpen(Loop *loop, void *mem, const char *address, int64_t waitMs, Channel **channel);
 /* Takes a copy; never waits. */
 Status channelSend(Channel *channel, Bytes frame);
+/* How far a channel has been told to send, and whether what was told up to then has
+ * certainly not left whole: nobody can have taken the last frame of it. */
+uint64_t channelQueued(const Channel *channel);
+bool channelUnsent(const Channel *channel, uint64_t upTo);
 /* Waits for a frame. EXPIRED when untilMs has come, CLOSED after the end. */
 Status channelReceive(Channel *channel, void *mem, int64_t untilMs, Bytes *frame);
 /* Ends the connection, wakes its reader; the reader frees it by channelClose. */
--- a/packages/loop/src/channel.c
+++ b/packages/loop/src/channel.c
@@ -50,6 +50,16 @@
     return channel->closed ? STATUS_CLOSED : channel->loop->ops->send(channel, frame);
 }
 
+uint64_t channelQueued(const Channel *channel)
+{
+    return channel->queued;
+}
+
+bool channelUnsent(const Channel *channel, uint64_t upTo)
+{
+    return channel->handed < upTo;
+}
+
 void channelShut(Channel *channel)
 {
     if (channel->closed)
--- a/packages/loop/src/realchannel.c
+++ b/packages/loop/src/realchannel.c
@@ -20,6 +20,7 @@
     bool connecting;
     bool writing;
     bool toFlush;
+    bool broken; /* a write has failed */
     struct RealChannel *flushNext, *flushPrev;
     Signal connected;
     Bytes out;  /* in the hands of h2o */
@@ -95,8 +96,11 @@
 static void writeNow(RealChannel *rc)
 {
     const ssize_t took = send(h2o_socket_get_fd(rc->sock), rc->next.data, rc->next.count, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (took <= 0) /* an error shows itself again to h2o */
+    if (took < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+        rc->broken = true; /* nothing more leaves; what has come is read first, then its end */
+    if (took <= 0)
         return;
+    rc->channel.handed += (uint64_t)took;
     rc->next.count -= (size_t)took;
     memmove(rc->next.data, rc->next.data + took, rc->next.count);
     if (rc->next.count == 0 && rc->next.room > CHANNEL_KEEP_BYTES) {
@@ -107,15 +111,16 @@
 
 static void writeNext(RealChannel *rc)
 {
-    if (rc->writing || rc->connecting || rc->sock == NULL || rc->next.count == 0)
+    if (rc->writing || rc->connecting || rc->broken || rc->sock == NULL || rc->next.count == 0)
         return;
     writeNow(rc);
-    if (rc->next.count == 0)
+    if (rc->next.count == 0 || rc->broken)
         return;
     const Bytes spare = rc->out;
     rc->out = rc->next;
     rc->next = (Bytes){spare.data, 0, spare.room};
     rc->writing = true;
+    rc->channel.handed += rc->out.count; /* some of it may leave before it is told */
     h2o_iovec_t vec = h2o_iovec_init((char *)rc->out.data, rc->out.count);
     h2o_socket_write(rc->sock, &vec, 1, onWritten);
 }
@@ -226,6 +231,7 @@
                              (uint8_t)frame.count};
     bytesAdd(rc, &rc->next, head, sizeof(head));
     bytesAdd(rc, &rc->next, frame.data, frame.count);
+    channel->queued += sizeof(head) + frame.count;
     if (!rc->toFlush) {
         RealLoop *real = rc->real;
         rc->toFlush = true;
--- /dev/null
+++ b/packages/loop/test/loopback.c
@@ -0,0 +1,335 @@
+/* The real loop over loopback: an answer goes to its own caller. A thread is the other
+ * side, with plain sockets; nobody sleeps, each waits for what the other has done. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <sched.h>
+#include <stdatomic.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "loop/real.h"
+
+#define GIVEN_UP_MS 20  /* ms; a call that is to be given up */
+#define PATIENT_MS 5000 /* ms; one that is not */
+#define CALLERS 40      /* count; that leave, one after the other */
+#define FRAME_BYTES (1024 * 1024)
+#define FRAMES_MOST 64
+
+typedef struct Stage {
+    Loop *loop;
+    char address[ADDRESS_MAX]; /* the loop's server */
+    int listener;              /* the thread's */
+    char peer[ADDRESS_MAX];
+    void (*thread)(struct Stage *stage); /* the other side's part */
+    TaskFn task;                         /* the loop's part; null: it serves only */
+    atomic_int step;                     /* how far the two have come */
+    atomic_int gone;
+} Stage;
+
+static void until(Stage *stage, int step)
+{
+    while (stage->step < step)
+        sched_yield();
+}
+
+/* Likewise, in a task of the loop. */
+static void untilStep(Stage *stage, int step)
+{
+    while (stage->step < step)
+        loopSleep(stage->loop, 1);
+}
+
+static int dial(const char *address)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET, .sin_port = htons((uint16_t)atoi(strrchr(address, ':') + 1))};
+    inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+        abort();
+    return fd;
+}
+
+static void put(int fd, const char *text)
+{
+    if (send(fd, text, strlen(text), MSG_NOSIGNAL) != (ssize_t)strlen(text))
+        fprintf(stderr, "not all was sent\n");
+}
+
+/* Reads until the text has these words; false: it ended before. */
+static bool readUntil(int fd, char *text, size_t room, const char *words)
+{
+    size_t count = 0;
+    text[0] = '\0';
+    while (strstr(text, words) == NULL && count + 1 < room) {
+        const ssize_t got = recv(fd, text + count, 1, 0);
+        if (got <= 0)
+            return false;
+        text[++count] = '\0';
+    }
+    return strstr(text, words) != NULL;
+}
+
+static void *threadMain(void *arg)
+{
+    Stage *stage = arg;
+    stage->thread(stage);
+    return NULL;
+}
+
+static void onTerm(void *arg)
+{
+    (void)arg;
+}
+
+/* --- two requests on one caller's connection, callers that leave ------------------------ */
+
+/* "/up" waits until it has been given up, as one whose deadline comes. */
+static void onHttp(void *arg, HttpTask *task)
+{
+    Stage *stage = arg;
+    task->code = 200;
+    if (strcmp(task->path, "/end") == 0)
+        loopStop(task->loop);
+    if (strcmp(task->path, "/up") == 0) {
+        untilStep(stage, 1);
+        task->code = 504;
+    }
+    if (strcmp(task->path, "/leaver") == 0) {
+        while (!task->gone)
+            loopSleep(task->loop, 1);
+        stage->gone++;
+    }
+    const char *text = talloc_asprintf(task, "answer to %s.", task->path);
+    bytesAdd(task, &task->result, text, strlen(text));
+}
+
+static void ask(int fd, const char *path)
+{
+    char request[256];
+    snprintf(request, sizeof(request), "GET %s HTTP/1.1\r\nhost: x\r\n\r\n", path);
+    put(fd, request);
+}
+
+static void told(int fd, const char *code, const char *path)
+{
+    char text[1024], words[256];
+    snprintf(words, sizeof(words), "answer to %s.", path);
+    if (!readUntil(fd, text, sizeof(text), "answer to /") || strncmp(text + 9, code, 3) != 0)
+        fail_msg("%s instead of %s", text, code);
+    size_t count = strlen(text);
+    while (text[count - 1] != '.' && recv(fd, text + count, 1, 0) == 1)
+        text[++count] = '\0';
+    if (strstr(text, words) == NULL)
+        fail_msg("%s instead of %s", text, words);
+}
+
+static void callers(Stage *stage)
+{
+    /* three at once on one connection, the first given up */
+    const int fd = dial(stage->address);
+    ask(fd, "/up");
+    ask(fd, "/second");
+    ask(fd, "/third");
+    stage->step = 1;
+    told(fd, "504", "/up");
+    told(fd, "200", "/second");
+    told(fd, "200", "/third");
+    /* one leaves with its request in work, the next takes its place */
+    for (int i = 0; i < CALLERS; i++) {
+        char path[64];
+        const int leaver = dial(stage->address);
+        ask(leaver, "/leaver");
+        close(leaver);
+        const int next = dial(stage->address);
+        snprintf(path, sizeof(path), "/next%d", i);
+        ask(next, path);
+        told(next, "200", path);
+        snprintf(path, sizeof(path), "/again%d", i);
+        ask(next, path);
+        told(next, "200", path);
+        close(next);
+    }
+    while (stage->gone < CALLERS)
+        sched_yield();
+    ask(fd, "/end");
+    told(fd, "200", "/end");
+    close(fd);
+}
+
+/* --- calls of ours: late, cut short, reset ----------------------------------------------- */
+
+static void resetClose(int fd)
+{
+    const struct linger now = {1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(fd);
+}
+
+static int accepted(const Stage *stage, const char *words)
+{
+    char text[1024];
+    const int fd = accept(stage->listener, NULL, NULL);
+    if (fd < 0 || !readUntil(fd, text, sizeof(text), words))
+        fail_msg("%s instead of %s", text, words);
+    return fd;
+}
+
+#define LATE "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate"
+#define OWN "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown"
+#define SHORT "HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\nshort"
+
+static void answering(Stage *stage)
+{
+    const int late = accepted(stage, "/late");
+    until(stage, 1); /* it has been given up */
+    send(late, LATE, strlen(LATE), MSG_NOSIGNAL);
+    const int own = accepted(stage, "/own");
+    send(late, LATE, strlen(LATE), MSG_NOSIGNAL);
+    put(own, OWN);
+    close(own);
+    close(late);
+    const int half = accepted(stage, "/short");
+    put(half, SHORT);
+    close(half);
+    const int reset = accepted(stage, "/reset");
+    put(reset, "HTTP/1.1 200 OK\r\ncontent-le");
+    resetClose(reset);
+    const int last = accepted(stage, "/last");
+    put(last, OWN);
+    close(last);
+}
+
+static Status call(Stage *stage, const char *path, int64_t waitMs, const char *body)
+{
+    HttpCall one = {.mem = talloc_new(stage), .address = stage->peer, .method = "GET", .path = path, .waitMs = waitMs};
+    const Status status = loopCall(stage->loop, &one);
+    if (status == STATUS_OK)
+        assert_true(one.result.count == strlen(body) && memcmp(one.result.data, body, one.result.count) == 0);
+    assert_true(one.sent);
+    talloc_free(one.mem);
+    return status;
+}
+
+static void calling(void *arg)
+{
+    Stage *stage = arg;
+    assert_int_equal(call(stage, "/late", GIVEN_UP_MS, ""), STATUS_EXPIRED);
+    stage->step = 1;
+    assert_int_equal(call(stage, "/own", PATIENT_MS, "own"), STATUS_OK);
+    assert_int_equal(call(stage, "/short", PATIENT_MS, ""), STATUS_CLOSED);
+    assert_int_equal(call(stage, "/reset", PATIENT_MS, ""), STATUS_CLOSED);
+    assert_int_equal(call(stage, "/last", PATIENT_MS, "own"), STATUS_OK);
+    loopStop(stage->loop);
+}
+
+/* --- frames: half written, and never sent ------------------------------------------------- */
+
+static void framing(Stage *stage)
+{
+    static const uint8_t WHOLE[] = {0, 0, 0, 2, 'o', 'k'}, HALF[] = {0, 0, 0, 9, 'h', 'a', 'l', 'f'};
+    const int half = accept(stage->listener, NULL, NULL);
+    send(half, WHOLE, sizeof(WHOLE), MSG_NOSIGNAL);
+    send(half, HALF, sizeof(HALF), MSG_NOSIGNAL);
+    close(half);
+    const int full = accept(stage->listener, NULL, NULL);
+    until(stage, 1); /* more has been sent than the kernel takes; nothing is read of it */
+    resetClose(full);
+}
+
+static void framed(void *arg)
+{
+    Stage *stage = arg;
+    Channel *channel;
+    Bytes frame = {0};
+    assert_int_equal(loopOpen(stage->loop, stage, stage->peer, PATIENT_MS, &channel), STATUS_OK);
+    assert_int_equal(channelReceive(channel, stage, INT64_MAX, &frame), STATUS_OK);
+    assert_int_equal(frame.count, 2);
+    assert_int_equal(channelReceive(channel, stage, INT64_MAX, &frame), STATUS_CLOSED); /* and nothing of the half */
+    channelClose(channel);
+    assert_int_equal(loopOpen(stage->loop, stage, stage->peer, PATIENT_MS, &channel), STATUS_OK);
+    const Bytes large = {talloc_zero_size(stage, FRAME_BYTES), FRAME_BYTES, 0};
+    assert_int_equal(channelSend(channel, large), STATUS_OK);
+    const uint64_t first = channelQueued(channel);
+    uint64_t last = first;
+    /* until the kernel takes no more: what comes then is gathered behind it */
+    for (int i = 0; i < FRAMES_MOST && !(last > first && channelUnsent(channel, last)); i++) {
+        assert_int_equal(channelSend(channel, large), STATUS_OK);
+        last = channelQueued(channel);
+        loopSleep(stage->loop, 1);
+    }
+    /* nobody can have the last one */
+    assert_true(last > first && channelUnsent(channel, last));
+    assert_false(channelUnsent(channel, first)); /* some of it has left: not known */
+    stage->step = 1;
+    assert_int_equal(channelReceive(channel, stage, INT64_MAX, &frame), STATUS_CLOSED);
+    assert_true(channelUnsent(channel, last));
+    assert_false(channelUnsent(channel, first));
+    channelClose(channel);
+    loopStop(stage->loop);
+}
+
+/* --- play ------------------------------------------------------------------------------- */
+
+static void play(void (*thread)(Stage *stage), TaskFn task)
+{
+    Stage *stage = talloc_zero(NULL, Stage);
+    stage->loop = realLoopNew(stage);
+    stage->thread = thread;
+    struct sockaddr_in sin = {.sin_family = AF_INET};
+    socklen_t length = sizeof(sin);
+    inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+    stage->listener = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(stage->listener, (struct sockaddr *)&sin, length), 0);
+    assert_int_equal(listen(stage->listener, 16), 0);
+    getsockname(stage->listener, (struct sockaddr *)&sin, &length);
+    snprintf(stage->peer, sizeof(stage->peer), "127.0.0.1:%d", ntohs(sin.sin_port));
+    assert_int_equal(loopServe(stage->loop, "127.0.0.1:0", onHttp, stage, stage->address, NULL), STATUS_OK);
+    if (task != NULL)
+        loopSpawn(stage->loop, "part", task, stage);
+    pthread_t other;
+    pthread_create(&other, NULL, threadMain, stage);
+    realLoopRun(stage->loop, onTerm, stage);
+    pthread_join(other, NULL);
+    close(stage->listener);
+}
+
+static void ownAnswers(void **state)
+{
+    (void)state;
+    play(callers, NULL);
+}
+
+static void ownCalls(void **state)
+{
+    (void)state;
+    play(answering, calling);
+}
+
+static void wholeFrames(void **state)
+{
+    (void)state;
+    play(framing, framed);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(ownAnswers),
+        cmocka_unit_test(ownCalls),
+        cmocka_unit_test(wholeFrames),
+    };
+    const int failed = cmocka_run_group_tests(tests, NULL, NULL);
+    fflush(NULL);
+    _exit(failed); /* a real loop lives as long as its process: what it leaves is no leak */
+}
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -60,6 +60,12 @@
 void membersAnnounce(Members *members);
 const char *membersLeaderId(const Members *members);
 uint64_t membersLeaderEpoch(const Members *members);
+/* Of one that is to be asked, and no other. */
+PeerLife memberPeer(const MemberRecord *record);
+/* Another process than the one known has answered there: it is asked who it is. */
+void membersMeet(Members *members, const char *address);
+/* Who is meant when the leader is asked; id 0: none is known. */
+PeerLife membersLeaderPeer(const Members *members);
 /* The address where the leader is asked, or null. */
 const char *membersLeaderAddress(const Members *members);
 /* The leader is heard from otherwise: until then hellos are spaced out, so that a
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -107,6 +107,7 @@
         if (record->incarnation > members->self.incarnation ||
             (record->incarnation == members->self.incarnation && !isSelf(members, record)))
             members->self.incarnation = record->incarnation + 1;
+        courierSetSelf(members->courier, memberPeer(&members->self));
         return;
     }
     bool found;
@@ -162,6 +163,7 @@
     members->courier = courier;
     members->ring = ring;
     shapeCopy(&MemberRecordShape, self, members, &members->self);
+    courierSetSelf(courier, memberPeer(&members->self));
     members->leaderId = talloc_strdup(members, "");
     for (int i = 0; i < SEEDS; i++)
         members->seeds[i] = talloc_strdup(members, seeds[i]);
@@ -242,6 +244,17 @@
     return members->leaderEpoch;
 }
 
+PeerLife memberPeer(const MemberRecord *record)
+{
+    return peerLife(record->id, record->incarnation);
+}
+
+PeerLife membersLeaderPeer(const Members *members)
+{
+    const Member *row = membersFind(members, members->leaderId);
+    return row != NULL ? memberPeer(&row->record) : (PeerLife){0};
+}
+
 const char *membersLeaderAddress(const Members *members)
 {
     const Member *member = members->leaderId[0] ? membersFind(members, members->leaderId) : NULL;
@@ -369,6 +382,11 @@
     loopSpawn(members->loop, "greet", lookOne, look);
 }
 
+void membersMeet(Members *members, const char *address)
+{
+    greet(members, address);
+}
+
 void membersAnnounce(Members *members)
 {
     for (size_t i = 0; i < members->table->count; i++) {
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -228,6 +228,9 @@
     SimChannel *sc = (SimChannel *)channel;
     if (frame.count > FRAME_MAX_BYTES)
         return STATUS_TOO_LARGE;
+    channel->queued += frame.count;
+    if (!sc->pair->fin[sc->side])
+        channel->handed = channel->queued;
     if (!frameDrawn(sc->pair, sc->side, frame))
         push(sc->pair, sc->side, false, frame);
     return STATUS_OK;
--- a/packages/trace/src/trace.c
+++ b/packages/trace/src/trace.c
@@ -115,6 +115,7 @@
     Gathering *gathering;
     const char *name;
     char address[ADDRESS_MAX];
+    PeerLife peer;
 } GatherPart;
 
 static void gatheringLeave(Gathering *gathering)
@@ -142,8 +143,9 @@
     Trace *trace = gathering->trace;
     TraceAnswer answer = {0};
     const int64_t sentMs = loopNowMs(trace->loop);
-    const Status status = courierAsk(trace->courier, part, part->address, MESSAGE_TRACE, &TraceAskShape,
-                                     &gathering->ask, ASK_EXPIRY_MS, &TraceAnswerShape, &answer);
+    const Status status =
+        courierAskPeer(trace->courier, part, &(CourierTarget){part->address, part->peer, NULL}, MESSAGE_TRACE,
+                       &TraceAskShape, &gathering->ask, ASK_EXPIRY_MS, &TraceAnswerShape, &answer);
     if (status == STATUS_OK) {
         rowsAdd(gathering, &answer, (sentMs + loopNowMs(trace->loop)) / 2 - answer.nowMs);
     } else {
@@ -203,6 +205,7 @@
         part->gathering = gathering;
         part->name = talloc_strdup(part, record->name);
         snprintf(part->address, sizeof(part->address), "%s", record->address);
+        part->peer = memberPeer(record);
         gathering->users++;
         gathering->pending++;
         loopSpawn(trace->loop, "trace", partMain, part);
--- a/packages/wire/include/wire/courier.h
+++ b/packages/wire/include/wire/courier.h
@@ -10,16 +10,23 @@
  * each peer asked, one task for each connection and each question served. */
 typedef struct Courier Courier;
 
-/* What the courier has counted of bad frames; none of them ever crashes it. */
+/* Frames that were not taken; none of them ever crashes the courier. */
+#define COURIER_REFUSED_LIST(X)                                                    \
+    X(badFrames)     /* they do not parse, or nobody here knows what they ask */   \
+    X(strangers)     /* of another cluster */                                      \
+    X(otherVersions) /* of another version of the wire */                          \
+    X(otherPeers)    /* questions meant for another process, answers of another */ \
+    X(otherLives)    /* questions meant for an earlier life of this process */     \
+    X(otherKinds)    /* answers that are none to the question with their number */ \
+    X(lateAnswers)   /* to questions that had been given up */
+
 #define COURIER_COUNT_LIST(X) \
     X(asked)                  \
     X(answered)               \
     X(served)                 \
     X(expired)                \
-    X(badFrames)              \
-    X(strangers)              \
-    X(otherVersions)          \
-    X(linesOpened)
+    X(linesOpened)            \
+    COURIER_REFUSED_LIST(X)
 
 typedef struct CourierCounts {
 #define X(name) uint64_t name;
@@ -27,6 +34,15 @@
 #undef X
 } CourierCounts;
 
+/* A process as peers know it: its member's id, as a sum, and since which of its
+ * incarnations it lives. id 0: whoever stands at the address. */
+typedef struct PeerLife {
+    uint64_t id;
+    uint64_t life;
+} PeerLife;
+
+PeerLife peerLife(const char *id, uint64_t life);
+
 /* Fills in the answer; the status goes with it. Runs in a task of its own;
  * ask, answer and all they hold live on mem. */
 typedef Status (*CourierFn)(void *arg, void *mem, const void *ask, void *answer);
@@ -35,13 +51,35 @@
 /* The cluster whose frames are taken; 0 while none is known. */
 void courierSetCluster(Courier *courier, uint64_t cluster);
 uint64_t courierCluster(const Courier *courier);
+/* Who this process says that it is: questions meant for another, or for an earlier life
+ * of it, are refused. */
+void courierSetSelf(Courier *courier, PeerLife self);
 void courierHandle(Courier *courier, MessageKind kind, const Shape *ask, const Shape *answer, CourierFn fn, void *arg);
 Status courierListen(Courier *courier, const char *address, char bound[ADDRESS_MAX], Failure *failure);
 
-/* Waits for the answer. UNREACHABLE and STRANGER: certainly not taken.
- * EXPIRED and CLOSED: it may have been. Any other status is the peer's own. */
+/* Waits for the answer. Certainly not carried out: UNREACHABLE, TOO_LARGE, STRANGER,
+ * OTHER_PEER, OTHER_LIFE, OTHER_VERSION, UNKNOWN_QUESTION. EXPIRED, CLOSED and BAD_FRAME:
+ * it may have been. Any other status is the peer's own. */
 Status courierAsk(Courier *courier, void *mem, const char *address, MessageKind kind, const Shape *askShape,
                   const void *ask, int64_t waitMs, const Shape *answerShape, void *answer);
+/* What an asker sees of a question while it waits, and says of it: whether it may have left
+ * this process, and that it is not to be sent any more. */
+typedef struct CourierSending {
+    bool sent;
+    bool cancelled;
+} CourierSending;
+
+/* Who is asked. sending: null where nobody looks. */
+typedef struct CourierTarget {
+    const char *address;
+    PeerLife meant;
+    CourierSending *sending;
+} CourierTarget;
+
+/* The same of one process: another that stands at the address does not carry it out, and
+ * an answer that is not that process's own is not taken. */
+Status courierAskPeer(Courier *courier, void *mem, const CourierTarget *target, MessageKind kind, const Shape *askShape,
+                      const void *ask, int64_t waitMs, const Shape *answerShape, void *answer);
 /* A new process is known to stand at the address: a line on which questions have
  * waited for long leads to the last one, and is opened anew. */
 void courierRenew(Courier *courier, const char *address);
--- a/packages/wire/src/courier.c
+++ b/packages/wire/src/courier.c
@@ -1,52 +1,10 @@
-#include "wire/courier.h"
-
+/* Who a process is on the wire, and how it serves the questions of others. */
+#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "base/constants.h"
-#include "base/map.h"
-#include "envelope.h"
-
-typedef struct Handler {
-    const Shape *ask, *answer;
-    CourierFn fn;
-    void *arg;
-} Handler;
-
-/* A question on its way. Invariant: on its line's list until answered or given up. */
-typedef struct Asking {
-    struct Asking *next;
-    uint64_t call;
-    int64_t sentMs;
-    bool done;
-    Status status;
-    void *mem;
-    Bytes payload;
-    Signal answered;
-} Asking;
-
-/* The connection to one peer.
- * Invariant: while channel is non-null a reading task serves it; misses counts
- * questions in a row that expired. */
-typedef struct Line {
-    Courier *courier;
-    const char *address;
-    Channel *channel;
-    bool opening;
-    Signal opened;
-    Asking *asking;
-    unsigned misses;
-} Line;
-
-struct Courier {
-    Loop *loop;
-    Ring *ring;
-    uint64_t cluster;
-    uint64_t lastCall;
-    Map *lines;
-    Handler handlers[MESSAGE_MAX];
-    CourierCounts counts;
-};
+#include "inside.h"
 
 static const struct {
     bool known;
@@ -57,6 +15,28 @@
 #undef X
 };
 
+bool courierOpenKind(uint64_t kind)
+{
+    return kind < MESSAGE_MAX && KINDS[kind].open;
+}
+
+bool courierSameCluster(uint64_t a, uint64_t b)
+{
+    return a == 0 || b == 0 || a == b;
+}
+
+PeerLife peerLife(const char *id, uint64_t life)
+{
+    return (PeerLife){bytesCrc(id, strlen(id)), life};
+}
+
+void courierSetSelf(Courier *courier, PeerLife self)
+{
+    if (courier->self.id == 0)
+        courier->bornLife = self.life;
+    courier->self = self;
+}
+
 Courier *courierNew(void *mem, Loop *loop, Ring *ring)
 {
     Courier *courier = talloc_zero(mem, Courier);
@@ -110,52 +90,119 @@
 
 static void answerSend(Served *served, void *mem, const Envelope *question, Status status, Bytes payload)
 {
+    const Courier *courier = served->courier;
     const Envelope envelope = {.version = WIRE_VERSION,
-                               .cluster = served->courier->cluster,
+                               .cluster = courier->cluster,
                                .kind = question->kind,
                                .call = question->call,
                                .answer = true,
                                .status = (uint64_t)status,
-                               .payload = payload};
+                               .payload = payload,
+                               .peer = courier->self.id,
+                               .peerLife = courier->self.life};
     Bytes frame = {0};
     shapePack(&EnvelopeShape, &envelope, mem, &frame);
     channelSend(served->channel, frame);
 }
 
-static void questionMain(void *arg)
+void courierNoteRefused(Courier *courier, Status status, const char *what, const Envelope *envelope)
+{
+    const uint64_t count = ++courier->refused;
+    if ((count & (count - 1)) == 0) /* the first, the second, the fourth: the log is not filled by them */
+        ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop),
+                "%s is refused: %s (kind %" PRIu64 ", cluster %016" PRIx64 ", version %" PRIu64 "); %" PRIu64 " so far",
+                what, statusWord(status), envelope->kind, envelope->cluster, envelope->version, count);
+}
+
+/* Whether a question is one for this process: of its version, its cluster, and meant for
+ * it in its present life. One that is not is refused, and certainly not carried out. */
+static Status questionCheck(Courier *courier, const Envelope *envelope)
+{
+    const PeerLife *self = &courier->self;
+    if (envelope->version != WIRE_VERSION) {
+        courier->counts.otherVersions++;
+        return STATUS_OTHER_VERSION;
+    }
+    if (!courierSameCluster(envelope->cluster, courier->cluster) ||
+        ((envelope->cluster == 0 || courier->cluster == 0) && !courierOpenKind(envelope->kind))) {
+        courier->counts.strangers++;
+        return STATUS_STRANGER;
+    }
+    if (envelope->peer == 0 || self->id == 0)
+        return STATUS_OK; /* whoever stands here was asked, or by an earlier release */
+    if (envelope->peer != self->id) {
+        courier->counts.otherPeers++;
+        return STATUS_OTHER_PEER;
+    }
+    if (envelope->peerLife != self->life && envelope->peerLife != courier->bornLife) {
+        courier->counts.otherLives++;
+        return STATUS_OTHER_LIFE;
+    }
+    return STATUS_OK;
+}
+
+static void noteBad(Courier *courier, const char *text)
+{
+    courier->counts.badFrames++;
+    ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s", text);
+}
+
+static Status questionServe(Question *question, Bytes *payload)
 {
-    Question *question = arg;
     Served *served = question->served;
     Courier *courier = served->courier;
     const Envelope *envelope = &question->envelope;
     const Handler *handler = &courier->handlers[envelope->kind];
-    const uint64_t cluster = courier->cluster;
+    Status status = questionCheck(courier, envelope);
+    if (status != STATUS_OK) {
+        courierNoteRefused(courier, status, "a question", envelope);
+        return status;
+    }
     void *ask = talloc_zero_size(question, handler->ask->size);
     void *answer = talloc_zero_size(question, handler->answer->size);
     Failure failure = {0};
-    Bytes payload = {0};
-    Status status = STATUS_OK;
-    if ((envelope->cluster != 0 && cluster != 0 && envelope->cluster != cluster) ||
-        ((envelope->cluster == 0 || cluster == 0) && !KINDS[envelope->kind].open)) {
-        courier->counts.strangers++;
-        status = STATUS_STRANGER;
-    } else {
-        status = shapeUnpack(handler->ask, envelope->payload, question, ask, &failure);
-        if (status != STATUS_OK) {
-            courier->counts.badFrames++;
-            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame: %s", failure.text);
-            channelShut(served->channel);
-        } else {
-            status = handler->fn(handler->arg, question, ask, answer);
-            shapePack(handler->answer, answer, question, &payload);
-            courier->counts.served++;
-        }
+    status = shapeUnpack(handler->ask, envelope->payload, question, ask, &failure);
+    if (status != STATUS_OK) {
+        noteBad(courier, failure.text);
+        channelShut(served->channel);
+        return status;
     }
-    answerSend(served, question, envelope, status, payload);
+    status = handler->fn(handler->arg, question, ask, answer);
+    shapePack(handler->answer, answer, question, payload);
+    courier->counts.served++;
+    return status;
+}
+
+static void questionMain(void *arg)
+{
+    Question *question = arg;
+    Served *served = question->served;
+    Bytes payload = {0};
+    const Status status = questionServe(question, &payload);
+    answerSend(served, question, &question->envelope, status, payload);
     servedLeave(served);
     talloc_free(question);
 }
 
+/* Takes a frame as a question; false: the connection is to end. */
+static bool questionRead(Served *served, Question *question, Bytes frame)
+{
+    Courier *courier = served->courier;
+    Envelope *envelope = &question->envelope;
+    Failure failure = {0};
+    if (shapeUnpack(&EnvelopeShape, frame, question, envelope, &failure) != STATUS_OK || envelope->answer) {
+        noteBad(courier, envelope->answer ? "an answer where a question belongs" : failure.text);
+        return false;
+    }
+    if (envelope->kind >= MESSAGE_MAX || courier->handlers[envelope->kind].fn == NULL) {
+        /* of a later release, or meant for another role: certainly not carried out */
+        answerSend(served, question, envelope, STATUS_UNKNOWN_QUESTION, (Bytes){0});
+        noteBad(courier, "a question that is not known here");
+        return false;
+    }
+    return true;
+}
+
 static void serve(void *arg, Channel *channel)
 {
     Courier *courier = arg;
@@ -164,22 +211,11 @@
     for (;;) {
         Question *question = talloc_zero(courier, Question);
         Bytes frame;
-        Failure failure = {0};
-        if (channelReceive(channel, question, INT64_MAX, &frame) != STATUS_OK) {
-            talloc_free(question);
-            break;
-        }
-        if (shapeUnpack(&EnvelopeShape, frame, question, &question->envelope, &failure) != STATUS_OK ||
-            question->envelope.answer || question->envelope.kind >= MESSAGE_MAX ||
-            courier->handlers[question->envelope.kind].fn == NULL) {
-            courier->counts.badFrames++;
-            ringSay(courier->ring, RING_NOTE, loopNowMs(courier->loop), "bad frame, connection ended: %s",
-                    failure.text);
+        if (channelReceive(channel, question, INT64_MAX, &frame) != STATUS_OK ||
+            !questionRead(served, question, frame)) {
             talloc_free(question);
             break;
         }
-        if (question->envelope.version > WIRE_VERSION)
-            courier->counts.otherVersions++; /* read as ours: fields are only ever added */
         question->served = served;
         served->users++;
         loopSpawn(courier->loop, "question", questionMain, question);
@@ -192,153 +228,3 @@
 {
     return loopListen(courier->loop, address, serve, courier, bound, failure);
 }
-
-/* --- asking ------------------------------------------------------------------ */
-
-static Asking *askingTake(Line *line, uint64_t call)
-{
-    for (Asking **at = &line->asking; *at != NULL; at = &(*at)->next)
-        if ((*at)->call == call) {
-            Asking *asking = *at;
-            *at = asking->next;
-            return asking;
-        }
-    return NULL;
-}
-
-static void lineMain(void *arg)
-{
-    Line *line = arg;
-    Courier *courier = line->courier;
-    Channel *channel = line->channel;
-    for (;;) {
-        void *mem = talloc_new(courier);
-        Bytes frame;
-        Envelope envelope;
-        if (channelReceive(channel, mem, INT64_MAX, &frame) != STATUS_OK ||
-            shapeUnpack(&EnvelopeShape, frame, mem, &envelope, NULL) != STATUS_OK || !envelope.answer) {
-            talloc_free(mem);
-            break;
-        }
-        Asking *asking = askingTake(line, envelope.call);
-        if (asking != NULL) {
-            asking->done = true;
-            asking->status = envelope.status < STATUS_COUNT ? (Status)envelope.status : STATUS_INTERNAL;
-            asking->payload = envelope.payload;
-            talloc_steal(asking->mem, envelope.payload.data);
-            signalRaise(courier->loop, &asking->answered);
-        }
-        talloc_free(mem);
-    }
-    line->channel = NULL;
-    line->misses = 0;
-    while (line->asking != NULL) {
-        Asking *asking = line->asking;
-        askingTake(line, asking->call);
-        asking->done = true;
-        asking->status = STATUS_CLOSED;
-        signalRaise(courier->loop, &asking->answered);
-    }
-    channelClose(channel);
-}
-
-void courierRenew(Courier *courier, const char *address)
-{
-    const Line *line = mapGet(courier->lines, address);
-    if (line == NULL || line->channel == NULL)
-        return;
-    /* questions of its present life are answered or under way; one that waits for long went to the last */
-    for (const Asking *asking = line->asking; asking != NULL; asking = asking->next)
-        if (loopNowMs(courier->loop) - asking->sentMs >= LINE_SILENT_MS) {
-            channelShut(line->channel);
-            return;
-        }
-}
-
-/* Waits until the line has a channel; null when the peer can't be reached. */
-static Line *lineReady(Courier *courier, const char *address, int64_t untilMs)
-{
-    Line *line = mapGet(courier->lines, address);
-    if (line == NULL) {
-        line = talloc_zero(courier, Line);
-        line->courier = courier;
-        line->address = talloc_strdup(line, address);
-        mapSet(courier->lines, address, line);
-    }
-    while (line->channel == NULL && line->opening)
-        if (!signalWait(courier->loop, &line->opened, untilMs))
-            return NULL;
-    if (line->channel != NULL)
-        return line;
-    int64_t waitMs = untilMs - loopNowMs(courier->loop);
-    if (waitMs <= 0)
-        return NULL;
-    if (waitMs > CONNECT_EXPIRY_MS)
-        waitMs = CONNECT_EXPIRY_MS;
-    line->opening = true;
-    Channel *channel;
-    const Status status = loopOpen(courier->loop, line, address, waitMs, &channel);
-    line->opening = false;
-    if (status == STATUS_OK) {
-        line->channel = channel;
-        courier->counts.linesOpened++;
-        loopSpawn(courier->loop, "line", lineMain, line);
-    }
-    signalRaise(courier->loop, &line->opened);
-    return line->channel != NULL ? line : NULL;
-}
-
-Status courierAsk(Courier *courier, void *mem, const char *address, MessageKind kind, const Shape *askShape,
-                  const void *ask, int64_t waitMs, const Shape *answerShape, void *answer)
-{
-    const int64_t untilMs = loopNowMs(courier->loop) + waitMs;
-    courier->counts.asked++;
-    Line *line = lineReady(courier, address, untilMs);
-    if (line == NULL)
-        return STATUS_UNREACHABLE;
-    void *scratch = talloc_new(mem);
-    Asking *asking = talloc_zero(scratch, Asking);
-    asking->call = ++courier->lastCall;
-    asking->sentMs = loopNowMs(courier->loop);
-    asking->mem = scratch;
-    Envelope envelope = {.version = WIRE_VERSION, .cluster = courier->cluster, .kind = kind, .call = asking->call};
-    shapePack(askShape, ask, scratch, &envelope.payload);
-    Bytes frame = {0};
-    shapePack(&EnvelopeShape, &envelope, scratch, &frame);
-    asking->next = line->asking;
-    line->asking = asking;
-    Status status = channelSend(line->channel, frame);
-    if (status != STATUS_OK) {
-        askingTake(line, asking->call);
-        talloc_free(scratch);
-        return status == STATUS_TOO_LARGE ? status : STATUS_UNREACHABLE;
-    }
-    while (!asking->done)
-        if (!signalWait(courier->loop, &asking->answered, untilMs))
-            break;
-    if (!asking->done) {
-        askingTake(line, asking->call);
-        courier->counts.expired++;
-        /* a line that has gone quiet may be a dead connection: open it anew */
-        if (++line->misses >= LINE_MISSES && line->channel != NULL)
-            channelShut(line->channel);
-        talloc_free(scratch);
-        return STATUS_EXPIRED;
-    }
-    status = asking->status;
-    if (status != STATUS_CLOSED || asking->payload.count > 0) {
-        line->misses = 0;
-        courier->counts.answered++;
-        if (asking->payload.count > 0) {
-            const Status unpacked = shapeUnpack(answerShape, asking->payload, mem, answer, NULL);
-            if (unpacked != STATUS_OK) {
-                courier->counts.badFrames++;
-                status = unpacked;
-            }
-        } else if (status == STATUS_OK) {
-            status = STATUS_BAD_FRAME;
-        }
-    }
-    talloc_free(scratch);
-    return status;
-}
--- a/packages/wire/src/envelope.h
+++ b/packages/wire/src/envelope.h
@@ -3,7 +3,9 @@
 
 #include "wire/shape.h"
 
-/* What goes round every message. answer is false for a question. */
+/* What goes round every message. answer is false for a question. peer and peerLife: of a
+ * question, the process that it is meant for; of an answer, the one that gives it; 0: not
+ * said, as releases before did not. */
 #define ENVELOPE_FIELDS(X) \
     X(U64, version, 0)     \
     X(U64, cluster, 0)     \
@@ -11,7 +13,9 @@
     X(U64, call, 0)        \
     X(FLAG, answer, 0)     \
     X(U64, status, 0)      \
-    X(BIN, payload, 0)
+    X(BIN, payload, 0)     \
+    X(U64, peer, 0)        \
+    X(U64, peerLife, 0)
 SHAPE(Envelope, ENVELOPE_FIELDS)
 
 #endif
