A request whose first answer was lost waits for a repair, and is asked again after it

Cause: a leader that is being told again what the disks lost answers 503; after an attempt without a clear answer that became a 504 at once, though the same request would have had its answer a moment later.

repeats.repairAwaited (all cores lose power and what they had acknowledged, the old leader's answer never comes) was 504 after 1680 ms, and is 201 after 2785.

--- a/packages/feed/src/forward.c
+++ b/packages/feed/src/forward.c
@@ -8,6 +8,7 @@
 #include "order.h"
 
 #define FORWARD_BACK_MS 20     /* ms; the result's way back to the caller */
+#define REPAIR_REST_MS 100     /* ms; a leader that is being told again is asked again after this */
 #define FORWARD_ATTEMPTS_MAX 8 /* count; so many leaders or ways, one after the other, for one request */
 
 /* Certainly nothing of it was taken: it was not sent, or whoever was asked refused it as
@@ -73,24 +74,44 @@
     return leftMs <= 1000 ? RETRY_AFTER_S : (int)((leftMs + 999) / 1000);
 }
 
+/* The next leader can't say yet whether an earlier one took it: it is being told again
+ * what the disks lost. True: it is to be asked again, after a rest. */
+static bool repairAwaited(const Forwarding *one, const ForwardAnswer *answer)
+{
+    Loop *loop = one->forwarder->settings.loop;
+    if (answer->status != STATUS_REPAIRING || !one->maybeTaken || one->repeat == REPEAT_NEVER ||
+        loopNowMs(loop) + REPAIR_REST_MS >= waysUntilMs(one->forwarder, true, one->startMs, one->untilMs))
+        return false;
+    loopSleep(loop, REPAIR_REST_MS);
+    return true;
+}
+
+/* Waits. Whether another attempt is to be made, and along which way. */
+static bool attemptNext(const Forwarding *one, int attempt, WaysTaken *taken)
+{
+    if (attempt > 0 && (one->task->gone || (one->maybeTaken && one->repeat == REPEAT_NEVER)))
+        return false;
+    const int64_t untilMs = waysUntilMs(one->forwarder, one->maybeTaken, one->startMs, one->untilMs);
+    return wayWait(one->forwarder, taken, untilMs) && loopNowMs(one->forwarder->settings.loop) < one->untilMs;
+}
+
 bool forwardAttempts(Forwarding *one, ForwardAsk *ask, ForwardAnswer *answer)
 {
     Forwarder *forwarder = one->forwarder;
     Loop *loop = forwarder->settings.loop;
-    const bool again = one->repeat != REPEAT_NEVER, changes = one->repeat != REPEAT_READ;
-    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX; attempt++) {
-        WaysTaken taken;
-        if (attempt > 0 && (one->task->gone || (one->maybeTaken && !again)))
-            return false;
-        if (!wayWait(forwarder, &taken, waysUntilMs(forwarder, one->maybeTaken, one->startMs, one->untilMs)) ||
-            loopNowMs(loop) >= one->untilMs)
-            return false;
+    const bool changes = one->repeat != REPEAT_READ;
+    WaysTaken taken;
+    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX && attemptNext(one, attempt, &taken);) {
         bool unknown = false;
         ask->again = one->maybeTaken;
         const Status status = attemptForward(forwarder, one->task, &taken, ask, one->untilMs, answer);
-        if (status == STATUS_OK && !lostOnTheWay(answer, &unknown))
+        if (status == STATUS_OK && !lostOnTheWay(answer, &unknown)) {
+            if (repairAwaited(one, answer))
+                continue;
             /* one that did not take it says nothing of an earlier one, which may have */
             return answer->code != 503 || !one->maybeTaken;
+        }
+        attempt++;
         unknown |= status != STATUS_OK && !untaken(status);
         one->maybeTaken |= changes && unknown;
         if (loopNowMs(loop) < one->untilMs || (status != STATUS_EXPIRED && status != STATUS_UNREACHABLE))
--- a/packages/sim/test/repeats.c
+++ b/packages/sim/test/repeats.c
@@ -112,6 +112,41 @@
     }
 }
 
+/* All cores lose power as a job is committed, and their disks what they had acknowledged:
+ * the next leader has to be told again first. The request waits for that, and is not told
+ * that its outcome is unknown because one leader can't say yet. */
+static void repairAwaited(void **state)
+{
+    (void)state;
+    const Row row = {"POST", "/v1/jobs", "", JOB("one"), 201};
+    Fleet *fleet = begin(71);
+    for (int i = 0; i < 3; i++)
+        simDiskLie(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, true);
+    const char *before = stateOf(fleet, fleet);
+    const Handed *handed = request(fleet, &row);
+    while (strcmp(stateOf(fleet, fleet), before) == 0)
+        fleetRun(fleet, 1);
+    assert_false(handed->done);
+    const int lost = fleetLeader(fleet); /* its answer never comes */
+    simCut(fleet->world, fleetNode(fleet, FLEET_CORE, lost)->machine, fleetNode(fleet, FLEET_GATE, 0)->machine, true);
+    for (int i = 0; i < 3; i++) {
+        fleetPowerOff(fleet, FLEET_CORE, i);
+        simDiskLie(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, false);
+    }
+    fleetRun(fleet, 200);
+    for (int i = 0; i < 3; i++)
+        fleetStartNode(fleet, FLEET_CORE, i);
+    const int64_t fromMs = simNowMs(fleet->world);
+    while (!handed->done)
+        fleetRun(fleet, 5);
+    print_message("%d after %lld ms\n", handed->task->code, (long long)(simNowMs(fleet->world) - fromMs));
+    assert_int_equal(handed->task->code, row.code);
+    fleetRun(fleet, 5000);
+    assert_non_null(fleetJob(fleet, "one"));
+    assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+    talloc_free(fleet);
+}
+
 /* Every row of the table that changes something is tried above. */
 static void rowsTried(void **state)
 {
@@ -160,6 +195,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(answersLost),
+        cmocka_unit_test(repairAwaited),
         cmocka_unit_test(rowsTried),
         cmocka_unit_test(notRepeated),
     };
