--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -64,6 +64,8 @@
  * many come once more, up to lateMs later and out of order. No connection of the
  * platform's does this: the replicated log is tried with it. */
 void simFrames(SimWorld *world, unsigned dropped, unsigned repeated, int64_t lateMs);
+/* Every frame from and to the machine takes so much longer. */
+void simFar(SimWorld *world, int machine, int64_t moreMs);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -124,7 +124,8 @@
     SimFrame *frame = talloc_zero(pair, SimFrame);
     frame->fin = fin;
     frame->bytes = bytesCopy(frame, bytes);
-    frame->dueMs = world->nowMs + simLinkMs(world);
+    frame->dueMs = world->nowMs + simLinkMs(world) + world->machines[pair->machine[0]].farMs +
+                   world->machines[pair->machine[1]].farMs;
     if (pair->last[side] != NULL) {
         if (frame->dueMs < pair->last[side]->dueMs)
             frame->dueMs = pair->last[side]->dueMs;
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -52,6 +52,7 @@
     int64_t bootOffsetMs;
     int64_t ratePercent, rateFromMs; /* of its clock, since that world time */
     int64_t wallOffsetMs;
+    int64_t farMs; /* its frames take so much longer */
     int64_t syncMs;
     bool diskFails, diskLies;
     Map *disk; /* path to SimContent */
