A voter told to end gives its vote away first; status tells learners and losses borne

Cause: a core that got SIGTERM handed over the lock but never its vote, and ended with it: from then until it was taken for gone one loss less was borne.

Now it tells all that it leaves; the leader adds a learner and then removes it (a leader that leaves adds its successor, hands the lock over and is removed by the next one); it ends once its vote is another's, after half of its grace span at the latest. Where no learner runs it waits for nothing, stays a voter and says so. A SIGTERM before a restart can't be told from one before a removal, so the vote goes in both cases: two committed changes, and who returns is a learner whose log is intact.

policies.alerts asks for one alert more than before; nothing is eased.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -91,6 +91,8 @@
                                */
 #define LEARNER_MOST 4        /* count; cores without a vote that follow the log at a time: each costs a copy of it */
 #define LEARNER_APPEND_MS 100 /* ms; a learner takes what has come within this in one append: nobody waits for it */
+#define VOTE_LEAVE_PART \
+    2 /* count; a voter that is told to end waits for this part of its grace span that its vote is another's */
 #define LEARNER_LATE_MS \
     2500                  /* ms; a learner that is not ready by then makes way for another: megabytes take a second */
 #define SEAT_REST_MS 1000 /* ms; a seat that left the view for being late is out for so long at least */
--- a/packages/core/src/alerts.c
+++ b/packages/core/src/alerts.c
@@ -12,6 +12,8 @@
 #define ALERTS_LOOK_MS 1000 /* ms; between two looks */
 #define LOST_AFTER_MS 1000  /* ms; beyond the hold: a restart of an agent takes less */
 
+#define LOSSES_TEXT 40 /* bytes; two counts in words */
+
 typedef struct Standing {
     Alert alert;
     const char *subject;
@@ -66,6 +68,10 @@
         if (sight.seats[i].syncMs > SEAT_SLOW_MS)
             see(core, ALERT_SEAT_SLOW, name);
     }
+    char borne[LOSSES_TEXT];
+    snprintf(borne, sizeof(borne), "%d of %d", sight.lossesBorne, sight.lossesAsked);
+    if (sight.lossesBorne < sight.lossesAsked)
+        see(core, ALERT_LOSSES_FEW, borne);
 }
 
 static void workersLook(Core *core, void *mem)
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -241,12 +241,14 @@
     loopServeLeave(core->loop);
     membersSetLeaving(core->members);
     membersAnnounce(core->members); /* so that the view goes on without waiting for us */
-    /* what was ordered gets its result; then the lock is handed over */
+    /* what was ordered gets its result; then the vote and the lock are handed over */
     if (viewLeading(core->view))
         viewSettle(core->view);
-    viewStepDown(core->view, INT32_MAX);
+    viewLeave(core->view, nowMs + (untilMs - nowMs) / VOTE_LEAVE_PART);
     /* requests are taken on, and carried to the next leader, until the last moment */
-    loopSleep(core->loop, core->props->bounds.unreadyMs);
+    const int64_t unreadyUntilMs = nowMs + core->props->bounds.unreadyMs;
+    if (loopNowMs(core->loop) < unreadyUntilMs)
+        loopSleep(core->loop, unreadyUntilMs - loopNowMs(core->loop));
     while (loopServeBusy(core->loop) > 0 && loopNowMs(core->loop) < untilMs)
         loopSleep(core->loop, DRAIN_LOOK_MS);
 }
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -24,22 +24,57 @@
     return textOf(text);
 }
 
-static json_object *showSeats(Core *core)
+static json_object *coreOf(const Core *core, uint64_t disk)
+{
+    const Member *member = membersFindDisk(core->members, disk);
+    return textOf(member != NULL ? member->record.name : "");
+}
+
+/* Entries that the disk has not synced yet, as far as the leader knows. */
+static json_object *behindOf(const ViewSight *sight, uint64_t matchIndex)
+{
+    return numberOf(matchIndex < sight->lastIndex ? (int64_t)(sight->lastIndex - matchIndex) : 0);
+}
+
+static json_object *showLearners(const Core *core, const ViewSight *sight)
+{
+    json_object *list = json_object_new_array();
+    for (size_t i = 0; i < sight->learnerCount; i++) {
+        const ViewLearnerSight *learner = &sight->learners[i];
+        json_object *one = json_object_new_object();
+        json_object_object_add(one, "disk", diskOf(learner->disk));
+        json_object_object_add(one, "core", coreOf(core, learner->disk));
+        json_object_object_add(one, "answers", json_object_new_boolean(learner->answers));
+        json_object_object_add(one, "ready", json_object_new_boolean(learner->ready));
+        json_object_object_add(one, "index", numberOf((int64_t)learner->matchIndex));
+        json_object_object_add(one, "behind", behindOf(sight, learner->matchIndex));
+        json_object_array_add(list, one);
+    }
+    return list;
+}
+
+static json_object *showLosses(const ViewSight *sight)
+{
+    json_object *losses = json_object_new_object();
+    json_object_object_add(losses, "borne", numberOf(sight->lossesBorne));
+    json_object_object_add(losses, "asked", numberOf(sight->lossesAsked));
+    return losses;
+}
+
+static json_object *showSeats(const Core *core, const ViewSight *sight)
 {
-    ViewSight sight;
-    viewSight(core->view, &sight);
     json_object *list = json_object_new_array();
-    for (size_t i = 0; i < sight.seatCount; i++) {
+    for (size_t i = 0; i < sight->seatCount; i++) {
         json_object *one = json_object_new_object();
-        const Member *member = membersFindDisk(core->members, sight.seats[i].disk);
-        json_object_object_add(one, "disk", diskOf(sight.seats[i].disk));
-        json_object_object_add(one, "core", textOf(member != NULL ? member->record.name : ""));
-        json_object_object_add(one, "inView", json_object_new_boolean(sight.seats[i].inView));
-        json_object_object_add(one, "answers", json_object_new_boolean(sight.seats[i].answers));
-        json_object_object_add(one, "woke", json_object_new_boolean(sight.seats[i].woke));
-        json_object_object_add(one, "syncMs", numberOf(sight.seats[i].syncMs));
-        json_object_object_add(one, "index", numberOf((int64_t)sight.seats[i].matchIndex));
-        json_object_object_add(one, "sight", numberOf((int64_t)sight.seats[i].sight));
+        json_object_object_add(one, "disk", diskOf(sight->seats[i].disk));
+        json_object_object_add(one, "core", coreOf(core, sight->seats[i].disk));
+        json_object_object_add(one, "inView", json_object_new_boolean(sight->seats[i].inView));
+        json_object_object_add(one, "answers", json_object_new_boolean(sight->seats[i].answers));
+        json_object_object_add(one, "woke", json_object_new_boolean(sight->seats[i].woke));
+        json_object_object_add(one, "syncMs", numberOf(sight->seats[i].syncMs));
+        json_object_object_add(one, "index", numberOf((int64_t)sight->seats[i].matchIndex));
+        json_object_object_add(one, "sight", numberOf((int64_t)sight->seats[i].sight));
+        json_object_object_add(one, "behind", behindOf(sight, sight->seats[i].matchIndex));
         json_object_array_add(list, one);
     }
     return list;
@@ -162,7 +197,9 @@
     json_object_object_add(log, "begunAnew", json_object_new_boolean(sight.journal.begunAnew));
     json_object_object_add(log, "worstSyncMs", numberOf(sight.journal.worstSyncMs));
     json_object_object_add(body, "log", log);
-    json_object_object_add(body, "seats", showSeats(core));
+    json_object_object_add(body, "seats", showSeats(core, &sight));
+    json_object_object_add(body, "learners", showLearners(core, &sight));
+    json_object_object_add(body, "losses", showLosses(&sight));
     json_object_object_add(body, "plan", showPlan(core));
     json_object_object_add(body, "liveset", showLiveset(core, mem));
     json_object_object_add(body, "members", showMembers(core));
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -251,6 +251,7 @@
     call = fleetAsk(fleet, fleet, FLEET_GATE, 0, "GET", "/v1/alerts", NULL);
     assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\""));
     assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"seat-out\",\"subject\":\"core"));
+    assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"losses-few\",\"subject\":\"0 of 1\""));
     call = fleetAsk(fleet, fleet, FLEET_CORE, fleetLeader(fleet), "GET", "/metrics", NULL);
     assert_non_null(strstr((const char *)call.result.data, "\nspancart_alert_worker_lost 1\n"));
     for (int role = FLEET_CORE; role <= FLEET_AGENT; role++) {
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -104,6 +104,10 @@
 int64_t viewWallMs(const View *view);
 /* Gives the lock up, if held; does not propose itself for restMs. */
 void viewStepDown(View *view, int64_t restMs);
+/* Waits, until then at most. The process is to end, and has told the members so: a
+ * leader has a learner added as a voter and hands the lock over; whoever leads then
+ * removes this voter. Where no learner is there it stays a voter, and says so. */
+void viewLeave(View *view, int64_t untilMs);
 
 /* Cluster and seats. */
 bool viewFounded(const View *view);
@@ -130,6 +134,14 @@
     uint64_t sight;
 } ViewSeatSight;
 
+/* A core without a vote that follows the log; known to the leader alone. */
+typedef struct ViewLearnerSight {
+    uint64_t disk;
+    bool answers;
+    bool ready; /* it can be given a vote at once */
+    uint64_t matchIndex;
+} ViewLearnerSight;
+
 typedef struct ViewSight {
     ViewPhase phase;
     uint64_t epoch;
@@ -140,6 +152,10 @@
     uint64_t viewChanges;
     size_t seatCount; /* of the rows of seats, which are those of the disks that have one */
     ViewSeatSight seats[SEAT_MOST];
+    size_t learnerCount;
+    ViewLearnerSight learners[LEARNER_MOST];
+    int lossesBorne; /* so many more voters may be lost; negative: so many are missing for a majority */
+    int lossesAsked; /* as the settings ask */
     JournalCounts journal;
 } ViewSight;
 
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -172,11 +172,15 @@
 bool voterGone(const View *view, int place);
 /* Whether it answers and has all that is committed. */
 bool voterLive(const View *view, int place);
+/* Adds to the sight the learners, and how many losses are borne and asked for. */
+void votersSight(const View *view, ViewSight *sight);
 /* The leader keeps the number of voters wanted, one committed change at a time. */
 void votersStart(View *view);
 
 /* The leader has every core without a vote follow the log, in as many slots as there are. */
 void learnersFollow(View *view);
+/* Whether the member is a core that runs, is of this cluster and has no vote. */
+bool learnerMayFollow(const View *view, const Member *row);
 /* A lead that is over has no learners. */
 void learnersClear(View *view);
 /* Whether the learner has nearly all of the log, and grants the lease. */
--- a/packages/view/src/learners.c
+++ b/packages/view/src/learners.c
@@ -11,7 +11,7 @@
 
 /* A core that runs, is of this cluster and has no vote. One that leaves follows on: it
  * so learns that its vote has been given away. */
-static bool mayFollow(const View *view, const Member *row)
+bool learnerMayFollow(const View *view, const Member *row)
 {
     return row->record.role == ROLE_CORE && row->record.disk != 0 && !memberQuiet(row, loopNowMs(view->loop)) &&
            viewSeatOf(view, row->record.disk) < 0 && row->record.cluster == view->cluster;
@@ -101,14 +101,14 @@
         learnersClear(view);
     for (size_t i = 0; i < LEARNER_MOST; i++) {
         const Member *row = membersFindDisk(view->props.members, view->learners[i].disk);
-        if (view->learners[i].disk != 0 && (row == NULL || !mayFollow(view, row)))
+        if (view->learners[i].disk != 0 && (row == NULL || !learnerMayFollow(view, row)))
             learnerDone(view, i);
     }
     readyMark(view);
     const MemberTable *table = membersTable(view->props.members);
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
-        if (!mayFollow(view, row) || follows(view, row->record.disk))
+        if (!learnerMayFollow(view, row) || follows(view, row->record.disk))
             continue;
         const int slot = slotFor(view, row->record.disk);
         if (slot >= 0)
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -368,4 +368,5 @@
             .sight = self ? membersSight(view->props.members) : peer->sight,
         };
     }
+    votersSight(view, sight);
 }
--- a/packages/view/src/voters.c
+++ b/packages/view/src/voters.c
@@ -50,10 +50,12 @@
 static MemberState stateOf(const View *view, uint64_t disk)
 {
     const Member *member = membersFindDisk(view->props.members, disk);
+    const bool self = disk == view->disk;
     return (MemberState){.disk = disk,
                          .zone = seatZone(view, disk),
-                         .self = disk == view->disk,
-                         .leaving = member != NULL && member->record.leaving};
+                         .self = self,
+                         .leaving = self ? membersSelf(view->props.members)->leaving
+                                         : member != NULL && member->record.leaving};
 }
 
 static size_t votersWanted(const View *view)
@@ -86,6 +88,24 @@
     }
 }
 
+void votersSight(const View *view, ViewSight *sight)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    Look look;
+    lookTake(view, &look);
+    sight->lossesBorne = membershipBears(look.voters, look.now.voterCount);
+    sight->lossesAsked = (int)(votersWanted(view) / 2);
+    for (size_t i = 0; i < LEARNER_MOST; i++) {
+        const Peer *peer = &view->peers[SEAT_MOST + i];
+        if (view->learners[i].disk == 0)
+            continue;
+        sight->learners[sight->learnerCount++] = (ViewLearnerSight){.disk = view->learners[i].disk,
+                                                                    .answers = nowMs - peer->answeredMs < LOCK_HOLD_MS,
+                                                                    .ready = learnerReady(view, i),
+                                                                    .matchIndex = peer->matchIndex};
+    }
+}
+
 /* --- changing it -------------------------------------------------------------------- */
 
 /* Waits until the list with the disk at the place, or the place vacated, is committed. */
@@ -177,6 +197,44 @@
     }
 }
 
+/* --- leaving ------------------------------------------------------------------------- */
+
+/* Whether a core without a vote runs that could take one over; whether it has the log
+ * is known to the leader alone. */
+static bool successorRuns(const View *view)
+{
+    const MemberTable *table = membersTable(view->props.members);
+    bool runs = false;
+    for (size_t i = 0; i < table->count; i++)
+        runs |= !table->rows[i].record.leaving && learnerMayFollow(view, &table->rows[i]);
+    return runs;
+}
+
+/* Waits until one more than the voters wanted stand, by a committed list. */
+static void successorWait(View *view, int64_t untilMs)
+{
+    while (viewOrders(view) && viewSeated(view) && successorRuns(view) && loopNowMs(view->loop) < untilMs &&
+           (view->seatCount <= votersWanted(view) || view->listIndex > view->commitIndex)) {
+        signalRaise(view->loop, &view->membership);
+        loopSleep(view->loop, MEMBERSHIP_SOON_MS);
+    }
+}
+
+void viewLeave(View *view, int64_t untilMs)
+{
+    const bool votes = viewSeated(view), given = votes && successorRuns(view);
+    if (given)
+        successorWait(view, untilMs);
+    leadDown(view, INT32_MAX);
+    while (given && viewSeated(view) && loopNowMs(view->loop) < untilMs)
+        loopSleep(view->loop, MEMBERSHIP_SOON_MS);
+    if (votes && viewSeated(view))
+        ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "leaves and keeps its vote: %s",
+                given ? "no learner took it in time" : "there is no learner");
+    else if (votes)
+        ringSay(view->props.ring, RING_NOTE, loopNowMs(view->loop), "leaves, and its vote is another's");
+}
+
 void votersStart(View *view)
 {
     loopSpawn(view->loop, "voters", votersMain, view);
--- a/src/operate.c
+++ b/src/operate.c
@@ -297,9 +297,29 @@
     return json_object_get_boolean(get(object, key));
 }
 
+/* Who votes, who follows, how far behind each is, and how many more losses are borne. */
+static void printVoters(json_object *body)
+{
+    json_object *voters = get(body, "seats"), *learners = get(body, "learners"), *losses = get(body, "losses");
+    printf("losses of a core that are borne now: %s, asked for: %s\n", textOf(losses, "borne"),
+           textOf(losses, "asked"));
+    for (size_t i = 0; i < listLength(voters); i++) {
+        json_object *voter = json_object_array_get_idx(voters, i);
+        printf("voter   %-12s %s  %s%s  sync %s ms  behind %s\n", textOf(voter, "core"), textOf(voter, "disk"),
+               flagOf(voter, "inView") ? "in view" : "OUT", flagOf(voter, "answers") ? "" : " SILENT",
+               textOf(voter, "syncMs"), textOf(voter, "behind"));
+    }
+    for (size_t i = 0; i < listLength(learners); i++) {
+        json_object *learner = json_object_array_get_idx(learners, i);
+        printf("learner %-12s %s  %s%s  behind %s\n", textOf(learner, "core"), textOf(learner, "disk"),
+               flagOf(learner, "ready") ? "ready" : "CATCHES UP", flagOf(learner, "answers") ? "" : " SILENT",
+               textOf(learner, "behind"));
+    }
+}
+
 static void printStatus(json_object *body)
 {
-    json_object *plan = get(body, "plan"), *seats = get(body, "seats"), *live = get(body, "liveset");
+    json_object *plan = get(body, "plan"), *live = get(body, "liveset");
     printf("cluster %s  leader %s  epoch %s  lock held for %s ms more%s\n", textOf(body, "cluster"),
            textOf(body, "leader"), textOf(body, "epoch"), textOf(body, "holdLeftMs"),
            flagOf(body, "repairing") ? "  REPAIRING" : "");
@@ -311,12 +331,7 @@
         printf(" (broken by the loss of %s)", textOf(get(plan, "brokenBy"), "name"));
     printf("  assured %s  unassured %s  waiting %s\n", textOf(plan, "assured"), textOf(plan, "unassured"),
            textOf(plan, "waiting"));
-    for (size_t i = 0; i < listLength(seats); i++) {
-        json_object *seat = json_object_array_get_idx(seats, i);
-        printf("seat   %-12s %s  %s%s  sync %s ms  index %s\n", textOf(seat, "core"), textOf(seat, "disk"),
-               flagOf(seat, "inView") ? "in view" : "OUT", flagOf(seat, "answers") ? "" : " SILENT",
-               textOf(seat, "syncMs"), textOf(seat, "index"));
-    }
+    printVoters(body);
     for (size_t i = 0; i < listLength(live); i++) {
         json_object *row = json_object_array_get_idx(live, i);
         json_object *room = get(row, "room"), *free = get(row, "free");
