Members are asked once more before a change of membership; a learner promises to a later log

The new voter did not know that it was one, refused its promise, and so nobody could ever lead. A disk of the cluster that is no voter by its own list now promises to one whose log goes further; whether that counts is for the asker's list to say. A missing voter is added before the next one is removed.

The explorer's leaving calls viewLeave, as a core's drain does, where it gave up the lock alone.

--- a/packages/explore/src/history.c
+++ b/packages/explore/src/history.c
@@ -52,6 +52,15 @@
     order->index = index;
 }
 
+/* How many voters a commit is counted among: those of the newest list in the leader's log, as
+ * it was at the commit. Within the step that is looked at, a voter may have been added after
+ * it: then it was the list before, which is the newest committed one. */
+static size_t votersCounted(const History *history, const ViewWindow *window)
+{
+    const bool added = history->voterCount != 0 && window->voterCount == history->voterCount + 1;
+    return added ? history->voterCount : window->voterCount;
+}
+
 static void commitOne(Explore *explore, const Node *node, const ViewWindow *window, uint64_t index)
 {
     History *history = &explore->history;
@@ -62,9 +71,10 @@
         return;
     }
     const size_t holders = diskHolders(explore, index, held->epoch);
-    if (holders < lockMajority(window->voterCount))
+    const size_t voters = votersCounted(history, window);
+    if (holders < lockMajority(voters))
         exploreBreak(explore, RULE_COMMIT_DISKS, "%s commits %" PRIu64 " on %zu disks of %zu voters", node->name, index,
-                     holders, window->voterCount);
+                     holders, voters);
     Item item = *held;
     item.chain = chainNext(history->items.count > 0 ? history->items.list[history->items.count - 1].chain : 0, held);
     itemsAdd(explore, &history->items, &item);
--- a/packages/explore/src/nodes.c
+++ b/packages/explore/src/nodes.c
@@ -184,7 +184,7 @@
     membersAnnounce(node->members);
     if (viewLeading(node->view))
         viewSettle(node->view);
-    viewStepDown(node->view, INT32_MAX);
+    viewLeave(node->view, loopNowMs(simLoop(node->explore->world, node->machine)) + LEAVE_GRACE_MS / VOTE_LEAVE_PART);
 }
 
 void nodeLeave(Node *node)
--- a/packages/view/src/contact.c
+++ b/packages/view/src/contact.c
@@ -20,7 +20,7 @@
 void contactGranted(View *view, int slot, uint64_t contact)
 {
     Peer *peer = &view->peers[slot];
-    if (slot >= SEAT_MOST || contact <= peer->contact)
+    if (contact <= peer->contact)
         return;
     peer->contact = contact;
     signalRaise(view->loop, &view->contactMade);
@@ -28,15 +28,41 @@
 
 bool contactOwed(const View *view, int slot)
 {
-    return slot < SEAT_MOST && slotDisk(view, slot) != view->disk && view->peers[slot].contact < view->contactAsked;
+    const uint64_t wanted = slot < SEAT_MOST ? view->contactAsked : view->contactLearners;
+    return slotDisk(view, slot) != view->disk && view->peers[slot].contact < wanted;
 }
 
 void contactRest(View *view, int slot, int64_t restMs)
 {
-    if (slot >= SEAT_MOST || slotDisk(view, slot) == view->disk)
-        loopSleep(view->loop, restMs);
-    else
-        signalWait(view->loop, &view->contactNews, loopNowMs(view->loop) + restMs);
+    const int64_t untilMs = loopNowMs(view->loop) + restMs;
+    while (signalWait(view->loop, &view->contactNews, untilMs))
+        if (contactOwed(view, slot))
+            return;
+}
+
+/* Whether all that are taken for alive have answered the round. */
+static bool contactWhole(const View *view, uint64_t wanted)
+{
+    bool whole = true;
+    for (int i = 0; i < SLOT_MOST; i++) {
+        if (slotDisk(view, i) == 0 || slotDisk(view, i) == view->disk)
+            continue;
+        const bool lives = i < SEAT_MOST ? voterLive(view, i) : learnerReady(view, (size_t)(i - SEAT_MOST));
+        whole &= !lives || view->peers[i].contact >= wanted;
+    }
+    return whole;
+}
+
+uint64_t contactMembers(View *view, int64_t mostMs)
+{
+    const uint64_t turn = view->leadTurn, wanted = ++view->contactAsked;
+    const int64_t untilMs = loopNowMs(view->loop) + mostMs;
+    view->contactLearners = wanted;
+    signalRaise(view->loop, &view->contactNews);
+    while (!leadOver(view, turn) && !contactWhole(view, wanted))
+        if (!signalWait(view->loop, &view->contactMade, untilMs))
+            break;
+    return wanted;
 }
 
 Status viewContact(View *view, int64_t untilMs)
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -94,6 +94,7 @@
     Learner learners[LEARNER_MOST];
     uint64_t learnersTurn;   /* the lead that they follow */
     uint64_t learnersPassed; /* a disk that was not ready in time; others go first */
+    int64_t askMs;           /* the next round of contact before a change takes at most so long; 0: the least */
     Signal membership;       /* a change of membership is to be weighed at once */
     uint64_t queuedIndex;    /* handed to the own journal; what follows is synced after it */
     uint64_t syncedIndex;    /* own journal, as far as this lead knows */
@@ -110,9 +111,10 @@
     Signal released; /* the holder of the lock has given it up */
     bool named;      /* ... and named this seat to be the next */
     Signal news;
-    uint64_t contactAsked; /* rounds of contact that were asked for */
-    Signal contactNews;    /* one more is */
-    Signal contactMade;    /* a seat has answered one */
+    uint64_t contactAsked;    /* rounds of contact that were asked for */
+    uint64_t contactLearners; /* the newest one that learners are asked in as well */
+    Signal contactNews;       /* one more is */
+    Signal contactMade;       /* a seat has answered one */
 };
 
 #define SNAPSHOT_FIELDS(X)   \
@@ -254,6 +256,9 @@
 void contactGranted(View *view, int slot, uint64_t contact);
 /* Whether a round of contact waits for the seat at the slot. */
 bool contactOwed(const View *view, int slot);
+/* Waits, at most so long, until all voters and learners that are taken for alive have
+ * answered a question that was sent since; the number of the round. */
+uint64_t contactMembers(View *view, int64_t mostMs);
 /* Sleeps so long, or until another round of contact is asked for. */
 void contactRest(View *view, int slot, int64_t restMs);
 /* Watches the hold and the seats of the view. */
--- a/packages/view/src/membership.c
+++ b/packages/view/src/membership.c
@@ -136,12 +136,15 @@
     size_t readyCount = 0;
     for (size_t i = 0; i < now->learnerCount; i++)
         readyCount += mayBeAdded(&now->learners[i]);
+    /* one gone is replaced before the next is removed: with fewer voters than are wanted,
+     * fewer disks would hold what is acknowledged */
+    const MembershipChange missing = now->voterCount < now->wanted ? missingAdded(now, readyCount) : KEEP;
+    if (missing.step != MEMBERSHIP_KEEP)
+        return missing;
     const MembershipChange gone = goneRemoved(now, readyCount);
-    if (gone.step != MEMBERSHIP_KEEP)
+    if (gone.step != MEMBERSHIP_KEEP || now->voterCount < now->wanted)
         return gone;
     if (now->voterCount > now->wanted)
         return surplusRemoved(now);
-    if (now->voterCount < now->wanted)
-        return missingAdded(now, readyCount);
     return successorAdded(now);
 }
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -46,7 +46,9 @@
     const bool stranger = viewSeatOf(view, ask->holder) < 0 && !later;
     if (ask->epoch == 0) /* only a look */
         return stranger && view->cluster != 0 && view->listIndex <= view->commitIndex ? STATUS_NO_SEAT : STATUS_OK;
-    if (stranger || viewOwnSeat(view) < 0)
+    /* a learner may have been made a voter by an entry that it has not been told yet: without
+     * its promise, one that nobody leads to commit would stand for good */
+    if (stranger || (viewOwnSeat(view) < 0 && !(later && view->cluster != 0)))
         return STATUS_NO_SEAT;
     if (viewDiskFailed(view))
         return STATUS_DISK_FAILED;
@@ -202,7 +204,9 @@
         return status;
     if (ask->snapshot.kind != RECORD_SNAPSHOT)
         return STATUS_BAD_FRAME;
-    if (!ask->over && snapshotHeld(view, &ask->snapshot))
+    /* one that comes late, or twice, to a log that has taken the leader's entries since */
+    const bool verified = ask->epoch == view->lock.promised && view->verifiedIndex >= ask->snapshot.index;
+    if ((!ask->over || verified) && snapshotHeld(view, &ask->snapshot))
         return journalWrite(view->journal, &promise, count); /* also what was queued before is synced then */
     status = seatReplace(view, &ask->snapshot, NULL, 0);
     return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
--- a/packages/view/src/voters.c
+++ b/packages/view/src/voters.c
@@ -64,7 +64,8 @@
     return 2 * losses + 1 < SEAT_MOST ? 2 * losses + 1 : SEAT_MOST;
 }
 
-static void lookTake(const View *view, Look *look)
+/* Who has not answered that round of contact counts as not alive; 0: as far as is known. */
+static void lookTake(const View *view, uint64_t contact, Look *look)
 {
     memset(look, 0, sizeof(*look));
     look->now = (Membership){look->voters, 0, look->learners, 0, votersWanted(view)};
@@ -73,7 +74,7 @@
             continue;
         MemberState *voter = &look->voters[look->now.voterCount];
         *voter = stateOf(view, view->seats[i]);
-        voter->live = voterLive(view, i);
+        voter->live = voterLive(view, i) && (voter->self || view->peers[i].contact >= contact);
         voter->gone = voterGone(view, i);
         look->places[look->now.voterCount++] = i;
     }
@@ -82,7 +83,7 @@
             continue;
         MemberState *learner = &look->learners[look->now.learnerCount];
         *learner = stateOf(view, view->learners[i].disk);
-        learner->ready = learnerReady(view, i);
+        learner->ready = learnerReady(view, i) && view->peers[SEAT_MOST + i].contact >= contact;
         learner->steady = learnerSteady(view, i);
         look->slots[look->now.learnerCount++] = i;
     }
@@ -92,7 +93,7 @@
 {
     const int64_t nowMs = loopNowMs(view->loop);
     Look look;
-    lookTake(view, &look);
+    lookTake(view, 0, &look);
     sight->lossesBorne = membershipBears(look.voters, look.now.voterCount);
     sight->lossesAsked = (int)(votersWanted(view) / 2);
     for (size_t i = 0; i < LEARNER_MOST; i++) {
@@ -159,6 +160,20 @@
     viewSettle(view);
 }
 
+/* What is known of the others may be as old as a renewal. Before a change they are asked
+ * once more, for one that counts on a member which has just gone might never be committed.
+ * Answers age too: a round is short, and longer only where too few have answered in it. */
+static void lookFresh(View *view, Look *look)
+{
+    const int64_t mostMs = view->askMs > 0 ? view->askMs : POLL_GRACE_MS;
+    const uint64_t contact = contactMembers(view, mostMs);
+    lookTake(view, contact, look);
+    if (membershipNext(&look->now).step != MEMBERSHIP_KEEP)
+        view->askMs = 0;
+    else
+        view->askMs = 2 * mostMs < 2 * LOCK_RENEW_MS ? 2 * mostMs : 2 * LOCK_RENEW_MS;
+}
+
 /* Whether a change was tried. A list must be committed before the next. */
 static bool membershipTend(View *view)
 {
@@ -170,7 +185,13 @@
     if (view->listIndex > view->commitIndex)
         return false;
     Look look;
-    lookTake(view, &look);
+    lookTake(view, 0, &look);
+    if (membershipNext(&look.now).step == MEMBERSHIP_KEEP)
+        return false;
+    const uint64_t turn = view->leadTurn;
+    lookFresh(view, &look);
+    if (leadOver(view, turn) || !viewOrders(view) || view->listIndex > view->commitIndex)
+        return false;
     const MembershipChange change = membershipNext(&look.now);
     if (change.step == MEMBERSHIP_REMOVE)
         voterRemove(view, look.places[change.index]);
@@ -191,9 +212,11 @@
 {
     View *view = arg;
     while (!loopStopping(view->loop)) {
-        const bool soon = membershipTend(view) || learnersPending(view);
-        signalWait(view->loop, &view->membership,
-                   loopNowMs(view->loop) + (soon ? MEMBERSHIP_SOON_MS : MEMBERSHIP_LOOK_MS));
+        /* one change follows another at once: between them fewer voters may stand than are wanted */
+        const int64_t restMs = membershipTend(view)    ? 1
+                               : learnersPending(view) ? MEMBERSHIP_SOON_MS
+                                                       : MEMBERSHIP_LOOK_MS;
+        signalWait(view->loop, &view->membership, loopNowMs(view->loop) + restMs);
     }
 }
 
--- a/packages/view/test/membership.c
+++ b/packages/view/test/membership.c
@@ -42,7 +42,16 @@
     }
 }
 
-/* Changes until nothing is left to change; each bears as much as the state before it. */
+/* On how many disks what is acknowledged is synced, by the rule that a leader keeps. */
+static size_t copiesOf(const Model *model)
+{
+    const size_t majority = lockMajority(model->voterCount > SEAT_FIRST ? model->voterCount : SEAT_FIRST);
+    const size_t asked = model->wanted / 2 + 1;
+    return asked < majority ? asked : majority;
+}
+
+/* Changes until nothing is left to change; each bears as much as the state before it, and
+ * leaves what is acknowledged on as many disks. */
 static void settle(Model *model)
 {
     for (int step = 0; step < STEPS_MOST; step++) {
@@ -51,6 +60,7 @@
         if (change.step == MEMBERSHIP_KEEP)
             return;
         const int before = membershipBears(model->voters, model->voterCount);
+        const size_t copies = copiesOf(model);
         if (change.step == MEMBERSHIP_REMOVE)
             assert_false(model->voters[change.index].self);
         else
@@ -59,6 +69,7 @@
         apply(model, change);
         assert_in_range(model->voterCount, 1, SEAT_MOST);
         assert_true(membershipBears(model->voters, model->voterCount) >= before);
+        assert_true(copiesOf(model) >= copies);
     }
     fail_msg("%d changes in a row and no end", STEPS_MOST);
 }
