--- a/packages/view/src/voters.c
+++ b/packages/view/src/voters.c
@@ -50,10 +50,12 @@
 static MemberState stateOf(const View *view, uint64_t disk)
 {
     const Member *member = membersFindDisk(view->props.members, disk);
+    const bool self = disk == view->disk;
     return (MemberState){.disk = disk,
                          .zone = seatZone(view, disk),
-                         .self = disk == view->disk,
-                         .leaving = member != NULL && member->record.leaving};
+                         .self = self,
+                         .leaving = self ? membersSelf(view->props.members)->leaving
+                                         : member != NULL && member->record.leaving};
 }
 
 static size_t votersWanted(const View *view)
@@ -62,7 +64,8 @@
     return 2 * losses + 1 < SEAT_MOST ? 2 * losses + 1 : SEAT_MOST;
 }
 
-static void lookTake(const View *view, Look *look)
+/* Who has not answered that round of contact counts as not alive; 0: as far as is known. */
+static void lookTake(const View *view, uint64_t contact, Look *look)
 {
     memset(look, 0, sizeof(*look));
     look->now = (Membership){look->voters, 0, look->learners, 0, votersWanted(view)};
@@ -71,7 +74,7 @@
             continue;
         MemberState *voter = &look->voters[look->now.voterCount];
         *voter = stateOf(view, view->seats[i]);
-        voter->live = voterLive(view, i);
+        voter->live = voterLive(view, i) && (voter->self || view->peers[i].contact >= contact);
         voter->gone = voterGone(view, i);
         look->places[look->now.voterCount++] = i;
     }
@@ -80,12 +83,30 @@
             continue;
         MemberState *learner = &look->learners[look->now.learnerCount];
         *learner = stateOf(view, view->learners[i].disk);
-        learner->ready = learnerReady(view, i);
+        learner->ready = learnerReady(view, i) && view->peers[SEAT_MOST + i].contact >= contact;
         learner->steady = learnerSteady(view, i);
         look->slots[look->now.learnerCount++] = i;
     }
 }
 
+void votersSight(const View *view, ViewSight *sight)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    Look look;
+    lookTake(view, 0, &look);
+    sight->lossesBorne = membershipBears(look.voters, look.now.voterCount);
+    sight->lossesAsked = (int)(votersWanted(view) / 2);
+    for (size_t i = 0; i < LEARNER_MOST; i++) {
+        const Peer *peer = &view->peers[SEAT_MOST + i];
+        if (view->learners[i].disk == 0)
+            continue;
+        sight->learners[sight->learnerCount++] = (ViewLearnerSight){.disk = view->learners[i].disk,
+                                                                    .answers = nowMs - peer->answeredMs < LOCK_HOLD_MS,
+                                                                    .ready = learnerReady(view, i),
+                                                                    .matchIndex = peer->matchIndex};
+    }
+}
+
 /* --- changing it -------------------------------------------------------------------- */
 
 /* Waits until the list with the disk at the place, or the place vacated, is committed. */
@@ -139,6 +160,20 @@
     viewSettle(view);
 }
 
+/* What is known of the others may be as old as a renewal. Before a change they are asked
+ * once more, for one that counts on a member which has just gone might never be committed.
+ * Answers age too: a round is short, and longer only where too few have answered in it. */
+static void lookFresh(View *view, Look *look)
+{
+    const int64_t mostMs = view->askMs > 0 ? view->askMs : POLL_GRACE_MS;
+    const uint64_t contact = contactMembers(view, mostMs);
+    lookTake(view, contact, look);
+    if (membershipNext(&look->now).step != MEMBERSHIP_KEEP)
+        view->askMs = 0;
+    else
+        view->askMs = 2 * mostMs < 2 * LOCK_RENEW_MS ? 2 * mostMs : 2 * LOCK_RENEW_MS;
+}
+
 /* Whether a change was tried. A list must be committed before the next. */
 static bool membershipTend(View *view)
 {
@@ -150,7 +185,13 @@
     if (view->listIndex > view->commitIndex)
         return false;
     Look look;
-    lookTake(view, &look);
+    lookTake(view, 0, &look);
+    if (membershipNext(&look.now).step == MEMBERSHIP_KEEP)
+        return false;
+    const uint64_t turn = view->leadTurn;
+    lookFresh(view, &look);
+    if (leadOver(view, turn) || !viewOrders(view) || view->listIndex > view->commitIndex)
+        return false;
     const MembershipChange change = membershipNext(&look.now);
     if (change.step == MEMBERSHIP_REMOVE)
         voterRemove(view, look.places[change.index]);
@@ -171,12 +212,52 @@
 {
     View *view = arg;
     while (!loopStopping(view->loop)) {
-        const bool soon = membershipTend(view) || learnersPending(view);
-        signalWait(view->loop, &view->membership,
-                   loopNowMs(view->loop) + (soon ? MEMBERSHIP_SOON_MS : MEMBERSHIP_LOOK_MS));
+        /* one change follows another at once: between them fewer voters may stand than are wanted */
+        const int64_t restMs = membershipTend(view)    ? 1
+                               : learnersPending(view) ? MEMBERSHIP_SOON_MS
+                                                       : MEMBERSHIP_LOOK_MS;
+        signalWait(view->loop, &view->membership, loopNowMs(view->loop) + restMs);
+    }
+}
+
+/* --- leaving ------------------------------------------------------------------------- */
+
+/* Whether a core without a vote runs that could take one over; whether it has the log
+ * is known to the leader alone. */
+static bool successorRuns(const View *view)
+{
+    const MemberTable *table = membersTable(view->props.members);
+    bool runs = false;
+    for (size_t i = 0; i < table->count; i++)
+        runs |= !table->rows[i].record.leaving && learnerMayFollow(view, &table->rows[i]);
+    return runs;
+}
+
+/* Waits until one more than the voters wanted stand, by a committed list. */
+static void successorWait(View *view, int64_t untilMs)
+{
+    while (viewOrders(view) && viewSeated(view) && successorRuns(view) && loopNowMs(view->loop) < untilMs &&
+           (view->seatCount <= votersWanted(view) || view->listIndex > view->commitIndex)) {
+        signalRaise(view->loop, &view->membership);
+        loopSleep(view->loop, MEMBERSHIP_SOON_MS);
     }
 }
 
+void viewLeave(View *view, int64_t untilMs)
+{
+    const bool votes = viewSeated(view), given = votes && successorRuns(view);
+    if (given)
+        successorWait(view, untilMs);
+    leadDown(view, INT32_MAX);
+    while (given && viewSeated(view) && loopNowMs(view->loop) < untilMs)
+        loopSleep(view->loop, MEMBERSHIP_SOON_MS);
+    if (votes && viewSeated(view))
+        ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "leaves and keeps its vote: %s",
+                given ? "no learner took it in time" : "there is no learner");
+    else if (votes)
+        ringSay(view->props.ring, RING_NOTE, loopNowMs(view->loop), "leaves, and its vote is another's");
+}
+
 void votersStart(View *view)
 {
     loopSpawn(view->loop, "voters", votersMain, view);
