--- /dev/null
+++ b/packages/sim/test/places.c
@@ -0,0 +1,92 @@
+/* An address that another process has taken: what is meant for the one before is not the
+ * other's to carry out, nor to answer for. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "sim/fleet.h"
+
+#define LONG_WORK                                                                                                           \
+    "{\"id\":\"l\",\"cell\":\"imagery\",\"tenant\":\"flood\",\"queue\":\"sweeps\",\"steps\":[{\"name\":\"a\",\"count\":11," \
+    "\"room\":{\"cpu\":1,\"memMb\":10},\"payload\":{\"runMs\":60000}}]}"
+
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleetNew(NULL, seed, (FleetShape){3, 3, 11, MIX_TRENTVALE, 0});
+    fleetStart(fleet);
+    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
+    assert_int_equal(fleetAsk(fleet, fleet, FLEET_GATE, 0, "POST", "/v1/jobs", LONG_WORK).code, 201);
+    fleetRun(fleet, 2000);
+    return fleet;
+}
+
+static size_t running(Fleet *fleet)
+{
+    size_t count = 0;
+    for (int i = 0; i < fleet->nodeCount[FLEET_WORKER]; i++)
+        count += standWorkerRunning(fleetNode(fleet, FLEET_WORKER, i)->worker);
+    return count;
+}
+
+static void taken(Fleet *fleet, int gate, const char *name)
+{
+    fleetKill(fleet, FLEET_GATE, gate);
+    fleetNode(fleet, FLEET_GATE, gate)->props.name = name;
+    fleetStartNode(fleet, FLEET_GATE, gate);
+}
+
+/* No disk works, nobody holds the lock, and work goes on only while every member answers
+ * that it knows no holder. One is lost, and a stranger answers at its address: that is not
+ * the lost one's answer, and the work stops. */
+static void answersForAnother(void **state)
+{
+    (void)state;
+    for (int with = 0; with < 2; with++) {
+        Fleet *fleet = begin(81);
+        assert_int_equal(running(fleet), 11);
+        for (int i = 0; i < 3; i++)
+            simDiskFail(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, true);
+        fleetAsk(fleet, fleet, FLEET_GATE, 0, "PATCH", "/v1/config?base=1", "{\"r\":0}"); /* shows the failure */
+        fleetRun(fleet, 8000);
+        assert_int_equal(fleetLeader(fleet), -1);
+        assert_int_equal(running(fleet), 11);
+        if (with)
+            taken(fleet, 1, "another");
+        fleetRun(fleet, 6000);
+        assert_int_equal(running(fleet), with ? 0 : 11);
+        assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+        talloc_free(fleet);
+    }
+}
+
+/* Entry points go on when one of them is another, at the same address. */
+static void entryTaken(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(82);
+    taken(fleet, 1, "another");
+    fleetRun(fleet, 2000);
+    for (int i = 0; i < 3; i++) {
+        const HttpCall call = fleetAsk(fleet, fleet, FLEET_GATE, i, "GET", "/v1/jobs/l", NULL);
+        assert_int_equal(call.code, 200);
+    }
+    const HttpCall status = fleetAsk(fleet, fleet, FLEET_GATE, 1, "GET", "/v1/status", NULL);
+    assert_non_null(strstr((const char *)status.result.data, "\"refusedFrames\""));
+    fleetRun(fleet, 8000);
+    assert_int_equal(checkerBrokenAll(fleet->checker), 0);
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(answersForAnother),
+        cmocka_unit_test(entryTaken),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
