Lines are told when they happen, with node, term and index as fields, and bounded

Cause: a process wrote its notes only after something had gone wrong, so that elections, changes of membership and refused frames of a good hour could not be seen at all, and no line said under which term.

The ring writes through g_log_structured_array (NODE, LEVEL, AT_MS, TERM, INDEX); a core tells it the term and the committed index.

The simulator's rings stay quiet.

--- a/packages/base/include/base/ring.h
+++ b/packages/base/include/base/ring.h
@@ -2,6 +2,7 @@
 #define BASE_RING_H
 
 #include <inttypes.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 
@@ -16,14 +17,32 @@
 #undef X
 } RingLevel;
 
-/* The last lines of one node, kept in memory. An ALERT or FATAL writes out what
- * has not been written yet, through GLib's logging; a NOTE alone writes nothing.
+/* Where in the replicated log a line was said; 0 where there is none. */
+typedef struct RingPlace {
+    uint64_t term, index;
+} RingPlace;
+
+typedef RingPlace (*RingPlaceFn)(void *arg);
+
+/* The last lines of one node, kept in memory and written through GLib's structured
+ * logging with the fields NODE, LEVEL, AT_MS (the loop's clock), TERM and INDEX.
+ *
+ * Each line is written when it is said: notes at most RING_NOTES_AT_ONCE together and one
+ * for each RING_NOTE_GAP_MS after that; what is over waits for the next line, in order. An
+ * ALERT or FATAL writes out all that waits. Lines that were overwritten before they could
+ * be written are counted in a line of their own.
  * Invariant: lines are in order of time; at most RING_LINES are held. */
 typedef struct Ring Ring;
 
 Ring *ringNew(void *mem, const char *node);
 /* A quiet ring keeps its lines and never writes (the simulator's). */
 void ringQuiet(Ring *ring);
+/* Lines below this level are written only together with one that isn't. NOTE at first. */
+void ringSetLevel(Ring *ring, RingLevel least);
+/* Who tells the place of each line from now on. */
+void ringSetPlace(Ring *ring, RingPlaceFn place, void *arg);
+/* False where no level is called so. */
+bool ringLevelOfWord(const char *word, RingLevel *level);
 void ringSay(Ring *ring, RingLevel level, int64_t atMs, const char *format, ...) __attribute__((format(printf, 4, 5)));
 void ringDump(const Ring *ring, FILE *to);
 /* All lines held, on mem. */
--- a/packages/base/src/ring.c
+++ b/packages/base/src/ring.c
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 #include <stdarg.h>
-#include <stdbool.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "base/constants.h"
@@ -11,14 +11,20 @@
 typedef struct RingLine {
     int64_t atMs;
     RingLevel level;
+    RingPlace place;
     char text[RING_LINE_BYTES];
 } RingLine;
 
 struct Ring {
     const char *node;
     bool quiet;
+    RingLevel least;
+    RingPlaceFn placeOf;
+    void *placeArg;
     uint64_t said;    /* lines ever said */
-    uint64_t written; /* lines ever written out: written <= said */
+    uint64_t written; /* lines ever written out, or given up: written <= said */
+    int64_t notes;    /* that may be written now */
+    int64_t notesMs;  /* when one was last added to them */
     RingLine lines[RING_LINES];
 };
 
@@ -32,6 +38,7 @@
 {
     Ring *ring = talloc_zero(mem, Ring);
     ring->node = talloc_strdup(ring, node);
+    ring->notes = RING_NOTES_AT_ONCE;
     return ring;
 }
 
@@ -40,11 +47,85 @@
     ring->quiet = true;
 }
 
+void ringSetLevel(Ring *ring, RingLevel least)
+{
+    ring->least = least;
+}
+
+void ringSetPlace(Ring *ring, RingPlaceFn place, void *arg)
+{
+    ring->placeOf = place;
+    ring->placeArg = arg;
+}
+
+bool ringLevelOfWord(const char *word, RingLevel *level)
+{
+    for (size_t i = 0; i < sizeof(LEVELS) / sizeof(LEVELS[0]); i++)
+        if (strcmp(word, LEVELS[i]) == 0) {
+            *level = (RingLevel)i;
+            return true;
+        }
+    return false;
+}
+
 static uint64_t ringFirst(const Ring *ring, uint64_t from)
 {
     return ring->said > RING_LINES && from < ring->said - RING_LINES ? ring->said - RING_LINES : from;
 }
 
+#define NUMBER_BYTES 24 /* bytes; any 64 bits in decimal */
+
+/* One line, to whoever writes GLib's log. */
+static void lineWrite(const char *node, const RingLine *line)
+{
+    char atMs[NUMBER_BYTES], term[NUMBER_BYTES], index[NUMBER_BYTES];
+    char message[RING_LINE_BYTES * 2];
+    snprintf(atMs, sizeof(atMs), "%" PRId64, line->atMs);
+    snprintf(term, sizeof(term), "%" PRIu64, line->place.term);
+    snprintf(index, sizeof(index), "%" PRIu64, line->place.index);
+    const bool placed = line->place.term != 0;
+    snprintf(message, sizeof(message), "%s %s %s%s%s%s%s %s", node, atMs, LEVELS[line->level], placed ? " term=" : "",
+             placed ? term : "", placed ? " index=" : "", placed ? index : "", line->text);
+    const GLogLevelFlags level = line->level == RING_NOTE ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_WARNING;
+    const GLogField fields[] = {
+        {"MESSAGE", message, -1},
+        {"PRIORITY", line->level == RING_NOTE ? "5" : "4", -1}, /* syslog's notice and warning */
+        {"GLIB_DOMAIN", G_LOG_DOMAIN, -1},
+        {"NODE", node, -1},
+        {"LEVEL", LEVELS[line->level], -1},
+        {"AT_MS", atMs, -1},
+        {"TERM", term, -1},
+        {"INDEX", index, -1},
+    };
+    g_log_structured_array(level, fields, sizeof(fields) / sizeof(fields[0]));
+}
+
+/* Whether one more note may be written at this time. */
+static bool noteTake(Ring *ring, int64_t atMs)
+{
+    const int64_t more = (atMs - ring->notesMs) / RING_NOTE_GAP_MS;
+    if (more > 0) {
+        ring->notesMs += more * RING_NOTE_GAP_MS;
+        ring->notes = MIN(ring->notes + more, (int64_t)RING_NOTES_AT_ONCE);
+    }
+    if (ring->notes == 0)
+        return false;
+    ring->notes--;
+    return true;
+}
+
+/* Lines that were overwritten before they could be written. */
+static void missedWrite(Ring *ring, int64_t atMs)
+{
+    const uint64_t first = ringFirst(ring, ring->written);
+    if (first == ring->written)
+        return;
+    RingLine line = {.atMs = atMs, .level = RING_NOTE};
+    snprintf(line.text, sizeof(line.text), "%" PRIu64 " lines were not written", first - ring->written);
+    ring->written = first;
+    lineWrite(ring->node, &line);
+}
+
 void ringSay(Ring *ring, RingLevel level, int64_t atMs, const char *format, ...)
 {
     RingLine *line = &ring->lines[ring->said++ % RING_LINES];
@@ -54,14 +135,15 @@
     va_end(args);
     line->atMs = atMs;
     line->level = level;
-    if (level == RING_NOTE || ring->quiet)
+    line->place = ring->placeOf != NULL ? ring->placeOf(ring->placeArg) : (RingPlace){0};
+    if (level < ring->least || ring->quiet)
         return;
-    for (uint64_t i = ringFirst(ring, ring->written); i < ring->said; i++) {
-        const RingLine *out = &ring->lines[i % RING_LINES];
-        g_log(G_LOG_DOMAIN, out->level == RING_NOTE ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_WARNING, "%s %" PRId64 " %s %s",
-              ring->node, out->atMs, LEVELS[out->level], out->text);
+    while (ring->written < ring->said) {
+        if (level == RING_NOTE && !noteTake(ring, atMs))
+            return;
+        missedWrite(ring, atMs);
+        lineWrite(ring->node, &ring->lines[ring->written++ % RING_LINES]);
     }
-    ring->written = ring->said;
 }
 
 char *ringText(const Ring *ring, void *mem)
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -147,6 +147,15 @@
     coreTake(arg, task);
 }
 
+/* Where in the log the node is, for its lines. */
+static RingPlace placeNow(void *arg)
+{
+    const Core *core = arg;
+    ViewSight sight;
+    viewSight(core->view, &sight);
+    return (RingPlace){.term = epochCounter(sight.epoch), .index = sight.commitIndex};
+}
+
 Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **out,
                  Failure *failure)
 {
@@ -185,6 +194,8 @@
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
     Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, failure);
+    if (status == STATUS_OK)
+        ringSetPlace(ring, placeNow, core);
     if (status == STATUS_OK)
         status = courierListen(core->courier, props->listen, core->address, failure);
     if (status == STATUS_OK)
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -29,6 +29,7 @@
   spancart_package(explore sim)
 endif()
 
+spancart_test(ring base)
 spancart_test(wire wire)
 spancart_test(lock lock)
 spancart_test(http loop)
--- a/packages/props/include/props/props.h
+++ b/packages/props/include/props/props.h
@@ -1,6 +1,7 @@
 #ifndef PROPS_PROPS_H
 #define PROPS_PROPS_H
 
+#include "base/ring.h"
 #include "member/members.h"
 #include "props/bounds.h"
 
@@ -13,6 +14,7 @@
     const char *seeds[SEEDS];
     const char *data;   /* cores: the folder of the journal */
     const char *worker; /* agents: the worker it is beside; the name when not given */
+    RingLevel log;      /* lines below it are only kept in memory */
     Bounds bounds;      /* whoever fills in a Props begins with boundsFirst */
 } Props;
 
--- a/packages/props/src/props.c
+++ b/packages/props/src/props.c
@@ -24,7 +24,10 @@
         props->data = copy;
     else if (strcmp(key, "worker") == 0)
         props->worker = copy;
-    else if (strcmp(key, "seeds") == 0) {
+    else if (strcmp(key, "log") == 0) {
+        if (!ringLevelOfWord(value, &props->log))
+            return failureSet(failure, STATUS_BAD_PROPS, "log: %s is no level: note, alert or fatal", value);
+    } else if (strcmp(key, "seeds") == 0) {
         char **parts = g_strsplit_set(value, ",;", -1);
         size_t count = 0;
         for (char **part = parts; *part != NULL; part++) {
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -96,7 +96,7 @@
 static int propsTake(void *mem, PropsRole role, const char *command, int argc, const char **argv, Props *props,
                      char **record)
 {
-    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker"};
+    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker", "log"};
     enum { KEY_COUNT = sizeof(KEYS) / sizeof(KEYS[0]) };
     char *path = NULL, *values[KEY_COUNT] = {0};
     struct poptOption options[] = {
@@ -108,6 +108,7 @@
         {"seeds", 0, POPT_ARG_STRING, &values[4], 0, "three addresses of other processes", "A,B,C"},
         {"data", 0, POPT_ARG_STRING, &values[5], 0, "data folder (core)", "FOLDER"},
         {"worker", 0, POPT_ARG_STRING, &values[6], 0, "name of the worker (agent)", "NAME"},
+        {"log", 0, POPT_ARG_STRING, &values[7], 0, "least level of lines written: note, alert or fatal", "LEVEL"},
         {"record", 0, POPT_ARG_STRING, record, 0, "append who plans to this file, for proof (core)", "FILE"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(command, argc, argv, options, 0);
@@ -143,6 +144,7 @@
     if (code == EXIT_GOOD) {
         daemon->loop = realLoopNew(mem);
         daemon->ring = ringNew(mem, daemon->props.name);
+        ringSetLevel(daemon->ring, daemon->props.log);
         loopSpawn(daemon->loop, "start", startMain, daemon);
         realLoopOnUser(daemon->loop, userMain, daemon);
         realLoopRun(daemon->loop, termMain, daemon);
--- a/src/node.c
+++ b/src/node.c
@@ -134,11 +134,13 @@
 
 int runNode(int argc, const char **argv)
 {
-    char *name = NULL, *path = NULL;
+    char *name = NULL, *path = NULL, *log = NULL;
     int only = 0;
+    RingLevel level = RING_NOTE;
     struct poptOption options[] = {
         {"face", 'f', POPT_ARG_STRING, &name, 0, "the platform that this is run on", "NAME"},
         {"props", 'p', POPT_ARG_STRING, &path, 0, "settings file; else as the platform names it", "FILE"},
+        {"log", 0, POPT_ARG_STRING, &log, 0, "least level of lines written: note, alert or fatal", "LEVEL"},
         {"check", 0, POPT_ARG_NONE, &only, 0, "check the settings and end", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("node", argc, argv, options, 0);
@@ -153,6 +155,8 @@
         code = wrong("node", "%s: %s", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
     else if (left != NULL)
         code = wrong("node", "%s: what is this?", left);
+    else if (log != NULL && !ringLevelOfWord(log, &level))
+        code = wrong("node", "--log: %s is no level: note, alert or fatal", log);
     else if (name == NULL || (run->face = faceFind(name)) == NULL)
         code = faceWrong(name);
     else if ((run->path = path != NULL ? path : run->face->path(&failure)) == NULL)
@@ -166,6 +170,7 @@
     } else if (code == EXIT_GOOD) {
         run->node =
             (FaceNode){.loop = realLoopNew(mem), .ring = ringNew(mem, run->place.props.name), .place = &run->place};
+        ringSetLevel(run->node.ring, level);
         loopSpawn(run->node.loop, "start", startMain, run);
         realLoopOnUser(run->node.loop, userMain, run);
         realLoopOnHup(run->node.loop, hupMain, run);
--- a/tests/cli.py
+++ b/tests/cli.py
@@ -48,6 +48,8 @@
         ("bad seed", GOOD.replace("127.0.0.1:3", "a.b:3") + data, "seeds"),
         ("core without data", GOOD, "data"),
         ("core with worker", GOOD + data + "worker=w\n", "worker"),
+        ("unknown level", GOOD + data + "log=loud\n", "log: loud"),
+        ("no level", GOOD + data + "log=\n", "log: "),
     ]
     for what, text, words in rows:
         check(what, ["check", "core", "--props", props(text)], 2, words)
@@ -55,6 +57,8 @@
     assert not os.path.exists(os.path.join(folder, "d")), "something was started"
     check("good props", ["check", "core", "--props", props(GOOD + data)], 0, "good")
     check("flag over file", ["check", "core", "--props", props(GOOD + data), "--zone", "a b"], 2, "zone")
+    check("level by a flag", ["check", "core", "--props", props(GOOD + data), "--log", "alert"], 0, "good")
+    check("unknown level by a flag", ["check", "core", "--props", props(GOOD + data), "--log", "loud"], 2, "log: loud")
     check("gate with data", ["check", "gate", "--props", props(GOOD + data)], 2, "data")
     check("good gate", ["check", "gate", "--props", props(GOOD)], 0, "good")
 
@@ -120,6 +124,7 @@
     check(f"{role} without anything", [role], 2, role)
 check("node without anything", ["node"], 2, "--face")
 check("node with a word", ["node", "--face", "platform", "waltz"], 2, "waltz")
+check("node with an unknown level", ["node", "--face", "platform", "--log", "loud"], 2, "--log: loud")
 check("node of no such face", ["node", "--face", "moon"], 2, "moon")
 check("node without settings", ["node", "--face", "platform", "--props", "/nowhere"], 2, "/nowhere")
 check("check of nothing", ["check"], 2, "usage")
