--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -67,7 +67,7 @@
     parser.add_argument("--lower", action="store_true")
     parser.add_argument("--anew", action="store_true")
     parser.add_argument("files", nargs="*")
-    args = parser.parse_args()
+    args = parser.parse_intermixed_args()
     if args.files and (args.lower or args.anew):
         parser.error("the list is written from all sources")
     files = [os.path.abspath(file) for file in args.files] or sources(args.build)
