The simulator's fleet in four files: building, troubles, callers, what it tells the checker

Moved by a script, nothing changed but the three lists of callbacks, which are handed out by functions (packages/sim/src/fleet.h).

--- /dev/null
+++ b/packages/sim/src/fleetask.c
@@ -0,0 +1,96 @@
+/* Callers and operators of a fleet. */
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet.h"
+
+typedef struct Asked {
+    Fleet *fleet;
+    HttpCall *call;
+    bool done;
+    Status status;
+} Asked;
+
+static void askMain(void *arg)
+{
+    Asked *asked = arg;
+    asked->status = loopCall(simLoop(asked->fleet->world, asked->fleet->caller), asked->call);
+    asked->done = true;
+}
+
+HttpCall fleetAsk(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
+                  const char *body)
+{
+    return fleetAskAs(fleet, mem, role, number, method, path, body, NULL, 0);
+}
+
+HttpCall fleetAskAs(Fleet *fleet, void *mem, FleetRole role, int number, const char *method, const char *path,
+                    const char *body, const HttpPair *heads, size_t headCount)
+{
+    HttpCall call = {.mem = mem,
+                     .address = fleetNode(fleet, role, number)->props.http,
+                     .method = method,
+                     .path = path,
+                     .waitMs = 10000,
+                     .heads = heads,
+                     .headCount = headCount};
+    if (body != NULL)
+        bytesAdd(mem, &call.body, body, strlen(body));
+    Asked *asked = talloc_zero(fleet, Asked);
+    asked->fleet = fleet;
+    asked->call = &call;
+    loopSpawn(simLoop(fleet->world, fleet->caller), "ask", askMain, asked);
+    while (!asked->done)
+        fleetRun(fleet, 5);
+    if (asked->status != STATUS_OK)
+        call.code = 0;
+    talloc_free(asked);
+    bytesAdd(mem, &call.result, "", 1); /* so that it reads as text */
+    return call;
+}
+
+bool fleetConfigure(Fleet *fleet)
+{
+    for (int round = 0; round < 40; round++) {
+        void *mem = talloc_new(NULL);
+        const HttpCall call = fleetAsk(fleet, mem, FLEET_GATE, round % fleet->nodeCount[FLEET_GATE], "PUT",
+                                       "/v1/config?base=0", mixConfig(fleet->shape.mix));
+        const int code = call.code;
+        talloc_free(mem);
+        if (code == 200 || code == 409)
+            return true;
+        fleetRun(fleet, 500);
+    }
+    return false;
+}
+
+Caller *fleetCall(Fleet *fleet, const char *name, int64_t rateMilli, int64_t forMs)
+{
+    CallerProps props = {.name = name,
+                         .mix = fleet->shape.mix,
+                         .rateMilli = rateMilli,
+                         .forMs = forMs,
+                         .twins = fleet->shape.mix == MIX_VARIED,
+                         .watch = fleetCallerWatch(fleet)};
+    for (int i = 0; i < fleet->nodeCount[FLEET_GATE]; i++)
+        props.entries[props.entryCount++] = fleet->nodes[FLEET_GATE][i].props.http;
+    Loop *loop = simLoop(fleet->world, fleet->caller);
+    Caller *caller = callerStart(loop, loop, &props);
+    fleet->callers[fleet->callerCount++] = caller;
+    return caller;
+}
+
+bool fleetFinish(Fleet *fleet, int64_t mostMs)
+{
+    const int64_t untilMs = simNowMs(fleet->world) + mostMs;
+    for (;;) {
+        bool done = checkerOpen(fleet->checker) == 0;
+        for (int i = 0; i < fleet->callerCount; i++)
+            done &= callerDone(fleet->callers[i]);
+        if (done || simNowMs(fleet->world) >= untilMs) {
+            checkerEnd(fleet->checker);
+            return done;
+        }
+        fleetRun(fleet, 200);
+    }
+}
--- /dev/null
+++ b/packages/sim/src/fleettrouble.c
@@ -0,0 +1,140 @@
+/* Troubles of a fleet: nodes that leave, end, freeze or are cut off. */
+#include <string.h>
+
+#include "fleet.h"
+
+static void rolled(void *arg)
+{
+    FleetNode *node = arg;
+    fleetKill(node->fleet, node->role, node->number);
+    fleetStartNode(node->fleet, node->role, node->number);
+}
+
+static void left(void *arg)
+{
+    FleetNode *node = arg;
+    fleetKill(node->fleet, node->role, node->number);
+}
+
+static void drain(FleetNode *node)
+{
+    if (node->core != NULL)
+        coreDrain(node->core);
+    else if (node->gate != NULL)
+        gateDrain(node->gate);
+    else if (node->agent != NULL)
+        agentDrain(node->agent);
+}
+
+static void drainMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
+    /* a process ends from outside of its own tasks */
+    simAt(node->fleet->world, simNowMs(node->fleet->world), rolled, node);
+}
+
+static void leaveMain(void *arg)
+{
+    FleetNode *node = arg;
+    drain(node);
+    simAt(node->fleet->world, simNowMs(node->fleet->world), left, node);
+}
+
+void fleetLeave(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    if (node->up)
+        loopSpawn(simLoop(fleet->world, node->machine), "term", leaveMain, node);
+}
+
+void fleetRoll(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    if (node->up)
+        loopSpawn(simLoop(fleet->world, node->machine), "term", drainMain, node);
+}
+
+static void nodeGone(FleetNode *node)
+{
+    node->core = NULL;
+    node->worker = NULL;
+    node->up = false;
+    /* the first start of all is over for it */
+    if (node->fleet->site.votes)
+        node->props.bounds.founds = 0;
+    if (node->role == FLEET_WORKER)
+        checkerWorkerGone(node->fleet->checker, node->props.name);
+    if (node->role == FLEET_CORE)
+        checkerLeaderGone(node->fleet->checker, node->props.name);
+}
+
+void fleetKill(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    nodeGone(node);
+    simKill(fleet->world, node->machine);
+}
+
+void fleetPowerOff(Fleet *fleet, FleetRole role, int number)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    nodeGone(node);
+    simPowerOff(fleet->world, node->machine);
+}
+
+static void woke(void *arg)
+{
+    FleetNode *node = arg;
+    /* a later freeze may have begun before this one ended */
+    if (simAlive(node->fleet->world, node->machine) && !simFrozen(node->fleet->world, node->machine))
+        checkerWorkerWoke(node->fleet->checker, node->props.name);
+}
+
+void fleetFreeze(Fleet *fleet, FleetRole role, int number, int64_t forMs)
+{
+    FleetNode *node = fleetNode(fleet, role, number);
+    const int64_t untilMs = simNowMs(fleet->world) + forMs;
+    if (!simAlive(fleet->world, node->machine))
+        return;
+    simFreeze(fleet->world, node->machine, untilMs);
+    if (role == FLEET_WORKER)
+        simAt(fleet->world, untilMs + 1, woke, node);
+}
+
+void fleetThaw(Fleet *fleet)
+{
+    for (int role = 0; role < FLEET_ROLES; role++)
+        for (int i = 0; i < fleet->nodeCount[role]; i++)
+            while (simFrozen(fleet->world, fleet->nodes[role][i].machine))
+                fleetRun(fleet, 50);
+}
+
+static void cutBoth(Fleet *fleet, int a, int b, bool cut)
+{
+    simCut(fleet->world, a, b, cut);
+    simCut(fleet->world, b, a, cut);
+}
+
+void fleetIsolate(Fleet *fleet, FleetRole role, int number, bool cut)
+{
+    const int machine = fleetNode(fleet, role, number)->machine;
+    for (int r = 0; r < FLEET_ROLES; r++)
+        for (int i = 0; i < fleet->nodeCount[r]; i++)
+            /* a worker and its agent stand on one machine in truth */
+            if (!((r == FLEET_WORKER && role == FLEET_AGENT && i == number) ||
+                  (r == FLEET_AGENT && role == FLEET_WORKER && i == number)))
+                cutBoth(fleet, machine, fleet->nodes[r][i].machine, cut);
+}
+
+void fleetZoneCut(Fleet *fleet, const char *zone, bool cut)
+{
+    for (int r = 0; r < FLEET_ROLES; r++)
+        for (int i = 0; i < fleet->nodeCount[r]; i++)
+            for (int q = 0; q < FLEET_ROLES; q++)
+                for (int k = 0; k < fleet->nodeCount[q]; k++) {
+                    const FleetNode *a = &fleet->nodes[r][i], *b = &fleet->nodes[q][k];
+                    if ((strcmp(a->props.zone, zone) == 0) != (strcmp(b->props.zone, zone) == 0))
+                        cutBoth(fleet, a->machine, b->machine, cut);
+                }
+}
