--- a/packages/explore/src/disks.c
+++ b/packages/explore/src/disks.c
@@ -148,7 +148,7 @@
         before.entries.list = talloc_memdup(explore, model->entries.list, sizeof(Item) * model->entries.count);
     }
     size_t good;
-    journalRead(bytes, take, model, &good, NULL);
+    (void)journalRead(bytes, take, model, &good, NULL); /* what is whole of it counts */
     compare(explore, &before, model);
     if (before.entries.list != model->entries.list)
         talloc_free(before.entries.list);
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -371,7 +371,7 @@
     File *beside;
     if (readTry(journal, mem, &content) == STATUS_OK && content.count <= JOURNAL_BAD_BYTES &&
         fileOpen(journal->loop, journal, talloc_asprintf(mem, "%s.bad", path), &beside, NULL) == STATUS_OK)
-        fileReplace(beside, content);
+        (void)fileReplace(beside, content);
     talloc_free(mem);
 }
 
--- a/packages/loop/test/loopback.c
+++ b/packages/loop/test/loopback.c
@@ -298,7 +298,7 @@
     if (task != NULL)
         loopSpawn(stage->loop, "part", task, stage);
     pthread_t other;
-    pthread_create(&other, NULL, threadMain, stage);
+    assert_int_equal(pthread_create(&other, NULL, threadMain, stage), 0);
     realLoopRun(stage->loop, onTerm, stage);
     pthread_join(other, NULL);
     close(stage->listener);
--- a/packages/sim/test/answers.c
+++ b/packages/sim/test/answers.c
@@ -89,7 +89,7 @@
     Forger *forger = arg;
     char bound[ADDRESS_MAX];
     forger->loop = loop;
-    loopListen(loop, ADDRESS, forgeMain, forger, bound, NULL);
+    assert_int_equal(loopListen(loop, ADDRESS, forgeMain, forger, bound, NULL), STATUS_OK);
 }
 
 /* --- one who asks ---------------------------------------------------------------------- */
@@ -266,7 +266,7 @@
     if (server->self.id != 0)
         courierSetSelf(server->courier, server->self);
     courierHandle(server->courier, MESSAGE_KNOW, &EchoShape, &EchoShape, echo, server);
-    courierListen(server->courier, ADDRESS, bound, NULL);
+    assert_int_equal(courierListen(server->courier, ADDRESS, bound, NULL), STATUS_OK);
 }
 
 /* An address is used again by another machine, or by the same one after a restart: what
