A gate comes to hold a large document in pieces: in one it stalled the gate for two seconds

Gates hold the newest document for repair and ask for it once nothing has changed for five seconds. 520 KB came as one frame: on a link of 2 Mbit/s everything else on that line waited 2,050 ms behind it (test, virtual time), and a gate that asked meanwhile whether its leader lives gave it up.

Now it comes in pieces of 16 KB (65 ms), after each a rest of three times what it took. What has begun goes on while changes follow; those come as differences afterwards. The leader keeps the text by its revision while it is asked for. A gate of an earlier release asks as before and is answered as before; fields are added at the end. Excluded: the differences of small changes, which come at once as ever.

Tests: heldWithoutAStall (a question took 2,050 ms before), heldThroughChanges (20 changes a second apart, a second large document, and the leader killed in the middle: held at the end).

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -133,7 +133,8 @@
             return STATUS_NOT_LEADER;
         out->epoch = viewEpoch(core->view);
         out->waits = core->repairing;
-        if (!core->repairing && feedAnswer(tableRevisions(core->table), ask, mem, out))
+        if (!core->repairing &&
+            feedAnswer(&core->pieceSource, tableRevisions(core->table), ask, loopNowMs(core->loop), mem, out))
             return STATUS_OK;
         out->revision = ask->have;
         if (ask->first || waits != core->repairing || !signalWait(core->loop, viewNews(core->view), untilMs))
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -161,6 +161,7 @@
     core->courier = courierNew(core, loop, ring);
     core->table = tableNew(core);
     tableWatch(core->table, onDelivered, core);
+    core->pieceSource.mem = core;
     core->keeper = keeperNew(core, loop, props->bounds.retellMs);
     core->liveset = livesetNew(core);
     core->saved = mapNew(core);
--- a/packages/core/src/inside.h
+++ b/packages/core/src/inside.h
@@ -86,8 +86,9 @@
     Map *kept;          /* names of cells to Kept */
     Map *alerts;        /* those that stand */
     uint64_t alertLooks;
-    const Config *config;  /* of the table's newest revision that could be read */
-    uint64_t configLoads;  /* tableLoads when it was read */
+    const Config *config; /* of the table's newest revision that could be read */
+    uint64_t configLoads; /* tableLoads when it was read */
+    PieceSource pieceSource;
     uint64_t configStamp;  /* another with each other config */
     uint64_t configUnread; /* a revision that can't be read */
     struct Trial *trials;
--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -2,6 +2,7 @@
 #define FEED_FEED_H
 
 #include "feed/messages.h"
+#include "feed/pieces.h"
 #include "feed/ways.h"
 #include "table/revisions.h"
 #include "trace/trace.h"
@@ -27,10 +28,14 @@
 uint64_t feedRevision(const Feed *feed);
 /* Bytes of the newest document that is known, at most; 0: none, or its leader does not say. */
 uint64_t feedSize(const Feed *feed);
+/* The revision whose whole document is held for repair; 0: none. */
+uint64_t feedHeld(const Feed *feed);
 /* Adds what is kept of the document, on mem, to be told again. */
 void feedTell(const Feed *feed, void *mem, KeepList *list);
 
-/* What the leader answers out of its revisions; true when there is news. On mem. */
-bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer);
+/* What the leader answers out of its revisions, under the answer's epoch; true when there
+ * is news. On mem, and valid until the next wait. */
+bool feedAnswer(PieceSource *source, const Revisions *revisions, const FeedAsk *ask, int64_t nowMs, void *mem,
+                FeedAnswer *answer);
 
 #endif
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -41,22 +41,29 @@
 
 /* Answered when there is a revision above have, or, when the document is wanted
  * too, above the one that it is had of. */
-#define FEED_ASK_FIELDS(X)                                                          \
-    X(U64, have, 0)                                                                 \
-    X(U64, textHave, 0)                                                             \
-    X(FLAG, wants, 0) /* the document whatever its size; else small changes only */ \
-    X(FLAG, brief, 0) /* as sets, not as a text */                                  \
-    X(FLAG, first, 0) /* of this leader: answered at once, so that it is known to serve */
+#define FEED_ASK_FIELDS(X)                                                                             \
+    X(U64, have, 0)                                                                                    \
+    X(U64, textHave, 0)                                                                                \
+    X(FLAG, wants, 0)    /* the document whatever its size; else small changes only */                 \
+    X(FLAG, brief, 0)    /* as sets, not as a text */                                                  \
+    X(FLAG, first, 0)    /* of this leader: answered at once, so that it is known to serve */          \
+    X(U64, pieceMost, 0) /* bytes; a document that is larger comes in pieces of so many; 0: at once */ \
+    X(U64, pieceOf, 0)   /* the revision whose document has begun to come; 0: none */                  \
+    X(U64, pieceFrom, 0) /* bytes; so much of it is there */
 SHAPE(FeedAsk, FEED_ASK_FIELDS)
 
-#define FEED_ANSWER_FIELDS(X)                                    \
-    X(U64, epoch, 0)                                             \
-    X(U64, revision, 0)                                          \
-    X(TXT, text, 0)                                              \
-    X(ONE, limits, ConfigLimits)                                 \
-    X(LST, sets, ConfigSet) /* from textHave on, or one whole */ \
-    X(FLAG, waits, 0)       /* it does not serve yet */          \
-    X(U64, size, 0)         /* bytes; of the whole document, at most so many */
+#define FEED_ANSWER_FIELDS(X)                                                                               \
+    X(U64, epoch, 0)                                                                                        \
+    X(U64, revision, 0)                                                                                     \
+    X(TXT, text, 0)                                                                                         \
+    X(ONE, limits, ConfigLimits)                                                                            \
+    X(LST, sets, ConfigSet)     /* from textHave on, or one whole */                                        \
+    X(FLAG, waits, 0)           /* it does not serve yet */                                                 \
+    X(U64, size, 0)             /* bytes; of the whole document, at most so many */                         \
+    X(ONE, pieceSet, ConfigSet) /* what the piece is of, without its text; revision 0: there is no piece */ \
+    X(U64, pieceFrom, 0)        /* bytes; of the text that are before it */                                 \
+    X(U64, pieceLength, 0)      /* bytes; of the whole text */                                              \
+    X(BIN, piece, 0)
 SHAPE(FeedAnswer, FEED_ANSWER_FIELDS)
 
 #endif
--- /dev/null
+++ b/packages/feed/include/feed/pieces.h
@@ -0,0 +1,49 @@
+#ifndef FEED_PIECES_H
+#define FEED_PIECES_H
+
+#include "feed/messages.h"
+#include "table/revisions.h"
+
+/* A large document, handed over in pieces with rests between them, so that a narrow
+ * link carries other frames meanwhile. A piece is of one revision; what has changed
+ * since comes as differences once that one is whole. */
+
+/* --- the leader's side ---------------------------------------------------------------------- */
+
+/* The document that is being handed over, as one text for all who ask.
+ * Invariant: text is null or that of the revision, as committed by the epoch's time. */
+typedef struct PieceSource {
+    void *mem;
+    uint64_t epoch, revision;
+    const char *text;
+    size_t length;
+    int64_t usedMs;
+} PieceSource;
+
+/* The piece that was asked for, of the revision that its asker has begun with, or else
+ * from the beginning of the newest. */
+void pieceAnswer(PieceSource *source, const Revisions *revisions, const FeedAsk *ask, int64_t nowMs,
+                 FeedAnswer *answer);
+/* Gives back the text that nobody has asked for of late. */
+void pieceRest(PieceSource *source, int64_t nowMs);
+
+/* --- the asking side ------------------------------------------------------------------------- */
+
+/* Invariant: text holds the first bytes of revision's document; revision 0: nothing has begun. */
+typedef struct Pieces {
+    void *mem;
+    uint64_t revision;
+    size_t length; /* of the whole */
+    Bytes text;
+} Pieces;
+
+/* Whether some of a document is there and the rest is not. */
+bool piecesBegun(const Pieces *pieces);
+/* Says in the question which piece is wanted. */
+void piecesAsk(const Pieces *pieces, FeedAsk *ask);
+/* Adds a piece. True when the document is whole: set is filled in, its text on mem. */
+bool piecesTake(void *mem, Pieces *pieces, const FeedAnswer *answer, ConfigSet *set);
+/* Another leader is asked: what was begun is dropped. */
+void piecesDrop(Pieces *pieces);
+
+#endif
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -8,9 +8,11 @@
 #include "feed/limits.h"
 #include "table/deliverconfig.h"
 
-#define FEED_KEEP 8            /* count; revisions kept for repair: any later one holds all of them */
-#define FEED_CALM_MS 5000      /* ms; nothing has changed for so long: the document itself is asked for */
-#define FEED_EAGER_BYTES 16384 /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
+#define FEED_KEEP 8                 /* count; revisions kept for repair: any later one holds all of them */
+#define FEED_CALM_MS 5000           /* ms; nothing has changed for so long: the document itself is asked for */
+#define FEED_EAGER_BYTES 16384      /* bytes; so much of it comes at once: 65 ms of a 2 Mbit/s link */
+#define FEED_PIECE_REST 3           /* times; what a piece took, before the next: a quarter of the link at most */
+#define FEED_PIECE_REST_MAX_MS 1000 /* ms; ... but no longer than this */
 
 struct Feed {
     Loop *loop;
@@ -23,6 +25,7 @@
     uint64_t revision, size;
     int64_t learntMs;
     Revisions *revisions;
+    Pieces pieces; /* of a large document on its way */
     uint64_t turn; /* of the ways, when the newest asking task began */
 };
 
@@ -38,6 +41,7 @@
     Feed *feed = talloc_zero(mem, Feed);
     *feed = (Feed){.loop = loop, .courier = courier, .ways = ways, .trace = trace};
     feed->revisions = revisionsNew(feed, FEED_KEEP, FEED_KEEP);
+    feed->pieces.mem = feed;
     return feed;
 }
 
@@ -51,6 +55,11 @@
     return feed->size;
 }
 
+uint64_t feedHeld(const Feed *feed)
+{
+    return revisionsNewest(feed->revisions);
+}
+
 /* --- the leader's side ----------------------------------------------------------------- */
 
 static ConfigSet setOf(const Revision *row)
@@ -80,37 +89,49 @@
     return true;
 }
 
-static void wholeNow(const Revisions *revisions, size_t most, void *mem, FeedAnswer *answer)
+static bool wholeNow(const Revisions *revisions, size_t most, void *mem, FeedAnswer *answer)
 {
     if (revisionsSize(revisions) > most)
-        return;
+        return false;
     const Revision *newest = &revisions->rows[revisions->count - 1];
     answer->sets = talloc(mem, ConfigSet);
     answer->setsCount = 1;
     *answer->sets = setOf(newest);
     answer->sets->patch = false;
     answer->sets->text = revisionsText(revisions, mem, newest->revision);
+    return true;
 }
 
-bool feedAnswer(const Revisions *revisions, const FeedAsk *ask, void *mem, FeedAnswer *answer)
+bool feedAnswer(PieceSource *source, const Revisions *revisions, const FeedAsk *ask, int64_t nowMs, void *mem,
+                FeedAnswer *answer)
 {
+    pieceRest(source, nowMs);
     const uint64_t newest = revisionsNewest(revisions);
     if (newest <= ask->have && !(ask->wants && newest > ask->textHave))
         return false;
     answer->revision = newest;
     answer->limits = *revisionsLimits(revisions);
     answer->size = revisionsSize(revisions);
-    const size_t most = ask->wants ? SIZE_MAX : FEED_EAGER_BYTES;
+    const size_t most = !ask->wants ? FEED_EAGER_BYTES : ask->pieceMost > 0 ? ask->pieceMost : SIZE_MAX;
     if (!ask->brief) /* a gate of an earlier release */
         answer->text = revisionsText(revisions, mem, newest);
-    else if (newest > ask->textHave && !changesSince(revisions, ask->textHave, most, mem, answer))
-        wholeNow(revisions, most, mem, answer);
+    else if (newest > ask->textHave && !changesSince(revisions, ask->textHave, most, mem, answer) &&
+             !wholeNow(revisions, most, mem, answer) && ask->wants)
+        pieceAnswer(source, revisions, ask, nowMs, answer);
     return true;
 }
 
 /* --- the asking side --------------------------------------------------------------------- */
 
-static void learn(Feed *feed, const FeedAnswer *answer)
+static void hold(Feed *feed, ConfigSet set)
+{
+    ChangeResult result = {0};
+    set.restored = true;
+    if (set.revision <= feed->revision)
+        deliverConfig(feed->revisions, &set, &result);
+}
+
+static void learn(Feed *feed, void *mem, const FeedAnswer *answer)
 {
     if (answer->epoch > feed->epoch) {
         feed->epoch = answer->epoch;
@@ -123,13 +144,11 @@
         feed->learntMs = loopNowMs(feed->loop);
         limitsServe(feed->loop, &answer->limits);
     }
-    for (size_t i = 0; i < answer->setsCount; i++) {
-        ConfigSet set = answer->sets[i];
-        ChangeResult result = {0};
-        set.restored = true;
-        if (set.revision <= feed->revision)
-            deliverConfig(feed->revisions, &set, &result);
-    }
+    for (size_t i = 0; i < answer->setsCount; i++)
+        hold(feed, answer->sets[i]);
+    ConfigSet whole;
+    if (piecesTake(mem, &feed->pieces, answer, &whole))
+        hold(feed, whole);
 }
 
 static Status askOnce(Feed *feed, const WaysTaken *taken, bool first)
@@ -138,10 +157,16 @@
     const uint64_t textHave = revisionsNewest(feed->revisions);
     const bool wanted = feed->wanted == NULL || feed->wanted(feed->arg);
     const bool calm = loopNowMs(feed->loop) - feed->learntMs >= FEED_CALM_MS;
+    if (first)
+        piecesDrop(&feed->pieces);
     FeedAsk ask = {.have = UINT64_MAX, .textHave = UINT64_MAX, .brief = true};
     if (wanted)
-        ask = (FeedAsk){
-            .have = feed->revision, .textHave = textHave, .wants = textHave < feed->revision && calm, .brief = true};
+        ask = (FeedAsk){.have = feed->revision,
+                        .textHave = textHave,
+                        .wants = textHave < feed->revision && (calm || piecesBegun(&feed->pieces)),
+                        .brief = true,
+                        .pieceMost = FEED_EAGER_BYTES};
+    piecesAsk(&feed->pieces, &ask);
     ask.first = first;
     FeedAnswer answer = {0};
     const Status status =
@@ -150,23 +175,34 @@
     if (status == STATUS_OK) {
         waysHeard(feed->ways, taken, !answer.waits);
         if (wanted)
-            learn(feed, &answer);
+            learn(feed, mem, &answer);
     }
     talloc_free(mem);
     return status;
 }
 
+/* Between two pieces of a document other frames have the link. */
+static void pieceRestWait(const Feed *feed, int64_t tookMs)
+{
+    const int64_t restMs = tookMs * FEED_PIECE_REST;
+    loopSleep(feed->loop, restMs < FEED_PIECE_REST_MAX_MS ? restMs : FEED_PIECE_REST_MAX_MS);
+}
+
 /* Asks with the revision that it has and is answered when there is news, or after a
  * while. */
 static void askMain(void *arg)
 {
     FeedAsking *asking = arg;
     Feed *feed = asking->feed;
-    while (!loopStopping(feed->loop) && waysCurrent(feed->ways, &asking->taken))
+    while (!loopStopping(feed->loop) && waysCurrent(feed->ways, &asking->taken)) {
+        const int64_t askedMs = loopNowMs(feed->loop);
         if (askOnce(feed, &asking->taken, !asking->again) == STATUS_OK)
             asking->again = true;
         else
             waysFailed(feed->ways, &asking->taken);
+        if (piecesBegun(&feed->pieces))
+            pieceRestWait(feed, loopNowMs(feed->loop) - askedMs);
+    }
     talloc_free(asking);
 }
 
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -33,6 +33,7 @@
     showMetric(task, "kept", (int64_t)keeperCount(gate->keeper));
     showMetric(task, "keptBytes", (int64_t)keeperBytes(gate->keeper));
     showMetric(task, "configRevision", (int64_t)feedRevision(gate->feed));
+    showMetric(task, "configHeld", (int64_t)feedHeld(gate->feed));
     showMetric(task, "members", (int64_t)membersTable(gate->members)->count);
 #define X(name) showMetric(task, #name, (int64_t)counts->name);
     COURIER_COUNT_LIST(X)
