--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -130,7 +130,8 @@
 #define JOB_STEPS_MAX 64    /* count; steps in one job */
 #define JOB_SPAN_MAX_MS (INT64_C(366) * 24 * 3600 * 1000) /* ms; a year: a job's longer spans are mistakes */
 #define JOB_BODY_MAX (256 * 1024)                         /* bytes; one job's JSON */
-#define CONFIG_BODY_MAX (1024 * 1024)                     /* bytes; one configuration's JSON */
+#define CONFIG_BODY_MAX \
+    (2 * 1024 * 1024) /* bytes; one configuration's JSON: some 5,000 queues, 0.15 s of a core to check */
 #define CONFIG_LARGE_BYTES \
     (32 * 1024) /* bytes; a larger one is not carried through a gate: 130 ms of a 2 Mbit/s link, each way */
 #define CONFIG_NOTE_MAX (64 * 1024)           /* bytes; an operator's note on a queue, a kind, or the whole */
