After a loss of power gates do not tell again a configuration that the disks have

A view that rests on woken seats asks everybody for what was told. Each gate told the whole document that it holds: 520 KB, 2.1 s of a 2 Mbit/s link, longer than REPAIR_MS, so that neither it nor the jobs kept by that gate came in time, and callers of the gate waited behind it. The question says now which revision the table has, and configurations up to it are left out, as the leader would have left them out itself (known()).

Not mended: a document above some 350 KB that more disks than the bounds allow have lost comes later than REPAIR_MS over such a link; a core without a seat tells it in time.

--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -145,9 +145,9 @@
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
 {
     Core *core = arg;
-    (void)question;
-    keeperTell(core->keeper, mem, answer);
-    feedTell(core->feed, mem, answer);
+    const RetellAsk *ask = question;
+    keeperTell(core->keeper, mem, ask->configHave, answer);
+    feedTell(core->feed, mem, ask->configHave, answer);
     return STATUS_OK;
 }
 
@@ -165,6 +165,6 @@
 {
     courierHandle(core->courier, MESSAGE_FORWARD, &ForwardAskShape, &ForwardAnswerShape, onForward, core);
     courierHandle(core->courier, MESSAGE_FEED, &FeedAskShape, &FeedAnswerShape, onFeed, core);
-    courierHandle(core->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, core);
+    courierHandle(core->courier, MESSAGE_RETELL, &RetellAskShape, &KeepListShape, onRetell, core);
     courierHandle(core->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, core);
 }
--- a/packages/core/src/repair.c
+++ b/packages/core/src/repair.c
@@ -12,6 +12,7 @@
     Core *core;
     size_t users;
     size_t pending;
+    uint64_t configHave; /* the newest revision of the table when it began */
     Signal ended;
     KeepItem *items;
     size_t count;
@@ -33,12 +34,12 @@
     RetellPart *part = arg;
     Retelling *retelling = part->retelling;
     Core *core = retelling->core;
-    const Nothing ask = {0};
+    const RetellAsk ask = {.configHave = retelling->configHave};
     KeepList answer = {0}; /* of whoever stands there now: each item carries its own identity */
     const int64_t untilMs = loopNowMs(core->loop) + REPAIR_MS;
     Status status;
     do {
-        status = courierAsk(core->courier, retelling, part->address, MESSAGE_RETELL, &NothingShape, &ask,
+        status = courierAsk(core->courier, retelling, part->address, MESSAGE_RETELL, &RetellAskShape, &ask,
                             untilMs - loopNowMs(core->loop), &KeepListShape, &answer);
         if (status != STATUS_OK)
             loopSleep(core->loop, 100);
@@ -155,6 +156,7 @@
     Retelling *retelling = talloc_zero(core, Retelling);
     retelling->core = core;
     retelling->users = 1;
+    retelling->configHave = revisionsNewest(tableRevisions(core->table));
     const MemberTable *table = membersTable(core->members);
     for (size_t i = 0; i < table->count; i++) {
         const Member *row = &table->rows[i];
@@ -170,8 +172,8 @@
     while (retelling->pending > 0)
         signalWait(core->loop, &retelling->ended, INT64_MAX);
     KeepList own = {0};
-    keeperTell(core->keeper, retelling, &own);
-    feedTell(core->feed, retelling, &own);
+    keeperTell(core->keeper, retelling, retelling->configHave, &own);
+    feedTell(core->feed, retelling, retelling->configHave, &own);
     if (own.itemsCount > 0) {
         retelling->items =
             talloc_realloc(retelling, retelling->items, KeepItem, (unsigned)(retelling->count + own.itemsCount));
--- a/packages/feed/include/feed/feed.h
+++ b/packages/feed/include/feed/feed.h
@@ -30,8 +30,8 @@
 uint64_t feedSize(const Feed *feed);
 /* The revision whose whole document is held for repair; 0: none. */
 uint64_t feedHeld(const Feed *feed);
-/* Adds what is kept of the document, on mem, to be told again. */
-void feedTell(const Feed *feed, void *mem, KeepList *list);
+/* Adds what is kept of the document, on mem, to be told again to one that has a revision. */
+void feedTell(const Feed *feed, void *mem, uint64_t have, KeepList *list);
 
 /* What the leader answers out of its revisions, under the answer's epoch; true when there
  * is news. On mem, and valid until the next wait. */
--- a/packages/feed/include/feed/keeper.h
+++ b/packages/feed/include/feed/keeper.h
@@ -20,7 +20,7 @@
 Keeper *keeperNew(void *mem, Loop *loop, int64_t spanMs);
 void keeperKeep(Keeper *keeper, const KeepItem *items, size_t count);
 /* All that is kept, on mem. */
-void keeperTell(Keeper *keeper, void *mem, KeepList *list);
+void keeperTell(Keeper *keeper, void *mem, uint64_t configHave, KeepList *list);
 size_t keeperCount(const Keeper *keeper);
 size_t keeperBytes(const Keeper *keeper);
 
--- a/packages/feed/include/feed/messages.h
+++ b/packages/feed/include/feed/messages.h
@@ -16,6 +16,13 @@
 #define NOTHING_FIELDS(X) X(U64, nothing, 0)
 SHAPE(Nothing, NOTHING_FIELDS)
 
+/* A leader whose disks may have forgotten asks for what was told. Configurations up to the
+ * revision that it has are left out: a large one fills a narrow link. */
+#define RETELL_ASK_FIELDS(X) \
+    X(U64, nothing, 0)       \
+    X(U64, configHave, 0)
+SHAPE(RetellAsk, RETELL_ASK_FIELDS)
+
 /* A caller's request, carried to the leader; and its result. */
 #define FORWARD_ASK_FIELDS(X)                                                            \
     X(TXT, method, 0)                                                                    \
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -229,10 +229,20 @@
     loopSpawn(feed->loop, "feeds", feedMain, feed);
 }
 
-void feedTell(const Feed *feed, void *mem, KeepList *list)
+/* The first row to tell to one that has a revision. */
+static size_t tellFrom(const Revisions *revisions, uint64_t have)
+{
+    size_t from = revisions->whole;
+    while (from < revisions->count && revisions->rows[from].revision <= have)
+        from++;
+    const bool needsMore = from < revisions->count && revisions->rows[from].patch && revisions->rows[from].base != have;
+    return needsMore ? revisions->whole : from;
+}
+
+void feedTell(const Feed *feed, void *mem, uint64_t have, KeepList *list)
 {
     const Revisions *revisions = feed->revisions;
-    for (size_t i = revisions->whole; i < revisions->count; i++) {
+    for (size_t i = tellFrom(revisions, have); i < revisions->count; i++) {
         const ConfigSet set = setOf(&revisions->rows[i]);
         KeepItem item = {CHANGE_CONFIG_SET, 0, {0}};
         shapePack(&ConfigSetShape, &set, mem, &item.payload);
--- a/packages/feed/src/keeper.c
+++ b/packages/feed/src/keeper.c
@@ -87,13 +87,26 @@
     forget(keeper);
 }
 
-void keeperTell(Keeper *keeper, void *mem, KeepList *list)
+static bool configHad(const KeepItem *item, uint64_t have)
+{
+    if (item->change != CHANGE_CONFIG_SET)
+        return false;
+    void *mem = talloc_new(NULL);
+    ConfigSet set;
+    const bool had = shapeUnpack(&ConfigSetShape, item->payload, mem, &set, NULL) == STATUS_OK &&
+                     (set.revision != 0 ? set.revision : set.base + 1) <= have;
+    talloc_free(mem);
+    return had;
+}
+
+void keeperTell(Keeper *keeper, void *mem, uint64_t configHave, KeepList *list)
 {
     forget(keeper);
     list->items = talloc_array(mem, KeepItem, (unsigned)keeperCount(keeper));
     list->itemsCount = 0;
     for (const Kept *kept = keeper->first; kept != NULL; kept = kept->next)
-        shapeCopy(&KeepItemShape, &kept->item, mem, &list->items[list->itemsCount++]);
+        if (!configHad(&kept->item, configHave))
+            shapeCopy(&KeepItemShape, &kept->item, mem, &list->items[list->itemsCount++]);
 }
 
 size_t keeperCount(const Keeper *keeper)
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -98,10 +98,10 @@
 static Status onRetell(void *arg, void *mem, const void *question, void *answer)
 {
     Gate *gate = arg;
+    const RetellAsk *ask = question;
     KeepList *list = answer;
-    (void)question;
-    keeperTell(gate->keeper, mem, list);
-    feedTell(gate->feed, mem, list);
+    keeperTell(gate->keeper, mem, ask->configHave, list);
+    feedTell(gate->feed, mem, ask->configHave, list);
     return STATUS_OK;
 }
 
@@ -156,7 +156,7 @@
                                                               .leaderWaitMs = props->bounds.leaderWaitMs,
                                                               .outcomeWaitMs = props->bounds.outcomeWaitMs});
     gate->feed = feedNew(gate, loop, gate->courier, forwarderWays(gate->forwarder), gate->trace);
-    courierHandle(gate->courier, MESSAGE_RETELL, &NothingShape, &KeepListShape, onRetell, gate);
+    courierHandle(gate->courier, MESSAGE_RETELL, &RetellAskShape, &KeepListShape, onRetell, gate);
     courierHandle(gate->courier, MESSAGE_KNOW, &KnowAskShape, &KnowAnswerShape, onKnow, gate);
     courierHandle(gate->courier, MESSAGE_KEEP, &KeepListShape, &NothingShape, onKeep, gate);
     membersSetVoter(gate->members, props->bounds.founds == 1);
--- a/packages/sim/test/fuzz.c
+++ b/packages/sim/test/fuzz.c
@@ -251,6 +251,7 @@
     X(FetchAnswer)   \
     X(ForwardAsk)    \
     X(ForwardAnswer) \
+    X(RetellAsk)     \
     X(FeedAsk)       \
     X(FeedAnswer)    \
     X(KeepList)      \
--- a/packages/sim/test/ways.c
+++ b/packages/sim/test/ways.c
@@ -345,11 +345,11 @@
     assert_true(keeperBytes(keeping.keeper) <= KEEPER_BYTES_MAX);
     assert_true(keeperBytes(keeping.keeper) > KEEPER_BYTES_MAX - 2000);
     KeepList list = {0};
-    keeperTell(keeping.keeper, world, &list);
+    keeperTell(keeping.keeper, world, 0, &list);
     assert_int_equal(list.items[list.itemsCount - 1].index, 20000);
     assert_int_equal(list.items[0].index, 20000 - list.itemsCount + 1);
     simRunUntil(world, 40000);
-    keeperTell(keeping.keeper, world, &list);
+    keeperTell(keeping.keeper, world, 0, &list);
     assert_int_equal(list.itemsCount, 0);
     assert_int_equal(keeperBytes(keeping.keeper), 0);
     /* a deployment that trusts its disks keeps nothing */
