--- a/packages/sim/test/answers.c
+++ b/packages/sim/test/answers.c
@@ -52,7 +52,7 @@
     Forger *forger = arg;
     char bound[ADDRESS_MAX];
     forger->loop = loop;
-    loopListen(loop, ADDRESS, forgeMain, forger, bound, NULL);
+    assert_int_equal(loopListen(loop, ADDRESS, forgeMain, forger, bound, NULL), STATUS_OK);
 }
 
 /* --- answers that are none of the question's --------------------------------------------- */
--- a/packages/sim/test/questions.c
+++ b/packages/sim/test/questions.c
@@ -60,7 +60,7 @@
     if (server->self.id != 0)
         courierSetSelf(server->courier, server->self);
     courierHandle(server->courier, MESSAGE_KNOW, &EchoShape, &EchoShape, echo, server);
-    courierListen(server->courier, ADDRESS, bound, NULL);
+    assert_int_equal(courierListen(server->courier, ADDRESS, bound, NULL), STATUS_OK);
 }
 
 /* An address is used again by another machine, or by the same one after a restart: what
