--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -105,13 +105,19 @@
 #define LOG_SNAPSHOT_ENTRIES 4000 /* count; the journal is rewritten after this many entries */
 #define LOG_SNAPSHOT_BYTES \
     (8 * 1024 * 1024) /* bytes; ... or after so many: some 25 large configurations; sent in half a second */
-#define LOG_BATCH_BYTES (512 * 1024) /* bytes; one append carries at most this much */
-#define LOG_BATCH_ENTRIES 256        /* count; likewise */
-#define LOG_BACK_STEP 64             /* count; a seat whose log differs is asked again from so many entries earlier */
+#define SNAPSHOT_MAX_BYTES \
+    (48 * 1024 * 1024) /* bytes; a larger state is not shortened to a snapshot: memory would not hold both */
+#define FILL_WHOLE_BYTES (2 * 1024 * 1024) /* bytes; a snapshot up to this is sent at once ... */
+#define FILL_PIECE_BYTES (1024 * 1024)     /* bytes; ... a larger one in pieces: 40 ms each at 200 Mbit/s */
+#define LOG_BATCH_BYTES (512 * 1024)       /* bytes; one append carries at most this much */
+#define LOG_BATCH_ENTRIES 256              /* count; likewise */
+#define LOG_WRITE_BYTES (16 * 1024 * 1024) /* bytes; one write of the holder to its own journal */
+#define LOG_BACK_STEP 64 /* count; a seat whose log differs is asked again from so many entries earlier */
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
 #define JOURNAL_OPEN_MS 3000                /* ms; a disk that refuses writes at the start is tried again for so long */
 #define JOURNAL_BAD_BYTES \
-    (16 * 1024 * 1024) /* bytes; a journal that is not whole is kept beside the new one when it is smaller */
+    (16 * 1024 * 1024)       /* bytes; a journal that is not whole is kept beside the new one when it is smaller */
+#define HISTORY_TOLD_MS 1000 /* ms; orders to drop what is committed are told in the log at most so often */
 #define WOKEN_WAIT_MS                                                                                                \
     3000 /* ms; a view resting on woken seats waits this long for the last view's members: a process starts in less, \
             and the steps after it must end within 12 s */
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -59,7 +59,8 @@
     X(OTHER_PEER, "other-peer", 503)             \
     X(OTHER_LIFE, "other-life", 503)             \
     X(OTHER_VERSION, "other-version", 503)       \
-    X(UNKNOWN_QUESTION, "unknown-question", 503)
+    X(UNKNOWN_QUESTION, "unknown-question", 503) \
+    X(OTHER_HISTORY, "other-history", 409)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
--- a/packages/core/src/callers.c
+++ b/packages/core/src/callers.c
@@ -21,6 +21,7 @@
     showMetric(task, "journalSyncs", (int64_t)sight.journal.syncs);
     showMetric(task, "journalRewrites", (int64_t)sight.journal.rewrites);
     showMetric(task, "journalTornBytes", (int64_t)sight.journal.tornBytes);
+    showMetric(task, "otherHistories", (int64_t)sight.otherHistories);
     showMetric(task, "journalBegunAnew", sight.journal.begunAnew);
     showMetric(task, "lastSyncMs", sight.journal.lastSyncMs);
     showMetric(task, "worstSyncMs", sight.journal.worstSyncMs);
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -193,6 +193,7 @@
     json_object_object_add(log, "syncs", numberOf((int64_t)sight.journal.syncs));
     json_object_object_add(log, "records", numberOf((int64_t)sight.journal.records));
     json_object_object_add(log, "rewrites", numberOf((int64_t)sight.journal.rewrites));
+    json_object_object_add(log, "otherHistories", numberOf((int64_t)sight.otherHistories));
     json_object_object_add(log, "tornBytes", numberOf((int64_t)sight.journal.tornBytes));
     json_object_object_add(log, "begunAnew", json_object_new_boolean(sight.journal.begunAnew));
     json_object_object_add(log, "worstSyncMs", numberOf(sight.journal.worstSyncMs));
--- a/packages/journal/include/journal/journal.h
+++ b/packages/journal/include/journal/journal.h
@@ -37,7 +37,8 @@
 Status journalBegin(Loop *loop, void *mem, const char *path, const char *nodeName, Journal **journal, Failure *failure);
 /* The random number that names this disk, made with the file. */
 uint64_t journalDisk(const Journal *journal);
-/* Queues the record and waits until it is synced, with all queued before it. */
+/* Queues the records and waits until they are synced, with all queued before them.
+ * TOO_LARGE: they are more than a block holds, and nothing is written. */
 Status journalWrite(Journal *journal, const Record *records, size_t count);
 /* Queues a new content of the whole file, which stands for all queued before
  * it; waits until it is in place. The identity is kept. Also tried after a failure. */
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -212,6 +212,10 @@
     for (size_t i = 0; i < count; i++)
         recordAdd(waiting, &waiting->body, &records[i]);
     waiting->records = count;
+    if (waiting->body.count >= RECORD_MAX_BYTES) { /* no block holds it: it could not be read again */
+        talloc_free(waiting);
+        return STATUS_TOO_LARGE;
+    }
     return queueUp(journal, waiting);
 }
 
--- a/packages/sim/test/diskstate.c
+++ b/packages/sim/test/diskstate.c
@@ -182,6 +182,139 @@
     }
 }
 
+/* --- what may never be taken -------------------------------------------------------- */
+
+typedef struct Orders {
+    View *view;
+    Status replaced, appended;
+    bool done;
+} Orders;
+
+/* As some leader would that has not what a majority has committed. */
+static void ordersMain(void *arg)
+{
+    Orders *orders = arg;
+    View *view = orders->view;
+    const uint64_t index = view->commitIndex;
+    const Record older = {.kind = RECORD_SNAPSHOT, .epoch = view->log->baseEpoch, .index = index - 1, .name = ""};
+    orders->replaced = seatReplace(view, &older, NULL, 0);
+    Record other = *logAt(view->log, index);
+    AppendAsk ask = {.epoch = view->lock.promised + 100,
+                     .holder = view->disk + 1,
+                     .prevIndex = index - 1,
+                     .prevEpoch = logAt(view->log, index - 1)->epoch,
+                     .entries = &other,
+                     .entriesCount = 1};
+    other.epoch = ask.epoch;
+    orders->appended = seatAppend(view, &ask);
+    orders->done = true;
+}
+
+/* An order to drop what is committed is refused and counted; the log stays. */
+static void committedStays(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    const int core = (fleetLeader(fleet) + 1) % 3;
+    offer(fleet, 10, 10);
+    fleetRun(fleet, 1000);
+    View *view = viewOf(fleet, core);
+    const uint64_t index = view->commitIndex, epoch = logAt(view->log, index)->epoch;
+    Orders orders = {.view = view};
+    fleetIsolate(fleet, FLEET_CORE, core, true);
+    loopSpawn(simLoop(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine), "orders", ordersMain, &orders);
+    fleetRun(fleet, 200);
+    assert_true(orders.done);
+    assert_int_equal(orders.replaced, STATUS_OTHER_HISTORY);
+    assert_int_equal(orders.appended, STATUS_OTHER_HISTORY);
+    assert_int_equal(view->commitIndex, index);
+    assert_int_equal(logAt(view->log, index)->epoch, epoch);
+    ViewSight sight;
+    viewSight(view, &sight);
+    assert_int_equal(sight.otherHistories, 2);
+    assert_non_null(strstr(ringText(fleetNode(fleet, FLEET_CORE, core)->ring, fleet), "other-history"));
+    talloc_free(fleet);
+}
+
+/* A log whose list of voters is older than one that is known to be committed: neither
+ * votes nor leads, whoever asks. */
+static void oldListVotesNot(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    const int leader = fleetLeader(fleet);
+    View *view = viewOf(fleet, leader);
+    assert_true(view->listIndex > 0 && view->listIndex <= view->commitIndex);
+    fleetIsolate(fleet, FLEET_CORE, leader, true);
+    fleetRun(fleet, 3000);
+    const uint64_t listIndex = view->listIndex;
+    for (uint64_t i = listIndex; i <= logLastIndex(view->log); i++) /* as a disk would that lost the entry */
+        view->log->entries[i - view->log->baseIndex - 1].change = FILLER;
+    viewReread(view);
+    assert_true(view->listIndex < listIndex && viewDiskFailed(view));
+    fleetRun(fleet, 10000);
+    assert_false(viewLeading(view));
+    const ProposeAsk ask = {UINT64_MAX / 2, view->disk, 0, UINT64_MAX / 2, 1};
+    assert_int_equal(seatPropose(view, &ask), STATUS_DISK_FAILED);
+    talloc_free(fleet);
+}
+
+static FillAsk pieceOf(Bytes whole, size_t from, size_t count)
+{
+    return (FillAsk){.snapshot = {.kind = RECORD_SNAPSHOT,
+                                  .epoch = 9,
+                                  .index = 70,
+                                  .name = "",
+                                  .payload = {whole.data + from, count, 0}},
+                     .from = from,
+                     .total = whole.count,
+                     .checksum = bytesCrc(whole.data, whole.count)};
+}
+
+/* Pieces out of their order, given twice, of another snapshot, spoilt, or beyond the whole:
+ * nothing is put together but the very bytes whose checksum was told. */
+static void piecesRefused(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    View *view = viewOf(fleet, 0);
+    Bytes whole = {talloc_zero_size(fleet, 1000), 1000, 0};
+    whole.data[500] = 7;
+    Record record;
+    FillAsk ask = pieceOf(whole, 400, 300);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
+    assert_int_equal(fillCount(view), 0);
+    ask = pieceOf(whole, 0, 400);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
+    assert_int_equal(fillCount(view), 400);
+    ask = pieceOf(whole, 400, 600);
+    ask.snapshot.payload.count = 700;
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
+    whole.data[500] = 8; /* on its way */
+    ask = pieceOf(whole, 400, 600);
+    whole.data[500] = 7;
+    ask.checksum = bytesCrc(whole.data, whole.count);
+    whole.data[500] = 8;
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
+    assert_int_equal(fillCount(view), 0);
+    whole.data[500] = 7;
+    ask = pieceOf(whole, 0, 400);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
+    ask = pieceOf(whole, 400, 600);
+    ask.snapshot.index++; /* of another snapshot: what was there counts for nothing */
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
+    ask = pieceOf(whole, 0, 400);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
+    ask = pieceOf(whole, 400, 600);
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_OK);
+    assert_memory_equal(record.payload.data, whole.data, whole.count);
+    ask = pieceOf(whole, 0, 1000);
+    ask.total = RECORD_MAX_BYTES + 1;
+    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
+    talloc_free(fleet);
+}
+
 /* --- after many changes ------------------------------------------------------------ */
 
 #define LINK_BYTES_MS 25000              /* bytes a ms: 200 Mbit/s, the slowest link of a disk machine */
@@ -202,6 +335,12 @@
            viewOf(fleet, core)->deliveredIndex + 2 >= viewOf(fleet, leader)->commitIndex;
 }
 
+static bool seated(Fleet *fleet, int core)
+{
+    const int leader = fleetLeader(fleet);
+    return leader >= 0 && runs(fleet, core) && viewSeatOf(viewOf(fleet, leader), viewDisk(viewOf(fleet, core))) >= 0;
+}
+
 typedef struct CatchUp {
     int64_t tookMs;      /* from the start of its process */
     uint64_t bytes;      /* that the leader sent meanwhile, to all */
@@ -273,6 +412,67 @@
     assert_true(most.tookMs < few.tookMs + 1500);
 }
 
+/* A state of so many megabytes: workers whose labels are that long. */
+static void stateGrow(Fleet *fleet, int megabytes)
+{
+    void *mem = talloc_new(NULL);
+    char *label = talloc_zero_array(mem, char, 1024 * 1024 + 1);
+    memset(label, 'x', 1024 * 1024);
+    for (int i = 0; i < megabytes; i++) {
+        Bytes payload = {0};
+        const char *labels[] = {label};
+        const Worker worker = {.name = talloc_asprintf(mem, "big%d", i),
+                               .zone = "z",
+                               .rack = "",
+                               .kind = "",
+                               .labels = labels,
+                               .labelsCount = 1,
+                               .excluded = true};
+        shapePack(&WorkerShape, &worker, mem, &payload);
+        viewOffer(viewOf(fleet, fleetLeader(fleet)), CHANGE_WORKER_SET, payload);
+        fleetRun(fleet, 100);
+    }
+    talloc_free(mem);
+}
+
+/* A state that no single frame holds, to an empty disk, over a narrow link that breaks in
+ * the middle; whoever leads goes on leading, and the one that catches up loses nothing
+ * that it already has of it. */
+static void largeState(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    const int leader = fleetLeader(fleet), away = (leader + 1) % 3;
+    stateGrow(fleet, 34);
+    viewCompactMaybe(viewOf(fleet, leader), true);
+    fleetRun(fleet, 500);
+    assert_true(viewOf(fleet, leader)->log->snapshot.payload.count > FRAME_MAX_BYTES);
+    for (int i = 0; i < 3; i++) /* 34 MB take over eight seconds: more than any deadline */
+        simLinkRate(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, 4 * 1024);
+    checkerFault(fleet->checker);
+    fleetPowerOff(fleet, FLEET_CORE, away);
+    simDiskWipe(fleet->world, fleetNode(fleet, FLEET_CORE, away)->machine);
+    fleetRun(fleet, 500);
+    fleetStartNode(fleet, FLEET_CORE, away);
+    const int64_t fromMs = simNowMs(fleet->world);
+    uint64_t most = 0;
+    for (int i = 0; i < 600 && !(caughtUp(fleet, away) && seated(fleet, away)); i++) {
+        fleetRun(fleet, 100);
+        if (i == 60)
+            fleetIsolate(fleet, FLEET_CORE, away, true);
+        if (i == 90)
+            fleetIsolate(fleet, FLEET_CORE, away, false);
+        const uint64_t filled = runs(fleet, away) ? fillCount(viewOf(fleet, away)) : 0;
+        most = filled > most ? filled : most;
+        assert_true(filled == most || filled == 0);
+    }
+    assert_true(caughtUp(fleet, away) && seated(fleet, away));
+    assert_int_equal(fleetLeader(fleet), leader);
+    print_message("34 MB over 4 MB/s, cut for 3 s: %d ms\n", (int)(simNowMs(fleet->world) - fromMs));
+    assert_true(most > FRAME_MAX_BYTES);
+    talloc_free(fleet);
+}
+
 /* Hundreds of whole configurations: neither the disk nor the memory grows with them. */
 static void awayForBig(void **state)
 {
@@ -291,12 +491,6 @@
     journal->data[100] ^= 4; /* past the identity, long before the end */
 }
 
-static bool seated(Fleet *fleet, int core)
-{
-    const int leader = fleetLeader(fleet);
-    return leader >= 0 && runs(fleet, core) && viewSeatOf(viewOf(fleet, leader), viewDisk(viewOf(fleet, core))) >= 0;
-}
-
 /* A journal that is spoilt before its end: its node comes back by itself as an empty disk
  * with another id, says so, and is a voter again only by the others' change of the list. */
 static void spoiltIsEmpty(void **state)
@@ -416,9 +610,10 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(awayForMany),         cmocka_unit_test(awayForBig),     cmocka_unit_test(comesBack),
-        cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),  cmocka_unit_test(allSpoilt),
-        cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
+        cmocka_unit_test(piecesRefused), cmocka_unit_test(committedStays),      cmocka_unit_test(oldListVotesNot),
+        cmocka_unit_test(awayForMany),   cmocka_unit_test(awayForBig),          cmocka_unit_test(largeState),
+        cmocka_unit_test(comesBack),     cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),
+        cmocka_unit_test(allSpoilt),     cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/view/include/view/messages.h
+++ b/packages/view/include/view/messages.h
@@ -59,7 +59,8 @@
     X(LST, viewMembers, DiskId)                                                       \
     X(I64, wallMs, 0)                                                                 \
     X(I64, syncMs, 0) /* its last sync took so long */                                \
-    X(U64, sight, 0)  /* members that have spoken to it of late */
+    X(U64, sight, 0)  /* members that have spoken to it of late */                    \
+    X(U64, filled, 0) /* bytes that it has of a snapshot that comes in pieces */
 SHAPE(SeatAnswer, SEAT_ANSWER_FIELDS)
 
 #define RENEW_ASK_FIELDS(X) \
@@ -84,7 +85,9 @@
     X(U64, to, 0)
 SHAPE(AppendAsk, APPEND_ASK_FIELDS)
 
-/* A seat that has what the snapshot stands for keeps its log, which may go further.
+/* total: 0, or the snapshot's payload is the piece that begins at from of so many bytes,
+ * whose checksum together is told.
+ * A seat that has what the snapshot stands for keeps its log, which may go further.
  * over: its log was found to be of another history: what lies under its own snapshot
  * does not count as that, unless that snapshot is as new. */
 #define FILL_ASK_FIELDS(X)   \
@@ -93,7 +96,10 @@
     X(ONE, snapshot, Record) \
     X(U64, commitIndex, 0)   \
     X(U64, to, 0)            \
-    X(FLAG, over, 0)
+    X(FLAG, over, 0)         \
+    X(U64, from, 0)          \
+    X(U64, total, 0)         \
+    X(U64, checksum, 0)
 SHAPE(FillAsk, FILL_ASK_FIELDS)
 
 /* Asks a seat for its log after an index. */
--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -157,6 +157,7 @@
     int lossesBorne; /* so many more voters may be lost; negative: so many are missing for a majority */
     int lossesAsked; /* as the settings ask */
     JournalCounts journal;
+    uint64_t otherHistories; /* orders to drop what is committed, all refused */
 } ViewSight;
 
 void viewSight(const View *view, ViewSight *sight);
--- a/packages/view/src/disk.c
+++ b/packages/view/src/disk.c
@@ -20,6 +20,19 @@
     return status;
 }
 
+Status historyRefuse(View *view, uint64_t index)
+{
+    const int64_t nowMs = loopNowMs(view->loop);
+    view->otherHistories++;
+    if (view->otherToldMs == 0 || nowMs - view->otherToldMs >= HISTORY_TOLD_MS) {
+        view->otherToldMs = nowMs;
+        ringSay(view->props.ring, RING_ALERT, nowMs,
+                "%s: refuses to drop entry %" PRIu64 " and what follows: committed up to %" PRIu64,
+                statusWord(STATUS_OTHER_HISTORY), index, view->commitIndex);
+    }
+    return STATUS_OTHER_HISTORY;
+}
+
 /* --- snapshots ------------------------------------------------------------------ */
 
 Record *viewRecords(View *view, void *mem, size_t *count)
@@ -75,7 +88,8 @@
 void viewCompactMaybe(View *view, bool force)
 {
     Log *log = view->log;
-    if (view->compacting || view->deliveredIndex <= log->baseIndex || (!force && !longEnough(view)))
+    if (view->compacting || (view->tooLarge && !force) || view->deliveredIndex <= log->baseIndex ||
+        (!force && !longEnough(view)))
         return;
     void *mem = talloc_new(view);
     /* seats and last as of deliveredIndex: later ones are still in the log */
@@ -99,6 +113,13 @@
     Record record = {
         .kind = RECORD_SNAPSHOT, .epoch = epoch, .index = view->deliveredIndex, .atMs = viewClockMs(view), .name = ""};
     shapePack(&SnapshotShape, &snapshot, mem, &record.payload);
+    view->tooLarge = record.payload.count > SNAPSHOT_MAX_BYTES;
+    if (view->tooLarge) {
+        ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "%s: a state of %zu bytes can't be a snapshot",
+                statusWord(STATUS_TOO_LARGE), record.payload.count);
+        talloc_free(mem);
+        return;
+    }
     logRebase(log, &record);
     talloc_free(mem);
     view->compacting = true;
@@ -245,7 +266,7 @@
     View *view = arg;
     while (!loopStopping(view->loop)) {
         loopSleep(view->loop, DISK_MEND_MS);
-        if (!journalFailed(view->journal) || view->compacting || view->holding)
+        if (view->listOld || !journalFailed(view->journal) || view->compacting || view->holding)
             continue;
         view->mending = true;
         if (journalAnew(view) == STATUS_OK) {
@@ -264,5 +285,5 @@
 
 bool viewDiskFailed(const View *view)
 {
-    return view->mending || journalFailed(view->journal);
+    return view->mending || view->listOld || journalFailed(view->journal);
 }
--- /dev/null
+++ b/packages/view/src/fill.c
@@ -0,0 +1,129 @@
+/* A whole snapshot for one whose log can't be mended by entries: sent at once while it is
+ * small, else in pieces, each with a deadline of its own, so that a large state gets
+ * through a narrow link, and renewals go between them. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+/* --- the one that takes it --------------------------------------------------------- */
+
+static bool sameFilling(const Filling *filling, const FillAsk *ask)
+{
+    return filling != NULL && filling->epoch == ask->snapshot.epoch && filling->index == ask->snapshot.index &&
+           filling->total == ask->total && filling->checksum == ask->checksum;
+}
+
+void fillDrop(View *view)
+{
+    talloc_free(view->filling);
+    view->filling = NULL;
+}
+
+Status fillTake(View *view, const FillAsk *ask, Record *whole)
+{
+    *whole = ask->snapshot;
+    if (ask->total == 0) {
+        fillDrop(view);
+        return STATUS_OK;
+    }
+    if (ask->total > RECORD_MAX_BYTES || ask->from + ask->snapshot.payload.count > ask->total)
+        return STATUS_BAD_FRAME;
+    if (!sameFilling(view->filling, ask)) {
+        fillDrop(view);
+        view->filling = talloc_zero(view, Filling);
+        *view->filling = (Filling){ask->snapshot.epoch, ask->snapshot.index, ask->total, ask->checksum, {0}};
+    }
+    Filling *filling = view->filling;
+    if (ask->from != filling->bytes.count)
+        return STATUS_LOG_GAP; /* seatDescribe tells how far it has come */
+    bytesAdd(filling, &filling->bytes, ask->snapshot.payload.data, ask->snapshot.payload.count);
+    if (filling->bytes.count < filling->total)
+        return STATUS_BUSY;
+    if (bytesCrc(filling->bytes.data, filling->bytes.count) != filling->checksum) {
+        fillDrop(view);
+        return STATUS_BAD_FRAME;
+    }
+    whole->payload = filling->bytes;
+    return STATUS_OK;
+}
+
+uint64_t fillCount(const View *view)
+{
+    return view->filling != NULL ? view->filling->bytes.count : 0;
+}
+
+/* --- the holder ---------------------------------------------------------------------- */
+
+/* One piece of the snapshot, or all of it. */
+static Status pieceSend(View *view, const Lead *lead, const char *address, FillAsk *ask, Bytes whole,
+                        SeatAnswer *answer)
+{
+    void *mem = talloc_new(view);
+    const size_t left = whole.count - (size_t)ask->from;
+    ask->epoch = view->epoch;
+    ask->commitIndex = view->commitIndex;
+    ask->snapshot.payload = (Bytes){whole.data + ask->from, left < FILL_PIECE_BYTES ? left : FILL_PIECE_BYTES, 0};
+    if (ask->total == 0)
+        ask->snapshot.payload = whole;
+    const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_FILL, &FillAskShape, ask,
+                                     VIEW_EXPIRY_MS * 4, &SeatAnswerShape, answer);
+    if (!leadPeerOver(lead) && pollReached(status))
+        leadAnswered(view, lead->slot, answer);
+    talloc_free(mem);
+    return status;
+}
+
+/* Whether there is another piece, after this answer. */
+static bool goesOn(FillAsk *ask, Status status, const SeatAnswer *answer, size_t sent)
+{
+    if (ask->total == 0)
+        return false;
+    if (status == STATUS_BUSY) {
+        ask->from += sent;
+        return ask->from < ask->total;
+    }
+    if (status != STATUS_LOG_GAP || answer->filled >= ask->total || answer->filled == ask->from)
+        return false;
+    ask->from = answer->filled;
+    return true;
+}
+
+void fillOne(View *view, const Lead *lead, const char *address)
+{
+    Peer *peer = &view->peers[lead->slot];
+    /* a large one that is partly there is gone on with */
+    if (view->log->snapshot.kind != RECORD_SNAPSHOT ||
+        (peer->refill && view->log->snapshot.payload.count <= FILL_WHOLE_BYTES))
+        viewCompactMaybe(view, true);
+    if (view->log->snapshot.kind != RECORD_SNAPSHOT) {
+        loopSleep(view->loop, LOCK_RENEW_MS);
+        return;
+    }
+    void *mem = talloc_new(view);
+    FillAsk ask = {.holder = view->disk, .to = lead->disk, .over = peer->refill};
+    shapeCopy(&RecordShape, &view->log->snapshot, mem, &ask.snapshot);
+    const Bytes whole = ask.snapshot.payload;
+    const uint64_t index = ask.snapshot.index;
+    if (whole.count > FILL_WHOLE_BYTES) {
+        ask.total = whole.count;
+        ask.checksum = bytesCrc(whole.data, whole.count);
+    }
+    SeatAnswer answer;
+    Status status;
+    do {
+        answer = (SeatAnswer){0};
+        status = pieceSend(view, lead, address, &ask, whole, &answer);
+    } while (!leadPeerOver(lead) && goesOn(&ask, status, &answer, ask.snapshot.payload.count));
+    if (!leadPeerOver(lead)) {
+        if (status == STATUS_OK) {
+            peer->matchIndex = index;
+            peer->nextIndex = index + 1;
+            peer->refill = false;
+        } else {
+            loopSleep(view->loop, LOCK_RENEW_MS);
+        }
+    }
+    talloc_free(mem);
+}
--- a/packages/view/src/inside.h
+++ b/packages/view/src/inside.h
@@ -35,6 +35,13 @@
     int64_t readySinceMs; /* INT64_MAX: it is not ready */
 } Learner;
 
+/* A snapshot that comes in pieces. Invariant: bytes.count < total. */
+typedef struct Filling {
+    uint64_t epoch, index; /* of the snapshot */
+    uint64_t total, checksum;
+    Bytes bytes;
+} Filling;
+
 /* A submitted change that waits for its delivery. */
 typedef struct Waiter {
     struct Waiter *next;
@@ -78,8 +85,14 @@
     int64_t clockBaseMs, clockAtMs; /* the log's clock, and our own when it was told */
     int64_t clockLogMs;             /* the latest in the log: it never goes back behind that */
     bool clockRuns;                 /* it was told, or it is ours: before that, our own time says nothing of it */
+    Filling *filling;               /* null: none is coming in */
     bool compacting;
-    bool mending; /* the whole journal is written again after a failure */
+    uint64_t otherHistories; /* orders to drop what is committed */
+    int64_t otherToldMs;
+    uint64_t listCommitted; /* the highest index of a list of voters known to be committed */
+    bool listOld;           /* the log would make it lead by an older one: it does not vote any more */
+    bool tooLarge;          /* its state is larger than a snapshot may be */
+    bool mending;           /* the whole journal is written again after a failure */
     /* the holder */
     ViewPhase phase;
     uint64_t leadTurn;
@@ -139,6 +152,9 @@
 void viewCompactMaybe(View *view, bool force);
 /* Puts a snapshot in place of everything; false when it is not one. */
 Status viewLoad(View *view, const Record *snapshot);
+/* What a disk that keeps what it has synced may never come to: it would drop what was
+ * committed from index on. Told, counted and refused with OTHER_HISTORY. */
+Status historyRefuse(View *view, uint64_t index);
 void viewWaitersEnd(View *view, Status status);
 /* An entry of the log was made then. */
 void viewClockTell(View *view, int64_t clockMs);
@@ -225,7 +241,28 @@
 /* Whether the answer is the seat's own. */
 bool pollReached(Status status);
 
+/* Takes a snapshot or a piece of one. OK: whole is all of it, on the ask or on filling; BUSY: more must come; LOG_GAP:
+ * another piece is wanted; BAD_FRAME: it is spoilt. */
+Status fillTake(View *view, const FillAsk *ask, Record *whole);
+void fillDrop(View *view);
+/* Bytes of the one that is coming in. */
+uint64_t fillCount(const View *view);
+
+/* A task of one lead for the disk at a slot.
+ * Invariant: disk is not 0; the task is over once another disk has the slot, or a
+ * learner's slot was given anew. */
+typedef struct Lead {
+    View *view;
+    uint64_t turn;
+    int slot;
+    uint64_t disk;
+    uint64_t learnerTurn; /* 0: a voter's slot */
+} Lead;
+
 /* The holder's part. */
+bool leadPeerOver(const Lead *lead);
+/* Waits. Sends the disk the snapshot. */
+void fillOne(View *view, const Lead *lead, const char *address);
 void leadDown(View *view, int64_t restMs);
 bool leadOver(const View *view, uint64_t turn);
 /* Spawns the task that keeps the grant of the disk at the slot; ... its log. */
--- a/packages/view/src/lead.c
+++ b/packages/view/src/lead.c
@@ -47,22 +47,12 @@
     signalRaise(view->loop, &view->news);
 }
 
-/* Invariant: disk is not 0; the task is over once another disk has the slot, or a
- * learner's slot was given anew. */
-typedef struct Lead {
-    View *view;
-    uint64_t turn;
-    int slot;
-    uint64_t disk;
-    uint64_t learnerTurn; /* 0: a voter's slot */
-} Lead;
-
 static uint64_t learnerTurn(const View *view, int slot)
 {
     return slot >= SEAT_MOST ? view->learners[slot - SEAT_MOST].turn : 0;
 }
 
-static bool peerOver(const Lead *lead)
+bool leadPeerOver(const Lead *lead)
 {
     return leadOver(lead->view, lead->turn) || slotDisk(lead->view, lead->slot) != lead->disk ||
            learnerTurn(lead->view, lead->slot) != lead->learnerTurn;
@@ -75,7 +65,7 @@
     View *view = lead.view;
     talloc_free(arg);
     while (!leadOver(view, lead.turn)) {
-        const uint64_t lastIndex = logLastIndex(view->log);
+        uint64_t lastIndex = logLastIndex(view->log);
         if (view->syncedIndex >= lastIndex) {
             signalWait(view->loop, &view->grew, loopNowMs(view->loop) + LOCK_RENEW_MS);
             continue;
@@ -83,9 +73,12 @@
         void *mem = talloc_new(view);
         const uint64_t from = view->syncedIndex > view->log->baseIndex ? view->syncedIndex : view->log->baseIndex;
         Record *records = talloc_array(mem, Record, (unsigned)(lastIndex - from));
-        size_t count = 0;
-        for (uint64_t i = from + 1; i <= lastIndex; i++)
-            records[count++] = *logAt(view->log, i);
+        size_t count = 0, bytes = 0;
+        for (uint64_t i = from + 1; i <= lastIndex && bytes < LOG_WRITE_BYTES; i++) {
+            records[count] = *logAt(view->log, i);
+            bytes += records[count++].payload.count;
+        }
+        lastIndex = from + count;
         view->queuedIndex = lastIndex;
         const int64_t startMs = loopNowMs(view->loop);
         const Status status = journalWrite(view->journal, records, count);
@@ -124,36 +117,6 @@
     contactGranted(view, slot, contact);
 }
 
-static void fillOne(View *view, const Lead *lead, const char *address)
-{
-    Peer *peer = &view->peers[lead->slot];
-    if (view->log->snapshot.kind != RECORD_SNAPSHOT || peer->refill)
-        viewCompactMaybe(view, true);
-    if (view->log->snapshot.kind != RECORD_SNAPSHOT) {
-        loopSleep(view->loop, LOCK_RENEW_MS);
-        return;
-    }
-    void *mem = talloc_new(view);
-    FillAsk ask = {view->epoch, view->disk, {0}, view->commitIndex, lead->disk, peer->refill};
-    shapeCopy(&RecordShape, &view->log->snapshot, mem, &ask.snapshot);
-    const uint64_t index = ask.snapshot.index;
-    SeatAnswer answer = {0};
-    const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_FILL, &FillAskShape, &ask,
-                                     VIEW_EXPIRY_MS * 4, &SeatAnswerShape, &answer);
-    if (!peerOver(lead)) {
-        if (pollReached(status))
-            leadAnswered(view, lead->slot, &answer);
-        if (status == STATUS_OK) {
-            peer->matchIndex = index;
-            peer->nextIndex = index + 1;
-            peer->refill = false;
-        } else {
-            loopSleep(view->loop, LOCK_RENEW_MS);
-        }
-    }
-    talloc_free(mem);
-}
-
 static void appendOne(View *view, const Lead *lead, const char *address)
 {
     Peer *peer = &view->peers[lead->slot];
@@ -175,7 +138,7 @@
         peer->appendSinceMs = sentMs;
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_APPEND, &AppendAskShape, &ask,
                                      APPEND_EXPIRY_MS, &SeatAnswerShape, &answer);
-    if (!peerOver(lead)) {
+    if (!leadPeerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK || status == STATUS_LOG_GAP) {
@@ -222,7 +185,7 @@
     talloc_free(arg);
     Peer *peer = &view->peers[lead.slot];
     bool told = false; /* it has taken an append under this epoch */
-    while (!peerOver(&lead)) {
+    while (!leadPeerOver(&lead)) {
         char address[ADDRESS_MAX];
         if (!seatAddress(view, lead.slot, address)) {
             loopSleep(view->loop, 100);
@@ -275,7 +238,7 @@
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_PROPOSE, &ProposeAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
     const bool reached = pollReached(status);
-    if (reached && !peerOver(lead))
+    if (reached && !leadPeerOver(lead))
         leadAnswered(view, lead->slot, &answer);
     talloc_free(mem);
     return reached;
@@ -291,7 +254,7 @@
     SeatAnswer answer = {0};
     const Status status = courierAsk(view->props.courier, mem, address, MESSAGE_RENEW, &RenewAskShape, &ask,
                                      ASK_EXPIRY_MS, &SeatAnswerShape, &answer);
-    if (!peerOver(lead)) {
+    if (!leadPeerOver(lead)) {
         if (pollReached(status))
             leadAnswered(view, lead->slot, &answer);
         if (status == STATUS_OK)
@@ -310,7 +273,7 @@
     talloc_free(arg);
     int64_t askedMs = INT64_MIN;
     bool doubt = false;
-    while (!peerOver(&lead)) {
+    while (!leadPeerOver(&lead)) {
         const int64_t sentMs = loopNowMs(view->loop);
         char address[ADDRESS_MAX];
         /* appends renew as well; only the rest is told by renewals alone */
@@ -335,7 +298,7 @@
             }
             if (askedMs != sentMs && !doubt)
                 continue; /* it answers again: now the renewal */
-            if (status == STATUS_OK && !peerOver(&lead) && contactOwed(view, lead.slot))
+            if (status == STATUS_OK && !leadPeerOver(&lead) && contactOwed(view, lead.slot))
                 continue; /* another round of contact was asked for meanwhile */
         }
         const int64_t tookMs = loopNowMs(view->loop) - sentMs;
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -20,6 +20,7 @@
         .wallMs = loopWallMs(view->loop),
         .syncMs = journalCounts(view->journal)->lastSyncMs,
         .sight = membersSight(view->props.members),
+        .filled = fillCount(view),
     };
     answer->viewMembers = talloc_array(mem, DiskId, (unsigned)view->last.membersCount);
     if (view->last.membersCount > 0)
@@ -119,6 +120,8 @@
             if (entry->epoch > log->baseEpoch) /* our snapshot is of another history */
                 status = STATUS_LOG_GAP;
         } else if (!logEpochAt(log, entry->index, &epoch) || epoch != entry->epoch) {
+            if (entry->index <= view->commitIndex && view->props.disksKeep)
+                return historyRefuse(view, entry->index);
             if (entry->index <= logLastIndex(log)) {
                 trim(view, entry->index - 1);
                 if (entry->index - 1 < *trimmedTo)
@@ -208,12 +211,24 @@
         return STATUS_BAD_FRAME;
     if (snapshotHeld(view, &ask->snapshot, ask->over))
         return journalWrite(view->journal, &promise, count); /* also what was queued before is synced then */
-    status = seatReplace(view, &ask->snapshot, NULL, 0);
+    Record whole;
+    status = fillTake(view, ask, &whole);
+    if (status != STATUS_OK) { /* nothing changes yet but the promise */
+        const Status written = journalWrite(view->journal, &promise, count);
+        return written == STATUS_OK ? status : written;
+    }
+    Filling *filling = view->filling; /* another may begin while the disk is waited for */
+    view->filling = NULL;
+    status = seatReplace(view, &whole, NULL, 0);
+    talloc_free(filling);
     return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
 }
 
 Status seatReplace(View *view, const Record *snapshot, const Record *entries, size_t entryCount)
 {
+    const uint64_t lastIndex = entryCount > 0 ? entries[entryCount - 1].index : snapshot->index;
+    if (lastIndex < view->commitIndex && view->props.disksKeep)
+        return historyRefuse(view, lastIndex + 1);
     Status status = viewLoad(view, snapshot);
     if (status != STATUS_OK)
         return status;
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -125,6 +125,19 @@
     shapeCopy(&ViewRecordShape, record, view->lastMem, &view->last);
 }
 
+/* The list that a majority has committed may only be followed by later ones. */
+static void listCheck(View *view, uint64_t index)
+{
+    if (view->listIndex <= view->commitIndex && view->listIndex > view->listCommitted)
+        view->listCommitted = view->listIndex;
+    if (!view->props.disksKeep || index >= view->listCommitted || view->listOld)
+        return;
+    view->listOld = true;
+    ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop),
+            "the list of voters went back from entry %" PRIu64 " to %" PRIu64 ": votes no more", view->listCommitted,
+            index);
+}
+
 void viewReread(View *view)
 {
     void *mem = talloc_new(view);
@@ -158,6 +171,7 @@
         if (last == NULL)
             last = &snapshot.last;
     }
+    listCheck(view, seatsIndex);
     seatsTake(view, seats != NULL ? seats : view->founded, seatsIndex);
     if (last != NULL) {
         lastSet(view, last);
@@ -352,6 +366,7 @@
     sight->baseIndex = view->log->baseIndex;
     sight->holdLeftMs = view->holding && untilMs > nowMs ? untilMs - nowMs : 0;
     sight->viewChanges = view->viewChanges;
+    sight->otherHistories = view->otherHistories;
     sight->journal = *journalCounts(view->journal);
     for (int i = 0; i < SEAT_MOST; i++) {
         const Peer *peer = &view->peers[i];
