--- a/packages/model/src/hand.h
+++ b/packages/model/src/hand.h
@@ -89,6 +89,18 @@
 /* Crews of its runs look anew at how fast they are. */
 void handPace(Hand *hand);
 
+/* --- what it runs ------------------------------------------------------------------------- */
+/* Progress that is kept: after each so much of work, and all of it at a stop. */
+int64_t handSavedMs(const HandRun *run, bool all);
+/* The run is no more, without an end: out of all lists. */
+void handRunDrop(HandRun *run);
+/* The run has come to this end, which is listed until it is seen. */
+void handRunEnd(HandRun *run, RoundWord word);
+/* A task of its process: what comes due. */
+void handWorkMain(void *arg);
+/* An answer to a beat that was sent then, by the worker's clock. */
+void handOrdersTake(Hand *hand, const HandOrders *orders, int64_t sentMs);
+
 /* --- crews -------------------------------------------------------------------------------- */
 /* The run takes its place in the crew of its round. */
 void crewJoin(Hands *hands, HandRun *run, int64_t fromMs);
--- /dev/null
+++ b/packages/model/src/handwork.c
@@ -0,0 +1,262 @@
+/* What a stand-in for a worker runs: orders, what comes due, ends. */
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "hand.h"
+
+static const char *nameText(void *mem, const TaskName *name)
+{
+    return talloc_asprintf(mem, "%s.%" PRIu64 ".%" PRIu64 ".%" PRIu64, name->job, name->turn, name->step, name->at);
+}
+
+/* By what they say: what follows the end of a text is left out. */
+static bool nameEqual(const TaskName *one, const TaskName *other)
+{
+    return strcmp(one->job, other->job) == 0 && one->turn == other->turn && one->step == other->step &&
+           one->at == other->at;
+}
+
+/* --- ends ------------------------------------------------------------------------------------ */
+
+/* Progress that is kept: after each so much of work, and all of it at a stop. */
+int64_t handSavedMs(const HandRun *run, bool all)
+{
+    const int64_t saveMs = run->hand->hands->ground->site->saveMs, doneMs = crewProgressMs(run->crew);
+    const int64_t keptMs = all ? doneMs : run->crew->fromMs + (doneMs - run->crew->fromMs) / saveMs * saveMs;
+    if (run->task->job->draft.saves && keptMs > run->task->fate->savedMs)
+        run->task->fate->savedMs = keptMs;
+    return keptMs;
+}
+
+/* The run is no more: out of all lists. */
+void handRunDrop(HandRun *run)
+{
+    HandRun **at = &run->hand->runs;
+    while (*at != run)
+        at = &(*at)->next;
+    *at = run->next;
+    at = &run->task->live;
+    while (*at != run)
+        at = &(*at)->nextLive;
+    *at = run->nextLive;
+    if (run->crew != NULL)
+        crewLeave(run);
+    talloc_free(run);
+}
+
+static void highestSet(Hand *hand, const TaskName *name, uint64_t round)
+{
+    const char *text = nameText(hand->mem, name);
+    if ((uint64_t)(uintptr_t)mapGet(hand->highest, text) < round)
+        mapSet(hand->highest, text, (void *)(uintptr_t)round);
+}
+
+static void endAdd(Hand *hand, BookTask *task, const TaskName *name, uint64_t round, RoundWord word, const char *saved)
+{
+    hand->ends = talloc_realloc(hand->mem, hand->ends, HandEnd, (unsigned)(hand->endCount + 1));
+    hand->ends[hand->endCount++] =
+        (HandEnd){.told = {++hand->endNumber, *name, round, word, saved}, .task = task, .lapsedSince = false};
+    highestSet(hand, name, round);
+    hand->hands->book->kinds[word]++;
+    groundTell(hand->hands->ground, name, "round %" PRIu64 " %s on %s, saved '%s'", round, roundWord(word), hand->boot,
+               saved);
+    hand->newsOpen = true;
+    signalRaise(hand->loop, &hand->news);
+}
+
+void handRunEnd(HandRun *run, RoundWord word)
+{
+    Hand *hand = run->hand;
+    BookTask *task = run->task;
+    Fate *fate = task->fate;
+    const int64_t nowMs = groundNowMs(hand->hands->ground);
+    crewAdvance(run->crew);
+    const bool stopped = word == ROUND_STOPPED || word == ROUND_BROKEN;
+    const char *saved = word == ROUND_DONE ? "" : bookSaved(hand->mem, task, handSavedMs(run, stopped));
+    if (word == ROUND_DONE && !fate->done) {
+        fate->done = true;
+        fate->doneMs = nowMs;
+    }
+    if (word == ROUND_FAILED)
+        bookFail(fate, run->round);
+    if (word == ROUND_ALONE)
+        aloneCheck(run);
+    endAdd(hand, task, &task->name, run->round, word, saved);
+    handRunDrop(run);
+}
+
+/* One member has ended so: the others end as told. */
+static void crewEnd(HandRun *first, RoundWord word, RoundWord others)
+{
+    HandRun *members[sizeof(first->crew->members) / sizeof(first->crew->members[0])];
+    Crew *crew = first->crew;
+    const size_t count = crew->count;
+    const bool begun = crew->begun;
+    for (size_t i = 0; i < count; i++)
+        members[i] = crew->members[i];
+    handRunEnd(first, word);
+    for (size_t i = 0; i < count && begun; i++)
+        if (members[i] != first)
+            handRunEnd(members[i], others);
+}
+
+/* --- what comes due ------------------------------------------------------------------------------ */
+
+/* True when something ended: the list has changed. */
+static bool dueOne(Hand *hand, int64_t nowMs)
+{
+    const Site *site = hand->hands->ground->site;
+    const bool held = loopNowMs(hand->loop) < hand->holdUntilMs;
+    for (HandRun *run = hand->runs; run != NULL; run = run->next) {
+        crewAdvance(run->crew);
+        const Crew *crew = run->crew;
+        if (!held) {
+            for (size_t i = 0; i < hand->endCount; i++)
+                hand->ends[i].lapsedSince = true;
+            crewEnd(run, ROUND_LAPSED, ROUND_BROKEN);
+            return true;
+        }
+        if (run->stopAtMs != 0 && nowMs >= run->stopAtMs) {
+            crewEnd(run, ROUND_STOPPED, ROUND_BROKEN);
+            return true;
+        }
+        if (!crew->begun && nowMs - run->beganMs >= site->gangMs) {
+            handRunEnd(run, ROUND_ALONE);
+            return true;
+        }
+        if (crew->begun && crew->doneUs >= crew->failUs) {
+            crewEnd(crew->failing, ROUND_FAILED, ROUND_BROKEN);
+            return true;
+        }
+        if (crew->begun && crew->doneUs >= crew->workUs) {
+            crewEnd(run, ROUND_DONE, ROUND_DONE);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* On the worker's clock, which may be slow: it looks early rather than late. */
+static int64_t nextDueMs(const Hand *hand, int64_t nowMs)
+{
+    const int64_t ownMs = loopNowMs(hand->loop);
+    int64_t waitMs = hand->runs != NULL ? hand->holdUntilMs - ownMs : 3600000;
+    for (const HandRun *run = hand->runs; run != NULL; run = run->next) {
+        int64_t dueMs = crewNextMs(run->crew);
+        if (run->stopAtMs != 0 && run->stopAtMs < dueMs)
+            dueMs = run->stopAtMs;
+        if (!run->crew->begun && run->beganMs + hand->hands->ground->site->gangMs < dueMs)
+            dueMs = run->beganMs + hand->hands->ground->site->gangMs;
+        if (dueMs - nowMs < waitMs)
+            waitMs = dueMs - nowMs;
+    }
+    return ownMs + (waitMs > 1 ? waitMs : 1);
+}
+
+void handWorkMain(void *arg)
+{
+    Hand *hand = arg;
+    for (;;) {
+        const int64_t nowMs = groundNowMs(hand->hands->ground);
+        while (dueOne(hand, nowMs))
+            ;
+        signalWait(hand->loop, &hand->work, nextDueMs(hand, nowMs));
+    }
+}
+
+/* --- orders ------------------------------------------------------------------------------------------ */
+
+static HandRun *runFind(const Hand *hand, const TaskName *name, uint64_t round)
+{
+    for (HandRun *run = hand->runs; run != NULL; run = run->next)
+        if (run->round == round && run->task->name.turn == name->turn && run->task->name.step == name->step &&
+            run->task->name.at == name->at && strcmp(run->task->name.job, name->job) == 0)
+            return run;
+    return NULL;
+}
+
+static void stopTake(Hand *hand, const HandRunning *stop)
+{
+    HandRun *run = runFind(hand, &stop->name, stop->round);
+    highestSet(hand, &stop->name, stop->round);
+    groundTell(hand->hands->ground, &stop->name, "round %" PRIu64 " is to stop on %s%s", stop->round, hand->boot,
+               run == NULL ? ", which does not run it" : "");
+    if (run == NULL || run->stopAtMs != 0)
+        return;
+    Dice dice = diceOf(stop->round, run->task->name.job, hand->sequence);
+    run->stopAtMs = groundNowMs(hand->hands->ground) + diceSpan(&dice, 1, hand->hands->ground->site->stopMs);
+    signalRaise(hand->loop, &hand->work);
+}
+
+static void startTake(Hand *hand, const HandStart *start)
+{
+    Hands *hands = hand->hands;
+    const Site *site = hands->ground->site;
+    if (runFind(hand, &start->name, start->round) != NULL)
+        return;
+    for (size_t i = 0; i < hand->endCount; i++)
+        if (nameEqual(&hand->ends[i].told.name, &start->name) && hand->ends[i].told.round == start->round)
+            return;
+    BookTask *task = bookTask(hands->book, &start->name);
+    const uint64_t highest = (uint64_t)(uintptr_t)mapGet(hand->highest, nameText(hand->mem, &start->name));
+    const Room used = handUsed(hand);
+    bool fits = true;
+    if (task != NULL && site->guards != 0) {
+        const Room room = bookStep(task)->room;
+        fits = used.cpuMilli + room.cpuMilli <= hand->room.cpuMilli && used.memMb + room.memMb <= hand->room.memMb &&
+               used.gpu + room.gpu <= hand->room.gpu;
+    }
+    if (start->round <= highest || !fits) {
+        endAdd(hand, task, &start->name, start->round, ROUND_REFUSED, "");
+        return;
+    }
+    if (!startCheck(hand, start))
+        return;
+    hands->book->starts++;
+    groundTell(hands->ground, &start->name, "round %" PRIu64 " starts on %s (%s), saved '%s'", start->round, hand->boot,
+               hand->side->name, start->saved);
+    HandRun *run = talloc_zero(hand->mem, HandRun);
+    *run = (HandRun){.next = hand->runs, .nextLive = task->live, .hand = hand, .task = task, .round = start->round};
+    run->beganMs = groundNowMs(hands->ground);
+    hand->runs = run;
+    task->live = run;
+    const int64_t fromMs = bookProgress(task, start->saved);
+    crewJoin(hands, run, fromMs > 0 ? fromMs : 0);
+}
+
+static void seenTake(Hand *hand, uint64_t seen)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < hand->endCount; i++) {
+        if (hand->ends[i].told.number <= seen)
+            endNoted(hand, &hand->ends[i]);
+        else
+            hand->ends[kept++] = hand->ends[i];
+    }
+    hand->endCount = kept;
+}
+
+void handOrdersTake(Hand *hand, const HandOrders *orders, int64_t sentMs)
+{
+    const Site *site = hand->hands->ground->site;
+    if (orders->fence < hand->fence)
+        return;
+    hand->fence = orders->fence;
+    for (size_t i = 0; i < hand->endCount && loopNowMs(hand->loop) >= hand->holdUntilMs; i++)
+        hand->ends[i].lapsedSince = true;
+    seenTake(hand, orders->seen);
+    for (size_t i = 0; i < orders->stopCount; i++)
+        stopTake(hand, &orders->stops[i]);
+    if (orders->holdMs <= 0)
+        return;
+    const int64_t holdMs = orders->holdMs < site->holdMaxMs ? orders->holdMs : site->holdMaxMs;
+    /* what was held until now may be over: that is seen before anything new is held */
+    while (dueOne(hand, groundNowMs(hand->hands->ground)))
+        ;
+    if (sentMs + holdMs > hand->holdUntilMs)
+        hand->holdUntilMs = sentMs + holdMs;
+    for (size_t i = 0; i < orders->startCount && loopNowMs(hand->loop) < hand->holdUntilMs; i++)
+        startTake(hand, &orders->starts[i]);
+    signalRaise(hand->loop, &hand->work);
+}
