--- a/packages/model/src/operator.h
+++ b/packages/model/src/operator.h
@@ -19,17 +19,17 @@
 
 Operator *operatorNew(void *mem, Ground *ground, Ledger *ledger);
 /* Sends the first document until it is taken; looks at entry points from then on. */
-void operatorStart(Operator *operator);
-void operatorChange(Operator *operator);
+void operatorStart(Operator *self);
+void operatorChange(Operator *self);
 /* Two on top of the same. */
-void operatorRace(Operator *operator);
+void operatorRace(Operator *self);
 /* One after the other. */
-void operatorStorm(Operator *operator, int count, int64_t gapMs);
-void operatorSpoilt(Operator *operator);
+void operatorStorm(Operator *self, int count, int64_t gapMs);
+void operatorSpoilt(Operator *self);
 /* Many queues at once. */
-void operatorBig(Operator *operator);
-void operatorZone(Operator *operator, const char * zone, bool drain);
+void operatorBig(Operator *self);
+void operatorZone(Operator *self, const char *zone, bool drain);
 /* Reads back, from now for contactMs; then what must hold is checked. */
-void operatorFinish(Operator *operator);
+void operatorFinish(Operator *self);
 
 #endif
