--- a/packages/feed/src/attempt.c
+++ b/packages/feed/src/attempt.c
@@ -7,7 +7,8 @@
 
 #include "table/change.h"
 
-#define ATTEMPT_QUIET_MS 400 /* ms; nothing has come back for so long: does the way live? A commit takes far less */
+#define TRACE_DETAIL_BYTES 48 /* bytes; a method, a code and a time */
+#define ATTEMPT_QUIET_MS 400  /* ms; nothing has come back for so long: does the way live? A commit takes far less */
 
 /* Freed by whichever of the asking task and the waiting one ends last.
  * Invariant: on the forwarder's list exactly while its asker waits. */
@@ -28,7 +29,7 @@
 /* What the result speaks of, for those who trace it. */
 static void traceAnswered(const Forwarder *forwarder, const Attempt *attempt, int64_t tookMs)
 {
-    char detail[48];
+    char detail[TRACE_DETAIL_BYTES];
     const ForwardAnswer *answer = &attempt->answer;
     snprintf(detail, sizeof(detail), "%s %d, %lld ms", attempt->ask.method, (int)answer->code, (long long)tookMs);
     for (size_t i = 0; i < answer->keepsCount; i++) {
@@ -62,8 +63,8 @@
 /* A leader that serves, as its answer shows. */
 static bool served(const ForwardAnswer *answer)
 {
-    return answer->code != 503 || (answer->status != STATUS_NOT_LEADER && answer->status != STATUS_REPAIRING &&
-                                   answer->status != STATUS_LEAVING);
+    return answer->code != NOT_TAKEN_HTTP || (answer->status != STATUS_NOT_LEADER &&
+                                              answer->status != STATUS_REPAIRING && answer->status != STATUS_LEAVING);
 }
 
 static void askMain(void *arg)
--- a/packages/feed/src/attempt.h
+++ b/packages/feed/src/attempt.h
@@ -3,6 +3,11 @@
 
 #include "feed/forward.h"
 
+/* What a leader's answer says of the request, as its caller would be told. */
+#define GOOD_HTTP 200
+#define NOT_TAKEN_HTTP 503
+#define UNKNOWN_HTTP 504
+
 struct Forwarder {
     ForwarderSettings settings;
     Ways *ways;
--- a/packages/feed/src/forward.c
+++ b/packages/feed/src/forward.c
@@ -7,6 +7,7 @@
 #include "forwarding.h"
 #include "order.h"
 
+#define SECOND_MS 1000         /* ms */
 #define FORWARD_BACK_MS 20     /* ms; the result's way back to the caller */
 #define REPAIR_REST_MS 100     /* ms; a leader that is being told again is asked again after this */
 #define FORWARD_ATTEMPTS_MAX 8 /* count; so many leaders or ways, one after the other, for one request */
@@ -37,11 +38,11 @@
 /* The one who answered has not led any more. */
 static bool lostOnTheWay(const ForwardAnswer *answer, bool *maybeTaken)
 {
-    if (answer->code == 504 && answer->status == STATUS_OUTCOME_UNKNOWN) {
+    if (answer->code == UNKNOWN_HTTP && answer->status == STATUS_OUTCOME_UNKNOWN) {
         *maybeTaken = true;
         return true;
     }
-    return answer->code == 503 && (answer->status == STATUS_NOT_LEADER || answer->status == STATUS_LEAVING);
+    return answer->code == NOT_TAKEN_HTTP && (answer->status == STATUS_NOT_LEADER || answer->status == STATUS_LEAVING);
 }
 
 /* Waits until a way is known. */
@@ -71,7 +72,7 @@
     if (lostMs == INT64_MAX)
         return RETRY_AFTER_S;
     const int64_t leftMs = lostMs + ELECTION_MS - loopNowMs(forwarder->settings.loop);
-    return leftMs <= 1000 ? RETRY_AFTER_S : (int)((leftMs + 999) / 1000);
+    return leftMs <= SECOND_MS ? RETRY_AFTER_S : (int)((leftMs + SECOND_MS - 1) / SECOND_MS);
 }
 
 /* The next leader can't say yet whether an earlier one took it: it is being told again
@@ -109,7 +110,7 @@
             if (repairAwaited(one, answer))
                 continue;
             /* one that did not take it says nothing of an earlier one, which may have */
-            return answer->code != 503 || !one->maybeTaken;
+            return answer->code != NOT_TAKEN_HTTP || !one->maybeTaken;
         }
         attempt++;
         unknown |= status != STATUS_OK && !untaken(status);
--- a/packages/feed/src/order.c
+++ b/packages/feed/src/order.c
@@ -31,7 +31,7 @@
         forwardGiveUp(&reading);
         return false;
     }
-    if (answer.code != 200) {
+    if (answer.code != GOOD_HTTP) {
         forwardTake(task, &answer);
         return false;
     }
@@ -69,6 +69,6 @@
 {
     showRefusal(task, STATUS_STALE_ORDER,
                 "there has been another order for this zone; nothing was taken: send it again if it is to hold", NULL);
-    task->code = 503;
+    task->code = NOT_TAKEN_HTTP;
     task->retryAfterS = RETRY_AFTER_S;
 }
--- a/packages/loop/test/loopback.c
+++ b/packages/loop/test/loopback.c
@@ -292,7 +292,7 @@
     stage->listener = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(bind(stage->listener, (struct sockaddr *)&sin, length), 0);
     assert_int_equal(listen(stage->listener, 16), 0);
-    getsockname(stage->listener, (struct sockaddr *)&sin, &length);
+    assert_int_equal(getsockname(stage->listener, (struct sockaddr *)&sin, &length), 0);
     snprintf(stage->peer, sizeof(stage->peer), "127.0.0.1:%d", ntohs(sin.sin_port));
     assert_int_equal(loopServe(stage->loop, "127.0.0.1:0", onHttp, stage, stage->address, NULL), STATUS_OK);
     if (task != NULL)
@@ -300,7 +300,7 @@
     pthread_t other;
     assert_int_equal(pthread_create(&other, NULL, threadMain, stage), 0);
     realLoopRun(stage->loop, onTerm, stage);
-    pthread_join(other, NULL);
+    assert_int_equal(pthread_join(other, NULL), 0);
     close(stage->listener);
 }
 
