Pieces of a document: one text for all who ask, and none of a version that is forgotten

A leader that was asked for the next piece of a version which its history had dropped meanwhile (250 changes while a document comes) read a row that is not there and ended.

Now the version that is being handed over stays so while it is asked for, committed under this epoch, still in the history and newer than what the asker has; whoever asks for another is given that one from the beginning, and what has changed since as differences. Also: a leader whose address for callers is not known is not named in a 307.

Tests: droppedMeanwhile (segmentation fault before), oneTextForAll (another text at the second question before); putTogether, changedMeanwhile, otherEpoch, strangePiece held before.

--- a/packages/feed/include/feed/pieces.h
+++ b/packages/feed/include/feed/pieces.h
@@ -5,23 +5,24 @@
 #include "table/revisions.h"
 
 /* A large document, handed over in pieces with rests between them, so that a narrow
- * link carries other frames meanwhile. A piece is of one revision; what has changed
+ * link carries other frames meanwhile. A piece is of one version; what has changed
  * since comes as differences once that one is whole. */
 
 /* --- the leader's side ---------------------------------------------------------------------- */
 
 /* The document that is being handed over, as one text for all who ask.
- * Invariant: text is null or that of the revision, as committed by the epoch's time. */
+ * Invariant: text is null or that of the version, as committed under the epoch. */
 typedef struct PieceSource {
     void *mem;
-    uint64_t epoch, revision;
+    uint64_t epoch, version;
     const char *text;
     size_t length;
     int64_t usedMs;
 } PieceSource;
 
-/* The piece that was asked for, of the revision that its asker has begun with, or else
- * from the beginning of the newest. */
+/* The piece that was asked for, if it is of the version that is being handed over; else the
+ * first of that one. A text costs a reading of the whole document: while one is asked for, all
+ * who ask are given that, and what has changed since as differences. */
 void pieceAnswer(PieceSource *source, const Revisions *revisions, const FeedAsk *ask, int64_t nowMs,
                  FeedAnswer *answer);
 /* Gives back the text that nobody has asked for of late. */
@@ -29,10 +30,10 @@
 
 /* --- the asking side ------------------------------------------------------------------------- */
 
-/* Invariant: text holds the first bytes of revision's document; revision 0: nothing has begun. */
+/* Invariant: text holds the first bytes of the version's document; version 0: nothing has begun. */
 typedef struct Pieces {
     void *mem;
-    uint64_t revision;
+    uint64_t version;
     size_t length; /* of the whole */
     Bytes text;
 } Pieces;
--- a/packages/feed/src/pieces.c
+++ b/packages/feed/src/pieces.c
@@ -11,47 +11,43 @@
 {
     talloc_free((void *)(uintptr_t)source->text);
     source->text = NULL;
-    source->revision = 0;
+    source->version = 0;
 }
 
-/* False: the revision's document can't be had any more. */
-static bool sourceSet(PieceSource *source, const Revisions *revisions, uint64_t epoch, uint64_t revision)
-{
-    if (source->text != NULL && source->epoch == epoch && source->revision == revision)
-        return true;
-    const char *text = revisionsText(revisions, source->mem, revision);
-    if (text == NULL)
-        return false;
-    sourceDrop(source);
-    source->epoch = epoch;
-    source->revision = revision;
-    source->text = text;
-    source->length = strlen(text);
-    return true;
-}
-
-static const Revision *rowOf(const Revisions *revisions, uint64_t revision)
+static const Revision *rowOf(const Revisions *revisions, uint64_t version)
 {
     for (size_t i = revisions->count; i > 0; i--)
-        if (revisions->rows[i - 1].revision == revision)
+        if (revisions->rows[i - 1].revision == version)
             return &revisions->rows[i - 1];
     return NULL;
 }
 
+/* Whether its text may go on being handed over to the asker. */
+static bool sourceGood(const PieceSource *source, const Revisions *revisions, const FeedAsk *ask, uint64_t epoch,
+                       int64_t nowMs)
+{
+    return source->text != NULL && source->epoch == epoch && source->version > ask->textHave &&
+           nowMs - source->usedMs <= PIECE_TEXT_MS && rowOf(revisions, source->version) != NULL;
+}
+
+static void sourceSet(PieceSource *source, const Revisions *revisions, uint64_t epoch)
+{
+    sourceDrop(source);
+    source->epoch = epoch;
+    source->version = revisionsNewest(revisions);
+    source->text = revisionsText(revisions, source->mem, source->version);
+    source->length = strlen(source->text);
+}
+
 void pieceAnswer(PieceSource *source, const Revisions *revisions, const FeedAsk *ask, int64_t nowMs, FeedAnswer *answer)
 {
-    const uint64_t newest = revisionsNewest(revisions);
-    uint64_t from = ask->pieceFrom;
+    if (!sourceGood(source, revisions, ask, answer->epoch, nowMs))
+        sourceSet(source, revisions, answer->epoch);
     source->usedMs = nowMs;
-    const bool begun =
-        ask->pieceOf != 0 && sourceSet(source, revisions, answer->epoch, ask->pieceOf) && from <= source->length;
-    if (!begun) {
-        from = 0;
-        if (!sourceSet(source, revisions, answer->epoch, newest))
-            return;
-    }
+    const bool goesOn = ask->pieceOf == source->version && ask->pieceFrom <= source->length;
+    const uint64_t from = goesOn ? ask->pieceFrom : 0;
     const uint64_t left = source->length - from;
-    const Revision *row = rowOf(revisions, source->revision);
+    const Revision *row = rowOf(revisions, source->version);
     answer->pieceSet = (ConfigSet){.base = row->base,
                                    .revision = row->revision,
                                    .text = "",
@@ -74,12 +70,12 @@
 
 bool piecesBegun(const Pieces *pieces)
 {
-    return pieces->revision != 0;
+    return pieces->version != 0;
 }
 
 void piecesAsk(const Pieces *pieces, FeedAsk *ask)
 {
-    ask->pieceOf = pieces->revision;
+    ask->pieceOf = pieces->version;
     ask->pieceFrom = pieces->text.count;
 }
 
@@ -95,10 +91,10 @@
         return false;
     if (answer->pieceFrom == 0) {
         piecesDrop(pieces);
-        pieces->revision = answer->pieceSet.revision;
+        pieces->version = answer->pieceSet.revision;
         pieces->length = answer->pieceLength;
     }
-    const bool follows = answer->pieceSet.revision == pieces->revision && answer->pieceFrom == pieces->text.count &&
+    const bool follows = answer->pieceSet.revision == pieces->version && answer->pieceFrom == pieces->text.count &&
                          answer->pieceLength == pieces->length &&
                          answer->piece.count <= pieces->length - pieces->text.count;
     if (!follows) {
--- /dev/null
+++ b/packages/feed/test/pieces.c
@@ -0,0 +1,193 @@
+/* A document that comes in pieces: what is put together is what was committed, whatever
+ * the leader's history has become meanwhile. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "feed/pieces.h"
+#include "table/deliverconfig.h"
+
+#define MOST 16 /* bytes of a piece */
+#define KEPT 4  /* count; of the history */
+#define EPOCH 7
+#define PIECES_MAX 200 /* count; more say that it does not come to an end */
+
+static const char FIRST[] = "{\"note\":\"a text that is longer than one piece or two of them\",\"r\":1}";
+
+typedef struct Hand {
+    Revisions *revisions;
+    PieceSource source;
+    Pieces pieces;
+    int64_t nowMs;
+    uint64_t epoch;
+} Hand;
+
+static void change(Hand *hand, uint64_t version, const char *text, bool patch)
+{
+    const ConfigSet set = {.base = revisionsNewest(hand->revisions),
+                           .revision = version,
+                           .text = text,
+                           .patch = patch,
+                           .digest = talloc_asprintf(hand, "digest %d", (int)version)};
+    ChangeResult result = {0};
+    deliverConfig(hand->revisions, &set, &result);
+    assert_int_equal(result.status, STATUS_OK);
+}
+
+static Hand *handNew(void)
+{
+    Hand *hand = talloc_zero(NULL, Hand);
+    hand->revisions = revisionsNew(hand, KEPT, KEPT);
+    hand->source.mem = hand;
+    hand->pieces.mem = hand;
+    hand->epoch = EPOCH;
+    change(hand, 1, FIRST, false);
+    return hand;
+}
+
+/* One question of an asker; true when its document is whole. */
+static bool step(Hand *hand, Pieces *pieces, uint64_t textHave, ConfigSet *set)
+{
+    FeedAsk ask = {.textHave = textHave, .wants = true, .pieceMost = MOST};
+    FeedAnswer answer = {.epoch = hand->epoch};
+    hand->nowMs += 100;
+    piecesAsk(pieces, &ask);
+    pieceAnswer(&hand->source, hand->revisions, &ask, hand->nowMs, &answer);
+    assert_true(answer.piece.count <= MOST);
+    return piecesTake(hand, pieces, &answer, set);
+}
+
+static ConfigSet whole(Hand *hand, Pieces *pieces)
+{
+    ConfigSet set = {0};
+    for (int i = 0; i < PIECES_MAX; i++)
+        if (step(hand, pieces, 0, &set))
+            return set;
+    fail_msg("it does not become whole");
+    return set;
+}
+
+static void putTogether(void **state)
+{
+    Hand *hand = handNew();
+    (void)state;
+    const ConfigSet set = whole(hand, &hand->pieces);
+    assert_string_equal(set.text, FIRST);
+    assert_int_equal(set.revision, 1);
+    assert_string_equal(set.digest, "digest 1");
+    assert_true(set.restored && !set.patch);
+    assert_false(piecesBegun(&hand->pieces));
+    talloc_free(hand);
+}
+
+/* What has begun is of one version; later ones do not mix with it. */
+static void changedMeanwhile(void **state)
+{
+    Hand *hand = handNew();
+    ConfigSet set;
+    (void)state;
+    assert_false(step(hand, &hand->pieces, 0, &set));
+    change(hand, 2, "{\"r\":2}", true);
+    set = whole(hand, &hand->pieces);
+    assert_int_equal(set.revision, 1);
+    assert_string_equal(set.text, FIRST);
+    /* one that has it already is given the next, not the same again */
+    assert_false(step(hand, &hand->pieces, 1, &set));
+    set = whole(hand, &hand->pieces);
+    assert_int_equal(set.revision, 2);
+    assert_non_null(strstr(set.text, "\"r\":2"));
+    talloc_free(hand);
+}
+
+/* A version that the history has dropped since is begun anew, as the newest. */
+static void droppedMeanwhile(void **state)
+{
+    Hand *hand = handNew();
+    ConfigSet set;
+    (void)state;
+    assert_false(step(hand, &hand->pieces, 0, &set));
+    for (uint64_t version = 2; version < 2 * (KEPT + CONFIG_HISTORY_STEP); version++)
+        change(hand, version, talloc_asprintf(hand, "{\"r\":%d}", (int)version), true);
+    assert_true(hand->revisions->rows[0].revision > 1);
+    set = whole(hand, &hand->pieces);
+    assert_int_equal(set.revision, revisionsNewest(hand->revisions));
+    assert_string_equal(set.text, revisionsText(hand->revisions, hand, set.revision));
+    talloc_free(hand);
+}
+
+/* Another leader's document of the same number is another one. */
+static void otherEpoch(void **state)
+{
+    static const char OTHER[] = "{\"note\":\"another text, that is longer than one piece or two of them\",\"r\":1}";
+    Hand *hand = handNew();
+    ConfigSet set;
+    (void)state;
+    assert_false(step(hand, &hand->pieces, 0, &set));
+    hand->revisions = revisionsNew(hand, KEPT, KEPT);
+    change(hand, 1, OTHER, false);
+    hand->epoch++;
+    piecesDrop(&hand->pieces); /* as the feed does with each other leader */
+    assert_string_equal(whole(hand, &hand->pieces).text, OTHER);
+    talloc_free(hand);
+}
+
+/* Two askers, one of whom began before a change: one text serves both. */
+static void oneTextForAll(void **state)
+{
+    Hand *hand = handNew();
+    Pieces later = {.mem = hand};
+    ConfigSet set;
+    (void)state;
+    assert_false(step(hand, &hand->pieces, 0, &set));
+    change(hand, 2, "{\"r\":2}", true);
+    const char *text = hand->source.text;
+    bool wholeFirst = false, wholeLater = false;
+    for (int i = 0; i < PIECES_MAX && !(wholeFirst && wholeLater); i++) {
+        wholeFirst = wholeFirst || step(hand, &hand->pieces, 0, &set);
+        wholeLater = wholeLater || step(hand, &later, 0, &set);
+        assert_ptr_equal(hand->source.text, text);
+        assert_int_equal(hand->source.version, 1);
+    }
+    assert_true(wholeFirst && wholeLater);
+    talloc_free(hand);
+}
+
+/* A piece that does not follow what is there is not added to it. */
+static void strangePiece(void **state)
+{
+    Hand *hand = handNew();
+    ConfigSet set;
+    (void)state;
+    assert_false(step(hand, &hand->pieces, 0, &set));
+    const FeedAnswer strange[] = {
+        {.pieceSet = {.revision = 2}, .pieceFrom = MOST, .pieceLength = sizeof(FIRST) - 1},
+        {.pieceSet = {.revision = 1}, .pieceFrom = MOST + 1, .pieceLength = sizeof(FIRST) - 1},
+        {.pieceSet = {.revision = 1}, .pieceFrom = MOST, .pieceLength = sizeof(FIRST)},
+        {.pieceSet = {.revision = 1},
+         .pieceFrom = MOST,
+         .pieceLength = sizeof(FIRST) - 1,
+         .piece = {.data = (uint8_t *)(uintptr_t)FIRST, .count = sizeof(FIRST)}},
+    };
+    for (size_t i = 0; i < sizeof(strange) / sizeof(strange[0]); i++) {
+        if (!piecesBegun(&hand->pieces))
+            assert_false(step(hand, &hand->pieces, 0, &set));
+        assert_false(piecesTake(hand, &hand->pieces, &strange[i], &set));
+        assert_false(piecesBegun(&hand->pieces));
+    }
+    assert_string_equal(whole(hand, &hand->pieces).text, FIRST);
+    talloc_free(hand);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(putTogether), cmocka_unit_test(changedMeanwhile), cmocka_unit_test(droppedMeanwhile),
+        cmocka_unit_test(otherEpoch),  cmocka_unit_test(oneTextForAll),    cmocka_unit_test(strangePiece),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -70,7 +70,8 @@
         .loop = gate->loop, .method = "GET", .path = "/readyz", .query = "", .host = "", .expiryMs = task->expiryMs};
     forwardRequest(gate->forwarder, ask);
     const Member *member = membersFind(gate->members, membersLeaderId(gate->members));
-    if (ask->code == 200 && member == NULL)
+    const bool known = member != NULL && strchr(member->record.http, ':') != NULL;
+    if (ask->code == 200 && !known)
         return false;
     if (ask->code == 200) {
         showResult(task, ELSEWHERE_HTTP, json_object_new_object());
