--- a/packages/core/src/way.c
+++ b/packages/core/src/way.c
@@ -201,7 +201,7 @@
     const View *view = way->core->view;
     if (proof == PROOF_LEASE)
         return viewLeading(view) && viewEpoch(view) == epoch;
-    int64_t untilMs = loopNowMs(way->core->loop) + LOCK_HOLD_MS;
+    int64_t untilMs = loopNowMs(way->core->loop) + LOCK_LEASE_MS;
     if (way->task->expiryMs != 0 && way->task->expiryMs < untilMs)
         untilMs = way->task->expiryMs;
     return viewContact(way->core->view, untilMs) == STATUS_OK && viewEpoch(view) == epoch;
