--- a/scripts/readable.py
+++ b/scripts/readable.py
@@ -34,7 +34,9 @@
 
 
 def sources():
-    listed = subprocess.run(["git", "ls-files", "-z", "*.c", "*.h"], capture_output=True, text=True, cwd=ROOT, check=True)
+    """Those of the repository, and new ones that are not added yet."""
+    command = ["git", "ls-files", "-z", "-co", "--exclude-standard", "*.c", "*.h"]
+    listed = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=True)
     return [path for path in listed.stdout.split("\0") if path and os.path.exists(os.path.join(ROOT, path))]
 
 
