--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -4,8 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define BLOCK_HEAD 16                      /* bytes: magic, length, checksum of both, checksum of the body */
-static const uint32_t MAGIC = 0x53504A31u; /* "SPJ1" */
+#include "block.h"
 
 typedef struct Waiting {
     struct Waiting *next;
@@ -32,100 +31,6 @@
     JournalCounts counts;
 };
 
-static void put32(uint8_t *at, uint32_t value)
-{
-    for (int i = 0; i < 4; i++)
-        at[i] = (uint8_t)(value >> (24 - 8 * i));
-}
-
-static uint32_t get32(const uint8_t *at)
-{
-    return (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8 | at[3];
-}
-
-static void blockAdd(void *mem, Bytes *to, Bytes body)
-{
-    uint8_t head[BLOCK_HEAD];
-    put32(head, MAGIC);
-    put32(head + 4, (uint32_t)body.count);
-    put32(head + 8, bytesCrc(head, 8));
-    put32(head + 12, bytesCrc(body.data, body.count));
-    bytesAdd(mem, to, head, sizeof(head));
-    bytesAdd(mem, to, body.data, body.count);
-}
-
-/* Whether a whole, good block starts here; its body is told. */
-static bool blockAt(Bytes content, size_t at, Bytes *body)
-{
-    if (content.count - at < BLOCK_HEAD)
-        return false;
-    const uint8_t *head = content.data + at;
-    const uint32_t count = get32(head + 4);
-    if (get32(head) != MAGIC || get32(head + 8) != bytesCrc(head, 8) || count > RECORD_MAX_BYTES ||
-        count > content.count - at - BLOCK_HEAD)
-        return false;
-    *body = (Bytes){content.data + at + BLOCK_HEAD, count, 0};
-    return get32(head + 12) == bytesCrc(body->data, body->count);
-}
-
-/* Records stand in a block one after the other, each with its length. */
-static void recordAdd(void *mem, Bytes *body, const Record *record)
-{
-    void *scratch = talloc_new(mem);
-    Bytes packed = {0};
-    shapePack(&RecordShape, record, scratch, &packed);
-    uint8_t count[4];
-    put32(count, (uint32_t)packed.count);
-    bytesAdd(mem, body, count, sizeof(count));
-    bytesAdd(mem, body, packed.data, packed.count);
-    talloc_free(scratch);
-}
-
-static Status blockRead(Bytes body, size_t at, JournalFn found, void *arg, Failure *failure)
-{
-    for (size_t k = 0; k < body.count;) {
-        const uint32_t count = body.count - k >= 4 ? get32(body.data + k) : UINT32_MAX;
-        if (count > body.count - k - 4)
-            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record out of its block at byte %zu",
-                              at + BLOCK_HEAD + k);
-        void *mem = talloc_new(NULL);
-        Record record;
-        const Status status = shapeUnpack(&RecordShape, (Bytes){body.data + k + 4, count, 0}, mem, &record, failure);
-        if (status != STATUS_OK) {
-            talloc_free(mem);
-            return failureSet(failure, STATUS_JOURNAL_CORRUPT, "record does not parse at byte %zu",
-                              at + BLOCK_HEAD + k);
-        }
-        if (found != NULL)
-            found(arg, &record);
-        talloc_free(mem);
-        k += 4 + count;
-    }
-    return STATUS_OK;
-}
-
-Status journalRead(Bytes content, JournalFn found, void *arg, size_t *goodCount, Failure *failure)
-{
-    size_t at = 0;
-    *goodCount = 0;
-    while (at < content.count) {
-        Bytes body;
-        if (!blockAt(content, at, &body)) {
-            for (size_t later = at + 1; later < content.count; later++)
-                if (content.data[later] == (uint8_t)(MAGIC >> 24) && blockAt(content, later, &body))
-                    return failureSet(failure, STATUS_JOURNAL_CORRUPT,
-                                      "bad block at byte %zu, but a whole one follows at byte %zu", at, later);
-            return STATUS_OK; /* a torn tail */
-        }
-        const Status status = blockRead(body, at, found, arg, failure);
-        if (status != STATUS_OK)
-            return status;
-        at += BLOCK_HEAD + body.count;
-        *goodCount = at;
-    }
-    return STATUS_OK;
-}
-
 static void writerMain(void *arg)
 {
     Journal *journal = arg;
--- a/packages/sim/test/diskstate.c
+++ b/packages/sim/test/diskstate.c
@@ -1,5 +1,5 @@
-/* The state on disk: what a journal held comes back the same, whatever ended the process,
- * and a core that was away catches up however much has changed meanwhile. */
+/* The state on disk: what a journal held comes back the same, whatever ended the process;
+ * what is not whole counts for nothing; what is committed is never dropped. */
 #include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -10,30 +10,7 @@
 #include <cmocka.h>
 #include <talloc.h>
 
-#include "inside.h"
-#include "sim/fleet.h"
-
-#define FILLER 60000 /* number of a change that no state knows: it is kept in the log and does nothing */
-
-static View *viewOf(Fleet *fleet, int core)
-{
-    return coreView(fleetNode(fleet, FLEET_CORE, core)->core);
-}
-
-static bool runs(Fleet *fleet, int core)
-{
-    const FleetNode *node = fleetNode(fleet, FLEET_CORE, core);
-    return node->up && node->core != NULL && simAlive(fleet->world, node->machine);
-}
-
-static Fleet *begin(uint64_t seed)
-{
-    const FleetSite site = {.zones = 3, .losses = 1, .gateSeeds = 1, .votes = true, .disksKeep = true};
-    Fleet *fleet = fleetNewAt(NULL, seed, (FleetShape){3, 1, 1, MIX_TRENTVALE, 0}, &site);
-    fleetStart(fleet);
-    assert_true(fleetSettle(fleet, 30000) && fleetConfigure(fleet));
-    return fleet;
-}
+#include "coreset.h"
 
 /* --- what was held comes back ------------------------------------------------------ */
 
@@ -93,19 +70,6 @@
     fleetIsolate(fleet, FLEET_CORE, core, false);
 }
 
-static void offer(Fleet *fleet, int count, size_t bytes)
-{
-    const int leader = fleetLeader(fleet);
-    if (leader < 0)
-        return;
-    void *mem = talloc_new(NULL);
-    const Bytes payload = {talloc_zero_size(mem, bytes + 1), bytes, 0};
-    for (int i = 0; i < count; i++)
-        if (viewLeading(viewOf(fleet, leader)))
-            viewOffer(viewOf(fleet, leader), FILLER, payload);
-    talloc_free(mem);
-}
-
 static void strikeAny(Fleet *fleet, bool *cut)
 {
     SimWorld *world = fleet->world;
@@ -259,229 +223,6 @@
     talloc_free(fleet);
 }
 
-static FillAsk pieceOf(Bytes whole, size_t from, size_t count)
-{
-    return (FillAsk){.snapshot = {.kind = RECORD_SNAPSHOT,
-                                  .epoch = 9,
-                                  .index = 70,
-                                  .name = "",
-                                  .payload = {whole.data + from, count, 0}},
-                     .from = from,
-                     .total = whole.count,
-                     .checksum = bytesCrc(whole.data, whole.count)};
-}
-
-/* Pieces out of their order, given twice, of another snapshot, spoilt, or beyond the whole:
- * nothing is put together but the very bytes whose checksum was told. */
-static void piecesRefused(void **state)
-{
-    (void)state;
-    Fleet *fleet = begin(1);
-    View *view = viewOf(fleet, 0);
-    Bytes whole = {talloc_zero_size(fleet, 1000), 1000, 0};
-    whole.data[500] = 7;
-    Record record;
-    FillAsk ask = pieceOf(whole, 400, 300);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
-    assert_int_equal(fillCount(view), 0);
-    ask = pieceOf(whole, 0, 400);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
-    assert_int_equal(fillCount(view), 400);
-    ask = pieceOf(whole, 400, 600);
-    ask.snapshot.payload.count = 700;
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
-    whole.data[500] = 8; /* on its way */
-    ask = pieceOf(whole, 400, 600);
-    whole.data[500] = 7;
-    ask.checksum = bytesCrc(whole.data, whole.count);
-    whole.data[500] = 8;
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
-    assert_int_equal(fillCount(view), 0);
-    whole.data[500] = 7;
-    ask = pieceOf(whole, 0, 400);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
-    ask = pieceOf(whole, 400, 600);
-    ask.snapshot.index++; /* of another snapshot: what was there counts for nothing */
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_LOG_GAP);
-    ask = pieceOf(whole, 0, 400);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BUSY);
-    ask = pieceOf(whole, 400, 600);
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_OK);
-    assert_memory_equal(record.payload.data, whole.data, whole.count);
-    ask = pieceOf(whole, 0, 1000);
-    ask.total = RECORD_MAX_BYTES + 1;
-    assert_int_equal(fillTake(view, &ask, &record), STATUS_BAD_FRAME);
-    talloc_free(fleet);
-}
-
-/* --- after many changes ------------------------------------------------------------ */
-
-#define LINK_BYTES_MS 25000              /* bytes a ms: 200 Mbit/s, the slowest link of a disk machine */
-#define DISK_BYTES (128 * 1024 * 1024)   /* bytes; the smallest disk of one */
-#define MEMORY_BYTES (130 * 1024 * 1024) /* bytes; half of the smallest memory: the other half is work's */
-#define BIG_BYTES (300 * 1024)           /* bytes; a whole configuration of a large site */
-
-static size_t memoryOf(Fleet *fleet, int core)
-{
-    return talloc_total_size(simLoop(fleet->world, fleetNode(fleet, FLEET_CORE, core)->machine));
-}
-
-/* Has all that the leader has committed. */
-static bool caughtUp(Fleet *fleet, int core)
-{
-    const int leader = fleetLeader(fleet);
-    return leader >= 0 && runs(fleet, core) && viewOf(fleet, core)->deliveredIndex > 0 &&
-           viewOf(fleet, core)->deliveredIndex + 2 >= viewOf(fleet, leader)->commitIndex;
-}
-
-static bool seated(Fleet *fleet, int core)
-{
-    const int leader = fleetLeader(fleet);
-    return leader >= 0 && runs(fleet, core) && viewSeatOf(viewOf(fleet, leader), viewDisk(viewOf(fleet, core))) >= 0;
-}
-
-typedef struct CatchUp {
-    int64_t tookMs;      /* from the start of its process */
-    uint64_t bytes;      /* that the leader sent meanwhile, to all */
-    size_t memory, disk; /* the most of any core */
-} CatchUp;
-
-static void mostTake(Fleet *fleet, CatchUp *catchUp)
-{
-    for (int i = 0; i < 3; i++) {
-        const size_t disk = simDiskUsed(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine);
-        const size_t memory = runs(fleet, i) ? memoryOf(fleet, i) : 0;
-        catchUp->disk = disk > catchUp->disk ? disk : catchUp->disk;
-        catchUp->memory = memory > catchUp->memory ? memory : catchUp->memory;
-    }
-}
-
-/* A core is away while so many changes of so many bytes are made, a few at a time. */
-static CatchUp awayFor(uint64_t seed, int changes, size_t bytes, int atOnce)
-{
-    Fleet *fleet = begin(seed);
-    CatchUp catchUp = {0};
-    for (int i = 0; i < 3; i++) {
-        const int machine = fleetNode(fleet, FLEET_CORE, i)->machine;
-        simLinkRate(fleet->world, machine, LINK_BYTES_MS);
-        simDiskRoom(fleet->world, machine, DISK_BYTES);
-    }
-    const int away = (fleetLeader(fleet) + 1) % 3;
-    checkerFault(fleet->checker);
-    fleetPowerOff(fleet, FLEET_CORE, away);
-    for (int made = 0; made < changes; made += atOnce) {
-        offer(fleet, atOnce, bytes);
-        fleetRun(fleet, 200);
-        mostTake(fleet, &catchUp);
-    }
-    fleetRun(fleet, 2000);
-    const int leader = fleetLeader(fleet);
-    assert_true(leader >= 0);
-    const int64_t fromMs = simNowMs(fleet->world);
-    const uint64_t sent = simSentBytes(fleet->world, fleetNode(fleet, FLEET_CORE, leader)->machine);
-    fleetStartNode(fleet, FLEET_CORE, away);
-    for (int i = 0; i < 3000 && !caughtUp(fleet, away); i++) {
-        fleetRun(fleet, 10);
-        mostTake(fleet, &catchUp);
-    }
-    assert_true(caughtUp(fleet, away));
-    catchUp.tookMs = simNowMs(fleet->world) - fromMs;
-    catchUp.bytes = simSentBytes(fleet->world, fleetNode(fleet, FLEET_CORE, leader)->machine) - sent;
-    for (int i = 0; i < 3; i++)
-        assert_false(viewDiskFailed(viewOf(fleet, i)));
-    assert_int_equal(checkerBrokenAll(fleet->checker), 0);
-    print_message("away for %d changes of %zu bytes: caught up in %d ms with %zu KB; at most %zu KB on disk, %zu KB of "
-                  "memory\n",
-                  changes, bytes, (int)catchUp.tookMs, (size_t)catchUp.bytes / 1024, catchUp.disk / 1024,
-                  catchUp.memory / 1024);
-    talloc_free(fleet);
-    return catchUp;
-}
-
-/* Time and bytes grow with what was missed, up to a snapshot, and no further. */
-static void awayForMany(void **state)
-{
-    (void)state;
-    const CatchUp few = awayFor(1, 10, 200, 10);
-    const CatchUp some = awayFor(1, 300, 200, 10);
-    const CatchUp many = awayFor(1, 3000, 200, 20);
-    const CatchUp most = awayFor(1, 9000, 200, 50); /* beyond a snapshot */
-    assert_true(few.bytes < some.bytes && some.bytes < many.bytes);
-    assert_true(most.bytes < many.bytes * 2);
-    assert_true(most.tookMs < few.tookMs + 1500);
-}
-
-/* A state of so many megabytes: workers whose labels are that long. */
-static void stateGrow(Fleet *fleet, int megabytes)
-{
-    void *mem = talloc_new(NULL);
-    char *label = talloc_zero_array(mem, char, 1024 * 1024 + 1);
-    memset(label, 'x', 1024 * 1024);
-    for (int i = 0; i < megabytes; i++) {
-        Bytes payload = {0};
-        const char *labels[] = {label};
-        const Worker worker = {.name = talloc_asprintf(mem, "big%d", i),
-                               .zone = "z",
-                               .rack = "",
-                               .kind = "",
-                               .labels = labels,
-                               .labelsCount = 1,
-                               .excluded = true};
-        shapePack(&WorkerShape, &worker, mem, &payload);
-        viewOffer(viewOf(fleet, fleetLeader(fleet)), CHANGE_WORKER_SET, payload);
-        fleetRun(fleet, 100);
-    }
-    talloc_free(mem);
-}
-
-/* A state that no single frame holds, to an empty disk, over a narrow link that breaks in
- * the middle; whoever leads goes on leading, and the one that catches up loses nothing
- * that it already has of it. */
-static void largeState(void **state)
-{
-    (void)state;
-    Fleet *fleet = begin(1);
-    const int leader = fleetLeader(fleet), away = (leader + 1) % 3;
-    stateGrow(fleet, 34);
-    viewCompactMaybe(viewOf(fleet, leader), true);
-    fleetRun(fleet, 500);
-    assert_true(viewOf(fleet, leader)->log->snapshot.payload.count > FRAME_MAX_BYTES);
-    for (int i = 0; i < 3; i++) /* 34 MB take over eight seconds: more than any deadline */
-        simLinkRate(fleet->world, fleetNode(fleet, FLEET_CORE, i)->machine, 4 * 1024);
-    checkerFault(fleet->checker);
-    fleetPowerOff(fleet, FLEET_CORE, away);
-    simDiskWipe(fleet->world, fleetNode(fleet, FLEET_CORE, away)->machine);
-    fleetRun(fleet, 500);
-    fleetStartNode(fleet, FLEET_CORE, away);
-    const int64_t fromMs = simNowMs(fleet->world);
-    uint64_t most = 0;
-    for (int i = 0; i < 600 && !(caughtUp(fleet, away) && seated(fleet, away)); i++) {
-        fleetRun(fleet, 100);
-        if (i == 60)
-            fleetIsolate(fleet, FLEET_CORE, away, true);
-        if (i == 90)
-            fleetIsolate(fleet, FLEET_CORE, away, false);
-        const uint64_t filled = runs(fleet, away) ? fillCount(viewOf(fleet, away)) : 0;
-        most = filled > most ? filled : most;
-        assert_true(filled == most || filled == 0);
-    }
-    assert_true(caughtUp(fleet, away) && seated(fleet, away));
-    assert_int_equal(fleetLeader(fleet), leader);
-    print_message("34 MB over 4 MB/s, cut for 3 s: %d ms\n", (int)(simNowMs(fleet->world) - fromMs));
-    assert_true(most > FRAME_MAX_BYTES);
-    talloc_free(fleet);
-}
-
-/* Hundreds of whole configurations: neither the disk nor the memory grows with them. */
-static void awayForBig(void **state)
-{
-    (void)state;
-    const CatchUp big = awayFor(1, 400, BIG_BYTES, 2);
-    assert_true(big.disk < DISK_BYTES / 2);
-    assert_true(big.memory < MEMORY_BYTES);
-}
-
 /* --- a disk that is not whole ---------------------------------------------------- */
 
 static void spoil(Fleet *fleet, int core)
@@ -610,10 +351,9 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(piecesRefused), cmocka_unit_test(committedStays),      cmocka_unit_test(oldListVotesNot),
-        cmocka_unit_test(awayForMany),   cmocka_unit_test(awayForBig),          cmocka_unit_test(largeState),
-        cmocka_unit_test(comesBack),     cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),
-        cmocka_unit_test(allSpoilt),     cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
+        cmocka_unit_test(committedStays),      cmocka_unit_test(oldListVotesNot), cmocka_unit_test(comesBack),
+        cmocka_unit_test(snapshotThenTrimmed), cmocka_unit_test(spoiltIsEmpty),   cmocka_unit_test(allSpoilt),
+        cmocka_unit_test(unknownRecord),       cmocka_unit_test(entriesMissing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
