--- a/packages/sim/src/servable.c
+++ b/packages/sim/src/servable.c
@@ -14,7 +14,7 @@
 }
 
 /* The list of seats as the running core that is furthest has it. */
-static size_t seatsNow(const Fleet *fleet, uint64_t seats[SEAT_MOST])
+static size_t votersNow(const Fleet *fleet, uint64_t seats[SEAT_MOST])
 {
     uint64_t furthest = 0;
     size_t count = 0;
@@ -33,10 +33,10 @@
 }
 
 /* Cores that run, hold a seat, and have a working disk; needed: so many decide. */
-static int seatsGood(const Fleet *fleet, const FleetNode **good, int *needed)
+static int votersGood(const Fleet *fleet, const FleetNode **good, int *needed)
 {
     uint64_t seats[SEAT_MOST] = {0};
-    const size_t seatCount = seatsNow(fleet, seats);
+    const size_t seatCount = votersNow(fleet, seats);
     int count = 0;
     for (int i = 0; i < fleet->nodeCount[FLEET_CORE]; i++) {
         const FleetNode *node = &fleet->nodes[FLEET_CORE][i];
@@ -56,15 +56,15 @@
 {
     const FleetNode *good[FLEET_EACH_MAX];
     int needed;
-    return seatsGood(fleet, good, &needed);
+    return votersGood(fleet, good, &needed);
 }
 
 /* Whether the machine reaches a majority of good seats that one of them reaches. */
-static bool reachesSeats(const Fleet *fleet, int machine)
+static bool reachesVoters(const Fleet *fleet, int machine)
 {
     const FleetNode *good[FLEET_EACH_MAX];
     int needed;
-    const int count = seatsGood(fleet, good, &needed);
+    const int count = votersGood(fleet, good, &needed);
     for (int a = 0; a < count; a++) {
         int reached = 0;
         for (int b = 0; b < count; b++)
@@ -79,7 +79,7 @@
 bool fleetServable(const Fleet *fleet, int gate)
 {
     const FleetNode *node = &fleet->nodes[FLEET_GATE][gate];
-    return runs(fleet, node) && reachesSeats(fleet, node->machine);
+    return runs(fleet, node) && reachesVoters(fleet, node->machine);
 }
 
 int fleetWorkable(const Fleet *fleet)
@@ -88,7 +88,7 @@
     for (int i = 0; i < fleet->nodeCount[FLEET_WORKER]; i++) {
         const FleetNode *worker = &fleet->nodes[FLEET_WORKER][i], *agent = &fleet->nodes[FLEET_AGENT][i];
         count += runs(fleet, worker) && runs(fleet, agent) && bothWays(fleet, worker->machine, agent->machine) &&
-                 !worker->workerProps.failsAll && reachesSeats(fleet, agent->machine);
+                 !worker->workerProps.failsAll && reachesVoters(fleet, agent->machine);
     }
     return count;
 }
--- a/packages/sim/src/sweepnodes.c
+++ b/packages/sim/src/sweepnodes.c
@@ -8,7 +8,7 @@
 
 static const char *const ZONES[] = {"north", "south", "west"};
 
-static int seatsAlive(const Sweep *sweep)
+static int votersAlive(const Sweep *sweep)
 {
     int count = 0;
     for (int i = 0; i < sweep->fleet->nodeCount[FLEET_CORE]; i++)
@@ -17,7 +17,7 @@
 }
 
 /* Seats that the site wants and no running core with a good disk has. */
-static int seatsMissing(Sweep *sweep)
+static int votersMissing(Sweep *sweep)
 {
     return 2 * sweep->fleet->site.losses + 1 - fleetSeats(sweep->fleet);
 }
@@ -25,7 +25,7 @@
 void actKill(Sweep *sweep)
 {
     FleetNode *node = sweepAny(sweep);
-    if (node->role == FLEET_CORE && seatsAlive(sweep) < sweep->fleet->shape.cores && sweepDraw(sweep, 3) != 0)
+    if (node->role == FLEET_CORE && votersAlive(sweep) < sweep->fleet->shape.cores && sweepDraw(sweep, 3) != 0)
         return;
     sweepSay(sweep, "kill %s", node->props.name);
     fleetKill(sweep->fleet, node->role, node->number);
@@ -117,7 +117,7 @@
 void actDiskSpoilt(Sweep *sweep)
 {
     FleetNode *core = sweepNode(sweep, FLEET_CORE);
-    if (seatsMissing(sweep) >= sweep->fleet->site.losses) /* so many disks may be lost, not one more */
+    if (votersMissing(sweep) >= sweep->fleet->site.losses) /* so many disks may be lost, not one more */
         return;
     fleetPowerOff(sweep->fleet, FLEET_CORE, core->number);
     Bytes *journal = simDiskContent(sweep->fleet->world, core->machine, "data/journal");
@@ -210,7 +210,7 @@
     Fleet *fleet = sweep->fleet;
     const int spare = fleet->shape.cores + (int)sweepDraw(sweep, (uint64_t)fleet->shape.spares);
     FleetNode *gone = fleetNode(fleet, FLEET_CORE, (int)sweepDraw(sweep, (uint64_t)fleet->shape.cores));
-    if (simAlive(fleet->world, fleet->nodes[FLEET_CORE][spare].machine) || seatsMissing(sweep) >= fleet->site.losses)
+    if (simAlive(fleet->world, fleet->nodes[FLEET_CORE][spare].machine) || votersMissing(sweep) >= fleet->site.losses)
         return;
     sweepSay(sweep, "%s is gone for good, empty %s comes", gone->props.name,
              fleet->nodes[FLEET_CORE][spare].props.name);
--- a/packages/sim/test/losses.c
+++ b/packages/sim/test/losses.c
@@ -212,7 +212,7 @@
                                                              : 700 + (int64_t)drawn(trial, 5000);
 }
 
-static void seatsShow(Fleet *fleet)
+static void votersShow(Fleet *fleet)
 {
     ViewSight sight;
     for (int c = 0; c < fleet->nodeCount[FLEET_CORE]; c++) {
@@ -281,7 +281,7 @@
     }
     if (!whole || checkerBrokenAll(fleet->checker) > 0) {
         fleetDump(fleet);
-        seatsShow(fleet);
+        votersShow(fleet);
         fail_msg("seed %u: %s after %s of %s: %zu of %zu seats in the view", (unsigned)trial->seed,
                  checkerBrokenAll(fleet->checker) > 0 ? checkerFirst(fleet->checker) : "not whole in time", WORDS[kind],
                  withLeader ? "the leader" : "a follower", inView(fleet), trial->wanted);
