The explorer repeats, drops, slows and mistimes frames apart, and loses disks at the shortest pace

Frames that are lost and frames that come once more are acts of their own; one node's links may be slow, its clock 2% off. One seed in four is dense: an act each 80 ms. Changes are handed in from the first start on. After the adversary the voters are whole again within 30 s, where there are disks for them.

--- a/packages/explore/include/explore/explore.h
+++ b/packages/explore/include/explore/explore.h
@@ -24,7 +24,10 @@
     X(CUT_IN, "cut-in")       /* nothing reaches it */                          \
     X(CUT_ONE, "cut-one")     /* one way to one other */                        \
     X(DELAY, "delay")         /* amount: ms at most, for every frame */         \
-    X(FRAMES, "frames")       /* amount: of a thousand dropped, and repeated */ \
+    X(FAR, "far")             /* amount: ms more for each of its frames */      \
+    X(DROP, "drop")           /* amount: frames of a thousand that are lost */  \
+    X(REPEAT, "repeat")       /* amount: ... that come once more, late */       \
+    X(CLOCK, "clock")         /* amount: its rate, in percent */                \
     X(DISK_SLOW, "disk-slow") /* amount: ms for each sync */                    \
     X(DISK_FAIL, "disk-fail") /* writes fail */                                 \
     X(STEP_DOWN, "step-down") /* the leader gives its lead up */                \
@@ -64,14 +67,15 @@
 
 /* Invariant: acts are in order of time. */
 typedef struct ExplorePlan {
-    uint64_t seed;      /* of the world */
-    int losses;         /* disks that may be lost at once: twice that and one voters are wanted */
-    int spares;         /* machines beyond the voters, from the start on */
-    bool byVotes;       /* founded by the seeds' votes; else by three empty disks */
-    bool beyond;        /* more disks may be lost than are borne: then only safety is asked for */
-    size_t snapshot;    /* the log is shortened after so many entries */
-    int64_t seatBackMs; /* as the settings say: a voter is whole again within this */
-    int64_t lengthMs;   /* of the adversary */
+    uint64_t seed, world; /* the plan's, and the world's: of delays, disks, clients */
+    int losses;           /* disks that may be lost at once: twice that and one voters are wanted */
+    int spares;           /* machines beyond the voters, from the start on */
+    bool byVotes;         /* founded by the seeds' votes; else by three empty disks */
+    bool pace;            /* disks are lost one after another, as soon as what was lost is to be made good */
+    bool beyond;          /* more disks may be lost than are borne: then only safety is asked for */
+    size_t snapshot;      /* the log is shortened after so many entries */
+    int64_t seatBackMs;   /* as the settings say: a voter is whole again within this */
+    int64_t lengthMs;     /* of the adversary */
     Act acts[EXPLORE_ACTS_MAX];
     bool skipped[EXPLORE_ACTS_MAX];
     size_t actCount;
@@ -99,7 +103,8 @@
     X(TWO_CLUSTERS, "two clusters were founded")                                        \
     X(NOT_OPENED, "a disk could not be opened")                                         \
     X(NOT_FOUNDED, "no cluster came about")                                             \
-    X(NOT_LIVE, "no change was committed in time")
+    X(NOT_LIVE, "no change was committed in time")                                      \
+    X(NOT_WHOLE, "the voters were not whole in time")
 
 typedef enum Rule {
 #define X(name, text) RULE_##name,
@@ -116,10 +121,13 @@
     uint64_t done[ACT_KINDS]; /* acts that found somebody to do it to */
     bool lived;               /* liveness was asked for */
     int64_t liveMs;           /* from the end of the adversary to the first acknowledgement */
+    int64_t wholeMs;          /* ... until as many voters as are wanted live */
 } ExploreResult;
 
 /* The plan of a seed: the same for all time, as long as the drawing is not changed. */
 void explorePlanOf(uint64_t seed, ExplorePlan *plan);
+/* Losses one after another and nothing else, each as soon as the last is to be made good. */
+void explorePaceOf(uint64_t seed, ExplorePlan *plan);
 void exploreRun(const ExplorePlan *plan, bool loud, ExploreResult *result);
 /* Leaves out every act that the break does not need; false when the plan breaks nothing. */
 bool exploreShrink(ExplorePlan *plan, ExploreResult *result);
--- a/packages/explore/src/act.c
+++ b/packages/explore/src/act.c
@@ -90,9 +90,16 @@
     case ACT_DELAY:
         simDelay(explore->world, LINK_LOW_MS, LINK_HIGH_MS);
         break;
-    case ACT_FRAMES:
+    case ACT_DROP:
+    case ACT_REPEAT:
         simFrames(explore->world, 0, 0, 0);
         break;
+    case ACT_FAR:
+        simFar(explore->world, end->node->machine, 0);
+        break;
+    case ACT_CLOCK:
+        simClockRate(explore->world, end->node->machine, 100);
+        break;
     case ACT_DISK_SLOW:
         simDiskSlow(explore->world, end->node->machine, SYNC_MS);
         break;
@@ -141,8 +148,11 @@
     case ACT_DELAY:
         simDelay(explore->world, LINK_LOW_MS, LINK_HIGH_MS + (int64_t)act->amount);
         return true;
-    case ACT_FRAMES:
-        simFrames(explore->world, act->amount, act->amount, LATE_MS);
+    case ACT_DROP:
+        simFrames(explore->world, act->amount, 0, LATE_MS);
+        return true;
+    case ACT_REPEAT:
+        simFrames(explore->world, 0, act->amount, LATE_MS);
         return true;
     default:
         return false;
@@ -177,6 +187,12 @@
     case ACT_FREEZE:
         simFreeze(explore->world, node->machine, simNowMs(explore->world) + act->forMs);
         break;
+    case ACT_FAR:
+        simFar(explore->world, node->machine, act->amount);
+        break;
+    case ACT_CLOCK:
+        simClockRate(explore->world, node->machine, act->amount);
+        break;
     case ACT_DISK_SLOW:
         simDiskSlow(explore->world, node->machine, act->amount);
         break;
@@ -196,6 +212,17 @@
     }
 }
 
+/* Between two losses a change was acknowledged, and what was lost has been replaced. */
+static void paceLost(Explore *explore, ActKind kind)
+{
+    if (!explore->plan->pace || !loses(kind))
+        return;
+    if (explore->lostSeen && explore->result->acknowledged == explore->ackedAtLoss)
+        exploreBreak(explore, RULE_NOT_LIVE, "between two losses");
+    explore->lostSeen = true;
+    explore->ackedAtLoss = explore->result->acknowledged;
+}
+
 void actDo(Explore *explore, const Act *act)
 {
     ActEnd *end = talloc_zero(explore, ActEnd);
@@ -216,6 +243,7 @@
     } else {
         exploreSay(explore, "%s for %" PRId64 " ms, %u", actWord(act->kind), act->forMs, act->amount);
     }
+    paceLost(explore, act->kind);
     explore->result->done[act->kind]++;
     simAt(explore->world, simNowMs(explore->world) + act->forMs, actEnd, end);
 }
@@ -227,6 +255,8 @@
     for (int i = 0; i < explore->nodeCount; i++) {
         Node *node = &explore->nodes[i];
         cutAll(explore, node, true, true, false);
+        simFar(explore->world, node->machine, 0);
+        simClockRate(explore->world, node->machine, 100);
         simDiskSlow(explore->world, node->machine, SYNC_MS);
         simDiskFail(explore->world, node->machine, false);
         if (node->leaving && !node->gone)
--- a/packages/explore/src/check.c
+++ b/packages/explore/src/check.c
@@ -127,6 +127,14 @@
     node->listSeen = window->listIndex;
 }
 
+/* With fewer voters than the losses take (only while the first are found), as many as a majority. */
+static size_t copiesNeeded(const Explore *explore)
+{
+    const size_t losses = (size_t)explore->plan->losses;
+    const size_t voters = explore->history.voterCount > SEAT_FIRST ? explore->history.voterCount : SEAT_FIRST;
+    return losses + 1 < lockMajority(voters) ? losses + 1 : lockMajority(voters);
+}
+
 static void checkAcks(Explore *explore)
 {
     for (size_t i = 0; i < explore->ackCount; i++) {
@@ -138,7 +146,7 @@
             continue;
         }
         const size_t holders = diskHolders(explore, index, item->epoch);
-        if (holders < (size_t)explore->plan->losses + 1)
+        if (holders < copiesNeeded(explore))
             exploreBreak(explore, RULE_ACK_DISKS, "change %" PRIu64 " at %" PRIu64 " on %zu", number, index, holders);
     }
     explore->ackCount = 0;
--- a/packages/explore/src/client.c
+++ b/packages/explore/src/client.c
@@ -72,8 +72,6 @@
 static void clientTick(void *arg)
 {
     Explore *explore = arg;
-    if (explore->clientStops)
-        return;
     Node *node = target(explore);
     if (node != NULL)
         clientSubmit(explore, node);
--- a/packages/explore/src/draw.c
+++ b/packages/explore/src/draw.c
@@ -5,6 +5,9 @@
 
 #include "inside.h"
 
+#define PACE_ROUNDS 10      /* count; losses one after another */
+#define PACE_BEFORE_MS 2500 /* ms; a learner that is to replace another is started so long before, at most */
+
 typedef struct Draw {
     uint64_t state;
 } Draw;
@@ -37,7 +40,10 @@
     [ACT_CUT_IN] = {5, 200, 6000, 0, 0},
     [ACT_CUT_ONE] = {8, 200, 6000, 0, NODES_MAX},
     [ACT_DELAY] = {4, 500, 4000, 10, 500},
-    [ACT_FRAMES] = {5, 500, 4000, 10, 200},
+    [ACT_FAR] = {4, 500, 4000, 20, 700},
+    [ACT_DROP] = {4, 500, 4000, 10, 300},
+    [ACT_REPEAT] = {4, 500, 4000, 50, 1000},
+    [ACT_CLOCK] = {4, 2000, 20000, 98, 102},
     [ACT_DISK_SLOW] = {6, 500, 5000, 50, 3000},
     [ACT_DISK_FAIL] = {4, 200, 3000, 0, 0},
     [ACT_STEP_DOWN] = {5, 0, 1000, 0, 0},
@@ -65,8 +71,10 @@
 }
 
 /* Mostly one shortly after another, so that they meet; at times a while of quiet. */
-static int64_t gapOf(Draw *draw)
+static int64_t gapOf(Draw *draw, bool dense)
 {
+    if (dense)
+        return (int64_t)below(draw, 160);
     const uint64_t span = below(draw, 8) == 0 ? 5000 : below(draw, 3) == 0 ? 1500 : 400;
     return (int64_t)below(draw, span);
 }
@@ -75,17 +83,18 @@
 {
     Draw draw = {seed * 1000003 + 17};
     memset(plan, 0, sizeof(*plan));
-    plan->seed = seed;
+    plan->seed = plan->world = seed;
     plan->losses = below(&draw, 3) == 0 ? 2 : 1;
     plan->spares = (int)below(&draw, 4);
     plan->byVotes = below(&draw, 2) == 0;
     plan->beyond = below(&draw, 6) == 0;
     plan->snapshot = (size_t[]){5, 20, 80, 400}[below(&draw, 4)];
     plan->seatBackMs = (int64_t[]){0, 3000, 6000}[below(&draw, 3)];
-    plan->lengthMs = 20000 + (int64_t)below(&draw, 20000);
+    const bool dense = below(&draw, 4) == 0;
+    plan->lengthMs = dense ? 9000 : 20000 + (int64_t)below(&draw, 20000);
     int64_t atMs = 0;
     while (plan->actCount < EXPLORE_ACTS_MAX) {
-        atMs += gapOf(&draw);
+        atMs += gapOf(&draw, dense);
         if (atMs >= plan->lengthMs)
             break;
         const ActKind kind = kindOf(&draw);
@@ -97,6 +106,38 @@
     }
 }
 
+/* One voter after another is lost; a learner stands ready before each loss, or comes with it. */
+static void paceRound(Draw *draw, ExplorePlan *plan, int64_t atMs)
+{
+    static const ActKind LOSSES[] = {ACT_LEAVE, ACT_LEAVE, ACT_VANISH, ACT_WIPE};
+    const Who who = (Who[]){WHO_LEADER, WHO_VOTER, WHO_VOTER}[below(draw, 3)];
+    const ActKind kind = LOSSES[below(draw, sizeof(LOSSES) / sizeof(LOSSES[0]))];
+    const int64_t beforeMs = (int64_t)below(draw, PACE_BEFORE_MS);
+    if (kind != ACT_WIPE) /* one that is wiped comes back as a learner itself */
+        plan->acts[plan->actCount++] = (Act){atMs - beforeMs, ACT_JOIN, WHO_ANY, 0, 0, 0};
+    plan->acts[plan->actCount++] =
+        (Act){atMs, kind, who, (unsigned)below(draw, NODES_MAX), (int64_t)below(draw, 1000), 0};
+}
+
+void explorePaceOf(uint64_t seed, ExplorePlan *plan)
+{
+    Draw draw = {seed * 1000003 + 29};
+    memset(plan, 0, sizeof(*plan));
+    plan->seed = plan->world = seed;
+    plan->pace = true;
+    plan->losses = below(&draw, 3) == 0 ? 2 : 1;
+    plan->spares = (int)below(&draw, 2);
+    plan->byVotes = true;
+    plan->snapshot = (size_t[]){5, 80, 4000}[below(&draw, 3)];
+    plan->seatBackMs = (int64_t[]){4000, 6000}[below(&draw, 2)];
+    int64_t atMs = PACE_BEFORE_MS;
+    for (int i = 0; i < PACE_ROUNDS; i++) {
+        paceRound(&draw, plan, atMs);
+        atMs += plan->seatBackMs + PACE_BEFORE_MS + (int64_t)below(&draw, 500);
+    }
+    plan->lengthMs = atMs;
+}
+
 void explorePrint(const ExplorePlan *plan)
 {
     static const char *const KINDS[] = {
@@ -109,10 +150,12 @@
         WHO_LIST(X)
 #undef X
     };
-    printf("{.seed = %" PRIu64 ", .losses = %d, .spares = %d, .byVotes = %s, .beyond = %s, .snapshot = %zu,\n"
+    printf("{.seed = %" PRIu64 ", .world = %" PRIu64
+           ", .losses = %d, .spares = %d, .byVotes = %s, .pace = %s, .beyond = %s, .snapshot = %zu,\n"
            " .seatBackMs = %" PRId64 ", .lengthMs = %" PRId64 ", .acts = {\n",
-           plan->seed, plan->losses, plan->spares, plan->byVotes ? "true" : "false", plan->beyond ? "true" : "false",
-           plan->snapshot, plan->seatBackMs, plan->lengthMs);
+           plan->seed, plan->world, plan->losses, plan->spares, plan->byVotes ? "true" : "false",
+           plan->pace ? "true" : "false", plan->beyond ? "true" : "false", plan->snapshot, plan->seatBackMs,
+           plan->lengthMs);
     for (size_t i = 0; i < plan->actCount; i++)
         if (!plan->skipped[i])
             printf("    {%" PRId64 ", %s, %s, %u, %" PRId64 ", %u},\n", plan->acts[i].atMs, KINDS[plan->acts[i].kind],
--- a/packages/explore/src/inside.h
+++ b/packages/explore/src/inside.h
@@ -5,9 +5,10 @@
 #include "sim/world.h"
 #include "view/window.h"
 
-#define NODES_MAX 24  /* count; machines in one run */
-#define DISKS_MAX 96  /* count; disks that ever were, wiped ones too */
-#define LIVE_MS 12000 /* ms; after a burst of failures service is back within about 12 s */
+#define NODES_MAX 24   /* count; machines in one run */
+#define DISKS_MAX 96   /* count; disks that ever were, wiped ones too */
+#define LIVE_MS 12000  /* ms; after a burst of failures service is back within about 12 s */
+#define WHOLE_MS 30000 /* ms; ... and as many voters as are wanted, where there are disks for them */
 
 /* One change of the history, or an entry of a disk. */
 typedef struct Item {
@@ -95,7 +96,8 @@
     size_t ackCount, ackRoom;
     Lead *leads;
     size_t leadCount, leadRoom;
-    bool clientStops;
+    bool lostSeen; /* pace: a disk has been lost */
+    uint64_t ackedAtLoss;
 } Explore;
 
 /* The first break stands; later ones follow from it. */
@@ -134,6 +136,10 @@
 bool nodeVotes(const Explore *explore, const Node *node);
 /* Whether the disk may be lost now: what is borne bears it. */
 bool nodeMayLose(const Explore *explore, const Node *node);
+/* How many of the voters are there. */
+size_t votersLeft(const Explore *explore);
+/* How many disks there are. */
+size_t disksLeft(const Explore *explore);
 /* Whether a majority of the voters is there. */
 bool votersThere(const Explore *explore);
 
--- a/packages/explore/src/nodes.c
+++ b/packages/explore/src/nodes.c
@@ -249,7 +249,7 @@
 
 bool nodeMayLose(const Explore *explore, const Node *node)
 {
-    if (explore->plan->beyond || node->model == NULL)
+    if (explore->plan->beyond || explore->plan->pace || node->model == NULL)
         return true;
     if (!bears(explore, node, explore->history.voters, explore->history.voterCount))
         return false;
@@ -265,9 +265,21 @@
     return true;
 }
 
-bool votersThere(const Explore *explore)
+size_t votersLeft(const Explore *explore)
 {
     const History *history = &explore->history;
-    return history->voterCount - lostOf(explore, history->voters, history->voterCount) >=
-           lockMajority(history->voterCount);
+    return history->voterCount - lostOf(explore, history->voters, history->voterCount);
+}
+
+size_t disksLeft(const Explore *explore)
+{
+    size_t count = 0;
+    for (int i = 0; i < explore->nodeCount; i++)
+        count += explore->nodes[i].model != NULL && !explore->nodes[i].leaving;
+    return count;
+}
+
+bool votersThere(const Explore *explore)
+{
+    return votersLeft(explore) >= lockMajority(explore->history.voterCount);
 }
--- a/packages/explore/src/run.c
+++ b/packages/explore/src/run.c
@@ -47,6 +47,7 @@
     const int first = plan->byVotes ? explore->nodeCount : SEEDS;
     for (int i = 0; i < explore->nodeCount; i++)
         nodeStartLater(&explore->nodes[i], i < first ? (int64_t)(simRandom(explore->world) % 300) : 6000);
+    clientStart(explore);
     const int64_t untilMs = simNowMs(explore->world) + FOUND_MS;
     while (!broken(explore) && simNowMs(explore->world) < untilMs &&
            (explore->history.voterCount < (size_t)voters || nodeLeader(explore) == NULL))
@@ -74,6 +75,20 @@
     return false;
 }
 
+/* ... and as many voters live as are wanted, where there are disks for them. */
+static void whole(Explore *explore, int64_t fromMs)
+{
+    const size_t wanted = 2 * (size_t)explore->plan->losses + 1;
+    while (!broken(explore) && disksLeft(explore) >= wanted &&
+           (explore->history.voterCount < wanted || votersLeft(explore) < wanted)) {
+        if (simNowMs(explore->world) >= fromMs + WHOLE_MS)
+            exploreBreak(explore, RULE_NOT_WHOLE, "%zu of %zu left, %zu wanted", votersLeft(explore),
+                         explore->history.voterCount, wanted);
+        runUntil(explore, simNowMs(explore->world) + LOOK_MS);
+    }
+    explore->result->wholeMs = simNowMs(explore->world) - fromMs;
+}
+
 /* After all failures have ended, a change is committed within a stated span. */
 static void live(Explore *explore)
 {
@@ -85,6 +100,8 @@
     const int64_t fromMs = simNowMs(explore->world);
     const uint64_t before = result->acknowledged;
     result->lived = votersThere(explore);
+    if (explore->plan->pace && !result->lived)
+        exploreBreak(explore, RULE_NOT_LIVE, "no majority of the voters is left");
     if (!result->lived)
         return;
     while (!broken(explore) && result->acknowledged == before && simNowMs(explore->world) < fromMs + LIVE_MS)
@@ -92,6 +109,7 @@
     result->liveMs = simNowMs(explore->world) - fromMs;
     if (result->acknowledged == before)
         exploreBreak(explore, RULE_NOT_LIVE, "%" PRId64 " ms after the last failure", result->liveMs);
+    whole(explore, fromMs);
 }
 
 static void dump(const Explore *explore)
@@ -109,12 +127,11 @@
     explore->plan = plan;
     explore->result = result;
     explore->loud = loud;
-    explore->world = simWorldNew(explore, plan->seed);
+    explore->world = simWorldNew(explore, plan->world);
     simWatch(explore->world, checkStep, explore);
     simWatchDisks(explore->world, diskChanged, explore);
     found(explore);
     explore->startMs = simNowMs(explore->world);
-    clientStart(explore);
     adversary(explore);
     if (!broken(explore))
         live(explore);
@@ -125,27 +142,3 @@
     talloc_free(explore->world); /* first: what runs there reaches back to the rest */
     talloc_free(explore);
 }
-
-bool exploreShrink(ExplorePlan *plan, ExploreResult *result)
-{
-    exploreRun(plan, false, result);
-    const Rule rule = result->rule;
-    if (rule == RULE_NONE)
-        return false;
-    /* first many at once, then fewer, at last one after another */
-    for (size_t span = plan->actCount / 2 + 1; span > 0; span /= 2)
-        for (size_t from = 0; from < plan->actCount; from += span) {
-            ExplorePlan tried = *plan;
-            for (size_t i = from; i < from + span && i < plan->actCount; i++)
-                tried.skipped[i] = true;
-            if (memcmp(tried.skipped, plan->skipped, sizeof(tried.skipped)) == 0)
-                continue;
-            ExploreResult got;
-            exploreRun(&tried, false, &got);
-            if (got.rule == rule) {
-                *plan = tried;
-                *result = got;
-            }
-        }
-    return true;
-}
--- a/packages/explore/test/explore.c
+++ b/packages/explore/test/explore.c
@@ -48,7 +48,7 @@
 SEEDS_FROM(seeds1, 1)
 SEEDS_FROM(seeds101, 101)
 SEEDS_FROM(seeds201, 201)
-SEEDS_FROM(seeds501, 501)
+SEEDS_FROM(seeds401, 401)
 
 /* The same seed gives the same run, and leaving an act out leaves the others as they were. */
 static void repeats(void **state)
@@ -69,7 +69,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(seeds1),   cmocka_unit_test(seeds101), cmocka_unit_test(seeds201),
-        cmocka_unit_test(seeds501), cmocka_unit_test(repeats),
+        cmocka_unit_test(seeds401), cmocka_unit_test(repeats),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/explore/tool/explore.c
+++ b/packages/explore/tool/explore.c
@@ -1,7 +1,7 @@
 /* Explores the replicated log by seeds, every rule checked at each step.
  *
- *     spancart-explore --seeds A..B [--no-shrink]
- *     spancart-explore --seed N [--skip N,N,...] [--verbose]
+ *     spancart-explore --seeds A..B [--pace] [--no-shrink]
+ *     spancart-explore --seed N [--pace] [--world N] [--skip N,N,...] [--verbose]
  *
  * Prints each seed that broke a rule, with the fewest acts that still break it and
  * the command that plays just these again. The same seed gives the same run. */
@@ -17,7 +17,7 @@
 typedef struct Sum {
     uint64_t seeds, broken, steps, committed, acknowledged, leads, voterChanges, lived;
     uint64_t done[ACT_KINDS];
-    int64_t worstMs;
+    int64_t worstMs, wholeMs;
 } Sum;
 
 static double cpuS(void)
@@ -41,6 +41,8 @@
         sum->done[i] += result->done[i];
     if (result->liveMs > sum->worstMs)
         sum->worstMs = result->liveMs;
+    if (result->wholeMs > sum->wholeMs)
+        sum->wholeMs = result->wholeMs;
 }
 
 static void sumPrint(const Sum *sum, double tookS)
@@ -52,9 +54,9 @@
     };
     printf("%" PRIu64 " seeds, %" PRIu64 " broke, %" PRIu64 " steps (%.0f a second of processor time), %" PRIu64
            " committed, %" PRIu64 " acknowledged, %" PRIu64 " leads, %" PRIu64 " changes of voters, %" PRIu64
-           " lived, worst %" PRId64 " ms\n",
+           " lived, worst %" PRId64 " ms, whole after %" PRId64 " ms\n",
            sum->seeds, sum->broken, sum->steps, (double)sum->steps / tookS, sum->committed, sum->acknowledged,
-           sum->leads, sum->voterChanges, sum->lived, sum->worstMs);
+           sum->leads, sum->voterChanges, sum->lived, sum->worstMs, sum->wholeMs);
     for (int i = 0; i < ACT_KINDS; i++)
         printf("%s%s %" PRIu64, i > 0 ? ", " : "acts: ", WORDS[i], sum->done[i]);
     printf("\n");
@@ -99,7 +101,8 @@
 static void tellShrunk(const ExplorePlan *plan)
 {
     explorePrint(plan);
-    printf("again: spancart-explore --seed %" PRIu64 " --verbose", plan->seed);
+    printf("again: spancart-explore%s --seed %" PRIu64 " --world %" PRIu64 " --verbose", plan->pace ? " --pace" : "",
+           plan->seed, plan->world);
     bool any = false;
     for (size_t i = 0; i < plan->actCount; i++)
         if (plan->skipped[i]) {
@@ -109,24 +112,35 @@
     printf("\n");
 }
 
-static int exploreAll(uint64_t first, uint64_t last, const char *skip, bool shrink, bool loud)
+typedef struct Wish {
+    uint64_t first, last;
+    const char *skip;
+    uint64_t world; /* 0: the seed's */
+    bool pace, shrink, loud;
+} Wish;
+
+static int exploreAll(const Wish *wish)
 {
     Sum sum = {0};
     const double beganS = cpuS();
-    for (uint64_t seed = first; seed <= last; seed++) {
+    for (uint64_t seed = wish->first; seed <= wish->last; seed++) {
         ExplorePlan plan;
         ExploreResult result;
-        explorePlanOf(seed, &plan);
-        if (skip != NULL && !skipRead(&plan, skip)) {
+        (wish->pace ? explorePaceOf : explorePlanOf)(seed, &plan);
+        if (wish->world != 0)
+            plan.world = wish->world;
+        if (wish->skip != NULL && !skipRead(&plan, wish->skip)) {
             fprintf(stderr, "--skip takes numbers of acts, like 0,3,4\n");
             return 2;
         }
-        exploreRun(&plan, loud, &result);
+        exploreRun(&plan, wish->loud, &result);
         sumAdd(&sum, &result);
         if (result.rule != RULE_NONE) {
             tell(&plan, &result);
-            if (shrink && exploreShrink(&plan, &result))
+            if (wish->shrink && exploreShrink(&plan, &result)) {
+                printf("shrunk: at %" PRId64 " ms, %s\n", result.atMs, result.why);
                 tellShrunk(&plan);
+            }
         }
         fflush(stdout);
     }
@@ -137,24 +151,34 @@
 int main(int argc, const char **argv)
 {
     char *seeds = NULL, *seed = NULL, *skip = NULL;
-    int plain = 0, loud = 0;
-    const struct poptOption options[] = {{"seeds", 0, POPT_ARG_STRING, &seeds, 0, "the seeds to explore", "A..B"},
-                                         {"seed", 0, POPT_ARG_STRING, &seed, 0, "one seed, not shrunk", "N"},
-                                         {"skip", 0, POPT_ARG_STRING, &skip, 0, "acts to leave out", "N,N,..."},
-                                         {"no-shrink", 0, POPT_ARG_NONE, &plain, 0, "print a break as it is", NULL},
-                                         {"verbose", 'v', POPT_ARG_NONE, &loud, 0, "print what happens", NULL},
-                                         POPT_AUTOHELP POPT_TABLEEND};
+    int pace = 0, plain = 0, loud = 0;
+    long long world = 0;
+    const struct poptOption options[] = {
+        {"seeds", 0, POPT_ARG_STRING, &seeds, 0, "the seeds to explore", "A..B"},
+        {"seed", 0, POPT_ARG_STRING, &seed, 0, "one seed, not shrunk", "N"},
+        {"world", 0, POPT_ARG_LONGLONG, &world, 0, "the world's numbers, when they are not the seed's", "N"},
+        {"skip", 0, POPT_ARG_STRING, &skip, 0, "acts to leave out", "N,N,..."},
+        {"pace", 0, POPT_ARG_NONE, &pace, 0, "losses one after another and nothing else", NULL},
+        {"no-shrink", 0, POPT_ARG_NONE, &plain, 0, "print a break as it is", NULL},
+        {"verbose", 'v', POPT_ARG_NONE, &loud, 0, "print what happens", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("spancart-explore", argc, argv, options, 0);
-    uint64_t first = 0, last = 0;
+    Wish wish = {0};
     int code = 2;
     const int got = poptGetNextOpt(context);
     const char *range = seeds != NULL ? seeds : seed;
     if (got < -1)
         fprintf(stderr, "%s: %s\n", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(got));
-    else if (range == NULL || !rangeRead(range, &first, &last))
+    else if (range == NULL || !rangeRead(range, &wish.first, &wish.last))
         fprintf(stderr, "give --seeds A..B or --seed N\n");
-    else
-        code = exploreAll(first, last, skip, seeds != NULL && plain == 0, loud != 0);
+    else {
+        wish.skip = skip;
+        wish.world = (uint64_t)world;
+        wish.pace = pace != 0;
+        wish.shrink = seeds != NULL && plain == 0;
+        wish.loud = loud != 0;
+        code = exploreAll(&wish);
+    }
     poptFreeContext(context);
     free(seeds);
     free(seed);
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -72,6 +72,8 @@
 void simLinkRate(SimWorld *world, int machine, int64_t bytesPerMs);
 /* Bytes that a machine's processes have sent to others so far. */
 uint64_t simSentBytes(const SimWorld *world, int machine);
+/* Every frame from and to the machine takes so much longer. */
+void simFar(SimWorld *world, int machine, int64_t moreMs);
 /* Each sync takes so long from now on. */
 void simDiskSlow(SimWorld *world, int machine, int64_t syncMs);
 /* Syncs fail from now on. */
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -149,7 +149,8 @@
     frame->fin = fin;
     frame->bytes = bytesCopy(frame, bytes);
     world->machines[pair->machine[side]].sentBytes += bytes.count;
-    frame->dueMs = simArrivalMs(world, pair->machine[side], pair->machine[1 - side], bytes.count);
+    frame->dueMs = simArrivalMs(world, pair->machine[side], pair->machine[1 - side], bytes.count) +
+                   world->machines[pair->machine[0]].farMs + world->machines[pair->machine[1]].farMs;
     if (pair->last[side] != NULL) {
         if (frame->dueMs < pair->last[side]->dueMs)
             frame->dueMs = pair->last[side]->dueMs;
--- a/packages/sim/src/world.c
+++ b/packages/sim/src/world.c
@@ -351,6 +351,11 @@
     world->frameLateMs = lateMs;
 }
 
+void simFar(SimWorld *world, int machine, int64_t moreMs)
+{
+    world->machines[machine].farMs = moreMs;
+}
+
 int simTakePort(SimLoop *sim, const char *address, SimPort port, char *bound)
 {
     const char *colon = strrchr(address, ':');
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -64,6 +64,7 @@
     uint64_t sentBytes;
     int64_t bytesPerMs;             /* of its link; 0: unbounded */
     int64_t sendFreeUs, takeFreeUs; /* world time in us; when its link has carried what it was given */
+    int64_t farMs; /* its frames take so much longer */
     int64_t syncMs;
     bool diskFails, diskLies;
     size_t diskRoom; /* bytes of all its files together; 0: no bound */
