--- /dev/null
+++ b/packages/explore/test/explored.c
@@ -0,0 +1,74 @@
+/* Timelines that broke a rule once, as the explorer printed them. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "explore/explore.h"
+
+static void plays(ExplorePlan plan)
+{
+    ExploreResult result;
+    while (plan.actCount < EXPLORE_ACTS_MAX && plan.acts[plan.actCount].atMs > 0)
+        plan.actCount++;
+    exploreRun(&plan, false, &result);
+    if (result.rule != RULE_NONE)
+        fail_msg("seed %u: %s: %s", (unsigned)plan.seed, ruleText(result.rule), result.why);
+    assert_true(result.acknowledged > 20);
+    for (size_t i = 0; i < plan.actCount; i++) /* each found somebody to do it to */
+        assert_true(result.done[plan.acts[i].kind] > 0);
+}
+
+/* A snapshot for a voter whose log was of another history came once more, when the log had been
+ * mended and had gone on: it was taken back behind what had been committed on it. */
+static void snapshotComesOnceMore(void **state)
+{
+    (void)state;
+    plays((ExplorePlan){.seed = 364,
+                        .world = 79554,
+                        .losses = 1,
+                        .spares = 2,
+                        .snapshot = 20,
+                        .seatBackMs = 6000,
+                        .lengthMs = 34656,
+                        .acts = {
+                            {1021, ACT_CUT_BOTH, WHO_VOTER, 23, 3014, 0},
+                            {2222, ACT_REPEAT, WHO_ANY, 11, 2947, 314},
+                            {2587, ACT_POWER, WHO_LEADER, 6, 924, 0},
+                        }});
+    plays((ExplorePlan){.seed = 39,
+                        .world = 23796,
+                        .losses = 2,
+                        .spares = 3,
+                        .byVotes = true,
+                        .snapshot = 5,
+                        .seatBackMs = 6000,
+                        .lengthMs = 37583,
+                        .acts = {
+                            {4876, ACT_REPEAT, WHO_LEADER, 2, 1757, 970},
+                            {5721, ACT_KILL, WHO_VOTER, 11, 251, 0},
+                            {5955, ACT_STEP_DOWN, WHO_LEADER, 3, 656, 0},
+                        }});
+    plays((ExplorePlan){.seed = 233,
+                        .world = 23990,
+                        .losses = 2,
+                        .spares = 3,
+                        .snapshot = 80,
+                        .seatBackMs = 6000,
+                        .lengthMs = 38190,
+                        .acts = {
+                            {58, ACT_WIPE, WHO_LEADER, 7, 3353, 0},
+                            {280, ACT_BLACKOUT, WHO_VOTER, 18, 2188, 0},
+                            {775, ACT_REPEAT, WHO_VOTER, 12, 2969, 305},
+                        }});
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(snapshotComesOnceMore),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/view/include/view/messages.h
+++ b/packages/view/include/view/messages.h
@@ -84,8 +84,9 @@
     X(U64, to, 0)
 SHAPE(AppendAsk, APPEND_ASK_FIELDS)
 
-/* over: the seat's log is of another history: it gives way whatever it holds. Else a
- * seat that has what the snapshot stands for keeps its log, which may go further. */
+/* A seat that has what the snapshot stands for keeps its log, which may go further.
+ * over: its log was found to be of another history: what lies under its own snapshot
+ * does not count as that, unless that snapshot is as new. */
 #define FILL_ASK_FIELDS(X)   \
     X(U64, epoch, 0)         \
     X(U64, holder, 0)        \
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -179,14 +179,16 @@
 }
 
 /* Whether the log holds what the snapshot stands for. One that a majority counts on
- * must not go back behind it. */
-static bool snapshotHeld(const View *view, const Record *snapshot)
+ * must not go back behind it. Also when it was found to be of another history: that
+ * may have been mended since, and the question come late or once more. */
+static bool snapshotHeld(const View *view, const Record *snapshot, bool over)
 {
     uint64_t epoch;
     if (view->cluster == 0 || snapshot->index > logLastIndex(view->log) || snapshot->index > view->queuedIndex)
         return false;
-    return snapshot->index < view->log->baseIndex ||
-           (logEpochAt(view->log, snapshot->index, &epoch) && epoch == snapshot->epoch);
+    if (snapshot->index < view->log->baseIndex)
+        return !over || snapshot->epoch <= view->log->baseEpoch;
+    return (logEpochAt(view->log, snapshot->index, &epoch) && epoch == snapshot->epoch);
 }
 
 Status seatFill(View *view, const FillAsk *ask)
@@ -202,7 +204,7 @@
         return status;
     if (ask->snapshot.kind != RECORD_SNAPSHOT)
         return STATUS_BAD_FRAME;
-    if (!ask->over && snapshotHeld(view, &ask->snapshot))
+    if (snapshotHeld(view, &ask->snapshot, ask->over))
         return journalWrite(view->journal, &promise, count); /* also what was queued before is synced then */
     status = seatReplace(view, &ask->snapshot, NULL, 0);
     return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
