--- a/packages/explore/include/explore/explore.h
+++ b/packages/explore/include/explore/explore.h
@@ -74,7 +74,7 @@
     bool pace;            /* disks are lost one after another, as soon as what was lost is to be made good */
     bool beyond;          /* more disks may be lost than are borne: then only safety is asked for */
     size_t snapshot;      /* the log is shortened after so many entries */
-    int64_t seatBackMs;   /* as the settings say: a voter is whole again within this */
+    int64_t voterBackMs;  /* as the settings say: a voter is whole again within this */
     int64_t lengthMs;     /* of the adversary */
     Act acts[EXPLORE_ACTS_MAX];
     bool skipped[EXPLORE_ACTS_MAX];
--- a/packages/explore/src/check.c
+++ b/packages/explore/src/check.c
@@ -8,6 +8,8 @@
 #include "base/epoch.h"
 #include "history.h"
 
+#define VOTERS_LEAST 3 /* count; where one disk may be lost */
+
 const char *ruleText(Rule rule)
 {
     static const char *const TEXTS[] = {
@@ -102,7 +104,9 @@
     size_t count = 0;
     for (uint64_t i = window->commitIndex + 1; i <= logLastIndex(window->log); i++) {
         const Record *entry = logAt(window->log, i);
-        count += entry != NULL && entry->change == VIEW_CHANGE_SEATS;
+        uint64_t voters[VIEW_VOTERS_MAX];
+        size_t voterCount;
+        count += entry != NULL && viewWindowList(entry, voters, &voterCount);
     }
     return count;
 }
@@ -131,7 +135,7 @@
 static size_t copiesNeeded(const Explore *explore)
 {
     const size_t losses = (size_t)explore->plan->losses;
-    const size_t voters = explore->history.voterCount > SEAT_FIRST ? explore->history.voterCount : SEAT_FIRST;
+    const size_t voters = explore->history.voterCount > VOTERS_LEAST ? explore->history.voterCount : VOTERS_LEAST;
     return losses + 1 < lockMajority(voters) ? losses + 1 : lockMajority(voters);
 }
 
--- a/packages/explore/src/draw.c
+++ b/packages/explore/src/draw.c
@@ -5,7 +5,7 @@
 
 #include "inside.h"
 
-#define PACE_ROUNDS 10      /* count; losses one after another */
+#define PACE_LOSSES 10      /* count; losses one after another */
 #define PACE_BEFORE_MS 2500 /* ms; a learner that is to replace another is started so long before, at most */
 
 typedef struct Draw {
@@ -89,7 +89,7 @@
     plan->byVotes = below(&draw, 2) == 0;
     plan->beyond = below(&draw, 6) == 0;
     plan->snapshot = (size_t[]){5, 20, 80, 400}[below(&draw, 4)];
-    plan->seatBackMs = (int64_t[]){0, 3000, 6000}[below(&draw, 3)];
+    plan->voterBackMs = (int64_t[]){0, 3000, 6000}[below(&draw, 3)];
     const bool dense = below(&draw, 4) == 0;
     plan->lengthMs = dense ? 9000 : 20000 + (int64_t)below(&draw, 20000);
     int64_t atMs = 0;
@@ -107,7 +107,7 @@
 }
 
 /* One voter after another is lost; a learner stands ready before each loss, or comes with it. */
-static void paceRound(Draw *draw, ExplorePlan *plan, int64_t atMs)
+static void paceLoss(Draw *draw, ExplorePlan *plan, int64_t atMs)
 {
     static const ActKind LOSSES[] = {ACT_LEAVE, ACT_LEAVE, ACT_VANISH, ACT_WIPE};
     const Who who = (Who[]){WHO_LEADER, WHO_VOTER, WHO_VOTER}[below(draw, 3)];
@@ -129,11 +129,11 @@
     plan->spares = (int)below(&draw, 2);
     plan->byVotes = true;
     plan->snapshot = (size_t[]){5, 80, 4000}[below(&draw, 3)];
-    plan->seatBackMs = (int64_t[]){4000, 6000}[below(&draw, 2)];
+    plan->voterBackMs = (int64_t[]){4000, 6000}[below(&draw, 2)];
     int64_t atMs = PACE_BEFORE_MS;
-    for (int i = 0; i < PACE_ROUNDS; i++) {
-        paceRound(&draw, plan, atMs);
-        atMs += plan->seatBackMs + PACE_BEFORE_MS + (int64_t)below(&draw, 500);
+    for (int i = 0; i < PACE_LOSSES; i++) {
+        paceLoss(&draw, plan, atMs);
+        atMs += plan->voterBackMs + PACE_BEFORE_MS + (int64_t)below(&draw, 500);
     }
     plan->lengthMs = atMs;
 }
@@ -152,9 +152,9 @@
     };
     printf("{.seed = %" PRIu64 ", .world = %" PRIu64
            ", .losses = %d, .spares = %d, .byVotes = %s, .pace = %s, .beyond = %s, .snapshot = %zu,\n"
-           " .seatBackMs = %" PRId64 ", .lengthMs = %" PRId64 ", .acts = {\n",
+           " .voterBackMs = %" PRId64 ", .lengthMs = %" PRId64 ", .acts = {\n",
            plan->seed, plan->world, plan->losses, plan->spares, plan->byVotes ? "true" : "false",
-           plan->pace ? "true" : "false", plan->beyond ? "true" : "false", plan->snapshot, plan->seatBackMs,
+           plan->pace ? "true" : "false", plan->beyond ? "true" : "false", plan->snapshot, plan->voterBackMs,
            plan->lengthMs);
     for (size_t i = 0; i < plan->actCount; i++)
         if (!plan->skipped[i])
--- a/packages/explore/src/inside.h
+++ b/packages/explore/src/inside.h
@@ -41,7 +41,7 @@
 typedef struct History {
     Items items;
     uint64_t listIndex;
-    uint64_t voters[SEAT_MOST];
+    uint64_t voters[VIEW_VOTERS_MAX];
     size_t voterCount;
 } History;
 
--- a/packages/explore/src/items.c
+++ b/packages/explore/src/items.c
@@ -29,17 +29,9 @@
     Item item = {.epoch = entry->epoch, .hash = mix(mix(mix(entry->epoch) + entry->change) + crc)};
     if (entry->change >= VIEW_CHANGE_FIRST && entry->payload.count >= sizeof(item.number))
         memcpy(&item.number, entry->payload.data, sizeof(item.number));
-    if (entry->change != VIEW_CHANGE_SEATS)
-        return item;
-    void *scratch = talloc_new(NULL);
-    SeatList list;
-    if (viewWindowList(entry, scratch, &list)) {
-        item.voters = talloc_zero_array(mem, uint64_t, SEAT_MOST);
-        for (size_t i = 0; i < list.seatsCount && i < SEAT_MOST; i++)
-            if (list.seats[i].disk != 0)
-                item.voters[item.voterCount++] = list.seats[i].disk;
-    }
-    talloc_free(scratch);
+    uint64_t voters[VIEW_VOTERS_MAX];
+    if (viewWindowList(entry, voters, &item.voterCount))
+        item.voters = talloc_memdup(mem, voters, sizeof(voters));
     return item;
 }
 
--- a/packages/explore/src/nodes.c
+++ b/packages/explore/src/nodes.c
@@ -60,19 +60,19 @@
 static Status boot(Node *node, Loop *loop, Failure *failure)
 {
     const Explore *explore = node->explore;
-    const ViewFounds how = explore->plan->byVotes ? VIEW_FOUNDS_BY_VOTES : VIEW_FOUNDS_BY_THREE;
+    const ViewFounds first = explore->plan->byVotes ? VIEW_FOUNDS_BY_VOTES : VIEW_FOUNDS_BY_THREE;
     node->courier = courierNew(loop, loop, node->ring);
-    const ViewProps props = {.loop = loop,
-                             .courier = node->courier,
-                             .ring = node->ring,
-                             .state = {&node->chain, deliver, save, load},
-                             .losses = explore->plan->losses,
-                             .founds = node->founds ? how : VIEW_FOUNDS_NEVER,
-                             .disksKeep = true,
-                             .seatBackMs = explore->plan->seatBackMs,
-                             .snapshotEntries = explore->plan->snapshot};
+    const ViewProps how = {.loop = loop,
+                           .courier = node->courier,
+                           .ring = node->ring,
+                           .state = {&node->chain, deliver, save, load},
+                           .losses = explore->plan->losses,
+                           .founds = node->founds ? first : VIEW_FOUNDS_NEVER,
+                           .disksKeep = true,
+                           .seatBackMs = explore->plan->voterBackMs,
+                           .snapshotEntries = explore->plan->snapshot};
     node->founds = false;
-    node->view = viewNew(loop, &props);
+    node->view = viewNew(loop, &how);
     Status status = viewOpenDisk(node->view, NODE_DATA, node->name, failure);
     char address[ADDRESS_MAX];
     if (status == STATUS_OK)
--- a/packages/explore/test/explored.c
+++ b/packages/explore/test/explored.c
@@ -31,7 +31,7 @@
                         .losses = 1,
                         .spares = 2,
                         .snapshot = 20,
-                        .seatBackMs = 6000,
+                        .voterBackMs = 6000,
                         .lengthMs = 34656,
                         .acts = {
                             {1021, ACT_CUT_BOTH, WHO_VOTER, 23, 3014, 0},
@@ -44,7 +44,7 @@
                         .spares = 3,
                         .byVotes = true,
                         .snapshot = 5,
-                        .seatBackMs = 6000,
+                        .voterBackMs = 6000,
                         .lengthMs = 37583,
                         .acts = {
                             {4876, ACT_REPEAT, WHO_LEADER, 2, 1757, 970},
@@ -56,7 +56,7 @@
                         .losses = 2,
                         .spares = 3,
                         .snapshot = 80,
-                        .seatBackMs = 6000,
+                        .voterBackMs = 6000,
                         .lengthMs = 38190,
                         .acts = {
                             {58, ACT_WIPE, WHO_LEADER, 7, 3353, 0},
--- a/packages/view/include/view/window.h
+++ b/packages/view/include/view/window.h
@@ -4,6 +4,8 @@
 #include "view/log.h"
 #include "view/view.h"
 
+#define VIEW_VOTERS_MAX SEAT_MOST
+
 /* What a checker sees of a view: for proof only, nothing decides by it. */
 typedef struct ViewWindow {
     ViewPhase phase;
@@ -12,13 +14,13 @@
     uint64_t promised; /* in memory */
     uint64_t commitIndex, deliveredIndex;
     uint64_t listIndex; /* of the entry that holds the list of voters; 0: the founded one */
-    uint64_t voters[SEAT_MOST];
+    uint64_t voters[VIEW_VOTERS_MAX];
     size_t voterCount;
     const Log *log; /* valid until the next wait */
 } ViewWindow;
 
 void viewWindow(const View *view, ViewWindow *window);
-/* The list of voters that an entry holds, on mem; false when it holds none. */
-bool viewWindowList(const Record *entry, void *mem, SeatList *list);
+/* The disks of the list of voters that an entry holds; false when it holds none. */
+bool viewWindowList(const Record *entry, uint64_t voters[VIEW_VOTERS_MAX], size_t *count);
 
 #endif
--- a/packages/view/src/window.c
+++ b/packages/view/src/window.c
@@ -1,6 +1,8 @@
 /* What a checker sees of a view. */
 #include "view/window.h"
 
+#include <talloc.h>
+
 #include "inside.h"
 
 void viewWindow(const View *view, ViewWindow *window)
@@ -18,8 +20,17 @@
     window->voterCount = viewSeats(view, window->voters);
 }
 
-bool viewWindowList(const Record *entry, void *mem, SeatList *list)
+bool viewWindowList(const Record *entry, uint64_t voters[VIEW_VOTERS_MAX], size_t *count)
 {
-    return entry->kind == RECORD_ENTRY && entry->change == VIEW_CHANGE_SEATS &&
-           shapeUnpack(&SeatListShape, entry->payload, mem, list, NULL) == STATUS_OK;
+    if (entry->kind != RECORD_ENTRY || entry->change != VIEW_CHANGE_SEATS)
+        return false;
+    void *mem = talloc_new(NULL);
+    SeatList list;
+    const bool whole = shapeUnpack(&SeatListShape, entry->payload, mem, &list, NULL) == STATUS_OK;
+    *count = 0;
+    for (size_t i = 0; whole && i < list.seatsCount && i < VIEW_VOTERS_MAX; i++)
+        if (list.seats[i].disk != 0)
+            voters[(*count)++] = list.seats[i].disk;
+    talloc_free(mem);
+    return whole;
 }
