--- a/packages/explore/src/nodes.c
+++ b/packages/explore/src/nodes.c
@@ -57,6 +57,17 @@
     return node;
 }
 
+/* Seeds change hands when a machine goes for good: the oldest that are left. */
+static void seedsOf(const Explore *explore, const char *seeds[SEEDS])
+{
+    int count = 0;
+    for (int i = 0; i < explore->nodeCount && count < SEEDS; i++)
+        if (!explore->nodes[i].gone && !explore->nodes[i].leaving)
+            seeds[count++] = explore->nodes[i].listen;
+    for (int i = count; i < SEEDS; i++)
+        seeds[i] = count > 0 ? seeds[0] : explore->nodes[0].listen;
+}
+
 static Status boot(Node *node, Loop *loop, Failure *failure)
 {
     const Explore *explore = node->explore;
@@ -91,8 +102,7 @@
         .empty = !viewFounded(node->view),
     };
     const char *seeds[SEEDS];
-    for (int i = 0; i < SEEDS; i++)
-        seeds[i] = explore->nodes[i].listen;
+    seedsOf(explore, seeds);
     node->members = membersNew(loop, loop, node->courier, node->ring, &self, seeds);
     viewStart(node->view, node->members);
     membersStart(node->members);
