Opening a view is seven steps of their own: hear, ask for promises, win, adopt, order, commit, lead

viewOpen was one function of 164 lines; the longest step has 30 now. The first entry of a view has a file of its own. No behaviour changes but one: where the lead was over after a log had been taken over well, viewOpen said OK though nobody led; it says NOT_LEADER now. The row of scripts/guards.py that takes a line out of here follows it.

--- /dev/null
+++ b/packages/view/src/entry.c
@@ -0,0 +1,38 @@
+/* The first entry of a view: whose it is, and who is in it. */
+#include <string.h>
+#include <talloc.h>
+
+#include "inside.h"
+
+void leadViewEntry(View *view, const bool inView[SEAT_MOST], bool repair)
+{
+    memmove(view->inView, inView, sizeof(view->inView));
+    void *mem = talloc_new(view);
+    ViewRecord record = {.epoch = view->epoch,
+                         .holder = view->disk,
+                         .members = talloc_array(mem, DiskId, SEAT_MOST),
+                         .holderId = membersSelf(view->props.members)->id,
+                         .repair = repair || view->last.repair};
+    for (int i = 0; i < SEAT_MOST; i++)
+        if (inView[i])
+            record.members[record.membersCount++].disk = view->seats[i];
+    Record entry = {.kind = RECORD_ENTRY,
+                    .epoch = view->epoch,
+                    .index = logLastIndex(view->log) + 1,
+                    .atMs = viewClockMs(view),
+                    .change = VIEW_CHANGE_VIEW,
+                    .name = ""};
+    shapePack(&ViewRecordShape, &record, mem, &entry.payload);
+    logAdd(view->log, &entry);
+    view->viewIndex = entry.index;
+    viewReread(view);
+    talloc_free(mem);
+}
+
+void leadTurn(View *view, const bool inView[SEAT_MOST])
+{
+    leadViewEntry(view, inView, false);
+    view->changedMs = loopNowMs(view->loop);
+    view->viewChanges++;
+    signalRaise(view->loop, &view->grew);
+}
--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -80,39 +80,6 @@
     return status;
 }
 
-void leadViewEntry(View *view, const bool inView[SEAT_MOST], bool repair)
-{
-    memmove(view->inView, inView, sizeof(view->inView));
-    void *mem = talloc_new(view);
-    ViewRecord record = {.epoch = view->epoch,
-                         .holder = view->disk,
-                         .members = talloc_array(mem, DiskId, SEAT_MOST),
-                         .holderId = membersSelf(view->props.members)->id,
-                         .repair = repair || view->last.repair};
-    for (int i = 0; i < SEAT_MOST; i++)
-        if (inView[i])
-            record.members[record.membersCount++].disk = view->seats[i];
-    Record entry = {.kind = RECORD_ENTRY,
-                    .epoch = view->epoch,
-                    .index = logLastIndex(view->log) + 1,
-                    .atMs = viewClockMs(view),
-                    .change = VIEW_CHANGE_VIEW,
-                    .name = ""};
-    shapePack(&ViewRecordShape, &record, mem, &entry.payload);
-    logAdd(view->log, &entry);
-    view->viewIndex = entry.index;
-    viewReread(view);
-    talloc_free(mem);
-}
-
-void leadTurn(View *view, const bool inView[SEAT_MOST])
-{
-    leadViewEntry(view, inView, false);
-    view->changedMs = loopNowMs(view->loop);
-    view->viewChanges++;
-    signalRaise(view->loop, &view->grew);
-}
-
 /* How many of the seats, as the newest list has them, have promised. */
 static size_t promisedCount(const View *view, const bool inView[SEAT_MOST])
 {
@@ -138,169 +105,272 @@
     }
 }
 
-Status viewOpen(View *view, const bool skip[SEAT_MOST])
+/* One opening of a view, from the first question to the first entry. */
+typedef struct Opening {
+    View *view;
+    uint64_t turn;
+    const bool *skip; /* voters that are to stay out */
+    bool newHolder;   /* it does not hold the lock already */
+    bool repair;
+    uint64_t highest;             /* epoch that anybody has heard of */
+    uint64_t epoch;               /* the one to be promised */
+    int best;                     /* place of the best log; -1: nobody promised */
+    bool inView[SEAT_MOST];       /* who promised, and is near enough */
+    uint64_t promised[SEAT_MOST]; /* the disks, by their places before a log is taken over */
+} Opening;
+
+/* What the voters said of themselves, before anything is asked of them. */
+typedef struct Heard {
+    size_t count, free; /* who answered; who of them grants nothing to another */
+    bool removed;       /* our place is another's */
+    bool ahead;         /* another stands under a higher epoch */
+} Heard;
+
+static Heard heardOf(Opening *opening, const Poll *poll)
 {
-    bool newHolder = !view->holding;
-    const uint64_t turn = ++view->leadTurn;
-    view->phase = VIEW_OPENING;
-    view->reopening = !newHolder;
-    Poll *poll = pollSeats(view, 0, skip);
-    Status status = STATUS_UNREACHABLE;
-    size_t heard = 0, free = 0;
+    const View *view = opening->view;
+    Heard heard = {0};
     /* disks that lie may have forgotten promises and epochs; those who followed a
      * leader have not */
-    uint64_t highest = view->lock.promised;
-    if (membersLeaderEpoch(view->props.members) > highest)
-        highest = membersLeaderEpoch(view->props.members);
-    bool repair = false, removed = false, ahead = false;
+    opening->highest = view->lock.promised;
+    if (membersLeaderEpoch(view->props.members) > opening->highest)
+        opening->highest = membersLeaderEpoch(view->props.members);
     for (int i = 0; i < SEAT_MOST; i++)
         if (pollReached(poll->status[i])) {
-            heard++;
-            removed |= poll->status[i] == STATUS_NO_SEAT;
-            if (poll->answers[i].promised > highest)
-                highest = poll->answers[i].promised;
+            heard.count++;
+            heard.removed |= poll->status[i] == STATUS_NO_SEAT;
+            if (poll->answers[i].promised > opening->highest)
+                opening->highest = poll->answers[i].promised;
             const bool other = poll->answers[i].held && poll->answers[i].holder != view->disk;
-            free += !other;
-            ahead |= other && poll->answers[i].promised > view->lock.promised;
+            heard.free += !other;
+            heard.ahead |= other && poll->answers[i].promised > view->lock.promised;
         }
-    const bool rest = mayRest(view, poll, &repair);
+    return heard;
+}
+
+/* Waits. Whether it may stand at all: asks for nothing but answers. */
+static Status hear(Opening *opening)
+{
+    View *view = opening->view;
+    Poll *poll = pollSeats(view, 0, opening->skip);
+    const Heard heard = heardOf(opening, poll);
+    const bool rest = mayRest(view, poll, &opening->repair);
     pollLeave(poll);
-    if (leadOver(view, turn))
+    if (leadOver(view, opening->turn))
         return STATUS_NOT_LEADER;
-    if (removed) { /* our seat has been given to another disk; whoever leads tells us more */
+    if (heard.removed) { /* our seat has been given to another disk; whoever leads tells us more */
         leadDown(view, SEAT_LOST_REST_MS);
         return STATUS_NO_SEAT;
     }
     /* what a majority does not hold for another, nobody holds; but one that stands just
      * now under a higher epoch goes first */
-    const bool held = newHolder && heard >= viewMajority(view) && (free < viewMajority(view) || ahead);
-    if (heard < viewMajority(view) || !rest || held) {
-        leadDown(view, 0);
-        return held ? STATUS_OTHER_HOLDER : rest ? status : STATUS_WOKEN;
-    }
-    /* the renewals of the old epoch have ended with leadTurn; ask for promises */
-    const uint64_t epoch = epochNext(highest, view->disk);
-    poll = pollSeats(view, epoch, skip);
-    int best = -1;
-    bool inView[SEAT_MOST] = {false};
-    /* a hold that lapsed before this question was sent was not carried on */
-    const int64_t heldUntilMs = lockHoldUntil(&view->hold);
-    for (int i = 0; i < SEAT_MOST; i++)
-        newHolder |= poll->status[i] == STATUS_OK && poll->sentMs[i] >= heldUntilMs;
-    view->reopening = !newHolder;
-    if (newHolder)
-        lockHoldClear(&view->hold);
+    const bool held =
+        opening->newHolder && heard.count >= viewMajority(view) && (heard.free < viewMajority(view) || heard.ahead);
+    if (heard.count >= viewMajority(view) && rest && !held)
+        return STATUS_OK;
+    leadDown(view, 0);
+    return held ? STATUS_OTHER_HOLDER : rest ? STATUS_UNREACHABLE : STATUS_WOKEN;
+}
+
+/* Who has promised, and which of them has the best log. */
+static void promisesCount(Opening *opening, const Poll *poll)
+{
+    View *view = opening->view;
     for (int i = 0; i < SEAT_MOST; i++) {
         if (poll->status[i] != STATUS_OK || poll->disks[i] != view->seats[i])
             continue;
-        inView[i] = true;
+        opening->inView[i] = true;
         const SeatAnswer *a = &poll->answers[i];
-        const SeatAnswer *b = best >= 0 ? &poll->answers[best] : NULL;
+        const SeatAnswer *b = opening->best >= 0 ? &poll->answers[opening->best] : NULL;
         if (b == NULL || a->logEpoch > b->logEpoch ||
             (a->logEpoch == b->logEpoch &&
              (a->logIndex > b->logIndex || (a->logIndex == b->logIndex && view->seats[i] == view->disk))))
-            best = i;
+            opening->best = i;
         lockHoldAnswered(&view->hold, i, poll->sentMs[i]);
     }
-    int own = viewOwnSeat(view);
+}
+
+/* What is known of the peers under the new epoch. */
+static void peersBegin(View *view, const Poll *poll)
+{
+    for (int i = 0; i < SEAT_MOST; i++) {
+        if (poll->status[i] == STATUS_OK || pollReached(poll->status[i]))
+            leadAnswered(view, i, &poll->answers[i]);
+        view->peers[i].matchIndex = 0;
+        view->peers[i].nextIndex = pollReached(poll->status[i]) ? poll->answers[i].logIndex + 1 : UINT64_MAX;
+        view->peers[i].appendSinceMs = INT64_MAX;
+        view->peers[i].refill = false;
+        view->peers[i].renewedMs = INT64_MIN;
+        view->peers[i].returnMs = 0;
+    }
+}
+
+/* Others may have granted what can't be used here: they need not wait it out. */
+static void promisesLost(Opening *opening, bool ownFailed)
+{
+    View *view = opening->view;
+    if (leadOver(view, opening->turn))
+        return;
+    view->epoch = opening->epoch;
+    leadRelease(view, 0);
+    leadDown(view, ownFailed ? SLOW_DISK_REST_MS : 0);
+}
+
+/* Waits. The renewals of the old epoch have ended with leadTurn: asks for promises. */
+static Status promisesAsk(Opening *opening)
+{
+    View *view = opening->view;
+    opening->epoch = epochNext(opening->highest, view->disk);
+    Poll *poll = pollSeats(view, opening->epoch, opening->skip);
+    /* a hold that lapsed before this question was sent was not carried on */
+    const int64_t heldUntilMs = lockHoldUntil(&view->hold);
+    for (int i = 0; i < SEAT_MOST; i++)
+        opening->newHolder |= poll->status[i] == STATUS_OK && poll->sentMs[i] >= heldUntilMs;
+    view->reopening = !opening->newHolder;
+    if (opening->newHolder)
+        lockHoldClear(&view->hold);
+    promisesCount(opening, poll);
+    const int own = viewOwnSeat(view);
     const bool ownFailed =
         own >= 0 && (poll->status[own] == STATUS_DISK_FAILED || poll->status[own] == STATUS_UNREACHABLE);
-    bool lost = leadOver(view, turn) || promisedCount(view, inView) < viewMajority(view) || own < 0 || !inView[own];
+    const bool lost = leadOver(view, opening->turn) || promisedCount(view, opening->inView) < viewMajority(view) ||
+                      own < 0 || !opening->inView[own];
     if (!lost) {
-        lagLeave(view, poll, best, inView);
-        for (int i = 0; i < SEAT_MOST; i++) {
-            if (poll->status[i] == STATUS_OK || pollReached(poll->status[i]))
-                leadAnswered(view, i, &poll->answers[i]);
-            view->peers[i].matchIndex = 0;
-            view->peers[i].nextIndex = pollReached(poll->status[i]) ? poll->answers[i].logIndex + 1 : UINT64_MAX;
-            view->peers[i].appendSinceMs = INT64_MAX;
-            view->peers[i].refill = false;
-            view->peers[i].renewedMs = INT64_MIN;
-            view->peers[i].returnMs = 0;
-        }
+        lagLeave(view, poll, opening->best, opening->inView);
+        peersBegin(view, poll);
     }
-    uint64_t promised[SEAT_MOST]; /* the disks, by their places before the log is taken over */
     for (int i = 0; i < SEAT_MOST; i++)
-        promised[i] = poll->status[i] == STATUS_OK ? poll->disks[i] : 0;
+        opening->promised[i] = poll->status[i] == STATUS_OK ? poll->disks[i] : 0;
     pollLeave(poll);
-    if (lost) {
-        if (!leadOver(view, turn)) {
-            /* others may have granted what can't be used here: they need not wait it out */
-            view->epoch = epoch;
-            leadRelease(view, 0);
-            leadDown(view, ownFailed ? SLOW_DISK_REST_MS : 0);
-        }
-        return STATUS_OTHER_HOLDER;
-    }
-    view->epoch = epoch;
+    if (lost)
+        promisesLost(opening, ownFailed);
+    return lost ? STATUS_OTHER_HOLDER : STATUS_OK;
+}
+
+/* The lock is won: it is kept from here on. */
+static void holdBegin(const Opening *opening)
+{
+    View *view = opening->view;
+    view->epoch = opening->epoch;
     if (!view->clockRuns) /* nobody's log has a time yet */
         viewClockSet(view, view->clockBaseMs);
-    if (newHolder)
+    if (opening->newHolder)
         view->wonMs = loopNowMs(view->loop);
     view->holding = true;
     view->wokenSinceMs = 0;
     for (int i = 0; i < SEAT_MOST; i++)
         if (view->seats[i] != 0)
             leadRenew(view, i);
-    if (view->seats[best] != view->disk) {
-        status = logAdopt(view, best);
-        /* the log may have another list of seats: the promises must be a majority of those too */
-        for (int i = 0; i < SEAT_MOST; i++) {
-            inView[i] &= view->seats[i] == promised[i];
-            if (view->seats[i] != 0 && view->seats[i] != promised[i] && !leadOver(view, turn))
-                leadRenew(view, i);
-        }
-        own = viewOwnSeat(view);
-        lost = promisedCount(view, inView) < viewMajority(view) || own < 0 || !inView[own];
-        if (leadOver(view, turn) || status != STATUS_OK || lost) {
-            if (!leadOver(view, turn))
-                leadDown(view, 0);
-            return lost ? STATUS_OTHER_HOLDER : status;
-        }
+}
+
+/* Waits. Takes the best log over, when that is another's. */
+static Status bestAdopt(Opening *opening)
+{
+    View *view = opening->view;
+    if (view->seats[opening->best] == view->disk)
+        return STATUS_OK;
+    const Status status = logAdopt(view, opening->best);
+    /* the log may have another list of seats: the promises must be a majority of those too */
+    for (int i = 0; i < SEAT_MOST; i++) {
+        opening->inView[i] &= view->seats[i] == opening->promised[i];
+        if (view->seats[i] != 0 && view->seats[i] != opening->promised[i] && !leadOver(view, opening->turn))
+            leadRenew(view, i);
     }
+    const int own = viewOwnSeat(view);
+    const bool lost = promisedCount(view, opening->inView) < viewMajority(view) || own < 0 || !opening->inView[own];
+    if (!leadOver(view, opening->turn) && status == STATUS_OK && !lost)
+        return STATUS_OK;
+    const Status why = lost ? STATUS_OTHER_HOLDER : status != STATUS_OK ? status : STATUS_NOT_LEADER;
+    if (!leadOver(view, opening->turn))
+        leadDown(view, 0);
+    return why;
+}
+
+/* Orders the view's first entry and sends it, with all before it, to everybody. */
+static void entryOrder(const Opening *opening)
+{
+    View *view = opening->view;
     /* what is in the own journal's queue is synced before what follows; what an
      * earlier lead had not queued yet is written now */
     view->syncedIndex = view->queuedIndex;
     for (int i = 0; i < SEAT_MOST; i++)
         if (view->peers[i].nextIndex > logLastIndex(view->log) + 1)
             view->peers[i].nextIndex = logLastIndex(view->log) + 1;
-    leadViewEntry(view, inView, repair);
+    leadViewEntry(view, opening->inView, opening->repair);
     leadLocal(view);
     for (int i = 0; i < SEAT_MOST; i++)
         if (view->seats[i] != 0)
             leadPeer(view, i);
-    /* a seat that lags is waited for while it gains */
+}
+
+/* How far all have come together. */
+static uint64_t gainedSum(const View *view)
+{
+    uint64_t sum = view->syncedIndex;
+    for (int i = 0; i < SEAT_MOST; i++)
+        sum += view->peers[i].matchIndex + view->peers[i].nextIndex;
+    return sum;
+}
+
+/* Waits until the first entry is committed. A seat that lags is waited for while it gains. */
+static Status entryCommitted(const Opening *opening)
+{
+    View *view = opening->view;
     int64_t untilMs = loopNowMs(view->loop) + VIEW_EXPIRY_MS;
     uint64_t gained = 0;
     while (view->commitIndex < view->viewIndex) {
-        if (!signalWait(view->loop, &view->news, loopNowMs(view->loop) + 100) && !leadOver(view, turn)) {
-            uint64_t sum = view->syncedIndex;
-            for (int i = 0; i < SEAT_MOST; i++)
-                sum += view->peers[i].matchIndex + view->peers[i].nextIndex;
+        if (!signalWait(view->loop, &view->news, loopNowMs(view->loop) + 100) && !leadOver(view, opening->turn)) {
+            const uint64_t sum = gainedSum(view);
             if (sum != gained) {
                 gained = sum;
                 untilMs = loopNowMs(view->loop) + VIEW_EXPIRY_MS;
             }
         }
-        if (leadOver(view, turn))
+        if (leadOver(view, opening->turn))
             return STATUS_NOT_LEADER;
         if (loopNowMs(view->loop) > untilMs || loopNowMs(view->loop) > lockHoldUntil(&view->hold)) {
             ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop), "view %" PRIu64 " did not come about",
-                    epochCounter(epoch));
+                    epochCounter(opening->epoch));
             leadDown(view, 0);
             return STATUS_EXPIRED;
         }
     }
+    return STATUS_OK;
+}
+
+static void leadBegin(const Opening *opening)
+{
+    View *view = opening->view;
     if (view->props.opened != NULL)
-        view->props.opened(view->props.openedArg, epoch, newHolder, view->last.repair);
+        view->props.opened(view->props.openedArg, opening->epoch, opening->newHolder, view->last.repair);
     view->phase = VIEW_LEADING;
     view->changedMs = loopNowMs(view->loop);
     view->viewChanges++;
-    membersSetLeader(view->props.members, epoch, membersSelf(view->props.members)->id);
-    if (newHolder)
+    membersSetLeader(view->props.members, opening->epoch, membersSelf(view->props.members)->id);
+    if (opening->newHolder)
         membersAnnounce(view->props.members);
     ringSay(view->props.ring, RING_NOTE, loopNowMs(view->loop), "leads view %" PRIu64 " with %zu seats%s",
-            epochCounter(epoch), promisedCount(view, view->inView), view->last.repair ? ", repairs" : "");
+            epochCounter(opening->epoch), promisedCount(view, view->inView), view->last.repair ? ", repairs" : "");
     signalRaise(view->loop, &view->news);
-    return STATUS_OK;
+}
+
+Status viewOpen(View *view, const bool skip[SEAT_MOST])
+{
+    Opening opening = {.view = view, .turn = ++view->leadTurn, .skip = skip, .newHolder = !view->holding, .best = -1};
+    view->phase = VIEW_OPENING;
+    view->reopening = !opening.newHolder;
+    Status status = hear(&opening);
+    if (status == STATUS_OK)
+        status = promisesAsk(&opening);
+    if (status != STATUS_OK)
+        return status;
+    holdBegin(&opening);
+    status = bestAdopt(&opening);
+    if (status != STATUS_OK)
+        return status;
+    entryOrder(&opening);
+    status = entryCommitted(&opening);
+    if (status == STATUS_OK)
+        leadBegin(&opening);
+    return status;
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -280,7 +280,7 @@
     Guard("failed-disk-rests", "a core whose own disk fails does not propose itself", "packages/view/src/open.c",
           "leadDown(view, ownFailed ? SLOW_DISK_REST_MS : 0);", "leadDown(view, 0);",
           "not serving", "sweep", "atlas", 512, 512,
-          also=[("packages/view/src/open.c", "            leadRelease(view, 0);\n", "")]),
+          also=[("packages/view/src/open.c", "    leadRelease(view, 0);\n", "")]),
     Guard("other-ways", "a gate that can't reach the leader asks through other cores", "packages/feed/src/ways.c",
           "        if (!wayAt(ways, nth, &taken)) {", "        if (nth > 0 || !wayAt(ways, nth, &taken)) {",
           "not serving", "sweep", "varied", 86, 86),
