--- a/packages/explore/src/draw.c
+++ b/packages/explore/src/draw.c
@@ -106,14 +106,15 @@
     }
 }
 
-/* One voter after another is lost; a learner stands ready before each loss, or comes with it. */
-static void paceLoss(Draw *draw, ExplorePlan *plan, int64_t atMs)
+/* One voter after another is lost. A learner comes shortly before each loss, or all of them stand
+ * ready from the start on. */
+static void paceLoss(Draw *draw, ExplorePlan *plan, int64_t atMs, bool standing)
 {
     static const ActKind LOSSES[] = {ACT_LEAVE, ACT_LEAVE, ACT_VANISH, ACT_WIPE};
     const Who who = (Who[]){WHO_LEADER, WHO_VOTER, WHO_VOTER}[below(draw, 3)];
     const ActKind kind = LOSSES[below(draw, sizeof(LOSSES) / sizeof(LOSSES[0]))];
     const int64_t beforeMs = (int64_t)below(draw, PACE_BEFORE_MS);
-    if (kind != ACT_WIPE) /* one that is wiped comes back as a learner itself */
+    if (kind != ACT_WIPE && !standing) /* one that is wiped comes back as a learner itself */
         plan->acts[plan->actCount++] = (Act){atMs - beforeMs, ACT_JOIN, WHO_ANY, 0, 0, 0};
     plan->acts[plan->actCount++] =
         (Act){atMs, kind, who, (unsigned)below(draw, NODES_MAX), (int64_t)below(draw, 1000), 0};
@@ -126,13 +127,14 @@
     plan->seed = plan->world = seed;
     plan->pace = true;
     plan->losses = below(&draw, 3) == 0 ? 2 : 1;
-    plan->spares = (int)below(&draw, 2);
+    const bool standing = below(&draw, 2) == 0;
+    plan->spares = standing ? PACE_LOSSES : (int)below(&draw, 2);
     plan->byVotes = true;
     plan->snapshot = (size_t[]){5, 80, 4000}[below(&draw, 3)];
     plan->voterBackMs = (int64_t[]){4000, 6000}[below(&draw, 2)];
     int64_t atMs = PACE_BEFORE_MS;
     for (int i = 0; i < PACE_LOSSES; i++) {
-        paceLoss(&draw, plan, atMs);
+        paceLoss(&draw, plan, atMs, standing);
         atMs += plan->voterBackMs + PACE_BEFORE_MS + (int64_t)below(&draw, 500);
     }
     plan->lengthMs = atMs;
--- a/packages/explore/test/explore.c
+++ b/packages/explore/test/explore.c
@@ -50,6 +50,22 @@
 SEEDS_FROM(seeds201, 201)
 SEEDS_FROM(seeds401, 401)
 
+/* Ten losses one after another, each as soon as the last is to be made good. */
+static void pace(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= (SHARE + 5) / 6; seed++) {
+        ExplorePlan plan;
+        ExploreResult result;
+        explorePaceOf(seed, &plan);
+        exploreRun(&plan, false, &result);
+        if (result.rule != RULE_NONE)
+            fail_msg("seed %u: %s: %s", (unsigned)seed, ruleText(result.rule), result.why);
+        assert_true(result.lived);
+        assert_true(result.voterChanges >= 10);
+    }
+}
+
 /* The same seed gives the same run, and leaving an act out leaves the others as they were. */
 static void repeats(void **state)
 {
@@ -69,7 +85,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(seeds1),   cmocka_unit_test(seeds101), cmocka_unit_test(seeds201),
-        cmocka_unit_test(seeds401), cmocka_unit_test(repeats),
+        cmocka_unit_test(seeds401), cmocka_unit_test(repeats),  cmocka_unit_test(pace),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
