A voter is removed only after a majority has answered anew, and only if that still stands

The list counts as soon as it is ordered: it now names one disk that lives and one that is lost, is never committed, and nobody can lead again, though the silent one came back and two of three live. Now a round of contact goes before the removal, and what is to be changed is looked at again after it.

Test: explored.removalJustAfterALoss, three acts; it failed before ("no change was committed in time") and passes now.

--- a/packages/explore/test/explored.c
+++ b/packages/explore/test/explored.c
@@ -65,10 +65,31 @@
                         }});
 }
 
+/* A voter that was silent for a while was removed just when another was lost and it came back:
+ * the list of the two that were left was ordered, and only one of them lived. */
+static void removalJustAfterALoss(void **state)
+{
+    (void)state;
+    plays((ExplorePlan){.seed = 158,
+                        .world = 8077,
+                        .losses = 1,
+                        .spares = 3,
+                        .byVotes = true,
+                        .snapshot = 20,
+                        .voterBackMs = 3000,
+                        .lengthMs = 22766,
+                        .acts = {
+                            {7159, ACT_LEAVE, WHO_VOTER, 6, 0, 0},
+                            {8819, ACT_CUT_OUT, WHO_VOTER, 21, 2674, 0},
+                            {11074, ACT_WIPE, WHO_VOTER, 7, 1107, 0},
+                        }});
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(snapshotComesOnceMore),
+        cmocka_unit_test(removalJustAfterALoss),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/view/src/voters.c
+++ b/packages/view/src/voters.c
@@ -139,6 +139,21 @@
     viewSettle(view);
 }
 
+/* Waits. Whether a majority answers now, and the same voter is to be removed even so: a list
+ * counts as soon as it is ordered, so it must not rest on a voter that was lost a moment
+ * ago, nor leave out one that has just come back. */
+static bool removalStands(View *view, Look *look, MembershipChange *change)
+{
+    const uint64_t turn = view->leadTurn, disk = look->voters[change->index].disk;
+    if (viewLeading(view) && viewContact(view, loopNowMs(view->loop) + ASK_EXPIRY_MS) != STATUS_OK)
+        return false;
+    if (leadOver(view, turn) || view->listIndex > view->commitIndex)
+        return false;
+    lookTake(view, look);
+    *change = membershipNext(&look->now);
+    return change->step == MEMBERSHIP_REMOVE && look->voters[change->index].disk == disk;
+}
+
 /* Whether a change was tried. A list must be committed before the next. */
 static bool membershipTend(View *view)
 {
@@ -151,7 +166,9 @@
         return false;
     Look look;
     lookTake(view, &look);
-    const MembershipChange change = membershipNext(&look.now);
+    MembershipChange change = membershipNext(&look.now);
+    if (change.step == MEMBERSHIP_REMOVE && !removalStands(view, &look, &change))
+        return false;
     if (change.step == MEMBERSHIP_REMOVE)
         voterRemove(view, look.places[change.index]);
     else if (change.step == MEMBERSHIP_ADD)
