A voter that has not heard yet of its own vote grants what the newer log asks of it

It never hears of its vote but from a leader. Now a seat whose asker's log is later than its own, and that is asked by its own disk's number, votes; a wiped disk has another number, and an empty one still refuses. Safe for the same reason as any vote: a majority of the asker's list is needed, and the promise is synced first.

Test: explored.votedInWhileAway failed before ("no change was committed in time") and passes now.

--- a/packages/explore/test/explored.c
+++ b/packages/explore/test/explored.c
@@ -85,11 +85,33 @@
                         }});
 }
 
+/* A learner got a vote while it was down, and one of the two others was lost before it heard of
+ * that: it refused to vote, for its own log did not have it among the voters. */
+static void votedInWhileAway(void **state)
+{
+    (void)state;
+    plays((ExplorePlan){.seed = 384,
+                        .world = 127088,
+                        .losses = 1,
+                        .spares = 1,
+                        .snapshot = 400,
+                        .voterBackMs = 3000,
+                        .lengthMs = 23795,
+                        .acts = {
+                            {8933, ACT_KILL, WHO_LEADER, 19, 3666, 0},
+                            {8945, ACT_JOIN, WHO_ANY, 7, 0, 0},
+                            {16878, ACT_FREEZE, WHO_ANY, 17, 3045, 0},
+                            {18898, ACT_KILL, WHO_ANY, 9, 1904, 0},
+                            {19737, ACT_WIPE, WHO_VOTER, 9, 3891, 0},
+                        }});
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(snapshotComesOnceMore),
         cmocka_unit_test(removalJustAfterALoss),
+        cmocka_unit_test(votedInWhileAway),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -46,7 +46,9 @@
     const bool stranger = viewSeatOf(view, ask->holder) < 0 && !later;
     if (ask->epoch == 0) /* only a look */
         return stranger && view->cluster != 0 && view->listIndex <= view->commitIndex ? STATUS_NO_SEAT : STATUS_OK;
-    if (stranger || viewOwnSeat(view) < 0)
+    /* a log that is later may have given us the vote that ours does not know of yet */
+    const bool voter = viewOwnSeat(view) >= 0 || (later && view->cluster != 0 && ask->to == view->disk);
+    if (stranger || !voter)
         return STATUS_NO_SEAT;
     if (viewDiskFailed(view))
         return STATUS_DISK_FAILED;
