--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -147,6 +147,15 @@
     coreTake(arg, task);
 }
 
+/* Where in the log the node is, for its lines. */
+static RingPlace placeNow(void *arg)
+{
+    const Core *core = arg;
+    ViewSight sight;
+    viewSight(core->view, &sight);
+    return (RingPlace){.term = epochCounter(sight.epoch), .index = sight.commitIndex};
+}
+
 Status coreStart(void *mem, Loop *loop, Ring *ring, const Props *props, const CoreWatch *watch, Core **out,
                  Failure *failure)
 {
@@ -161,6 +170,7 @@
     core->courier = courierNew(core, loop, ring);
     core->table = tableNew(core);
     tableWatch(core->table, onDelivered, core);
+    core->pieceSource.mem = core;
     core->keeper = keeperNew(core, loop, props->bounds.retellMs);
     core->liveset = livesetNew(core);
     core->saved = mapNew(core);
@@ -185,6 +195,8 @@
     core->view = viewNew(core, &viewProps);
     /* the disk first: its id is part of our name */
     Status status = viewOpenDisk(core->view, talloc_asprintf(core, "%s/journal", props->data), props->name, failure);
+    if (status == STATUS_OK)
+        ringSetPlace(ring, placeNow, core);
     if (status == STATUS_OK)
         status = courierListen(core->courier, props->listen, core->address, failure);
     if (status == STATUS_OK)
@@ -241,12 +253,14 @@
     loopServeLeave(core->loop);
     membersSetLeaving(core->members);
     membersAnnounce(core->members); /* so that the view goes on without waiting for us */
-    /* what was ordered gets its result; then the lock is handed over */
+    /* what was ordered gets its result; then the vote and the lock are handed over */
     if (viewLeading(core->view))
         viewSettle(core->view);
-    viewStepDown(core->view, INT32_MAX);
+    viewLeave(core->view, nowMs + (untilMs - nowMs) / VOTE_LEAVE_PART);
     /* requests are taken on, and carried to the next leader, until the last moment */
-    loopSleep(core->loop, core->props->bounds.unreadyMs);
+    const int64_t unreadyUntilMs = nowMs + core->props->bounds.unreadyMs;
+    if (loopNowMs(core->loop) < unreadyUntilMs)
+        loopSleep(core->loop, unreadyUntilMs - loopNowMs(core->loop));
     while (loopServeBusy(core->loop) > 0 && loopNowMs(core->loop) < untilMs)
         loopSleep(core->loop, DRAIN_LOOK_MS);
 }
