--- a/packages/explore/test/explored.c
+++ b/packages/explore/test/explored.c
@@ -65,10 +65,53 @@
                         }});
 }
 
+/* A voter that was silent for a while was removed just when another was lost and it came back:
+ * the list of the two that were left was ordered, and only one of them lived. */
+static void removalJustAfterALoss(void **state)
+{
+    (void)state;
+    plays((ExplorePlan){.seed = 158,
+                        .world = 8077,
+                        .losses = 1,
+                        .spares = 3,
+                        .byVotes = true,
+                        .snapshot = 20,
+                        .voterBackMs = 3000,
+                        .lengthMs = 22766,
+                        .acts = {
+                            {7159, ACT_LEAVE, WHO_VOTER, 6, 0, 0},
+                            {8819, ACT_CUT_OUT, WHO_VOTER, 21, 2674, 0},
+                            {11074, ACT_WIPE, WHO_VOTER, 7, 1107, 0},
+                        }});
+}
+
+/* A learner got a vote while it was down, and one of the two others was lost before it heard of
+ * that: it refused to vote, for its own log did not have it among the voters. */
+static void votedInWhileAway(void **state)
+{
+    (void)state;
+    plays((ExplorePlan){.seed = 384,
+                        .world = 127088,
+                        .losses = 1,
+                        .spares = 1,
+                        .snapshot = 400,
+                        .voterBackMs = 3000,
+                        .lengthMs = 23795,
+                        .acts = {
+                            {8933, ACT_KILL, WHO_LEADER, 19, 3666, 0},
+                            {8945, ACT_JOIN, WHO_ANY, 7, 0, 0},
+                            {16878, ACT_FREEZE, WHO_ANY, 17, 3045, 0},
+                            {18898, ACT_KILL, WHO_ANY, 9, 1904, 0},
+                            {19737, ACT_WIPE, WHO_VOTER, 9, 3891, 0},
+                        }});
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(snapshotComesOnceMore),
+        cmocka_unit_test(removalJustAfterALoss),
+        cmocka_unit_test(votedInWhileAway),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
