--- a/packages/core/src/zones.c
+++ b/packages/core/src/zones.c
@@ -95,7 +95,7 @@
     case DRAIN_FORGOTTEN:
         break;
     }
-    showRefusal(way->task, STATUS_EXPIRED, "it may have been taken: ask, and send it anew if it is to hold", NULL);
+    showRefusal(way->task, STATUS_EXPIRED, "it may have been taken: ask, and send it anew if it still stands", NULL);
     return false;
 }
 
--- a/packages/feed/include/feed/routes.h
+++ b/packages/feed/include/feed/routes.h
@@ -17,7 +17,7 @@
 typedef struct ForwardRoute {
     const char *method;
     const char *path;   /* "*" stands for one part, "**" at the end for any rest */
-    const char *needed; /* a key that the query must have, else the row does not hold; null: none */
+    const char *needed; /* a key that the query must have, else the row does not apply; null: none */
     Repeat repeat;
     const char *reason;
 } ForwardRoute;
--- a/packages/feed/src/feed.c
+++ b/packages/feed/src/feed.c
@@ -123,7 +123,7 @@
 
 /* --- the asking side --------------------------------------------------------------------- */
 
-static void hold(Feed *feed, ConfigSet set)
+static void keepSet(Feed *feed, ConfigSet set)
 {
     ChangeResult result = {0};
     set.restored = true;
@@ -145,10 +145,10 @@
         limitsServe(feed->loop, &answer->limits);
     }
     for (size_t i = 0; i < answer->setsCount; i++)
-        hold(feed, answer->sets[i]);
+        keepSet(feed, answer->sets[i]);
     ConfigSet whole;
     if (piecesTake(mem, &feed->pieces, answer, &whole))
-        hold(feed, whole);
+        keepSet(feed, whole);
 }
 
 static Status askOnce(Feed *feed, const WaysTaken *taken, bool first)
--- a/packages/feed/src/order.c
+++ b/packages/feed/src/order.c
@@ -68,7 +68,8 @@
 void orderOvertaken(HttpTask *task)
 {
     showRefusal(task, STATUS_STALE_ORDER,
-                "there has been another order for this zone; nothing was taken: send it again if it is to hold", NULL);
+                "there has been another order for this zone; nothing was taken: send it again if it still stands",
+                NULL);
     task->code = NOT_TAKEN_HTTP;
     task->retryAfterS = RETRY_AFTER_S;
 }
