--- a/packages/view/src/open.c
+++ b/packages/view/src/open.c
@@ -248,7 +248,7 @@
 }
 
 /* The lock is won: it is kept from here on. */
-static void holdBegin(const Opening *opening)
+static void leaseBegin(const Opening *opening)
 {
     View *view = opening->view;
     view->epoch = opening->epoch;
@@ -364,7 +364,7 @@
         status = promisesAsk(&opening);
     if (status != STATUS_OK)
         return status;
-    holdBegin(&opening);
+    leaseBegin(&opening);
     status = bestAdopt(&opening);
     if (status != STATUS_OK)
         return status;
