A timeline and guards for changes of membership; what is weighed before each is written down

Guards, each seen to break its test with the edit in: voter-silent, vote-given, successor-first, missing-first, members-asked. Without a row: the promise of a learner that does not know that it is a voter.

--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -80,6 +80,7 @@
 spancart_test(config config)
 spancart_test(configs sim)
 spancart_cases(explore 10 explore)
+spancart_test(members explore)
 spancart_cases(serving 10 sim)
 if(SPANCART_TESTS)
   # it compares a log in memory with the one on disk
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -365,6 +365,23 @@
     Guard("question-cancelled", "what was given up before it left is not sent", "packages/wire/src/line.c",
           " || (target->sending != NULL && target->sending->cancelled))", ")",
           "cancelled", "test", "questions"),
+    Guard("voter-silent", "a silent voter is replaced within a part of the span of a loss", "packages/view/src/voters.c",
+          "const int64_t partMs = viewBackMs(view) / VOTER_SILENT_PART;", "const int64_t partMs = SEAT_GONE_MS;",
+          "standbyThenLoss|rounds", "test", "replaced"),
+    Guard("vote-given", "a voter that is told to end waits until its vote is another's", "packages/view/src/voters.c",
+          "const bool votes = viewSeated(view), given = votes && successorRuns(view);",
+          "const bool votes = viewSeated(view), given = votes && untilMs == 0 && successorRuns(view);",
+          "leavesThenLoss", "test", "replaced"),
+    Guard("successor-first", "a voter that lives is removed only after its successor was added",
+          "packages/view/src/membership.c", "if (voter->gone && !voter->self && replaced &&",
+          "if ((voter->gone || voter->leaving) && !voter->self && replaced &&", "noStepBearsLess", "test", "membership"),
+    Guard("missing-first", "a missing voter is added before the next one is removed", "packages/view/src/membership.c",
+          "    if (missing.step != MEMBERSHIP_KEEP)",
+          "    if (missing.step != MEMBERSHIP_KEEP && goneRemoved(now, readyCount).step == MEMBERSHIP_KEEP)",
+          "noStepBearsLess", "test", "membership"),
+    Guard("members-asked", "all are asked once more before a change of membership", "packages/view/src/voters.c",
+          "    lookTake(view, contact, look);", "    lookTake(view, contact != 0 ? 0 : contact, look);",
+          "justGone", "test", "members"),
 ]
 
 
