Guards of the replicated log proved by removal with the explorer; a log may not go back, asserted

scripts/guards.py takes ("explore", "seeds", first, last) as a scenario.

seatReplace refuses (typed failure, fatal line) to put a shorter log in the place of one of the same history.

--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -212,8 +212,22 @@
     return status == STATUS_OK && ask->epoch != view->lock.promised ? STATUS_OLD_EPOCH : status;
 }
 
+/* Whether the log would lose what it has synced of the same history: that must never be. */
+static bool goesBack(const View *view, const Record *snapshot, size_t entryCount)
+{
+    uint64_t epoch;
+    return view->cluster != 0 && snapshot->index + entryCount < view->queuedIndex &&
+           logEpochAt(view->log, snapshot->index, &epoch) && epoch == snapshot->epoch;
+}
+
 Status seatReplace(View *view, const Record *snapshot, const Record *entries, size_t entryCount)
 {
+    if (goesBack(view, snapshot, entryCount)) {
+        ringSay(view->props.ring, RING_FATAL, loopNowMs(view->loop),
+                "own log may not go back from %" PRIu64 " to %" PRIu64, view->queuedIndex,
+                snapshot->index + entryCount);
+        return STATUS_INTERNAL;
+    }
     Status status = viewLoad(view, snapshot);
     if (status != STATUS_OK)
         return status;
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -31,6 +31,8 @@
         self.never, self.scenario = never, scenario
 
 
+EXPLORE_SHARE = 6  # seeds in one process
+
 CLAIM = "before the lost worker's claim lapsed"
 
 MACHINE_OFF = """
@@ -328,6 +330,22 @@
     Guard("question-cancelled", "what was given up before it left is not sent", "packages/wire/src/line.c",
           " || (target->sending != NULL && target->sending->cancelled))", ")",
           "cancelled", "test", "questions"),
+    Guard("fill-keeps", "a snapshot that the log holds already replaces nothing", "packages/view/src/seat.c",
+          "if (snapshotHeld(view, &ask->snapshot, ask->over))", "if (false && snapshotHeld(view, &ask->snapshot, ask->over))",
+          "has changed|got shorter", "explore", "seeds", 1, 240,
+          also=[("packages/view/src/seat.c", "    if (goesBack(view, snapshot, entryCount)) {", "    if (false && goesBack(view, snapshot, entryCount)) {")]),
+    Guard("promise-synced-first", "a promise is synced before it is given", "packages/view/src/seat.c",
+          "    const Status status = journalWrite(view->journal, &record, 1);\n    if (status != STATUS_OK)\n        return status;\n",
+          "    (void)record;\n", "promises that no disk holds", "explore", "seeds", 1, 24),
+    Guard("commit-majority", "a change is committed on a majority of the voters", "packages/view/src/lead.c",
+          "    if (majority < least)\n        least = majority;\n", "    (void)majority;\n",
+          "committed on fewer disks", "explore", "seeds", 1, 60),
+    Guard("lead-by-lease", "who says that it leads has a lease that runs", "packages/view/src/view.c",
+          "return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);",
+          "return view->phase == VIEW_LEADING;", "two nodes say", "explore", "seeds", 1, 60),
+    Guard("wiped-votes-not", "a wiped disk does not answer for the voter that stood at its address", "packages/view/src/seat.c",
+          "return to == 0 || to == view->disk;", "return to == 0 || to != 0;",
+          "promises that no disk|fewer disks|has changed|lacks what", "explore", "seeds", 1, 240),
 ]
 
 
@@ -350,7 +368,8 @@
 
     def make(self):
         tests = sorted({"test-" + guard.scenario[1] for guard in GUARDS if guard.scenario[0] == "test"})
-        got = self.run(["cmake", "--build", self.build, "--target", "spancart-sweep", "spancart-timeline"] + tests)
+        got = self.run(["cmake", "--build", self.build, "--target", "spancart-sweep", "spancart-timeline",
+                        "spancart-explore"] + tests)
         if got.returncode != 0:
             raise SystemExit("the scratch copy does not build:\n" + got.stdout[-3000:])
 
@@ -385,6 +404,9 @@
             with open(path, "w") as file:
                 file.write(guard.scenario[3])
             runs = [["spancart-timeline", path, str(seed), str(seed), mix] for seed in range(1, guard.scenario[2] + 1)]
+        elif kind == "explore":
+            runs = [["spancart-explore", "--seeds", f"{seed}..{min(seed + EXPLORE_SHARE - 1, guard.scenario[3])}", "--no-shrink"]
+                    for seed in range(guard.scenario[2], guard.scenario[3] + 1, EXPLORE_SHARE)]
         else:
             runs = [["spancart-sweep", str(seed), str(seed), mix] for seed in range(guard.scenario[2], guard.scenario[3] + 1)]
         at = os.cpu_count() or 1
@@ -394,7 +416,8 @@
                         for run in runs[begin:begin + at]]
             texts = [child.communicate()[0] for child in children]
             for child, text in zip(children, texts):
-                broke = re.search(r"seed (\d+).*BROKE[^:]*: (.*)", text)
+                broke = (re.search(r"seed (\d+) BROKE (.*)", text) if kind == "explore"
+                         else re.search(r"seed (\d+).*BROKE[^:]*: (.*)", text))
                 if broke:
                     yield broke.group(1), broke.group(2)
                 elif child.returncode not in (0, 1):
