--- a/packages/view/include/view/view.h
+++ b/packages/view/include/view/view.h
@@ -157,9 +157,13 @@
     int lossesBorne; /* so many more voters may be lost; negative: so many are missing for a majority */
     int lossesAsked; /* as the settings ask */
     JournalCounts journal;
+    uint64_t otherHistories; /* orders to drop what is committed, all refused */
 } ViewSight;
 
 void viewSight(const View *view, ViewSight *sight);
+/* For lines of the log, at any time, also before the disk is open: the epoch that this
+ * node is in, and how far it knows the log to be committed. */
+void viewPlace(const View *view, uint64_t *epoch, uint64_t *commitIndex);
 /* Raised after each delivery and each change of phase. */
 Signal *viewNews(View *view);
 
--- a/packages/view/src/view.c
+++ b/packages/view/src/view.c
@@ -125,6 +125,19 @@
     shapeCopy(&ViewRecordShape, record, view->lastMem, &view->last);
 }
 
+/* The list that a majority has committed may only be followed by later ones. */
+static void listCheck(View *view, uint64_t index)
+{
+    if (view->listIndex <= view->commitIndex && view->listIndex > view->listCommitted)
+        view->listCommitted = view->listIndex;
+    if (!view->props.disksKeep || index >= view->listCommitted || view->listOld)
+        return;
+    view->listOld = true;
+    ringSay(view->props.ring, RING_ALERT, loopNowMs(view->loop),
+            "the list of voters went back from entry %" PRIu64 " to %" PRIu64 ": votes no more", view->listCommitted,
+            index);
+}
+
 void viewReread(View *view)
 {
     void *mem = talloc_new(view);
@@ -158,6 +171,7 @@
         if (last == NULL)
             last = &snapshot.last;
     }
+    listCheck(view, seatsIndex);
     seatsTake(view, seats != NULL ? seats : view->founded, seatsIndex);
     if (last != NULL) {
         lastSet(view, last);
@@ -337,21 +351,27 @@
     return viewSubmit(view, VIEW_CHANGE_REPAIRED, (Bytes){0}, &result);
 }
 
+void viewPlace(const View *view, uint64_t *epoch, uint64_t *commitIndex)
+{
+    *epoch = view->phase == VIEW_FOLLOWING ? view->lock.promised : view->epoch;
+    *commitIndex = view->commitIndex;
+}
+
 void viewSight(const View *view, ViewSight *sight)
 {
     const int64_t nowMs = loopNowMs(view->loop);
     const int64_t untilMs = lockHoldUntil(&view->hold);
     memset(sight, 0, sizeof(*sight));
     sight->phase = view->phase;
-    sight->epoch = view->phase == VIEW_FOLLOWING ? view->lock.promised : view->epoch;
+    viewPlace(view, &sight->epoch, &sight->commitIndex);
     sight->holder = view->lock.holder;
     sight->woke = view->woke;
     sight->lastIndex = logLastIndex(view->log);
-    sight->commitIndex = view->commitIndex;
     sight->deliveredIndex = view->deliveredIndex;
     sight->baseIndex = view->log->baseIndex;
     sight->holdLeftMs = view->holding && untilMs > nowMs ? untilMs - nowMs : 0;
     sight->viewChanges = view->viewChanges;
+    sight->otherHistories = view->otherHistories;
     sight->journal = *journalCounts(view->journal);
     for (int i = 0; i < SEAT_MOST; i++) {
         const Peer *peer = &view->peers[i];
