--- a/packages/sim/test/diskstate.c
+++ b/packages/sim/test/diskstate.c
@@ -338,8 +338,12 @@
                 if (life == 0)
                     spoil(fleet, core);
             }
+            for (int role = FLEET_GATE; role <= FLEET_AGENT; role++) /* nobody else remembers the cluster */
+                fleetPowerOff(fleet, (FleetRole)role, 0);
             for (int core = 0; core < 3; core++)
                 fleetStartNode(fleet, FLEET_CORE, core);
+            for (int role = FLEET_GATE; role <= FLEET_AGENT; role++)
+                fleetStartNode(fleet, (FleetRole)role, 0);
             fleetRun(fleet, 20000);
             for (int core = 0; core < 3; core++)
                 assert_true(runs(fleet, core) && !viewFounded(viewOf(fleet, core)));
