--- a/packages/explore/test/explore.c
+++ b/packages/explore/test/explore.c
@@ -49,6 +49,7 @@
 SEEDS_FROM(seeds101, 101)
 SEEDS_FROM(seeds201, 201)
 SEEDS_FROM(seeds401, 401)
+SEEDS_FROM(seeds501, 501)
 
 /* Ten losses one after another, each as soon as the last is to be made good. */
 static void pace(void **state)
@@ -84,8 +85,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(seeds1),   cmocka_unit_test(seeds101), cmocka_unit_test(seeds201),
-        cmocka_unit_test(seeds401), cmocka_unit_test(repeats),  cmocka_unit_test(pace),
+        cmocka_unit_test(seeds1),   cmocka_unit_test(seeds101), cmocka_unit_test(seeds201), cmocka_unit_test(seeds401),
+        cmocka_unit_test(seeds501), cmocka_unit_test(repeats),  cmocka_unit_test(pace),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
