A piece of a version that is not there is no piece: the analyzer's one finding

Cause: pieceAnswer trusted sourceGood to have the version's row; it does, but the compiler's analyzer could not tell. Excluded: that it happens; pieces.* pass as before. It is answered as no piece now.

--- a/packages/feed/src/pieces.c
+++ b/packages/feed/src/pieces.c
@@ -48,6 +48,8 @@
     const uint64_t from = goesOn ? ask->pieceFrom : 0;
     const uint64_t left = source->length - from;
     const Revision *row = rowOf(revisions, source->version);
+    if (row == NULL) /* no piece: it is asked for anew */
+        return;
     answer->pieceSet = (ConfigSet){.base = row->base,
                                    .revision = row->revision,
                                    .text = "",
