--- a/packages/view/test/membership.c
+++ b/packages/view/test/membership.c
@@ -87,7 +87,7 @@
                                         .leaving = kind == 1,
                                         .gone = kind == 3};
     }
-    for (size_t i = 0; i < learnerCount; i++)
+    for (size_t i = 0; i < learnerCount && i < LEARNERS; i++)
         model.learners[i] = (MemberState){.disk = 100 + i, .zone = ZONES[i], .ready = true, .steady = true};
     return model;
 }
