Of two refusals to take a log back the one for what is committed is asked first

Cause: two lanes each put one into seatReplace; an order to drop what is committed was then refused as an internal failure, not counted as other-history. Seen by diskstate.committedStays, red after they were joined, green now.

--- a/packages/view/src/seat.c
+++ b/packages/view/src/seat.c
@@ -234,15 +234,15 @@
 
 Status seatReplace(View *view, const Record *snapshot, const Record *entries, size_t entryCount)
 {
+    const uint64_t lastIndex = entryCount > 0 ? entries[entryCount - 1].index : snapshot->index;
+    if (lastIndex < view->commitIndex && view->props.disksKeep)
+        return historyRefuse(view, lastIndex + 1);
     if (goesBack(view, snapshot, entryCount)) {
         ringSay(view->props.ring, RING_FATAL, loopNowMs(view->loop),
                 "own log may not go back from %" PRIu64 " to %" PRIu64, view->queuedIndex,
                 snapshot->index + entryCount);
         return STATUS_INTERNAL;
     }
-    const uint64_t lastIndex = entryCount > 0 ? entries[entryCount - 1].index : snapshot->index;
-    if (lastIndex < view->commitIndex && view->props.disksKeep)
-        return historyRefuse(view, lastIndex + 1);
     Status status = viewLoad(view, snapshot);
     if (status != STATUS_OK)
         return status;
