A simulated process that starts forgets the log's place of the one before it

Cause: the simulator's ring outlives a process; a line told before the new core had set its place asked the old core's, which was freed. Seen by the sanitizers in diskstate.spoiltIsEmpty, allSpoilt, entriesMissing and unknownRecord; they pass now. The product's own process has one ring and one core: nothing changes there.

--- a/packages/model/src/ground.c
+++ b/packages/model/src/ground.c
@@ -182,6 +182,7 @@
     const CoreWatch watch = {node, onPlans};
     const Props *props = &node->place.props;
     node->node = (FaceNode){.loop = loop, .ring = node->ring, .place = &node->place};
+    ringSetPlace(node->ring, NULL, NULL); /* it outlives the process that was there before */
     Status status = settingsRead(node, &failure) ? STATUS_OK : STATUS_BAD_PROPS;
     if (status == STATUS_OK && node->place.role == PROPS_CORE)
         status = coreStart(node->mem, loop, node->ring, props, &watch, &node->node.core, &failure);
--- a/packages/sim/src/fleet.c
+++ b/packages/sim/src/fleet.c
@@ -145,6 +145,7 @@
     Failure failure = {0};
     Status status = STATUS_OK;
     const CoreWatch watch = fleetCoreWatch(node);
+    ringSetPlace(node->ring, NULL, NULL); /* it outlives the process that was there before */
     switch (node->role) {
     case FLEET_CORE:
         status = coreStart(loop, loop, node->ring, &node->props, &watch, &node->core, &failure);
