--- a/packages/explore/test/explored.c
+++ b/packages/explore/test/explored.c
@@ -1,25 +1,5 @@
 /* Timelines that broke a rule once, as the explorer printed them. */
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-
-#include <cmocka.h>
-
-#include "explore/explore.h"
-
-static void plays(ExplorePlan plan)
-{
-    ExploreResult result;
-    while (plan.actCount < EXPLORE_ACTS_MAX && plan.acts[plan.actCount].atMs > 0)
-        plan.actCount++;
-    exploreRun(&plan, false, &result);
-    if (result.rule != RULE_NONE)
-        fail_msg("seed %u: %s: %s", (unsigned)plan.seed, ruleText(result.rule), result.why);
-    assert_true(result.acknowledged > 20);
-    for (size_t i = 0; i < plan.actCount; i++) /* each found somebody to do it to */
-        assert_true(result.done[plan.acts[i].kind] > 0);
-}
+#include "plays.h"
 
 /* A snapshot for a voter whose log was of another history came once more, when the log had been
  * mended and had gone on: it was taken back behind what had been committed on it. */
--- a/packages/explore/test/members.c
+++ b/packages/explore/test/members.c
@@ -1,23 +1,5 @@
 /* Changes of membership under timelines that broke a rule once, as the explorer printed them. */
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-
-#include <cmocka.h>
-
-#include "explore/explore.h"
-
-static void plays(ExplorePlan plan)
-{
-    ExploreResult result;
-    while (plan.actCount < EXPLORE_ACTS_MAX && plan.acts[plan.actCount].atMs > 0)
-        plan.actCount++;
-    exploreRun(&plan, false, &result);
-    if (result.rule != RULE_NONE)
-        fail_msg("seed %u: %s: %s", (unsigned)plan.seed, ruleText(result.rule), result.why);
-    assert_true(result.acknowledged > 20);
-}
+#include "plays.h"
 
 /* A list of voters is ordered on the word of members that have just gone: a disk is wiped while
  * another voter is out, and again while one stands still. Without asking them once more it could
--- /dev/null
+++ b/packages/explore/test/plays.h
@@ -0,0 +1,28 @@
+#ifndef EXPLORE_TEST_PLAYS_H
+#define EXPLORE_TEST_PLAYS_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "explore/explore.h"
+
+/* Plays a timeline, given by its rows alone. It must break no rule, see changes
+ * acknowledged, and each act must have found somebody to do it to. */
+static inline void plays(ExplorePlan plan)
+{
+    ExploreResult result;
+    while (plan.actCount < EXPLORE_ACTS_MAX && plan.acts[plan.actCount].atMs > 0)
+        plan.actCount++;
+    exploreRun(&plan, false, &result);
+    if (result.rule != RULE_NONE)
+        fail_msg("seed %u: %s: %s", (unsigned)plan.seed, ruleText(result.rule), result.why);
+    assert_true(result.acknowledged > 20);
+    for (size_t i = 0; i < plan.actCount; i++)
+        assert_true(result.done[plan.acts[i].kind] > 0);
+}
+
+#endif
