A guard's file that was edited twice is put back as it began; ack-disks by the old formula

Cause: Scratch.restore wrote the texts back in the order of the edits, so a file with two edits kept the first; the next rows ran with it and reported breaks that were not theirs (commit-majority and ack-disks with a log that got shorter, which is fill-keeps' break).

--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -397,8 +397,10 @@
           "    if (majority < least)\n        least = majority;\n", "    (void)majority;\n",
           "committed on fewer disks", "explore", "seeds", 1, 60),
     Guard("ack-disks", "what is acknowledged is on one disk more than the losses to be borne", "packages/view/src/view.c",
-          "return copies >= lockMajority(votersWanted(view));", "return copies > 0;",
-          "acknowledged on fewer", "explore", "seeds", 1, 700),
+          "return copies >= lockMajority(votersWanted(view));",
+          "const size_t there = lockMajority(view->seatCount > SEAT_FIRST ? view->seatCount : SEAT_FIRST);\n"
+          "    return copies >= there || copies >= lockMajority(votersWanted(view));",
+          "acknowledged on fewer", "explore", "seeds", 641, 700),
     Guard("lead-by-lease", "who says that it leads has a lease that runs", "packages/view/src/view.c",
           "return view->phase == VIEW_LEADING && loopNowMs(view->loop) < lockHoldUntil(&view->hold);",
           "return view->phase == VIEW_LEADING;", "two nodes say", "explore", "seeds", 1, 60),
@@ -447,7 +449,7 @@
 
     @staticmethod
     def restore(before):
-        for path, text in before:
+        for path, text in reversed(before):  # a file that was edited twice ends as it began
             with open(path, "w") as file:
                 file.write(text)
 
