--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -16,14 +16,19 @@
     bool rewrite;
 } Batch;
 
-/* Takes from the queue what shares the next sync: as much as a block holds, or one rewrite. */
+/* Whether the next of the queue goes into the batch too: a rewrite stands alone, and a block has a limit. */
+static bool shares_sync(const Batch *batch, const Waiting *next)
+{
+    return !batch->rewrite && !next->rewrite && batch->body.count + next->body.count < RECORD_MAX_BYTES;
+}
+
+/* Takes from the queue what shares the next sync: as much as a block holds, or one rewrite of any size. The first is
+ * always taken: a rewrite that was left out would leave an empty file. */
 static Batch batch_take(Journal *journal, void *mem)
 {
     Batch batch = {.first = journal->first, .rewrite = journal->first->rewrite};
     Waiting *batch_last = batch.first;
-    for (Waiting *w = batch.first; w != NULL && w->rewrite == batch.rewrite && (w == batch.first || !batch.rewrite) &&
-                                   batch.body.count + w->body.count < RECORD_MAX_BYTES;
-         w = w->next) {
+    for (Waiting *w = batch.first; w != NULL && (w == batch.first || shares_sync(&batch, w)); w = w->next) {
         bytes_add(mem, &batch.body, w->body.data, w->body.count);
         batch.records += w->records;
         batch_last = w;
