Scheduler: the tasks of a step with a latency target run together

Cause: a job is in time only when its last task is. A step of 13 tasks stood on 5.0 workers, each of which may be cut off or slow; a chance of 1 - (1 - f/n)^k that it is held up. Change: a worker that has tasks of the step already gains CHOOSE_TOGETHER, a worker's whole capacity. Work without a target is spread as before (policies.spreads), and so are lasting tasks. Failed try: for all work; that broke the promise that work without a target is spread.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -213,7 +213,10 @@
 #define PLAN_CHECK_MS 1000      /* ms; where no loss is to be survived the plan is computed this often, to be shown */
 #define CHOOSE_TIME 2           /* 1; a worker that takes as much longer must have so many times more capacity free */
 #define CHOOSE_GPU 500          /* thousandths of a worker; what a GPU there costs work that needs none */
-#define FAR_WAIT_MS 1500        /* ms; work waits so long for capacity near its data: half of what may stand still */
+/* thousandths of a worker; what a step's tasks gain together: more than a worker's whole capacity, less than what one
+ * that is slow or fails its work costs */
+#define CHOOSE_TOGETHER 1000
+#define FAR_WAIT_MS 1500 /* ms; work waits so long for capacity near its data: half of what may stand still */
 
 /* --- capacity reserved for large work -------------------------------------------------------- */
 #define RESERVE_SLACK_MS 3000 /* ms; work that must be under way within this has capacity that falls free reserved */
--- a/packages/scheduler/src/worker_choice.c
+++ b/packages/scheduler/src/worker_choice.c
@@ -1,8 +1,12 @@
 /* Which worker suits a task: the constraints, and the preferences among those that meet them.
  *
  * Constraints: capacity, kind, labels, spread (apart). Preferences: capacity left over, near the data, all of a
- * step on one rack, a fast worker, one that does not fail its work, and, with all else equal, away from others
- * of its job. */
+ * step on one rack, a fast worker, one that does not fail its work, the tasks of a step together where their job has
+ * a latency target, and, with all else equal, away from others of its job.
+ *
+ * Together, since such a job is in time only when its last task is: of n workers of which f are cut off or slow, a
+ * step on k of them is held up with a chance of about 1 - (1 - f/n)^k. Lasting tasks are each of value by themselves.
+ */
 #include "worker_choice.h"
 
 #include <string.h>
@@ -85,6 +89,12 @@
     return percent;
 }
 
+/* Whether the job is in time only when the last of its tasks is. */
+static bool gains_together(const Job *job)
+{
+    return !job->spec.lasting && (job->terms.stretch_milli > 0 || job->terms.target_ms > 0);
+}
+
 /* The preference for the worker, in thousandths of a worker's capacity: more is better. */
 static int64_t value_of(const Pass *pass, const StepSpec *step, const PlanNeed *need, size_t at)
 {
@@ -94,6 +104,8 @@
     int64_t value = left - (int64_t)worker->penalty - time_share * CHOOSE_TIME;
     if (need->resources.gpu == 0 && worker->resources.gpu > 0)
         value -= CHOOSE_GPU;
+    if (pass->spread.on_worker[at] > 0 && gains_together(pass->spread.job))
+        value += CHOOSE_TOGETHER;
     return value;
 }
 
