Scheduler: no new work for a worker whose agent owes a heartbeat longer than is usual

Cause: a worker counted as usable for 1.5 s after its agent was last heard; in that time an eighth to a sixth of the fleet, cut off, was still given tasks, and each job with one of them was late by the whole cut. Change: an agent sends its next heartbeat at once when one is answered. What that takes is observed for each (mean and deviation, RFC 6298); beyond it, and 150 ms, the worker is overdue and its free capacity counts as none. Not believed when most are overdue at once: then it is the leader that paused. Its lease and what runs there are not touched.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -22,6 +22,10 @@
 #define ORDER_LIFETIME_MS 2000 /* ms; deadline of an order: an agent refuses an older one */
 /* ms; ... by any clock, also one that is 2% slow */
 #define ORDER_GONE_MS (ORDER_LIFETIME_MS + ORDER_LIFETIME_MS / 50 + LEASE_SLACK_MS)
+/* ms; a worker whose agent owes its next heartbeat for longer than usual, and for this long, gets no new work: a lost
+ * datagram or a turn of a busy process takes less */
+#define OVERDUE_LEAST_MS 150
+#define OVERDUE_SHARE 2    /* of the workers; more overdue at once than one in so many: it is the leader that paused */
 #define WORKER_POLL_MS 400 /* ms; an agent holds its worker's poll open at most this long */
 #define HEARTBEAT_WAIT_MS \
     450 /* ms; a heartbeat is held open so long for orders: with the round trip, one per HEARTBEAT_MS */
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -222,7 +222,7 @@
         return STATUS_BAD_FIELD;
     const int64_t now_ms = loop_now_ms(controller->loop);
     const LiveRow *before = liveset_find(controller->liveset, heartbeat->worker.name);
-    const bool was_ready = before != NULL && live_row_ready(before, now_ms);
+    const bool was_ready = before != NULL && live_row_ready(before, now_ms) && !live_row_overdue(before, now_ms);
     const WorkerBefore worker_was = worker_before(before, now_ms);
     bool list_counts;
     const int64_t lease_ms = controller->settings->bounds.lease_ms;
@@ -232,6 +232,7 @@
     worker_log(controller, liveset_find(controller->liveset, heartbeat->worker.name), worker_was, now_ms);
     if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number)
         orphans_heartbeat(controller->orphans, controller->table, heartbeat, now_ms);
+    liveset_hold(controller->liveset, heartbeat->worker.name, now_ms);
     if (was_ready != live_row_ready(liveset_find(controller->liveset, heartbeat->worker.name), now_ms))
         scheduler_notify(controller->scheduler);
     running_attempts_take(controller, heartbeat);
@@ -241,6 +242,7 @@
     if (heartbeat->wait_ms > 0)
         orders_answer(controller, mem, heartbeat,
                       heartbeat->wait_ms < HEARTBEAT_WAIT_MS ? heartbeat->wait_ms : HEARTBEAT_WAIT_MS, out);
+    liveset_answer(controller->liveset, heartbeat->worker.name, loop_now_ms(controller->loop));
     /* this node may have lost the lead while it waited: then its lease must not be relied on */
     if (!replication_leased(controller->replication))
         return STATUS_NOT_LEADER;
--- a/packages/heartbeat/include/heartbeat/liveset.h
+++ b/packages/heartbeat/include/heartbeat/liveset.h
@@ -8,6 +8,7 @@
  *
  * Used by the controller while it leads. Times are ms on its steady clock; nothing here waits. */
 
+#include "heartbeat/gap.h"
 #include "heartbeat/messages.h"
 
 /* One worker, with its agent.
@@ -26,6 +27,9 @@
     Resources others;       /* capacity in use by others than our attempts */
     bool losing;            /* its loss is decided but not delivered: it gets no order until then */
     int64_t leave_until_ms; /* leaving: what runs there may run until then at least; 0: not known */
+    size_t held;            /* its heartbeats that are not answered yet */
+    int64_t answered_ms;    /* when the last of them was answered */
+    Gap gap;                /* between an answer and its next heartbeat */
 } LiveRow;
 
 typedef struct Liveset Liveset;
@@ -43,6 +47,10 @@
                          bool *list_counts);
 /* The agent has sent a report under this number: heartbeats with lower ones are out of date. */
 void liveset_report_sent(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number);
+/* A heartbeat of the worker, which liveset_heartbeat has taken, waits for its answer from here on ... */
+void liveset_hold(Liveset *liveset, const char *worker, int64_t now_ms);
+/* ... and has been answered: an agent sends its next one at once. */
+void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms);
 /* The worker's loss is decided (true), or has been delivered (false). */
 void liveset_losing(Liveset *liveset, const char *worker, bool losing);
 /* The worker's row, valid until liveset_reset; null: not heard of. */
@@ -50,6 +58,10 @@
 /* Whether the worker may be given work now: live, heard within three heartbeats, and neither
  * leaving nor being declared lost. */
 bool live_row_ready(const LiveRow *row, int64_t now_ms);
+/* Whether its next heartbeat should have come by now, judged by how long it took until now: the worker is likely cut
+ * off, frozen or dead, long before its lease lapses. It may be wrong: a hint for what is decided anew, never a reason
+ * to restart what runs there. */
+bool live_row_overdue(const LiveRow *row, int64_t now_ms);
 /* All rows in the order of names (out; the array is on mem, the rows are the live set's); returns
  * their number. */
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows);
--- a/packages/heartbeat/src/liveset.c
+++ b/packages/heartbeat/src/liveset.c
@@ -83,6 +83,21 @@
         row->number = number;
 }
 
+void liveset_hold(Liveset *liveset, const char *worker, int64_t now_ms)
+{
+    LiveRow *row = row_of(liveset, worker);
+    if (row->held++ == 0 && row->answered_ms != 0)
+        gap_take(&row->gap, now_ms - row->answered_ms);
+}
+
+void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms)
+{
+    LiveRow *row = row_of(liveset, worker);
+    if (row->held > 0) /* 0: held before the live set was reset */
+        row->held--;
+    row->answered_ms = now_ms;
+}
+
 void liveset_losing(Liveset *liveset, const char *worker, bool losing)
 {
     row_of(liveset, worker)->losing = losing;
@@ -100,6 +115,12 @@
            row->settled && !row->losing;
 }
 
+bool live_row_overdue(const LiveRow *row, int64_t now_ms)
+{
+    return row->held == 0 && row->answered_ms != 0 &&
+           now_ms - row->answered_ms > gap_limit_ms(&row->gap, OVERDUE_LEAST_MS, READY_HEARTBEATS * HEARTBEAT_MS);
+}
+
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows)
 {
     const char **names;
--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -18,8 +18,25 @@
     return ready ? resources_less(worker->resources, row->others) : none;
 }
 
+/* Whether the worker's next heartbeat should have come by now. */
+static bool overdue(const Scheduler *scheduler, const Worker *worker)
+{
+    const LiveRow *row = liveset_find(scheduler->liveset, worker->name);
+    return row != NULL && live_row_overdue(row, loop_now_ms(scheduler->loop));
+}
+
+/* Whether to believe that workers are overdue: not when most are at once, since then it is this process that has not
+ * read their heartbeats yet. */
+static bool overdue_credible(const Scheduler *scheduler, const Worker *const *workers, size_t count)
+{
+    size_t seen = 0;
+    for (size_t i = 0; i < count; i++)
+        seen += overdue(scheduler, workers[i]);
+    return seen * OVERDUE_SHARE <= count;
+}
+
 /* All workers, with their free capacity; those that may be given no work have none, but their tasks still count for
- * the plan. */
+ * the plan. One that is overdue keeps its capacity in the plan, and none of it is free. */
 static void workers_find(Pass *pass)
 {
     Scheduler *scheduler = pass->scheduler;
@@ -28,11 +45,13 @@
     pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
     pass->input.worker_count = count;
     pass->slowdowns = talloc_array(pass->mem, uint64_t, (unsigned)count);
+    const bool credible = overdue_credible(scheduler, workers, count);
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         Resources orphans;
         const Resources resources = resources_now(scheduler, worker, &orphans);
         const Resources used = resources_more(orphans, table_used_on(scheduler->table, worker->name));
+        const bool suspect = credible && overdue(scheduler, worker);
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
                                               .rack = worker->rack,
@@ -40,7 +59,7 @@
                                               .labels = worker->labels,
                                               .label_count = worker->labels_count,
                                               .resources = resources,
-                                              .free = resources_less(resources, used),
+                                              .free = suspect ? (Resources){0} : resources_less(resources, used),
                                               .penalty = score_rate(scheduler, worker->name) * 10};
         pass->slowdowns[i] = estimate_worker_slowdown(scheduler->estimates, worker->name, loop_now_ms(scheduler->loop));
         pass->fleet = resources_more(pass->fleet, resources);
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -278,12 +278,42 @@
     case_end(fleet);
 }
 
+/* A worker that is cut off is given nothing new as soon as its agent owes a heartbeat, well before it counts as
+ * silent; and again as soon as it is heard. */
+static void cut_off_gets_nothing(void **state)
+{
+    (void)state;
+    static const char STEP[] =
+        "{\"name\":\"a\",\"count\":24,\"apart\":4,\"room\":{\"cpu\":2,\"memMb\":64},\"estMs\":500,\"payload\":{\"runMs\":500}}";
+    for (uint64_t seed = 19; seed < 24; seed++) {
+        Fleet *fleet = begin(seed);
+        inside_request_send(fleet, "before", "urgent", STEP);
+        fleet_run(fleet, 3000);
+        assert_int_equal(in_phase(fleet, "before", TASK_DONE), 24);
+        const size_t starts = checker_starts_on(fleet->checker, "worker1");
+        assert_true(starts > 0);
+        fleet_isolate(fleet, FLEET_AGENT, 0, true);
+        fleet_run(fleet, HEARTBEAT_WAIT_MS + OVERDUE_LEAST_MS + 2 * PLACE_TICK_MS);
+        inside_request_send(fleet, "while", "urgent", STEP);
+        fleet_run(fleet, 200);
+        assert_int_equal(on_worker(fleet, "while", "worker1"), 0);
+        fleet_isolate(fleet, FLEET_AGENT, 0, false);
+        fleet_run(fleet, 2000);
+        inside_request_send(fleet, "after", "urgent", STEP);
+        fleet_run(fleet, 3000);
+        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 24);
+        assert_true(checker_starts_on(fleet->checker, "worker1") > starts);
+        case_end(fleet);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(stands_still),     cmocka_unit_test(too_slow),     cmocka_unit_test(longer_than_said),
-        cmocka_unit_test(new_leader_hears), cmocka_unit_test(apart_always), cmocka_unit_test(racks),
-        cmocka_unit_test(urgent_preempts),  cmocka_unit_test(leaves),       cmocka_unit_test(together),
+        cmocka_unit_test(stands_still),         cmocka_unit_test(too_slow),     cmocka_unit_test(longer_than_said),
+        cmocka_unit_test(new_leader_hears),     cmocka_unit_test(apart_always), cmocka_unit_test(racks),
+        cmocka_unit_test(urgent_preempts),      cmocka_unit_test(leaves),       cmocka_unit_test(together),
+        cmocka_unit_test(cut_off_gets_nothing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
