Agent: a silent worker is noticed by how long its reports usually take

Cause: an agent took 1.8 s to notice that its worker was dead; the leader gave that worker work meanwhile, and what had been ordered waited for the end of its order's life. Change: the same observation, of the time between an answer and the worker's next report. What the worker has not been given goes back to the leader; what it was given stays its own until its lease is over.

--- a/packages/agent/src/watch.c
+++ b/packages/agent/src/watch.c
@@ -14,6 +14,16 @@
     return agent->settings->bounds.worker_poll_ms + WORKER_QUIET_MS;
 }
 
+/* When the worker counts as silent: once its next report takes longer after its last answer than is usual. */
+static int64_t silent_at_ms(const Agent *agent)
+{
+    const int64_t latest_ms = agent->asked_ms + quiet_ms(agent);
+    if (agent->reports_held > 0 || agent->worker_answered_ms == 0)
+        return latest_ms;
+    return least(latest_ms,
+                 agent->worker_answered_ms + gap_limit_ms(&agent->worker_gap, OVERDUE_LEAST_MS, quiet_ms(agent)));
+}
+
 /* The lease as it was when it was last looked at. */
 typedef enum LeaseSeen { LEASE_NONE_YET, LEASE_RAN, LEASE_HAD_LAPSED } LeaseSeen;
 
@@ -38,8 +48,9 @@
 static void silence_watch(Agent *agent, int64_t now_ms)
 {
     const int64_t silent_ms = now_ms - agent->asked_ms;
-    if (agent->worker_live && silent_ms > quiet_ms(agent)) {
+    if (agent->worker_live && now_ms > silent_at_ms(agent)) {
         agent->worker_live = false;
+        attempts_withdraw(agent, "the worker is silent"); /* what it has not been given goes elsewhere */
         heartbeat_now(agent);
     }
     /* silent, and the lease that it was given has lapsed: no attempt runs there */
@@ -76,6 +87,8 @@
         until_ms = least(until_ms, agent->lease.until_ms);
     if (agent->worker_until_ms > now_ms)
         until_ms = least(until_ms, agent->worker_until_ms);
+    if (agent->worker_live && silent_at_ms(agent) >= now_ms)
+        until_ms = least(until_ms, silent_at_ms(agent) + 1);
     return until_ms;
 }
 
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -118,6 +118,21 @@
         heartbeat_now(agent);
 }
 
+/* Waits until there is something to answer the report with; false: its worker does not wait for an answer any more. */
+static bool report_hold(Agent *agent, const bool *gone, const WorkerReport *report)
+{
+    const uint64_t question = ++agent->questions;
+    const int64_t until_ms = answer_until_ms(agent, report);
+    signal_raise(agent->loop, &agent->for_worker); /* ends an earlier report's wait */
+    agent->reports_held++;
+    while (question == agent->questions && !*gone && !answer_ready(agent, report))
+        if (!signal_wait(agent->loop, &agent->for_worker, until_ms))
+            break;
+    agent->reports_held--;
+    agent->worker_answered_ms = loop_now_ms(agent->loop);
+    return !*gone && question == agent->questions;
+}
+
 Status agent_report(Agent *agent, void *mem, const bool *gone, const WorkerReport *report, WorkerOrders *orders)
 {
     *orders = (WorkerOrders){0};
@@ -126,22 +141,20 @@
         return status;
     const int64_t now_ms = loop_now_ms(agent->loop);
     agent->asked_ms = now_ms;
+    if (agent->reports_held == 0 && agent->worker_answered_ms != 0)
+        gap_take(&agent->worker_gap, now_ms - agent->worker_answered_ms);
     attempts_take(agent, report);
     others_take(agent, report);
     self_take(agent, report);
-    const uint64_t question = ++agent->questions;
-    signal_raise(agent->loop, &agent->for_worker); /* ends an earlier report's wait */
     if (report->left) {
+        agent->questions++;
+        signal_raise(agent->loop, &agent->for_worker);
         boot_end(agent, report->boot_ends, "the worker has left");
         orders_fill(agent, mem, report, orders);
         orders->lease_ms = 0;
         return STATUS_OK;
     }
-    const int64_t until_ms = answer_until_ms(agent, report);
-    while (question == agent->questions && !*gone && !answer_ready(agent, report))
-        if (!signal_wait(agent->loop, &agent->for_worker, until_ms))
-            break;
-    if (*gone || question != agent->questions)
+    if (!report_hold(agent, gone, report))
         return STATUS_CLOSED;
     orders_fill(agent, mem, report, orders);
     return STATUS_OK;
--- a/packages/agent/test/agent_lease.c
+++ b/packages/agent/test/agent_lease.c
@@ -137,6 +137,32 @@
     talloc_free(fixture);
 }
 
+/* A worker that usually reports again at once is silent as soon as it does not: what it has not been given goes back
+ * to the leader, what it has stays its own until its lease is over. */
+static void silence_is_noticed_by_what_is_usual(void **state)
+{
+    (void)state;
+    Case *fixture = case_given(8000, 4000);
+    for (int i = 0; i < 8; i++) {
+        Say *said = with_running(say(fixture, "b1"), "");
+        said->report.ends_wait = true;
+        say_all(said);
+        run(fixture, WORKER_AGAIN_MS);
+    }
+    assert_true(fixture->leader.heartbeat.worker_live);
+    const Order both[] = {one("j", 0, 1, ""), one("j", 1, 1, "")};
+    order(fixture, both, 2);
+    run(fixture, OVERDUE_LEAST_MS + 50);
+    assert_false(fixture->leader.heartbeat.worker_live);
+    assert_int_equal(reported(&fixture->leader, "j", 1, 1, ATTEMPT_STOPPED), 1);
+    assert_int_equal(fixture->leader.updates_count, 1);
+    /* heard again: it may be given work at once */
+    say_runs(fixture, "");
+    run(fixture, 50);
+    assert_true(fixture->leader.heartbeat.worker_live);
+    talloc_free(fixture);
+}
+
 static void fence_never_falls(void **state)
 {
     (void)state;
@@ -166,6 +192,7 @@
         cmocka_unit_test(leaving_worker_is_given_nothing),
         cmocka_unit_test(left_worker_is_over),
         cmocka_unit_test(silent_worker_has_lost_its_attempts_when_its_lease_is_over),
+        cmocka_unit_test(silence_is_noticed_by_what_is_usual),
         cmocka_unit_test(fence_never_falls),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/heartbeat/src/gap.c
+++ b/packages/heartbeat/src/gap.c
@@ -1,7 +1,7 @@
 /* The usual time until a peer's next message, and the time after which it is suspected. */
 #include "heartbeat/gap.h"
 
-#define GAPS_LEAST 4     /* count; fewer say nothing */
+#define GAPS_LEAST 8     /* count; fewer say nothing */
 #define MEAN_PART 8      /* RFC 6298: a new gap counts for one part in 8 of the mean ... */
 #define DEVIATION_PART 4 /* ... and one in 4 of the deviation; ... */
 #define DEVIATIONS 4     /* ... the limit is so many deviations above the mean */
