--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -25,16 +25,6 @@
     return row != NULL && live_row_overdue(row, loop_now_ms(scheduler->loop));
 }
 
-/* Whether to believe that workers are overdue: not when most are at once, since then it is this process that has not
- * read their heartbeats yet. */
-static bool overdue_credible(const Scheduler *scheduler, const Worker *const *workers, size_t count)
-{
-    size_t seen = 0;
-    for (size_t i = 0; i < count; i++)
-        seen += overdue(scheduler, workers[i]);
-    return seen * OVERDUE_SHARE <= count;
-}
-
 /* All workers, with their free capacity; those that may be given no work have none, but their tasks still count for
  * the plan. One that is overdue keeps its capacity in the plan, and none of it is free. */
 static void workers_find(Pass *pass)
@@ -45,7 +35,7 @@
     pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
     pass->input.worker_count = count;
     pass->slowdowns = talloc_array(pass->mem, uint64_t, (unsigned)count);
-    const bool credible = overdue_credible(scheduler, workers, count);
+    const bool credible = liveset_overdue_credible(scheduler->liveset, loop_now_ms(scheduler->loop));
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         Resources orphans;
