Routing: refused callers come back when a leader is expected by earlier outages

Change: an entry point remembers how long its route to the leader was lost before (1 s at first) and names that, to the nearest second.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -59,7 +59,9 @@
 #define FETCH_WAIT_MS 900             /* ms; a question for orders alone is held so long; below ORDER_LIFETIME_MS / 2 */
 #define CONFIG_WATCH_WAIT_MS 2000     /* ms; an entry point's question for a new configuration is held open this long */
 #define LEADER_WAIT_MS 150 /* ms; from a leader's loss, a request that nobody took waits so long for another route */
-#define ELECTION_MS 3000   /* ms; a new leader is normally found within this: callers are told to come back then */
+#define ELECTION_MS 3000   /* ms; a new leader is normally found within this */
+#define ELECTION_USUAL_MS \
+    1000 /* ms; how long that is expected to take until it has been seen: then callers come back */
 #define FORWARD_DEADLINE_MS 8000 /* ms; an entry point gives a request up after this */
 #define SUBMIT_TIMEOUT_MS 5000   /* ms; a change that is not committed in this time has an unknown outcome */
 #define CONNECT_TIMEOUT_MS 600   /* ms; a connection that takes longer to open has failed */
--- a/packages/routing/src/forwarding.c
+++ b/packages/routing/src/forwarding.c
@@ -90,14 +90,12 @@
     task->retry_after_s = (int)answer->retry_after_s;
 }
 
-/* For Retry-After, in seconds: another leader is found some 3 s after the last one was lost. */
+/* For Retry-After, in seconds, to the nearest: when the route should be found again, by how long that took before. */
 static int retry_s(const Forwarder *forwarder)
 {
-    const int64_t lost_ms = leader_route_lost_ms(forwarder->leader_route);
-    if (lost_ms == INT64_MAX)
-        return RETRY_AFTER_S;
-    const int64_t left_ms = lost_ms + ELECTION_MS - loop_now_ms(forwarder->settings.loop);
-    return left_ms <= SECOND_MS ? RETRY_AFTER_S : (int)((left_ms + SECOND_MS - 1) / SECOND_MS);
+    const int64_t left_ms = leader_route_found_ms(forwarder->leader_route) - loop_now_ms(forwarder->settings.loop);
+    const int64_t nearest_s = (left_ms + SECOND_MS / 2) / SECOND_MS;
+    return nearest_s > RETRY_AFTER_S ? (int)nearest_s : RETRY_AFTER_S;
 }
 
 void forward_give_up(const Forwarding *one)
--- a/packages/routing/src/leader_route.c
+++ b/packages/routing/src/leader_route.c
@@ -18,6 +18,7 @@
                                   .leads = leads,
                                   .arg = arg,
                                   .lost_ms = loop_now_ms(loop),
+                                  .outage_ms = ELECTION_USUAL_MS,
                                   .heard_ms = INT64_MIN,
                                   .served_ms = INT64_MIN,
                                   .missed_ms = loop_now_ms(loop)};
@@ -86,6 +87,12 @@
     return leader_route_own_lead(leader_route) ? INT64_MAX : leader_route->lost_ms;
 }
 
+int64_t leader_route_found_ms(const LeaderRoute *leader_route)
+{
+    const int64_t lost_ms = leader_route_lost_ms(leader_route);
+    return lost_ms != INT64_MAX ? lost_ms + leader_route->outage_ms : loop_now_ms(leader_route->loop);
+}
+
 int64_t leader_route_heard_ms(const LeaderRoute *leader_route)
 {
     return leader_route->heard_ms;
--- a/packages/routing/src/leader_route_state.c
+++ b/packages/routing/src/leader_route_state.c
@@ -21,8 +21,18 @@
     signal_raise(leader_route->loop, &leader_route->moved);
 }
 
+/* A route is found again: how long that took is expected of the next loss, half by it and half by those before. */
+static void outage_take(LeaderRoute *leader_route)
+{
+    if (leader_route->lost_ms == INT64_MAX || leader_route->served_ms == INT64_MIN)
+        return;
+    const int64_t took_ms = loop_now_ms(leader_route->loop) - leader_route->lost_ms;
+    leader_route->outage_ms = (leader_route->outage_ms + (took_ms < ELECTION_MS ? took_ms : ELECTION_MS)) / 2;
+}
+
 void leader_route_enter_hop(LeaderRoute *leader_route, size_t at)
 {
+    outage_take(leader_route);
     leader_route->at = at;
     leader_route->lost_ms = INT64_MAX;
     leader_route_move_on(leader_route);
--- a/packages/routing/src/leader_route_state.h
+++ b/packages/routing/src/leader_route_state.h
@@ -42,7 +42,8 @@
     uint64_t generation;
     uint64_t term; /* of the leader that the route leads to */
     size_t at;
-    int64_t lost_ms; /* since when there has been no next hop; INT64_MAX: there is one */
+    int64_t lost_ms;   /* since when there has been no next hop; INT64_MAX: there is one */
+    int64_t outage_ms; /* how long the route is expected to stay lost, by earlier losses */
     bool searching;
     int64_t heard_ms;
     int64_t served_ms; /* INT64_MIN: never */
