--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -21,8 +21,9 @@
 /* Whether the worker's next heartbeat should have come by now. */
 static bool overdue(const Scheduler *scheduler, const Worker *worker)
 {
+    const int64_t now_ms = loop_now_ms(scheduler->loop);
     const LiveRow *row = liveset_find(scheduler->liveset, worker->name);
-    return row != NULL && live_row_overdue(row, loop_now_ms(scheduler->loop));
+    return row != NULL && live_row_overdue(row, now_ms) && liveset_overdue_credible(scheduler->liveset, now_ms);
 }
 
 /* All workers, with their free capacity; those that may be given no work have none, but their tasks still count for
@@ -35,22 +36,21 @@
     pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
     pass->input.worker_count = count;
     pass->slowdowns = talloc_array(pass->mem, uint64_t, (unsigned)count);
-    const bool credible = liveset_overdue_credible(scheduler->liveset, loop_now_ms(scheduler->loop));
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         Resources orphans;
         const Resources resources = resources_now(scheduler, worker, &orphans);
         const Resources used = resources_more(orphans, table_used_on(scheduler->table, worker->name));
-        const bool suspect = credible && overdue(scheduler, worker);
-        pass->input.workers[i] = (PlanWorker){.name = worker->name,
-                                              .zone = worker->zone,
-                                              .rack = worker->rack,
-                                              .kind = worker->kind,
-                                              .labels = worker->labels,
-                                              .label_count = worker->labels_count,
-                                              .resources = resources,
-                                              .free = suspect ? (Resources){0} : resources_less(resources, used),
-                                              .penalty = score_rate(scheduler, worker->name) * 10};
+        pass->input.workers[i] =
+            (PlanWorker){.name = worker->name,
+                         .zone = worker->zone,
+                         .rack = worker->rack,
+                         .kind = worker->kind,
+                         .labels = worker->labels,
+                         .label_count = worker->labels_count,
+                         .resources = resources,
+                         .free = overdue(scheduler, worker) ? (Resources){0} : resources_less(resources, used),
+                         .penalty = score_rate(scheduler, worker->name) * 10};
         pass->slowdowns[i] = estimate_worker_slowdown(scheduler->estimates, worker->name, loop_now_ms(scheduler->loop));
         pass->fleet = resources_more(pass->fleet, resources);
     }
