--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -56,7 +56,7 @@
     int64_t leave_until_ms;       /* draining: it stays at least until then; 0: not given */
     uint64_t questions;           /* reports taken; only the newest is answered */
     int64_t started_ms, asked_ms; /* when the agent started; when the worker's last report came */
-    size_t reports_held;          /* reports of the worker that wait for their answer */
+    size_t reports_pending;       /* reports of the worker that wait for their answer */
     int64_t worker_answered_ms;   /* when the last of them was answered; 0: none was */
     Gap worker_gap;               /* between an answer and the worker's next report */
     int64_t worker_until_ms;      /* no lease passed on to the worker runs after this */
--- a/packages/agent/src/watch.c
+++ b/packages/agent/src/watch.c
@@ -18,7 +18,7 @@
 static int64_t silent_at_ms(const Agent *agent)
 {
     const int64_t latest_ms = agent->asked_ms + quiet_ms(agent);
-    if (agent->reports_held > 0 || agent->worker_answered_ms == 0)
+    if (agent->reports_pending > 0 || agent->worker_answered_ms == 0)
         return latest_ms;
     return least(latest_ms,
                  agent->worker_answered_ms + gap_limit_ms(&agent->worker_gap, OVERDUE_LEAST_MS, quiet_ms(agent)));
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -119,16 +119,16 @@
 }
 
 /* Waits until there is something to answer the report with; false: its worker does not wait for an answer any more. */
-static bool report_hold(Agent *agent, const bool *gone, const WorkerReport *report)
+static bool report_await(Agent *agent, const bool *gone, const WorkerReport *report)
 {
     const uint64_t question = ++agent->questions;
     const int64_t until_ms = answer_until_ms(agent, report);
     signal_raise(agent->loop, &agent->for_worker); /* ends an earlier report's wait */
-    agent->reports_held++;
+    agent->reports_pending++;
     while (question == agent->questions && !*gone && !answer_ready(agent, report))
         if (!signal_wait(agent->loop, &agent->for_worker, until_ms))
             break;
-    agent->reports_held--;
+    agent->reports_pending--;
     agent->worker_answered_ms = loop_now_ms(agent->loop);
     return !*gone && question == agent->questions;
 }
@@ -141,7 +141,7 @@
         return status;
     const int64_t now_ms = loop_now_ms(agent->loop);
     agent->asked_ms = now_ms;
-    if (agent->reports_held == 0 && agent->worker_answered_ms != 0)
+    if (agent->reports_pending == 0 && agent->worker_answered_ms != 0)
         gap_take(&agent->worker_gap, now_ms - agent->worker_answered_ms);
     attempts_take(agent, report);
     others_take(agent, report);
@@ -154,7 +154,7 @@
         orders->lease_ms = 0;
         return STATUS_OK;
     }
-    if (!report_hold(agent, gone, report))
+    if (!report_await(agent, gone, report))
         return STATUS_CLOSED;
     orders_fill(agent, mem, report, orders);
     return STATUS_OK;
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -232,7 +232,7 @@
     worker_log(controller, liveset_find(controller->liveset, heartbeat->worker.name), worker_was, now_ms);
     if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number)
         orphans_heartbeat(controller->orphans, controller->table, heartbeat, now_ms);
-    liveset_hold(controller->liveset, heartbeat->worker.name, now_ms);
+    liveset_pending(controller->liveset, heartbeat->worker.name, now_ms);
     if (was_ready != live_row_ready(liveset_find(controller->liveset, heartbeat->worker.name), now_ms))
         scheduler_notify(controller->scheduler);
     running_attempts_take(controller, heartbeat);
--- a/packages/heartbeat/include/heartbeat/liveset.h
+++ b/packages/heartbeat/include/heartbeat/liveset.h
@@ -28,7 +28,7 @@
     Resources others;       /* capacity in use by others than our attempts */
     bool losing;            /* its loss is decided but not delivered: it gets no order until then */
     int64_t leave_until_ms; /* leaving: what runs there may run until then at least; 0: not known */
-    size_t held;            /* its heartbeats that are not answered yet */
+    size_t pending;         /* its heartbeats that are not answered yet */
     int64_t answered_ms;    /* when the last of them was answered */
     Gap gap;                /* between an answer and its next heartbeat */
 } LiveRow;
@@ -49,7 +49,7 @@
 /* The agent has sent a report under this number: heartbeats with lower ones are out of date. */
 void liveset_report_sent(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number);
 /* A heartbeat of the worker, which liveset_heartbeat has taken, waits for its answer from here on ... */
-void liveset_hold(Liveset *liveset, const char *worker, int64_t now_ms);
+void liveset_pending(Liveset *liveset, const char *worker, int64_t now_ms);
 /* ... and has been answered: an agent sends its next one at once. */
 void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms);
 /* The worker's loss is decided (true), or has been delivered (false). */
--- a/packages/heartbeat/src/liveset.c
+++ b/packages/heartbeat/src/liveset.c
@@ -87,18 +87,18 @@
         row->number = number;
 }
 
-void liveset_hold(Liveset *liveset, const char *worker, int64_t now_ms)
+void liveset_pending(Liveset *liveset, const char *worker, int64_t now_ms)
 {
     LiveRow *row = row_of(liveset, worker);
-    if (row->held++ == 0 && row->answered_ms != 0)
+    if (row->pending++ == 0 && row->answered_ms != 0)
         gap_take(&row->gap, now_ms - row->answered_ms);
 }
 
 void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms)
 {
     LiveRow *row = row_of(liveset, worker);
-    if (row->held > 0) /* 0: held before the live set was reset */
-        row->held--;
+    if (row->pending > 0) /* 0: held before the live set was reset */
+        row->pending--;
     row->answered_ms = now_ms;
 }
 
@@ -121,7 +121,7 @@
 
 bool live_row_overdue(const LiveRow *row, int64_t now_ms)
 {
-    return row->held == 0 && row->answered_ms != 0 &&
+    return row->pending == 0 && row->answered_ms != 0 &&
            now_ms - row->answered_ms > gap_limit_ms(&row->gap, OVERDUE_LEAST_MS, READY_HEARTBEATS * HEARTBEAT_MS);
 }
 
@@ -139,7 +139,7 @@
 
 int64_t live_row_owes_from_ms(const LiveRow *row)
 {
-    const int64_t agent_ms = row->held == 0 && row->answered_ms != 0 ? row->answered_ms : INT64_MAX;
+    const int64_t agent_ms = row->pending == 0 && row->answered_ms != 0 ? row->answered_ms : INT64_MAX;
     const int64_t worker_ms = row->quiet_from_ms != 0 ? row->quiet_from_ms : INT64_MAX;
     return agent_ms < worker_ms ? agent_ms : worker_ms;
 }
