--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -42,7 +42,6 @@
 #define KNOWN_MOST 4096     /* count; ended attempts that an agent keeps for repair: two minutes at 34 a second */
 #define BOOTS_MOST 16       /* count; earlier starts of its worker that an agent recognises */
 #define COPY_SILENT_MS 1500 /* ms; work whose owner allows copies restarts when its worker is silent so long */
-#define COPY_OWED_MS 400    /* ms; ... or owes a sign of life for so long, beyond what is usual */
 #define CLOCK_SLOW_PERCENT 2 /* percent; a worker's steady clock may be so slow: leases passed on are shorter */
 #define LEASE_SLACK_MS 50    /* ms; added by the leader to its count of a lease: granularity of timers */
 
--- a/packages/heartbeat/include/heartbeat/liveset.h
+++ b/packages/heartbeat/include/heartbeat/liveset.h
@@ -20,8 +20,7 @@
     uint64_t number;        /* of the newest heartbeat or report received; older ones are out of date */
     int64_t until_ms;       /* its lease has lapsed after this */
     int64_t heard_ms;       /* its last heartbeat under this leader; INT64_MIN: none */
-    bool worker_live;       /* its agent hears from it ... */
-    int64_t quiet_from_ms;  /* ... or has not since then; 0: it does, or never has */
+    bool worker_live;       /* its agent hears from it */
     bool leaving;           /* graceful shutdown: it is given nothing new */
     bool settled;           /* the agent's list of what runs is complete */
     int64_t joined_ms;      /* its agent's first heartbeat in this incarnation */
@@ -66,9 +65,6 @@
 /* Whether to believe that workers are overdue: not when most are at once, since then it is this process that has not
  * read their heartbeats yet. */
 bool liveset_overdue_credible(const Liveset *liveset, int64_t now_ms);
-/* Since when, in ms, the worker owes a sign of life: its agent a heartbeat, or the worker its agent a report;
- * INT64_MAX: neither does. */
-int64_t live_row_owes_from_ms(const LiveRow *row);
 /* All rows in the order of names (out; the array is on mem, the rows are the live set's); returns
  * their number. */
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows);
--- a/packages/heartbeat/src/liveset.c
+++ b/packages/heartbeat/src/liveset.c
@@ -66,10 +66,6 @@
     row->heard_ms = now_ms;
     if (heartbeat->number > row->number) {
         row->number = heartbeat->number;
-        if (heartbeat->worker_live)
-            row->quiet_from_ms = 0;
-        else if (row->worker_live)
-            row->quiet_from_ms = now_ms;
         row->worker_live = heartbeat->worker_live;
         row->leaving = heartbeat->leaving;
         row->settled = heartbeat->settled;
@@ -137,13 +133,6 @@
     return overdue * OVERDUE_SHARE <= count;
 }
 
-int64_t live_row_owes_from_ms(const LiveRow *row)
-{
-    const int64_t agent_ms = row->pending == 0 && row->answered_ms != 0 ? row->answered_ms : INT64_MAX;
-    const int64_t worker_ms = row->quiet_from_ms != 0 ? row->quiet_from_ms : INT64_MAX;
-    return agent_ms < worker_ms ? agent_ms : worker_ms;
-}
-
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows)
 {
     const char **names;
--- a/packages/scheduler/src/lost_worker.c
+++ b/packages/scheduler/src/lost_worker.c
@@ -40,20 +40,6 @@
     }
 }
 
-/* Whether another copy of what runs on the worker is worth its cost: it has been silent for long, or owes a sign of
- * life for longer than usual. */
-static bool copies_due(const Scheduler *scheduler, const LiveRow *row, int64_t now_ms)
-{
-    const int64_t won_ms = scheduler_won_ms(scheduler);
-    if (now_ms - (row->heard_ms > won_ms ? row->heard_ms : won_ms) > COPY_SILENT_MS)
-        return true;
-    const int64_t owes_from_ms = live_row_owes_from_ms(row);
-    if (owes_from_ms >= now_ms - COPY_OWED_MS || owes_from_ms <= won_ms)
-        return false;
-    return row->quiet_from_ms != 0 ||
-           (live_row_overdue(row, now_ms) && liveset_overdue_credible(scheduler->liveset, now_ms));
-}
-
 void silent_attempts_give_up(Scheduler *scheduler, void *mem)
 {
     const int64_t now_ms = loop_now_ms(scheduler->loop);
@@ -61,7 +47,8 @@
     const char *worker;
     for (size_t i = 0; (worker = table_busy(scheduler->table, i)) != NULL; i++) {
         const LiveRow *row = liveset_find(scheduler->liveset, worker);
-        if (row == NULL || !copies_due(scheduler, row, now_ms))
+        const int64_t won_ms = scheduler_won_ms(scheduler);
+        if (row == NULL || now_ms - (row->heard_ms > won_ms ? row->heard_ms : won_ms) <= COPY_SILENT_MS)
             continue;
         const TaskOn *on;
         const size_t count = table_tasks_on(scheduler->table, worker, &on);
