Agent: a worker counts as silent after 400 ms at the least

Cause: a play with the agents' words showed 290 alarms in 34 s over 61 workers, many before any trouble: a busy worker now and then takes 150 to 300 ms until its next report. Change: WORKER_OVERDUE_MS 400 as the floor, not 150.

--- a/packages/agent/src/watch.c
+++ b/packages/agent/src/watch.c
@@ -21,7 +21,7 @@
     if (agent->reports_pending > 0 || agent->worker_answered_ms == 0)
         return latest_ms;
     return least(latest_ms,
-                 agent->worker_answered_ms + gap_limit_ms(&agent->worker_gap, OVERDUE_LEAST_MS, quiet_ms(agent)));
+                 agent->worker_answered_ms + gap_limit_ms(&agent->worker_gap, WORKER_OVERDUE_MS, quiet_ms(agent)));
 }
 
 /* The lease as it was when it was last looked at. */
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -27,7 +27,10 @@
 /* ms; a worker whose agent owes its next heartbeat for longer than usual, and for this long, gets no new work: a lost
  * datagram or a turn of a busy process takes less */
 #define OVERDUE_LEAST_MS 150
-#define OVERDUE_SHARE 2    /* of the workers; more overdue at once than one in so many: it is the leader that paused */
+#define OVERDUE_SHARE 2 /* of the workers; more overdue at once than one in so many: it is the leader that paused */
+/* ms; a worker that owes its next report for longer than usual, and for this long, is silent: a busy one was seen to
+ * take 300 ms now and then */
+#define WORKER_OVERDUE_MS 400
 #define WORKER_POLL_MS 400 /* ms; an agent holds its worker's poll open at most this long */
 #define HEARTBEAT_WAIT_MS \
     450 /* ms; a heartbeat is held open so long for orders: with the round trip, one per HEARTBEAT_MS */
