Lock: what a renewal takes is what a majority takes, not its slowest voter

Cause: in a play in which the leader lost its power 5 s after another voter had, the next leader was there 1.33 s after the loss: the dead voter's answers had made the grant long again. Change: a pause is how long the lease of a majority took to advance, and what was seen counts half after 2 s, not 4 s.

--- a/packages/replication/src/lease.c
+++ b/packages/replication/src/lease.c
@@ -45,7 +45,7 @@
 }
 
 #define PAUSE_TIMES 2      /* count; a grant outlasts so many pauses of the kind that was seen lately */
-#define PAUSE_FADE_PART 64 /* of a pause that was seen, one part in so many is forgotten each WATCH_MS: half in 4 s */
+#define PAUSE_FADE_PART 32 /* of a pause that was seen, one part in so many is forgotten each WATCH_MS: half in 2 s */
 #define US_PER_MS 1000
 
 int64_t lease_grant_ms(const Replication *replication)
@@ -77,9 +77,14 @@
 {
     replication->peers[slot].renewed_ms = sent_ms;
     replication->peers[slot].grant_ms = grant_ms;
-    lease_pause_take(replication, loop_now_ms(replication->loop) - sent_ms);
-    if (slot < VOTER_MOST)
+    if (slot < VOTER_MOST) {
+        const int64_t before_ms = lock_lease_until(&replication->lease);
         lock_lease_answered(&replication->lease, slot, sent_ms, grant_ms);
+        /* how long a majority took, not its slowest voters: a dead one delays no renewal of the lease */
+        const int64_t until_ms = lock_lease_until(&replication->lease);
+        if (until_ms > before_ms)
+            lease_pause_take(replication, loop_now_ms(replication->loop) + lock_lease_ms(grant_ms) - until_ms);
+    }
     contact_granted(replication, slot, contact);
 }
 
--- a/packages/replication/src/lease.h
+++ b/packages/replication/src/lease.h
@@ -17,7 +17,7 @@
 /* How long a grant this leader asks for: short, so that its death is noticed soon, but longer than what it has lately
  * seen a renewal take, or has stood still itself. */
 int64_t lease_grant_ms(const Replication *replication);
-/* A renewal took so long, or this process stood still for so long. */
+/* A renewal by a majority took so long, or this process stood still for so long. */
 void lease_pause_take(Replication *replication, int64_t pause_ms);
 /* WATCH_MS have passed: what was seen before counts for less. */
 void lease_pause_fade(Replication *replication);
--- a/packages/replication/src/state.h
+++ b/packages/replication/src/state.h
@@ -137,7 +137,7 @@
     uint64_t lead_generation;    /* grows with each election and each loss of the lead */
     uint64_t term;               /* the term that this node leads, or led last */
     LockLease lease;             /* how long each voter has granted the lease */
-    int64_t pause_us;            /* the longest that a renewal took lately, or this process stood still (lease.c) */
+    int64_t pause_us;            /* the longest that a majority took lately, or this process stood still (lease.c) */
     bool has_lease;              /* the lease was won and not given up; also during a reelection */
     bool reelecting;             /* the election under way is by the leader, whose lease runs on */
     int64_t won_ms;              /* when the lease was won from another node, or from none */
