--- a/packages/sim/test/leader_found.c
+++ b/packages/sim/test/leader_found.c
@@ -51,6 +51,26 @@
     }
 }
 
+/* While nobody can lead, callers are told to come back later each time, up to three seconds. */
+static void long_outage_spares_tries(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(SEED_FIRST);
+    for (int i = 0; i < 3; i++)
+        fleet_kill(fleet, FLEET_CONTROLLER, i);
+    static const struct {
+        int64_t run_ms;
+        int retry_s;
+    } ASKED[] = {{600, 1}, {1400, 2}, {1000, 3}, {5000, 3}};
+    for (size_t i = 0; i < sizeof(ASKED) / sizeof(ASKED[0]); i++) {
+        fleet_run(fleet, ASKED[i].run_ms);
+        const HttpCall call = submit(fleet);
+        assert_int_equal(call.code, 503);
+        assert_int_equal(call.retry_after_s, ASKED[i].retry_s);
+    }
+    case_end(fleet);
+}
+
 /* A leader whose machine holds it up again and again, for less than its lease lasts by then, goes on leading. */
 static void held_up_leader_stays(void **state)
 {
@@ -73,6 +93,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(found_again_soon),
+        cmocka_unit_test(long_outage_spares_tries),
         cmocka_unit_test(held_up_leader_stays),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
