Scheduler: work is spread as before where the configuration names losses

Cause, by reading: a start must leave a plan there, and tasks that run together are lost together: less often a plan passes, and a protected start waits up to 2 s for one. Change: the gain of running together counts only where no loss is named. Test: planner.spread_where_losses_are_named (six on one worker without this).

--- a/packages/scheduler/src/worker_choice.c
+++ b/packages/scheduler/src/worker_choice.c
@@ -89,10 +89,11 @@
     return percent;
 }
 
-/* Whether the job is in time only when the last of its tasks is. */
-static bool gains_together(const Job *job)
+/* Whether the job is in time only when the last of its tasks is. Where the configuration names losses that each start
+ * must leave a plan for, spreading counts for more: less has to be restarted at once. */
+static bool gains_together(const Pass *pass, const Job *job)
 {
-    return !job->spec.lasting && (job->terms.stretch_milli > 0 || job->terms.target_ms > 0);
+    return !pass->plan_required && !job->spec.lasting && (job->terms.stretch_milli > 0 || job->terms.target_ms > 0);
 }
 
 /* The preference for the worker, in thousandths of a worker's capacity: more is better. */
@@ -104,7 +105,7 @@
     int64_t value = left - (int64_t)worker->penalty - time_share * CHOOSE_TIME;
     if (need->resources.gpu == 0 && worker->resources.gpu > 0)
         value -= CHOOSE_GPU;
-    if (pass->spread.on_worker[at] > 0 && gains_together(pass->spread.job))
+    if (pass->spread.on_worker[at] > 0 && gains_together(pass, pass->spread.job))
         value += CHOOSE_TOGETHER;
     return value;
 }
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -15,6 +15,10 @@
     "\"bulk\":{\"stretch\":2,\"targetMs\":2000,\"rounds\":4},"       \
     "\"urgent\":{\"priority\":1,\"stretch\":1.5,\"targetMs\":1000,\"rounds\":4}}}}}"
 
+#define CONFIG_LOSSES                                                \
+    "{\"r\":1,\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{" \
+    "\"urgent\":{\"priority\":1,\"stretch\":1.5,\"targetMs\":1000,\"rounds\":4}}}}}"
+
 static Fleet *begin(uint64_t seed)
 {
     return case_configured(seed, (FleetShape){3, 1, 6, MIX_TRENTVALE, 0}, CONFIG);
@@ -278,6 +282,20 @@
     case_end(fleet);
 }
 
+/* ... but not where the configuration names losses: the fewer on one worker, the less has to restart at once. */
+static void spread_where_losses_are_named(void **state)
+{
+    (void)state;
+    Fleet *fleet = case_configured(18, (FleetShape){3, 1, 6, MIX_TRENTVALE, 0}, CONFIG_LOSSES);
+    inside_request_send(
+        fleet, "a", "urgent",
+        "{\"name\":\"a\",\"count\":6,\"room\":{\"cpu\":2,\"memMb\":64},\"estMs\":1500,\"payload\":{\"runMs\":1500}}");
+    fleet_run(fleet, 500);
+    for (int i = 1; i <= 6; i++)
+        assert_int_equal(on_worker(fleet, "a", talloc_asprintf(fleet, "worker%d", i)), 1);
+    case_end(fleet);
+}
+
 /* A worker that is cut off is given nothing new as soon as its agent owes a heartbeat, well before it counts as
  * silent; and again as soon as it is heard. */
 static void cut_off_gets_nothing(void **state)
@@ -310,10 +328,17 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(stands_still),         cmocka_unit_test(too_slow),     cmocka_unit_test(longer_than_said),
-        cmocka_unit_test(new_leader_hears),     cmocka_unit_test(apart_always), cmocka_unit_test(racks),
-        cmocka_unit_test(urgent_preempts),      cmocka_unit_test(leaves),       cmocka_unit_test(together),
+        cmocka_unit_test(stands_still),
+        cmocka_unit_test(too_slow),
+        cmocka_unit_test(longer_than_said),
+        cmocka_unit_test(new_leader_hears),
+        cmocka_unit_test(apart_always),
+        cmocka_unit_test(racks),
+        cmocka_unit_test(urgent_preempts),
+        cmocka_unit_test(leaves),
+        cmocka_unit_test(together),
         cmocka_unit_test(cut_off_gets_nothing),
+        cmocka_unit_test(spread_where_losses_are_named),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
