One kind of bookkeeping for peers that owe a question; a pass looks each worker up once

Found by reading the whole change again. The agent and the live set each kept the same three fields and the same arithmetic: base/arrivals has them once. Whether overdue workers are to be believed was worked out anew for each of them, with a sorted list of the whole live set on the planner's hot path: once in a pass now, from rows that the pass looks up anyway (each worker was looked up twice). How long an outage should last is worked out in the route alone; forwarding only rounds it. Behaviour stays.

--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -5,11 +5,11 @@
  * attempts (the attempt table); orders; heartbeat; end_reports, isolated, watch (deadlines), boot, worker and answer
  * (the worker's side); report_json and http (HTTP); agent. */
 
+#include "base/arrivals.h"
 #include "base/log_event.h"
 #include "base/term.h"
 #include "agent/agent.h"
 #include "agent/report.h"
-#include "base/gap.h"
 #include "heartbeat/lease.h"
 #include "routing/messages.h"
 #include "lock/lock.h"
@@ -56,9 +56,7 @@
     int64_t leave_until_ms;       /* draining: it stays at least until then; 0: not given */
     uint64_t questions;           /* reports taken; only the newest is answered */
     int64_t started_ms, asked_ms; /* when the agent started; when the worker's last report came */
-    size_t reports_pending;       /* reports of the worker that wait for their answer */
-    int64_t worker_answered_ms;   /* when the last of them was answered; 0: none was */
-    Gap worker_gap;               /* between an answer and the worker's next report */
+    Arrivals reports;             /* how soon the worker reports again after an answer */
     int64_t worker_until_ms;      /* no lease passed on to the worker runs after this */
     Attempts attempts;
     Signal for_worker; /* raised when there is something to answer the worker with */
--- a/packages/agent/src/watch.c
+++ b/packages/agent/src/watch.c
@@ -17,11 +17,8 @@
 /* When the worker counts as silent: once its next report takes longer after its last answer than is usual. */
 static int64_t silent_at_ms(const Agent *agent)
 {
-    const int64_t latest_ms = agent->asked_ms + quiet_ms(agent);
-    if (agent->reports_pending > 0 || agent->worker_answered_ms == 0)
-        return latest_ms;
-    return least(latest_ms,
-                 agent->worker_answered_ms + gap_limit_ms(&agent->worker_gap, WORKER_OVERDUE_MS, quiet_ms(agent)));
+    return least(agent->asked_ms + quiet_ms(agent),
+                 arrivals_late_ms(&agent->reports, WORKER_OVERDUE_MS, quiet_ms(agent)));
 }
 
 /* The lease as it was when it was last looked at. */
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -124,12 +124,10 @@
     const uint64_t question = ++agent->questions;
     const int64_t until_ms = answer_until_ms(agent, report);
     signal_raise(agent->loop, &agent->for_worker); /* ends an earlier report's wait */
-    agent->reports_pending++;
     while (question == agent->questions && !*gone && !answer_ready(agent, report))
         if (!signal_wait(agent->loop, &agent->for_worker, until_ms))
             break;
-    agent->reports_pending--;
-    agent->worker_answered_ms = loop_now_ms(agent->loop);
+    arrivals_answered(&agent->reports, loop_now_ms(agent->loop));
     return !*gone && question == agent->questions;
 }
 
@@ -141,13 +139,13 @@
         return status;
     const int64_t now_ms = loop_now_ms(agent->loop);
     agent->asked_ms = now_ms;
-    if (agent->reports_pending == 0 && agent->worker_answered_ms != 0)
-        gap_take(&agent->worker_gap, now_ms - agent->worker_answered_ms);
+    arrivals_asked(&agent->reports, now_ms);
     attempts_take(agent, report);
     others_take(agent, report);
     self_take(agent, report);
     if (report->left) {
         agent->questions++;
+        arrivals_answered(&agent->reports, now_ms);
         signal_raise(agent->loop, &agent->for_worker);
         boot_end(agent, report->boot_ends, "the worker has left");
         orders_fill(agent, mem, report, orders);
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -232,7 +232,7 @@
     worker_log(controller, liveset_find(controller->liveset, heartbeat->worker.name), worker_was, now_ms);
     if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number)
         orphans_heartbeat(controller->orphans, controller->table, heartbeat, now_ms);
-    liveset_pending(controller->liveset, heartbeat->worker.name, now_ms);
+    liveset_asked(controller->liveset, heartbeat->worker.name, now_ms);
     if (was_ready != live_row_ready(liveset_find(controller->liveset, heartbeat->worker.name), now_ms))
         scheduler_notify(controller->scheduler);
     running_attempts_take(controller, heartbeat);
@@ -242,7 +242,7 @@
     if (heartbeat->wait_ms > 0)
         orders_answer(controller, mem, heartbeat,
                       heartbeat->wait_ms < HEARTBEAT_WAIT_MS ? heartbeat->wait_ms : HEARTBEAT_WAIT_MS, out);
-    liveset_answer(controller->liveset, heartbeat->worker.name, loop_now_ms(controller->loop));
+    liveset_answered(controller->liveset, heartbeat->worker.name, loop_now_ms(controller->loop));
     /* this node may have lost the lead while it waited: then its lease must not be relied on */
     if (!replication_leased(controller->replication))
         return STATUS_NOT_LEADER;
--- a/packages/heartbeat/include/heartbeat/liveset.h
+++ b/packages/heartbeat/include/heartbeat/liveset.h
@@ -8,7 +8,7 @@
  *
  * Used by the controller while it leads. Times are ms on its steady clock; nothing here waits. */
 
-#include "base/gap.h"
+#include "base/arrivals.h"
 #include "heartbeat/messages.h"
 
 /* One worker, with its agent.
@@ -27,9 +27,7 @@
     Resources others;       /* capacity in use by others than our attempts */
     bool losing;            /* its loss is decided but not delivered: it gets no order until then */
     int64_t leave_until_ms; /* leaving: what runs there may run until then at least; 0: not known */
-    size_t pending;         /* its heartbeats that are not answered yet */
-    int64_t answered_ms;    /* when the last of them was answered */
-    Gap gap;                /* between an answer and its next heartbeat */
+    Arrivals heartbeats;    /* how soon its agent sends the next one after an answer */
 } LiveRow;
 
 typedef struct Liveset Liveset;
@@ -48,9 +46,9 @@
 /* The agent has sent a report under this number: heartbeats with lower ones are out of date. */
 void liveset_report_sent(Liveset *liveset, const char *agent, uint64_t incarnation, uint64_t number);
 /* A heartbeat of the worker, which liveset_heartbeat has taken, waits for its answer from here on ... */
-void liveset_pending(Liveset *liveset, const char *worker, int64_t now_ms);
+void liveset_asked(Liveset *liveset, const char *worker, int64_t now_ms);
 /* ... and has been answered: an agent sends its next one at once. */
-void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms);
+void liveset_answered(Liveset *liveset, const char *worker, int64_t now_ms);
 /* The worker's loss is decided (true), or has been delivered (false). */
 void liveset_losing(Liveset *liveset, const char *worker, bool losing);
 /* The worker's row, valid until liveset_reset; null: not heard of. */
@@ -62,9 +60,6 @@
  * off, frozen or dead, long before its lease lapses. It may be wrong: a hint for what is decided anew, never a reason
  * to restart what runs there. */
 bool live_row_overdue(const LiveRow *row, int64_t now_ms);
-/* Whether to believe that workers are overdue: not when most are at once, since then it is this process that has not
- * read their heartbeats yet. */
-bool liveset_overdue_credible(const Liveset *liveset, int64_t now_ms);
 /* All rows in the order of names (out; the array is on mem, the rows are the live set's); returns
  * their number. */
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows);
--- a/packages/heartbeat/src/liveset.c
+++ b/packages/heartbeat/src/liveset.c
@@ -83,19 +83,14 @@
         row->number = number;
 }
 
-void liveset_pending(Liveset *liveset, const char *worker, int64_t now_ms)
+void liveset_asked(Liveset *liveset, const char *worker, int64_t now_ms)
 {
-    LiveRow *row = row_of(liveset, worker);
-    if (row->pending++ == 0 && row->answered_ms != 0)
-        gap_take(&row->gap, now_ms - row->answered_ms);
+    arrivals_asked(&row_of(liveset, worker)->heartbeats, now_ms);
 }
 
-void liveset_answer(Liveset *liveset, const char *worker, int64_t now_ms)
+void liveset_answered(Liveset *liveset, const char *worker, int64_t now_ms)
 {
-    LiveRow *row = row_of(liveset, worker);
-    if (row->pending > 0) /* 0: held before the live set was reset */
-        row->pending--;
-    row->answered_ms = now_ms;
+    arrivals_answered(&row_of(liveset, worker)->heartbeats, now_ms);
 }
 
 void liveset_losing(Liveset *liveset, const char *worker, bool losing)
@@ -117,20 +112,7 @@
 
 bool live_row_overdue(const LiveRow *row, int64_t now_ms)
 {
-    return row->pending == 0 && row->answered_ms != 0 &&
-           now_ms - row->answered_ms > gap_limit_ms(&row->gap, OVERDUE_LEAST_MS, READY_HEARTBEATS * HEARTBEAT_MS);
-}
-
-bool liveset_overdue_credible(const Liveset *liveset, int64_t now_ms)
-{
-    const LiveRow **rows;
-    void *mem = talloc_new(NULL);
-    const size_t count = liveset_rows(liveset, mem, &rows);
-    size_t overdue = 0;
-    for (size_t i = 0; i < count; i++)
-        overdue += live_row_overdue(rows[i], now_ms);
-    talloc_free(mem);
-    return overdue * OVERDUE_SHARE <= count;
+    return now_ms > arrivals_late_ms(&row->heartbeats, OVERDUE_LEAST_MS, READY_HEARTBEATS * HEARTBEAT_MS);
 }
 
 size_t liveset_rows(const Liveset *liveset, void *mem, const LiveRow ***rows)
--- a/packages/routing/include/routing/leader_route.h
+++ b/packages/routing/include/routing/leader_route.h
@@ -40,7 +40,8 @@
 Signal *leader_route_moved(LeaderRoute *leader_route);
 /* Since when no next hop has been known; INT64_MAX: one is known, or this process leads. */
 int64_t leader_route_lost_ms(const LeaderRoute *leader_route);
-/* When a next hop should be known again, in ms, by how long that took after earlier losses; now, where one is known. */
+/* When a next hop should be known again, in ms, by how long that took after earlier losses; once that has passed, after
+ * as long again as there has been none, but never more than ELECTION_MS from now. Now, where one is known. */
 int64_t leader_route_found_ms(const LeaderRoute *leader_route);
 
 /* Waits, some hundred ms at most. Whether the next hop that was taken still answers. */
--- a/packages/routing/src/forwarding.c
+++ b/packages/routing/src/forwarding.c
@@ -90,18 +90,11 @@
     task->retry_after_s = (int)answer->retry_after_s;
 }
 
-/* For Retry-After, in seconds, to the nearest: when the route should be found again, by how long that took before; once
- * that has passed, after as long again as it has been lost, up to ELECTION_MS, so that nobody spends all tries on a
- * long outage. */
+/* For Retry-After, in seconds, to the nearest: when the route should be found again. */
 static int retry_s(const Forwarder *forwarder)
 {
-    const int64_t lost_ms = leader_route_lost_ms(forwarder->leader_route);
-    if (lost_ms == INT64_MAX)
-        return RETRY_AFTER_S;
-    const int64_t now_ms = loop_now_ms(forwarder->settings.loop), gone_ms = now_ms - lost_ms;
-    const int64_t left_ms = leader_route_found_ms(forwarder->leader_route) - now_ms;
-    const int64_t most_ms = left_ms > gone_ms ? left_ms : gone_ms;
-    const int64_t nearest_s = ((most_ms < ELECTION_MS ? most_ms : ELECTION_MS) + SECOND_MS / 2) / SECOND_MS;
+    const int64_t left_ms = leader_route_found_ms(forwarder->leader_route) - loop_now_ms(forwarder->settings.loop);
+    const int64_t nearest_s = (left_ms + SECOND_MS / 2) / SECOND_MS;
     return nearest_s > RETRY_AFTER_S ? (int)nearest_s : RETRY_AFTER_S;
 }
 
--- a/packages/routing/src/leader_route.c
+++ b/packages/routing/src/leader_route.c
@@ -89,8 +89,12 @@
 
 int64_t leader_route_found_ms(const LeaderRoute *leader_route)
 {
-    const int64_t lost_ms = leader_route_lost_ms(leader_route);
-    return lost_ms != INT64_MAX ? lost_ms + leader_route->outage_ms : loop_now_ms(leader_route->loop);
+    const int64_t now_ms = loop_now_ms(leader_route->loop), lost_ms = leader_route_lost_ms(leader_route);
+    if (lost_ms == INT64_MAX)
+        return now_ms;
+    const int64_t usual_ms = lost_ms + leader_route->outage_ms, doubled_ms = now_ms + (now_ms - lost_ms);
+    const int64_t found_ms = usual_ms > doubled_ms ? usual_ms : doubled_ms;
+    return found_ms < now_ms + ELECTION_MS ? found_ms : now_ms + ELECTION_MS;
 }
 
 int64_t leader_route_heard_ms(const LeaderRoute *leader_route)
--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -6,11 +6,10 @@
 
 #include "scheduler/worker_score.h"
 
-/* The capacity of the worker that may be used now; none when it may be given no work. orphans (out): what its
- * orphaned attempts use. */
-static Resources resources_now(const Scheduler *scheduler, const Worker *worker, Resources *orphans)
+/* The capacity of the worker that may be used now; none when it may be given no work. row: of the live set, may be
+ * null; orphans (out): what its orphaned attempts use. */
+static Resources resources_now(const Scheduler *scheduler, const Worker *worker, const LiveRow *row, Resources *orphans)
 {
-    const LiveRow *row = liveset_find(scheduler->liveset, worker->name);
     const bool known = orphans_resources(scheduler->orphans, worker->name, orphans);
     const bool ready = known && row != NULL && live_row_ready(row, loop_now_ms(scheduler->loop)) && !worker->excluded &&
                        !table_drained(scheduler->table, worker->zone) && !score_rests(scheduler, worker->name);
@@ -18,12 +17,17 @@
     return ready ? resources_less(worker->resources, row->others) : none;
 }
 
-/* Whether the worker's next heartbeat should have come by now. */
-static bool overdue(const Scheduler *scheduler, const Worker *worker)
+/* Finds the workers' rows in the live set; null: not heard of. Whether those that are overdue are to be believed: not
+ * when most are at once, since then it is this process that has not read their heartbeats yet. */
+static bool rows_find(const Scheduler *scheduler, const Worker *const *workers, size_t count, const LiveRow **rows)
 {
     const int64_t now_ms = loop_now_ms(scheduler->loop);
-    const LiveRow *row = liveset_find(scheduler->liveset, worker->name);
-    return row != NULL && live_row_overdue(row, now_ms) && liveset_overdue_credible(scheduler->liveset, now_ms);
+    size_t overdue = 0;
+    for (size_t i = 0; i < count; i++) {
+        rows[i] = liveset_find(scheduler->liveset, workers[i]->name);
+        overdue += rows[i] != NULL && live_row_overdue(rows[i], now_ms);
+    }
+    return overdue * OVERDUE_SHARE <= count;
 }
 
 /* All workers, with their free capacity; those that may be given no work have none, but their tasks still count for
@@ -31,27 +35,30 @@
 static void workers_find(Pass *pass)
 {
     Scheduler *scheduler = pass->scheduler;
+    const int64_t now_ms = loop_now_ms(scheduler->loop);
     const Worker **workers;
     const size_t count = table_workers(scheduler->table, pass->mem, &workers);
     pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
     pass->input.worker_count = count;
     pass->slowdowns = talloc_array(pass->mem, uint64_t, (unsigned)count);
+    const LiveRow **rows = talloc_array(pass->mem, const LiveRow *, (unsigned)count);
+    const bool credible = rows_find(scheduler, workers, count, rows);
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         Resources orphans;
-        const Resources resources = resources_now(scheduler, worker, &orphans);
+        const Resources resources = resources_now(scheduler, worker, rows[i], &orphans);
         const Resources used = resources_more(orphans, table_used_on(scheduler->table, worker->name));
-        pass->input.workers[i] =
-            (PlanWorker){.name = worker->name,
-                         .zone = worker->zone,
-                         .rack = worker->rack,
-                         .kind = worker->kind,
-                         .labels = worker->labels,
-                         .label_count = worker->labels_count,
-                         .resources = resources,
-                         .free = overdue(scheduler, worker) ? (Resources){0} : resources_less(resources, used),
-                         .penalty = score_rate(scheduler, worker->name) * 10};
-        pass->slowdowns[i] = estimate_worker_slowdown(scheduler->estimates, worker->name, loop_now_ms(scheduler->loop));
+        const bool suspect = credible && rows[i] != NULL && live_row_overdue(rows[i], now_ms);
+        pass->input.workers[i] = (PlanWorker){.name = worker->name,
+                                              .zone = worker->zone,
+                                              .rack = worker->rack,
+                                              .kind = worker->kind,
+                                              .labels = worker->labels,
+                                              .label_count = worker->labels_count,
+                                              .resources = resources,
+                                              .free = suspect ? (Resources){0} : resources_less(resources, used),
+                                              .penalty = score_rate(scheduler, worker->name) * 10};
+        pass->slowdowns[i] = estimate_worker_slowdown(scheduler->estimates, worker->name, now_ms);
         pass->fleet = resources_more(pass->fleet, resources);
     }
     pass->largest = plan_largest(pass->input.workers, count);
