Scheduler: a gang wider than a reservation's list gets none, and writes past nothing

Cause: a reservation takes up to a quarter of the fleet, its list holds 64 workers: in a fleet of 264 or more, a gang of more than 64 members that each need a whole worker wrote past it (found by reading before; not brought about until now). Change: the end of the list ends the search as the fleet's share does; then not all members fit and nothing is reserved. Test: reservations (272 workers, gang of 66: malloc finds its heap broken before; a gang of 64 is still served).

--- a/packages/scheduler/src/reservation.c
+++ b/packages/scheduler/src/reservation.c
@@ -139,8 +139,8 @@
     return best;
 }
 
-/* Takes workers into the reservation until all members of the candidate fit on them, or the fleet's share is reached;
- * false: not all fit. */
+/* Takes workers into the reservation until all members of the candidate fit on them, or the fleet's share or the end of
+ * the list is reached; false: not all fit. */
 static bool workers_take(Pass *pass, const Candidate *candidate, const StepSpec *step, Reservation *reservation)
 {
     const PlanInput *input = &pass->input;
@@ -150,7 +150,8 @@
     bool *used = talloc_zero_array(pass->mem, bool, (unsigned)input->worker_count);
     size_t left = candidate->count;
     reservation_exclude(pass, candidate, used);
-    while (left > 0 && taken + reservation->worker_count < most) {
+    while (left > 0 && taken + reservation->worker_count < most &&
+           reservation->worker_count < RESERVATION_MEMBERS_MAX) {
         int64_t until_ms = 0;
         const int best = soonest_find(pass, &need, used, &until_ms);
         if (best < 0)
