--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -124,9 +124,9 @@
 #define REPAIR_HEAR_MS (CONNECTION_MISSES * ASK_TIMEOUT_MS + 2 * HELLO_MS)
 #define KEEP_ASK_MS 100 /* ms; deadline for an entry point to keep a change for repair; a caller waits meanwhile */
 #define REPAIR_BUFFER_BYTES_MAX \
-    (4 * 1024 * 1024)           /* bytes; one node keeps for repair: some 5,000 jobs; memory is priced */
-#define REPAIR_KEEP_MS 120000   /* ms; how long entry points and agents keep acknowledged changes for repair */
-#define SLOW_DISK_REST_MS 10000 /* ms; a leader that handed over for its slow disk does not propose itself so long */
+    (4 * 1024 * 1024)            /* bytes; one node keeps for repair: some 5,000 jobs; memory is priced */
+#define REPAIR_KEEP_MS 120000    /* ms; how long entry points and agents keep acknowledged changes for repair */
+#define OUTREACHED_REST_MS 10000 /* ms; a leader that reached few members does not stand so long: another leads */
 
 /* --- jobs ------------------------------------------------------------------------------------ */
 #define JOB_KEEP_MS 3600000 /* ms; an ended job is kept an hour: an id sent again within it still counts once */
--- a/packages/explore/src/draw.c
+++ b/packages/explore/src/draw.c
@@ -110,6 +110,10 @@
 
 #define PRECISE_RESTART_MS 40 /* ms; a process that is restarted at once is there again within this */
 
+/* ms; a sync that has begun goes on when its disk is well again: of the time until service must be back it takes no
+ * more than half */
+#define PRECISE_SLOW_MS 1000
+
 /* Whether acts of the kind have an end. */
 static bool ends(ActKind kind)
 {
@@ -131,7 +135,7 @@
             act->for_ms = (int64_t)below(&draw, PRECISE_RESTART_MS);
         if (act->kind == ACT_DISK_SLOW && below(&draw, 2) == 0) { /* longer than anybody waits for a commit */
             act->from = MOMENT_LIST;
-            act->for_ms = act->amount = SUBMIT_TIMEOUT_MS + (unsigned)below(&draw, SUBMIT_TIMEOUT_MS);
+            act->for_ms = act->amount = SUBMIT_TIMEOUT_MS + (unsigned)below(&draw, PRECISE_SLOW_MS);
         }
         if (act->kind == ACT_CLOCK)
             act->amount = below(&draw, 2) == 0 ? SHAPES[ACT_CLOCK].least : SHAPES[ACT_CLOCK].most;
--- a/packages/explore/src/history.c
+++ b/packages/explore/src/history.c
@@ -55,13 +55,15 @@
     order->index = index;
 }
 
-/* How many voters a commit is counted among: those of the newest configuration in the leader's log, as it was at the
- * commit. One that this very step has appended came after what the step commits, unless it is committed itself: then
- * the one from before the step counts. */
+/* How many voters a commit is counted among at the least: those of the newest configuration in the leader's log. Where
+ * this very step has appended that one, the commit came before it or after it; either way its disks meet each majority
+ * of both configurations, which differ in one voter (seed 20847 of the plans at moments: counted among the three of the
+ * new one, in the step that ordered it). */
 static size_t voters_counted(const Node *node, const ReplicationWindow *window)
 {
     const bool ordered = window->list_index > node->list_before && window->list_index > window->commit_index;
-    return ordered && node->voters_before > 0 ? node->voters_before : window->voter_count;
+    return ordered && node->voters_before > 0 && node->voters_before < window->voter_count ? node->voters_before
+                                                                                           : window->voter_count;
 }
 
 static void commit_one(Explore *explore, const Node *node, const ReplicationWindow *window, uint64_t index)
--- a/packages/replication/src/disk.c
+++ b/packages/replication/src/disk.c
@@ -39,7 +39,7 @@
 static void compact_main(void *arg)
 {
     Replication *replication = arg;
-    (void)journal_anew(replication); /* a failure shows in journal_failed, and disk_retry_main tries again */
+    (void)journal_anew(replication); /* a failure shows in journal_failed, and disk_tend_main tries again */
     replication->compacting = false;
 }
 
@@ -57,32 +57,33 @@
     log_event(replication->settings.recorder, LOG_DISK_FAILED, loop_now_ms(replication->loop), &(LogFields){0});
 }
 
-/* After a failed write the whole journal is rewritten, again and again until that succeeds. Until then this node
- * accepts nothing, so that memory and disk do not differ. */
-static void disk_retry_main(void *arg)
+/* Waits for the disk. After a failed write the whole journal is rewritten, again and again until that succeeds. Until
+ * then this node accepts nothing, so that memory and disk do not differ. */
+static void disk_recover(Replication *replication)
+{
+    disk_failed_log(replication);
+    replication->recovering = true;
+    if (journal_anew(replication) == STATUS_OK) {
+        replication->disk_failure_logged = false;
+        log_event(replication->settings.recorder, LOG_DISK_RECOVERED, loop_now_ms(replication->loop), &(LogFields){0});
+    }
+    replication->recovering = false;
+}
+
+static void disk_tend_main(void *arg)
 {
     Replication *replication = arg;
     while (!loop_stopping(replication->loop)) {
         loop_sleep(replication->loop, DISK_RETRY_MS);
-        if (replication->list_went_back || !journal_failed(replication->journal) || replication->compacting ||
-            replication->has_lease)
-            continue;
-        disk_failed_log(replication);
-        replication->recovering = true;
-        if (journal_anew(replication) == STATUS_OK) {
-            if (replication->rest_until_ms > loop_now_ms(replication->loop) + PROPOSE_MS)
-                replication->rest_until_ms = loop_now_ms(replication->loop) + PROPOSE_MS;
-            replication->disk_failure_logged = false;
-            log_event(replication->settings.recorder, LOG_DISK_RECOVERED, loop_now_ms(replication->loop),
-                      &(LogFields){0});
-        }
-        replication->recovering = false;
+        if (!replication->list_went_back && !replication->compacting && !replication->has_lease &&
+            journal_failed(replication->journal))
+            disk_recover(replication);
     }
 }
 
 void disk_start(Replication *replication)
 {
-    loop_spawn(replication->loop, "mend", disk_retry_main, replication);
+    loop_spawn(replication->loop, "disk", disk_tend_main, replication);
 }
 
 bool replication_disk_failed(const Replication *replication)
--- a/packages/replication/src/election.c
+++ b/packages/replication/src/election.c
@@ -182,14 +182,14 @@
 }
 
 /* There are too few promises. The lease that was granted with them is released, so that nobody waits for its end. */
-static void promises_lost(Election *election, bool own_failed)
+static void promises_lost(Election *election)
 {
     Replication *replication = election->replication;
     if (lead_over(replication, election->generation))
         return;
     replication->term = election->term;
     lead_release(replication, 0);
-    lead_down(replication, own_failed ? SLOW_DISK_REST_MS : 0);
+    lead_down(replication, 0);
 }
 
 Status election_promises(Election *election)
@@ -206,8 +206,6 @@
         lock_lease_clear(&replication->lease);
     promises_count(election, poll);
     const int own = replication_own_voter(replication);
-    const bool own_failed =
-        own >= 0 && (poll->status[own] == STATUS_DISK_FAILED || poll->status[own] == STATUS_UNREACHABLE);
     const bool lost = lead_over(replication, election->generation) ||
                       promised_count(replication, election->in_view) < replication_majority(replication) || own < 0 ||
                       !election->in_view[own];
@@ -219,6 +217,6 @@
         election->promised[i] = poll->status[i] == STATUS_OK ? poll->disks[i] : 0;
     poll_leave(poll);
     if (lost)
-        promises_lost(election, own_failed);
+        promises_lost(election);
     return lost ? STATUS_OTHER_HOLDER : STATUS_OK;
 }
--- a/packages/replication/src/watch.c
+++ b/packages/replication/src/watch.c
@@ -77,11 +77,11 @@
     } else if (own_disk_slow(replication, now_ms)) {
         replication->slow_times = 0;
         log_event(replication->settings.recorder, LOG_DISK_SLOW, now_ms, &(LogFields){0});
-        lead_down(replication, SLOW_DISK_REST_MS);
+        lead_down(replication, 0);
     } else if (outreached(replication)) {
         log_event(replication->settings.recorder, LOG_QUORUM_LOST, now_ms, &(LogFields){0});
         replication->outreached_since_ms = 0;
-        lead_down(replication, SLOW_DISK_REST_MS);
+        lead_down(replication, OUTREACHED_REST_MS);
     } else if (view_update(replication, skip)) {
         (void)election_run(replication, skip); /* a failure shows at the next check */
     }
--- /dev/null
+++ b/packages/replication/test/commit.c
@@ -0,0 +1,124 @@
+/* Up to which entry a leader's log is committed, by what its voters have synced: the leader of a term counts no entry
+ * of an earlier term before the first one of its own is synced (Raft 5.4.2), and counts a majority as well as the view.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "commit.h"
+#include "sim/world.h"
+#include "state.h"
+
+#define VOTERS 5
+#define TERM 2
+#define EARLIER 3 /* count; entries of the term before */
+
+/* The fixture: a leader of five voters, which are all in the view. Its log has three entries of an earlier term and the
+ * first of its own. */
+typedef struct Leader {
+    SimWorld *world;
+    Replication *replication;
+} Leader;
+
+static void nothing(void *arg, const Record *change, ChangeResult *result)
+{
+    (void)arg;
+    (void)change;
+    (void)result;
+}
+
+static void begin(void *arg, Loop *loop)
+{
+    Leader *leader = arg;
+    Replication *replication = talloc_zero(loop, Replication);
+    leader->replication = replication;
+    replication->loop = loop;
+    replication->settings.state.deliver = nothing;
+    replication->list = talloc_zero(replication, VoterList);
+    replication->log = log_new(replication);
+    replication->disk = 1;
+    replication->voter_count = VOTERS;
+    replication->phase = REPLICATION_ELECTING;
+    replication->term = replication->lock.promised = TERM;
+    for (int i = 0; i < VOTERS; i++) {
+        replication->voters[i] = (uint64_t)i + 1;
+        replication->in_view[i] = true;
+    }
+    for (uint64_t i = 1; i <= EARLIER + 1; i++) {
+        const Record entry = {.kind = RECORD_ENTRY,
+                              .term = i <= EARLIER ? TERM - 1 : TERM,
+                              .index = i,
+                              .change = i <= EARLIER ? REPLICATION_CHANGE_FIRST : REPLICATION_CHANGE_TERM,
+                              .name = ""};
+        log_add(replication->log, &entry);
+    }
+    replication->term_entry_index = EARLIER + 1;
+    replication->synced_index = replication->queued_index = EARLIER + 1;
+}
+
+static int set_up(void **state)
+{
+    Leader *leader = talloc_zero(NULL, Leader);
+    leader->world = sim_world_new(leader, 1);
+    sim_start(leader->world, sim_machine(leader->world), begin, leader);
+    *state = leader;
+    return 0;
+}
+
+static int tear_down(void **state)
+{
+    talloc_free(*state);
+    return 0;
+}
+
+/* Each of the other voters has synced up to its index; what is committed then. */
+static uint64_t committed(Replication *replication, const uint64_t synced[VOTERS - 1])
+{
+    for (int i = 1; i < VOTERS; i++)
+        replication->peers[i].match_index = synced[i - 1];
+    lead_commit(replication);
+    return replication->commit_index;
+}
+
+/* All have all entries of the earlier term: another leader's log, whose last entry is of a term in between, may still
+ * take their place. */
+static void entries_of_earlier_terms_wait(void **state)
+{
+    Replication *replication = ((Leader *)*state)->replication;
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER, EARLIER, EARLIER, EARLIER}), 0);
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, EARLIER, EARLIER, EARLIER}), 0);
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, EARLIER + 1, EARLIER + 1, EARLIER + 1}),
+                     EARLIER + 1);
+}
+
+/* A commit waits for each voter in the view, ... */
+static void all_in_the_view_count(void **state)
+{
+    Replication *replication = ((Leader *)*state)->replication;
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, EARLIER + 1, EARLIER + 1, EARLIER}), 0);
+    replication->in_view[VOTERS - 1] = false;
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, EARLIER + 1, EARLIER + 1, EARLIER}), EARLIER + 1);
+}
+
+/* ... and for a majority of the voters where the view is smaller. */
+static void a_majority_counts(void **state)
+{
+    Replication *replication = ((Leader *)*state)->replication;
+    replication->in_view[2] = replication->in_view[3] = replication->in_view[4] = false;
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, 0, 0, 0}), 0);
+    assert_int_equal(committed(replication, (uint64_t[]){EARLIER + 1, EARLIER + 1, 0, 0}), EARLIER + 1);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(entries_of_earlier_terms_wait, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(all_in_the_view_count, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(a_majority_counts, set_up, tear_down),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
