Invariants of the state are checked in every build; agents with clocks set back

Checks: assert() was compiled out of what is installed, so no installed program checked terms, votes, the log, commits, leases or counts. 24 of them are INVARIANT now: each has a word, and a break ends the process before it can answer.

Agent: after a restart with its wall clock set back a minute an agent was refused as an older one until its lease had lapsed (timeline agent_clock_set_back: "it runs nothing" 2.5 s later, before). The member table raised its own incarnation by what others remember; heartbeats did not use it. They do until the first is answered; attempts are bound to it after that.

Alert worker-lost: its text said that the lease had lapsed also where the agent lives and the worker is dead; todo says which (policies.alerts kills one of each).

--- a/packages/agent/src/heartbeat.c
+++ b/packages/agent/src/heartbeat.c
@@ -66,6 +66,10 @@
 static void ask_fill(Agent *agent, Heartbeat *heartbeat, HeartbeatAsk *ask)
 {
     const int64_t now_ms = loop_now_ms(agent->loop);
+    /* a wall clock that was set back made this incarnation older than the last one, which others remember and have told
+     * (member table). Once a heartbeat was answered it stays: attempts are bound to it */
+    if (agent->heartbeat_ms == 0)
+        agent->incarnation = members_self(agent->members)->incarnation;
     *ask = (HeartbeatAsk){.agent = agent->worker_name,
                           .incarnation = agent->incarnation,
                           .number = heartbeat->number,
--- a/packages/controller/src/alerts.c
+++ b/packages/controller/src/alerts.c
@@ -18,6 +18,7 @@
 typedef struct ActiveAlert {
     Alert alert;
     const char *subject;
+    const char *todo; /* static */
     int64_t since_ms;
     uint64_t last_check; /* number of the last check that saw its cause */
 } ActiveAlert;
@@ -42,20 +43,26 @@
     return TODOS[alert];
 }
 
-/* Notes the cause of an alert; subject: what it is about. */
-static void alert_seen(Controller *controller, Alert alert, const char *subject)
+/* Notes the cause of an alert; subject: what it is about; todo: static. */
+static void alert_seen_with(Controller *controller, Alert alert, const char *subject, const char *todo)
 {
     char key[ID_MAX * 2];
     snprintf(key, sizeof(key), "%d %s", (int)alert, subject);
     ActiveAlert *active = map_get(controller->alerts, key);
     if (active == NULL) {
         active = talloc_zero(controller->alerts, ActiveAlert);
-        *active = (ActiveAlert){alert, talloc_strdup(active, subject), loop_now_ms(controller->loop), 0};
+        *active = (ActiveAlert){alert, talloc_strdup(active, subject), todo, loop_now_ms(controller->loop), 0};
         map_set(controller->alerts, key, active);
     }
+    active->todo = todo;
     active->last_check = controller->alert_checks;
 }
 
+static void alert_seen(Controller *controller, Alert alert, const char *subject)
+{
+    alert_seen_with(controller, alert, subject, alert_todo(alert));
+}
+
 static void voters_check(Controller *controller)
 {
     ReplicationStatus replication;
@@ -85,10 +92,11 @@
         const LiveRow *row = liveset_find(controller->liveset, workers[i]->name);
         const int64_t until_ms =
             row != NULL ? row->until_ms : replication_won_ms(controller->replication) + controller_claim_ms(controller);
-        const bool silent =
-            now_ms > until_ms + LOST_AFTER_MS || (row != NULL && row->heard_ms != INT64_MIN && !row->worker_live);
-        if (!workers[i]->excluded && silent && !(row != NULL && row->leaving))
-            alert_seen(controller, ALERT_WORKER_LOST, workers[i]->name);
+        const bool lapsed = now_ms > until_ms + LOST_AFTER_MS;
+        const bool silent = row != NULL && row->heard_ms != INT64_MIN && !row->worker_live;
+        if (!workers[i]->excluded && (lapsed || silent) && !(row != NULL && row->leaving))
+            alert_seen_with(controller, ALERT_WORKER_LOST, workers[i]->name,
+                            lapsed ? alert_todo(ALERT_WORKER_LOST) : WORKER_SILENT_TODO);
         if (score_rests(controller->scheduler, workers[i]->name))
             alert_seen(controller, ALERT_WORKER_RESTS, workers[i]->name);
     }
@@ -183,7 +191,7 @@
         json_object_object_add(one, "alert", json_object_new_string(alert_word(list[i]->alert)));
         json_object_object_add(one, "subject", json_object_new_string(list[i]->subject));
         json_object_object_add(one, "forMs", json_object_new_int64(now_ms - list[i]->since_ms));
-        json_object_object_add(one, "todo", json_object_new_string(alert_todo(list[i]->alert)));
+        json_object_object_add(one, "todo", json_object_new_string(list[i]->todo));
         json_object_array_add(body, one);
     }
     talloc_free(mem);
--- a/packages/heartbeat/src/lease.c
+++ b/packages/heartbeat/src/lease.c
@@ -1,9 +1,8 @@
 /* A worker's lease at its agent, and how long leases are counted by who grants and who passes on. */
 #include "heartbeat/lease.h"
 
-#include <assert.h>
-
 #include "base/constants.h"
+#include "base/invariant.h"
 
 #define WHOLE_PERCENT 100
 #define SLOW_CLOCK_PERCENT (WHOLE_PERCENT - CLOCK_SLOW_PERCENT) /* what a slow clock shows of a span */
@@ -31,13 +30,13 @@
 int64_t lease_claim_ms(int64_t lease_ms)
 {
     const int64_t claim_ms = lease_ms + lease_ms * CLOCK_SLOW_PERCENT / SLOW_CLOCK_PERCENT + 1 + LEASE_SLACK_MS;
-    assert(lease_ms < 0 || claim_ms > lease_ms);
+    INVARIANT(LEASE_CLAIM, lease_ms < 0 || claim_ms > lease_ms);
     return claim_ms;
 }
 
 int64_t lease_passed_ms(int64_t lease_ms)
 {
     const int64_t passed_ms = lease_ms * SLOW_CLOCK_PERCENT / WHOLE_PERCENT;
-    assert(lease_ms < 0 || passed_ms <= lease_ms);
+    INVARIANT(LEASE_CLAIM, lease_ms < 0 || passed_ms <= lease_ms);
     return passed_ms;
 }
--- a/packages/lock/src/lock.c
+++ b/packages/lock/src/lock.c
@@ -1,9 +1,8 @@
 /* Promise, grant, renewal and release at a voter; the end of a majority's lease at the holder. */
 #include "lock/lock.h"
 
-#include <assert.h>
-
 #include "base/constants.h"
+#include "base/invariant.h"
 
 #define WHOLE_PERCENT 100
 
@@ -27,7 +26,7 @@
 
 void lock_promise(LockVoter *voter, uint64_t term, uint64_t holder)
 {
-    assert(term >= voter->promised);
+    INVARIANT(PROMISE_RISES, term >= voter->promised);
     voter->promised = term;
     voter->holder = holder;
 }
@@ -75,7 +74,7 @@
 
 void lock_lease_answered(LockLease *lease, int voter, int64_t sent_ms, int64_t grant_ms)
 {
-    assert(voter >= 0 && voter < VOTER_MOST);
+    INVARIANT(VOTER_PLACES, voter >= 0 && voter < VOTER_MOST);
     const int64_t until_ms = sent_ms + lock_lease_ms(grant_ms);
     if (until_ms > lease->until_ms[voter])
         lease->until_ms[voter] = until_ms;
@@ -84,7 +83,7 @@
 /* The m-th latest end, where m is a majority: a majority's grants last at least as long as that. */
 int64_t lock_lease_until(const LockLease *lease)
 {
-    assert(lease->voters <= VOTER_MOST);
+    INVARIANT(VOTER_PLACES, lease->voters <= VOTER_MOST);
     int64_t latest_ms[VOTER_MOST];
     size_t count = 0;
     for (int i = 0; i < VOTER_MOST; i++) { /* inserted in order, the latest first */
--- a/packages/member/src/table.c
+++ b/packages/member/src/table.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "base/invariant.h"
 #include "inside.h"
 #include "loop/loop.h"
 #include "wire/rpc.h"
@@ -50,7 +51,7 @@
 static void row_write(Members *members, Member *row, const MemberRecord *record)
 {
     void *old = row->mem;
-    assert(old == NULL || record->incarnation >= row->record.incarnation);
+    INVARIANT(INCARNATION_RISES, old == NULL || record->incarnation >= row->record.incarnation);
     row->mem = talloc_new(members);
     shape_copy(&MemberRecord_shape, record, row->mem, &row->record);
     talloc_free(old);
--- a/packages/replication/src/append.c
+++ b/packages/replication/src/append.c
@@ -1,10 +1,10 @@
 /* Append at a voter or learner (Raft: AppendEntries at a follower): the leader's entries go into the
  * own log, in memory and on the disk. */
-#include <assert.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
 #include "clock.h"
 #include "commit.h"
 #include "disk.h"
@@ -29,7 +29,7 @@
 /* Drops entries after index; a state machine that has taken some of them is loaded anew. */
 static void trim(Replication *replication, uint64_t index)
 {
-    assert(index >= replication->log->base_index);
+    INVARIANT(LOG_ORDER, index >= replication->log->base_index);
     log_trim(replication->log, index);
     if (replication->commit_index > index)
         replication->commit_index = index;
--- a/packages/replication/src/commit.c
+++ b/packages/replication/src/commit.c
@@ -1,6 +1,5 @@
 /* Commit and delivery: up to which index the log is committed, and handing committed entries to the state machine. */
-#include <assert.h>
-
+#include "base/invariant.h"
 #include "commit.h"
 #include "snapshot.h"
 #include "state.h"
@@ -36,7 +35,7 @@
         least = majority;
     if (least < replication->term_entry_index || least <= replication->commit_index)
         return;
-    assert(least <= log_last_index(replication->log));
+    INVARIANT(COMMIT_IN_LOG, least <= log_last_index(replication->log));
     replication->commit_index = least;
     replication_deliver(replication);
     signal_raise(replication->loop, &replication->changed);
@@ -79,8 +78,8 @@
 
 void replication_deliver(Replication *replication)
 {
-    assert(replication->delivered_index <= replication->commit_index);
-    assert(replication->commit_index <= log_last_index(replication->log));
+    INVARIANT(DELIVER_COMMITTED, replication->delivered_index <= replication->commit_index);
+    INVARIANT(COMMIT_IN_LOG, replication->commit_index <= log_last_index(replication->log));
     bool any = false;
     while (replication->delivered_index < replication->commit_index) {
         const Record *entry = log_at(replication->log, replication->delivered_index + 1);
--- a/packages/replication/src/log.c
+++ b/packages/replication/src/log.c
@@ -1,10 +1,11 @@
 /* The log in memory. */
 #include "replication/log.h"
 
-#include <assert.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
+
 #define LOG_CAPACITY_FIRST 256 /* count; entries that memory is allocated for at first */
 
 Log *log_new(void *mem)
@@ -38,7 +39,7 @@
 
 void log_add(Log *log, const Record *entry)
 {
-    assert(entry->index == log_last_index(log) + 1);
+    INVARIANT(LOG_ORDER, entry->index == log_last_index(log) + 1);
     if (log->count == log->capacity) {
         log->capacity = log->capacity ? log->capacity * 2 : LOG_CAPACITY_FIRST;
         log->entries = talloc_realloc(log, log->entries, Record, (unsigned)log->capacity);
@@ -97,5 +98,5 @@
     log->snapshot.payload = bytes_copy(log, snapshot->payload);
     log->base_term = snapshot->term;
     log->base_index = snapshot->index;
-    assert(log->count == 0 || log->entries[0].index == log->base_index + 1);
+    INVARIANT(LOG_ORDER, log->count == 0 || log->entries[0].index == log->base_index + 1);
 }
--- a/packages/replication/src/new_term.c
+++ b/packages/replication/src/new_term.c
@@ -1,10 +1,10 @@
 /* The second half of an election, once a majority has promised: the new leader copies the best log of its voters,
  * orders the first entry of its term, and leads when that is committed. */
-#include <assert.h>
 #include <inttypes.h>
 #include <talloc.h>
 
 #include "base/term.h"
+#include "base/invariant.h"
 #include "clock.h"
 #include "election.h"
 #include "leading.h"
@@ -149,7 +149,7 @@
 static void lead_begin(const Election *election)
 {
     Replication *replication = election->replication;
-    assert(replication->commit_index >= replication->term_entry_index);
+    INVARIANT(LEADS_COMMITTED, replication->commit_index >= replication->term_entry_index);
     if (replication->settings.opened != NULL)
         replication->settings.opened(replication->settings.opened_arg, election->term, election->new_holder,
                                      replication->last.repair);
--- a/packages/replication/src/promise.c
+++ b/packages/replication/src/promise.c
@@ -1,7 +1,6 @@
 /* The voter's promise to take part in no lower term (Raft: a vote; Paxos: prepare). It is synced
  * before it is answered. */
-#include <assert.h>
-
+#include "base/invariant.h"
 #include "disk.h"
 #include "leading.h"
 #include "state.h"
@@ -12,7 +11,7 @@
  * answered in that term. */
 static Record promise_take(Replication *replication, uint64_t term, uint64_t holder)
 {
-    assert(term >= replication->lock.promised);
+    INVARIANT(PROMISE_RISES, term >= replication->lock.promised);
     lock_promise(&replication->lock, term, holder);
     replication->verified_index = 0;
     if ((replication->has_lease || replication->phase != REPLICATION_FOLLOWING) && holder != replication->disk)
--- a/packages/replication/src/submit.c
+++ b/packages/replication/src/submit.c
@@ -1,7 +1,7 @@
 /* Submitting changes to the log at its leader, and waiting for their delivery. */
-#include <assert.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
 #include "lease.h"
 #include "state.h"
 #include "voter_list.h"
@@ -28,7 +28,7 @@
                           .change = change,
                           .name = "",
                           .payload = payload};
-    assert(entry.term >= log_last_term(replication->log));
+    INVARIANT(LOG_ORDER, entry.term >= log_last_term(replication->log));
     log_add(replication->log, &entry);
     if (change < REPLICATION_CHANGE_FIRST)
         replication_reread(replication);
--- a/packages/replication/src/view_change.c
+++ b/packages/replication/src/view_change.c
@@ -1,9 +1,9 @@
 /* The view: the voters that each commit waits for. The leader changes it within its term, by a TERM entry. */
-#include <assert.h>
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
 #include "state.h"
 #include "view_change.h"
 #include "voter_list.h"
@@ -27,7 +27,7 @@
                     .change = REPLICATION_CHANGE_TERM,
                     .name = ""};
     shape_pack(&TermRecord_shape, &record, mem, &entry.payload);
-    assert(entry.term >= log_last_term(replication->log));
+    INVARIANT(LOG_ORDER, entry.term >= log_last_term(replication->log));
     log_add(replication->log, &entry);
     replication->term_entry_index = entry.index;
     replication_reread(replication);
--- a/packages/sim/test/policies.c
+++ b/packages/sim/test/policies.c
@@ -233,15 +233,22 @@
     inside_request_send(fleet, "work", "c", "t", "bulk", 11, 4, 30000);
     fleet_run(fleet, 1000);
     fleet_kill(fleet, FLEET_WORKER, 1);
+    fleet_kill(fleet, FLEET_AGENT, 2);
     const int second = (fleet_leader(fleet) + 1) % 3;
     fleet_kill(fleet, FLEET_CONTROLLER, second);
     fleet_run(fleet, 6000);
     call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/alerts", NULL);
-    assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\""));
+    const char *lost = strstr((const char *)call.result.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker2\"");
+    assert_non_null(lost);
+    /* it was the worker that was killed: its agent lives */
+    assert_non_null(strstr(lost, "\"todo\":\"its agent lives and does not hear it: look at the worker's process\""));
     assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"seat-out\",\"subject\":\"core"));
     assert_non_null(strstr((const char *)call.result.data, "{\"alert\":\"losses-few\",\"subject\":\"0 of 1\""));
+    lost = strstr((const char *)call.result.data, "{\"alert\":\"worker-lost\",\"subject\":\"worker3\"");
+    assert_non_null(lost);
+    assert_non_null(strstr(lost, "\"todo\":\"its agent's lease has lapsed: look at the machine and its agent\""));
     call = fleet_ask(fleet, fleet, FLEET_CONTROLLER, fleet_leader(fleet), "GET", "/metrics", NULL);
-    assert_non_null(strstr((const char *)call.result.data, "\nspancart_alert_worker_lost 1\n"));
+    assert_non_null(strstr((const char *)call.result.data, "\nspancart_alert_worker_lost 2\n"));
     for (int role = FLEET_CONTROLLER; role <= FLEET_AGENT; role++) {
         call = fleet_ask(fleet, fleet, (FleetRole)role, role == FLEET_CONTROLLER ? fleet_leader(fleet) : 0, "GET",
                          "/v1/ring", NULL);
@@ -251,6 +258,7 @@
                         NULL);
     }
     fleet_start_node(fleet, FLEET_WORKER, 1);
+    fleet_start_node(fleet, FLEET_AGENT, 2);
     fleet_start_node(fleet, FLEET_CONTROLLER, second);
     fleet_run(fleet, 8000);
     call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/alerts", NULL);
--- a/packages/sim/test/timelines.c
+++ b/packages/sim/test/timelines.c
@@ -95,6 +95,17 @@
          "26000  .       join    .      .\n"
          "30000  .       .       .      end+gap<6000\n")
 
+/* An agent is started again after its wall clock was set back: it is not taken for an older one. */
+TIMELINE(agent_clock_set_back, TRENTVALE, 6,
+         "ms     agent1       worker1  callers\n"
+         "0      .            .        call:20\n"
+         "4000   jump:-60000  .        .\n"
+         "4010   kill         .        .\n"
+         "4020   start        .        .\n"
+         "6500   .            runs     .\n"
+         "9000   .            runs     .\n"
+         "20000  .            .        end+allDone\n")
+
 /* So much work that no worker is without a start for two seconds by chance. */
 TIMELINE(agent_cut, ATLAS, 3,
          "ms     agent1  worker1  agent2  callers\n"
@@ -294,6 +305,7 @@
         cmocka_unit_test(slow_disks),
         cmocka_unit_test(disk_fails),
         cmocka_unit_test(clocks_jump),
+        cmocka_unit_test(agent_clock_set_back),
         cmocka_unit_test(one_way_cuts),
         cmocka_unit_test(entry_point_killed),
         cmocka_unit_test(controllers_replaced),
--- a/packages/state/src/on_worker.c
+++ b/packages/state/src/on_worker.c
@@ -1,10 +1,11 @@
 /* What is on each worker, the capacity that it uses, and the version of its orders. */
 #include "on_worker.h"
 
-#include <assert.h>
 #include <stdio.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
+
 #define BUSY_FIRST 64 /* count; slots for busy workers at first */
 #define ON_FIRST 8    /* count; slots for a worker's tasks at first */
 
@@ -40,7 +41,7 @@
 
 static void busy_drop(Table *table, const WorkerOn *its)
 {
-    assert(table->busy_count > its->busy_at);
+    INVARIANT(WORKER_COUNTS, table->busy_count > its->busy_at);
     WorkerOn *last = table->busy[--table->busy_count];
     table->busy[its->busy_at] = last;
     last->busy_at = its->busy_at;
@@ -87,8 +88,8 @@
 
 static void used_drop(UsedSums sums, Resources resources)
 {
-    assert(resources_fits(resources, *sums.worker) && resources_fits(resources, *sums.cell) &&
-           resources_fits(resources, *sums.tenant));
+    INVARIANT(WORKER_COUNTS, resources_fits(resources, *sums.worker) && resources_fits(resources, *sums.cell) &&
+                                 resources_fits(resources, *sums.tenant));
     *sums.worker = resources_less(*sums.worker, resources);
     *sums.cell = resources_less(*sums.cell, resources);
     *sums.tenant = resources_less(*sums.tenant, resources);
@@ -133,7 +134,7 @@
     if (task->worker[0] == '\0')
         return;
     WorkerOn *its = worker_on(table, task->worker);
-    assert(task->on_at < its->count);
+    INVARIANT(WORKER_COUNTS, task->on_at < its->count);
     const JobSpec *spec = &its->on[task->on_at].job->spec;
     used_drop(used_sums(table, its, spec), spec->steps[task->step].resources);
     /* the last one takes its place */
--- a/packages/state/src/phase.c
+++ b/packages/state/src/phase.c
@@ -1,10 +1,10 @@
 /* Every change of a task's or a job's phase, and the sums by cell and queue that follow it. */
 #include "phase.h"
 
-#include <assert.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
 #include "on_worker.h"
 
 /* A row for each cell ever named; a first one is made. */
@@ -86,7 +86,7 @@
     memmove(&active->jobs[at], &active->jobs[at + 1], (active->count - at - 1) * sizeof(*active->jobs));
     active->count--;
     QueueSum *queue = queue_of(table, &job->spec);
-    assert(queue->jobs > 0);
+    INVARIANT(TASK_COUNTS, queue->jobs > 0);
     queue->jobs--;
     ended_add(table, job);
 }
@@ -105,7 +105,7 @@
 {
     if ((task->phase == TASK_WAITING) != (phase == TASK_WAITING)) {
         CellSum *cell = cell_of(table, job->spec.cell);
-        assert(cell->waiting > 0 || phase == TASK_WAITING);
+        INVARIANT(TASK_COUNTS, cell->waiting > 0 || phase == TASK_WAITING);
         cell->waiting += phase == TASK_WAITING ? 1 : (size_t)-1;
     }
     job_sum_phase(job, task, phase);
@@ -122,7 +122,7 @@
 void task_set_phase(Table *table, Job *job, JobTask *task, TaskPhase phase, const char *worker, int64_t at_ms,
                     PhaseSource source)
 {
-    assert(!task_ended(task->phase) || task->phase == phase);
+    INVARIANT(ENDED_STAYS, !task_ended(task->phase) || task->phase == phase);
     phase_count(table, job, task, phase);
     const bool leaves = strcmp(task->worker, worker) != 0;
     const bool confirmed = task->phase == TASK_PLACED && phase == TASK_RUNNING;
--- a/packages/state/src/sums.c
+++ b/packages/state/src/sums.c
@@ -1,8 +1,8 @@
 /* What a job's tasks add up to, updated with each change of a phase. */
-#include <assert.h>
 #include <string.h>
 #include <talloc.h>
 
+#include "base/invariant.h"
 #include "state/job.h"
 
 static uint32_t *left_of(const Job *job, const JobTask *task)
@@ -47,14 +47,14 @@
 
 void job_sum_phase(Job *job, const JobTask *task, uint64_t phase)
 {
-    assert(job->sums.waiting > 0 || task->phase != TASK_WAITING);
+    INVARIANT(TASK_COUNTS, job->sums.waiting > 0 || task->phase != TASK_WAITING);
     job->sums.waiting += phase == TASK_WAITING;
     job->sums.waiting -= task->phase == TASK_WAITING;
     if (task_ended(phase) && !task_ended(task->phase))
         job->sums.open--;
     if (phase != TASK_DONE || task->phase == TASK_DONE)
         return;
-    assert(job->sums.undone > 0 && *left_of(job, task) > 0);
+    INVARIANT(TASK_COUNTS, job->sums.undone > 0 && *left_of(job, task) > 0);
     job->sums.undone--;
     if (--*left_of(job, task) == 0)
         job->sums.done[task->turn] |= UINT64_C(1) << task->step;
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -140,6 +140,16 @@
 24000  .        .        .        .        end
 """
 
+AGENT_CLOCK_SET_BACK = """
+ms     agent1       worker1  callers
+0      .            .        call:20
+4000   jump:-60000  .        .
+4010   kill         .        .
+4020   start        .        .
+6500   .            runs     .
+20000  .            .        end
+"""
+
 CANCELLED = """
 ms     callers
 0      call:20/12000
@@ -387,6 +397,9 @@
           "removed_with_a_higher_promise", "test", "members"),
     Guard("learner-settles", "a learner that leaves waits until it knows whether it has the vote", "packages/replication/src/leave.c",
           "    vote_settle(replication, until_ms);", "    (void)vote_settle;", "learner_leaves_as_it_gets_the_vote", "test", "leaving"),
+    Guard("agent-clock", "an agent whose wall clock was set back is not taken for an older one", "packages/agent/src/heartbeat.c",
+          "    if (agent->heartbeat_ms == 0)\n        agent->incarnation = members_self(agent->members)->incarnation;\n", "",
+          "it runs nothing", "timeline", "trentvale", 6, AGENT_CLOCK_SET_BACK),
     Guard("lists-one-by-one", "a list of voters is committed before the next is ordered", "packages/replication/src/reconfigure.c",
           "    if (replication->list_index > replication->commit_index)\n        return false;\n    MembershipInput input;", "    MembershipInput input;",
           "was ordered before the last was committed", "precise", "seeds", 1, 1300,
