Disks that refuse writes: followers are replaced, full disks not rewritten in circles

The leader notes since when appends are refused; as for silence it is replaced after half of sync_s.

A state that can't be loaded again after a trim was ignored (the comment said why it could not happen): the process stops there now (invariant state-loads).

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -49,13 +49,15 @@
 #define LEASE_SLACK_MS 50    /* ms; added by the leader to its count of a lease: granularity of timers */
 
 /* --- questions between processes ------------------------------------------------------------- */
-#define ASK_TIMEOUT_MS 800     /* ms; deadline of a plain question; shorter than the leader's lease */
-#define APPEND_TIMEOUT_MS 1500 /* ms; a voter that does not sync an append in this time leaves the view */
-#define WATCH_MS 100           /* ms; how often the leader checks its voters, and a voter whether there is a leader */
-#define VOTER_LATE_MS 400      /* ms; a voter that has not synced by then leaves the view if the others suffice */
-#define DISK_RETRY_MS 300      /* ms; between attempts to write to a disk that refused a write */
-#define VOTER_SLOW_MS 500      /* ms; a voter that takes longer to sync delays every caller ... */
-#define VOTER_SLOW_TIMES 3     /* count; ... and leaves a view of three when it does so this often in a row */
+#define ASK_TIMEOUT_MS 800      /* ms; deadline of a plain question; shorter than the leader's lease */
+#define APPEND_TIMEOUT_MS 1500  /* ms; a voter that does not sync an append in this time leaves the view */
+#define WATCH_MS 100            /* ms; how often the leader checks its voters, and a voter whether there is a leader */
+#define VOTER_LATE_MS 400       /* ms; a voter that has not synced by then leaves the view if the others suffice */
+#define DISK_RETRY_MS 300       /* ms; between attempts to write to a disk that refused a write ... */
+#define DISK_RETRY_MOST_MS 2500 /* ms; ... doubled up to this while it fails: a loss may be over within 4 s */
+#define DISK_WELL_MS 10000      /* ms; a disk that has taken writes for so long is well */
+#define VOTER_SLOW_MS 500       /* ms; a voter that takes longer to sync delays every caller ... */
+#define VOTER_SLOW_TIMES 3      /* count; ... and leaves a view of three when it does so this often in a row */
 #define POLL_GRACE_MS 60 /* ms; once a majority has answered the others have this long: later ones join afterwards */
 #define ELECTION_STEP_TIMEOUT_MS 1200 /* ms; deadline of one step of an election */
 #define FETCH_WAIT_MS 900             /* ms; a question for orders alone is held so long; below ORDER_LIFETIME_MS / 2 */
--- a/packages/base/include/base/invariant.h
+++ b/packages/base/include/base/invariant.h
@@ -16,6 +16,7 @@
     X(LOG_ORDER, "log-order", "entries of the log follow each other by one, and terms never fall")  \
     X(COMMIT_IN_LOG, "commit-in-log", "what is committed is in the log")                            \
     X(DELIVER_COMMITTED, "deliver-committed", "only what is committed is delivered")                \
+    X(STATE_LOADS, "state-loads", "a state that was saved or loaded here can be loaded again")      \
     X(LEADS_COMMITTED, "leads-committed", "a leader has committed the first entry of its term")     \
     X(INCARNATION_RISES, "incarnation-rises", "a member's incarnation is never below the last one") \
     X(ENDED_STAYS, "ended-stays", "a task that has ended stays as it ended")                        \
--- a/packages/controller/src/alerts.c
+++ b/packages/controller/src/alerts.c
@@ -76,6 +76,13 @@
             alert_seen(controller, ALERT_VOTER_OUT, name);
         if (replication.voters[i].sync_ms > VOTER_SLOW_MS)
             alert_seen(controller, ALERT_VOTER_SLOW, name);
+        if (replication.voters[i].refuses)
+            alert_seen(controller, ALERT_DISK_REFUSES, name);
+    }
+    for (size_t i = 0; i < replication.learner_count; i++) {
+        const Member *member = members_find_disk(controller->members, replication.learners[i].disk);
+        if (replication.learners[i].refuses && member != NULL)
+            alert_seen(controller, ALERT_DISK_REFUSES, member->record.name);
     }
     char borne[LOSSES_TEXT];
     snprintf(borne, sizeof(borne), "%d of %d", replication.losses_borne, replication.losses_asked);
--- a/packages/controller/src/alerts.h
+++ b/packages/controller/src/alerts.h
@@ -11,6 +11,7 @@
     X(LOSSES_FEW, "losses-few",                                                                                           \
       "fewer losses of a controller are borne than the settings ask: start a controller with an empty disk")              \
     X(VOTER_SLOW, "seat-slow", "its disk takes long to sync: look at the disk")                                           \
+    X(DISK_REFUSES, "disk-refuses", "its disk refuses writes: free space on it, or replace the machine")                  \
     X(PLAN_BROKEN, "plan-broken",                                                                                         \
       "after this loss some protected work would wait for capacity: add capacity, or ask for less")                       \
     X(UNASSURED, "unassured", "protected work runs that no plan covers: add capacity, or let it preempt other work")      \
--- a/packages/replication/include/replication/replication.h
+++ b/packages/replication/include/replication/replication.h
@@ -163,6 +163,7 @@
     bool in_view;
     bool answers; /* within the last LOCK_GRANT_MS */
     bool restarted;
+    bool refuses;    /* its disk refuses writes; known to the leader alone */
     int64_t sync_ms; /* how long its last sync took */
     uint64_t match_index;
     uint64_t reach; /* how many members it reaches (members_reach) */
@@ -172,7 +173,8 @@
 typedef struct ReplicationLearnerStatus {
     uint64_t disk;
     bool answers;
-    bool ready; /* it can be given a vote at once */
+    bool ready;   /* it can be given a vote at once */
+    bool refuses; /* its disk refuses writes */
     uint64_t match_index;
 } ReplicationLearnerStatus;
 
--- a/packages/replication/src/append.c
+++ b/packages/replication/src/append.c
@@ -40,11 +40,12 @@
     log_event(replication->settings.recorder, LOG_LOG_TRIMMED, loop_now_ms(replication->loop),
               &(LogFields){.text = text});
     replication->delivered_index = replication->log->base_index;
-    if (replication->log->snapshot.kind ==
-        RECORD_SNAPSHOT) /* this process saved or loaded it, so it can be loaded again */
-        (void)replication_load(replication, &replication->log->snapshot);
-    else
-        replication->settings.state.load(replication->settings.state.arg, (Bytes){0});
+    /* this process saved or loaded that snapshot, so it can be loaded again; a state that is not whole answers nothing
+     */
+    const Status loaded = replication->log->snapshot.kind == RECORD_SNAPSHOT
+                              ? replication_load(replication, &replication->log->snapshot)
+                              : replication->settings.state.load(replication->settings.state.arg, (Bytes){0});
+    INVARIANT(STATE_LOADS, loaded == STATUS_OK);
     replication_deliver(replication);
 }
 
--- a/packages/replication/src/disk.c
+++ b/packages/replication/src/disk.c
@@ -2,6 +2,7 @@
 #include <talloc.h>
 
 #include "disk.h"
+#include "snapshot.h"
 #include "state.h"
 
 Record *replication_records(Replication *replication, void *mem, size_t *count)
@@ -63,6 +64,7 @@
 {
     disk_failed_log(replication);
     replication->recovering = true;
+    log_shorten(replication); /* a disk that is full may take what is left */
     if (journal_anew(replication) == STATUS_OK) {
         replication->disk_failure_logged = false;
         log_event(replication->settings.recorder, LOG_DISK_RECOVERED, loop_now_ms(replication->loop), &(LogFields){0});
@@ -70,14 +72,23 @@
     replication->recovering = false;
 }
 
+/* Tends a disk that has failed. While it goes on failing, or fails again soon after it has recovered, as a nearly full
+ * one does, it is tried after growing spans: each try costs a rewrite. */
 static void disk_tend_main(void *arg)
 {
     Replication *replication = arg;
+    int64_t rest_ms = DISK_RETRY_MS, tried_ms = INT64_MIN;
     while (!loop_stopping(replication->loop)) {
         loop_sleep(replication->loop, DISK_RETRY_MS);
-        if (!replication->list_went_back && !replication->compacting && !replication->has_lease &&
-            journal_failed(replication->journal))
-            disk_recover(replication);
+        if (replication->list_went_back || replication->compacting || replication->has_lease ||
+            !journal_failed(replication->journal))
+            continue;
+        const bool again = tried_ms != INT64_MIN && loop_now_ms(replication->loop) - tried_ms < DISK_WELL_MS;
+        rest_ms = !again ? DISK_RETRY_MS : 2 * rest_ms < DISK_RETRY_MOST_MS ? 2 * rest_ms : DISK_RETRY_MOST_MS;
+        if (again)
+            loop_sleep(replication->loop, rest_ms - DISK_RETRY_MS);
+        disk_recover(replication);
+        tried_ms = loop_now_ms(replication->loop);
     }
 }
 
--- a/packages/replication/src/election.c
+++ b/packages/replication/src/election.c
@@ -175,6 +175,7 @@
         replication->peers[i].match_index = 0;
         replication->peers[i].next_index = poll_reached(poll->status[i]) ? poll->answers[i].log_index + 1 : UINT64_MAX;
         replication->peers[i].append_since_ms = INT64_MAX;
+        replication->peers[i].refuses_since_ms = INT64_MAX;
         replication->peers[i].reinstall = false;
         replication->peers[i].renewed_ms = INT64_MIN;
         replication->peers[i].return_ms = 0;
--- a/packages/replication/src/learners.c
+++ b/packages/replication/src/learners.c
@@ -49,8 +49,10 @@
     Learner *slot = &replication->learners[learner];
     const int place = VOTER_MOST + (int)learner;
     *slot = (Learner){disk, slot->generation + 1, loop_now_ms(replication->loop), INT64_MAX};
-    replication->peers[place] = (Peer){
-        .next_index = log_last_index(replication->log) + 1, .renewed_ms = INT64_MIN, .append_since_ms = INT64_MAX};
+    replication->peers[place] = (Peer){.next_index = log_last_index(replication->log) + 1,
+                                       .renewed_ms = INT64_MIN,
+                                       .append_since_ms = INT64_MAX,
+                                       .refuses_since_ms = INT64_MAX};
     lead_renew(replication, place);
     lead_peer(replication, place);
 }
@@ -59,7 +61,7 @@
 {
     const Peer *peer = &replication->peers[VOTER_MOST + learner];
     const int64_t now_ms = loop_now_ms(replication->loop);
-    return replication->learners[learner].disk != 0 && peer->match_index > 0 &&
+    return replication->learners[learner].disk != 0 && peer->match_index > 0 && peer->refuses_since_ms == INT64_MAX &&
            peer->match_index + LOG_BATCH_ENTRIES >= log_last_index(replication->log) && peer->renewed_ms != INT64_MIN &&
            now_ms - peer->renewed_ms < 2 * LOCK_RENEW_MS && peer->append_took_ms < VOTER_SLOW_MS;
 }
--- a/packages/replication/src/replicate.c
+++ b/packages/replication/src/replicate.c
@@ -135,6 +135,10 @@
             lead_answered(replication, lead->slot, &answer);
         if (status == STATUS_OK || status == STATUS_LOG_GAP)
             peer_took(peer, loop_now_ms(replication->loop) - sent_ms);
+        if (status == STATUS_DISK_FAILED && peer->refuses_since_ms == INT64_MAX)
+            peer->refuses_since_ms = loop_now_ms(replication->loop);
+        else if (status == STATUS_OK)
+            peer->refuses_since_ms = INT64_MAX;
         if (status == STATUS_OK) {
             peer->match_index = match;
             peer->next_index = match + 1;
--- a/packages/replication/src/snapshot.c
+++ b/packages/replication/src/snapshot.c
@@ -65,13 +65,11 @@
     return record;
 }
 
-void replication_compact_maybe(Replication *replication, bool force)
+bool log_shorten(Replication *replication)
 {
     Log *log = replication->log;
-    if (replication->compacting || (replication->too_large && !force) ||
-        replication->delivered_index <= log->base_index || (!force && !long_enough(replication)) ||
-        change_under_way(replication))
-        return;
+    if (replication->delivered_index <= log->base_index || change_under_way(replication))
+        return false;
     void *mem = talloc_new(replication);
     const Record record = snapshot_make(replication, mem);
     replication->too_large = record.payload.count > SNAPSHOT_MAX_BYTES;
@@ -83,7 +81,14 @@
         log_rebase(log, &record);
         log_event(replication->settings.recorder, LOG_LOG_COMPACTED, loop_now_ms(replication->loop),
                   &(LogFields){.index = record.index});
-        disk_compact(replication);
     }
     talloc_free(mem);
+    return !replication->too_large;
+}
+
+void replication_compact_maybe(Replication *replication, bool force)
+{
+    if (!replication->compacting && (force || (!replication->too_large && long_enough(replication))) &&
+        log_shorten(replication))
+        disk_compact(replication);
 }
--- a/packages/replication/src/state.h
+++ b/packages/replication/src/state.h
@@ -20,10 +20,11 @@
 typedef struct Peer {
     /* replication */
     uint64_t match_index, next_index;
-    int64_t append_since_ms; /* an append sent then is not answered yet; INT64_MAX: there is none */
-    int64_t append_took_ms;  /* how long the last answered append took */
-    int slow_times;          /* appends in a row that took longer than VOTER_SLOW_MS */
-    bool reinstall;          /* no entries can make its log match: it needs the snapshot */
+    int64_t append_since_ms;  /* an append sent then is not answered yet; INT64_MAX: there is none */
+    int64_t append_took_ms;   /* how long the last answered append took */
+    int slow_times;           /* appends in a row that took longer than VOTER_SLOW_MS */
+    int64_t refuses_since_ms; /* since then its disk has refused every append; INT64_MAX: it takes them */
+    bool reinstall;           /* no entries can make its log match: it needs the snapshot */
     /* lease and contact rounds (contact.h) */
     int64_t renewed_ms; /* when the request was sent that it last answered with a grant; INT64_MIN: none ... */
     int64_t grant_ms;   /* ... and for how long it was */
--- a/packages/replication/src/status.c
+++ b/packages/replication/src/status.c
@@ -27,6 +27,7 @@
             (ReplicationLearnerStatus){.disk = replication->learners[i].disk,
                                        .answers = now_ms - peer->answered_ms < LOCK_GRANT_MS,
                                        .ready = learner_ready(replication, i),
+                                       .refuses = peer->refuses_since_ms != INT64_MAX,
                                        .match_index = peer->match_index};
     }
 }
@@ -45,6 +46,7 @@
             .in_view = replication->in_view[i],
             .answers = self || now_ms - peer->answered_ms < LOCK_GRANT_MS,
             .restarted = self ? replication->restarted : peer->restarted,
+            .refuses = !self && peer->refuses_since_ms != INT64_MAX,
             .sync_ms = self ? status->journal.last_sync_ms : peer->sync_ms,
             .match_index = self ? replication->synced_index : peer->match_index,
             .reach = self ? members_reach(replication->settings.members) : peer->reach,
--- a/packages/replication/src/voter_list.c
+++ b/packages/replication/src/voter_list.c
@@ -70,7 +70,10 @@
             continue;
         replication->voters[i] = disk;
         replication->in_view[i] = false;
-        replication->peers[i] = (Peer){.next_index = UINT64_MAX, .renewed_ms = INT64_MIN, .append_since_ms = INT64_MAX};
+        replication->peers[i] = (Peer){.next_index = UINT64_MAX,
+                                       .renewed_ms = INT64_MIN,
+                                       .append_since_ms = INT64_MAX,
+                                       .refuses_since_ms = INT64_MAX};
         replication->lease.until_ms[i] = INT64_MIN;
     }
     replication->lease.voters = replication->voter_count;
--- a/packages/replication/src/voters.c
+++ b/packages/replication/src/voters.c
@@ -31,6 +31,9 @@
     if (voter_dead(replication, disk, DEAD_ANYWHERE))
         return true;
     const Member *member = members_find_disk(replication->settings.members, disk);
+    const int64_t refuses_ms = replication->peers[place].refuses_since_ms;
+    if (refuses_ms != INT64_MAX && loop_now_ms(replication->loop) - refuses_ms > silent_most_ms(replication, member))
+        return true; /* it answers, and grants leases, but its disk holds nothing new */
     int64_t heard_ms = member != NULL ? member->seen_ms : replication->won_ms;
     if (replication->peers[place].answered_ms > heard_ms)
         heard_ms = replication->peers[place].answered_ms;
