Leaving entry points and controllers hand on what they keep for repair

Cause: where disks may lose what they acknowledged, the entry point that carried a request keeps it so that it can be told again. One that left in order took it along: jobs acknowledged through it were unknown after a loss of power (repair_transfer.entry_point_leaves: 404, before). The same for a controller, once the entry points that had a copy had been started again (repair_transfer.controller_leaves).

Change: at the end of draining what is kept goes to one entry point that stays, of another zone if there is one, in messages of 32 KB; where it does not answer, to the next. Not where disks keep what they sync: there nothing is told again.

--- a/packages/controller/src/controller.c
+++ b/packages/controller/src/controller.c
@@ -14,6 +14,7 @@
 #include "peers.h"
 #include "scheduling.h"
 #include "status.h"
+#include "routing/repair_transfer.h"
 
 /* For the configuration watch: a controller without a vote gets the configuration as an entry point does. */
 static bool has_no_vote(void *arg)
@@ -212,6 +213,9 @@
         loop_sleep(controller->loop, unready_until_ms - loop_now_ms(controller->loop));
     while (loop_serve_busy(controller->loop) > 0 && loop_now_ms(controller->loop) < until_ms)
         loop_sleep(controller->loop, DRAIN_CHECK_MS);
+    if (controller->settings->bounds.disks_keep == 0)
+        (void)repair_transfer(controller->repair_buffer, controller->loop, controller->rpc, controller->members,
+                              until_ms);
 }
 
 Replication *controller_replication(Controller *controller)
--- a/packages/entry_point/src/entry_point.c
+++ b/packages/entry_point/src/entry_point.c
@@ -8,6 +8,7 @@
 #include "heartbeat/messages.h"
 #include "routing/config_watch.h"
 #include "routing/forward.h"
+#include "routing/repair_transfer.h"
 
 #define ELSEWHERE_HTTP 307 /* a redirect: the same request, with its body, at another address */
 
@@ -22,8 +23,9 @@
     char address[ADDRESS_MAX], http[ADDRESS_MAX]; /* as bound: for peers, for callers */
     ConfigWatch *config_watch;
     int64_t grace_ms, unready_ms;
-    bool leaving;   /* it drains */
-    size_t in_work; /* requests that are being forwarded */
+    bool disks_keep; /* no repair: what a disk has synced outlasts a loss of power */
+    bool leaving;    /* it drains */
+    size_t in_work;  /* requests that are being forwarded */
 };
 
 /* --- callers' requests ------------------------------------------------------------------ */
@@ -185,6 +187,7 @@
     entry_point->recorder = recorder;
     entry_point->grace_ms = settings->bounds.grace_ms;
     entry_point->unready_ms = settings->bounds.unready_ms;
+    entry_point->disks_keep = settings->bounds.disks_keep != 0;
     entry_point->rpc = rpc_new(entry_point, loop, recorder);
     entry_point->repair_buffer = repair_buffer_new(entry_point, loop, settings->bounds.retell_ms);
     Status status = rpc_listen(entry_point->rpc, settings->listen, entry_point->address, failure);
@@ -220,6 +223,9 @@
     while (loop_serve_busy(entry_point->loop) > 0 &&
            loop_now_ms(entry_point->loop) < now_ms + entry_point->grace_ms - DRAIN_MARGIN_MS)
         loop_sleep(entry_point->loop, DRAIN_CHECK_MS);
+    if (!entry_point->disks_keep)
+        (void)repair_transfer(entry_point->repair_buffer, entry_point->loop, entry_point->rpc, entry_point->members,
+                              now_ms + entry_point->grace_ms - DRAIN_MARGIN_MS);
 }
 
 const char *entry_point_http_address(const EntryPoint *entry_point)
--- /dev/null
+++ b/packages/routing/src/repair_transfer.c
@@ -0,0 +1,73 @@
+/* Transfer of what is kept for repair, in messages that hold up no narrow link for long. */
+#include "routing/repair_transfer.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define TRANSFER_BYTES (32 * 1024) /* bytes; of one message: 130 ms at 2 Mbit/s */
+
+/* Whether the member may be given what this process keeps. */
+static bool may_take(const Members *members, const Member *row, int64_t now_ms)
+{
+    return row->record.role == ROLE_ENTRY_POINT && !row->record.leaving && !member_quiet(row, now_ms) &&
+           strcmp(row->record.id, members_self(members)->id) != 0;
+}
+
+/* How many of the items go in the next message; one at least. */
+static size_t batch_count(const RepairItem *items, size_t count)
+{
+    size_t taken = 0, bytes = 0;
+    while (taken < count && (taken == 0 || bytes + items[taken].payload.count <= TRANSFER_BYTES))
+        bytes += items[taken++].payload.count;
+    return taken;
+}
+
+/* Waits. Sends the items from the first on until one message is not taken; how many were. */
+static size_t items_send(Loop *loop, Rpc *rpc, const char *address, const RepairList *list, int64_t until_ms)
+{
+    size_t sent = 0;
+    while (sent < list->items_count && loop_now_ms(loop) < until_ms) {
+        const size_t count = batch_count(&list->items[sent], list->items_count - sent);
+        const RepairList batch = {&list->items[sent], count};
+        void *mem = talloc_new(NULL);
+        Nothing answer = {0};
+        const Status status = rpc_ask(rpc, mem, address, MESSAGE_KEEP, &RepairList_shape, &batch, ASK_TIMEOUT_MS,
+                                      &Nothing_shape, &answer);
+        talloc_free(mem);
+        if (status != STATUS_OK)
+            break;
+        sent += count;
+    }
+    return sent;
+}
+
+/* The addresses of those that may take the items, other zones first; on mem. */
+static const char **takers_of(void *mem, const Members *members, int64_t now_ms, size_t *count)
+{
+    const MemberTable *table = members_table(members);
+    const char **addresses = talloc_array(mem, const char *, (unsigned)table->count + 1);
+    *count = 0;
+    for (int own_zone = 0; own_zone < 2; own_zone++)
+        for (size_t i = 0; i < table->count; i++) {
+            const Member *row = &table->rows[i];
+            const bool same = strcmp(row->record.zone, members_self(members)->zone) == 0;
+            if (same == (own_zone == 1) && may_take(members, row, now_ms))
+                addresses[(*count)++] = talloc_strdup(mem, row->record.address);
+        }
+    return addresses;
+}
+
+size_t repair_transfer(RepairBuffer *repair_buffer, Loop *loop, Rpc *rpc, const Members *members, int64_t until_ms)
+{
+    void *mem = talloc_new(repair_buffer);
+    RepairList list = {0};
+    repair_buffer_list(repair_buffer, mem, 0, &list);
+    size_t count, sent = 0;
+    const char **addresses = takers_of(mem, members, loop_now_ms(loop), &count);
+    for (size_t i = 0; i < count && sent < list.items_count && loop_now_ms(loop) < until_ms; i++) {
+        const RepairList left = {&list.items[sent], list.items_count - sent};
+        sent += items_send(loop, rpc, addresses[i], &left, until_ms);
+    }
+    talloc_free(mem);
+    return sent;
+}
