Features that decide can be switched off by name in the settings

What each mechanism of the scheduler is worth could not be measured but by editing sources. The setting `without` (ini file, flag of every daemon and of `node`) takes a list of 15 words: estimates, target-order, priority, preemption, reservations, eject-failing, eject-slow, restart-slow, gang-repair, affinity, capacity-forecast, leave-early, pass-overdue, together, adaptive-grant. An unknown word is a typed error that names it, and nothing has changed; what keeps the safety properties has no word. Tests: features; without_features plays a fleet with failures without each of them and without all: no safety property breaks.

--- a/packages/controller/src/controller.c
+++ b/packages/controller/src/controller.c
@@ -15,6 +15,7 @@
 #include "scheduling.h"
 #include "status.h"
 #include "routing/repair_transfer.h"
+#include "settings/features.h"
 
 /* For the configuration watch: a controller without a vote gets the configuration as an entry point does. */
 static bool has_no_vote(void *arg)
@@ -88,6 +89,8 @@
                                                       .opened_arg = controller,
                                                       .losses = (int)settings->bounds.losses,
                                                       .founds = (ReplicationFounds)settings->bounds.founds,
+                                                      .longest_grant =
+                                                          !feature_on(&settings->bounds, FEATURE_ADAPTIVE_GRANT),
                                                       .disks_keep = settings->bounds.disks_keep != 0,
                                                       .voter_back_ms = settings->bounds.voter_back_ms};
     controller->replication = replication_new(controller, &replication_settings);
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -49,7 +49,8 @@
     Resources fleet;       /* capacity of all workers that may be given work */
     QueueClock clock;
     QueuePolicy policy;
-    void *arg; /* policy's */
+    void *arg;                      /* policy's */
+    bool no_targets, no_priorities; /* have no part in the built-in policy's order */
 } QueueContext;
 
 /* What is remembered of jobs between two passes, so that a pass costs little for each:
--- a/packages/queue/src/rank.c
+++ b/packages/queue/src/rank.c
@@ -18,8 +18,9 @@
     const QueueContext *context = ready->context;
     const Policy *policy = context->policy(context->arg, note->cell);
     const PolicyContext seen = queue_policy_context(ready->queue, context, job, task);
-    const double rank = policy->rank(policy->arg, &seen);
-    if (policy != policy_plain() || target->span_ms <= 0)
+    const bool plain = policy == policy_plain();
+    const double rank = plain && context->no_priorities ? 0.0 : policy->rank(policy->arg, &seen);
+    if (!plain || target->span_ms <= 0 || context->no_targets)
         return rank;
     const JobTask *one = &job->tasks[task];
     const double near = job->spec.lasting ? 0.0 : target_rank(target, one->step, context->clock.log_ms);
--- a/packages/replication/include/replication/replication.h
+++ b/packages/replication/include/replication/replication.h
@@ -80,8 +80,9 @@
     void *opened_arg;
     int losses; /* disks that may be lost at once; 2 * losses + 1 voters are wanted; 0: 1 */
     ReplicationFounds founds;
-    bool disks_keep;         /* what a disk has synced outlasts a loss of power */
-    int64_t voter_back_ms;   /* ms; a lost voter is replaced within this; 0: VOTER_REPLACE_MS */
+    bool longest_grant;    /* asks for the longest grant of the lock always, not for what has been seen to be needed */
+    bool disks_keep;       /* what a disk has synced outlasts a loss of power */
+    int64_t voter_back_ms; /* ms; a lost voter is replaced within this; 0: VOTER_REPLACE_MS */
     size_t snapshot_entries; /* a snapshot is made after so many entries; 0: LOG_SNAPSHOT_ENTRIES */
 } ReplicationSettings;
 
--- a/packages/replication/src/lease.c
+++ b/packages/replication/src/lease.c
@@ -51,7 +51,7 @@
 int64_t lease_grant_ms(const Replication *replication)
 {
     const int64_t grant_ms = LOCK_GRANT_LEAST_MS + PAUSE_TIMES * replication->pause_us / US_PER_MS;
-    return grant_ms < LOCK_GRANT_MS ? grant_ms : LOCK_GRANT_MS;
+    return grant_ms < LOCK_GRANT_MS && !replication->settings.longest_grant ? grant_ms : LOCK_GRANT_MS;
 }
 
 void lease_pause_take(Replication *replication, int64_t pause_ms)
--- a/packages/scheduler/src/capacity_forecast.c
+++ b/packages/scheduler/src/capacity_forecast.c
@@ -7,6 +7,7 @@
 
 #include "scheduler/attempt_progress.h"
 #include "scheduler/worker_score.h"
+#include "settings/features.h"
 
 int64_t forecast_left_ms(const Pass *pass, const Job *job, const JobTask *task, size_t worker)
 {
@@ -49,6 +50,8 @@
     Resources free = pass->input.workers[worker].free;
     if (resources_fits(need, free))
         return 0;
+    if (!feature_on(pass->scheduler->bounds, FEATURE_FORECAST))
+        return INT64_MAX;
     const TaskOn *on;
     const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[worker].name, &on);
     End *ends = talloc_array(pass->mem, End, (unsigned)count);
--- a/packages/scheduler/src/gang_repair.c
+++ b/packages/scheduler/src/gang_repair.c
@@ -5,6 +5,8 @@
 
 #include <talloc.h>
 
+#include "settings/features.h"
+
 /* Whether the task runs while another member of its gang waits. */
 static bool is_split(const TaskOn *on)
 {
@@ -23,7 +25,7 @@
 void gangs_repair(Scheduler *scheduler, void *mem)
 {
     const int64_t now_ms = loop_now_ms(scheduler->loop);
-    if (now_ms < scheduler->gangs_repair_ms)
+    if (now_ms < scheduler->gangs_repair_ms || !feature_on(scheduler->bounds, FEATURE_GANG_REPAIR))
         return;
     scheduler->gangs_repair_ms = now_ms + GANGS_REPAIR_MS;
     StopList list = {.why = "its gang is not whole"};
--- a/packages/scheduler/src/leaving_worker.c
+++ b/packages/scheduler/src/leaving_worker.c
@@ -9,6 +9,7 @@
 #include "capacity_forecast.h"
 #include "stop_list.h"
 #include "worker_choice.h"
+#include "settings/features.h"
 
 /* stays_ms: for how long the worker stays; elsewhere: another worker has capacity for the task. */
 static bool must_go(const Pass *pass, const TaskOn *on, size_t worker, int64_t until_leave_ms, bool elsewhere)
@@ -33,6 +34,8 @@
 
 void leaving_find(Pass *pass, StopList *list)
 {
+    if (!feature_on(pass->scheduler->bounds, FEATURE_LEAVE_EARLY))
+        return;
     const int64_t now_ms = loop_now_ms(pass->scheduler->loop);
     for (size_t i = 0; i < pass->input.worker_count; i++) {
         const LiveRow *row = liveset_find(pass->scheduler->liveset, pass->input.workers[i].name);
--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "scheduler/worker_score.h"
+#include "settings/features.h"
 
 /* The capacity of the worker that may be used now; none when it may be given no work. row: of the live set, may be
  * null; orphans (out): what its orphaned attempts use. */
@@ -27,7 +28,7 @@
         rows[i] = liveset_find(scheduler->liveset, workers[i]->name);
         overdue += rows[i] != NULL && live_row_overdue(rows[i], now_ms);
     }
-    return overdue * OVERDUE_SHARE <= count;
+    return overdue * OVERDUE_SHARE <= count && feature_on(scheduler->bounds, FEATURE_PASS_OVERDUE);
 }
 
 /* All workers, with their free capacity; those that may be given no work have none, but their tasks still count for
@@ -95,6 +96,8 @@
         (PlanInput){.r = pass->config->r, .zone_loss = pass->config->zone_loss, .rack_loss = pass->config->rack_loss};
     workers_find(pass);
     pass->context = (QueueContext){.table = scheduler->table,
+                                   .no_targets = !feature_on(scheduler->bounds, FEATURE_TARGET_ORDER),
+                                   .no_priorities = !feature_on(scheduler->bounds, FEATURE_PRIORITY),
                                    .config = pass->config,
                                    .config_stamp = stamp,
                                    .fleet = pass->fleet,
--- a/packages/scheduler/src/pass_reservation.c
+++ b/packages/scheduler/src/pass_reservation.c
@@ -8,6 +8,8 @@
 
 #include <talloc.h>
 
+#include "settings/features.h"
+
 /* How near the free capacity is to what is needed, in thousandths, by the scarcest resource. */
 static uint64_t near_to(Resources need, Resources free)
 {
@@ -35,8 +37,8 @@
 
 void reserve_for(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded)
 {
-    if (candidate->slack_ms >= RESERVE_SLACK_MS || candidate->slack_ms < -candidate->estimate_ms ||
-        candidate->count > pass->input.worker_count)
+    if (!feature_on(pass->scheduler->bounds, FEATURE_RESERVATIONS) || candidate->slack_ms >= RESERVE_SLACK_MS ||
+        candidate->slack_ms < -candidate->estimate_ms || candidate->count > pass->input.worker_count)
         return;
     Resources all = pass->reserved;
     for (size_t i = 0; i < candidate->count; i++)
--- a/packages/scheduler/src/preemption.c
+++ b/packages/scheduler/src/preemption.c
@@ -6,6 +6,7 @@
 
 #include "preemption_target.h"
 #include "preemptible_capacity.h"
+#include "settings/features.h"
 
 /* Running attempts of one worker that are to be preempted. */
 typedef struct Victims {
@@ -90,7 +91,7 @@
 void preempt_for(Pass *pass, const Candidate *candidate)
 {
     const Policy *policy = scheduler_policy(pass->scheduler, config_cell(pass->config, candidate->job->spec.cell));
-    if (pass->to_preempt.attempts_count > 0)
+    if (pass->to_preempt.attempts_count > 0 || !feature_on(pass->scheduler->bounds, FEATURE_PREEMPTION))
         return;
     if (policy == policy_plain())
         preempt_target(pass, candidate);
--- a/packages/scheduler/src/reservation.c
+++ b/packages/scheduler/src/reservation.c
@@ -12,6 +12,7 @@
 #include <talloc.h>
 
 #include "capacity_forecast.h"
+#include "settings/features.h"
 
 /* The workers reserved for one candidate of a cell. */
 typedef struct Reservation {
@@ -170,8 +171,8 @@
     Scheduler *scheduler = pass->scheduler;
     const int64_t log_ms = pass->clock.log_ms;
     const char *cell = candidate->job->spec.cell;
-    if (log_ms - candidate->since_ms < wait_ms(candidate) || candidate->rank <= TARGET_LOST_RANK / 2 ||
-        map_get(scheduler->reservations, cell) != NULL)
+    if (!feature_on(scheduler->bounds, FEATURE_RESERVATIONS) || log_ms - candidate->since_ms < wait_ms(candidate) ||
+        candidate->rank <= TARGET_LOST_RANK / 2 || map_get(scheduler->reservations, cell) != NULL)
         return;
     Reservation *reservation = talloc_zero(scheduler, Reservation);
     if (!workers_take(pass, candidate, step, reservation)) { /* it gets all that it needs, or none */
--- a/packages/scheduler/src/slow_attempt.c
+++ b/packages/scheduler/src/slow_attempt.c
@@ -10,6 +10,7 @@
 #include "scheduler/worker_score.h"
 #include "stop_list.h"
 #include "worker_choice.h"
+#include "settings/features.h"
 
 #define STALLED_LEFT_MS 1e9 /* ms; an attempt without progress never ends */
 
@@ -100,6 +101,8 @@
 
 void slow_find(Pass *pass, StopList *list)
 {
+    if (!feature_on(pass->scheduler->bounds, FEATURE_RESTART_SLOW))
+        return;
     for (size_t i = 0; i < pass->input.worker_count; i++) {
         const TaskOn *on;
         const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[i].name, &on);
--- a/packages/scheduler/src/worker_choice.c
+++ b/packages/scheduler/src/worker_choice.c
@@ -12,6 +12,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "settings/features.h"
+
 #define SHARE_ONE 1000 /* thousandths */
 
 void spread_add(Pass *pass, size_t at, int by)
@@ -82,6 +84,8 @@
 {
     const uint64_t far = (uint64_t)pass->scheduler->bounds->far_percent;
     uint64_t percent = 100;
+    if (!feature_on(pass->scheduler->bounds, FEATURE_AFFINITY))
+        return percent;
     if (step->near[0] != '\0' && strcmp(step->near, pass->input.workers[at].rack) != 0)
         percent = percent * far / 100;
     if (leaves_rack(pass, step, at))
@@ -93,7 +97,8 @@
  * must leave a plan for, spreading counts for more: less has to be restarted at once. */
 static bool gains_together(const Pass *pass, const Job *job)
 {
-    return !pass->plan_required && !job->spec.lasting && (job->terms.stretch_milli > 0 || job->terms.target_ms > 0);
+    return feature_on(pass->scheduler->bounds, FEATURE_TOGETHER) && !pass->plan_required && !job->spec.lasting &&
+           (job->terms.stretch_milli > 0 || job->terms.target_ms > 0);
 }
 
 /* The preference for the worker, in thousandths of a worker's capacity: more is better. */
--- a/packages/scheduler/src/worker_score.c
+++ b/packages/scheduler/src/worker_score.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "state.h"
+#include "settings/features.h"
 
 #define HALVINGS_MOST 7 /* count; a rate of at most 100 percent that was halved more often is none */
 
@@ -145,13 +146,16 @@
     const bool whole = task->attempt == 1 || !step->saves;
     const int64_t ran_ms = update->ran_ms > 0 && whole ? update->ran_ms : took_ms(task);
     /* a gang, and a step that is spread over racks, waits for others as well */
-    if (worker != NULL && ran_ms > 0 && !step->gang && !step->same_rack && !job->spec.lasting)
+    if (feature_on(scheduler->bounds, FEATURE_ESTIMATES) && worker != NULL && ran_ms > 0 && !step->gang &&
+        !step->same_rack && !job->spec.lasting)
         estimates_end_take(scheduler->estimates, job, task->step, update->worker, ran_ms,
                            score_far_percent(scheduler, worker, step), loop_now_ms(scheduler->loop));
 }
 
 void score_stalled(Scheduler *scheduler, const char *worker, const Job *job)
 {
+    if (!feature_on(scheduler->bounds, FEATURE_EJECT_FAILING))
+        return;
     Score *score = map_get(scheduler->scores, worker);
     if (score == NULL) {
         score = talloc_zero(scheduler->scores, Score);
@@ -182,11 +186,12 @@
             score = talloc_zero(scheduler->scores, Score);
             map_set(scheduler->scores, update->worker, score);
         }
-        tally_take(scheduler, update->worker, score, &score->failed, job, update->word == ATTEMPT_FAILED, SCORE_WEIGHT,
-                   "fails its work");
+        if (feature_on(scheduler->bounds, FEATURE_EJECT_FAILING))
+            tally_take(scheduler, update->worker, score, &score->failed, job, update->word == ATTEMPT_FAILED,
+                       SCORE_WEIGHT, "fails its work");
         /* attempts that ran at the same time as one already counted may have met the same pause, which counts once */
         const bool beside = slow && job->tasks[at].started_ms < score->slow_end_ms;
-        if (known && !beside)
+        if (known && !beside && feature_on(scheduler->bounds, FEATURE_EJECT_SLOW))
             tally_take(scheduler, update->worker, score, &score->slow, job, slow, SLOW_WEIGHT, "is slow");
         if (known && slow && !beside)
             score->slow_end_ms = job->tasks[at].changed_ms;
--- a/packages/settings/include/settings/bounds.h
+++ b/packages/settings/include/settings/bounds.h
@@ -1,6 +1,7 @@
 #ifndef SETTINGS_BOUNDS_H
 #define SETTINGS_BOUNDS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/constants.h"
@@ -41,6 +42,7 @@
 #define X(name, outside, otherwise, least, most, meaning) int64_t name;
     BOUND_LIST(X)
 #undef X
+    int64_t features_off; /* a bit for each feature that is off (features.h) */
 } Bounds;
 
 /* All at their defaults. */
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -7,6 +7,7 @@
 
 #include "config/check.h"
 #include "loop/real.h"
+#include "settings/features.h"
 
 #define GROUP "spancart"
 
@@ -43,6 +44,14 @@
     return STATUS_OK;
 }
 
+static Status without_set(Settings *settings, const char *value, Failure *failure)
+{
+    char unknown[FEATURE_WORD_MOST];
+    if (!features_without(&settings->bounds, value, unknown))
+        return failure_set(failure, STATUS_BAD_SETTINGS, "without: %s is no feature", unknown);
+    return STATUS_OK;
+}
+
 Status settings_set(void *mem, Settings *settings, const char *key, const char *value, Failure *failure)
 {
     const char **field = text_field(settings, key);
@@ -52,6 +61,8 @@
     }
     if (strcmp(key, "seeds") == 0)
         return seeds_set(mem, settings, value, failure);
+    if (strcmp(key, "without") == 0)
+        return without_set(settings, value, failure);
     if (strcmp(key, "log") != 0)
         return failure_set(failure, STATUS_BAD_SETTINGS, "%s: there is no such key", key);
     if (!recorder_level_of_word(value, &settings->log))
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -75,7 +75,7 @@
 static int settings_take(void *mem, SettingsRole role, const char *command, int argc, const char **argv,
                          Settings *settings, char **record)
 {
-    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker", "log"};
+    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker", "log", "without"};
     enum { KEY_COUNT = sizeof(KEYS) / sizeof(KEYS[0]) };
     char *path = NULL, *values[KEY_COUNT] = {0};
     struct poptOption options[] = {
@@ -88,6 +88,7 @@
         {"data", 0, POPT_ARG_STRING, &values[5], 0, "data folder (core)", "FOLDER"},
         {"worker", 0, POPT_ARG_STRING, &values[6], 0, "name of the worker (agent)", "NAME"},
         {"log", 0, POPT_ARG_STRING, &values[7], 0, "least level of lines written: note, alert or fatal", "LEVEL"},
+        {"without", 0, POPT_ARG_STRING, &values[8], 0, "features that are off, with commas between them", "LIST"},
         {"record", 0, POPT_ARG_STRING, record, 0, "append who plans to this file, for proof (core)", "FILE"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(command, argc, argv, options, 0);
--- a/src/node.c
+++ b/src/node.c
@@ -34,7 +34,9 @@
         talloc_free(mem);
         return;
     }
+    const int64_t features_off = run->place.settings.bounds.features_off;
     run->place.settings.bounds = place.settings.bounds;
+    run->place.settings.bounds.features_off = features_off; /* of the command line */
     const char *seeds[SEEDS];
     for (int i = 0; i < SEEDS; i++)
         run->place.settings.seeds[i] = seeds[i] = talloc_strdup(run->mem, place.settings.seeds[i]);
@@ -121,13 +123,14 @@
 
 int run_node(int argc, const char **argv)
 {
-    char *name = NULL, *path = NULL, *log = NULL;
+    char *name = NULL, *path = NULL, *log = NULL, *without = NULL;
     int only = 0;
     RecorderLevel level = RECORDER_NOTE;
     struct poptOption options[] = {
         {"face", 'f', POPT_ARG_STRING, &name, 0, "the platform that this is run on", "NAME"},
         {"props", 'p', POPT_ARG_STRING, &path, 0, "settings file; else as the platform names it", "FILE"},
         {"log", 0, POPT_ARG_STRING, &log, 0, "least level of lines written: note, alert or fatal", "LEVEL"},
+        {"without", 0, POPT_ARG_STRING, &without, 0, "features that are off, with commas between them", "LIST"},
         {"check", 0, POPT_ARG_NONE, &only, 0, "check the settings and end", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("node", argc, argv, options, 0);
@@ -152,6 +155,9 @@
         settings_changed(run);
     if (code == EXIT_GOOD && run->adapter->read(mem, run->path, &run->place, &failure) != STATUS_OK)
         code = wrong("node", "%s", failure.text);
+    if (code == EXIT_GOOD && without != NULL &&
+        settings_set(mem, &run->place.settings, "without", without, &failure) != STATUS_OK)
+        code = wrong("node", "%s", failure.text);
     if (code == EXIT_GOOD && only) {
         printf("good: %s %s in zone %s\n", ROLES[run->place.role], run->place.settings.name, run->place.settings.zone);
     } else if (code == EXIT_GOOD) {
