--- a/packages/explore/src/disks.c
+++ b/packages/explore/src/disks.c
@@ -34,7 +34,7 @@
 {
     for (uint64_t i = last_index(model); i > index && i > model->base_index; i--) {
         const Item *item = disk_item(model, i);
-        if (item->voter_count > 0)
+        if (item != NULL && item->voter_count > 0)
             return item;
     }
     return NULL;
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -248,7 +248,7 @@
 """),
     Guard("stop-confirmed", "room is used once the old round is known to be over", "packages/state/include/state/job.h",
           "X(STOPPING, \"stopping\", true)", "X(STOPPING, \"stopping\", false)",
-          "packed beyond its resources|running twice|" + CLAIM, "sweep", "varied", 1, 24),
+          "packed beyond its resources|running twice|forgotten|" + CLAIM, "sweep", "varied", 1, 24),
     Guard("drained", "an emptied zone gets no new work", "packages/scheduler/src/pass.c",
           "!table_drained(scheduler->table, worker->zone) && ", "",
           "emptied zone", "timeline", "trentvale", 2, ZONE_DRAINED),
