--- a/packages/base/test/invariant.c
+++ b/packages/base/test/invariant.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <talloc.h>
 #include <unistd.h>
 
 #include "base/invariant.h"
@@ -21,21 +22,24 @@
     siglongjmp(aborted, number);
 }
 
-/* Runs the function, which must end by SIGABRT; text: what was written to standard error meanwhile. */
-static void must_stop(void (*run)(void), char *text, size_t size)
+/* Runs the function with memory of its own, which must end by SIGABRT; text: what was written to standard error
+ * meanwhile. */
+static void must_stop(void (*run)(void *mem), char *text, size_t size)
 {
     int ends[2];
+    void *mem = talloc_new(NULL);
     assert_int_equal(pipe(ends), 0);
     const int saved = dup(STDERR_FILENO);
     dup2(ends[1], STDERR_FILENO);
     void (*const before)(int) = signal(SIGABRT, on_abort);
     if (sigsetjmp(aborted, 1) == 0) {
-        run();
+        run(mem);
         signal(SIGABRT, before);
         dup2(saved, STDERR_FILENO);
         fail_msg("it went on");
     }
     signal(SIGABRT, before);
+    talloc_free(mem);
     dup2(saved, STDERR_FILENO);
     const ssize_t count = read(ends[0], text, size - 1);
     text[count > 0 ? count : 0] = '\0';
@@ -44,8 +48,9 @@
     close(ends[1]);
 }
 
-static void promise_lower(void)
+static void promise_lower(void *mem)
 {
+    (void)mem;
     LockVoter voter = {.promised = 5, .holder = 1};
     lock_promise(&voter, 4, 1);
 }
@@ -59,9 +64,9 @@
     assert_non_null(strstr(text, "lock.c:"));
 }
 
-static void entry_skip(void)
+static void entry_skip(void *mem)
 {
-    Log *log = log_new(NULL);
+    Log *log = log_new(mem);
     const Record entry = {.kind = RECORD_ENTRY, .term = 1, .index = 2, .name = ""};
     log_add(log, &entry);
 }
