Repair: two entry points in different zones keep what disks may lose

Cause: what was acknowledged by disks that lose it was kept by one process without a disk: the entry point that carried the request, or one that the leader handed its own callers' changes to. A controller that does not lead kept it in its own memory, which goes with the disks.

Change: the leader has entry points keep a copy before it answers, until two in different zones do; the request names the entry point that carries it, which is one of them. Nothing is copied any more where disks keep what they have synced: there is no repair. repair_transfer and repair_copy find those who may keep by one function now.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -127,6 +127,7 @@
 /* ms; a leader that has just started repairs no sooner: until then connections of others to
  * its previous life may be silent */
 #define REPAIR_HEAR_MS (CONNECTION_MISSES * ASK_TIMEOUT_MS + 2 * HELLO_MS)
+#define REPAIR_COPIES 2 /* count; entry points, in different zones, that keep a change for repair */
 #define KEEP_ASK_MS 100 /* ms; deadline for an entry point to keep a change for repair; a caller waits meanwhile */
 #define REPAIR_BUFFER_BYTES_MAX \
     (4 * 1024 * 1024)            /* bytes; one node keeps for repair: some 5,000 jobs; memory is priced */
--- a/packages/callers/include/callers/callers.h
+++ b/packages/callers/include/callers/callers.h
@@ -53,12 +53,11 @@
 
 /* On mem. Copies the settings. */
 CallerService *caller_service_new(void *mem, const CallerServiceSettings *settings);
-/* Waits. Answers a forwarded request; what it committed is in the answer, for the node that brings it to the caller,
- * which keeps it for repair. All on mem. The node must lead when it is called. */
+/* Waits. Answers a request that was forwarded, or came to this node's own address; what it committed is in the answer,
+ * for the node that brings it to the caller. Where disks may lose what they acknowledged, REPAIR_COPIES entry points
+ * keep it as well before this returns, as far as they answer; one that carries the request is one of them. All on mem.
+ * The node must lead when it is called. */
 void caller_service_answer(CallerService *callers, void *mem, const ForwardAsk *ask, ForwardAnswer *answer);
-/* Waits. The same for a request that came to this node's own address: before it returns, an entry point keeps what
- * was committed as well, if one answers. */
-void caller_service_lead(CallerService *callers, void *mem, const ForwardAsk *ask, ForwardAnswer *answer);
 const CallerServiceCounts *caller_service_counts(const CallerService *callers);
 
 #endif
--- a/packages/callers/src/callers.c
+++ b/packages/callers/src/callers.c
@@ -26,6 +26,12 @@
     return &callers->counts;
 }
 
+/* Whether disks may lose what they acknowledged, so that others keep it as well. */
+static bool repair_possible(const Bounds *bounds)
+{
+    return bounds->retell_ms > 0 && bounds->disks_keep == 0;
+}
+
 void caller_service_answer(CallerService *callers, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
 {
     HttpTask *task = talloc_zero(mem, HttpTask);
@@ -47,11 +53,6 @@
     answer->retry_after_s = (uint64_t)task->retry_after_s;
     answer->repair_items = repair_items.items;
     answer->repair_items_count = repair_items.items_count;
-}
-
-void caller_service_lead(CallerService *callers, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
-{
-    caller_service_answer(callers, mem, ask, answer);
-    if (answer->repair_items_count > 0 && callers->bounds->retell_ms > 0)
-        repair_copy_send(callers, mem, &(RepairList){answer->repair_items, answer->repair_items_count});
+    if (repair_items.items_count > 0 && repair_possible(callers->bounds))
+        repair_copy_send(callers, mem, &repair_items, ask->carrier);
 }
--- a/packages/callers/src/repair_copy.c
+++ b/packages/callers/src/repair_copy.c
@@ -1,12 +1,24 @@
-/* A copy for repair: what came in at a controller's own address is known there and on the disks only. If these lose
- * it, nobody could report it again; so one entry point keeps it too before the request is answered. */
+/* Copies for repair: what was committed is known on the disks and to the process that carries the request. Disks may
+ * lose what they acknowledged, all at once; so entry points in two zones keep it before the request is answered: the
+ * one that carries it and another, or two where a controller carries it, which loses its memory with the disks. */
 #include "repair_copy.h"
 
-#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
-#define COPY_TRIES_MOST 3 /* count; entry points tried, one after the other */
+#include "routing/repair_transfer.h"
+
+#define COPY_TRIES_MOST 4 /* count; entry points asked for one request, one after the other */
+#define NONE SIZE_MAX
+
+/* Who may keep the copies of one request, and in which zones there are some. */
+typedef struct CopyPlan {
+    RepairTaker *takers;
+    size_t taker_count;
+    bool *asked; /* by taker: it keeps a copy, or has not answered */
+    const char *zones[REPAIR_COPIES];
+    size_t copy_count;
+} CopyPlan;
 
 static bool copy_offer(CallerService *callers, void *mem, const char *address, const RepairList *repair_items)
 {
@@ -23,32 +35,59 @@
     return bytes;
 }
 
-void repair_copy_send(CallerService *callers, void *mem, const RepairList *repair_items)
+/* The takers for one request; the carrier is one of those that have a copy. */
+static CopyPlan plan_begin(const CallerService *callers, void *mem, const char *carrier)
+{
+    CopyPlan plan = {0};
+    plan.taker_count = repair_takers(mem, callers->members, loop_now_ms(callers->loop), &plan.takers);
+    plan.asked = talloc_zero_array(mem, bool, (unsigned)plan.taker_count + 1);
+    if (carrier[0] == '\0')
+        return plan;
+    plan.zones[plan.copy_count++] = ""; /* it may not be known here yet */
+    for (size_t i = 0; i < plan.taker_count; i++)
+        if (strcmp(plan.takers[i].id, carrier) == 0) {
+            plan.asked[i] = true;
+            plan.zones[0] = plan.takers[i].zone;
+        }
+    return plan;
+}
+
+static bool zone_has_copy(const CopyPlan *plan, const char *zone)
+{
+    bool found = false;
+    for (size_t i = 0; i < plan->copy_count; i++)
+        found |= strcmp(plan->zones[i], zone) == 0;
+    return found;
+}
+
+/* The taker to ask next, from the first on and round the list: one of a zone without a copy, else any; NONE: all have
+ * been asked. */
+static size_t taker_next(const CopyPlan *plan, size_t first)
+{
+    for (int anywhere = 0; anywhere < 2; anywhere++)
+        for (size_t i = 0; i < plan->taker_count; i++) {
+            const size_t taker = (first + i) % plan->taker_count;
+            if (!plan->asked[taker] && (anywhere == 1 || !zone_has_copy(plan, plan->takers[taker].zone)))
+                return taker;
+        }
+    return NONE;
+}
+
+void repair_copy_send(CallerService *callers, void *mem, const RepairList *repair_items, const char *carrier)
 {
     /* a large configuration would fill an entry point's link for seconds: it is on as many disks as the settings
      * ask for, and entry points get it by their configuration watch */
     if (bytes_of(repair_items) > CONFIG_LARGE_BYTES)
         return;
-    const MemberTable *table = members_table(callers->members);
-    char addresses[COPY_TRIES_MOST][ADDRESS_MAX];
-    size_t count = 0;
-    for (size_t i = 0; i < table->count; i++) {
-        const Member *row = &table->rows[i];
-        if (row->record.role != ROLE_ENTRY_POINT || row->record.leaving ||
-            member_quiet(row, loop_now_ms(callers->loop)))
-            continue;
-        const bool last = strcmp(row->record.address, callers->repair_copy_at) == 0;
-        if (count == COPY_TRIES_MOST && !last)
-            continue;
-        /* the one that kept the last copy first: one that does not answer costs its wait once */
-        if (last && count > 0)
-            memcpy(addresses[count < COPY_TRIES_MOST ? count : COPY_TRIES_MOST - 1], addresses[0], ADDRESS_MAX);
-        snprintf(addresses[last ? 0 : count], ADDRESS_MAX, "%s", row->record.address);
-        count += count < COPY_TRIES_MOST;
-    }
-    for (size_t i = 0; i < count; i++)
-        if (copy_offer(callers, mem, addresses[i], repair_items)) {
-            snprintf(callers->repair_copy_at, ADDRESS_MAX, "%s", addresses[i]);
+    CopyPlan plan = plan_begin(callers, mem, carrier);
+    for (int tries = 0; tries < COPY_TRIES_MOST && plan.copy_count < REPAIR_COPIES; tries++) {
+        const size_t taker = taker_next(&plan, callers->repair_copy_next);
+        if (taker == NONE)
             return;
-        }
+        plan.asked[taker] = true;
+        if (copy_offer(callers, mem, plan.takers[taker].address, repair_items))
+            plan.zones[plan.copy_count++] = plan.takers[taker].zone;
+        else
+            callers->repair_copy_next = taker + 1; /* asked last from now on: its wait is paid for once */
+    }
 }
--- a/packages/callers/src/state.h
+++ b/packages/callers/src/state.h
@@ -13,7 +13,7 @@
     Scheduler *scheduler;
     const Bounds *bounds;
     CallerServiceLeader leader;
-    char repair_copy_at[ADDRESS_MAX]; /* the entry point that kept the last copy for repair (repair_copy.c) */
+    size_t repair_copy_next; /* the entry point that is asked first to keep a copy for repair (repair_copy.c) */
     CallerServiceCounts counts;
 };
 
--- a/packages/controller/src/controller.c
+++ b/packages/controller/src/controller.c
@@ -34,7 +34,7 @@
 static void serve(void *arg, void *mem, const ForwardAsk *ask, ForwardAnswer *answer)
 {
     const Controller *controller = arg;
-    caller_service_lead(controller->callers, mem, ask, answer);
+    caller_service_answer(controller->callers, mem, ask, answer);
 }
 
 static bool repairing(void *arg)
--- a/packages/routing/include/routing/repair_transfer.h
+++ b/packages/routing/include/routing/repair_transfer.h
@@ -4,6 +4,14 @@
 #include "member/members.h"
 #include "routing/repair_buffer.h"
 
+/* An entry point that may keep changes for repair. */
+typedef struct RepairTaker {
+    const char *id, *zone, *address;
+} RepairTaker;
+
+/* The entry points that are there and stay, without this process, in the order of the members' table. All on mem. */
+size_t repair_takers(void *mem, const Members *members, int64_t now_ms, RepairTaker **takers);
+
 /* What a process keeps for repair goes to another when it leaves: it may be the only one beside the disks that has it.
  */
 
--- a/packages/routing/src/forward.c
+++ b/packages/routing/src/forward.c
@@ -10,6 +10,13 @@
 
 #define FORWARD_BACK_MS 20 /* ms; for the transport of the result to the caller */
 
+/* Who keeps what is committed for the request beside the disks: this process, where it has no disk itself. */
+static const char *carrier_of(const Forwarder *forwarder)
+{
+    const MemberRecord *self = members_self(forwarder->settings.members);
+    return self->role == ROLE_ENTRY_POINT ? self->id : "";
+}
+
 /* The request's deadline: the caller's own, less the way back to it, at most FORWARD_DEADLINE_MS. */
 static int64_t request_until_ms(const HttpTask *task, int64_t start_ms)
 {
@@ -27,8 +34,12 @@
                       .repeat = retry_rule_of(task->method, task->path, task->query),
                       .start_ms = start_ms,
                       .until_ms = request_until_ms(task, start_ms)};
-    ForwardAsk ask = {
-        .method = task->method, .path = task->path, .query = task->query, .body = task->body, .host = task->host};
+    ForwardAsk ask = {.method = task->method,
+                      .path = task->path,
+                      .query = task->query,
+                      .body = task->body,
+                      .host = task->host,
+                      .carrier = carrier_of(forwarder)};
     ForwardAnswer answer = {0};
     if (one.repeat == REPEAT_ORDERED && !order_named(&one, &ask))
         return;
--- a/packages/routing/src/repair_transfer.c
+++ b/packages/routing/src/repair_transfer.c
@@ -13,6 +13,20 @@
            strcmp(row->record.id, members_self(members)->id) != 0;
 }
 
+size_t repair_takers(void *mem, const Members *members, int64_t now_ms, RepairTaker **takers)
+{
+    const MemberTable *table = members_table(members);
+    size_t count = 0;
+    *takers = talloc_array(mem, RepairTaker, (unsigned)table->count + 1);
+    for (size_t i = 0; i < table->count; i++) {
+        const MemberRecord *record = &table->rows[i].record;
+        if (may_take(members, &table->rows[i], now_ms))
+            (*takers)[count++] = (RepairTaker){talloc_strdup(*takers, record->id), talloc_strdup(*takers, record->zone),
+                                               talloc_strdup(*takers, record->address)};
+    }
+    return count;
+}
+
 /* How many of the items go in the next message; one at least. */
 static size_t batch_count(const RepairItem *items, size_t count)
 {
@@ -41,33 +55,21 @@
     return sent;
 }
 
-/* The addresses of those that may take the items, other zones first; on mem. */
-static const char **takers_of(void *mem, const Members *members, int64_t now_ms, size_t *count)
-{
-    const MemberTable *table = members_table(members);
-    const char **addresses = talloc_array(mem, const char *, (unsigned)table->count + 1);
-    *count = 0;
-    for (int own_zone = 0; own_zone < 2; own_zone++)
-        for (size_t i = 0; i < table->count; i++) {
-            const Member *row = &table->rows[i];
-            const bool same = strcmp(row->record.zone, members_self(members)->zone) == 0;
-            if (same == (own_zone == 1) && may_take(members, row, now_ms))
-                addresses[(*count)++] = talloc_strdup(mem, row->record.address);
-        }
-    return addresses;
-}
-
 size_t repair_transfer(RepairBuffer *repair_buffer, Loop *loop, Rpc *rpc, const Members *members, int64_t until_ms)
 {
     void *mem = talloc_new(repair_buffer);
+    const char *own_zone = members_self(members)->zone;
     RepairList list = {0};
+    RepairTaker *takers;
+    const size_t count = repair_takers(mem, members, loop_now_ms(loop), &takers);
+    size_t sent = 0;
     repair_buffer_list(repair_buffer, mem, 0, &list);
-    size_t count, sent = 0;
-    const char **addresses = takers_of(mem, members, loop_now_ms(loop), &count);
-    for (size_t i = 0; i < count && sent < list.items_count && loop_now_ms(loop) < until_ms; i++) {
-        const RepairList left = {&list.items[sent], list.items_count - sent};
-        sent += items_send(loop, rpc, addresses[i], &left, until_ms);
-    }
+    for (int near = 0; near < 2; near++) /* other zones first */
+        for (size_t i = 0; i < count && sent < list.items_count && loop_now_ms(loop) < until_ms; i++) {
+            const RepairList left = {&list.items[sent], list.items_count - sent};
+            if ((strcmp(takers[i].zone, own_zone) == 0) == (near == 1))
+                sent += items_send(loop, rpc, takers[i].address, &left, until_ms);
+        }
     talloc_free(mem);
     return sent;
 }
--- a/packages/sim/src/sweep_act.c
+++ b/packages/sim/src/sweep_act.c
@@ -37,8 +37,10 @@
     static const FleetRole ROLES[] = {FLEET_CONTROLLER,  FLEET_CONTROLLER, FLEET_CONTROLLER,
                                       FLEET_ENTRY_POINT, FLEET_AGENT,      FLEET_WORKER};
     FleetNode *node = sweep_node(sweep, ROLES[sweep_draw(sweep, 6)]);
-    if (sweep->liars && (node->role == FLEET_ENTRY_POINT || node->role == FLEET_AGENT))
+    if (sweep->liars && node->role == FLEET_AGENT)
         node = sweep_node(sweep, FLEET_CONTROLLER);
+    if (sweep->liars && node->role == FLEET_ENTRY_POINT) /* what it keeps for repair is kept by another too */
+        node = fleet_node(sweep->fleet, FLEET_ENTRY_POINT, 0);
     return node;
 }
 
--- a/packages/sim/src/sweep_act.h
+++ b/packages/sim/src/sweep_act.h
@@ -42,7 +42,7 @@
     Fleet *fleet;
     uint64_t state;
     bool loud;
-    bool liars; /* disks may lie: then those who keep what they were told are not lost as well */
+    bool liars; /* disks may lie: then of those that keep what they were told one entry point is lost at the most */
     int64_t start_ms;
     size_t faults;
     int jumped; /* the one machine whose wall clock is off; -1: none */
