--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -107,9 +107,12 @@
 #define VOTER_SILENT_PART 2 /* count; ... after 1 in so many of it a silent voter is replaced: that takes the rest */
 
 /* --- log and disk ---------------------------------------------------------------------------- */
-#define LOG_SNAPSHOT_ENTRIES 4000              /* count; the journal is rewritten as a snapshot after so many entries */
-#define LOG_SNAPSHOT_BYTES (8 * 1024 * 1024)   /* bytes; ... or so many: some 25 large configurations; sent in 0.5 s */
-#define SNAPSHOT_MAX_BYTES (48 * 1024 * 1024)  /* bytes; no snapshot of a larger state: memory would not hold both */
+#define LOG_SNAPSHOT_ENTRIES 4000             /* count; the journal is rewritten as a snapshot after so many entries */
+#define LOG_SNAPSHOT_BYTES (8 * 1024 * 1024)  /* bytes; ... or so many: some 25 large configurations; sent in 0.5 s */
+#define SNAPSHOT_MAX_BYTES (48 * 1024 * 1024) /* bytes; no snapshot of a larger state: memory would not hold both */
+#define STATE_FULL_BYTES \
+    (40 * 1024 * 1024)        /* bytes; from this on no job is taken: the rest is for what the accepted ones add */
+#define STATE_SHRINK_MS 10000 /* ms; a full state is measured again at most this often: it is written out for that */
 #define SNAPSHOT_WHOLE_BYTES (2 * 1024 * 1024) /* bytes; a snapshot up to this is sent at once ... */
 #define SNAPSHOT_PIECE_BYTES (1024 * 1024)     /* bytes; ... a larger one in pieces: 40 ms each at 200 Mbit/s */
 #define LOG_BATCH_BYTES (512 * 1024)           /* bytes; most in one append */
--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -63,7 +63,8 @@
     X(OTHER_LIFE, "other-life", 503)               \
     X(OTHER_VERSION, "other-version", 503)         \
     X(UNKNOWN_QUESTION, "unknown-question", 503)   \
-    X(OTHER_HISTORY, "other-history", 409)
+    X(OTHER_HISTORY, "other-history", 409)         \
+    X(STATE_FULL, "state-full", 503)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
--- a/packages/base/src/status.c
+++ b/packages/base/src/status.c
@@ -31,6 +31,7 @@
     case STATUS_REPAIRING:
         return RETRY_ELECTION_S;
     case STATUS_QUEUE_FULL:
+    case STATUS_STATE_FULL:
         return RETRY_CROWD_S;
     default:
         return status_http(status) == 503 ? RETRY_AFTER_S : 0;
--- a/packages/callers/include/callers/callers.h
+++ b/packages/callers/include/callers/callers.h
@@ -38,8 +38,8 @@
     CallerServiceLeader leader;
 } CallerServiceSettings;
 
-/* Requests since the process began; X(name). refused: with faults; crowded: too much waited in the cell; unproven:
- * the proof of the answer failed. */
+/* Requests since the process began; X(name). refused: with faults; crowded: too much waited in the cell, or the state
+ * was full; unproven: the proof of the answer failed. */
 #define CALLER_SERVICE_COUNT_LIST(X) \
     X(refused)                       \
     X(crowded)                       \
--- a/packages/callers/src/jobs.c
+++ b/packages/callers/src/jobs.c
@@ -22,6 +22,11 @@
                      NULL);
         return NULL;
     }
+    if (replication_admit(callers->replication, request->task->body.count) != STATUS_OK) {
+        callers->counts.crowded++;
+        show_refusal(request->task, STATUS_STATE_FULL, "the state is full; nothing was taken: come back", NULL);
+        return NULL;
+    }
     const JobAdd add = {*spec, *terms};
     ChangeResult result;
     if (!request_delivered(request, request_submit(request, CHANGE_JOB_ADD, &JobAdd_shape, &add, &result)))
--- a/packages/replication/include/replication/replication.h
+++ b/packages/replication/include/replication/replication.h
@@ -197,6 +197,10 @@
     uint64_t other_histories; /* refused requests to drop committed entries */
 } ReplicationStatus;
 
+/* Whether a change that makes the state larger by so many bytes fits; asked by the leader before it submits one. OK;
+ * STATE_FULL: from STATE_FULL_BYTES on, since a state larger than SNAPSHOT_MAX_BYTES is never made a snapshot, so that
+ * the journal would grow without end. May measure the state, at most each STATE_SHRINK_MS. */
+Status replication_admit(Replication *replication, size_t bytes);
 void replication_status(const Replication *replication, ReplicationStatus *status);
 /* The place that log lines carry (base/recorder.h): the term that this node is in, and up to which index it knows the
  * log to be committed. May be called at any time, also before the disk is open. */
--- a/packages/replication/src/snapshot.c
+++ b/packages/replication/src/snapshot.c
@@ -21,6 +21,34 @@
     return status;
 }
 
+bool state_too_large(const Replication *replication)
+{
+    return replication->too_large_bytes > 0 && replication->tried_index == replication->log->base_index;
+}
+
+/* The bytes that the state takes at most: as it was last measured, and all entries since. */
+static size_t state_most_bytes(const Replication *replication)
+{
+    const Log *log = replication->log;
+    if (!state_too_large(replication))
+        return log->snapshot.payload.count + log->bytes;
+    const size_t since = log->bytes > replication->tried_log_bytes ? log->bytes - replication->tried_log_bytes : 0;
+    return replication->too_large_bytes + since;
+}
+
+Status replication_admit(Replication *replication, size_t bytes)
+{
+    if (state_most_bytes(replication) + bytes <= STATE_FULL_BYTES)
+        return STATUS_OK;
+    /* it may have got smaller since: most entries replace what was there, or take it away */
+    const int64_t now_ms = loop_now_ms(replication->loop);
+    if (now_ms - replication->shrunk_ms >= STATE_SHRINK_MS) {
+        replication->shrunk_ms = now_ms;
+        replication_compact_maybe(replication, true);
+    }
+    return state_most_bytes(replication) + bytes <= STATE_FULL_BYTES ? STATUS_OK : STATUS_STATE_FULL;
+}
+
 /* Whether the log is long enough for a snapshot. Both entries and bytes are bounded, since the log is read at a start,
  * sent to a peer that was away, and kept in memory. A large state is not written again for a log that is smaller
  * than it. */
@@ -29,6 +57,8 @@
     const Log *log = replication->log;
     const size_t most =
         replication->settings.snapshot_entries > 0 ? replication->settings.snapshot_entries : LOG_SNAPSHOT_ENTRIES;
+    if (state_too_large(replication)) /* tried again once the log has got longer by as much as the state took */
+        return log->bytes >= replication->tried_log_bytes + replication->too_large_bytes;
     const size_t bytes =
         log->snapshot.payload.count > LOG_SNAPSHOT_BYTES ? log->snapshot.payload.count : LOG_SNAPSHOT_BYTES;
     return log->count >= most || log->bytes >= bytes;
@@ -72,8 +102,11 @@
         return false;
     void *mem = talloc_new(replication);
     const Record record = snapshot_make(replication, mem);
-    replication->too_large = record.payload.count > SNAPSHOT_MAX_BYTES;
-    if (replication->too_large) {
+    const bool too_large = record.payload.count > SNAPSHOT_MAX_BYTES;
+    replication->too_large_bytes = too_large ? record.payload.count : 0;
+    replication->tried_log_bytes = log->bytes;
+    replication->tried_index = log->base_index;
+    if (too_large) {
         recorder_write(replication->settings.recorder, RECORDER_ALERT, loop_now_ms(replication->loop),
                        "%s: a state of %zu bytes can't be a snapshot", status_word(STATUS_TOO_LARGE),
                        record.payload.count);
@@ -83,12 +116,11 @@
                   &(LogFields){.index = record.index});
     }
     talloc_free(mem);
-    return !replication->too_large;
+    return !too_large;
 }
 
 void replication_compact_maybe(Replication *replication, bool force)
 {
-    if (!replication->compacting && (force || (!replication->too_large && long_enough(replication))) &&
-        log_shorten(replication))
+    if (!replication->compacting && (force || long_enough(replication)) && log_shorten(replication))
         disk_compact(replication);
 }
--- a/packages/replication/src/state.h
+++ b/packages/replication/src/state.h
@@ -84,7 +84,11 @@
     bool compacting;          /* rewritten after a snapshot was made */
     bool recovering;          /* rewritten after a failed write */
     bool disk_failure_logged; /* the failure has been logged; until the disk takes writes again */
-    bool too_large;           /* the state is larger than a snapshot may be */
+    /* The state was larger than a snapshot may be, in the log that began at tried_index: its size, and how many bytes
+     * of entries the log had. */
+    size_t too_large_bytes, tried_log_bytes;
+    uint64_t tried_index;
+    int64_t shrunk_ms; /* when a full state was last measured */
 
     /* --- the log ---
      * Invariants: delivered_index <= commit_index <= last index of the log; all up to
--- a/packages/sim/test/catch_up.c
+++ b/packages/sim/test/catch_up.c
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "controller_set.h"
+#include "large_state.h"
 
 static InstallSnapshotAsk piece_of(Bytes whole, size_t from, size_t count)
 {
@@ -158,29 +159,6 @@
     assert_true(most.took_ms < few.took_ms + 1500);
 }
 
-/* A state of so many megabytes: workers whose labels are that long. */
-static void state_grow(Fleet *fleet, int megabytes)
-{
-    void *mem = talloc_new(NULL);
-    char *label = talloc_zero_array(mem, char, 1024 * 1024 + 1);
-    memset(label, 'x', 1024 * 1024);
-    for (int i = 0; i < megabytes; i++) {
-        Bytes payload = {0};
-        const char *labels[] = {label};
-        const Worker worker = {.name = talloc_asprintf(mem, "big%d", i),
-                               .zone = "z",
-                               .rack = "",
-                               .kind = "",
-                               .labels = labels,
-                               .labels_count = 1,
-                               .excluded = true};
-        shape_pack(&Worker_shape, &worker, mem, &payload);
-        replication_offer(replication_of(fleet, fleet_leader(fleet)), CHANGE_WORKER_SET, payload);
-        fleet_run(fleet, 100);
-    }
-    talloc_free(mem);
-}
-
 /* A state that no single frame holds, to an empty disk, over a narrow link that breaks in
  * the middle; whoever leads goes on leading, and the one that catches up loses nothing
  * that it already has of it. */
@@ -189,7 +167,7 @@
     (void)state;
     Fleet *fleet = begin(1);
     const int leader = fleet_leader(fleet), away = (leader + 1) % 3;
-    state_grow(fleet, 34);
+    state_grow(fleet, 34, LABEL_BYTES);
     replication_compact_maybe(replication_of(fleet, leader), true);
     fleet_run(fleet, 500);
     assert_true(replication_of(fleet, leader)->log->snapshot.payload.count > FRAME_MAX_BYTES);
--- /dev/null
+++ b/packages/sim/test/state_full.c
@@ -0,0 +1,104 @@
+/* A state that comes near what a snapshot can hold: submissions are refused, with when to come back, before the journal
+ * would grow without end; when the state is smaller again they are taken, without a restart. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "controller_set.h"
+#include "large_state.h"
+
+#define SHRUNK_MS 12000 /* ms; a state that is smaller again has been noticed by a submission within this */
+
+static HttpCall submit(Fleet *fleet, const char *id)
+{
+    const char *body = talloc_asprintf(fleet,
+                                       "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"q\",\"steps\":[{"
+                                       "\"name\":\"s\",\"count\":1,\"room\":{\"cpu\":0.1,\"memMb\":64}}]}",
+                                       id);
+    return fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/jobs", body);
+}
+
+static Fleet *begin_configured(uint64_t seed)
+{
+    Fleet *fleet = begin(seed);
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "PUT", "/v1/config?base=1",
+                                    "{\"cells\":{\"c\":{\"tenants\":{\"t\":{}},\"queues\":{\"q\":{}}}}}");
+    assert_int_equal(call.code, 200);
+    fleet_run(fleet, 1000);
+    return fleet;
+}
+
+static void must_refuse(Fleet *fleet, const char *id)
+{
+    const HttpCall call = submit(fleet, id);
+    assert_int_equal(call.code, 503);
+    assert_true(call.retry_after_s > 0);
+    assert_non_null(strstr((const char *)call.result.data, "\"state-full\""));
+}
+
+/* Submits until it is taken. */
+static void must_take(Fleet *fleet, const char *id)
+{
+    const int64_t until_ms = sim_now_ms(fleet->world) + SHRUNK_MS;
+    int code = 503;
+    while (code == 503 && sim_now_ms(fleet->world) < until_ms) {
+        code = submit(fleet, id).code;
+        fleet_run(fleet, 500);
+    }
+    assert_int_equal(code, 201);
+}
+
+/* The journal of whoever leads stays bounded, whatever is submitted. */
+static void journal_bounded(Fleet *fleet)
+{
+    const Replication *replication = replication_of(fleet, fleet_leader(fleet));
+    assert_true(replication->log->bytes <= SNAPSHOT_MAX_BYTES);
+    assert_true(replication->log->snapshot.payload.count <= SNAPSHOT_MAX_BYTES);
+}
+
+static void full_then_smaller(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        Fleet *fleet = begin_configured(seed);
+        state_grow(fleet, 20, LABEL_BYTES);
+        must_take(fleet, "taken");
+        state_grow(fleet, 44, LABEL_BYTES);
+        must_refuse(fleet, "refused");
+        assert_int_equal(submit(fleet, "taken").code, 200); /* what was accepted is known all the same */
+        must_refuse(fleet, "refused-again");
+        journal_bounded(fleet);
+        state_grow(fleet, 44, 1);
+        must_take(fleet, "taken-again");
+        journal_bounded(fleet);
+        talloc_free(fleet);
+    }
+}
+
+/* One that is too large for a snapshot, by what is not refused, is made one as soon as it is small enough. */
+static void too_large_then_smaller(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin_configured(4);
+    state_grow(fleet, 56, LABEL_BYTES);
+    must_refuse(fleet, "refused");
+    const uint64_t base_index = replication_of(fleet, fleet_leader(fleet))->log->base_index;
+    state_grow(fleet, 56, 1);
+    must_take(fleet, "taken");
+    assert_true(replication_of(fleet, fleet_leader(fleet))->log->base_index > base_index);
+    journal_bounded(fleet);
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(full_then_smaller),
+        cmocka_unit_test(too_large_then_smaller),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
