--- a/packages/sim/test/leaving.c
+++ b/packages/sim/test/leaving.c
@@ -2,6 +2,14 @@
  * at once. */
 #include "replaced_fixture.h"
 
+/* SIGTERM; until the process has ended. */
+static void leave_to_the_end(Fleet *fleet, int controller)
+{
+    fleet_leave(fleet, FLEET_CONTROLLER, controller);
+    while (fleet_node(fleet, FLEET_CONTROLLER, controller)->up)
+        fleet_run(fleet, 10);
+}
+
 /* SIGTERM at a voter while a learner stands ready: as soon as the process has ended its
  * vote is another's, so that the next loss may follow at once. */
 static void leaves_then_loss(void **state)
@@ -10,9 +18,7 @@
     for (uint64_t seed = 1; seed <= 8; seed++) {
         Fleet *fleet = begin(seed, (FleetShape){4, 3, 4, MIX_TRENTVALE, 0}, &ONE_LOSS);
         const int gone = voter_drawn(fleet, seed % 2 == 0);
-        fleet_leave(fleet, FLEET_CONTROLLER, gone);
-        while (fleet_node(fleet, FLEET_CONTROLLER, gone)->up)
-            fleet_run(fleet, 10);
+        leave_to_the_end(fleet, gone);
         must_lead(fleet, "after a voter has left");
         fleet_power_off(fleet, FLEET_CONTROLLER, voter_drawn(fleet, seed / 2 % 2 == 0));
         fleet_run(fleet, 100);
@@ -41,9 +47,7 @@
         }
         const Replication *own = controller_replication(fleet_node(fleet, FLEET_CONTROLLER, gone)->controller);
         assert_false(replication_is_voter(own)); /* by its own log */
-        fleet_leave(fleet, FLEET_CONTROLLER, gone);
-        while (fleet_node(fleet, FLEET_CONTROLLER, gone)->up)
-            fleet_run(fleet, 10);
+        leave_to_the_end(fleet, gone);
         must_lead(fleet, "after a new voter has left");
         fleet_power_off(fleet, FLEET_CONTROLLER, voter_drawn(fleet, seed % 2 == 0));
         fleet_run(fleet, 100);
