--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -120,6 +120,7 @@
 #define LOG_WRITE_BYTES (16 * 1024 * 1024)     /* bytes; most in one write of the leader to its own journal */
 #define LOG_BACK_STEP 64 /* count; a voter whose log differs is asked again from so many entries earlier */
 #define RECORD_MAX_BYTES (64 * 1024 * 1024) /* bytes; a journal record larger than this is corruption */
+#define JOURNAL_HINT_MS 1000 /* ms; after a sync it is written down how much was synced: a write more in a second */
 #define JOURNAL_OPEN_MS 3000 /* ms; a disk that refuses writes at the start is tried again for this long */
 #define JOURNAL_BAD_BYTES (16 * 1024 * 1024) /* bytes; a smaller broken journal is kept beside the new one */
 #define HISTORY_NOTIFIED_MS 1000             /* ms; orders to drop committed entries are logged at most this often */
--- a/packages/journal/include/journal/journal.h
+++ b/packages/journal/include/journal/journal.h
@@ -10,7 +10,8 @@
  *
  * Block: magic, length, checksum of those two, checksum of the body, body.
  * A bad block with no whole block after it is a torn tail and is cut off. A bad block before a whole one is
- * corruption, an error of its own.
+ * corruption, an error of its own. How much of the file was synced is told by a hint beside it (PATH.hint), written
+ * JOURNAL_HINT_MS after a sync and never synced itself: what it covers can't be a torn tail.
  *
  * Invariants: what was acknowledged as written outlasts a loss of power, where the disk keeps what it syncs; a rewrite
  * leaves either the old file or the new one, whole; after a failed write nothing but a rewrite is written. */
@@ -30,19 +31,26 @@
     int64_t worst_sync_ms; /* the longest since open */
 } JournalCounts;
 
+/* Where a journal is, and whose. */
+typedef struct JournalSettings {
+    const char *path;
+    const char *node_name;
+    bool disk_keeps; /* what the disk has synced outlasts a loss of power: a block that is missing was damaged */
+} JournalSettings;
+
 /* Reads bytes as a journal. found may be null; good_count: how many bytes are whole blocks. JOURNAL_CORRUPT:
  * a bad block before a whole one, or a record that does not parse; failure says where. Does not wait. */
 Status journal_read(Bytes content, JournalFn found, void *arg, size_t *good_count, Failure *failure);
 
 /* Waits. Opens the file, or makes it with a new disk id, and hands its records to found; the journal is on mem.
- * JOURNAL_CORRUPT: it is not whole; JOURNAL_FOREIGN: it was made for a node of another name; JOURNAL_FORMAT: by a
- * later release; DISK_FAILED: the disk refused for JOURNAL_OPEN_MS. */
-Status journal_open(Loop *loop, void *mem, const char *path, const char *node_name, JournalFn found, void *arg,
+ * JOURNAL_CORRUPT: it is not whole, or, where the disk keeps what it syncs, less of it is whole than was synced
+ * JOURNAL_HINT_MS before the last process ended; JOURNAL_FOREIGN: it was made for a node of another name;
+ * JOURNAL_FORMAT: by a later release; DISK_FAILED: the disk refused for JOURNAL_OPEN_MS. */
+Status journal_open(Loop *loop, void *mem, const JournalSettings *settings, JournalFn found, void *arg,
                     Journal **journal, Failure *failure);
 /* Waits. Replaces a journal that is not whole by one with a new disk id, in one step. The old one is kept
  * beside it as PATH.bad for whoever looks into the fault, when it has at most JOURNAL_BAD_BYTES. */
-Status journal_begin(Loop *loop, void *mem, const char *path, const char *node_name, Journal **journal,
-                     Failure *failure);
+Status journal_begin(Loop *loop, void *mem, const JournalSettings *settings, Journal **journal, Failure *failure);
 /* The id of this disk: a random number, drawn when the file was made. */
 uint64_t journal_disk(const Journal *journal);
 /* Waits until the records are synced, with all that was queued before them; without records it waits for the latter
--- a/packages/journal/include/journal/record.h
+++ b/packages/journal/include/journal/record.h
@@ -5,14 +5,16 @@
 
 /* The records of a journal. Numbers, field names and their order are part of the format on disk. Terms and indexes are
  * those of the replicated log, but where a row says otherwise. */
-#define RECORD_LIST(X)                                                                                 \
-    X(IDENTITY, 1, "identity") /* first record: format version, the disk's id; change 1: begun anew */ \
-    X(CLUSTER, 2, "cluster")   /* term: cluster id; payload: packed VoterList */                       \
-    X(PROMISE, 3, "promise")   /* term: the term promised; index: to which disk */                     \
-    X(ENTRY, 4, "entry")       /* an entry of the replicated log */                                    \
-    X(TRIM, 5, "trim")         /* all entries after index are dropped */                               \
-    X(SNAPSHOT, 6, "snapshot") /* the state after index; earlier entries are dropped */                \
-    X(COMMIT, 7, "commit")     /* entries up to index are committed; written by earlier releases only */
+#define RECORD_LIST(X)                                                                                   \
+    X(IDENTITY, 1, "identity") /* first record: format version, the disk's id; change 1: begun anew;     \
+                                  at_ms: the generation of the file */                                   \
+    X(CLUSTER, 2, "cluster")   /* term: cluster id; payload: packed VoterList */                         \
+    X(PROMISE, 3, "promise")   /* term: the term promised; index: to which disk */                       \
+    X(ENTRY, 4, "entry")       /* an entry of the replicated log */                                      \
+    X(TRIM, 5, "trim")         /* all entries after index are dropped */                                 \
+    X(SNAPSHOT, 6, "snapshot") /* the state after index; earlier entries are dropped */                  \
+    X(COMMIT, 7, "commit")     /* entries up to index are committed; written by earlier releases only */ \
+    X(SYNCED, 8, "synced")     /* in the hint alone: term: bytes of the journal that were synced; at_ms: generation */
 
 typedef enum RecordKind {
 #define X(name, number, word) RECORD_##name = number,
--- a/packages/journal/src/inside.h
+++ b/packages/journal/src/inside.h
@@ -24,6 +24,10 @@
     File *file;
     uint64_t disk; /* id */
     const char *node_name;
+    bool disk_keeps;
+    int64_t generation; /* of the file: one more with each rewrite, so that a hint is known to be of this one; 0: it was
+                           written by a release that counts none, and has no hint */
+    int64_t hint_ms;    /* when the hint is to be written; INT64_MAX: it says what was synced */
     Waiting *first, *last;
     Signal asked; /* something was queued */
     bool failed;
@@ -33,6 +37,10 @@
 
 /* The first record of the file. */
 Record journal_identity(const Journal *journal);
+/* Waits. Writes down how much of the file was synced. */
+void hint_write(Journal *journal);
+/* Waits. How many bytes of the open file were synced by the hint; 0: there is none, or it is of another file. */
+size_t hint_read(const Journal *journal);
 /* Spawns the writing task: the journal is open. */
 void journal_run(Journal *journal);
 
--- a/packages/journal/src/journal.c
+++ b/packages/journal/src/journal.c
@@ -75,6 +75,10 @@
     if (journal->counts.last_sync_ms > journal->counts.worst_sync_ms)
         journal->counts.worst_sync_ms = journal->counts.last_sync_ms;
     journal->failed = status != STATUS_OK;
+    if (status != STATUS_OK)
+        journal->hint_ms = INT64_MAX; /* how much of the file is whole is not known */
+    else if (journal->disk_keeps && journal->hint_ms == INT64_MAX)
+        journal->hint_ms = loop_now_ms(journal->loop) + JOURNAL_HINT_MS;
     return status;
 }
 
@@ -90,12 +94,25 @@
     }
 }
 
+/* Waits until something is queued. Meanwhile, or before it goes on, writes the hint when that is due. */
+static void queue_await(Journal *journal)
+{
+    for (;;) {
+        if (loop_now_ms(journal->loop) >= journal->hint_ms) {
+            journal->hint_ms = INT64_MAX;
+            hint_write(journal);
+        }
+        if (journal->first != NULL)
+            return;
+        signal_wait(journal->loop, &journal->asked, journal->hint_ms);
+    }
+}
+
 static void writer_main(void *arg)
 {
     Journal *journal = arg;
     for (;;) {
-        while (journal->first == NULL)
-            signal_wait(journal->loop, &journal->asked, INT64_MAX);
+        queue_await(journal);
         void *mem = talloc_new(journal);
         const Batch batch = batch_take(journal, mem);
         const Status status = batch_write(journal, mem, &batch);
@@ -106,6 +123,8 @@
 
 void journal_run(Journal *journal)
 {
+    if (journal->disk_keeps)
+        journal->hint_ms = loop_now_ms(journal->loop) + JOURNAL_HINT_MS;
     loop_spawn(journal->loop, "journal", writer_main, journal);
 }
 
@@ -149,6 +168,7 @@
     return (Record){.kind = RECORD_IDENTITY,
                     .term = JOURNAL_VERSION,
                     .index = journal->disk,
+                    .at_ms = journal->generation,
                     .change = journal->counts.begun_anew,
                     .name = journal->node_name};
 }
@@ -160,6 +180,7 @@
     waiting->records = count;
     /* the body is a whole file, in small blocks, so that no record makes one too large */
     Bytes body = {0};
+    journal->generation++;
     const Record first = journal_identity(journal);
     record_add(waiting, &body, &first);
     for (size_t i = 0; i < count; i++) {
--- a/packages/journal/src/open.c
+++ b/packages/journal/src/open.c
@@ -30,6 +30,7 @@
             failure_set(&opening->failure, STATUS_JOURNAL_FOREIGN, "this is the journal of node %s, not of %s",
                         record->name, journal->node_name);
         journal->disk = record->index;
+        journal->generation = record->at_ms;
         journal->counts.begun_anew = record->change != 0;
         return;
     }
@@ -38,14 +39,15 @@
 }
 
 /* Waits. Makes a journal on mem and opens its file. */
-static Status file_take(Loop *loop, void *mem, const char *path, const char *node_name, Journal **out, Failure *failure)
+static Status file_take(Loop *loop, void *mem, const JournalSettings *settings, Journal **out, Failure *failure)
 {
     Journal *journal = talloc_zero(mem, Journal);
     journal->loop = loop;
-    journal->node_name = talloc_strdup(journal, node_name);
-    journal->sync_since_ms = INT64_MAX;
+    journal->node_name = talloc_strdup(journal, settings->node_name);
+    journal->disk_keeps = settings->disk_keeps;
+    journal->sync_since_ms = journal->hint_ms = INT64_MAX;
     *out = journal;
-    return file_open(loop, journal, path, &journal->file, failure);
+    return file_open(loop, journal, settings->path, &journal->file, failure);
 }
 
 /* Waits. Replaces the file; a disk that refuses writes is tried again for JOURNAL_OPEN_MS. */
@@ -84,6 +86,10 @@
     if (status == STATUS_OK && good_count == 0 &&
         content.count > 0) /* the first block is written in one step: it can't be torn */
         status = failure_set(failure, STATUS_JOURNAL_CORRUPT, "%s holds no journal", path);
+    const size_t synced = status == STATUS_OK && journal->disk_keeps ? hint_read(journal) : 0;
+    if (status == STATUS_OK && good_count < synced)
+        status = failure_set(failure, STATUS_JOURNAL_CORRUPT, "%s is whole up to byte %zu, and was synced up to %zu",
+                             path, good_count, synced);
     if (status == STATUS_OK && good_count < content.count) {
         status = replace_try(journal, (Bytes){content.data, good_count, 0});
         if (status != STATUS_OK)
@@ -101,6 +107,7 @@
     void *mem = talloc_new(journal);
     Bytes body = {0}, block = {0};
     journal->disk = loop_random(journal->loop) >> 1;
+    journal->generation = 1;
     const Record first = journal_identity(journal);
     record_add(mem, &body, &first);
     block_add(mem, &block, body);
@@ -110,17 +117,17 @@
     return status == STATUS_OK ? status : failure_set(failure, status, "cannot write %s", path);
 }
 
-Status journal_open(Loop *loop, void *mem, const char *path, const char *node_name, JournalFn found, void *arg,
-                    Journal **out, Failure *failure)
+Status journal_open(Loop *loop, void *mem, const JournalSettings *settings, JournalFn found, void *arg, Journal **out,
+                    Failure *failure)
 {
     Journal *journal;
-    Status status = file_take(loop, mem, path, node_name, &journal, failure);
+    Status status = file_take(loop, mem, settings, &journal, failure);
     if (status != STATUS_OK)
         return status;
     Opening opening = {journal, found, arg, 0, {0}};
-    status = content_take(journal, path, &opening, failure);
+    status = content_take(journal, settings->path, &opening, failure);
     if (status == STATUS_OK && opening.records == 0)
-        status = identity_write(journal, path, failure);
+        status = identity_write(journal, settings->path, failure);
     if (status != STATUS_OK)
         return status;
     journal_run(journal);
@@ -140,15 +147,15 @@
     talloc_free(mem);
 }
 
-Status journal_begin(Loop *loop, void *mem, const char *path, const char *node_name, Journal **out, Failure *failure)
+Status journal_begin(Loop *loop, void *mem, const JournalSettings *settings, Journal **out, Failure *failure)
 {
     Journal *journal;
-    Status status = file_take(loop, mem, path, node_name, &journal, failure);
+    Status status = file_take(loop, mem, settings, &journal, failure);
     if (status != STATUS_OK)
         return status;
-    keep_bad(journal, path);
+    keep_bad(journal, settings->path);
     journal->counts.begun_anew = true;
-    status = identity_write(journal, path, failure);
+    status = identity_write(journal, settings->path, failure);
     if (status != STATUS_OK)
         return status;
     journal_run(journal);
--- /dev/null
+++ b/packages/journal/test/journal_fixture.h
@@ -0,0 +1,128 @@
+#ifndef JOURNAL_TEST_JOURNAL_FIXTURE_H
+#define JOURNAL_TEST_JOURNAL_FIXTURE_H
+
+/* What the tests of the journal share: lives of a process that opens it on a simulated disk, and writes to it. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "journal/journal.h"
+#include "sim/world.h"
+
+#define PATH "data/journal"
+#define HINT_PATH PATH ".hint"
+
+/* --- the fixture: one machine with an empty disk --------------------------------------- */
+
+typedef struct Fixture {
+    SimWorld *world;
+    int machine;
+} Fixture;
+
+static inline int set_up(void **state)
+{
+    Fixture *fixture = talloc_zero(NULL, Fixture);
+    fixture->world = sim_world_new(fixture, 1);
+    fixture->machine = sim_machine(fixture->world);
+    *state = fixture;
+    return 0;
+}
+
+static inline int tear_down(void **state)
+{
+    talloc_free(*state);
+    return 0;
+}
+
+/* One life of a process: it opens the journal, and writes to it. */
+typedef struct Seen {
+    Loop *loop;
+    const char *node; /* the name that it opens the journal with */
+    size_t writes;    /* entries of 50 bytes, one write each */
+    bool rewrite;     /* half-way, the whole file is rewritten to the last entry */
+    bool disk_loses;  /* its disk may lose what it synced, by its settings */
+    Journal *journal;
+    Status status; /* of the open, or of the last write */
+    Failure failure;
+    size_t entries, last_index; /* read; the last index read or written */
+} Seen;
+
+static inline void on_record(void *arg, const Record *record)
+{
+    Seen *seen = arg;
+    if (record->kind == RECORD_ENTRY) {
+        seen->entries++;
+        seen->last_index = (size_t)record->index;
+    }
+}
+
+static inline JournalSettings settings_of(const Seen *seen)
+{
+    return (JournalSettings){.path = PATH, .node_name = seen->node, .disk_keeps = !seen->disk_loses};
+}
+
+static inline void open_main(void *arg)
+{
+    Seen *seen = arg;
+    const JournalSettings settings = settings_of(seen);
+    seen->status = journal_open(seen->loop, seen->loop, &settings, on_record, seen, &seen->journal, &seen->failure);
+    if (seen->status != STATUS_OK)
+        return;
+    uint8_t body[50] = {7};
+    for (size_t i = 1; i <= seen->writes; i++) {
+        const Record record = {.kind = RECORD_ENTRY,
+                               .term = 1,
+                               .index = seen->last_index + 1,
+                               .name = "",
+                               .payload = {body, sizeof(body), 0}};
+        seen->last_index++;
+        seen->status = journal_write(seen->journal, &record, 1);
+        if (seen->rewrite && i == seen->writes / 2)
+            (void)journal_rewrite(seen->journal, &record, 1); /* a disk that refused says so at the next write */
+    }
+}
+
+static inline void start(void *arg, Loop *loop)
+{
+    Seen *seen = arg;
+    seen->loop = loop;
+    loop_spawn(loop, "open", open_main, seen);
+}
+
+/* Lives for so long in virtual time, then is killed. */
+static inline Seen run_for(SimWorld *world, int machine, const Seen *wanted, int64_t for_ms)
+{
+    Seen *seen = talloc_memdup(world, wanted, sizeof(*wanted));
+    sim_start(world, machine, start, seen);
+    sim_run_until(world, sim_now_ms(world) + for_ms);
+    sim_kill(world, machine);
+    if (seen->failure.status != STATUS_OK)
+        print_message("%s: %s\n", status_word(seen->status), seen->failure.text);
+    return *seen;
+}
+
+/* Lives for five seconds. */
+static inline Seen run(SimWorld *world, int machine, const char *node, size_t writes, bool rewrite)
+{
+    return run_for(world, machine, &(Seen){.node = node, .writes = writes, .rewrite = rewrite}, 5000);
+}
+
+/* Writes 20 entries as core1; the file. */
+static inline Bytes *written(const Fixture *fixture)
+{
+    assert_int_equal(run(fixture->world, fixture->machine, "core1", 20, false).status, STATUS_OK);
+    return sim_disk_content(fixture->world, fixture->machine, PATH);
+}
+
+static inline Seen reopened(const Fixture *fixture, const char *node)
+{
+    return run(fixture->world, fixture->machine, node, 0, false);
+}
+
+#endif
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -54,6 +54,8 @@
     Status (*file_read)(File *file, void *mem, Bytes *content);
     Status (*file_append)(File *file, Bytes bytes);
     Status (*file_replace)(File *file, Bytes bytes);
+    Status (*hint_write)(File *file, Bytes bytes);
+    Status (*hint_read)(File *file, void *mem, Bytes *content);
 } LoopOps;
 
 #define ADDRESS_MAX 64 /* bytes; "255.255.255.255:65535" with room to spare */
@@ -128,6 +130,14 @@
 Status file_append(File *file, Bytes bytes);
 /* Replaces the content atomically: new file, sync, rename, sync of the folder. Waits for all of it. */
 Status file_replace(File *file, Bytes bytes);
+/* Replaces the hint beside the file (PATH.hint), of FILE_HINT_MOST bytes at most. Waits, but for no sync: the hint
+ * outlasts the process; after a loss of power it may be missing, old or torn. One call at a time for each file, as for
+ * the others. return: OK, DISK_FAILED. */
+Status file_hint_write(File *file, Bytes bytes);
+/* Reads the hint onto mem; empty: there is none. Waits. return: OK, DISK_FAILED. */
+Status file_hint_read(File *file, void *mem, Bytes *content);
+
+#define FILE_HINT_MOST 256 /* bytes */
 
 /* --- HTTP --------------------------------------------------------------------------- */
 typedef struct HttpPair {
--- a/packages/loop/src/file.c
+++ b/packages/loop/src/file.c
@@ -20,3 +20,13 @@
 {
     return file->loop->ops->file_replace(file, bytes);
 }
+
+Status file_hint_write(File *file, Bytes bytes)
+{
+    return bytes.count <= FILE_HINT_MOST ? file->loop->ops->hint_write(file, bytes) : STATUS_DISK_FAILED;
+}
+
+Status file_hint_read(File *file, void *mem, Bytes *content)
+{
+    return file->loop->ops->hint_read(file, mem, content);
+}
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -74,6 +74,8 @@
 Status real_file_read(File *file, void *mem, Bytes *content);
 Status real_file_append(File *file, Bytes bytes);
 Status real_file_replace(File *file, Bytes bytes);
+Status real_hint_write(File *file, Bytes bytes);
+Status real_hint_read(File *file, void *mem, Bytes *content);
 /* Wakes the tasks whose disk jobs the threads have done. */
 void real_disk_done(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages);
 
--- a/packages/loop/src/real_disk.c
+++ b/packages/loop/src/real_disk.c
@@ -13,7 +13,7 @@
 
 #include "real.h"
 
-typedef enum DiskWork { DISK_READ, DISK_APPEND, DISK_REPLACE } DiskWork;
+typedef enum DiskWork { DISK_READ, DISK_APPEND, DISK_REPLACE, DISK_HINT_WRITE, DISK_HINT_READ } DiskWork;
 
 typedef struct RealFile RealFile;
 
@@ -104,6 +104,36 @@
     return true;
 }
 
+/* Opens the hint beside the file; -1: it can't be. */
+static int hint_open(const RealFile *real_file, int flags)
+{
+    char path[PATH_MAX + 8];
+    snprintf(path, sizeof(path), "%s.hint", real_file->path);
+    return open(path, flags | O_CLOEXEC, 0640);
+}
+
+static bool do_hint_write(const RealFile *real_file, Bytes bytes)
+{
+    const int fd = hint_open(real_file, O_WRONLY | O_CREAT | O_TRUNC);
+    if (fd < 0)
+        return false;
+    const bool ok = write_all(fd, bytes);
+    close(fd);
+    return ok;
+}
+
+static bool do_hint_read(const RealFile *real_file, DiskJob *job)
+{
+    const int fd = hint_open(real_file, O_RDONLY);
+    if (fd < 0)
+        return errno == ENOENT;
+    job->read = malloc(FILE_HINT_MOST);
+    const ssize_t count = job->read != NULL ? read(fd, job->read, FILE_HINT_MOST) : -1;
+    close(fd);
+    job->read_count = count > 0 ? (size_t)count : 0;
+    return count >= 0;
+}
+
 /* What was read is freed by the task that asked; the analyzer does not see that. */
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wanalyzer-malloc-leak"
@@ -127,6 +157,12 @@
         case DISK_REPLACE:
             job->ok = do_replace(real_file, job->bytes);
             break;
+        case DISK_HINT_WRITE:
+            job->ok = do_hint_write(real_file, job->bytes);
+            break;
+        case DISK_HINT_READ:
+            job->ok = do_hint_read(real_file, job);
+            break;
         }
         h2o_multithread_send_message(&real_file->real->disk_done, &job->super);
     }
@@ -186,10 +222,11 @@
     return STATUS_OK;
 }
 
-Status real_file_read(File *file, void *mem, Bytes *content)
+/* Waits. Has the thread read, and takes what it has read onto mem. */
+static Status read_onto(File *file, DiskWork work, void *mem, Bytes *content)
 {
     DiskJob job;
-    const Status status = ask(file, DISK_READ, (Bytes){0}, &job);
+    const Status status = ask(file, work, (Bytes){0}, &job);
     *content = (Bytes){0};
     if (status == STATUS_OK)
         bytes_add(mem, content, job.read, job.read_count);
@@ -197,6 +234,22 @@
     return status;
 }
 
+Status real_file_read(File *file, void *mem, Bytes *content)
+{
+    return read_onto(file, DISK_READ, mem, content);
+}
+
+Status real_hint_read(File *file, void *mem, Bytes *content)
+{
+    return read_onto(file, DISK_HINT_READ, mem, content);
+}
+
+Status real_hint_write(File *file, Bytes bytes)
+{
+    DiskJob job;
+    return ask(file, DISK_HINT_WRITE, bytes, &job);
+}
+
 Status real_file_append(File *file, Bytes bytes)
 {
     DiskJob job;
--- a/packages/replication/src/recover.c
+++ b/packages/replication/src/recover.c
@@ -69,12 +69,19 @@
     }
 }
 
+static JournalSettings journal_settings(const Replication *replication, const char *path)
+{
+    return (JournalSettings){
+        .path = path, .node_name = replication->node_name, .disk_keeps = replication->settings.disks_keep};
+}
+
 /* Waits. Opens the journal and takes what it holds. */
 static Status disk_read(Replication *replication, const char *path, Failure *failure)
 {
     Reading reading = {.replication = replication};
-    const Status status = journal_open(replication->loop, replication, path, replication->node_name, record_found,
-                                       &reading, &replication->journal, failure);
+    const JournalSettings settings = journal_settings(replication, path);
+    const Status status =
+        journal_open(replication->loop, replication, &settings, record_found, &reading, &replication->journal, failure);
     if (status != STATUS_OK)
         return status;
     if (reading.failure.status != STATUS_OK)
@@ -116,7 +123,8 @@
               &(LogFields){.text = failure->text});
     *failure = (Failure){0};
     disk_forget(replication);
-    return journal_begin(replication->loop, replication, path, replication->node_name, &replication->journal, failure);
+    const JournalSettings settings = journal_settings(replication, path);
+    return journal_begin(replication->loop, replication, &settings, &replication->journal, failure);
 }
 
 Status replication_open_disk(Replication *replication, const char *path, const char *node_name, Failure *failure)
--- a/packages/sim/src/disk.c
+++ b/packages/sim/src/disk.c
@@ -177,6 +177,38 @@
     return STATUS_OK;
 }
 
+/* --- hints ------------------------------------------------------------------------- */
+
+static const char *hint_path(void *mem, const SimFile *sim_file)
+{
+    return talloc_asprintf(mem, "%s.hint", sim_file->path);
+}
+
+/* It takes no time, and outlasts all but a wiped disk: the journal's tests leave old, torn and foreign ones. */
+Status sim_hint_write(File *file, Bytes bytes)
+{
+    SimFile *sim_file = (SimFile *)file;
+    if (!takes(sim_file->machine, bytes.count))
+        return STATUS_DISK_FAILED;
+    void *mem = talloc_new(NULL);
+    SimContent *content = content_of(sim_file->machine, hint_path(mem, sim_file));
+    content->bytes.count = 0;
+    bytes_add(content, &content->bytes, bytes.data, bytes.count);
+    content->synced_count = content->bytes.count;
+    talloc_free(mem);
+    return STATUS_OK;
+}
+
+Status sim_hint_read(File *file, void *mem, Bytes *content)
+{
+    const SimFile *sim_file = (const SimFile *)file;
+    void *scratch = talloc_new(NULL);
+    const SimName *name = map_get(sim_file->machine->disk, hint_path(scratch, sim_file));
+    *content = name != NULL && name->content != NULL ? bytes_copy(mem, name->content->bytes) : (Bytes){0};
+    talloc_free(scratch);
+    return sim_file->machine->disk_fails ? STATUS_DISK_FAILED : STATUS_OK;
+}
+
 /* --- the end of a process -------------------------------------------------------- */
 
 /* Each write that no sync has covered is there, missing or torn; what is missing before
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -118,6 +118,8 @@
 Status sim_file_read(File *file, void *mem, Bytes *content);
 Status sim_file_append(File *file, Bytes bytes);
 Status sim_file_replace(File *file, Bytes bytes);
+Status sim_hint_write(File *file, Bytes bytes);
+Status sim_hint_read(File *file, void *mem, Bytes *content);
 /* What a process's end does to its disk. */
 void sim_disk_after_end(SimMachine *machine, bool power);
 
--- /dev/null
+++ b/packages/sim/test/last_block.c
@@ -0,0 +1,78 @@
+/* The last block of a journal, which was synced, is damaged while its machine is without power: the controller must not
+ * vote with what is left, or an acknowledged change is lost as soon as the other disk that has it is away too. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "controller_set.h"
+
+#define RETURNED_MS 8000 /* ms; with a majority a controller leads within this */
+
+typedef enum Damage { DAMAGE_FLIPPED, DAMAGE_CUT, DAMAGE_COUNT } Damage;
+
+static void damage_last_block(Fleet *fleet, int controller, Damage damage)
+{
+    Bytes *file =
+        sim_disk_content(fleet->world, fleet_node(fleet, FLEET_CONTROLLER, controller)->machine, "data/journal");
+    if (damage == DAMAGE_CUT)
+        file->count--;
+    else
+        file->data[file->count - 1] ^= 1;
+}
+
+/* A change is on two of three disks when all lose power. One of the two is damaged and returns with the third, which
+ * never had the change: they must not lead without the other. */
+static void acknowledged_change_outlasts(uint64_t seed, Damage damage)
+{
+    Fleet *fleet = begin(seed);
+    const int leader = fleet_leader(fleet), damaged = (leader + 1) % 3, behind = (leader + 2) % 3;
+    checker_fault(fleet->checker);
+    fleet_power_off(fleet, FLEET_CONTROLLER, behind);
+    fleet_run(fleet, 2000);
+    offer(fleet, 1, 100);
+    fleet_run(fleet, 3000);
+    assert_int_equal(fleet_leader(fleet), leader);
+    const uint64_t index = replication_of(fleet, leader)->commit_index;
+    fleet_power_off(fleet, FLEET_CONTROLLER, damaged);
+    fleet_power_off(fleet, FLEET_CONTROLLER, leader);
+    damage_last_block(fleet, damaged, damage);
+    fleet_start_node(fleet, FLEET_CONTROLLER, damaged);
+    fleet_start_node(fleet, FLEET_CONTROLLER, behind);
+    fleet_run(fleet, RETURNED_MS);
+    assert_int_equal(fleet_leader(fleet), -1);
+    fleet_start_node(fleet, FLEET_CONTROLLER, leader);
+    fleet_run(fleet, RETURNED_MS);
+    assert_true(fleet_leader(fleet) >= 0);
+    assert_true(replication_of(fleet, fleet_leader(fleet))->commit_index > index);
+    assert_true(journal_counts(replication_of(fleet, damaged)->journal)->begun_anew);
+    if (checker_broken_all(fleet->checker) > 0)
+        fail_msg("%s", checker_first(fleet->checker));
+    talloc_free(fleet);
+}
+
+static void flipped(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 6; seed++)
+        acknowledged_change_outlasts(seed, DAMAGE_FLIPPED);
+}
+
+static void cut(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 6; seed++)
+        acknowledged_change_outlasts(seed, DAMAGE_CUT);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(flipped),
+        cmocka_unit_test(cut),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
