--- a/scripts/doc_names.py
+++ b/scripts/doc_names.py
@@ -32,7 +32,7 @@
     ("CONTRIBUTING.md", "snake_case lower_case UPPER_CASE limit_bytes", "shapes of names"),
     ("CONTRIBUTING.md", "readability-identifier-naming", "a rule of clang-tidy"),
     ("CONTRIBUTING.md", "spancart_test", "a function of the build, no test"),
-    ("docs/ROADMAP.md", "lower_case docs/CAPACITY.md", "a shape of names; a page to come"),
+    ("docs/ROADMAP.md", "lower_case", "a shape of names"),
     ("docs/api.md", "Retry-After", "a head of HTTP"),
     ("docs/control-answers.md", "Retry-After .../drain", "HTTP"),
     ("docs/control-serving.md", "config/put config/patch config/get", "paths of the platform, without their beginning"),
