--- a/packages/loop/src/real_disk.c
+++ b/packages/loop/src/real_disk.c
@@ -127,9 +127,10 @@
     const int fd = hint_open(real_file, O_RDONLY);
     if (fd < 0)
         return errno == ENOENT;
-    job->read = malloc(FILE_HINT_MOST);
-    const ssize_t count = job->read != NULL ? read(fd, job->read, FILE_HINT_MOST) : -1;
+    uint8_t *bytes = malloc(FILE_HINT_MOST);
+    const ssize_t count = bytes != NULL ? read(fd, bytes, FILE_HINT_MOST) : -1;
     close(fd);
+    job->read = bytes;
     job->read_count = count > 0 ? (size_t)count : 0;
     return count >= 0;
 }
