--- a/scripts/doc_names.py
+++ b/scripts/doc_names.py
@@ -40,7 +40,7 @@
     ("docs/oncall.md", "journal.bad journal.new df iostat", "files in the data folder; tools"),
     ("docs/oncall.md", "spancart_leads spancart_journal_rewrites", "metrics, put together of a prefix and a name"),
     ("docs/oncall.md", "spancart_alert_seat_out spancart_journal_begun_anew", "the same"),
-    ("docs/operating.md", "spancart_alert_seat_out spancart_journal_begun_anew journal.bad", "the same; a file"),
+    ("docs/operating.md", "spancart_alert_seat_out spancart_journal_begun_anew journal.bad journal.hint", "the same; files"),
     ("docs/control-state.md", "journal.bad", "a file in the data folder"),
     ("docs/platform.md", "tolerate.machines", "a member of the platform's document"),
     ("docs/renaming.md", "a3bf9aa Beat RoundId RoundNews SeatList AttemptNews Round Stray Door packages/routing/src/ways*.c "
