--- a/packages/replication/src/snapshot.c
+++ b/packages/replication/src/snapshot.c
@@ -21,7 +21,8 @@
     return status;
 }
 
-bool state_too_large(const Replication *replication)
+/* Whether the state was too large for a snapshot when that was last tried. */
+static bool state_too_large(const Replication *replication)
 {
     return replication->too_large_bytes > 0 && replication->tried_index == replication->log->base_index;
 }
--- a/packages/replication/src/snapshot.h
+++ b/packages/replication/src/snapshot.h
@@ -18,8 +18,6 @@
 /* Replaces the entries that are delivered by a snapshot of the state, in memory; false: there are none, or they can't
  * be now. The journal has to be rewritten afterwards. */
 bool log_shorten(Replication *replication);
-/* Whether the state was too large for a snapshot when that was last tried. */
-bool state_too_large(const Replication *replication);
 /* Replaces the entries that are delivered by a snapshot of the state, when the log is long enough or force says so.
  * Does not wait: the journal is rewritten by a task. */
 void replication_compact_maybe(Replication *replication, bool force);
