--- a/scripts/doc_names.py
+++ b/scripts/doc_names.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Checks that what README.md, CONTRIBUTING.md and docs/*.md name exists in the tree.
+"""Checks that what README.md, CONTRIBUTING.md, docs/*.md and docs/incidents/*.md name exists in the tree.
 
 doc_names.py [-v]
 
@@ -265,7 +265,7 @@
     excepted = {(page, name) for page, names, _ in EXCEPTIONS for name in names.split()}
     needed = set()
     good = True
-    for path in ["README.md", "CONTRIBUTING.md"] + sorted(path for path in tree.files if re.match(r"docs/[^/]+\.md$", path)):
+    for path in ["README.md", "CONTRIBUTING.md"] + sorted(path for path in tree.files if re.match(r"docs/(incidents/)?[^/]+\.md$", path)):
         for number, name, what in Page(path, tree, args.verbose).wrong:
             key = {(path, name), ("*", name)} & excepted
             needed |= key
