--- a/packages/explore/src/check.c
+++ b/packages/explore/src/check.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/array.h"
 #include "base/term.h"
 #include "check.h"
 #include "disks.h"
@@ -60,10 +61,8 @@
                               term_counter(term));
             return;
         }
-    if (explore->lead_count == explore->lead_capacity) {
-        explore->lead_capacity = explore->lead_capacity > 0 ? explore->lead_capacity * 2 : 64;
-        explore->leads = talloc_realloc(explore, explore->leads, Lead, (unsigned)explore->lead_capacity);
-    }
+    explore->leads =
+        array_grow(explore, explore->leads, sizeof(*explore->leads), explore->lead_count, &explore->lead_capacity);
     explore->leads[explore->lead_count++] = (Lead){term, disk};
     explore->result->leads++;
     explore_say(explore, "%s leads view %" PRIu64, node->name, term_counter(term));
--- a/packages/explore/src/client.c
+++ b/packages/explore/src/client.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/array.h"
 #include "base/constants.h"
 #include "client.h"
 #include "nodes.h"
@@ -19,10 +20,8 @@
 
 static void acknowledged(Explore *explore, uint64_t number)
 {
-    if (explore->ack_count == explore->ack_capacity) {
-        explore->ack_capacity = explore->ack_capacity > 0 ? explore->ack_capacity * 2 : 64;
-        explore->acks = talloc_realloc(explore, explore->acks, uint64_t, (unsigned)explore->ack_capacity);
-    }
+    explore->acks =
+        array_grow(explore, explore->acks, sizeof(*explore->acks), explore->ack_count, &explore->ack_capacity);
     explore->acks[explore->ack_count++] = number;
     explore->orders[number - 1].acknowledged = true;
     explore->result->acknowledged++;
@@ -48,10 +47,8 @@
 
 void client_submit(Explore *explore, Node *node)
 {
-    if (explore->order_count == explore->order_capacity) {
-        explore->order_capacity = explore->order_capacity > 0 ? explore->order_capacity * 2 : 512;
-        explore->orders = talloc_realloc(explore, explore->orders, Order, (unsigned)explore->order_capacity);
-    }
+    explore->orders =
+        array_grow(explore, explore->orders, sizeof(*explore->orders), explore->order_count, &explore->order_capacity);
     explore->orders[explore->order_count++] = (Order){0};
     Loop *loop = sim_loop(explore->world, node->machine);
     Submission *submission = talloc_zero(loop, Submission);
--- a/packages/explore/src/items.c
+++ b/packages/explore/src/items.c
@@ -4,14 +4,11 @@
 
 #include "items.h"
 
-#define ITEMS_FIRST 256 /* count */
+#include "base/array.h"
 
 Item *items_add(void *mem, Items *items, const Item *item)
 {
-    if (items->count == items->capacity) {
-        items->capacity = items->capacity > 0 ? items->capacity * 2 : ITEMS_FIRST;
-        items->list = talloc_realloc(mem, items->list, Item, (unsigned)items->capacity);
-    }
+    items->list = array_grow(mem, items->list, sizeof(*items->list), items->count, &items->capacity);
     items->list[items->count] = *item;
     return &items->list[items->count++];
 }
--- a/packages/sim/src/disk.c
+++ b/packages/sim/src/disk.c
@@ -73,8 +73,7 @@
 /* Whether the disk takes the bytes. */
 static bool takes(const SimMachine *machine, size_t count)
 {
-    return !machine->disk_fails &&
-           (machine->disk_resources == 0 || used_of(machine) + count <= machine->disk_resources);
+    return !machine->disk_fails && (machine->disk_capacity == 0 || used_of(machine) + count <= machine->disk_capacity);
 }
 
 /* How much of a write that was broken off is there: all, nothing, or a beginning. */
@@ -272,7 +271,7 @@
 
 void sim_disk_capacity(SimWorld *world, int machine, size_t bytes)
 {
-    world->machines[machine].disk_resources = bytes;
+    world->machines[machine].disk_capacity = bytes;
 }
 
 size_t sim_disk_used(const SimWorld *world, int machine)
--- a/packages/sim/src/events.c
+++ b/packages/sim/src/events.c
@@ -2,6 +2,7 @@
  * one that was added first. */
 #include <talloc.h>
 
+#include "base/array.h"
 #include "world.h"
 
 int64_t sim_now_ms(const SimWorld *world)
@@ -41,10 +42,7 @@
 
 void sim_at(SimWorld *world, int64_t when_ms, SimFn fn, void *arg)
 {
-    if (world->count == world->resources) {
-        world->resources = world->resources ? world->resources * 2 : 1024;
-        world->events = talloc_realloc(world, world->events, SimEvent, (unsigned)world->resources);
-    }
+    world->events = array_grow(world, world->events, sizeof(*world->events), world->count, &world->capacity);
     const SimEvent event = {when_ms < world->now_ms ? world->now_ms : when_ms, world->order++, fn, arg};
     size_t at = world->count++;
     while (at > 0 && event_before(&event, &world->events[(at - 1) / 2])) {
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -70,8 +70,8 @@
     int64_t far_ms;                     /* its frames take so much longer */
     int64_t sync_ms;
     bool disk_fails, disk_lies;
-    size_t disk_resources; /* bytes of all its files together; 0: no bound */
-    Map *disk;             /* path to SimName */
+    size_t disk_capacity; /* bytes of all its files together; 0: no bound */
+    Map *disk;            /* path to SimName */
 } SimMachine;
 
 struct SimWorld {
@@ -80,7 +80,7 @@
     uint64_t order;
     uint64_t event_count;
     SimEvent *events;
-    size_t count, resources;
+    size_t count, capacity;
     SimMachine machines[SIM_NODES_MAX];
     int machine_count;
     bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
--- a/packages/sim/tool/replay.c
+++ b/packages/sim/tool/replay.c
@@ -11,6 +11,7 @@
 #include <talloc.h>
 
 #include "api/job_json.h"
+#include "base/array.h"
 #include "base/map.h"
 #include "sim/checker.h"
 #include "standin/caller.h"
@@ -145,13 +146,10 @@
     const CheckerSettings settings = {replay, replay_now, replay_frozen, replay_job, NULL};
     replay->checker = checker_new(replay, &settings);
     Line *lines = NULL;
-    size_t count = 0, resources = 0;
+    size_t count = 0, capacity = 0;
     char text[512];
     while (fgets(text, sizeof(text), file) != NULL) {
-        if (count == resources) {
-            resources = resources ? resources * 2 : 1024;
-            lines = talloc_realloc(replay, lines, Line, (unsigned)resources);
-        }
+        lines = array_grow(replay, lines, sizeof(*lines), count, &capacity);
         Line *line = &lines[count];
         *line = (Line){.order = count};
         const int got = sscanf(text, "%" SCNd64 " %15s %96s %96s %" SCNu64 " %" SCNu64 " %63[^\n]", &line->at_ms,
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "api/show.h"
+#include "base/array.h"
 
 #define LASTING_FOR_MS 5000   /* ms; lasting work is cancelled by its caller after this */
 #define CONFIGURE_ATTEMPTS 60 /* count; each half a second after the last */
@@ -15,12 +16,12 @@
     Loop *loop;
     CallerSettings settings;
     CallerJob **jobs;
-    size_t count, resources; /* of jobs: in use, allocated */
-    size_t open;             /* jobs that have neither ended nor been refused */
-    bool stop;               /* is to hand in no more */
-    bool over;               /* hands in no more */
-    uint64_t draw;           /* the random source's state */
-    bool gave_up;            /* whatever has not ended is cancelled */
+    size_t count, capacity; /* of jobs: in use, allocated */
+    size_t open;            /* jobs that have neither ended nor been refused */
+    bool stop;              /* is to hand in no more */
+    bool over;              /* hands in no more */
+    uint64_t draw;          /* the random source's state */
+    bool gave_up;           /* whatever has not ended is cancelled */
 };
 
 /* A coroutine that follows a job; entry, modulo their count, is the next that it calls. */
@@ -251,10 +252,7 @@
     job->wall_ms = loop_wall_ms(caller->loop);
     if (caller->settings.watch.sent != NULL)
         caller->settings.watch.sent(caller->settings.watch.arg, job->id);
-    if (caller->count == caller->resources) {
-        caller->resources = caller->resources ? caller->resources * 2 : 64;
-        caller->jobs = talloc_realloc(caller, caller->jobs, CallerJob *, (unsigned)caller->resources);
-    }
+    caller->jobs = array_grow(caller, caller->jobs, sizeof(*caller->jobs), caller->count, &caller->capacity);
     caller->jobs[caller->count++] = job;
     caller->open++;
     return job;
