Configuration: tenants have keys, weight and note; queues may be public

Nothing refuses by it yet.

- tenant: `keys`, `weight` (ConfigTenant.weight_milli, 1000 by default), `note`.
- queue: `public`.
Cell: `keyed`, by default true when a tenant has a list of keys.
- a key of two tenants, twice, empty, too long, not text or not visible ASCII, and a weight that is 0, negative, not finite or no number refuse the document.
- config_tenant is a look-up by hash in place of a walk.

Before: test config refuses `keys`, `weight` and `public` as unknown fields.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -150,6 +150,8 @@
 #define CONFIG_LARGE_BYTES (32 * 1024) /* bytes; a larger one is not forwarded: 130 ms of a 2 Mbit/s link, each way */
 #define CONFIG_NOTE_MAX (64 * 1024)    /* bytes; an operator's note on a queue, a kind, or the whole */
 #define CONFIG_PATH_MAX 1024           /* bytes; a host, a prefix, a path: longer ones are mistakes */
+#define CONFIG_KEY_MAX 256             /* bytes; of a tenant's key: longer ones are mistakes */
+#define CONFIG_WEIGHT_MAX 1000000      /* times; a larger weight of a tenant is a mistake */
 #define CONFIG_SPAN_MAX_MS 1000000000  /* ms; eleven days: longer ones are mistakes */
 #define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* bytes; a larger limit is a mistake */
 #define CONFIG_STRETCH_MAX 1000               /* times; a larger stretch is a mistake */
--- a/packages/config/include/config/config.h
+++ b/packages/config/include/config/config.h
@@ -14,7 +14,11 @@
 
 typedef struct ConfigTenant {
     const char *name;
-    Resources quota; /* of all its tasks on workers; a component of 0 is without bound */
+    Resources quota;       /* of all its tasks on workers; a component of 0 is without bound */
+    uint64_t weight_milli; /* thousandths; its share when capacity is short, relative to other tenants' */
+    bool keyed;            /* it has a list of keys, which may be empty: its jobs are shown to its own callers only */
+    size_t key_count;
+    const char *note; /* the operator's; not interpreted */
 } ConfigTenant;
 
 /* What is not given is 0 or empty. */
@@ -28,17 +32,23 @@
     int64_t timeout_ms;        /* ms; deadline of a request there */
     const char *host, *prefix; /* its entry; empty: none. The host in lower case */
     const char *tenant;        /* who submits there; empty: the cell's first one */
+    bool is_public;            /* calls there need no key */
     const char *note;          /* the operator's; not interpreted */
 } ConfigQueue;
 
+typedef struct ConfigKeys ConfigKeys;
+
 typedef struct ConfigCell {
     const char *name;
     uint64_t share;     /* its weight when capacity is short */
     uint64_t limit;     /* count; waiting tasks beyond which jobs are refused (503) */
     const char *policy; /* empty: the built-in one */
     bool strict;        /* work that no present worker suits is refused; else it waits for one */
+    bool keyed;         /* calls of its queues need a tenant's key, except of public ones */
     size_t tenant_count, queue_count;
     const ConfigTenant *tenants;
+    GHashTable *tenant_names; /* to ConfigTenant */
+    const ConfigKeys *keys;   /* of all its tenants */
     const ConfigQueue *const *queues;
     GHashTable *queue_names; /* to ConfigQueue */
 } ConfigCell;
@@ -102,6 +112,8 @@
 /* Each by its name; null: there is none. */
 const ConfigCell *config_cell(const Config *config, const char *name);
 const ConfigTenant *config_tenant(const ConfigCell *cell, const char *name);
+/* The tenant that has the key of this digest (key.h); null: none of the cell has, or digest is empty. */
+const ConfigTenant *config_tenant_of_key(const ConfigCell *cell, Bytes digest);
 const ConfigQueue *config_queue(const ConfigCell *cell, const char *name);
 const ConfigKind *config_kind(const Config *config, const char *name);
 const ConfigPolicy *config_policy(const Config *config, const char *name);
--- a/packages/config/src/cells.c
+++ b/packages/config/src/cells.c
@@ -1,34 +1,15 @@
-/* Reading cells: their tenants and queues. */
+/* Reading cells and their queues. */
 #include <string.h>
 #include <talloc.h>
 
 #include "base/constants.h"
 #include "parts.h"
 #include "reading.h"
+#include "tenants.h"
 
 #define SHARE_MAX 1000    /* a larger share of a cell is a mistake */
 #define LIMIT_MAX 1000000 /* count; a larger limit of waiting tasks is a mistake */
 
-static void read_tenants(Config *config, json_object *object, const char *path, ConfigCell *cell, Faults *faults)
-{
-    static const char *const KEYS[] = {"quota", NULL};
-    json_object *all = read_members(faults, object, path, "tenants", &cell->tenant_count);
-    ConfigTenant *tenants = talloc_zero_array(config, ConfigTenant, (unsigned)cell->tenant_count);
-    cell->tenants = tenants;
-    if (all == NULL)
-        return;
-    size_t at = 0;
-    json_object_object_foreach(all, name, value)
-    {
-        const char *here = check_path(faults, check_path(faults, path, "tenants"), name);
-        check_named(faults, name, path, "tenants");
-        tenants[at].name = talloc_strdup(config, name);
-        if (check_keys(faults, value, here, KEYS))
-            tenants[at].quota = check_resources(faults, value, here, "quota", false);
-        at++;
-    }
-}
-
 static void read_queues(const Reading *reading, json_object *object, const char *path, ConfigCell *cell)
 {
     json_object *all = read_members(reading->faults, object, path, "queues", &cell->queue_count);
@@ -51,7 +32,7 @@
 
 static void read_cell(const Reading *reading, json_object *value, const char *path, ConfigCell *cell)
 {
-    static const char *const KEYS[] = {"share", "limit", "policy", "strict", "tenants", "queues", NULL};
+    static const char *const KEYS[] = {"share", "limit", "policy", "strict", "keyed", "tenants", "queues", NULL};
     Faults *faults = reading->faults;
     if (!check_keys(faults, value, path, KEYS))
         return;
@@ -60,6 +41,7 @@
     cell->policy = talloc_strdup(reading->config, check_name(faults, value, path, "policy", ""));
     cell->strict = check_flag(faults, value, path, "strict", true);
     read_tenants(reading->config, value, path, cell, faults);
+    cell->keyed = check_flag(faults, value, path, "keyed", cell->keyed);
     read_queues(reading, value, path, cell);
 }
 
@@ -72,6 +54,7 @@
     for (size_t i = 0; i < config->cell_count; i++) {
         cells[i].name = cells[i].policy = "";
         cells[i].queue_names = g_hash_table_new(g_str_hash, g_str_equal);
+        cells[i].tenant_names = g_hash_table_new(g_str_hash, g_str_equal);
     }
     if (all == NULL)
         return;
--- a/packages/config/src/config.c
+++ b/packages/config/src/config.c
@@ -7,6 +7,7 @@
 #include "base/constants.h"
 #include "document/document.h"
 #include "entries.h"
+#include "keys.h"
 #include "parts.h"
 #include "reading.h"
 
@@ -99,6 +100,7 @@
         for (size_t k = 0; k < config->cells[i].queue_count; k++)
             queue_part_leave(config->cells[i].queues[k]);
         g_hash_table_destroy(config->cells[i].queue_names);
+        g_hash_table_destroy(config->cells[i].tenant_names);
     }
     for (size_t i = 0; i < config->policy_count; i++)
         policy_part_leave(config->policies[i]);
@@ -181,10 +183,12 @@
 
 const ConfigTenant *config_tenant(const ConfigCell *cell, const char *name)
 {
-    for (size_t i = 0; i < cell->tenant_count; i++)
-        if (strcmp(cell->tenants[i].name, name) == 0)
-            return &cell->tenants[i];
-    return NULL;
+    return g_hash_table_lookup(cell->tenant_names, name);
+}
+
+const ConfigTenant *config_tenant_of_key(const ConfigCell *cell, Bytes digest)
+{
+    return digest.count == KEY_DIGEST_BYTES ? keys_find(cell->keys, digest.data) : NULL;
 }
 
 const ConfigQueue *config_queue(const ConfigCell *cell, const char *name)
--- a/packages/config/src/parts.c
+++ b/packages/config/src/parts.c
@@ -41,8 +41,8 @@
 
 static void read_queue(json_object *value, const char *path, QueuePart *part, Faults *faults)
 {
-    static const char *const KEYS[] = {"priority", "kind",  "rounds", "stretch", "targetMs",
-                                       "expiryMs", "entry", "tenant", "note",    NULL};
+    static const char *const KEYS[] = {"priority", "kind",   "rounds", "stretch", "targetMs", "expiryMs",
+                                       "entry",    "tenant", "public", "note",    NULL};
     ConfigQueue *queue = &part->queue;
     if (!check_keys(faults, value, path, KEYS))
         return;
@@ -53,6 +53,7 @@
     queue->target_ms = check_int(faults, value, path, "targetMs", 0, CONFIG_SPAN_MAX_MS, 0);
     queue->timeout_ms = check_int(faults, value, path, "expiryMs", 1, CONFIG_SPAN_MAX_MS, 0);
     queue->tenant = talloc_strdup(part, check_name(faults, value, path, "tenant", ""));
+    queue->is_public = check_flag(faults, value, path, "public", false);
     queue->note = talloc_strdup(part, check_text(faults, value, path, "note", CONFIG_NOTE_MAX));
     read_entry(value, path, part, faults);
 }
--- a/packages/config/test/config.c
+++ b/packages/config/test/config.c
@@ -2,6 +2,7 @@
  * find their queue. */
 #include "../../base/test/draw.h"
 #include "base/constants.h"
+#include "config/key.h"
 #include "fixture.h"
 
 static const char WHOLE[] =
@@ -10,10 +11,11 @@
     "\"limits\":{\"headBytes\":16384,\"bodyBytes\":262144,\"headMs\":3000,\"idleMs\":15000},"
     "\"policies\":{\"p\":\"function rank(t) return 1 end\"},"
     "\"cells\":{\"main\":{\"share\":3,\"limit\":500,\"policy\":\"p\",\"strict\":false,"
-    "\"tenants\":{\"all\":{},\"few\":{\"quota\":{\"cpu\":1.5,\"memMb\":100}}},"
+    "\"tenants\":{\"all\":{},\"few\":{\"quota\":{\"cpu\":1.5,\"memMb\":100},\"weight\":2.5,\"keys\":[\"k1\",\"k2\"],"
+    "\"note\":\"n\"}},"
     "\"queues\":{\"r-a3hwrr6\":{\"priority\":-1,\"kind\":\"huvo11a\",\"rounds\":4,\"stretch\":2.2,\"targetMs\":2000,"
     "\"expiryMs\":3000,\"entry\":{\"host\":\"Nony24.example\",\"prefix\":\"/lohu930/\"},\"note\":\"{\\\"tls\\\":false}\"},"
-    "\"bare\":{},\"theirs\":{\"tenant\":\"few\",\"stretch\":3,\"entry\":{\"host\":\"b.example\",\"prefix\":\"/\"}}}},"
+    "\"bare\":{},\"theirs\":{\"tenant\":\"few\",\"public\":true,\"stretch\":3,\"entry\":{\"host\":\"b.example\",\"prefix\":\"/\"}}}},"
     "\"other\":{}}}";
 
 static void every_field_is_read(void **state)
@@ -52,7 +54,18 @@
     assert_true(bare->kind[0] == '\0' && bare->host[0] == '\0' && bare->tenant[0] == '\0');
     assert_null(config_queue(cell, "none"));
     assert_non_null(config_policy(config, "p")->lua);
-    assert_int_equal(config_tenant(cell, "few")->quota.cpu_milli, 1500);
+    const ConfigTenant *few = config_tenant(cell, "few"), *all = config_tenant(cell, "all");
+    assert_int_equal(few->quota.cpu_milli, 1500);
+    assert_int_equal(few->weight_milli, 2500);
+    assert_int_equal(few->key_count, 2);
+    assert_string_equal(few->note, "n");
+    assert_true(few->keyed && cell->keyed && !all->keyed && !config_cell(config, "other")->keyed);
+    assert_int_equal(all->weight_milli, 1000);
+    assert_true(config_queue(cell, "theirs")->is_public && !bare->is_public);
+    assert_ptr_equal(config_tenant_of_key(cell, key_digest_bytes(mem, "k2")), few);
+    assert_null(config_tenant_of_key(cell, key_digest_bytes(mem, "k3")));
+    assert_null(config_tenant_of_key(cell, (Bytes){0}));
+    assert_null(config_tenant_of_key(config_cell(config, "other"), key_digest_bytes(mem, "k2")));
     talloc_free(mem);
 }
 
@@ -170,6 +183,93 @@
     {"{\"cells\":{\"c\":{\"queues\":{\"q\":{\"rounds\":1,\"rounds\":2}}}}}", "cells.c.queues.q.rounds"},
 };
 
+/* The path in the one tenant of a cell, the tenant, and the path of its one fault there. */
+static const struct {
+    const char *tenant, *path;
+} FAULTY_TENANTS[] = {
+    {"7", ""},
+    {"null", ""},
+    {"{\"x\":1}", ".x"},
+    {"{\"prio\":1}", ".prio"},
+    {"{\"weight\":0}", ".weight"},
+    {"{\"weight\":-1}", ".weight"},
+    {"{\"weight\":0.0001}", ".weight"},
+    {"{\"weight\":1e999}", ".weight"},
+    {"{\"weight\":1000001}", ".weight"},
+    {"{\"weight\":\"1\"}", ".weight"},
+    {"{\"weight\":null}", ".weight"},
+    {"{\"quota\":{\"cpu\":-1,\"memMb\":1}}", ".quota.cpu"},
+    {"{\"quota\":{\"cpu\":1,\"memMb\":1,\"disk\":1}}", ".quota.disk"},
+    {"{\"note\":1}", ".note"},
+    {"{\"keys\":\"k\"}", ".keys"},
+    {"{\"keys\":{}}", ".keys"},
+    {"{\"keys\":[\"k\",7]}", ".keys[1]"},
+    {"{\"keys\":[null]}", ".keys[0]"},
+    {"{\"keys\":[\"\"]}", ".keys[0]"},
+    {"{\"keys\":[\"a b\"]}", ".keys[0]"},
+    {"{\"keys\":[\"a\\r\\nb\"]}", ".keys[0]"},
+    {"{\"keys\":[\"a\\u0000b\"]}", ".keys[0]"},
+    {"{\"keys\":[\"a\\u007f\"]}", ".keys[0]"},
+    {"{\"keys\":[\"\\u00e9\"]}", ".keys[0]"},
+    {"{\"keys\":[\"k\",\"l\",\"k\"]}", ".keys[2]"},
+    {"{\"keys\":[\"l\",\"taken\"]}", ".keys[1]"},
+};
+
+/* CONFIG: a document with a key that can't be one, or that is another's, was acknowledged. */
+static void each_fault_of_a_tenant_is_named_by_its_path(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < sizeof(FAULTY_TENANTS) / sizeof(FAULTY_TENANTS[0]); i++) {
+        void *mem = talloc_new(NULL);
+        Faults *faults = faults_make(mem);
+        const char *text =
+            talloc_asprintf(mem, "{\"cells\":{\"c\":{\"tenants\":{\"first\":{\"keys\":[\"taken\"]},\"t\":%s}}}}",
+                            FAULTY_TENANTS[i].tenant);
+        const char *path = talloc_asprintf(mem, "cells.c.tenants.t%s", FAULTY_TENANTS[i].path);
+        const Config *config = config_read(mem, text, strlen(text), 1, faults);
+        if (config != NULL || faults->count != 1 || strcmp(faults->list[0].path, path) != 0)
+            fail_msg("%s: %zu faults, %s: %s", text, faults->count, faults->count > 0 ? faults->list[0].path : "",
+                     faults->count > 0 ? faults->list[0].text : "");
+        /* no key stands in what operators and logs are told */
+        assert_null(strstr(faults->list[0].text, "taken"));
+        talloc_free(mem);
+    }
+}
+
+static void long_key_is_refused(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    for (size_t length = CONFIG_KEY_MAX; length <= CONFIG_KEY_MAX + 1; length++) {
+        char *key = talloc_zero_size(mem, length + 1);
+        memset(key, 'k', length);
+        const char *text = talloc_asprintf(mem, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"keys\":[\"%s\"]}}}}}", key);
+        Faults *faults = faults_make(mem);
+        assert_true((config_read(mem, text, strlen(text), 1, faults) != NULL) == (length == CONFIG_KEY_MAX));
+    }
+    talloc_free(mem);
+}
+
+/* A key of one cell says nothing in another. A tenant without any key still makes its cell ask for one. */
+static void keys_are_of_their_cell(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    const Config *config = read_good(mem, "{\"cells\":{\"a\":{\"tenants\":{\"t\":{\"keys\":[\"k\"]}}},"
+                                          "\"b\":{\"tenants\":{\"u\":{\"keys\":[\"k\"]}}},"
+                                          "\"empty\":{\"tenants\":{\"t\":{\"keys\":[]}}},"
+                                          "\"said\":{\"keyed\":true,\"tenants\":{\"t\":{}}},"
+                                          "\"open\":{\"tenants\":{\"t\":{}}}}}");
+    const Bytes digest = key_digest_bytes(mem, "k");
+    assert_string_equal(config_tenant_of_key(config_cell(config, "a"), digest)->name, "t");
+    assert_string_equal(config_tenant_of_key(config_cell(config, "b"), digest)->name, "u");
+    assert_true(config_cell(config, "empty")->keyed && config_cell(config, "said")->keyed);
+    assert_false(config_cell(config, "open")->keyed);
+    assert_int_equal(key_digest_bytes(mem, "").count, 0);
+    assert_int_equal(key_digest_bytes(mem, NULL).count, 0);
+    talloc_free(mem);
+}
+
 static void each_fault_is_named_by_its_path(void **state)
 {
     (void)state;
@@ -247,6 +347,9 @@
         cmocka_unit_test(every_field_is_read),
         cmocka_unit_test(longest_prefix_of_the_host_is_found),
         cmocka_unit_test(each_fault_is_named_by_its_path),
+        cmocka_unit_test(each_fault_of_a_tenant_is_named_by_its_path),
+        cmocka_unit_test(long_key_is_refused),
+        cmocka_unit_test(keys_are_of_their_cell),
         cmocka_unit_test(all_faults_are_listed_up_to_a_bound),
         cmocka_unit_test(spoilt_documents_are_read_or_refused),
     };
