Entries: a call without a known tenant's key is refused by the leader

What callers saw: calls under keys that no configuration held were run (ROUTE), and so were calls under keys taken away (CONFIG).

The leader, which looks the queue up in the newest committed document under its lease, looks the key up there too: no document 503, no such queue 404, then no known key 401 `unknown-key`, where the cell is keyed and the queue not public. The key's tenant is the job's. A job of another tenant: 403 `other-tenant` to GET and DELETE, 409 to the same id handed in. One of a tenant not called by key is shown to whoever may call the queue. Counted as `unknownKeys`. A retry for which an earlier leader may have taken the job gets 504.

Edits elsewhere: HttpTask.key_digest (loop), two statuses (base), the two on_http.

Tried first: refusing the retry with 504 `outcome-unknown`; the forwarder takes that for a lost leader and drops its route, so it is `expired`.

--- a/packages/base/include/base/status.h
+++ b/packages/base/include/base/status.h
@@ -64,7 +64,9 @@
     X(OTHER_VERSION, "other-version", 503)         \
     X(UNKNOWN_QUESTION, "unknown-question", 503)   \
     X(OTHER_HISTORY, "other-history", 409)         \
-    X(STATE_FULL, "state-full", 503)
+    X(STATE_FULL, "state-full", 503)               \
+    X(UNKNOWN_KEY, "unknown-key", 401)             \
+    X(OTHER_TENANT, "other-tenant", 403)
 
 typedef enum Status {
 #define X(name, word, http) STATUS_##name,
--- a/packages/callers/include/callers/callers.h
+++ b/packages/callers/include/callers/callers.h
@@ -39,11 +39,12 @@
 } CallerServiceSettings;
 
 /* Requests since the process began; X(name). refused: with faults; crowded: too much waited in the cell, or the state
- * was full; unproven: the proof of the answer failed. */
+ * was full; unproven: the proof of the answer failed; unknown_keys: calls of an entry without a known key. */
 #define CALLER_SERVICE_COUNT_LIST(X) \
     X(refused)                       \
     X(crowded)                       \
-    X(unproven)
+    X(unproven)                      \
+    X(unknown_keys)
 
 typedef struct CallerServiceCounts {
 #define X(name) uint64_t name;
--- a/packages/callers/src/callers.c
+++ b/packages/callers/src/callers.c
@@ -41,6 +41,7 @@
                        .query = ask->query,
                        .host = ask->host,
                        .body = ask->body,
+                       .key_digest = ask->key_digest,
                        .again = ask->again,
                        .timeout_ms = ask->wait_ms > 0 ? loop_now_ms(callers->loop) + (int64_t)ask->wait_ms : 0,
                        .kind = "application/json"};
--- a/packages/callers/src/entry.c
+++ b/packages/callers/src/entry.c
@@ -1,5 +1,5 @@
 /* Jobs at the address of their queue, its entry: host and path name the queue, what follows its prefix is the job's
- * id. The queue is looked up in the newest committed configuration at each request. */
+ * id, a key names the tenant. Queue and key are looked up in the newest committed configuration at each request. */
 #include "entry.h"
 
 #include <string.h>
@@ -26,6 +26,45 @@
     show_result(request->task, http, body);
 }
 
+/* --- keys --------------------------------------------------------------------------------------- */
+
+/* Whether the request may call the queue: by a tenant's key, which decides its tenant, or, where none is needed, also
+ * without. False: it has been refused. An earlier leader may have taken a job under a key that is gone since, so a
+ * retry of that is not refused for good. */
+static bool key_passes(CallerRequest *request, const ConfigPlace *place)
+{
+    request->caller = config_tenant_of_key(place->cell, request->task->key_digest);
+    if (request->caller != NULL || place->queue->is_public || !place->cell->keyed)
+        return true;
+    if (request->task->again && table_job(request->callers->table, request->name) != NULL)
+        show_refusal(request->task, STATUS_EXPIRED, "the key is gone, and it may have been taken before", NULL);
+    else
+        show_refusal(request->task, STATUS_UNKNOWN_KEY, "no tenant has this key, and the queue is not public", NULL);
+    request->callers->counts.unknown_keys++;
+    return false;
+}
+
+/* Whether the job is shown to the request, to read, cancel or submit again: to its tenant's own callers. That of a
+ * tenant that is not called by key is shown to whoever may call the queue, that of one that is gone to nobody. */
+static bool job_shown(const CallerRequest *request, const Job *job)
+{
+    const ConfigCell *cell = config_cell(in_force_config(request->callers->in_force), job->spec.cell);
+    const ConfigTenant *tenant = cell != NULL ? config_tenant(cell, job->spec.tenant) : NULL;
+    if (tenant == NULL)
+        return cell == NULL || !cell->keyed;
+    return !tenant->keyed || tenant == request->caller;
+}
+
+static bool job_refused(CallerRequest *request, const Job *job)
+{
+    if (job_shown(request, job))
+        return false;
+    show_refusal(request->task, STATUS_OTHER_TENANT, "the job is another tenant's", NULL);
+    return true;
+}
+
+/* --- requests ----------------------------------------------------------------------------------- */
+
 static int64_t waiting_in(const Table *table, const ConfigPlace *place)
 {
     return (int64_t)table_waiting_in(table, place->cell->name, place->queue->name);
@@ -34,18 +73,20 @@
 static void entry_post(CallerRequest *request, const ConfigPlace *place)
 {
     JobSpec spec;
+    const char *tenant = request->caller != NULL ? request->caller->name : place->tenant;
     if (!job_read_at(request->faults, (const char *)request->task->body.data, request->task->body.count, request->name,
-                     place->cell->name, place->tenant, place->queue->name, &spec)) {
+                     place->cell->name, tenant, place->queue->name, &spec)) {
         request_refuse(request);
         return;
     }
     const Job *job = table_job(request->callers->table, spec.id);
     bool fresh = false;
     if (job != NULL) {
-        /* an id is one job at every entry: it stays in the queue that accepted it */
+        /* an id is one job at every entry: it stays in the queue that accepted it, and its tenant's */
         spec.cell = job->spec.cell;
-        spec.tenant = job->spec.tenant;
         spec.queue = job->spec.queue;
+        if (job_shown(request, job))
+            spec.tenant = job->spec.tenant;
         if (!job_resubmitted(request, job, &spec))
             return;
     } else {
@@ -64,6 +105,8 @@
         entry_refuse(request, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
         return;
     }
+    if (job_refused(request, job))
+        return;
     request_keep_end(request, job);
     entry_show(request, 200, job);
 }
@@ -71,14 +114,15 @@
 static void entry_cancel(CallerRequest *request)
 {
     ChangeResult result;
-    if (table_job(request->callers->table, request->name) == NULL) {
+    const Job *job = table_job(request->callers->table, request->name);
+    if (job == NULL) {
         entry_refuse(request, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
         return;
     }
-    if (!job_submit_cancel(request, &result))
+    if (job_refused(request, job) || !job_submit_cancel(request, &result))
         return;
     /* a job that had ended before stays as it is, which is what was asked for */
-    const Job *job = table_job(request->callers->table, request->name);
+    job = table_job(request->callers->table, request->name);
     if (job == NULL)
         entry_refuse(request, GONE_HTTP, STATUS_UNKNOWN_JOB, "there is no job of this id");
     else
@@ -112,12 +156,14 @@
         entry_refuse(request, NO_ENTRY_HTTP, STATUS_UNKNOWN_QUEUE, "no queue has its entry here");
         return;
     }
+    request->name = path + place->prefix_length;
+    if (!key_passes(request, place))
+        return;
     const uint64_t body_most = in_force_config(callers->in_force)->limits.body_bytes;
     if (body_most > 0 && request->task->body.count > body_most) {
         show_refusal(request->task, STATUS_TOO_LARGE, "the body is above the limit of the configuration", NULL);
         return;
     }
-    request->name = path + place->prefix_length;
     if (request->name[0] == '\0' && get)
         entry_count(request, place);
     else if (request->name[0] == '\0')
--- a/packages/callers/src/request.h
+++ b/packages/callers/src/request.h
@@ -11,9 +11,10 @@
     HttpTask *task;
     void *mem;
     Faults *faults;
-    RepairList *repair_items; /* goes with the answer, to be kept for repair by the node that brings it */
-    const char *name;         /* what the path names: a job, a zone */
-    bool committed;           /* a change was committed for this request */
+    RepairList *repair_items;   /* goes with the answer, to be kept for repair by the node that brings it */
+    const char *name;           /* what the path names: a job, a zone */
+    const ConfigTenant *caller; /* at an entry, until it waits: the tenant whose key it carries; null: no known key */
+    bool committed;             /* a change was committed for this request */
 } CallerRequest;
 
 /* The log's time and the wall clock, now. */
--- a/packages/controller/src/controller.c
+++ b/packages/controller/src/controller.c
@@ -14,6 +14,7 @@
 #include "peers.h"
 #include "scheduling.h"
 #include "status.h"
+#include "routing/caller_key.h"
 #include "routing/repair_transfer.h"
 #include "settings/features.h"
 
@@ -55,6 +56,7 @@
 
 static void on_http(void *arg, HttpTask *task)
 {
+    caller_key_take(task);
     controller_take(arg, task);
 }
 
--- a/packages/controller/src/state.h
+++ b/packages/controller/src/state.h
@@ -42,7 +42,8 @@
     X(scheduler, reserved, "kept")              \
     X(scheduler, moved, "moved")                \
     X(scheduler, slowed, "slowed")              \
-    X(callers, unproven, "unproven")
+    X(callers, unproven, "unproven")            \
+    X(callers, unknown_keys, "unknownKeys")
 
 /* One controller process. Invariants:
  *  - only a node for which replication_leading is true decides, answers callers or gives orders, and it checks the
--- a/packages/entry_point/src/entry_point.c
+++ b/packages/entry_point/src/entry_point.c
@@ -6,6 +6,7 @@
 
 #include "api/show.h"
 #include "heartbeat/messages.h"
+#include "routing/caller_key.h"
 #include "routing/config_watch.h"
 #include "routing/forward.h"
 #include "routing/repair_transfer.h"
@@ -111,6 +112,7 @@
 
 static void on_http(void *arg, HttpTask *task)
 {
+    caller_key_take(task);
     entry_point_take(arg, task);
 }
 
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -156,6 +156,7 @@
     const HttpPair *heads; /* all headers of the request, their names in lower case */
     size_t head_count;
     Bytes body;
+    Bytes key_digest;   /* of the caller's key (config/key.h); empty: it gave none */
     int64_t timeout_ms; /* deadline by loop_now_ms: nobody waits for the response after this; 0: not known */
     bool again;         /* a retry: it was forwarded to another leader before, and that answer was lost */
     bool gone;          /* the caller has disconnected: a response would go nowhere */
--- a/packages/routing/include/routing/messages.h
+++ b/packages/routing/include/routing/messages.h
@@ -29,16 +29,17 @@
 SHAPE(RetellAsk, RETELL_ASK_FIELDS)
 
 /* A caller's request, carried to the leader; its result comes back as a ForwardAnswer. */
-#define FORWARD_ASK_FIELDS(X)                                                                              \
-    X(TXT, method, 0)                                                                                      \
-    X(TXT, path, 0)                                                                                        \
-    X(TXT, query, 0)                                                                                       \
-    X(BIN, body, 0)                                                                                        \
-    X(FLAG, relay, 0)  /* to a controller that does not lead: it relays the request to the leader */       \
-    X(TXT, host, 0)    /* the caller's Host header: entries of queues are found by it */                   \
-    X(U64, wait_ms, 0) /* ms; nobody waits for the answer after this; 0: not known */                      \
-    X(FLAG, again, 0)  /* a retry: an earlier attempt went to a leader that was lost, and got no answer */ \
-    X(TXT, carrier, 0) /* id of the entry point that will keep what is committed for repair; empty: a controller */
+#define FORWARD_ASK_FIELDS(X)                                                                                          \
+    X(TXT, method, 0)                                                                                                  \
+    X(TXT, path, 0)                                                                                                    \
+    X(TXT, query, 0)                                                                                                   \
+    X(BIN, body, 0)                                                                                                    \
+    X(FLAG, relay, 0)     /* to a controller that does not lead: it relays the request to the leader */                \
+    X(TXT, host, 0)       /* the caller's Host header: entries of queues are found by it */                            \
+    X(U64, wait_ms, 0)    /* ms; nobody waits for the answer after this; 0: not known */                               \
+    X(FLAG, again, 0)     /* a retry: an earlier attempt went to a leader that was lost, and got no answer */          \
+    X(TXT, carrier, 0)    /* id of the entry point that will keep what is committed for repair; empty: a controller */ \
+    X(BIN, key_digest, 0) /* of the caller's key; empty: it gave none */
 SHAPE(ForwardAsk, FORWARD_ASK_FIELDS)
 
 /* The leader's HTTP result with the changes that were committed for it, or the refusal of a
--- /dev/null
+++ b/packages/routing/src/caller_key.c
@@ -0,0 +1,15 @@
+/* The key of a caller, from the header of its request. */
+#include "routing/caller_key.h"
+
+#include <strings.h>
+
+#include "config/key.h"
+
+#define SCHEME "Bearer "
+
+void caller_key_take(HttpTask *task)
+{
+    const char *text = http_head(task, "authorization");
+    if (text != NULL && strncasecmp(text, SCHEME, sizeof(SCHEME) - 1) == 0)
+        task->key_digest = key_digest_bytes(task, text + sizeof(SCHEME) - 1);
+}
--- a/packages/routing/src/forward.c
+++ b/packages/routing/src/forward.c
@@ -39,7 +39,8 @@
                       .query = task->query,
                       .body = task->body,
                       .host = task->host,
-                      .carrier = carrier_of(forwarder)};
+                      .carrier = carrier_of(forwarder),
+                      .key_digest = task->key_digest};
     ForwardAnswer answer = {0};
     if (one.repeat == REPEAT_ORDERED && !order_named(&one, &ask))
         return;
--- /dev/null
+++ b/packages/sim/test/tenants.c
@@ -0,0 +1,378 @@
+/* Calls under tenants' keys: what runs, what is refused and where, through changes of keys, cuts and changes of leader.
+ * In virtual time; simulated calls have a connection each. */
+#include <string.h>
+
+#include "config_fixture.h"
+
+#define HOST "jobs.example"
+#define ENTRY_POINTS 3
+#define CONTROLLERS 3
+
+#define ENTRY(prefix) "\"entry\":{\"host\":\"" HOST "\",\"prefix\":\"" prefix "\"}"
+
+/* Tenants one and two with a key each, and one that is not called by key, the first; a queue that needs keys, and one
+ * that does not. */
+static const char CONFIG[] = "{\"cells\":{\"c\":{\"strict\":false,"
+                             "\"tenants\":{\"none\":{},\"one\":{\"keys\":[\"key-1a\"],\"weight\":2},"
+                             "\"two\":{\"keys\":[\"key-2a\"]}},"
+                             "\"queues\":{\"q\":{" ENTRY("/q/") "},\"open\":{\"public\":true," ENTRY("/open/") "}}}}}";
+
+#define BODY(run_ms) \
+    "{\"steps\":[{\"name\":\"a\",\"room\":{\"cpu\":1,\"memMb\":10},\"payload\":{\"runMs\":" #run_ms "}}]}"
+
+static Fleet *tenants_begin(uint64_t seed)
+{
+    return case_configured(seed, (FleetShape){CONTROLLERS, ENTRY_POINTS, 6, MIX_TRENTVALE, 0}, CONFIG);
+}
+
+/* key null: none. The code; 0: no answer. */
+static int ask(Fleet *fleet, FleetRole role, int number, const char *method, const char *path, const char *key,
+               const char *body)
+{
+    void *mem = talloc_new(NULL);
+    HttpPair heads[2] = {{"host", HOST}};
+    if (key != NULL)
+        heads[1] = (HttpPair){"authorization", talloc_asprintf(mem, "Bearer %s", key)};
+    const int code = fleet_ask_as(fleet, mem, role, number, method, path, body, heads, key != NULL ? 2 : 1).code;
+    talloc_free(mem);
+    return code;
+}
+
+static int post(Fleet *fleet, int entry_point, const char *path, const char *key)
+{
+    return ask(fleet, FLEET_ENTRY_POINT, entry_point, "POST", path, key, BODY(2000));
+}
+
+static void change(Fleet *fleet, int entry_point, uint64_t base, const char *tenants)
+{
+    const char *path = talloc_asprintf(fleet, "/v1/config?base=%d&revision=%d", (int)base, (int)base + 1);
+    const char *body = talloc_asprintf(fleet, "{\"cells\":{\"c\":{\"tenants\":%s}}}", tenants);
+    assert_int_equal(fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, entry_point, "PATCH", path, body).code, 200);
+}
+
+#define ASSERT_CODE(want, code)                             \
+    do {                                                    \
+        const int got = (code);                             \
+        if (got != (want))                                  \
+            fail_msg("%d, not %d: %s", got, (want), #code); \
+    } while (0)
+
+static const char *numbered(Fleet *fleet, const char *before, int number)
+{
+    return talloc_asprintf(fleet, "%s%d", before, number);
+}
+
+/* ROUTE: a call under a key that no configuration has held was run. */
+static void unknown_key_never_runs(void **state)
+{
+    static const char *const KEYS[] = {NULL, "", "key-1", "key-1a ", "KEY-1A", "key-1aa", "one"};
+    (void)state;
+    Fleet *fleet = tenants_begin(61);
+    for (size_t i = 0; i < sizeof(KEYS) / sizeof(KEYS[0]); i++)
+        for (int at = 0; at < ENTRY_POINTS; at++) {
+            ASSERT_CODE(401, post(fleet, at, "/v1/entry/q/never", KEYS[i]));
+            ASSERT_CODE(401, ask(fleet, FLEET_CONTROLLER, at, "POST", "/v1/entry/q/never", KEYS[i], BODY(1)));
+            ASSERT_CODE(401, ask(fleet, FLEET_ENTRY_POINT, at, "GET", "/v1/entry/q/", KEYS[i], NULL));
+            ASSERT_CODE(401, ask(fleet, FLEET_ENTRY_POINT, at, "GET", "/v1/entry/q/never", KEYS[i], NULL));
+            ASSERT_CODE(401, ask(fleet, FLEET_ENTRY_POINT, at, "DELETE", "/v1/entry/q/never", KEYS[i], NULL));
+            /* which queues there are is no tenant's secret */
+            ASSERT_CODE(404, post(fleet, at, "/v1/entry/other/never", KEYS[i]));
+        }
+    fleet_run(fleet, 3000);
+    assert_null(fleet_job(fleet, "never"));
+    /* a known key names the tenant, at every node */
+    for (int at = 0; at < ENTRY_POINTS; at++) {
+        const char *path = numbered(fleet, "/v1/entry/q/known-", at);
+        ASSERT_CODE(201, ask(fleet, FLEET_CONTROLLER, at, "POST", path, at == 0 ? "key-1a" : "key-2a", BODY(1)));
+        ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, at, "GET", path, at == 0 ? "key-1a" : "key-2a", NULL));
+        assert_string_equal(fleet_job(fleet, numbered(fleet, "known-", at))->spec.tenant, at == 0 ? "one" : "two");
+        ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, at, "GET", "/v1/entry/q/", "key-1a", NULL));
+    }
+    case_end(fleet);
+}
+
+/* ROUTE: a job was shown to, or cancelled by, callers of another tenant. */
+static void job_is_shown_to_its_tenant_only(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(62);
+    ASSERT_CODE(201, post(fleet, 0, "/v1/entry/q/a", "key-1a"));
+    ASSERT_CODE(200, post(fleet, 1, "/v1/entry/q/a", "key-1a"));
+    ASSERT_CODE(409, post(fleet, 1, "/v1/entry/q/a", "key-2a"));
+    ASSERT_CODE(409, post(fleet, 1, "/v1/entry/open/a", NULL));
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/a", "key-1a", NULL));
+    ASSERT_CODE(403, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/a", "key-2a", NULL));
+    ASSERT_CODE(403, ask(fleet, FLEET_ENTRY_POINT, 1, "DELETE", "/v1/entry/q/a", "key-2a", NULL));
+    ASSERT_CODE(403, ask(fleet, FLEET_ENTRY_POINT, 1, "DELETE", "/v1/entry/open/a", NULL, NULL));
+    assert_int_equal(fleet_job(fleet, "a")->phase, JOB_ACTIVE);
+    ASSERT_CODE(410, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/b", "key-2a", NULL));
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 2, "DELETE", "/v1/entry/q/a", "key-1a", NULL));
+    fleet_run(fleet, 2000);
+    assert_int_equal(fleet_job(fleet, "a")->phase, JOB_CANCELLED);
+    case_end(fleet);
+}
+
+/* ROUTE: a public queue asked for a key, or took a job in another tenant's name. */
+static void public_queue_needs_no_key(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(63);
+    ASSERT_CODE(201, post(fleet, 0, "/v1/entry/open/nobody", NULL));
+    ASSERT_CODE(201, post(fleet, 1, "/v1/entry/open/stranger", "unknown"));
+    ASSERT_CODE(201, post(fleet, 2, "/v1/entry/open/own", "key-2a"));
+    assert_string_equal(fleet_job(fleet, "nobody")->spec.tenant, "none");
+    assert_string_equal(fleet_job(fleet, "stranger")->spec.tenant, "none");
+    assert_string_equal(fleet_job(fleet, "own")->spec.tenant, "two");
+    /* a job of a tenant that is not called by key is whoever's may call the queue */
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/open/nobody", NULL, NULL));
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/open/nobody", "key-1a", NULL));
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/nobody", "key-1a", NULL));
+    ASSERT_CODE(200, post(fleet, 0, "/v1/entry/q/nobody", "key-1a"));
+    ASSERT_CODE(401, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/nobody", NULL, NULL));
+    ASSERT_CODE(403, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/open/own", NULL, NULL));
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "DELETE", "/v1/entry/open/nobody", "key-1a", NULL));
+    /* it is public no more */
+    const char *shut = "{\"cells\":{\"c\":{\"queues\":{\"open\":{\"public\":false}}}}}";
+    assert_int_equal(fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "PATCH", "/v1/config?base=1", shut).code, 200);
+    for (int at = 0; at < ENTRY_POINTS; at++)
+        ASSERT_CODE(401, post(fleet, at, "/v1/entry/open/late", NULL));
+    case_end(fleet);
+}
+
+/* CONFIG: a key that was taken away was still taken after the acknowledgement, or one added was refused: at a node that
+ * had been cut off, at one just started, with a new leader. */
+static void keys_change_at_every_node_at_once(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(64);
+    ASSERT_CODE(201, post(fleet, 0, "/v1/entry/q/before", "key-1a"));
+    fleet_isolate(fleet, FLEET_ENTRY_POINT, 2, true);
+    fleet_kill(fleet, FLEET_ENTRY_POINT, 1);
+    change(fleet, 0, 1, "{\"one\":{\"keys\":[\"key-1b\"]}}");
+    ASSERT_CODE(401, post(fleet, 0, "/v1/entry/q/old", "key-1a"));
+    ASSERT_CODE(201, post(fleet, 0, "/v1/entry/q/new-0", "key-1b"));
+    for (int at = 0; at < CONTROLLERS; at++) {
+        ASSERT_CODE(401, ask(fleet, FLEET_CONTROLLER, at, "POST", "/v1/entry/q/old", "key-1a", BODY(1)));
+        ASSERT_CODE(200, ask(fleet, FLEET_CONTROLLER, at, "GET", "/v1/entry/q/before", "key-1b", NULL));
+    }
+    /* one that can't show that it is not late says so, neither 200 nor 401; while it does not know yet that it is cut
+     * off, the request is on its way to the leader */
+    ASSERT_CODE(504, post(fleet, 2, "/v1/entry/q/cut", "key-1b"));
+    fleet_run(fleet, 3000);
+    ASSERT_CODE(503, post(fleet, 2, "/v1/entry/q/cut", "key-1b"));
+    ASSERT_CODE(503, post(fleet, 2, "/v1/entry/q/cut", "key-1a"));
+    fleet_isolate(fleet, FLEET_ENTRY_POINT, 2, false);
+    fleet_start_node(fleet, FLEET_ENTRY_POINT, 1);
+    for (int i = 0; i < 40; i++) {
+        const int at = 1 + i % 2;
+        const int old = post(fleet, at, "/v1/entry/q/old", "key-1a"),
+                  fresh = post(fleet, at, "/v1/entry/q/new", "key-1b");
+        assert_true(old == 401 || old == 503 || old == 0);
+        assert_true(fresh == 200 || fresh == 201 || fresh == 503 || fresh == 0);
+        fleet_run(fleet, 100);
+    }
+    fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+    assert_true(fleet_settle(fleet, 30000));
+    for (int at = 0; at < ENTRY_POINTS; at++) {
+        ASSERT_CODE(401, post(fleet, at, "/v1/entry/q/old", "key-1a"));
+        ASSERT_CODE(200, post(fleet, at, "/v1/entry/q/new", "key-1b"));
+    }
+    assert_null(fleet_job(fleet, "old"));
+    case_end(fleet);
+}
+
+/* CONFIG: a document in which two tenants share a key came into force. */
+static void shared_key_is_refused(void **state)
+{
+    static const char *const TENANTS[] = {
+        "{\"two\":{\"keys\":[\"key-2a\",\"key-1a\"]}}", "{\"three\":{\"keys\":[\"key-1a\"]}}",
+        "{\"one\":{\"keys\":[\"key-1a\",\"key-1a\"]}}", "{\"one\":{\"keys\":[\"\"]}}", "{\"one\":{\"weight\":0}}"};
+    (void)state;
+    Fleet *fleet = tenants_begin(65);
+    for (size_t i = 0; i < sizeof(TENANTS) / sizeof(TENANTS[0]); i++) {
+        const char *body = talloc_asprintf(fleet, "{\"cells\":{\"c\":{\"tenants\":%s}}}", TENANTS[i]);
+        const HttpCall call =
+            fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, (int)i % ENTRY_POINTS, "PATCH", "/v1/config?base=1", body);
+        assert_int_equal(call.code, 422);
+        const char *text = (const char *)call.result.data;
+        assert_non_null(strstr(text, "cells.c.tenants."));
+        assert_null(strstr(text, "key-1a")); /* no key is told */
+        ASSERT_CODE(200 + (i == 0), post(fleet, 0, "/v1/entry/q/one", "key-1a"));
+        ASSERT_CODE(200 + (i == 0), post(fleet, 1, "/v1/entry/q/two", "key-2a"));
+    }
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/config", NULL);
+    assert_int_equal(number_in(&call, fleet, "\"revision\":"), 1);
+    assert_string_equal(fleet_job(fleet, "one")->spec.tenant, "one");
+    case_end(fleet);
+}
+
+/* LOST: a job that was accepted ended with its tenant's last key, or with its tenant. */
+static void accepted_jobs_outlive_key_and_tenant(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(66);
+    ASSERT_CODE(201, ask(fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/entry/q/a", "key-1a", BODY(6000)));
+    ASSERT_CODE(201, ask(fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/entry/q/b", "key-2a", BODY(6000)));
+    change(fleet, 0, 1, "{\"one\":{\"keys\":[]},\"two\":null}");
+    /* the last key is gone: nobody is let in by that */
+    ASSERT_CODE(401, post(fleet, 0, "/v1/entry/q/c", NULL));
+    ASSERT_CODE(401, ask(fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/entry/q/a", "key-1a", NULL));
+    fleet_run(fleet, 1000);
+    change(fleet, 1, 2, "{\"two\":{\"keys\":[\"key-2b\"]}}");
+    ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 2, "GET", "/v1/entry/q/b", "key-2b", NULL));
+    ASSERT_CODE(403, ask(fleet, FLEET_ENTRY_POINT, 2, "GET", "/v1/entry/q/a", "key-2b", NULL));
+    fleet_run(fleet, 9000);
+    assert_int_equal(fleet_job(fleet, "a")->phase, JOB_DONE);
+    assert_int_equal(fleet_job(fleet, "b")->phase, JOB_DONE);
+    case_end(fleet);
+}
+
+/* --- a storm -------------------------------------------------------------------------------------- */
+
+#define STORM_CHANGES 40 /* count */
+#define STORM_CALLERS 4  /* count */
+
+/* When each key was acknowledged to be held (from), and then to be held no more (until); sent: when the change that
+ * takes it away was first sent. INT64_MAX: not yet. */
+typedef struct StormKey {
+    int64_t from_ms, sent_ms, until_ms;
+} StormKey;
+
+typedef struct Storm {
+    Fleet *fleet;
+    StormKey keys[STORM_CHANGES + 2];
+    int newest; /* the key that the operator added last */
+    bool over;
+    size_t taken, unknown, late, wrong, calls;
+} Storm;
+
+static HttpCall storm_call(const Storm *storm, void *mem, int entry_point, const char *method, const char *path,
+                           const char *body, int key)
+{
+    Fleet *fleet = storm->fleet;
+    HttpPair *heads = talloc_zero_array(mem, HttpPair, 2);
+    heads[0] = (HttpPair){"host", HOST};
+    heads[1] = (HttpPair){"authorization", talloc_asprintf(mem, "Bearer storm-%d", key)};
+    HttpCall call = {.mem = mem,
+                     .address = fleet_node(fleet, FLEET_ENTRY_POINT, entry_point % ENTRY_POINTS)->settings.http,
+                     .method = method,
+                     .path = path,
+                     .wait_ms = 3000,
+                     .heads = heads,
+                     .head_count = key >= 0 ? 2 : 1};
+    bytes_add(mem, &call.body, body, strlen(body));
+    if (loop_call(sim_loop(fleet->world, fleet->caller), &call) != STATUS_OK)
+        call.code = 0;
+    return call;
+}
+
+/* The operator: each version adds a key and takes the one before the last away, sent until it is acknowledged. */
+static void storm_operator(void *arg)
+{
+    Storm *storm = arg;
+    Loop *loop = sim_loop(storm->fleet->world, storm->fleet->caller);
+    for (int i = 1; i <= STORM_CHANGES; i++) {
+        void *mem = talloc_new(loop);
+        const char *path = talloc_asprintf(mem, "/v1/config?base=%d&revision=%d", i, i + 1);
+        const char *body = talloc_asprintf(
+            mem, "{\"cells\":{\"c\":{\"tenants\":{\"one\":{\"keys\":[\"storm-%d\",\"storm-%d\"]}}}}}", i, i - 1);
+        if (i >= 2)
+            storm->keys[i - 2].sent_ms = loop_now_ms(loop);
+        int code = 0;
+        for (int attempt = 0; code != 200; attempt++) {
+            code = storm_call(storm, mem, i + attempt, "PATCH", path, body, -1).code;
+            if (code != 200 && code != 0 && code != 503 && code != 504)
+                fail_msg("a change was told %d", code);
+            if (code != 200)
+                loop_sleep(loop, 200);
+        }
+        storm->keys[i].from_ms = loop_now_ms(loop);
+        if (i >= 2)
+            storm->keys[i - 2].until_ms = loop_now_ms(loop);
+        storm->newest = i;
+        talloc_free(mem);
+        loop_sleep(loop, (int64_t)(loop_random(loop) % 700));
+    }
+    storm->over = true;
+}
+
+/* One call under one of the last keys, and what its answer says against what was acknowledged when it was sent. */
+static void storm_caller(void *arg)
+{
+    Storm *storm = arg;
+    Loop *loop = sim_loop(storm->fleet->world, storm->fleet->caller);
+    while (!storm->over) {
+        void *mem = talloc_new(loop);
+        const int key = storm->newest + 1 - (int)(loop_random(loop) % 5);
+        const StormKey *held = &storm->keys[key >= 0 ? key : STORM_CHANGES + 1];
+        const int64_t sent_ms = loop_now_ms(loop);
+        const bool known = held->from_ms < sent_ms, gone = held->until_ms < sent_ms;
+        const char *path = talloc_asprintf(mem, "/v1/entry/q/s-%zu", storm->calls++);
+        const int code = storm_call(storm, mem, (int)storm->calls, "POST", path, BODY(50), key).code;
+        storm->taken += code == 201;
+        storm->unknown += code == 401;
+        storm->late += code == 201 && gone; /* under a key that had been taken away, and acknowledged so */
+        /* refused although it was held from before the call until after its answer */
+        storm->wrong += code == 401 && known && held->sent_ms > loop_now_ms(loop);
+        talloc_free(mem);
+        loop_sleep(loop, (int64_t)(loop_random(loop) % 60));
+    }
+}
+
+/* CONFIG: through a storm of changes and changes of leader, a call under a key long gone was run, or one under a key in
+ * force was refused. */
+static void storm_of_keys(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        Fleet *fleet = tenants_begin(70 + seed);
+        Storm *storm = talloc_zero(fleet, Storm);
+        storm->fleet = fleet;
+        for (int i = 0; i < STORM_CHANGES + 2; i++)
+            storm->keys[i] = (StormKey){INT64_MAX, INT64_MAX, INT64_MAX};
+        Loop *loop = sim_loop(fleet->world, fleet->caller);
+        loop_spawn(loop, "operator", storm_operator, storm);
+        for (int i = 0; i < STORM_CALLERS; i++)
+            loop_spawn(loop, "caller", storm_caller, storm);
+        for (int turn = 0; !storm->over && turn < 60; turn++) {
+            fleet_run(fleet, 1500);
+            const int leader = fleet_leader(fleet);
+            if (leader < 0 || turn % 4 != 1)
+                continue;
+            checker_fault(fleet->checker);
+            if (turn % 8 == 1)
+                fleet_kill(fleet, FLEET_CONTROLLER, leader);
+            else
+                fleet_isolate(fleet, FLEET_CONTROLLER, leader, true);
+            fleet_isolate(fleet, FLEET_ENTRY_POINT, turn % ENTRY_POINTS, true);
+            fleet_run(fleet, 4000);
+            fleet_isolate(fleet, FLEET_ENTRY_POINT, turn % ENTRY_POINTS, false);
+            if (turn % 8 == 1)
+                fleet_start_node(fleet, FLEET_CONTROLLER, leader);
+            else
+                fleet_isolate(fleet, FLEET_CONTROLLER, leader, false);
+        }
+        assert_true(storm->over);
+        fleet_run(fleet, 5000);
+        print_message("%zu calls: %zu taken, %zu refused; %zu late, %zu wrong\n", storm->calls, storm->taken,
+                      storm->unknown, storm->late, storm->wrong);
+        assert_true(storm->taken > 100 && storm->unknown > 100);
+        assert_int_equal(storm->late, 0);
+        assert_int_equal(storm->wrong, 0);
+        case_end(fleet);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(unknown_key_never_runs),
+        cmocka_unit_test(job_is_shown_to_its_tenant_only),
+        cmocka_unit_test(public_queue_needs_no_key),
+        cmocka_unit_test(keys_change_at_every_node_at_once),
+        cmocka_unit_test(shared_key_is_refused),
+        cmocka_unit_test(accepted_jobs_outlive_key_and_tenant),
+        cmocka_unit_test(storm_of_keys),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
