Quota: attempts that may still run count for their tenant, though the table has them no more

Callers saw a tenant run more than its quota: a copy was started beside an attempt on a silent worker (10 cores of 8), and work after a gang beside members that their workers had not stopped yet (10 cores of 8). The table drops both at once; the leader's list of orphaned attempts counted them for the worker's capacity alone.

Orphaned attempts now know their cell and tenant, and each pass adds those on workers whose leases have not ended to what the tenant uses. A worker that is gone for good charges its tenants until its lease has ended, not for ever.

--- a/packages/heartbeat/include/heartbeat/orphans.h
+++ b/packages/heartbeat/include/heartbeat/orphans.h
@@ -30,5 +30,8 @@
 /* Sums up the capacity that orphaned attempts use on the worker (out). False: one of unknown size is
  * among them, and the sum means nothing. */
 bool orphans_resources(const Orphans *orphans, const char *worker, Resources *resources);
+/* Calls fn with the cell, the tenant and the demand of each orphaned attempt on the worker whose job the table had. */
+typedef void (*OrphanFn)(void *arg, const char *cell, const char *tenant, Resources resources);
+void orphans_each(const Orphans *orphans, const char *worker, OrphanFn fn, void *arg);
 
 #endif
--- a/packages/heartbeat/src/orphans.c
+++ b/packages/heartbeat/src/orphans.c
@@ -12,10 +12,11 @@
     const char *job;
     uint64_t task; /* its number */
     uint64_t attempt;
-    Resources resources;  /* capacity it uses */
-    bool resources_known; /* false: the table does not have its job */
-    bool listed;          /* by the newest heartbeat */
-    int64_t until_ms;     /* an order for it may arrive until then */
+    Resources resources;       /* capacity it uses */
+    bool resources_known;      /* false: the table does not have its job */
+    const char *cell, *tenant; /* of its job; null while resources_known is false */
+    bool listed;               /* by the newest heartbeat */
+    int64_t until_ms;          /* an order for it may arrive until then */
 } Orphan;
 
 typedef struct OrphanList {
@@ -75,27 +76,38 @@
     list->rows[at] = list->rows[--list->count];
 }
 
+/* Notes what the attempt uses, and whose it is. */
+static void orphan_known(Orphan *orphan, const JobSpec *spec, Resources resources)
+{
+    if (!orphan->resources_known) {
+        orphan->cell = talloc_strdup(orphan, spec->cell);
+        orphan->tenant = talloc_strdup(orphan, spec->tenant);
+    }
+    orphan->resources = resources;
+    orphan->resources_known = true;
+}
+
 void orphans_add(Orphans *orphans, const char *worker, const Job *job, const JobTask *task, uint64_t attempt,
                  int64_t until_ms)
 {
     Orphan *orphan = orphan_of(orphans, worker, job->spec.id, task_number(task));
-    orphan->resources = job->spec.steps[task->step].resources;
-    orphan->resources_known = true;
+    orphan_known(orphan, &job->spec, job->spec.steps[task->step].resources);
     orphan->attempt = attempt;
     orphan->until_ms = until_ms;
 }
 
 /* Whether the table places the attempt on this worker: then it is counted there and is not orphaned.
- * resources, resources_known (out): the capacity it uses, where the table has the task at all. */
+ * spec, resources (out): its job's and the capacity it uses; spec is null where the table does not have the task. */
 static bool placed_here(const Table *table, const HeartbeatAsk *heartbeat, const AttemptId *attempt,
-                        Resources *resources, bool *resources_known)
+                        const JobSpec **spec, Resources *resources)
 {
     const Job *job = table_job(table, attempt->job);
     const size_t at = job != NULL ? task_index(job, attempt->task) : 0;
-    *resources_known = job != NULL && at < job->tasks_count;
-    if (!*resources_known)
+    *spec = NULL;
+    if (job == NULL || at == job->tasks_count)
         return false;
     const JobTask *task = &job->tasks[at];
+    *spec = &job->spec;
     *resources = job->spec.steps[task->step].resources;
     return task_on_worker(task->phase) && strcmp(task->worker, heartbeat->worker.name) == 0;
 }
@@ -104,17 +116,15 @@
 static void listed_take(Orphans *orphans, const Table *table, const HeartbeatAsk *heartbeat, const AttemptId *attempt)
 {
     Resources resources = {0};
-    bool resources_known;
-    if (placed_here(table, heartbeat, attempt, &resources, &resources_known))
+    const JobSpec *spec;
+    if (placed_here(table, heartbeat, attempt, &spec, &resources))
         return;
     Orphan *orphan = orphan_of(orphans, heartbeat->worker.name, attempt->job, attempt->task);
     orphan->listed = true;
     if (attempt->attempt > orphan->attempt)
         orphan->attempt = attempt->attempt;
-    if (resources_known) {
-        orphan->resources = resources;
-        orphan->resources_known = true;
-    }
+    if (spec != NULL)
+        orphan_known(orphan, spec, resources);
 }
 
 void orphans_heartbeat(Orphans *orphans, const Table *table, const HeartbeatAsk *heartbeat, int64_t now_ms)
@@ -156,3 +166,11 @@
     }
     return true;
 }
+
+void orphans_each(const Orphans *orphans, const char *worker, OrphanFn fn, void *arg)
+{
+    const OrphanList *list = map_get(orphans->workers, worker);
+    for (size_t i = 0; list != NULL && i < list->count; i++)
+        if (list->rows[i]->resources_known)
+            fn(arg, list->rows[i]->cell, list->rows[i]->tenant, list->rows[i]->resources);
+}
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -5,6 +5,7 @@
  * one pass of the scheduler to the next. The leader's scheduler (packages/scheduler) uses it; the API shows
  * the reasons. Nothing here waits or changes the state. */
 
+#include "base/map.h"
 #include "config/config.h"
 #include "policy/policy.h"
 #include "queue/latency_target.h"
@@ -45,8 +46,10 @@
 typedef struct QueueContext {
     const Table *table;
     const Config *config;
-    uint64_t config_stamp; /* differs with each other config */
-    Resources fleet;       /* capacity of all workers that may be given work */
+    uint64_t config_stamp;  /* differs with each other config */
+    const Map *unconfirmed; /* "cell/tenant" to the Resources of attempts that may still run though the table has them
+                               no more; null: none */
+    Resources fleet;        /* capacity of all workers that may be given work */
     QueueClock clock;
     QueuePolicy policy;
     void *arg;                      /* policy's */
--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -7,8 +7,9 @@
 #include "queue/ready_queue.h"
 
 /* The capacity that a cell, or a tenant, uses. Invariant: used is the table's when the ready queue of that
- * generation was built, and what was placed from it since. */
+ * generation was built, what of a tenant's may still run beside it, and what was placed from it since. */
 typedef struct Account {
+    const char *key;           /* "cell" or "cell/tenant" */
     const char *cell, *tenant; /* tenant is null for a cell's */
     uint64_t number;           /* in the order in which they became known */
     Resources used;
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -73,6 +73,7 @@
     if (account == NULL) {
         account = talloc_zero(queue, Account);
         account->number = map_count(queue->accounts);
+        account->key = talloc_strdup(account, key);
         account->cell = talloc_strdup(account, cell);
         account->tenant = tenant != NULL ? talloc_strdup(account, tenant) : NULL;
         map_set(queue->accounts, key, account);
@@ -86,6 +87,10 @@
         account->generation = queue->generation;
         account->used = account->tenant == NULL ? table_used_by(context->table, account->cell)
                                                 : table_used_by_tenant(context->table, account->cell, account->tenant);
+        const Resources *unconfirmed =
+            context->unconfirmed != NULL ? map_get(context->unconfirmed, account->key) : NULL;
+        if (unconfirmed != NULL)
+            account->used = resources_more(account->used, *unconfirmed);
     }
     return &account->used;
 }
--- a/packages/scheduler/src/lost_worker.c
+++ b/packages/scheduler/src/lost_worker.c
@@ -5,13 +5,19 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Whether the worker's lease has ended and its loss is not being committed yet. */
-static bool lapsed(const Scheduler *scheduler, const char *worker)
+bool worker_lease_ended(const Scheduler *scheduler, const char *worker)
 {
     const LiveRow *row = liveset_find(scheduler->liveset, worker);
     /* a worker that this leader has not heard of: as if its lease was granted just before the lead was won */
     const int64_t until_ms = row != NULL ? row->until_ms : scheduler_lease_end_ms(scheduler);
-    return loop_now_ms(scheduler->loop) > until_ms && (row == NULL || !row->losing);
+    return loop_now_ms(scheduler->loop) > until_ms;
+}
+
+/* Whether the worker's lease has ended and its loss is not being committed yet. */
+static bool lapsed(const Scheduler *scheduler, const char *worker)
+{
+    const LiveRow *row = liveset_find(scheduler->liveset, worker);
+    return worker_lease_ended(scheduler, worker) && (row == NULL || !row->losing);
 }
 
 void lost_workers_declare(Scheduler *scheduler, void *mem)
--- a/packages/scheduler/src/lost_worker.h
+++ b/packages/scheduler/src/lost_worker.h
@@ -3,6 +3,8 @@
 
 #include "state.h"
 
+/* Whether the worker's lease has ended: nothing that this leader or an earlier one ordered runs there any more. */
+bool worker_lease_ended(const Scheduler *scheduler, const char *worker);
 /* Waits. Declares workers lost whose leases have lapsed. The changes are packed on mem, here and below. */
 void lost_workers_declare(Scheduler *scheduler, void *mem);
 /* Waits. Gives up attempts on silent workers, of tasks whose owner allows copies. */
--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -6,6 +6,7 @@
 
 #include "scheduler/worker_score.h"
 #include "settings/features.h"
+#include "unconfirmed.h"
 
 /* The capacity of the worker that may be used now; none when it may be given no work. row: of the live set, may be
  * null; orphans (out): what its orphaned attempts use. */
@@ -95,10 +96,12 @@
     pass->input =
         (PlanInput){.r = pass->config->r, .zone_loss = pass->config->zone_loss, .rack_loss = pass->config->rack_loss};
     workers_find(pass);
+    const Map *unconfirmed = unconfirmed_find(pass);
     pass->context = (QueueContext){.table = scheduler->table,
                                    .no_targets = !feature_on(scheduler->bounds, FEATURE_TARGET_ORDER),
                                    .no_priorities = !feature_on(scheduler->bounds, FEATURE_PRIORITY),
                                    .config = pass->config,
+                                   .unconfirmed = unconfirmed,
                                    .config_stamp = stamp,
                                    .fleet = pass->fleet,
                                    .clock = pass->clock,
--- a/packages/sim/src/check_config.c
+++ b/packages/sim/src/check_config.c
@@ -96,8 +96,8 @@
     tenant->quota_ms = checker_now(checker);
 }
 
-/* What of the tenant runs. A task counts once; one whose machine stands still does
- * not run; one whose owner allows copies counts by the newest alone. */
+/* What of the tenant runs on all workers, each attempt for itself: copies, and attempts that the leader has given up
+ * but whose worker runs on. What is on a machine that stands still does not run. */
 static Resources used_by(Checker *checker, const char *cell, const char *name)
 {
     Resources used = {0};
@@ -107,18 +107,15 @@
     for (size_t i = 0; i < count; i++) {
         const SeenJob *job = map_get(checker->jobs, ids[i]);
         const Job *known = job->settled ? NULL : checker->settings.job(checker->settings.arg, job->id);
-        if (known == NULL || known->spec.copies || strcmp(known->spec.tenant, name) != 0 ||
-            strcmp(known->spec.cell, cell) != 0)
+        if (known == NULL || strcmp(known->spec.tenant, name) != 0 || strcmp(known->spec.cell, cell) != 0)
             continue;
         const char **tasks;
         const size_t task_count = map_keys(job->tasks, mem, &tasks);
         for (size_t t = 0; t < task_count; t++)
             for (const SeenRun *run = ((const SeenTask *)map_get(job->tasks, tasks[t]))->runs; run != NULL;
                  run = run->next)
-                if (!checker->settings.frozen(checker->settings.arg, run->worker)) {
+                if (!checker->settings.frozen(checker->settings.arg, run->worker))
                     used = resources_more(used, run->resources);
-                    break;
-                }
     }
     talloc_free(mem);
     return used;
--- /dev/null
+++ b/packages/sim/test/quota.c
@@ -0,0 +1,188 @@
+/* What a tenant has running on all workers never exceeds its quota. The checker counts each attempt at the workers
+ * themselves, whether or not the leader still has it. */
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_fixture.h"
+
+#define QUOTA_CPU 8
+
+static const char *config_text(Fleet *fleet, const char *tenants)
+{
+    return talloc_asprintf(fleet,
+                           "{\"r\":0,\"cells\":{\"c\":{\"tenants\":{%s},\"queues\":{"
+                           "\"bulk\":{\"stretch\":4,\"targetMs\":4000,\"rounds\":9},"
+                           "\"urgent\":{\"priority\":1,\"stretch\":1.5,\"targetMs\":1000,\"rounds\":9}}}}}",
+                           tenants);
+}
+
+static const char *bounded(Fleet *fleet, uint64_t cpu)
+{
+    return config_text(fleet,
+                       talloc_asprintf(fleet, "\"t\":{\"quota\":{\"cpu\":%u,\"memMb\":0}},\"free\":{}", (unsigned)cpu));
+}
+
+static void configure(Fleet *fleet, const char *config)
+{
+    const HttpCall read = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/config", NULL);
+    assert_int_equal(read.code, 200);
+    const char *version = strstr((const char *)read.result.data, "\"revision\":");
+    assert_non_null(version);
+    const char *path = talloc_asprintf(fleet, "/v1/config?base=%llu", strtoull(strchr(version, ':') + 1, NULL, 10));
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "PUT", path, config);
+    if (call.code != 200)
+        fail_msg("%d %s", call.code, (const char *)call.result.data);
+}
+
+/* A fleet of six workers and a tenant t that may use QUOTA_CPU cores. */
+static Fleet *begin(uint64_t seed)
+{
+    Fleet *fleet = fleet_new(NULL, seed, (FleetShape){3, 1, 6, MIX_TRENTVALE, 0});
+    fleet_start(fleet);
+    assert_true(fleet_settle(fleet, 30000));
+    const HttpCall call =
+        fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "PUT", "/v1/config?base=0", bounded(fleet, QUOTA_CPU));
+    if (call.code != 200)
+        fail_msg("%d %s", call.code, (const char *)call.result.data);
+    checker_quota(fleet->checker, "t", (Resources){QUOTA_CPU * 1000, 0, 0}, TENANT_IN);
+    fleet_run(fleet, 1000);
+    return fleet;
+}
+
+/* A step of 2 cores a task; more: further members of it, with a comma before. */
+#define STEP(count, mem_mb, run_ms, more)                                                                \
+    "{\"name\":\"a\",\"count\":" #count ",\"room\":{\"cpu\":2,\"memMb\":" #mem_mb "},\"estMs\":" #run_ms \
+    ",\"payload\":{\"runMs\":" #run_ms "}" more "}"
+
+/* more: further members of the job, with a comma before. */
+static void submit(Fleet *fleet, const char *id, const char *step, const char *more)
+{
+    const char *body = talloc_asprintf(
+        fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"bulk\"%s,\"steps\":[%s]}", id, more, step);
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/jobs", body);
+    if (call.code != 201)
+        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
+    checker_accepted(fleet->checker, id);
+}
+
+static size_t in_phase(const Fleet *fleet, const char *id, TaskPhase phase)
+{
+    const Job *job = fleet_job(fleet, id);
+    size_t count = 0;
+    for (size_t t = 0; job != NULL && t < job->tasks_count; t++)
+        count += job->tasks[t].phase == phase;
+    return count;
+}
+
+/* The number of a worker that the table has a task of the job on; -1: none. */
+static int worker_of(const Fleet *fleet, const char *id)
+{
+    const Job *job = fleet_job(fleet, id);
+    for (size_t t = 0; job != NULL && t < job->tasks_count; t++)
+        if (job->tasks[t].worker[0] != '\0')
+            return atoi(job->tasks[t].worker + strlen("worker")) - 1;
+    return -1;
+}
+
+/* Guards against the count dropping members of a gang that are still being stopped once one of them has finished. */
+static void gang_members_count_until_they_have_stopped(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        for (int i = 0; i < 6; i++)
+            stand_worker_slow(fleet_node(fleet, FLEET_WORKER, i)->worker, 1 + i % 2 * 3);
+        submit(fleet, "gang", STEP(4, 100000, 1500, ",\"gang\":true"), "");
+        submit(fleet, "after", STEP(16, 64, 700, ""), "");
+        fleet_run(fleet, 1000);
+        for (int i = 1; i < 6; i += 2) /* the slow ones hear of no stop */
+            fleet_isolate(fleet, FLEET_AGENT, i, true);
+        fleet_run(fleet, 20000);
+        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 16);
+        case_end(fleet);
+    }
+}
+
+/* Guards against a copy being started beside an attempt on a silent worker, which runs on until its lease lapses. */
+static void copies_count_beside_what_they_replace(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "copied", STEP(4, 64, 6000, ""), ",\"copies\":true");
+        fleet_run(fleet, 800);
+        const int at = worker_of(fleet, "copied");
+        assert_true(at >= 0);
+        fleet_isolate(fleet, FLEET_AGENT, at, true);
+        fleet_run(fleet, 15000);
+        assert_int_equal(in_phase(fleet, "copied", TASK_DONE), 4); /* what the lost worker ran counts no longer */
+        case_end(fleet);
+    }
+}
+
+/* Guards against jobs that are cancelled being counted as gone before their workers have stopped them. */
+static void cancelled_counts_until_it_has_stopped(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "first", STEP(4, 64, 9000, ""), "");
+        submit(fleet, "second", STEP(8, 64, 500, ""), "");
+        fleet_run(fleet, 1000);
+        const int at = worker_of(fleet, "first");
+        assert_true(at >= 0);
+        fleet_isolate(fleet, FLEET_AGENT, at, true);
+        const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "DELETE", "/v1/jobs/first", NULL);
+        assert_in_range(call.code, 200, 202);
+        checker_cancelled(fleet->checker, "first");
+        fleet_run(fleet, 12000);
+        assert_int_equal(in_phase(fleet, "second", TASK_DONE), 8);
+        case_end(fleet);
+    }
+}
+
+/* Guards against a lost worker's tasks being started again while that worker, cut off, still runs them. */
+static void lost_counts_until_its_lease_lapses(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "a", STEP(12, 64, 2500, ""), "");
+        fleet_run(fleet, 1000);
+        fleet_isolate(fleet, FLEET_AGENT, worker_of(fleet, "a"), true);
+        fleet_run(fleet, 1000);
+        fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+        fleet_run(fleet, 25000);
+        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 12);
+        case_end(fleet);
+    }
+}
+
+/* Guards against a lowered limit that is passed by starts decided before it, or after. */
+static void lowered_limit_is_kept(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "a", STEP(30, 64, 700, ""), "");
+        fleet_run(fleet, 1200 + 37 * (int64_t)seed);
+        checker_quota(fleet->checker, "t", (Resources){4000, 0, 0}, TENANT_ASKED);
+        configure(fleet, bounded(fleet, 4));
+        checker_quota(fleet->checker, "t", (Resources){4000, 0, 0}, TENANT_IN);
+        fleet_run(fleet, 20000);
+        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 30);
+        case_end(fleet);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(gang_members_count_until_they_have_stopped),
+        cmocka_unit_test(copies_count_beside_what_they_replace),
+        cmocka_unit_test(cancelled_counts_until_it_has_stopped),
+        cmocka_unit_test(lost_counts_until_its_lease_lapses),
+        cmocka_unit_test(lowered_limit_is_kept),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
