--- a/packages/scheduler/src/scheduler.c
+++ b/packages/scheduler/src/scheduler.c
@@ -23,6 +23,7 @@
     scheduler->queue = queue_new(scheduler, scheduler->estimates);
     scheduler->progress_table = progress_table_new(scheduler);
     scheduler->reservations = map_new(scheduler);
+    scheduler->inherited_won_ms = INT64_MIN;
     return scheduler;
 }
 
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -21,6 +21,8 @@
     Estimates *estimates;                 /* how long work takes, as seen by this leader */
     Queue *queue;
     Map *reservations;        /* names of cells to Reservation */
+    Map *inherited;           /* "cell/tenant" to Resources: what an earlier leader may have left running; or null */
+    int64_t inherited_won_ms; /* won_ms of the lead that inherited was found in */
     int64_t place_from_ms;    /* nothing is placed before this; this and the following in ms, own clock */
     int64_t pass_gap_ms;      /* between two passes */
     int64_t preempt_from_ms;  /* no preemption for a latency target before this */
--- a/packages/sim/test/quota.c
+++ b/packages/sim/test/quota.c
@@ -120,6 +120,49 @@
     }
 }
 
+/* ... nor by a leader that took over since: it has not heard of what the silent worker runs. */
+static void copies_count_for_a_new_leader(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "copied", STEP(4, 64, 6000, ""), ",\"copies\":true");
+        submit(fleet, "more", STEP(12, 64, 900, ""), "");
+        fleet_run(fleet, 800);
+        const int at = worker_of(fleet, "copied");
+        assert_true(at >= 0);
+        fleet_isolate(fleet, FLEET_AGENT, at, true);
+        fleet_run(fleet, 1500 + 30 * (int64_t)seed);
+        if (seed % 2 == 0)
+            fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+        else
+            fleet_roll(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+        fleet_run(fleet, 20000);
+        case_end(fleet);
+    }
+}
+
+/* ... nor gang members whose gang has finished. */
+static void gang_members_count_for_a_new_leader(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        Fleet *fleet = begin(seed);
+        for (int i = 0; i < 6; i++)
+            stand_worker_slow(fleet_node(fleet, FLEET_WORKER, i)->worker, 1 + i % 2 * 3);
+        submit(fleet, "gang", STEP(4, 100000, 1500, ",\"gang\":true"), "");
+        fleet_run(fleet, 1200);
+        for (int i = 1; i < 6; i += 2)
+            fleet_isolate(fleet, FLEET_AGENT, i, true);
+        fleet_run(fleet, 300 + 30 * (int64_t)seed);
+        fleet_roll(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+        submit(fleet, "after", STEP(16, 64, 700, ""), "");
+        fleet_run(fleet, 20000);
+        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 16);
+        case_end(fleet);
+    }
+}
+
 /* Guards against jobs that are cancelled being counted as gone before their workers have stopped them. */
 static void cancelled_counts_until_it_has_stopped(void **state)
 {
@@ -180,6 +223,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(gang_members_count_until_they_have_stopped),
         cmocka_unit_test(copies_count_beside_what_they_replace),
+        cmocka_unit_test(copies_count_for_a_new_leader),
+        cmocka_unit_test(gang_members_count_for_a_new_leader),
         cmocka_unit_test(cancelled_counts_until_it_has_stopped),
         cmocka_unit_test(lost_counts_until_its_lease_lapses),
         cmocka_unit_test(lowered_limit_is_kept),
