Wire: values are unpacked in place, their texts share a block

Cause: each message was parsed into msgpack-c's objects, in a zone of 8 KB that malloc serves by consolidating all free chunks, and then each text was allocated by itself. Now the values are read in place and the texts of a message share blocks of 512 bytes. The byte that begins no value is refused where it stands in a field that is passed over, as msgpack-c did.

Tests: numbers of all widths, one block for short texts, long texts; the byte 0xc1.

--- a/packages/wire/include/wire/shape.h
+++ b/packages/wire/include/wire/shape.h
@@ -105,9 +105,9 @@
 
 /* Appends the packed struct to the bytes, which grow on mem. Null texts are packed as "". */
 void shape_pack(const Shape *shape, const void *from, void *mem, Bytes *to);
-/* Fills the struct, with all it points to on mem; from is not needed any more. Bytes from a peer may
- * be anything. BAD_FRAME, with the field's name: they are not exactly one value of this shape; then
- * the struct may be filled in part. failure may be null. */
+/* Fills the struct, with all it points to on mem; from is not needed any more. Texts share blocks: none
+ * can be freed by itself. Bytes from a peer may be anything. BAD_FRAME, with the field's name: they are not
+ * exactly one value of this shape; then the struct may be filled in part. failure may be null. */
 Status shape_unpack(const Shape *shape, Bytes from, void *mem, void *to, Failure *failure);
 /* A deep copy, each part on memory of its own on mem. */
 void shape_copy(const Shape *shape, const void *from, void *mem, void *to);
--- a/packages/wire/src/lengths.c
+++ b/packages/wire/src/lengths.c
@@ -1,39 +1,10 @@
-/* Checks the lengths of MessagePack bytes before msgpack-c reads them. */
+/* Checks the lengths of MessagePack bytes before they are unpacked. */
 #include "lengths.h"
 
 #include <stddef.h>
 #include <stdint.h>
 
-/* The first bytes of MessagePack values, by the names of its specification. Of a range the
- * first one; the low bits of the fix* kinds hold a length. */
-enum {
-    FIX_MAP = 0x80,
-    FIX_ARRAY = 0x90,
-    FIX_STR = 0xa0,
-    NIL = 0xc0, /* and false, true */
-    BIN_8 = 0xc4,
-    EXT_8 = 0xc7,
-    FLOAT_32 = 0xca,
-    FLOAT_64 = 0xcb,
-    UINT_8 = 0xcc,
-    UINT_16 = 0xcd,
-    UINT_32 = 0xce,
-    UINT_64 = 0xcf,
-    INT_8 = 0xd0,
-    INT_16 = 0xd1,
-    INT_32 = 0xd2,
-    INT_64 = 0xd3,
-    FIX_EXT_1 = 0xd4,
-    STR_8 = 0xd9,
-    ARRAY_16 = 0xdc,
-    ARRAY_32 = 0xdd,
-    MAP_16 = 0xde,
-    MAP_32 = 0xdf,
-    NEGATIVE_FIX_INT = 0xe0
-};
-
-#define FIX_COUNT_MASK 0x0fu /* of a fix map or array */
-#define FIX_STR_MASK 0x1fu
+#include "first_byte.h"
 
 /* What the length field of a value counts. */
 typedef enum LengthOf { LENGTH_OF_BYTES, LENGTH_OF_VALUES, LENGTH_OF_PAIRS } LengthOf;
@@ -69,11 +40,11 @@
     return (first >= EXT_8 && first < FLOAT_32) || (first >= FIX_EXT_1 && first < STR_8);
 }
 
-/* False for ext values, which no shape packs. */
+/* False for ext values, which no shape packs, and for the byte that begins none. */
 static bool head_read(uint8_t first, ValueHead *head)
 {
     *head = (ValueHead){0};
-    if (is_ext(first))
+    if (is_ext(first) || first == UNUSED_BYTE)
         return false;
     if (first < FIX_MAP || first >= NEGATIVE_FIX_INT || (first >= NIL && first < BIN_8))
         return true; /* the value is the first byte itself */
--- a/packages/wire/src/unpack.c
+++ b/packages/wire/src/unpack.c
@@ -1,91 +1,115 @@
 /* Unpacking: checks MessagePack bytes against a shape, field by field, and fills its struct.
- * Nothing of what a peer sends is trusted: the lengths are checked before msgpack-c reads them
- * (lengths.c), the types here. */
-#include <msgpack.h>
+ * Nothing of what a peer sends is trusted: the lengths are checked first (lengths.c), the types here.
+ *
+ * All texts of a value are copied into a few blocks: an allocation for each would cost more than all
+ * else that unpacking does. */
 #include <string.h>
 #include <talloc.h>
 
 #include "base/failure.h"
 #include "field.h"
 #include "lengths.h"
+#include "value.h"
 #include "wire/shape.h"
 
+#define TEXT_BLOCK_BYTES 512 /* bytes; small enough for malloc's per-thread cache */
+
+/* Invariant: texts_left bytes are free at texts. */
+typedef struct Unpacking {
+    const uint8_t *at; /* the next value */
+    const uint8_t *end;
+    void *mem;
+    char *texts; /* what is left of the present block */
+    size_t texts_left;
+} Unpacking;
+
 /* --- fields without a value: an older writer did not send them --------------------- */
 
 /* Texts are never null, also where the value is missing. */
-static void texts_empty(const Shape *shape, void *to)
+static void texts_empty(const Shape *shape, size_t from, void *to)
 {
     size_t total;
     const ShapeField *fields = shape->fields(&total);
-    for (size_t i = 0; i < total; i++) {
+    for (size_t i = from; i < total; i++) {
         void *at = field_write(&fields[i], to);
         if (fields[i].kind == SHAPE_TXT)
             *(const char **)at = "";
         else if (fields[i].kind == SHAPE_ONE)
-            texts_empty(fields[i].of, at);
+            texts_empty(fields[i].of, 0, at);
     }
 }
 
 /* --- values: each returns false when the type is not the field's -------------------- */
 
-static bool unsigned_take(const msgpack_object *from, uint64_t *to)
+static bool signed_take(const Value *value, int64_t *to)
 {
-    if (from->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    if (value->kind != VALUE_NEGATIVE && (value->kind != VALUE_UNSIGNED || value->number > INT64_MAX))
         return false;
-    *to = from->via.u64;
+    *to = (int64_t)value->number;
     return true;
 }
 
-static bool signed_take(const msgpack_object *from, int64_t *to)
+static bool number_take(const Value *value, ValueKind kind, uint64_t *to)
 {
-    if (from->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-        *to = from->via.i64;
-    else if (from->type == MSGPACK_OBJECT_POSITIVE_INTEGER && from->via.u64 <= INT64_MAX)
-        *to = (int64_t)from->via.u64;
-    else
-        return false;
-    return true;
+    *to = value->number;
+    return value->kind == kind;
 }
 
-static bool flag_take(const msgpack_object *from, bool *to)
+/* Memory for a text and its zero byte. A text of the bytes that are left takes at most as much here as there, where its
+ * first byte stands before it. */
+static char *text_reserve(Unpacking *unpacking, const Value *text)
 {
-    if (from->type != MSGPACK_OBJECT_BOOLEAN)
-        return false;
-    *to = from->via.boolean;
-    return true;
+    const size_t bytes = (size_t)text->number + 1;
+    if (bytes > unpacking->texts_left) {
+        const size_t left = (size_t)(unpacking->end - text->body) + 1;
+        size_t block = left < TEXT_BLOCK_BYTES ? left : TEXT_BLOCK_BYTES;
+        block = block > bytes ? block : bytes;
+        unpacking->texts = talloc_size(unpacking->mem, block);
+        unpacking->texts_left = block;
+    }
+    char *copy = unpacking->texts;
+    unpacking->texts += bytes;
+    unpacking->texts_left -= bytes;
+    return copy;
 }
 
 /* A text with a zero byte inside is refused: C would read only a part of it. */
-static bool text_take(const msgpack_object *from, void *mem, const char **to)
+static bool text_take(Unpacking *unpacking, const Value *value, const char **to)
 {
-    if (from->type != MSGPACK_OBJECT_STR)
+    *to = "";
+    if (value->kind != VALUE_TEXT)
         return false;
-    const msgpack_object_str *str = &from->via.str;
-    if (str->size > 0 && memchr(str->ptr, 0, str->size) != NULL)
+    if (value->number == 0)
+        return true;
+    if (memchr(value->body, 0, value->number) != NULL)
         return false;
-    /* of an empty text msgpack-c may give no pointer at all */
-    *to = str->size > 0 ? talloc_strndup(mem, str->ptr, str->size) : "";
+    char *text = text_reserve(unpacking, value);
+    memcpy(text, value->body, value->number);
+    text[value->number] = '\0';
+    *to = text;
     return true;
 }
 
-static bool bytes_take(const msgpack_object *from, void *mem, Bytes *to)
+static bool bytes_take(const Unpacking *unpacking, const Value *value, Bytes *to)
 {
-    if (from->type != MSGPACK_OBJECT_BIN)
+    if (value->kind != VALUE_BYTES)
         return false;
-    bytes_add(mem, to, from->via.bin.ptr, from->via.bin.size);
+    bytes_add(unpacking->mem, to, value->body, value->number);
     return true;
 }
 
-static bool texts_take(const msgpack_object *from, void *mem, const char ***to)
+static bool texts_take(Unpacking *unpacking, const Value *value, const char ***to, size_t *count)
 {
-    if (from->type != MSGPACK_OBJECT_ARRAY)
+    if (value->kind != VALUE_ARRAY)
         return false;
-    const msgpack_object_array *array = &from->via.array;
-    const char **texts = talloc_array(mem, const char *, array->size);
-    for (size_t i = 0; i < array->size; i++)
-        if (!text_take(&array->ptr[i], mem, &texts[i]))
+    const char **texts = talloc_array(unpacking->mem, const char *, (unsigned)value->number);
+    for (size_t i = 0; i < value->number; i++) {
+        const Value text = value_read(&unpacking->at);
+        if (!text_take(unpacking, &text, &texts[i]))
             return false;
+    }
     *to = texts;
+    *count = value->number;
     return true;
 }
 
@@ -96,103 +120,85 @@
     return failure_set(failure, STATUS_BAD_FRAME, "%s.%s has the wrong type", shape->name, field->name);
 }
 
-static Status unpack_shape(const Shape *shape, const msgpack_object *from, void *mem, void *to, Failure *failure);
+static Status unpack_shape(Unpacking *unpacking, const Shape *shape, void *to, Failure *failure);
 
-/* The elements of a list, each a shape; from is an array. */
-static Status unpack_list(const Shape *of, const msgpack_object_array *from, void *mem, uint8_t **to, Failure *failure)
+/* A field that is a list of a shape. */
+static Status unpack_list(Unpacking *unpacking, const Shape *shape, const ShapeField *field, void *to, Failure *failure)
 {
-    uint8_t *list = talloc_array_size(mem, of->size, from->size);
-    for (size_t i = 0; i < from->size; i++) {
-        const Status status = unpack_shape(of, &from->ptr[i], mem, list + i * of->size, failure);
+    const Shape *of = field->of;
+    const Value value = value_read(&unpacking->at);
+    if (value.kind != VALUE_ARRAY)
+        return wrong_type(failure, shape, field);
+    uint8_t *list = talloc_array_size(unpacking->mem, of->size, (unsigned)value.number);
+    for (size_t i = 0; i < value.number; i++) {
+        const Status status = unpack_shape(unpacking, of, list + i * of->size, failure);
         if (status != STATUS_OK)
             return status;
     }
-    *to = list;
+    *(uint8_t **)field_write(field, to) = list;
+    field_set_count(field, to, value.number);
     return STATUS_OK;
 }
 
-/* A field whose value is one or more shapes, at the field's address in its struct. */
-static Status unpack_nested(const Shape *shape, const ShapeField *field, const msgpack_object *from, void *mem,
-                            void *at, Failure *failure)
-{
-    if (field->kind == SHAPE_ONE)
-        return unpack_shape(field->of, from, mem, at, failure);
-    if (from->type != MSGPACK_OBJECT_ARRAY)
-        return wrong_type(failure, shape, field);
-    return unpack_list(field->of, &from->via.array, mem, at, failure);
-}
-
-static Status unpack_field(const Shape *shape, const ShapeField *field, const msgpack_object *from, void *mem, void *to,
-                           Failure *failure)
+/* A field that is one value, or texts. */
+static bool unpack_value(Unpacking *unpacking, const ShapeField *field, void *to)
 {
+    const Value value = value_read(&unpacking->at);
     void *at = field_write(field, to);
-    bool good = false;
+    uint64_t number;
     switch (field->kind) {
     case SHAPE_U64:
-        good = unsigned_take(from, at);
-        break;
+        return number_take(&value, VALUE_UNSIGNED, at);
     case SHAPE_I64:
-        good = signed_take(from, at);
-        break;
+        return signed_take(&value, at);
     case SHAPE_FLAG:
-        good = flag_take(from, at);
-        break;
+        *(bool *)at = number_take(&value, VALUE_FLAG, &number) && number != 0;
+        return value.kind == VALUE_FLAG;
     case SHAPE_TXT:
-        good = text_take(from, mem, at);
-        break;
+        return text_take(unpacking, &value, at);
     case SHAPE_BIN:
-        good = bytes_take(from, mem, at);
-        break;
-    case SHAPE_TXS:
-        good = texts_take(from, mem, at);
-        break;
-    case SHAPE_ONE:
-    case SHAPE_LST: {
-        const Status status = unpack_nested(shape, field, from, mem, at, failure);
-        if (status != STATUS_OK)
-            return status;
-        good = true;
-        break;
+        return bytes_take(unpacking, &value, at);
+    default: { /* SHAPE_TXS */
+        size_t count = 0;
+        const bool good = texts_take(unpacking, &value, at, &count);
+        field_set_count(field, to, count);
+        return good;
     }
     }
-    if (!good)
-        return wrong_type(failure, shape, field);
-    if (field->kind == SHAPE_TXS || field->kind == SHAPE_LST)
-        field_set_count(field, to, from->via.array.size);
-    return STATUS_OK;
+}
+
+static Status unpack_field(Unpacking *unpacking, const Shape *shape, const ShapeField *field, void *to,
+                           Failure *failure)
+{
+    if (field->kind == SHAPE_ONE)
+        return unpack_shape(unpacking, field->of, field_write(field, to), failure);
+    if (field->kind == SHAPE_LST)
+        return unpack_list(unpacking, shape, field, to, failure);
+    return unpack_value(unpacking, field, to) ? STATUS_OK : wrong_type(failure, shape, field);
 }
 
 /* Fields beyond those that either side knows are passed over. */
-static Status unpack_shape(const Shape *shape, const msgpack_object *from, void *mem, void *to, Failure *failure)
+static Status unpack_shape(Unpacking *unpacking, const Shape *shape, void *to, Failure *failure)
 {
     memset(to, 0, shape->size);
-    texts_empty(shape, to);
-    if (from->type != MSGPACK_OBJECT_ARRAY)
-        return failure_set(failure, STATUS_BAD_FRAME, "%s is not an array", shape->name);
-    const msgpack_object_array *array = &from->via.array;
-    size_t total;
+    const Value value = value_read(&unpacking->at);
+    Status status = STATUS_OK;
+    if (value.kind != VALUE_ARRAY)
+        status = failure_set(failure, STATUS_BAD_FRAME, "%s is not an array", shape->name);
+    size_t total, i = 0;
     const ShapeField *fields = shape->fields(&total);
-    for (size_t i = 0; i < total && i < array->size; i++) {
-        const Status status = unpack_field(shape, &fields[i], &array->ptr[i], mem, to, failure);
-        if (status != STATUS_OK)
-            return status;
-    }
-    return STATUS_OK;
+    for (; status == STATUS_OK && i < total && i < value.number; i++)
+        status = unpack_field(unpacking, shape, &fields[i], to, failure);
+    texts_empty(shape, i, to);
+    if (status == STATUS_OK)
+        value_skip(&unpacking->at, value.number - i);
+    return status;
 }
 
 Status shape_unpack(const Shape *shape, Bytes from, void *mem, void *to, Failure *failure)
 {
     if (!lengths_fit(from))
         return failure_set(failure, STATUS_BAD_FRAME, "%s does not parse", shape->name);
-    msgpack_unpacked unpacked;
-    msgpack_unpacked_init(&unpacked);
-    size_t offset = 0;
-    const msgpack_unpack_return got = msgpack_unpack_next(&unpacked, (const char *)from.data, from.count, &offset);
-    Status status;
-    if ((got != MSGPACK_UNPACK_SUCCESS && got != MSGPACK_UNPACK_EXTRA_BYTES) || offset != from.count)
-        status = failure_set(failure, STATUS_BAD_FRAME, "%s does not parse", shape->name);
-    else
-        status = unpack_shape(shape, &unpacked.data, mem, to, failure);
-    msgpack_unpacked_destroy(&unpacked);
-    return status;
+    Unpacking unpacking = {.at = from.data, .end = from.data + from.count, .mem = mem};
+    return unpack_shape(&unpacking, shape, to, failure);
 }
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -123,6 +123,75 @@
     assert_int_equal(from_next.number, 4);
 }
 
+/* Each width that a number may be packed in; one that is packed as signed may stand in an unsigned field. */
+static void numbers_of_all_widths_are_read(void **state)
+{
+    static const struct {
+        size_t count;
+        uint8_t bytes[10];
+        uint64_t number;
+    } FRAMES[] = {
+        {2, {0x91, 0x7f}, 127},
+        {3, {0x91, 0xcc, 0x80}, 128},
+        {4, {0x91, 0xcd, 0x01, 0x00}, 256},
+        {6, {0x91, 0xce, 0x00, 0x01, 0x00, 0x00}, 65536},
+        {10, {0x91, 0xcf, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00}, 1ULL << 32},
+        {3, {0x91, 0xd0, 0x05}, 5},
+        {4, {0x91, 0xd1, 0x01, 0x00}, 256},
+        {6, {0x91, 0xd2, 0x00, 0x01, 0x00, 0x00}, 65536},
+        {10, {0x91, 0xd3, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00}, 1ULL << 32},
+    };
+    for (size_t i = 0; i < sizeof(FRAMES) / sizeof(FRAMES[0]); i++) {
+        const Bytes frame = {(uint8_t *)(uintptr_t)FRAMES[i].bytes, FRAMES[i].count, 0};
+        Leaf out;
+        assert_int_equal(shape_unpack(&Leaf_shape, frame, *state, &out, NULL), STATUS_OK);
+        assert_int_equal(out.number, FRAMES[i].number);
+        assert_string_equal(out.name, "");
+    }
+    static const uint8_t NEGATIVES[][6] = {
+        {0x91, 0xff}, {0x91, 0xd0, 0xff}, {0x91, 0xd1, 0xff, 0xff}, {0x91, 0xd2, 0xff, 0xff, 0xff, 0xff}};
+    static const size_t COUNTS[] = {2, 3, 4, 6};
+    for (size_t i = 0; i < sizeof(COUNTS) / sizeof(COUNTS[0]); i++) {
+        const Bytes frame = {(uint8_t *)(uintptr_t)NEGATIVES[i], COUNTS[i], 0};
+        Tree tree;
+        Leaf leaf;
+        assert_int_equal(shape_unpack(&Tree_shape, frame, *state, &tree, NULL), STATUS_OK);
+        assert_int_equal(tree.balance, -1);
+        assert_int_equal(shape_unpack(&Leaf_shape, frame, *state, &leaf, NULL), STATUS_BAD_FRAME);
+    }
+}
+
+/* What is unpacked costs an allocation for each list and each run of bytes, and one for its short texts together. */
+static void texts_share_a_block(void **state)
+{
+    Fixture *fixture = *state;
+    Tree out;
+    void *mem = talloc_new(fixture);
+    assert_int_equal(shape_unpack(&Tree_shape, fixture->packed, mem, &out, NULL), STATUS_OK);
+    assert_int_equal(talloc_total_blocks(mem), 1 + 1 + 1 + 1 + 1); /* mem, texts, blob, words, leaves */
+}
+
+/* Texts longer than a block, and many of them, with what follows them. */
+static void long_texts_are_read(void **state)
+{
+    void *mem = *state;
+    char text[1500];
+    Tree tree = {.first = {1, text}};
+    tree.words_count = 300;
+    tree.words = talloc_array(mem, const char *, 300);
+    for (size_t i = 0; i < 300; i++)
+        tree.words[i] = talloc_asprintf(mem, "%0*zu", (int)(i % 40 + 1), i);
+    for (size_t length = 0; length < sizeof(text); length += 37) {
+        memset(text, 'x', length);
+        text[length] = '\0';
+        Bytes packed = {0};
+        shape_pack(&Tree_shape, &tree, mem, &packed);
+        Tree out;
+        assert_int_equal(shape_unpack(&Tree_shape, packed, mem, &out, NULL), STATUS_OK);
+        assert_true(shape_equal(&Tree_shape, &tree, &out));
+    }
+}
+
 /* --- bytes that are not what they should be ---------------------------------------------- */
 
 static void truncated_is_refused(void **state)
@@ -150,6 +219,7 @@
         {2, {0x91, 0xcd}},                         /* number without its bytes */
         {4, {0x91, 0xd4, 0x00, 0x00}},             /* ext */
         {2, {0x90, 0x00}},                         /* a byte too many */
+        {2, {0x91, 0xc1}},                         /* a byte that begins no value */
     };
     for (size_t i = 0; i < sizeof(FRAMES) / sizeof(FRAMES[0]); i++) {
         const Bytes frame = {(uint8_t *)(uintptr_t)FRAMES[i].bytes, FRAMES[i].count, 0};
@@ -206,6 +276,9 @@
         TEST(copy_is_deep),
         TEST(flat_copy_is_one_block),
         TEST(releases_read_each_other),
+        TEST(numbers_of_all_widths_are_read),
+        TEST(texts_share_a_block),
+        TEST(long_texts_are_read),
         TEST(truncated_is_refused),
         TEST(untrue_length_is_refused),
         TEST(other_type_is_refused_by_its_name),
