Membership by digest and watermark: its cost no longer grows with the fleet

Seen: at 300 machines requests ended without an answer and little was served; the 2 Mbit/s links of entry points were full, and a trial with wide links served nearly all.

Cause: every hello carried the whole member table both ways, from every process to three seeds and a random member each 0.5 s, and each was answered with the whole table.

Change: controllers know all members, each by its own hello within REACH_MS; all others know the controllers and a partial view. A hello carries a digest of the controllers; the answer only what the asker lacks, to a controller the rows that changed since its watermark. Quiet members go on being contacted; a lost hello is sent again. Traces name all members by a controller's table. Earlier releases send no digest and get the whole table.

The simulator takes 320 machines and counts bytes received.

--- a/packages/agent/src/heartbeat.c
+++ b/packages/agent/src/heartbeat.c
@@ -137,7 +137,10 @@
     const Status status = rpc_ask_peer(agent->rpc, heartbeat, &target, MESSAGE_HEARTBEAT, &HeartbeatAsk_shape, &ask,
                                        HEARTBEAT_WAIT_MS + ASK_TIMEOUT_MS, &HeartbeatAnswer_shape, &answer);
     const int64_t now_ms = loop_now_ms(agent->loop);
-    members_slow_hellos(agent->members, status == STATUS_OK ? now_ms + HELLO_REST_MS : 0);
+    if (status == STATUS_OK)
+        members_found_leader(agent->members);
+    else
+        members_seek_leader(agent->members);
     if (status == STATUS_OK)
         answer_take(agent, heartbeat, &ask, &answer);
     else if (status == STATUS_DUPLICATE_WORKER)
--- a/packages/agent/src/isolated.c
+++ b/packages/agent/src/isolated.c
@@ -1,16 +1,18 @@
 /* The isolated agent: the second survival rule of the XenServer HA design. When no leader answers, nobody holds the
- * lock and all members see each other, members may go on. The agent asks every member, all voters included, whether it
- * knows a lock holder. When all have said no, its lease runs on from the sending of the oldest of those questions.
+ * lock and all members see each other, members may go on. The agent asks every controller that it knows, all voters
+ * included, and the other members of its partial view, whether they know a lock holder. When all have said no, its
+ * lease runs on from the sending of the oldest of those questions.
  *
  * Why that is safe: a lock is won with the votes of a majority of the voters. Each voter had granted nothing when it
  * answered, so any lock is won later than the oldest question, and its winner treats no member as lost for a whole
- * lease after that. */
+ * lease after that. That rests on the voters alone, whom the controllers name: a voter that the agent does not know
+ * has not answered, and the poll fails. The members of the view only make the agent stop more often. */
 #include <string.h>
 #include <talloc.h>
 
 #include "tasks.h"
 
-/* One poll of all members. Freed by the last of its users: the poll itself and one task for each question. */
+/* One poll of the members known. Freed by the last of its users: the poll itself and one task for each question. */
 typedef struct Poll {
     Agent *agent;
     size_t users, pending;
@@ -87,7 +89,7 @@
     return poll->voter_count > 0;
 }
 
-/* Waits. Asks all controllers, or all other members, and takes their answers. */
+/* Waits. Asks all controllers, or the other members known, and takes their answers. */
 static void poll_members(Poll *poll, bool controllers)
 {
     Agent *agent = poll->agent;
@@ -111,7 +113,7 @@
         signal_wait(agent->loop, &poll->ended, INT64_MAX);
 }
 
-/* Waits. Polls all members; where every one knows no holder, the lease runs on from the beginning of the poll. */
+/* Waits. Polls the members known; where every one knows no holder, the lease runs on from the beginning of the poll. */
 static void poll_run(Agent *agent)
 {
     Poll *poll = talloc_zero(agent, Poll);
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -84,14 +84,24 @@
     200 /* ms; a request unanswered so long by a peer that just restarted went to its last incarnation */
 
 /* --- membership ------------------------------------------------------------------------------ */
-#define HELLO_MS 500            /* ms; between two exchanges of the member table */
-#define HELLO_REST_MS 2000      /* ms; ... for a member that the leader answers anyway; half of MEMBER_QUIET_MS */
+#define HELLO_MS 500            /* ms; between two hellos of one that seeks the others */
+#define HELLO_REST_MS 2000      /* ms; ... of one that a controller contacts anyway; half of MEMBER_QUIET_MS */
+#define SEED_REST_MS 10000      /* ms; ... to each seed: only in case the controllers were replaced unseen */
 #define MEMBER_QUIET_MS 4000    /* ms; a member not heard of for this long counts as silent */
 #define MEMBER_FORGET_MS 600000 /* ms; a silent member is dropped from the table: ten minutes of absence */
 #define REACH_MS 2000           /* ms; a controller asks every member once in this; those that answer it can reach */
+/* count; ... with so many attempts: the third is answered before the member counts as silent */
+#define HELLO_ATTEMPTS 3
 #define REACH_MARGIN 3          /* count; a voter that reaches so many more members is the better leader ... */
 #define REACH_HANDOVER_MS 2000  /* ms; ... when it has been so for this long */
-#define MEMBERS_MAX 512         /* count; bound on a table sent by a peer: ten times today's sizes */
+#define QUIET_CONTACT_MS 60000  /* ms; a quiet member is contacted as often as the others for so long: cuts heal ... */
+#define QUIET_CONTACT_PART 8    /* count; ... then once in so many rounds */
+#define MEMBERS_MAX 512         /* count; bound on the rows of a table ... */
+#define CONTROLLERS_MAX 64      /* count; ... besides which so many of controllers find room in a full one */
+#define VIEW_MOST 16            /* count; members besides the controllers that one without a vote keeps in mind ... */
+#define VIEW_FORGET_MS 60000    /* ms; ... unless silent for so long */
+#define VIEW_SAMPLE 3           /* count; ... of which a controller names so many in each request to it */
+#define ASKED_KEEP_MS 10000     /* ms; a seed keeps one that asked it for so long: controllers hear of it meanwhile */
 #define FOUND_WAIT_MS 1500      /* ms; three empty disks must see each other so long before they found a cluster */
 #define VOTE_WAIT_MS 600        /* ms; a founder proposes itself so long after its start: others have started by then */
 #define MEMBERSHIP_CHECK_MS 200 /* ms; how often the leader checks whether a change of the list of voters is due */
--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -1,10 +1,12 @@
 #ifndef MEMBER_MEMBERS_H
 #define MEMBER_MEMBERS_H
 
-/* Membership by gossip: a process is given three seed addresses, finds everybody from them, and keeps
- * finding everybody. Processes exchange hellos with their whole table; the newer (incarnation, tick) of
- * a record wins. It says who exists and was heard of lately. Who leads is decided by
- * packages/replication, which workers are alive by the leader (packages/heartbeat).
+/* Membership: a process is given three seed addresses, finds the controllers from them, and keeps finding them. Each
+ * controller knows every member and exchanges a hello with it within REACH_MS; all others know the controllers and
+ * a bounded partial view of the rest, so what membership costs them does not grow with the fleet. A hello
+ * carries a digest of the controllers that its sender knows, and the answer only the records that the asker
+ * lacks; the newer (incarnation, tick) of a record wins. It says who exists and was heard of lately. Who leads is
+ * decided by packages/replication, which workers are alive by the leader (packages/heartbeat).
  *
  * Every node has one. Also kept here: the newest leader known, the seeds' votes that found a cluster,
  * and how many members this process reaches. That number decides the quorum partition, which is the
@@ -32,6 +34,12 @@
     int64_t answered_ms; /* when it last answered us, so that both directions work; INT64_MIN: never */
     int64_t since_ms;    /* when the row was created */
     void *mem;           /* talloc parent of what the record points to */
+    /* for the exchange alone */
+    uint64_t hash;              /* of the record without its tick */
+    uint64_t changed;           /* the table's sequence when the record last changed beside its tick */
+    uint64_t taken;             /* a controller has this member's changes up to here ... */
+    uint64_t taken_incarnation; /* ... of this incarnation */
+    int64_t contact_ms;         /* when a controller contacts it next */
 } Member;
 
 /* Invariants: rows are ordered by id, and ids are unique; a row's incarnation never falls; of the
@@ -50,7 +58,7 @@
 Members *members_new(void *mem, Loop *loop, Rpc *rpc, Recorder *recorder, const MemberRecord *self,
                      const char *const seeds[SEEDS]);
 /* Answers hellos and votes from now on, and spawns the tasks that send hellos: one for each seed, and
- * one that asks all members (a controller) or random ones (others). */
+ * one that contacts all members (a controller) or random known ones (others). */
 void members_start(Members *members);
 /* Replaces the seeds, from the next hello on. */
 void members_seeds(Members *members, const char *const seeds[SEEDS]);
@@ -66,8 +74,13 @@
 
 /* --- the table ------------------------------------------------------------------------ */
 
-/* Valid until the next wait. */
+/* A controller's has all members; that of others, the controllers and a partial view. Valid until the next wait. */
 const MemberTable *members_table(const Members *members);
+/* Waits, at most ASK_TIMEOUT_MS for each controller. All members, also the quiet ones, on mem: from the own table or
+ * from a controller's; from the own partial view where none answers. */
+size_t members_whole(Members *members, void *mem, const MemberRecord **records);
+/* How many records were not taken since the start: of another cluster, or the table was full. */
+uint64_t members_refused(const Members *members);
 /* The member with this id; null: there is none. Valid until the next wait. */
 const Member *members_find(const Members *members, const char *id);
 /* The controller with this disk; null: there is none. Valid until the next wait. */
@@ -89,9 +102,11 @@
 void members_meet(Members *members, const char *address);
 /* Sends hellos to all members that are not quiet, at once: a new leader is known early. */
 void members_announce(Members *members);
-/* Until until_ms hellos are sent only every HELLO_REST_MS: the leader answers this process's heartbeats, and a thousand
- * agents would overload the seeds. 0: the usual interval again, at once. */
-void members_slow_hellos(Members *members, int64_t until_ms);
+/* No leader answers this process, which is no controller: until members_found_leader it sends hellos to all
+ * controllers known every HELLO_MS, so that it hears of the next leader, and one that has restarted hears of it. */
+void members_seek_leader(Members *members);
+/* A leader answers. */
+void members_found_leader(Members *members);
 
 /* --- the leader -------------------------------------------------------------------------- */
 
--- a/packages/member/include/member/record.h
+++ b/packages/member/include/member/record.h
@@ -37,14 +37,22 @@
     X(FLAG, leaving, 0)    /* graceful shutdown (the paper's "excluded") */
 SHAPE(MemberRecord, MEMBER_FIELDS)
 
-/* Request and answer alike: the sender, the members it has heard of lately, and the cluster and leader
- * that it knows (0 and "": none). */
-#define HELLO_FIELDS(X)           \
-    X(ONE, self, MemberRecord)    \
-    X(LST, members, MemberRecord) \
-    X(U64, cluster, 0)            \
-    X(U64, leader_term, 0)        \
-    X(TXT, leader_id, 0)
+/* Request and answer alike: the sender, records of others, and the cluster and leader that the sender knows (0 and "":
+ * none). A request carries few records or none, an answer those that the asker lacks (member/src/difference.h).
+ * Releases before the digest send all that they know in both. */
+#define HELLO_FIELDS(X)                                                                                                \
+    X(ONE, self, MemberRecord)                                                                                         \
+    X(LST, members, MemberRecord)                                                                                      \
+    X(U64, cluster, 0)                                                                                                 \
+    X(U64, leader_term, 0)                                                                                             \
+    X(TXT, leader_id, 0)                                                                                               \
+    X(U64, digest, 0)           /* of the controllers known that are not quiet; 0: of an earlier release */            \
+    X(U64, sequence, 0)         /* the newest change of the sender's table */                                          \
+    X(U64, have, 0)             /* request of a controller: watermark, it has the receiver's changes up to this ... */ \
+    X(U64, have_id, 0)          /* ... if the receiver is this process (PeerIdentity) ... */                           \
+    X(U64, have_incarnation, 0) /* ... in this incarnation */                                                          \
+    X(FLAG, whole, 0)           /* request: the answer is to have the receiver's whole table */                        \
+    X(FLAG, seeks, 0)           /* no controller of its cluster contacts the sender: they are to hear of it */
 SHAPE(Hello, HELLO_FIELDS)
 
 /* A controller with an empty disk asks a seed for its vote to found the cluster, or (back) gives it back. round: the
--- a/packages/member/src/gossip.h
+++ b/packages/member/src/gossip.h
@@ -3,6 +3,8 @@
 
 #include "member/members.h"
 
+/* Whether a controller of the cluster contacts this process, which then need not seek one. */
+bool gossip_contacted(const Members *members);
 /* Spawns the tasks that send hellos until the loop stops. */
 void gossip_start(Members *members);
 
--- a/packages/member/src/hello.c
+++ b/packages/member/src/hello.c
@@ -1,6 +1,6 @@
-/* The exchange of hellos: both sides send each other their own record, the table, the cluster
- * and the leader that they know, and merge what they hear. Nothing is taken from a process of
- * another cluster. When hellos are sent is decided in gossip.c. */
+/* The exchange of hellos: both sides send each other their own record, the cluster and the leader that they know,
+ * the answer also what the asker lacks (difference.c), and merge what they hear. Nothing is taken from a
+ * process of another cluster. When hellos are sent is decided in gossip.c. */
 #include "hello.h"
 
 #include <inttypes.h>
@@ -8,6 +8,8 @@
 #include <talloc.h>
 
 #include "base/constants.h"
+#include "difference.h"
+#include "gossip.h"
 #include "inside.h"
 #include "loop/loop.h"
 #include "table.h"
@@ -23,58 +25,117 @@
     return hello->cluster != 0 && mine != 0 && hello->cluster != mine;
 }
 
-/* Fills in this process's hello, on mem. Quiet members are left out, so that all processes forget them. */
-static void hello_fill(Members *members, void *mem, Hello *hello)
+/* Fills in what this process says in any hello, on mem. */
+static void hello_begin(Members *members, void *mem, Hello *hello)
 {
     members->self.tick++;
     members->self.cluster = rpc_cluster(members->rpc);
     table_refresh(members);
-    const MemberTable *table = members->table;
     shape_copy(&MemberRecord_shape, &members->self, mem, &hello->self);
-    hello->members = talloc_array(mem, MemberRecord, (unsigned)table->count);
-    hello->members_count = 0;
-    for (size_t i = 0; i < table->count; i++)
-        if (!member_quiet(&table->rows[i], loop_now_ms(members->loop)))
-            shape_copy(&MemberRecord_shape, &table->rows[i].record, mem, &hello->members[hello->members_count++]);
     hello->cluster = members->self.cluster;
     hello->leader_term = members->leader_term;
     hello->leader_id = talloc_strdup(mem, members->leader_id);
+    hello->digest = difference_digest(members);
+    hello->sequence = members->sequence;
+    hello->seeks = !gossip_contacted(members);
+}
+
+typedef struct HelloTask {
+    Members *members;
+    char address[ADDRESS_MAX];
+    int64_t wait_ms; /* before the first attempt */
+    int attempts;
+} HelloTask;
+
+static void hello_main(void *arg)
+{
+    HelloTask *hello = arg;
+    if (hello->wait_ms > 0)
+        loop_sleep(hello->members->loop, hello->wait_ms);
+    while (!hello_exchange(hello->members, hello->address) && --hello->attempts > 0)
+        ;
+    talloc_free(hello);
+}
+
+static HelloTask *hello_task(Members *members, const char *address)
+{
+    HelloTask *hello = talloc_zero(members, HelloTask);
+    hello->members = members;
+    hello->attempts = 1;
+    strncpy(hello->address, address, sizeof(hello->address) - 1);
+    loop_spawn(members->loop, "greet", hello_main, hello);
+    return hello;
+}
+
+void hello_spawn(Members *members, const char *address)
+{
+    hello_task(members, address);
+}
+
+void hello_spawn_repeated(Members *members, const char *address)
+{
+    hello_task(members, address)->attempts = HELLO_ATTEMPTS;
+}
+
+/* A controller that is new here is contacted: by controllers at once, as a voter may be waiting for it; by the others
+ * within HELLO_MS, so that hundreds that start together do not all ask in one moment. */
+static void controller_meet(Members *members, const char *address)
+{
+    HelloTask *hello = hello_task(members, address);
+    if (members->self.role != ROLE_CONTROLLER)
+        hello->wait_ms = (int64_t)(loop_random(members->loop) % HELLO_MS);
 }
 
 /* A record that another process passed on. */
 static void relayed_take(Members *members, const MemberRecord *record)
 {
-    /* controllers contact each other at once: a voter may be waiting for this one */
-    if (table_merge(members, record, RECORD_RELAYED) && record->role == ROLE_CONTROLLER &&
-        members->self.role == ROLE_CONTROLLER)
-        hello_spawn(members, record->address);
+    const uint64_t mine = rpc_cluster(members->rpc);
+    if (record->cluster != 0 && mine != 0 && record->cluster != mine) {
+        members->refused++;
+        return;
+    }
+    if (table_merge(members, record, RECORD_RELAYED) && record->role == ROLE_CONTROLLER)
+        controller_meet(members, record->address);
+}
+
+static void cluster_join(Members *members, uint64_t cluster)
+{
+    rpc_set_cluster(members->rpc, cluster);
+    char name[LOG_TEXT_BYTES];
+    snprintf(name, sizeof(name), "%016" PRIx64, cluster);
+    log_event(members->recorder, LOG_CLUSTER_JOINED, loop_now_ms(members->loop), &(LogFields){.text = name});
 }
 
 static void hello_take(Members *members, const Hello *hello, HelloSide side)
 {
     if (other_cluster(members, hello))
         return;
-    if (rpc_cluster(members->rpc) == 0 && hello->cluster != 0) {
-        rpc_set_cluster(members->rpc, hello->cluster);
-        char name[LOG_TEXT_BYTES];
-        snprintf(name, sizeof(name), "%016" PRIx64, hello->cluster);
-        log_event(members->recorder, LOG_CLUSTER_JOINED, loop_now_ms(members->loop), &(LogFields){.text = name});
-    }
-    for (size_t i = 0; i < hello->members_count && hello->members_count <= MEMBERS_MAX; i++)
+    if (rpc_cluster(members->rpc) == 0 && hello->cluster != 0)
+        cluster_join(members, hello->cluster);
+    for (size_t i = 0; i < hello->members_count; i++) /* the table's bounds hold for each */
         relayed_take(members, &hello->members[i]);
-    table_merge(members, &hello->self, side == HELLO_ANSWER ? RECORD_ANSWERED : RECORD_ASKED_US);
+    const bool added = table_merge(members, &hello->self, side == HELLO_ANSWER ? RECORD_ANSWERED : RECORD_ASKED_US);
+    if (side == HELLO_REQUEST && (hello->seeks || hello->digest == 0) && members->self.role != ROLE_CONTROLLER)
+        table_pass_on(members, hello->self.id); /* this process may be a seed of it */
+    if (hello->self.role == ROLE_CONTROLLER && hello->cluster != 0)
+        members->controller_ms = loop_now_ms(members->loop);
+    if (side == HELLO_ANSWER)
+        difference_taken(members, hello);
+    else if (added && hello->self.role == ROLE_CONTROLLER && members->self.role == ROLE_CONTROLLER)
+        controller_meet(members, hello->self.address);
     if (hello->leader_term > members->leader_term)
         members_set_leader(members, hello->leader_term, hello->leader_id);
 }
 
-static Status on_hello(void *arg, void *mem, const void *ask, void *answer)
+static Status on_hello(void *arg, void *mem, const void *question, void *answer)
 {
     Members *members = arg;
-    const Hello *hello = ask;
-    if (other_cluster(members, hello))
+    const Hello *ask = question;
+    if (other_cluster(members, ask))
         return STATUS_STRANGER;
-    hello_take(members, hello, HELLO_REQUEST);
-    hello_fill(members, mem, answer);
+    hello_take(members, ask, HELLO_REQUEST);
+    hello_begin(members, mem, answer);
+    difference_answer(members, mem, ask, answer);
     return STATUS_OK;
 }
 
@@ -83,35 +144,18 @@
     rpc_handle(members->rpc, MESSAGE_HELLO, &Hello_shape, &Hello_shape, on_hello, members);
 }
 
-void hello_exchange(Members *members, const char *address)
+bool hello_exchange(Members *members, const char *address)
 {
     void *mem = talloc_new(members);
     Hello ask = {0}, answer = {0};
-    hello_fill(members, mem, &ask);
-    if (rpc_ask(members->rpc, mem, address, MESSAGE_HELLO, &Hello_shape, &ask, ASK_TIMEOUT_MS, &Hello_shape, &answer) ==
-        STATUS_OK)
+    hello_begin(members, mem, &ask);
+    difference_ask(members, mem, address, &ask);
+    const Status status =
+        rpc_ask(members->rpc, mem, address, MESSAGE_HELLO, &Hello_shape, &ask, ASK_TIMEOUT_MS, &Hello_shape, &answer);
+    if (status == STATUS_OK)
         hello_take(members, &answer, HELLO_ANSWER);
     talloc_free(mem);
-}
-
-typedef struct HelloTask {
-    Members *members;
-    char address[ADDRESS_MAX];
-} HelloTask;
-
-static void hello_main(void *arg)
-{
-    HelloTask *hello = arg;
-    hello_exchange(hello->members, hello->address);
-    talloc_free(hello);
-}
-
-void hello_spawn(Members *members, const char *address)
-{
-    HelloTask *hello = talloc_zero(members, HelloTask);
-    hello->members = members;
-    strncpy(hello->address, address, sizeof(hello->address) - 1);
-    loop_spawn(members->loop, "greet", hello_main, hello);
+    return status == STATUS_OK;
 }
 
 void members_meet(Members *members, const char *address)
@@ -127,3 +171,49 @@
             hello_spawn(members, row->record.address);
     }
 }
+
+/* --- the whole table -------------------------------------------------------------- */
+
+/* Addresses of the controllers known, on mem. */
+static size_t controllers_known(const Members *members, void *mem, const char ***addresses)
+{
+    const MemberTable *table = members->table;
+    size_t count = 0;
+    *addresses = talloc_array(mem, const char *, (unsigned)table->count);
+    for (size_t i = 0; i < table->count; i++)
+        if (table->rows[i].record.role == ROLE_CONTROLLER)
+            (*addresses)[count++] = talloc_strdup(mem, table->rows[i].record.address);
+    return count;
+}
+
+static size_t own_table_copy(Members *members, void *mem, const MemberRecord **records)
+{
+    const MemberTable *table = members->table;
+    MemberRecord *copies = talloc_array(mem, MemberRecord, (unsigned)table->count);
+    for (size_t i = 0; i < table->count; i++)
+        shape_copy(&MemberRecord_shape, &table->rows[i].record, mem, &copies[i]);
+    *records = copies;
+    return table->count;
+}
+
+size_t members_whole(Members *members, void *mem, const MemberRecord **records)
+{
+    const char **addresses;
+    const size_t count = members->self.role == ROLE_CONTROLLER ? 0 : controllers_known(members, mem, &addresses);
+    for (size_t i = 0; i < count; i++) {
+        Hello ask = {0}, answer = {0};
+        hello_begin(members, mem, &ask);
+        ask.whole = true;
+        if (rpc_ask(members->rpc, mem, addresses[i], MESSAGE_HELLO, &Hello_shape, &ask, ASK_TIMEOUT_MS, &Hello_shape,
+                    &answer) != STATUS_OK ||
+            answer.self.role != ROLE_CONTROLLER)
+            continue;
+        MemberRecord *all = talloc_array(mem, MemberRecord, (unsigned)answer.members_count + 1);
+        for (size_t k = 0; k < answer.members_count; k++)
+            all[k] = answer.members[k];
+        all[answer.members_count] = answer.self;
+        *records = all;
+        return answer.members_count + 1;
+    }
+    return own_table_copy(members, mem, records);
+}
--- a/packages/member/src/inside.h
+++ b/packages/member/src/inside.h
@@ -27,13 +27,18 @@
     Recorder *recorder;
     MemberRecord self;
     const char *seeds[SEEDS];
+    size_t seed_first;    /* index of the seed that is asked first */
+    size_t contact_first; /* index in the table from which on controllers are drawn, so that not all ask the same */
     MemberTable *table;
-    size_t capacity; /* allocated rows of table */
+    size_t capacity;   /* allocated rows of table */
+    uint64_t sequence; /* of the newest change of a row beside its tick */
+    uint64_t refused;  /* records that were not taken */
     uint64_t leader_term;
     char *leader_id; /* "": none is known */
     Signal leader_changed;
-    int64_t slow_until_ms; /* hellos are sent at the longer interval until then (members_slow_hellos) */
-    Signal slow_ended;     /* raised when that ends early */
+    int64_t controller_ms; /* when a controller of the cluster last asked or answered; INT64_MIN: never */
+    int64_t seek_ms;       /* since when no leader answers (members_seek_leader); INT64_MAX: one does */
+    Signal seeks;          /* raised when that begins */
     Vote vote;
 };
 
--- a/packages/member/src/members.c
+++ b/packages/member/src/members.c
@@ -22,6 +22,8 @@
     members->leader_id = talloc_strdup(members, "");
     for (int i = 0; i < SEEDS; i++)
         members->seeds[i] = talloc_strdup(members, seeds[i]);
+    members->controller_ms = INT64_MIN;
+    members->seek_ms = INT64_MAX;
     table_begin(members);
     return members;
 }
@@ -55,6 +57,11 @@
     members->self.leaving = true;
 }
 
+uint64_t members_refused(const Members *members)
+{
+    return members->refused;
+}
+
 PeerIdentity member_peer(const MemberRecord *record)
 {
     return peer_identity(record->id, record->incarnation);
--- a/packages/member/src/table.c
+++ b/packages/member/src/table.c
@@ -12,6 +12,8 @@
 #include "loop/loop.h"
 #include "wire/rpc.h"
 
+#define FNV_BASIS 14695981039346656037u
+#define FNV_PRIME 1099511628211u
 #define ROWS_FIRST 16 /* count; rows allocated at first, doubled when they are used up */
 
 static bool newer(const MemberRecord *a, const MemberRecord *b)
@@ -47,9 +49,46 @@
     return low;
 }
 
+/* FNV-1a of the record without its tick. */
+static uint64_t record_hash(const MemberRecord *record)
+{
+    void *mem = talloc_new(NULL);
+    MemberRecord still = *record;
+    still.tick = 0;
+    Bytes packed = {0};
+    shape_pack(&MemberRecord_shape, &still, mem, &packed);
+    uint64_t hash = FNV_BASIS;
+    for (size_t i = 0; i < packed.count; i++)
+        hash = (hash ^ (uint8_t)packed.data[i]) * FNV_PRIME;
+    talloc_free(mem);
+    return hash;
+}
+
+/* The row has changed: a controller passes it on. */
+static void row_stamp(Members *members, Member *row)
+{
+    if (members->self.role == ROLE_CONTROLLER)
+        row->changed = ++members->sequence;
+}
+
+void table_pass_on(Members *members, const char *id)
+{
+    bool found;
+    const size_t at = row_place(members, id, &found);
+    if (found)
+        rows_of(members)[at].changed = ++members->sequence;
+}
+
 /* Copies the record into the row, on memory of its own. */
 static void row_write(Members *members, Member *row, const MemberRecord *record)
 {
+    const uint64_t hash = record_hash(record);
+    if (row->mem != NULL && hash == row->hash) { /* most hellos: nothing is copied */
+        row->record.tick = record->tick;
+        return;
+    }
+    row->hash = hash;
+    row_stamp(members, row);
     void *old = row->mem;
     INVARIANT(INCARNATION_RISES, old == NULL || record->incarnation >= row->record.incarnation);
     row->mem = talloc_new(members);
@@ -69,7 +108,11 @@
     memmove(&rows[at + 1], &rows[at], (table->count - at) * sizeof(*rows));
     table->count++;
     const int64_t now_ms = loop_now_ms(members->loop);
-    rows[at] = (Member){.seen_ms = now_ms, .direct_ms = INT64_MIN, .answered_ms = INT64_MIN, .since_ms = now_ms};
+    rows[at] = (Member){.seen_ms = now_ms,
+                        .direct_ms = INT64_MIN,
+                        .answered_ms = INT64_MIN,
+                        .since_ms = now_ms,
+                        .contact_ms = now_ms + (int64_t)(loop_random(members->loop) % REACH_MS)};
     row_write(members, &rows[at], record);
     return &rows[at];
 }
@@ -139,12 +182,68 @@
 {
     if (!newer(record, &row->record))
         return;
-    row->seen_ms = loop_now_ms(members->loop);
+    const int64_t now_ms = loop_now_ms(members->loop);
+    if (member_quiet(row, now_ms)) /* it was left out of answers meanwhile */
+        row_stamp(members, row);
+    row->seen_ms = now_ms;
     if (record->incarnation > row->record.incarnation)
         rpc_renew(members->rpc, record->address);
     row_write(members, row, record);
 }
 
+/* --- bounds ----------------------------------------------------------------------- */
+
+static bool in_view(const Members *members, const Member *row)
+{
+    return row->record.role != ROLE_CONTROLLER && !table_is_self(members, &row->record);
+}
+
+/* How many members the partial view has; oldest (out): index of the one that was silent longest. */
+static size_t view_count(const Members *members, size_t *oldest)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < members->table->count; i++)
+        if (in_view(members, &members->table->rows[i])) {
+            if (count == 0 || members->table->rows[i].seen_ms < members->table->rows[*oldest].seen_ms)
+                *oldest = i;
+            count++;
+        }
+    return count;
+}
+
+/* Whether a process that is no controller takes one more relayed member into its view: one that is quiet makes room. */
+static bool view_admits(Members *members)
+{
+    size_t oldest = 0;
+    if (view_count(members, &oldest) < VIEW_MOST)
+        return true;
+    if (!member_quiet(&members->table->rows[oldest], loop_now_ms(members->loop)))
+        return false;
+    row_drop(members, oldest);
+    return true;
+}
+
+/* Whether a new row may be added for the record. */
+static bool table_admits(Members *members, const MemberRecord *record, RecordSource source)
+{
+    const bool controller = record->role == ROLE_CONTROLLER;
+    if (members->table->count >= MEMBERS_MAX + (controller ? CONTROLLERS_MAX : 0)) {
+        members->refused++;
+        return false;
+    }
+    return controller || source != RECORD_RELAYED || members->self.role == ROLE_CONTROLLER || view_admits(members);
+}
+
+/* Whether the row is dropped; view: how many members the partial view has. */
+static bool row_expired(const Members *members, const Member *row, size_t view)
+{
+    const int64_t now_ms = loop_now_ms(members->loop), silent_ms = now_ms - row->seen_ms;
+    if (members->self.role == ROLE_CONTROLLER || !in_view(members, row))
+        return silent_ms > MEMBER_FORGET_MS;
+    const int64_t asked_ms = row->direct_ms != INT64_MIN ? row->direct_ms : row->since_ms;
+    return silent_ms > VIEW_FORGET_MS || (view > VIEW_MOST && now_ms - asked_ms > ASKED_KEEP_MS);
+}
+
 bool table_merge(Members *members, const MemberRecord *record, RecordSource source)
 {
     if (record->id[0] == '\0' || record->role >= ROLE_COUNT || strlen(record->id) > ID_MAX)
@@ -161,8 +260,11 @@
         at = row_place(members, record->id, &found); /* a row may have been dropped before it */
     }
     const bool add = !found;
-    if (add && members->table->count >= MEMBERS_MAX)
-        return false;
+    if (add) {
+        if (!table_admits(members, record, source))
+            return false;
+        at = row_place(members, record->id, &found);
+    }
     Member *row = add ? row_add(members, at, record) : &rows_of(members)[at];
     if (!add)
         row_update(members, row, record);
@@ -177,12 +279,14 @@
 void table_refresh(Members *members)
 {
     const int64_t now_ms = loop_now_ms(members->loop);
+    size_t oldest = 0, view = view_count(members, &oldest);
     for (size_t i = members->table->count; i > 0; i--) {
         Member *row = &rows_of(members)[i - 1];
         if (table_is_self(members, &row->record)) {
             row_write(members, row, &members->self);
             row->seen_ms = row->direct_ms = row->answered_ms = now_ms;
-        } else if (now_ms - row->seen_ms > MEMBER_FORGET_MS) {
+        } else if (row_expired(members, row, view)) {
+            view -= in_view(members, row);
             row_drop(members, i - 1);
         }
     }
@@ -209,6 +313,23 @@
     return found ? &members->table->rows[at] : NULL;
 }
 
+Member *table_row_at(Members *members, const char *address)
+{
+    Member *found = NULL;
+    for (size_t i = 0; i < members->table->count; i++) {
+        Member *row = &rows_of(members)[i];
+        if (strcmp(row->record.address, address) == 0 && !table_is_self(members, &row->record) &&
+            (found == NULL || row->direct_ms > found->direct_ms))
+            found = row;
+    }
+    return found;
+}
+
+Member *table_row(Members *members, size_t at)
+{
+    return &rows_of(members)[at];
+}
+
 const Member *members_other_disk(const Members *members, const char *name, uint64_t disk)
 {
     for (size_t i = 0; i < members->table->count; i++) {
--- a/packages/sim/include/sim/world.h
+++ b/packages/sim/include/sim/world.h
@@ -9,7 +9,7 @@
  * calls made here, so that a run can be repeated. Times are in milliseconds of the world's clock. */
 typedef struct SimWorld SimWorld;
 
-#define SIM_NODES_MAX 160
+#define SIM_NODES_MAX 320
 
 /* Starts the tasks of a process on its loop. */
 typedef void (*SimStart)(void *arg, Loop *loop);
@@ -72,6 +72,8 @@
 void sim_link_rate(SimWorld *world, int machine, int64_t bytes_per_ms);
 /* Bytes that a machine's processes have sent to others so far. */
 uint64_t sim_sent_bytes(const SimWorld *world, int machine);
+/* Bytes that others have sent to a machine's processes so far. */
+uint64_t sim_received_bytes(const SimWorld *world, int machine);
 /* Every frame from and to the machine takes this much longer. */
 void sim_far(SimWorld *world, int machine, int64_t more_ms);
 /* Each sync takes this long from now on. */
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -139,6 +139,11 @@
     return world->machines[machine].sent_bytes;
 }
 
+uint64_t sim_received_bytes(const SimWorld *world, int machine)
+{
+    return world->machines[machine].received_bytes;
+}
+
 static void preemption(SimPair *pair, int side, bool fin, Bytes bytes)
 {
     if (pair->fin[side])
@@ -149,6 +154,7 @@
     frame->fin = fin;
     frame->bytes = bytes_copy(frame, bytes);
     world->machines[pair->machine[side]].sent_bytes += bytes.count;
+    world->machines[pair->machine[1 - side]].received_bytes += bytes.count;
     frame->due_ms = sim_arrival_ms(world, pair->machine[side], pair->machine[1 - side], bytes.count) +
                     world->machines[pair->machine[0]].far_ms + world->machines[pair->machine[1]].far_ms;
     if (pair->last[side] != NULL) {
--- a/packages/sim/src/world.h
+++ b/packages/sim/src/world.h
@@ -64,7 +64,7 @@
     int64_t boot_offset_ms;
     int64_t rate_percent, rate_from_ms; /* of its clock, since that world time */
     int64_t wall_offset_ms;
-    uint64_t sent_bytes;
+    uint64_t sent_bytes, received_bytes;
     int64_t bytes_per_ms;               /* of its link; 0: unbounded */
     int64_t send_free_us, take_free_us; /* world time in us; when its link has carried what it was given */
     int64_t far_ms;                     /* its frames take so much longer */
--- a/packages/trace/src/gather.c
+++ b/packages/trace/src/gather.c
@@ -115,17 +115,17 @@
     loop_spawn(trace->loop, "trace", part_main, part);
 }
 
-/* Waits. Asks all other members at once, until each has answered or failed to. */
+/* Waits. Asks all other members at once, until each has answered or failed to. An entry point knows only a part of them
+ * and has the rest named by a controller. */
 static void gather_all(Gathering *gathering)
 {
     Trace *trace = gathering->trace;
-    const MemberTable *table = members_table(trace->members);
+    const MemberRecord *records;
+    const size_t count = members_whole(trace->members, gathering, &records);
     const char *self = members_self(trace->members)->id;
-    for (size_t i = 0; i < table->count; i++) {
-        const MemberRecord *record = &table->rows[i].record;
-        if (strcmp(record->id, self) != 0)
-            part_start(gathering, record);
-    }
+    for (size_t i = 0; i < count; i++)
+        if (strcmp(records[i].id, self) != 0)
+            part_start(gathering, &records[i]);
     while (gathering->pending > 0)
         signal_wait(trace->loop, &gathering->ended, INT64_MAX);
     qsort(gathering->rows, gathering->count, sizeof(Row), row_order);
