Wire: bytes by kind of message, and what waits in connections, are shown

What callers saw: requests without an answer on fleets of 300 machines. The links of the entry machines (2 Mbit/s) are full, but no figure of the product showed that, nor with what.

The RPC endpoint counts frames and bytes sent and received by kind of message, requests and answers apart; bytes that wait in connections (now, most in one); how long an answer takes that needs no disk (last, longest). /metrics of controllers, entry points and agents have them by one function (show_rpc_metrics), the leader's status as `link` and `traffic`. Counting allocates nothing. oncall and operating say which figure tells that a link is full, and with what.

narrow_links.control_budget holds what is not a caller's request or answer below a tenth of a link of 2 Mbit/s and flat in the fleet's size. Small edits elsewhere: fleet_call knows at most ENTRIES_MAX entry points (it wrote past its array), the agent's metrics, doc_names' list of metrics.

--- a/packages/agent/src/http.c
+++ b/packages/agent/src/http.c
@@ -3,12 +3,12 @@
 #include <talloc.h>
 
 #include "api/show.h"
+#include "api/show_rpc.h"
 #include "report_json.h"
 #include "tasks.h"
 
 static void metrics(Agent *agent, HttpTask *task)
 {
-    const RpcCounts *counts = rpc_counts(agent->rpc);
     int64_t attempts[PHASE_KNOWN + 1] = {0};
     for (const Attempt *attempt = agent->attempts.lives.first; attempt != NULL; attempt = attempt->next)
         attempts[attempt->phase]++;
@@ -19,9 +19,7 @@
     show_metric(task, "roundsStopping", attempts[PHASE_STOPPING]);
     show_metric(task, "roundsUntold", (int64_t)agent->attempts.ended.count);
     show_metric(task, "roundsKept", (int64_t)agent->attempts.known.count);
-#define X(name, outside) show_metric(task, outside, (int64_t)counts->name);
-    RPC_COUNT_LIST(X)
-#undef X
+    show_rpc_metrics(task, agent->rpc);
 }
 
 /* /livez: the process answers. /readyz: its lease runs and it is not shutting down. */
--- a/packages/controller/src/own_address.c
+++ b/packages/controller/src/own_address.c
@@ -5,6 +5,7 @@
 
 #include "alerts.h"
 #include "api/show.h"
+#include "api/show_rpc.h"
 #include "leader.h"
 
 #define METRIC_NAME 48 /* bytes; "alert_" and the word of an alert */
@@ -51,10 +52,7 @@
 #define X(owner, name, outside) show_metric(task, outside, (int64_t)owner->name);
     CONTROLLER_SHOWN_COUNT_LIST(X)
 #undef X
-    const RpcCounts *counts = rpc_counts(controller->rpc);
-#define X(name, outside) show_metric(task, outside, (int64_t)counts->name);
-    RPC_COUNT_LIST(X)
-#undef X
+    show_rpc_metrics(task, controller->rpc);
 }
 
 void controller_take(Controller *controller, HttpTask *task)
--- a/packages/controller/src/status.c
+++ b/packages/controller/src/status.c
@@ -9,6 +9,7 @@
 
 #include "alerts.h"
 #include "api/show.h"
+#include "api/show_rpc.h"
 #include "base/term.h"
 #include "scheduler/worker_score.h"
 
@@ -181,6 +182,23 @@
     return frames;
 }
 
+/* The leader's work since it started. */
+static json_object *show_counts(const Controller *controller)
+{
+    json_object *counts = json_object_new_object();
+    const SchedulerCounts *scheduler = scheduler_counts(controller->scheduler);
+    const CallerServiceCounts *callers = caller_service_counts(controller->callers);
+    const ControllerCounts *own = &controller->counts;
+#define X(owner, name, outside) json_object_object_add(counts, outside, number_of((int64_t)owner->name));
+    CONTROLLER_SHOWN_COUNT_LIST(X)
+#undef X
+    const RpcCounts *rpc = rpc_counts(controller->rpc);
+#define X(name, outside) json_object_object_add(counts, outside, number_of((int64_t)rpc->name));
+    RPC_COUNT_LIST(X)
+#undef X
+    return counts;
+}
+
 json_object *controller_status(Controller *controller)
 {
     void *mem = talloc_new(controller);
@@ -226,19 +244,10 @@
     if (policy_failures > 0)
         json_object_object_add(body, "policyLastFailure", text_of(words));
     json_object_object_add(body, "refusedFrames", show_refused_frames(controller));
+    json_object_object_add(body, "link", show_link(controller->rpc));
+    json_object_object_add(body, "traffic", show_traffic(controller->rpc));
     json_object_object_add(body, "alerts", alerts_show(controller));
-    json_object *counts = json_object_new_object();
-    const SchedulerCounts *scheduler = scheduler_counts(controller->scheduler);
-    const CallerServiceCounts *callers = caller_service_counts(controller->callers);
-    const ControllerCounts *own = &controller->counts;
-#define X(owner, name, outside) json_object_object_add(counts, outside, number_of((int64_t)owner->name));
-    CONTROLLER_SHOWN_COUNT_LIST(X)
-#undef X
-    const RpcCounts *rpc = rpc_counts(controller->rpc);
-#define X(name, outside) json_object_object_add(counts, outside, number_of((int64_t)rpc->name));
-    RPC_COUNT_LIST(X)
-#undef X
-    json_object_object_add(body, "counts", counts);
+    json_object_object_add(body, "counts", show_counts(controller));
     talloc_free(mem);
     return body;
 }
--- a/packages/entry_point/src/entry_point.c
+++ b/packages/entry_point/src/entry_point.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "api/show.h"
+#include "api/show_rpc.h"
 #include "heartbeat/messages.h"
 #include "routing/config_watch.h"
 #include "routing/forward.h"
@@ -32,7 +33,6 @@
 
 static void metrics(EntryPoint *entry_point, HttpTask *task)
 {
-    const RpcCounts *counts = rpc_counts(entry_point->rpc);
     show_metrics_begin(task);
     show_metric(task, "inWork", (int64_t)entry_point->in_work);
     show_metric(task, "kept", (int64_t)repair_buffer_count(entry_point->repair_buffer));
@@ -40,9 +40,7 @@
     show_metric(task, "configRevision", (int64_t)config_watch_version(entry_point->config_watch));
     show_metric(task, "configHeld", (int64_t)config_watch_held(entry_point->config_watch));
     show_metric(task, "members", (int64_t)members_table(entry_point->members)->count);
-#define X(name, outside) show_metric(task, outside, (int64_t)counts->name);
-    RPC_COUNT_LIST(X)
-#undef X
+    show_rpc_metrics(task, entry_point->rpc);
 }
 
 static void live(HttpTask *task)
--- a/packages/loop/include/loop/inside.h
+++ b/packages/loop/include/loop/inside.h
@@ -37,14 +37,15 @@
 } Frame;
 
 /* Invariants: frames are in order of arrival; none is added once closed; queued counts the bytes given to
- * channel_send, handed those of them that may have left the process. */
+ * channel_send, handed those of them that may have left the process, written those that have: written <= handed <=
+ * queued. */
 struct Channel {
     Loop *loop;
     bool closed;
     Signal arrived;
     Frame *first, *last;
     size_t frame_count;
-    uint64_t queued, handed;
+    uint64_t queued, handed, written;
 };
 
 struct File {
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -110,6 +110,9 @@
 /* Whether the bytes up to this offset have certainly not left completely, so that nobody can have received the
  * last frame among them. */
 bool channel_unsent(const Channel *channel, uint64_t up_to);
+/* The number of bytes queued that have not left yet: above 0 for long, the link or the peer is slower than what is
+ * sent to it. */
+uint64_t channel_waiting(const Channel *channel);
 /* Waits for a frame, which is moved onto mem. return: OK; EXPIRED when until_ms has come; CLOSED after the end. */
 Status channel_receive(Channel *channel, void *mem, int64_t until_ms, Bytes *frame);
 /* Ends the connection and wakes its reader; the reader then frees it by channel_close. */
--- a/packages/loop/src/channel.c
+++ b/packages/loop/src/channel.c
@@ -60,6 +60,11 @@
     return channel->handed < up_to;
 }
 
+uint64_t channel_waiting(const Channel *channel)
+{
+    return channel->closed ? 0 : channel->queued - channel->written;
+}
+
 void channel_shut(Channel *channel)
 {
     if (channel->closed)
--- a/packages/loop/src/real_channel.c
+++ b/packages/loop/src/real_channel.c
@@ -101,6 +101,7 @@
     if (took <= 0)
         return;
     real_channel->channel.handed += (uint64_t)took;
+    real_channel->channel.written += (uint64_t)took;
     real_channel->next.count -= (size_t)took;
     memmove(real_channel->next.data, real_channel->next.data + took, real_channel->next.count);
     if (real_channel->next.count == 0 && real_channel->next.capacity > CHANNEL_KEEP_BYTES) {
@@ -130,6 +131,7 @@
 {
     RealChannel *real_channel = sock->data;
     real_channel->writing = false;
+    real_channel->channel.written += real_channel->out.count;
     if (real_channel->out.capacity > CHANNEL_KEEP_BYTES) {
         talloc_free(real_channel->out.data);
         real_channel->out = (Bytes){0};
--- a/packages/sim/src/fleet_ask.c
+++ b/packages/sim/src/fleet_ask.c
@@ -72,7 +72,7 @@
                                .for_ms = for_ms,
                                .twins = fleet->shape.mix == MIX_VARIED,
                                .watch = fleet_caller_watch(fleet)};
-    for (int i = 0; i < fleet->node_count[FLEET_ENTRY_POINT]; i++)
+    for (int i = 0; i < fleet->node_count[FLEET_ENTRY_POINT] && i < ENTRIES_MAX; i++)
         settings.entries[settings.entry_count++] = fleet->nodes[FLEET_ENTRY_POINT][i].settings.http;
     Loop *loop = sim_loop(fleet->world, fleet->caller);
     Caller *caller = caller_start(loop, loop, &settings);
--- a/packages/sim/src/net.c
+++ b/packages/sim/src/net.c
@@ -81,6 +81,8 @@
         pair->first[side] = frame->next;
         if (pair->first[side] == NULL)
             pair->last[side] = NULL;
+        if (pair->end[side] != NULL)
+            pair->end[side]->channel.written += frame->bytes.count;
         if (pair->end[other] != NULL) {
             if (frame->fin)
                 channel_end(&pair->end[other]->channel);
@@ -259,7 +261,9 @@
     channel->queued += frame.count;
     if (!sim_channel->pair->fin[sim_channel->side])
         channel->handed = channel->queued;
-    if (!frame_drawn(sim_channel->pair, sim_channel->side, frame))
+    if (frame_drawn(sim_channel->pair, sim_channel->side, frame))
+        channel->written += frame.count; /* lost on its way: it waits no more */
+    else
         preemption(sim_channel->pair, sim_channel->side, false, frame);
     return STATUS_OK;
 }
--- /dev/null
+++ b/packages/sim/test/narrow_links.c
@@ -0,0 +1,132 @@
+/* Entry points behind narrow links: what takes the link, whose answers wait for what, and whether everything that came
+ * in is answered. In virtual time, so that the figures are the same each time. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <talloc.h>
+
+#include "fleet_fixture.h"
+#include "wire/kinds.h"
+#include "wire/traffic.h"
+
+#define LINK_BYTES_PER_MS 250 /* bytes/ms; 2 Mbit/s */
+#define MEASURE_MS 10000
+
+static const uint64_t SEED = 21;
+
+/* The entry points' links carry no more than this from now on. */
+static void links_narrow(Fleet *fleet, int64_t bytes_per_ms)
+{
+    for (int i = 0; i < fleet->node_count[FLEET_ENTRY_POINT]; i++)
+        sim_link_rate(fleet->world, fleet_node(fleet, FLEET_ENTRY_POINT, i)->machine, bytes_per_ms);
+}
+
+/* The value of a line of an entry point's metrics; 0: it has no such line. */
+static int64_t metric(const HttpCall *page, const char *name)
+{
+    char line[100];
+    snprintf(line, sizeof(line), "spancart_%s ", name);
+    const char *text = memmem(page->result.data, page->result.count, line, strlen(line));
+    return text != NULL ? strtoll(text + strlen(line), NULL, 10) : 0;
+}
+
+typedef struct BothWays {
+    int64_t sent, received;
+} BothWays;
+
+/* Bytes of a kind so far, requests and answers. */
+static BothWays kind_bytes(const HttpCall *page, const char *word)
+{
+    static const char *const PARTS[] = {"requests", "answers"};
+    BothWays sum = {0};
+    for (int part = 0; part < 2; part++) {
+        char name[64];
+        snprintf(name, sizeof(name), "bytes_sent_%s_%s", word, PARTS[part]);
+        sum.sent += metric(page, name);
+        snprintf(name, sizeof(name), "bytes_received_%s_%s", word, PARTS[part]);
+        sum.received += metric(page, name);
+    }
+    return sum;
+}
+
+/* Bytes a second of all kinds but requests of callers, in the direction that carries more; prints each kind. */
+static int64_t control_rate(Fleet *fleet, int entry_point)
+{
+    static const char *const WORDS[] = {
+#define X(name, number, word, open) word,
+        MESSAGE_LIST(X)
+#undef X
+    };
+    void *mem = talloc_new(fleet);
+    const HttpCall before = fleet_ask(fleet, mem, FLEET_ENTRY_POINT, entry_point, "GET", "/metrics", NULL);
+    fleet_run(fleet, MEASURE_MS);
+    const HttpCall after = fleet_ask(fleet, mem, FLEET_ENTRY_POINT, entry_point, "GET", "/metrics", NULL);
+    assert_int_equal(before.code, 200);
+    assert_int_equal(after.code, 200);
+    BothWays control = {0};
+    for (size_t i = 0; i < sizeof(WORDS) / sizeof(WORDS[0]); i++) {
+        const BothWays old = kind_bytes(&before, WORDS[i]), now = kind_bytes(&after, WORDS[i]);
+        const BothWays rate = {(now.sent - old.sent) * 1000 / MEASURE_MS,
+                               (now.received - old.received) * 1000 / MEASURE_MS};
+        if (rate.sent + rate.received == 0)
+            continue;
+        print_message("  %-8s %8lld sent %8lld received, bytes a second\n", WORDS[i], (long long)rate.sent,
+                      (long long)rate.received);
+        if (strcmp(WORDS[i], "forward") == 0)
+            continue;
+        control.sent += rate.sent;
+        control.received += rate.received;
+    }
+    print_message("  waiting: now %lld, most %lld bytes; answers take %lld, most %lld ms\n",
+                  (long long)metric(&after, "waiting_bytes"), (long long)metric(&after, "waiting_most_bytes"),
+                  (long long)metric(&after, "answer_ms"), (long long)metric(&after, "answer_most_ms"));
+    talloc_free(mem);
+    return control.sent > control.received ? control.sent : control.received;
+}
+
+/* A fleet with callers, after the burst of its start; its links are narrow. members: nodes, workers aside. */
+static Fleet *fleet_of(int entry_points, int agents, int *members)
+{
+    Fleet *fleet = case_begin(SEED, (FleetShape){3, entry_points, agents, MIX_TRENTVALE, 0});
+    *members = 3 + entry_points + agents;
+    fleet_call(fleet, "u", 10000, 40000);
+    links_narrow(fleet, LINK_BYTES_PER_MS);
+    fleet_run(fleet, 10000);
+    return fleet;
+}
+
+/* Guards against: hellos with the whole table filled the links of 2 Mbit/s at 300 machines, and callers got no answers.
+ * The budget is a tenth of the link. Stands for 300 machines: what of it grows with the fleet would be 3.5 times as
+ * much there, so that a rate that grows from 43 to 83 members is not allowed, either. */
+static void control_budget(void **state)
+{
+    (void)state;
+    int64_t rates[2];
+    int members[2];
+    for (int size = 0; size < 2; size++) {
+        Fleet *fleet = size == 0 ? fleet_of(20, 20, &members[0]) : fleet_of(40, 40, &members[1]);
+        print_message("%d members\n", members[size]);
+        rates[size] = control_rate(fleet, 1);
+        case_end(fleet);
+    }
+    const int64_t budget = LINK_BYTES_PER_MS * 1000 / 10;
+    if (rates[1] > budget)
+        fail_msg("control takes %lld bytes a second at %d members, budget %lld", (long long)rates[1], members[1],
+                 (long long)budget);
+    if (rates[1] > rates[0] * 13 / 10)
+        fail_msg("control grows with the fleet: %lld bytes a second at %d members, %lld at %d", (long long)rates[0],
+                 members[0], (long long)rates[1], members[1]);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(control_budget),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/sim/test/rpc.c
+++ b/packages/sim/test/rpc.c
@@ -173,8 +173,47 @@
     talloc_free(mem);
 }
 
+/* Both sides count the same frames, by kind and part; what waits on a slow link is seen, and is gone afterwards. */
+static void traffic(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SimWorld *world = sim_world_new(mem, 1);
+    Seen seen = {0};
+    const int client = sim_machine(world), server = sim_machine(world);
+    sim_link_rate(world, client, 1); /* a frame of 13 bytes takes 13 ms */
+    sim_start(world, server, server_start, &seen);
+    sim_start(world, client, client_start, &seen);
+    const int64_t from_ms = sim_now_ms(world);
+    const RpcTraffic *asked = rpc_traffic(seen.rpc[0], MESSAGE_KNOW, RPC_REQUESTS);
+    while (asked->frames_sent == 0 && sim_now_ms(world) < from_ms + 500)
+        sim_run_until(world, sim_now_ms(world) + 1);
+    const int64_t waiting_bytes = rpc_link(seen.rpc[0]).waiting_bytes;
+    assert_true(waiting_bytes > 0);
+    sim_run_until(world, from_ms + 400);
+    assert_int_equal(seen.status[0], STATUS_OK);
+    const RpcTraffic *came = rpc_traffic(seen.rpc[1], MESSAGE_KNOW, RPC_REQUESTS);
+    const RpcTraffic *answered = rpc_traffic(seen.rpc[1], MESSAGE_KNOW, RPC_ANSWERS);
+    const RpcTraffic *got = rpc_traffic(seen.rpc[0], MESSAGE_KNOW, RPC_ANSWERS);
+    assert_int_equal(asked->frames_sent, 1);
+    assert_int_equal(came->frames_received, 1);
+    assert_int_equal(asked->bytes_sent, waiting_bytes);
+    assert_int_equal(came->bytes_received, asked->bytes_sent);
+    assert_int_equal(answered->frames_sent, 1);
+    assert_true(answered->bytes_sent > 0);
+    assert_int_equal(got->bytes_received, answered->bytes_sent);
+    assert_int_equal(asked->bytes_received + came->bytes_sent + answered->bytes_received + got->bytes_sent, 0);
+    const RpcLink link = rpc_link(seen.rpc[0]);
+    assert_int_equal(link.waiting_bytes, 0);
+    assert_int_equal(link.waiting_most_bytes, waiting_bytes);
+    assert_true(link.answer_ms >= waiting_bytes);
+    assert_int_equal(link.answer_most_ms, link.answer_ms);
+    talloc_free(mem);
+}
+
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(life), cmocka_unit_test(broken_frames)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(life), cmocka_unit_test(broken_frames),
+                                       cmocka_unit_test(traffic)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/wire/include/wire/kinds.h
+++ b/packages/wire/include/wire/kinds.h
@@ -1,6 +1,8 @@
 #ifndef WIRE_KINDS_H
 #define WIRE_KINDS_H
 
+#include <stdint.h>
+
 /* Every kind of request between our processes. Its messages are defined by the package that is named
  * in its row. Numbers are part of the wire format and never used again for something else.
  * Columns: name, number, name in texts, whether a process that knows no cluster yet may send it. */
@@ -31,4 +33,7 @@
         MESSAGE_MAX = 32
 } MessageKind;
 
+/* The name of a kind in texts; "other" for a number that is none. */
+const char *message_word(uint64_t kind);
+
 #endif
--- a/packages/wire/include/wire/rpc.h
+++ b/packages/wire/include/wire/rpc.h
@@ -19,6 +19,7 @@
 #include "base/status.h"
 #include "loop/loop.h"
 #include "wire/kinds.h"
+#include "wire/traffic.h"
 #include "wire/shape.h"
 
 typedef struct Rpc Rpc;
@@ -104,5 +105,9 @@
 void rpc_renew(Rpc *rpc, const char *address);
 /* Valid as long as the RPC endpoint. */
 const RpcCounts *rpc_counts(const Rpc *rpc);
+/* Frames of a kind since the process started; likewise. */
+const RpcTraffic *rpc_traffic(const Rpc *rpc, MessageKind kind, RpcPart part);
+/* The connections as they are now. */
+RpcLink rpc_link(const Rpc *rpc);
 
 #endif
--- a/packages/wire/src/answer.c
+++ b/packages/wire/src/answer.c
@@ -46,6 +46,7 @@
         rpc->counts.bad_frames++;
         return false;
     }
+    rpc_count_received(rpc, envelope.kind, RPC_ANSWERS, frame.count);
     PendingRequest *request = pending_take(connection, envelope.call);
     if (request == NULL) {
         rpc->counts.late_answers++;
@@ -57,6 +58,7 @@
         pending_end(connection, request, STATUS_CLOSED);
         return false;
     }
+    rpc_count_answer_time(rpc, request->kind, loop_now_ms(rpc->loop) - request->sent_ms);
     const Status status = answer_check(rpc, request, &envelope);
     if (status == (Status)envelope.status) {
         request->payload = envelope.payload;
--- a/packages/wire/src/ask.c
+++ b/packages/wire/src/ask.c
@@ -27,7 +27,9 @@
     request->next = connection->pending;
     connection->pending = request;
     const Status status = channel_send(connection->channel, frame);
-    if (status != STATUS_OK)
+    if (status == STATUS_OK)
+        rpc_count_sent(rpc, connection->channel, request->kind, RPC_REQUESTS, frame.count);
+    else
         pending_take(connection, request->call);
     request->sent_up_to = channel_queued(connection->channel);
     return status == STATUS_OK || status == STATUS_TOO_LARGE ? status : STATUS_UNREACHABLE;
--- a/packages/wire/src/inside.h
+++ b/packages/wire/src/inside.h
@@ -29,9 +29,18 @@
     uint64_t last_call;         /* request id; used once in this process's lifetime, over all its connections */
     Map *connections;           /* address to Connection */
     Handler handlers[MESSAGE_MAX];
+    struct Served *served; /* connections that others have opened */
     RpcCounts counts;
+    RpcTraffic traffic[MESSAGE_MAX][RPC_PARTS];
+    RpcLink link;
 };
 
+/* Counts a frame of these bytes that was given to the channel; the kind of one that came may be any number. */
+void rpc_count_sent(Rpc *rpc, const Channel *channel, uint64_t kind, RpcPart part, size_t bytes);
+void rpc_count_received(Rpc *rpc, uint64_t kind, RpcPart part, size_t bytes);
+/* A request has been answered after this time. */
+void rpc_count_answer_time(Rpc *rpc, MessageKind kind, int64_t took_ms);
+
 /* Whether requests of this kind are taken from and sent to processes of no cluster. */
 bool rpc_open_kind(uint64_t kind);
 /* Whether two clusters are the same as far as they are known; 0 is any. */
--- a/packages/wire/src/rpc.c
+++ b/packages/wire/src/rpc.c
@@ -19,6 +19,16 @@
 #undef X
 };
 
+const char *message_word(uint64_t kind)
+{
+    static const char *const WORDS[MESSAGE_MAX] = {
+#define X(name, number, word, open) [number] = word,
+        MESSAGE_LIST(X)
+#undef X
+    };
+    return kind < MESSAGE_MAX && WORDS[kind] != NULL ? WORDS[kind] : "other";
+}
+
 bool rpc_open_kind(uint64_t kind)
 {
     return kind < MESSAGE_MAX && OPEN_KINDS[kind];
--- a/packages/wire/src/serve.c
+++ b/packages/wire/src/serve.c
@@ -7,17 +7,10 @@
 #include "envelope.h"
 #include "inside.h"
 #include "loop/loop.h"
+#include "served.h"
 #include "wire/rpc.h"
 #include "wire/shape.h"
 
-/* An incoming connection. users: its reading task and one for each request; the last of them to
- * end closes and frees it. */
-typedef struct Served {
-    Rpc *rpc;
-    Channel *channel;
-    size_t users;
-} Served;
-
 /* A request that came in; it is the talloc parent of all that its handling needs. */
 typedef struct Question {
     Served *served;
@@ -28,13 +21,19 @@
 {
     if (--served->users > 0)
         return;
+    if (served->previous != NULL)
+        served->previous->next = served->next;
+    else
+        served->rpc->served = served->next;
+    if (served->next != NULL)
+        served->next->previous = served->previous;
     channel_close(served->channel);
     talloc_free(served);
 }
 
 static void answer_send(Served *served, void *mem, const Envelope *question, Status status, Bytes payload)
 {
-    const Rpc *rpc = served->rpc;
+    Rpc *rpc = served->rpc;
     const Envelope envelope = {.version = WIRE_VERSION,
                                .cluster = rpc->cluster,
                                .kind = question->kind,
@@ -46,7 +45,8 @@
                                .peer_life = rpc->self.incarnation};
     Bytes frame = {0};
     shape_pack(&Envelope_shape, &envelope, mem, &frame);
-    channel_send(served->channel, frame);
+    if (channel_send(served->channel, frame) == STATUS_OK)
+        rpc_count_sent(rpc, served->channel, question->kind, RPC_ANSWERS, frame.count);
 }
 
 /* Whether a request is for this process: of its wire version, of its cluster, and meant for its
@@ -131,6 +131,7 @@
         note_bad(rpc, envelope->answer ? "an answer where a question belongs" : failure.text);
         return false;
     }
+    rpc_count_received(rpc, envelope->kind, RPC_REQUESTS, frame.count);
     if (envelope->kind >= MESSAGE_MAX || rpc->handlers[envelope->kind].fn == NULL) {
         /* of a later release, or for another role: the caller may know that it was not carried out */
         answer_send(served, question, envelope, STATUS_UNKNOWN_QUESTION, (Bytes){0});
@@ -145,7 +146,10 @@
 {
     Rpc *rpc = arg;
     Served *served = talloc_zero(rpc, Served);
-    *served = (Served){rpc, channel, 1};
+    *served = (Served){.next = rpc->served, .rpc = rpc, .channel = channel, .users = 1};
+    if (rpc->served != NULL)
+        rpc->served->previous = served;
+    rpc->served = served;
     for (;;) {
         Question *question = talloc_zero(rpc, Question);
         Bytes frame;
--- /dev/null
+++ b/packages/wire/src/served.h
@@ -0,0 +1,16 @@
+#ifndef WIRE_SRC_SERVED_H
+#define WIRE_SRC_SERVED_H
+
+#include "loop/loop.h"
+#include "wire/rpc.h"
+
+/* An incoming connection. users: its reading task and one for each request; the last of them to
+ * end closes and frees it. Invariant: it is on the RPC endpoint's list until then. */
+typedef struct Served {
+    struct Served *previous, *next;
+    Rpc *rpc;
+    Channel *channel;
+    size_t users;
+} Served;
+
+#endif
--- /dev/null
+++ b/packages/wire/src/traffic.c
@@ -0,0 +1,63 @@
+/* Counts frames and bytes by kind of message, and what waits in connections. */
+#include "wire/traffic.h"
+
+#include <talloc.h>
+
+#include "base/map.h"
+#include "connection.h"
+#include "inside.h"
+#include "served.h"
+
+/* Whether the peer answers such a request from memory, so that the time until its answer is that of the way there and
+ * back: others wait for a disk, for the leader, or for something to happen. */
+static bool answered_at_once(MessageKind kind)
+{
+    return kind == MESSAGE_HELLO || kind == MESSAGE_HEARTBEAT || kind == MESSAGE_KNOW;
+}
+
+void rpc_count_sent(Rpc *rpc, const Channel *channel, uint64_t kind, RpcPart part, size_t bytes)
+{
+    RpcTraffic *traffic = &rpc->traffic[kind < MESSAGE_MAX ? kind : 0][part];
+    traffic->frames_sent++;
+    traffic->bytes_sent += bytes;
+    const int64_t waiting_bytes = (int64_t)channel_waiting(channel);
+    if (waiting_bytes > rpc->link.waiting_most_bytes)
+        rpc->link.waiting_most_bytes = waiting_bytes;
+}
+
+void rpc_count_received(Rpc *rpc, uint64_t kind, RpcPart part, size_t bytes)
+{
+    RpcTraffic *traffic = &rpc->traffic[kind < MESSAGE_MAX ? kind : 0][part];
+    traffic->frames_received++;
+    traffic->bytes_received += bytes;
+}
+
+void rpc_count_answer_time(Rpc *rpc, MessageKind kind, int64_t took_ms)
+{
+    if (!answered_at_once(kind))
+        return;
+    rpc->link.answer_ms = took_ms;
+    if (took_ms > rpc->link.answer_most_ms)
+        rpc->link.answer_most_ms = took_ms;
+}
+
+const RpcTraffic *rpc_traffic(const Rpc *rpc, MessageKind kind, RpcPart part)
+{
+    return &rpc->traffic[kind][part];
+}
+
+RpcLink rpc_link(const Rpc *rpc)
+{
+    RpcLink link = rpc->link;
+    for (const Served *served = rpc->served; served != NULL; served = served->next)
+        link.waiting_bytes += (int64_t)channel_waiting(served->channel);
+    const char **addresses;
+    const size_t count = map_keys(rpc->connections, NULL, &addresses);
+    for (size_t i = 0; i < count; i++) {
+        const Connection *connection = map_get(rpc->connections, addresses[i]);
+        if (connection->channel != NULL)
+            link.waiting_bytes += (int64_t)channel_waiting(connection->channel);
+    }
+    talloc_free(addresses);
+    return link;
+}
--- a/scripts/doc_names.py
+++ b/scripts/doc_names.py
@@ -41,6 +41,7 @@
     ("docs/oncall.md", "spancart_leads spancart_journal_rewrites", "metrics, put together of a prefix and a name"),
     ("docs/oncall.md", "spancart_alert_seat_out spancart_journal_begun_anew", "the same"),
     ("docs/operating.md", "spancart_alert_seat_out spancart_journal_begun_anew journal.bad journal.hint", "the same; files"),
+    ("docs/operating.md", "spancart_bytes_sent_hello_requests spancart_bytes_received_forward_answers", "metrics, as above"),
     ("docs/control-state.md", "journal.bad", "a file in the data folder"),
     ("docs/platform.md", "tolerate.machines", "a member of the platform's document"),
     ("docs/renaming.md", "a3bf9aa Beat RoundId RoundNews SeatList AttemptNews Round Stray Door packages/routing/src/ways*.c "
--- a/src/status.c
+++ b/src/status.c
@@ -25,6 +25,23 @@
     }
 }
 
+#define KINDS_PRINTED 3 /* count; those that fill a link stand first */
+
+/* What waits in the leader's connections, and which messages take most of its link. */
+static void print_link(json_object *body)
+{
+    json_object *link = reply_member(body, "link"), *traffic = reply_member(body, "traffic");
+    printf("link of the leader: %s bytes wait (most %s in one connection), answers take %s ms (most %s)\n",
+           reply_text(link, "waitingBytes"), reply_text(link, "waitingMostBytes"), reply_text(link, "answerMs"),
+           reply_text(link, "answerMostMs"));
+    for (size_t i = 0; i < reply_count(traffic) && i < KINDS_PRINTED; i++) {
+        json_object *row = json_object_array_get_idx(traffic, i);
+        printf("traffic %-12s sent %s bytes in %s frames, received %s in %s\n", reply_text(row, "kind"),
+               reply_text(row, "bytesSent"), reply_text(row, "framesSent"), reply_text(row, "bytesReceived"),
+               reply_text(row, "framesReceived"));
+    }
+}
+
 static void print_status(json_object *body)
 {
     json_object *plan = reply_member(body, "plan"), *live = reply_member(body, "liveset");
@@ -40,6 +57,7 @@
     printf("  assured %s  unassured %s  waiting %s\n", reply_text(plan, "assured"), reply_text(plan, "unassured"),
            reply_text(plan, "waiting"));
     print_voters(body);
+    print_link(body);
     for (size_t i = 0; i < reply_count(live); i++) {
         json_object *row = json_object_array_get_idx(live, i);
         json_object *resources = reply_member(row, "room"), *free = reply_member(row, "free");
