Quota: a tenant that is taken out keeps its limit; what is over a quota is not queued

Callers saw a tenant's accepted jobs run without bound once an operator had taken the tenant out of the configuration (10 cores of 8 at once, more with time), and the tenant far over its limit when it came back. The planner let everything of a tenant without a configuration run.

A job's terms now record its tenant's quota when it is accepted (a field at the end; 0 in older records: none). That counts where the configuration has the tenant no more, at every leader.

The check stands in the queue: a step that its tenant's quota has no room for is not ranked and sorted, and one that the quota has no room for any more is passed over where it stands, instead of going to the planner and back once for each waiting step. What a tenant uses only grows while one ready queue lasts. Steps of a tenant are compared with a limit that the job's note holds.

--- a/packages/callers/src/entry.c
+++ b/packages/callers/src/entry.c
@@ -90,7 +90,7 @@
         if (!job_resubmitted(request, job, &spec))
             return;
     } else {
-        const JobTerms terms = job_terms(place->queue);
+        const JobTerms terms = job_terms(place->queue, config_tenant(place->cell, spec.tenant));
         job = job_accept(request, &spec, &terms, &fresh);
         if (job == NULL)
             return;
--- a/packages/callers/src/jobs.c
+++ b/packages/callers/src/jobs.c
@@ -54,12 +54,17 @@
     return true;
 }
 
-JobTerms job_terms(const ConfigQueue *queue)
+JobTerms job_terms(const ConfigQueue *queue, const ConfigTenant *tenant)
 {
+    const Resources quota = tenant != NULL ? tenant->quota : (Resources){0};
     if (queue == NULL)
-        return (JobTerms){.kind = ""};
-    return (JobTerms){queue->attempts, queue->stretch_milli, queue->target_ms, queue->priority,
-                      queue->kind != NULL ? queue->kind : ""};
+        return (JobTerms){.kind = "", .quota = quota};
+    return (JobTerms){.attempt_limit = queue->attempts,
+                      .stretch_milli = queue->stretch_milli,
+                      .target_ms = queue->target_ms,
+                      .priority = queue->priority,
+                      .kind = queue->kind != NULL ? queue->kind : "",
+                      .quota = quota};
 }
 
 void job_post(CallerRequest *request)
@@ -77,7 +82,8 @@
             return;
     } else {
         const ConfigCell *cell = config_cell(in_force_config(request->callers->in_force), spec.cell);
-        const JobTerms terms = job_terms(cell != NULL ? config_queue(cell, spec.queue) : NULL);
+        const JobTerms terms = job_terms(cell != NULL ? config_queue(cell, spec.queue) : NULL,
+                                         cell != NULL ? config_tenant(cell, spec.tenant) : NULL);
         job = job_accept(request, &spec, &terms, &fresh);
         if (job == NULL)
             return;
--- a/packages/callers/src/jobs.h
+++ b/packages/callers/src/jobs.h
@@ -11,7 +11,7 @@
 /* Waits. Cancels the job that the request names; false: the request has been refused. */
 bool job_submit_cancel(CallerRequest *request, ChangeResult *result);
 /* What a queue's jobs are accepted under; queue null: nothing in particular. */
-JobTerms job_terms(const ConfigQueue *queue);
+JobTerms job_terms(const ConfigQueue *queue, const ConfigTenant *tenant);
 
 /* Routes of /v1/jobs. Those that change something wait. */
 void job_post(CallerRequest *request);
--- a/packages/queue/include/queue/ready_queue.h
+++ b/packages/queue/include/queue/ready_queue.h
@@ -37,7 +37,8 @@
 ReadyQueue *ready_queue_new(void *mem, Queue *queue, const QueueContext *context);
 /* How many entries it had at first. */
 size_t ready_queue_count(const ReadyQueue *ready);
-/* What to try to place next; null: nothing is left. Valid until the next call. */
+/* What to try to place next, never more than the quota of its tenant leaves; null: nothing is left. Valid until the
+ * next call. */
 const Candidate *ready_queue_next(ReadyQueue *ready);
 /* The last one from ready_queue_next was placed: what it uses counts against its cell and tenant,
  * and its step's next task follows. */
@@ -46,8 +47,6 @@
 void ready_queue_skip(ReadyQueue *ready);
 /* The rank of the step that the task is in, to *rank; false: it is not in the ready queue. */
 bool ready_queue_rank(const ReadyQueue *ready, const Job *job, size_t task, double *rank);
-/* What the job's tenant uses, with all that was placed from this ready queue. */
-Resources ready_queue_tenant_uses(ReadyQueue *ready, const Job *job);
 /* The log time, in ms, when more can start by the passing of time alone: a failed task's rest is over, or a due
  * time has come; INT64_MAX: never. */
 int64_t ready_queue_next_ms(const ReadyQueue *ready);
--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -24,6 +24,7 @@
     uint64_t stamp;      /* of the configuration that cell and queue are of */
     const ConfigCell *cell;
     const ConfigQueue *queue;
+    Resources quota; /* its tenant's, as it is or last was; a component of 0 is without bound */
     Account *cell_account, *tenant_account;
     LatencyTarget target;     /* its chains of work; from_ms is of the occurrence that was computed last */
     uint64_t estimates_stamp; /* of the estimates by which the target was computed ... */
@@ -34,6 +35,8 @@
 JobNote *job_note(Queue *queue, const QueueContext *context, const Job *job);
 /* What the account uses as of the present generation; the caller may add to it. */
 Resources *account_use(Queue *queue, const QueueContext *context, Account *account);
+/* Whether the job's tenant may use so much more now. */
+bool quota_allows(Queue *queue, const QueueContext *context, const JobNote *note, Resources more);
 /* A ready queue is built: what accounts use is read from the table anew, and once there are many more notes than
  * active jobs, those not used of late are dropped. Returns the new generation. */
 uint64_t queue_generation_begin(Queue *queue, size_t jobs);
--- a/packages/queue/src/next.c
+++ b/packages/queue/src/next.c
@@ -34,10 +34,18 @@
     }
 }
 
+/* Whether the step is not tried again: what its tenant uses only grows while one ready queue lasts. */
+static bool step_out(const ReadyQueue *ready, ReadyStep *step)
+{
+    if (!step->out && !quota_allows(ready->queue, ready->context, step->note, resources_of(&step->candidate)))
+        step->out = true;
+    return step->out;
+}
+
 /* Moves on to the tenant's first step that is still to be tried; false when there is none. */
 static bool tenant_step(const ReadyQueue *ready, TenantSteps *tenant_steps)
 {
-    while (tenant_steps->at < tenant_steps->end && ready->steps[tenant_steps->at].out)
+    while (tenant_steps->at < tenant_steps->end && step_out(ready, &ready->steps[tenant_steps->at]))
         tenant_steps->at++;
     return tenant_steps->at < tenant_steps->end;
 }
@@ -74,7 +82,7 @@
 /* Null: no restart is left. */
 static ReadyStep *restart_next(ReadyQueue *ready)
 {
-    while (ready->next_restart < ready->restarts && ready->steps[ready->next_restart].out)
+    while (ready->next_restart < ready->restarts && step_out(ready, &ready->steps[ready->next_restart]))
         ready->next_restart++;
     return ready->next_restart < ready->restarts ? &ready->steps[ready->next_restart] : NULL;
 }
@@ -135,8 +143,3 @@
     assert(ready->tried != NULL);
     ready->tried->out = true;
 }
-
-Resources ready_queue_tenant_uses(ReadyQueue *ready, const Job *job)
-{
-    return *account_use(ready->queue, ready->context, job_note(ready->queue, ready->context, job)->tenant_account);
-}
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -95,6 +95,14 @@
     return &account->used;
 }
 
+bool quota_allows(Queue *queue, const QueueContext *context, const JobNote *note, Resources more)
+{
+    const Resources use = resources_more(*account_use(queue, context, note->tenant_account), more);
+    return (note->quota.cpu_milli == 0 || use.cpu_milli <= note->quota.cpu_milli) &&
+           (note->quota.mem_mb == 0 || use.mem_mb <= note->quota.mem_mb) &&
+           (note->quota.gpu == 0 || use.gpu <= note->quota.gpu);
+}
+
 JobNote *job_note(Queue *queue, const QueueContext *context, const Job *job)
 {
     JobNote *note = g_hash_table_lookup(queue->notes, &job->number);
@@ -116,6 +124,8 @@
         note->stamp = context->config_stamp;
         note->cell = config_cell(context->config, job->spec.cell);
         note->queue = note->cell != NULL ? config_queue(note->cell, job->spec.queue) : NULL;
+        const ConfigTenant *tenant = note->cell != NULL ? config_tenant(note->cell, job->spec.tenant) : NULL;
+        note->quota = tenant != NULL ? tenant->quota : job->terms.quota;
     }
     note->generation = queue->generation;
     return note;
--- a/packages/queue/src/ready_queue.c
+++ b/packages/queue/src/ready_queue.c
@@ -108,7 +108,8 @@
         if (at == end)
             continue;
         const size_t members = step->gang ? members_ready(ready, job, first, end) : 1;
-        if (members == 0)
+        if (members == 0 ||
+            !quota_allows(ready->queue, ready->context, note, resources_times(step->resources, members)))
             return;
         ready_step_add(ready, note, end, candidate_of(ready, note, at, members, target, restart != 0));
         if (step->gang)
--- a/packages/scheduler/src/placement.c
+++ b/packages/scheduler/src/placement.c
@@ -11,20 +11,6 @@
 #include "scheduler/checkpoint.h"
 #include "worker_choice.h"
 
-static bool under_quota(Pass *pass, const Candidate *candidate, const StepSpec *step)
-{
-    const ConfigCell *cell = config_cell(pass->config, candidate->job->spec.cell);
-    const ConfigTenant *tenant = cell != NULL ? config_tenant(cell, candidate->job->spec.tenant) : NULL;
-    if (tenant == NULL)
-        return true; /* accepted before the tenant was taken out of the configuration: it runs */
-    Resources want = ready_queue_tenant_uses(pass->ready_queue, candidate->job);
-    for (size_t i = 0; i < candidate->count; i++)
-        want = resources_more(want, step->resources);
-    return (tenant->quota.cpu_milli == 0 || want.cpu_milli <= tenant->quota.cpu_milli) &&
-           (tenant->quota.mem_mb == 0 || want.mem_mb <= tenant->quota.mem_mb) &&
-           (tenant->quota.gpu == 0 || want.gpu <= tenant->quota.gpu);
-}
-
 /* Decides one start. The members of a gang go on from the same checkpoint, under the same attempt number. */
 static void place_add(Pass *pass, const Candidate *candidate, size_t member, size_t worker, uint64_t attempt,
                       const char *saved, bool assured)
@@ -163,8 +149,6 @@
     const JobSpec *spec = &candidate->job->spec;
     const uint64_t step_at = candidate->job->tasks[candidate->first].step;
     const StepSpec *step = &spec->steps[step_at];
-    if (!under_quota(pass, candidate, step))
-        return false;
     const PlanNeed need = pass_need(candidate->job, step_at);
     void *mem = talloc_new(pass->mem);
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
--- a/packages/sim/test/quota.c
+++ b/packages/sim/test/quota.c
@@ -218,6 +218,26 @@
     }
 }
 
+/* Guards against a tenant that was taken out running without bound, and being over its limit when it comes back. */
+static void removed_tenant_keeps_its_limit(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) {
+        Fleet *fleet = begin(seed);
+        submit(fleet, "a", STEP(40, 64, 1500, ""), "");
+        fleet_run(fleet, 1000);
+        configure(fleet, config_text(fleet, "\"free\":{}"));
+        fleet_run(fleet, 1000);
+        if (seed % 2 == 0)
+            fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
+        fleet_run(fleet, 6000);
+        configure(fleet, bounded(fleet, QUOTA_CPU));
+        fleet_run(fleet, 15000);
+        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 40);
+        case_end(fleet);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -228,6 +248,7 @@
         cmocka_unit_test(cancelled_counts_until_it_has_stopped),
         cmocka_unit_test(lost_counts_until_its_lease_lapses),
         cmocka_unit_test(lowered_limit_is_kept),
+        cmocka_unit_test(removed_tenant_keeps_its_limit),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/state/include/state/job.h
+++ b/packages/state/include/state/job.h
@@ -140,14 +140,15 @@
         JOB_PHASE_COUNT
 } JobPhase;
 
-/* What its queue's configuration said when the job was accepted. It is no part of
+/* What the configuration of its queue and tenant said when the job was accepted. It is no part of
  * the body: the same job sent again under a newer configuration is the same job. */
 #define JOB_TERMS_FIELDS(X)                                                                              \
     X(U64, attempt_limit, 0) /* failed attempts of one task, or one gang, that fail it; 0: the spec's */ \
     X(U64, stretch_milli, 0) /* thousandths; latency target: stretch x its longest chain of work ... */  \
     X(I64, target_ms, 0)     /* ms; ... + this, from acceptance or due time; both 0: none */             \
     X(I64, priority, 0)      /* of the queue */                                                          \
-    X(TXT, kind, 0)          /* of worker that the queue is served by; empty: any */
+    X(TXT, kind, 0)          /* of worker that the queue is served by; empty: any */                     \
+    X(ONE, quota, Resources) /* of its tenant, for when the configuration has that no more; 0: none */
 SHAPE(JobTerms, JOB_TERMS_FIELDS)
 
 /* Sums over a job's tasks, so that no reader has to walk the tasks. Updated with each
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -230,8 +230,8 @@
 0      jump:3600000   call:10
 12000  .              end
 """),
-    Guard("quota", "a tenant's work is held to its quota", "packages/scheduler/src/placement.c",
-          "    if (!under_quota(pass, candidate, step))\n        return false;\n", "    (void)under_quota;\n",
+    Guard("quota", "a tenant's work is held to its quota", "packages/queue/src/queue.c",
+          "return (note->quota.cpu_milli == 0 || use.cpu_milli <= note->quota.cpu_milli) &&", "return true || (note->quota.cpu_milli == 0 || use.cpu_milli <= note->quota.cpu_milli) &&",
           "more of a tenant", "timeline", "varied", 2, WORKERS_KILLED),
     Guard("quota-unconfirmed", "what may still run counts though the table has it no more", "packages/scheduler/src/unconfirmed.c",
           "if (!worker_lease_ended(pass->scheduler, worker))", "if (false)",
@@ -239,6 +239,9 @@
     Guard("quota-inherited", "a new leader counts what may run on workers it has not heard", "packages/scheduler/src/unconfirmed.c",
           "if (now_ms > until_ms || all_listed(pass))", "if (all_listed(pass) || now_ms <= until_ms)",
           "count_for_a_new_leader", "test", "quota"),
+    Guard("quota-removed", "a tenant that was taken out keeps its quota", "packages/queue/src/queue.c",
+          "tenant != NULL ? tenant->quota : job->terms.quota", "tenant != NULL ? tenant->quota : (Resources){0}",
+          "removed_tenant_keeps_its_limit", "test", "quota"),
     Guard("kind", "a worker is of the kind asked for", "packages/plan/src/plan.c",
           "if (need->kind[0] != '\\0' && strcmp(need->kind, worker->kind) != 0)", "if (false)",
           "packed beyond its room or given what it lacks", "timeline", "varied", 2, MACHINE_OFF),
