--- a/packages/base/include/base/bytes.h
+++ b/packages/base/include/base/bytes.h
@@ -16,6 +16,8 @@
     size_t capacity;
 } Bytes;
 
+/* Makes the buffer hold so many bytes in all without growing. */
+void bytes_reserve(void *mem, Bytes *bytes, size_t capacity);
 /* Appends a copy. The buffer is made on mem by the first call and grows there. */
 void bytes_add(void *mem, Bytes *bytes, const void *data, size_t count);
 /* A copy on memory of its own, on mem. */
--- a/packages/base/src/bytes.c
+++ b/packages/base/src/bytes.c
@@ -6,17 +6,29 @@
 
 #define BYTES_FIRST 64 /* bytes; capacity of a new buffer */
 
+/* Makes place for so many more bytes. */
+static void grow(void *mem, Bytes *bytes, size_t count)
+{
+    size_t capacity = bytes->capacity < BYTES_FIRST ? BYTES_FIRST : bytes->capacity * 2;
+    while (capacity < bytes->count + count)
+        capacity *= 2;
+    bytes_reserve(mem, bytes, capacity);
+}
+
+void bytes_reserve(void *mem, Bytes *bytes, size_t capacity)
+{
+    if (capacity <= bytes->capacity)
+        return;
+    bytes->data = talloc_realloc(mem, bytes->data, uint8_t, (unsigned)capacity);
+    bytes->capacity = capacity;
+}
+
 void bytes_add(void *mem, Bytes *bytes, const void *data, size_t count)
 {
     if (count == 0)
         return;
-    if (bytes->count + count > bytes->capacity) {
-        size_t capacity = bytes->capacity < BYTES_FIRST ? BYTES_FIRST : bytes->capacity * 2;
-        while (capacity < bytes->count + count)
-            capacity *= 2;
-        bytes->data = talloc_realloc(mem, bytes->data, uint8_t, (unsigned)capacity);
-        bytes->capacity = capacity;
-    }
+    if (bytes->count + count > bytes->capacity)
+        grow(mem, bytes, count);
     memcpy(bytes->data + bytes->count, data, count);
     bytes->count += count;
 }
@@ -24,6 +36,7 @@
 Bytes bytes_copy(void *mem, Bytes from)
 {
     Bytes to = {0};
+    bytes_reserve(mem, &to, from.count);
     bytes_add(mem, &to, from.data, from.count);
     return to;
 }
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <msgpack.h>
 #include <talloc.h>
 
 #include "wire/shape.h"
@@ -82,6 +83,68 @@
     assert_int_equal(out.balance, -7);
 }
 
+/* What lies on disks and what other releases read was packed by msgpack-c. */
+static void packed_as_by_msgpack_c(void **state)
+{
+    void *mem = *state;
+    static const int64_t NUMBERS[] = {0,
+                                      127,
+                                      128,
+                                      255,
+                                      256,
+                                      65535,
+                                      65536,
+                                      -1,
+                                      -32,
+                                      -33,
+                                      -128,
+                                      -129,
+                                      -32768,
+                                      -32769,
+                                      INT32_MAX,
+                                      UINT32_MAX,
+                                      INT64_MAX,
+                                      INT32_MIN,
+                                      (int64_t)INT32_MIN - 1,
+                                      INT64_MIN};
+    static const size_t COUNTS[] = {0, 1, 15, 16, 31, 32, 255, 256, 65535, 65536, 70000};
+    for (size_t i = 0; i < sizeof(NUMBERS) / sizeof(NUMBERS[0]); i++)
+        for (size_t k = 0; k < sizeof(COUNTS) / sizeof(COUNTS[0]); k++) {
+            void *one = talloc_new(mem);
+            char *text = talloc_size(one, COUNTS[k] + 1);
+            memset(text, 'x', COUNTS[k]);
+            text[COUNTS[k]] = '\0';
+            Tree tree = {.balance = NUMBERS[i], .on = i % 2 == 0, .first = {(uint64_t)NUMBERS[i], text}};
+            tree.blob = (Bytes){(uint8_t *)text, COUNTS[k], 0};
+            tree.words_count = COUNTS[k];
+            tree.words = talloc_zero_array(one, const char *, (unsigned)COUNTS[k]);
+            Bytes ours = {0};
+            shape_pack(&Tree_shape, &tree, one, &ours);
+            msgpack_sbuffer theirs;
+            msgpack_sbuffer_init(&theirs);
+            msgpack_packer packer;
+            msgpack_packer_init(&packer, &theirs, msgpack_sbuffer_write);
+            msgpack_pack_array(&packer, 6);
+            msgpack_pack_int64(&packer, tree.balance);
+            if (tree.on)
+                msgpack_pack_true(&packer);
+            else
+                msgpack_pack_false(&packer);
+            msgpack_pack_bin_with_body(&packer, text, COUNTS[k]);
+            msgpack_pack_array(&packer, COUNTS[k]);
+            for (size_t word = 0; word < COUNTS[k]; word++)
+                msgpack_pack_str_with_body(&packer, "", 0);
+            msgpack_pack_array(&packer, 2);
+            msgpack_pack_uint64(&packer, (uint64_t)NUMBERS[i]);
+            msgpack_pack_str_with_body(&packer, text, COUNTS[k]);
+            msgpack_pack_array(&packer, 0);
+            assert_int_equal(ours.count, theirs.size);
+            assert_memory_equal(ours.data, theirs.data, theirs.size);
+            msgpack_sbuffer_destroy(&theirs);
+            talloc_free(one);
+        }
+}
+
 static void copy_is_deep(void **state)
 {
     Fixture *fixture = *state;
@@ -273,6 +336,7 @@
 {
     const struct CMUnitTest tests[] = {
         TEST(unpacked_equals_packed),
+        TEST(packed_as_by_msgpack_c),
         TEST(copy_is_deep),
         TEST(flat_copy_is_one_block),
         TEST(releases_read_each_other),
