Replication: an entry is copied in one block, for the log and for an append

Cause: an entry's name and payload were allocated each by itself, for the log and once more for each voter and learner that it is sent to.

--- a/packages/replication/src/log.c
+++ b/packages/replication/src/log.c
@@ -46,7 +46,7 @@
         log->owners = talloc_realloc(log, log->owners, void *, (unsigned)log->capacity);
     }
     log->owners[log->count] = talloc_new(log);
-    shape_copy(&Record_shape, entry, log->owners[log->count], &log->entries[log->count]);
+    shape_copy_flat(&Record_shape, entry, log->owners[log->count], &log->entries[log->count]);
     log->count++;
     log->bytes += entry->payload.count;
 }
--- a/packages/replication/src/replicate.c
+++ b/packages/replication/src/replicate.c
@@ -90,7 +90,7 @@
          i <= log_last_index(replication->log) && ask.entries_count < LOG_BATCH_ENTRIES && bytes < LOG_BATCH_BYTES;
          i++) {
         bytes += log_at(replication->log, i)->payload.count;
-        shape_copy(&Record_shape, log_at(replication->log, i), mem, &ask.entries[ask.entries_count++]);
+        shape_copy_flat(&Record_shape, log_at(replication->log, i), mem, &ask.entries[ask.entries_count++]);
     }
     return ask;
 }
