Controller: orders name the state table's texts in place of copies

An answer is packed before anything else is delivered, so the copies of job ids, payloads and checkpoints had no use.

--- a/packages/controller/src/orders.c
+++ b/packages/controller/src/orders.c
@@ -48,7 +48,8 @@
     return false;
 }
 
-/* The attempts that are wanted on the worker, and of them those to start, which the agent does not list yet. */
+/* The attempts that are wanted on the worker, and of them those to start, which the agent does not list yet. Texts are
+ * the state table's: the answer has to be packed before anything else is delivered. */
 static void orders_fill(Controller *controller, void *mem, const HeartbeatAsk *heartbeat, HeartbeatAnswer *out)
 {
     const TaskOn *on;
@@ -60,19 +61,15 @@
         const JobTask *task = &job->tasks[on[i].task];
         if (task->phase != TASK_PLACED && task->phase != TASK_RUNNING)
             continue;
-        const char *id = talloc_strdup(mem, job->spec.id);
+        const char *id = job->spec.id;
         const uint64_t number = task_number(task);
         out->wanted[out->wanted_count++] = (AttemptId){id, number, task->attempt};
         if (task->phase != TASK_PLACED ||
             listed(heartbeat->attempts, heartbeat->attempts_count, id, number, task->attempt))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
-        out->starts[out->starts_count++] = (Order){id,
-                                                   number,
-                                                   task->attempt,
-                                                   step->resources,
-                                                   talloc_strdup(mem, step->payload),
-                                                   talloc_strdup(mem, task->saved)};
+        out->starts[out->starts_count++] =
+            (Order){id, number, task->attempt, step->resources, step->payload, task->saved};
     }
 }
 
