Soak: signals, restarts and configuration changes that overlap, on real processes

Beside the safety properties that the replay checks: a request that was sent whole gets a whole answer (an end within 200 ms of it is counted apart), a process ends within 5 s of SIGTERM and with code 0, no version is acknowledged twice, the newest acknowledged one is in force at the end. The roles of the command line set no handler for SIGHUP, so there it ends a process as SIGKILL does.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -13,6 +13,7 @@
                                 --wide: a gate killed, another frozen, the second
                                 core killed, a whole zone killed and started again,
                                 then a TERM to one of each role under load
+                                --soak SEED: signals, restarts and changes that overlap (soak.py)
 
 Each process gets its own addresses (ports taken from the kernel), its zone and
 three seed addresses in a props file of its own; nothing else tells it of others.
@@ -28,6 +29,8 @@
 import time
 import urllib.request
 
+import soak
+
 ZONES = ["north", "south", "west"]
 HERE = os.path.dirname(os.path.abspath(__file__))
 
@@ -260,6 +263,18 @@
     return kills, gone
 
 
+def soak_failures(fleet, options):
+    """A seeded series of signals and changes; what broke beside the safety properties is printed."""
+    played = soak.Soak(fleet, options.soak)
+    threads = played.run(options.seconds)
+    fleet.settle(options.workers)
+    broken = played.end(threads)
+    for words in broken:
+        print(f"soak {options.soak}: {words}")
+    options.broken = len(broken)
+    return {}, []
+
+
 def run(fleet, options):
     workers = options.workers
     # each run begins with empty disks: the same job ids are new jobs
@@ -276,7 +291,8 @@
             caller = subprocess.Popen([fleet.binary, "caller", "--entries", ",".join(fleet.entries()), "--mix", options.mix,
                                        "--rate", str(rate), "--for", str(options.seconds * 1000), "--configure",
                                        "--record", fleet.record], stdout=log, stderr=log)
-        kills, gone = (hard_failures if options.hard else wide_failures if options.wide else failures)(fleet, options)
+        play = hard_failures if options.hard else wide_failures if options.wide else failures
+        kills, gone = (soak_failures if options.soak is not None else play)(fleet, options)
         if options.hard:
             for name in gone:
                 fleet.launch(name)
@@ -285,7 +301,7 @@
             print(log.read().rstrip())
         for what, at_ms in kills.items():
             print(f"{what}: longest-silence-after {gap_after(fleet, at_ms)} ms")
-        failed |= caller.returncode != 0
+        failed |= caller.returncode != 0 or options.broken > 0
         for name in [] if options.hard else gone:
             fleet.launch(name)
         fleet.settle(workers)
@@ -310,6 +326,8 @@
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--hard", action="store_true")
     parser.add_argument("--wide", action="store_true")
+    parser.add_argument("--soak", type=int, metavar="SEED")
+    parser.set_defaults(broken=0)
     parser.add_argument("--binary", default=os.path.join(HERE, "..", "build", "spancart"))
     options = parser.parse_args()
     fleet = Fleet(options.folder, os.path.abspath(options.binary))
