Trace at an entry point: a case with more members than its partial view

An entry point with 20 silent agents names all of them (test traces); by its own view of VIEW_MOST it could not. Quiet controllers are not asked for their table: each would cost ASK_TIMEOUT_MS.

--- a/packages/member/include/member/members.h
+++ b/packages/member/include/member/members.h
@@ -76,8 +76,8 @@
 
 /* A controller's has all members; that of others, the controllers and a partial view. Valid until the next wait. */
 const MemberTable *members_table(const Members *members);
-/* Waits, at most ASK_TIMEOUT_MS for each controller. All members, also the quiet ones, on mem: from the own table or
- * from a controller's; from the own partial view where none answers. */
+/* Waits, at most ASK_TIMEOUT_MS for each controller that is not quiet. All members, also the quiet ones, on mem: from
+ * the own table or from a controller's; from the own partial view where none answers. */
 size_t members_whole(Members *members, void *mem, const MemberRecord **records);
 /* How many records were not taken since the start: of another cluster, or the table was full. */
 uint64_t members_refused(const Members *members);
--- a/packages/member/src/hello.c
+++ b/packages/member/src/hello.c
@@ -174,14 +174,14 @@
 
 /* --- the whole table -------------------------------------------------------------- */
 
-/* Addresses of the controllers known, on mem. */
+/* Addresses of the controllers that are not quiet, on mem. */
 static size_t controllers_known(const Members *members, void *mem, const char ***addresses)
 {
     const MemberTable *table = members->table;
     size_t count = 0;
     *addresses = talloc_array(mem, const char *, (unsigned)table->count);
     for (size_t i = 0; i < table->count; i++)
-        if (table->rows[i].record.role == ROLE_CONTROLLER)
+        if (table->rows[i].record.role == ROLE_CONTROLLER && !member_quiet(&table->rows[i], loop_now_ms(members->loop)))
             (*addresses)[count++] = talloc_strdup(mem, table->rows[i].record.address);
     return count;
 }
--- a/packages/packages.cmake
+++ b/packages/packages.cmake
@@ -118,6 +118,7 @@
 spancart_test(members explore)
 spancart_cases(member_exchange 60 sim)
 spancart_test(member_bounds sim)
+spancart_test(traces sim)
 spancart_cases(serving 10 sim)
 if(SPANCART_TESTS)
   # it compares a log in memory with the one on disk
--- /dev/null
+++ b/packages/sim/test/traces.c
@@ -0,0 +1,31 @@
+/* A trace is gathered from all members, wherever it is asked for. */
+#include <string.h>
+
+#include "fleet_fixture.h"
+
+#define AGENTS 20 /* count; more than an entry point knows by itself */
+
+/* An entry point knows only a part of the fleet: its trace would pass over the rest without a word. */
+static void trace_misses_members_beyond_the_view(void **state)
+{
+    (void)state;
+    Fleet *fleet = case_begin(5, (FleetShape){3, 3, AGENTS, MIX_TRENTVALE, 0});
+    assert_true(AGENTS > VIEW_MOST);
+    for (int i = 0; i < AGENTS; i++)
+        fleet_power_off(fleet, FLEET_AGENT, i);
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/trace?key=config:1", NULL);
+    assert_int_equal(call.code, 200);
+    const char *silent = strstr((const char *)call.result.data, "\"silent\"");
+    assert_non_null(silent);
+    for (int i = 1; i <= AGENTS; i++)
+        assert_non_null(strstr(silent, talloc_asprintf(fleet, "\"agent%d\"", i)));
+    talloc_free(fleet);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(trace_misses_members_beyond_the_view),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
