Queue: of tenants of one rank the one that uses least of its weight goes first

Tenants were compared by what they use alone: when all is full, one of weight 0.5 was given as much as one of weight 2.

--- a/packages/queue/include/queue/ready_queue.h
+++ b/packages/queue/include/queue/ready_queue.h
@@ -27,7 +27,7 @@
  * protected work without a latency target, biggest first, as the plan that promised them
  * did (the paper's biggest-fit-decreasing); then cells by what they use of their share;
  * within a cell by its policy's rank, to which the built-in one adds how near the job's
- * target is; then tenants by what they use, then the order of acceptance.
+ * target is; then tenants by what they use of their weight, then the order of acceptance.
  *
  * It is of one moment: it must not be used once the table has changed. The waiting tasks of a step are one entry,
  * however many they are. */
--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -24,7 +24,8 @@
     uint64_t stamp;      /* of the configuration that cell and queue are of */
     const ConfigCell *cell;
     const ConfigQueue *queue;
-    Resources quota; /* its tenant's, as it is or last was; a component of 0 is without bound */
+    Resources quota;       /* its tenant's, as it is or last was; a component of 0 is without bound */
+    uint64_t weight_milli; /* thousandths; its tenant's */
     Account *cell_account, *tenant_account;
     LatencyTarget target;     /* its chains of work; from_ms is of the occurrence that was computed last */
     uint64_t estimates_stamp; /* of the estimates by which the target was computed ... */
--- a/packages/queue/src/next.c
+++ b/packages/queue/src/next.c
@@ -4,6 +4,8 @@
 
 #include "ready_steps.h"
 
+#define WEIGHT_SCALE 1000000 /* use in millionths, over weights in thousandths, keeps its digits to a weight of 1e6 */
+
 /* What all tasks of the candidate ask for. */
 static Resources resources_of(const Candidate *candidate)
 {
@@ -50,7 +52,13 @@
     return tenant_steps->at < tenant_steps->end;
 }
 
-/* Of the steps with the highest rank left in the cell, the one whose tenant would use least;
+/* What the step's tenant would use with it by weight: twice the weight counts for half. */
+static uint64_t weighted_use(const ReadyQueue *ready, const ReadyStep *step)
+{
+    return use_with(ready, step->note->tenant_account, &step->candidate) * WEIGHT_SCALE / step->note->weight_milli;
+}
+
+/* Of the steps with the highest rank left in the cell, the one whose tenant would use least by weight;
  * of equals, the one accepted first. Null: none is left. */
 static ReadyStep *cell_step(ReadyQueue *ready, CellSteps *cell)
 {
@@ -66,8 +74,7 @@
                 continue;
             }
             ReadyStep *step = &ready->steps[tenant_steps->at];
-            const uint64_t uses =
-                cell->tenant_count > 1 ? use_with(ready, step->note->tenant_account, &step->candidate) : 0;
+            const uint64_t uses = cell->tenant_count > 1 ? weighted_use(ready, step) : 0;
             if (best == NULL || uses < best_use ||
                 (uses == best_use && accepted_order(&step->candidate, &best->candidate) < 0)) {
                 best = step;
--- a/packages/queue/src/queue.c
+++ b/packages/queue/src/queue.c
@@ -9,8 +9,9 @@
 #include "base/constants.h"
 #include "base/map.h"
 
-#define NOTES_SPARE 256    /* count; notes of jobs that are gone are dropped beyond so many */
-#define MILLIONTHS 1000000 /* of the fleet; fine enough for one small task */
+#define NOTES_SPARE 256        /* count; notes of jobs that are gone are dropped beyond so many */
+#define WEIGHT_GONE_MILLI 1000 /* thousandths; of a tenant that the configuration has no more: the default */
+#define MILLIONTHS 1000000     /* of the fleet; fine enough for one small task */
 
 struct Queue {
     const Estimates *estimates;
@@ -126,6 +127,7 @@
         note->queue = note->cell != NULL ? config_queue(note->cell, job->spec.queue) : NULL;
         const ConfigTenant *tenant = note->cell != NULL ? config_tenant(note->cell, job->spec.tenant) : NULL;
         note->quota = tenant != NULL ? tenant->quota : job->terms.quota;
+        note->weight_milli = tenant != NULL && tenant->weight_milli > 0 ? tenant->weight_milli : WEIGHT_GONE_MILLI;
     }
     note->generation = queue->generation;
     return note;
--- a/packages/queue/test/latency_targets.c
+++ b/packages/queue/test/latency_targets.c
@@ -220,6 +220,40 @@
     talloc_free(board.table);
 }
 
+/* Guards against a tenant of small weight being given as much as one of large weight when capacity is short. */
+static void tenants_by_weight(void **state)
+{
+    (void)state;
+    Board board = board_new();
+    add_for(&board, "a", "c", "t", 9);
+    add_for(&board, "b", "c", "u", 9);
+    assert_string_equal(
+        order_in(&board, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"weight\":2},\"u\":{}},\"queues\":{}}}}", 1000, 9),
+        "aabaabaab");
+    assert_string_equal(
+        order_in(&board, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"weight\":0.5},\"u\":{}},\"queues\":{}}}}", 1000, 6),
+        "babbab");
+    talloc_free(board.table);
+}
+
+/* Guards against a tenant that has reached its quota being offered to the planner, task by task, or holding others up.
+ */
+static void over_quota_is_not_offered(void **state)
+{
+    (void)state;
+    Board board = board_new();
+    add_for(&board, "a", "c", "t", 9);
+    add_for(&board, "b", "c", "t", 9);
+    add_for(&board, "x", "c", "u", 4);
+    const char *text =
+        "{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"quota\":{\"cpu\":3,\"memMb\":0}},\"u\":{}},\"queues\":{}}}}";
+    assert_string_equal(order_in(&board, text, 1000, 100), "axaxaxx");
+    const uint64_t two[] = {0, 1};
+    place(&board, "a", two, 2, 1, "w1", "");
+    assert_string_equal(order_in(&board, text, 1000, 100), "xxaxx");
+    talloc_free(board.table);
+}
+
 /* A step that finds no capacity is not tried again; the others are. */
 static void stuck_step_is_passed_by(void **state)
 {
@@ -282,6 +316,8 @@
         cmocka_unit_test(oldest_of_the_worthless_first),
         cmocka_unit_test(cells_by_shares_tenants_in_turns),
         cmocka_unit_test(stuck_step_is_passed_by),
+        cmocka_unit_test(tenants_by_weight),
+        cmocka_unit_test(over_quota_is_not_offered),
         cmocka_unit_test(gang_starts_as_one),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
