Latency targets: a step that is wider than its tenant's quota counts in waves

The users count the target of such a step in waves, as they do for one that is wider than a quarter of the room; the queue took it for one that can be done at once, so it went before work that was nearer to its own target. quota_makes_waves failed before.

--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -29,7 +29,7 @@
     Account *cell_account, *tenant_account;
     LatencyTarget target;     /* its chains of work; from_ms is of the occurrence that was computed last */
     uint64_t estimates_stamp; /* of the estimates by which the target was computed ... */
-    Resources wave_capacity;  /* ... and the part of the fleet */
+    Resources wave_capacity;  /* ... and the part of the fleet, or the quota where that is less */
 } JobNote;
 
 /* The job's note, brought up to date with the configuration. Valid while the job is. */
--- a/packages/queue/src/ready_queue.c
+++ b/packages/queue/src/ready_queue.c
@@ -119,15 +119,24 @@
 
 /* --- jobs ------------------------------------------------------------------------ */
 
+/* The smaller of a part of the fleet and a quota; 0: without bound. */
+static uint64_t wave_part(uint64_t fleet, uint64_t quota)
+{
+    return quota > 0 && (fleet == 0 || quota < fleet) ? quota : fleet;
+}
+
 /* The latency target of this occurrence of the job. The chains of work are computed again only when the estimates
  * or the fleet have changed. */
 static const LatencyTarget *target_of(ReadyQueue *ready, JobNote *note, uint64_t occurrence)
 {
     const uint64_t stamp = estimates_stamp(queue_estimates(ready->queue));
-    if (note->estimates_stamp != stamp || !resources_same(note->wave_capacity, ready->wave_capacity))
-        target_find(note->job, 0, queue_estimates(ready->queue), ready->wave_capacity, &note->target);
+    const Resources wave_capacity = {wave_part(ready->wave_capacity.cpu_milli, note->quota.cpu_milli),
+                                     wave_part(ready->wave_capacity.mem_mb, note->quota.mem_mb),
+                                     wave_part(ready->wave_capacity.gpu, note->quota.gpu)};
+    if (note->estimates_stamp != stamp || !resources_same(note->wave_capacity, wave_capacity))
+        target_find(note->job, 0, queue_estimates(ready->queue), wave_capacity, &note->target);
     note->estimates_stamp = stamp;
-    note->wave_capacity = ready->wave_capacity;
+    note->wave_capacity = wave_capacity;
     note->target.from_ms = queue_due_ms(note->job, occurrence, ready->context->clock);
     return &note->target;
 }
--- a/packages/queue/test/latency_targets.c
+++ b/packages/queue/test/latency_targets.c
@@ -254,6 +254,24 @@
     talloc_free(board.table);
 }
 
+/* Guards against a step that is wider than its tenant's quota being taken for one that can be done at once. */
+static void quota_makes_waves(void **state)
+{
+    (void)state;
+    Board board = board_new();
+    StepSpec wide = step("a", 12, 1000);
+    const JobSpec spec = spec_of("w", &wide, 1);
+    job_add(&board, &spec, targets(2000, 1000, 0));
+    add(&board, "n", 2000, targets(2000, 1000, 0));
+    /* at once: 3 s less 1 s of work is left to w, 5 s less 2 s to n; in four waves of its quota w has 9 s less 4 s */
+    assert_string_equal(order_of(&board, 1000), "wwwwwwwwwwwwn");
+    assert_string_equal(
+        order_in(&board, "{\"cells\":{\"c\":{\"tenants\":{\"t\":{\"quota\":{\"cpu\":3,\"memMb\":0}}},\"queues\":{}}}}",
+                 1000, 100),
+        "nww");
+    talloc_free(board.table);
+}
+
 /* A step that finds no capacity is not tried again; the others are. */
 static void stuck_step_is_passed_by(void **state)
 {
@@ -318,6 +336,7 @@
         cmocka_unit_test(stuck_step_is_passed_by),
         cmocka_unit_test(tenants_by_weight),
         cmocka_unit_test(over_quota_is_not_offered),
+        cmocka_unit_test(quota_makes_waves),
         cmocka_unit_test(gang_starts_as_one),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
