--- a/packages/sim/tool/pass.c
+++ b/packages/sim/tool/pass.c
@@ -1,6 +1,7 @@
 /* What one pass of the planner costs, by fleet size: processor time for each pass, and
  * for each start. Calm: some jobs have come, all find room. Crowded: the fleet is full
- * and many wait.
+ * and many wait. Over quota: there is room, and one tenant, which has reached its quota, has many jobs
+ * waiting.
  *
  *     spancart-pass-bench [ATTEMPTS] */
 #include <stdlib.h>
@@ -49,6 +50,21 @@
     talloc_free(mem);
 }
 
+static void measure_over_quota(size_t waiting, int attempts)
+{
+    void *mem = talloc_new(NULL);
+    Stand *stand = stand_new(mem, WORKERS);
+    for (size_t i = 0; i < waiting; i++)
+        job_of_tenant(stand, "full", (StepSpec){.count = 4, .resources = {4000, 512, 0}});
+    const size_t running = settle(stand);
+    const double start = seconds();
+    for (int i = 0; i < attempts; i++)
+        talloc_free(pass(stand));
+    printf("%5d workers %6zu running %6zu wait over quota: %8.3f ms a pass\n", WORKERS, running, waiting,
+           (seconds() - start) * 1000 / attempts);
+    talloc_free(mem);
+}
+
 int main(int argc, char **argv)
 {
     const int attempts = argc > 1 ? atoi(argv[1]) : 200;
@@ -56,5 +72,7 @@
         measure(times, 0, attempts);
         measure(times, 300 * times, attempts);
     }
+    measure_over_quota(300, attempts);
+    measure_over_quota(5000, attempts);
     return 0;
 }
--- a/packages/sim/tool/scheduler_stand.h
+++ b/packages/sim/tool/scheduler_stand.h
@@ -71,8 +71,8 @@
     talloc_free(mem);
 }
 
-/* Adds a job of that one step. */
-static inline void job_of_step(Stand *stand, StepSpec step)
+/* Adds a job of the tenant, of that one step. */
+static inline void job_of_tenant(Stand *stand, const char *tenant, StepSpec step)
 {
     char id[32];
     snprintf(id, sizeof(id), "%016llx", (unsigned long long)++stand->jobs);
@@ -81,7 +81,7 @@
     step.est_ms = STAND_EST_MS;
     const JobAdd add = {{.id = id,
                          .cell = "all",
-                         .tenant = "all",
+                         .tenant = tenant,
                          .queue = stand->jobs % 3 == 0 ? "a" : "b",
                          .attempt_limit = 3,
                          .steps = &step,
@@ -90,6 +90,11 @@
     notify(stand, CHANGE_JOB_ADD, &JobAdd_shape, &add);
 }
 
+static inline void job_of_step(Stand *stand, StepSpec step)
+{
+    job_of_tenant(stand, "all", step);
+}
+
 static inline void job_add(Stand *stand, uint64_t tasks, uint64_t cpu_milli)
 {
     job_of_step(stand, (StepSpec){.count = tasks, .resources = {cpu_milli, 512, 0}});
@@ -197,7 +202,7 @@
 static inline Stand *stand_new(void *mem, size_t count)
 {
     static const char CONFIG[] =
-        "{\"r\":0,\"cells\":{\"all\":{\"tenants\":{\"all\":{}},\"queues\":{\"a\":{\"priority\":1},\"b\":{}}}}}";
+        "{\"r\":0,\"cells\":{\"all\":{\"tenants\":{\"all\":{},\"full\":{\"quota\":{\"cpu\":64,\"memMb\":0}}},\"queues\":{\"a\":{\"priority\":1},\"b\":{}}}}}";
     Stand *stand = talloc_zero(mem, Stand);
     stand->world = sim_world_new(mem, 1);
     Bounds *bounds = talloc(stand, Bounds);
