--- a/packages/api/include/api/show.h
+++ b/packages/api/include/api/show.h
@@ -12,8 +12,8 @@
 
 /* --- JSON; each value is a new reference of the caller's own -------------------------------- */
 
-/* A whole job with its tasks; clock: what their waiting is judged by. */
-json_object *show_job(const Job *job, QueueClock clock);
+/* A whole job with its tasks; clock and quota_left (queue/queue.h): what their waiting is judged by. */
+json_object *show_job(const Job *job, QueueClock clock, Resources quota_left);
 /* A job as lists show it. */
 json_object *show_job_short(const Job *job);
 /* One word for a job as a whole: queued until a task of it has started, and how it ends as
--- a/packages/api/src/show.c
+++ b/packages/api/src/show.c
@@ -104,7 +104,7 @@
 }
 
 /* The at-th task of the job; what says nothing is left out. */
-static json_object *show_task(const Job *job, size_t at, QueueClock clock)
+static json_object *show_task(const Job *job, size_t at, QueueClock clock, Resources quota_left)
 {
     const JobTask *task = &job->tasks[at];
     json_object *one = json_object_new_object();
@@ -120,7 +120,7 @@
     if (task->worker[0] != '\0')
         json_object_object_add(one, "worker", text_of(task->worker));
     if (task->phase == TASK_WAITING)
-        json_object_object_add(one, "waitsFor", text_of(wait_word(queue_wait(job, at, clock))));
+        json_object_object_add(one, "waitsFor", text_of(wait_word(queue_wait(job, at, clock, quota_left))));
     if (task_on_worker(task->phase) && job->spec.protection == PROTECTION_PROTECTED)
         json_object_object_add(one, "assured", json_object_new_boolean(task->assured));
     show_count(one, "misses", task->misses);
@@ -132,7 +132,7 @@
     return one;
 }
 
-json_object *show_job(const Job *job, QueueClock clock)
+json_object *show_job(const Job *job, QueueClock clock, Resources quota_left)
 {
     json_object *object = show_job_short(job);
     json_object_object_add(object, "priority", json_object_new_int64(job->spec.priority));
@@ -142,7 +142,7 @@
     show_terms(object, &job->terms);
     json_object *tasks = json_object_new_array();
     for (size_t i = 0; i < job->tasks_count; i++)
-        json_object_array_add(tasks, show_task(job, i, clock));
+        json_object_array_add(tasks, show_task(job, i, clock, quota_left));
     json_object_object_add(object, "tasks", tasks);
     return object;
 }
--- a/packages/api/test/job_json.c
+++ b/packages/api/test/job_json.c
@@ -136,7 +136,7 @@
                .terms = {.attempt_limit = 4, .stretch_milli = 2200, .target_ms = 1000, .kind = "std"},
                .tasks = tasks,
                .tasks_count = 2};
-    json_object *body = show_job(&job, (QueueClock){0, 0});
+    json_object *body = show_job(&job, (QueueClock){0, 0}, (Resources){UINT64_MAX, UINT64_MAX, UINT64_MAX});
     const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
     static const char *const PARTS[] = {"\"lasting\":true",
                                         "\"terms\":{\"rounds\":4,\"stretch\":2.2,\"targetMs\":1000,\"kind\":\"std\"}",
--- a/packages/callers/src/jobs.c
+++ b/packages/callers/src/jobs.c
@@ -98,7 +98,8 @@
         show_refusal(request->task, STATUS_UNKNOWN_JOB, "there is no job of this id", NULL);
     else {
         request_keep_end(request, job);
-        show_result(request->task, 200, show_job(job, request_clock(request)));
+        const Resources left = quota_left(request->callers->table, in_force_config(request->callers->in_force), job);
+        show_result(request->task, 200, show_job(job, request_clock(request), left));
     }
 }
 
--- a/packages/queue/include/queue/queue.h
+++ b/packages/queue/include/queue/queue.h
@@ -16,6 +16,7 @@
     X(STEPS, "steps")  /* earlier steps are not done */               \
     X(DUE, "due-time") /* its due time has not come */                \
     X(REST, "rest")    /* it failed and rests */                      \
+    X(QUOTA, "quota")  /* its tenant's quota leaves too little */     \
     X(GANG, "gang")    /* other members are still being stopped */
 typedef enum WaitReason {
 #define X(name, word) WAIT_##name,
@@ -30,8 +31,11 @@
     int64_t wall_ms; /* ms; the median of the voters' wall clocks */
 } QueueClock;
 
-/* Why a waiting task does not start now. */
-WaitReason queue_wait(const Job *job, size_t task, QueueClock clock);
+/* What the quota of the job's tenant leaves of each resource, by what the table has on workers; UINT64_MAX: without
+ * bound. */
+Resources quota_left(const Table *table, const Config *config, const Job *job);
+/* Why a waiting task does not start now; left: what the quota leaves. */
+WaitReason queue_wait(const Job *job, size_t task, QueueClock clock, Resources left);
 /* Whether the due time of that occurrence of the job (0 where it is not timed) and the job's delay have passed. */
 bool queue_due(const Job *job, uint64_t occurrence, QueueClock clock);
 /* The log time, in ms, when that is so; what is due at once is due at the job's acceptance. */
--- a/packages/queue/src/wait.c
+++ b/packages/queue/src/wait.c
@@ -40,7 +40,24 @@
     return wall_ms != 0 && due_ms > accepted_ms ? due_ms : accepted_ms;
 }
 
-WaitReason queue_wait(const Job *job, size_t task, QueueClock clock)
+static uint64_t left_of(uint64_t quota, uint64_t used)
+{
+    if (quota == 0)
+        return UINT64_MAX;
+    return quota > used ? quota - used : 0;
+}
+
+Resources quota_left(const Table *table, const Config *config, const Job *job)
+{
+    const ConfigCell *cell = config_cell(config, job->spec.cell);
+    const ConfigTenant *tenant = cell != NULL ? config_tenant(cell, job->spec.tenant) : NULL;
+    const Resources quota = tenant != NULL ? tenant->quota : job->terms.quota;
+    const Resources used = table_used_by_tenant(table, job->spec.cell, job->spec.tenant);
+    return (Resources){left_of(quota.cpu_milli, used.cpu_milli), left_of(quota.mem_mb, used.mem_mb),
+                       left_of(quota.gpu, used.gpu)};
+}
+
+WaitReason queue_wait(const Job *job, size_t task, QueueClock clock, Resources left)
 {
     const JobTask *one = &job->tasks[task];
     const StepSpec *step = &job->spec.steps[one->step];
@@ -51,8 +68,11 @@
     if (clock.log_ms < one->rest_until_ms)
         return WAIT_REST;
     const size_t first = task_first(job, one);
-    for (size_t i = first; i < first + step->count && step->gang; i++)
+    uint64_t together = step->gang ? 0 : 1;
+    for (size_t i = first; i < first + step->count && step->gang; i++) {
         if (job->tasks[i].phase != TASK_WAITING && !task_ended(job->tasks[i].phase))
             return WAIT_GANG;
-    return WAIT_READY;
+        together += job->tasks[i].phase == TASK_WAITING;
+    }
+    return resources_fits(resources_times(step->resources, together), left) ? WAIT_READY : WAIT_QUOTA;
 }
--- a/packages/sim/test/quota.c
+++ b/packages/sim/test/quota.c
@@ -238,6 +238,36 @@
     }
 }
 
+/* What the first waiting task of the job is shown to wait for. */
+static const char *waits_for(Fleet *fleet, const char *id)
+{
+    const char *path = talloc_asprintf(fleet, "/v1/jobs/%s", id);
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", path, NULL);
+    assert_int_equal(call.code, 200);
+    const char *at = strstr((const char *)call.result.data, "\"waitsFor\":\"");
+    assert_non_null(at);
+    at += strlen("\"waitsFor\":\"");
+    return talloc_strndup(fleet, at, strcspn(at, "\""));
+}
+
+/* Guards against a job that waits for its tenant's quota being shown as one that waits for a worker. */
+static void waiting_for_the_quota_is_shown(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(1);
+    submit(fleet, "a", STEP(6, 64, 3000, ""), "");
+    submit(fleet, "gang", STEP(3, 64, 500, ",\"gang\":true"), "");
+    fleet_run(fleet, 1000);
+    assert_string_equal(waits_for(fleet, "a"), "quota");
+    assert_string_equal(waits_for(fleet, "gang"), "quota");
+    configure(fleet, bounded(fleet, 1000));
+    checker_quota(fleet->checker, "t", (Resources){1000000, 0, 0}, TENANT_IN);
+    fleet_run(fleet, 5000);
+    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 6);
+    assert_int_equal(in_phase(fleet, "gang", TASK_DONE), 3);
+    case_end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -249,6 +279,7 @@
         cmocka_unit_test(lost_counts_until_its_lease_lapses),
         cmocka_unit_test(lowered_limit_is_kept),
         cmocka_unit_test(removed_tenant_keeps_its_limit),
+        cmocka_unit_test(waiting_for_the_quota_is_shown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
