--- a/packages/queue/src/inside.h
+++ b/packages/queue/src/inside.h
@@ -24,11 +24,12 @@
     uint64_t stamp;      /* of the configuration that cell and queue are of */
     const ConfigCell *cell;
     const ConfigQueue *queue;
-    Resources quota; /* its tenant's, as it is or last was; a component of 0 is without bound */
+    Resources quota;       /* its tenant's, as it is or last was; a component of 0 is without bound */
+    uint64_t weight_milli; /* thousandths; its tenant's */
     Account *cell_account, *tenant_account;
     LatencyTarget target;     /* its chains of work; from_ms is of the occurrence that was computed last */
     uint64_t estimates_stamp; /* of the estimates by which the target was computed ... */
-    Resources wave_capacity;  /* ... and the part of the fleet */
+    Resources wave_capacity;  /* ... and the part of the fleet, or the quota where that is less */
 } JobNote;
 
 /* The job's note, brought up to date with the configuration. Valid while the job is. */
