Wire: a connection on which answers come late is not taken for dead

What callers saw: 504 for requests that the leader was working on. Cause: two requests in a row that time out end the connection, as its peer may be dead. On a full link hellos time out one after the other while their answers come a moment later; the connection was ended all the same, and each forwarded request on it lost its answer (`closed`, so its outcome was unknown).

A late answer now proves that the peer lives: the count of timed-out requests starts anew with it.

--- a/packages/sim/test/rpc.c
+++ b/packages/sim/test/rpc.c
@@ -23,6 +23,8 @@
     uint64_t number[8];
     int count;
     unsigned served;
+    Status patient;
+    bool patient_done;
 } Seen;
 
 static Status echo(void *arg, void *mem, const void *ask, void *answer)
@@ -211,9 +213,82 @@
     talloc_free(mem);
 }
 
+/* --- a slow link ---------------------------------------------------------------------- */
+
+/* Answers after a second. */
+static Status echo_late(void *arg, void *mem, const void *ask, void *answer)
+{
+    Seen *seen = arg;
+    loop_sleep(seen->loop[1], 1000);
+    return echo(arg, mem, ask, answer);
+}
+
+static void late_server_start(void *arg, Loop *loop)
+{
+    Seen *seen = arg;
+    seen->loop[1] = loop;
+    server_start(arg, loop);
+    rpc_handle(seen->rpc[1], MESSAGE_FORWARD, &Echo_shape, &Echo_shape, echo_late, seen);
+}
+
+static void hasty_main(void *arg)
+{
+    Seen *seen = arg;
+    for (int i = 0; i < 4; i++) {
+        ask_one(seen, 300); /* given up before its answer comes */
+        loop_sleep(seen->loop[0], 50);
+    }
+}
+
+static void patient_main(void *arg)
+{
+    Seen *seen = arg;
+    Loop *loop = seen->loop[0];
+    loop_sleep(loop, 20);
+    void *mem = talloc_new(loop);
+    const Echo ask = {41};
+    Echo answer = {0};
+    seen->patient =
+        rpc_ask(seen->rpc[0], mem, "10.0.0.2:7000", MESSAGE_FORWARD, &Echo_shape, &ask, 5000, &Echo_shape, &answer);
+    seen->patient_done = true;
+    talloc_free(mem);
+}
+
+static void slow_link_start(void *arg, Loop *loop)
+{
+    Seen *seen = arg;
+    seen->loop[0] = loop;
+    seen->rpc[0] = rpc_new(loop, loop, recorder_new(loop, "client"));
+    rpc_set_cluster(seen->rpc[0], 7);
+    loop_spawn(loop, "hasty", hasty_main, seen);
+    loop_spawn(loop, "patient", patient_main, seen);
+}
+
+/* Guards against: on a full link answers came too late, the connection was taken for dead and ended though they came,
+ * and every other request on it, callers' too, lost its answer. */
+static void late_answers_keep_the_connection(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SimWorld *world = sim_world_new(mem, 1);
+    Seen seen = {0};
+    const int client = sim_machine(world), server = sim_machine(world);
+    sim_far(world, server, 200); /* there and back: 400 ms and a little */
+    sim_start(world, server, late_server_start, &seen);
+    sim_start(world, client, slow_link_start, &seen);
+    sim_run_until(world, sim_now_ms(world) + 6000);
+    assert_int_equal(seen.count, 4);
+    for (int i = 0; i < 4; i++)
+        assert_int_equal(seen.status[i], STATUS_EXPIRED);
+    assert_true(seen.patient_done);
+    assert_int_equal(seen.patient, STATUS_OK);
+    assert_int_equal(rpc_counts(seen.rpc[0])->connections_opened, 1);
+    talloc_free(mem);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {cmocka_unit_test(life), cmocka_unit_test(broken_frames),
-                                       cmocka_unit_test(traffic)};
+                                       cmocka_unit_test(traffic), cmocka_unit_test(late_answers_keep_the_connection)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/wire/src/answer.c
+++ b/packages/wire/src/answer.c
@@ -50,6 +50,7 @@
     PendingRequest *request = pending_take(connection, envelope.call);
     if (request == NULL) {
         rpc->counts.late_answers++;
+        connection->misses = 0; /* slow, but not silent */
         return true;
     }
     if (envelope.kind != request->kind) {
--- a/packages/wire/src/pending.h
+++ b/packages/wire/src/pending.h
@@ -27,7 +27,7 @@
 
 /* The connection to one peer address. It is kept as long as the RPC endpoint, connected or not.
  * Invariants: while channel is non-null one reading task serves it; misses is the number of
- * requests in a row that timed out. */
+ * requests that timed out since anything was last received. */
 typedef struct Connection {
     Rpc *rpc;
     const char *address;
