--- a/packages/sim/test/narrow_links.c
+++ b/packages/sim/test/narrow_links.c
@@ -123,10 +123,112 @@
                  members[0], (long long)rates[1], members[1]);
 }
 
+/* --- callers beside bulk ------------------------------------------------------------------ */
+
+#define READ_GAP_MS 50
+#define READ_WAIT_MS 10000 /* longer than an entry point works on a request */
+#define READS_MAX 400
+
+/* Reads one path at an entry point again and again, without waiting for the answers. */
+typedef struct Readers {
+    Fleet *fleet;
+    const char *address, *path;
+    int begun, ended, silent, served, refused;
+    int64_t longest_ms;
+} Readers;
+
+static void read_main(void *arg)
+{
+    Readers *readers = arg;
+    Loop *loop = sim_loop(readers->fleet->world, readers->fleet->caller);
+    void *mem = talloc_new(loop);
+    const int64_t from_ms = loop_now_ms(loop);
+    HttpCall call = {
+        .mem = mem, .address = readers->address, .method = "GET", .path = readers->path, .wait_ms = READ_WAIT_MS};
+    const Status status = loop_call(loop, &call);
+    const int64_t took_ms = loop_now_ms(loop) - from_ms;
+    readers->ended++;
+    readers->silent += status != STATUS_OK;
+    readers->served += status == STATUS_OK && call.code == 200;
+    readers->refused += status == STATUS_OK && call.code == 503 && call.retry_after_s > 0;
+    readers->longest_ms = took_ms > readers->longest_ms ? took_ms : readers->longest_ms;
+    talloc_free(mem);
+}
+
+/* So many reads, one each gap; runs until all have ended. */
+static void read_many(Readers *readers, int count, int64_t gap_ms)
+{
+    for (; readers->begun < count; readers->begun++) {
+        loop_spawn(sim_loop(readers->fleet->world, readers->fleet->caller), "read", read_main, readers);
+        fleet_run(readers->fleet, gap_ms);
+    }
+    fleet_run(readers->fleet, READ_WAIT_MS + 1000);
+    assert_int_equal(readers->ended, count);
+    print_message("%d reads of %s: %d served, %d refused, %d silent, longest %lld ms\n", count, readers->path,
+                  readers->served, readers->refused, readers->silent, (long long)readers->longest_ms);
+}
+
+/* A configuration with notes of about this many bytes. */
+static const char *large_config(void *mem, size_t bytes)
+{
+    char note[1001];
+    memset(note, 'n', sizeof(note) - 1);
+    note[sizeof(note) - 1] = '\0';
+    char *text = talloc_strdup(mem, "{\"cells\":{\"c\":{\"queues\":{");
+    for (int i = 0; strlen(text) < bytes; i++)
+        text = talloc_asprintf_append_buffer(text, "%s\"q%d\":{\"stretch\":2.5,\"note\":\"%s\"}", i > 0 ? "," : "", i,
+                                             note);
+    return talloc_strdup_append_buffer(text, "}}}}");
+}
+
+/* While all entry points fetch a configuration of 900 KB, which takes 3.6 s of a link of 2 Mbit/s, a caller's answer
+ * waits for a piece of it at most. */
+static void answers_beside_a_large_configuration(void **state)
+{
+    (void)state;
+    Fleet *fleet = case_begin(SEED, (FleetShape){3, 10, 4, MIX_TRENTVALE, 0});
+    links_narrow(fleet, LINK_BYTES_PER_MS);
+    void *mem = talloc_new(fleet);
+    const HttpCall call = fleet_ask(fleet, mem, FLEET_CONTROLLER, fleet_leader(fleet), "PUT",
+                                    "/v1/config?base=1&revision=2", large_config(mem, 900 * 1024));
+    assert_int_equal(call.code, 200);
+    Readers readers = {
+        .fleet = fleet, .address = fleet_node(fleet, FLEET_ENTRY_POINT, 1)->settings.http, .path = "/v1/jobs/none"};
+    read_many(&readers, READS_MAX, READ_GAP_MS);
+    const HttpCall page = fleet_ask(fleet, mem, FLEET_ENTRY_POINT, 1, "GET", "/metrics", NULL);
+    assert_true(kind_bytes(&page, "feed").received > 900 * 1024); /* it has passed meanwhile */
+    assert_int_equal(readers.silent, 0);
+    assert_true(readers.longest_ms < 400);
+    talloc_free(mem);
+    case_end(fleet);
+}
+
+/* More is read than the link carries: each read ends in an answer all the same, by the time a caller waits. */
+static void no_read_ends_in_silence(void **state)
+{
+    (void)state;
+    Fleet *fleet = case_begin(SEED, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+    void *mem = talloc_new(fleet);
+    const HttpCall call = fleet_ask(fleet, mem, FLEET_CONTROLLER, fleet_leader(fleet), "PUT",
+                                    "/v1/config?base=1&revision=2", large_config(mem, 25 * 1024));
+    assert_int_equal(call.code, 200);
+    fleet_run(fleet, 2000);
+    links_narrow(fleet, LINK_BYTES_PER_MS);
+    Readers readers = {
+        .fleet = fleet, .address = fleet_node(fleet, FLEET_ENTRY_POINT, 1)->settings.http, .path = "/v1/config"};
+    read_many(&readers, READS_MAX, 50); /* 500 KB a second, twice what the link carries */
+    if (readers.silent > 0)
+        fail_msg("%d of %d reads ended without an answer", readers.silent, readers.ended);
+    talloc_free(mem);
+    case_end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(control_budget),
+        cmocka_unit_test(answers_beside_a_large_configuration),
+        cmocka_unit_test(no_read_ends_in_silence),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
