Repair: a process that hands on what it keeps ends within its grace span

One cause: a process that drains offers what it keeps for repair to others by questions with a deadline of their own (800 ms), asked until 100 ms before the span's end. Peers that don't answer (a cut, a full link) let it outlast the span by up to 700 ms.

(A small edit of packages/routing.)

--- a/packages/routing/src/repair_transfer.c
+++ b/packages/routing/src/repair_transfer.c
@@ -36,7 +36,15 @@
     return taken;
 }
 
-/* Waits. Sends the items from the first on until one message is not taken; how many were. */
+/* A question's deadline, which may not outlast until_ms: the process ends then. */
+static int64_t ask_wait_ms(const Loop *loop, int64_t until_ms)
+{
+    const int64_t left_ms = until_ms - loop_now_ms(loop);
+    return left_ms < ASK_TIMEOUT_MS ? left_ms : ASK_TIMEOUT_MS;
+}
+
+/* Waits, until until_ms at the latest. Sends the items from the first on until one message is not taken; how many
+ * were. */
 static size_t items_send(Loop *loop, Rpc *rpc, const char *address, const RepairList *list, int64_t until_ms)
 {
     size_t sent = 0;
@@ -45,8 +53,8 @@
         const RepairList batch = {&list->items[sent], count};
         void *mem = talloc_new(NULL);
         Nothing answer = {0};
-        const Status status = rpc_ask(rpc, mem, address, MESSAGE_KEEP, &RepairList_shape, &batch, ASK_TIMEOUT_MS,
-                                      &Nothing_shape, &answer);
+        const Status status = rpc_ask(rpc, mem, address, MESSAGE_KEEP, &RepairList_shape, &batch,
+                                      ask_wait_ms(loop, until_ms), &Nothing_shape, &answer);
         talloc_free(mem);
         if (status != STATUS_OK)
             break;
--- a/packages/sim/test/repair_transfer.c
+++ b/packages/sim/test/repair_transfer.c
@@ -42,11 +42,40 @@
         carrier_leaves(seed, FLEET_CONTROLLER);
 }
 
+/* Guards against: a process whose peers did not answer was still there after its grace span, and was killed: what it
+ * keeps for repair was offered with a deadline of its own. */
+static void carrier_that_is_cut_off_ends_in_time(void **state)
+{
+    (void)state;
+    for (int64_t grace_ms = 1000; grace_ms <= 2200; grace_ms += 300) {
+        Fleet *fleet = begin(65, 8);
+        FleetNode *carrier = fleet_node(fleet, FLEET_ENTRY_POINT, 0);
+        fleet_kill(fleet, FLEET_ENTRY_POINT, 0);
+        carrier->settings.bounds.grace_ms = grace_ms;
+        fleet_start_node(fleet, FLEET_ENTRY_POINT, 0);
+        fleet_run(fleet, 1000);
+        jobs_submit(fleet, FLEET_ENTRY_POINT, 0);
+        checker_fault(fleet->checker);
+        fleet_leave(fleet, FLEET_ENTRY_POINT, 0);
+        fleet_isolate(fleet, FLEET_ENTRY_POINT, 0, true);
+        const int64_t from_ms = sim_now_ms(fleet->world);
+        while (carrier->up && sim_now_ms(fleet->world) < from_ms + 10000)
+            fleet_run(fleet, 1);
+        const int64_t took_ms = sim_now_ms(fleet->world) - from_ms;
+        print_message("ended after %d ms of %d\n", (int)took_ms, (int)grace_ms);
+        assert_false(carrier->up);
+        assert_true(took_ms > grace_ms / 2); /* it did offer what it keeps */
+        assert_true(took_ms <= grace_ms);
+        talloc_free(fleet);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(entry_point_leaves),
         cmocka_unit_test(controller_leaves),
+        cmocka_unit_test(carrier_that_is_cut_off_ends_in_time),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
