--- a/packages/sim/test/narrow_links.c
+++ b/packages/sim/test/narrow_links.c
@@ -223,12 +223,53 @@
     case_end(fleet);
 }
 
+/* --- the end of a process ----------------------------------------------------------------- */
+
+/* SIGTERM while nothing gets through to the node, or hardly anything: how long it takes to end. */
+static int64_t end_ms(Fleet *fleet, FleetRole role, int number, int64_t bytes_per_ms)
+{
+    FleetNode *node = fleet_node(fleet, role, number);
+    fleet_run(fleet, 500);
+    checker_fault(fleet->checker);
+    if (bytes_per_ms > 0)
+        sim_link_rate(fleet->world, node->machine, bytes_per_ms);
+    else
+        fleet_isolate(fleet, role, number, true);
+    fleet_leave(fleet, role, number);
+    const int64_t from_ms = sim_now_ms(fleet->world);
+    while (node->up && sim_now_ms(fleet->world) < from_ms + 20000)
+        fleet_run(fleet, 1);
+    return sim_now_ms(fleet->world) - from_ms;
+}
+
+/* Each role ends within its grace span, whatever its link is like. */
+static void each_role_ends_in_time(void **state)
+{
+    (void)state;
+    static const int64_t RATES[] = {0, 1, 20}; /* bytes a ms; 0: cut off */
+    for (int role = FLEET_CONTROLLER; role <= FLEET_AGENT; role++)
+        for (size_t rate = 0; rate < sizeof(RATES) / sizeof(RATES[0]); rate++) {
+            Fleet *fleet = case_begin(SEED, (FleetShape){3, 3, 4, MIX_TRENTVALE, 0});
+            fleet_call(fleet, "u", 20000, 20000);
+            fleet_run(fleet, 3000);
+            const int number = role == FLEET_CONTROLLER ? fleet_leader(fleet) : 0;
+            const int64_t grace_ms = fleet_node(fleet, (FleetRole)role, number)->settings.bounds.grace_ms;
+            const int64_t took_ms = end_ms(fleet, (FleetRole)role, number, RATES[rate]);
+            print_message("role %d, link of %d bytes a ms: ended after %d ms of %d\n", role, (int)RATES[rate],
+                          (int)took_ms, (int)grace_ms);
+            if (took_ms > grace_ms)
+                fail_msg("role %d ended after %d ms, its grace span is %d", role, (int)took_ms, (int)grace_ms);
+            talloc_free(fleet);
+        }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(control_budget),
         cmocka_unit_test(answers_beside_a_large_configuration),
         cmocka_unit_test(no_read_ends_in_silence),
+        cmocka_unit_test(each_role_ends_in_time),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
