--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -2,8 +2,7 @@
 while clients go on using their open connections until each process is gone. Used by fleet.py run --soak SEED.
 
 Beside the safety properties that fleet.py's replay checks, here must hold:
- - a request that was sent whole gets a whole answer, unless its process was killed; a connection that ends sooner than
-   CUT_SLACK_S after the request is counted apart: the process need not have read it;
+ - a request that was sent whole on an open connection gets a whole answer, unless its process was killed;
  - a process that gets SIGTERM ends within its grace, counted while it is not frozen;
  - no two changes of the configuration are acknowledged under one version, and the newest that was acknowledged is in
    force at the end.
@@ -15,20 +14,23 @@
 import threading
 import time
 
-CUT_SLACK_S = 0.2
 GRACE_S = 5  # DRAIN_MS of base/constants.h, with room for a busy machine
 ANSWER_S = 10
+READ_S = 60
 WAKE_S = 0.5  # after SIGCONT a worker has had its first turn, in which it ends what has lapsed
 EVENTS_A_SECOND = 0.8
 CLIENTS = 8
 KINDS = ["term"] * 4 + ["kill"] * 3 + ["freeze"] * 3 + ["hup"]
 
 
-def schedule(seed, seconds, names):
-    """What is done when, the same for a seed: (at in s, what, to whom, for how long in s)."""
+def schedule(seed, seconds, nodes):
+    """What is done when, the same for a seed: (at in s, what, to whom, for how long in s). Each role is drawn as often."""
     draw = random.Random(seed)
-    events = [(draw.uniform(0, seconds), draw.choice(KINDS), draw.choice(names), draw.uniform(0.2, 4))
-              for _ in range(max(4, int(seconds * EVENTS_A_SECOND)))]
+    events = []
+    for _ in range(max(4, int(seconds * EVENTS_A_SECOND))):
+        role = draw.choice(["core", "gate", "agent", "worker"])
+        name = draw.choice([name for name, node in nodes.items() if node["role"] == role])
+        events.append((draw.uniform(0, seconds), draw.choice(KINDS), name, draw.uniform(0.2, 4)))
     return sorted(events)
 
 
@@ -37,7 +39,6 @@
         self.fleet = fleet
         self.seed = seed
         self.failures = []
-        self.cut_early = 0
         self.answers = {}
         self.killed = {}       # name: when it was last killed
         self.terms = {}        # name: its grace ends then
@@ -78,9 +79,6 @@
             return
         if result is None:
             self.fail(f"{name}: no answer within {ANSWER_S} s")
-        elif now - sent < CUT_SLACK_S:
-            with self.lock:
-                self.cut_early += 1
         else:
             self.fail(f"{name}: cut {int((now - sent) * 1000)} ms after a whole request: {result!r}")
 
@@ -203,7 +201,7 @@
         for thread in threads:
             thread.start()
         start = time.monotonic()
-        events = schedule(self.seed, seconds, list(self.fleet.nodes))
+        events = schedule(self.seed, seconds, self.fleet.nodes)
         while events or self.frozen or self.woken or self.terms or self.back:
             while events and time.monotonic() - start >= events[0][0]:
                 _, what, name, for_s = events.pop(0)
@@ -220,9 +218,11 @@
             thread.join(ANSWER_S + 2)
         if len(set(self.acknowledged)) != len(self.acknowledged):
             self.fail("two changes of the configuration were acknowledged under one version")
-        newest = (self.fleet.ask("/v1/config") or {}).get("revision", 0)
+        newest, until = 0, time.monotonic() + READ_S
+        while newest == 0 and time.monotonic() < until:  # a slow disk of the machine may have cost the fleet its leader
+            newest = (self.fleet.ask("/v1/config") or {}).get("revision", 0)
         if self.acknowledged and newest < max(self.acknowledged):
             self.fail(f"version {max(self.acknowledged)} was acknowledged, {newest} is in force")
-        print(f"soak {self.seed}: answers {dict(sorted(self.answers.items()))}, {self.cut_early} cut within "
-              f"{int(CUT_SLACK_S * 1000)} ms, {len(self.acknowledged)} changes acknowledged")
+        print(f"soak {self.seed}: answers {dict(sorted(self.answers.items()))}, "
+              f"{len(self.acknowledged)} changes acknowledged")
         return self.failures
