--- a/packages/sim/test/member_exchange.c
+++ b/packages/sim/test/member_exchange.c
@@ -2,13 +2,15 @@
  * each of them by the size of the fleet, and how soon and how surely a controller knows every member. */
 #include "member_fixture.h"
 
-#define LINK_BYTES_MS 250  /* bytes a ms; an entry point's link of 2 Mbit/s */
-#define MOST_BYTES_S 25000 /* bytes a second; a tenth of that link */
-#define SETTLE_MS 10000    /* ms; all have found each other */
-#define MEASURED_MS 20000  /* ms; several hellos of each member to each seed */
-#define JOIN_MS 1500       /* ms; a controller that has restarted begins its repair REPAIR_HEAR_MS after its start */
-#define JOIN_LOSS_MS 12000 /* ms; the same while a tenth of all frames are lost */
-#define FLAT_PERCENT 110   /* percent; what the cost may be in a fleet three times as large */
+#define LINK_BYTES_MS 250     /* bytes a ms; an entry point's link of 2 Mbit/s */
+#define MOST_BYTES_S 25000    /* bytes a second; a tenth of that link */
+#define SETTLE_MS 10000       /* ms; all have found each other */
+#define MEASURED_MS 20000     /* ms; several hellos of each member to each seed */
+#define JOIN_MS 1500          /* ms; a controller that has restarted begins its repair REPAIR_HEAR_MS after its start */
+#define JOIN_LOSS_MS 12000    /* ms; the same while a tenth of all frames are lost */
+#define START_JOIN_MS 3000    /* ms; after the last of them has started */
+#define START_SEED_BYTES 2500 /* bytes for each member */
+#define FLAT_PERCENT 110      /* percent; what the cost may be in a fleet three times as large */
 
 static const int SIZES[] = {30, 100, CROWD_MOST};
 
@@ -94,6 +96,52 @@
         }
 }
 
+/* How long after all have started every member has joined, at most so long. */
+static int64_t all_joined_ms(Crowd *crowd, int64_t most_ms)
+{
+    int64_t joined_ms = 0;
+    for (int i = 0; i < crowd->size; i++)
+        joined_ms += crowd_join_ms(crowd, i, most_ms - joined_ms);
+    return joined_ms;
+}
+
+/* Bytes that the busiest seed has sent and received so far. */
+static uint64_t seed_carried(const Crowd *crowd)
+{
+    uint64_t most = 0;
+    for (int i = crowd->seed; i < crowd->seed + SEEDS; i++)
+        most = carried(crowd, i) > most ? carried(crowd, i) : most;
+    return most;
+}
+
+/* All start within 0.3 s from three seeds that are entry points with narrow links, and again after all were killed: the
+ * seeds' links must not be full for longer than the start of work may wait. */
+static void start_of_all_floods_seeds(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < sizeof(SIZES) / sizeof(SIZES[0]); i++) {
+        Crowd *crowd = crowd_new(1, SIZES[i]);
+        crowd->seed = CROWD_CONTROLLERS;
+        for (int k = crowd->seed; k < crowd->seed + SEEDS; k++)
+            sim_link_rate(crowd->world, crowd->nodes[k].machine, LINK_BYTES_MS);
+        for (int start = 0; start < 2; start++) {
+            const uint64_t before = seed_carried(crowd);
+            crowd_start(crowd, crowd->size);
+            const int64_t joined_ms = all_joined_ms(crowd, 3 * START_JOIN_MS);
+            crowd_run(crowd, START_JOIN_MS);
+            const uint64_t bytes = seed_carried(crowd) - before;
+            print_message("%d members start, %d: all joined %lld ms after the last, the busiest seed %llu bytes\n",
+                          crowd->size, start, (long long)joined_ms, (unsigned long long)bytes);
+            assert_true(joined_ms <= START_JOIN_MS);
+            assert_true(bytes < (uint64_t)START_SEED_BYTES * (uint64_t)crowd->size);
+            for (int k = 0; k < crowd->size; k++)
+                sim_kill(crowd->world, crowd->nodes[k].machine);
+            crowd_run(crowd, HELLO_MS);
+        }
+        talloc_free(crowd);
+    }
+}
+
 /* How many times a controller held a member that runs to be quiet within the span. */
 static int suspicions(Crowd *crowd, int64_t span_ms)
 {
@@ -135,6 +183,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(exchange_fills_narrow_links),
         cmocka_unit_test(newcomer_unknown_to_controllers),
+        cmocka_unit_test(start_of_all_floods_seeds),
         cmocka_unit_test(lost_messages_raise_suspicion),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/sim/test/member_fixture.h
+++ b/packages/sim/test/member_fixture.h
@@ -28,10 +28,10 @@
     Members *members; /* null: it does not run */
 } CrowdNode;
 
-/* The first three numbers, controllers, are the seeds. */
 typedef struct Crowd {
     SimWorld *world;
     int size;
+    int seed; /* the number of the first of three seeds; usually controllers */
     CrowdNode nodes[CROWD_MOST];
 } Crowd;
 
@@ -54,7 +54,8 @@
                                .http = node->address,
                                .incarnation = (uint64_t)loop_wall_ms(loop),
                                .disk = node->role == ROLE_CONTROLLER ? (uint64_t)node->machine + 1 : 0};
-    const char *const seeds[SEEDS] = {crowd->nodes[0].address, crowd->nodes[1].address, crowd->nodes[2].address};
+    const CrowdNode *seed = &crowd->nodes[crowd->seed];
+    const char *const seeds[SEEDS] = {seed[0].address, seed[1].address, seed[2].address};
     node->members = members_new(loop, loop, rpc, recorder, &self, seeds);
     members_start(node->members);
 }
