--- a/packages/config/test/sharing.c
+++ b/packages/config/test/sharing.c
@@ -1,6 +1,7 @@
 /* Versions of a document that are read onward from an earlier one: what they share with it,
  * and that they are what their text alone is read as. */
 #include "../../base/test/draw.h"
+#include "config/key.h"
 #include "document/document.h"
 #include "fixture.h"
 
@@ -51,7 +52,7 @@
 
 static const char *draw_patch(void *mem, uint64_t *seed)
 {
-    switch (draw(seed, 9)) {
+    switch (draw(seed, 10)) {
     case 0:
         return talloc_asprintf(mem, "{\"cells\":{\"c\":{\"queues\":{\"q%d\":null}}}}", (int)draw(seed, 40));
     case 1:
@@ -77,6 +78,12 @@
     case 7:
         return talloc_asprintf(mem, "{\"cells\":{\"d%d\":%s}}", (int)draw(seed, 2),
                                draw(seed, 2) ? "{\"queues\":{\"q\":{}}}" : "null");
+    case 8: /* at times another tenant has the key */
+        return talloc_asprintf(
+            mem,
+            "{\"cells\":{\"c\":{\"tenants\":{\"t%d\":{\"keys\":[\"k%d\"],\"weight\":%d}},\"queues\":{\"q%d\":{\"public\":%s}}}}}",
+            (int)draw(seed, 3), (int)draw(seed, 4), 1 + (int)draw(seed, 3), (int)draw(seed, 40),
+            draw(seed, 2) ? "true" : "false");
     default:
         return talloc_asprintf(mem, "{\"limits\":{\"headMs\":%d}}", (int)draw(seed, 3));
     }
@@ -87,6 +94,25 @@
     size_t queues, reused;
 } Shared;
 
+static void expect_same_tenants(void *mem, const ConfigCell *a, const ConfigCell *b)
+{
+    assert_int_equal(a->tenant_count, b->tenant_count);
+    assert_int_equal(a->keyed, b->keyed);
+    for (size_t i = 0; i < a->tenant_count; i++) {
+        assert_string_equal(a->tenants[i].name, b->tenants[i].name);
+        assert_int_equal(a->tenants[i].weight_milli, b->tenants[i].weight_milli);
+        assert_int_equal(a->tenants[i].key_count, b->tenants[i].key_count);
+        assert_ptr_equal(config_tenant(a, a->tenants[i].name), &a->tenants[i]);
+    }
+    for (int i = 0; i < 4; i++) {
+        const Bytes digest = key_digest_bytes(mem, talloc_asprintf(mem, "k%d", i));
+        const ConfigTenant *one = config_tenant_of_key(a, digest), *other = config_tenant_of_key(b, digest);
+        assert_true((one == NULL) == (other == NULL));
+        if (one != NULL)
+            assert_string_equal(one->name, other->name);
+    }
+}
+
 static void expect_same_cell(const Config *onward, const Config *unshared, size_t at, const Config *earlier,
                              Shared *shared)
 {
@@ -94,7 +120,7 @@
     const ConfigCell *a = &onward->cells[at], *b = &unshared->cells[at], *old = config_cell(earlier, a->name);
     assert_string_equal(a->name, b->name);
     assert_string_equal(a->policy, b->policy);
-    assert_int_equal(a->tenant_count, b->tenant_count);
+    expect_same_tenants(mem, a, b);
     assert_int_equal(a->queue_count, b->queue_count);
     for (size_t q = 0; q < a->queue_count; q++) {
         const ConfigQueue *one = a->queues[q], *other = b->queues[q];
@@ -102,6 +128,7 @@
         assert_string_equal(one->kind, other->kind);
         assert_string_equal(one->note, other->note);
         assert_int_equal(one->timeout_ms, other->timeout_ms);
+        assert_int_equal(one->is_public, other->is_public);
         assert_ptr_equal(config_queue(a, one->name), one);
         shared->queues++;
         shared->reused += old != NULL && config_queue(old, one->name) == one;
