Entries: a job that was taken is not told 404 when its queue goes

What callers saw: 404, refused for good, though the job ran. The leader that took it was lost with its answer, the queue's entry was taken away, and the entry point sent the request again to the next leader. As with a key that is gone, the answer is 504 now: it may have been taken. tenants.taken_job_is_not_refused_when_its_queue_goes: 404 before.

--- a/packages/callers/src/entry.c
+++ b/packages/callers/src/entry.c
@@ -26,19 +26,26 @@
     show_result(request->task, http, body);
 }
 
+/* An earlier leader may have taken the job, before its queue or key went: a retry of that is not refused for good.
+ * True: it has its result. */
+static bool taken_before(CallerRequest *request)
+{
+    if (!request->task->again || table_job(request->callers->table, request->name) == NULL)
+        return false;
+    show_refusal(request->task, STATUS_EXPIRED, "its queue or key is gone, and it may have been taken before", NULL);
+    return true;
+}
+
 /* --- keys --------------------------------------------------------------------------------------- */
 
 /* Whether the request may call the queue: by a tenant's key, which decides its tenant, or, where none is needed, also
- * without. False: it has been refused. An earlier leader may have taken a job under a key that is gone since, so a
- * retry of that is not refused for good. */
+ * without. False: it has its result. */
 static bool key_passes(CallerRequest *request, const ConfigPlace *place)
 {
     request->caller = config_tenant_of_key(place->cell, request->task->key_digest);
     if (request->caller != NULL || place->queue->is_public || !place->cell->keyed)
         return true;
-    if (request->task->again && table_job(request->callers->table, request->name) != NULL)
-        show_refusal(request->task, STATUS_EXPIRED, "the key is gone, and it may have been taken before", NULL);
-    else
+    if (!taken_before(request))
         show_refusal(request->task, STATUS_UNKNOWN_KEY, "no tenant has this key, and the queue is not public", NULL);
     request->callers->counts.unknown_keys++;
     return false;
@@ -153,7 +160,9 @@
     const ConfigPlace *place =
         config_entry(in_force_config(callers->in_force), host != NULL ? host : request->task->host, path);
     if (place == NULL) {
-        entry_refuse(request, NO_ENTRY_HTTP, STATUS_UNKNOWN_QUEUE, "no queue has its entry here");
+        request->name = strrchr(path, '/') + 1;
+        if (!taken_before(request))
+            entry_refuse(request, NO_ENTRY_HTTP, STATUS_UNKNOWN_QUEUE, "no queue has its entry here");
         return;
     }
     request->name = path + place->prefix_length;
--- a/packages/sim/test/tenants.c
+++ b/packages/sim/test/tenants.c
@@ -208,12 +208,10 @@
     posting->code = call.code;
 }
 
-/* REFUSED: a job that the leader had taken ran although its caller was told 401: the answer was lost with the leader,
- * and the entry point sent the request again to the next one after the key was taken away. */
-static void taken_job_is_not_refused_when_its_key_goes(void **state)
+/* A job is taken by a leader whose answer is lost with it; the configuration changes under the next leader; then the
+ * entry point, which was cut off meanwhile, sends the request again. The code that the caller is told. */
+static int taken_before_change(Fleet *fleet, const char *patch)
 {
-    (void)state;
-    Fleet *fleet = tenants_begin(67);
     Posting *posting = talloc_zero(fleet, Posting);
     posting->fleet = fleet;
     loop_spawn(sim_loop(fleet->world, fleet->caller), "posting", posting_main, posting);
@@ -225,15 +223,35 @@
     checker_fault(fleet->checker);
     fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
     fleet_run(fleet, 2500);
-    change(fleet, 1, 1, "{\"one\":{\"keys\":[\"key-1b\"]}}");
+    assert_int_equal(fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 1, "PATCH", "/v1/config?base=1", patch).code, 200);
     fleet_isolate(fleet, FLEET_ENTRY_POINT, 0, false);
     for (int i = 0; i < 2000 && posting->code == 0; i++)
         fleet_run(fleet, 10);
-    assert_int_equal(posting->code, 504);
+    return posting->code;
+}
+
+/* REFUSED: a job that the leader had taken ran although its caller was told 401: its key was taken away before the
+ * entry point sent the request again. */
+static void taken_job_is_not_refused_when_its_key_goes(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(67);
+    ASSERT_CODE(504, taken_before_change(fleet, "{\"cells\":{\"c\":{\"tenants\":{\"one\":{\"keys\":[\"key-1b\"]}}}}}"));
     ASSERT_CODE(200, ask(fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/entry/q/taken", "key-1b", BODY(10)));
     case_end(fleet);
 }
 
+/* REFUSED: the same with 404, where the queue was taken away. */
+static void taken_job_is_not_refused_when_its_queue_goes(void **state)
+{
+    (void)state;
+    Fleet *fleet = tenants_begin(68);
+    ASSERT_CODE(504, taken_before_change(fleet, "{\"cells\":{\"c\":{\"queues\":{\"q\":{\"entry\":null}}}}}"));
+    ASSERT_CODE(404, ask(fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/entry/q/taken", "key-1a", BODY(10)));
+    ASSERT_CODE(404, ask(fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/entry/q/other", "key-1a", BODY(10)));
+    case_end(fleet);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -244,6 +262,7 @@
         cmocka_unit_test(shared_key_is_refused),
         cmocka_unit_test(accepted_jobs_outlive_key_and_tenant),
         cmocka_unit_test(taken_job_is_not_refused_when_its_key_goes),
+        cmocka_unit_test(taken_job_is_not_refused_when_its_queue_goes),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
