--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -283,12 +283,13 @@
 #define CHANNEL_QUEUE_FRAMES 4096              /* count; more unread than this ends the connection */
 #define HTTP_BODY_MAX (2 * 1024 * 1024)        /* bytes; a request's body: a configuration fits (CONFIG_BODY_MAX) */
 #define HTTP_HEAD_MAX (32 * 1024) /* bytes; a request's head with its path: far more than any caller sends */
-#define HTTP_HEAD_MS 5000       /* ms; a head that has begun is complete within this: callers are in the same network */
-#define HTTP_IDLE_MS 60000      /* ms; a caller's connection without a request is closed after this */
-#define HTTP_TASKS_MAX 2048     /* count; requests in flight in one process; more are told to come back */
-#define TRACE_EVENTS 2048       /* count; steps of changes that a node remembers: minutes at today's loads */
-#define RECORDER_LINES 256      /* count; lines in the flight recorder */
-#define RECORDER_LINE_BYTES 200 /* bytes; one line of it; a longer one is cut */
+#define HTTP_HEAD_MS 5000  /* ms; a head that has begun is complete within this: callers are in the same network */
+#define HTTP_IDLE_MS 60000 /* ms; a caller's connection without a request is closed after this */
+#define HTTP_CONNECTIONS_MAX 3000 /* count; of callers to one process at a time */
+#define HTTP_TASKS_MAX 2048       /* count; requests in flight in one process; more are told to come back */
+#define TRACE_EVENTS 2048         /* count; steps of changes that a node remembers: minutes at today's loads */
+#define RECORDER_LINES 256        /* count; lines in the flight recorder */
+#define RECORDER_LINE_BYTES 200   /* bytes; one line of it; a longer one is cut */
 #define RECORDER_NOTES_AT_ONCE 20 /* count; notes written together, so that a change of leader is logged whole */
 #define RECORDER_NOTE_GAP_MS 500  /* ms; after those, one note is written per gap: a line costs processor time */
 #define RETRY_AFTER_S 1           /* s; sent with a 503: another entry point, or the same in a moment, will do */
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -183,6 +183,7 @@
     size_t head_bytes, body_bytes; /* of one request; a larger one is rejected */
     int64_t head_ms;               /* a request's head must be complete within this, or its connection is closed */
     int64_t idle_ms;               /* a connection without a request is closed after this */
+    size_t connections;            /* of callers at a time; a request on one beyond is rejected, and it is closed */
 };
 
 /* A request to another process, and its response. The texts of the request must last until loop_call returns. */
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -29,6 +29,7 @@
     HttpLimits limits;                /* none is 0 once it serves */
     struct RealChannel *flush_first;  /* channels with frames to write at the end of this turn */
     struct CallerConnection *callers; /* the callers' connections */
+    size_t caller_count;              /* of them */
     int64_t swept_ms;                 /* when unfinished heads were last looked for */
     h2o_timeout_t call_timeout;
     h2o_http1client_ctx_t client;
--- a/packages/loop/src/real_serve.c
+++ b/packages/loop/src/real_serve.c
@@ -1,6 +1,7 @@
 /* HTTP server: one h2o server for all addresses of the process; each request is handled in a task of its own. */
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
@@ -167,6 +168,11 @@
         refuse(real, req, STATUS_HEAD_LARGE, "the head of this request is too large");
         return 0;
     }
+    if (real->caller_count > real->limits.connections) {
+        req->http1_is_persistent = 0; /* its caller finds another process, or comes back */
+        refuse(real, req, STATUS_BUSY, "too many connections");
+        return 0;
+    }
     if (real->http_tasks >= HTTP_TASKS_MAX) {
         refuse(real, req, STATUS_BUSY, "too many requests in work");
         return 0;
@@ -208,6 +214,7 @@
         real->callers = caller->next;
     if (caller->next != NULL)
         caller->next->prev = caller->prev;
+    real->caller_count--;
     talloc_free(caller);
 }
 
@@ -224,6 +231,7 @@
         if (real->callers != NULL)
             real->callers->prev = caller;
         real->callers = caller;
+        real->caller_count++;
         sock->on_close.cb = on_close;
         sock->on_close.data = caller;
         h2o_accept(&real->accept, sock);
@@ -284,13 +292,23 @@
     return real_bind(real, address, on_accept, endpoint, bound, failure) != NULL ? STATUS_OK : STATUS_BAD_SETTINGS;
 }
 
+/* Callers get three quarters of the descriptors that the process may have: the rest is for peers and files. */
+static size_t connections_most(void)
+{
+    struct rlimit files;
+    if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur / 4 * 3 > HTTP_CONNECTIONS_MAX)
+        return HTTP_CONNECTIONS_MAX;
+    return (size_t)(files.rlim_cur / 4 * 3);
+}
+
 void real_limit(Loop *loop, const HttpLimits *limits)
 {
     RealLoop *real = (RealLoop *)loop;
     real->limits = (HttpLimits){limits->head_bytes > 0 ? limits->head_bytes : HTTP_HEAD_MAX,
                                 limits->body_bytes > 0 ? limits->body_bytes : HTTP_BODY_MAX,
                                 limits->head_ms > 0 ? limits->head_ms : HTTP_HEAD_MS,
-                                limits->idle_ms > 0 ? limits->idle_ms : HTTP_IDLE_MS};
+                                limits->idle_ms > 0 ? limits->idle_ms : HTTP_IDLE_MS,
+                                limits->connections > 0 ? limits->connections : connections_most()};
     if (!real->serving)
         return;
     real->config.max_request_entity_size = real->limits.body_bytes;
--- a/packages/loop/test/http.c
+++ b/packages/loop/test/http.c
@@ -75,34 +75,11 @@
 
 /* --- the caller ---------------------------------------------------------------------- */
 
-/* One whole answer: head, and as much body as it says. Empty at the end. */
-static size_t answer(int fd, char *text, size_t capacity)
-{
-    size_t count = 0;
-    for (;;) {
-        text[count] = '\0';
-        const char *end = strstr(text, "\r\n\r\n"), *length = strcasestr(text, "content-length: ");
-        if (end != NULL && (length == NULL || count >= (size_t)(end + 4 - text) + (size_t)atol(length + 16)))
-            return count;
-        /* to the byte, so that the next answer stays in the socket */
-        const ssize_t got = recv(fd, text + count, end == NULL ? 1 : capacity - 1 - count < 1 ? 0 : 1, 0);
-        if (got <= 0)
-            return 0;
-        count += (size_t)got;
-    }
-}
-
-static bool ended(int fd)
-{
-    char byte;
-    return recv(fd, &byte, 1, 0) <= 0;
-}
-
 static void asked(int fd, const char *request, const char *code, const char *words)
 {
     char text[4096];
     put(fd, request);
-    if (answer(fd, text, sizeof(text)) == 0)
+    if (http_answer(fd, text, sizeof(text)) == 0)
         snprintf(text, sizeof(text), "nothing");
     if (strncmp(text, "HTTP/1.1 ", 9) != 0 || strncmp(text + 9, code, 3) != 0 || strstr(text, words) == NULL)
         fail_msg("asked %s told %s instead of %s with %s", request, text, code, words);
@@ -178,7 +155,7 @@
         "GET /1 HTTP/1.1\r\nhost: x\r\n\r\nPOST /2 HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhiGET /3 HTTP/1.1\r\nhost: x\r\n\r\n");
     static const char *const WORDS[] = {"GET /1?", "POST /2?", "GET /3?"};
     for (int i = 0; i < 3; i++) {
-        if (answer(fd, text, sizeof(text)) == 0 || strstr(text, WORDS[i]) == NULL)
+        if (http_answer(fd, text, sizeof(text)) == 0 || strstr(text, WORDS[i]) == NULL)
             fail_msg("%s instead of %s", text, WORDS[i]);
     }
     close(fd);
@@ -200,7 +177,7 @@
         char text[4096];
         put(fd, ROWS[i]);
         shutdown(fd, SHUT_WR);
-        if (answer(fd, text, sizeof(text)) > 0 && strncmp(text, "HTTP/1.1 4", 10) != 0)
+        if (http_answer(fd, text, sizeof(text)) > 0 && strncmp(text, "HTTP/1.1 4", 10) != 0)
             fail_msg("row %zu told %s", i, text);
         close(fd);
     }
@@ -306,6 +283,24 @@
     close(fresh);
 }
 
+/* Guards against: connections were taken without a bound until the process had no descriptors left, for its peers and
+ * files neither. */
+static void crowded(Stage *stage)
+{
+    const int one = dial(stage->first), other = dial(stage->first);
+    asked(one, "GET /one HTTP/1.1\r\nhost: x\r\n\r\n", "200", "first GET /one");
+    asked(other, "GET /other HTTP/1.1\r\nhost: x\r\n\r\n", "200", "first GET /other");
+    const int served = stage->served;
+    const int third = dial(stage->first);
+    asked(third, "GET /third HTTP/1.1\r\nhost: x\r\n\r\n", "503", "etry-after: ");
+    assert_true(ended(third));
+    close(third);
+    assert_int_equal(stage->served, served); /* it was certainly not taken */
+    asked(one, "GET /again HTTP/1.1\r\nhost: x\r\n\r\n", "200", "first GET /again");
+    close(one);
+    close(other);
+}
+
 /* SIGHUP, again and again, ends nothing. */
 static void hups(Stage *stage)
 {
@@ -373,12 +368,19 @@
     play(leaving, (HttpLimits){0});
 }
 
+static void test_crowded(void **state)
+{
+    (void)state;
+    play(crowded, (HttpLimits){.connections = 2});
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_two_addresses), cmocka_unit_test(test_pipelined), cmocka_unit_test(test_broken),
         cmocka_unit_test(test_too_large),     cmocka_unit_test(test_patience),  cmocka_unit_test(test_callers),
         cmocka_unit_test(test_leaving),       cmocka_unit_test(test_hups),      cmocka_unit_test(test_slow_body),
+        cmocka_unit_test(test_crowded),
     };
     const int failed = cmocka_run_group_tests(tests, NULL, NULL);
     fflush(NULL);
--- a/packages/loop/test/socket_fixture.h
+++ b/packages/loop/test/socket_fixture.h
@@ -3,6 +3,7 @@
 
 /* The other side of the real loop in its tests: a thread with plain sockets. */
 #include <arpa/inet.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,4 +28,27 @@
         fprintf(stderr, "not all was sent\n");
 }
 
+/* One whole answer: head, and as much body as it says. Empty at the end. */
+static inline size_t http_answer(int fd, char *text, size_t capacity)
+{
+    size_t count = 0;
+    for (;;) {
+        text[count] = '\0';
+        const char *end = strstr(text, "\r\n\r\n"), *length = strcasestr(text, "content-length: ");
+        if (end != NULL && (length == NULL || count >= (size_t)(end + 4 - text) + (size_t)atol(length + 16)))
+            return count;
+        /* to the byte, so that the next answer stays in the socket */
+        const ssize_t got = recv(fd, text + count, end == NULL ? 1 : capacity - 1 - count < 1 ? 0 : 1, 0);
+        if (got <= 0)
+            return 0;
+        count += (size_t)got;
+    }
+}
+
+static inline bool ended(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, 0) <= 0;
+}
+
 #endif
