--- a/packages/wire/src/shape.c
+++ b/packages/wire/src/shape.c
@@ -60,13 +60,55 @@
     }
 }
 
+/* A text that is null is packed as an empty one. */
+static bool texts_equal(const char *a, const char *b)
+{
+    return strcmp(a != NULL ? a : "", b != NULL ? b : "") == 0;
+}
+
+static bool list_equal(const Shape *of, const uint8_t *a, const uint8_t *b, size_t count)
+{
+    for (size_t i = 0; i < count; i++)
+        if (!shape_equal(of, a + i * of->size, b + i * of->size))
+            return false;
+    return true;
+}
+
+static bool field_equal(const ShapeField *field, const void *a, const void *b, size_t count)
+{
+    switch (field->kind) {
+    case SHAPE_U64:
+        return *(const uint64_t *)a == *(const uint64_t *)b;
+    case SHAPE_I64:
+        return *(const int64_t *)a == *(const int64_t *)b;
+    case SHAPE_FLAG:
+        return *(const bool *)a == *(const bool *)b;
+    case SHAPE_TXT:
+        return texts_equal(*(const char *const *)a, *(const char *const *)b);
+    case SHAPE_BIN:
+        return bytes_equal(*(const Bytes *)a, *(const Bytes *)b);
+    case SHAPE_TXS:
+        for (size_t i = 0; i < count; i++)
+            if (!texts_equal((*(const char *const *const *)a)[i], (*(const char *const *const *)b)[i]))
+                return false;
+        return true;
+    case SHAPE_ONE:
+        return shape_equal(field->of, a, b);
+    case SHAPE_LST:
+        return list_equal(field->of, *(const uint8_t *const *)a, *(const uint8_t *const *)b, count);
+    }
+    return false;
+}
+
 bool shape_equal(const Shape *shape, const void *a, const void *b)
 {
-    void *mem = talloc_new(NULL);
-    Bytes one = {0}, other = {0};
-    shape_pack(shape, a, mem, &one);
-    shape_pack(shape, b, mem, &other);
-    const bool equal = bytes_equal(one, other);
-    talloc_free(mem);
-    return equal;
+    size_t total;
+    const ShapeField *fields = shape->fields(&total);
+    for (size_t i = 0; i < total; i++) {
+        const ShapeField *field = &fields[i];
+        const size_t count = field_count(field, a);
+        if (count != field_count(field, b) || !field_equal(field, field_read(field, a), field_read(field, b), count))
+            return false;
+    }
+    return true;
 }
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -155,6 +155,36 @@
     assert_false(shape_equal(&Tree_shape, &fixture->tree, &copy));
 }
 
+/* A difference in any one field is one, as it would be in the packed bytes. */
+static void each_field_counts_in_a_comparison(void **state)
+{
+    Fixture *fixture = *state;
+    enum { CHANGES = 12 };
+    Tree others[CHANGES];
+    for (size_t i = 0; i < CHANGES; i++) {
+        shape_copy(&Tree_shape, &fixture->tree, fixture, &others[i]);
+        assert_true(shape_equal(&Tree_shape, &fixture->tree, &others[i]));
+    }
+    others[0].balance++;
+    others[1].on = false;
+    others[2].blob.data[1]++;
+    others[3].blob.count--;
+    others[4].words[0] = "b";
+    others[5].words_count--;
+    others[6].first.number++;
+    others[7].first.name = "roots";
+    others[8].leaves[1].number++;
+    others[9].leaves[1].name = "";
+    others[10].leaves_count--;
+    others[11].words[1] = "x";
+    for (size_t i = 0; i < CHANGES; i++)
+        assert_false(shape_equal(&Tree_shape, &fixture->tree, &others[i]));
+    Tree null = fixture->tree, empty = fixture->tree;
+    null.first.name = NULL;
+    empty.first.name = "";
+    assert_true(shape_equal(&Tree_shape, &null, &empty));
+}
+
 static void flat_copy_is_one_block(void **state)
 {
     Fixture *fixture = *state;
@@ -338,6 +368,7 @@
         TEST(unpacked_equals_packed),
         TEST(packed_as_by_msgpack_c),
         TEST(copy_is_deep),
+        TEST(each_field_counts_in_a_comparison),
         TEST(flat_copy_is_one_block),
         TEST(releases_read_each_other),
         TEST(numbers_of_all_widths_are_read),
