--- a/packages/state/tool/write_disk.c
+++ b/packages/state/tool/write_disk.c
@@ -94,7 +94,7 @@
                                  .turns = 2,
                                  .first_wall_ms = 1700000000125,
                                  .period_ms = 126},
-                        .terms = {131, 132, 133, -134, "kind3"}};
+                        .terms = {131, 132, 133, -134, "kind3", {135, 136, 137}}};
     offer(CHANGE_JOB_ADD, &JobAdd_shape, &add);
 }
 
