--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -98,7 +98,7 @@
 #define QUIET_CONTACT_PART 8    /* count; ... then once in so many rounds */
 #define MEMBERS_MAX 512         /* count; bound on the rows of a table ... */
 #define CONTROLLERS_MAX 64      /* count; ... besides which so many of controllers find room in a full one */
-#define VIEW_MOST 16            /* count; members besides the controllers that one without a vote keeps in mind ... */
+#define VIEW_MOST 16            /* count; members in a partial view, besides the controllers ... */
 #define VIEW_FORGET_MS 60000    /* ms; ... unless silent for so long */
 #define VIEW_SAMPLE 3           /* count; ... of which a controller names so many in each request to it */
 #define ASKED_KEEP_MS 10000     /* ms; a seed keeps one that asked it for so long: controllers hear of it meanwhile */
