Fleet of real processes: its ports lie below those of outgoing connections

Ports came from the kernel's range for outgoing connections and were let go before the process bound them, so that a connection, or another fleet, could take one, also while a process was down. Now they are drawn from 10000 to 31999.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -15,12 +15,13 @@
                                 then a TERM to one of each role under load
                                 --soak SEED: signals, restarts and changes that overlap (soak.py)
 
-Each process gets its own addresses (ports taken from the kernel), its zone and
+Each process gets its own addresses (ports that are free), its zone and
 three seed addresses in a props file of its own; nothing else tells it of others.
 """
 import argparse
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -32,6 +33,7 @@
 import soak
 
 ZONES = ["north", "south", "west"]
+PORTS = (10000, 32000)
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 
@@ -40,12 +42,16 @@
 
 
 def free_ports(count):
-    """Ports that the kernel has free now; held together so that none is given twice."""
+    """Ports that are free now, held together so that none is given twice. They lie below those that the kernel gives to
+    outgoing connections, which would otherwise take one while its process is down."""
     held = []
-    for _ in range(count):
+    while len(held) < count:
         sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        held.append(sock)
+        try:
+            sock.bind(("127.0.0.1", random.randrange(*PORTS)))
+            held.append(sock)
+        except OSError:
+            sock.close()
     ports = [sock.getsockname()[1] for sock in held]
     for sock in held:
         sock.close()
