--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -34,6 +34,8 @@
 
 ZONES = ["north", "south", "west"]
 PORTS = (10000, 32000)
+PORT_BLOCK = 1000
+HELD = []
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 
@@ -41,21 +43,27 @@
     return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
 
 
+def is_free(port):
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) != 0
+
+
 def free_ports(count):
-    """Ports that are free now, held together so that none is given twice. They lie below those that the kernel gives to
-    outgoing connections, which would otherwise take one while its process is down."""
-    held = []
-    while len(held) < count:
-        sock = socket.socket()
+    """Ports of one block that are free now. They lie below those that the kernel gives to outgoing connections, which
+    would otherwise take one while its process is down; the block's first port is held until this process ends, so that
+    no other fleet takes the block."""
+    while True:
+        first = random.randrange(*PORTS, PORT_BLOCK)
+        guard = socket.socket()
         try:
-            sock.bind(("127.0.0.1", random.randrange(*PORTS)))
-            held.append(sock)
+            guard.bind(("127.0.0.1", first))
         except OSError:
-            sock.close()
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+            guard.close()
+            continue
+        HELD.append(guard)
+        ports = [port for port in range(first + 1, first + PORT_BLOCK) if is_free(port)]
+        if len(ports) >= count:
+            return ports[:count]
 
 
 class Fleet:
