Members: entry points greet controllers that are heard of before those that were removed

What callers could see: accepted work lost where disks lie, as a leader that lost its memory did not ask every entry point.

--- a/packages/member/src/gossip.c
+++ b/packages/member/src/gossip.c
@@ -149,17 +149,30 @@
     talloc_free(mem);
 }
 
-/* Sends hellos to so many of the controllers known, from the same one on each time. */
-static void controllers_contact(Members *members, size_t most)
+/* Which controllers are greeted: those heard of lately, or the others. */
+typedef enum GreetWhom { GREET_HEARD, GREET_QUIET } GreetWhom;
+
+/* Sends hellos to at most so many of these controllers, from the same one on each time. How many. */
+static size_t controllers_greet(Members *members, size_t most, GreetWhom whom)
 {
     const MemberTable *table = members->table;
-    for (size_t i = 0; i < table->count && most > 0; i++) {
+    const int64_t now_ms = loop_now_ms(members->loop);
+    size_t count = 0;
+    for (size_t i = 0; i < table->count && count < most; i++) {
         const Member *row = &table->rows[(members->contact_first + i) % table->count];
-        if (row->record.role == ROLE_CONTROLLER) {
+        if (row->record.role == ROLE_CONTROLLER && member_quiet(row, now_ms) == (whom == GREET_QUIET)) {
             hello_spawn(members, row->record.address);
-            most--;
+            count++;
         }
     }
+    return count;
+}
+
+/* The same, quiet ones only where there are too few others: rows of removed controllers stay for MEMBER_FORGET_MS. */
+static void controllers_contact(Members *members, size_t most)
+{
+    const size_t count = controllers_greet(members, most, GREET_HEARD);
+    controllers_greet(members, most - count, GREET_QUIET);
 }
 
 /* An entry point keeps what callers were told in case the disks lose it. A leader that has lost its memory asks those
--- a/packages/sim/test/member_exchange.c
+++ b/packages/sim/test/member_exchange.c
@@ -178,6 +178,35 @@
         }
 }
 
+/* Rows of controllers that were removed long ago. */
+#define REMOVED 3
+
+/* LOST: entry points greeted removed controllers only, so a leader that had lost its memory did not ask them in time
+ * for what they keep. */
+static void removed_controllers_hide_entry_points(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        Crowd *crowd = crowd_new(seed, SIZES[1]);
+        crowd_start(crowd, SIZES[1]);
+        crowd_run(crowd, SETTLE_MS);
+        for (int i = 0; i < REMOVED; i++)
+            sim_kill(crowd->world, crowd->nodes[i].machine);
+        crowd_run(crowd, SETTLE_MS);
+        for (int i = REMOVED; i < CROWD_CONTROLLERS; i++)
+            sim_kill(crowd->world, crowd->nodes[i].machine);
+        crowd_run(crowd, JOIN_MS);
+        for (int i = REMOVED; i < CROWD_CONTROLLERS; i++)
+            crowd_node_start_now(&crowd->nodes[i]);
+        crowd_run(crowd, REPAIR_HEAR_MS);
+        for (int i = CROWD_CONTROLLERS; i < SIZES[1]; i++)
+            for (int k = REMOVED; k < CROWD_CONTROLLERS && crowd->nodes[i].role == ROLE_ENTRY_POINT; k++)
+                if (!crowd_knows(crowd, k, i))
+                    fail_msg("seed %d: %s does not know %s", (int)seed, crowd->nodes[k].name, crowd->nodes[i].name);
+        talloc_free(crowd);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -185,6 +214,7 @@
         cmocka_unit_test(newcomer_unknown_to_controllers),
         cmocka_unit_test(start_of_all_floods_seeds),
         cmocka_unit_test(lost_messages_raise_suspicion),
+        cmocka_unit_test(removed_controllers_hide_entry_points),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
