--- a/packages/wire/src/unpack.c
+++ b/packages/wire/src/unpack.c
@@ -103,6 +103,8 @@
     if (value->kind != VALUE_ARRAY)
         return false;
     const char **texts = talloc_array(unpacking->mem, const char *, (unsigned)value->number);
+    if (texts == NULL)
+        return false;
     for (size_t i = 0; i < value->number; i++) {
         const Value text = value_read(&unpacking->at);
         if (!text_take(unpacking, &text, &texts[i]))
@@ -130,6 +132,8 @@
     if (value.kind != VALUE_ARRAY)
         return wrong_type(failure, shape, field);
     uint8_t *list = talloc_array_size(unpacking->mem, of->size, (unsigned)value.number);
+    if (list == NULL) /* a byte of a frame may stand for a whole struct */
+        return wrong_type(failure, shape, field);
     for (size_t i = 0; i < value.number; i++) {
         const Status status = unpack_shape(unpacking, of, list + i * of->size, failure);
         if (status != STATUS_OK)
--- a/packages/wire/test/wire.c
+++ b/packages/wire/test/wire.c
@@ -360,6 +360,22 @@
     assert_true(refused > 1000);
 }
 
+/* A frame of few bytes for each element ended the process: the memory of the list was not to be had. */
+static void list_beyond_memory_is_refused(void **state)
+{
+    Fixture *fixture = *state;
+    enum { ELEMENTS = 17 * 1024 * 1024 }; /* of 16 bytes each: more than talloc gives at once */
+    static const uint8_t HEAD[] = {0x96, 0x00, 0xc2, 0xc4, 0x00, 0x90, 0x90, 0xdd, 0x01, 0x10, 0x00, 0x00};
+    Bytes frame = {0};
+    bytes_add(fixture, &frame, HEAD, sizeof(HEAD));
+    uint8_t *elements = talloc_array(fixture, uint8_t, ELEMENTS);
+    memset(elements, 0x90, ELEMENTS);
+    bytes_add(fixture, &frame, elements, ELEMENTS);
+    Tree out;
+    Failure failure = {0};
+    assert_int_equal(shape_unpack(&Tree_shape, frame, fixture, &out, &failure), STATUS_BAD_FRAME);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, fixture_begin, fixture_end)
 
 int main(void)
@@ -369,6 +385,7 @@
         TEST(packed_as_by_msgpack_c),
         TEST(copy_is_deep),
         TEST(each_field_counts_in_a_comparison),
+        TEST(list_beyond_memory_is_refused),
         TEST(flat_copy_is_one_block),
         TEST(releases_read_each_other),
         TEST(numbers_of_all_widths_are_read),
