HTTP: the bound on callers' connections holds for idle ones, and for those beyond it alone

Found by the review: every connection was taken, and once there were too many, requests on any of them were refused, also on those within the bound. Now a connection that comes beyond the bound is told 503 and closed, an eighth of the bound more are kept for that, and further ones are closed at once.

--- a/packages/loop/src/real_serve.c
+++ b/packages/loop/src/real_serve.c
@@ -8,6 +8,7 @@
 #include "real.h"
 
 #define SWEEP_MS 500            /* ms; unfinished heads are looked for this often, when the loop runs anyway */
+#define BEYOND_PART 8           /* part of the bound on callers' connections that is kept beyond it */
 #define AHEAD_BYTES (64 * 1024) /* bytes; so much is read of what a caller sends before its result */
 
 /* An address served. */
@@ -27,6 +28,7 @@
     h2o_socket_t *sock;
     Served *served;
     int64_t begun_ms; /* when a head was first seen unfinished; 0: none is */
+    bool beyond;      /* it came when there were as many as there may be */
 } CallerConnection;
 
 /* Ties an h2o request to its task: it is on the request's pool, whose end marks the task's caller as gone. */
@@ -168,7 +170,7 @@
         refuse(real, req, STATUS_HEAD_LARGE, "the head of this request is too large");
         return 0;
     }
-    if (real->caller_count > real->limits.connections) {
+    if (caller->beyond) {
         req->http1_is_persistent = 0; /* its caller finds another process, or comes back */
         refuse(real, req, STATUS_BUSY, "too many connections");
         return 0;
@@ -226,8 +228,14 @@
     if (err != NULL)
         return;
     while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
+        /* a few beyond the bound are kept until they ask, so that their callers are told why */
+        if (real->caller_count >= real->limits.connections + real->limits.connections / BEYOND_PART + 1) {
+            h2o_socket_close(sock);
+            continue;
+        }
         CallerConnection *caller = talloc_zero(real, CallerConnection);
         *caller = (CallerConnection){.next = real->callers, .endpoint = endpoint, .sock = sock};
+        caller->beyond = real->caller_count >= real->limits.connections;
         if (real->callers != NULL)
             real->callers->prev = caller;
         real->callers = caller;
