--- a/packages/callers/src/entry.c
+++ b/packages/callers/src/entry.c
@@ -52,10 +52,14 @@
 }
 
 /* Whether the job is shown to the request, to read, cancel or submit again: to its tenant's own callers. That of a
- * tenant that is not called by key is shown to whoever may call the queue, that of one that is gone to nobody. */
+ * tenant that is not called by key, or in a public queue, is shown to whoever may call the queue, that of a tenant that
+ * is gone to nobody. */
 static bool job_shown(const CallerRequest *request, const Job *job)
 {
     const ConfigCell *cell = config_cell(in_force_config(request->callers->in_force), job->spec.cell);
+    const ConfigQueue *queue = cell != NULL ? config_queue(cell, job->spec.queue) : NULL;
+    if (queue != NULL && queue->is_public) /* calls there need no key */
+        return true;
     const ConfigTenant *tenant = cell != NULL ? config_tenant(cell, job->spec.tenant) : NULL;
     if (tenant == NULL)
         return cell == NULL || !cell->keyed;
