--- a/packages/sim/test/fleet_fixture.h
+++ b/packages/sim/test/fleet_fixture.h
@@ -62,4 +62,26 @@
     return count;
 }
 
+/* A job of tenant t in cell c is accepted. more: further members of it, each with a comma before. */
+static inline void case_submit(Fleet *fleet, const char *id, const char *queue, const char *more, const char *steps)
+{
+    const char *body =
+        talloc_asprintf(fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"%s\"%s,\"steps\":[%s]}", id,
+                        queue, more, steps);
+    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/jobs", body);
+    if (call.code != 201)
+        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
+    checker_accepted(fleet->checker, id);
+}
+
+/* How many of the job's tasks are in the phase. */
+static inline size_t case_in_phase(const Fleet *fleet, const char *id, TaskPhase phase)
+{
+    const Job *job = fleet_job(fleet, id);
+    size_t count = 0;
+    for (size_t t = 0; job != NULL && t < job->tasks_count; t++)
+        count += job->tasks[t].phase == phase;
+    return count;
+}
+
 #endif
--- a/packages/sim/test/planner.c
+++ b/packages/sim/test/planner.c
@@ -24,25 +24,6 @@
     return case_configured(seed, (FleetShape){3, 1, 6, MIX_TRENTVALE, 0}, CONFIG);
 }
 
-static void inside_request_send(Fleet *fleet, const char *id, const char *queue, const char *steps)
-{
-    const char *body = talloc_asprintf(
-        fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"%s\",\"steps\":[%s]}", id, queue, steps);
-    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/jobs", body);
-    if (call.code != 201)
-        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
-    checker_accepted(fleet->checker, id);
-}
-
-static size_t in_phase(const Fleet *fleet, const char *id, TaskPhase phase)
-{
-    const Job *job = fleet_job(fleet, id);
-    size_t count = 0;
-    for (size_t t = 0; job != NULL && t < job->tasks_count; t++)
-        count += job->tasks[t].phase == phase;
-    return count;
-}
-
 static size_t on_worker(const Fleet *fleet, const char *id, const char *worker)
 {
     const Job *job = fleet_job(fleet, id);
@@ -59,20 +40,20 @@
     (void)state;
     Fleet *fleet = begin(11);
     stand_worker_hang(fleet_node(fleet, FLEET_WORKER, 0)->worker, true);
-    inside_request_send(
-        fleet, "a", "bulk",
+    case_submit(
+        fleet, "a", "bulk", "",
         "{\"name\":\"a\",\"count\":24,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":2000,\"payload\":{\"runMs\":2000}}");
     fleet_run(fleet, 1000);
     const size_t stuck = on_worker(fleet, "a", "worker1");
     assert_true(stuck > 0);
     fleet_run(fleet, 6000);
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 24);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 24);
     const size_t before = checker_starts_on(fleet->checker, "worker1");
-    inside_request_send(
-        fleet, "b", "bulk",
+    case_submit(
+        fleet, "b", "bulk", "",
         "{\"name\":\"a\",\"count\":10,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":1000}}");
     fleet_run(fleet, 2500);
-    assert_int_equal(in_phase(fleet, "b", TASK_DONE), 10);
+    assert_int_equal(case_in_phase(fleet, "b", TASK_DONE), 10);
     assert_int_equal(checker_starts_on(fleet->checker, "worker1"), before);
     case_end(fleet);
 }
@@ -84,13 +65,13 @@
     (void)state;
     Fleet *fleet = begin(13);
     stand_worker_slow(fleet_node(fleet, FLEET_WORKER, 1)->worker, 8);
-    inside_request_send(
-        fleet, "a", "bulk",
+    case_submit(
+        fleet, "a", "bulk", "",
         "{\"name\":\"a\",\"count\":24,\"apart\":4,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":3000,\"payload\":{\"runMs\":4000}}");
     fleet_run(fleet, 1000);
     assert_true(on_worker(fleet, "a", "worker2") > 0);
     fleet_run(fleet, 9000); /* 32 s where they began */
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 24);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 24);
     case_end(fleet);
 }
 
@@ -99,11 +80,11 @@
 {
     (void)state;
     Fleet *fleet = begin(12);
-    inside_request_send(
-        fleet, "a", "bulk",
+    case_submit(
+        fleet, "a", "bulk", "",
         "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":6000}}");
     fleet_run(fleet, 8000);
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 12);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 12);
     const Job *job = fleet_job(fleet, "a");
     for (size_t i = 0; i < job->tasks_count; i++)
         assert_int_equal(job->tasks[i].attempt, 1);
@@ -116,17 +97,17 @@
 {
     (void)state;
     Fleet *fleet = begin(16);
-    inside_request_send(
-        fleet, "a", "bulk",
+    case_submit(
+        fleet, "a", "bulk", "",
         "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":6,\"memMb\":64},\"estMs\":14000,\"payload\":{\"runMs\":14000}}");
     fleet_run(fleet, 5000);
-    inside_request_send(
-        fleet, "short", "bulk", /* whose progress makes words of none credible at once */
+    case_submit(
+        fleet, "short", "bulk", "", /* whose progress makes words of none credible at once */
         "{\"name\":\"a\",\"count\":36,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":9000,\"payload\":{\"runMs\":9000}}");
     fleet_run(fleet, 500);
     fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
     fleet_run(fleet, 13000);
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 12);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 12);
     const Job *job = fleet_job(fleet, "a");
     for (size_t i = 0; i < job->tasks_count; i++)
         assert_int_equal(job->tasks[i].attempt, 1);
@@ -138,8 +119,8 @@
 {
     (void)state;
     Fleet *fleet = begin(14);
-    inside_request_send(
-        fleet, "a", "bulk",
+    case_submit(
+        fleet, "a", "bulk", "",
         "{\"name\":\"a\",\"count\":14,\"apart\":2,\"room\":{\"cpu\":1,\"memMb\":64},\"estMs\":3000,\"payload\":{\"runMs\":3000}}");
     for (int i = 0; i < 24; i++) {
         fleet_run(fleet, 250);
@@ -149,10 +130,10 @@
             assert_true(on_worker(fleet, "a", name) <= 2);
         }
         if (i == 6)
-            assert_int_equal(in_phase(fleet, "a", TASK_RUNNING), 12);
+            assert_int_equal(case_in_phase(fleet, "a", TASK_RUNNING), 12);
     }
     fleet_run(fleet, 2000);
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 14);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 14);
     case_end(fleet);
 }
 
@@ -178,13 +159,13 @@
 {
     (void)state;
     Fleet *fleet = begin(15);
-    inside_request_send(
-        fleet, "near", "bulk",
+    case_submit(
+        fleet, "near", "bulk", "",
         "{\"name\":\"a\",\"count\":6,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
     fleet_run(fleet, 1000);
     assert_int_equal(on_rack(fleet, "near", "rack1"), 6);
-    inside_request_send(
-        fleet, "gang", "bulk",
+    case_submit(
+        fleet, "gang", "bulk", "",
         "{\"name\":\"g\",\"count\":4,\"gang\":true,\"sameRack\":true,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":4000,"
         "\"payload\":{\"runMs\":4000}}");
     fleet_run(fleet, 500);
@@ -193,8 +174,8 @@
     for (size_t i = 1; i < gang->tasks_count; i++)
         assert_int_equal(gang->tasks[i].attempt, gang->tasks[0].attempt);
     /* rack1 holds 24 of these at most: the others take the longer way within two seconds */
-    inside_request_send(
-        fleet, "more", "bulk",
+    case_submit(
+        fleet, "more", "bulk", "",
         "{\"name\":\"a\",\"count\":30,\"near\":\"rack1\",\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":4000,\"payload\":{\"runMs\":4000}}");
     fleet_run(fleet, 300);
     const size_t near = on_rack(fleet, "more", "rack1");
@@ -212,23 +193,23 @@
     (void)state;
     for (int saves = 0; saves < 2; saves++) {
         Fleet *fleet = begin(16);
-        inside_request_send(
-            fleet, "bulk", "bulk",
+        case_submit(
+            fleet, "bulk", "bulk", "",
             saves
                 ? "{\"name\":\"a\",\"count\":12,\"saves\":true,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}"
                 : "{\"name\":\"a\",\"count\":12,\"room\":{\"cpu\":32,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
         fleet_run(fleet, 6000);
-        assert_int_equal(in_phase(fleet, "bulk", TASK_RUNNING), 12);
-        inside_request_send(
-            fleet, "now", "urgent",
+        assert_int_equal(case_in_phase(fleet, "bulk", TASK_RUNNING), 12);
+        case_submit(
+            fleet, "now", "urgent", "",
             "{\"name\":\"a\",\"count\":2,\"room\":{\"cpu\":24,\"memMb\":64},\"estMs\":1000,\"payload\":{\"runMs\":1000}}");
         fleet_run(fleet, 4000);
         /* what keeps nothing has run for six seconds: too much to throw away */
-        assert_int_equal(in_phase(fleet, "now", TASK_DONE), saves ? 2 : 0);
-        assert_true(in_phase(fleet, "bulk", TASK_RUNNING) >= (saves ? 10 : 12));
+        assert_int_equal(case_in_phase(fleet, "now", TASK_DONE), saves ? 2 : 0);
+        assert_true(case_in_phase(fleet, "bulk", TASK_RUNNING) >= (saves ? 10 : 12));
         fleet_run(fleet, 50000);
-        assert_int_equal(in_phase(fleet, "now", TASK_DONE), 2);
-        assert_int_equal(in_phase(fleet, "bulk", TASK_DONE), 12);
+        assert_int_equal(case_in_phase(fleet, "now", TASK_DONE), 2);
+        assert_int_equal(case_in_phase(fleet, "bulk", TASK_DONE), 12);
         case_end(fleet);
     }
 }
@@ -239,11 +220,11 @@
 {
     (void)state;
     Fleet *fleet = begin(17);
-    inside_request_send(
-        fleet, "long", "bulk",
+    case_submit(
+        fleet, "long", "bulk", "",
         "{\"name\":\"a\",\"count\":6,\"apart\":2,\"saves\":true,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":20000,\"payload\":{\"runMs\":20000}}");
-    inside_request_send(
-        fleet, "short", "bulk",
+    case_submit(
+        fleet, "short", "bulk", "",
         "{\"name\":\"a\",\"count\":12,\"apart\":2,\"room\":{\"cpu\":8,\"memMb\":64},\"estMs\":2000,\"payload\":{\"runMs\":2000}}");
     fleet_run(fleet, 1500);
     assert_int_equal(on_worker(fleet, "long", "worker1"), 2);
@@ -268,8 +249,8 @@
     char id[JOBS][8];
     for (int i = 0; i < JOBS; i++) {
         snprintf(id[i], sizeof(id[i]), "j%d", i);
-        inside_request_send(
-            fleet, id[i], "urgent",
+        case_submit(
+            fleet, id[i], "urgent", "",
             "{\"name\":\"a\",\"count\":6,\"room\":{\"cpu\":2,\"memMb\":64},\"estMs\":1500,\"payload\":{\"runMs\":1500}}");
     }
     fleet_run(fleet, 500);
@@ -277,7 +258,7 @@
     fleet_run(fleet, 2500);
     int in_time = 0;
     for (int i = 0; i < JOBS; i++)
-        in_time += in_phase(fleet, id[i], TASK_DONE) == 6;
+        in_time += case_in_phase(fleet, id[i], TASK_DONE) == 6;
     assert_in_range(in_time, JOBS * 3 / 4, JOBS - 1); /* one worker of six: some of its work is held up */
     case_end(fleet);
 }
@@ -287,8 +268,8 @@
 {
     (void)state;
     Fleet *fleet = case_configured(18, (FleetShape){3, 1, 6, MIX_TRENTVALE, 0}, CONFIG_LOSSES);
-    inside_request_send(
-        fleet, "a", "urgent",
+    case_submit(
+        fleet, "a", "urgent", "",
         "{\"name\":\"a\",\"count\":6,\"room\":{\"cpu\":2,\"memMb\":64},\"estMs\":1500,\"payload\":{\"runMs\":1500}}");
     fleet_run(fleet, 500);
     for (int i = 1; i <= 6; i++)
@@ -305,21 +286,21 @@
         "{\"name\":\"a\",\"count\":24,\"apart\":4,\"room\":{\"cpu\":2,\"memMb\":64},\"estMs\":500,\"payload\":{\"runMs\":500}}";
     for (uint64_t seed = 19; seed < 24; seed++) {
         Fleet *fleet = begin(seed);
-        inside_request_send(fleet, "before", "urgent", STEP);
+        case_submit(fleet, "before", "urgent", "", STEP);
         fleet_run(fleet, 3000);
-        assert_int_equal(in_phase(fleet, "before", TASK_DONE), 24);
+        assert_int_equal(case_in_phase(fleet, "before", TASK_DONE), 24);
         const size_t starts = checker_starts_on(fleet->checker, "worker1");
         assert_true(starts > 0);
         fleet_isolate(fleet, FLEET_AGENT, 0, true);
         fleet_run(fleet, HEARTBEAT_WAIT_MS + OVERDUE_LEAST_MS + 2 * PLACE_TICK_MS);
-        inside_request_send(fleet, "while", "urgent", STEP);
+        case_submit(fleet, "while", "urgent", "", STEP);
         fleet_run(fleet, 200);
         assert_int_equal(on_worker(fleet, "while", "worker1"), 0);
         fleet_isolate(fleet, FLEET_AGENT, 0, false);
         fleet_run(fleet, 2000);
-        inside_request_send(fleet, "after", "urgent", STEP);
+        case_submit(fleet, "after", "urgent", "", STEP);
         fleet_run(fleet, 3000);
-        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 24);
+        assert_int_equal(case_in_phase(fleet, "after", TASK_DONE), 24);
         assert_true(checker_starts_on(fleet->checker, "worker1") > starts);
         case_end(fleet);
     }
--- a/packages/sim/test/quota.c
+++ b/packages/sim/test/quota.c
@@ -57,21 +57,7 @@
 /* more: further members of the job, with a comma before. */
 static void submit(Fleet *fleet, const char *id, const char *step, const char *more)
 {
-    const char *body = talloc_asprintf(
-        fleet, "{\"id\":\"%s\",\"cell\":\"c\",\"tenant\":\"t\",\"queue\":\"bulk\"%s,\"steps\":[%s]}", id, more, step);
-    const HttpCall call = fleet_ask(fleet, fleet, FLEET_ENTRY_POINT, 0, "POST", "/v1/jobs", body);
-    if (call.code != 201)
-        fail_msg("%s: %d %s", id, call.code, (const char *)call.result.data);
-    checker_accepted(fleet->checker, id);
-}
-
-static size_t in_phase(const Fleet *fleet, const char *id, TaskPhase phase)
-{
-    const Job *job = fleet_job(fleet, id);
-    size_t count = 0;
-    for (size_t t = 0; job != NULL && t < job->tasks_count; t++)
-        count += job->tasks[t].phase == phase;
-    return count;
+    case_submit(fleet, id, "bulk", more, step);
 }
 
 /* The number of a worker that the table has a task of the job on; -1: none. */
@@ -98,7 +84,7 @@
         for (int i = 1; i < 6; i += 2) /* the slow ones hear of no stop */
             fleet_isolate(fleet, FLEET_AGENT, i, true);
         fleet_run(fleet, 20000);
-        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 16);
+        assert_int_equal(case_in_phase(fleet, "after", TASK_DONE), 16);
         case_end(fleet);
     }
 }
@@ -115,7 +101,7 @@
         assert_true(at >= 0);
         fleet_isolate(fleet, FLEET_AGENT, at, true);
         fleet_run(fleet, 15000);
-        assert_int_equal(in_phase(fleet, "copied", TASK_DONE), 4); /* what the lost worker ran counts no longer */
+        assert_int_equal(case_in_phase(fleet, "copied", TASK_DONE), 4); /* what the lost worker ran counts no longer */
         case_end(fleet);
     }
 }
@@ -158,7 +144,7 @@
         fleet_roll(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
         submit(fleet, "after", STEP(16, 64, 700, ""), "");
         fleet_run(fleet, 20000);
-        assert_int_equal(in_phase(fleet, "after", TASK_DONE), 16);
+        assert_int_equal(case_in_phase(fleet, "after", TASK_DONE), 16);
         case_end(fleet);
     }
 }
@@ -179,7 +165,7 @@
         assert_in_range(call.code, 200, 202);
         checker_cancelled(fleet->checker, "first");
         fleet_run(fleet, 12000);
-        assert_int_equal(in_phase(fleet, "second", TASK_DONE), 8);
+        assert_int_equal(case_in_phase(fleet, "second", TASK_DONE), 8);
         case_end(fleet);
     }
 }
@@ -196,7 +182,7 @@
         fleet_run(fleet, 1000);
         fleet_kill(fleet, FLEET_CONTROLLER, fleet_leader(fleet));
         fleet_run(fleet, 25000);
-        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 12);
+        assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 12);
         case_end(fleet);
     }
 }
@@ -213,7 +199,7 @@
         configure(fleet, bounded(fleet, 4));
         checker_quota(fleet->checker, "t", (Resources){4000, 0, 0}, TENANT_IN);
         fleet_run(fleet, 20000);
-        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 30);
+        assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 30);
         case_end(fleet);
     }
 }
@@ -233,7 +219,7 @@
         fleet_run(fleet, 6000);
         configure(fleet, bounded(fleet, QUOTA_CPU));
         fleet_run(fleet, 15000);
-        assert_int_equal(in_phase(fleet, "a", TASK_DONE), 40);
+        assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 40);
         case_end(fleet);
     }
 }
@@ -263,8 +249,8 @@
     configure(fleet, bounded(fleet, 1000));
     checker_quota(fleet->checker, "t", (Resources){1000000, 0, 0}, TENANT_IN);
     fleet_run(fleet, 5000);
-    assert_int_equal(in_phase(fleet, "a", TASK_DONE), 6);
-    assert_int_equal(in_phase(fleet, "gang", TASK_DONE), 3);
+    assert_int_equal(case_in_phase(fleet, "a", TASK_DONE), 6);
+    assert_int_equal(case_in_phase(fleet, "gang", TASK_DONE), 3);
     case_end(fleet);
 }
 
