--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -50,17 +50,34 @@
         return event
 
 
-def free_ports(count):
-    """Ports that are free on all loopback addresses at the moment; the last two are neighbours."""
-    while True:
-        sockets = [socket.socket() for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("0.0.0.0", 0))
-        ports = [sock.getsockname()[1] for sock in sockets]
-        for sock in sockets:
-            sock.close()
-        if ports[-1] + 1 not in ports and ports[-1] < 65000:
-            return ports
+def port_is_free(ips, port):
+    """Whether the port is free on all these addresses at the moment."""
+    for ip in ips:
+        with socket.socket() as sock:
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_ports(ips, count):
+    """Ports that are free on all these loopback addresses at the moment; the one after the last is free too."""
+    ports = []
+    while len(ports) < count:
+        with socket.socket() as sock:
+            sock.bind((ips[0], 0))
+            port = sock.getsockname()[1]
+        last = len(ports) == count - 1
+        wanted = [port, port + 1] if last else [port]
+        if port < 65000 and not set(wanted) & set(ports) and all(port_is_free(ips, each) for each in wanted):
+            ports.append(port)
+    return ports
+
+
+def machine_ip(number):
+    """The loopback address of a machine."""
+    return f"127.0.71.{number + 1}"
 
 
 class Machine:
@@ -68,7 +85,7 @@
 
     def __init__(self, fleet, name, number, kind, disk):
         self.fleet, self.name, self.number, self.kind = fleet, name, number, kind
-        self.ip = f"127.0.71.{number + 1}"
+        self.ip = machine_ip(number)
         self.zone = f"hall-{'abc'[number % 3]}"
         self.data = os.path.join(fleet.folder, name) if disk else None
         self.process = None
@@ -130,9 +147,10 @@
         self.record = record
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
-        self.front, self.ready, self.ctl, self.peer = free_ports(4)
+        count = 3 + entry_points + sides
+        self.front, self.ready, self.ctl, self.peer = free_ports([machine_ip(number) for number in range(count)], 4)
         self.machines = []
-        for number in range(3 + entry_points + sides):
+        for number in range(count):
             kind = "edge" if number < 3 + entry_points else "side"
             self.machines.append(Machine(self, f"{kind}-{number}", number, kind, number < 3))
         self.edges, self.sides = self.machines[:3 + entry_points], self.machines[3 + entry_points:]
