Agent: an attempt whose end is not among the 500 that a report lists is not lost

What callers saw: while more than 500 ends waited on one worker (the controllers were away for 0.9 s, or a step of more than 500 tasks ended at once), 500 to 1,000 tasks of 2,700 ran a second time.

Cause: a worker lists 500 ends at once, the others come with later heartbeats. The agent took each attempt that a heartbeat listed neither as running nor as ended for lost; the leader placed it again while its end waited. A list that was cut also made the agent's table count as complete after a restart, so that the leader ended what that table lacked.

Whether an attempt is listed is a number kept with it, in place of a search of the list for each attempt (1,000 attempts on a worker cost a million comparisons for each report).

--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -25,6 +25,7 @@
     /* Running attempts, and ended attempts whose end the worker does not know to be committed. */
     const AttemptUpdate *running, *ended;
     size_t running_count, ended_count;
+    bool ends_cut; /* More attempts may have ended than the report lists: one that it does not list may have ended */
 } WorkerReport;
 
 /* The answer to a report. The lease counts from when the worker sent its report.
--- a/packages/agent/src/attempt.h
+++ b/packages/agent/src/attempt.h
@@ -37,6 +37,7 @@
     int64_t changed_ms;
     int64_t given_ms;          /* When it was given to the worker; 0: not by this agent process */
     int64_t running_since_ms;  /* When it started to run; 0: not known */
+    uint64_t listed_in;        /* Number of the last report that listed it as running; 0: none did */
     const char *saved;         /* Its checkpoint, as last reported */
     uint64_t progress_version; /* Grows with each change of saved or percent that the leader must learn */
     uint64_t percent;          /* Percentage of its work that is done, as last reported */
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -55,6 +55,7 @@
     bool worker_live, worker_leaving, settled;
     int64_t leave_until_ms;             /* If draining: the worker stays at least until then; 0: not given */
     uint64_t report_number;             /* Number of the newest report; only that one is answered */
+    uint64_t applied_number;            /* Number of the last report that was applied to the attempt table */
     int64_t started_ms, last_report_ms; /* When the agent started; when the worker's last report arrived */
     Arrivals reports;                   /* How soon the worker reports again after an answer */
     int64_t worker_lease_until_ms;      /* No lease passed on to the worker is valid after this time */
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -7,12 +7,10 @@
 #include "heartbeat.h"
 #include "boot.h"
 
-static bool is_listed(const AttemptUpdate *list, size_t count, const Order *order)
+/* True if the last report lists the attempt as running. */
+static bool is_listed(const Agent *agent, const Attempt *attempt)
 {
-    for (size_t i = 0; i < count; i++)
-        if (attempt_is(order, list[i].job, list[i].task, list[i].attempt))
-            return true;
-    return false;
+    return attempt->listed_in == agent->applied_number;
 }
 
 /* Returns the attempt that the worker reports. Adds it to the table if it is not there. */
@@ -45,30 +43,38 @@
         attempt_report_end(agent, attempt, (AttemptStatus)update->word, update->text);
 }
 
-/* Updates the attempt table to match the report: what the worker reports replaces what the agent inferred, and an
- * attempt that the report does not list has ended, or its order has not arrived. */
+/* Handles an attempt that was given to the worker and that a report with complete lists does not contain: it has ended,
+ * or its order has not arrived. */
+static void unlisted_apply(Agent *agent, Attempt *attempt)
+{
+    if (attempt->phase == PHASE_STOPPING)
+        attempt_end(agent, attempt, ATTEMPT_STOPPED, "stopped", true);
+    else if (attempt->phase == PHASE_RUNNING)
+        attempt_end(agent, attempt, ATTEMPT_LOST, "the worker knows nothing of it any more", true);
+    else if (loop_now_ms(agent->loop) < attempt->timeout_ms)
+        attempt->phase = PHASE_ORDERED; /* The answer that carried it did not arrive */
+    else
+        attempt_expire(agent, attempt);
+}
+
+/* Updates the attempt table to match the report: what the worker reports replaces what the agent inferred. */
 static void attempts_apply_report(Agent *agent, const WorkerReport *report)
 {
-    const int64_t now_ms = loop_now_ms(agent->loop);
+    agent->applied_number++;
     for (size_t i = 0; i < report->running_count; i++) {
         Attempt *attempt = attempt_find_or_adopt(agent, &report->running[i]);
+        attempt->listed_in = agent->applied_number;
         if (attempt->phase < PHASE_ENDED)
             attempt_running(agent, attempt, &report->running[i]);
     }
     for (size_t i = 0; i < report->ended_count; i++)
         end_apply(agent, &report->ended[i]);
+    if (report->ends_cut)
+        return; /* The end of an attempt that is not listed may come with a later report */
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
-        if (attempt->phase == PHASE_ORDERED || is_listed(report->running, report->running_count, &attempt->order))
-            continue;
-        if (attempt->phase == PHASE_STOPPING)
-            attempt_end(agent, attempt, ATTEMPT_STOPPED, "stopped", true);
-        else if (attempt->phase == PHASE_RUNNING)
-            attempt_end(agent, attempt, ATTEMPT_LOST, "the worker knows nothing of it any more", true);
-        else if (now_ms < attempt->timeout_ms)
-            attempt->phase = PHASE_ORDERED; /* The answer that carried it did not arrive */
-        else
-            attempt_expire(agent, attempt);
+        if (attempt->phase != PHASE_ORDERED && !is_listed(agent, attempt))
+            unlisted_apply(agent, attempt);
     }
 }
 
@@ -82,7 +88,7 @@
         return;
     Resources known = report->free;
     for (const Attempt *attempt = agent->attempts.live.first; attempt != NULL; attempt = attempt->next)
-        if (is_listed(report->running, report->running_count, &attempt->order)) {
+        if (is_listed(agent, attempt)) {
             known.cpu_milli += attempt->order.resources.cpu_milli;
             known.mem_mb += attempt->order.resources.mem_mb;
             known.gpu += attempt->order.resources.gpu;
@@ -94,15 +100,16 @@
 }
 
 /* Updates the worker's description and state. Called after attempts_apply_report, which has adopted the attempts of an
- * earlier agent process: the table is complete from here on. */
+ * earlier agent process: the table is complete once a report was complete. */
 static void worker_update(Agent *agent, const WorkerReport *report)
 {
     Worker worker = report->worker;
     worker.name = agent->worker_name;
     const bool same = report->left || shape_equal(&Worker_shape, &worker, &agent->worker);
     const bool live = !report->left, leaving = report->leaving || report->left;
-    const bool changed = !same || agent->worker_live != live || agent->worker_leaving != leaving || !agent->settled;
-    agent->settled = true;
+    const bool changed = !same || agent->worker_live != live || agent->worker_leaving != leaving ||
+                         (!agent->settled && !report->ends_cut);
+    agent->settled |= !report->ends_cut;
     if (!same) {
         void *mem = talloc_new(agent);
         shape_copy(&Worker_shape, &worker, mem, &agent->worker);
--- a/packages/agent/test/agent_ends.c
+++ b/packages/agent/test/agent_ends.c
@@ -92,6 +92,60 @@
     talloc_free(fixture);
 }
 
+/* Guards against attempts that run twice after more than 500 ends at once: a report lists the first 500 of them, and
+ * the attempts of the others counted as lost. */
+static void ends_that_are_not_listed_yet_are_not_lost(void **state)
+{
+    (void)state;
+    enum { LISTED = 500, TASKS = 600 };
+    AgentFixture *fixture = fixture_reported(3000, 3000);
+    Order *orders = talloc_array(fixture, Order, TASKS);
+    AttemptUpdate *running = talloc_array(fixture, AttemptUpdate, TASKS);
+    AttemptUpdate *ended = talloc_array(fixture, AttemptUpdate, TASKS);
+    for (uint64_t i = 0; i < TASKS; i++) {
+        orders[i] = order_of("j", i, 1, "");
+        running[i] = update_of("j", i, 1, ATTEMPT_RUNNING, "");
+        ended[i] = update_of("j", i, 1, ATTEMPT_DONE, "");
+    }
+    orders_set(fixture, orders, TASKS);
+    assert_int_equal(report_idle(fixture)->orders.starts_count, TASKS);
+    report_attempts(fixture, "b1", running, TASKS, NULL, 0);
+    for (int i = 0; i < 3; i++) {
+        ReportCall *call = report_new(fixture, "b1");
+        call->report.ended = ended;
+        call->report.ended_count = LISTED;
+        call->report.ends_cut = true;
+        report_send_and_wait(call);
+        run_for(fixture, 50);
+    }
+    assert_int_equal(fixture->leader.updates_count, LISTED);
+    report_attempts(fixture, "b1", NULL, 0, ended + LISTED, TASKS - LISTED);
+    run_for(fixture, 50);
+    assert_int_equal(fixture->leader.updates_count, TASKS);
+    for (size_t i = 0; i < TASKS; i++)
+        assert_int_equal(fixture->leader.updates[i].word, ATTEMPT_DONE);
+    talloc_free(fixture);
+}
+
+/* The same after a restart of the agent: a list that is cut does not tell the leader that the others are gone. */
+static void cut_list_is_not_complete(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_new(3000, 3000);
+    for (int i = 0; i < 3; i++) {
+        ReportCall *call = add_ended(report_new(fixture, "b1"), ATTEMPT_DONE, "");
+        call->report.ends_cut = true;
+        report_send_and_wait(call);
+        run_for(fixture, 50);
+    }
+    assert_false(fixture->leader.heartbeat.settled);
+    report_idle(fixture);
+    report_idle(fixture);
+    run_for(fixture, 600);
+    assert_true(fixture->leader.heartbeat.settled);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -99,6 +153,8 @@
         cmocka_unit_test(end_is_reported_to_the_next_leader_at_once),
         cmocka_unit_test(end_is_known_only_when_committed),
         cmocka_unit_test(five_hundred_ends_at_once),
+        cmocka_unit_test(ends_that_are_not_listed_yet_are_not_lost),
+        cmocka_unit_test(cut_list_is_not_complete),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
