Agent: after a restart only a report that was sent since then completes the attempt table

What callers saw: the agent beside a worker was killed and came back; a heartbeat that the worker had sent before two tasks started arrived late, as the first that the new process heard. Both tasks were started again, on the same worker, while they ran.

Cause: any one report settled the table, and a restarted process knows no number of an earlier report, so it can't tell a late one. The leader then ended what the settled list lacked.

Change: a report says which earlier report its sender had an answer to (answered_seq). A report reaches one process only, so one that names a report which this process has received was sent after this process started, however late it is: it, and those after it, settle the table. Without that proof (a worker that gives no clock) the table is settled once every lease that the predecessor may have passed on has expired: what runs then runs by a lease of this process, which was given in answer to a report that listed it. Until the table is settled nothing is concluded from an absence but for what the worker listed before, no order is given to the worker or withdrawn, and answers are not held back, so that the proof comes with the next report.

The native protocol has answeredSeq.

--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -10,16 +10,20 @@
 
 /* What a worker reports about itself. All texts belong to the caller and must stay valid until agent_report returns. */
 typedef struct WorkerReport {
-    const char *boot;         /* Identifies the worker's process; attempts and leases never outlive it */
-    Worker worker;            /* Its name is ignored: an agent serves one worker */
-    bool previous_boot_ended; /* True if a report of a new boot proves that the previous process has ended */
-    uint64_t seq;             /* Grows with each report of a boot, so that a late report is recognized; 0: not given */
-    bool leaving;             /* The worker is draining: it accepts no new attempts */
-    int64_t leave_ms;         /* If leaving: the worker stays for at least this long; 0: not given */
-    bool left;                /* The worker has shut down cleanly: no attempt runs there any more */
-    bool free_given;          /* True if free is given */
-    Resources free;           /* Unused capacity, as the worker counts it */
-    int64_t wait_ms;          /* The answer may be delayed by this long */
+    const char *boot; /* Identifies the worker's process; attempts and leases never outlive it */
+    Worker worker;    /* Its name is ignored: an agent serves one worker */
+    bool one_process; /* True if the worker never has two processes at a time: a live one proves that others have ended
+                       */
+    uint64_t seq;     /* Grows with each report of a boot, so that a late report is recognized; 0: not given */
+    /* The newest report of this boot whose answer the worker had when it sent this one. It proves that this report was
+     * sent after that one arrived, however late it is itself. 0: not known */
+    uint64_t answered_seq;
+    bool leaving;     /* The worker is draining: it accepts no new attempts */
+    int64_t leave_ms; /* If leaving: the worker stays for at least this long; 0: not given */
+    bool left;        /* The worker has shut down cleanly: no attempt runs there any more */
+    bool free_given;  /* True if free is given */
+    Resources free;   /* Unused capacity, as the worker counts it */
+    int64_t wait_ms;  /* The answer may be delayed by this long */
     /* The worker sends no other report before this one is answered, not even when an attempt ends. */
     bool waits_for_answer;
     /* Running attempts, and ended attempts whose end the worker does not know to be committed. */
--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -30,7 +30,7 @@
     const int64_t now_ms = loop_now_ms(agent->loop);
     const bool runs = lease_runs(&agent->lease, now_ms);
     for (const Attempt *attempt = agent->attempts.live.first; attempt != NULL; attempt = attempt->next)
-        if ((attempt->phase == PHASE_ORDERED && runs) || attempt->phase == PHASE_STOPPING)
+        if ((attempt->phase == PHASE_ORDERED && runs && agent->settled) || attempt->phase == PHASE_STOPPING)
             return true;
     for (size_t i = 0; i < report->running_count; i++)
         if (must_still_stop(agent, &report->running[i]))
@@ -49,6 +49,9 @@
     if (report->waits_for_answer && report->running_count + report->ended_count > 0 &&
         wait_ms > WORKER_ENDS_POLL_WAIT_MS)
         wait_ms = WORKER_ENDS_POLL_WAIT_MS;
+    /* The next report may complete the attempt table. */
+    if (!agent->settled && wait_ms > WORKER_ENDS_POLL_WAIT_MS)
+        wait_ms = WORKER_ENDS_POLL_WAIT_MS;
     return loop_now_ms(agent->loop) + wait_ms;
 }
 
@@ -81,6 +84,8 @@
                              .next_report_ms = WORKER_NEXT_POLL_MS};
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
+        if (attempt->phase == PHASE_ORDERED && !agent->settled)
+            continue; /* The worker may run it: an earlier agent process may have given it */
         if (attempt->phase == PHASE_ORDERED && now_ms >= attempt->timeout_ms) {
             attempt_expire(agent, attempt);
         } else if (attempt->phase == PHASE_ORDERED && orders->lease_ms > 0) {
--- a/packages/agent/src/attempts.c
+++ b/packages/agent/src/attempts.c
@@ -190,8 +190,15 @@
         attempt->phase = PHASE_STOPPING; /* An earlier agent process may have given it */
 }
 
+bool attempt_may_run_unlisted(const Agent *agent, const Attempt *attempt)
+{
+    return !agent->settled && attempt->listed_in == 0;
+}
+
 void attempts_withdraw(Agent *agent, const char *why)
 {
+    if (!agent->settled)
+        return; /* The worker may run them; none is given to it before that is known */
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
         if (attempt->phase == PHASE_ORDERED)
@@ -211,7 +218,7 @@
 {
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
-        if (attempt->phase != PHASE_ORDERED)
+        if (attempt->phase != PHASE_ORDERED && !attempt_may_run_unlisted(agent, attempt))
             attempt_end(agent, attempt, attempt->phase == PHASE_STOPPING ? ATTEMPT_STOPPED : ATTEMPT_LOST, why, true);
     }
 }
--- a/packages/agent/src/attempts.h
+++ b/packages/agent/src/attempts.h
@@ -37,12 +37,15 @@
 
 /* Stops every attempt that may be running, and withdraws those not yet given to the worker. */
 void attempts_stop_all(Agent *agent);
-/* Ends every attempt that was given to the worker, because nothing runs there any more. ORDERED attempts stay. */
+/* True if an earlier agent process may have given the attempt to the worker, though no report has listed it. */
+bool attempt_may_run_unlisted(const Agent *agent, const Attempt *attempt);
+/* Ends every attempt that was given to the worker's process, because that has ended or its lease has expired. ORDERED
+ * attempts stay, and those that may run unlisted in another process of the worker. */
 void attempts_end_given(Agent *agent, const char *why);
 /* Withdraws an ORDERED attempt that is not to be given to this worker: it ends, so that the leader places it elsewhere.
  * Until the agent is settled, an earlier agent process may have given it, so it is stopped instead. */
 void attempt_withdraw(Agent *agent, Attempt *attempt, const char *why);
-/* Withdraws all ORDERED attempts. */
+/* Withdraws all ORDERED attempts; has no effect until the agent is settled. */
 void attempts_withdraw(Agent *agent, const char *why);
 /* Removes COMMITTED attempts that are too old or too many. */
 void attempts_remove_old(Agent *agent);
--- a/packages/agent/src/deadlines.c
+++ b/packages/agent/src/deadlines.c
@@ -41,8 +41,8 @@
     return LEASE_HAD_LAPSED;
 }
 
-/* Handles a silent worker: it is no longer live, and once its lease has expired its attempts end. Also ends the wait
- * for attempts of an earlier agent process (settled). */
+/* Handles a silent worker: it is no longer live, and once its lease has expired its attempts end: those in the table,
+ * and those of an earlier agent process that are not in it (settled). */
 static void silence_check(Agent *agent, int64_t now_ms)
 {
     const int64_t silent_ms = now_ms - agent->last_report_ms;
@@ -52,18 +52,19 @@
         heartbeat_request(agent);
     }
     /* The worker is silent, and the lease that it was given has expired: no attempt runs there. */
-    if (agent->settled && !agent->worker_live && silent_ms > min_ms(WORKER_LOST_MS, silence_limit_ms(agent)) &&
-        now_ms >= agent->worker_lease_until_ms && agent->attempts.live.count > 0) {
-        attempts_withdraw(agent, "the worker fell silent");
-        attempts_end_given(agent, "the worker fell silent");
-    }
-    /* No report since the agent started: any lease that an earlier agent process passed on has expired. */
-    const int64_t earlier_ms = lease_claim_ms(
-        min_ms(agent->settings->cluster_settings.lease_ms, agent->settings->cluster_settings.worker_lease_ms));
-    if (!agent->settled && now_ms - agent->started_ms > earlier_ms) {
+    if (agent->worker_live || silent_ms <= min_ms(WORKER_LOST_MS, silence_limit_ms(agent)) ||
+        now_ms < agent->worker_lease_until_ms)
+        return;
+    if (!agent->settled && now_ms < agent->inherited_lease_until_ms)
+        return;
+    if (!agent->settled) {
         agent->settled = true;
         heartbeat_request(agent);
     }
+    if (agent->attempts.live.count > 0) {
+        attempts_withdraw(agent, "the worker fell silent");
+        attempts_end_given(agent, "the worker fell silent");
+    }
 }
 
 static void timeouts_check(Agent *agent, int64_t now_ms)
--- a/packages/agent/src/orders.c
+++ b/packages/agent/src/orders.c
@@ -47,7 +47,7 @@
     attempt_trace(agent, attempt, TRACE_FETCHED);
     if (newest != NULL && newest->order.attempt > order->attempt)
         attempt_end(agent, attempt, ATTEMPT_REFUSED, "a newer round has been here", true);
-    else if (agent->worker_leaving)
+    else if (agent->worker_leaving && agent->settled)
         attempt_withdraw(agent, attempt, "the worker leaves");
     signal_raise(agent->loop, &agent->answer_signal);
 }
--- a/packages/agent/src/report_json.c
+++ b/packages/agent/src/report_json.c
@@ -52,8 +52,9 @@
 /* Parses a report. Returns false if faults were added. */
 static bool report_read(Faults *faults, const HttpExchange *task, const char *name, WorkerReport *report)
 {
-    static const char *const KEYS[] = {"boot",    "zone",  "rack",   "kind", "labels",  "room", "free", "leaving",
-                                       "running", "ended", "waitMs", "seq",  "leaveMs", "left", NULL};
+    static const char *const KEYS[] = {"boot",    "zone",    "rack",        "kind",  "labels", "room",
+                                       "free",    "leaving", "running",     "ended", "waitMs", "seq",
+                                       "leaveMs", "left",    "answeredSeq", NULL};
     json_object *object = check_parse(faults, (const char *)task->body.data, task->body.count);
     if (object == NULL)
         return false;
@@ -71,6 +72,7 @@
         report->left = check_bool(faults, object, "", "left", false);
         report->leave_ms = check_int(faults, object, "", "leaveMs", 0, INT64_MAX / 4, 0);
         report->seq = (uint64_t)check_int(faults, object, "", "seq", 0, INT64_MAX, 0);
+        report->answered_seq = (uint64_t)check_int(faults, object, "", "answeredSeq", 0, INT64_MAX, 0);
         report->wait_ms = check_int(faults, object, "", "waitMs", 0, WORKER_POLL_WAIT_MS * 10, WORKER_POLL_WAIT_MS);
         report->running_count = read_attempts(faults, object, "running", false, &report->running);
         report->ended_count = read_attempts(faults, object, "ended", true, &report->ended);
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -18,12 +18,22 @@
 
 struct Heartbeat;
 
+/* A process of the worker. Times are on the agent's clock. Invariant: alive_ms <= arrived_ms. */
+typedef struct Boot {
+    char *name;
+    uint64_t seq;       /* Number of its newest report; 0: not given */
+    int64_t arrived_ms; /* When that report arrived */
+    int64_t alive_ms;   /* It is known to have been alive at this time; 0: not known */
+    bool ended;         /* It has said that it has ended: later reports are refused */
+} Boot;
+
 /* The agent. Invariants:
  *  - No attempt is given to the worker while the lease is not valid, nor one that was ordered in a term older than
  *    lease.term, nor any once the worker drains.
- *  - worker_lease_until_ms is never earlier than the end of any lease passed on to the worker's current boot.
+ *  - worker_lease_until_ms is never earlier than the end of any lease passed on to the worker's current boot, by this
+ *    agent process or an earlier one.
  *  - If settled is true, attempts holds every attempt that may run on the worker.
- *  - ended_boots holds the boots known to have ended; the current boot is not among them. */
+ *  - boot is one of boots. */
 struct Agent {
     Loop *loop;
     Recorder *recorder;
@@ -46,19 +56,19 @@
     bool isolated;                 /* The lease is extended by the second survival rule (isolated.c) */
     /* The worker */
     Worker worker;
-    void *worker_mem;                     /* talloc parent of what worker points to */
-    Resources others;                     /* The worker's capacity that is used by others than this agent's attempts */
-    char *boot;                           /* The current boot; null: none has reported, or the last one has ended */
-    char *ended_boots[WORKER_STARTS_MAX]; /* Ring buffer of the newest boots that have ended */
-    size_t ended_boot_count;              /* Number of boots ever put into ended_boots */
-    uint64_t seq;                         /* Sequence number of the current boot's newest report; 0: not given */
+    void *worker_mem;               /* talloc parent of what worker points to */
+    Resources others;               /* The worker's capacity that is used by others than this agent's attempts */
+    Boot *boot;                     /* The current boot; null: none has reported, or the last one has ended */
+    Boot *boots[WORKER_STARTS_MAX]; /* Ring buffer of the newest boots that have reported */
+    size_t boot_count;              /* Number of boots ever put into boots */
     bool worker_live, worker_leaving, settled;
-    int64_t leave_until_ms;             /* If draining: the worker stays at least until then; 0: not given */
-    uint64_t report_number;             /* Number of the newest report; only that one is answered */
-    uint64_t applied_number;            /* Number of the last report that was applied to the attempt table */
-    int64_t started_ms, last_report_ms; /* When the agent started; when the worker's last report arrived */
-    Arrivals reports;                   /* How soon the worker reports again after an answer */
-    int64_t worker_lease_until_ms;      /* No lease passed on to the worker is valid after this time */
+    int64_t leave_until_ms;           /* If draining: the worker stays at least until then; 0: not given */
+    uint64_t report_number;           /* Number of the newest report; only that one is answered */
+    uint64_t applied_number;          /* Number of the last report that was applied to the attempt table */
+    int64_t last_report_ms;           /* When the worker's last report arrived; 0: none has */
+    Arrivals reports;                 /* How soon the worker reports again after an answer */
+    int64_t worker_lease_until_ms;    /* No lease passed on to the worker is valid after this time */
+    int64_t inherited_lease_until_ms; /* No lease that an earlier agent process passed on is valid after this time */
     Attempts attempts;
     Signal answer_signal; /* Raised when there is something to answer the worker with */
     Signal report_signal; /* Raised when there is an end to report, or another leader */
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -43,8 +43,8 @@
         attempt_report_end(agent, attempt, (AttemptStatus)update->word, update->text);
 }
 
-/* Handles an attempt that was given to the worker and that a report with complete lists does not contain: it has ended,
- * or its order has not arrived. */
+/* Handles an attempt that was given to the worker and is known not to run: it has ended, or its order has not arrived.
+ */
 static void unlisted_apply(Agent *agent, Attempt *attempt)
 {
     if (attempt->phase == PHASE_STOPPING)
@@ -73,11 +73,22 @@
         return; /* The end of an attempt that is not listed may come with a later report */
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
-        if (attempt->phase != PHASE_ORDERED && !is_listed(agent, attempt))
+        if (attempt->phase != PHASE_ORDERED && !is_listed(agent, attempt) && !attempt_may_run_unlisted(agent, attempt))
             unlisted_apply(agent, attempt);
     }
 }
 
+/* Determines whether the attempt table is complete once the report is applied. After a restart of the agent it is when
+ * the report was sent after the restart, or when all that the worker runs does so by leases of this process. */
+static void settled_update(Agent *agent, const WorkerReport *report)
+{
+    const bool inherited_leases_expired = loop_now_ms(agent->loop) >= agent->inherited_lease_until_ms;
+    if (agent->settled || report->ends_cut || !(boot_report_is_current(agent) || inherited_leases_expired))
+        return;
+    agent->settled = true;
+    heartbeat_request(agent);
+}
+
 /* Computes the capacity that others use. A worker that reports its free capacity may be shared with others; they use
  * what is neither free nor used by this agent's attempts. An attempt of unknown size, given by an earlier agent
  * process, counts as theirs. */
@@ -99,17 +110,14 @@
                                 capacity.gpu > known.gpu ? capacity.gpu - known.gpu : 0};
 }
 
-/* Updates the worker's description and state. Called after attempts_apply_report, which has adopted the attempts of an
- * earlier agent process: the table is complete once a report was complete. */
+/* Updates the worker's description and state. */
 static void worker_update(Agent *agent, const WorkerReport *report)
 {
     Worker worker = report->worker;
     worker.name = agent->worker_name;
     const bool same = report->left || shape_equal(&Worker_shape, &worker, &agent->worker);
     const bool live = !report->left, leaving = report->leaving || report->left;
-    const bool changed = !same || agent->worker_live != live || agent->worker_leaving != leaving ||
-                         (!agent->settled && !report->ends_cut);
-    agent->settled |= !report->ends_cut;
+    const bool changed = !same || agent->worker_live != live || agent->worker_leaving != leaving;
     if (!same) {
         void *mem = talloc_new(agent);
         shape_copy(&Worker_shape, &worker, mem, &agent->worker);
@@ -150,14 +158,19 @@
     const int64_t now_ms = loop_now_ms(agent->loop);
     agent->last_report_ms = now_ms;
     arrivals_request(&agent->reports, now_ms);
+    const bool was_settled = agent->settled;
+    settled_update(agent, report);
     attempts_apply_report(agent, report);
+    if (agent->settled && !was_settled)
+        attempts_withdraw(agent, "the worker was not known when it was ordered");
     others_update(agent, report);
     worker_update(agent, report);
     if (report->left) {
         agent->report_number++;
         arrivals_response(&agent->reports, now_ms);
         signal_raise(agent->loop, &agent->answer_signal);
-        boot_end(agent, report->previous_boot_ended, "the worker has left");
+        agent->boot->ended = report->one_process;
+        boot_end(agent, "the worker has left");
         orders_fill(agent, mem, report, orders);
         orders->lease_ms = 0;
         return STATUS_OK;
--- a/packages/agent/test/agent.c
+++ b/packages/agent/test/agent.c
@@ -76,7 +76,7 @@
 static void late_and_repeated_reports(void **state)
 {
     (void)state;
-    AgentFixture *fixture = fixture_new(3000, 3000);
+    AgentFixture *fixture = fixture_reported(3000, 3000); /* Reports 1 and 2 */
     ReportCall *call = report_new(fixture, "b1");
     call->report.seq = 4;
     report_send_and_wait(call);
--- a/packages/agent/test/agent_fixture.h
+++ b/packages/agent/test/agent_fixture.h
@@ -50,6 +50,7 @@
     Settings settings;
     Agent *agent;
     Worker worker;
+    uint64_t seq, answered_seq; /* The newest report that was created, and the newest one that was answered */
 } AgentFixture;
 
 static inline Status on_heartbeat(void *arg, void *mem, const void *request, void *answer)
@@ -190,14 +191,22 @@
     call->status = agent_report(call->fixture->agent, call->fixture, &call->gone, &call->report, &call->orders);
     call->took_ms = sim_now_ms(call->fixture->world) - since_ms;
     call->done = true;
+    if (call->status == STATUS_OK || call->status == STATUS_DUPLICATE_WORKER)
+        call->fixture->answered_seq = call->report.seq;
 }
 
-/* Creates a report by a boot of the worker; it can be changed before it is sent. */
+/* Creates a report by a boot of the worker that has the answers to its earlier ones; it can be changed before it is
+ * sent. */
 static inline ReportCall *report_new(AgentFixture *fixture, const char *boot)
 {
     ReportCall *call = talloc_zero(fixture, ReportCall);
     call->fixture = fixture;
-    call->report = (WorkerReport){.boot = boot, .worker = fixture->worker, .previous_boot_ended = true, .wait_ms = 400};
+    call->report = (WorkerReport){.boot = boot,
+                                  .worker = fixture->worker,
+                                  .one_process = true,
+                                  .seq = ++fixture->seq,
+                                  .answered_seq = fixture->answered_seq,
+                                  .wait_ms = 400};
     return call;
 }
 
@@ -332,15 +341,16 @@
 
 /* --- initial states of test cases ------------------------------------------------------- */
 
-/* The worker has reported once. */
+/* The worker has reported twice. */
 static inline AgentFixture *fixture_reported(int64_t lease_ms, int64_t worker_lease_ms)
 {
     AgentFixture *fixture = fixture_new(lease_ms, worker_lease_ms);
     report_idle(fixture);
+    report_idle(fixture);
     return fixture;
 }
 
-/* The worker has reported once, and attempt 1 of task 0 of "j" is ordered. */
+/* The worker has reported twice, and attempt 1 of task 0 of "j" is ordered. */
 static inline AgentFixture *fixture_ordered(int64_t lease_ms, int64_t worker_lease_ms)
 {
     AgentFixture *fixture = fixture_reported(lease_ms, worker_lease_ms);
@@ -348,7 +358,7 @@
     return fixture;
 }
 
-/* The worker has reported once, and attempt 1 of task 0 of "j" is ordered and was given to it. */
+/* The worker has reported twice, and attempt 1 of task 0 of "j" is ordered and was given to it. */
 static inline AgentFixture *fixture_given(int64_t lease_ms, int64_t worker_lease_ms)
 {
     AgentFixture *fixture = fixture_ordered(lease_ms, worker_lease_ms);
--- a/packages/agent/test/agent_lease.c
+++ b/packages/agent/test/agent_lease.c
@@ -65,12 +65,12 @@
     (void)state;
     AgentFixture *fixture = fixture_reported(3000, 3000);
     ReportCall *call = report_new(fixture, "b2");
-    call->report.previous_boot_ended = false;
+    call->report.one_process = false;
     report_send_and_wait(call);
     assert_int_equal(call->status, STATUS_DUPLICATE_WORKER);
     run_for(fixture, 3200);
     call = report_new(fixture, "b2");
-    call->report.previous_boot_ended = false;
+    call->report.one_process = false;
     report_send_and_wait(call);
     assert_int_equal(call->status, STATUS_OK);
     talloc_free(fixture);
--- /dev/null
+++ b/packages/agent/test/agent_reports.c
@@ -0,0 +1,74 @@
+/* Tests of what a report of the worker proves, and what it does not: reports that come late, also across a restart of
+ * the agent or of the worker, and the announcement that the worker's process will end. */
+#include "agent_fixture.h"
+
+static void agent_restart(AgentFixture *fixture)
+{
+    sim_kill(fixture->world, fixture->agent_machine);
+    sim_start(fixture->world, fixture->agent_machine, agent_machine_start, fixture);
+    run_for(fixture, 700);
+}
+
+/* Creates a report that was sent earlier, before the reports that were created since. */
+static ReportCall *report_late(AgentFixture *fixture, const char *boot, uint64_t seq)
+{
+    ReportCall *call = report_new(fixture, boot);
+    call->report.seq = seq;
+    call->report.answered_seq = seq - 1;
+    return call;
+}
+
+/* Guards against attempts that run twice after a restart of the agent (review/7): a report from before the attempt ran
+ * arrives first, and counted as all that runs on the worker. */
+static void late_report_after_a_restart_is_not_complete(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_given(5000, 5000);
+    const uint64_t before = fixture->seq - 1;
+    report_running(fixture, "");
+    agent_restart(fixture);
+    report_send_and_wait(report_late(fixture, "b1", before));
+    run_for(fixture, 600);
+    assert_false(fixture->leader.heartbeat.settled);
+    assert_int_equal(fixture->leader.updates_count, 0);
+    fixture->answered_seq = 0; /* The worker did not wait for the answer to the late report */
+    report_running(fixture, "");
+    run_for(fixture, 50);
+    assert_false(fixture->leader.heartbeat.settled);
+    report_running(fixture, "");
+    run_for(fixture, 600);
+    assert_true(fixture->leader.heartbeat.settled);
+    assert_int_equal(fixture->leader.heartbeat.attempts_count, 1);
+    assert_int_equal(fixture->leader.updates_count, 0);
+    talloc_free(fixture);
+}
+
+/* Without the proof, the list is complete once the leases that the earlier agent process passed on have expired. */
+static void list_is_complete_once_inherited_leases_expired(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(4000, 3000);
+    agent_restart(fixture);
+    const int64_t restarted_ms = sim_now_ms(fixture->world) - 700;
+    while (sim_now_ms(fixture->world) < restarted_ms + 3000) {
+        fixture->answered_seq = 0;
+        report_idle(fixture);
+        assert_false(fixture->leader.heartbeat.settled);
+        run_for(fixture, 100);
+    }
+    run_for(fixture, 300);
+    fixture->answered_seq = 0;
+    report_idle(fixture);
+    run_for(fixture, 100);
+    assert_true(fixture->leader.heartbeat.settled);
+    talloc_free(fixture);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(late_report_after_a_restart_is_not_complete),
+        cmocka_unit_test(list_is_complete_once_inherited_leases_expired),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/packages/standin/src/run.h
+++ b/packages/standin/src/run.h
@@ -39,6 +39,7 @@
     char boot[24];
     int64_t lease_until_ms;
     uint64_t fence, seq;
+    uint64_t answered_seq; /* the newest report that was answered; 0: none */
     Map *highest;
     bool leaving;
     int64_t leave_at_ms; /* when leaving: time until which the worker stays; 0: not announced */
--- a/packages/standin/src/worker.c
+++ b/packages/standin/src/worker.c
@@ -132,6 +132,7 @@
     json_object_object_add(body, "free", show_resources(free_resources(worker)));
     json_object_object_add(body, "boot", json_object_new_string(worker->boot));
     json_object_object_add(body, "seq", json_object_new_int64((int64_t)++worker->seq));
+    json_object_object_add(body, "answeredSeq", json_object_new_int64((int64_t)worker->answered_seq));
     json_object_object_add(body, "leaving", json_object_new_boolean(worker->leaving));
     const int64_t remaining_ms = worker->leave_at_ms - loop_now_ms(worker->loop);
     if (worker->leaving && remaining_ms > 0)
@@ -160,6 +161,7 @@
 static void send_report(StandWorker *worker, void *mem, const char *path, char **last)
 {
     json_object *body = report_to_json(worker);
+    const uint64_t seq = worker->seq;
     const char *text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
     HttpCall call = {.mem = mem,
                      .address = worker->settings.agent,
@@ -177,6 +179,7 @@
     if (status == STATUS_OK && call.code == 200) {
         char *copy = talloc_strndup(mem, (const char *)call.response_body.data, call.response_body.count);
         json_object *answer = json_tokener_parse(copy);
+        worker->answered_seq = seq;
         if (answer != NULL)
             apply_answer(worker, answer, sent_ms);
         json_object_put(answer);
