Agent: a restarted agent waits for the leases that its predecessor passed on

What callers saw: controllers and an agent were killed at once, the agent came back, was frozen for 2.2 s, and on waking took its worker's tasks for lost though the worker's lease still ran; they were started elsewhere beside the first runs.

Cause: the end of the worker's lease was 0 in a process that had passed on none itself.

Change: it starts as the end of the longest lease that a predecessor may have passed on, and the end of a boot does not lower it below that. The wait for silence, for the table to be complete and for the lease is one condition now.

--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -15,7 +15,8 @@
     agent->settings = settings;
     agent->worker_name = settings->worker != NULL ? settings->worker : settings->name;
     agent->incarnation = (uint64_t)loop_wall_ms(loop);
-    agent->inherited_lease_until_ms = loop_now_ms(loop) + lease_claim_ms(settings->cluster_settings.worker_lease_ms);
+    agent->inherited_lease_until_ms = agent->worker_lease_until_ms =
+        loop_now_ms(loop) + lease_claim_ms(settings->cluster_settings.worker_lease_ms);
     agent->worker_mem = talloc_new(agent);
     const Worker initial = {.name = agent->worker_name, .zone = settings->zone, .rack = "", .kind = ""};
     shape_copy(&Worker_shape, &initial, agent->worker_mem, &agent->worker);
--- a/packages/agent/src/boot.c
+++ b/packages/agent/src/boot.c
@@ -34,9 +34,10 @@
 
 void boot_end(Agent *agent, const char *why)
 {
+    const int64_t now_ms = loop_now_ms(agent->loop);
     attempts_end_given(agent, why);
     agent->boot = NULL;
-    agent->worker_lease_until_ms = loop_now_ms(agent->loop);
+    agent->worker_lease_until_ms = now_ms > agent->inherited_lease_until_ms ? now_ms : agent->inherited_lease_until_ms;
 }
 
 /* Records the report's number, and when its sender was last known to be alive. Returns false if the report is late. */
--- a/packages/agent/src/deadlines.c
+++ b/packages/agent/src/deadlines.c
@@ -55,8 +55,6 @@
     if (agent->worker_live || silent_ms <= min_ms(WORKER_LOST_MS, silence_limit_ms(agent)) ||
         now_ms < agent->worker_lease_until_ms)
         return;
-    if (!agent->settled && now_ms < agent->inherited_lease_until_ms)
-        return;
     if (!agent->settled) {
         agent->settled = true;
         heartbeat_request(agent);
--- a/packages/agent/test/agent_reports.c
+++ b/packages/agent/test/agent_reports.c
@@ -64,11 +64,30 @@
     talloc_free(fixture);
 }
 
+/* Guards against attempts that run twice (second review, without a script): an agent that was restarted while no leader
+ * answered has passed on no lease itself, and took the worker's attempts for lost once the worker had been silent. */
+static void inherited_lease_is_waited_for(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_given(8000, 4000);
+    assert_true(report_running(fixture, "")->orders.lease_ms > 0);
+    fixture->leader.ignores_heartbeats = true;
+    agent_restart(fixture);
+    assert_int_equal(report_running(fixture, "")->orders.lease_ms, 0);
+    assert_int_equal(report_running(fixture, "")->orders.lease_ms, 0);
+    run_for(fixture, 2800); /* The worker is silent; its lease is valid for some 200 ms more */
+    assert_int_equal(fixture->leader.updates_count, 0);
+    run_for(fixture, 800);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 1);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(late_report_after_a_restart_is_not_complete),
         cmocka_unit_test(list_is_complete_once_inherited_leases_expired),
+        cmocka_unit_test(inherited_lease_is_waited_for),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
