Agent: another process of the worker is accepted once it is known to run

What callers saw: the first heartbeat of a worker's earlier life arrived 2.5 s late; from then on each heartbeat of its present, healthy life was refused with 409, for good. A job that only this worker could run never started; what it ran counted as lost at once, while its lease ran.

Cause: an id that the agent had not seen counted as a newer life, and ended the present one for ever.

Change: another boot replaces the current one when a report of it was sent with the answer to an earlier one that came after the current boot was last known to be alive: a worker has one process at a time, so the order of these two moments is the order of the processes. Without the proof it replaces it once the lease has expired, and never if it is known to be the older one.

--- a/packages/agent/src/boot.c
+++ b/packages/agent/src/boot.c
@@ -59,9 +59,10 @@
 static bool may_replace(const Agent *agent, const Boot *boot, const WorkerReport *report)
 {
     const Boot *current = agent->boot;
-    if (report->one_process)
-        return !(boot->alive_ms != 0 && boot->alive_ms < current->alive_ms);
-    return loop_now_ms(agent->loop) >= agent->worker_lease_until_ms;
+    if (report->one_process && boot->alive_ms > current->alive_ms)
+        return true; /* It was alive after the current one: the current one has ended */
+    const bool known_older = boot->alive_ms != 0 && boot->alive_ms < current->alive_ms;
+    return !known_older && loop_now_ms(agent->loop) >= agent->worker_lease_until_ms;
 }
 
 Status boot_accept(Agent *agent, const WorkerReport *report)
@@ -82,7 +83,6 @@
                            boot->name, agent->boot->name);
             return STATUS_DUPLICATE_WORKER;
         }
-        agent->boot->ended = report->one_process;
         boot_end(agent, "the worker's process was replaced");
     }
     agent->boot = boot;
--- a/packages/agent/test/agent_reports.c
+++ b/packages/agent/test/agent_reports.c
@@ -82,12 +82,57 @@
     talloc_free(fixture);
 }
 
+/* Guards against a worker that is shut out for good (review/2): the first report of its earlier process arrives late,
+ * and counted as that of a newer one. */
+static void late_report_of_an_earlier_boot_changes_nothing(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_given(5000, 5000);
+    report_running(fixture, "");
+    for (uint64_t seq = 1; seq <= 2; seq++) {
+        ReportCall *call = report_send_and_wait(report_late(fixture, "b0", 5 * seq));
+        assert_int_equal(call->status, STATUS_DUPLICATE_WORKER);
+        assert_int_equal(call->orders.lease_ms, 0);
+        call = report_running(fixture, "");
+        assert_int_equal(call->status, STATUS_OK);
+        assert_true(call->orders.lease_ms > 0);
+        assert_int_equal(call->orders.stops_count, 0);
+    }
+    run_for(fixture, 600);
+    assert_int_equal(fixture->leader.updates_count, 0);
+    assert_int_equal(fixture->leader.heartbeat.attempts_count, 1);
+    talloc_free(fixture);
+}
+
+/* The same as the first report that a restarted agent receives: the worker is not shut out, and what it runs is not
+ * lost. */
+static void late_report_of_an_earlier_boot_after_a_restart(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_given(5000, 5000);
+    report_running(fixture, "");
+    agent_restart(fixture);
+    report_send_and_wait(report_late(fixture, "b0", 9));
+    fixture->answered_seq = 0;
+    report_running(fixture, "");
+    ReportCall *call = report_running(fixture, "");
+    assert_int_equal(call->status, STATUS_OK);
+    assert_true(call->orders.lease_ms > 0);
+    run_for(fixture, 600);
+    assert_int_equal(fixture->leader.updates_count, 0);
+    assert_true(fixture->leader.heartbeat.settled);
+    assert_int_equal(fixture->leader.heartbeat.attempts_count, 1);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(late_report_after_a_restart_is_not_complete),
         cmocka_unit_test(list_is_complete_once_inherited_leases_expired),
         cmocka_unit_test(inherited_lease_is_waited_for),
+        cmocka_unit_test(late_report_of_an_earlier_boot_changes_nothing),
+        cmocka_unit_test(late_report_of_an_earlier_boot_after_a_restart),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
