Agent: a worker that announces its end keeps its attempts until its lease has expired

Cause: the adapter passed every leave on as "the worker has left, nothing runs there".

Change: a report may say that the worker's process departs. It is given nothing new from then on, its reports go on to be answered and its ends to be taken, its lease is renewed while it reports, and its attempts are lost when the lease has expired after its last report. One that runs nothing has left at once.

--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -21,9 +21,12 @@
     bool leaving;     /* The worker is draining: it accepts no new attempts */
     int64_t leave_ms; /* If leaving: the worker stays for at least this long; 0: not given */
     bool left;        /* The worker has shut down cleanly: no attempt runs there any more */
-    bool free_given;  /* True if free is given */
-    Resources free;   /* Unused capacity, as the worker counts it */
-    int64_t wait_ms;  /* The answer may be delayed by this long */
+    /* The worker's process will end soon, but may run on for a while; the report describes nothing else. Its attempts
+     * run on for as long, and no longer than its lease. */
+    bool departs;
+    bool free_given; /* True if free is given */
+    Resources free;  /* Unused capacity, as the worker counts it */
+    int64_t wait_ms; /* The answer may be delayed by this long */
     /* The worker sends no other report before this one is answered, not even when an attempt ends. */
     bool waits_for_answer;
     /* Running attempts, and ended attempts whose end the worker does not know to be committed. */
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -116,7 +116,7 @@
     Worker worker = report->worker;
     worker.name = agent->worker_name;
     const bool same = report->left || shape_equal(&Worker_shape, &worker, &agent->worker);
-    const bool live = !report->left, leaving = report->leaving || report->left;
+    const bool live = !report->left, leaving = report->leaving || report->left || agent->boot->departs;
     const bool changed = !same || agent->worker_live != live || agent->worker_leaving != leaving;
     if (!same) {
         void *mem = talloc_new(agent);
@@ -135,6 +135,18 @@
         heartbeat_request(agent);
 }
 
+/* Handles the worker's announcement that its process will end soon. Nothing ends by it: the attempts run on while the
+ * worker reports, and after its last report until its lease has expired. */
+static void departure_apply(Agent *agent)
+{
+    agent->boot->departs = true;
+    agent->worker_live = false; /* Until it reports again */
+    agent->worker_leaving = true;
+    agent->leave_until_ms = 0;
+    attempts_withdraw(agent, "the worker leaves");
+    heartbeat_request(agent);
+}
+
 /* Suspends the coroutine until there is something to answer the report with. Returns false if the worker no longer
  * waits for the answer. */
 static bool answer_wait(Agent *agent, const bool *gone, const WorkerReport *report)
@@ -155,6 +167,10 @@
     const Status status = boot_accept(agent, report);
     if (status != STATUS_OK)
         return status;
+    if (report->departs) {
+        departure_apply(agent);
+        return STATUS_OK;
+    }
     const int64_t now_ms = loop_now_ms(agent->loop);
     agent->last_report_ms = now_ms;
     arrivals_request(&agent->reports, now_ms);
--- a/packages/agent/test/agent_reports.c
+++ b/packages/agent/test/agent_reports.c
@@ -125,6 +125,61 @@
     talloc_free(fixture);
 }
 
+static ReportCall *report_departure(AgentFixture *fixture)
+{
+    ReportCall *call = report_new(fixture, "b1");
+    call->report.seq = 0;
+    call->report.leaving = call->report.departs = true;
+    return report_send_and_wait(call);
+}
+
+/* Guards against attempts that run twice (review/1): a worker that announces that it leaves, and runs on for a while,
+ * counted as gone. */
+static void departing_worker_keeps_its_attempts(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_given(8000, 3000);
+    report_running(fixture, "");
+    assert_int_equal(report_departure(fixture)->status, STATUS_OK);
+    run_for(fixture, 100);
+    assert_int_equal(fixture->leader.updates_count, 0);
+    assert_true(fixture->leader.heartbeat.leaving);
+    assert_int_equal(fixture->leader.heartbeat.attempts_count, 1);
+    /* It runs on: its lease is renewed, it is given nothing new, and it stays a leaving one. */
+    ReportCall *call = report_running(fixture, "");
+    assert_int_equal(call->status, STATUS_OK);
+    assert_true(call->orders.lease_ms > 0);
+    assert_int_equal(call->orders.stops_count, 0);
+    const Order both[] = {order_of("j", 0, 1, ""), order_of("j", 1, 1, "")};
+    orders_set(fixture, both, 2);
+    call = report_running(fixture, "");
+    assert_int_equal(call->orders.starts_count, 0);
+    run_for(fixture, 100);
+    assert_true(fixture->leader.heartbeat.leaving);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 0);
+    /* Its process ends: what it ran is lost once the lease has expired. */
+    run_for(fixture, 2500);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 0);
+    run_for(fixture, 800);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 1);
+    assert_false(fixture->leader.heartbeat.worker_live);
+    talloc_free(fixture);
+}
+
+/* A worker that runs nothing has left as soon as it says so: the leader removes it from the fleet. */
+static void idle_departing_worker_has_left(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(3000, 3000);
+    report_departure(fixture);
+    run_for(fixture, 50);
+    assert_true(fixture->leader.heartbeat.leaving);
+    assert_false(fixture->leader.heartbeat.worker_live);
+    assert_true(fixture->leader.heartbeat.settled);
+    assert_int_equal(fixture->leader.heartbeat.attempts_count, 0);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -133,6 +188,8 @@
         cmocka_unit_test(inherited_lease_is_waited_for),
         cmocka_unit_test(late_report_of_an_earlier_boot_changes_nothing),
         cmocka_unit_test(late_report_of_an_earlier_boot_after_a_restart),
+        cmocka_unit_test(departing_worker_keeps_its_attempts),
+        cmocka_unit_test(idle_departing_worker_has_left),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
