Heartbeats: attempts are looked up in a set where a list was searched for each of them

What a worker, its agent and the leader compare at each heartbeat grows with the square of what runs there: the same search stood three times (controller: agents, orders; agent: orders). attempt_set indexes a list once; one of up to 32 entries is searched as before.

--- a/packages/agent/src/attempts.c
+++ b/packages/agent/src/attempts.c
@@ -38,11 +38,6 @@
     return map_get(agent->attempts.newest, task_key(key, job, task));
 }
 
-bool attempt_is(const Order *order, const char *job, uint64_t task, uint64_t number)
-{
-    return order->attempt == number && order->task == task && strcmp(order->job, job) == 0;
-}
-
 AttemptId attempt_id(void *mem, const Attempt *attempt)
 {
     return (AttemptId){talloc_strdup(mem, attempt->order.job), attempt->order.task, attempt->order.attempt};
--- a/packages/agent/src/attempts.h
+++ b/packages/agent/src/attempts.h
@@ -13,8 +13,6 @@
 Attempt *attempt_find(Agent *agent, const char *job, uint64_t task, uint64_t attempt);
 /* The attempt of the task with the highest number; null if there is none. */
 Attempt *attempt_newest(Agent *agent, const char *job, uint64_t task);
-/* True if the order is for the attempt with this number. */
-bool attempt_is(const Order *order, const char *job, uint64_t task, uint64_t number);
 /* The attempt's identity, copied to mem. */
 AttemptId attempt_id(void *mem, const Attempt *attempt);
 
--- a/packages/agent/src/orders.c
+++ b/packages/agent/src/orders.c
@@ -3,16 +3,10 @@
 #include "orders.h"
 
 #include <string.h>
+#include <talloc.h>
 
 #include "attempts.h"
-
-static bool is_wanted(const HeartbeatAnswer *answer, const Order *order)
-{
-    for (size_t i = 0; i < answer->wanted_count; i++)
-        if (attempt_is(order, answer->wanted[i].job, answer->wanted[i].task, answer->wanted[i].attempt))
-            return true;
-    return false;
-}
+#include "heartbeat/attempt_set.h"
 
 /* True if an older attempt of the task may still run: it is not wanted and is being stopped. */
 static bool older_may_run(const Agent *agent, const Order *order)
@@ -54,9 +48,11 @@
 
 void orders_apply(Agent *agent, const HeartbeatAnswer *answer, int64_t sent_ms)
 {
+    AttemptSet *wanted = attempt_set_new(agent, answer->wanted, answer->wanted_count);
     for (Attempt *attempt = agent->attempts.live.first, *next; attempt != NULL; attempt = next) {
         next = attempt->next;
-        if (attempt->phase == PHASE_STOPPING || is_wanted(answer, &attempt->order))
+        if (attempt->phase == PHASE_STOPPING ||
+            attempt_set_has(wanted, attempt->order.job, attempt->order.task, attempt->order.attempt))
             continue;
         if (attempt->phase == PHASE_ORDERED)
             attempt_withdraw(agent, attempt, "no longer wanted");
@@ -66,4 +62,5 @@
     }
     for (size_t i = 0; i < answer->starts_count; i++)
         start_apply(agent, &answer->starts[i], answer->term, sent_ms + answer->timeout_ms);
+    talloc_free(wanted);
 }
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -5,20 +5,12 @@
 #include <talloc.h>
 
 #include "attempt_updates.h"
+#include "heartbeat/attempt_set.h"
 #include "leader.h"
 #include "orders.h"
 #include "scheduler/attempt_progress.h"
 #include "scheduler/checkpoint.h"
 
-static bool is_listed(const HeartbeatAsk *heartbeat, const char *job, uint64_t task, uint64_t attempt)
-{
-    for (size_t i = 0; i < heartbeat->attempts_count; i++)
-        if (heartbeat->attempts[i].attempt == attempt && heartbeat->attempts[i].task == task &&
-            strcmp(heartbeat->attempts[i].job, job) == 0)
-            return true;
-    return false;
-}
-
 /* True if an attempt that is to be stopped, and that its agent does not list, has ended. An order to start it may still
  * be on its way to the agent until ORDER_EXPIRED_MS has passed or the agent has newer orders. */
 static bool stop_has_ended(const Controller *controller, const HeartbeatAsk *heartbeat, const JobTask *task)
@@ -36,12 +28,13 @@
     AttemptList list = {0};
     const TaskOnWorker *on;
     const size_t count = table_tasks_on(controller->table, heartbeat->worker.name, &on);
+    const AttemptSet *listed = attempt_set_new(mem, heartbeat->attempts, heartbeat->attempts_count);
     for (size_t i = 0; i < count; i++) {
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
         const uint64_t number = task_number(task);
         if ((task->phase != TASK_RUNNING && !stop_has_ended(controller, heartbeat, task)) ||
-            is_listed(heartbeat, job->spec.id, number, task->attempt))
+            attempt_set_has(listed, job->spec.id, number, task->attempt))
             continue;
         if (list.updates == NULL)
             list.updates = talloc_array(mem, AttemptUpdate, (unsigned)count);
--- a/packages/controller/src/orders.c
+++ b/packages/controller/src/orders.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "heartbeat/attempt_set.h"
+
 #include "leader.h"
 
 AgentSession *agent_session(Controller *controller, const char *worker)
@@ -41,14 +43,6 @@
     table_watch_orders(controller->table, on_orders, controller);
 }
 
-static bool is_listed(const AttemptId *list, size_t count, const char *job, uint64_t task, uint64_t attempt)
-{
-    for (size_t i = 0; i < count; i++)
-        if (list[i].attempt == attempt && list[i].task == task && strcmp(list[i].job, job) == 0)
-            return true;
-    return false;
-}
-
 /* Lists the attempts that the worker should run, and those of them to start, which the agent does not list yet. The
  * texts belong to the state table: the answer must be packed before anything else is delivered. */
 static void orders_list(Controller *controller, void *mem, const HeartbeatAsk *heartbeat, HeartbeatAnswer *out)
@@ -57,6 +51,7 @@
     const size_t count = table_tasks_on(controller->table, heartbeat->worker.name, &on);
     out->wanted = talloc_array(mem, AttemptId, (unsigned)count);
     out->starts = talloc_array(mem, Order, (unsigned)count);
+    const AttemptSet *listed = attempt_set_new(mem, heartbeat->attempts, heartbeat->attempts_count);
     for (size_t i = 0; i < count; i++) {
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
@@ -65,8 +60,7 @@
         const char *id = job->spec.id;
         const uint64_t number = task_number(task);
         out->wanted[out->wanted_count++] = (AttemptId){id, number, task->attempt};
-        if (task->phase != TASK_PLACED ||
-            is_listed(heartbeat->attempts, heartbeat->attempts_count, id, number, task->attempt))
+        if (task->phase != TASK_PLACED || attempt_set_has(listed, id, number, task->attempt))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
         out->starts[out->starts_count++] =
