Agent, leader: starts that exceed what an answer may hold go with the next ones

What callers saw: a gang of 1,000 tasks with specs of 3,908 bytes was accepted and never started, with the whole service idle.

Cause: all waiting starts went into one answer, 5 MiB; a worker drops an answer of over 4 MiB, so no report was acknowledged, the orders expired, and the next worker got the same.

The leader's answer holds up to 4 MiB of payloads and says that it is cut; the agent then asks for the same version again.

--- a/packages/agent/include/agent/report.h
+++ b/packages/agent/include/agent/report.h
@@ -24,9 +24,10 @@
     /* The worker's process will end soon, but may run on for a while; the report describes nothing else. Its attempts
      * run on for as long, and no longer than its lease. */
     bool departs;
-    bool free_given; /* True if free is given */
-    Resources free;  /* Unused capacity, as the worker counts it */
-    int64_t wait_ms; /* The answer may be delayed by this long */
+    bool free_given;         /* True if free is given */
+    Resources free;          /* Unused capacity, as the worker counts it */
+    int64_t wait_ms;         /* The answer may be delayed by this long */
+    size_t starts_bytes_max; /* The starts of an answer take at most this many bytes as JSON; 0: no bound */
     /* The worker sends no other report before this one is answered, not even when an attempt ends. */
     bool waits_for_answer;
     /* Running attempts, and ended attempts whose end the worker does not know to be committed. */
--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -1,6 +1,7 @@
 /* Answers to the worker's reports: its lease, the attempts to start and to stop, and the ends that are committed. */
 #include "answer.h"
 
+#include <string.h>
 #include <talloc.h>
 
 #include "base/term.h"
@@ -67,11 +68,19 @@
     return passed_ms;
 }
 
+/* An upper bound of the bytes that the order takes as JSON. A payload is JSON already, in which a character may come to
+ * be escaped by one more; each character of a checkpoint may come to be escaped by six. */
+static size_t order_bytes(const Order *order)
+{
+    return ORDER_FRAME_BYTES + strlen(order->job) + 2 * strlen(order->payload) + 6 * strlen(order->saved);
+}
+
 void orders_fill(Agent *agent, void *mem, const WorkerReport *report, WorkerOrders *orders)
 {
     const int64_t now_ms = loop_now_ms(agent->loop);
     const unsigned live = (unsigned)agent->attempts.live.count;
     Order *starts = talloc_zero_array(mem, Order, live);
+    size_t starts_bytes = 0;
     AttemptId *stops = talloc_zero_array(mem, AttemptId, live + (unsigned)report->running_count);
     AttemptId *known = talloc_zero_array(mem, AttemptId, (unsigned)report->ended_count);
     *orders = (WorkerOrders){.term = agent->lease.term,
@@ -89,6 +98,9 @@
         if (attempt->phase == PHASE_ORDERED && now_ms >= attempt->timeout_ms) {
             attempt_expire(agent, attempt);
         } else if (attempt->phase == PHASE_ORDERED && orders->lease_ms > 0) {
+            starts_bytes += order_bytes(&attempt->order);
+            if (report->starts_bytes_max > 0 && starts_bytes > report->starts_bytes_max && orders->starts_count > 0)
+                continue; /* Goes with the answer to a later report */
             shape_copy(&Order_shape, &attempt->order, mem, &starts[orders->starts_count++]);
             if (attempt->timeout_ms - now_ms < orders->start_within_ms)
                 orders->start_within_ms = attempt->timeout_ms - now_ms;
--- a/packages/agent/src/heartbeat.c
+++ b/packages/agent/src/heartbeat.c
@@ -122,7 +122,7 @@
     /* Answers may arrive in another order than the heartbeats were sent. */
     if (answer->orders &&
         (answer->term > agent->have_term || (answer->term == agent->have_term && answer->version > agent->have))) {
-        agent->have = answer->version;
+        agent->have = answer->starts_cut ? answer->version - 1 : answer->version;
         agent->have_term = answer->term;
         orders_apply(agent, answer, heartbeat->sent_ms);
     }
--- a/packages/agent/test/agent.c
+++ b/packages/agent/test/agent.c
@@ -138,13 +138,78 @@
     talloc_free(fixture);
 }
 
+/* Guards against a gang that never starts (review/6): its starts made an answer that was larger than the worker may
+ * take, again and again. */
+static void starts_beyond_the_answers_bound_follow(void **state)
+{
+    (void)state;
+    enum { TASKS = 10, IN_AN_ANSWER = 4, PAYLOAD_BYTES = 1000 };
+    AgentFixture *fixture = fixture_reported(3000, 3000);
+    char *payload = talloc_zero_size(fixture, PAYLOAD_BYTES + 1);
+    memset(payload, 'x', PAYLOAD_BYTES);
+    Order *orders = talloc_array(fixture, Order, TASKS);
+    AttemptUpdate *running = talloc_array(fixture, AttemptUpdate, TASKS);
+    for (uint64_t i = 0; i < TASKS; i++) {
+        orders[i] = order_of("j", i, 1, "");
+        orders[i].payload = payload;
+        running[i] = update_of("j", i, 1, ATTEMPT_RUNNING, "");
+    }
+    orders_set(fixture, orders, TASKS);
+    size_t given = 0;
+    for (size_t expected = IN_AN_ANSWER; given < TASKS; expected = TASKS - given < 4 ? TASKS - given : IN_AN_ANSWER) {
+        ReportCall *call = report_new(fixture, "b1");
+        call->report.running = running;
+        call->report.running_count = given;
+        call->report.starts_bytes_max = IN_AN_ANSWER * (2 * PAYLOAD_BYTES + ORDER_FRAME_BYTES + 1);
+        report_send_and_wait(call);
+        assert_in_range(call->took_ms, 0, 11); /* What is left is not held back */
+        assert_int_equal(call->orders.starts_count, expected);
+        for (size_t i = 0; i < expected; i++)
+            assert_int_equal(call->orders.starts[i].task, given + i);
+        given += expected;
+    }
+    /* One that is larger than the bound goes alone. */
+    order_task(fixture, TASKS);
+    ReportCall *call = report_new(fixture, "b1");
+    call->report.starts_bytes_max = 1;
+    report_send_and_wait(call);
+    assert_int_equal(call->orders.starts_count, 1);
+    run_for(fixture, 20);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_REFUSED), 0);
+    talloc_free(fixture);
+}
+
+/* An answer of the leader that has not all starts is asked for again; the orders that came with it count. */
+static void starts_that_the_leader_cuts_are_asked_for(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(3000, 3000);
+    fixture->leader.orders.starts_cut = true;
+    order_task(fixture, 0);
+    run_for(fixture, 100);
+    assert_int_equal(fixture->leader.heartbeat.have, fixture->leader.version - 1);
+    fixture->leader.orders.starts_cut = false;
+    const Order both[] = {order_of("j", 0, 1, ""), order_of("j", 1, 1, "")};
+    fixture->leader.version--; /* orders_set raises it: the rest comes with the same version */
+    orders_set(fixture, both, 2);
+    run_for(fixture, 600);
+    assert_int_equal(fixture->leader.heartbeat.have, fixture->leader.version);
+    assert_int_equal(report_idle(fixture)->orders.starts_count, 2);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(order_reaches_a_waiting_report), cmocka_unit_test(answer_that_was_lost_is_given_again),
-        cmocka_unit_test(what_is_not_wanted_is_stopped),  cmocka_unit_test(earlier_agents_attempt_is_not_withdrawn),
-        cmocka_unit_test(late_and_repeated_reports),      cmocka_unit_test(ends_that_wait_are_not_held_back_long),
+        cmocka_unit_test(order_reaches_a_waiting_report),
+        cmocka_unit_test(answer_that_was_lost_is_given_again),
+        cmocka_unit_test(what_is_not_wanted_is_stopped),
+        cmocka_unit_test(earlier_agents_attempt_is_not_withdrawn),
+        cmocka_unit_test(late_and_repeated_reports),
+        cmocka_unit_test(ends_that_wait_are_not_held_back_long),
         cmocka_unit_test(idle_agent_says_little),
+        cmocka_unit_test(starts_beyond_the_answers_bound_follow),
+        cmocka_unit_test(starts_that_the_leader_cuts_are_asked_for),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -59,6 +59,10 @@
 #define RUNNING_UPDATE_DELAY_MS 200
 /* Ended attempts that an agent keeps for repair: two minutes at 34 a second */
 #define ENDED_ATTEMPTS_KEPT_MAX 4096
+/* Bytes of an order in an answer, as JSON, beside its texts: task and attempt numbers, quotes, brackets and keys */
+#define ORDER_FRAME_BYTES 256
+/* Bytes of texts in the starts of one answer of the leader; the others follow at once */
+#define ORDERS_BYTES_MAX (4 * 1024 * 1024)
 #define WORKER_STARTS_MAX 16 /* Ended boots of its worker that an agent recognises */
 /* Work whose owner allows copies is started again once its worker has been silent for this long */
 #define COPY_SILENT_MS 1500
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -285,7 +285,7 @@
     if (!orders.orders)
         return STATUS_BUSY;
     *out = (FetchAnswer){replication_led_term(controller->replication),
-                         orders.version,
+                         orders.starts_cut ? orders.version - 1 : orders.version,
                          orders.timeout_ms,
                          orders.starts,
                          orders.starts_count,
--- a/packages/controller/src/orders.c
+++ b/packages/controller/src/orders.c
@@ -51,6 +51,7 @@
     const size_t count = table_tasks_on(controller->table, heartbeat->worker.name, &on);
     out->wanted = talloc_array(mem, AttemptId, (unsigned)count);
     out->starts = talloc_array(mem, Order, (unsigned)count);
+    size_t starts_bytes = 0;
     const AttemptSet *listed = attempt_set_new(mem, heartbeat->attempts, heartbeat->attempts_count);
     for (size_t i = 0; i < count; i++) {
         const Job *job = on[i].job;
@@ -63,6 +64,11 @@
         if (task->phase != TASK_PLACED || attempt_set_has(listed, id, number, task->attempt))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
+        starts_bytes += strlen(step->payload) + strlen(task->saved);
+        if (starts_bytes > ORDERS_BYTES_MAX && out->starts_count > 0) {
+            out->starts_cut = true;
+            continue;
+        }
         out->starts[out->starts_count++] =
             (Order){id, number, task->attempt, step->resources, step->payload, task->saved};
     }
--- a/packages/heartbeat/include/heartbeat/messages.h
+++ b/packages/heartbeat/include/heartbeat/messages.h
@@ -56,7 +56,8 @@
 
 /* The answer to a heartbeat. lease_ms: the lease, counted from when the heartbeat was sent. orders: the answer contains
  * newer orders than the agent has, by (term, version). wanted: every attempt that shall be on the worker; starts: those
- * of them that have not begun and that the heartbeat did not list. All other attempts shall be stopped. */
+ * of them that have not begun and that the heartbeat did not list. All other attempts shall be stopped. starts_cut:
+ * there are more starts than fit (ORDERS_BYTES_MAX); the agent asks for the same version again. */
 #define HEARTBEAT_ANSWER_FIELDS(X) \
     X(U64, term, 0)                \
     X(I64, lease_ms, 0)            \
@@ -64,7 +65,8 @@
     X(U64, version, 0)             \
     X(I64, timeout_ms, 0)          \
     X(LST, starts, Order)          \
-    X(LST, wanted, AttemptId)
+    X(LST, wanted, AttemptId)      \
+    X(FLAG, starts_cut, 0)
 SHAPE(HeartbeatAnswer, HEARTBEAT_ANSWER_FIELDS)
 
 /* The question of survival rule 2 (XenServer's HA design: "all have lost the statefile"): whether the recipient knows a
