Scheduler: a worker is reserved only for a candidate that it can help, and while that has value

What callers saw: one gang that can never be placed (four members, apart 1, a label that one worker has) kept that worker reserved for good; of 80 sound jobs that only this worker can run, those that were late by three times their aim stayed queued while all was idle.

Cause: an empty worker has room for all members, and nobody asked whether they may be together; the reservation lasted as long as the gang waited, also when it was so late that it would get no new one; and jobs that are as late rank by age, so that the gang kept all of them off.

--- a/packages/scheduler/src/reservation.c
+++ b/packages/scheduler/src/reservation.c
@@ -13,6 +13,7 @@
 
 #include "capacity_forecast.h"
 #include "settings/features.h"
+#include "worker_choice.h"
 
 /* The workers reserved for one candidate of a cell. */
 typedef struct Reservation {
@@ -31,6 +32,12 @@
     return strcmp(reservation->job, candidate->job->spec.id) == 0 && reservation->task == candidate->first;
 }
 
+/* Whether a candidate of this rank is so late that its job has no value any more: nothing waits for it. */
+static bool is_too_late(double rank)
+{
+    return rank <= TARGET_WORTHLESS_RANK / 2;
+}
+
 /* The number of workers reserved in all cells. */
 static size_t reservation_workers(const Scheduler *scheduler, void *mem)
 {
@@ -66,6 +73,10 @@
             reservation_drop(scheduler, cells[c], "its task is not waiting any more");
             continue;
         }
+        if (is_too_late(reservation->rank)) {
+            reservation_drop(scheduler, cells[c], "its job has no value any more");
+            continue;
+        }
         for (size_t i = 0; i < reservation->worker_count; i++) {
             const size_t at = pass_worker_index(pass, reservation->workers[i]);
             if (at == SIZE_MAX || pass->input.workers[at].resources.cpu_milli == 0) {
@@ -104,13 +115,30 @@
     return any;
 }
 
-/* How many members of the candidate fit on the worker when it is empty. */
-static size_t count_when_empty(const PlanWorker *worker, Resources each)
+/* The worker's capacity once all that will end there has ended: lasting tasks stay. */
+static Resources capacity_when_free(const Pass *pass, size_t worker)
+{
+    Resources resources = pass->input.workers[worker].resources;
+    const TaskOnWorker *on;
+    const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[worker].name, &on);
+    for (size_t i = 0; i < count; i++)
+        if (on[i].job->spec.lasting)
+            resources =
+                resources_subtract(resources, on[i].job->spec.steps[on[i].job->tasks[on[i].task].step].resources);
+    return resources;
+}
+
+/* How many members of the candidate can be on the worker once all that will end there has ended. pass->spread describes
+ * the step. */
+static size_t members_when_free(const Pass *pass, const StepSpec *step, size_t worker)
 {
-    size_t count = 0;
-    Resources resources = worker->resources;
-    for (; resources_fits(each, resources) && count < RESERVATION_MEMBERS_MAX; count++)
-        resources = resources_subtract(resources, each);
+    size_t limit = RESERVATION_MEMBERS_MAX, count = 0;
+    const uint64_t on_worker = (uint64_t)pass->spread.on_worker[worker];
+    if (step->apart > 0)
+        limit = step->apart > on_worker ? (size_t)(step->apart - on_worker) : 0;
+    Resources resources = capacity_when_free(pass, worker);
+    for (; count < limit && resources_fits(step->resources, resources); count++)
+        resources = resources_subtract(resources, step->resources);
     return count;
 }
 
@@ -127,14 +155,15 @@
 /* The index of the worker to reserve next: the one expected to have enough capacity soonest; of equals, the one with
  * the smallest share of its capacity in use; then the first by name; -1: none is left. until_ms (out): when the worker
  * is expected to have enough. */
-static int soonest_worker(const Pass *pass, const PlanNeed *need, const bool *used, int64_t *until_ms)
+static int soonest_worker(const Pass *pass, const StepSpec *step, const PlanNeed *need, const bool *used,
+                          int64_t *until_ms)
 {
     const PlanInput *input = &pass->input;
     int best = -1;
     Resources best_busy = {0};
     for (size_t i = 0; i < input->worker_count; i++) {
         const PlanWorker *worker = &input->workers[i];
-        if (used[i] || !plan_meets_constraints(worker, need) || !resources_fits(need->resources, worker->resources))
+        if (used[i] || !plan_meets_constraints(worker, need) || members_when_free(pass, step, i) == 0)
             continue;
         const int64_t free_ms = forecast_free_ms(pass, i, need->resources);
         const Resources busy = resources_subtract(worker->resources, worker->free);
@@ -161,14 +190,15 @@
     bool *used = talloc_zero_array(pass->mem, bool, (unsigned)input->worker_count);
     size_t left = candidate->count;
     reservation_exclude(pass, candidate, used);
+    spread_find(pass, candidate->job, candidate->first);
     while (left > 0 && reserved_before + reservation->worker_count < worker_limit &&
            reservation->worker_count < RESERVATION_MEMBERS_MAX) {
         int64_t until_ms = 0;
-        const int best = soonest_worker(pass, &need, used, &until_ms);
+        const int best = soonest_worker(pass, step, &need, used, &until_ms);
         if (best < 0)
             break;
         used[best] = true;
-        const size_t fitting = count_when_empty(&input->workers[best], step->resources);
+        const size_t fitting = members_when_free(pass, step, (size_t)best);
         left = left > fitting ? left - fitting : 0;
         reservation->until_ms[reservation->worker_count] = until_ms;
         reservation->workers[reservation->worker_count++] = talloc_strdup(reservation, input->workers[best].name);
@@ -182,7 +212,7 @@
     const int64_t log_ms = pass->clock.log_ms;
     const char *cell = candidate->job->spec.cell;
     if (!feature_enabled(scheduler->cluster_settings, FEATURE_RESERVATIONS) ||
-        log_ms - candidate->since_ms < reservation_wait_ms(candidate) || candidate->rank <= TARGET_WORTHLESS_RANK / 2 ||
+        log_ms - candidate->since_ms < reservation_wait_ms(candidate) || is_too_late(candidate->rank) ||
         map_get(scheduler->reservations, cell) != NULL)
         return;
     Reservation *reservation = talloc_zero(scheduler, Reservation);
--- a/packages/scheduler/src/worker_choice.c
+++ b/packages/scheduler/src/worker_choice.c
@@ -33,7 +33,7 @@
 
 /* Computes where the other tasks of the step run, unless pass->spread describes the same step already: the ready queue
  * returns the tasks of a step one after another. */
-static void spread_find(Pass *pass, const Job *job, size_t task)
+void spread_find(Pass *pass, const Job *job, size_t task)
 {
     StepSpread *spread = &pass->spread;
     const size_t first_task = task_first_of_step(job, &job->tasks[task]);
--- a/packages/scheduler/src/worker_choice.h
+++ b/packages/scheduler/src/worker_choice.h
@@ -3,6 +3,8 @@
 
 #include "pass.h"
 
+/* Makes pass->spread describe where the other tasks of this task's step run. */
+void spread_find(Pass *pass, const Job *job, size_t task);
 /* Adds by (which may be negative) tasks of the current step (pass->spread) on the worker with that index. */
 void spread_add(Pass *pass, size_t at, int by);
 /* The index of the best worker for the task, except those in excluded, and on the given rack unless that is null; -1:
--- a/packages/sim/test/reservations.c
+++ b/packages/sim/test/reservations.c
@@ -1,4 +1,5 @@
-/* Reservations for gangs in a fleet so large that a quarter of its workers is more than one reservation can list. */
+/* Reservations: for gangs in a fleet so large that a quarter of its workers is more than one reservation can list, and
+ * for candidates that a reservation doesn't help. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -40,11 +41,121 @@
     assert_int_equal(reserved_for(RESERVATION_MEMBERS_MAX + 2), 0);
 }
 
+/* --- one worker with a label, which some work needs ------------------------------------------ */
+
+#define LABEL "only"
+
+/* A fleet of four workers, the first of which has the label. */
+static SchedulerFixture *fixture_with_label(void *mem)
+{
+    SchedulerFixture *fixture = scheduler_fixture_new(mem, 4);
+    static const char *const labels[] = {LABEL};
+    Worker worker = *table_worker(fixture->table, worker_name(mem, 0));
+    worker.labels = (const char **)(uintptr_t)labels;
+    worker.labels_count = 1;
+    deliver_change(fixture, CHANGE_WORKER_SET, &Worker_shape, &worker);
+    return fixture;
+}
+
+static void add_labelled_step(SchedulerFixture *fixture, StepSpec step)
+{
+    static const char *const labels[] = {LABEL};
+    step.labels = (const char **)(uintptr_t)labels;
+    step.labels_count = 1;
+    job_of_step(fixture, step);
+}
+
+/* Lets the time pass and runs a pass. Returns how many tasks it places. */
+static size_t placed_after(SchedulerFixture *fixture, int64_t wait_ms)
+{
+    sim_run_until(fixture->world, sim_now_ms(fixture->world) + wait_ms);
+    workers_heartbeat(fixture, 4);
+    Pass *run = pass(fixture);
+    const size_t placed = run->places.placements_count;
+    talloc_free(run);
+    return placed;
+}
+
+static uint64_t reservations_made(const SchedulerFixture *fixture)
+{
+    return scheduler_counts(fixture->scheduler)->reserved;
+}
+
+/* Guards against sound work that never runs (review/5): a gang that can never be placed, since its members may not be
+ * together, kept the only worker that some jobs can run on. */
+static void gang_that_never_fits_reserves_nothing(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SchedulerFixture *fixture = fixture_with_label(mem);
+    add_labelled_step(fixture, (StepSpec){.count = 4, .gang = true, .apart = 1, .resources = {1000, 512, 0}});
+    assert_int_equal(placed_after(fixture, RESERVATION_WAIT_MS), 0);
+    assert_int_equal(reservations_made(fixture), 0);
+    add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {1000, 512, 0}});
+    assert_int_equal(placed_after(fixture, 10), 1);
+    talloc_free(mem);
+}
+
+/* Reports the first task of the first job as done. */
+static void first_task_ends(SchedulerFixture *fixture)
+{
+    Job *const *jobs;
+    assert_true(table_jobs(fixture->table, &jobs) > 0);
+    AttemptUpdate update = {.job = jobs[0]->spec.id,
+                            .task = task_number(&jobs[0]->tasks[0]),
+                            .attempt = jobs[0]->tasks[0].attempt,
+                            .worker = jobs[0]->tasks[0].worker,
+                            .word = ATTEMPT_DONE,
+                            .text = "",
+                            .saved = ""};
+    const AttemptList list = {&update, 1};
+    deliver_change(fixture, CHANGE_ATTEMPTS, &AttemptList_shape, &list);
+}
+
+/* The same for a reservation that was made in time: it does not outlast the value of its job. */
+static void reservation_ends_with_the_value_of_its_job(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SchedulerFixture *fixture = fixture_with_label(mem);
+    add_labelled_step(fixture, (StepSpec){.count = 2, .resources = {HALF_WORKER, 512, 0}});
+    assert_int_equal(settle(fixture), 2);
+    add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {1000, 512, 0}});
+    add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {FIXTURE_CPU_MILLI, 512, 0}});
+    assert_int_equal(placed_after(fixture, RESERVATION_WAIT_MS), 0);
+    assert_int_equal(reservations_made(fixture), 1);
+    first_task_ends(fixture);
+    assert_int_equal(placed_after(fixture, 10),
+                     0); /* The capacity is kept for the large task, whose queue goes first */
+    assert_int_equal(placed_after(fixture, 40000), 1);
+    talloc_free(mem);
+}
+
+/* The same beside a lasting task: the capacity that it uses never becomes free. */
+static void lasting_task_is_not_waited_for(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    SchedulerFixture *fixture = fixture_with_label(mem);
+    add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {HALF_WORKER, 512, 0}});
+    Job *const *jobs;
+    assert_int_equal(table_jobs(fixture->table, &jobs), 1);
+    jobs[0]->spec.lasting = true;
+    assert_int_equal(settle(fixture), 1);
+    add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {FIXTURE_CPU_MILLI, 512, 0}});
+    assert_int_equal(placed_after(fixture, RESERVATION_WAIT_MS), 0);
+    assert_int_equal(reservations_made(fixture), 0);
+    talloc_free(mem);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(gang_as_wide_as_the_list),
         cmocka_unit_test(gang_wider_than_the_list),
+        cmocka_unit_test(gang_that_never_fits_reserves_nothing),
+        cmocka_unit_test(reservation_ends_with_the_value_of_its_job),
+        cmocka_unit_test(lasting_task_is_not_waited_for),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
