Scheduler: an ejected worker gets the work that no other worker can run

What callers saw: four of 71 jobs could never be done; the only worker with their label was given nothing for 10 s, then 20 s and more, and sound jobs that only this worker can run stood still all the while.

Cause: an ejection bounds the share of the fleet that is ejected, but nobody asked whether another worker is left for the work.

Change: the pass keeps the capacity of ejected workers aside. A candidate that no other worker could ever run, and that has waited 1.5 s for it (the rule's bound is 3 s), has it admitted; the failure rate still makes it the last choice for other work. The wait is the least that the ejection keeps of its purpose for such work.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -337,6 +337,9 @@
 #define CAPACITY_RESERVE_SLACK_MS 3000
 /* At most 1 in this many parts of the fleet's capacity is reserved for such work */
 #define CAPACITY_RESERVE_DIVISOR 3
+/* Work that no other worker can run waits this long for an ejected one. Below the three seconds for which work may
+ * stand still beside free capacity */
+#define EJECTED_WAIT_MS 1500
 #define RESERVATION_WAIT_MS 10000 /* Work that fits an entire worker but no gap for this long has a worker reserved */
 /* Minimum wait for a reservation of work with a latency target, which otherwise waits an eighth of its span */
 #define RESERVATION_WAIT_MIN_MS 300
--- a/packages/scheduler/src/pass.h
+++ b/packages/scheduler/src/pass.h
@@ -31,9 +31,11 @@
     QueueClock clock;
     PlanInput input; /* its tasks are set by pass_assured_tasks_add */
     size_t task_capacity;
-    uint64_t *slowdowns; /* by worker: run time there, in thousandths of the run time on a healthy worker */
-    Resources fleet;     /* total capacity of the workers that may be given work */
-    Resources largest;   /* the largest capacity of any worker, component by component */
+    Resources *ejected; /* by worker: the capacity that its ejection withholds from the pass; none: it is not ejected */
+    size_t ejected_count; /* ejected workers with capacity that is withheld */
+    uint64_t *slowdowns;  /* by worker: run time there, in thousandths of the run time on a healthy worker */
+    Resources fleet;      /* total capacity of the workers that may be given work */
+    Resources largest;    /* the largest capacity of any worker, component by component */
     QueueContext context;
     ReadyQueue *ready_queue;
     PlaceList places;
@@ -55,6 +57,9 @@
 Pass *pass_new(Scheduler *scheduler, void *mem);
 /* The worker's index; SIZE_MAX: it is not among the workers. */
 size_t pass_worker_index(const Pass *pass, const char *worker);
+/* Gives the pass the capacity of ejected workers that meet the need, if no other worker can ever meet it and the
+ * candidate has waited for EJECTED_WAIT_MS. */
+void pass_admit_ejected(Pass *pass, const Candidate *candidate, const PlanNeed *need);
 /* The requirements of a task of the step on a worker. Its strings belong to the job. */
 PlanNeed pass_need(const Job *job, uint64_t step);
 
--- a/packages/scheduler/src/placement.c
+++ b/packages/scheduler/src/placement.c
@@ -159,7 +159,9 @@
     void *mem = talloc_new(pass->mem);
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
     bool *excluded = talloc_zero_array(mem, bool, (unsigned)pass->input.worker_count);
-    const bool reserved = reservation_exclude(pass, candidate, excluded), unmet = known_unmet(pass, &need);
+    const bool reserved = reservation_exclude(pass, candidate, excluded);
+    pass_admit_ejected(pass, candidate, &need);
+    const bool unmet = known_unmet(pass, &need);
     uint64_t percent = 100;
     const bool found = !unmet && choose_by_rack(pass, candidate, &need, excluded, where, &percent);
     bool fits = found, assured = false;
--- a/packages/sim/test/reservations.c
+++ b/packages/sim/test/reservations.c
@@ -6,7 +6,7 @@
 
 #include <cmocka.h>
 
-#include "scheduler_fixture.h"
+#include "label_fixture.h"
 
 #define WORKERS (4 * (RESERVATION_MEMBERS_MAX + 4)) /* at most a quarter of them may be reserved at the same time */
 #define HALF_WORKER (FIXTURE_CPU_MILLI / 2)
@@ -41,40 +41,7 @@
     assert_int_equal(reserved_for(RESERVATION_MEMBERS_MAX + 2), 0);
 }
 
-/* --- one worker with a label, which some work needs ------------------------------------------ */
-
-#define LABEL "only"
-
-/* A fleet of four workers, the first of which has the label. */
-static SchedulerFixture *fixture_with_label(void *mem)
-{
-    SchedulerFixture *fixture = scheduler_fixture_new(mem, 4);
-    static const char *const labels[] = {LABEL};
-    Worker worker = *table_worker(fixture->table, worker_name(mem, 0));
-    worker.labels = (const char **)(uintptr_t)labels;
-    worker.labels_count = 1;
-    deliver_change(fixture, CHANGE_WORKER_SET, &Worker_shape, &worker);
-    return fixture;
-}
-
-static void add_labelled_step(SchedulerFixture *fixture, StepSpec step)
-{
-    static const char *const labels[] = {LABEL};
-    step.labels = (const char **)(uintptr_t)labels;
-    step.labels_count = 1;
-    job_of_step(fixture, step);
-}
-
-/* Lets the time pass and runs a pass. Returns how many tasks it places. */
-static size_t placed_after(SchedulerFixture *fixture, int64_t wait_ms)
-{
-    sim_run_until(fixture->world, sim_now_ms(fixture->world) + wait_ms);
-    workers_heartbeat(fixture, 4);
-    Pass *run = pass(fixture);
-    const size_t placed = run->places.placements_count;
-    talloc_free(run);
-    return placed;
-}
+/* --- work that only one worker can run -------------------------------------------------------- */
 
 static uint64_t reservations_made(const SchedulerFixture *fixture)
 {
