Leader: a worker gets work by the description of its newest heartbeat, or none

What callers saw: a rack crashed and came back as workers of another kind while one controller was slow; tasks that need the former kind started on them.

Cause: the heartbeat made the worker ready at once, while its new description was still being committed; the planner went by the old one in the state table, and nobody looked again.

Change: a worker whose description is not the one in the state table is not ready. The leader orders no start that the worker, as it describes itself in the heartbeat that is answered, can't run (kind, labels, capacity), and takes such a placement back. The agent drops the starts of an answer to a heartbeat that carried an earlier description, and asks for them again. So each start is checked against the very description that the worker has when it gets the order.

--- a/packages/agent/src/heartbeat.c
+++ b/packages/agent/src/heartbeat.c
@@ -17,6 +17,7 @@
 typedef struct Heartbeat {
     Agent *agent;
     uint64_t number;
+    uint64_t description_number; /* Which description of the worker it carries */
     int64_t sent_ms;
     char address[ADDRESS_MAX];
     PeerIdentity peer;
@@ -84,6 +85,7 @@
                           .have_term = agent->have_term,
                           .wait_ms = HEARTBEAT_WAIT_MS};
     shape_copy(&Worker_shape, &agent->worker, heartbeat, &ask->worker);
+    heartbeat->description_number = agent->description_number;
     heartbeat_fill_attempts(agent, heartbeat, ask);
 }
 
@@ -122,9 +124,15 @@
     /* Answers may arrive in another order than the heartbeats were sent. */
     if (answer->orders &&
         (answer->term > agent->have_term || (answer->term == agent->have_term && answer->version > agent->have))) {
-        agent->have = answer->starts_cut ? answer->version - 1 : answer->version;
+        HeartbeatAnswer orders = *answer;
+        if (heartbeat->description_number != agent->description_number) {
+            /* They were given to a worker of the earlier description. */
+            orders.starts_count = 0;
+            orders.starts_cut = true;
+        }
+        agent->have = orders.starts_cut ? answer->version - 1 : answer->version;
         agent->have_term = answer->term;
-        orders_apply(agent, answer, heartbeat->sent_ms);
+        orders_apply(agent, &orders, heartbeat->sent_ms);
     }
 }
 
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -57,6 +57,7 @@
     bool isolated;                 /* The lease is extended by the second survival rule (isolated.c) */
     /* The worker */
     Worker worker;
+    uint64_t description_number;    /* Number of changes of worker so far */
     void *worker_mem;               /* talloc parent of what worker points to */
     Resources others;               /* The worker's capacity that is used by others than this agent's attempts */
     Boot *boot;                     /* The current boot; null: none has reported, or the last one has ended */
--- a/packages/agent/src/worker.c
+++ b/packages/agent/src/worker.c
@@ -123,6 +123,7 @@
         shape_copy(&Worker_shape, &worker, mem, &agent->worker);
         talloc_free(agent->worker_mem);
         agent->worker_mem = mem;
+        agent->description_number++;
         /* Those attempts were placed according to the old description of the worker. */
         attempts_withdraw(agent, "the description of the worker has changed");
     }
--- a/packages/agent/test/agent_reports.c
+++ b/packages/agent/test/agent_reports.c
@@ -180,6 +180,32 @@
     talloc_free(fixture);
 }
 
+/* Guards against a task that starts on a worker of another kind (review/3): an order is on its way while the worker
+ * describes itself anew. */
+static void order_for_an_earlier_description_is_asked_for_again(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(3000, 3000);
+    run_for(fixture, 700); /* The heartbeat that waits for orders carries the description */
+    sim_machine_delay(fixture->world, fixture->leader_machine, 100);
+    order_task(fixture, 0);
+    fixture->worker.kind = "other";
+    ReportCall *call = report_new(fixture, "b1");
+    call->report.wait_ms = 0;
+    report_send_and_wait(call);
+    const uint64_t version = fixture->leader.version;
+    run_for(fixture, 100); /* The order has arrived */
+    call = report_new(fixture, "b1");
+    call->report.wait_ms = 0;
+    assert_int_equal(report_send_and_wait(call)->orders.starts_count, 0);
+    run_for(fixture, 600);
+    assert_int_equal(fixture->leader.version, version);
+    assert_string_equal(fixture->leader.heartbeat.worker.kind, "other");
+    /* This leader still wants the task there, so it is given as an order for the new description. */
+    assert_int_equal(report_idle(fixture)->orders.starts_count, 1);
+    talloc_free(fixture);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -190,6 +216,7 @@
         cmocka_unit_test(late_report_of_an_earlier_boot_after_a_restart),
         cmocka_unit_test(departing_worker_keeps_its_attempts),
         cmocka_unit_test(idle_departing_worker_has_left),
+        cmocka_unit_test(order_for_an_earlier_description_is_asked_for_again),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -22,7 +22,8 @@
 }
 
 /* Builds updates for the attempts that the state table has on the worker and that the heartbeat's complete list lacks:
- * running attempts are lost, stopping attempts have stopped. Allocated on mem. */
+ * running attempts are lost, stopping attempts have stopped, and placed ones that the worker can't run, as it describes
+ * itself in this heartbeat, are refused: no order to start them is given or accepted any more. Allocated on mem. */
 static AttemptList missing_attempts(const Controller *controller, void *mem, const HeartbeatAsk *heartbeat)
 {
     AttemptList list = {0};
@@ -33,7 +34,9 @@
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
         const uint64_t number = task_number(task);
-        if ((task->phase != TASK_RUNNING && !stop_has_ended(controller, heartbeat, task)) ||
+        const bool unfit = task->phase == TASK_PLACED && heartbeat->worker_live &&
+                           !worker_meets_step(&heartbeat->worker, job, task->step);
+        if ((task->phase != TASK_RUNNING && !unfit && !stop_has_ended(controller, heartbeat, task)) ||
             attempt_set_has(listed, job->spec.id, number, task->attempt))
             continue;
         if (list.updates == NULL)
@@ -43,8 +46,10 @@
                             .task = number,
                             .attempt = task->attempt,
                             .worker = talloc_strdup(mem, heartbeat->worker.name),
-                            .word = task->phase == TASK_STOPPING ? ATTEMPT_STOPPED : ATTEMPT_LOST,
-                            .text = "not on its worker any more",
+                            .word = task->phase == TASK_STOPPING ? ATTEMPT_STOPPED
+                                    : unfit                      ? ATTEMPT_REFUSED
+                                                                 : ATTEMPT_LOST,
+                            .text = unfit ? "its worker is another one now" : "not on its worker any more",
                             .saved = ""};
     }
     return list;
@@ -56,11 +61,28 @@
     Controller *controller;
     AgentSession *session;
     Worker worker;
+    uint64_t number;     /* Of the heartbeat */
     bool worker_changed; /* The state table has no record of the worker or a different one */
     bool left;           /* The worker has drained */
     AttemptList missing_attempts;
 } HeartbeatCommit;
 
+/* Suspends the coroutine. Commits the worker's description; the worker may then be given work, unless a later heartbeat
+ * has arrived, which the next one confirms. */
+static void description_commit(const HeartbeatCommit *commit)
+{
+    Controller *controller = commit->controller;
+    ChangeResult result;
+    if (controller_submit(controller, (void *)(uintptr_t)commit, CHANGE_WORKER_SET, &Worker_shape, &commit->worker,
+                          &result) != STATUS_OK)
+        return;
+    const LiveRow *row = liveset_find(controller->liveset, commit->worker.name);
+    if (row == NULL || row->number != commit->number)
+        return;
+    liveset_set_description_pending(controller->liveset, commit->worker.name, false);
+    scheduler_notify(controller->scheduler);
+}
+
 static void heartbeat_commit_main(void *arg)
 {
     HeartbeatCommit *commit = arg;
@@ -68,7 +90,7 @@
     ChangeResult result;
     attempt_updates_commit(controller, commit->missing_attempts.updates, commit->missing_attempts.updates_count);
     if (commit->worker_changed)
-        controller_submit(controller, commit, CHANGE_WORKER_SET, &Worker_shape, &commit->worker, &result);
+        description_commit(commit);
     if (commit->left) {
         const WorkerLeft left = {commit->worker.name, true};
         controller_submit(controller, commit, CHANGE_WORKER_LEFT, &WorkerLeft_shape, &left, &result);
@@ -77,6 +99,24 @@
     talloc_free(commit);
 }
 
+/* The worker as the heartbeat describes it, for the state table. Borrows all texts. */
+static Worker described_worker(const Controller *controller, const HeartbeatAsk *heartbeat)
+{
+    const Worker *known = table_worker(controller->table, heartbeat->worker.name);
+    Worker worker = heartbeat->worker;
+    const bool present = heartbeat->worker_live && !heartbeat->leaving;
+    worker.excluded = known != NULL && known->excluded && !present;
+    return worker;
+}
+
+/* Whether the state table has no description of the live worker, or another one. */
+static bool description_changed(const Controller *controller, const HeartbeatAsk *heartbeat)
+{
+    const Worker *known = table_worker(controller->table, heartbeat->worker.name);
+    const Worker worker = described_worker(controller, heartbeat);
+    return heartbeat->worker_live && (known == NULL || !shape_equal(&Worker_shape, known, &worker));
+}
+
 /* Spawns a commit of the changes that the heartbeat reports, if there are any. Only one commit runs at a time for each
  * worker, since its heartbeats repeat what has not been committed yet. */
 static void heartbeat_commit(Controller *controller, const HeartbeatAsk *heartbeat, bool list_usable)
@@ -85,11 +125,8 @@
     if (session->committing)
         return;
     const Worker *known = table_worker(controller->table, heartbeat->worker.name);
-    Worker worker = heartbeat->worker;
-    const bool present = heartbeat->worker_live && !heartbeat->leaving;
-    worker.excluded = known != NULL && known->excluded && !present;
-    const bool worker_changed =
-        heartbeat->worker_live && (known == NULL || !shape_equal(&Worker_shape, known, &worker));
+    const Worker worker = described_worker(controller, heartbeat);
+    const bool worker_changed = description_changed(controller, heartbeat);
     /* The worker has drained: it leaves, its agent no longer receives messages from it, and has no attempts left. */
     const bool left = known != NULL && !known->excluded && heartbeat->leaving && !heartbeat->worker_live &&
                       heartbeat->settled && heartbeat->attempts_count == 0;
@@ -99,6 +136,7 @@
         HeartbeatCommit *commit = talloc_zero(controller, HeartbeatCommit);
         *commit = (HeartbeatCommit){.controller = controller,
                                     .session = session,
+                                    .number = heartbeat->number,
                                     .worker_changed = worker_changed,
                                     .left = left,
                                     .missing_attempts = missing};
@@ -226,8 +264,11 @@
     if (status != STATUS_OK)
         return status;
     worker_changes_log(controller, liveset_find(controller->liveset, heartbeat->worker.name), previous, now_ms);
-    if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number)
+    if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number) {
         orphans_heartbeat(controller->orphans, controller->table, heartbeat, now_ms);
+        liveset_set_description_pending(controller->liveset, heartbeat->worker.name,
+                                        description_changed(controller, heartbeat));
+    }
     liveset_heartbeat_waiting(controller->liveset, heartbeat->worker.name, now_ms);
     if (was_ready != live_row_ready(liveset_find(controller->liveset, heartbeat->worker.name), now_ms))
         scheduler_notify(controller->scheduler);
--- a/packages/controller/src/orders.c
+++ b/packages/controller/src/orders.c
@@ -6,8 +6,8 @@
 #include <talloc.h>
 
 #include "heartbeat/attempt_set.h"
-
 #include "leader.h"
+#include "plan/plan.h"
 
 AgentSession *agent_session(Controller *controller, const char *worker)
 {
@@ -43,8 +43,18 @@
     table_watch_orders(controller->table, on_orders, controller);
 }
 
-/* Lists the attempts that the worker should run, and those of them to start, which the agent does not list yet. The
- * texts belong to the state table: the answer must be packed before anything else is delivered. */
+bool worker_meets_step(const Worker *worker, const Job *job, uint64_t step)
+{
+    const StepSpec *spec = &job->spec.steps[step];
+    const PlanWorker empty = {
+        .kind = worker->kind, .labels = worker->labels, .label_count = worker->labels_count, .free = worker->resources};
+    const PlanNeed need = {spec->resources, queue_kind(job, step), spec->labels, spec->labels_count};
+    return plan_fits(&empty, &need);
+}
+
+/* Lists the attempts that the worker should run, and those of them to start, which the agent does not list yet. A task
+ * that was placed by an earlier description of the worker, which it does not meet any more, is not started. The texts
+ * belong to the state table: the answer must be packed before anything else is delivered. */
 static void orders_list(Controller *controller, void *mem, const HeartbeatAsk *heartbeat, HeartbeatAnswer *out)
 {
     const TaskOnWorker *on;
@@ -61,7 +71,8 @@
         const char *id = job->spec.id;
         const uint64_t number = task_number(task);
         out->wanted[out->wanted_count++] = (AttemptId){id, number, task->attempt};
-        if (task->phase != TASK_PLACED || attempt_set_has(listed, id, number, task->attempt))
+        if (task->phase != TASK_PLACED || attempt_set_has(listed, id, number, task->attempt) ||
+            !worker_meets_step(&heartbeat->worker, job, task->step))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
         starts_bytes += strlen(step->payload) + strlen(task->saved);
--- a/packages/controller/src/orders.h
+++ b/packages/controller/src/orders.h
@@ -15,6 +15,9 @@
 
 /* Returns the session of the worker's agent; creates it on first use. */
 AgentSession *agent_session(Controller *controller, const char *worker);
+/* Whether a worker of this description can run a task of the step: its kind, its labels and, while it is empty, its
+ * capacity. */
+bool worker_meets_step(const Worker *worker, const Job *job, uint64_t step);
 /* Subscribes to changes of orders in the state table. */
 void orders_start(Controller *controller);
 /* Makes all waiting requests check again whether they can be answered. */
--- a/packages/heartbeat/include/heartbeat/liveset.h
+++ b/packages/heartbeat/include/heartbeat/liveset.h
@@ -26,8 +26,10 @@
     int64_t joined_ms;         /* when the agent's first heartbeat in this incarnation arrived */
     Resources other_usage;     /* capacity in use by others than this system's attempts */
     bool loss_pending;         /* its loss is decided but not yet delivered: it gets no order until then */
-    int64_t leave_until_ms;    /* if leaving: attempts there may run at least until this time; 0: not known */
-    Arrivals heartbeats;       /* statistics of the time from an answer to the agent's next heartbeat */
+    bool
+        description_pending; /* the worker's new description is not delivered yet: nothing is placed there until then */
+    int64_t leave_until_ms;  /* if leaving: attempts there may run at least until this time; 0: not known */
+    Arrivals heartbeats;     /* statistics of the time from an answer to the agent's next heartbeat */
 } LiveRow;
 
 /* All workers that this leader knows. */
@@ -52,11 +54,13 @@
 void liveset_heartbeat_answered(Liveset *liveset, const char *worker, int64_t now_ms);
 /* Records that the worker's loss is decided (true) or has been delivered (false). */
 void liveset_set_loss_pending(Liveset *liveset, const char *worker, bool losing);
+/* Records whether the worker describes itself otherwise than the state table does. */
+void liveset_set_description_pending(Liveset *liveset, const char *worker, bool pending);
 /* The worker's row, valid until liveset_reset; NULL: the worker is unknown. */
 const LiveRow *liveset_find(const Liveset *liveset, const char *name);
 /* Whether the worker may be given work now: its lease is valid, it is live, its agent sent a heartbeat within the last
- * three intervals and has a complete list of running attempts, and the worker is neither leaving nor being declared
- * lost. */
+ * three intervals and has a complete list of running attempts, its description is in the state table, and the worker is
+ * neither leaving nor being declared lost. */
 bool live_row_ready(const LiveRow *row, int64_t now_ms);
 /* Whether the next heartbeat is overdue, judged by the usual time between heartbeats. The worker is then probably
  * disconnected, frozen or dead, long before its lease expires. This is only a hint for new decisions and may be wrong;
--- a/packages/heartbeat/src/liveset.c
+++ b/packages/heartbeat/src/liveset.c
@@ -98,6 +98,11 @@
     row_get_or_add(liveset, worker)->loss_pending = losing;
 }
 
+void liveset_set_description_pending(Liveset *liveset, const char *worker, bool pending)
+{
+    row_get_or_add(liveset, worker)->description_pending = pending;
+}
+
 const LiveRow *liveset_find(const Liveset *liveset, const char *name)
 {
     return map_get(liveset->rows, name);
@@ -107,7 +112,7 @@
 {
     return row->last_heartbeat_ms != INT64_MIN && now_ms < row->until_ms &&
            now_ms - row->last_heartbeat_ms < READY_HEARTBEATS * HEARTBEAT_MS && row->worker_live && !row->leaving &&
-           row->settled && !row->loss_pending;
+           row->settled && !row->loss_pending && !row->description_pending;
 }
 
 bool live_row_overdue(const LiveRow *row, int64_t now_ms)
