--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -34,8 +34,7 @@
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
         const uint64_t number = task_number(task);
-        const bool unfit = task->phase == TASK_PLACED && heartbeat->worker_live &&
-                           !worker_meets_step(&heartbeat->worker, job, task->step);
+        const bool unfit = task->phase == TASK_PLACED && worker_is_unfit(heartbeat, job, task->step);
         if ((task->phase != TASK_RUNNING && !unfit && !stop_has_ended(controller, heartbeat, task)) ||
             attempt_set_has(listed, job->spec.id, number, task->attempt))
             continue;
@@ -61,23 +60,21 @@
     Controller *controller;
     AgentSession *session;
     Worker worker;
-    uint64_t number;     /* Of the heartbeat */
     bool worker_changed; /* The state table has no record of the worker or a different one */
     bool left;           /* The worker has drained */
     AttemptList missing_attempts;
 } HeartbeatCommit;
 
-/* Suspends the coroutine. Commits the worker's description; the worker may then be given work, unless a later heartbeat
- * has arrived, which the next one confirms. */
-static void description_commit(const HeartbeatCommit *commit)
+/* Suspends the coroutine. Commits the worker's description; the worker may then be given work, unless it describes
+ * itself otherwise by now. */
+static void description_commit(HeartbeatCommit *commit)
 {
     Controller *controller = commit->controller;
     ChangeResult result;
-    if (controller_submit(controller, (void *)(uintptr_t)commit, CHANGE_WORKER_SET, &Worker_shape, &commit->worker,
-                          &result) != STATUS_OK)
-        return;
-    const LiveRow *row = liveset_find(controller->liveset, commit->worker.name);
-    if (row == NULL || row->number != commit->number)
+    const Status status =
+        controller_submit(controller, commit, CHANGE_WORKER_SET, &Worker_shape, &commit->worker, &result);
+    const Worker *described = commit->session->described;
+    if (status != STATUS_OK || described == NULL || !shape_equal(&Worker_shape, described, &commit->worker))
         return;
     liveset_set_description_pending(controller->liveset, commit->worker.name, false);
     scheduler_notify(controller->scheduler);
@@ -117,6 +114,20 @@
     return heartbeat->worker_live && (known == NULL || !shape_equal(&Worker_shape, known, &worker));
 }
 
+/* Records the newest heartbeat's description of the worker: nothing is placed there before the state table has it. */
+static void description_record(Controller *controller, const HeartbeatAsk *heartbeat)
+{
+    const bool changed = description_changed(controller, heartbeat);
+    liveset_set_description_pending(controller->liveset, heartbeat->worker.name, changed);
+    if (!changed)
+        return;
+    AgentSession *session = agent_session(controller, heartbeat->worker.name);
+    const Worker worker = described_worker(controller, heartbeat);
+    talloc_free(session->described);
+    session->described = talloc_zero(session, Worker);
+    shape_copy(&Worker_shape, &worker, session->described, session->described);
+}
+
 /* Spawns a commit of the changes that the heartbeat reports, if there are any. Only one commit runs at a time for each
  * worker, since its heartbeats repeat what has not been committed yet. */
 static void heartbeat_commit(Controller *controller, const HeartbeatAsk *heartbeat, bool list_usable)
@@ -136,7 +147,6 @@
         HeartbeatCommit *commit = talloc_zero(controller, HeartbeatCommit);
         *commit = (HeartbeatCommit){.controller = controller,
                                     .session = session,
-                                    .number = heartbeat->number,
                                     .worker_changed = worker_changed,
                                     .left = left,
                                     .missing_attempts = missing};
@@ -266,8 +276,7 @@
     worker_changes_log(controller, liveset_find(controller->liveset, heartbeat->worker.name), previous, now_ms);
     if (liveset_find(controller->liveset, heartbeat->worker.name)->number == heartbeat->number) {
         orphans_heartbeat(controller->orphans, controller->table, heartbeat, now_ms);
-        liveset_set_description_pending(controller->liveset, heartbeat->worker.name,
-                                        description_changed(controller, heartbeat));
+        description_record(controller, heartbeat);
     }
     liveset_heartbeat_waiting(controller->liveset, heartbeat->worker.name, now_ms);
     if (was_ready != live_row_ready(liveset_find(controller->liveset, heartbeat->worker.name), now_ms))
--- a/packages/controller/src/orders.h
+++ b/packages/controller/src/orders.h
@@ -10,14 +10,16 @@
      * sends a new request */
     Signal changed;
     uint64_t newest_request; /* Number of the newest request; older requests stop waiting */
+    Worker *described;       /* The worker's newest description that was not in the state table; null: none was */
     bool committing;         /* True while changes reported by a heartbeat are being committed */
 } AgentSession;
 
 /* Returns the session of the worker's agent; creates it on first use. */
 AgentSession *agent_session(Controller *controller, const char *worker);
-/* Whether a worker of this description can run a task of the step: its kind, its labels and, while it is empty, its
- * capacity. */
-bool worker_meets_step(const Worker *worker, const Job *job, uint64_t step);
+/* Whether the live worker, as the heartbeat describes it, can't run a task of the step: by its kind, its labels or,
+ * while it is empty, its capacity. Always false if the worker is not live: its description may be one that the agent
+ * was started with. */
+bool worker_is_unfit(const HeartbeatAsk *heartbeat, const Job *job, uint64_t step);
 /* Subscribes to changes of orders in the state table. */
 void orders_start(Controller *controller);
 /* Makes all waiting requests check again whether they can be answered. */
