--- a/packages/model/include/model/model.h
+++ b/packages/model/include/model/model.h
@@ -34,12 +34,32 @@
     bool skipped[DAY_FAULTS_MAX]; /* faults to leave out, by number */
 } DaySettings;
 
+/* The bounds of the protocol between workers and agents, and how often a day reached each: heartbeats that could not
+ * list all ends; heartbeats that arrived late, of them those that were sent to an earlier process of the agent or by an
+ * earlier one of the worker; workers that announced their end first; answers of over a quarter of the largest one. */
+#define BOUND_LIST(X)  \
+    X(ENDS_CUT)        \
+    X(LATE_HEARTBEATS) \
+    X(LATE_TO_NEXT)    \
+    X(LATE_OF_FORMER)  \
+    X(DEPARTED_FIRST)  \
+    X(LARGE_ANSWERS)
+typedef enum Bound {
+#define X(name) BOUND_##name,
+    BOUND_LIST(X)
+#undef X
+        BOUND_COUNT
+} Bound;
+/* Returns the name of a bound. */
+const char *bound_name(Bound bound);
+
 /* The outcome of a day. ends: by how the attempts ended. */
 typedef struct DayResult {
     Rules rules;
     size_t jobs, accepted, refused, starts, ends[ATTEMPT_STATUS_COUNT];
     size_t on_time_jobs, late_jobs;      /* jobs done within their latency target, and within three times it */
     size_t measured_jobs;                /* jobs that are measured against their latency target */
+    size_t bounds[BOUND_COUNT];          /* how often each was reached */
     size_t orders;                       /* requests of the operator */
     char fault_rows[DAY_FAULTS_MAX][64]; /* the injected faults, in the format of a script */
     size_t fault_count;
--- a/packages/model/include/model/site.h
+++ b/packages/model/include/model/site.h
@@ -49,7 +49,10 @@
     X(save_ms, "saveMs", 1000, "work between two checkpoints")                                        \
     X(restore_ms, "restoreMs", 250, "time to restore a checkpoint")                                   \
     X(heartbeat_ms, "beatMs", 1500, "maximum interval between a worker's heartbeats")                 \
-    X(deaf, "deaf", 0, "1: workers cannot announce that they leave")
+    X(deaf, "deaf", 0, "1: workers cannot announce that they leave")                                  \
+    X(late_heartbeat_milli, "lateBeatMilli", 0, "heartbeats that arrive late, in thousandths")        \
+    X(late_heartbeat_ms, "lateBeatMs", 3000, "the most by which they are late")                       \
+    X(depart_first_percent, "departFirstPercent", 0, "leaving workers that say so last, and run on")
 
 /* A kind of job that callers submit; each kind has its own queue. X(name, key, default, meaning) */
 #define SITE_KIND_LIST(X)                                                                        \
@@ -73,7 +76,9 @@
     X(turns_percent, "turnsPercent", 0, "jobs that run in several turns")                        \
     X(lasting_percent, "lastingPercent", 0, "jobs that run until they are cancelled")            \
     X(cancel_percent, "cancelPercent", 3, "jobs that are cancelled")                             \
-    X(twice_percent, "twicePercent", 5, "jobs that are submitted twice at once")
+    X(twice_percent, "twicePercent", 5, "jobs that are submitted twice at once")                 \
+    X(tasks_max, "tasksMax", 60, "maximum number of tasks in a step")                            \
+    X(payload_bytes, "payloadBytes", 0, "length to which the payload is filled up")
 
 /* A kind of job of a site. */
 typedef struct SiteKind {
--- a/packages/model/src/generated_job.c
+++ b/packages/model/src/generated_job.c
@@ -6,7 +6,6 @@
 
 #include "caller.h"
 
-#define TASKS_MAX 60             /* maximum number of tasks in a step */
 #define FIRST_TURN_DELAY_MS 2500 /* minimum time until the first turn */
 
 static uint64_t limit(uint64_t value, uint64_t max)
@@ -44,7 +43,8 @@
 {
     const Site *site = callers->topology->site;
     GeneratedJobStep *step = &generated_job->steps[at];
-    *step = (GeneratedJobStep){.count = limit((uint64_t)random_source_about(random_source, kind->tasks), TASKS_MAX)};
+    *step = (GeneratedJobStep){
+        .count = limit((uint64_t)random_source_about(random_source, kind->tasks), (uint64_t)kind->tasks_max)};
     step->gang = random_source_percent(random_source, kind->gang_percent) && !generated_job->lasting;
     step->same_rack = step->gang && random_source_percent(random_source, 50);
     draw_resources(site, kind, random_source, step);
@@ -68,6 +68,10 @@
     snprintf(generated_job->id, sizeof(generated_job->id), "%016" PRIx64, random_source_next(random_source));
     generated_job->payload =
         talloc_asprintf(callers->records, "%s %" PRIx64, kind->name, random_source_next(random_source) >> 40);
+    const int64_t missing_bytes = kind->payload_bytes - (int64_t)strlen(generated_job->payload);
+    if (missing_bytes > 0)
+        generated_job->payload =
+            talloc_asprintf(callers->records, "%s%*s", generated_job->payload, (int)missing_bytes, "");
     generated_job->saves = random_source_percent(random_source, kind->saves_percent);
     generated_job->lasting = random_source_percent(random_source, kind->lasting_percent);
     generated_job->copies = !generated_job->lasting && random_source_percent(random_source, kind->copies_percent);
--- a/packages/model/src/site.c
+++ b/packages/model/src/site.c
@@ -97,6 +97,30 @@
     }
 }
 
+/* The built-in site "bounds": steps of hundreds of small tasks, which end together, with large payloads; heartbeats
+ * that arrive late; workers that announce their end first. */
+static void set_bounds(Site *site)
+{
+    site->worker_models = 4;
+    site->late_heartbeat_milli = 15;
+    site->depart_first_percent = 60;
+    site->traffic_ms = 20000;
+    SiteKind *crowd = kind_add(site, "crowd");
+    crowd->per_minute = 12;
+    crowd->tasks = 900;
+    crowd->tasks_max = 1500;
+    crowd->task_ms = 1200;
+    crowd->cpu_milli = 20;
+    crowd->mem_mb = 10;
+    crowd->target_ms = 4000;
+    crowd->payload_bytes = 3900;
+    crowd->near_percent = crowd->apart_percent = 0;
+    SiteKind *check = kind_add(site, "check");
+    check->per_minute = 200;
+    check->task_ms = 2000;
+    check->gang_percent = 15;
+}
+
 bool site_builtin(const char *name, Site *site)
 {
     *site = site_default(name);
@@ -104,6 +128,8 @@
         add_tiles(site);
     else if (strcmp(name, "registry") == 0)
         set_registry(site);
+    else if (strcmp(name, "bounds") == 0)
+        set_bounds(site);
     else
         return false;
     return true;
--- a/packages/model/src/worker_model.c
+++ b/packages/model/src/worker_model.c
@@ -11,6 +11,7 @@
 #define HEARTBEAT_RETRY_MS 300 /* interval after a failed heartbeat */
 #define LEAVE_TIMEOUT_MS 4000  /* time limit for the acknowledgement of leaving, after the time to leave */
 #define HEARTBEAT_ENDS_MAX 500 /* maximum number of ends in one heartbeat */
+#define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* a larger answer to a heartbeat is ignored */
 
 void worker_model_update_pace(WorkerModel *worker_model)
 {
@@ -66,6 +67,7 @@
                                  job_records_checkpoint_text(mem, run->task, worker_model_saved_ms(run, false)),
                                  work_ms > 0 ? (int)(worker_group_progress_ms(run->worker_group) * 100 / work_ms) : 0};
     }
+    worker_model->worker_models->bounds[BOUND_ENDS_CUT] += worker_model->end_count > HEARTBEAT_ENDS_MAX;
     for (size_t i = 0; i < worker_model->end_count && i < HEARTBEAT_ENDS_MAX; i++)
         report->ended[report->ended_count++] = worker_model->ends[i].reported;
 }
@@ -96,10 +98,16 @@
                      .body = codec->report(mem, &report),
                      .wait_ms = ANSWER_TIMEOUT_MS};
     const int64_t sent_ms = loop_now_ms(worker_model->loop);
+    if (late_heartbeat_drawn(worker_model, &call)) {
+        loop_sleep(worker_model->loop, ANSWER_TIMEOUT_MS);
+        worker_model->update_open = true;
+        return HEARTBEAT_RETRY_MS;
+    }
     const Status status = loop_call(worker_model->loop, &call);
+    worker_model->worker_models->bounds[BOUND_LARGE_ANSWERS] += call.response_body.count > ANSWER_BYTES_MAX / 4;
     WorkerModelAnswer *orders = talloc_zero(mem, WorkerModelAnswer);
     if (status != STATUS_OK || call.code < 200 || call.code > 299 ||
-        loop_now_ms(worker_model->loop) - sent_ms > ANSWER_TIMEOUT_MS ||
+        loop_now_ms(worker_model->loop) - sent_ms > ANSWER_TIMEOUT_MS || call.response_body.count > ANSWER_BYTES_MAX ||
         !codec->orders(mem, call.response_body, orders)) {
         worker_model->update_open = true;
         return HEARTBEAT_RETRY_MS;
@@ -132,10 +140,40 @@
 static void end_after_leaving(void *arg)
 {
     WorkerModel *worker_model = arg;
-    if (worker_model->up && worker_model->leaving)
+    if (worker_model->up && (worker_model->leaving || worker_model->departs))
         worker_model_crash(worker_model, false);
 }
 
+/* Notifies the agent that the worker's process is about to end. Suspends the coroutine. */
+static void announce_end(WorkerModel *worker_model)
+{
+    const Topology *topology = worker_model->worker_models->topology;
+    void *mem = talloc_new(worker_model->mem);
+    HttpCall call = {.mem = mem,
+                     .address =
+                         talloc_asprintf(mem, "%s:%d", sim_address(topology->world, worker_model->agent_node->machine),
+                                         topology->codec->operator_port),
+                     .method = "POST",
+                     .path = topology->codec->heartbeat_path(mem, worker_model->boot, true),
+                     .wait_ms = ANSWER_TIMEOUT_MS};
+    loop_call(worker_model->loop, &call);
+    talloc_free(mem);
+    topology_log(topology, "%s has announced its end", worker_model->boot);
+}
+
+/* Announces the end first, and runs on until the time to leave. */
+static void depart_main(void *arg)
+{
+    WorkerModel *worker_model = arg;
+    const Topology *topology = worker_model->worker_models->topology;
+    announce_end(worker_model);
+    worker_model->worker_models->bounds[BOUND_DEPARTED_FIRST]++;
+    const int64_t left_ms = worker_model->leave_at_ms - topology_now_ms(topology);
+    if (left_ms > 0)
+        loop_sleep(worker_model->loop, left_ms);
+    sim_schedule(topology->world, topology_now_ms(topology), end_after_leaving, worker_model);
+}
+
 static void leave_main(void *arg)
 {
     WorkerModel *worker_model = arg;
@@ -149,26 +187,23 @@
             break;
         loop_sleep(worker_model->loop, 50);
     }
-    void *mem = talloc_new(worker_model->mem);
-    HttpCall call = {.mem = mem,
-                     .address =
-                         talloc_asprintf(mem, "%s:%d", sim_address(topology->world, worker_model->agent_node->machine),
-                                         topology->codec->operator_port),
-                     .method = "POST",
-                     .path = topology->codec->heartbeat_path(mem, worker_model->boot, true),
-                     .wait_ms = ANSWER_TIMEOUT_MS};
-    loop_call(worker_model->loop, &call);
-    talloc_free(mem);
-    topology_log(topology, "%s has left", worker_model->boot);
+    announce_end(worker_model);
     sim_schedule(topology->world, topology_now_ms(topology), end_after_leaving, worker_model);
 }
 
 void worker_model_leave(WorkerModel *worker_model, int64_t after_ms)
 {
-    if (!worker_model->up || worker_model->leaving)
+    const Topology *topology = worker_model->worker_models->topology;
+    if (!worker_model->up || worker_model->leaving || worker_model->departs)
         return;
+    worker_model->leave_at_ms = topology_now_ms(topology) + after_ms;
+    RandomSource random_source = random_source_new(topology->seed, worker_model->boot, 0);
+    if (random_source_percent(&random_source, topology->site->depart_first_percent)) {
+        worker_model->departs = true;
+        loop_spawn(worker_model->loop, "depart", depart_main, worker_model);
+        return;
+    }
     worker_model->leaving = true;
-    worker_model->leave_at_ms = topology_now_ms(worker_model->worker_models->topology) + after_ms;
     worker_model->update_open = true;
     signal_raise(worker_model->loop, &worker_model->updates);
     loop_spawn(worker_model->loop, "leave", leave_main, worker_model);
@@ -188,7 +223,7 @@
     worker_model->end_count = 0;
     worker_model->highest = map_new(worker_model->mem);
     worker_model->work = worker_model->updates = (Signal){0};
-    worker_model->leaving = worker_model->update_open = false;
+    worker_model->leaving = worker_model->departs = worker_model->update_open = false;
     worker_model->leave_at_ms = worker_model->leave_ack_ms = 0;
     loop_spawn(loop, "work", worker_model_work_main, worker_model);
     loop_spawn(loop, "beat", heartbeat_main, worker_model);
@@ -266,6 +301,7 @@
 
 void worker_models_start(WorkerModels *worker_models)
 {
+    late_heartbeats_start(worker_models);
     for (size_t i = 0; i < worker_models->count; i++)
         worker_model_start(&worker_models->list[i]);
 }
--- a/packages/model/src/worker_model.h
+++ b/packages/model/src/worker_model.h
@@ -2,6 +2,7 @@
 #define MODEL_SRC_WORKER_MODEL_H
 
 #include "job_records.h"
+#include "model/model.h"
 #include "sent_documents.h"
 
 /* A worker group: the members of a gang with the same attempt number, or a single task. The members work once all
@@ -56,6 +57,7 @@
     bool hangs;                 /* its attempts make no progress */
     bool up;
     bool leaving;
+    bool departs;                      /* it has announced its end without leaving first, and runs on */
     int64_t leave_at_ms, leave_ack_ms; /* when it leaves; when its leaving was acknowledged, 0: not yet */
     bool leave_ack_in_touch;           /* the machine that acknowledged was in touch */
     /* State of its current process. */
@@ -79,6 +81,8 @@
     WorkerModel list[AGENTS_MAX];
     size_t count;
     uint64_t boots;
+    Loop *link; /* of the process that delivers late heartbeats; null: none is late */
+    size_t bounds[BOUND_COUNT];
 } WorkerModels;
 
 WorkerModels *worker_models_new(void *mem, JobRecords *records, SentDocuments *sent_documents);
@@ -96,6 +100,13 @@
 /* Recomputes the pace of its groups. */
 void worker_model_update_pace(WorkerModel *worker_model);
 
+/* --- late heartbeats (late_heartbeat.c) ------------------------------------------------------ */
+/* Starts the process that delivers late heartbeats, if the site has any. */
+void late_heartbeats_start(WorkerModels *worker_models);
+/* Draws whether this heartbeat arrives late. If so, it is delivered later, whatever happens to its sender meanwhile,
+ * and true is returned: the worker gets no answer. */
+bool late_heartbeat_drawn(WorkerModel *worker_model, const HttpCall *call);
+
 /* --- attempts ------------------------------------------------------------------------------ */
 /* Returns the progress in the latest checkpoint, made after each save_ms of work; all: in a last checkpoint of all
  * work done. */
