Leader: the list of a restarted agent removes no orphaned attempt

Until the list was complete, a tenant's quota missed what the attempt uses. No caller has reported it.

Change: only a complete list removes one.

--- a/packages/heartbeat/include/heartbeat/orphans.h
+++ b/packages/heartbeat/include/heartbeat/orphans.h
@@ -23,8 +23,8 @@
 void orphans_add(Orphans *orphans, const char *worker, const Job *job, const JobTask *task, uint64_t attempt,
                  int64_t until_ms);
 /* Processes a heartbeat, which lists all attempts that may run on the worker. A listed attempt that the table has
- * elsewhere or not at all becomes orphaned. An orphaned attempt that is not listed, and whose order can no longer
- * arrive, has ended and is removed. */
+ * elsewhere or not at all becomes orphaned. An orphaned attempt that a complete list (settled) lacks, and whose order
+ * can no longer arrive, has ended and is removed. */
 void orphans_heartbeat(Orphans *orphans, const Table *table, const HeartbeatAsk *heartbeat, int64_t now_ms);
 /* Processes an agent's report that an attempt has ended: it and older attempts of the task are removed on that worker.
  */
@@ -32,8 +32,15 @@
 /* Sets *resources to the capacity that orphaned attempts use on the worker. Returns false if one of them is of unknown
  * size; the sum is then not valid. */
 bool orphans_resources(const Orphans *orphans, const char *worker, Resources *resources);
-/* Receives the cell, the tenant and the resources of an orphaned attempt. */
-typedef void (*OrphanFn)(void *arg, const char *cell, const char *tenant, Resources resources);
+/* An orphaned attempt: its job's id, the number of its task, the cell and the tenant of the job, and what it uses.
+ * Texts are borrowed. */
+typedef struct OrphanInfo {
+    const char *job;
+    uint64_t task;
+    const char *cell, *tenant;
+    Resources resources;
+} OrphanInfo;
+typedef void (*OrphanFn)(void *arg, const OrphanInfo *orphan);
 /* Calls fn for each orphaned attempt on the worker whose job is known. */
 void orphans_each(const Orphans *orphans, const char *worker, OrphanFn fn, void *arg);
 
--- a/packages/heartbeat/src/orphans.c
+++ b/packages/heartbeat/src/orphans.c
@@ -140,7 +140,7 @@
         listed_attempt_add(orphans, table, heartbeat, &heartbeat->attempts[i]);
     list = map_get(orphans->workers, heartbeat->worker.name); /* the list may just have been created */
     for (size_t i = 0; list != NULL && i < list->count;)
-        if (!list->rows[i]->listed && now_ms > list->rows[i]->until_ms)
+        if (heartbeat->settled && !list->rows[i]->listed && now_ms > list->rows[i]->until_ms)
             orphan_drop(list, i);
         else
             i++;
@@ -175,6 +175,8 @@
 {
     const OrphanList *list = map_get(orphans->workers, worker);
     for (size_t i = 0; list != NULL && i < list->count; i++)
-        if (list->rows[i]->resources_known)
-            fn(arg, list->rows[i]->cell, list->rows[i]->tenant, list->rows[i]->resources);
+        if (list->rows[i]->resources_known) {
+            const Orphan *row = list->rows[i];
+            fn(arg, &(OrphanInfo){row->job, row->task, row->cell, row->tenant, row->resources});
+        }
 }
--- a/packages/heartbeat/test/orphans.c
+++ b/packages/heartbeat/test/orphans.c
@@ -48,7 +48,14 @@
 static void heartbeat(Case *fixture, const char *worker, AttemptId *attempts, size_t count, int64_t now_ms)
 {
     const HeartbeatAsk ask = {
-        .agent = worker, .worker = {.name = worker}, .attempts = attempts, .attempts_count = count};
+        .agent = worker, .worker = {.name = worker}, .settled = true, .attempts = attempts, .attempts_count = count};
+    orphans_heartbeat(fixture->orphans, fixture->board.table, &ask, now_ms);
+}
+
+/* A heartbeat of an agent that has just been restarted and does not know what runs. */
+static void unsettled_heartbeat(Case *fixture, const char *worker, int64_t now_ms)
+{
+    const HeartbeatAsk ask = {.agent = worker, .worker = {.name = worker}};
     orphans_heartbeat(fixture->orphans, fixture->board.table, &ask, now_ms);
 }
 
@@ -88,6 +95,18 @@
     assert_int_equal(cpu_on(fixture, "w1"), 0);
 }
 
+/* Guards against capacity and quotas that are given twice: the list of an agent that has just been restarted is not
+ * complete, and an attempt that it lacks may run on. */
+static void restarted_agents_list_removes_nothing(void **state)
+{
+    Case *fixture = *state;
+    orphans_add(fixture->orphans, "w1", fixture->job, &fixture->job->tasks[1], 1, UNTIL_MS);
+    unsettled_heartbeat(fixture, "w1", UNTIL_MS + 1);
+    assert_int_equal(cpu_on(fixture, "w1"), 3000);
+    heartbeat(fixture, "w1", NULL, 0, UNTIL_MS + 2);
+    assert_int_equal(cpu_on(fixture, "w1"), 0);
+}
+
 /* An attempt that an agent lists and the table places elsewhere counts on the agent's worker too; an attempt that the
  * table does not know is of unknown size. */
 static void listed_but_placed_elsewhere_counts(void **state)
@@ -134,7 +153,8 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        TEST(newer_counts_until_its_end),    TEST(order_on_its_way_counts), TEST(listed_but_placed_elsewhere_counts),
+        TEST(newer_counts_until_its_end),    TEST(restarted_agents_list_removes_nothing),
+        TEST(order_on_its_way_counts),       TEST(listed_but_placed_elsewhere_counts),
         TEST(reported_end_counts_no_longer), TEST(loaded_state_is_watched),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/packages/scheduler/src/unconfirmed.c
+++ b/packages/scheduler/src/unconfirmed.c
@@ -26,11 +26,16 @@
     *sum = resources_add(*sum, resources);
 }
 
-static void orphan_usage_add(void *arg, const char *cell, const char *tenant, Resources resources)
+static void tenant_usage_add(Unconfirmed *unconfirmed, const char *cell, const char *tenant, Resources resources)
 {
     char key[2 * ID_MAX + 2];
     snprintf(key, sizeof(key), "%s/%s", cell, tenant);
-    usage_add(arg, key, resources);
+    usage_add(unconfirmed, key, resources);
+}
+
+static void orphan_usage_add(void *arg, const OrphanInfo *orphan)
+{
+    tenant_usage_add(arg, orphan->cell, orphan->tenant, orphan->resources);
 }
 
 /* Whether an attempt of the task other than the one in the table, or one that the table no longer has, may run on a
@@ -73,7 +78,7 @@
             continue;
         for (size_t t = 0; t < job->tasks_count; t++)
             if (may_be_orphaned(job, &job->tasks[t], since_ms))
-                orphan_usage_add(&unconfirmed, job->spec.cell, job->spec.tenant,
+                tenant_usage_add(&unconfirmed, job->spec.cell, job->spec.tenant,
                                  job->spec.steps[job->tasks[t].step].resources);
     }
     scheduler->inherited = unconfirmed.tenants;
