Scheduler: an attempt that was given up counts for the limit of a step's tasks on a worker

What callers saw: a step with apart 1 and at_most_once; after a freeze of the agent's machine a task of the step started beside one that was given up and still ran, for 0.15 s.

Cause: spread_find counted what the table has on a worker. Orphaned attempts counted for capacity and quotas only.

Change: those of the step count too, while the worker's lease may run.

--- a/packages/scheduler/src/worker_choice.c
+++ b/packages/scheduler/src/worker_choice.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "lost_worker.h"
 #include "settings/features.h"
 
 #define TIME_UNIT 1000 /* the run time on a healthy worker near the data, in thousandths */
@@ -31,8 +32,37 @@
     }
 }
 
-/* Computes where the other tasks of the step run, unless pass->spread describes the same step already: the ready queue
- * returns the tasks of a step one after another. */
+/* The step whose orphaned attempts are counted, and where. */
+typedef struct OrphanCount {
+    Pass *pass;
+    const char *job;
+    uint64_t first_number, end_number; /* numbers of the step's tasks */
+    size_t worker;
+} OrphanCount;
+
+static void orphan_count_add(void *arg, const OrphanInfo *orphan)
+{
+    const OrphanCount *count = arg;
+    if (orphan->task >= count->first_number && orphan->task < count->end_number && strcmp(orphan->job, count->job) == 0)
+        spread_add(count->pass, count->worker, 1);
+}
+
+/* Counts attempts of the step's tasks that were given up and may still run. */
+static void orphans_count(Pass *pass, const Job *job, size_t first_task, size_t end)
+{
+    OrphanCount count = {.pass = pass,
+                         .job = job->spec.id,
+                         .first_number = task_number(&job->tasks[first_task]),
+                         .end_number = task_number(&job->tasks[end - 1]) + 1};
+    for (size_t i = 0; i < pass->input.worker_count; i++) {
+        count.worker = i;
+        if (!worker_lease_ended(pass->scheduler, pass->input.workers[i].name))
+            orphans_each(pass->scheduler->orphans, pass->input.workers[i].name, orphan_count_add, &count);
+    }
+}
+
+/* Computes where the other tasks of the step run, or may still run, unless pass->spread describes the same step
+ * already: the ready queue returns the tasks of a step one after another. */
 void spread_find(Pass *pass, const Job *job, size_t task)
 {
     StepSpread *spread = &pass->spread;
@@ -57,6 +87,8 @@
         if (at != SIZE_MAX)
             spread_add(pass, at, 1);
     }
+    if (job->spec.steps[job->tasks[task].step].apart > 0)
+        orphans_count(pass, job, first_task, end);
     /* also count the starts of this pass: most of a step is placed in one pass */
     for (size_t i = 0; i < pass->start_count; i++)
         if (pass->starts[i].job == job && pass->starts[i].task >= first_task && pass->starts[i].task < end)
