Soak: series of signals, large fleets, and jobs of hundreds of tasks that end together

A quarter of the events begin a series of up to four more of their kind, at the same process or at others of its role; every fifth seed plays a fleet of 191 processes; 700 small tasks with payloads of up to 3 KB come every five seconds, are listed together by their workers, and must be done at the end.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -299,6 +299,8 @@
 
 
 def run(fleet, options):
+    if options.soak is not None:
+        options.workers, options.gates = soak.fleet_shape(options.soak, options.workers, options.gates)
     workers = options.workers
     # Each run starts with empty disks, because the job IDs are the same in each run.
     shutil.rmtree(fleet.folder, ignore_errors=True)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -5,7 +5,8 @@
  - a request that was sent completely on an open connection gets a complete answer, unless its process was killed;
  - a process that receives SIGTERM ends within its grace period, which excludes the time that it is frozen;
  - no two configuration changes are acknowledged with the same version, and the newest acknowledged version is in
-   force at the end.
+   force at the end;
+ - accepted jobs of hundreds of small tasks are done at the end.
 """
 import http.client
 import json
@@ -19,18 +20,36 @@
 READ_S = 60
 WAKE_S = 0.5  # within this time after SIGCONT a worker has run once and has ended the tasks whose leases lapsed
 EVENTS_A_SECOND = 0.8
+SERIES_SHARE = 0.25  # of the events, which begin a series of up to SERIES_MAX more events of the same kind
+SERIES_MAX = 4
+SERIES_GAP_S = 0.4
 CLIENTS = 8
 KINDS = ["term"] * 4 + ["kill"] * 3 + ["freeze"] * 3 + ["hup"]
+CROWD_EVERY_S = 5
+CROWD_TASKS = 700  # of one job: more than a worker lists at once on any platform, where they run together
+LARGE_EVERY = 5  # one seed in so many plays a large fleet
+LARGE_WORKERS, LARGE_GATES = 90, 8  # 191 processes
+
+
+def fleet_shape(seed, workers, gates):
+    """Returns the numbers of workers and entry points that a seed plays."""
+    return (LARGE_WORKERS, LARGE_GATES) if seed % LARGE_EVERY == 0 else (workers, gates)
 
 
 def schedule(seed, seconds, nodes):
-    """Returns the sorted events of a seed: (time in s, kind, process, duration in s). All roles are equally likely."""
+    """Returns the sorted events of a seed: (time in s, kind, process, duration in s). All roles are equally likely. Some
+    events begin a series: the same kind again in quick succession, at the same process or at others of its role."""
     rng = random.Random(seed)
     events = []
     for _ in range(max(4, int(seconds * EVENTS_A_SECOND))):
         role = rng.choice(["core", "gate", "agent", "worker"])
-        name = rng.choice([name for name, node in nodes.items() if node["role"] == role])
-        events.append((rng.uniform(0, seconds), rng.choice(KINDS), name, rng.uniform(0.2, 4)))
+        of_role = [name for name, node in nodes.items() if node["role"] == role]
+        name, kind, at = rng.choice(of_role), rng.choice(KINDS), rng.uniform(0, seconds)
+        events.append((at, kind, name, rng.uniform(0.2, 4)))
+        others = rng.random() < 0.5
+        for _ in range(rng.randint(1, SERIES_MAX) if rng.random() < SERIES_SHARE else 0):
+            at += rng.uniform(0, SERIES_GAP_S)
+            events.append((at, kind, rng.choice(of_role) if others else name, rng.uniform(0.2, 4)))
     return sorted(events)
 
 
@@ -48,6 +67,7 @@
         self.woken_until = {}     # worker: time from which its tasks count as running again
         self.restart_at = {}      # name: time of the restart; None: not known yet
         self.acknowledged = []
+        self.accepted_crowds = []
         self.stopped = threading.Event()
         self.lock = threading.Lock()
 
@@ -118,7 +138,7 @@
                 connection.request("GET", "/v1/config")
                 base = json.loads(connection.getresponse().read()).get("revision", 0)
                 connection.request("PATCH", f"/v1/config?base={base}",
-                                   json.dumps({"cells": {"soak": {"share": count}}}))
+                                   json.dumps({"cells": {"soak": {"share": count, "tenants": {"soak": {}}, "queues": {"crowd": {}}}}}))
                 answer = connection.getresponse()
                 text = answer.read()
                 if answer.status == 200:
@@ -127,6 +147,38 @@
             except (OSError, http.client.HTTPException, ValueError):
                 continue
 
+    def crowds(self):
+        """Submits jobs of hundreds of small tasks that end together."""
+        rng = random.Random(f"{self.seed} crowd")
+        count = 0
+        while not self.stopped.wait(rng.uniform(0.5, 1.5) * CROWD_EVERY_S):
+            count += 1
+            job = {"id": f"crowd-{self.seed}-{count}", "cell": "soak", "tenant": "soak", "queue": "crowd", "steps": [
+                {"name": "a", "count": CROWD_TASKS, "room": {"cpu": 0.01, "memMb": 1},
+                 "payload": {"runMs": rng.randint(300, 1500), "padding": "x" * rng.randint(0, 3000)}}]}
+            try:
+                connection = http.client.HTTPConnection(rng.choice(self.fleet.entry_addresses()), timeout=ANSWER_S)
+                connection.request("POST", "/v1/jobs", json.dumps(job))
+                answer = connection.getresponse()
+                answer.read()
+                if 200 <= answer.status < 300:
+                    self.accepted_crowds.append(job["id"])
+                connection.close()
+            except (OSError, http.client.HTTPException, ValueError):
+                continue
+
+    def check_crowds(self):
+        """Reports accepted jobs that are not done READ_S after the series."""
+        until = time.monotonic() + READ_S
+        waiting = list(self.accepted_crowds)
+        while waiting and time.monotonic() < until:
+            shown = [self.fleet.query(f"/v1/jobs/{name}") or {} for name in waiting]
+            waiting = [name for name, job in zip(waiting, shown) if job.get("phase") != "done"]
+            time.sleep(0.5 if waiting else 0)
+        for name in waiting:
+            self.report(f"job {name} was accepted and is not done {READ_S} s after the series: "
+                        f"{(self.fleet.query(f'/v1/jobs/{name}') or {}).get('phase')}")
+
     # --- signals and restarts ------------------------------------------------------------
 
     def apply_event(self, what, name, for_s):
@@ -200,6 +252,7 @@
         """Runs the schedule until all processes run again. Returns the threads of the clients."""
         threads = [threading.Thread(target=self.client, args=(i,), daemon=True) for i in range(CLIENTS)]
         threads.append(threading.Thread(target=self.operator, daemon=True))
+        threads.append(threading.Thread(target=self.crowds, daemon=True))
         for thread in threads:
             thread.start()
         start = time.monotonic()
@@ -220,6 +273,7 @@
             thread.join(ANSWER_S + 2)
         if len(set(self.acknowledged)) != len(self.acknowledged):
             self.report("two configuration changes were acknowledged with the same version")
+        self.check_crowds()
         newest, until = 0, time.monotonic() + READ_S
         # repeated, because a slow disk of this machine may have caused the fleet to lose its leader
         while newest == 0 and time.monotonic() < until:
@@ -227,5 +281,5 @@
         if self.acknowledged and newest < max(self.acknowledged):
             self.report(f"version {max(self.acknowledged)} was acknowledged, but version {newest} is in force")
         print(f"soak {self.seed}: answers {dict(sorted(self.answers.items()))}, "
-              f"{len(self.acknowledged)} changes acknowledged")
+              f"{len(self.acknowledged)} changes acknowledged, {len(self.accepted_crowds)} crowds done")
         return self.violations
