--- a/packages/controller/src/agents.c
+++ b/packages/controller/src/agents.c
@@ -34,7 +34,7 @@
         const Job *job = on[i].job;
         const JobTask *task = &job->tasks[on[i].task];
         const uint64_t number = task_number(task);
-        const bool unfit = task->phase == TASK_PLACED && worker_is_unfit(heartbeat, job, task->step);
+        const bool unfit = task->phase == TASK_PLACED && worker_is_unfit(controller, heartbeat, job, task->step);
         if ((task->phase != TASK_RUNNING && !unfit && !stop_has_ended(controller, heartbeat, task)) ||
             attempt_set_has(listed, job->spec.id, number, task->attempt))
             continue;
--- a/packages/controller/src/orders.c
+++ b/packages/controller/src/orders.c
@@ -43,14 +43,15 @@
     table_watch_orders(controller->table, on_orders, controller);
 }
 
-bool worker_is_unfit(const HeartbeatAsk *heartbeat, const Job *job, uint64_t step)
+bool worker_is_unfit(const Controller *controller, const HeartbeatAsk *heartbeat, const Job *job, uint64_t step)
 {
+    const LiveRow *row = liveset_find(controller->liveset, heartbeat->worker.name);
     const Worker *worker = &heartbeat->worker;
     const StepSpec *spec = &job->spec.steps[step];
     const PlanWorker empty = {
         .kind = worker->kind, .labels = worker->labels, .label_count = worker->labels_count, .free = worker->resources};
     const PlanNeed need = {spec->resources, queue_kind(job, step), spec->labels, spec->labels_count};
-    return heartbeat->worker_live && !plan_fits(&empty, &need);
+    return heartbeat->worker_live && ((row != NULL && row->description_pending) || !plan_fits(&empty, &need));
 }
 
 /* Lists the attempts that the worker should run, and those of them to start, which the agent does not list yet. A task
@@ -73,7 +74,7 @@
         const uint64_t number = task_number(task);
         out->wanted[out->wanted_count++] = (AttemptId){id, number, task->attempt};
         if (task->phase != TASK_PLACED || attempt_set_has(listed, id, number, task->attempt) ||
-            worker_is_unfit(heartbeat, job, task->step))
+            worker_is_unfit(controller, heartbeat, job, task->step))
             continue;
         const StepSpec *step = &job->spec.steps[task->step];
         starts_bytes += strlen(step->payload) + strlen(task->saved);
--- a/packages/controller/src/orders.h
+++ b/packages/controller/src/orders.h
@@ -16,10 +16,11 @@
 
 /* Returns the session of the worker's agent; creates it on first use. */
 AgentSession *agent_session(Controller *controller, const char *worker);
-/* Whether the live worker, as the heartbeat describes it, can't run a task of the step: by its kind, its labels or,
- * while it is empty, its capacity. Always false if the worker is not live: its description may be one that the agent
- * was started with. */
-bool worker_is_unfit(const HeartbeatAsk *heartbeat, const Job *job, uint64_t step);
+/* Whether a task of the step, placed on the live worker and not ordered yet, must not be started there: the worker
+ * describes itself otherwise than it did when the task was placed, or has not the kind, the labels or, while it is
+ * empty, the capacity. Always false if the worker is not live: its description may be one that the agent was started
+ * with. */
+bool worker_is_unfit(const Controller *controller, const HeartbeatAsk *heartbeat, const Job *job, uint64_t step);
 /* Subscribes to changes of orders in the state table. */
 void orders_start(Controller *controller);
 /* Makes all waiting requests check again whether they can be answered. */
--- a/packages/sim/test/worker_kinds.c
+++ b/packages/sim/test/worker_kinds.c
@@ -76,8 +76,36 @@
     }
 }
 
+/* Guards against more tasks on a worker than it has room for: workers crash and come back smaller while a controller is
+ * slow. */
+static void returned_workers_get_no_more_than_they_have_now(void **state)
+{
+    (void)state;
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        Fleet *fleet = fleet_of_kind(seed);
+        const int follower = (fleet_leader(fleet) + 1) % 3;
+        for (int i = 1; i < WORKERS; i++)
+            fleet_kill(fleet, FLEET_WORKER, i);
+        fleet_run(fleet, 4500);
+        sim_disk_slow(fleet->world, fleet_node(fleet, FLEET_CONTROLLER, follower)->machine, SLOW_SYNC_MS);
+        for (int i = 1; i < WORKERS; i++) {
+            FleetNode *node = fleet_node(fleet, FLEET_WORKER, i);
+            node->worker_settings.worker.resources.cpu_milli /= 8;
+            checker_worker_described(fleet->checker, &node->worker_settings.worker);
+            fleet_start_node(fleet, FLEET_WORKER, i);
+        }
+        fleet_run(fleet, 60000);
+        assert_int_equal(fleet_job(fleet, "wait-7")->phase, JOB_DONE);
+        assert_int_equal(checker_violations_total(fleet->checker), 0);
+        talloc_free(fleet);
+    }
+}
+
 int main(void)
 {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(returned_workers_get_no_work_of_their_former_kind)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(returned_workers_get_no_work_of_their_former_kind),
+        cmocka_unit_test(returned_workers_get_no_more_than_they_have_now),
+    };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -310,7 +310,7 @@
     Guard("description-pending", "nothing is placed by the former description of a worker", "packages/heartbeat/src/liveset.c",
           " && !row->description_pending", "",
           "returned_workers_get_no_work_of_their_former_kind", "test", "worker_kinds",
-          also=[("packages/controller/src/orders.c", "            worker_is_unfit(heartbeat, job, task->step))", "            false)")]),
+          also=[("packages/controller/src/orders.c", "            worker_is_unfit(controller, heartbeat, job, task->step))", "            false)")]),
     Guard("description-answered", "an order for a worker's earlier description is not carried out", "packages/agent/src/heartbeat.c",
           "if (heartbeat->description_number != agent->description_number) {", "if (false) {",
           "order_for_an_earlier_description_is_asked_for_again", "test", "agent_reports"),
