--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -342,6 +342,8 @@
 
 
 def main():
+    # Started with SIGHUP ignored (nohup), the processes would ignore it too, and a soak would wait for them forever.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("verb", choices=["start", "stop", "kill", "restart", "entries", "run"])
     parser.add_argument("folder")
