--- a/packages/model/src/late_heartbeat.c
+++ b/packages/model/src/late_heartbeat.c
@@ -23,6 +23,7 @@
     loop_sleep(worker_models->link, late->late_ms);
     topology_log(worker_models->topology, "a heartbeat of %s arrives %d ms late", worker_model->boot,
                  (int)late->late_ms);
+    worker_models->late_ms = topology_now_ms(worker_models->topology);
     if (worker_model->agent_node->up) {
         worker_models->bounds[BOUND_LATE_HEARTBEATS]++;
         worker_models->bounds[BOUND_LATE_TO_NEXT] += late->agent_incarnation != worker_model->agent_node->incarnation;
@@ -44,6 +45,7 @@
         return false;
     LateHeartbeat *late = talloc_zero(worker_models->link, LateHeartbeat);
     late->worker_model = worker_model;
+    worker_models->late_ms = topology_now_ms(worker_models->topology);
     late->late_ms = random_source_between(&random_source, LATE_MIN_MS, site->late_heartbeat_ms);
     late->agent_incarnation = worker_model->agent_node->incarnation;
     late->incarnation = worker_model->incarnation;
--- a/packages/model/src/worker_model.h
+++ b/packages/model/src/worker_model.h
@@ -81,7 +81,8 @@
     WorkerModel list[AGENTS_MAX];
     size_t count;
     uint64_t boots;
-    Loop *link; /* of the process that delivers late heartbeats; null: none is late */
+    Loop *link;      /* of the process that delivers late heartbeats; null: none is late */
+    int64_t late_ms; /* when a heartbeat was last held up, or arrived late; 0: none was */
     size_t bounds[BOUND_COUNT];
 } WorkerModels;
 
