--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -160,6 +160,16 @@
                 continue
         return None
 
+    def leader(self, seconds=60):
+        """Returns the name of the leader; waits while there is none, for example since this machine's disk is slow."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            status = self.query("/v1/status")
+            if status and status.get("leader"):
+                return status["leader"]
+            time.sleep(0.1)
+        raise SystemExit("no leader was found")
+
     def wait_until_ready(self, workers, seconds=60):
         """Returns the status once the live set has enough ready workers; exits if it does not in time."""
         until = time.monotonic() + seconds
@@ -212,7 +222,7 @@
     kills["worker"] = now_ms()
     fleet.kill("worker2")
     time.sleep(options.seconds * 0.3)
-    leader = fleet.query("/v1/status")["leader"]
+    leader = fleet.leader()
     kills["leader"] = now_ms()
     fleet.kill(leader)
     return kills, [leader, "worker2"]
@@ -223,7 +233,7 @@
     kills = {}
     for what in ("agent3", None):
         time.sleep(options.seconds * 0.1)
-        name = what or fleet.query("/v1/status")["leader"]
+        name = what or fleet.leader()
         kills["freeze-of-" + ("agent" if what else "leader")] = now_ms()
         fleet.kill(name, signal.SIGSTOP)
         time.sleep(5)
@@ -259,7 +269,7 @@
     time.sleep(3)
     fleet.kill("gate2", signal.SIGCONT)
     restart_after_pause(["gate1"])
-    leader = fleet.query("/v1/status")["leader"]
+    leader = fleet.leader()
     second = next(name for name in ("core1", "core2", "core3") if name != leader)
     kills["second-core"] = now_ms()
     fleet.kill(second)
@@ -270,7 +280,7 @@
         fleet.kill(name)
     restart_after_pause(zone)
     fleet.wait_until_ready(options.workers)
-    leader = fleet.query("/v1/status")["leader"]
+    leader = fleet.leader()
     for name in ("worker1", "agent1", "gate3", leader):
         kills["term-of-" + name.rstrip("0123456789")] = now_ms()
         fleet.kill(name, signal.SIGTERM)
