--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -50,7 +50,8 @@
                   "seeds": [core.address(CTL) for core in self.fleet.cores[:3]], "bootstrap": bootstrap,
                   "counted": self.data is not None, "data_dir": self.data, "beat_ms": 1500,
                   "policy": ["base", "drain", "config", "cost", "recover", "sched", "places"],
-                  "tolerate": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS, "orders": "heartbeat"}
+                  "tolerate": {"machines": (len(self.fleet.cores) - 1) // 2, "zones": 1, "regions": 0}, "bounds": BOUNDS,
+                  "orders": "heartbeat", **({"limits": self.fleet.limits} if self.fleet.limits else {})}
         return "".join(f"{name}: {json.dumps(value)}\n" for name, value in fields.items())
 
     def write_settings(self, bootstrap=False):
@@ -90,13 +91,13 @@
 class Fleet:
     """All machines of a deployment and its workers."""
 
-    def __init__(self, folder, binary, entries, agents):
-        self.folder, self.binary = os.path.abspath(folder), os.path.abspath(binary)
+    def __init__(self, folder, binary, entries, agents, cores=CORES, limits=None):
+        self.folder, self.binary, self.limits = os.path.abspath(folder), os.path.abspath(binary), limits
         os.makedirs(self.folder, exist_ok=True)
-        count = CORES + entries + agents
+        count = cores + entries + agents
         self.net, self.first_port = self.choose_addresses(count)
         ips = [f"{self.net}.{i // 200 + 1}.{i % 200 + 1}" for i in range(count)]
-        kinds = [("core", "edge")] * CORES + [("entry", "edge")] * entries + [("agent", "side")] * agents
+        kinds = [("core", "edge")] * cores + [("entry", "edge")] * entries + [("agent", "side")] * agents
         self.cores = []
         self.machines = {}
         for i, (role, kind) in enumerate(kinds):
@@ -105,7 +106,7 @@
             if role == "core":
                 self.cores.append(machine)
         self.edges = [machine for machine in self.machines.values() if machine.kind == "edge"]
-        self.entries = self.edges[CORES:]
+        self.entries = self.edges[cores:]
         self.agents = [machine for machine in self.machines.values() if machine.kind == "side"]
         self.record = os.path.join(self.folder, "workers.txt")
         self.workers = None
