HTTP server: one budget for what all callers' connections hold, from the machine's memory

Callers saw a process end for lack of memory, though each of them kept the limits on a request: bodies that stop one byte short, in chunks or whole, requests ahead, answers unread, at every HTTP address.

Cause: nothing summed what connections hold. h2o reads a socket until it is empty into a buffer that doubles, the bound on reading ahead was looked at afterwards, and the kernel's buffers grew to megabytes. After a crowd the memory stayed taken: glibc raises its threshold for mapped blocks with each larger block that is freed.

Now (real_memory.c): what connections hold, kernel's queues included, is summed each turn of the loop; over a quarter of the memory, those that hold most are closed, of equals those that have stood longest, at addresses that hold at least the mean. Requests in progress are counted by address and by size; 503 beyond. At the limit on connections one without a complete request for longer than a head may take gives way. Kernel buffers of callers are 16 and 64 KB. Large blocks are mapped, free memory is returned.

Tests "memory" and "http" pass.

Failed try: a send buffer of 32 KB made a response of 16 MB take 9.4 s on loopback instead of 0.02 s, since it is smaller than one segment there and waits for delayed acknowledgements; with 64 KB it takes 0.02 s.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -369,28 +369,27 @@
 #define CHANNEL_BUFFER_KEEP_BYTES (32 * 1024)  /* A buffer that grew beyond this for one frame is freed */
 #define CHANNEL_QUEUE_FRAMES 4096              /* Unread frames beyond which the connection ends */
 #define HTTP_BODY_MAX (2 * 1024 * 1024)        /* Body of a request, in bytes: a configuration fits (CONFIG_BODY_MAX) */
-#define HTTP_HEAD_MAX (32 * 1024) /* Head of a request with its path, in bytes: far more than any caller sends */
-/* A head must be complete this long after it has begun: callers are in the same network */
-#define HTTP_HEAD_TIMEOUT_MS 5000
+#define HTTP_HEAD_MAX (32 * 1024)  /* Head of a request with its path, in bytes: far more than any caller sends */
+#define HTTP_HEAD_TIMEOUT_MS 5000  /* A head must be complete this long after it has begun */
 #define HTTP_IDLE_TIMEOUT_MS 60000 /* A caller's connection without a request is closed after this */
 #define HTTP_CONNECTIONS_MAX 3000  /* Connections of callers to one process at a time */
-/* Requests in flight in one process; further ones are refused, and their callers may retry */
-#define HTTP_TASKS_MAX 2048
+#define HTTP_TASKS_MAX 2048        /* Requests in flight at one address; further ones are refused */
+#define MEMORY_DEFAULT_MB 512      /* Memory of a machine whose settings do not state it */
+#define MEMORY_MIN_MB 32           /* Smallest memory that settings may state */
+#define MEMORY_MAX_MB (1024 * 1024)
 #define TRACE_EVENTS 2048       /* Steps of changes that a node keeps: minutes at today's loads */
 #define RECORDER_LINES 256      /* Lines in the flight recorder */
 #define RECORDER_LINE_BYTES 200 /* Size of a line of the flight recorder; a longer one is truncated */
 #define RECORDER_NOTES_BURST 20 /* Notes written in one burst, so that a change of leader is logged in full */
 /* After a burst, one note is written per interval, since a line costs processor time */
 #define RECORDER_NOTE_INTERVAL_MS 500
-/* Sent with a 503: another entry point, or the same one a moment later, will serve the request */
-#define RETRY_AFTER_S 1
+#define RETRY_AFTER_S 1     /* Sent with a 503: the request may be sent again after this */
 #define RETRY_ELECTION_S 2  /* Sent when no leader serves: a new one is found within 2 to 3 s */
 #define RETRY_OVERLOAD_S 5  /* Sent when too many tasks wait: some of them have run by then */
 #define DRAIN_MS 3000       /* Time limit of a shutdown by SIGTERM, during which the process is not ready */
 #define DRAIN_MARGIN_MS 100 /* Part of DRAIN_MS left for the end of the process */
 #define DRAIN_CHECK_MS 10   /* Interval between checks whether the last request has been answered */
-/* A shutdown closes a connection that was idle for this; its caller may be about to send */
-#define DRAIN_IDLE_MS 1000
+#define DRAIN_IDLE_MS 1000  /* A shutdown closes a connection that was idle for this: it may be used */
 
 /* --- formats --------------------------------------------------------------------------------- */
 #define WIRE_VERSION 1    /* Version of frames; peers ignore trailing fields that they do not know */
--- a/packages/loop/include/loop/real.h
+++ b/packages/loop/include/loop/real.h
@@ -20,6 +20,9 @@
 void real_loop_on_sigusr1(Loop *loop, TaskFn fn, void *arg);
 /* The same for SIGHUP, which notifies a process that its settings or its peers' addresses have changed. */
 void real_loop_on_sighup(Loop *loop, TaskFn fn, void *arg);
+/* Sets the memory of the machine, in bytes; MEMORY_DEFAULT_MB by default. What callers and unknown peers make the
+ * process hold is bounded by parts of it. */
+void real_loop_set_memory(Loop *loop, size_t bytes);
 /* Whether the text is an IPv4 address with a port, "a.b.c.d:port". */
 bool real_address_valid(const char *address);
 
--- a/packages/loop/src/real.c
+++ b/packages/loop/src/real.c
@@ -73,6 +73,7 @@
     loop_init(&real->loop, &REAL_OPS);
     real->evloop = h2o_evloop_create();
     real->random = random_new();
+    real_loop_set_memory(&real->loop, (size_t)MEMORY_DEFAULT_MB * 1024 * 1024);
     real->queue = h2o_multithread_create_queue(real->evloop);
     h2o_multithread_register_receiver(real->queue, &real->disk_done, real_disk_done);
     h2o_multithread_register_receiver(real->queue, &real->host_done, h2o_hostinfo_getaddr_receiver);
@@ -165,6 +166,8 @@
         if (wait_ms > 1000)
             wait_ms = 1000;
         h2o_evloop_run(real->evloop, wait_ms < 0 ? 0 : (int32_t)wait_ms);
+        real_memory_enforce(real);
         real_serve_sweep(real);
+        real_memory_trim(real);
     }
 }
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -25,7 +25,10 @@
     h2o_accept_ctx_t accept;
     bool serving;
     bool leaving;                     /* graceful shutdown has begun */
-    size_t http_tasks;                /* requests in progress, at most HTTP_TASKS_MAX */
+    size_t memory_bytes;              /* the memory of the machine, of which callers get a part */
+    int64_t queues_read_ms;           /* when the kernel's queues of callers' connections were last read */
+    int64_t trimmed_ms;               /* time of the last check whether free memory is to be given back */
+    size_t trimmed_free_bytes;        /* free memory that has been given back to the kernel */
     HttpLimits limits;                /* no field is 0 once the server is started */
     struct RealChannel *flush_first;  /* channels with frames to write at the end of this turn */
     struct Endpoint *endpoints;       /* list of the addresses at which HTTP is served */
@@ -55,6 +58,9 @@
 /* Sets TCP_NODELAY and the timeouts after which a connection ends when its peer's machine no longer responds.
  * Connections that a listening socket accepts inherit them. */
 void real_set_timeouts(int fd);
+/* Sets the sizes of a socket's buffers in the kernel, which then do not grow by themselves. Connections that a
+ * listening socket accepts inherit them. */
+void real_set_buffers(int fd, int receive_bytes, int send_bytes);
 
 /* real_channel.c */
 Status real_listen(Loop *loop, const char *address, ChannelFn fn, void *arg, char *bound, Failure *failure);
@@ -71,6 +77,12 @@
 /* Closes connections whose request head has been incomplete for longer than the limit. */
 void real_serve_sweep(RealLoop *real);
 
+/* real_memory.c */
+/* Closes callers' connections while they hold more than their part of the memory. */
+void real_memory_enforce(RealLoop *real);
+/* Gives memory that is free back to the kernel, at most once a second. */
+void real_memory_trim(RealLoop *real);
+
 /* real_serve_end.c */
 void real_serve_status(const Loop *loop, HttpServeStatus *status);
 void real_serve_close(Loop *loop);
--- a/packages/loop/src/real_serve.c
+++ b/packages/loop/src/real_serve.c
@@ -9,7 +9,7 @@
 
 #define SWEEP_MS 500                 /* Minimum interval between searches for incomplete heads */
 #define EXTRA_CONNECTIONS_DIVISOR 8  /* 1 in this many of the limit on connections is accepted beyond the limit */
-#define READ_AHEAD_BYTES (64 * 1024) /* Limit on the bytes read ahead while a request is in progress */
+#define READ_AHEAD_BYTES (16 * 1024) /* Limit on the bytes read ahead while a request is in progress */
 
 typedef struct Served Served;
 
@@ -26,6 +26,7 @@
     Endpoint *endpoint;
     h2o_req_t *req; /* null once h2o has freed the request */
     RequestLink *request_link;
+    size_t bytes; /* counted in the endpoint's request_bytes */
 };
 
 /* Called by h2o when it frees the pool of a request. */
@@ -100,13 +101,17 @@
     Served *served = arg;
     RealLoop *real = served->endpoint->real;
     served->endpoint->fn(served->endpoint->arg, &served->task);
-    real->http_tasks--;
+    served->endpoint->requests--;
+    served->endpoint->request_bytes -= served->bytes;
     if (served->caller != NULL) {
         served->caller->served = NULL;
         served->caller->idle_since_ms = loop_now_ms(&real->loop);
+        served->caller->response_bytes = served->task.response_body.count;
     }
     if (served->req != NULL) {
         served->request_link->served = NULL;
+        if (served->caller != NULL && served->caller->last_request)
+            served->req->http1_is_persistent = 0;
         respond(real, served->req, &served->task);
     }
     talloc_free(served);
@@ -165,14 +170,18 @@
         reject(real, req, STATUS_BUSY, "too many connections");
         return 0;
     }
-    if (real->http_tasks >= HTTP_TASKS_MAX) {
+    Endpoint *endpoint = caller->endpoint;
+    const size_t bytes = real_request_bytes(req->entity.len);
+    if (caller->closing || endpoint->requests >= HTTP_TASKS_MAX || !real_request_fits(endpoint, bytes)) {
         reject(real, req, STATUS_BUSY, "too many requests in progress");
         return 0;
     }
-    real->http_tasks++;
+    endpoint->requests++;
+    endpoint->request_bytes += bytes;
     Served *served = talloc_zero(real, Served);
     HttpExchange *task = &served->task;
-    served->endpoint = caller->endpoint;
+    served->bytes = bytes;
+    served->endpoint = endpoint;
     served->caller = caller;
     served->req = req;
     served->request_link = h2o_mem_alloc_shared(&req->pool, sizeof(*served->request_link), on_pool_freed);
@@ -223,10 +232,13 @@
             h2o_socket_close(sock);
             continue;
         }
+        CallerConnection *stalled = real->caller_count >= real->limits.connections ? real_caller_stalled(real) : NULL;
+        if (stalled != NULL)
+            real_caller_close(stalled); /* gives way to the new one */
         CallerConnection *caller = talloc_zero(real, CallerConnection);
         *caller = (CallerConnection){.next = real->callers, .endpoint = endpoint, .sock = sock};
         caller->idle_since_ms = loop_now_ms(&real->loop);
-        caller->over_limit = real->caller_count >= real->limits.connections;
+        caller->over_limit = stalled == NULL && real->caller_count >= real->limits.connections;
         if (real->callers != NULL)
             real->callers->prev = caller;
         real->callers = caller;
@@ -293,17 +305,18 @@
         talloc_free(endpoint);
         return STATUS_BAD_SETTINGS;
     }
+    real_set_buffers(h2o_socket_get_fd(endpoint->listener), CALLER_RECEIVE_BYTES, CALLER_SEND_BYTES);
     real->endpoints = endpoint;
     return STATUS_OK;
 }
 
-/* Callers get three quarters of the file descriptors that the process may have; the rest is for peers and files. */
+/* Callers get five eighths of the file descriptors that the process may have; the rest is for peers and files. */
 static size_t connections_default(void)
 {
     struct rlimit files;
-    if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur / 4 * 3 > HTTP_CONNECTIONS_MAX)
+    if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur / 8 * 5 > HTTP_CONNECTIONS_MAX)
         return HTTP_CONNECTIONS_MAX;
-    return (size_t)(files.rlim_cur / 4 * 3);
+    return (size_t)(files.rlim_cur / 8 * 5);
 }
 
 void real_limit(Loop *loop, const HttpLimits *limits)
--- a/packages/loop/src/real_socket.c
+++ b/packages/loop/src/real_socket.c
@@ -75,3 +75,9 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &between_s, sizeof(between_s));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
+
+void real_set_buffers(int fd, int receive_bytes, int send_bytes)
+{
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_bytes, sizeof(send_bytes));
+}
--- /dev/null
+++ b/packages/loop/test/memory.c
@@ -0,0 +1,196 @@
+/* Tests of the bounds on the memory that callers make a process hold, over loopback. */
+#include <poll.h>
+
+#include "http_fixture.h"
+
+#define MEMORY_BYTES (MEMORY_MIN_MB * 1024 * 1024)
+#define BODY_BYTES (256 * 1024)
+#define CROWD 80 /* Connections with bodies of BODY_BYTES: far more than the budget of a machine with MEMORY_BYTES */
+
+/* Sends bytes until all are sent or the other side has closed the connection. */
+static void send_bytes(int fd, size_t count)
+{
+    static char bytes[65536];
+    memset(bytes, 'x', sizeof(bytes));
+    while (count > 0) {
+        const ssize_t sent = send(fd, bytes, count < sizeof(bytes) ? count : sizeof(bytes), MSG_NOSIGNAL);
+        if (sent <= 0)
+            return;
+        count -= (size_t)sent;
+    }
+}
+
+/* Whether the other side has closed the connection by now. */
+static bool has_closed(int fd)
+{
+    struct pollfd state = {.fd = fd, .events = POLLIN};
+    return poll(&state, 1, 0) > 0;
+}
+
+/* Connects, announces a body and sends all of it but the last byte. */
+static int stalled_body(const char *address)
+{
+    char head[128];
+    snprintf(head, sizeof(head), "POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n", BODY_BYTES);
+    const int fd = connect_to(address);
+    send_text(fd, head);
+    send_bytes(fd, BODY_BYTES - 1);
+    return fd;
+}
+
+static size_t closed_count(const int *sockets, size_t count)
+{
+    size_t closed = 0;
+    for (size_t i = 0; i < count; i++)
+        closed += has_closed(sockets[i]);
+    return closed;
+}
+
+/* --- callers ------------------------------------------------------------------------------ */
+
+/* The largest body is served whatever the memory is, also if it comes in small pieces. */
+static void one_large_body(PeerFixture *fixture)
+{
+    char text[4096];
+    const int fd = connect_to(fixture->first);
+    snprintf(text, sizeof(text), "POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n", HTTP_BODY_MAX);
+    send_text(fd, text);
+    for (size_t sent = 0; sent < HTTP_BODY_MAX; sent += 512)
+        send_bytes(fd, 512);
+    snprintf(text, sizeof(text), "body=%d", HTTP_BODY_MAX);
+    must_respond(fd, "", "200", text);
+    close(fd);
+}
+
+/* Guards against bodies that never end: together they are bounded, and connections that hold less are served. */
+static void crowd_of_bodies(PeerFixture *fixture)
+{
+    int crowd[CROWD];
+    const int ordinary = connect_to(fixture->first);
+    must_respond(ordinary, "GET /before HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/before");
+    for (size_t i = 0; i < CROWD; i++)
+        crowd[i] = stalled_body(fixture->first);
+    while (closed_count(crowd, CROWD) < CROWD / 2) /* the budget has room for a quarter of them */
+        must_respond(ordinary, "POST /p HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello", "200", "body=5");
+    const int fresh = connect_to(fixture->first), other = connect_to(fixture->second);
+    must_respond(fresh, "GET /fresh HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/fresh");
+    must_respond(other, "GET /other HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
+    assert_true(closed_count(crowd, CROWD) < CROWD); /* those inside the budget are kept */
+    for (size_t i = 0; i < CROWD; i++)
+        close(crowd[i]);
+    close(ordinary);
+    close(fresh);
+    close(other);
+}
+
+/* Guards against a crowd at one address that closes the connections of another one. */
+static void crowd_at_one_address(PeerFixture *fixture)
+{
+    int crowd[CROWD];
+    const int kept = stalled_body(fixture->second);
+    for (size_t i = 0; i < CROWD; i++)
+        crowd[i] = stalled_body(fixture->first);
+    while (closed_count(crowd, CROWD) < CROWD / 2)
+        ;
+    assert_false(has_closed(kept));
+    must_respond(kept, "x", "200", "second");
+    for (size_t i = 0; i < CROWD; i++)
+        close(crowd[i]);
+    close(kept);
+}
+
+/* Guards against responses that are not taken. */
+static void unread_responses(PeerFixture *fixture)
+{
+    const int ordinary = connect_to(fixture->first);
+    int crowd[4];
+    for (size_t i = 0; i < 4; i++) {
+        crowd[i] = connect_to(fixture->first);
+        send_text(crowd[i], "GET /large HTTP/1.1\r\nhost: x\r\n\r\n"); /* each more than the budget */
+    }
+    while (fixture->served < 4)
+        must_respond(ordinary, "GET /served HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/served");
+    char bytes[65536];
+    for (size_t i = 0; i < 4; i++) { /* a part has been sent, and the rest never comes */
+        size_t count = 0;
+        for (ssize_t got; (got = recv(crowd[i], bytes, sizeof(bytes), 0)) > 0;)
+            count += (size_t)got;
+        assert_true(count < LARGE_BYTES);
+        close(crowd[i]);
+    }
+    must_respond(ordinary, "GET /after HTTP/1.1\r\nhost: x\r\n\r\n", "200", "/after");
+    close(ordinary);
+}
+
+/* Guards against requests in progress without a bound: those beyond it are refused, another address is served. */
+static void requests_in_progress(PeerFixture *fixture)
+{
+    enum { REQUESTS = 300 };
+    int waiting[REQUESTS];
+    size_t refused = 0;
+    for (size_t i = 0; i < REQUESTS; i++) {
+        waiting[i] = connect_to(fixture->first);
+        send_text(waiting[i], "GET /wait HTTP/1.1\r\nhost: x\r\n\r\n");
+    }
+    const int other = connect_to(fixture->second);
+    while (refused == 0) {
+        must_respond(other, "GET /other HTTP/1.1\r\nhost: x\r\n\r\n", "200", "second");
+        refused = closed_count(waiting, REQUESTS); /* bytes have come: the refusal */
+    }
+    char text[4096] = "";
+    for (size_t i = 0; i < REQUESTS && text[0] == '\0'; i++)
+        if (has_closed(waiting[i]))
+            http_response(waiting[i], text, sizeof(text));
+    assert_non_null(strstr(text, "HTTP/1.1 503"));
+    assert_non_null(strstr(text, "etry-after: "));
+    for (size_t i = 0; i < REQUESTS; i++)
+        close(waiting[i]);
+    close(other);
+}
+
+static void run_small(void (*script)(PeerFixture *fixture))
+{
+    run_script_in(script, (HttpLimits){0}, MEMORY_BYTES);
+}
+
+static void test_one_large_body(void **state)
+{
+    (void)state;
+    run_small(one_large_body);
+}
+
+static void test_crowd_of_bodies(void **state)
+{
+    (void)state;
+    run_small(crowd_of_bodies);
+}
+
+static void test_crowd_at_one_address(void **state)
+{
+    (void)state;
+    run_small(crowd_at_one_address);
+}
+
+static void test_unread_responses(void **state)
+{
+    (void)state;
+    run_small(unread_responses);
+}
+
+static void test_requests_in_progress(void **state)
+{
+    (void)state;
+    run_small(requests_in_progress);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_one_large_body),       cmocka_unit_test(test_crowd_of_bodies),
+        cmocka_unit_test(test_crowd_at_one_address), cmocka_unit_test(test_unread_responses),
+        cmocka_unit_test(test_requests_in_progress),
+    };
+    const int failed = cmocka_run_group_tests(tests, NULL, NULL);
+    fflush(NULL);
+    _exit(failed); /* a real loop lives as long as its process: memory that it still holds is no leak */
+}
--- a/packages/settings/include/settings/settings.h
+++ b/packages/settings/include/settings/settings.h
@@ -16,6 +16,7 @@
     const char *seeds[SEEDS]; /* addresses of the seeds */
     const char *data;         /* controllers only: the folder of the journal */
     const char *worker;       /* agents only: the worker that the agent serves; null: the one with the agent's name */
+    int64_t memory_mb;        /* memory of the machine; 0: not stated, MEMORY_DEFAULT_MB */
     RecorderLevel log;        /* lines below this level are only recorded in memory */
     ClusterSettings cluster_settings; /* must be initialised by cluster_settings_default */
 } Settings;
@@ -29,6 +30,8 @@
 /* Sets one key to a value, copied to mem, as flags do. Returns STATUS_BAD_SETTINGS for an unknown key or an invalid
  * value. */
 Status settings_set(void *mem, Settings *settings, const char *key, const char *value, Failure *failure);
+/* Returns the memory of the machine, in bytes. */
+size_t settings_memory_bytes(const Settings *settings);
 /* Checks all settings together. On errors returns STATUS_BAD_SETTINGS with the first invalid key in failure. */
 Status settings_check(const Settings *settings, SettingsRole role, Failure *failure);
 
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -2,6 +2,7 @@
 #include "settings/settings.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -52,6 +53,17 @@
     return STATUS_OK;
 }
 
+static Status set_memory(Settings *settings, const char *value, Failure *failure)
+{
+    char *end;
+    const long long memory_mb = strtoll(value, &end, 10);
+    if (end == value || *end != '\0' || memory_mb < MEMORY_MIN_MB || memory_mb > MEMORY_MAX_MB)
+        return failure_set(failure, STATUS_BAD_SETTINGS, "memoryMb: %s is not a number from %d to %d", value,
+                           MEMORY_MIN_MB, MEMORY_MAX_MB);
+    settings->memory_mb = memory_mb;
+    return STATUS_OK;
+}
+
 Status settings_set(void *mem, Settings *settings, const char *key, const char *value, Failure *failure)
 {
     const char **field = text_field(settings, key);
@@ -63,6 +75,8 @@
         return set_seeds(mem, settings, value, failure);
     if (strcmp(key, "without") == 0)
         return set_without(settings, value, failure);
+    if (strcmp(key, "memoryMb") == 0)
+        return set_memory(settings, value, failure);
     if (strcmp(key, "log") != 0)
         return failure_set(failure, STATUS_BAD_SETTINGS, "%s: unknown key", key);
     if (!recorder_level_of_word(value, &settings->log))
@@ -139,6 +153,12 @@
     return settings->worker != NULL ? check_name_valid("worker", settings->worker, failure) : STATUS_OK;
 }
 
+size_t settings_memory_bytes(const Settings *settings)
+{
+    const int64_t memory_mb = settings->memory_mb != 0 ? settings->memory_mb : MEMORY_DEFAULT_MB;
+    return (size_t)memory_mb * 1024 * 1024;
+}
+
 Status settings_check(const Settings *settings, SettingsRole role, Failure *failure)
 {
     Status status = require_name("name", settings->name, failure);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -82,7 +82,8 @@
 static int parse_settings(void *mem, SettingsRole role, const char *command, int argc, const char **argv,
                           Settings *settings, char **record)
 {
-    static const char *const KEYS[] = {"name", "zone", "listen", "http", "seeds", "data", "worker", "log", "without"};
+    static const char *const KEYS[] = {"name", "zone",   "listen", "http",    "seeds",
+                                       "data", "worker", "log",    "without", "memoryMb"};
     enum { KEY_COUNT = sizeof(KEYS) / sizeof(KEYS[0]) };
     char *path = NULL, *values[KEY_COUNT] = {0};
     struct poptOption options[] = {
@@ -96,6 +97,7 @@
         {"worker", 0, POPT_ARG_STRING, &values[6], 0, "name of the worker (agent)", "NAME"},
         {"log", 0, POPT_ARG_STRING, &values[7], 0, "lowest level of log lines: note, alert or fatal", "LEVEL"},
         {"without", 0, POPT_ARG_STRING, &values[8], 0, "features to turn off, separated by commas", "LIST"},
+        {"memoryMb", 0, POPT_ARG_STRING, &values[9], 0, "memory of the machine, in MB", "MB"},
         {"record", 0, POPT_ARG_STRING, record, 0,
          "append which node plans in which term to this file, for tests (core)", "FILE"},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -133,6 +135,7 @@
         code = usage_error(ROLES[role], "--record: %s can't be opened", record);
     if (code == EXIT_OK) {
         daemon->node.loop = real_loop_new(mem);
+        real_loop_set_memory(daemon->node.loop, settings_memory_bytes(&daemon->settings));
         daemon->node.recorder = recorder_new(mem, daemon->settings.name);
         recorder_set_level(daemon->node.recorder, daemon->settings.log);
         loop_spawn(daemon->node.loop, "start", start_main, daemon);
--- a/src/node.c
+++ b/src/node.c
@@ -23,7 +23,7 @@
     int code;
 } NodeRun;
 
-/* Reads the settings again. Seeds and bounds take effect immediately, other changes at the next start. */
+/* Reads the settings again. Seeds, bounds and the memory take effect immediately, other changes at the next start. */
 static void reload_settings(NodeRun *run)
 {
     Failure failure = {0};
@@ -38,6 +38,8 @@
     const int64_t features_off = run->place.settings.cluster_settings.features_off;
     run->place.settings.cluster_settings = place.settings.cluster_settings;
     run->place.settings.cluster_settings.features_off = features_off; /* set on the command line */
+    run->place.settings.memory_mb = place.settings.memory_mb;
+    real_loop_set_memory(run->node.loop, settings_memory_bytes(&place.settings));
     const char *seeds[SEEDS];
     for (int i = 0; i < SEEDS; i++)
         run->place.settings.seeds[i] = seeds[i] = talloc_strdup(run->mem, place.settings.seeds[i]);
@@ -172,6 +174,7 @@
     } else if (code == EXIT_OK) {
         run->node = (AdapterNode){
             .loop = real_loop_new(mem), .recorder = recorder_new(mem, run->place.settings.name), .place = &run->place};
+        real_loop_set_memory(run->node.loop, settings_memory_bytes(&run->place.settings));
         recorder_set_level(run->node.recorder, level);
         loop_spawn(run->node.loop, "start", start_main, run);
         real_loop_on_sigusr1(run->node.loop, dump_main, run);
