HTTP server: HTTP/2 is not offered

Callers of HTTP/2 without TLS (prior knowledge, or an upgrade) could hold 98 bodies on each connection: 60 connections took an entry point to 408.9 MiB. Cause: h2o takes HTTP/2 by default, though no page names it, and the limits count one request for each connection. Now it is turned off: prior knowledge is a malformed request, an upgrade is ignored.

--- a/packages/loop/src/real_serve.c
+++ b/packages/loop/src/real_serve.c
@@ -279,6 +279,7 @@
 {
     real->serving = true;
     h2o_config_init(&real->config);
+    real->config.http1.upgrade_to_http2 = 0; /* HTTP/1.1 only: the limits count one request for each connection */
     real->config.server_name = h2o_iovec_init(H2O_STRLIT("spancart"));
     h2o_hostconf_t *host = h2o_config_register_host(&real->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
--- a/packages/loop/test/memory.c
+++ b/packages/loop/test/memory.c
@@ -148,6 +148,23 @@
     close(other);
 }
 
+/* HTTP/2 is not offered, neither with prior knowledge nor by an upgrade. */
+static void http2(PeerFixture *fixture)
+{
+    char text[4096];
+    const int known = connect_to(fixture->first), upgraded = connect_to(fixture->first);
+    send_text(known, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    const ssize_t count = recv(known, text, sizeof(text), 0);
+    if (count > 0 && text[0] != 'H') /* a frame begins with the high byte of its length, which is 0 */
+        fail_msg("the server speaks HTTP/2");
+    must_respond(upgraded,
+                 "GET /a HTTP/1.1\r\nhost: x\r\nconnection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
+                 "http2-settings: AAMAAABkAARAAAAAAAIAAAAA\r\n\r\n",
+                 "200", "first GET /a");
+    close(known);
+    close(upgraded);
+}
+
 static void run_small(void (*script)(PeerFixture *fixture))
 {
     run_script_in(script, (HttpLimits){0}, MEMORY_BYTES);
@@ -183,12 +200,18 @@
     run_small(requests_in_progress);
 }
 
+static void test_http2(void **state)
+{
+    (void)state;
+    run_small(http2);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_large_body),       cmocka_unit_test(test_crowd_of_bodies),
         cmocka_unit_test(test_crowd_at_one_address), cmocka_unit_test(test_unread_responses),
-        cmocka_unit_test(test_requests_in_progress),
+        cmocka_unit_test(test_requests_in_progress), cmocka_unit_test(test_http2),
     };
     const int failed = cmocka_run_group_tests(tests, NULL, NULL);
     fflush(NULL);
