Nodes' port: connections of unknown peers have a budget, a number, and few requests at a time

Anyone may connect to the port of the nodes and send frames of up to 32 MiB. Seen: 200 connections, each a frame of 900,001 bytes short of its end, took an entry point to 234.1 MiB, a controller to 192.6 and an agent to 213.9; 1,200 silent ones took all descriptors, so that no job was accepted and the process was not ready. By reading: each frame that was refused cost a task with a stack, all of one turn at once, and up to 96 MB of answers waited for a peer that reads none.

Now an accepted connection is unverified until its first request of this cluster. They have four requests in progress each, and a request that is refused is answered without a task. Verified connections are never closed for it.

--- a/packages/loop/include/loop/internal.h
+++ b/packages/loop/include/loop/internal.h
@@ -43,9 +43,11 @@
 struct Channel {
     Loop *loop;
     bool closed;
+    bool verified; /* by channel_set_verified */
     Signal arrived;
     Frame *first, *last;
     size_t frame_count;
+    size_t frame_bytes; /* of the frames in the queue */
     uint64_t queued_bytes, maybe_sent_bytes, surely_sent_bytes;
 };
 
--- a/packages/loop/include/loop/loop.h
+++ b/packages/loop/include/loop/loop.h
@@ -122,6 +122,11 @@
 /* Suspends the coroutine until a frame arrives, which is moved onto mem. Returns OK, EXPIRED when until_ms is reached,
  * or CLOSED after the end. */
 Status channel_receive(Channel *channel, void *mem, int64_t until_ms, Bytes *frame);
+/* Records that the other side of an accepted connection belongs to this cluster: the bounds on connections of unknown
+ * peers no longer apply to it. */
+void channel_set_verified(Channel *channel);
+/* Whether channel_set_verified was called. */
+bool channel_is_verified(const Channel *channel);
 /* Ends the connection and wakes its reader; the reader then frees it by channel_close. */
 void channel_shut(Channel *channel);
 /* Ends the connection and frees the channel. */
--- a/packages/loop/src/channel.c
+++ b/packages/loop/src/channel.c
@@ -15,6 +15,7 @@
         channel->first = frame;
     channel->last = frame;
     channel->frame_count++;
+    channel->frame_bytes += bytes.count;
     signal_raise(channel->loop, &channel->arrived);
 }
 
@@ -33,6 +34,7 @@
             if (channel->first == NULL)
                 channel->last = NULL;
             channel->frame_count--;
+            channel->frame_bytes -= frame->bytes.count;
             *out = frame->bytes;
             talloc_steal(mem, frame->bytes.data);
             talloc_free(frame);
@@ -65,6 +67,16 @@
     return channel->closed ? 0 : channel->queued_bytes - channel->surely_sent_bytes;
 }
 
+void channel_set_verified(Channel *channel)
+{
+    channel->verified = true;
+}
+
+bool channel_is_verified(const Channel *channel)
+{
+    return channel->verified;
+}
+
 void channel_shut(Channel *channel)
 {
     if (channel->closed)
--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -24,17 +24,20 @@
     h2o_context_t context;
     h2o_accept_ctx_t accept;
     bool serving;
-    bool leaving;                     /* graceful shutdown has begun */
-    size_t memory_bytes;              /* the memory of the machine, of which callers get a part */
-    int64_t queues_read_ms;           /* when the kernel's queues of callers' connections were last read */
-    int64_t trimmed_ms;               /* time of the last check whether free memory is to be given back */
-    size_t trimmed_free_bytes;        /* free memory that has been given back to the kernel */
-    HttpLimits limits;                /* no field is 0 once the server is started */
-    struct RealChannel *flush_first;  /* channels with frames to write at the end of this turn */
-    struct Endpoint *endpoints;       /* list of the addresses at which HTTP is served */
-    struct CallerConnection *callers; /* list of the callers' connections */
-    size_t caller_count;              /* length of that list */
-    int64_t swept_ms;                 /* time of the last search for incomplete heads */
+    bool leaving;                         /* graceful shutdown has begun */
+    size_t memory_bytes;                  /* the memory of the machine, of which callers get a part */
+    int64_t queues_read_ms;               /* when the kernel's queues of callers' connections were last read */
+    int64_t trimmed_ms;                   /* time of the last check whether free memory is to be given back */
+    size_t trimmed_free_bytes;            /* free memory that has been given back to the kernel */
+    HttpLimits limits;                    /* no field is 0 once the server is started */
+    struct RealChannel *flush_first;      /* channels with frames to write at the end of this turn */
+    struct RealChannel *unverified_first; /* accepted connections of unknown peers (real_unverified.c) */
+    size_t unverified_count;              /* length of that list */
+    size_t unverified_bytes;              /* what these connections hold */
+    struct Endpoint *endpoints;           /* list of the addresses at which HTTP is served */
+    struct CallerConnection *callers;     /* list of the callers' connections */
+    size_t caller_count;                  /* length of that list */
+    int64_t swept_ms;                     /* time of the last search for incomplete heads */
     /* HTTP client */
     h2o_timeout_t call_timeout;
     h2o_http1client_ctx_t client;
--- a/packages/loop/src/real_channel.c
+++ b/packages/loop/src/real_channel.c
@@ -7,23 +7,7 @@
 #include <sys/socket.h>
 #include <talloc.h>
 
-#include "real.h"
-
-/* Invariants: sock is null once the connection has ended; while writing is set, out belongs to h2o until its callback;
- * the channel is on the loop's flush list exactly while to_flush is set. */
-typedef struct RealChannel {
-    Channel channel; /* first member, so that a Channel can be cast to a RealChannel */
-    RealLoop *real;
-    h2o_socket_t *sock;
-    bool connecting;
-    bool writing;
-    bool to_flush;
-    bool broken; /* a write has failed */
-    struct RealChannel *flush_next, *flush_prev;
-    Signal connected;
-    Bytes out;  /* bytes that h2o is writing */
-    Bytes next; /* bytes queued for the next write */
-} RealChannel;
+#include "real_channel.h"
 
 /* An address at which connections are accepted. */
 typedef struct Listener {
@@ -61,34 +45,44 @@
         real_channel->flush_next->flush_prev = real_channel->flush_prev;
 }
 
+void real_channel_end(RealChannel *real_channel)
+{
+    unverified_remove(real_channel);
+    socket_close(real_channel);
+    channel_end(&real_channel->channel);
+}
+
 static int channel_free(RealChannel *real_channel)
 {
     flush_cancel(real_channel);
+    unverified_remove(real_channel);
     socket_close(real_channel);
     return 0;
 }
 
-static void on_read(h2o_socket_t *sock, const char *err)
+/* Moves the complete frames of the input to the channel's queue. Returns false if the connection must end. */
+static bool frames_read(RealChannel *real_channel, h2o_socket_t *sock)
 {
-    RealChannel *real_channel = sock->data;
-    if (err != NULL) {
-        socket_close(real_channel);
-        channel_end(&real_channel->channel);
-        return;
-    }
     while (sock->input->size >= 4) {
         const uint8_t *at = (const uint8_t *)sock->input->bytes;
         const uint32_t count = (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8 | at[3];
-        if (count > FRAME_MAX_BYTES || real_channel->channel.frame_count >= CHANNEL_QUEUE_FRAMES) {
-            socket_close(real_channel);
-            channel_end(&real_channel->channel);
-            return;
-        }
+        if (count > FRAME_MAX_BYTES || real_channel->channel.frame_count >= CHANNEL_QUEUE_FRAMES)
+            return false;
         if (sock->input->size < 4 + (size_t)count)
-            return;
+            break;
         channel_arrive(&real_channel->channel, (Bytes){(uint8_t *)sock->input->bytes + 4, count, 0});
         h2o_buffer_consume(&sock->input, 4 + (size_t)count);
     }
+    return true;
+}
+
+static void on_read(h2o_socket_t *sock, const char *err)
+{
+    RealChannel *real_channel = sock->data;
+    if (err != NULL || !frames_read(real_channel, sock))
+        real_channel_end(real_channel);
+    else
+        unverified_count(real_channel);
 }
 
 static void on_written(h2o_socket_t *sock, const char *err);
@@ -141,11 +135,11 @@
         real_channel->out = (Bytes){0};
     }
     if (err != NULL) {
-        socket_close(real_channel);
-        channel_end(&real_channel->channel);
+        real_channel_end(real_channel);
         return;
     }
     write_next(real_channel);
+    unverified_count(real_channel);
 }
 
 static RealChannel *channel_new(RealLoop *real, void *mem, h2o_socket_t *sock)
@@ -177,6 +171,7 @@
     while ((accepted_sock = h2o_evloop_socket_accept(sock)) != NULL) {
         RealChannel *real_channel = channel_new(listener->real, listener->real, accepted_sock);
         h2o_socket_read_start(accepted_sock, on_read);
+        unverified_add(real_channel);
         Accepted *accepted = talloc_zero(listener->real, Accepted);
         *accepted = (Accepted){listener, &real_channel->channel};
         loop_spawn(&listener->real->loop, "connection", accepted_main, accepted);
@@ -230,8 +225,7 @@
     if (frame.count > FRAME_MAX_BYTES)
         return STATUS_TOO_LARGE;
     if (real_channel->next.count + frame.count > CHANNEL_QUEUE_BYTES) {
-        socket_close(real_channel);
-        channel_end(channel);
+        real_channel_end(real_channel);
         return STATUS_BUSY;
     }
     const uint8_t head[4] = {(uint8_t)(frame.count >> 24), (uint8_t)(frame.count >> 16), (uint8_t)(frame.count >> 8),
@@ -248,6 +242,7 @@
             real_channel->flush_next->flush_prev = real_channel;
         real->flush_first = real_channel;
     }
+    unverified_count(real_channel);
     return STATUS_OK;
 }
 
--- a/packages/loop/test/http_fixture.h
+++ b/packages/loop/test/http_fixture.h
@@ -27,6 +27,7 @@
 typedef struct PeerFixture {
     Loop *loop;
     char first[ADDRESS_MAX], second[ADDRESS_MAX]; /* of the HTTP server */
+    char peers[ADDRESS_MAX];                      /* for frames, which are echoed */
     void (*script)(struct PeerFixture *fixture);
     HttpLimits limits;
     atomic_int gone; /* callers whose disconnection was detected */
@@ -74,6 +75,20 @@
     respond(task, "second");
 }
 
+/* Echoes a connection's frames, the first of which verifies it. */
+static inline void echo(void *arg, Channel *channel)
+{
+    (void)arg;
+    void *mem = talloc_new(NULL);
+    Bytes frame;
+    while (channel_receive(channel, mem, INT64_MAX, &frame) == STATUS_OK) {
+        channel_set_verified(channel);
+        channel_send(channel, frame);
+    }
+    channel_close(channel);
+    talloc_free(mem);
+}
+
 static inline void must_respond(int fd, const char *request, const char *code, const char *words)
 {
     char text[4096];
@@ -119,6 +134,7 @@
     assert_int_equal(loop_serve(fixture->loop, "127.0.0.1:0", on_first, fixture, fixture->first, NULL), STATUS_OK);
     loop_serve_limits(fixture->loop, &limits);
     assert_int_equal(loop_serve(fixture->loop, "127.0.0.1:0", on_second, fixture, fixture->second, NULL), STATUS_OK);
+    assert_int_equal(loop_listen(fixture->loop, "127.0.0.1:0", echo, fixture, fixture->peers, NULL), STATUS_OK);
     real_loop_on_sighup(fixture->loop, on_hup, fixture);
     pthread_t caller;
     assert_int_equal(pthread_create(&caller, NULL, caller_main, fixture), 0);
--- a/packages/loop/test/memory.c
+++ b/packages/loop/test/memory.c
@@ -1,4 +1,4 @@
-/* Tests of the bounds on the memory that callers make a process hold, over loopback. */
+/* Tests of the bounds on the memory that callers and unknown peers make a process hold, over loopback. */
 #include <poll.h>
 
 #include "http_fixture.h"
@@ -6,6 +6,8 @@
 #define MEMORY_BYTES (MEMORY_MIN_MB * 1024 * 1024)
 #define BODY_BYTES (256 * 1024)
 #define CROWD 80 /* Connections with bodies of BODY_BYTES: far more than the budget of a machine with MEMORY_BYTES */
+#define FRAME_BYTES 900000
+#define FRAME_HEAD_BYTES 4
 
 /* Sends bytes until all are sent or the other side has closed the connection. */
 static void send_bytes(int fd, size_t count)
@@ -165,6 +167,42 @@
     close(upgraded);
 }
 
+/* --- unknown peers ---------------------------------------------------------------------------- */
+
+static void must_echo(int fd, uint8_t count)
+{
+    uint8_t frame[FRAME_HEAD_BYTES + UINT8_MAX] = {0, 0, 0, count}, echoed[sizeof(frame)];
+    assert_int_equal(send(fd, frame, FRAME_HEAD_BYTES + count, MSG_NOSIGNAL), FRAME_HEAD_BYTES + count);
+    assert_int_equal(recv(fd, echoed, FRAME_HEAD_BYTES + count, MSG_WAITALL), FRAME_HEAD_BYTES + count);
+    assert_memory_equal(frame, echoed, FRAME_HEAD_BYTES + count);
+}
+
+/* Guards against frames of unknown peers that never end, and against any number of their connections: verified
+ * connections stay. */
+static void unknown_peers(PeerFixture *fixture)
+{
+    enum { PEERS = 200 };
+    int unknown[PEERS];
+    const int verified = connect_to(fixture->peers);
+    must_echo(verified, 1);
+    const uint8_t head[FRAME_HEAD_BYTES] = {0, FRAME_BYTES >> 16, FRAME_BYTES >> 8 & 0xff, FRAME_BYTES & 0xff};
+    for (size_t i = 0; i < PEERS; i++) {
+        unknown[i] = connect_to(fixture->peers);
+        send(unknown[i], head, sizeof(head), MSG_NOSIGNAL);
+        if (i % 2 == 0)
+            send_bytes(unknown[i], FRAME_BYTES - 1);
+    }
+    while (closed_count(unknown, PEERS) < PEERS / 2)
+        must_echo(verified, 2);
+    const int fresh = connect_to(fixture->peers);
+    must_echo(fresh, 1);
+    must_echo(verified, 3);
+    for (size_t i = 0; i < PEERS; i++)
+        close(unknown[i]);
+    close(fresh);
+    close(verified);
+}
+
 static void run_small(void (*script)(PeerFixture *fixture))
 {
     run_script_in(script, (HttpLimits){0}, MEMORY_BYTES);
@@ -206,12 +244,19 @@
     run_small(http2);
 }
 
+static void test_unknown_peers(void **state)
+{
+    (void)state;
+    run_small(unknown_peers);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_one_large_body),       cmocka_unit_test(test_crowd_of_bodies),
         cmocka_unit_test(test_crowd_at_one_address), cmocka_unit_test(test_unread_responses),
         cmocka_unit_test(test_requests_in_progress), cmocka_unit_test(test_http2),
+        cmocka_unit_test(test_unknown_peers),
     };
     const int failed = cmocka_run_group_tests(tests, NULL, NULL);
     fflush(NULL);
--- a/packages/wire/src/serve.c
+++ b/packages/wire/src/serve.c
@@ -11,6 +11,9 @@
 #include "wire/rpc.h"
 #include "wire/shape.h"
 
+/* Requests in progress on a connection that is not known to be of this cluster; each costs the stack of a task */
+#define UNVERIFIED_REQUESTS_MAX 4
+
 /* An incoming request; it is the talloc parent of all memory that its handling needs. */
 typedef struct IncomingRequest {
     Served *served;
@@ -20,6 +23,7 @@
 /* Releases one use of the connection; the last one closes and frees it. */
 static void served_release(Served *served)
 {
+    signal_raise(served->rpc->loop, &served->released);
     if (--served->users > 0)
         return;
     if (served->previous != NULL)
@@ -91,15 +95,10 @@
     Rpc *rpc = served->rpc;
     const Envelope *envelope = &request->envelope;
     const Handler *handler = &rpc->handlers[envelope->kind];
-    Status status = request_check(rpc, envelope);
-    if (status != STATUS_OK) {
-        rpc_note_refused(rpc, status, "a request", envelope);
-        return status;
-    }
     void *ask = talloc_zero_size(request, handler->ask->size);
     void *answer = talloc_zero_size(request, handler->answer->size);
     Failure failure = {0};
-    status = shape_unpack(handler->ask, envelope->payload, request, ask, &failure);
+    Status status = shape_unpack(handler->ask, envelope->payload, request, ask, &failure);
     if (status != STATUS_OK) {
         bad_frame_note(rpc, failure.text);
         channel_shut(served->channel);
@@ -142,6 +141,30 @@
     return true;
 }
 
+/* Whether the request is executed here. One that is refused is answered at once, without a task of its own: anyone may
+ * send such requests, and any number of them. */
+static bool request_accept(Served *served, IncomingRequest *request)
+{
+    Rpc *rpc = served->rpc;
+    const Envelope *envelope = &request->envelope;
+    const Status status = request_check(rpc, envelope);
+    if (status != STATUS_OK) {
+        rpc_note_refused(rpc, status, "a request", envelope);
+        answer_send(served, request, envelope, status, (Bytes){0});
+        return false;
+    }
+    if (envelope->cluster != 0 && envelope->cluster == rpc->cluster)
+        channel_set_verified(served->channel);
+    return true;
+}
+
+/* Suspends the coroutine while the connection has as many requests in progress as it may have. */
+static void requests_wait(Served *served)
+{
+    while (!channel_is_verified(served->channel) && served->users > UNVERIFIED_REQUESTS_MAX)
+        signal_wait(served->rpc->loop, &served->released, INT64_MAX);
+}
+
 /* Reads a connection's requests in a task of its own, which owns the channel. */
 static void serve(void *arg, Channel *channel)
 {
@@ -152,6 +175,7 @@
         rpc->served->previous = served;
     rpc->served = served;
     for (;;) {
+        requests_wait(served);
         IncomingRequest *request = talloc_zero(rpc, IncomingRequest);
         Bytes frame;
         if (channel_receive(channel, request, INT64_MAX, &frame) != STATUS_OK ||
@@ -159,6 +183,10 @@
             talloc_free(request);
             break;
         }
+        if (!request_accept(served, request)) {
+            talloc_free(request);
+            continue;
+        }
         request->served = served;
         served->users++;
         loop_spawn(rpc->loop, "question", request_main, request);
