Documents: one that takes far more memory than its size is refused before it is parsed

One request inside the limits could end a process: json-c takes some 700 bytes for an empty object, so a job of 256 KB of them takes 66 MB, a configuration or a heartbeat of 2 MB 500 MB.

Cause: the size of a text is no bound on what parsing it takes. A job of 64 steps takes 0.1 MB, a configuration of 2 MB 11 to 15 times its size, a heartbeat that lists many tasks 20 times (by their fields).

Test parse: 80,000 empty objects are refused, 1,000 and a configuration of 2 MB of small queues are read. Guard small-values is noticed when it is taken out.

--- a/packages/config/src/check.c
+++ b/packages/config/src/check.c
@@ -12,6 +12,14 @@
 #include "scan.h"
 
 #define DEPTH_MAX 16 /* maximum levels of nesting; more than any document needs */
+/* Memory that json-c takes for an object, a member besides its value, and any value, in bytes */
+#define OBJECT_BYTES 700
+#define MEMBER_BYTES 40
+#define VALUE_BYTES 64
+/* A document may take this many times its size once it is parsed; a configuration takes 11 times, a heartbeat of a busy
+ * worker 20 times */
+#define PARSED_TIMES_MAX 24
+#define PARSED_BYTES_FREE (4 * 1024 * 1024) /* Memory that any document may take */
 
 Faults *fault_list_new(void *mem)
 {
@@ -37,6 +45,14 @@
     return path[0] != '\0' ? talloc_asprintf(faults->mem, "%s.%s", path, key) : talloc_strdup(faults->mem, key);
 }
 
+/* Whether json-c would take far more memory for the scanned text than for any document that is meant: a text of empty
+ * objects takes 250 times its size. */
+static bool takes_too_much(const Scan *scan)
+{
+    const size_t bytes = scan->objects * OBJECT_BYTES + scan->members * MEMBER_BYTES + scan->values * VALUE_BYTES;
+    return bytes > PARSED_BYTES_FREE && bytes / scan->count >= PARSED_TIMES_MAX;
+}
+
 json_object *check_parse(Faults *faults, const char *text, size_t count)
 {
     Scan scan = {.text = text, .count = count, .depth_max = DEPTH_MAX};
@@ -48,6 +64,11 @@
         fault_add(faults, STATUS_BAD_JSON, "", "at byte %zu: %s", scan.at, scan.error);
         return NULL;
     }
+    if (takes_too_much(&scan)) {
+        fault_add(faults, STATUS_TOO_LARGE, "", "too many values: %zu, of which %zu are objects", scan.values,
+                  scan.objects);
+        return NULL;
+    }
     json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX + 1);
     json_tokener_set_flags(tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
     /* Pass the terminating zero as well, so that the parser knows that a number at the end is complete. */
--- a/packages/config/src/scan.c
+++ b/packages/config/src/scan.c
@@ -169,8 +169,10 @@
 {
     skip_blanks(scan);
     const char letter = peek(scan);
+    scan->values++;
     switch (letter) {
     case '{':
+        scan->objects++;
         return scan_members(scan, '}', true);
     case '[':
         return scan_members(scan, ']', false);
--- a/packages/config/src/scan.h
+++ b/packages/config/src/scan.h
@@ -13,6 +13,8 @@
     const char *text;
     size_t count, at;
     size_t members; /* total number of members of all objects */
+    size_t objects; /* number of objects */
+    size_t values;  /* number of values, objects and arrays included */
     size_t depth, depth_max;
     const char *error; /* description of the first error; null: none */
 } Scan;
--- a/packages/config/test/parse.c
+++ b/packages/config/test/parse.c
@@ -149,12 +149,70 @@
     talloc_free(mem);
 }
 
+/* A list of count empty objects, on mem. */
+static char *empty_objects(void *mem, size_t count)
+{
+    char *text = talloc_array(mem, char, 3 * count + 2);
+    for (size_t i = 0; i < count; i++) {
+        text[3 * i] = i == 0 ? '[' : ',';
+        text[3 * i + 1] = '{';
+        text[3 * i + 2] = '}';
+    }
+    text[3 * count] = ']';
+    text[3 * count + 1] = '\0';
+    return text;
+}
+
+/* Values that take many times the size of their text are refused before they are parsed; a few of them are not. */
+static void many_small_values_are_refused(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    const char *few = empty_objects(mem, 1000), *many = empty_objects(mem, 80000);
+    Faults *faults = fault_list_new(mem);
+    json_object *object = check_parse(faults, few, strlen(few));
+    assert_non_null(object);
+    json_object_put(object);
+    assert_null(check_parse(faults, many, strlen(many)));
+    assert_int_equal(faults->count, 1);
+    assert_int_equal(faults->list[0].status, STATUS_TOO_LARGE);
+    assert_non_null(strstr(faults->list[0].text, "too many values"));
+    talloc_free(mem);
+}
+
+/* The largest configuration, of many small queues, is no such document. */
+static void many_queues_are_read(void **state)
+{
+    (void)state;
+    void *mem = talloc_new(NULL);
+    char *text = talloc_strdup(mem, "{\"queues\":{");
+    for (int i = 0; strlen(text) < 2 * 1024 * 1024 - 200; i += 100) {
+        char *some = talloc_strdup(mem, "");
+        for (int k = i; k < i + 100; k++)
+            some = talloc_asprintf_append(
+                some,
+                "%s\"q%d\":{\"priority\":0,\"kind\":\"std\",\"entry\":{\"host\":\"tiles.example\","
+                "\"prefix\":\"/q%d/\"}}",
+                k > 0 ? "," : "", k, k);
+        text = talloc_strdup_append(text, some);
+        talloc_free(some);
+    }
+    text = talloc_strdup_append(text, "}}");
+    Faults *faults = fault_list_new(mem);
+    json_object *object = check_parse(faults, text, strlen(text));
+    if (object == NULL)
+        fail_msg("%s", faults->list[0].text);
+    json_object_put(object);
+    talloc_free(mem);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(whole_texts_are_read),         cmocka_unit_test(refused_at_the_byte),
         cmocka_unit_test(zero_byte_is_refused),         cmocka_unit_test(every_beginning_is_refused),
-        cmocka_unit_test(deep_nesting_is_refused_soon),
+        cmocka_unit_test(deep_nesting_is_refused_soon), cmocka_unit_test(many_small_values_are_refused),
+        cmocka_unit_test(many_queues_are_read),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -287,6 +287,8 @@
     Guard("late-order", "an order that comes late is refused and not dropped", "packages/agent/src/orders.c",
           "if (!lease_runs(&agent->lease, now_ms) || (now_ms >= timeout_ms && !agent->settled) || older_may_run(agent, order))",
           "if (!lease_runs(&agent->lease, now_ms) || now_ms >= timeout_ms || older_may_run(agent, order))", "order_that_comes_late", "test", "agent"),
+    Guard("small-values", "a document that takes far more memory than its size is refused before it is parsed",
+          "packages/config/src/check.c", "    if (takes_too_much(&scan)) {", "    if (false) {", "many_small_values", "test", "parse"),
     Guard("http1-only", "HTTP/2 is not offered", "packages/loop/src/real_serve.c",
           "    real->config.http1.upgrade_to_http2 = 0;", "", "http2", "test", "memory"),
     Guard("drained", "a drained zone gets no new tasks", "packages/scheduler/src/pass.c",
