Leader: the callers' requests that all entry points forward to it are bounded

Now the leader has at most 2,048 callers' requests in progress, with 16 MB of bodies; beyond it a request gets 503 busy, which is certain: it is refused before its route. The configuration, zones, status and readiness are not bounded by it, so that operators are served while callers crowd in.

Evidence: crowd.requests_at_once sends 2,348 jobs at the same moment: each is answered 201 or 503 with Retry-After, the refused ones are not in the state table, the status is answered meanwhile. It fails without the bound (guard leader-crowd). Not shown with real processes: that takes dozens of entry points.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -374,8 +374,10 @@
 #define HTTP_IDLE_TIMEOUT_MS 60000 /* A caller's connection without a request is closed after this */
 #define HTTP_CONNECTIONS_MAX 3000  /* Connections of callers to one process at a time */
 #define HTTP_TASKS_MAX 2048        /* Requests in flight at one address; further ones are refused */
-#define MEMORY_DEFAULT_MB 512      /* Memory of a machine whose settings do not state it */
-#define MEMORY_MIN_MB 32           /* Smallest memory that settings may state */
+#define LEADER_REQUESTS_MAX 2048   /* Callers' requests in progress at the leader, from all entry points */
+#define LEADER_REQUEST_BYTES_MAX (16 * 1024 * 1024) /* Size of their bodies */
+#define MEMORY_DEFAULT_MB 512                       /* Memory of a machine whose settings do not state it */
+#define MEMORY_MIN_MB 32                            /* Smallest memory that settings may state */
 #define MEMORY_MAX_MB (1024 * 1024)
 #define TRACE_EVENTS 2048       /* Steps of changes that a node keeps: minutes at today's loads */
 #define RECORDER_LINES 256      /* Lines in the flight recorder */
--- a/packages/callers/include/callers/callers.h
+++ b/packages/callers/include/callers/callers.h
@@ -39,8 +39,8 @@
 } CallerServiceSettings;
 
 /* Counters of requests since the start of the process; X(name). refused: refused because of faults in the request;
- * crowded: refused because too many tasks waited in the cell or the state was full; unproven: the proof of the answer
- * failed; unknown_keys: requests to a queue's entry without a known key. */
+ * crowded: refused because too many tasks waited in the cell, too many requests were in progress, or the state was
+ * full; unproven: the proof of the answer failed; unknown_keys: requests to a queue's entry without a known key. */
 #define CALLER_SERVICE_COUNT_LIST(X) \
     X(refused)                       \
     X(crowded)                       \
--- a/packages/callers/src/callers.c
+++ b/packages/callers/src/callers.c
@@ -46,7 +46,11 @@
                            .timeout_ms = ask->wait_ms > 0 ? loop_now_ms(service->loop) + (int64_t)ask->wait_ms : 0,
                            .content_type = "application/json"};
     RepairList repair_items = {0};
+    service->requests++;
+    service->request_bytes += ask->body.count;
     route_request(service, task, mem, &repair_items);
+    service->requests--;
+    service->request_bytes -= ask->body.count;
     answer->code = (uint64_t)task->code;
     answer->status = task->status;
     answer->kind = task->content_type;
--- a/packages/callers/src/routes.c
+++ b/packages/callers/src/routes.c
@@ -19,6 +19,8 @@
     PROOF_CONTACT,
 } Proof;
 
+#define JOBS_PATH "/v1/jobs" /* the jobs, and each of them below it */
+
 /* --- guards: checks that a request passes, in order ------------------------------------------ */
 
 /* pass returns false if it has refused the request. */
@@ -45,7 +47,28 @@
     return false;
 }
 
-static const Guard GUARDS[] = {{"lead", guard_leading}, {"repair", guard_repair}};
+/* Whether a request is one of those that callers send, as opposed to operators and other processes. */
+static bool is_of_callers(const HttpExchange *task)
+{
+    return strncmp(task->path, ENTRY_PATH "/", sizeof(ENTRY_PATH)) == 0 ||
+           strncmp(task->path, JOBS_PATH, strlen(JOBS_PATH)) == 0;
+}
+
+/* Bounds the callers' requests in progress: each entry point bounds its own, but all of them forward to this leader. */
+static bool guard_crowd(CallerRequest *request)
+{
+    CallerService *service = request->service;
+    if (!is_of_callers(request->task) ||
+        (service->requests <= LEADER_REQUESTS_MAX && service->request_bytes <= LEADER_REQUEST_BYTES_MAX) ||
+        service->requests == 1)
+        return true;
+    service->counts.crowded++;
+    show_refusal(request->task, STATUS_BUSY, "too many requests in progress; this one was not accepted: retry later",
+                 NULL);
+    return false;
+}
+
+static const Guard GUARDS[] = {{"lead", guard_leading}, {"repair", guard_repair}, {"crowd", guard_crowd}};
 
 /* --- routes ---------------------------------------------------------------------------------- */
 
--- a/packages/callers/src/state.h
+++ b/packages/callers/src/state.h
@@ -15,6 +15,8 @@
     const ClusterSettings *cluster_settings;
     CallerServiceCallbacks callbacks;
     size_t next_copy_target; /* index of the entry point to ask first for a copy (repair_copy.c) */
+    size_t requests;         /* requests in progress */
+    size_t request_bytes;    /* the size of their bodies */
     CallerServiceCounts counts;
 };
 
--- a/packages/sim/test/crowd.c
+++ b/packages/sim/test/crowd.c
@@ -134,6 +134,77 @@
     assert_urgent_not_delayed(MIX_ATLAS);
 }
 
+/* --- requests at once ------------------------------------------------------------------- */
+
+enum { AT_ONCE = LEADER_REQUESTS_MAX + 300 };
+
+/* Callers that submit a job each at the same moment, and the status codes that they got. */
+typedef struct Flood {
+    Fleet *fleet;
+    int next;
+    size_t answered;
+    int codes[AT_ONCE];
+} Flood;
+
+static HttpCall flood_call(Flood *flood, void *mem, const char *method, const char *path, const char *body)
+{
+    HttpCall call = {.mem = mem,
+                     .address = fleet_node(flood->fleet, FLEET_ENTRY_POINT, flood->next % 3)->settings.http,
+                     .method = method,
+                     .path = path,
+                     .wait_ms = 10000};
+    bytes_add(mem, &call.body, body, strlen(body));
+    return call;
+}
+
+static void flood_main(void *arg)
+{
+    Flood *flood = arg;
+    Loop *loop = sim_loop(flood->fleet->world, flood->fleet->caller_machine);
+    void *mem = talloc_new(loop);
+    const int number = flood->next++;
+    const char *body =
+        talloc_asprintf(mem,
+                        "{\"id\":\"f%d\",\"cell\":\"imagery\",\"tenant\":\"planners\",\"queue\":"
+                        "\"rebuilds\",\"protection\":\"none\",\"steps\":[{\"name\":\"a\",\"count\":1,"
+                        "\"kind\":\"std\",\"room\":{\"cpu\":1,\"memMb\":100},\"payload\":{\"runMs\":100}}]}",
+                        number);
+    HttpCall call = flood_call(flood, mem, "POST", "/v1/jobs", body);
+    if (loop_call(loop, &call) == STATUS_OK)
+        flood->codes[number] = call.code;
+    if (call.code == 503)
+        assert_true(call.retry_after_s > 0);
+    flood->answered++;
+    talloc_free(mem);
+}
+
+/* Guards against a leader that holds any number of requests, which all entry points forward to it: what exceeds the
+ * bound is refused, and was not taken; the status is answered meanwhile. */
+static void requests_at_once(void **state)
+{
+    (void)state;
+    Fleet *fleet = begin(MIX_TRENTVALE);
+    Flood *flood = talloc_zero(fleet, Flood);
+    flood->fleet = fleet;
+    Loop *loop = sim_loop(fleet->world, fleet->caller_machine);
+    for (int i = 0; i < AT_ONCE; i++)
+        loop_spawn(loop, "flood", flood_main, flood);
+    fleet_run(fleet, 1);
+    const HttpCall status = fleet_request(fleet, fleet, FLEET_ENTRY_POINT, 0, "GET", "/v1/status", "");
+    assert_int_equal(status.code, 200);
+    fleet_run(fleet, 10000);
+    assert_int_equal(flood->answered, AT_ONCE);
+    size_t refused = 0;
+    for (int i = 0; i < AT_ONCE; i++) {
+        const Job *job = fleet_job(fleet, talloc_asprintf(flood, "f%d", i));
+        assert_true(flood->codes[i] == 201 || flood->codes[i] == 503);
+        assert_int_equal(job != NULL, flood->codes[i] == 201);
+        refused += flood->codes[i] == 503;
+    }
+    assert_true(refused > 0 && refused <= AT_ONCE - LEADER_REQUESTS_MAX + 1);
+    case_end(fleet);
+}
+
 /* --- configurations ------------------------------------------------------------------- */
 
 /* An operator, and the versions that were acknowledged to it. */
@@ -229,6 +300,7 @@
         cmocka_unit_test(trentvale),
         cmocka_unit_test(atlas),
         cmocka_unit_test(config_storm),
+        cmocka_unit_test(requests_at_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/scripts/guards.py
+++ b/scripts/guards.py
@@ -287,6 +287,8 @@
     Guard("late-order", "an order that comes late is refused and not dropped", "packages/agent/src/orders.c",
           "if (!lease_runs(&agent->lease, now_ms) || (now_ms >= timeout_ms && !agent->settled) || older_may_run(agent, order))",
           "if (!lease_runs(&agent->lease, now_ms) || now_ms >= timeout_ms || older_may_run(agent, order))", "order_that_comes_late", "test", "agent"),
+    Guard("leader-crowd", "the leader holds a bounded number of callers' requests", "packages/callers/src/routes.c",
+          "service->requests <= LEADER_REQUESTS_MAX", "true", "requests_at_once", "test", "crowd"),
     Guard("small-values", "a document that takes far more memory than its size is refused before it is parsed",
           "packages/config/src/check.c", "    if (takes_too_much(&scan)) {", "    if (false) {", "many_small_values", "test", "parse"),
     Guard("http1-only", "HTTP/2 is not offered", "packages/loop/src/real_serve.c",
