HTTP server: an address's part of the requests in progress is its own, and the rest is shared

By reading: the parts of all addresses together could exceed the budget for requests (up to 2.5 times with four addresses), since each counted the shared half as its own. Now the shared half is counted once. Also a channel that is shut no longer counts among the unverified connections until it is freed.

--- a/packages/loop/src/real_channel.c
+++ b/packages/loop/src/real_channel.c
@@ -259,6 +259,7 @@
 {
     RealChannel *real_channel = (RealChannel *)channel;
     flush_cancel(real_channel);
+    unverified_remove(real_channel);
     write_next(real_channel); /* writes frames that were queued before */
     socket_close(real_channel);
 }
--- a/packages/loop/src/real_memory.c
+++ b/packages/loop/src/real_memory.c
@@ -60,14 +60,29 @@
     return REQUEST_BYTES + REQUEST_BODY_TIMES * body_bytes;
 }
 
+/* The part of the budget for requests that each address has for itself: half of the budget is divided. */
+static size_t own_part(const RealLoop *real)
+{
+    return real->memory_bytes / REQUESTS_DIVISOR / 2 / endpoint_count(real);
+}
+
+/* What is free of the other half, which all addresses share. */
+static size_t shared_free(const RealLoop *real)
+{
+    size_t bytes = real->memory_bytes / REQUESTS_DIVISOR / 2;
+    const size_t own = own_part(real);
+    for (const Endpoint *endpoint = real->endpoints; endpoint != NULL; endpoint = endpoint->next) {
+        const size_t beyond = endpoint->request_bytes > own ? endpoint->request_bytes - own : 0;
+        bytes -= beyond < bytes ? beyond : bytes;
+    }
+    return bytes;
+}
+
 bool real_request_fits(const Endpoint *endpoint, size_t bytes)
 {
-    const RealLoop *real = endpoint->real;
-    const size_t part =
-        real->memory_bytes / REQUESTS_DIVISOR / 2 + real->memory_bytes / REQUESTS_DIVISOR / 2 / endpoint_count(real);
-    if (endpoint->requests == 0)
-        return true;
-    return endpoint->request_bytes < part && bytes <= (part - endpoint->request_bytes) / REQUEST_FREE_DIVISOR;
+    const size_t own = own_part(endpoint->real);
+    const size_t own_free = endpoint->request_bytes < own ? own - endpoint->request_bytes : 0;
+    return endpoint->requests == 0 || bytes <= (own_free + shared_free(endpoint->real)) / REQUEST_FREE_DIVISOR;
 }
 
 /* --- what a connection holds ------------------------------------------------------------------ */
