Memory that clients have freed is given back although it was used again in between

Cause: free memory was returned when the allocator's figure had grown since it was last returned. The figure is read once a second; where the same blocks are allocated and freed between two reads, it looks unchanged, and the pages stay.

Now the most that clients held since the last return is kept, and a fall by 4 MB returns memory too.

Tests memory and http pass.

--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -28,6 +28,8 @@
     size_t memory_bytes;                  /* the memory of the machine, of which callers get a part */
     int64_t queues_read_ms;               /* when the kernel's queues of callers' connections were last read */
     int64_t trimmed_ms;                   /* time of the last check whether free memory is to be given back */
+    size_t load_bytes;                    /* what clients make the process hold, as last measured */
+    size_t load_peak_bytes;               /* the most of it since memory was last given back to the kernel */
     size_t trimmed_free_bytes;            /* free memory that has been given back to the kernel */
     HttpLimits limits;                    /* no field is 0 once the server is started */
     struct RealChannel *flush_first;      /* channels with frames to write at the end of this turn */
--- a/packages/loop/src/real_memory.c
+++ b/packages/loop/src/real_memory.c
@@ -28,7 +28,7 @@
 #define SHED_DIVISOR 8                   /* Closing goes on until 1 in this many of the budget is free */
 #define QUEUES_INTERVAL_MS 250           /* Minimum interval between reads of the kernel's queues */
 #define TRIM_INTERVAL_MS 1000            /* Interval between checks whether free memory is to be given back */
-#define FREE_BYTES_MAX (6 * 1024 * 1024) /* Growth of free memory that is given back to the kernel */
+#define FREE_BYTES_MAX (4 * 1024 * 1024) /* Growth of free memory that is given back to the kernel */
 #define ALLOCATION_MAPPED_BYTES (256 * 1024) /* Larger allocations are mapped, so that freeing gives them back */
 
 static size_t connections_budget(const RealLoop *real)
@@ -200,12 +200,21 @@
     talloc_free(order);
 }
 
+/* Records what clients make the process hold, and the most of it since memory was last given back. */
+static void load_record(RealLoop *real, size_t connections_bytes)
+{
+    real->load_bytes = connections_bytes + real->unverified_bytes;
+    for (const Endpoint *endpoint = real->endpoints; endpoint != NULL; endpoint = endpoint->next)
+        real->load_bytes += endpoint->request_bytes;
+    if (real->load_bytes > real->load_peak_bytes)
+        real->load_peak_bytes = real->load_bytes;
+}
+
 void real_memory_enforce(RealLoop *real)
 {
     const size_t budget = connections_budget(real);
-    if (real->callers == NULL)
-        return;
-    const size_t total = callers_measure(real);
+    const size_t total = real->callers != NULL ? callers_measure(real) : 0;
+    load_record(real, total);
     if (total > budget)
         callers_shed(real, total, budget - budget / SHED_DIVISOR);
 }
@@ -224,6 +233,16 @@
 
 /* --- memory that is free ---------------------------------------------------------------------------- */
 
+/* Whether much memory has become free since it was last given back: what clients hold has fallen, which the allocator's
+ * own figure does not show when the same memory was used again in between, or that figure has grown. */
+static bool much_was_freed(RealLoop *real, size_t free_bytes)
+{
+    if (free_bytes < real->trimmed_free_bytes)
+        real->trimmed_free_bytes = free_bytes; /* allocated again since it was given back */
+    return real->load_peak_bytes >= real->load_bytes + FREE_BYTES_MAX ||
+           free_bytes >= real->trimmed_free_bytes + FREE_BYTES_MAX;
+}
+
 void real_memory_trim(RealLoop *real)
 {
     const int64_t now_ms = loop_now_ms(&real->loop);
@@ -231,10 +250,9 @@
         return;
     real->trimmed_ms = now_ms;
     const size_t free_bytes = mallinfo2().fordblks;
-    if (free_bytes < real->trimmed_free_bytes)
-        real->trimmed_free_bytes = free_bytes; /* allocated again since it was given back */
-    if (free_bytes < real->trimmed_free_bytes + FREE_BYTES_MAX)
+    if (!much_was_freed(real, free_bytes))
         return;
     malloc_trim(0);
     real->trimmed_free_bytes = free_bytes;
+    real->load_peak_bytes = real->load_bytes;
 }
