Crowds: the jobs that were accepted beside a crowd must be done afterwards

The tests accepted jobs of a service that no worker has, so they showed the acceptance only. Now the workers run them, and each accepted job has to be done: agents under a crowd keep their workers' leases and orders. Stricter; the crowds and all bounds are as they were.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -7,7 +7,8 @@
 of connections to one address. What must hold while the crowd stays and after it has gone:
  - each process lives, and its resident memory and what the kernel holds of its connections stay below the stated memory;
  - its descriptors stay below the limit of the process;
- - an ordinary job is accepted, and the readiness check passes, while the crowd stays; a job is accepted afterwards;
+ - an ordinary job is accepted, and the readiness check passes, while the crowd stays; a job is accepted afterwards; workers
+   run all jobs that were accepted;
  - memory is given back afterwards.
 Nothing that is asserted depends on how long it takes: WAIT_S only ends a test that has failed.
 """
@@ -155,8 +156,8 @@
         self.targets = targets if crowd.several else targets[:1]
         self.peak, self.peak_fds, self.resting = {}, {}, {}
         self.faults = []
-        self.sockets = []
         self.jobs = 0
+        self.accepted = []  # paths of the accepted jobs
 
     def sample(self):
         held = kernel_bytes()
@@ -201,8 +202,17 @@
         self.jobs += 1
         step = {"count": 1, "cpu": 100, "mem_mb": 10, "est_ms": 100}
         body = {"spec": json.dumps({"ms": 100, "gang": 0}), "steps": [step]}
-        answer = await send_once(machine.address(FRONT), "POST", f"/quick/{self.jobs:016x}", body, {"Host": HOST}, timeout=10)
-        return answer is not None and answer.code == 201
+        path = f"/quick/{self.jobs:016x}"
+        answer = await send_once(machine.address(FRONT), "POST", path, body, {"Host": HOST}, timeout=10)
+        if answer is None or answer.code != 201:
+            return False
+        self.accepted.append(path)
+        return True
+
+    async def done(self, path):
+        """Whether the workers have run the job."""
+        answer = await send_once(self.fleet.entries[0].address(FRONT), "GET", path, headers={"Host": HOST}, timeout=10)
+        return answer is not None and answer.code == 200 and (answer.json() or {}).get("state") == "done"
 
     async def ready(self, machine):
         answer = await send_once(machine.address(READY), "GET", "/spancart/ready", timeout=10)
@@ -224,8 +234,8 @@
 
     async def configure(self):
         """Hands the configuration in; its limits are those of deployments."""
-        services = [{"name": "tiles", "health_path": "/health", "max_conns": 64, "proto": "h1", "tls": False, "guards": False}]
-        route = {"host": HOST, "kind": "mutating", "timeout_ms": 8000, "target_ms": 4000, "prio": 1, "service": "tiles",
+        services = [{"name": "soak", "health_path": "/health", "max_conns": 64, "proto": "h1", "tls": False, "guards": False}]
+        route = {"host": HOST, "kind": "mutating", "timeout_ms": 8000, "target_ms": 4000, "prio": 1, "service": "soak",
                  "tries": 4, "stretch": 2.0}
         routes = [{**route, "name": "quick", "prefix": "/quick/"}]
         routes += [{**route, "name": f"r{i}", "prefix": f"/r{i}/"} for i in range(200)]
@@ -263,6 +273,8 @@
             client.cancel()
         await asyncio.gather(*clients, return_exceptions=True)
         await self.ordinary_calls("after the crowd")
+        for path in self.accepted:
+            await self.until(f"{path}: an accepted job is not done", lambda p=path: self.done(p))
         for machine in self.fleet.machines.values():
             await self.until(f"{machine.name}: memory is not given back", lambda m=machine: self.given_back(m))
         watch.cancel()
