Nodes' port: what verified connections hold is bounded, too

Cause: the budget of the nodes' port named those whom it trusts, and the trust rests on no secret.

Guards verified-frames and http1-only are noticed; the latter was not before, since a failure in the caller's thread ended the program without a name: scripts now report it to the main thread.

--- a/packages/loop/src/real.h
+++ b/packages/loop/src/real.h
@@ -12,6 +12,16 @@
 /* State and functions that the files of the real loop share. real_channel.c (connections), real_serve.c (HTTP server),
  * real_call.c (HTTP client) and real_disk.c (files) use real_socket.c; real.c uses all of them. */
 
+/* Whether the other side of an accepted connection has sent a request of this cluster. */
+typedef enum PeerKind { PEER_UNVERIFIED, PEER_VERIFIED, PEER_KINDS } PeerKind;
+
+/* The accepted connections of a kind (real_peers.c). */
+typedef struct PeerList {
+    struct RealChannel *first;
+    size_t count;
+    size_t bytes; /* what they hold */
+} PeerList;
+
 typedef struct RealLoop {
     Loop loop; /* first member, so that a Loop can be cast to a RealLoop */
     h2o_loop_t *evloop;
@@ -24,22 +34,20 @@
     h2o_context_t context;
     h2o_accept_ctx_t accept;
     bool serving;
-    bool leaving;                         /* graceful shutdown has begun */
-    size_t memory_bytes;                  /* the memory of the machine, of which callers get a part */
-    int64_t queues_read_ms;               /* when the kernel's queues of callers' connections were last read */
-    int64_t trimmed_ms;                   /* time of the last check whether free memory is to be given back */
-    size_t load_bytes;                    /* what clients make the process hold, as last measured */
-    size_t load_peak_bytes;               /* the most of it since memory was last given back to the kernel */
-    size_t trimmed_free_bytes;            /* free memory that has been given back to the kernel */
-    HttpLimits limits;                    /* no field is 0 once the server is started */
-    struct RealChannel *flush_first;      /* channels with frames to write at the end of this turn */
-    struct RealChannel *unverified_first; /* accepted connections of unknown peers (real_unverified.c) */
-    size_t unverified_count;              /* length of that list */
-    size_t unverified_bytes;              /* what these connections hold */
-    struct Endpoint *endpoints;           /* list of the addresses at which HTTP is served */
-    struct CallerConnection *callers;     /* list of the callers' connections */
-    size_t caller_count;                  /* length of that list */
-    int64_t swept_ms;                     /* time of the last search for incomplete heads */
+    bool leaving;                     /* graceful shutdown has begun */
+    size_t memory_bytes;              /* the memory of the machine, of which callers get a part */
+    int64_t queues_read_ms;           /* when the kernel's queues of callers' connections were last read */
+    int64_t trimmed_ms;               /* time of the last check whether free memory is to be given back */
+    size_t load_bytes;                /* what clients make the process hold, as last measured */
+    size_t load_peak_bytes;           /* the most of it since memory was last given back to the kernel */
+    size_t trimmed_free_bytes;        /* free memory that has been given back to the kernel */
+    HttpLimits limits;                /* no field is 0 once the server is started */
+    struct RealChannel *flush_first;  /* channels with frames to write at the end of this turn */
+    PeerList peers[PEER_KINDS];       /* accepted connections of the nodes' own port, by kind */
+    struct Endpoint *endpoints;       /* list of the addresses at which HTTP is served */
+    struct CallerConnection *callers; /* list of the callers' connections */
+    size_t caller_count;              /* length of that list */
+    int64_t swept_ms;                 /* time of the last search for incomplete heads */
     /* HTTP client */
     h2o_timeout_t call_timeout;
     h2o_http1client_ctx_t client;
--- a/packages/loop/src/real_channel.c
+++ b/packages/loop/src/real_channel.c
@@ -47,7 +47,7 @@
 
 void real_channel_end(RealChannel *real_channel)
 {
-    unverified_remove(real_channel);
+    peer_remove(real_channel);
     socket_close(real_channel);
     channel_end(&real_channel->channel);
 }
@@ -55,7 +55,7 @@
 static int channel_free(RealChannel *real_channel)
 {
     flush_cancel(real_channel);
-    unverified_remove(real_channel);
+    peer_remove(real_channel);
     socket_close(real_channel);
     return 0;
 }
@@ -82,7 +82,7 @@
     if (err != NULL || !frames_read(real_channel, sock))
         real_channel_end(real_channel);
     else
-        unverified_count(real_channel);
+        peer_count(real_channel);
 }
 
 static void on_written(h2o_socket_t *sock, const char *err);
@@ -139,7 +139,7 @@
         return;
     }
     write_next(real_channel);
-    unverified_count(real_channel);
+    peer_count(real_channel);
 }
 
 static RealChannel *channel_new(RealLoop *real, void *mem, h2o_socket_t *sock)
@@ -171,7 +171,7 @@
     while ((accepted_sock = h2o_evloop_socket_accept(sock)) != NULL) {
         RealChannel *real_channel = channel_new(listener->real, listener->real, accepted_sock);
         h2o_socket_read_start(accepted_sock, on_read);
-        unverified_add(real_channel);
+        peer_add(real_channel);
         Accepted *accepted = talloc_zero(listener->real, Accepted);
         *accepted = (Accepted){listener, &real_channel->channel};
         loop_spawn(&listener->real->loop, "connection", accepted_main, accepted);
@@ -242,7 +242,7 @@
             real_channel->flush_next->flush_prev = real_channel;
         real->flush_first = real_channel;
     }
-    unverified_count(real_channel);
+    peer_count(real_channel);
     return STATUS_OK;
 }
 
@@ -259,7 +259,7 @@
 {
     RealChannel *real_channel = (RealChannel *)channel;
     flush_cancel(real_channel);
-    unverified_remove(real_channel);
+    peer_remove(real_channel);
     write_next(real_channel); /* writes frames that were queued before */
     socket_close(real_channel);
 }
--- a/packages/loop/src/real_channel.h
+++ b/packages/loop/src/real_channel.h
@@ -3,11 +3,11 @@
 
 #include "real.h"
 
-/* Connections of the real loop, shared by real_channel.c (frames) and real_unverified.c (the bound on those whose other
- * side is not known to be of this cluster). */
+/* Connections of the real loop, shared by real_channel.c (frames) and real_peers.c (the bounds on accepted
+ * ones). */
 
 /* Invariants: sock is null once the connection has ended; while writing is set, out belongs to h2o until its callback;
- * the channel is on the loop's flush list exactly while to_flush is set, and on that of unverified connections exactly
+ * the channel is on the loop's flush list exactly while to_flush is set, and on the list of its peer_kind exactly
  * while listed is set. */
 typedef struct RealChannel {
     Channel channel; /* first member, so that a Channel can be cast to a RealChannel */
@@ -19,10 +19,11 @@
     bool broken; /* a write has failed */
     struct RealChannel *flush_next, *flush_prev;
     Signal connected;
-    bool listed;         /* it is on the loop's list of unverified connections */
+    bool listed;         /* it was accepted, and is on the loop's list of its kind */
+    PeerKind peer_kind;  /* the list on which it is */
     size_t listed_bytes; /* what it counts for there */
     int64_t accepted_ms; /* when it was accepted */
-    struct RealChannel *unverified_prev, *unverified_next;
+    struct RealChannel *peer_prev, *peer_next;
     Bytes out;  /* bytes that h2o is writing */
     Bytes next; /* bytes queued for the next write */
 } RealChannel;
@@ -31,11 +32,11 @@
 void real_channel_end(RealChannel *real_channel);
 
 /* Lists an accepted connection as unverified. If there are too many, ends the one that holds most. */
-void unverified_add(RealChannel *real_channel);
-/* Counts what the connection holds now, if it is still unverified, and ends those that hold most while all of them
- * together hold too much. The connection itself may be among them. */
-void unverified_count(RealChannel *real_channel);
-/* Takes the connection from the list; no effect if it is not listed. */
-void unverified_remove(RealChannel *real_channel);
+void peer_add(RealChannel *real_channel);
+/* Counts what an accepted connection holds now, and ends those of its kind that hold most while they hold too much
+ * together. The connection itself may be among them. No effect on a connection that was opened here. */
+void peer_count(RealChannel *real_channel);
+/* Takes the connection from its list; no effect if it is not listed. */
+void peer_remove(RealChannel *real_channel);
 
 #endif
--- a/packages/loop/src/real_memory.c
+++ b/packages/loop/src/real_memory.c
@@ -203,7 +203,7 @@
 /* Records what clients make the process hold, and the most of it since memory was last given back. */
 static void load_record(RealLoop *real, size_t connections_bytes)
 {
-    real->load_bytes = connections_bytes + real->unverified_bytes;
+    real->load_bytes = connections_bytes + real->peers[PEER_UNVERIFIED].bytes + real->peers[PEER_VERIFIED].bytes;
     for (const Endpoint *endpoint = real->endpoints; endpoint != NULL; endpoint = endpoint->next)
         real->load_bytes += endpoint->request_bytes;
     if (real->load_bytes > real->load_peak_bytes)
--- a/packages/loop/test/http_fixture.h
+++ b/packages/loop/test/http_fixture.h
@@ -30,7 +30,8 @@
     char peers[ADDRESS_MAX];                      /* for frames, which are echoed */
     void (*script)(struct PeerFixture *fixture);
     HttpLimits limits;
-    atomic_int gone; /* callers whose disconnection was detected */
+    const char *failure; /* set by a script that has failed; null: none */
+    atomic_int gone;     /* callers whose disconnection was detected */
     atomic_int served;
     atomic_int hups;
 } PeerFixture;
@@ -142,6 +143,8 @@
     assert_int_equal(pthread_create(&caller, NULL, caller_main, fixture), 0);
     real_loop_run(fixture->loop, on_term, fixture);
     pthread_join(caller, NULL);
+    if (fixture->failure != NULL) /* here, since a failure in the other thread would end the program without a name */
+        fail_msg("%s", fixture->failure);
     /* the loop must not be freed before the process ends */
 }
 
--- a/packages/loop/test/memory.c
+++ b/packages/loop/test/memory.c
@@ -8,6 +8,7 @@
 #define CROWD 80 /* Connections with bodies of BODY_BYTES: far more than the budget of a machine with MEMORY_BYTES */
 #define FRAME_BYTES 900000
 #define FRAME_HEAD_BYTES 4
+#define TRIES_MAX 20000 /* Ends a test that has failed */
 
 /* Sends bytes until all are sent or the other side has closed the connection. */
 static void send_bytes(int fd, size_t count)
@@ -158,11 +159,12 @@
     send_text(known, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
     const ssize_t count = recv(known, text, sizeof(text), 0);
     if (count > 0 && text[0] != 'H') /* a frame begins with the high byte of its length, which is 0 */
-        fail_msg("the server speaks HTTP/2");
-    must_respond(upgraded,
-                 "GET /a HTTP/1.1\r\nhost: x\r\nconnection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
-                 "http2-settings: AAMAAABkAARAAAAAAAIAAAAA\r\n\r\n",
-                 "200", "first GET /a");
+        fixture->failure = "the server speaks HTTP/2";
+    send_text(upgraded, "GET /a HTTP/1.1\r\nhost: x\r\nconnection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
+                        "http2-settings: AAMAAABkAARAAAAAAAIAAAAA\r\n\r\n");
+    http_response(upgraded, text, sizeof(text));
+    if (strstr(text, "HTTP/1.1 200") != text || strstr(text, "first GET /a") == NULL)
+        fixture->failure = "an upgrade to HTTP/2 is not ignored";
     close(known);
     close(upgraded);
 }
@@ -203,6 +205,30 @@
     close(verified);
 }
 
+/* Guards against frames that never end on verified connections: whoever has learned the number of the cluster has one.
+ */
+static void verified_peers(PeerFixture *fixture)
+{
+    int crowd[CROWD];
+    const uint8_t head[FRAME_HEAD_BYTES] = {0, FRAME_BYTES >> 16, FRAME_BYTES >> 8 & 0xff, FRAME_BYTES & 0xff};
+    const int ordinary = connect_to(fixture->peers);
+    must_echo(ordinary, 1);
+    for (size_t i = 0; i < CROWD; i++) {
+        crowd[i] = connect_to(fixture->peers);
+        must_echo(crowd[i], 1);
+        send(crowd[i], head, sizeof(head), MSG_NOSIGNAL);
+        send_bytes(crowd[i], FRAME_BYTES - 1);
+    }
+    for (int tries = 0; tries < TRIES_MAX && closed_count(crowd, CROWD) < CROWD / 2; tries++)
+        must_echo(ordinary, 2);
+    if (closed_count(crowd, CROWD) < CROWD / 2)
+        fixture->failure = "frames that never end are kept";
+    must_echo(ordinary, 3);
+    for (size_t i = 0; i < CROWD; i++)
+        close(crowd[i]);
+    close(ordinary);
+}
+
 /* Fills an address with requests that wait, until one is refused. Returns how many are in progress. */
 static size_t requests_until_refused(const char *address, int *sockets, size_t max)
 {
@@ -229,7 +255,8 @@
     const size_t at_first = requests_until_refused(fixture->first, first, REQUESTS);
     const size_t at_second = requests_until_refused(fixture->second, second, REQUESTS);
     if (at_first + at_second > BUDGET / REQUEST || at_second == 0)
-        fail_msg("%zu and %zu requests in progress, %d allowed", at_first, at_second, BUDGET / REQUEST);
+        fixture->failure = talloc_asprintf(fixture, "%zu and %zu requests in progress, %d allowed", at_first, at_second,
+                                           BUDGET / REQUEST);
     for (size_t i = 0; i <= at_first && i < REQUESTS; i++)
         close(first[i]);
     for (size_t i = 0; i <= at_second && i < REQUESTS; i++)
@@ -283,6 +310,12 @@
     run_small(unknown_peers);
 }
 
+static void test_verified_peers(void **state)
+{
+    (void)state;
+    run_small(verified_peers);
+}
+
 static void test_requests_at_two_addresses(void **state)
 {
     (void)state;
@@ -299,7 +332,7 @@
         cmocka_unit_test(test_requests_in_progress),
         cmocka_unit_test(test_http2),
         cmocka_unit_test(test_unknown_peers),
-
+        cmocka_unit_test(test_verified_peers),
         cmocka_unit_test(test_requests_at_two_addresses),
 
     };
