--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -399,6 +399,7 @@
 def run(main, record_path, workers=3, limit_s=110):
     """Plays main(deployment), which returns whether the rule held, and exits as the review's scripts do."""
     async def play():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record_path, workers)
         try:
             held = await asyncio.wait_for(main(deployment), limit_s)
@@ -408,7 +409,7 @@
             deployment.stop()
     try:
         code = asyncio.run(play())
-    except (Exception, SystemExit) as reason:  # the case could not run
+    except (Exception, asyncio.CancelledError) as reason:  # the case could not run
         print(f"could not run: {type(reason).__name__}: {reason}", file=sys.stderr)
         code = 2
     sys.exit(code)
