--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -360,17 +360,6 @@
             await asyncio.sleep(0.2)
         return None
 
-    def leader(self):
-        """The controller whose log says last that it won an election."""
-        newest = None
-        for core in self.cores:
-            with open(os.path.join(self.folder, core.name + ".log"), errors="replace") as log:
-                for line in log:
-                    if " election-won " in line:
-                        at = int(line.split(": ", 1)[1].split()[0])
-                        newest = max(newest or (0, None), (at, core.name))
-        return next(core for core in self.cores if newest and core.name == newest[1])
-
     def stop(self):
         for task in self.tasks:
             task.cancel()
