A submission that arrives after its cancellation was answered stays cancelled

Cause: 410 was concluded from the absence of a record. The leader knows all accepted jobs, not those that are on their way; nothing recorded what it had answered. The same run follows when the submission waits behind a cut or a lost leader, and with a connection that stays open, so a look at the caller or at pauses of one process does not cover it.

Bounded in number (503 beyond) and in time (as ended jobs). The cancellation of a known job carries its scope too. A request whose caller has disconnected is not forwarded.

Duplicate in deliver_job.c (a job ends as cancelled) is one function now.

--- a/packages/base/include/base/constants.h
+++ b/packages/base/include/base/constants.h
@@ -201,6 +201,7 @@
 /* --- jobs ------------------------------------------------------------------------------------ */
 #define JOB_KEEP_MS 3600000 /* An ended job is kept for an hour: an id sent again within it still counts once */
 #define JOBS_FORGET_INTERVAL_MS 1000 /* Minimum interval between removals of ended jobs: each costs a change */
+#define EARLY_CANCELS_MAX 32768      /* Recorded cancellations of jobs that are not known yet: 4 MB */
 #define JOB_TASKS_MAX 10000          /* Tasks in one job */
 #define JOB_STEPS_MAX 64             /* Steps in one job: a bit for each fits in 64 */
 /* Longest span in a job: a year; longer ones are mistakes */
@@ -218,8 +219,7 @@
 #define CONFIG_BYTES_MAX (1024 * 1024 * 1024) /* Limits in bytes; larger ones are mistakes */
 /* Latency target as a multiple of the longest chain of work; larger ones are mistakes */
 #define CONFIG_STRETCH_MAX 1000
-/* Configuration versions that can be read back, as far as CONFIG_HISTORY_BYTES allow */
-#define CONFIG_HISTORY_VERSIONS 200
+#define CONFIG_HISTORY_VERSIONS 200 /* Versions that can be read back, as far as CONFIG_HISTORY_BYTES allow */
 /* Versions whose calls are recognised when they are repeated: ten a second for 100 s */
 #define CONFIG_VERSIONS_KNOWN 1000
 #define CONFIG_HISTORY_STEP 50             /* Configuration versions that are dropped at a time */
@@ -326,8 +326,7 @@
 /* Gain of placing a step's tasks together, in thousandths of a worker. It is more than a worker's entire capacity, and
  * less than the penalty of a worker that is slow or fails its work. */
 #define CHOICE_TOGETHER_GAIN 1000
-#define LOCALITY_WAIT_MS \
-    1500 /* Longest wait for capacity near the data: half of the time for which work may be stalled */
+#define LOCALITY_WAIT_MS 1500 /* Longest wait for capacity near the data: half of the 3 s that work may stand still */
 
 /* --- capacity reserved for large work -------------------------------------------------------- */
 /* Work that must be running within this has capacity reserved as it becomes free */
--- a/packages/callers/src/jobs.c
+++ b/packages/callers/src/jobs.c
@@ -104,23 +104,46 @@
     }
 }
 
-bool job_submit_cancel(CallerRequest *request, ChangeResult *result)
+/* Whether the state can record the cancellation of an unknown job; false: the request has been refused. */
+static bool early_cancel_admitted(CallerRequest *request)
 {
-    const JobCancel cancel = {request->name};
-    return request_delivered(request, request_submit(request, CHANGE_JOB_CANCEL, &JobCancel_shape, &cancel, result));
+    if (table_early_cancels(request->service->table) < EARLY_CANCELS_MAX &&
+        replication_admit(request->service->replication, sizeof(JobCancel)) == STATUS_OK)
+        return true;
+    request->service->counts.crowded++;
+    show_refusal(request->task, STATUS_STATE_FULL,
+                 "the cancellation of an unknown job can't be recorded now; it has no effect: retry later", NULL);
+    return false;
+}
+
+bool job_submit_cancel(CallerRequest *request, const Job *job, const char *cell, const char *tenant,
+                       ChangeResult *result)
+{
+    if (job == NULL && !early_cancel_admitted(request))
+        return false;
+    const JobCancel cancel = {.id = request->name,
+                              .early = true,
+                              .cell = job != NULL ? job->spec.cell : cell,
+                              .tenant = job != NULL ? job->spec.tenant : tenant};
+    if (!request_delivered(request, request_submit(request, CHANGE_JOB_CANCEL, &JobCancel_shape, &cancel, result)))
+        return false;
+    if (result->status != STATUS_STATE_FULL && result->status != STATUS_OTHER_TENANT)
+        return true;
+    show_refusal(request->task, result->status, "the cancellation has no effect", NULL);
+    return false;
 }
 
 void job_cancel(CallerRequest *request)
 {
     ChangeResult result;
-    if (table_job(request->service->table, request->name) == NULL) {
-        show_refusal(request->task, STATUS_UNKNOWN_JOB, "no job has this id", NULL);
-        return;
-    }
-    if (!job_submit_cancel(request, &result))
-        return;
     const Job *job = table_job(request->service->table, request->name);
-    if (result.status != STATUS_OK || job == NULL)
+    if (!job_submit_cancel(request, job, "", "", &result))
+        return;
+    job = table_job(request->service->table, request->name);
+    if (job == NULL)
+        show_refusal(request->task, STATUS_UNKNOWN_JOB, "no job has this id; one that is submitted late is cancelled",
+                     NULL);
+    else if (result.status != STATUS_OK)
         show_refusal(request->task, result.status, "the job has already ended", NULL);
     else
         show_result(request->task, 200, show_job_short(job));
--- a/packages/callers/src/jobs.h
+++ b/packages/callers/src/jobs.h
@@ -9,8 +9,11 @@
 /* Whether spec equals that of the known job, so that the request is a retry; false: the request has been refused. The
  * job is added to the changes for repair. */
 bool job_resubmitted(CallerRequest *request, const Job *known, const JobSpec *spec);
-/* Suspends the coroutine. Submits the cancellation of the job that the request names; false: it has been refused. */
-bool job_submit_cancel(CallerRequest *request, ChangeResult *result);
+/* Suspends the coroutine. Submits the cancellation of the job that the request names. job: that job; null: it is not
+ * known, and the cancellation is recorded for a submission that arrives later, of this cell and tenant (an empty cell:
+ * of any). False: the request has been refused. */
+bool job_submit_cancel(CallerRequest *request, const Job *job, const char *cell, const char *tenant,
+                       ChangeResult *result);
 /* The terms under which a job of the queue and tenant is accepted. queue null: default terms; tenant null: no quota. */
 JobTerms job_terms(const ConfigQueue *queue, const ConfigTenant *tenant);
 
--- a/packages/callers/src/queue_entry.c
+++ b/packages/callers/src/queue_entry.c
@@ -83,12 +83,17 @@
     return (int64_t)table_queue_active_jobs(table, place->cell->name, place->queue->name);
 }
 
+/* The tenant of a job that this caller submits here. */
+static const char *entry_tenant(const CallerRequest *request, const ConfigRoute *place)
+{
+    return request->caller != NULL ? request->caller->name : place->tenant;
+}
+
 static void entry_post(CallerRequest *request, const ConfigRoute *place)
 {
     JobSpec spec;
-    const char *tenant = request->caller != NULL ? request->caller->name : place->tenant;
     if (!job_read_at(request->faults, (const char *)request->task->body.data, request->task->body.count, request->name,
-                     place->cell->name, tenant, place->queue->name, &spec)) {
+                     place->cell->name, entry_tenant(request, place), place->queue->name, &spec)) {
         request_refuse(request);
         return;
     }
@@ -125,20 +130,20 @@
     entry_show(request, 200, job);
 }
 
-static void entry_cancel(CallerRequest *request)
+/* The cancellation of an unknown job is answered 410 once it is recorded: its submission may still be on the way. */
+static void entry_cancel(CallerRequest *request, const ConfigRoute *place)
 {
     ChangeResult result;
     const Job *job = table_job(request->service->table, request->name);
-    if (job == NULL) {
-        entry_refuse(request, HTTP_GONE, STATUS_UNKNOWN_JOB, "no job has this id");
+    if (job != NULL && job_refuse_invisible(request, job))
         return;
-    }
-    if (job_refuse_invisible(request, job) || !job_submit_cancel(request, &result))
+    if (!job_submit_cancel(request, job, place->cell->name, entry_tenant(request, place), &result))
         return;
     /* a job that ended before stays as it is, which satisfies the request */
     job = table_job(request->service->table, request->name);
     if (job == NULL)
-        entry_refuse(request, HTTP_GONE, STATUS_UNKNOWN_JOB, "no job has this id");
+        entry_refuse(request, HTTP_GONE, STATUS_UNKNOWN_JOB,
+                     "no job has this id; one that is submitted late is cancelled");
     else
         entry_show(request, 200, job);
 }
@@ -194,5 +199,5 @@
     else if (get)
         entry_get(request);
     else
-        entry_cancel(request);
+        entry_cancel(request, place);
 }
--- a/packages/controller/src/repair.c
+++ b/packages/controller/src/repair.c
@@ -121,7 +121,9 @@
         if (shape_unpack(&JobCancel_shape, item->payload, mem, &cancel, NULL) != STATUS_OK)
             return true;
         const Job *job = table_job(table, cancel.id);
-        return job == NULL || job->phase != JOB_ACTIVE || job->ending != JOB_ACTIVE;
+        if (job == NULL)
+            return !cancel.early || table_early_cancel_known(table, &cancel);
+        return job->phase != JOB_ACTIVE || job->ending != JOB_ACTIVE;
     }
     case CHANGE_CONFIG_SET:
         return shape_unpack(&ConfigSet_shape, item->payload, mem, &set, NULL) != STATUS_OK ||
--- a/packages/routing/src/forward.c
+++ b/packages/routing/src/forward.c
@@ -43,6 +43,8 @@
                       .carrier = carrier_of(forwarder),
                       .key_digest = task->key_digest};
     ForwardAnswer answer = {0};
+    if (pause_recent(&forwarder->pause))
+        loop_yield(forwarder->settings.loop); /* so that a disconnect that arrived with the request is detected first */
     if (forwarding.repeat == RETRY_BY_STAMP && !order_add_identity(&forwarding, &ask))
         return;
     if (!forward_attempts(&forwarding, &ask, &answer))
--- a/packages/routing/src/forwarding.c
+++ b/packages/routing/src/forwarding.c
@@ -43,11 +43,11 @@
     return wait_ms < until_ms ? wait_ms : until_ms;
 }
 
-/* Suspends the coroutine until the next hop is known. Returns whether to make another attempt, through *hop. */
-static bool attempt_next(const Forwarding *forwarding, int attempt, LeaderHop *hop)
+/* Suspends the coroutine until the next hop is known. Returns whether to make another attempt, through *hop: not for a
+ * caller that has disconnected, who may have turned to another process since. */
+static bool attempt_next(const Forwarding *forwarding, LeaderHop *hop)
 {
-    if (attempt > 0 &&
-        (forwarding->task->caller_disconnected || (forwarding->maybe_accepted && forwarding->repeat == RETRY_NEVER)))
+    if (forwarding->task->caller_disconnected || (forwarding->maybe_accepted && forwarding->repeat == RETRY_NEVER))
         return false;
     const int64_t until_ms =
         route_until_ms(forwarding->forwarder, forwarding->maybe_accepted, forwarding->start_ms, forwarding->until_ms);
@@ -75,7 +75,7 @@
     Loop *loop = forwarder->settings.loop;
     const bool changes = forwarding->repeat != RETRY_READ_ONLY;
     LeaderHop hop;
-    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX && attempt_next(forwarding, attempt, &hop);) {
+    for (int attempt = 0; attempt < FORWARD_ATTEMPTS_MAX && attempt_next(forwarding, &hop);) {
         bool unknown = false;
         ask->again = forwarding->maybe_accepted;
         const Status status =
--- a/packages/sim/test/ejections.c
+++ b/packages/sim/test/ejections.c
@@ -24,7 +24,7 @@
                                 .saved = ""};
         const AttemptList list = {&update, 1};
         score_record_ends(fixture->scheduler, &list);
-        const JobCancel cancel = {jobs[count - 1]->spec.id};
+        const JobCancel cancel = {.id = jobs[count - 1]->spec.id};
         deliver_change(fixture, CHANGE_JOB_CANCEL, &JobCancel_shape, &cancel);
     }
     assert_true(score_ejected(fixture->scheduler, worker));
--- a/packages/state/include/state/change.h
+++ b/packages/state/include/state/change.h
@@ -34,15 +34,26 @@
 } ChangeKind;
 
 /* Accepts a job; the result's number is the job's number. A job with a known id is not added again: the status is OK
- * when the body is the same, otherwise OTHER_BODY. */
+ * when the body is the same, otherwise OTHER_BODY. A job that was cancelled before it was accepted (JOB_CANCEL) is
+ * cancelled at once. */
 #define JOB_ADD_FIELDS(X) \
     X(ONE, spec, JobSpec) \
     X(ONE, terms, JobTerms)
 SHAPE(JobAdd, JOB_ADD_FIELDS)
 
-/* Cancels a job. Status UNKNOWN_JOB when there is no such job, ALREADY_ENDED when the job ended other than by a
- * cancellation. */
-#define JOB_CANCEL_FIELDS(X) X(TXT, id, 0)
+/* Cancels a job. Status ALREADY_ENDED when the job ended other than by a cancellation.
+ *
+ * A submission may be held up on its way and arrive after the cancellation of its job was answered. Therefore the
+ * cancellation of an unknown job is recorded when early is set, and applies to a job with this id, cell and tenant that
+ * is accepted later. It is dropped by FORGET, as ended jobs are. Status STATE_FULL when EARLY_CANCELS_MAX are recorded,
+ * OTHER_TENANT when a job with this id is known, but of another cell or tenant; UNKNOWN_JOB without early.
+ *
+ * cell, tenant: scope of the cancellation; an empty cell: any cell and tenant. Earlier releases sent neither. */
+#define JOB_CANCEL_FIELDS(X) \
+    X(TXT, id, 0)            \
+    X(FLAG, early, 0)        \
+    X(TXT, cell, 0)          \
+    X(TXT, tenant, 0)
 SHAPE(JobCancel, JOB_CANCEL_FIELDS)
 
 /* Ends a job in the phase in which it had ended before the disks lost that end. Ignored when the job is unknown or has
@@ -138,7 +149,8 @@
     X(I64, base, 0)
 SHAPE(ZoneDrain, ZONE_DRAIN_FIELDS)
 
-/* Drops jobs that ended, and orphaned attempts that were reported, before this log time (ms). */
+/* Drops jobs that ended, orphaned attempts that were reported, and early cancellations that were recorded, before this
+ * log time (ms). */
 #define FORGET_FIELDS(X) X(I64, before_ms, 0)
 SHAPE(Forget, FORGET_FIELDS)
 
--- a/packages/state/include/state/table.h
+++ b/packages/state/include/state/table.h
@@ -38,8 +38,12 @@
 size_t table_active_jobs(const Table *table, Job *const **jobs);
 /* Returns the number of the job accepted last; 0: none yet. */
 uint64_t table_last_number(const Table *table);
-/* Returns the log time, in ms, of the oldest item that a FORGET can drop: the end of a job, or the report of an
- * orphaned attempt (one that completed a task of an unknown job). INT64_MAX: there is none. */
+/* Returns whether the cancellation is recorded for a job that is not known yet (JOB_CANCEL). */
+bool table_early_cancel_known(const Table *table, const JobCancel *cancel);
+/* Returns the number of recorded early cancellations, at most EARLY_CANCELS_MAX. */
+size_t table_early_cancels(const Table *table);
+/* Returns the log time, in ms, of the oldest item that a FORGET can drop: the end of a job, the report of an orphaned
+ * attempt (one that completed a task of an unknown job), or an early cancellation. INT64_MAX: there is none. */
 int64_t table_oldest_droppable_ms(const Table *table);
 /* Returns the number of waiting tasks (not on a worker, not ended) of a cell. */
 size_t table_waiting_tasks(const Table *table, const char *cell);
--- a/packages/state/src/deliver_job.c
+++ b/packages/state/src/deliver_job.c
@@ -4,9 +4,18 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "early_cancel.h"
 #include "orphan.h"
 #include "phase.h"
 
+/* Ends the job as cancelled, unless it is being ended already. */
+static void job_cancel(Table *table, Job *job, int64_t at_ms)
+{
+    if (job->ending == JOB_ACTIVE)
+        job->ending = JOB_CANCELLED;
+    job_stop_tasks(table, job, at_ms);
+}
+
 void deliver_job_add(Table *table, const Record *change, const JobAdd *add, ChangeResult *result)
 {
     const Job *known = map_get(table->by_id, add->spec.id);
@@ -23,6 +32,8 @@
     table_insert_job(table, job);
     result->number = job->number;
     orphans_apply(table, job, change->at_ms);
+    if (early_cancel_applies(table, &job->spec))
+        job_cancel(table, job, change->at_ms);
     job_end_if_complete(table, job, change->at_ms);
 }
 
@@ -30,7 +41,11 @@
 {
     Job *job = map_get(table->by_id, cancel->id);
     if (job == NULL) {
-        result->status = STATUS_UNKNOWN_JOB;
+        result->status = cancel->early ? early_cancel_record(table, cancel, change->at_ms) : STATUS_UNKNOWN_JOB;
+        return;
+    }
+    if (!early_cancel_covers(cancel->cell, cancel->tenant, &job->spec)) {
+        result->status = STATUS_OTHER_TENANT;
         return;
     }
     result->number = job->number;
@@ -38,9 +53,7 @@
         result->status = job->phase == JOB_CANCELLED ? STATUS_OK : STATUS_ALREADY_ENDED;
         return;
     }
-    if (job->ending == JOB_ACTIVE)
-        job->ending = JOB_CANCELLED;
-    job_stop_tasks(table, job, change->at_ms);
+    job_cancel(table, job, change->at_ms);
     job_end_if_complete(table, job, change->at_ms);
 }
 
@@ -97,4 +110,5 @@
     }
     result->number = dropped;
     orphans_forget(table, forget->before_ms);
+    early_cancels_forget(table, forget->before_ms);
 }
--- a/packages/state/src/state_snapshot.c
+++ b/packages/state/src/state_snapshot.c
@@ -6,18 +6,20 @@
 #include "base/constants.h"
 #include "deliver.h"
 #include "worker_tasks.h"
+#include "early_cancel.h"
 #include "orphan.h"
 #include "phase.h"
 
 /* The fields of a snapshot in their order on disk: new ones are only appended. */
-#define SAVED_FIELDS(X)       \
-    X(U64, last_number, 0)    \
-    X(LST, jobs, Job)         \
-    X(LST, workers, Worker)   \
-    X(LST, configs, Version)  \
-    X(LST, drains, ZoneDrain) \
-    X(LST, orphans, Orphan)   \
-    X(LST, zone_orders, ZoneOrder)
+#define SAVED_FIELDS(X)            \
+    X(U64, last_number, 0)         \
+    X(LST, jobs, Job)              \
+    X(LST, workers, Worker)        \
+    X(LST, configs, Version)       \
+    X(LST, drains, ZoneDrain)      \
+    X(LST, orphans, Orphan)        \
+    X(LST, zone_orders, ZoneOrder) \
+    X(LST, early_cancels, EarlyCancel)
 SHAPE(Saved, SAVED_FIELDS)
 SHAPE_TABLE(Saved, SAVED_FIELDS)
 
@@ -40,6 +42,7 @@
     table->used = map_new(table->mem);
     table->queues = map_new(table->mem);
     table->zone_orders = map_new(table->mem);
+    table->early_cancel_keys = map_new(table->mem);
     table->versions = versions_new(table->mem, CONFIG_HISTORY_VERSIONS, CONFIG_VERSIONS_KNOWN);
 }
 
@@ -78,6 +81,10 @@
     zones_save(table, scratch, &saved);
     saved.orphans = table->orphans;
     saved.orphans_count = table->orphan_count;
+    saved.early_cancels = talloc_array(scratch, EarlyCancel, (unsigned)table->early_cancel_count);
+    saved.early_cancels_count = table->early_cancel_count;
+    for (size_t i = 0; i < table->early_cancel_count; i++)
+        saved.early_cancels[i] = *table->early_cancels[i];
     Bytes packed = {0};
     shape_pack(&Saved_shape, &saved, mem, &packed);
     talloc_free(scratch);
@@ -131,6 +138,8 @@
         const Orphan *orphan = &saved->orphans[i];
         orphan_add(table, orphan->job, orphan->task, orphan->attempt, orphan->at_ms);
     }
+    for (size_t i = 0; i < saved->early_cancels_count; i++)
+        early_cancel_load(table, &saved->early_cancels[i]);
 }
 
 Status table_load(void *arg, Bytes bytes)
--- a/packages/state/src/table.c
+++ b/packages/state/src/table.c
@@ -49,6 +49,9 @@
     for (size_t i = 0; i < table->orphan_count; i++)
         if (table->orphans[i].at_ms < oldest_ms)
             oldest_ms = table->orphans[i].at_ms;
+    for (size_t i = 0; i < table->early_cancel_count; i++)
+        if (table->early_cancels[i]->at_ms < oldest_ms)
+            oldest_ms = table->early_cancels[i]->at_ms;
     return oldest_ms;
 }
 
--- a/packages/state/src/table_internal.h
+++ b/packages/state/src/table_internal.h
@@ -9,6 +9,7 @@
  *     phase           every change of a task's or a job's phase
  *     gang, attempt   effect of the end of an attempt on its gang and its task
  *     orphan          completed tasks of unknown jobs
+ *     early_cancel    cancellations of unknown jobs
  *     deliver*        one function for each kind of change (deliver.h)
  *     state_snapshot  saving the state as a snapshot and loading it
  *     table           the empty state, the getters, and the dispatch of changes */
@@ -47,6 +48,14 @@
     X(I64, at_ms, 0) /* log time of the report, in ms */
 SHAPE(Orphan, ORPHAN_FIELDS)
 
+/* A cancellation that was acknowledged while no job had its id; cell and tenant as in JobCancel. */
+#define EARLY_CANCEL_FIELDS(X) \
+    X(TXT, id, 0)              \
+    X(TXT, cell, 0)            \
+    X(TXT, tenant, 0)          \
+    X(I64, at_ms, 0) /* log time of the newest cancellation, in ms */
+SHAPE(EarlyCancel, EARLY_CANCEL_FIELDS)
+
 /* A delivered order for a zone. order is empty when the order had no name, or when the row represents all orders up to
  * its stamp that are no longer remembered. */
 #define ZONE_ORDER_FIELDS(X) \
@@ -82,6 +91,9 @@
     Map *queues;     /* "cell/queue" to QueueSum */
     Orphan *orphans; /* dropped by FORGET, as ended jobs are; the texts are owned by mem */
     size_t orphan_count;
+    Map *early_cancel_keys;      /* id and scope to EarlyCancel, see early_cancel.c */
+    EarlyCancel **early_cancels; /* the same rows, in no particular order; dropped by FORGET */
+    size_t early_cancel_count, early_cancel_capacity;
     Map *zone_orders; /* zone name to ZoneOrders */
     Versions *versions;
     uint64_t loads; /* number of times the state was replaced */
--- a/packages/state/test/table_fixture.h
+++ b/packages/state/test/table_fixture.h
@@ -86,7 +86,7 @@
 
 static inline ChangeResult cancel(TableFixture *fixture, const char *job)
 {
-    const JobCancel body = {job};
+    const JobCancel body = {.id = job};
     return deliver_change(fixture, CHANGE_JOB_CANCEL, &JobCancel_shape, &body);
 }
 
--- a/packages/state/tool/write_disk.c
+++ b/packages/state/tool/write_disk.c
@@ -167,7 +167,7 @@
  * JOB_END. */
 static void offer_ended(void)
 {
-    const JobCancel forgotten = {"forgotten"}, cancelled = {"cancelled"};
+    const JobCancel forgotten = {.id = "forgotten"}, cancelled = {.id = "cancelled"};
     const Forget forget = {.before_ms = 20000};
     const JobEnd failed = {"failed", JOB_FAILED};
     offer_plain("forgotten", 1);
