Ejections and reservations give way to work that would stand still for them

Cause: an ejected worker was admitted only if no other worker could run the candidate, judged by one member on one empty worker. That is another question than the placement's: members may not be together, others may be full of work that lasts, the places that apart allows may be taken. Reservations took workers out of the choice in the same way, and without any such bound.

A candidate that has found no worker for EJECTED_WAIT_MS gets a trial with what the pass withholds: ejected workers if the others can't hold all its members even when what ends within a first ejection has ended; reservations too if nothing of its job is on a worker and the fleet has free capacity. What the trial does not use is withheld again (it was left to all later candidates of the pass).

--- a/packages/scheduler/src/capacity_forecast.c
+++ b/packages/scheduler/src/capacity_forecast.c
@@ -71,3 +71,40 @@
     talloc_free(ends);
     return left_ms;
 }
+
+/* Whether the task stays on the worker for longer than within_ms. */
+static bool task_stays(const Pass *pass, size_t worker, const TaskOnWorker *on, int64_t within_ms)
+{
+    if (on->job->spec.lasting)
+        return true;
+    if (within_ms == INT64_MAX)
+        return false;
+    const int64_t left_ms = forecast_left_ms(pass, on->job, &on->job->tasks[on->task], worker);
+    return left_ms < INT64_MAX && left_ms > within_ms;
+}
+
+Resources forecast_capacity(const Pass *pass, size_t worker, int64_t within_ms)
+{
+    Resources resources = pass->input.workers[worker].resources;
+    const TaskOnWorker *on;
+    const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[worker].name, &on);
+    for (size_t i = 0; i < count; i++)
+        if (task_stays(pass, worker, &on[i], within_ms))
+            resources =
+                resources_subtract(resources, on[i].job->spec.steps[on[i].job->tasks[on[i].task].step].resources);
+    return resources;
+}
+
+size_t forecast_staying_tasks(const Pass *pass, size_t worker, const Job *job, uint64_t step, uint64_t turn,
+                              int64_t within_ms)
+{
+    const TaskOnWorker *on;
+    const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[worker].name, &on);
+    size_t staying = 0;
+    for (size_t i = 0; i < count; i++) {
+        const JobTask *task = &on[i].job->tasks[on[i].task];
+        staying +=
+            on[i].job == job && task->step == step && task->turn == turn && task_stays(pass, worker, &on[i], within_ms);
+    }
+    return staying;
+}
--- a/packages/scheduler/src/pass.c
+++ b/packages/scheduler/src/pass.c
@@ -7,6 +7,7 @@
 #include "scheduler/worker_score.h"
 #include "settings/features.h"
 #include "unconfirmed.h"
+#include "withheld.h"
 
 /* The capacity of the worker that may be used now, unless it is ejected; none when the worker may not be given work.
  * row: of the live set, may be null. orphans (out): the capacity that orphaned attempts use there. */
@@ -46,19 +47,15 @@
     pass->input.workers = talloc_array(pass->mem, PlanWorker, (unsigned)count);
     pass->input.worker_count = count;
     pass->ejected = talloc_zero_array(pass->mem, Resources, (unsigned)count);
+    pass->withheld = talloc_zero_array(pass->mem, Resources, (unsigned)count);
     pass->slowdowns = talloc_array(pass->mem, uint64_t, (unsigned)count);
     const LiveRow **rows = talloc_array(pass->mem, const LiveRow *, (unsigned)count);
     const bool credible = live_rows_find(scheduler, workers, count, rows);
     for (size_t i = 0; i < count; i++) {
         const Worker *worker = workers[i];
         Resources orphans;
-        Resources resources = usable_resources(scheduler, worker, rows[i], &orphans);
+        const Resources resources = usable_resources(scheduler, worker, rows[i], &orphans);
         const Resources used = resources_add(orphans, table_used_on(scheduler->table, worker->name));
-        if (score_ejected(scheduler, worker->name)) {
-            pass->ejected[i] = resources;
-            pass->ejected_count += resources.cpu_milli > 0;
-            resources = (Resources){0};
-        }
         const bool suspect = credible && rows[i] != NULL && live_row_overdue(rows[i], now_ms);
         pass->input.workers[i] = (PlanWorker){.name = worker->name,
                                               .zone = worker->zone,
@@ -69,55 +66,14 @@
                                               .resources = resources,
                                               .free = suspect ? (Resources){0} : resources_subtract(resources, used),
                                               .penalty = score_rate(scheduler, worker->name) * 10};
+        if (score_ejected(scheduler, worker->name))
+            withheld_eject(pass, i);
         pass->slowdowns[i] = estimate_worker_slowdown(scheduler->estimates, worker->name, now_ms);
-        pass->fleet = resources_add(pass->fleet, resources);
+        pass->fleet = resources_add(pass->fleet, pass->input.workers[i].resources);
     }
     pass->largest = plan_largest(pass->input.workers, count);
 }
 
-/* Whether a worker that is not ejected has the capacity for the need when it is empty, and meets its constraints. */
-static bool other_worker_meets(const Pass *pass, const PlanNeed *need)
-{
-    for (size_t i = 0; i < pass->input.worker_count; i++)
-        if (resources_fits(need->resources, pass->input.workers[i].resources) &&
-            plan_meets_constraints(&pass->input.workers[i], need))
-            return true;
-    return false;
-}
-
-/* Gives the pass the capacity of an ejected worker. */
-static void worker_admit(Pass *pass, size_t at)
-{
-    const Scheduler *scheduler = pass->scheduler;
-    PlanWorker *worker = &pass->input.workers[at];
-    Resources orphans;
-    orphans_resources(scheduler->orphans, worker->name, &orphans);
-    worker->resources = pass->ejected[at];
-    worker->free =
-        resources_subtract(worker->resources, resources_add(orphans, table_used_on(scheduler->table, worker->name)));
-    pass->fleet = resources_add(pass->fleet, worker->resources);
-    pass->ejected[at] = (Resources){0};
-    pass->ejected_count--;
-}
-
-void pass_admit_ejected(Pass *pass, const Candidate *candidate, const PlanNeed *need)
-{
-    if (pass->ejected_count == 0 || other_worker_meets(pass, need))
-        return;
-    const int64_t admitted_from_ms = candidate->since_ms + EJECTED_WAIT_MS;
-    if (pass->clock.log_ms < admitted_from_ms) {
-        if (admitted_from_ms < pass->next_ms)
-            pass->next_ms = admitted_from_ms;
-        return;
-    }
-    for (size_t i = 0; i < pass->input.worker_count; i++)
-        if (resources_fits(need->resources, pass->ejected[i]) && pass->ejected[i].cpu_milli > 0 &&
-            plan_meets_constraints(&pass->input.workers[i], need))
-            worker_admit(pass, i);
-    pass->largest = plan_largest(pass->input.workers, pass->input.worker_count);
-    pass->unmet_count = 0;
-}
-
 size_t pass_worker_index(const Pass *pass, const char *worker)
 {
     size_t low = 0, high = pass->input.worker_count;
--- a/packages/scheduler/src/pass.h
+++ b/packages/scheduler/src/pass.h
@@ -31,8 +31,10 @@
     QueueClock clock;
     PlanInput input; /* its tasks are set by pass_assured_tasks_add */
     size_t task_capacity;
-    Resources *ejected; /* by worker: the capacity that its ejection withholds from the pass; none: it is not ejected */
-    size_t ejected_count; /* ejected workers with capacity that is withheld */
+    Resources *ejected;   /* by worker: its capacity if it is ejected; none: it is not (withheld.h) */
+    Resources *withheld;  /* by worker: free capacity that the pass withholds */
+    size_t ejected_count; /* ejected workers with capacity */
+    int admitted;         /* what gives way to the present candidate, a Withheld */
     uint64_t *slowdowns;  /* by worker: run time there, in thousandths of the run time on a healthy worker */
     Resources fleet;      /* total capacity of the workers that may be given work */
     Resources largest;    /* the largest capacity of any worker, component by component */
@@ -57,9 +59,6 @@
 Pass *pass_new(Scheduler *scheduler, void *mem);
 /* The worker's index; SIZE_MAX: it is not among the workers. */
 size_t pass_worker_index(const Pass *pass, const char *worker);
-/* Gives the pass the capacity of ejected workers that meet the need, if no other worker can ever meet it and the
- * candidate has waited for EJECTED_WAIT_MS. */
-void pass_admit_ejected(Pass *pass, const Candidate *candidate, const PlanNeed *need);
 /* The requirements of a task of the step on a worker. Its strings belong to the job. */
 PlanNeed pass_need(const Job *job, uint64_t step);
 
--- a/packages/scheduler/src/pass_reservation.c
+++ b/packages/scheduler/src/pass_reservation.c
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "settings/features.h"
+#include "withheld.h"
 
 /* How much of the need the free capacity covers, in thousandths, by the scarcest resource. */
 static uint64_t coverage(Resources need, Resources free)
@@ -55,7 +56,7 @@
         if (worker < 0)
             break;
         taken[worker] = true; /* another member takes another worker: a worker seldom has capacity for two */
-        pass->input.workers[worker].free = resources_subtract(pass->input.workers[worker].free, need->resources);
+        withheld_reserve(pass, (size_t)worker, need->resources);
     }
     talloc_free(taken);
 }
--- a/packages/scheduler/src/placement.c
+++ b/packages/scheduler/src/placement.c
@@ -9,6 +9,7 @@
 #include "preemption.h"
 #include "reservation.h"
 #include "scheduler/checkpoint.h"
+#include "withheld.h"
 #include "worker_choice.h"
 
 /* Adds one start to the pass. The members of a gang resume from the same checkpoint, under the same attempt number. */
@@ -90,6 +91,22 @@
     return choose_members(pass, candidate, need, excluded, NULL, where, percent);
 }
 
+/* Tries again with the capacity that gives way to the candidate; withheld_end must follow once its starts are decided.
+ */
+static bool choose_withheld(Pass *pass, const Candidate *candidate, const PlanNeed *need, bool *excluded, int *where,
+                            uint64_t *percent)
+{
+    const Withheld given = withheld_admit(pass, candidate, need, excluded);
+    if (given == WITHHELD_NONE)
+        return false;
+    bool *none = talloc_zero_array(pass->mem, bool, (unsigned)pass->input.worker_count);
+    const bool found = choose_by_rack(pass, candidate, need, given == WITHHELD_ALL ? none : excluded, where, percent);
+    talloc_free(none);
+    if (!found)
+        withheld_end(pass);
+    return found;
+}
+
 /* Whether the r-loss plan still holds with the candidate on these workers. */
 static bool plan_includes(Pass *pass, const Candidate *candidate, const PlanNeed *need, const int *where)
 {
@@ -160,10 +177,10 @@
     int *where = talloc_array(mem, int, (unsigned)candidate->count);
     bool *excluded = talloc_zero_array(mem, bool, (unsigned)pass->input.worker_count);
     const bool reserved = reservation_exclude(pass, candidate, excluded);
-    pass_admit_ejected(pass, candidate, &need);
     const bool unmet = known_unmet(pass, &need);
     uint64_t percent = 100;
-    const bool found = !unmet && choose_by_rack(pass, candidate, &need, excluded, where, &percent);
+    const bool found = (!unmet && choose_by_rack(pass, candidate, &need, excluded, where, &percent)) ||
+                       choose_withheld(pass, candidate, &need, excluded, where, &percent);
     bool fits = found, assured = false;
     if (!found) {
         if (!unmet)
@@ -184,6 +201,7 @@
         starts_add(pass, candidate, where, assured);
     else if (found)
         capacity_return(pass, step, where, candidate->count);
+    withheld_end(pass);
     talloc_free(mem);
     return fits;
 }
--- a/packages/scheduler/src/reservation.c
+++ b/packages/scheduler/src/reservation.c
@@ -115,19 +115,6 @@
     return any;
 }
 
-/* The worker's capacity once all that will end there has ended: lasting tasks stay. */
-static Resources capacity_when_free(const Pass *pass, size_t worker)
-{
-    Resources resources = pass->input.workers[worker].resources;
-    const TaskOnWorker *on;
-    const size_t count = table_tasks_on(pass->scheduler->table, pass->input.workers[worker].name, &on);
-    for (size_t i = 0; i < count; i++)
-        if (on[i].job->spec.lasting)
-            resources =
-                resources_subtract(resources, on[i].job->spec.steps[on[i].job->tasks[on[i].task].step].resources);
-    return resources;
-}
-
 /* How many members of the candidate can be on the worker once all that will end there has ended. pass->spread describes
  * the step. */
 static size_t members_when_free(const Pass *pass, const StepSpec *step, size_t worker)
@@ -136,7 +123,7 @@
     const uint64_t on_worker = (uint64_t)pass->spread.on_worker[worker];
     if (step->apart > 0)
         limit = step->apart > on_worker ? (size_t)(step->apart - on_worker) : 0;
-    Resources resources = capacity_when_free(pass, worker);
+    Resources resources = forecast_capacity(pass, worker, INT64_MAX);
     for (; count < limit && resources_fits(step->resources, resources); count++)
         resources = resources_subtract(resources, step->resources);
     return count;
--- a/packages/sim/test/reservations.c
+++ b/packages/sim/test/reservations.c
@@ -79,7 +79,8 @@
     deliver_change(fixture, CHANGE_ATTEMPTS, &AttemptList_shape, &list);
 }
 
-/* The same for a reservation that was made in time: it does not outlast the value of its job. */
+/* The same for a reservation that was made in time: it does not outlast the value of its job. The rest of the fleet is
+ * full; in a fleet with free capacity a reservation gives way earlier (test ejections). */
 static void reservation_ends_with_the_value_of_its_job(void **state)
 {
     (void)state;
@@ -87,6 +88,9 @@
     SchedulerFixture *fixture = fixture_with_label(mem);
     add_labelled_step(fixture, (StepSpec){.count = 2, .resources = {HALF_WORKER, 512, 0}});
     assert_int_equal(settle(fixture), 2);
+    for (int i = 1; i < LABEL_WORKERS; i++)
+        job_add(fixture, 1, FIXTURE_CPU_MILLI);
+    assert_int_equal(settle(fixture), LABEL_WORKERS - 1);
     add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {1000, 512, 0}});
     add_labelled_step(fixture, (StepSpec){.count = 1, .resources = {FIXTURE_CPU_MILLI, 512, 0}});
     assert_int_equal(placed_after(fixture, RESERVATION_WAIT_MS), 0);
--- a/packages/sim/tool/pass_bench.c
+++ b/packages/sim/tool/pass_bench.c
@@ -102,7 +102,7 @@
     void *mem = talloc_new(NULL);
     SchedulerFixture *fixture = scheduler_fixture_new(mem, WORKERS);
     for (size_t i = 0; i < waiting; i++)
-        job_of_tenant(fixture, "full", (StepSpec){.count = 4, .resources = {4000, 512, 0}});
+        job_of_tenant(fixture, "full", (StepSpec){.count = 4, .resources = {4000, 512, 0}}, false);
     const size_t running = settle(fixture);
     const double start = seconds();
     for (int i = 0; i < attempts; i++)
--- a/packages/sim/tool/scheduler_fixture.h
+++ b/packages/sim/tool/scheduler_fixture.h
@@ -77,19 +77,21 @@
     talloc_free(mem);
 }
 
-/* Adds a job of the tenant that consists of this step. */
-static inline void job_of_tenant(SchedulerFixture *fixture, const char *tenant, StepSpec step)
+/* Adds a job of the tenant that consists of this step. lasting: its tasks run until the job is cancelled. */
+static inline void job_of_tenant(SchedulerFixture *fixture, const char *tenant, StepSpec step, bool lasting)
 {
     char id[32];
     snprintf(id, sizeof(id), "%016llx", (unsigned long long)++fixture->jobs);
     step.name = "0";
     step.kind = step.payload = step.near = "";
-    step.est_ms = FIXTURE_EST_MS;
+    if (step.est_ms == 0)
+        step.est_ms = FIXTURE_EST_MS;
     const JobAdd add = {{.id = id,
                          .cell = "all",
                          .tenant = tenant,
                          .queue = fixture->jobs % 3 == 0 ? "a" : "b",
                          .attempt_limit = 3,
+                         .lasting = lasting,
                          .steps = &step,
                          .steps_count = 1},
                         {.stretch_milli = 2000, .target_ms = 2000, .kind = "std"}};
@@ -99,7 +101,7 @@
 /* Adds a job of the default tenant that consists of this step. */
 static inline void job_of_step(SchedulerFixture *fixture, StepSpec step)
 {
-    job_of_tenant(fixture, "all", step);
+    job_of_tenant(fixture, "all", step, false);
 }
 
 /* Adds a job of one step with that many tasks of that CPU demand each. */
