Each failed attempt counts once, in whichever order the failures are reported

Cause: miss_attempt, the newest counted attempt, stood for the set of counted attempts. A failure below it was taken for a repetition; with attempts beside each other it is a failure of its own.

--- a/packages/state/include/state/job.h
+++ b/packages/state/include/state/job.h
@@ -100,6 +100,12 @@
 /* Returns whether the phase is final. */
 bool task_ended(uint64_t phase);
 
+/* Attempts from first to last, whose failures are counted in JobTask.misses. */
+#define COUNTED_ATTEMPTS_FIELDS(X) \
+    X(U64, first, 0)               \
+    X(U64, last, 0)
+SHAPE(CountedAttempts, COUNTED_ATTEMPTS_FIELDS)
+
 /* The unit of execution within a job. Invariants: attempt grows with each placement and never decreases; worker is
  * non-empty exactly when the phase is one on a worker; an ended task stays in its phase. Times are log time in ms. */
 #define JOB_TASK_FIELDS(X)                                                                                            \
@@ -119,8 +125,11 @@
     X(U64, turn, 0)    /* from 0; the tasks of a turn depend only on steps of the same turn */                        \
     X(U64, at, 0)      /* index among the tasks of its turn and step, from 0 */                                       \
     X(TXT, saved, 0)   /* last checkpoint that a worker reported; a gang shares one */                                \
-    X(U64, miss_attempt, 0) /* newest attempt counted in misses, so that the failure of a gang counts once */         \
-    X(RAM, on_at, size_t)   /* index among the tasks on its worker (src/worker_tasks.c) */
+    X(U64, miss_attempt, 0) /* newest attempt counted in misses; earlier releases counted none below it */            \
+    /* the attempts counted in misses, so that each failure counts once, whichever members report it and in whichever \
+     * order; a gang's are with its first member; at most one row for each of the attempts that are allowed */        \
+    X(LST, counted, CountedAttempts)                                                                                  \
+    X(RAM, on_at, size_t) /* index among the tasks on its worker (src/worker_tasks.c) */
 SHAPE(JobTask, JOB_TASK_FIELDS)
 
 /* The states of a job. A job leaves ACTIVE in the delivery that ends its last task: for Job.ending when that is set,
--- a/packages/state/src/attempt.c
+++ b/packages/state/src/attempt.c
@@ -4,6 +4,7 @@
 #include "attempt.h"
 
 #include <string.h>
+#include <talloc.h>
 
 #include "base/constants.h"
 
@@ -51,13 +52,40 @@
             gang.tasks[i].losses++;
 }
 
+/* Whether the attempt is among those that are counted for the task, the first member of its gang. */
+static bool attempt_counted(const JobTask *first, uint64_t attempt)
+{
+    for (size_t i = 0; i < first->counted_count; i++)
+        if (attempt >= first->counted[i].first && attempt <= first->counted[i].last)
+            return true;
+    return false;
+}
+
+static void counted_attempts_add(Job *job, JobTask *first, CountedAttempts attempts)
+{
+    first->counted = talloc_realloc(job, first->counted, CountedAttempts, (unsigned)(first->counted_count + 1));
+    first->counted[first->counted_count++] = attempts;
+}
+
+void counted_attempts_load(Job *job, JobTask *task, const JobTask *from)
+{
+    task->counted = NULL;
+    task->counted_count = 0;
+    for (size_t i = 0; i < from->counted_count; i++)
+        counted_attempts_add(job, task, from->counted[i]);
+    if (from->counted_count == 0 && from->miss_attempt > 0 && gang_of(job, task).tasks == task)
+        counted_attempts_add(job, task, (CountedAttempts){1, from->miss_attempt});
+}
+
 void count_failed_attempt(Job *job, JobTask *task, uint64_t attempt)
 {
-    if (job->spec.lasting || attempt <= task->miss_attempt)
-        return;
     const Gang gang = gang_of(job, task);
+    if (job->spec.lasting || attempt_counted(&gang.tasks[0], attempt))
+        return;
+    counted_attempts_add(job, &gang.tasks[0], (CountedAttempts){attempt, attempt});
     for (size_t i = 0; i < gang.count; i++) {
-        gang.tasks[i].miss_attempt = attempt;
+        if (attempt > gang.tasks[i].miss_attempt)
+            gang.tasks[i].miss_attempt = attempt;
         gang.tasks[i].misses++;
     }
 }
--- a/packages/state/src/state_snapshot.c
+++ b/packages/state/src/state_snapshot.c
@@ -3,6 +3,7 @@
 
 #include <talloc.h>
 
+#include "attempt.h"
 #include "base/constants.h"
 #include "deliver.h"
 #include "worker_tasks.h"
@@ -105,6 +106,7 @@
     task->worker = from->worker[0] != '\0' ? worker_tasks_of(table, from->worker)->name : "";
     task->shunned = from->shunned[0] != '\0' ? worker_tasks_of(table, from->shunned)->name : "";
     task->text = task->saved = "";
+    counted_attempts_load(job, task, from);
     job_set_text(job, &task->text, from->text);
     job_set_text(job, &task->saved, from->saved);
 }
--- a/packages/state/test/attempts.c
+++ b/packages/state/test/attempts.c
@@ -93,6 +93,69 @@
     talloc_free(fixture.table);
 }
 
+/* Reports an attempt as failed, three times: an answer was lost, and the agent has restarted. */
+static void fail_repeatedly(TableFixture *fixture, uint64_t task, uint64_t attempt, const char *worker)
+{
+    for (int i = 0; i < 3; i++)
+        say(fixture, "j", task, attempt, worker, ATTEMPT_FAILED, "");
+}
+
+/* Issue 58, case 12: the failure of an older attempt was taken for a repetition if a newer one had failed before, so
+ * that a task with copies ran once more than its tries. Each order of the failures is tried; each counts once, also
+ * after a snapshot, and the last of the tries ends the job. */
+static void failures_out_of_order_count_once_each(void **state)
+{
+    (void)state;
+    static const uint64_t ORDERS[][4] = {{2, 3, 1, 4}, {2, 1, 4, 3}, {4, 3, 2, 1}, {3, 1, 4, 2}, {1, 2, 3, 4}};
+    for (size_t order = 0; order < sizeof(ORDERS) / sizeof(ORDERS[0]); order++)
+        for (int snapshot = 0; snapshot < 2; snapshot++) {
+            TableFixture fixture = table_fixture_new();
+            StepSpec step = single_task_step();
+            step.copies = true;
+            const JobSpec spec = spec_of("j", &step, 1);
+            job_add(&fixture, &spec, (JobTerms){.attempt_limit = 4});
+            for (uint64_t attempt = 1; attempt <= 4; attempt++) { /* each is given up while it runs on */
+                assert_int_equal(place(&fixture, "j", FIRST, 1, attempt, "w", ""), 1);
+                say(&fixture, "j", 0, attempt, "w", ATTEMPT_LOST, "");
+            }
+            for (uint64_t i = 0; i < 4; i++) {
+                const Job *job = table_job(fixture.table, "j");
+                assert_int_equal(job->phase, JOB_ACTIVE);
+                assert_int_equal(job->tasks[0].misses, i);
+                fail_repeatedly(&fixture, 0, ORDERS[order][i], "w");
+                if (snapshot)
+                    again(&fixture);
+                for (uint64_t k = 0; k <= i; k++)
+                    say(&fixture, "j", 0, ORDERS[order][k], "w", ATTEMPT_FAILED, "");
+            }
+            const Job *job = table_job(fixture.table, "j");
+            assert_int_equal(job->tasks[0].misses, 4);
+            assert_int_equal(job->phase, JOB_FAILED);
+            talloc_free(fixture.table);
+        }
+}
+
+/* The same where the limit is reached while a newer attempt runs: it is stopped, and no other follows. */
+static void late_failure_uses_up_the_tries(void **state)
+{
+    (void)state;
+    TableFixture fixture = table_fixture_new();
+    StepSpec step = single_task_step();
+    step.copies = true;
+    const JobSpec spec = spec_of("j", &step, 1);
+    const Job *job = job_add(&fixture, &spec, (JobTerms){.attempt_limit = 2});
+    place(&fixture, "j", FIRST, 1, 1, "w", "");
+    say(&fixture, "j", 0, 1, "w", ATTEMPT_LOST, "");
+    place(&fixture, "j", FIRST, 1, 2, "v", "");
+    say(&fixture, "j", 0, 2, "v", ATTEMPT_FAILED, "");
+    place(&fixture, "j", FIRST, 1, 3, "v", "");
+    say(&fixture, "j", 0, 1, "w", ATTEMPT_FAILED, "");
+    assert_int_equal(job->tasks[0].phase, TASK_STOPPING);
+    say(&fixture, "j", 0, 3, "v", ATTEMPT_STOPPED, "");
+    assert_int_equal(job->phase, JOB_FAILED);
+    talloc_free(fixture.table);
+}
+
 /* A report with an attempt number far above what the disks can have lost is ignored: accepting it would leave no number
  * for the next attempt. */
 static void far_attempt_number_changes_nothing(void **state)
@@ -302,6 +365,8 @@
         cmocka_unit_test(each_end_counts_as_its_kind),
         cmocka_unit_test(terms_limit_before_spec_limit),
         cmocka_unit_test(late_failure_counts_once),
+        cmocka_unit_test(failures_out_of_order_count_once_each),
+        cmocka_unit_test(late_failure_uses_up_the_tries),
         cmocka_unit_test(older_attempt_done_ends_the_task),
         cmocka_unit_test(orders_grow_unless_agent_reported),
         cmocka_unit_test(stopped_is_no_loss),
--- a/packages/state/test/gangs.c
+++ b/packages/state/test/gangs.c
@@ -119,6 +119,32 @@
     talloc_free(fixture.table);
 }
 
+/* Guards against a failure of an older attempt that is taken for a repetition, and against one that counts for each
+ * member: an attempt that was given up fails member by member while the next one runs and fails. */
+static void fails_once_for_each_of_two_attempts(void **state)
+{
+    (void)state;
+    TableFixture fixture = table_fixture_new();
+    StepSpec steps[] = {{.name = "a", .count = 1}, {.name = "g", .count = 3, .gang = true, .copies = true}};
+    const JobSpec spec = spec_of("j", steps, 2);
+    const Job *job = job_add(&fixture, &spec, (JobTerms){.attempt_limit = 3});
+    place(&fixture, "j", MEMBERS, 3, 1, "w", "");
+    lose(&fixture, "w");
+    place(&fixture, "j", MEMBERS, 3, 2, "v", "");
+    say(&fixture, "j", MEMBERS[1], 2, "v", ATTEMPT_FAILED, "");
+    for (size_t i = 0; i < 3; i++) {
+        say(&fixture, "j", MEMBERS[i], 1, "w", ATTEMPT_FAILED, "");
+        again(&fixture);
+        say(&fixture, "j", MEMBERS[i], 2, "v", ATTEMPT_FAILED, "");
+        job = table_job(fixture.table, "j");
+        for (size_t k = 1; k < 4; k++)
+            assert_int_equal(job->tasks[k].misses, 2);
+    }
+    assert_gang_phase(job, TASK_WAITING);
+    assert_int_equal(job->tasks[0].misses, 0);
+    talloc_free(fixture.table);
+}
+
 /* The loss of several members at the same time counts as one loss of the gang. */
 static void lost_once_for_an_attempt(void **state)
 {
@@ -188,15 +214,11 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(placed_as_a_whole_or_not_at_all),
-        cmocka_unit_test(placed_under_one_number),
-        cmocka_unit_test(one_done_makes_all_done),
-        cmocka_unit_test(older_attempt_done_makes_all_done),
-        cmocka_unit_test(fails_once_for_an_attempt),
-        cmocka_unit_test(lost_once_for_an_attempt),
-        cmocka_unit_test(progress_is_shared_by_all),
-        cmocka_unit_test(lasting_gang_goes_on_together),
-        cmocka_unit_test(done_before_the_job_is_known_stays_done),
+        cmocka_unit_test(placed_as_a_whole_or_not_at_all), cmocka_unit_test(placed_under_one_number),
+        cmocka_unit_test(one_done_makes_all_done),         cmocka_unit_test(older_attempt_done_makes_all_done),
+        cmocka_unit_test(fails_once_for_an_attempt),       cmocka_unit_test(fails_once_for_each_of_two_attempts),
+        cmocka_unit_test(lost_once_for_an_attempt),        cmocka_unit_test(progress_is_shared_by_all),
+        cmocka_unit_test(lasting_gang_goes_on_together),   cmocka_unit_test(done_before_the_job_is_known_stays_done),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/packages/state/test/old_state.c
+++ b/packages/state/test/old_state.c
@@ -275,31 +275,62 @@
     talloc_free(mem);
 }
 
-static void assert_together(const char *moment, uint64_t index)
+/* Attempt 3 of a task is counted as failed. Reports attempts 1 to 4 as failed, twice each, and asserts that misses are
+ * counted then. */
+static void assert_failures_counted(Fleet *fleet, const FleetNode *leader, uint64_t misses)
+{
+    const Table *table = controller_table(leader->controller);
+    const uint64_t number = task_number(&table_job(table, "tasks")->tasks[1]);
+    for (int repeated = 0; repeated < 2; repeated++)
+        for (uint64_t attempt = 1; attempt <= 4; attempt++) {
+            void *mem = talloc_new(NULL);
+            AttemptUpdate update = {.job = "tasks",
+                                    .task = number,
+                                    .attempt = attempt,
+                                    .worker = "w1",
+                                    .word = ATTEMPT_FAILED,
+                                    .text = "",
+                                    .saved = ""};
+            const AttemptList list = {&update, 1};
+            Bytes payload = {0};
+            shape_pack(&AttemptList_shape, &list, mem, &payload);
+            assert_int_equal(
+                replication_submit_async(controller_replication(leader->controller), CHANGE_ATTEMPTS, payload),
+                STATUS_OK);
+            fleet_run(fleet, 50);
+            talloc_free(mem);
+        }
+    const JobTask *task = &table_job(table, "tasks")->tasks[1];
+    assert_int_equal(task->misses, misses);
+    assert_int_equal(task->miss_attempt, 4);
+}
+
+static void assert_together(const char *moment, uint64_t index, uint64_t misses)
 {
     Fleet *fleet = fleet_of();
     const FleetNode *leader = start_together(fleet, moment, index);
     assert_state(controller_table(leader->controller), TASKS_AFTER_LOSS);
     assert_orphan(fleet, leader);
+    assert_failures_counted(fleet, leader, misses);
     talloc_free(fleet);
 }
 
 static void entries_together(void **state)
 {
     (void)state;
-    assert_together("entries", 27);
+    assert_together("entries", 27, 4); /* the log has each failure */
 }
 
 static void snapshots_together(void **state)
 {
     (void)state;
-    assert_together("snapshot", 28);
+    assert_together("snapshot", 28, 2); /* a snapshot has only the newest: those below it stay counted */
 }
 
 static void trimmed_together(void **state)
 {
     (void)state;
-    assert_together("trimmed", 32);
+    assert_together("trimmed", 32, 2);
 }
 
 int main(void)
