Agent: a former process of the worker does not end one that is too new for a proof

Cause: may_replace compared proofs of life, and the present process has none until its second report, so that any old proof was later.

Change: a boot records when it became the current one; only a proof from after that moment ends it.

--- a/packages/agent/src/boot.c
+++ b/packages/agent/src/boot.c
@@ -55,11 +55,12 @@
     return true;
 }
 
-/* Decides whether the report's boot may replace the current one. */
+/* Decides whether the report's boot may replace the current one. The current one may be too new for a proof of its own:
+ * another boot is no newer for having one from before. */
 static bool may_replace(const Agent *agent, const Boot *boot, const WorkerReport *report)
 {
     const Boot *current = agent->boot;
-    if (report->one_process && boot->alive_ms > current->alive_ms)
+    if (report->one_process && boot->alive_ms > current->alive_ms && boot->alive_ms > current->current_ms)
         return true; /* It was alive after the current one: the current one has ended */
     const bool known_older = boot->alive_ms != 0 && boot->alive_ms < current->alive_ms;
     return !known_older && loop_now_ms(agent->loop) >= agent->worker_lease_until_ms;
@@ -86,6 +87,7 @@
         boot_end(agent, "the worker's process was replaced");
     }
     agent->boot = boot;
+    boot->current_ms = loop_now_ms(agent->loop);
     return STATUS_OK;
 }
 
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -24,6 +24,7 @@
     uint64_t seq;       /* Number of its newest report; 0: not given */
     int64_t arrived_ms; /* When that report arrived */
     int64_t alive_ms;   /* It is known to have been alive at this time; 0: not known */
+    int64_t current_ms; /* When it became the current boot; 0: it has not */
     bool departs;       /* It has said that it will end soon */
     bool ended;         /* It has said that it has ended: later reports are refused */
 } Boot;
--- a/packages/agent/test/agent_reports.c
+++ b/packages/agent/test/agent_reports.c
@@ -125,6 +125,56 @@
     talloc_free(fixture);
 }
 
+/* Issue 58, case 9: the worker's process was replaced after its lease had expired, and the new one was given an
+ * attempt. A late report of the former one, which was known to have been alive before, made the agent drop what runs on
+ * the new one as long as that had not reported again. */
+static void late_report_of_a_proven_boot_ends_nothing(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(5000, 3000);
+    for (int i = 0; i < 3; i++)
+        report_idle(fixture); /* of b1, with the answers to its earlier ones */
+    fixture->seq++;           /* a report of b1 that is held up */
+    const uint64_t held_up = fixture->seq;
+    run_for(fixture, 4000);
+    ReportCall *call = report_new(fixture, "b2");
+    report_send(call);
+    order_task(fixture, 0); /* it goes with the answer to the first report */
+    run_for(fixture, 500);
+    assert_true(call->done);
+    assert_int_equal(call->status, STATUS_OK);
+    assert_int_equal(call->orders.starts_count, 1);
+    run_for(fixture, 300);
+    assert_int_equal(report_send_and_wait(report_late(fixture, "b1", held_up))->status, STATUS_DUPLICATE_WORKER);
+    run_for(fixture, 50);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 0);
+    fixture->answered_seq = 0; /* the answer to its first report was lost as well */
+    call = report_send_and_wait(add_running(report_new(fixture, "b2"), ""));
+    assert_int_equal(call->status, STATUS_OK);
+    assert_int_equal(call->orders.stops_count, 0);
+    assert_true(call->orders.lease_ms > 0);
+    assert_int_equal(reported_count(&fixture->leader, "j", 0, 1, ATTEMPT_LOST), 0);
+    talloc_free(fixture);
+}
+
+/* The reverse: the late report was the first one after the lease had expired, and its process counts as the present
+ * one. The process that is running takes its place with its second report. */
+static void running_boot_replaces_one_that_came_late(void **state)
+{
+    (void)state;
+    AgentFixture *fixture = fixture_reported(5000, 3000);
+    for (int i = 0; i < 3; i++)
+        report_idle(fixture);
+    run_for(fixture, 4000);
+    assert_int_equal(report_send_and_wait(report_late(fixture, "b0", 7))->status, STATUS_OK);
+    fixture->answered_seq = 0;
+    assert_int_equal(report_idle(fixture)->status, STATUS_DUPLICATE_WORKER);
+    ReportCall *call = report_idle(fixture);
+    assert_int_equal(call->status, STATUS_OK);
+    assert_true(call->orders.lease_ms > 0);
+    talloc_free(fixture);
+}
+
 static ReportCall *report_departure(AgentFixture *fixture)
 {
     ReportCall *call = report_new(fixture, "b1");
@@ -239,6 +289,8 @@
         cmocka_unit_test(inherited_lease_is_waited_for),
         cmocka_unit_test(late_report_of_an_earlier_boot_changes_nothing),
         cmocka_unit_test(late_report_of_an_earlier_boot_after_a_restart),
+        cmocka_unit_test(late_report_of_a_proven_boot_ends_nothing),
+        cmocka_unit_test(running_boot_replaces_one_that_came_late),
         cmocka_unit_test(departing_worker_keeps_its_attempts),
         cmocka_unit_test(idle_departing_worker_has_left),
         cmocka_unit_test(order_for_an_earlier_description_is_asked_for_again),
