Withheld capacity: the state of the fleet is looked at once; house words renamed

withheld.c looked at all workers for each candidate that found none, also in a pass that withholds nothing.

Clean-up: names of coroutines, the texts of four safety properties, of one rule and of two reasons for a stop say what is meant instead of the house words; left_fn is taken_fn as its setter; fields that nothing used are gone.

--- a/packages/agent/src/attempts.c
+++ b/packages/agent/src/attempts.c
@@ -203,7 +203,7 @@
 
 void attempts_stop_all(Agent *agent)
 {
-    attempts_withdraw(agent, "the hold lapsed before it started");
+    attempts_withdraw(agent, "the lease expired before it started");
     for (Attempt *attempt = agent->attempts.live.first; attempt != NULL; attempt = attempt->next)
         attempt->phase = PHASE_STOPPING;
     signal_raise(agent->loop, &agent->answer_signal);
--- a/packages/agent/src/end_reports.c
+++ b/packages/agent/src/end_reports.c
@@ -91,7 +91,7 @@
 {
     report->ask.number = ++agent->number;
     report->references++;
-    loop_spawn(agent->loop, "telling", end_report_main, report);
+    loop_spawn(agent->loop, "end-report", end_report_main, report);
     while (!report->done) {
         char address[ADDRESS_MAX];
         if (leader_address(agent, address) && strcmp(address, report->address) != 0)
@@ -159,5 +159,5 @@
 void end_reports_start(Agent *agent)
 {
     rpc_handle(agent->rpc, MESSAGE_RETELL, &Nothing_shape, &RepairList_shape, on_repair_query, agent);
-    loop_spawn(agent->loop, "tell", end_reports_main, agent);
+    loop_spawn(agent->loop, "end-reports", end_reports_main, agent);
 }
--- a/packages/agent/src/isolated.c
+++ b/packages/agent/src/isolated.c
@@ -109,7 +109,7 @@
         request->peer = member_peer(record);
         poll->references++;
         poll->pending++;
-        loop_spawn(agent->loop, "know", poll_request_main, request);
+        loop_spawn(agent->loop, "isolated-poll", poll_request_main, request);
     }
     while (poll->pending > 0)
         signal_wait(agent->loop, &poll->answer_arrived, INT64_MAX);
@@ -170,5 +170,5 @@
 void isolated_start(Agent *agent)
 {
     rpc_handle(agent->rpc, MESSAGE_KNOW, &KnowAsk_shape, &KnowAnswer_shape, on_know, agent);
-    loop_spawn(agent->loop, "alone", isolated_main, agent);
+    loop_spawn(agent->loop, "isolated", isolated_main, agent);
 }
--- a/packages/controller/src/attempt_updates.c
+++ b/packages/controller/src/attempt_updates.c
@@ -146,5 +146,5 @@
 {
     controller->attempt_updates = talloc_zero(controller, AttemptUpdates);
     controller->attempt_updates->controller = controller;
-    loop_spawn(controller->loop, "news", attempt_updates_main, controller->attempt_updates);
+    loop_spawn(controller->loop, "attempt-updates", attempt_updates_main, controller->attempt_updates);
 }
--- a/packages/controller/src/heartbeat_commit.c
+++ b/packages/controller/src/heartbeat_commit.c
@@ -176,7 +176,7 @@
         shape_copy(&Worker_shape, &worker, commit, &commit->worker);
         talloc_steal(commit, mem);
         session->committing = true;
-        loop_spawn(controller->loop, "learn", heartbeat_commit_main, commit);
+        loop_spawn(controller->loop, "heartbeat-commit", heartbeat_commit_main, commit);
     } else {
         talloc_free(mem);
     }
--- a/packages/controller/src/job_retention.c
+++ b/packages/controller/src/job_retention.c
@@ -31,5 +31,5 @@
 
 void job_retention_start(Controller *controller)
 {
-    loop_spawn(controller->loop, "forget", job_retention_main, controller);
+    loop_spawn(controller->loop, "job-retention", job_retention_main, controller);
 }
--- a/packages/controller/src/repair.c
+++ b/packages/controller/src/repair.c
@@ -194,7 +194,7 @@
         strncpy(query->address, row->record.address, sizeof(query->address) - 1);
         collection->references++;
         collection->pending++;
-        loop_spawn(controller->loop, "retell", query_main, query);
+        loop_spawn(controller->loop, "repair-query", query_main, query);
     }
     while (collection->pending > 0)
         signal_wait(controller->loop, &collection->answered, INT64_MAX);
--- a/packages/member/src/gossip.c
+++ b/packages/member/src/gossip.c
@@ -227,6 +227,6 @@
         *seed = (SeedTask){members, i};
         loop_spawn(members->loop, "seed", controller ? controller_seed_main : other_seed_main, seed);
     }
-    loop_spawn(members->loop, controller ? "look" : "roam", controller ? contact_all_main : contact_random_main,
-               members);
+    loop_spawn(members->loop, controller ? "contact-all" : "contact-random",
+               controller ? contact_all_main : contact_random_main, members);
 }
--- a/packages/member/src/hello.c
+++ b/packages/member/src/hello.c
@@ -63,7 +63,7 @@
     hello->members = members;
     hello->attempts = 1;
     strncpy(hello->address, address, sizeof(hello->address) - 1);
-    loop_spawn(members->loop, "greet", hello_task_main, hello);
+    loop_spawn(members->loop, "hello", hello_task_main, hello);
     return hello;
 }
 
--- a/packages/model/include/model/rules.h
+++ b/packages/model/include/model/rules.h
@@ -17,7 +17,7 @@
     X(UNASKED, "a start of what nobody asked for")                                 \
     X(REFUSED, "a start of a job that was turned away each time")                  \
     X(DRAIN, "a start on a worker that leaves")                                    \
-    X(EVAC, "a start in an emptied zone")                                          \
+    X(EVAC, "a start in a drained zone")                                           \
     X(MIXED, "a job shown as done that is not")                                    \
     X(LOST, "an accepted job unknown, ended without a cause, or standing still")   \
     X(CONFIG, "a document ignored, rolled back, lost, or in force though refused") \
--- a/packages/model/src/caller.c
+++ b/packages/model/src/caller.c
@@ -57,7 +57,7 @@
     if (random_source_percent(&source->random_source, kind->twice_percent)) {
         CallerTask *duplicate = caller_task_new(callers, source, job, number * 2 + 1);
         duplicate->first_counted = true;
-        loop_spawn(duplicate->loop, "twin", caller_submit_duplicate, duplicate);
+        loop_spawn(duplicate->loop, "duplicate", caller_submit_duplicate, duplicate);
     }
 }
 
@@ -98,7 +98,7 @@
             JobSource *source = talloc_zero(callers, JobSource);
             *source = (JobSource){callers, zone, kind,
                                   random_source_new(callers->topology->seed, "pour", (uint64_t)zone * 64 + kind)};
-            loop_spawn(sim_loop(callers->topology->world, callers->machines[zone]), "pour", source_main, source);
+            loop_spawn(sim_loop(callers->topology->world, callers->machines[zone]), "job-source", source_main, source);
         }
     }
 }
--- a/packages/model/src/caller.h
+++ b/packages/model/src/caller.h
@@ -14,7 +14,6 @@
     int machines[4];
     int64_t rate_milli[SITE_KINDS_MAX]; /* current submission rate of each kind, in thousandths of its usual rate */
     int64_t poison_percent;             /* percentage of jobs whose tasks always fail */
-    int64_t wall_ms;                    /* unused */
     uint64_t generated_count;           /* number of jobs generated */
     bool stopped;                       /* submission has ended */
     int64_t finish_ms;                  /* when submission ended */
--- a/packages/model/src/job_records.h
+++ b/packages/model/src/job_records.h
@@ -35,8 +35,8 @@
 typedef struct JobRecord {
     GeneratedJob generated_job;
     const SiteKind *kind;
-    size_t queue;       /* index of its queue in the document */
-    bool poison, timed; /* its tasks always fail; unused */
+    size_t queue; /* index of its queue in the document */
+    bool poison;  /* its tasks always fail */
     TaskRecord *tasks;
     size_t task_count, tasks_per_turn;
     size_t first_task_of_step[GENERATED_JOB_STEPS_MAX];
--- a/packages/model/src/listener.c
+++ b/packages/model/src/listener.c
@@ -52,7 +52,7 @@
     for (size_t i = 0; i < listener->topology->server_count; i++) {
         EntryPointProbe *probe = talloc_zero(loop, EntryPointProbe);
         *probe = (EntryPointProbe){listener, i};
-        loop_spawn(loop, "look", health_check_main, probe);
+        loop_spawn(loop, "health-check", health_check_main, probe);
     }
 }
 
--- a/packages/model/src/operator.c
+++ b/packages/model/src/operator.c
@@ -186,7 +186,8 @@
     advance_version(self, &to);
     if (spoil == DEFECT_OLD_VERSION)
         to.version = from.version;
-    loop_spawn(operator_loop(self), "spoilt", send_document_main, request_new(self, &to, &from, spoil, false));
+    loop_spawn(operator_loop(self), "invalid-document", send_document_main,
+               request_new(self, &to, &from, spoil, false));
 }
 
 void operator_grow(Operator *self)
@@ -198,7 +199,8 @@
     while (to.queue_count < DOCUMENT_QUEUES_MAX)
         add_idle_queue(self, &to);
     advance_version(self, &to);
-    loop_spawn(operator_loop(self), "big", send_document_main, request_new(self, &to, &from, DEFECT_NONE, false));
+    loop_spawn(operator_loop(self), "large-document", send_document_main,
+               request_new(self, &to, &from, DEFECT_NONE, false));
 }
 
 /* --- zones -------------------------------------------------------------------------------------- */
@@ -322,7 +324,7 @@
         EntryPointProbe *probe = talloc_zero(self, EntryPointProbe);
         *probe =
             (EntryPointProbe){self, &self->topology->servers[i], random_source_new(self->topology->seed, "look", i)};
-        loop_spawn(operator_loop(self), "look", queue_probe_main, probe);
+        loop_spawn(operator_loop(self), "queue-probe", queue_probe_main, probe);
     }
 }
 
--- a/packages/routing/src/config_watch.c
+++ b/packages/routing/src/config_watch.c
@@ -172,7 +172,7 @@
             config_watch->generation = hop.generation;
             ConfigWatchPoll *poll = talloc_zero(config_watch, ConfigWatchPoll);
             *poll = (ConfigWatchPoll){.config_watch = config_watch, .hop = hop};
-            loop_spawn(config_watch->loop, "feed", poll_main, poll);
+            loop_spawn(config_watch->loop, "config-poll", poll_main, poll);
         }
         signal_wait(config_watch->loop, leader_route_changed_signal(config_watch->leader_route), INT64_MAX);
     }
@@ -182,7 +182,7 @@
 {
     config_watch->wanted = wanted;
     config_watch->arg = arg;
-    loop_spawn(config_watch->loop, "feeds", config_watch_main, config_watch);
+    loop_spawn(config_watch->loop, "config-watch", config_watch_main, config_watch);
 }
 
 /* Index of the first row to send to a leader that has version have: the row after that version or, if that row is a
--- a/packages/routing/src/forward.c
+++ b/packages/routing/src/forward.c
@@ -114,5 +114,5 @@
 {
     leader_route_start(forwarder->leader_route);
     pause_watch(&forwarder->pause, forwarder->settings.loop);
-    loop_spawn(forwarder->settings.loop, "moved", route_changed_main, forwarder);
+    loop_spawn(forwarder->settings.loop, "route-changed", route_changed_main, forwarder);
 }
--- a/packages/routing/src/leader_route.c
+++ b/packages/routing/src/leader_route.c
@@ -57,7 +57,7 @@
 
 void leader_route_start(LeaderRoute *leader_route)
 {
-    loop_spawn(leader_route->loop, "ways", follow_leader_main, leader_route);
+    loop_spawn(leader_route->loop, "leader-route", follow_leader_main, leader_route);
 }
 
 /* --- use --------------------------------------------------------------------------------- */
--- a/packages/routing/src/leader_route_search.c
+++ b/packages/routing/src/leader_route_search.c
@@ -71,5 +71,5 @@
     if (leader_route->searching)
         return;
     leader_route->searching = true;
-    loop_spawn(leader_route->loop, "look", search_main, leader_route);
+    loop_spawn(leader_route->loop, "leader-search", search_main, leader_route);
 }
--- a/packages/scheduler/src/pass.h
+++ b/packages/scheduler/src/pass.h
@@ -31,13 +31,15 @@
     QueueClock clock;
     PlanInput input; /* its tasks are set by pass_assured_tasks_add */
     size_t task_capacity;
-    Resources *ejected;   /* by worker: its capacity if it is ejected; none: it is not (withheld.h) */
-    Resources *withheld;  /* by worker: free capacity that the pass withholds */
-    size_t ejected_count; /* ejected workers with capacity */
-    int admitted;         /* what gives way to the present candidate, a Withheld */
-    uint64_t *slowdowns;  /* by worker: run time there, in thousandths of the run time on a healthy worker */
-    Resources fleet;      /* total capacity of the workers that may be given work */
-    Resources largest;    /* the largest capacity of any worker, component by component */
+    Resources *ejected;    /* by worker: its capacity if it is ejected; none: it is not (withheld.h) */
+    Resources *withheld;   /* by worker: free capacity that the pass withholds */
+    size_t ejected_count;  /* ejected workers with capacity */
+    int admitted;          /* what gives way to the present candidate, a Withheld */
+    const char *free_kind; /* the kind of workers that free_fleet was computed for; null: not yet */
+    bool free_fleet;       /* these workers have much free capacity (withheld.c) */
+    uint64_t *slowdowns;   /* by worker: run time there, in thousandths of the run time on a healthy worker */
+    Resources fleet;       /* total capacity of the workers that may be given work */
+    Resources largest;     /* the largest capacity of any worker, component by component */
     QueueContext context;
     ReadyQueue *ready_queue;
     PlaceList places;
--- a/packages/scheduler/src/withheld.c
+++ b/packages/scheduler/src/withheld.c
@@ -69,9 +69,12 @@
 
 /* --- whether its job stands still -------------------------------------------------------------- */
 
-/* Whether the workers of this kind (empty: all) have much free capacity, ejected ones included. */
-static bool fleet_has_capacity(const Pass *pass, const char *kind)
+/* Whether the workers of this kind (empty: all) have much free capacity, ejected ones included. The result for the last
+ * kind that was asked for is kept: starts of this pass matter little. */
+static bool fleet_has_capacity(Pass *pass, const char *kind)
 {
+    if (pass->free_kind != NULL && strcmp(pass->free_kind, kind) == 0)
+        return pass->free_fleet;
     Resources all = {0}, used = {0};
     for (size_t i = 0; i < pass->input.worker_count; i++) {
         const PlanWorker *worker = &pass->input.workers[i];
@@ -81,7 +84,9 @@
         all = resources_add(all, whole);
         used = resources_add(used, resources_subtract(whole, resources_add(worker->free, pass->withheld[i])));
     }
-    return resources_scaled_share(used, all, 100) < FREE_FLEET_PERCENT;
+    pass->free_kind = kind;
+    pass->free_fleet = resources_scaled_share(used, all, 100) < FREE_FLEET_PERCENT;
+    return pass->free_fleet;
 }
 
 /* Whether no task of the candidate's job is on a worker, or will be by a start of this pass. Each lasting task counts
@@ -113,19 +118,18 @@
     return false;
 }
 
-static Withheld decide(const Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded)
+static Withheld decide(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded)
 {
-    if (stands_still(pass, candidate) && fleet_has_capacity(pass, need->kind))
+    const bool all = stands_still(pass, candidate) && fleet_has_capacity(pass, need->kind);
+    if ((!all && pass->ejected_count == 0) || !withheld_meets(pass, need, excluded))
+        return WITHHELD_NONE;
+    if (all)
         return WITHHELD_ALL;
-    if (pass->ejected_count > 0 && !fits_elsewhere_soon(pass, candidate, need, excluded))
-        return WITHHELD_EJECTED;
-    return WITHHELD_NONE;
+    return fits_elsewhere_soon(pass, candidate, need, excluded) ? WITHHELD_NONE : WITHHELD_EJECTED;
 }
 
 Withheld withheld_admit(Pass *pass, const Candidate *candidate, const PlanNeed *need, const bool *excluded)
 {
-    if (!withheld_meets(pass, need, excluded))
-        return WITHHELD_NONE;
     const int64_t from_ms = candidate->since_ms + EJECTED_WAIT_MS;
     if (pass->clock.log_ms < from_ms) {
         pass->next_ms = from_ms < pass->next_ms ? from_ms : pass->next_ms;
--- a/packages/scheduler/src/zone_move.c
+++ b/packages/scheduler/src/zone_move.c
@@ -81,7 +81,7 @@
                 movable_attempt_find(pass, pass->input.workers[i].name, &attempt);
     if (!found)
         return false;
-    const StopList list = {&attempt, 1, "moved off an emptied zone"};
+    const StopList list = {&attempt, 1, "moved off a drained zone"};
     ChangeResult result;
     if (scheduler_submit(scheduler, pass->mem, CHANGE_STOP, &StopList_shape, &list, &result) == STATUS_OK)
         scheduler->counts.moved += result.number;
--- a/packages/sim/include/sim/checker.h
+++ b/packages/sim/include/sim/checker.h
@@ -15,16 +15,16 @@
     X(FORGOTTEN, "an accepted job forgotten or unknown")                                     \
     X(REFUSED_RAN, "a refused job running")                                                  \
     X(TOO_EARLY, "a task starting before its steps or its due time")                         \
-    X(OVERPACKED, "a worker packed beyond its room or given what it lacks")                  \
+    X(OVERPACKED, "a worker given more than its capacity or work that it can't run")         \
     X(CANCELLED_RAN, "a task starting long after its job was cancelled")                     \
-    X(STOPPED_RAN, "a task running on after its hold lapsed")                                \
-    X(LEAVING_GIVEN, "a leaving worker or emptied zone given new work")                      \
+    X(STOPPED_RAN, "a task running after its worker's lease has expired")                    \
+    X(LEAVING_GIVEN, "a leaving worker or drained zone given new work")                      \
     X(GANG_SPLIT, "members of a gang left waiting alone")                                    \
     X(CONFIG_LOST, "an acknowledged configuration ignored, lost or rolled back")             \
     X(EARLY_RESTART, "a restart before the lost worker's claim lapsed, or a claim too long") \
     X(REFUSED_CONFIG, "a refused configuration taking effect")                               \
     X(OVER_QUOTA, "more of a tenant running than its quota")                                 \
-    X(STRANGE_SAVED, "a round going on from what another task has saved")                    \
+    X(STRANGE_SAVED, "an attempt resuming from the checkpoint of another task")              \
     X(NOT_SERVING, "not serving again within 12 s")
 
 typedef enum Invariant {
--- a/packages/sim/include/sim/fleet.h
+++ b/packages/sim/include/sim/fleet.h
@@ -42,7 +42,6 @@
     int number;  /* within its role, from 0 */
     int machine; /* number of its machine in the world */
     Settings settings;
-    void *mem; /* not used */
     Controller *controller;
     EntryPoint *entry_point;
     Agent *agent;
--- a/packages/sim/test/crowd.c
+++ b/packages/sim/test/crowd.c
@@ -98,7 +98,7 @@
         Pouring *load = talloc_zero(fleet, Pouring);
         load->fleet = fleet;
         if (with_load)
-            loop_spawn(sim_loop(fleet->world, fleet->caller_machine), "pour", background_load_main, load);
+            loop_spawn(sim_loop(fleet->world, fleet->caller_machine), "background-load", background_load_main, load);
         fleet_run(fleet, with_load ? 15000 : 1000); /* with the background load the fleet is full by then */
         fleet_submit_jobs(fleet, "u", 10000, 30000);
         fleet_run(fleet, 40000);
--- a/packages/sim/test/inside_request.h
+++ b/packages/sim/test/inside_request.h
@@ -2,7 +2,7 @@
 #define SIM_TEST_INSIDE_REQUEST_H
 
 /* A request passed to an entry point's handler directly, without HTTP: the test sees when it is answered, and can make
- * its caller disconnect (task->gone). */
+ * its caller disconnect (task->caller_disconnected). */
 #include <string.h>
 #include <talloc.h>
 
--- a/packages/standin/src/caller.c
+++ b/packages/standin/src/caller.c
@@ -296,7 +296,7 @@
     for (size_t i = 0; i < settings->entry_count; i++)
         caller->settings.entries[i] = talloc_strdup(caller, settings->entries[i]);
     caller->random_state = loop_random(loop);
-    loop_spawn(loop, "hand-in", submission_main, caller);
+    loop_spawn(loop, "submission", submission_main, caller);
     return caller;
 }
 
--- a/packages/state/src/phase.c
+++ b/packages/state/src/phase.c
@@ -130,8 +130,8 @@
     /* The confirmation of a start does not change the orders of the worker. */
     if (!confirmed && !agent_knows)
         orders_changed(table, task->worker);
-    if (leaves && !agent_knows && task->worker[0] != '\0' && table->left_fn != NULL)
-        table->left_fn(table->left_arg, job, task);
+    if (leaves && !agent_knows && task->worker[0] != '\0' && table->taken_fn != NULL)
+        table->taken_fn(table->taken_arg, job, task);
     if (leaves)
         task_change_worker(table, job, task, worker);
     task->phase = phase;
--- a/packages/state/src/state_snapshot.c
+++ b/packages/state/src/state_snapshot.c
@@ -33,8 +33,8 @@
                      .change_arg = previous.change_arg,
                      .orders_fn = previous.orders_fn,
                      .orders_arg = previous.orders_arg,
-                     .left_fn = previous.left_fn,
-                     .left_arg = previous.left_arg};
+                     .taken_fn = previous.taken_fn,
+                     .taken_arg = previous.taken_arg};
     table->mem = talloc_new(table);
     table->by_id = map_new(table->mem);
     table->workers = map_new(table->mem);
--- a/packages/state/src/table_internal.h
+++ b/packages/state/src/table_internal.h
@@ -102,8 +102,8 @@
     void *change_arg;
     TableOrdersFn orders_fn;
     void *orders_arg;
-    TableTaskTakenFn left_fn;
-    void *left_arg;
+    TableTaskTakenFn taken_fn;
+    void *taken_arg;
 };
 
 #endif
--- a/packages/state/src/worker_tasks.c
+++ b/packages/state/src/worker_tasks.c
@@ -159,8 +159,8 @@
 
 void table_watch_taken_tasks(Table *table, TableTaskTakenFn fn, void *arg)
 {
-    table->left_fn = fn;
-    table->left_arg = arg;
+    table->taken_fn = fn;
+    table->taken_arg = arg;
 }
 
 size_t table_tasks_on(const Table *table, const char *worker, const TaskOnWorker **on)
--- a/packages/wire/src/connection.c
+++ b/packages/wire/src/connection.c
@@ -71,7 +71,7 @@
     if (status == STATUS_OK) {
         connection->channel = channel;
         rpc->counts.connections_opened++;
-        loop_spawn(rpc->loop, "line", connection_main, connection);
+        loop_spawn(rpc->loop, "connection", connection_main, connection);
     }
     signal_raise(rpc->loop, &connection->opened);
     return connection->channel != NULL ? connection : NULL;
--- a/src/client_command.c
+++ b/src/client_command.c
@@ -65,7 +65,7 @@
                                  .path = path,
                                  .body = body,
                                  .wait_ms = FORWARD_DEADLINE_MS + 2000};
-    loop_spawn(operation->loop, "operate", operation_main, operation);
+    loop_spawn(operation->loop, "operation", operation_main, operation);
     real_loop_run(operation->loop, NULL, NULL);
     if (operation->status != STATUS_OK) {
         fprintf(stderr, "spancart %s: %s did not answer: %s\n", command->name, address, status_word(operation->status));
