Model: single messages held up, failures out of order, gangs beside ejected workers

platform_soak.py: callers give up submissions without an answer, cancel them elsewhere, and no task may start cancel_ms after that was acknowledged.

--- a/packages/model/include/model/model.h
+++ b/packages/model/include/model/model.h
@@ -34,16 +34,22 @@
     bool skipped[DAY_FAULTS_MAX]; /* faults to leave out, by number */
 } DaySettings;
 
-/* The bounds of the protocol between workers and agents, and how often a day reached each: heartbeats that could not
- * list all ends; heartbeats that arrived late, of them those that were sent to an earlier process of the agent or by an
- * earlier one of the worker; workers that announced their end first; answers of over a quarter of the largest one. */
-#define BOUND_LIST(X)  \
-    X(ENDS_CUT)        \
-    X(LATE_HEARTBEATS) \
-    X(LATE_TO_NEXT)    \
-    X(LATE_OF_FORMER)  \
-    X(DEPARTED_FIRST)  \
-    X(LARGE_ANSWERS)
+/* The bounds of the protocols, and how often a day reached each: heartbeats that could not list all ends; heartbeats
+ * that arrived late, of them those that were sent to an earlier process of the agent or by an earlier one of the
+ * worker; workers that announced their end first; answers of over a quarter of the largest one; submissions that
+ * arrived late, of them those whose job had been cancelled meanwhile; failures of an attempt that were acknowledged
+ * after that of a newer one; failures of workers that fail much of what they run. */
+#define BOUND_LIST(X)      \
+    X(ENDS_CUT)            \
+    X(LATE_HEARTBEATS)     \
+    X(LATE_TO_NEXT)        \
+    X(LATE_OF_FORMER)      \
+    X(DEPARTED_FIRST)      \
+    X(LARGE_ANSWERS)       \
+    X(LATE_SUBMISSIONS)    \
+    X(LATE_OF_CANCELLED)   \
+    X(FAILED_OUT_OF_ORDER) \
+    X(FAILED_ON_GREY)
 typedef enum Bound {
 #define X(name) BOUND_##name,
     BOUND_LIST(X)
--- a/packages/model/include/model/site.h
+++ b/packages/model/include/model/site.h
@@ -52,33 +52,37 @@
     X(deaf, "deaf", 0, "1: workers cannot announce that they leave")                                  \
     X(late_heartbeat_milli, "lateBeatMilli", 0, "heartbeats that arrive late, in thousandths")        \
     X(late_heartbeat_ms, "lateBeatMs", 3000, "the most by which they are late")                       \
+    X(late_submission_milli, "lateSubmitMilli", 0, "submissions that arrive late, in thousandths")    \
+    X(late_submission_ms, "lateSubmitMs", 9000, "the most by which they are late")                    \
     X(depart_first_percent, "departFirstPercent", 0, "leaving workers that say so last, and run on")
 
 /* A kind of job that callers submit; each kind has its own queue. X(name, key, default, meaning) */
-#define SITE_KIND_LIST(X)                                                                        \
-    X(per_minute, "perMinute", 60, "jobs per minute, from all zones")                            \
-    X(steps, "steps", 1, "maximum number of steps in a job")                                     \
-    X(tasks, "tasks", 4, "mean number of tasks in a step")                                       \
-    X(task_ms, "taskMs", 1000, "mean duration of a task on an undisturbed worker")               \
-    X(cpu_milli, "cpuMilli", 4000, "mean CPU of a task, in thousandths")                         \
-    X(mem_mb, "memMb", 8000, "mean memory of a task")                                            \
-    X(target_ms, "aimMs", 1000, "constant part of the latency target")                           \
-    X(stretch_percent, "stretchPercent", 150, "proportional part, of the longest chain of work") \
-    X(priority, "priority", 1, "0 is scheduled first")                                           \
-    X(attempts, "rounds", 3, "attempts allowed for a task")                                      \
-    X(fail_milli, "failMilli", 10, "attempts that fail by themselves, in thousandths")           \
-    X(gang_percent, "gangPercent", 0, "steps that are gangs")                                    \
-    X(saves_percent, "savesPercent", 0, "jobs that make checkpoints")                            \
-    X(needs_percent, "needsPercent", 0, "steps that require a label")                            \
-    X(near_percent, "nearPercent", 20, "steps whose data is on a rack")                          \
-    X(apart_percent, "apartPercent", 10, "steps with a limit of tasks per worker")               \
-    X(copies_percent, "copiesPercent", 0, "jobs whose tasks may run twice")                      \
-    X(turns_percent, "turnsPercent", 0, "jobs that run in several turns")                        \
-    X(lasting_percent, "lastingPercent", 0, "jobs that run until they are cancelled")            \
-    X(cancel_percent, "cancelPercent", 3, "jobs that are cancelled")                             \
-    X(twice_percent, "twicePercent", 5, "jobs that are submitted twice at once")                 \
-    X(tasks_max, "tasksMax", 60, "maximum number of tasks in a step")                            \
-    X(payload_bytes, "payloadBytes", 0, "length to which the payload is filled up")
+#define SITE_KIND_LIST(X)                                                                          \
+    X(per_minute, "perMinute", 60, "jobs per minute, from all zones")                              \
+    X(steps, "steps", 1, "maximum number of steps in a job")                                       \
+    X(tasks, "tasks", 4, "mean number of tasks in a step")                                         \
+    X(task_ms, "taskMs", 1000, "mean duration of a task on an undisturbed worker")                 \
+    X(cpu_milli, "cpuMilli", 4000, "mean CPU of a task, in thousandths")                           \
+    X(mem_mb, "memMb", 8000, "mean memory of a task")                                              \
+    X(target_ms, "aimMs", 1000, "constant part of the latency target")                             \
+    X(stretch_percent, "stretchPercent", 150, "proportional part, of the longest chain of work")   \
+    X(priority, "priority", 1, "0 is scheduled first")                                             \
+    X(attempts, "rounds", 3, "attempts allowed for a task")                                        \
+    X(fail_milli, "failMilli", 10, "attempts that fail by themselves, in thousandths")             \
+    X(gang_percent, "gangPercent", 0, "steps that are gangs")                                      \
+    X(saves_percent, "savesPercent", 0, "jobs that make checkpoints")                              \
+    X(needs_percent, "needsPercent", 0, "steps that require a label")                              \
+    X(near_percent, "nearPercent", 20, "steps whose data is on a rack")                            \
+    X(apart_percent, "apartPercent", 10, "steps with a limit of tasks per worker")                 \
+    X(copies_percent, "copiesPercent", 0, "jobs whose tasks may run twice")                        \
+    X(turns_percent, "turnsPercent", 0, "jobs that run in several turns")                          \
+    X(lasting_percent, "lastingPercent", 0, "jobs that run until they are cancelled")              \
+    X(cancel_percent, "cancelPercent", 3, "jobs that are cancelled")                               \
+    X(twice_percent, "twicePercent", 5, "jobs that are submitted twice at once")                   \
+    X(tasks_max, "tasksMax", 60, "maximum number of tasks in a step")                              \
+    X(payload_bytes, "payloadBytes", 0, "length to which the payload is filled up")                \
+    X(abandon_percent, "abandonPercent", 0, "jobs that are cancelled after a call without answer") \
+    X(spread_percent, "spreadPercent", 0, "gangs with a member on each worker that may run them")
 
 /* A kind of job of a site. */
 typedef struct SiteKind {
--- a/packages/model/src/caller.c
+++ b/packages/model/src/caller.c
@@ -50,6 +50,8 @@
     generated_job_draw(callers, kind, &source->random_source, &generated_job);
     JobRecord *job = job_records_add(callers->records, &generated_job, kind);
     job->queue = source->kind;
+    RandomSource own = random_source_new(callers->topology->seed, "abandon", callers->generated_count);
+    job->abandons = random_source_percent(&own, kind->abandon_percent);
     job->poison = random_source_percent(&source->random_source, callers->poison_percent);
     const uint64_t number = callers->generated_count++;
     CallerTask *task = caller_task_new(callers, source, job, number * 2);
--- a/packages/model/src/caller_job.c
+++ b/packages/model/src/caller_job.c
@@ -3,12 +3,40 @@
 #include "caller_job.h"
 
 #include <inttypes.h>
+#include <string.h>
 #include <talloc.h>
 
+#include "late_call.h"
+
 #define READ_INTERVAL_MS 400
 
 /* --- one call ------------------------------------------------------------------------------ */
 
+static void on_late_arrival(void *arg, int64_t late_ms)
+{
+    JobRecord *job = ((CallerTask *)arg)->job;
+    Topology *topology = ((CallerTask *)arg)->callers->topology;
+    topology_log_task(topology, &job->tasks[0].name, "a submission arrives %d ms late", (int)late_ms);
+    topology->bounds[BOUND_LATE_SUBMISSIONS]++;
+    topology->bounds[BOUND_LATE_OF_CANCELLED] += job->cancel_acknowledged_ms != 0;
+}
+
+/* Draws whether the call, a submission, arrives late, after its sender has given it up. If so, it is delivered then,
+ * and true is returned: the caller gets no answer. */
+static bool late_submission_drawn(CallerTask *task, const HttpCall *call)
+{
+    Topology *topology = task->callers->topology;
+    const Site *site = topology->site;
+    if (topology->link == NULL || site->late_submission_milli == 0 || strcmp(call->method, "POST") != 0)
+        return false;
+    RandomSource random_source = random_source_new(topology->seed, task->job->generated_job.id, ++task->job->calls);
+    if ((int64_t)(random_source_next(&random_source) % 1000) >= site->late_submission_milli)
+        return false;
+    late_call_send(topology, call, random_source_between(&random_source, call->wait_ms + 1, site->late_submission_ms),
+                   on_late_arrival, task);
+    return true;
+}
+
 /* Sends one request about the job to an entry point. Suspends the coroutine. */
 static Outcome call_entry_point(CallerTask *task, void *mem, const char *method, Bytes body, TopologyNode **node,
                                 int64_t *sent_ms, Bytes *result, int *retry_after_s)
@@ -29,7 +57,11 @@
         .request_headers = heads,
         .request_header_count = 2};
     const uint64_t incarnation = (*node)->incarnation;
-    const Status status = loop_call(task->loop, &call);
+    Status status = STATUS_EXPIRED;
+    if (late_submission_drawn(task, &call))
+        loop_sleep(task->loop, call.wait_ms);
+    else
+        status = loop_call(task->loop, &call);
     *result = call.response_body;
     *retry_after_s = call.retry_after_s;
     topology_log_task(topology, &task->job->tasks[0].name, "%s through %s: %s %d %.*s", method, (*node)->name,
@@ -106,7 +138,8 @@
                           step->work_ms, step->gang ? ", gang" : "", step->same_rack ? " on a rack" : "",
                           step->near != NULL ? step->near : "-", step->needs != NULL ? step->needs : "-", step->apart);
     }
-    for (int64_t i = 0; i <= task->callers->topology->site->caller_tries; i++)
+    for (int64_t i = 0; i <= task->callers->topology->site->caller_tries && !(job->abandons && job->outcome_unclear);
+         i++)
         if (submit_once(task))
             return true;
     if (job->pending_submissions == 0 && job->accepted_ms == 0 && !job->outcome_unclear)
@@ -162,6 +195,7 @@
     return word != JOB_WORD_NONE;
 }
 
+/* Cancels the job until that is acknowledged. The answer that there is no such job acknowledges it too. */
 static void cancel(CallerTask *task)
 {
     JobRecord *job = task->job;
@@ -173,8 +207,9 @@
         int64_t sent_ms;
         Bytes result;
         int retry_after_s;
-        if (call_entry_point(task, mem, "DELETE", (Bytes){0}, &node, &sent_ms, &result, &retry_after_s) ==
-            OUTCOME_ACCEPTED)
+        const Outcome outcome =
+            call_entry_point(task, mem, "DELETE", (Bytes){0}, &node, &sent_ms, &result, &retry_after_s);
+        if (outcome == OUTCOME_ACCEPTED || outcome == OUTCOME_NO_JOB)
             job->cancel_acknowledged_ms = topology_now_ms(topology);
         talloc_free(mem);
         if (job->cancel_acknowledged_ms == 0)
@@ -187,8 +222,11 @@
     CallerTask *task = arg;
     JobRecord *job = task->job;
     const Topology *topology = task->callers->topology;
-    if (!submit(task))
+    if (!submit(task)) {
+        if (job->abandons && job->outcome_unclear)
+            cancel(task);
         return;
+    }
     const bool cancels =
         job->generated_job.lasting || random_source_percent(&task->random_source, job->kind->cancel_percent);
     const int64_t cancel_ms =
--- a/packages/model/src/day.c
+++ b/packages/model/src/day.c
@@ -172,7 +172,7 @@
     result->starts = records->starts;
     result->orders = day->operator->orders;
     memcpy(result->ends, records->ends_by_word, sizeof(result->ends));
-    memcpy(result->bounds, day->worker_models->bounds, sizeof(result->bounds));
+    memcpy(result->bounds, day->topology->bounds, sizeof(result->bounds));
     for (size_t i = 0; i < records->count; i++) {
         const JobRecord *job = records->jobs[i];
         const GeneratedJob *generated_job = &job->generated_job;
--- a/packages/model/src/generated_job.c
+++ b/packages/model/src/generated_job.c
@@ -36,6 +36,10 @@
         if (step->gang)
             step->count = limit(step->count, step->apart * eligible_workers / 2);
     }
+    if (step->gang && kind->spread_percent > 0 && random_source_percent(random_source, kind->spread_percent)) {
+        step->apart = 1;
+        step->count = eligible_workers;
+    }
 }
 
 static void draw_step(const Callers *callers, const SiteKind *kind, RandomSource *random_source,
--- a/packages/model/src/job_records.h
+++ b/packages/model/src/job_records.h
@@ -35,8 +35,10 @@
 typedef struct JobRecord {
     GeneratedJob generated_job;
     const SiteKind *kind;
-    size_t queue; /* index of its queue in the document */
-    bool poison;  /* its tasks always fail */
+    size_t queue;   /* index of its queue in the document */
+    bool poison;    /* its tasks always fail */
+    bool abandons;  /* its caller cancels it after the first call without a clear answer */
+    uint64_t calls; /* submissions that were sent */
     TaskRecord *tasks;
     size_t task_count, tasks_per_turn;
     size_t first_task_of_step[GENERATED_JOB_STEPS_MAX];
--- a/packages/model/src/site.c
+++ b/packages/model/src/site.c
@@ -121,6 +121,37 @@
     check->gang_percent = 15;
 }
 
+/* The built-in site "held": submissions that arrive after their callers have given them up and cancelled the job,
+ * copies that fail, and gangs with a member on each worker that has their label. */
+static void set_held(Site *site)
+{
+    site->worker_models = 8;
+    site->late_submission_milli = 150;
+    site->late_heartbeat_milli = 20;
+    site->traffic_ms = 30000;
+    SiteKind *held = kind_add(site, "held");
+    held->per_minute = 240;
+    held->steps = 3;
+    held->tasks = 3;
+    held->task_ms = 1500;
+    held->cpu_milli = 2000;
+    held->abandon_percent = 70;
+    SiteKind *copies = kind_add(site, "copies");
+    copies->per_minute = 90;
+    copies->tasks = 3;
+    copies->task_ms = 900;
+    copies->cpu_milli = 2000;
+    copies->attempts = 4;
+    copies->fail_milli = 500;
+    copies->copies_percent = 100;
+    SiteKind *spread = kind_add(site, "spread");
+    spread->per_minute = 60;
+    spread->task_ms = 600;
+    spread->cpu_milli = 2000;
+    spread->attempts = 4;
+    spread->gang_percent = spread->needs_percent = spread->spread_percent = 100;
+}
+
 bool site_builtin(const char *name, Site *site)
 {
     *site = site_default(name);
@@ -130,6 +161,8 @@
         set_registry(site);
     else if (strcmp(name, "bounds") == 0)
         set_bounds(site);
+    else if (strcmp(name, "held") == 0)
+        set_held(site);
     else
         return false;
     return true;
--- a/packages/model/src/start.c
+++ b/packages/model/src/start.c
@@ -170,6 +170,19 @@
     return true;
 }
 
+/* Counts the acknowledged failure among the bounds that the day has reached. */
+static void count_failure_bounds(const WorkerModel *worker_model, const TaskOutcome *task_outcome, uint64_t attempt)
+{
+    Topology *topology = worker_model->worker_models->topology;
+    bool newer = false, repeated = false;
+    for (size_t i = 0; i < task_outcome->failure_count; i++) {
+        newer |= task_outcome->failure_acknowledged[i] && task_outcome->failed_attempts[i] > attempt;
+        repeated |= task_outcome->failure_acknowledged[i] && task_outcome->failed_attempts[i] == attempt;
+    }
+    topology->bounds[BOUND_FAILED_OUT_OF_ORDER] += newer && !repeated;
+    topology->bounds[BOUND_FAILED_ON_GREY] += worker_model->failure_percent >= 50;
+}
+
 void check_acknowledged_end(WorkerModel *worker_model, const WorkerModelEnd *end)
 {
     Topology *topology = worker_model->worker_models->topology;
@@ -190,6 +203,8 @@
         if (task_outcome->acknowledged_ms == 0)
             task_outcome->acknowledged_ms = now_ms;
     }
+    if (end->reported.word == ATTEMPT_FAILED)
+        count_failure_bounds(worker_model, task_outcome, end->reported.attempt);
     for (size_t i = 0; i < task_outcome->failure_count && end->reported.word == ATTEMPT_FAILED; i++)
         if (task_outcome->failed_attempts[i] == end->reported.attempt && !task_outcome->failure_acknowledged[i]) {
             task_outcome->failure_acknowledged[i] = true;
--- a/packages/model/src/topology.c
+++ b/packages/model/src/topology.c
@@ -39,12 +39,13 @@
 {
     TopologyNode *node =
         is_agent ? &topology->agents[topology->agent_count++] : &topology->servers[topology->server_count++];
-    *node = (TopologyNode){.topology = topology,
-                           .zone = site_zone(zone),
-                           .machine = sim_machine_new(topology->world),
-                           .is_agent = is_agent,
-                           .disk = disk,
-                           .counted = disk};
+    *node = (TopologyNode){
+        .topology = topology,
+        .zone = site_zone(zone),
+        .machine = sim_machine_new(topology->world),
+        .is_agent = is_agent,
+        .disk = disk,
+    };
     snprintf(node->name, sizeof(node->name), "%s%d", is_agent ? "side" : disk ? "core" : "gate", (int)number + 1);
     node->recorder = recorder_new(topology, node->name);
     recorder_mute(node->recorder);
--- a/packages/model/src/topology.h
+++ b/packages/model/src/topology.h
@@ -4,9 +4,8 @@
 /* The machines of a modelled deployment that run the product. */
 
 #include "adapter/adapter.h"
+#include "model/model.h"
 #include "model/random_source.h"
-#include "model/rules.h"
-#include "model/codec.h"
 #include "sim/checker.h"
 #include "sim/world.h"
 
@@ -21,11 +20,11 @@
     char name[24];
     const char *zone;
     int machine;
-    bool is_agent, disk, counted; /* an agent; a controller; unused */
-    bool used;                    /* false: a spare machine that has not been started */
-    bool gone;                    /* permanently removed */
-    bool up, leaving;             /* the process has started; it is shutting down gracefully */
-    uint64_t incarnation;         /* number of its current process */
+    bool is_agent, disk;  /* an agent; a controller */
+    bool used;            /* false: a spare machine that has not been started */
+    bool gone;            /* permanently removed */
+    bool up, leaving;     /* the process has started; it is shutting down gracefully */
+    uint64_t incarnation; /* number of its current process */
     int64_t fault_ms;
     int faults;            /* number of lasting faults */
     AdapterSettings place; /* settings as the adapter reads them */
@@ -53,8 +52,10 @@
     int controller_faults;       /* number of lasting faults of controllers */
     int fault_count_all;         /* number of lasting faults */
     int64_t any_fault_ms;        /* last unplanned fault of any machine or worker, like fault_ms */
-    bool verbose;                /* events of the day are printed */
-    const char *job;             /* job whose events are printed; null: none */
+    Loop *link;                  /* of the process that delivers late calls; null: the site has none */
+    size_t bounds[BOUND_COUNT];
+    bool verbose;    /* events of the day are printed */
+    const char *job; /* job whose events are printed; null: none */
 } Topology;
 
 /* --- topology.c --- */
--- a/packages/model/src/worker_model.c
+++ b/packages/model/src/worker_model.c
@@ -1,4 +1,5 @@
 /* A worker model: its process, its heartbeats, its pace, and its shutdown. */
+#include "late_call.h"
 #include "worker_model.h"
 
 #include <inttypes.h>
@@ -67,7 +68,7 @@
                                  job_records_checkpoint_text(mem, run->task, worker_model_saved_ms(run, false)),
                                  work_ms > 0 ? (int)(worker_group_progress_ms(run->worker_group) * 100 / work_ms) : 0};
     }
-    worker_model->worker_models->bounds[BOUND_ENDS_CUT] += worker_model->end_count > HEARTBEAT_ENDS_MAX;
+    worker_model->worker_models->topology->bounds[BOUND_ENDS_CUT] += worker_model->end_count > HEARTBEAT_ENDS_MAX;
     for (size_t i = 0; i < worker_model->end_count && i < HEARTBEAT_ENDS_MAX; i++)
         report->ended[report->ended_count++] = worker_model->ends[i].reported;
 }
@@ -104,7 +105,8 @@
         return HEARTBEAT_RETRY_MS;
     }
     const Status status = loop_call(worker_model->loop, &call);
-    worker_model->worker_models->bounds[BOUND_LARGE_ANSWERS] += call.response_body.count > ANSWER_BYTES_MAX / 4;
+    worker_model->worker_models->topology->bounds[BOUND_LARGE_ANSWERS] +=
+        call.response_body.count > ANSWER_BYTES_MAX / 4;
     WorkerModelAnswer *orders = talloc_zero(mem, WorkerModelAnswer);
     if (status != STATUS_OK || call.code < 200 || call.code > 299 ||
         loop_now_ms(worker_model->loop) - sent_ms > ANSWER_TIMEOUT_MS || call.response_body.count > ANSWER_BYTES_MAX ||
@@ -167,7 +169,7 @@
     WorkerModel *worker_model = arg;
     const Topology *topology = worker_model->worker_models->topology;
     announce_end(worker_model);
-    worker_model->worker_models->bounds[BOUND_DEPARTED_FIRST]++;
+    worker_model->worker_models->topology->bounds[BOUND_DEPARTED_FIRST]++;
     const int64_t left_ms = worker_model->leave_at_ms - topology_now_ms(topology);
     if (left_ms > 0)
         loop_sleep(worker_model->loop, left_ms);
@@ -301,7 +303,7 @@
 
 void worker_models_start(WorkerModels *worker_models)
 {
-    late_heartbeats_start(worker_models);
+    late_calls_start(worker_models->topology);
     for (size_t i = 0; i < worker_models->count; i++)
         worker_model_start(&worker_models->list[i]);
 }
--- a/packages/model/src/worker_model.h
+++ b/packages/model/src/worker_model.h
@@ -81,9 +81,7 @@
     WorkerModel list[AGENTS_MAX];
     size_t count;
     uint64_t boots;
-    Loop *link;      /* of the process that delivers late heartbeats; null: none is late */
     int64_t late_ms; /* when a heartbeat was last held up, or arrived late; 0: none was */
-    size_t bounds[BOUND_COUNT];
 } WorkerModels;
 
 WorkerModels *worker_models_new(void *mem, JobRecords *records, SentDocuments *sent_documents);
@@ -102,8 +100,6 @@
 void worker_model_update_pace(WorkerModel *worker_model);
 
 /* --- late heartbeats (late_heartbeat.c) ------------------------------------------------------ */
-/* Starts the process that delivers late heartbeats, if the site has any. */
-void late_heartbeats_start(WorkerModels *worker_models);
 /* Draws whether this heartbeat arrives late. If so, it is delivered later, whatever happens to its sender meanwhile,
  * and true is returned: the worker gets no answer. */
 bool late_heartbeat_drawn(WorkerModel *worker_model, const HttpCall *call);
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -14,6 +14,8 @@
  - a process ends within grace_s of SIGTERM with exit code 0, and never by itself;
  - every accepted job that nobody cancelled is known and done finish_s after the end, or shown to be running;
  - a lasting job has all its tasks running then; no task runs twice at the same time;
+ - a job that its caller gave up after a call without an answer, and cancelled at another process, starts nothing later than
+   cancel_ms after the cancelling was answered (2xx or 410), unless there was trouble that isn't planned within contact_ms;
  - the configuration that is read back is the newest that was acknowledged, or a later one.
 """
 import argparse
@@ -35,6 +37,7 @@
 NEW_JOB_SHARE = 0.08  # of the requests: the jobs use less than half of the workers
 ANSWER_MARGIN_S = 1.0
 TRIES = 5
+ABANDON_SHARE = 0.4  # of the submissions without an answer: the caller cancels the job instead of trying again
 EVENTS_A_SECOND = 1.2
 SERIES_MAX = 8
 RESTART_S = 0.3
@@ -100,6 +103,9 @@
         self.answers = collections.Counter()
         self.jobs = []
         self.unplanned_at = -1e9  # end of the last trouble that is no planned work
+        self.troubles = []  # moments of such trouble
+        self.abandoned = {}  # id of each job that was given up and cancelled, to when that was acknowledged
+        self.cancelling = set()
         self.calling = True
         self.restart_at, self.thaw_at = {}, {}
         self.acknowledged = self.version = 0
@@ -115,8 +121,24 @@
             await asyncio.sleep(0.05)
             self.lag = max(self.lag * 0.9, time.monotonic() - before - 0.05)
 
+    def note_trouble(self):
+        """Notes that trouble which isn't planned work happens now."""
+        self.unplanned_at = time.monotonic()
+        if not self.troubles or self.unplanned_at - self.troubles[-1] > 0.1:
+            self.troubles.append(self.unplanned_at)
+
     # --- callers -------------------------------------------------------------------------
 
+    async def abandon(self, rng, job):
+        """Cancels a job whose submission had no answer."""
+        for _ in range(TRIES):
+            answer = await send_once(rng.choice(self.fleet.edges).address(FRONT), "DELETE", job.path)
+            if answer and (200 <= answer.code < 300 or answer.code == 410):
+                self.abandoned[job.id()] = time.monotonic()
+                self.answers[f"abandoned, {answer.code}"] += 1
+                return
+            await asyncio.sleep(0.2)
+
     def check_cut(self, machine, method, cut):
         """Reports a request that was sent whole and got no answer, unless trouble that isn't planned came before it."""
         now = time.monotonic()
@@ -179,6 +201,12 @@
             if answer and 200 <= answer.code < 300:
                 job.accepted, job.accepted_at, job.accepted_by = True, time.monotonic(), machine.name
                 self.jobs.append(job)
+            if answer is None and rng.random() < ABANDON_SHARE:
+                pending[0], job.cancelled = None, True
+                task = asyncio.create_task(self.abandon(random.Random(f"{self.seed} abandons {job.path}"), job))
+                self.cancelling.add(task)
+                task.add_done_callback(self.cancelling.discard)
+                return None
             if job.accepted or job.tries == TRIES or (answer and answer.code not in (429, 502, 503, 504)):
                 pending[0] = None
             return answer
@@ -265,7 +293,7 @@
         """Does one event, if its target is up."""
         if kind in ("leave", "crash"):
             if kind == "crash":
-                self.unplanned_at = time.monotonic()
+                self.note_trouble()
             self.fleet.command(f"{kind} {name}")
             return
         machine = self.fleet.machines[name]
@@ -286,13 +314,13 @@
             self.thaw_at.pop(name, None)
             self.restart_at[name] = time.monotonic() + for_s / 2
         if kind in ("freeze", "kill"):
-            self.unplanned_at = time.monotonic()
+            self.note_trouble()
 
     def handle_due(self):
         """Thaws, restarts, and checks the processes that were told to end."""
         now = time.monotonic()
         if self.thaw_at or any(not self.fleet.machines[name].term_at for name in self.restart_at):
-            self.unplanned_at = now
+            self.note_trouble()
         for name, at in list(self.thaw_at.items()):
             if now >= at:
                 self.thaw_at.pop(name)
@@ -333,7 +361,7 @@
     async def closing_fault(self):
         """Kills all processes right after a configuration was acknowledged, and starts them again."""
         await self.put_config(random.Random(f"{self.seed} closing"), 30)
-        self.unplanned_at = time.monotonic()
+        self.note_trouble()
         for machine in self.fleet.machines.values():
             if machine.is_up():
                 machine.signal(signal.SIGKILL)
@@ -388,13 +416,22 @@
                 with open(os.path.join(self.fleet.folder, f"{core.name}-{name}.txt"), "wb") as file:
                     file.write(answer.body if answer else b"no answer")
 
+    def check_abandoned(self, at, task, worker):
+        """Reports the start of a task whose job was given up and cancelled long before."""
+        acknowledged = self.abandoned.get(task.split(".")[0])
+        if acknowledged is None or at - acknowledged <= BOUNDS["cancel_ms"] / 1000:
+            return
+        if not any(at - BOUNDS["contact_ms"] / 1000 <= trouble <= at for trouble in self.troubles):
+            self.report(f"task {task} was started on {worker} {at - acknowledged:.3f} s after its cancelling was acknowledged")
+
     def check_record(self):
-        """Checks what the workers recorded: tasks that run twice, and lasting jobs that stand still."""
+        """Checks what the workers recorded: tasks that run twice, lasting jobs that stand still, and cancelled jobs that start."""
         running = {}
         with open(self.fleet.record) as record:
             for line in record:
                 at, what, worker, task, number, how = line.split()
                 if what == "start":
+                    self.check_abandoned(float(at), task, worker)
                     if running.get(task):
                         self.report(f"task {task}: run {number} started on {worker} at {at} while {running[task]} ran")
                     running.setdefault(task, set()).add((worker, number))
@@ -431,6 +468,7 @@
         await asyncio.sleep(1)
         self.calling = False
         await asyncio.gather(*tasks, operator)
+        await asyncio.gather(*self.cancelling)
         if not self.planned:
             await self.closing_fault()
         await self.fleet.wait_ready()
